Model, schema, coordination parts and the two reducers

Change: branded identifiers, typed failures, checked settings, the link and operator schemas with generated code, the pure coordination parts, and the entry's and the sidecar's reducers.

--- /dev/null
+++ b/packages/coordination/src/admission.ts
@@ -0,0 +1,102 @@
+/**
+ * Decides whether an engine takes one more generation. Each policy is a function; a service's objective picks the
+ * quantile of the forecast one.
+ */
+import type { Milliseconds, Objective } from "@verbenaspring/model";
+import { conditionalSurvival, type LengthDistribution } from "./lengthForecast.js";
+
+/** A generation as admission sees it. */
+export interface GenerationView {
+    readonly promptTokens: number;
+    readonly tokensSoFar: number;
+    readonly maximumTokens: number;
+    readonly distribution: LengthDistribution;
+}
+
+/** An engine as admission sees it. */
+export interface EngineView {
+    /** Tokens of prompts and outputs that the engine's memory holds. */
+    readonly memoryTokens: number;
+    readonly running: readonly GenerationView[];
+}
+
+/** Decides whether `candidate` may start now. */
+export type AdmissionPolicy = (engine: EngineView, candidate: GenerationView) => boolean;
+
+/** Points ahead, in tokens decoded by each generation, at which memory is forecast. */
+const horizons = [0, 16, 64, 128, 256, 512, 1_024, 2_048, 4_096, 8_192] as const;
+
+/** Standard deviations of forecast memory that each objective keeps free. */
+export const marginOfObjective: Readonly<Record<Objective, number>> = { stall: 1, preemptions: 2.5 };
+
+/** Baseline: no admission control. */
+export const admitAll: AdmissionPolicy = () => true;
+
+/**
+ * Baseline: a fixed number of generations at once.
+ *
+ * @example
+ * const policy = admitUpTo(16);
+ */
+export function admitUpTo(limit: number): AdmissionPolicy {
+    return engine => engine.running.length < limit;
+}
+
+/** Baseline: every output is taken to have its mean length, and the sum of all must fit. */
+export const admitByMean: AdmissionPolicy = (engine, candidate) => {
+    const whole = (generation: GenerationView): number =>
+        generation.promptTokens + Math.max(generation.tokensSoFar, generation.distribution.mean);
+    return [...engine.running, candidate].reduce((sum, generation) => sum + whole(generation), 0) <= engine.memoryTokens;
+};
+
+/**
+ * Admits while forecast memory, at every horizon, stays under the engine's with `margin` standard deviations to spare.
+ * A generation counts with its chance of still running there, given the tokens it has so far. An idle engine admits
+ * whatever fits now, since waiting can't help.
+ *
+ * @example
+ * const policy = admitByForecast(marginOfObjective.preemptions);
+ */
+export function admitByForecast(margin: number): AdmissionPolicy {
+    return (engine, candidate) => {
+        if (engine.running.length === 0) {
+            return true;
+        }
+        const all = [...engine.running, candidate];
+        return horizons.every(horizon => forecastMemory(all, horizon, margin) <= engine.memoryTokens);
+    };
+}
+
+/**
+ * Forecast memory in tokens once each generation that still runs has decoded `horizon` more: the mean and `margin`
+ * standard deviations, taking outputs as independent.
+ */
+export function forecastMemory(generations: readonly GenerationView[], horizon: number, margin: number): number {
+    let mean = 0;
+    let variance = 0;
+    for (const generation of generations) {
+        const left = Math.max(0, generation.maximumTokens - generation.tokensSoFar);
+        const alive = horizon > left ? 0 : conditionalSurvival(generation.distribution, generation.tokensSoFar, horizon);
+        const size = generation.promptTokens + generation.tokensSoFar + horizon;
+        mean += alive * size;
+        variance += alive * (1 - alive) * size * size;
+    }
+    return mean + margin * Math.sqrt(variance);
+}
+
+/** Tokens that the running generations are expected to leave free at the nearest tight horizon. */
+export function forecastFreeTokens(engine: EngineView, margin: number): number {
+    const most = Math.max(...horizons.map(horizon => forecastMemory(engine.running, horizon, margin)));
+    return engine.memoryTokens - most;
+}
+
+/**
+ * How long until `ahead` queued attempts and the next one have started, when `running` are in progress and one takes
+ * `meanDuration` on average.
+ *
+ * @example
+ * const wait = expectedWait(3, 8, 2_000); // one second
+ */
+export function expectedWait(ahead: number, running: number, meanDuration: Milliseconds): Milliseconds {
+    return Math.round((ahead + 1) * meanDuration / Math.max(1, running));
+}
--- /dev/null
+++ b/packages/entry/src/parts.ts
@@ -0,0 +1,60 @@
+/**
+ * The decisions that an entry is built from. Each is a function that an embedding program, an experiment or a test may
+ * replace.
+ */
+import {
+    betterOfTwo,
+    type ChangeRule,
+    type ClaimRule,
+    expectedRevisionRule,
+    firstAttemptPinned,
+    lowestOffsetWins,
+    type PinRule,
+    type RoutingPolicy,
+} from "@verbenaspring/coordination";
+import type { AttemptId } from "@verbenaspring/model";
+import type { EntryAttempt, EntryRequest, EntryState } from "./state.js";
+
+/** The replaceable decisions. */
+export interface EntryParts {
+    readonly routing: RoutingPolicy;
+    readonly pinRule: PinRule;
+    readonly changeRule: ChangeRule;
+    readonly claimRule: ClaimRule;
+    /** Finds the attempt that a sidecar's message belongs to. */
+    readonly findAttempt: (state: EntryState, attemptId: AttemptId) => EntryAttempt | undefined;
+    /** Whether a request may be dispatched again while the outcome of an earlier attempt is unknown. */
+    readonly mayRunAgain: (request: EntryRequest) => boolean;
+    /** Whether a planned stop has nothing left to wait for. */
+    readonly mayExit: (state: EntryState) => boolean;
+    /** A uniform hash of a string, for choosing links. */
+    readonly hash: (text: string) => number;
+}
+
+/** The decisions as the daemon takes them. */
+export const defaultEntryParts: EntryParts = {
+    routing: betterOfTwo,
+    pinRule: firstAttemptPinned,
+    changeRule: expectedRevisionRule,
+    claimRule: lowestOffsetWins,
+    findAttempt: (state, attemptId) => state.attempts.get(attemptId),
+    mayRunAgain: request => request.work.idempotent,
+    mayExit: state => state.requests.size === 0 && state.changes.size === 0 && !hasStatements(state),
+    hash: hashText,
+};
+
+function hasStatements(state: EntryState): boolean {
+    return state.pendingStatements.length > 0 || state.statementsInFlight !== undefined;
+}
+
+/** The 32-bit FNV-1a hash, with a final mix so that names that differ in their last letter spread as well. */
+function hashText(text: string): number {
+    const prime = 0x01000193;
+    let hash = 0x811c9dc5;
+    for (let index = 0; index < text.length; index++) {
+        hash = Math.imul(hash ^ text.charCodeAt(index), prime);
+    }
+    hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+    hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+    return (hash ^ (hash >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./configuration.js";
+export * from "./errors.js";
+export * from "./identifiers.js";
+export * from "./settings.js";
--- /dev/null
+++ b/packages/schema/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./generated/link_pb.js";
+export * from "./generated/operator_pb.js";
--- /dev/null
+++ b/packages/sidecar/src/links.ts
@@ -0,0 +1,133 @@
+/**
+ * Links from entries: opening, superseding, silence, heartbeats, and the configuration that comes over them.
+ */
+import {
+    boundLinkRecords,
+    type ConfigurationMessage,
+    documentKey,
+    type EntryLinkRecord,
+    forecastFreeTokens,
+    type Load,
+    marginOfObjective,
+    openLinkRecord,
+} from "@verbenaspring/coordination";
+import type { BackendServerId, EntryIncarnation } from "@verbenaspring/model";
+import { forgetAttempt } from "./attempts.js";
+import { engineView } from "./starting.js";
+import { forecastWait, ownService, type SidecarState } from "./state.js";
+import { observe, send, type Transaction } from "./transaction.js";
+
+const mostLinkRecords = 16_384;
+
+/** Opens a link, unless a newer one of the same entry was opened before or the link is meant for another. */
+export function receiveHello(
+    transaction: Transaction,
+    entry: EntryIncarnation,
+    linkNumber: number,
+    backendServer: BackendServerId,
+): void {
+    const { state, effects, now } = transaction;
+    const previous = state.links.get(entry);
+    const isMeant = backendServer === state.options.backendServer;
+    const record = isMeant ? openLinkRecord(state.links, entry, linkNumber, now) : undefined;
+    if (record === undefined) {
+        observe(transaction, { event: "link_refused", entry, linkNumber });
+        effects.push({ kind: "closeLink", entry, linkNumber });
+        return;
+    }
+    if (previous?.open === true) {
+        effects.push({ kind: "closeLink", entry, linkNumber: previous.number });
+    }
+    boundLinkRecords(state.links, mostLinkRecords);
+    forgetTombstones(transaction, entry);
+    observe(transaction, { event: "link_opened", entry, linkNumber });
+    send(transaction, entry, {
+        kind: "welcome",
+        sidecarIncarnation: state.options.incarnation,
+        linkNumber,
+        leaving: transaction.parts.refusesWork(state),
+        configurationOffset: state.configuration.through,
+    });
+    send(transaction, entry, loadMessage(transaction));
+}
+
+/**
+ * Drops an entry's tombstones when its older links are superseded: a run that they guard against could only come over
+ * such a link, and its frames are refused. An entry that still wants an answer asks again over the new link.
+ */
+function forgetTombstones(transaction: Transaction, entry: EntryIncarnation): void {
+    for (const attempt of [...transaction.state.attempts.values()]) {
+        if (attempt.entry === entry && attempt.phase === "withdrawn") {
+            forgetAttempt(transaction, attempt);
+        }
+    }
+}
+
+/** Marks a link closed; its entry may open the next one. */
+export function closeLink(transaction: Transaction, entry: EntryIncarnation, record: EntryLinkRecord): void {
+    record.open = false;
+    record.lastReceived = transaction.now;
+    transaction.effects.push({ kind: "closeLink", entry, linkNumber: record.number });
+}
+
+/** Closes silent links and keeps the others alive. */
+export function tendLinks(transaction: Transaction): void {
+    const { state, now } = transaction;
+    const { silenceTimeout, heartbeatInterval } = state.options;
+    for (const [entry, record] of state.links) {
+        if (!record.open) {
+            continue;
+        }
+        if (now - record.lastReceived > silenceTimeout) {
+            observe(transaction, { event: "link_silent", entry, linkNumber: record.number });
+            closeLink(transaction, entry, record);
+            continue;
+        }
+        if (now - record.lastSent >= heartbeatInterval) {
+            send(transaction, entry, loadMessage(transaction));
+        }
+    }
+}
+
+/** Sends every open link a load message at once. */
+export function announceLoad(transaction: Transaction): void {
+    for (const [entry, record] of transaction.state.links) {
+        if (record.open) {
+            send(transaction, entry, loadMessage(transaction));
+        }
+    }
+}
+
+function loadMessage(transaction: Transaction): Load {
+    const { state, parts } = transaction;
+    return {
+        kind: "load",
+        leaving: parts.refusesWork(state) || !state.reachable,
+        configurationOffset: state.configuration.through,
+        freeTokens: freeTokens(state),
+        queueLength: state.queue.size,
+        expectedWait: state.queue.size === 0 ? 0 : forecastWait(state, state.queue.size),
+        preemptions: state.preemptions,
+    };
+}
+
+function freeTokens(state: SidecarState): number {
+    const service = ownService(state);
+    if (service === undefined || service.kind === "plain") {
+        return -state.running.size;
+    }
+    return Math.round(forecastFreeTokens(engineView(state), marginOfObjective[service.objective]));
+}
+
+/** Applies the configuration that an entry sent, where it is newer than the one in force. */
+export function receiveConfiguration(transaction: Transaction, message: ConfigurationMessage): void {
+    const { state } = transaction;
+    const { snapshot } = message;
+    if (snapshot.through <= state.configuration.through) {
+        return;
+    }
+    const documents = new Map(snapshot.documents.map(stored => [documentKey(stored.kind, stored.name), stored]));
+    state.configuration = { documents, through: snapshot.through };
+    observe(transaction, { event: "configuration_applied", through: snapshot.through });
+    announceLoad(transaction);
+}
--- /dev/null
+++ b/packages/sidecar/src/parts.ts
@@ -0,0 +1,45 @@
+/**
+ * The decisions that a sidecar is built from. Each is a function that an embedding program, an experiment or a test
+ * may replace.
+ */
+import {
+    admitByForecast,
+    type AdmissionPolicy,
+    fairShortFirst,
+    type LinkRule,
+    marginOfObjective,
+    newestLinkOnly,
+    type QueueOrder,
+} from "@verbenaspring/coordination";
+import type { Objective } from "@verbenaspring/model";
+import { isLeaving, type SidecarAttempt, type SidecarState } from "./state.js";
+
+/** The replaceable decisions. */
+export interface SidecarParts {
+    readonly acceptsFrame: LinkRule;
+    readonly admission: (objective: Objective) => AdmissionPolicy;
+    readonly order: QueueOrder;
+    /** Whether new work is refused. */
+    readonly refusesWork: (state: SidecarState) => boolean;
+    /** Makes an attempt a tombstone. */
+    readonly recordWithdrawal: (state: SidecarState, attempt: SidecarAttempt) => void;
+    /** Whether a planned stop has nothing left to wait for. */
+    readonly mayExit: (state: SidecarState) => boolean;
+}
+
+/** The decisions as the daemon takes them. */
+export const defaultSidecarParts: SidecarParts = {
+    acceptsFrame: newestLinkOnly,
+    admission: objective => admitByForecast(marginOfObjective[objective]),
+    order: fairShortFirst,
+    refusesWork: isLeaving,
+    recordWithdrawal: (state, attempt) => {
+        state.queue.delete(attempt.id);
+        attempt.phase = "withdrawn";
+    },
+    mayExit: state => state.running.size === 0 && ![...state.attempts.values()].some(isUnsettled),
+};
+
+function isUnsettled(attempt: SidecarAttempt): boolean {
+    return attempt.phase !== "withdrawn";
+}
--- /dev/null
+++ b/packages/sidecar/src/transaction.ts
@@ -0,0 +1,33 @@
+/**
+ * One pass through the reducer: the state, the time, and the effects gathered so far.
+ */
+import type { SidecarMessage, Source } from "@verbenaspring/coordination";
+import type { EntryIncarnation, Milliseconds } from "@verbenaspring/model";
+import type { SidecarEffect, SidecarObservation } from "./effect.js";
+import type { SidecarParts } from "./parts.js";
+import type { SidecarState } from "./state.js";
+
+/** What every step of the reducer works on. */
+export interface Transaction {
+    readonly state: SidecarState;
+    readonly parts: SidecarParts;
+    readonly source: Source;
+    readonly now: Milliseconds;
+    readonly effects: SidecarEffect[];
+}
+
+/** Sends a message over the newest link of an entry; without an open link it is left out, and asked for again. */
+export function send(transaction: Transaction, entry: EntryIncarnation, message: SidecarMessage): boolean {
+    const record = transaction.state.links.get(entry);
+    if (record === undefined || !record.open) {
+        return false;
+    }
+    record.lastSent = transaction.now;
+    transaction.effects.push({ kind: "sendMessage", entry, linkNumber: record.number, message });
+    return true;
+}
+
+/** Adds an observation. */
+export function observe(transaction: Transaction, observation: SidecarObservation): void {
+    transaction.effects.push({ kind: "observe", observation });
+}
