--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,51 @@
+import tseslint from "typescript-eslint";
+
+const pureCore = [
+    "packages/model/src/**",
+    "packages/coordination/src/**",
+    "packages/entry/src/**",
+    "packages/sidecar/src/**",
+];
+
+export default tseslint.config(
+    { ignores: ["**/dist/**", "**/node_modules/**", "packages/schema/src/generated/**"] },
+    ...tseslint.configs.strict,
+    {
+        rules: {
+            "@typescript-eslint/no-non-null-assertion": "off",
+            "@typescript-eslint/no-dynamic-delete": "error",
+            "@typescript-eslint/consistent-type-imports": ["error", { fixStyle: "inline-type-imports" }],
+            "@typescript-eslint/naming-convention": [
+                "error",
+                { selector: "typeLike", format: ["PascalCase"] },
+                { selector: ["variable", "function"], format: ["camelCase"], leadingUnderscore: "forbid" },
+            ],
+            curly: "error",
+            eqeqeq: "error",
+            "no-var": "error",
+            "prefer-const": "error",
+            "arrow-parens": "off",
+            "no-else-return": "error",
+            complexity: ["error", 16],
+            "max-depth": ["error", 3],
+        },
+    },
+    {
+        // The core knows no clock, no chance and no I/O: all three are arguments.
+        files: pureCore,
+        rules: {
+            "no-restricted-globals": ["error", "process", "setTimeout", "setInterval", "performance", "fetch"],
+            "no-restricted-properties": [
+                "error",
+                { object: "Date", property: "now" },
+                { object: "Math", property: "random" },
+            ],
+            "no-restricted-imports": ["error", { patterns: ["node:*"] }],
+        },
+    },
+    {
+        files: ["packages/runtime/src/entryDaemon.ts", "packages/runtime/src/sidecarDaemon.ts"],
+        // A runner is one switch over all effects.
+        rules: { complexity: ["error", 24] },
+    },
+);
--- /dev/null
+++ b/packages/bench/src/demo.ts
@@ -0,0 +1,63 @@
+/**
+ * The demo: both users' services on loopback under a mixed load, with a table at the end. Exits with 1 if any answer was
+ * wrong, cut or doubled.
+ */
+import { createDocuments, type MixedLoadResult, runMixedLoad } from "./mixedLoad.js";
+import { ProcessCluster } from "./processCluster.js";
+import { userDocuments } from "./userDocuments.js";
+
+const seconds = 15;
+const requestsPerSecond = 16;
+const seed = 1;
+
+const say = (line: string): void => void process.stdout.write(`${line}\n`);
+
+function rows(result: MixedLoadResult): readonly (readonly [string, string | number])[] {
+    const { silences, gaps, firstTokens } = result;
+    return [
+        ["requests", result.requests],
+        ["whole answers", result.whole],
+        ["refused, not run", result.refused],
+        ["failed", result.failed],
+        ["tokens", result.tokens],
+        [
+            "first token p50 / p95 (ms)",
+            `${firstTokens.getValueAtPercentile(50)} / ${firstTokens.getValueAtPercentile(95)}`,
+        ],
+        [
+            "stall p50 / p99 / max (ms)",
+            `${silences.getValueAtPercentile(50)} / ${silences.getValueAtPercentile(99)} / ${silences.maxValue}`,
+        ],
+        ["time between tokens p95 / p99 (ms)", `${gaps.getValueAtPercentile(95)} / ${gaps.getValueAtPercentile(99)}`],
+        ["preemptions", result.preemptions],
+        [
+            "non-idempotent: asked / run / run twice",
+            `${result.confirmationsAsked} / ${result.confirmationsRun} / ${result.confirmationsRunTwice}`,
+        ],
+        ["wrong, cut or doubled", result.faults.length],
+    ];
+}
+
+async function main(): Promise<number> {
+    say("starting 3 entries, 4 engines, 2 plain services and their sidecars");
+    const cluster = await ProcessCluster.start({
+        entries: 3,
+        engines: ["assistant", "assistant", "planner", "planner"],
+        plainServers: ["booking", "slots"],
+    });
+    try {
+        say("creating services, routes and organisations with verbenactl");
+        await createDocuments(cluster, userDocuments());
+        say(`running a mixed load for ${seconds} s`);
+        const result = await runMixedLoad(cluster, { seconds, requestsPerSecond, seed, onProgress: say });
+        rows(result).forEach(([name, value]) => say(`${name.padEnd(42)}${value}`));
+        result.failureTypes.forEach((count, type) => say(`  ${type}: ${count}`));
+        result.faults.forEach(fault => say(`FAULT ${fault}`));
+        return result.faults.length + result.confirmationsRunTwice + result.failed === 0 ? 0 : 1;
+    }
+    finally {
+        await cluster.stop();
+    }
+}
+
+process.exit(await main());
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./mixedLoad.js";
+export * from "./processCluster.js";
+export * from "./testCaller.js";
+export * from "./userDocuments.js";
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./exitCodes.js";
+export * from "./table.js";
--- /dev/null
+++ b/packages/cli/src/table.ts
@@ -0,0 +1,24 @@
+/**
+ * Tables for people.
+ */
+
+/** One row: cells by column name. */
+export type TableRow = Readonly<Record<string, string | number | boolean>>;
+
+/**
+ * Formats rows under the column names of the first one.
+ *
+ * @example
+ * process.stdout.write(formatTable([{ kind: "route", name: "plan" }]));
+ */
+export function formatTable(rows: readonly TableRow[]): string {
+    if (rows.length === 0) {
+        return "(none)\n";
+    }
+    const columns = Object.keys(rows[0]);
+    const lines = [columns, ...rows.map(row => columns.map(column => String(row[column] ?? "")))];
+    const widths = columns.map((_, index) => Math.max(...lines.map(line => line[index].length)));
+    return lines.map(line => `${line.map((cell, index) => cell.padEnd(widths[index])).join("  ").trimEnd()}\n`).join(
+        "",
+    );
+}
--- a/packages/coordination/src/admission.ts
+++ b/packages/coordination/src/admission.ts
@@ -23,8 +23,13 @@
 /** Decides whether `candidate` may start now. */
 export type AdmissionPolicy = (engine: EngineView, candidate: GenerationView) => boolean;
 
-/** Points ahead, in tokens decoded by each generation, at which memory is forecast. */
-const horizons = [0, 16, 64, 128, 256, 512, 1_024, 2_048, 4_096, 8_192] as const;
+/** Points ahead, in tokens decoded by each generation, at which memory is forecast; dense enough to meet its peak. */
+const horizons: readonly number[] = [0, 16, 32, 48, ...geometricHorizons(64, 16_384, 4)];
+
+function geometricHorizons(first: number, last: number, perDoubling: number): number[] {
+    const count = Math.round(Math.log2(last / first) * perDoubling);
+    return Array.from({ length: count + 1 }, (_, index) => Math.round(first * 2 ** (index / perDoubling)));
+}
 
 /** Standard deviations of forecast memory that each objective keeps free. */
 export const marginOfObjective: Readonly<Record<Objective, number>> = { stall: 1, preemptions: 2.5 };
@@ -46,7 +51,8 @@
 export const admitByMean: AdmissionPolicy = (engine, candidate) => {
     const whole = (generation: GenerationView): number =>
         generation.promptTokens + Math.max(generation.tokensSoFar, generation.distribution.mean);
-    return [...engine.running, candidate].reduce((sum, generation) => sum + whole(generation), 0) <= engine.memoryTokens;
+    return [...engine.running, candidate].reduce((sum, generation) => sum + whole(generation), 0)
+        <= engine.memoryTokens;
 };
 
 /**
@@ -76,7 +82,9 @@
     let variance = 0;
     for (const generation of generations) {
         const left = Math.max(0, generation.maximumTokens - generation.tokensSoFar);
-        const alive = horizon > left ? 0 : conditionalSurvival(generation.distribution, generation.tokensSoFar, horizon);
+        const alive = horizon > left
+            ? 0
+            : conditionalSurvival(generation.distribution, generation.tokensSoFar, horizon);
         const size = generation.promptTokens + generation.tokensSoFar + horizon;
         mean += alive * size;
         variance += alive * (1 - alive) * size * size;
--- a/packages/coordination/src/configurationFold.ts
+++ b/packages/coordination/src/configurationFold.ts
@@ -60,7 +60,8 @@
 };
 
 /** A change applies only on the revision that its operator saw. */
-export const expectedRevisionRule: ChangeRule = (stored, change) => (stored?.revision ?? -1) === change.expectedRevision;
+export const expectedRevisionRule: ChangeRule = (stored, change) =>
+    (stored?.revision ?? -1) === change.expectedRevision;
 
 /** The key of a document in {@link ConfigurationState.documents}. */
 export function documentKey(kind: DocumentKind, name: string): string {
--- a/packages/coordination/src/keyClaims.ts
+++ b/packages/coordination/src/keyClaims.ts
@@ -96,7 +96,13 @@
         if (won) {
             state.held.set(statement.key, claim);
         }
-        verdicts.push({ claimId: statement.claimId, key: statement.key, won, first: holder === undefined, holder: won ? claim : holder! });
+        verdicts.push({
+            claimId: statement.claimId,
+            key: statement.key,
+            won,
+            first: holder === undefined,
+            holder: won ? claim : holder!,
+        });
         return;
     }
     if (holder?.claimId !== statement.claimId) {
--- a/packages/coordination/src/linkMessages.ts
+++ b/packages/coordination/src/linkMessages.ts
@@ -111,7 +111,14 @@
 }
 
 /** Why an attempt waits. */
-export type WaitReason = "engine_memory" | "queue" | "concurrency" | "no_backend_server" | "link_silent" | "claim" | "generating";
+export type WaitReason =
+    | "engine_memory"
+    | "queue"
+    | "concurrency"
+    | "no_backend_server"
+    | "link_silent"
+    | "claim"
+    | "generating";
 
 /** The attempt waits at the sidecar. */
 export interface Queued {
--- /dev/null
+++ b/packages/coordination/test/keyClaims.test.ts
@@ -0,0 +1,38 @@
+import { emptyClaims, foldClaims, forgetClaims } from "@verbenaspring/coordination";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { claim, release } from "./builders.js";
+
+const wins = (records: Parameters<typeof foldClaims>[1]): boolean[] =>
+    foldClaims(emptyClaims(), records, 0).map(verdict => verdict.won);
+
+test("the lowest offset wins a key", () => {
+    assert.equal(wins([{ offset: 0, value: [claim("k", "one")] }, { offset: 1, value: [claim("k", "two")] }]), [
+        true,
+        false,
+    ]);
+});
+
+test("a claim appended twice is still the winner", () => {
+    assert.equal(wins([{ offset: 0, value: [claim("k", "one"), claim("k", "one")] }]), [true, true]);
+});
+
+test("a released key is won by the next claim, and only its holder can release it", () => {
+    const records = [
+        { offset: 0, value: [claim("k", "one")] },
+        { offset: 1, value: [release("k", "two"), claim("k", "two")] },
+        { offset: 2, value: [release("k", "one"), claim("k", "three")] },
+    ];
+    assert.equal(wins(records), [true, false, true]);
+});
+
+test("keys are forgotten after their retention", () => {
+    const claims = emptyClaims();
+    foldClaims(claims, [{ offset: 0, value: [claim("k", "one")] }], 0);
+    forgetClaims(claims, 100, 100);
+    assert.is(claims.held.size, 1);
+    forgetClaims(claims, 101, 100);
+    assert.is(claims.held.size, 0);
+});
+
+test.run();
--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -16,7 +16,13 @@
     type Tokens,
     type WaitReason,
 } from "@verbenaspring/coordination";
-import { type AttemptId, type BackendServerId, type FailureType, identifier, type Milliseconds } from "@verbenaspring/model";
+import {
+    type AttemptId,
+    type BackendServerId,
+    type FailureType,
+    identifier,
+    type Milliseconds,
+} from "@verbenaspring/model";
 import { completeGeneration, completeResponse, failRequest, presentOutcome } from "./requests.js";
 import { type EntryAttempt, type EntryLink, type EntryRequest, isDrained } from "./state.js";
 import { observe, send, type Transaction } from "./transaction.js";
--- a/packages/entry/src/effect.ts
+++ b/packages/entry/src/effect.ts
@@ -1,13 +1,7 @@
 /**
  * Everything that an entry can ask of the world.
  */
-import type {
-    ClaimAnswer,
-    ClaimStatement,
-    EntryMessage,
-    RequestWaits,
-    WaitReason,
-} from "@verbenaspring/coordination";
+import type { ClaimAnswer, ClaimStatement, EntryMessage, RequestWaits, WaitReason } from "@verbenaspring/coordination";
 import type {
     BackendServerId,
     ConfigurationChange,
--- a/packages/entry/src/requests.ts
+++ b/packages/entry/src/requests.ts
@@ -11,8 +11,8 @@
     type Work,
 } from "@verbenaspring/coordination";
 import {
-    failure,
     type Failure,
+    failure,
     type FailureType,
     identifier,
     type KeyDigest,
--- a/packages/model/src/errors.ts
+++ b/packages/model/src/errors.ts
@@ -4,7 +4,6 @@
  */
 import type { Milliseconds } from "./identifiers.js";
 
-
 /** What is known about whether a request was run. */
 export type RunOutcome = "not_run" | "outcome_unknown" | "generation_lost" | "already_accepted";
 
@@ -116,4 +115,3 @@
         this.name = "MalformedMessageError";
     }
 }
-
--- a/packages/model/src/settings.ts
+++ b/packages/model/src/settings.ts
@@ -123,7 +123,9 @@
 function toValue(node: Node): unknown {
     if (node.type === "object") {
         const properties = (node.children ?? []).filter(property => property.children?.length === 2);
-        return Object.fromEntries(properties.map(property => [property.children![0].value, toValue(property.children![1])]));
+        return Object.fromEntries(
+            properties.map(property => [property.children![0].value, toValue(property.children![1])]),
+        );
     }
     return node.type === "array" ? (node.children ?? []).map(toValue) : node.value as unknown;
 }
--- /dev/null
+++ b/packages/runtime/src/callerAnswer.ts
@@ -0,0 +1,136 @@
+/**
+ * Writes one caller's answer: server-sent events, a whole completion, or a plain response. Every write minds whether
+ * the caller reads.
+ */
+import type { Failure, RequestId } from "@verbenaspring/model";
+import { failureStatus } from "@verbenaspring/model";
+import type { ServerResponse } from "node:http";
+import type { ParsedCall } from "./callParser.js";
+
+/** What the writer reports of its caller. */
+export interface CallerAnswerEvents {
+    readonly blocked: () => void;
+    readonly drained: () => void;
+}
+
+const millisecondsPerSecond = 1_000;
+
+/** One caller's answer in the making. */
+export class CallerAnswer {
+    private isBlocked = false;
+
+    constructor(
+        private readonly requestId: RequestId,
+        private readonly response: ServerResponse,
+        private readonly parsed: ParsedCall,
+        private readonly events: CallerAnswerEvents,
+    ) {
+        response.on("drain", () => this.takeDrain());
+    }
+
+    /** Writes a run of tokens as one event, whose id is the cursor after it. */
+    writeTokens(cursor: string, texts: readonly string[]): void {
+        this.startStream();
+        const payload = JSON.stringify(this.chunk(texts.join(""), null));
+        this.write(`id: ${cursor}\ndata: ${payload}\n\n`);
+    }
+
+    /** Says why nothing else is to be said. A caller that doesn't read is told nothing. */
+    writeComment(reason: string, ahead: number, expected: number): void {
+        if (this.isBlocked) {
+            return;
+        }
+        if (!this.isStreamed()) {
+            this.response.writeProcessing();
+            return;
+        }
+        this.startStream();
+        this.write(`: waiting reason=${reason} ahead=${ahead} expected_ms=${Math.round(expected)}\n\n`);
+    }
+
+    /** Ends a stream whose every token has been written. */
+    endStream(finishReason: string): void {
+        this.startStream();
+        this.write(`data: ${JSON.stringify(this.chunk("", finishReason))}\n\ndata: [DONE]\n\n`);
+        this.response.end();
+    }
+
+    /** Writes a whole completion. */
+    endWhole(texts: readonly string[], finishReason: string): void {
+        const text = texts.join("");
+        const message = { role: "assistant", content: text };
+        const choice = this.parsed.isChat ? { message } : { text };
+        const body = {
+            id: this.requestId,
+            object: this.parsed.isChat ? "chat.completion" : "text_completion",
+            model: this.parsed.model,
+            choices: [{ index: 0, ...choice, finish_reason: finishReason }],
+            usage: { completion_tokens: texts.length },
+        };
+        this.endResponse(200, "application/json", JSON.stringify(body));
+    }
+
+    /** Writes the response of a plain service. */
+    endResponse(status: number, contentType: string, body: string): void {
+        this.response.writeHead(status, contentType === "" ? {} : { "content-type": contentType });
+        this.response.end(body);
+    }
+
+    /** Writes a failure: with its own status, or as an event where the stream has begun. */
+    endFailure(failure: Failure): void {
+        const payload = formatFailure(this.requestId, failure);
+        if (this.response.headersSent) {
+            this.write(`event: error\ndata: ${payload}\n\n`);
+            this.response.end();
+            return;
+        }
+        const isTimed = failure.retryAfter !== undefined;
+        const retry = isTimed ? { "retry-after": String(Math.ceil(failure.retryAfter / millisecondsPerSecond)) } : {};
+        this.response.writeHead(failureStatus[failure.type], { "content-type": "application/json", ...retry });
+        this.response.end(payload);
+    }
+
+    private isStreamed(): boolean {
+        const { target } = this.parsed.call;
+        return target.kind === "completion" && target.streamed;
+    }
+
+    private startStream(): void {
+        if (this.response.headersSent) {
+            return;
+        }
+        this.response.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-store" });
+    }
+
+    private chunk(text: string, finishReason: string | null): object {
+        const { isChat, model } = this.parsed;
+        const choice = isChat ? { delta: text === "" ? {} : { content: text } } : { text };
+        return {
+            id: this.requestId,
+            object: isChat ? "chat.completion.chunk" : "text_completion",
+            model,
+            choices: [{ index: 0, ...choice, finish_reason: finishReason }],
+        };
+    }
+
+    private write(text: string): void {
+        if (this.response.write(text) || this.isBlocked) {
+            return;
+        }
+        this.isBlocked = true;
+        this.events.blocked();
+    }
+
+    private takeDrain(): void {
+        if (this.isBlocked) {
+            this.isBlocked = false;
+            this.events.drained();
+        }
+    }
+}
+
+/** A failure as callers get it. */
+export function formatFailure(requestId: RequestId, failure: Failure): string {
+    const { type, message, outcome, retryAfter } = failure;
+    return JSON.stringify({ error: { type, message, outcome, request_id: requestId, retry_after_ms: retryAfter } });
+}
--- /dev/null
+++ b/packages/runtime/src/callerServer.ts
@@ -0,0 +1,132 @@
+/**
+ * The HTTP server that callers reach, with `/live`, `/ready` and `/metrics` beside the answers.
+ */
+import type { Call } from "@verbenaspring/entry";
+import { type Failure, failure, identifier, type RequestId } from "@verbenaspring/model";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { CallerAnswer } from "./callerAnswer.js";
+import { parseCall } from "./callParser.js";
+import { listen } from "./listening.js";
+
+/** What the server reports. */
+export interface CallerServerEvents {
+    readonly requested: (requestId: RequestId, call: Call, traceparent: string) => void;
+    readonly left: (requestId: RequestId) => void;
+    readonly blocked: (requestId: RequestId) => void;
+    readonly drained: (requestId: RequestId) => void;
+}
+
+/** What the server needs to know. */
+export interface CallerServerOptions {
+    readonly maximumBodyBytes: number;
+    readonly maximumHeaderBytes: number;
+    readonly newIdentifier: () => string;
+    readonly isReady: () => boolean;
+    readonly formatMetrics: () => string;
+}
+
+/** The server of one entry. */
+export interface CallerServer {
+    readonly listen: (address: string) => Promise<void>;
+    /** The answer of a request; undefined once its caller has gone. */
+    readonly answer: (requestId: RequestId) => CallerAnswer | undefined;
+    /** Forgets an answer that has been ended. */
+    readonly forget: (requestId: RequestId) => void;
+    /** Takes no new connections; resolves when the last answer has been sent. */
+    readonly close: () => Promise<void>;
+}
+
+/**
+ * Creates the server.
+ *
+ * @example
+ * const server = createCallerServer(options, events);
+ * await server.listen("127.0.0.1:8080");
+ */
+export function createCallerServer(options: CallerServerOptions, events: CallerServerEvents): CallerServer {
+    const answers = new Map<RequestId, CallerAnswer>();
+
+    async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (answerProbe(request, response, options)) {
+            return;
+        }
+        const requestId: RequestId = identifier(options.newIdentifier());
+        const body = await readBody(request, options.maximumBodyBytes);
+        if (typeof body !== "string") {
+            // The rest of an oversized body is not read, so the connection can't be used again.
+            response.setHeader("connection", "close");
+            return endEarly(requestId, response, body);
+        }
+        const parsed = parseCall(request, body);
+        if ("type" in parsed) {
+            return endEarly(requestId, response, parsed);
+        }
+        const answer = new CallerAnswer(requestId, response, parsed, {
+            blocked: () => events.blocked(requestId),
+            drained: () => events.drained(requestId),
+        });
+        answers.set(requestId, answer);
+        response.on("close", () => {
+            if (answers.delete(requestId)) {
+                events.left(requestId);
+            }
+        });
+        events.requested(requestId, parsed.call, parsed.call.traceparent);
+    }
+
+    const server = createServer({ maxHeaderSize: options.maximumHeaderBytes }, (request, response) => {
+        handle(request, response).catch(() => response.destroy());
+    });
+    return {
+        listen: address => listen(server, address),
+        answer: requestId => answers.get(requestId),
+        forget: requestId => answers.delete(requestId),
+        close: () => closeServer(server),
+    };
+}
+
+function answerProbe(request: IncomingMessage, response: ServerResponse, options: CallerServerOptions): boolean {
+    switch (request.url) {
+        case "/live":
+            response.end("live\n");
+            return true;
+        case "/ready":
+            response.writeHead(options.isReady() ? 200 : 503);
+            response.end(options.isReady() ? "ready\n" : "not ready\n");
+            return true;
+        case "/metrics":
+            response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+            response.end(options.formatMetrics());
+            return true;
+        default:
+            return false;
+    }
+}
+
+function endEarly(requestId: RequestId, response: ServerResponse, reason: Failure): void {
+    const parsed = { call: undefined as never, isChat: false, model: "" };
+    if (response.destroyed) {
+        return;
+    }
+    new CallerAnswer(requestId, response, parsed, { blocked: () => {}, drained: () => {} }).endFailure(reason);
+}
+
+async function readBody(request: IncomingMessage, most: number): Promise<string | Failure> {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+        size += chunk.length;
+        if (size > most) {
+            return failure("body_too_large", `a body holds at most ${most} bytes`, "not_run");
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
+
+function closeServer(server: Server): Promise<void> {
+    return new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+    });
+}
--- /dev/null
+++ b/packages/runtime/src/engineClient.ts
@@ -0,0 +1,241 @@
+/**
+ * The backend server's client: generations at an engine, and calls of a plain service. No call is ever retried here.
+ */
+import type { Work } from "@verbenaspring/coordination";
+import type { AttemptId, GenerationId, Milliseconds } from "@verbenaspring/model";
+import type { SidecarEvent } from "@verbenaspring/sidecar";
+import { createParser } from "eventsource-parser";
+import { Agent, type Dispatcher, request } from "undici";
+
+/** The client of one backend server. */
+export interface BackendClient {
+    readonly start: (
+        generationId: GenerationId,
+        attemptId: AttemptId,
+        work: Work,
+        priority: number,
+        traceparent: string,
+    ) => void;
+    readonly resume: (generationId: GenerationId, from: number) => void;
+    readonly cancel: (generationId: GenerationId) => void;
+    readonly callService: (
+        generationId: GenerationId,
+        attemptId: AttemptId,
+        work: Work,
+        timeLeft: Milliseconds,
+        traceparent: string,
+    ) => void;
+    /** Resolves to whether the backend server answers. */
+    readonly probe: () => Promise<boolean>;
+}
+
+/** Told of a call that broke. */
+export type BrokenCallReport = (generationId: GenerationId, error: unknown) => void;
+
+interface TokenEvent {
+    readonly from: number;
+    readonly texts: readonly string[];
+}
+
+interface EndEvent {
+    readonly count: number;
+    readonly finish_reason: string;
+}
+
+const probeTimeout: Milliseconds = 2_000;
+const connectTimeout: Milliseconds = 3_000;
+const notFound = 404;
+
+/**
+ * Creates the client.
+ *
+ * @param push takes the events that the backend server causes
+ * @param report is told of every call that broke
+ * @example
+ * const backend = createBackendClient("127.0.0.1:9000", channel.push, report);
+ */
+export function createBackendClient(
+    address: string,
+    push: (event: SidecarEvent) => void,
+    report: BrokenCallReport,
+): BackendClient {
+    // Connections are not kept: a request on a kept connection that the server closes meanwhile has an unknown
+    // outcome, while a refused new connection has certainly run nothing.
+    const agent = new Agent({
+        pipelining: 0,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        connect: { timeout: connectTimeout },
+    });
+    const streams = new Map<GenerationId, AbortController>();
+    const base = `http://${address}`;
+    const generationUrl = (generationId: GenerationId): string => `${base}/v1/completions/${generationId}`;
+
+    function openStream(generationId: GenerationId): AbortSignal {
+        streams.get(generationId)?.abort();
+        const abort = new AbortController();
+        streams.set(generationId, abort);
+        return abort.signal;
+    }
+
+    async function follow(
+        generationId: GenerationId,
+        response: Dispatcher.ResponseData,
+        signal: AbortSignal,
+    ): Promise<void> {
+        if (response.statusCode === notFound) {
+            push({ kind: "generationLost", generationId });
+            return;
+        }
+        const ended = await readEvents(generationId, response, push);
+        if (!ended && !signal.aborted) {
+            push({ kind: "generationBroken", generationId });
+        }
+    }
+
+    async function stream(
+        generationId: GenerationId,
+        open: (signal: AbortSignal) => Promise<Dispatcher.ResponseData>,
+    ): Promise<void> {
+        const signal = openStream(generationId);
+        try {
+            await follow(generationId, await open(signal), signal);
+        }
+        catch (error) {
+            if (!signal.aborted) {
+                report(generationId, error);
+                push({ kind: isRefusal(error) ? "backendRefused" : "generationBroken", generationId });
+            }
+        }
+    }
+
+    async function resumeStream(generationId: GenerationId, from: number): Promise<void> {
+        const signal = openStream(generationId);
+        try {
+            const response = await request(`${generationUrl(generationId)}?from=${from}`, {
+                dispatcher: agent,
+                signal,
+            });
+            await follow(generationId, response, signal);
+        }
+        catch (error) {
+            if (!signal.aborted) {
+                report(generationId, error);
+                push({ kind: "generationBroken", generationId });
+            }
+        }
+    }
+
+    return {
+        start: (generationId, attemptId, work, priority, traceparent) => {
+            const fields = { ...JSON.parse(work.body) as object, request_id: generationId, priority, stream: true };
+            const headers = { "content-type": "application/json", traceparent, "x-attempt-id": attemptId };
+            const body = JSON.stringify(fields);
+            void stream(
+                generationId,
+                signal =>
+                    request(`${base}/v1/completions`, { method: "POST", headers, body, dispatcher: agent, signal }),
+            );
+        },
+        resume: (generationId, from) => void resumeStream(generationId, from),
+        cancel: generationId => {
+            streams.get(generationId)?.abort();
+            streams.delete(generationId);
+            request(generationUrl(generationId), { method: "DELETE", dispatcher: agent })
+                .then(response => response.body.dump())
+                .catch(() => undefined);
+        },
+        callService: (generationId, attemptId, work, timeLeft, traceparent) =>
+            void callService(agent, base, { generationId, attemptId, work, timeLeft, traceparent }, push, report),
+        probe: async () => {
+            try {
+                const response = await request(`${base}/load`, {
+                    dispatcher: agent,
+                    signal: AbortSignal.timeout(probeTimeout),
+                });
+                await response.body.dump();
+                return true;
+            }
+            catch (error) {
+                return !isRefusal(error);
+            }
+        },
+    };
+}
+
+async function readEvents(
+    generationId: GenerationId,
+    response: Dispatcher.ResponseData,
+    push: (event: SidecarEvent) => void,
+): Promise<boolean> {
+    let ended = false;
+    const parser = createParser({
+        onEvent: ({ event, data }) => {
+            if (event === "preempted") {
+                push({ kind: "generationPreempted", generationId });
+                return;
+            }
+            if (event === "end") {
+                const { count, finish_reason: finishReason } = JSON.parse(data) as EndEvent;
+                ended = true;
+                push({ kind: "generationEnded", generationId, count, finishReason });
+                return;
+            }
+            push({ kind: "generationTokens", generationId, ...JSON.parse(data) as TokenEvent });
+        },
+    });
+    const decoder = new TextDecoder();
+    for await (const chunk of response.body as AsyncIterable<Buffer>) {
+        parser.feed(decoder.decode(chunk, { stream: true }));
+    }
+    return ended;
+}
+
+interface ServiceCall {
+    readonly generationId: GenerationId;
+    readonly attemptId: AttemptId;
+    readonly work: Work;
+    readonly timeLeft: Milliseconds;
+    readonly traceparent: string;
+}
+
+async function callService(
+    agent: Agent,
+    base: string,
+    { generationId, attemptId, work, timeLeft, traceparent }: ServiceCall,
+    push: (event: SidecarEvent) => void,
+    report: BrokenCallReport,
+): Promise<void> {
+    const type = work.contentType === "" ? {} : { "content-type": work.contentType };
+    const headers = { ...type, traceparent, "x-attempt-id": attemptId, "x-organisation": work.organisation };
+    const hasBody = work.body !== "";
+    try {
+        const response = await request(`${base}${work.path}`, {
+            method: work.method as Dispatcher.HttpMethod,
+            headers,
+            body: hasBody ? work.body : undefined,
+            // Undici may send a call again that it takes for idempotent; here nothing is sent twice.
+            idempotent: false,
+            dispatcher: agent,
+            signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeLeft))),
+        });
+        const contentType = response.headers["content-type"];
+        push({
+            kind: "serviceResponded",
+            generationId,
+            status: response.statusCode,
+            contentType: typeof contentType === "string" ? contentType : "",
+            body: await response.body.text(),
+        });
+    }
+    catch (error) {
+        report(generationId, error);
+        push({ kind: isRefusal(error) ? "backendRefused" : "serviceFailed", generationId });
+    }
+}
+
+/** True where no connection came to be, so nothing can have been run. */
+function isRefusal(error: unknown): boolean {
+    const code = (error as { code?: string; }).code;
+    return code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT" || code === "EHOSTUNREACH";
+}
--- /dev/null
+++ b/packages/runtime/src/linkCodec.ts
@@ -0,0 +1,70 @@
+/**
+ * Turns link messages into frames of the schema and back. The fields of a message are those of the schema's message of
+ * the same name, so only the envelope is converted.
+ */
+import { create } from "@bufbuild/protobuf";
+import type { EntryMessage, SidecarMessage, Tokens } from "@verbenaspring/coordination";
+import { MalformedMessageError } from "@verbenaspring/model";
+import { type LinkFrame, LinkFrameSchema, type LinkMessage, LinkMessageSchema } from "@verbenaspring/schema";
+
+/** A message of either direction. */
+export type AnyLinkMessage = EntryMessage | SidecarMessage;
+
+/**
+ * Encodes messages into one frame. Runs of tokens of one attempt that continue each other become one run.
+ *
+ * @example
+ * const frame = encodeFrame([{ kind: "heartbeat" }]);
+ */
+export function encodeFrame(messages: readonly AnyLinkMessage[]): LinkFrame {
+    return create(LinkFrameSchema, { messages: mergeTokens(messages).map(encodeMessage) });
+}
+
+function encodeMessage(message: AnyLinkMessage): LinkMessage {
+    const { kind, ...fields } = message;
+    const value = kind === "configuration" ? { snapshot: JSON.stringify(message.snapshot) } : fields;
+    return create(LinkMessageSchema, { body: { case: kind, value } as never });
+}
+
+/** Decodes a frame. A message without a body comes from a newer schema and is left out. */
+export function decodeFrame(frame: LinkFrame): AnyLinkMessage[] {
+    return frame.messages.flatMap(({ body }) => {
+        if (body.case === undefined) {
+            return [];
+        }
+        if (body.case === "configuration") {
+            return [{ kind: body.case, snapshot: parseSnapshot(body.value.snapshot) }];
+        }
+        return [{ kind: body.case, ...body.value } as unknown as AnyLinkMessage];
+    });
+}
+
+function parseSnapshot(text: string): never {
+    try {
+        return JSON.parse(text) as never;
+    }
+    catch (error) {
+        throw new MalformedMessageError("link", String(error));
+    }
+}
+
+function mergeTokens(messages: readonly AnyLinkMessage[]): AnyLinkMessage[] {
+    const merged: AnyLinkMessage[] = [];
+    const lastOf = new Map<string, { readonly index: number; readonly run: Tokens; }>();
+    for (const message of messages) {
+        if (message.kind !== "tokens") {
+            if ("attemptId" in message) {
+                lastOf.delete(message.attemptId);
+            }
+            merged.push(message);
+            continue;
+        }
+        const earlier = lastOf.get(message.attemptId);
+        const continues = earlier !== undefined && earlier.run.from + earlier.run.texts.length === message.from;
+        const run = continues ? { ...earlier.run, texts: [...earlier.run.texts, ...message.texts] } : message;
+        const index = continues ? earlier.index : merged.length;
+        merged[index] = run;
+        lastOf.set(message.attemptId, { index, run });
+    }
+    return merged;
+}
--- a/packages/sidecar/src/attempts.ts
+++ b/packages/sidecar/src/attempts.ts
@@ -282,7 +282,13 @@
     }
     replaceReader(transaction, generation, resume.attemptId);
     state.attempts.set(resume.attemptId, {
-        ...createAttempt(transaction, record, entry, { ...generation.work, ...resume, kind: "run", timeLeft: 0, resent: true }),
+        ...createAttempt(transaction, record, entry, {
+            ...generation.work,
+            ...resume,
+            kind: "run",
+            timeLeft: 0,
+            resent: true,
+        }),
         phase: "started",
         generationId: generation.id,
     });
--- a/packages/sidecar/src/generations.ts
+++ b/packages/sidecar/src/generations.ts
@@ -108,7 +108,12 @@
 }
 
 /** Takes the engine's end marker. */
-export function receiveEnd(transaction: Transaction, generation: Generation, count: number, finishReason: string): void {
+export function receiveEnd(
+    transaction: Transaction,
+    generation: Generation,
+    count: number,
+    finishReason: string,
+): void {
     if (count !== generation.texts.length) {
         requestMissing(transaction, generation);
         return;
--- a/packages/sidecar/src/parts.ts
+++ b/packages/sidecar/src/parts.ts
@@ -3,8 +3,8 @@
  * may replace.
  */
 import {
-    admitByForecast,
     type AdmissionPolicy,
+    admitByForecast,
     fairShortFirst,
     type LinkRule,
     marginOfObjective,
--- a/packages/sidecar/src/reducer.ts
+++ b/packages/sidecar/src/reducer.ts
@@ -68,7 +68,9 @@
 }
 
 function failViolated(transaction: Transaction, event: SidecarEvent, violation: InvariantViolation): void {
-    const attemptId = event.kind === "linkMessage" && "attemptId" in event.message ? event.message.attemptId : undefined;
+    const attemptId = event.kind === "linkMessage" && "attemptId" in event.message
+        ? event.message.attemptId
+        : undefined;
     transaction.effects.push({ kind: "violated", attemptId, violation });
     if (event.kind === "linkMessage" && attemptId !== undefined) {
         const failureType = "internal";
--- /dev/null
+++ b/packages/stand-ins/src/httpStandIn.ts
@@ -0,0 +1,58 @@
+/**
+ * What the stand-ins' small HTTP servers share.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+
+/** A stand-in that listens. */
+export interface StandIn {
+    readonly address: string;
+    readonly server: Server;
+    readonly close: () => Promise<void>;
+}
+
+/** Answers one request; what it throws becomes status 400. */
+export type Handler = (request: IncomingMessage, response: ServerResponse, url: URL) => void | Promise<void>;
+
+/** Starts a server on loopback; port 0 takes a free one. */
+export async function startStandIn(port: number, handler: Handler): Promise<StandIn> {
+    const server = createServer((request, response) => {
+        const url = new URL(request.url ?? "/", "http://127.0.0.1");
+        Promise.resolve()
+            .then(() => handler(request, response, url))
+            .catch((error: unknown) => sendJson(response, 400, { error: String(error) }));
+    });
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, "127.0.0.1", resolve);
+    });
+    const bound = server.address() as { port: number; };
+    const close = (): Promise<void> =>
+        new Promise(resolve => {
+            server.close(() => resolve());
+            server.closeAllConnections();
+        });
+    return { address: `127.0.0.1:${bound.port}`, server, close };
+}
+
+/** Reads a JSON body. */
+export async function readJson<Value>(request: IncomingMessage): Promise<Value> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+        chunks.push(chunk);
+    }
+    return JSON.parse(Buffer.concat(chunks).toString("utf8") || "null") as Value;
+}
+
+/** Sends a JSON body. */
+export function sendJson(response: ServerResponse, status: number, value: unknown): void {
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(JSON.stringify(value));
+}
+
+/** Resolves after a time in milliseconds. */
+export function pause(duration: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, duration));
+}
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,6 @@
+export * from "./engineModel.js";
+export * from "./engineStandIn.js";
+export * from "./httpStandIn.js";
+export * from "./instanceListStandIn.js";
+export * from "./logStandIn.js";
+export * from "./serviceStandIn.js";
