A fuzzer over the real reducers, and the three faults that it found first

Cause: the promises need a proof under failure. The fuzzer drives the entry's and the sidecar's reducers through small fakes in virtual time; an oracle that knows nothing of them compares what callers saw with what backend servers ran. Found and repaired, each with its shrunk schedule as a test that failed first: 1. a response that came while no link was open was never sent, and its attempt never settled; 2. the caller of a whole answer heard nothing while tokens came, since they counted as heard; 3. tokens sent over a link that was lost were never sent again to an entry that had let go, so the attempt stayed. Ruled out: a generation left at an engine after its sidecar was killed was the fake's own fault, not the system's. Conclusion: the fuzzer is in place; next, show for each promise that it finds the break when the mechanism is removed.

--- a/packages/bench/src/mixedLoad.ts
+++ b/packages/bench/src/mixedLoad.ts
@@ -2,7 +2,7 @@
  * A mixed load of both users over real processes: open-loop arrivals, so that a slow system meets no fewer requests,
  * and every time is counted from when the request was due.
  */
-import { seededSource } from "@verbenaspring/runtime";
+import { seededSource } from "@verbenaspring/coordination";
 import { build, type Histogram } from "hdr-histogram-js";
 import { request } from "undici";
 import type { ProcessCluster } from "./processCluster.js";
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./linkMessages.js";
 export * from "./retry.js";
 export * from "./routing.js";
+export * from "./seededSource.js";
 export * from "./source.js";
 export * from "./tokenLedger.js";
 export * from "./waitHistory.js";
--- /dev/null
+++ b/packages/coordination/src/seededSource.ts
@@ -0,0 +1,21 @@
+/**
+ * A source of chance that is exact for its seed, for tests, experiments and replays.
+ */
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { Source } from "./source.js";
+
+/**
+ * A source that gives the same values for the same seed.
+ *
+ * @example
+ * const source = seededSource(42);
+ */
+export function seededSource(seed: number): Source {
+    const generator = xoroshiro128plus(seed);
+    const word = (): number => generator.next() >>> 0;
+    const hexadecimalWord = (): string => word().toString(16).padStart(8, "0");
+    return {
+        random: () => word() / 2 ** 32,
+        newIdentifier: () => hexadecimalWord() + hexadecimalWord() + hexadecimalWord() + hexadecimalWord(),
+    };
+}
--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -270,10 +270,10 @@
         cancelOthers(transaction, request, attempt);
     }
     request.written += decision.texts.length;
-    request.lastHeard = now;
     attempt.generationId = message.generationId;
     noteWait(request.waits, "generating", now);
     if (request.streamed) {
+        request.lastHeard = now;
         const { backendServer, sidecarIncarnation } = attempt;
         const generation = { backendServer, sidecarIncarnation, generationId: message.generationId };
         const { from, texts } = decision;
--- /dev/null
+++ b/packages/fuzz/src/actions.ts
@@ -0,0 +1,150 @@
+/**
+ * What can happen in a schedule, drawn by fast-check. Slots are taken modulo the number of entries or backend servers.
+ */
+import * as fc from "fast-check";
+
+/** One step of a schedule. Durations are in milliseconds. */
+export type Action =
+    | {
+        readonly kind: "ask";
+        readonly work: "stream" | "whole" | "lookup" | "confirm" | "keyed";
+        readonly entry: number;
+        readonly length: number;
+        readonly timeLimit: number;
+    }
+    | { readonly kind: "leave"; readonly caller: number; }
+    | { readonly kind: "resume"; readonly caller: number; readonly entry: number; }
+    | { readonly kind: "repeat"; readonly caller: number; readonly entry: number; }
+    | { readonly kind: "block"; readonly caller: number; readonly duration: number; }
+    | {
+        readonly kind: "holdLink";
+        readonly entry: number;
+        readonly backend: number;
+        readonly direction: "up" | "down" | "both";
+        /** How late the frames come; undefined for never. */
+        readonly lateBy: number | undefined;
+    }
+    | { readonly kind: "holdOpening"; readonly entry: number; readonly backend: number; readonly lateBy: number; }
+    | { readonly kind: "dropLink"; readonly entry: number; readonly backend: number; }
+    | { readonly kind: "killEntry"; readonly entry: number; }
+    | { readonly kind: "killSidecar"; readonly backend: number; }
+    | { readonly kind: "freezeEntry"; readonly entry: number; readonly duration: number; }
+    | { readonly kind: "freezeSidecar"; readonly backend: number; readonly duration: number; }
+    | { readonly kind: "killBackend"; readonly backend: number; readonly duration: number; }
+    | { readonly kind: "stallBackend"; readonly backend: number; readonly duration: number; }
+    | { readonly kind: "breakStreams"; readonly backend: number; }
+    | { readonly kind: "breakAnswers"; readonly backend: number; readonly duration: number; }
+    | { readonly kind: "slowService"; readonly backend: number; readonly duration: number; }
+    | { readonly kind: "logOutage"; readonly duration: number; }
+    | { readonly kind: "logSlow"; readonly duration: number; readonly slowness: number; }
+    | { readonly kind: "logLosesAnswers"; readonly duration: number; }
+    | { readonly kind: "drain"; readonly backend: number; readonly entry: number; }
+    | { readonly kind: "restore"; readonly backend: number; readonly entry: number; }
+    | { readonly kind: "race"; readonly backend: number; readonly entry: number; }
+    | { readonly kind: "reclaim"; readonly backend: number; readonly duration: number; }
+    | { readonly kind: "stopSidecar"; readonly backend: number; }
+    | { readonly kind: "stopEntry"; readonly entry: number; };
+
+/** A step with the time before it. */
+export interface Step {
+    readonly pause: number;
+    readonly action: Action;
+}
+
+/** A whole schedule. */
+export interface Schedule {
+    /** Seeds latencies, engines and identifiers. */
+    readonly seed: number;
+    readonly steps: readonly Step[];
+}
+
+const slot = fc.nat(11);
+const caller = fc.nat(30);
+const shortTime = fc.integer({ min: 50, max: 3_000 });
+const longTime = fc.integer({ min: 200, max: 9_000 });
+
+const record = <Kind extends Action["kind"], Fields>(
+    kind: Kind,
+    fields: { [Name in keyof Fields]: fc.Arbitrary<Fields[Name]>; },
+) => fc.record({ kind: fc.constant(kind), ...fields }) as unknown as fc.Arbitrary<Action>;
+
+const ask = record("ask", {
+    work: fc.constantFrom("stream", "stream", "whole", "lookup", "confirm", "confirm", "keyed", "keyed"),
+    entry: slot,
+    length: fc.oneof(fc.integer({ min: 1, max: 20 }), fc.integer({ min: 20, max: 120 })),
+    timeLimit: fc.integer({ min: 1_000, max: 15_000 }),
+});
+
+const callerActions = fc.oneof(
+    record("leave", { caller }),
+    record("resume", { caller, entry: slot }),
+    record("repeat", { caller, entry: slot }),
+    record("block", { caller, duration: shortTime }),
+);
+
+const linkFaults = fc.oneof(
+    {
+        arbitrary: record("holdLink", {
+            entry: slot,
+            backend: slot,
+            direction: fc.constantFrom("up", "down", "both"),
+            lateBy: fc.option(fc.integer({ min: 100, max: 12_000 }), { nil: undefined }),
+        }),
+        weight: 4,
+    },
+    { arbitrary: record("holdOpening", { entry: slot, backend: slot, lateBy: longTime }), weight: 1 },
+    { arbitrary: record("dropLink", { entry: slot, backend: slot }), weight: 2 },
+);
+
+const processFaults = fc.oneof(
+    record("killEntry", { entry: slot }),
+    record("killSidecar", { backend: slot }),
+    record("freezeEntry", { entry: slot, duration: longTime }),
+    record("freezeSidecar", { backend: slot, duration: longTime }),
+);
+
+const backendFaults = fc.oneof(
+    record("killBackend", { backend: slot, duration: shortTime }),
+    record("stallBackend", { backend: slot, duration: shortTime }),
+    record("breakStreams", { backend: slot }),
+    record("breakAnswers", { backend: slot, duration: shortTime }),
+    record("slowService", { backend: slot, duration: longTime }),
+);
+
+const platformFaults = fc.oneof(
+    record("logOutage", { duration: longTime }),
+    record("logSlow", { duration: longTime, slowness: fc.integer({ min: 100, max: 4_000 }) }),
+    record("logLosesAnswers", { duration: longTime }),
+);
+
+const operatorActions = fc.oneof(
+    record("drain", { backend: slot, entry: slot }),
+    record("restore", { backend: slot, entry: slot }),
+    record("race", { backend: slot, entry: slot }),
+);
+
+const plannedStops = fc.oneof(
+    record("stopSidecar", { backend: slot }),
+    record("stopEntry", { entry: slot }),
+    record("reclaim", { backend: slot, duration: longTime }),
+);
+
+const action = fc.oneof(
+    { arbitrary: ask, weight: 12 },
+    { arbitrary: callerActions, weight: 5 },
+    { arbitrary: linkFaults, weight: 4 },
+    { arbitrary: processFaults, weight: 2 },
+    { arbitrary: backendFaults, weight: 2 },
+    { arbitrary: platformFaults, weight: 2 },
+    { arbitrary: operatorActions, weight: 3 },
+    { arbitrary: plannedStops, weight: 2 },
+);
+
+/** Schedules of up to `steps` steps. */
+export function schedules(steps: number): fc.Arbitrary<Schedule> {
+    const step = fc.record({ pause: fc.oneof(fc.nat(40), fc.nat(900)), action });
+    return fc.record({
+        seed: fc.integer({ min: 1, max: 0x7fffffff }),
+        steps: fc.array(step, { minLength: 1, maxLength: steps, size: "max" }),
+    });
+}
--- /dev/null
+++ b/packages/fuzz/src/configurationOracle.ts
@@ -0,0 +1,53 @@
+/**
+ * The oracle of the configuration: a plain fold of the whole log, against which every process's view is checked.
+ */
+import type { ConfigurationRecord, LogOffset, StoredDocument } from "@verbenaspring/model";
+import type { Oracle } from "./oracle.js";
+
+/** Knows what every offset of the configuration means. */
+export class ConfigurationOracle {
+    private readonly revisionsAt: ReadonlyMap<string, LogOffset>[] = [];
+    private readonly accepted = new Map<string, string>();
+
+    constructor(private readonly oracle: Oracle) {}
+
+    /** A record has taken its place in the log. */
+    noteRecord(offset: LogOffset, record: ConfigurationRecord): void {
+        const before = this.revisionsAt[offset - 1] ?? new Map<string, LogOffset>();
+        if (record.type === "snapshot") {
+            this.revisionsAt[offset] = before;
+            return;
+        }
+        const { kind, name, expectedRevision } = record.change;
+        const document = `${kind}/${name}`;
+        const applies = (before.get(document) ?? -1) === expectedRevision;
+        this.revisionsAt[offset] = applies ? new Map(before).set(document, offset) : before;
+    }
+
+    /** An operator was told that its change applied. */
+    noteAccepted(document: string, expectedRevision: LogOffset, changeId: string, revision: LogOffset): void {
+        const slot = `${document}@${expectedRevision}`;
+        const earlier = this.accepted.get(slot);
+        if (earlier !== undefined && earlier !== changeId) {
+            this.oracle.fail("configuration_never_reverts", `two changes of ${slot} were accepted`);
+        }
+        this.accepted.set(slot, changeId);
+        if (this.revisionsAt[revision]?.get(document) !== revision) {
+            this.oracle.fail("configuration_never_reverts", `${document} was not changed at ${revision}`);
+        }
+    }
+
+    /** Checks the documents that a process holds as of an offset. */
+    checkView(who: string, through: LogOffset, documents: ReadonlyMap<string, StoredDocument>, isWhole: boolean): void {
+        const truth = this.revisionsAt[through] ?? new Map<string, LogOffset>();
+        for (const [document, revision] of truth) {
+            const held = documents.get(document)?.revision;
+            if (held !== revision && (isWhole || held !== undefined)) {
+                this.oracle.fail(
+                    "configuration_never_reverts",
+                    `${who} holds ${document} at ${held}, not ${revision}, through ${through}`,
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/fuzz/src/fuzz.ts
@@ -0,0 +1,67 @@
+/**
+ * Runs many schedules with fast-check, and shrinks the first that breaks a promise.
+ */
+import * as fc from "fast-check";
+import { type Schedule, schedules } from "./actions.js";
+import { type PromiseBroken } from "./oracle.js";
+import { runSchedule } from "./runSchedule.js";
+import { defaultWorldParts, type WorldParts } from "./world.js";
+
+/** What to run. */
+export interface FuzzOptions {
+    readonly seed: number;
+    readonly runs: number;
+    readonly steps: number;
+    /** The path to one schedule, as a failing run prints it. */
+    readonly path?: string;
+    readonly parts?: WorldParts;
+    /** Called after each schedule. */
+    readonly onRun?: (runs: number) => void;
+}
+
+/** What came of it. */
+export interface FuzzResult {
+    readonly runs: number;
+    readonly failure: FuzzFailure | undefined;
+}
+
+/** The first breach, shrunk. */
+export interface FuzzFailure {
+    readonly broken: PromiseBroken | Error;
+    readonly schedule: Schedule;
+    readonly path: string;
+}
+
+/**
+ * Runs schedules until one breaks a promise or all have run.
+ *
+ * @example
+ * const { failure } = fuzz({ seed: 1, runs: 1_000, steps: 60 });
+ */
+export function fuzz(options: FuzzOptions): FuzzResult {
+    let runs = 0;
+    const property = fc.property(schedules(options.steps), schedule => {
+        runSchedule(schedule, options.parts ?? defaultWorldParts);
+        runs++;
+        options.onRun?.(runs);
+    });
+    const details = fc.check(property, {
+        seed: options.seed,
+        numRuns: options.runs,
+        path: options.path,
+        endOnFailure: options.path !== undefined,
+        interruptAfterTimeLimit: undefined,
+    });
+    if (!details.failed) {
+        return { runs, failure: undefined };
+    }
+    const [schedule] = details.counterexample!;
+    return {
+        runs,
+        failure: {
+            broken: details.errorInstance as Error,
+            schedule,
+            path: details.counterexamplePath!,
+        },
+    };
+}
--- a/packages/fuzz/src/index.ts
+++ b/packages/fuzz/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export * from "./actions.js";
+export * from "./fuzz.js";
+export * from "./oracle.js";
+export * from "./runSchedule.js";
+export * from "./world.js";
--- /dev/null
+++ b/packages/fuzz/src/main.ts
@@ -0,0 +1,43 @@
+/**
+ * `npm run fuzz -- --seed S --runs N --steps K`: runs randomised schedules against the oracle.
+ */
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { fuzz } from "./fuzz.js";
+
+const progressInterval = 1_000;
+
+const { seed, runs, steps, path } = await yargs(hideBin(process.argv))
+    .scriptName("fuzz")
+    .options({
+        seed: { type: "number", default: 1, describe: "seed of the schedules" },
+        runs: { type: "number", default: 1_000, describe: "schedules to run" },
+        steps: { type: "number", default: 60, describe: "most steps in a schedule" },
+        path: { type: "string", describe: "repeat just the schedule that a failing run named" },
+    })
+    .strict()
+    .parseAsync();
+
+const started = performance.now();
+const result = fuzz({
+    seed,
+    runs,
+    steps,
+    path,
+    onRun: done => {
+        if (done % progressInterval === 0) {
+            process.stdout.write(`${done} schedules, ${Math.round((performance.now() - started) / 1_000)} s\n`);
+        }
+    },
+});
+if (result.failure === undefined) {
+    process.stdout.write(`seed ${seed}: ${result.runs} schedules of up to ${steps} steps, no promise broken\n`);
+    process.exit(0);
+}
+const { broken, schedule } = result.failure;
+process.stdout.write(`${broken.stack ?? broken.message}\n`);
+process.stdout.write(`schedule seed ${schedule.seed}:\n`);
+schedule.steps.forEach(step => process.stdout.write(`  +${step.pause} ${JSON.stringify(step.action)}\n`));
+process.stdout.write(`as JSON: ${JSON.stringify({ what: broken.message, schedule })}\n`);
+process.stdout.write(`repeat: npm run fuzz -- --seed ${seed} --steps ${steps} --path "${result.failure.path}"\n`);
+process.exit(1);
--- a/packages/sidecar/src/generations.ts
+++ b/packages/sidecar/src/generations.ts
@@ -80,13 +80,16 @@
     return undefined;
 }
 
-/** Sends a conclusion again that the entry has not acknowledged: it may have been lost with a link. */
-export function repeatConclusion(transaction: Transaction, generation: Generation): void {
+/**
+ * Sends what no open link could carry when it came, and again a conclusion that the entry has not acknowledged: it may
+ * have been lost with a link.
+ */
+export function tendReader(transaction: Transaction, generation: Generation): void {
     const { reader } = generation;
     if (reader?.concludedAt !== undefined && transaction.now - reader.concludedAt >= conclusionInterval) {
         reader.concludedAt = undefined;
-        sendPending(transaction, generation);
     }
+    sendPending(transaction, generation);
 }
 
 /** Takes tokens from the engine. Tokens had before are dropped; a gap is asked for again. */
--- a/packages/sidecar/src/links.ts
+++ b/packages/sidecar/src/links.ts
@@ -40,6 +40,7 @@
     }
     boundLinkRecords(state.links, mostLinkRecords);
     forgetTombstones(transaction, entry);
+    rewindReaders(state, entry);
     observe(transaction, { event: "link_opened", entry, linkNumber });
     send(transaction, entry, {
         kind: "welcome",
@@ -63,6 +64,19 @@
     }
 }
 
+/**
+ * What was sent over an older link may be lost, so it is sent again from the last acknowledgement. The entry asks
+ * first for the attempts that it still wants, from the token that it lacks; it cancels the others.
+ */
+function rewindReaders(state: SidecarState, entry: EntryIncarnation): void {
+    for (const { reader } of state.generations.values()) {
+        if (reader?.entry === entry) {
+            reader.sent = reader.acknowledged;
+            reader.concludedAt = undefined;
+        }
+    }
+}
+
 /** Marks a link closed; its entry may open the next one. */
 export function closeLink(transaction: Transaction, entry: EntryIncarnation, record: EntryLinkRecord): void {
     record.open = false;
--- a/packages/sidecar/src/reducer.ts
+++ b/packages/sidecar/src/reducer.ts
@@ -27,8 +27,8 @@
     receiveEnd,
     receiveResponse,
     receiveTokens,
-    repeatConclusion,
     resumeDue,
+    tendReader,
 } from "./generations.js";
 import { announceLoad, closeLink, receiveConfiguration, receiveHello, tendLinks } from "./links.js";
 import { defaultSidecarParts, type SidecarParts } from "./parts.js";
@@ -244,7 +244,7 @@
 function tendGeneration(transaction: Transaction, generation: Generation): void {
     const { state, now } = transaction;
     resumeDue(transaction, generation);
-    repeatConclusion(transaction, generation);
+    tendReader(transaction, generation);
     if (generation.reader !== undefined && isAbandoned(transaction, generation.reader.entry)) {
         forgetReader(transaction, generation, generation.reader.attemptId);
     }
