Mutations for each promise, and real processes under failure

Cause: a promise is proved only where removing its mechanism is found, and the fakes are not the processes.

--- a/packages/bench/src/mixedLoad.ts
+++ b/packages/bench/src/mixedLoad.ts
@@ -215,10 +215,10 @@
     cluster: ProcessCluster,
     documents: readonly { readonly kind: string; readonly document: object; }[],
 ): Promise<void> {
-    for (const { kind, document } of documents) {
+    await Promise.all(documents.map(async ({ kind, document }) => {
         const { code, output } = await cluster.control(["put", kind, "-"], JSON.stringify(document));
         if (code !== 0) {
             throw new Error(`verbenactl put ${kind} failed: ${output}`);
         }
-    }
+    }));
 }
--- /dev/null
+++ b/packages/bench/test/callerProcess.test.ts
@@ -0,0 +1,192 @@
+/**
+ * What callers and operators meet at a running system without faults.
+ */
+import { faultOf, type ProcessCluster, waitUntil } from "@verbenaspring/bench";
+import { connect } from "node:net";
+import { request } from "undici";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { askPlan, confirm, createSignal, key, runsOf, startSmallCluster } from "./clusterBuilders.js";
+
+const test = suite<{ cluster: ProcessCluster; }>("callers");
+
+test.before(async context => {
+    context.cluster = await startSmallCluster();
+});
+test.after(context => context.cluster.stop());
+
+async function post(address: string, path: string, body: string, headers: Record<string, string> = {}) {
+    const response = await request(`http://${address}${path}`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${key}`, ...headers },
+        body,
+    });
+    const text = await response.body.text();
+    return {
+        status: response.statusCode,
+        type: (JSON.parse(text) as { error?: { type: string; }; }).error?.type,
+        text,
+    };
+}
+
+test("a streamed answer arrives whole through either entry", async ({ cluster }) => {
+    for (const entry of cluster.entries) {
+        const record = await askPlan(entry, "plan", 40);
+        assert.ok(record.isComplete);
+        assert.is(record.tokens.length, 40);
+        assert.is(faultOf(record.tokens, "plan", 0), undefined);
+    }
+});
+
+test("a whole answer and a chat answer take the OpenAI form", async ({ cluster }) => {
+    const [{ callerAddress }] = cluster.entries;
+    const whole = await post(
+        callerAddress,
+        "/v1/completions",
+        JSON.stringify({ model: "reminder", prompt: "tag=a length=3" }),
+    );
+    assert.is((JSON.parse(whole.text) as { choices: { text: string; }[]; }).choices[0].text, "a:0 a:1 a:2 ");
+    const messages = [{ role: "user", content: "tag=b length=2" }];
+    const chat = await post(callerAddress, "/v1/chat/completions", JSON.stringify({ model: "reminder", messages }));
+    const choice = (JSON.parse(chat.text) as { choices: { message: { content: string; }; }[]; }).choices[0];
+    assert.is(choice.message.content, "b:0 b:1 ");
+});
+
+test("a caller that lost its connection goes on at the next token through the other entry", async ({ cluster }) => {
+    const [first, second] = cluster.entries;
+    const abort = new AbortController();
+    const enough = createSignal();
+    const seen = { tokens: [] as string[], cursor: "" };
+    const asked = askPlan(first, "resumed", 200, {
+        signal: abort.signal,
+        onToken: ({ tokens, cursor }) => {
+            if (tokens.length >= 20 && seen.cursor === "") {
+                Object.assign(seen, { tokens: [...tokens], cursor });
+                enough.fire();
+            }
+        },
+    });
+    await enough.done;
+    abort.abort();
+    await asked;
+    const rest = await askPlan(second, "resumed", 200, { cursor: seen.cursor });
+    assert.ok(rest.isComplete, JSON.stringify(rest.failure));
+    assert.is(faultOf([...seen.tokens, ...rest.tokens], "resumed", 0), undefined);
+    assert.is(seen.tokens.length + rest.tokens.length, 200);
+});
+
+test("another organisation can't go on with the answer", async ({ cluster }) => {
+    const record = await askPlan(cluster.entries[0], "own", 20);
+    const foreign = await askPlan(cluster.entries[0], "own", 20, {
+        cursor: record.cursor,
+        key: "key-of-haulage-shops",
+    });
+    assert.is(foreign.failure?.type, "generation_not_found");
+});
+
+test("a keyed confirmation asked again through the other entry gets the first one's answer", async ({ cluster }) => {
+    const first = await confirm(cluster.entries[0], "booking-1", "key-1");
+    assert.is(first.status, 200);
+    await waitUntil("the answer is known at the other entry", async () => {
+        const again = await confirm(cluster.entries[1], "booking-1", "key-1");
+        return again.status === 200;
+    });
+    assert.is(await runsOf(cluster, "booking-1"), 1);
+    const reused = await confirm(cluster.entries[1], "booking-other", "key-1");
+    assert.is(reused.body.error?.type, "key_reused");
+    assert.is(await runsOf(cluster, "booking-other"), 0);
+});
+
+test("bad input gets a typed answer and ends nothing", async ({ cluster }) => {
+    const [{ callerAddress }] = cluster.entries;
+    const ask = JSON.stringify({ model: "week-plan", prompt: "length=1" });
+    const cases = [
+        { path: "/v1/completions", body: "{", status: 400, type: "malformed_request" },
+        { path: "/v1/completions", body: "{\"model\":1}", status: 400, type: "malformed_request" },
+        { path: "/v1/completions", body: ask.replace("week-plan", "none"), status: 404, type: "route_not_found" },
+        { path: "/services/none/x", body: "", status: 404, type: "service_not_found" },
+        { path: "/nowhere", body: "", status: 404, type: "not_found" },
+        { path: "/v1/completions", body: `"${"x".repeat(1_100_000)}"`, status: 413, type: "body_too_large" },
+    ];
+    for (const { path, body, status, type } of cases) {
+        const answer = await post(callerAddress, path, body);
+        assert.equal([answer.status, answer.type], [status, type], path);
+    }
+    const wrongKey = await post(callerAddress, "/v1/completions", ask, { authorization: "Bearer wrong" });
+    assert.equal([wrongKey.status, wrongKey.type], [401, "unauthenticated"]);
+    const badCursor = await post(callerAddress, "/v1/completions", ask, { "last-event-id": "x" });
+    assert.equal([badCursor.status, badCursor.type], [400, "cursor_invalid"]);
+    assert.match(await floodHeaders(callerAddress), /^HTTP\/1.1 431/);
+    assert.ok((await askPlan(cluster.entries[0], "after", 5)).isComplete);
+});
+
+function floodHeaders(address: string): Promise<string> {
+    const [host, port] = address.split(":");
+    return new Promise(resolve => {
+        const socket = connect(Number(port), host);
+        socket.on("error", () => undefined);
+        socket.once("data", chunk => {
+            resolve(chunk.toString());
+            socket.destroy();
+        });
+        socket.write(`GET /live HTTP/1.1\r\nhost: x\r\n${"a: ".padEnd(1_000, "b").concat("\r\n").repeat(40)}\r\n`);
+    });
+}
+
+test("a caller that doesn't read holds back nobody else", async ({ cluster }) => {
+    const [entry] = cluster.entries;
+    const [host, port] = entry.callerAddress.split(":");
+    const body = JSON.stringify({ model: "week-plan", prompt: "tag=idle length=5000", stream: true });
+    const idle = connect(Number(port), host);
+    idle.pause();
+    idle.write(
+        `POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${key}\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+    );
+    const record = await askPlan(entry, "reader", 60);
+    idle.destroy();
+    assert.ok(record.isComplete);
+});
+
+test("of two operators that race over two entries one is told of the conflict, and both entries agree", async ({ cluster }) => {
+    const document = JSON.stringify({ name: "raced", service: "assistant" });
+    const put = (index: number) =>
+        cluster.control(["put", "route", "-", "--expect", "-1"], document, cluster.entries[index]);
+    const codes = (await Promise.all([put(0), put(1)])).map(result => result.code);
+    assert.equal(codes.sort(), [0, 3]);
+    const list = async (index: number) =>
+        (await cluster.control(["list", "route", "--json"], "", cluster.entries[index])).output;
+    await waitUntil("both entries list the same", async () => await list(0) === await list(1));
+});
+
+test("a drained backend server takes no new work until it is restored", async ({ cluster }) => {
+    const [engine] = cluster.backends;
+    const leaving = async (): Promise<boolean> => {
+        const { output } = await cluster.control(["revision", "--json"]);
+        const { sidecars } = JSON.parse(output) as { sidecars: { backendServer: string; leaving: boolean; }[]; };
+        return sidecars.find(each => each.backendServer === engine.backendServer)!.leaving;
+    };
+    const starts = async (): Promise<number> => {
+        const response = await request(`http://${engine.backendAddress}/stats`);
+        return (await response.body.json() as { starts: number; }).starts;
+    };
+    assert.is((await cluster.control(["drain", engine.backendServer])).code, 0);
+    await waitUntil("the drain is in force", leaving);
+    const before = await starts();
+    await Promise.all(
+        Array.from({ length: 6 }, (_, index) => askPlan(cluster.entries[index % 2], `drained-${index}`, 5)),
+    );
+    assert.is(await starts(), before);
+    assert.is((await cluster.control(["restore", engine.backendServer])).code, 0);
+    await waitUntil("the drain is lifted", async () => !await leaving());
+});
+
+test("wrong words on the command line get a message and an exit code", async ({ cluster }) => {
+    const wrongKind = await cluster.control(["put", "colour", "-"], "{}");
+    assert.is(wrongKind.code, 64);
+    const wrongDocument = await cluster.control(["put", "service", "-"], "{\"name\":\"x\"}");
+    assert.equal([wrongDocument.code, wrongDocument.output.includes("kind")], [64, true]);
+    const wrongToken = await cluster.control(["list", "--token", "wrong"]);
+    assert.is(wrongToken.code, 1);
+});
+
+test.run();
--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -2,7 +2,6 @@
  * Attempts: placing a request with a sidecar, and following it until its answer is whole, refused or lost.
  */
 import {
-    acceptTokens,
     assertContinues,
     type End,
     type Failed,
@@ -257,7 +256,7 @@
 ): void {
     const { parts, now, effects } = transaction;
     const isFirst = request.ledger.pinned === undefined;
-    const decision = acceptTokens(request.ledger, attempt.id, message.from, message.texts, parts.pinRule);
+    const decision = parts.acceptTokens(request.ledger, attempt.id, message.from, message.texts, parts.pinRule);
     if (decision.action === "ask_again") {
         return askAgain(transaction, request, attempt);
     }
@@ -267,7 +266,7 @@
     assertContinues(request.ledger, request.written, decision.from, attempt.id);
     if (isFirst) {
         observe(transaction, { event: "first_token", requestId: request.id, after: now - request.arrivedAt });
-        cancelOthers(transaction, request, attempt);
+        cancelUnpinned(transaction, request);
     }
     request.written += decision.texts.length;
     attempt.generationId = message.generationId;
@@ -285,9 +284,9 @@
     acknowledgeDue(transaction, request, acknowledgeStep);
 }
 
-function cancelOthers(transaction: Transaction, request: EntryRequest, pinned: EntryAttempt): void {
+function cancelUnpinned(transaction: Transaction, request: EntryRequest): void {
     for (const attempt of [...request.attempts.values()]) {
-        if (attempt.id !== pinned.id) {
+        if (!transaction.parts.pinRule(request.ledger, attempt.id)) {
             cancelAttempt(transaction, request, attempt, "abandoned");
         }
     }
@@ -361,24 +360,27 @@
         const resumeType = type === "generation_lost" ? "generation_not_found" : type;
         return failRequest(transaction, request, resumeType, message, "generation_lost");
     }
-    const isDelivered = request.streamed && request.written > 0;
-    if (request.ledger.pinned === attempt.id) {
-        if (isDelivered) {
-            const message = "the engine was lost in the middle of the answer";
-            return failRequest(transaction, request, "generation_lost", message, "generation_lost");
-        }
-        restartAnswer(request);
-    }
-    if (request.attempts.size > 0) {
+    const isPinned = request.ledger.pinned === attempt.id;
+    if (!isPinned && request.attempts.size > 0) {
         return;
     }
     if (!transaction.parts.mayRunAgain(request) || request.tries >= mostTries) {
-        const finalType = type === "generation_lost" ? "outcome_unknown" : type;
-        return failRequest(transaction, request, finalType, "the outcome is not known", presentOutcome(request));
+        return failLost(transaction, request, type);
+    }
+    if (isPinned) {
+        restartAnswer(request);
     }
     dispatch(transaction, request);
 }
 
+function failLost(transaction: Transaction, request: EntryRequest, type: FailureType): void {
+    const outcome = presentOutcome(request);
+    const isCutOff = outcome === "generation_lost";
+    const message = isCutOff ? "the engine was lost in the middle of the answer" : "the outcome is not known";
+    const finalType = type === "generation_lost" && !isCutOff ? "outcome_unknown" : type;
+    failRequest(transaction, request, finalType, message, outcome);
+}
+
 function restartAnswer(request: EntryRequest): void {
     request.ledger.pinned = undefined;
     request.ledger.next = 0;
--- a/packages/entry/src/parts.ts
+++ b/packages/entry/src/parts.ts
@@ -3,6 +3,7 @@
  * replace.
  */
 import {
+    acceptTokens,
     betterOfTwo,
     type ChangeRule,
     type ClaimRule,
@@ -19,11 +20,13 @@
 export interface EntryParts {
     readonly routing: RoutingPolicy;
     readonly pinRule: PinRule;
+    /** Decides which of the tokens that have come are forwarded. */
+    readonly acceptTokens: typeof acceptTokens;
     readonly changeRule: ChangeRule;
     readonly claimRule: ClaimRule;
     /** Finds the attempt that a sidecar's message belongs to. */
     readonly findAttempt: (state: EntryState, attemptId: AttemptId) => EntryAttempt | undefined;
-    /** Whether a request may be dispatched again while the outcome of an earlier attempt is unknown. */
+    /** Whether a request may be dispatched again after an attempt that may have run was lost. */
     readonly mayRunAgain: (request: EntryRequest) => boolean;
     /** Whether a planned stop has nothing left to wait for. */
     readonly mayExit: (state: EntryState) => boolean;
@@ -35,14 +38,20 @@
 export const defaultEntryParts: EntryParts = {
     routing: betterOfTwo,
     pinRule: firstAttemptPinned,
+    acceptTokens,
     changeRule: expectedRevisionRule,
     claimRule: lowestOffsetWins,
     findAttempt: (state, attemptId) => state.attempts.get(attemptId),
-    mayRunAgain: request => request.work.idempotent,
+    mayRunAgain: request => request.work.idempotent && !hasDelivered(request),
     mayExit: state => state.requests.size === 0 && state.changes.size === 0 && !hasStatements(state),
     hash: hashText,
 };
 
+/** True where the caller has had tokens: another generation's could not follow them. */
+function hasDelivered(request: EntryRequest): boolean {
+    return request.streamed && request.written > 0;
+}
+
 function hasStatements(state: EntryState): boolean {
     return state.pendingStatements.length > 0 || state.statementsInFlight !== undefined;
 }
--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -3,7 +3,7 @@
  */
 import * as fc from "fast-check";
 import { type Schedule, schedules } from "./actions.js";
-import { type PromiseBroken } from "./oracle.js";
+import { PromiseBroken, type PromiseName } from "./oracle.js";
 import { runSchedule } from "./runSchedule.js";
 import { defaultWorldParts, type WorldParts } from "./world.js";
 
@@ -15,6 +15,8 @@
     /** The path to one schedule, as a failing run prints it. */
     readonly path?: string;
     readonly parts?: WorldParts;
+    /** Breaches of other promises are passed over; by default none is. */
+    readonly only?: readonly PromiseName[];
     /** Called after each schedule. */
     readonly onRun?: (runs: number) => void;
 }
@@ -41,7 +43,7 @@
 export function fuzz(options: FuzzOptions): FuzzResult {
     let runs = 0;
     const property = fc.property(schedules(options.steps), schedule => {
-        runSchedule(schedule, options.parts ?? defaultWorldParts);
+        runUnlessPassedOver(schedule, options);
         runs++;
         options.onRun?.(runs);
     });
@@ -65,3 +67,14 @@
         },
     };
 }
+
+function runUnlessPassedOver(schedule: Schedule, { parts, only }: FuzzOptions): void {
+    try {
+        runSchedule(schedule, parts ?? defaultWorldParts);
+    }
+    catch (error) {
+        if (only === undefined || !(error instanceof PromiseBroken) || only.includes(error.promise)) {
+            throw error;
+        }
+    }
+}
