--- /dev/null
+++ b/packages/bench/src/load.ts
@@ -0,0 +1,164 @@
+/**
+ * `npm run load`: what the real path costs. Open-loop arrivals at several rates, through one entry and one sidecar as
+ * processes and straight to the engine, with batching of frames on and off.
+ */
+import { seededSource } from "@verbenaspring/coordination";
+import { createParser } from "eventsource-parser";
+import { build, type Histogram } from "hdr-histogram-js";
+import { readFileSync } from "node:fs";
+import { request } from "undici";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { createDocuments } from "./mixedLoad.js";
+import { type BackendProcess, type ClusterProcess, ProcessCluster } from "./processCluster.js";
+import { askCompletion } from "./testCaller.js";
+import { organisations, userDocuments } from "./userDocuments.js";
+
+const outputTokens = 100;
+const clockTicksPerSecond = 100;
+const say = (line: string): void => void process.stdout.write(`${line}\n`);
+
+const { seed, seconds, rates } = await yargs(hideBin(process.argv))
+    .scriptName("load")
+    .options({
+        seed: { type: "number", default: 1, describe: "seed of the arrivals" },
+        seconds: { type: "number", default: 12, describe: "length of each run" },
+        rates: { type: "array", number: true, default: [2, 6, 12], describe: "requests a second" },
+    })
+    .strict()
+    .parseAsync();
+
+interface LoadResult {
+    readonly firstTokens: Histogram;
+    readonly gaps: Histogram;
+    tokens: number;
+    requests: number;
+    faults: number;
+}
+
+type Ask = (index: number, result: LoadResult) => Promise<void>;
+
+function emptyResult(): LoadResult {
+    const histogram = (): Histogram => build({ highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3 });
+    return { firstTokens: histogram(), gaps: histogram(), tokens: 0, requests: 0, faults: 0 };
+}
+
+async function run(rate: number, ask: Ask): Promise<LoadResult> {
+    const { random } = seededSource(seed);
+    const result = emptyResult();
+    const started = performance.now();
+    const calls: Promise<void>[] = [];
+    for (let due = 0; due < seconds * 1_000; due += -Math.log(1 - random()) / rate * 1_000) {
+        const wait = started + due - performance.now();
+        await new Promise(resolve => setTimeout(resolve, Math.max(0, wait)));
+        calls.push(ask(result.requests++, result));
+    }
+    await Promise.all(calls);
+    return result;
+}
+
+function askThrough(cluster: ProcessCluster): Ask {
+    const [{ callerAddress: address }] = cluster.entries;
+    return async (index, result) => {
+        const prompt = `tag=load-${index} length=${outputTokens}`;
+        const record = await askCompletion({ address, key: organisations[0].key, model: "reminder", prompt });
+        result.tokens += record.tokens.length;
+        result.faults += record.isComplete ? 0 : 1;
+        result.firstTokens.recordValue((record.firstToken ?? 0) * 1_000);
+        record.gaps.forEach(gap => result.gaps.recordValue(gap * 1_000));
+    };
+}
+
+function askEngine({ backendAddress }: BackendProcess): Ask {
+    return async (index, result) => {
+        const started = performance.now();
+        let last: number | undefined;
+        const response = await request(`http://${backendAddress}/v1/completions`, {
+            method: "POST",
+            body: JSON.stringify({
+                request_id: `direct-${performance.now()}-${index}`,
+                priority: 0,
+                prompt: `tag=direct-${index} length=${outputTokens}`,
+                max_tokens: 10_000,
+            }),
+        });
+        const parser = createParser({
+            onEvent: ({ event, data }) => {
+                if (event !== undefined) {
+                    return;
+                }
+                const now = performance.now();
+                const { texts } = JSON.parse(data) as { texts: string[]; };
+                const gap = (now - (last ?? started)) * 1_000;
+                (last === undefined ? result.firstTokens : result.gaps).recordValue(
+                    gap / (last === undefined ? 1 : texts.length),
+                );
+                last = now;
+                result.tokens += texts.length;
+            },
+        });
+        for await (const chunk of response.body as AsyncIterable<Buffer>) {
+            parser.feed(chunk.toString());
+        }
+    };
+}
+
+/** Processor seconds that a process has used. */
+function processorSeconds({ child }: ClusterProcess): number {
+    const fields = readFileSync(`/proc/${child.pid}/stat`, "utf8").split(") ")[1].split(" ");
+    return (Number(fields[11]) + Number(fields[12])) / clockTicksPerSecond;
+}
+
+function describeRun(name: string, rate: number, result: LoadResult): string {
+    const milliseconds = (histogram: Histogram, quantile: number): string =>
+        (histogram.getValueAtPercentile(quantile) / 1_000).toFixed(1);
+    const quantiles = (histogram: Histogram): string =>
+        [50, 95, 99].map(each => milliseconds(histogram, each)).join(" / ");
+    return `${name.padEnd(24)} ${String(rate).padStart(4)}/s  tokens/s ${
+        (result.tokens / seconds).toFixed(0).padStart(5)
+    }`
+        + `  first token ${quantiles(result.firstTokens)} ms  between tokens ${
+            quantiles(result.gaps)
+        } ms  cut ${result.faults}`;
+}
+
+async function measure(batchInterval: number): Promise<void> {
+    const name = batchInterval === 0 ? "path, frames unbatched" : `path, frames of ${batchInterval} ms`;
+    const link = { link: { batchInterval } };
+    const cluster = await ProcessCluster.start({
+        entries: 1,
+        engines: ["assistant"],
+        plainServers: [],
+        entrySettings: link,
+        sidecarSettings: link,
+    });
+    try {
+        await createDocuments(cluster, userDocuments());
+        await run(2, askThrough(cluster));
+        for (const rate of rates) {
+            const [entry, sidecar] = [cluster.entries[0], cluster.backends[0].sidecar];
+            const before = [entry, sidecar].map(processorSeconds);
+            const result = await run(rate, askThrough(cluster));
+            const used = [entry, sidecar].map((each, index) => processorSeconds(each) - before[index]);
+            say(describeRun(name, rate, result));
+            const perToken = used.map(each => (each / result.tokens * 1e6).toFixed(0));
+            const perCore = used.map(each => (result.tokens / each).toFixed(0));
+            say(
+                `${"".padEnd(24)} processor: entry ${used[0].toFixed(2)} s, sidecar ${used[1].toFixed(2)} s;`
+                    + ` a token ${perToken.join(" / ")} us; tokens a second on one core ${perCore.join(" / ")}`,
+            );
+        }
+        if (batchInterval > 0) {
+            for (const rate of rates) {
+                say(describeRun("engine alone", rate, await run(rate, askEngine(cluster.backends[0]))));
+            }
+        }
+    }
+    finally {
+        await cluster.stop();
+    }
+}
+
+await measure(4);
+await measure(0);
+process.exit(0);
--- a/packages/cli/src/verbenactl.ts
+++ b/packages/cli/src/verbenactl.ts
@@ -87,14 +87,15 @@
 
 async function revision(arguments_: ConnectionArguments): Promise<void> {
     const { configurationOffset, sidecars } = await connect(arguments_).getRevision({});
-    const rows = sidecars.map(({ backendServer, configurationOffset, leaving, connected }) => ({
+    const rows = sidecars.map(({ backendServer, configurationOffset, current, leaving, connected }) => ({
         backendServer,
         configurationOffset,
+        current,
         leaving,
         connected,
     }));
     show(arguments_.json, { configurationOffset, sidecars: rows }, [
-        { backendServer: "(this entry)", configurationOffset, leaving: false, connected: true },
+        { backendServer: "(this entry)", configurationOffset, current: true, leaving: false, connected: true },
         ...rows,
     ]);
 }
--- a/packages/coordination/src/admission.ts
+++ b/packages/coordination/src/admission.ts
@@ -7,6 +7,7 @@
 
 /** A generation as admission sees it. */
 export interface GenerationView {
+    readonly workKind: "short" | "long";
     readonly promptTokens: number;
     readonly tokensSoFar: number;
     readonly maximumTokens: number;
@@ -23,16 +24,37 @@
 /** Decides whether `candidate` may start now. */
 export type AdmissionPolicy = (engine: EngineView, candidate: GenerationView) => boolean;
 
+/** The priority that an engine is told at the start of a generation; higher is kept longer when memory is full. */
+export type PriorityPolicy = (work: { readonly workKind: "short" | "long"; }, now: Milliseconds) => number;
+
+/** Baseline: what started first is kept longest. */
+export const keepOldest: PriorityPolicy = (_, now) => -now;
+
+/** How much earlier a short generation counts as started, in milliseconds. */
+const shortPriority = 1e9;
+
+/**
+ * Short work is kept before long, and within each what started first. One long generation set aside frees the memory of
+ * many short ones, whose callers would each have met a silence.
+ */
+export const keepShort: PriorityPolicy = ({ workKind }, now) => (workKind === "short" ? shortPriority : 0) - now;
+
 /** Points ahead, in tokens decoded by each generation, at which memory is forecast; dense enough to meet its peak. */
 const horizons: readonly number[] = [0, 16, 32, 48, ...geometricHorizons(64, 16_384, 4)];
 
+/** The share of memory that long work leaves to short work. */
+const shortReserve = 0.1;
+
+/** A horizon that fewer than this share of such candidates reach is not held against one. */
+const likelyToReach = 0.05;
+
 function geometricHorizons(first: number, last: number, perDoubling: number): number[] {
     const count = Math.round(Math.log2(last / first) * perDoubling);
     return Array.from({ length: count + 1 }, (_, index) => Math.round(first * 2 ** (index / perDoubling)));
 }
 
 /** Standard deviations of forecast memory that each objective keeps free. */
-export const marginOfObjective: Readonly<Record<Objective, number>> = { stall: 1, preemptions: 2.5 };
+export const marginOfObjective: Readonly<Record<Objective, number>> = { stall: 1.25, preemptions: 1.5 };
 
 /** Baseline: no admission control. */
 export const admitAll: AdmissionPolicy = () => true;
@@ -56,9 +78,10 @@
 };
 
 /**
- * Admits while forecast memory, at every horizon, stays under the engine's with `margin` standard deviations to spare.
- * A generation counts with its chance of still running there, given the tokens it has so far. An idle engine admits
- * whatever fits now, since waiting can't help.
+ * Admits while forecast memory, at every horizon that the candidate is likely to reach, stays under the engine's with
+ * `margin` standard deviations to spare. A generation counts with its chance of still running there, given the tokens
+ * it has so far. Short work is so admitted although long work may be short of memory after it has gone, and long work
+ * leaves a small reserve to it. An idle engine admits whatever comes, since waiting can't help.
  *
  * @example
  * const policy = admitByForecast(marginOfObjective.preemptions);
@@ -69,10 +92,16 @@
             return true;
         }
         const all = [...engine.running, candidate];
-        return horizons.every(horizon => forecastMemory(all, horizon, margin) <= engine.memoryTokens);
+        const reserve = candidate.workKind === "long" ? shortReserve : 0;
+        const limit = engine.memoryTokens * (1 - reserve);
+        return horizons.every(horizon => !reaches(candidate, horizon) || forecastMemory(all, horizon, margin) <= limit);
     };
 }
 
+function reaches(candidate: GenerationView, horizon: number): boolean {
+    return conditionalSurvival(candidate.distribution, candidate.tokensSoFar, horizon) >= likelyToReach;
+}
+
 /**
  * Forecast memory in tokens once each generation that still runs has decoded `horizon` more: the mean and `margin`
  * standard deviations, taking outputs as independent.
--- a/packages/coordination/test/policy.test.ts
+++ b/packages/coordination/test/policy.test.ts
@@ -8,6 +8,7 @@
     forecastLength,
     type GenerationView,
     recordLength,
+    type WaitingView,
 } from "@verbenaspring/coordination";
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
@@ -16,7 +17,7 @@
 const subject = { service: identifier<never>("s"), workKind: "long", organisation: identifier<never>("o") } as const;
 
 function generation(tokensSoFar: number, distribution: GenerationView["distribution"]): GenerationView {
-    return { promptTokens: 100, tokensSoFar, maximumTokens: 10_000, distribution };
+    return { workKind: "long", promptTokens: 100, tokensSoFar, maximumTokens: 10_000, distribution };
 }
 
 function learned(length: number) {
@@ -62,8 +63,13 @@
         arrivedAt,
     });
     const old = waiting("long", 0);
-    assert.is(chooseNext([old, waiting("short", 9_000)], new Map(), fairShortFirst)?.workKind, "short");
-    assert.is(chooseNext([old, waiting("short", 11_000)], new Map(), fairShortFirst), old);
+    const choose = (queue: WaitingView[], fits: (waiting: WaitingView) => boolean = () => true, shortShare = 0) =>
+        chooseNext({ queue, shares: new Map(), order: fairShortFirst, fits, shortShare });
+    assert.is(choose([old, waiting("short", 9_000)])?.workKind, "short");
+    assert.is(choose([old, waiting("short", 11_000)]), old);
+    const fitsShort = ({ workKind }: WaitingView): boolean => workKind === "short";
+    assert.is(choose([old, waiting("short", 11_000)], fitsShort)?.workKind, "short");
+    assert.is(choose([old, waiting("short", 11_000)], fitsShort, 0.3), undefined, "the rest is kept for long work");
 });
 
 test("links are spread over the failure domains", () => {
--- a/packages/entry/src/configuration.ts
+++ b/packages/entry/src/configuration.ts
@@ -12,7 +12,7 @@
 import { type ChangeId, type ConfigurationSnapshot, identifier, type Milliseconds } from "@verbenaspring/model";
 import type { OperatorAnswer } from "./effect.js";
 import type { EntryEvent, OperatorCall } from "./event.js";
-import { sendConfiguration } from "./links.js";
+import { sendConfiguration, wantedConfiguration } from "./links.js";
 import type { EntryState, PendingChange, StreamFollower } from "./state.js";
 import { observe, type Transaction } from "./transaction.js";
 
@@ -173,6 +173,7 @@
     return [...state.links.values()].map(link => ({
         backendServer: link.backendServer,
         configurationOffset: link.load?.configurationOffset ?? -1,
+        current: (link.load?.configurationOffset ?? -1) >= wantedConfiguration(state, link),
         leaving: link.leaving,
         connected: link.phase === "open",
     }));
--- a/packages/entry/src/effect.ts
+++ b/packages/entry/src/effect.ts
@@ -28,6 +28,8 @@
 export interface SidecarRevision {
     readonly backendServer: BackendServerId;
     readonly configurationOffset: LogOffset;
+    /** True where nothing that concerns the sidecar has changed since. */
+    readonly current: boolean;
     readonly leaving: boolean;
     readonly connected: boolean;
 }
--- a/packages/entry/src/links.ts
+++ b/packages/entry/src/links.ts
@@ -2,11 +2,11 @@
  * Links to sidecars. The instance list gives candidates; the link's own heartbeat gives truth; a link that is silent is
  * left at once for the next number.
  */
-import { backoff, chooseLinks, documentKey, type Load, takeSnapshot, type Welcome } from "@verbenaspring/coordination";
-import type { BackendServerId, ConfigurationSnapshot } from "@verbenaspring/model";
+import { backoff, chooseLinks, documentKey, type Load, type Welcome } from "@verbenaspring/coordination";
+import type { BackendServerId, LogOffset, StoredDocument } from "@verbenaspring/model";
 import { askAgain, hedgeAttempt, loseAttempt } from "./attempts.js";
 import type { ListedInstance } from "./event.js";
-import type { EntryAttempt, EntryLink, EntryRequest, EntryState } from "./state.js";
+import type { EntryAttempt, EntryLink, EntryState } from "./state.js";
 import { observe, send, type Transaction } from "./transaction.js";
 
 const longestReconnectDelay = 5_000;
@@ -163,27 +163,24 @@
     sendConfiguration(transaction, link);
 }
 
-/** Sends a sidecar its part of the configuration, where that is newer than what it has or was sent. */
+/** Sends a sidecar its part of the configuration, where that has changed since what it has or was sent. */
 export function sendConfiguration(transaction: Transaction, link: EntryLink): void {
     const { state } = transaction;
-    const { through } = state.configuration;
-    if (link.phase !== "open" || !state.configurationReady || link.sentConfiguration >= through) {
+    const isSent = link.sentConfiguration >= wantedConfiguration(state, link);
+    if (link.phase !== "open" || !state.configurationReady || isSent) {
         return;
     }
+    const { through } = state.configuration;
     link.sentConfiguration = through;
-    send(transaction, link, { kind: "configuration", snapshot: partFor(state, link) });
+    send(transaction, link, { kind: "configuration", snapshot: { through, documents: partFor(state, link) } });
 }
 
-function partFor(state: EntryState, link: EntryLink): ConfigurationSnapshot {
-    const { through, documents } = takeSnapshot(state.configuration);
-    const wanted = new Set([
-        documentKey("service", link.instance.service),
-        documentKey("drain", link.backendServer),
-    ]);
-    return { through, documents: documents.filter(stored => wanted.has(documentKey(stored.kind, stored.name))) };
+/** The offset at which a sidecar's part of the configuration last changed; -1 where it has none. */
+export function wantedConfiguration(state: EntryState, link: EntryLink): LogOffset {
+    return Math.max(-1, ...partFor(state, link).map(stored => stored.revision));
 }
 
-/** True where a link carries an attempt of the request. */
-export function isOn(request: EntryRequest, backendServer: BackendServerId): boolean {
-    return [...request.attempts.values()].some(attempt => attempt.backendServer === backendServer);
+function partFor({ configuration }: EntryState, link: EntryLink): StoredDocument[] {
+    const keys = [documentKey("service", link.instance.service), documentKey("drain", link.backendServer)];
+    return keys.flatMap(key => configuration.documents.get(key) ?? []);
 }
--- a/packages/fuzz/src/configurationOracle.ts
+++ b/packages/fuzz/src/configurationOracle.ts
@@ -7,6 +7,8 @@
 /** Knows what every offset of the configuration means. */
 export class ConfigurationOracle {
     private readonly revisionsAt: ReadonlyMap<string, LogOffset>[] = [];
+    /** The offset of the last change, applied or not. */
+    lastChange: LogOffset = -1;
     private readonly accepted = new Map<string, string>();
 
     constructor(private readonly oracle: Oracle) {}
@@ -20,6 +22,7 @@
         }
         const { kind, name, expectedRevision } = record.change;
         const document = `${kind}/${name}`;
+        this.lastChange = offset;
         const applies = (before.get(document) ?? -1) === expectedRevision;
         this.revisionsAt[offset] = applies ? new Map(before).set(document, offset) : before;
     }
@@ -37,6 +40,17 @@
         }
     }
 
+    /** Checks that a process holds the newest revision of documents. */
+    checkNewest(who: string, documents: ReadonlyMap<string, StoredDocument>, wanted: readonly string[]): void {
+        const truth = this.revisionsAt.at(-1);
+        for (const document of wanted) {
+            const held = documents.get(document)?.revision;
+            if (held !== truth?.get(document)) {
+                this.oracle.fail("configuration_never_reverts", `${who} holds ${document} at ${held}, which is old`);
+            }
+        }
+    }
+
     /** Checks the documents that a process holds as of an offset. */
     checkView(who: string, through: LogOffset, documents: ReadonlyMap<string, StoredDocument>, isWhole: boolean): void {
         const truth = this.revisionsAt[through] ?? new Map<string, LogOffset>();
--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -7,6 +7,9 @@
 import { runSchedule } from "./runSchedule.js";
 import { defaultWorldParts, type WorldParts } from "./world.js";
 
+/** Milliseconds spent on making a failing schedule smaller. */
+const longestShrinking = 60_000;
+
 /** What to run. */
 export interface FuzzOptions {
     readonly seed: number;
@@ -42,8 +45,18 @@
  */
 export function fuzz(options: FuzzOptions): FuzzResult {
     let runs = 0;
+    let failedAt: number | undefined;
     const property = fc.property(schedules(options.steps), schedule => {
-        runUnlessPassedOver(schedule, options);
+        if (failedAt !== undefined && performance.now() - failedAt > longestShrinking) {
+            return;
+        }
+        try {
+            runUnlessPassedOver(schedule, options);
+        }
+        catch (error) {
+            failedAt ??= performance.now();
+            throw error;
+        }
         runs++;
         options.onRun?.(runs);
     });
--- a/packages/fuzz/src/world.ts
+++ b/packages/fuzz/src/world.ts
@@ -361,7 +361,8 @@
         if (leaving) {
             this.noteLeaving(node, slot);
         }
-        else if (!node.isStopping && !node.isFrozen) {
+        else if (!node.isStopping) {
+            // A frozen sidecar takes this word when it thaws, before anything that came later.
             this.oracle.refusesStartsSince.delete(this.backends[slot].backendServer);
         }
     }
@@ -700,7 +701,7 @@
     checkSettled(): void {
         this.oracle.checkAllEnded();
         for (const { incarnation, state, isAlive } of this.entries.filter(node => node.isAlive)) {
-            const isCurrent = state.configuration.through === this.log.endOf("configuration") - 1;
+            const isCurrent = state.configuration.through >= this.configuration.lastChange;
             if (isAlive && !isCurrent) {
                 this.oracle.fail(
                     "configuration_never_reverts",
@@ -709,7 +710,14 @@
             }
             this.checkEmpty(incarnation, { requests: state.requests.size, attempts: state.attempts.size });
         }
-        for (const { incarnation, state } of this.sidecars.filter(node => node.isAlive)) {
+        for (const [slot, { incarnation, state, isAlive }] of this.sidecars.entries()) {
+            if (!isAlive) {
+                continue;
+            }
+            this.configuration.checkNewest(incarnation, state.configuration.documents, [
+                `service/${services[slot]}`,
+                `drain/${this.backends[slot].backendServer}`,
+            ]);
             this.checkEmpty(incarnation, { attempts: state.attempts.size, generations: state.generations.size });
         }
     }
--- a/packages/runtime/src/entryDaemon.ts
+++ b/packages/runtime/src/entryDaemon.ts
@@ -34,8 +34,6 @@
 const tickInterval: Milliseconds = 50;
 /** A link that has been down for this many silence timeouts counts as lost with all that was on it. */
 const silencesUntilLost = 5;
-const linksPerService = 64;
-const serviceDeadline: Milliseconds = 30_000;
 const peerTimeout: Milliseconds = 1_000;
 const configurationStream = "configuration";
 const claimsStream = "claims";
@@ -66,8 +64,8 @@
         reconnectDelay: settings.link.reconnectDelay,
         lostTimeout: settings.link.silenceTimeout * silencesUntilLost,
         maximumRequests: settings.limits.maximumRequests,
-        linksPerService,
-        serviceDeadline,
+        linksPerService: settings.limits.linksPerService,
+        serviceDeadline: settings.serviceDeadline,
         commentInterval: settings.commentInterval,
         keyRetention: settings.keyRetention,
         snapshotInterval: settings.snapshotInterval,
--- a/packages/sidecar/src/attempts.ts
+++ b/packages/sidecar/src/attempts.ts
@@ -15,8 +15,9 @@
 import { type AttemptId, type EntryIncarnation, type FailureType, InvariantViolation } from "@verbenaspring/model";
 import { attachReader, detachReader, forgetGeneration, sendPending } from "./generations.js";
 import { startWaiting } from "./starting.js";
-import { forecastWait, type Generation, ownService, type SidecarAttempt } from "./state.js";
+import { type Generation, ownService, type SidecarAttempt } from "./state.js";
 import { observe, send, type Transaction } from "./transaction.js";
+import { forecastQueueWait, forecastWait } from "./waiting.js";
 
 /** Handles `Run`: a known attempt is continued, an unknown one is queued or refused. */
 export function receiveRun(transaction: Transaction, record: EntryLinkRecord, entry: EntryIncarnation, run: Run): void {
@@ -36,7 +37,7 @@
     }
     const attempt = createAttempt(transaction, record, entry, run);
     state.attempts.set(attempt.id, attempt);
-    const refusal = refusalOf(transaction, run);
+    const refusal = refusalOf(transaction, attempt, run);
     if (refusal !== undefined) {
         refuse(transaction, attempt, refusal);
         return;
@@ -68,7 +69,7 @@
     };
 }
 
-function refusalOf(transaction: Transaction, run: Run): FailureType | undefined {
+function refusalOf(transaction: Transaction, attempt: SidecarAttempt, run: Run): FailureType | undefined {
     const { state, parts } = transaction;
     if (parts.refusesWork(state)) {
         return "leaving";
@@ -82,15 +83,16 @@
     if (run.promptTokens >= state.options.memoryTokens) {
         return "body_too_large";
     }
-    return isHopeless(transaction, run) ? "overloaded" : undefined;
+    return isHopeless(transaction, attempt) ? "overloaded" : undefined;
 }
 
-function isHopeless(transaction: Transaction, run: Run): boolean {
-    const { state } = transaction;
+function isHopeless(transaction: Transaction, attempt: SidecarAttempt): boolean {
+    const { state, now } = transaction;
     if (state.queue.size >= state.options.maximumQueue) {
         return true;
     }
-    return state.queue.size > 0 && forecastWait(state, state.queue.size) > run.timeLeft;
+    const { ahead, expected } = forecastWait(transaction, attempt);
+    return ahead > 0 && expected > attempt.deadline - now;
 }
 
 /** Says what an entry should know of an attempt, over a new link. */
@@ -115,9 +117,8 @@
 export function sendQueued(transaction: Transaction, attempt: SidecarAttempt): void {
     const { state, now } = transaction;
     attempt.queuedSentAt = now;
-    const ahead = [...state.queue].indexOf(attempt.id);
     const reason = ownService(state)?.kind === "plain" ? "concurrency" : "engine_memory";
-    const expected = forecastWait(state, ahead);
+    const { ahead, expected } = forecastWait(transaction, attempt);
     send(transaction, attempt.entry, { kind: "queued", attemptId: attempt.id, reason, ahead, expected });
 }
 
@@ -127,8 +128,7 @@
     if (attempt.phase === "started") {
         throw new InvariantViolation("not_run_never_after_start", attempt.id);
     }
-    const wait = forecastWait(state, state.queue.size);
-    const retryAfter = spreadReturn(wait, source.random);
+    const retryAfter = spreadReturn(forecastQueueWait(state), source.random);
     const notRun: NotRun = { kind: "notRun", attemptId: attempt.id, failureType, retryAfter };
     attempt.notRun = notRun;
     parts.recordWithdrawal(state, attempt);
--- a/packages/sidecar/src/generations.ts
+++ b/packages/sidecar/src/generations.ts
@@ -158,7 +158,8 @@
     state.running.delete(generation.id);
     generation.endedAt = now;
     generation.resumeAt = undefined;
-    state.meanDuration += durationWeight * (now - generation.startedAt - state.meanDuration);
+    const { workKind } = generation.work;
+    state.meanDurations[workKind] += durationWeight * (now - generation.startedAt - state.meanDurations[workKind]);
     sendPending(transaction, generation);
 }
 
--- a/packages/sidecar/src/links.ts
+++ b/packages/sidecar/src/links.ts
@@ -14,8 +14,9 @@
 import type { BackendServerId, EntryIncarnation } from "@verbenaspring/model";
 import { forgetAttempt } from "./attempts.js";
 import { engineView } from "./starting.js";
-import { forecastWait, ownService, type SidecarState } from "./state.js";
+import { ownService, type SidecarState } from "./state.js";
 import { observe, send, type Transaction } from "./transaction.js";
+import { forecastQueueWait } from "./waiting.js";
 
 const mostLinkRecords = 16_384;
 
@@ -120,7 +121,7 @@
         configurationOffset: state.configuration.through,
         freeTokens: freeTokens(state),
         queueLength: state.queue.size,
-        expectedWait: state.queue.size === 0 ? 0 : forecastWait(state, state.queue.size),
+        expectedWait: forecastQueueWait(state),
         preemptions: state.preemptions,
     };
 }
--- a/packages/sidecar/src/parts.ts
+++ b/packages/sidecar/src/parts.ts
@@ -6,9 +6,11 @@
     type AdmissionPolicy,
     admitByForecast,
     fairShortFirst,
+    keepShort,
     type LinkRule,
     marginOfObjective,
     newestLinkOnly,
+    type PriorityPolicy,
     type QueueOrder,
 } from "@verbenaspring/coordination";
 import type { Objective } from "@verbenaspring/model";
@@ -19,6 +21,9 @@
     readonly acceptsFrame: LinkRule;
     readonly admission: (objective: Objective) => AdmissionPolicy;
     readonly order: QueueOrder;
+    readonly priority: PriorityPolicy;
+    /** Whether short work may pass long work that does not fit. */
+    readonly shortMayPass: boolean;
     /** Whether new work is refused. */
     readonly refusesWork: (state: SidecarState) => boolean;
     /** Makes an attempt a tombstone. */
@@ -32,6 +37,8 @@
     acceptsFrame: newestLinkOnly,
     admission: objective => admitByForecast(marginOfObjective[objective]),
     order: fairShortFirst,
+    priority: keepShort,
+    shortMayPass: true,
     refusesWork: isLeaving,
     recordWithdrawal: (state, attempt) => {
         state.queue.delete(attempt.id);
--- a/packages/sidecar/src/starting.ts
+++ b/packages/sidecar/src/starting.ts
@@ -6,18 +6,12 @@
     type EngineView,
     forecastLength,
     type GenerationView,
-    type HeldShares,
     type Work,
 } from "@verbenaspring/coordination";
-import {
-    type GenerationId,
-    identifier,
-    InvariantViolation,
-    type OrganisationId,
-    type ServiceDocument,
-} from "@verbenaspring/model";
+import { type GenerationId, identifier, InvariantViolation, type ServiceDocument } from "@verbenaspring/model";
 import { type Generation, isLeaving, ownService, type SidecarAttempt, type SidecarState } from "./state.js";
 import { observe, send, type Transaction } from "./transaction.js";
+import { heldShares, runningGenerations, type WaitingAttempt, waitingAttempts } from "./waiting.js";
 
 /** Starts attempts until none waits or the next one does not fit. */
 export function startWaiting(transaction: Transaction): void {
@@ -27,8 +21,15 @@
         return;
     }
     while (state.queue.size > 0 && !parts.refusesWork(state)) {
-        const next = chooseNext(waitingAttempts(state), heldShares(state), parts.order);
-        if (next === undefined || !fits(transaction, service, next.work)) {
+        const choice = {
+            queue: waitingAttempts(state),
+            shares: heldShares(state),
+            order: parts.order,
+            fits: ({ work }: WaitingAttempt) => fits(transaction, service, work),
+            shortShare: parts.shortMayPass ? shortShare(state) : 1,
+        };
+        const next = chooseNext(choice);
+        if (next === undefined) {
             return;
         }
         startOrFail(transaction, next.attempt, service);
@@ -52,32 +53,11 @@
     }
 }
 
-interface WaitingAttempt extends Pick<Work, "organisation" | "workKind" | "weight"> {
-    readonly attempt: SidecarAttempt;
-    readonly work: Work;
-    readonly arrivedAt: number;
-}
-
-function waitingAttempts(state: SidecarState): WaitingAttempt[] {
-    return [...state.queue].map(id => {
-        const attempt = state.attempts.get(id)!;
-        const { organisation, workKind, weight } = attempt.work!;
-        return { attempt, work: attempt.work!, organisation, workKind, weight, arrivedAt: attempt.arrivedAt };
-    });
-}
-
-function heldShares(state: SidecarState): HeldShares {
-    const shares = new Map<OrganisationId, number>();
-    for (const generation of runningGenerations(state)) {
-        const { organisation, weight } = generation.work;
-        shares.set(organisation, (shares.get(organisation) ?? 0) + 1 / weight);
-    }
-    return shares;
-}
-
-/** The generations that the backend server works on. */
-export function runningGenerations(state: SidecarState): Generation[] {
-    return [...state.running].map(id => state.generations.get(id)!);
+/** The share of the engine's memory that short work holds now. */
+function shortShare(state: SidecarState): number {
+    const short = runningGenerations(state).filter(({ work }) => work.workKind === "short");
+    const tokens = short.reduce((sum, { work, texts }) => sum + work.promptTokens + texts.length, 0);
+    return tokens / state.options.memoryTokens;
 }
 
 function fits(transaction: Transaction, service: ServiceDocument, work: Work): boolean {
@@ -99,13 +79,14 @@
 }
 
 function candidateView(state: SidecarState, work: Work): GenerationView {
-    const { promptTokens } = work;
+    const { promptTokens, workKind } = work;
     const maximumTokens = Math.min(work.maximumTokens, state.options.maximumOutputTokens);
-    return { promptTokens, tokensSoFar: 0, maximumTokens, distribution: forecastLength(state.forecast, work) };
+    const distribution = forecastLength(state.forecast, work);
+    return { workKind, promptTokens, tokensSoFar: 0, maximumTokens, distribution };
 }
 
 function start(transaction: Transaction, attempt: SidecarAttempt, service: ServiceDocument): void {
-    const { state, now, source } = transaction;
+    const { state, parts, now, source } = transaction;
     assertMayStart(state, attempt);
     const generationId: GenerationId = identifier(source.newIdentifier());
     const work = attempt.work!;
@@ -120,8 +101,8 @@
         transaction.effects.push({ kind: "callService", generationId, attemptId, work, timeLeft });
     }
     else {
-        // Earlier starts are kept longer, so that a full engine pushes aside what has the least done.
-        transaction.effects.push({ kind: "startGeneration", generationId, attemptId, work, priority: -now });
+        const priority = parts.priority(work, now);
+        transaction.effects.push({ kind: "startGeneration", generationId, attemptId, work, priority });
     }
     observe(transaction, {
         event: "attempt_started",
--- a/packages/sidecar/src/state.ts
+++ b/packages/sidecar/src/state.ts
@@ -6,7 +6,6 @@
     createLengthForecast,
     emptyConfiguration,
     type EntryLinkRecord,
-    expectedWait,
     findDocument,
     type LengthForecast,
     type NotRun,
@@ -26,6 +25,8 @@
     SidecarIncarnation,
 } from "@verbenaspring/model";
 
+type WorkKind = Work["workKind"];
+
 /** Limits and timings of one sidecar. Durations are in milliseconds. */
 export interface SidecarOptions {
     readonly incarnation: SidecarIncarnation;
@@ -115,8 +116,8 @@
     exited: boolean;
     keptTokens: number;
     preemptions: number;
-    /** How long a generation takes, lately. */
-    meanDuration: Milliseconds;
+    /** How long a generation of each kind takes, lately. */
+    readonly meanDurations: Record<WorkKind, Milliseconds>;
 }
 
 const mostForecastPools = 2_048;
@@ -145,7 +146,7 @@
         exited: false,
         keptTokens: 0,
         preemptions: 0,
-        meanDuration: initialMeanDuration,
+        meanDurations: { short: initialMeanDuration, long: initialMeanDuration },
     };
 }
 
@@ -160,8 +161,3 @@
         || state.listedLeaving
         || findDocument(state.configuration, "drain", state.options.backendServer) !== undefined;
 }
-
-/** Forecast of the wait of an attempt that has `ahead` others before it. */
-export function forecastWait(state: SidecarState, ahead: number): Milliseconds {
-    return expectedWait(ahead, state.running.size, state.meanDuration);
-}
