Load reports go out each interval on busy links too

Cause: a sidecar sent its load report only when it had sent nothing else for a heartbeat interval, so the busiest links, whose reports routing needs most, never carried one. Change: the time of the last report is kept apart from that of the last message. Tests of the sidecar's reducer.

--- a/packages/coordination/src/linkLedger.ts
+++ b/packages/coordination/src/linkLedger.ts
@@ -10,7 +10,8 @@
     number: number;
     open: boolean;
     lastReceived: Milliseconds;
-    lastSent: Milliseconds;
+    /** When the entry was last sent a load report, which is the sidecar's heartbeat. */
+    lastReported: Milliseconds;
     /**
      * A started attempt of this entry was forgotten before the entry acknowledged its end. From then on an unknown
      * attempt of this entry may have run, and nothing may be said or started on the strength of not knowing it.
@@ -44,7 +45,7 @@
         number,
         open: true,
         lastReceived: now,
-        lastSent: now,
+        lastReported: now,
         forgotStarted: known?.forgotStarted ?? false,
     };
     // Deleting first moves the entry to the end, so that the oldest records are forgotten first.
--- a/packages/sidecar/src/links.ts
+++ b/packages/sidecar/src/links.ts
@@ -50,7 +50,7 @@
         leaving: transaction.parts.refusesWork(state),
         configurationOffset: state.configuration.through,
     });
-    send(transaction, entry, loadMessage(transaction));
+    sendLoad(transaction, entry, record);
 }
 
 /**
@@ -98,8 +98,8 @@
             closeLink(transaction, entry, record);
             continue;
         }
-        if (now - record.lastSent >= heartbeatInterval) {
-            send(transaction, entry, loadMessage(transaction));
+        if (now - record.lastReported >= heartbeatInterval) {
+            sendLoad(transaction, entry, record);
         }
     }
 }
@@ -108,11 +108,17 @@
 export function announceLoad(transaction: Transaction): void {
     for (const [entry, record] of transaction.state.links) {
         if (record.open) {
-            send(transaction, entry, loadMessage(transaction));
+            sendLoad(transaction, entry, record);
         }
     }
 }
 
+/** Routing needs a report each interval, also where tokens alone would show that the link is alive. */
+function sendLoad(transaction: Transaction, entry: EntryIncarnation, record: EntryLinkRecord): void {
+    record.lastReported = transaction.now;
+    send(transaction, entry, loadMessage(transaction));
+}
+
 function loadMessage(transaction: Transaction): Load {
     const { state, parts } = transaction;
     return {
--- a/packages/sidecar/src/transaction.ts
+++ b/packages/sidecar/src/transaction.ts
@@ -22,7 +22,6 @@
     if (record === undefined || !record.open) {
         return false;
     }
-    record.lastSent = transaction.now;
     transaction.effects.push({ kind: "sendMessage", entry, linkNumber: record.number, message });
     return true;
 }
--- /dev/null
+++ b/packages/sidecar/test/sidecarBuilders.ts
@@ -0,0 +1,102 @@
+/**
+ * Builders that let a test read as its case.
+ */
+import { type EntryMessage, type Run, seededSource } from "@verbenaspring/coordination";
+import { type EntryIncarnation, identifier } from "@verbenaspring/model";
+import {
+    createSidecarState,
+    reduceSidecar,
+    type SidecarEffect,
+    type SidecarEvent,
+    type SidecarParts,
+    type SidecarState,
+} from "@verbenaspring/sidecar";
+
+/** A sidecar before an engine, with a clock that the test moves. */
+export class SidecarBench {
+    now = 0;
+    readonly state: SidecarState;
+    private readonly source = seededSource(1);
+
+    constructor(private readonly parts?: SidecarParts) {
+        this.state = createSidecarState({
+            incarnation: identifier("sidecar"),
+            backendServer: identifier("engine"),
+            service: identifier("service"),
+            memoryTokens: 1_000,
+            maximumOutputTokens: 500,
+            maximumQueue: 2,
+            keptTokens: 1_000,
+            unacknowledgedTokens: 4,
+            heartbeatInterval: 500,
+            silenceTimeout: 2_000,
+            detachedWindow: 5_000,
+            resumeWindow: 10_000,
+            stopTimeout: 0,
+        });
+    }
+
+    take(event: SidecarEvent): SidecarEffect[] {
+        return reduceSidecar(this.state, event, this.now, this.source, this.parts);
+    }
+
+    /** Opens a link and gives the sidecar its service. */
+    open(entry: string, linkNumber: number): SidecarEffect[] {
+        const effects = this.take({
+            kind: "linkOpened",
+            entry: identifier(entry),
+            linkNumber,
+            backendServer: identifier("engine"),
+        });
+        const document = {
+            name: "service",
+            kind: "engine",
+            objective: "stall",
+            nonIdempotentCalls: [],
+            concurrency: 1,
+        };
+        const stored = { kind: "service", name: "service", revision: 0, document: document as never } as const;
+        this.hear(entry, linkNumber, { kind: "configuration", snapshot: { through: 0, documents: [stored] } });
+        return effects;
+    }
+
+    hear(entry: string, linkNumber: number, message: EntryMessage): SidecarEffect[] {
+        return this.take({ kind: "linkMessage", entry: identifier<EntryIncarnation>(entry), linkNumber, message });
+    }
+}
+
+/** A run of an attempt. */
+export function run(attemptId: string, more: Partial<Run> = {}): Run {
+    return {
+        kind: "run",
+        attemptId: identifier(attemptId),
+        sidecarIncarnation: identifier("sidecar"),
+        organisation: identifier("organisation"),
+        service: identifier("service"),
+        workKind: "short",
+        idempotent: true,
+        weight: 1,
+        promptTokens: 10,
+        maximumTokens: 100,
+        method: "POST",
+        path: "",
+        contentType: "",
+        body: "{}",
+        traceparent: "",
+        timeLeft: 10_000,
+        from: 0,
+        resent: false,
+        ...more,
+    };
+}
+
+/** The kinds of messages that effects send. */
+export function sent(effects: readonly SidecarEffect[]): string[] {
+    return effects.flatMap(effect => effect.kind === "sendMessage" ? [effect.message.kind] : []);
+}
+
+/** The generation that effects start. */
+export function started(effects: readonly SidecarEffect[]) {
+    const start = effects.find(effect => effect.kind === "startGeneration");
+    return start?.kind === "startGeneration" ? start.generationId : undefined;
+}
