--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -44,7 +44,7 @@
         },
     },
     {
-        files: ["packages/runtime/src/entryDaemon.ts", "packages/runtime/src/sidecarDaemon.ts"],
+        files: ["packages/runtime/src/entryRunner.ts"],
         // A runner is one switch over all effects.
         rules: { complexity: ["error", 24] },
     },
--- a/packages/coordination/test/keyClaims.test.ts
+++ b/packages/coordination/test/keyClaims.test.ts
@@ -13,6 +13,15 @@
     ]);
 });
 
+test("many keys in one append hold, each for its own claim", () => {
+    const claims = emptyClaims();
+    const first = Array.from({ length: 256 }, (_, index) => claim(`key-${index}`, `first-${index}`));
+    const repeats = Array.from({ length: 256 }, (_, index) => claim(`key-${index}`, `repeat-${index}`));
+    const verdicts = foldClaims(claims, [{ offset: 0, value: first }, { offset: 1, value: repeats }], 0);
+    assert.is(verdicts.filter(verdict => verdict.won).length, 256);
+    assert.ok(verdicts.every(verdict => verdict.holder.claimId.startsWith("first-")));
+});
+
 test("a claim appended twice is still the winner", () => {
     assert.equal(wins([{ offset: 0, value: [claim("k", "one"), claim("k", "one")] }]), [true, true]);
 });
--- a/packages/runtime/src/callerServer.ts
+++ b/packages/runtime/src/callerServer.ts
@@ -11,7 +11,7 @@
 
 /** What the server reports. */
 export interface CallerServerEvents {
-    readonly requested: (requestId: RequestId, call: Call, traceparent: string) => void;
+    readonly requested: (requestId: RequestId, call: Call) => void;
     readonly left: (requestId: RequestId) => void;
     readonly blocked: (requestId: RequestId) => void;
     readonly drained: (requestId: RequestId) => void;
@@ -72,7 +72,7 @@
                 events.left(requestId);
             }
         });
-        events.requested(requestId, parsed.call, parsed.call.traceparent);
+        events.requested(requestId, parsed.call);
     }
 
     const server = createServer({ maxHeaderSize: options.maximumHeaderBytes }, (request, response) => {
--- /dev/null
+++ b/packages/runtime/src/entryMeter.ts
@@ -0,0 +1,78 @@
+/**
+ * What an entry measures of its callers, its log lines, and the span of each request.
+ */
+import type { EntryObservation } from "@verbenaspring/entry";
+import type { Milliseconds, RequestId } from "@verbenaspring/model";
+import { monotonicNow } from "./eventLoop.js";
+import type { EventLog, LogFields } from "./logging.js";
+import type { Metrics } from "./metrics.js";
+import type { HopSpan, Tracing } from "./tracing.js";
+
+type FinishedRequest = Extract<EntryObservation, { readonly event: "request_finished"; }>;
+
+/** Measures requests from their arrival to their last word. */
+export class EntryMeter {
+    private readonly spans = new Map<RequestId, HopSpan>();
+    private readonly lastWrites = new Map<RequestId, Milliseconds>();
+
+    constructor(private readonly metrics: Metrics, private readonly log: EventLog, private readonly tracing: Tracing) {}
+
+    /** A request has come; returns the `traceparent` for the hops below. */
+    begin(requestId: RequestId, traceparent: string): string {
+        const span = this.tracing.start("entry", "server", traceparent, { "verbenaspring.request_id": requestId });
+        this.spans.set(requestId, span);
+        this.lastWrites.set(requestId, monotonicNow());
+        return span.traceparent;
+    }
+
+    /** A caller hears something: the silence before it has ended. */
+    recordSilence(requestId: RequestId): void {
+        const now = monotonicNow();
+        const last = this.lastWrites.get(requestId);
+        if (last !== undefined) {
+            this.metrics.record("verbenaspring_stall_milliseconds", now - last);
+        }
+        this.lastWrites.set(requestId, now);
+    }
+
+    /** A caller gets tokens, the first of them with index `from`. */
+    recordTokens(requestId: RequestId, tokens: number, from: number): void {
+        const last = this.lastWrites.get(requestId);
+        if (from > 0 && last !== undefined) {
+            this.metrics.record("verbenaspring_time_between_tokens_milliseconds", (monotonicNow() - last) / tokens);
+        }
+        this.metrics.count("verbenaspring_tokens_total", {}, tokens);
+        this.recordSilence(requestId);
+    }
+
+    /** A caller gets its last word. */
+    end(requestId: RequestId): void {
+        this.recordSilence(requestId);
+        this.lastWrites.delete(requestId);
+    }
+
+    /** Turns an observation into a log line and metrics. */
+    observe(observation: EntryObservation): void {
+        const { event, ...fields } = observation;
+        switch (observation.event) {
+            case "request_finished":
+                return this.finish(observation);
+            case "first_token":
+                return this.metrics.record("verbenaspring_first_token_milliseconds", observation.after);
+            case "link_opening":
+                return this.log("debug", event, fields as LogFields);
+            default:
+                return this.log("info", event, fields as LogFields);
+        }
+    }
+
+    private finish({ event, requestId, organisation, result, duration, tokens, waits }: FinishedRequest): void {
+        this.metrics.count("verbenaspring_requests_total", { result });
+        for (const { reason, duration: waited } of waits) {
+            this.metrics.record("verbenaspring_wait_milliseconds", waited, { reason });
+        }
+        this.spans.get(requestId)?.end({ "verbenaspring.result": result });
+        this.spans.delete(requestId);
+        this.log("info", event, { requestId, organisation, result, duration: Math.round(duration), tokens });
+    }
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./callerServer.js";
 export * from "./cursor.js";
+export * from "./daemon.js";
 export * from "./engineClient.js";
 export * from "./entryDaemon.js";
 export * from "./eventLoop.js";
--- a/scripts/setup.mjs
+++ b/scripts/setup.mjs
@@ -1,8 +1,13 @@
-// Installs the packages where a fresh clone has none, so that each command sets itself up.
-import { execFileSync } from "node:child_process";
+// Installs the packages where a fresh clone has none, so that each command sets itself up. `npm install` keeps to the
+// lock file; `npm ci` would also want lock entries for optional packages of platforms that the registry may not carry.
+import { spawnSync } from "node:child_process";
 import { existsSync } from "node:fs";
 
 if (!existsSync("node_modules/.package-lock.json")) {
     process.stderr.write("installing packages (first run)\n");
-    execFileSync("npm", ["ci", "--no-audit", "--no-fund"], { stdio: ["ignore", "ignore", "inherit"] });
+    const result = spawnSync("npm", ["install", "--no-audit", "--no-fund"], { encoding: "utf8" });
+    if (result.status !== 0) {
+        process.stderr.write(`${result.stdout}${result.stderr}`);
+        process.exit(1);
+    }
 }
