--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -26,7 +26,9 @@
         ],
         [
             "stall p50 / p99 / max (ms)",
-            `${silences.getValueAtPercentile(50)} / ${silences.getValueAtPercentile(99)} / ${silences.maxValue}`,
+            `${silences.getValueAtPercentile(50)} / ${silences.getValueAtPercentile(99)} / ${
+                Math.round(silences.maxValue)
+            }`,
         ],
         ["time between tokens p95 / p99 (ms)", `${gaps.getValueAtPercentile(95)} / ${gaps.getValueAtPercentile(99)}`],
         ["preemptions", result.preemptions],
--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -13,7 +13,6 @@
     spreadReturn,
     type Started,
     type Tokens,
-    type WaitReason,
 } from "@verbenaspring/coordination";
 import {
     type AttemptId,
@@ -394,7 +393,7 @@
  * well; whichever answers first is pinned.
  */
 export function hedgeAttempt(transaction: Transaction, request: EntryRequest): void {
-    noteWait(request.waits, "link_silent" satisfies WaitReason, transaction.now);
+    noteWait(request.waits, "link_silent", transaction.now);
     const mayHedge = request.work.idempotent
         && request.cursor === undefined
         && request.ledger.pinned === undefined
--- a/packages/fuzz/src/world.ts
+++ b/packages/fuzz/src/world.ts
@@ -18,14 +18,10 @@
     type BackendServerId,
     type ChangeId,
     type ConfigurationRecord,
-    type DocumentByKind,
     identifier,
     type LogOffset,
     type Milliseconds,
-    type OrganisationId,
     type RequestId,
-    type RouteName,
-    type ServiceName,
 } from "@verbenaspring/model";
 import {
     createSidecarState,
@@ -43,6 +39,15 @@
 import { createNode, deliver, freeze, keepTicking, type NodeDriver, type VirtualNode } from "./nodes.js";
 import { type Ask, Oracle } from "./oracle.js";
 import { VirtualClock } from "./virtualClock.js";
+import {
+    bearerDigest,
+    entryCount,
+    entryTimings,
+    firstDocuments,
+    plainService,
+    services,
+    sidecarTimings,
+} from "./worldSettings.js";
 
 /** Parts that a mutation may replace. */
 export interface WorldParts {
@@ -67,11 +72,6 @@
     readonly cursor?: Ask["cursor"];
 }
 
-const entryCount = 3;
-const engineService = identifier<ServiceName>("assistant");
-const plainService = identifier<ServiceName>("booking");
-const services = [engineService, engineService, engineService, plainService, plainService];
-const bearerDigest = "a".repeat(64);
 const listInterval: Milliseconds = 400;
 const listLag: Milliseconds = 600;
 const replaceDelay: Milliseconds = 150;
@@ -82,34 +82,6 @@
 /** A drain is in force this long after it was accepted, or after the last fault that could keep it back. */
 const drainTolerance: Milliseconds = 7_000;
 
-const entryTimings = {
-    heartbeatInterval: 300,
-    silenceTimeout: 1_000,
-    reconnectDelay: 100,
-    lostTimeout: 4_000,
-    maximumRequests: 200,
-    linksPerService: 16,
-    serviceDeadline: 20_000,
-    commentInterval: 900,
-    keyRetention: 3_600_000,
-    snapshotInterval: 8_000,
-    stopGrace: 300,
-    stopTimeout: 0,
-};
-
-const sidecarTimings = {
-    memoryTokens: 700,
-    maximumOutputTokens: 1_000,
-    maximumQueue: 12,
-    keptTokens: 20_000,
-    unacknowledgedTokens: 48,
-    heartbeatInterval: 300,
-    silenceTimeout: 1_000,
-    detachedWindow: 3_000,
-    resumeWindow: 6_000,
-    stopTimeout: 0,
-};
-
 /** One schedule's world. */
 export class World {
     readonly clock = new VirtualClock();
@@ -185,37 +157,11 @@
     }
 
     private writeDocuments(): void {
-        const put = <Kind extends keyof DocumentByKind>(kind: Kind, document: DocumentByKind[Kind]): void => {
-            const change = {
-                changeId: identifier<ChangeId>(this.source.newIdentifier()),
-                kind,
-                name: document.name as string,
-                expectedRevision: -1,
-                document,
-            };
+        for (const { kind, document } of firstDocuments) {
+            const changeId = identifier<ChangeId>(this.source.newIdentifier());
+            const change = { changeId, kind, name: document.name as string, expectedRevision: -1, document };
             this.log.append("configuration", { type: "change", change }, () => undefined, () => undefined);
-        };
-        put("service", {
-            name: engineService,
-            kind: "engine",
-            objective: "stall",
-            nonIdempotentCalls: [],
-            concurrency: 1,
-        });
-        put("service", {
-            name: plainService,
-            kind: "plain",
-            objective: "stall",
-            nonIdempotentCalls: ["POST /confirm"],
-            concurrency: 2,
-        });
-        put("route", {
-            name: identifier<RouteName>("plan"),
-            service: engineService,
-            workKind: "long",
-            deadline: 20_000,
-        });
-        put("organisation", { name: identifier<OrganisationId>("organisation"), keyDigest: bearerDigest, weight: 1 });
+        }
     }
 
     // Processes.
--- /dev/null
+++ b/packages/fuzz/src/worldSettings.ts
@@ -0,0 +1,84 @@
+/**
+ * The virtual world's services, documents, limits and timings.
+ */
+import {
+    type DocumentByKind,
+    type DocumentKind,
+    identifier,
+    type OrganisationId,
+    type RouteName,
+    type ServiceName,
+} from "@verbenaspring/model";
+
+/** Entries of the world. */
+export const entryCount = 3;
+/** The engines' service. */
+export const engineService = identifier<ServiceName>("assistant");
+/** The plain service; its confirmations are not idempotent. */
+export const plainService = identifier<ServiceName>("booking");
+/** The service of each backend server. */
+export const services = [engineService, engineService, engineService, plainService, plainService];
+/** What every caller's bearer key digests to. */
+export const bearerDigest = "a".repeat(64);
+
+/** A document that the world begins with. */
+export interface FirstDocument {
+    readonly kind: DocumentKind;
+    readonly document: DocumentByKind[DocumentKind];
+}
+
+/** The documents that the world begins with. */
+export const firstDocuments: readonly FirstDocument[] = [
+    {
+        kind: "service",
+        document: { name: engineService, kind: "engine", objective: "stall", nonIdempotentCalls: [], concurrency: 1 },
+    },
+    {
+        kind: "service",
+        document: {
+            name: plainService,
+            kind: "plain",
+            objective: "stall",
+            nonIdempotentCalls: ["POST /confirm"],
+            concurrency: 2,
+        },
+    },
+    {
+        kind: "route",
+        document: { name: identifier<RouteName>("plan"), service: engineService, workKind: "long", deadline: 20_000 },
+    },
+    {
+        kind: "organisation",
+        document: { name: identifier<OrganisationId>("organisation"), keyDigest: bearerDigest, weight: 1 },
+    },
+];
+
+/** Limits and timings of the entries, short so that a schedule sees them pass. */
+export const entryTimings = {
+    heartbeatInterval: 300,
+    silenceTimeout: 1_000,
+    reconnectDelay: 100,
+    lostTimeout: 4_000,
+    maximumRequests: 200,
+    linksPerService: 16,
+    serviceDeadline: 20_000,
+    commentInterval: 900,
+    keyRetention: 3_600_000,
+    snapshotInterval: 8_000,
+    stopGrace: 300,
+    stopTimeout: 0,
+};
+
+/** Limits and timings of the sidecars. */
+export const sidecarTimings = {
+    memoryTokens: 700,
+    maximumOutputTokens: 1_000,
+    maximumQueue: 12,
+    keptTokens: 20_000,
+    unacknowledgedTokens: 48,
+    heartbeatInterval: 300,
+    silenceTimeout: 1_000,
+    detachedWindow: 3_000,
+    resumeWindow: 6_000,
+    stopTimeout: 0,
+};
--- a/packages/model/src/errors.ts
+++ b/packages/model/src/errors.ts
@@ -18,7 +18,6 @@
     cursor_invalid: 400,
     generation_not_found: 410,
     generation_lost: 502,
-    backend_failed: 502,
     outcome_unknown: 504,
     deadline_exceeded: 504,
     overloaded: 503,
