--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -20,6 +20,8 @@
     readonly parts?: WorldParts;
     /** Breaches of other promises are passed over; by default none is. */
     readonly only?: readonly PromiseName[];
+    /** False leaves a failing schedule as it was drawn; by default it is made smaller. */
+    readonly shrinks?: boolean;
     /** Called after each schedule. */
     readonly onRun?: (runs: number) => void;
 }
@@ -64,7 +66,7 @@
         seed: options.seed,
         numRuns: options.runs,
         path: options.path,
-        endOnFailure: options.path !== undefined,
+        endOnFailure: options.path !== undefined || options.shrinks === false,
         interruptAfterTimeLimit: undefined,
     });
     if (!details.failed) {
--- /dev/null
+++ b/packages/fuzz/test/fuzz.test.ts
@@ -0,0 +1,25 @@
+/**
+ * Fixed seeds of the fuzzer, and every mutation found. Longer runs: `npm run fuzz` and `npm run mutations`.
+ */
+import { fuzz, mutations } from "@verbenaspring/fuzz";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+
+const runs = 500;
+const steps = 60;
+
+for (const seed of [1, 2]) {
+    test(`no promise is broken in ${runs} schedules of seed ${seed}`, () => {
+        const { failure } = fuzz({ seed, runs, steps });
+        assert.is(failure, undefined, failure && `${failure.broken.message}, path ${failure.path}`);
+    });
+}
+
+for (const { name, promises, parts } of mutations) {
+    test(`the fuzzer finds the mutation "${name}"`, () => {
+        const { failure } = fuzz({ seed: 1, runs, steps, parts, only: [...promises, "invariant"], shrinks: false });
+        assert.ok(failure, `${runs} schedules broke nothing`);
+    });
+}
+
+test.run();
--- a/packages/runtime/src/engineClient.ts
+++ b/packages/runtime/src/engineClient.ts
@@ -25,6 +25,8 @@
         timeLeft: Milliseconds,
         traceparent: string,
     ) => void;
+    /** Generations that something is still remembered of. */
+    readonly pending: () => number;
     /** Resolves to whether the backend server answers. */
     readonly probe: () => Promise<boolean>;
 }
@@ -71,11 +73,18 @@
     const base = `http://${address}`;
     const generationUrl = (generationId: GenerationId): string => `${base}/v1/completions/${generationId}`;
 
-    function openStream(generationId: GenerationId): AbortSignal {
+    function openStream(generationId: GenerationId): AbortController {
         streams.get(generationId)?.abort();
         const abort = new AbortController();
         streams.set(generationId, abort);
-        return abort.signal;
+        return abort;
+    }
+
+    /** Forgets a stream that is over, unless a newer one of the same generation took its place. */
+    function closeStream(generationId: GenerationId, abort: AbortController): void {
+        if (streams.get(generationId) === abort) {
+            streams.delete(generationId);
+        }
     }
 
     async function follow(
@@ -96,33 +105,21 @@
     async function stream(
         generationId: GenerationId,
         open: (signal: AbortSignal) => Promise<Dispatcher.ResponseData>,
+        whenRefused: "backendRefused" | "generationBroken",
     ): Promise<void> {
-        const signal = openStream(generationId);
+        const abort = openStream(generationId);
+        const { signal } = abort;
         try {
             await follow(generationId, await open(signal), signal);
         }
         catch (error) {
             if (!signal.aborted) {
                 report(generationId, error);
-                push({ kind: isRefusal(error) ? "backendRefused" : "generationBroken", generationId });
+                push({ kind: isRefusal(error) ? whenRefused : "generationBroken", generationId });
             }
         }
-    }
-
-    async function resumeStream(generationId: GenerationId, from: number): Promise<void> {
-        const signal = openStream(generationId);
-        try {
-            const response = await request(`${generationUrl(generationId)}?from=${from}`, {
-                dispatcher: agent,
-                signal,
-            });
-            await follow(generationId, response, signal);
-        }
-        catch (error) {
-            if (!signal.aborted) {
-                report(generationId, error);
-                push({ kind: "generationBroken", generationId });
-            }
+        finally {
+            closeStream(generationId, abort);
         }
     }
 
@@ -131,13 +128,14 @@
             const fields = { ...JSON.parse(work.body) as object, request_id: generationId, priority, stream: true };
             const headers = { "content-type": "application/json", traceparent, "x-attempt-id": attemptId };
             const body = JSON.stringify(fields);
-            void stream(
-                generationId,
-                signal =>
-                    request(`${base}/v1/completions`, { method: "POST", headers, body, dispatcher: agent, signal }),
-            );
+            const open = (signal: AbortSignal): Promise<Dispatcher.ResponseData> =>
+                request(`${base}/v1/completions`, { method: "POST", headers, body, dispatcher: agent, signal });
+            void stream(generationId, open, "backendRefused");
+        },
+        resume: (generationId, from) => {
+            const url = `${generationUrl(generationId)}?from=${from}`;
+            void stream(generationId, signal => request(url, { dispatcher: agent, signal }), "generationBroken");
         },
-        resume: (generationId, from) => void resumeStream(generationId, from),
         cancel: generationId => {
             streams.get(generationId)?.abort();
             streams.delete(generationId);
@@ -147,6 +145,7 @@
         },
         callService: (generationId, attemptId, work, timeLeft, traceparent) =>
             void callService(agent, base, { generationId, attemptId, work, timeLeft, traceparent }, push, report),
+        pending: () => streams.size,
         probe: async () => {
             try {
                 const response = await request(`${base}/load`, {
--- a/packages/runtime/src/entryMeter.ts
+++ b/packages/runtime/src/entryMeter.ts
@@ -17,6 +17,11 @@
 
     constructor(private readonly metrics: Metrics, private readonly log: EventLog, private readonly tracing: Tracing) {}
 
+    /** Requests that something is still remembered of. */
+    get pending(): number {
+        return Math.max(this.spans.size, this.lastWrites.size);
+    }
+
     /** A request has come; returns the `traceparent` for the hops below. */
     begin(requestId: RequestId, traceparent: string): string {
         const span = this.tracing.start("entry", "server", traceparent, { "verbenaspring.request_id": requestId });
@@ -45,10 +50,10 @@
         this.recordSilence(requestId);
     }
 
-    /** A caller gets its last word. */
-    end(requestId: RequestId): void {
+    /** A caller gets its last word, also where its request was never taken. */
+    end(requestId: RequestId, result: string): void {
         this.recordSilence(requestId);
-        this.lastWrites.delete(requestId);
+        this.forget(requestId, result);
     }
 
     /** Turns an observation into a log line and metrics. */
@@ -71,8 +76,14 @@
         for (const { reason, duration: waited } of waits) {
             this.metrics.record("verbenaspring_wait_milliseconds", waited, { reason });
         }
+        this.forget(requestId, result);
+        this.log("info", event, { requestId, organisation, result, duration: Math.round(duration), tokens });
+    }
+
+    /** Ends the request's span. A caller that left gets no last word, so this may be the first or the second time. */
+    private forget(requestId: RequestId, result: string): void {
+        this.lastWrites.delete(requestId);
         this.spans.get(requestId)?.end({ "verbenaspring.result": result });
         this.spans.delete(requestId);
-        this.log("info", event, { requestId, organisation, result, duration: Math.round(duration), tokens });
     }
 }
--- a/packages/runtime/src/entryRunner.ts
+++ b/packages/runtime/src/entryRunner.ts
@@ -225,7 +225,7 @@
                 this.meter.recordSilence(requestId);
                 return answer?.writeComment(effect.reason, effect.ahead, effect.expected);
             default:
-                this.meter.end(requestId);
+                this.meter.end(requestId, effect.kind === "answerFailure" ? effect.failure.type : "completed");
                 this.callers.forget(requestId);
         }
         switch (effect.kind) {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./daemon.js";
 export * from "./engineClient.js";
 export * from "./entryDaemon.js";
+export * from "./entryMeter.js";
 export * from "./eventLoop.js";
 export * from "./frameSender.js";
 export * from "./linkClient.js";
