The engine stand-in survives a cancel in the middle of a step

Cause: an overloaded run by hand ended in connections refused: the stand-in delivered tokens to a generation that had been cancelled while its step ran, and the process ended. Change: a cancelled generation is passed over.

--- a/packages/stand-ins/src/engineStandIn.ts
+++ b/packages/stand-ins/src/engineStandIn.ts
@@ -116,12 +116,16 @@
                 generations.get(each.id)?.subscriber?.write("event: preempted\ndata: {}\n\n")
             );
             step.ended.forEach(each => end(each.id));
-            step.produced.forEach(each => deliver(generations.get(each.id)!));
+            step.produced.flatMap(each => generations.get(each.id) ?? []).forEach(deliver);
         }
     }
 
     function end(id: string): void {
-        generations.get(id)!.hasEnded = true;
+        const generation = generations.get(id);
+        if (generation === undefined) {
+            return;
+        }
+        generation.hasEnded = true;
         setTimeout(() => generations.delete(id), keptAfterEnd).unref();
     }
 
