--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,6 +4,7 @@
     "packages/model/src/**",
     "packages/coordination/src/**",
     "packages/entry/src/**",
+    "packages/gateway/src/**",
     "packages/sidecar/src/**",
 ];
 
--- /dev/null
+++ b/packages/coordination/src/placement.ts
@@ -0,0 +1,91 @@
+/**
+ * Chooses the backend server for a request, and the one that keeps a copy of its memory.
+ */
+import type { Milliseconds } from "@verbenaspring/model";
+import type { Random } from "./retry.js";
+
+/** A backend server as placement sees it. */
+export interface PlacementView {
+    /** What is at work there, as a share of what it can carry; over 1 where more waits. */
+    readonly load: number;
+    /** The share of failed attempts lately, in [0, 1]. */
+    readonly failureShare: number;
+    /** Time to the first byte of an answer lately, where known. */
+    readonly responseTime: Milliseconds | undefined;
+    /** Whether it started so short a time ago that it is still slow. */
+    readonly isWarmingUp: boolean;
+    /** Whether it is in the failure domain of this instance. */
+    readonly isNear: boolean;
+}
+
+/** Servers whose cost differs by less than this factor count as equal. */
+const indifference = 0.1;
+const warmUpFactor = 1.5;
+/** Servers in other failure domains cost a little more: the way is longer and is paid for. */
+const farFactor = 1.03;
+/** How strongly a server that fails attempts is avoided. */
+const failureFactor = 6;
+
+/**
+ * The candidate with the lowest cost, or undefined where there is none. Candidates that are nearly equal are chosen by
+ * chance, so that instances which know the same don't all choose the same server.
+ *
+ * @example
+ * const server = chooseServer(servers, server => viewOf(server), random);
+ */
+export function chooseServer<Candidate>(
+    candidates: readonly Candidate[],
+    viewOf: (candidate: Candidate) => PlacementView,
+    random: Random,
+): Candidate | undefined {
+    const views = candidates.map(viewOf);
+    const typicalTime = median(views.flatMap(view => view.responseTime ?? []));
+    const costs = views.map(view => costOf(view, typicalTime) * (1 + indifference * random()));
+    return candidates[costs.indexOf(Math.min(...costs))];
+}
+
+function costOf(view: PlacementView, typicalTime: Milliseconds | undefined): number {
+    const relativeTime = view.responseTime === undefined || typicalTime === undefined
+        ? 1
+        : Math.max(0.5, view.responseTime / Math.max(1, typicalTime));
+    const warmUp = view.isWarmingUp ? warmUpFactor : 1;
+    const distance = view.isNear ? 1 : farFactor;
+    const idleCost = 0.1;
+    return (idleCost + view.load) * relativeTime * (1 + failureFactor * view.failureShare) * warmUp * distance;
+}
+
+function median(values: readonly number[]): number | undefined {
+    const sorted = [...values].sort((one, other) => one - other);
+    return sorted[Math.floor(sorted.length / 2)];
+}
+
+/** An engine that might keep a copy. */
+export interface CopyView {
+    readonly load: number;
+    readonly isNear: boolean;
+}
+
+/** Copies are only kept in memory that stays free beside the runs, up to this share of it. */
+const copyLimit = 0.75;
+
+/**
+ * The engine with the most free memory that can keep a copy of `share` of its memory, or undefined where all are too
+ * full: on crowded engines copies would push aside the runs that they are to protect.
+ *
+ * @example
+ * const replica = chooseCopyHolder(others, other => viewOf(other), 0.12);
+ */
+export function chooseCopyHolder<Candidate>(
+    candidates: readonly Candidate[],
+    viewOf: (candidate: Candidate) => CopyView,
+    share: number,
+): Candidate | undefined {
+    // A copy within one failure domain takes half as long; that is worth a little more load.
+    const nearAdvantage = 0.1;
+    const costs = candidates.map(candidate => {
+        const { load, isNear } = viewOf(candidate);
+        return load + share > copyLimit ? Infinity : load - (isNear ? nearAdvantage : 0);
+    });
+    const lowest = Math.min(...costs);
+    return lowest === Infinity ? undefined : candidates[costs.indexOf(lowest)];
+}
--- a/packages/coordination/src/retry.ts
+++ b/packages/coordination/src/retry.ts
@@ -17,13 +17,19 @@
     return Math.round(ceiling * (0.5 + random() / 2));
 }
 
+/** The shortest time after which a refused caller is asked to return, unless the caller of the function knows better. */
+const shortestReturn: Milliseconds = 1_000;
+
 /**
  * When a refused caller should return: the expected wait, spread over as long again.
  *
  * @example
  * const retryAfter = spreadReturn(4_000, random);
  */
-export function spreadReturn(expectedWait: Milliseconds, random: Random): Milliseconds {
-    const shortest: Milliseconds = 1_000;
+export function spreadReturn(
+    expectedWait: Milliseconds,
+    random: Random,
+    shortest: Milliseconds = shortestReturn,
+): Milliseconds {
     return Math.round(Math.max(shortest, expectedWait) * (1 + random()));
 }
--- /dev/null
+++ b/packages/gateway/src/draining.ts
@@ -0,0 +1,43 @@
+/**
+ * A planned stop: the balancer is told at once, requests are served until it has looked away, and the process ends when
+ * the last answer is out.
+ */
+import type { Milliseconds } from "@verbenaspring/model";
+import { failRequest } from "./requests.js";
+import { record, type Transaction } from "./transaction.js";
+
+/** The balancer asks each second and needs two misses; new channels come until then. */
+const balancerNotice: Milliseconds = 3_200;
+/** Time kept before the process is ended from outside, for the last answers to reach their callers. */
+const lastAnswersTime: Milliseconds = 250;
+
+/** Begins a planned stop. */
+export function takeStopRequested(transaction: Transaction): void {
+    const { state, now, effects } = transaction;
+    if (state.stopRequestedAt !== undefined) {
+        return;
+    }
+    state.stopRequestedAt = now;
+    record(transaction, "info", "stop_requested", { requests: state.requests.size });
+    effects.push({ kind: "startDraining" });
+}
+
+/** Ends the process once nothing is left to do, or the time for it is over. */
+export function tendStop(transaction: Transaction): void {
+    const { state, now, effects } = transaction;
+    if (state.stopRequestedAt === undefined || state.hasExited) {
+        return;
+    }
+    const elapsed = now - state.stopRequestedAt;
+    const isOver = elapsed >= state.options.stopLimit - lastAnswersTime;
+    if (isOver) {
+        [...state.requests.values()].forEach(request =>
+            failRequest(transaction, request, "leaving", "the instance was stopped before the answer was complete")
+        );
+    }
+    if (isOver || (elapsed >= balancerNotice && state.requests.size === 0)) {
+        state.hasExited = true;
+        record(transaction, "info", "stopping", { elapsed: Math.round(elapsed) });
+        effects.push({ kind: "exit" });
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/effect.ts
@@ -0,0 +1,35 @@
+/**
+ * Everything that a gateway can ask for.
+ */
+import type { AttemptId, Failure, LogOffset, Milliseconds, RequestId } from "@verbenaspring/model";
+import type { TopicName } from "./event.js";
+import type { BackendAnswer, BackendCall, BackendHead, StreamEvent } from "./messages.js";
+import type { CallerLimits } from "./routingConfiguration.js";
+
+/** The fields of a decision. */
+export type DecisionFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** A decision on a request, or a change of what the gateway believes. */
+export interface Decision {
+    readonly level: "debug" | "info" | "warn";
+    readonly event: string;
+    readonly fields: DecisionFields;
+}
+
+/** Everything that can be asked for. */
+export type GatewayEffect =
+    | { readonly kind: "sendAttempt"; readonly requestId: RequestId; readonly call: BackendCall; }
+    | { readonly kind: "cancelAttempt"; readonly attemptId: AttemptId; }
+    | { readonly kind: "answerWhole"; readonly requestId: RequestId; readonly answer: BackendAnswer; }
+    | { readonly kind: "answerHead"; readonly requestId: RequestId; readonly head: BackendHead; }
+    | { readonly kind: "answerEvents"; readonly requestId: RequestId; readonly events: readonly StreamEvent[]; }
+    | { readonly kind: "answerEnd"; readonly requestId: RequestId; }
+    /** Closes the caller's channel so that the answer can't pass for a complete one. */
+    | { readonly kind: "answerCut"; readonly requestId: RequestId; }
+    | { readonly kind: "answerFailure"; readonly requestId: RequestId; readonly failure: Failure; }
+    | { readonly kind: "readTopic"; readonly topic: TopicName; readonly from: LogOffset; readonly wait: Milliseconds; }
+    | { readonly kind: "readSnapshot"; readonly topic: TopicName; }
+    | { readonly kind: "applyLimits"; readonly limits: CallerLimits; }
+    | { readonly kind: "startDraining"; }
+    | { readonly kind: "exit"; }
+    | { readonly kind: "record"; readonly decision: Decision; };
--- /dev/null
+++ b/packages/gateway/src/event.ts
@@ -0,0 +1,70 @@
+/**
+ * Everything that can happen to a gateway.
+ */
+import type { AttemptId, BackendServerId, LogOffset, Milliseconds, RequestId } from "@verbenaspring/model";
+import type { BackendRecord } from "./backendServers.js";
+import type { BackendAnswer, BackendHead, CallerHead, StreamEvent } from "./messages.js";
+import type { RoutingConfiguration } from "./routingConfiguration.js";
+
+/** Why an attempt came to nothing. */
+export type AttemptFailure =
+    | "connect_refused"
+    | "connect_timeout"
+    | "channel_lost"
+    | "answer_truncated"
+    | "answer_malformed"
+    | "answer_of_another"
+    | "body_too_large";
+
+/** The topics that a gateway follows. */
+export type TopicName = "configuration" | "backendServers";
+
+/** One record of a followed topic, decoded. */
+export type TopicRecord =
+    | { readonly kind: "configuration"; readonly configuration: RoutingConfiguration; }
+    | { readonly kind: "backendServer"; readonly record: BackendRecord; }
+    | { readonly kind: "backendServerRemoved"; readonly id: BackendServerId; }
+    | { readonly kind: "undecodable"; readonly key: string; readonly detail: string; };
+
+/** Why a read of a topic failed. */
+export type ReadFailure = "records_deleted" | "refused" | "timeout" | "unreachable" | "malformed";
+
+/** Everything that can happen. */
+export type GatewayEvent =
+    | { readonly kind: "tick"; }
+    | {
+        readonly kind: "requestReceived";
+        readonly requestId: RequestId;
+        readonly head: CallerHead;
+        readonly receivedAt: Milliseconds;
+    }
+    | { readonly kind: "callerLeft"; readonly requestId: RequestId; }
+    | { readonly kind: "attemptAnswered"; readonly attemptId: AttemptId; readonly answer: BackendAnswer; }
+    | { readonly kind: "streamOpened"; readonly attemptId: AttemptId; readonly head: BackendHead; }
+    | { readonly kind: "streamEvents"; readonly attemptId: AttemptId; readonly events: readonly StreamEvent[]; }
+    | { readonly kind: "streamEnded"; readonly attemptId: AttemptId; }
+    | {
+        readonly kind: "attemptFailed";
+        readonly attemptId: AttemptId;
+        readonly failure: AttemptFailure;
+        /** Whether a byte of the request was handed to the network. */
+        readonly wasSent: boolean;
+    }
+    | {
+        readonly kind: "moveAnswered";
+        readonly requestId: RequestId;
+        readonly backendServer: BackendServerId;
+        /** Absent where the move failed. */
+        readonly handle: string | undefined;
+    }
+    | {
+        readonly kind: "topicRead";
+        readonly topic: TopicName;
+        /** Whether the records are the newest of each key rather than a part of the history. */
+        readonly isSnapshot: boolean;
+        readonly records: readonly TopicRecord[];
+        /** The offset after the last record that was read. */
+        readonly next: LogOffset;
+    }
+    | { readonly kind: "topicReadFailed"; readonly topic: TopicName; readonly failure: ReadFailure; }
+    | { readonly kind: "stopRequested"; };
--- /dev/null
+++ b/packages/gateway/src/reducer.ts
@@ -0,0 +1,63 @@
+/**
+ * The one door: every event of a gateway goes through {@link reduceGateway}, which changes the state and returns the
+ * effects. It reads no clock, no chance and no I/O of its own.
+ */
+import type { Source } from "@verbenaspring/coordination";
+import type { Milliseconds } from "@verbenaspring/model";
+import { takeAnswer, takeAttemptFailed, tendRequests } from "./attempts.js";
+import { takeStopRequested, tendStop } from "./draining.js";
+import type { GatewayEffect } from "./effect.js";
+import type { GatewayEvent } from "./event.js";
+import { takeTopicRead, takeTopicReadFailed, tendFollowers } from "./followers.js";
+import { takeCallerLeft, takeRequest } from "./requests.js";
+import type { GatewayState } from "./state.js";
+import { takeStreamEnded, takeStreamEvents, takeStreamOpened } from "./streams.js";
+import type { Transaction } from "./transaction.js";
+
+/**
+ * Takes one event. The state is changed in place; the effects are for the caller to perform, in order.
+ *
+ * @example
+ * const effects = reduceGateway(state, { kind: "tick" }, now, source);
+ */
+export function reduceGateway(
+    state: GatewayState,
+    event: GatewayEvent,
+    now: Milliseconds,
+    source: Source,
+): GatewayEffect[] {
+    const transaction: Transaction = { state, source, now, effects: [] };
+    takeEvent(transaction, event);
+    return transaction.effects;
+}
+
+function takeEvent(transaction: Transaction, event: GatewayEvent): void {
+    switch (event.kind) {
+        case "tick":
+            tendFollowers(transaction);
+            tendRequests(transaction);
+            return tendStop(transaction);
+        case "requestReceived":
+            return takeRequest(transaction, event);
+        case "callerLeft":
+            return takeCallerLeft(transaction, event.requestId);
+        case "attemptAnswered":
+            return takeAnswer(transaction, event.attemptId, event.answer);
+        case "streamOpened":
+            return takeStreamOpened(transaction, event.attemptId, event.head);
+        case "streamEvents":
+            return takeStreamEvents(transaction, event.attemptId, event.events);
+        case "streamEnded":
+            return takeStreamEnded(transaction, event.attemptId);
+        case "attemptFailed":
+            return takeAttemptFailed(transaction, event);
+        case "moveAnswered":
+            return;
+        case "topicRead":
+            return takeTopicRead(transaction, event);
+        case "topicReadFailed":
+            return takeTopicReadFailed(transaction, event);
+        case "stopRequested":
+            return takeStopRequested(transaction);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/state.ts
@@ -0,0 +1,124 @@
+/**
+ * A gateway's state. The loop alone owns it; the reducer changes it in place.
+ */
+import { createRetryBudget, type RetryBudget, type ServerHealth } from "@verbenaspring/coordination";
+import type { AttemptId, BackendServerId, LogOffset, Milliseconds, RequestId, ServiceName } from "@verbenaspring/model";
+import type { BackendServer, BackendView } from "./backendServers.js";
+import type { ReadFailure, TopicName } from "./event.js";
+import type { BackendHead, CallerHead, RunCopy } from "./messages.js";
+import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
+
+/** Limits of one gateway, from its settings. */
+export interface GatewayOptions {
+    readonly failureDomain: string;
+    /** Repeated sends allowed for each request of a service, over all gateways. */
+    readonly retryRatio: number;
+    /** Repeated sends allowed besides in each window, over all gateways. */
+    readonly retrySlack: number;
+    readonly retryWindow: Milliseconds;
+    /** How long a planned stop may take before the process is ended from outside. */
+    readonly stopLimit: Milliseconds;
+}
+
+/** One send of a request to a backend server. */
+export interface Attempt {
+    readonly id: AttemptId;
+    readonly server: BackendServer;
+    readonly startedAt: Milliseconds;
+    /** Where the run's memory is copied to as it grows. */
+    readonly replica: BackendServer | undefined;
+    /** The copy from which this run goes on. */
+    readonly continuesFrom: RunCopy | undefined;
+    head: BackendHead | undefined;
+    lastHeard: Milliseconds;
+}
+
+/** One request of a caller, until its final answer. */
+export interface GatewayRequest {
+    readonly id: RequestId;
+    readonly head: CallerHead;
+    readonly route: Route;
+    readonly service: ServiceName;
+    readonly organisation: Organisation | undefined;
+    readonly arrivedAt: Milliseconds;
+    readonly finishBy: Milliseconds;
+    attempt: Attempt | undefined;
+    /** Sends so far, whatever came of them. */
+    sends: number;
+    /** Sends after which the request may have run. */
+    possibleRuns: number;
+    readonly triedServers: Set<BackendServerId>;
+    /** The last event that was passed on. */
+    lastEvent: number | undefined;
+    isHeadWritten: boolean;
+}
+
+/** What a gateway itself has at work at one backend server. */
+export interface ServerLoad {
+    inProgress: number;
+    /** Tokens of prompts and outputs, with the memory set aside for copies. */
+    tokens: number;
+}
+
+/** How far a topic has been read. */
+export interface TopicFollower {
+    /** Undefined until a snapshot was read. */
+    next: LogOffset | undefined;
+    isReading: boolean;
+    readAgainAt: Milliseconds;
+    lastReadAt: Milliseconds | undefined;
+    failing: ReadFailure | undefined;
+}
+
+/** All that a gateway remembers; none of it outlives the process. */
+export interface GatewayState {
+    readonly options: GatewayOptions;
+    configuration: RoutingConfiguration | undefined;
+    readonly servers: BackendView;
+    readonly serversByService: Map<ServiceName, readonly BackendServerId[]>;
+    readonly health: Map<BackendServerId, ServerHealth>;
+    readonly loads: Map<BackendServerId, ServerLoad>;
+    readonly requests: Map<RequestId, GatewayRequest>;
+    readonly attempts: Map<AttemptId, GatewayRequest>;
+    readonly budget: RetryBudget;
+    readonly followers: Readonly<Record<TopicName, TopicFollower>>;
+    stopRequestedAt: Milliseconds | undefined;
+    hasExited: boolean;
+}
+
+/**
+ * Creates the state of a gateway that knows nothing yet.
+ *
+ * @example
+ * const state = createGatewayState(options);
+ */
+export function createGatewayState(options: GatewayOptions): GatewayState {
+    return {
+        options,
+        configuration: undefined,
+        servers: new Map(),
+        serversByService: new Map(),
+        health: new Map(),
+        loads: new Map(),
+        requests: new Map(),
+        attempts: new Map(),
+        budget: createRetryBudget({
+            ratio: options.retryRatio,
+            slack: options.retrySlack,
+            window: options.retryWindow,
+        }),
+        followers: { configuration: createFollower(), backendServers: createFollower() },
+        stopRequestedAt: undefined,
+        hasExited: false,
+    };
+}
+
+function createFollower(): TopicFollower {
+    return { next: undefined, isReading: false, readAgainAt: 0, lastReadAt: undefined, failing: undefined };
+}
+
+/** Whether the balancer may send new channels here. */
+export function isGatewayReady(state: GatewayState): boolean {
+    const knowsServers = state.followers.backendServers.next !== undefined;
+    return state.configuration !== undefined && knowsServers && state.stopRequestedAt === undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/streams.ts
@@ -0,0 +1,162 @@
+/**
+ * Streams: events are passed on in order, each once, and from one run at a time. When a run is lost another goes on
+ * after the last event, from a copy of its memory or, where the route allows it, by a new run.
+ */
+import type { AttemptId, Milliseconds } from "@verbenaspring/model";
+import {
+    abandon,
+    type AttemptOutcome,
+    canSendAgain,
+    continueAfter,
+    endAttempt,
+    judge,
+    noteHealth,
+    sendTo,
+} from "./attempts.js";
+import type { BackendHead, StreamEvent } from "./messages.js";
+import { describe, finish } from "./requests.js";
+import type { Attempt, GatewayRequest } from "./state.js";
+import { record, type Transaction } from "./transaction.js";
+
+/** A stream without an event for this long is looked for elsewhere where its memory was copied. */
+const silenceLimit: Milliseconds = 1_200;
+/** The same before the first event, whose prompt may wait behind others. */
+const firstEventLimit: Milliseconds = 3_000;
+
+/** Takes the head of a stream. Nothing goes to the caller before the first event. */
+export function takeStreamOpened(transaction: Transaction, attemptId: AttemptId, head: BackendHead): void {
+    const request = transaction.state.attempts.get(attemptId);
+    const attempt = request?.attempt;
+    if (request === undefined || attempt === undefined) {
+        return;
+    }
+    const verdict = judge(request, head);
+    if (verdict === "delivered") {
+        attempt.head = head;
+        return;
+    }
+    noteHealth(transaction, attempt, verdict === "not_run" ? undefined : verdict);
+    endAttempt(transaction, request, attempt, "cancel");
+    if (verdict === "not_run") {
+        request.possibleRuns--;
+    }
+    continueAfter(transaction, request, attempt, verdict === "not_run" ? "refused_by_server" : verdict);
+}
+
+/** Takes events of a run, and passes those on that the caller lacks. */
+export function takeStreamEvents(
+    transaction: Transaction,
+    attemptId: AttemptId,
+    events: readonly StreamEvent[],
+): void {
+    const { state, now } = transaction;
+    const request = state.attempts.get(attemptId);
+    const attempt = request?.attempt;
+    if (request === undefined || attempt?.head === undefined) {
+        return;
+    }
+    const fresh: StreamEvent[] = [];
+    for (const event of events) {
+        const order = compareToLast(request, event);
+        if (order === "missing") {
+            passOn(transaction, request, attempt, fresh);
+            noteHealth(transaction, attempt, "answer_malformed");
+            endAttempt(transaction, request, attempt, "cancel");
+            return continueAfter(transaction, request, attempt, "answer_malformed");
+        }
+        if (order === "next") {
+            request.lastEvent = event.id ?? request.lastEvent;
+            fresh.push(event);
+        }
+    }
+    attempt.lastHeard = now;
+    passOn(transaction, request, attempt, fresh);
+}
+
+function compareToLast({ lastEvent }: GatewayRequest, { id }: StreamEvent): "next" | "repeated" | "missing" {
+    if (id === undefined || lastEvent === undefined) {
+        return "next";
+    }
+    if (id <= lastEvent) {
+        return "repeated";
+    }
+    return id === lastEvent + 1 ? "next" : "missing";
+}
+
+function passOn(
+    { effects }: Transaction,
+    request: GatewayRequest,
+    { head }: Attempt,
+    events: readonly StreamEvent[],
+): void {
+    if (events.length === 0 || head === undefined) {
+        return;
+    }
+    if (!request.isHeadWritten) {
+        request.isHeadWritten = true;
+        effects.push({ kind: "answerHead", requestId: request.id, head });
+    }
+    effects.push({ kind: "answerEvents", requestId: request.id, events });
+}
+
+/** Takes the complete end of a run. */
+export function takeStreamEnded(transaction: Transaction, attemptId: AttemptId): void {
+    const { state, now, effects } = transaction;
+    const request = state.attempts.get(attemptId);
+    const attempt = request?.attempt;
+    if (request === undefined || attempt?.head === undefined) {
+        return;
+    }
+    noteHealth(transaction, attempt, undefined);
+    endAttempt(transaction, request, attempt, "ended");
+    if (!request.isHeadWritten) {
+        effects.push({ kind: "answerHead", requestId: request.id, head: attempt.head });
+    }
+    record(transaction, "debug", "stream_answered", {
+        ...describe(transaction, request),
+        took: Math.round(now - request.arrivedAt),
+    });
+    effects.push({ kind: "answerEnd", requestId: request.id });
+    finish(transaction, request);
+}
+
+/**
+ * Goes on from the copy of a lost run's memory. Returns whether it did; a stream that may run again is then left to the
+ * usual way of repeating.
+ */
+export function continueStream(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    outcome: AttemptOutcome,
+): boolean {
+    const { state } = transaction;
+    const replica = attempt.replica === undefined ? undefined : state.servers.get(attempt.replica.record.id);
+    const isSameReplica = replica?.incarnation === attempt.replica?.incarnation;
+    if (replica === undefined || !isSameReplica || replica.removedAt !== undefined || outcome === "refused_by_server") {
+        return false;
+    }
+    if (!canSendAgain(transaction, request)) {
+        return false;
+    }
+    record(transaction, "info", "stream_continued", {
+        ...describe(transaction, request),
+        from: attempt.server.record.id,
+        to: replica.record.id,
+    });
+    const copy = { source: attempt.server.record.address, name: request.head.callerAttemptId };
+    sendTo(transaction, request, { server: replica, continuesFrom: copy });
+    return true;
+}
+
+/** Looks after a stream whose server is silent. */
+export function tendStream(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
+    const limit = request.lastEvent === undefined ? firstEventLimit : silenceLimit;
+    if (transaction.now - attempt.lastHeard < limit) {
+        return;
+    }
+    const canGoOn = attempt.replica !== undefined || request.route.canResume;
+    if (canGoOn && canSendAgain(transaction, request)) {
+        abandon(transaction, request, attempt);
+    }
+}
--- a/packages/model/src/errors.ts
+++ b/packages/model/src/errors.ts
@@ -11,6 +11,8 @@
 export const failureStatus = {
     malformed_request: 400,
     body_too_large: 413,
+    headers_too_large: 431,
+    request_timeout: 408,
     unauthenticated: 401,
     route_not_found: 404,
     service_not_found: 404,
@@ -19,6 +21,7 @@
     generation_not_found: 410,
     generation_lost: 502,
     outcome_unknown: 504,
+    backend_server_failed: 502,
     deadline_exceeded: 504,
     overloaded: 503,
     no_backend_server: 503,
--- a/packages/model/src/identifiers.ts
+++ b/packages/model/src/identifiers.ts
@@ -15,6 +15,10 @@
 export type RequestId = Branded<"RequestId">;
 /** One try to have a request run by one sidecar. */
 export type AttemptId = Branded<"AttemptId">;
+/** The id that a caller gave to one request; each of its own repeats has another. */
+export type CallerAttemptId = Branded<"CallerAttemptId">;
+/** The secret by which an organisation's callers are known. */
+export type ApiKey = Branded<"ApiKey">;
 /** One run of an engine; random and 128 bits long, so that no caller can guess another's. */
 export type GenerationId = Branded<"GenerationId">;
 /** A customer whose callers hold one bearer key. */
--- /dev/null
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -0,0 +1,76 @@
+/**
+ * The gateway process: the reducer on one loop, and a runner for its effects.
+ */
+import {
+    createGatewayState,
+    type GatewayEffect,
+    type GatewayEvent,
+    type GatewayOptions,
+    reduceGateway,
+    type TopicName,
+    type TopicRecord,
+} from "@verbenaspring/gateway";
+import type { LogOffset, Milliseconds } from "@verbenaspring/model";
+import type { BackendWire } from "./backendChannels.js";
+import { type Daemon, describeError } from "./daemon.js";
+import { runLoop } from "./eventLoop.js";
+import type { DecodeCallerHead } from "./gatewayCallers.js";
+import { GatewayRunner } from "./gatewayRunner.js";
+import { createEventLog, type LogLevel, writeToStandardOutput } from "./logging.js";
+import { createMetrics } from "./metrics.js";
+import { systemSource } from "./randomSource.js";
+
+/** Reads the platform's topics. A rejected read carries its failure; see {@link readFailureOf}. */
+export interface TopicReader {
+    readonly read: (topic: TopicName, from: LogOffset, wait: Milliseconds) => Promise<TopicPage>;
+    readonly readNewest: (topic: TopicName) => Promise<TopicPage>;
+    readonly close: () => void;
+}
+
+/** The records of a read. */
+export interface TopicPage {
+    readonly records: readonly TopicRecord[];
+    readonly next: LogOffset;
+}
+
+/** What a gateway speaks: the wire towards callers and backend servers, and the platform's topics. */
+export interface GatewayAdapter extends BackendWire {
+    readonly decodeCallerHead: DecodeCallerHead;
+    readonly topics: TopicReader;
+}
+
+/** Where a gateway listens, and its limits. */
+export interface GatewayDaemonOptions extends GatewayOptions {
+    readonly instance: string;
+    readonly callerAddress: string;
+    readonly readinessAddress: string;
+    readonly metricsAddress: string | undefined;
+    readonly logLevel: LogLevel;
+}
+
+const tickInterval: Milliseconds = 50;
+
+/**
+ * Starts a gateway.
+ *
+ * @example
+ * const daemon = await startGateway(options, adapter);
+ * process.once("SIGTERM", daemon.stop);
+ */
+export async function startGateway(options: GatewayDaemonOptions, adapter: GatewayAdapter): Promise<Daemon> {
+    const log = createEventLog(options.logLevel, { instance: options.instance }, writeToStandardOutput);
+    const metrics = createMetrics();
+    const state = createGatewayState(options);
+    const runner = new GatewayRunner(options, state, adapter, log, metrics);
+    await runner.listen();
+    log("info", "started", { callers: options.callerAddress, readiness: options.readinessAddress });
+    runLoop<GatewayEvent, GatewayEffect>({
+        sources: [runner.events.stream],
+        tick: { kind: "tick" },
+        tickInterval,
+        reduce: (event, now) => reduceGateway(state, event, now, systemSource),
+        perform: effect => runner.perform(effect),
+        fail: error => log("error", "loop_failed", { error: describeError(error) }),
+    });
+    return { stop: () => runner.events.push({ kind: "stopRequested" }), stopped: runner.stopped };
+}
--- /dev/null
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -0,0 +1,198 @@
+/**
+ * Performs a gateway's effects; their outcomes come back as events.
+ */
+import {
+    type Decision,
+    type GatewayEffect,
+    type GatewayEvent,
+    type GatewayState,
+    isGatewayReady,
+    type ReadFailure,
+    type TopicName,
+} from "@verbenaspring/gateway";
+import { type AttemptId, identifier, type RequestId } from "@verbenaspring/model";
+import { createServer, type Server } from "node:http";
+import { type BackendChannels, createBackendChannels } from "./backendChannels.js";
+import { createDeferred } from "./daemon.js";
+import { createEventChannel } from "./eventLoop.js";
+import { createGatewayCallers, type GatewayCallers } from "./gatewayCallers.js";
+import type { GatewayAdapter, GatewayDaemonOptions, TopicPage } from "./gatewayDaemon.js";
+import { listen } from "./listening.js";
+import type { EventLog } from "./logging.js";
+import type { Metrics } from "./metrics.js";
+
+/** The gateway's hands. */
+export class GatewayRunner {
+    readonly events = createEventChannel<GatewayEvent>();
+    private readonly stop = createDeferred();
+    readonly stopped = this.stop.promise;
+    private readonly callers: GatewayCallers;
+    private readonly channels: BackendChannels;
+    private readonly readiness: Server;
+    private readonly metricsServer: Server | undefined;
+    /** Bodies of requests in progress, for sends and repeats. */
+    private readonly bodies = new Map<RequestId, Buffer>();
+    /** The attempt whose events a request's caller gets. */
+    private readonly attempts = new Map<RequestId, AttemptId>();
+    private requestCount = 0;
+
+    constructor(
+        private readonly options: GatewayDaemonOptions,
+        private readonly state: GatewayState,
+        private readonly adapter: GatewayAdapter,
+        private readonly log: EventLog,
+        private readonly metrics: Metrics,
+    ) {
+        this.callers = this.createCallers();
+        this.channels = this.createChannels();
+        this.readiness = createServer((_, response) => {
+            response.writeHead(isGatewayReady(this.state) ? 200 : 503, { "content-length": "0" });
+            response.end();
+        });
+        this.metricsServer = options.metricsAddress === undefined ? undefined : createServer((_, response) => {
+            response.writeHead(200, { "content-type": "text/plain" });
+            response.end(metrics.format());
+        });
+        metrics.gauge("verbenaspring_requests_in_progress", () => state.requests.size);
+        metrics.gauge("verbenaspring_configuration_version", () => state.configuration?.version ?? 0);
+        metrics.gauge("verbenaspring_backend_servers_known", () => state.servers.size);
+        metrics.gauge("verbenaspring_backend_channels_opened", () => this.channels.channelsOpened());
+    }
+
+    /** Listens at all addresses. */
+    async listen(): Promise<void> {
+        await this.callers.listen(this.options.callerAddress);
+        await listen(this.readiness, this.options.readinessAddress);
+        if (this.metricsServer !== undefined && this.options.metricsAddress !== undefined) {
+            await listen(this.metricsServer, this.options.metricsAddress);
+        }
+    }
+
+    /** Performs one effect. */
+    perform(effect: GatewayEffect): void {
+        switch (effect.kind) {
+            case "sendAttempt":
+                this.attempts.set(effect.requestId, effect.call.attemptId);
+                return this.channels.send(effect.call, this.bodies.get(effect.requestId) ?? Buffer.alloc(0));
+            case "cancelAttempt":
+                return this.channels.cancel(effect.attemptId);
+            case "answerWhole":
+                this.callers.writeWhole(effect.requestId, effect.answer);
+                return this.forget(effect.requestId);
+            case "answerHead":
+                return this.callers.writeHead(effect.requestId, effect.head);
+            case "answerEvents":
+                if (!this.callers.writeEvents(effect.requestId, effect.events)) {
+                    this.setPaused(effect.requestId, true);
+                }
+                return;
+            case "answerEnd":
+                this.callers.end(effect.requestId);
+                return this.forget(effect.requestId);
+            case "answerCut":
+                this.callers.cut(effect.requestId);
+                return this.forget(effect.requestId);
+            case "answerFailure":
+                this.callers.writeFailure(effect.requestId, effect.failure);
+                this.metrics.count("verbenaspring_failures_total", { type: effect.failure.type });
+                return this.forget(effect.requestId);
+            case "readTopic":
+                return this.followRead(
+                    effect.topic,
+                    false,
+                    this.adapter.topics.read(effect.topic, effect.from, effect.wait),
+                );
+            case "readSnapshot":
+                return this.followRead(effect.topic, true, this.adapter.topics.readNewest(effect.topic));
+            case "applyLimits":
+                return this.callers.applyLimits(effect.limits);
+            case "startDraining":
+                return this.callers.startDraining();
+            case "exit":
+                return this.exit();
+            case "record":
+                return this.record(effect.decision);
+        }
+    }
+
+    private createCallers(): GatewayCallers {
+        const { push } = this.events;
+        return createGatewayCallers(
+            this.adapter.decodeCallerHead,
+            () => identifier<RequestId>(String(++this.requestCount)),
+            {
+                received: (requestId, head, body, receivedAt) => {
+                    this.bodies.set(requestId, body);
+                    this.metrics.count("verbenaspring_requests_total");
+                    push({ kind: "requestReceived", requestId, head, receivedAt });
+                },
+                left: requestId => {
+                    push({ kind: "callerLeft", requestId });
+                    this.forget(requestId);
+                },
+                refused: (type, detail) => {
+                    this.metrics.count("verbenaspring_failures_total", { type });
+                    this.log("warn", "request_unreadable", { type, detail });
+                },
+                drained: requestId => this.setPaused(requestId, false),
+            },
+        );
+    }
+
+    private createChannels(): BackendChannels {
+        const { push } = this.events;
+        return createBackendChannels(this.adapter, {
+            answered: (attemptId, answer) => push({ kind: "attemptAnswered", attemptId, answer }),
+            opened: (attemptId, head) => push({ kind: "streamOpened", attemptId, head }),
+            events: (attemptId, events) => push({ kind: "streamEvents", attemptId, events }),
+            ended: attemptId => push({ kind: "streamEnded", attemptId }),
+            failed: (attemptId, failure, wasSent) => push({ kind: "attemptFailed", attemptId, failure, wasSent }),
+        });
+    }
+
+    private setPaused(requestId: RequestId, isPaused: boolean): void {
+        const attemptId = this.attempts.get(requestId);
+        if (attemptId !== undefined) {
+            this.channels.setPaused(attemptId, isPaused);
+        }
+    }
+
+    private forget(requestId: RequestId): void {
+        this.bodies.delete(requestId);
+        this.attempts.delete(requestId);
+    }
+
+    private followRead(topic: TopicName, isSnapshot: boolean, read: Promise<TopicPage>): void {
+        read.then(
+            ({ records, next }) => this.events.push({ kind: "topicRead", topic, isSnapshot, records, next }),
+            (error: unknown) => {
+                const failure = readFailureOf(error);
+                this.metrics.count("verbenaspring_topic_read_failures_total", { topic, failure });
+                this.events.push({ kind: "topicReadFailed", topic, failure });
+            },
+        );
+    }
+
+    private record({ level, event, fields }: Decision): void {
+        this.metrics.count("verbenaspring_decisions_total", { event });
+        this.log(level, event, fields);
+    }
+
+    private exit(): void {
+        this.log("info", "stopped", { requests: this.state.requests.size });
+        this.callers.close();
+        this.channels.close();
+        this.adapter.topics.close();
+        this.readiness.close();
+        this.metricsServer?.close();
+        this.stop.resolve();
+    }
+}
+
+const readFailures: readonly ReadFailure[] = ["records_deleted", "refused", "timeout", "unreachable", "malformed"];
+
+/** The failure that a rejected read carries in its field `failure`; anything else counts as unreachable. */
+export function readFailureOf(error: unknown): ReadFailure {
+    const { failure } = error as { readonly failure?: unknown; };
+    return readFailures.find(known => known === failure) ?? "unreachable";
+}
--- a/packages/runtime/src/logging.ts
+++ b/packages/runtime/src/logging.ts
@@ -22,20 +22,53 @@
 
 const minimumLevels = { debug: 2, info: 3, warn: 4, error: 5 } as const;
 
+/** Takes one whole line. */
+export type WriteLine = (line: string) => void;
+
+const writeToStandardError: WriteLine = line => {
+    process.stderr.write(line);
+};
+
+/** Bytes of log lines that may wait for a slow reader before lines are left out. */
+const largestBacklog = 256 * 1024;
+let leftOut = 0;
+
 /**
- * Creates a log that writes to standard error.
+ * Writes to standard output and never waits for its reader: while too much is unread, lines are left out, and the next
+ * line that is written says how many.
+ */
+export const writeToStandardOutput: WriteLine = line => {
+    if (process.stdout.writableLength > largestBacklog) {
+        leftOut++;
+        return;
+    }
+    const notice = leftOut === 0
+        ? ""
+        : `${formatPairs({ level: "warn", event: "log_lines_left_out", count: leftOut })}\n`;
+    leftOut = 0;
+    process.stdout.write(notice + line);
+};
+
+/**
+ * Creates a log.
+ *
+ * @param write where lines go; standard error where it is left out
  *
  * @example
  * const log = createEventLog("info", { role: "entry" });
  * log("info", "listening", { address: "127.0.0.1:8080" });
  */
-export function createEventLog(minimum: LogLevel, common: LogFields): EventLog {
+export function createEventLog(
+    minimum: LogLevel,
+    common: LogFields,
+    write: WriteLine = writeToStandardError,
+): EventLog {
     const logger = new Logger<LogLine>({ type: "hidden", minLevel: minimumLevels[minimum] });
     logger.attachTransport(line => {
         const { event, fields } = line as unknown as LogLine;
         const { date, logLevelName } = line._meta;
         const level = logLevelName.toLowerCase();
-        process.stderr.write(`${formatPairs({ time: date.toISOString(), level, event, ...common, ...fields })}\n`);
+        write(`${formatPairs({ time: date.toISOString(), level, event, ...common, ...fields })}\n`);
     });
     return (level, event, fields = {}) => {
         logger[level]({ event, fields });
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -24,7 +24,8 @@
 process.exit(failed === 0 ? 0 : 1);
 
 function findTests() {
-    const files = readdirSync("packages", { recursive: true }).map(file => `packages/${file}`);
+    const roots = ["packages", "platform"];
+    const files = roots.flatMap(root => readdirSync(root, { recursive: true }).map(file => `${root}/${file}`));
     return files.filter(file => file.endsWith(".test.ts") && !file.includes("node_modules")).sort();
 }
 
