Settings are followed, SIGHUP is handled, and bodies without an end of their own stay so

Cause 2: answers whose body ends with its channel were taken whole and given a length. Such a body is now passed on without a length. A treatment of each such answer as broken was ruled out: most are whole.

--- a/packages/cli/src/gateway.ts
+++ b/packages/cli/src/gateway.ts
@@ -1,6 +1,7 @@
 /**
  * Runs a gateway on the platform: reads the settings that the platform wrote, and stops on SIGTERM.
  */
+import type { Milliseconds } from "@verbenaspring/model";
 import {
     createStoreClient,
     decodeBackendHead,
@@ -11,7 +12,12 @@
     settingsVariable,
 } from "@verbenaspring/platform";
 import type { LogLevel } from "@verbenaspring/runtime";
-import { type Daemon, type GatewayAdapter, type GatewayDaemonOptions, startGateway } from "@verbenaspring/runtime";
+import {
+    type GatewayAdapter,
+    type GatewayDaemon,
+    type GatewayDaemonOptions,
+    startGateway,
+} from "@verbenaspring/runtime";
 import { readFileSync } from "node:fs";
 
 /** Settings of the process beside the platform's file. */
@@ -29,15 +35,40 @@
  * @example
  * const daemon = await runGateway({ settingsFile: "boot.json", metricsPort: 7210, logLevel: "info" });
  */
-export async function runGateway(options: GatewayRunOptions): Promise<Daemon> {
-    const settings = decodeSettings(options.settingsFile, readFileSync(options.settingsFile, "utf8"));
+export async function runGateway(options: GatewayRunOptions): Promise<GatewayDaemon> {
+    const text = readFileSync(options.settingsFile, "utf8");
+    const settings = decodeSettings(options.settingsFile, text);
     const adapter: GatewayAdapter = {
         decodeCallerHead,
         encodeBackendCall,
         decodeBackendHead,
         topics: createStoreClient(settings.storeAddress),
     };
-    return startGateway(toDaemonOptions(settings, options), adapter);
+    const daemon = await startGateway(toDaemonOptions(settings, options), adapter);
+    followSettings(options.settingsFile, text, daemon);
+    return daemon;
+}
+
+/** How often the settings file is looked at; it may change without a signal. */
+const settingsInterval: Milliseconds = 2_000;
+
+/** Applies the settings file anew whenever it changes. One with faults is reported, and the last good one stays. */
+function followSettings(file: string, firstText: string, daemon: GatewayDaemon): void {
+    let known = firstText;
+    const read = (): void => {
+        try {
+            const text = readFileSync(file, "utf8");
+            if (text !== known) {
+                known = text;
+                daemon.applySettings(decodeSettings(file, text));
+            }
+        }
+        catch (error) {
+            daemon.log("error", "settings_unreadable", { file, error: String(error) });
+        }
+    };
+    process.on("SIGHUP", read);
+    setInterval(read, settingsInterval).unref();
 }
 
 function toDaemonOptions(settings: GatewaySettings, options: GatewayRunOptions): GatewayDaemonOptions {
--- a/packages/coordination/src/retryBudget.ts
+++ b/packages/coordination/src/retryBudget.ts
@@ -21,7 +21,7 @@
 
 /** The repeats of one instance. Owned and changed by the loop. */
 export interface RetryBudget {
-    readonly options: RetryBudgetOptions;
+    options: RetryBudgetOptions;
     readonly slices: Map<ServiceName, Slice[]>;
 }
 
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -4,6 +4,7 @@
 import type { AttemptId, BackendServerId, LogOffset, Milliseconds, RequestId } from "@verbenaspring/model";
 import type { BackendRecord } from "./backendServers.js";
 import type { BackendAnswer, BackendHead, CallerHead, StreamEvent } from "./messages.js";
+import type { GatewayOptions } from "./options.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
 
 /** Why an attempt came to nothing. */
@@ -67,4 +68,5 @@
         readonly next: LogOffset;
     }
     | { readonly kind: "topicReadFailed"; readonly topic: TopicName; readonly failure: ReadFailure; }
+    | { readonly kind: "settingsChanged"; readonly options: GatewayOptions; }
     | { readonly kind: "stopRequested"; };
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -74,6 +74,8 @@
     /** Whether the body is encoded, so that it can't be the backend server's own. */
     readonly isEncoded: boolean;
     readonly isEventStream: boolean;
+    /** Whether the body has no end of its own, so that its end can't be told from a break between two bytes. */
+    readonly endsWithChannel: boolean;
     readonly headers: HeaderList;
 }
 
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -9,10 +9,11 @@
 import type { GatewayEffect } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
 import { takeTopicRead, takeTopicReadFailed, tendFollowers } from "./followers.js";
+import type { GatewayOptions } from "./options.js";
 import { takeCallerLeft, takeRequest } from "./requests.js";
 import type { GatewayState } from "./state.js";
 import { takeStreamEnded, takeStreamEvents, takeStreamOpened } from "./streams.js";
-import type { Transaction } from "./transaction.js";
+import { record, type Transaction } from "./transaction.js";
 
 /**
  * Takes one event. The state is changed in place; the effects are for the caller to perform, in order.
@@ -57,7 +58,21 @@
             return takeTopicRead(transaction, event);
         case "topicReadFailed":
             return takeTopicReadFailed(transaction, event);
+        case "settingsChanged":
+            return takeSettings(transaction, event.options);
         case "stopRequested":
             return takeStopRequested(transaction);
     }
 }
+
+function takeSettings(transaction: Transaction, options: GatewayOptions): void {
+    const { state } = transaction;
+    state.options = options;
+    state.budget.options = options.retries;
+    record(transaction, "info", "settings_applied", {
+        retryRatio: options.retries.ratio,
+        retrySlack: options.retries.slack,
+        retryWindow: options.retries.window,
+        stopLimit: options.stopLimit,
+    });
+}
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -6,20 +6,9 @@
 import type { BackendServer, BackendView } from "./backendServers.js";
 import type { ReadFailure, TopicName } from "./event.js";
 import type { BackendHead, CallerHead, RunCopy } from "./messages.js";
+import type { GatewayOptions } from "./options.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 
-/** Limits of one gateway, from its settings. */
-export interface GatewayOptions {
-    readonly failureDomain: string;
-    /** Repeated sends allowed for each request of a service, over all gateways. */
-    readonly retryRatio: number;
-    /** Repeated sends allowed besides in each window, over all gateways. */
-    readonly retrySlack: number;
-    readonly retryWindow: Milliseconds;
-    /** How long a planned stop may take before the process is ended from outside. */
-    readonly stopLimit: Milliseconds;
-}
-
 /** One send of a request to a backend server. */
 export interface Attempt {
     readonly id: AttemptId;
@@ -72,7 +61,7 @@
 
 /** All that a gateway remembers; none of it outlives the process. */
 export interface GatewayState {
-    readonly options: GatewayOptions;
+    options: GatewayOptions;
     configuration: RoutingConfiguration | undefined;
     readonly servers: BackendView;
     readonly serversByService: Map<ServiceName, readonly BackendServerId[]>;
@@ -102,11 +91,7 @@
         loads: new Map(),
         requests: new Map(),
         attempts: new Map(),
-        budget: createRetryBudget({
-            ratio: options.retryRatio,
-            slack: options.retrySlack,
-            window: options.retryWindow,
-        }),
+        budget: createRetryBudget(options.retries),
         followers: { configuration: createFollower(), backendServers: createFollower() },
         stopRequestedAt: undefined,
         hasExited: false,
--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -169,7 +169,6 @@
     const { attemptId } = call;
     let wasSent = false;
     let head: BackendHead | undefined;
-    let isChunked = false;
     let framer: EventFramer | undefined;
     const parts: Buffer[] = [];
     let size = 0;
@@ -186,9 +185,7 @@
             current.controller = controller;
         },
         onResponseStart: (controller, status) => {
-            const headers = readRawHeaders(controller.rawHeaders);
-            head = wire.decodeBackendHead(status, headers);
-            isChunked = hasChunkedBody(headers);
+            head = wire.decodeBackendHead(status, readRawHeaders(controller.rawHeaders));
             if (head.isEventStream && status < 300) {
                 framer = createEventFramer();
                 handlers.opened(attemptId, head);
@@ -209,7 +206,7 @@
             }
         },
         onResponseEnd: () => {
-            if (head === undefined || isCutOff(current.channel, isChunked) || framer?.hasRest() === true) {
+            if (head === undefined || isCutOff(current.channel, head) || framer?.hasRest() === true) {
                 return fail("answer_truncated");
             }
             const answer: BackendAnswer = { ...head, body: Buffer.concat(parts) };
@@ -233,18 +230,11 @@
 }
 
 /**
- * Whether the body ended with the channel although its framing has an end of its own, or by a reset. The client takes
- * both for a whole body where the channel was to close after the answer.
+ * Whether the body ended with the channel although it has an end of its own, or by a reset. The client takes both for a
+ * whole body where the channel was to close after the answer.
  */
-function isCutOff({ link }: Channel, isChunked: boolean): boolean {
-    return link === undefined || link.hasFailed || (link.hasEnded && isChunked);
-}
-
-function hasChunkedBody(headers: HeaderList): boolean {
-    return headers.some((name, index) =>
-        index % 2 === 0 && name.toLowerCase() === "transfer-encoding"
-        && headers[index + 1].toLowerCase().includes("chunked")
-    );
+function isCutOff({ link }: Channel, { endsWithChannel }: BackendHead): boolean {
+    return link === undefined || link.hasFailed || (link.hasEnded && !endsWithChannel);
 }
 
 function readRawHeaders(raw: unknown): string[] {
--- a/packages/runtime/src/gatewayCallers.ts
+++ b/packages/runtime/src/gatewayCallers.ts
@@ -182,13 +182,16 @@
             const response = take(requestId);
             if (response !== undefined) {
                 const { body } = answer;
-                const length = mayHaveBody(answer.status) ? ["content-length", String(body.length)] : [];
-                response.writeHead(answer.status, [...answer.headers, ...length, ...closing(isDraining)]);
+                const hasLength = mayHaveBody(answer.status) && !answer.endsWithChannel;
+                writeBackendHead(response, answer, hasLength ? body.length : undefined, isDraining);
                 response.end(mayHaveBody(answer.status) ? body : undefined);
             }
         },
         writeHead: (requestId, head) => {
-            answers.get(requestId)?.writeHead(head.status, [...head.headers, ...closing(isDraining)]);
+            const response = answers.get(requestId);
+            if (response !== undefined) {
+                writeBackendHead(response, head, undefined, isDraining);
+            }
         },
         writeEvents: (requestId, events) => {
             const response = answers.get(requestId);
@@ -199,7 +202,8 @@
             take(requestId)?.end();
         },
         cut: requestId => {
-            take(requestId)?.socket?.destroy();
+            // A reset, since a body without an end of its own would look whole after an ordinary close.
+            take(requestId)?.socket?.resetAndDestroy();
         },
         writeFailure: (requestId, reason) => {
             const response = take(requestId);
@@ -219,6 +223,21 @@
 const requestTimeout = failure("request_timeout", "the body did not come in time", "not_run");
 const bodiesTooLarge = failure("overloaded", "too many bodies are being read", "not_run", refusedReturn);
 
+/** Writes the head of a backend server's answer. A body without an end of its own stays so: nobody knows its length. */
+function writeBackendHead(
+    response: ServerResponse,
+    head: BackendHead,
+    length: number | undefined,
+    isClosing: boolean,
+): void {
+    const lengthHeader = length === undefined ? [] : ["content-length", String(length)];
+    if (head.endsWithChannel) {
+        response.useChunkedEncodingByDefault = false;
+    }
+    const closes = isClosing || head.endsWithChannel;
+    response.writeHead(head.status, [...head.headers, ...lengthHeader, ...closing(closes)]);
+}
+
 function closing(isClosing: boolean): string[] {
     return isClosing ? ["connection", "close"] : [];
 }
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -16,7 +16,7 @@
 import { runLoop } from "./eventLoop.js";
 import type { DecodeCallerHead } from "./gatewayCallers.js";
 import { GatewayRunner } from "./gatewayRunner.js";
-import { createEventLog, type LogLevel, writeToStandardOutput } from "./logging.js";
+import { createEventLog, type EventLog, type LogLevel, writeToStandardOutput } from "./logging.js";
 import { createMetrics } from "./metrics.js";
 import { systemSource } from "./randomSource.js";
 
@@ -48,6 +48,13 @@
     readonly logLevel: LogLevel;
 }
 
+/** A running gateway. */
+export interface GatewayDaemon extends Daemon {
+    /** Takes limits that changed; the addresses stay. */
+    readonly applySettings: (options: GatewayOptions) => void;
+    readonly log: EventLog;
+}
+
 const tickInterval: Milliseconds = 50;
 
 /**
@@ -57,7 +64,7 @@
  * const daemon = await startGateway(options, adapter);
  * process.once("SIGTERM", daemon.stop);
  */
-export async function startGateway(options: GatewayDaemonOptions, adapter: GatewayAdapter): Promise<Daemon> {
+export async function startGateway(options: GatewayDaemonOptions, adapter: GatewayAdapter): Promise<GatewayDaemon> {
     const log = createEventLog(options.logLevel, { instance: options.instance }, writeToStandardOutput);
     const metrics = createMetrics();
     const state = createGatewayState(options);
@@ -72,5 +79,10 @@
         perform: effect => runner.perform(effect),
         fail: error => log("error", "loop_failed", { error: describeError(error) }),
     });
-    return { stop: () => runner.events.push({ kind: "stopRequested" }), stopped: runner.stopped };
+    return {
+        stop: () => runner.events.push({ kind: "stopRequested" }),
+        stopped: runner.stopped,
+        applySettings: next => runner.events.push({ kind: "settingsChanged", options: next }),
+        log,
+    };
 }
