--- a/packages/cli/src/gateway.ts
+++ b/packages/cli/src/gateway.ts
@@ -9,6 +9,7 @@
     decodeSettings,
     encodeBackendCall,
     type GatewaySettings,
+    readReport,
     settingsVariable,
 } from "@verbenaspring/platform";
 import type { LogLevel } from "@verbenaspring/runtime";
@@ -42,6 +43,7 @@
         decodeCallerHead,
         encodeBackendCall,
         decodeBackendHead,
+        readReport,
         topics: createStoreClient(settings.storeAddress),
     };
     const daemon = await startGateway(toDaemonOptions(settings, options), adapter);
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -18,8 +18,9 @@
 import type { BackendAnswer, BackendHead, RunCopy } from "./messages.js";
 import { describe, failRequest, finish } from "./requests.js";
 import { addLoad, copyView, expectedTokens, memoryOf, placementView, removeLoad, usableServers } from "./serverLoad.js";
+import { noteHeard, tendStream } from "./silence.js";
 import type { Attempt, GatewayRequest } from "./state.js";
-import { continueStream, tendStream } from "./streams.js";
+import { continueStream } from "./streams.js";
 import { record, type Transaction } from "./transaction.js";
 
 type AttemptFailed = Extract<GatewayEvent, { readonly kind: "attemptFailed"; }>;
@@ -75,6 +76,8 @@
         replica,
         continuesFrom,
         head: undefined,
+        firstEventAt: undefined,
+        events: 0,
         lastHeard: now,
     };
     request.attempt = attempt;
@@ -258,7 +261,8 @@
     const health: ServerHealth = state.health.get(id) ?? createServerHealth();
     state.health.set(id, health);
     if (failure === undefined) {
-        return noteSuccess(health, (attempt.head === undefined ? now : attempt.lastHeard) - attempt.startedAt);
+        noteHeard(state, id, now);
+        return noteSuccess(health, (attempt.firstEventAt ?? now) - attempt.startedAt);
     }
     if (noteFailure(health, now)) {
         record(transaction, "warn", "server_left_out", {
--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -3,7 +3,10 @@
  * the last answer is out.
  */
 import type { Milliseconds } from "@verbenaspring/model";
+import type { CallerHead } from "./messages.js";
 import { failRequest } from "./requests.js";
+import type { Route } from "./routingConfiguration.js";
+import type { GatewayState } from "./state.js";
 import { record, type Transaction } from "./transaction.js";
 
 /** The balancer asks each second and needs two misses; new channels come until then. */
@@ -11,6 +14,27 @@
 /** Time kept before the process is ended from outside, for the last answers to reach their callers. */
 const lastAnswersTime: Milliseconds = 250;
 
+/** What a request of a plain service, or the first event of a stream, may need. */
+const shortWorkTime: Milliseconds = 1_000;
+/** Estimates of an output are right at the median only; so much longer a stream may take. */
+const durationSafety = 1.5;
+
+/** Whether a request that came during a planned stop would be cut off by it; another instance can serve it whole. */
+export function cannotFinishBeforeStop(
+    state: GatewayState,
+    route: Route,
+    head: CallerHead,
+    now: Milliseconds,
+): boolean {
+    if (state.stopRequestedAt === undefined) {
+        return false;
+    }
+    const left = state.stopRequestedAt + state.options.stopLimit - lastAnswersTime - now;
+    const tokens = Math.min(head.maximumTokens, head.estimatedTokens ?? head.maximumTokens);
+    const streaming = route.isStream ? durationSafety * tokens * state.tokenPace : 0;
+    return shortWorkTime + streaming > left;
+}
+
 /** Begins a planned stop. */
 export function takeStopRequested(transaction: Transaction): void {
     const { state, now, effects } = transaction;
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -1,7 +1,7 @@
 /**
  * Everything that a gateway can ask for.
  */
-import type { AttemptId, Failure, LogOffset, Milliseconds, RequestId } from "@verbenaspring/model";
+import type { AttemptId, BackendServerId, Failure, LogOffset, Milliseconds, RequestId } from "@verbenaspring/model";
 import type { TopicName } from "./event.js";
 import type { BackendAnswer, BackendCall, BackendHead, StreamEvent } from "./messages.js";
 import type { CallerLimits } from "./routingConfiguration.js";
@@ -27,6 +27,7 @@
     /** Closes the caller's channel so that the answer can't pass for a complete one. */
     | { readonly kind: "answerCut"; readonly requestId: RequestId; }
     | { readonly kind: "answerFailure"; readonly requestId: RequestId; readonly failure: Failure; }
+    | { readonly kind: "probeServer"; readonly backendServer: BackendServerId; readonly address: string; }
     | { readonly kind: "readTopic"; readonly topic: TopicName; readonly from: LogOffset; readonly wait: Milliseconds; }
     | { readonly kind: "readSnapshot"; readonly topic: TopicName; }
     | { readonly kind: "applyLimits"; readonly limits: CallerLimits; }
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -1,7 +1,14 @@
 /**
  * Everything that can happen to a gateway.
  */
-import type { AttemptId, BackendServerId, LogOffset, Milliseconds, RequestId } from "@verbenaspring/model";
+import type {
+    AttemptId,
+    BackendServerId,
+    CallerAttemptId,
+    LogOffset,
+    Milliseconds,
+    RequestId,
+} from "@verbenaspring/model";
 import type { BackendRecord } from "./backendServers.js";
 import type { BackendAnswer, BackendHead, CallerHead, StreamEvent } from "./messages.js";
 import type { GatewayOptions } from "./options.js";
@@ -30,6 +37,18 @@
 /** Why a read of a topic failed. */
 export type ReadFailure = "records_deleted" | "refused" | "timeout" | "unreachable" | "malformed";
 
+/** A run that a server reports. */
+export interface ReportedRun {
+    readonly callerAttemptId: CallerAttemptId;
+    /** Events made so far. */
+    readonly events: number;
+}
+
+/** What a server says of itself when it is asked. */
+export interface ServerReport {
+    readonly runs: readonly ReportedRun[];
+}
+
 /** Everything that can happen. */
 export type GatewayEvent =
     | { readonly kind: "tick"; }
@@ -52,11 +71,10 @@
         readonly wasSent: boolean;
     }
     | {
-        readonly kind: "moveAnswered";
-        readonly requestId: RequestId;
+        readonly kind: "serverProbed";
         readonly backendServer: BackendServerId;
-        /** Absent where the move failed. */
-        readonly handle: string | undefined;
+        /** Absent where the server did not answer. */
+        readonly report: ServerReport | undefined;
     }
     | {
         readonly kind: "topicRead";
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -11,6 +11,7 @@
 import { takeTopicRead, takeTopicReadFailed, tendFollowers } from "./followers.js";
 import type { GatewayOptions } from "./options.js";
 import { takeCallerLeft, takeRequest } from "./requests.js";
+import { takeServerProbed } from "./silence.js";
 import type { GatewayState } from "./state.js";
 import { takeStreamEnded, takeStreamEvents, takeStreamOpened } from "./streams.js";
 import { record, type Transaction } from "./transaction.js";
@@ -52,8 +53,8 @@
             return takeStreamEnded(transaction, event.attemptId);
         case "attemptFailed":
             return takeAttemptFailed(transaction, event);
-        case "moveAnswered":
-            return;
+        case "serverProbed":
+            return takeServerProbed(transaction, event);
         case "topicRead":
             return takeTopicRead(transaction, event);
         case "topicReadFailed":
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -11,6 +11,7 @@
     type ServiceName,
 } from "@verbenaspring/model";
 import { dispatch, endAttempt } from "./attempts.js";
+import { cannotFinishBeforeStop } from "./draining.js";
 import type { GatewayEvent } from "./event.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
 import type { GatewayRequest } from "./state.js";
@@ -20,8 +21,10 @@
 
 /** When to come back where the gateway has not read its configuration yet. */
 const startingReturn: Milliseconds = 300;
+/** When to come back where the instance is stopping: another one serves at once. */
+const leavingReturn: Milliseconds = 20;
 /** Callers of plain services have a second or two in all; a longer return would come too late for them. */
-const shortestReturn: Milliseconds = 50;
+const shortestReturn: Milliseconds = 20;
 
 /** Takes a caller's request, with its body read. */
 export function takeRequest(transaction: Transaction, event: RequestReceived): void {
@@ -40,6 +43,9 @@
         return refuse(transaction, event, "unauthenticated");
     }
     const { now, state, source } = transaction;
+    if (cannotFinishBeforeStop(state, route, head, now)) {
+        return refuse(transaction, event, "leaving", leavingReturn);
+    }
     const timeLimit = Math.min(head.timeLimit ?? Infinity, route.timeout);
     const request: GatewayRequest = {
         id: requestId,
@@ -103,6 +109,7 @@
 const refusalMessages: Partial<Record<FailureType, string>> = {
     configuration_unavailable: "this instance has not read its configuration yet",
     route_not_found: "no route matches the host and path",
+    leaving: "the instance is stopping",
     unauthenticated: "the key is unknown",
 };
 
--- /dev/null
+++ b/packages/gateway/src/silence.ts
@@ -0,0 +1,84 @@
+/**
+ * Silent streams. A run that its engine pushed aside is silent too and goes on later, so a stream is only given up where
+ * its server, or its channel, proves to be dead.
+ */
+import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
+import { abandon, canSendAgain } from "./attempts.js";
+import type { GatewayEvent, ServerReport } from "./event.js";
+import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
+import { record, type Transaction } from "./transaction.js";
+
+type ServerProbed = Extract<GatewayEvent, { readonly kind: "serverProbed"; }>;
+
+/** A server from which nothing was heard for this long, while a stream waits, is asked whether it lives. */
+const silenceLimit: Milliseconds = 1_200;
+/** Events that a run may be ahead of its channel without the channel counting as dead. */
+const eventsUnderWay = 3;
+
+/** Notes a sign of life of a server. */
+export function noteHeard(state: GatewayState, id: BackendServerId, now: Milliseconds): void {
+    const liveness = state.liveness.get(id);
+    if (liveness === undefined) {
+        state.liveness.set(id, { heardAt: now, isProbing: false });
+        return;
+    }
+    liveness.heardAt = now;
+}
+
+/** Asks a server whether it lives, where a stream has waited for it long enough. */
+export function tendStream({ state, now, effects }: Transaction, request: GatewayRequest, attempt: Attempt): void {
+    if (!hasOtherWay(request, attempt) || now - attempt.lastHeard < silenceLimit) {
+        return;
+    }
+    const { id, address } = attempt.server.record;
+    const liveness = state.liveness.get(id) ?? { heardAt: attempt.startedAt, isProbing: false };
+    state.liveness.set(id, liveness);
+    if (liveness.isProbing || now - liveness.heardAt < silenceLimit) {
+        return;
+    }
+    liveness.isProbing = true;
+    effects.push({ kind: "probeServer", backendServer: id, address });
+}
+
+/** Takes a server's answer, or its silence. */
+export function takeServerProbed(transaction: Transaction, { backendServer, report }: ServerProbed): void {
+    const { state, now } = transaction;
+    const liveness = state.liveness.get(backendServer);
+    if (liveness !== undefined) {
+        liveness.isProbing = false;
+    }
+    record(transaction, "info", "server_probed", { server: backendServer, isAlive: report !== undefined });
+    if (report !== undefined) {
+        noteHeard(state, backendServer, now);
+    }
+    for (const request of [...state.requests.values()]) {
+        const { attempt } = request;
+        if (attempt?.server.record.id === backendServer && isLost(request, attempt, report, now)) {
+            giveUp(transaction, request, attempt);
+        }
+    }
+}
+
+function isLost(
+    { head, route, lastEvent }: GatewayRequest,
+    attempt: Attempt,
+    report: ServerReport | undefined,
+    now: Milliseconds,
+): boolean {
+    if (!route.isStream || now - attempt.lastHeard < silenceLimit) {
+        return false;
+    }
+    const run = report?.runs.find(({ callerAttemptId }) => callerAttemptId === head.callerAttemptId);
+    return report === undefined || (run !== undefined && run.events > (lastEvent ?? 0) + eventsUnderWay);
+}
+
+function giveUp(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
+    if (hasOtherWay(request, attempt) && canSendAgain(transaction, request)) {
+        abandon(transaction, request, attempt);
+    }
+}
+
+/** Whether the stream can go on at another server. */
+function hasOtherWay({ route }: GatewayRequest, { replica }: Attempt): boolean {
+    return replica !== undefined || route.canResume;
+}
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -19,6 +19,9 @@
     /** The copy from which this run goes on. */
     readonly continuesFrom: RunCopy | undefined;
     head: BackendHead | undefined;
+    firstEventAt: Milliseconds | undefined;
+    /** Events of this run, passed on or not. */
+    events: number;
     lastHeard: Milliseconds;
 }
 
@@ -49,6 +52,15 @@
     tokens: number;
 }
 
+/** When a server last gave a sign of life. */
+export interface ServerLiveness {
+    heardAt: Milliseconds;
+    isProbing: boolean;
+}
+
+/** The pace of a stream before any was measured: a step of an engine with some tens of runs. */
+const initialTokenPace: Milliseconds = 12;
+
 /** How far a topic has been read. */
 export interface TopicFollower {
     /** Undefined until a snapshot was read. */
@@ -67,6 +79,9 @@
     readonly serversByService: Map<ServiceName, readonly BackendServerId[]>;
     readonly health: Map<BackendServerId, ServerHealth>;
     readonly loads: Map<BackendServerId, ServerLoad>;
+    readonly liveness: Map<BackendServerId, ServerLiveness>;
+    /** Milliseconds for each token of a stream, where late streams weigh more. */
+    tokenPace: Milliseconds;
     readonly requests: Map<RequestId, GatewayRequest>;
     readonly attempts: Map<AttemptId, GatewayRequest>;
     readonly budget: RetryBudget;
@@ -89,6 +104,8 @@
         serversByService: new Map(),
         health: new Map(),
         loads: new Map(),
+        liveness: new Map(),
+        tokenPace: initialTokenPace,
         requests: new Map(),
         attempts: new Map(),
         budget: createRetryBudget(options.retries),
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -3,25 +3,15 @@
  * after the last event, from a copy of its memory or, where the route allows it, by a new run.
  */
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
-import {
-    abandon,
-    type AttemptOutcome,
-    canSendAgain,
-    continueAfter,
-    endAttempt,
-    judge,
-    noteHealth,
-    sendTo,
-} from "./attempts.js";
+import { type AttemptOutcome, canSendAgain, continueAfter, endAttempt, judge, noteHealth, sendTo } from "./attempts.js";
 import type { BackendHead, StreamEvent } from "./messages.js";
 import { describe, finish } from "./requests.js";
+import { noteHeard } from "./silence.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { record, type Transaction } from "./transaction.js";
 
-/** A stream without an event for this long is looked for elsewhere where its memory was copied. */
-const silenceLimit: Milliseconds = 1_200;
-/** The same before the first event, whose prompt may wait behind others. */
-const firstEventLimit: Milliseconds = 3_000;
+/** The weight of the newest stream in the moving average of the pace. */
+const newestWeight = 0.1;
 
 /** Takes the head of a stream. Nothing goes to the caller before the first event. */
 export function takeStreamOpened(transaction: Transaction, attemptId: AttemptId, head: BackendHead): void {
@@ -70,6 +60,9 @@
         }
     }
     attempt.lastHeard = now;
+    attempt.firstEventAt ??= now;
+    attempt.events += events.length;
+    noteHeard(state, attempt.server.record.id, now);
     passOn(transaction, request, attempt, fresh);
 }
 
@@ -108,6 +101,7 @@
         return;
     }
     noteHealth(transaction, attempt, undefined);
+    notePace(transaction, request, attempt);
     endAttempt(transaction, request, attempt, "ended");
     if (!request.isHeadWritten) {
         effects.push({ kind: "answerHead", requestId: request.id, head: attempt.head });
@@ -120,6 +114,17 @@
     finish(transaction, request);
 }
 
+/** Learns from a whole run how long a token takes. */
+function notePace({ state }: Transaction, { service }: GatewayRequest, attempt: Attempt): void {
+    const { firstEventAt, lastHeard, events } = attempt;
+    const leastEvents = 8;
+    const tokensPerEvent = state.configuration?.services.get(service)?.engine?.tokensPerEvent ?? 1;
+    if (firstEventAt !== undefined && events >= leastEvents) {
+        const pace: Milliseconds = (lastHeard - firstEventAt) / (events * tokensPerEvent);
+        state.tokenPace += newestWeight * (pace - state.tokenPace);
+    }
+}
+
 /**
  * Goes on from the copy of a lost run's memory. Returns whether it did; a stream that may run again is then left to the
  * usual way of repeating.
@@ -148,15 +153,3 @@
     sendTo(transaction, request, { server: replica, continuesFrom: copy });
     return true;
 }
-
-/** Looks after a stream whose server is silent. */
-export function tendStream(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
-    const limit = request.lastEvent === undefined ? firstEventLimit : silenceLimit;
-    if (transaction.now - attempt.lastHeard < limit) {
-        return;
-    }
-    const canGoOn = attempt.replica !== undefined || request.route.canResume;
-    if (canGoOn && canSendAgain(transaction, request)) {
-        abandon(transaction, request, attempt);
-    }
-}
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -7,6 +7,7 @@
     type GatewayEvent,
     type GatewayOptions,
     reduceGateway,
+    type ServerReport,
     type TopicName,
     type TopicRecord,
 } from "@verbenaspring/gateway";
@@ -37,6 +38,8 @@
 export interface GatewayAdapter extends BackendWire {
     readonly decodeCallerHead: DecodeCallerHead;
     readonly topics: TopicReader;
+    /** Asks a backend server for a report; undefined where none came in time. */
+    readonly readReport: (address: string, timeout: Milliseconds) => Promise<ServerReport | undefined>;
 }
 
 /** Where a gateway listens, and its limits. */
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -10,7 +10,7 @@
     type ReadFailure,
     type TopicName,
 } from "@verbenaspring/gateway";
-import { type AttemptId, identifier, type RequestId } from "@verbenaspring/model";
+import { type AttemptId, identifier, type Milliseconds, type RequestId } from "@verbenaspring/model";
 import { createServer, type Server } from "node:http";
 import { type BackendChannels, createBackendChannels } from "./backendChannels.js";
 import { createDeferred } from "./daemon.js";
@@ -21,6 +21,9 @@
 import type { EventLog } from "./logging.js";
 import type { Metrics } from "./metrics.js";
 
+/** A server that lives answers in a few milliseconds; the rest is for a slow link. */
+const probeTimeout: Milliseconds = 500;
+
 /** The gateway's hands. */
 export class GatewayRunner {
     readonly events = createEventChannel<GatewayEvent>();
@@ -96,6 +99,11 @@
                 this.callers.writeFailure(effect.requestId, effect.failure);
                 this.metrics.count("verbenaspring_failures_total", { type: effect.failure.type });
                 return this.forget(effect.requestId);
+            case "probeServer":
+                void this.adapter.readReport(effect.address, probeTimeout).then(report =>
+                    this.events.push({ kind: "serverProbed", backendServer: effect.backendServer, report })
+                );
+                return;
             case "readTopic":
                 return this.followRead(
                     effect.topic,
