Gateways share their loads and what they read of the platform's topics

Change: reports between gateways over Connect (loads, membership, topics); one reads for all by rank; placement by memory and waiting prompts of all gateways; copies only into memory that all leave free.

--- a/packages/cli/src/gateway.ts
+++ b/packages/cli/src/gateway.ts
@@ -7,6 +7,7 @@
     decodeBackendHead,
     decodeCallerHead,
     decodeSettings,
+    decodeTopicItem,
     encodeBackendCall,
     type GatewaySettings,
     readReport,
@@ -44,7 +45,7 @@
         encodeBackendCall,
         decodeBackendHead,
         readReport,
-        topics: createStoreClient(settings.storeAddress),
+        topics: { ...createStoreClient(settings.storeAddress), decode: decodeTopicItem },
     };
     const daemon = await startGateway(toDaemonOptions(settings, options), adapter);
     followSettings(options.settingsFile, text, daemon);
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,5 +1,7 @@
 export * from "./admission.js";
 export * from "./configurationFold.js";
+export * from "./duty.js";
+export * from "./hash.js";
 export * from "./keyClaims.js";
 export * from "./lengthForecast.js";
 export * from "./linkLedger.js";
--- a/packages/coordination/src/placement.ts
+++ b/packages/coordination/src/placement.ts
@@ -6,8 +6,12 @@
 
 /** A backend server as placement sees it. */
 export interface PlacementView {
-    /** What is at work there, as a share of what it can carry; over 1 where more waits. */
+    /** Requests at work there, as a share of its slots; over 1 where more wait. */
     readonly load: number;
+    /** The share of its memory that runs and copies hold, in [0, 1] and over where they don't fit; 0 for plain services. */
+    readonly memoryLoad: number;
+    /** Tokens of prompts that it has yet to read. */
+    readonly waitingTokens: number;
     /** The share of failed attempts lately, in [0, 1]. */
     readonly failureShare: number;
     /** Time to the first byte of an answer lately, where known. */
@@ -23,6 +27,12 @@
 const warmUpFactor = 1.5;
 /** Servers in other failure domains cost a little more: the way is longer and is paid for. */
 const farFactor = 1.03;
+const idleCost = 0.1;
+/** Over this share of memory, runs push each other aside as they grow. */
+const fullMemory = 0.85;
+const overfullFactor = 20;
+/** Prompts of so many tokens wait as long as a full memory of runs slows a stream down. */
+const waitingUnit = 6_000;
 /** How strongly a server that fails attempts is avoided. */
 const failureFactor = 6;
 
@@ -50,8 +60,9 @@
         : Math.max(0.5, view.responseTime / Math.max(1, typicalTime));
     const warmUp = view.isWarmingUp ? warmUpFactor : 1;
     const distance = view.isNear ? 1 : farFactor;
-    const idleCost = 0.1;
-    return (idleCost + view.load) * relativeTime * (1 + failureFactor * view.failureShare) * warmUp * distance;
+    const overfull = Math.max(0, view.memoryLoad - fullMemory);
+    const work = idleCost + view.load + view.memoryLoad + overfull * overfullFactor + view.waitingTokens / waitingUnit;
+    return work * relativeTime * (1 + failureFactor * view.failureShare) * warmUp * distance;
 }
 
 function median(values: readonly number[]): number | undefined {
--- a/packages/entry/src/parts.ts
+++ b/packages/entry/src/parts.ts
@@ -9,6 +9,7 @@
     type ClaimRule,
     expectedRevisionRule,
     firstAttemptPinned,
+    hashText,
     lowestOffsetWins,
     type PinRule,
     type RoutingPolicy,
@@ -55,15 +56,3 @@
 function hasStatements(state: EntryState): boolean {
     return state.pendingStatements.length > 0 || state.statementsInFlight !== undefined;
 }
-
-/** The 32-bit FNV-1a hash, with a final mix so that names that differ in their last letter spread as well. */
-function hashText(text: string): number {
-    const prime = 0x01000193;
-    let hash = 0x811c9dc5;
-    for (let index = 0; index < text.length; index++) {
-        hash = Math.imul(hash ^ text.charCodeAt(index), prime);
-    }
-    hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
-    hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
-    return (hash ^ (hash >>> 16)) >>> 0;
-}
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -16,8 +16,9 @@
 import type { BackendServer } from "./backendServers.js";
 import type { AttemptFailure, GatewayEvent } from "./event.js";
 import type { BackendAnswer, BackendHead, RunCopy } from "./messages.js";
+import { liveInstances } from "./peers.js";
 import { describe, failRequest, finish } from "./requests.js";
-import { addLoad, copyView, expectedTokens, memoryOf, placementView, removeLoad, usableServers } from "./serverLoad.js";
+import { addLoad, copyView, engineOf, expectedMemory, placementView, removeLoad, usableServers } from "./serverLoad.js";
 import { noteHeard, tendStream } from "./silence.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { continueStream } from "./streams.js";
@@ -78,6 +79,8 @@
         head: undefined,
         firstEventAt: undefined,
         events: 0,
+        memoryTokens: expectedMemory(request),
+        waitingTokens: continuesFrom === undefined ? head.promptTokens : 0,
         lastHeard: now,
     };
     request.attempt = attempt;
@@ -85,7 +88,7 @@
     request.possibleRuns++;
     request.triedServers.add(server.record.id);
     state.attempts.set(attempt.id, request);
-    addLoad(state, request, attempt);
+    addLoad(state, attempt);
     record(transaction, "debug", "attempt_sent", {
         ...describe(transaction, request),
         replica: replica?.record.id,
@@ -101,7 +104,7 @@
             head,
             timeLeft: Math.max(1, Math.floor(request.finishBy - now)),
             organisation: organisation?.id,
-            priority: memoryOf(state, request.service) === undefined
+            priority: engineOf(state, request.service) === undefined
                 ? undefined
                 : organisation?.priority ?? route.priority,
             replicaAddress: replica?.record.address,
@@ -118,13 +121,13 @@
     request: GatewayRequest,
     server: BackendServer,
 ): BackendServer | undefined {
-    const engine = state.configuration?.services.get(request.service)?.engine;
+    const engine = engineOf(state, request.service);
     if (engine === undefined || !engine.canReplicate || !request.route.isStream || request.route.canResume) {
         return undefined;
     }
     const others = usableServers(state, request.service, now).filter(other => other.record.id !== server.record.id);
-    const share = expectedTokens(request) / engine.memoryTokens;
-    return chooseCopyHolder(others, other => copyView(state, other, server), share);
+    const share = expectedMemory(request) / engine.memoryTokens;
+    return chooseCopyHolder(others, other => copyView(state, other, server, now), share);
 }
 
 /** Takes a whole answer. */
@@ -233,12 +236,9 @@
 export function canSendAgain({ state, now }: Transaction, request: GatewayRequest): boolean {
     return request.sends < mostSends
         && request.finishBy - now >= leastTimeForSend
-        && repeatsLeft(state.budget, request.service, assumedInstances, now) >= 1;
+        && repeatsLeft(state.budget, request.service, liveInstances(state, now), now) >= 1;
 }
 
-/** Instances among which the common allowance of repeats is divided, until they know of each other. */
-const assumedInstances = 16;
-
 /** Takes an attempt from the state, and ends its call where it still runs. */
 export function endAttempt(
     { state, effects }: Transaction,
@@ -246,7 +246,7 @@
     attempt: Attempt,
     how: "ended" | "cancel",
 ): void {
-    removeLoad(state, request, attempt);
+    removeLoad(state, attempt);
     state.attempts.delete(attempt.id);
     request.attempt = undefined;
     if (how === "cancel") {
--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -4,6 +4,7 @@
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import type { CallerHead } from "./messages.js";
+import { informPeers } from "./peers.js";
 import { failRequest } from "./requests.js";
 import type { Route } from "./routingConfiguration.js";
 import type { GatewayState } from "./state.js";
@@ -43,6 +44,7 @@
     }
     state.stopRequestedAt = now;
     record(transaction, "info", "stop_requested", { requests: state.requests.size });
+    informPeers(transaction);
     effects.push({ kind: "startDraining" });
 }
 
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -1,9 +1,18 @@
 /**
  * Everything that a gateway can ask for.
  */
-import type { AttemptId, BackendServerId, Failure, LogOffset, Milliseconds, RequestId } from "@verbenaspring/model";
+import type {
+    AttemptId,
+    BackendServerId,
+    Failure,
+    LogOffset,
+    Milliseconds,
+    PeerAddress,
+    RequestId,
+} from "@verbenaspring/model";
 import type { TopicName } from "./event.js";
 import type { BackendAnswer, BackendCall, BackendHead, StreamEvent } from "./messages.js";
+import type { PeerReport } from "./peerReport.js";
 import type { CallerLimits } from "./routingConfiguration.js";
 
 /** The fields of a decision. */
@@ -28,6 +37,7 @@
     | { readonly kind: "answerCut"; readonly requestId: RequestId; }
     | { readonly kind: "answerFailure"; readonly requestId: RequestId; readonly failure: Failure; }
     | { readonly kind: "probeServer"; readonly backendServer: BackendServerId; readonly address: string; }
+    | { readonly kind: "exchangeReports"; readonly address: PeerAddress; readonly report: PeerReport; }
     | { readonly kind: "readTopic"; readonly topic: TopicName; readonly from: LogOffset; readonly wait: Milliseconds; }
     | { readonly kind: "readSnapshot"; readonly topic: TopicName; }
     | { readonly kind: "applyLimits"; readonly limits: CallerLimits; }
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -7,11 +7,13 @@
     CallerAttemptId,
     LogOffset,
     Milliseconds,
+    PeerAddress,
     RequestId,
 } from "@verbenaspring/model";
 import type { BackendRecord } from "./backendServers.js";
 import type { BackendAnswer, BackendHead, CallerHead, StreamEvent } from "./messages.js";
 import type { GatewayOptions } from "./options.js";
+import type { PeerItems, PeerReport } from "./peerReport.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
 
 /** Why an attempt came to nothing. */
@@ -34,6 +36,20 @@
     | { readonly kind: "backendServerRemoved"; readonly id: BackendServerId; }
     | { readonly kind: "undecodable"; readonly key: string; readonly detail: string; };
 
+/** One record of a followed topic, as the log holds it. */
+export interface TopicItem {
+    readonly key: string;
+    readonly offset: LogOffset;
+    /** Empty where the key was dropped. */
+    readonly value: Uint8Array;
+}
+
+/** A record with what it says. */
+export interface DecodedItem {
+    readonly item: TopicItem;
+    readonly records: readonly TopicRecord[];
+}
+
 /** Why a read of a topic failed. */
 export type ReadFailure = "records_deleted" | "refused" | "timeout" | "unreachable" | "malformed";
 
@@ -81,10 +97,12 @@
         readonly topic: TopicName;
         /** Whether the records are the newest of each key rather than a part of the history. */
         readonly isSnapshot: boolean;
-        readonly records: readonly TopicRecord[];
+        readonly items: readonly DecodedItem[];
         /** The offset after the last record that was read. */
         readonly next: LogOffset;
     }
     | { readonly kind: "topicReadFailed"; readonly topic: TopicName; readonly failure: ReadFailure; }
+    | { readonly kind: "peerReported"; readonly report: PeerReport; readonly items: PeerItems; }
+    | { readonly kind: "peerFailed"; readonly address: PeerAddress; }
     | { readonly kind: "settingsChanged"; readonly options: GatewayOptions; }
     | { readonly kind: "stopRequested"; };
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -1,12 +1,14 @@
 /**
- * Follows the topics of the platform's log: the configuration by a read that waits for the next record, the backend
- * servers by short reads, since their heartbeats come all the time.
+ * Follows the topics of the platform's log. One gateway reads for all: the first by rank; the others take the records
+ * from it, and read by themselves once nothing fresh has come.
  */
-import { createServerHealth } from "@verbenaspring/coordination";
-import type { BackendServerId, Milliseconds, ServiceName } from "@verbenaspring/model";
+import { createServerHealth, type DutyPatience, dutyPatience, dutyRank } from "@verbenaspring/coordination";
+import type { BackendServerId, LogOffset, Milliseconds, ServiceName } from "@verbenaspring/model";
 import { applyRecord, applyRemoval, type BackendChange, forgetRemoved } from "./backendServers.js";
-import type { GatewayEvent, TopicName, TopicRecord } from "./event.js";
+import type { DecodedItem, GatewayEvent, TopicName, TopicRecord } from "./event.js";
+import { informPeers, livePeers } from "./peers.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
+import type { TopicFollower } from "./state.js";
 import { record, type Transaction } from "./transaction.js";
 
 type TopicRead = Extract<GatewayEvent, { readonly kind: "topicRead"; }>;
@@ -17,19 +19,25 @@
     readonly wait: Milliseconds;
     /** From the end of one read to the start of the next. */
     readonly pause: Milliseconds;
+    readonly patience: DutyPatience;
 }
 
 /**
- * A channel that went silent is found when the answer to a waiting read is overdue, so the wait bounds how late a change
- * is seen; it stays well under the time in which a configuration must be in force.
+ * A channel that went silent is found when the answer to a waiting read is overdue, and a reader that is gone when
+ * nothing comes from it; both together stay under the time in which a configuration must be in force. Heartbeats come
+ * all the time, so that reads of the backend servers don't wait.
  */
 const readPlans: Readonly<Record<TopicName, ReadPlan>> = {
-    configuration: { wait: 1_500, pause: 0 },
-    backendServers: { wait: 0, pause: 400 },
+    configuration: { wait: 600, pause: 0, patience: { base: 1_100, step: 150 } },
+    backendServers: { wait: 0, pause: 400, patience: { base: 900, step: 150 } },
 };
 
 /** From a failed read to the next one. */
 const failurePause: Milliseconds = 250;
+/** The same where another gateway's reads succeed. */
+const relayedPause: Milliseconds = 2_000;
+/** How long the end of a key is passed on to other gateways. */
+const droppedRetention = 2_000;
 
 /** Starts the reads that are due. */
 export function tendFollowers(transaction: Transaction): void {
@@ -37,9 +45,10 @@
     tendFollower(transaction, "backendServers");
 }
 
-function tendFollower({ state, now, effects }: Transaction, topic: TopicName): void {
+function tendFollower(transaction: Transaction, topic: TopicName): void {
+    const { state, now, effects } = transaction;
     const follower = state.followers[topic];
-    if (follower.isReading || now < follower.readAgainAt) {
+    if (follower.isReading || now < follower.readAgainAt || !isDue(transaction, topic, follower)) {
         return;
     }
     follower.isReading = true;
@@ -50,26 +59,86 @@
     effects.push({ kind: "readTopic", topic, from: follower.next, wait: readPlans[topic].wait });
 }
 
+/** Whether it is for this gateway to read: by its rank, or since nothing fresh has come from the others. */
+function isDue({ state, now }: Transaction, topic: TopicName, follower: TopicFollower): boolean {
+    if (follower.freshAsOf === undefined) {
+        return true;
+    }
+    const peers = livePeers(state, now).filter(peer => !peer.isStopping);
+    const rank = dutyRank(state.options.peerAddress, peers.map(peer => peer.address), topic);
+    return now - follower.freshAsOf >= dutyPatience(rank, readPlans[topic].patience);
+}
+
 /** Takes the records of a read. */
 export function takeTopicRead(transaction: Transaction, event: TopicRead): void {
     const { state, now } = transaction;
-    const follower = state.followers[event.topic];
+    const { topic, next } = event;
+    const follower = state.followers[topic];
     if (follower.failing !== undefined) {
-        record(transaction, "info", "topic_regained", { topic: event.topic, next: event.next });
+        record(transaction, "info", "topic_regained", { topic, next });
     }
     follower.failing = undefined;
     follower.isReading = false;
-    follower.next = event.next;
-    follower.lastReadAt = now;
-    follower.readAgainAt = now + readPlans[event.topic].pause;
-    event.records.forEach(item => takeRecord(transaction, item));
-    if (event.isSnapshot && event.topic === "backendServers") {
-        removeMissing(transaction, event.records);
+    follower.readAgainAt = now + readPlans[topic].pause;
+    const missing = event.isSnapshot && topic === "backendServers" ? droppedItems(follower, event) : [];
+    const hasChanged = takeItems(transaction, topic, [...event.items, ...missing], next);
+    follower.freshAsOf = now;
+    if (hasChanged) {
+        informPeers(transaction);
+    }
+    tendFollower(transaction, topic);
+}
+
+/** Keys that a snapshot lacks were dropped. */
+function droppedItems(follower: TopicFollower, { items, next }: TopicRead): DecodedItem[] {
+    const present = new Set(items.map(({ item }) => item.key));
+    return [...follower.items.values()]
+        .filter(({ key, value }) => !present.has(key) && value.length > 0)
+        .map(({ key }) => ({
+            item: { key, offset: next - 1, value: new Uint8Array() },
+            records: [{ kind: "backendServerRemoved", id: key as BackendServerId }],
+        }));
+}
+
+/**
+ * Takes records that were read, here or by another gateway. Returns whether they changed more than heartbeats.
+ *
+ * @param next the offset after the last record
+ */
+export function takeItems(
+    transaction: Transaction,
+    topic: TopicName,
+    items: readonly DecodedItem[],
+    next: LogOffset,
+): boolean {
+    const { state, now } = transaction;
+    const follower = state.followers[topic];
+    let hasChanged = false;
+    for (const { item, records } of items) {
+        const known = follower.items.get(item.key);
+        if (known !== undefined && known.offset > item.offset) {
+            continue;
+        }
+        follower.items.set(item.key, item);
+        if (records.map(each => takeRecord(transaction, each)).includes(true)) {
+            follower.changedThrough = Math.max(follower.changedThrough, item.offset + 1);
+            hasChanged = true;
+        }
     }
-    if (forgetRemoved(state.servers, now)) {
+    follower.next = Math.max(follower.next ?? 0, next);
+    forgetDropped(follower);
+    if (topic === "backendServers" && forgetRemoved(state.servers, now)) {
         listByService(transaction);
     }
-    tendFollower(transaction, event.topic);
+    return hasChanged;
+}
+
+function forgetDropped({ items, next }: TopicFollower): void {
+    for (const { key, offset, value } of items.values()) {
+        if (value.length === 0 && offset < (next ?? 0) - droppedRetention) {
+            items.delete(key);
+        }
+    }
 }
 
 /** Takes a failed read. */
@@ -80,17 +149,20 @@
     if (failure === "records_deleted") {
         record(transaction, "info", "topic_history_deleted", { topic, next: follower.next });
         follower.next = undefined;
+        follower.freshAsOf = undefined;
         return tendFollower(transaction, topic);
     }
+    const age = follower.freshAsOf === undefined ? undefined : Math.round(now - follower.freshAsOf);
     if (follower.failing === undefined) {
-        const age = follower.lastReadAt === undefined ? undefined : Math.round(now - follower.lastReadAt);
         record(transaction, "warn", "topic_lost", { topic, failure, age });
     }
     follower.failing = failure;
-    follower.readAgainAt = now + failurePause;
+    const isRelayed = age !== undefined && age < readPlans[topic].patience.base;
+    follower.readAgainAt = now + (isRelayed ? relayedPause : failurePause);
 }
 
-function takeRecord(transaction: Transaction, item: TopicRecord): void {
+/** Takes what one record says. Returns whether it changed more than a heartbeat. */
+function takeRecord(transaction: Transaction, item: TopicRecord): boolean {
     const { state, now } = transaction;
     switch (item.kind) {
         case "configuration":
@@ -107,25 +179,26 @@
             return noteChange(transaction, item.id, applyRemoval(state.servers, item.id, now));
         case "undecodable":
             record(transaction, "warn", "record_undecodable", { key: item.key, detail: item.detail });
-            return;
+            return false;
     }
 }
 
-function takeConfiguration(transaction: Transaction, configuration: RoutingConfiguration): void {
+function takeConfiguration(transaction: Transaction, configuration: RoutingConfiguration): boolean {
     const { state, effects } = transaction;
     const held = state.configuration?.version;
     if (held !== undefined && configuration.version <= held) {
-        return;
+        return false;
     }
     state.configuration = configuration;
     record(transaction, "info", "configuration_applied", { version: configuration.version, previous: held });
     effects.push({ kind: "applyLimits", limits: configuration.limits });
+    return true;
 }
 
-function noteChange(transaction: Transaction, id: BackendServerId, change: BackendChange): void {
+function noteChange(transaction: Transaction, id: BackendServerId, change: BackendChange): boolean {
     const { state } = transaction;
     if (change === "unchanged") {
-        return;
+        return false;
     }
     if (change === "added" || change === "restarted") {
         state.health.set(id, createServerHealth());
@@ -137,17 +210,7 @@
         service: known?.record.service,
         address: known?.record.address,
     });
-}
-
-/** A snapshot that lacks a known server says that its registration is gone. */
-function removeMissing(transaction: Transaction, records: readonly TopicRecord[]): void {
-    const { state, now } = transaction;
-    const present = new Set(records.flatMap(item => item.kind === "backendServer" ? [item.record.id] : []));
-    for (const id of state.servers.keys()) {
-        if (!present.has(id)) {
-            noteChange(transaction, id, applyRemoval(state.servers, id, now));
-        }
-    }
+    return true;
 }
 
 function listByService({ state }: Transaction): void {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,8 @@
 export * from "./event.js";
 export * from "./messages.js";
 export * from "./options.js";
+export * from "./peerReport.js";
+export * from "./peers.js";
 export * from "./reducer.js";
 export * from "./routingConfiguration.js";
 export * from "./state.js";
--- /dev/null
+++ b/packages/gateway/src/peerReport.ts
@@ -0,0 +1,40 @@
+/**
+ * What gateways tell each other.
+ */
+import type { BackendServerId, GatewayIncarnation, LogOffset, Milliseconds, PeerAddress } from "@verbenaspring/model";
+import type { DecodedItem, TopicItem, TopicName } from "./event.js";
+
+/** What one gateway has at work at one backend server. */
+export interface PeerLoad {
+    readonly backendServer: BackendServerId;
+    readonly inProgress: number;
+    /** Tokens that its runs and their copies hold in memory there. */
+    readonly memoryTokens: number;
+    /** Tokens of prompts that have given no event yet. */
+    readonly waitingTokens: number;
+}
+
+/** How far a gateway knows a topic. */
+export interface PeerTopic {
+    readonly name: TopicName;
+    /** The offset after the last record that is known; undefined before the first read. */
+    readonly through: LogOffset | undefined;
+    /** Since the log was known to end there. */
+    readonly age: Milliseconds;
+    /** The newest records of the keys that changed since what the receiver is known to have. */
+    readonly items: readonly TopicItem[];
+}
+
+/** What one gateway knows. */
+export interface PeerReport {
+    readonly address: PeerAddress;
+    readonly incarnation: GatewayIncarnation;
+    /** Where the gateways that it knows to live answer. */
+    readonly members: readonly PeerAddress[];
+    readonly isStopping: boolean;
+    readonly topics: readonly PeerTopic[];
+    readonly loads: readonly PeerLoad[];
+}
+
+/** The items of a report, decoded. */
+export type PeerItems = Readonly<Record<TopicName, readonly DecodedItem[]>>;
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -10,6 +10,7 @@
 import type { GatewayEvent } from "./event.js";
 import { takeTopicRead, takeTopicReadFailed, tendFollowers } from "./followers.js";
 import type { GatewayOptions } from "./options.js";
+import { takePeerFailed, takePeerReport, tendPeers } from "./peers.js";
 import { takeCallerLeft, takeRequest } from "./requests.js";
 import { takeServerProbed } from "./silence.js";
 import type { GatewayState } from "./state.js";
@@ -36,6 +37,7 @@
 function takeEvent(transaction: Transaction, event: GatewayEvent): void {
     switch (event.kind) {
         case "tick":
+            tendPeers(transaction);
             tendFollowers(transaction);
             tendRequests(transaction);
             return tendStop(transaction);
@@ -59,6 +61,10 @@
             return takeTopicRead(transaction, event);
         case "topicReadFailed":
             return takeTopicReadFailed(transaction, event);
+        case "peerReported":
+            return takePeerReport(transaction, event);
+        case "peerFailed":
+            return takePeerFailed(transaction, event.address);
         case "settingsChanged":
             return takeSettings(transaction, event.options);
         case "stopRequested":
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -172,7 +172,7 @@
         age: Math.round(now - request.arrivedAt),
         left: Math.round(request.finishBy - now),
         configurationVersion: state.configuration?.version,
-        serversAge: ageOf(now, state.followers.backendServers.lastReadAt),
+        serversAge: ageOf(now, state.followers.backendServers.freshAsOf),
     };
 }
 
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -1,13 +1,17 @@
 /**
- * What the gateway has at work at each backend server, and the views from which placement chooses.
+ * What the gateways have at work at each backend server, and the views from which placement chooses.
  */
 import { type CopyView, type PlacementView, type ServerHealth, withoutEjected } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds, ServiceName } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
+import { peerLoad } from "./peers.js";
+import type { EngineCapabilities } from "./routingConfiguration.js";
 import type { Attempt, GatewayRequest, GatewayState, ServerLoad } from "./state.js";
 
 /** How long a server whose registration lapsed is still used where the service has no other. */
 const lapsedUse: Milliseconds = 1_500;
+/** The part of its foreseen output that a run holds on average over its time. */
+const averageOutputPart = 0.5;
 
 /** The servers of a service that take new work, without those that are left out for their failures. */
 export function usableServers(state: GatewayState, service: ServiceName, now: Milliseconds): readonly BackendServer[] {
@@ -25,67 +29,109 @@
 
 /** The server as placement sees it. */
 export function placementView(state: GatewayState, server: BackendServer, now: Milliseconds): PlacementView {
-    const health: ServerHealth | undefined = state.health.get(server.record.id);
+    const { id, slots, service, failureDomain } = server.record;
+    const health: ServerHealth | undefined = state.health.get(id);
+    const load = totalLoad(state, id, now);
+    const engine = engineOf(state, service);
     return {
-        load: loadShare(state, server),
+        load: load.inProgress / Math.max(1, slots),
+        memoryLoad: engine === undefined ? 0 : load.memoryTokens / engine.memoryTokens,
+        waitingTokens: load.waitingTokens,
         failureShare: health?.failureShare ?? 0,
-        responseTime: health?.responseTime,
+        responseTime: engine === undefined ? health?.responseTime : undefined,
         isWarmingUp: now < server.warmAt,
-        isNear: server.record.failureDomain === state.options.failureDomain,
+        isNear: failureDomain === state.options.failureDomain,
     };
 }
 
 /** The server as a holder of copies, seen from the server whose runs it would copy. */
-export function copyView(state: GatewayState, server: BackendServer, origin: BackendServer): CopyView {
+export function copyView(
+    state: GatewayState,
+    server: BackendServer,
+    origin: BackendServer,
+    now: Milliseconds,
+): CopyView {
+    const { id, service, failureDomain } = server.record;
+    const engine = engineOf(state, service);
+    const { memoryTokens } = totalLoad(state, id, now);
     return {
-        load: loadShare(state, server),
-        isNear: server.record.failureDomain === origin.record.failureDomain,
+        load: engine === undefined ? 1 : memoryTokens / engine.memoryTokens,
+        isNear: failureDomain === origin.record.failureDomain,
     };
 }
 
-/** What is at work at the server, as a share of its memory or its slots, whichever is fuller. */
-function loadShare(state: GatewayState, { record }: BackendServer): number {
-    const load = state.loads.get(record.id);
-    if (load === undefined) {
-        return 0;
-    }
-    const slotShare = load.inProgress / Math.max(1, record.slots);
-    const memory = memoryOf(state, record.service);
-    return memory === undefined ? slotShare : Math.max(slotShare, load.tokens / memory);
+/** What all live gateways have at work at a server. */
+function totalLoad(state: GatewayState, id: BackendServerId, now: Milliseconds): ServerLoad {
+    const own = state.loads.get(id);
+    const others = peerLoad(state, id, now);
+    return {
+        inProgress: others.inProgress + (own?.inProgress ?? 0),
+        memoryTokens: others.memoryTokens + (own?.memoryTokens ?? 0),
+        waitingTokens: others.waitingTokens + (own?.waitingTokens ?? 0),
+    };
 }
 
-/** Tokens that one engine of the service holds; undefined for plain services. */
-export function memoryOf(state: GatewayState, service: ServiceName): number | undefined {
-    return state.configuration?.services.get(service)?.engine?.memoryTokens;
+/** What the engines of a service can do; undefined for plain services. */
+export function engineOf(state: GatewayState, service: ServiceName): EngineCapabilities | undefined {
+    return state.configuration?.services.get(service)?.engine;
 }
 
-/** Tokens that a run of the request needs in memory: its prompt, and its output as far as it is foreseen. */
-export function expectedTokens({ head }: GatewayRequest): number {
-    return head.promptTokens + Math.min(head.maximumTokens, head.estimatedTokens ?? head.maximumTokens);
+/** Tokens that a run of the request holds on average: its prompt, and a part of its foreseen output. */
+export function expectedMemory({ head }: GatewayRequest): number {
+    const output = Math.min(head.maximumTokens, head.estimatedTokens ?? head.maximumTokens);
+    return Math.round(head.promptTokens + averageOutputPart * output);
 }
 
 /** Counts an attempt at its server, and its copy at the server that keeps it. */
-export function addLoad(state: GatewayState, request: GatewayRequest, attempt: Attempt): void {
-    changeLoad(state, attempt.server.record.id, 1, expectedTokens(request));
+export function addLoad(state: GatewayState, attempt: Attempt): void {
+    const { memoryTokens, waitingTokens } = attempt;
+    changeLoad(state, attempt.server.record.id, { inProgress: 1, memoryTokens, waitingTokens });
     if (attempt.replica !== undefined) {
-        changeLoad(state, attempt.replica.record.id, 0, expectedTokens(request));
+        changeLoad(state, attempt.replica.record.id, { inProgress: 0, memoryTokens, waitingTokens: 0 });
     }
 }
 
 /** Takes an attempt that ended from the counts. */
-export function removeLoad(state: GatewayState, request: GatewayRequest, attempt: Attempt): void {
-    changeLoad(state, attempt.server.record.id, -1, -expectedTokens(request));
+export function removeLoad(state: GatewayState, attempt: Attempt): void {
+    const { memoryTokens, waitingTokens } = attempt;
+    changeLoad(state, attempt.server.record.id, {
+        inProgress: -1,
+        memoryTokens: -memoryTokens,
+        waitingTokens: -waitingTokens,
+    });
+    if (attempt.replica !== undefined) {
+        changeLoad(state, attempt.replica.record.id, {
+            inProgress: 0,
+            memoryTokens: -memoryTokens,
+            waitingTokens: 0,
+        });
+    }
+}
+
+/** Counts events of a run: its prompt waits no longer, and its memory may have outgrown what was foreseen. */
+export function noteEventsLoad(state: GatewayState, request: GatewayRequest, attempt: Attempt, events: number): void {
+    const tokensPerEvent = engineOf(state, request.service)?.tokensPerEvent ?? 1;
+    const held = request.head.promptTokens + tokensPerEvent * (attempt.events + events);
+    const growth = Math.max(0, held - attempt.memoryTokens);
+    const waitingTokens = -attempt.waitingTokens;
+    if (growth === 0 && waitingTokens === 0) {
+        return;
+    }
+    attempt.memoryTokens += growth;
+    attempt.waitingTokens = 0;
+    changeLoad(state, attempt.server.record.id, { inProgress: 0, memoryTokens: growth, waitingTokens });
     if (attempt.replica !== undefined) {
-        changeLoad(state, attempt.replica.record.id, 0, -expectedTokens(request));
+        changeLoad(state, attempt.replica.record.id, { inProgress: 0, memoryTokens: growth, waitingTokens: 0 });
     }
 }
 
-function changeLoad(state: GatewayState, id: BackendServerId, inProgress: number, tokens: number): void {
-    const load: ServerLoad = state.loads.get(id) ?? { inProgress: 0, tokens: 0 };
-    load.inProgress += inProgress;
-    load.tokens += tokens;
+function changeLoad(state: GatewayState, id: BackendServerId, change: ServerLoad): void {
+    const load: ServerLoad = state.loads.get(id) ?? { inProgress: 0, memoryTokens: 0, waitingTokens: 0 };
+    load.inProgress += change.inProgress;
+    load.memoryTokens += change.memoryTokens;
+    load.waitingTokens += change.waitingTokens;
     state.loads.set(id, load);
-    if (load.inProgress === 0 && load.tokens === 0) {
+    if (load.inProgress === 0 && load.memoryTokens === 0) {
         state.loads.delete(id);
     }
 }
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -2,11 +2,21 @@
  * A gateway's state. The loop alone owns it; the reducer changes it in place.
  */
 import { createRetryBudget, type RetryBudget, type ServerHealth } from "@verbenaspring/coordination";
-import type { AttemptId, BackendServerId, LogOffset, Milliseconds, RequestId, ServiceName } from "@verbenaspring/model";
+import type {
+    AttemptId,
+    BackendServerId,
+    GatewayIncarnation,
+    LogOffset,
+    Milliseconds,
+    PeerAddress,
+    RequestId,
+    ServiceName,
+} from "@verbenaspring/model";
 import type { BackendServer, BackendView } from "./backendServers.js";
-import type { ReadFailure, TopicName } from "./event.js";
+import type { ReadFailure, TopicItem, TopicName } from "./event.js";
 import type { BackendHead, CallerHead, RunCopy } from "./messages.js";
 import type { GatewayOptions } from "./options.js";
+import type { PeerLoad } from "./peerReport.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 
 /** One send of a request to a backend server. */
@@ -22,6 +32,10 @@
     firstEventAt: Milliseconds | undefined;
     /** Events of this run, passed on or not. */
     events: number;
+    /** Tokens that count as this run's memory. */
+    memoryTokens: number;
+    /** Tokens of the prompt until the first event. */
+    waitingTokens: number;
     lastHeard: Milliseconds;
 }
 
@@ -49,7 +63,9 @@
 export interface ServerLoad {
     inProgress: number;
     /** Tokens of prompts and outputs, with the memory set aside for copies. */
-    tokens: number;
+    memoryTokens: number;
+    /** Tokens of prompts that have given no event yet. */
+    waitingTokens: number;
 }
 
 /** When a server last gave a sign of life. */
@@ -61,16 +77,36 @@
 /** The pace of a stream before any was measured: a step of an engine with some tens of runs. */
 const initialTokenPace: Milliseconds = 12;
 
-/** How far a topic has been read. */
+/** How far a topic is known. */
 export interface TopicFollower {
-    /** Undefined until a snapshot was read. */
+    /** The offset after the last known record; undefined until a snapshot was read. */
     next: LogOffset | undefined;
+    /** The offset after the last record that changed more than a heartbeat. */
+    changedThrough: LogOffset;
+    /** The newest record of each key. */
+    readonly items: Map<string, TopicItem>;
+    /** When the log was last known to end at `next`, by a read of this gateway or of another. */
+    freshAsOf: Milliseconds | undefined;
     isReading: boolean;
     readAgainAt: Milliseconds;
-    lastReadAt: Milliseconds | undefined;
     failing: ReadFailure | undefined;
 }
 
+/** Another gateway, as far as it is known. */
+export interface Peer {
+    readonly address: PeerAddress;
+    incarnation: GatewayIncarnation | undefined;
+    isStopping: boolean;
+    /** When its last report came. */
+    heardAt: Milliseconds | undefined;
+    isExchanging: boolean;
+    exchangeAgainAt: Milliseconds;
+    failures: number;
+    /** How far it knows each topic. */
+    through: Readonly<Record<TopicName, LogOffset | undefined>>;
+    loads: ReadonlyMap<BackendServerId, PeerLoad>;
+}
+
 /** All that a gateway remembers; none of it outlives the process. */
 export interface GatewayState {
     options: GatewayOptions;
@@ -86,6 +122,8 @@
     readonly attempts: Map<AttemptId, GatewayRequest>;
     readonly budget: RetryBudget;
     readonly followers: Readonly<Record<TopicName, TopicFollower>>;
+    readonly incarnation: GatewayIncarnation;
+    readonly peers: Map<PeerAddress, Peer>;
     stopRequestedAt: Milliseconds | undefined;
     hasExited: boolean;
 }
@@ -94,10 +132,12 @@
  * Creates the state of a gateway that knows nothing yet.
  *
  * @example
- * const state = createGatewayState(options);
+ * const state = createGatewayState(options, incarnation);
  */
-export function createGatewayState(options: GatewayOptions): GatewayState {
+export function createGatewayState(options: GatewayOptions, incarnation: GatewayIncarnation): GatewayState {
     return {
+        incarnation,
+        peers: new Map(),
         options,
         configuration: undefined,
         servers: new Map(),
@@ -116,7 +156,15 @@
 }
 
 function createFollower(): TopicFollower {
-    return { next: undefined, isReading: false, readAgainAt: 0, lastReadAt: undefined, failing: undefined };
+    return {
+        next: undefined,
+        changedThrough: 0,
+        items: new Map(),
+        freshAsOf: undefined,
+        isReading: false,
+        readAgainAt: 0,
+        failing: undefined,
+    };
 }
 
 /** Whether the balancer may send new channels here. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -6,6 +6,7 @@
 import { type AttemptOutcome, canSendAgain, continueAfter, endAttempt, judge, noteHealth, sendTo } from "./attempts.js";
 import type { BackendHead, StreamEvent } from "./messages.js";
 import { describe, finish } from "./requests.js";
+import { noteEventsLoad } from "./serverLoad.js";
 import { noteHeard } from "./silence.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { record, type Transaction } from "./transaction.js";
@@ -60,6 +61,7 @@
         }
     }
     attempt.lastHeard = now;
+    noteEventsLoad(state, request, attempt, events.length);
     attempt.firstEventAt ??= now;
     attempt.events += events.length;
     noteHeard(state, attempt.server.record.id, now);
--- a/packages/model/src/identifiers.ts
+++ b/packages/model/src/identifiers.ts
@@ -17,6 +17,10 @@
 export type AttemptId = Branded<"AttemptId">;
 /** The id that a caller gave to one request; each of its own repeats has another. */
 export type CallerAttemptId = Branded<"CallerAttemptId">;
+/** Where a gateway answers the others: IP number and port. */
+export type PeerAddress = Branded<"PeerAddress">;
+/** One life of a gateway process. */
+export type GatewayIncarnation = Branded<"GatewayIncarnation">;
 /** The secret by which an organisation's callers are known. */
 export type ApiKey = Branded<"ApiKey">;
 /** One run of an engine; random and 128 bits long, so that no caller can guess another's. */
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -8,10 +8,11 @@
     type GatewayOptions,
     reduceGateway,
     type ServerReport,
+    type TopicItem,
     type TopicName,
     type TopicRecord,
 } from "@verbenaspring/gateway";
-import type { LogOffset, Milliseconds } from "@verbenaspring/model";
+import { identifier, type LogOffset, type Milliseconds } from "@verbenaspring/model";
 import type { BackendWire } from "./backendChannels.js";
 import { type Daemon, describeError } from "./daemon.js";
 import { runLoop } from "./eventLoop.js";
@@ -25,12 +26,14 @@
 export interface TopicReader {
     readonly read: (topic: TopicName, from: LogOffset, wait: Milliseconds) => Promise<TopicPage>;
     readonly readNewest: (topic: TopicName) => Promise<TopicPage>;
+    /** What a record says; nothing where its key does not matter. */
+    readonly decode: (topic: TopicName, item: TopicItem) => readonly TopicRecord[];
     readonly close: () => void;
 }
 
 /** The records of a read. */
 export interface TopicPage {
-    readonly records: readonly TopicRecord[];
+    readonly items: readonly TopicItem[];
     readonly next: LogOffset;
 }
 
@@ -70,7 +73,7 @@
 export async function startGateway(options: GatewayDaemonOptions, adapter: GatewayAdapter): Promise<GatewayDaemon> {
     const log = createEventLog(options.logLevel, { instance: options.instance }, writeToStandardOutput);
     const metrics = createMetrics();
-    const state = createGatewayState(options);
+    const state = createGatewayState(options, identifier(systemSource.newIdentifier()));
     const runner = new GatewayRunner(options, state, adapter, log, metrics);
     await runner.listen();
     log("info", "started", { callers: options.callerAddress, readiness: options.readinessAddress });
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -3,23 +3,28 @@
  */
 import {
     type Decision,
+    type DecodedItem,
     type GatewayEffect,
     type GatewayEvent,
     type GatewayState,
     isGatewayReady,
+    type PeerReport,
     type ReadFailure,
+    reportFor,
+    type TopicItem,
     type TopicName,
 } from "@verbenaspring/gateway";
 import { type AttemptId, identifier, type Milliseconds, type RequestId } from "@verbenaspring/model";
 import { createServer, type Server } from "node:http";
 import { type BackendChannels, createBackendChannels } from "./backendChannels.js";
 import { createDeferred } from "./daemon.js";
-import { createEventChannel } from "./eventLoop.js";
+import { createEventChannel, monotonicNow } from "./eventLoop.js";
 import { createGatewayCallers, type GatewayCallers } from "./gatewayCallers.js";
 import type { GatewayAdapter, GatewayDaemonOptions, TopicPage } from "./gatewayDaemon.js";
 import { listen } from "./listening.js";
 import type { EventLog } from "./logging.js";
 import type { Metrics } from "./metrics.js";
+import { createPeerLinks, type PeerLinks } from "./peerLinks.js";
 
 /** A server that lives answers in a few milliseconds; the rest is for a slow link. */
 const probeTimeout: Milliseconds = 500;
@@ -31,6 +36,7 @@
     readonly stopped = this.stop.promise;
     private readonly callers: GatewayCallers;
     private readonly channels: BackendChannels;
+    private readonly peers: PeerLinks;
     private readonly readiness: Server;
     private readonly metricsServer: Server | undefined;
     /** Bodies of requests in progress, for sends and repeats. */
@@ -48,6 +54,7 @@
     ) {
         this.callers = this.createCallers();
         this.channels = this.createChannels();
+        this.peers = this.createPeers();
         this.readiness = createServer((_, response) => {
             response.writeHead(isGatewayReady(this.state) ? 200 : 503, { "content-length": "0" });
             response.end();
@@ -58,6 +65,7 @@
         });
         metrics.gauge("verbenaspring_requests_in_progress", () => state.requests.size);
         metrics.gauge("verbenaspring_configuration_version", () => state.configuration?.version ?? 0);
+        metrics.gauge("verbenaspring_peers_known", () => state.peers.size);
         metrics.gauge("verbenaspring_backend_servers_known", () => state.servers.size);
         metrics.gauge("verbenaspring_backend_channels_opened", () => this.channels.channelsOpened());
     }
@@ -65,6 +73,7 @@
     /** Listens at all addresses. */
     async listen(): Promise<void> {
         await this.callers.listen(this.options.callerAddress);
+        await this.peers.listen(this.options.peerAddress);
         await listen(this.readiness, this.options.readinessAddress);
         if (this.metricsServer !== undefined && this.options.metricsAddress !== undefined) {
             await listen(this.metricsServer, this.options.metricsAddress);
@@ -99,6 +108,8 @@
                 this.callers.writeFailure(effect.requestId, effect.failure);
                 this.metrics.count("verbenaspring_failures_total", { type: effect.failure.type });
                 return this.forget(effect.requestId);
+            case "exchangeReports":
+                return this.peers.exchange(effect.address, effect.report);
             case "probeServer":
                 void this.adapter.readReport(effect.address, probeTimeout).then(report =>
                     this.events.push({ kind: "serverProbed", backendServer: effect.backendServer, report })
@@ -172,7 +183,10 @@
 
     private followRead(topic: TopicName, isSnapshot: boolean, read: Promise<TopicPage>): void {
         read.then(
-            ({ records, next }) => this.events.push({ kind: "topicRead", topic, isSnapshot, records, next }),
+            ({ items, next }) => {
+                const decoded = this.decodeItems(topic, items);
+                this.events.push({ kind: "topicRead", topic, isSnapshot, items: decoded, next });
+            },
             (error: unknown) => {
                 const failure = readFailureOf(error);
                 this.metrics.count("verbenaspring_topic_read_failures_total", { topic, failure });
@@ -181,6 +195,28 @@
         );
     }
 
+    private decodeItems(topic: TopicName, items: readonly TopicItem[]): DecodedItem[] {
+        return items.map(item => ({ item, records: this.adapter.topics.decode(topic, item) }));
+    }
+
+    private takeReport(report: PeerReport): void {
+        const itemsOf = (name: TopicName): DecodedItem[] =>
+            this.decodeItems(name, report.topics.find(topic => topic.name === name)?.items ?? []);
+        const items = { configuration: itemsOf("configuration"), backendServers: itemsOf("backendServers") };
+        this.events.push({ kind: "peerReported", report, items });
+    }
+
+    private createPeers(): PeerLinks {
+        return createPeerLinks({
+            answer: report => {
+                this.takeReport(report);
+                return reportFor(this.state, this.state.peers.get(report.address), monotonicNow());
+            },
+            reported: report => this.takeReport(report),
+            failed: address => this.events.push({ kind: "peerFailed", address }),
+        });
+    }
+
     private record({ level, event, fields }: Decision): void {
         this.metrics.count("verbenaspring_decisions_total", { event });
         this.log(level, event, fields);
@@ -190,6 +226,7 @@
         this.log("info", "stopped", { requests: this.state.requests.size });
         this.callers.close();
         this.channels.close();
+        this.peers.close();
         this.adapter.topics.close();
         this.readiness.close();
         this.metricsServer?.close();
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./logging.js";
 export * from "./metrics.js";
 export * from "./operatorServer.js";
+export * from "./peerLinks.js";
 export * from "./platformClient.js";
 export * from "./randomSource.js";
 export * from "./sidecarDaemon.js";
