Streams without a copy are moved when their server leaves

Change: at the notice such streams are copied while they run, then stopped for the last part, one at a time from a server.

--- a/packages/cli/src/gateway.ts
+++ b/packages/cli/src/gateway.ts
@@ -10,6 +10,7 @@
     decodeTopicItem,
     encodeBackendCall,
     type GatewaySettings,
+    moveRun,
     readReport,
     settingsVariable,
 } from "@verbenaspring/platform";
@@ -45,6 +46,7 @@
         encodeBackendCall,
         decodeBackendHead,
         readReport,
+        moveRun,
         topics: { ...createStoreClient(settings.storeAddress), decode: decodeTopicItem },
     };
     const daemon = await startGateway(toDaemonOptions(settings, options), adapter);
--- a/packages/coordination/src/placement.ts
+++ b/packages/coordination/src/placement.ts
@@ -80,8 +80,8 @@
 const copyLimit = 0.75;
 
 /**
- * The engine with the most free memory that can keep a copy of `share` of its memory, or undefined where all are too
- * full: on crowded engines copies would push aside the runs that they are to protect.
+ * The engine with the most free memory that can keep a copy of `share` of its memory, or undefined where all would be
+ * fuller than `limit`: on crowded engines copies would push aside the runs that they are to protect.
  *
  * @example
  * const replica = chooseCopyHolder(others, other => viewOf(other), 0.12);
@@ -90,12 +90,13 @@
     candidates: readonly Candidate[],
     viewOf: (candidate: Candidate) => CopyView,
     share: number,
+    limit = copyLimit,
 ): Candidate | undefined {
     // A copy within one failure domain takes half as long; that is worth a little more load.
     const nearAdvantage = 0.1;
     const costs = candidates.map(candidate => {
         const { load, isNear } = viewOf(candidate);
-        return load + share > copyLimit ? Infinity : load - (isNear ? nearAdvantage : 0);
+        return load + share > limit ? Infinity : load - (isNear ? nearAdvantage : 0);
     });
     const lowest = Math.min(...costs);
     return lowest === Infinity ? undefined : candidates[costs.indexOf(lowest)];
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -28,6 +28,8 @@
 
 /** Sends of one request at most, counting those that servers refused. */
 const mostSends = 4;
+/** The same for streams, which go on elsewhere each time that their server leaves. */
+const mostStreamSends = 8;
 /** With less time than this left a request is not sent again. */
 const leastTimeForSend: Milliseconds = 20;
 /** When to come back where servers refused for lack of room; most work of plain services is done by then. */
@@ -81,6 +83,7 @@
         events: 0,
         memoryTokens: expectedMemory(request),
         waitingTokens: continuesFrom === undefined ? head.promptTokens : 0,
+        move: undefined,
         lastHeard: now,
     };
     request.attempt = attempt;
@@ -184,6 +187,11 @@
     if (request === undefined || attempt === undefined) {
         return;
     }
+    if (attempt.move?.phase === "stopping") {
+        // The run was stopped for its move; what follows is decided when the move is complete.
+        attempt.move.hasRunEnded = true;
+        return;
+    }
     noteHealth(transaction, attempt, event.failure);
     endAttempt(transaction, request, attempt, "ended");
     if (!event.wasSent) {
@@ -234,7 +242,7 @@
 
 /** Whether time, sends and the retry budget allow another send. */
 export function canSendAgain({ state, now }: Transaction, request: GatewayRequest): boolean {
-    return request.sends < mostSends
+    return request.sends < (request.route.isStream ? mostStreamSends : mostSends)
         && request.finishBy - now >= leastTimeForSend
         && repeatsLeft(state.budget, request.service, liveInstances(state, now), now) >= 1;
 }
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -4,6 +4,7 @@
 import type {
     AttemptId,
     BackendServerId,
+    CallerAttemptId,
     Failure,
     LogOffset,
     Milliseconds,
@@ -37,6 +38,16 @@
     | { readonly kind: "answerCut"; readonly requestId: RequestId; }
     | { readonly kind: "answerFailure"; readonly requestId: RequestId; readonly failure: Failure; }
     | { readonly kind: "probeServer"; readonly backendServer: BackendServerId; readonly address: string; }
+    | {
+        readonly kind: "moveRun";
+        readonly requestId: RequestId;
+        readonly attemptId: AttemptId;
+        readonly callerAttemptId: CallerAttemptId;
+        readonly sourceAddress: string;
+        readonly targetAddress: string;
+        /** Whether the run stops first, so that nothing new is made after the copy. */
+        readonly isLast: boolean;
+    }
     | { readonly kind: "exchangeReports"; readonly address: PeerAddress; readonly report: PeerReport; }
     | { readonly kind: "readTopic"; readonly topic: TopicName; readonly from: LogOffset; readonly wait: Milliseconds; }
     | { readonly kind: "readSnapshot"; readonly topic: TopicName; }
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -65,6 +65,14 @@
     readonly runs: readonly ReportedRun[];
 }
 
+/** How a move of a run's memory ended. */
+export type MoveResult =
+    /** The copy is complete at its target. */
+    | { readonly kind: "moved"; readonly handle: string; }
+    /** There was no room; a run that was stopped for the move can go on at its source from the handle. */
+    | { readonly kind: "refused"; readonly handle: string | undefined; }
+    | { readonly kind: "failed"; };
+
 /** Everything that can happen. */
 export type GatewayEvent =
     | { readonly kind: "tick"; }
@@ -102,6 +110,13 @@
         readonly next: LogOffset;
     }
     | { readonly kind: "topicReadFailed"; readonly topic: TopicName; readonly failure: ReadFailure; }
+    | {
+        readonly kind: "moveAnswered";
+        readonly requestId: RequestId;
+        readonly attemptId: AttemptId;
+        readonly isLast: boolean;
+        readonly result: MoveResult;
+    }
     | { readonly kind: "peerReported"; readonly report: PeerReport; readonly items: PeerItems; }
     | { readonly kind: "peerFailed"; readonly address: PeerAddress; }
     | { readonly kind: "settingsChanged"; readonly options: GatewayOptions; }
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -5,6 +5,7 @@
 import { createServerHealth, type DutyPatience, dutyPatience, dutyRank } from "@verbenaspring/coordination";
 import type { BackendServerId, LogOffset, Milliseconds, ServiceName } from "@verbenaspring/model";
 import { applyRecord, applyRemoval, type BackendChange, forgetRemoved } from "./backendServers.js";
+import { evacuate } from "./evacuation.js";
 import type { DecodedItem, GatewayEvent, TopicName, TopicRecord } from "./event.js";
 import { informPeers, livePeers } from "./peers.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
@@ -204,6 +205,9 @@
         state.health.set(id, createServerHealth());
     }
     const known = state.servers.get(id);
+    if (change === "leaving" || change === "removed") {
+        evacuate(transaction, id);
+    }
     record(transaction, "info", "backend_server_changed", {
         server: id,
         change,
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -7,6 +7,7 @@
 import { takeAnswer, takeAttemptFailed, tendRequests } from "./attempts.js";
 import { takeStopRequested, tendStop } from "./draining.js";
 import type { GatewayEffect } from "./effect.js";
+import { takeMoveAnswered } from "./evacuation.js";
 import type { GatewayEvent } from "./event.js";
 import { takeTopicRead, takeTopicReadFailed, tendFollowers } from "./followers.js";
 import type { GatewayOptions } from "./options.js";
@@ -61,6 +62,8 @@
             return takeTopicRead(transaction, event);
         case "topicReadFailed":
             return takeTopicReadFailed(transaction, event);
+        case "moveAnswered":
+            return takeMoveAnswered(transaction, event);
         case "peerReported":
             return takePeerReport(transaction, event);
         case "peerFailed":
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -4,11 +4,13 @@
  */
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
 import { type AttemptOutcome, canSendAgain, continueAfter, endAttempt, judge, noteHealth, sendTo } from "./attempts.js";
+import type { BackendServer } from "./backendServers.js";
+import { evacuateStarted } from "./evacuation.js";
 import type { BackendHead, StreamEvent } from "./messages.js";
 import { describe, finish } from "./requests.js";
 import { noteEventsLoad } from "./serverLoad.js";
 import { noteHeard } from "./silence.js";
-import type { Attempt, GatewayRequest } from "./state.js";
+import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { record, type Transaction } from "./transaction.js";
 
 /** The weight of the newest stream in the moving average of the pace. */
@@ -66,6 +68,7 @@
     attempt.events += events.length;
     noteHeard(state, attempt.server.record.id, now);
     passOn(transaction, request, attempt, fresh);
+    evacuateStarted(transaction, attempt);
 }
 
 function compareToLast({ lastEvent }: GatewayRequest, { id }: StreamEvent): "next" | "repeated" | "missing" {
@@ -137,10 +140,8 @@
     attempt: Attempt,
     outcome: AttemptOutcome,
 ): boolean {
-    const { state } = transaction;
-    const replica = attempt.replica === undefined ? undefined : state.servers.get(attempt.replica.record.id);
-    const isSameReplica = replica?.incarnation === attempt.replica?.incarnation;
-    if (replica === undefined || !isSameReplica || replica.removedAt !== undefined || outcome === "refused_by_server") {
+    const replica = liveReplica(transaction.state, attempt);
+    if (replica === undefined || outcome === "refused_by_server") {
         return false;
     }
     if (!canSendAgain(transaction, request)) {
@@ -155,3 +156,9 @@
     sendTo(transaction, request, { server: replica, continuesFrom: copy });
     return true;
 }
+
+/** The server that keeps the copy of a run, where it still does. */
+export function liveReplica({ servers }: GatewayState, { replica }: Attempt): BackendServer | undefined {
+    const known = replica === undefined ? undefined : servers.get(replica.record.id);
+    return known?.incarnation === replica?.incarnation && known?.removedAt === undefined ? known : undefined;
+}
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -6,13 +6,14 @@
     type GatewayEffect,
     type GatewayEvent,
     type GatewayOptions,
+    type MoveResult,
     reduceGateway,
     type ServerReport,
     type TopicItem,
     type TopicName,
     type TopicRecord,
 } from "@verbenaspring/gateway";
-import { identifier, type LogOffset, type Milliseconds } from "@verbenaspring/model";
+import { type CallerAttemptId, identifier, type LogOffset, type Milliseconds } from "@verbenaspring/model";
 import type { BackendWire } from "./backendChannels.js";
 import { type Daemon, describeError } from "./daemon.js";
 import { runLoop } from "./eventLoop.js";
@@ -41,6 +42,14 @@
 export interface GatewayAdapter extends BackendWire {
     readonly decodeCallerHead: DecodeCallerHead;
     readonly topics: TopicReader;
+    /** Copies a run's memory from its server to another; resolves when the copy is complete or has failed. */
+    readonly moveRun: (
+        address: string,
+        callerAttemptId: CallerAttemptId,
+        target: string,
+        isLast: boolean,
+        timeout: Milliseconds,
+    ) => Promise<MoveResult>;
     /** Asks a backend server for a report; undefined where none came in time. */
     readonly readReport: (address: string, timeout: Milliseconds) => Promise<ServerReport | undefined>;
 }
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -29,6 +29,9 @@
 /** A server that lives answers in a few milliseconds; the rest is for a slow link. */
 const probeTimeout: Milliseconds = 500;
 
+/** A server that leaves is gone a few seconds after its notice; a copy that takes longer comes too late. */
+const moveTimeout: Milliseconds = 3_000;
+
 /** The gateway's hands. */
 export class GatewayRunner {
     readonly events = createEventChannel<GatewayEvent>();
@@ -108,6 +111,8 @@
                 this.callers.writeFailure(effect.requestId, effect.failure);
                 this.metrics.count("verbenaspring_failures_total", { type: effect.failure.type });
                 return this.forget(effect.requestId);
+            case "moveRun":
+                return this.moveRun(effect);
             case "exchangeReports":
                 return this.peers.exchange(effect.address, effect.report);
             case "probeServer":
@@ -217,6 +222,14 @@
         });
     }
 
+    private moveRun(effect: Extract<GatewayEffect, { readonly kind: "moveRun"; }>): void {
+        const { requestId, attemptId, callerAttemptId, sourceAddress, targetAddress, isLast } = effect;
+        void this.adapter.moveRun(sourceAddress, callerAttemptId, targetAddress, isLast, moveTimeout).then(result => {
+            this.metrics.count("verbenaspring_moves_total", { result: result.kind });
+            this.events.push({ kind: "moveAnswered", requestId, attemptId, isLast, result });
+        });
+    }
+
     private record({ level, event, fields }: Decision): void {
         this.metrics.count("verbenaspring_decisions_total", { event });
         this.log(level, event, fields);
