--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -48,7 +48,9 @@
         /** Whether the run stops first, so that nothing new is made after the copy. */
         readonly isLast: boolean;
     }
-    | { readonly kind: "exchangeReports"; readonly address: PeerAddress; readonly report: PeerReport; }
+    | { readonly kind: "openPeerLink"; readonly address: PeerAddress; readonly report: PeerReport; }
+    | { readonly kind: "sendReport"; readonly address: PeerAddress; readonly report: PeerReport; }
+    | { readonly kind: "closePeerLink"; readonly address: PeerAddress; }
     | { readonly kind: "readTopic"; readonly topic: TopicName; readonly from: LogOffset; readonly wait: Milliseconds; }
     | { readonly kind: "readSnapshot"; readonly topic: TopicName; }
     | { readonly kind: "applyLimits"; readonly limits: CallerLimits; }
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -118,6 +118,6 @@
         readonly result: MoveResult;
     }
     | { readonly kind: "peerReported"; readonly report: PeerReport; readonly items: PeerItems; }
-    | { readonly kind: "peerFailed"; readonly address: PeerAddress; }
+    | { readonly kind: "peerLinkClosed"; readonly address: PeerAddress; }
     | { readonly kind: "settingsChanged"; readonly options: GatewayOptions; }
     | { readonly kind: "stopRequested"; };
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -33,7 +33,9 @@
     readonly members: readonly PeerAddress[];
     readonly isStopping: boolean;
     readonly topics: readonly PeerTopic[];
+    /** Where the report is not full, only the loads that changed since the one before; one of nothing ends a load. */
     readonly loads: readonly PeerLoad[];
+    readonly isFull: boolean;
 }
 
 /** The items of a report, decoded. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -7,28 +7,29 @@
 import type { GatewayEvent, TopicName } from "./event.js";
 import { takeItems } from "./followers.js";
 import type { PeerLoad, PeerReport, PeerTopic } from "./peerReport.js";
+import { engineOf } from "./serverLoad.js";
 import type { GatewayState, Peer } from "./state.js";
 import { record, type Transaction } from "./transaction.js";
 
 type PeerReported = Extract<GatewayEvent, { readonly kind: "peerReported"; }>;
 
-/** The shortest time between two reports to one peer. */
-const shortestInterval: Milliseconds = 150;
-/** The time between two reports to one peer grows with their number, so that the work stays the same. */
-const intervalForPeer: Milliseconds = 12;
-/** A peer from which nothing came for so many intervals counts as gone. */
-const intervalsUntilGone = 6;
-const shortestLife: Milliseconds = 1_500;
+/** A peer hears from this gateway at least this often. */
+const heartbeatInterval: Milliseconds = 500;
+/** The shortest time between two reports to one peer that only carry loads. */
+const loadInterval: Milliseconds = 100;
+/** The same for each peer, so that the work of reports is bounded where there are many. */
+const loadIntervalForPeer: Milliseconds = 8;
+/** A peer from which nothing came for this long counts as gone, and its link as silent. */
+const silenceLimit: Milliseconds = 1_500;
 const shortestRetry: Milliseconds = 200;
 const longestRetry: Milliseconds = 2_000;
-/** A peer that is not a seed and has failed for so often in a row is forgotten. */
-const failuresUntilForgotten = 40;
+/** A peer that is not a seed and could not be reached for so often in a row is forgotten. */
+const failuresUntilForgotten = 30;
 const topicNames: readonly TopicName[] = ["configuration", "backendServers"];
 
 /** The other gateways that live. */
 export function livePeers(state: GatewayState, now: Milliseconds): readonly Peer[] {
-    const longestSilence = Math.max(shortestLife, intervalsUntilGone * intervalOf(state));
-    return [...state.peers.values()].filter(({ heardAt }) => heardAt !== undefined && now - heardAt <= longestSilence);
+    return [...state.peers.values()].filter(peer => isLive(peer, now));
 }
 
 /** Gateways that live, this one included. */
@@ -36,38 +37,61 @@
     return livePeers(state, now).length + 1;
 }
 
-function intervalOf(state: GatewayState): Milliseconds {
-    return Math.max(shortestInterval, intervalForPeer * state.peers.size);
+function isLive({ heardAt }: Peer, now: Milliseconds): boolean {
+    return heardAt !== undefined && now - heardAt <= silenceLimit;
 }
 
-/** Sends the reports that are due. */
+/** Opens links, leaves silent ones, and sends the reports that are due. */
 export function tendPeers(transaction: Transaction): void {
-    const { state, now } = transaction;
+    const { state } = transaction;
     state.options.seedAddresses.forEach(address => learnPeer(state, address));
-    for (const peer of [...state.peers.values()]) {
-        if (now >= peer.exchangeAgainAt) {
-            exchange(transaction, peer);
+    [...state.peers.values()].forEach(peer => tendPeer(transaction, peer));
+}
+
+function tendPeer(transaction: Transaction, peer: Peer): void {
+    const { state, now, effects } = transaction;
+    if (peer.link === "closed") {
+        if (now >= peer.openAgainAt) {
+            startLink(peer, "opening", now);
+            effects.push({ kind: "openPeerLink", address: peer.address, report: reportFor(state, peer, now) });
         }
+        return;
+    }
+    if (now - Math.max(peer.openedAt, peer.heardAt ?? 0) > silenceLimit) {
+        effects.push({ kind: "closePeerLink", address: peer.address });
+        return takePeerLinkClosed(transaction, peer.address);
+    }
+    const shortestGap = Math.max(loadInterval, loadIntervalForPeer * state.peers.size);
+    const gap = now - peer.sentAt;
+    if (peer.link === "open" && (gap >= heartbeatInterval || (gap >= shortestGap && hasNewLoads(state, peer)))) {
+        sendReport(transaction, peer);
     }
 }
 
-/** Tells all peers at once what changed. */
+/** Tells all peers at once what was read. */
 export function informPeers(transaction: Transaction): void {
-    livePeers(transaction.state, transaction.now).forEach(peer => exchange(transaction, peer));
+    for (const peer of transaction.state.peers.values()) {
+        if (peer.link === "open") {
+            sendReport(transaction, peer);
+        }
+    }
 }
 
-function exchange(transaction: Transaction, peer: Peer): void {
-    const { state, now, effects } = transaction;
-    if (peer.isExchanging) {
-        // What changed meanwhile goes out as soon as the answer is here.
-        peer.exchangeAgainAt = now;
-        return;
-    }
-    peer.isExchanging = true;
-    peer.exchangeAgainAt = now + intervalOf(state);
-    effects.push({ kind: "exchangeReports", address: peer.address, report: reportFor(state, peer, now) });
+function sendReport({ state, now, effects }: Transaction, peer: Peer): void {
+    effects.push({ kind: "sendReport", address: peer.address, report: reportFor(state, peer, now) });
+    peer.sentAt = now;
+}
+
+function startLink(peer: Peer, link: "opening" | "open", now: Milliseconds): void {
+    peer.link = link;
+    peer.openedAt = now;
+    peer.sentAt = now;
+    peer.toldLoads.clear();
+    peer.through = unknownThrough;
 }
 
+const unknownThrough = { configuration: undefined, backendServers: undefined };
+
 function learnPeer(state: GatewayState, address: PeerAddress): void {
     if (address === state.options.peerAddress || state.peers.has(address)) {
         return;
@@ -77,46 +101,86 @@
         incarnation: undefined,
         isStopping: false,
         heardAt: undefined,
-        isExchanging: false,
-        exchangeAgainAt: 0,
+        link: "closed",
+        openAgainAt: 0,
+        openedAt: 0,
+        sentAt: 0,
         failures: 0,
-        through: { configuration: undefined, backendServers: undefined },
+        toldLoads: new Map(),
+        through: unknownThrough,
         loads: new Map(),
     });
 }
 
-/**
- * What this gateway tells a peer.
- *
- * @param peer the receiver; undefined where it is not known yet
- * @example
- * const report = reportFor(state, state.peers.get(address), now);
- */
-export function reportFor(state: GatewayState, peer: Peer | undefined, now: Milliseconds): PeerReport {
+/** What a peer is told now. It is taken as told, since a link loses nothing before it closes. */
+function reportFor(state: GatewayState, peer: Peer, now: Milliseconds): PeerReport {
+    const isFull = peer.toldLoads.size === 0;
+    const loads = newLoads(state, peer);
+    loads.forEach(load => peer.toldLoads.set(load.backendServer, load));
+    const topics = topicNames.map(name => topicFor(state, name, peer, now));
+    if (peer.link === "open") {
+        peer.through = {
+            configuration: furthest(peer.through.configuration, state.followers.configuration.next),
+            backendServers: furthest(peer.through.backendServers, state.followers.backendServers.next),
+        };
+    }
     return {
         address: state.options.peerAddress,
         incarnation: state.incarnation,
         members: livePeers(state, now).map(({ address }) => address),
         isStopping: state.stopRequestedAt !== undefined,
-        topics: topicNames.map(name => topicFor(state, name, peer?.through[name], now)),
-        loads: [...state.loads].map(([backendServer, load]) => ({ backendServer, ...load })),
+        topics,
+        loads,
+        isFull,
     };
 }
 
-function topicFor(
-    state: GatewayState,
-    name: TopicName,
-    known: LogOffset | undefined,
-    now: Milliseconds,
-): PeerTopic {
+function furthest(one: LogOffset | undefined, other: LogOffset | undefined): LogOffset | undefined {
+    return one === undefined || (other !== undefined && other > one) ? other : one;
+}
+
+function hasNewLoads(state: GatewayState, peer: Peer): boolean {
+    return newLoads(state, peer).length > 0;
+}
+
+/** Loads of engines that the peer was not told of. Plain services are balanced by what each gateway sees itself. */
+function newLoads(state: GatewayState, { toldLoads }: Peer): PeerLoad[] {
+    const ended = [...toldLoads.values()]
+        .filter(told => !state.loads.has(told.backendServer) && !isNothing(told))
+        .map(({ backendServer }) => ({ backendServer, inProgress: 0, memoryTokens: 0, waitingTokens: 0 }));
+    const changed = [...state.loads]
+        .filter(([id]) => isEngine(state, id))
+        .map(([backendServer, load]) => ({ backendServer, ...load }))
+        .filter(load => !isSame(load, toldLoads.get(load.backendServer)));
+    return [...changed, ...ended];
+}
+
+function isEngine(state: GatewayState, id: BackendServerId): boolean {
+    const server = state.servers.get(id);
+    return server !== undefined && engineOf(state, server.record.service) !== undefined;
+}
+
+function isNothing({ inProgress, memoryTokens }: PeerLoad): boolean {
+    return inProgress === 0 && memoryTokens === 0;
+}
+
+function isSame(one: PeerLoad, other: PeerLoad | undefined): boolean {
+    return one.inProgress === other?.inProgress
+        && one.memoryTokens === other.memoryTokens
+        && one.waitingTokens === other.waitingTokens;
+}
+
+function topicFor(state: GatewayState, name: TopicName, peer: Peer, now: Milliseconds): PeerTopic {
     const { next, changedThrough, items, freshAsOf } = state.followers[name];
-    const age = freshAsOf === undefined ? 0 : now - freshAsOf;
     if (next === undefined || freshAsOf === undefined) {
-        return { name, through: undefined, age, items: [] };
+        return { name, through: undefined, age: 0, items: [] };
     }
-    const isBehind = known === undefined || changedThrough > known;
-    const missing = isBehind ? [...items.values()].filter(({ offset }) => offset >= (known ?? 0)) : [];
-    return { name, through: next, age, items: missing };
+    // What the peer has is only known once it has reported on this link.
+    const known: LogOffset = peer.through[name] ?? 0;
+    const isBehind = peer.link === "open" && changedThrough > known;
+    const missing = isBehind ? [...items.values()].filter(({ offset }) => offset >= known) : [];
+    const isTold = peer.link === "open";
+    return { name, through: isTold ? next : undefined, age: now - freshAsOf, items: missing };
 }
 
 /** Takes a peer's report. */
@@ -127,42 +191,52 @@
     if (peer === undefined) {
         return;
     }
-    if (peer.incarnation !== report.incarnation) {
+    const isNewLife = peer.incarnation !== report.incarnation;
+    if (isNewLife) {
         record(transaction, "info", "peer_joined", { peer: peer.address, incarnation: report.incarnation });
     }
+    if (peer.link !== "open" || (isNewLife && peer.incarnation !== undefined)) {
+        startLink(peer, "open", now);
+    }
     report.members.forEach(address => learnPeer(state, address));
     peer.incarnation = report.incarnation;
     peer.isStopping = report.isStopping;
     peer.heardAt = now;
-    peer.isExchanging = false;
     peer.failures = 0;
-    peer.loads = new Map(report.loads.map(load => [load.backendServer, load]));
-    const throughOf = (name: TopicName): LogOffset | undefined =>
-        report.topics.find(topic => topic.name === name)?.through;
-    peer.through = { configuration: throughOf("configuration"), backendServers: throughOf("backendServers") };
-    report.topics.forEach(topic => takePeerTopic(transaction, topic, items));
+    const kept = report.isFull ? [] : peer.loads;
+    peer.loads = new Map([...kept, ...report.loads.map(load => [load.backendServer, load] as const)]);
+    report.topics.forEach(topic => takePeerTopic(transaction, peer, topic, items));
 }
 
-function takePeerTopic(transaction: Transaction, topic: PeerTopic, items: PeerReported["items"]): void {
+function takePeerTopic(
+    transaction: Transaction,
+    peer: Peer,
+    topic: PeerTopic,
+    items: PeerReported["items"],
+): void {
     const { state, now } = transaction;
     const follower = state.followers[topic.name];
-    if (topic.through === undefined || topic.through < (follower.next ?? 0)) {
+    if (topic.through === undefined) {
+        return;
+    }
+    peer.through = { ...peer.through, [topic.name]: Math.max(peer.through[topic.name] ?? 0, topic.through) };
+    if (topic.through < (follower.next ?? 0)) {
         return;
     }
     takeItems(transaction, topic.name, items[topic.name], topic.through);
     follower.freshAsOf = Math.max(follower.freshAsOf ?? 0, now - topic.age);
 }
 
-/** Takes an exchange that failed. */
-export function takePeerFailed(transaction: Transaction, address: PeerAddress): void {
+/** Takes the end of a link, or a link that could not be opened. */
+export function takePeerLinkClosed(transaction: Transaction, address: PeerAddress): void {
     const { state, now, source } = transaction;
     const peer = state.peers.get(address);
-    if (peer === undefined) {
+    if (peer === undefined || peer.link === "closed") {
         return;
     }
-    peer.isExchanging = false;
+    peer.link = "closed";
     peer.failures++;
-    peer.exchangeAgainAt = now + backoff(peer.failures, shortestRetry, longestRetry, source.random);
+    peer.openAgainAt = now + backoff(peer.failures, shortestRetry, longestRetry, source.random);
     if (peer.failures === 1) {
         record(transaction, "info", "peer_unreachable", { peer: address, incarnation: peer.incarnation });
     }
@@ -175,11 +249,13 @@
 /** What the live peers have at work at a server, together. */
 export function peerLoad(state: GatewayState, id: BackendServerId, now: Milliseconds): Omit<PeerLoad, "backendServer"> {
     const total = { inProgress: 0, memoryTokens: 0, waitingTokens: 0 };
-    for (const { loads } of livePeers(state, now)) {
-        const load = loads.get(id);
-        total.inProgress += load?.inProgress ?? 0;
-        total.memoryTokens += load?.memoryTokens ?? 0;
-        total.waitingTokens += load?.waitingTokens ?? 0;
+    for (const peer of state.peers.values()) {
+        const load = peer.loads.get(id);
+        if (load !== undefined && isLive(peer, now)) {
+            total.inProgress += load.inProgress;
+            total.memoryTokens += load.memoryTokens;
+            total.waitingTokens += load.waitingTokens;
+        }
     }
     return total;
 }
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -11,7 +11,7 @@
 import type { GatewayEvent } from "./event.js";
 import { takeTopicRead, takeTopicReadFailed, tendFollowers } from "./followers.js";
 import type { GatewayOptions } from "./options.js";
-import { takePeerFailed, takePeerReport, tendPeers } from "./peers.js";
+import { takePeerLinkClosed, takePeerReport, tendPeers } from "./peers.js";
 import { takeCallerLeft, takeRequest } from "./requests.js";
 import { takeServerProbed } from "./silence.js";
 import type { GatewayState } from "./state.js";
@@ -66,8 +66,8 @@
             return takeMoveAnswered(transaction, event);
         case "peerReported":
             return takePeerReport(transaction, event);
-        case "peerFailed":
-            return takePeerFailed(transaction, event.address);
+        case "peerLinkClosed":
+            return takePeerLinkClosed(transaction, event.address);
         case "settingsChanged":
             return takeSettings(transaction, event.options);
         case "stopRequested":
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -109,9 +109,13 @@
     isStopping: boolean;
     /** When its last report came. */
     heardAt: Milliseconds | undefined;
-    isExchanging: boolean;
-    exchangeAgainAt: Milliseconds;
+    link: "closed" | "opening" | "open";
+    openAgainAt: Milliseconds;
+    openedAt: Milliseconds;
+    sentAt: Milliseconds;
     failures: number;
+    /** What it was last told of each load, on this link. */
+    readonly toldLoads: Map<BackendServerId, PeerLoad>;
     /** How far it knows each topic. */
     through: Readonly<Record<TopicName, LogOffset | undefined>>;
     loads: ReadonlyMap<BackendServerId, PeerLoad>;
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -10,7 +10,6 @@
     isGatewayReady,
     type PeerReport,
     type ReadFailure,
-    reportFor,
     type TopicItem,
     type TopicName,
 } from "@verbenaspring/gateway";
@@ -18,7 +17,7 @@
 import { createServer, type Server } from "node:http";
 import { type BackendChannels, createBackendChannels } from "./backendChannels.js";
 import { createDeferred } from "./daemon.js";
-import { createEventChannel, monotonicNow } from "./eventLoop.js";
+import { createEventChannel } from "./eventLoop.js";
 import { createGatewayCallers, type GatewayCallers } from "./gatewayCallers.js";
 import type { GatewayAdapter, GatewayDaemonOptions, TopicPage } from "./gatewayDaemon.js";
 import { listen } from "./listening.js";
@@ -113,8 +112,12 @@
                 return this.forget(effect.requestId);
             case "moveRun":
                 return this.moveRun(effect);
-            case "exchangeReports":
-                return this.peers.exchange(effect.address, effect.report);
+            case "openPeerLink":
+                return this.peers.open(effect.address, effect.report);
+            case "sendReport":
+                return this.peers.send(effect.address, effect.report);
+            case "closePeerLink":
+                return this.peers.drop(effect.address);
             case "probeServer":
                 void this.adapter.readReport(effect.address, probeTimeout).then(report =>
                     this.events.push({ kind: "serverProbed", backendServer: effect.backendServer, report })
@@ -213,12 +216,8 @@
 
     private createPeers(): PeerLinks {
         return createPeerLinks({
-            answer: report => {
-                this.takeReport(report);
-                return reportFor(this.state, this.state.peers.get(report.address), monotonicNow());
-            },
             reported: report => this.takeReport(report),
-            failed: address => this.events.push({ kind: "peerFailed", address }),
+            closed: address => this.events.push({ kind: "peerLinkClosed", address }),
         });
     }
 
--- a/packages/runtime/src/peerLinks.ts
+++ b/packages/runtime/src/peerLinks.ts
@@ -1,52 +1,111 @@
 /**
- * Calls between gateways: reports go both ways in one call.
+ * Links between gateways: streams that carry reports both ways. Two gateways may each have opened one; either carries.
  */
-import { type Client, createClient } from "@connectrpc/connect";
+import { createClient } from "@connectrpc/connect";
 import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import type { PeerReport, TopicName } from "@verbenaspring/gateway";
-import { identifier, type Milliseconds, type PeerAddress } from "@verbenaspring/model";
+import { identifier, type PeerAddress } from "@verbenaspring/model";
 import { GatewayPeerService, type PeerReport as PeerReportMessage } from "@verbenaspring/schema";
 import { createServer, type ServerHttp2Session } from "node:http2";
 import { listen } from "./listening.js";
 
-/** What calls report. */
+/** What links report. */
 export interface PeerHandlers {
-    /** Takes a peer's report and gives this gateway's. */
-    readonly answer: (report: PeerReport) => PeerReport;
-    /** The answer to a call of this gateway. */
     readonly reported: (report: PeerReport) => void;
-    readonly failed: (address: PeerAddress) => void;
+    /** No link to the peer is left. */
+    readonly closed: (address: PeerAddress) => void;
 }
 
 /** The links of one gateway to the others. */
 export interface PeerLinks {
     readonly listen: (address: string) => Promise<void>;
-    readonly exchange: (address: PeerAddress, report: PeerReport) => void;
+    /** Opens a link, with a first report. */
+    readonly open: (address: PeerAddress, report: PeerReport) => void;
+    readonly send: (address: PeerAddress, report: PeerReport) => void;
+    /** Closes all links to a peer. */
+    readonly drop: (address: PeerAddress) => void;
     readonly close: () => void;
 }
 
+type ReportInit = Omit<PeerReportMessage, "$typeName" | "$unknown">;
+
+/** One direction of a link: reports wait here until the stream takes them. */
+interface ReportQueue {
+    readonly push: (report: PeerReport) => void;
+    readonly end: () => void;
+    readonly reports: () => AsyncGenerator<ReportInit>;
+}
+
 interface PeerLink {
-    readonly session: Http2SessionManager;
-    readonly client: Client<typeof GatewayPeerService>;
+    readonly queue: ReportQueue;
+    readonly abort: () => void;
 }
 
-/** A peer that lives answers in a few milliseconds; a call without an answer means a silent link. */
-const exchangeTimeout: Milliseconds = 600;
+/** Reports that may wait for a slow peer; the link is then closed and starts anew with a full one. */
+const mostWaiting = 64;
 
 /**
  * Creates the links.
  *
  * @example
- * const peers = createPeerLinks({ answer, reported, failed });
+ * const peers = createPeerLinks({ reported, closed });
  * await peers.listen("127.0.0.1:8748");
  */
 export function createPeerLinks(handlers: PeerHandlers): PeerLinks {
-    const links = new Map<PeerAddress, PeerLink>();
+    const links = new Map<PeerAddress, Set<PeerLink>>();
     const sessions = new Set<ServerHttp2Session>();
+
+    const add = (address: PeerAddress, link: PeerLink): void => {
+        const ofPeer = links.get(address) ?? new Set();
+        links.set(address, ofPeer.add(link));
+    };
+    const remove = (address: PeerAddress, link: PeerLink): void => {
+        link.queue.end();
+        link.abort();
+        const ofPeer = links.get(address);
+        if (ofPeer?.delete(link) === true && ofPeer.size === 0) {
+            links.delete(address);
+            handlers.closed(address);
+        }
+    };
+    const drop = (address: PeerAddress): void => {
+        const ofPeer = links.get(address) ?? new Set();
+        links.delete(address);
+        ofPeer.forEach(link => {
+            link.queue.end();
+            link.abort();
+        });
+    };
+    const receive = async (messages: AsyncIterable<PeerReportMessage>, link: PeerLink): Promise<void> => {
+        let address: PeerAddress | undefined;
+        try {
+            for await (const message of messages) {
+                const report = decodeReport(message);
+                if (address === undefined) {
+                    address = report.address;
+                    add(address, link);
+                }
+                handlers.reported(report);
+            }
+        }
+        catch {
+            // However a link ends, its end is reported, and the reducer decides what follows.
+        }
+        if (address !== undefined) {
+            remove(address, link);
+        }
+    };
+
     const server = createServer(connectNodeAdapter({
         routes: router =>
             router.service(GatewayPeerService, {
-                exchange: message => encodeReport(handlers.answer(decodeReport(message))),
+                follow: (messages, context) => {
+                    const queue = createReportQueue();
+                    const abort = new AbortController();
+                    context.signal.addEventListener("abort", queue.end);
+                    void receive(untilAborted(messages, abort.signal), { queue, abort: () => abort.abort() });
+                    return queue.reports();
+                },
             }),
     }));
     server.on("session", session => {
@@ -54,26 +113,37 @@
         session.on("error", () => session.destroy());
         session.on("close", () => sessions.delete(session));
     });
-    const drop = (address: PeerAddress): void => {
-        links.get(address)?.session.abort();
-        links.delete(address);
-    };
-    const call = async (address: PeerAddress, report: PeerReport): Promise<void> => {
-        const link = links.get(address) ?? openLink(address);
-        links.set(address, link);
-        try {
-            const answer = await link.client.exchange(encodeReport(report), { timeoutMs: exchangeTimeout });
-            handlers.reported(decodeReport(answer));
-        }
-        catch {
-            // The next call gets a link of its own, since nothing tells a silent link from a lost one.
-            drop(address);
-            handlers.failed(address);
-        }
+
+    const open = (address: PeerAddress, report: PeerReport): void => {
+        const session = new Http2SessionManager(`http://${address}`);
+        const abort = new AbortController();
+        const queue = createReportQueue();
+        const link: PeerLink = {
+            queue,
+            abort: () => {
+                abort.abort();
+                session.abort();
+            },
+        };
+        add(address, link);
+        queue.push(report);
+        const transport = createConnectTransport({
+            baseUrl: `http://${address}`,
+            httpVersion: "2",
+            sessionManager: session,
+            acceptCompression: [],
+        });
+        const stream = createClient(GatewayPeerService, transport).follow(queue.reports(), { signal: abort.signal });
+        void takeAll(stream, handlers).finally(() => remove(address, link));
     };
     return {
         listen: address => listen(server, address),
-        exchange: (address, report) => void call(address, report),
+        open,
+        send: (address, report) => {
+            const [link] = links.get(address) ?? [];
+            link?.queue.push(report);
+        },
+        drop,
         close: () => {
             [...links.keys()].forEach(drop);
             sessions.forEach(session => session.destroy());
@@ -82,24 +152,68 @@
     };
 }
 
-function openLink(address: PeerAddress): PeerLink {
-    const session = new Http2SessionManager(`http://${address}`);
-    const transport = createConnectTransport({
-        baseUrl: `http://${address}`,
-        httpVersion: "2",
-        sessionManager: session,
-        acceptCompression: [],
-    });
-    return { session, client: createClient(GatewayPeerService, transport) };
+async function takeAll(messages: AsyncIterable<PeerReportMessage>, handlers: PeerHandlers): Promise<void> {
+    try {
+        for await (const message of messages) {
+            handlers.reported(decodeReport(message));
+        }
+    }
+    catch {
+        // However a link ends, its end is reported, and the reducer decides what follows.
+    }
+}
+
+async function* untilAborted(
+    messages: AsyncIterable<PeerReportMessage>,
+    signal: AbortSignal,
+): AsyncGenerator<PeerReportMessage> {
+    for await (const message of messages) {
+        if (signal.aborted) {
+            return;
+        }
+        yield message;
+    }
+}
+
+function createReportQueue(): ReportQueue {
+    const waiting: PeerReport[] = [];
+    let hasEnded = false;
+    let wake: () => void = () => undefined;
+    const end = (): void => {
+        hasEnded = true;
+        wake();
+    };
+    async function* reports(): AsyncGenerator<ReportInit> {
+        while (!hasEnded) {
+            for (let report = waiting.shift(); report !== undefined; report = waiting.shift()) {
+                yield encodeReport(report);
+            }
+            if (!hasEnded) {
+                await new Promise<void>(resolve => wake = resolve);
+            }
+        }
+    }
+    return {
+        push: report => {
+            waiting.push(report);
+            if (waiting.length > mostWaiting) {
+                end();
+            }
+            wake();
+        },
+        end,
+        reports,
+    };
 }
 
-function encodeReport(report: PeerReport): Omit<PeerReportMessage, "$typeName" | "$unknown"> {
-    const { address, incarnation, members, isStopping, topics, loads } = report;
+function encodeReport(report: PeerReport): ReportInit {
+    const { address, incarnation, members, isStopping, topics, loads, isFull } = report;
     return {
         address,
         incarnation,
         members: [...members],
         isStopping,
+        isFull,
         topics: topics.map(topic => ({
             $typeName: "verbenaspring.v1.PeerTopic",
             name: topic.name,
@@ -117,12 +231,13 @@
 }
 
 function decodeReport(message: PeerReportMessage): PeerReport {
-    const { address, incarnation, members, isStopping, topics, loads } = message;
+    const { address, incarnation, members, isStopping, topics, loads, isFull } = message;
     return {
         address: identifier(address),
         incarnation: identifier(incarnation),
         members: members.map(member => identifier<PeerAddress>(member)),
         isStopping,
+        isFull,
         topics: topics.map(({ name, through, age, items }) => ({ name: name as TopicName, through, age, items })),
         loads: loads.map(load => ({ ...load, backendServer: identifier(load.backendServer) })),
     };
--- a/scripts/buildDeploy.mjs
+++ b/scripts/buildDeploy.mjs
@@ -6,7 +6,7 @@
     outdir: "target",
     outExtension: { ".js": ".mjs" },
     bundle: true,
-    minifySyntax: true,
+    minify: true,
     platform: "node",
     target: "node20",
     format: "esm",
