A moved stream goes on from its first copy

Change: the stream goes on from the copy of the first step and reads what was made meanwhile anew (some tens of tokens). Moves prefer a near target, whose copy takes half as long; reserve copies may fill engines to 0.8.

--- a/packages/coordination/src/placement.ts
+++ b/packages/coordination/src/placement.ts
@@ -76,12 +76,23 @@
     readonly isNear: boolean;
 }
 
-/** Copies are only kept in memory that stays free beside the runs, up to this share of it. */
-const copyLimit = 0.75;
+/** How a copy is placed. */
+export interface CopyRule {
+    /** The share of an engine's memory that it may fill. */
+    readonly limit: number;
+    /** What a place in the same failure domain, where a copy takes half as long, is worth in load. */
+    readonly nearAdvantage: number;
+}
+
+/** Copies that are kept in reserve only take memory that stays free beside the runs. */
+export const reserveCopies: CopyRule = { limit: 0.8, nearAdvantage: 0.1 };
+
+/** A stream that would else be lost may fill an engine further, and has to be there before its server is gone. */
+export const rescueCopies: CopyRule = { limit: 0.95, nearAdvantage: 0.3 };
 
 /**
  * The engine with the most free memory that can keep a copy of `share` of its memory, or undefined where all would be
- * fuller than `limit`: on crowded engines copies would push aside the runs that they are to protect.
+ * fuller than the limit: on crowded engines copies would push aside the runs that they are to protect.
  *
  * @example
  * const replica = chooseCopyHolder(others, other => viewOf(other), 0.12);
@@ -90,10 +101,8 @@
     candidates: readonly Candidate[],
     viewOf: (candidate: Candidate) => CopyView,
     share: number,
-    limit = copyLimit,
+    { limit, nearAdvantage }: CopyRule = reserveCopies,
 ): Candidate | undefined {
-    // A copy within one failure domain takes half as long; that is worth a little more load.
-    const nearAdvantage = 0.1;
     const costs = candidates.map(candidate => {
         const { load, isNear } = viewOf(candidate);
         return load + share > limit ? Infinity : load - (isNear ? nearAdvantage : 0);
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -83,7 +83,7 @@
         events: 0,
         memoryTokens: expectedMemory(request),
         waitingTokens: continuesFrom === undefined ? head.promptTokens : 0,
-        move: undefined,
+        moveTarget: undefined,
         lastHeard: now,
     };
     request.attempt = attempt;
@@ -187,11 +187,6 @@
     if (request === undefined || attempt === undefined) {
         return;
     }
-    if (attempt.move?.phase === "stopping") {
-        // The run was stopped for its move; what follows is decided when the move is complete.
-        attempt.move.hasRunEnded = true;
-        return;
-    }
     noteHealth(transaction, attempt, event.failure);
     endAttempt(transaction, request, attempt, "ended");
     if (!event.wasSent) {
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -45,8 +45,6 @@
         readonly callerAttemptId: CallerAttemptId;
         readonly sourceAddress: string;
         readonly targetAddress: string;
-        /** Whether the run stops first, so that nothing new is made after the copy. */
-        readonly isLast: boolean;
     }
     | { readonly kind: "openPeerLink"; readonly address: PeerAddress; readonly report: PeerReport; }
     | { readonly kind: "sendReport"; readonly address: PeerAddress; readonly report: PeerReport; }
--- a/packages/gateway/src/evacuation.ts
+++ b/packages/gateway/src/evacuation.ts
@@ -1,16 +1,16 @@
 /**
  * Moves streams away from a server that leaves. A run whose memory is copied elsewhere as it grows needs no move. The
- * others are copied while they run, then stopped for the last part; one at a time from each server, since all moves
- * share its link.
+ * others are copied while they run, and go on from the copy, which lacks only what was made meanwhile; one at a time from
+ * each server, since all moves share its link.
  */
-import { chooseCopyHolder } from "@verbenaspring/coordination";
+import { chooseCopyHolder, rescueCopies } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
-import { canSendAgain, continueAfter, endAttempt, sendTo } from "./attempts.js";
+import { canSendAgain, endAttempt, sendTo } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
-import type { GatewayEvent, MoveResult } from "./event.js";
+import type { GatewayEvent } from "./event.js";
 import { describe } from "./requests.js";
 import { copyView, engineOf, usableServers } from "./serverLoad.js";
-import type { Attempt, GatewayRequest, Move } from "./state.js";
+import type { Attempt, GatewayRequest } from "./state.js";
 import { liveReplica } from "./streams.js";
 import { record, type Transaction } from "./transaction.js";
 
@@ -29,7 +29,7 @@
     const { requests } = transaction.state;
     const streams = [...requests.values()].flatMap(request => movable(transaction, request));
     const atServer = streams.filter(({ attempt }) => attempt.server.record.id === id);
-    if (atServer.some(({ attempt }) => attempt.move !== undefined)) {
+    if (atServer.some(({ attempt }) => attempt.moveTarget !== undefined)) {
         return;
     }
     const [first] = atServer.sort((one, other) =>
@@ -43,7 +43,7 @@
 /** Moves a stream whose first event came after its server's notice. */
 export function evacuateStarted(transaction: Transaction, attempt: Attempt): void {
     const server = transaction.state.servers.get(attempt.server.record.id);
-    const isFirst = attempt.move === undefined && attempt.firstEventAt === transaction.now;
+    const isFirst = attempt.moveTarget === undefined && attempt.firstEventAt === transaction.now;
     if (isFirst && server?.leavingSince !== undefined) {
         evacuate(transaction, attempt.server.record.id);
     }
@@ -55,7 +55,8 @@
         return [];
     }
     const canMove = engineOf(transaction.state, request.service)?.canMove === true;
-    const isSafe = route.canResume || liveReplica(transaction.state, attempt) !== undefined;
+    const replica = liveReplica(transaction.state, attempt);
+    const isSafe = route.canResume || (replica !== undefined && replica.leavingSince === undefined);
     return canMove && !isSafe && restOf(transaction, request) > shortRest ? [{ request, attempt }] : [];
 }
 
@@ -74,8 +75,15 @@
         record(transaction, "warn", "move_without_target", describe(transaction, request));
         return;
     }
-    attempt.move = { target, phase: "copying", hasRunEnded: false };
-    askForMove(transaction, request, attempt, attempt.move);
+    attempt.moveTarget = target;
+    transaction.effects.push({
+        kind: "moveRun",
+        requestId: request.id,
+        attemptId: attempt.id,
+        callerAttemptId: request.head.callerAttemptId,
+        sourceAddress: attempt.server.record.address,
+        targetAddress: target.record.address,
+    });
 }
 
 function chooseTarget(
@@ -90,88 +98,29 @@
     const others = usableServers(state, request.service, now)
         .filter(server => server.record.id !== attempt.server.record.id);
     const share = attempt.memoryTokens / engine.memoryTokens;
-    return chooseCopyHolder(others, other => copyView(state, other, attempt.server, now), share, moveLimit);
+    return chooseCopyHolder(others, other => copyView(state, other, attempt.server, now), share, rescueCopies);
 }
 
-/** A stream that would else be lost may fill an engine's memory further than a copy that is only kept in reserve. */
-const moveLimit = 0.95;
-
-function askForMove(
-    { effects }: Transaction,
-    request: GatewayRequest,
-    attempt: Attempt,
-    { target, phase }: Move,
-): void {
-    effects.push({
-        kind: "moveRun",
-        requestId: request.id,
-        attemptId: attempt.id,
-        callerAttemptId: request.head.callerAttemptId,
-        sourceAddress: attempt.server.record.address,
-        targetAddress: target.record.address,
-        isLast: phase === "stopping",
-    });
-}
-
-/** Takes the end of a move. */
+/** Takes the end of a move: the stream goes on from the copy, and the old run ends. */
 export function takeMoveAnswered(transaction: Transaction, event: MoveAnswered): void {
     const request = transaction.state.attempts.get(event.attemptId);
     const attempt = request?.attempt;
-    if (request === undefined || attempt?.move === undefined) {
+    if (request === undefined || attempt?.moveTarget === undefined) {
         return;
     }
     const { result } = event;
+    const target = attempt.moveTarget;
     record(transaction, "info", "move_answered", {
         ...describe(transaction, request),
-        target: attempt.move.target.record.id,
-        isLast: event.isLast,
+        target: target.record.id,
         result: result.kind,
+        lastHeardAge: Math.round(transaction.now - attempt.lastHeard),
     });
-    if (attempt.move.phase === "copying") {
-        takeCopied(transaction, request, attempt, attempt.move, result);
-        return;
+    attempt.moveTarget = undefined;
+    if (result.kind === "moved" && canSendAgain(transaction, request)) {
+        endAttempt(transaction, request, attempt, "cancel");
+        const copy = { source: attempt.server.record.address, name: result.handle };
+        sendTo(transaction, request, { server: target, continuesFrom: copy });
     }
-    takeStopped(transaction, request, attempt, attempt.move, result);
     evacuate(transaction, attempt.server.record.id);
 }
-
-function takeCopied(
-    transaction: Transaction,
-    request: GatewayRequest,
-    attempt: Attempt,
-    move: Move,
-    result: MoveResult,
-): void {
-    if (result.kind !== "moved") {
-        // The run goes on where it is; the next stream may have more luck with another target.
-        attempt.move = undefined;
-        return;
-    }
-    move.phase = "stopping";
-    askForMove(transaction, request, attempt, move);
-}
-
-function takeStopped(
-    transaction: Transaction,
-    request: GatewayRequest,
-    attempt: Attempt,
-    move: Move,
-    result: MoveResult,
-): void {
-    const handle = result.kind === "failed" ? undefined : result.handle;
-    const server = result.kind === "moved" ? move.target : attempt.server;
-    if (handle === undefined) {
-        attempt.move = undefined;
-        if (move.hasRunEnded) {
-            endAttempt(transaction, request, attempt, "ended");
-            continueAfter(transaction, request, attempt, "answer_truncated");
-        }
-        return;
-    }
-    endAttempt(transaction, request, attempt, move.hasRunEnded ? "ended" : "cancel");
-    if (!canSendAgain(transaction, request)) {
-        return continueAfter(transaction, request, attempt, "answer_truncated");
-    }
-    const copy = { source: attempt.server.record.address, name: handle };
-    sendTo(transaction, request, { server, continuesFrom: copy });
-}
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -69,8 +69,8 @@
 export type MoveResult =
     /** The copy is complete at its target. */
     | { readonly kind: "moved"; readonly handle: string; }
-    /** There was no room; a run that was stopped for the move can go on at its source from the handle. */
-    | { readonly kind: "refused"; readonly handle: string | undefined; }
+    /** The server had no such run, or the target no room. */
+    | { readonly kind: "refused"; }
     | { readonly kind: "failed"; };
 
 /** Everything that can happen. */
@@ -114,7 +114,6 @@
         readonly kind: "moveAnswered";
         readonly requestId: RequestId;
         readonly attemptId: AttemptId;
-        readonly isLast: boolean;
         readonly result: MoveResult;
     }
     | { readonly kind: "peerReported"; readonly report: PeerReport; readonly items: PeerItems; }
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -36,19 +36,11 @@
     memoryTokens: number;
     /** Tokens of the prompt until the first event. */
     waitingTokens: number;
-    move: Move | undefined;
+    /** Where the run's memory is being moved to, from which the stream then goes on. */
+    moveTarget: BackendServer | undefined;
     lastHeard: Milliseconds;
 }
 
-/** A move of a run's memory to another server, from which the stream then goes on. */
-export interface Move {
-    readonly target: BackendServer;
-    /** While copying the run goes on; the last part is copied once it has stopped. */
-    phase: "copying" | "stopping";
-    /** Whether the run's channel has ended meanwhile. */
-    hasRunEnded: boolean;
-}
-
 /** One request of a caller, until its final answer. */
 export interface GatewayRequest {
     readonly id: RequestId;
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -47,7 +47,6 @@
         address: string,
         callerAttemptId: CallerAttemptId,
         target: string,
-        isLast: boolean,
         timeout: Milliseconds,
     ) => Promise<MoveResult>;
     /** Asks a backend server for a report; undefined where none came in time. */
