--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -45,7 +45,7 @@
         },
     },
     {
-        files: ["packages/runtime/src/entryRunner.ts"],
+        files: ["packages/runtime/src/entryRunner.ts", "packages/runtime/src/gatewayRunner.ts"],
         // A runner is one switch over all effects.
         rules: { complexity: ["error", 24] },
     },
--- /dev/null
+++ b/packages/coordination/test/gatewayPolicy.test.ts
@@ -0,0 +1,132 @@
+import {
+    chooseCopyHolder,
+    chooseServer,
+    createRetryBudget,
+    createServerHealth,
+    dutyPatience,
+    dutyRank,
+    noteFailure,
+    noteRepeat,
+    noteRequest,
+    noteSuccess,
+    type PlacementView,
+    repeatsLeft,
+    reserveCopies,
+    seededSource,
+    withoutEjected,
+} from "@verbenaspring/coordination";
+import { identifier } from "@verbenaspring/model";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+
+const service = identifier<never>("service");
+const { random } = seededSource(3);
+
+function view(differences: Partial<PlacementView> = {}): PlacementView {
+    return {
+        load: 0.2,
+        memoryLoad: 0,
+        waitingTokens: 0,
+        failureShare: 0,
+        responseTime: 20,
+        isWarmingUp: false,
+        isNear: true,
+        ...differences,
+    };
+}
+
+test("the less loaded, the sooner read, the healthier and the faster server is chosen", () => {
+    const worse: Partial<PlacementView>[] = [
+        { load: 0.6 },
+        { memoryLoad: 0.5 },
+        { waitingTokens: 6_000 },
+        { failureShare: 0.4 },
+        { responseTime: 90 },
+        { isWarmingUp: true },
+    ];
+    for (const differences of worse) {
+        const views = [view(differences), view()];
+        assert.is(chooseServer(views, each => each, random), views[1], JSON.stringify(differences));
+    }
+    assert.is(chooseServer([], each => each, random), undefined);
+});
+
+test("servers that are equal are chosen by turns, so that no herd forms", () => {
+    const views = [view(), view(), view()];
+    const counts = views.map(() => 0);
+    for (let choice = 0; choice < 300; choice++) {
+        counts[views.indexOf(chooseServer(views, each => each, random)!)]++;
+    }
+    assert.ok(counts.every(count => count > 50), counts.join(" "));
+});
+
+test("a burst that fills one engine's memory goes to the others before runs push each other aside", () => {
+    const engines = [{ memory: 0.8 }, { memory: 0.1 }, { memory: 0.2 }];
+    for (let request = 0; request < 12; request++) {
+        chooseServer(engines, ({ memory }) => view({ memoryLoad: memory }), random)!.memory += 0.12;
+    }
+    assert.ok(engines.every(({ memory }) => memory < 1), JSON.stringify(engines));
+});
+
+test("a copy goes where memory is free, near rather than far, and nowhere on crowded engines", () => {
+    const holders = [{ load: 0.5, isNear: false }, { load: 0.45, isNear: true }, { load: 0.9, isNear: true }];
+    assert.is(chooseCopyHolder(holders, each => each, 0.1), holders[1]);
+    assert.is(chooseCopyHolder(holders, each => each, 0.5), undefined);
+    assert.is(chooseCopyHolder([{ load: reserveCopies.limit, isNear: true }], each => each, 0.01), undefined);
+});
+
+test("repeats of all instances together stay under the budget when clients repeat at once", () => {
+    const options = { ratio: 0.2, slack: 50, window: 10_000 };
+    const instances = 5;
+    const budgets = Array.from({ length: instances }, () => createRetryBudget(options));
+    const repeats: number[] = [];
+    const requests: number[] = [];
+    for (let now = 0; now < 60_000; now += 10) {
+        // A storm: each instance sees a request each 10 ms for a part of the time, and would repeat each.
+        const isStorm = now % 20_000 > 8_000;
+        for (const budget of isStorm ? budgets : []) {
+            noteRequest(budget, service, now);
+            requests.push(now);
+            if (repeatsLeft(budget, service, instances, now) >= 1) {
+                noteRepeat(budget, service, now);
+                repeats.push(now);
+            }
+        }
+    }
+    const within = (times: readonly number[], start: number): number =>
+        times.filter(time => time >= start && time < start + options.window).length;
+    for (let start = 0; start <= 50_000; start += 250) {
+        const asked = Math.max(
+            within(requests, start),
+            within(requests, start - 5_000),
+            within(requests, start - 10_000),
+        );
+        const limit = options.ratio * asked + options.slack;
+        assert.ok(within(repeats, start) <= limit, `${within(repeats, start)} of ${limit} at ${start}`);
+    }
+});
+
+test("a server that fails three times in a row is left out, longer each time, and back after a success", () => {
+    const health = createServerHealth();
+    assert.equal([1, 2, 3].map(() => noteFailure(health, 0)), [false, false, true]);
+    const first = health.ejectedUntil;
+    [1, 2, 3].forEach(() => noteFailure(health, first));
+    assert.ok(health.ejectedUntil - first > first);
+    noteSuccess(health, 10);
+    assert.is(health.ejections, 0);
+});
+
+test("a flapping service keeps half of its servers in use: those that come back first", () => {
+    const servers = [9_000, 8_000, 7_000, 0].map(ejectedUntil => ({ ...createServerHealth(), ejectedUntil }));
+    assert.equal(withoutEjected(servers, each => each, 1_000), [servers[3], servers[2]]);
+    assert.is(withoutEjected(servers, each => each, 8_500).length, 3);
+});
+
+test("one instance has a duty, and the next takes over after a time that grows with its rank", () => {
+    const names = ["a", "b", "c", "d"];
+    const ranks = names.map(name => dutyRank(name, names.filter(other => other !== name), "duty"));
+    assert.equal([...ranks].sort(), [0, 1, 2, 3]);
+    assert.equal([0, 1, 3].map(rank => dutyPatience(rank, { base: 900, step: 150 })), [0, 900, 1_200]);
+});
+
+test.run();
--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -61,16 +61,21 @@
         leavingSince: record.isDraining ? (continues ? known.leavingSince : undefined) ?? now : undefined,
         removedAt: undefined,
     });
+    return nameChange(known, record, isRestart);
+}
+
+function nameChange(known: BackendServer | undefined, record: BackendRecord, isRestart: boolean): BackendChange {
     if (known === undefined) {
         return "added";
     }
     if (isRestart) {
         return "restarted";
     }
-    if (record.isDraining && known.leavingSince === undefined) {
-        return "leaving";
+    const wasLeaving = known.leavingSince !== undefined;
+    if (record.isDraining === wasLeaving) {
+        return "unchanged";
     }
-    return !record.isDraining && known.leavingSince !== undefined ? "returned" : "unchanged";
+    return record.isDraining ? "leaving" : "returned";
 }
 
 function isOlder(record: BackendRecord, known: BackendRecord): boolean {
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -58,6 +58,18 @@
             return takeAttemptFailed(transaction, event);
         case "serverProbed":
             return takeServerProbed(transaction, event);
+        default:
+            return takeNews(transaction, event);
+    }
+}
+
+type NewsEvent = Extract<
+    GatewayEvent,
+    { readonly kind: `topic${string}` | `peer${string}` | "moveAnswered" | "settingsChanged" | "stopRequested"; }
+>;
+
+function takeNews(transaction: Transaction, event: NewsEvent): void {
+    switch (event.kind) {
         case "topicRead":
             return takeTopicRead(transaction, event);
         case "topicReadFailed":
--- /dev/null
+++ b/packages/gateway/test/peers.test.ts
@@ -0,0 +1,97 @@
+import type { GatewayEffect } from "@verbenaspring/gateway";
+import { identifier } from "@verbenaspring/model";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { callsIn, configuration, GatewayBench, kindsIn, server } from "./gatewayBuilders.js";
+
+const other = identifier<never>("10.1.0.2:8748");
+const seeded = (): GatewayBench => new GatewayBench({ seedAddresses: [other] });
+const readsIn = (effects: readonly GatewayEffect[]) =>
+    effects.filter(effect => effect.kind === "readTopic" || effect.kind === "readSnapshot");
+
+test("a gateway opens links to its seeds and to the gateways that it hears of", () => {
+    const bench = seeded();
+    assert.ok(kindsIn(bench.pass(50)).includes("openPeerLink"));
+    bench.hear({ members: [identifier("10.1.0.3:8748"), identifier("10.1.0.1:8748")] });
+    const opened = bench.pass(50).flatMap(effect => effect.kind === "openPeerLink" ? [effect.address] : []);
+    assert.equal(opened, ["10.1.0.3:8748"]);
+});
+
+test("records that another gateway read are taken, and the log is not read for as long as they are fresh", () => {
+    const bench = new GatewayBench();
+    bench.pass(50);
+    const topics = (["configuration", "backendServers"] as const).map(name => ({
+        name,
+        through: 9,
+        age: 20,
+        items: [],
+    }));
+    const record = server("plain-1");
+    const items = {
+        configuration: [bench.item("config", [{ kind: "configuration", configuration: configuration(4) }])],
+        backendServers: [bench.item("plain-1", [{ kind: "backendServer", record }])],
+    };
+    bench.hear({ topics }, items);
+    assert.is(callsIn(bench.ask("r", "confirm")).length, 1);
+    bench.take({ kind: "topicReadFailed", topic: "configuration", failure: "refused" });
+    bench.take({ kind: "topicReadFailed", topic: "backendServers", failure: "refused" });
+    const reads: GatewayEffect[] = [];
+    for (let step = 0; step < 9; step++) {
+        reads.push(...readsIn(bench.pass(200)));
+        bench.hear({ topics });
+    }
+    assert.is(reads.length, 0, "a gateway that the store turned away takes what others read");
+});
+
+test("a gateway reads by itself once nothing fresh comes from the others", () => {
+    const bench = new GatewayBench();
+    bench.read("configuration", []);
+    bench.read("backendServers", []);
+    bench.hear({});
+    bench.take({ kind: "topicReadFailed", topic: "configuration", failure: "timeout" });
+    bench.take({ kind: "topicReadFailed", topic: "backendServers", failure: "timeout" });
+    const topics = readsIn(bench.pass(3_500)).map(effect => "topic" in effect ? effect.topic : undefined);
+    assert.equal([...new Set(topics)].sort(), ["backendServers", "configuration"]);
+});
+
+test("a configuration from another gateway never takes this one back", () => {
+    const bench = new GatewayBench();
+    bench.configure(configuration(8));
+    const old = bench.item("config", [{ kind: "configuration", configuration: configuration(5) }]);
+    bench.hear({ topics: [{ name: "configuration", through: 99, age: 0, items: [] }] }, { configuration: [old] });
+    assert.is(bench.state.configuration?.version, 8);
+});
+
+test("a change that was read is passed on at once", () => {
+    const bench = seeded();
+    bench.pass(50);
+    bench.hear({});
+    const effects = bench.configure(configuration(2));
+    const report = effects.flatMap(effect => effect.kind === "sendReport" ? [effect.report] : [])[0];
+    assert.is(report.topics.find(topic => topic.name === "configuration")?.items.length, 1);
+});
+
+test("a link that is silent is left, and the loads of its gateway no longer count", () => {
+    const bench = seeded();
+    bench.pass(50);
+    bench.hear({});
+    assert.ok(kindsIn(bench.pass(1_600)).includes("closePeerLink"));
+    assert.ok(kindsIn(bench.pass(3_000)).includes("openPeerLink"));
+});
+
+test("a report names only the loads that changed since the one before", () => {
+    const bench = seeded();
+    bench.configure(configuration(1));
+    bench.register(server("engine-1"), server("engine-2"));
+    bench.pass(50);
+    bench.hear({});
+    const call = bench.start("r", "note");
+    const loads = (effects: readonly GatewayEffect[]) =>
+        effects.flatMap(effect => effect.kind === "sendReport" ? effect.report.loads : []);
+    assert.is(loads(bench.pass(200)).length, 1);
+    assert.is(loads(bench.pass(600)).length, 0);
+    bench.take({ kind: "streamEnded", attemptId: call.attemptId });
+    assert.equal(loads(bench.pass(200)).map(load => load.inProgress), [0]);
+});
+
+test.run();
--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -111,10 +111,16 @@
 
     const sweep = setInterval(() => {
         for (const [address, stack] of idle) {
-            const kept = stack.filter(channel =>
-                isOpen(channel) && monotonicNow() - channel.idleSince <= longestIdle || void channel.client.destroy()
-            );
-            kept.length === 0 ? idle.delete(address) : idle.set(address, kept);
+            const isKept = (channel: Channel): boolean =>
+                isOpen(channel) && monotonicNow() - channel.idleSince <= longestIdle;
+            stack.filter(channel => !isKept(channel)).forEach(channel => void channel.client.destroy());
+            const kept = stack.filter(isKept);
+            if (kept.length === 0) {
+                idle.delete(address);
+            }
+            else {
+                idle.set(address, kept);
+            }
         }
     }, longestIdle);
     sweep.unref();
@@ -130,7 +136,12 @@
                     return;
                 }
                 active.delete(call.attemptId);
-                isReusable ? release(channel) : void channel.client.destroy();
+                if (isReusable) {
+                    release(channel);
+                }
+                else {
+                    void channel.client.destroy();
+                }
                 report();
             };
             dispatch(wire, handlers, call, body, current, finish);
@@ -145,7 +156,12 @@
         },
         setPaused: (attemptId, isPaused) => {
             const controller = active.get(attemptId)?.controller;
-            isPaused ? controller?.pause() : controller?.resume();
+            if (isPaused) {
+                controller?.pause();
+            }
+            else {
+                controller?.resume();
+            }
         },
         channelsOpened: () => opened,
         close: () => {
@@ -306,8 +322,8 @@
         default:
             break;
     }
-    if (code?.startsWith("HPE_") === true) {
-        return "answer_malformed";
+    if (hasHead) {
+        return "answer_truncated";
     }
-    return hasHead ? "answer_truncated" : "channel_lost";
+    return error.name === "HTTPParserError" ? "answer_malformed" : "channel_lost";
 }
--- a/packages/runtime/src/gatewayCallers.ts
+++ b/packages/runtime/src/gatewayCallers.ts
@@ -11,7 +11,7 @@
 } from "@verbenaspring/gateway";
 import { type Failure, failure, failureStatus, type Milliseconds, type RequestId } from "@verbenaspring/model";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { monotonicNow } from "./eventLoop.js";
 import { listen } from "./listening.js";
 
@@ -35,6 +35,8 @@
 /** The server, and the answers in progress. */
 export interface GatewayCallers {
     readonly listen: (address: string) => Promise<void>;
+    /** The port that it listens on; useful where port 0 was asked for. */
+    readonly port: () => number;
     readonly applyLimits: (limits: CallerLimits) => void;
     /** From now on each answer closes its channel. */
     readonly startDraining: () => void;
@@ -172,6 +174,7 @@
     };
     return {
         listen: address => listen(server, address),
+        port: () => (server.address() as AddressInfo).port,
         applyLimits,
         startDraining: () => {
             isDraining = true;
@@ -297,7 +300,7 @@
 /** Answers a channel whose bytes are no request, unless an answer is on its way there. */
 function answerBrokenChannel(socket: Socket, type: Failure["type"]): void {
     const status = failureStatus[type];
-    const isAnswering = (socket as { _httpMessage?: object; })._httpMessage != null;
+    const isAnswering = ((socket as { _httpMessage?: object | null; })._httpMessage ?? undefined) !== undefined;
     if (socket.writable && !isAnswering && socket.bytesWritten === 0) {
         socket.end(`HTTP/1.1 ${status} ${statusTexts[status] ?? ""}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
         return;
