--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -15,6 +15,7 @@
 /** Time kept before the process is ended from outside, for the last answers to reach their callers. */
 const lastAnswersTime: Milliseconds = 250;
 
+const leastReturn: Milliseconds = 20;
 /** What a request of a plain service, or the first event of a stream, may need. */
 const shortWorkTime: Milliseconds = 1_000;
 /** Estimates of an output are right at the median only; so much longer a stream may take. */
@@ -36,6 +37,12 @@
     return shortWorkTime + streaming > left;
 }
 
+/** When a caller that was refused for a planned stop finds another instance: once the balancer has looked away. */
+export function returnAfterStop(state: GatewayState, now: Milliseconds): Milliseconds {
+    const noticed = (state.stopRequestedAt ?? now) + balancerNotice;
+    return Math.max(leastReturn, noticed - now);
+}
+
 /** Begins a planned stop. */
 export function takeStopRequested(transaction: Transaction): void {
     const { state, now, effects } = transaction;
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -11,7 +11,7 @@
     type ServiceName,
 } from "@verbenaspring/model";
 import { dispatch, endAttempt } from "./attempts.js";
-import { cannotFinishBeforeStop } from "./draining.js";
+import { cannotFinishBeforeStop, returnAfterStop } from "./draining.js";
 import type { GatewayEvent } from "./event.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
 import type { GatewayRequest } from "./state.js";
@@ -21,8 +21,6 @@
 
 /** When to come back where the gateway has not read its configuration yet. */
 const startingReturn: Milliseconds = 300;
-/** When to come back where the instance is stopping: another one serves at once. */
-const leavingReturn: Milliseconds = 20;
 /** Callers of plain services have a second or two in all; a longer return would come too late for them. */
 const shortestReturn: Milliseconds = 20;
 
@@ -44,7 +42,7 @@
     }
     const { now, state, source } = transaction;
     if (cannotFinishBeforeStop(state, route, head, now)) {
-        return refuse(transaction, event, "leaving", leavingReturn);
+        return refuse(transaction, event, "leaving", returnAfterStop(state, now));
     }
     const timeLimit = Math.min(head.timeLimit ?? Infinity, route.timeout);
     const request: GatewayRequest = {
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -154,9 +154,10 @@
     assert.ok(kindsIn(bench.pass(1_100)).includes("answerCut"));
 });
 
-test("during a planned stop long streams are refused at once, so that another instance serves them", () => {
+test("during a planned stop long streams are refused at once, to return when the balancer has looked away", () => {
     const bench = engines();
     bench.take({ kind: "stopRequested" });
+    assert.ok(failuresIn(bench.ask("q", "plan"))[0].retryAfter! >= 3_000);
     bench.pass(3_400);
     const [failure] = failuresIn(bench.ask("r", "plan"));
     assert.equal([failure.type, failure.outcome], ["leaving", "not_run"]);
