A gateway starts from compiled code, lets requests wait for room or refuses them, and explains itself

Cause 1: a restart took 0.34 s of processor (1.4 s on the smallest grown machines) before the first request; undici's fetch, caches and web sockets and the compilation of the bundle were most of it. Command line: gateway, check-platform, explain.

--- a/packages/cli/src/gatewayProcess.ts
+++ b/packages/cli/src/gatewayProcess.ts
@@ -4,23 +4,34 @@
 import { exitCode } from "./exitCodes.js";
 import { platformSettingsFile, runGateway } from "./gateway.js";
 
-const settingsFile = platformSettingsFile();
-if (settingsFile === undefined) {
-    process.stderr.write("the environment names no settings file\n");
-    process.exit(exitCode.usage);
+declare global {
+    /** Set while the build compiles the bundle: the program is then loaded, but not run. */
+    var verbenaspringCompiling: boolean | undefined;
 }
-const metricsPort = process.env.VERBENASPRING_METRICS_PORT;
-try {
-    const daemon = await runGateway({
-        settingsFile,
-        metricsPort: metricsPort === undefined ? undefined : Number(metricsPort),
-        logLevel: process.env.VERBENASPRING_LOG_LEVEL === "debug" ? "debug" : "info",
-    });
-    process.on("SIGTERM", daemon.stop);
-    await daemon.stopped;
-    process.exit(exitCode.success);
+
+async function main(): Promise<void> {
+    const settingsFile = platformSettingsFile();
+    if (settingsFile === undefined) {
+        process.stderr.write("the environment names no settings file\n");
+        process.exit(exitCode.usage);
+    }
+    const metricsPort = process.env.VERBENASPRING_METRICS_PORT;
+    try {
+        const daemon = await runGateway({
+            settingsFile,
+            metricsPort: metricsPort === undefined ? undefined : Number(metricsPort),
+            logLevel: process.env.VERBENASPRING_LOG_LEVEL === "debug" ? "debug" : "info",
+        });
+        process.on("SIGTERM", daemon.stop);
+        await daemon.stopped;
+        process.exit(exitCode.success);
+    }
+    catch (error) {
+        process.stderr.write(`could not start: ${String(error)}\n`);
+        process.exit(exitCode.failure);
+    }
 }
-catch (error) {
-    process.stderr.write(`could not start: ${String(error)}\n`);
-    process.exit(exitCode.failure);
+
+if (globalThis.verbenaspringCompiling !== true) {
+    void main();
 }
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,3 @@
 export * from "./exitCodes.js";
+export * from "./explain.js";
 export * from "./table.js";
--- a/packages/cli/src/verbenaspring.ts
+++ b/packages/cli/src/verbenaspring.ts
@@ -1,13 +1,17 @@
 #!/usr/bin/env node
 /**
- * The daemons: `verbenaspring entry SETTINGS`, `verbenaspring sidecar SETTINGS` and `verbenaspring check SETTINGS`.
+ * The daemons: `verbenaspring entry`, `sidecar` and `gateway`; `check` and `check-platform` for their settings and the
+ * operator's configuration, and `explain` for the log lines of one request.
  */
 import { parseSettings, type Settings, SettingsError } from "@verbenaspring/model";
-import { type Daemon, startEntry, startSidecar } from "@verbenaspring/runtime";
+import { configurationFaults, settingsFaults } from "@verbenaspring/platform";
+import { type Daemon, logLevels, startEntry, startSidecar } from "@verbenaspring/runtime";
 import { readFileSync } from "node:fs";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { exitCode } from "./exitCodes.js";
+import { explainRequest } from "./explain.js";
+import { runGateway } from "./gateway.js";
 
 const settingsArgument = {
     type: "string",
@@ -76,7 +80,54 @@
             process.stdout.write(`${file}: settings of an ${readSettings(file).role} are in order\n`);
         },
     )
-    .demandCommand(1, "name a command: entry, sidecar or check")
+    .command(
+        "gateway <settings>",
+        "run a gateway from the platform's settings file",
+        builder =>
+            builder
+                .positional("settings", { ...settingsArgument, describe: "settings file of the platform" })
+                .option("metrics-port", { type: "number", describe: "port on which metrics are served" })
+                .option("log-level", { choices: logLevels, default: "info" as const }),
+        async ({ settings: file, metricsPort, logLevel }) => {
+            await serve(() => runGateway({ settingsFile: file, metricsPort, logLevel }));
+        },
+    )
+    .command(
+        "check-platform <file>",
+        "check a settings file, or with --configuration a configuration, of the platform; list every fault",
+        builder =>
+            builder
+                .positional("file", { type: "string", demandOption: true, describe: "JSON file" })
+                .option("configuration", { type: "boolean", default: false, describe: "the file is a configuration" }),
+        ({ file, configuration }) => {
+            const faults = configuration ? configurationFaults(readFileSync(file)) : settingsFaults(file);
+            faults.forEach(fault => process.stderr.write(`${file}: ${fault}\n`));
+            if (faults.length > 0) {
+                process.exit(exitCode.settings);
+            }
+            process.stdout.write(`${file}: in order\n`);
+        },
+    )
+    .command(
+        "explain <request> <logs..>",
+        "put the log lines of one request in order, over the log files of all processes",
+        builder =>
+            builder
+                .positional("request", { type: "string", demandOption: true, describe: "the id that the caller gave" })
+                .positional("logs", { type: "string", array: true, demandOption: true, describe: "log files" }),
+        ({ request, logs }) => {
+            const lines = explainRequest(logs.map(file => readFileSync(file, "utf8")), request);
+            if (lines.length === 0) {
+                process.stderr.write(`no line of these files names the request ${request}\n`);
+                process.exit(exitCode.failure);
+            }
+            lines.forEach(line => process.stdout.write(`${line}\n`));
+        },
+    )
+    .example("$0 gateway boot.json --metrics-port 7215", "run a gateway")
+    .example("$0 check-platform --configuration config.json", "list the faults of a configuration")
+    .example("$0 explain 9c41d07be2a35f68 logs/*.log", "what happened to a request")
+    .demandCommand(1, "name a command: entry, sidecar, gateway, check, check-platform or explain")
     .strict()
     .fail((message, error) => {
         process.stderr.write(`${message ?? String(error)}\nSee verbenaspring --help\n`);
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./placement.js";
 export * from "./retry.js";
 export * from "./retryBudget.js";
+export * from "./roomForecast.js";
 export * from "./routing.js";
 export * from "./seededSource.js";
 export * from "./serverHealth.js";
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -23,6 +23,7 @@
 import type { Attempt, GatewayRequest } from "./state.js";
 import { continueStream } from "./streams.js";
 import { record, type Transaction } from "./transaction.js";
+import { hasRoom, waitForRoom } from "./waiting.js";
 
 type AttemptFailed = Extract<GatewayEvent, { readonly kind: "attemptFailed"; }>;
 
@@ -55,7 +56,11 @@
     }
     const usable = usableServers(state, request.service, now);
     const untried = usable.filter(server => !request.triedServers.has(server.record.id));
-    const candidates = untried.length > 0 ? untried : usable;
+    const open = untried.length > 0 ? untried : usable;
+    const candidates = request.sends > 0 ? open : open.filter(server => hasRoom(transaction, server, request));
+    if (candidates.length === 0 && open.length > 0) {
+        return waitForRoom(transaction, request);
+    }
     const server = chooseServer(candidates, candidate => placementView(state, candidate, now), source.random);
     if (server === undefined) {
         return failRequest(transaction, request, "no_backend_server", "the service has no server", noServerReturn);
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -17,6 +17,7 @@
 import type { GatewayState } from "./state.js";
 import { takeStreamEnded, takeStreamEvents, takeStreamOpened } from "./streams.js";
 import { record, type Transaction } from "./transaction.js";
+import { tendWaiting } from "./waiting.js";
 
 /**
  * Takes one event. The state is changed in place; the effects are for the caller to perform, in order.
@@ -41,6 +42,7 @@
             tendPeers(transaction);
             tendFollowers(transaction);
             tendRequests(transaction);
+            tendWaiting(transaction);
             return tendStop(transaction);
         case "requestReceived":
             return takeRequest(transaction, event);
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -141,6 +141,7 @@
         endAttempt(transaction, request, request.attempt, "cancel");
     }
     transaction.state.requests.delete(request.id);
+    transaction.state.waiting.delete(request.id);
 }
 
 /** Takes the end of a caller's channel. */
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -60,6 +60,17 @@
     };
 }
 
+/** The share of an engine's memory that is in use, as far as the gateways know. */
+export function memoryLoad(state: GatewayState, { record }: BackendServer, now: Milliseconds): number {
+    const engine = engineOf(state, record.service);
+    return engine === undefined ? 0 : totalLoad(state, record.id, now).memoryTokens / engine.memoryTokens;
+}
+
+/** Requests that all live gateways have at work at a server. */
+export function requestsAt(state: GatewayState, id: BackendServerId, now: Milliseconds): number {
+    return totalLoad(state, id, now).inProgress;
+}
+
 /** What all live gateways have at work at a server. */
 function totalLoad(state: GatewayState, id: BackendServerId, now: Milliseconds): ServerLoad {
     const own = state.loads.get(id);
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -79,6 +79,9 @@
 /** The pace of a stream before any was measured: a step of an engine with some tens of runs. */
 const initialTokenPace: Milliseconds = 12;
 
+/** The duration of a stream before any was measured: some hundred tokens at the initial pace. */
+const initialStreamDuration: Milliseconds = 5_000;
+
 /** How far a topic is known. */
 export interface TopicFollower {
     /** The offset after the last known record; undefined until a snapshot was read. */
@@ -124,7 +127,11 @@
     readonly liveness: Map<BackendServerId, ServerLiveness>;
     /** Milliseconds for each token of a stream, where late streams weigh more. */
     tokenPace: Milliseconds;
+    /** How long a stream takes, where late streams weigh more. */
+    streamDuration: Milliseconds;
     readonly requests: Map<RequestId, GatewayRequest>;
+    /** Requests without an attempt that wait for room at an engine. */
+    readonly waiting: Map<RequestId, GatewayRequest>;
     readonly attempts: Map<AttemptId, GatewayRequest>;
     readonly budget: RetryBudget;
     readonly followers: Readonly<Record<TopicName, TopicFollower>>;
@@ -152,7 +159,9 @@
         loads: new Map(),
         liveness: new Map(),
         tokenPace: initialTokenPace,
+        streamDuration: initialStreamDuration,
         requests: new Map(),
+        waiting: new Map(),
         attempts: new Map(),
         budget: createRetryBudget(options.retries),
         followers: { configuration: createFollower(), backendServers: createFollower() },
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -119,9 +119,10 @@
     finish(transaction, request);
 }
 
-/** Learns from a whole run how long a token takes. */
-function notePace({ state }: Transaction, { service }: GatewayRequest, attempt: Attempt): void {
+/** Learns from a whole run how long a token, and a stream, takes. */
+function notePace({ state, now }: Transaction, { service }: GatewayRequest, attempt: Attempt): void {
     const { firstEventAt, lastHeard, events } = attempt;
+    state.streamDuration += newestWeight * (now - attempt.startedAt - state.streamDuration);
     const leastEvents = 8;
     const tokensPerEvent = state.configuration?.services.get(service)?.engine?.tokensPerEvent ?? 1;
     if (firstEventAt !== undefined && events >= leastEvents) {
