--- /dev/null
+++ b/packages/bench/test/gatewayCluster.ts
@@ -0,0 +1,191 @@
+/**
+ * Gateways as real processes before stand-ins of the platform's store and workers.
+ */
+import { freeAddress, waitUntil } from "@verbenaspring/bench";
+import {
+    type PlatformStore,
+    type PlatformWorker,
+    startPlatformStore,
+    startPlatformWorker,
+} from "@verbenaspring/stand-ins";
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Agent, request } from "undici";
+
+/** A gateway process. */
+export interface GatewayProcess {
+    readonly child: ChildProcess;
+    readonly callerAddress: string;
+    readonly readinessAddress: string;
+    readonly settingsFile: string;
+    readonly exited: Promise<number | null>;
+    readonly output: () => string;
+}
+
+/** An answer as its caller saw it. */
+export interface SeenAnswer {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly body: string;
+    /** Whether the answer ended as complete. */
+    readonly isComplete: boolean;
+}
+
+const host = "platform.example";
+
+/** The whole system of one test. */
+export class GatewayCluster {
+    readonly gateways: GatewayProcess[] = [];
+    readonly workers: PlatformWorker[] = [];
+    private readonly folder = mkdtempSync(join(tmpdir(), "verbenaspring-gateway-"));
+    private readonly copies = new Map<string, number>();
+    // Each request has a channel of its own, so that none waits behind another.
+    private readonly agent = new Agent({ pipelining: 0 });
+    private requestCount = 0;
+
+    private constructor(readonly store: PlatformStore) {}
+
+    static async start(gateways: number): Promise<GatewayCluster> {
+        const cluster = new GatewayCluster(await startPlatformStore());
+        cluster.configure(1);
+        for (let index = 0; index < gateways; index++) {
+            await cluster.addGateway();
+        }
+        return cluster;
+    }
+
+    /** Writes a configuration with one route of each kind. */
+    configure(version: number, extraPrefixes: readonly string[] = []): void {
+        const route = (name: string, service: string, more: object): object => ({
+            name,
+            hostname: host,
+            pathPrefix: `/${name}/`,
+            timeoutMs: 5_000,
+            targetLatencyMs: 1_000,
+            priority: 1,
+            service,
+            maxAttempts: 1,
+            public: true,
+            ...more,
+        });
+        const engine = { kvCapacity: 100_000, kvBytes: 1, replicas: true, migrations: true, stride: 1 };
+        this.store.put("keyed.op", "config", {
+            version,
+            routes: [
+                route("confirm", "plain", { routeType: "non_idempotent" }),
+                route("lookup", "plain", { routeType: "idempotent", maxAttempts: 2 }),
+                route("plan", "engine", { routeType: "streaming", timeoutMs: 20_000 }),
+                ...extraPrefixes.map(name => route(name, "plain", { routeType: "idempotent" })),
+            ],
+            services: [{ name: "plain" }, { name: "engine", backend: engine }],
+            limits: { maxHeaderBytes: 8_192, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+        });
+    }
+
+    async addGateway(): Promise<GatewayProcess> {
+        const [callerAddress, readinessAddress, controlPlane] = await Promise.all([
+            freeAddress(),
+            freeAddress(),
+            freeAddress(),
+        ]);
+        const settingsFile = join(this.folder, `gateway-${this.gateways.length}.json`);
+        writeFileSync(
+            settingsFile,
+            JSON.stringify({
+                nodeName: `gateway-${this.gateways.length}`,
+                zone: "near",
+                listen: { frontend: callerAddress, ready: readinessAddress, controlPlane },
+                seedNodes: [this.seed ?? controlPlane],
+                bounds: { retryBudgetRatio: 0.2, retrySlack: 50, retryWindowS: 10, graceS: 8 },
+                platform: { address: this.store.address },
+            }),
+        );
+        this.seed ??= controlPlane;
+        const gateway = startProcess({ callerAddress, readinessAddress, settingsFile });
+        this.gateways.push(gateway);
+        await waitUntil(`${settingsFile} is ready`, () => isReady(gateway));
+        return gateway;
+    }
+
+    private seed: string | undefined;
+
+    async addWorker(id: string, service: "plain" | "engine", workTime: number, events = 0): Promise<PlatformWorker> {
+        const options = { id, service, isEngine: service === "engine", workTime, events };
+        const worker = await startPlatformWorker(this.store, options, this.copies);
+        this.workers.push(worker);
+        await Promise.all(this.gateways.map(gateway => this.untilKnown(gateway, id)));
+        return worker;
+    }
+
+    private untilKnown(gateway: GatewayProcess, id: string): Promise<void> {
+        const isKnown = (): boolean => gateway.output().includes(`server=${id} change=added`);
+        return waitUntil(`${id} is known`, isKnown);
+    }
+
+    /** Asks a gateway, and reads the whole answer. */
+    async ask(
+        gateway: GatewayProcess,
+        path: string,
+        more: { readonly promptTokens?: number; } = {},
+    ): Promise<SeenAnswer> {
+        const attemptId = `attempt-${++this.requestCount}`;
+        const response = await request(`http://${gateway.callerAddress}${path}`, {
+            method: "POST",
+            headers: {
+                host,
+                "attempt-id": attemptId,
+                "deadline-ms": "20000",
+                "token-usage": `${more.promptTokens ?? 10},50`,
+            },
+            body: `body of ${attemptId}`,
+            dispatcher: this.agent,
+        });
+        let body = "";
+        let isComplete = true;
+        try {
+            for await (const chunk of response.body) {
+                body += String(chunk);
+            }
+        }
+        catch {
+            isComplete = false;
+        }
+        return { status: response.statusCode, headers: response.headers, body, isComplete };
+    }
+
+    async stop(): Promise<void> {
+        this.gateways.forEach(({ child }) => child.kill("SIGKILL"));
+        await Promise.all(this.gateways.map(({ exited }) => exited));
+        await Promise.all(this.workers.map(worker => worker.crash()));
+        await this.store.close();
+        await this.agent.destroy();
+        rmSync(this.folder, { recursive: true, force: true });
+    }
+}
+
+type GatewayAddresses = Pick<GatewayProcess, "callerAddress" | "readinessAddress" | "settingsFile">;
+
+function startProcess(addresses: GatewayAddresses): GatewayProcess {
+    const program = "packages/cli/dist/verbenaspring.js";
+    const child = spawn(process.execPath, [program, "gateway", addresses.settingsFile], {
+        stdio: ["ignore", "pipe", "inherit"],
+    });
+    let output = "";
+    child.stdout.on("data", chunk => output += String(chunk));
+    const exited = new Promise<number | null>(resolve => child.once("exit", resolve));
+    return { ...addresses, child, exited, output: () => output };
+}
+
+/** Whether the gateway tells the balancer that it takes channels. */
+export async function isReady({ readinessAddress }: GatewayProcess): Promise<boolean> {
+    try {
+        const { statusCode, body } = await request(`http://${readinessAddress}/readyz`, { reset: true });
+        await body.dump();
+        return statusCode === 200;
+    }
+    catch {
+        return false;
+    }
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -3,4 +3,6 @@
 export * from "./httpStandIn.js";
 export * from "./instanceListStandIn.js";
 export * from "./logStandIn.js";
+export * from "./platformStoreStandIn.js";
+export * from "./platformWorkerStandIn.js";
 export * from "./serviceStandIn.js";
