The log of a gateway is bounded and never waits for its reader

Cause: Node writes to pipes and sockets synchronously, so that a reader of the log that stalls would hold up all requests. Loads are told in coarser steps, and compared by a version instead of one by one.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -44,6 +44,11 @@
             "no-restricted-imports": ["error", { patterns: ["node:*"] }],
         },
     },
+    {
+        files: ["**/*.cjs"],
+        languageOptions: { sourceType: "commonjs", globals: { require: "readonly", module: "writable" } },
+        rules: { "@typescript-eslint/no-require-imports": "off", "@typescript-eslint/naming-convention": "off" },
+    },
     {
         files: ["packages/runtime/src/entryRunner.ts", "packages/runtime/src/gatewayRunner.ts"],
         // A runner is one switch over all effects.
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -18,7 +18,7 @@
 /** The shortest time between two reports to one peer that only carry loads. */
 const loadInterval: Milliseconds = 100;
 /** The same for each peer, so that the work of reports is bounded where there are many. */
-const loadIntervalForPeer: Milliseconds = 8;
+const loadIntervalForPeer: Milliseconds = 15;
 /** A peer from which nothing came for this long counts as gone, and its link as silent. */
 const silenceLimit: Milliseconds = 1_500;
 const shortestRetry: Milliseconds = 200;
@@ -63,7 +63,10 @@
     }
     const shortestGap = Math.max(loadInterval, loadIntervalForPeer * state.peers.size);
     const gap = now - peer.sentAt;
-    if (peer.link === "open" && (gap >= heartbeatInterval || (gap >= shortestGap && hasNewLoads(state, peer)))) {
+    if (
+        peer.link === "open"
+        && (gap >= heartbeatInterval || (gap >= shortestGap && peer.toldVersion !== state.loadsVersion))
+    ) {
         sendReport(transaction, peer);
     }
 }
@@ -106,6 +109,7 @@
         openedAt: 0,
         sentAt: 0,
         failures: 0,
+        toldVersion: 0,
         toldLoads: new Map(),
         through: unknownThrough,
         loads: new Map(),
@@ -117,6 +121,7 @@
     const isFull = peer.toldLoads.size === 0;
     const loads = newLoads(state, peer);
     loads.forEach(load => peer.toldLoads.set(load.backendServer, load));
+    peer.toldVersion = state.loadsVersion;
     const topics = topicNames.map(name => topicFor(state, name, peer, now));
     if (peer.link === "open") {
         peer.through = {
@@ -139,10 +144,6 @@
     return one === undefined || (other !== undefined && other > one) ? other : one;
 }
 
-function hasNewLoads(state: GatewayState, peer: Peer): boolean {
-    return newLoads(state, peer).length > 0;
-}
-
 /** Loads of engines that the peer was not told of. Plain services are balanced by what each gateway sees itself. */
 function newLoads(state: GatewayState, { toldLoads }: Peer): PeerLoad[] {
     const ended = [...toldLoads.values()]
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -10,6 +10,8 @@
 
 /** How long a server whose registration lapsed is still used where the service has no other. */
 const lapsedUse: Milliseconds = 1_500;
+/** Runs that outgrow what was foreseen are counted anew in steps of so many tokens. */
+const growthStep = 64;
 /** The part of its foreseen output that a run holds on average over its time. */
 const averageOutputPart = 0.5;
 
@@ -123,7 +125,8 @@
 export function noteEventsLoad(state: GatewayState, request: GatewayRequest, attempt: Attempt, events: number): void {
     const tokensPerEvent = engineOf(state, request.service)?.tokensPerEvent ?? 1;
     const held = request.head.promptTokens + tokensPerEvent * (attempt.events + events);
-    const growth = Math.max(0, held - attempt.memoryTokens);
+    const excess = held - attempt.memoryTokens;
+    const growth = excess >= growthStep ? excess : 0;
     const waitingTokens = -attempt.waitingTokens;
     if (growth === 0 && waitingTokens === 0) {
         return;
@@ -141,6 +144,9 @@
     load.inProgress += change.inProgress;
     load.memoryTokens += change.memoryTokens;
     load.waitingTokens += change.waitingTokens;
+    if (change.memoryTokens !== 0 || change.waitingTokens !== 0) {
+        state.loadsVersion++;
+    }
     state.loads.set(id, load);
     if (load.inProgress === 0 && load.memoryTokens === 0) {
         state.loads.delete(id);
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -109,6 +109,8 @@
     openedAt: Milliseconds;
     sentAt: Milliseconds;
     failures: number;
+    /** The loads that it was told of last. */
+    toldVersion: number;
     /** What it was last told of each load, on this link. */
     readonly toldLoads: Map<BackendServerId, PeerLoad>;
     /** How far it knows each topic. */
@@ -124,6 +126,8 @@
     readonly serversByService: Map<ServiceName, readonly BackendServerId[]>;
     readonly health: Map<BackendServerId, ServerHealth>;
     readonly loads: Map<BackendServerId, ServerLoad>;
+    /** Grows with each change of a load of an engine. */
+    loadsVersion: number;
     readonly liveness: Map<BackendServerId, ServerLiveness>;
     /** Milliseconds for each token of a stream, where late streams weigh more. */
     tokenPace: Milliseconds;
@@ -157,6 +161,7 @@
         serversByService: new Map(),
         health: new Map(),
         loads: new Map(),
+        loadsVersion: 0,
         liveness: new Map(),
         tokenPace: initialTokenPace,
         streamDuration: initialStreamDuration,
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -19,7 +19,8 @@
 import { runLoop } from "./eventLoop.js";
 import type { DecodeCallerHead } from "./gatewayCallers.js";
 import { GatewayRunner } from "./gatewayRunner.js";
-import { createEventLog, type EventLog, type LogLevel, writeToStandardOutput } from "./logging.js";
+import { createEventLog, createLineWriter, type EventLog, type LogLevel, openStandardOutput } from "./logging.js";
+import { boundVolume, logTurnInterval } from "./logVolume.js";
 import { createMetrics } from "./metrics.js";
 import { systemSource } from "./randomSource.js";
 
@@ -79,7 +80,9 @@
  * process.once("SIGTERM", daemon.stop);
  */
 export async function startGateway(options: GatewayDaemonOptions, adapter: GatewayAdapter): Promise<GatewayDaemon> {
-    const log = createEventLog(options.logLevel, { instance: options.instance }, writeToStandardOutput);
+    const write = createLineWriter(openStandardOutput());
+    const { log, turn } = boundVolume(createEventLog(options.logLevel, { instance: options.instance }, write));
+    setInterval(turn, logTurnInterval).unref();
     const metrics = createMetrics();
     const state = createGatewayState(options, identifier(systemSource.newIdentifier()));
     const runner = new GatewayRunner(options, state, adapter, log, metrics);
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./linkServer.js";
 export * from "./listening.js";
 export * from "./logging.js";
+export * from "./logVolume.js";
 export * from "./metrics.js";
 export * from "./operatorServer.js";
 export * from "./peerLinks.js";
--- a/packages/runtime/src/logging.ts
+++ b/packages/runtime/src/logging.ts
@@ -1,6 +1,9 @@
 /**
  * Logs: one line of key=value pairs an event. What is logged is named field by field, so secrets stay out.
  */
+import { fstatSync } from "node:fs";
+import { Socket } from "node:net";
+import type { Writable } from "node:stream";
 import { Logger } from "tslog";
 
 /** The levels of severity, lowest first. */
@@ -31,23 +34,44 @@
 
 /** Bytes of log lines that may wait for a slow reader before lines are left out. */
 const largestBacklog = 256 * 1024;
-let leftOut = 0;
 
 /**
- * Writes to standard output and never waits for its reader: while too much is unread, lines are left out, and the next
+ * Writes lines to a stream and never waits for its reader: while too much is unread, lines are left out, and the next
  * line that is written says how many.
+ *
+ * @example
+ * const write = createLineWriter(openStandardOutput());
  */
-export const writeToStandardOutput: WriteLine = line => {
-    if (process.stdout.writableLength > largestBacklog) {
-        leftOut++;
-        return;
+export function createLineWriter(output: Pick<Writable, "write" | "writableLength">): WriteLine {
+    let leftOut = 0;
+    return line => {
+        if (output.writableLength > largestBacklog) {
+            leftOut++;
+            return;
+        }
+        if (leftOut > 0) {
+            output.write(`${formatPairs({ level: "warn", event: "log_lines_left_out", count: leftOut })}\n`);
+            leftOut = 0;
+        }
+        output.write(line);
+    };
+}
+
+/**
+ * Standard output such that writing never blocks. Node writes to pipes and sockets synchronously, so those
+ * are opened anew.
+ */
+export function openStandardOutput(): Writable {
+    const standardOutput = 1;
+    const kind = fstatSync(standardOutput);
+    if (!kind.isFIFO() && !kind.isSocket()) {
+        return process.stdout;
     }
-    const notice = leftOut === 0
-        ? ""
-        : `${formatPairs({ level: "warn", event: "log_lines_left_out", count: leftOut })}\n`;
-    leftOut = 0;
-    process.stdout.write(notice + line);
-};
+    const socket = new Socket({ fd: standardOutput, readable: false, writable: true });
+    // A reader that went away ends the log, not the process.
+    socket.on("error", () => undefined);
+    return socket;
+}
 
 /**
  * Creates a log.
