--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -19,7 +19,7 @@
 import { runLoop } from "./eventLoop.js";
 import type { DecodeCallerHead } from "./gatewayCallers.js";
 import { GatewayRunner } from "./gatewayRunner.js";
-import { createEventLog, createLineWriter, type EventLog, type LogLevel, openStandardOutput } from "./logging.js";
+import { createEventLog, createLineWriter, type EventLog, type LogLevel } from "./logging.js";
 import { boundVolume, logTurnInterval } from "./logVolume.js";
 import { createMetrics } from "./metrics.js";
 import { systemSource } from "./randomSource.js";
@@ -80,7 +80,7 @@
  * process.once("SIGTERM", daemon.stop);
  */
 export async function startGateway(options: GatewayDaemonOptions, adapter: GatewayAdapter): Promise<GatewayDaemon> {
-    const write = createLineWriter(openStandardOutput());
+    const write = createLineWriter(process.stdout);
     const { log, turn } = boundVolume(createEventLog(options.logLevel, { instance: options.instance }, write));
     setInterval(turn, logTurnInterval).unref();
     const metrics = createMetrics();
--- a/packages/runtime/src/logging.ts
+++ b/packages/runtime/src/logging.ts
@@ -1,8 +1,6 @@
 /**
  * Logs: one line of key=value pairs an event. What is logged is named field by field, so secrets stay out.
  */
-import { fstatSync } from "node:fs";
-import { Socket } from "node:net";
 import type { Writable } from "node:stream";
 import { Logger } from "tslog";
 
@@ -40,7 +38,7 @@
  * line that is written says how many.
  *
  * @example
- * const write = createLineWriter(openStandardOutput());
+ * const write = createLineWriter(process.stdout);
  */
 export function createLineWriter(output: Pick<Writable, "write" | "writableLength">): WriteLine {
     let leftOut = 0;
@@ -57,22 +55,6 @@
     };
 }
 
-/**
- * Standard output such that writing never blocks. Node writes to pipes and sockets synchronously, so those
- * are opened anew.
- */
-export function openStandardOutput(): Writable {
-    const standardOutput = 1;
-    const kind = fstatSync(standardOutput);
-    if (!kind.isFIFO() && !kind.isSocket()) {
-        return process.stdout;
-    }
-    const socket = new Socket({ fd: standardOutput, readable: false, writable: true });
-    // A reader that went away ends the log, not the process.
-    socket.on("error", () => undefined);
-    return socket;
-}
-
 /**
  * Creates a log.
  *
