A run that never was leaves no copy; health tells servers that are down from requests that fail

It now starts anew where nothing may have run. A server that refuses a channel is left out at once. Cause 2: plain servers were left out for failures that all of them answer alike.

--- a/packages/coordination/src/placement.ts
+++ b/packages/coordination/src/placement.ts
@@ -50,11 +50,12 @@
 ): Candidate | undefined {
     const views = candidates.map(viewOf);
     const typicalTime = median(views.flatMap(view => view.responseTime ?? []));
-    const costs = views.map(view => costOf(view, typicalTime) * (1 + indifference * random()));
+    const typicalFailures = median(views.map(view => view.failureShare)) ?? 0;
+    const costs = views.map(view => costOf(view, typicalTime, typicalFailures) * (1 + indifference * random()));
     return candidates[costs.indexOf(Math.min(...costs))];
 }
 
-function costOf(view: PlacementView, typicalTime: Milliseconds | undefined): number {
+function costOf(view: PlacementView, typicalTime: Milliseconds | undefined, typicalFailures: number): number {
     const relativeTime = view.responseTime === undefined || typicalTime === undefined
         ? 1
         : Math.max(0.5, view.responseTime / Math.max(1, typicalTime));
@@ -62,12 +63,14 @@
     const distance = view.isNear ? 1 : farFactor;
     const overfull = Math.max(0, view.memoryLoad - fullMemory);
     const work = idleCost + view.load + view.memoryLoad + overfull * overfullFactor + view.waitingTokens / waitingUnit;
-    return work * relativeTime * (1 + failureFactor * view.failureShare) * warmUp * distance;
+    // Failures that all servers have alike come from the requests.
+    const excessFailures = Math.max(0, view.failureShare - typicalFailures);
+    return work * relativeTime * (1 + failureFactor * excessFailures) * warmUp * distance;
 }
 
 function median(values: readonly number[]): number | undefined {
     const sorted = [...values].sort((one, other) => one - other);
-    return sorted[Math.floor(sorted.length / 2)];
+    return sorted[Math.floor((sorted.length - 1) / 2)];
 }
 
 /** An engine that might keep a copy. */
--- a/packages/coordination/src/serverHealth.ts
+++ b/packages/coordination/src/serverHealth.ts
@@ -44,10 +44,24 @@
     health.ejections = 0;
 }
 
-/** Takes an attempt that the server failed. Returns whether the server is left out from now on. */
-export function noteFailure(health: ServerHealth, now: Milliseconds): boolean {
+/**
+ * Takes an attempt that the server answered with a failure of its own. That may be for the request's sake, so it only
+ * counts for the share, which placement compares with that of the other servers.
+ */
+export function noteFailedAnswer(health: ServerHealth, responseTime: Milliseconds): void {
+    const { failureShare } = health;
+    noteSuccess(health, responseTime);
+    health.failureShare = failureShare + newestWeight * (1 - failureShare);
+}
+
+/**
+ * Takes an attempt without an answer. Returns whether the server is left out from now on.
+ *
+ * @param isDown whether nothing listens at the server's address, so that one attempt is enough
+ */
+export function noteFailure(health: ServerHealth, now: Milliseconds, isDown = false): boolean {
     health.failureShare += newestWeight * (1 - health.failureShare);
-    health.consecutiveFailures++;
+    health.consecutiveFailures = isDown ? failuresUntilEjection : health.consecutiveFailures + 1;
     if (health.consecutiveFailures < failuresUntilEjection || now < health.ejectedUntil) {
         return false;
     }
--- a/packages/coordination/test/gatewayPolicy.test.ts
+++ b/packages/coordination/test/gatewayPolicy.test.ts
@@ -5,6 +5,7 @@
     createServerHealth,
     dutyPatience,
     dutyRank,
+    noteFailedAnswer,
     noteFailure,
     noteRepeat,
     noteRequest,
@@ -116,6 +117,18 @@
     assert.is(health.ejections, 0);
 });
 
+test("failures that a server answers do not leave it out; a server with more of them than the others gets less", () => {
+    const health = createServerHealth();
+    for (let failure = 0; failure < 10; failure++) {
+        noteFailedAnswer(health, 20);
+    }
+    assert.is(health.ejectedUntil, 0);
+    const alike = [view({ failureShare: 0.2 }), view({ failureShare: 0.2, load: 0.1 }), view({ failureShare: 0.2 })];
+    assert.is(chooseServer(alike, each => each, random), alike[1]);
+    const grey = [view({ failureShare: 0.2 }), view({ failureShare: 0.6, load: 0.1 }), view({ failureShare: 0.2 })];
+    assert.is.not(chooseServer(grey, each => each, random), grey[1]);
+});
+
 test("a flapping service keeps half of its servers in use: those that come back first", () => {
     const servers = [9_000, 8_000, 7_000, 0].map(ejectedUntil => ({ ...createServerHealth(), ejectedUntil }));
     assert.equal(withoutEjected(servers, each => each, 1_000), [servers[3], servers[2]]);
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -6,6 +6,7 @@
     chooseCopyHolder,
     chooseServer,
     createServerHealth,
+    noteFailedAnswer,
     noteFailure,
     noteRepeat,
     noteSuccess,
@@ -272,7 +273,11 @@
         noteHeard(state, id, now);
         return noteSuccess(health, (attempt.firstEventAt ?? now) - attempt.startedAt);
     }
-    if (noteFailure(health, now)) {
+    if (failure === "server_failed") {
+        noteHeard(state, id, now);
+        return noteFailedAnswer(health, now - attempt.startedAt);
+    }
+    if (noteFailure(health, now, failure === "connect_refused")) {
         record(transaction, "warn", "server_left_out", {
             server: id,
             failure,
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -131,6 +131,8 @@
     }
 }
 
+const neverRan: ReadonlySet<AttemptOutcome> = new Set(["refused_by_server", "connect_refused", "connect_timeout"]);
+
 /**
  * Goes on from the copy of a lost run's memory. Returns whether it did; a stream that may run again is then left to the
  * usual way of repeating.
@@ -142,7 +144,8 @@
     outcome: AttemptOutcome,
 ): boolean {
     const replica = liveReplica(transaction.state, attempt);
-    if (replica === undefined || outcome === "refused_by_server") {
+    // A run that never was left no copy.
+    if (replica === undefined || neverRan.has(outcome)) {
         return false;
     }
     if (!canSendAgain(transaction, request)) {
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -63,6 +63,34 @@
     };
 }
 
+test("a stream whose server refuses the channel starts elsewhere, and not from a copy that nobody made", () => {
+    const bench = engines();
+    const call = bench.send("r", "plan");
+    assert.ok(call.replicaAddress !== undefined);
+    const attemptId = call.attemptId;
+    const effects = bench.take({ kind: "attemptFailed", attemptId, failure: "connect_refused", wasSent: false });
+    const [next] = callsIn(effects);
+    assert.is(next.continuesFrom, undefined);
+    assert.is.not(next.address, call.address);
+});
+
+test("a stream whose copy's holder refuses the channel is over: no other server has a copy", () => {
+    const bench = engines();
+    const [next] = callsIn(bench.fail(bench.start("r", "plan")));
+    const { attemptId } = next;
+    const effects = bench.take({ kind: "attemptFailed", attemptId, failure: "connect_refused", wasSent: false });
+    assert.equal(callsIn(effects), []);
+    assert.ok(kindsIn(effects).includes("answerCut"));
+});
+
+test("a server that refuses a channel gets no other request for a while", () => {
+    const bench = engines();
+    const { attemptId, backendServer } = bench.send("r", "note");
+    bench.take({ kind: "attemptFailed", attemptId, failure: "connect_refused", wasSent: false });
+    const chosen = Array.from({ length: 4 }, (_, index) => bench.send(`s${index}`, "note").backendServer);
+    assert.not.ok(chosen.includes(backendServer));
+});
+
 test("a stream that may not run again and has no copy is cut, never ended as complete", () => {
     const bench = GatewayBench.serving(server("engine-1"));
     const call = bench.start("r", "plan");
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -16,7 +16,7 @@
 import { type CallerAttemptId, identifier, type LogOffset, type Milliseconds } from "@verbenaspring/model";
 import type { BackendWire } from "./backendChannels.js";
 import { type Daemon, describeError } from "./daemon.js";
-import { runLoop } from "./eventLoop.js";
+import { monotonicNow, runLoop } from "./eventLoop.js";
 import type { DecodeCallerHead } from "./gatewayCallers.js";
 import { GatewayRunner } from "./gatewayRunner.js";
 import { createEventLog, createLineWriter, type EventLog, type LogLevel } from "./logging.js";
@@ -88,11 +88,18 @@
     const runner = new GatewayRunner(options, state, adapter, log, metrics);
     await runner.listen();
     log("info", "started", { callers: options.callerAddress, readiness: options.readinessAddress });
+    let tickDueAt = monotonicNow();
     runLoop<GatewayEvent, GatewayEffect>({
         sources: [runner.events.stream],
         tick: { kind: "tick" },
         tickInterval,
-        reduce: (event, now) => reduceGateway(state, event, now, systemSource),
+        reduce: (event, now) => {
+            if (event.kind === "tick") {
+                metrics.record("verbenaspring_loop_delay_milliseconds", Math.max(0, now - tickDueAt));
+                tickDueAt = now + tickInterval;
+            }
+            return reduceGateway(state, event, now, systemSource);
+        },
         perform: effect => runner.perform(effect),
         fail: error => log("error", "loop_failed", { error: describeError(error) }),
     });
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -17,7 +17,7 @@
 import { createServer, type Server } from "node:http";
 import { type BackendChannels, createBackendChannels } from "./backendChannels.js";
 import { createDeferred } from "./daemon.js";
-import { createEventChannel } from "./eventLoop.js";
+import { createEventChannel, monotonicNow } from "./eventLoop.js";
 import { createGatewayCallers, type GatewayCallers } from "./gatewayCallers.js";
 import type { GatewayAdapter, GatewayDaemonOptions, TopicPage } from "./gatewayDaemon.js";
 import { listen } from "./listening.js";
@@ -43,6 +43,7 @@
     private readonly metricsServer: Server | undefined;
     /** Bodies of requests in progress, for sends and repeats. */
     private readonly bodies = new Map<RequestId, Buffer>();
+    private readonly receivedAt = new Map<RequestId, Milliseconds>();
     /** The attempt whose events a request's caller gets. */
     private readonly attempts = new Map<RequestId, AttemptId>();
     private requestCount = 0;
@@ -66,6 +67,9 @@
             response.end(metrics.format());
         });
         metrics.gauge("verbenaspring_requests_in_progress", () => state.requests.size);
+        metrics.gauge("verbenaspring_requests_waiting", () => state.waiting.size);
+        metrics.gauge("verbenaspring_topic_age_milliseconds_configuration", () => this.ageOf("configuration"));
+        metrics.gauge("verbenaspring_topic_age_milliseconds_servers", () => this.ageOf("backendServers"));
         metrics.gauge("verbenaspring_configuration_version", () => state.configuration?.version ?? 0);
         metrics.gauge("verbenaspring_peers_known", () => state.peers.size);
         metrics.gauge("verbenaspring_backend_servers_known", () => state.servers.size);
@@ -92,6 +96,7 @@
                 return this.channels.cancel(effect.attemptId);
             case "answerWhole":
                 this.callers.writeWhole(effect.requestId, effect.answer);
+                this.recordAnswer(effect.requestId, "whole");
                 return this.forget(effect.requestId);
             case "answerHead":
                 return this.callers.writeHead(effect.requestId, effect.head);
@@ -102,12 +107,14 @@
                 return;
             case "answerEnd":
                 this.callers.end(effect.requestId);
+                this.recordAnswer(effect.requestId, "stream");
                 return this.forget(effect.requestId);
             case "answerCut":
                 this.callers.cut(effect.requestId);
                 return this.forget(effect.requestId);
             case "answerFailure":
                 this.callers.writeFailure(effect.requestId, effect.failure);
+                this.recordAnswer(effect.requestId, "failure");
                 this.metrics.count("verbenaspring_failures_total", { type: effect.failure.type });
                 return this.forget(effect.requestId);
             case "moveRun":
@@ -150,6 +157,7 @@
             {
                 received: (requestId, head, body, receivedAt) => {
                     this.bodies.set(requestId, body);
+                    this.receivedAt.set(requestId, receivedAt);
                     this.metrics.count("verbenaspring_requests_total");
                     push({ kind: "requestReceived", requestId, head, receivedAt });
                 },
@@ -177,6 +185,19 @@
         });
     }
 
+    /** Since when the store was known to have nothing newer; -1 before the first read. */
+    private ageOf(topic: TopicName): number {
+        const { freshAsOf } = this.state.followers[topic];
+        return freshAsOf === undefined ? -1 : Math.round(monotonicNow() - freshAsOf);
+    }
+
+    private recordAnswer(requestId: RequestId, kind: "whole" | "stream" | "failure"): void {
+        const receivedAt = this.receivedAt.get(requestId);
+        if (receivedAt !== undefined) {
+            this.metrics.record("verbenaspring_answer_milliseconds", monotonicNow() - receivedAt, { kind });
+        }
+    }
+
     private setPaused(requestId: RequestId, isPaused: boolean): void {
         const attemptId = this.attempts.get(requestId);
         if (attemptId !== undefined) {
@@ -186,6 +207,7 @@
 
     private forget(requestId: RequestId): void {
         this.bodies.delete(requestId);
+        this.receivedAt.delete(requestId);
         this.attempts.delete(requestId);
     }
 
