Reports of topics name what they hold, and records that did not arrive are sent again

A report now names the offset from which it is complete, a receiver that lacks earlier records does not take it, and what a peer says it knows goes before what it was told. Reports go over the link that was heard last.

--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -21,7 +21,9 @@
     readonly through: LogOffset | undefined;
     /** Since the log was known to end there. */
     readonly age: Milliseconds;
-    /** The newest records of the keys that changed since what the receiver is known to have. */
+    /** The items hold all that changed from this offset on; who does not know the topic so far can't use them. */
+    readonly since: LogOffset;
+    /** The newest records of the keys that changed since then. */
     readonly items: readonly TopicItem[];
 }
 
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -174,14 +174,14 @@
 function topicFor(state: GatewayState, name: TopicName, peer: Peer, now: Milliseconds): PeerTopic {
     const { next, changedThrough, items, freshAsOf } = state.followers[name];
     if (next === undefined || freshAsOf === undefined) {
-        return { name, through: undefined, age: 0, items: [] };
+        return { name, since: 0, through: undefined, age: 0, items: [] };
     }
     // What the peer has is only known once it has reported on this link.
     const known: LogOffset = peer.through[name] ?? 0;
     const isBehind = peer.link === "open" && changedThrough > known;
     const missing = isBehind ? [...items.values()].filter(({ offset }) => offset >= known) : [];
     const isTold = peer.link === "open";
-    return { name, through: isTold ? next : undefined, age: now - freshAsOf, items: missing };
+    return { name, since: known, through: isTold ? next : undefined, age: now - freshAsOf, items: missing };
 }
 
 /** Takes a peer's report. */
@@ -220,8 +220,10 @@
     if (topic.through === undefined) {
         return;
     }
-    peer.through = { ...peer.through, [topic.name]: Math.max(peer.through[topic.name] ?? 0, topic.through) };
-    if (topic.through < (follower.next ?? 0)) {
+    // What was sent to it meanwhile may be on its way; what it says is sure.
+    peer.through = { ...peer.through, [topic.name]: topic.through };
+    const known = follower.next ?? 0;
+    if (topic.through < known || topic.since > known) {
         return;
     }
     takeItems(transaction, topic.name, items[topic.name], topic.through);
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -22,6 +22,7 @@
     bench.pass(50);
     const topics = (["configuration", "backendServers"] as const).map(name => ({
         name,
+        since: 0,
         through: 9,
         age: 20,
         items: [],
@@ -58,10 +59,35 @@
     const bench = new GatewayBench();
     bench.configure(configuration(8));
     const old = bench.item("config", [{ kind: "configuration", configuration: configuration(5) }]);
-    bench.hear({ topics: [{ name: "configuration", through: 99, age: 0, items: [] }] }, { configuration: [old] });
+    bench.hear({ topics: [{ name: "configuration", since: 0, through: 99, age: 0, items: [] }] }, {
+        configuration: [old],
+    });
     assert.is(bench.state.configuration?.version, 8);
 });
 
+test("a report that leaves out records that this gateway lacks is not taken, so that no change is passed over", () => {
+    const bench = new GatewayBench();
+    bench.configure(configuration(2));
+    const known = bench.state.followers.configuration.next!;
+    bench.pass(1_500);
+    bench.hear({ topics: [{ name: "configuration", since: known + 3, through: known + 5, age: 0, items: [] }] });
+    assert.is(bench.state.followers.configuration.next, known);
+    bench.take({ kind: "topicReadFailed", topic: "configuration", failure: "timeout" });
+    const read = readsIn(bench.pass(1_500)).find(effect => effect.kind === "readTopic");
+    assert.ok(read?.kind === "readTopic" && read.from === known, "it reads on from what it has");
+});
+
+test("records that did not reach a gateway are sent again once its report shows that it lacks them", () => {
+    const bench = seeded();
+    bench.pass(50);
+    bench.hear({ topics: [{ name: "configuration", since: 0, through: 0, age: 0, items: [] }] });
+    bench.configure(configuration(2));
+    bench.hear({ topics: [{ name: "configuration", since: 0, through: 0, age: 0, items: [] }] });
+    const reports = bench.pass(600).flatMap(effect => effect.kind === "sendReport" ? [effect.report] : []);
+    const topics = reports.flatMap(report => report.topics).filter(topic => topic.name === "configuration");
+    assert.ok(topics.some(topic => topic.items.length === 1 && topic.since === 0));
+});
+
 test("a change that was read is passed on at once", () => {
     const bench = seeded();
     bench.pass(50);
--- a/packages/runtime/src/peerLinks.ts
+++ b/packages/runtime/src/peerLinks.ts
@@ -4,9 +4,10 @@
 import { createClient } from "@connectrpc/connect";
 import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import type { PeerReport, TopicName } from "@verbenaspring/gateway";
-import { identifier, type PeerAddress } from "@verbenaspring/model";
+import { identifier, type Milliseconds, type PeerAddress } from "@verbenaspring/model";
 import { GatewayPeerService, type PeerReport as PeerReportMessage } from "@verbenaspring/schema";
 import { createServer, type ServerHttp2Session } from "node:http2";
+import { monotonicNow } from "./eventLoop.js";
 import { listen } from "./listening.js";
 
 /** What links report. */
@@ -38,6 +39,7 @@
 
 interface PeerLink {
     readonly queue: ReportQueue;
+    heardAt: Milliseconds;
     readonly abort: () => void;
 }
 
@@ -85,6 +87,7 @@
                     address = report.address;
                     add(address, link);
                 }
+                link.heardAt = monotonicNow();
                 handlers.reported(report);
             }
         }
@@ -103,7 +106,11 @@
                     const queue = createReportQueue();
                     const abort = new AbortController();
                     context.signal.addEventListener("abort", queue.end);
-                    void receive(untilAborted(messages, abort.signal), { queue, abort: () => abort.abort() });
+                    void receive(untilAborted(messages, abort.signal), {
+                        queue,
+                        heardAt: 0,
+                        abort: () => abort.abort(),
+                    });
                     return queue.reports();
                 },
             }),
@@ -120,6 +127,7 @@
         const queue = createReportQueue();
         const link: PeerLink = {
             queue,
+            heardAt: 0,
             abort: () => {
                 abort.abort();
                 session.abort();
@@ -134,14 +142,15 @@
             acceptCompression: [],
         });
         const stream = createClient(GatewayPeerService, transport).follow(queue.reports(), { signal: abort.signal });
-        void takeAll(stream, handlers).finally(() => remove(address, link));
+        void takeAll(stream, link, handlers).finally(() => remove(address, link));
     };
     return {
         listen: address => listen(server, address),
         open,
         send: (address, report) => {
-            const [link] = links.get(address) ?? [];
-            link?.queue.push(report);
+            // The link that was heard last is the one that is known to carry.
+            const ofPeer = [...links.get(address) ?? []].sort((one, other) => other.heardAt - one.heardAt);
+            ofPeer[0]?.queue.push(report);
         },
         drop,
         close: () => {
@@ -152,9 +161,14 @@
     };
 }
 
-async function takeAll(messages: AsyncIterable<PeerReportMessage>, handlers: PeerHandlers): Promise<void> {
+async function takeAll(
+    messages: AsyncIterable<PeerReportMessage>,
+    link: PeerLink,
+    handlers: PeerHandlers,
+): Promise<void> {
     try {
         for await (const message of messages) {
+            link.heardAt = monotonicNow();
             handlers.reported(decodeReport(message));
         }
     }
@@ -217,6 +231,7 @@
         topics: topics.map(topic => ({
             $typeName: "verbenaspring.v1.PeerTopic",
             name: topic.name,
+            since: topic.since,
             through: topic.through,
             age: topic.age,
             items: topic.items.map(({ key, offset, value }) => ({
@@ -238,7 +253,13 @@
         members: members.map(member => identifier<PeerAddress>(member)),
         isStopping,
         isFull,
-        topics: topics.map(({ name, through, age, items }) => ({ name: name as TopicName, through, age, items })),
+        topics: topics.map(({ name, since, through, age, items }) => ({
+            name: name as TopicName,
+            since,
+            through,
+            age,
+            items,
+        })),
         loads: loads.map(load => ({ ...load, backendServer: identifier(load.backendServer) })),
     };
 }
