A read of the store counts as fresh once, however often reports of it go round

A report now names the read that it rests on. The patience of high ranks is bounded. A test replays reports that go round; with ages alone no gateway read.

--- a/packages/coordination/src/duty.ts
+++ b/packages/coordination/src/duty.ts
@@ -12,6 +12,8 @@
     readonly base: Milliseconds;
     /** More for each further rank. */
     readonly step: Milliseconds;
+    /** For all further ranks; many that do the work at once are better than nobody. */
+    readonly longest: Milliseconds;
 }
 
 /**
@@ -27,6 +29,6 @@
 }
 
 /** How old the work of others may be before an instance of this rank does it by itself; at once for the first. */
-export function dutyPatience(rank: number, { base, step }: DutyPatience): Milliseconds {
-    return rank === 0 ? 0 : base + step * (rank - 1);
+export function dutyPatience(rank: number, { base, step, longest }: DutyPatience): Milliseconds {
+    return rank === 0 ? 0 : Math.min(longest, base + step * (rank - 1));
 }
--- a/packages/coordination/test/gatewayPolicy.test.ts
+++ b/packages/coordination/test/gatewayPolicy.test.ts
@@ -139,7 +139,8 @@
     const names = ["a", "b", "c", "d"];
     const ranks = names.map(name => dutyRank(name, names.filter(other => other !== name), "duty"));
     assert.equal([...ranks].sort(), [0, 1, 2, 3]);
-    assert.equal([0, 1, 3].map(rank => dutyPatience(rank, { base: 900, step: 150 })), [0, 900, 1_200]);
+    const patience = { base: 900, step: 150, longest: 1_500 };
+    assert.equal([0, 1, 3, 800].map(rank => dutyPatience(rank, patience)), [0, 900, 1_200, 1_500]);
 });
 
 test.run();
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -3,10 +3,11 @@
  * from it, and read by themselves once nothing fresh has come.
  */
 import { createServerHealth, type DutyPatience, dutyPatience, dutyRank } from "@verbenaspring/coordination";
-import type { BackendServerId, LogOffset, Milliseconds, ServiceName } from "@verbenaspring/model";
+import type { BackendServerId, GatewayIncarnation, LogOffset, Milliseconds, ServiceName } from "@verbenaspring/model";
 import { applyRecord, applyRemoval, type BackendChange, forgetRemoved } from "./backendServers.js";
 import { evacuate } from "./evacuation.js";
 import type { DecodedItem, GatewayEvent, TopicName, TopicRecord } from "./event.js";
+import type { TopicReadStamp } from "./peerReport.js";
 import { informPeers, livePeers } from "./peers.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
 import type { TopicFollower } from "./state.js";
@@ -29,8 +30,8 @@
  * all the time, so that reads of the backend servers don't wait.
  */
 const readPlans: Readonly<Record<TopicName, ReadPlan>> = {
-    configuration: { wait: 600, pause: 0, patience: { base: 1_100, step: 150 } },
-    backendServers: { wait: 0, pause: 400, patience: { base: 900, step: 150 } },
+    configuration: { wait: 600, pause: 0, patience: { base: 1_100, step: 150, longest: 1_700 } },
+    backendServers: { wait: 0, pause: 400, patience: { base: 900, step: 150, longest: 1_500 } },
 };
 
 /** From a failed read to the next one. */
@@ -83,13 +84,32 @@
     follower.readAgainAt = now + readPlans[topic].pause;
     const missing = event.isSnapshot && topic === "backendServers" ? droppedItems(follower, event) : [];
     const hasChanged = takeItems(transaction, topic, [...event.items, ...missing], next);
-    follower.freshAsOf = now;
+    noteFresh(follower, { reader: state.incarnation, count: countReads(follower, state.incarnation) + 1 }, now);
     if (hasChanged) {
         informPeers(transaction);
     }
     tendFollower(transaction, topic);
 }
 
+function countReads({ seenReads }: TopicFollower, reader: GatewayIncarnation): number {
+    return seenReads.get(reader) ?? 0;
+}
+
+/**
+ * Takes a read as news of how fresh the topic is. Each read counts once, when it is first heard of: reports that go round
+ * would else make it younger by their time on the way.
+ */
+export function noteFresh(follower: TopicFollower, read: TopicReadStamp, readAt: Milliseconds): void {
+    if (read.count <= countReads(follower, read.reader)) {
+        return;
+    }
+    follower.seenReads.set(read.reader, read.count);
+    if (follower.freshAsOf === undefined || readAt > follower.freshAsOf) {
+        follower.freshAsOf = readAt;
+        follower.lastRead = read;
+    }
+}
+
 /** Keys that a snapshot lacks were dropped. */
 function droppedItems(follower: TopicFollower, { items, next }: TopicRead): DecodedItem[] {
     const present = new Set(items.map(({ item }) => item.key));
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -14,12 +14,20 @@
     readonly waitingTokens: number;
 }
 
+/** One read of the store: the gateway that made it, and how many it had made. */
+export interface TopicReadStamp {
+    readonly reader: GatewayIncarnation;
+    readonly count: number;
+}
+
 /** How far a gateway knows a topic. */
 export interface PeerTopic {
     readonly name: TopicName;
     /** The offset after the last record that is known; undefined before the first read. */
     readonly through: LogOffset | undefined;
-    /** Since the log was known to end there. */
+    /** The read by which the log was known to end there. */
+    readonly read: TopicReadStamp;
+    /** Since that read. */
     readonly age: Milliseconds;
     /** The items hold all that changed from this offset on; who does not know the topic so far can't use them. */
     readonly since: LogOffset;
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -5,7 +5,7 @@
 import { backoff } from "@verbenaspring/coordination";
 import type { BackendServerId, LogOffset, Milliseconds, PeerAddress } from "@verbenaspring/model";
 import type { GatewayEvent, TopicName } from "./event.js";
-import { takeItems } from "./followers.js";
+import { noteFresh, takeItems } from "./followers.js";
 import type { PeerLoad, PeerReport, PeerTopic } from "./peerReport.js";
 import { engineOf } from "./serverLoad.js";
 import type { GatewayState, Peer } from "./state.js";
@@ -172,16 +172,17 @@
 }
 
 function topicFor(state: GatewayState, name: TopicName, peer: Peer, now: Milliseconds): PeerTopic {
-    const { next, changedThrough, items, freshAsOf } = state.followers[name];
-    if (next === undefined || freshAsOf === undefined) {
-        return { name, since: 0, through: undefined, age: 0, items: [] };
+    const { next, changedThrough, items, freshAsOf, lastRead } = state.followers[name];
+    if (next === undefined || freshAsOf === undefined || lastRead === undefined) {
+        return { name, since: 0, through: undefined, read: { reader: state.incarnation, count: 0 }, age: 0, items: [] };
     }
     // What the peer has is only known once it has reported on this link.
     const known: LogOffset = peer.through[name] ?? 0;
     const isBehind = peer.link === "open" && changedThrough > known;
     const missing = isBehind ? [...items.values()].filter(({ offset }) => offset >= known) : [];
     const isTold = peer.link === "open";
-    return { name, since: known, through: isTold ? next : undefined, age: now - freshAsOf, items: missing };
+    const through = isTold ? next : undefined;
+    return { name, since: known, through, read: lastRead, age: now - freshAsOf, items: missing };
 }
 
 /** Takes a peer's report. */
@@ -227,7 +228,7 @@
         return;
     }
     takeItems(transaction, topic.name, items[topic.name], topic.through);
-    follower.freshAsOf = Math.max(follower.freshAsOf ?? 0, now - topic.age);
+    noteFresh(follower, topic.read, now - topic.age);
 }
 
 /** Takes the end of a link, or a link that could not be opened. */
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -16,7 +16,7 @@
 import type { ReadFailure, TopicItem, TopicName } from "./event.js";
 import type { BackendHead, CallerHead, RunCopy } from "./messages.js";
 import type { GatewayOptions } from "./options.js";
-import type { PeerLoad } from "./peerReport.js";
+import type { PeerLoad, TopicReadStamp } from "./peerReport.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 
 /** One send of a request to a backend server. */
@@ -92,6 +92,10 @@
     readonly items: Map<string, TopicItem>;
     /** When the log was last known to end at `next`, by a read of this gateway or of another. */
     freshAsOf: Milliseconds | undefined;
+    /** That read. */
+    lastRead: TopicReadStamp | undefined;
+    /** The newest read of each gateway that is known. A report of an older one says nothing about how fresh a topic is. */
+    readonly seenReads: Map<GatewayIncarnation, number>;
     isReading: boolean;
     readAgainAt: Milliseconds;
     failing: ReadFailure | undefined;
@@ -181,6 +185,8 @@
         changedThrough: 0,
         items: new Map(),
         freshAsOf: undefined,
+        lastRead: undefined,
+        seenReads: new Map(),
         isReading: false,
         readAgainAt: 0,
         failing: undefined,
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -6,6 +6,7 @@
 
 const other = identifier<never>("10.1.0.2:8748");
 const seeded = (): GatewayBench => new GatewayBench({ seedAddresses: [other] });
+const readBy = (count: number) => ({ reader: identifier<never>("reader"), count });
 const readsIn = (effects: readonly GatewayEffect[]) =>
     effects.filter(effect => effect.kind === "readTopic" || effect.kind === "readSnapshot");
 
@@ -23,6 +24,7 @@
     const topics = (["configuration", "backendServers"] as const).map(name => ({
         name,
         since: 0,
+        read: readBy(1),
         through: 9,
         age: 20,
         items: [],
@@ -39,7 +41,7 @@
     const reads: GatewayEffect[] = [];
     for (let step = 0; step < 9; step++) {
         reads.push(...readsIn(bench.pass(200)));
-        bench.hear({ topics });
+        bench.hear({ topics: topics.map(topic => ({ ...topic, read: readBy(step + 2) })) });
     }
     assert.is(reads.length, 0, "a gateway that the store turned away takes what others read");
 });
@@ -55,11 +57,29 @@
     assert.equal([...new Set(topics)].sort(), ["backendServers", "configuration"]);
 });
 
+test("reports of one read, sent round again and again, do not count as fresh: the readers are gone", () => {
+    const bench = new GatewayBench();
+    bench.read("configuration", []);
+    bench.read("backendServers", []);
+    bench.take({ kind: "topicReadFailed", topic: "configuration", failure: "timeout" });
+    bench.take({ kind: "topicReadFailed", topic: "backendServers", failure: "timeout" });
+    const reads: GatewayEffect[] = [];
+    for (let step = 0; step < 40; step++) {
+        reads.push(...readsIn(bench.pass(50)));
+        // Each report was some milliseconds on its way, which its age leaves out.
+        const age = Math.max(0, step * 50 - step * 30);
+        const topics = (["configuration", "backendServers"] as const)
+            .map(name => ({ name, since: 0, read: readBy(1), through: 0, age, items: [] }));
+        bench.hear({ topics });
+    }
+    assert.ok(reads.length >= 2);
+});
+
 test("a configuration from another gateway never takes this one back", () => {
     const bench = new GatewayBench();
     bench.configure(configuration(8));
     const old = bench.item("config", [{ kind: "configuration", configuration: configuration(5) }]);
-    bench.hear({ topics: [{ name: "configuration", since: 0, through: 99, age: 0, items: [] }] }, {
+    bench.hear({ topics: [{ name: "configuration", since: 0, read: readBy(1), through: 99, age: 0, items: [] }] }, {
         configuration: [old],
     });
     assert.is(bench.state.configuration?.version, 8);
@@ -70,7 +90,9 @@
     bench.configure(configuration(2));
     const known = bench.state.followers.configuration.next!;
     bench.pass(1_500);
-    bench.hear({ topics: [{ name: "configuration", since: known + 3, through: known + 5, age: 0, items: [] }] });
+    bench.hear({
+        topics: [{ name: "configuration", since: known + 3, read: readBy(1), through: known + 5, age: 0, items: [] }],
+    });
     assert.is(bench.state.followers.configuration.next, known);
     bench.take({ kind: "topicReadFailed", topic: "configuration", failure: "timeout" });
     const read = readsIn(bench.pass(1_500)).find(effect => effect.kind === "readTopic");
@@ -80,9 +102,9 @@
 test("records that did not reach a gateway are sent again once its report shows that it lacks them", () => {
     const bench = seeded();
     bench.pass(50);
-    bench.hear({ topics: [{ name: "configuration", since: 0, through: 0, age: 0, items: [] }] });
+    bench.hear({ topics: [{ name: "configuration", since: 0, read: readBy(1), through: 0, age: 0, items: [] }] });
     bench.configure(configuration(2));
-    bench.hear({ topics: [{ name: "configuration", since: 0, through: 0, age: 0, items: [] }] });
+    bench.hear({ topics: [{ name: "configuration", since: 0, read: readBy(1), through: 0, age: 0, items: [] }] });
     const reports = bench.pass(600).flatMap(effect => effect.kind === "sendReport" ? [effect.report] : []);
     const topics = reports.flatMap(report => report.topics).filter(topic => topic.name === "configuration");
     assert.ok(topics.some(topic => topic.items.length === 1 && topic.since === 0));
--- a/packages/runtime/src/peerLinks.ts
+++ b/packages/runtime/src/peerLinks.ts
@@ -4,7 +4,7 @@
 import { createClient } from "@connectrpc/connect";
 import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import type { PeerReport, TopicName } from "@verbenaspring/gateway";
-import { identifier, type Milliseconds, type PeerAddress } from "@verbenaspring/model";
+import { type GatewayIncarnation, identifier, type Milliseconds, type PeerAddress } from "@verbenaspring/model";
 import { GatewayPeerService, type PeerReport as PeerReportMessage } from "@verbenaspring/schema";
 import { createServer, type ServerHttp2Session } from "node:http2";
 import { monotonicNow } from "./eventLoop.js";
@@ -232,6 +232,8 @@
             $typeName: "verbenaspring.v1.PeerTopic",
             name: topic.name,
             since: topic.since,
+            reader: topic.read.reader,
+            readCount: topic.read.count,
             through: topic.through,
             age: topic.age,
             items: topic.items.map(({ key, offset, value }) => ({
@@ -253,8 +255,9 @@
         members: members.map(member => identifier<PeerAddress>(member)),
         isStopping,
         isFull,
-        topics: topics.map(({ name, since, through, age, items }) => ({
+        topics: topics.map(({ name, since, reader, readCount, through, age, items }) => ({
             name: name as TopicName,
+            read: { reader: identifier<GatewayIncarnation>(reader), count: readCount },
             since,
             through,
             age,
