Sending apart from what follows an attempt, and the codec of reports apart from links

Also: what is known of servers and readers that are gone is forgotten, moves carry no id that nobody reads, and a round trip of a report is tested.

--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -40,7 +40,6 @@
     | { readonly kind: "probeServer"; readonly backendServer: BackendServerId; readonly address: string; }
     | {
         readonly kind: "moveRun";
-        readonly requestId: RequestId;
         readonly attemptId: AttemptId;
         readonly callerAttemptId: CallerAttemptId;
         readonly sourceAddress: string;
--- a/packages/gateway/src/evacuation.ts
+++ b/packages/gateway/src/evacuation.ts
@@ -5,10 +5,11 @@
  */
 import { chooseCopyHolder, rescueCopies } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
-import { canSendAgain, endAttempt, sendTo } from "./attempts.js";
+import { endAttempt } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import type { GatewayEvent } from "./event.js";
 import { describe } from "./requests.js";
+import { canSendAgain, sendTo } from "./sending.js";
 import { copyView, engineOf, usableServers } from "./serverLoad.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { liveReplica } from "./streams.js";
@@ -78,7 +79,6 @@
     attempt.moveTarget = target;
     transaction.effects.push({
         kind: "moveRun",
-        requestId: request.id,
         attemptId: attempt.id,
         callerAttemptId: request.head.callerAttemptId,
         sourceAddress: attempt.server.record.address,
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -112,7 +112,6 @@
     | { readonly kind: "topicReadFailed"; readonly topic: TopicName; readonly failure: ReadFailure; }
     | {
         readonly kind: "moveAnswered";
-        readonly requestId: RequestId;
         readonly attemptId: AttemptId;
         readonly result: MoveResult;
     }
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -41,6 +41,9 @@
 /** How long the end of a key is passed on to other gateways. */
 const droppedRetention = 2_000;
 
+/** Gateways whose reads are remembered; more than read at any time. */
+const mostReaders = 256;
+
 /** Starts the reads that are due. */
 export function tendFollowers(transaction: Transaction): void {
     tendFollower(transaction, "configuration");
@@ -103,7 +106,13 @@
     if (read.count <= countReads(follower, read.reader)) {
         return;
     }
+    // Set anew, so that the map is in order of the last read; readers that are gone are forgotten.
+    follower.seenReads.delete(read.reader);
     follower.seenReads.set(read.reader, read.count);
+    const [oldest] = follower.seenReads.keys();
+    if (follower.seenReads.size > mostReaders) {
+        follower.seenReads.delete(oldest);
+    }
     if (follower.freshAsOf === undefined || readAt > follower.freshAsOf) {
         follower.freshAsOf = readAt;
         follower.lastRead = read;
@@ -150,6 +159,7 @@
     forgetDropped(follower);
     if (topic === "backendServers" && forgetRemoved(state.servers, now)) {
         listByService(transaction);
+        forgetHealth(transaction);
     }
     return hasChanged;
 }
@@ -237,6 +247,12 @@
     return true;
 }
 
+function forgetHealth({ state }: Transaction): void {
+    [state.health, state.liveness].forEach(known =>
+        [...known.keys()].filter(id => !state.servers.has(id)).forEach(id => known.delete(id))
+    );
+}
+
 function listByService({ state }: Transaction): void {
     const lists = new Map<ServiceName, BackendServerId[]>();
     for (const { record: { id, service } } of state.servers.values()) {
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -41,6 +41,11 @@
     return heardAt !== undefined && now - heardAt <= silenceLimit;
 }
 
+/** The shortest time between two reports to one peer. */
+export function reportInterval(state: GatewayState): Milliseconds {
+    return Math.max(loadInterval, loadIntervalForPeer * state.peers.size);
+}
+
 /** Opens links, leaves silent ones, and sends the reports that are due. */
 export function tendPeers(transaction: Transaction): void {
     const { state } = transaction;
@@ -61,7 +66,7 @@
         effects.push({ kind: "closePeerLink", address: peer.address });
         return takePeerLinkClosed(transaction, peer.address);
     }
-    const shortestGap = Math.max(loadInterval, loadIntervalForPeer * state.peers.size);
+    const shortestGap = reportInterval(state);
     const gap = now - peer.sentAt;
     if (
         peer.link === "open"
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -10,10 +10,11 @@
     type RunOutcome,
     type ServiceName,
 } from "@verbenaspring/model";
-import { dispatch, endAttempt } from "./attempts.js";
+import { endAttempt } from "./attempts.js";
 import { cannotFinishBeforeStop, returnAfterStop } from "./draining.js";
 import type { GatewayEvent } from "./event.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
+import { dispatch } from "./sending.js";
 import type { GatewayRequest } from "./state.js";
 import { record, type Transaction } from "./transaction.js";
 
--- a/packages/gateway/src/silence.ts
+++ b/packages/gateway/src/silence.ts
@@ -3,8 +3,9 @@
  * its server, or its channel, proves to be dead.
  */
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
-import { abandon, canSendAgain } from "./attempts.js";
+import { abandon } from "./attempts.js";
 import type { GatewayEvent, ServerReport } from "./event.js";
+import { canSendAgain } from "./sending.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { record, type Transaction } from "./transaction.js";
 
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -3,11 +3,12 @@
  * after the last event, from a copy of its memory or, where the route allows it, by a new run.
  */
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
-import { type AttemptOutcome, canSendAgain, continueAfter, endAttempt, judge, noteHealth, sendTo } from "./attempts.js";
+import { type AttemptOutcome, continueAfter, endAttempt, judge, noteHealth } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import { evacuateStarted } from "./evacuation.js";
 import type { BackendHead, StreamEvent } from "./messages.js";
 import { describe, finish } from "./requests.js";
+import { canSendAgain, sendTo } from "./sending.js";
 import { noteEventsLoad } from "./serverLoad.js";
 import { noteHeard } from "./silence.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -12,10 +12,10 @@
     type WaitingView,
 } from "@verbenaspring/coordination";
 import { identifier, type Milliseconds, type OrganisationId } from "@verbenaspring/model";
-import { dispatch } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import { liveInstances } from "./peers.js";
 import { describe, failRequest } from "./requests.js";
+import { dispatch } from "./sending.js";
 import { engineOf, expectedMemory, memoryLoad, requestsAt, usableServers } from "./serverLoad.js";
 import type { GatewayRequest } from "./state.js";
 import { record, type Transaction } from "./transaction.js";
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -232,7 +232,8 @@
     };
 }
 
-function backendHead({ head }: BackendCall): BackendHead {
+/** The head of a sound stream in answer to a call. */
+export function backendHead({ head }: BackendCall): BackendHead {
     return {
         status: 200,
         callerAttemptId: head.callerAttemptId,
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -2,7 +2,7 @@
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, eventsIn, failuresIn, GatewayBench, kindsIn, server } from "./gatewayBuilders.js";
+import { backendHead, callsIn, eventsIn, failuresIn, GatewayBench, kindsIn, server } from "./gatewayBuilders.js";
 
 const engines = (): GatewayBench => GatewayBench.serving(server("engine-1"), server("engine-2"), server("engine-3"));
 /** A plan that is too large for a copy beside it. */
@@ -10,8 +10,7 @@
 
 function moved(bench: GatewayBench, call: BackendCall, handle: string | undefined) {
     const result = handle === undefined ? { kind: "failed" } as const : { kind: "moved", handle } as const;
-    const requestId = identifier<never>(call.head.callerAttemptId);
-    return bench.take({ kind: "moveAnswered", requestId, attemptId: call.attemptId, result });
+    return bench.take({ kind: "moveAnswered", attemptId: call.attemptId, result });
 }
 
 test("nothing is written before the first event; then head and events in order", () => {
@@ -43,26 +42,13 @@
         eventsIn(bench.take({
             kind: "streamOpened",
             attemptId: next.attemptId,
-            head: { ...headOf(next) },
+            head: backendHead(next),
         })),
         [],
     );
     assert.equal(eventsIn(bench.events(next, 1, 2)), [2]);
 });
 
-function headOf(call: BackendCall) {
-    return {
-        status: 200,
-        callerAttemptId: call.head.callerAttemptId,
-        isSealed: true,
-        isNotRun: false,
-        isEncoded: false,
-        isEventStream: true,
-        endsWithChannel: false,
-        headers: [],
-    };
-}
-
 test("a stream whose server refuses the channel starts elsewhere, and not from a copy that nobody made", () => {
     const bench = engines();
     const call = bench.send("r", "plan");
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -244,10 +244,10 @@
     }
 
     private moveRun(effect: Extract<GatewayEffect, { readonly kind: "moveRun"; }>): void {
-        const { requestId, attemptId, callerAttemptId, sourceAddress, targetAddress } = effect;
+        const { attemptId, callerAttemptId, sourceAddress, targetAddress } = effect;
         void this.adapter.moveRun(sourceAddress, callerAttemptId, targetAddress, moveTimeout).then(result => {
             this.metrics.count("verbenaspring_moves_total", { result: result.kind });
-            this.events.push({ kind: "moveAnswered", requestId, attemptId, result });
+            this.events.push({ kind: "moveAnswered", attemptId, result });
         });
     }
 
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -19,6 +19,7 @@
 export * from "./metrics.js";
 export * from "./operatorServer.js";
 export * from "./peerLinks.js";
+export * from "./peerReportCodec.js";
 export * from "./platformClient.js";
 export * from "./randomSource.js";
 export * from "./sidecarDaemon.js";
--- a/packages/runtime/src/peerLinks.ts
+++ b/packages/runtime/src/peerLinks.ts
@@ -3,12 +3,13 @@
  */
 import { createClient } from "@connectrpc/connect";
 import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
-import type { PeerReport, TopicName } from "@verbenaspring/gateway";
-import { type GatewayIncarnation, identifier, type Milliseconds, type PeerAddress } from "@verbenaspring/model";
+import type { PeerReport } from "@verbenaspring/gateway";
+import { type Milliseconds, type PeerAddress } from "@verbenaspring/model";
 import { GatewayPeerService, type PeerReport as PeerReportMessage } from "@verbenaspring/schema";
 import { createServer, type ServerHttp2Session } from "node:http2";
 import { monotonicNow } from "./eventLoop.js";
 import { listen } from "./listening.js";
+import { decodeReport, encodeReport, type ReportInit } from "./peerReportCodec.js";
 
 /** What links report. */
 export interface PeerHandlers {
@@ -28,8 +29,6 @@
     readonly close: () => void;
 }
 
-type ReportInit = Omit<PeerReportMessage, "$typeName" | "$unknown">;
-
 /** One direction of a link: reports wait here until the stream takes them. */
 interface ReportQueue {
     readonly push: (report: PeerReport) => void;
@@ -219,50 +218,3 @@
         reports,
     };
 }
-
-function encodeReport(report: PeerReport): ReportInit {
-    const { address, incarnation, members, isStopping, topics, loads, isFull } = report;
-    return {
-        address,
-        incarnation,
-        members: [...members],
-        isStopping,
-        isFull,
-        topics: topics.map(topic => ({
-            $typeName: "verbenaspring.v1.PeerTopic",
-            name: topic.name,
-            since: topic.since,
-            reader: topic.read.reader,
-            readCount: topic.read.count,
-            through: topic.through,
-            age: topic.age,
-            items: topic.items.map(({ key, offset, value }) => ({
-                $typeName: "verbenaspring.v1.PeerTopicItem",
-                key,
-                offset,
-                value: Uint8Array.from(value),
-            })),
-        })),
-        loads: loads.map(load => ({ $typeName: "verbenaspring.v1.PeerLoad", ...load })),
-    };
-}
-
-function decodeReport(message: PeerReportMessage): PeerReport {
-    const { address, incarnation, members, isStopping, topics, loads, isFull } = message;
-    return {
-        address: identifier(address),
-        incarnation: identifier(incarnation),
-        members: members.map(member => identifier<PeerAddress>(member)),
-        isStopping,
-        isFull,
-        topics: topics.map(({ name, since, reader, readCount, through, age, items }) => ({
-            name: name as TopicName,
-            read: { reader: identifier<GatewayIncarnation>(reader), count: readCount },
-            since,
-            through,
-            age,
-            items,
-        })),
-        loads: loads.map(load => ({ ...load, backendServer: identifier(load.backendServer) })),
-    };
-}
--- /dev/null
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -0,0 +1,58 @@
+/**
+ * Reports of gateways, to and from the messages of the schema.
+ */
+import type { PeerReport, TopicName } from "@verbenaspring/gateway";
+import { type GatewayIncarnation, identifier, type PeerAddress } from "@verbenaspring/model";
+import type { PeerReport as PeerReportMessage } from "@verbenaspring/schema";
+
+/** A message that can be sent. */
+export type ReportInit = Omit<PeerReportMessage, "$typeName" | "$unknown">;
+
+/** Encodes a report. */
+export function encodeReport(report: PeerReport): ReportInit {
+    const { address, incarnation, members, isStopping, topics, loads, isFull } = report;
+    return {
+        address,
+        incarnation,
+        members: [...members],
+        isStopping,
+        isFull,
+        topics: topics.map(topic => ({
+            $typeName: "verbenaspring.v1.PeerTopic",
+            name: topic.name,
+            since: topic.since,
+            reader: topic.read.reader,
+            readCount: topic.read.count,
+            through: topic.through,
+            age: topic.age,
+            items: topic.items.map(({ key, offset, value }) => ({
+                $typeName: "verbenaspring.v1.PeerTopicItem",
+                key,
+                offset,
+                value: Uint8Array.from(value),
+            })),
+        })),
+        loads: loads.map(load => ({ $typeName: "verbenaspring.v1.PeerLoad", ...load })),
+    };
+}
+
+/** Decodes a report. */
+export function decodeReport(message: PeerReportMessage): PeerReport {
+    const { address, incarnation, members, isStopping, topics, loads, isFull } = message;
+    return {
+        address: identifier(address),
+        incarnation: identifier(incarnation),
+        members: members.map(member => identifier<PeerAddress>(member)),
+        isStopping,
+        isFull,
+        topics: topics.map(({ name, since, reader, readCount, through, age, items }) => ({
+            name: name as TopicName,
+            read: { reader: identifier<GatewayIncarnation>(reader), count: readCount },
+            since,
+            through,
+            age,
+            items,
+        })),
+        loads: loads.map(load => ({ ...load, backendServer: identifier(load.backendServer) })),
+    };
+}
--- /dev/null
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -0,0 +1,63 @@
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import type { PeerReport } from "@verbenaspring/gateway";
+import { identifier } from "@verbenaspring/model";
+import { decodeReport, encodeReport } from "@verbenaspring/runtime";
+import { PeerReportSchema } from "@verbenaspring/schema";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+
+test("a report comes through the wire as it was", () => {
+    const report: PeerReport = {
+        address: identifier("10.1.0.1:8748"),
+        incarnation: identifier("one"),
+        members: [identifier("10.1.0.2:8748")],
+        isStopping: true,
+        isFull: false,
+        topics: [
+            {
+                name: "configuration",
+                since: 3,
+                through: 9,
+                read: { reader: identifier("two"), count: 7 },
+                age: 12.5,
+                items: [{ key: "config", offset: 8, value: new Uint8Array([1, 2, 255]) }],
+            },
+            {
+                name: "backendServers",
+                since: 0,
+                through: undefined,
+                read: { reader: identifier("one"), count: 0 },
+                age: 0,
+                items: [],
+            },
+        ],
+        loads: [{ backendServer: identifier("i-1"), inProgress: 2, memoryTokens: 4_096, waitingTokens: 0 }],
+    };
+    const bytes = toBinary(PeerReportSchema, create(PeerReportSchema, encodeReport(report)));
+    const { $typeName, ...decoded } = decodeReport(fromBinary(PeerReportSchema, bytes)) as PeerReport & {
+        $typeName?: string;
+    };
+    assert.is($typeName, undefined);
+    assert.equal(JSON.parse(JSON.stringify(strip(decoded))), JSON.parse(JSON.stringify(strip(report))));
+});
+
+/** Without the type names that messages carry. */
+function strip(value: unknown): unknown {
+    if (value instanceof Uint8Array) {
+        return [...value];
+    }
+    if (Array.isArray(value)) {
+        return value.map(strip);
+    }
+    if (typeof value !== "object" || value === null) {
+        return value;
+    }
+    const entries = Object.entries(value).filter(([key]) => !key.startsWith("$"));
+    return Object.fromEntries(
+        entries.map(([key, inner]) => [key, strip(inner)]).sort(([one], [other]) =>
+            String(one) < String(other) ? -1 : 1
+        ),
+    );
+}
+
+test.run();
