Engines are not sampled

Tried: each gateway looked at fewer engines the more choices of others its reports could not show yet (2 of 32 on the grown site), so that they would not all choose the same. Expected: shorter waits for the first event.

--- a/packages/coordination/src/placement.ts
+++ b/packages/coordination/src/placement.ts
@@ -55,31 +55,6 @@
     return candidates[costs.indexOf(Math.min(...costs))];
 }
 
-/** How many unseen choices may fall on the best candidate, on average. */
-const mostUnseenOnBest = 0.7;
-const leastSample = 2;
-
-/**
- * A random part of the candidates to choose from. What other instances chose since their last reports is unseen here, and
- * all of them see the same best candidate; the more choices are unseen, the fewer candidates each instance looks at.
- *
- * @param unseen choices that others made since their reports, as far as is foreseen
- * @example
- * const server = chooseServer(sampleCandidates(servers, 14, random), viewOf, random);
- */
-export function sampleCandidates<Candidate>(
-    candidates: readonly Candidate[],
-    unseen: number,
-    random: Random,
-): readonly Candidate[] {
-    const size = Math.max(leastSample, Math.round(mostUnseenOnBest * candidates.length / Math.max(unseen, 0.01)));
-    if (size >= candidates.length) {
-        return candidates;
-    }
-    const left = [...candidates];
-    return Array.from({ length: size }, () => left.splice(Math.floor(random() * left.length), 1)[0]);
-}
-
 function costOf(view: PlacementView, typicalTime: Milliseconds | undefined, typicalFailures: number): number {
     const relativeTime = view.responseTime === undefined || typicalTime === undefined
         ? 1
--- a/packages/coordination/src/retryBudget.ts
+++ b/packages/coordination/src/retryBudget.ts
@@ -50,19 +50,6 @@
     currentSlice(budget, service, now).repeats++;
 }
 
-/**
- * Callers' requests for a service at this instance, each second.
- *
- * @example
- * const rate = requestRate(budget, service, now);
- */
-export function requestRate(budget: RetryBudget, service: ServiceName, now: Milliseconds): number {
-    const millisecondsPerSecond = 1_000;
-    const slices = recentSlices(budget, service, now);
-    const requests = slices.reduce((sum, slice) => sum + slice.requests, 0);
-    return requests / budget.options.window * millisecondsPerSecond;
-}
-
 /**
  * Repeats that this instance may still send in this window.
  *
--- a/packages/coordination/test/gatewayPolicy.test.ts
+++ b/packages/coordination/test/gatewayPolicy.test.ts
@@ -13,7 +13,6 @@
     type PlacementView,
     repeatsLeft,
     reserveCopies,
-    sampleCandidates,
     seededSource,
     withoutEjected,
 } from "@verbenaspring/coordination";
@@ -62,21 +61,6 @@
     assert.ok(counts.every(count => count > 50), counts.join(" "));
 });
 
-test("instances that act on the same old reports don't all choose the engine that was best then", () => {
-    const spread = (unseen: number): number => {
-        const engines = Array.from({ length: 32 }, (_, index) => ({ reported: index / 320, chosen: 0 }));
-        for (let instance = 0; instance < 24; instance++) {
-            const sample = sampleCandidates(engines, unseen, random);
-            chooseServer(sample, ({ reported }) => view({ memoryLoad: reported }), random)!.chosen++;
-        }
-        return Math.max(...engines.map(({ chosen }) => chosen));
-    };
-    const rounds = Array.from({ length: 50 }, () => [spread(0), spread(14)]);
-    const mean = (index: number): number => rounds.reduce((sum, round) => sum + round[index], 0) / rounds.length;
-    assert.ok(mean(1) < mean(0) / 1.5, `${mean(1)} against ${mean(0)}`);
-    assert.is(sampleCandidates([1, 2, 3, 4, 5, 6], 0.5, random).length, 6);
-});
-
 test("a burst that fills one engine's memory goes to the others before runs push each other aside", () => {
     const engines = [{ memory: 0.8 }, { memory: 0.1 }, { memory: 0.2 }];
     for (let request = 0; request < 12; request++) {
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -42,7 +42,7 @@
 }
 
 /** The shortest time between two reports to one peer. */
-export function reportInterval(state: GatewayState): Milliseconds {
+function reportInterval(state: GatewayState): Milliseconds {
     return Math.max(loadInterval, loadIntervalForPeer * state.peers.size);
 }
 
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -1,18 +1,11 @@
 /**
  * Sends requests to backend servers: which one, whether it has room, and whether another send is allowed.
  */
-import {
-    chooseCopyHolder,
-    chooseServer,
-    noteRepeat,
-    repeatsLeft,
-    requestRate,
-    sampleCandidates,
-} from "@verbenaspring/coordination";
+import { chooseCopyHolder, chooseServer, noteRepeat, repeatsLeft } from "@verbenaspring/coordination";
 import { identifier, type Milliseconds } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
 import type { RunCopy } from "./messages.js";
-import { liveInstances, reportInterval } from "./peers.js";
+import { liveInstances } from "./peers.js";
 import { describe, failRequest } from "./requests.js";
 import { addLoad, copyView, engineOf, expectedMemory, placementView, usableServers } from "./serverLoad.js";
 import type { Attempt, GatewayRequest } from "./state.js";
@@ -27,8 +20,6 @@
 const leastTimeForSend: Milliseconds = 20;
 /** When to come back where a service has no server in use. */
 const noServerReturn: Milliseconds = 500;
-const millisecondsPerSecond = 1_000;
-
 /** Where an attempt goes, and what it goes on from. */
 export interface Placement {
     readonly server: BackendServer;
@@ -48,23 +39,13 @@
     if (candidates.length === 0 && open.length > 0) {
         return waitForRoom(transaction, request);
     }
-    const sample = sampleCandidates(candidates, unseenChoices(transaction, request), source.random);
-    const server = chooseServer(sample, candidate => placementView(state, candidate, now), source.random);
+    const server = chooseServer(candidates, candidate => placementView(state, candidate, now), source.random);
     if (server === undefined) {
         return failRequest(transaction, request, "no_backend_server", "the service has no server", noServerReturn);
     }
     sendTo(transaction, request, { server, continuesFrom: undefined });
 }
 
-/** Choices of other gateways that their reports don't show yet, taking them to be as busy as this one. */
-function unseenChoices({ state, now }: Transaction, { service }: GatewayRequest): number {
-    if (engineOf(state, service) === undefined) {
-        return 0;
-    }
-    const others = liveInstances(state, now) - 1;
-    return others * requestRate(state.budget, service, now) * reportInterval(state) / millisecondsPerSecond;
-}
-
 /** Sends a request to a server. */
 export function sendTo(transaction: Transaction, request: GatewayRequest, placement: Placement): void {
     const { state, now, source, effects } = transaction;
