Late in a planned stop the longest output decides, not its estimate

Estimates are right at the median only. Change: from 2.5 s after the request to stop on, a stream is only taken if its longest output fits.

--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -18,6 +18,8 @@
 const leastReturn: Milliseconds = 20;
 /** What a request of a plain service, or the first event of a stream, may need. */
 const shortWorkTime: Milliseconds = 1_000;
+/** How long after the request to stop an estimate of the output decides; the balancer looks away by then. */
+const estimatesTrusted: Milliseconds = 2_500;
 /** Estimates of an output are right at the median only; so much longer a stream may take. */
 const durationSafety = 1.5;
 
@@ -32,7 +34,10 @@
         return false;
     }
     const left = state.stopRequestedAt + state.options.stopLimit - lastAnswersTime - now;
-    const tokens = Math.min(head.maximumTokens, head.estimatedTokens ?? head.maximumTokens);
+    // Once other instances take the channels, there is no reason to risk that an output is longer than estimated.
+    const isLate = now - state.stopRequestedAt >= estimatesTrusted;
+    const estimate = isLate ? head.maximumTokens : head.estimatedTokens ?? head.maximumTokens;
+    const tokens = Math.min(head.maximumTokens, estimate);
     const streaming = route.isStream ? durationSafety * tokens * state.tokenPace : 0;
     return shortWorkTime + streaming > left;
 }
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -179,6 +179,17 @@
     assert.is(callsIn(bench.ask("s", "note", { maximumTokens: 10 })).length, 1);
 });
 
+test("late in a planned stop only streams are taken whose longest output fits: estimates are often far off", () => {
+    const bench = engines();
+    bench.take({ kind: "stopRequested" });
+    bench.pass(1_000);
+    const few = { maximumTokens: 1_000, estimatedTokens: 20 };
+    assert.is(callsIn(bench.ask("r", "plan", few)).length, 1);
+    bench.pass(2_500);
+    assert.is(failuresIn(bench.ask("s", "plan", few))[0].type, "leaving");
+    assert.is(callsIn(bench.ask("t", "plan", { maximumTokens: 20 })).length, 1);
+});
+
 test("a planned stop waits for streams, and the process exits when the last one is over", () => {
     const bench = engines();
     const call = bench.start("r", "plan");
