A status that promises that nothing ran is never passed on for a request that may have run

Found by reading: a server's own 503, 429 or 408 without the word that it did not run the request went to the caller as it was, who takes it for a promise. It becomes an unknown outcome now.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -73,7 +73,14 @@
         return "answer_malformed";
     }
     const firstServerError = 500;
-    return answer.status >= firstServerError ? "server_failed" : "delivered";
+    return answer.status >= firstServerError || promisesNoRun(answer) ? "server_failed" : "delivered";
+}
+
+/** Statuses by which callers take it for sure that a request did not run and never will. */
+const noRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+function promisesNoRun({ status }: BackendHead): boolean {
+    return noRunStatuses.has(status);
 }
 
 /** Takes an attempt that ended without an answer. */
@@ -121,7 +128,7 @@
     if (mayRunAgain && canSendAgain(transaction, request)) {
         return dispatch(transaction, request);
     }
-    if (answer !== undefined && !request.isHeadWritten) {
+    if (answer !== undefined && !request.isHeadWritten && !promisesNoRun(answer)) {
         transaction.effects.push({ kind: "answerWhole", requestId: request.id, answer });
         return finish(transaction, request);
     }
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -20,6 +20,7 @@
 const leastTimeForSend: Milliseconds = 20;
 /** When to come back where a service has no server in use. */
 const noServerReturn: Milliseconds = 500;
+
 /** Where an attempt goes, and what it goes on from. */
 export interface Placement {
     readonly server: BackendServer;
--- a/packages/gateway/test/attempts.test.ts
+++ b/packages/gateway/test/attempts.test.ts
@@ -33,6 +33,15 @@
     assert.ok(failure.retryAfter! > 0);
 });
 
+test("a status that promises callers that nothing ran is not passed on where the server does not say so", () => {
+    for (const status of [408, 429, 503]) {
+        const bench = twoServers();
+        const effects = bench.answer(bench.send("r", "confirm"), { status });
+        assert.not.ok(kindsIn(effects).includes("answerWhole"), String(status));
+        assert.equal(failuresIn(effects).map(failure => failure.outcome), ["outcome_unknown"], String(status));
+    }
+});
+
 test("an idempotent call runs on another server after a failure, but on no more than the route allows", () => {
     const bench = twoServers();
     const first = bench.send("r", "lookup");
