--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -9,7 +9,7 @@
     noteSuccess,
     type ServerHealth,
 } from "@verbenaspring/coordination";
-import { type AttemptId, type Milliseconds } from "@verbenaspring/model";
+import type { AttemptId, Milliseconds } from "@verbenaspring/model";
 import type { AttemptFailure, GatewayEvent } from "./event.js";
 import type { BackendAnswer, BackendHead } from "./messages.js";
 import { describe, failRequest, finish } from "./requests.js";
--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -3,7 +3,7 @@
  * the last answer is out.
  */
 import type { Milliseconds } from "@verbenaspring/model";
-import type { CallerHead } from "./messages.js";
+import { type CallerHead, foreseenOutput } from "./messages.js";
 import { informPeers } from "./peers.js";
 import { failRequest } from "./requests.js";
 import type { Route } from "./routingConfiguration.js";
@@ -36,8 +36,7 @@
     const left = state.stopRequestedAt + state.options.stopLimit - lastAnswersTime - now;
     // Once other instances take the channels, there is no reason to risk that an output is longer than estimated.
     const isLate = now - state.stopRequestedAt >= estimatesTrusted;
-    const estimate = isLate ? head.maximumTokens : head.estimatedTokens ?? head.maximumTokens;
-    const tokens = Math.min(head.maximumTokens, estimate);
+    const tokens = isLate ? head.maximumTokens : foreseenOutput(head);
     const streaming = route.isStream ? durationSafety * tokens * state.tokenPace : 0;
     return shortWorkTime + streaming > left;
 }
--- a/packages/gateway/src/evacuation.ts
+++ b/packages/gateway/src/evacuation.ts
@@ -8,9 +8,10 @@
 import { endAttempt } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import type { GatewayEvent } from "./event.js";
+import { foreseenOutput } from "./messages.js";
 import { describe } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
-import { copyView, engineOf, usableServers } from "./serverLoad.js";
+import { copyView, engineOf, otherServers } from "./serverLoad.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { liveReplica } from "./streams.js";
 import { record, type Transaction } from "./transaction.js";
@@ -63,7 +64,7 @@
 
 /** How long the stream is expected to go on. */
 function restOf({ state }: Transaction, { head, service, lastEvent }: GatewayRequest): Milliseconds {
-    const foreseen = Math.min(head.maximumTokens, head.estimatedTokens ?? head.maximumTokens);
+    const foreseen = foreseenOutput(head);
     const made = (lastEvent ?? 0) * (engineOf(state, service)?.tokensPerEvent ?? 1);
     // An estimate that was passed says little; half of what was made is then the rest.
     const rest = foreseen > made ? foreseen - made : made / 2;
@@ -95,8 +96,7 @@
     if (engine === undefined) {
         return undefined;
     }
-    const others = usableServers(state, request.service, now)
-        .filter(server => server.record.id !== attempt.server.record.id);
+    const others = otherServers(state, attempt.server, now);
     const share = attempt.memoryTokens / engine.memoryTokens;
     return chooseCopyHolder(others, other => copyView(state, other, attempt.server, now), share, rescueCopies);
 }
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -36,6 +36,11 @@
     readonly headers: HeaderList;
 }
 
+/** Tokens of output that a request is foreseen to need: the caller's estimate, and no more than it asks for at most. */
+export function foreseenOutput({ maximumTokens, estimatedTokens }: CallerHead): number {
+    return Math.min(maximumTokens, estimatedTokens ?? maximumTokens);
+}
+
 /** A copy of a run's memory from which another run goes on. */
 export interface RunCopy {
     /** The address of the backend server whose run was copied. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -183,10 +183,9 @@
     }
     // What the peer has is only known once it has reported on this link.
     const known: LogOffset = peer.through[name] ?? 0;
-    const isBehind = peer.link === "open" && changedThrough > known;
-    const missing = isBehind ? [...items.values()].filter(({ offset }) => offset >= known) : [];
-    const isTold = peer.link === "open";
-    const through = isTold ? next : undefined;
+    const isOpen = peer.link === "open";
+    const missing = isOpen && changedThrough > known ? [...items.values()].filter(({ offset }) => offset >= known) : [];
+    const through = isOpen ? next : undefined;
     return { name, since: known, through, read: lastRead, age: now - freshAsOf, items: missing };
 }
 
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -7,7 +7,15 @@
 import type { RunCopy } from "./messages.js";
 import { liveInstances } from "./peers.js";
 import { describe, failRequest } from "./requests.js";
-import { addLoad, copyView, engineOf, expectedMemory, placementView, usableServers } from "./serverLoad.js";
+import {
+    addLoad,
+    copyView,
+    engineOf,
+    expectedMemory,
+    otherServers,
+    placementView,
+    usableServers,
+} from "./serverLoad.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { record, type Transaction } from "./transaction.js";
 import { hasRoom, waitForRoom } from "./waiting.js";
@@ -112,7 +120,7 @@
     if (engine === undefined || !engine.canReplicate || !request.route.isStream || request.route.canResume) {
         return undefined;
     }
-    const others = usableServers(state, request.service, now).filter(other => other.record.id !== server.record.id);
+    const others = otherServers(state, server, now);
     const share = expectedMemory(request) / engine.memoryTokens;
     return chooseCopyHolder(others, other => copyView(state, other, server, now), share);
 }
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -4,6 +4,7 @@
 import { type CopyView, type PlacementView, type ServerHealth, withoutEjected } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds, ServiceName } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
+import { foreseenOutput } from "./messages.js";
 import { peerLoad } from "./peers.js";
 import type { EngineCapabilities } from "./routingConfiguration.js";
 import type { Attempt, GatewayRequest, GatewayState, ServerLoad } from "./state.js";
@@ -24,6 +25,11 @@
     return withoutEjected(usable, ({ record }) => state.health.get(record.id), now);
 }
 
+/** The servers that could take over what is at work at one, for a copy or a move. */
+export function otherServers(state: GatewayState, { record }: BackendServer, now: Milliseconds): BackendServer[] {
+    return usableServers(state, record.service, now).filter(other => other.record.id !== record.id);
+}
+
 /** Whether the registration went without an announced stop, as it does when the store was away. */
 function hasJustLapsed({ record, removedAt }: BackendServer, now: Milliseconds): boolean {
     return removedAt !== undefined && !record.isDraining && now - removedAt <= lapsedUse;
@@ -53,12 +59,9 @@
     origin: BackendServer,
     now: Milliseconds,
 ): CopyView {
-    const { id, service, failureDomain } = server.record;
-    const engine = engineOf(state, service);
-    const { memoryTokens } = totalLoad(state, id, now);
     return {
-        load: engine === undefined ? 1 : memoryTokens / engine.memoryTokens,
-        isNear: failureDomain === origin.record.failureDomain,
+        load: memoryLoad(state, server, now),
+        isNear: server.record.failureDomain === origin.record.failureDomain,
     };
 }
 
@@ -91,8 +94,7 @@
 
 /** Tokens that a run of the request holds on average: its prompt, and a part of its foreseen output. */
 export function expectedMemory({ head }: GatewayRequest): number {
-    const output = Math.min(head.maximumTokens, head.estimatedTokens ?? head.maximumTokens);
-    return Math.round(head.promptTokens + averageOutputPart * output);
+    return Math.round(head.promptTokens + averageOutputPart * foreseenOutput(head));
 }
 
 /** Counts an attempt at its server, and its copy at the server that keeps it. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -9,7 +9,7 @@
 import type { BackendHead, StreamEvent } from "./messages.js";
 import { describe, finish } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
-import { noteEventsLoad } from "./serverLoad.js";
+import { engineOf, noteEventsLoad } from "./serverLoad.js";
 import { noteHeard } from "./silence.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { record, type Transaction } from "./transaction.js";
@@ -125,7 +125,7 @@
     const { firstEventAt, lastHeard, events } = attempt;
     state.streamDuration += newestWeight * (now - attempt.startedAt - state.streamDuration);
     const leastEvents = 8;
-    const tokensPerEvent = state.configuration?.services.get(service)?.engine?.tokensPerEvent ?? 1;
+    const tokensPerEvent = engineOf(state, service)?.tokensPerEvent ?? 1;
     if (firstEventAt !== undefined && events >= leastEvents) {
         const pace: Milliseconds = (lastHeard - firstEventAt) / (events * tokensPerEvent);
         state.tokenPace += newestWeight * (pace - state.tokenPace);
@@ -146,10 +146,7 @@
 ): boolean {
     const replica = liveReplica(transaction.state, attempt);
     // A run that never was left no copy.
-    if (replica === undefined || neverRan.has(outcome)) {
-        return false;
-    }
-    if (!canSendAgain(transaction, request)) {
+    if (replica === undefined || neverRan.has(outcome) || !canSendAgain(transaction, request)) {
         return false;
     }
     record(transaction, "info", "stream_continued", {
--- a/packages/runtime/src/gatewayCallers.ts
+++ b/packages/runtime/src/gatewayCallers.ts
@@ -178,8 +178,6 @@
         applyLimits,
         startDraining: () => {
             isDraining = true;
-            // Node closes channels that are idle now; those in use close with their answers.
-            server.keepAliveTimeout = limits.idleTimeout;
         },
         writeWhole: (requestId, answer) => {
             const response = take(requestId);
