A soak of real gateways under faults from outside; two faults that it found at the edge of the process

Found and mended, each with a test that failed first: - a gateway ended when the reader of its log went away (EPIPE on standard output); lines are dropped then. - SIGHUP ended a gateway that was still being loaded; it has a listener from the first line on. Faults of the soak itself on the way: two processes with one settings file, ports that the system gave to others, a relay that let late bytes be overtaken.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,5 +1,6 @@
+export * from "./faultRelay.js";
+export * from "./gatewayProcess.js";
 export * from "./mixedLoad.js";
 export * from "./processCluster.js";
-export * from "./silentRelay.js";
 export * from "./testCaller.js";
 export * from "./userDocuments.js";
--- a/packages/bench/src/processCluster.ts
+++ b/packages/bench/src/processCluster.ts
@@ -247,15 +247,33 @@
     return address.slice(address.lastIndexOf(":") + 1);
 }
 
-/** An address on loopback that was free a moment ago. */
-export function freeAddress(): Promise<string> {
-    return new Promise((resolve, reject) => {
+/** Ports below those that the system gives to outgoing connections, so that none of them takes a free one meanwhile. */
+const firstPort = 12_000;
+const portCount = 18_000;
+/** Processes that run at the same time begin at different places. */
+let nextPort = (process.pid * 131) % portCount;
+
+/** An address on loopback that nothing else listens at. */
+export async function freeAddress(): Promise<string> {
+    for (let tries = 0; tries < portCount; tries++) {
+        const port = firstPort + nextPort;
+        nextPort = (nextPort + 1) % portCount;
+        if (await isFree(port)) {
+            return `127.0.0.1:${port}`;
+        }
+    }
+    throw new NoFreePort();
+}
+
+class NoFreePort extends Error {
+    override readonly name = "NoFreePort";
+}
+
+function isFree(port: number): Promise<boolean> {
+    return new Promise(resolve => {
         const server = createServer();
-        server.once("error", reject);
-        server.listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as { port: number; };
-            server.close(() => resolve(`127.0.0.1:${port}`));
-        });
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
     });
 }
 
--- a/packages/bench/test/faultProcess.test.ts
+++ b/packages/bench/test/faultProcess.test.ts
@@ -3,11 +3,11 @@
  */
 import {
     faultOf,
+    type FaultRelay,
     freeAddress,
     type ProcessCluster,
     sendJsonTo,
-    type SilentRelay,
-    startSilentRelay,
+    startFaultRelay,
     waitForStatus,
     waitUntil,
 } from "@verbenaspring/bench";
@@ -66,10 +66,10 @@
 });
 
 test("a connection that goes silent for good is left for a new one", async ({ cluster }) => {
-    const relays: SilentRelay[] = [];
+    const relays: FaultRelay[] = [];
     const addresses = new Map<string, string>();
     for (const { backendServer, linkAddress } of cluster.backends) {
-        const relay = await startSilentRelay(linkAddress);
+        const relay = await startFaultRelay(linkAddress);
         relays.push(relay);
         addresses.set(backendServer, relay.address);
     }
--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -1,7 +1,13 @@
 /**
  * Gateways as real processes before stand-ins of the platform's store and workers.
  */
-import { freeAddress, waitUntil } from "@verbenaspring/bench";
+import {
+    freeAddress,
+    type GatewayProcess,
+    isGatewayProcessReady,
+    startGatewayProcess,
+    waitUntil,
+} from "@verbenaspring/bench";
 import type { ServerPlan } from "@verbenaspring/emulator";
 import {
     createPlatformWorkers,
@@ -10,22 +16,11 @@
     type PlatformWorkers,
     startPlatformStore,
 } from "@verbenaspring/stand-ins";
-import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Agent, request } from "undici";
 
-/** A gateway process. */
-export interface GatewayProcess {
-    readonly child: ChildProcess;
-    readonly callerAddress: string;
-    readonly readinessAddress: string;
-    readonly settingsFile: string;
-    readonly exited: Promise<number | null>;
-    readonly output: () => string;
-}
-
 /** An answer as its caller saw it. */
 export interface SeenAnswer {
     readonly status: number;
@@ -94,22 +89,18 @@
             freeAddress(),
             freeAddress(),
         ]);
-        const settingsFile = join(this.folder, `gateway-${this.gateways.length}.json`);
-        writeFileSync(
-            settingsFile,
-            JSON.stringify({
-                nodeName: `gateway-${this.gateways.length}`,
-                zone: "near",
-                listen: { frontend: callerAddress, ready: readinessAddress, controlPlane },
-                seedNodes: [this.seed ?? controlPlane],
-                bounds: { retryBudgetRatio: 0.2, retrySlack: 50, retryWindowS: 10, graceS: 8 },
-                platform: { address: this.store.address },
-            }),
-        );
         this.seed ??= controlPlane;
-        const gateway = startProcess({ callerAddress, readinessAddress, settingsFile });
+        const gateway = startGatewayProcess({
+            name: `gateway-${this.gateways.length}`,
+            folder: this.folder,
+            callerAddress,
+            readinessAddress,
+            peerAddress: controlPlane,
+            seedAddress: this.seed,
+            storeAddress: this.store.address,
+        });
         this.gateways.push(gateway);
-        await waitUntil(`${settingsFile} is ready`, () => isReady(gateway));
+        await waitUntil(`${gateway.settingsFile} is ready`, () => isGatewayProcessReady(gateway));
         return gateway;
     }
 
@@ -190,28 +181,3 @@
         linkRate: 100,
     };
 }
-
-type GatewayAddresses = Pick<GatewayProcess, "callerAddress" | "readinessAddress" | "settingsFile">;
-
-function startProcess(addresses: GatewayAddresses): GatewayProcess {
-    const program = "packages/cli/dist/verbenaspring.js";
-    const child = spawn(process.execPath, [program, "gateway", addresses.settingsFile], {
-        stdio: ["ignore", "pipe", "inherit"],
-    });
-    let output = "";
-    child.stdout.on("data", chunk => output += String(chunk));
-    const exited = new Promise<number | null>(resolve => child.once("exit", resolve));
-    return { ...addresses, child, exited, output: () => output };
-}
-
-/** Whether the gateway tells the balancer that it takes channels. */
-export async function isReady({ readinessAddress }: GatewayProcess): Promise<boolean> {
-    try {
-        const { statusCode, body } = await request(`http://${readinessAddress}/readyz`, { reset: true });
-        await body.dump();
-        return statusCode === 200;
-    }
-    catch {
-        return false;
-    }
-}
--- a/packages/bench/test/gatewayProcess.test.ts
+++ b/packages/bench/test/gatewayProcess.test.ts
@@ -1,7 +1,7 @@
-import { waitUntil } from "@verbenaspring/bench";
+import { isGatewayProcessReady, waitUntil } from "@verbenaspring/bench";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { GatewayCluster, isReady } from "./gatewayCluster.js";
+import { GatewayCluster } from "./gatewayCluster.js";
 
 async function withCluster(gateways: number, run: (cluster: GatewayCluster) => Promise<void>): Promise<void> {
     const cluster = await GatewayCluster.start(gateways);
@@ -132,7 +132,7 @@
         await waitUntil("a run began", () => cluster.workers[0].runs().length > 0);
         gateway.child.kill("SIGHUP");
         gateway.child.kill("SIGTERM");
-        await waitUntil("it is not ready", async () => !(await isReady(gateway)));
+        await waitUntil("it is not ready", async () => !(await isGatewayProcessReady(gateway)));
         const answer = await asked;
         assert.equal(idsIn(answer.body), upTo(100));
         assert.ok(answer.isComplete);
--- a/packages/cli/src/gatewayProcess.ts
+++ b/packages/cli/src/gatewayProcess.ts
@@ -1,6 +1,7 @@
 /**
  * The program that the platform starts on an entry instance. It takes its settings from the environment.
  */
+import "./earlySignals.js";
 import { exitCode } from "./exitCodes.js";
 import { platformSettingsFile, runGateway } from "./gateway.js";
 
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -52,7 +52,7 @@
 class ScheduleRun {
     private readonly platform: VirtualPlatform;
     private readonly oracle: PlatformOracle;
-    private readonly versions: VersionOracle;
+    private readonly versions: VersionOracle<VirtualGateway>;
     private readonly undo: (() => void)[] = [];
     private readonly probes = new Map<PlatformAsk, (isFound: boolean) => void>();
     private asked = 0;
@@ -77,7 +77,7 @@
             exited: gateway => this.replaceGateway(gateway),
         });
         this.oracle = new PlatformOracle(this.platform.clock, id => this.platform.fleet.noticedAt(id));
-        this.versions = new VersionOracle(this.oracle);
+        this.versions = new VersionOracle<VirtualGateway>(this.oracle);
         this.configure();
         [1, 2].forEach(() => this.addServer("plain"));
         [1, 2, 3].forEach(() => this.addServer("engine"));
--- a/packages/fuzz/src/platform/versions.ts
+++ b/packages/fuzz/src/platform/versions.ts
@@ -2,9 +2,9 @@
  * The versions of the configuration in a schedule. Each adds a route named after it and drops the one of two versions
  * before, so that an answer tells which versions may be in force at a gateway.
  */
-import type { VirtualGateway } from "@verbenaspring/emulator";
 import type { Milliseconds } from "@verbenaspring/model";
-import { platformBounds, type PlatformOracle } from "./oracle.js";
+import type { PromiseName } from "../oracle.js";
+import { platformBounds } from "./oracle.js";
 
 /** The host of all routes. */
 export const routesHost = "platform.example";
@@ -66,14 +66,20 @@
     };
 }
 
-/** What callers have learnt of the versions in force. */
-export class VersionOracle {
+/** Who knows when bounds of time hold for a gateway, and takes what is broken. */
+export interface VersionJudge<Gateway> {
+    readonly isInTouch: (gateway: Gateway, at: Milliseconds) => boolean;
+    readonly fail: (promise: PromiseName, detail: string) => void;
+}
+
+/** What callers have learnt of the versions in force. A gateway is one life of a process. */
+export class VersionOracle<Gateway extends { readonly name: string; }> {
     private readonly written: WrittenVersion[] = [];
     private isOldNewest = false;
     /** The lowest version that a gateway's answers allow. */
-    private readonly atLeast = new Map<VirtualGateway, number>();
+    private readonly atLeast = new Map<Gateway, number>();
 
-    constructor(private readonly oracle: PlatformOracle) {}
+    constructor(private readonly judge: VersionJudge<Gateway>) {}
 
     get newest(): number {
         return this.written.length - 1;
@@ -93,18 +99,18 @@
     }
 
     /** The versions that may be in force for a request that is sent now. */
-    noteProbe(gateway: VirtualGateway, index: number, sentAt: Milliseconds): (isFound: boolean) => void {
+    noteProbe(gateway: Gateway, index: number, sentAt: Milliseconds): (isFound: boolean) => void {
         const known = this.atLeast.get(gateway) ?? 0;
-        const isBound = !this.isOldNewest && this.oracle.isInTouch(gateway, sentAt);
+        const isBound = !this.isOldNewest && this.judge.isInTouch(gateway, sentAt);
         const oldest = isBound ? Math.max(known, this.inForceAt(sentAt)) : known;
         const why = oldest === known ? "configuration_never_reverts" : "configuration_in_force";
         return isFound => {
             const { newest } = this;
             if (isFound && index + 1 < oldest) {
-                this.oracle.fail(why, `${gateway.name} serves version ${index}, though ${oldest} is in force`);
+                this.judge.fail(why, `${gateway.name} serves version ${index}, though ${oldest} is in force`);
             }
             if (!isFound && index <= oldest && newest <= index + 1) {
-                this.oracle.fail(why, `${gateway.name} lacks version ${index}, though ${oldest} is in force`);
+                this.judge.fail(why, `${gateway.name} lacks version ${index}, though ${oldest} is in force`);
             }
             if (isFound) {
                 this.atLeast.set(gateway, Math.max(index, this.atLeast.get(gateway) ?? 0));
--- a/packages/runtime/src/logging.ts
+++ b/packages/runtime/src/logging.ts
@@ -35,14 +35,20 @@
 
 /**
  * Writes lines to a stream and never waits for its reader: while too much is unread, lines are left out, and the next
- * line that is written says how many.
+ * line that is written says how many. When the reader is gone, lines are dropped and the process goes on.
  *
  * @example
  * const write = createLineWriter(process.stdout);
  */
-export function createLineWriter(output: Pick<Writable, "write" | "writableLength">): WriteLine {
+export function createLineWriter(output: Pick<Writable, "write" | "writableLength" | "on">): WriteLine {
     let leftOut = 0;
+    let isReaderGone = false;
+    // Nobody is left to be told of this failure; without a listener it would end the process.
+    output.on("error", () => isReaderGone = true);
     return line => {
+        if (isReaderGone) {
+            return;
+        }
         if (output.writableLength > largestBacklog) {
             leftOut++;
             return;
--- a/packages/runtime/test/logVolume.test.ts
+++ b/packages/runtime/test/logVolume.test.ts
@@ -23,6 +23,7 @@
 test("lines are left out while too much is unread, and counted in the next one that is written", () => {
     const written: string[] = [];
     const output = {
+        on: () => output,
         writableLength: 0,
         write: (line: string) => {
             written.push(line);
@@ -63,4 +64,20 @@
     assert.is(String(first), "written");
 });
 
+test("a process whose log reader is gone goes on", async () => {
+    const program = `
+        import { createLineWriter } from "@verbenaspring/runtime";
+        const write = createLineWriter(process.stdout);
+        setInterval(() => write("line\\n"), 5);
+        setTimeout(() => { process.stderr.write("goes on"); process.exit(0); }, 500);
+    `;
+    const child = spawn(process.execPath, ["--input-type=module", "--eval", program], {
+        cwd: import.meta.dirname,
+        stdio: ["ignore", "pipe", "pipe"],
+    });
+    child.stdout.once("data", () => child.stdout.destroy());
+    const [code] = await once(child, "exit") as [number | null];
+    assert.is(code, 0);
+});
+
 test.run();
--- a/scripts/startCompiled.cjs
+++ b/scripts/startCompiled.cjs
@@ -5,6 +5,10 @@
 const { join } = require("node:path");
 const { Script } = require("node:vm");
 
+// SIGHUP announces changed settings, which a program that is still being loaded will read anyway; without a listener the
+// signal would end it.
+process.on("SIGHUP", () => undefined);
+
 const [name, option] = process.argv.slice(2);
 const file = join(__dirname, `${name}.cjs`);
 const compiledFile = join(__dirname, `${name}.compiled`);
