A move that was refused goes to each other target once; copies and moves spread over engines; the soak lets requests cross a close

All entries chose the same target too, since they know the same loads. Now each target is asked once, four at most, a stream without a target doesn't hold up the others, targets that are nearly equal are chosen by chance, and the log says why a move failed.

--- a/packages/coordination/src/placement.ts
+++ b/packages/coordination/src/placement.ts
@@ -87,6 +87,9 @@
     readonly nearAdvantage: number;
 }
 
+/** Engines whose loads differ by less than this count as equal places for a copy: about one run. */
+const copyIndifference = 0.15;
+
 /** Copies that are kept in reserve only take memory that stays free beside the runs. */
 export const reserveCopies: CopyRule = { limit: 0.8, nearAdvantage: 0.1 };
 
@@ -95,20 +98,22 @@
 
 /**
  * The engine with the most free memory that can keep a copy of `share` of its memory, or undefined where all would be
- * fuller than the limit: on crowded engines copies would push aside the runs that they are to protect.
+ * fuller than the limit: on crowded engines copies would push aside the runs that they are to protect. Engines that are
+ * nearly equal are chosen by chance, so that instances which know the same don't all fill the same one.
  *
  * @example
- * const replica = chooseCopyHolder(others, other => viewOf(other), 0.12);
+ * const replica = chooseCopyHolder(others, other => viewOf(other), 0.12, random);
  */
 export function chooseCopyHolder<Candidate>(
     candidates: readonly Candidate[],
     viewOf: (candidate: Candidate) => CopyView,
     share: number,
+    random: Random,
     { limit, nearAdvantage }: CopyRule = reserveCopies,
 ): Candidate | undefined {
     const costs = candidates.map(candidate => {
         const { load, isNear } = viewOf(candidate);
-        return load + share > limit ? Infinity : load - (isNear ? nearAdvantage : 0);
+        return load + share > limit ? Infinity : load - (isNear ? nearAdvantage : 0) + copyIndifference * random();
     });
     const lowest = Math.min(...costs);
     return lowest === Infinity ? undefined : candidates[costs.indexOf(lowest)];
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -14,6 +14,7 @@
     type GatewayEvent,
     type GatewayOptions,
     type GatewayState,
+    type MoveResult,
     type PeerReport,
     reduceGateway,
     type TopicName,
@@ -336,12 +337,7 @@
             moveTimeout,
             reply => this.host.fleet.at(sourceAddress)?.move(callerAttemptId, targetAddress, reply),
             outcome => {
-                const result = outcome === undefined
-                    ? { kind: "failed" } as const
-                    : outcome.kind === "moved"
-                    ? outcome
-                    : { kind: "refused" } as const;
-                this.take({ kind: "moveAnswered", attemptId, result });
+                this.take({ kind: "moveAnswered", attemptId, result: moveResult(outcome) });
             },
         );
     }
@@ -444,6 +440,20 @@
     }
 }
 
+function moveResult(outcome: MoveOutcome | undefined): MoveResult {
+    const notFound = 404;
+    switch (outcome?.kind) {
+        case undefined:
+            return { kind: "failed", detail: "no answer in time" };
+        case "moved":
+            return outcome;
+        case "no_run":
+            return { kind: "refused", status: notFound };
+        case "no_room":
+            return { kind: "refused", status: refusedStatus };
+    }
+}
+
 function isAnswer(effect: GatewayEffect): effect is AnswerEffect {
     return effect.kind.startsWith("answer");
 }
--- a/packages/gateway/src/evacuation.ts
+++ b/packages/gateway/src/evacuation.ts
@@ -26,6 +26,9 @@
 /** A stream that ends within this time is not worth a move; its server serves on for longer. */
 const shortRest: Milliseconds = 700;
 
+/** Targets that a stream is offered to at most: where all refuse, more calls only take the link from the others. */
+const mostMoveTargets = 4;
+
 /** Starts to move the streams of a server that leaves. */
 export function evacuate(transaction: Transaction, id: BackendServerId): void {
     const { requests } = transaction.state;
@@ -34,12 +37,11 @@
     if (atServer.some(({ attempt }) => attempt.moveTarget !== undefined)) {
         return;
     }
-    const [first] = atServer.sort((one, other) =>
+    const longestFirst = atServer.sort((one, other) =>
         restOf(transaction, other.request) - restOf(transaction, one.request)
     );
-    if (first !== undefined) {
-        startMove(transaction, first);
-    }
+    // One without a target must not hold up the others.
+    longestFirst.some(stream => startMove(transaction, stream));
 }
 
 /** Moves a stream whose first event came after its server's notice. */
@@ -58,8 +60,9 @@
     }
     const canMove = engineOf(transaction.state, request.service)?.canMove === true;
     const replica = liveReplica(transaction.state, attempt, transaction.now);
+    const hasTriesLeft = attempt.refusedTargets.size < mostMoveTargets;
     const isSafe = route.canResume || (replica !== undefined && replica.leavingSince === undefined);
-    return canMove && !isSafe && restOf(transaction, request) > shortRest ? [{ request, attempt }] : [];
+    return canMove && hasTriesLeft && !isSafe && restOf(transaction, request) > shortRest ? [{ request, attempt }] : [];
 }
 
 /** How long the stream is expected to go on. */
@@ -71,11 +74,12 @@
     return rest * state.tokenPace;
 }
 
-function startMove(transaction: Transaction, { request, attempt }: MovableStream): void {
+/** Returns whether a move began. */
+function startMove(transaction: Transaction, { request, attempt }: MovableStream): boolean {
     const target = chooseTarget(transaction, request, attempt);
     if (target === undefined) {
         record(transaction, "warn", "move_without_target", describe(transaction, request));
-        return;
+        return false;
     }
     attempt.moveTarget = target;
     transaction.effects.push({
@@ -85,10 +89,11 @@
         sourceAddress: attempt.server.record.address,
         targetAddress: target.record.address,
     });
+    return true;
 }
 
 function chooseTarget(
-    { state, now }: Transaction,
+    { state, now, source }: Transaction,
     request: GatewayRequest,
     attempt: Attempt,
 ): BackendServer | undefined {
@@ -96,9 +101,17 @@
     if (engine === undefined) {
         return undefined;
     }
-    const others = otherServers(state, attempt.server, now);
+    const open = otherServers(state, attempt.server, now).filter(({ record: { id } }) =>
+        !attempt.refusedTargets.has(id)
+    );
     const share = attempt.memoryTokens / engine.memoryTokens;
-    return chooseCopyHolder(others, other => copyView(state, other, attempt.server, now), share, rescueCopies);
+    return chooseCopyHolder(
+        open,
+        other => copyView(state, other, attempt.server, now),
+        share,
+        source.random,
+        rescueCopies,
+    );
 }
 
 /** Takes the end of a move: the stream goes on from the copy, and the old run ends. */
@@ -116,9 +129,14 @@
         ...describe(transaction, request),
         target: target.record.id,
         result: result.kind,
+        status: result.kind === "refused" ? result.status : undefined,
+        detail: result.kind === "failed" ? result.detail : undefined,
         lastHeardAge: Math.round(transaction.now - attempt.lastHeard),
     });
     attempt.moveTarget = undefined;
+    if (result.kind !== "moved") {
+        attempt.refusedTargets.add(target.record.id);
+    }
     if (isTaken && canSendAgain(transaction, request)) {
         endAttempt(transaction, request, attempt, "cancel");
         const copy = { source: attempt.server.record.address, name: result.handle };
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -70,8 +70,9 @@
     /** The copy is complete at its target. */
     | { readonly kind: "moved"; readonly handle: string; }
     /** The server had no such run, or the target no room. */
-    | { readonly kind: "refused"; }
-    | { readonly kind: "failed"; };
+    | { readonly kind: "refused"; readonly status: number; }
+    /** No answer came in time. */
+    | { readonly kind: "failed"; readonly detail: string; };
 
 /** Everything that can happen. */
 export type GatewayEvent =
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -76,6 +76,7 @@
         memoryTokens: expectedMemory(request),
         waitingTokens: continuesFrom === undefined ? head.promptTokens : 0,
         moveTarget: undefined,
+        refusedTargets: new Set(),
         lastHeard: now,
     };
     request.attempt = attempt;
@@ -112,7 +113,7 @@
 
 /** A stream that may not run twice keeps a copy of its memory elsewhere, where memory is free for it. */
 function chooseReplica(
-    { state, now }: Transaction,
+    { state, now, source }: Transaction,
     request: GatewayRequest,
     server: BackendServer,
 ): BackendServer | undefined {
@@ -122,7 +123,7 @@
     }
     const others = otherServers(state, server, now);
     const share = expectedMemory(request) / engine.memoryTokens;
-    return chooseCopyHolder(others, other => copyView(state, other, server, now), share);
+    return chooseCopyHolder(others, other => copyView(state, other, server, now), share, source.random);
 }
 
 /** Whether time, sends and the retry budget allow another send. */
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -38,6 +38,8 @@
     waitingTokens: number;
     /** Where the run's memory is being moved to, from which the stream then goes on. */
     moveTarget: BackendServer | undefined;
+    /** Targets to which this run could not be moved. */
+    readonly refusedTargets: Set<BackendServerId>;
     lastHeard: Milliseconds;
 }
 
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -40,6 +40,8 @@
 const success = 200;
 /** The rules allow half a second past the time of a request. */
 const answerSlack = 500;
+/** The rules give a request so long to be read before its channel may not end any more. */
+const lossSlack = 200;
 
 /** Watches one run. */
 export class SoakOracle {
@@ -47,6 +49,8 @@
     readonly ends = new Map<string, number>();
     private readonly asks = new Map<string, SoakAsk>();
     private readonly runs = new Map<string, ServerRun[]>();
+    /** Requests that were passed on to a worker. */
+    private readonly arrived = new Set<string>();
     private readonly harmedUntil = new Map<string, number>();
     private anyHarmUntil = -Infinity;
     private storeHarmedUntil = -Infinity;
@@ -161,14 +165,17 @@
         const { stopRequestedAt } = ask.gateway;
         const isLost = ask.end === "cut" || (typeof ask.end === "object" && !ask.end.isNotRun);
         const isCalm = this.anyHarmUntil + platformBounds.contact < ask.sentAt;
+        // A request that crosses the close of its channel, and was passed on to nobody, may be sent again by its caller.
+        const hasCrossedClose = !this.arrived.has(ask.id) && now - ask.sentAt <= lossSlack;
         const isEarly = stopRequestedAt !== undefined && now - stopRequestedAt < platformBounds.stopLimit * 5 / 6;
-        if (isLost && isCalm && isEarly && now < ask.finishBy) {
+        if (isLost && isCalm && isEarly && !hasCrossedClose && now < ask.finishBy) {
             this.fail("planned_stop_cuts_nothing", `${ask.id} was lost in a planned stop`);
         }
     }
 
     /** A worker was reached with a call. */
     noteArrival({ callerAttemptId }: ServerCall, server: string): void {
+        this.arrived.add(callerAttemptId);
         const noticed = this.noticedAt(server);
         const ask = this.asks.get(callerAttemptId);
         const now = performance.now();
