--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -4,9 +4,7 @@
  */
 import type { Random, Source } from "@verbenaspring/coordination";
 import {
-    type BackendAnswer,
     type BackendCall,
-    type BackendHead,
     createGatewayState,
     type Decision,
     type DecodedItem,
@@ -19,19 +17,14 @@
     reduceGateway,
     type TopicName,
 } from "@verbenaspring/gateway";
-import {
-    type AttemptId,
-    type BackendServerId,
-    type CallerAttemptId,
-    identifier,
-    type Milliseconds,
-    type PeerAddress,
-} from "@verbenaspring/model";
+import { type CallerAttemptId, identifier, type Milliseconds, type PeerAddress } from "@verbenaspring/model";
 import { decodeTopicItem } from "@verbenaspring/platform";
 import type { Clock } from "./clock.js";
 import type { Fleet } from "./fleet.js";
-import type { CallHandle, CallObserver, MoveOutcome, ServerCall } from "./serverModel.js";
-import type { VirtualChannel, VirtualNetwork } from "./virtualNetwork.js";
+import type { MoveOutcome } from "./serverModel.js";
+import { VirtualCalls } from "./virtualCalls.js";
+import type { VirtualNetwork } from "./virtualNetwork.js";
+import { type LinkOwner, VirtualPeerLinks } from "./virtualPeerLinks.js";
 import type { StoreAnswer, StoreRead, VirtualStore } from "./virtualStore.js";
 
 /** Effects by which a caller hears something. */
@@ -62,42 +55,21 @@
     readonly exited: (gateway: VirtualGateway) => void;
 }
 
-interface SentAttempt {
-    readonly call: BackendCall;
-    readonly channel: VirtualChannel;
-    handle: CallHandle | undefined;
-    isCancelled: boolean;
-}
-
-/** A link between two gateways; `opener` counts as the near end of its channel. */
-interface PeerLink {
-    readonly opener: VirtualGateway;
-    readonly accepter: VirtualGateway;
-    readonly channel: VirtualChannel;
-}
-
 const tickInterval: Milliseconds = 50;
-const connectTimeout: Milliseconds = 400;
 const probeTimeout: Milliseconds = 500;
 const moveTimeout: Milliseconds = 3_000;
-/** The part of the sends over a cut path for which no open channel was kept, so that connecting fails. */
-const newChannelPart = 0.5;
-/** The id of no server: the call may go to whichever listens at the address. */
-export const noTarget = identifier<BackendServerId>("");
 const refusedStatus = 503;
-const mistakenStatus = 421;
-const success = 200;
 
 /** A gateway process. */
-export class VirtualGateway {
+export class VirtualGateway implements LinkOwner {
     readonly state: GatewayState;
     isAlive = true;
     /** Since when the process was asked to stop. */
     stopRequestedAt: Milliseconds | undefined;
     private frozenUntil: Milliseconds = 0;
     private readonly inbox: GatewayEvent[] = [];
-    private readonly attempts = new Map<AttemptId, SentAttempt>();
-    private readonly links = new Map<PeerAddress, Set<PeerLink>>();
+    readonly links: VirtualPeerLinks;
+    private readonly calls: VirtualCalls;
 
     constructor(
         readonly options: GatewayOptions,
@@ -106,6 +78,11 @@
         private readonly source: Source,
     ) {
         this.state = createGatewayState(options, identifier(incarnation));
+        this.calls = new VirtualCalls(this.name, host, {
+            take: event => this.take(event),
+            arrived: call => host.arrived(this, call),
+        });
+        this.links = new VirtualPeerLinks(this, host.network, address => host.gatewayAt(address)?.links);
         host.clock.schedule(tickInterval * host.random(), () => this.tick());
     }
 
@@ -149,8 +126,8 @@
         }
         this.isAlive = false;
         if (how === "reset") {
-            this.attempts.forEach(attempt => this.cancel(attempt));
-            [...this.links.keys()].forEach(address => this.closeLinks(address));
+            this.calls.cancelAll();
+            this.links.closeAll();
         }
     }
 
@@ -190,19 +167,19 @@
         }
         switch (effect.kind) {
             case "sendAttempt":
-                return this.send(effect.call);
+                return this.calls.send(effect.call);
             case "cancelAttempt":
-                return this.cancelAttempt(effect.attemptId);
+                return this.calls.cancel(effect.attemptId);
             case "probeServer":
                 return this.probe(effect);
             case "moveRun":
                 return this.move(effect);
             case "openPeerLink":
-                return this.openLink(effect.address, effect.report);
+                return this.links.open(effect.address, effect.report);
             case "sendReport":
-                return this.sendReport(effect.address, effect.report);
+                return this.links.send(effect.address, effect.report);
             case "closePeerLink":
-                return this.closeLinks(effect.address);
+                return this.links.close(effect.address);
             case "readTopic":
                 return this.read(effect.topic, effect.from, effect.wait);
             case "readSnapshot":
@@ -218,98 +195,6 @@
         }
     }
 
-    private send(call: BackendCall): void {
-        const { network, clock, random } = this.host;
-        const channel = network.open(this.name, call.address);
-        const attempt: SentAttempt = { call, channel, handle: undefined, isCancelled: false };
-        this.attempts.set(call.attemptId, attempt);
-        if (network.isCut(this.name, call.address) && random() < newChannelPart) {
-            clock.schedule(connectTimeout, () => this.fail(attempt, "connect_timeout", false));
-            return;
-        }
-        channel.send("there", () => this.arrive(attempt));
-    }
-
-    private arrive(attempt: SentAttempt): void {
-        const server = this.host.fleet.at(attempt.call.address);
-        if (server === undefined) {
-            attempt.channel.send("back", () => this.fail(attempt, "connect_refused", false));
-            return;
-        }
-        if (!attempt.isCancelled) {
-            this.host.arrived(this, attempt.call);
-            attempt.handle = server.start(toServerCall(attempt.call), this.observe(attempt));
-        }
-    }
-
-    private observe(attempt: SentAttempt): CallObserver {
-        const { call, channel } = attempt;
-        const { attemptId } = call;
-        const report = (event: GatewayEvent, isLast: boolean): void =>
-            channel.send("back", () => {
-                if (this.attempts.get(attemptId) !== attempt) {
-                    return;
-                }
-                if (isLast) {
-                    this.forget(attempt);
-                }
-                this.take(event);
-            });
-        return {
-            refused: reason => {
-                const status = reason === "not_the_target" ? mistakenStatus : refusedStatus;
-                const head = { ...headOf(call.head.callerAttemptId, status), isNotRun: true, isSealed: false };
-                report({ kind: "attemptAnswered", attemptId, answer: { ...head, body: new Uint8Array() } }, true);
-            },
-            opened: () => {
-                const head = { ...headOf(call.head.callerAttemptId, success), isEventStream: true };
-                report({ kind: "streamOpened", attemptId, head }, false);
-            },
-            event: ({ id, lineage }) => {
-                const bytes = Buffer.from(`id: ${id}\ndata: ${lineage}\n\n`);
-                report({ kind: "streamEvents", attemptId, events: [{ id, bytes }] }, false);
-            },
-            ended: () => report({ kind: "streamEnded", attemptId }, true),
-            answered: ({ status, callerAttemptId, body }) => {
-                const answer: BackendAnswer = {
-                    ...headOf(identifier(callerAttemptId), status),
-                    body: Buffer.from(body),
-                };
-                report({ kind: "attemptAnswered", attemptId, answer }, true);
-            },
-            broken: () => report({ kind: "attemptFailed", attemptId, failure: "channel_lost", wasSent: true }, true),
-        };
-    }
-
-    private fail(attempt: SentAttempt, failure: "connect_refused" | "connect_timeout", wasSent: boolean): void {
-        const { attemptId } = attempt.call;
-        if (this.attempts.get(attemptId) === attempt) {
-            this.forget(attempt);
-            this.take({ kind: "attemptFailed", attemptId, failure, wasSent });
-        }
-    }
-
-    private forget({ call, channel }: SentAttempt): void {
-        this.attempts.delete(call.attemptId);
-        channel.close();
-    }
-
-    private cancelAttempt(attemptId: AttemptId): void {
-        const attempt = this.attempts.get(attemptId);
-        if (attempt !== undefined) {
-            this.attempts.delete(attemptId);
-            this.cancel(attempt);
-        }
-    }
-
-    private cancel(attempt: SentAttempt): void {
-        attempt.channel.send("there", () => {
-            attempt.isCancelled = true;
-            attempt.handle?.cancel();
-        });
-        attempt.channel.close();
-    }
-
     private probe({ backendServer, address }: Extract<GatewayEffect, { readonly kind: "probeServer"; }>): void {
         this.callOnce<readonly { readonly callerAttemptId: string; readonly events: number; }[]>(
             address,
@@ -375,69 +260,19 @@
         this.take({ kind: "topicRead", topic, isSnapshot: from === undefined, items, next: answer.next });
     }
 
-    private openLink(address: PeerAddress, report: PeerReport): void {
-        const { network, gatewayAt } = this.host;
-        const channel = network.open(this.name, address);
-        const accepter = gatewayAt(address);
-        if (accepter === undefined) {
-            channel.send("back", () => this.take({ kind: "peerLinkClosed", address }));
-            channel.close();
-            return;
-        }
-        const link: PeerLink = { opener: this, accepter, channel };
-        this.addLink(address, link);
-        channel.send("there", () => accepter.acceptLink(link, report));
+    /** Takes the end of the last link to another gateway. */
+    noteClosed(address: PeerAddress): void {
+        this.take({ kind: "peerLinkClosed", address });
     }
 
-    private acceptLink(link: PeerLink, report: PeerReport): void {
-        if (!this.isAlive) {
-            link.channel.send("back", () => link.opener.loseLink(this.name, link));
-            return;
-        }
-        this.addLink(link.opener.name, link);
-        this.hear(report);
-    }
-
-    private hear(report: PeerReport): void {
+    /** Takes a report from a link. */
+    hear(report: PeerReport): void {
         const decode = (name: TopicName): DecodedItem[] =>
             (report.topics.find(topic => topic.name === name)?.items ?? [])
                 .map(item => ({ item, records: decodeTopicItem(name, item) }));
         const items = { configuration: decode("configuration"), backendServers: decode("backendServers") };
         this.take({ kind: "peerReported", report, items });
     }
-
-    private sendReport(address: PeerAddress, report: PeerReport): void {
-        const [link] = this.links.get(address) ?? [];
-        if (link === undefined) {
-            return;
-        }
-        const isOpener = link.opener === this;
-        const other = isOpener ? link.accepter : link.opener;
-        link.channel.send(isOpener ? "there" : "back", () => other.hear(report));
-    }
-
-    private closeLinks(address: PeerAddress): void {
-        for (const link of this.links.get(address) ?? []) {
-            const isOpener = link.opener === this;
-            const other = isOpener ? link.accepter : link.opener;
-            link.channel.send(isOpener ? "there" : "back", () => other.loseLink(this.name, link));
-            link.channel.close();
-        }
-        this.links.delete(address);
-    }
-
-    private addLink(address: PeerAddress, link: PeerLink): void {
-        const links = this.links.get(address) ?? new Set();
-        this.links.set(address, links.add(link));
-    }
-
-    private loseLink(address: PeerAddress, link: PeerLink): void {
-        const links = this.links.get(address);
-        if (links?.delete(link) === true && links.size === 0) {
-            this.links.delete(address);
-            this.take({ kind: "peerLinkClosed", address });
-        }
-    }
 }
 
 function moveResult(outcome: MoveOutcome | undefined): MoveResult {
@@ -457,36 +292,3 @@
 function isAnswer(effect: GatewayEffect): effect is AnswerEffect {
     return effect.kind.startsWith("answer");
 }
-
-function headOf(callerAttemptId: CallerAttemptId, status: number): BackendHead {
-    return {
-        status,
-        callerAttemptId,
-        isSealed: true,
-        isNotRun: false,
-        isEncoded: false,
-        isEventStream: false,
-        endsWithChannel: false,
-        headers: [],
-    };
-}
-
-/** The call as the wire would carry it; the path of a call names the length of its answer. */
-function toServerCall(call: BackendCall): ServerCall {
-    const { head, timeLeft, priority, replicaAddress, lastEvent, continuesFrom } = call;
-    const length = /[?&]length=(\d+)/.exec(head.target);
-    const normalPriority = 5;
-    return {
-        callerAttemptId: head.callerAttemptId,
-        target: call.backendServer === noTarget ? undefined : call.backendServer,
-        path: head.target,
-        body: "",
-        timeLimit: timeLeft,
-        promptTokens: head.promptTokens,
-        outputTokens: length === null ? head.maximumTokens : Number(length[1]),
-        priority: priority ?? normalPriority,
-        lastEvent: lastEvent ?? 0,
-        replicaAddress,
-        copy: continuesFrom,
-    };
-}
--- /dev/null
+++ b/packages/emulator/src/virtualPeerLinks.ts
@@ -0,0 +1,93 @@
+/**
+ * The links of one gateway process to the others in virtual time. Two processes may each have opened one; either carries.
+ */
+import type { PeerReport } from "@verbenaspring/gateway";
+import type { PeerAddress } from "@verbenaspring/model";
+import type { VirtualChannel, VirtualNetwork } from "./virtualNetwork.js";
+
+/** The process that the links belong to. */
+export interface LinkOwner {
+    readonly name: PeerAddress;
+    readonly isAlive: boolean;
+    readonly hear: (report: PeerReport) => void;
+    /** No link to the other is left. */
+    readonly noteClosed: (address: PeerAddress) => void;
+}
+
+/** A link between two processes; the opener is the near end of its channel. */
+interface PeerLink {
+    readonly opener: VirtualPeerLinks;
+    readonly accepter: VirtualPeerLinks;
+    readonly channel: VirtualChannel;
+}
+
+/** All links of a process. */
+export class VirtualPeerLinks {
+    private readonly links = new Map<PeerAddress, Set<PeerLink>>();
+
+    constructor(
+        private readonly owner: LinkOwner,
+        private readonly network: VirtualNetwork,
+        private readonly linksAt: (address: PeerAddress) => VirtualPeerLinks | undefined,
+    ) {}
+
+    open(address: PeerAddress, report: PeerReport): void {
+        const { network, owner } = this;
+        const channel = network.open(owner.name, address);
+        const accepter = this.linksAt(address);
+        if (accepter === undefined) {
+            channel.send("back", () => owner.noteClosed(address));
+            channel.close();
+            return;
+        }
+        const link: PeerLink = { opener: this, accepter, channel };
+        this.add(address, link);
+        channel.send("there", () => accepter.accept(link, report));
+    }
+
+    send(address: PeerAddress, report: PeerReport): void {
+        const [link] = this.links.get(address) ?? [];
+        if (link === undefined) {
+            return;
+        }
+        const isOpener = link.opener === this;
+        const other = isOpener ? link.accepter : link.opener;
+        link.channel.send(isOpener ? "there" : "back", () => other.owner.hear(report));
+    }
+
+    close(address: PeerAddress): void {
+        for (const link of this.links.get(address) ?? []) {
+            const isOpener = link.opener === this;
+            const other = isOpener ? link.accepter : link.opener;
+            link.channel.send(isOpener ? "there" : "back", () => other.lose(this.owner.name, link));
+            link.channel.close();
+        }
+        this.links.delete(address);
+    }
+
+    closeAll(): void {
+        [...this.links.keys()].forEach(address => this.close(address));
+    }
+
+    private accept(link: PeerLink, report: PeerReport): void {
+        if (!this.owner.isAlive) {
+            link.channel.send("back", () => link.opener.lose(this.owner.name, link));
+            return;
+        }
+        this.add(link.opener.owner.name, link);
+        this.owner.hear(report);
+    }
+
+    private add(address: PeerAddress, link: PeerLink): void {
+        const links = this.links.get(address) ?? new Set();
+        this.links.set(address, links.add(link));
+    }
+
+    private lose(address: PeerAddress, link: PeerLink): void {
+        const links = this.links.get(address);
+        if (links?.delete(link) === true && links.size === 0) {
+            this.links.delete(address);
+            this.owner.noteClosed(address);
+        }
+    }
+}
