--- a/packages/bench/src/faultRelay.ts
+++ b/packages/bench/src/faultRelay.ts
@@ -100,7 +100,12 @@
     from.on("data", chunk => pass(() => to.write(chunk)));
     from.on("end", () => pass(() => to.end()));
     from.on("error", () => pass(() => destroyPair(state, pair)));
-    from.on("close", () => pass(() => to.destroySoon()));
+    from.on("close", () => {
+        pass(() => to.destroySoon());
+        if (pair.inner.destroyed && pair.outer.destroyed) {
+            state.pairs.delete(pair);
+        }
+    });
 }
 
 /** Passes on what is due, in order, unless the direction is held; comes back for what is due later. */
@@ -118,6 +123,14 @@
 
 function destroyPair({ pairs }: RelayState, pair: RelayedPair): void {
     pairs.delete(pair);
-    pair.inner.resetAndDestroy();
-    pair.outer.resetAndDestroy();
+    [pair.inner, pair.outer].forEach(destroySocket);
+}
+
+/** Resets a connection that is open both ways; the system refuses that for others, which are only closed. */
+function destroySocket(socket: Socket): void {
+    if (socket.readyState === "open") {
+        socket.resetAndDestroy();
+        return;
+    }
+    socket.destroy();
 }
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -76,6 +76,7 @@
     private readonly fleet: PlatformWorkers;
     private readonly folder = mkdtempSync(join(tmpdir(), "verbenaspring-soak-"));
     private readonly allGateways: SoakGateway[] = [];
+    private readonly relays: FaultRelay[] = [];
     private seedAddress: string | undefined;
     private isClosing = false;
     private workerCount = 0;
@@ -129,7 +130,7 @@
         const before = this.gateways[slot]?.process.place;
         const peerAddress = before?.peerAddress ?? ownPeerAddress;
         this.seedAddress ??= peerAddress;
-        const store = await startFaultRelay(this.store.address);
+        const store = await this.relayTo(this.store.address);
         const process = startGatewayProcess({
             name: `gateway-${this.processCount++}`,
             folder: this.folder,
@@ -139,7 +140,7 @@
             seedAddress: this.seedAddress,
             storeAddress: store.address,
         });
-        const callers = await startFaultRelay(callerAddress);
+        const callers = await this.relayTo(callerAddress);
         const gateway: SoakGateway = {
             name: `slot-${slot}`,
             process,
@@ -180,13 +181,19 @@
         let relay: FaultRelay | undefined;
         const worker = await this.fleet.start(plan, {
             expose: async address => {
-                relay = await startFaultRelay(address);
+                relay = await this.relayTo(address);
                 return relay.address;
             },
         });
         this.workers.push({ worker, relay: relay! });
     }
 
+    private async relayTo(address: string): Promise<FaultRelay> {
+        const relay = await startFaultRelay(address);
+        this.relays.push(relay);
+        return relay;
+    }
+
     /** Ends a worker's part in the world. */
     removeWorker(gone: SoakWorker): void {
         const index = this.workers.indexOf(gone);
@@ -221,6 +228,7 @@
         this.isClosing = true;
         this.abandon();
         await Promise.all(this.allGateways.map(({ process }) => process.exited));
+        this.relays.forEach(relay => relay.close());
         await this.fleet.close();
         await this.store.close();
         rmSync(this.folder, { recursive: true, force: true });
