--- a/packages/bench/src/faultRelay.ts
+++ b/packages/bench/src/faultRelay.ts
@@ -19,8 +19,6 @@
     /** Nothing passes in the direction until it is released; what was sent then comes late. */
     readonly hold: (direction: RelayDirection) => void;
     readonly release: () => void;
-    /** Connections opened so far. */
-    readonly opened: () => number;
     readonly close: () => void;
 }
 
@@ -28,7 +26,6 @@
     delay: number;
     readonly held: Set<RelayDirection>;
     readonly pairs: Set<RelayedPair>;
-    opened: number;
 }
 
 interface RelayedPair {
@@ -51,7 +48,7 @@
  * const relay = await startFaultRelay("127.0.0.1:7100");
  */
 export function startFaultRelay(target: string): Promise<FaultRelay> {
-    const state: RelayState = { delay: 0, held: new Set(), pairs: new Set(), opened: 0 };
+    const state: RelayState = { delay: 0, held: new Set(), pairs: new Set() };
     const [host, port] = target.split(":");
     const server = createServer(inner => relayPair(state, inner, connect(Number(port), host)));
     return new Promise(resolve => {
@@ -75,7 +72,6 @@
                 passOn(state, pair, "back");
             });
         },
-        opened: () => state.opened,
         close: () => {
             server.close();
             reset();
@@ -84,7 +80,6 @@
 }
 
 function relayPair(state: RelayState, inner: Socket, outer: Socket): void {
-    state.opened++;
     const pair: RelayedPair = { inner, outer, waiting: { there: [], back: [] }, isSilent: false };
     state.pairs.add(pair);
     relay(state, pair, "there", inner, outer);
--- a/packages/bench/src/gatewayProcess.ts
+++ b/packages/bench/src/gatewayProcess.ts
@@ -5,15 +5,20 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { request } from "undici";
+import { freeAddress } from "./processCluster.js";
+
+/** Where a gateway listens. */
+export interface GatewayAddresses {
+    readonly callerAddress: string;
+    readonly readinessAddress: string;
+    readonly peerAddress: string;
+}
 
 /** Where a gateway listens, and what it is told. */
-export interface GatewayPlace {
+export interface GatewayPlace extends GatewayAddresses {
     readonly name: string;
     /** Where its settings are written. */
     readonly folder: string;
-    readonly callerAddress: string;
-    readonly readinessAddress: string;
-    readonly peerAddress: string;
     readonly seedAddress: string;
     readonly storeAddress: string;
 }
@@ -29,9 +34,40 @@
     readonly output: () => string;
 }
 
+/** An answer's body, as far as it came. */
+export interface AnswerBody {
+    readonly body: string;
+    /** Whether it ended as complete. */
+    readonly isComplete: boolean;
+}
+
 /** Limits of the platform's rules, as its settings state them. */
 export const gatewayBounds = { retryBudgetRatio: 0.2, retrySlack: 50, retryWindowS: 10, graceS: 8 } as const;
 
+/** Addresses at which a gateway can listen. */
+export async function freeGatewayAddresses(): Promise<GatewayAddresses> {
+    const [callerAddress, readinessAddress, peerAddress] = await Promise.all([
+        freeAddress(),
+        freeAddress(),
+        freeAddress(),
+    ]);
+    return { callerAddress, readinessAddress, peerAddress };
+}
+
+/** Reads an answer's body to its end, or to where its channel broke off. */
+export async function readAnswerBody(chunks: AsyncIterable<unknown>): Promise<AnswerBody> {
+    let body = "";
+    try {
+        for await (const chunk of chunks) {
+            body += String(chunk);
+        }
+        return { body, isComplete: true };
+    }
+    catch {
+        return { body, isComplete: false };
+    }
+}
+
 /** Starts a gateway. It ends by itself only when it is asked to. */
 export function startGatewayProcess(place: GatewayPlace): GatewayProcess {
     const settingsFile = join(place.folder, `${place.name}.json`);
--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -2,9 +2,11 @@
  * Gateways as real processes before stand-ins of the platform's store and workers.
  */
 import {
-    freeAddress,
+    type AnswerBody,
+    freeGatewayAddresses,
     type GatewayProcess,
     isGatewayProcessReady,
+    readAnswerBody,
     startGatewayProcess,
     waitUntil,
 } from "@verbenaspring/bench";
@@ -22,12 +24,9 @@
 import { Agent, request } from "undici";
 
 /** An answer as its caller saw it. */
-export interface SeenAnswer {
+export interface SeenAnswer extends AnswerBody {
     readonly status: number;
     readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-    readonly body: string;
-    /** Whether the answer ended as complete. */
-    readonly isComplete: boolean;
 }
 
 const host = "platform.example";
@@ -84,18 +83,12 @@
     }
 
     async addGateway(): Promise<GatewayProcess> {
-        const [callerAddress, readinessAddress, controlPlane] = await Promise.all([
-            freeAddress(),
-            freeAddress(),
-            freeAddress(),
-        ]);
-        this.seed ??= controlPlane;
+        const addresses = await freeGatewayAddresses();
+        this.seed ??= addresses.peerAddress;
         const gateway = startGatewayProcess({
             name: `gateway-${this.gateways.length}`,
             folder: this.folder,
-            callerAddress,
-            readinessAddress,
-            peerAddress: controlPlane,
+            ...addresses,
             seedAddress: this.seed,
             storeAddress: this.store.address,
         });
@@ -139,17 +132,7 @@
             body: `body of ${attemptId}`,
             dispatcher: this.agent,
         });
-        let body = "";
-        let isComplete = true;
-        try {
-            for await (const chunk of response.body) {
-                body += String(chunk);
-            }
-        }
-        catch {
-            isComplete = false;
-        }
-        return { status: response.statusCode, headers: response.headers, body, isComplete };
+        return { status: response.statusCode, headers: response.headers, ...await readAnswerBody(response.body) };
     }
 
     async stop(): Promise<void> {
--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -10,6 +10,7 @@
     CallObserver,
     CopyName,
     MoveOutcome,
+    RefusalReason,
     RunReport,
     RunWatcher,
     ServerBehaviour,
@@ -34,14 +35,6 @@
     readonly linkRate: number;
 }
 
-/** What engines did, for reports of load. */
-export interface EngineCounts {
-    preemptions: number;
-    /** Tokens that were read again after a preemption. */
-    tokensReadAgain: number;
-    tokensMade: number;
-}
-
 interface EngineRun {
     readonly call: ServerCall;
     readonly observer: CallObserver;
@@ -59,7 +52,7 @@
     readonly lineage: string;
     readonly tokens: number;
     readonly made: number;
-    until: Milliseconds;
+    readonly until: Milliseconds;
 }
 
 /** Finds the engine at an address. */
@@ -77,7 +70,8 @@
 export class EngineServer implements ServerModel {
     readonly isEngine = true;
     readonly slots: number;
-    readonly counts: EngineCounts = { preemptions: 0, tokensReadAgain: 0, tokensMade: 0 };
+    /** How often a run was pushed aside. */
+    preemptions = 0;
     behaviour: ServerBehaviour = "well";
     private running: EngineRun[] = [];
     private waiting: EngineRun[] = [];
@@ -98,21 +92,11 @@
     }
 
     start(call: ServerCall, observer: CallObserver): CallHandle {
-        if (call.target !== undefined && call.target !== this.options.id) {
-            observer.refused("not_the_target");
-            return { cancel: () => undefined };
-        }
-        if (this.behaviour === "shed") {
-            observer.refused("full");
-            return { cancel: () => undefined };
-        }
-        if (call.promptTokens + call.outputTokens > this.options.memoryTokens) {
-            observer.refused("too_large");
-            return { cancel: () => undefined };
-        }
-        const copy = call.copy === undefined ? undefined : this.takeCopy(call.copy);
-        if (call.copy !== undefined && copy === undefined) {
-            observer.refused("no_copy");
+        const refusal = this.refusalOf(call);
+        const copy = refusal === undefined && call.copy !== undefined ? this.takeCopy(call.copy) : undefined;
+        const lacksCopy = call.copy !== undefined && copy === undefined;
+        if (refusal !== undefined || lacksCopy) {
+            observer.refused(refusal ?? "no_copy");
             return { cancel: () => undefined };
         }
         const run = this.createRun(call, observer, copy);
@@ -121,6 +105,16 @@
         return { cancel: () => this.end(run, false) };
     }
 
+    private refusalOf({ target, promptTokens, outputTokens }: ServerCall): RefusalReason | undefined {
+        if (target !== undefined && target !== this.options.id) {
+            return "not_the_target";
+        }
+        if (this.behaviour === "shed") {
+            return "full";
+        }
+        return promptTokens + outputTokens > this.options.memoryTokens ? "too_large" : undefined;
+    }
+
     report(): readonly RunReport[] {
         return this.runs().map(({ call, made }) => ({
             callerAttemptId: call.callerAttemptId,
@@ -156,11 +150,6 @@
         this.copies.clear();
     }
 
-    /** Memory that runs and copies hold, as a share of all. */
-    memoryShare(): number {
-        return this.heldMemory() / this.options.memoryTokens;
-    }
-
     /** Keeps a copy of another engine's run. Returns whether there is room for it. */
     keepCopy({ source, name }: CopyName, copy: RunCopyState): boolean {
         const key = `${source}/${name}`;
@@ -236,7 +225,7 @@
         const factor = this.behaviour === "slow" ? slowFactor : 1;
         const duration = factor * (stepTime + stepTimePerRun * decoding.length + read / readingRate);
         this.clock.schedule(duration, () => {
-            decoding.filter(run => !run.isOver && this.running.includes(run)).forEach(run => this.makeToken(run));
+            decoding.filter(run => this.running.includes(run)).forEach(run => this.makeToken(run));
             this.preempt();
             this.sendCopies();
             this.step();
@@ -270,11 +259,10 @@
         const { call, observer, record } = run;
         const { tokensPerEvent } = this.options;
         run.isMuted ||= this.behaviour === "silent";
-        if (run.made === call.lastEvent * tokensPerEvent && !record.isComplete && !run.isOver) {
+        if (run.made === call.lastEvent * tokensPerEvent) {
             this.open(run);
         }
         run.made++;
-        this.counts.tokensMade++;
         const isLast = run.made >= call.outputTokens;
         if (!run.isMuted && (isLast || run.made % tokensPerEvent === 0)) {
             observer.event({ id: Math.ceil(run.made / tokensPerEvent), lineage: record.lineage });
@@ -304,8 +292,7 @@
             const victim = this.running.reduce((worst, run) => run.call.priority >= worst.call.priority ? run : worst);
             this.running = this.running.filter(run => run !== victim);
             victim.unread = heldTokens(victim);
-            this.counts.preemptions++;
-            this.counts.tokensReadAgain += victim.unread;
+            this.preemptions++;
             this.waiting.unshift(victim);
         }
     }
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -42,13 +42,11 @@
     readonly heartbeatInterval: Milliseconds;
     /** Whether registrations reach the store now. */
     readonly canRegister?: () => boolean;
-    /** The address of the next worker; by default one of its own on a network that nobody has. */
-    readonly nextAddress?: () => string;
 }
 
 /** Heartbeats that a worker may miss before its registration is dropped. */
 const missedHeartbeats = 3;
-const engineDomains = ["north", "south"];
+const failureDomains = ["north", "south"];
 
 /** All workers, living and gone. */
 export class Fleet {
@@ -70,7 +68,7 @@
         const member: FleetMember = {
             plan,
             model,
-            failureDomain: engineDomains[this.members.size % engineDomains.length],
+            failureDomain: failureDomains[this.members.size % failureDomains.length],
             born: ++this.births,
             state: "ready",
             sequence: 0,
@@ -96,11 +94,6 @@
         return [...this.members.values()].filter(({ isGone }) => !isGone).map(({ model }) => model);
     }
 
-    /** The living workers that have not given notice. */
-    staying(): ServerModel[] {
-        return this.living().filter(({ options }) => this.members.get(options.id)?.state === "ready");
-    }
-
     planOf(id: string): ServerPlan | undefined {
         return this.members.get(id)?.plan;
     }
@@ -156,9 +149,10 @@
         return model instanceof EngineServer ? model : undefined;
     }
 
+    /** An address of its own on a network that nobody has. */
     private nextAddress(): string {
         const number = ++this.addresses;
-        return this.options.nextAddress?.() ?? `10.9.${number >> 8}.${number & 255}:9000`;
+        return `10.9.${number >> 8}.${number & 255}:9000`;
     }
 
     private end(member: FleetMember, wasAnnounced: boolean): void {
--- a/packages/emulator/src/serverModel.ts
+++ b/packages/emulator/src/serverModel.ts
@@ -45,10 +45,13 @@
     readonly body: string;
 }
 
+/** Why a worker does not run a call. */
+export type RefusalReason = "full" | "not_the_target" | "no_copy" | "too_large";
+
 /** What a worker does with a call. */
 export interface CallObserver {
     /** The worker does not run the call. */
-    readonly refused: (reason: "full" | "not_the_target" | "no_copy" | "too_large") => void;
+    readonly refused: (reason: RefusalReason) => void;
     /** A stream begins. */
     readonly opened: () => void;
     readonly event: (event: RunEvent) => void;
--- a/packages/emulator/test/engineServer.test.ts
+++ b/packages/emulator/test/engineServer.test.ts
@@ -90,7 +90,7 @@
     bench.start(bench.first, call("urgent", { promptTokens: 450, outputTokens: 200, priority: 0 }));
     bench.start(bench.first, call("patient", { promptTokens: 450, outputTokens: 200, priority: 5 }));
     bench.clock.advanceTo(20_000);
-    assert.is(bench.first.counts.preemptions > 0, true);
+    assert.is(bench.first.preemptions > 0, true);
     assert.equal(bench.seen.filter(line => line.endsWith("ended")), ["urgent ended", "patient ended"]);
     assert.is(bench.runs.length, 2);
 });
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -3,8 +3,8 @@
  */
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { fuzz, linkedSystem, platformSystem } from "./fuzz.js";
-import { mutations } from "./mutations.js";
+import { fuzz, type FuzzSubject, linkedSystem, platformSystem } from "./fuzz.js";
+import { type Mutation, mutations } from "./mutations.js";
 import { PromiseBroken, type PromiseName } from "./oracle.js";
 import { platformMutations } from "./platform/index.js";
 
@@ -24,19 +24,19 @@
     readonly find: () => { readonly broken: Error; readonly path: string; } | undefined;
 }
 
-const only = (promises: readonly PromiseName[]): readonly PromiseName[] => [...promises, "invariant"];
-const searches: readonly Search[] = [
-    ...mutations.map(({ name, promises, parts }) => ({
+function searchesIn<Drawn, Parts>(
+    subject: FuzzSubject<Drawn, Parts>,
+    removed: readonly Mutation<Parts>[],
+): readonly Search[] {
+    return removed.map(({ name, promises, parts }) => ({
         name,
         promises,
-        find: () => fuzz(linkedSystem, { seed, runs, steps, parts, only: only(promises), shrinks: false }).failure,
-    })),
-    ...platformMutations.map(({ name, promises, parts }) => ({
-        name,
-        promises,
-        find: () => fuzz(platformSystem, { seed, runs, steps, parts, only: only(promises), shrinks: false }).failure,
-    })),
-];
+        find: () =>
+            fuzz(subject, { seed, runs, steps, parts, only: [...promises, "invariant"], shrinks: false }).failure,
+    }));
+}
+
+const searches = [...searchesIn(linkedSystem, mutations), ...searchesIn(platformSystem, platformMutations)];
 
 let missed = 0;
 for (const { name, promises, find } of searches) {
--- a/packages/fuzz/src/mutations.ts
+++ b/packages/fuzz/src/mutations.ts
@@ -5,11 +5,11 @@
 import { defaultWorldParts, type WorldParts } from "./world.js";
 
 /** One mechanism removed. */
-export interface Mutation {
+export interface Mutation<Parts> {
     readonly name: string;
     /** A breach of any of these, or an invariant in the reducers, shows the break. */
     readonly promises: readonly PromiseName[];
-    readonly parts: WorldParts;
+    readonly parts: Parts;
 }
 
 const { entry, sidecar } = defaultWorldParts;
@@ -18,7 +18,7 @@
     name: string,
     promises: readonly PromiseName[],
     change: Partial<WorldParts["entry"]>,
-): Mutation => ({
+): Mutation<WorldParts> => ({
     name,
     promises,
     parts: { entry: { ...entry, ...change }, sidecar },
@@ -28,14 +28,14 @@
     name: string,
     promises: readonly PromiseName[],
     change: Partial<WorldParts["sidecar"]>,
-): Mutation => ({
+): Mutation<WorldParts> => ({
     name,
     promises,
     parts: { entry, sidecar: { ...sidecar, ...change } },
 });
 
 /** Every mutation, with the promise that it takes the ground from. */
-export const mutations: readonly Mutation[] = [
+export const mutations: readonly Mutation<WorldParts>[] = [
     entryMutation("no pinned attempt", ["tokens_once_in_order_one_generation"], { pinRule: () => true }),
     entryMutation("tokens not checked by index", ["tokens_once_in_order_one_generation", "whole_and_own_answer"], {
         acceptTokens: (ledger, attemptId, _from, texts) => {
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -3,9 +3,7 @@
  */
 import type { ServerBehaviour, StoreBehaviour } from "@verbenaspring/emulator";
 import * as fc from "fast-check";
-
-/** The kinds of request, by the name of their route. */
-export type Work = "confirm" | "lookup" | "plan" | "note";
+import type { Work } from "./works.js";
 
 /** What callers and the operator do. */
 export type CallerAction =
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -11,27 +11,20 @@
     type Route,
     type TopicRecord,
 } from "@verbenaspring/gateway";
+import type { Mutation } from "../mutations.js";
 import type { PromiseName } from "../oracle.js";
 
-/** One mechanism taken out. */
-export interface PlatformMutation {
-    readonly name: string;
-    /** A breach of any of these shows the break. */
-    readonly promises: readonly PromiseName[];
-    readonly parts: GatewayParts;
-}
-
 const ofEvents = (
     name: string,
     promises: readonly PromiseName[],
     changeEvent: GatewayParts["changeEvent"],
-): PlatformMutation => ({ name, promises, parts: { ...soundGatewayParts, changeEvent } });
+): Mutation<GatewayParts> => ({ name, promises, parts: { ...soundGatewayParts, changeEvent } });
 
 const ofEffects = (
     name: string,
     promises: readonly PromiseName[],
     changeEffect: GatewayParts["changeEffect"],
-): PlatformMutation => ({ name, promises, parts: { ...soundGatewayParts, changeEffect } });
+): Mutation<GatewayParts> => ({ name, promises, parts: { ...soundGatewayParts, changeEffect } });
 
 function mapRecords(event: GatewayEvent, change: (record: TopicRecord) => readonly TopicRecord[]): GatewayEvent {
     const mapItems = (items: readonly DecodedItem[]): DecodedItem[] =>
@@ -82,7 +75,7 @@
 }
 
 /** Every mutation, with the promises that it takes the ground from. */
-export const platformMutations: readonly PlatformMutation[] = [
+export const platformMutations: readonly Mutation<GatewayParts>[] = [
     ofEvents(
         "events not counted",
         ["events_once_in_order_one_run", "whole_and_own_answer"],
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -6,12 +6,14 @@
 import type { BackendCall, StreamEvent } from "@verbenaspring/gateway";
 import type { Milliseconds, RequestId } from "@verbenaspring/model";
 import { PromiseBroken, type PromiseName } from "../oracle.js";
-import type { Work } from "./actions.js";
+import { isEarlyInStop, platformBounds } from "./bounds.js";
+import { HarmRecord } from "./harm.js";
+import { type AskedWork, runsOnce, serviceOf } from "./works.js";
 
 /** One request of a caller. */
 export interface PlatformAsk {
     readonly callerAttemptId: string;
-    readonly work: Work | "probe";
+    readonly work: AskedWork;
     readonly gateway: VirtualGateway;
     readonly sentAt: Milliseconds;
     readonly finishBy: Milliseconds;
@@ -20,7 +22,6 @@
     lastEvent: number;
     lineage: string | undefined;
     end: PlatformAskEnd | undefined;
-    leftAt: Milliseconds | undefined;
 }
 
 /** How a request ended for its caller. */
@@ -29,28 +30,6 @@
     readonly isNotRun: boolean;
 };
 
-/** Limits of the platform's rules. */
-export const platformBounds = {
-    /** What harmed a process, or the store, counts for so long after it. */
-    contact: 4_000,
-    drain: 3_000,
-    configurationApply: 3_000,
-    oldRunEnd: 400,
-    leftCallerEnd: 500,
-    answerSlack: 300,
-    stopLimit: 8_000,
-    retryRatio: 0.2,
-    retrySlack: 8,
-    /** An answer that a worker has had ready for so long was not passed on. */
-    readyAnswer: 1_000,
-    retryWindow: 10_000,
-} as const;
-
-/** The part of a planned stop after which a request that is still at work may be cut. */
-const stopCutPart = 5 / 6;
-/** Work that a request names by its path, and the service that may run it. */
-const engineWorks: ReadonlySet<string> = new Set(["plan", "note"]);
-
 /** Watches callers and workers. */
 export class PlatformOracle {
     readonly asks: PlatformAsk[] = [];
@@ -61,37 +40,23 @@
     private readonly arrivals: { readonly service: string; readonly at: Milliseconds; readonly isRepeat: boolean; }[] =
         [];
     private readonly arrived = new Set<string>();
-    private readonly harmedUntil = new Map<string, Milliseconds>();
-    private anyHarmUntil: Milliseconds = -Infinity;
-    private storeHarmedUntil: Milliseconds = -Infinity;
+    readonly harm: HarmRecord;
 
     constructor(
         private readonly clock: Clock,
         private readonly noticedAt: (server: string) => Milliseconds | undefined,
-    ) {}
+    ) {
+        this.harm = new HarmRecord(() => clock.now);
+    }
 
     /** Breaks off the schedule. */
     fail(promise: PromiseName, detail: string): never {
         throw new PromiseBroken(promise, detail, this.clock.now);
     }
 
-    /** A machine, or its links, are harmed for some time. */
-    noteHarm(name: string, duration: Milliseconds): void {
-        const until = this.clock.now + duration;
-        this.harmedUntil.set(name, Math.max(until, this.harmedUntil.get(name) ?? 0));
-        this.anyHarmUntil = Math.max(this.anyHarmUntil, until);
-    }
-
-    /** The store is harmed for some time. */
-    noteStoreHarm(duration: Milliseconds): void {
-        this.storeHarmedUntil = Math.max(this.storeHarmedUntil, this.clock.now + duration);
-        this.anyHarmUntil = Math.max(this.anyHarmUntil, this.storeHarmedUntil);
-    }
-
-    /** Whether bounds of time hold for a process now. */
-    isInTouch({ name }: VirtualGateway, since: Milliseconds = this.clock.now): boolean {
-        return Math.max(this.harmedUntil.get(name) ?? -Infinity, this.storeHarmedUntil) + platformBounds.contact
-            < since;
+    /** Whether bounds of time hold for a process at a moment. */
+    isInTouch({ name }: VirtualGateway, at: Milliseconds = this.clock.now): boolean {
+        return this.harm.isInTouch(name, at);
     }
 
     noteAsk(ask: PlatformAsk): void {
@@ -190,29 +155,25 @@
     /** A worker had the whole answer for some time, and nothing stood in its way. */
     private wasReady(ask: PlatformAsk): boolean {
         const readyBefore = this.clock.now - platformBounds.readyAnswer;
-        const wasHarm = this.anyHarmUntil + platformBounds.contact >= ask.sentAt;
-        return !wasHarm
+        return this.harm.isCalm(ask.sentAt)
             && this.runsOf(ask).some(({ isComplete, endedAt }) => isComplete && (endedAt ?? Infinity) < readyBefore);
     }
 
     /** A planned stop ended a request early, while nothing else went wrong. */
     private isCutByStop({ gateway, sentAt, finishBy }: PlatformAsk): boolean {
         const { now } = this.clock;
-        const { stopRequestedAt } = gateway;
-        const isLate = stopRequestedAt !== undefined && now - stopRequestedAt >= stopCutPart * platformBounds.stopLimit;
-        const wasHarm = this.anyHarmUntil + platformBounds.contact >= sentAt;
-        return stopRequestedAt !== undefined && !isLate && !wasHarm && now < finishBy;
+        return isEarlyInStop(gateway.stopRequestedAt, now) && this.harm.isCalm(sentAt) && now < finishBy;
     }
 
     private wasHarmed({ gateway, sentAt }: PlatformAsk): boolean {
-        return (this.harmedUntil.get(gateway.name) ?? 0) >= sentAt;
+        return this.harm.wasHarmedSince(gateway.name, sentAt);
     }
 
     /** A worker was reached with a call. */
     noteArrival(gateway: VirtualGateway, call: BackendCall): void {
         const ask = this.asksById.get(call.head.callerAttemptId);
         const { now } = this.clock;
-        const service = engineWorks.has(ask?.work ?? "") ? "engine" : "plain";
+        const service = ask === undefined ? "plain" : serviceOf(ask.work);
         const isRepeat = this.arrived.has(call.head.callerAttemptId);
         this.arrived.add(call.head.callerAttemptId);
         this.arrivals.push({ service, at: now, isRepeat });
@@ -235,14 +196,14 @@
         if (ask === undefined) {
             this.fail("whole_and_own_answer", `${run.server} runs ${run.callerAttemptId}, which nobody asked for`);
         }
-        if (run.service !== (engineWorks.has(ask.work) ? "engine" : "plain")) {
+        if (run.service !== serviceOf(ask.work)) {
             this.fail("only_the_routes_service_runs", `${run.callerAttemptId} is run by ${run.service}`);
         }
         if (typeof ask.end === "object" && ask.end.isNotRun) {
             this.fail("not_run_is_true", `${run.callerAttemptId} runs after its caller was told ${ask.end.failure}`);
         }
         const fresh = [...earlier, run].filter(({ continues }) => !continues);
-        if ((ask.work === "confirm" || ask.work === "plan") && fresh.length > 1) {
+        if (runsOnce(ask.work) && fresh.length > 1) {
             this.fail("non_idempotent_at_most_once", `${run.callerAttemptId} has run ${fresh.length} times`);
         }
         if (run.continues) {
@@ -260,7 +221,6 @@
     /** A caller closed its channel. */
     noteLeft(ask: PlatformAsk): void {
         ask.end = "left";
-        ask.leftAt = this.clock.now;
         this.clock.schedule(platformBounds.leftCallerEnd, () => {
             const atWork = this.runsOf(ask).find(({ endedAt }) => endedAt === undefined);
             if (atWork !== undefined && !this.wasHarmed(ask)) {
@@ -308,7 +268,7 @@
         const { retryWindow, retryRatio, retrySlack } = platformBounds;
         const countRequests = (until: Milliseconds): number =>
             this.asks.filter(({ sentAt, work }) =>
-                sentAt > until - retryWindow && sentAt <= until && engineWorks.has(work) === (service === "engine")
+                sentAt > until - retryWindow && sentAt <= until && serviceOf(work) === service
             ).length;
         const repeats = arrivals.filter(({ at, isRepeat }) => isRepeat && at > end - retryWindow && at <= end).length;
         const requests = Math.max(...[0, 0.5, 1].map(back => countRequests(end - back * retryWindow)));
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -4,7 +4,6 @@
  */
 import {
     type GatewayParts,
-    type ServerPlan,
     soundGatewayParts,
     storeName,
     type VirtualGateway,
@@ -22,10 +21,11 @@
     type PlatformSchedule,
     type ServerAction,
     type StoreAction,
-    type Work,
 } from "./actions.js";
-import { type PlatformAsk, platformBounds, PlatformOracle } from "./oracle.js";
-import { configurationOf, engineMemory, routesHost, routeTimeouts, tokensPerEvent, VersionOracle } from "./versions.js";
+import { platformBounds } from "./bounds.js";
+import { type PlatformAsk, PlatformOracle } from "./oracle.js";
+import { configurationOf, routesHost, routeTimeouts, VersionOracle } from "./versions.js";
+import { type AskedWork, eventsOf, promptTokens, type ServerKind, serverPlan } from "./works.js";
 
 const gatewayCount = 3;
 const startTime: Milliseconds = 1_500;
@@ -35,7 +35,6 @@
 /** A server that gave notice serves on for longer than the notice takes to spread. */
 const longestReuse: Milliseconds = 2_000;
 const restartDelay: Milliseconds = 500;
-const promptTokens = 200;
 
 /**
  * Runs a schedule. Throws {@link PromiseBroken} where a promise is broken.
@@ -154,7 +153,7 @@
 
     private ask(
         gateway: VirtualGateway,
-        work: Work | "probe",
+        work: AskedWork,
         length: number,
         timeLimit: Milliseconds,
         path?: string,
@@ -167,11 +166,10 @@
             gateway,
             sentAt: clock.now,
             finishBy: clock.now + timeout,
-            events: work === "plan" || work === "note" ? Math.ceil(length / tokensPerEvent) : 0,
+            events: eventsOf(work, length),
             lastEvent: 0,
             lineage: undefined,
             end: undefined,
-            leftAt: undefined,
         };
         this.oracle.noteAsk(ask);
         if (!gateway.isAlive) {
@@ -229,7 +227,7 @@
             case "killGateway":
                 return this.killGateway(gateway, action.how, action.away);
             case "freezeGateway":
-                this.oracle.noteHarm(gateway.name, action.duration);
+                this.oracle.harm.note(gateway.name, action.duration);
                 return gateway.freeze(action.duration);
             case "stopGateway":
                 return gateway.stop();
@@ -244,46 +242,46 @@
                 return network.silence(gateway.name, other.name);
             }
             case "cutServer":
-                this.oracle.noteHarm(gateway.name, action.duration);
+                this.oracle.harm.note(gateway.name, action.duration);
                 return network.cut(gateway.name, this.addressOf(action.server), action.duration);
             case "silenceServer":
-                this.oracle.noteHarm(gateway.name, routeTimeouts.plan);
+                this.oracle.harm.note(gateway.name, routeTimeouts.plan);
                 return network.silence(gateway.name, this.addressOf(action.server));
         }
     }
 
     private harmBoth(gateway: VirtualGateway, other: VirtualGateway, duration: Milliseconds): void {
-        this.oracle.noteHarm(gateway.name, duration);
-        this.oracle.noteHarm(other.name, duration);
+        this.oracle.harm.note(gateway.name, duration);
+        this.oracle.harm.note(other.name, duration);
     }
 
     private performStore(action: StoreAction): void {
         const { store, network } = this.platform;
         switch (action.kind) {
             case "storeBehaves":
-                this.oracle.noteStoreHarm(action.duration);
+                this.oracle.harm.noteStore(action.duration);
                 store.behaviour = action.behaviour;
                 return this.later(action.duration, () => store.behaviour = "up");
             case "storeSlow":
-                this.oracle.noteStoreHarm(action.duration + action.slowness);
+                this.oracle.harm.noteStore(action.duration + action.slowness);
                 store.slowness = action.slowness;
                 return this.later(action.duration, () => store.slowness = 0);
             case "compact":
                 return ["keyed.op", "keyed.servers"].forEach(topic => store.model.compact(topic));
             case "turnAway": {
                 const { name } = this.gatewayOf(action.gateway);
-                this.oracle.noteHarm(name, action.duration);
+                this.oracle.harm.note(name, action.duration);
                 store.turnedAway.add(name);
                 return this.later(action.duration, () => store.turnedAway.delete(name));
             }
             case "cutStore": {
                 const { name } = this.gatewayOf(action.gateway);
-                this.oracle.noteHarm(name, action.duration);
+                this.oracle.harm.note(name, action.duration);
                 return network.cut(name, storeName, action.duration);
             }
             case "silenceStore": {
                 const { name } = this.gatewayOf(action.gateway);
-                this.oracle.noteHarm(name, 0);
+                this.oracle.harm.note(name, 0);
                 return network.silence(name, storeName);
             }
         }
@@ -327,14 +325,14 @@
 
     /** A worker's fault is no planned work: what is lost around it says nothing about planned stops. */
     private noteServerHarm(duration: Milliseconds = 0): void {
-        this.oracle.noteHarm("servers", duration);
+        this.oracle.harm.note("servers", duration);
     }
 
     private killGateway(gateway: VirtualGateway, how: "reset" | "power", away: Milliseconds): void {
         if (!gateway.isAlive) {
             return;
         }
-        this.oracle.noteHarm(gateway.name, away);
+        this.oracle.harm.note(gateway.name, away);
         this.oracle.noteGone(gateway);
         gateway.kill(how);
         this.restartLater(gateway, away);
@@ -343,7 +341,7 @@
     /** A process that ended after a planned stop is started again. */
     private replaceGateway(gateway: VirtualGateway): void {
         this.oracle.noteGone(gateway);
-        this.oracle.noteHarm(gateway.name, restartDelay);
+        this.oracle.harm.note(gateway.name, restartDelay);
         this.restartLater(gateway, restartDelay);
     }
 
@@ -352,8 +350,8 @@
         this.platform.clock.schedule(delay, () => this.platform.startGateway(slot));
     }
 
-    private addServer(kind: "plain" | "engine", address?: string): void {
-        this.platform.fleet.add(serverPlan(kind, ++this.servers), address);
+    private addServer(kind: ServerKind, address?: string): void {
+        this.platform.fleet.add(serverPlan(kind, `${kind}${++this.servers}`), address);
     }
 
     /** Ends a fault after its duration, or when the schedule calms down. */
@@ -372,22 +370,6 @@
     }
 }
 
-function serverPlan(kind: "plain" | "engine", number: number): ServerPlan {
-    const id = `${kind}${number}`;
-    return kind === "plain" ? { kind, id, service: kind, slots: 4, workTime: 25 } : {
-        kind,
-        id,
-        service: kind,
-        slots: 12,
-        memoryTokens: engineMemory,
-        tokensPerEvent,
-        stepTime: 8,
-        stepTimePerRun: 0.5,
-        readingRate: 14,
-        linkRate: 20,
-    };
-}
-
 function callerHead(id: string, target: string, length: number, timeLimit: Milliseconds): CallerHead {
     return {
         callerAttemptId: identifier(id),
--- a/packages/fuzz/src/platform/versions.ts
+++ b/packages/fuzz/src/platform/versions.ts
@@ -4,13 +4,11 @@
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import type { PromiseName } from "../oracle.js";
-import { platformBounds } from "./oracle.js";
+import { platformBounds } from "./bounds.js";
+import { engineMemory, tokensPerEvent } from "./works.js";
 
 /** The host of all routes. */
 export const routesHost = "platform.example";
-/** What the engines of the service have. */
-export const engineMemory = 6_000;
-export const tokensPerEvent = 4;
 /** The time that each route gives a request. */
 export const routeTimeouts = { confirm: 1_500, lookup: 1_500, plan: 20_000, note: 6_000, probe: 1_500 } as const;
 
--- a/packages/fuzz/test/platformFuzz.test.ts
+++ b/packages/fuzz/test/platformFuzz.test.ts
@@ -9,13 +9,12 @@
     platformSystem,
     runPlatformSchedule,
 } from "@verbenaspring/fuzz";
-import { readdirSync, readFileSync } from "node:fs";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { testKeptSchedules } from "./keptSchedules.js";
 
 const runs = 500;
 const steps = 60;
-const directory = new URL("foundOnPlatform/", import.meta.url);
 
 for (const seed of [1, 2]) {
     test(`no rule is broken in ${runs} schedules of seed ${seed}`, () => {
@@ -31,12 +30,6 @@
     });
 }
 
-for (const file of readdirSync(directory).sort()) {
-    const { what, schedule } = JSON.parse(readFileSync(new URL(file, directory), "utf8")) as {
-        what: string;
-        schedule: PlatformSchedule;
-    };
-    test(`${file}: ${what}`, () => runPlatformSchedule(schedule));
-}
+testKeptSchedules<PlatformSchedule>("foundOnPlatform", schedule => runPlatformSchedule(schedule));
 
 test.run();
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -3,8 +3,9 @@
  */
 import { waitUntil } from "@verbenaspring/bench";
 import { seededSource } from "@verbenaspring/coordination";
+import { pause } from "@verbenaspring/stand-ins";
 import { SoakCallers } from "./soakCallers.js";
-import { pause, SoakFaults } from "./soakFaults.js";
+import { SoakFaults } from "./soakFaults.js";
 import type { Breach } from "./soakOracle.js";
 import { type SoakGateway, SoakWorld } from "./soakWorld.js";
 
@@ -53,7 +54,7 @@
     const stopLagWatch = watchLag(lag => world.oracle.noteLag(lag));
     // Faults and callers draw from sources of their own, so that the faults don't depend on how fast callers are.
     const callers = new SoakCallers(world, seededSource(seed, 1).random);
-    const faults = new SoakFaults(world, callers, seededSource(seed, 2).random);
+    const faults = new SoakFaults(world, seededSource(seed, 2).random);
     try {
         callers.start(callerCount);
         await faults.run(1_000 * seconds);
--- a/packages/soak/src/soakCallers.ts
+++ b/packages/soak/src/soakCallers.ts
@@ -1,8 +1,10 @@
 /**
  * Callers of a soak. Each keeps its channels open and uses them until they end.
  */
+import { readAnswerBody } from "@verbenaspring/bench";
 import type { Random } from "@verbenaspring/coordination";
-import { routesHost, routeTimeouts, tokensPerEvent, VersionOracle, type Work } from "@verbenaspring/fuzz";
+import { eventsOf, isStreamed, promptTokens, routesHost, routeTimeouts, type Work } from "@verbenaspring/fuzz";
+import { pause } from "@verbenaspring/stand-ins";
 import { Client } from "undici";
 import type { SoakAnswer, SoakAsk } from "./soakOracle.js";
 import type { SoakGateway, SoakWorld } from "./soakWorld.js";
@@ -13,25 +15,17 @@
 /** The part of the requests that ask for the route of a recent version. */
 const probingPart = 0.15;
 const longestThinking = 120;
-const promptTokens = 200;
 /** A caller that hears nothing for so long after its time gives up. */
 const givesUpAfter = 3_000;
 
 /** All callers. */
 export class SoakCallers {
-    readonly versions: VersionOracle<SoakGateway>;
     private readonly channels = new Map<string, CallerChannel>();
     private readonly loops: Promise<void>[] = [];
     private isStopped = false;
     private asked = 0;
 
-    constructor(private readonly world: SoakWorld, private readonly random: Random) {
-        this.versions = new VersionOracle({
-            isInTouch: (gateway, at) => world.oracle.isInTouch(gateway, at),
-            fail: (promise, detail) => world.oracle.fail(promise, detail),
-        });
-        this.versions.noteWritten(performance.now());
-    }
+    constructor(private readonly world: SoakWorld, private readonly random: Random) {}
 
     start(callers: number): void {
         for (let caller = 0; caller < callers; caller++) {
@@ -53,7 +47,7 @@
             if (!gateway.isGone && gateway.endRequestedAt === undefined) {
                 await this.askOnce(caller, gateway);
             }
-            await new Promise(resolve => setTimeout(resolve, this.random() * longestThinking));
+            await pause(this.random() * longestThinking);
         }
     }
 
@@ -63,8 +57,9 @@
             await this.ask(caller, gateway, work, this.random() < leavingPart);
             return;
         }
-        const index = Math.max(0, this.versions.newest - Math.floor(3 * this.random()));
-        const check = this.versions.noteProbe(gateway, index, performance.now());
+        const { versions } = this.world;
+        const index = Math.max(0, versions.newest - Math.floor(3 * this.random()));
+        const check = versions.noteProbe(gateway, index, performance.now());
         const ask = await this.ask(caller, gateway, "probe", false, `/version${index}/1`);
         const isMissing = typeof ask.end === "object" && ask.end.failure === "404";
         if (ask.end === "whole" || isMissing) {
@@ -80,8 +75,7 @@
         leaves: boolean,
         path?: string,
     ): Promise<SoakAsk> {
-        const isStream = work === "plan" || work === "note";
-        const length = isStream ? 1 + Math.floor(300 * this.random() ** 2) : 1;
+        const length = isStreamed(work) ? 1 + Math.floor(300 * this.random() ** 2) : 1;
         const timeLimit = 1_000 + Math.floor(12_000 * this.random());
         const now = performance.now();
         const ask: SoakAsk = {
@@ -91,7 +85,7 @@
             sentAt: now,
             channelOpenedAt: now,
             finishBy: now + Math.min(timeLimit, routeTimeouts[work]),
-            events: isStream ? Math.ceil(length / tokensPerEvent) : 0,
+            events: eventsOf(work, length),
             end: undefined,
         };
         this.world.oracle.noteAsk(ask);
@@ -163,15 +157,6 @@
         body: `body of ${ask.id}`,
         signal,
     });
-    let text = "";
-    let isComplete = true;
-    try {
-        for await (const chunk of body) {
-            text += String(chunk);
-        }
-    }
-    catch {
-        isComplete = false;
-    }
-    return { status: statusCode, isSealed: headers["response-seal"] !== undefined, body: text, isComplete };
+    const isSealed = headers["response-seal"] !== undefined;
+    return { status: statusCode, isSealed, ...await readAnswerBody(body) };
 }
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -4,8 +4,8 @@
  */
 import type { FaultRelay } from "@verbenaspring/bench";
 import type { Random } from "@verbenaspring/coordination";
-import type { ServerBehaviour } from "@verbenaspring/emulator";
-import type { SoakCallers } from "./soakCallers.js";
+import { operatorTopic, type ServerBehaviour, serverTopic } from "@verbenaspring/emulator";
+import { pause } from "@verbenaspring/stand-ins";
 import type { SoakGateway, SoakWorker, SoakWorld } from "./soakWorld.js";
 
 /** One kind of fault. */
@@ -29,7 +29,7 @@
     private readonly undo = new Set<() => void>();
     private readonly restarts = new Set<Promise<void>>();
 
-    constructor(readonly world: SoakWorld, readonly callers: SoakCallers, readonly random: Random) {}
+    constructor(readonly world: SoakWorld, readonly random: Random) {}
 
     /** Performs faults for so many milliseconds. */
     async run(duration: number): Promise<void> {
@@ -82,7 +82,7 @@
         const restart = gateway.process.exited
             .then(() => pause(restartDelay))
             .then(() => {
-                this.world.oracle.noteHarm(gateway.name, restartDelay);
+                this.world.oracle.harm.note(gateway.name, restartDelay);
                 return this.world.startGateway(slot);
             });
         this.restarts.add(restart);
@@ -120,14 +120,14 @@
 }
 
 function endGateway(faults: SoakFaults, gateway: SoakGateway): void {
-    faults.world.oracle.noteHarm(gateway.name, restartDelay);
+    faults.world.oracle.harm.note(gateway.name, restartDelay);
     gateway.endRequestedAt = performance.now();
     gateway.process.child.kill("SIGKILL");
     faults.replace(gateway);
 }
 
 function pauseGateway(faults: SoakFaults, gateway: SoakGateway, duration: number): void {
-    faults.world.oracle.noteHarm(gateway.name, duration);
+    faults.world.oracle.harm.note(gateway.name, duration);
     gateway.process.child.kill("SIGSTOP");
     faults.later(duration, () => gateway.process.child.kill("SIGCONT"));
 }
@@ -142,7 +142,7 @@
     const { world } = faults;
     const gone = faults.worker();
     const { kind, id } = gone.worker.plan;
-    world.oracle.noteHarm("workers", duration);
+    world.oracle.harm.note("workers", duration);
     world.removeWorker(gone);
     void gone.worker.crash();
     gone.relay.close();
@@ -160,32 +160,27 @@
 
 function misbehave(faults: SoakFaults, duration: number): void {
     const { worker } = faults.worker();
-    faults.world.oracle.noteHarm("workers", duration);
+    faults.world.oracle.harm.note("workers", duration);
     worker.behave(faults.choose(behaviours));
     faults.later(duration, () => worker.behave("well"));
 }
 
 function harmStore(faults: SoakFaults, duration: number, behaviour: "busy" | "silent"): void {
     const { oracle, store } = faults.world;
-    oracle.noteStoreHarm(duration);
+    oracle.harm.noteStore(duration);
     store.behave(behaviour);
     faults.later(duration, () => store.behave("up"));
 }
 
 function slowStore(faults: SoakFaults, duration: number): void {
     const { oracle, store } = faults.world;
-    oracle.noteStoreHarm(duration + slowestStore);
+    oracle.harm.noteStore(duration + slowestStore);
     store.slowDown(faults.random() * slowestStore);
     faults.later(duration, () => store.slowDown(0));
 }
 
-function configure({ world, callers }: SoakFaults): void {
-    world.configure();
-    callers.versions.noteWritten(performance.now());
-}
-
 function harmLink(faults: SoakFaults, gateway: SoakGateway, relay: FaultRelay, duration: number): void {
-    faults.world.oracle.noteHarm(gateway.name, duration + longestDelay);
+    faults.world.oracle.harm.note(gateway.name, duration + longestDelay);
     faults.harmRelay(relay, duration, () => {
         if (relay === gateway.callers) {
             gateway.silencedAt = performance.now();
@@ -195,7 +190,7 @@
 
 function harmWorkerLink(faults: SoakFaults, duration: number): void {
     const { gateways, oracle } = faults.world;
-    gateways.forEach(({ name }) => oracle.noteHarm(name, duration + longestDelay));
+    gateways.forEach(({ name }) => oracle.harm.note(name, duration + longestDelay));
     faults.harmRelay(faults.worker().relay, duration);
 }
 
@@ -222,8 +217,8 @@
     { name: "storeBusy", perform: (faults, duration) => harmStore(faults, duration, "busy") },
     { name: "storeSilent", perform: (faults, duration) => harmStore(faults, duration, "silent") },
     { name: "storeSlow", perform: slowStore },
-    { name: "compact", perform: ({ world }) => ["keyed.op", "keyed.servers"].forEach(world.store.compact) },
-    { name: "configure", perform: configure },
+    { name: "compact", perform: ({ world }) => [operatorTopic, serverTopic].forEach(world.store.compact) },
+    { name: "configure", perform: ({ world }) => world.configure() },
     { name: "crashWorker", perform: (faults, duration) => crashWorker(faults, duration, false) },
     { name: "restartWorker", perform: (faults, duration) => crashWorker(faults, duration, true) },
     { name: "drainWorker", perform: drainWorker },
@@ -231,8 +226,3 @@
     { name: "garble", perform: faults => faults.world.garble(faults.worker().worker.id) },
     { name: "loseHeartbeats", perform: loseHeartbeats },
 ];
-
-/** Resolves after so many milliseconds. */
-export function pause(duration: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, duration));
-}
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -2,13 +2,22 @@
  * Checks the promises from what callers and workers saw.
  */
 import type { ServerCall, ServerRun } from "@verbenaspring/emulator";
-import { type PlatformAskEnd, platformBounds, type Work } from "@verbenaspring/fuzz";
+import {
+    type AskedWork,
+    HarmRecord,
+    isEarlyInStop,
+    isStreamed,
+    type PlatformAskEnd,
+    platformBounds,
+    runsOnce,
+    serviceOf,
+} from "@verbenaspring/fuzz";
 import type { SoakGateway } from "./soakWorld.js";
 
 /** One request of a caller. */
 export interface SoakAsk {
     readonly id: string;
-    readonly work: Work | "probe";
+    readonly work: AskedWork;
     readonly gateway: SoakGateway;
     readonly sentAt: number;
     /** When the caller opened the channel that it used. */
@@ -35,7 +44,6 @@
     readonly at: number;
 }
 
-const engineWorks: ReadonlySet<string> = new Set(["plan", "note"]);
 const noRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const success = 200;
 /** The rules allow half a second past the time of a request. */
@@ -51,9 +59,7 @@
     private readonly runs = new Map<string, ServerRun[]>();
     /** Requests that were passed on to a worker. */
     private readonly arrived = new Set<string>();
-    private readonly harmedUntil = new Map<string, number>();
-    private anyHarmUntil = -Infinity;
-    private storeHarmedUntil = -Infinity;
+    readonly harm = new HarmRecord(() => performance.now());
     private readonly lags: { readonly at: number; readonly lag: number; }[] = [];
 
     /** @param checksTimes whether bounds of time are checked; a machine that is busy otherwise breaks them */
@@ -66,18 +72,6 @@
         this.breaches.push({ promise, detail, at: Math.round(performance.now()) });
     }
 
-    /** A slot's process, or its links, are harmed for so many milliseconds. */
-    noteHarm(name: string, duration: number): void {
-        const until = performance.now() + duration;
-        this.harmedUntil.set(name, Math.max(until, this.harmedUntil.get(name) ?? -Infinity));
-        this.anyHarmUntil = Math.max(this.anyHarmUntil, until);
-    }
-
-    noteStoreHarm(duration: number): void {
-        this.storeHarmedUntil = Math.max(this.storeHarmedUntil, performance.now() + duration);
-        this.anyHarmUntil = Math.max(this.anyHarmUntil, this.storeHarmedUntil);
-    }
-
     /** The soak itself was held up, so that its own clock is that much less exact. */
     noteLag(lag: number): void {
         this.lags.push({ at: performance.now(), lag });
@@ -85,8 +79,7 @@
 
     /** Whether bounds of time hold for a process at a moment. */
     isInTouch({ name }: SoakGateway, at: number): boolean {
-        const harmed = Math.max(this.harmedUntil.get(name) ?? -Infinity, this.storeHarmedUntil);
-        return this.checksTimes && harmed + platformBounds.contact < at
+        return this.checksTimes && this.harm.isInTouch(name, at)
             && this.lagSince(at - platformBounds.contact) === 0;
     }
 
@@ -121,7 +114,7 @@
         if (!isSealed) {
             this.fail("whole_and_own_answer", `${ask.id} got a success that no worker signed`);
         }
-        if (engineWorks.has(ask.work)) {
+        if (isStreamed(ask.work)) {
             this.checkStream(ask, body, isComplete);
         }
         else if (isComplete && body !== `answer to ${ask.id}`) {
@@ -156,19 +149,17 @@
 
     private checkTime(ask: SoakAsk): void {
         const now = performance.now();
-        const wasHarmed = (this.harmedUntil.get(ask.gateway.name) ?? -Infinity) >= ask.sentAt
+        const wasHarmed = this.harm.wasHarmedSince(ask.gateway.name, ask.sentAt)
             || ask.channelOpenedAt <= ask.gateway.silencedAt;
         const limit = ask.finishBy + answerSlack + this.lagSince(ask.sentAt);
         if (this.checksTimes && !wasHarmed && now > limit) {
             this.fail("final_answer_in_time", `${ask.id} ended ${Math.round(now - ask.finishBy)} ms late`);
         }
-        const { stopRequestedAt } = ask.gateway;
         const isLost = ask.end === "cut" || (typeof ask.end === "object" && !ask.end.isNotRun);
-        const isCalm = this.anyHarmUntil + platformBounds.contact < ask.sentAt;
         // A request that crosses the close of its channel, and was passed on to nobody, may be sent again by its caller.
         const hasCrossedClose = !this.arrived.has(ask.id) && now - ask.sentAt <= lossSlack;
-        const isEarly = stopRequestedAt !== undefined && now - stopRequestedAt < platformBounds.stopLimit * 5 / 6;
-        if (isLost && isCalm && isEarly && !hasCrossedClose && now < ask.finishBy) {
+        const isEarly = isEarlyInStop(ask.gateway.stopRequestedAt, now);
+        if (isLost && this.harm.isCalm(ask.sentAt) && isEarly && !hasCrossedClose && now < ask.finishBy) {
             this.fail("planned_stop_cuts_nothing", `${ask.id} was lost in a planned stop`);
         }
     }
@@ -183,7 +174,7 @@
             return;
         }
         // A relay before the workers, or the soak itself, may have held the call.
-        const isCalm = this.anyHarmUntil + platformBounds.contact < now && this.isInTouch(ask.gateway, now);
+        const isCalm = this.harm.isCalm(now) && this.isInTouch(ask.gateway, now);
         if (isCalm) {
             this.fail(
                 "leaving_gets_no_new_work",
@@ -201,11 +192,11 @@
         if (ask === undefined) {
             return this.fail("whole_and_own_answer", `${run.server} runs ${callerAttemptId}, which nobody asked for`);
         }
-        if (run.service !== (engineWorks.has(ask.work) ? "engine" : "plain")) {
+        if (run.service !== serviceOf(ask.work)) {
             this.fail("only_the_routes_service_runs", `${callerAttemptId} is run by ${run.service}`);
         }
         const fresh = all.filter(({ continues }) => !continues);
-        if ((ask.work === "confirm" || ask.work === "plan") && fresh.length > 1) {
+        if (runsOnce(ask.work) && fresh.length > 1) {
             this.fail("non_idempotent_at_most_once", `${callerAttemptId} has run ${fresh.length} times`);
         }
         this.checkNotRun(ask);
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -4,15 +4,15 @@
  */
 import {
     type FaultRelay,
-    freeAddress,
+    freeGatewayAddresses,
     type GatewayProcess,
     isGatewayProcessReady,
     startFaultRelay,
     startGatewayProcess,
     waitUntil,
 } from "@verbenaspring/bench";
-import type { ServerPlan } from "@verbenaspring/emulator";
-import { configurationOf } from "@verbenaspring/fuzz";
+import { configurationKey, operatorTopic } from "@verbenaspring/emulator";
+import { configurationOf, type ServerKind, serverPlan, VersionOracle } from "@verbenaspring/fuzz";
 import {
     createPlatformWorkers,
     type PlatformStore,
@@ -55,23 +55,12 @@
     readonly checksTimes: boolean;
 }
 
-const engineDefaults = {
-    kind: "engine",
-    service: "engine",
-    slots: 12,
-    memoryTokens: 6_000,
-    tokensPerEvent: 4,
-    stepTime: 8,
-    stepTimePerRun: 0.5,
-    readingRate: 14,
-    linkRate: 20,
-} as const;
-
 /** All that runs. */
 export class SoakWorld {
     readonly gateways: SoakGateway[] = [];
     readonly workers: SoakWorker[] = [];
     readonly oracle: SoakOracle;
+    readonly versions: VersionOracle<SoakGateway>;
     readonly store: PlatformStore;
     private readonly fleet: PlatformWorkers;
     private readonly folder = mkdtempSync(join(tmpdir(), "verbenaspring-soak-"));
@@ -81,11 +70,11 @@
     private isClosing = false;
     private workerCount = 0;
     private processCount = 0;
-    newestVersion = -1;
 
     private constructor(store: PlatformStore, checksTimes: boolean) {
         this.store = store;
         this.oracle = new SoakOracle(checksTimes, server => this.fleet.fleet.noticedAt(server));
+        this.versions = new VersionOracle<SoakGateway>(this.oracle);
         this.fleet = createPlatformWorkers(
             store,
             run => this.oracle.noteRun(run),
@@ -116,31 +105,25 @@
 
     /** The operator writes the next version. */
     configure(): void {
-        this.newestVersion++;
-        this.store.put("keyed.op", "config", configurationOf(this.newestVersion));
+        this.store.put(operatorTopic, configurationKey, configurationOf(this.versions.newest + 1));
+        this.versions.noteWritten(performance.now());
     }
 
     /** Starts the process of a slot, and waits until it takes callers. */
     async startGateway(slot: number): Promise<void> {
-        const [callerAddress, readinessAddress, ownPeerAddress] = await Promise.all([
-            freeAddress(),
-            freeAddress(),
-            freeAddress(),
-        ]);
-        const before = this.gateways[slot]?.process.place;
-        const peerAddress = before?.peerAddress ?? ownPeerAddress;
+        const free = await freeGatewayAddresses();
+        const peerAddress = this.gateways[slot]?.process.place.peerAddress ?? free.peerAddress;
         this.seedAddress ??= peerAddress;
         const store = await this.relayTo(this.store.address);
         const process = startGatewayProcess({
             name: `gateway-${this.processCount++}`,
             folder: this.folder,
-            callerAddress,
-            readinessAddress,
+            ...free,
             peerAddress,
             seedAddress: this.seedAddress,
             storeAddress: store.address,
         });
-        const callers = await this.relayTo(callerAddress);
+        const callers = await this.relayTo(free.callerAddress);
         const gateway: SoakGateway = {
             name: `slot-${slot}`,
             process,
@@ -174,12 +157,9 @@
         }
     }
 
-    async addWorker(kind: "plain" | "engine", id = `${kind}${++this.workerCount}`): Promise<void> {
-        const plan: ServerPlan = kind === "plain"
-            ? { kind, id, service: kind, slots: 4, workTime: 25 }
-            : { ...engineDefaults, id };
+    async addWorker(kind: ServerKind, id = `${kind}${++this.workerCount}`): Promise<void> {
         let relay: FaultRelay | undefined;
-        const worker = await this.fleet.start(plan, {
+        const worker = await this.fleet.start(serverPlan(kind, id), {
             expose: async address => {
                 relay = await this.relayTo(address);
                 return relay.address;
--- a/packages/stand-ins/src/httpStandIn.ts
+++ b/packages/stand-ins/src/httpStandIn.ts
@@ -34,13 +34,18 @@
     return { address: `127.0.0.1:${bound.port}`, server, close };
 }
 
-/** Reads a JSON body. */
-export async function readJson<Value>(request: IncomingMessage): Promise<Value> {
+/** Reads a body as text. */
+export async function readText(request: IncomingMessage): Promise<string> {
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) {
         chunks.push(chunk);
     }
-    return JSON.parse(Buffer.concat(chunks).toString("utf8") || "null") as Value;
+    return Buffer.concat(chunks).toString("utf8");
+}
+
+/** Reads a JSON body. */
+export async function readJson<Value>(request: IncomingMessage): Promise<Value> {
+    return JSON.parse(await readText(request) || "null") as Value;
 }
 
 /** Sends a JSON body. */
--- a/packages/stand-ins/src/platformWorkerStandIn.ts
+++ b/packages/stand-ins/src/platformWorkerStandIn.ts
@@ -15,7 +15,7 @@
     systemClock,
 } from "@verbenaspring/emulator";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { readJson, sendJson, type StandIn, startStandIn } from "./httpStandIn.js";
+import { readJson, readText, sendJson, type StandIn, startStandIn } from "./httpStandIn.js";
 import type { PlatformStore } from "./platformStoreStandIn.js";
 
 /** A worker, and what a test does with it. */
@@ -167,10 +167,7 @@
 }
 
 async function readCall(request: IncomingMessage, url: URL): Promise<ServerCall> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-        chunks.push(chunk);
-    }
+    const body = await readText(request);
     const text = (name: string): string | undefined => {
         const value = request.headers[name];
         return Array.isArray(value) ? value[0] : value;
@@ -181,7 +178,7 @@
         callerAttemptId: text("attempt-id") ?? "",
         target: text("target-instance"),
         path: request.url ?? "",
-        body: Buffer.concat(chunks).toString("utf8"),
+        body,
         timeLimit: Number(text("deadline-ms") ?? 0),
         promptTokens,
         outputTokens: Number(url.searchParams.get("length") ?? maximumTokens),
