gateway: a refusal that names another request says nothing about this one

Cause: a late extra answer on a channel can be the refusal of an earlier request. Ruled out: a call that was sent but reported as not sent (the client reports the start before it writes). Change: an answer that names another request is never a refusal of this one. Test: failed before (the call and the stream were sent as a new run), passes after.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -69,9 +69,13 @@
 
 type AnswerClass = "delivered" | "not_run" | "server_failed" | "answer_of_another" | "answer_malformed";
 
-/** Classifies an answer by its head: whether it can be delivered, and if not, why. */
+/**
+ * Classifies an answer by its head: whether it can be delivered, and if not, why. A refusal that names another request
+ * is a late answer to an earlier one on the channel; it says nothing about this request, which may have run.
+ */
 export function classifyAnswer({ head }: GatewayRequest, answer: ResponseHead): AnswerClass {
-    if (answer.isNotRun) {
+    const namesAnother = answer.callerAttemptId !== undefined && answer.callerAttemptId !== head.callerAttemptId;
+    if (answer.isNotRun && !namesAnother) {
         return "not_run";
     }
     if (answer.callerAttemptId !== head.callerAttemptId) {
--- a/packages/gateway/test/attempts.test.ts
+++ b/packages/gateway/test/attempts.test.ts
@@ -60,6 +60,21 @@
     }
 });
 
+test("a refusal that was meant for an earlier request on the channel does not state that this request did not run", () => {
+    const refusal = { status: 503, isNotRun: true, isSealed: false, callerAttemptId: identifier<never>("earlier") };
+    for (const name of ["confirm", "plan"]) {
+        const gateway = TestGateway.serving(
+            server("plain-1"),
+            server("plain-2"),
+            server("engine-1"),
+            server("engine-2"),
+        );
+        const effects = gateway.answer(gateway.sendRequest("r", name), refusal);
+        assert.equal(callsIn(effects).filter(call => call.continuesFrom === undefined), [], `${name} is not run again`);
+        assert.not.ok(failuresIn(effects).some(failure => failure.outcome === "not_run"), name);
+    }
+});
+
 test("an unanswered idempotent call is sent to another server before its deadline", () => {
     const gateway = gatewayWithTwoServers();
     const first = gateway.sendRequest("r", "lookup");
