gateway: the load known at placement, and the speed of each stream, are on the lines of their decisions

attempt_sent tells what was known of the chosen engine; stream_answered tells the time to the first event and per token.

--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -11,6 +11,7 @@
     addLoad,
     engineOf,
     expectedMemory,
+    loadFields,
     otherServers,
     placementView,
     replicaView,
@@ -90,12 +91,13 @@
     request.possibleRuns++;
     request.triedServers.add(server.record.id);
     state.attempts.set(attempt.id, request);
-    addLoad(state, attempt);
     logDecision(transaction, "debug", "attempt_sent", {
         ...requestFields(transaction, request),
         replica: replica?.record.id,
         copy: continuesFrom?.name,
+        ...loadFields(state, server, now),
     });
+    addLoad(state, attempt);
     effects.push({
         kind: "sendAttempt",
         requestId: request.id,
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -9,6 +9,7 @@
 } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds, ServiceName } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
+import type { DecisionFields } from "./effect.js";
 import { expectedOutput } from "./messages.js";
 import { peerLoad } from "./peers.js";
 import type { EngineCapabilities } from "./routingConfiguration.js";
@@ -98,6 +99,20 @@
     };
 }
 
+/** The log fields that tell what was known of an engine's load; none for plain services. */
+export function loadFields(state: GatewayState, { record }: BackendServer, now: Milliseconds): DecisionFields {
+    const engine = engineOf(state, record.service);
+    if (engine === undefined) {
+        return {};
+    }
+    const { inProgress, memoryTokens, waitingTokens } = totalLoad(state, record.id, now);
+    return {
+        serverRuns: inProgress,
+        serverMemory: Math.round(100 * memoryTokens / engine.memoryTokens) / 100,
+        serverWaitingTokens: waitingTokens,
+    };
+}
+
 /** The capabilities of a service's engines; undefined for plain services. */
 export function engineOf(state: GatewayState, service: ServiceName): EngineCapabilities | undefined {
     return state.configuration?.services.get(service)?.engine;
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -5,6 +5,7 @@
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
 import { type AttemptOutcome, classifyAnswer, endAttempt, recordHealth, retryOrFail } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
+import type { DecisionFields } from "./effect.js";
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { migrateAfterFirstEvent } from "./migration.js";
@@ -122,19 +123,40 @@
     logDecision(transaction, "debug", "stream_answered", {
         ...requestFields(transaction, request),
         took: Math.round(now - request.arrivedAt),
+        ...streamTimeFields(state, request, attempt),
     });
     effects.push({ kind: "answerEnd", requestId: request.id });
     finishRequest(transaction, request);
 }
 
-/** Updates the average duration of a stream, and the average time per token unless the run was too short to tell. */
-function recordStreamTimes({ state, now }: Transaction, { service }: GatewayRequest, attempt: Attempt): void {
-    const { firstEventAt, lastActivityAt, events } = attempt;
-    state.meanStreamDuration += newestWeight * (now - attempt.startedAt - state.meanStreamDuration);
+/** How long a run took to its first event, and to each token after it. */
+function streamTimeFields(state: GatewayState, request: GatewayRequest, attempt: Attempt): DecisionFields {
+    const timePerToken = timePerTokenOf(state, request, attempt);
+    return {
+        events: attempt.events,
+        firstEventAfter: Math.round((attempt.firstEventAt ?? attempt.startedAt) - attempt.startedAt),
+        timePerToken: timePerToken === undefined ? undefined : Math.round(10 * timePerToken) / 10,
+    };
+}
+
+/** The mean time per token of a run; undefined if it was too short to tell. */
+function timePerTokenOf(
+    state: GatewayState,
+    { service }: GatewayRequest,
+    { firstEventAt, lastActivityAt, events }: Attempt,
+): Milliseconds | undefined {
     const minimumEvents = 8;
     const tokensPerEvent = engineOf(state, service)?.tokensPerEvent ?? 1;
-    if (firstEventAt !== undefined && events >= minimumEvents) {
-        const timePerToken: Milliseconds = (lastActivityAt - firstEventAt) / (events * tokensPerEvent);
+    return firstEventAt === undefined || events < minimumEvents
+        ? undefined
+        : (lastActivityAt - firstEventAt) / (events * tokensPerEvent);
+}
+
+/** Updates the average duration of a stream, and the average time per token unless the run was too short to tell. */
+function recordStreamTimes({ state, now }: Transaction, request: GatewayRequest, attempt: Attempt): void {
+    state.meanStreamDuration += newestWeight * (now - attempt.startedAt - state.meanStreamDuration);
+    const timePerToken = timePerTokenOf(state, request, attempt);
+    if (timePerToken !== undefined) {
         state.timePerToken += newestWeight * (timePerToken - state.timePerToken);
     }
 }
