gateway: placements are reported at once, waiting requests share free room, replicas only beside spare memory

Reports of gateways have two new fields. What is left: requests that come back after a refusal are nearly all late.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./engineLoad.js";
 export * from "./faultRelay.js";
 export * from "./gatewayProcess.js";
 export * from "./mixedLoad.js";
--- a/packages/coordination/src/capacityWait.ts
+++ b/packages/coordination/src/capacityWait.ts
@@ -2,21 +2,25 @@
  * Limits and forecasts that decide whether work starts at once, waits for capacity or is refused. They use the memory
  * load of an engine and the rate at which requests end.
  */
-import type { Milliseconds } from "@verbenaspring/model";
+import type { Milliseconds, OrganisationId } from "@verbenaspring/model";
+import type { OrganisationShares } from "./waitQueue.js";
 
-/** Highest share of an engine's memory that may be in use after work of each kind has started. */
+/** Highest share of an engine's memory that may be in use after a request has started. */
 export interface AdmissionLimits {
-    /** Long work grows for seconds. Memory must remain for its growth and for that of the other runs. */
-    readonly long: number;
-    /** Short work ends before the other runs have grown much. */
-    readonly short: number;
+    /** For the routes of the highest priority. */
+    readonly mostUrgent: number;
+    /** For all other routes: when memory is short, the most urgent work gets what is left. */
+    readonly others: number;
 }
 
 /** Limits for engines whose load is known except for what other instances have not reported yet. */
-export const admissionLimits: AdmissionLimits = { long: 0.9, short: 0.97 };
+export const admissionLimits: AdmissionLimits = { mostUrgent: 0.95, others: 0.88 };
 
-/** Share of the target latency that a request may wait for capacity and still be answered on time. */
-const maxWaitShare = 0.35;
+/**
+ * Share of the target latency that a request may wait for capacity. A caller that is refused sooner can still be
+ * answered on time after it has come back.
+ */
+const maxWaitShare = 0.2;
 
 /** The input of {@link forecastCapacityWait}. */
 export interface CapacityWaitInput {
@@ -40,11 +44,111 @@
 }
 
 /**
- * Returns the latest time at which a request may start and still be answered within its target latency.
+ * Returns the latest time at which a request may start: it is then answered within its target latency, and its caller
+ * has not waited for long.
+ *
+ * @param firstEvent expected time from the start to the first event
+ * @example
+ * const waitUntil = latestStart(arrivedAt, 1_800, 400);
+ */
+export function latestStart(
+    arrivedAt: Milliseconds,
+    targetLatency: Milliseconds,
+    firstEvent: Milliseconds,
+): Milliseconds {
+    return arrivedAt + Math.max(0, Math.min(maxWaitShare * targetLatency, targetLatency - firstEvent));
+}
+
+/** The prompts that an engine has to process before the first event of a request. */
+export interface FirstEventInput {
+    /** Prompt tokens that the engine has not processed yet. */
+    readonly waitingTokens: number;
+    readonly promptTokens: number;
+    /** Prompt tokens that an engine processes in a millisecond beside its streams. */
+    readonly prefillRate: number;
+}
+
+/**
+ * Forecasts the time from the start of a request to its first event.
+ *
+ * @example
+ * const time = forecastFirstEvent({ waitingTokens: 4_000, promptTokens: 3_000, prefillRate: 7 }); // 1,000 ms
+ */
+export function forecastFirstEvent({ waitingTokens, promptTokens, prefillRate }: FirstEventInput): Milliseconds {
+    return (waitingTokens + promptTokens) / prefillRate;
+}
+
+/** The input of {@link countRequestsWithRoom}. */
+export interface EngineRoomInput extends FirstEventInput {
+    /** Share of the engine's memory in use. */
+    readonly memoryLoad: number;
+    readonly memoryLimit: number;
+    /** Share of the engine's memory that one request needs. */
+    readonly memoryShare: number;
+    /** Time until the target latency of the request has passed. */
+    readonly timeLeft: Milliseconds;
+}
+
+/**
+ * Returns how many requests of one size can start at an engine now and have their first event on time. An engine without
+ * runs has room for at least one, since waiting would not free more memory; an engine without waiting prompts has room
+ * for at least one that fits in memory, since no engine would be faster.
+ *
+ * @example
+ * const room = countRequestsWithRoom({ memoryLoad: 0.6, memoryLimit: 0.9, memoryShare: 0.1, ...prompts, timeLeft: 1_800 });
+ */
+export function countRequestsWithRoom(input: EngineRoomInput): number {
+    const { memoryLoad, memoryLimit, memoryShare, waitingTokens, promptTokens, prefillRate, timeLeft } = input;
+    const byMemory = Math.floor((memoryLimit - memoryLoad) / Math.max(memoryShare, Number.EPSILON));
+    const byTime = Math.floor((timeLeft * prefillRate - waitingTokens) / Math.max(1, promptTokens));
+    const room = Math.min(
+        memoryLoad === 0 ? Math.max(1, byMemory) : byMemory,
+        waitingTokens === 0 ? Math.max(1, byTime) : byTime,
+    );
+    return Math.max(0, room);
+}
+
+/** Share of the free capacity that instances start requests for before they know of each other's starts. */
+const startShare = 0.7;
+
+/**
+ * Returns the probability with which an instance starts one of its requests now, so that all instances together start
+ * about as many as there is room for. Without it, all of them would start theirs when an engine joins or memory becomes
+ * free, before any of them knows of the others.
+ *
+ * @param room requests of this size for which the engines have room
+ * @param others requests of all instances that wait beside this one
+ * @example
+ * const starts = random() < startProbability(2, 7);
+ */
+export function startProbability(room: number, others: number): number {
+    return others === 0 ? 1 : Math.min(1, startShare * room / (others + 1));
+}
+
+/** The properties of a waiting request that decide its rank. */
+export interface WaitingRequestView {
+    readonly organisation: OrganisationId;
+    /** 0 is the most urgent. */
+    readonly priority: number;
+    readonly arrivedAt: Milliseconds;
+}
+
+/** Requests rank as if they had arrived this much later for each step of their priority. */
+const priorityPenalty: Milliseconds = 1_000;
+/** Requests rank as if they had arrived this much later for each running request of their organisation. */
+const runningPenalty: Milliseconds = 100;
+
+/**
+ * Returns the rank of a waiting request; the lowest starts first. Urgent requests precede others, and organisations with
+ * little running work those with much. Both penalties are finite, so none starves.
  *
+ * @param running requests in progress of each organisation
  * @example
- * const waitUntil = latestStart(arrivedAt, 1_800);
+ * waiting.sort((one, other) => startRank(one, running) - startRank(other, running));
  */
-export function latestStart(arrivedAt: Milliseconds, targetLatency: Milliseconds): Milliseconds {
-    return arrivedAt + maxWaitShare * targetLatency;
+export function startRank(
+    { organisation, priority, arrivedAt }: WaitingRequestView,
+    running: OrganisationShares,
+): number {
+    return arrivedAt + priorityPenalty * priority + runningPenalty * (running.get(organisation) ?? 0);
 }
--- a/packages/coordination/src/placement.ts
+++ b/packages/coordination/src/placement.ts
@@ -86,26 +86,39 @@
 export interface ReplicaPlacementRule {
     /** Highest share of the engine's memory that may be in use with the replica. */
     readonly maxLoad: number;
-    /** Load deducted for an engine in the same failure domain, where copying takes half as long. */
-    readonly sameDomainBonus: number;
+    /** How many times as likely as another an engine in the same failure domain is, where copying takes half as long. */
+    readonly sameDomainFactor: number;
 }
 
-/** Each load is raised by a random amount of up to this, about the size of one run. */
-const replicaLoadJitter = 0.15;
+/** Up to this share of the engines' memory, each run and a replica of it fit into memory together. */
+const maxRunLoadForReplicas = 0.55;
+
+/**
+ * Whether the engines have memory to spare for replicas. Beyond that, a replica takes the place of another run, which is
+ * refused for certain, while the run that it protects is lost only if its engine fails and it can't be migrated.
+ *
+ * @param runLoad share of the memory of all engines that runs hold
+ * @example
+ * const isReplicated = hasMemoryForReplicas(0.4);
+ */
+export function hasMemoryForReplicas(runLoad: number): boolean {
+    return runLoad <= maxRunLoadForReplicas;
+}
 
 /** Replicas kept in case of a failure use only memory that the runs leave free. */
-export const replicaPlacement: ReplicaPlacementRule = { maxLoad: 0.8, sameDomainBonus: 0.1 };
+export const replicaPlacement: ReplicaPlacementRule = { maxLoad: 0.8, sameDomainFactor: 1.5 };
 
 /**
  * The target of a migration may be filled further, since the stream would otherwise be lost. Copying must finish before
  * the old server is gone, so the same failure domain counts for more.
  */
-export const migrationPlacement: ReplicaPlacementRule = { maxLoad: 0.95, sameDomainBonus: 0.3 };
+export const migrationPlacement: ReplicaPlacementRule = { maxLoad: 0.95, sameDomainFactor: 5 };
 
 /**
- * Returns the engine with the most free memory that can host a replica, or undefined if every engine would exceed the
- * limit: on highly loaded engines, replicas would cause preemption of the runs that they protect. Engines of nearly
- * equal load are chosen at random, so that instances with the same information don't all fill the same one.
+ * Returns an engine that can host a replica, or undefined if every engine would exceed the limit: on highly loaded
+ * engines, replicas would cause preemption of the runs that they protect. An engine is chosen with a probability in
+ * proportion to the memory that it would have left. When an engine leaves, all instances choose targets for its streams
+ * at the same moment, before any of them knows the others' choices; this fills the engines evenly even so.
  *
  * @param share size of the replica as a share of an engine's memory
  * @example
@@ -116,14 +129,13 @@
     viewOf: (candidate: Candidate) => ReplicaHostView,
     share: number,
     random: Random,
-    { maxLoad, sameDomainBonus }: ReplicaPlacementRule = replicaPlacement,
+    { maxLoad, sameDomainFactor }: ReplicaPlacementRule = replicaPlacement,
 ): Candidate | undefined {
-    const costs = candidates.map(candidate => {
+    const weights = candidates.map(candidate => {
         const { load, isSameFailureDomain } = viewOf(candidate);
-        return load + share > maxLoad
-            ? Infinity
-            : load - (isSameFailureDomain ? sameDomainBonus : 0) + replicaLoadJitter * random();
+        return Math.max(0, maxLoad - load - share) * (isSameFailureDomain ? sameDomainFactor : 1);
     });
-    const lowest = Math.min(...costs);
-    return lowest === Infinity ? undefined : candidates[costs.indexOf(lowest)];
+    const total = weights.reduce((sum, weight) => sum + weight, 0);
+    let remaining = random() * total;
+    return candidates.find((_, index) => (remaining -= weights[index]) < 0);
 }
--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -31,6 +31,8 @@
     readonly stepTimePerRun: Milliseconds;
     /** Prompt tokens prefilled per millisecond. */
     readonly prefillRate: number;
+    /** Prompt tokens prefilled in one step at most. */
+    readonly prefillChunk?: number;
     /** Tokens of a run's memory transferred to another engine per millisecond. */
     readonly transferRate: number;
 }
@@ -59,7 +61,7 @@
 /** Finds the engine at an address. */
 export type FindEngine = (address: string) => EngineServer | undefined;
 
-const maxPrefillTokensPerStep = 256;
+const defaultPrefillChunk = 256;
 /** Interval at which the replicas of this engine's runs are updated. */
 const replicationInterval: Milliseconds = 200;
 /** How long a replica is kept after its last update. */
@@ -257,13 +259,14 @@
 
     /** Prefills one chunk, in the order of the runs. Returns the number of tokens. */
     private prefill(): number {
-        let remaining = maxPrefillTokensPerStep;
+        const { prefillChunk = defaultPrefillChunk } = this.options;
+        let remaining = prefillChunk;
         for (const run of this.running) {
             const chunk = Math.min(remaining, run.remainingPrefill);
             run.remainingPrefill -= chunk;
             remaining -= chunk;
         }
-        return maxPrefillTokensPerStep - remaining;
+        return prefillChunk - remaining;
     }
 
     private generateToken(run: EngineRun): void {
--- a/packages/emulator/src/virtualNetwork.ts
+++ b/packages/emulator/src/virtualNetwork.ts
@@ -10,8 +10,13 @@
 /** Direction over a channel: `upstream` is from the end that opened it, `downstream` is to that end. */
 export type Direction = "upstream" | "downstream";
 
-const minLatency: Milliseconds = 0.3;
-const latencySpread: Milliseconds = 1.5;
+/** How long data is under way: at least `minimum`, and up to `spread` longer. */
+export interface NetworkLatency {
+    readonly minimum: Milliseconds;
+    readonly spread: Milliseconds;
+}
+
+const defaultLatency: NetworkLatency = { minimum: 0.3, spread: 1.5 };
 /** Added to the latency of data that is retransmitted after a cut. */
 const retransmissionDelay: Milliseconds = 60;
 
@@ -55,7 +60,11 @@
 export class VirtualNetwork {
     private readonly paths = new Map<string, Path>();
 
-    constructor(readonly clock: Clock, private readonly random: Random) {}
+    constructor(
+        readonly clock: Clock,
+        private readonly random: Random,
+        private readonly latency: NetworkLatency = defaultLatency,
+    ) {}
 
     open(one: string, other: string): VirtualChannel {
         const channel = new VirtualChannel(this, [one, other]);
@@ -82,7 +91,7 @@
     computeArrival(one: string, other: string): Milliseconds {
         const { cutUntil } = this.findOrCreatePath(one, other);
         const departure = cutUntil > this.clock.now ? cutUntil + retransmissionDelay : this.clock.now;
-        return departure + minLatency + latencySpread * this.random();
+        return departure + this.latency.minimum + this.latency.spread * this.random();
     }
 
     removeChannel(channel: VirtualChannel, [one, other]: readonly [string, string]): void {
--- a/packages/emulator/src/virtualPlatform.ts
+++ b/packages/emulator/src/virtualPlatform.ts
@@ -14,7 +14,7 @@
     passThroughInterceptors,
     VirtualGateway,
 } from "./virtualGateway.js";
-import { VirtualNetwork } from "./virtualNetwork.js";
+import { type NetworkLatency, VirtualNetwork } from "./virtualNetwork.js";
 import { VirtualStore } from "./virtualStore.js";
 
 /** Callbacks for what happens on a platform. */
@@ -39,6 +39,8 @@
     readonly retries: GatewayOptions["retries"];
     readonly stopLimit: Milliseconds;
     readonly interceptors?: GatewayInterceptors;
+    /** That of processes on one local network, if absent. */
+    readonly latency?: NetworkLatency;
 }
 
 const heartbeatInterval: Milliseconds = 1_000;
@@ -62,7 +64,7 @@
 
     constructor(private readonly options: PlatformOptions, private readonly observer: PlatformObserver) {
         this.source = seededSource(options.seed);
-        this.network = new VirtualNetwork(this.clock, this.random);
+        this.network = new VirtualNetwork(this.clock, this.random, options.latency);
         this.store = new VirtualStore(this.clock, this.network, new StoreModel());
         this.fleet = new Fleet({
             clock: this.clock,
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -12,7 +12,7 @@
 import { expectedOutput } from "./messages.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
-import { engineOf, otherServers, replicaView } from "./serverLoad.js";
+import { engineOf, otherServers, replicaView, setMigrationTarget } from "./serverLoad.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { acceptsTakeover, usableReplica } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -84,7 +84,7 @@
         logDecision(transaction, "warn", "move_without_target", requestFields(transaction, request));
         return false;
     }
-    attempt.migrationTarget = target;
+    setMigrationTarget(transaction.state, attempt, target);
     transaction.effects.push({
         kind: "migrateRun",
         attemptId: attempt.id,
@@ -140,7 +140,7 @@
         detail: result.kind === "failed" ? result.detail : undefined,
         lastHeardAge: Math.round(transaction.now - attempt.lastActivityAt),
     });
-    attempt.migrationTarget = undefined;
+    setMigrationTarget(transaction.state, attempt, undefined);
     if (result.kind !== "moved") {
         attempt.failedTargets.add(target.record.id);
     }
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -8,8 +8,10 @@
 export interface PeerLoad {
     readonly backendServer: BackendServerId;
     readonly inProgress: number;
-    /** Tokens that its runs and replicas hold in memory there. */
+    /** Tokens that its runs and copies hold in memory there. */
     readonly memoryTokens: number;
+    /** The part of these that are copies of other servers' runs. */
+    readonly copiedTokens: number;
     /** Tokens of prompts whose runs have produced no event yet. */
     readonly waitingTokens: number;
 }
@@ -46,6 +48,8 @@
     /** All loads if `isFull`, otherwise those that changed since the last report. A load of 0 marks one that ended. */
     readonly loads: readonly PeerLoad[];
     readonly isFull: boolean;
+    /** The number of its requests that wait for capacity at an engine. */
+    readonly waitingRequests: number;
 }
 
 /** The items of a report, decoded. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -19,6 +19,8 @@
 const loadInterval: Milliseconds = 100;
 /** That time is at least this long for each known peer, which bounds the total rate of reports. */
 const loadIntervalPerPeer: Milliseconds = 15;
+/** The shortest time between two reports to one peer that were sent for placed runs, for each known peer. */
+const placementIntervalPerPeer: Milliseconds = 0.5;
 /** A peer without a report for this long counts as dead, and its link is closed. */
 const silenceTimeout: Milliseconds = 1_500;
 const minimumReopenDelay: Milliseconds = 200;
@@ -51,6 +53,11 @@
     return Math.max(loadInterval, loadIntervalPerPeer * state.peers.size);
 }
 
+/** The same for runs that were placed and requests that wait. */
+function placementInterval(state: GatewayState): Milliseconds {
+    return placementIntervalPerPeer * state.peers.size;
+}
+
 /** Opens links to known gateways, closes silent ones, and sends the reports that are due. */
 export function maintainPeers(transaction: Transaction): void {
     const { state } = transaction;
@@ -71,17 +78,36 @@
         effects.push({ kind: "closePeerLink", address: peer.address });
         return handlePeerLinkClosed(transaction, peer.address);
     }
-    const minimumInterval = reportInterval(state);
-    const elapsedSinceReport = now - peer.sentAt;
-    if (
-        peer.link === "open"
-        && (elapsedSinceReport >= heartbeatInterval
-            || (elapsedSinceReport >= minimumInterval && peer.sentLoadsVersion !== state.loadsVersion))
-    ) {
+    if (peer.link === "open" && isReportDue(state, peer, now)) {
         sendReport(transaction, peer);
     }
 }
 
+function isReportDue(state: GatewayState, peer: Peer, now: Milliseconds): boolean {
+    const elapsed = now - peer.sentAt;
+    return elapsed >= heartbeatInterval
+        || (elapsed >= reportInterval(state) && peer.sentLoadsVersion !== state.loadsVersion)
+        || isPlacementReportDue(state, peer, now);
+}
+
+function isPlacementReportDue(state: GatewayState, peer: Peer, now: Milliseconds): boolean {
+    const hasChanged = peer.sentPlacements !== state.placements || peer.sentWaitingRequests !== state.waiting.size;
+    return hasChanged && now - peer.sentAt >= placementInterval(state);
+}
+
+/**
+ * Reports runs that were just placed and requests that wait, without waiting for the next tick: until the others know of
+ * them, they choose the same engines.
+ */
+export function reportPlacements(transaction: Transaction): void {
+    const { state, now } = transaction;
+    for (const peer of state.peers.values()) {
+        if (peer.link === "open" && isPlacementReportDue(state, peer, now)) {
+            sendReport(transaction, peer);
+        }
+    }
+}
+
 /** Sends a report to every peer with an open link. */
 export function reportToPeers(transaction: Transaction): void {
     for (const peer of transaction.state.peers.values()) {
@@ -121,9 +147,12 @@
         sentAt: 0,
         failures: 0,
         sentLoadsVersion: 0,
+        sentPlacements: 0,
+        sentWaitingRequests: 0,
         sentLoads: new Map(),
         through: unknownOffsets,
         loads: new Map(),
+        waitingRequests: 0,
     });
 }
 
@@ -136,6 +165,8 @@
     const loads = changedLoads(state, peer);
     loads.forEach(load => peer.sentLoads.set(load.backendServer, load));
     peer.sentLoadsVersion = state.loadsVersion;
+    peer.sentPlacements = state.placements;
+    peer.sentWaitingRequests = state.waiting.size;
     const topics = topicNames.map(name => createTopicReport(state, name, peer, now));
     if (peer.link === "open") {
         peer.through = {
@@ -151,6 +182,7 @@
         topics,
         loads,
         isFull,
+        waitingRequests: state.waiting.size,
     };
 }
 
@@ -165,7 +197,7 @@
 function changedLoads(state: GatewayState, { sentLoads }: Peer): PeerLoad[] {
     const ended = [...sentLoads.values()]
         .filter(sent => !state.loads.has(sent.backendServer) && !isIdle(sent))
-        .map(({ backendServer }) => ({ backendServer, inProgress: 0, memoryTokens: 0, waitingTokens: 0 }));
+        .map(({ backendServer }) => ({ backendServer, ...noLoad }));
     const changed = [...state.loads]
         .filter(([id]) => isEngine(state, id))
         .map(([backendServer, load]) => ({ backendServer, ...load }))
@@ -173,6 +205,8 @@
     return [...changed, ...ended];
 }
 
+const noLoad = { inProgress: 0, memoryTokens: 0, copiedTokens: 0, waitingTokens: 0 };
+
 function isEngine(state: GatewayState, id: BackendServerId): boolean {
     const server = state.servers.get(id);
     return server !== undefined && engineOf(state, server.record.service) !== undefined;
@@ -185,6 +219,7 @@
 function isSameLoad(one: PeerLoad, other: PeerLoad | undefined): boolean {
     return one.inProgress === other?.inProgress
         && one.memoryTokens === other.memoryTokens
+        && one.copiedTokens === other.copiedTokens
         && one.waitingTokens === other.waitingTokens;
 }
 
@@ -220,6 +255,7 @@
     peer.incarnation = report.incarnation;
     peer.isStopping = report.isStopping;
     peer.lastReportAt = now;
+    peer.waitingRequests = report.waitingRequests;
     peer.failures = 0;
     const previous = report.isFull ? [] : peer.loads;
     peer.loads = new Map([...previous, ...report.loads.map(load => [load.backendServer, load] as const)]);
@@ -247,6 +283,11 @@
     recordFreshness(follower, topic.read, now - topic.age);
 }
 
+/** The requests of all live gateways that wait for capacity at an engine. */
+export function countWaitingRequests(state: GatewayState, now: Milliseconds): number {
+    return livePeers(state, now).reduce((sum, peer) => sum + peer.waitingRequests, state.waiting.size);
+}
+
 /** Handles the end of a link, or a link that could not be opened. */
 export function handlePeerLinkClosed(transaction: Transaction, address: PeerAddress): void {
     const { state, now, source } = transaction;
@@ -268,12 +309,13 @@
 
 /** The sum of the live peers' loads at a server. */
 export function peerLoad(state: GatewayState, id: BackendServerId, now: Milliseconds): Omit<PeerLoad, "backendServer"> {
-    const total = { inProgress: 0, memoryTokens: 0, waitingTokens: 0 };
+    const total = { ...noLoad };
     for (const peer of state.peers.values()) {
         const load = peer.loads.get(id);
         if (load !== undefined && isLive(peer, now)) {
             total.inProgress += load.inProgress;
             total.memoryTokens += load.memoryTokens;
+            total.copiedTokens += load.copiedTokens;
             total.waitingTokens += load.waitingTokens;
         }
     }
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -12,7 +12,7 @@
 import { handleServerProbed } from "./liveness.js";
 import { handleMigrationAnswered } from "./migration.js";
 import type { GatewayOptions } from "./options.js";
-import { handlePeerLinkClosed, handlePeerReport, maintainPeers } from "./peers.js";
+import { handlePeerLinkClosed, handlePeerReport, maintainPeers, reportPlacements } from "./peers.js";
 import { handleCallerLeft, handleRequest } from "./requests.js";
 import type { GatewayState } from "./state.js";
 import { handleStreamEnded, handleStreamEvents, handleStreamOpened } from "./streams.js";
@@ -37,7 +37,11 @@
 ): GatewayEffect[] {
     state.startedAt ??= now;
     const transaction: Transaction = { state, source, now, effects: [] };
+    const { placements, waiting: { size } } = state;
     handleEvent(transaction, event);
+    if (state.placements !== placements || state.waiting.size !== size) {
+        reportPlacements(transaction);
+    }
     return transaction.effects;
 }
 
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -59,6 +59,8 @@
         possibleRuns: 0,
         triedServers: new Set(),
         lastEvent: route.canResume ? head.lastEvent : undefined,
+        lastEventAt: undefined,
+        longestPause: 0,
         isHeadWritten: false,
     };
     state.requests.set(requestId, request);
--- a/packages/gateway/src/routingConfiguration.ts
+++ b/packages/gateway/src/routingConfiguration.ts
@@ -108,3 +108,27 @@
 export function findRoute(configuration: RoutingConfiguration, host: string, path: string): Route | undefined {
     return configuration.routesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix));
 }
+
+const highestPriorities = new WeakMap<RoutingConfiguration, ReadonlyMap<ServiceName, number>>();
+
+/**
+ * The highest priority of the routes to a service; undefined if no route leads to it.
+ *
+ * @example
+ * const isMostUrgent = route.priority === highestPriority(configuration, service);
+ */
+export function highestPriority(configuration: RoutingConfiguration, service: ServiceName): number | undefined {
+    const priorities = highestPriorities.get(configuration) ?? indexPriorities(configuration);
+    highestPriorities.set(configuration, priorities);
+    return priorities.get(service);
+}
+
+function indexPriorities({ routesByHost }: RoutingConfiguration): ReadonlyMap<ServiceName, number> {
+    const priorities = new Map<ServiceName, number>();
+    for (const { targets, priority } of [...routesByHost.values()].flat()) {
+        targets.forEach(({ service }) =>
+            priorities.set(service, Math.min(priority, priorities.get(service) ?? priority))
+        );
+    }
+    return priorities;
+}
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -1,7 +1,13 @@
 /**
  * Sends requests to backend servers: chooses the server and the replica, and limits how often a request is sent.
  */
-import { chooseReplicaHost, chooseServer, recordRetry, remainingRetries } from "@verbenaspring/coordination";
+import {
+    chooseReplicaHost,
+    chooseServer,
+    hasMemoryForReplicas,
+    recordRetry,
+    remainingRetries,
+} from "@verbenaspring/coordination";
 import { identifier, type Milliseconds } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
 import type { RunReplica } from "./messages.js";
@@ -15,11 +21,12 @@
     otherServers,
     placementView,
     replicaView,
+    runMemoryLoad,
     usableServers,
 } from "./serverLoad.js";
-import type { Attempt, GatewayRequest } from "./state.js";
+import { type Attempt, type GatewayRequest, priorityOf } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
-import { hasFreeMemory, waitForCapacity } from "./waiting.js";
+import { startOrWait } from "./waiting.js";
 
 /** Sends of one request, including those that servers refused. */
 const maximumSends = 4;
@@ -49,13 +56,10 @@
     const usable = usableServers(state, request.service, now);
     const untried = usable.filter(server => !request.triedServers.has(server.record.id));
     const eligible = untried.length > 0 ? untried : usable;
-    const candidates = request.sends > 0
-        ? eligible
-        : eligible.filter(server => hasFreeMemory(transaction, server, request));
-    if (candidates.length === 0 && eligible.length > 0) {
-        return waitForCapacity(transaction, request);
+    if (request.sends === 0 && eligible.length > 0 && engineOf(state, request.service) !== undefined) {
+        return startOrWait(transaction, request, eligible);
     }
-    const server = chooseServer(candidates, candidate => placementView(state, candidate, now), source.random);
+    const server = chooseServer(eligible, candidate => placementView(state, candidate, now), source.random);
     if (server === undefined) {
         return failRequest(transaction, request, "no_backend_server", "the service has no server", noServerRetryAfter);
     }
@@ -82,6 +86,7 @@
         events: 0,
         memoryTokens: expectedMemory(request),
         waitingTokens: continuesFrom === undefined ? head.promptTokens : 0,
+        promptBacklog: head.promptTokens + placementView(state, server, now).waitingTokens,
         migrationTarget: undefined,
         failedTargets: new Set(),
         lastActivityAt: now,
@@ -110,7 +115,7 @@
             organisation: organisation?.id,
             priority: engineOf(state, request.service) === undefined
                 ? undefined
-                : organisation?.priority ?? route.priority,
+                : priorityOf(request),
             replicaAddress: replica?.record.address,
             lastEvent: request.lastEvent,
             continuesFrom,
@@ -129,6 +134,9 @@
     if (engine === undefined || !engine.canReplicate || !request.route.isStream || request.route.canResume) {
         return undefined;
     }
+    if (!hasMemoryForReplicas(runMemoryLoad(state, request.service, now))) {
+        return undefined;
+    }
     const others = otherServers(state, server, now);
     const share = expectedMemory(request) / engine.memoryTokens;
     return chooseReplicaHost(others, other => replicaView(state, other, server, now), share, source.random);
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -83,6 +83,18 @@
     return engine === undefined ? 0 : totalLoad(state, record.id, now).memoryTokens / engine.memoryTokens;
 }
 
+/** The share of the memory of a service's usable engines that runs hold, without copies; 0 for plain services. */
+export function runMemoryLoad(state: GatewayState, service: ServiceName, now: Milliseconds): number {
+    const engine = engineOf(state, service);
+    const servers = usableServers(state, service, now);
+    if (engine === undefined || servers.length === 0) {
+        return 0;
+    }
+    const loads = servers.map(({ record }) => totalLoad(state, record.id, now));
+    const runTokens = loads.reduce((sum, load) => sum + load.memoryTokens - load.copiedTokens, 0);
+    return runTokens / (servers.length * engine.memoryTokens);
+}
+
 /** The number of requests in progress at a server, from all live gateways. */
 export function requestsInProgressAt(state: GatewayState, id: BackendServerId, now: Milliseconds): number {
     return totalLoad(state, id, now).inProgress;
@@ -95,6 +107,7 @@
     return {
         inProgress: others.inProgress + (own?.inProgress ?? 0),
         memoryTokens: others.memoryTokens + (own?.memoryTokens ?? 0),
+        copiedTokens: others.copiedTokens + (own?.copiedTokens ?? 0),
         waitingTokens: others.waitingTokens + (own?.waitingTokens ?? 0),
     };
 }
@@ -123,13 +136,14 @@
     return Math.round(head.promptTokens + averageOutputShare * expectedOutput(head));
 }
 
-/** Adds an attempt to the load of its server, and its replica to the load of the server that holds it. */
+/** Adds an attempt to the load of its server, and its copies to the loads of the servers that hold them. */
 export function addLoad(state: GatewayState, attempt: Attempt): void {
     const { memoryTokens, waitingTokens } = attempt;
-    changeLoad(state, attempt.server.record.id, { inProgress: 1, memoryTokens, waitingTokens });
-    if (attempt.replica !== undefined) {
-        changeLoad(state, attempt.replica.record.id, { inProgress: 0, memoryTokens, waitingTokens: 0 });
+    if (engineOf(state, attempt.server.record.service) !== undefined) {
+        state.placements++;
     }
+    changeLoad(state, attempt.server.record.id, { inProgress: 1, memoryTokens, copiedTokens: 0, waitingTokens });
+    changeCopies(state, attempt, memoryTokens);
 }
 
 /** Subtracts an attempt that ended from the loads. */
@@ -138,15 +152,10 @@
     changeLoad(state, attempt.server.record.id, {
         inProgress: -1,
         memoryTokens: -memoryTokens,
+        copiedTokens: 0,
         waitingTokens: -waitingTokens,
     });
-    if (attempt.replica !== undefined) {
-        changeLoad(state, attempt.replica.record.id, {
-            inProgress: 0,
-            memoryTokens: -memoryTokens,
-            waitingTokens: 0,
-        });
-    }
+    changeCopies(state, attempt, -memoryTokens);
 }
 
 /** Updates the load for new events of a run: its prompt was processed, and its memory may exceed the forecast. */
@@ -161,16 +170,51 @@
     }
     attempt.memoryTokens += growth;
     attempt.waitingTokens = 0;
-    changeLoad(state, attempt.server.record.id, { inProgress: 0, memoryTokens: growth, waitingTokens });
-    if (attempt.replica !== undefined) {
-        changeLoad(state, attempt.replica.record.id, { inProgress: 0, memoryTokens: growth, waitingTokens: 0 });
+    changeLoad(state, attempt.server.record.id, {
+        inProgress: 0,
+        memoryTokens: growth,
+        copiedTokens: 0,
+        waitingTokens,
+    });
+    changeCopies(state, attempt, growth);
+}
+
+/**
+ * Starts or ends a migration in the loads: from its start on, the target holds the memory of the run. Other gateways
+ * are told at once, since the streams of a server that leaves are all migrated at the same time.
+ *
+ * @param target undefined when the migration has ended
+ */
+export function setMigrationTarget(state: GatewayState, attempt: Attempt, target: BackendServer | undefined): void {
+    if (attempt.migrationTarget !== undefined) {
+        changeCopy(state, attempt.migrationTarget, -attempt.memoryTokens);
     }
+    attempt.migrationTarget = target;
+    if (target !== undefined) {
+        changeCopy(state, target, attempt.memoryTokens);
+        state.placements++;
+    }
+}
+
+function changeCopies(state: GatewayState, { replica, migrationTarget }: Attempt, memoryTokens: number): void {
+    [replica, migrationTarget].forEach(holder => holder && changeCopy(state, holder, memoryTokens));
+}
+
+function changeCopy(state: GatewayState, holder: BackendServer, memoryTokens: number): void {
+    changeLoad(state, holder.record.id, {
+        inProgress: 0,
+        memoryTokens,
+        copiedTokens: memoryTokens,
+        waitingTokens: 0,
+    });
 }
 
 function changeLoad(state: GatewayState, id: BackendServerId, change: ServerLoad): void {
-    const load: ServerLoad = state.loads.get(id) ?? { inProgress: 0, memoryTokens: 0, waitingTokens: 0 };
+    const load: ServerLoad = state.loads.get(id)
+        ?? { inProgress: 0, memoryTokens: 0, copiedTokens: 0, waitingTokens: 0 };
     load.inProgress += change.inProgress;
     load.memoryTokens += change.memoryTokens;
+    load.copiedTokens += change.copiedTokens;
     load.waitingTokens += change.waitingTokens;
     if (change.memoryTokens !== 0 || change.waitingTokens !== 0) {
         state.loadsVersion++;
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -36,6 +36,8 @@
     memoryTokens: number;
     /** Tokens of the prompt before the first event; 0 afterwards. */
     waitingTokens: number;
+    /** Tokens of prompts that the server had to process when the run was sent to it, including those of this run. */
+    readonly promptBacklog: number;
     /** The server to which this run is being migrated. */
     migrationTarget: BackendServer | undefined;
     /** The targets of this run's failed migrations. */
@@ -61,15 +63,26 @@
     readonly triedServers: Set<BackendServerId>;
     /** The id of the last event that the caller has. */
     lastEvent: number | undefined;
+    /** When the last events were passed on to the caller. */
+    lastEventAt: Milliseconds | undefined;
+    /** The longest time between events that were passed on. */
+    longestPause: Milliseconds;
     /** Whether the head of a stream was written to the caller, after which only events or the end can follow. */
     isHeadWritten: boolean;
 }
 
+/** The priority of a request: its organisation's, or else its route's. 0 is the most urgent. */
+export function priorityOf({ organisation, route }: GatewayRequest): number {
+    return organisation?.priority ?? route.priority;
+}
+
 /** The load at one backend server, of one gateway or of several. */
 export interface ServerLoad {
     inProgress: number;
-    /** Tokens of prompts and expected outputs, including the replicas held there. */
+    /** Tokens of prompts and expected outputs, including the copies of other servers' runs held there. */
     memoryTokens: number;
+    /** The part of these that are copies of other servers' runs. */
+    copiedTokens: number;
     /** Tokens of prompts whose runs have produced no event yet. */
     waitingTokens: number;
 }
@@ -83,6 +96,9 @@
 /** The time per token before any stream ended: one step of an engine with some tens of runs. */
 const initialTimePerToken: Milliseconds = 12;
 
+/** Prompt tokens processed in a millisecond before any stream began. */
+const initialPrefillRate = 7;
+
 /** The duration of a stream before any ended: some hundred tokens at the initial time per token. */
 const initialStreamDuration: Milliseconds = 5_000;
 
@@ -122,12 +138,18 @@
     failures: number;
     /** The `loadsVersion` of the last report to it. */
     sentLoadsVersion: number;
+    /** The `placements` of the last report to it. */
+    sentPlacements: number;
+    /** The number of waiting requests in the last report to it. */
+    sentWaitingRequests: number;
     /** The loads that were last reported to it on this link. */
     readonly sentLoads: Map<BackendServerId, PeerLoad>;
     /** The offset up to which it knows each topic; undefined before it or this gateway has reported on this link. */
     through: Readonly<Record<TopicName, LogOffset | undefined>>;
     /** The loads that it last reported. */
     loads: ReadonlyMap<BackendServerId, PeerLoad>;
+    /** The number of its requests that wait for capacity at an engine. */
+    waitingRequests: number;
 }
 
 /** The whole state of a gateway. None of it is stored: a restarted gateway starts without it. */
@@ -140,9 +162,13 @@
     readonly loads: Map<BackendServerId, ServerLoad>;
     /** Increases with each change of an engine's load. */
     loadsVersion: number;
+    /** The number of runs and copies that were placed at engines. */
+    placements: number;
     readonly liveness: Map<BackendServerId, ServerLiveness>;
     /** Moving average of the time per token of a stream. */
     timePerToken: Milliseconds;
+    /** Moving average of the prompt tokens that an engine processes in a millisecond. */
+    prefillRate: number;
     /** Moving average of the duration of a stream. */
     meanStreamDuration: Milliseconds;
     readonly requests: Map<RequestId, GatewayRequest>;
@@ -177,8 +203,10 @@
         health: new Map(),
         loads: new Map(),
         loadsVersion: 0,
+        placements: 0,
         liveness: new Map(),
         timePerToken: initialTimePerToken,
+        prefillRate: initialPrefillRate,
         meanStreamDuration: initialStreamDuration,
         requests: new Map(),
         waiting: new Map(),
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -73,7 +73,10 @@
     }
     attempt.lastActivityAt = now;
     recordEventLoad(state, request, attempt, events.length);
-    attempt.firstEventAt ??= now;
+    if (attempt.firstEventAt === undefined) {
+        attempt.firstEventAt = now;
+        recordPrefillRate(state, attempt, now);
+    }
     attempt.events += events.length;
     recordSignOfLife(state, attempt.server.record.id, now);
     forwardEvents(transaction, request, attempt, newEvents);
@@ -91,7 +94,7 @@
 }
 
 function forwardEvents(
-    { effects }: Transaction,
+    { now, effects }: Transaction,
     request: GatewayRequest,
     { head }: Attempt,
     events: readonly StreamEvent[],
@@ -103,6 +106,8 @@
         request.isHeadWritten = true;
         effects.push({ kind: "answerHead", requestId: request.id, head });
     }
+    request.longestPause = Math.max(request.longestPause, now - (request.lastEventAt ?? now));
+    request.lastEventAt = now;
     effects.push({ kind: "answerEvents", requestId: request.id, events });
 }
 
@@ -129,13 +134,14 @@
     finishRequest(transaction, request);
 }
 
-/** How long a run took to its first event, and to each token after it. */
+/** How long a run took to its first event, and to each token after it, and the longest pause of the whole answer. */
 function streamTimeFields(state: GatewayState, request: GatewayRequest, attempt: Attempt): DecisionFields {
     const timePerToken = timePerTokenOf(state, request, attempt);
     return {
         events: attempt.events,
         firstEventAfter: Math.round((attempt.firstEventAt ?? attempt.startedAt) - attempt.startedAt),
         timePerToken: timePerToken === undefined ? undefined : Math.round(10 * timePerToken) / 10,
+        longestPause: Math.round(request.longestPause),
     };
 }
 
@@ -152,6 +158,14 @@
         : (lastActivityAt - firstEventAt) / (events * tokensPerEvent);
 }
 
+/** Updates the average rate at which prompts are processed. A run that continues another one processes no prompt. */
+function recordPrefillRate(state: GatewayState, attempt: Attempt, now: Milliseconds): void {
+    const duration = now - attempt.startedAt;
+    if (attempt.continuesFrom === undefined && attempt.promptBacklog > 0 && duration > 0) {
+        state.prefillRate += newestWeight * (attempt.promptBacklog / duration - state.prefillRate);
+    }
+}
+
 /** Updates the average duration of a stream, and the average time per token unless the run was too short to tell. */
 function recordStreamTimes({ state, now }: Transaction, request: GatewayRequest, attempt: Attempt): void {
     state.meanStreamDuration += newestWeight * (now - attempt.startedAt - state.meanStreamDuration);
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -1,92 +1,148 @@
 /**
- * Requests that wait for free memory at an engine. Short work starts before long work, fairly between organisations. A
- * request is refused as soon as memory is forecast to become free too late for it.
+ * Requests that wait for capacity at an engine. While requests wait at any gateway, each gateway starts its own at a rate
+ * that the free capacity allows, the most urgent first and fairly between organisations. A request is refused as soon as
+ * it is forecast to start too late.
  */
 import {
     admissionLimits,
-    chooseNext,
-    fairShortFirst,
+    chooseServer,
+    countRequestsWithRoom,
     forecastCapacityWait,
+    forecastFirstEvent,
     latestStart,
     type OrganisationShares,
-    type WaitingView,
+    startProbability,
+    startRank,
+    type WaitingRequestView,
 } from "@verbenaspring/coordination";
 import { identifier, type Milliseconds, type OrganisationId } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
-import { countLiveInstances } from "./peers.js";
+import { countWaitingRequests } from "./peers.js";
 import { failRequest, requestFields } from "./requests.js";
-import { dispatch } from "./sending.js";
-import { engineOf, expectedMemory, memoryLoad, requestsInProgressAt, usableServers } from "./serverLoad.js";
-import type { GatewayRequest } from "./state.js";
+import { highestPriority } from "./routingConfiguration.js";
+import { sendTo } from "./sending.js";
+import { engineOf, expectedMemory, placementView, requestsInProgressAt, usableServers } from "./serverLoad.js";
+import { type GatewayRequest, type GatewayState, priorityOf } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
-interface WaitingRequest extends WaitingView {
-    readonly request: GatewayRequest;
-}
-
 /** A caller that repeated its request sooner would only be refused again. */
 const minimumRetryAfter: Milliseconds = 300;
 
-/**
- * Whether the server has free memory for the request beside the runs and replicas of all gateways. An idle engine
- * accepts any request, since waiting would not free more memory.
- */
-export function hasFreeMemory({ state, now }: Transaction, server: BackendServer, request: GatewayRequest): boolean {
-    const engine = engineOf(state, server.record.service);
-    if (engine === undefined) {
-        return true;
-    }
-    const load = memoryLoad(state, server, now);
-    const limit = admissionLimits[workKindOf(request)];
-    return load === 0 || load + expectedMemory(request) / engine.memoryTokens <= limit;
+/** An engine with room for a request, and for how many such requests. */
+interface EngineWithRoom {
+    readonly server: BackendServer;
+    readonly requests: number;
 }
 
-/** Queues a request until memory is free, or refuses it at once if that is forecast too late for its target latency. */
-export function waitForCapacity(transaction: Transaction, request: GatewayRequest): void {
-    const { state, now } = transaction;
-    const expected = expectedWait(transaction, request);
-    const latest = latestStart(request.arrivedAt, request.route.targetLatency);
-    if (now + expected > latest) {
-        return refuseOverloaded(transaction, request, expected);
+/**
+ * Sends a request to an engine that has room for it. If no engine has, or others wait and capacity does not suffice for
+ * all, the request waits or is refused.
+ */
+export function startOrWait(
+    transaction: Transaction,
+    request: GatewayRequest,
+    servers: readonly BackendServer[],
+): void {
+    if (!start(transaction, request, servers, countWaitingRequests(transaction.state, transaction.now))) {
+        waitForCapacity(transaction, request);
     }
-    logDecision(transaction, "debug", "request_waits", { ...requestFields(transaction, request), expected });
-    state.waiting.set(request.id, request);
 }
 
-/** Starts the waiting requests that fit now, and refuses those that can't start on time any more. */
+/** Starts the waiting requests for which there is room, and refuses those that can't start on time any more. */
 export function checkWaitingRequests(transaction: Transaction): void {
     const { state, now } = transaction;
-    for (let next = chooseNextWaiting(transaction); next !== undefined; next = chooseNextWaiting(transaction)) {
-        state.waiting.delete(next.request.id);
-        dispatch(transaction, next.request);
-    }
-    for (const request of [...state.waiting.values()]) {
-        if (now >= latestStart(request.arrivedAt, request.route.targetLatency)) {
+    const shares = runningShares(state);
+    const rank = (request: GatewayRequest): number => startRank(toWaitingView(request), shares);
+    const inOrder = [...state.waiting.values()].sort((one, other) => rank(one) - rank(other));
+    for (const request of inOrder) {
+        const others = countWaitingRequests(state, now) - 1;
+        if (start(transaction, request, usableServers(state, request.service, now), others)) {
+            state.waiting.delete(request.id);
+        }
+        else if (now >= latestStartOf(state, request)) {
             state.waiting.delete(request.id);
             refuseOverloaded(transaction, request, expectedWait(transaction, request));
         }
     }
 }
 
-function chooseNextWaiting(transaction: Transaction): WaitingRequest | undefined {
+/**
+ * Sends the request if an engine has room for it. While others wait, the gateways share the room at random: they learn
+ * of each other's placements too late to take turns. Returns whether the request was sent.
+ *
+ * @param others the requests of all gateways that wait beside this one
+ */
+function start(
+    transaction: Transaction,
+    request: GatewayRequest,
+    servers: readonly BackendServer[],
+    others: number,
+): boolean {
+    const { state, now, source: { random } } = transaction;
+    const engines = enginesWithRoom(transaction, request, servers);
+    const room = engines.reduce((sum, { requests }) => sum + requests, 0);
+    if (room === 0 || random() >= startProbability(room, others)) {
+        return false;
+    }
+    const candidates = engines.map(({ server }) => server);
+    const server = others === 0
+        ? chooseServer(candidates, candidate => placementView(state, candidate, now), random)
+        : candidates[Math.floor(random() * candidates.length)];
+    if (server === undefined) {
+        return false;
+    }
+    sendTo(transaction, request, { server, continuesFrom: undefined });
+    return true;
+}
+
+function enginesWithRoom(
+    { state, now }: Transaction,
+    request: GatewayRequest,
+    servers: readonly BackendServer[],
+): EngineWithRoom[] {
+    const memoryTokens = engineOf(state, request.service)?.memoryTokens ?? 1;
+    const { promptTokens } = request.head;
+    const limit = isMostUrgent(state, request) ? admissionLimits.mostUrgent : admissionLimits.others;
+    const timeLeft = request.arrivedAt + request.route.targetLatency - now;
+    return servers.flatMap(server => {
+        const { memoryLoad, waitingTokens } = placementView(state, server, now);
+        const requests = countRequestsWithRoom({
+            memoryLoad,
+            memoryLimit: limit,
+            memoryShare: expectedMemory(request) / memoryTokens,
+            waitingTokens,
+            promptTokens,
+            prefillRate: state.prefillRate,
+            timeLeft,
+        });
+        return requests === 0 ? [] : [{ server, requests }];
+    });
+}
+
+/** Queues a request until there is room, or refuses it at once if that is forecast too late for its target latency. */
+function waitForCapacity(transaction: Transaction, request: GatewayRequest): void {
     const { state, now } = transaction;
-    if (state.waiting.size === 0) {
-        return undefined;
+    const expected = expectedWait(transaction, request);
+    if (now + expected > latestStartOf(state, request)) {
+        return refuseOverloaded(transaction, request, expected);
     }
-    const fits = ({ request }: WaitingRequest): boolean =>
-        usableServers(state, request.service, now).some(server => hasFreeMemory(transaction, server, request));
-    const queue = [...state.waiting.values()].map(toWaitingRequest);
-    return chooseNext({ queue, shares: runningShares(transaction), order: fairShortFirst, fits, shortShare: 0 });
+    logDecision(transaction, "debug", "request_waits", { ...requestFields(transaction, request), expected });
+    state.waiting.set(request.id, request);
+}
+
+function latestStartOf({ prefillRate }: GatewayState, { arrivedAt, route, head }: GatewayRequest): Milliseconds {
+    const firstEvent = forecastFirstEvent({ waitingTokens: 0, promptTokens: head.promptTokens, prefillRate });
+    return latestStart(arrivedAt, route.targetLatency, firstEvent);
 }
 
-function toWaitingRequest(request: GatewayRequest): WaitingRequest {
-    return {
-        request,
-        organisation: organisationOf(request),
-        workKind: workKindOf(request),
-        weight: 1,
-        arrivedAt: request.arrivedAt,
-    };
+/** Whether no route to the service has a higher priority than the request. */
+function isMostUrgent({ configuration }: GatewayState, request: GatewayRequest): boolean {
+    const highest = configuration === undefined ? undefined : highestPriority(configuration, request.service);
+    return highest === undefined || priorityOf(request) <= highest;
+}
+
+function toWaitingView(request: GatewayRequest): WaitingRequestView {
+    return { organisation: organisationOf(request), priority: priorityOf(request), arrivedAt: request.arrivedAt };
 }
 
 /** Requests without an organisation are ordered as if they belonged to one organisation. */
@@ -94,9 +150,9 @@
     return organisation?.id ?? identifier<OrganisationId>("");
 }
 
-function runningShares({ state }: Transaction): OrganisationShares {
+function runningShares({ requests }: GatewayState): OrganisationShares {
     const shares = new Map<OrganisationId, number>();
-    for (const request of state.requests.values()) {
+    for (const request of requests.values()) {
         if (request.attempt !== undefined && request.route.isStream) {
             const id = organisationOf(request);
             shares.set(id, (shares.get(id) ?? 0) + 1);
@@ -105,15 +161,10 @@
     return shares;
 }
 
-/** Streams that can be resumed have only a few events; the others are long. */
-function workKindOf({ route }: GatewayRequest): "short" | "long" {
-    return route.canResume ? "short" : "long";
-}
-
 function expectedWait({ state, now }: Transaction, { service }: GatewayRequest): Milliseconds {
     const inProgress = usableServers(state, service, now)
         .reduce((sum, { record: { id } }) => sum + requestsInProgressAt(state, id, now), 0);
-    const ahead = state.waiting.size * countLiveInstances(state, now);
+    const ahead = countWaitingRequests(state, now);
     return forecastCapacityWait({ ahead, inProgress, meanDuration: state.meanStreamDuration });
 }
 
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -45,7 +45,12 @@
     };
 }
 
-const engineRoute = { isStream: true, targets: [{ service: engineService, weight: 1 }], timeout: 39_000 };
+const engineRoute = {
+    isStream: true,
+    targets: [{ service: engineService, weight: 1 }],
+    timeout: 39_000,
+    targetLatency: 1_500,
+};
 
 /** The routes that most tests use: calls of a plain service, and streams of an engine. */
 export const routes: readonly Route[] = [
@@ -214,6 +219,7 @@
                 topics: [],
                 loads: [],
                 isFull: true,
+                waitingRequests: 0,
                 ...report,
             },
             items: { configuration: [], backendServers: [], ...items },
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -257,6 +257,7 @@
         backendServer: identifier<never>(backendServer),
         inProgress: 3,
         memoryTokens: 6_000,
+        copiedTokens: 0,
         waitingTokens: 3_000,
     });
     gateway.receiveReport({ loads: [busy("engine-1"), busy("engine-3")] });
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -10,13 +10,14 @@
 
 /** Converts a report to a message. */
 export function encodeReport(report: PeerReport): ReportInit {
-    const { address, incarnation, members, isStopping, topics, loads, isFull } = report;
+    const { address, incarnation, members, isStopping, topics, loads, isFull, waitingRequests } = report;
     return {
         address,
         incarnation,
         members: [...members],
         isStopping,
         isFull,
+        waitingRequests,
         topics: topics.map(topic => ({
             $typeName: "verbenaspring.v1.PeerTopic",
             name: topic.name,
@@ -38,13 +39,14 @@
 
 /** Converts a message to a report. */
 export function decodeReport(message: PeerReportMessage): PeerReport {
-    const { address, incarnation, members, isStopping, topics, loads, isFull } = message;
+    const { address, incarnation, members, isStopping, topics, loads, isFull, waitingRequests } = message;
     return {
         address: identifier(address),
         incarnation: identifier(incarnation),
         members: members.map(member => identifier<PeerAddress>(member)),
         isStopping,
         isFull,
+        waitingRequests,
         topics: topics.map(({ name, since, reader, readCount, through, age, items }) => ({
             name: name as TopicName,
             read: { reader: identifier<GatewayIncarnation>(reader), count: readCount },
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -13,6 +13,7 @@
         members: [identifier("10.1.0.2:8748")],
         isStopping: true,
         isFull: false,
+        waitingRequests: 3,
         topics: [
             {
                 name: "configuration",
@@ -31,7 +32,15 @@
                 items: [],
             },
         ],
-        loads: [{ backendServer: identifier("i-1"), inProgress: 2, memoryTokens: 4_096, waitingTokens: 0 }],
+        loads: [
+            {
+                backendServer: identifier("i-1"),
+                inProgress: 2,
+                memoryTokens: 4_096,
+                copiedTokens: 1_024,
+                waitingTokens: 0,
+            },
+        ],
     };
     const bytes = toBinary(PeerReportSchema, create(PeerReportSchema, encodeReport(report)));
     const { $typeName, ...decoded } = decodeReport(fromBinary(PeerReportSchema, bytes)) as PeerReport & {
