--- a/packages/bench/src/engineLoad.ts
+++ b/packages/bench/src/engineLoad.ts
@@ -42,6 +42,8 @@
     /** Complete, with the first event within the target latency and no long pause. */
     onTime: number;
     late: number;
+    /** Those of the late ones whose first event was on time, but that paused for too long later. */
+    paused: number;
     refused: number;
     cut: number;
     readonly firstEvents: Milliseconds[];
@@ -104,6 +106,7 @@
         asked: 0,
         onTime: 0,
         late: 0,
+        paused: 0,
         refused: 0,
         cut: 0,
         firstEvents: [],
@@ -166,8 +169,10 @@
         callers.delete(requestId);
         const firstEvent = (caller.firstEventAt ?? clock.now) - caller.firstAskedAt;
         caller.result.firstEvents.push(firstEvent);
-        const isOnTime = firstEvent <= caller.kind.targetLatency && caller.longestPause <= pauseTarget;
-        caller.result[isOnTime ? "onTime" : "late"]++;
+        const hasBegunOnTime = firstEvent <= caller.kind.targetLatency;
+        const hasPaused = caller.longestPause > pauseTarget;
+        caller.result[hasBegunOnTime && !hasPaused ? "onTime" : "late"]++;
+        caller.result.paused += hasBegunOnTime && hasPaused ? 1 : 0;
     };
 
     /** A caller that was refused asks once more, when it was told to. */
--- a/packages/coordination/src/capacityWait.ts
+++ b/packages/coordination/src/capacityWait.ts
@@ -109,7 +109,7 @@
 }
 
 /** Share of the free capacity that instances start requests for before they know of each other's starts. */
-const startShare = 0.7;
+const startShare = 1;
 
 /**
  * Returns the probability with which an instance starts one of its requests now, so that all instances together start
--- a/packages/coordination/src/placement.ts
+++ b/packages/coordination/src/placement.ts
@@ -106,7 +106,7 @@
 }
 
 /** Replicas kept in case of a failure use only memory that the runs leave free. */
-export const replicaPlacement: ReplicaPlacementRule = { maxLoad: 0.8, sameDomainFactor: 1.5 };
+export const replicaPlacement: ReplicaPlacementRule = { maxLoad: 0.7, sameDomainFactor: 1.5 };
 
 /**
  * The target of a migration may be filled further, since the stream would otherwise be lost. Copying must finish before
--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -257,11 +257,12 @@
         }
     }
 
-    /** Prefills one chunk, in the order of the runs. Returns the number of tokens. */
+    /** Prefills one chunk: first what replicas lack, then in the order of the runs. Returns the number of tokens. */
     private prefill(): number {
         const { prefillChunk = defaultPrefillChunk } = this.options;
         let remaining = prefillChunk;
-        for (const run of this.running) {
+        const continued = this.running.filter(({ record }) => record.continuesFromReplica);
+        for (const run of [...continued, ...this.running]) {
             const chunk = Math.min(remaining, run.remainingPrefill);
             run.remainingPrefill -= chunk;
             remaining -= chunk;
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -18,6 +18,24 @@
     assert.equal(opened, ["10.1.0.3:8748"]);
 });
 
+test("a run, and a request that waits, are reported to the other gateways at once", () => {
+    const gateway = TestGateway.serving(server("engine-1"));
+    gateway.receiveReport({});
+    gateway.advance(500);
+    const reportsIn = (effects: readonly GatewayEffect[]) =>
+        effects.flatMap(effect => effect.kind === "sendReport" ? [effect.report] : []);
+    const plan = { promptTokens: 6_000, maximumTokens: 500 };
+    gateway.now += 1;
+    const [placed] = reportsIn(gateway.receiveRequest("p1", "plan", plan));
+    assert.equal(placed.loads.map(({ backendServer, waitingTokens }) => [backendServer, waitingTokens]), [
+        ["engine-1", 6_000],
+    ]);
+    gateway.state.meanStreamDuration = 30;
+    gateway.now += 1;
+    const [waits] = reportsIn(gateway.receiveRequest("p2", "plan", plan));
+    assert.is(waits.waitingRequests, 1);
+});
+
 test("records that another gateway read are applied, and the log is not read while they are fresh", () => {
     const gateway = new TestGateway();
     gateway.advance(50);
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -135,6 +135,19 @@
     assert.equal(callsIn(finishMigration(withMigration, run, "copy")), []);
 });
 
+test("the target holds the memory of a run in the loads as long as its migration lasts", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startStream("r", "plan", largePlan);
+    const holders = (): number =>
+        [...gateway.state.loads.values()].filter(({ copiedTokens }) => copiedTokens > 0).length;
+    gateway.register(server(call.backendServer, { isDraining: true, heartbeat: 2 }));
+    assert.is(holders(), 1);
+    finishMigration(gateway, call, undefined);
+    assert.is(holders(), 1, "the next target");
+    gateway.handle({ kind: "callerLeft", requestId: gateway.state.requests.keys().next().value! });
+    assert.is(gateway.state.loads.size, 0);
+});
+
 test("a server has one migration at a time", () => {
     const gateway = TestGateway.serving(server("engine-1"));
     const calls = ["r", "s"].map(id => gateway.startStream(id, "plan", { promptTokens: 3_000, maximumTokens: 500 }));
--- a/packages/gateway/test/waiting.test.ts
+++ b/packages/gateway/test/waiting.test.ts
@@ -82,4 +82,32 @@
     assert.is(callsIn(gateway.failAttempt(note)).length, 1);
 });
 
+test("a request of a caller that has come back counts from when it first asked", () => {
+    const gateway = TestGateway.serving(server("engine-1"));
+    gateway.receiveRequest("first", "plan", { timeLimit: 39_000 });
+    gateway.receiveRequest("again", "plan", { timeLimit: 38_400 });
+    const [first, again] = [...gateway.state.requests.values()];
+    assert.is(first.arrivedAt - first.askedAt, 0);
+    assert.is(again.arrivedAt - again.askedAt, 600);
+});
+
+test("a request does not start on memory that others wait for, unless there is enough for all", () => {
+    const starts = (waitingRequests: number): number => {
+        let started = 0;
+        for (let index = 0; index < 40; index++) {
+            const gateway = TestGateway.serving(server("engine-1"), server("engine-2"));
+            gateway.now += index;
+            gateway.state.meanStreamDuration = 30;
+            // Advances the random numbers, which are the same for each gateway.
+            Array.from({ length: index }, () => gateway.sendRequest(`c${index}`, "confirm"));
+            gateway.receiveReport({ waitingRequests });
+            started += callsIn(gateway.receiveRequest("p", "plan", plan)).length;
+        }
+        return started;
+    };
+    assert.is(starts(0), 40);
+    const shared = starts(19);
+    assert.ok(shared > 0 && shared < 25, `${shared} of 40 started, with room for 4 and 19 others that wait`);
+});
+
 test.run();
