cli: verbenaspring losses counts the requests in the logs of gateways by what delayed or ended them

stream_answered tells the time to the first event as the caller waited for it, the route's target and the longest pause.

gateway: a returning caller is no longer told by its time limit, and a forecast of the first event must be kept twice over

--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -2,16 +2,10 @@
  * Collects the log lines of one request from the log files of all processes, in chronological order.
  */
 
-/** A parsed log line. */
-interface LogLine {
-    readonly text: string;
-    readonly time: string;
-    readonly fields: ReadonlyMap<string, string>;
-}
+import { type LogLine, parseLogLines } from "./logLines.js";
 
 /** Changes of a request's servers are included up to so many milliseconds before its first and after its last line. */
 const contextWindow = 10_000;
-const fieldPattern = /([A-Za-z]+)=("(?:[^"\\]|\\.)*"|\S+)/g;
 
 /**
  * Returns the log lines of a request and those about changes of the servers that it used, sorted by time. Lines of
@@ -23,7 +17,7 @@
  * explainRequest([readFileSync("entry-1.log", "utf8")], "9c41d07be2a35f68").forEach(line => console.log(line));
  */
 export function explainRequest(texts: readonly string[], request: string): string[] {
-    const lines = texts.flatMap(text => text.split("\n")).flatMap(parseLine);
+    const lines = texts.flatMap(parseLogLines);
     const requestLines = lines.filter(({ fields }) => fields.get("request") === request).sort(byTime);
     if (requestLines.length === 0) {
         return [];
@@ -40,18 +34,6 @@
     return [...requestLines, ...removeDuplicateChanges(serverLines)].sort(byTime).map(({ text }) => text);
 }
 
-/** Returns an empty list if the text has no valid time. */
-function parseLine(text: string): LogLine[] {
-    const fields = new Map([...text.matchAll(fieldPattern)].map(([, key, value]) => [key, unquote(value)] as const));
-    const time = fields.get("time");
-    const start = text.indexOf("time=");
-    return time === undefined || Number.isNaN(Date.parse(time)) ? [] : [{ text: text.slice(start), time, fields }];
-}
-
-function unquote(value: string): string {
-    return value.startsWith("\"") ? String(JSON.parse(value)) : value;
-}
-
 function serversNamedIn({ fields }: LogLine): string[] {
     return ["server", "from", "to", "target", "replica"].flatMap(name => fields.get(name) ?? []);
 }
--- a/packages/cli/src/verbenaspring.ts
+++ b/packages/cli/src/verbenaspring.ts
@@ -13,6 +13,8 @@
 import { exitCode } from "./exitCodes.js";
 import { explainRequest } from "./explain.js";
 import { startGatewayFromFile } from "./gateway.js";
+import { countLosses } from "./losses.js";
+import { formatTable } from "./table.js";
 
 const settingsArgument = {
     type: "string",
@@ -129,10 +131,27 @@
             lines.forEach(line => process.stdout.write(`${line}\n`));
         },
     )
+    .command(
+        "losses <logs..>",
+        "count the requests in the log files of gateways by what delayed or ended them",
+        builder =>
+            builder
+                .positional("logs", { type: "string", array: true, demandOption: true, describe: "log files" })
+                .option("pause", {
+                    type: "number",
+                    default: 180,
+                    describe: "longest pause of a stream that is on time, in milliseconds",
+                }),
+        ({ logs, pause }) => {
+            const rows = countLosses(logs.map(file => readFileSync(file, "utf8")), { pause });
+            process.stdout.write(formatTable(rows.map(row => ({ ...row }))));
+        },
+    )
     .example("$0 gateway boot.json --metrics-port 7215", "run a gateway")
     .example("$0 check-platform --configuration config.json", "list the errors of a configuration")
     .example("$0 explain 9c41d07be2a35f68 logs/*.log", "show what happened to a request")
-    .demandCommand(1, "no command given; expected entry, sidecar, gateway, check, check-platform or explain")
+    .example("$0 losses logs/*.log", "show why requests were not served on time")
+    .demandCommand(1, "no command given; expected entry, sidecar, gateway, check, check-platform, explain or losses")
     .strict()
     .fail((message, error) => {
         process.stderr.write(`${message ?? String(error)}\nSee verbenaspring --help\n`);
--- a/packages/coordination/src/capacityWait.ts
+++ b/packages/coordination/src/capacityWait.ts
@@ -20,7 +20,7 @@
  * Share of the target latency that a request may wait for capacity. A caller that is refused sooner can still be
  * answered on time after it has come back.
  */
-const maxWaitShare = 0.2;
+const maxWaitShare = 0.05;
 
 /** The input of {@link forecastCapacityWait}. */
 export interface CapacityWaitInput {
@@ -78,6 +78,9 @@
     return (waitingTokens + promptTokens) / prefillRate;
 }
 
+/** Forecasts of the first event are right at the median; this multiple of them is kept in 95 of 100 cases. */
+const firstEventSafetyFactor = 2;
+
 /** The input of {@link countRequestsWithRoom}. */
 export interface EngineRoomInput extends FirstEventInput {
     /** Share of the engine's memory in use. */
@@ -100,7 +103,8 @@
 export function countRequestsWithRoom(input: EngineRoomInput): number {
     const { memoryLoad, memoryLimit, memoryShare, waitingTokens, promptTokens, prefillRate, timeLeft } = input;
     const byMemory = Math.floor((memoryLimit - memoryLoad) / Math.max(memoryShare, Number.EPSILON));
-    const byTime = Math.floor((timeLeft * prefillRate - waitingTokens) / Math.max(1, promptTokens));
+    const readableTokens = timeLeft * prefillRate / firstEventSafetyFactor;
+    const byTime = Math.floor((readableTokens - waitingTokens) / Math.max(1, promptTokens));
     const room = Math.min(
         memoryLoad === 0 ? Math.max(1, byMemory) : byMemory,
         waitingTokens === 0 ? Math.max(1, byTime) : byTime,
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -15,7 +15,7 @@
 import type { GatewayEvent } from "./event.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
 import { dispatch } from "./sending.js";
-import type { GatewayRequest, GatewayState } from "./state.js";
+import type { GatewayRequest } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type RequestReceived = Extract<GatewayEvent, { readonly kind: "requestReceived"; }>;
@@ -53,13 +53,13 @@
         service: chooseService(route, source.random),
         organisation,
         arrivedAt: event.receivedAt,
-        askedAt: event.receivedAt - timeSinceFirstAsked(state, route, head.timeLimit),
         deadline: event.receivedAt + timeLimit,
         attempt: undefined,
         sends: 0,
         possibleRuns: 0,
         triedServers: new Set(),
         lastEvent: route.canResume ? head.lastEvent : undefined,
+        firstEventAge: undefined,
         lastEventAt: undefined,
         longestPause: 0,
         isHeadWritten: false,
@@ -69,23 +69,6 @@
     dispatch(transaction, request);
 }
 
-/**
- * How long ago a caller first asked. Callers of a route wait equally long in total, so one that waits less than others
- * was refused before and has come back.
- */
-function timeSinceFirstAsked(
-    { longestTimeLimits }: GatewayState,
-    { name }: Route,
-    timeLimit: Milliseconds | undefined,
-): Milliseconds {
-    if (timeLimit === undefined) {
-        return 0;
-    }
-    const longest = Math.max(timeLimit, longestTimeLimits.get(name) ?? 0);
-    longestTimeLimits.set(name, longest);
-    return longest - timeLimit;
-}
-
 function findOrganisation(
     { organisations }: RoutingConfiguration,
     route: Route,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -10,7 +10,6 @@
     Milliseconds,
     PeerAddress,
     RequestId,
-    RouteName,
     ServiceName,
 } from "@verbenaspring/model";
 import type { BackendServer, BackendView } from "./backendServers.js";
@@ -55,8 +54,6 @@
     readonly service: ServiceName;
     readonly organisation: Organisation | undefined;
     readonly arrivedAt: Milliseconds;
-    /** When its caller first asked, by the time that it waits less than others of the route; at most `arrivedAt`. */
-    readonly askedAt: Milliseconds;
     readonly deadline: Milliseconds;
     attempt: Attempt | undefined;
     /** The number of sends so far, including those that were refused. */
@@ -66,6 +63,8 @@
     readonly triedServers: Set<BackendServerId>;
     /** The id of the last event that the caller has. */
     lastEvent: number | undefined;
+    /** How long the caller waited for the first event; undefined before it. */
+    firstEventAge: Milliseconds | undefined;
     /** When the last events were passed on to the caller. */
     lastEventAt: Milliseconds | undefined;
     /** The longest time between events that were passed on. */
@@ -174,8 +173,6 @@
     prefillRate: number;
     /** Moving average of the duration of a stream. */
     meanStreamDuration: Milliseconds;
-    /** The longest time that a caller of each route was ready to wait. */
-    readonly longestTimeLimits: Map<RouteName, Milliseconds>;
     readonly requests: Map<RequestId, GatewayRequest>;
     /** Requests without an attempt that wait for free memory at an engine. */
     readonly waiting: Map<RequestId, GatewayRequest>;
@@ -213,7 +210,6 @@
         timePerToken: initialTimePerToken,
         prefillRate: initialPrefillRate,
         meanStreamDuration: initialStreamDuration,
-        longestTimeLimits: new Map(),
         requests: new Map(),
         waiting: new Map(),
         attempts: new Map(),
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -104,6 +104,7 @@
     }
     if (!request.isHeadWritten) {
         request.isHeadWritten = true;
+        request.firstEventAge = now - request.arrivedAt;
         effects.push({ kind: "answerHead", requestId: request.id, head });
     }
     request.longestPause = Math.max(request.longestPause, now - (request.lastEventAt ?? now));
@@ -134,11 +135,13 @@
     finishRequest(transaction, request);
 }
 
-/** How long a run took to its first event, and to each token after it, and the longest pause of the whole answer. */
+/** How long the caller waited for the first event, how fast the last run was, and the longest pause of the answer. */
 function streamTimeFields(state: GatewayState, request: GatewayRequest, attempt: Attempt): DecisionFields {
     const timePerToken = timePerTokenOf(state, request, attempt);
     return {
         events: attempt.events,
+        firstEventAge: request.firstEventAge === undefined ? undefined : Math.round(request.firstEventAge),
+        targetLatency: request.route.targetLatency,
         firstEventAfter: Math.round((attempt.firstEventAt ?? attempt.startedAt) - attempt.startedAt),
         timePerToken: timePerToken === undefined ? undefined : Math.round(10 * timePerToken) / 10,
         longestPause: Math.round(request.longestPause),
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -103,7 +103,7 @@
     const memoryTokens = engineOf(state, request.service)?.memoryTokens ?? 1;
     const { promptTokens } = request.head;
     const limit = isMostUrgent(state, request) ? admissionLimits.mostUrgent : admissionLimits.others;
-    const timeLeft = request.askedAt + request.route.targetLatency - now;
+    const timeLeft = request.arrivedAt + request.route.targetLatency - now;
     return servers.flatMap(server => {
         const { memoryLoad, waitingTokens } = placementView(state, server, now);
         const requests = countRequestsWithRoom({
@@ -130,9 +130,9 @@
     state.waiting.set(request.id, request);
 }
 
-function latestStartOf({ prefillRate }: GatewayState, { askedAt, route, head }: GatewayRequest): Milliseconds {
+function latestStartOf({ prefillRate }: GatewayState, { arrivedAt, route, head }: GatewayRequest): Milliseconds {
     const firstEvent = forecastFirstEvent({ waitingTokens: 0, promptTokens: head.promptTokens, prefillRate });
-    return latestStart(askedAt, route.targetLatency, firstEvent);
+    return latestStart(arrivedAt, route.targetLatency, firstEvent);
 }
 
 /** Whether no route to the service has a higher priority than the request. */
@@ -142,7 +142,7 @@
 }
 
 function toWaitingView(request: GatewayRequest): WaitingRequestView {
-    return { organisation: organisationOf(request), priority: priorityOf(request), arrivedAt: request.askedAt };
+    return { organisation: organisationOf(request), priority: priorityOf(request), arrivedAt: request.arrivedAt };
 }
 
 /** Requests without an organisation are ordered as if they belonged to one organisation. */
