--- a/packages/coordination/src/capacityWait.ts
+++ b/packages/coordination/src/capacityWait.ts
@@ -78,7 +78,7 @@
     return (waitingTokens + promptTokens) / prefillRate;
 }
 
-/** Forecasts of the first event are right at the median; this multiple of them is kept in 95 of 100 cases. */
+/** Forecasts of the first event are right at the median only, so this multiple of them must be on time. */
 const firstEventSafetyFactor = 2;
 
 /** The input of {@link countRequestsWithRoom}. */
@@ -112,9 +112,6 @@
     return Math.max(0, room);
 }
 
-/** Share of the free capacity that instances start requests for before they know of each other's starts. */
-const startShare = 1;
-
 /**
  * Returns the probability with which an instance starts one of its requests now, so that all instances together start
  * about as many as there is room for. Without it, all of them would start theirs when an engine joins or memory becomes
@@ -126,7 +123,7 @@
  * const starts = random() < startProbability(2, 7);
  */
 export function startProbability(room: number, others: number): number {
-    return others === 0 ? 1 : Math.min(1, startShare * room / (others + 1));
+    return others === 0 ? 1 : Math.min(1, room / (others + 1));
 }
 
 /** The properties of a waiting request that decide its rank. */
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -197,7 +197,11 @@
 }
 
 function changeCopies(state: GatewayState, { replica, migrationTarget }: Attempt, memoryTokens: number): void {
-    [replica, migrationTarget].forEach(holder => holder && changeCopy(state, holder, memoryTokens));
+    for (const holder of [replica, migrationTarget]) {
+        if (holder !== undefined) {
+            changeCopy(state, holder, memoryTokens);
+        }
+    }
 }
 
 function changeCopy(state: GatewayState, holder: BackendServer, memoryTokens: number): void {
