--- a/packages/bench/src/engineLoad.ts
+++ b/packages/bench/src/engineLoad.ts
@@ -2,7 +2,7 @@
  * Plays a load on gateways and engines in virtual time. The gateways are the product's own reducers; engines, store,
  * network and callers are models. Engines leave at short notice and are replaced.
  */
-import { seededSource } from "@verbenaspring/coordination";
+import { type Random, seededSource } from "@verbenaspring/coordination";
 import { type AnswerEffect, type EngineServer, type NetworkLatency, VirtualPlatform } from "@verbenaspring/emulator";
 import type { RequestHead } from "@verbenaspring/gateway";
 import { identifier, type Milliseconds, type RequestId } from "@verbenaspring/model";
@@ -71,6 +71,13 @@
 const pauseTarget: Milliseconds = 180;
 const tokensPerEvent = 4;
 const replacementDelay: Milliseconds = 4_000;
+/** Callers come back within this share of the time that they have left. */
+const maximumRetryShare = 1 / 3;
+const maximumOutputFactor = 2.4;
+const maximumPromptFactor = 2;
+const promptSpread = 0.35;
+/** Speeds of the engines of all deployments: times in milliseconds, rates in tokens per millisecond. */
+const engineSpeed = { stepTime: 7, stepTimePerRun: 0.12, prefillRate: 14, prefillChunk: 112, transferRate: 18 };
 const engineService = "engine";
 const host = "load.example";
 
@@ -81,166 +88,191 @@
  * const { kinds } = playEngineLoad(load, 7);
  */
 export function playEngineLoad(load: EngineLoad, seed: number): EngineLoadResult {
-    const { random } = seededSource(seed);
-    const callers = new Map<RequestId, Caller>();
-    const platform = new VirtualPlatform(
-        {
-            seed,
-            gateways: load.gateways,
-            retries: { ratio: 0.2, slack: 100, window: 10_000 },
-            stopLimit: 8_000,
-            latency: load.latency,
-        },
-        {
-            runStarted: () => undefined,
-            answered: (_, effect) => handleAnswer(effect),
-            decisionLogged: () => undefined,
-            callArrived: () => undefined,
-            exited: () => undefined,
-        },
-    );
-    const { clock, fleet } = platform;
-    const engines: EngineServer[] = [];
-    const results = load.kinds.map(({ name }): KindResult => ({
-        name,
-        asked: 0,
-        onTime: 0,
-        late: 0,
-        paused: 0,
-        refused: 0,
-        cut: 0,
-        firstEvents: [],
-    }));
+    return new LoadedPlatform(load, seed).play();
+}
+
+/** A platform in virtual time, its callers and the engines that leave. */
+class LoadedPlatform {
+    private readonly random: Random;
+    private readonly platform: VirtualPlatform;
+    private readonly engines: EngineServer[] = [];
+    private readonly callers = new Map<RequestId, Caller>();
+    private readonly results: readonly KindResult[];
+
+    constructor(private readonly load: EngineLoad, seed: number) {
+        this.random = seededSource(seed).random;
+        this.results = load.kinds.map(({ name }) => createKindResult(name));
+        this.platform = new VirtualPlatform(
+            {
+                seed,
+                gateways: load.gateways,
+                retries: { ratio: 0.2, slack: 100, window: 10_000 },
+                stopLimit: 8_000,
+                latency: load.latency,
+            },
+            {
+                runStarted: () => undefined,
+                answered: (_, effect) => this.handleAnswer(effect),
+                decisionLogged: () => undefined,
+                callArrived: () => undefined,
+                exited: () => undefined,
+            },
+        );
+    }
 
-    const addEngine = (): void => {
-        const model = fleet.add({
+    play(): EngineLoadResult {
+        const { clock } = this.platform;
+        const { kinds, departures, duration, engines } = this.load;
+        this.platform.configure(createConfiguration(this.load));
+        for (let index = 0; index < engines; index++) {
+            this.addEngine();
+        }
+        clock.advanceTo(warmUp);
+        kinds.forEach((kind, index) => this.scheduleArrival(kind, this.results[index]));
+        if (departures.engines > 0) {
+            clock.schedule(departures.interval, () => this.takeEnginesAway());
+        }
+        clock.advanceTo(warmUp + duration);
+        const preemptions = this.engines.reduce((sum, engine) => sum + engine.preemptions, 0);
+        return { kinds: this.results, preemptions };
+    }
+
+    private addEngine(): void {
+        const model = this.platform.fleet.add({
             kind: "engine",
-            id: `engine-${engines.length}`,
+            id: `engine-${this.engines.length}`,
             service: engineService,
-            slots: load.slots,
-            memoryTokens: load.memoryTokens,
+            slots: this.load.slots,
+            memoryTokens: this.load.memoryTokens,
             tokensPerEvent,
-            stepTime: 7,
-            stepTimePerRun: 0.12,
-            prefillRate: 14,
-            prefillChunk: 112,
-            transferRate: 18,
+            ...engineSpeed,
         });
-        engines.push(model as EngineServer);
-    };
+        this.engines.push(model as EngineServer);
+    }
 
-    const ask = (caller: Caller): void => {
-        const requestId = platform.nextRequestId();
-        callers.set(requestId, caller);
-        const gateway = platform.gateways[Math.floor(random() * load.gateways)];
-        const left = caller.firstAskedAt + caller.kind.deadline - clock.now;
-        platform.ask(gateway, requestId, {
+    /** Some engines leave at short notice and are replaced a while later. */
+    private takeEnginesAway(): void {
+        const { clock, fleet } = this.platform;
+        const { interval, engines, notice } = this.load.departures;
+        const live = fleet.liveServers();
+        for (let left = 0; left < engines && live.length > 0; left++) {
+            const [server] = live.splice(Math.floor(this.random() * live.length), 1);
+            fleet.leave(server.options.id, notice);
+            clock.schedule(notice + replacementDelay, () => this.addEngine());
+        }
+        clock.schedule(interval, () => this.takeEnginesAway());
+    }
+
+    private scheduleArrival(kind: StreamKind, result: KindResult): void {
+        const interval = -Math.log(1 - this.random()) * 1_000 / kind.requestsPerSecond;
+        this.platform.clock.schedule(interval, () => {
+            this.scheduleArrival(kind, result);
+            result.asked++;
+            this.ask({
+                kind,
+                result,
+                head: this.drawHead(kind),
+                firstAskedAt: this.platform.clock.now,
+                isRetry: false,
+                firstEventAt: undefined,
+                lastEventAt: undefined,
+                longestPause: 0,
+            });
+        });
+    }
+
+    /** Draws the sizes of a request. The caller's estimate is right at the median only. */
+    private drawHead({ name, outputTokens, promptTokens, spread }: StreamKind): RequestHead {
+        const median = outputTokens * Math.exp(-spread * spread / 2);
+        const maximumTokens = Math.round(maximumOutputFactor * outputTokens);
+        const drawnLength = Math.round(drawLogNormal(median, spread, this.random));
+        const length = Math.max(tokensPerEvent, Math.min(maximumTokens, drawnLength));
+        const drawnPrompt = drawLogNormal(promptTokens, promptSpread, this.random);
+        return {
+            callerAttemptId: identifier(""),
+            method: "POST",
+            target: `/${name}/?length=${length}`,
+            host,
+            timeLimit: undefined,
+            apiKey: undefined,
+            lastEvent: undefined,
+            promptTokens: Math.round(Math.min(maximumPromptFactor * promptTokens, drawnPrompt)),
+            maximumTokens,
+            estimatedTokens: Math.max(1, Math.round(drawLogNormal(length, spread, this.random))),
+            headers: [],
+        };
+    }
+
+    private ask(caller: Caller): void {
+        const requestId = this.platform.nextRequestId();
+        this.callers.set(requestId, caller);
+        const gateway = this.platform.gateways[Math.floor(this.random() * this.load.gateways)];
+        this.platform.ask(gateway, requestId, {
             ...caller.head,
             callerAttemptId: identifier(requestId),
-            timeLimit: left,
+            timeLimit: this.timeLeft(caller),
         });
-    };
+    }
 
-    const handleAnswer = (effect: AnswerEffect): void => {
-        const caller = callers.get(effect.requestId);
+    private timeLeft({ firstAskedAt, kind }: Caller): Milliseconds {
+        return firstAskedAt + kind.deadline - this.platform.clock.now;
+    }
+
+    private handleAnswer(effect: AnswerEffect): void {
+        const caller = this.callers.get(effect.requestId);
         if (caller === undefined) {
             return;
         }
         switch (effect.kind) {
             case "answerEvents":
-                caller.firstEventAt ??= clock.now;
-                caller.longestPause = Math.max(caller.longestPause, clock.now - (caller.lastEventAt ?? clock.now));
-                caller.lastEventAt = clock.now;
-                return;
+                return recordEvents(caller, this.platform.clock.now);
             case "answerEnd":
-                return finish(caller, effect.requestId);
+                this.callers.delete(effect.requestId);
+                return recordEnd(caller, this.platform.clock.now);
             case "answerCut":
+                this.callers.delete(effect.requestId);
                 caller.result.cut++;
-                return void callers.delete(effect.requestId);
+                return;
             case "answerFailure":
-                callers.delete(effect.requestId);
-                return handleFailure(caller, effect.failure.outcome === "not_run", effect.failure.retryAfter);
+                this.callers.delete(effect.requestId);
+                return this.handleFailure(caller, effect.failure.outcome === "not_run", effect.failure.retryAfter ?? 0);
             default:
                 return;
         }
-    };
-
-    const finish = (caller: Caller, requestId: RequestId): void => {
-        callers.delete(requestId);
-        const firstEvent = (caller.firstEventAt ?? clock.now) - caller.firstAskedAt;
-        caller.result.firstEvents.push(firstEvent);
-        const hasBegunOnTime = firstEvent <= caller.kind.targetLatency;
-        const hasPaused = caller.longestPause > pauseTarget;
-        caller.result[hasBegunOnTime && !hasPaused ? "onTime" : "late"]++;
-        caller.result.paused += hasBegunOnTime && hasPaused ? 1 : 0;
-    };
+    }
 
     /** A caller that was refused asks once more, when it was told to. */
-    const handleFailure = (caller: Caller, mayRetry: boolean, retryAfter: Milliseconds | undefined): void => {
-        const left = caller.firstAskedAt + caller.kind.deadline - clock.now;
-        if (mayRetry && !caller.isRetry && (retryAfter ?? 0) <= left / 3) {
-            clock.schedule(retryAfter ?? 0, () => ask({ ...caller, isRetry: true }));
+    private handleFailure(caller: Caller, isRefused: boolean, retryAfter: Milliseconds): void {
+        if (isRefused && !caller.isRetry && retryAfter <= maximumRetryShare * this.timeLeft(caller)) {
+            this.platform.clock.schedule(retryAfter, () => this.ask({ ...caller, isRetry: true }));
             return;
         }
-        caller.result[mayRetry ? "refused" : "cut"]++;
-    };
+        caller.result[isRefused ? "refused" : "cut"]++;
+    }
+}
 
-    const logNormal = (median: number, spread: number): number =>
-        median * Math.exp(spread * Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random()));
+function createKindResult(name: string): KindResult {
+    return { name, asked: 0, onTime: 0, late: 0, paused: 0, refused: 0, cut: 0, firstEvents: [] };
+}
 
-    const arrive = (kind: StreamKind, result: KindResult): void => {
-        clock.schedule(-Math.log(1 - random()) * 1_000 / kind.requestsPerSecond, () => arrive(kind, result));
-        const median = kind.outputTokens * Math.exp(-kind.spread * kind.spread / 2);
-        const maximumTokens = Math.round(2.4 * kind.outputTokens);
-        const length = Math.max(tokensPerEvent, Math.min(maximumTokens, Math.round(logNormal(median, kind.spread))));
-        const promptTokens = Math.round(Math.min(2 * kind.promptTokens, logNormal(kind.promptTokens, 0.35)));
-        result.asked++;
-        ask({
-            kind,
-            result,
-            firstAskedAt: clock.now,
-            isRetry: false,
-            firstEventAt: undefined,
-            lastEventAt: undefined,
-            longestPause: 0,
-            head: {
-                callerAttemptId: identifier(""),
-                method: "POST",
-                target: `/${kind.name}/?length=${length}`,
-                host,
-                timeLimit: undefined,
-                apiKey: undefined,
-                lastEvent: undefined,
-                promptTokens,
-                maximumTokens,
-                estimatedTokens: Math.max(1, Math.round(logNormal(length, kind.spread))),
-                headers: [],
-            },
-        });
-    };
+function recordEvents(caller: Caller, now: Milliseconds): void {
+    caller.firstEventAt ??= now;
+    caller.longestPause = Math.max(caller.longestPause, now - (caller.lastEventAt ?? now));
+    caller.lastEventAt = now;
+}
 
-    const leave = (): void => {
-        const { interval, engines: count, notice } = load.departures;
-        const live = fleet.liveServers();
-        for (let left = 0; left < count && live.length > 0; left++) {
-            const [server] = live.splice(Math.floor(random() * live.length), 1);
-            fleet.leave(server.options.id, notice);
-            clock.schedule(notice + replacementDelay, addEngine);
-        }
-        clock.schedule(interval, leave);
-    };
+function recordEnd({ kind, result, firstAskedAt, firstEventAt, longestPause }: Caller, now: Milliseconds): void {
+    const firstEvent = (firstEventAt ?? now) - firstAskedAt;
+    const hasBegunOnTime = firstEvent <= kind.targetLatency;
+    const hasPaused = longestPause > pauseTarget;
+    result.firstEvents.push(firstEvent);
+    result[hasBegunOnTime && !hasPaused ? "onTime" : "late"]++;
+    result.paused += hasBegunOnTime && hasPaused ? 1 : 0;
+}
 
-    platform.configure(createConfiguration(load));
-    for (let index = 0; index < load.engines; index++) {
-        addEngine();
-    }
-    clock.advanceTo(warmUp);
-    load.kinds.forEach((kind, index) => arrive(kind, results[index]));
-    if (load.departures.engines > 0) {
-        clock.schedule(load.departures.interval, leave);
-    }
-    clock.advanceTo(warmUp + load.duration);
-    return { kinds: results, preemptions: engines.reduce((sum, engine) => sum + engine.preemptions, 0) };
+/** Draws from a log-normal distribution, by the Box-Muller transform. */
+function drawLogNormal(median: number, spread: number, random: Random): number {
+    return median * Math.exp(spread * Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random()));
 }
 
 function createConfiguration({ kinds, memoryTokens }: EngineLoad): object {
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./engineLoad.js";
+export * from "./engineLoadSizes.js";
 export * from "./faultRelay.js";
 export * from "./gatewayProcess.js";
 export * from "./mixedLoad.js";
