runtime: late ticks and jumps of the time of day are logged

No line says when a tick was late, which separates 'the ticks stopped' from 'a read or a link hung'. Every daemon now logs loop_delayed (delay, clockChange) and clock_changed; entry and sidecar get the metric as well.

--- a/packages/runtime/src/entryDaemon.ts
+++ b/packages/runtime/src/entryDaemon.ts
@@ -15,6 +15,7 @@
 import { createEventLog } from "./logging.js";
 import { createMetrics } from "./metrics.js";
 import { systemSource } from "./randomSource.js";
+import { createTickMonitor } from "./tickMonitor.js";
 
 const tickInterval: Milliseconds = 50;
 /** How many silence timeouts a link may be down before the attempts on it count as lost. */
@@ -42,6 +43,7 @@
         sources: [runner.events.stream],
         tick: { kind: "tick" },
         tickInterval,
+        observeTick: createTickMonitor(tickInterval, log, metrics),
         reduce: (event, now) => reduceEntry(state, event, now, systemSource),
         perform: effect => runner.perform(effect),
         handleError: error => log("error", "loop_failed", { error: describeError(error) }),
--- a/packages/runtime/src/eventLoop.ts
+++ b/packages/runtime/src/eventLoop.ts
@@ -4,6 +4,7 @@
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import { from, mergeArray, periodic, type Stream } from "most";
+import type { ObserveTick } from "./tickMonitor.js";
 
 /** Passes the events of a process's I/O to its loop. */
 export interface EventChannel<Event> {
@@ -46,6 +47,8 @@
     /** The event that is processed at every tick interval. */
     readonly tick: Event;
     readonly tickInterval: Milliseconds;
+    /** Is called at every tick, before the reducer. */
+    readonly observeTick: ObserveTick;
     readonly reduce: (event: Event, now: Milliseconds) => readonly Effect[];
     readonly perform: (effect: Effect) => void;
     /** Is called with what `reduce` or `perform` throws; the loop goes on. */
@@ -56,7 +59,7 @@
  * Runs the loop until the process ends. An event that arrives while another is being processed is queued.
  *
  * @example
- * runLoop({ sources: [channel.stream], tick, tickInterval: 50, reduce, perform, handleError });
+ * runLoop({ sources: [channel.stream], tick, tickInterval: 50, observeTick, reduce, perform, handleError });
  */
 export function runLoop<Event, Effect>(options: LoopOptions<Event, Effect>): void {
     const pendingEvents: Event[] = [];
@@ -78,7 +81,11 @@
 
 function processEvent<Event, Effect>(options: LoopOptions<Event, Effect>, event: Event): void {
     try {
-        for (const effect of options.reduce(event, monotonicNow())) {
+        const now = monotonicNow();
+        if (event === options.tick) {
+            options.observeTick(now, Date.now());
+        }
+        for (const effect of options.reduce(event, now)) {
             options.perform(effect);
         }
     }
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -16,13 +16,14 @@
 import { type CallerAttemptId, identifier, type LogOffset, type Milliseconds } from "@verbenaspring/model";
 import type { BackendCodec } from "./backendChannels.js";
 import { type Daemon, describeError } from "./daemon.js";
-import { monotonicNow, runLoop } from "./eventLoop.js";
+import { runLoop } from "./eventLoop.js";
 import type { DecodeCallerHead } from "./gatewayCallerServer.js";
 import { GatewayRunner } from "./gatewayRunner.js";
 import { createEventLog, createLineWriter, type EventLog, type LogLevel } from "./logging.js";
 import { limitLogRate, logRateWindow } from "./logRateLimit.js";
 import { createMetrics } from "./metrics.js";
 import { systemSource } from "./randomSource.js";
+import { createTickMonitor } from "./tickMonitor.js";
 
 /**
  * Reads the platform's topics. The error of a rejected read has its cause in the field `failure`, which
@@ -98,18 +99,12 @@
     const runner = new GatewayRunner(options, state, adapter, log, metrics);
     await runner.listen();
     log("info", "started", { callers: options.callerAddress, readiness: options.readinessAddress });
-    let tickDueAt = monotonicNow();
     runLoop<GatewayEvent, GatewayEffect>({
         sources: [runner.events.stream],
         tick: { kind: "tick" },
         tickInterval,
-        reduce: (event, now) => {
-            if (event.kind === "tick") {
-                metrics.record("verbenaspring_loop_delay_milliseconds", Math.max(0, now - tickDueAt));
-                tickDueAt = now + tickInterval;
-            }
-            return reduceGateway(state, event, now, systemSource);
-        },
+        observeTick: createTickMonitor(tickInterval, log, metrics),
+        reduce: (event, now) => reduceGateway(state, event, now, systemSource),
         perform: effect => runner.perform(effect),
         handleError: error => log("error", "loop_failed", { error: describeError(error) }),
     });
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -23,4 +23,5 @@
 export * from "./randomSource.js";
 export * from "./sidecarDaemon.js";
 export * from "./socketAddress.js";
+export * from "./tickMonitor.js";
 export * from "./tracing.js";
--- a/packages/runtime/src/sidecarDaemon.ts
+++ b/packages/runtime/src/sidecarDaemon.ts
@@ -17,6 +17,7 @@
 import { createMetrics, type Metrics } from "./metrics.js";
 import { systemSource } from "./randomSource.js";
 import { SidecarRunner } from "./sidecarRunner.js";
+import { createTickMonitor } from "./tickMonitor.js";
 
 const tickInterval: Milliseconds = 50;
 
@@ -42,6 +43,7 @@
         sources: [runner.events.stream],
         tick: { kind: "tick" },
         tickInterval,
+        observeTick: createTickMonitor(tickInterval, log, metrics),
         reduce: (event, now) => reduceSidecar(state, event, now, systemSource),
         perform: effect => runner.perform(effect),
         handleError: error => log("error", "loop_failed", { error: describeError(error) }),
