runtime: ticks of the event loop follow the monotonic clock

Cause: ticks came from periodic() of most, whose scheduler compares Date.now with the time at which a task is due. When the time of day went back by 6 s, the next tick came 6 s late. Reads of the store, the takeover of reads, reports to other gateways, their reopening, timeouts of requests and planned stops all start on a tick; answers to callers don't, so the gateway stayed ready with an old view. Class of fault: a duration measured by the time of day. The test had 0 ticks in 400 ms after the clock went back. Change: ticks are pushed by setInterval, which is monotonic. The linter refuses most's timers and Date.now in runtime, cli and platform. Looked for elsewhere: no other use of most's timers or of Date.now in the shipped packages; of the libraries, connect-node's session manager compares Date.now only if a ping interval is set (none is), undici only in handlers not used.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -44,6 +44,20 @@
             "no-restricted-imports": ["error", { patterns: ["node:*"] }],
         },
     },
+    {
+        // The time of day may jump, so no timer and no duration depends on it.
+        files: ["packages/runtime/src/**", "packages/cli/src/**", "platform/src/**"],
+        rules: {
+            "no-restricted-properties": ["error", { object: "Date", property: "now" }],
+            "no-restricted-imports": ["error", {
+                paths: [{
+                    name: "most",
+                    importNames: ["periodic", "delay", "debounce", "throttle"],
+                    message: "These follow the time of day; use setInterval and setTimeout.",
+                }],
+            }],
+        },
+    },
     {
         files: ["**/*.cjs"],
         languageOptions: { sourceType: "commonjs", globals: { require: "readonly", module: "writable" } },
--- a/packages/runtime/src/eventLoop.ts
+++ b/packages/runtime/src/eventLoop.ts
@@ -3,7 +3,7 @@
  * effects are passed to a runner in order. Only the loop changes the reducer's state.
  */
 import type { Milliseconds } from "@verbenaspring/model";
-import { from, mergeArray, periodic, type Stream } from "most";
+import { from, mergeArray, type Stream } from "most";
 import type { ObserveTick } from "./tickMonitor.js";
 
 /** Passes the events of a process's I/O to its loop. */
@@ -75,15 +75,22 @@
         }
         isProcessing = false;
     };
-    const ticks = periodic(options.tickInterval).map(() => options.tick);
-    mergeArray([...options.sources, ticks]).observe(processInOrder).catch(options.handleError);
+    mergeArray([...options.sources, createTicks(options)]).observe(processInOrder).catch(options.handleError);
+}
+
+/** The first tick comes at once. The timers of `most` are not used, since they follow the time of day. */
+function createTicks<Event, Effect>({ tick, tickInterval }: LoopOptions<Event, Effect>): Stream<Event> {
+    const ticks = createEventChannel<Event>();
+    ticks.push(tick);
+    setInterval(() => ticks.push(tick), tickInterval);
+    return ticks.stream;
 }
 
 function processEvent<Event, Effect>(options: LoopOptions<Event, Effect>, event: Event): void {
     try {
         const now = monotonicNow();
         if (event === options.tick) {
-            options.observeTick(now, Date.now());
+            options.observeTick(now, timeOfDay());
         }
         for (const effect of options.reduce(event, now)) {
             options.perform(effect);
@@ -98,3 +105,9 @@
 export function monotonicNow(): Milliseconds {
     return performance.now();
 }
+
+/** Milliseconds since the Unix epoch, by a clock that may jump; nothing is timed by it. */
+function timeOfDay(): Milliseconds {
+    // eslint-disable-next-line no-restricted-properties
+    return Date.now();
+}
