gateway: limits that backend servers name are read and logged

The gateway now keeps what each server last named and logs request_limit_changed; a gauge counts the servers with a limit. A refusal with 421 and answers that are not the server's count for nothing, and an answer to an older request ends no limit. Nothing is decided by it yet.

--- a/packages/emulator/src/virtualCalls.ts
+++ b/packages/emulator/src/virtualCalls.ts
@@ -162,6 +162,7 @@
         isSealed: true,
         isNotRun: false,
         isEncoded: false,
+        requestLimit: undefined,
         isEventStream: false,
         endsWithChannel: false,
         headers: [],
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -13,6 +13,7 @@
 import type { AttemptFailure, GatewayEvent } from "./event.js";
 import { probeSilentServer, recordSignOfLife } from "./liveness.js";
 import type { BackendAnswer, ResponseHead } from "./messages.js";
+import { recordRequestLimit } from "./requestLimits.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
 import { canSendAgain, dispatch } from "./sending.js";
 import { removeLoad } from "./serverLoad.js";
@@ -42,6 +43,9 @@
         return;
     }
     const answerClass = classifyAnswer(request, answer);
+    if (isByServer(answerClass, answer)) {
+        recordRequestLimit(transaction, attempt, answer);
+    }
     recordHealth(
         transaction,
         attempt,
@@ -88,11 +92,20 @@
     return answer.status >= firstServerError || signalsNotRun(answer) ? "server_failed" : "delivered";
 }
 
+/** The status of a server that is not the one that was called, as when its address is used again. */
+const misdirectedStatus = 421;
+
+/** Whether an answer is certain to come from the attempt's server. */
+export function isByServer(answerClass: AnswerClass, { status }: ResponseHead): boolean {
+    return answerClass === "delivered" || answerClass === "server_failed"
+        || (answerClass === "not_run" && status !== misdirectedStatus);
+}
+
 /**
  * Statuses that tell a caller that its request did not run and never will. A server that did not run a request also
  * marks the head of its answer as not run. Without that mark the request may have run, so the answer is not passed on.
  */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const notRunStatuses: ReadonlySet<number> = new Set([408, misdirectedStatus, 429, 503]);
 
 function signalsNotRun({ status }: ResponseHead): boolean {
     return notRunStatuses.has(status);
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -254,6 +254,7 @@
     }
     if (change === "added" || change === "restarted") {
         state.health.set(id, createServerHealth());
+        state.requestLimits.delete(id);
     }
     const known = state.servers.get(id);
     if (change === "leaving" || change === "removed") {
@@ -269,7 +270,7 @@
 }
 
 function forgetRemovedServers({ state }: Transaction): void {
-    [state.health, state.liveness].forEach(entries =>
+    [state.health, state.liveness, state.requestLimits].forEach(entries =>
         [...entries.keys()].filter(id => !state.servers.has(id)).forEach(id => entries.delete(id))
     );
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,5 +6,6 @@
 export * from "./peerReport.js";
 export * from "./peers.js";
 export * from "./reducer.js";
+export * from "./requestLimits.js";
 export * from "./routingConfiguration.js";
 export * from "./state.js";
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -17,6 +17,7 @@
 import type { RequestHead, ResponseHead, RunReplica } from "./messages.js";
 import type { GatewayOptions } from "./options.js";
 import type { PeerLoad, TopicReadStamp } from "./peerReport.js";
+import type { RequestLimits } from "./requestLimits.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 
 /** One send of a request to a backend server, until its answer, its failure or its cancellation. */
@@ -167,6 +168,7 @@
     /** The number of runs and copies that were placed at engines. */
     placements: number;
     readonly liveness: Map<BackendServerId, ServerLiveness>;
+    readonly requestLimits: RequestLimits;
     /** Moving average of the time per token of a stream. */
     timePerToken: Milliseconds;
     /** Moving average of the prompt tokens that an engine processes in a millisecond. */
@@ -207,6 +209,7 @@
         loadsVersion: 0,
         placements: 0,
         liveness: new Map(),
+        requestLimits: new Map(),
         timePerToken: initialTimePerToken,
         prefillRate: initialPrefillRate,
         meanStreamDuration: initialStreamDuration,
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -3,12 +3,13 @@
  * continues after the last event: from the replica of its memory or, where the route allows it, as a new run.
  */
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
-import { type AttemptOutcome, classifyAnswer, endAttempt, recordHealth, retryOrFail } from "./attempts.js";
+import { type AttemptOutcome, classifyAnswer, endAttempt, isByServer, recordHealth, retryOrFail } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import type { DecisionFields } from "./effect.js";
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { migrateAfterFirstEvent } from "./migration.js";
+import { recordRequestLimit } from "./requestLimits.js";
 import { finishRequest, requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
@@ -33,6 +34,9 @@
         return;
     }
     const answerClass = classifyAnswer(request, head);
+    if (isByServer(answerClass, head)) {
+        recordRequestLimit(transaction, attempt, head);
+    }
     if (answerClass === "delivered") {
         attempt.head = head;
         return;
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -189,8 +189,9 @@
         return this.handle({ kind: "attemptFailed", attemptId: call.attemptId, failure: "channel_lost", wasSent });
     }
 
-    openStream(call: BackendCall): GatewayEffect[] {
-        return this.handle({ kind: "streamOpened", attemptId: call.attemptId, head: responseHead(call) });
+    openStream(call: BackendCall, overrides: Partial<ResponseHead> = {}): GatewayEffect[] {
+        const head = { ...responseHead(call), ...overrides };
+        return this.handle({ kind: "streamOpened", attemptId: call.attemptId, head });
     }
 
     receiveEvents(call: BackendCall, ...ids: readonly number[]): GatewayEffect[] {
@@ -252,6 +253,7 @@
         isSealed: true,
         isNotRun: false,
         isEncoded: false,
+        requestLimit: undefined,
         isEventStream: true,
         endsWithChannel: false,
         headers: [],
--- /dev/null
+++ b/packages/gateway/test/requestLimits.test.ts
@@ -0,0 +1,37 @@
+import { identifier } from "@verbenaspring/model";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { server, TestGateway } from "./gatewayBuilders.js";
+
+const limitOf = ({ state }: TestGateway, id: string): number | undefined =>
+    state.requestLimits.get(identifier(id))?.perSecond;
+
+test("the limit of the newest answer is in force, and an answer to an older request does not end it", () => {
+    const gateway = TestGateway.serving(server("plain-1"));
+    const [first, second] = [gateway.sendRequest("c1", "confirm"), gateway.sendRequest("c2", "confirm")];
+    gateway.now += 10;
+    gateway.answer(first, { requestLimit: 3 });
+    assert.is(limitOf(gateway, "plain-1"), 3);
+    gateway.answer(second);
+    assert.is(limitOf(gateway, "plain-1"), 3);
+    gateway.now += 1_000;
+    const third = gateway.sendRequest("c3", "confirm");
+    gateway.answer(third);
+    assert.is(limitOf(gateway, "plain-1"), undefined);
+});
+
+test("a limit is taken from refusals and streams, and not from answers of another server or unreadable ones", () => {
+    const gateway = TestGateway.serving(server("plain-1"), server("engine-2"));
+    const refused = { status: 503, isNotRun: true, isSealed: false };
+    gateway.answer(gateway.sendRequest("c1", "confirm"), { ...refused, requestLimit: 2 });
+    assert.is(limitOf(gateway, "plain-1"), 2);
+    gateway.now += 1_000;
+    gateway.answer(gateway.sendRequest("c2", "confirm"), { ...refused, status: 421, requestLimit: 7 });
+    gateway.answer(gateway.sendRequest("c3", "confirm"), { requestLimit: "unreadable" });
+    assert.is(limitOf(gateway, "plain-1"), 2);
+    const call = gateway.sendRequest("p1", "plan");
+    gateway.openStream(call, { requestLimit: 5 });
+    assert.is(limitOf(gateway, "engine-2"), 5);
+});
+
+test.run();
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -73,6 +73,10 @@
         metrics.gauge("verbenaspring_configuration_version", () => state.configuration?.version ?? 0);
         metrics.gauge("verbenaspring_peers_known", () => state.peers.size);
         metrics.gauge("verbenaspring_backend_servers_known", () => state.servers.size);
+        metrics.gauge(
+            "verbenaspring_backend_servers_limited",
+            () => [...state.requestLimits.values()].filter(({ perSecond }) => perSecond !== undefined).length,
+        );
         metrics.gauge("verbenaspring_backend_channels_opened", () => this.channels.openedChannelCount());
     }
 
