gateway: failing test of a limit that a backend server names (LIMIT)

Gateways that exchange reports, three plain servers, 40 requests a second; one server names a limit.

--- /dev/null
+++ b/packages/gateway/test/gatewayCluster.ts
@@ -0,0 +1,102 @@
+/**
+ * Gateways that exchange their reports without delay, and plain backend servers that answer after a fixed time.
+ */
+import type { BackendAnswer, BackendCall, BackendRecord, GatewayEffect, PeerReport } from "@verbenaspring/gateway";
+import { type Failure, identifier } from "@verbenaspring/model";
+import { callsIn, configuration, failuresIn, TestGateway } from "./gatewayBuilders.js";
+
+const stepDuration = 10;
+const tickDuration = 50;
+const answerTime = 20;
+
+/** A request that reached a server. */
+export interface Arrival {
+    readonly server: string;
+    readonly at: number;
+}
+
+interface PendingAnswer {
+    readonly gateway: TestGateway;
+    readonly call: BackendCall;
+    readonly dueAt: number;
+}
+
+/** A set of gateways on one clock. */
+export class GatewayCluster {
+    now = 1_000;
+    readonly arrivals: Arrival[] = [];
+    readonly failures: Failure[] = [];
+    readonly gateways: TestGateway[];
+    /** The answer of each server. */
+    answerOf: (server: string) => Partial<BackendAnswer> = () => ({});
+    private readonly byAddress: ReadonlyMap<string, TestGateway>;
+    private pendingAnswers: PendingAnswer[] = [];
+    private requests = 0;
+
+    constructor(size: number, servers: readonly BackendRecord[]) {
+        const addresses = Array.from({ length: size }, (_, index) => `10.1.0.${index + 1}:8748`);
+        const seedAddresses = addresses.map(address => identifier<never>(address));
+        this.gateways = addresses.map(address => new TestGateway({ peerAddress: identifier(address), seedAddresses }));
+        this.byAddress = new Map(this.gateways.map((gateway, index) => [addresses[index], gateway]));
+        for (const gateway of this.gateways) {
+            gateway.configure(configuration(1));
+            gateway.register(...servers);
+        }
+    }
+
+    /** Advances the clock while requests of the route arrive at a rate, at the gateways in turn. */
+    run(duration: number, routeName: string, requestsPerSecond: number): void {
+        const end = this.now + duration;
+        while (this.now < end) {
+            this.now += stepDuration;
+            this.gateways.forEach(gateway => gateway.now = this.now);
+            this.answerDueCalls();
+            const dueRequests = Math.floor(this.now * requestsPerSecond / 1_000)
+                - Math.floor((this.now - stepDuration) * requestsPerSecond / 1_000);
+            for (let count = 0; count < dueRequests; count++) {
+                const gateway = this.gateways[this.requests++ % this.gateways.length];
+                this.perform(gateway, gateway.receiveRequest(`r${this.requests}`, routeName));
+            }
+            if (this.now % tickDuration === 0) {
+                this.gateways.forEach(gateway => this.perform(gateway, gateway.handle({ kind: "tick" })));
+            }
+        }
+    }
+
+    /** The most requests that the server got in any span of the given length that begins at `from` or later. */
+    mostArrivals(server: string, span: number, from: number): number {
+        const times = this.arrivals.filter(arrival => arrival.server === server && arrival.at >= from).map(({ at }) =>
+            at
+        );
+        return Math.max(0, ...times.map(start => times.filter(at => at >= start && at < start + span).length));
+    }
+
+    private answerDueCalls(): void {
+        const due = this.pendingAnswers.filter(({ dueAt }) => dueAt <= this.now);
+        this.pendingAnswers = this.pendingAnswers.filter(({ dueAt }) => dueAt > this.now);
+        due.forEach(({ gateway, call }) =>
+            this.perform(gateway, gateway.answer(call, this.answerOf(call.backendServer)))
+        );
+    }
+
+    private perform(gateway: TestGateway, effects: readonly GatewayEffect[]): void {
+        this.failures.push(...failuresIn(effects));
+        for (const call of callsIn(effects)) {
+            this.arrivals.push({ server: call.backendServer, at: this.now });
+            this.pendingAnswers.push({ gateway, call, dueAt: this.now + answerTime });
+        }
+        for (const effect of effects) {
+            if (effect.kind === "sendReport" || effect.kind === "openPeerLink") {
+                this.deliver(effect.address, effect.report);
+            }
+        }
+    }
+
+    private deliver(address: string, report: PeerReport): void {
+        const receiver = this.byAddress.get(address);
+        if (receiver !== undefined) {
+            const items = { configuration: [], backendServers: [] };
+            this.perform(receiver, receiver.handle({ kind: "peerReported", report, items }));
+        }
+    }
+}
--- a/packages/gateway/test/requestLimits.test.ts
+++ b/packages/gateway/test/requestLimits.test.ts
@@ -2,6 +2,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { server, TestGateway } from "./gatewayBuilders.js";
+import { GatewayCluster } from "./gatewayCluster.js";
 
 const limitOf = ({ state }: TestGateway, id: string): number | undefined =>
     state.requestLimits.get(identifier(id))?.perSecond;
@@ -34,4 +35,23 @@
     assert.is(limitOf(gateway, "engine-2"), 5);
 });
 
+/** By the platform's rule: one and a half times the limit over four seconds, and five requests more. */
+const allowedIn4Seconds = (perSecond: number): number => 1.5 * 4 * perSecond + 5;
+
+// A server that had named a limit got its full share of the requests (LIMIT).
+test("all gateways together keep the limit of a server", () => {
+    for (const [size, perSecond] of [[5, 1.4], [5, 0], [5, 12], [1, 0.5], [29, 1.4], [29, 6]] as const) {
+        const cluster = new GatewayCluster(size, [server("plain-1"), server("plain-2"), server("plain-3")]);
+        cluster.run(2_000, "confirm", 40);
+        cluster.answerOf = id => id === "plain-1" ? { requestLimit: perSecond } : {};
+        cluster.run(3_000, "confirm", 40);
+        const limitedSince = cluster.now;
+        cluster.run(12_000, "confirm", 40);
+        const most = cluster.mostArrivals("plain-1", 4_000, limitedSince);
+        const allowed = allowedIn4Seconds(perSecond);
+        assert.ok(most <= allowed, `${size} gateways, limit ${perSecond}: ${most} in 4 s, ${allowed} are allowed`);
+        assert.is(cluster.failures.length, 0, "the other servers take the requests");
+    }
+});
+
 test.run();
