gateway: the limit that a backend server names is kept by all gateways together

A limit over all gateways also needs what no gateway had: a share of its own. Change: each gateway may send its share, from its rank among the gateways heard from in the last ten seconds. Only the first 4 + limit of them have one, so that the requests sent at once by all stay few: over four seconds at most 4 + 5 x limit, where 5 + 6 x limit are allowed; the rest is a margin for gateways that count each other differently for a moment. Gateways report what servers told them, so that those that were not told keep the limit as well. New requests, repeats, hedged calls and continued streams all count. A service whose servers are all at their limits refuses at once, with the time to come back. Looked for elsewhere: other sends that passed by a check of the target are the continuation from a replica and from a migration, and a hedged call that was withdrawn before another server could take it; all three ask now.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./linkMessages.js";
 export * from "./placement.js";
 export * from "./randomSource.js";
+export * from "./requestLimit.js";
 export * from "./retry.js";
 export * from "./retryBudget.js";
 export * from "./routing.js";
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -15,7 +15,7 @@
 import type { BackendAnswer, ResponseHead } from "./messages.js";
 import { recordRequestLimit } from "./requestLimits.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
-import { canSendAgain, dispatch } from "./sending.js";
+import { canDispatchAgain, dispatch } from "./sending.js";
 import { removeLoad } from "./serverLoad.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { continueFromReplica } from "./streams.js";
@@ -154,7 +154,7 @@
     const { isIdempotent, canResume, maximumAttempts } = request.route;
     const mayRunAgain = request.possibleRuns === 0
         || ((isIdempotent || canResume) && request.possibleRuns < maximumAttempts);
-    if (mayRunAgain && canSendAgain(transaction, request)) {
+    if (mayRunAgain && canDispatchAgain(transaction, request)) {
         return dispatch(transaction, request);
     }
     if (answer !== undefined && !request.isHeadWritten && !signalsNotRun(answer)) {
@@ -241,7 +241,7 @@
         silenceTimeoutShare * (request.deadline - attempt.startedAt),
     );
     const canRepeat = route.isIdempotent && request.possibleRuns < route.maximumAttempts;
-    if (now - attempt.startedAt >= timeout && canRepeat && canSendAgain(transaction, request)) {
+    if (now - attempt.startedAt >= timeout && canRepeat && canDispatchAgain(transaction, request)) {
         abandonAttempt(transaction, request, attempt);
     }
 }
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -131,7 +131,8 @@
     const { result } = event;
     const target = attempt.migrationTarget;
     const known = transaction.state.servers.get(target.record.id);
-    const canContinue = result.kind === "moved" && known !== undefined && acceptsTakeover(known, transaction.now);
+    const canContinue = result.kind === "moved" && known !== undefined
+        && acceptsTakeover(transaction.state, known, transaction.now);
     logDecision(transaction, "info", "move_answered", {
         ...requestFields(transaction, request),
         target: target.record.id,
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -16,6 +16,15 @@
     readonly waitingTokens: number;
 }
 
+/** The limit that a backend server told the gateway. */
+export interface PeerRequestLimit {
+    readonly backendServer: BackendServerId;
+    /** Requests a second from all gateways together; undefined if the server named none any more. */
+    readonly perSecond: number | undefined;
+    /** The time since the answer that said so. */
+    readonly age: Milliseconds;
+}
+
 /** Identifies one read of a topic: the gateway that read, and how many reads it had made by then. */
 export interface TopicReadStamp {
     readonly reader: GatewayIncarnation;
@@ -50,6 +59,8 @@
     readonly isFull: boolean;
     /** The number of its requests that wait for capacity at an engine. */
     readonly waitingRequests: number;
+    /** The limits of all servers that told it of one, and of those that named none any more. */
+    readonly requestLimits: readonly PeerRequestLimit[];
 }
 
 /** The items of a report, decoded. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -7,6 +7,7 @@
 import type { GatewayEvent, TopicName } from "./event.js";
 import { applyItems, recordFreshness } from "./followers.js";
 import type { PeerLoad, PeerReport, PeerTopic } from "./peerReport.js";
+import { applyPeerLimit, reportedLimits } from "./requestLimits.js";
 import { engineOf } from "./serverLoad.js";
 import type { GatewayState, Peer } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -23,6 +24,8 @@
 const placementIntervalPerPeer: Milliseconds = 0.5;
 /** A peer without a report for this long counts as dead, and its link is closed. */
 const silenceTimeout: Milliseconds = 1_500;
+/** A peer without a report for this long is assumed to have stopped, and not just to be out of reach. */
+const outOfReachTimeout: Milliseconds = 10_000;
 const minimumReopenDelay: Milliseconds = 200;
 const maximumReopenDelay: Milliseconds = 2_000;
 /** A peer that is not a seed is forgotten after this many failed links in a row. */
@@ -34,6 +37,13 @@
     return [...state.peers.values()].filter(peer => isLive(peer, now));
 }
 
+/** The other gateways that are alive, or were a moment ago: one that is out of reach may still send requests. */
+export function recentPeers(state: GatewayState, now: Milliseconds): readonly Peer[] {
+    return [...state.peers.values()].filter(({ lastReportAt }) =>
+        lastReportAt !== undefined && now - lastReportAt <= outOfReachTimeout
+    );
+}
+
 /** The number of live gateways, including this one. */
 export function countLiveInstances(state: GatewayState, now: Milliseconds): number {
     return livePeers(state, now).length + 1;
@@ -183,6 +193,7 @@
         loads,
         isFull,
         waitingRequests: state.waiting.size,
+        requestLimits: reportedLimits(state, now),
     };
 }
 
@@ -260,6 +271,7 @@
     const previous = report.isFull ? [] : peer.loads;
     peer.loads = new Map([...previous, ...report.loads.map(load => [load.backendServer, load] as const)]);
     report.topics.forEach(topic => handlePeerTopic(transaction, peer, topic, items));
+    report.requestLimits.forEach(limit => applyPeerLimit(transaction, limit));
 }
 
 function handlePeerTopic(
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -13,6 +13,7 @@
 import { handleMigrationAnswered } from "./migration.js";
 import type { GatewayOptions } from "./options.js";
 import { handlePeerLinkClosed, handlePeerReport, maintainPeers, reportPlacements } from "./peers.js";
+import { updateLimitShares } from "./requestLimits.js";
 import { handleCallerLeft, handleRequest } from "./requests.js";
 import type { GatewayState } from "./state.js";
 import { handleStreamEnded, handleStreamEvents, handleStreamOpened } from "./streams.js";
@@ -50,6 +51,7 @@
         case "tick":
             maintainPeers(transaction);
             startDueReads(transaction);
+            updateLimitShares(transaction);
             checkRequests(transaction);
             checkWaitingRequests(transaction);
             return checkStop(transaction);
--- a/packages/gateway/src/requestLimits.ts
+++ b/packages/gateway/src/requestLimits.ts
@@ -1,10 +1,22 @@
 /**
  * The limits that backend servers in need name in their answers: the requests a second that a server takes from all
- * gateways together.
+ * gateways together. Gateways report to each other what the servers told them, and each sends its share.
  */
-import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
+import {
+    createAllowance,
+    type LimitShare,
+    limitShare,
+    type RequestAllowance,
+    spendAllowance,
+    taskRank,
+    timeUntilAllowed,
+    updateAllowance,
+} from "@verbenaspring/coordination";
+import type { BackendServerId, Milliseconds, ServiceName } from "@verbenaspring/model";
 import type { ResponseHead } from "./messages.js";
-import type { Attempt } from "./state.js";
+import type { PeerRequestLimit } from "./peerReport.js";
+import { recentPeers, reportToPeers } from "./peers.js";
+import type { Attempt, GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 /** What a server last said about its limit. */
@@ -12,11 +24,21 @@
     /** Undefined if the server named none any more. */
     readonly perSecond: number | undefined;
     readonly observedAt: Milliseconds;
+    /** Whether the server told this gateway, and not another one. */
+    readonly isOwnObservation: boolean;
+    /** What this gateway may send while there is a limit. */
+    readonly allowance: RequestAllowance;
 }
 
 /** The limits of servers that named one at any time. Owned and changed by the event loop. */
 export type RequestLimits = Map<BackendServerId, RequestLimit>;
 
+type Observation = Pick<RequestLimit, "perSecond" | "observedAt" | "isOwnObservation">;
+
+/** How often the shares follow changes of the gateways that are alive. */
+const shareUpdateInterval: Milliseconds = 500;
+const noShare: LimitShare = { perSecond: 0, burst: 0 };
+
 /**
  * Records the limit that an answer of the attempt's server names. An answer that names none ends the limit, unless its
  * request was sent before the limit was last named: answers may overtake each other.
@@ -31,14 +53,106 @@
     if (requestLimit === undefined && (known === undefined || attempt.startedAt < known.observedAt)) {
         return;
     }
-    setRequestLimit(transaction, id, { perSecond: requestLimit, observedAt: now });
+    setRequestLimit(transaction, id, { perSecond: requestLimit, observedAt: now, isOwnObservation: true });
+    if ((requestLimit === undefined) !== (known?.perSecond === undefined)) {
+        reportToPeers(transaction);
+    }
 }
 
-function setRequestLimit(transaction: Transaction, id: BackendServerId, limit: RequestLimit): void {
-    const { requestLimits } = transaction.state;
-    const previous = requestLimits.get(id)?.perSecond;
-    requestLimits.set(id, limit);
-    if (limit.perSecond !== previous) {
-        logDecision(transaction, "info", "request_limit_changed", { server: id, limit: limit.perSecond, previous });
+/** Applies a limit that another gateway was told of, if it is newer than the known one. */
+export function applyPeerLimit(
+    transaction: Transaction,
+    { backendServer, perSecond, age }: PeerRequestLimit,
+): void {
+    const { state: { requestLimits, servers }, now } = transaction;
+    const observedAt = now - age;
+    const known = requestLimits.get(backendServer);
+    if (servers.has(backendServer) && (known === undefined || known.observedAt < observedAt)) {
+        setRequestLimit(transaction, backendServer, { perSecond, observedAt, isOwnObservation: false });
     }
 }
+
+function setRequestLimit(transaction: Transaction, id: BackendServerId, observation: Observation): void {
+    const { state, now } = transaction;
+    const previous = state.requestLimits.get(id);
+    const { perSecond } = observation;
+    const share = shareOf(state, id, perSecond, now);
+    const allowance = previous?.perSecond === undefined
+        ? createAllowance(share, now)
+        : updateAllowance(previous.allowance, share, now);
+    state.requestLimits.set(id, { ...observation, allowance });
+    if (perSecond !== previous?.perSecond) {
+        logDecision(transaction, "info", "request_limit_changed", {
+            server: id,
+            limit: perSecond,
+            previous: previous?.perSecond,
+            share: Math.round(100 * share.perSecond) / 100,
+            isOwnObservation: observation.isOwnObservation,
+        });
+    }
+}
+
+/** Updates the shares of this gateway when others have started or stopped. */
+export function updateLimitShares({ state, now }: Transaction): void {
+    for (const [id, limit] of state.requestLimits) {
+        if (limit.perSecond !== undefined && now - limit.allowance.updatedAt >= shareUpdateInterval) {
+            const share = shareOf(state, id, limit.perSecond, now);
+            state.requestLimits.set(id, { ...limit, allowance: updateAllowance(limit.allowance, share, now) });
+        }
+    }
+}
+
+function shareOf(
+    state: GatewayState,
+    id: BackendServerId,
+    perSecond: number | undefined,
+    now: Milliseconds,
+): LimitShare {
+    if (perSecond === undefined) {
+        return noShare;
+    }
+    const others = recentPeers(state, now).map(({ address }) => address);
+    return limitShare(perSecond, taskRank(state.options.peerAddress, others, id), others.length + 1);
+}
+
+/** Counts a request that is sent to a server towards its limit. */
+export function spendRequest({ requestLimits }: GatewayState, id: BackendServerId, now: Milliseconds): void {
+    const limit = requestLimits.get(id);
+    if (limit?.perSecond !== undefined) {
+        requestLimits.set(id, { ...limit, allowance: spendAllowance(limit.allowance, now) });
+    }
+}
+
+/** Whether a server names a limit. */
+export function isLimited({ requestLimits }: GatewayState, id: BackendServerId): boolean {
+    return requestLimits.get(id)?.perSecond !== undefined;
+}
+
+/** Whether the limit of a server, if it names one, allows this gateway to send a request now. */
+export function isWithinLimit({ requestLimits }: GatewayState, id: BackendServerId, now: Milliseconds): boolean {
+    const limit = requestLimits.get(id);
+    return limit?.perSecond === undefined || timeUntilAllowed(limit.allowance, now) === 0;
+}
+
+/**
+ * The time until the limits of a service's servers allow this gateway another request; undefined if none of them names
+ * a limit, infinite if this gateway has no share of any.
+ */
+export function timeUntilWithinLimit(
+    { requestLimits, serversByService }: GatewayState,
+    service: ServiceName,
+    now: Milliseconds,
+): Milliseconds | undefined {
+    const limits = (serversByService.get(service) ?? []).flatMap(id => requestLimits.get(id) ?? []);
+    const waits = limits
+        .filter(({ perSecond }) => perSecond !== undefined)
+        .map(({ allowance }) => timeUntilAllowed(allowance, now));
+    return waits.length === 0 ? undefined : Math.min(...waits);
+}
+
+/** The limits that servers told this gateway, as they are reported to the others. */
+export function reportedLimits({ requestLimits }: GatewayState, now: Milliseconds): PeerRequestLimit[] {
+    return [...requestLimits]
+        .filter(([, { isOwnObservation }]) => isOwnObservation)
+        .map(([backendServer, { perSecond, observedAt }]) => ({ backendServer, perSecond, age: now - observedAt }));
+}
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -12,6 +12,7 @@
 import type { BackendServer } from "./backendServers.js";
 import type { RunReplica } from "./messages.js";
 import { countKnownInstances } from "./peers.js";
+import { spendRequest, timeUntilWithinLimit } from "./requestLimits.js";
 import { failRequest, requestFields } from "./requests.js";
 import {
     addLoad,
@@ -36,6 +37,8 @@
 const minimumTimeForSend: Milliseconds = 20;
 /** The `retryAfter` where a service has no usable server. */
 const noServerRetryAfter: Milliseconds = 500;
+/** The longest `retryAfter` where servers limit their requests: another gateway may be allowed one sooner. */
+const maximumLimitRetryAfter: Milliseconds = 1_000;
 
 /** The server of an attempt, and the replica from which it continues an earlier run. */
 export interface Placement {
@@ -61,11 +64,20 @@
     }
     const server = chooseServer(eligible, candidate => placementView(state, candidate, now), source.random);
     if (server === undefined) {
-        return failRequest(transaction, request, "no_backend_server", "the service has no server", noServerRetryAfter);
+        return failWithoutServer(transaction, request);
     }
     sendTo(transaction, request, { server, continuesFrom: undefined });
 }
 
+function failWithoutServer(transaction: Transaction, request: GatewayRequest): void {
+    const wait = timeUntilWithinLimit(transaction.state, request.service, transaction.now);
+    if (wait === undefined) {
+        return failRequest(transaction, request, "no_backend_server", "the service has no server", noServerRetryAfter);
+    }
+    const retryAfter = Math.min(wait, maximumLimitRetryAfter);
+    failRequest(transaction, request, "overloaded", "the servers of the service limit their requests", retryAfter);
+}
+
 /** Sends a request to the given server, and counts the attempt in the loads and the retry budget. */
 export function sendTo(transaction: Transaction, request: GatewayRequest, placement: Placement): void {
     const { state, now, source, effects } = transaction;
@@ -96,6 +108,7 @@
     request.possibleRuns++;
     request.triedServers.add(server.record.id);
     state.attempts.set(attempt.id, request);
+    spendRequest(state, server.record.id, now);
     logDecision(transaction, "debug", "attempt_sent", {
         ...requestFields(transaction, request),
         replica: replica?.record.id,
@@ -142,6 +155,12 @@
     return chooseReplicaHost(others, other => replicaView(state, other, server, now), share, source.random);
 }
 
+/** Whether the request may be sent again and a server accepts it. */
+export function canDispatchAgain(transaction: Transaction, request: GatewayRequest): boolean {
+    return canSendAgain(transaction, request)
+        && usableServers(transaction.state, request.service, transaction.now).length > 0;
+}
+
 /** Whether the deadline, the number of sends and the retry budget allow another send. */
 export function canSendAgain({ state, now }: Transaction, request: GatewayRequest): boolean {
     const share = { instances: countKnownInstances(state), uptime: now - (state.startedAt ?? now) };
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -12,6 +12,7 @@
 import type { DecisionFields } from "./effect.js";
 import { expectedOutput } from "./messages.js";
 import { peerLoad } from "./peers.js";
+import { isLimited, isWithinLimit } from "./requestLimits.js";
 import type { EngineCapabilities } from "./routingConfiguration.js";
 import type { Attempt, GatewayRequest, GatewayState, ServerLoad } from "./state.js";
 
@@ -24,18 +25,21 @@
 /** The share of its expected output that a run holds in memory, averaged over its duration. */
 const averageOutputShare = 0.5;
 
-/** The servers of a service that accept new work and are not ejected. */
+/** The servers of a service that accept new work, allow another request by their limit, and are not ejected. */
 export function usableServers(state: GatewayState, service: ServiceName, now: Milliseconds): readonly BackendServer[] {
     const ids = state.serversByService.get(service) ?? [];
     const known = ids.flatMap(id => state.servers.get(id) ?? []);
     const ready = known.filter(server => server.leavingSince === undefined);
     const usable = ready.length > 0 ? ready : known.filter(server => hasJustLapsed(server, now));
-    return withoutEjected(usable, ({ record }) => state.health.get(record.id), now);
+    const allowed = usable.filter(({ record }) => isWithinLimit(state, record.id, now));
+    return withoutEjected(allowed, ({ record }) => state.health.get(record.id), now);
 }
 
-/** The other usable servers of the same service: candidates for a replica or a migration. */
+/** The other usable servers of the same service that name no limit: candidates for a replica or a migration. */
 export function otherServers(state: GatewayState, { record }: BackendServer, now: Milliseconds): BackendServer[] {
-    return usableServers(state, record.service, now).filter(other => other.record.id !== record.id);
+    return usableServers(state, record.service, now).filter(other =>
+        other.record.id !== record.id && !isLimited(state, other.record.id)
+    );
 }
 
 /** Whether the registration lapsed a moment ago without an announced stop, as happens when the store is unavailable. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -9,7 +9,7 @@
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { migrateAfterFirstEvent } from "./migration.js";
-import { recordRequestLimit } from "./requestLimits.js";
+import { isWithinLimit, recordRequestLimit } from "./requestLimits.js";
 import { finishRequest, requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
@@ -215,16 +215,20 @@
 
 /** The holder of a run's replica, if it is still registered as the same incarnation and accepts the run. */
 export function usableReplica(
-    { servers }: GatewayState,
+    state: GatewayState,
     { replica }: Attempt,
     now: Milliseconds,
 ): BackendServer | undefined {
-    const known = replica === undefined ? undefined : servers.get(replica.record.id);
+    const known = replica === undefined ? undefined : state.servers.get(replica.record.id);
     const isSame = known?.incarnation === replica?.incarnation && known?.removedAt === undefined;
-    return known !== undefined && isSame && acceptsTakeover(known, now) ? known : undefined;
+    return known !== undefined && isSame && acceptsTakeover(state, known, now) ? known : undefined;
 }
 
 /** Whether a server accepts streams that would otherwise be lost. */
-export function acceptsTakeover({ leavingSince }: BackendServer, now: Milliseconds): boolean {
-    return leavingSince === undefined || now - leavingSince <= takeoverWindow;
+export function acceptsTakeover(
+    state: GatewayState,
+    { record, leavingSince }: BackendServer,
+    now: Milliseconds,
+): boolean {
+    return (leavingSince === undefined || now - leavingSince <= takeoverWindow) && isWithinLimit(state, record.id, now);
 }
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -221,6 +221,7 @@
                 loads: [],
                 isFull: true,
                 waitingRequests: 0,
+                requestLimits: [],
                 ...report,
             },
             items: { configuration: [], backendServers: [], ...items },
--- a/packages/gateway/test/gatewayCluster.ts
+++ b/packages/gateway/test/gatewayCluster.ts
@@ -2,7 +2,7 @@
  * Gateways that exchange their reports without delay, and plain backend servers that answer after a fixed time.
  */
 import type { BackendAnswer, BackendCall, BackendRecord, GatewayEffect, PeerReport } from "@verbenaspring/gateway";
-import { type Failure, identifier } from "@verbenaspring/model";
+import { type Failure, identifier, type PeerAddress } from "@verbenaspring/model";
 import { callsIn, configuration, failuresIn, TestGateway } from "./gatewayBuilders.js";
 
 const stepDuration = 10;
@@ -29,21 +29,37 @@
     readonly gateways: TestGateway[];
     /** The answer of each server. */
     answerOf: (server: string) => Partial<BackendAnswer> = () => ({});
+    /** Only the first ones get requests, tick and send reports; the others have not started, or have stopped. */
+    gatewaysInUse: number;
+    private readonly isolated = new Set<number>();
     private readonly byAddress: ReadonlyMap<string, TestGateway>;
     private pendingAnswers: PendingAnswer[] = [];
     private requests = 0;
 
     constructor(size: number, servers: readonly BackendRecord[]) {
         const addresses = Array.from({ length: size }, (_, index) => `10.1.0.${index + 1}:8748`);
-        const seedAddresses = addresses.map(address => identifier<never>(address));
-        this.gateways = addresses.map(address => new TestGateway({ peerAddress: identifier(address), seedAddresses }));
+        const seedAddresses = addresses.map(address => identifier<PeerAddress>(address));
+        this.gateways = addresses.map(address =>
+            new TestGateway({ peerAddress: identifier<PeerAddress>(address), seedAddresses })
+        );
         this.byAddress = new Map(this.gateways.map((gateway, index) => [addresses[index], gateway]));
+        this.gatewaysInUse = size;
         for (const gateway of this.gateways) {
             gateway.configure(configuration(1));
             gateway.register(...servers);
         }
     }
 
+    /** Loses all reports from and to a gateway. */
+    isolate(index: number): void {
+        this.isolated.add(index);
+    }
+
+    /** Ends {@link isolate}. */
+    rejoin(index: number): void {
+        this.isolated.delete(index);
+    }
+
     /** Advances the clock while requests of the route arrive at a rate, at the gateways in turn. */
     run(duration: number, routeName: string, requestsPerSecond: number): void {
         const end = this.now + duration;
@@ -54,11 +70,13 @@
             const dueRequests = Math.floor(this.now * requestsPerSecond / 1_000)
                 - Math.floor((this.now - stepDuration) * requestsPerSecond / 1_000);
             for (let count = 0; count < dueRequests; count++) {
-                const gateway = this.gateways[this.requests++ % this.gateways.length];
+                const gateway = this.gateways[this.requests++ % this.gatewaysInUse];
                 this.perform(gateway, gateway.receiveRequest(`r${this.requests}`, routeName));
             }
             if (this.now % tickDuration === 0) {
-                this.gateways.forEach(gateway => this.perform(gateway, gateway.handle({ kind: "tick" })));
+                this.gateways.slice(0, this.gatewaysInUse).forEach(gateway =>
+                    this.perform(gateway, gateway.handle({ kind: "tick" }))
+                );
             }
         }
     }
@@ -87,16 +105,21 @@
         }
         for (const effect of effects) {
             if (effect.kind === "sendReport" || effect.kind === "openPeerLink") {
-                this.deliver(effect.address, effect.report);
+                this.deliver(gateway, effect.address, effect.report);
             }
         }
     }
 
-    private deliver(address: string, report: PeerReport): void {
+    private deliver(sender: TestGateway, address: string, report: PeerReport): void {
         const receiver = this.byAddress.get(address);
-        if (receiver !== undefined) {
+        if (receiver !== undefined && this.isReachable(sender) && this.isReachable(receiver)) {
             const items = { configuration: [], backendServers: [] };
             this.perform(receiver, receiver.handle({ kind: "peerReported", report, items }));
         }
     }
+
+    private isReachable(gateway: TestGateway): boolean {
+        const index = this.gateways.indexOf(gateway);
+        return index < this.gatewaysInUse && !this.isolated.has(index);
+    }
 }
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -10,7 +10,7 @@
 
 /** Converts a report to a message. */
 export function encodeReport(report: PeerReport): ReportInit {
-    const { address, incarnation, members, isStopping, topics, loads, isFull, waitingRequests } = report;
+    const { address, incarnation, members, isStopping, topics, loads, isFull, waitingRequests, requestLimits } = report;
     return {
         address,
         incarnation,
@@ -34,12 +34,14 @@
             })),
         })),
         loads: loads.map(load => ({ $typeName: "verbenaspring.v1.PeerLoad", ...load })),
+        requestLimits: requestLimits.map(limit => ({ $typeName: "verbenaspring.v1.PeerRequestLimit", ...limit })),
     };
 }
 
 /** Converts a message to a report. */
 export function decodeReport(message: PeerReportMessage): PeerReport {
-    const { address, incarnation, members, isStopping, topics, loads, isFull, waitingRequests } = message;
+    const { address, incarnation, members, isStopping, topics, loads, isFull, waitingRequests, requestLimits } =
+        message;
     return {
         address: identifier(address),
         incarnation: identifier(incarnation),
@@ -56,5 +58,10 @@
             items,
         })),
         loads: loads.map(load => ({ ...load, backendServer: identifier(load.backendServer) })),
+        requestLimits: requestLimits.map(({ backendServer, perSecond, age }) => ({
+            backendServer: identifier(backendServer),
+            perSecond,
+            age,
+        })),
     };
 }
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -41,6 +41,10 @@
                 waitingTokens: 0,
             },
         ],
+        requestLimits: [
+            { backendServer: identifier("i-1"), perSecond: 1.4, age: 20 },
+            { backendServer: identifier("i-2"), perSecond: undefined, age: 30 },
+        ],
     };
     const bytes = toBinary(PeerReportSchema, create(PeerReportSchema, encodeReport(report)));
     const { $typeName, ...decoded } = decodeReport(fromBinary(PeerReportSchema, bytes)) as PeerReport & {
