--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -59,7 +59,7 @@
     readonly isFull: boolean;
     /** The number of its requests that wait for capacity at an engine. */
     readonly waitingRequests: number;
-    /** The limits of all servers that told it of one, and of those that named none any more. */
+    /** What servers told it of their limits since its last report on the link. */
     readonly requestLimits: readonly PeerRequestLimit[];
 }
 
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -7,7 +7,7 @@
 import type { GatewayEvent, TopicName } from "./event.js";
 import { applyItems, recordFreshness } from "./followers.js";
 import type { PeerLoad, PeerReport, PeerTopic } from "./peerReport.js";
-import { applyPeerLimit, reportedLimits } from "./requestLimits.js";
+import { applyPeerLimit, newlyObservedLimits } from "./requestLimits.js";
 import { engineOf } from "./serverLoad.js";
 import type { GatewayState, Peer } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -137,6 +137,7 @@
     peer.openedAt = now;
     peer.sentAt = now;
     peer.sentLoads.clear();
+    peer.sentLimitsAt = -Infinity;
     peer.through = unknownOffsets;
 }
 
@@ -159,6 +160,7 @@
         sentLoadsVersion: 0,
         sentPlacements: 0,
         sentWaitingRequests: 0,
+        sentLimitsAt: -Infinity,
         sentLoads: new Map(),
         through: unknownOffsets,
         loads: new Map(),
@@ -177,6 +179,8 @@
     peer.sentLoadsVersion = state.loadsVersion;
     peer.sentPlacements = state.placements;
     peer.sentWaitingRequests = state.waiting.size;
+    const requestLimits = newlyObservedLimits(state, peer.sentLimitsAt, now);
+    peer.sentLimitsAt = now;
     const topics = topicNames.map(name => createTopicReport(state, name, peer, now));
     if (peer.link === "open") {
         peer.through = {
@@ -193,7 +197,7 @@
         loads,
         isFull,
         waitingRequests: state.waiting.size,
-        requestLimits: reportedLimits(state, now),
+        requestLimits,
     };
 }
 
--- a/packages/gateway/src/requestLimits.ts
+++ b/packages/gateway/src/requestLimits.ts
@@ -26,17 +26,26 @@
     readonly observedAt: Milliseconds;
     /** Whether the server told this gateway, and not another one. */
     readonly isOwnObservation: boolean;
+    /** This gateway's place among those that send to the server; undefined without a limit. */
+    readonly standing: Standing | undefined;
     /** What this gateway may send while there is a limit. */
     readonly allowance: RequestAllowance;
 }
 
+/** The rank of a gateway among those that are assumed to send. */
+interface Standing {
+    readonly rank: number;
+    readonly instances: number;
+    readonly countedAt: Milliseconds;
+}
+
 /** The limits of servers that named one at any time. Owned and changed by the event loop. */
 export type RequestLimits = Map<BackendServerId, RequestLimit>;
 
 type Observation = Pick<RequestLimit, "perSecond" | "observedAt" | "isOwnObservation">;
 
 /** How often the shares follow changes of the gateways that are alive. */
-const shareUpdateInterval: Milliseconds = 500;
+const standingUpdateInterval: Milliseconds = 500;
 const noShare: LimitShare = { perSecond: 0, burst: 0 };
 
 /**
@@ -76,11 +85,12 @@
     const { state, now } = transaction;
     const previous = state.requestLimits.get(id);
     const { perSecond } = observation;
-    const share = shareOf(state, id, perSecond, now);
+    const standing = perSecond === undefined ? undefined : previous?.standing ?? standingFor(state, id, now);
+    const share = perSecond === undefined || standing === undefined ? noShare : shareOf(perSecond, standing);
     const allowance = previous?.perSecond === undefined
         ? createAllowance(share, now)
         : updateAllowance(previous.allowance, share, now);
-    state.requestLimits.set(id, { ...observation, allowance });
+    state.requestLimits.set(id, { ...observation, standing, allowance });
     if (perSecond !== previous?.perSecond) {
         logDecision(transaction, "info", "request_limit_changed", {
             server: id,
@@ -95,24 +105,23 @@
 /** Updates the shares of this gateway when others have started or stopped. */
 export function updateLimitShares({ state, now }: Transaction): void {
     for (const [id, limit] of state.requestLimits) {
-        if (limit.perSecond !== undefined && now - limit.allowance.updatedAt >= shareUpdateInterval) {
-            const share = shareOf(state, id, limit.perSecond, now);
-            state.requestLimits.set(id, { ...limit, allowance: updateAllowance(limit.allowance, share, now) });
+        const { perSecond, standing } = limit;
+        if (perSecond !== undefined && standing !== undefined && now - standing.countedAt >= standingUpdateInterval) {
+            const newStanding = standingFor(state, id, now);
+            const allowance = updateAllowance(limit.allowance, shareOf(perSecond, newStanding), now);
+            state.requestLimits.set(id, { ...limit, standing: newStanding, allowance });
         }
     }
 }
 
-function shareOf(
-    state: GatewayState,
-    id: BackendServerId,
-    perSecond: number | undefined,
-    now: Milliseconds,
-): LimitShare {
-    if (perSecond === undefined) {
-        return noShare;
-    }
+function standingFor(state: GatewayState, id: BackendServerId, now: Milliseconds): Standing {
     const others = recentPeers(state, now).map(({ address }) => address);
-    return limitShare(perSecond, taskRank(state.options.peerAddress, others, id), others.length + 1);
+    const rank = taskRank(state.options.peerAddress, others, id);
+    return { rank, instances: others.length + 1, countedAt: now };
+}
+
+function shareOf(perSecond: number, { rank, instances }: Standing): LimitShare {
+    return limitShare(perSecond, rank, instances);
 }
 
 /** Counts a request that is sent to a server towards its limit. */
@@ -150,9 +159,13 @@
     return waits.length === 0 ? undefined : Math.min(...waits);
 }
 
-/** The limits that servers told this gateway, as they are reported to the others. */
-export function reportedLimits({ requestLimits }: GatewayState, now: Milliseconds): PeerRequestLimit[] {
+/** The limits that servers told this gateway since the last report, as they are reported to the others. */
+export function newlyObservedLimits(
+    { requestLimits }: GatewayState,
+    since: Milliseconds,
+    now: Milliseconds,
+): PeerRequestLimit[] {
     return [...requestLimits]
-        .filter(([, { isOwnObservation }]) => isOwnObservation)
+        .filter(([, { isOwnObservation, observedAt }]) => isOwnObservation && observedAt >= since)
         .map(([backendServer, { perSecond, observedAt }]) => ({ backendServer, perSecond, age: now - observedAt }));
 }
