--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -76,6 +76,7 @@
     /** Number of preemptions so far. */
     preemptions = 0;
     behaviour: ServerBehaviour = "well";
+    requestLimit: number | undefined = undefined;
     private running: EngineRun[] = [];
     private waiting: EngineRun[] = [];
     private readonly replicas = new Map<string, RunReplica>();
--- a/packages/emulator/src/plainServer.ts
+++ b/packages/emulator/src/plainServer.ts
@@ -42,6 +42,7 @@
     readonly isEngine = false;
     readonly slots: number;
     behaviour: ServerBehaviour = "well";
+    requestLimit: number | undefined = undefined;
     private readonly running = new Set<PendingCall>();
     private queue: PendingCall[] = [];
     private isStopped = false;
--- a/packages/emulator/src/serverModel.ts
+++ b/packages/emulator/src/serverModel.ts
@@ -117,6 +117,8 @@
 export interface ServerModel {
     readonly options: ServerOptions;
     behaviour: ServerBehaviour;
+    /** The requests a second that its answers name as its limit. The model takes more all the same. */
+    requestLimit: number | undefined;
     readonly isEngine: boolean;
     readonly slots: number;
     readonly start: (call: ServerCall, observer: CallObserver) => CallHandle;
--- a/packages/emulator/src/virtualCalls.ts
+++ b/packages/emulator/src/virtualCalls.ts
@@ -12,7 +12,7 @@
 } from "@verbenaspring/model";
 import type { Clock } from "./clock.js";
 import type { Fleet } from "./fleet.js";
-import type { CallHandle, CallObserver, ServerCall } from "./serverModel.js";
+import type { CallHandle, CallObserver, ServerCall, ServerModel } from "./serverModel.js";
 import type { VirtualChannel, VirtualNetwork } from "./virtualNetwork.js";
 
 /** Environment of the calls. */
@@ -89,11 +89,11 @@
         }
         if (!attempt.isCancelled) {
             this.handlers.callArrived(attempt.call);
-            attempt.handle = server.start(toServerCall(attempt.call), this.createObserver(attempt));
+            attempt.handle = server.start(toServerCall(attempt.call), this.createObserver(attempt, server));
         }
     }
 
-    private createObserver(attempt: SentAttempt): CallObserver {
+    private createObserver(attempt: SentAttempt, server: ServerModel): CallObserver {
         const { call, channel } = attempt;
         const { attemptId } = call;
         const respond = (event: GatewayEvent, isLast: boolean): void =>
@@ -109,11 +109,15 @@
         return {
             refused: reason => {
                 const status = reason === "not_the_target" ? misdirectedStatus : refusedStatus;
-                const head = { ...createHead(call.head.callerAttemptId, status), isNotRun: true, isSealed: false };
+                const head = {
+                    ...createHead(server, call.head.callerAttemptId, status),
+                    isNotRun: true,
+                    isSealed: false,
+                };
                 respond({ kind: "attemptAnswered", attemptId, answer: { ...head, body: new Uint8Array() } }, true);
             },
             opened: () => {
-                const head = { ...createHead(call.head.callerAttemptId, okStatus), isEventStream: true };
+                const head = { ...createHead(server, call.head.callerAttemptId, okStatus), isEventStream: true };
                 respond({ kind: "streamOpened", attemptId, head }, false);
             },
             event: ({ id, lineage }) => {
@@ -123,7 +127,7 @@
             ended: () => respond({ kind: "streamEnded", attemptId }, true),
             answered: ({ status, callerAttemptId, body }) => {
                 const answer: BackendAnswer = {
-                    ...createHead(identifier(callerAttemptId), status),
+                    ...createHead(server, identifier(callerAttemptId), status),
                     body: Buffer.from(body),
                 };
                 respond({ kind: "attemptAnswered", attemptId, answer }, true);
@@ -155,14 +159,18 @@
     }
 }
 
-function createHead(callerAttemptId: CallerAttemptId, status: number): ResponseHead {
+function createHead(
+    { requestLimit }: ServerModel,
+    callerAttemptId: CallerAttemptId,
+    status: number,
+): ResponseHead {
     return {
         status,
         callerAttemptId,
         isSealed: true,
         isNotRun: false,
         isEncoded: false,
-        requestLimit: undefined,
+        requestLimit,
         isEventStream: false,
         endsWithChannel: false,
         headers: [],
--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -5,7 +5,7 @@
 import * as fc from "fast-check";
 import { type Schedule, schedules } from "./actions.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
-import { type PlatformSchedule, platformSchedules, runPlatformSchedule } from "./platform/index.js";
+import { limitSchedules, type PlatformSchedule, platformSchedules, runPlatformSchedule } from "./platform/index.js";
 import { runSchedule } from "./runSchedule.js";
 import { defaultWorldPolicies, type WorldPolicies } from "./world.js";
 
@@ -40,6 +40,12 @@
     defaultImplementation: passThroughInterceptors,
 };
 
+/** Gateways on the users' platform, with backend servers that name limits. */
+export const limitedPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: limitSchedules,
+};
+
 /** Options of {@link fuzz}. */
 export interface FuzzOptions<Implementation> {
     readonly seed: number;
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -3,10 +3,10 @@
  */
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { fuzz, type FuzzTarget, linkedSystem, platformSystem } from "./fuzz.js";
+import { fuzz, type FuzzTarget, limitedPlatformSystem, linkedSystem, platformSystem } from "./fuzz.js";
 import { type Mutation, mutations } from "./mutations.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
-import { platformMutations } from "./platform/index.js";
+import { limitMutations, platformMutations } from "./platform/index.js";
 
 const { seed, runs, steps } = await yargs(hideBin(process.argv))
     .scriptName("mutations")
@@ -44,7 +44,11 @@
     }));
 }
 
-const searches = [...createSearches(linkedSystem, mutations), ...createSearches(platformSystem, platformMutations)];
+const searches = [
+    ...createSearches(linkedSystem, mutations),
+    ...createSearches(platformSystem, platformMutations),
+    ...createSearches(limitedPlatformSystem, limitMutations),
+];
 
 let missedCount = 0;
 for (const { name, promises, find } of searches) {
--- a/packages/fuzz/src/oracle.ts
+++ b/packages/fuzz/src/oracle.ts
@@ -25,6 +25,7 @@
     | "left_caller_ends_work"
     | "ready_answers_are_delivered"
     | "repeats_within_budget"
+    | "server_limit_kept"
     | "configuration_in_force"
     | "serves_again"
     | "invariant";
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -59,6 +59,13 @@
         readonly behaviour: ServerBehaviour;
         readonly duration: number;
     }
+    /** The server names a limit, while requests that it could run arrive twenty times a second. */
+    | {
+        readonly kind: "limitServer";
+        readonly server: number;
+        readonly perSecond: number;
+        readonly duration: number;
+    }
     | { readonly kind: "garbleEntry"; readonly server: number; }
     | { readonly kind: "loseHeartbeats"; readonly server: number; readonly duration: number; };
 
@@ -141,9 +148,25 @@
     { arbitrary: serverActions, weight: 4 },
 );
 
-/** Generates schedules of up to `steps` steps. */
+const limitServer = arbitraryAction("limitServer", {
+    server: slot,
+    perSecond: fc.double({ min: 0, max: 3, noNaN: true }),
+    duration: fc.integer({ min: 4_000, max: 12_000 }),
+});
+
+/** Generates schedules of up to `steps` steps, in which no server names a limit. */
 export function platformSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
-    const step = fc.record({ pause: fc.oneof(fc.nat(40), fc.nat(900)), action });
+    return schedulesOf(action, steps);
+}
+
+/** Generates schedules of up to `steps` steps, in which servers name limits. */
+export function limitSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    const weighted = fc.oneof({ arbitrary: action, weight: 15 }, { arbitrary: limitServer, weight: 1 });
+    return schedulesOf(weighted, steps);
+}
+
+function schedulesOf(actions: fc.Arbitrary<PlatformAction>, steps: number): fc.Arbitrary<PlatformSchedule> {
+    const step = fc.record({ pause: fc.oneof(fc.nat(40), fc.nat(900)), action: actions });
     return fc.record({
         seed: fc.integer({ min: 1, max: 0x7fffffff }),
         steps: fc.array(step, { minLength: 1, maxLength: steps, size: "max" }),
--- a/packages/fuzz/src/platform/index.ts
+++ b/packages/fuzz/src/platform/index.ts
@@ -5,4 +5,5 @@
 export * from "./oracle.js";
 export * from "./requestKinds.js";
 export * from "./runSchedule.js";
+export * from "./serverLimitOracle.js";
 export * from "./versions.js";
--- a/packages/fuzz/src/platform/limits.ts
+++ b/packages/fuzz/src/platform/limits.ts
@@ -27,6 +27,16 @@
     readyAnswerDelivery: 1_000,
     /** The period in which requests and repeated calls are counted for the retry budget. */
     retryWindow: 10_000,
+    /** How long after a backend server first named a limit it is in force. */
+    serverLimitApply: 3_000,
+    /** How long after a gateway passed on an answer that names a limit its requests count towards it. */
+    serverLimitReaction: 500,
+    /** The period in which requests are counted for a server's limit. */
+    serverLimitWindow: 4_000,
+    /** How many times what the limit allows a server may get in the period, apart from the slack. */
+    serverLimitFactor: 1.5,
+    /** Requests that a server may get in the period on top of that. */
+    serverLimitSlack: 5,
 } as const;
 
 /** The share of a planned stop's time limit in which no request may be cut. */
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -78,12 +78,33 @@
     return { ...event, answer: { ...event.answer, callerAttemptId } };
 }
 
+/** Lets the gateway use the whole of each limit, as if there were no others. */
+function useWholeLimits(event: GatewayEvent, { requestLimits }: GatewayState): GatewayEvent {
+    for (const [id, limit] of requestLimits) {
+        if (limit.standing !== undefined) {
+            requestLimits.set(id, { ...limit, standing: { rank: 0, instances: 1, countedAt: Infinity } });
+        }
+    }
+    return event;
+}
+
+function forgetLimits(event: GatewayEvent, { requestLimits }: GatewayState): GatewayEvent {
+    requestLimits.clear();
+    return event;
+}
+
 function removeRetryLimit(event: GatewayEvent, state: GatewayState): GatewayEvent {
     state.retryBudget.options = { ratio: 100, slack: 100_000, window: 10_000 };
     return event;
 }
 
-/** Every mutation, with the promises that rely on the removed mechanism. */
+/** Mutations that only schedules in which servers name limits can find. */
+export const limitMutations: readonly Mutation<GatewayInterceptors>[] = [
+    eventMutation("limits of servers are ignored", ["server_limit_kept"], forgetLimits),
+    eventMutation("each gateway uses the whole limit of a server", ["server_limit_kept"], useWholeLimits),
+];
+
+/** Every other mutation, with the promises that rely on the removed mechanism. */
 export const platformMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation(
         "events not counted",
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -3,12 +3,13 @@
  * knowledge of how gateways work. The schedule tells it which faults were injected.
  */
 import type { AnswerEffect, Clock, ServerRun, VirtualGateway } from "@verbenaspring/emulator";
-import type { BackendCall, StreamEvent } from "@verbenaspring/gateway";
+import type { BackendCall, ResponseHead, StreamEvent } from "@verbenaspring/gateway";
 import type { Milliseconds, RequestId } from "@verbenaspring/model";
 import { BrokenPromiseError, type PromiseName } from "../oracle.js";
 import { FaultRecord } from "./faultRecord.js";
 import { isEarlyInStop, platformLimits } from "./limits.js";
 import { mustRunAtMostOnce, type RequestOrProbeKind, serviceOf } from "./requestKinds.js";
+import { ServerLimitOracle } from "./serverLimitOracle.js";
 
 /** A caller's request. */
 export interface PlatformRequest {
@@ -43,13 +44,23 @@
     /** Attempts of callers that have reached a backend server. */
     private readonly arrivedAttempts = new Set<string>();
     readonly faultRecord: FaultRecord;
+    readonly serverLimits: ServerLimitOracle<VirtualGateway>;
+    /** The backend server that each attempt of a caller reached last. */
+    private readonly lastServers = new Map<string, string>();
 
     constructor(
         private readonly clock: Clock,
         /** When the store got a backend server's notice that it leaves. */
         private readonly drainPublishedAt: (server: string) => Milliseconds | undefined,
+        /** The limit that a backend server names now. */
+        requestLimitOf: (server: string) => number | undefined,
     ) {
         this.faultRecord = new FaultRecord(() => clock.now);
+        this.serverLimits = new ServerLimitOracle(
+            requestLimitOf,
+            (promise, detail) => this.fail(promise, detail),
+            ({ name }) => this.faultRecord.hadFaultSince(name, clock.now - platformLimits.faultRecovery),
+        );
     }
 
     /**
@@ -90,13 +101,14 @@
         }
         switch (effect.kind) {
             case "answerHead":
-                return;
+                return this.recordTold(request, effect.head);
             case "answerEvents":
                 return effect.events.forEach(event => this.checkEvent(request, event));
             case "answerEnd":
                 this.checkWholeStream(request);
                 return this.recordEnd(request, "whole");
             case "answerWhole":
+                this.recordTold(request, effect.answer);
                 this.checkWholeAnswer(request, effect);
                 return this.recordEnd(request, "whole");
             case "answerCut":
@@ -108,6 +120,13 @@
         }
     }
 
+    private recordTold({ gateway, callerAttemptId }: PlatformRequest, { requestLimit }: ResponseHead): void {
+        const server = this.lastServers.get(callerAttemptId);
+        if (server !== undefined && requestLimit !== undefined) {
+            this.serverLimits.recordTold(gateway, server, this.clock.now);
+        }
+    }
+
     private checkEvent(request: PlatformRequest, { id, bytes }: StreamEvent): void {
         const [, textId, lineage] = /^id: (\d+)\ndata: (.*)\n\n$/.exec(Buffer.from(bytes).toString("utf8")) ?? [];
         const eventNumber = id ?? Number(textId);
@@ -202,6 +221,8 @@
         const isRepeat = this.arrivedAttempts.has(call.head.callerAttemptId);
         this.arrivedAttempts.add(call.head.callerAttemptId);
         this.arrivals.push({ service, at: now, isRepeat });
+        this.lastServers.set(call.head.callerAttemptId, call.backendServer);
+        this.serverLimits.recordArrival(gateway, call.backendServer, now);
         const drainPublishedAt = this.drainPublishedAt(call.backendServer);
         if (
             drainPublishedAt !== undefined && now > drainPublishedAt + platformLimits.drain
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -27,6 +27,7 @@
 import {
     expectedEventCount,
     promptTokens,
+    type RequestKind,
     type RequestOrProbeKind,
     type ServerKind,
     serverPlan,
@@ -41,6 +42,10 @@
 /** How long after a crash a server of another service starts at the crashed server's address. */
 const addressReuseDelay: Milliseconds = 2_000;
 const restartDelay: Milliseconds = 500;
+/** The time between the requests that arrive while a server names a limit. */
+const limitedRequestInterval: Milliseconds = 50;
+/** The time limit of these requests, and the length of those that are streamed. */
+const limitedRequest = { timeLimit: 1_000, length: 8 } as const;
 
 /**
  * Runs a schedule.
@@ -87,7 +92,12 @@
             callArrived: (gateway, call) => this.oracle.recordArrival(gateway, call),
             exited: gateway => this.replaceGateway(gateway),
         });
-        this.oracle = new PlatformOracle(this.platform.clock, id => this.platform.fleet.drainPublishedAt(id));
+        const { clock, fleet } = this.platform;
+        this.oracle = new PlatformOracle(
+            clock,
+            id => fleet.drainPublishedAt(id),
+            id => fleet.liveServers().find(({ options }) => options.id === id)?.requestLimit,
+        );
         this.versions = new VersionOracle<VirtualGateway>(this.oracle);
         this.configure();
         [1, 2].forEach(() => this.addServer("plain"));
@@ -209,6 +219,18 @@
         return request;
     }
 
+    /** Sends requests to the gateways in turn for a duration. */
+    private sendRequests(kind: RequestKind, duration: Milliseconds): void {
+        for (let delay = 0; delay < duration; delay += limitedRequestInterval) {
+            const gateway = delay / limitedRequestInterval;
+            const { length, timeLimit } = limitedRequest;
+            this.platform.clock.schedule(
+                delay,
+                () => void this.sendRequest(this.gatewayOf(gateway), kind, length, timeLimit),
+            );
+        }
+    }
+
     private sendProbe(gateway: VirtualGateway, index: number): void {
         const check = this.versions.startProbe(gateway, index, this.platform.clock.now);
         const request = this.sendRequest(gateway, "probe", 1, routeTimeouts.probe, `/version${index}/1`);
@@ -341,6 +363,10 @@
                 this.recordServerFault(action.duration);
                 server.behaviour = action.behaviour;
                 return this.endAfter(action.duration, () => server.behaviour = "well");
+            case "limitServer":
+                server.requestLimit = action.perSecond;
+                this.sendRequests(plan.kind === "plain" ? "confirm" : "note", action.duration);
+                return this.endAfter(action.duration, () => server.requestLimit = undefined);
             case "garbleEntry":
                 return fleet.corruptRegistration(id);
             case "loseHeartbeats":
--- /dev/null
+++ b/packages/fuzz/test/limitFuzz.test.ts
@@ -0,0 +1,30 @@
+/**
+ * Fuzzes gateways whose backend servers name limits. For longer runs, use `npm run fuzz -- --system limits`.
+ */
+import { fuzz, limitedPlatformSystem, limitMutations } from "@verbenaspring/fuzz";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+
+const runs = 500;
+const steps = 60;
+
+test(`no promise is broken in ${runs} schedules with limits`, () => {
+    const { failure } = fuzz(limitedPlatformSystem, { seed: 1, runs, steps });
+    assert.is(failure, undefined, failure && `${failure.error.message}, path ${failure.path}`);
+});
+
+for (const { name, promises, implementation } of limitMutations) {
+    test(`the fuzzer finds the mutation "${name}"`, () => {
+        const { failure } = fuzz(limitedPlatformSystem, {
+            seed: 1,
+            runs,
+            steps,
+            implementation,
+            onlyPromises: promises,
+            shrinks: false,
+        });
+        assert.ok(failure, `${runs} schedules broke nothing`);
+    });
+}
+
+test.run();
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -26,6 +26,8 @@
     /** The runs that it started, including finished ones. */
     readonly runs: () => readonly ServerRun[];
     readonly setBehaviour: (behaviour: ServerBehaviour) => void;
+    /** Names a limit of requests a second in its answers, or no limit any more. */
+    readonly setRequestLimit: (perSecond: number | undefined) => void;
     /** Registers the server as draining and stops it after a delay in milliseconds. */
     readonly drain: (endsAfter?: number) => void;
     /** Stops the server without notice: open connections are reset and its port is closed. */
@@ -108,6 +110,7 @@
             plan,
             runs: () => runs.filter(({ server }) => server === plan.id),
             setBehaviour: next => model.behaviour = next,
+            setRequestLimit: perSecond => model.requestLimit = perSecond,
             drain: (endsAfter = defaultDrainDuration) => {
                 fleet.leave(plan.id, endsAfter);
                 setTimeout(() => void close(), endsAfter).unref();
@@ -197,17 +200,20 @@
 }
 
 function createObserver(model: ServerModel, call: ServerCall, response: ServerResponse): CallObserver {
-    const identityHeaders = { "Attempt-Id": call.callerAttemptId, "Response-Seal": "seal" };
+    const limitHeader: Readonly<Record<string, string>> = model.requestLimit === undefined
+        ? {}
+        : { "Server-Limit": String(model.requestLimit) };
+    const identityHeaders = { "Attempt-Id": call.callerAttemptId, "Response-Seal": "seal", ...limitHeader };
     return {
         refused: reason => {
             const status = reason === "not_the_target" ? misdirectedStatus : refusedStatus;
-            response.writeHead(status, { "Not-Executed": "1", "content-length": 0 });
+            response.writeHead(status, { ...limitHeader, "Not-Executed": "1", "content-length": 0 });
             response.end();
         },
         opened: () => response.writeHead(200, { ...identityHeaders, "content-type": "text/event-stream" }),
         event: ({ id, lineage }) => response.write(`id: ${id}\ndata: ${lineage}\n\n`),
         ended: () => response.end(),
-        answered: answer => writeAnswer(response, answer),
+        answered: answer => writeAnswer(response, answer, identityHeaders),
         disconnected: () => {
             if (!model.isEngine && !response.headersSent) {
                 const body = `answer to ${call.callerAttemptId}`;
@@ -219,10 +225,14 @@
     };
 }
 
-function writeAnswer(response: ServerResponse, { status, callerAttemptId, body }: ServerAnswer): void {
+function writeAnswer(
+    response: ServerResponse,
+    { status, callerAttemptId, body }: ServerAnswer,
+    headers: Readonly<Record<string, string>>,
+): void {
     response.writeHead(status, {
+        ...headers,
         "Attempt-Id": callerAttemptId,
-        "Response-Seal": "seal",
         "content-length": Buffer.byteLength(body),
     });
     response.end(body);
