soak: the time of day of gateways jumps

A second series of faults, which may affect no promise, runs beside the first and draws from a source of its own, so that the first series of a seed is as before.

--- a/packages/bench/src/gatewayProcess.ts
+++ b/packages/bench/src/gatewayProcess.ts
@@ -22,6 +22,8 @@
     /** The peer address at which it first contacts the other gateways; its own for the first gateway. */
     readonly seedAddress: string;
     readonly storeAddress: string;
+    /** The URL of a module that is loaded before its program. */
+    readonly preload?: string;
 }
 
 /** A running gateway process. */
@@ -89,7 +91,9 @@
         }),
     );
     const program = "packages/cli/dist/verbenaspring.js";
-    const child = spawn(process.execPath, [program, "gateway", settingsFile], { stdio: ["ignore", "pipe", "inherit"] });
+    const preload = options.preload === undefined ? [] : ["--import", options.preload];
+    const words = [...preload, program, "gateway", settingsFile];
+    const child = spawn(process.execPath, words, { stdio: ["ignore", "pipe", "inherit"] });
     let output = "";
     child.stdout.on("data", chunk => output += String(chunk));
     const exited = new Promise<number | null>(resolve => child.once("exit", resolve));
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,7 +5,7 @@
 import { seededSource } from "@verbenaspring/coordination";
 import { pause } from "@verbenaspring/stand-ins";
 import { SoakCallers } from "./soakCallers.js";
-import { SoakFaults } from "./soakFaults.js";
+import { faultKinds, harmlessFaultKinds, SoakFaults } from "./soakFaults.js";
 import type { Violation } from "./soakOracle.js";
 import { type SoakGateway, SoakWorld } from "./soakWorld.js";
 
@@ -58,10 +58,14 @@
     // Faults and callers draw from separate sources, so that the faults don't depend on how fast the callers are.
     const callers = new SoakCallers(world, seededSource(seed, 1).random);
     const faults = new SoakFaults(world, seededSource(seed, 2).random);
+    const harmlessFaults = new SoakFaults(world, seededSource(seed, 3).random);
     try {
         callers.start(callerCount);
-        await faults.run(1_000 * seconds);
-        await faults.endFaults();
+        await Promise.all([
+            faults.run(1_000 * seconds, faultKinds),
+            harmlessFaults.run(1_000 * seconds, harmlessFaultKinds),
+        ]);
+        await Promise.all([faults.endFaults(), harmlessFaults.endFaults()]);
         await pause(recoveryTime);
         await callers.stop();
         await checkRecovery(world, callers);
@@ -69,7 +73,7 @@
         return {
             violations: world.oracle.violations,
             endCounts: world.oracle.endCounts,
-            faultCounts: faults.faultCounts,
+            faultCounts: new Map([...faults.faultCounts, ...harmlessFaults.faultCounts]),
         };
     }
     finally {
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -9,7 +9,7 @@
 import type { SoakBackendServer, SoakGateway, SoakWorld } from "./soakWorld.js";
 
 /** A kind of fault, or a planned operation. */
-interface Fault {
+export interface Fault {
     /** Its name in the counts of a run. */
     readonly name: string;
     readonly perform: (faults: SoakFaults, duration: number) => void;
@@ -33,11 +33,11 @@
 
     constructor(readonly world: SoakWorld, readonly random: Random) {}
 
-    /** Injects faults for a duration in milliseconds. */
-    async run(duration: number): Promise<void> {
+    /** Injects faults of the given kinds, one after the other, for a duration in milliseconds. */
+    async run(duration: number, kinds: readonly Fault[]): Promise<void> {
         const end = performance.now() + duration;
         while (performance.now() < end) {
-            const fault = this.choose(faultKinds);
+            const fault = this.choose(kinds);
             this.faultCounts.set(fault.name, (this.faultCounts.get(fault.name) ?? 0) + 1);
             fault.perform(this, this.random() * maxFaultDuration);
             await pause(this.random() * maxPauseBetweenFaults);
@@ -208,7 +208,18 @@
     faults.endAfter(duration, () => faults.world.suppressHeartbeats(id, false));
 }
 
-const faultKinds: readonly Fault[] = [
+function jumpClock(faults: SoakFaults, gateway: SoakGateway, duration: number): void {
+    gateway.process.child.kill("SIGUSR2");
+    faults.endAfter(duration, () => gateway.process.child.kill("SIGUSR2"));
+}
+
+/** Faults that affect no promise and no time limit. */
+export const harmlessFaultKinds: readonly Fault[] = [
+    { name: "clockJump", perform: withGateway(jumpClock) },
+];
+
+/** All other faults. */
+export const faultKinds: readonly Fault[] = [
     { name: "kill", perform: withGateway(killGateway) },
     { name: "pause", perform: withGateway(pauseGateway) },
     { name: "stop", perform: withGateway(stopGateway) },
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -126,6 +126,7 @@
             peerAddress,
             seedAddress: this.seedAddress,
             storeAddress: storeRelay.address,
+            preload: new URL("clockJump.js", import.meta.url).href,
         });
         const callerRelay = await this.startRelay(free.callerAddress);
         const gateway: SoakGateway = {
