--- a/packages/soak/src/soakCallers.ts
+++ b/packages/soak/src/soakCallers.ts
@@ -176,5 +176,6 @@
         signal,
     });
     const isSealed = headers["response-seal"] !== undefined;
-    return { status: statusCode, isSealed, ...await readResponseBody(body) };
+    const namesLimit = headers["server-limit"] !== undefined;
+    return { status: statusCode, namesLimit, isSealed, ...await readResponseBody(body) };
 }
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -23,6 +23,10 @@
 const behaviours: readonly ServerBehaviour[] = ["shed", "error", "break", "silent", "foreign", "slow"];
 const maxStoreDelay = 1_500;
 const maxRelayDelay = 400;
+/** In requests a second. */
+const maxRequestLimit = 1;
+/** How many times as long as other faults a limit is named. */
+const limitDurationFactor = 5;
 
 /** Draws faults and injects them. */
 export class SoakFaults {
@@ -213,9 +217,16 @@
     faults.endAfter(duration, () => gateway.process.child.kill("SIGUSR2"));
 }
 
+function limitServer(faults: SoakFaults, duration: number): void {
+    const { standIn } = faults.chooseServer();
+    standIn.setRequestLimit(faults.random() * maxRequestLimit);
+    faults.endAfter(limitDurationFactor * duration, () => standIn.setRequestLimit(undefined));
+}
+
 /** Faults that affect no promise and no time limit. */
 export const harmlessFaultKinds: readonly Fault[] = [
     { name: "clockJump", perform: withGateway(jumpClock) },
+    { name: "limitWorker", perform: limitServer },
 ];
 
 /** All other faults. */
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -10,6 +10,7 @@
     platformLimits,
     type PlatformRequestEnd,
     type RequestOrProbeKind,
+    ServerLimitOracle,
     serviceOf,
 } from "@verbenaspring/fuzz";
 import type { SoakGateway } from "./soakWorld.js";
@@ -33,6 +34,8 @@
 /** The part of a response that arrived. */
 export interface SoakResponse {
     readonly status: number;
+    /** Whether it names a limit of the backend server that gave it. */
+    readonly namesLimit: boolean;
     /** Whether it carries the seal of a backend server. */
     readonly isSealed: boolean;
     readonly body: string;
@@ -65,16 +68,27 @@
     /** Requests that reached a backend server. */
     private readonly arrivedIds = new Set<string>();
     readonly faultRecord = new FaultRecord(() => performance.now());
+    private readonly serverLimits: ServerLimitOracle<SoakGateway>;
+    /** The backend server that each request reached last. */
+    private readonly lastServers = new Map<string, string>();
     private readonly lags: { readonly at: number; readonly lag: number; }[] = [];
 
     /**
      * @param checksTimeLimits whether time limits are checked; other load on the machine breaks them
      * @param drainPublishedAt when the store got a backend server's notice that it leaves
+     * @param requestLimitOf the limit that a backend server names now
      */
     constructor(
         private readonly checksTimeLimits: boolean,
         private readonly drainPublishedAt: (server: string) => number | undefined,
-    ) {}
+        requestLimitOf: (server: string) => number | undefined,
+    ) {
+        this.serverLimits = new ServerLimitOracle(
+            requestLimitOf,
+            (promise, detail) => this.fail(promise, detail),
+            gateway => this.isExcusedFromLimits(gateway),
+        );
+    }
 
     fail(promise: string, detail: string): void {
         this.violations.push({ promise, detail, at: Math.round(performance.now()) });
@@ -91,6 +105,11 @@
             && this.lagSince(at - platformLimits.faultRecovery) === 0;
     }
 
+    private isExcusedFromLimits({ name }: SoakGateway): boolean {
+        const since = performance.now() - platformLimits.faultRecovery;
+        return !this.checksTimeLimits || this.faultRecord.hadFaultSince(name, since) || this.lagSince(since) > 0;
+    }
+
     private lagSince(since: number): number {
         return this.lags.filter(({ at }) => at >= since).reduce((sum, { lag }) => sum + lag, 0);
     }
@@ -104,6 +123,10 @@
         if (request.end === "left") {
             return;
         }
+        const server = this.lastServers.get(request.id);
+        if (response?.namesLimit === true && server !== undefined) {
+            this.serverLimits.recordTold(request.gateway, server, performance.now());
+        }
         request.end = this.classifyResponse(request, response);
         const endName = typeof request.end === "object" ? request.end.failure : request.end;
         this.endCounts.set(endName, (this.endCounts.get(endName) ?? 0) + 1);
@@ -182,6 +205,10 @@
         const drainPublished = this.drainPublishedAt(server);
         const request = this.requests.get(callerAttemptId);
         const now = performance.now();
+        this.lastServers.set(callerAttemptId, server);
+        if (request !== undefined) {
+            this.serverLimits.recordArrival(request.gateway, server, now);
+        }
         if (drainPublished === undefined || request === undefined || now <= drainPublished + platformLimits.drain) {
             return;
         }
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -77,7 +77,12 @@
 
     private constructor(store: PlatformStore, checksTimeLimits: boolean) {
         this.store = store;
-        this.oracle = new SoakOracle(checksTimeLimits, server => this.serverStandIns.fleet.drainPublishedAt(server));
+        this.oracle = new SoakOracle(
+            checksTimeLimits,
+            server => this.serverStandIns.fleet.drainPublishedAt(server),
+            server =>
+                this.serverStandIns.fleet.liveServers().find(({ options }) => options.id === server)?.requestLimit,
+        );
         this.versions = new VersionOracle<SoakGateway>(this.oracle);
         this.serverStandIns = createBackendServerStandIns(
             store,
