--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,6 +1,6 @@
 /**
- * The command `npm run fuzz -- --system platform|limits|linked --seed S --runs N --steps K`. It runs randomised schedules and checks
- * them with the oracle.
+ * The command `npm run fuzz -- --system platform|limits|linked --seed S --runs N --steps K`. It runs randomised
+ * schedules and checks them with the oracle.
  */
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
