--- a/packages/fuzz/test/limitFuzz.test.ts
+++ b/packages/fuzz/test/limitFuzz.test.ts
@@ -4,6 +4,7 @@
 import { fuzz, limitedPlatformSystem, limitMutations } from "@verbenaspring/fuzz";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { testMutations } from "./mutationTests.js";
 
 const runs = 500;
 const steps = 60;
@@ -13,18 +14,6 @@
     assert.is(failure, undefined, failure && `${failure.error.message}, path ${failure.path}`);
 });
 
-for (const { name, promises, implementation } of limitMutations) {
-    test(`the fuzzer finds the mutation "${name}"`, () => {
-        const { failure } = fuzz(limitedPlatformSystem, {
-            seed: 1,
-            runs,
-            steps,
-            implementation,
-            onlyPromises: promises,
-            shrinks: false,
-        });
-        assert.ok(failure, `${runs} schedules broke nothing`);
-    });
-}
+testMutations(limitedPlatformSystem, limitMutations, { runs, steps });
 
 test.run();
--- a/packages/fuzz/test/platformFuzz.test.ts
+++ b/packages/fuzz/test/platformFuzz.test.ts
@@ -11,6 +11,7 @@
 } from "@verbenaspring/fuzz";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { testMutations } from "./mutationTests.js";
 import { testRecordedSchedules } from "./recordedSchedules.js";
 
 const runs = 500;
@@ -23,19 +24,7 @@
     });
 }
 
-for (const { name, promises, implementation } of platformMutations) {
-    test(`the fuzzer finds the mutation "${name}"`, () => {
-        const { failure } = fuzz(platformSystem, {
-            seed: 1,
-            runs,
-            steps,
-            implementation,
-            onlyPromises: promises,
-            shrinks: false,
-        });
-        assert.ok(failure, `${runs} schedules broke nothing`);
-    });
-}
+testMutations(platformSystem, platformMutations, { runs, steps });
 
 testRecordedSchedules<PlatformSchedule>("foundOnPlatform", schedule => runPlatformSchedule(schedule));
 
