--- a/packages/coordination/src/requestLimit.ts
+++ b/packages/coordination/src/requestLimit.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps the limit of requests that a backend server names for all instances together. Instances don't ask each other:
- * each sends its share, by its rank among them. Where the limit is low, only the first in rank have a share, so that
+ * Divides the request rate that a backend server accepts from all instances together. Instances don't consult each
+ * other: each sends its share, by its rank among them. Where the limit is low, only the first in rank have a share, so that
  * the requests that all may send at once stay few.
  */
 import type { Milliseconds } from "@verbenaspring/model";
@@ -22,7 +22,7 @@
 
 /** Requests at once that all instances together may send beyond those that the limit allows in a second. */
 const totalBurst = 4;
-/** A server with a lower limit still gets this many requests a second, which tell when its limit has ended. */
+/** A server with a lower limit still gets this many requests a second, so that the end of its limit is noticed. */
 const minPerSecond = 0.25;
 const millisecondsPerSecond = 1_000;
 
--- a/packages/emulator/src/serverModel.ts
+++ b/packages/emulator/src/serverModel.ts
@@ -117,7 +117,7 @@
 export interface ServerModel {
     readonly options: ServerOptions;
     behaviour: ServerBehaviour;
-    /** The requests a second that its answers name as its limit. The model takes more all the same. */
+    /** The limit that its answers declare, in requests a second. The model does not enforce it. */
     requestLimit: number | undefined;
     readonly isEngine: boolean;
     readonly slots: number;
--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -40,7 +40,7 @@
     defaultImplementation: passThroughInterceptors,
 };
 
-/** Gateways on the users' platform, with backend servers that name limits. */
+/** Gateways on the users' platform, with backend servers that declare limits. */
 export const limitedPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
     schedules: limitSchedules,
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -15,7 +15,7 @@
         system: {
             choices: ["linked", "platform", "limits"] as const,
             default: "platform",
-            describe: "gateways on the platform, the same with servers that name limits, or entries and sidecars",
+            describe: "gateways on the platform, the same with servers that declare limits, or entries and sidecars",
         },
         seed: { type: "number", default: 1, describe: "seed of the schedules" },
         runs: { type: "number", default: 1_000, describe: "schedules to run" },
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -59,7 +59,7 @@
         readonly behaviour: ServerBehaviour;
         readonly duration: number;
     }
-    /** The server names a limit, while requests that it could run arrive twenty times a second. */
+    /** The server declares a limit, while requests that it could run arrive twenty times a second. */
     | {
         readonly kind: "limitServer";
         readonly server: number;
@@ -154,12 +154,12 @@
     duration: fc.integer({ min: 4_000, max: 12_000 }),
 });
 
-/** Generates schedules of up to `steps` steps, in which no server names a limit. */
+/** Generates schedules of up to `steps` steps, in which no server declares a limit. */
 export function platformSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
     return schedulesOf(action, steps);
 }
 
-/** Generates schedules of up to `steps` steps, in which servers name limits. */
+/** Generates schedules of up to `steps` steps, in which servers declare limits. */
 export function limitSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
     const weighted = fc.oneof({ arbitrary: action, weight: 15 }, { arbitrary: limitServer, weight: 1 });
     return schedulesOf(weighted, steps);
--- a/packages/fuzz/src/platform/limits.ts
+++ b/packages/fuzz/src/platform/limits.ts
@@ -27,9 +27,9 @@
     readyAnswerDelivery: 1_000,
     /** The period in which requests and repeated calls are counted for the retry budget. */
     retryWindow: 10_000,
-    /** How long after a backend server first named a limit it is in force. */
+    /** How long after a backend server first declared a limit it is in force. */
     serverLimitApply: 3_000,
-    /** How long after a gateway passed on an answer that names a limit its requests count towards it. */
+    /** How long after a gateway passed on an answer that declares a limit its requests count towards it. */
     serverLimitReaction: 500,
     /** The period in which requests are counted for a server's limit. */
     serverLimitWindow: 4_000,
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -98,7 +98,7 @@
     return event;
 }
 
-/** Mutations that only schedules in which servers name limits can find. */
+/** Mutations that only schedules in which servers declare limits can find. */
 export const limitMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation("limits of servers are ignored", ["server_limit_kept"], forgetLimits),
     eventMutation("each gateway uses the whole limit of a server", ["server_limit_kept"], useWholeLimits),
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -52,7 +52,7 @@
         private readonly clock: Clock,
         /** When the store got a backend server's notice that it leaves. */
         private readonly drainPublishedAt: (server: string) => Milliseconds | undefined,
-        /** The limit that a backend server names now. */
+        /** The limit that a backend server declares now. */
         requestLimitOf: (server: string) => number | undefined,
     ) {
         this.faultRecord = new FaultRecord(() => clock.now);
@@ -101,14 +101,14 @@
         }
         switch (effect.kind) {
             case "answerHead":
-                return this.recordTold(request, effect.head);
+                return this.recordInformed(request, effect.head);
             case "answerEvents":
                 return effect.events.forEach(event => this.checkEvent(request, event));
             case "answerEnd":
                 this.checkWholeStream(request);
                 return this.recordEnd(request, "whole");
             case "answerWhole":
-                this.recordTold(request, effect.answer);
+                this.recordInformed(request, effect.answer);
                 this.checkWholeAnswer(request, effect);
                 return this.recordEnd(request, "whole");
             case "answerCut":
@@ -120,10 +120,10 @@
         }
     }
 
-    private recordTold({ gateway, callerAttemptId }: PlatformRequest, { requestLimit }: ResponseHead): void {
+    private recordInformed({ gateway, callerAttemptId }: PlatformRequest, { requestLimit }: ResponseHead): void {
         const server = this.lastServers.get(callerAttemptId);
         if (server !== undefined && requestLimit !== undefined) {
-            this.serverLimits.recordTold(gateway, server, this.clock.now);
+            this.serverLimits.recordInformed(gateway, server, this.clock.now);
         }
     }
 
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -42,7 +42,7 @@
 /** How long after a crash a server of another service starts at the crashed server's address. */
 const addressReuseDelay: Milliseconds = 2_000;
 const restartDelay: Milliseconds = 500;
-/** The time between the requests that arrive while a server names a limit. */
+/** The time between the requests that arrive while a server declares a limit. */
 const limitedRequestInterval: Milliseconds = 50;
 /** The time limit of these requests, and the length of those that are streamed. */
 const limitedRequest = { timeLimit: 1_000, length: 8 } as const;
--- a/packages/fuzz/test/limitFuzz.test.ts
+++ b/packages/fuzz/test/limitFuzz.test.ts
@@ -1,5 +1,5 @@
 /**
- * Fuzzes gateways whose backend servers name limits. For longer runs, use `npm run fuzz -- --system limits`.
+ * Fuzzes gateways whose backend servers declare limits. For longer runs, use `npm run fuzz -- --system limits`.
  */
 import { fuzz, limitedPlatformSystem, limitMutations } from "@verbenaspring/fuzz";
 import { test } from "uvu";
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -78,7 +78,7 @@
     readonly isNotRun: boolean;
     /** Whether the body has a content encoding, which backend servers never use. */
     readonly isEncoded: boolean;
-    /** The requests a second that the backend server takes from all gateways together; undefined without a limit. */
+    /** The requests a second that the backend server accepts from all gateways together; undefined without a limit. */
     readonly requestLimit: number | undefined | "unreadable";
     readonly isEventStream: boolean;
     /** Whether the body has neither length nor framing, so that its end can't be told from a lost connection. */
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -16,12 +16,12 @@
     readonly waitingTokens: number;
 }
 
-/** The limit that a backend server told the gateway. */
+/** The limit in the newest answer of a backend server to the gateway. */
 export interface PeerRequestLimit {
     readonly backendServer: BackendServerId;
-    /** Requests a second from all gateways together; undefined if the server named none any more. */
+    /** Requests a second from all gateways together; undefined if the answer declares none. */
     readonly perSecond: number | undefined;
-    /** The time since the answer that said so. */
+    /** The time since that answer. */
     readonly age: Milliseconds;
 }
 
@@ -59,7 +59,7 @@
     readonly isFull: boolean;
     /** The number of its requests that wait for capacity at an engine. */
     readonly waitingRequests: number;
-    /** What servers told it of their limits since its last report on the link. */
+    /** The limits in answers of backend servers since its last report on the link. */
     readonly requestLimits: readonly PeerRequestLimit[];
 }
 
--- a/packages/gateway/src/requestLimits.ts
+++ b/packages/gateway/src/requestLimits.ts
@@ -1,6 +1,6 @@
 /**
- * The limits that backend servers in need name in their answers: the requests a second that a server takes from all
- * gateways together. Gateways report to each other what the servers told them, and each sends its share.
+ * The request limits that backend servers declare in their answers: the requests a second that a server accepts from
+ * all gateways together. Gateways report the limits to each other, and each sends its share.
  */
 import {
     createAllowance,
@@ -19,12 +19,12 @@
 import type { Attempt, GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
-/** What a server last said about its limit. */
+/** The newest known declaration of a server. */
 export interface RequestLimit {
-    /** Undefined if the server named none any more. */
+    /** Undefined if the server declares none any more. */
     readonly perSecond: number | undefined;
     readonly observedAt: Milliseconds;
-    /** Whether the server told this gateway, and not another one. */
+    /** Whether it was in an answer to this gateway, and not to another one. */
     readonly isOwnObservation: boolean;
     /** This gateway's place among those that send to the server; undefined without a limit. */
     readonly standing: Standing | undefined;
@@ -39,7 +39,7 @@
     readonly countedAt: Milliseconds;
 }
 
-/** The limits of servers that named one at any time. Owned and changed by the event loop. */
+/** The limits of all servers that have ever declared one. Owned and changed by the event loop. */
 export type RequestLimits = Map<BackendServerId, RequestLimit>;
 
 type Observation = Pick<RequestLimit, "perSecond" | "observedAt" | "isOwnObservation">;
@@ -49,8 +49,8 @@
 const noShare: LimitShare = { perSecond: 0, burst: 0 };
 
 /**
- * Records the limit that an answer of the attempt's server names. An answer that names none ends the limit, unless its
- * request was sent before the limit was last named: answers may overtake each other.
+ * Records the limit that an answer of the attempt's server declares. An answer without one ends the limit, unless its
+ * request was sent before the limit was last declared: answers may overtake each other.
  */
 export function recordRequestLimit(transaction: Transaction, attempt: Attempt, { requestLimit }: ResponseHead): void {
     const { state: { requestLimits }, now } = transaction;
@@ -68,7 +68,7 @@
     }
 }
 
-/** Applies a limit that another gateway was told of, if it is newer than the known one. */
+/** Applies a limit that another gateway observed, if it is newer than the known one. */
 export function applyPeerLimit(
     transaction: Transaction,
     { backendServer, perSecond, age }: PeerRequestLimit,
@@ -132,20 +132,20 @@
     }
 }
 
-/** Whether a server names a limit. */
+/** Whether a server declares a limit. */
 export function isLimited({ requestLimits }: GatewayState, id: BackendServerId): boolean {
     return requestLimits.get(id)?.perSecond !== undefined;
 }
 
-/** Whether the limit of a server, if it names one, allows this gateway to send a request now. */
+/** Whether the limit of a server, if it declares one, allows this gateway to send a request now. */
 export function isWithinLimit({ requestLimits }: GatewayState, id: BackendServerId, now: Milliseconds): boolean {
     const limit = requestLimits.get(id);
     return limit?.perSecond === undefined || timeUntilAllowed(limit.allowance, now) === 0;
 }
 
 /**
- * The time until the limits of a service's servers allow this gateway another request; undefined if none of them names
- * a limit, infinite if this gateway has no share of any.
+ * The time until the limits of a service's servers allow this gateway another request; undefined if none of them
+ * declares a limit, infinite if this gateway has no share of any.
  */
 export function timeUntilWithinLimit(
     { requestLimits, serversByService }: GatewayState,
@@ -159,7 +159,7 @@
     return waits.length === 0 ? undefined : Math.min(...waits);
 }
 
-/** The limits that servers told this gateway since the last report, as they are reported to the others. */
+/** The limits that this gateway observed since a time, as they are reported to the others. */
 export function newlyObservedLimits(
     { requestLimits }: GatewayState,
     since: Milliseconds,
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -35,7 +35,7 @@
     return withoutEjected(allowed, ({ record }) => state.health.get(record.id), now);
 }
 
-/** The other usable servers of the same service that name no limit: candidates for a replica or a migration. */
+/** The other usable servers of the same service without a limit: candidates for a replica or a migration. */
 export function otherServers(state: GatewayState, { record }: BackendServer, now: Milliseconds): BackendServer[] {
     return usableServers(state, record.service, now).filter(other =>
         other.record.id !== record.id && !isLimited(state, other.record.id)
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -145,7 +145,7 @@
     sentPlacements: number;
     /** The number of waiting requests in the last report to it. */
     sentWaitingRequests: number;
-    /** Limits that servers told this gateway before then were reported to it on this link. */
+    /** Limits that this gateway observed before then were reported to it on this link. */
     sentLimitsAt: Milliseconds;
     /** The loads that were last reported to it on this link. */
     readonly sentLoads: Map<BackendServerId, PeerLoad>;
--- a/packages/gateway/test/requestLimits.test.ts
+++ b/packages/gateway/test/requestLimits.test.ts
@@ -38,7 +38,7 @@
 /** By the platform's rule: one and a half times the limit over four seconds, and five requests more. */
 const allowedIn4Seconds = (perSecond: number): number => 1.5 * 4 * perSecond + 5;
 
-// A server that had named a limit got its full share of the requests (LIMIT).
+// A server that had declared a limit got its full share of the requests (LIMIT).
 test("all gateways together keep the limit of a server", () => {
     for (const [size, perSecond] of [[5, 1.4], [5, 0], [5, 12], [1, 0.5], [29, 1.4], [29, 6]] as const) {
         const cluster = new GatewayCluster(size, [server("plain-1"), server("plain-2"), server("plain-3")]);
@@ -91,7 +91,7 @@
     }
 });
 
-test("a server gets its share again as soon as it names no limit", () => {
+test("a server gets its share again as soon as it declares no limit", () => {
     const cluster = new GatewayCluster(5, [server("plain-1"), server("plain-2")]);
     cluster.answerOf = id => id === "plain-1" ? { requestLimit: 1.4 } : {};
     cluster.run(6_000, "confirm", 40);
@@ -103,7 +103,7 @@
     assert.ok(recent.length >= 60, `${recent.length} of 160`);
 });
 
-test("a limit that another gateway was told of is in force, until a newer answer names none", () => {
+test("a limit that another gateway observed is in force, until a newer answer declares none", () => {
     const gateway = TestGateway.serving(server("plain-1"));
     const report = (perSecond: number | undefined, age: number) =>
         gateway.receiveReport({ requestLimits: [{ backendServer: identifier("plain-1"), perSecond, age }] });
--- a/packages/soak/src/soakCallers.ts
+++ b/packages/soak/src/soakCallers.ts
@@ -176,6 +176,6 @@
         signal,
     });
     const isSealed = headers["response-seal"] !== undefined;
-    const namesLimit = headers["server-limit"] !== undefined;
-    return { status: statusCode, namesLimit, isSealed, ...await readResponseBody(body) };
+    const declaresLimit = headers["server-limit"] !== undefined;
+    return { status: statusCode, declaresLimit, isSealed, ...await readResponseBody(body) };
 }
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -25,7 +25,7 @@
 const maxRelayDelay = 400;
 /** In requests a second. */
 const maxRequestLimit = 1;
-/** How many times as long as other faults a limit is named. */
+/** How many times as long as other faults a limit is in force. */
 const limitDurationFactor = 5;
 
 /** Draws faults and injects them. */
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -34,8 +34,8 @@
 /** The part of a response that arrived. */
 export interface SoakResponse {
     readonly status: number;
-    /** Whether it names a limit of the backend server that gave it. */
-    readonly namesLimit: boolean;
+    /** Whether it declares a limit of the backend server that gave it. */
+    readonly declaresLimit: boolean;
     /** Whether it carries the seal of a backend server. */
     readonly isSealed: boolean;
     readonly body: string;
@@ -76,7 +76,7 @@
     /**
      * @param checksTimeLimits whether time limits are checked; other load on the machine breaks them
      * @param drainPublishedAt when the store got a backend server's notice that it leaves
-     * @param requestLimitOf the limit that a backend server names now
+     * @param requestLimitOf the limit that a backend server declares now
      */
     constructor(
         private readonly checksTimeLimits: boolean,
@@ -124,8 +124,8 @@
             return;
         }
         const server = this.lastServers.get(request.id);
-        if (response?.namesLimit === true && server !== undefined) {
-            this.serverLimits.recordTold(request.gateway, server, performance.now());
+        if (response?.declaresLimit === true && server !== undefined) {
+            this.serverLimits.recordInformed(request.gateway, server, performance.now());
         }
         request.end = this.classifyResponse(request, response);
         const endName = typeof request.end === "object" ? request.end.failure : request.end;
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -26,7 +26,7 @@
     /** The runs that it started, including finished ones. */
     readonly runs: () => readonly ServerRun[];
     readonly setBehaviour: (behaviour: ServerBehaviour) => void;
-    /** Names a limit of requests a second in its answers, or no limit any more. */
+    /** Declares a limit of requests a second in its answers, or none any more. */
     readonly setRequestLimit: (perSecond: number | undefined) => void;
     /** Registers the server as draining and stops it after a delay in milliseconds. */
     readonly drain: (endsAfter?: number) => void;
