gateway: removals that no running gateway has seen reach one that was frozen

Tombstones that were dropped after 2,000 offsets had the same effect.

Change: a follower knows from which offset on it has all removals. A peer that knows less gets the newest record of every key, marked as complete; keys that it lacks were removed.

The soak says how long after its sending a late request ended, so that it can be compared with the age that the gateway logs.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -86,8 +86,8 @@
     follower.lastFailure = undefined;
     follower.isReading = false;
     follower.nextReadAt = now + readPlans[topic].pause;
-    const missing = event.isSnapshot && topic === "backendServers" ? createTombstones(follower, event) : [];
-    const hasChanged = applyItems(transaction, topic, [...event.items, ...missing], next);
+    const apply = event.isSnapshot ? applySnapshot : applyItems;
+    const hasChanged = apply(transaction, topic, event.items, next);
     recordFreshness(
         follower,
         { reader: state.incarnation, count: knownReadCount(follower, state.incarnation) + 1 },
@@ -126,10 +126,32 @@
     }
 }
 
+/**
+ * Applies the newest records of all keys of a topic: known keys that are missing among them were removed. Returns
+ * whether anything but heartbeats changed.
+ *
+ * @param next the offset after the last record
+ */
+export function applySnapshot(
+    transaction: Transaction,
+    topic: TopicName,
+    items: readonly DecodedItem[],
+    next: LogOffset,
+): boolean {
+    const follower = transaction.state.followers[topic];
+    const removals = topic === "backendServers" ? createTombstones(follower, items, next) : [];
+    follower.removalsKnownFrom = Math.max(follower.removalsKnownFrom, next);
+    return applyItems(transaction, topic, [...items, ...removals], next);
+}
+
 /** Tombstones for known keys that a snapshot no longer contains. */
-function createTombstones(follower: TopicFollower, { items, next }: TopicRead): DecodedItem[] {
+function createTombstones(
+    { items: knownItems }: TopicFollower,
+    items: readonly DecodedItem[],
+    next: LogOffset,
+): DecodedItem[] {
     const present = new Set(items.map(({ item }) => item.key));
-    return [...follower.items.values()]
+    return [...knownItems.values()]
         .filter(({ key, value }) => !present.has(key) && value.length > 0)
         .map(({ key }) => ({
             item: { key, offset: next - 1, value: new Uint8Array() },
@@ -185,10 +207,12 @@
     return known !== undefined && known.offset > item.offset;
 }
 
-function forgetTombstones({ items, next }: TopicFollower): void {
+function forgetTombstones(follower: TopicFollower): void {
+    const { items, next } = follower;
     for (const { key, offset, value } of items.values()) {
         if (value.length === 0 && offset < (next ?? 0) - tombstoneRetentionOffsets) {
             items.delete(key);
+            follower.removalsKnownFrom = Math.max(follower.removalsKnownFrom, offset + 1);
         }
     }
 }
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -44,6 +44,8 @@
     readonly since: LogOffset;
     /** The newest records of the keys that changed from `since` on. */
     readonly items: readonly TopicItem[];
+    /** Whether `items` has the newest record of every key, so that a key that it lacks was removed. */
+    readonly isComplete: boolean;
 }
 
 /** A report of one gateway: its state, the gateways and topics that it knows, and its loads. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -4,12 +4,12 @@
  */
 import { backoff } from "@verbenaspring/coordination";
 import type { BackendServerId, LogOffset, Milliseconds, PeerAddress } from "@verbenaspring/model";
-import type { GatewayEvent, TopicName } from "./event.js";
-import { applyItems, recordFreshness } from "./followers.js";
+import type { GatewayEvent, TopicItem, TopicName } from "./event.js";
+import { applyItems, applySnapshot, recordFreshness } from "./followers.js";
 import type { PeerLoad, PeerReport, PeerTopic } from "./peerReport.js";
 import { applyPeerLimit, newlyObservedLimits } from "./requestLimits.js";
 import { engineOf } from "./serverLoad.js";
-import type { GatewayState, Peer } from "./state.js";
+import type { GatewayState, Peer, TopicFollower } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type PeerReported = Extract<GatewayEvent, { readonly kind: "peerReported"; }>;
@@ -239,16 +239,35 @@
 }
 
 function createTopicReport(state: GatewayState, name: TopicName, peer: Peer, now: Milliseconds): PeerTopic {
-    const { next, changedThrough, items, freshAsOf, lastRead } = state.followers[name];
+    const { next, removalsKnownFrom, freshAsOf, lastRead } = state.followers[name];
     if (next === undefined || freshAsOf === undefined || lastRead === undefined) {
-        return { name, since: 0, through: undefined, read: { reader: state.incarnation, count: 0 }, age: 0, items: [] };
+        const read = { reader: state.incarnation, count: 0 };
+        return { name, since: 0, through: undefined, read, age: 0, items: [], isComplete: false };
     }
     // What the peer knows of the topic is only certain after it has reported on this link.
     const known: LogOffset = peer.through[name] ?? 0;
     const isOpen = peer.link === "open";
-    const missing = isOpen && changedThrough > known ? [...items.values()].filter(({ offset }) => offset >= known) : [];
-    const through = isOpen ? next : undefined;
-    return { name, since: known, through, read: lastRead, age: now - freshAsOf, items: missing };
+    const isComplete = isOpen && known < removalsKnownFrom;
+    return {
+        name,
+        since: known,
+        through: isOpen ? next : undefined,
+        read: lastRead,
+        age: now - freshAsOf,
+        items: isOpen ? missingItems(state.followers[name], known, isComplete) : [],
+        isComplete,
+    };
+}
+
+function missingItems(
+    { items, changedThrough }: TopicFollower,
+    known: LogOffset,
+    isComplete: boolean,
+): readonly TopicItem[] {
+    if (isComplete) {
+        return [...items.values()];
+    }
+    return changedThrough > known ? [...items.values()].filter(({ offset }) => offset >= known) : [];
 }
 
 /** Handles a report of a peer. */
@@ -295,7 +314,13 @@
     if (topic.through < known || topic.since > known) {
         return;
     }
-    applyItems(transaction, topic.name, items[topic.name], topic.through);
+    const records = items[topic.name];
+    if (topic.isComplete) {
+        applySnapshot(transaction, topic.name, records, topic.through);
+    }
+    else {
+        applyItems(transaction, topic.name, records, topic.through);
+    }
     recordFreshness(follower, topic.read, now - topic.age);
 }
 
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -111,6 +111,8 @@
     next: LogOffset | undefined;
     /** The offset after the last record that changed more than a heartbeat. */
     changedThrough: LogOffset;
+    /** Removals at this offset or later are all known; older ones may be missing. */
+    removalsKnownFrom: LogOffset;
     /** The newest record of each key, tombstones included. */
     readonly items: Map<string, TopicItem>;
     /** When the log was last known to end at `next`, by a read of this gateway or of another. */
@@ -230,6 +232,7 @@
     return {
         next: undefined,
         changedThrough: 0,
+        removalsKnownFrom: 0,
         items: new Map(),
         freshAsOf: undefined,
         lastRead: undefined,
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -46,6 +46,7 @@
         through: 9,
         age: 20,
         items: [],
+        isComplete: false,
     }));
     const record = server("plain-1");
     const items = {
@@ -87,7 +88,7 @@
         // The age does not include the time of transmission, so that each report looks fresher than it is.
         const age = Math.max(0, step * 50 - step * 30);
         const topics = (["configuration", "backendServers"] as const)
-            .map(name => ({ name, since: 0, read: readBy(1), through: 0, age, items: [] }));
+            .map(name => ({ name, since: 0, read: readBy(1), through: 0, age, items: [], isComplete: false }));
         gateway.receiveReport({ topics });
     }
     assert.ok(reads.length >= 2);
@@ -98,7 +99,15 @@
     gateway.configure(configuration(8));
     const old = gateway.item("config", [{ kind: "configuration", configuration: configuration(5) }]);
     gateway.receiveReport({
-        topics: [{ name: "configuration", since: 0, read: readBy(1), through: 99, age: 0, items: [] }],
+        topics: [{
+            name: "configuration",
+            since: 0,
+            read: readBy(1),
+            through: 99,
+            age: 0,
+            items: [],
+            isComplete: false,
+        }],
     }, {
         configuration: [old],
     });
@@ -111,7 +120,15 @@
     const known = gateway.state.followers.configuration.next!;
     gateway.advance(1_500);
     gateway.receiveReport({
-        topics: [{ name: "configuration", since: known + 3, read: readBy(1), through: known + 5, age: 0, items: [] }],
+        topics: [{
+            name: "configuration",
+            since: known + 3,
+            read: readBy(1),
+            through: known + 5,
+            age: 0,
+            items: [],
+            isComplete: false,
+        }],
     });
     assert.is(gateway.state.followers.configuration.next, known);
     gateway.handle({ kind: "topicReadFailed", topic: "configuration", failure: "timeout" });
@@ -123,17 +140,63 @@
     const gateway = gatewayWithSeed();
     gateway.advance(50);
     gateway.receiveReport({
-        topics: [{ name: "configuration", since: 0, read: readBy(1), through: 0, age: 0, items: [] }],
+        topics: [{
+            name: "configuration",
+            since: 0,
+            read: readBy(1),
+            through: 0,
+            age: 0,
+            items: [],
+            isComplete: false,
+        }],
     });
     gateway.configure(configuration(2));
     gateway.receiveReport({
-        topics: [{ name: "configuration", since: 0, read: readBy(1), through: 0, age: 0, items: [] }],
+        topics: [{
+            name: "configuration",
+            since: 0,
+            read: readBy(1),
+            through: 0,
+            age: 0,
+            items: [],
+            isComplete: false,
+        }],
     });
     const reports = gateway.advance(600).flatMap(effect => effect.kind === "sendReport" ? [effect.report] : []);
     const topics = reports.flatMap(report => report.topics).filter(topic => topic.name === "configuration");
     assert.ok(topics.some(topic => topic.items.length === 1 && topic.since === 0));
 });
 
+test("a removal that no other gateway has seen is learnt from their complete list of records", () => {
+    const started = gatewayWithSeed();
+    started.advance(50);
+    started.read("configuration", []);
+    const kept = server("engine-2");
+    started.read("backendServers", [
+        { ...started.item("engine-2", [{ kind: "backendServer", record: kept }]) },
+    ], true);
+    started.receiveReport({
+        topics: [{
+            name: "backendServers",
+            since: 0,
+            read: readBy(1),
+            through: 0,
+            age: 9_000,
+            items: [],
+            isComplete: false,
+        }],
+    });
+    const [report] = started.advance(600).flatMap(effect => effect.kind === "sendReport" ? [effect.report] : []);
+    const topic = report.topics.find(({ name }) => name === "backendServers")!;
+    assert.is(topic.isComplete, true);
+    const frozen = TestGateway.serving(server("engine-1"), kept);
+    const through = frozen.state.followers.backendServers.next! + 5;
+    const item = { ...frozen.item("engine-2", [{ kind: "backendServer", record: kept }]) };
+    frozen.receiveReport({ topics: [{ ...topic, through }] }, { backendServers: [item] });
+    assert.type(frozen.state.servers.get(identifier<never>("engine-1"))?.removedAt, "number");
+    assert.is(frozen.state.servers.get(identifier<never>("engine-2"))?.removedAt, undefined);
+});
+
 test("a change that was read is reported to peers at once", () => {
     const gateway = gatewayWithSeed();
     gateway.advance(50);
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -26,6 +26,7 @@
             readCount: topic.read.count,
             through: topic.through,
             age: topic.age,
+            isComplete: topic.isComplete,
             items: topic.items.map(({ key, offset, value }) => ({
                 $typeName: "verbenaspring.v1.PeerTopicItem",
                 key,
@@ -49,13 +50,14 @@
         isStopping,
         isFull,
         waitingRequests,
-        topics: topics.map(({ name, since, reader, readCount, through, age, items }) => ({
+        topics: topics.map(({ name, since, reader, readCount, through, age, items, isComplete }) => ({
             name: name as TopicName,
             read: { reader: identifier<GatewayIncarnation>(reader), count: readCount },
             since,
             through,
             age,
             items,
+            isComplete,
         })),
         loads: loads.map(load => ({ ...load, backendServer: identifier(load.backendServer) })),
         requestLimits: requestLimits.map(({ backendServer, perSecond, age }) => ({
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -22,6 +22,7 @@
                 read: { reader: identifier("two"), count: 7 },
                 age: 12.5,
                 items: [{ key: "config", offset: 8, value: new Uint8Array([1, 2, 255]) }],
+                isComplete: false,
             },
             {
                 name: "backendServers",
@@ -30,6 +31,7 @@
                 read: { reader: identifier("one"), count: 0 },
                 age: 0,
                 items: [],
+                isComplete: true,
             },
         ],
         loads: [
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -184,7 +184,9 @@
             || request.connectionOpenedAt <= request.gateway.callersSilencedAt;
         const limit = request.deadlineAt + answerSlack + this.lagSince(request.sentAt);
         if (this.checksTimeLimits && !hadFault && now > limit) {
-            this.fail("final_answer_in_time", `${request.id} ended ${Math.round(now - request.deadlineAt)} ms late`);
+            const late = Math.round(now - request.deadlineAt);
+            const took = Math.round(now - request.sentAt);
+            this.fail("final_answer_in_time", `${request.id} ended ${late} ms late, ${took} ms after it was sent`);
         }
         const isLost = request.end === "cut" || (typeof request.end === "object" && !request.end.isNotRun);
         // A request that crosses the close of its connection, and reached no backend server, may be
