--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -13,6 +13,7 @@
 import { type Failure, failure, failureStatus, type Milliseconds, type RequestId } from "@verbenaspring/model";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { startArrivalClock } from "./arrivalClock.js";
 import { monotonicNow } from "./eventLoop.js";
 import { listen } from "./socketAddress.js";
 
@@ -72,6 +73,14 @@
 /** How long a channel stays open after a rejection, so that the caller can read the answer. */
 const rejectionLinger: Milliseconds = 500;
 const overloadRetryAfter: Milliseconds = 500;
+/** A request that is read within this time after its channel was accepted probably arrived with it. */
+const maxFirstReadDelay: Milliseconds = 100;
+
+interface NewChannel {
+    readonly acceptedAt: Milliseconds;
+    /** When it may have been opened at the earliest. */
+    readonly arrivedAt: Milliseconds;
+}
 
 /**
  * Creates the server.
@@ -116,8 +125,24 @@
         request.socket.once("close", () => clearTimeout(lingerTimer));
     };
 
+    const arrivalClock = startArrivalClock(monotonicNow);
+    /** The channels on which no request was read yet. */
+    const newChannels = new WeakMap<Socket, NewChannel>();
+    server.on("connection", socket => {
+        const acceptedAt = monotonicNow();
+        newChannels.set(socket, { acceptedAt, arrivedAt: arrivalClock.arrivalOf(acceptedAt) });
+    });
+    /** When the request that is being read may have arrived at the earliest. */
+    const arrivalOnChannel = (socket: Socket): Milliseconds => {
+        const now = monotonicNow();
+        const channel = newChannels.get(socket);
+        newChannels.delete(socket);
+        const cameWithChannel = channel !== undefined && now - channel.acceptedAt <= maxFirstReadDelay;
+        return cameWithChannel ? channel.arrivedAt : arrivalClock.arrivalOf(now);
+    };
+
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
-        const receivedAt = monotonicNow();
+        const receivedAt = arrivalOnChannel(request.socket);
         response.sendDate = false;
         if (countHeaderBytes(request.rawHeaders) > limits.headerBytes) {
             return rejectRequest(request, response, headersTooLarge, "headers");
@@ -222,6 +247,7 @@
             }
         },
         close: () => {
+            arrivalClock.stop();
             server.close();
             server.closeIdleConnections();
         },
