gateway: a server that says in an answer that it leaves gets no new work (DRAIN)

Cause: nothing read Server-Leaving; a server counted as leaving only by its record in the store, which can be late or still say ready.

Change: the notice is decoded (whole answers, stream heads, failures, refusals, reports of runs) and recorded for the incarnation of the server that the call was sent to, if the answer is certain to come from it. The server gets no request, repeat, continued stream, replica or migration from then on, and its streams start to migrate. Other gateways learn of it by a report at once, and pass it on. It ends only with a new incarnation: a record that still says ready, one that returns after a removal, and answers without the header change nothing.

The soak has the same as a fault.

--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -113,6 +113,7 @@
             return;
         }
         member.state = "draining";
+        member.model.isLeaving = true;
         this.register(member);
         this.options.clock.schedule(after, () => this.end(member, true));
     }
--- a/packages/emulator/src/serverModel.ts
+++ b/packages/emulator/src/serverModel.ts
@@ -119,6 +119,8 @@
     behaviour: ServerBehaviour;
     /** The limit that its answers declare, in requests a second. The model does not enforce it. */
     requestLimit: number | undefined;
+    /** Whether its answers say that it leaves. */
+    isLeaving: boolean;
     readonly isEngine: boolean;
     readonly slots: number;
     readonly start: (call: ServerCall, observer: CallObserver) => CallHandle;
--- a/packages/emulator/src/virtualCalls.ts
+++ b/packages/emulator/src/virtualCalls.ts
@@ -160,7 +160,7 @@
 }
 
 function createHead(
-    { requestLimit }: ServerModel,
+    { requestLimit, isLeaving }: ServerModel,
     callerAttemptId: CallerAttemptId,
     status: number,
 ): ResponseHead {
@@ -171,6 +171,7 @@
         isNotRun: false,
         isEncoded: false,
         requestLimit,
+        isLeaving,
         isEventStream: false,
         endsWithChannel: false,
         headers: [],
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -21,7 +21,7 @@
 import { decodeTopicItem } from "@verbenaspring/platform";
 import type { Clock } from "./clock.js";
 import type { Fleet } from "./fleet.js";
-import type { MigrationOutcome } from "./serverModel.js";
+import type { MigrationOutcome, RunReport } from "./serverModel.js";
 import { VirtualCalls } from "./virtualCalls.js";
 import type { VirtualNetwork } from "./virtualNetwork.js";
 import { type LinkOwner, VirtualPeerLinks } from "./virtualPeerLinks.js";
@@ -42,6 +42,12 @@
 /** Interceptors that leave all events and effects unchanged. */
 export const passThroughInterceptors: GatewayInterceptors = { mapEvent: event => event, mapEffect: effect => effect };
 
+/** What a backend server replies to a probe. */
+interface ProbeReply {
+    readonly runs: readonly RunReport[];
+    readonly isLeaving: boolean;
+}
+
 /** Environment of a gateway process. */
 export interface GatewayEnvironment {
     readonly clock: Clock;
@@ -206,21 +212,22 @@
     }
 
     private probe({ backendServer, address }: Extract<GatewayEffect, { readonly kind: "probeServer"; }>): void {
-        this.sendRequest<readonly { readonly callerAttemptId: string; readonly events: number; }[]>(
+        this.sendRequest<ProbeReply>(
             address,
             probeTimeout,
             reply => {
                 const server = this.environment.fleet.findByAddress(address);
                 if (server !== undefined && server.behaviour !== "silent") {
-                    reply(server.report());
+                    reply({ runs: server.report(), isLeaving: server.isLeaving });
                 }
             },
-            runs => {
-                const reported = runs?.map(run => ({
+            reply => {
+                const runs = reply?.runs.map(run => ({
                     ...run,
                     callerAttemptId: identifier<CallerAttemptId>(run.callerAttemptId),
                 }));
-                this.handleEvent({ kind: "serverProbed", backendServer, report: reported && { runs: reported } });
+                const report = reply && runs && { runs, isLeaving: reply.isLeaving };
+                this.handleEvent({ kind: "serverProbed", backendServer, report });
             },
         );
     }
--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -5,7 +5,13 @@
 import * as fc from "fast-check";
 import { type Schedule, schedules } from "./actions.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
-import { limitSchedules, type PlatformSchedule, platformSchedules, runPlatformSchedule } from "./platform/index.js";
+import {
+    limitSchedules,
+    noticeSchedules,
+    type PlatformSchedule,
+    platformSchedules,
+    runPlatformSchedule,
+} from "./platform/index.js";
 import { runSchedule } from "./runSchedule.js";
 import { defaultWorldPolicies, type WorldPolicies } from "./world.js";
 
@@ -46,6 +52,12 @@
     schedules: limitSchedules,
 };
 
+/** Gateways on the users' platform, with backend servers that give notice in their answers. */
+export const noticePlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: noticeSchedules,
+};
+
 /** Options of {@link fuzz}. */
 export interface FuzzOptions<Implementation> {
     readonly seed: number;
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,10 +1,10 @@
 /**
- * The command `npm run fuzz -- --system platform|limits|linked --seed S --runs N --steps K`. It runs randomised
+ * The command `npm run fuzz -- --system platform|limits|notices|linked --seed S --runs N --steps K`. It runs randomised
  * schedules and checks them with the oracle.
  */
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { fuzz, limitedPlatformSystem, linkedSystem, platformSystem } from "./fuzz.js";
+import { fuzz, limitedPlatformSystem, linkedSystem, noticePlatformSystem, platformSystem } from "./fuzz.js";
 
 /** Schedules between two lines of progress. */
 const progressInterval = 1_000;
@@ -13,9 +13,11 @@
     .scriptName("fuzz")
     .options({
         system: {
-            choices: ["linked", "platform", "limits"] as const,
+            choices: ["linked", "platform", "limits", "notices"] as const,
             default: "platform",
-            describe: "gateways on the platform, the same with servers that declare limits, or entries and sidecars",
+            describe:
+                "gateways on the platform, the same with servers that declare limits or give notice in answers, or "
+                + "entries and sidecars",
         },
         seed: { type: "number", default: 1, describe: "seed of the schedules" },
         runs: { type: "number", default: 1_000, describe: "schedules to run" },
@@ -32,8 +34,10 @@
     }
 };
 const options = { seed, runs, steps, path, onRun };
-const platformTarget = system === "limits" ? limitedPlatformSystem : platformSystem;
-const result = system === "linked" ? fuzz(linkedSystem, options) : fuzz(platformTarget, options);
+const platformTargets = { platform: platformSystem, limits: limitedPlatformSystem, notices: noticePlatformSystem };
+const result = system === "linked"
+    ? fuzz(linkedSystem, options)
+    : fuzz(platformTargets[system as keyof typeof platformTargets], options);
 if (result.failure === undefined) {
     process.stdout.write(`seed ${seed}: ${result.runs} schedules of up to ${steps} steps, no promise broken\n`);
     process.exit(0);
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -3,10 +3,17 @@
  */
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { fuzz, type FuzzTarget, limitedPlatformSystem, linkedSystem, platformSystem } from "./fuzz.js";
+import {
+    fuzz,
+    type FuzzTarget,
+    limitedPlatformSystem,
+    linkedSystem,
+    noticePlatformSystem,
+    platformSystem,
+} from "./fuzz.js";
 import { type Mutation, mutations } from "./mutations.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
-import { limitMutations, platformMutations } from "./platform/index.js";
+import { limitMutations, noticeMutations, platformMutations } from "./platform/index.js";
 
 const { seed, runs, steps } = await yargs(hideBin(process.argv))
     .scriptName("mutations")
@@ -48,6 +55,7 @@
     ...createSearches(linkedSystem, mutations),
     ...createSearches(platformSystem, platformMutations),
     ...createSearches(limitedPlatformSystem, limitMutations),
+    ...createSearches(noticePlatformSystem, noticeMutations),
 ];
 
 let missedCount = 0;
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -66,6 +66,11 @@
         readonly perSecond: number;
         readonly duration: number;
     }
+    /**
+     * The server says in its answers that it leaves, long before its registration says so, while requests that it could
+     * run arrive twenty times a second.
+     */
+    | { readonly kind: "giveNotice"; readonly server: number; readonly duration: number; }
     | { readonly kind: "garbleEntry"; readonly server: number; }
     | { readonly kind: "loseHeartbeats"; readonly server: number; readonly duration: number; };
 
@@ -154,6 +159,17 @@
     duration: fc.integer({ min: 4_000, max: 12_000 }),
 });
 
+const giveNotice = arbitraryAction("giveNotice", {
+    server: slot,
+    duration: fc.integer({ min: 4_000, max: 9_000 }),
+});
+
+/** Generates schedules of up to `steps` steps, in which servers give notice in their answers. */
+export function noticeSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    const weighted = fc.oneof({ arbitrary: action, weight: 15 }, { arbitrary: giveNotice, weight: 1 });
+    return schedulesOf(weighted, steps);
+}
+
 /** Generates schedules of up to `steps` steps, in which no server declares a limit. */
 export function platformSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
     return schedulesOf(action, steps);
--- a/packages/fuzz/src/platform/index.ts
+++ b/packages/fuzz/src/platform/index.ts
@@ -6,4 +6,5 @@
 export * from "./requestKinds.js";
 export * from "./runSchedule.js";
 export * from "./serverLimitOracle.js";
+export * from "./serverNoticeOracle.js";
 export * from "./versions.js";
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -8,6 +8,7 @@
     type GatewayEvent,
     type GatewayState,
     indexRoutes,
+    type ResponseHead,
     type Route,
     type TopicRecord,
 } from "@verbenaspring/gateway";
@@ -104,6 +105,63 @@
     eventMutation("each gateway uses the whole limit of a server", ["server_limit_kept"], useWholeLimits),
 ];
 
+/** Uses servers again whose record says that they are ready, as if they had given no notice. */
+function trustRecords(event: GatewayEvent, { servers }: GatewayState): GatewayEvent {
+    for (const [id, server] of servers) {
+        if (!server.record.isDraining && server.removedAt === undefined) {
+            servers.set(id, { ...server, leavingSince: undefined });
+        }
+    }
+    return event;
+}
+
+/** Hides notices from the reducer. Callers still get them, so that the gateway counts as informed. */
+function createNoticeHiding(): GatewayInterceptors {
+    const hidden = new Set<unknown>();
+    const hide = <Head extends ResponseHead>(head: Head): Head => {
+        if (head.isLeaving) {
+            hidden.add(head.callerAttemptId);
+        }
+        return { ...head, isLeaving: false };
+    };
+    const show = <Head extends ResponseHead>(head: Head): Head => ({
+        ...head,
+        isLeaving: hidden.has(head.callerAttemptId),
+    });
+    return {
+        mapEvent: event => {
+            switch (event.kind) {
+                case "attemptAnswered":
+                    return { ...event, answer: hide(event.answer) };
+                case "streamOpened":
+                    return { ...event, head: hide(event.head) };
+                default:
+                    return event;
+            }
+        },
+        mapEffect: effect => {
+            switch (effect.kind) {
+                case "answerWhole":
+                    return { ...effect, answer: show(effect.answer) };
+                case "answerHead":
+                    return { ...effect, head: show(effect.head) };
+                default:
+                    return effect;
+            }
+        },
+    };
+}
+
+/** Mutations that only schedules in which servers give notice in their answers can find. */
+export const noticeMutations: readonly Mutation<GatewayInterceptors>[] = [
+    {
+        name: "notices in answers are ignored",
+        promises: ["leaving_gets_no_new_work"],
+        implementation: createNoticeHiding(),
+    },
+    eventMutation("a record that says ready ends a notice", ["leaving_gets_no_new_work"], trustRecords),
+];
+
 /** Every other mutation, with the promises that rely on the removed mechanism. */
 export const platformMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation(
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -10,6 +10,7 @@
 import { isEarlyInStop, platformLimits } from "./limits.js";
 import { mustRunAtMostOnce, type RequestOrProbeKind, serviceOf } from "./requestKinds.js";
 import { ServerLimitOracle } from "./serverLimitOracle.js";
+import { ServerNoticeOracle } from "./serverNoticeOracle.js";
 
 /** A caller's request. */
 export interface PlatformRequest {
@@ -45,6 +46,7 @@
     private readonly arrivedAttempts = new Set<string>();
     readonly faultRecord: FaultRecord;
     readonly serverLimits: ServerLimitOracle<VirtualGateway>;
+    readonly serverNotices = new ServerNoticeOracle<VirtualGateway>((promise, detail) => this.fail(promise, detail));
     /** The backend server that each attempt of a caller reached last. */
     private readonly lastServers = new Map<string, string>();
 
@@ -120,11 +122,14 @@
         }
     }
 
-    private recordInformed({ gateway, callerAttemptId }: PlatformRequest, { requestLimit }: ResponseHead): void {
+    private recordInformed({ gateway, callerAttemptId }: PlatformRequest, head: ResponseHead): void {
         const server = this.lastServers.get(callerAttemptId);
-        if (server !== undefined && requestLimit !== undefined) {
+        if (server !== undefined && head.requestLimit !== undefined) {
             this.serverLimits.recordInformed(gateway, server, this.clock.now);
         }
+        if (server !== undefined && head.isLeaving) {
+            this.serverNotices.recordInformed(gateway, server, this.clock.now);
+        }
     }
 
     private checkEvent(request: PlatformRequest, { id, bytes }: StreamEvent): void {
@@ -223,6 +228,7 @@
         this.arrivals.push({ service, at: now, isRepeat });
         this.lastServers.set(call.head.callerAttemptId, call.backendServer);
         this.serverLimits.recordArrival(gateway, call.backendServer, now);
+        this.serverNotices.checkArrival(gateway, call.backendServer, request?.sentAt ?? now);
         const drainPublishedAt = this.drainPublishedAt(call.backendServer);
         if (
             drainPublishedAt !== undefined && now > drainPublishedAt + platformLimits.drain
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -42,6 +42,8 @@
 /** How long after a crash a server of another service starts at the crashed server's address. */
 const addressReuseDelay: Milliseconds = 2_000;
 const restartDelay: Milliseconds = 500;
+/** How long a server that gave notice in its answers still serves after its registration says so. */
+const departureDelay: Milliseconds = 4_000;
 /** The time between the requests that arrive while a server declares a limit. */
 const limitedRequestInterval: Milliseconds = 50;
 /** The time limit of these requests, and the length of those that are streamed. */
@@ -276,6 +278,7 @@
                 return this.killGateway(gateway, action.how, action.away);
             case "freezeGateway":
                 this.oracle.faultRecord.recordProcessFault(gateway.name, action.duration);
+                this.oracle.serverNotices.excuse(gateway);
                 return gateway.freeze(action.duration);
             case "stopGateway":
                 return gateway.stop();
@@ -348,6 +351,7 @@
                 return clock.schedule(action.away, () => this.addServer(plan.kind));
             case "restartServer":
                 this.recordServerFault();
+                this.oracle.serverNotices.forgetServer(id);
                 return fleet.restart(id);
             case "replaceServer":
                 this.addServer(plan.kind);
@@ -367,6 +371,11 @@
                 server.requestLimit = action.perSecond;
                 this.sendRequests(plan.kind === "plain" ? "confirm" : "note", action.duration);
                 return this.endAfter(action.duration, () => server.requestLimit = undefined);
+            case "giveNotice":
+                this.addServer(plan.kind);
+                server.isLeaving = true;
+                this.sendRequests(plan.kind === "plain" ? "confirm" : "note", action.duration);
+                return clock.schedule(action.duration, () => fleet.leave(id, departureDelay));
             case "garbleEntry":
                 return fleet.corruptRegistration(id);
             case "loseHeartbeats":
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -11,6 +11,7 @@
 } from "@verbenaspring/coordination";
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
 import type { AttemptFailure, GatewayEvent } from "./event.js";
+import { recordLeavingNotice } from "./leavingServers.js";
 import { probeSilentServer, recordSignOfLife } from "./liveness.js";
 import type { BackendAnswer, ResponseHead } from "./messages.js";
 import { recordRequestLimit } from "./requestLimits.js";
@@ -44,7 +45,7 @@
     }
     const answerClass = classifyAnswer(request, answer);
     if (isByServer(answerClass, answer)) {
-        recordRequestLimit(transaction, attempt, answer);
+        recordDeclarations(transaction, attempt, answer);
     }
     recordHealth(
         transaction,
@@ -101,6 +102,14 @@
         || (answerClass === "not_run" && status !== misdirectedStatus);
 }
 
+/** Records what a server says of itself in the head of an answer. */
+export function recordDeclarations(transaction: Transaction, attempt: Attempt, head: ResponseHead): void {
+    recordRequestLimit(transaction, attempt, head);
+    if (head.isLeaving) {
+        recordLeavingNotice(transaction, attempt.server.record);
+    }
+}
+
 /**
  * Statuses that tell a caller that its request did not run and never will. A server that did not run a request also
  * marks the head of its answer as not run. Without that mark the request may have run, so the answer is not passed on.
--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -44,27 +44,34 @@
 /**
  * Applies a server's record. A record with an older incarnation or heartbeat than the known one changes nothing.
  *
+ * @param hasGivenNotice whether this incarnation said in an answer that it leaves, whatever the record says
  * @example
- * const change = applyRecord(view, record, now);
+ * const change = applyRecord(view, record, false, now);
  */
-export function applyRecord(view: BackendView, record: BackendRecord, now: Milliseconds): BackendChange {
+export function applyRecord(
+    view: BackendView,
+    record: BackendRecord,
+    hasGivenNotice: boolean,
+    now: Milliseconds,
+): BackendChange {
     const known = view.get(record.id);
     if (known !== undefined && isOlder(record, known.record)) {
         return "unchanged";
     }
     const isRestart = known !== undefined && known.record.startedAt !== record.startedAt;
     const isSameIncarnation = known !== undefined && !isRestart;
+    const isLeaving = record.isDraining || hasGivenNotice;
     view.set(record.id, {
         record,
         incarnation: (known?.incarnation ?? 0) + (isRestart ? 1 : 0),
         warmUpEndsAt: now + record.remainingWarmUp,
-        leavingSince: record.isDraining ? (isSameIncarnation ? known.leavingSince : undefined) ?? now : undefined,
+        leavingSince: isLeaving ? (isSameIncarnation ? known.leavingSince : undefined) ?? now : undefined,
         removedAt: undefined,
     });
-    return classifyChange(known, record, isRestart);
+    return classifyChange(known, isLeaving, isRestart);
 }
 
-function classifyChange(known: BackendServer | undefined, record: BackendRecord, isRestart: boolean): BackendChange {
+function classifyChange(known: BackendServer | undefined, isLeaving: boolean, isRestart: boolean): BackendChange {
     if (known === undefined) {
         return "added";
     }
@@ -72,10 +79,10 @@
         return "restarted";
     }
     const wasLeaving = known.leavingSince !== undefined;
-    if (record.isDraining === wasLeaving) {
+    if (isLeaving === wasLeaving) {
         return "unchanged";
     }
-    return record.isDraining ? "leaving" : "returned";
+    return isLeaving ? "leaving" : "returned";
 }
 
 function isOlder(record: BackendRecord, known: BackendRecord): boolean {
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -62,6 +62,8 @@
 
 /** The answer of a server to a probe. */
 export interface ServerReport {
+    /** Whether the server states that it leaves. */
+    readonly isLeaving: boolean;
     readonly runs: readonly ReportedRun[];
 }
 
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -6,6 +6,7 @@
 import type { BackendServerId, GatewayIncarnation, LogOffset, Milliseconds, ServiceName } from "@verbenaspring/model";
 import { applyRecord, applyRemoval, type BackendChange, forgetRemoved } from "./backendServers.js";
 import type { DecodedItem, GatewayEvent, TopicName, TopicRecord } from "./event.js";
+import { hasGivenNotice } from "./leavingServers.js";
 import { migrateStreams } from "./migration.js";
 import type { TopicReadStamp } from "./peerReport.js";
 import { livePeers, reportToPeers } from "./peers.js";
@@ -245,7 +246,8 @@
             return applyConfiguration(transaction, decoded.configuration);
         case "backendServer": {
             const previous = state.servers.get(decoded.record.id);
-            const change = applyRecord(state.servers, decoded.record, now);
+            const isNoticed = hasGivenNotice(state, decoded.record);
+            const change = applyRecord(state.servers, decoded.record, isNoticed, now);
             if (previous?.record.service !== decoded.record.service) {
                 indexByService(transaction);
             }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./backendServers.js";
 export * from "./effect.js";
 export * from "./event.js";
+export * from "./leavingServers.js";
 export * from "./messages.js";
 export * from "./options.js";
 export * from "./peerReport.js";
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -5,6 +5,7 @@
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
 import { abandonAttempt } from "./attempts.js";
 import type { GatewayEvent, ServerReport } from "./event.js";
+import { recordLeavingNotice } from "./leavingServers.js";
 import { canSendAgain } from "./sending.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -56,6 +57,10 @@
     if (report !== undefined) {
         recordSignOfLife(state, backendServer, now);
     }
+    const server = state.servers.get(backendServer);
+    if (report?.isLeaving === true && server !== undefined) {
+        recordLeavingNotice(transaction, server.record);
+    }
     for (const request of [...state.requests.values()]) {
         const { attempt } = request;
         if (attempt?.server.record.id === backendServer && isLost(request, attempt, report, now)) {
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -80,6 +80,8 @@
     readonly isEncoded: boolean;
     /** The requests a second that the backend server accepts from all gateways together; undefined without a limit. */
     readonly requestLimit: number | undefined | "unreadable";
+    /** Whether the backend server states that it leaves. */
+    readonly isLeaving: boolean;
     readonly isEventStream: boolean;
     /** Whether the body has neither length nor framing, so that its end can't be told from a lost connection. */
     readonly endsWithChannel: boolean;
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -3,6 +3,7 @@
  */
 import type { BackendServerId, GatewayIncarnation, LogOffset, Milliseconds, PeerAddress } from "@verbenaspring/model";
 import type { DecodedItem, TopicItem, TopicName } from "./event.js";
+import type { PeerLeavingServer } from "./leavingServers.js";
 
 /** The load of one gateway at one backend server. */
 export interface PeerLoad {
@@ -63,6 +64,8 @@
     readonly waitingRequests: number;
     /** The limits in answers of backend servers since its last report on the link. */
     readonly requestLimits: readonly PeerRequestLimit[];
+    /** The notices that it learnt since its last report on the link. */
+    readonly leavingServers: readonly PeerLeavingServer[];
 }
 
 /** The items of a report, decoded. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -6,6 +6,7 @@
 import type { BackendServerId, LogOffset, Milliseconds, PeerAddress } from "@verbenaspring/model";
 import type { GatewayEvent, TopicItem, TopicName } from "./event.js";
 import { applyItems, applySnapshot, recordFreshness } from "./followers.js";
+import { applyPeerNotices, noticesAfter } from "./leavingServers.js";
 import type { PeerLoad, PeerReport, PeerTopic } from "./peerReport.js";
 import { applyPeerLimit, newlyObservedLimits } from "./requestLimits.js";
 import { engineOf } from "./serverLoad.js";
@@ -138,6 +139,7 @@
     peer.sentAt = now;
     peer.sentLoads.clear();
     peer.sentLimitsAt = -Infinity;
+    peer.sentNotices = 0;
     peer.through = unknownOffsets;
 }
 
@@ -161,6 +163,7 @@
         sentPlacements: 0,
         sentWaitingRequests: 0,
         sentLimitsAt: -Infinity,
+        sentNotices: 0,
         sentLoads: new Map(),
         through: unknownOffsets,
         loads: new Map(),
@@ -181,6 +184,8 @@
     peer.sentWaitingRequests = state.waiting.size;
     const requestLimits = newlyObservedLimits(state, peer.sentLimitsAt, now);
     peer.sentLimitsAt = now;
+    const leavingServers = noticesAfter(state, peer.sentNotices);
+    peer.sentNotices = state.noticeCount;
     const topics = topicNames.map(name => createTopicReport(state, name, peer, now));
     if (peer.link === "open") {
         peer.through = {
@@ -198,6 +203,7 @@
         isFull,
         waitingRequests: state.waiting.size,
         requestLimits,
+        leavingServers,
     };
 }
 
@@ -295,6 +301,7 @@
     peer.loads = new Map([...previous, ...report.loads.map(load => [load.backendServer, load] as const)]);
     report.topics.forEach(topic => handlePeerTopic(transaction, peer, topic, items));
     report.requestLimits.forEach(limit => applyPeerLimit(transaction, limit));
+    applyPeerNotices(transaction, report.leavingServers);
 }
 
 function handlePeerTopic(
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -10,6 +10,7 @@
 import type { BackendServerId, Milliseconds, ServiceName } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
 import type { DecisionFields } from "./effect.js";
+import { hasGivenNotice } from "./leavingServers.js";
 import { expectedOutput } from "./messages.js";
 import { peerLoad } from "./peers.js";
 import { isLimited, isWithinLimit } from "./requestLimits.js";
@@ -30,7 +31,9 @@
     const ids = state.serversByService.get(service) ?? [];
     const known = ids.flatMap(id => state.servers.get(id) ?? []);
     const ready = known.filter(server => server.leavingSince === undefined);
-    const usable = ready.length > 0 ? ready : known.filter(server => hasJustLapsed(server, now));
+    const usable = ready.length > 0
+        ? ready
+        : known.filter(server => hasJustLapsed(server, now) && !hasGivenNotice(state, server.record));
     const allowed = usable.filter(({ record }) => isWithinLimit(state, record.id, now));
     return withoutEjected(allowed, ({ record }) => state.health.get(record.id), now);
 }
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -14,6 +14,7 @@
 } from "@verbenaspring/model";
 import type { BackendServer, BackendView } from "./backendServers.js";
 import type { ReadFailure, TopicItem, TopicName } from "./event.js";
+import type { LeavingNotices } from "./leavingServers.js";
 import type { RequestHead, ResponseHead, RunReplica } from "./messages.js";
 import type { GatewayOptions } from "./options.js";
 import type { PeerLoad, TopicReadStamp } from "./peerReport.js";
@@ -149,6 +150,8 @@
     sentWaitingRequests: number;
     /** Limits that this gateway observed before then were reported to it on this link. */
     sentLimitsAt: Milliseconds;
+    /** The notices up to this number were reported to it on this link. */
+    sentNotices: number;
     /** The loads that were last reported to it on this link. */
     readonly sentLoads: Map<BackendServerId, PeerLoad>;
     /** The offset up to which it knows each topic; undefined before it or this gateway has reported on this link. */
@@ -173,6 +176,9 @@
     placements: number;
     readonly liveness: Map<BackendServerId, ServerLiveness>;
     readonly requestLimits: RequestLimits;
+    readonly leavingNotices: LeavingNotices;
+    /** The number of the newest notice. */
+    noticeCount: number;
     /** Moving average of the time per token of a stream. */
     timePerToken: Milliseconds;
     /** Moving average of the prompt tokens that an engine processes in a millisecond. */
@@ -214,6 +220,8 @@
         placements: 0,
         liveness: new Map(),
         requestLimits: new Map(),
+        leavingNotices: new Map(),
+        noticeCount: 0,
         timePerToken: initialTimePerToken,
         prefillRate: initialPrefillRate,
         meanStreamDuration: initialStreamDuration,
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -3,13 +3,22 @@
  * continues after the last event: from the replica of its memory or, where the route allows it, as a new run.
  */
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
-import { type AttemptOutcome, classifyAnswer, endAttempt, isByServer, recordHealth, retryOrFail } from "./attempts.js";
+import {
+    type AttemptOutcome,
+    classifyAnswer,
+    endAttempt,
+    isByServer,
+    recordDeclarations,
+    recordHealth,
+    retryOrFail,
+} from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import type { DecisionFields } from "./effect.js";
+import { hasGivenNotice } from "./leavingServers.js";
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { migrateAfterFirstEvent } from "./migration.js";
-import { isWithinLimit, recordRequestLimit } from "./requestLimits.js";
+import { isWithinLimit } from "./requestLimits.js";
 import { finishRequest, requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
@@ -35,7 +44,7 @@
     }
     const answerClass = classifyAnswer(request, head);
     if (isByServer(answerClass, head)) {
-        recordRequestLimit(transaction, attempt, head);
+        recordDeclarations(transaction, attempt, head);
     }
     if (answerClass === "delivered") {
         attempt.head = head;
@@ -230,5 +239,6 @@
     { record, leavingSince }: BackendServer,
     now: Milliseconds,
 ): boolean {
-    return (leavingSince === undefined || now - leavingSince <= takeoverWindow) && isWithinLimit(state, record.id, now);
+    const isStaying = leavingSince === undefined || now - leavingSince <= takeoverWindow;
+    return isStaying && !hasGivenNotice(state, record) && isWithinLimit(state, record.id, now);
 }
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -74,13 +74,7 @@
 const rejectionLinger: Milliseconds = 500;
 const overloadRetryAfter: Milliseconds = 500;
 /** A request that is read within this time after its channel was accepted probably arrived with it. */
-const maxFirstReadDelay: Milliseconds = 100;
-
-interface NewChannel {
-    readonly acceptedAt: Milliseconds;
-    /** When it may have been opened at the earliest. */
-    readonly arrivedAt: Milliseconds;
-}
+const maxFirstReadDelay: Milliseconds = 500;
 
 /**
  * Creates the server.
@@ -126,19 +120,16 @@
     };
 
     const arrivalClock = startArrivalClock(monotonicNow);
-    /** The channels on which no request was read yet. */
-    const newChannels = new WeakMap<Socket, NewChannel>();
-    server.on("connection", socket => {
-        const acceptedAt = monotonicNow();
-        newChannels.set(socket, { acceptedAt, arrivedAt: arrivalClock.arrivalOf(acceptedAt) });
-    });
+    /** The channels on which no request was read yet, and when they were accepted. */
+    const newChannels = new WeakMap<Socket, Milliseconds>();
+    server.on("connection", socket => newChannels.set(socket, monotonicNow()));
     /** When the request that is being read may have arrived at the earliest. */
     const arrivalOnChannel = (socket: Socket): Milliseconds => {
         const now = monotonicNow();
-        const channel = newChannels.get(socket);
+        const acceptedAt = newChannels.get(socket);
         newChannels.delete(socket);
-        const cameWithChannel = channel !== undefined && now - channel.acceptedAt <= maxFirstReadDelay;
-        return cameWithChannel ? channel.arrivedAt : arrivalClock.arrivalOf(now);
+        const cameWithChannel = acceptedAt !== undefined && now - acceptedAt <= maxFirstReadDelay;
+        return cameWithChannel ? arrivalClock.arrivalOfChannel(now) : arrivalClock.arrivalOfBytes(now);
     };
 
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -10,7 +10,7 @@
 
 /** Converts a report to a message. */
 export function encodeReport(report: PeerReport): ReportInit {
-    const { address, incarnation, members, isStopping, topics, loads, isFull, waitingRequests, requestLimits } = report;
+    const { address, incarnation, members, isStopping, topics, loads, isFull, waitingRequests } = report;
     return {
         address,
         incarnation,
@@ -35,14 +35,20 @@
             })),
         })),
         loads: loads.map(load => ({ $typeName: "verbenaspring.v1.PeerLoad", ...load })),
-        requestLimits: requestLimits.map(limit => ({ $typeName: "verbenaspring.v1.PeerRequestLimit", ...limit })),
+        requestLimits: report.requestLimits.map(limit => ({
+            $typeName: "verbenaspring.v1.PeerRequestLimit",
+            ...limit,
+        })),
+        leavingServers: report.leavingServers.map(notice => ({
+            $typeName: "verbenaspring.v1.PeerLeavingServer",
+            ...notice,
+        })),
     };
 }
 
 /** Converts a message to a report. */
 export function decodeReport(message: PeerReportMessage): PeerReport {
-    const { address, incarnation, members, isStopping, topics, loads, isFull, waitingRequests, requestLimits } =
-        message;
+    const { address, incarnation, members, isStopping, topics, loads, isFull, waitingRequests } = message;
     return {
         address: identifier(address),
         incarnation: identifier(incarnation),
@@ -60,10 +66,14 @@
             isComplete,
         })),
         loads: loads.map(load => ({ ...load, backendServer: identifier(load.backendServer) })),
-        requestLimits: requestLimits.map(({ backendServer, perSecond, age }) => ({
+        requestLimits: message.requestLimits.map(({ backendServer, perSecond, age }) => ({
             backendServer: identifier(backendServer),
             perSecond,
             age,
         })),
+        leavingServers: message.leavingServers.map(({ backendServer, startedAt }) => ({
+            backendServer: identifier(backendServer),
+            startedAt,
+        })),
     };
 }
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -43,6 +43,10 @@
                 waitingTokens: 0,
             },
         ],
+        leavingServers: [
+            { backendServer: identifier("i-2"), startedAt: 7 },
+            { backendServer: identifier("i-3"), startedAt: undefined },
+        ],
         requestLimits: [
             { backendServer: identifier("i-1"), perSecond: 1.4, age: 20 },
             { backendServer: identifier("i-2"), perSecond: undefined, age: 30 },
--- a/packages/soak/src/soakCallers.ts
+++ b/packages/soak/src/soakCallers.ts
@@ -177,5 +177,6 @@
     });
     const isSealed = headers["response-seal"] !== undefined;
     const declaresLimit = headers["server-limit"] !== undefined;
-    return { status: statusCode, declaresLimit, isSealed, ...await readResponseBody(body) };
+    const isServerLeaving = headers["server-leaving"] === "1";
+    return { status: statusCode, declaresLimit, isServerLeaving, isSealed, ...await readResponseBody(body) };
 }
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -140,6 +140,7 @@
 
 function pauseGateway(faults: SoakFaults, gateway: SoakGateway, duration: number): void {
     faults.world.oracle.faultRecord.recordProcessFault(gateway.name, duration);
+    faults.world.oracle.serverNotices.excuse(gateway);
     gateway.process.child.kill("SIGSTOP");
     faults.endAfter(duration, () => gateway.process.child.kill("SIGCONT"));
 }
@@ -158,6 +159,7 @@
     world.removeServer(crashed);
     void crashed.standIn.crash();
     crashed.relay.close();
+    world.oracle.serverNotices.forgetServer(id);
     faults.endAfter(keepsId ? 0 : duration, () => void world.addServer(kind, keepsId ? id : undefined));
 }
 
@@ -223,10 +225,24 @@
     faults.endAfter(limitDurationFactor * duration, () => standIn.setRequestLimit(undefined));
 }
 
+/** A server says in its answers that it leaves, and registers as draining only some seconds later. */
+function giveNotice(faults: SoakFaults, duration: number): void {
+    const { world } = faults;
+    const leaving = faults.chooseServer();
+    void world.addServer(leaving.standIn.plan.kind);
+    leaving.standIn.giveNotice();
+    faults.endAfter(duration + drainDuration, () => {
+        world.removeServer(leaving);
+        leaving.standIn.drain(drainDuration);
+        setTimeout(() => leaving.relay.close(), drainDuration);
+    });
+}
+
 /** Faults that affect no promise and no time limit. */
 export const harmlessFaultKinds: readonly Fault[] = [
     { name: "clockJump", perform: withGateway(jumpClock) },
     { name: "limitWorker", perform: limitServer },
+    { name: "giveNotice", perform: giveNotice },
 ];
 
 /** All other faults. */
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -11,6 +11,7 @@
     type PlatformRequestEnd,
     type RequestOrProbeKind,
     ServerLimitOracle,
+    ServerNoticeOracle,
     serviceOf,
 } from "@verbenaspring/fuzz";
 import type { SoakGateway } from "./soakWorld.js";
@@ -36,6 +37,8 @@
     readonly status: number;
     /** Whether it declares a limit of the backend server that gave it. */
     readonly declaresLimit: boolean;
+    /** Whether that server says in it that it leaves. */
+    readonly isServerLeaving: boolean;
     /** Whether it carries the seal of a backend server. */
     readonly isSealed: boolean;
     readonly body: string;
@@ -69,6 +72,7 @@
     private readonly arrivedIds = new Set<string>();
     readonly faultRecord = new FaultRecord(() => performance.now());
     private readonly serverLimits: ServerLimitOracle<SoakGateway>;
+    readonly serverNotices = new ServerNoticeOracle<SoakGateway>((promise, detail) => this.fail(promise, detail));
     /** The backend server that each request reached last. */
     private readonly lastServers = new Map<string, string>();
     private readonly lags: { readonly at: number; readonly lag: number; }[] = [];
@@ -127,6 +131,9 @@
         if (response?.declaresLimit === true && server !== undefined) {
             this.serverLimits.recordInformed(request.gateway, server, performance.now());
         }
+        if (response?.isServerLeaving === true && server !== undefined) {
+            this.serverNotices.recordInformed(request.gateway, server, performance.now());
+        }
         request.end = this.classifyResponse(request, response);
         const endName = typeof request.end === "object" ? request.end.failure : request.end;
         this.endCounts.set(endName, (this.endCounts.get(endName) ?? 0) + 1);
@@ -210,6 +217,7 @@
         this.lastServers.set(callerAttemptId, server);
         if (request !== undefined) {
             this.serverLimits.recordArrival(request.gateway, server, now);
+            this.serverNotices.checkArrival(request.gateway, server, request.sentAt);
         }
         if (drainPublished === undefined || request === undefined || now <= drainPublished + platformLimits.drain) {
             return;
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -28,6 +28,8 @@
     readonly setBehaviour: (behaviour: ServerBehaviour) => void;
     /** Declares a limit of requests a second in its answers, or none any more. */
     readonly setRequestLimit: (perSecond: number | undefined) => void;
+    /** Says from now on in all answers that the server leaves, whatever its registration says. */
+    readonly giveNotice: () => void;
     /** Registers the server as draining and stops it after a delay in milliseconds. */
     readonly drain: (endsAfter?: number) => void;
     /** Stops the server without notice: open connections are reset and its port is closed. */
@@ -111,6 +113,7 @@
             runs: () => runs.filter(({ server }) => server === plan.id),
             setBehaviour: next => model.behaviour = next,
             setRequestLimit: perSecond => model.requestLimit = perSecond,
+            giveNotice: () => model.isLeaving = true,
             drain: (endsAfter = defaultDrainDuration) => {
                 fleet.leave(plan.id, endsAfter);
                 setTimeout(() => void close(), endsAfter).unref();
@@ -139,6 +142,7 @@
     observeArrival: ArrivalObserver,
 ): Promise<void> {
     if (url.pathname === "/report") {
+        Object.entries(declarationHeaders(model)).forEach(([name, value]) => response.setHeader(name, value));
         const runs = model.report().map(({ callerAttemptId, events }) => [callerAttemptId, 1, events, 5]);
         return sendJson(response, 200, { state: "ready", runs });
     }
@@ -199,15 +203,21 @@
     return source === undefined || name === undefined ? undefined : { source, name };
 }
 
+/** The headers in which a server tells about itself, whatever the request. */
+function declarationHeaders({ requestLimit, isLeaving }: ServerModel): Readonly<Record<string, string>> {
+    return {
+        ...(requestLimit === undefined ? {} : { "Server-Limit": String(requestLimit) }),
+        ...(isLeaving ? { "Server-Leaving": "1" } : {}),
+    };
+}
+
 function createObserver(model: ServerModel, call: ServerCall, response: ServerResponse): CallObserver {
-    const limitHeader: Readonly<Record<string, string>> = model.requestLimit === undefined
-        ? {}
-        : { "Server-Limit": String(model.requestLimit) };
-    const identityHeaders = { "Attempt-Id": call.callerAttemptId, "Response-Seal": "seal", ...limitHeader };
+    const declarations = declarationHeaders(model);
+    const identityHeaders = { "Attempt-Id": call.callerAttemptId, "Response-Seal": "seal", ...declarations };
     return {
         refused: reason => {
             const status = reason === "not_the_target" ? misdirectedStatus : refusedStatus;
-            response.writeHead(status, { ...limitHeader, "Not-Executed": "1", "content-length": 0 });
+            response.writeHead(status, { ...declarations, "Not-Executed": "1", "content-length": 0 });
             response.end();
         },
         opened: () => response.writeHead(200, { ...identityHeaders, "content-type": "text/event-stream" }),
