--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -13,7 +13,6 @@
 import { type Failure, failure, failureStatus, type Milliseconds, type RequestId } from "@verbenaspring/model";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { startArrivalClock } from "./arrivalClock.js";
 import { monotonicNow } from "./eventLoop.js";
 import { listen } from "./socketAddress.js";
 
@@ -73,8 +72,6 @@
 /** How long a channel stays open after a rejection, so that the caller can read the answer. */
 const rejectionLinger: Milliseconds = 500;
 const overloadRetryAfter: Milliseconds = 500;
-/** A request that is read within this time after its channel was accepted probably arrived with it. */
-const maxFirstReadDelay: Milliseconds = 500;
 
 /**
  * Creates the server.
@@ -119,21 +116,8 @@
         request.socket.once("close", () => clearTimeout(lingerTimer));
     };
 
-    const arrivalClock = startArrivalClock(monotonicNow);
-    /** The channels on which no request was read yet, and when they were accepted. */
-    const newChannels = new WeakMap<Socket, Milliseconds>();
-    server.on("connection", socket => newChannels.set(socket, monotonicNow()));
-    /** When the request that is being read may have arrived at the earliest. */
-    const arrivalOnChannel = (socket: Socket): Milliseconds => {
-        const now = monotonicNow();
-        const acceptedAt = newChannels.get(socket);
-        newChannels.delete(socket);
-        const cameWithChannel = acceptedAt !== undefined && now - acceptedAt <= maxFirstReadDelay;
-        return cameWithChannel ? arrivalClock.arrivalOfChannel(now) : arrivalClock.arrivalOfBytes(now);
-    };
-
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
-        const receivedAt = arrivalOnChannel(request.socket);
+        const receivedAt = monotonicNow();
         response.sendDate = false;
         if (countHeaderBytes(request.rawHeaders) > limits.headerBytes) {
             return rejectRequest(request, response, headersTooLarge, "headers");
@@ -238,7 +222,6 @@
             }
         },
         close: () => {
-            arrivalClock.stop();
             server.close();
             server.closeIdleConnections();
         },
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,3 @@
-export * from "./arrivalClock.js";
 export * from "./backendChannels.js";
 export * from "./backendClient.js";
 export * from "./callerServer.js";
