soak: the server of an answer is the one that gave its head

Traced: no gateway ever got a notice of that server, engine15. The oracle took the server that a request reached last for the one that gave the answer; a stream whose head came from a server that leaves goes on elsewhere, and engine15 was where. Stand-ins now name themselves in each answer, and the oracle goes by that. The check itself is as before.

--- a/packages/soak/src/soakCallers.ts
+++ b/packages/soak/src/soakCallers.ts
@@ -178,5 +178,6 @@
     const isSealed = headers["response-seal"] !== undefined;
     const declaresLimit = headers["server-limit"] !== undefined;
     const isServerLeaving = headers["server-leaving"] === "1";
-    return { status: statusCode, declaresLimit, isServerLeaving, isSealed, ...await readResponseBody(body) };
+    const server = headers["instance-id"]?.toString();
+    return { status: statusCode, server, declaresLimit, isServerLeaving, isSealed, ...await readResponseBody(body) };
 }
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -35,7 +35,9 @@
 /** The part of a response that arrived. */
 export interface SoakResponse {
     readonly status: number;
-    /** Whether it declares a limit of the backend server that gave it. */
+    /** The backend server that gave its head; undefined if it is the gateway's own. */
+    readonly server: string | undefined;
+    /** Whether it declares a limit of that server. */
     readonly declaresLimit: boolean;
     /** Whether that server says in it that it leaves. */
     readonly isServerLeaving: boolean;
@@ -73,8 +75,6 @@
     readonly faultRecord = new FaultRecord(() => performance.now());
     private readonly serverLimits: ServerLimitOracle<SoakGateway>;
     readonly serverNotices = new ServerNoticeOracle<SoakGateway>((promise, detail) => this.fail(promise, detail));
-    /** The backend server that each request reached last. */
-    private readonly lastServers = new Map<string, string>();
     private readonly lags: { readonly at: number; readonly lag: number; }[] = [];
 
     /**
@@ -127,7 +127,7 @@
         if (request.end === "left") {
             return;
         }
-        const server = this.lastServers.get(request.id);
+        const server = response?.server;
         if (response?.declaresLimit === true && server !== undefined) {
             this.serverLimits.recordInformed(request.gateway, server, performance.now());
         }
@@ -214,7 +214,6 @@
         const drainPublished = this.drainPublishedAt(server);
         const request = this.requests.get(callerAttemptId);
         const now = performance.now();
-        this.lastServers.set(callerAttemptId, server);
         if (request !== undefined) {
             this.serverLimits.recordArrival(request.gateway, server, now);
             this.serverNotices.checkArrival(request.gateway, server, request.sentAt);
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -213,7 +213,12 @@
 
 function createObserver(model: ServerModel, call: ServerCall, response: ServerResponse): CallObserver {
     const declarations = declarationHeaders(model);
-    const identityHeaders = { "Attempt-Id": call.callerAttemptId, "Response-Seal": "seal", ...declarations };
+    const identityHeaders = {
+        "Attempt-Id": call.callerAttemptId,
+        "Response-Seal": "seal",
+        "Instance-Id": model.options.id,
+        ...declarations,
+    };
     return {
         refused: reason => {
             const status = reason === "not_the_target" ? misdirectedStatus : refusedStatus;
