--- a/packages/bench/src/engineLoad.ts
+++ b/packages/bench/src/engineLoad.ts
@@ -115,6 +115,7 @@
                 answered: (_, effect) => this.handleAnswer(effect),
                 decisionLogged: () => undefined,
                 callArrived: () => undefined,
+                pauseRequested: () => undefined,
                 exited: () => undefined,
             },
         );
--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -77,6 +77,7 @@
     preemptions = 0;
     behaviour: ServerBehaviour = "well";
     requestLimit: number | undefined = undefined;
+    pause: Milliseconds | undefined = undefined;
     isLeaving = false;
     private running: EngineRun[] = [];
     private waiting: EngineRun[] = [];
--- a/packages/emulator/src/plainServer.ts
+++ b/packages/emulator/src/plainServer.ts
@@ -43,6 +43,7 @@
     readonly slots: number;
     behaviour: ServerBehaviour = "well";
     requestLimit: number | undefined = undefined;
+    pause: Milliseconds | undefined = undefined;
     isLeaving = false;
     private readonly running = new Set<PendingCall>();
     private queue: PendingCall[] = [];
--- a/packages/emulator/src/serverModel.ts
+++ b/packages/emulator/src/serverModel.ts
@@ -119,6 +119,8 @@
     behaviour: ServerBehaviour;
     /** The limit that its answers declare, in requests a second. The model does not enforce it. */
     requestLimit: number | undefined;
+    /** How long its refusals say that it wants no further request from a gateway; undefined if they don't. */
+    pause: Milliseconds | undefined;
     /** Whether its answers say that it leaves. */
     isLeaving: boolean;
     readonly isEngine: boolean;
--- a/packages/emulator/src/virtualCalls.ts
+++ b/packages/emulator/src/virtualCalls.ts
@@ -28,6 +28,8 @@
     readonly handleEvent: (event: GatewayEvent) => void;
     /** Is called when a call reaches a backend server, even if the server then refuses it. */
     readonly callArrived: (call: BackendCall) => void;
+    /** Is called when a backend server refuses a call and asks the gateway for a pause. */
+    readonly pauseRequested: (call: BackendCall, pause: Milliseconds) => void;
 }
 
 interface SentAttempt {
@@ -109,10 +111,15 @@
         return {
             refused: reason => {
                 const status = reason === "not_the_target" ? misdirectedStatus : refusedStatus;
+                const retryAfter = status === refusedStatus ? server.pause : undefined;
+                if (retryAfter !== undefined) {
+                    this.handlers.pauseRequested(call, retryAfter);
+                }
                 const head = {
                     ...createHead(server, call.head.callerAttemptId, status),
                     isNotRun: true,
                     isSealed: false,
+                    retryAfter,
                 };
                 respond({ kind: "attemptAnswered", attemptId, answer: { ...head, body: new Uint8Array() } }, true);
             },
@@ -172,6 +179,7 @@
         isEncoded: false,
         requestLimit,
         isLeaving,
+        retryAfter: undefined,
         isEventStream: false,
         endsWithChannel: false,
         headers: [],
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -61,6 +61,8 @@
     readonly decisionLogged: (gateway: VirtualGateway, decision: Decision) => void;
     /** Is called when a call reaches a backend server, even if the server then refuses it. */
     readonly callArrived: (gateway: VirtualGateway, call: BackendCall) => void;
+    /** Is called when a backend server refuses a call and asks the gateway for a pause. */
+    readonly pauseRequested: (gateway: VirtualGateway, call: BackendCall, pause: Milliseconds) => void;
     readonly exited: (gateway: VirtualGateway) => void;
 }
 
@@ -90,6 +92,7 @@
         this.calls = new VirtualCalls(this.name, environment, {
             handleEvent: event => this.handleEvent(event),
             callArrived: call => environment.callArrived(this, call),
+            pauseRequested: (call, pause) => environment.pauseRequested(this, call, pause),
         });
         this.links = new VirtualPeerLinks(
             this,
--- a/packages/emulator/src/virtualPlatform.ts
+++ b/packages/emulator/src/virtualPlatform.ts
@@ -27,6 +27,8 @@
     readonly decisionLogged: (gateway: VirtualGateway, decision: Decision) => void;
     /** A call reached a backend server, which may still refuse it. */
     readonly callArrived: (gateway: VirtualGateway, call: BackendCall) => void;
+    /** A backend server refused a call and asked the gateway for a pause. */
+    readonly pauseRequested: (gateway: VirtualGateway, call: BackendCall, pause: Milliseconds) => void;
     /** A gateway process exited after a planned stop. */
     readonly exited: (gateway: VirtualGateway) => void;
 }
--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -8,6 +8,7 @@
 import {
     limitSchedules,
     noticeSchedules,
+    pauseSchedules,
     type PlatformSchedule,
     platformSchedules,
     runPlatformSchedule,
@@ -58,6 +59,12 @@
     schedules: noticeSchedules,
 };
 
+/** Gateways on the users' platform, with backend servers that ask for pauses. */
+export const pausePlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: pauseSchedules,
+};
+
 /** Options of {@link fuzz}. */
 export interface FuzzOptions<Implementation> {
     readonly seed: number;
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -9,11 +9,12 @@
     limitedPlatformSystem,
     linkedSystem,
     noticePlatformSystem,
+    pausePlatformSystem,
     platformSystem,
 } from "./fuzz.js";
 import { type Mutation, mutations } from "./mutations.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
-import { limitMutations, noticeMutations, platformMutations } from "./platform/index.js";
+import { limitMutations, noticeMutations, pauseMutations, platformMutations } from "./platform/index.js";
 
 const { seed, runs, steps } = await yargs(hideBin(process.argv))
     .scriptName("mutations")
@@ -56,6 +57,7 @@
     ...createSearches(platformSystem, platformMutations),
     ...createSearches(limitedPlatformSystem, limitMutations),
     ...createSearches(noticePlatformSystem, noticeMutations),
+    ...createSearches(pausePlatformSystem, pauseMutations),
 ];
 
 let missedCount = 0;
--- a/packages/fuzz/src/oracle.ts
+++ b/packages/fuzz/src/oracle.ts
@@ -26,6 +26,7 @@
     | "ready_answers_are_delivered"
     | "repeats_within_budget"
     | "server_limit_kept"
+    | "server_pause_kept"
     | "configuration_in_force"
     | "serves_again"
     | "invariant";
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -71,6 +71,15 @@
      * run arrive twenty times a second.
      */
     | { readonly kind: "giveNotice"; readonly server: number; readonly duration: number; }
+    /**
+     * The server refuses everything and asks for pauses, while requests that it could run arrive twenty times a second.
+     */
+    | {
+        readonly kind: "pauseServer";
+        readonly server: number;
+        readonly pause: number;
+        readonly duration: number;
+    }
     | { readonly kind: "garbleEntry"; readonly server: number; }
     | { readonly kind: "loseHeartbeats"; readonly server: number; readonly duration: number; };
 
@@ -170,6 +179,18 @@
     return schedulesOf(weighted, steps);
 }
 
+const pauseServer = arbitraryAction("pauseServer", {
+    server: slot,
+    pause: fc.integer({ min: 600, max: 6_000 }),
+    duration: fc.integer({ min: 1_000, max: 9_000 }),
+});
+
+/** Generates schedules of up to `steps` steps, in which servers ask for pauses. */
+export function pauseSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    const weighted = fc.oneof({ arbitrary: action, weight: 15 }, { arbitrary: pauseServer, weight: 1 });
+    return schedulesOf(weighted, steps);
+}
+
 /** Generates schedules of up to `steps` steps, in which no server declares a limit. */
 export function platformSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
     return schedulesOf(action, steps);
--- a/packages/fuzz/src/platform/index.ts
+++ b/packages/fuzz/src/platform/index.ts
@@ -7,4 +7,5 @@
 export * from "./runSchedule.js";
 export * from "./serverLimitOracle.js";
 export * from "./serverNoticeOracle.js";
+export * from "./serverPauseOracle.js";
 export * from "./versions.js";
--- a/packages/fuzz/src/platform/limits.ts
+++ b/packages/fuzz/src/platform/limits.ts
@@ -27,6 +27,10 @@
     readyAnswerDelivery: 1_000,
     /** The period in which requests and repeated calls are counted for the retry budget. */
     retryWindow: 10_000,
+    /** How long after a backend server asked a gateway for a pause it is in force. */
+    serverPauseReaction: 500,
+    /** Requests of a gateway that may reach a server in the rest of the pause. */
+    serverPauseSlack: 2,
     /** How long after a backend server first declared a limit it is in force. */
     serverLimitApply: 3_000,
     /** How long after a gateway passed on an answer that declares a limit its requests count towards it. */
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -162,6 +162,16 @@
     eventMutation("a record that says ready ends a notice", ["leaving_gets_no_new_work"], trustRecords),
 ];
 
+/** Mutations that only schedules in which servers ask for pauses can find. */
+export const pauseMutations: readonly Mutation<GatewayInterceptors>[] = [
+    eventMutation(
+        "pauses are ignored",
+        ["server_pause_kept"],
+        event =>
+            event.kind === "attemptAnswered" ? { ...event, answer: { ...event.answer, retryAfter: undefined } } : event,
+    ),
+];
+
 /** Every other mutation, with the promises that rely on the removed mechanism. */
 export const platformMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation(
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -11,6 +11,7 @@
 import { mustRunAtMostOnce, type RequestOrProbeKind, serviceOf } from "./requestKinds.js";
 import { ServerLimitOracle } from "./serverLimitOracle.js";
 import { ServerNoticeOracle } from "./serverNoticeOracle.js";
+import { ServerPauseOracle } from "./serverPauseOracle.js";
 
 /** A caller's request. */
 export interface PlatformRequest {
@@ -47,6 +48,10 @@
     readonly faultRecord: FaultRecord;
     readonly serverLimits: ServerLimitOracle<VirtualGateway>;
     readonly serverNotices = new ServerNoticeOracle<VirtualGateway>((promise, detail) => this.fail(promise, detail));
+    readonly serverPauses = new ServerPauseOracle<VirtualGateway>(
+        (promise, detail) => this.fail(promise, detail),
+        ({ name }, since) => this.faultRecord.hadFaultSince(name, since - platformLimits.serverPauseReaction),
+    );
     /** The backend server that each attempt of a caller reached last. */
     private readonly lastServers = new Map<string, string>();
 
@@ -228,6 +233,7 @@
         this.arrivals.push({ service, at: now, isRepeat });
         this.lastServers.set(call.head.callerAttemptId, call.backendServer);
         this.serverLimits.recordArrival(gateway, call.backendServer, now);
+        this.serverPauses.recordArrival(gateway, call.backendServer, now);
         this.serverNotices.checkArrival(gateway, call.backendServer, request?.sentAt ?? now);
         const drainPublishedAt = this.drainPublishedAt(call.backendServer);
         if (
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -92,6 +92,8 @@
             answered: (gateway, effect) => this.oracle.recordAnswer(gateway, effect),
             decisionLogged: () => undefined,
             callArrived: (gateway, call) => this.oracle.recordArrival(gateway, call),
+            pauseRequested: (gateway, call, pause) =>
+                this.oracle.serverPauses.recordRefusal(gateway, call.backendServer, pause, this.platform.clock.now),
             exited: gateway => this.replaceGateway(gateway),
         });
         const { clock, fleet } = this.platform;
@@ -352,6 +354,7 @@
             case "restartServer":
                 this.recordServerFault();
                 this.oracle.serverNotices.forgetServer(id);
+                this.oracle.serverPauses.forgetServer(id);
                 return fleet.restart(id);
             case "replaceServer":
                 this.addServer(plan.kind);
@@ -376,6 +379,15 @@
                 server.isLeaving = true;
                 this.sendRequests(plan.kind === "plain" ? "confirm" : "note", action.duration);
                 return clock.schedule(action.duration, () => fleet.leave(id, departureDelay));
+            case "pauseServer":
+                this.recordServerFault(action.duration);
+                server.behaviour = "shed";
+                server.pause = action.pause;
+                this.sendRequests(plan.kind === "plain" ? "confirm" : "note", action.duration);
+                return this.endAfter(action.duration, () => {
+                    server.behaviour = "well";
+                    server.pause = undefined;
+                });
             case "garbleEntry":
                 return fleet.corruptRegistration(id);
             case "loseHeartbeats":
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -16,8 +16,9 @@
 import type { BackendAnswer, ResponseHead } from "./messages.js";
 import { recordRequestLimit } from "./requestLimits.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
-import { canDispatchAgain, dispatch } from "./sending.js";
+import { canDispatchAgain, dispatch, timeUntilUsable } from "./sending.js";
 import { removeLoad } from "./serverLoad.js";
+import { recordServerPause } from "./serverPauses.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { continueFromReplica } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -105,6 +106,7 @@
 /** Records what a server says of itself in the head of an answer. */
 export function recordDeclarations(transaction: Transaction, attempt: Attempt, head: ResponseHead): void {
     recordRequestLimit(transaction, attempt, head);
+    recordServerPause(transaction, attempt, head);
     if (head.isLeaving) {
         recordLeavingNotice(transaction, attempt.server.record);
     }
@@ -171,7 +173,8 @@
         return finishRequest(transaction, request);
     }
     if (request.possibleRuns === 0) {
-        return failRequest(transaction, request, "overloaded", "no server took the request", refusedRetryAfter);
+        const retryAfter = Math.max(refusedRetryAfter, timeUntilUsable(transaction, request.service) ?? 0);
+        return failRequest(transaction, request, "overloaded", "no server took the request", retryAfter);
     }
     failRequest(transaction, request, "backend_server_failed", "the server's answer was lost");
 }
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -281,6 +281,7 @@
     if (change === "added" || change === "restarted") {
         state.health.set(id, createServerHealth());
         state.requestLimits.delete(id);
+        state.pausedUntil.delete(id);
     }
     const known = state.servers.get(id);
     if (change === "leaving" || change === "removed") {
@@ -296,7 +297,7 @@
 }
 
 function forgetRemovedServers({ state }: Transaction): void {
-    [state.health, state.liveness, state.requestLimits].forEach(entries =>
+    [state.health, state.liveness, state.requestLimits, state.pausedUntil].forEach(entries =>
         [...entries.keys()].filter(id => !state.servers.has(id)).forEach(id => entries.delete(id))
     );
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,4 +9,5 @@
 export * from "./reducer.js";
 export * from "./requestLimits.js";
 export * from "./routingConfiguration.js";
+export * from "./serverPauses.js";
 export * from "./state.js";
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -7,6 +7,7 @@
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { recordLeavingNotice } from "./leavingServers.js";
 import { canSendAgain } from "./sending.js";
+import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -39,7 +40,7 @@
     const { id, address } = attempt.server.record;
     const liveness = state.liveness.get(id) ?? { lastSignOfLifeAt: attempt.startedAt, isProbing: false };
     state.liveness.set(id, liveness);
-    if (liveness.isProbing || now - liveness.lastSignOfLifeAt < silenceTimeout) {
+    if (liveness.isProbing || isPaused(state, id, now) || now - liveness.lastSignOfLifeAt < silenceTimeout) {
         return;
     }
     liveness.isProbing = true;
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -80,6 +80,8 @@
     readonly isEncoded: boolean;
     /** The requests a second that the backend server accepts from all gateways together; undefined without a limit. */
     readonly requestLimit: number | undefined | "unreadable";
+    /** How long the backend server wants no further request from this gateway; undefined if it does not say. */
+    readonly retryAfter: Milliseconds | undefined | "unreadable";
     /** Whether the backend server states that it leaves. */
     readonly isLeaving: boolean;
     readonly isEventStream: boolean;
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -13,6 +13,7 @@
 import { requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { engineOf, otherServers, replicaView, setMigrationTarget } from "./serverLoad.js";
+import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { acceptsTakeover, usableReplica } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -30,9 +31,15 @@
 /** After this many failed targets a stream is not migrated: more attempts would take the link from other streams. */
 const maximumMigrationTargets = 4;
 
-/** Starts the next migration from a server that leaves, longest remaining stream first. */
+/**
+ * Starts the next migration from a server that leaves, longest remaining stream first. While the server wants no calls,
+ * its migrations wait.
+ */
 export function migrateStreams(transaction: Transaction, id: BackendServerId): void {
     const { requests } = transaction.state;
+    if (isPaused(transaction.state, id, transaction.now)) {
+        return;
+    }
     const streams = [...requests.values()].flatMap(request => migratableStreams(transaction, request));
     const atServer = streams.filter(({ attempt }) => attempt.server.record.id === id);
     if (atServer.some(({ attempt }) => attempt.migrationTarget !== undefined)) {
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -15,6 +15,7 @@
 import { handlePeerLinkClosed, handlePeerReport, maintainPeers, reportPlacements } from "./peers.js";
 import { updateLimitShares } from "./requestLimits.js";
 import { handleCallerLeft, handleRequest } from "./requests.js";
+import { endServerPauses } from "./serverPauses.js";
 import type { GatewayState } from "./state.js";
 import { handleStreamEnded, handleStreamEvents, handleStreamOpened } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -52,6 +53,7 @@
             maintainPeers(transaction);
             startDueReads(transaction);
             updateLimitShares(transaction);
+            endServerPauses(transaction);
             checkRequests(transaction);
             checkWaitingRequests(transaction);
             return checkStop(transaction);
--- a/packages/gateway/src/requestLimits.ts
+++ b/packages/gateway/src/requestLimits.ts
@@ -12,7 +12,7 @@
     timeUntilAllowed,
     updateAllowance,
 } from "@verbenaspring/coordination";
-import type { BackendServerId, Milliseconds, ServiceName } from "@verbenaspring/model";
+import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
 import type { ResponseHead } from "./messages.js";
 import type { PeerRequestLimit } from "./peerReport.js";
 import { recentPeers, reportToPeers } from "./peers.js";
@@ -143,20 +143,14 @@
     return limit?.perSecond === undefined || timeUntilAllowed(limit.allowance, now) === 0;
 }
 
-/**
- * The time until the limits of a service's servers allow this gateway another request; undefined if none of them
- * declares a limit, infinite if this gateway has no share of any.
- */
+/** The time until the limit of a server allows this gateway another request; infinite if it has no share of it. */
 export function timeUntilWithinLimit(
-    { requestLimits, serversByService }: GatewayState,
-    service: ServiceName,
+    { requestLimits }: GatewayState,
+    id: BackendServerId,
     now: Milliseconds,
-): Milliseconds | undefined {
-    const limits = (serversByService.get(service) ?? []).flatMap(id => requestLimits.get(id) ?? []);
-    const waits = limits
-        .filter(({ perSecond }) => perSecond !== undefined)
-        .map(({ allowance }) => timeUntilAllowed(allowance, now));
-    return waits.length === 0 ? undefined : Math.min(...waits);
+): Milliseconds {
+    const limit = requestLimits.get(id);
+    return limit?.perSecond === undefined ? 0 : timeUntilAllowed(limit.allowance, now);
 }
 
 /** The limits that this gateway observed since a time, as they are reported to the others. */
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -8,11 +8,11 @@
     recordRetry,
     remainingRetries,
 } from "@verbenaspring/coordination";
-import { identifier, type Milliseconds } from "@verbenaspring/model";
+import { identifier, type Milliseconds, type ServiceName } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
 import type { RunReplica } from "./messages.js";
 import { countKnownInstances } from "./peers.js";
-import { spendRequest, timeUntilWithinLimit } from "./requestLimits.js";
+import { isLimited, spendRequest, timeUntilWithinLimit } from "./requestLimits.js";
 import { failRequest, requestFields } from "./requests.js";
 import {
     addLoad,
@@ -25,6 +25,7 @@
     runMemoryLoad,
     usableServers,
 } from "./serverLoad.js";
+import { isPaused, pauseLeft } from "./serverPauses.js";
 import { type Attempt, type GatewayRequest, priorityOf } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 import { startOrWait } from "./waiting.js";
@@ -70,12 +71,28 @@
 }
 
 function failWithoutServer(transaction: Transaction, request: GatewayRequest): void {
-    const wait = timeUntilWithinLimit(transaction.state, request.service, transaction.now);
-    if (wait === undefined) {
+    const retryAfter = timeUntilUsable(transaction, request.service);
+    if (retryAfter === undefined) {
         return failRequest(transaction, request, "no_backend_server", "the service has no server", noServerRetryAfter);
     }
-    const retryAfter = Math.min(wait, maximumLimitRetryAfter);
-    failRequest(transaction, request, "overloaded", "the servers of the service limit their requests", retryAfter);
+    failRequest(transaction, request, "overloaded", "the servers of the service accept no request now", retryAfter);
+}
+
+/**
+ * The time until a server of a service accepts a request of this gateway again; undefined unless servers that don't
+ * leave declare limits or pauses.
+ */
+export function timeUntilUsable({ state, now }: Transaction, service: ServiceName): Milliseconds | undefined {
+    const staying = (state.serversByService.get(service) ?? []).filter(id =>
+        state.servers.get(id)?.leavingSince === undefined
+    );
+    const waits = staying
+        .filter(id => isLimited(state, id) || isPaused(state, id, now))
+        .map(id => {
+            const limitWait = Math.min(timeUntilWithinLimit(state, id, now), maximumLimitRetryAfter);
+            return Math.max(limitWait, pauseLeft(state, id, now));
+        });
+    return waits.length === 0 ? undefined : Math.min(...waits);
 }
 
 /** Sends a request to the given server, and counts the attempt in the loads and the retry budget. */
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -15,6 +15,7 @@
 import { peerLoad } from "./peers.js";
 import { isLimited, isWithinLimit } from "./requestLimits.js";
 import type { EngineCapabilities } from "./routingConfiguration.js";
+import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState, ServerLoad } from "./state.js";
 
 /** How long a server is still used after its registration lapsed, if the service has no other. */
@@ -26,7 +27,7 @@
 /** The share of its expected output that a run holds in memory, averaged over its duration. */
 const averageOutputShare = 0.5;
 
-/** The servers of a service that accept new work, allow another request by their limit, and are not ejected. */
+/** The servers of a service that accept new work, neither limit nor pause it now, and are not ejected. */
 export function usableServers(state: GatewayState, service: ServiceName, now: Milliseconds): readonly BackendServer[] {
     const ids = state.serversByService.get(service) ?? [];
     const known = ids.flatMap(id => state.servers.get(id) ?? []);
@@ -34,7 +35,7 @@
     const usable = ready.length > 0
         ? ready
         : known.filter(server => hasJustLapsed(server, now) && !hasGivenNotice(state, server.record));
-    const allowed = usable.filter(({ record }) => isWithinLimit(state, record.id, now));
+    const allowed = usable.filter(({ record: { id } }) => isWithinLimit(state, id, now) && !isPaused(state, id, now));
     return withoutEjected(allowed, ({ record }) => state.health.get(record.id), now);
 }
 
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -176,6 +176,8 @@
     placements: number;
     readonly liveness: Map<BackendServerId, ServerLiveness>;
     readonly requestLimits: RequestLimits;
+    /** The servers that want no request from this gateway, and until when. */
+    readonly pausedUntil: Map<BackendServerId, Milliseconds>;
     readonly leavingNotices: LeavingNotices;
     /** The number of the newest notice. */
     noticeCount: number;
@@ -220,6 +222,7 @@
         placements: 0,
         liveness: new Map(),
         requestLimits: new Map(),
+        pausedUntil: new Map(),
         leavingNotices: new Map(),
         noticeCount: 0,
         timePerToken: initialTimePerToken,
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -22,6 +22,7 @@
 import { finishRequest, requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
+import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -240,5 +241,6 @@
     now: Milliseconds,
 ): boolean {
     const isStaying = leavingSince === undefined || now - leavingSince <= takeoverWindow;
-    return isStaying && !hasGivenNotice(state, record) && isWithinLimit(state, record.id, now);
+    return isStaying && !hasGivenNotice(state, record) && isWithinLimit(state, record.id, now)
+        && !isPaused(state, record.id, now);
 }
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -20,7 +20,7 @@
 import { countWaitingRequests } from "./peers.js";
 import { failRequest, requestFields } from "./requests.js";
 import { highestPriority } from "./routingConfiguration.js";
-import { sendTo } from "./sending.js";
+import { sendTo, timeUntilUsable } from "./sending.js";
 import { engineOf, expectedMemory, placementView, requestsInProgressAt, usableServers } from "./serverLoad.js";
 import { type GatewayRequest, type GatewayState, priorityOf } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -56,12 +56,14 @@
     const inOrder = [...state.waiting.values()].sort((one, other) => rank(one) - rank(other));
     for (const request of inOrder) {
         const others = countWaitingRequests(state, now) - 1;
-        if (start(transaction, request, usableServers(state, request.service, now), others)) {
+        const servers = usableServers(state, request.service, now);
+        const unusableFor = servers.length === 0 ? timeUntilUsable(transaction, request.service) ?? 0 : 0;
+        if (start(transaction, request, servers, others)) {
             state.waiting.delete(request.id);
         }
-        else if (now >= latestStartOf(state, request)) {
+        else if (now + unusableFor >= latestStartOf(state, request)) {
             state.waiting.delete(request.id);
-            refuseOverloaded(transaction, request, expectedWait(transaction, request));
+            refuseOverloaded(transaction, request, Math.max(unusableFor, expectedWait(transaction, request)));
         }
     }
 }
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -257,6 +257,7 @@
         isEncoded: false,
         requestLimit: undefined,
         isLeaving: false,
+        retryAfter: undefined,
         isEventStream: true,
         endsWithChannel: false,
         headers: [],
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -160,6 +160,7 @@
     void crashed.standIn.crash();
     crashed.relay.close();
     world.oracle.serverNotices.forgetServer(id);
+    world.oracle.serverPauses.forgetServer(id);
     faults.endAfter(keepsId ? 0 : duration, () => void world.addServer(kind, keepsId ? id : undefined));
 }
 
@@ -179,6 +180,18 @@
     faults.endAfter(duration, () => standIn.setBehaviour("well"));
 }
 
+/** A server refuses everything and asks for pauses of about as long. */
+function pauseServer(faults: SoakFaults, duration: number): void {
+    const { standIn } = faults.chooseServer();
+    faults.world.oracle.faultRecord.recordProcessFault("workers", duration);
+    standIn.setPause(duration);
+    standIn.setBehaviour("shed");
+    faults.endAfter(duration, () => {
+        standIn.setPause(undefined);
+        standIn.setBehaviour("well");
+    });
+}
+
 function disturbStore(faults: SoakFaults, duration: number, behaviour: "busy" | "silent"): void {
     const { oracle, store } = faults.world;
     oracle.faultRecord.recordStoreFault(duration);
@@ -273,6 +286,7 @@
     { name: "restartWorker", perform: (faults, duration) => crashServer(faults, duration, true) },
     { name: "drainWorker", perform: drainServer },
     { name: "misbehave", perform: misbehave },
+    { name: "pauseWorker", perform: pauseServer },
     { name: "garble", perform: faults => faults.world.corruptRegistration(faults.chooseServer().standIn.id) },
     { name: "loseHeartbeats", perform: loseHeartbeats },
 ];
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -12,6 +12,7 @@
     type RequestOrProbeKind,
     ServerLimitOracle,
     ServerNoticeOracle,
+    ServerPauseOracle,
     serviceOf,
 } from "@verbenaspring/fuzz";
 import type { SoakGateway } from "./soakWorld.js";
@@ -75,6 +76,12 @@
     readonly faultRecord = new FaultRecord(() => performance.now());
     private readonly serverLimits: ServerLimitOracle<SoakGateway>;
     readonly serverNotices = new ServerNoticeOracle<SoakGateway>((promise, detail) => this.fail(promise, detail));
+    readonly serverPauses = new ServerPauseOracle<SoakGateway>(
+        (promise, detail) => this.fail(promise, detail),
+        (gateway, since) =>
+            !this.checksTimeLimits || this.lagSince(since) > 0
+            || this.faultRecord.hadFaultSince(gateway.name, since - platformLimits.serverPauseReaction),
+    );
     private readonly lags: { readonly at: number; readonly lag: number; }[] = [];
 
     /**
@@ -216,6 +223,7 @@
         const now = performance.now();
         if (request !== undefined) {
             this.serverLimits.recordArrival(request.gateway, server, now);
+            this.serverPauses.recordArrival(request.gateway, server, now);
             this.serverNotices.checkArrival(request.gateway, server, request.sentAt);
         }
         if (drainPublished === undefined || request === undefined || now <= drainPublished + platformLimits.drain) {
@@ -231,6 +239,14 @@
         }
     }
 
+    /** Records that a backend server refused a call and asked its gateway for a pause in milliseconds. */
+    recordPause({ callerAttemptId }: ServerCall, server: string, pause: number): void {
+        const request = this.requests.get(callerAttemptId);
+        if (request !== undefined) {
+            this.serverPauses.recordRefusal(request.gateway, server, pause, performance.now());
+        }
+    }
+
     /** Records that a backend server started a run. */
     recordRun(run: ServerRun): void {
         const { callerAttemptId } = run;
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -87,7 +87,10 @@
         this.serverStandIns = createBackendServerStandIns(
             store,
             run => this.oracle.recordRun(run),
-            (call, server) => this.oracle.recordArrival(call, server),
+            {
+                arrived: (call, server) => this.oracle.recordArrival(call, server),
+                pauseRequested: (call, server, pause) => this.oracle.recordPause(call, server, pause),
+            },
         );
     }
 
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -28,6 +28,8 @@
     readonly setBehaviour: (behaviour: ServerBehaviour) => void;
     /** Declares a limit of requests a second in its answers, or none any more. */
     readonly setRequestLimit: (perSecond: number | undefined) => void;
+    /** Asks in its refusals for a pause of so many milliseconds, or for none any more. */
+    readonly setPause: (pause: number | undefined) => void;
     /** Says from now on in all answers that the server leaves, whatever its registration says. */
     readonly giveNotice: () => void;
     /** Registers the server as draining and stops it after a delay in milliseconds. */
@@ -53,13 +55,21 @@
     readonly expose?: (address: string) => Promise<string>;
 }
 
-/** Is called with each call that reaches a backend server. */
-export type ArrivalObserver = (call: ServerCall, server: string) => void;
+/** Callbacks for what happens at the backend servers. */
+export interface BackendServerObserver {
+    /** A call reached a server, which may still refuse it. */
+    readonly arrived: (call: ServerCall, server: string) => void;
+    /** A server refuses a call and asks for a pause of so many milliseconds. */
+    readonly pauseRequested: (call: ServerCall, server: string, pause: number) => void;
+}
+
+const noObserver: BackendServerObserver = { arrived: () => undefined, pauseRequested: () => undefined };
 
 /** In milliseconds. */
 const heartbeatInterval = 300;
 const refusedStatus = 503;
 const misdirectedStatus = 421;
+const millisecondsPerSecond = 1_000;
 /** Milliseconds for which a draining server keeps running unless the test sets a delay. */
 const defaultDrainDuration = 60_000;
 /** Bytes of a plain service's answer that are sent before the connection breaks. */
@@ -77,7 +87,7 @@
 export function createBackendServerStandIns(
     store: PlatformStore,
     observeRun: (run: ServerRun) => void = () => undefined,
-    observeArrival: ArrivalObserver = () => undefined,
+    observer: BackendServerObserver = noObserver,
 ): BackendServerStandIns {
     const runs: ServerRun[] = [];
     const listeners = new Set<StandIn>();
@@ -95,7 +105,7 @@
         const started: { model: ServerModel | undefined; } = { model: undefined };
         const listener = await startStandIn(listenOptions.port ?? 0, async (request, response, url) => {
             if (started.model !== undefined) {
-                await serve(started.model, request, response, url, observeArrival);
+                await serve(started.model, request, response, url, observer);
             }
         });
         listeners.add(listener);
@@ -113,6 +123,7 @@
             runs: () => runs.filter(({ server }) => server === plan.id),
             setBehaviour: next => model.behaviour = next,
             setRequestLimit: perSecond => model.requestLimit = perSecond,
+            setPause: pause => model.pause = pause,
             giveNotice: () => model.isLeaving = true,
             drain: (endsAfter = defaultDrainDuration) => {
                 fleet.leave(plan.id, endsAfter);
@@ -139,7 +150,7 @@
     request: IncomingMessage,
     response: ServerResponse,
     url: URL,
-    observeArrival: ArrivalObserver,
+    observer: BackendServerObserver,
 ): Promise<void> {
     if (url.pathname === "/report") {
         Object.entries(declarationHeaders(model)).forEach(([name, value]) => response.setHeader(name, value));
@@ -162,14 +173,14 @@
         });
     }
     const call = await readCall(request, url);
-    observeArrival(call, model.options.id);
+    observer.arrived(call, model.options.id);
     let handle: CallHandle | undefined = undefined;
     let isDisconnected = false;
     response.once("close", () => {
         isDisconnected = true;
         handle?.cancel();
     });
-    handle = model.start(call, createObserver(model, call, response));
+    handle = model.start(call, createObserver(model, call, response, observer));
     if (isDisconnected) {
         handle.cancel();
     }
@@ -211,7 +222,12 @@
     };
 }
 
-function createObserver(model: ServerModel, call: ServerCall, response: ServerResponse): CallObserver {
+function createObserver(
+    model: ServerModel,
+    call: ServerCall,
+    response: ServerResponse,
+    observer: BackendServerObserver,
+): CallObserver {
     const declarations = declarationHeaders(model);
     const identityHeaders = {
         "Attempt-Id": call.callerAttemptId,
@@ -222,6 +238,11 @@
     return {
         refused: reason => {
             const status = reason === "not_the_target" ? misdirectedStatus : refusedStatus;
+            const { pause } = model;
+            if (status === refusedStatus && pause !== undefined) {
+                observer.pauseRequested(call, model.options.id, pause);
+                response.setHeader("Retry-After", String(pause / millisecondsPerSecond));
+            }
             response.writeHead(status, { ...declarations, "Not-Executed": "1", "content-length": 0 });
             response.end();
         },
