runtime: bytes without end from a backend server are cut at a bound

Cause: eventFraming.ts kept an incomplete event without a bound and scanned all of it again at each chunk; other bodies were kept up to 16 MB each, whatever the memory; 1xx answers, reasons, chunk extensions and trailers were read without a bound.

Change: the bounds follow from the memory of the machine (an eighth for all incomplete answers, a quarter of that for one; an event at most 256 KB), and from the protocol: what is read for an answer may exceed its body by 64 KB and the framing of the smallest chunks. Beyond the bound of the process the largest incomplete answer is given up. The HTTP client gets its bytes in pieces of 4 KB, since it works on a rejected piece to its end. Framing looks at each byte once. 1xx heads are skipped. The call counts as failed, and the caller gets the usual true answer.

The soak has a server that floods.

--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -14,6 +14,7 @@
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
 import { connect as connectSocket, type Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
+import { type AnswerBounds, answerBounds, AnswerOverflowError, boundReads, type FramingCount } from "./answerBounds.js";
 import { createEventFramer, type EventFramer } from "./eventFraming.js";
 import { monotonicNow } from "./eventLoop.js";
 import { parseAddress } from "./socketAddress.js";
@@ -52,8 +53,7 @@
 const maxIdleTime: Milliseconds = 4_000;
 /** The same limit for calls that cannot be sent again if their outcome is unknown. */
 const maxFreshIdleTime: Milliseconds = 1_000;
-/** Limit on the body of an answer other than an event stream. */
-const maxAnswerBytes = 16 * 1024 * 1024;
+const firstFinalStatus = 200;
 
 /** A socket, and whether its reading side has ended or failed. */
 interface SocketState {
@@ -66,11 +66,17 @@
     readonly address: string;
     readonly client: Client;
     socketState: SocketState | undefined;
+    /** What was read on the channel for the current call. */
+    readonly framing: FramingCount;
     idleSince: Milliseconds;
 }
 
 interface ActiveCall {
     readonly channel: Channel;
+    /** Bytes of its answer that are kept until they are complete. */
+    keptBytes: number;
+    /** Ends the call because all kept answers together are too large. */
+    overflow: () => void;
     controller: Dispatcher.DispatchController | undefined;
     isCancelled: boolean;
 }
@@ -78,14 +84,31 @@
 /**
  * Creates the channels of a gateway.
  *
+ * @param memoryBytes the memory of the process, from which the bounds on answers follow
  * @example
- * const channels = createBackendChannels(codec, handlers);
+ * const channels = createBackendChannels(codec, handlers, 178 * 1024 * 1024);
  * channels.send(call, body);
  */
-export function createBackendChannels(codec: BackendCodec, handlers: BackendCallHandlers): BackendChannels {
+export function createBackendChannels(
+    codec: BackendCodec,
+    handlers: BackendCallHandlers,
+    memoryBytes: number,
+): BackendChannels {
+    const bounds = answerBounds(memoryBytes);
     const idleChannels = new Map<string, Channel[]>();
     const activeCalls = new Map<AttemptId, ActiveCall>();
     let openedCount = 0;
+    let keptBytes = 0;
+
+    /** Updates what is kept of a call's answer. Beyond the bound of the process, the largest answer is given up. */
+    const setKeptBytes = (call: ActiveCall, bytes: number): void => {
+        keptBytes += bytes - call.keptBytes;
+        call.keptBytes = bytes;
+        if (keptBytes > bounds.totalBytes) {
+            const bySize = [...activeCalls.values()].sort((one, other) => other.keptBytes - one.keptBytes);
+            bySize[0]?.overflow();
+        }
+    };
 
     const acquireChannel = (address: string, maxIdle: Milliseconds): Channel => {
         const stack = idleChannels.get(address) ?? [];
@@ -133,13 +156,22 @@
         send: (call, body) => {
             const maxIdle = call.needsFreshChannel ? maxFreshIdleTime : maxIdleTime;
             const channel = acquireChannel(call.address, maxIdle);
-            const current: ActiveCall = { channel, controller: undefined, isCancelled: false };
+            const current: ActiveCall = {
+                channel,
+                keptBytes: 0,
+                overflow: () => undefined,
+                controller: undefined,
+                isCancelled: false,
+            };
+            channel.framing.readBytes = 0;
+            channel.framing.bodyBytes = 0;
             activeCalls.set(call.attemptId, current);
             const finish = (report: () => void, isReusable: boolean): void => {
                 if (activeCalls.get(call.attemptId) !== current) {
                     return;
                 }
                 activeCalls.delete(call.attemptId);
+                setKeptBytes(current, 0);
                 if (isReusable) {
                     releaseChannel(channel);
                 }
@@ -148,12 +180,14 @@
                 }
                 report();
             };
-            dispatchCall(codec, handlers, call, body, current, finish);
+            const keep = (bytes: number): void => setKeptBytes(current, bytes);
+            dispatchCall(codec, handlers, call, body, current, { finish, keep, bounds });
         },
         cancel: attemptId => {
             const current = activeCalls.get(attemptId);
             if (current !== undefined) {
                 activeCalls.delete(attemptId);
+                setKeptBytes(current, 0);
                 current.isCancelled = true;
                 void current.channel.client.destroy();
             }
@@ -176,7 +210,12 @@
     };
 }
 
-type FinishCall = (report: () => void, isReusable: boolean) => void;
+interface CallContext {
+    readonly finish: (report: () => void, isReusable: boolean) => void;
+    /** Sets how many bytes of the answer are kept until they are complete. */
+    readonly keep: (bytes: number) => void;
+    readonly bounds: AnswerBounds;
+}
 
 function dispatchCall(
     codec: BackendCodec,
@@ -184,7 +223,7 @@
     call: BackendCall,
     body: Buffer,
     current: ActiveCall,
-    finish: FinishCall,
+    { finish, keep, bounds }: CallContext,
 ): void {
     const { attemptId } = call;
     let wasSent = false;
@@ -193,6 +232,7 @@
     const chunks: Buffer[] = [];
     let size = 0;
     const fail = (failure: AttemptFailure): void => finish(() => handlers.failed(attemptId, failure, wasSent), false);
+    current.overflow = () => fail("body_too_large");
     const options: Dispatcher.DispatchOptions = {
         method: call.head.method as Dispatcher.HttpMethod,
         path: call.head.target,
@@ -205,9 +245,12 @@
             current.controller = controller;
         },
         onResponseStart: (controller, status) => {
+            if (status < firstFinalStatus) {
+                return;
+            }
             head = codec.decodeBackendHead(status, readRawHeaders(controller.rawHeaders));
             if (head.isEventStream && status < 300) {
-                framer = createEventFramer();
+                framer = createEventFramer(bounds.eventBytes);
                 handlers.opened(attemptId, head);
             }
         },
@@ -215,18 +258,24 @@
             if (current.isCancelled) {
                 return;
             }
+            current.channel.framing.bodyBytes += chunk.length;
             if (framer !== undefined) {
                 const events = framer.push(chunk);
-                return events.length === 0 ? undefined : handlers.events(attemptId, events);
+                if (events.length > 0) {
+                    handlers.events(attemptId, events);
+                }
+                keep(framer.incompleteBytes());
+                return framer.hasOverflowed() ? fail("body_too_large") : undefined;
             }
             chunks.push(chunk);
             size += chunk.length;
-            if (size > maxAnswerBytes) {
+            keep(size);
+            if (size > bounds.bodyBytes) {
                 fail("body_too_large");
             }
         },
         onResponseEnd: () => {
-            if (head === undefined || isTruncated(current.channel, head) || framer?.hasIncompleteEvent() === true) {
+            if (head === undefined || isTruncated(current.channel, head) || (framer?.incompleteBytes() ?? 0) > 0) {
                 return fail("answer_truncated");
             }
             const answer: BackendAnswer = { ...head, body: Buffer.concat(chunks) };
@@ -278,11 +327,13 @@
                     return;
                 }
                 channel.socketState = trackSocket(socket);
+                boundReads(socket, channel.framing);
                 callback(null, socket);
             });
         },
     });
-    const channel: Channel = { address, client, socketState: undefined, idleSince: 0 };
+    const framing = { readBytes: 0, bodyBytes: 0 };
+    const channel: Channel = { address, client, socketState: undefined, framing, idleSince: 0 };
     return channel;
 }
 
@@ -314,6 +365,9 @@
 }
 
 function classifyError(error: Error, hasHead: boolean): AttemptFailure {
+    if (error instanceof AnswerOverflowError) {
+        return "answer_malformed";
+    }
     const { code } = error as { readonly code?: string; };
     switch (code) {
         case "CONNECT_TIMEOUT":
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -70,6 +70,8 @@
     readonly readinessAddress: string;
     readonly metricsAddress: string | undefined;
     readonly logLevel: LogLevel;
+    /** The memory of the machine for the process, in bytes. */
+    readonly memoryBytes: number;
 }
 
 /** A running gateway. */
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -186,7 +186,7 @@
             events: (attemptId, events) => push({ kind: "streamEvents", attemptId, events }),
             ended: attemptId => push({ kind: "streamEnded", attemptId }),
             failed: (attemptId, failure, wasSent) => push({ kind: "attemptFailed", attemptId, failure, wasSent }),
-        });
+        }, this.options.memoryBytes);
     }
 
     /** Milliseconds since the topic was last known to be up to date with the store; -1 before the first read. */
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./answerBounds.js";
 export * from "./backendChannels.js";
 export * from "./backendClient.js";
 export * from "./callerServer.js";
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -87,7 +87,7 @@
             events: (_, events: readonly StreamEvent[]) => this.events += events.length,
             ended: attemptId => done(attemptId, { kind: "ended", events: this.events }),
             failed: (attemptId, reason, wasSent) => done(attemptId, { kind: "failed", failure: reason, wasSent }),
-        });
+        }, 64 * 1024 * 1024);
     }
 
     call(call: BackendCall): Promise<Outcome> {
@@ -218,11 +218,11 @@
 test("events are framed correctly at every split of the bytes into two chunks", () => {
     const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\nid:3\ndata: c\n\n";
     for (let cut = 0; cut <= text.length; cut++) {
-        const framer = createEventFramer();
+        const framer = createEventFramer(65_536);
         const events = [...framer.push(Buffer.from(text.slice(0, cut))), ...framer.push(Buffer.from(text.slice(cut)))];
         assert.equal(events.map(event => event.id), [1, 2, undefined, 3]);
         assert.is(Buffer.concat(events.map(event => event.bytes)).toString(), text);
-        assert.not.ok(framer.hasIncompleteEvent());
+        assert.not.ok(framer.incompleteBytes() > 0);
     }
 });
 
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -180,6 +180,14 @@
     faults.endAfter(duration, () => standIn.setBehaviour("well"));
 }
 
+/** A server answers with bytes without end that are no answer. */
+function floodCalls(faults: SoakFaults, duration: number): void {
+    const { standIn } = faults.chooseServer();
+    faults.world.oracle.faultRecord.recordProcessFault("workers", duration);
+    standIn.setFlooding(true);
+    faults.endAfter(duration, () => standIn.setFlooding(false));
+}
+
 /** A server refuses everything and asks for pauses of about as long. */
 function pauseServer(faults: SoakFaults, duration: number): void {
     const { standIn } = faults.chooseServer();
@@ -287,6 +295,7 @@
     { name: "drainWorker", perform: drainServer },
     { name: "misbehave", perform: misbehave },
     { name: "pauseWorker", perform: pauseServer },
+    { name: "flood", perform: floodCalls },
     { name: "garble", perform: faults => faults.world.corruptRegistration(faults.chooseServer().standIn.id) },
     { name: "loseHeartbeats", perform: loseHeartbeats },
 ];
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -28,6 +28,8 @@
     readonly setBehaviour: (behaviour: ServerBehaviour) => void;
     /** Declares a limit of requests a second in its answers, or none any more. */
     readonly setRequestLimit: (perSecond: number | undefined) => void;
+    /** Answers calls with bytes without end that are no answer, or in the usual way again. */
+    readonly setFlooding: (isFlooding: boolean) => void;
     /** Asks in its refusals for a pause of so many milliseconds, or for none any more. */
     readonly setPause: (pause: number | undefined) => void;
     /** Says from now on in all answers that the server leaves, whatever its registration says. */
@@ -102,9 +104,15 @@
         },
     });
     const start = async (plan: ServerPlan, listenOptions: ListenOptions = {}): Promise<BackendServerStandIn> => {
-        const started: { model: ServerModel | undefined; } = { model: undefined };
+        const started: { model: ServerModel | undefined; isFlooding: boolean; } = {
+            model: undefined,
+            isFlooding: false,
+        };
         const listener = await startStandIn(listenOptions.port ?? 0, async (request, response, url) => {
-            if (started.model !== undefined) {
+            if (started.isFlooding) {
+                flood(response);
+            }
+            else if (started.model !== undefined) {
                 await serve(started.model, request, response, url, observer);
             }
         });
@@ -123,6 +131,7 @@
             runs: () => runs.filter(({ server }) => server === plan.id),
             setBehaviour: next => model.behaviour = next,
             setRequestLimit: perSecond => model.requestLimit = perSecond,
+            setFlooding: next => started.isFlooding = next,
             setPause: pause => model.pause = pause,
             giveNotice: () => model.isLeaving = true,
             drain: (endsAfter = defaultDrainDuration) => {
@@ -214,6 +223,18 @@
     return source === undefined || name === undefined ? undefined : { source, name };
 }
 
+const floodBytes = Buffer.alloc(16 * 1024, "x");
+
+/** Writes the head of a stream, and then bytes without end until the caller closes the connection. */
+function flood(response: ServerResponse): void {
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    const write = (): void => {
+        while (!response.destroyed && response.write(floodBytes)) { /* until the connection is full */ }
+    };
+    response.on("drain", write);
+    write();
+}
+
 /** The headers in which a server tells about itself, whatever the request. */
 function declarationHeaders({ requestLimit, isLeaving }: ServerModel): Readonly<Record<string, string>> {
     return {
