gateway: an overlay with a bounded number of links instead of a full mesh

Cause: each gateway had a link to every other one, and sent each of them its members, its topics and its loads at least twice a second: 134 reports a second in and out at 68 gateways.

Change: links go to the neighbours in two rings within the failure domain; the first members of each failure domain by rank are bridges, and the bridges of all form two rings (packages/coordination, overlay.ts): at most 8 links, whatever the number of gateways, up to 8 gateways a full mesh as before. Each gateway publishes one record of its state (incarnation, loads, waiting requests, limits that it observed) under rising versions; the newest record of each spreads over the links, once per link. The interval between versions grows with the number of gateways (15 ms each), which bounds what reaches each of them; runs that were just placed go out sooner. Sums over members are kept instead of counted for each candidate, and so is the rank of a reader. Topics are passed on from link to link at once when something changed. A restarted gateway hears of its predecessor and publishes under a higher generation; one without news of a seed or of a member tries it again from time to time, so that an overlay that fell apart heals. Gateways of the version before get the old fields, keep a link to everyone and count with what they report (test).

Tests: overlay.test.ts of coordination (links mutual, bounded, few across failure domains, connected without any three), of fuzz (40 gateways in virtual time: who knows whom, placements before the next 50 requests, a configuration within 2 s also with half of the gateways gone, restarts, links that fail one by one, notices), members.test.ts. Two tests of peers.test.ts expected loads and their changes in the report itself; they now expect them in the sender's record, and count its versions.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./lengthForecast.js";
 export * from "./linkLedger.js";
 export * from "./linkMessages.js";
+export * from "./overlay.js";
 export * from "./placement.js";
 export * from "./randomSource.js";
 export * from "./requestLimit.js";
--- a/packages/emulator/src/virtualPlatform.ts
+++ b/packages/emulator/src/virtualPlatform.ts
@@ -1,7 +1,13 @@
 /**
  * A complete platform in virtual time: gateways, backend servers, the store and the network between them.
  */
-import { type Random, type RandomSource, seededSource } from "@verbenaspring/coordination";
+import {
+    defaultOverlayShape,
+    type OverlayShape,
+    type Random,
+    type RandomSource,
+    seededSource,
+} from "@verbenaspring/coordination";
 import type { BackendCall, Decision, GatewayOptions, RequestHead } from "@verbenaspring/gateway";
 import { identifier, type Milliseconds, type PeerAddress, type RequestId } from "@verbenaspring/model";
 import { configurationKey, Fleet, operatorTopic } from "./fleet.js";
@@ -38,6 +44,8 @@
     readonly seed: number;
     /** Number of gateway processes. */
     readonly gateways: number;
+    /** The shape of the links between gateways; the usual one if absent. */
+    readonly overlay?: OverlayShape;
     readonly retries: GatewayOptions["retries"];
     readonly stopLimit: Milliseconds;
     readonly interceptors?: GatewayInterceptors;
@@ -86,11 +94,12 @@
 
     /** Starts the gateway process of a slot, replacing the one that ended there. */
     startGateway(slot: number): VirtualGateway {
-        const { retries, stopLimit, interceptors } = this.options;
+        const { overlay, retries, stopLimit, interceptors } = this.options;
         const gatewayOptions: GatewayOptions = {
             failureDomain: identifier(slot % 2 === 0 ? "north" : "south"),
             peerAddress: gatewayAddress(slot),
             seedAddresses: [gatewayAddress(0), gatewayAddress(1)],
+            overlay: overlay ?? defaultOverlayShape,
             retries,
             stopLimit,
         };
--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -4,7 +4,7 @@
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import { expectedOutput, type RequestHead } from "./messages.js";
-import { reportToPeers } from "./peers.js";
+import { publishAndReport } from "./peers.js";
 import { failRequest } from "./requests.js";
 import type { Route } from "./routingConfiguration.js";
 import type { GatewayState } from "./state.js";
@@ -58,7 +58,7 @@
     }
     state.stopRequestedAt = now;
     logDecision(transaction, "info", "stop_requested", { requests: state.requests.size });
-    reportToPeers(transaction);
+    publishAndReport(transaction);
     effects.push({ kind: "startDraining" });
 }
 
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -7,9 +7,10 @@
 import { applyRecord, applyRemoval, type BackendChange, forgetRemoved } from "./backendServers.js";
 import type { DecodedItem, GatewayEvent, TopicName, TopicRecord } from "./event.js";
 import { hasGivenNotice } from "./leavingServers.js";
+import { liveMembers } from "./members.js";
 import { migrateStreams } from "./migration.js";
 import type { TopicReadStamp } from "./peerReport.js";
-import { livePeers, reportToPeers } from "./peers.js";
+import { reportToPeers } from "./peers.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
 import type { GatewayState, TopicFollower } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -71,9 +72,12 @@
     if (follower.freshAsOf === undefined) {
         return true;
     }
-    const peers = livePeers(state, now).filter(peer => !peer.isStopping);
-    const rank = taskRank(state.options.peerAddress, peers.map(peer => peer.address), topic);
-    return now - follower.freshAsOf >= takeoverTimeout(rank, readPlans[topic].takeoverTimeouts);
+    const members = liveMembers(state, now);
+    if (follower.rank?.members !== members) {
+        const others = members.filter(({ record }) => !record.isStopping).map(({ record }) => record.address);
+        follower.rank = { members, value: taskRank(state.options.peerAddress, others, topic) };
+    }
+    return now - follower.freshAsOf >= takeoverTimeout(follower.rank.value, readPlans[topic].takeoverTimeouts);
 }
 
 /** Handles the records of a successful read. */
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -1,7 +1,7 @@
 /**
  * The options of a gateway, from its settings. They may change while it runs.
  */
-import type { RetryBudgetOptions } from "@verbenaspring/coordination";
+import type { OverlayShape, RetryBudgetOptions } from "@verbenaspring/coordination";
 import type { FailureDomain, Milliseconds, PeerAddress } from "@verbenaspring/model";
 
 /** The options of one gateway. */
@@ -11,6 +11,8 @@
     readonly peerAddress: PeerAddress;
     /** Addresses at which a gateway first looks for others. Some of them may be out of date. */
     readonly seedAddresses: readonly PeerAddress[];
+    /** The shape of the links between gateways. */
+    readonly overlay: OverlayShape;
     /** The retry budget that all gateways share. */
     readonly retries: RetryBudgetOptions;
     /** From the request to stop until the process is killed. */
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -1,7 +1,14 @@
 /**
  * The reports that gateways send each other.
  */
-import type { BackendServerId, GatewayIncarnation, LogOffset, Milliseconds, PeerAddress } from "@verbenaspring/model";
+import type {
+    BackendServerId,
+    FailureDomain,
+    GatewayIncarnation,
+    LogOffset,
+    Milliseconds,
+    PeerAddress,
+} from "@verbenaspring/model";
 import type { DecodedItem, TopicItem, TopicName } from "./event.js";
 import type { PeerLeavingServer } from "./leavingServers.js";
 
@@ -49,14 +56,51 @@
     readonly isComplete: boolean;
 }
 
-/** A report of one gateway: its state, the gateways and topics that it knows, and its loads. */
+/** The state of one gateway, as it publishes it. A record is never changed; a newer version replaces it. */
+export interface MemberRecord {
+    readonly address: PeerAddress;
+    readonly incarnation: GatewayIncarnation;
+    /** Orders the processes at one address; each is higher than the ones before it that others knew. */
+    readonly generation: number;
+    /** Increases with each record of a process. */
+    readonly version: number;
+    readonly failureDomain: FailureDomain;
+    readonly isStopping: boolean;
+    /** The number of its requests that wait for capacity at an engine. */
+    readonly waitingRequests: number;
+    /** All its loads at engines. */
+    readonly loads: readonly PeerLoad[];
+    /** The limits that servers declared in answers to it a short time before. Their ages are those at publication. */
+    readonly requestLimits: readonly PeerRequestLimit[];
+}
+
+/** A record, and the time since it was published. */
+export interface RelayedRecord {
+    readonly record: MemberRecord;
+    readonly age: Milliseconds;
+}
+
+/** The version of what gateways report to each other. Gateways that know no records have version 0. */
+export const reportProtocol = 1;
+
+/**
+ * A report on a link: the records, topics and notices that the receiver lacks. What follows `leavingServers` is only
+ * filled in for gateways that know no records, which take it for the state of the sender.
+ */
 export interface PeerReport {
     readonly address: PeerAddress;
     readonly incarnation: GatewayIncarnation;
+    /** The sender's {@link reportProtocol}; 0 from gateways that know no records. */
+    readonly protocol: number;
+    /** Whether the sender is to keep a link to the receiver. */
+    readonly wantsLink: boolean;
+    readonly records: readonly RelayedRecord[];
+    readonly topics: readonly PeerTopic[];
+    /** The notices that it learnt since its last report on the link. */
+    readonly leavingServers: readonly PeerLeavingServer[];
     /** The addresses of the other gateways that it knows to be alive. */
     readonly members: readonly PeerAddress[];
     readonly isStopping: boolean;
-    readonly topics: readonly PeerTopic[];
     /** All loads if `isFull`, otherwise those that changed since the last report. A load of 0 marks one that ended. */
     readonly loads: readonly PeerLoad[];
     readonly isFull: boolean;
@@ -64,8 +108,6 @@
     readonly waitingRequests: number;
     /** The limits in answers of backend servers since its last report on the link. */
     readonly requestLimits: readonly PeerRequestLimit[];
-    /** The notices that it learnt since its last report on the link. */
-    readonly leavingServers: readonly PeerLeavingServer[];
 }
 
 /** The items of a report, decoded. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -1,86 +1,127 @@
 /**
- * The other gateways: which are alive, their load at the backend servers, and what they know of the platform's topics.
- * Membership starts from the seed addresses and spreads by reports. There is no election.
+ * The links of a gateway to others: to its neighbours in the overlay of all live gateways, and to those that want a link
+ * themselves. Records of members, notices of servers and records of topics are passed on over them. A gateway first
+ * looks for others at its seed addresses.
  */
-import { backoff } from "@verbenaspring/coordination";
-import type { BackendServerId, LogOffset, Milliseconds, PeerAddress } from "@verbenaspring/model";
-import type { GatewayEvent, TopicItem, TopicName } from "./event.js";
-import { applyItems, applySnapshot, recordFreshness } from "./followers.js";
+import { backoff, overlayNeighbours } from "@verbenaspring/coordination";
+import type { Milliseconds, PeerAddress } from "@verbenaspring/model";
+import type { GatewayEvent } from "./event.js";
 import { applyPeerNotices, noticesAfter } from "./leavingServers.js";
-import type { PeerLoad, PeerReport, PeerTopic } from "./peerReport.js";
-import { applyPeerLimit, newlyObservedLimits } from "./requestLimits.js";
-import { engineOf } from "./serverLoad.js";
-import type { GatewayState, Peer, TopicFollower } from "./state.js";
+import {
+    acceptLegacyReport,
+    acceptRecord,
+    engineLoads,
+    forgetMembers,
+    isFullMesh,
+    isLive,
+    isPlacementDue,
+    liveAddresses,
+    liveMembers,
+    publishIfDue,
+    publishRecord,
+} from "./members.js";
+import { type PeerReport, type RelayedRecord, reportProtocol } from "./peerReport.js";
+import { createTopicReports, handlePeerTopic, hasNewReads } from "./peerTopics.js";
+import type { GatewayState, Peer } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type PeerReported = Extract<GatewayEvent, { readonly kind: "peerReported"; }>;
 
-/** The longest time between two reports to one peer. */
-const heartbeatInterval: Milliseconds = 500;
-/** The shortest time between two reports to one peer that were only sent for changed loads. */
-const loadInterval: Milliseconds = 100;
-/** That time is at least this long for each known peer, which bounds the total rate of reports. */
-const loadIntervalPerPeer: Milliseconds = 15;
-/** The shortest time between two reports to one peer that were sent for placed runs, for each known peer. */
-const placementIntervalPerPeer: Milliseconds = 0.5;
+/** The longest time between two reports on a link. */
+const linkHeartbeatInterval: Milliseconds = 500;
+/** The shortest time between two reports on a link that only pass on records of others. */
+const relayInterval: Milliseconds = 200;
 /** A peer without a report for this long counts as dead, and its link is closed. */
 const silenceTimeout: Milliseconds = 1_500;
-/** A peer without a report for this long is assumed to have stopped, and not just to be out of reach. */
-const outOfReachTimeout: Milliseconds = 10_000;
 const minimumReopenDelay: Milliseconds = 200;
 const maximumReopenDelay: Milliseconds = 2_000;
-/** A peer that is not a seed is forgotten after this many failed links in a row. */
-const failuresUntilForgotten = 30;
-const topicNames: readonly TopicName[] = ["configuration", "backendServers"];
-
-/** The other gateways that are alive. */
-export function livePeers(state: GatewayState, now: Milliseconds): readonly Peer[] {
-    return [...state.peers.values()].filter(peer => isLive(peer, now));
-}
-
-/** The other gateways that are alive, or were a moment ago: one that is out of reach may still send requests. */
-export function recentPeers(state: GatewayState, now: Milliseconds): readonly Peer[] {
-    return [...state.peers.values()].filter(({ lastReportAt }) =>
-        lastReportAt !== undefined && now - lastReportAt <= outOfReachTimeout
-    );
-}
-
-/** The number of live gateways, including this one. */
-export function countLiveInstances(state: GatewayState, now: Milliseconds): number {
-    return livePeers(state, now).length + 1;
-}
-
-/** The number of known gateways, including this one and those that are out of reach but may be alive. */
-export function countKnownInstances({ peers }: GatewayState): number {
-    return peers.size + 1;
+/** How often the neighbours are chosen again without a change of the members. */
+const wantedInterval: Milliseconds = 500;
+/** How long a link stays open that neither end wants. */
+const unwantedLinkRetention: Milliseconds = 2_000;
+/** How often a gateway tries one that it has no news of: the overlay may have fallen apart. */
+const probeInterval: Milliseconds = 2_000;
+/** How long a probed gateway is wanted. */
+const probeDuration: Milliseconds = 1_500;
+/** Members of a full mesh pass on each other's records from this share of the mesh on: others may count one more. */
+const relayingMeshShare = 0.75;
+
+/** Opens and closes links, and sends the reports that are due. */
+export function maintainPeers(transaction: Transaction): void {
+    const { state, now } = transaction;
+    if (publishIfDue(transaction)) {
+        markOwnRecord(state);
+    }
+    if (now - state.wantedAt >= wantedInterval || state.wantedMembersVersion !== state.membersVersion) {
+        updateWanted(transaction);
+    }
+    [...state.peers.values()].forEach(peer => maintainPeer(transaction, peer));
 }
 
-function isLive({ lastReportAt }: Peer, now: Milliseconds): boolean {
-    return lastReportAt !== undefined && now - lastReportAt <= silenceTimeout;
+function markOwnRecord({ peers, options }: GatewayState): void {
+    peers.forEach(peer => peer.pending.add(options.peerAddress));
 }
 
-/** The shortest time between two reports to one peer for changed loads, by the number of peers. */
-function reportInterval(state: GatewayState): Milliseconds {
-    return Math.max(loadInterval, loadIntervalPerPeer * state.peers.size);
+/** Chooses the gateways to which this one wants links. */
+function updateWanted(transaction: Transaction): void {
+    const { state, now } = transaction;
+    forgetMembers(state, now);
+    const wanted = wantedAddresses(transaction);
+    state.wantedAt = now;
+    state.wantedMembersVersion = state.membersVersion;
+    wanted.forEach(address => addPeer(state, address));
+    state.peers.forEach(peer => {
+        const isWanted = wanted.has(peer.address);
+        if (peer.isWanted && !isWanted) {
+            peer.unwantedSince = now;
+        }
+        peer.isWanted = isWanted;
+    });
 }
 
-/** The same for runs that were placed and requests that wait. */
-function placementInterval(state: GatewayState): Milliseconds {
-    return placementIntervalPerPeer * state.peers.size;
+function wantedAddresses(transaction: Transaction): ReadonlySet<PeerAddress> {
+    const { state, now } = transaction;
+    const { options } = state;
+    const live = liveMembers(state, now);
+    const current = live.filter(({ isLegacy }) => !isLegacy).map(({ record }) => record);
+    const own = { address: options.peerAddress, failureDomain: options.failureDomain };
+    const neighbours = overlayNeighbours(own, current, options.overlay) as ReadonlySet<PeerAddress>;
+    const legacy = live.filter(({ isLegacy }) => isLegacy).map(({ record }) => record.address);
+    const hasLinks = [...state.peers.values()].some(({ link }) => link === "open");
+    const seeds = isFullMesh(state) || !hasLinks ? options.seedAddresses : [];
+    const probed = probedAddress(transaction, neighbours);
+    const wanted = new Set([...neighbours, ...legacy, ...seeds, ...state.hintedAddresses, ...probed]);
+    wanted.delete(options.peerAddress);
+    return wanted;
 }
 
-/** Opens links to known gateways, closes silent ones, and sends the reports that are due. */
-export function maintainPeers(transaction: Transaction): void {
-    const { state } = transaction;
-    state.options.seedAddresses.forEach(address => addPeer(state, address));
-    [...state.peers.values()].forEach(peer => maintainPeer(transaction, peer));
+/** From time to time one gateway that this one has no news of. */
+function probedAddress(
+    { state, now, source }: Transaction,
+    neighbours: ReadonlySet<PeerAddress>,
+): readonly PeerAddress[] {
+    const { probe } = state;
+    if (probe !== undefined && now - probe.startedAt < probeInterval) {
+        return now - probe.startedAt < probeDuration && probe.address !== undefined ? [probe.address] : [];
+    }
+    const silent = [...state.members.values()].filter(member => !isLive(state, member, now));
+    const unknownSeeds = state.options.seedAddresses.filter(address => !state.members.has(address));
+    const candidates = [...unknownSeeds, ...silent.map(({ record }) => record.address)].filter(address =>
+        address !== state.options.peerAddress && !neighbours.has(address)
+    );
+    const address = candidates.length === 0 ? undefined : candidates[Math.floor(source.random() * candidates.length)];
+    state.probe = { address, startedAt: now };
+    return address === undefined ? [] : [address];
 }
 
 function maintainPeer(transaction: Transaction, peer: Peer): void {
     const { state, now, effects } = transaction;
     if (peer.link === "closed") {
-        if (now >= peer.reopenAt) {
-            startLink(peer, "opening", now);
+        if (!peer.isWanted) {
+            state.peers.delete(peer.address);
+        }
+        else if (now >= peer.reopenAt) {
+            startLink(state, peer, "opening", now);
             effects.push({ kind: "openPeerLink", address: peer.address, report: createReport(state, peer, now) });
         }
         return;
@@ -89,21 +130,29 @@
         effects.push({ kind: "closePeerLink", address: peer.address });
         return handlePeerLinkClosed(transaction, peer.address);
     }
+    if (peer.link === "open" && isUnwanted(peer, now)) {
+        effects.push({ kind: "closePeerLink", address: peer.address });
+        state.peers.delete(peer.address);
+        return;
+    }
     if (peer.link === "open" && isReportDue(state, peer, now)) {
         sendReport(transaction, peer);
     }
 }
 
-function isReportDue(state: GatewayState, peer: Peer, now: Milliseconds): boolean {
-    const elapsed = now - peer.sentAt;
-    return elapsed >= heartbeatInterval
-        || (elapsed >= reportInterval(state) && peer.sentLoadsVersion !== state.loadsVersion)
-        || isPlacementReportDue(state, peer, now);
+function isUnwanted({ isWanted, wantsLink, unwantedSince, openedAt }: Peer, now: Milliseconds): boolean {
+    return !isWanted && !wantsLink && now - Math.max(unwantedSince, openedAt) > unwantedLinkRetention;
 }
 
-function isPlacementReportDue(state: GatewayState, peer: Peer, now: Milliseconds): boolean {
-    const hasChanged = peer.sentPlacements !== state.placements || peer.sentWaitingRequests !== state.waiting.size;
-    return hasChanged && now - peer.sentAt >= placementInterval(state);
+function isReportDue(state: GatewayState, peer: Peer, now: Milliseconds): boolean {
+    const elapsed = now - peer.sentAt;
+    if (elapsed >= linkHeartbeatInterval) {
+        return true;
+    }
+    if (isFullMesh(state)) {
+        return peer.pending.size > 0;
+    }
+    return elapsed >= relayInterval && (peer.pending.size > 0 || hasNewReads(state, peer));
 }
 
 /**
@@ -111,14 +160,18 @@
  * them, they choose the same engines.
  */
 export function reportPlacements(transaction: Transaction): void {
-    const { state, now } = transaction;
-    for (const peer of state.peers.values()) {
-        if (peer.link === "open" && isPlacementReportDue(state, peer, now)) {
-            sendReport(transaction, peer);
-        }
+    if (isPlacementDue(transaction.state, transaction.now)) {
+        publishAndReport(transaction);
     }
 }
 
+/** Publishes a new version of this gateway's record, and sends it to every peer with an open link. */
+export function publishAndReport(transaction: Transaction): void {
+    publishRecord(transaction);
+    markOwnRecord(transaction.state);
+    reportToPeers(transaction);
+}
+
 /** Sends a report to every peer with an open link. */
 export function reportToPeers(transaction: Transaction): void {
     for (const peer of transaction.state.peers.values()) {
@@ -133,42 +186,49 @@
     peer.sentAt = now;
 }
 
-function startLink(peer: Peer, link: "opening" | "open", now: Milliseconds): void {
+function startLink(state: GatewayState, peer: Peer, link: "opening" | "open", now: Milliseconds): void {
     peer.link = link;
     peer.openedAt = now;
     peer.sentAt = now;
-    peer.sentLoads.clear();
-    peer.sentLimitsAt = -Infinity;
     peer.sentNotices = 0;
     peer.through = unknownOffsets;
+    peer.sentReads = noReads;
+    peer.pending.clear();
+    peer.pending.add(state.options.peerAddress);
+    state.members.forEach((_, address) => peer.pending.add(address));
 }
 
 const unknownOffsets = { configuration: undefined, backendServers: undefined };
+const noReads = { configuration: undefined, backendServers: undefined };
 
-function addPeer(state: GatewayState, address: PeerAddress): void {
-    if (address === state.options.peerAddress || state.peers.has(address)) {
-        return;
+function addPeer(state: GatewayState, address: PeerAddress): Peer | undefined {
+    if (address === state.options.peerAddress) {
+        return undefined;
+    }
+    const known = state.peers.get(address);
+    if (known !== undefined) {
+        return known;
     }
-    state.peers.set(address, {
+    const peer: Peer = {
         address,
         incarnation: undefined,
-        isStopping: false,
+        protocol: undefined,
+        isWanted: false,
+        unwantedSince: -Infinity,
+        wantsLink: false,
         lastReportAt: undefined,
         link: "closed",
         reopenAt: 0,
         openedAt: 0,
         sentAt: 0,
         failures: 0,
-        sentLoadsVersion: 0,
-        sentPlacements: 0,
-        sentWaitingRequests: 0,
-        sentLimitsAt: -Infinity,
         sentNotices: 0,
-        sentLoads: new Map(),
+        pending: new Set(),
         through: unknownOffsets,
-        loads: new Map(),
-        waitingRequests: 0,
-    });
+        sentReads: noReads,
+    };
+    state.peers.set(address, peer);
+    return peer;
 }
 
 /**
@@ -176,164 +236,111 @@
  * it closes.
  */
 function createReport(state: GatewayState, peer: Peer, now: Milliseconds): PeerReport {
-    const isFull = peer.sentLoads.size === 0;
-    const loads = changedLoads(state, peer);
-    loads.forEach(load => peer.sentLoads.set(load.backendServer, load));
-    peer.sentLoadsVersion = state.loadsVersion;
-    peer.sentPlacements = state.placements;
-    peer.sentWaitingRequests = state.waiting.size;
-    const requestLimits = newlyObservedLimits(state, peer.sentLimitsAt, now);
-    peer.sentLimitsAt = now;
     const leavingServers = noticesAfter(state, peer.sentNotices);
     peer.sentNotices = state.noticeCount;
-    const topics = topicNames.map(name => createTopicReport(state, name, peer, now));
-    if (peer.link === "open") {
-        peer.through = {
-            configuration: laterOffset(peer.through.configuration, state.followers.configuration.next),
-            backendServers: laterOffset(peer.through.backendServers, state.followers.backendServers.next),
-        };
-    }
+    const records = [...peer.pending].flatMap(address => relayedRecord(state, address, now));
+    peer.pending.clear();
+    // A gateway of an older version knows no records. The version is only certain after the peer has reported.
+    const isCurrent = peer.protocol !== undefined && peer.protocol > 0;
     return {
         address: state.options.peerAddress,
         incarnation: state.incarnation,
-        members: livePeers(state, now).map(({ address }) => address),
+        protocol: reportProtocol,
+        wantsLink: peer.isWanted,
+        records,
+        members: isCurrent ? [] : liveAddresses(state, now),
         isStopping: state.stopRequestedAt !== undefined,
-        topics,
-        loads,
-        isFull,
+        topics: createTopicReports(state, peer, now),
+        loads: isCurrent ? [] : engineLoads(state),
+        isFull: true,
         waitingRequests: state.waiting.size,
-        requestLimits,
+        requestLimits: isCurrent ? [] : state.own.record?.requestLimits ?? [],
         leavingServers,
     };
 }
 
-function laterOffset(one: LogOffset | undefined, other: LogOffset | undefined): LogOffset | undefined {
-    return one === undefined || (other !== undefined && other > one) ? other : one;
-}
-
-/**
- * Loads of engines that changed since the last report to the peer. Plain services are omitted: each gateway balances
- * them by its own requests.
- */
-function changedLoads(state: GatewayState, { sentLoads }: Peer): PeerLoad[] {
-    const ended = [...sentLoads.values()]
-        .filter(sent => !state.loads.has(sent.backendServer) && !isIdle(sent))
-        .map(({ backendServer }) => ({ backendServer, ...noLoad }));
-    const changed = [...state.loads]
-        .filter(([id]) => isEngine(state, id))
-        .map(([backendServer, load]) => ({ backendServer, ...load }))
-        .filter(load => !isSameLoad(load, sentLoads.get(load.backendServer)));
-    return [...changed, ...ended];
-}
-
-const noLoad = { inProgress: 0, memoryTokens: 0, copiedTokens: 0, waitingTokens: 0 };
-
-function isEngine(state: GatewayState, id: BackendServerId): boolean {
-    const server = state.servers.get(id);
-    return server !== undefined && engineOf(state, server.record.service) !== undefined;
-}
-
-function isIdle({ inProgress, memoryTokens }: PeerLoad): boolean {
-    return inProgress === 0 && memoryTokens === 0;
-}
-
-function isSameLoad(one: PeerLoad, other: PeerLoad | undefined): boolean {
-    return one.inProgress === other?.inProgress
-        && one.memoryTokens === other.memoryTokens
-        && one.copiedTokens === other.copiedTokens
-        && one.waitingTokens === other.waitingTokens;
-}
-
-function createTopicReport(state: GatewayState, name: TopicName, peer: Peer, now: Milliseconds): PeerTopic {
-    const { next, removalsKnownFrom, freshAsOf, lastRead } = state.followers[name];
-    if (next === undefined || freshAsOf === undefined || lastRead === undefined) {
-        const read = { reader: state.incarnation, count: 0 };
-        return { name, since: 0, through: undefined, read, age: 0, items: [], isComplete: false };
+function relayedRecord(state: GatewayState, address: PeerAddress, now: Milliseconds): RelayedRecord[] {
+    const { own, members, options } = state;
+    if (address === options.peerAddress) {
+        return own.record === undefined ? [] : [{ record: own.record, age: now - own.publishedAt }];
     }
-    // What the peer knows of the topic is only certain after it has reported on this link.
-    const known: LogOffset = peer.through[name] ?? 0;
-    const isOpen = peer.link === "open";
-    const isComplete = isOpen && known < removalsKnownFrom;
-    return {
-        name,
-        since: known,
-        through: isOpen ? next : undefined,
-        read: lastRead,
-        age: now - freshAsOf,
-        items: isOpen ? missingItems(state.followers[name], known, isComplete) : [],
-        isComplete,
-    };
-}
-
-function missingItems(
-    { items, changedThrough }: TopicFollower,
-    known: LogOffset,
-    isComplete: boolean,
-): readonly TopicItem[] {
-    if (isComplete) {
-        return [...items.values()];
-    }
-    return changedThrough > known ? [...items.values()].filter(({ offset }) => offset >= known) : [];
+    const member = members.get(address);
+    const canRelay = member !== undefined && !member.isLegacy && isLive(state, member, now);
+    return canRelay ? [{ record: member.record, age: now - member.heardAt }] : [];
 }
 
 /** Handles a report of a peer. */
 export function handlePeerReport(transaction: Transaction, { report, items }: PeerReported): void {
     const { state, now } = transaction;
-    addPeer(state, report.address);
-    const peer = state.peers.get(report.address);
+    const peer = addPeer(state, report.address);
     if (peer === undefined) {
         return;
     }
-    const isNewIncarnation = peer.incarnation !== report.incarnation;
-    if (isNewIncarnation) {
-        logDecision(transaction, "info", "peer_joined", { peer: peer.address, incarnation: report.incarnation });
-    }
-    if (peer.link !== "open" || (isNewIncarnation && peer.incarnation !== undefined)) {
-        startLink(peer, "open", now);
+    const isNewIncarnation = peer.incarnation !== undefined && peer.incarnation !== report.incarnation;
+    if (peer.link !== "open" || isNewIncarnation) {
+        startLink(state, peer, "open", now);
     }
-    report.members.forEach(address => addPeer(state, address));
     peer.incarnation = report.incarnation;
-    peer.isStopping = report.isStopping;
+    peer.protocol = report.protocol;
+    peer.wantsLink = report.wantsLink || report.protocol === 0;
     peer.lastReportAt = now;
-    peer.waitingRequests = report.waitingRequests;
     peer.failures = 0;
-    const previous = report.isFull ? [] : peer.loads;
-    peer.loads = new Map([...previous, ...report.loads.map(load => [load.backendServer, load] as const)]);
-    report.topics.forEach(topic => handlePeerTopic(transaction, peer, topic, items));
-    report.requestLimits.forEach(limit => applyPeerLimit(transaction, limit));
+    state.hintedAddresses.delete(report.address);
+    if (report.protocol === 0) {
+        acceptLegacyReport(transaction, report);
+    }
+    report.members.filter(address => !state.members.has(address)).forEach(address => addHint(state, address));
+    report.records.forEach(relayed => handleRecord(transaction, peer, relayed));
+    const changes = report.topics.map(topic => handlePeerTopic(transaction, peer, topic, items));
     applyPeerNotices(transaction, report.leavingServers);
+    if (changes.includes(true) && !isFullMesh(state)) {
+        reportToPeers(transaction);
+    }
 }
 
-function handlePeerTopic(
-    transaction: Transaction,
-    peer: Peer,
-    topic: PeerTopic,
-    items: PeerReported["items"],
-): void {
-    const { state, now } = transaction;
-    const follower = state.followers[topic.name];
-    if (topic.through === undefined) {
-        return;
+/** Only gateways of an older version name others by their addresses. More than these are learnt later. */
+const maximumHints = 64;
+
+function addHint({ hintedAddresses, options }: GatewayState, address: PeerAddress): void {
+    if (hintedAddresses.size < maximumHints && address !== options.peerAddress) {
+        hintedAddresses.add(address);
     }
-    // Records sent to the peer may still be under way, so what it reports replaces what was recorded on sending.
-    peer.through = { ...peer.through, [topic.name]: topic.through };
-    const known = follower.next ?? 0;
-    if (topic.through < known || topic.since > known) {
+}
+
+/** Accepts a record and passes it on, or sends the peer the newer one that is known. */
+function handleRecord(transaction: Transaction, peer: Peer, relayed: RelayedRecord): void {
+    const { state } = transaction;
+    const { address, incarnation, generation, version } = relayed.record;
+    const publishedAt = state.own.publishedAt;
+    if (acceptRecord(transaction, relayed)) {
+        peer.pending.delete(address);
+        relayRecord(state, peer, address);
         return;
     }
-    const records = items[topic.name];
-    if (topic.isComplete) {
-        applySnapshot(transaction, topic.name, records, topic.through);
+    if (state.own.publishedAt !== publishedAt) {
+        return markOwnRecord(state);
+    }
+    const known = address === state.options.peerAddress ? state.own.record : state.members.get(address)?.record;
+    const isSame = known?.incarnation === incarnation && known.generation === generation && known.version === version;
+    if (isSame) {
+        peer.pending.delete(address);
     }
     else {
-        applyItems(transaction, topic.name, records, topic.through);
+        peer.pending.add(address);
     }
-    recordFreshness(follower, topic.read, now - topic.age);
 }
 
-/** The requests of all live gateways that wait for capacity at an engine. */
-export function countWaitingRequests(state: GatewayState, now: Milliseconds): number {
-    return livePeers(state, now).reduce((sum, peer) => sum + peer.waitingRequests, state.waiting.size);
+function relayRecord(state: GatewayState, from: Peer, address: PeerAddress): void {
+    const { totals, options } = state;
+    const isSmallMesh = totals.live.length < relayingMeshShare * options.overlay.meshSize;
+    if (isSmallMesh && from.address === address) {
+        return;
+    }
+    for (const peer of state.peers.values()) {
+        if (peer !== from && peer.address !== address && peer.link === "open") {
+            peer.pending.add(address);
+        }
+    }
 }
 
 /** Handles the end of a link, or a link that could not be opened. */
@@ -345,27 +352,14 @@
     }
     peer.link = "closed";
     peer.failures++;
+    peer.wantsLink = false;
     peer.reopenAt = now + backoff(peer.failures, minimumReopenDelay, maximumReopenDelay, source.random);
-    if (peer.failures === 1) {
-        logDecision(transaction, "info", "peer_unreachable", { peer: address, incarnation: peer.incarnation });
-    }
-    const isSeed = state.options.seedAddresses.includes(address);
-    if (!isSeed && peer.failures >= failuresUntilForgotten) {
+    state.hintedAddresses.delete(address);
+    if (!peer.isWanted) {
         state.peers.delete(address);
+        return;
     }
-}
-
-/** The sum of the live peers' loads at a server. */
-export function peerLoad(state: GatewayState, id: BackendServerId, now: Milliseconds): Omit<PeerLoad, "backendServer"> {
-    const total = { ...noLoad };
-    for (const peer of state.peers.values()) {
-        const load = peer.loads.get(id);
-        if (load !== undefined && isLive(peer, now)) {
-            total.inProgress += load.inProgress;
-            total.memoryTokens += load.memoryTokens;
-            total.copiedTokens += load.copiedTokens;
-            total.waitingTokens += load.waitingTokens;
-        }
+    if (peer.failures === 1) {
+        logDecision(transaction, "info", "peer_unreachable", { peer: address, incarnation: peer.incarnation });
     }
-    return total;
 }
--- a/packages/gateway/src/requestLimits.ts
+++ b/packages/gateway/src/requestLimits.ts
@@ -13,9 +13,10 @@
     updateAllowance,
 } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
+import { recentMembers } from "./members.js";
 import type { ResponseHead } from "./messages.js";
 import type { PeerRequestLimit } from "./peerReport.js";
-import { recentPeers, reportToPeers } from "./peers.js";
+import { publishAndReport } from "./peers.js";
 import type { Attempt, GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -44,6 +45,8 @@
 
 type Observation = Pick<RequestLimit, "perSecond" | "observedAt" | "isOwnObservation">;
 
+/** How long an observation is published: until it has certainly reached every gateway. */
+const publishedFor: Milliseconds = 5_000;
 /** How often the shares follow changes of the gateways that are alive. */
 const standingUpdateInterval: Milliseconds = 500;
 const noShare: LimitShare = { perSecond: 0, burst: 0 };
@@ -64,17 +67,22 @@
     }
     setRequestLimit(transaction, id, { perSecond: requestLimit, observedAt: now, isOwnObservation: true });
     if ((requestLimit === undefined) !== (known?.perSecond === undefined)) {
-        reportToPeers(transaction);
+        publishAndReport(transaction);
     }
 }
 
-/** Applies a limit that another gateway observed, if it is newer than the known one. */
+/**
+ * Applies a limit that another gateway observed, if it is newer than the known one.
+ *
+ * @param publishedAt when the other gateway published it
+ */
 export function applyPeerLimit(
     transaction: Transaction,
     { backendServer, perSecond, age }: PeerRequestLimit,
+    publishedAt: Milliseconds,
 ): void {
-    const { state: { requestLimits, servers }, now } = transaction;
-    const observedAt = now - age;
+    const { requestLimits, servers } = transaction.state;
+    const observedAt = publishedAt - age;
     const known = requestLimits.get(backendServer);
     if (servers.has(backendServer) && (known === undefined || known.observedAt < observedAt)) {
         setRequestLimit(transaction, backendServer, { perSecond, observedAt, isOwnObservation: false });
@@ -115,7 +123,7 @@
 }
 
 function standingFor(state: GatewayState, id: BackendServerId, now: Milliseconds): Standing {
-    const others = recentPeers(state, now).map(({ address }) => address);
+    const others = recentMembers(state, now).map(({ record }) => record.address);
     const rank = taskRank(state.options.peerAddress, others, id);
     return { rank, instances: others.length + 1, countedAt: now };
 }
@@ -153,13 +161,9 @@
     return limit?.perSecond === undefined ? 0 : timeUntilAllowed(limit.allowance, now);
 }
 
-/** The limits that this gateway observed since a time, as they are reported to the others. */
-export function newlyObservedLimits(
-    { requestLimits }: GatewayState,
-    since: Milliseconds,
-    now: Milliseconds,
-): PeerRequestLimit[] {
+/** The limits that this gateway observed a short time ago, as it publishes them. */
+export function observedLimits({ requestLimits }: GatewayState, now: Milliseconds): PeerRequestLimit[] {
     return [...requestLimits]
-        .filter(([, { isOwnObservation, observedAt }]) => isOwnObservation && observedAt >= since)
+        .filter(([, { isOwnObservation, observedAt }]) => isOwnObservation && now - observedAt <= publishedFor)
         .map(([backendServer, { perSecond, observedAt }]) => ({ backendServer, perSecond, age: now - observedAt }));
 }
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -10,8 +10,8 @@
 } from "@verbenaspring/coordination";
 import { identifier, type Milliseconds, type ServiceName } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
+import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
-import { countKnownInstances } from "./peers.js";
 import { isLimited, spendRequest, timeUntilWithinLimit } from "./requestLimits.js";
 import { failRequest, requestFields } from "./requests.js";
 import {
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -11,8 +11,8 @@
 import type { BackendServer } from "./backendServers.js";
 import type { DecisionFields } from "./effect.js";
 import { hasGivenNotice } from "./leavingServers.js";
+import { memberLoad } from "./members.js";
 import { expectedOutput } from "./messages.js";
-import { peerLoad } from "./peers.js";
 import { isLimited, isWithinLimit } from "./requestLimits.js";
 import type { EngineCapabilities } from "./routingConfiguration.js";
 import { isPaused } from "./serverPauses.js";
@@ -111,7 +111,7 @@
 /** The load of all live gateways at a server. */
 function totalLoad(state: GatewayState, id: BackendServerId, now: Milliseconds): ServerLoad {
     const own = state.loads.get(id);
-    const others = peerLoad(state, id, now);
+    const others = memberLoad(state, id, now);
     return {
         inProgress: others.inProgress + (own?.inProgress ?? 0),
         memoryTokens: others.memoryTokens + (own?.memoryTokens ?? 0),
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -15,9 +15,10 @@
 import type { BackendServer, BackendView } from "./backendServers.js";
 import type { ReadFailure, TopicItem, TopicName } from "./event.js";
 import type { LeavingNotices } from "./leavingServers.js";
+import type { Member, MemberTotals, OwnRecord } from "./members.js";
 import type { RequestHead, ResponseHead, RunReplica } from "./messages.js";
 import type { GatewayOptions } from "./options.js";
-import type { PeerLoad, TopicReadStamp } from "./peerReport.js";
+import type { TopicReadStamp } from "./peerReport.js";
 import type { RequestLimits } from "./requestLimits.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 
@@ -124,17 +125,26 @@
      * The count of the newest known read of each gateway. A report of an older read does not make the topic fresher.
      */
     readonly readCounts: Map<GatewayIncarnation, number>;
+    /** The rank of this gateway among those that may read the topic, and the members for which it was computed. */
+    rank: { readonly members: readonly Member[]; readonly value: number; } | undefined;
     isReading: boolean;
     nextReadAt: Milliseconds;
     /** Why the last read failed; undefined after a successful one. */
     lastFailure: ReadFailure | undefined;
 }
 
-/** Another gateway, as known from its reports and its link. */
+/** A link to another gateway. */
 export interface Peer {
     readonly address: PeerAddress;
+    /** The process that reported last. */
     incarnation: GatewayIncarnation | undefined;
-    isStopping: boolean;
+    /** The version of its reports; undefined before the first. */
+    protocol: number | undefined;
+    /** Whether this gateway is to have a link to it. */
+    isWanted: boolean;
+    unwantedSince: Milliseconds;
+    /** Whether it wants the link. */
+    wantsLink: boolean;
     /** When its last report came; undefined before the first. */
     lastReportAt: Milliseconds | undefined;
     link: "closed" | "opening" | "open";
@@ -142,24 +152,14 @@
     openedAt: Milliseconds;
     sentAt: Milliseconds;
     failures: number;
-    /** The `loadsVersion` of the last report to it. */
-    sentLoadsVersion: number;
-    /** The `placements` of the last report to it. */
-    sentPlacements: number;
-    /** The number of waiting requests in the last report to it. */
-    sentWaitingRequests: number;
-    /** Limits that this gateway observed before then were reported to it on this link. */
-    sentLimitsAt: Milliseconds;
     /** The notices up to this number were reported to it on this link. */
     sentNotices: number;
-    /** The loads that were last reported to it on this link. */
-    readonly sentLoads: Map<BackendServerId, PeerLoad>;
+    /** The gateways whose newest record it may lack. */
+    readonly pending: Set<PeerAddress>;
     /** The offset up to which it knows each topic; undefined before it or this gateway has reported on this link. */
     through: Readonly<Record<TopicName, LogOffset | undefined>>;
-    /** The loads that it last reported. */
-    loads: ReadonlyMap<BackendServerId, PeerLoad>;
-    /** The number of its requests that wait for capacity at an engine. */
-    waitingRequests: number;
+    /** The newest read of each topic that was reported to it on this link. */
+    sentReads: Readonly<Record<TopicName, TopicReadStamp | undefined>>;
 }
 
 /** The whole state of a gateway. None of it is stored: a restarted gateway starts without it. */
@@ -196,6 +196,19 @@
     readonly followers: Readonly<Record<TopicName, TopicFollower>>;
     readonly incarnation: GatewayIncarnation;
     readonly peers: Map<PeerAddress, Peer>;
+    /** The newest record of each other gateway. */
+    readonly members: Map<PeerAddress, Member>;
+    /** Increases with each change of `members`. */
+    membersVersion: number;
+    readonly own: OwnRecord;
+    totals: MemberTotals;
+    /** When the neighbours were last chosen, and for which members. */
+    wantedAt: Milliseconds;
+    wantedMembersVersion: number;
+    /** The last gateway that was tried without news of it; its address is undefined if there was none to try. */
+    probe: { readonly address: PeerAddress | undefined; readonly startedAt: Milliseconds; } | undefined;
+    /** Gateways that others named by their address only. */
+    readonly hintedAddresses: Set<PeerAddress>;
     /** The time of the first event. */
     startedAt: Milliseconds | undefined;
     stopRequestedAt: Milliseconds | undefined;
@@ -212,6 +225,21 @@
     return {
         incarnation,
         peers: new Map(),
+        members: new Map(),
+        membersVersion: 0,
+        own: {
+            record: undefined,
+            publishedAt: -Infinity,
+            generation: 0,
+            loadsVersion: 0,
+            placements: 0,
+            waitingRequests: 0,
+        },
+        totals: { computedAt: -Infinity, membersVersion: 0, live: [], loads: new Map(), waitingRequests: 0 },
+        wantedAt: -Infinity,
+        wantedMembersVersion: 0,
+        probe: undefined,
+        hintedAddresses: new Set(),
         options,
         configuration: undefined,
         servers: new Map(),
@@ -248,6 +276,7 @@
         freshAsOf: undefined,
         lastRead: undefined,
         readCounts: new Map(),
+        rank: undefined,
         isReading: false,
         nextReadAt: 0,
         lastFailure: undefined,
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -17,7 +17,7 @@
 } from "@verbenaspring/coordination";
 import { identifier, type Milliseconds, type OrganisationId } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
-import { countWaitingRequests } from "./peers.js";
+import { countWaitingRequests } from "./members.js";
 import { failRequest, requestFields } from "./requests.js";
 import { highestPriority } from "./routingConfiguration.js";
 import { sendTo, timeUntilUsable } from "./sending.js";
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -71,7 +71,8 @@
         metrics.gauge("verbenaspring_topic_age_milliseconds_configuration", () => this.topicAge("configuration"));
         metrics.gauge("verbenaspring_topic_age_milliseconds_servers", () => this.topicAge("backendServers"));
         metrics.gauge("verbenaspring_configuration_version", () => state.configuration?.version ?? 0);
-        metrics.gauge("verbenaspring_peers_known", () => state.peers.size);
+        metrics.gauge("verbenaspring_peers_known", () => state.members.size);
+        metrics.gauge("verbenaspring_peer_links", () => state.peers.size);
         metrics.gauge("verbenaspring_backend_servers_known", () => state.servers.size);
         metrics.gauge(
             "verbenaspring_backend_servers_limited",
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -1,9 +1,21 @@
 /**
  * Converts the reports that gateways exchange to messages of the schema and back.
  */
-import type { PeerReport, TopicName } from "@verbenaspring/gateway";
+import type {
+    MemberRecord,
+    PeerLoad,
+    PeerReport,
+    PeerRequestLimit,
+    RelayedRecord,
+    TopicName,
+} from "@verbenaspring/gateway";
 import { type GatewayIncarnation, identifier, type PeerAddress } from "@verbenaspring/model";
-import type { PeerReport as PeerReportMessage } from "@verbenaspring/schema";
+import type {
+    MemberRecord as MemberRecordMessage,
+    PeerLoad as PeerLoadMessage,
+    PeerReport as PeerReportMessage,
+    PeerRequestLimit as PeerRequestLimitMessage,
+} from "@verbenaspring/schema";
 
 /** A report message without the properties that the protobuf library adds. */
 export type ReportInit = Omit<PeerReportMessage, "$typeName" | "$unknown">;
@@ -14,6 +26,9 @@
     return {
         address,
         incarnation,
+        protocol: report.protocol,
+        wantsLink: report.wantsLink,
+        records: report.records.map(encodeRecord),
         members: [...members],
         isStopping,
         isFull,
@@ -34,11 +49,8 @@
                 value: Uint8Array.from(value),
             })),
         })),
-        loads: loads.map(load => ({ $typeName: "verbenaspring.v1.PeerLoad", ...load })),
-        requestLimits: report.requestLimits.map(limit => ({
-            $typeName: "verbenaspring.v1.PeerRequestLimit",
-            ...limit,
-        })),
+        loads: loads.map(encodeLoad),
+        requestLimits: report.requestLimits.map(encodeLimit),
         leavingServers: report.leavingServers.map(notice => ({
             $typeName: "verbenaspring.v1.PeerLeavingServer",
             ...notice,
@@ -46,12 +58,33 @@
     };
 }
 
+function encodeRecord({ record, age }: RelayedRecord): MemberRecordMessage {
+    return {
+        $typeName: "verbenaspring.v1.MemberRecord",
+        ...record,
+        loads: record.loads.map(encodeLoad),
+        requestLimits: record.requestLimits.map(encodeLimit),
+        age,
+    };
+}
+
+function encodeLoad(load: PeerLoad): PeerLoadMessage {
+    return { $typeName: "verbenaspring.v1.PeerLoad", ...load };
+}
+
+function encodeLimit(limit: PeerRequestLimit): PeerRequestLimitMessage {
+    return { $typeName: "verbenaspring.v1.PeerRequestLimit", ...limit };
+}
+
 /** Converts a message to a report. */
 export function decodeReport(message: PeerReportMessage): PeerReport {
     const { address, incarnation, members, isStopping, topics, loads, isFull, waitingRequests } = message;
     return {
         address: identifier(address),
         incarnation: identifier(incarnation),
+        protocol: message.protocol,
+        wantsLink: message.wantsLink,
+        records: message.records.map(decodeRecord),
         members: members.map(member => identifier<PeerAddress>(member)),
         isStopping,
         isFull,
@@ -65,15 +98,35 @@
             items,
             isComplete,
         })),
-        loads: loads.map(load => ({ ...load, backendServer: identifier(load.backendServer) })),
-        requestLimits: message.requestLimits.map(({ backendServer, perSecond, age }) => ({
-            backendServer: identifier(backendServer),
-            perSecond,
-            age,
-        })),
+        loads: loads.map(decodeLoad),
+        requestLimits: message.requestLimits.map(decodeLimit),
         leavingServers: message.leavingServers.map(({ backendServer, startedAt }) => ({
             backendServer: identifier(backendServer),
             startedAt,
         })),
     };
 }
+
+function decodeRecord(message: MemberRecordMessage): RelayedRecord {
+    const record: MemberRecord = {
+        address: identifier(message.address),
+        incarnation: identifier(message.incarnation),
+        generation: message.generation,
+        version: message.version,
+        failureDomain: identifier(message.failureDomain),
+        isStopping: message.isStopping,
+        waitingRequests: message.waitingRequests,
+        loads: message.loads.map(decodeLoad),
+        requestLimits: message.requestLimits.map(decodeLimit),
+    };
+    return { record, age: message.age };
+}
+
+function decodeLoad(message: PeerLoadMessage): PeerLoad {
+    const { backendServer, inProgress, memoryTokens, copiedTokens, waitingTokens } = message;
+    return { backendServer: identifier(backendServer), inProgress, memoryTokens, copiedTokens, waitingTokens };
+}
+
+function decodeLimit({ backendServer, perSecond, age }: PeerRequestLimitMessage): PeerRequestLimit {
+    return { backendServer: identifier(backendServer), perSecond, age };
+}
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -43,6 +43,28 @@
                 waitingTokens: 0,
             },
         ],
+        protocol: 1,
+        wantsLink: true,
+        records: [{
+            record: {
+                address: identifier("10.1.0.9:8748"),
+                incarnation: identifier("nine"),
+                generation: 2,
+                version: 70_000,
+                failureDomain: identifier("near"),
+                isStopping: true,
+                waitingRequests: 3,
+                loads: [{
+                    backendServer: identifier("i-1"),
+                    inProgress: 1,
+                    memoryTokens: 2_000,
+                    copiedTokens: 0,
+                    waitingTokens: 7,
+                }],
+                requestLimits: [{ backendServer: identifier("i-1"), perSecond: 2.5, age: 5 }],
+            },
+            age: 12.5,
+        }],
         leavingServers: [
             { backendServer: identifier("i-2"), startedAt: 7 },
             { backendServer: identifier("i-3"), startedAt: undefined },
