--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -8,6 +8,7 @@
 import {
     limitSchedules,
     noticeSchedules,
+    overlaidGateways,
     pauseSchedules,
     type PlatformSchedule,
     platformSchedules,
@@ -65,6 +66,12 @@
     schedules: pauseSchedules,
 };
 
+/** Gateways on the users' platform, of which each has links to some others only. */
+export const overlaidPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    run: (schedule, implementation) => runPlatformSchedule(schedule, implementation, overlaidGateways),
+};
+
 /** Options of {@link fuzz}. */
 export interface FuzzOptions<Implementation> {
     readonly seed: number;
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,6 +1,6 @@
 /**
- * The command `npm run fuzz -- --system platform|limits|notices|pauses|linked --seed S --runs N --steps K`. It runs randomised
- * schedules and checks them with the oracle.
+ * The command `npm run fuzz -- --system platform|overlay|limits|notices|pauses|linked --seed S --runs N --steps K`. It
+ * runs randomised schedules and checks them with the oracle.
  */
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
@@ -9,6 +9,7 @@
     limitedPlatformSystem,
     linkedSystem,
     noticePlatformSystem,
+    overlaidPlatformSystem,
     pausePlatformSystem,
     platformSystem,
 } from "./fuzz.js";
@@ -20,7 +21,7 @@
     .scriptName("fuzz")
     .options({
         system: {
-            choices: ["linked", "platform", "limits", "notices", "pauses"] as const,
+            choices: ["linked", "platform", "overlay", "limits", "notices", "pauses"] as const,
             default: "platform",
             describe:
                 "gateways on the platform, the same with servers that declare limits, give notice in answers or ask for pauses, or "
@@ -43,6 +44,7 @@
 const options = { seed, runs, steps, path, onRun };
 const platformTargets = {
     platform: platformSystem,
+    overlay: overlaidPlatformSystem,
     limits: limitedPlatformSystem,
     notices: noticePlatformSystem,
     pauses: pausePlatformSystem,
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -2,6 +2,7 @@
  * Runs one schedule on a platform in virtual time. When its steps are done, all faults end, and after a recovery time
  * the run checks what must hold without faults.
  */
+import { defaultOverlayShape, type OverlayShape } from "@verbenaspring/coordination";
 import {
     type GatewayInterceptors,
     passThroughInterceptors,
@@ -34,7 +35,20 @@
 } from "./requestKinds.js";
 import { buildConfiguration, routesHost, routeTimeouts, VersionOracle } from "./versions.js";
 
-const gatewayCount = 3;
+/** The gateways of a platform, and the shape of their links. */
+export interface GatewayPlan {
+    readonly count: number;
+    readonly overlay: OverlayShape;
+}
+
+/** Few gateways, each with links to all others. */
+export const meshedGateways: GatewayPlan = { count: 3, overlay: defaultOverlayShape };
+/** More gateways than each has links. */
+export const overlaidGateways: GatewayPlan = {
+    count: 8,
+    overlay: { meshSize: 3, localRings: 1, bridgesPerDomain: 2, bridgeRings: 1 },
+};
+
 const warmUpTime: Milliseconds = 1_500;
 /** The time after the last fault. It is longer than any request and than a planned stop. */
 const recoveryTime: Milliseconds = 25_000;
@@ -59,8 +73,9 @@
 export function runPlatformSchedule(
     schedule: PlatformSchedule,
     implementation: GatewayInterceptors = passThroughInterceptors,
+    gateways: GatewayPlan = meshedGateways,
 ): void {
-    const run = new ScheduleRun(schedule, implementation);
+    const run = new ScheduleRun(schedule, implementation, gateways);
     schedule.steps.forEach(({ pause, action }) => run.step(pause, action));
     run.finish();
 }
@@ -76,10 +91,15 @@
     private requestCount = 0;
     private serverCount = 0;
 
-    constructor({ seed }: PlatformSchedule, implementation: GatewayInterceptors) {
+    constructor(
+        { seed }: PlatformSchedule,
+        implementation: GatewayInterceptors,
+        private readonly gatewayPlan: GatewayPlan,
+    ) {
         this.platform = new VirtualPlatform({
             seed,
-            gateways: gatewayCount,
+            gateways: gatewayPlan.count,
+            overlay: gatewayPlan.overlay,
             retries: {
                 ratio: platformLimits.retryRatio,
                 slack: platformLimits.retrySlack,
@@ -438,7 +458,7 @@
     }
 
     private gatewayOf(slot: number): VirtualGateway {
-        return this.platform.gateways[slot % gatewayCount];
+        return this.platform.gateways[slot % this.gatewayPlan.count];
     }
 
     private addressOf(slot: number): string {
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -23,7 +23,7 @@
     record: MemberRecord | undefined;
     publishedAt: Milliseconds;
     /** Higher than that of an earlier process at the same address that others still know. */
-    generation: number;
+    incarnationNumber: number;
     loadsVersion: number;
     placements: number;
     waitingRequests: number;
@@ -136,7 +136,7 @@
     own.record = {
         address: options.peerAddress,
         incarnation,
-        generation: own.generation,
+        incarnationNumber: own.incarnationNumber,
         version: (own.record?.version ?? 0) + 1,
         failureDomain: options.failureDomain,
         isStopping: state.stopRequestedAt !== undefined,
@@ -181,21 +181,22 @@
     return true;
 }
 
-/** Publishes under a higher generation if others still know an earlier process at this gateway's address. */
-function outnumberPredecessor(transaction: Transaction, { incarnation, generation }: MemberRecord): void {
+/** Publishes under a higher incarnation number if others still know an earlier process at this gateway's address. */
+function outnumberPredecessor(transaction: Transaction, { incarnation, incarnationNumber }: MemberRecord): void {
     const { own } = transaction.state;
-    if (incarnation !== transaction.state.incarnation && generation >= own.generation) {
-        own.generation = generation + 1;
+    if (incarnation !== transaction.state.incarnation && incarnationNumber >= own.incarnationNumber) {
+        own.incarnationNumber = incarnationNumber + 1;
         publishRecord(transaction);
     }
 }
 
 function isNewer(state: GatewayState, record: MemberRecord, known: Member, now: Milliseconds): boolean {
-    const { incarnation, generation, version } = known.record;
+    const { incarnation, incarnationNumber, version } = known.record;
     if (record.incarnation === incarnation) {
-        return record.generation > generation || (record.generation === generation && record.version > version);
+        return record.incarnationNumber > incarnationNumber
+            || (record.incarnationNumber === incarnationNumber && record.version > version);
     }
-    return record.generation > generation || !isLive(state, known, now);
+    return record.incarnationNumber > incarnationNumber || !isLive(state, known, now);
 }
 
 function setMember(transaction: Transaction, member: Member): void {
@@ -203,8 +204,8 @@
     const { record, heardAt } = member;
     const previous = state.members.get(record.address);
     if (previous?.record.incarnation !== record.incarnation) {
-        const { address: peer, incarnation, generation } = record;
-        logDecision(transaction, "info", "peer_joined", { peer, incarnation, generation });
+        const { address: peer, incarnation, incarnationNumber } = record;
+        logDecision(transaction, "info", "peer_joined", { peer, incarnation, incarnationNumber });
     }
     state.members.set(record.address, member);
     state.membersVersion++;
@@ -220,7 +221,7 @@
     const record: MemberRecord = {
         address: report.address,
         incarnation: report.incarnation,
-        generation: 0,
+        incarnationNumber: 0,
         version: (known?.version ?? 0) + 1,
         failureDomain: state.options.failureDomain,
         isStopping: report.isStopping,
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -61,7 +61,7 @@
     readonly address: PeerAddress;
     readonly incarnation: GatewayIncarnation;
     /** Orders the processes at one address; each is higher than the ones before it that others knew. */
-    readonly generation: number;
+    readonly incarnationNumber: number;
     /** Increases with each record of a process. */
     readonly version: number;
     readonly failureDomain: FailureDomain;
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -310,7 +310,7 @@
 /** Accepts a record and passes it on, or sends the peer the newer one that is known. */
 function handleRecord(transaction: Transaction, peer: Peer, relayed: RelayedRecord): void {
     const { state } = transaction;
-    const { address, incarnation, generation, version } = relayed.record;
+    const { address, incarnation, incarnationNumber, version } = relayed.record;
     const publishedAt = state.own.publishedAt;
     if (acceptRecord(transaction, relayed)) {
         peer.pending.delete(address);
@@ -321,7 +321,8 @@
         return markOwnRecord(state);
     }
     const known = address === state.options.peerAddress ? state.own.record : state.members.get(address)?.record;
-    const isSame = known?.incarnation === incarnation && known.generation === generation && known.version === version;
+    const isSame = known?.incarnation === incarnation && known.incarnationNumber === incarnationNumber
+        && known.version === version;
     if (isSame) {
         peer.pending.delete(address);
     }
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -230,7 +230,7 @@
         own: {
             record: undefined,
             publishedAt: -Infinity,
-            generation: 0,
+            incarnationNumber: 0,
             loadsVersion: 0,
             placements: 0,
             waitingRequests: 0,
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -226,7 +226,7 @@
         };
         const record: MemberRecord = {
             ...sender,
-            generation: 0,
+            incarnationNumber: 0,
             version: ++this.recordVersion,
             failureDomain: identifier("near"),
             isStopping: false,
--- a/packages/gateway/test/members.test.ts
+++ b/packages/gateway/test/members.test.ts
@@ -20,7 +20,7 @@
     return {
         address: address(host),
         incarnation: identifier<never>(`incarnation ${host}`),
-        generation: 0,
+        incarnationNumber: 0,
         version,
         failureDomain: identifier("near"),
         isStopping: false,
@@ -109,13 +109,13 @@
     assert.is(countLiveInstances(gateway.state, gateway.now), 1);
 });
 
-test("a restarted gateway publishes under a higher generation, once it hears of its predecessor", () => {
+test("a restarted gateway publishes under a higher incarnation number, once it hears of its predecessor", () => {
     const gateway = new TestGateway();
-    const predecessor = record(1, 900, { incarnation: identifier<never>("predecessor"), generation: 4 });
+    const predecessor = record(1, 900, { incarnation: identifier<never>("predecessor"), incarnationNumber: 4 });
     receive(gateway, 2, record(2, 1), predecessor);
     const reports = gateway.advance(100).flatMap(effect => effect.kind === "sendReport" ? [effect.report] : []);
     const own = reports.flatMap(({ records }) => records).filter(({ record: { address: of } }) => of === address(1));
-    assert.ok(own.length > 0 && own.every(({ record: { generation } }) => generation === 5));
+    assert.ok(own.length > 0 && own.every(({ record: { incarnationNumber } }) => incarnationNumber === 5));
     const other = new TestGateway({ peerAddress: address(3) });
     receive(other, 2, predecessor);
     receive(other, 2, own[0].record);
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -111,7 +111,7 @@
     const record: MemberRecord = {
         address: identifier(message.address),
         incarnation: identifier(message.incarnation),
-        generation: message.generation,
+        incarnationNumber: message.incarnationNumber,
         version: message.version,
         failureDomain: identifier(message.failureDomain),
         isStopping: message.isStopping,
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -49,7 +49,7 @@
             record: {
                 address: identifier("10.1.0.9:8748"),
                 incarnation: identifier("nine"),
-                generation: 2,
+                incarnationNumber: 2,
                 version: 70_000,
                 failureDomain: identifier("near"),
                 isStopping: true,
