gateway: only gateways of an older version name others by their addresses

Cause: the first report on a link carries the addresses of all live gateways, since the version of the receiver is not known yet; a gateway that knew no other took them all as addresses to try and opened up to 64 links for a moment.

Change: the addresses count only in reports of protocol 0. The test of peers.test.ts that expected a link to every member of a report now expects one to each gateway whose record came, none for addresses from a current gateway, and one for those from an older one. gateway, overlay, overlayFuzz: 114 passed, 0 failed.

--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -288,8 +288,8 @@
     state.hintedAddresses.delete(report.address);
     if (report.protocol === 0) {
         acceptLegacyReport(transaction, report);
+        report.members.filter(address => !state.members.has(address)).forEach(address => addHint(state, address));
     }
-    report.members.filter(address => !state.members.has(address)).forEach(address => addHint(state, address));
     report.records.forEach(relayed => handleRecord(transaction, peer, relayed));
     const changes = report.topics.map(topic => handlePeerTopic(transaction, peer, topic, items));
     applyPeerNotices(transaction, report.leavingServers);
