runtime: calls that have ended keep no bytes of their answers

Found by reading the diff: a stream that was cancelled while its events were handled counted its incomplete event as kept for good, as did a body that went on after its call was given up. With time the bound of the process would have been used up and every answer cut.

--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -72,6 +72,7 @@
 }
 
 interface ActiveCall {
+    readonly attemptId: AttemptId;
     readonly channel: Channel;
     /** Bytes of its answer that are kept until they are complete. */
     keptBytes: number;
@@ -100,8 +101,12 @@
     let openedCount = 0;
     let keptBytes = 0;
 
-    /** Updates what is kept of a call's answer. Beyond the bound of the process, the largest answer is given up. */
-    const setKeptBytes = (call: ActiveCall, bytes: number): void => {
+    /**
+     * Updates what is kept of a call's answer; a call that has ended keeps nothing. Beyond the bound of the process, the
+     * largest answer is given up.
+     */
+    const setKeptBytes = (call: ActiveCall, kept: number): void => {
+        const bytes = activeCalls.get(call.attemptId) === call ? kept : 0;
         keptBytes += bytes - call.keptBytes;
         call.keptBytes = bytes;
         if (keptBytes > bounds.totalBytes) {
@@ -157,6 +162,7 @@
             const maxIdle = call.needsFreshChannel ? maxFreshIdleTime : maxIdleTime;
             const channel = acquireChannel(call.address, maxIdle);
             const current: ActiveCall = {
+                attemptId: call.attemptId,
                 channel,
                 keptBytes: 0,
                 overflow: () => undefined,
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -58,6 +58,22 @@
     };
 }
 
+function createResponseHead(status: number) {
+    return {
+        status,
+        callerAttemptId: undefined,
+        isSealed: true,
+        isNotRun: false,
+        isEncoded: false,
+        requestLimit: undefined,
+        isLeaving: false,
+        retryAfter: undefined,
+        isEventStream: false,
+        endsWithChannel: true,
+        headers: [],
+    };
+}
+
 /** Backend channels on which each call resolves to its outcome. */
 class ChannelHarness {
     readonly channels: BackendChannels;
@@ -215,6 +231,43 @@
     assert.equal(truncated, { kind: "failed", failure: "answer_truncated", wasSent: true });
 });
 
+test("what calls kept of their answers is released when they are cancelled on an event", async () => {
+    const stream = `HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n${"x".repeat(1_500)}`;
+    const { address, server } = await listenRaw(socket => void socket.write(stream));
+    const outcomes: string[] = [];
+    const channels = createBackendChannels({
+        encodeBackendCall: () => ["host", "h"],
+        decodeBackendHead: (status, headers) => ({
+            ...createResponseHead(status),
+            isEventStream: headers.includes("text/event-stream"),
+        }),
+    }, {
+        answered: () => outcomes.push("answered"),
+        opened: () => undefined,
+        events: attemptId => {
+            outcomes.push("event");
+            channels.cancel(attemptId);
+        },
+        ended: () => outcomes.push("ended"),
+        failed: (_, reason) => outcomes.push(reason),
+    }, 64 * 1024);
+    for (let index = 0; index < 10; index++) {
+        channels.send(createCall(address, `${index}`), Buffer.alloc(0));
+        while (outcomes.length <= index) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+    }
+    const plain = await listenRaw(socket => void socket.write("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello"));
+    channels.send(createCall(plain.address, "last"), Buffer.alloc(0));
+    while (outcomes.length <= 10) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+    channels.close();
+    server.close();
+    plain.server.close();
+    assert.equal(outcomes, [...Array.from({ length: 10 }, () => "event"), "answered"]);
+});
+
 test("events are framed correctly at every split of the bytes into two chunks", () => {
     const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\nid:3\ndata: c\n\n";
     for (let cut = 0; cut <= text.length; cut++) {
