gateway: up to 40 gateways stay a full mesh; own records are reported at once

Placements that become known only after hops of up to 200 ms, and 115 ms between two of a gateway, send runs to the same engines.

Change: up to 40 gateways each has a link to every other one, as before, over which only its own record goes; beyond, rings as before. A new version of the own record is reported at once in either case; what is passed on waits for 100 ms instead of 200. Placed runs of an overlay are published every 2 ms for each gateway instead of 5.

--- a/packages/coordination/src/overlay.ts
+++ b/packages/coordination/src/overlay.ts
@@ -17,7 +17,7 @@
 
 /** The shape of an overlay. */
 export interface OverlayShape {
-    /** With this many members or fewer, each has a link to every other one. */
+    /** With this many members or fewer, each has a link to every other one: news then take one hop. */
     readonly meshSize: number;
     /** Rings within a failure domain. */
     readonly localRings: number;
@@ -27,8 +27,8 @@
     readonly bridgeRings: number;
 }
 
-/** At most 8 links for an instance, 4 of them to other failure domains. */
-export const defaultOverlayShape: OverlayShape = { meshSize: 8, localRings: 2, bridgesPerDomain: 4, bridgeRings: 2 };
+/** At most 8 links for a member of a large overlay, 4 of them to other failure domains. */
+export const defaultOverlayShape: OverlayShape = { meshSize: 40, localRings: 2, bridgesPerDomain: 4, bridgeRings: 2 };
 
 /**
  * Returns the addresses of the members to which an instance has links.
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -55,7 +55,7 @@
 const intervalPerMember: Milliseconds = 15;
 /** The shortest time between two versions for placed runs, for each member of a full mesh and of a larger overlay. */
 const placementIntervalInMesh: Milliseconds = 0.5;
-const placementIntervalInOverlay: Milliseconds = 5;
+const placementIntervalInOverlay: Milliseconds = 2;
 /** A member without a new record for this many heartbeat intervals counts as dead. */
 const heartbeatsUntilDead = 3;
 /** How long a record may take to reach every gateway of an overlay. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -30,7 +30,7 @@
 /** The longest time between two reports on a link. */
 const linkHeartbeatInterval: Milliseconds = 500;
 /** The shortest time between two reports on a link that only pass on records of others. */
-const relayInterval: Milliseconds = 200;
+const relayInterval: Milliseconds = 100;
 /** A peer without a report for this long counts as dead, and its link is closed. */
 const silenceTimeout: Milliseconds = 1_500;
 const minimumReopenDelay: Milliseconds = 200;
@@ -43,8 +43,8 @@
 const probeInterval: Milliseconds = 2_000;
 /** How long a probed gateway is wanted. */
 const probeDuration: Milliseconds = 1_500;
-/** Members of a full mesh pass on each other's records from this share of the mesh on: others may count one more. */
-const relayingMeshShare = 0.75;
+/** Members of a full mesh pass on each other's records if so many more would end it: others may count more already. */
+const relayingMeshMargin = 3;
 
 /** Opens and closes links, and sends the reports that are due. */
 export function maintainPeers(transaction: Transaction): void {
@@ -146,13 +146,10 @@
 
 function isReportDue(state: GatewayState, peer: Peer, now: Milliseconds): boolean {
     const elapsed = now - peer.sentAt;
-    if (elapsed >= linkHeartbeatInterval) {
+    if (elapsed >= linkHeartbeatInterval || peer.pending.has(state.options.peerAddress)) {
         return true;
     }
-    if (isFullMesh(state)) {
-        return peer.pending.size > 0;
-    }
-    return elapsed >= relayInterval && (peer.pending.size > 0 || hasNewReads(state, peer));
+    return elapsed >= relayInterval && (peer.pending.size > 0 || (!isFullMesh(state) && hasNewReads(state, peer)));
 }
 
 /**
@@ -333,7 +330,7 @@
 
 function relayRecord(state: GatewayState, from: Peer, address: PeerAddress): void {
     const { live, options } = state;
-    const isSmallMesh = live.members.length < relayingMeshShare * options.overlay.meshSize;
+    const isSmallMesh = live.members.length < options.overlay.meshSize - relayingMeshMargin;
     if (isSmallMesh && from.address === address) {
         return;
     }
