--- a/packages/runtime/test/endlessAnswers.test.ts
+++ b/packages/runtime/test/endlessAnswers.test.ts
@@ -1,13 +1,12 @@
 /**
  * Backend servers that send bytes without end which are no answer, at full speed until their channel is closed.
  */
-import type { BackendCall } from "@verbenaspring/gateway";
-import { identifier } from "@verbenaspring/model";
 import { createBackendChannels, createEventFramer } from "@verbenaspring/runtime";
 import { type ChildProcess, spawn } from "node:child_process";
 import { connect } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { createCall, createResponseHead } from "./backendBuilders.js";
 
 /** What a server sends once, and then again and again. */
 const floods: Readonly<Record<string, readonly [first: string, repeated: string]>> = {
@@ -55,47 +54,11 @@
     }
 }
 
-function createCall(address: string, attemptId: string): BackendCall {
-    return {
-        attemptId: identifier(attemptId),
-        backendServer: identifier("s"),
-        address,
-        head: {
-            callerAttemptId: identifier("c"),
-            method: "POST",
-            target: "/x/",
-            host: "h",
-            timeLimit: undefined,
-            apiKey: undefined,
-            lastEvent: undefined,
-            promptTokens: 0,
-            maximumTokens: 0,
-            estimatedTokens: undefined,
-            headers: ["host", "h"],
-        },
-        timeLeft: 1_000,
-        organisation: undefined,
-        priority: undefined,
-        replicaAddress: undefined,
-        lastEvent: undefined,
-        continuesFrom: undefined,
-        needsFreshChannel: false,
-    };
-}
-
 function createHead(status: number, headers: readonly string[]) {
     return {
-        status,
-        callerAttemptId: undefined,
-        isSealed: true,
-        isNotRun: false,
-        isEncoded: false,
-        requestLimit: undefined,
-        isLeaving: false,
-        retryAfter: undefined,
+        ...createResponseHead(status),
         isEventStream: headers.includes("text/event-stream"),
         endsWithChannel: !headers.includes("chunked"),
-        headers: [],
     };
 }
 
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -10,6 +10,7 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { createCall, createResponseHead } from "./backendBuilders.js";
 
 type Outcome =
     | { readonly kind: "answered"; readonly answer: BackendAnswer; }
@@ -29,51 +30,6 @@
     return { address: `127.0.0.1:${port}`, server };
 }
 
-function createCall(address: string, attemptId = "a"): BackendCall {
-    const head: RequestHead = {
-        callerAttemptId: identifier("c"),
-        method: "POST",
-        target: "/x/",
-        host: "h",
-        timeLimit: undefined,
-        apiKey: undefined,
-        lastEvent: undefined,
-        promptTokens: 0,
-        maximumTokens: 0,
-        estimatedTokens: undefined,
-        headers: ["host", "h"],
-    };
-    return {
-        attemptId: identifier(attemptId),
-        backendServer: identifier("s"),
-        address,
-        head,
-        timeLeft: 1_000,
-        organisation: undefined,
-        priority: undefined,
-        replicaAddress: undefined,
-        lastEvent: undefined,
-        continuesFrom: undefined,
-        needsFreshChannel: false,
-    };
-}
-
-function createResponseHead(status: number) {
-    return {
-        status,
-        callerAttemptId: undefined,
-        isSealed: true,
-        isNotRun: false,
-        isEncoded: false,
-        requestLimit: undefined,
-        isLeaving: false,
-        retryAfter: undefined,
-        isEventStream: false,
-        endsWithChannel: true,
-        headers: [],
-    };
-}
-
 /** Backend channels on which each call resolves to its outcome. */
 class ChannelHarness {
     readonly channels: BackendChannels;
