runtime: little work on headers that the HTTP client rejects

The HTTP client rejects a header beyond 16 KB, and then each further one of the piece that it got.

Change: once the framing of an answer exceeds 12 KB, which heads usually don't reach, pieces are of 256 bytes instead of 4 KB.

--- a/packages/runtime/src/answerBounds.ts
+++ b/packages/runtime/src/answerBounds.ts
@@ -55,6 +55,10 @@
 const framingPerBodyByte = 8;
 /** The HTTP client parses what it reads in one go; a small piece bounds the work on bytes that it rejects. */
 const readPieceBytes = 4 * 1024;
+/** Pieces of an answer with more framing than usual: the client rejects each further header of a piece by itself. */
+const suspectPieceBytes = 256;
+/** Heads and trailers are usually shorter than this; the client rejects 16 KB. */
+const usualFramingBytes = 12 * 1024;
 
 /**
  * Bounds what is read from a socket that another component reads with `read`: in pieces, and no more framing than an
@@ -66,11 +70,13 @@
         if (socket.destroyed) {
             return null;
         }
-        if (count.readBytes - count.bodyBytes > maximumFramingBytes + framingPerBodyByte * count.bodyBytes) {
+        const framingBytes = count.readBytes - count.bodyBytes;
+        if (framingBytes > maximumFramingBytes + framingPerBodyByte * count.bodyBytes) {
             socket.destroy(new AnswerOverflowError("more bytes than an answer needs"));
             return null;
         }
-        const piece = read(size ?? (Math.min(socket.readableLength, readPieceBytes) || undefined)) as Buffer | null;
+        const pieceBytes = framingBytes > usualFramingBytes ? suspectPieceBytes : readPieceBytes;
+        const piece = read(size ?? (Math.min(socket.readableLength, pieceBytes) || undefined)) as Buffer | null;
         count.readBytes += piece?.length ?? 0;
         return piece;
     };
