--- a/packages/fuzz/test/overlay.test.ts
+++ b/packages/fuzz/test/overlay.test.ts
@@ -96,7 +96,7 @@
     settled.reports = 0;
     settled.advance(5_000);
     const perGateway = settled.reports / 5 / size;
-    assert.ok(perGateway <= 10 * mostLinks, `${perGateway} reports a second`);
+    assert.ok(perGateway <= 5 * mostLinks, `${perGateway} reports a second`);
 });
 
 test("a placed run is known to all others before the next 50 requests come", () => {
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -205,7 +205,7 @@
     live: LiveMembers;
     readonly own: OwnRecord;
     totals: MemberTotals;
-    /** When the neighbours were last chosen, and for which members. */
+    /** When the neighbours were last computed, and for which members. */
     wantedAt: Milliseconds;
     wantedMembershipVersion: number;
     /** The last gateway that was tried without news of it; its address is undefined if there was none to try. */
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -327,16 +327,7 @@
 test("a body that only the channel's close ends is passed on without a length, and its channel closes", async () => {
     const harness = new CallerHarness();
     const answer: BackendAnswer = {
-        status: 200,
-        callerAttemptId: undefined,
-        isSealed: true,
-        isNotRun: false,
-        isEncoded: false,
-        requestLimit: undefined,
-        isLeaving: false,
-        retryAfter: undefined,
-        isEventStream: false,
-        endsWithChannel: true,
+        ...createResponseHead(200),
         headers: ["Response-Seal", "s"],
         body: Buffer.from("part"),
     };
@@ -373,17 +364,9 @@
     const isDone = new Promise<void>(resolve => {
         void harness.exchange(request("\r\n"), requestId => {
             harness.callers.writeHead(requestId, {
-                status: 200,
-                callerAttemptId: undefined,
-                isSealed: true,
-                isNotRun: false,
-                isEncoded: false,
-                requestLimit: undefined,
-                isLeaving: false,
-                retryAfter: undefined,
+                ...createResponseHead(200),
                 isEventStream: true,
                 endsWithChannel: false,
-                headers: [],
             });
             harness.callers.writeEvents(requestId, [{ id: 1, bytes: Buffer.from("id: 1\n\n") }]);
         }, "id: 1").then(() => {
