gateway: a gateway whose read failed takes over in time when others stop reading

What callers could see: routes of an older configuration for longer than the bound, at a gateway whose read of the store failed just before the gateway that read for all stopped. Cause: after a failed read, while another gateway's reads were relayed, the next read was put off by 2,000 ms whatever happened in between. The takeover after 1,100 to 1,700 ms could not start, so that the age of the configuration had no bound below configApplyMs. Class: a delay that no longer fits what it was chosen for. Change: the delay only makes the gateway wait for the others' takeover time; a view that is older is read again after 250 ms. Evidence: the test of peers.test.ts fails before (no read after 1,750 ms) and passes now; 140 tests of gateway and fuzz pass.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -39,7 +39,7 @@
 
 /** From a failed read to the next one. */
 const retryDelay: Milliseconds = 250;
-/** From a failed read to the next one while another gateway's reads succeed. */
+/** For how long after a failed read a gateway leaves the reads to the others, if theirs succeed. */
 const relayedRetryDelay: Milliseconds = 2_000;
 /** A tombstone is dropped, and no longer reported to other gateways, once the topic is known this far beyond it. */
 const tombstoneRetentionOffsets = 2_000;
@@ -77,7 +77,10 @@
         const others = members.filter(({ record }) => !record.isStopping).map(({ record }) => record.address);
         follower.rank = { members, value: taskRank(state.options.peerAddress, others, topic) };
     }
-    return now - follower.freshAsOf >= takeoverTimeout(follower.rank.value, readPlans[topic].takeoverTimeouts);
+    const timeouts = readPlans[topic].takeoverTimeouts;
+    const timeout = takeoverTimeout(follower.rank.value, timeouts);
+    const hasJustFailed = follower.lastFailure !== undefined && now - follower.lastFailure.at < relayedRetryDelay;
+    return now - follower.freshAsOf >= (hasJustFailed ? Math.max(timeout, timeouts.base) : timeout);
 }
 
 /** Handles the records of a successful read. */
@@ -237,9 +240,8 @@
     if (follower.lastFailure === undefined) {
         logDecision(transaction, "warn", "topic_lost", { topic, failure, age });
     }
-    follower.lastFailure = failure;
-    const isRelayed = age !== undefined && age < readPlans[topic].takeoverTimeouts.base;
-    follower.nextReadAt = now + (isRelayed ? relayedRetryDelay : retryDelay);
+    follower.lastFailure = { failure, at: now };
+    follower.nextReadAt = now + retryDelay;
 }
 
 /** Applies one record. Returns whether it changed more than a heartbeat. */
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -129,8 +129,8 @@
     rank: { readonly members: readonly Member[]; readonly value: number; } | undefined;
     isReading: boolean;
     nextReadAt: Milliseconds;
-    /** Why the last read failed; undefined after a successful one. */
-    lastFailure: ReadFailure | undefined;
+    /** Why and when the last read failed; undefined after a successful one. */
+    lastFailure: { readonly failure: ReadFailure; readonly at: Milliseconds; } | undefined;
 }
 
 /** A link to another gateway. */
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -9,6 +9,8 @@
     effects.flatMap(effect => effect.kind === "sendReport" ? effect.report.records : [])
         .map(({ record }) => record)
         .filter(({ address }) => address === options.peerAddress);
+/** The longest time after which a gateway reads the configuration by itself, and one tick. */
+const configurationTakeover = 1_700 + 50;
 const gatewayWithSeed = (): TestGateway => new TestGateway({ seedAddresses: [other] });
 const readBy = (count: number) => ({ reader: identifier<never>("reader"), count });
 const readsIn = (effects: readonly GatewayEffect[]) =>
@@ -87,6 +89,19 @@
     assert.equal([...new Set(topics)].sort(), ["backendServers", "configuration"]);
 });
 
+test("a gateway whose read failed takes over in time when the reports of others' reads stop", () => {
+    const gateway = new TestGateway();
+    gateway.read("configuration", []);
+    gateway.receiveReport({});
+    const topic = { name: "configuration", since: 0, through: 0, age: 0, items: [], isComplete: false } as const;
+    gateway.receiveReport({ topics: [{ ...topic, read: readBy(1) }] });
+    gateway.handle({ kind: "topicReadFailed", topic: "configuration", failure: "timeout" });
+    const lastReadAt = gateway.now;
+    while (readsIn(gateway.advance(50)).every(effect => !("topic" in effect) || effect.topic !== "configuration")) {
+        assert.ok(gateway.now - lastReadAt <= configurationTakeover, "no read of the configuration");
+    }
+});
+
 test("repeated reports of the same read do not keep a topic fresh, so that the gateway reads by itself", () => {
     const gateway = new TestGateway();
     gateway.read("configuration", []);
