fuzz: configurations and recovery are checked against the bounds of the small deployments

Cause: the fuzzer and the soak allowed 3,000 ms from a configuration's ack and 4,000 ms after a fault, the bounds of the grown deployments. Checks only got stricter.

--- a/packages/fuzz/src/platform/limits.ts
+++ b/packages/fuzz/src/platform/limits.ts
@@ -6,11 +6,11 @@
 /** The limits. Times are in milliseconds. */
 export const platformLimits = {
     /** How long after a fault of a process or of the store its effects are still allowed for. */
-    faultRecovery: 4_000,
+    faultRecovery: 3_000,
     /** How long after a backend server's notice new work may still reach it. */
     drain: 3_000,
     /** How long after a configuration was written gateways may still use the version before it. */
-    configurationApply: 3_000,
+    configurationApply: 2_000,
     /** How long a run may go on after a later run of the same request has continued from its replica. */
     supersededRunEnd: 400,
     /** How long a run may go on after its caller has left. */
