--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -6,6 +6,7 @@
 import { type Schedule, schedules } from "./actions.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
 import {
+    configurationSchedules,
     limitSchedules,
     noticeSchedules,
     overlaidGateways,
@@ -48,6 +49,12 @@
     defaultImplementation: passThroughInterceptors,
 };
 
+/** Gateways on the users' platform, whose configuration changes often. */
+export const configurationPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: configurationSchedules,
+};
+
 /** Gateways on the users' platform, with backend servers that declare limits. */
 export const limitedPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,10 +1,11 @@
 /**
- * The command `npm run fuzz -- --system platform|overlay|limits|notices|pauses|linked --seed S --runs N --steps K`. It
+ * The command `npm run fuzz -- --system platform|overlay|configurations|limits|notices|pauses|linked --seed S --runs N --steps K`. It
  * runs randomised schedules and checks them with the oracle.
  */
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import {
+    configurationPlatformSystem,
     fuzz,
     limitedPlatformSystem,
     linkedSystem,
@@ -21,10 +22,10 @@
     .scriptName("fuzz")
     .options({
         system: {
-            choices: ["linked", "platform", "overlay", "limits", "notices", "pauses"] as const,
+            choices: ["linked", "platform", "overlay", "configurations", "limits", "notices", "pauses"] as const,
             default: "platform",
             describe:
-                "gateways on the platform, the same with servers that declare limits, give notice in answers or ask for pauses, or "
+                "gateways on the platform, the same with many configurations or with servers that declare limits, give notice in answers or ask for pauses, or "
                 + "entries and sidecars",
         },
         seed: { type: "number", default: 1, describe: "seed of the schedules" },
@@ -45,6 +46,7 @@
 const platformTargets = {
     platform: platformSystem,
     overlay: overlaidPlatformSystem,
+    configurations: configurationPlatformSystem,
     limits: limitedPlatformSystem,
     notices: noticePlatformSystem,
     pauses: pausePlatformSystem,
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -4,6 +4,7 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import {
+    configurationPlatformSystem,
     fuzz,
     type FuzzTarget,
     limitedPlatformSystem,
@@ -14,7 +15,13 @@
 } from "./fuzz.js";
 import { type Mutation, mutations } from "./mutations.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
-import { limitMutations, noticeMutations, pauseMutations, platformMutations } from "./platform/index.js";
+import {
+    configurationMutations,
+    limitMutations,
+    noticeMutations,
+    pauseMutations,
+    platformMutations,
+} from "./platform/index.js";
 
 const { seed, runs, steps } = await yargs(hideBin(process.argv))
     .scriptName("mutations")
@@ -55,6 +62,7 @@
 const searches = [
     ...createSearches(linkedSystem, mutations),
     ...createSearches(platformSystem, platformMutations),
+    ...createSearches(configurationPlatformSystem, configurationMutations),
     ...createSearches(limitedPlatformSystem, limitMutations),
     ...createSearches(noticePlatformSystem, noticeMutations),
     ...createSearches(pausePlatformSystem, pauseMutations),
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -191,6 +191,18 @@
     return schedulesOf(weighted, steps);
 }
 
+const configurationActions = fc.oneof(
+    { arbitrary: arbitraryAction("configure", {}), weight: 4 },
+    { arbitrary: arbitraryAction("probe", { gateway: slot, back: fc.nat(1) }), weight: 20 },
+    { arbitrary: gatewayActions, weight: 3 },
+    { arbitrary: storeActions, weight: 1 },
+);
+
+/** Generates schedules of up to `steps` steps, in which the configuration changes often and each change is probed. */
+export function configurationSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    return schedulesOf(configurationActions, steps);
+}
+
 /** Generates schedules of up to `steps` steps, in which no server declares a limit. */
 export function platformSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
     return schedulesOf(action, steps);
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -99,6 +99,29 @@
     return event;
 }
 
+/** Stops the ticks of each gateway for 6 s at a time, as timers that follow a clock that was set back do. */
+function createTickLoss(): GatewayInterceptors {
+    const ticksBetween = 60;
+    const ticksLost = 120;
+    const ticks = new WeakMap<GatewayState, number>();
+    return {
+        ...passThroughInterceptors,
+        mapEvent: (event, state) => {
+            if (event.kind !== "tick") {
+                return event;
+            }
+            const tick = ticks.get(state) ?? 0;
+            ticks.set(state, tick + 1);
+            return tick % (ticksBetween + ticksLost) < ticksBetween ? event : undefined;
+        },
+    };
+}
+
+/** Mutations that schedules with many changes of the configuration have to find. */
+export const configurationMutations: readonly Mutation<GatewayInterceptors>[] = [
+    { name: "ticks stop for seconds", promises: ["configuration_in_force"], implementation: createTickLoss() },
+];
+
 /** Mutations that only schedules in which servers declare limits can find. */
 export const limitMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation("limits of servers are ignored", ["server_limit_kept"], forgetLimits),
