--- a/packages/bench/src/engineLoad.ts
+++ b/packages/bench/src/engineLoad.ts
@@ -200,6 +200,7 @@
             promptTokens: Math.round(Math.min(maximumPromptFactor * promptTokens, drawnPrompt)),
             maximumTokens,
             estimatedTokens: Math.max(1, Math.round(drawLogNormal(length, spread, this.random))),
+            sharedParts: [],
             headers: [],
         };
     }
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -479,6 +479,7 @@
         promptTokens,
         maximumTokens: length,
         estimatedTokens: undefined,
+        sharedParts: [],
         headers: [],
     };
 }
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -158,6 +158,8 @@
         server: attempt.server.record.id,
         outcome,
         took: Math.round(transaction.now - attempt.startedAt),
+        hasBegun: attempt.firstEventAt !== undefined,
+        sharedParts: request.head.sharedParts.join(","),
     });
     if (request.route.isStream && continueFromReplica(transaction, request, attempt, outcome)) {
         return;
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -9,6 +9,7 @@
     CallerAttemptId,
     Milliseconds,
     OrganisationId,
+    PromptPartId,
 } from "@verbenaspring/model";
 
 /** Header names and values, alternating. */
@@ -33,6 +34,8 @@
     readonly maximumTokens: number;
     /** The caller's estimate of the output in tokens. */
     readonly estimatedTokens: number | undefined;
+    /** The parts of the prompt that other requests may share, in order; without the last part, which is its own. */
+    readonly sharedParts: readonly PromptPartId[];
     readonly headers: HeaderList;
 }
 
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -276,6 +276,7 @@
         promptTokens: 1_000,
         maximumTokens: 1_000,
         estimatedTokens: undefined,
+        sharedParts: [],
         headers: [],
         ...overrides,
     };
--- a/packages/model/src/identifiers.ts
+++ b/packages/model/src/identifiers.ts
@@ -40,6 +40,8 @@
 export type ClaimId = Branded<"ClaimId">;
 /** The digest of an organisation and its `Idempotency-Key`. */
 export type KeyDigest = Branded<"KeyDigest">;
+/** A part of a prompt that several requests may share. */
+export type PromptPartId = Branded<"PromptPartId">;
 /** A set of instances that fail together. */
 export type FailureDomain = Branded<"FailureDomain">;
 
--- a/packages/runtime/test/backendBuilders.ts
+++ b/packages/runtime/test/backendBuilders.ts
@@ -17,6 +17,7 @@
         promptTokens: 0,
         maximumTokens: 0,
         estimatedTokens: undefined,
+        sharedParts: [],
         headers: ["host", "h"],
     };
     return {
