--- a/packages/fuzz/test/overlay.test.ts
+++ b/packages/fuzz/test/overlay.test.ts
@@ -24,7 +24,7 @@
     promptTokens: 200,
     maximumTokens: 400,
     estimatedTokens: undefined,
-        sharedParts: [],
+    sharedParts: [],
     headers: [],
 };
 
