--- /dev/null
+++ b/packages/coordination/src/crashBlame.ts
@@ -0,0 +1,56 @@
+/**
+ * Decides which parts of prompts may be sent, from the crashes of backend servers. A server that crashes does not tell
+ * why, so each crash counts against all shared parts of the runs that had not begun to answer there. A part is innocent
+ * once a run with it begins; one that crashes server after server, and never begins, is suspended.
+ */
+import type { Milliseconds } from "@verbenaspring/model";
+
+/** What is known of a part. */
+export interface PartHistory {
+    /** When servers crashed under runs with it, since a run with it last began. */
+    readonly crashTimes: readonly Milliseconds[];
+    /** Whether a run with it ever began. */
+    readonly hasBegun: boolean;
+}
+
+interface SuspensionRule {
+    /** Crashes after which a part is suspended. */
+    readonly crashes: number;
+    /** From the last of these crashes to the next try; each further crash doubles it. */
+    readonly pause: Milliseconds;
+}
+
+/** Other requests may need a part that has begun before: it is suspended later, and tried again sooner. */
+const rules: Readonly<Record<"unknown" | "begun", SuspensionRule>> = {
+    unknown: { crashes: 2, pause: 15_000 },
+    begun: { crashes: 4, pause: 1_000 },
+};
+
+/** The longest time without a try. */
+const longestPause: Milliseconds = 600_000;
+/** Crashes closer together than this count as one: servers that lose power together crash for another reason. */
+const jointCrashInterval: Milliseconds = 300;
+
+/**
+ * Returns until when a part is suspended; undefined if it is not. After that time one run may try it.
+ *
+ * @example
+ * const until = suspendedUntil({ crashTimes: [1_000, 2_500], hasBegun: false }); // 17_500
+ */
+export function suspendedUntil({ crashTimes, hasBegun }: PartHistory): Milliseconds | undefined {
+    const { crashes, pause } = rules[hasBegun ? "begun" : "unknown"];
+    const separate = separateCrashes(crashTimes);
+    const further = separate.length - crashes;
+    return further < 0 ? undefined : separate[separate.length - 1] + Math.min(longestPause, pause * 2 ** further);
+}
+
+/** The times of crashes, without those that came together with an earlier one. */
+function separateCrashes(times: readonly Milliseconds[]): Milliseconds[] {
+    const separate: Milliseconds[] = [];
+    for (const time of [...times].sort((one, other) => one - other)) {
+        if (separate.length === 0 || time - separate[separate.length - 1] >= jointCrashInterval) {
+            separate.push(time);
+        }
+    }
+    return separate;
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./admission.js";
 export * from "./capacityWait.js";
 export * from "./configurationFold.js";
+export * from "./crashBlame.js";
 export * from "./hash.js";
 export * from "./keyClaims.js";
 export * from "./lengthForecast.js";
--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -58,8 +58,13 @@
     readonly expiresAt: Milliseconds;
 }
 
-/** Finds the engine at an address. */
-export type FindEngine = (address: string) => EngineServer | undefined;
+/** What an engine needs of the fleet that it belongs to. */
+export interface EngineEnvironment {
+    /** Finds the engine at an address. */
+    readonly findEngine: (address: string) => EngineServer | undefined;
+    /** Crashes the engine if it cannot run a call whose first token is due. Returns whether it did. */
+    readonly crashUnder: (call: ServerCall) => boolean;
+}
 
 const defaultPrefillChunk = 256;
 /** Interval at which the replicas of this engine's runs are updated. */
@@ -92,7 +97,7 @@
         readonly options: EngineOptions,
         private readonly clock: Clock,
         private readonly observeRun: RunObserver,
-        private readonly findEngine: FindEngine,
+        private readonly environment: EngineEnvironment,
     ) {
         this.slots = options.slots;
     }
@@ -144,8 +149,10 @@
                 return done({ kind: "no_run" });
             }
             const replica = this.createReplica(run);
-            const isStored =
-                this.findEngine(target)?.storeReplica({ source: this.options.address, name: handle }, replica) === true;
+            const isStored = this.environment.findEngine(target)?.storeReplica(
+                { source: this.options.address, name: handle },
+                replica,
+            ) === true;
             done(
                 isStored
                     ? { kind: "moved", handle, events: this.countEvents(run.generatedTokens) }
@@ -276,9 +283,15 @@
     private generateToken(run: EngineRun): void {
         const { call, observer, record } = run;
         const { tokensPerEvent } = this.options;
+        if (run.hasEnded) {
+            return;
+        }
         run.isSilent ||= this.behaviour === "silent";
         if (run.generatedTokens === call.lastEvent * tokensPerEvent) {
             this.startStream(run);
+            if (this.environment.crashUnder(call)) {
+                return;
+            }
         }
         run.generatedTokens++;
         const isLast = run.generatedTokens >= call.outputTokens;
@@ -327,7 +340,7 @@
             const { replicaAddress, callerAttemptId } = run.call;
             if (replicaAddress !== undefined && run.remainingPrefill === 0) {
                 const reference = { source: this.options.address, name: callerAttemptId };
-                this.findEngine(replicaAddress)?.storeReplica(reference, this.createReplica(run));
+                this.environment.findEngine(replicaAddress)?.storeReplica(reference, this.createReplica(run));
             }
         }
     }
@@ -361,7 +374,10 @@
         this.waiting = this.waiting.filter(other => other !== run);
         const { replicaAddress, callerAttemptId } = run.call;
         if (isComplete && replicaAddress !== undefined) {
-            this.findEngine(replicaAddress)?.deleteReplica({ source: this.options.address, name: callerAttemptId });
+            this.environment.findEngine(replicaAddress)?.deleteReplica({
+                source: this.options.address,
+                name: callerAttemptId,
+            });
         }
     }
 }
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -5,7 +5,7 @@
 import type { Clock } from "./clock.js";
 import { type EngineOptions, EngineServer } from "./engineServer.js";
 import { type PlainOptions, PlainServer } from "./plainServer.js";
-import type { RunObserver, ServerModel } from "./serverModel.js";
+import type { RunObserver, ServerCall, ServerModel } from "./serverModel.js";
 import type { StoreModel } from "./storeModel.js";
 
 /** Topic of the operator's records. */
@@ -45,14 +45,20 @@
     readonly heartbeatInterval: Milliseconds;
     /** Whether registrations currently reach the store; absent if they always do. */
     readonly canRegister?: () => boolean;
+    /** Is called when an engine has crashed under a call with the deadly part. */
+    readonly crashedUnderCall?: (id: string) => void;
 }
 
 /** Consecutive missed heartbeats after which a registration is deleted. */
 const missedHeartbeatLimit = 3;
 const failureDomains = ["north", "south"];
+/** How long an engine is down after it crashed under a call. */
+const crashDuration: Milliseconds = 3_200;
 
 /** All backend servers, running and stopped. */
 export class Fleet {
+    /** A part of a prompt that crashes each engine that begins to answer on it. */
+    deadlyPart: string | undefined = undefined;
     private readonly members = new Map<string, FleetMember>();
     private readonly membersByAddress = new Map<string, FleetMember>();
     private addressCount = 0;
@@ -67,7 +73,10 @@
         const { clock, observeRun } = this.options;
         const model = plan.kind === "plain"
             ? new PlainServer({ ...plan, address }, clock, observeRun)
-            : new EngineServer({ ...plan, address }, clock, observeRun, other => this.findEngine(other));
+            : new EngineServer({ ...plan, address }, clock, observeRun, {
+                findEngine: other => this.findEngine(other),
+                crashUnder: call => this.crashUnder(plan.id, call),
+            });
         const member: FleetMember = {
             plan,
             model,
@@ -148,6 +157,21 @@
         }
     }
 
+    private crashUnder(id: string, { sharedParts }: ServerCall): boolean {
+        if (this.deadlyPart === undefined || !sharedParts.includes(this.deadlyPart)) {
+            return false;
+        }
+        const crashed = this.members.get(id);
+        this.crash(id);
+        this.options.crashedUnderCall?.(id);
+        this.options.clock.schedule(crashDuration, () => {
+            if (crashed !== undefined && this.members.get(id) === crashed) {
+                this.add(crashed.plan, crashed.model.options.address);
+            }
+        });
+        return true;
+    }
+
     private findEngine(address: string): EngineServer | undefined {
         const model = this.findByAddress(address);
         return model instanceof EngineServer ? model : undefined;
--- a/packages/emulator/src/serverModel.ts
+++ b/packages/emulator/src/serverModel.ts
@@ -19,6 +19,8 @@
     readonly body: string;
     readonly timeLimit: Milliseconds;
     readonly promptTokens: number;
+    /** The parts of the prompt that other requests may share. */
+    readonly sharedParts: readonly string[];
     /** Length of the answer that the model generates. */
     readonly outputTokens: number;
     /** 0 is the most urgent. */
--- a/packages/emulator/src/virtualCalls.ts
+++ b/packages/emulator/src/virtualCalls.ts
@@ -198,6 +198,7 @@
         body: "",
         timeLimit: timeLeft,
         promptTokens: head.promptTokens,
+        sharedParts: head.sharedParts,
         outputTokens: length === null ? head.maximumTokens : Number(length[1]),
         priority: priority ?? normalPriority,
         lastEvent: lastEvent ?? 0,
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -48,6 +48,9 @@
     readonly isLeaving: boolean;
 }
 
+/** What comes back from an address at which no server listens. */
+const connectionRefused = Symbol("connection refused");
+
 /** Environment of a gateway process. */
 export interface GatewayEnvironment {
     readonly clock: Clock;
@@ -215,21 +218,25 @@
     }
 
     private probe({ backendServer, address }: Extract<GatewayEffect, { readonly kind: "probeServer"; }>): void {
-        this.sendRequest<ProbeReply>(
+        this.sendRequest<ProbeReply | typeof connectionRefused>(
             address,
             probeTimeout,
             reply => {
                 const server = this.environment.fleet.findByAddress(address);
-                if (server !== undefined && server.behaviour !== "silent") {
+                if (server === undefined) {
+                    reply(connectionRefused);
+                }
+                else if (server.behaviour !== "silent") {
                     reply({ runs: server.report(), isLeaving: server.isLeaving });
                 }
             },
-            reply => {
+            outcome => {
+                const reply = outcome === connectionRefused ? undefined : outcome;
                 const runs = reply?.runs.map(run => ({
                     ...run,
                     callerAttemptId: identifier<CallerAttemptId>(run.callerAttemptId),
                 }));
-                const report = reply && runs && { runs, isLeaving: reply.isLeaving };
+                const report = reply && runs && { runs, isLeaving: reply.isLeaving, startedAt: undefined };
                 this.handleEvent({ kind: "serverProbed", backendServer, report });
             },
         );
--- a/packages/emulator/src/virtualPlatform.ts
+++ b/packages/emulator/src/virtualPlatform.ts
@@ -35,6 +35,8 @@
     readonly callArrived: (gateway: VirtualGateway, call: BackendCall) => void;
     /** A backend server refused a call and asked the gateway for a pause. */
     readonly pauseRequested: (gateway: VirtualGateway, call: BackendCall, pause: Milliseconds) => void;
+    /** An engine crashed under a call with the deadly part; absent if no part is deadly. */
+    readonly crashedUnderCall?: (server: string) => void;
     /** A gateway process exited after a planned stop. */
     readonly exited: (gateway: VirtualGateway) => void;
 }
@@ -82,6 +84,7 @@
             observeRun: observer.runStarted,
             heartbeatInterval,
             canRegister: () => this.store.behaviour === "up",
+            crashedUnderCall: observer.crashedUnderCall,
         });
         for (let slot = 0; slot < options.gateways; slot++) {
             this.startGateway(slot);
--- a/packages/emulator/test/engineServer.test.ts
+++ b/packages/emulator/test/engineServer.test.ts
@@ -31,6 +31,7 @@
         body: "",
         timeLimit: 60_000,
         promptTokens: 100,
+        sharedParts: [],
         outputTokens: 40,
         priority: 5,
         lastEvent: 0,
@@ -67,7 +68,10 @@
             engineOptions,
             this.clock,
             run => this.runs.push(run),
-            address => [this.first, this.second].find(engine => engine.options.address === address),
+            {
+                findEngine: address => [this.first, this.second].find(engine => engine.options.address === address),
+                crashUnder: () => false,
+            },
         );
     }
 }
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -14,6 +14,7 @@
 import { recordLeavingNotice } from "./leavingServers.js";
 import { probeSilentServer, recordSignOfLife } from "./liveness.js";
 import type { BackendAnswer, ResponseHead } from "./messages.js";
+import { failSuspended, recordBegunRun, recordLostRun, suspensionOf } from "./promptParts.js";
 import { recordRequestLimit } from "./requestLimits.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
 import { canDispatchAgain, dispatch, timeUntilUsable } from "./sending.js";
@@ -56,6 +57,7 @@
     endAttempt(transaction, request, attempt, "ended");
     switch (answerClass) {
         case "delivered":
+            recordBegunRun(transaction, request);
             logDecision(transaction, "debug", "request_answered", {
                 ...requestFields(transaction, request),
                 status: answer.status,
@@ -131,7 +133,10 @@
     }
     recordHealth(transaction, attempt, event.failure);
     endAttempt(transaction, request, attempt, "ended");
-    if (!event.wasSent) {
+    if (event.wasSent) {
+        recordLostRun(transaction, request, attempt, event.failure);
+    }
+    else {
         request.possibleRuns--;
     }
     retryOrFail(transaction, request, attempt, event.failure);
@@ -161,19 +166,24 @@
         hasBegun: attempt.firstEventAt !== undefined,
         sharedParts: request.head.sharedParts.join(","),
     });
-    if (request.route.isStream && continueFromReplica(transaction, request, attempt, outcome)) {
+    const suspension = suspensionOf(transaction, request);
+    const { isStream } = request.route;
+    if (suspension === undefined && isStream && continueFromReplica(transaction, request, attempt, outcome)) {
         return;
     }
     const { isIdempotent, canResume, maximumAttempts } = request.route;
     const mayRunAgain = request.possibleRuns === 0
         || ((isIdempotent || canResume) && request.possibleRuns < maximumAttempts);
-    if (mayRunAgain && canDispatchAgain(transaction, request)) {
+    if (suspension === undefined && mayRunAgain && canDispatchAgain(transaction, request)) {
         return dispatch(transaction, request);
     }
     if (answer !== undefined && !request.isHeadWritten && !signalsNotRun(answer)) {
         transaction.effects.push({ kind: "answerWhole", requestId: request.id, answer });
         return finishRequest(transaction, request);
     }
+    if (suspension !== undefined) {
+        return failSuspended(transaction, request, suspension);
+    }
     if (request.possibleRuns === 0) {
         const retryAfter = Math.max(refusedRetryAfter, timeUntilUsable(transaction, request.service) ?? 0);
         return failRequest(transaction, request, "overloaded", "no server took the request", retryAfter);
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -64,6 +64,8 @@
 export interface ServerReport {
     /** Whether the server states that it leaves. */
     readonly isLeaving: boolean;
+    /** When this incarnation of the server started, by its own clock; undefined if it does not tell. */
+    readonly startedAt: number | undefined;
     readonly runs: readonly ReportedRun[];
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./peerReport.js";
 export * from "./peers.js";
 export * from "./peerTopics.js";
+export * from "./promptParts.js";
 export * from "./reducer.js";
 export * from "./requestLimits.js";
 export * from "./routingConfiguration.js";
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -4,8 +4,10 @@
  */
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
 import { abandonAttempt } from "./attempts.js";
+import type { BackendRecord } from "./backendServers.js";
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { recordLeavingNotice } from "./leavingServers.js";
+import { settleLostRuns } from "./promptParts.js";
 import { canSendAgain } from "./sending.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
@@ -29,22 +31,26 @@
 }
 
 /** Probes the server of a stream that has been silent for too long, if the stream could continue elsewhere. */
-export function probeSilentServer(
-    { state, now, effects }: Transaction,
-    request: GatewayRequest,
-    attempt: Attempt,
-): void {
+export function probeSilentServer(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
+    const { state, now } = transaction;
     if (!canContinueElsewhere(request, attempt) || now - attempt.lastActivityAt < silenceTimeout) {
         return;
     }
-    const { id, address } = attempt.server.record;
-    const liveness = state.liveness.get(id) ?? { lastSignOfLifeAt: attempt.startedAt, isProbing: false };
+    const { record } = attempt.server;
+    const lastSignOfLifeAt = state.liveness.get(record.id)?.lastSignOfLifeAt ?? attempt.startedAt;
+    if (now - lastSignOfLifeAt >= silenceTimeout) {
+        requestProbe(transaction, record);
+    }
+}
+
+/** Probes a server, unless a probe is under way or the server wants no calls. */
+export function requestProbe({ state, now, effects }: Transaction, { id, address }: BackendRecord): void {
+    const liveness = state.liveness.get(id) ?? { lastSignOfLifeAt: -Infinity, isProbing: false };
     state.liveness.set(id, liveness);
-    if (liveness.isProbing || isPaused(state, id, now) || now - liveness.lastSignOfLifeAt < silenceTimeout) {
-        return;
+    if (!liveness.isProbing && !isPaused(state, id, now)) {
+        liveness.isProbing = true;
+        effects.push({ kind: "probeServer", backendServer: id, address });
     }
-    liveness.isProbing = true;
-    effects.push({ kind: "probeServer", backendServer: id, address });
 }
 
 /** Handles the result of a probe. */
@@ -58,6 +64,7 @@
     if (report !== undefined) {
         recordSignOfLife(state, backendServer, now);
     }
+    settleLostRuns(transaction, backendServer, report);
     const server = state.servers.get(backendServer);
     if (report?.isLeaving === true && server !== undefined) {
         recordLeavingNotice(transaction, server.record);
--- /dev/null
+++ b/packages/gateway/src/promptParts.ts
@@ -0,0 +1,331 @@
+/**
+ * Parts of prompts that crash the backend servers which begin to answer on them. Gateways report to each other under
+ * which parts servers crashed and which of these have begun after all, so that a part is suspended after a few crashes
+ * wherever its requests come.
+ */
+import { suspendedUntil, taskRank } from "@verbenaspring/coordination";
+import type { BackendServerId, Milliseconds, PromptPartId } from "@verbenaspring/model";
+import { type AttemptOutcome, endAttempt } from "./attempts.js";
+import type { ServerReport } from "./event.js";
+import { requestProbe } from "./liveness.js";
+import { liveMembers } from "./members.js";
+import { reportToPeers } from "./peers.js";
+import { failRequest, requestFields } from "./requests.js";
+import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
+import { logDecision, type Transaction } from "./transaction.js";
+
+/** A crash of one incarnation of a server, as gateways report it to each other. */
+export interface PeerServerCrash {
+    readonly backendServer: BackendServerId;
+    /** When the incarnation started, by the server's own clock; undefined if its records do not tell. */
+    readonly startedAt: number | undefined;
+    /** The time since the crash. */
+    readonly age: Milliseconds;
+    /** Whether a run with the part began later. */
+    readonly isCleared: boolean;
+}
+
+/** A part under whose runs servers crashed, as gateways report it to each other. */
+export interface PeerPromptPart {
+    readonly part: PromptPartId;
+    readonly hasBegun: boolean;
+    readonly crashes: readonly PeerServerCrash[];
+}
+
+interface ServerCrash {
+    readonly backendServer: BackendServerId;
+    readonly startedAt: number | undefined;
+    readonly at: Milliseconds;
+    readonly isCleared: boolean;
+}
+
+/** A part under whose runs servers crashed. Its newest crashes, by server and incarnation. */
+interface SuspectPart {
+    readonly hasBegun: boolean;
+    readonly crashes: ReadonlyMap<string, ServerCrash>;
+    /** The changes of all parts are numbered in the order in which this gateway learnt of them. */
+    readonly number: number;
+}
+
+/** Runs that were lost before they began, at a server of which it is not known yet whether it crashed. */
+interface LostRuns {
+    readonly startedAt: number | undefined;
+    readonly at: Milliseconds;
+    readonly parts: ReadonlySet<PromptPartId>;
+}
+
+/** What a gateway knows of the parts of prompts. Owned and changed by the event loop. */
+export interface PromptParts {
+    /** The parts with which runs began at this gateway, the one that began least recently first. */
+    readonly begun: Set<PromptPartId>;
+    /** Least recently changed first. */
+    readonly suspects: Map<PromptPartId, SuspectPart>;
+    readonly lostRuns: Map<BackendServerId, LostRuns>;
+    /** The number of the newest change of a suspect. */
+    changeCount: number;
+}
+
+const maximumBegunParts = 8_192;
+const maximumSuspects = 1_024;
+/** Crashes that are kept of each part. */
+const maximumCrashes = 8;
+/** A part is no longer suspect this long after its last crash. */
+const suspectRetention: Milliseconds = 1_800_000;
+/** The `retryAfter` while another gateway, or another request, may be trying a part again. */
+const trialRetryAfter: Milliseconds = 1_000;
+
+/** Creates the knowledge of a gateway that has seen no crash. */
+export function createPromptParts(): PromptParts {
+    return { begun: new Set(), suspects: new Map(), lostRuns: new Map(), changeCount: 0 };
+}
+
+/** Records that the run of an attempt began, which clears the parts of its prompt. */
+export function recordBegunRun(transaction: Transaction, { head }: GatewayRequest): void {
+    const { promptParts } = transaction.state;
+    const { begun, suspects } = promptParts;
+    let hasChanged = false;
+    for (const part of head.sharedParts) {
+        begun.delete(part);
+        begun.add(part);
+        const suspect = suspects.get(part);
+        if (suspect !== undefined && (!suspect.hasBegun || openCrashes(suspect).length > 0)) {
+            const crashes = [...suspect.crashes].map(([key, crash]) => [key, { ...crash, isCleared: true }] as const);
+            setSuspect(promptParts, part, { hasBegun: true, crashes: new Map(crashes) });
+            logDecision(transaction, "info", "prompt_part_cleared", { part });
+            hasChanged = true;
+        }
+    }
+    evictOldest(begun, maximumBegunParts);
+    if (hasChanged) {
+        reportToPeers(transaction);
+    }
+}
+
+const outcomesOfCrashes: ReadonlySet<AttemptOutcome> = new Set(["channel_lost", "answer_truncated"]);
+
+/** Records a run that was lost before it began, and probes its server, which may have crashed. */
+export function recordLostRun(
+    transaction: Transaction,
+    { head, lastEvent }: GatewayRequest,
+    attempt: Attempt,
+    outcome: AttemptOutcome,
+): void {
+    const { state, now } = transaction;
+    const hasBegun = attempt.firstEventAt !== undefined || lastEvent !== undefined;
+    if (hasBegun || head.sharedParts.length === 0 || !outcomesOfCrashes.has(outcome)) {
+        return;
+    }
+    const { id, startedAt } = attempt.server.record;
+    const known = state.promptParts.lostRuns.get(id);
+    const parts = new Set([...known?.parts ?? [], ...head.sharedParts]);
+    state.promptParts.lostRuns.set(id, { startedAt, at: known?.at ?? now, parts });
+    requestProbe(transaction, attempt.server.record);
+}
+
+/** Blames the parts of lost runs if the probe of their server shows that it crashed. */
+export function settleLostRuns(
+    transaction: Transaction,
+    backendServer: BackendServerId,
+    report: ServerReport | undefined,
+): void {
+    const { promptParts } = transaction.state;
+    const lost = promptParts.lostRuns.get(backendServer);
+    promptParts.lostRuns.delete(backendServer);
+    if (lost === undefined || (report !== undefined && !isOtherIncarnation(report.startedAt, lost.startedAt))) {
+        return;
+    }
+    const { startedAt, at } = lost;
+    const crash: ServerCrash = { backendServer, startedAt, at, isCleared: false };
+    for (const part of lost.parts) {
+        const suspect = promptParts.suspects.get(part);
+        const hasBegun = suspect?.hasBegun === true || promptParts.begun.has(part);
+        const crashes = new Map(suspect?.crashes).set(crashKey(crash), crash);
+        setSuspect(promptParts, part, { hasBegun, crashes: newestCrashes(crashes) });
+        logDecision(transaction, "info", "prompt_part_blamed", {
+            part,
+            server: backendServer,
+            crashes: openCrashes(promptParts.suspects.get(part)).length,
+            hasBegun,
+        });
+    }
+    reportToPeers(transaction);
+    stopSuspendedRequests(transaction);
+}
+
+function isOtherIncarnation(one: number | undefined, other: number | undefined): boolean {
+    return one !== undefined && other !== undefined && one !== other;
+}
+
+function crashKey({ backendServer, startedAt }: Pick<ServerCrash, "backendServer" | "startedAt">): string {
+    return `${backendServer}/${startedAt ?? ""}`;
+}
+
+function openCrashes(suspect: SuspectPart | undefined): ServerCrash[] {
+    return [...suspect?.crashes.values() ?? []].filter(({ isCleared }) => !isCleared);
+}
+
+/** Keeps the crashes that count, and of these the newest. */
+function newestCrashes(crashes: ReadonlyMap<string, ServerCrash>): ReadonlyMap<string, ServerCrash> {
+    const order = ({ isCleared, at }: ServerCrash): number => isCleared ? -Infinity : at;
+    const newestFirst = [...crashes].sort(([, one], [, other]) => order(other) - order(one));
+    return new Map(newestFirst.slice(0, maximumCrashes));
+}
+
+function setSuspect(promptParts: PromptParts, part: PromptPartId, suspect: Omit<SuspectPart, "number">): void {
+    const { suspects } = promptParts;
+    suspects.delete(part);
+    suspects.set(part, { ...suspect, number: ++promptParts.changeCount });
+    evictOldest(suspects, maximumSuspects);
+}
+
+function evictOldest(
+    entries: { readonly size: number; delete(key: PromptPartId): boolean; keys(): Iterable<PromptPartId>; },
+    most: number,
+): void {
+    if (entries.size > most) {
+        const [oldest] = entries.keys();
+        entries.delete(oldest);
+    }
+}
+
+/** Forgets the parts under which no server has crashed for long. */
+export function forgetSuspects({ state: { promptParts: { suspects } }, now }: Transaction): void {
+    for (const [part, { crashes }] of suspects) {
+        if ([...crashes.values()].every(({ at }) => now - at > suspectRetention)) {
+            suspects.delete(part);
+        }
+    }
+}
+
+/** A request that may not be sent because of a part of its prompt, and the time until it may. */
+export interface PartSuspension {
+    readonly part: PromptPartId;
+    readonly left: Milliseconds;
+}
+
+/**
+ * The part for which a request may not be sent now; undefined if it may be. A request that has begun is not suspended:
+ * its parts crashed no server.
+ */
+export function suspensionOf({ state, now }: Transaction, request: GatewayRequest): PartSuspension | undefined {
+    if (request.lastEvent !== undefined) {
+        return undefined;
+    }
+    const suspensions = request.head.sharedParts.flatMap(part => {
+        const left = suspensionLeft(state, request, part, now);
+        return left === undefined ? [] : [{ part, left }];
+    });
+    return suspensions.sort((one, other) => other.left - one.left)[0];
+}
+
+function suspensionLeft(
+    state: GatewayState,
+    request: GatewayRequest,
+    part: PromptPartId,
+    now: Milliseconds,
+): Milliseconds | undefined {
+    const { suspects, lostRuns } = state.promptParts;
+    const suspect = suspects.get(part);
+    if (suspect === undefined && lostRuns.size === 0) {
+        return undefined;
+    }
+    // A repeat does not wait for the probe that tells whether the server of the lost run crashed.
+    const unsettled = [...lostRuns.values()].filter(({ parts }) => request.sends > 0 && parts.has(part));
+    const crashTimes = [...openCrashes(suspect), ...unsettled].map(({ at }) => at);
+    const hasBegun = suspect?.hasBegun === true || state.promptParts.begun.has(part);
+    const until = suspendedUntil({ crashTimes, hasBegun });
+    if (until === undefined) {
+        return undefined;
+    }
+    if (now < until) {
+        return until - now;
+    }
+    return mayTry(state, request, part, now) ? undefined : trialRetryAfter;
+}
+
+/** Whether this gateway is the one that tries a suspended part again, and no other run of it does so already. */
+function mayTry(state: GatewayState, request: GatewayRequest, part: PromptPartId, now: Milliseconds): boolean {
+    const others = liveMembers(state, now).map(({ record }) => record.address);
+    const isTried = [...state.requests.values()].some(other =>
+        other !== request && other.lastEvent === undefined && other.head.sharedParts.includes(part)
+    );
+    return !isTried && taskRank(state.options.peerAddress, others, part) === 0;
+}
+
+/** Ends the requests that wait with a suspended part, and the runs with one that never began anywhere. */
+function stopSuspendedRequests(transaction: Transaction): void {
+    const { state } = transaction;
+    for (const request of [...state.requests.values()]) {
+        const suspension = suspensionOf(transaction, request);
+        if (suspension === undefined) {
+            continue;
+        }
+        if (request.attempt === undefined) {
+            failSuspended(transaction, request, suspension);
+        }
+        else if (state.promptParts.suspects.get(suspension.part)?.hasBegun === false) {
+            endAttempt(transaction, request, request.attempt, "cancel");
+            failSuspended(transaction, request, suspension);
+        }
+    }
+}
+
+/** Fails a request that may not be sent because of a part of its prompt. */
+export function failSuspended(
+    transaction: Transaction,
+    request: GatewayRequest,
+    { part, left }: PartSuspension,
+): void {
+    logDecision(transaction, "info", "prompt_part_suspended", {
+        ...requestFields(transaction, request),
+        part,
+        suspendedFor: Math.round(left),
+    });
+    failRequest(transaction, request, "prompt_suspended", "servers crashed under a part of the prompt", left);
+}
+
+/** Merges what another gateway knows of parts, and passes on what is new. */
+export function applyPeerParts(transaction: Transaction, parts: readonly PeerPromptPart[]): void {
+    const changes = parts.map(part => applyPeerPart(transaction, part));
+    if (changes.includes(true)) {
+        reportToPeers(transaction);
+        stopSuspendedRequests(transaction);
+    }
+}
+
+function applyPeerPart({ state, now }: Transaction, { part, hasBegun, crashes }: PeerPromptPart): boolean {
+    const { promptParts } = state;
+    const suspect = promptParts.suspects.get(part);
+    const merged = new Map(suspect?.crashes);
+    for (const { age, ...crash } of crashes) {
+        const known = merged.get(crashKey(crash));
+        const isCleared = crash.isCleared || known?.isCleared === true;
+        merged.set(crashKey(crash), { ...crash, at: known?.at ?? now - age, isCleared });
+    }
+    const next = {
+        hasBegun: hasBegun || suspect?.hasBegun === true || promptParts.begun.has(part),
+        crashes: newestCrashes(merged),
+    };
+    if (suspect !== undefined && isSame(suspect, next)) {
+        return false;
+    }
+    setSuspect(promptParts, part, next);
+    return true;
+}
+
+function isSame(one: SuspectPart, other: Omit<SuspectPart, "number">): boolean {
+    return one.hasBegun === other.hasBegun && one.crashes.size === other.crashes.size
+        && [...other.crashes].every(([key, { isCleared }]) => one.crashes.get(key)?.isCleared === isCleared);
+}
+
+/** The parts that changed after the change with the given number, as they are reported to others. */
+export function partsAfter(state: GatewayState, number: number, now: Milliseconds): PeerPromptPart[] {
+    const { suspects, changeCount } = state.promptParts;
+    return changeCount === number ? [] : [...suspects]
+        .filter(([, suspect]) => suspect.number > number)
+        .map(([part, { hasBegun, crashes }]) => ({
+            part,
+            hasBegun,
+            crashes: [...crashes.values()].map(({ at, ...crash }) => ({ ...crash, age: now - at })),
+        }));
+}
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -13,6 +13,7 @@
 import { handleMigrationAnswered } from "./migration.js";
 import type { GatewayOptions } from "./options.js";
 import { handlePeerLinkClosed, handlePeerReport, maintainPeers, reportPlacements } from "./peers.js";
+import { forgetSuspects } from "./promptParts.js";
 import { updateLimitShares } from "./requestLimits.js";
 import { handleCallerLeft, handleRequest } from "./requests.js";
 import { endServerPauses } from "./serverPauses.js";
@@ -54,6 +55,7 @@
             startDueReads(transaction);
             updateLimitShares(transaction);
             endServerPauses(transaction);
+            forgetSuspects(transaction);
             checkRequests(transaction);
             checkWaitingRequests(transaction);
             return checkStop(transaction);
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -12,6 +12,7 @@
 import type { BackendServer } from "./backendServers.js";
 import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
+import { failSuspended, suspensionOf } from "./promptParts.js";
 import { isLimited, spendRequest, timeUntilWithinLimit } from "./requestLimits.js";
 import { failRequest, requestFields } from "./requests.js";
 import {
@@ -57,6 +58,10 @@
     if (request.deadline - now < minimumTimeForSend) {
         return failRequest(transaction, request, "deadline_exceeded", "the time for the request is over");
     }
+    const suspension = suspensionOf(transaction, request);
+    if (suspension !== undefined) {
+        return failSuspended(transaction, request, suspension);
+    }
     const usable = usableServers(state, request.service, now);
     const untried = usable.filter(server => !request.triedServers.has(server.record.id));
     const eligible = untried.length > 0 ? untried : usable;
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -19,6 +19,7 @@
 import type { RequestHead, ResponseHead, RunReplica } from "./messages.js";
 import type { GatewayOptions } from "./options.js";
 import type { TopicReadStamp } from "./peerReport.js";
+import { createPromptParts, type PromptParts } from "./promptParts.js";
 import type { RequestLimits } from "./requestLimits.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 
@@ -154,6 +155,8 @@
     failures: number;
     /** The notices up to this number were reported to it on this link. */
     sentNotices: number;
+    /** The changes of parts of prompts up to this number were reported to it on this link. */
+    sentParts: number;
     /** The gateways whose newest record it may lack. */
     readonly pending: Set<PeerAddress>;
     /** The offset up to which it knows each topic; undefined before it or this gateway has reported on this link. */
@@ -181,6 +184,7 @@
     readonly leavingNotices: LeavingNotices;
     /** The number of the newest notice. */
     noticeCount: number;
+    readonly promptParts: PromptParts;
     /** Moving average of the time per token of a stream. */
     timePerToken: Milliseconds;
     /** Moving average of the prompt tokens that an engine processes in a millisecond. */
@@ -258,6 +262,7 @@
         pausedUntil: new Map(),
         leavingNotices: new Map(),
         noticeCount: 0,
+        promptParts: createPromptParts(),
         timePerToken: initialTimePerToken,
         prefillRate: initialPrefillRate,
         meanStreamDuration: initialStreamDuration,
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -18,6 +18,7 @@
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { migrateAfterFirstEvent } from "./migration.js";
+import { recordBegunRun } from "./promptParts.js";
 import { isWithinLimit } from "./requestLimits.js";
 import { finishRequest, requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
@@ -90,6 +91,7 @@
     if (attempt.firstEventAt === undefined) {
         attempt.firstEventAt = now;
         recordPrefillRate(state, attempt, now);
+        recordBegunRun(transaction, request);
     }
     attempt.events += events.length;
     recordSignOfLife(state, attempt.server.record.id, now);
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -250,6 +250,7 @@
                 waitingRequests: 0,
                 requestLimits: [],
                 leavingServers: [],
+                promptParts: [],
                 ...report,
             },
             items: { configuration: [], backendServers: [], ...items },
--- a/packages/gateway/test/leavingServers.test.ts
+++ b/packages/gateway/test/leavingServers.test.ts
@@ -69,7 +69,7 @@
     gateway.configure(configuration(1, { services: new Map([[engineService, { name: engineService, engine }]]) }));
     gateway.register(server("engine-1"), server("engine-2"), server("engine-3"));
     const first = gateway.startStream("one", "plan");
-    const report = { runs: [], isLeaving: true };
+    const report = { runs: [], isLeaving: true, startedAt: undefined };
     const effects = gateway.handle({ kind: "serverProbed", backendServer: first.backendServer, report });
     assert.equal(effects.filter(effect => effect.kind === "migrateRun").map(({ attemptId }) => attemptId), [
         first.attemptId,
--- /dev/null
+++ b/packages/gateway/test/promptParts.test.ts
@@ -0,0 +1,211 @@
+/**
+ * Parts of prompts under which servers crash. A crash is known by a run that was lost before it began, at a server that
+ * does not answer a probe.
+ */
+import type { BackendCall, GatewayEffect, PeerPromptPart, RequestHead, ServerReport } from "@verbenaspring/gateway";
+import { identifier, type PeerAddress, type PromptPartId } from "@verbenaspring/model";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { callsIn, failuresIn, kindsIn, requestId, server, TestGateway } from "./gatewayBuilders.js";
+
+const deadly = identifier<PromptPartId>("deadly");
+const shared = identifier<PromptPartId>("shared");
+const withParts = (...sharedParts: readonly PromptPartId[]): Partial<RequestHead> => ({ sharedParts });
+const aliveReport: ServerReport = { runs: [], isLeaving: false, startedAt: undefined };
+const betweenCrashes = 1_000;
+
+function gatewayWithEngines(): TestGateway {
+    return TestGateway.serving(...[1, 2, 3, 4, 5, 6].map(number => server(`engine-${number}`)));
+}
+
+const probed = (call: BackendCall, report: ServerReport | undefined) =>
+    ({ kind: "serverProbed", backendServer: call.backendServer, report }) as const;
+
+let startCount = 0;
+
+/** Loses a run before its first event. Its server has crashed and starts again, and its caller leaves. */
+function crash(gateway: TestGateway, call: BackendCall): GatewayEffect[] {
+    const effects = [...gateway.failAttempt(call), ...gateway.handle(probed(call, undefined))];
+    gateway.register(server(call.backendServer, { startedAt: ++startCount }));
+    gateway.handle({ kind: "callerLeft", requestId: requestId(call.head.callerAttemptId) });
+    return effects;
+}
+
+/** Has requests with the parts crash one server after the other, each request sent only once. */
+function crashServers(gateway: TestGateway, count: number, ...parts: readonly PromptPartId[]): void {
+    for (let number = 0; number < count; number++) {
+        crash(gateway, gateway.sendRequest(`crash${number}/${gateway.now}`, "plan", withParts(...parts)));
+        gateway.advance(betweenCrashes);
+    }
+}
+
+const isSent = (gateway: TestGateway, ...parts: readonly PromptPartId[]): boolean =>
+    callsIn(gateway.receiveRequest(`r${gateway.now}`, "plan", withParts(...parts))).length > 0;
+
+const partsIn = (effects: readonly GatewayEffect[]): PeerPromptPart[] =>
+    effects.flatMap(effect => effect.kind === "sendReport" ? effect.report.promptParts : []);
+
+test("a request is refused at once after two servers crashed under a part of its prompt, others are not", () => {
+    const gateway = gatewayWithEngines();
+    crashServers(gateway, 1, shared, deadly);
+    assert.ok(isSent(gateway, shared, deadly), "one crash may have another cause");
+    crashServers(gateway, 1, shared, deadly);
+    const [refusal] = failuresIn(gateway.receiveRequest("refused", "plan", withParts(deadly)));
+    assert.equal([refusal.type, refusal.outcome], ["prompt_suspended", "not_run"]);
+    assert.ok(refusal.retryAfter! > 10_000);
+    assert.ok(isSent(gateway, identifier("other")));
+});
+
+test("a part with which a run begins is cleared", () => {
+    const gateway = gatewayWithEngines();
+    crashServers(gateway, 1, shared, deadly);
+    gateway.startStream("begins", "plan", withParts(shared));
+    crashServers(gateway, 1, shared, deadly);
+    assert.is(isSent(gateway, shared, deadly), false);
+    assert.ok(isSent(gateway, shared));
+});
+
+test("a lost run blames nothing if its server answers the probe", () => {
+    const gateway = gatewayWithEngines();
+    for (let count = 0; count < 3; count++) {
+        const call = gateway.sendRequest(`lost${count}`, "plan", withParts(deadly));
+        assert.ok(kindsIn(gateway.failAttempt(call)).includes("probeServer"));
+        gateway.handle(probed(call, aliveReport));
+        gateway.advance(betweenCrashes);
+    }
+    assert.ok(isSent(gateway, deadly));
+});
+
+test("a server that has restarted before the probe has crashed", () => {
+    const gateway = TestGateway.serving(server("engine-1", { startedAt: 5 }), server("engine-2", { startedAt: 6 }));
+    for (let count = 0; count < 2; count++) {
+        const call = gateway.sendRequest(`lost${count}`, "plan", withParts(deadly));
+        gateway.failAttempt(call);
+        const startedAt = 70 + count;
+        gateway.handle(probed(call, { ...aliveReport, startedAt }));
+        gateway.advance(betweenCrashes);
+        gateway.register(server(call.backendServer, { startedAt }));
+    }
+    assert.is(isSent(gateway, deadly), false);
+});
+
+test("runs that had begun blame nothing", () => {
+    const gateway = gatewayWithEngines();
+    for (let count = 0; count < 3; count++) {
+        crash(gateway, gateway.startStream(`begun${count}`, "plan", withParts(shared)));
+        gateway.advance(betweenCrashes);
+    }
+    assert.is(gateway.state.promptParts.suspects.size, 0);
+});
+
+test("servers that crash together suspend no part", () => {
+    const gateway = gatewayWithEngines();
+    const calls = [1, 2, 3, 4].map(number => gateway.sendRequest(`r${number}`, "plan", withParts(shared)));
+    calls.forEach(call => crash(gateway, call));
+    assert.ok(isSent(gateway, shared));
+});
+
+test("a part that began before is suspended after four crashes, and tried again a second later", () => {
+    const gateway = gatewayWithEngines();
+    gateway.startStream("begins", "plan", withParts(shared));
+    crashServers(gateway, 3, shared);
+    crash(gateway, gateway.sendRequest("fourth", "plan", withParts(shared)));
+    assert.is(isSent(gateway, shared), false);
+    gateway.advance(betweenCrashes);
+    assert.ok(isSent(gateway, shared));
+});
+
+test("a lost run is not repeated at a third server", () => {
+    const gateway = gatewayWithEngines();
+    const first = gateway.sendRequest("repeated", "note", withParts(deadly));
+    const [second] = callsIn(gateway.failAttempt(first));
+    assert.ok(second, "the repeat shows whether the part is to blame");
+    gateway.handle(probed(first, undefined));
+    gateway.advance(betweenCrashes);
+    assert.equal(callsIn(gateway.failAttempt(second)), []);
+});
+
+test("what one gateway learns holds at the others, and a run that begins there clears it here", () => {
+    const gateway = gatewayWithEngines();
+    gateway.receiveReport({});
+    const first = gateway.sendRequest("first", "plan", withParts(deadly));
+    const [reported] = partsIn(crash(gateway, first));
+    assert.equal([reported.part, reported.hasBegun, reported.crashes.length], [deadly, false, 1]);
+    gateway.advance(betweenCrashes);
+    const crashes = [{ backendServer: identifier<never>("engine-9"), startedAt: 3, age: 20, isCleared: false }];
+    const other = { part: deadly, hasBegun: false, crashes };
+    assert.equal(partsIn(gateway.receiveReport({ promptParts: [other] }))[0].crashes.length, 2, "passed on");
+    assert.equal(partsIn(gateway.receiveReport({ promptParts: [other] })), [], "once");
+    assert.is(isSent(gateway, deadly), false);
+    const cleared = [...crashes, ...reported.crashes].map(each => ({ ...each, isCleared: true }));
+    gateway.receiveReport({ promptParts: [{ part: deadly, hasBegun: true, crashes: cleared }] });
+    assert.ok(isSent(gateway, deadly));
+});
+
+test("a gateway that starts gets what the others know with the first report on its link", () => {
+    const gateway = gatewayWithEngines();
+    crashServers(gateway, 2, deadly);
+    const known = partsIn([...gateway.receiveReport({}), ...gateway.advance(600)]);
+    assert.equal(known.map(({ part, crashes }) => [part, crashes.length]), [[deadly, 2]]);
+});
+
+test("runs with a suspended part that have not begun are ended, and streams that have begun go on", () => {
+    const gateway = gatewayWithEngines();
+    gateway.receiveReport({});
+    const waits = gateway.sendRequest("waits", "plan", withParts(shared, deadly));
+    const streams = gateway.startStream("streams", "plan", withParts(shared));
+    const crashes = ["engine-8", "engine-9"].map((id, index) => ({
+        backendServer: identifier<never>(id),
+        startedAt: 3,
+        age: 2_000 * index,
+        isCleared: false,
+    }));
+    const effects = gateway.receiveReport({ promptParts: [{ part: deadly, hasBegun: false, crashes }] });
+    const cancelled = effects.flatMap(effect => effect.kind === "cancelAttempt" ? [effect.attemptId] : []);
+    assert.equal(cancelled, [waits.attemptId]);
+    assert.equal(failuresIn(effects).map(({ type, outcome }) => [type, outcome]), [
+        ["prompt_suspended", "outcome_unknown"],
+    ]);
+    assert.ok(kindsIn(gateway.receiveEvents(streams, 2)).includes("answerEvents"));
+});
+
+test("after its pause a part is tried by one gateway, with one run at a time", () => {
+    const addresses = ["10.1.0.1:8748", "10.1.0.2:8748"].map(address => identifier<PeerAddress>(address));
+    const gateways = addresses.map((address, index, all) => {
+        const gateway = gatewayWithEngines();
+        gateway.state.options = { ...gateway.state.options, peerAddress: address };
+        gateway.receiveReport({ address: all[1 - index] });
+        crashServers(gateway, 2, deadly);
+        gateway.now += 16_000;
+        gateway.receiveReport({ address: all[1 - index] });
+        return gateway;
+    });
+    const first = gateways.map(gateway => isSent(gateway, deadly));
+    assert.equal([...first].sort(), [false, true]);
+    gateways.forEach(gateway => gateway.now += 10);
+    assert.equal(gateways.map(gateway => isSent(gateway, deadly)), [false, false]);
+});
+
+test("what is kept of parts is bounded, and forgotten half an hour after the last crash", () => {
+    const gateway = gatewayWithEngines();
+    gateway.receiveReport({});
+    const crashes = Array.from({ length: 20 }, (_, index) => ({
+        backendServer: identifier<never>(`engine-${index}`),
+        startedAt: index,
+        age: index,
+        isCleared: false,
+    }));
+    const promptParts = Array.from({ length: 1_500 }, (_, index) => ({
+        part: identifier<PromptPartId>(`part${index}`),
+        hasBegun: false,
+        crashes,
+    }));
+    gateway.receiveReport({ promptParts });
+    const { suspects } = gateway.state.promptParts;
+    assert.equal([suspects.size, suspects.get(identifier("part1499"))!.crashes.size], [1_024, 8]);
+    gateway.now += 1_800_100;
+    gateway.handle({ kind: "tick" });
+    assert.is(suspects.size, 0);
+});
+
+test.run();
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -200,7 +200,8 @@
     const call = gateway.startStream("r", "plan");
     const probes = gateway.advance(1_300).filter(effect => effect.kind === "probeServer");
     assert.is(probes.length, 1);
-    const report = { runs: [{ callerAttemptId: call.head.callerAttemptId, events: 1 }], isLeaving: false };
+    const runs = [{ callerAttemptId: call.head.callerAttemptId, events: 1 }];
+    const report = { runs, isLeaving: false, startedAt: undefined };
     const effects = gateway.handle({ kind: "serverProbed", backendServer: call.backendServer, report });
     assert.equal(kindsIn(effects), []);
     assert.equal(eventsIn(gateway.receiveEvents(call, 2)), [2]);
@@ -218,7 +219,8 @@
     const gateway = gatewayWithEngines();
     const call = gateway.startStream("r", "plan");
     gateway.advance(1_300);
-    const report = { runs: [{ callerAttemptId: call.head.callerAttemptId, events: 60 }], isLeaving: false };
+    const runs = [{ callerAttemptId: call.head.callerAttemptId, events: 60 }];
+    const report = { runs, isLeaving: false, startedAt: undefined };
     const effects = gateway.handle({ kind: "serverProbed", backendServer: call.backendServer, report });
     assert.is(callsIn(effects).length, 1);
 });
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -4,6 +4,7 @@
 import type {
     MemberRecord,
     PeerLoad,
+    PeerPromptPart,
     PeerReport,
     PeerRequestLimit,
     RelayedRecord,
@@ -13,6 +14,7 @@
 import type {
     MemberRecord as MemberRecordMessage,
     PeerLoad as PeerLoadMessage,
+    PeerPromptPart as PeerPromptPartMessage,
     PeerReport as PeerReportMessage,
     PeerRequestLimit as PeerRequestLimitMessage,
 } from "@verbenaspring/schema";
@@ -55,6 +57,16 @@
             $typeName: "verbenaspring.v1.PeerLeavingServer",
             ...notice,
         })),
+        promptParts: report.promptParts.map(encodePart),
+    };
+}
+
+function encodePart({ part, hasBegun, crashes }: PeerPromptPart): PeerPromptPartMessage {
+    return {
+        $typeName: "verbenaspring.v1.PeerPromptPart",
+        part,
+        hasBegun,
+        crashes: crashes.map(crash => ({ $typeName: "verbenaspring.v1.PeerServerCrash", ...crash })),
     };
 }
 
@@ -104,6 +116,20 @@
             backendServer: identifier(backendServer),
             startedAt,
         })),
+        promptParts: message.promptParts.map(decodePart),
+    };
+}
+
+function decodePart({ part, hasBegun, crashes }: PeerPromptPartMessage): PeerPromptPart {
+    return {
+        part: identifier(part),
+        hasBegun,
+        crashes: crashes.map(({ backendServer, startedAt, age, isCleared }) => ({
+            backendServer: identifier(backendServer),
+            startedAt,
+            age,
+            isCleared,
+        })),
     };
 }
 
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -65,6 +65,14 @@
             },
             age: 12.5,
         }],
+        promptParts: [{
+            part: identifier("5c1e"),
+            hasBegun: true,
+            crashes: [
+                { backendServer: identifier("i-1"), startedAt: 1_767_000_000_000, age: 12.5, isCleared: true },
+                { backendServer: identifier("i-2"), startedAt: undefined, age: 0, isCleared: false },
+            ],
+        }],
         leavingServers: [
             { backendServer: identifier("i-2"), startedAt: 7 },
             { backendServer: identifier("i-3"), startedAt: undefined },
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -210,6 +210,7 @@
         body,
         timeLimit: Number(text("deadline-ms") ?? 0),
         promptTokens,
+        sharedParts: [],
         outputTokens: Number(url.searchParams.get("length") ?? maximumTokens),
         priority: Number(text("request-priority") ?? normalPriority),
         lastEvent: Number(text("last-event-id") ?? 0),
