runtime: a caller's channel that was refused as overdue is not read any more (REFUSED, TWICE)

What callers saw: on a channel whose headers were overdue the gateway answered 408, which promises that the request has not run and never will; then it read the request from the same channel and ran it (REFUSED). A caller that sent its request again as it may after a 408 had it run twice (TWICE). Cause: a process that was suspended checks its timers before it reads what arrived meanwhile, so Node reports the headers as overdue although they are there; answering only ended the writing side of the channel. The same happened to a caller whose headers came after the 408. Class: a promise that nothing enforces afterwards. Change: overdue headers get 50 ms in which they may still be read; a channel that was refused is remembered, and what arrives on it is not handled. The entries' server had the same gap after malformed requests, and gets the same guard.

--- a/packages/runtime/src/callerServer.ts
+++ b/packages/runtime/src/callerServer.ts
@@ -78,10 +78,19 @@
         handlers.requested(requestId, parsed.call);
     }
 
+    /** Channels that were told that no request of theirs ran. What arrives on them later is not handled. */
+    const refusedChannels = new WeakSet<Duplex>();
     const server = createServer({ maxHeaderSize: options.maximumHeaderBytes }, (request, response) => {
+        if (refusedChannels.has(request.socket)) {
+            request.socket.destroy();
+            return;
+        }
         handleRequest(request, response).catch(() => response.destroy());
     });
-    server.on("clientError", (error: NodeJS.ErrnoException, socket) => handleClientError(error, socket));
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+        refusedChannels.add(socket);
+        handleClientError(error, socket);
+    });
     return {
         listen: address => listen(server, address),
         answer: requestId => answers.get(requestId),
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -65,6 +65,8 @@
 const maxParsedHeaderBytes = 64 * 1024;
 /** How often Node checks the channels for headers that are overdue. */
 const timeoutCheckInterval: Milliseconds = 500;
+/** Headers that are overdue may have arrived while the process was suspended, and are read within this time. */
+const overdueHeadersGrace: Milliseconds = 50;
 /** Limit on the bodies that are held at once, over all requests. */
 const maxBufferedBodyBytes = 48 * 1024 * 1024;
 /** Bytes that a caller may leave unread before its stream is paused. */
@@ -89,6 +91,9 @@
     let limits = initialLimits;
     let isDraining = false;
     let bufferedBodyBytes = 0;
+    const overdueChannels = new WeakSet<Socket>();
+    /** Channels that were told that no request of theirs ran. What arrives on them later is not handled. */
+    const refusedChannels = new WeakSet<Socket>();
 
     const server = createServer({
         maxHeaderSize: maxParsedHeaderBytes,
@@ -118,6 +123,11 @@
 
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
         const receivedAt = monotonicNow();
+        if (refusedChannels.has(request.socket)) {
+            request.socket.destroy();
+            return;
+        }
+        overdueChannels.delete(request.socket);
         response.sendDate = false;
         if (countHeaderBytes(request.rawHeaders) > limits.headerBytes) {
             return rejectRequest(request, response, headersTooLarge, "headers");
@@ -171,9 +181,21 @@
         });
         response.on("drain", () => handlers.drained(requestId));
     });
-    server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+    const refuseChannel = (socket: Socket, error: NodeJS.ErrnoException): void => {
         handlers.refused(classifyClientError(error), error.code ?? error.message);
+        refusedChannels.add(socket);
         answerClientError(socket, classifyClientError(error));
+    };
+    server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+        if (classifyClientError(error) !== "request_timeout") {
+            return refuseChannel(socket, error);
+        }
+        overdueChannels.add(socket);
+        setTimeout(() => {
+            if (overdueChannels.delete(socket)) {
+                refuseChannel(socket, error);
+            }
+        }, overdueHeadersGrace);
     });
 
     const removeResponse = (requestId: RequestId): ServerResponse | undefined => {
