gateway: a refusal without an id counts only on a channel that was not used before (REFUSED)

What callers could see: 503 for a request that runs, if the late refusal of an earlier request on the channel carries no id. Since a refusal that names another request is none of this one; one that names none still was. Cause: the mark of a refusal was taken for this request without proof that it answers it. Change: the head of an answer says whether it is the first on its channel. The stand-in's refusals now echo the id, as the platform's servers do. Evidence: the two new cases of attempts.test.ts failed before. That the users' record of REFUSED shows this is not shown; it does not tell which answers came.

--- a/packages/emulator/src/virtualCalls.ts
+++ b/packages/emulator/src/virtualCalls.ts
@@ -182,6 +182,7 @@
         retryAfter: undefined,
         isEventStream: false,
         endsWithChannel: false,
+        isFirstOnChannel: true,
         headers: [],
     };
 }
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -78,15 +78,16 @@
 type AnswerClass = "delivered" | "not_run" | "server_failed" | "answer_of_another" | "answer_malformed";
 
 /**
- * Classifies an answer by its head: whether it can be delivered, and if not, why. A refusal that names another request
- * is a late answer to an earlier one on the channel; it says nothing about this request, which may have run.
+ * Classifies an answer by its head: whether it can be delivered, and if not, why. A refusal that names another request,
+ * or none on a channel that was used before, may be a late answer to an earlier call; it says nothing about this request,
+ * which may have run.
  */
 export function classifyAnswer({ head }: GatewayRequest, answer: ResponseHead): AnswerClass {
-    const namesAnother = answer.callerAttemptId !== undefined && answer.callerAttemptId !== head.callerAttemptId;
-    if (answer.isNotRun && !namesAnother) {
+    const isNamed = answer.callerAttemptId === head.callerAttemptId;
+    if (answer.isNotRun && (isNamed || (answer.callerAttemptId === undefined && answer.isFirstOnChannel))) {
         return "not_run";
     }
-    if (answer.callerAttemptId !== head.callerAttemptId) {
+    if (!isNamed) {
         return "answer_of_another";
     }
     if (!answer.isSealed || answer.isEncoded) {
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -71,8 +71,13 @@
     readonly needsFreshChannel: boolean;
 }
 
+/** The head of a backend server's answer, and whether it can belong to an earlier call on its channel. */
+export interface ResponseHead extends DecodedHead {
+    readonly isFirstOnChannel: boolean;
+}
+
 /** The head of a backend server's answer. */
-export interface ResponseHead {
+export interface DecodedHead {
     readonly status: number;
     readonly callerAttemptId: CallerAttemptId | undefined;
     /** Whether the backend server signed the answer. */
--- a/packages/gateway/test/attempts.test.ts
+++ b/packages/gateway/test/attempts.test.ts
@@ -5,6 +5,8 @@
 
 const gatewayWithTwoServers = (): TestGateway => TestGateway.serving(server("plain-1"), server("plain-2"));
 
+const refusal = { status: 503, isNotRun: true, isSealed: false };
+
 test("a call that may run only once is not sent again after it may have run, and fails with an unknown outcome", () => {
     const gateway = gatewayWithTwoServers();
     const [failure] = failuresIn(gateway.failAttempt(gateway.sendRequest("r", "confirm")));
@@ -20,7 +22,6 @@
 
 test("a call that its server refused is sent to another, and fails as not run if all of them refuse", () => {
     const gateway = gatewayWithTwoServers();
-    const refusal = { status: 503, isNotRun: true, isSealed: false };
     const first = gateway.sendRequest("r", "confirm");
     const [second] = callsIn(gateway.answer(first, refusal));
     assert.is.not(second.backendServer, first.backendServer);
@@ -60,20 +61,28 @@
     }
 });
 
-test("a refusal that was meant for an earlier request on the channel does not state that this request did not run", () => {
-    const refusal = { status: 503, isNotRun: true, isSealed: false, callerAttemptId: identifier<never>("earlier") };
-    for (const name of ["confirm", "plan"]) {
-        const gateway = TestGateway.serving(
-            server("plain-1"),
-            server("plain-2"),
-            server("engine-1"),
-            server("engine-2"),
-        );
-        const effects = gateway.answer(gateway.sendRequest("r", name), refusal);
-        assert.equal(callsIn(effects).filter(call => call.continuesFrom === undefined), [], `${name} is not run again`);
-        assert.not.ok(failuresIn(effects).some(failure => failure.outcome === "not_run"), name);
+function gatewayWithAllServers(): TestGateway {
+    return TestGateway.serving(server("plain-1"), server("plain-2"), server("engine-1"), server("engine-2"));
+}
+
+for (const name of ["confirm", "plan"]) {
+    for (const callerAttemptId of [identifier<never>("earlier"), undefined]) {
+        const named = callerAttemptId ?? "no named request";
+        test(`a refusal of ${named} on a used channel does not state that this ${name} did not run`, () => {
+            const gateway = gatewayWithAllServers();
+            const effects = gateway.answer(gateway.sendRequest("r", name), { ...refusal, callerAttemptId });
+            const repeats = callsIn(effects).filter(call => call.continuesFrom === undefined);
+            assert.equal(repeats, [], `${name} is not run again`);
+            assert.not.ok(failuresIn(effects).some(failure => failure.outcome === "not_run"), name);
+        });
     }
-});
+
+    test(`a refusal of no named request on a new channel is one of this ${name}`, () => {
+        const gateway = gatewayWithAllServers();
+        const answer = { ...refusal, callerAttemptId: undefined, isFirstOnChannel: true };
+        assert.is(callsIn(gateway.answer(gateway.sendRequest("r", name), answer)).length, 1);
+    });
+}
 
 test("an unanswered idempotent call is sent to another server before its deadline", () => {
     const gateway = gatewayWithTwoServers();
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -296,6 +296,7 @@
         retryAfter: undefined,
         isEventStream: true,
         endsWithChannel: false,
+        isFirstOnChannel: false,
         headers: [],
     };
 }
--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -7,6 +7,7 @@
     type AttemptFailure,
     type BackendAnswer,
     type BackendCall,
+    type DecodedHead,
     type HeaderList,
     type ResponseHead,
     type StreamEvent,
@@ -33,7 +34,7 @@
 /** Encodes the headers of calls and decodes the heads of answers. */
 export interface BackendCodec {
     readonly encodeBackendCall: (call: BackendCall) => string[];
-    readonly decodeBackendHead: (status: number, headers: HeaderList) => ResponseHead;
+    readonly decodeBackendHead: (status: number, headers: HeaderList) => DecodedHead;
 }
 
 /** The calls and the pooled channels of one gateway. */
@@ -69,6 +70,7 @@
     /** What was read on the channel for the current call. */
     readonly framing: FramingCount;
     idleSince: Milliseconds;
+    hasAnswered: boolean;
 }
 
 interface ActiveCall {
@@ -254,7 +256,9 @@
             if (status < firstFinalStatus) {
                 return;
             }
-            head = codec.decodeBackendHead(status, readRawHeaders(controller.rawHeaders));
+            const decoded = codec.decodeBackendHead(status, readRawHeaders(controller.rawHeaders));
+            head = { ...decoded, isFirstOnChannel: !current.channel.hasAnswered };
+            current.channel.hasAnswered = true;
             if (head.isEventStream && status < 300) {
                 framer = createEventFramer(bounds.eventBytes);
                 handlers.opened(attemptId, head);
@@ -339,7 +343,7 @@
         },
     });
     const framing = { readBytes: 0, bodyBytes: 0 };
-    const channel: Channel = { address, client, socketState: undefined, framing, idleSince: 0 };
+    const channel: Channel = { address, client, socketState: undefined, framing, idleSince: 0, hasAnswered: false };
     return channel;
 }
 
--- a/packages/runtime/test/backendBuilders.ts
+++ b/packages/runtime/test/backendBuilders.ts
@@ -48,6 +48,7 @@
         retryAfter: undefined,
         isEventStream: false,
         endsWithChannel: true,
+        isFirstOnChannel: true,
         headers: [],
     };
 }
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -89,12 +89,15 @@
         socket.write(`${okStatusLine}content-length: 2\r\n\r\nhi`);
     });
     const harness = new ChannelHarness();
+    const areFirst: boolean[] = [];
     for (const id of ["a", "b", "c"]) {
         const outcome = await harness.call(createCall(address, id));
         assert.is(outcome.kind === "answered" ? String(outcome.answer.body) : "", "hi");
+        areFirst.push(outcome.kind === "answered" && outcome.answer.isFirstOnChannel);
         await new Promise(resolve => setImmediate(resolve));
     }
     assert.is(sockets.size, 1);
+    assert.equal(areFirst, [true, false, false]);
     harness.channels.close();
     server.close();
 });
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -265,7 +265,12 @@
                 observer.pauseRequested(call, model.options.id, pause);
                 response.setHeader("Retry-After", String(pause / millisecondsPerSecond));
             }
-            response.writeHead(status, { ...declarations, "Not-Executed": "1", "content-length": 0 });
+            response.writeHead(status, {
+                ...declarations,
+                "Attempt-Id": call.callerAttemptId,
+                "Not-Executed": "1",
+                "content-length": 0,
+            });
             response.end();
         },
         opened: () => response.writeHead(200, { ...identityHeaders, "content-type": "text/event-stream" }),
