--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -190,6 +190,44 @@
     assert.equal(truncated, { kind: "failed", failure: "answer_truncated", wasSent: true });
 });
 
+const truncatedOutcome: Outcome = { kind: "failed", failure: "answer_truncated", wasSent: true };
+
+for (const statusLine of [okStatusLine, "HTTP/1.0 200 OK\r\n"]) {
+    const version = statusLine.slice(0, 8);
+    const streamHead = `${statusLine}content-type: text/event-stream\r\n\r\n`;
+
+    test(`${version}: an answer without length or chunks is whole at its channel's end, not at a reset`, async () => {
+        const whole = await callServer(socket => socket.end(`${statusLine}\r\npart`));
+        assert.ok(whole.kind === "answered" && String(whole.answer.body) === "part");
+        const reset = await callServer(socket => {
+            socket.write(`${statusLine}\r\npart`);
+            setTimeout(() => socket.resetAndDestroy(), 20);
+        });
+        assert.equal(reset, truncatedOutcome);
+    });
+
+    test(`${version}: a stream without chunks is whole if its channel ends between events`, async () => {
+        const whole = await callServer(socket => socket.end(`${streamHead}id: 1\ndata: a\n\nid: 2\ndata: b\n\n`));
+        assert.equal(whole, { kind: "ended", events: 2 });
+        const delayed = await callServer(socket => {
+            socket.write(`${streamHead}id: 1\ndata: a\n`);
+            setTimeout(() => socket.end("\n"), 20);
+        });
+        assert.equal(delayed, { kind: "ended", events: 1 });
+    });
+
+    test(`${version}: a stream without chunks is broken off if its channel ends inside an event or is reset`, async () => {
+        for (const part of ["id: 1\ndata: a\n\nid: 2\ndata: b\n", "id: 1\ndata: a\n\nid", "id: 1\nda"]) {
+            assert.equal(await callServer(socket => socket.end(`${streamHead}${part}`)), truncatedOutcome, part);
+        }
+        const reset = await callServer(socket => {
+            socket.write(`${streamHead}id: 1\ndata: a\n\n`);
+            setTimeout(() => socket.resetAndDestroy(), 20);
+        });
+        assert.equal(reset, truncatedOutcome);
+    });
+}
+
 test("what calls kept of their answers is released when they are cancelled on an event", async () => {
     const stream = `HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n${"x".repeat(1_500)}`;
     const { address, server } = await listenRaw(socket => void socket.write(stream));
