gateway: the first part of prompts is only suspended like one that began before (LOST); fuzz: parts that crash engines

What callers could see: all requests of a kind refused for 15 s and longer, if two servers crashed before any run of that kind had begun, as after a start of all gateways. Cause: the part that all prompts begin with had not begun anywhere, so it counted as unknown, like the part to blame. Change: a part is common if a run with it began or it is the first of a prompt; common parts need four crashes, are tried after 1 s, 4 s, 16 s, and their runs that are under way are not ended, since they may clear it.

--- a/packages/coordination/src/crashBlame.ts
+++ b/packages/coordination/src/crashBlame.ts
@@ -9,21 +9,23 @@
 export interface PartHistory {
     /** When servers crashed under runs with it, since a run with it last began. */
     readonly crashTimes: readonly Milliseconds[];
-    /** Whether a run with it ever began. */
-    readonly hasBegun: boolean;
+    /** Whether other requests are likely to need it: a run with it began before, or it is the first part of a prompt. */
+    readonly isCommon: boolean;
 }
 
 interface SuspensionRule {
     /** Crashes after which a part is suspended. */
     readonly crashes: number;
-    /** From the last of these crashes to the next try; each further crash doubles it. */
+    /** From the last of these crashes to the next try. */
     readonly pause: Milliseconds;
+    /** By how much each further crash multiplies the pause. */
+    readonly growth: number;
 }
 
-/** Other requests may need a part that has begun before: it is suspended later, and tried again sooner. */
-const rules: Readonly<Record<"unknown" | "begun", SuspensionRule>> = {
-    unknown: { crashes: 2, pause: 15_000 },
-    begun: { crashes: 4, pause: 1_000 },
+/** A common part is suspended later, and tried again sooner. */
+const rules: Readonly<Record<"rare" | "common", SuspensionRule>> = {
+    rare: { crashes: 2, pause: 15_000, growth: 2 },
+    common: { crashes: 4, pause: 1_000, growth: 4 },
 };
 
 /** The longest time without a try. */
@@ -35,13 +37,13 @@
  * Returns until when a part is suspended; undefined if it is not. After that time one run may try it.
  *
  * @example
- * const until = suspendedUntil({ crashTimes: [1_000, 2_500], hasBegun: false }); // 17_500
+ * const until = suspendedUntil({ crashTimes: [1_000, 2_500], isCommon: false }); // 17_500
  */
-export function suspendedUntil({ crashTimes, hasBegun }: PartHistory): Milliseconds | undefined {
-    const { crashes, pause } = rules[hasBegun ? "begun" : "unknown"];
+export function suspendedUntil({ crashTimes, isCommon }: PartHistory): Milliseconds | undefined {
+    const { crashes, pause, growth } = rules[isCommon ? "common" : "rare"];
     const separate = separateCrashes(crashTimes);
     const further = separate.length - crashes;
-    return further < 0 ? undefined : separate[separate.length - 1] + Math.min(longestPause, pause * 2 ** further);
+    return further < 0 ? undefined : separate[separate.length - 1] + Math.min(longestPause, pause * growth ** further);
 }
 
 /** The times of crashes, without those that came together with an earlier one. */
--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -7,6 +7,7 @@
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
 import {
     configurationSchedules,
+    deadlyPartSchedules,
     limitSchedules,
     noticeSchedules,
     overlaidGateways,
@@ -55,6 +56,12 @@
     schedules: configurationSchedules,
 };
 
+/** Gateways on the users' platform, with parts of prompts that crash engines. */
+export const deadlyPartPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: deadlyPartSchedules,
+};
+
 /** Gateways on the users' platform, with backend servers that declare limits. */
 export const limitedPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -5,6 +5,7 @@
 import { hideBin } from "yargs/helpers";
 import {
     configurationPlatformSystem,
+    deadlyPartPlatformSystem,
     fuzz,
     type FuzzTarget,
     limitedPlatformSystem,
@@ -17,6 +18,7 @@
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
 import {
     configurationMutations,
+    deadlyPartMutations,
     limitMutations,
     noticeMutations,
     pauseMutations,
@@ -63,6 +65,7 @@
     ...createSearches(linkedSystem, mutations),
     ...createSearches(platformSystem, platformMutations),
     ...createSearches(configurationPlatformSystem, configurationMutations),
+    ...createSearches(deadlyPartPlatformSystem, deadlyPartMutations),
     ...createSearches(limitedPlatformSystem, limitMutations),
     ...createSearches(noticePlatformSystem, noticeMutations),
     ...createSearches(pausePlatformSystem, pauseMutations),
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -20,6 +20,11 @@
     | { readonly kind: "configure"; }
     /** Writes the configuration before the newest one again. */
     | { readonly kind: "rewriteOld"; }
+    /**
+     * A part of a prompt crashes each engine that begins to answer on it, while requests arrive ten times a second, a
+     * third of them with it.
+     */
+    | { readonly kind: "deadlyPart"; readonly duration: number; }
     /** Sends a request for the route that one of the last versions added. */
     | { readonly kind: "probe"; readonly gateway: number; readonly back: number; };
 
@@ -191,6 +196,14 @@
     return schedulesOf(weighted, steps);
 }
 
+const deadlyPart = arbitraryAction("deadlyPart", { duration: fc.integer({ min: 4_000, max: 12_000 }) });
+
+/** Generates schedules of up to `steps` steps, in which parts of prompts crash engines. */
+export function deadlyPartSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    const weighted = fc.oneof({ arbitrary: action, weight: 20 }, { arbitrary: deadlyPart, weight: 1 });
+    return schedulesOf(weighted, steps);
+}
+
 const configurationActions = fc.oneof(
     { arbitrary: arbitraryAction("configure", {}), weight: 4 },
     { arbitrary: arbitraryAction("probe", { gateway: slot, back: fc.nat(1) }), weight: 20 },
@@ -222,7 +235,7 @@
     });
 }
 
-const callerKinds: ReadonlySet<string> = new Set(["ask", "leave", "configure", "rewriteOld", "probe"]);
+const callerKinds: ReadonlySet<string> = new Set(["ask", "leave", "configure", "rewriteOld", "probe", "deadlyPart"]);
 const storeKinds: ReadonlySet<string> = new Set([
     "storeBehaves",
     "storeSlow",
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -122,6 +122,17 @@
     { name: "ticks stop for seconds", promises: ["configuration_in_force"], implementation: createTickLoss() },
 ];
 
+function forgetParts(event: GatewayEvent, { promptParts }: GatewayState): GatewayEvent {
+    promptParts.suspects.clear();
+    promptParts.lostRuns.clear();
+    return event;
+}
+
+/** Mutations that only schedules with parts that crash engines can find. */
+export const deadlyPartMutations: readonly Mutation<GatewayInterceptors>[] = [
+    eventMutation("crashes under a part are forgotten", ["deadly_part_contained"], forgetParts),
+];
+
 /** Mutations that only schedules in which servers declare limits can find. */
 export const limitMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation("limits of servers are ignored", ["server_limit_kept"], forgetLimits),
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -6,6 +6,7 @@
 import type { BackendCall, ResponseHead, StreamEvent } from "@verbenaspring/gateway";
 import type { Milliseconds, RequestId } from "@verbenaspring/model";
 import { BrokenPromiseError, type PromiseName } from "../oracle.js";
+import { DeadlyPartOracle } from "./deadlyPartOracle.js";
 import { FaultRecord } from "./faultRecord.js";
 import { isEarlyInStop, platformLimits } from "./limits.js";
 import { mustRunAtMostOnce, type RequestOrProbeKind, serviceOf } from "./requestKinds.js";
@@ -48,6 +49,7 @@
     readonly faultRecord: FaultRecord;
     readonly serverLimits: ServerLimitOracle<VirtualGateway>;
     readonly serverNotices = new ServerNoticeOracle<VirtualGateway>((promise, detail) => this.fail(promise, detail));
+    readonly deadlyParts = new DeadlyPartOracle((promise, detail) => this.fail(promise, detail));
     readonly serverPauses = new ServerPauseOracle<VirtualGateway>(
         (promise, detail) => this.fail(promise, detail),
         ({ name }, since) => this.faultRecord.hadFaultSince(name, since - platformLimits.serverPauseReaction),
@@ -235,6 +237,9 @@
         this.serverLimits.recordArrival(gateway, call.backendServer, now);
         this.serverPauses.recordArrival(gateway, call.backendServer, now);
         this.serverNotices.checkArrival(gateway, call.backendServer, request?.sentAt ?? now);
+        if (this.mustMeetTimeLimits(gateway)) {
+            this.deadlyParts.recordArrival(call.head.sharedParts, now);
+        }
         const drainPublishedAt = this.drainPublishedAt(call.backendServer);
         if (
             drainPublishedAt !== undefined && now > drainPublishedAt + platformLimits.drain
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -11,7 +11,7 @@
     VirtualPlatform,
 } from "@verbenaspring/emulator";
 import type { RequestHead } from "@verbenaspring/gateway";
-import { identifier, type Milliseconds } from "@verbenaspring/model";
+import { identifier, type Milliseconds, type PromptPartId } from "@verbenaspring/model";
 import {
     type CallerAction,
     type GatewayAction,
@@ -60,6 +60,11 @@
 const departureDelay: Milliseconds = 4_000;
 /** The time between the requests that arrive while a server declares a limit. */
 const limitedRequestInterval: Milliseconds = 50;
+/** The time between the requests that arrive while a part crashes engines; one of so many has the part. */
+const partRequestInterval: Milliseconds = 100;
+const deadlyRequestPeriod = 3;
+/** A part that all requests share. */
+const commonPart = "common";
 /** The time limit of these requests, and the length of those that are streamed. */
 const limitedRequest = { timeLimit: 1_000, length: 8 } as const;
 
@@ -90,6 +95,7 @@
     private readonly probes = new Map<PlatformRequest, (isFound: boolean) => void>();
     private requestCount = 0;
     private serverCount = 0;
+    private deadlyPartCount = 0;
 
     constructor(
         { seed }: PlatformSchedule,
@@ -114,6 +120,11 @@
             callArrived: (gateway, call) => this.oracle.recordArrival(gateway, call),
             pauseRequested: (gateway, call, pause) =>
                 this.oracle.serverPauses.recordRefusal(gateway, call.backendServer, pause, this.platform.clock.now),
+            crashedUnderCall: server => {
+                this.oracle.deadlyParts.recordCrash(this.platform.clock.now);
+                this.oracle.serverNotices.forgetServer(server);
+                this.oracle.serverPauses.forgetServer(server);
+            },
             exited: gateway => this.replaceGateway(gateway),
         });
         const { clock, fleet } = this.platform;
@@ -140,7 +151,7 @@
         this.advance(recoveryTime);
         this.oracle.checkBudget();
         this.platform.gateways.forEach(gateway => this.checkRecovered(gateway));
-        this.advance(2 * routeTimeouts.lookup);
+        this.advance(2 * routeTimeouts.note);
     }
 
     private checkRecovered(gateway: VirtualGateway): void {
@@ -152,8 +163,13 @@
                 `${gateway.name} still has ${remaining} requests, attempts, waits and loads`,
             );
         }
-        const request = this.sendRequest(gateway, "lookup", 1, routeTimeouts.lookup);
-        this.platform.clock.schedule(routeTimeouts.lookup, () => {
+        this.checkServed(gateway, "lookup");
+        this.checkServed(gateway, "note");
+    }
+
+    private checkServed(gateway: VirtualGateway, kind: RequestKind): void {
+        const request = this.sendRequest(gateway, kind, 1, routeTimeouts[kind]);
+        this.platform.clock.schedule(routeTimeouts[kind], () => {
             if (request.end !== "whole") {
                 this.oracle.fail(
                     "serves_again",
@@ -198,6 +214,8 @@
             case "rewriteOld":
                 this.versions.recordRewrite();
                 return this.platform.configure(buildConfiguration(Math.max(0, this.versions.newestIndex - 1)));
+            case "deadlyPart":
+                return this.startDeadlyPart(action.duration);
             case "probe":
                 return this.sendProbe(
                     this.gatewayOf(action.gateway),
@@ -211,7 +229,8 @@
         kind: RequestOrProbeKind,
         length: number,
         timeLimit: Milliseconds,
-        path?: string,
+        { path, sharedParts = [commonPart] }: { readonly path?: string; readonly sharedParts?: readonly string[]; } =
+            {},
     ): PlatformRequest {
         const { clock } = this.platform;
         const timeout = Math.min(timeLimit, routeTimeouts[kind]);
@@ -236,6 +255,7 @@
             path ?? `/${kind}/1?length=${length}`,
             length,
             timeLimit,
+            sharedParts,
         );
         const requestId = this.platform.nextRequestId();
         this.oracle.recordRequestId(gateway, requestId, request);
@@ -255,9 +275,27 @@
         }
     }
 
+    /** Lets a new part crash engines for a duration, and sends requests with and without it. */
+    private startDeadlyPart(duration: Milliseconds): void {
+        const { fleet, clock } = this.platform;
+        const part = `deadly${++this.deadlyPartCount}`;
+        fleet.deadlyPart = part;
+        this.oracle.deadlyParts.startPart(part);
+        this.recordServerFault(duration);
+        for (let delay = 0; delay < duration; delay += partRequestInterval) {
+            const number = delay / partRequestInterval;
+            const sharedParts = [commonPart, number % deadlyRequestPeriod === 0 ? part : `sound${number}`];
+            const { length, timeLimit } = limitedRequest;
+            clock.schedule(
+                delay,
+                () => void this.sendRequest(this.gatewayOf(number), "plan", length, timeLimit, { sharedParts }),
+            );
+        }
+    }
+
     private sendProbe(gateway: VirtualGateway, index: number): void {
         const check = this.versions.startProbe(gateway, index, this.platform.clock.now);
-        const request = this.sendRequest(gateway, "probe", 1, routeTimeouts.probe, `/version${index}/1`);
+        const request = this.sendRequest(gateway, "probe", 1, routeTimeouts.probe, { path: `/version${index}/1` });
         this.probes.set(request, check);
         this.settleProbes();
     }
@@ -363,6 +401,9 @@
     private performServer(action: ServerAction): void {
         const { fleet, clock } = this.platform;
         const servers = fleet.liveServers();
+        if (servers.length === 0) {
+            return;
+        }
         const server = servers[action.server % servers.length];
         const { id, address } = server.options;
         const plan = fleet.findPlan(id)!;
@@ -461,13 +502,20 @@
         return this.platform.gateways[slot % this.gatewayPlan.count];
     }
 
+    /** The address of a server that runs, or of none if all have crashed. */
     private addressOf(slot: number): string {
         const servers = this.platform.fleet.liveServers();
-        return servers[slot % servers.length].options.address;
+        return servers.length === 0 ? "" : servers[slot % servers.length].options.address;
     }
 }
 
-function createRequestHead(id: string, target: string, length: number, timeLimit: Milliseconds): RequestHead {
+function createRequestHead(
+    id: string,
+    target: string,
+    length: number,
+    timeLimit: Milliseconds,
+    sharedParts: readonly string[],
+): RequestHead {
     return {
         callerAttemptId: identifier(id),
         method: "POST",
@@ -479,7 +527,7 @@
         promptTokens,
         maximumTokens: length,
         estimatedTokens: undefined,
-        sharedParts: [],
+        sharedParts: sharedParts.map(part => identifier<PromptPartId>(part)),
         headers: [],
     };
 }
--- a/packages/gateway/src/promptParts.ts
+++ b/packages/gateway/src/promptParts.ts
@@ -28,7 +28,8 @@
 /** A part under whose runs servers crashed, as gateways report it to each other. */
 export interface PeerPromptPart {
     readonly part: PromptPartId;
-    readonly hasBegun: boolean;
+    /** Whether a run with it began, or it is the first part of prompts. */
+    readonly isCommon: boolean;
     readonly crashes: readonly PeerServerCrash[];
 }
 
@@ -41,7 +42,7 @@
 
 /** A part under whose runs servers crashed. Its newest crashes, by server and incarnation. */
 interface SuspectPart {
-    readonly hasBegun: boolean;
+    readonly isCommon: boolean;
     readonly crashes: ReadonlyMap<string, ServerCrash>;
     /** The changes of all parts are numbered in the order in which this gateway learnt of them. */
     readonly number: number;
@@ -51,7 +52,8 @@
 interface LostRuns {
     readonly startedAt: number | undefined;
     readonly at: Milliseconds;
-    readonly parts: ReadonlySet<PromptPartId>;
+    /** The parts of their prompts, and whether each was the first. */
+    readonly parts: ReadonlyMap<PromptPartId, boolean>;
 }
 
 /** What a gateway knows of the parts of prompts. Owned and changed by the event loop. */
@@ -88,9 +90,9 @@
         begun.delete(part);
         begun.add(part);
         const suspect = suspects.get(part);
-        if (suspect !== undefined && (!suspect.hasBegun || openCrashes(suspect).length > 0)) {
+        if (suspect !== undefined && (!suspect.isCommon || openCrashes(suspect).length > 0)) {
             const crashes = [...suspect.crashes].map(([key, crash]) => [key, { ...crash, isCleared: true }] as const);
-            setSuspect(promptParts, part, { hasBegun: true, crashes: new Map(crashes) });
+            setSuspect(promptParts, part, { isCommon: true, crashes: new Map(crashes) });
             logDecision(transaction, "info", "prompt_part_cleared", { part });
             hasChanged = true;
         }
@@ -117,7 +119,8 @@
     }
     const { id, startedAt } = attempt.server.record;
     const known = state.promptParts.lostRuns.get(id);
-    const parts = new Set([...known?.parts ?? [], ...head.sharedParts]);
+    const parts = new Map(known?.parts);
+    head.sharedParts.forEach((part, index) => parts.set(part, index === 0 || parts.get(part) === true));
     state.promptParts.lostRuns.set(id, { startedAt, at: known?.at ?? now, parts });
     requestProbe(transaction, attempt.server.record);
 }
@@ -136,22 +139,25 @@
     }
     const { startedAt, at } = lost;
     const crash: ServerCrash = { backendServer, startedAt, at, isCleared: false };
-    for (const part of lost.parts) {
-        const suspect = promptParts.suspects.get(part);
-        const hasBegun = suspect?.hasBegun === true || promptParts.begun.has(part);
-        const crashes = new Map(suspect?.crashes).set(crashKey(crash), crash);
-        setSuspect(promptParts, part, { hasBegun, crashes: newestCrashes(crashes) });
+    for (const [part, isFirst] of lost.parts) {
+        const isCommon = isFirst || isKnownAsCommon(promptParts, part);
+        const crashes = new Map(promptParts.suspects.get(part)?.crashes).set(crashKey(crash), crash);
+        setSuspect(promptParts, part, { isCommon, crashes: newestCrashes(crashes) });
         logDecision(transaction, "info", "prompt_part_blamed", {
             part,
             server: backendServer,
             crashes: openCrashes(promptParts.suspects.get(part)).length,
-            hasBegun,
+            isCommon,
         });
     }
     reportToPeers(transaction);
     stopSuspendedRequests(transaction);
 }
 
+function isKnownAsCommon({ suspects, begun }: PromptParts, part: PromptPartId): boolean {
+    return suspects.get(part)?.isCommon === true || begun.has(part);
+}
+
 function isOtherIncarnation(one: number | undefined, other: number | undefined): boolean {
     return one !== undefined && other !== undefined && one !== other;
 }
@@ -232,8 +238,8 @@
     // A repeat does not wait for the probe that tells whether the server of the lost run crashed.
     const unsettled = [...lostRuns.values()].filter(({ parts }) => request.sends > 0 && parts.has(part));
     const crashTimes = [...openCrashes(suspect), ...unsettled].map(({ at }) => at);
-    const hasBegun = suspect?.hasBegun === true || state.promptParts.begun.has(part);
-    const until = suspendedUntil({ crashTimes, hasBegun });
+    const isCommon = part === request.head.sharedParts[0] || isKnownAsCommon(state.promptParts, part);
+    const until = suspendedUntil({ crashTimes, isCommon });
     if (until === undefined) {
         return undefined;
     }
@@ -252,7 +258,10 @@
     return !isTried && taskRank(state.options.peerAddress, others, part) === 0;
 }
 
-/** Ends the requests that wait with a suspended part, and the runs with one that never began anywhere. */
+/**
+ * Ends the requests that wait with a suspended part, and the runs that have not begun with one that is rare. Those with a
+ * common part go on, since they may clear it.
+ */
 function stopSuspendedRequests(transaction: Transaction): void {
     const { state } = transaction;
     for (const request of [...state.requests.values()]) {
@@ -263,7 +272,7 @@
         if (request.attempt === undefined) {
             failSuspended(transaction, request, suspension);
         }
-        else if (state.promptParts.suspects.get(suspension.part)?.hasBegun === false) {
+        else if (state.promptParts.suspects.get(suspension.part)?.isCommon === false) {
             endAttempt(transaction, request, request.attempt, "cancel");
             failSuspended(transaction, request, suspension);
         }
@@ -293,7 +302,7 @@
     }
 }
 
-function applyPeerPart({ state, now }: Transaction, { part, hasBegun, crashes }: PeerPromptPart): boolean {
+function applyPeerPart({ state, now }: Transaction, { part, isCommon, crashes }: PeerPromptPart): boolean {
     const { promptParts } = state;
     const suspect = promptParts.suspects.get(part);
     const merged = new Map(suspect?.crashes);
@@ -303,7 +312,7 @@
         merged.set(crashKey(crash), { ...crash, at: known?.at ?? now - age, isCleared });
     }
     const next = {
-        hasBegun: hasBegun || suspect?.hasBegun === true || promptParts.begun.has(part),
+        isCommon: isCommon || isKnownAsCommon(promptParts, part),
         crashes: newestCrashes(merged),
     };
     if (suspect !== undefined && isSame(suspect, next)) {
@@ -314,7 +323,7 @@
 }
 
 function isSame(one: SuspectPart, other: Omit<SuspectPart, "number">): boolean {
-    return one.hasBegun === other.hasBegun && one.crashes.size === other.crashes.size
+    return one.isCommon === other.isCommon && one.crashes.size === other.crashes.size
         && [...other.crashes].every(([key, { isCleared }]) => one.crashes.get(key)?.isCleared === isCleared);
 }
 
@@ -323,9 +332,9 @@
     const { suspects, changeCount } = state.promptParts;
     return changeCount === number ? [] : [...suspects]
         .filter(([, suspect]) => suspect.number > number)
-        .map(([part, { hasBegun, crashes }]) => ({
+        .map(([part, { isCommon, crashes }]) => ({
             part,
-            hasBegun,
+            isCommon,
             crashes: [...crashes.values()].map(({ at, ...crash }) => ({ ...crash, age: now - at })),
         }));
 }
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -61,11 +61,11 @@
     };
 }
 
-function encodePart({ part, hasBegun, crashes }: PeerPromptPart): PeerPromptPartMessage {
+function encodePart({ part, isCommon, crashes }: PeerPromptPart): PeerPromptPartMessage {
     return {
         $typeName: "verbenaspring.v1.PeerPromptPart",
         part,
-        hasBegun,
+        isCommon,
         crashes: crashes.map(crash => ({ $typeName: "verbenaspring.v1.PeerServerCrash", ...crash })),
     };
 }
@@ -120,10 +120,10 @@
     };
 }
 
-function decodePart({ part, hasBegun, crashes }: PeerPromptPartMessage): PeerPromptPart {
+function decodePart({ part, isCommon, crashes }: PeerPromptPartMessage): PeerPromptPart {
     return {
         part: identifier(part),
-        hasBegun,
+        isCommon,
         crashes: crashes.map(({ backendServer, startedAt, age, isCleared }) => ({
             backendServer: identifier(backendServer),
             startedAt,
