--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -165,7 +165,7 @@
         this.crash(id);
         this.options.crashedUnderCall?.(id);
         this.options.clock.schedule(crashDuration, () => {
-            if (crashed !== undefined && this.members.get(id) === crashed) {
+            if (crashed?.state === "ready" && this.members.get(id) === crashed) {
                 this.add(crashed.plan, crashed.model.options.address);
             }
         });
--- a/packages/gateway/src/promptParts.ts
+++ b/packages/gateway/src/promptParts.ts
@@ -170,6 +170,18 @@
     return [...suspect?.crashes.values() ?? []].filter(({ isCleared }) => !isCleared);
 }
 
+/** The crashes that count against a common part: those under no rare part that is suspended. */
+function unexplainedCrashes({ suspects }: PromptParts, part: PromptPartId): ServerCrash[] {
+    const crashes = openCrashes(suspects.get(part));
+    const suspended = crashes.length === 0 ? [] : [...suspects.values()].filter(isSuspendedRare);
+    return crashes.filter(crash => !suspended.some(other => other.crashes.get(crashKey(crash))?.isCleared === false));
+}
+
+function isSuspendedRare(suspect: SuspectPart): boolean {
+    const crashTimes = openCrashes(suspect).map(({ at }) => at);
+    return !suspect.isCommon && suspendedUntil({ crashTimes, isCommon: false }) !== undefined;
+}
+
 /** Keeps the crashes that count, and of these the newest. */
 function newestCrashes(crashes: ReadonlyMap<string, ServerCrash>): ReadonlyMap<string, ServerCrash> {
     const order = ({ isCleared, at }: ServerCrash): number => isCleared ? -Infinity : at;
@@ -237,8 +249,9 @@
     }
     // A repeat does not wait for the probe that tells whether the server of the lost run crashed.
     const unsettled = [...lostRuns.values()].filter(({ parts }) => request.sends > 0 && parts.has(part));
-    const crashTimes = [...openCrashes(suspect), ...unsettled].map(({ at }) => at);
     const isCommon = part === request.head.sharedParts[0] || isKnownAsCommon(state.promptParts, part);
+    const crashes = isCommon ? unexplainedCrashes(state.promptParts, part) : openCrashes(suspect);
+    const crashTimes = [...crashes, ...unsettled].map(({ at }) => at);
     const until = suspendedUntil({ crashTimes, isCommon });
     if (until === undefined) {
         return undefined;
--- a/packages/gateway/test/promptParts.test.ts
+++ b/packages/gateway/test/promptParts.test.ts
@@ -115,6 +115,13 @@
     assert.is(isSent(gateway, shared), false);
 });
 
+test("crashes under a rare part that is suspended do not count against the parts that all share", () => {
+    const gateway = gatewayWithEngines();
+    ["a", "a", "b", "b", "c", "c"].forEach(part => crashServers(gateway, 1, identifier(part)));
+    assert.ok(isSent(gateway, shared));
+    assert.is(isSent(gateway, identifier("c")), false);
+});
+
 test("a part that began before is suspended after four crashes, and tried again a second later", () => {
     const gateway = gatewayWithEngines();
     gateway.startStream("begins", "plan", withParts(shared));
