gateway: a part is tried again by the next gateway if the first has no request with it; bounds of lost runs

Found in the reading of the change: (1) only the gateway that ranks first tried a suspended part; one that gets no such request, or is stopping, would have left it suspended for half an hour. Each further rank may now try 1.5 s later, and gateways that stop are not counted. (2) The parts that have begun were evicted one a run although a run brings several, so the set could grow without bound; (3) lost runs of a server that wants no calls stayed for ever. Each has a test or an assertion that failed before (second gateway: [false, false]; 12,000 parts instead of 8,192; 1 lost run instead of 0).

--- a/packages/gateway/src/promptParts.ts
+++ b/packages/gateway/src/promptParts.ts
@@ -75,6 +75,10 @@
 const suspectRetention: Milliseconds = 1_800_000;
 /** The `retryAfter` while another gateway, or another request, may be trying a part again. */
 const trialRetryAfter: Milliseconds = 1_000;
+/** By how much later each gateway may try a part than the one that ranks before it. */
+const trialStagger: Milliseconds = 1_500;
+/** A probe has told within this time whether the server of lost runs crashed. */
+const probeResultTimeout: Milliseconds = 1_000;
 
 /** Creates the knowledge of a gateway that has seen no crash. */
 export function createPromptParts(): PromptParts {
@@ -118,6 +122,7 @@
         return;
     }
     const { id, startedAt } = attempt.server.record;
+    forgetUnsettledRuns(transaction);
     const known = state.promptParts.lostRuns.get(id);
     const parts = new Map(known?.parts);
     head.sharedParts.forEach((part, index) => parts.set(part, index === 0 || parts.get(part) === true));
@@ -125,6 +130,15 @@
     requestProbe(transaction, attempt.server.record);
 }
 
+/** Forgets lost runs whose server was not probed, since it wants no calls. */
+function forgetUnsettledRuns({ state: { promptParts: { lostRuns } }, now }: Transaction): void {
+    for (const [id, { at }] of lostRuns) {
+        if (now - at > probeResultTimeout) {
+            lostRuns.delete(id);
+        }
+    }
+}
+
 /** Blames the parts of lost runs if the probe of their server shows that it crashed. */
 export function settleLostRuns(
     transaction: Transaction,
@@ -200,14 +214,18 @@
     entries: { readonly size: number; delete(key: PromptPartId): boolean; keys(): Iterable<PromptPartId>; },
     most: number,
 ): void {
-    if (entries.size > most) {
-        const [oldest] = entries.keys();
+    for (const oldest of entries.keys()) {
+        if (entries.size <= most) {
+            return;
+        }
         entries.delete(oldest);
     }
 }
 
-/** Forgets the parts under which no server has crashed for long. */
-export function forgetSuspects({ state: { promptParts: { suspects } }, now }: Transaction): void {
+/** Forgets the parts under which no server has crashed for long, and lost runs that no probe explains. */
+export function forgetSuspects(transaction: Transaction): void {
+    const { state: { promptParts: { suspects } }, now } = transaction;
+    forgetUnsettledRuns(transaction);
     for (const [part, { crashes }] of suspects) {
         if ([...crashes.values()].every(({ at }) => now - at > suspectRetention)) {
             suspects.delete(part);
@@ -259,16 +277,21 @@
     if (now < until) {
         return until - now;
     }
-    return mayTry(state, request, part, now) ? undefined : trialRetryAfter;
+    const isTurn = now >= until + trialStagger * trialRank(state, part, now);
+    return isTurn && !isTried(state, request, part) ? undefined : trialRetryAfter;
+}
+
+/** The rank of this gateway among those that may try a suspended part again. */
+function trialRank(state: GatewayState, part: PromptPartId, now: Milliseconds): number {
+    const others = liveMembers(state, now).filter(({ record }) => !record.isStopping);
+    return taskRank(state.options.peerAddress, others.map(({ record }) => record.address), part);
 }
 
-/** Whether this gateway is the one that tries a suspended part again, and no other run of it does so already. */
-function mayTry(state: GatewayState, request: GatewayRequest, part: PromptPartId, now: Milliseconds): boolean {
-    const others = liveMembers(state, now).map(({ record }) => record.address);
-    const isTried = [...state.requests.values()].some(other =>
+/** Whether another request here has the part and has not begun. */
+function isTried({ requests }: GatewayState, request: GatewayRequest, part: PromptPartId): boolean {
+    return [...requests.values()].some(other =>
         other !== request && other.lastEvent === undefined && other.head.sharedParts.includes(part)
     );
-    return !isTried && taskRank(state.options.peerAddress, others, part) === 0;
 }
 
 /**
--- a/packages/gateway/test/promptParts.test.ts
+++ b/packages/gateway/test/promptParts.test.ts
@@ -91,6 +91,15 @@
     assert.is(isSent(gateway, deadly), false);
 });
 
+test("a lost run whose server wants no calls is not probed, and forgotten", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.sendRequest("lost", "plan", withParts(deadly));
+    gateway.state.pausedUntil.set(call.backendServer, gateway.now + 60_000);
+    assert.not.ok(kindsIn(gateway.failAttempt(call)).includes("probeServer"));
+    gateway.advance(1_100);
+    assert.is(gateway.state.promptParts.lostRuns.size, 0);
+});
+
 test("runs that had begun blame nothing", () => {
     const gateway = gatewayWithEngines();
     for (let count = 0; count < 3; count++) {
@@ -186,14 +195,14 @@
     assert.ok(kindsIn(gateway.receiveEvents(streams, 2)).includes("answerEvents"));
 });
 
-test("after its pause a part is tried by one gateway, with one run at a time", () => {
+test("after its pause a part is tried by one gateway after the other, with one run at a time", () => {
     const addresses = ["10.1.0.1:8748", "10.1.0.2:8748"].map(address => identifier<PeerAddress>(address));
     const gateways = addresses.map((address, index, all) => {
         const gateway = gatewayWithEngines();
         gateway.state.options = { ...gateway.state.options, peerAddress: address };
         gateway.receiveReport({ address: all[1 - index] });
         crashServers(gateway, 2, deadly);
-        gateway.now += 16_000;
+        gateway.now += 14_500;
         gateway.receiveReport({ address: all[1 - index] });
         return gateway;
     });
@@ -201,6 +210,8 @@
     assert.equal([...areSent].sort(), [false, true]);
     gateways.forEach(gateway => gateway.now += 10);
     assert.equal(gateways.map(gateway => isSent(gateway, deadly)), [false, false]);
+    gateways.forEach(gateway => gateway.now += 1_500);
+    assert.equal(gateways.map(gateway => isSent(gateway, deadly)), areSent.map(isFirst => !isFirst));
 });
 
 test("what is kept of parts is bounded, and forgotten half an hour after the last crash", () => {
@@ -218,7 +229,13 @@
         crashes,
     }));
     gateway.receiveReport({ promptParts });
-    const { suspects } = gateway.state.promptParts;
+    const { suspects, begun } = gateway.state.promptParts;
+    for (let number = 0; number < 400; number++) {
+        const parts = Array.from({ length: 30 }, (_, index) => identifier<PromptPartId>(`begun${number}/${index}`));
+        const call = gateway.startStream(`begun${number}`, "plan", { sharedParts: parts });
+        gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
+    }
+    assert.is(begun.size, 8_192);
     assert.equal([suspects.size, suspects.get(identifier("part1499"))!.crashes.size], [1_024, 8]);
     gateway.now += 1_800_100;
     gateway.handle({ kind: "tick" });
