--- a/packages/gateway/test/promptParts.test.ts
+++ b/packages/gateway/test/promptParts.test.ts
@@ -210,7 +210,10 @@
     assert.equal([...areSent].sort(), [false, true]);
     gateways.forEach(gateway => gateway.now += 10);
     assert.equal(gateways.map(gateway => isSent(gateway, deadly)), [false, false]);
-    gateways.forEach(gateway => gateway.now += 1_500);
+    gateways.forEach((gateway, index) => {
+        gateway.now += 1_500;
+        gateway.receiveReport({ address: addresses[1 - index] });
+    });
     assert.equal(gateways.map(gateway => isSent(gateway, deadly)), areSent.map(isFirst => !isFirst));
 });
 
