gateway: log lines and a histogram tell how long a request may have waited before it was read

Cause: the clock of a request starts when it is read, so neither a line nor a histogram told whether callers left because the gateway was behind (GONE, hypotheses 1 and 2 of docs/incidents/2026-12-04-callers-that-left.md). Change: the tick monitor estimates it from the ticks: what is read now came after the sockets were polled between the last two ticks. readDelay stands in every line of a request, and as verbenaspring_read_delay_milliseconds.

--- a/packages/emulator/src/virtualPlatform.ts
+++ b/packages/emulator/src/virtualPlatform.ts
@@ -134,7 +134,7 @@
 
     /** Sends a caller's request to a gateway. */
     ask(gateway: VirtualGateway, requestId: RequestId, head: RequestHead): void {
-        gateway.handleEvent({ kind: "requestReceived", requestId, head, receivedAt: this.clock.now });
+        gateway.handleEvent({ kind: "requestReceived", requestId, head, receivedAt: this.clock.now, readDelay: 0 });
     }
 }
 
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -86,6 +86,8 @@
         readonly requestId: RequestId;
         readonly head: RequestHead;
         readonly receivedAt: Milliseconds;
+        /** How long the request may have waited at the gateway's socket before it was read. */
+        readonly readDelay: Milliseconds;
     }
     | { readonly kind: "callerLeft"; readonly requestId: RequestId; }
     | { readonly kind: "attemptAnswered"; readonly attemptId: AttemptId; readonly answer: BackendAnswer; }
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -58,6 +58,8 @@
     readonly service: ServiceName;
     readonly organisation: Organisation | undefined;
     readonly arrivedAt: Milliseconds;
+    /** How long the request may have waited before it was read. */
+    readonly readDelay: Milliseconds;
     readonly deadline: Milliseconds;
     attempt: Attempt | undefined;
     /** The number of sends so far, including those that were refused. */
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -181,6 +181,7 @@
             requestId: identifier(requestId),
             head: requestHead(requestId, routeName, overrides),
             receivedAt: this.now,
+            readDelay: 0,
         });
     }
 
--- a/packages/runtime/src/entryDaemon.ts
+++ b/packages/runtime/src/entryDaemon.ts
@@ -43,7 +43,7 @@
         sources: [runner.events.stream],
         tick: { kind: "tick" },
         tickInterval,
-        observeTick: createTickMonitor(tickInterval, log, metrics),
+        observeTick: createTickMonitor(tickInterval, log, metrics).observe,
         reduce: (event, now) => reduceEntry(state, event, now, systemSource),
         perform: effect => runner.perform(effect),
         handleError: error => log("error", "loop_failed", { error: describeError(error) }),
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -98,14 +98,15 @@
     setInterval(startNextWindow, logRateWindow).unref();
     const metrics = createMetrics();
     const state = createGatewayState(options, identifier(systemSource.newIdentifier()));
-    const runner = new GatewayRunner(options, state, adapter, log, metrics);
+    const ticks = createTickMonitor(tickInterval, log, metrics);
+    const runner = new GatewayRunner(options, state, adapter, log, metrics, ticks.readDelay);
     await runner.listen();
     log("info", "started", { callers: options.callerAddress, readiness: options.readinessAddress });
     runLoop<GatewayEvent, GatewayEffect>({
         sources: [runner.events.stream],
         tick: { kind: "tick" },
         tickInterval,
-        observeTick: createTickMonitor(tickInterval, log, metrics),
+        observeTick: ticks.observe,
         reduce: (event, now) => reduceGateway(state, event, now, systemSource),
         perform: effect => runner.perform(effect),
         handleError: error => log("error", "loop_failed", { error: describeError(error) }),
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -54,6 +54,7 @@
         private readonly adapter: GatewayAdapter,
         private readonly log: EventLog,
         private readonly metrics: Metrics,
+        private readonly readDelay: (now: Milliseconds) => Milliseconds,
     ) {
         this.callers = this.createCallers();
         this.channels = this.createChannels();
@@ -162,10 +163,12 @@
             () => identifier<RequestId>(String(++this.requestCount)),
             {
                 received: (requestId, head, body, receivedAt) => {
+                    const readDelay = this.readDelay(receivedAt);
                     this.bodies.set(requestId, body);
                     this.receivedAtOfRequest.set(requestId, receivedAt);
                     this.metrics.count("verbenaspring_requests_total");
-                    push({ kind: "requestReceived", requestId, head, receivedAt });
+                    this.metrics.record("verbenaspring_read_delay_milliseconds", readDelay);
+                    push({ kind: "requestReceived", requestId, head, receivedAt, readDelay });
                 },
                 left: requestId => {
                     push({ kind: "callerLeft", requestId });
--- a/packages/runtime/src/sidecarDaemon.ts
+++ b/packages/runtime/src/sidecarDaemon.ts
@@ -43,7 +43,7 @@
         sources: [runner.events.stream],
         tick: { kind: "tick" },
         tickInterval,
-        observeTick: createTickMonitor(tickInterval, log, metrics),
+        observeTick: createTickMonitor(tickInterval, log, metrics).observe,
         reduce: (event, now) => reduceSidecar(state, event, now, systemSource),
         perform: effect => runner.perform(effect),
         handleError: error => log("error", "loop_failed", { error: describeError(error) }),
--- a/packages/runtime/src/tickMonitor.ts
+++ b/packages/runtime/src/tickMonitor.ts
@@ -11,18 +11,34 @@
 /** Observes one tick. */
 export type ObserveTick = (now: Milliseconds, timeOfDay: Milliseconds) => void;
 
+/** Watches the ticks of an event loop. */
+export interface TickMonitor {
+    readonly observe: ObserveTick;
+    /**
+     * How long the bytes that are read at `now` may have waited for the loop; 0 while ticks come on time. The estimate
+     * holds for channels that were accepted before they were written to, and is too low by one turn of the loop for others.
+     */
+    readonly readDelay: (now: Milliseconds) => Milliseconds;
+}
+
+interface Tick {
+    readonly now: Milliseconds;
+    readonly timeOfDay: Milliseconds;
+}
+
 /**
- * Creates an observer of ticks. A suspended process shows up as a jump of the time of day without a delay, since the
+ * Creates a monitor of ticks. A suspended process shows up as a jump of the time of day without a delay, since the
  * monotonic clock stands still meanwhile.
  *
  * @param interval the time from one tick to the next
  * @example
- * const observeTick = createTickMonitor(50, log, metrics);
- * observeTick(monotonicNow(), Date.now());
+ * const monitor = createTickMonitor(50, log, metrics);
+ * monitor.observe(monotonicNow(), Date.now());
  */
-export function createTickMonitor(interval: Milliseconds, log: EventLog, metrics: Metrics): ObserveTick {
-    let previous: { readonly now: Milliseconds; readonly timeOfDay: Milliseconds; } | undefined;
-    return (now, timeOfDay) => {
+export function createTickMonitor(interval: Milliseconds, log: EventLog, metrics: Metrics): TickMonitor {
+    let previous: Tick | undefined;
+    let beforePrevious: Tick | undefined;
+    const observe = (now: Milliseconds, timeOfDay: Milliseconds): void => {
         if (previous !== undefined) {
             const elapsed = now - previous.now;
             const delay = Math.round(Math.max(0, elapsed - interval));
@@ -35,6 +51,11 @@
                 log("warn", "clock_changed", { delay, clockChange });
             }
         }
+        beforePrevious = previous;
         previous = { now, timeOfDay };
     };
+    // All sockets were polled between the last two ticks, so what is read now came after the earlier one.
+    const readDelay = (now: Milliseconds): Milliseconds =>
+        beforePrevious === undefined ? 0 : Math.max(0, now - beforePrevious.now - 2 * interval);
+    return { observe, readDelay };
 }
