gateway: a request is handled once its channel has been read again, so that a caller that left is known (GONE)

Callers saw: work for callers that had left. Cause: after a delay of the loop a request and the end of its channel lie in the socket together. Node reads the request first; it was sent in the same turn, and the end was read a turn later. The class is that of REFUSED: acting on what was read without looking at what else had arrived. Change: the caller server reports a request after the sockets have been polled once more, and not at all if its channel ended. A request that is held at the exit of the process is refused as not run.

--- a/packages/cli/src/losses.ts
+++ b/packages/cli/src/losses.ts
@@ -58,6 +58,8 @@
     switch (line.fields.get("event")) {
         case "stream_answered":
             return answeredCause(line, pause);
+        case "caller_left_early":
+            return "caller left before its request was read";
         case "caller_left":
             return `caller left after ${lastFailure === undefined ? "no" : "a"} failed send`;
         case "request_failed":
--- a/packages/cli/test/losses.test.ts
+++ b/packages/cli/test/losses.test.ts
@@ -22,6 +22,7 @@
         formatLine("request_failed", "request=f route=plan reason=overloaded outcome=not_run"),
         formatLine("request_failed", "request=g route=note reason=deadline_exceeded outcome=outcome_unknown"),
         formatLine("caller_left", "request=h route=note"),
+        formatLine("caller_left_early", "request=i readDelay=900"),
         "a line without a time",
     ];
     const rows = countLosses([log.slice(0, 6).join("\n"), log.slice(6).join("\n")], { pause: 180 });
@@ -36,6 +37,9 @@
         "failed: deadline_exceeded",
         "caller left after no failed send",
     ]);
+    assert.equal(rows.filter(({ route }) => route === "").map(({ cause }) => cause), [
+        "caller left before its request was read",
+    ]);
 });
 
 test.run();
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -14,12 +14,21 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { monotonicNow } from "./eventLoop.js";
+import { afterNextPoll } from "./nextPoll.js";
 import { listen } from "./socketAddress.js";
 
+/** When a request was read, and how long it may have waited before that. */
+export interface RequestArrival {
+    readonly receivedAt: Milliseconds;
+    readonly readDelay: Milliseconds;
+}
+
 /** Callbacks for what happens on the server's channels. */
 export interface GatewayCallerHandlers {
-    /** A request has been read completely. */
-    readonly received: (requestId: RequestId, head: RequestHead, body: Buffer, receivedAt: Milliseconds) => void;
+    /** A request has been read completely, and its caller has not left. */
+    readonly received: (requestId: RequestId, head: RequestHead, body: Buffer, arrival: RequestArrival) => void;
+    /** A request has been read whose caller had left by then. It is not handled. */
+    readonly leftEarly: (head: RequestHead, arrival: RequestArrival) => void;
     /** The caller closed its channel before the answer was complete. */
     readonly left: (requestId: RequestId) => void;
     /** The server answered a request with a failure itself, because it was malformed or beyond a limit. */
@@ -78,19 +87,23 @@
 /**
  * Creates the server.
  *
+ * @param readDelay how long what is read at the given time may have waited at its socket
  * @example
- * const callers = createGatewayCallerServer(decodeCallerHead, newRequestId, handlers);
+ * const callers = createGatewayCallerServer(decodeCallerHead, newRequestId, ticks.readDelay, handlers);
  * await callers.listen("127.0.0.1:8080");
  */
 export function createGatewayCallerServer(
     decode: DecodeCallerHead,
     newRequestId: () => RequestId,
+    readDelay: (now: Milliseconds) => Milliseconds,
     handlers: GatewayCallerHandlers,
 ): GatewayCallerServer {
     const openResponses = new Map<RequestId, ServerResponse>();
     let limits = initialLimits;
     let isDraining = false;
     let bufferedBodyBytes = 0;
+    /** Requests that have been read and not been reported yet. */
+    const unreported = new Set<ServerResponse>();
     const overdueChannels = new WeakSet<Socket>();
     /** Channels that were told that no request of theirs ran. What arrives on them later is not handled. */
     const refusedChannels = new WeakSet<Socket>();
@@ -123,6 +136,7 @@
 
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
         const receivedAt = monotonicNow();
+        const arrival = { receivedAt, readDelay: readDelay(receivedAt) };
         if (refusedChannels.has(request.socket)) {
             request.socket.destroy();
             return;
@@ -167,10 +181,21 @@
         });
         request.on("end", () => {
             clearTimeout(idleTimer);
-            if (!isRejected) {
-                openResponses.set(requestId, response);
-                handlers.received(requestId, head, Buffer.concat(chunks), receivedAt);
+            if (isRejected) {
+                return;
             }
+            unreported.add(response);
+            // The end of the channel may have arrived together with the request, and is read after it.
+            afterNextPoll(() => {
+                if (!unreported.delete(response)) {
+                    return;
+                }
+                if (request.socket.readableEnded || request.socket.destroyed) {
+                    return handlers.leftEarly(head, arrival);
+                }
+                openResponses.set(requestId, response);
+                handlers.received(requestId, head, Buffer.concat(chunks), arrival);
+            });
         });
         response.on("close", () => {
             clearTimeout(idleTimer);
@@ -244,6 +269,8 @@
             }
         },
         close: () => {
+            unreported.forEach(response => writeFailure(response, closing, true));
+            unreported.clear();
             server.close();
             server.closeIdleConnections();
         },
@@ -253,6 +280,7 @@
 const headersTooLarge = failure("headers_too_large", "the headers are too large", "not_run");
 const bodyTooLarge = failure("body_too_large", "the body is too large", "not_run");
 const requestTimeout = failure("request_timeout", "the body did not come in time", "not_run");
+const closing = failure("leaving", "the instance is stopping", "not_run", overloadRetryAfter);
 const tooManyBufferedBodies = failure("overloaded", "too many bodies are being read", "not_run", overloadRetryAfter);
 
 /**
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -54,9 +54,9 @@
         private readonly adapter: GatewayAdapter,
         private readonly log: EventLog,
         private readonly metrics: Metrics,
-        private readonly readDelay: (now: Milliseconds) => Milliseconds,
+        readDelay: (now: Milliseconds) => Milliseconds,
     ) {
-        this.callers = this.createCallers();
+        this.callers = this.createCallers(readDelay);
         this.channels = this.createChannels();
         this.peerLinks = this.createPeers();
         this.readiness = createServer((_, response) => {
@@ -156,19 +156,23 @@
         }
     }
 
-    private createCallers(): GatewayCallerServer {
+    private createCallers(readDelay: (now: Milliseconds) => Milliseconds): GatewayCallerServer {
         const { push } = this.events;
         return createGatewayCallerServer(
             this.adapter.decodeCallerHead,
             () => identifier<RequestId>(String(++this.requestCount)),
+            readDelay,
             {
-                received: (requestId, head, body, receivedAt) => {
-                    const readDelay = this.readDelay(receivedAt);
+                received: (requestId, head, body, arrival) => {
                     this.bodies.set(requestId, body);
-                    this.receivedAtOfRequest.set(requestId, receivedAt);
+                    this.receivedAtOfRequest.set(requestId, arrival.receivedAt);
                     this.metrics.count("verbenaspring_requests_total");
-                    this.metrics.record("verbenaspring_read_delay_milliseconds", readDelay);
-                    push({ kind: "requestReceived", requestId, head, receivedAt, readDelay });
+                    this.metrics.record("verbenaspring_read_delay_milliseconds", arrival.readDelay);
+                    push({ kind: "requestReceived", requestId, head, ...arrival });
+                },
+                leftEarly: ({ callerAttemptId }, { readDelay }) => {
+                    const fields = { request: callerAttemptId, readDelay: Math.round(readDelay) };
+                    this.logDecision({ level: "info", event: "caller_left_early", fields });
                 },
                 left: requestId => {
                     push({ kind: "callerLeft", requestId });
--- a/packages/runtime/test/callerServerChild.ts
+++ b/packages/runtime/test/callerServerChild.ts
@@ -9,11 +9,13 @@
 const callers = createGatewayCallerServer(
     (method, target) => ({ ...createCall("127.0.0.1:1").head, method, target }),
     () => identifier<RequestId>("1"),
+    () => 0,
     {
         received: (requestId, { target }) => {
             process.send?.({ received: target });
             callers.writeFailure(requestId, failure("backend_server_failed", "it may have run", "outcome_unknown"));
         },
+        leftEarly: () => undefined,
         left: () => undefined,
         refused: () => undefined,
         drained: () => undefined,
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -288,11 +288,13 @@
         this.callers = createGatewayCallerServer(
             (method, target) => target === "/bad" ? { fault: "no" } : createHead(method, target),
             () => identifier(String(++this.count)),
+            () => 0,
             {
                 received: (requestId, _, body) => {
                     this.received.push({ requestId, body });
                     this.onReceived(requestId);
                 },
+                leftEarly: () => undefined,
                 left: requestId => this.left.push(requestId),
                 refused: () => undefined,
                 drained: () => undefined,
