runtime: a cancelled call resets its channel, so that what the server has not taken yet is not delivered (GONE)

Backend servers saw: a request whose gateway had cancelled it in time, whole, if they were slow to read. Cause: the channel of a cancelled call was closed in order, so the bytes that lay in the gateway's kernel were still sent. Small requests lie at the server already, where nothing can take them back.

--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -40,7 +40,7 @@
 /** The calls and the pooled channels of one gateway. */
 export interface BackendChannels {
     readonly send: (call: BackendCall, body: Buffer) => void;
-    /** Aborts a call and closes its channel; no callback follows. */
+    /** Aborts a call and resets its channel; no callback follows. */
     readonly cancel: (attemptId: AttemptId) => void;
     /** Pauses or resumes reading the answer of a call. */
     readonly setPaused: (attemptId: AttemptId, isPaused: boolean) => void;
@@ -197,6 +197,8 @@
                 activeCalls.delete(attemptId);
                 setKeptBytes(current, 0);
                 current.isCancelled = true;
+                // A reset: after an orderly close, what the server has not taken yet would still be delivered.
+                current.channel.socketState?.socket.resetAndDestroy();
                 void current.channel.client.destroy();
             }
         },
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -181,6 +181,35 @@
     server.close();
 });
 
+/** Cancels a call while its server is not reading, and returns how many bytes the server reads afterwards. */
+async function countBytesAfterCancel(body: Buffer): Promise<number> {
+    let received = 0;
+    const harness = new ChannelHarness();
+    const server = createServer({ pauseOnConnect: true });
+    const closed = new Promise<void>(resolve =>
+        server.on("connection", socket => {
+            socket.on("data", chunk => received += chunk.length);
+            socket.on("error", () => undefined);
+            socket.on("close", resolve);
+            setTimeout(() => harness.channels.cancel(identifier("a")), 100);
+            setTimeout(() => socket.resume(), 300);
+        })
+    );
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as { readonly port: number; };
+    harness.channels.send(createCall(`127.0.0.1:${port}`), body);
+    await closed;
+    harness.channels.close();
+    server.close();
+    return received;
+}
+
+// A server that was slow to read got a whole request after its caller had left (GONE).
+test("a cancelled call is not delivered to a server that has not taken it yet", async () => {
+    const body = Buffer.alloc(2 * 1024 * 1024);
+    assert.ok(await countBytesAfterCancel(body) < body.length);
+});
+
 test("a stream that ends in the middle of an event fails", async () => {
     const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
     const head = `${okStatusLine}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n`;
