entry: a request is handled once its channel has been read again, so that a caller that left is known (GONE)

The same cause as at the gateways, in the entries' server. Not changed: between entry and sidecar a call and its cancellation are messages of one link; a sidecar that was suspended reads both in one turn and begins the call before it cancels it.

--- a/packages/bench/test/callersThatLeftProcess.test.ts
+++ b/packages/bench/test/callersThatLeftProcess.test.ts
@@ -1,11 +1,12 @@
 /**
- * Callers that leave while their gateway cannot read.
+ * Callers that leave while their gateway or entry cannot read.
  */
-import type { GatewayProcess } from "@verbenaspring/bench";
+import type { ClusterProcess } from "@verbenaspring/bench";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { countRuns, key, startSmallCluster } from "./clusterBuilders.js";
 import { GatewayCluster } from "./gatewayCluster.js";
 
 const callers = 50;
@@ -14,8 +15,8 @@
     return new Promise(resolve => setTimeout(resolve, duration));
 }
 
-function openChannels({ callerAddress }: GatewayProcess): Promise<Socket[]> {
-    const [host, port] = callerAddress.split(":");
+function openChannels(address: string): Promise<Socket[]> {
+    const [host, port] = address.split(":");
     return Promise.all(Array.from({ length: callers }, async () => {
         const socket = connect({ host, port: Number(port) });
         socket.on("error", () => undefined);
@@ -24,33 +25,45 @@
     }));
 }
 
-function writeRequest(socket: Socket, caller: number): Promise<void> {
-    const head = ["POST /lookup/1 HTTP/1.1", "host: platform.example", `attempt-id: left-${caller}`];
-    const text = [...head, "deadline-ms: 5000", "content-length: 4", "", "body"].join("\r\n");
-    return new Promise(resolve => socket.write(text, () => resolve()));
+function writeRequest(socket: Socket, path: string, headers: readonly string[], body: string): Promise<void> {
+    const head = [`POST ${path} HTTP/1.1`, ...headers, `content-length: ${body.length}`];
+    return new Promise(resolve => socket.write([...head, "", body].join("\r\n"), () => resolve()));
+}
+
+interface SuspendedProcess extends Pick<ClusterProcess, "child"> {
+    readonly callerAddress: string;
 }
 
 /**
- * Suspends a gateway, lets callers send requests and leave, and resumes it.
+ * Suspends a process, lets callers send requests and leave, and resumes it.
  *
- * @param opensBefore whether the callers open their channels before the gateway is suspended
- * @returns the number of requests that a server ran
+ * @param opensBefore whether the callers open their channels before the process is suspended
  */
-async function countRunsForCallersThatLeft(opensBefore: boolean): Promise<number> {
+async function leaveWhileSuspended(
+    { child, callerAddress }: SuspendedProcess,
+    opensBefore: boolean,
+    send: (socket: Socket, caller: number) => Promise<void>,
+): Promise<void> {
+    const early = opensBefore ? await openChannels(callerAddress) : undefined;
+    await pause(200);
+    child.kill("SIGSTOP");
+    await pause(100);
+    const sockets = early ?? await openChannels(callerAddress);
+    await Promise.all(sockets.map(send));
+    sockets.forEach(socket => socket.destroy());
+    await pause(700);
+    child.kill("SIGCONT");
+    await pause(1_500);
+}
+
+async function countRunsAtGateway(opensBefore: boolean): Promise<number> {
     const cluster = await GatewayCluster.start(1);
     try {
         const server = await cluster.addServer("w1", "plain", 5);
-        const [gateway] = cluster.gateways;
-        const early = opensBefore ? await openChannels(gateway) : undefined;
-        await pause(200);
-        gateway.child.kill("SIGSTOP");
-        await pause(100);
-        const sockets = early ?? await openChannels(gateway);
-        await Promise.all(sockets.map(writeRequest));
-        sockets.forEach(socket => socket.destroy());
-        await pause(700);
-        gateway.child.kill("SIGCONT");
-        await pause(1_500);
+        await leaveWhileSuspended(cluster.gateways[0], opensBefore, (socket, caller) => {
+            const headers = ["host: platform.example", `attempt-id: left-${caller}`, "deadline-ms: 5000"];
+            return writeRequest(socket, "/lookup/1", headers, "body");
+        });
         return server.runs().length;
     }
     finally {
@@ -60,9 +73,27 @@
 
 // Requests were read and sent on before the end of their channel was read (GONE).
 test("requests of callers that left before they were read are not sent to servers, on new channels", async () =>
-    assert.is(await countRunsForCallersThatLeft(false), 0));
+    assert.is(await countRunsAtGateway(false), 0));
 
 test("requests of callers that left before they were read are not sent to servers, on open channels", async () =>
-    assert.is(await countRunsForCallersThatLeft(true), 0));
+    assert.is(await countRunsAtGateway(true), 0));
+
+test("requests of callers that left before they were read are not sent to servers by an entry", async () => {
+    const cluster = await startSmallCluster();
+    try {
+        await leaveWhileSuspended(cluster.entries[0], false, (socket, caller) => {
+            const headers = ["host: h", `authorization: Bearer ${key}`, "content-type: application/json"];
+            return writeRequest(socket, "/services/booking/slots/confirm", headers, `{"booking":"left-${caller}"}`);
+        });
+        let runs = 0;
+        for (let caller = 0; caller < callers; caller++) {
+            runs += await countRuns(cluster, `left-${caller}`);
+        }
+        assert.is(runs, 0);
+    }
+    finally {
+        await cluster.stop();
+    }
+});
 
 test.run();
--- a/packages/runtime/src/callerServer.ts
+++ b/packages/runtime/src/callerServer.ts
@@ -7,11 +7,14 @@
 import type { Duplex } from "node:stream";
 import { CallerAnswer, formatFailure } from "./callerAnswer.js";
 import { parseCall } from "./callParser.js";
+import { afterNextPoll } from "./nextPoll.js";
 import { listen } from "./socketAddress.js";
 
 /** Callbacks for what happens to requests. */
 export interface CallerServerHandlers {
     readonly requested: (requestId: RequestId, call: Call) => void;
+    /** A request has been read whose caller had left by then. It is not handled. */
+    readonly leftEarly: (requestId: RequestId) => void;
     /** The caller closed its connection before its answer was complete. */
     readonly left: (requestId: RequestId) => void;
     /** The caller reads more slowly than its answer is written. */
@@ -61,6 +64,11 @@
             response.setHeader("connection", "close");
             return rejectRequest(requestId, response, body);
         }
+        // The end of the channel may have arrived together with the request, and is read after it.
+        await new Promise<void>(afterNextPoll);
+        if (request.socket.readableEnded || request.socket.destroyed) {
+            return handlers.leftEarly(requestId);
+        }
         const parsed = parseCall(request, body);
         if ("type" in parsed) {
             return rejectRequest(requestId, response, parsed);
--- a/packages/runtime/src/entryRunner.ts
+++ b/packages/runtime/src/entryRunner.ts
@@ -121,6 +121,7 @@
                 const traceparent = this.telemetry.begin(requestId, call.traceparent);
                 push({ kind: "callerRequested", requestId, call: { ...call, traceparent } });
             },
+            leftEarly: request => this.log("info", "caller_left_early", { request }),
             left: requestId => push({ kind: "callerLeft", requestId }),
             blocked: requestId => push({ kind: "callerBlocked", requestId }),
             drained: requestId => push({ kind: "callerDrained", requestId }),
