--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -122,9 +122,9 @@
     { name: "ticks stop for seconds", promises: ["configuration_in_force"], implementation: createTickLoss() },
 ];
 
-function forgetParts(event: GatewayEvent, { promptParts }: GatewayState): GatewayEvent {
-    promptParts.suspects.clear();
-    promptParts.lostRuns.clear();
+function forgetParts(event: GatewayEvent, { crashSuspects }: GatewayState): GatewayEvent {
+    crashSuspects.suspects.clear();
+    crashSuspects.lostRuns.clear();
     return event;
 }
 
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -10,11 +10,11 @@
     type ServerHealth,
 } from "@verbenaspring/coordination";
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
+import { failSuspended, recordBegunRun, recordLostRun, suspensionOf } from "./crashSuspects.js";
 import type { AttemptFailure, GatewayEvent } from "./event.js";
 import { recordLeavingNotice } from "./leavingServers.js";
 import { probeSilentServer, recordSignOfLife } from "./liveness.js";
 import type { BackendAnswer, ResponseHead } from "./messages.js";
-import { failSuspended, recordBegunRun, recordLostRun, suspensionOf } from "./promptParts.js";
 import { recordRequestLimit } from "./requestLimits.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
 import { canDispatchAgain, dispatch, timeUntilUsable } from "./sending.js";
--- a/packages/gateway/src/promptParts.ts
+++ b/packages/gateway/src/crashSuspects.ts
@@ -26,7 +26,7 @@
 }
 
 /** A part under whose runs servers crashed, as gateways report it to each other. */
-export interface PeerPromptPart {
+export interface PeerCrashSuspect {
     readonly part: PromptPartId;
     /** Whether a run with it began, or it is the first part of prompts. */
     readonly isCommon: boolean;
@@ -41,7 +41,7 @@
 }
 
 /** A part under whose runs servers crashed. Its newest crashes, by server and incarnation. */
-interface SuspectPart {
+interface Suspect {
     readonly isCommon: boolean;
     readonly crashes: ReadonlyMap<string, ServerCrash>;
     /** The changes of all parts are numbered in the order in which this gateway learnt of them. */
@@ -57,11 +57,11 @@
 }
 
 /** What a gateway knows of the parts of prompts. Owned and changed by the event loop. */
-export interface PromptParts {
+export interface CrashSuspects {
     /** The parts with which runs began at this gateway, the one that began least recently first. */
     readonly begun: Set<PromptPartId>;
     /** Least recently changed first. */
-    readonly suspects: Map<PromptPartId, SuspectPart>;
+    readonly suspects: Map<PromptPartId, Suspect>;
     readonly lostRuns: Map<BackendServerId, LostRuns>;
     /** The number of the newest change of a suspect. */
     changeCount: number;
@@ -81,14 +81,14 @@
 const probeResultTimeout: Milliseconds = 1_000;
 
 /** Creates the knowledge of a gateway that has seen no crash. */
-export function createPromptParts(): PromptParts {
+export function createCrashSuspects(): CrashSuspects {
     return { begun: new Set(), suspects: new Map(), lostRuns: new Map(), changeCount: 0 };
 }
 
 /** Records that the run of an attempt began, which clears the parts of its prompt. */
 export function recordBegunRun(transaction: Transaction, { head }: GatewayRequest): void {
-    const { promptParts } = transaction.state;
-    const { begun, suspects } = promptParts;
+    const { crashSuspects } = transaction.state;
+    const { begun, suspects } = crashSuspects;
     let hasChanged = false;
     for (const part of head.sharedParts) {
         begun.delete(part);
@@ -96,8 +96,8 @@
         const suspect = suspects.get(part);
         if (suspect !== undefined && (!suspect.isCommon || openCrashes(suspect).length > 0)) {
             const crashes = [...suspect.crashes].map(([key, crash]) => [key, { ...crash, isCleared: true }] as const);
-            setSuspect(promptParts, part, { isCommon: true, crashes: new Map(crashes) });
-            logDecision(transaction, "info", "prompt_part_cleared", { part });
+            setSuspect(crashSuspects, part, { isCommon: true, crashes: new Map(crashes) });
+            logDecision(transaction, "info", "suspect_cleared", { part });
             hasChanged = true;
         }
     }
@@ -123,15 +123,15 @@
     }
     const { id, startedAt } = attempt.server.record;
     forgetUnsettledRuns(transaction);
-    const known = state.promptParts.lostRuns.get(id);
+    const known = state.crashSuspects.lostRuns.get(id);
     const parts = new Map(known?.parts);
     head.sharedParts.forEach((part, index) => parts.set(part, index === 0 || parts.get(part) === true));
-    state.promptParts.lostRuns.set(id, { startedAt, at: known?.at ?? now, parts });
+    state.crashSuspects.lostRuns.set(id, { startedAt, at: known?.at ?? now, parts });
     requestProbe(transaction, attempt.server.record);
 }
 
 /** Forgets lost runs whose server was not probed, since it wants no calls. */
-function forgetUnsettledRuns({ state: { promptParts: { lostRuns } }, now }: Transaction): void {
+function forgetUnsettledRuns({ state: { crashSuspects: { lostRuns } }, now }: Transaction): void {
     for (const [id, { at }] of lostRuns) {
         if (now - at > probeResultTimeout) {
             lostRuns.delete(id);
@@ -145,22 +145,22 @@
     backendServer: BackendServerId,
     report: ServerReport | undefined,
 ): void {
-    const { promptParts } = transaction.state;
-    const lost = promptParts.lostRuns.get(backendServer);
-    promptParts.lostRuns.delete(backendServer);
+    const { crashSuspects } = transaction.state;
+    const lost = crashSuspects.lostRuns.get(backendServer);
+    crashSuspects.lostRuns.delete(backendServer);
     if (lost === undefined || (report !== undefined && !isOtherIncarnation(report.startedAt, lost.startedAt))) {
         return;
     }
     const { startedAt, at } = lost;
     const crash: ServerCrash = { backendServer, startedAt, at, isCleared: false };
     for (const [part, isFirst] of lost.parts) {
-        const isCommon = isFirst || isKnownAsCommon(promptParts, part);
-        const crashes = new Map(promptParts.suspects.get(part)?.crashes).set(crashKey(crash), crash);
-        setSuspect(promptParts, part, { isCommon, crashes: newestCrashes(crashes) });
-        logDecision(transaction, "info", "prompt_part_blamed", {
+        const isCommon = isFirst || isKnownAsCommon(crashSuspects, part);
+        const crashes = new Map(crashSuspects.suspects.get(part)?.crashes).set(crashKey(crash), crash);
+        setSuspect(crashSuspects, part, { isCommon, crashes: newestCrashes(crashes) });
+        logDecision(transaction, "info", "suspect_blamed", {
             part,
             server: backendServer,
-            crashes: openCrashes(promptParts.suspects.get(part)).length,
+            crashes: openCrashes(crashSuspects.suspects.get(part)).length,
             isCommon,
         });
     }
@@ -168,7 +168,7 @@
     stopSuspendedRequests(transaction);
 }
 
-function isKnownAsCommon({ suspects, begun }: PromptParts, part: PromptPartId): boolean {
+function isKnownAsCommon({ suspects, begun }: CrashSuspects, part: PromptPartId): boolean {
     return suspects.get(part)?.isCommon === true || begun.has(part);
 }
 
@@ -180,18 +180,18 @@
     return `${backendServer}/${startedAt ?? ""}`;
 }
 
-function openCrashes(suspect: SuspectPart | undefined): ServerCrash[] {
+function openCrashes(suspect: Suspect | undefined): ServerCrash[] {
     return [...suspect?.crashes.values() ?? []].filter(({ isCleared }) => !isCleared);
 }
 
 /** The crashes that count against a common part: those under no rare part that is suspended. */
-function unexplainedCrashes({ suspects }: PromptParts, part: PromptPartId): ServerCrash[] {
+function unexplainedCrashes({ suspects }: CrashSuspects, part: PromptPartId): ServerCrash[] {
     const crashes = openCrashes(suspects.get(part));
     const suspended = crashes.length === 0 ? [] : [...suspects.values()].filter(isSuspendedRare);
     return crashes.filter(crash => !suspended.some(other => other.crashes.get(crashKey(crash))?.isCleared === false));
 }
 
-function isSuspendedRare(suspect: SuspectPart): boolean {
+function isSuspendedRare(suspect: Suspect): boolean {
     const crashTimes = openCrashes(suspect).map(({ at }) => at);
     return !suspect.isCommon && suspendedUntil({ crashTimes, isCommon: false }) !== undefined;
 }
@@ -203,10 +203,10 @@
     return new Map(newestFirst.slice(0, maximumCrashes));
 }
 
-function setSuspect(promptParts: PromptParts, part: PromptPartId, suspect: Omit<SuspectPart, "number">): void {
-    const { suspects } = promptParts;
+function setSuspect(crashSuspects: CrashSuspects, part: PromptPartId, suspect: Omit<Suspect, "number">): void {
+    const { suspects } = crashSuspects;
     suspects.delete(part);
-    suspects.set(part, { ...suspect, number: ++promptParts.changeCount });
+    suspects.set(part, { ...suspect, number: ++crashSuspects.changeCount });
     evictOldest(suspects, maximumSuspects);
 }
 
@@ -224,7 +224,7 @@
 
 /** Forgets the parts under which no server has crashed for long, and lost runs that no probe explains. */
 export function forgetSuspects(transaction: Transaction): void {
-    const { state: { promptParts: { suspects } }, now } = transaction;
+    const { state: { crashSuspects: { suspects } }, now } = transaction;
     forgetUnsettledRuns(transaction);
     for (const [part, { crashes }] of suspects) {
         if ([...crashes.values()].every(({ at }) => now - at > suspectRetention)) {
@@ -234,7 +234,7 @@
 }
 
 /** A request that may not be sent because of a part of its prompt, and the time until it may. */
-export interface PartSuspension {
+export interface Suspension {
     readonly part: PromptPartId;
     readonly left: Milliseconds;
 }
@@ -243,7 +243,7 @@
  * The part for which a request may not be sent now; undefined if it may be. A request that has begun is not suspended:
  * its parts crashed no server.
  */
-export function suspensionOf({ state, now }: Transaction, request: GatewayRequest): PartSuspension | undefined {
+export function suspensionOf({ state, now }: Transaction, request: GatewayRequest): Suspension | undefined {
     if (request.lastEvent !== undefined) {
         return undefined;
     }
@@ -260,15 +260,15 @@
     part: PromptPartId,
     now: Milliseconds,
 ): Milliseconds | undefined {
-    const { suspects, lostRuns } = state.promptParts;
+    const { suspects, lostRuns } = state.crashSuspects;
     const suspect = suspects.get(part);
     if (suspect === undefined && lostRuns.size === 0) {
         return undefined;
     }
     // A repeat does not wait for the probe that tells whether the server of the lost run crashed.
     const unsettled = [...lostRuns.values()].filter(({ parts }) => request.sends > 0 && parts.has(part));
-    const isCommon = part === request.head.sharedParts[0] || isKnownAsCommon(state.promptParts, part);
-    const crashes = isCommon ? unexplainedCrashes(state.promptParts, part) : openCrashes(suspect);
+    const isCommon = part === request.head.sharedParts[0] || isKnownAsCommon(state.crashSuspects, part);
+    const crashes = isCommon ? unexplainedCrashes(state.crashSuspects, part) : openCrashes(suspect);
     const crashTimes = [...crashes, ...unsettled].map(({ at }) => at);
     const until = suspendedUntil({ crashTimes, isCommon });
     if (until === undefined) {
@@ -308,7 +308,7 @@
         if (request.attempt === undefined) {
             failSuspended(transaction, request, suspension);
         }
-        else if (state.promptParts.suspects.get(suspension.part)?.isCommon === false) {
+        else if (state.crashSuspects.suspects.get(suspension.part)?.isCommon === false) {
             endAttempt(transaction, request, request.attempt, "cancel");
             failSuspended(transaction, request, suspension);
         }
@@ -319,28 +319,28 @@
 export function failSuspended(
     transaction: Transaction,
     request: GatewayRequest,
-    { part, left }: PartSuspension,
+    { part, left }: Suspension,
 ): void {
-    logDecision(transaction, "info", "prompt_part_suspended", {
+    logDecision(transaction, "info", "suspect_suspended", {
         ...requestFields(transaction, request),
         part,
         suspendedFor: Math.round(left),
     });
-    failRequest(transaction, request, "prompt_suspended", "servers crashed under a part of the prompt", left);
+    failRequest(transaction, request, "request_suspended", "servers crashed under a part of the prompt", left);
 }
 
 /** Merges what another gateway knows of parts, and passes on what is new. */
-export function applyPeerParts(transaction: Transaction, parts: readonly PeerPromptPart[]): void {
-    const changes = parts.map(part => applyPeerPart(transaction, part));
+export function applyPeerSuspects(transaction: Transaction, parts: readonly PeerCrashSuspect[]): void {
+    const changes = parts.map(part => applyPeerSuspect(transaction, part));
     if (changes.includes(true)) {
         reportToPeers(transaction);
         stopSuspendedRequests(transaction);
     }
 }
 
-function applyPeerPart({ state, now }: Transaction, { part, isCommon, crashes }: PeerPromptPart): boolean {
-    const { promptParts } = state;
-    const suspect = promptParts.suspects.get(part);
+function applyPeerSuspect({ state, now }: Transaction, { part, isCommon, crashes }: PeerCrashSuspect): boolean {
+    const { crashSuspects } = state;
+    const suspect = crashSuspects.suspects.get(part);
     const merged = new Map(suspect?.crashes);
     for (const { age, ...crash } of crashes) {
         const known = merged.get(crashKey(crash));
@@ -348,24 +348,24 @@
         merged.set(crashKey(crash), { ...crash, at: known?.at ?? now - age, isCleared });
     }
     const next = {
-        isCommon: isCommon || isKnownAsCommon(promptParts, part),
+        isCommon: isCommon || isKnownAsCommon(crashSuspects, part),
         crashes: newestCrashes(merged),
     };
     if (suspect !== undefined && isSame(suspect, next)) {
         return false;
     }
-    setSuspect(promptParts, part, next);
+    setSuspect(crashSuspects, part, next);
     return true;
 }
 
-function isSame(one: SuspectPart, other: Omit<SuspectPart, "number">): boolean {
+function isSame(one: Suspect, other: Omit<Suspect, "number">): boolean {
     return one.isCommon === other.isCommon && one.crashes.size === other.crashes.size
         && [...other.crashes].every(([key, { isCleared }]) => one.crashes.get(key)?.isCleared === isCleared);
 }
 
 /** The parts that changed after the change with the given number, as they are reported to others. */
-export function partsAfter(state: GatewayState, number: number, now: Milliseconds): PeerPromptPart[] {
-    const { suspects, changeCount } = state.promptParts;
+export function suspectsAfter(state: GatewayState, number: number, now: Milliseconds): PeerCrashSuspect[] {
+    const { suspects, changeCount } = state.crashSuspects;
     return changeCount === number ? [] : [...suspects]
         .filter(([, suspect]) => suspect.number > number)
         .map(([part, { isCommon, crashes }]) => ({
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./backendServers.js";
+export * from "./crashSuspects.js";
 export * from "./effect.js";
 export * from "./event.js";
 export * from "./leavingServers.js";
@@ -8,7 +9,6 @@
 export * from "./peerReport.js";
 export * from "./peers.js";
 export * from "./peerTopics.js";
-export * from "./promptParts.js";
 export * from "./reducer.js";
 export * from "./requestLimits.js";
 export * from "./routingConfiguration.js";
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -5,9 +5,9 @@
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
 import { abandonAttempt } from "./attempts.js";
 import type { BackendRecord } from "./backendServers.js";
+import { settleLostRuns } from "./crashSuspects.js";
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { recordLeavingNotice } from "./leavingServers.js";
-import { settleLostRuns } from "./promptParts.js";
 import { canSendAgain } from "./sending.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -9,9 +9,9 @@
     Milliseconds,
     PeerAddress,
 } from "@verbenaspring/model";
+import type { PeerCrashSuspect } from "./crashSuspects.js";
 import type { DecodedItem, TopicItem, TopicName } from "./event.js";
 import type { PeerLeavingServer } from "./leavingServers.js";
-import type { PeerPromptPart } from "./promptParts.js";
 
 /** The load of one gateway at one backend server. */
 export interface PeerLoad {
@@ -86,7 +86,7 @@
 
 /**
  * A report on a link: the records, topics, notices and parts of prompts that the receiver lacks. What follows
- * `promptParts` is only filled in for gateways that know no records, which take it for the state of the sender.
+ * `crashSuspects` is only filled in for gateways that know no records, which take it for the state of the sender.
  */
 export interface PeerReport {
     readonly address: PeerAddress;
@@ -100,7 +100,7 @@
     /** The notices that it learnt since its last report on the link. */
     readonly leavingServers: readonly PeerLeavingServer[];
     /** The parts of prompts under which servers crashed, where that changed since its last report on the link. */
-    readonly promptParts: readonly PeerPromptPart[];
+    readonly crashSuspects: readonly PeerCrashSuspect[];
     /** The addresses of the other gateways that it knows to be alive. */
     readonly members: readonly PeerAddress[];
     readonly isStopping: boolean;
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -5,6 +5,7 @@
  */
 import { backoff, overlayNeighbours } from "@verbenaspring/coordination";
 import type { Milliseconds, PeerAddress } from "@verbenaspring/model";
+import { applyPeerSuspects, suspectsAfter } from "./crashSuspects.js";
 import type { GatewayEvent } from "./event.js";
 import { applyPeerNotices, noticesAfter } from "./leavingServers.js";
 import {
@@ -22,7 +23,6 @@
 } from "./members.js";
 import { type PeerReport, type RelayedRecord, reportProtocol } from "./peerReport.js";
 import { createTopicReports, handlePeerTopic, hasNewReads } from "./peerTopics.js";
-import { applyPeerParts, partsAfter } from "./promptParts.js";
 import type { GatewayState, Peer } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -189,7 +189,7 @@
     peer.openedAt = now;
     peer.sentAt = now;
     peer.sentNotices = 0;
-    peer.sentParts = 0;
+    peer.sentSuspects = 0;
     peer.through = unknownOffsets;
     peer.sentReads = noReads;
     peer.pending.clear();
@@ -222,7 +222,7 @@
         sentAt: 0,
         failures: 0,
         sentNotices: 0,
-        sentParts: 0,
+        sentSuspects: 0,
         pending: new Set(),
         through: unknownOffsets,
         sentReads: noReads,
@@ -238,8 +238,8 @@
 function createReport(state: GatewayState, peer: Peer, now: Milliseconds): PeerReport {
     const leavingServers = noticesAfter(state, peer.sentNotices);
     peer.sentNotices = state.noticeCount;
-    const promptParts = partsAfter(state, peer.sentParts, now);
-    peer.sentParts = state.promptParts.changeCount;
+    const crashSuspects = suspectsAfter(state, peer.sentSuspects, now);
+    peer.sentSuspects = state.crashSuspects.changeCount;
     const records = [...peer.pending].flatMap(address => relayedRecord(state, address, now));
     peer.pending.clear();
     // A gateway of an older version knows no records. The version is only certain after the peer has reported.
@@ -258,7 +258,7 @@
         waitingRequests: state.waiting.size,
         requestLimits: isCurrent ? [] : state.own.record?.requestLimits ?? [],
         leavingServers,
-        promptParts,
+        crashSuspects,
     };
 }
 
@@ -296,7 +296,7 @@
     report.records.forEach(relayed => handleRecord(transaction, peer, relayed));
     const changes = report.topics.map(topic => handlePeerTopic(transaction, peer, topic, items));
     applyPeerNotices(transaction, report.leavingServers);
-    applyPeerParts(transaction, report.promptParts);
+    applyPeerSuspects(transaction, report.crashSuspects);
     if (changes.includes(true) && !isFullMesh(state)) {
         reportToPeers(transaction);
     }
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -5,6 +5,7 @@
 import type { RandomSource } from "@verbenaspring/coordination";
 import type { Milliseconds } from "@verbenaspring/model";
 import { checkRequests, handleAnswer, handleAttemptFailed } from "./attempts.js";
+import { forgetSuspects } from "./crashSuspects.js";
 import { checkStop, handleStopRequested } from "./draining.js";
 import type { GatewayEffect } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
@@ -13,7 +14,6 @@
 import { handleMigrationAnswered } from "./migration.js";
 import type { GatewayOptions } from "./options.js";
 import { handlePeerLinkClosed, handlePeerReport, maintainPeers, reportPlacements } from "./peers.js";
-import { forgetSuspects } from "./promptParts.js";
 import { updateLimitShares } from "./requestLimits.js";
 import { handleCallerLeft, handleRequest } from "./requests.js";
 import { endServerPauses } from "./serverPauses.js";
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -10,9 +10,9 @@
 } from "@verbenaspring/coordination";
 import { identifier, type Milliseconds, type ServiceName } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
+import { failSuspended, suspensionOf } from "./crashSuspects.js";
 import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
-import { failSuspended, suspensionOf } from "./promptParts.js";
 import { isLimited, spendRequest, timeUntilWithinLimit } from "./requestLimits.js";
 import { failRequest, requestFields } from "./requests.js";
 import {
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -13,13 +13,13 @@
     ServiceName,
 } from "@verbenaspring/model";
 import type { BackendServer, BackendView } from "./backendServers.js";
+import { type CrashSuspects, createCrashSuspects } from "./crashSuspects.js";
 import type { ReadFailure, TopicItem, TopicName } from "./event.js";
 import type { LeavingNotices } from "./leavingServers.js";
 import type { LiveMembers, Member, MemberTotals, OwnRecord } from "./members.js";
 import type { RequestHead, ResponseHead, RunReplica } from "./messages.js";
 import type { GatewayOptions } from "./options.js";
 import type { TopicReadStamp } from "./peerReport.js";
-import { createPromptParts, type PromptParts } from "./promptParts.js";
 import type { RequestLimits } from "./requestLimits.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 
@@ -158,7 +158,7 @@
     /** The notices up to this number were reported to it on this link. */
     sentNotices: number;
     /** The changes of parts of prompts up to this number were reported to it on this link. */
-    sentParts: number;
+    sentSuspects: number;
     /** The gateways whose newest record it may lack. */
     readonly pending: Set<PeerAddress>;
     /** The offset up to which it knows each topic; undefined before it or this gateway has reported on this link. */
@@ -186,7 +186,7 @@
     readonly leavingNotices: LeavingNotices;
     /** The number of the newest notice. */
     noticeCount: number;
-    readonly promptParts: PromptParts;
+    readonly crashSuspects: CrashSuspects;
     /** Moving average of the time per token of a stream. */
     timePerToken: Milliseconds;
     /** Moving average of the prompt tokens that an engine processes in a millisecond. */
@@ -264,7 +264,7 @@
         pausedUntil: new Map(),
         leavingNotices: new Map(),
         noticeCount: 0,
-        promptParts: createPromptParts(),
+        crashSuspects: createCrashSuspects(),
         timePerToken: initialTimePerToken,
         prefillRate: initialPrefillRate,
         meanStreamDuration: initialStreamDuration,
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -13,12 +13,12 @@
     retryOrFail,
 } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
+import { recordBegunRun } from "./crashSuspects.js";
 import type { DecisionFields } from "./effect.js";
 import { hasGivenNotice } from "./leavingServers.js";
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { migrateAfterFirstEvent } from "./migration.js";
-import { recordBegunRun } from "./promptParts.js";
 import { isWithinLimit } from "./requestLimits.js";
 import { finishRequest, requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
--- a/packages/gateway/test/promptParts.test.ts
+++ b/packages/gateway/test/crashSuspects.test.ts
@@ -2,7 +2,7 @@
  * Parts of prompts under which servers crash. A crash is known by a run that was lost before it began, at a server that
  * does not answer a probe.
  */
-import type { BackendCall, GatewayEffect, PeerPromptPart, RequestHead, ServerReport } from "@verbenaspring/gateway";
+import type { BackendCall, GatewayEffect, PeerCrashSuspect, RequestHead, ServerReport } from "@verbenaspring/gateway";
 import { identifier, type PeerAddress, type PromptPartId } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -44,8 +44,8 @@
 const isSent = (gateway: TestGateway, ...parts: readonly PromptPartId[]): boolean =>
     callsIn(gateway.receiveRequest(`r${gateway.now}`, "plan", withParts(...parts))).length > 0;
 
-const partsIn = (effects: readonly GatewayEffect[]): PeerPromptPart[] =>
-    effects.flatMap(effect => effect.kind === "sendReport" ? effect.report.promptParts : []);
+const partsIn = (effects: readonly GatewayEffect[]): PeerCrashSuspect[] =>
+    effects.flatMap(effect => effect.kind === "sendReport" ? effect.report.crashSuspects : []);
 
 test("a request is refused at once after two servers crashed under a part of its prompt, others are not", () => {
     const gateway = gatewayWithEngines();
@@ -53,7 +53,7 @@
     assert.ok(isSent(gateway, shared, deadly), "one crash may have another cause");
     crashServers(gateway, 1, shared, deadly);
     const [refusal] = failuresIn(gateway.receiveRequest("refused", "plan", withParts(deadly)));
-    assert.equal([refusal.type, refusal.outcome], ["prompt_suspended", "not_run"]);
+    assert.equal([refusal.type, refusal.outcome], ["request_suspended", "not_run"]);
     assert.ok(refusal.retryAfter! > 10_000);
     assert.ok(isSent(gateway, identifier("other")));
 });
@@ -97,7 +97,7 @@
     gateway.state.pausedUntil.set(call.backendServer, gateway.now + 60_000);
     assert.not.ok(kindsIn(gateway.failAttempt(call)).includes("probeServer"));
     gateway.advance(1_100);
-    assert.is(gateway.state.promptParts.lostRuns.size, 0);
+    assert.is(gateway.state.crashSuspects.lostRuns.size, 0);
 });
 
 test("runs that had begun blame nothing", () => {
@@ -106,7 +106,7 @@
         crash(gateway, gateway.startStream(`begun${count}`, "plan", withParts(shared)));
         gateway.advance(betweenCrashes);
     }
-    assert.is(gateway.state.promptParts.suspects.size, 0);
+    assert.is(gateway.state.crashSuspects.suspects.size, 0);
 });
 
 test("servers that crash together suspend no part", () => {
@@ -160,11 +160,11 @@
     gateway.advance(betweenCrashes);
     const crashes = [{ backendServer: identifier<never>("engine-9"), startedAt: 3, age: 20, isCleared: false }];
     const other = { part: deadly, isCommon: false, crashes };
-    assert.equal(partsIn(gateway.receiveReport({ promptParts: [other] }))[0].crashes.length, 2, "passed on");
-    assert.equal(partsIn(gateway.receiveReport({ promptParts: [other] })), [], "once");
+    assert.equal(partsIn(gateway.receiveReport({ crashSuspects: [other] }))[0].crashes.length, 2, "passed on");
+    assert.equal(partsIn(gateway.receiveReport({ crashSuspects: [other] })), [], "once");
     assert.is(isSent(gateway, deadly), false);
     const cleared = [...crashes, ...reported.crashes].map(each => ({ ...each, isCleared: true }));
-    gateway.receiveReport({ promptParts: [{ part: deadly, isCommon: true, crashes: cleared }] });
+    gateway.receiveReport({ crashSuspects: [{ part: deadly, isCommon: true, crashes: cleared }] });
     assert.ok(isSent(gateway, deadly));
 });
 
@@ -186,11 +186,11 @@
         age: 2_000 * index,
         isCleared: false,
     }));
-    const effects = gateway.receiveReport({ promptParts: [{ part: deadly, isCommon: false, crashes }] });
+    const effects = gateway.receiveReport({ crashSuspects: [{ part: deadly, isCommon: false, crashes }] });
     const cancelled = effects.flatMap(effect => effect.kind === "cancelAttempt" ? [effect.attemptId] : []);
     assert.equal(cancelled, [waits.attemptId]);
     assert.equal(failuresIn(effects).map(({ type, outcome }) => [type, outcome]), [
-        ["prompt_suspended", "outcome_unknown"],
+        ["request_suspended", "outcome_unknown"],
     ]);
     assert.ok(kindsIn(gateway.receiveEvents(streams, 2)).includes("answerEvents"));
 });
@@ -226,13 +226,13 @@
         age: index,
         isCleared: false,
     }));
-    const promptParts = Array.from({ length: 1_500 }, (_, index) => ({
+    const crashSuspects = Array.from({ length: 1_500 }, (_, index) => ({
         part: identifier<PromptPartId>(`part${index}`),
         isCommon: false,
         crashes,
     }));
-    gateway.receiveReport({ promptParts });
-    const { suspects, begun } = gateway.state.promptParts;
+    gateway.receiveReport({ crashSuspects });
+    const { suspects, begun } = gateway.state.crashSuspects;
     for (let number = 0; number < 400; number++) {
         const parts = Array.from({ length: 30 }, (_, index) => identifier<PromptPartId>(`begun${number}/${index}`));
         const call = gateway.startStream(`begun${number}`, "plan", { sharedParts: parts });
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -251,7 +251,7 @@
                 waitingRequests: 0,
                 requestLimits: [],
                 leavingServers: [],
-                promptParts: [],
+                crashSuspects: [],
                 ...report,
             },
             items: { configuration: [], backendServers: [], ...items },
--- a/packages/model/src/errors.ts
+++ b/packages/model/src/errors.ts
@@ -25,7 +25,7 @@
     deadline_exceeded: 504,
     overloaded: 503,
     no_backend_server: 503,
-    prompt_suspended: 503,
+    request_suspended: 503,
     leaving: 503,
     log_unavailable: 503,
     configuration_unavailable: 503,
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -3,8 +3,8 @@
  */
 import type {
     MemberRecord,
+    PeerCrashSuspect,
     PeerLoad,
-    PeerPromptPart,
     PeerReport,
     PeerRequestLimit,
     RelayedRecord,
@@ -13,8 +13,8 @@
 import { type GatewayIncarnation, identifier, type PeerAddress } from "@verbenaspring/model";
 import type {
     MemberRecord as MemberRecordMessage,
+    PeerCrashSuspect as PeerCrashSuspectMessage,
     PeerLoad as PeerLoadMessage,
-    PeerPromptPart as PeerPromptPartMessage,
     PeerReport as PeerReportMessage,
     PeerRequestLimit as PeerRequestLimitMessage,
 } from "@verbenaspring/schema";
@@ -57,13 +57,13 @@
             $typeName: "verbenaspring.v1.PeerLeavingServer",
             ...notice,
         })),
-        promptParts: report.promptParts.map(encodePart),
+        crashSuspects: report.crashSuspects.map(encodeSuspect),
     };
 }
 
-function encodePart({ part, isCommon, crashes }: PeerPromptPart): PeerPromptPartMessage {
+function encodeSuspect({ part, isCommon, crashes }: PeerCrashSuspect): PeerCrashSuspectMessage {
     return {
-        $typeName: "verbenaspring.v1.PeerPromptPart",
+        $typeName: "verbenaspring.v1.PeerCrashSuspect",
         part,
         isCommon,
         crashes: crashes.map(crash => ({ $typeName: "verbenaspring.v1.PeerServerCrash", ...crash })),
@@ -116,11 +116,11 @@
             backendServer: identifier(backendServer),
             startedAt,
         })),
-        promptParts: message.promptParts.map(decodePart),
+        crashSuspects: message.crashSuspects.map(decodeSuspect),
     };
 }
 
-function decodePart({ part, isCommon, crashes }: PeerPromptPartMessage): PeerPromptPart {
+function decodeSuspect({ part, isCommon, crashes }: PeerCrashSuspectMessage): PeerCrashSuspect {
     return {
         part: identifier(part),
         isCommon,
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -65,7 +65,7 @@
             },
             age: 12.5,
         }],
-        promptParts: [{
+        crashSuspects: [{
             part: identifier("5c1e"),
             isCommon: true,
             crashes: [
