--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -45,20 +45,22 @@
     readonly heartbeatInterval: Milliseconds;
     /** Whether registrations currently reach the store; absent if they always do. */
     readonly canRegister?: () => boolean;
-    /** Is called when an engine has crashed under a call with the deadly part. */
+    /** Is called when a server has crashed under a deadly call. */
     readonly crashedUnderCall?: (id: string) => void;
 }
 
 /** Consecutive missed heartbeats after which a registration is deleted. */
 const missedHeartbeatLimit = 3;
 const failureDomains = ["north", "south"];
-/** How long an engine is down after it crashed under a call. */
+/** How long a server is down after it crashed under a call. */
 const crashDuration: Milliseconds = 3_200;
 
 /** All backend servers, running and stopped. */
 export class Fleet {
     /** A part of a prompt that crashes each engine that begins to answer on it. */
     deadlyPart: string | undefined = undefined;
+    /** The path of a request that crashes each backend server that begins to run it. */
+    deadlyPath: string | undefined = undefined;
     private readonly members = new Map<string, FleetMember>();
     private readonly membersByAddress = new Map<string, FleetMember>();
     private addressCount = 0;
@@ -72,7 +74,7 @@
     add(plan: ServerPlan, address = this.allocateAddress()): ServerModel {
         const { clock, observeRun } = this.options;
         const model = plan.kind === "plain"
-            ? new PlainServer({ ...plan, address }, clock, observeRun)
+            ? new PlainServer({ ...plan, address }, clock, observeRun, call => this.crashUnder(plan.id, call))
             : new EngineServer({ ...plan, address }, clock, observeRun, {
                 findEngine: other => this.findEngine(other),
                 crashUnder: call => this.crashUnder(plan.id, call),
@@ -157,8 +159,9 @@
         }
     }
 
-    private crashUnder(id: string, { sharedParts }: ServerCall): boolean {
-        if (this.deadlyPart === undefined || !sharedParts.includes(this.deadlyPart)) {
+    private crashUnder(id: string, { path, sharedParts }: ServerCall): boolean {
+        const hasDeadlyPart = this.deadlyPart !== undefined && sharedParts.includes(this.deadlyPart);
+        if (!hasDeadlyPart && path !== this.deadlyPath) {
             return false;
         }
         const crashed = this.members.get(id);
--- a/packages/emulator/src/plainServer.ts
+++ b/packages/emulator/src/plainServer.ts
@@ -53,6 +53,8 @@
         readonly options: PlainOptions,
         private readonly clock: Clock,
         private readonly observeRun: RunObserver,
+        /** Crashes the server if it must not survive the call, and returns whether it did. */
+        private readonly crashUnder: (call: ServerCall) => boolean = () => false,
     ) {
         this.slots = options.slots;
     }
@@ -110,6 +112,9 @@
         };
         this.running.add(pending);
         this.observeRun(pending.run);
+        if (this.crashUnder(call)) {
+            return;
+        }
         const factor = this.behaviour === "slow" ? slowdownFactor : 1;
         this.clock.schedule(factor * this.options.workTime, () => this.finish(pending));
     }
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -217,7 +217,9 @@
         }
     }
 
-    private probe({ backendServer, address }: Extract<GatewayEffect, { readonly kind: "probeServer"; }>): void {
+    private probe(
+        { backendServer, address, hasReport }: Extract<GatewayEffect, { readonly kind: "probeServer"; }>,
+    ): void {
         this.sendRequest<ProbeReply | typeof connectionRefused>(
             address,
             probeTimeout,
@@ -226,7 +228,7 @@
                 if (server === undefined) {
                     reply(connectionRefused);
                 }
-                else if (server.behaviour !== "silent") {
+                else if (server.behaviour !== "silent" || !hasReport) {
                     reply({ runs: server.report(), isLeaving: server.isLeaving });
                 }
             },
--- a/packages/emulator/src/virtualPlatform.ts
+++ b/packages/emulator/src/virtualPlatform.ts
@@ -9,7 +9,13 @@
     seededSource,
 } from "@verbenaspring/coordination";
 import type { BackendCall, Decision, GatewayOptions, RequestHead } from "@verbenaspring/gateway";
-import { identifier, type Milliseconds, type PeerAddress, type RequestId } from "@verbenaspring/model";
+import {
+    type ContentDigest,
+    identifier,
+    type Milliseconds,
+    type PeerAddress,
+    type RequestId,
+} from "@verbenaspring/model";
 import { configurationKey, Fleet, operatorTopic } from "./fleet.js";
 import type { RunObserver } from "./serverModel.js";
 import { StoreModel } from "./storeModel.js";
@@ -132,9 +138,15 @@
         return identifier(`request-${++this.requests}`);
     }
 
-    /** Sends a caller's request to a gateway. */
-    ask(gateway: VirtualGateway, requestId: RequestId, head: RequestHead): void {
-        gateway.handleEvent({ kind: "requestReceived", requestId, head, receivedAt: this.clock.now, readDelay: 0 });
+    /** Sends a caller's request to a gateway. The requests with one digest count as repeats of each other. */
+    ask(
+        gateway: VirtualGateway,
+        requestId: RequestId,
+        head: RequestHead,
+        contentDigest: ContentDigest = identifier(requestId),
+    ): void {
+        const receivedAt = this.clock.now;
+        gateway.handleEvent({ kind: "requestReceived", requestId, head, contentDigest, receivedAt, readDelay: 0 });
     }
 }
 
--- a/packages/gateway/src/crashSuspects.ts
+++ b/packages/gateway/src/crashSuspects.ts
@@ -1,10 +1,18 @@
 /**
- * Parts of prompts that crash the backend servers which begin to answer on them. Gateways report to each other under
- * which parts servers crashed and which of these have begun after all, so that a part is suspended after a few crashes
- * wherever its requests come.
+ * Requests, and parts of prompts, that crash the backend servers which begin to run them. Gateways report to each other
+ * under which of these suspects servers crashed and which have begun after all, so that a suspect is suspended after a few
+ * crashes wherever its requests come.
  */
-import { suspendedUntil, taskRank } from "@verbenaspring/coordination";
-import type { BackendServerId, Milliseconds, PromptPartId } from "@verbenaspring/model";
+import { type SuspectKind, suspendedUntil, taskRank } from "@verbenaspring/coordination";
+import {
+    type BackendServerId,
+    type ContentDigest,
+    type CrashSuspectId,
+    identifier,
+    type Milliseconds,
+    type OrganisationId,
+    type RepeatedRequestId,
+} from "@verbenaspring/model";
 import { type AttemptOutcome, endAttempt } from "./attempts.js";
 import type { ServerReport } from "./event.js";
 import { requestProbe } from "./liveness.js";
@@ -21,13 +29,13 @@
     readonly startedAt: number | undefined;
     /** The time since the crash. */
     readonly age: Milliseconds;
-    /** Whether a run with the part began later. */
+    /** Whether a run with the suspect began later. */
     readonly isCleared: boolean;
 }
 
-/** A part under whose runs servers crashed, as gateways report it to each other. */
+/** A suspect under whose runs servers crashed, as gateways report it to each other. */
 export interface PeerCrashSuspect {
-    readonly part: PromptPartId;
+    readonly id: CrashSuspectId;
     /** Whether a run with it began, or it is the first part of prompts. */
     readonly isCommon: boolean;
     readonly crashes: readonly PeerServerCrash[];
@@ -40,11 +48,11 @@
     readonly isCleared: boolean;
 }
 
-/** A part under whose runs servers crashed. Its newest crashes, by server and incarnation. */
+/** A suspect under whose runs servers crashed. Its newest crashes, by server and incarnation. */
 interface Suspect {
     readonly isCommon: boolean;
     readonly crashes: ReadonlyMap<string, ServerCrash>;
-    /** The changes of all parts are numbered in the order in which this gateway learnt of them. */
+    /** The changes of all suspects are numbered in the order in which this gateway learnt of them. */
     readonly number: number;
 }
 
@@ -52,16 +60,16 @@
 interface LostRuns {
     readonly startedAt: number | undefined;
     readonly at: Milliseconds;
-    /** The parts of their prompts, and whether each was the first. */
-    readonly parts: ReadonlyMap<PromptPartId, boolean>;
+    /** The requests and the parts of their prompts, and whether each is the first part of a prompt. */
+    readonly suspects: ReadonlyMap<CrashSuspectId, boolean>;
 }
 
-/** What a gateway knows of the parts of prompts. Owned and changed by the event loop. */
+/** What a gateway knows of suspects. Owned and changed by the event loop. */
 export interface CrashSuspects {
     /** The parts with which runs began at this gateway, the one that began least recently first. */
-    readonly begun: Set<PromptPartId>;
+    readonly begunParts: Set<CrashSuspectId>;
     /** Least recently changed first. */
-    readonly suspects: Map<PromptPartId, Suspect>;
+    readonly suspects: Map<CrashSuspectId, Suspect>;
     readonly lostRuns: Map<BackendServerId, LostRuns>;
     /** The number of the newest change of a suspect. */
     changeCount: number;
@@ -69,39 +77,60 @@
 
 const maximumBegunParts = 8_192;
 const maximumSuspects = 1_024;
-/** Crashes that are kept of each part. */
+/** Crashes that are kept of each suspect. */
 const maximumCrashes = 8;
-/** A part is no longer suspect this long after its last crash. */
+/** Nothing is suspect any more this long after its last crash. */
 const suspectRetention: Milliseconds = 1_800_000;
-/** The `retryAfter` while another gateway, or another request, may be trying a part again. */
+/** The `retryAfter` while another gateway, or another request, may be trying a suspect again. */
 const trialRetryAfter: Milliseconds = 1_000;
-/** By how much later each gateway may try a part than the one that ranks before it. */
+/** By how much later each gateway may try a suspect than the one that ranks before it. */
 const trialStagger: Milliseconds = 1_500;
 /** A probe has told within this time whether the server of lost runs crashed. */
 const probeResultTimeout: Milliseconds = 1_000;
 
 /** Creates the knowledge of a gateway that has seen no crash. */
 export function createCrashSuspects(): CrashSuspects {
-    return { begun: new Set(), suspects: new Map(), lostRuns: new Map(), changeCount: 0 };
+    return { begunParts: new Set(), suspects: new Map(), lostRuns: new Map(), changeCount: 0 };
 }
 
-/** Records that the run of an attempt began, which clears the parts of its prompt. */
-export function recordBegunRun(transaction: Transaction, { head }: GatewayRequest): void {
+const repeatedRequestPrefix = "request:";
+
+/** Identifies a request together with all others of its organisation that ask for the same. */
+export function identifyRepeats(
+    organisation: OrganisationId | undefined,
+    digest: ContentDigest,
+): RepeatedRequestId {
+    return identifier(`${repeatedRequestPrefix}${organisation ?? ""}/${digest}`);
+}
+
+/** The ids of parts hold no colon. */
+function isRepeatedRequest(id: CrashSuspectId): boolean {
+    return id.startsWith(repeatedRequestPrefix);
+}
+
+function suspectsOf({ head, repeatedId }: GatewayRequest): readonly CrashSuspectId[] {
+    return [...head.sharedParts, repeatedId];
+}
+
+/** Records that the run of an attempt began, which clears its request and the parts of its prompt. */
+export function recordBegunRun(transaction: Transaction, request: GatewayRequest): void {
     const { crashSuspects } = transaction.state;
-    const { begun, suspects } = crashSuspects;
+    const { begunParts, suspects } = crashSuspects;
     let hasChanged = false;
-    for (const part of head.sharedParts) {
-        begun.delete(part);
-        begun.add(part);
-        const suspect = suspects.get(part);
+    for (const id of suspectsOf(request)) {
+        if (!isRepeatedRequest(id)) {
+            begunParts.delete(id);
+            begunParts.add(id);
+        }
+        const suspect = suspects.get(id);
         if (suspect !== undefined && (!suspect.isCommon || openCrashes(suspect).length > 0)) {
             const crashes = [...suspect.crashes].map(([key, crash]) => [key, { ...crash, isCleared: true }] as const);
-            setSuspect(crashSuspects, part, { isCommon: true, crashes: new Map(crashes) });
-            logDecision(transaction, "info", "suspect_cleared", { part });
+            setSuspect(crashSuspects, id, { isCommon: true, crashes: new Map(crashes) });
+            logDecision(transaction, "info", "suspect_cleared", { suspect: id });
             hasChanged = true;
         }
     }
-    evictOldest(begun, maximumBegunParts);
+    evictOldest(begunParts, maximumBegunParts);
     if (hasChanged) {
         reportToPeers(transaction);
     }
@@ -112,24 +141,30 @@
 /** Records a run that was lost before it began, and probes its server, which may have crashed. */
 export function recordLostRun(
     transaction: Transaction,
-    { head, lastEvent }: GatewayRequest,
+    request: GatewayRequest,
     attempt: Attempt,
     outcome: AttemptOutcome,
 ): void {
     const { state, now } = transaction;
-    const hasBegun = attempt.firstEventAt !== undefined || lastEvent !== undefined;
-    if (hasBegun || head.sharedParts.length === 0 || !outcomesOfCrashes.has(outcome)) {
+    const hasBegun = attempt.firstEventAt !== undefined || request.lastEvent !== undefined;
+    if (hasBegun || !outcomesOfCrashes.has(outcome)) {
         return;
     }
     const { id, startedAt } = attempt.server.record;
     forgetUnsettledRuns(transaction);
     const known = state.crashSuspects.lostRuns.get(id);
-    const parts = new Map(known?.parts);
-    head.sharedParts.forEach((part, index) => parts.set(part, index === 0 || parts.get(part) === true));
-    state.crashSuspects.lostRuns.set(id, { startedAt, at: known?.at ?? now, parts });
+    const suspects = new Map(known?.suspects);
+    for (const suspect of suspectsOf(request)) {
+        suspects.set(suspect, isFirstPart(request, suspect) || suspects.get(suspect) === true);
+    }
+    state.crashSuspects.lostRuns.set(id, { startedAt, at: known?.at ?? now, suspects });
     requestProbe(transaction, attempt.server.record);
 }
 
+function isFirstPart({ head }: GatewayRequest, id: CrashSuspectId): boolean {
+    return head.sharedParts[0] === id;
+}
+
 /** Forgets lost runs whose server was not probed, since it wants no calls. */
 function forgetUnsettledRuns({ state: { crashSuspects: { lostRuns } }, now }: Transaction): void {
     for (const [id, { at }] of lostRuns) {
@@ -139,7 +174,7 @@
     }
 }
 
-/** Blames the parts of lost runs if the probe of their server shows that it crashed. */
+/** Blames lost runs and the parts of their prompts if the probe of their server shows that it crashed. */
 export function settleLostRuns(
     transaction: Transaction,
     backendServer: BackendServerId,
@@ -153,14 +188,14 @@
     }
     const { startedAt, at } = lost;
     const crash: ServerCrash = { backendServer, startedAt, at, isCleared: false };
-    for (const [part, isFirst] of lost.parts) {
-        const isCommon = isFirst || isKnownAsCommon(crashSuspects, part);
-        const crashes = new Map(crashSuspects.suspects.get(part)?.crashes).set(crashKey(crash), crash);
-        setSuspect(crashSuspects, part, { isCommon, crashes: newestCrashes(crashes) });
+    for (const [id, isFirst] of lost.suspects) {
+        const isCommon = isFirst || isKnownAsCommon(crashSuspects, id);
+        const crashes = new Map(crashSuspects.suspects.get(id)?.crashes).set(crashKey(crash), crash);
+        setSuspect(crashSuspects, id, { isCommon, crashes: newestCrashes(crashes) });
         logDecision(transaction, "info", "suspect_blamed", {
-            part,
+            suspect: id,
             server: backendServer,
-            crashes: openCrashes(crashSuspects.suspects.get(part)).length,
+            crashes: openCrashes(crashSuspects.suspects.get(id)).length,
             isCommon,
         });
     }
@@ -168,8 +203,15 @@
     stopSuspendedRequests(transaction);
 }
 
-function isKnownAsCommon({ suspects, begun }: CrashSuspects, part: PromptPartId): boolean {
-    return suspects.get(part)?.isCommon === true || begun.has(part);
+function isKnownAsCommon({ suspects, begunParts }: CrashSuspects, id: CrashSuspectId): boolean {
+    return suspects.get(id)?.isCommon === true || begunParts.has(id);
+}
+
+function kindOf(id: CrashSuspectId, isCommon: boolean): SuspectKind {
+    if (isCommon) {
+        return "common";
+    }
+    return isRepeatedRequest(id) ? "request" : "rare";
 }
 
 function isOtherIncarnation(one: number | undefined, other: number | undefined): boolean {
@@ -184,16 +226,16 @@
     return [...suspect?.crashes.values() ?? []].filter(({ isCleared }) => !isCleared);
 }
 
-/** The crashes that count against a common part: those under no rare part that is suspended. */
-function unexplainedCrashes({ suspects }: CrashSuspects, part: PromptPartId): ServerCrash[] {
-    const crashes = openCrashes(suspects.get(part));
-    const suspended = crashes.length === 0 ? [] : [...suspects.values()].filter(isSuspendedRare);
+/** The crashes that count against a common suspect: those under no rarer one that is suspended. */
+function unexplainedCrashes({ suspects }: CrashSuspects, id: CrashSuspectId): ServerCrash[] {
+    const crashes = openCrashes(suspects.get(id));
+    const suspended = crashes.length === 0 ? [] : [...suspects].filter(isSuspendedRare).map(([, suspect]) => suspect);
     return crashes.filter(crash => !suspended.some(other => other.crashes.get(crashKey(crash))?.isCleared === false));
 }
 
-function isSuspendedRare(suspect: Suspect): boolean {
+function isSuspendedRare([id, suspect]: readonly [CrashSuspectId, Suspect]): boolean {
     const crashTimes = openCrashes(suspect).map(({ at }) => at);
-    return !suspect.isCommon && suspendedUntil({ crashTimes, isCommon: false }) !== undefined;
+    return !suspect.isCommon && suspendedUntil({ crashTimes, kind: kindOf(id, false) }) !== undefined;
 }
 
 /** Keeps the crashes that count, and of these the newest. */
@@ -203,15 +245,15 @@
     return new Map(newestFirst.slice(0, maximumCrashes));
 }
 
-function setSuspect(crashSuspects: CrashSuspects, part: PromptPartId, suspect: Omit<Suspect, "number">): void {
+function setSuspect(crashSuspects: CrashSuspects, id: CrashSuspectId, suspect: Omit<Suspect, "number">): void {
     const { suspects } = crashSuspects;
-    suspects.delete(part);
-    suspects.set(part, { ...suspect, number: ++crashSuspects.changeCount });
+    suspects.delete(id);
+    suspects.set(id, { ...suspect, number: ++crashSuspects.changeCount });
     evictOldest(suspects, maximumSuspects);
 }
 
 function evictOldest(
-    entries: { readonly size: number; delete(key: PromptPartId): boolean; keys(): Iterable<PromptPartId>; },
+    entries: { readonly size: number; delete(key: CrashSuspectId): boolean; keys(): Iterable<CrashSuspectId>; },
     most: number,
 ): void {
     for (const oldest of entries.keys()) {
@@ -222,34 +264,35 @@
     }
 }
 
-/** Forgets the parts under which no server has crashed for long, and lost runs that no probe explains. */
+/** Forgets the suspects under which no server has crashed for long, and lost runs that no probe explains. */
 export function forgetSuspects(transaction: Transaction): void {
     const { state: { crashSuspects: { suspects } }, now } = transaction;
     forgetUnsettledRuns(transaction);
-    for (const [part, { crashes }] of suspects) {
+    for (const [id, { crashes }] of suspects) {
         if ([...crashes.values()].every(({ at }) => now - at > suspectRetention)) {
-            suspects.delete(part);
+            suspects.delete(id);
         }
     }
 }
 
-/** A request that may not be sent because of a part of its prompt, and the time until it may. */
+/** A suspect for which a request may not be sent, and the time until it may. */
 export interface Suspension {
-    readonly part: PromptPartId;
+    readonly suspect: CrashSuspectId;
     readonly left: Milliseconds;
 }
 
 /**
- * The part for which a request may not be sent now; undefined if it may be. A request that has begun is not suspended:
- * its parts crashed no server.
+ * The suspect for which a request may not be sent now; undefined if it may be. A request that has begun is not suspended:
+ * it crashed no server.
  */
 export function suspensionOf({ state, now }: Transaction, request: GatewayRequest): Suspension | undefined {
-    if (request.lastEvent !== undefined) {
+    const { suspects, lostRuns } = state.crashSuspects;
+    if (request.lastEvent !== undefined || (suspects.size === 0 && lostRuns.size === 0)) {
         return undefined;
     }
-    const suspensions = request.head.sharedParts.flatMap(part => {
-        const left = suspensionLeft(state, request, part, now);
-        return left === undefined ? [] : [{ part, left }];
+    const suspensions = suspectsOf(request).flatMap(suspect => {
+        const left = suspensionLeft(state, request, suspect, now);
+        return left === undefined ? [] : [{ suspect, left }];
     });
     return suspensions.sort((one, other) => other.left - one.left)[0];
 }
@@ -257,46 +300,42 @@
 function suspensionLeft(
     state: GatewayState,
     request: GatewayRequest,
-    part: PromptPartId,
+    id: CrashSuspectId,
     now: Milliseconds,
 ): Milliseconds | undefined {
     const { suspects, lostRuns } = state.crashSuspects;
-    const suspect = suspects.get(part);
-    if (suspect === undefined && lostRuns.size === 0) {
-        return undefined;
-    }
     // A repeat does not wait for the probe that tells whether the server of the lost run crashed.
-    const unsettled = [...lostRuns.values()].filter(({ parts }) => request.sends > 0 && parts.has(part));
-    const isCommon = part === request.head.sharedParts[0] || isKnownAsCommon(state.crashSuspects, part);
-    const crashes = isCommon ? unexplainedCrashes(state.crashSuspects, part) : openCrashes(suspect);
+    const unsettled = [...lostRuns.values()].filter(lost => request.sends > 0 && lost.suspects.has(id));
+    const isCommon = isFirstPart(request, id) || isKnownAsCommon(state.crashSuspects, id);
+    const crashes = isCommon ? unexplainedCrashes(state.crashSuspects, id) : openCrashes(suspects.get(id));
     const crashTimes = [...crashes, ...unsettled].map(({ at }) => at);
-    const until = suspendedUntil({ crashTimes, isCommon });
+    const until = suspendedUntil({ crashTimes, kind: kindOf(id, isCommon) });
     if (until === undefined) {
         return undefined;
     }
     if (now < until) {
         return until - now;
     }
-    const isTurn = now >= until + trialStagger * trialRank(state, part, now);
-    return isTurn && !isTried(state, request, part) ? undefined : trialRetryAfter;
+    const isTurn = now >= until + trialStagger * trialRank(state, id, now);
+    return isTurn && !isTried(state, request, id) ? undefined : trialRetryAfter;
 }
 
-/** The rank of this gateway among those that may try a suspended part again. */
-function trialRank(state: GatewayState, part: PromptPartId, now: Milliseconds): number {
+/** The rank of this gateway among those that may try a suspect again. */
+function trialRank(state: GatewayState, id: CrashSuspectId, now: Milliseconds): number {
     const others = liveMembers(state, now).filter(({ record }) => !record.isStopping);
-    return taskRank(state.options.peerAddress, others.map(({ record }) => record.address), part);
+    return taskRank(state.options.peerAddress, others.map(({ record }) => record.address), id);
 }
 
-/** Whether another request here has the part and has not begun. */
-function isTried({ requests }: GatewayState, request: GatewayRequest, part: PromptPartId): boolean {
+/** Whether another request here has the suspect and has not begun. */
+function isTried({ requests }: GatewayState, request: GatewayRequest, id: CrashSuspectId): boolean {
     return [...requests.values()].some(other =>
-        other !== request && other.lastEvent === undefined && other.head.sharedParts.includes(part)
+        other !== request && other.lastEvent === undefined && suspectsOf(other).includes(id)
     );
 }
 
 /**
- * Ends the requests that wait with a suspended part, and the runs that have not begun with one that is rare. Those with a
- * common part go on, since they may clear it.
+ * Ends the requests that wait with a suspended suspect, and the runs that have not begun with one that is not common.
+ * Those with a common one go on, since they may clear it.
  */
 function stopSuspendedRequests(transaction: Transaction): void {
     const { state } = transaction;
@@ -308,39 +347,42 @@
         if (request.attempt === undefined) {
             failSuspended(transaction, request, suspension);
         }
-        else if (state.crashSuspects.suspects.get(suspension.part)?.isCommon === false) {
+        else if (state.crashSuspects.suspects.get(suspension.suspect)?.isCommon === false) {
             endAttempt(transaction, request, request.attempt, "cancel");
             failSuspended(transaction, request, suspension);
         }
     }
 }
 
-/** Fails a request that may not be sent because of a part of its prompt. */
+/** Fails a request that may not be sent because of a suspect. */
 export function failSuspended(
     transaction: Transaction,
     request: GatewayRequest,
-    { part, left }: Suspension,
+    { suspect, left }: Suspension,
 ): void {
     logDecision(transaction, "info", "suspect_suspended", {
         ...requestFields(transaction, request),
-        part,
+        suspect,
         suspendedFor: Math.round(left),
     });
-    failRequest(transaction, request, "request_suspended", "servers crashed under a part of the prompt", left);
+    const message = isRepeatedRequest(suspect)
+        ? "servers crashed under this request"
+        : "servers crashed under a part of the prompt";
+    failRequest(transaction, request, "request_suspended", message, left);
 }
 
-/** Merges what another gateway knows of parts, and passes on what is new. */
-export function applyPeerSuspects(transaction: Transaction, parts: readonly PeerCrashSuspect[]): void {
-    const changes = parts.map(part => applyPeerSuspect(transaction, part));
+/** Merges what another gateway knows of suspects, and passes on what is new. */
+export function applyPeerSuspects(transaction: Transaction, suspects: readonly PeerCrashSuspect[]): void {
+    const changes = suspects.map(suspect => applyPeerSuspect(transaction, suspect));
     if (changes.includes(true)) {
         reportToPeers(transaction);
         stopSuspendedRequests(transaction);
     }
 }
 
-function applyPeerSuspect({ state, now }: Transaction, { part, isCommon, crashes }: PeerCrashSuspect): boolean {
+function applyPeerSuspect({ state, now }: Transaction, { id, isCommon, crashes }: PeerCrashSuspect): boolean {
     const { crashSuspects } = state;
-    const suspect = crashSuspects.suspects.get(part);
+    const suspect = crashSuspects.suspects.get(id);
     const merged = new Map(suspect?.crashes);
     for (const { age, ...crash } of crashes) {
         const known = merged.get(crashKey(crash));
@@ -348,13 +390,13 @@
         merged.set(crashKey(crash), { ...crash, at: known?.at ?? now - age, isCleared });
     }
     const next = {
-        isCommon: isCommon || isKnownAsCommon(crashSuspects, part),
+        isCommon: isCommon || isKnownAsCommon(crashSuspects, id),
         crashes: newestCrashes(merged),
     };
     if (suspect !== undefined && isSame(suspect, next)) {
         return false;
     }
-    setSuspect(crashSuspects, part, next);
+    setSuspect(crashSuspects, id, next);
     return true;
 }
 
@@ -363,13 +405,13 @@
         && [...other.crashes].every(([key, { isCleared }]) => one.crashes.get(key)?.isCleared === isCleared);
 }
 
-/** The parts that changed after the change with the given number, as they are reported to others. */
+/** The suspects that changed after the change with the given number, as they are reported to others. */
 export function suspectsAfter(state: GatewayState, number: number, now: Milliseconds): PeerCrashSuspect[] {
     const { suspects, changeCount } = state.crashSuspects;
     return changeCount === number ? [] : [...suspects]
         .filter(([, suspect]) => suspect.number > number)
-        .map(([part, { isCommon, crashes }]) => ({
-            part,
+        .map(([id, { isCommon, crashes }]) => ({
+            id,
             isCommon,
             crashes: [...crashes.values()].map(({ at, ...crash }) => ({ ...crash, age: now - at })),
         }));
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -37,7 +37,13 @@
     /** Closes the caller's channel so that the answer can't be taken for a complete one. */
     | { readonly kind: "answerCut"; readonly requestId: RequestId; }
     | { readonly kind: "answerFailure"; readonly requestId: RequestId; readonly failure: Failure; }
-    | { readonly kind: "probeServer"; readonly backendServer: BackendServerId; readonly address: string; }
+    | {
+        readonly kind: "probeServer";
+        readonly backendServer: BackendServerId;
+        readonly address: string;
+        /** Whether the server has a report; of another one a probe tells only whether it accepts connections. */
+        readonly hasReport: boolean;
+    }
     | {
         readonly kind: "migrateRun";
         readonly attemptId: AttemptId;
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -5,6 +5,7 @@
     AttemptId,
     BackendServerId,
     CallerAttemptId,
+    ContentDigest,
     LogOffset,
     Milliseconds,
     PeerAddress,
@@ -85,6 +86,7 @@
         readonly kind: "requestReceived";
         readonly requestId: RequestId;
         readonly head: RequestHead;
+        readonly contentDigest: ContentDigest;
         readonly receivedAt: Milliseconds;
         /** How long the request may have waited at the gateway's socket before it was read. */
         readonly readDelay: Milliseconds;
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -9,6 +9,7 @@
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { recordLeavingNotice } from "./leavingServers.js";
 import { canSendAgain } from "./sending.js";
+import { engineOf } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -44,12 +45,13 @@
 }
 
 /** Probes a server, unless a probe is under way or the server wants no calls. */
-export function requestProbe({ state, now, effects }: Transaction, { id, address }: BackendRecord): void {
+export function requestProbe({ state, now, effects }: Transaction, { id, address, service }: BackendRecord): void {
     const liveness = state.liveness.get(id) ?? { lastSignOfLifeAt: -Infinity, isProbing: false };
     state.liveness.set(id, liveness);
     if (!liveness.isProbing && !isPaused(state, id, now)) {
         liveness.isProbing = true;
-        effects.push({ kind: "probeServer", backendServer: id, address });
+        const hasReport = engineOf(state, service) !== undefined;
+        effects.push({ kind: "probeServer", backendServer: id, address, hasReport });
     }
 }
 
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -11,6 +11,7 @@
     type ServiceName,
 } from "@verbenaspring/model";
 import { endAttempt } from "./attempts.js";
+import { identifyRepeats } from "./crashSuspects.js";
 import { cannotFinishBeforeStop, retryAfterStop } from "./draining.js";
 import type { GatewayEvent } from "./event.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
@@ -52,6 +53,7 @@
         route,
         service: chooseService(route, source.random),
         organisation,
+        repeatedId: identifyRepeats(organisation?.id, event.contentDigest),
         arrivedAt: event.receivedAt,
         readDelay: event.readDelay,
         deadline: event.receivedAt + timeLimit,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -9,6 +9,7 @@
     LogOffset,
     Milliseconds,
     PeerAddress,
+    RepeatedRequestId,
     RequestId,
     ServiceName,
 } from "@verbenaspring/model";
@@ -57,6 +58,8 @@
     readonly route: Route;
     readonly service: ServiceName;
     readonly organisation: Organisation | undefined;
+    /** What a repeat of the request shares with it. */
+    readonly repeatedId: RepeatedRequestId;
     readonly arrivedAt: Milliseconds;
     /** How long the request may have waited before it was read. */
     readonly readDelay: Milliseconds;
--- a/packages/gateway/test/crashSuspects.test.ts
+++ b/packages/gateway/test/crashSuspects.test.ts
@@ -1,9 +1,22 @@
 /**
- * Parts of prompts under which servers crash. A crash is known by a run that was lost before it began, at a server that
- * does not answer a probe.
+ * Requests, and parts of prompts, under which servers crash. A crash is known by a run that was lost before it began, at a
+ * server that does not answer a probe.
  */
-import type { BackendCall, GatewayEffect, PeerCrashSuspect, RequestHead, ServerReport } from "@verbenaspring/gateway";
-import { identifier, type PeerAddress, type PromptPartId } from "@verbenaspring/model";
+import {
+    type BackendCall,
+    type GatewayEffect,
+    identifyRepeats,
+    type PeerCrashSuspect,
+    type RequestHead,
+    type ServerReport,
+} from "@verbenaspring/gateway";
+import {
+    type ContentDigest,
+    identifier,
+    type OrganisationId,
+    type PeerAddress,
+    type PromptPartId,
+} from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { callsIn, failuresIn, kindsIn, requestId, server, TestGateway } from "./gatewayBuilders.js";
@@ -44,7 +57,7 @@
 const isSent = (gateway: TestGateway, ...parts: readonly PromptPartId[]): boolean =>
     callsIn(gateway.receiveRequest(`r${gateway.now}`, "plan", withParts(...parts))).length > 0;
 
-const partsIn = (effects: readonly GatewayEffect[]): PeerCrashSuspect[] =>
+const suspectsIn = (effects: readonly GatewayEffect[]): PeerCrashSuspect[] =>
     effects.flatMap(effect => effect.kind === "sendReport" ? effect.report.crashSuspects : []);
 
 test("a request is refused at once after two servers crashed under a part of its prompt, others are not", () => {
@@ -155,24 +168,27 @@
     const gateway = gatewayWithEngines();
     gateway.receiveReport({});
     const call = gateway.sendRequest("call", "plan", withParts(deadly));
-    const [reported] = partsIn(crash(gateway, call)).filter(({ part }) => part === deadly);
-    assert.equal([reported.part, reported.isCommon, reported.crashes.length], [deadly, false, 1]);
+    const [reported] = suspectsIn(crash(gateway, call)).filter(({ id }) => id === deadly);
+    assert.equal([reported.id, reported.isCommon, reported.crashes.length], [deadly, false, 1]);
     gateway.advance(betweenCrashes);
     const crashes = [{ backendServer: identifier<never>("engine-9"), startedAt: 3, age: 20, isCleared: false }];
-    const other = { part: deadly, isCommon: false, crashes };
-    assert.equal(partsIn(gateway.receiveReport({ crashSuspects: [other] }))[0].crashes.length, 2, "passed on");
-    assert.equal(partsIn(gateway.receiveReport({ crashSuspects: [other] })), [], "once");
+    const other = { id: deadly, isCommon: false, crashes };
+    assert.equal(suspectsIn(gateway.receiveReport({ crashSuspects: [other] }))[0].crashes.length, 2, "passed on");
+    assert.equal(suspectsIn(gateway.receiveReport({ crashSuspects: [other] })), [], "once");
     assert.is(isSent(gateway, deadly), false);
     const cleared = [...crashes, ...reported.crashes].map(each => ({ ...each, isCleared: true }));
-    gateway.receiveReport({ crashSuspects: [{ part: deadly, isCommon: true, crashes: cleared }] });
+    gateway.receiveReport({ crashSuspects: [{ id: deadly, isCommon: true, crashes: cleared }] });
     assert.ok(isSent(gateway, deadly));
 });
 
 test("a gateway that starts gets what the others know with the first report on its link", () => {
     const gateway = gatewayWithEngines();
     crashServers(gateway, 2, deadly);
-    const known = partsIn([...gateway.receiveReport({}), ...gateway.advance(600)]);
-    assert.equal(known.map(({ part, crashes }) => [part, crashes.length]), [[first, 2], [deadly, 2]]);
+    const known = suspectsIn([...gateway.receiveReport({}), ...gateway.advance(600)]);
+    const [parts, requests] = [[first, deadly], [/^request:\/crash0\//, /^request:\/crash1\//]];
+    assert.equal(parts.map(part => known.find(({ id }) => id === part)?.crashes.length), [2, 2]);
+    assert.equal(requests.map(request => known.find(({ id }) => request.test(id))?.crashes.length), [1, 1]);
+    assert.is(known.length, parts.length + requests.length);
 });
 
 test("runs with a suspended part that have not begun are ended, and streams that have begun go on", () => {
@@ -186,7 +202,7 @@
         age: 2_000 * index,
         isCleared: false,
     }));
-    const effects = gateway.receiveReport({ crashSuspects: [{ part: deadly, isCommon: false, crashes }] });
+    const effects = gateway.receiveReport({ crashSuspects: [{ id: deadly, isCommon: false, crashes }] });
     const cancelled = effects.flatMap(effect => effect.kind === "cancelAttempt" ? [effect.attemptId] : []);
     assert.equal(cancelled, [waits.attemptId]);
     assert.equal(failuresIn(effects).map(({ type, outcome }) => [type, outcome]), [
@@ -227,22 +243,105 @@
         isCleared: false,
     }));
     const crashSuspects = Array.from({ length: 1_500 }, (_, index) => ({
-        part: identifier<PromptPartId>(`part${index}`),
+        id: identifier<PromptPartId>(`part${index}`),
         isCommon: false,
         crashes,
     }));
     gateway.receiveReport({ crashSuspects });
-    const { suspects, begun } = gateway.state.crashSuspects;
+    const { suspects, begunParts } = gateway.state.crashSuspects;
     for (let number = 0; number < 400; number++) {
         const parts = Array.from({ length: 30 }, (_, index) => identifier<PromptPartId>(`begun${number}/${index}`));
         const call = gateway.startStream(`begun${number}`, "plan", { sharedParts: parts });
         gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
     }
-    assert.is(begun.size, 8_192);
+    assert.is(begunParts.size, 8_192);
     assert.equal([suspects.size, suspects.get(identifier("part1499"))!.crashes.size], [1_024, 8]);
     gateway.now += 1_800_100;
     gateway.handle({ kind: "tick" });
     assert.is(suspects.size, 0);
 });
 
+function gatewayWithPlainServers(): TestGateway {
+    return TestGateway.serving(server("plain-1"), server("plain-2"), server("plain-3"));
+}
+
+let lookupCount = 0;
+
+/** Sends a lookup. Returns its call, or undefined if it was refused. */
+function sendLookup(gateway: TestGateway, content: string, route = "lookup"): BackendCall | undefined {
+    return callsIn(gateway.receiveRequest(`lookup${++lookupCount}`, route, {}, content))[0];
+}
+
+/** Has repeats of a request crash servers, each sent only once. */
+function crashPlainServers(gateway: TestGateway, count: number, content: string, route?: string): void {
+    for (let number = 0; number < count; number++) {
+        crash(gateway, sendLookup(gateway, content, route)!);
+        gateway.advance(betweenCrashes);
+    }
+}
+
+// A request of a plain route crashed server after server, since only parts of prompts were suspects (BUDGET).
+for (const route of ["lookup", "confirm"]) {
+    test(`a ${route} is refused at once after two servers crashed under it, those with other contents are not`, () => {
+        const gateway = gatewayWithPlainServers();
+        crashPlainServers(gateway, 1, "deadly", route);
+        assert.ok(sendLookup(gateway, "sound", route));
+        crashPlainServers(gateway, 1, "deadly", route);
+        const [refusal] = failuresIn(gateway.receiveRequest("refused", route, {}, "deadly"));
+        assert.equal([refusal.type, refusal.outcome], ["request_suspended", "not_run"]);
+        assert.ok(refusal.retryAfter! > 30_000);
+        assert.ok(sendLookup(gateway, "sound", route));
+    });
+}
+
+test("a request is not repeated after a second server crashed under it, and is said to may have run", () => {
+    const gateway = gatewayWithPlainServers();
+    crashPlainServers(gateway, 1, "deadly");
+    const last = sendLookup(gateway, "deadly")!;
+    const effects = [...gateway.failAttempt(last), ...gateway.handle(probed(last, undefined))];
+    assert.equal(callsIn(effects), []);
+    assert.equal(failuresIn(effects).map(({ type, outcome }) => [type, outcome]), [
+        ["request_suspended", "outcome_unknown"],
+    ]);
+});
+
+test("a whole answer clears a request of a plain route", () => {
+    const gateway = gatewayWithPlainServers();
+    crashPlainServers(gateway, 1, "sound");
+    gateway.answer(sendLookup(gateway, "sound")!, { status: 200 });
+    crashPlainServers(gateway, 1, "sound");
+    assert.ok(sendLookup(gateway, "sound"));
+});
+
+test("a plain server is probed for its connections only, and has not crashed if it accepts one", () => {
+    const gateway = gatewayWithPlainServers();
+    for (let count = 0; count < 3; count++) {
+        const call = sendLookup(gateway, "reset")!;
+        const probes = gateway.failAttempt(call).filter(effect => effect.kind === "probeServer");
+        assert.equal(probes.map(effect => effect.kind === "probeServer" && effect.hasReport), [false]);
+        gateway.handle(probed(call, aliveReport));
+        gateway.advance(betweenCrashes);
+    }
+    assert.ok(sendLookup(gateway, "reset"));
+});
+
+test("a request that crashed a server at one gateway and another one at a second is refused at both", () => {
+    const [one, other] = [gatewayWithPlainServers(), gatewayWithPlainServers()];
+    one.receiveReport({});
+    const [reported] = suspectsIn(crash(one, sendLookup(one, "deadly")!));
+    // The servers of the two gateways are different ones, though they have the same names.
+    const crashes = reported.crashes.map(each => ({ ...each, backendServer: identifier<never>("plain-9") }));
+    crashPlainServers(other, 1, "deadly");
+    assert.ok(sendLookup(other, "deadly"));
+    other.receiveReport({ crashSuspects: [{ ...reported, crashes }] });
+    assert.is(sendLookup(other, "deadly"), undefined);
+});
+
+test("requests of different organisations with the same content are not repeats of each other", () => {
+    const digest = identifier<ContentDigest>("digest");
+    const [one, other, none] = [identifier<OrganisationId>("one"), identifier<OrganisationId>("other"), undefined];
+    const ids = [one, other, none].map(organisation => identifyRepeats(organisation, digest));
+    assert.is(new Set(ids).size, 3);
+});
+
 test.run();
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -175,19 +175,31 @@
         return this.read("backendServers", [this.item(id, records, true)]);
     }
 
-    receiveRequest(requestId: string, routeName: string, overrides: Partial<RequestHead> = {}): GatewayEffect[] {
+    /** Requests with one digest are repeats of each other. */
+    receiveRequest(
+        requestId: string,
+        routeName: string,
+        overrides: Partial<RequestHead> = {},
+        contentDigest = requestId,
+    ): GatewayEffect[] {
         return this.handle({
             kind: "requestReceived",
             requestId: identifier(requestId),
             head: requestHead(requestId, routeName, overrides),
+            contentDigest: identifier(contentDigest),
             receivedAt: this.now,
             readDelay: 0,
         });
     }
 
     /** Receives a request, and returns the call that is sent to a backend server. */
-    sendRequest(requestId: string, routeName: string, overrides: Partial<RequestHead> = {}): BackendCall {
-        return callsIn(this.receiveRequest(requestId, routeName, overrides))[0];
+    sendRequest(
+        requestId: string,
+        routeName: string,
+        overrides: Partial<RequestHead> = {},
+        contentDigest = requestId,
+    ): BackendCall {
+        return callsIn(this.receiveRequest(requestId, routeName, overrides, contentDigest))[0];
     }
 
     answer(call: BackendCall, overrides: Partial<BackendAnswer> = {}): GatewayEffect[] {
--- a/packages/model/src/identifiers.ts
+++ b/packages/model/src/identifiers.ts
@@ -63,3 +63,9 @@
  * meaningful.
  */
 export type Milliseconds = number;
+/** The digest of what a request asks for: the same for each repeat of it with the same host, path and body. */
+export type ContentDigest = Branded<"ContentDigest">;
+/** All requests of one organisation that ask for the same. */
+export type RepeatedRequestId = Branded<"RepeatedRequestId">;
+/** What requests have in common that may crash servers: a part of their prompts, or all of it. */
+export type CrashSuspectId = PromptPartId | RepeatedRequestId;
--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -44,6 +44,8 @@
     readonly cancel: (attemptId: AttemptId) => void;
     /** Pauses or resumes reading the answer of a call. */
     readonly setPaused: (attemptId: AttemptId, isPaused: boolean) => void;
+    /** Resolves to whether a server accepts a connection within the timeout of connecting. */
+    readonly canConnect: (address: string) => Promise<boolean>;
     /** How many channels have been opened since the start. */
     readonly openedChannelCount: () => number;
     readonly close: () => void;
@@ -211,6 +213,16 @@
                 controller?.resume();
             }
         },
+        canConnect: address => {
+            openedCount++;
+            const { host, port } = parseAddress(address);
+            return new Promise(resolve =>
+                openSocket(host, port, (_, socket) => {
+                    socket?.destroy();
+                    resolve(socket !== undefined);
+                })
+            );
+        },
         openedChannelCount: () => openedCount,
         close: () => {
             clearInterval(idleSweep);
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -10,12 +10,14 @@
     isGatewayReady,
     type PeerReport,
     type ReadFailure,
+    type ServerReport,
     type TopicItem,
     type TopicName,
 } from "@verbenaspring/gateway";
 import { type AttemptId, identifier, type Milliseconds, type RequestId } from "@verbenaspring/model";
 import { createServer, type Server } from "node:http";
 import { type BackendChannels, createBackendChannels } from "./backendChannels.js";
+import { digestContent } from "./contentDigest.js";
 import { createDeferred } from "./daemon.js";
 import { createEventChannel, monotonicNow } from "./eventLoop.js";
 import { createGatewayCallerServer, type GatewayCallerServer } from "./gatewayCallerServer.js";
@@ -31,6 +33,9 @@
 /** A leaving backend server stops a few seconds after its notice, so a longer migration would complete too late. */
 const migrationTimeout: Milliseconds = 3_000;
 
+/** What a probe finds out about a server that has no report. */
+const emptyReport: ServerReport = { isLeaving: false, startedAt: undefined, runs: [] };
+
 /** Owns the gateway's sockets and performs the reducer's effects on them. */
 export class GatewayRunner {
     readonly events = createEventChannel<GatewayEvent>();
@@ -133,7 +138,7 @@
             case "closePeerLink":
                 return this.peerLinks.closePeer(effect.address);
             case "probeServer":
-                void this.adapter.readReport(effect.address, probeTimeout).then(report =>
+                void this.probe(effect.address, effect.hasReport).then(report =>
                     this.events.push({ kind: "serverProbed", backendServer: effect.backendServer, report })
                 );
                 return;
@@ -168,7 +173,8 @@
                     this.receivedAtOfRequest.set(requestId, arrival.receivedAt);
                     this.metrics.count("verbenaspring_requests_total");
                     this.metrics.record("verbenaspring_read_delay_milliseconds", arrival.readDelay);
-                    push({ kind: "requestReceived", requestId, head, ...arrival });
+                    const contentDigest = digestContent(head, body);
+                    push({ kind: "requestReceived", requestId, head, contentDigest, ...arrival });
                 },
                 leftEarly: ({ callerAttemptId }, { readDelay }) => {
                     const fields = { request: callerAttemptId, readDelay: Math.round(readDelay) };
@@ -256,6 +262,13 @@
         });
     }
 
+    private async probe(address: string, hasReport: boolean): Promise<ServerReport | undefined> {
+        if (hasReport) {
+            return this.adapter.readReport(address, probeTimeout);
+        }
+        return await this.channels.canConnect(address) ? emptyReport : undefined;
+    }
+
     private migrateRun(effect: Extract<GatewayEffect, { readonly kind: "migrateRun"; }>): void {
         const { attemptId, callerAttemptId, sourceAddress, targetAddress } = effect;
         void this.adapter.migrateRun(sourceAddress, callerAttemptId, targetAddress, migrationTimeout).then(result => {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./backendChannels.js";
 export * from "./backendClient.js";
 export * from "./callerServer.js";
+export * from "./contentDigest.js";
 export * from "./cursor.js";
 export * from "./daemon.js";
 export * from "./entryDaemon.js";
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -61,10 +61,10 @@
     };
 }
 
-function encodeSuspect({ part, isCommon, crashes }: PeerCrashSuspect): PeerCrashSuspectMessage {
+function encodeSuspect({ id, isCommon, crashes }: PeerCrashSuspect): PeerCrashSuspectMessage {
     return {
         $typeName: "verbenaspring.v1.PeerCrashSuspect",
-        part,
+        id,
         isCommon,
         crashes: crashes.map(crash => ({ $typeName: "verbenaspring.v1.PeerServerCrash", ...crash })),
     };
@@ -120,9 +120,9 @@
     };
 }
 
-function decodeSuspect({ part, isCommon, crashes }: PeerCrashSuspectMessage): PeerCrashSuspect {
+function decodeSuspect({ id, isCommon, crashes }: PeerCrashSuspectMessage): PeerCrashSuspect {
     return {
-        part: identifier(part),
+        id: identifier(id),
         isCommon,
         crashes: crashes.map(({ backendServer, startedAt, age, isCleared }) => ({
             backendServer: identifier(backendServer),
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -66,7 +66,7 @@
             age: 12.5,
         }],
         crashSuspects: [{
-            part: identifier("5c1e"),
+            id: identifier("5c1e"),
             isCommon: true,
             crashes: [
                 { backendServer: identifier("i-1"), startedAt: 1_767_000_000_000, age: 12.5, isCleared: true },
