--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -87,6 +87,7 @@
         readonly requestId: RequestId;
         readonly head: RequestHead;
         readonly contentDigest: ContentDigest;
+        /** When the request arrived at the earliest; the caller's time limit began about then. */
         readonly receivedAt: Milliseconds;
         /** How long the request may have waited at the gateway's socket before it was read. */
         readonly readDelay: Milliseconds;
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -17,7 +17,7 @@
 import { afterNextPoll } from "./nextPoll.js";
 import { listen } from "./socketAddress.js";
 
-/** When a request was read, and how long it may have waited before that. */
+/** When a request arrived at the earliest, and how long it may have waited before it was read. */
 export interface RequestArrival {
     readonly receivedAt: Milliseconds;
     readonly readDelay: Milliseconds;
@@ -135,8 +135,9 @@
     };
 
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
-        const receivedAt = monotonicNow();
-        const arrival = { receivedAt, readDelay: readDelay(receivedAt) };
+        const readAt = monotonicNow();
+        const delay = readDelay(readAt);
+        const arrival = { receivedAt: readAt - delay, readDelay: delay };
         if (refusedChannels.has(request.socket)) {
             request.socket.destroy();
             return;
