runtime: a tick is handled after the sockets were polled, so that it decides nothing for callers that left (GONE)

Timers that are due run before sockets are polled, so after a delay of the loop a tick repeated a request whose caller's close lay unread. Evidence: the new case of callersThatLeftProcess.test.ts, an unanswered lookup at a gateway that is suspended for 3.3 s while the caller leaves, ran twice before, once now. Change: ticks of all daemons wait for the next poll, two turns of the loop.

--- a/packages/bench/test/callersThatLeftProcess.test.ts
+++ b/packages/bench/test/callersThatLeftProcess.test.ts
@@ -78,6 +78,35 @@
 test("requests of callers that left before they were read are not sent to servers, on open channels", async () =>
     assert.is(await countRunsAtGateway(true), 0));
 
+// After a delay of the loop timers run before sockets are read (GONE).
+test("an unanswered request is not repeated for a caller that left while the gateway could not read", async () => {
+    const cluster = await GatewayCluster.start(1);
+    try {
+        const servers = [await cluster.addServer("w1", "plain", 5), await cluster.addServer("w2", "plain", 5)];
+        servers.forEach(server => server.setBehaviour("silent"));
+        const [{ child, callerAddress }] = cluster.gateways;
+        const [socket] = await openChannels(callerAddress);
+        await writeRequest(
+            socket,
+            "/lookup/1",
+            ["host: platform.example", "attempt-id: left", "deadline-ms: 5000"],
+            "body",
+        );
+        await pause(300);
+        child.kill("SIGSTOP");
+        await pause(100);
+        socket.destroy();
+        // An idempotent request is repeated after three seconds of silence.
+        await pause(3_200);
+        child.kill("SIGCONT");
+        await pause(1_000);
+        assert.is(servers.reduce((sum, server) => sum + server.runs().length, 0), 1);
+    }
+    finally {
+        await cluster.stop();
+    }
+});
+
 test("requests of callers that left before they were read are not sent to servers by an entry", async () => {
     const cluster = await startSmallCluster();
     try {
--- a/packages/runtime/src/eventLoop.ts
+++ b/packages/runtime/src/eventLoop.ts
@@ -4,6 +4,7 @@
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import { from, mergeArray, type Stream } from "most";
+import { afterNextPoll } from "./nextPoll.js";
 import type { ObserveTick } from "./tickMonitor.js";
 
 /** Passes the events of a process's I/O to its loop. */
@@ -78,11 +79,14 @@
     mergeArray([...options.sources, createTicks(options)]).observe(processInOrder).catch(options.handleError);
 }
 
-/** The first tick comes at once. The timers of `most` are not used, since they follow the time of day. */
+/**
+ * The first tick comes at once. The timers of `most` are not used, since they follow the time of day. Timers that are due
+ * run before sockets are polled, so a tick waits for the poll: what it decides may depend on what has arrived.
+ */
 function createTicks<Event, Effect>({ tick, tickInterval }: LoopOptions<Event, Effect>): Stream<Event> {
     const ticks = createEventChannel<Event>();
     ticks.push(tick);
-    setInterval(() => ticks.push(tick), tickInterval);
+    setInterval(() => afterNextPoll(() => ticks.push(tick)), tickInterval);
     return ticks.stream;
 }
 
