fuzz: requests that crash servers and come again, beside parts of prompts that do

The oracle of deadly parts checks both kinds: a request that crashed three servers may reach servers three times more, later than the platform's contact time. New mutation: repeats of a request are not recognised.

--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -46,7 +46,7 @@
     /** Whether registrations currently reach the store; absent if they always do. */
     readonly canRegister?: () => boolean;
     /** Is called when a server has crashed under a deadly call. */
-    readonly crashedUnderCall?: (id: string) => void;
+    readonly crashedUnderCall?: (id: string, call: ServerCall) => void;
 }
 
 /** Consecutive missed heartbeats after which a registration is deleted. */
@@ -159,14 +159,15 @@
         }
     }
 
-    private crashUnder(id: string, { path, sharedParts }: ServerCall): boolean {
+    private crashUnder(id: string, call: ServerCall): boolean {
+        const { path, sharedParts } = call;
         const hasDeadlyPart = this.deadlyPart !== undefined && sharedParts.includes(this.deadlyPart);
         if (!hasDeadlyPart && path !== this.deadlyPath) {
             return false;
         }
         const crashed = this.members.get(id);
         this.crash(id);
-        this.options.crashedUnderCall?.(id);
+        this.options.crashedUnderCall?.(id, call);
         this.options.clock.schedule(crashDuration, () => {
             if (crashed?.state === "ready" && this.members.get(id) === crashed) {
                 this.add(crashed.plan, crashed.model.options.address);
--- a/packages/emulator/src/virtualPlatform.ts
+++ b/packages/emulator/src/virtualPlatform.ts
@@ -17,7 +17,7 @@
     type RequestId,
 } from "@verbenaspring/model";
 import { configurationKey, Fleet, operatorTopic } from "./fleet.js";
-import type { RunObserver } from "./serverModel.js";
+import type { RunObserver, ServerCall } from "./serverModel.js";
 import { StoreModel } from "./storeModel.js";
 import { VirtualClock } from "./virtualClock.js";
 import {
@@ -41,8 +41,8 @@
     readonly callArrived: (gateway: VirtualGateway, call: BackendCall) => void;
     /** A backend server refused a call and asked the gateway for a pause. */
     readonly pauseRequested: (gateway: VirtualGateway, call: BackendCall, pause: Milliseconds) => void;
-    /** An engine crashed under a call with the deadly part; absent if no part is deadly. */
-    readonly crashedUnderCall?: (server: string) => void;
+    /** A server crashed under a deadly call; absent if none is deadly. */
+    readonly crashedUnderCall?: (server: string, call: ServerCall) => void;
     /** A gateway process exited after a planned stop. */
     readonly exited: (gateway: VirtualGateway) => void;
 }
--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -7,7 +7,7 @@
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
 import {
     configurationSchedules,
-    deadlyPartSchedules,
+    deadlyWorkSchedules,
     limitSchedules,
     noticeSchedules,
     overlaidGateways,
@@ -57,9 +57,9 @@
 };
 
 /** Gateways on the users' platform, with parts of prompts that crash engines. */
-export const deadlyPartPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+export const deadlyWorkPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
-    schedules: deadlyPartSchedules,
+    schedules: deadlyWorkSchedules,
 };
 
 /** Gateways on the users' platform, with backend servers that declare limits. */
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -6,7 +6,7 @@
 import { hideBin } from "yargs/helpers";
 import {
     configurationPlatformSystem,
-    deadlyPartPlatformSystem,
+    deadlyWorkPlatformSystem,
     fuzz,
     limitedPlatformSystem,
     linkedSystem,
@@ -57,7 +57,7 @@
     platform: platformSystem,
     overlay: overlaidPlatformSystem,
     configurations: configurationPlatformSystem,
-    deadly: deadlyPartPlatformSystem,
+    deadly: deadlyWorkPlatformSystem,
     limits: limitedPlatformSystem,
     notices: noticePlatformSystem,
     pauses: pausePlatformSystem,
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -5,7 +5,7 @@
 import { hideBin } from "yargs/helpers";
 import {
     configurationPlatformSystem,
-    deadlyPartPlatformSystem,
+    deadlyWorkPlatformSystem,
     fuzz,
     type FuzzTarget,
     limitedPlatformSystem,
@@ -18,7 +18,7 @@
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
 import {
     configurationMutations,
-    deadlyPartMutations,
+    deadlyWorkMutations,
     limitMutations,
     noticeMutations,
     pauseMutations,
@@ -65,7 +65,7 @@
     ...createSearches(linkedSystem, mutations),
     ...createSearches(platformSystem, platformMutations),
     ...createSearches(configurationPlatformSystem, configurationMutations),
-    ...createSearches(deadlyPartPlatformSystem, deadlyPartMutations),
+    ...createSearches(deadlyWorkPlatformSystem, deadlyWorkMutations),
     ...createSearches(limitedPlatformSystem, limitMutations),
     ...createSearches(noticePlatformSystem, noticeMutations),
     ...createSearches(pausePlatformSystem, pauseMutations),
--- a/packages/fuzz/src/oracle.ts
+++ b/packages/fuzz/src/oracle.ts
@@ -27,7 +27,7 @@
     | "repeats_within_budget"
     | "server_limit_kept"
     | "server_pause_kept"
-    | "deadly_part_contained"
+    | "deadly_work_contained"
     | "configuration_in_force"
     | "serves_again"
     | "invariant";
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -25,6 +25,8 @@
      * third of them with it.
      */
     | { readonly kind: "deadlyPart"; readonly duration: number; }
+    /** A request crashes each server that begins to run it, and comes again as often as those with a deadly part. */
+    | { readonly kind: "deadlyRequest"; readonly work: RequestKind; readonly duration: number; }
     /** Sends a request for the route that one of the last versions added. */
     | { readonly kind: "probe"; readonly gateway: number; readonly back: number; };
 
@@ -196,11 +198,18 @@
     return schedulesOf(weighted, steps);
 }
 
-const deadlyPart = arbitraryAction("deadlyPart", { duration: fc.integer({ min: 4_000, max: 12_000 }) });
+const deadlyDuration = fc.integer({ min: 4_000, max: 12_000 });
+const deadlyWork = fc.oneof(
+    arbitraryAction("deadlyPart", { duration: deadlyDuration }),
+    arbitraryAction("deadlyRequest", {
+        work: fc.constantFrom<RequestKind>("confirm", "lookup", "plan", "note"),
+        duration: deadlyDuration,
+    }),
+);
 
-/** Generates schedules of up to `steps` steps, in which parts of prompts crash engines. */
-export function deadlyPartSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
-    const weighted = fc.oneof({ arbitrary: action, weight: 20 }, { arbitrary: deadlyPart, weight: 1 });
+/** Generates schedules of up to `steps` steps, in which parts of prompts and requests crash servers. */
+export function deadlyWorkSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    const weighted = fc.oneof({ arbitrary: action, weight: 20 }, { arbitrary: deadlyWork, weight: 1 });
     return schedulesOf(weighted, steps);
 }
 
@@ -235,7 +244,15 @@
     });
 }
 
-const callerKinds: ReadonlySet<string> = new Set(["ask", "leave", "configure", "rewriteOld", "probe", "deadlyPart"]);
+const callerKinds: ReadonlySet<string> = new Set([
+    "ask",
+    "leave",
+    "configure",
+    "rewriteOld",
+    "probe",
+    "deadlyPart",
+    "deadlyRequest",
+]);
 const storeKinds: ReadonlySet<string> = new Set([
     "storeBehaves",
     "storeSlow",
--- a/packages/fuzz/src/platform/index.ts
+++ b/packages/fuzz/src/platform/index.ts
@@ -1,5 +1,5 @@
 export * from "./actions.js";
-export * from "./deadlyPartOracle.js";
+export * from "./deadlyWorkOracle.js";
 export * from "./faultRecord.js";
 export * from "./limits.js";
 export * from "./mutations.js";
--- a/packages/fuzz/src/platform/limits.ts
+++ b/packages/fuzz/src/platform/limits.ts
@@ -31,10 +31,10 @@
     serverPauseReaction: 500,
     /** Requests of a gateway that may reach a server in the rest of the pause. */
     serverPauseSlack: 2,
-    /** Crashes under one part of a prompt after which requests with it must stop. */
-    deadlyPartCrashes: 5,
-    /** Requests with such a part that may reach engines later. */
-    deadlyPartSlack: 3,
+    /** A part of prompts that crashes engines: how many crashes it may cause, and how often it may reach engines later. */
+    deadlyPart: { name: "requests with a deadly part", crashes: 5, slack: 3 },
+    /** The same of a request that comes again. */
+    deadlyRequest: { name: "repeats of a deadly request", crashes: 3, slack: 3 },
     /** How long after a backend server first declared a limit it is in force. */
     serverLimitApply: 3_000,
     /** How long after a gateway passed on an answer that declares a limit its requests count towards it. */
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -12,6 +12,7 @@
     type Route,
     type TopicRecord,
 } from "@verbenaspring/gateway";
+import { type ContentDigest, identifier } from "@verbenaspring/model";
 import type { Mutation } from "../mutations.js";
 import type { PromiseName } from "../oracle.js";
 
@@ -122,15 +123,22 @@
     { name: "ticks stop for seconds", promises: ["configuration_in_force"], implementation: createTickLoss() },
 ];
 
-function forgetParts(event: GatewayEvent, { crashSuspects }: GatewayState): GatewayEvent {
+function forgetSuspects(event: GatewayEvent, { crashSuspects }: GatewayState): GatewayEvent {
     crashSuspects.suspects.clear();
     crashSuspects.lostRuns.clear();
     return event;
 }
 
-/** Mutations that only schedules with parts that crash engines can find. */
-export const deadlyPartMutations: readonly Mutation<GatewayInterceptors>[] = [
-    eventMutation("crashes under a part are forgotten", ["deadly_part_contained"], forgetParts),
+function forgetContent(event: GatewayEvent): GatewayEvent {
+    return event.kind === "requestReceived"
+        ? { ...event, contentDigest: identifier<ContentDigest>(event.requestId) }
+        : event;
+}
+
+/** Mutations that only schedules with parts or requests that crash servers can find. */
+export const deadlyWorkMutations: readonly Mutation<GatewayInterceptors>[] = [
+    eventMutation("crashes are forgotten", ["deadly_work_contained"], forgetSuspects),
+    eventMutation("repeats of a request are not recognised", ["deadly_work_contained"], forgetContent),
 ];
 
 /** Mutations that only schedules in which servers declare limits can find. */
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -6,7 +6,7 @@
 import type { BackendCall, ResponseHead, StreamEvent } from "@verbenaspring/gateway";
 import type { Milliseconds, RequestId } from "@verbenaspring/model";
 import { BrokenPromiseError, type PromiseName } from "../oracle.js";
-import { DeadlyPartOracle } from "./deadlyPartOracle.js";
+import { DeadlyWorkOracle } from "./deadlyWorkOracle.js";
 import { FaultRecord } from "./faultRecord.js";
 import { isEarlyInStop, platformLimits } from "./limits.js";
 import { mustRunAtMostOnce, type RequestOrProbeKind, serviceOf } from "./requestKinds.js";
@@ -49,7 +49,14 @@
     readonly faultRecord: FaultRecord;
     readonly serverLimits: ServerLimitOracle<VirtualGateway>;
     readonly serverNotices = new ServerNoticeOracle<VirtualGateway>((promise, detail) => this.fail(promise, detail));
-    readonly deadlyParts = new DeadlyPartOracle((promise, detail) => this.fail(promise, detail));
+    readonly deadlyParts = new DeadlyWorkOracle(
+        platformLimits.deadlyPart,
+        (promise, detail) => this.fail(promise, detail),
+    );
+    readonly deadlyRequests = new DeadlyWorkOracle(
+        platformLimits.deadlyRequest,
+        (promise, detail) => this.fail(promise, detail),
+    );
     readonly serverPauses = new ServerPauseOracle<VirtualGateway>(
         (promise, detail) => this.fail(promise, detail),
         ({ name }, since) => this.faultRecord.hadFaultSince(name, since - platformLimits.serverPauseReaction),
@@ -239,6 +246,7 @@
         this.serverNotices.checkArrival(gateway, call.backendServer, request?.sentAt ?? now);
         if (this.mustMeetTimeLimits(gateway)) {
             this.deadlyParts.recordArrival(call.head.sharedParts, now);
+            this.deadlyRequests.recordArrival([call.head.target], now);
         }
         const drainPublishedAt = this.drainPublishedAt(call.backendServer);
         if (
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -11,7 +11,7 @@
     VirtualPlatform,
 } from "@verbenaspring/emulator";
 import type { RequestHead } from "@verbenaspring/gateway";
-import { identifier, type Milliseconds, type PromptPartId } from "@verbenaspring/model";
+import { type ContentDigest, identifier, type Milliseconds, type PromptPartId } from "@verbenaspring/model";
 import {
     type CallerAction,
     type GatewayAction,
@@ -60,8 +60,8 @@
 const departureDelay: Milliseconds = 4_000;
 /** The time between the requests that arrive while a server declares a limit. */
 const limitedRequestInterval: Milliseconds = 50;
-/** The time between the requests that arrive while a part crashes engines; one of so many has the part. */
-const partRequestInterval: Milliseconds = 100;
+/** The time between the requests that arrive while a part or a request crashes servers; one of so many is deadly. */
+const deadlyWorkInterval: Milliseconds = 100;
 const deadlyRequestPeriod = 3;
 /** A part that all requests share. */
 const commonPart = "common";
@@ -96,6 +96,7 @@
     private requestCount = 0;
     private serverCount = 0;
     private deadlyPartCount = 0;
+    private deadlyRequestCount = 0;
 
     constructor(
         { seed }: PlatformSchedule,
@@ -120,8 +121,10 @@
             callArrived: (gateway, call) => this.oracle.recordArrival(gateway, call),
             pauseRequested: (gateway, call, pause) =>
                 this.oracle.serverPauses.recordRefusal(gateway, call.backendServer, pause, this.platform.clock.now),
-            crashedUnderCall: server => {
-                this.oracle.deadlyParts.recordCrash(this.platform.clock.now);
+            crashedUnderCall: (server, { path }) => {
+                const { deadlyParts, deadlyRequests } = this.oracle;
+                const isRequest = path === this.platform.fleet.deadlyPath;
+                (isRequest ? deadlyRequests : deadlyParts).recordCrash(this.platform.clock.now);
                 this.oracle.serverNotices.forgetServer(server);
                 this.oracle.serverPauses.forgetServer(server);
             },
@@ -216,6 +219,8 @@
                 return this.platform.configure(buildConfiguration(Math.max(0, this.versions.newestIndex - 1)));
             case "deadlyPart":
                 return this.startDeadlyPart(action.duration);
+            case "deadlyRequest":
+                return this.startDeadlyRequest(action.work, action.duration);
             case "probe":
                 return this.sendProbe(
                     this.gatewayOf(action.gateway),
@@ -259,7 +264,8 @@
         );
         const requestId = this.platform.nextRequestId();
         this.oracle.recordRequestId(gateway, requestId, request);
-        this.platform.ask(gateway, requestId, head);
+        const contentDigest = path === undefined ? undefined : identifier<ContentDigest>(path);
+        this.platform.ask(gateway, requestId, head, contentDigest);
         return request;
     }
 
@@ -280,10 +286,10 @@
         const { fleet, clock } = this.platform;
         const part = `deadly${++this.deadlyPartCount}`;
         fleet.deadlyPart = part;
-        this.oracle.deadlyParts.startPart(part);
+        this.oracle.deadlyParts.start(part);
         this.recordServerFault(duration);
-        for (let delay = 0; delay < duration; delay += partRequestInterval) {
-            const number = delay / partRequestInterval;
+        for (let delay = 0; delay < duration; delay += deadlyWorkInterval) {
+            const number = delay / deadlyWorkInterval;
             const sharedParts = [commonPart, number % deadlyRequestPeriod === 0 ? part : `sound${number}`];
             const { length, timeLimit } = limitedRequest;
             clock.schedule(
@@ -293,6 +299,24 @@
         }
     }
 
+    /** Lets a new request crash the servers that run it for a duration, and sends it and sound ones. */
+    private startDeadlyRequest(kind: RequestKind, duration: Milliseconds): void {
+        const { fleet, clock } = this.platform;
+        const { length, timeLimit } = limitedRequest;
+        const deadlyPath = `/${kind}/deadly${++this.deadlyRequestCount}?length=${length}`;
+        fleet.deadlyPath = deadlyPath;
+        this.oracle.deadlyRequests.start(deadlyPath);
+        this.recordServerFault(duration);
+        for (let delay = 0; delay < duration; delay += deadlyWorkInterval) {
+            const number = delay / deadlyWorkInterval;
+            const path = number % deadlyRequestPeriod === 0 ? deadlyPath : undefined;
+            clock.schedule(
+                delay,
+                () => void this.sendRequest(this.gatewayOf(number), kind, length, timeLimit, { path }),
+            );
+        }
+    }
+
     private sendProbe(gateway: VirtualGateway, index: number): void {
         const check = this.versions.startProbe(gateway, index, this.platform.clock.now);
         const request = this.sendRequest(gateway, "probe", 1, routeTimeouts.probe, { path: `/version${index}/1` });
