--- a/packages/gateway/src/crashSuspects.ts
+++ b/packages/gateway/src/crashSuspects.ts
@@ -249,7 +249,21 @@
     const { suspects } = crashSuspects;
     suspects.delete(id);
     suspects.set(id, { ...suspect, number: ++crashSuspects.changeCount });
-    evictOldest(suspects, maximumSuspects);
+    if (suspects.size > maximumSuspects) {
+        suspects.delete(chooseEvicted(suspects));
+    }
+}
+
+/** The least recently changed suspect that is not suspended, or if all are, the least recently changed one. */
+function chooseEvicted(suspects: ReadonlyMap<CrashSuspectId, Suspect>): CrashSuspectId {
+    const [oldest] = suspects.keys();
+    for (const [id, suspect] of suspects) {
+        const crashTimes = openCrashes(suspect).map(({ at }) => at);
+        if (suspendedUntil({ crashTimes, kind: kindOf(id, suspect.isCommon) }) === undefined) {
+            return id;
+        }
+    }
+    return oldest;
 }
 
 function evictOldest(
--- a/packages/gateway/test/crashSuspects.test.ts
+++ b/packages/gateway/test/crashSuspects.test.ts
@@ -337,6 +337,20 @@
     assert.is(sendLookup(other, "deadly"), undefined);
 });
 
+test("a request that is suspended is not forgotten for many that were at a server which crashed once", () => {
+    const gateway = gatewayWithPlainServers();
+    crashPlainServers(gateway, 2, "deadly");
+    const crashes = [{ backendServer: identifier<never>("plain-9"), startedAt: 3, age: 0, isCleared: false }];
+    const single = (_: unknown, index: number): PeerCrashSuspect => ({
+        id: identifier<PromptPartId>(`part${index}`),
+        isCommon: false,
+        crashes,
+    });
+    gateway.receiveReport({ crashSuspects: Array.from({ length: 1_500 }, single) });
+    assert.is(gateway.state.crashSuspects.suspects.size, 1_024);
+    assert.is(sendLookup(gateway, "deadly"), undefined);
+});
+
 test("requests of different organisations with the same content are not repeats of each other", () => {
     const digest = identifier<ContentDigest>("digest");
     const [one, other, none] = [identifier<OrganisationId>("one"), identifier<OrganisationId>("other"), undefined];
