--- a/packages/bench/src/engineLoad.ts
+++ b/packages/bench/src/engineLoad.ts
@@ -7,11 +7,20 @@
 import type { RequestHead } from "@verbenaspring/gateway";
 import { identifier, type Milliseconds, type RequestId } from "@verbenaspring/model";
 
+/** How the sizes of prompts are distributed around their median. */
+export interface PromptSizes {
+    /** Standard deviation of the logarithm of the size. */
+    readonly spread: number;
+    /** The largest size, as a multiple of the median. */
+    readonly maximumFactor: number;
+}
+
 /** One kind of streamed request. */
 export interface StreamKind {
     readonly name: string;
     readonly requestsPerSecond: number;
     readonly promptTokens: number;
+    readonly promptSizes: PromptSizes;
     readonly outputTokens: number;
     /** Standard deviation of the logarithm of the output length, and of the error of the caller's estimate. */
     readonly spread: number;
@@ -35,6 +44,12 @@
     readonly duration: Milliseconds;
 }
 
+/** The size of a request that has ended, and whether it was answered completely. */
+export interface SizedEnd {
+    readonly promptTokens: number;
+    readonly isServed: boolean;
+}
+
 /** What became of the requests of one kind. */
 export interface KindResult {
     readonly name: string;
@@ -47,6 +62,7 @@
     refused: number;
     cut: number;
     readonly firstEvents: Milliseconds[];
+    readonly ends: SizedEnd[];
 }
 
 /** The result of a load. */
@@ -74,8 +90,6 @@
 /** Callers come back within this share of the time that they have left. */
 const maximumRetryShare = 1 / 3;
 const maximumOutputFactor = 2.4;
-const maximumPromptFactor = 2;
-const promptSpread = 0.35;
 /** Speeds of the engines of all deployments: times in milliseconds, rates in tokens per millisecond. */
 const engineSpeed = { stepTime: 7, stepTimePerRun: 0.12, prefillRate: 14, prefillChunk: 112, transferRate: 18 };
 const engineService = "engine";
@@ -91,6 +105,27 @@
     return new LoadedPlatform(load, seed).play();
 }
 
+/**
+ * Returns the share of the requests that were answered completely in each tenth by the size of their prompts, the
+ * smallest first.
+ *
+ * @example
+ * const [smallest] = servedByTenth(kinds.flatMap(kind => kind.ends));
+ */
+export function servedByTenth(ends: readonly SizedEnd[]): number[] {
+    const tenths = 10;
+    const bySize = [...ends].sort((one, other) => one.promptTokens - other.promptTokens);
+    return Array.from({ length: tenths }, (_, index) => {
+        const start = Math.floor(index * bySize.length / tenths);
+        return servedShare(bySize.slice(start, Math.floor((index + 1) * bySize.length / tenths)));
+    });
+}
+
+/** Returns the share of the requests that were answered completely; 0 if there are none. */
+export function servedShare(ends: readonly SizedEnd[]): number {
+    return ends.filter(({ isServed }) => isServed).length / Math.max(1, ends.length);
+}
+
 /** A platform in virtual time, its callers and the engines that leave. */
 class LoadedPlatform {
     private readonly random: Random;
@@ -183,12 +218,12 @@
     }
 
     /** Draws the sizes of a request. The caller's estimate is right at the median only. */
-    private drawHead({ name, outputTokens, promptTokens, spread }: StreamKind): RequestHead {
+    private drawHead({ name, outputTokens, promptTokens, promptSizes, spread }: StreamKind): RequestHead {
         const median = outputTokens * Math.exp(-spread * spread / 2);
         const maximumTokens = Math.round(maximumOutputFactor * outputTokens);
         const drawnLength = Math.round(drawLogNormal(median, spread, this.random));
         const length = Math.max(tokensPerEvent, Math.min(maximumTokens, drawnLength));
-        const drawnPrompt = drawLogNormal(promptTokens, promptSpread, this.random);
+        const drawnPrompt = drawLogNormal(promptTokens, promptSizes.spread, this.random);
         return {
             callerAttemptId: identifier(""),
             method: "POST",
@@ -197,7 +232,7 @@
             timeLimit: undefined,
             apiKey: undefined,
             lastEvent: undefined,
-            promptTokens: Math.round(Math.min(maximumPromptFactor * promptTokens, drawnPrompt)),
+            promptTokens: Math.round(Math.min(promptSizes.maximumFactor * promptTokens, drawnPrompt)),
             maximumTokens,
             estimatedTokens: Math.max(1, Math.round(drawLogNormal(length, spread, this.random))),
             sharedParts: [],
@@ -233,8 +268,7 @@
                 return recordEnd(caller, this.platform.clock.now);
             case "answerCut":
                 this.callers.delete(effect.requestId);
-                caller.result.cut++;
-                return;
+                return recordUnserved(caller, "cut");
             case "answerFailure":
                 this.callers.delete(effect.requestId);
                 return this.handleFailure(caller, effect.failure.outcome === "not_run", effect.failure.retryAfter ?? 0);
@@ -249,12 +283,17 @@
             this.platform.clock.schedule(retryAfter, () => this.ask({ ...caller, isRetry: true }));
             return;
         }
-        caller.result[isRefused ? "refused" : "cut"]++;
+        recordUnserved(caller, isRefused ? "refused" : "cut");
     }
 }
 
 function createKindResult(name: string): KindResult {
-    return { name, asked: 0, onTime: 0, late: 0, paused: 0, refused: 0, cut: 0, firstEvents: [] };
+    return { name, asked: 0, onTime: 0, late: 0, paused: 0, refused: 0, cut: 0, firstEvents: [], ends: [] };
+}
+
+function recordUnserved({ result, head }: Caller, end: "refused" | "cut"): void {
+    result[end]++;
+    result.ends.push({ promptTokens: head.promptTokens, isServed: false });
 }
 
 function recordEvents(caller: Caller, now: Milliseconds): void {
@@ -263,11 +302,12 @@
     caller.lastEventAt = now;
 }
 
-function recordEnd({ kind, result, firstAskedAt, firstEventAt, longestPause }: Caller, now: Milliseconds): void {
+function recordEnd({ kind, result, head, firstAskedAt, firstEventAt, longestPause }: Caller, now: Milliseconds): void {
     const firstEvent = (firstEventAt ?? now) - firstAskedAt;
     const hasBegunOnTime = firstEvent <= kind.targetLatency;
     const hasPaused = longestPause > pauseTarget;
     result.firstEvents.push(firstEvent);
+    result.ends.push({ promptTokens: head.promptTokens, isServed: true });
     result[hasBegunOnTime && !hasPaused ? "onTime" : "late"]++;
     result.paused += hasBegunOnTime && hasPaused ? 1 : 0;
 }
--- a/packages/bench/src/engineLoadMain.ts
+++ b/packages/bench/src/engineLoadMain.ts
@@ -4,7 +4,7 @@
  */
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { type KindResult, playEngineLoad } from "./engineLoad.js";
+import { type KindResult, playEngineLoad, servedByTenth } from "./engineLoad.js";
 import { engineLoads, type EngineLoadSize, scaleLoad } from "./engineLoadSizes.js";
 
 const sizes = Object.keys(engineLoads) as EngineLoadSize[];
@@ -22,7 +22,9 @@
     { length: seeds },
     (_, index) => playEngineLoad(scaleLoad(engineLoads[size], load), index + 1),
 );
-process.stdout.write("kind    on time          late   refused  cut    first event p50, p90 ms\n");
+process.stdout.write(
+    "kind    on time          late   refused  cut    first event p50, p90 ms  served by tenth of size\n",
+);
 for (const { name } of engineLoads[size].kinds) {
     printKind(name, results.flatMap(({ kinds }) => kinds.filter(kind => kind.name === name)));
 }
@@ -38,6 +40,7 @@
         `${mean(onTime).toFixed(3)} ± ${standardError(onTime).toFixed(3)}`,
         ...(["late", "refused", "cut"] as const).map(ends => mean(share(ends)).toFixed(3)),
         `${quantile(0.5)}, ${quantile(0.9)}`,
+        servedByTenth(kinds.flatMap(kind => kind.ends)).map(value => value.toFixed(2)).join(" "),
     ];
     process.stdout.write(`${cells.join("  ")}\n`);
 }
--- a/packages/bench/src/engineLoadSizes.ts
+++ b/packages/bench/src/engineLoadSizes.ts
@@ -2,12 +2,17 @@
  * The loads that {@link playEngineLoad} plays: two sizes of one deployment, in which every seventh engine or so leaves
  * every few seconds.
  */
-import type { EngineLoad, StreamKind } from "./engineLoad.js";
+import type { EngineLoad, PromptSizes, StreamKind } from "./engineLoad.js";
+
+const similarSizes: PromptSizes = { spread: 0.35, maximumFactor: 2 };
+/** The largest tenth of prompts is about five times as large as the smallest. */
+const differentSizes: PromptSizes = { spread: 0.6, maximumFactor: 2.7 };
 
 const report: StreamKind = {
     name: "report",
     requestsPerSecond: 19.7,
     promptTokens: 2_830,
+    promptSizes: similarSizes,
     outputTokens: 640,
     spread: 0.9,
     targetLatency: 1_800,
@@ -28,7 +33,19 @@
 };
 
 /** The names of the sizes. */
-export type EngineLoadSize = "small" | "grown";
+export type EngineLoadSize = "small" | "grown" | "mixed";
+
+/** Gateways are so many, and so slow, that several choose before they know of each other. Memory is short. */
+const grown: EngineLoad = {
+    gateways: 28,
+    engines: 35,
+    slots: 24,
+    memoryTokens: 21_907,
+    kinds: [report, check],
+    departures: { interval: 3_300, engines: 5, notice: 1_300 },
+    latency: { minimum: 3, spread: 25 },
+    duration: 40_000,
+};
 
 /** Loads by size, at a load of 1. */
 export const engineLoads: Readonly<Record<EngineLoadSize, EngineLoad>> = {
@@ -46,17 +63,9 @@
         latency: { minimum: 3, spread: 6 },
         duration: 40_000,
     },
-    /** Gateways are so many, and so slow, that several choose before they know of each other. Memory is short. */
-    grown: {
-        gateways: 28,
-        engines: 35,
-        slots: 24,
-        memoryTokens: 21_907,
-        kinds: [report, check],
-        departures: { interval: 3_300, engines: 5, notice: 1_300 },
-        latency: { minimum: 3, spread: 25 },
-        duration: 40_000,
-    },
+    grown,
+    /** Requests of very different sizes compete for short memory. */
+    mixed: { ...grown, kinds: grown.kinds.map(kind => ({ ...kind, promptSizes: differentSizes })) },
 };
 
 /**
--- a/packages/coordination/src/capacityWait.ts
+++ b/packages/coordination/src/capacityWait.ts
@@ -81,7 +81,7 @@
 /** Forecasts of the first event are right at the median only, so this multiple of them must be on time. */
 const firstEventSafetyFactor = 2;
 
-/** The input of {@link countRequestsWithRoom}. */
+/** The input of {@link measureRoom}. */
 export interface EngineRoomInput extends FirstEventInput {
     /** Share of the engine's memory in use. */
     readonly memoryLoad: number;
@@ -92,24 +92,30 @@
     readonly timeLeft: Milliseconds;
 }
 
+/** For how many requests of one size an engine has room, by each of the two that limit it. */
+export interface EngineRoom {
+    readonly byMemory: number;
+    /** For how many the first event is forecast on time. */
+    readonly byTime: number;
+}
+
 /**
  * Returns how many requests of one size can start at an engine now and have their first event on time. An engine without
  * runs has room for at least one, since waiting would not free more memory; an engine without waiting prompts has room
  * for at least one that fits in memory, since no engine would be faster.
  *
  * @example
- * const room = countRequestsWithRoom({ memoryLoad: 0.6, memoryLimit: 0.9, memoryShare: 0.1, ...prompts, timeLeft: 1_800 });
+ * const { byMemory, byTime } = measureRoom({ memoryLoad: 0.6, memoryLimit: 0.9, memoryShare: 0.1, ...prompts, timeLeft: 1_800 });
  */
-export function countRequestsWithRoom(input: EngineRoomInput): number {
+export function measureRoom(input: EngineRoomInput): EngineRoom {
     const { memoryLoad, memoryLimit, memoryShare, waitingTokens, promptTokens, prefillRate, timeLeft } = input;
     const byMemory = Math.floor((memoryLimit - memoryLoad) / Math.max(memoryShare, Number.EPSILON));
     const readableTokens = timeLeft * prefillRate / firstEventSafetyFactor;
     const byTime = Math.floor((readableTokens - waitingTokens) / Math.max(1, promptTokens));
-    const room = Math.min(
-        memoryLoad === 0 ? Math.max(1, byMemory) : byMemory,
-        waitingTokens === 0 ? Math.max(1, byTime) : byTime,
-    );
-    return Math.max(0, room);
+    return {
+        byMemory: Math.max(memoryLoad === 0 ? 1 : 0, byMemory),
+        byTime: Math.max(waitingTokens === 0 ? 1 : 0, byTime),
+    };
 }
 
 /**
--- a/packages/coordination/test/capacityWait.test.ts
+++ b/packages/coordination/test/capacityWait.test.ts
@@ -1,8 +1,8 @@
 import {
-    countRequestsWithRoom,
     type EngineRoomInput,
     forecastFirstEvent,
     latestStart,
+    measureRoom,
     seededSource,
     startProbability,
     startRank,
@@ -14,7 +14,7 @@
 const { random } = seededSource(5);
 
 function room(overrides: Partial<EngineRoomInput> = {}): number {
-    return countRequestsWithRoom({
+    const { byMemory, byTime } = measureRoom({
         memoryLoad: 0.5,
         memoryLimit: 0.95,
         memoryShare: 0.15,
@@ -24,6 +24,7 @@
         timeLeft: 3_600,
         ...overrides,
     });
+    return Math.min(byMemory, byTime);
 }
 
 test("an engine has room for as many requests as fit in memory and begin on time", () => {
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -14,6 +14,7 @@
 import { identifyRepeats } from "./crashSuspects.js";
 import { cannotFinishBeforeStop, retryAfterStop } from "./draining.js";
 import type { GatewayEvent } from "./event.js";
+import { expectedOutput } from "./messages.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
 import { dispatch } from "./sending.js";
 import type { GatewayRequest } from "./state.js";
@@ -180,6 +181,8 @@
         request: request.head.callerAttemptId,
         route: request.route.name,
         service: request.service,
+        promptTokens: request.head.promptTokens || undefined,
+        expectedOutput: expectedOutput(request.head) || undefined,
         organisation: request.organisation?.id,
         server: request.attempt?.server.record.id,
         sends: request.sends,
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -6,10 +6,11 @@
 import {
     admissionLimits,
     chooseServer,
-    countRequestsWithRoom,
+    type EngineRoom,
     forecastCapacityWait,
     forecastFirstEvent,
     latestStart,
+    measureRoom,
     type OrganisationShares,
     startProbability,
     startRank,
@@ -17,6 +18,7 @@
 } from "@verbenaspring/coordination";
 import { identifier, type Milliseconds, type OrganisationId } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
+import type { DecisionFields } from "./effect.js";
 import { countWaitingRequests } from "./members.js";
 import { failRequest, requestFields } from "./requests.js";
 import { highestPriority } from "./routingConfiguration.js";
@@ -28,10 +30,10 @@
 /** A caller that repeated its request sooner would only be refused again. */
 const minimumRetryAfter: Milliseconds = 300;
 
-/** An engine with room for a request, and for how many such requests. */
-interface EngineWithRoom {
+/** An engine, and for how many requests of one size it has room. */
+interface MeasuredEngine {
     readonly server: BackendServer;
-    readonly requests: number;
+    readonly room: EngineRoom;
 }
 
 /**
@@ -81,12 +83,12 @@
     others: number,
 ): boolean {
     const { state, now, source: { random } } = transaction;
-    const engines = enginesWithRoom(transaction, request, servers);
-    const room = engines.reduce((sum, { requests }) => sum + requests, 0);
+    const engines = measureEngines(transaction, request, servers);
+    const room = engines.reduce((sum, engine) => sum + countRequests(engine), 0);
     if (room === 0 || random() >= startProbability(room, others)) {
         return false;
     }
-    const candidates = engines.map(({ server }) => server);
+    const candidates = engines.filter(engine => countRequests(engine) > 0).map(({ server }) => server);
     const server = others === 0
         ? chooseServer(candidates, candidate => placementView(state, candidate, now), random)
         : candidates[Math.floor(random() * candidates.length)];
@@ -97,18 +99,18 @@
     return true;
 }
 
-function enginesWithRoom(
+function measureEngines(
     { state, now }: Transaction,
     request: GatewayRequest,
     servers: readonly BackendServer[],
-): EngineWithRoom[] {
+): MeasuredEngine[] {
     const memoryTokens = engineOf(state, request.service)?.memoryTokens ?? 1;
     const { promptTokens } = request.head;
     const limit = isMostUrgent(state, request) ? admissionLimits.mostUrgent : admissionLimits.others;
     const timeLeft = request.arrivedAt + request.route.targetLatency - now;
-    return servers.flatMap(server => {
+    return servers.map(server => {
         const { memoryLoad, waitingTokens } = placementView(state, server, now);
-        const requests = countRequestsWithRoom({
+        const room = measureRoom({
             memoryLoad,
             memoryLimit: limit,
             memoryShare: expectedMemory(request) / memoryTokens,
@@ -117,10 +119,14 @@
             prefillRate: state.prefillRate,
             timeLeft,
         });
-        return requests === 0 ? [] : [{ server, requests }];
+        return { server, room };
     });
 }
 
+function countRequests({ room: { byMemory, byTime } }: MeasuredEngine): number {
+    return Math.min(byMemory, byTime);
+}
+
 /** Queues a request until there is room, or refuses it at once if that is forecast too late for its target latency. */
 function waitForCapacity(transaction: Transaction, request: GatewayRequest): void {
     const { state, now } = transaction;
@@ -171,6 +177,23 @@
 }
 
 function refuseOverloaded(transaction: Transaction, request: GatewayRequest, expected: Milliseconds): void {
+    logDecision(transaction, "info", "room_lacking", {
+        ...requestFields(transaction, request),
+        ...roomFields(transaction, request),
+    });
     const retryAfter = Math.max(minimumRetryAfter, expected);
     failRequest(transaction, request, "overloaded", "no engine has room for the request", retryAfter);
 }
+
+/** The log fields that tell whether memory, waiting prompts or requests of others were in the way of a request. */
+function roomFields(transaction: Transaction, request: GatewayRequest): DecisionFields {
+    const { state, now } = transaction;
+    const engines = measureEngines(transaction, request, usableServers(state, request.service, now));
+    return {
+        engines: engines.length,
+        withMemory: engines.filter(({ room }) => room.byMemory > 0).length,
+        withTime: engines.filter(({ room }) => room.byTime > 0).length,
+        withRoom: engines.filter(engine => countRequests(engine) > 0).length,
+        waitingRequests: countWaitingRequests(state, now),
+    };
+}
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -14,7 +14,7 @@
     type TopicItem,
     type TopicName,
 } from "@verbenaspring/gateway";
-import { type AttemptId, identifier, type Milliseconds, type RequestId } from "@verbenaspring/model";
+import { type AttemptId, type FailureType, identifier, type Milliseconds, type RequestId } from "@verbenaspring/model";
 import { createServer, type Server } from "node:http";
 import { type BackendChannels, createBackendChannels } from "./backendChannels.js";
 import { digestContent } from "./contentDigest.js";
@@ -36,6 +36,12 @@
 /** What a probe finds out about a server that has no report. */
 const emptyReport: ServerReport = { isLeaving: false, startedAt: undefined, runs: [] };
 
+/** What is kept of a request's arrival, for the metrics of its answer. */
+interface RequestArrival {
+    readonly receivedAt: Milliseconds;
+    readonly promptTokens: number;
+}
+
 /** Owns the gateway's sockets and performs the reducer's effects on them. */
 export class GatewayRunner {
     readonly events = createEventChannel<GatewayEvent>();
@@ -48,7 +54,7 @@
     private readonly metricsServer: Server | undefined;
     /** Bodies of requests in progress, kept so that further attempts can send them again. */
     private readonly bodies = new Map<RequestId, Buffer>();
-    private readonly receivedAtOfRequest = new Map<RequestId, Milliseconds>();
+    private readonly arrivals = new Map<RequestId, RequestArrival>();
     /** The attempt whose answer goes to the request's caller. */
     private readonly attemptOfRequest = new Map<RequestId, AttemptId>();
     private requestCount = 0;
@@ -120,13 +126,16 @@
             case "answerEnd":
                 this.callers.end(effect.requestId);
                 this.recordAnswerTime(effect.requestId, "stream");
+                this.countGeneration(effect.requestId, "answered");
                 return this.removeRequest(effect.requestId);
             case "answerCut":
                 this.callers.abort(effect.requestId);
+                this.countGeneration(effect.requestId, "cut");
                 return this.removeRequest(effect.requestId);
             case "answerFailure":
                 this.callers.writeFailure(effect.requestId, effect.failure);
                 this.recordAnswerTime(effect.requestId, "failure");
+                this.countGeneration(effect.requestId, effect.failure.type);
                 this.metrics.count("verbenaspring_failures_total", { type: effect.failure.type });
                 return this.removeRequest(effect.requestId);
             case "migrateRun":
@@ -170,7 +179,10 @@
             {
                 received: (requestId, head, body, arrival) => {
                     this.bodies.set(requestId, body);
-                    this.receivedAtOfRequest.set(requestId, arrival.receivedAt);
+                    this.arrivals.set(requestId, {
+                        receivedAt: arrival.receivedAt,
+                        promptTokens: head.promptTokens,
+                    });
                     this.metrics.count("verbenaspring_requests_total");
                     this.metrics.record("verbenaspring_read_delay_milliseconds", arrival.readDelay);
                     const contentDigest = digestContent(head, body);
@@ -211,9 +223,18 @@
     }
 
     private recordAnswerTime(requestId: RequestId, kind: "whole" | "stream" | "failure"): void {
-        const receivedAt = this.receivedAtOfRequest.get(requestId);
-        if (receivedAt !== undefined) {
-            this.metrics.record("verbenaspring_answer_milliseconds", monotonicNow() - receivedAt, { kind });
+        const arrival = this.arrivals.get(requestId);
+        if (arrival !== undefined) {
+            this.metrics.record("verbenaspring_answer_milliseconds", monotonicNow() - arrival.receivedAt, { kind });
+        }
+    }
+
+    /** Counts the final answers to requests that state the size of their prompt. */
+    private countGeneration(requestId: RequestId, end: "answered" | "cut" | FailureType): void {
+        const promptTokens = this.arrivals.get(requestId)?.promptTokens ?? 0;
+        if (promptTokens > 0) {
+            const upTo = String(2 ** Math.ceil(Math.log2(promptTokens)));
+            this.metrics.count("verbenaspring_generations_total", { prompt_tokens_up_to: upTo, end });
         }
     }
 
@@ -226,7 +247,7 @@
 
     private removeRequest(requestId: RequestId): void {
         this.bodies.delete(requestId);
-        this.receivedAtOfRequest.delete(requestId);
+        this.arrivals.delete(requestId);
         this.attemptOfRequest.delete(requestId);
     }
 
