--- a/packages/bench/test/engineLoad.test.ts
+++ b/packages/bench/test/engineLoad.test.ts
@@ -2,7 +2,14 @@
  * Replays of loads at their worst on gateways and engines in virtual time: memory is short, engines leave at short notice
  * and others join while requests wait at every gateway.
  */
-import { engineLoads, type KindResult, playEngineLoad, scaleLoad } from "@verbenaspring/bench";
+import {
+    engineLoads,
+    type KindResult,
+    playEngineLoad,
+    scaleLoad,
+    servedByTenth,
+    servedShare,
+} from "@verbenaspring/bench";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 
@@ -26,4 +33,14 @@
     assert.ok(results.every(kind => kind.cut < 0.05 * kind.asked), JSON.stringify(results));
 });
 
+test("large requests are served at least half as often as all of their kind when memory is short", () => {
+    for (const { name, ends } of playEngineLoad(scaleLoad(engineLoads.mixed, 1.35), 13).kinds) {
+        const tenths = servedByTenth(ends);
+        const minimum = servedShare(ends) / 2;
+        const nextFifth = (tenths[7] + tenths[8]) / 2;
+        assert.ok(tenths[9] >= minimum, `${name}: largest tenth ${tenths[9]}, minimum ${minimum}`);
+        assert.ok(nextFifth >= minimum, `${name}: fifth below it ${nextFifth}, minimum ${minimum}`);
+    }
+});
+
 test.run();
