gateway: small requests leave room for the largest of their kind while capacity is short (SHORT)

Cause: room was counted for requests of one's own size. While load lasted, small requests took each bit of memory and of prompt time that became free, and no engine ever had memory and time for a large one. The class: a resource in pieces that is given to whatever fits first.

Change: while runs hold over 0.55 of memory, or over 0.55 of the engines have prompts to read, a request starts only if an engine has room for the largest of the last 20 requests of its kind (service, priority of the route); where small ones go is as before. The forecast of the first event is doubled for the prompts that wait, which are what it does not know, and no longer for the request's own prompt, which asked twice its size of large ones.

--- a/packages/bench/src/engineLoadSizes.ts
+++ b/packages/bench/src/engineLoadSizes.ts
@@ -33,7 +33,7 @@
 };
 
 /** The names of the sizes. */
-export type EngineLoadSize = "small" | "grown" | "mixed";
+export type EngineLoadSize = "small" | "grown" | "mixed" | "prompts";
 
 /** Gateways are so many, and so slow, that several choose before they know of each other. Memory is short. */
 const grown: EngineLoad = {
@@ -66,6 +66,12 @@
     grown,
     /** Requests of very different sizes compete for short memory. */
     mixed: { ...grown, kinds: grown.kinds.map(kind => ({ ...kind, promptSizes: differentSizes })) },
+    /** Engines have memory to spare, but hardly the time to read all prompts. */
+    prompts: {
+        ...grown,
+        kinds: [{ ...check, promptSizes: differentSizes, requestsPerSecond: 140 }],
+        departures: { ...grown.departures, engines: 0 },
+    },
 };
 
 /**
--- a/packages/bench/test/engineLoad.test.ts
+++ b/packages/bench/test/engineLoad.test.ts
@@ -33,14 +33,23 @@
     assert.ok(results.every(kind => kind.cut < 0.05 * kind.asked), JSON.stringify(results));
 });
 
-test("large requests are served at least half as often as all of their kind when memory is short", () => {
-    for (const { name, ends } of playEngineLoad(scaleLoad(engineLoads.mixed, 1.35), 13).kinds) {
+/** Requires of the largest tenth of each kind, and of the fifth below it, half of the share that is served of the kind. */
+function assertSizesServed(kinds: readonly KindResult[]): void {
+    for (const { name, ends } of kinds) {
         const tenths = servedByTenth(ends);
         const minimum = servedShare(ends) / 2;
         const nextFifth = (tenths[7] + tenths[8]) / 2;
         assert.ok(tenths[9] >= minimum, `${name}: largest tenth ${tenths[9]}, minimum ${minimum}`);
         assert.ok(nextFifth >= minimum, `${name}: fifth below it ${nextFifth}, minimum ${minimum}`);
     }
+}
+
+test("large requests are served at least half as often as all of their kind when memory is short", () => {
+    assertSizesServed(playEngineLoad(scaleLoad(engineLoads.mixed, 1.35), 13).kinds);
+});
+
+test("large requests are served at least half as often as all of their kind when time for prompts is short", () => {
+    assertSizesServed(playEngineLoad({ ...engineLoads.prompts, duration: 15_000 }, 14).kinds);
 });
 
 test.run();
--- a/packages/coordination/src/capacityWait.ts
+++ b/packages/coordination/src/capacityWait.ts
@@ -78,8 +78,11 @@
     return (waitingTokens + promptTokens) / prefillRate;
 }
 
-/** Forecasts of the first event are right at the median only, so this multiple of them must be on time. */
-const firstEventSafetyFactor = 2;
+/**
+ * The time for the prompts that wait at an engine is right at the median only, so this multiple of it must leave time for
+ * the request's own prompt.
+ */
+const backlogSafetyFactor = 2;
 
 /** The input of {@link measureRoom}. */
 export interface EngineRoomInput extends FirstEventInput {
@@ -110,8 +113,8 @@
 export function measureRoom(input: EngineRoomInput): EngineRoom {
     const { memoryLoad, memoryLimit, memoryShare, waitingTokens, promptTokens, prefillRate, timeLeft } = input;
     const byMemory = Math.floor((memoryLimit - memoryLoad) / Math.max(memoryShare, Number.EPSILON));
-    const readableTokens = timeLeft * prefillRate / firstEventSafetyFactor;
-    const byTime = Math.floor((readableTokens - waitingTokens) / Math.max(1, promptTokens));
+    const spareTokens = timeLeft * prefillRate - promptTokens - backlogSafetyFactor * waitingTokens;
+    const byTime = 1 + Math.floor(spareTokens / (backlogSafetyFactor * Math.max(1, promptTokens)));
     return {
         byMemory: Math.max(memoryLoad === 0 ? 1 : 0, byMemory),
         byTime: Math.max(waitingTokens === 0 ? 1 : 0, byTime),
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./placement.js";
 export * from "./randomSource.js";
 export * from "./requestLimit.js";
+export * from "./requestSizes.js";
 export * from "./retry.js";
 export * from "./retryBudget.js";
 export * from "./routing.js";
--- a/packages/coordination/test/capacityWait.test.ts
+++ b/packages/coordination/test/capacityWait.test.ts
@@ -31,6 +31,11 @@
     assert.is(room(), 3);
     assert.is(room({ memoryLoad: 0.9 }), 0);
     assert.is(room({ waitingTokens: 9_000 }), 1, "the prompts ahead leave time for one");
+    assert.is(
+        room({ waitingTokens: 9_000, promptTokens: 7_000 }),
+        1,
+        "also for a large one, which takes its own time only",
+    );
     assert.is(room({ waitingTokens: 12_000 }), 0);
 });
 
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -274,11 +274,20 @@
         return false;
     }
     state.configuration = configuration;
+    forgetSizes(state, configuration);
     logDecision(transaction, "info", "configuration_applied", { version: configuration.version, previous });
     effects.push({ kind: "applyLimits", limits: configuration.limits });
     return true;
 }
 
+function forgetSizes({ recentSizes }: GatewayState, { services }: RoutingConfiguration): void {
+    for (const service of recentSizes.keys()) {
+        if (!services.has(service)) {
+            recentSizes.delete(service);
+        }
+    }
+}
+
 function handleServerChange(transaction: Transaction, id: BackendServerId, change: BackendChange): boolean {
     const { state } = transaction;
     if (change === "unchanged") {
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -2,6 +2,7 @@
  * The load of all gateways at each backend server, and the views of servers that placement chooses from.
  */
 import {
+    type CapacityUse,
     type PlacementView,
     type ReplicaHostView,
     type ServerHealth,
@@ -103,6 +104,16 @@
     return runTokens / (servers.length * engine.memoryTokens);
 }
 
+/** How much of the memory of a service's usable engines, and of their time for prompts, is in use. */
+export function capacityUse(state: GatewayState, service: ServiceName, now: Milliseconds): CapacityUse {
+    const servers = usableServers(state, service, now);
+    const reading = servers.filter(({ record: { id } }) => totalLoad(state, id, now).waitingTokens > 0);
+    return {
+        runLoad: runMemoryLoad(state, service, now),
+        readingShare: reading.length / Math.max(1, servers.length),
+    };
+}
+
 /** The number of requests in progress at a server, from all live gateways. */
 export function requestsInProgressAt(state: GatewayState, id: BackendServerId, now: Milliseconds): number {
     return totalLoad(state, id, now).inProgress;
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -1,7 +1,7 @@
 /**
  * The state of a gateway. It is owned by the event loop; only the reducer changes it, in place.
  */
-import { createRetryBudget, type RetryBudget, type ServerHealth } from "@verbenaspring/coordination";
+import { createRetryBudget, type RecentSizes, type RetryBudget, type ServerHealth } from "@verbenaspring/coordination";
 import type {
     AttemptId,
     BackendServerId,
@@ -190,6 +190,8 @@
     /** The number of the newest notice. */
     noticeCount: number;
     readonly crashSuspects: CrashSuspects;
+    /** The sizes of the newest requests to each service, by the priority of their routes. */
+    readonly recentSizes: Map<ServiceName, Map<number, RecentSizes>>;
     /** Moving average of the time per token of a stream. */
     timePerToken: Milliseconds;
     /** Moving average of the prompt tokens that an engine processes in a millisecond. */
@@ -268,6 +270,7 @@
         leavingNotices: new Map(),
         noticeCount: 0,
         crashSuspects: createCrashSuspects(),
+        recentSizes: new Map(),
         timePerToken: initialTimePerToken,
         prefillRate: initialPrefillRate,
         meanStreamDuration: initialStreamDuration,
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -1,7 +1,7 @@
 /**
  * Requests that wait for capacity at an engine. While requests wait at any gateway, each gateway starts its own at a rate
- * that the free capacity allows, the most urgent first and fairly between organisations. A request is refused as soon as
- * it is forecast to start too late.
+ * that the free capacity allows, the most urgent first and fairly between organisations; while capacity is short, requests
+ * of a kind start only while the largest of them could. A request is refused as soon as it is forecast to start too late.
  */
 import {
     admissionLimits,
@@ -9,9 +9,14 @@
     type EngineRoom,
     forecastCapacityWait,
     forecastFirstEvent,
+    isCapacityShort,
+    largestSize,
     latestStart,
     measureRoom,
     type OrganisationShares,
+    type RecentSizes,
+    recordSize,
+    type RequestSize,
     startProbability,
     startRank,
     type WaitingRequestView,
@@ -23,7 +28,14 @@
 import { failRequest, requestFields } from "./requests.js";
 import { highestPriority } from "./routingConfiguration.js";
 import { sendTo, timeUntilUsable } from "./sending.js";
-import { engineOf, expectedMemory, placementView, requestsInProgressAt, usableServers } from "./serverLoad.js";
+import {
+    capacityUse,
+    engineOf,
+    expectedMemory,
+    placementView,
+    requestsInProgressAt,
+    usableServers,
+} from "./serverLoad.js";
 import { type GatewayRequest, type GatewayState, priorityOf } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -45,6 +57,7 @@
     request: GatewayRequest,
     servers: readonly BackendServer[],
 ): void {
+    recordSize(recentSizesOf(transaction.state, request), sizeOf(request));
     if (!start(transaction, request, servers, countWaitingRequests(transaction.state, transaction.now))) {
         waitForCapacity(transaction, request);
     }
@@ -83,9 +96,9 @@
     others: number,
 ): boolean {
     const { state, now, source: { random } } = transaction;
-    const engines = measureEngines(transaction, request, servers);
+    const engines = measureEngines(transaction, request, sizeOf(request), servers);
     const room = engines.reduce((sum, engine) => sum + countRequests(engine), 0);
-    if (room === 0 || random() >= startProbability(room, others)) {
+    if (room === 0 || !hasRoomForLargest(transaction, request, servers) || random() >= startProbability(room, others)) {
         return false;
     }
     const candidates = engines.filter(engine => countRequests(engine) > 0).map(({ server }) => server);
@@ -99,13 +112,41 @@
     return true;
 }
 
+/** Whether an engine has room for the largest requests of the kind, or capacity is not short. */
+function hasRoomForLargest(
+    transaction: Transaction,
+    request: GatewayRequest,
+    servers: readonly BackendServer[],
+): boolean {
+    const { state, now } = transaction;
+    if (!isCapacityShort(capacityUse(state, request.service, now))) {
+        return true;
+    }
+    const largest = largestSize(recentSizesOf(state, request), sizeOf(request));
+    return measureEngines(transaction, request, largest, servers).some(engine => countRequests(engine) > 0);
+}
+
+function sizeOf(request: GatewayRequest): RequestSize {
+    return { promptTokens: request.head.promptTokens, memoryTokens: expectedMemory(request) };
+}
+
+/** The recent sizes of requests to the same service whose routes have the same priority. */
+function recentSizesOf({ recentSizes }: GatewayState, { service, route }: GatewayRequest): RecentSizes {
+    const ofService = recentSizes.get(service) ?? new Map<number, RecentSizes>();
+    recentSizes.set(service, ofService);
+    const recent = ofService.get(route.priority) ?? { sizes: [] };
+    ofService.set(route.priority, recent);
+    return recent;
+}
+
+/** Measures the room of engines for requests like the given one that have the given size. */
 function measureEngines(
     { state, now }: Transaction,
     request: GatewayRequest,
+    { promptTokens, memoryTokens }: RequestSize,
     servers: readonly BackendServer[],
 ): MeasuredEngine[] {
-    const memoryTokens = engineOf(state, request.service)?.memoryTokens ?? 1;
-    const { promptTokens } = request.head;
+    const engineMemory = engineOf(state, request.service)?.memoryTokens ?? 1;
     const limit = isMostUrgent(state, request) ? admissionLimits.mostUrgent : admissionLimits.others;
     const timeLeft = request.arrivedAt + request.route.targetLatency - now;
     return servers.map(server => {
@@ -113,7 +154,7 @@
         const room = measureRoom({
             memoryLoad,
             memoryLimit: limit,
-            memoryShare: expectedMemory(request) / memoryTokens,
+            memoryShare: memoryTokens / engineMemory,
             waitingTokens,
             promptTokens,
             prefillRate: state.prefillRate,
@@ -188,12 +229,17 @@
 /** The log fields that tell whether memory, waiting prompts or requests of others were in the way of a request. */
 function roomFields(transaction: Transaction, request: GatewayRequest): DecisionFields {
     const { state, now } = transaction;
-    const engines = measureEngines(transaction, request, usableServers(state, request.service, now));
+    const servers = usableServers(state, request.service, now);
+    const engines = measureEngines(transaction, request, sizeOf(request), servers);
+    const largest = largestSize(recentSizesOf(state, request), sizeOf(request));
+    const forLargest = measureEngines(transaction, request, largest, servers);
     return {
         engines: engines.length,
         withMemory: engines.filter(({ room }) => room.byMemory > 0).length,
         withTime: engines.filter(({ room }) => room.byTime > 0).length,
         withRoom: engines.filter(engine => countRequests(engine) > 0).length,
+        largestPrompt: largest.promptTokens,
+        withRoomForLargest: forLargest.filter(engine => countRequests(engine) > 0).length,
         waitingRequests: countWaitingRequests(state, now),
     };
 }
--- a/packages/gateway/test/waiting.test.ts
+++ b/packages/gateway/test/waiting.test.ts
@@ -58,6 +58,20 @@
     assert.is(callsIn(gateway.receiveRequest("n1", "note", short)).length, 1);
 });
 
+test("while memory is short, small requests start only while the largest of their kind could", () => {
+    const gateway = TestGateway.serving(server("engine-1"), server("engine-2"));
+    gateway.state.meanStreamDuration = 30;
+    const runs = ["p1", "p2", "p3", "p4"].map(id =>
+        gateway.startStream(id, "note", { promptTokens: 3_000, maximumTokens: 500 })
+    );
+    assert.equal(callsIn(gateway.receiveRequest("large", "note", { promptTokens: 4_500, maximumTokens: 500 })), []);
+    gateway.handle({ kind: "callerLeft", requestId: gateway.state.waiting.keys().next().value! });
+    const small = { promptTokens: 300, maximumTokens: 40 };
+    assert.equal(callsIn(gateway.receiveRequest("s1", "note", small)), [], "though it would fit");
+    const ended = gateway.handle({ kind: "streamEnded", attemptId: runs[0].attemptId });
+    assert.is(callsIn([...ended, ...gateway.advance(50)]).length, 1, "a large one would fit now");
+});
+
 test("the request of a caller that leaves while it waits is dropped", () => {
     const gateway = TestGateway.serving(server("engine-1"));
     gateway.state.meanStreamDuration = 30;
