--- a/packages/bench/src/engineLoad.ts
+++ b/packages/bench/src/engineLoad.ts
@@ -232,6 +232,7 @@
             timeLimit: undefined,
             apiKey: undefined,
             lastEvent: undefined,
+            resumedAttemptId: undefined,
             promptTokens: Math.round(Math.min(promptSizes.maximumFactor * promptTokens, drawnPrompt)),
             maximumTokens,
             estimatedTokens: Math.max(1, Math.round(drawLogNormal(length, spread, this.random))),
--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -5,19 +5,20 @@
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import type { Clock } from "./clock.js";
-import type {
-    CallHandle,
-    CallObserver,
-    MigrationOutcome,
-    RefusalReason,
-    ReplicaReference,
-    RunObserver,
-    RunReport,
-    ServerBehaviour,
-    ServerCall,
-    ServerModel,
-    ServerOptions,
-    ServerRun,
+import {
+    type CallHandle,
+    type CallObserver,
+    defaultSoftwareVersion,
+    type MigrationOutcome,
+    type RefusalReason,
+    type ReplicaReference,
+    type RunObserver,
+    type RunReport,
+    type ServerBehaviour,
+    type ServerCall,
+    type ServerModel,
+    type ServerOptions,
+    type ServerRun,
 } from "./serverModel.js";
 
 /** Size and speed of an engine. */
@@ -296,7 +297,11 @@
         run.generatedTokens++;
         const isLast = run.generatedTokens >= call.outputTokens;
         if (!run.isSilent && (isLast || run.generatedTokens % tokensPerEvent === 0)) {
-            observer.event({ id: Math.ceil(run.generatedTokens / tokensPerEvent), lineage: record.lineage });
+            observer.event({
+                id: Math.ceil(run.generatedTokens / tokensPerEvent),
+                lineage: record.lineage,
+                softwareVersion: this.options.softwareVersion ?? defaultSoftwareVersion,
+            });
         }
         if (isLast) {
             this.end(run, true);
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -5,7 +5,7 @@
 import type { Clock } from "./clock.js";
 import { type EngineOptions, EngineServer } from "./engineServer.js";
 import { type PlainOptions, PlainServer } from "./plainServer.js";
-import type { RunObserver, ServerCall, ServerModel } from "./serverModel.js";
+import { defaultSoftwareVersion, type RunObserver, type ServerCall, type ServerModel } from "./serverModel.js";
 import type { StoreModel } from "./storeModel.js";
 
 /** Topic of the operator's records. */
@@ -137,12 +137,16 @@
         }
     }
 
-    /** Crashes a backend server and starts a new one with the same id and options, without the state of the old one. */
-    restart(id: string): void {
+    /**
+     * Crashes a backend server and starts a new one with the same id, without the state of the old one.
+     *
+     * @param softwareVersion the version of the new one; by default that of the old one
+     */
+    restart(id: string, softwareVersion?: string): void {
         const member = this.members.get(id);
         if (member !== undefined) {
             this.crash(id);
-            this.add(member.plan);
+            this.add(softwareVersion === undefined ? member.plan : { ...member.plan, softwareVersion });
         }
     }
 
@@ -230,7 +234,7 @@
             service: model.options.service,
             address: model.options.address,
             zone: failureDomain,
-            version: "1",
+            version: model.options.softwareVersion ?? defaultSoftwareVersion,
             slots: model.slots,
             state,
             coldRemainingMs: 0,
--- a/packages/emulator/src/serverModel.ts
+++ b/packages/emulator/src/serverModel.ts
@@ -38,6 +38,13 @@
     readonly id: number;
     /** Identifies the run; stays the same when the run continues at another engine from a replica. */
     readonly lineage: string;
+    /** The software of the server that made the event. */
+    readonly softwareVersion: string;
+}
+
+/** Encodes an event as servers send it. */
+export function formatRunEvent({ id, lineage, softwareVersion }: RunEvent): string {
+    return `id: ${id}\ndata: ${softwareVersion}:${lineage}\n\n`;
 }
 
 /** A complete answer of a plain service. */
@@ -113,8 +120,13 @@
     readonly id: string;
     readonly service: string;
     readonly address: string;
+    /** The version of its software; "1" if absent. */
+    readonly softwareVersion?: string;
 }
 
+/** The version of servers whose plan names none. */
+export const defaultSoftwareVersion = "1";
+
 /** Model of a backend server. */
 export interface ServerModel {
     readonly options: ServerOptions;
--- a/packages/emulator/src/virtualCalls.ts
+++ b/packages/emulator/src/virtualCalls.ts
@@ -12,7 +12,13 @@
 } from "@verbenaspring/model";
 import type { Clock } from "./clock.js";
 import type { Fleet } from "./fleet.js";
-import type { CallHandle, CallObserver, ServerCall, ServerModel } from "./serverModel.js";
+import {
+    type CallHandle,
+    type CallObserver,
+    formatRunEvent,
+    type ServerCall,
+    type ServerModel,
+} from "./serverModel.js";
 import type { VirtualChannel, VirtualNetwork } from "./virtualNetwork.js";
 
 /** Environment of the calls. */
@@ -127,9 +133,9 @@
                 const head = { ...createHead(server, call.head.callerAttemptId, okStatus), isEventStream: true };
                 respond({ kind: "streamOpened", attemptId, head }, false);
             },
-            event: ({ id, lineage }) => {
-                const bytes = Buffer.from(`id: ${id}\ndata: ${lineage}\n\n`);
-                respond({ kind: "streamEvents", attemptId, events: [{ id, bytes }] }, false);
+            event: event => {
+                const bytes = Buffer.from(formatRunEvent(event));
+                respond({ kind: "streamEvents", attemptId, events: [{ id: event.id, bytes }] }, false);
             },
             ended: () => respond({ kind: "streamEnded", attemptId }, true),
             answered: ({ status, callerAttemptId, body }) => {
--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -14,6 +14,7 @@
     pauseSchedules,
     type PlatformSchedule,
     platformSchedules,
+    releaseSchedules,
     runPlatformSchedule,
 } from "./platform/index.js";
 import { runSchedule } from "./runSchedule.js";
@@ -80,6 +81,12 @@
     schedules: pauseSchedules,
 };
 
+/** Gateways on the users' platform, with backend servers of several software versions. */
+export const releasePlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: releaseSchedules,
+};
+
 /** Gateways on the users' platform, of which each has links to some others only. */
 export const overlaidPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,5 +1,5 @@
 /**
- * The command `npm run fuzz -- --system platform|overlay|configurations|deadly|limits|notices|pauses|linked --seed S --runs N --steps K`. It
+ * The command `npm run fuzz -- --system platform|overlay|configurations|deadly|limits|notices|pauses|releases|linked --seed S --runs N --steps K`. It
  * runs randomised schedules and checks them with the oracle.
  */
 import yargs from "yargs";
@@ -14,6 +14,7 @@
     overlaidPlatformSystem,
     pausePlatformSystem,
     platformSystem,
+    releasePlatformSystem,
 } from "./fuzz.js";
 
 /** Schedules between two lines of progress. */
@@ -32,10 +33,11 @@
                 "limits",
                 "notices",
                 "pauses",
+                "releases",
             ] as const,
             default: "platform",
             describe:
-                "gateways on the platform, the same with many configurations, with parts of prompts that crash engines, or with servers that declare limits, give notice in answers or ask for pauses, or "
+                "gateways on the platform, the same with many configurations, with parts of prompts that crash engines, or with servers that declare limits, give notice in answers, ask for pauses or run several software versions, or "
                 + "entries and sidecars",
         },
         seed: { type: "number", default: 1, describe: "seed of the schedules" },
@@ -61,6 +63,7 @@
     limits: limitedPlatformSystem,
     notices: noticePlatformSystem,
     pauses: pausePlatformSystem,
+    releases: releasePlatformSystem,
 };
 const result = system === "linked"
     ? fuzz(linkedSystem, options)
--- a/packages/fuzz/src/oracle.ts
+++ b/packages/fuzz/src/oracle.ts
@@ -20,6 +20,7 @@
     | "no_silence"
     | "state_is_bounded"
     | "events_once_in_order_one_run"
+    | "one_software_version"
     | "one_run_at_a_time"
     | "only_the_routes_service_runs"
     | "left_caller_ends_work"
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -56,6 +56,8 @@
 
 /** Faults, restarts and replacements of backend servers. */
 export type ServerAction =
+    /** Servers that start from now on run a new version of their software. */
+    | { readonly kind: "release"; readonly server: number; }
     | { readonly kind: "crashServer"; readonly server: number; readonly away: number; }
     | { readonly kind: "restartServer"; readonly server: number; }
     | { readonly kind: "replaceServer"; readonly server: number; readonly after: number; }
@@ -150,11 +152,16 @@
 
 const behaviours = ["shed", "error", "break", "silent", "foreign", "slow"] as const;
 
+// A server that gave notice goes on serving for longer than the notice takes to reach all gateways.
+const replaceServer = arbitraryAction("replaceServer", {
+    server: slot,
+    after: fc.integer({ min: 3_300, max: 9_000 }),
+});
+
 const serverActions = fc.oneof(
     arbitraryAction("crashServer", { server: slot, away: shortTime }),
     arbitraryAction("restartServer", { server: slot }),
-    // A server that gave notice goes on serving for longer than the notice takes to reach all gateways.
-    arbitraryAction("replaceServer", { server: slot, after: fc.integer({ min: 3_300, max: 9_000 }) }),
+    replaceServer,
     arbitraryAction("reuseAddress", { server: slot }),
     arbitraryAction("serverBehaves", { server: slot, behaviour: fc.constantFrom(...behaviours), duration: shortTime }),
     arbitraryAction("garbleEntry", { server: slot }),
@@ -198,6 +205,16 @@
     return schedulesOf(weighted, steps);
 }
 
+/** Generates schedules of up to `steps` steps, in which servers of several software versions serve. */
+export function releaseSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    const weighted = fc.oneof(
+        { arbitrary: action, weight: 12 },
+        { arbitrary: arbitraryAction("release", { server: slot }), weight: 1 },
+        { arbitrary: replaceServer, weight: 2 },
+    );
+    return schedulesOf(weighted, steps);
+}
+
 const deadlyDuration = fc.integer({ min: 4_000, max: 12_000 });
 const deadlyWork = fc.oneof(
     arbitraryAction("deadlyPart", { duration: deadlyDuration }),
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -26,6 +26,8 @@
     lastEventNumber: number;
     /** Identifies the run that the last event came from; runs that continue it from a replica share it. */
     lineage: string | undefined;
+    /** The software of the server that made its first event, or that of the request that it takes up. */
+    softwareVersion: string | undefined;
     end: PlatformRequestEnd | undefined;
 }
 
@@ -147,7 +149,8 @@
     }
 
     private checkEvent(request: PlatformRequest, { id, bytes }: StreamEvent): void {
-        const [, textId, lineage] = /^id: (\d+)\ndata: (.*)\n\n$/.exec(Buffer.from(bytes).toString("utf8")) ?? [];
+        const [, textId, softwareVersion, lineage] =
+            /^id: (\d+)\ndata: ([^:]*):(.*)\n\n$/.exec(Buffer.from(bytes).toString("utf8")) ?? [];
         const eventNumber = id ?? Number(textId);
         if (!lineage.includes(`/${request.callerAttemptId}/`)) {
             this.fail("whole_and_own_answer", `${request.callerAttemptId} got an event of ${lineage}`);
@@ -165,6 +168,13 @@
                 `${request.callerAttemptId} got events of ${lineage} after ${request.lineage}`,
             );
         }
+        request.softwareVersion ??= softwareVersion;
+        if (request.softwareVersion !== softwareVersion) {
+            this.fail(
+                "one_software_version",
+                `${request.callerAttemptId} got event ${eventNumber} of ${softwareVersion} after ${request.softwareVersion}`,
+            );
+        }
         request.lastEventNumber = eventNumber;
         request.lineage = lineage;
     }
--- a/packages/fuzz/src/platform/requestKinds.ts
+++ b/packages/fuzz/src/platform/requestKinds.ts
@@ -40,11 +40,12 @@
 }
 
 /** The plan of a backend server of a service. */
-export function serverPlan(kind: ServerKind, id: string): ServerPlan {
-    return kind === "plain" ? { kind, id, service: kind, slots: 4, workTime: 25 } : {
+export function serverPlan(kind: ServerKind, id: string, softwareVersion?: string): ServerPlan {
+    return kind === "plain" ? { kind, id, service: kind, softwareVersion, slots: 4, workTime: 25 } : {
         kind,
         id,
         service: kind,
+        softwareVersion,
         slots: 12,
         memoryTokens: engineMemory,
         tokensPerEvent,
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -95,6 +95,7 @@
     private readonly probes = new Map<PlatformRequest, (isFound: boolean) => void>();
     private requestCount = 0;
     private serverCount = 0;
+    private releaseCount = 1;
     private deadlyPartCount = 0;
     private deadlyRequestCount = 0;
 
@@ -248,6 +249,7 @@
             events: expectedEventCount(kind, length),
             lastEventNumber: 0,
             lineage: undefined,
+            softwareVersion: undefined,
             end: undefined,
         };
         this.oracle.recordRequest(request);
@@ -440,7 +442,10 @@
                 this.recordServerFault();
                 this.oracle.serverNotices.forgetServer(id);
                 this.oracle.serverPauses.forgetServer(id);
-                return fleet.restart(id);
+                return fleet.restart(id, this.softwareVersion());
+            case "release":
+                this.releaseCount++;
+                return;
             case "replaceServer":
                 this.addServer(plan.kind);
                 return fleet.leave(id, action.after);
@@ -513,7 +518,12 @@
     }
 
     private addServer(kind: ServerKind, address?: string): void {
-        this.platform.fleet.add(serverPlan(kind, `${kind}${++this.serverCount}`), address);
+        this.platform.fleet.add(serverPlan(kind, `${kind}${++this.serverCount}`, this.softwareVersion()), address);
+    }
+
+    /** The version of the servers that start now. */
+    private softwareVersion(): string {
+        return `v${this.releaseCount}`;
     }
 
     /** Ends a fault after its duration, or at the end of the schedule if that comes first. */
@@ -548,6 +558,7 @@
         timeLimit,
         apiKey: undefined,
         lastEvent: undefined,
+        resumedAttemptId: undefined,
         promptTokens,
         maximumTokens: length,
         estimatedTokens: undefined,
--- a/packages/fuzz/test/deadlyPart.test.ts
+++ b/packages/fuzz/test/deadlyPart.test.ts
@@ -98,6 +98,7 @@
             timeLimit: routeTimeouts.plan,
             apiKey: undefined,
             lastEvent: undefined,
+            resumedAttemptId: undefined,
             promptTokens: 600,
             maximumTokens: 120,
             estimatedTokens: undefined,
--- a/packages/fuzz/test/deadlyRequest.test.ts
+++ b/packages/fuzz/test/deadlyRequest.test.ts
@@ -89,6 +89,7 @@
             timeLimit: routeTimeouts[this.route],
             apiKey: undefined,
             lastEvent: undefined,
+            resumedAttemptId: undefined,
             promptTokens: 0,
             maximumTokens: 0,
             estimatedTokens: undefined,
--- a/packages/fuzz/test/overlay.test.ts
+++ b/packages/fuzz/test/overlay.test.ts
@@ -21,6 +21,7 @@
     timeLimit: 20_000,
     apiKey: undefined,
     lastEvent: undefined,
+    resumedAttemptId: undefined,
     promptTokens: 200,
     maximumTokens: 400,
     estimatedTokens: undefined,
--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -1,7 +1,7 @@
 /**
  * The backend servers that a gateway knows: what they registered, and since when they leave or are removed.
  */
-import type { BackendServerId, FailureDomain, Milliseconds, ServiceName } from "@verbenaspring/model";
+import type { BackendServerId, FailureDomain, Milliseconds, ServiceName, SoftwareVersion } from "@verbenaspring/model";
 
 /** The registration of a backend server. */
 export interface BackendRecord {
@@ -9,6 +9,8 @@
     readonly service: ServiceName;
     readonly address: string;
     readonly failureDomain: FailureDomain;
+    /** The version of its software, not of the model's weights; undefined if it does not report one. */
+    readonly softwareVersion: SoftwareVersion | undefined;
     /** Requests that it processes concurrently. */
     readonly slots: number;
     readonly isDraining: boolean;
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -28,6 +28,8 @@
     readonly apiKey: ApiKey | undefined;
     /** The id of the last event that the caller has from an earlier answer to this request. */
     readonly lastEvent: number | undefined;
+    /** The caller attempt that got the first event of that answer; undefined if the caller does not say. */
+    readonly resumedAttemptId: CallerAttemptId | undefined;
     /** Tokens of the prompt; 0 if the request does not state them. */
     readonly promptTokens: number;
     /** The maximum output in tokens; 0 if the request does not state it. */
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -142,7 +142,9 @@
         && acceptsTakeover(transaction.state, known, transaction.now);
     logDecision(transaction, "info", "move_answered", {
         ...requestFields(transaction, request),
+        fromVersion: attempt.server.record.softwareVersion,
         target: target.record.id,
+        targetVersion: target.record.softwareVersion,
         result: result.kind,
         status: result.kind === "refused" ? result.status : undefined,
         detail: result.kind === "failed" ? result.detail : undefined,
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -133,7 +133,9 @@
     spendRequest(state, server.record.id, now);
     logDecision(transaction, "debug", "attempt_sent", {
         ...requestFields(transaction, request),
+        softwareVersion: server.record.softwareVersion,
         replica: replica?.record.id,
+        replicaVersion: replica?.record.softwareVersion,
         copy: continuesFrom?.name,
         ...loadFields(state, server, now),
     });
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -218,7 +218,9 @@
     logDecision(transaction, "info", "stream_continued", {
         ...requestFields(transaction, request),
         from: attempt.server.record.id,
+        fromVersion: attempt.server.record.softwareVersion,
         to: replica.record.id,
+        toVersion: replica.record.softwareVersion,
     });
     const continuesFrom = { source: attempt.server.record.address, name: request.head.callerAttemptId };
     sendTo(transaction, request, { server: replica, continuesFrom });
--- a/packages/model/src/identifiers.ts
+++ b/packages/model/src/identifiers.ts
@@ -42,6 +42,8 @@
 export type KeyDigest = Branded<"KeyDigest">;
 /** A part of a prompt that several requests may share. */
 export type PromptPartId = Branded<"PromptPartId">;
+/** A version of the software of a service's backend servers. */
+export type SoftwareVersion = Branded<"SoftwareVersion">;
 /** A set of instances that fail together. */
 export type FailureDomain = Branded<"FailureDomain">;
 
--- a/packages/runtime/test/backendBuilders.ts
+++ b/packages/runtime/test/backendBuilders.ts
@@ -14,6 +14,7 @@
         timeLimit: undefined,
         apiKey: undefined,
         lastEvent: undefined,
+        resumedAttemptId: undefined,
         promptTokens: 0,
         maximumTokens: 0,
         estimatedTokens: undefined,
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -6,6 +6,7 @@
     type CallHandle,
     type CallObserver,
     Fleet,
+    formatRunEvent,
     type ServerAnswer,
     type ServerBehaviour,
     type ServerCall,
@@ -274,7 +275,7 @@
             response.end();
         },
         opened: () => response.writeHead(200, { ...identityHeaders, "content-type": "text/event-stream" }),
-        event: ({ id, lineage }) => response.write(`id: ${id}\ndata: ${lineage}\n\n`),
+        event: event => response.write(formatRunEvent(event)),
         ended: () => response.end(),
         answered: answer => writeAnswer(response, answer, identityHeaders),
         disconnected: () => {
