--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -13,6 +13,7 @@
     noticePlatformSystem,
     pausePlatformSystem,
     platformSystem,
+    releasePlatformSystem,
 } from "./fuzz.js";
 import { type Mutation, mutations } from "./mutations.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
@@ -23,6 +24,7 @@
     noticeMutations,
     pauseMutations,
     platformMutations,
+    releaseMutations,
 } from "./platform/index.js";
 
 const { seed, runs, steps } = await yargs(hideBin(process.argv))
@@ -69,6 +71,7 @@
     ...createSearches(limitedPlatformSystem, limitMutations),
     ...createSearches(noticePlatformSystem, noticeMutations),
     ...createSearches(pausePlatformSystem, pauseMutations),
+    ...createSearches(releasePlatformSystem, releaseMutations),
 ];
 
 let missedCount = 0;
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -204,6 +204,19 @@
     eventMutation("a record that says ready ends a notice", ["leaving_gets_no_new_work"], trustRecords),
 ];
 
+/** Mutations that only schedules in which servers of several software versions serve can find. */
+export const releaseMutations: readonly Mutation<GatewayInterceptors>[] = [
+    eventMutation(
+        "software versions are ignored",
+        ["one_software_version"],
+        event =>
+            mapRecords(event, record =>
+                record.kind === "backendServer"
+                    ? [{ ...record, record: { ...record.record, softwareVersion: undefined } }]
+                    : [record]),
+    ),
+];
+
 /** Mutations that only schedules in which servers ask for pauses can find. */
 export const pauseMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation(
--- a/packages/fuzz/test/releaseFuzz.test.ts
+++ b/packages/fuzz/test/releaseFuzz.test.ts
@@ -2,9 +2,10 @@
  * Fuzzes gateways while servers of several software versions serve. For longer runs, use
  * `npm run fuzz -- --system releases`.
  */
-import { fuzz, releasePlatformSystem } from "@verbenaspring/fuzz";
+import { fuzz, releaseMutations, releasePlatformSystem } from "@verbenaspring/fuzz";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { testMutations } from "./mutationTests.js";
 
 const runs = 500;
 const steps = 60;
@@ -14,4 +15,6 @@
     assert.is(failure, undefined, failure && `${failure.error.message}, path ${failure.path}`);
 });
 
+testMutations(releasePlatformSystem, releaseMutations, { runs, steps });
+
 test.run();
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -186,7 +186,7 @@
         return failSuspended(transaction, request, suspension);
     }
     if (request.possibleRuns === 0) {
-        const retryAfter = Math.max(refusedRetryAfter, timeUntilUsable(transaction, request.service) ?? 0);
+        const retryAfter = Math.max(refusedRetryAfter, timeUntilUsable(transaction, request) ?? 0);
         return failRequest(transaction, request, "overloaded", "no server took the request", retryAfter);
     }
     failRequest(transaction, request, "backend_server_failed", "the server's answer was lost");
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -139,7 +139,7 @@
     const target = attempt.migrationTarget;
     const known = transaction.state.servers.get(target.record.id);
     const canContinue = result.kind === "moved" && known !== undefined
-        && acceptsTakeover(transaction.state, known, transaction.now);
+        && acceptsTakeover(transaction.state, known, attempt.server, transaction.now);
     logDecision(transaction, "info", "move_answered", {
         ...requestFields(transaction, request),
         fromVersion: attempt.server.record.softwareVersion,
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -8,7 +8,7 @@
     recordRetry,
     remainingRetries,
 } from "@verbenaspring/coordination";
-import { identifier, type Milliseconds, type ServiceName } from "@verbenaspring/model";
+import { identifier, type Milliseconds } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
 import { countKnownInstances } from "./members.js";
@@ -28,6 +28,7 @@
 } from "./serverLoad.js";
 import { isPaused, pauseLeft } from "./serverPauses.js";
 import { type Attempt, type GatewayRequest, priorityOf } from "./state.js";
+import { canContinue } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
 import { startOrWait } from "./waiting.js";
 
@@ -62,7 +63,7 @@
     if (suspension !== undefined) {
         return failSuspended(transaction, request, suspension);
     }
-    const usable = usableServers(state, request.service, now);
+    const usable = usableServers(state, request.service, now, request.origin);
     const untried = usable.filter(server => !request.triedServers.has(server.record.id));
     const eligible = untried.length > 0 ? untried : usable;
     if (request.sends === 0 && eligible.length > 0 && engineOf(state, request.service) !== undefined) {
@@ -76,7 +77,7 @@
 }
 
 function failWithoutServer(transaction: Transaction, request: GatewayRequest): void {
-    const retryAfter = timeUntilUsable(transaction, request.service);
+    const retryAfter = timeUntilUsable(transaction, request);
     if (retryAfter === undefined) {
         return failRequest(transaction, request, "no_backend_server", "the service has no server", noServerRetryAfter);
     }
@@ -84,13 +85,17 @@
 }
 
 /**
- * The time until a server of a service accepts a request of this gateway again; undefined unless servers that don't
- * leave declare limits or pauses.
+ * The time until a server accepts a request again; undefined unless servers that could run it and don't leave declare
+ * limits or pauses.
  */
-export function timeUntilUsable({ state, now }: Transaction, service: ServiceName): Milliseconds | undefined {
-    const staying = (state.serversByService.get(service) ?? []).filter(id =>
-        state.servers.get(id)?.leavingSince === undefined
-    );
+export function timeUntilUsable(
+    { state, now }: Transaction,
+    { service, origin }: GatewayRequest,
+): Milliseconds | undefined {
+    const staying = (state.serversByService.get(service) ?? []).filter(id => {
+        const server = state.servers.get(id);
+        return server !== undefined && server.leavingSince === undefined && canContinue(server.record, origin);
+    });
     const waits = staying
         .filter(id => isLimited(state, id) || isPaused(state, id, now))
         .map(id => {
@@ -182,7 +187,7 @@
 /** Whether the request may be sent again and a server accepts it. */
 export function canDispatchAgain(transaction: Transaction, request: GatewayRequest): boolean {
     return canSendAgain(transaction, request)
-        && usableServers(transaction.state, request.service, transaction.now).length > 0;
+        && usableServers(transaction.state, request.service, transaction.now, request.origin).length > 0;
 }
 
 /** Whether the deadline, the number of sends and the retry budget allow another send. */
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -18,6 +18,7 @@
 import type { EngineCapabilities } from "./routingConfiguration.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState, ServerLoad } from "./state.js";
+import { canContinue, type StreamOrigin } from "./streamVersions.js";
 
 /** How long a server is still used after its registration lapsed, if the service has no other. */
 const lapsedGracePeriod: Milliseconds = 1_500;
@@ -28,10 +29,19 @@
 /** The share of its expected output that a run holds in memory, averaged over its duration. */
 const averageOutputShare = 0.5;
 
-/** The servers of a service that accept new work, neither limit nor pause it now, and are not ejected. */
-export function usableServers(state: GatewayState, service: ServiceName, now: Milliseconds): readonly BackendServer[] {
+/**
+ * The servers of a service that accept new work, neither limit nor pause it now, and are not ejected.
+ *
+ * @param origin where the stream that a server is to continue began; undefined for work that has not begun
+ */
+export function usableServers(
+    state: GatewayState,
+    service: ServiceName,
+    now: Milliseconds,
+    origin?: StreamOrigin,
+): readonly BackendServer[] {
     const ids = state.serversByService.get(service) ?? [];
-    const known = ids.flatMap(id => state.servers.get(id) ?? []);
+    const known = ids.flatMap(id => state.servers.get(id) ?? []).filter(({ record }) => canContinue(record, origin));
     const ready = known.filter(server => server.leavingSince === undefined);
     const usable = ready.length > 0
         ? ready
@@ -40,9 +50,12 @@
     return withoutEjected(allowed, ({ record }) => state.health.get(record.id), now);
 }
 
-/** The other usable servers of the same service without a limit: candidates for a replica or a migration. */
+/**
+ * The other usable servers of the same service and software version without a limit: candidates for a replica or a
+ * migration.
+ */
 export function otherServers(state: GatewayState, { record }: BackendServer, now: Milliseconds): BackendServer[] {
-    return usableServers(state, record.service, now).filter(other =>
+    return usableServers(state, record.service, now, record).filter(other =>
         other.record.id !== record.id && !isLimited(state, other.record.id)
     );
 }
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -23,6 +23,7 @@
 import type { TopicReadStamp } from "./peerReport.js";
 import type { RequestLimits } from "./requestLimits.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
+import type { StreamOrigin } from "./streamVersions.js";
 
 /** One send of a request to a backend server, until its answer, its failure or its cancellation. */
 export interface Attempt {
@@ -72,6 +73,8 @@
     readonly triedServers: Set<BackendServerId>;
     /** The id of the last event that the caller has. */
     lastEvent: number | undefined;
+    /** Where the stream began; undefined before its first event. */
+    origin: StreamOrigin | undefined;
     /** How long the caller waited for the first event; undefined before it. */
     firstEventAge: Milliseconds | undefined;
     /** When the last events were passed on to the caller. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -25,6 +25,7 @@
 import { engineOf, recordEventLoad } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
+import { hasSameVersion } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 /** The weight of the newest stream in the moving averages of streams. */
@@ -112,12 +113,13 @@
 function forwardEvents(
     { now, effects }: Transaction,
     request: GatewayRequest,
-    { head }: Attempt,
+    { head, server }: Attempt,
     events: readonly StreamEvent[],
 ): void {
     if (events.length === 0 || head === undefined) {
         return;
     }
+    request.origin ??= { softwareVersion: server.record.softwareVersion };
     if (!request.isHeadWritten) {
         request.isHeadWritten = true;
         request.firstEventAge = now - request.arrivedAt;
@@ -230,21 +232,23 @@
 /** The holder of a run's replica, if it is still registered as the same incarnation and accepts the run. */
 export function usableReplica(
     state: GatewayState,
-    { replica }: Attempt,
+    { server, replica }: Attempt,
     now: Milliseconds,
 ): BackendServer | undefined {
     const known = replica === undefined ? undefined : state.servers.get(replica.record.id);
     const isSame = known?.incarnation === replica?.incarnation && known?.removedAt === undefined;
-    return known !== undefined && isSame && acceptsTakeover(state, known, now) ? known : undefined;
+    return known !== undefined && isSame && acceptsTakeover(state, known, server, now) ? known : undefined;
 }
 
-/** Whether a server accepts streams that would otherwise be lost. */
+/** Whether a server accepts a stream of another one that would otherwise be lost. */
 export function acceptsTakeover(
     state: GatewayState,
     { record, leavingSince }: BackendServer,
+    origin: BackendServer,
     now: Milliseconds,
 ): boolean {
     const isStaying = leavingSince === undefined || now - leavingSince <= takeoverWindow;
-    return isStaying && !hasGivenNotice(state, record) && isWithinLimit(state, record.id, now)
+    return isStaying && hasSameVersion(record, origin.record) && !hasGivenNotice(state, record)
+        && isWithinLimit(state, record.id, now)
         && !isPaused(state, record.id, now);
 }
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -71,8 +71,8 @@
     const inOrder = [...state.waiting.values()].sort((one, other) => rank(one) - rank(other));
     for (const request of inOrder) {
         const others = countWaitingRequests(state, now) - 1;
-        const servers = usableServers(state, request.service, now);
-        const unusableFor = servers.length === 0 ? timeUntilUsable(transaction, request.service) ?? 0 : 0;
+        const servers = usableServers(state, request.service, now, request.origin);
+        const unusableFor = servers.length === 0 ? timeUntilUsable(transaction, request) ?? 0 : 0;
         if (start(transaction, request, servers, others)) {
             state.waiting.delete(request.id);
         }
@@ -229,7 +229,7 @@
 /** The log fields that tell whether memory, waiting prompts or requests of others were in the way of a request. */
 function roomFields(transaction: Transaction, request: GatewayRequest): DecisionFields {
     const { state, now } = transaction;
-    const servers = usableServers(state, request.service, now);
+    const servers = usableServers(state, request.service, now, request.origin);
     const engines = measureEngines(transaction, request, sizeOf(request), servers);
     const largest = largestSize(recentSizesOf(state, request), sizeOf(request));
     const forLargest = measureEngines(transaction, request, largest, servers);
