--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -17,6 +17,8 @@
         readonly timeLimit: number;
     }
     | { readonly kind: "leave"; readonly caller: number; }
+    /** A caller whose stream broke off takes it up at a gateway. */
+    | { readonly kind: "takeUp"; readonly caller: number; readonly gateway: number; }
     | { readonly kind: "configure"; }
     /** Writes the configuration before the newest one again. */
     | { readonly kind: "rewriteOld"; }
@@ -38,6 +40,7 @@
         readonly how: "reset" | "power";
         readonly away: number;
     }
+    | { readonly kind: "killAllGateways"; readonly gateway: number; readonly away: number; }
     | { readonly kind: "freezeGateway"; readonly gateway: number; readonly duration: number; }
     | { readonly kind: "stopGateway"; readonly gateway: number; }
     | { readonly kind: "cutGateways"; readonly gateway: number; readonly other: number; readonly duration: number; }
@@ -205,12 +208,25 @@
     return schedulesOf(weighted, steps);
 }
 
-/** Generates schedules of up to `steps` steps, in which servers of several software versions serve. */
+const resumableRequest = arbitraryAction("ask", {
+    work: fc.constant("note"),
+    gateway: slot,
+    length: fc.integer({ min: 60, max: 500 }),
+    timeLimit: fc.integer({ min: 3_000, max: 6_000 }),
+});
+
+/**
+ * Generates schedules of up to `steps` steps, in which servers of several software versions serve, all gateways are
+ * killed at once, and callers take up streams that broke off.
+ */
 export function releaseSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
     const weighted = fc.oneof(
         { arbitrary: action, weight: 12 },
         { arbitrary: arbitraryAction("release", { server: slot }), weight: 1 },
         { arbitrary: replaceServer, weight: 2 },
+        { arbitrary: resumableRequest, weight: 6 },
+        { arbitrary: arbitraryAction("takeUp", { caller: fc.nat(30), gateway: slot }), weight: 6 },
+        { arbitrary: arbitraryAction("killAllGateways", { gateway: slot, away: shortTime }), weight: 1 },
     );
     return schedulesOf(weighted, steps);
 }
@@ -264,6 +280,7 @@
 const callerKinds: ReadonlySet<string> = new Set([
     "ask",
     "leave",
+    "takeUp",
     "configure",
     "rewriteOld",
     "probe",
@@ -280,6 +297,7 @@
 ]);
 const gatewayKinds: ReadonlySet<string> = new Set([
     "killGateway",
+    "killAllGateways",
     "freezeGateway",
     "stopGateway",
     "cutGateways",
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -28,6 +28,8 @@
     lineage: string | undefined;
     /** The software of the server that made its first event, or that of the request that it takes up. */
     softwareVersion: string | undefined;
+    /** The attempt that got the first event of the stream that it takes up; undefined for other requests. */
+    readonly firstAttemptId: string | undefined;
     end: PlatformRequestEnd | undefined;
 }
 
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -11,7 +11,13 @@
     VirtualPlatform,
 } from "@verbenaspring/emulator";
 import type { RequestHead } from "@verbenaspring/gateway";
-import { type ContentDigest, identifier, type Milliseconds, type PromptPartId } from "@verbenaspring/model";
+import {
+    type CallerAttemptId,
+    type ContentDigest,
+    identifier,
+    type Milliseconds,
+    type PromptPartId,
+} from "@verbenaspring/model";
 import {
     type CallerAction,
     type GatewayAction,
@@ -32,6 +38,7 @@
     type RequestOrProbeKind,
     type ServerKind,
     serverPlan,
+    tokensPerEvent,
 } from "./requestKinds.js";
 import { buildConfiguration, routesHost, routeTimeouts, VersionOracle } from "./versions.js";
 
@@ -85,6 +92,14 @@
     run.finish();
 }
 
+interface RequestDetails {
+    /** Overrides the path of the kind of request. */
+    readonly path?: string;
+    readonly sharedParts?: readonly string[];
+    /** The request whose broken stream this one takes up. */
+    readonly broken?: PlatformRequest;
+}
+
 class ScheduleRun {
     private readonly platform: VirtualPlatform;
     private readonly oracle: PlatformOracle;
@@ -93,6 +108,8 @@
     private readonly faultEnds: (() => void)[] = [];
     /** For each open probe, the check of its outcome. */
     private readonly probes = new Map<PlatformRequest, (isFound: boolean) => void>();
+    /** The requests whose streams callers have taken up. */
+    private readonly takenUp = new Set<PlatformRequest>();
     private requestCount = 0;
     private serverCount = 0;
     private releaseCount = 1;
@@ -213,6 +230,8 @@
                 return;
             case "leave":
                 return this.disconnectCaller(action.caller);
+            case "takeUp":
+                return this.takeUp(action.caller, this.gatewayOf(action.gateway));
             case "configure":
                 return this.configure();
             case "rewriteOld":
@@ -235,8 +254,7 @@
         kind: RequestOrProbeKind,
         length: number,
         timeLimit: Milliseconds,
-        { path, sharedParts = [commonPart] }: { readonly path?: string; readonly sharedParts?: readonly string[]; } =
-            {},
+        { path, sharedParts = [commonPart], broken }: RequestDetails = {},
     ): PlatformRequest {
         const { clock } = this.platform;
         const timeout = Math.min(timeLimit, routeTimeouts[kind]);
@@ -247,9 +265,10 @@
             sentAt: clock.now,
             deadlineAt: clock.now + timeout,
             events: expectedEventCount(kind, length),
-            lastEventNumber: 0,
+            lastEventNumber: broken?.lastEventNumber ?? 0,
             lineage: undefined,
-            softwareVersion: undefined,
+            softwareVersion: broken?.softwareVersion,
+            firstAttemptId: broken?.firstAttemptId,
             end: undefined,
         };
         this.oracle.recordRequest(request);
@@ -263,6 +282,7 @@
             length,
             timeLimit,
             sharedParts,
+            broken,
         );
         const requestId = this.platform.nextRequestId();
         this.oracle.recordRequestId(gateway, requestId, request);
@@ -340,6 +360,23 @@
         }
     }
 
+    /** Takes up one of the streams that broke off after their first event, if there is one with time left. */
+    private takeUp(caller: number, gateway: VirtualGateway): void {
+        const { now } = this.platform.clock;
+        const broken = this.oracle.callerRequests.filter(request =>
+            request.kind === "note" && (request.end === "cut" || request.end === "gateway_gone")
+            && request.lastEventNumber > 0 && request.lastEventNumber < request.events && request.deadlineAt > now
+            && !this.takenUp.has(request)
+        );
+        if (broken.length === 0) {
+            return;
+        }
+        const request = broken[caller % broken.length];
+        this.takenUp.add(request);
+        const length = request.events * tokensPerEvent;
+        this.sendRequest(gateway, "note", length, request.deadlineAt - now, { broken: request });
+    }
+
     private disconnectCaller(caller: number): void {
         const openRequests = this.oracle.callerRequests.filter(request => request.end === undefined);
         if (openRequests.length === 0) {
@@ -362,6 +399,8 @@
         switch (action.kind) {
             case "killGateway":
                 return this.killGateway(gateway, action.how, action.away);
+            case "killAllGateways":
+                return this.platform.gateways.forEach(each => this.killGateway(each, "power", action.away));
             case "freezeGateway":
                 this.oracle.faultRecord.recordProcessFault(gateway.name, action.duration);
                 this.oracle.serverNotices.excuse(gateway);
@@ -549,6 +588,7 @@
     length: number,
     timeLimit: Milliseconds,
     sharedParts: readonly string[],
+    broken: PlatformRequest | undefined,
 ): RequestHead {
     return {
         callerAttemptId: identifier(id),
@@ -557,8 +597,10 @@
         host: routesHost,
         timeLimit,
         apiKey: undefined,
-        lastEvent: undefined,
-        resumedAttemptId: undefined,
+        lastEvent: broken?.lastEventNumber,
+        resumedAttemptId: broken === undefined
+            ? undefined
+            : identifier<CallerAttemptId>(broken.firstAttemptId ?? broken.callerAttemptId),
         promptTokens,
         maximumTokens: length,
         estimatedTokens: undefined,
