--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -29,6 +29,14 @@
     readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 }
 
+/** Details of a request that a test sets. */
+export interface RequestOptions {
+    readonly promptTokens?: number;
+    /** The caller's id for the attempt; by default a new one. */
+    readonly attemptId?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+}
+
 const host = "platform.example";
 
 /** The gateways, the store and the backend servers of one test. */
@@ -75,6 +83,7 @@
                 route("confirm", "plain", { routeType: "non_idempotent" }),
                 route("lookup", "plain", { routeType: "idempotent", maxAttempts: 2 }),
                 route("plan", "engine", { routeType: "streaming", timeoutMs: 20_000 }),
+                route("note", "engine", { routeType: "streaming", streamResume: true, maxAttempts: 3 }),
                 ...extraPrefixes.map(name => route(name, "plain", { routeType: "idempotent" })),
             ],
             services: [{ name: "plain" }, { name: "engine", backend: engine }],
@@ -107,14 +116,23 @@
         service: "plain" | "engine",
         workTime: number,
         events = 0,
+        softwareVersion?: string,
     ): Promise<BackendServerStandIn> {
-        const server = await this.serverStandIns.start(createServerPlan(id, service, workTime));
+        const plan = { ...createServerPlan(id, service, workTime), softwareVersion };
+        const server = await this.serverStandIns.start(plan);
         this.streamEventCount = Math.max(this.streamEventCount, events);
         this.backendServers.push(server);
         await Promise.all(this.gateways.map(gateway => this.waitUntilKnown(gateway, id)));
         return server;
     }
 
+    /** Kills all gateways at once. */
+    async killGateways(): Promise<void> {
+        const killed = this.gateways.splice(0);
+        killed.forEach(({ child }) => child.kill("SIGKILL"));
+        await Promise.all(killed.map(({ exited }) => exited));
+    }
+
     private waitUntilKnown(gateway: GatewayProcess, id: string): Promise<void> {
         const isKnown = (): boolean => gateway.output().includes(`server=${id} change=added`);
         return waitUntil(`${id} is known`, isKnown);
@@ -124,9 +142,9 @@
     async sendRequest(
         gateway: GatewayProcess,
         path: string,
-        options: { readonly promptTokens?: number; } = {},
+        options: RequestOptions = {},
     ): Promise<GatewayResponse> {
-        const attemptId = `attempt-${++this.requestCount}`;
+        const attemptId = options.attemptId ?? `attempt-${++this.requestCount}`;
         const response = await request(`http://${gateway.callerAddress}${withLength(path, this.streamEventCount)}`, {
             method: "POST",
             headers: {
@@ -134,6 +152,7 @@
                 "attempt-id": attemptId,
                 "deadline-ms": "20000",
                 "token-usage": `${options.promptTokens ?? 10},50`,
+                ...options.headers,
             },
             body: `body of ${attemptId}`,
             dispatcher: this.agent,
@@ -153,7 +172,7 @@
 
 /** Adds the number of events of the answer to the path of a streamed route, from which the engine stand-in reads it. */
 function withLength(path: string, events: number): string {
-    return path.startsWith("/plan/") ? `${path}?length=${events}` : path;
+    return path.startsWith("/plan/") || path.startsWith("/note/") ? `${path}?length=${events}` : path;
 }
 
 function createServerPlan(id: string, service: "plain" | "engine", workTime: number): ServerPlan {
--- a/packages/cli/src/gateway.ts
+++ b/packages/cli/src/gateway.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds } from "@verbenaspring/model";
 import {
     createStoreClient,
+    createStreamRegisterClient,
     decodeBackendHead,
     decodeCallerHead,
     decodeSettings,
@@ -41,13 +42,15 @@
 export async function startGatewayFromFile(options: GatewayProcessOptions): Promise<GatewayDaemon> {
     const text = readFileSync(options.settingsFile, "utf8");
     const settings = decodeSettings(options.settingsFile, text);
+    const store = createStoreClient(settings.storeAddress);
     const adapter: GatewayAdapter = {
         decodeCallerHead,
         encodeBackendCall,
         decodeBackendHead,
         readReport: requestReport,
         migrateRun: requestMigration,
-        topics: { ...createStoreClient(settings.storeAddress), decode: decodeTopicItem },
+        topics: { ...store, decode: decodeTopicItem },
+        streamRegister: createStreamRegisterClient(store.log),
     };
     const daemon = await startGateway(toDaemonOptions(settings, options), adapter);
     watchSettingsFile(options.settingsFile, text, daemon);
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -15,6 +15,7 @@
     type MigrationResult,
     type PeerReport,
     reduceGateway,
+    type StreamRegisterCall,
     type TopicName,
 } from "@verbenaspring/gateway";
 import { type CallerAttemptId, identifier, type Milliseconds, type PeerAddress } from "@verbenaspring/model";
@@ -26,6 +27,7 @@
 import type { VirtualNetwork } from "./virtualNetwork.js";
 import { type LinkOwner, VirtualPeerLinks } from "./virtualPeerLinks.js";
 import type { StoreAnswer, StoreRead, VirtualStore } from "./virtualStore.js";
+import { appendStreamRecords, readStreamRegister, writeBaseVersion } from "./virtualStreamRegister.js";
 
 /** Effects that send something to a caller. */
 export type AnswerEffect = Extract<GatewayEffect, { readonly kind: `answer${string}`; }>;
@@ -206,6 +208,8 @@
                 return this.read(effect.topic, effect.from, effect.wait);
             case "readSnapshot":
                 return this.read(effect.topic, undefined, 0);
+            case "callStreamRegister":
+                return this.callStreamRegister(effect.call);
             case "applyLimits":
             case "startDraining":
                 return;
@@ -217,6 +221,37 @@
         }
     }
 
+    private callStreamRegister(call: StreamRegisterCall): void {
+        switch (call.kind) {
+            case "read":
+                return this.environment.store.perform(
+                    this.name,
+                    model => readStreamRegister(model, call.from),
+                    page =>
+                        this.handleEvent(
+                            page === undefined
+                                ? { kind: "streamRegisterReadFailed" }
+                                : { kind: "streamRegisterRead", page },
+                        ),
+                );
+            case "record":
+                return this.environment.store.perform(
+                    this.name,
+                    model => {
+                        appendStreamRecords(model, call.records);
+                        return true;
+                    },
+                    isRecorded => this.handleEvent({ kind: "streamsRecorded", isRecorded: isRecorded === true }),
+                );
+            case "writeBase":
+                return this.environment.store.perform(
+                    this.name,
+                    model => writeBaseVersion(model, call.baseVersion, call.at),
+                    () => this.handleEvent({ kind: "baseVersionWritten" }),
+                );
+        }
+    }
+
     private probe(
         { backendServer, address, hasReport }: Extract<GatewayEffect, { readonly kind: "probeServer"; }>,
     ): void {
--- a/packages/emulator/src/virtualStore.ts
+++ b/packages/emulator/src/virtualStore.ts
@@ -73,6 +73,39 @@
         );
     }
 
+    /**
+     * Performs an operation on the model over the network.
+     *
+     * @param done called with its result, or with undefined if it failed or its answer was lost
+     */
+    perform<Result>(
+        caller: string,
+        operation: (model: StoreModel) => Result,
+        done: (result: Result | undefined) => void,
+    ): void {
+        let isOver = false;
+        const channel = this.network.open(caller, storeName);
+        const finish = (result: Result | undefined): void => {
+            if (!isOver) {
+                isOver = true;
+                channel.close();
+                done(result);
+            }
+        };
+        this.clock.schedule(responseTimeoutMargin, () => finish(undefined));
+        channel.send("upstream", () => {
+            if (this.behaviour === "silent") {
+                return;
+            }
+            const isRefused = this.behaviour === "busy" || this.rejectedReaders.has(caller);
+            const result = isRefused ? undefined : operation(this.model);
+            this.clock.schedule(
+                serviceTime + this.slowness,
+                () => channel.send("downstream", () => finish(result)),
+            );
+        });
+    }
+
     private serve(read: StoreRead, answer: (answer: StoreAnswer) => void): void {
         if (this.behaviour === "silent") {
             return;
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -268,7 +268,7 @@
             lastEventNumber: broken?.lastEventNumber ?? 0,
             lineage: undefined,
             softwareVersion: broken?.softwareVersion,
-            firstAttemptId: broken?.firstAttemptId,
+            firstAttemptId: broken?.firstAttemptId ?? broken?.callerAttemptId,
             end: undefined,
         };
         this.oracle.recordRequest(request);
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -15,6 +15,7 @@
 import type { BackendAnswer, BackendCall, ResponseHead, StreamEvent } from "./messages.js";
 import type { PeerReport } from "./peerReport.js";
 import type { CallerLimits } from "./routingConfiguration.js";
+import type { BaseVersion, StreamRecord } from "./streamRegister.js";
 
 /** The log fields of a decision. */
 export type DecisionFields = Readonly<Record<string, string | number | boolean | undefined>>;
@@ -26,6 +27,13 @@
     readonly fields: DecisionFields;
 }
 
+/** A call to the register of streams in the platform's store. */
+export type StreamRegisterCall =
+    | { readonly kind: "read"; readonly from: LogOffset; }
+    | { readonly kind: "record"; readonly records: readonly StreamRecord[]; }
+    /** Writes a base version, unless one was written from the offset `at` on. */
+    | { readonly kind: "writeBase"; readonly baseVersion: BaseVersion; readonly at: LogOffset; };
+
 /** An effect for the caller of the reducer to perform. */
 export type GatewayEffect =
     | { readonly kind: "sendAttempt"; readonly requestId: RequestId; readonly call: BackendCall; }
@@ -56,6 +64,7 @@
     | { readonly kind: "closePeerLink"; readonly address: PeerAddress; }
     | { readonly kind: "readTopic"; readonly topic: TopicName; readonly from: LogOffset; readonly wait: Milliseconds; }
     | { readonly kind: "readSnapshot"; readonly topic: TopicName; }
+    | { readonly kind: "callStreamRegister"; readonly call: StreamRegisterCall; }
     | { readonly kind: "applyLimits"; readonly limits: CallerLimits; }
     | { readonly kind: "startDraining"; }
     | { readonly kind: "exit"; }
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -16,6 +16,7 @@
 import type { GatewayOptions } from "./options.js";
 import type { PeerItems, PeerReport } from "./peerReport.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
+import type { StreamRegisterPage } from "./streamRegister.js";
 
 /** Why an attempt ended without a usable answer. */
 export type AttemptFailure =
@@ -125,6 +126,12 @@
         readonly attemptId: AttemptId;
         readonly result: MigrationResult;
     }
+    | { readonly kind: "streamRegisterRead"; readonly page: StreamRegisterPage; }
+    | { readonly kind: "streamRegisterReadFailed"; }
+    /** An append of records has ended; `isRecorded` tells whether they are stored for certain. */
+    | { readonly kind: "streamsRecorded"; readonly isRecorded: boolean; }
+    /** A write of a base version has ended. */
+    | { readonly kind: "baseVersionWritten"; }
     | { readonly kind: "peerReported"; readonly report: PeerReport; readonly items: PeerItems; }
     | { readonly kind: "peerLinkClosed"; readonly address: PeerAddress; }
     | { readonly kind: "settingsChanged"; readonly options: GatewayOptions; }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -14,3 +14,5 @@
 export * from "./routingConfiguration.js";
 export * from "./serverPauses.js";
 export * from "./state.js";
+export * from "./streamRegister.js";
+export * from "./streamVersions.js";
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -18,6 +18,13 @@
 import { handleCallerLeft, handleRequest } from "./requests.js";
 import { endServerPauses } from "./serverPauses.js";
 import type { GatewayState } from "./state.js";
+import {
+    checkStreamRegister,
+    handleBaseVersionWritten,
+    handleStreamRegisterRead,
+    handleStreamRegisterReadFailed,
+    handleStreamsRecorded,
+} from "./streamRegister.js";
 import { handleStreamEnded, handleStreamEvents, handleStreamOpened } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
 import { checkWaitingRequests } from "./waiting.js";
@@ -56,6 +63,7 @@
             updateLimitShares(transaction);
             endServerPauses(transaction);
             forgetSuspects(transaction);
+            checkStreamRegister(transaction);
             checkRequests(transaction);
             checkWaitingRequests(transaction);
             return checkStop(transaction);
@@ -82,7 +90,17 @@
 
 type PlatformEvent = Extract<
     GatewayEvent,
-    { readonly kind: `topic${string}` | `peer${string}` | "migrationAnswered" | "settingsChanged" | "stopRequested"; }
+    {
+        readonly kind:
+            | `topic${string}`
+            | `peer${string}`
+            | `streamRegister${string}`
+            | "streamsRecorded"
+            | "baseVersionWritten"
+            | "migrationAnswered"
+            | "settingsChanged"
+            | "stopRequested";
+    }
 >;
 
 function handlePlatformEvent(transaction: Transaction, event: PlatformEvent): void {
@@ -93,6 +111,14 @@
             return handleTopicReadFailed(transaction, event);
         case "migrationAnswered":
             return handleMigrationAnswered(transaction, event);
+        case "streamRegisterRead":
+            return handleStreamRegisterRead(transaction, event.page);
+        case "streamRegisterReadFailed":
+            return handleStreamRegisterReadFailed(transaction);
+        case "streamsRecorded":
+            return handleStreamsRecorded(transaction, event.isRecorded);
+        case "baseVersionWritten":
+            return handleBaseVersionWritten(transaction);
         case "peerReported":
             return handlePeerReport(transaction, event);
         case "peerLinkClosed":
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -18,6 +18,7 @@
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
 import { dispatch } from "./sending.js";
 import type { GatewayRequest } from "./state.js";
+import { handleTakeUp, isTakeUp } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type RequestReceived = Extract<GatewayEvent, { readonly kind: "requestReceived"; }>;
@@ -64,6 +65,7 @@
         triedServers: new Set(),
         lastEvent: route.canResume ? head.lastEvent : undefined,
         origin: undefined,
+        held: undefined,
         firstEventAge: undefined,
         lastEventAt: undefined,
         longestPause: 0,
@@ -71,6 +73,9 @@
     };
     state.requests.set(requestId, request);
     recordRequest(state.retryBudget, request.service, now);
+    if (isTakeUp(request)) {
+        return handleTakeUp(transaction, request);
+    }
     dispatch(transaction, request);
 }
 
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -18,11 +18,12 @@
 import type { ReadFailure, TopicItem, TopicName } from "./event.js";
 import type { LeavingNotices } from "./leavingServers.js";
 import type { LiveMembers, Member, MemberTotals, OwnRecord } from "./members.js";
-import type { RequestHead, ResponseHead, RunReplica } from "./messages.js";
+import type { RequestHead, ResponseHead, RunReplica, StreamEvent } from "./messages.js";
 import type { GatewayOptions } from "./options.js";
 import type { TopicReadStamp } from "./peerReport.js";
 import type { RequestLimits } from "./requestLimits.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
+import { createStreamRegister, type StreamRegister } from "./streamRegister.js";
 import type { StreamOrigin } from "./streamVersions.js";
 
 /** One send of a request to a backend server, until its answer, its failure or its cancellation. */
@@ -75,6 +76,8 @@
     lastEvent: number | undefined;
     /** Where the stream began; undefined before its first event. */
     origin: StreamOrigin | undefined;
+    /** The first events of a stream whose record is not stored yet; undefined if none are kept. */
+    held: HeldEvents | undefined;
     /** How long the caller waited for the first event; undefined before it. */
     firstEventAge: Milliseconds | undefined;
     /** When the last events were passed on to the caller. */
@@ -85,6 +88,14 @@
     isHeadWritten: boolean;
 }
 
+/** Events that are kept until the record of their stream is stored. */
+export interface HeldEvents {
+    readonly head: ResponseHead;
+    readonly events: StreamEvent[];
+    /** Whether they are the whole answer. */
+    hasEnded: boolean;
+}
+
 /** The priority of a request: its organisation's, or else its route's. 0 is the most urgent. */
 export function priorityOf({ organisation, route }: GatewayRequest): number {
     return organisation?.priority ?? route.priority;
@@ -193,6 +204,7 @@
     /** The number of the newest notice. */
     noticeCount: number;
     readonly crashSuspects: CrashSuspects;
+    readonly streamRegister: StreamRegister;
     /** The sizes of the newest requests to each service, by the priority of their routes. */
     readonly recentSizes: Map<ServiceName, Map<number, RecentSizes>>;
     /** Moving average of the time per token of a stream. */
@@ -273,6 +285,7 @@
         leavingNotices: new Map(),
         noticeCount: 0,
         crashSuspects: createCrashSuspects(),
+        streamRegister: createStreamRegister(),
         recentSizes: new Map(),
         timePerToken: initialTimePerToken,
         prefillRate: initialPrefillRate,
--- /dev/null
+++ b/packages/gateway/src/streamRegister.ts
@@ -0,0 +1,438 @@
+/**
+ * Which software version began a stream that a caller takes up, also when the gateway that served it is gone. The answer
+ * is in the platform's store: a base version of each service, which began every stream without a record, and a record of
+ * each stream that began at another version. A stream's first event is passed on once its record is stored, so that no
+ * caller can take up a stream that is missing there. While one version alone serves, nothing is recorded.
+ */
+import type {
+    CallerAttemptId,
+    LogOffset,
+    Milliseconds,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+} from "@verbenaspring/model";
+import { endAttempt } from "./attempts.js";
+import { liveMembers } from "./members.js";
+import { failRequest, requestFields } from "./requests.js";
+import type { RoutingConfiguration } from "./routingConfiguration.js";
+import { canSendAgain, dispatch } from "./sending.js";
+import { usableServers } from "./serverLoad.js";
+import type { GatewayRequest, GatewayState } from "./state.js";
+import { writeHeldEvents } from "./streams.js";
+import type { StreamOrigin } from "./streamVersions.js";
+import { logDecision, type Transaction } from "./transaction.js";
+
+/** The version that began streams of one service, as recorded in the store. */
+export interface StreamRecord {
+    readonly service: ServiceName;
+    readonly softwareVersion: SoftwareVersion | undefined;
+    /** The attempts that got the first events. */
+    readonly attempts: readonly CallerAttemptId[];
+}
+
+/** The base version of a service. */
+export interface BaseVersion {
+    readonly service: ServiceName;
+    readonly softwareVersion: SoftwareVersion | undefined;
+}
+
+/** What a read of the register found. */
+export interface StreamRegisterPage {
+    readonly baseVersions: readonly BaseVersion[];
+    /** The offset after the last base version; a base version is only written if none has been since. */
+    readonly baseEnd: LogOffset;
+    readonly records: readonly StreamRecord[];
+    /** The offset from which the next read of records continues. */
+    readonly next: LogOffset;
+}
+
+interface KnownOrigin {
+    readonly origin: StreamOrigin;
+    readonly knownAt: Milliseconds;
+}
+
+/** What a gateway knows of the register, and what it waits for. Owned and changed by the event loop. */
+export interface StreamRegister {
+    /** Undefined until they are read, and when they may have changed without notice. */
+    baseVersions: ReadonlyMap<ServiceName, StreamOrigin> | undefined;
+    baseEnd: LogOffset;
+    next: LogOffset;
+    /** Streams that began here, and those in records, oldest first. */
+    readonly origins: Map<CallerAttemptId, KnownOrigin>;
+    /** When servers of each version were last registered. */
+    readonly versionsSeenAt: Map<ServiceName, Map<SoftwareVersion | undefined, Milliseconds>>;
+    /** The services that have records. */
+    readonly recordedServices: Set<ServiceName>;
+    isReading: boolean;
+    isWritingBase: boolean;
+    nextReadAt: Milliseconds;
+    nextWriteAt: Milliseconds;
+    /** Requests that take up streams, and wait for a read that starts after they arrived. */
+    takeUps: RequestId[];
+    /** The same, for the read in progress. */
+    takeUpsInRead: RequestId[];
+    /** Requests whose streams wait for the next append of records. */
+    unrecorded: RequestId[];
+    /** The same, for the append in progress. */
+    unrecordedInAppend: RequestId[];
+}
+
+const readRetryInterval: Milliseconds = 500;
+/** The shortest time between two writes of base versions. */
+const writeInterval: Milliseconds = 1_000;
+/** The `retryAfter` of a take-up while the store does not answer. */
+const unreadableRetryAfter: Milliseconds = 500;
+/** How long callers may go on taking up a stream, as a multiple of its route's timeout. */
+const lifetimeFactor = 2;
+const lifetimeMargin: Milliseconds = 2_000;
+/** More streams than begin at one gateway in their lifetime; beyond that the oldest are evicted. */
+const maximumOrigins = 65_536;
+
+/** Creates a register that has not been read. */
+export function createStreamRegister(): StreamRegister {
+    return {
+        baseVersions: undefined,
+        baseEnd: 0,
+        next: 0,
+        origins: new Map(),
+        versionsSeenAt: new Map(),
+        recordedServices: new Set(),
+        isReading: false,
+        isWritingBase: false,
+        nextReadAt: -Infinity,
+        nextWriteAt: -Infinity,
+        takeUps: [],
+        takeUpsInRead: [],
+        unrecorded: [],
+        unrecordedInAppend: [],
+    };
+}
+
+/** Whether a request takes up a stream that an earlier request began. */
+export function isTakeUp({ route, head }: GatewayRequest): boolean {
+    return route.canResume && ((head.lastEvent ?? 0) > 0 || head.resumedAttemptId !== undefined);
+}
+
+/** Finds out where the stream began that a request takes up, and sends the request on, now or after a read. */
+export function handleTakeUp(transaction: Transaction, request: GatewayRequest): void {
+    const { state } = transaction;
+    const { origins, takeUps } = state.streamRegister;
+    const { resumedAttemptId } = request.head;
+    request.origin = resumedAttemptId === undefined ? undefined : origins.get(resumedAttemptId)?.origin;
+    if (request.origin !== undefined) {
+        return dispatch(transaction, request);
+    }
+    takeUps.push(request.id);
+    startRead(transaction);
+}
+
+/**
+ * Keeps a new stream's first events until its record is stored, where it needs one. Returns whether they are kept.
+ *
+ * @param isBeginning whether the stream's first event has just come
+ */
+export function holdUntilRecorded(transaction: Transaction, request: GatewayRequest, isBeginning: boolean): boolean {
+    const { streamRegister } = transaction.state;
+    if (request.held !== undefined) {
+        return true;
+    }
+    if (!isBeginning || !request.route.canResume || request.origin === undefined) {
+        return false;
+    }
+    const { callerAttemptId } = request.head;
+    rememberOrigin(transaction, callerAttemptId, request.origin);
+    const base = streamRegister.baseVersions?.get(request.service);
+    if (base !== undefined && base.softwareVersion === request.origin.softwareVersion) {
+        return false;
+    }
+    streamRegister.unrecorded.push(request.id);
+    startAppend(transaction);
+    return true;
+}
+
+function startAppend({ state, effects }: Transaction): void {
+    const { streamRegister } = state;
+    if (streamRegister.unrecordedInAppend.length > 0) {
+        return;
+    }
+    const requests = streamRegister.unrecorded.flatMap(id => state.requests.get(id) ?? []);
+    streamRegister.unrecorded = [];
+    if (requests.length === 0) {
+        return;
+    }
+    streamRegister.unrecordedInAppend = requests.map(({ id }) => id);
+    const records = requests.map(({ service, origin, head: { callerAttemptId } }) => ({
+        service,
+        softwareVersion: origin?.softwareVersion,
+        attempts: [callerAttemptId],
+    }));
+    effects.push({ kind: "callStreamRegister", call: { kind: "record", records } });
+}
+
+/**
+ * Handles the end of an append: passes on the events that waited for it. If it failed, the stream begins again at the
+ * base version, which needs no record. Where that is not possible its events are passed on all the same, since an answer
+ * now is worth more to its caller than a certain take-up.
+ */
+export function handleStreamsRecorded(transaction: Transaction, isRecorded: boolean): void {
+    const { streamRegister, requests } = transaction.state;
+    const waiting = streamRegister.unrecordedInAppend;
+    streamRegister.unrecordedInAppend = [];
+    for (const id of waiting) {
+        const request = requests.get(id);
+        if (request === undefined) {
+            continue;
+        }
+        if (isRecorded || !beginAgainAtBase(transaction, request)) {
+            writeHeldEvents(transaction, request);
+        }
+    }
+    startAppend(transaction);
+}
+
+/** Runs a stream whose record could not be stored again at the base version. Returns whether it does. */
+function beginAgainAtBase(transaction: Transaction, request: GatewayRequest): boolean {
+    const { state, now } = transaction;
+    const { held, head, route, service, attempt } = request;
+    const base = state.streamRegister.baseVersions?.get(service);
+    const canBegin = base !== undefined && held?.hasEnded === false && request.possibleRuns < route.maximumAttempts
+        && usableServers(state, service, now, base).length > 0 && canSendAgain(transaction, request);
+    logDecision(transaction, "warn", "stream_unrecorded", { ...requestFields(transaction, request), canBegin });
+    if (!canBegin) {
+        return false;
+    }
+    if (attempt !== undefined) {
+        endAttempt(transaction, request, attempt, "cancel");
+    }
+    state.streamRegister.origins.delete(head.callerAttemptId);
+    request.held = undefined;
+    request.lastEvent = undefined;
+    request.origin = base;
+    dispatch(transaction, request);
+    return true;
+}
+
+function startRead({ state, effects }: Transaction): void {
+    const { streamRegister } = state;
+    if (streamRegister.isReading) {
+        return;
+    }
+    streamRegister.isReading = true;
+    streamRegister.takeUpsInRead = streamRegister.takeUps;
+    streamRegister.takeUps = [];
+    effects.push({ kind: "callStreamRegister", call: { kind: "read", from: streamRegister.next } });
+}
+
+/** Handles a read of the register, and sends on the take-ups that waited for it. */
+export function handleStreamRegisterRead(transaction: Transaction, page: StreamRegisterPage): void {
+    const { streamRegister } = transaction.state;
+    streamRegister.baseVersions = new Map(
+        page.baseVersions.map(({ service, softwareVersion }) => [service, { softwareVersion }]),
+    );
+    streamRegister.baseEnd = page.baseEnd;
+    streamRegister.next = page.next;
+    for (const { attempts, softwareVersion } of page.records) {
+        attempts.forEach(id => rememberOrigin(transaction, id, { softwareVersion }));
+    }
+    page.records.forEach(({ service }) => streamRegister.recordedServices.add(service));
+    endRead(transaction, request => {
+        request.origin = registeredOrigin(streamRegister, request);
+        if (request.origin === undefined) {
+            return failRequest(
+                transaction,
+                request,
+                "no_backend_server",
+                "the software version that began the stream is not known",
+            );
+        }
+        dispatch(transaction, request);
+    });
+}
+
+/**
+ * Where the stream began that a request takes up, by the register as it was read after the request arrived. A caller that
+ * does not name the attempt can only be served while no stream of the service has begun at another version.
+ */
+function registeredOrigin(
+    { origins, baseVersions, recordedServices }: StreamRegister,
+    { head: { resumedAttemptId }, service }: GatewayRequest,
+): StreamOrigin | undefined {
+    const base = baseVersions?.get(service);
+    if (resumedAttemptId === undefined) {
+        return recordedServices.has(service) ? undefined : base;
+    }
+    return origins.get(resumedAttemptId)?.origin ?? base;
+}
+
+/** Handles a failed read: refuses the take-ups that waited for it. */
+export function handleStreamRegisterReadFailed(transaction: Transaction): void {
+    transaction.state.streamRegister.nextReadAt = transaction.now + readRetryInterval;
+    endRead(transaction, request =>
+        failRequest(
+            transaction,
+            request,
+            "no_backend_server",
+            "the software version that began the stream can't be read",
+            unreadableRetryAfter,
+        ));
+}
+
+function endRead(transaction: Transaction, settle: (request: GatewayRequest) => void): void {
+    const { streamRegister, requests } = transaction.state;
+    const waiting = streamRegister.takeUpsInRead;
+    streamRegister.takeUpsInRead = [];
+    streamRegister.isReading = false;
+    waiting.forEach(id => {
+        const request = requests.get(id);
+        if (request !== undefined) {
+            settle(request);
+        }
+    });
+    if (streamRegister.takeUps.length > 0) {
+        startRead(transaction);
+    }
+}
+
+/** Handles the end of a write of a base version, whatever its outcome: the register is read again. */
+export function handleBaseVersionWritten(transaction: Transaction): void {
+    const { streamRegister } = transaction.state;
+    streamRegister.isWritingBase = false;
+    streamRegister.nextWriteAt = transaction.now + writeInterval;
+    startRead(transaction);
+}
+
+/** Follows the versions in service, reads the register where it is unknown, and replaces base versions out of service. */
+export function checkStreamRegister(transaction: Transaction): void {
+    const { state, now } = transaction;
+    const { streamRegister, configuration } = state;
+    const services = resumableServices(configuration);
+    recordVersions(transaction, services);
+    forgetOrigins(state, now);
+    if (services.length === 0) {
+        return;
+    }
+    if (streamRegister.baseVersions === undefined) {
+        if (now >= streamRegister.nextReadAt) {
+            startRead(transaction);
+        }
+        return;
+    }
+    const canWrite = !streamRegister.isReading && !streamRegister.isWritingBase && now >= streamRegister.nextWriteAt;
+    if (canWrite && isWriter(transaction)) {
+        services.some(service => replaceBase(transaction, service));
+    }
+}
+
+function recordVersions({ state, now }: Transaction, services: readonly ServiceName[]): void {
+    const { streamRegister } = state;
+    for (const service of services) {
+        const seenAt = streamRegister.versionsSeenAt.get(service)
+            ?? new Map<SoftwareVersion | undefined, Milliseconds>();
+        streamRegister.versionsSeenAt.set(service, seenAt);
+        const lifetime = streamLifetime(state.configuration, service);
+        const base = streamRegister.baseVersions?.get(service);
+        const baseSeenAt = base === undefined ? undefined : seenAt.get(base.softwareVersion) ?? state.startedAt ?? now;
+        for (const id of state.serversByService.get(service) ?? []) {
+            const server = state.servers.get(id);
+            if (server !== undefined && server.removedAt === undefined) {
+                seenAt.set(server.record.softwareVersion, now);
+            }
+        }
+        const hasReturned = base !== undefined && seenAt.get(base.softwareVersion) === now;
+        // Another gateway may have replaced a base version that was away for long.
+        if (hasReturned && baseSeenAt !== undefined && now - baseSeenAt > lifetime / 2) {
+            streamRegister.baseVersions = undefined;
+        }
+    }
+}
+
+function forgetOrigins({ streamRegister: { origins }, configuration }: GatewayState, now: Milliseconds): void {
+    const lifetime = Math.max(0, ...resumableServices(configuration).map(name => streamLifetime(configuration, name)));
+    for (const [id, { knownAt }] of origins) {
+        if (now - knownAt <= lifetime && origins.size <= maximumOrigins) {
+            return;
+        }
+        origins.delete(id);
+    }
+}
+
+function rememberOrigin({ state, now }: Transaction, id: CallerAttemptId, origin: StreamOrigin): void {
+    state.streamRegister.origins.set(id, { origin, knownAt: now });
+}
+
+/** Whether this gateway writes base versions: it has the lowest address of all live ones. */
+function isWriter({ state, now }: Transaction): boolean {
+    return liveMembers(state, now).every(({ record }) => state.options.peerAddress < record.address);
+}
+
+/** The longest age of a view of the servers from which a version is taken to be out of service. */
+const maximumViewAge: Milliseconds = 2_000;
+
+/**
+ * Writes the base version of a service that has none, or none that was registered in the lifetime of a stream. Returns
+ * whether it does.
+ */
+function replaceBase({ state, now, effects }: Transaction, service: ServiceName): boolean {
+    const { streamRegister, startedAt, followers: { backendServers } } = state;
+    const base = streamRegister.baseVersions?.get(service);
+    const seenAt = streamRegister.versionsSeenAt.get(service);
+    const commonest = commonestVersion(state, service);
+    if (commonest === undefined || now - (backendServers.freshAsOf ?? -Infinity) > maximumViewAge) {
+        return false;
+    }
+    const baseSeenAt = base === undefined ? -Infinity : seenAt?.get(base.softwareVersion) ?? startedAt ?? now;
+    if (now - baseSeenAt <= streamLifetime(state.configuration, service)) {
+        return false;
+    }
+    streamRegister.isWritingBase = true;
+    const baseVersion = { service, softwareVersion: commonest.softwareVersion };
+    effects.push({
+        kind: "callStreamRegister",
+        call: { kind: "writeBase", baseVersion, at: streamRegister.baseEnd },
+    });
+    return true;
+}
+
+/** The version of most registered servers of a service; undefined if there are none. */
+function commonestVersion(state: GatewayState, service: ServiceName): StreamOrigin | undefined {
+    const counts = new Map<SoftwareVersion | undefined, number>();
+    for (const id of state.serversByService.get(service) ?? []) {
+        const server = state.servers.get(id);
+        if (server !== undefined && server.removedAt === undefined) {
+            const { softwareVersion } = server.record;
+            counts.set(softwareVersion, (counts.get(softwareVersion) ?? 0) + 1);
+        }
+    }
+    const [commonest] = [...counts].sort(([, one], [, other]) => other - one);
+    return commonest === undefined ? undefined : { softwareVersion: commonest[0] };
+}
+
+const lifetimes = new WeakMap<RoutingConfiguration, ReadonlyMap<ServiceName, Milliseconds>>();
+
+/** How long callers may take up streams of a service: a while longer than its routes' timeouts. */
+function streamLifetime(configuration: RoutingConfiguration | undefined, service: ServiceName): Milliseconds {
+    return configuration === undefined ? 0 : lifetimesOf(configuration).get(service) ?? 0;
+}
+
+/** The services whose streams callers may take up. */
+function resumableServices(configuration: RoutingConfiguration | undefined): ServiceName[] {
+    return configuration === undefined ? [] : [...lifetimesOf(configuration).keys()];
+}
+
+function lifetimesOf(configuration: RoutingConfiguration): ReadonlyMap<ServiceName, Milliseconds> {
+    const known = lifetimes.get(configuration) ?? computeLifetimes(configuration);
+    lifetimes.set(configuration, known);
+    return known;
+}
+
+function computeLifetimes({ routesByHost }: RoutingConfiguration): ReadonlyMap<ServiceName, Milliseconds> {
+    const result = new Map<ServiceName, Milliseconds>();
+    for (const { canResume, timeout, targets } of [...routesByHost.values()].flat()) {
+        if (canResume) {
+            const lifetime = lifetimeFactor * timeout + lifetimeMargin;
+            targets.forEach(({ service }) => result.set(service, Math.max(lifetime, result.get(service) ?? 0)));
+        }
+    }
+    return result;
+}
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -25,6 +25,7 @@
 import { engineOf, recordEventLoad } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
+import { holdUntilRecorded } from "./streamRegister.js";
 import { hasSameVersion } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -111,7 +112,7 @@
 }
 
 function forwardEvents(
-    { now, effects }: Transaction,
+    transaction: Transaction,
     request: GatewayRequest,
     { head, server }: Attempt,
     events: readonly StreamEvent[],
@@ -119,7 +120,22 @@
     if (events.length === 0 || head === undefined) {
         return;
     }
+    const isBeginning = request.origin === undefined;
     request.origin ??= { softwareVersion: server.record.softwareVersion };
+    if (holdUntilRecorded(transaction, request, isBeginning)) {
+        request.held ??= { head, events: [], hasEnded: false };
+        request.held.events.push(...events);
+        return;
+    }
+    writeEvents(transaction, request, head, events);
+}
+
+function writeEvents(
+    { now, effects }: Transaction,
+    request: GatewayRequest,
+    head: ResponseHead,
+    events: readonly StreamEvent[],
+): void {
     if (!request.isHeadWritten) {
         request.isHeadWritten = true;
         request.firstEventAge = now - request.arrivedAt;
@@ -130,6 +146,20 @@
     effects.push({ kind: "answerEvents", requestId: request.id, events });
 }
 
+/** Passes on the events that were kept until the record of their stream was stored, and the end if they are all. */
+export function writeHeldEvents(transaction: Transaction, request: GatewayRequest): void {
+    const { held } = request;
+    if (held === undefined) {
+        return;
+    }
+    request.held = undefined;
+    writeEvents(transaction, request, held.head, held.events);
+    if (held.hasEnded) {
+        transaction.effects.push({ kind: "answerEnd", requestId: request.id });
+        finishRequest(transaction, request);
+    }
+}
+
 /** Handles the complete end of a run. */
 export function handleStreamEnded(transaction: Transaction, attemptId: AttemptId): void {
     const { state, now, effects } = transaction;
@@ -141,7 +171,7 @@
     recordHealth(transaction, attempt, undefined);
     recordStreamTimes(transaction, request, attempt);
     endAttempt(transaction, request, attempt, "ended");
-    if (!request.isHeadWritten) {
+    if (!request.isHeadWritten && request.held === undefined) {
         effects.push({ kind: "answerHead", requestId: request.id, head: attempt.head });
     }
     logDecision(transaction, "debug", "stream_answered", {
@@ -149,6 +179,10 @@
         took: Math.round(now - request.arrivedAt),
         ...streamTimeFields(state, request, attempt),
     });
+    if (request.held !== undefined) {
+        request.held.hasEnded = true;
+        return;
+    }
     effects.push({ kind: "answerEnd", requestId: request.id });
     finishRequest(transaction, request);
 }
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -21,6 +21,7 @@
     type Route,
     type RoutingConfiguration,
     type StreamEvent,
+    type StreamRegisterPage,
 } from "@verbenaspring/gateway";
 import {
     type Failure,
@@ -116,6 +117,13 @@
 export class TestGateway {
     now = 1_000;
     readonly state: GatewayState;
+    /** What the store answers at once to reads of the register of streams; undefined if it does not answer. */
+    streamRegister: StreamRegisterPage | undefined = {
+        baseVersions: [{ service: engineService, softwareVersion: undefined }],
+        baseEnd: 1,
+        records: [],
+        next: 0,
+    };
     private offset = 0;
     private recordVersion = 0;
     private readonly source = seededSource(1);
@@ -134,8 +142,25 @@
         return gateway;
     }
 
+    /** Handles an event, and the answers of the register of streams if it is up. */
     handle(event: GatewayEvent): GatewayEffect[] {
-        return reduceGateway(this.state, event, this.now, this.source);
+        const effects = reduceGateway(this.state, event, this.now, this.source);
+        return effects.flatMap(effect => [effect, ...this.answerRegister(effect)]);
+    }
+
+    private answerRegister(effect: GatewayEffect): GatewayEffect[] {
+        const page = this.streamRegister;
+        if (effect.kind !== "callStreamRegister" || page === undefined) {
+            return [];
+        }
+        switch (effect.call.kind) {
+            case "read":
+                return this.handle({ kind: "streamRegisterRead", page });
+            case "record":
+                return this.handle({ kind: "streamsRecorded", isRecorded: true });
+            case "writeBase":
+                return this.handle({ kind: "baseVersionWritten" });
+        }
     }
 
     /** Advances the clock in steps of one tick, and returns the effects of all ticks. */
--- /dev/null
+++ b/packages/gateway/test/streamRegister.test.ts
@@ -0,0 +1,159 @@
+import type { GatewayEffect, StreamRegisterCall } from "@verbenaspring/gateway";
+import { identifier, type SoftwareVersion } from "@verbenaspring/model";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { callsIn, engineService, eventsIn, failuresIn, kindsIn, server, TestGateway } from "./gatewayBuilders.js";
+
+const version = (text: string): SoftwareVersion => identifier(text);
+
+function engine(number: number, softwareVersion: string) {
+    return server(`engine-${number}`, { softwareVersion: version(softwareVersion) });
+}
+
+/** A gateway whose base version is v1, and whose calls to the register the test answers. */
+function gatewayWithBase(...servers: ReturnType<typeof engine>[]): TestGateway {
+    const gateway = TestGateway.serving(...servers);
+    gateway.advance(50);
+    gateway.streamRegister = undefined;
+    read(gateway);
+    return gateway;
+}
+
+function read(gateway: TestGateway, ...recorded: { readonly id: string; readonly softwareVersion: string; }[]) {
+    return gateway.handle({
+        kind: "streamRegisterRead",
+        page: {
+            baseVersions: [{ service: engineService, softwareVersion: version("v1") }],
+            baseEnd: 1,
+            records: recorded.map(({ id, softwareVersion }) => ({
+                service: engineService,
+                softwareVersion: version(softwareVersion),
+                attempts: [identifier(id)],
+            })),
+            next: recorded.length,
+        },
+    });
+}
+
+function registerCalls(effects: readonly GatewayEffect[]): StreamRegisterCall[] {
+    return effects.flatMap(effect => effect.kind === "callStreamRegister" ? [effect.call] : []);
+}
+
+const takeUp = (id: string) => ({ lastEvent: 3, resumedAttemptId: identifier<never>(id) });
+
+test("a stream of the base version needs no record", () => {
+    const gateway = gatewayWithBase(engine(1, "v1"));
+    const call = gateway.sendRequest("r", "note");
+    gateway.openStream(call);
+    const effects = gateway.receiveEvents(call, 1);
+    assert.equal([eventsIn(effects), registerCalls(effects)], [[1], []]);
+});
+
+test("events of a stream of another version are passed on once its record is stored, also if it has ended", () => {
+    const gateway = gatewayWithBase(engine(2, "v2"));
+    const call = gateway.sendRequest("r", "note");
+    gateway.openStream(call);
+    const first = gateway.receiveEvents(call, 1);
+    assert.equal(eventsIn(first), []);
+    const records = [{ service: engineService, softwareVersion: version("v2"), attempts: [identifier<never>("r")] }];
+    assert.equal(registerCalls(first), [{ kind: "record", records }]);
+    assert.equal(eventsIn(gateway.receiveEvents(call, 2)), []);
+    assert.equal(kindsIn(gateway.handle({ kind: "streamEnded", attemptId: call.attemptId })), []);
+    const recorded = gateway.handle({ kind: "streamsRecorded", isRecorded: true });
+    assert.equal(kindsIn(recorded), ["answerHead", "answerEvents", "answerEnd"]);
+    assert.equal(eventsIn(recorded), [1, 2]);
+    assert.is(gateway.state.requests.size, 0);
+});
+
+test("streams that begin while records are stored are recorded together afterwards", () => {
+    const gateway = gatewayWithBase(engine(2, "v2"));
+    gateway.startStream("r1", "note");
+    gateway.startStream("r2", "note");
+    gateway.startStream("r3", "note");
+    const [next] = registerCalls(gateway.handle({ kind: "streamsRecorded", isRecorded: true }));
+    assert.ok(next.kind === "record");
+    assert.equal(next.records.flatMap(({ attempts }) => attempts), ["r2", "r3"]);
+});
+
+test("a stream whose record can't be stored begins again at the base version", () => {
+    const gateway = gatewayWithBase(engine(2, "v2"));
+    gateway.startStream("r", "note");
+    gateway.register(engine(1, "v1"));
+    const effects = gateway.handle({ kind: "streamsRecorded", isRecorded: false });
+    const [again] = callsIn(effects);
+    assert.equal([again.backendServer, again.lastEvent, eventsIn(effects)], ["engine-1", undefined, []]);
+    gateway.openStream(again);
+    assert.equal(eventsIn(gateway.receiveEvents(again, 1)), [1]);
+});
+
+test("a stream whose record can't be stored is passed on where no server has the base version", () => {
+    const gateway = gatewayWithBase(engine(2, "v2"));
+    gateway.startStream("r", "note");
+    assert.equal(eventsIn(gateway.handle({ kind: "streamsRecorded", isRecorded: false })), [1]);
+});
+
+test("a take-up goes to the version of its record, and without a record to the base version", () => {
+    const gateway = gatewayWithBase(engine(1, "v1"), engine(2, "v2"));
+    const waiting = [
+        ...gateway.receiveRequest("t1", "note", takeUp("recorded")),
+        ...gateway.receiveRequest("t2", "note", takeUp("other")),
+    ];
+    assert.equal([callsIn(waiting), registerCalls(waiting)], [[], [{ kind: "read", from: 0 }]]);
+    const [first] = callsIn(read(gateway, { id: "recorded", softwareVersion: "v2" }));
+    assert.equal([first.backendServer, first.lastEvent], ["engine-2", 3]);
+    // The second one arrived after that read had started.
+    const [second] = callsIn(read(gateway));
+    assert.is(second.backendServer, "engine-1");
+});
+
+test("a take-up of a stream that began here needs no read", () => {
+    const gateway = gatewayWithBase(engine(2, "v2"));
+    gateway.startStream("r", "note");
+    gateway.handle({ kind: "streamsRecorded", isRecorded: true });
+    gateway.register(engine(1, "v1"));
+    const effects = gateway.receiveRequest("t", "note", takeUp("r"));
+    assert.equal([callsIn(effects)[0].backendServer, registerCalls(effects)], ["engine-2", []]);
+});
+
+test("a take-up is refused at once, as not run, when no server of its version is left or the store can't be read", () => {
+    const gateway = gatewayWithBase(engine(2, "v2"));
+    gateway.receiveRequest("t1", "note", takeUp("other"));
+    const [gone] = failuresIn(read(gateway));
+    assert.is(gone.outcome, "not_run");
+    gateway.receiveRequest("t2", "note", takeUp("other"));
+    const [unreadable] = failuresIn(gateway.handle({ kind: "streamRegisterReadFailed" }));
+    assert.is(unreadable.outcome, "not_run");
+    assert.ok(unreadable.retryAfter! > 0);
+});
+
+test("a take-up that does not name the first attempt is served only while no other version has begun streams", () => {
+    const gateway = gatewayWithBase(engine(1, "v1"));
+    gateway.receiveRequest("t1", "note", { lastEvent: 3 });
+    assert.is(callsIn(read(gateway)).length, 1);
+    gateway.receiveRequest("t2", "note", { lastEvent: 3 });
+    const effects = read(gateway, { id: "r", softwareVersion: "v2" });
+    assert.equal([callsIn(effects).length, failuresIn(effects)[0].outcome], [0, "not_run"]);
+});
+
+test("the base version is replaced once none of its servers was registered for the lifetime of a stream", () => {
+    const gateway = gatewayWithBase(engine(1, "v1"), engine(2, "v2"));
+    const written = (duration: number): StreamRegisterCall[] => {
+        const calls: StreamRegisterCall[] = [];
+        for (let elapsed = 0; elapsed < duration; elapsed += 1_000) {
+            gateway.register({ ...engine(2, "v2"), heartbeat: gateway.now });
+            calls.push(...registerCalls(gateway.advance(1_000)));
+        }
+        return calls;
+    };
+    assert.equal(written(30_000), [], "while it is in service");
+    gateway.remove("engine-1");
+    assert.equal(written(13_000), [], "while its streams may be taken up");
+    const [write] = written(3_000);
+    assert.equal(write, {
+        kind: "writeBase",
+        baseVersion: { service: engineService, softwareVersion: version("v2") },
+        at: 1,
+    });
+});
+
+test.run();
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -2,6 +2,7 @@
  * The gateway process: an event loop that runs the reducer, and a runner that performs its effects.
  */
 import {
+    type BaseVersion,
     createGatewayState,
     type GatewayEffect,
     type GatewayEvent,
@@ -9,6 +10,8 @@
     type MigrationResult,
     reduceGateway,
     type ServerReport,
+    type StreamRecord,
+    type StreamRegisterPage,
     type TopicItem,
     type TopicName,
     type TopicRecord,
@@ -45,10 +48,19 @@
     readonly next: LogOffset;
 }
 
+/** Reads and writes the register of streams. A rejected call may have taken effect. */
+export interface StreamRegisterStore {
+    readonly read: (from: LogOffset) => Promise<StreamRegisterPage>;
+    readonly record: (records: readonly StreamRecord[]) => Promise<void>;
+    /** Writes a base version, unless one was written from the offset on. */
+    readonly writeBase: (baseVersion: BaseVersion, at: LogOffset) => Promise<void>;
+}
+
 /** The platform's protocols: those of callers and backend servers, and the reading of topics. */
 export interface GatewayAdapter extends BackendCodec {
     readonly decodeCallerHead: DecodeCallerHead;
     readonly topics: TopicReader;
+    readonly streamRegister: StreamRegisterStore;
     /**
      * Copies a run's memory from the backend server at `address` to the one at `target`. Resolves when the migration is
      * complete or has failed.
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -2,6 +2,7 @@
  * Performs the effects of the gateway's reducer. Their outcomes return to the reducer as events.
  */
 import {
+    type BaseVersion,
     type Decision,
     type DecodedItem,
     type GatewayEffect,
@@ -11,10 +12,19 @@
     type PeerReport,
     type ReadFailure,
     type ServerReport,
+    type StreamRecord,
+    type StreamRegisterCall,
     type TopicItem,
     type TopicName,
 } from "@verbenaspring/gateway";
-import { type AttemptId, type FailureType, identifier, type Milliseconds, type RequestId } from "@verbenaspring/model";
+import {
+    type AttemptId,
+    type FailureType,
+    identifier,
+    type LogOffset,
+    type Milliseconds,
+    type RequestId,
+} from "@verbenaspring/model";
 import { createServer, type Server } from "node:http";
 import { type BackendChannels, createBackendChannels } from "./backendChannels.js";
 import { digestContent } from "./contentDigest.js";
@@ -159,6 +169,8 @@
                 );
             case "readSnapshot":
                 return this.reportRead(effect.topic, true, this.adapter.topics.readNewest(effect.topic));
+            case "callStreamRegister":
+                return this.callStreamRegister(effect.call);
             case "applyLimits":
                 return this.callers.applyLimits(effect.limits);
             case "startDraining":
@@ -265,6 +277,49 @@
         );
     }
 
+    private callStreamRegister(call: StreamRegisterCall): void {
+        switch (call.kind) {
+            case "read":
+                return this.readStreamRegister(call.from);
+            case "record":
+                return this.recordStreams(call.records);
+            case "writeBase":
+                return this.writeBaseVersion(call.baseVersion, call.at);
+        }
+    }
+
+    private readStreamRegister(from: LogOffset): void {
+        this.adapter.streamRegister.read(from).then(
+            page => this.events.push({ kind: "streamRegisterRead", page }),
+            (error: unknown) => {
+                this.countRegisterFailure("read", error);
+                this.events.push({ kind: "streamRegisterReadFailed" });
+            },
+        );
+    }
+
+    private recordStreams(records: readonly StreamRecord[]): void {
+        this.adapter.streamRegister.record(records).then(
+            () => this.events.push({ kind: "streamsRecorded", isRecorded: true }),
+            (error: unknown) => {
+                this.countRegisterFailure("record", error);
+                this.events.push({ kind: "streamsRecorded", isRecorded: false });
+            },
+        );
+    }
+
+    private writeBaseVersion(baseVersion: BaseVersion, at: LogOffset): void {
+        this.log("info", "base_version_written", { ...baseVersion, at });
+        this.adapter.streamRegister.writeBase(baseVersion, at)
+            .catch((error: unknown) => this.countRegisterFailure("write", error))
+            .finally(() => this.events.push({ kind: "baseVersionWritten" }));
+    }
+
+    private countRegisterFailure(call: "read" | "record" | "write", error: unknown): void {
+        this.metrics.count("verbenaspring_stream_register_failures_total", { call });
+        this.log("info", "stream_register_failed", { call, failure: classifyReadError(error), error: String(error) });
+    }
+
     private decodeItems(topic: TopicName, items: readonly TopicItem[]): DecodedItem[] {
         return items.map(item => ({ item, records: this.adapter.topics.decode(topic, item) }));
     }
--- a/packages/stand-ins/src/platformStoreStandIn.ts
+++ b/packages/stand-ins/src/platformStoreStandIn.ts
@@ -2,7 +2,7 @@
  * Stand-in for the platform's store: serves the store model over HTTP, with injected faults.
  */
 import { type StoreBehaviour, type StoredRecord, StoreModel } from "@verbenaspring/emulator";
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { pause, type StandIn, startStandIn } from "./httpStandIn.js";
 
 /** A running store and the operations of a test on it. */
@@ -20,6 +20,8 @@
     readonly close: () => Promise<void>;
 }
 
+/** The length before each record. */
+const lengthBytes = 4;
 /** Maximum number of entries on a page of newest records. */
 const newestPageSize = 500;
 
@@ -34,7 +36,7 @@
     const model = new StoreModel();
     let behaviour: StoreBehaviour = "up";
     let delay = 0;
-    const standIn: StandIn = await startStandIn(port, async (_, response, url) => {
+    const standIn: StandIn = await startStandIn(port, async (request, response, url) => {
         if (behaviour === "silent") {
             return;
         }
@@ -51,6 +53,9 @@
         if (url.pathname === "/log-read") {
             return await read(model, topic, url, response);
         }
+        if (url.pathname === "/log-append") {
+            return end(response, appendRecords(model, topic, url, await readBytes(request)));
+        }
         end(response, 404);
     });
     return {
@@ -73,6 +78,31 @@
     response.end(body);
 }
 
+/** Appends the records of a body, and returns the status of the answer. */
+function appendRecords(model: StoreModel, topic: string, url: URL, body: Buffer): number {
+    const at = url.searchParams.get("at");
+    if (at !== null && Number(at) !== model.endOffset(topic)) {
+        return 412;
+    }
+    const isKeyed = topic.startsWith("keyed.");
+    for (let position = 0; position < body.length;) {
+        const end = position + lengthBytes + body.readUInt32BE(position);
+        const content = body.subarray(position + lengthBytes, end);
+        const keyEnd = isKeyed ? 1 + content[0] : 0;
+        model.append(topic, content.subarray(1, keyEnd).toString(), Buffer.from(content.subarray(keyEnd)));
+        position = end;
+    }
+    return 200;
+}
+
+async function readBytes(request: IncomingMessage): Promise<Buffer> {
+    const pieces: Buffer[] = [];
+    for await (const piece of request) {
+        pieces.push(piece as Buffer);
+    }
+    return Buffer.concat(pieces);
+}
+
 function newestPage(model: StoreModel, topic: string, after: string | null): object {
     const all = model.newestRecords(topic).sort((one, other) => one.key < other.key ? -1 : 1);
     const remaining = after === null ? all : all.filter(({ key }) => key > after);
@@ -97,7 +127,8 @@
     const header = Buffer.alloc(16);
     header.writeBigUInt64BE(BigInt(page.end), 0);
     header.writeBigUInt64BE(BigInt(page.first), 8);
-    end(response, 200, Buffer.concat([header, ...page.records.map(encodeRecord)]));
+    const encode = topic.startsWith("keyed.") ? encodeKeyedRecord : encodeRecord;
+    end(response, 200, Buffer.concat([header, ...page.records.map(encode)]));
 }
 
 function waitForRecord(model: StoreModel, topic: string, wait: number): Promise<void> {
@@ -112,9 +143,15 @@
     });
 }
 
-function encodeRecord({ key, value }: StoredRecord): Buffer {
-    const head = Buffer.alloc(5);
+function encodeRecord({ value }: StoredRecord): Buffer {
+    const head = Buffer.alloc(lengthBytes);
+    head.writeUInt32BE(value.length, 0);
+    return Buffer.concat([head, value]);
+}
+
+function encodeKeyedRecord({ key, value }: StoredRecord): Buffer {
+    const head = Buffer.alloc(lengthBytes + 1);
     head.writeUInt32BE(1 + key.length + value.length, 0);
-    head.writeUInt8(key.length, 4);
+    head.writeUInt8(key.length, lengthBytes);
     return Buffer.concat([head, Buffer.from(key), value]);
 }
