--- a/packages/soak/src/soakCallers.ts
+++ b/packages/soak/src/soakCallers.ts
@@ -10,6 +10,7 @@
     type RequestKind,
     routesHost,
     routeTimeouts,
+    tokensPerEvent,
 } from "@verbenaspring/fuzz";
 import { pause } from "@verbenaspring/stand-ins";
 import { Client } from "undici";
@@ -24,6 +25,9 @@
 const probeShare = 0.15;
 /** The longest time in milliseconds between an answer and the caller's next request. */
 const maxThinkTime = 120;
+/** The longest time in milliseconds before a caller takes up a stream that broke off, and how often it tries. */
+const maxTakeUpDelay = 600;
+const maxTakeUps = 3;
 /** A caller aborts a request that has not ended this many milliseconds after its deadline. */
 const abortDelay = 3_000;
 
@@ -63,8 +67,8 @@
     private async sendNext(caller: number, gateway: SoakGateway): Promise<void> {
         if (this.random() >= probeShare) {
             const kind = requestMix[Math.floor(this.random() * requestMix.length)];
-            await this.sendRequest(caller, gateway, kind, this.random() < leavingShare);
-            return;
+            const request = await this.sendRequest(caller, gateway, kind, this.random() < leavingShare);
+            return this.takeUp(caller, request);
         }
         const { versions } = this.world;
         const index = Math.max(0, versions.newestIndex - Math.floor(3 * this.random()));
@@ -76,11 +80,26 @@
         }
     }
 
+    /** Takes up a stream that broke off at any gateway, as long as its caller has time left. */
+    private async takeUp(caller: number, broken: SoakRequest): Promise<void> {
+        let last = broken;
+        for (let tries = 0; tries < maxTakeUps && canTakeUp(last); tries++) {
+            await pause(this.random() * maxTakeUpDelay);
+            const { gateways } = this.world;
+            const gateway = gateways[Math.floor(this.random() * gateways.length)];
+            if (!gateway.hasExited && gateway.killedAt === undefined && canTakeUp(last)) {
+                const next = await this.sendRequest(caller, gateway, "note", false, undefined, last);
+                last = next.lastEvent > last.lastEvent ? next : last;
+            }
+        }
+    }
+
     /**
      * Sends a request, and resolves once it has ended.
      *
      * @param leaves whether the caller leaves before the end of the answer
      * @param path overrides the path of the kind of request
+     * @param takesUp the request whose broken stream this one takes up
      */
     async sendRequest(
         caller: number,
@@ -88,18 +107,27 @@
         kind: SoakRequest["kind"],
         leaves: boolean,
         path?: string,
+        takesUp?: SoakRequest,
     ): Promise<SoakRequest> {
-        const length = isStreamed(kind) ? 1 + Math.floor(300 * this.random() ** 2) : 1;
-        const timeLimit = 1_000 + Math.floor(12_000 * this.random());
+        const drawnLength = isStreamed(kind) ? 1 + Math.floor(300 * this.random() ** 2) : 1;
+        const length = takesUp === undefined ? drawnLength : takesUp.events * tokensPerEvent;
         const now = performance.now();
+        const timeLimit = takesUp === undefined
+            ? 1_000 + Math.floor(12_000 * this.random())
+            : Math.floor(takesUp.deadlineAt - now);
+        const id = `caller${++this.requestCount}`;
         const request: SoakRequest = {
-            id: `caller${++this.requestCount}`,
+            id,
             kind,
             gateway,
             sentAt: now,
             connectionOpenedAt: now,
             deadlineAt: now + Math.min(timeLimit, routeTimeouts[kind]),
             events: expectedEventCount(kind, length),
+            takesUp,
+            firstAttemptId: takesUp?.firstAttemptId ?? id,
+            lastEvent: takesUp?.lastEvent ?? 0,
+            softwareVersion: undefined,
             end: undefined,
         };
         this.world.oracle.recordRequest(request);
@@ -141,6 +169,16 @@
     }
 }
 
+/** Whether a stream broke off after its first event, and its caller has time left to take it up. */
+function canTakeUp({ kind, end, lastEvent, events, deadlineAt }: SoakRequest): boolean {
+    return kind === "note" && end === "cut" && lastEvent > 0 && lastEvent < events
+        && deadlineAt - performance.now() > maxTakeUpDelay;
+}
+
+function takeUpHeaders({ takesUp, firstAttemptId }: SoakRequest): Readonly<Record<string, string>> {
+    return takesUp === undefined ? {} : { "last-event-id": String(takesUp.lastEvent), resumes: firstAttemptId };
+}
+
 interface CallerConnection {
     readonly client: Client;
     readonly openedAt: number;
@@ -171,6 +209,7 @@
             "attempt-id": request.id,
             "deadline-ms": String(timeLimit),
             "token-usage": `${promptTokens},${length}`,
+            ...takeUpHeaders(request),
         },
         body: `body of ${request.id}`,
         signal,
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -173,6 +173,21 @@
     setTimeout(() => leaving.relay.close(), drainDuration);
 }
 
+/** One server is replaced by one of the other software version, as are those that end later. */
+function release(faults: SoakFaults): void {
+    faults.world.release();
+    drainServer(faults);
+}
+
+function killAllGateways(faults: SoakFaults): void {
+    const { gateways } = faults.world;
+    gateways
+        .filter(({ hasStarted, hasExited, killedAt, stopRequestedAt }) =>
+            hasStarted && !hasExited && killedAt === undefined && stopRequestedAt === undefined
+        )
+        .forEach(gateway => killGateway(faults, gateway));
+}
+
 function misbehave(faults: SoakFaults, duration: number): void {
     const { standIn } = faults.chooseServer();
     faults.world.oracle.faultRecord.recordProcessFault("workers", duration);
@@ -264,6 +279,7 @@
     { name: "clockJump", perform: withGateway(jumpClock) },
     { name: "limitWorker", perform: limitServer },
     { name: "giveNotice", perform: giveNotice },
+    { name: "release", perform: release },
 ];
 
 /** All other faults. */
@@ -293,6 +309,7 @@
     { name: "crashWorker", perform: (faults, duration) => crashServer(faults, duration, false) },
     { name: "restartWorker", perform: (faults, duration) => crashServer(faults, duration, true) },
     { name: "drainWorker", perform: drainServer },
+    { name: "killAll", perform: killAllGateways },
     { name: "misbehave", perform: misbehave },
     { name: "pauseWorker", perform: pauseServer },
     { name: "flood", perform: floodCalls },
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -29,6 +29,14 @@
     readonly deadlineAt: number;
     /** Events of a complete answer; 0 for plain calls. */
     readonly events: number;
+    /** The request whose broken stream this one takes up. */
+    readonly takesUp: SoakRequest | undefined;
+    /** The attempt that got the stream's first event: its own id, or that of an earlier request. */
+    readonly firstAttemptId: string;
+    /** The number of the last event that the caller has. */
+    lastEvent: number;
+    /** The software of the server that made the stream's first event; undefined before it. */
+    softwareVersion: string | undefined;
     /** Undefined while the request is open. */
     end: PlatformRequestEnd | undefined;
 }
@@ -82,6 +90,8 @@
             !this.checksTimeLimits || this.lagSince(since) > 0
             || this.faultRecord.hadFaultSince(gateway.name, since - platformLimits.serverPauseReaction),
     );
+    /** Streams of several versions that callers took up; more than the rules allow after one within one answer. */
+    private joinedStreams = 0;
     private readonly lags: { readonly at: number; readonly lag: number; }[] = [];
 
     /**
@@ -171,7 +181,10 @@
     private checkStream(request: SoakRequest, body: string, isComplete: boolean): void {
         const events = [...body.matchAll(/id: (\d+)\ndata: (.*)\n\n/g)];
         const lineages = new Set(events.map(([, , lineage]) => lineage));
-        const isInOrder = events.every(([, id], index) => Number(id) === index + 1);
+        const before = request.takesUp?.lastEvent ?? 0;
+        const isInOrder = events.every(([, id], index) => Number(id) === before + index + 1);
+        this.checkVersions(request, [...lineages].map(lineage => lineage.split(":", 1)[0]));
+        request.lastEvent = before + events.length;
         if (!isInOrder || (request.kind === "plan" && lineages.size > 1)) {
             this.fail(
                 "events_once_in_order_one_run",
@@ -181,8 +194,24 @@
         if ([...lineages].some(lineage => !lineage.includes(`/${request.id}/`))) {
             this.fail("whole_and_own_answer", `${request.id} got events of ${[...lineages].join(" ")}`);
         }
-        if (isComplete && events.length !== request.events) {
-            this.fail("whole_and_own_answer", `${request.id} ended with ${events.length} of ${request.events} events`);
+        if (isComplete && request.lastEvent !== request.events) {
+            this.fail(
+                "whole_and_own_answer",
+                `${request.id} ended with ${request.lastEvent} of ${request.events} events`,
+            );
+        }
+    }
+
+    /** Checks that a stream has one software version; of those that callers took up, the rules allow two that don't. */
+    private checkVersions(request: SoakRequest, versions: readonly string[]): void {
+        request.softwareVersion ??= request.takesUp?.softwareVersion ?? versions.at(0);
+        const { softwareVersion } = request;
+        if (versions.every(version => version === softwareVersion)) {
+            return;
+        }
+        this.joinedStreams += request.takesUp === undefined ? platformLimits.joinedStreams + 1 : 1;
+        if (this.joinedStreams > platformLimits.joinedStreams) {
+            this.fail("one_software_version", `${request.id} got ${versions.join(" and ")} after ${softwareVersion}`);
         }
     }
 
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -57,6 +57,9 @@
     readonly checksTimeLimits: boolean;
 }
 
+/** The versions of the servers' software, which releases bring into service by turns. */
+const softwareVersions = ["v1", "v2"];
+
 /** Everything that a soak runs. */
 export class SoakWorld {
     readonly gateways: SoakGateway[] = [];
@@ -73,6 +76,7 @@
     private seedAddress: string | undefined;
     private isClosing = false;
     private serverCount = 0;
+    private releaseCount = 0;
     private processCount = 0;
 
     private constructor(store: PlatformStore, checksTimeLimits: boolean) {
@@ -175,15 +179,23 @@
 
     async addServer(kind: ServerKind, id = `${kind}${++this.serverCount}`): Promise<void> {
         let relay: FaultRelay | undefined;
-        const standIn = await this.serverStandIns.start(serverPlan(kind, id), {
-            expose: async address => {
-                relay = await this.startRelay(address);
-                return relay.address;
+        const standIn = await this.serverStandIns.start(
+            serverPlan(kind, id, softwareVersions[this.releaseCount % softwareVersions.length]),
+            {
+                expose: async address => {
+                    relay = await this.startRelay(address);
+                    return relay.address;
+                },
             },
-        });
+        );
         this.backendServers.push({ standIn, relay: relay! });
     }
 
+    /** Servers that start from now on run the other version of their software. */
+    release(): void {
+        this.releaseCount++;
+    }
+
     private async startRelay(address: string): Promise<FaultRelay> {
         const relay = await startFaultRelay(address);
         this.relays.push(relay);
