--- a/packages/coordination/src/requestSizes.ts
+++ b/packages/coordination/src/requestSizes.ts
@@ -16,8 +16,8 @@
     readonly sizes: RequestSize[];
 }
 
-/** How many sizes are kept: the largest of them is on average at the 95th percentile. */
-const sizesKept = 20;
+/** How many sizes are kept: the largest of them is on average in the largest tenth of all. */
+const sizesKept = 10;
 /** Fewer sizes than this say little about the largest requests of a kind. */
 const minimumSizes = 5;
 
