--- a/packages/gateway/src/streamRegister.ts
+++ b/packages/gateway/src/streamRegister.ts
@@ -325,28 +325,34 @@
 }
 
 function recordVersions({ state, now }: Transaction, services: readonly ServiceName[]): void {
-    const { streamRegister } = state;
+    const { streamRegister, startedAt = now } = state;
     for (const service of services) {
         const seenAt = streamRegister.versionsSeenAt.get(service)
             ?? new Map<SoftwareVersion | undefined, Milliseconds>();
         streamRegister.versionsSeenAt.set(service, seenAt);
         const lifetime = streamLifetime(state.configuration, service);
+        const versions = registeredVersions(state, service);
         const base = streamRegister.baseVersions?.get(service);
-        const baseSeenAt = base === undefined ? undefined : seenAt.get(base.softwareVersion) ?? state.startedAt ?? now;
-        for (const id of state.serversByService.get(service) ?? []) {
-            const server = state.servers.get(id);
-            if (server !== undefined && server.removedAt === undefined) {
-                seenAt.set(server.record.softwareVersion, now);
-            }
-        }
-        const hasReturned = base !== undefined && seenAt.get(base.softwareVersion) === now;
+        const wasAway = base !== undefined && now - (seenAt.get(base.softwareVersion) ?? startedAt) > lifetime / 2;
         // Another gateway may have replaced a base version that was away for long.
-        if (hasReturned && baseSeenAt !== undefined && now - baseSeenAt > lifetime / 2) {
+        if (wasAway && versions.includes(base.softwareVersion)) {
             streamRegister.baseVersions = undefined;
         }
+        versions.forEach(version => seenAt.set(version, now));
+        [...seenAt].filter(([, at]) => now - at > lifetimeFactor * lifetime).forEach(([version]) =>
+            seenAt.delete(version)
+        );
     }
 }
 
+/** The versions of the registered servers of a service, one for each server. */
+function registeredVersions(state: GatewayState, service: ServiceName): (SoftwareVersion | undefined)[] {
+    return (state.serversByService.get(service) ?? []).flatMap(id => {
+        const server = state.servers.get(id);
+        return server === undefined || server.removedAt !== undefined ? [] : [server.record.softwareVersion];
+    });
+}
+
 function forgetOrigins({ streamRegister: { origins }, configuration }: GatewayState, now: Milliseconds): void {
     const lifetime = Math.max(0, ...resumableServices(configuration).map(name => streamLifetime(configuration, name)));
     for (const [id, { knownAt }] of origins) {
@@ -381,6 +387,7 @@
     if (commonest === undefined || now - (backendServers.freshAsOf ?? -Infinity) > maximumViewAge) {
         return false;
     }
+    // A version that was pruned has not been registered since this gateway started, or for long.
     const baseSeenAt = base === undefined ? -Infinity : seenAt?.get(base.softwareVersion) ?? startedAt ?? now;
     if (now - baseSeenAt <= streamLifetime(state.configuration, service)) {
         return false;
@@ -397,13 +404,7 @@
 /** The version of most registered servers of a service; undefined if there are none. */
 function commonestVersion(state: GatewayState, service: ServiceName): StreamOrigin | undefined {
     const counts = new Map<SoftwareVersion | undefined, number>();
-    for (const id of state.serversByService.get(service) ?? []) {
-        const server = state.servers.get(id);
-        if (server !== undefined && server.removedAt === undefined) {
-            const { softwareVersion } = server.record;
-            counts.set(softwareVersion, (counts.get(softwareVersion) ?? 0) + 1);
-        }
-    }
+    registeredVersions(state, service).forEach(version => counts.set(version, (counts.get(version) ?? 0) + 1));
     const [commonest] = [...counts].sort(([, one], [, other]) => other - one);
     return commonest === undefined ? undefined : { softwareVersion: commonest[0] };
 }
