soak: releases, kills of all gateways and take-ups draw from sources of their own

Cause: the new fault kinds and take-ups drew from the sources of the old ones, so the recorded seeds would have played other faults.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,7 +5,7 @@
 import { seededSource } from "@verbenaspring/coordination";
 import { pause } from "@verbenaspring/stand-ins";
 import { SoakCallers } from "./soakCallers.js";
-import { faultKinds, harmlessFaultKinds, SoakFaults } from "./soakFaults.js";
+import { faultKinds, harmlessFaultKinds, releaseFaultKinds, SoakFaults } from "./soakFaults.js";
 import type { Violation } from "./soakOracle.js";
 import { type SoakGateway, SoakWorld } from "./soakWorld.js";
 
@@ -56,16 +56,18 @@
     signals.forEach(signal => process.once(signal, killGatewaysAndExit));
     const stopLagTimer = startLagTimer(lag => world.oracle.recordLag(lag));
     // Faults and callers draw from separate sources, so that the faults don't depend on how fast the callers are.
-    const callers = new SoakCallers(world, seededSource(seed, 1).random);
+    const callers = new SoakCallers(world, seededSource(seed, 1).random, seededSource(seed, 5).random);
     const faults = new SoakFaults(world, seededSource(seed, 2).random);
     const harmlessFaults = new SoakFaults(world, seededSource(seed, 3).random);
+    const releaseFaults = new SoakFaults(world, seededSource(seed, 4).random);
     try {
         callers.start(callerCount);
         await Promise.all([
             faults.run(1_000 * seconds, faultKinds),
             harmlessFaults.run(1_000 * seconds, harmlessFaultKinds),
+            releaseFaults.run(1_000 * seconds, releaseFaultKinds),
         ]);
-        await Promise.all([faults.endFaults(), harmlessFaults.endFaults()]);
+        await Promise.all([faults, harmlessFaults, releaseFaults].map(each => each.endFaults()));
         await pause(recoveryTime);
         await callers.stop();
         await checkRecovery(world, callers);
@@ -73,7 +75,7 @@
         return {
             violations: world.oracle.violations,
             endCounts: world.oracle.endCounts,
-            faultCounts: new Map([...faults.faultCounts, ...harmlessFaults.faultCounts]),
+            faultCounts: new Map([faults, harmlessFaults, releaseFaults].flatMap(each => [...each.faultCounts])),
         };
     }
     finally {
--- a/packages/soak/src/soakCallers.ts
+++ b/packages/soak/src/soakCallers.ts
@@ -38,7 +38,12 @@
     private isStopped = false;
     private requestCount = 0;
 
-    constructor(private readonly world: SoakWorld, private readonly random: Random) {}
+    /** @param takeUpRandom draws the take-ups, so that the requests don't depend on how many there are */
+    constructor(
+        private readonly world: SoakWorld,
+        private readonly random: Random,
+        private readonly takeUpRandom: Random,
+    ) {}
 
     start(callers: number): void {
         for (let caller = 0; caller < callers; caller++) {
@@ -84,9 +89,9 @@
     private async takeUp(caller: number, broken: SoakRequest): Promise<void> {
         let last = broken;
         for (let tries = 0; tries < maxTakeUps && canTakeUp(last); tries++) {
-            await pause(this.random() * maxTakeUpDelay);
+            await pause(this.takeUpRandom() * maxTakeUpDelay);
             const { gateways } = this.world;
-            const gateway = gateways[Math.floor(this.random() * gateways.length)];
+            const gateway = gateways[Math.floor(this.takeUpRandom() * gateways.length)];
             if (!gateway.hasExited && gateway.killedAt === undefined && canTakeUp(last)) {
                 const next = await this.sendRequest(caller, gateway, "note", false, undefined, last);
                 last = next.lastEvent > last.lastEvent ? next : last;
@@ -109,12 +114,11 @@
         path?: string,
         takesUp?: SoakRequest,
     ): Promise<SoakRequest> {
-        const drawnLength = isStreamed(kind) ? 1 + Math.floor(300 * this.random() ** 2) : 1;
-        const length = takesUp === undefined ? drawnLength : takesUp.events * tokensPerEvent;
         const now = performance.now();
-        const timeLimit = takesUp === undefined
-            ? 1_000 + Math.floor(12_000 * this.random())
-            : Math.floor(takesUp.deadlineAt - now);
+        const { length, timeLimit } = takesUp === undefined ? this.drawSize(kind) : {
+            length: takesUp.events * tokensPerEvent,
+            timeLimit: Math.floor(takesUp.deadlineAt - now),
+        };
         const id = `caller${++this.requestCount}`;
         const request: SoakRequest = {
             id,
@@ -137,6 +141,12 @@
         return request;
     }
 
+    /** Draws the length of an answer and the time limit of its request. */
+    private drawSize(kind: SoakRequest["kind"]): { readonly length: number; readonly timeLimit: number; } {
+        const length = isStreamed(kind) ? 1 + Math.floor(300 * this.random() ** 2) : 1;
+        return { length, timeLimit: 1_000 + Math.floor(12_000 * this.random()) };
+    }
+
     private async send(
         caller: number,
         request: SoakRequest,
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -279,7 +279,18 @@
     { name: "clockJump", perform: withGateway(jumpClock) },
     { name: "limitWorker", perform: limitServer },
     { name: "giveNotice", perform: giveNotice },
+];
+
+const noFault: Fault = { name: "none", perform: () => undefined };
+/** How many of twelve draws change nothing, so that gateways are up for most of the time. */
+const drawsWithoutFault = 9;
+
+/** Changes of the servers' software, and the loss of all gateways at once. They are drawn apart from other faults. */
+export const releaseFaultKinds: readonly Fault[] = [
     { name: "release", perform: release },
+    { name: "release", perform: release },
+    { name: "killAll", perform: killAllGateways },
+    ...Array.from({ length: drawsWithoutFault }, () => noFault),
 ];
 
 /** All other faults. */
@@ -309,7 +320,6 @@
     { name: "crashWorker", perform: (faults, duration) => crashServer(faults, duration, false) },
     { name: "restartWorker", perform: (faults, duration) => crashServer(faults, duration, true) },
     { name: "drainWorker", perform: drainServer },
-    { name: "killAll", perform: killAllGateways },
     { name: "misbehave", perform: misbehave },
     { name: "pauseWorker", perform: pauseServer },
     { name: "flood", perform: floodCalls },
