--- a/packages/fuzz/src/platform/limits.ts
+++ b/packages/fuzz/src/platform/limits.ts
@@ -27,8 +27,6 @@
     readyAnswerDelivery: 1_000,
     /** The period in which requests and repeated calls are counted for the retry budget. */
     retryWindow: 10_000,
-    /** Streams of two software versions that callers may have taken up. */
-    joinedStreams: 2,
     /** How long after a backend server asked a gateway for a pause it is in force. */
     serverPauseReaction: 500,
     /** Requests of a gateway that may reach a server in the rest of the pause. */
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -215,6 +215,11 @@
                     ? [{ ...record, record: { ...record.record, softwareVersion: undefined } }]
                     : [record]),
     ),
+    eventMutation(
+        "records of streams are ignored",
+        ["one_software_version"],
+        event => event.kind === "streamRegisterRead" ? { ...event, page: { ...event.page, records: [] } } : event,
+    ),
 ];
 
 /** Mutations that only schedules in which servers ask for pauses can find. */
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -48,8 +48,6 @@
     private readonly runs = new Map<string, ServerRun[]>();
     private readonly arrivals: { readonly service: string; readonly at: Milliseconds; readonly isRepeat: boolean; }[] =
         [];
-    /** Streams that were taken up with events of two versions. */
-    private readonly joinedStreams = new Set<PlatformRequest>();
     /** Attempts of callers that have reached a backend server. */
     private readonly arrivedAttempts = new Set<string>();
     readonly faultRecord: FaultRecord;
@@ -173,7 +171,7 @@
             );
         }
         request.softwareVersion ??= softwareVersion;
-        if (request.softwareVersion !== softwareVersion && this.isTooManyJoined(request)) {
+        if (request.softwareVersion !== softwareVersion) {
             this.fail(
                 "one_software_version",
                 `${request.callerAttemptId} got event ${eventNumber} of ${softwareVersion} after ${request.softwareVersion}`,
@@ -183,15 +181,6 @@
         request.lineage = lineage;
     }
 
-    /**
-     * Whether a stream of two versions breaks the promise: within one answer always; of streams that callers took up, the
-     * rules allow two.
-     */
-    private isTooManyJoined(request: PlatformRequest): boolean {
-        this.joinedStreams.add(request);
-        return request.firstAttemptId === undefined || this.joinedStreams.size > platformLimits.joinedStreams;
-    }
-
     private checkWholeStream({ callerAttemptId, lastEventNumber, events }: PlatformRequest): void {
         if (lastEventNumber !== events) {
             this.fail("whole_and_own_answer", `${callerAttemptId} ended with ${lastEventNumber} of ${events} events`);
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -90,8 +90,6 @@
             !this.checksTimeLimits || this.lagSince(since) > 0
             || this.faultRecord.hadFaultSince(gateway.name, since - platformLimits.serverPauseReaction),
     );
-    /** Streams of several versions that callers took up; more than the rules allow after one within one answer. */
-    private joinedStreams = 0;
     private readonly lags: { readonly at: number; readonly lag: number; }[] = [];
 
     /**
@@ -202,15 +200,11 @@
         }
     }
 
-    /** Checks that a stream has one software version; of those that callers took up, the rules allow two that don't. */
+    /** Checks that all events of a stream are of one software version, also over the requests that take it up. */
     private checkVersions(request: SoakRequest, versions: readonly string[]): void {
         request.softwareVersion ??= request.takesUp?.softwareVersion ?? versions.at(0);
         const { softwareVersion } = request;
-        if (versions.every(version => version === softwareVersion)) {
-            return;
-        }
-        this.joinedStreams += request.takesUp === undefined ? platformLimits.joinedStreams + 1 : 1;
-        if (this.joinedStreams > platformLimits.joinedStreams) {
+        if (versions.some(version => version !== softwareVersion)) {
             this.fail("one_software_version", `${request.id} got ${versions.join(" and ")} after ${softwareVersion}`);
         }
     }
