gateway: the register of streams is read again until each service has its base version (ORDER)

What callers would see: a take-up joined from two versions, where the store turned one gateway away for a moment.

Cause: a gateway that read the register before the first base version was written (by the gateway with the lowest address, some 50 ms after the start) never read it again until a caller took a stream up. It knew no base version, so it recorded every stream, and could not begin one again at the base version when the record was refused.

Change: while a service with servers has no known base version, the register is read every half second. streamRegister.test.ts: 10 of 11 before, 11 of 11.

--- a/packages/gateway/src/streamRegister.ts
+++ b/packages/gateway/src/streamRegister.ts
@@ -78,7 +78,8 @@
     unrecordedInAppend: RequestId[];
 }
 
-const readRetryInterval: Milliseconds = 500;
+/** The shortest time between two reads for a base version that is not known. */
+const readInterval: Milliseconds = 500;
 /** The shortest time between two writes of base versions. */
 const writeInterval: Milliseconds = 1_000;
 /** The `retryAfter` of a take-up while the store does not answer. */
@@ -213,12 +214,13 @@
     return true;
 }
 
-function startRead({ state, effects }: Transaction): void {
+function startRead({ state, now, effects }: Transaction): void {
     const { streamRegister } = state;
     if (streamRegister.isReading) {
         return;
     }
     streamRegister.isReading = true;
+    streamRegister.nextReadAt = now + readInterval;
     streamRegister.takeUpsInRead = streamRegister.takeUps;
     streamRegister.takeUps = [];
     effects.push({ kind: "callStreamRegister", call: { kind: "read", from: streamRegister.next } });
@@ -267,7 +269,6 @@
 
 /** Handles a failed read: refuses the take-ups that waited for it. */
 export function handleStreamRegisterReadFailed(transaction: Transaction): void {
-    transaction.state.streamRegister.nextReadAt = transaction.now + readRetryInterval;
     endRead(transaction, request =>
         failRequest(
             transaction,
@@ -312,10 +313,13 @@
     if (services.length === 0) {
         return;
     }
+    const isIncomplete = services.some(service =>
+        !streamRegister.baseVersions?.has(service) && registeredVersions(state, service).length > 0
+    );
+    if (isIncomplete && now >= streamRegister.nextReadAt) {
+        startRead(transaction);
+    }
     if (streamRegister.baseVersions === undefined) {
-        if (now >= streamRegister.nextReadAt) {
-            startRead(transaction);
-        }
         return;
     }
     const canWrite = !streamRegister.isReading && !streamRegister.isWritingBase && now >= streamRegister.nextWriteAt;
--- a/packages/gateway/test/streamRegister.test.ts
+++ b/packages/gateway/test/streamRegister.test.ts
@@ -1,5 +1,5 @@
 import type { GatewayEffect, StreamRegisterCall } from "@verbenaspring/gateway";
-import { identifier, type SoftwareVersion } from "@verbenaspring/model";
+import { identifier, type PeerAddress, type SoftwareVersion } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { callsIn, engineService, eventsIn, failuresIn, kindsIn, server, TestGateway } from "./gatewayBuilders.js";
@@ -106,6 +106,19 @@
     assert.is(second.backendServer, "engine-1");
 });
 
+test("a gateway that read the register before a service had a base version reads it again", () => {
+    const gateway = TestGateway.serving(engine(1, "v1"));
+    gateway.streamRegister = undefined;
+    gateway.advance(50);
+    gateway.handle({
+        kind: "streamRegisterRead",
+        page: { baseVersions: [], baseEnd: 0, records: [], next: 0 },
+    });
+    // Another gateway writes it.
+    gateway.receiveReport({ address: identifier<PeerAddress>("10.0.0.1:8748") });
+    assert.ok(registerCalls(gateway.advance(1_000)).some(({ kind }) => kind === "read"));
+});
+
 test("a take-up of a stream that began here needs no read", () => {
     const gateway = gatewayWithBase(engine(2, "v2"));
     gateway.startStream("r", "note");
