--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -94,6 +94,8 @@
     readonly events: StreamEvent[];
     /** Whether they are the whole answer. */
     hasEnded: boolean;
+    /** Whether an append of the record has failed. */
+    hasFailed: boolean;
 }
 
 /** The priority of a request: its organisation's, or else its route's. 0 is the most urgent. */
--- a/packages/gateway/src/streamRegister.ts
+++ b/packages/gateway/src/streamRegister.ts
@@ -68,6 +68,7 @@
     isWritingBase: boolean;
     nextReadAt: Milliseconds;
     nextWriteAt: Milliseconds;
+    nextAppendAt: Milliseconds;
     /** Requests that take up streams, and wait for a read that starts after they arrived. */
     takeUps: RequestId[];
     /** The same, for the read in progress. */
@@ -82,6 +83,8 @@
 const readInterval: Milliseconds = 500;
 /** The shortest time between two writes of base versions. */
 const writeInterval: Milliseconds = 1_000;
+/** The time from a failed append to the next one. */
+const appendRetryInterval: Milliseconds = 200;
 /** The `retryAfter` of a take-up while the store does not answer. */
 const unreadableRetryAfter: Milliseconds = 500;
 /** How long callers may go on taking up a stream, as a multiple of its route's timeout. */
@@ -103,6 +106,7 @@
         isWritingBase: false,
         nextReadAt: -Infinity,
         nextWriteAt: -Infinity,
+        nextAppendAt: -Infinity,
         takeUps: [],
         takeUpsInRead: [],
         unrecorded: [],
@@ -152,9 +156,9 @@
     return true;
 }
 
-function startAppend({ state, effects }: Transaction): void {
+function startAppend({ state, now, effects }: Transaction): void {
     const { streamRegister } = state;
-    if (streamRegister.unrecordedInAppend.length > 0) {
+    if (streamRegister.unrecordedInAppend.length > 0 || now < streamRegister.nextAppendAt) {
         return;
     }
     const requests = streamRegister.unrecorded.flatMap(id => state.requests.get(id) ?? []);
@@ -172,26 +176,39 @@
 }
 
 /**
- * Handles the end of an append: passes on the events that waited for it. If it failed, the stream begins again at the
- * base version, which needs no record. Where that is not possible its events are passed on all the same, since an answer
- * now is worth more to its caller than a certain take-up.
+ * Handles the end of an append: passes on the events that waited for it. If it failed, the streams begin again at the
+ * base version, which needs no record, or wait for another append.
  */
 export function handleStreamsRecorded(transaction: Transaction, isRecorded: boolean): void {
-    const { streamRegister, requests } = transaction.state;
-    const waiting = streamRegister.unrecordedInAppend;
+    const { state, now } = transaction;
+    const { streamRegister, requests } = state;
+    const waiting = streamRegister.unrecordedInAppend.flatMap(id => requests.get(id) ?? []);
     streamRegister.unrecordedInAppend = [];
-    for (const id of waiting) {
-        const request = requests.get(id);
-        if (request === undefined) {
-            continue;
-        }
-        if (isRecorded || !beginAgainAtBase(transaction, request)) {
-            writeHeldEvents(transaction, request);
-        }
+    if (!isRecorded) {
+        streamRegister.nextAppendAt = now + appendRetryInterval;
     }
+    waiting.forEach(request =>
+        isRecorded ? writeHeldEvents(transaction, request) : handleUnrecorded(transaction, request)
+    );
     startAppend(transaction);
 }
 
+/**
+ * Handles a failed append for one stream. Its events are not passed on without a record: if this gateway were lost, the
+ * rest would come from another version. Only a whole answer is, which no caller takes up.
+ */
+function handleUnrecorded(transaction: Transaction, request: GatewayRequest): void {
+    const { held } = request;
+    if (held === undefined || beginAgainAtBase(transaction, request)) {
+        return;
+    }
+    if (held.hasEnded) {
+        return writeHeldEvents(transaction, request);
+    }
+    held.hasFailed = true;
+    transaction.state.streamRegister.unrecorded.push(request.id);
+}
+
 /** Runs a stream whose record could not be stored again at the base version. Returns whether it does. */
 function beginAgainAtBase(transaction: Transaction, request: GatewayRequest): boolean {
     const { state, now } = transaction;
@@ -310,6 +327,7 @@
     const services = resumableServices(configuration);
     recordVersions(transaction, services);
     forgetOrigins(state, now);
+    startAppend(transaction);
     if (services.length === 0) {
         return;
     }
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -123,7 +123,7 @@
     const isBeginning = request.origin === undefined;
     request.origin ??= { softwareVersion: server.record.softwareVersion };
     if (holdUntilRecorded(transaction, request, isBeginning)) {
-        request.held ??= { head, events: [], hasEnded: false };
+        request.held ??= { head, events: [], hasEnded: false, hasFailed: false };
         request.held.events.push(...events);
         return;
     }
@@ -181,7 +181,8 @@
     });
     if (request.held !== undefined) {
         request.held.hasEnded = true;
-        return;
+        // A whole answer can't be taken up, so it does not wait for a store that refuses its record.
+        return request.held.hasFailed ? writeHeldEvents(transaction, request) : undefined;
     }
     effects.push({ kind: "answerEnd", requestId: request.id });
     finishRequest(transaction, request);
--- a/packages/gateway/test/streamRegister.test.ts
+++ b/packages/gateway/test/streamRegister.test.ts
@@ -86,10 +86,16 @@
     assert.equal(eventsIn(gateway.receiveEvents(again, 1)), [1]);
 });
 
-test("a stream whose record can't be stored is passed on where no server has the base version", () => {
+test("a stream whose record can't be stored is kept, recorded again, and passed on once it is whole", () => {
     const gateway = gatewayWithBase(engine(2, "v2"));
-    gateway.startStream("r", "note");
-    assert.equal(eventsIn(gateway.handle({ kind: "streamsRecorded", isRecorded: false })), [1]);
+    const call = gateway.startStream("r", "note");
+    const refused = gateway.handle({ kind: "streamsRecorded", isRecorded: false });
+    assert.equal([eventsIn(refused), registerCalls(refused)], [[], []], "not again at once");
+    assert.is(registerCalls(gateway.advance(500)).filter(({ kind }) => kind === "record").length, 1);
+    gateway.handle({ kind: "streamsRecorded", isRecorded: false });
+    gateway.receiveEvents(call, 2);
+    const ended = gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
+    assert.equal([eventsIn(ended), kindsIn(ended).at(-1)], [[1, 2], "answerEnd"]);
 });
 
 test("a take-up goes to the version of its record, and without a record to the base version", () => {
