gateway: a stream whose record may be stored does not begin again at another version (ORDER)

What callers would see: a take-up joined from two versions, the other way round: begun again at the base version, continued at the other.

Cause: an append without an answer may have taken effect. The stream then began again at the base version under the same attempt, and the record in the store named the wrong version. Class: acting on a lost answer as if nothing had happened. Change: a stream never begins again after an append. It waits for the next one, or is passed on when it is whole.

--- a/packages/gateway/src/streamRegister.ts
+++ b/packages/gateway/src/streamRegister.ts
@@ -12,12 +12,10 @@
     ServiceName,
     SoftwareVersion,
 } from "@verbenaspring/model";
-import { endAttempt } from "./attempts.js";
 import { liveMembers } from "./members.js";
 import { failRequest, requestFields } from "./requests.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
-import { canSendAgain, dispatch } from "./sending.js";
-import { usableServers } from "./serverLoad.js";
+import { dispatch } from "./sending.js";
 import type { GatewayRequest, GatewayState } from "./state.js";
 import { writeHeldEvents } from "./streams.js";
 import type { StreamOrigin } from "./streamVersions.js";
@@ -176,8 +174,10 @@
 }
 
 /**
- * Handles the end of an append: passes on the events that waited for it. If it failed, the streams begin again at the
- * base version, which needs no record, or wait for another append.
+ * Handles the end of an append: passes on the events that waited for it. If it failed, the streams wait for another one.
+ * Their events are not passed on without a record: if this gateway were lost, the rest would come from another version.
+ * Nor do they begin again at the base version, since the append may have taken effect. Only a whole answer is passed on,
+ * which no caller takes up.
  */
 export function handleStreamsRecorded(transaction: Transaction, isRecorded: boolean): void {
     const { state, now } = transaction;
@@ -187,48 +187,17 @@
     if (!isRecorded) {
         streamRegister.nextAppendAt = now + appendRetryInterval;
     }
-    waiting.forEach(request =>
-        isRecorded ? writeHeldEvents(transaction, request) : handleUnrecorded(transaction, request)
-    );
-    startAppend(transaction);
-}
-
-/**
- * Handles a failed append for one stream. Its events are not passed on without a record: if this gateway were lost, the
- * rest would come from another version. Only a whole answer is, which no caller takes up.
- */
-function handleUnrecorded(transaction: Transaction, request: GatewayRequest): void {
-    const { held } = request;
-    if (held === undefined || beginAgainAtBase(transaction, request)) {
-        return;
-    }
-    if (held.hasEnded) {
-        return writeHeldEvents(transaction, request);
-    }
-    held.hasFailed = true;
-    transaction.state.streamRegister.unrecorded.push(request.id);
-}
-
-/** Runs a stream whose record could not be stored again at the base version. Returns whether it does. */
-function beginAgainAtBase(transaction: Transaction, request: GatewayRequest): boolean {
-    const { state, now } = transaction;
-    const { held, head, route, service, attempt } = request;
-    const base = state.streamRegister.baseVersions?.get(service);
-    const canBegin = base !== undefined && held?.hasEnded === false && request.possibleRuns < route.maximumAttempts
-        && usableServers(state, service, now, base).length > 0 && canSendAgain(transaction, request);
-    logDecision(transaction, "warn", "stream_unrecorded", { ...requestFields(transaction, request), canBegin });
-    if (!canBegin) {
-        return false;
-    }
-    if (attempt !== undefined) {
-        endAttempt(transaction, request, attempt, "cancel");
+    for (const request of waiting) {
+        if (isRecorded || request.held?.hasEnded) {
+            writeHeldEvents(transaction, request);
+        }
+        else if (request.held !== undefined) {
+            logDecision(transaction, "warn", "stream_unrecorded", requestFields(transaction, request));
+            request.held.hasFailed = true;
+            streamRegister.unrecorded.push(request.id);
+        }
     }
-    state.streamRegister.origins.delete(head.callerAttemptId);
-    request.held = undefined;
-    request.lastEvent = undefined;
-    request.origin = base;
-    dispatch(transaction, request);
-    return true;
+    startAppend(transaction);
 }
 
 function startRead({ state, now, effects }: Transaction): void {
