--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -35,6 +35,8 @@
     /** The caller's id for the attempt; by default a new one. */
     readonly attemptId?: string;
     readonly headers?: Readonly<Record<string, string>>;
+    /** Called when the head of the response has arrived; that of a stream comes with its first event. */
+    readonly onHead?: () => void;
 }
 
 const host = "platform.example";
@@ -157,6 +159,7 @@
             body: `body of ${attemptId}`,
             dispatcher: this.agent,
         });
+        options.onHead?.();
         return { status: response.statusCode, headers: response.headers, ...await readResponseBody(response.body) };
     }
 
--- a/packages/bench/test/takeUpProcess.test.ts
+++ b/packages/bench/test/takeUpProcess.test.ts
@@ -6,6 +6,8 @@
 import * as assert from "uvu/assert";
 import { GatewayCluster, type GatewayResponse } from "./gatewayCluster.js";
 
+/** As many as one server has slots, so that none waits for one, however they are placed. */
+const streams = 8;
 const events = 60;
 const eventTime = 40;
 
@@ -29,11 +31,13 @@
             cluster.gateways.some(gateway => gateway.output().includes("base_version_written"));
         await waitUntil("the base version is written", isBaseWritten);
         await cluster.addServer("e2", "engine", eventTime, events, "v2");
-        const ids = Array.from({ length: 16 }, (_, index) => `stream-${index}`);
+        const ids = Array.from({ length: streams }, (_, index) => `stream-${index}`);
+        let begun = 0;
+        const onHead = (): void => void begun++;
         const answers = ids.map((attemptId, index) =>
-            cluster.sendRequest(cluster.gateways[index % 2], "/note/1", { attemptId })
+            cluster.sendRequest(cluster.gateways[index % 2], "/note/1", { attemptId, onHead })
         );
-        await new Promise(resolve => setTimeout(resolve, events * eventTime / 2));
+        await waitUntil("all streams have begun", () => begun === streams);
         await cluster.killGateways();
         const broken = (await Promise.all(answers)).map(eventsOf);
         const versions = new Set(broken.flatMap(received => received.map(event => event.softwareVersion)));
