--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -58,7 +58,8 @@
     readonly id: RequestId;
     readonly head: RequestHead;
     readonly route: Route;
-    readonly service: ServiceName;
+    /** One of the route's services; that of the stream's beginning if the request takes one up. */
+    service: ServiceName;
     readonly organisation: Organisation | undefined;
     /** What a repeat of the request shares with it. */
     readonly repeatedId: RepeatedRequestId;
--- a/packages/gateway/src/streamRegister.ts
+++ b/packages/gateway/src/streamRegister.ts
@@ -46,6 +46,7 @@
 }
 
 interface KnownOrigin {
+    readonly service: ServiceName;
     readonly origin: StreamOrigin;
     readonly knownAt: Milliseconds;
 }
@@ -122,14 +123,29 @@
     const { state } = transaction;
     const { origins, takeUps } = state.streamRegister;
     const { resumedAttemptId } = request.head;
-    request.origin = resumedAttemptId === undefined ? undefined : origins.get(resumedAttemptId)?.origin;
-    if (request.origin !== undefined) {
-        return dispatch(transaction, request);
+    const known = resumedAttemptId === undefined ? undefined : origins.get(resumedAttemptId);
+    if (known !== undefined) {
+        return sendTakeUp(transaction, request, known);
     }
     takeUps.push(request.id);
     startRead(transaction);
 }
 
+/** Sends a take-up to the service and the version that began its stream, if its route still leads there. */
+function sendTakeUp(transaction: Transaction, request: GatewayRequest, { service, origin }: KnownOrigin): void {
+    if (!request.route.targets.some(target => target.service === service)) {
+        return failRequest(
+            transaction,
+            request,
+            "no_backend_server",
+            "the route no longer leads to the service that began the stream",
+        );
+    }
+    request.service = service;
+    request.origin = origin;
+    dispatch(transaction, request);
+}
+
 /**
  * Keeps a new stream's first events until its record is stored, where it needs one. Returns whether they are kept.
  *
@@ -143,10 +159,11 @@
     if (!isBeginning || !request.route.canResume || request.origin === undefined) {
         return false;
     }
-    const { callerAttemptId } = request.head;
-    rememberOrigin(transaction, callerAttemptId, request.origin);
-    const base = streamRegister.baseVersions?.get(request.service);
-    if (base !== undefined && base.softwareVersion === request.origin.softwareVersion) {
+    const { head: { callerAttemptId }, service, origin, route } = request;
+    rememberOrigin(transaction, callerAttemptId, service, origin);
+    const base = streamRegister.baseVersions?.get(service);
+    // Of a route to several services, the base version alone does not tell which began the stream.
+    if (route.targets.length === 1 && base !== undefined && base.softwareVersion === origin.softwareVersion) {
         return false;
     }
     streamRegister.unrecorded.push(request.id);
@@ -220,13 +237,13 @@
     );
     streamRegister.baseEnd = page.baseEnd;
     streamRegister.next = page.next;
-    for (const { attempts, softwareVersion } of page.records) {
-        attempts.forEach(id => rememberOrigin(transaction, id, { softwareVersion }));
+    for (const { attempts, service, softwareVersion } of page.records) {
+        attempts.forEach(id => rememberOrigin(transaction, id, service, { softwareVersion }));
+        streamRegister.recordedServices.add(service);
     }
-    page.records.forEach(({ service }) => streamRegister.recordedServices.add(service));
     endRead(transaction, request => {
-        request.origin = registeredOrigin(streamRegister, request);
-        if (request.origin === undefined) {
+        const known = registeredOrigin(streamRegister, request, transaction.now);
+        if (known === undefined) {
             return failRequest(
                 transaction,
                 request,
@@ -234,7 +251,7 @@
                 "the software version that began the stream is not known",
             );
         }
-        dispatch(transaction, request);
+        sendTakeUp(transaction, request, known);
     });
 }
 
@@ -245,12 +262,14 @@
 function registeredOrigin(
     { origins, baseVersions, recordedServices }: StreamRegister,
     { head: { resumedAttemptId }, service }: GatewayRequest,
-): StreamOrigin | undefined {
+    now: Milliseconds,
+): KnownOrigin | undefined {
     const base = baseVersions?.get(service);
+    const unrecorded = base === undefined ? undefined : { service, origin: base, knownAt: now };
     if (resumedAttemptId === undefined) {
-        return recordedServices.has(service) ? undefined : base;
+        return recordedServices.has(service) ? undefined : unrecorded;
     }
-    return origins.get(resumedAttemptId)?.origin ?? base;
+    return origins.get(resumedAttemptId) ?? unrecorded;
 }
 
 /** Handles a failed read: refuses the take-ups that waited for it. */
@@ -354,8 +373,13 @@
     }
 }
 
-function rememberOrigin({ state, now }: Transaction, id: CallerAttemptId, origin: StreamOrigin): void {
-    state.streamRegister.origins.set(id, { origin, knownAt: now });
+function rememberOrigin(
+    { state, now }: Transaction,
+    id: CallerAttemptId,
+    service: ServiceName,
+    origin: StreamOrigin,
+): void {
+    state.streamRegister.origins.set(id, { service, origin, knownAt: now });
 }
 
 /** Whether this gateway writes base versions: it has the lowest address of all live ones. */
--- a/packages/gateway/test/streamRegister.test.ts
+++ b/packages/gateway/test/streamRegister.test.ts
@@ -1,8 +1,20 @@
-import type { GatewayEffect, StreamRegisterCall } from "@verbenaspring/gateway";
-import { identifier, type PeerAddress, type SoftwareVersion } from "@verbenaspring/model";
+import { type GatewayEffect, indexRoutes, type StreamRegisterCall } from "@verbenaspring/gateway";
+import { identifier, type PeerAddress, type ServiceName, type SoftwareVersion } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, engineService, eventsIn, failuresIn, kindsIn, server, TestGateway } from "./gatewayBuilders.js";
+import {
+    callsIn,
+    configuration,
+    engineService,
+    eventsIn,
+    failuresIn,
+    kindsIn,
+    routes,
+    server,
+    TestGateway,
+} from "./gatewayBuilders.js";
+
+const otherService = identifier<never>("other");
 
 const version = (text: string): SoftwareVersion => identifier(text);
 
@@ -142,6 +154,52 @@
     assert.ok(unreadable.retryAfter! > 0);
 });
 
+/** A route to two services that have the same versions; nearly all new streams go to the favoured one. */
+function gatewayWithTwoServices(favoured: ServiceName): TestGateway {
+    const gateway = gatewayWithBase(engine(1, "v1"), { ...engine(2, "v1"), service: otherService });
+    const targets = [engineService, otherService].map(service => ({
+        service,
+        weight: service === favoured ? 1 : 1e-9,
+    }));
+    const note = routes.find(({ name }) => name === "note")!;
+    const { services } = configuration(1);
+    gateway.configure(configuration(2, {
+        routesByHost: indexRoutes([{ ...note, targets }]),
+        services: new Map([...services, [otherService, { ...services.get(engineService)!, name: otherService }]]),
+    }));
+    return gateway;
+}
+
+test("a take-up goes to the service that began the stream, of which a route to several has a record", () => {
+    for (const [began, favoured] of [[engineService, otherService], [otherService, engineService]]) {
+        const gateway = gatewayWithTwoServices(began);
+        const call = gateway.sendRequest("r", "note");
+        gateway.openStream(call);
+        const [record] = registerCalls(gateway.receiveEvents(call, 1));
+        assert.ok(record.kind === "record", "although it is the base version");
+        const restarted = gatewayWithTwoServices(favoured);
+        restarted.receiveRequest("t", "note", takeUp("r"));
+        const baseVersions = [began, favoured].map(service => ({ service, softwareVersion: version("v1") }));
+        const page = { baseVersions, baseEnd: 2, records: record.records, next: 1 };
+        const [again] = callsIn(restarted.handle({ kind: "streamRegisterRead", page }));
+        assert.is(again.backendServer, call.backendServer);
+    }
+});
+
+test("a take-up is refused when its route no longer leads to the service that began the stream", () => {
+    const gateway = gatewayWithBase(engine(1, "v1"));
+    gateway.receiveRequest("t", "note", takeUp("r"));
+    const records = [{ service: otherService, softwareVersion: version("v1"), attempts: [identifier<never>("r")] }];
+    const page = {
+        baseVersions: [{ service: engineService, softwareVersion: version("v1") }],
+        baseEnd: 1,
+        records,
+        next: 1,
+    };
+    const effects = gateway.handle({ kind: "streamRegisterRead", page });
+    assert.equal([callsIn(effects), failuresIn(effects)[0].outcome], [[], "not_run"]);
+});
+
 test("a take-up that does not name the first attempt is served only while no other version has begun streams", () => {
     const gateway = gatewayWithBase(engine(1, "v1"));
     gateway.receiveRequest("t1", "note", { lastEvent: 3 });
