--- a/packages/gateway/src/streamRegister.ts
+++ b/packages/gateway/src/streamRegister.ts
@@ -12,9 +12,15 @@
     ServiceName,
     SoftwareVersion,
 } from "@verbenaspring/model";
-import { liveMembers } from "./members.js";
+import {
+    endBaseWrite,
+    followVersions,
+    registeredVersions,
+    replaceBases,
+    resumableServices,
+    streamLifetime,
+} from "./baseVersions.js";
 import { failRequest, requestFields } from "./requests.js";
-import type { RoutingConfiguration } from "./routingConfiguration.js";
 import { dispatch } from "./sending.js";
 import type { GatewayRequest, GatewayState } from "./state.js";
 import { writeHeldEvents } from "./streams.js";
@@ -80,15 +86,10 @@
 
 /** The shortest time between two reads for a base version that is not known. */
 const readInterval: Milliseconds = 500;
-/** The shortest time between two writes of base versions. */
-const writeInterval: Milliseconds = 1_000;
 /** The time from a failed append to the next one. */
 const appendRetryInterval: Milliseconds = 200;
 /** The `retryAfter` of a take-up while the store does not answer. */
 const unreadableRetryAfter: Milliseconds = 500;
-/** How long callers may go on taking up a stream, as a multiple of its route's timeout. */
-const lifetimeFactor = 2;
-const lifetimeMargin: Milliseconds = 2_000;
 /** More streams than begin at one gateway in their lifetime; beyond that the oldest are evicted. */
 const maximumOrigins = 65_536;
 
@@ -302,9 +303,7 @@
 
 /** Handles the end of a write of a base version, whatever its outcome: the register is read again. */
 export function handleBaseVersionWritten(transaction: Transaction): void {
-    const { streamRegister } = transaction.state;
-    streamRegister.isWritingBase = false;
-    streamRegister.nextWriteAt = transaction.now + writeInterval;
+    endBaseWrite(transaction);
     startRead(transaction);
 }
 
@@ -313,7 +312,7 @@
     const { state, now } = transaction;
     const { streamRegister, configuration } = state;
     const services = resumableServices(configuration);
-    recordVersions(transaction, services);
+    followVersions(transaction, services);
     forgetOrigins(state, now);
     startAppend(transaction);
     if (services.length === 0) {
@@ -328,39 +327,7 @@
     if (streamRegister.baseVersions === undefined) {
         return;
     }
-    const canWrite = !streamRegister.isReading && !streamRegister.isWritingBase && now >= streamRegister.nextWriteAt;
-    if (canWrite && isWriter(transaction)) {
-        services.some(service => replaceBase(transaction, service));
-    }
-}
-
-function recordVersions({ state, now }: Transaction, services: readonly ServiceName[]): void {
-    const { streamRegister, startedAt = now } = state;
-    for (const service of services) {
-        const seenAt = streamRegister.versionsSeenAt.get(service)
-            ?? new Map<SoftwareVersion | undefined, Milliseconds>();
-        streamRegister.versionsSeenAt.set(service, seenAt);
-        const lifetime = streamLifetime(state.configuration, service);
-        const versions = registeredVersions(state, service);
-        const base = streamRegister.baseVersions?.get(service);
-        const wasAway = base !== undefined && now - (seenAt.get(base.softwareVersion) ?? startedAt) > lifetime / 2;
-        // Another gateway may have replaced a base version that was away for long.
-        if (wasAway && versions.includes(base.softwareVersion)) {
-            streamRegister.baseVersions = undefined;
-        }
-        versions.forEach(version => seenAt.set(version, now));
-        [...seenAt].filter(([, at]) => now - at > lifetimeFactor * lifetime).forEach(([version]) =>
-            seenAt.delete(version)
-        );
-    }
-}
-
-/** The versions of the registered servers of a service, one for each server. */
-function registeredVersions(state: GatewayState, service: ServiceName): (SoftwareVersion | undefined)[] {
-    return (state.serversByService.get(service) ?? []).flatMap(id => {
-        const server = state.servers.get(id);
-        return server === undefined || server.removedAt !== undefined ? [] : [server.record.softwareVersion];
-    });
+    replaceBases(transaction, services);
 }
 
 function forgetOrigins({ streamRegister: { origins }, configuration }: GatewayState, now: Milliseconds): void {
@@ -381,74 +348,3 @@
 ): void {
     state.streamRegister.origins.set(id, { service, origin, knownAt: now });
 }
-
-/** Whether this gateway writes base versions: it has the lowest address of all live ones. */
-function isWriter({ state, now }: Transaction): boolean {
-    return liveMembers(state, now).every(({ record }) => state.options.peerAddress < record.address);
-}
-
-/** The longest age of a view of the servers from which a version is taken to be out of service. */
-const maximumViewAge: Milliseconds = 2_000;
-
-/**
- * Writes the base version of a service that has none, or none that was registered in the lifetime of a stream. Returns
- * whether it does.
- */
-function replaceBase({ state, now, effects }: Transaction, service: ServiceName): boolean {
-    const { streamRegister, startedAt, followers: { backendServers } } = state;
-    const base = streamRegister.baseVersions?.get(service);
-    const seenAt = streamRegister.versionsSeenAt.get(service);
-    const commonest = commonestVersion(state, service);
-    if (commonest === undefined || now - (backendServers.freshAsOf ?? -Infinity) > maximumViewAge) {
-        return false;
-    }
-    // A version that was pruned has not been registered since this gateway started, or for long.
-    const baseSeenAt = base === undefined ? -Infinity : seenAt?.get(base.softwareVersion) ?? startedAt ?? now;
-    if (now - baseSeenAt <= streamLifetime(state.configuration, service)) {
-        return false;
-    }
-    streamRegister.isWritingBase = true;
-    const baseVersion = { service, softwareVersion: commonest.softwareVersion };
-    effects.push({
-        kind: "callStreamRegister",
-        call: { kind: "writeBase", baseVersion, at: streamRegister.baseEnd },
-    });
-    return true;
-}
-
-/** The version of most registered servers of a service; undefined if there are none. */
-function commonestVersion(state: GatewayState, service: ServiceName): StreamOrigin | undefined {
-    const counts = new Map<SoftwareVersion | undefined, number>();
-    registeredVersions(state, service).forEach(version => counts.set(version, (counts.get(version) ?? 0) + 1));
-    const [commonest] = [...counts].sort(([, one], [, other]) => other - one);
-    return commonest === undefined ? undefined : { softwareVersion: commonest[0] };
-}
-
-const lifetimes = new WeakMap<RoutingConfiguration, ReadonlyMap<ServiceName, Milliseconds>>();
-
-/** How long callers may take up streams of a service: a while longer than its routes' timeouts. */
-function streamLifetime(configuration: RoutingConfiguration | undefined, service: ServiceName): Milliseconds {
-    return configuration === undefined ? 0 : lifetimesOf(configuration).get(service) ?? 0;
-}
-
-/** The services whose streams callers may take up. */
-function resumableServices(configuration: RoutingConfiguration | undefined): ServiceName[] {
-    return configuration === undefined ? [] : [...lifetimesOf(configuration).keys()];
-}
-
-function lifetimesOf(configuration: RoutingConfiguration): ReadonlyMap<ServiceName, Milliseconds> {
-    const known = lifetimes.get(configuration) ?? computeLifetimes(configuration);
-    lifetimes.set(configuration, known);
-    return known;
-}
-
-function computeLifetimes({ routesByHost }: RoutingConfiguration): ReadonlyMap<ServiceName, Milliseconds> {
-    const result = new Map<ServiceName, Milliseconds>();
-    for (const { canResume, timeout, targets } of [...routesByHost.values()].flat()) {
-        if (canResume) {
-            const lifetime = lifetimeFactor * timeout + lifetimeMargin;
-            targets.forEach(({ service }) => result.set(service, Math.max(lifetime, result.get(service) ?? 0)));
-        }
-    }
-    return result;
-}
--- a/packages/stand-ins/src/platformStoreStandIn.ts
+++ b/packages/stand-ins/src/platformStoreStandIn.ts
@@ -20,8 +20,10 @@
     readonly close: () => Promise<void>;
 }
 
-/** The length before each record. */
+/** Bytes of the length before each record. */
 const lengthBytes = 4;
+const okStatus = 200;
+const conditionFailedStatus = 412;
 /** Maximum number of entries on a page of newest records. */
 const newestPageSize = 500;
 
@@ -82,7 +84,7 @@
 function appendRecords(model: StoreModel, topic: string, url: URL, body: Buffer): number {
     const at = url.searchParams.get("at");
     if (at !== null && Number(at) !== model.endOffset(topic)) {
-        return 412;
+        return conditionFailedStatus;
     }
     const isKeyed = topic.startsWith("keyed.");
     for (let position = 0; position < body.length;) {
@@ -92,7 +94,7 @@
         model.append(topic, content.subarray(1, keyEnd).toString(), Buffer.from(content.subarray(keyEnd)));
         position = end;
     }
-    return 200;
+    return okStatus;
 }
 
 async function readBytes(request: IncomingMessage): Promise<Buffer> {
