--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -159,14 +159,7 @@
     outcome: AttemptOutcome,
     answer?: BackendAnswer,
 ): void {
-    logDecision(transaction, "info", "attempt_failed", {
-        ...requestFields(transaction, request),
-        server: attempt.server.record.id,
-        outcome,
-        took: Math.round(transaction.now - attempt.startedAt),
-        hasBegun: attempt.firstEventAt !== undefined,
-        sharedParts: request.head.sharedParts.join(","),
-    });
+    logAttemptFailed(transaction, request, attempt, outcome);
     const suspension = suspensionOf(transaction, request);
     const { isStream } = request.route;
     if (suspension === undefined && isStream && continueFromReplica(transaction, request, attempt, outcome)) {
@@ -192,6 +185,27 @@
     failRequest(transaction, request, "backend_server_failed", "the server's answer was lost");
 }
 
+function logAttemptFailed(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    outcome: AttemptOutcome,
+): void {
+    const { now } = transaction;
+    const { firstEventAt } = attempt;
+    logDecision(transaction, "info", "attempt_failed", {
+        ...requestFields(transaction, request),
+        server: attempt.server.record.id,
+        outcome,
+        took: Math.round(now - attempt.startedAt),
+        hasBegun: firstEventAt !== undefined,
+        runAge: firstEventAt === undefined ? undefined : Math.round(now - firstEventAt),
+        silence: Math.round(now - attempt.lastActivityAt),
+        replica: attempt.replica?.record.id,
+        sharedParts: request.head.sharedParts.join(","),
+    });
+}
+
 /**
  * Removes an attempt from the state.
  *
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -157,7 +157,7 @@
     if (canContinue && canSendAgain(transaction, request)) {
         endAttempt(transaction, request, attempt, "cancel");
         const continuesFrom = { source: attempt.server.record.address, name: result.handle };
-        sendTo(transaction, request, { server: target, continuesFrom });
+        sendTo(transaction, request, { server: target, continuesFrom, replicaEvidence: "moved" });
     }
     migrateStreams(transaction, attempt.server.record.id);
 }
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -47,8 +47,13 @@
 export interface Placement {
     readonly server: BackendServer;
     readonly continuesFrom: RunReplica | undefined;
+    /** Undefined if it continues no run. */
+    readonly replicaEvidence?: ReplicaEvidence;
 }
 
+/** Why a replica is taken to exist: its source said that it was moved, or events of the run were received. */
+export type ReplicaEvidence = "moved" | "events" | "none";
+
 /**
  * Sends a request to the best server, one that it was not sent to before if there is any. Where no engine has enough
  * free memory the request waits, and where there is no server or no time it fails. A request that was sent before does
@@ -112,6 +117,7 @@
     const { head, route, organisation } = request;
     if (request.sends > 0) {
         recordRetry(state.retryBudget, request.service, now);
+        logRepeatedSend(transaction, request, placement);
     }
     const replica = chooseReplica(transaction, request, server);
     const attempt: Attempt = {
@@ -166,6 +172,28 @@
     });
 }
 
+/** Logs why a request is sent again, and warns where it may run twice though it may run only once. */
+function logRepeatedSend(
+    transaction: Transaction,
+    request: GatewayRequest,
+    { server, continuesFrom, replicaEvidence }: Placement,
+): void {
+    const { isIdempotent, canResume } = request.route;
+    const isSameRun = replicaEvidence === "events" || replicaEvidence === "moved";
+    const mayRunTwice = request.possibleRuns > 0 && !isIdempotent && !canResume && !isSameRun;
+    logDecision(
+        transaction,
+        mayRunTwice ? "warn" : "info",
+        mayRunTwice ? "second_run_possible" : "request_sent_again",
+        {
+            ...requestFields(transaction, request),
+            to: server.record.id,
+            source: continuesFrom?.source,
+            replicaEvidence,
+        },
+    );
+}
+
 /** Chooses the engine that holds the replica of a stream that may not run twice, if one has enough free memory. */
 function chooseReplica(
     { state, now, source }: Transaction,
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -260,7 +260,8 @@
         toVersion: replica.record.softwareVersion,
     });
     const continuesFrom = { source: attempt.server.record.address, name: request.head.callerAttemptId };
-    sendTo(transaction, request, { server: replica, continuesFrom });
+    const replicaEvidence = attempt.firstEventAt === undefined ? "none" : "events";
+    sendTo(transaction, request, { server: replica, continuesFrom, replicaEvidence });
     return true;
 }
 
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -7,6 +7,7 @@
     type BackendCall,
     type BackendRecord,
     createGatewayState,
+    type DecisionFields,
     type DecodedItem,
     type GatewayEffect,
     type GatewayEvent,
@@ -357,6 +358,13 @@
     return effects.flatMap(effect => effect.kind === "answerEvents" ? effect.events.map(event => event.id) : []);
 }
 
+/** The fields of all log lines of an event. */
+export function linesIn(effects: readonly GatewayEffect[], event: string): DecisionFields[] {
+    return effects.flatMap(effect =>
+        effect.kind === "logDecision" && effect.decision.event === event ? [effect.decision.fields] : []
+    );
+}
+
 export function kindsIn(effects: readonly GatewayEffect[]): string[] {
     return effects.map(effect => effect.kind).filter(kind => kind !== "logDecision");
 }
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -2,7 +2,16 @@
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, eventsIn, failuresIn, kindsIn, responseHead, server, TestGateway } from "./gatewayBuilders.js";
+import {
+    callsIn,
+    eventsIn,
+    failuresIn,
+    kindsIn,
+    linesIn,
+    responseHead,
+    server,
+    TestGateway,
+} from "./gatewayBuilders.js";
 
 const gatewayWithEngines = (): TestGateway =>
     TestGateway.serving(server("engine-1"), server("engine-2"), server("engine-3"));
@@ -52,6 +61,19 @@
     assert.equal(eventsIn(gateway.receiveEvents(next, 1, 2)), [2]);
 });
 
+test("the log says why a stream is sent again, and how long the run that was lost had produced events", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startStream("r", "plan");
+    gateway.advance(1_100);
+    gateway.receiveEvents(call, 2);
+    gateway.advance(100);
+    const effects = gateway.failAttempt(call);
+    const [failed] = linesIn(effects, "attempt_failed");
+    assert.equal([failed.runAge, failed.silence, failed.hasBegun], [1_200, 100, true]);
+    const [sentAgain] = linesIn(effects, "request_sent_again");
+    assert.equal([sentAgain.replicaEvidence, sentAgain.source], ["events", call.address]);
+});
+
 test("a stream whose server refuses the channel starts at another one, not from a replica that was never made", () => {
     const gateway = gatewayWithEngines();
     const call = gateway.sendRequest("r", "plan");
