--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -18,6 +18,15 @@
 /** A plan so large that no other engine has enough free memory for its replica. */
 const largePlan = { promptTokens: 9_000, maximumTokens: 500 };
 
+/** Receives events of a run for so long that a replica of it is complete. */
+function produceEvents(gateway: TestGateway, call: BackendCall): BackendCall {
+    for (let event = 2; event <= 16; event++) {
+        gateway.advance(100);
+        gateway.receiveEvents(call, event);
+    }
+    return call;
+}
+
 function finishMigration(gateway: TestGateway, call: BackendCall, handle: string | undefined) {
     const result = handle === undefined
         ? { kind: "failed", detail: "no answer" } as const
@@ -74,6 +83,32 @@
     assert.equal([sentAgain.replicaEvidence, sentAgain.source], ["events", call.address]);
 });
 
+for (
+    const [name, lose] of [
+        ["before its first event", (gateway: TestGateway) => gateway.sendRequest("r", "plan")],
+        ["soon after its first event", (gateway: TestGateway) => gateway.startStream("r", "plan")],
+        ["after it was silent for longer than a replica is kept", (gateway: TestGateway) => {
+            const call = produceEvents(gateway, gateway.startStream("r", "plan"));
+            gateway.advance(5_100);
+            return call;
+        }],
+        ["after it was continued, before it produced events again", (gateway: TestGateway) => {
+            const lost = produceEvents(gateway, gateway.startStream("r", "plan"));
+            return callsIn(gateway.failAttempt(lost))[0];
+        }],
+    ] as const
+) {
+    test(`a stream whose answer is lost ${name} is not run a second time where its replica may be missing`, () => {
+        const gateway = gatewayWithEngines();
+        const call = lose(gateway);
+        assert.ok(call.replicaAddress !== undefined);
+        const effects = gateway.failAttempt(call);
+        assert.equal(callsIn(effects), []);
+        assert.ok(failuresIn(effects).every(({ outcome }) => outcome === "outcome_unknown"));
+        assert.ok(kindsIn(effects).some(kind => kind === "answerFailure" || kind === "answerCut"));
+    });
+}
+
 test("a stream whose server refuses the channel starts at another one, not from a replica that was never made", () => {
     const gateway = gatewayWithEngines();
     const call = gateway.sendRequest("r", "plan");
