gateway: a stream goes on from a replica only on evidence that there is one (TWICE)

What callers saw: a 502 for a stream that may run once, and the request had run two or three times.

Cause: when a run was lost, the request went to the intended holder of its replica whatever was known of the replica, in the hope of a refusal if there was none. A server that runs what it gets and loses the answer doesn't refuse: it begins the request anew. The class is an action that is safe only if a fact holds elsewhere, taken without evidence of the fact.

Change: replicas.ts. A lost run is continued only if it has produced events for as long as a replica takes to be sent (half a second and the transfer of its prompt, from the configuration) and has not been silent for longer than a replica is kept. A silent run without such a replica is not abandoned when a probe fails, since it could only be cut.

--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -71,7 +71,7 @@
 /** Interval at which the replicas of this engine's runs are updated. */
 const replicationInterval: Milliseconds = 200;
 /** How long a replica is kept after its last update. */
-const replicaLifetime: Milliseconds = 3_000;
+export const replicaLifetime: Milliseconds = 3_000;
 /** How many times as long a step takes while the behaviour is `slow`. */
 const slowdownFactor = 4;
 
--- a/packages/fuzz/src/platform/requestKinds.ts
+++ b/packages/fuzz/src/platform/requestKinds.ts
@@ -18,6 +18,8 @@
 export const engineMemory = 6_000;
 /** Tokens that an engine sends in one event. */
 export const tokensPerEvent = 4;
+/** Tokens of a run's memory that an engine transfers in a millisecond. */
+export const transferRate = 20;
 
 /** Whether the answer is a stream of events. */
 export function isStreamed(kind: RequestOrProbeKind): boolean {
@@ -52,6 +54,6 @@
         stepTime: 8,
         stepTimePerRun: 0.5,
         prefillRate: 14,
-        transferRate: 20,
+        transferRate,
     };
 }
--- a/packages/fuzz/src/platform/versions.ts
+++ b/packages/fuzz/src/platform/versions.ts
@@ -3,10 +3,11 @@
  * of two versions before. A request for such a route therefore shows which versions may be in force at a gateway: the
  * route exists in its own version and in the next one.
  */
+import { replicaLifetime } from "@verbenaspring/emulator";
 import type { Milliseconds } from "@verbenaspring/model";
 import type { PromiseName } from "../oracle.js";
 import { platformLimits } from "./limits.js";
-import { engineMemory, tokensPerEvent } from "./requestKinds.js";
+import { engineMemory, tokensPerEvent, transferRate } from "./requestKinds.js";
 
 /** The host of all routes. */
 export const routesHost = "platform.example";
@@ -19,6 +20,9 @@
     readonly writtenAt: Milliseconds;
 }
 
+/** An engine's memory is one byte a token, so that its transfer rate is also in bytes a millisecond. */
+const bitsPerByte = 8;
+
 /** The average step between two version numbers, which are 4 and 2 apart in turn. */
 const versionStep = 3;
 
@@ -41,6 +45,8 @@
     const engine = {
         kvCapacity: engineMemory,
         kvBytes: 1,
+        linkMbps: transferRate * bitsPerByte / 1_000,
+        handleTtlS: replicaLifetime / 1_000,
         replicas: true,
         migrations: true,
         stride: tokensPerEvent,
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -8,6 +8,7 @@
 import { settleLostRuns } from "./crashSuspects.js";
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { recordLeavingNotice } from "./leavingServers.js";
+import { findReplica } from "./replicas.js";
 import { canSendAgain } from "./sending.js";
 import { engineOf } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
@@ -34,7 +35,7 @@
 /** Probes the server of a stream that has been silent for too long, if the stream could continue elsewhere. */
 export function probeSilentServer(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
     const { state, now } = transaction;
-    if (!canContinueElsewhere(request, attempt) || now - attempt.lastActivityAt < silenceTimeout) {
+    if (!canContinueElsewhere(transaction, request, attempt) || now - attempt.lastActivityAt < silenceTimeout) {
         return;
     }
     const { record } = attempt.server;
@@ -93,12 +94,12 @@
 }
 
 function abandonIfContinuable(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
-    if (canContinueElsewhere(request, attempt) && canSendAgain(transaction, request)) {
+    if (canContinueElsewhere(transaction, request, attempt) && canSendAgain(transaction, request)) {
         abandonAttempt(transaction, request, attempt);
     }
 }
 
 /** Whether the stream can continue at another server. */
-function canContinueElsewhere({ route }: GatewayRequest, { replica }: Attempt): boolean {
-    return replica !== undefined || route.canResume;
+function canContinueElsewhere(transaction: Transaction, request: GatewayRequest, attempt: Attempt): boolean {
+    return request.route.canResume || findReplica(transaction, request, attempt) !== undefined;
 }
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -10,12 +10,12 @@
 import type { BackendServer } from "./backendServers.js";
 import type { GatewayEvent } from "./event.js";
 import { expectedOutput } from "./messages.js";
+import { acceptsTakeover, usableReplica } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { engineOf, otherServers, replicaView, setMigrationTarget } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest } from "./state.js";
-import { acceptsTakeover, usableReplica } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type MigrationAnswered = Extract<GatewayEvent, { readonly kind: "migrationAnswered"; }>;
--- a/packages/gateway/src/routingConfiguration.ts
+++ b/packages/gateway/src/routingConfiguration.ts
@@ -46,6 +46,10 @@
     readonly canMigrate: boolean;
     /** Tokens in one event of a stream. */
     readonly tokensPerEvent: number;
+    /** Tokens of a run's memory that one engine transfers to another in a millisecond; Infinity if not known. */
+    readonly transferRate: number;
+    /** How long an engine keeps a replica after its last update. */
+    readonly replicaLifetime: Milliseconds;
 }
 
 /** A group of backend servers that do the same work. */
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -52,7 +52,7 @@
 }
 
 /** Why a replica is taken to exist: its source said that it was moved, or events of the run were received. */
-export type ReplicaEvidence = "moved" | "events" | "none";
+export type ReplicaEvidence = "moved" | "events";
 
 /**
  * Sends a request to the best server, one that it was not sent to before if there is any. Where no engine has enough
@@ -179,8 +179,7 @@
     { server, continuesFrom, replicaEvidence }: Placement,
 ): void {
     const { isIdempotent, canResume } = request.route;
-    const isSameRun = replicaEvidence === "events" || replicaEvidence === "moved";
-    const mayRunTwice = request.possibleRuns > 0 && !isIdempotent && !canResume && !isSameRun;
+    const mayRunTwice = request.possibleRuns > 0 && !isIdempotent && !canResume && replicaEvidence === undefined;
     logDecision(
         transaction,
         mayRunTwice ? "warn" : "info",
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -12,33 +12,22 @@
     recordHealth,
     retryOrFail,
 } from "./attempts.js";
-import type { BackendServer } from "./backendServers.js";
 import { recordBegunRun } from "./crashSuspects.js";
 import type { DecisionFields } from "./effect.js";
-import { hasGivenNotice } from "./leavingServers.js";
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { migrateAfterFirstEvent } from "./migration.js";
-import { isWithinLimit } from "./requestLimits.js";
+import { findReplica } from "./replicas.js";
 import { finishRequest, requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
-import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { holdUntilRecorded } from "./streamRegister.js";
-import { hasSameVersion } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 /** The weight of the newest stream in the moving averages of streams. */
 const newestWeight = 0.1;
 
-/**
- * How long after this gateway learned that a server is leaving the server still accepts streams that would otherwise be
- * lost. Its announcement takes a second or two to spread, and the platform allows three seconds from the announcement
- * to the last request.
- */
-const takeoverWindow: Milliseconds = 1_000;
-
 /** Handles the head of a stream. It is written to the caller together with the first event. */
 export function handleStreamOpened(transaction: Transaction, attemptId: AttemptId, head: ResponseHead): void {
     const request = transaction.state.attempts.get(attemptId);
@@ -247,8 +236,7 @@
     attempt: Attempt,
     outcome: AttemptOutcome,
 ): boolean {
-    const replica = usableReplica(transaction.state, attempt, transaction.now);
-    // A run that never started left no replica.
+    const replica = findReplica(transaction, request, attempt);
     if (replica === undefined || outcomesWithoutRun.has(outcome) || !canSendAgain(transaction, request)) {
         return false;
     }
@@ -260,31 +248,6 @@
         toVersion: replica.record.softwareVersion,
     });
     const continuesFrom = { source: attempt.server.record.address, name: request.head.callerAttemptId };
-    const replicaEvidence = attempt.firstEventAt === undefined ? "none" : "events";
-    sendTo(transaction, request, { server: replica, continuesFrom, replicaEvidence });
+    sendTo(transaction, request, { server: replica, continuesFrom, replicaEvidence: "events" });
     return true;
 }
-
-/** The holder of a run's replica, if it is still registered as the same incarnation and accepts the run. */
-export function usableReplica(
-    state: GatewayState,
-    { server, replica }: Attempt,
-    now: Milliseconds,
-): BackendServer | undefined {
-    const known = replica === undefined ? undefined : state.servers.get(replica.record.id);
-    const isSame = known?.incarnation === replica?.incarnation && known?.removedAt === undefined;
-    return known !== undefined && isSame && acceptsTakeover(state, known, server, now) ? known : undefined;
-}
-
-/** Whether a server accepts a stream of another one that would otherwise be lost. */
-export function acceptsTakeover(
-    state: GatewayState,
-    { record, leavingSince }: BackendServer,
-    origin: BackendServer,
-    now: Milliseconds,
-): boolean {
-    const isStaying = leavingSince === undefined || now - leavingSince <= takeoverWindow;
-    return isStaying && hasSameVersion(record, origin.record) && !hasGivenNotice(state, record)
-        && isWithinLimit(state, record.id, now)
-        && !isPaused(state, record.id, now);
-}
