--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -10,7 +10,7 @@
 import type { BackendServer } from "./backendServers.js";
 import type { GatewayEvent } from "./event.js";
 import { expectedOutput } from "./messages.js";
-import { acceptsTakeover, usableReplica } from "./replicas.js";
+import { acceptingHolder, usableReplica } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { engineOf, otherServers, replicaView, setMigrationTarget } from "./serverLoad.js";
@@ -137,9 +137,7 @@
     }
     const { result } = event;
     const target = attempt.migrationTarget;
-    const known = transaction.state.servers.get(target.record.id);
-    const canContinue = result.kind === "moved" && known !== undefined
-        && acceptsTakeover(transaction.state, known, attempt.server, transaction.now);
+    const holder = acceptingHolder(transaction.state, target, attempt.server, transaction.now);
     logDecision(transaction, "info", "move_answered", {
         ...requestFields(transaction, request),
         fromVersion: attempt.server.record.softwareVersion,
@@ -154,10 +152,10 @@
     if (result.kind !== "moved") {
         attempt.failedTargets.add(target.record.id);
     }
-    if (canContinue && canSendAgain(transaction, request)) {
+    if (result.kind === "moved" && holder !== undefined && canSendAgain(transaction, request)) {
         endAttempt(transaction, request, attempt, "cancel");
         const continuesFrom = { source: attempt.server.record.address, name: result.handle };
-        sendTo(transaction, request, { server: target, continuesFrom, replicaEvidence: "moved" });
+        sendTo(transaction, request, { server: holder, continuesFrom, replicaEvidence: "moved" });
     }
     migrateStreams(transaction, attempt.server.record.id);
 }
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -63,13 +63,27 @@
     { server, replica }: Attempt,
     now: Milliseconds,
 ): BackendServer | undefined {
-    const known = replica === undefined ? undefined : state.servers.get(replica.record.id);
-    const isSame = known?.incarnation === replica?.incarnation && known?.removedAt === undefined;
-    return known !== undefined && isSame && acceptsTakeover(state, known, server, now) ? known : undefined;
+    const holder = replica === undefined ? undefined : acceptingHolder(state, replica, server, now);
+    return holder?.removedAt === undefined ? holder : undefined;
+}
+
+/**
+ * A server as it is known now, if it accepts a run of another server and is the incarnation that it was: one that has
+ * started again under its id has lost its replicas.
+ */
+export function acceptingHolder(
+    state: GatewayState,
+    { record: { id, startedAt } }: BackendServer,
+    origin: BackendServer,
+    now: Milliseconds,
+): BackendServer | undefined {
+    const known = state.servers.get(id);
+    const isSame = known !== undefined && known.record.startedAt === startedAt;
+    return isSame && acceptsTakeover(state, known, origin, now) ? known : undefined;
 }
 
 /** Whether a server accepts a stream of another one that would otherwise be lost. */
-export function acceptsTakeover(
+function acceptsTakeover(
     state: GatewayState,
     { record, leavingSince }: BackendServer,
     origin: BackendServer,
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -215,6 +215,18 @@
     assert.equal(eventsIn(gateway.receiveEvents(call, 2)), [2]);
 });
 
+test("a stream does not continue at a migration target that has started again since, as its memory is gone there", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startStream("r", "plan", largePlan);
+    gateway.register(server(call.backendServer, { isDraining: true, heartbeat: 2 }));
+    const target = gateway.state.attempts.get(call.attemptId)!.attempt!.migrationTarget!.record;
+    gateway.register({ ...target, startedAt: 2, heartbeat: 2 });
+    const effects = finishMigration(gateway, call, "h7");
+    assert.ok(callsIn(effects).every(({ continuesFrom }) => continuesFrom === undefined));
+    assert.not.ok(kindsIn(effects).includes("cancelAttempt"));
+    assert.equal(eventsIn(gateway.receiveEvents(call, 2)), [2]);
+});
+
 test("a failed migration is tried with each other target once", () => {
     const gateway = TestGateway.serving(...[1, 2, 3].map(number => server(`engine-${number}`)));
     const call = gateway.startStream("r", "plan", largePlan);
