--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -17,6 +17,7 @@
 import type { BackendAnswer, ResponseHead } from "./messages.js";
 import { recordRequestLimit } from "./requestLimits.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
+import { countPossibleRuns, recordNoRun } from "./runLedger.js";
 import { canDispatchAgain, dispatch, timeUntilUsable } from "./sending.js";
 import { removeLoad } from "./serverLoad.js";
 import { recordServerPause } from "./serverPauses.js";
@@ -66,7 +67,7 @@
             effects.push({ kind: "answerWhole", requestId: request.id, answer });
             return finishRequest(transaction, request);
         case "not_run":
-            request.possibleRuns--;
+            recordNoRun(request.runs, attemptId);
             return retryOrFail(transaction, request, attempt, "refused_by_server");
         case "server_failed":
             return retryOrFail(transaction, request, attempt, "server_failed", answer);
@@ -138,7 +139,7 @@
         recordLostRun(transaction, request, attempt, event.failure);
     }
     else {
-        request.possibleRuns--;
+        recordNoRun(request.runs, attempt.id);
     }
     retryOrFail(transaction, request, attempt, event.failure);
 }
@@ -166,8 +167,8 @@
         return;
     }
     const { isIdempotent, canResume, maximumAttempts } = request.route;
-    const mayRunAgain = request.possibleRuns === 0
-        || ((isIdempotent || canResume) && request.possibleRuns < maximumAttempts);
+    const possibleRuns = countPossibleRuns(request.runs);
+    const mayRunAgain = possibleRuns === 0 || ((isIdempotent || canResume) && possibleRuns < maximumAttempts);
     if (suspension === undefined && mayRunAgain && canDispatchAgain(transaction, request)) {
         return dispatch(transaction, request);
     }
@@ -178,7 +179,7 @@
     if (suspension !== undefined) {
         return failSuspended(transaction, request, suspension);
     }
-    if (request.possibleRuns === 0) {
+    if (possibleRuns === 0) {
         const retryAfter = Math.max(refusedRetryAfter, timeUntilUsable(transaction, request) ?? 0);
         return failRequest(transaction, request, "overloaded", "no server took the request", retryAfter);
     }
@@ -279,7 +280,7 @@
         silenceTimeoutTargets * route.targetLatency,
         silenceTimeoutShare * (request.deadline - attempt.startedAt),
     );
-    const canRepeat = route.isIdempotent && request.possibleRuns < route.maximumAttempts;
+    const canRepeat = route.isIdempotent && countPossibleRuns(request.runs) < route.maximumAttempts;
     if (now - attempt.startedAt >= timeout && canRepeat && canDispatchAgain(transaction, request)) {
         abandonAttempt(transaction, request, attempt);
     }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./reducer.js";
 export * from "./requestLimits.js";
 export * from "./routingConfiguration.js";
+export * from "./runLedger.js";
 export * from "./serverPauses.js";
 export * from "./state.js";
 export * from "./streamRegister.js";
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -16,6 +16,7 @@
 import type { GatewayEvent } from "./event.js";
 import { expectedOutput } from "./messages.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
+import { countPossibleRuns, createRunLedger } from "./runLedger.js";
 import { dispatch } from "./sending.js";
 import type { GatewayRequest } from "./state.js";
 import { handleTakeUp, isTakeUp } from "./streamRegister.js";
@@ -61,7 +62,7 @@
         deadline: event.receivedAt + timeLimit,
         attempt: undefined,
         sends: 0,
-        possibleRuns: 0,
+        runs: createRunLedger(),
         triedServers: new Set(),
         lastEvent: route.canResume ? head.lastEvent : undefined,
         origin: undefined,
@@ -138,7 +139,7 @@
     retryAfter?: Milliseconds,
 ): void {
     const { effects, source } = transaction;
-    const outcome: RunOutcome = request.possibleRuns === 0 ? "not_run" : "outcome_unknown";
+    const outcome: RunOutcome = countPossibleRuns(request.runs) === 0 ? "not_run" : "outcome_unknown";
     logDecision(transaction, "warn", "request_failed", {
         ...requestFields(transaction, request),
         reason: type,
@@ -192,7 +193,7 @@
         organisation: request.organisation?.id,
         server: request.attempt?.server.record.id,
         sends: request.sends,
-        possibleRuns: request.possibleRuns,
+        possibleRuns: countPossibleRuns(request.runs),
         lastEvent: request.lastEvent,
         originVersion: request.origin?.softwareVersion,
         age: Math.round(now - request.arrivedAt),
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -15,6 +15,7 @@
 import type { RunReplica } from "./messages.js";
 import { isLimited, spendRequest, timeUntilWithinLimit } from "./requestLimits.js";
 import { failRequest, requestFields } from "./requests.js";
+import { countPossibleRuns, recordSend } from "./runLedger.js";
 import {
     addLoad,
     engineOf,
@@ -113,11 +114,10 @@
 /** Sends a request to the given server, and counts the attempt in the loads and the retry budget. */
 export function sendTo(transaction: Transaction, request: GatewayRequest, placement: Placement): void {
     const { state, now, source, effects } = transaction;
-    const { server, continuesFrom } = placement;
+    const { server, continuesFrom, replicaEvidence } = placement;
     const { head, route, organisation } = request;
     if (request.sends > 0) {
         recordRetry(state.retryBudget, request.service, now);
-        logRepeatedSend(transaction, request, placement);
     }
     const replica = chooseReplica(transaction, request, server);
     const attempt: Attempt = {
@@ -138,7 +138,10 @@
     };
     request.attempt = attempt;
     request.sends++;
-    request.possibleRuns++;
+    recordSend(request.runs, attempt.id, replicaEvidence !== undefined);
+    if (request.sends > 1) {
+        logRepeatedSend(transaction, request, placement);
+    }
     request.triedServers.add(server.record.id);
     state.attempts.set(attempt.id, request);
     spendRequest(state, server.record.id, now);
@@ -176,17 +179,16 @@
 function logRepeatedSend(
     transaction: Transaction,
     request: GatewayRequest,
-    { server, continuesFrom, replicaEvidence }: Placement,
+    { continuesFrom, replicaEvidence }: Placement,
 ): void {
     const { isIdempotent, canResume } = request.route;
-    const mayRunTwice = request.possibleRuns > 0 && !isIdempotent && !canResume && replicaEvidence === undefined;
+    const mayRunTwice = countPossibleRuns(request.runs) > 1 && !isIdempotent && !canResume;
     logDecision(
         transaction,
         mayRunTwice ? "warn" : "info",
         mayRunTwice ? "second_run_possible" : "request_sent_again",
         {
             ...requestFields(transaction, request),
-            to: server.record.id,
             source: continuesFrom?.source,
             replicaEvidence,
         },
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -23,6 +23,7 @@
 import type { TopicReadStamp } from "./peerReport.js";
 import type { RequestLimits } from "./requestLimits.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
+import type { RunLedger } from "./runLedger.js";
 import { createStreamRegister, type StreamRegister } from "./streamRegister.js";
 import type { StreamOrigin } from "./streamVersions.js";
 
@@ -70,8 +71,8 @@
     attempt: Attempt | undefined;
     /** The number of sends so far, including those that were refused. */
     sends: number;
-    /** The number of sends after which the request may have run. */
-    possibleRuns: number;
+    /** The runs that it may have begun. */
+    readonly runs: RunLedger;
     readonly triedServers: Set<BackendServerId>;
     /** The id of the last event that the caller has. */
     lastEvent: number | undefined;
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -19,6 +19,7 @@
 import { migrateAfterFirstEvent } from "./migration.js";
 import { findReplica } from "./replicas.js";
 import { finishRequest, requestFields } from "./requests.js";
+import { recordNoRun } from "./runLedger.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
@@ -46,7 +47,7 @@
     recordHealth(transaction, attempt, answerClass === "not_run" ? undefined : answerClass);
     endAttempt(transaction, request, attempt, "cancel");
     if (answerClass === "not_run") {
-        request.possibleRuns--;
+        recordNoRun(request.runs, attemptId);
     }
     retryOrFail(transaction, request, attempt, answerClass === "not_run" ? "refused_by_server" : answerClass);
 }
