--- a/packages/bench/test/gatewayProcess.test.ts
+++ b/packages/bench/test/gatewayProcess.test.ts
@@ -77,6 +77,20 @@
         assert.ok(answer.isComplete);
     }));
 
+test("a stream whose engine crashes soon after its first event is cut, and runs at no other engine", () =>
+    withCluster(2, async cluster => {
+        const engines = [
+            await cluster.addServer("e1", "engine", 10, 100),
+            await cluster.addServer("e2", "engine", 10, 100),
+        ];
+        const pending = cluster.sendRequest(cluster.gateways[0], "/plan/1");
+        await waitUntil("a run began", () => engines.some(engine => engine.runs().length > 0));
+        await new Promise(resolve => setTimeout(resolve, 300));
+        await engines.find(engine => engine.runs().length > 0)!.crash();
+        assert.not.ok((await pending).isComplete);
+        assert.is(engines.flatMap(engine => engine.runs()).length, 1);
+    }));
+
 test("a stream whose engine crashes without a replica ends as incomplete", () =>
     withCluster(1, async cluster => {
         const engine = await cluster.addServer("e1", "engine", 10, 200);
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -8,7 +8,7 @@
 import { settleLostRuns } from "./crashSuspects.js";
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { recordLeavingNotice } from "./leavingServers.js";
-import { findReplica } from "./replicas.js";
+import { findReplicaHolder } from "./replicas.js";
 import { canSendAgain } from "./sending.js";
 import { engineOf } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
@@ -101,5 +101,5 @@
 
 /** Whether the stream can continue at another server. */
 function canContinueElsewhere(transaction: Transaction, request: GatewayRequest, attempt: Attempt): boolean {
-    return request.route.canResume || findReplica(transaction, request, attempt) !== undefined;
+    return request.route.canResume || findReplicaHolder(transaction, request, attempt) !== undefined;
 }
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -1,5 +1,5 @@
 /**
- * Replicas of runs at other servers: whether there is evidence of one, and whether its holder accepts the run.
+ * Replicas of runs at other servers: whether one is likely to exist, and whether its holder accepts the run.
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
@@ -12,8 +12,10 @@
 import { hasSameVersion } from "./streamVersions.js";
 import type { Transaction } from "./transaction.js";
 
-/** The longest time between two updates of a replica. The platform sends several in a second. */
+/** The assumed longest time between two updates of a replica. The platform sends several in a second. */
 const replicaUpdateInterval: Milliseconds = 500;
+/** Of the time between two reads of events a run is known to have produced events for so long. */
+const longestCountedPause: Milliseconds = 200;
 /** A transfer between failure domains takes so many times as long as one within. */
 const remoteTransferFactor = 2;
 
@@ -25,30 +27,60 @@
 const takeoverWindow: Milliseconds = 1_000;
 
 /**
- * Whether there is evidence of a run's replica: the run has produced events for long enough that its memory was
- * transferred, and has not been silent for longer than a replica is kept. A holder without a replica may run the request
- * from its beginning. No message says whether a holder has had room for a replica.
+ * Updates the time for which a run is known to have produced events, when events of it are read. Events that waited
+ * while the gateway was stopped, and those after a preemption, say little of the time before them.
  */
-function isReplicaEvident(
+export function recordProduction(
+    state: GatewayState,
+    { service }: GatewayRequest,
+    attempt: Attempt,
+    now: Milliseconds,
+): void {
+    const engine = engineOf(state, service);
+    const pause = now - attempt.lastActivityAt;
+    if (engine === undefined || attempt.firstEventAt === undefined) {
+        return;
+    }
+    attempt.producingTime = pause > keptFor(engine)
+        ? 0
+        : attempt.producingTime + Math.min(pause, longestCountedPause);
+}
+
+/**
+ * Whether a replica of a run is to be expected: the run has produced events for long enough that its memory was
+ * transferred, has not been silent for longer than a replica is kept, and has not ended. A holder without a replica is
+ * to refuse the request, but one that loses its answers begins it anew. No message says whether a holder has had room
+ * for a replica, and of a run that ended early only the end says so.
+ */
+function isReplicaLikely(
     { state, now }: Transaction,
-    { head, service }: GatewayRequest,
-    { firstEventAt, lastActivityAt }: Attempt,
+    { head, service, lastEvent }: GatewayRequest,
+    { firstEventAt, lastActivityAt, producingTime }: Attempt,
 ): boolean {
     const engine = engineOf(state, service);
     if (engine === undefined || firstEventAt === undefined) {
         return false;
     }
-    const completeAfter = replicaUpdateInterval + transferTime(engine, head.promptTokens);
-    return lastActivityAt - firstEventAt >= completeAfter && now - lastActivityAt <= engine.replicaLifetime;
+    const generated = (lastEvent ?? 0) * engine.tokensPerEvent;
+    const completeAfter = replicaUpdateInterval + transferTime(engine, head.promptTokens + generated);
+    const isKept = now - lastActivityAt <= keptFor(engine);
+    // A request that names no maximum has 0.
+    const hasEnded = head.maximumTokens > 0 && generated >= head.maximumTokens;
+    return producingTime >= completeAfter && isKept && !hasEnded;
+}
+
+/** How long after the last event of a run its replica is kept. */
+function keptFor({ replicaLifetime }: EngineCapabilities): Milliseconds {
+    return replicaLifetime - replicaUpdateInterval;
 }
 
-/** The server at which a lost run can continue from its replica; undefined if there is none. */
-export function findReplica(
+/** The server at which a lost run can continue from its replica; undefined if none is likely to hold one. */
+export function findReplicaHolder(
     transaction: Transaction,
     request: GatewayRequest,
     attempt: Attempt,
 ): BackendServer | undefined {
-    return isReplicaEvident(transaction, request, attempt)
+    return isReplicaLikely(transaction, request, attempt)
         ? usableReplica(transaction.state, attempt, transaction.now)
         : undefined;
 }
--- a/packages/gateway/src/routingConfiguration.ts
+++ b/packages/gateway/src/routingConfiguration.ts
@@ -46,7 +46,10 @@
     readonly canMigrate: boolean;
     /** Tokens in one event of a stream. */
     readonly tokensPerEvent: number;
-    /** Tokens of a run's memory that one engine transfers to another in a millisecond; Infinity if not known. */
+    /**
+     * Tokens of a run's memory that one engine transfers to another in a millisecond; Infinity, which allows for no time, if not
+     * known.
+     */
     readonly transferRate: number;
     /** How long an engine keeps a replica after its last update. */
     readonly replicaLifetime: Milliseconds;
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -135,6 +135,7 @@
         migrationTarget: undefined,
         failedTargets: new Set(),
         lastActivityAt: now,
+        producingTime: 0,
     };
     request.attempt = attempt;
     request.sends++;
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -32,7 +32,7 @@
     readonly id: AttemptId;
     readonly server: BackendServer;
     readonly startedAt: Milliseconds;
-    /** The server that the run's memory is replicated to as it grows. */
+    /** The server that the run's memory is to be replicated to as it grows; whether it holds a replica is not known. */
     readonly replica: BackendServer | undefined;
     /** The replica of an earlier run that this run continues. */
     readonly continuesFrom: RunReplica | undefined;
@@ -50,8 +50,10 @@
     migrationTarget: BackendServer | undefined;
     /** The targets of this run's failed migrations. */
     readonly failedTargets: Set<BackendServerId>;
-    /** When the last events of this run came; initially when it was sent. */
+    /** When events of this run were last read; initially when it was sent. */
     lastActivityAt: Milliseconds;
+    /** How long this run is known to have produced events, since a replica of it may have expired last. */
+    producingTime: Milliseconds;
 }
 
 /** One request of a caller, until its final answer. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -17,7 +17,7 @@
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { migrateAfterFirstEvent } from "./migration.js";
-import { findReplica } from "./replicas.js";
+import { findReplicaHolder, recordProduction } from "./replicas.js";
 import { finishRequest, requestFields } from "./requests.js";
 import { recordNoRun } from "./runLedger.js";
 import { canSendAgain, sendTo } from "./sending.js";
@@ -78,6 +78,7 @@
             newEvents.push(event);
         }
     }
+    recordProduction(state, request, attempt, now);
     attempt.lastActivityAt = now;
     recordEventLoad(state, request, attempt, events.length);
     if (attempt.firstEventAt === undefined) {
@@ -237,7 +238,7 @@
     attempt: Attempt,
     outcome: AttemptOutcome,
 ): boolean {
-    const replica = findReplica(transaction, request, attempt);
+    const replica = findReplicaHolder(transaction, request, attempt);
     if (replica === undefined || outcomesWithoutRun.has(outcome) || !canSendAgain(transaction, request)) {
         return false;
     }
--- /dev/null
+++ b/packages/gateway/test/replicas.test.ts
@@ -0,0 +1,103 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { callsIn, eventsIn, server, TestGateway } from "./gatewayBuilders.js";
+
+const gatewayWithEngines = (): TestGateway =>
+    TestGateway.serving(server("engine-1"), server("engine-2"), server("engine-3"));
+
+for (const [promptTokens, completeAfter] of [[0, 500], [1_000, 600], [4_000, 900]] as const) {
+    test(`the replica of a prompt of ${promptTokens} tokens is expected ${completeAfter} ms after the first event`, () => {
+        for (const age of [completeAfter - 50, completeAfter + 50]) {
+            const gateway = gatewayWithEngines();
+            const call = gateway.startStream("r", "plan", { promptTokens, maximumTokens: 2_000 });
+            assert.ok(call.replicaAddress !== undefined);
+            for (let event = 2; (event - 1) * 50 <= age; event++) {
+                gateway.advance(50);
+                gateway.receiveEvents(call, event);
+            }
+            assert.is(callsIn(gateway.failAttempt(call)).length, age < completeAfter ? 0 : 1);
+        }
+    });
+}
+
+for (
+    const [name, change] of [
+        ["restarted", { startedAt: 2 }],
+        ["runs another version now", { softwareVersion: "v2" as never, heartbeat: 2 }],
+    ] as const
+) {
+    test(`a stream does not continue at a holder that ${name}`, () => {
+        const gateway = gatewayWithEngines();
+        const call = gateway.startReplicatedStream("r", "plan");
+        const holder = gateway.state.attempts.get(call.attemptId)!.attempt!.replica!.record;
+        gateway.register({ ...holder, ...change });
+        assert.equal(callsIn(gateway.failAttempt(call)), []);
+    });
+}
+
+test("a stream does not continue at a holder whose registration ended", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startReplicatedStream("r", "plan");
+    gateway.remove(gateway.state.attempts.get(call.attemptId)!.attempt!.replica!.record.id);
+    assert.equal(callsIn(gateway.failAttempt(call)), []);
+});
+
+test("a stream does not continue at a holder that gave notice long ago, whatever its record says", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startReplicatedStream("r", "plan");
+    const holder = gateway.state.attempts.get(call.attemptId)!.attempt!.replica!.record.id;
+    const report = { runs: [], isLeaving: true, startedAt: undefined };
+    gateway.handle({ kind: "serverProbed", backendServer: holder, report });
+    assert.equal(callsIn(gateway.failAttempt(call)), []);
+});
+
+test("a replica that expired while a run was silent is not expected again as soon as the run produces an event", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startReplicatedStream("r", "plan");
+    gateway.advance(5_100);
+    assert.equal(eventsIn(gateway.receiveEvents(call, 17)), [17]);
+    assert.equal(callsIn(gateway.failAttempt(call)), []);
+});
+
+test("events that were read only after a freeze do not show that their run lasted as long as the freeze", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startStream("r", "plan");
+    // The server made events 2 and 3 within 100 ms and crashed. They waited in the socket.
+    gateway.now += 3_000;
+    assert.equal(eventsIn(gateway.receiveEvents(call, 2, 3)), [2, 3]);
+    assert.equal(callsIn(gateway.failAttempt(call)), []);
+});
+
+test("a run does not continue when its replica's last update may be older than a replica is kept", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startReplicatedStream("r", "plan");
+    // The last update can be up to an update interval older than the last event.
+    gateway.advance(4_900);
+    assert.equal(callsIn(gateway.failAttempt(call)), []);
+});
+
+test("a run that was continued is expected at its next holder only after what it had generated was transferred, too", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startStream("r", "plan", { promptTokens: 100, maximumTokens: 6_000 });
+    for (let event = 2; event <= 1_000; event++) {
+        gateway.now += 25;
+        gateway.receiveEvents(call, event);
+    }
+    const [next] = callsIn(gateway.failAttempt(call));
+    assert.ok(next.replicaAddress !== undefined);
+    gateway.openStream(next);
+    gateway.receiveEvents(next, 1_001);
+    // 4,100 tokens at 20 a millisecond, between failure domains: 410 ms after the first update.
+    gateway.now += 600;
+    gateway.receiveEvents(next, 1_002);
+    assert.equal(callsIn(gateway.failAttempt(next)), []);
+});
+
+test("a run that has produced all its tokens does not continue: its replica is freed when it ends", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startStream("r", "plan", { maximumTokens: 64 });
+    gateway.produceEvents(call);
+    assert.equal(callsIn(gateway.failAttempt(call)), []);
+});
+
+test.run();
