emulator: servers that lose answers

A server whose answer is lost has begun the run, also when the call names a replica that it does not hold. The emulator's servers refuse such a call, so no schedule and no soak could show what the gateways do then.

Change: the behaviour `lose`. Every second call that a server gets, beginning with the first, begins a run that ends at once, and its connection is broken without an answer (stand-ins reset it). Such a call that names a replica that isn't held is a new run; one that names a replica that is held consumes it and is the same run. Calls for another target, and calls that are too large for an engine, are refused as before. A plain server runs such a call also while it is full.

--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds } from "@verbenaspring/model";
 import type { Clock } from "./clock.js";
 import {
+    AnswerLoss,
     type CallHandle,
     type CallObserver,
     defaultSoftwareVersion,
@@ -91,6 +92,7 @@
     private replicasSentAt: Milliseconds = 0;
     private isStepping = false;
     private isStopped = false;
+    private readonly answerLoss = new AnswerLoss();
     private migrationCount = 0;
     private transferIdleAt: Milliseconds = 0;
 
@@ -105,13 +107,21 @@
 
     start(call: ServerCall, observer: CallObserver): CallHandle {
         const refusal = this.findRefusalReason(call);
+        const isAnswerLost = refusal === undefined && !this.isStopped && this.behaviour === "lose"
+            && this.answerLoss.losesNext();
         const replica = refusal === undefined && call.copy !== undefined ? this.consumeReplica(call.copy) : undefined;
         const lacksReplica = call.copy !== undefined && replica === undefined;
-        if (refusal !== undefined || lacksReplica) {
+        if (refusal !== undefined || (lacksReplica && !isAnswerLost)) {
             observer.refused(refusal ?? "no_copy");
             return { cancel: () => undefined };
         }
         const run = this.createRun(call, observer, replica);
+        if (isAnswerLost) {
+            this.observeRun(run.record);
+            this.end(run, false);
+            observer.disconnected();
+            return { cancel: () => undefined };
+        }
         this.waiting.push(run);
         this.startStepping();
         return { cancel: () => this.end(run, false) };
--- a/packages/emulator/src/plainServer.ts
+++ b/packages/emulator/src/plainServer.ts
@@ -3,17 +3,18 @@
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import type { Clock } from "./clock.js";
-import type {
-    CallHandle,
-    CallObserver,
-    MigrationOutcome,
-    RunObserver,
-    RunReport,
-    ServerBehaviour,
-    ServerCall,
-    ServerModel,
-    ServerOptions,
-    ServerRun,
+import {
+    AnswerLoss,
+    type CallHandle,
+    type CallObserver,
+    type MigrationOutcome,
+    type RunObserver,
+    type RunReport,
+    type ServerBehaviour,
+    type ServerCall,
+    type ServerModel,
+    type ServerOptions,
+    type ServerRun,
 } from "./serverModel.js";
 
 /** Capacity and speed of a plain service. */
@@ -48,6 +49,7 @@
     private readonly running = new Set<PendingCall>();
     private queue: PendingCall[] = [];
     private isStopped = false;
+    private readonly answerLoss = new AnswerLoss();
 
     constructor(
         readonly options: PlainOptions,
@@ -64,6 +66,9 @@
         if (call.target !== undefined && call.target !== this.options.id) {
             observer.refused("not_the_target");
         }
+        else if (this.behaviour === "lose" && !this.isStopped && this.answerLoss.losesNext()) {
+            this.runWithoutAnswer(pending);
+        }
         else if (this.behaviour === "shed" || this.queue.length >= queuedCallsPerSlot * this.slots) {
             observer.refused("full");
         }
@@ -119,6 +124,15 @@
         this.clock.schedule(factor * this.options.workTime, () => this.finish(pending));
     }
 
+    /** Begins a call at once, whether or not a slot is free, and ends it without an answer. */
+    private runWithoutAnswer(pending: PendingCall): void {
+        this.run(pending);
+        if (!pending.hasEnded) {
+            this.end(pending, false);
+            pending.observer.disconnected();
+        }
+    }
+
     private finish(pending: PendingCall): void {
         const { call, observer, run } = pending;
         if (pending.hasEnded || run === undefined) {
--- a/packages/emulator/src/serverModel.ts
+++ b/packages/emulator/src/serverModel.ts
@@ -112,8 +112,12 @@
  * How a backend server treats calls. `well` is normal, `shed` refuses all calls, `error` answers with status 500,
  * `break` breaks the connection, `silent` runs calls without responding, `foreign` names another attempt in its
  * answers, `slow` takes longer. Engines treat `error` and `foreign` as `well`.
+ *
+ * `lose` loses the answers of every second call, beginning with the first: the run begins, also where the call names a
+ * replica that the server doesn't hold, and ends at once, and the connection is broken without an answer. Only calls
+ * for another target and calls that are too large are refused. All other calls are treated as in `well`.
  */
-export type ServerBehaviour = "well" | "shed" | "error" | "break" | "silent" | "foreign" | "slow";
+export type ServerBehaviour = "well" | "shed" | "error" | "break" | "silent" | "foreign" | "slow" | "lose";
 
 /** Identity of a backend server. */
 export interface ServerOptions {
@@ -124,6 +128,19 @@
     readonly softwareVersion?: string;
 }
 
+/** Decides of which calls a server whose behaviour is `lose` loses the answer. */
+export class AnswerLoss {
+    private callCount = 0;
+
+    /** Whether the answer of the next call is lost. */
+    losesNext(): boolean {
+        return this.callCount++ % callsPerLostAnswer === 0;
+    }
+}
+
+/** One of so many calls loses its answer. */
+const callsPerLostAnswer = 2;
+
 /** The version of servers whose plan names none. */
 export const defaultSoftwareVersion = "1";
 
--- a/packages/emulator/test/engineServer.test.ts
+++ b/packages/emulator/test/engineServer.test.ts
@@ -2,6 +2,7 @@
     type CallObserver,
     type EngineOptions,
     EngineServer,
+    PlainServer,
     type RunEvent,
     type ServerCall,
     type ServerRun,
@@ -142,4 +143,109 @@
     assert.equal(engines.runs, []);
 });
 
+/** Starts a call at an engine that loses the answers of every second call; the answer of this one is lost. */
+function startLost(engines: EngineHarness, engine: EngineServer, sent: ServerCall): void {
+    engine.behaviour = "lose";
+    engines.start(engine, sent);
+}
+
+test("a call whose answer is lost begins a run that ends at once, and its connection is broken without an answer", () => {
+    const engines = new EngineHarness();
+    startLost(engines, engines.first, call("a"));
+    assert.equal(engines.received, ["a disconnected"]);
+    const [run] = engines.runs;
+    assert.equal([run.startedAt, run.endedAt, run.isComplete], [0, 0, false]);
+    assert.equal(engines.first.report(), []);
+    engines.clock.advanceTo(2_000);
+    assert.equal(engines.received, ["a disconnected"]);
+    assert.equal(engines.events, []);
+    assert.is(engines.runs.length, 1);
+});
+
+test("every second call loses its answer, and the others are treated as usual", () => {
+    const engines = new EngineHarness();
+    engines.first.behaviour = "lose";
+    ["a", "b", "c", "d"].forEach(id => engines.start(engines.first, call(id)));
+    engines.start(engines.first, call("e", { target: "e9" }));
+    engines.clock.advanceTo(3_000);
+    assert.equal(engines.received, [
+        "a disconnected",
+        "c disconnected",
+        "e not_the_target",
+        "b opened",
+        "d opened",
+        "b ended",
+        "d ended",
+    ]);
+    assert.equal(engines.runs.map(({ callerAttemptId }) => callerAttemptId), ["a", "c", "b", "d"]);
+});
+
+test("a call whose answer is lost begins anew if it names a replica that the engine does not hold", () => {
+    const engines = new EngineHarness();
+    startLost(engines, engines.first, call("a", { replicaAddress: engines.second.options.address }));
+    const copy = { source: engines.first.options.address, name: "a" };
+    startLost(engines, engines.second, call("a", { copy }));
+    assert.equal(engines.received, ["a disconnected", "a disconnected"]);
+    assert.equal(engines.runs.map(({ continuesFromReplica }) => continuesFromReplica), [false, false]);
+    engines.start(engines.second, call("a", { copy }));
+    assert.is(engines.received.at(-1), "a no_copy");
+});
+
+test("a call whose answer is lost consumes the replica that it names", () => {
+    const engines = new EngineHarness();
+    engines.start(engines.first, call("a", { replicaAddress: engines.second.options.address }));
+    engines.clock.advanceTo(300);
+    const lastEvent = engines.events.length;
+    engines.first.crash();
+    const copy = { source: engines.first.options.address, name: "a" };
+    startLost(engines, engines.second, call("a", { copy, lastEvent }));
+    assert.equal(engines.runs.map(({ continuesFromReplica }) => continuesFromReplica), [false, true]);
+    assert.is(engines.runs[1].lineage, engines.runs[0].lineage);
+    engines.start(engines.second, call("a", { copy, lastEvent }));
+    assert.equal(engines.received.slice(-2), ["a disconnected", "a no_copy"]);
+});
+
+test("an engine that stopped loses no answers", () => {
+    const engines = new EngineHarness();
+    engines.first.crash();
+    startLost(engines, engines.first, call("a"));
+    assert.equal(engines.runs, []);
+});
+
+test("a plain server runs a call whose answer is lost once, also while it is full, and refuses other targets", () => {
+    const clock = new VirtualClock();
+    const runs: ServerRun[] = [];
+    const received: string[] = [];
+    const server = new PlainServer(
+        { id: "p1", service: "plain", address: "10.0.0.3:1", slots: 1, workTime: 25 },
+        clock,
+        run => runs.push(run),
+    );
+    const start = (id: string, overrides: Partial<ServerCall> = {}): void => {
+        const record = (what: string) => () => void received.push(`${id} ${what}`);
+        server.start(call(id, overrides), {
+            refused: reason => received.push(`${id} ${reason}`),
+            opened: record("opened"),
+            event: record("event"),
+            ended: record("ended"),
+            answered: record("answered"),
+            disconnected: record("disconnected"),
+        });
+    };
+    start("running");
+    ["queued1", "queued2"].forEach(id => start(id));
+    server.behaviour = "lose";
+    start("elsewhere", { target: "p9" });
+    start("lost");
+    start("shed");
+    assert.equal(received, ["elsewhere not_the_target", "lost disconnected", "shed full"]);
+    assert.equal(runs.map(({ callerAttemptId, endedAt }) => [callerAttemptId, endedAt]), [["running", undefined], [
+        "lost",
+        0,
+    ]]);
+    clock.advanceTo(200);
+    assert.equal(received.slice(3), ["running answered", "queued1 answered", "queued2 answered"]);
+    assert.is(runs.length, 4);
+});
+
 test.run();
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -279,6 +279,10 @@
         ended: () => response.end(),
         answered: answer => writeAnswer(response, answer, identityHeaders),
         disconnected: () => {
+            if (model.behaviour === "lose") {
+                response.socket?.resetAndDestroy();
+                return;
+            }
             if (!model.isEngine && !response.headersSent) {
                 const body = `answer to ${call.callerAttemptId}`;
                 response.writeHead(200, { ...identityHeaders, "content-length": Buffer.byteLength(body) });
