fuzz: schedules in which servers lose answers

No schedule could show it, as the emulator's servers refused to go on from a replica that they did not hold.

Change: `--system lost-answers` also draws the behaviour `lose`. It is a system of its own, so that the seeds of the other systems give the same schedules.

No mutation was added.

--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -9,6 +9,7 @@
     configurationSchedules,
     deadlyWorkSchedules,
     limitSchedules,
+    lostAnswerSchedules,
     noticeSchedules,
     overlaidGateways,
     pauseSchedules,
@@ -81,6 +82,12 @@
     schedules: pauseSchedules,
 };
 
+/** Gateways on the users' platform, with backend servers that run calls and lose the answers. */
+export const lostAnswerPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: lostAnswerSchedules,
+};
+
 /** Gateways on the users' platform, with backend servers of several software versions. */
 export const releasePlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,5 +1,5 @@
 /**
- * The command `npm run fuzz -- --system platform|overlay|configurations|deadly|limits|notices|pauses|releases|linked --seed S --runs N --steps K`. It
+ * The command `npm run fuzz -- --system platform|overlay|configurations|deadly|limits|lost-answers|notices|pauses|releases|linked --seed S --runs N --steps K`. It
  * runs randomised schedules and checks them with the oracle.
  */
 import yargs from "yargs";
@@ -10,6 +10,7 @@
     fuzz,
     limitedPlatformSystem,
     linkedSystem,
+    lostAnswerPlatformSystem,
     noticePlatformSystem,
     overlaidPlatformSystem,
     pausePlatformSystem,
@@ -31,13 +32,14 @@
                 "configurations",
                 "deadly",
                 "limits",
+                "lost-answers",
                 "notices",
                 "pauses",
                 "releases",
             ] as const,
             default: "platform",
             describe:
-                "gateways on the platform, the same with many configurations, with parts of prompts that crash engines, or with servers that declare limits, give notice in answers, ask for pauses or run several software versions, or "
+                "gateways on the platform, the same with many configurations, with parts of prompts that crash engines, or with servers that declare limits, lose answers, give notice in answers, ask for pauses or run several software versions, or "
                 + "entries and sidecars",
         },
         seed: { type: "number", default: 1, describe: "seed of the schedules" },
@@ -61,6 +63,7 @@
     configurations: configurationPlatformSystem,
     deadly: deadlyWorkPlatformSystem,
     limits: limitedPlatformSystem,
+    "lost-answers": lostAnswerPlatformSystem,
     notices: noticePlatformSystem,
     pauses: pausePlatformSystem,
     releases: releasePlatformSystem,
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -208,6 +208,18 @@
     return schedulesOf(weighted, steps);
 }
 
+const loseAnswers = arbitraryAction("serverBehaves", {
+    server: slot,
+    behaviour: fc.constant("lose"),
+    duration: longTime,
+});
+
+/** Generates schedules of up to `steps` steps, in which servers run calls and lose the answers. */
+export function lostAnswerSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    const weighted = fc.oneof({ arbitrary: action, weight: 9 }, { arbitrary: loseAnswers, weight: 1 });
+    return schedulesOf(weighted, steps);
+}
+
 const resumableRequest = arbitraryAction("ask", {
     work: fc.constant("note"),
     gateway: slot,
