soak: a request runs at one server at a time

What was missing: the soak did not check the users' rule that a request does not go on at another worker while the one before still works on it 400 ms later. The fuzzer does.

Change: after each further run of a request, the soak checks 400 ms later (platformLimits.supersededRunEnd) that the earlier runs have ended; a lag of the soak's own loop postpones the check by as much. As in the fuzzer, a run that continues from a replica supersedes the ones before it; beyond the fuzzer, a run that began anew counts too if it is still active. Excuses, since the request was sent: a fault of the gateway's process or of its link to the store, or of the link to the earlier server. A fault of the callers' link, of another gateway or of the later server's link is none.

--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -132,14 +132,14 @@
 }
 
 function killGateway(faults: SoakFaults, gateway: SoakGateway): void {
-    faults.world.oracle.faultRecord.recordProcessFault(gateway.name, restartDelay);
+    faults.world.oracle.recordGatewayFault(gateway, restartDelay);
     gateway.killedAt = performance.now();
     gateway.process.child.kill("SIGKILL");
     faults.restartGateway(gateway);
 }
 
 function pauseGateway(faults: SoakFaults, gateway: SoakGateway, duration: number): void {
-    faults.world.oracle.faultRecord.recordProcessFault(gateway.name, duration);
+    faults.world.oracle.recordGatewayFault(gateway, duration);
     faults.world.oracle.serverNotices.excuse(gateway);
     gateway.process.child.kill("SIGSTOP");
     faults.endAfter(duration, () => gateway.process.child.kill("SIGCONT"));
@@ -230,7 +230,13 @@
 }
 
 function disturbGatewayLink(faults: SoakFaults, gateway: SoakGateway, relay: FaultRelay, duration: number): void {
-    faults.world.oracle.faultRecord.recordProcessFault(gateway.name, duration + maxRelayDelay);
+    const { oracle } = faults.world;
+    if (relay === gateway.callerRelay) {
+        oracle.faultRecord.recordProcessFault(gateway.name, duration + maxRelayDelay);
+    }
+    else {
+        oracle.recordGatewayFault(gateway, duration + maxRelayDelay);
+    }
     faults.disturbRelay(relay, duration, () => {
         if (relay === gateway.callerRelay) {
             gateway.callersSilencedAt = performance.now();
@@ -241,7 +247,9 @@
 function disturbServerLink(faults: SoakFaults, duration: number): void {
     const { gateways, oracle } = faults.world;
     gateways.forEach(({ name }) => oracle.faultRecord.recordProcessFault(name, duration + maxRelayDelay));
-    faults.disturbRelay(faults.chooseServer().relay, duration);
+    const { relay, standIn } = faults.chooseServer();
+    oracle.recordServerLinkFault(standIn.id, duration + maxRelayDelay);
+    faults.disturbRelay(relay, duration);
 }
 
 function loseHeartbeats(faults: SoakFaults, duration: number): void {
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -82,6 +82,8 @@
     /** Requests that reached a backend server. */
     private readonly arrivedIds = new Set<string>();
     readonly faultRecord = new FaultRecord(() => performance.now());
+    /** The faults that keep a gateway from reaching backend servers: of gateways by name, and of servers' links by id. */
+    private readonly reachRecord = new FaultRecord(() => performance.now());
     private readonly serverLimits: ServerLimitOracle<SoakGateway>;
     readonly serverNotices = new ServerNoticeOracle<SoakGateway>((promise, detail) => this.fail(promise, detail));
     readonly serverPauses = new ServerPauseOracle<SoakGateway>(
@@ -118,6 +120,17 @@
         this.lags.push({ at: performance.now(), lag });
     }
 
+    /** Records a fault of a gateway's process, or of its link to the store. */
+    recordGatewayFault({ name }: SoakGateway, duration: number): void {
+        this.faultRecord.recordProcessFault(name, duration);
+        this.reachRecord.recordProcessFault(name, duration);
+    }
+
+    /** Records a fault of the link between all gateways and a backend server. */
+    recordServerLinkFault(server: string, duration: number): void {
+        this.reachRecord.recordProcessFault(server, duration);
+    }
+
     /** Whether time limits hold for a gateway at a time: no recent fault, and no recent lag of the soak itself. */
     mustMeetTimeLimits({ name }: SoakGateway, at: number): boolean {
         return this.checksTimeLimits && this.faultRecord.isFaultFree(name, at)
@@ -287,6 +300,39 @@
             this.fail("non_idempotent_at_most_once", `${callerAttemptId} has run ${freshRuns.length} times`);
         }
         this.checkNotRun(request);
+        if (this.checksTimeLimits && runs.length > 1) {
+            this.scheduleRunCheck(request, runs);
+        }
+    }
+
+    /** Checks the earlier ones of some runs after the time in which they must end, or later if the soak itself lags. */
+    private scheduleRunCheck(request: SoakRequest, runs: readonly ServerRun[]): void {
+        const begunAt = performance.now();
+        const checkAfter = (delay: number, allowedLag: number): void => {
+            setTimeout(() => {
+                const lag = this.lagSince(begunAt);
+                return lag > allowedLag
+                    ? checkAfter(lag - allowedLag, lag)
+                    : this.checkEarlierRunsEnded(request, runs);
+            }, delay);
+        };
+        checkAfter(platformLimits.supersededRunEnd, 0);
+    }
+
+    /**
+     * Checks that all runs of a request but the newest have ended, unless a fault since the request kept its gateway
+     * from ending them.
+     */
+    private checkEarlierRunsEnded({ id, gateway, sentAt }: SoakRequest, runs: readonly ServerRun[]): void {
+        const newest = runs[runs.length - 1];
+        const activeRun = runs.slice(0, -1).find(({ endedAt, server }) =>
+            endedAt === undefined && !this.reachRecord.hadFaultSince(server, sentAt)
+        );
+        // An engine reports a run with its first token, so one that did not continue may have been sent before the others.
+        const isSuperseded = newest.continuesFromReplica || newest.endedAt === undefined;
+        if (activeRun !== undefined && isSuperseded && !this.reachRecord.hadFaultSince(gateway.name, sentAt)) {
+            this.fail("one_run_at_a_time", `${id} is still running at ${activeRun.server}`);
+        }
     }
 
     /** Checks, once all faults are over, that every request has ended and that no backend server still runs one. */
--- /dev/null
+++ b/packages/soak/test/soakOracle.test.ts
@@ -0,0 +1,128 @@
+/**
+ * Tests of the check that a request runs at one server at a time.
+ */
+import type { ServerRun } from "@verbenaspring/emulator";
+import { platformLimits } from "@verbenaspring/fuzz";
+import { type SoakGateway, SoakOracle, type SoakRequest } from "@verbenaspring/soak";
+import { pause } from "@verbenaspring/stand-ins";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+
+const gateway = { name: "slot-0", callersSilencedAt: -Infinity } as SoakGateway;
+/** Longer than the time in which an earlier run must end. */
+const checkedAfter = platformLimits.supersededRunEnd + 200;
+
+function createOracle(checksTimeLimits = true): SoakOracle {
+    return new SoakOracle(checksTimeLimits, () => undefined, () => undefined);
+}
+
+function recordRequest(oracle: SoakOracle): void {
+    const now = performance.now();
+    const request: SoakRequest = {
+        id: "a",
+        kind: "plan",
+        gateway,
+        sentAt: now,
+        connectionOpenedAt: now,
+        deadlineAt: now + 10_000,
+        events: 10,
+        takesUp: undefined,
+        firstAttemptId: "a",
+        lastEvent: 0,
+        softwareVersion: undefined,
+        end: undefined,
+    };
+    oracle.recordRequest(request);
+}
+
+function recordRun(oracle: SoakOracle, server: string, overrides: Partial<ServerRun> = {}): ServerRun {
+    const run: ServerRun = {
+        server,
+        service: "engine",
+        callerAttemptId: "a",
+        path: "/plan/1",
+        body: "",
+        lineage: "engine1/a/0",
+        continuesFromReplica: false,
+        startedAt: performance.now(),
+        endedAt: undefined,
+        isComplete: false,
+        ...overrides,
+    };
+    oracle.recordRun(run);
+    return run;
+}
+
+const continued: Partial<ServerRun> = { continuesFromReplica: true };
+
+/** Records a run that goes on elsewhere while it still runs, and returns the promises that are broken. */
+async function breakPromises(oracle: SoakOracle, between: () => void = () => undefined): Promise<string[]> {
+    recordRequest(oracle);
+    recordRun(oracle, "engine1");
+    between();
+    recordRun(oracle, "engine2", continued);
+    await pause(checkedAfter);
+    return oracle.violations.map(({ promise, detail }) => `${promise}: ${detail}`);
+}
+
+const broken = "one_run_at_a_time: a is still running at engine1";
+
+test("an earlier run that goes on for longer than allowed breaks the promise", async () => {
+    assert.equal(await breakPromises(createOracle()), [broken]);
+});
+
+test("an earlier run that ends in time breaks nothing", async () => {
+    const oracle = createOracle();
+    recordRequest(oracle);
+    const earlier = recordRun(oracle, "engine1");
+    recordRun(oracle, "engine2", continued);
+    earlier.endedAt = performance.now();
+    await pause(checkedAfter);
+    assert.equal(oracle.violations, []);
+});
+
+test("the promise is broken also when the later run has ended, or is a new run that still runs", async () => {
+    const [one, other] = [createOracle(), createOracle()];
+    recordRequest(one);
+    recordRun(one, "engine1");
+    recordRun(one, "engine2", { ...continued, endedAt: performance.now() });
+    recordRequest(other);
+    recordRun(other, "engine1");
+    recordRun(other, "engine2");
+    await pause(checkedAfter);
+    assert.equal(one.violations.map(({ promise }) => promise), ["one_run_at_a_time"]);
+    assert.equal(other.violations.map(({ promise }) => promise), ["non_idempotent_at_most_once", "one_run_at_a_time"]);
+});
+
+test("a fault of the gateway or of the link to the earlier server excuses it", async () => {
+    const [oracle, other] = [createOracle(), createOracle()];
+    const results = await Promise.all([
+        breakPromises(oracle, () => oracle.recordGatewayFault(gateway, 0)),
+        breakPromises(other, () => other.recordServerLinkFault("engine1", 0)),
+    ]);
+    assert.equal(results, [[], []]);
+});
+
+test("a fault of the callers' link, of the later server's link or of another gateway excuses nothing", async () => {
+    const [oracle, other, third] = [createOracle(), createOracle(), createOracle()];
+    const results = await Promise.all([
+        breakPromises(oracle, () => oracle.faultRecord.recordProcessFault(gateway.name, 1_000)),
+        breakPromises(other, () => other.recordServerLinkFault("engine2", 1_000)),
+        breakPromises(third, () => third.recordGatewayFault({ ...gateway, name: "slot-1" }, 1_000)),
+    ]);
+    assert.equal(results, [[broken], [broken], [broken]]);
+});
+
+test("a lag of the soak postpones the check by as much", async () => {
+    const oracle = createOracle();
+    const lag = 500;
+    assert.equal(await breakPromises(oracle, () => setTimeout(() => oracle.recordLag(lag), 100)), []);
+    await pause(lag);
+    assert.equal(oracle.violations.map(({ promise }) => promise), ["one_run_at_a_time"]);
+});
+
+test("nothing is checked where time limits are not", async () => {
+    assert.equal(await breakPromises(createOracle(false)), []);
+});
+
+test.run();
