--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,7 +5,7 @@
 import { seededSource } from "@verbenaspring/coordination";
 import { pause } from "@verbenaspring/stand-ins";
 import { SoakCallers } from "./soakCallers.js";
-import { faultKinds, harmlessFaultKinds, releaseFaultKinds, SoakFaults } from "./soakFaults.js";
+import { answerLossKinds, faultKinds, harmlessFaultKinds, releaseFaultKinds, SoakFaults } from "./soakFaults.js";
 import type { Violation } from "./soakOracle.js";
 import { type SoakGateway, SoakWorld } from "./soakWorld.js";
 
@@ -60,14 +60,17 @@
     const faults = new SoakFaults(world, seededSource(seed, 2).random);
     const harmlessFaults = new SoakFaults(world, seededSource(seed, 3).random);
     const releaseFaults = new SoakFaults(world, seededSource(seed, 4).random);
+    const answerLosses = new SoakFaults(world, seededSource(seed, 6).random);
+    const allFaults = [faults, harmlessFaults, releaseFaults, answerLosses];
     try {
         callers.start(callerCount);
         await Promise.all([
             faults.run(1_000 * seconds, faultKinds),
             harmlessFaults.run(1_000 * seconds, harmlessFaultKinds),
             releaseFaults.run(1_000 * seconds, releaseFaultKinds),
+            answerLosses.run(1_000 * seconds, answerLossKinds),
         ]);
-        await Promise.all([faults, harmlessFaults, releaseFaults].map(each => each.endFaults()));
+        await Promise.all(allFaults.map(each => each.endFaults()));
         await pause(recoveryTime);
         await callers.stop();
         await checkRecovery(world, callers);
@@ -75,7 +78,7 @@
         return {
             violations: world.oracle.violations,
             endCounts: world.oracle.endCounts,
-            faultCounts: new Map([faults, harmlessFaults, releaseFaults].flatMap(each => [...each.faultCounts])),
+            faultCounts: sumCounts(allFaults.map(each => each.faultCounts)),
         };
     }
     finally {
@@ -88,6 +91,12 @@
     }
 }
 
+function sumCounts(counts: readonly ReadonlyMap<string, number>[]): ReadonlyMap<string, number> {
+    const sums = new Map<string, number>();
+    counts.forEach(each => each.forEach((count, name) => sums.set(name, (sums.get(name) ?? 0) + count)));
+    return sums;
+}
+
 /** Checks that every gateway serves calls and streams again. */
 async function checkRecovery(world: SoakWorld, callers: SoakCallers): Promise<void> {
     const serves = async (gateway: SoakGateway): Promise<boolean> => {
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -195,6 +195,13 @@
     faults.endAfter(duration, () => standIn.setBehaviour("well"));
 }
 
+/** Servers run calls and lose the answers of every second one. */
+function loseAnswers(faults: SoakFaults, servers: readonly SoakBackendServer[], duration: number): void {
+    faults.world.oracle.faultRecord.recordProcessFault("workers", duration);
+    servers.forEach(({ standIn }) => standIn.setBehaviour("lose"));
+    faults.endAfter(duration, () => servers.forEach(({ standIn }) => standIn.setBehaviour("well")));
+}
+
 /** A server answers with bytes without end that are no answer. */
 function floodCalls(faults: SoakFaults, duration: number): void {
     const { standIn } = faults.chooseServer();
@@ -301,6 +308,19 @@
     ...Array.from({ length: drawsWithoutFault }, () => noFault),
 ];
 
+/** How many of four draws lose no answers. */
+const drawsWithoutLoss = 2;
+
+/** Lost answers. They are drawn apart from other faults. */
+export const answerLossKinds: readonly Fault[] = [
+    { name: "loseAnswers", perform: (faults, duration) => loseAnswers(faults, [faults.chooseServer()], duration) },
+    {
+        name: "loseAllAnswers",
+        perform: (faults, duration) => loseAnswers(faults, [...faults.world.backendServers], duration),
+    },
+    ...Array.from({ length: drawsWithoutLoss }, () => noFault),
+];
+
 /** All other faults. */
 export const faultKinds: readonly Fault[] = [
     { name: "kill", perform: withGateway(killGateway) },
