--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -132,14 +132,14 @@
 }
 
 function killGateway(faults: SoakFaults, gateway: SoakGateway): void {
-    faults.world.oracle.faultRecord.recordProcessFault(gateway.name, restartDelay);
+    faults.world.oracle.recordGatewayFault(gateway, restartDelay);
     gateway.killedAt = performance.now();
     gateway.process.child.kill("SIGKILL");
     faults.restartGateway(gateway);
 }
 
 function pauseGateway(faults: SoakFaults, gateway: SoakGateway, duration: number): void {
-    faults.world.oracle.faultRecord.recordProcessFault(gateway.name, duration);
+    faults.world.oracle.recordGatewayFault(gateway, duration);
     faults.world.oracle.serverNotices.excuse(gateway);
     gateway.process.child.kill("SIGSTOP");
     faults.endAfter(duration, () => gateway.process.child.kill("SIGCONT"));
@@ -195,6 +195,13 @@
     faults.endAfter(duration, () => standIn.setBehaviour("well"));
 }
 
+/** Servers run calls and lose the answers of every second one. */
+function loseAnswers(faults: SoakFaults, servers: readonly SoakBackendServer[], duration: number): void {
+    faults.world.oracle.faultRecord.recordProcessFault("workers", duration);
+    servers.forEach(({ standIn }) => standIn.setBehaviour("lose"));
+    faults.endAfter(duration, () => servers.forEach(({ standIn }) => standIn.setBehaviour("well")));
+}
+
 /** A server answers with bytes without end that are no answer. */
 function floodCalls(faults: SoakFaults, duration: number): void {
     const { standIn } = faults.chooseServer();
@@ -230,7 +237,13 @@
 }
 
 function disturbGatewayLink(faults: SoakFaults, gateway: SoakGateway, relay: FaultRelay, duration: number): void {
-    faults.world.oracle.faultRecord.recordProcessFault(gateway.name, duration + maxRelayDelay);
+    const { oracle } = faults.world;
+    if (relay === gateway.callerRelay) {
+        oracle.faultRecord.recordProcessFault(gateway.name, duration + maxRelayDelay);
+    }
+    else {
+        oracle.recordGatewayFault(gateway, duration + maxRelayDelay);
+    }
     faults.disturbRelay(relay, duration, () => {
         if (relay === gateway.callerRelay) {
             gateway.callersSilencedAt = performance.now();
@@ -241,7 +254,9 @@
 function disturbServerLink(faults: SoakFaults, duration: number): void {
     const { gateways, oracle } = faults.world;
     gateways.forEach(({ name }) => oracle.faultRecord.recordProcessFault(name, duration + maxRelayDelay));
-    faults.disturbRelay(faults.chooseServer().relay, duration);
+    const { relay, standIn } = faults.chooseServer();
+    oracle.recordServerLinkFault(standIn.id, duration + maxRelayDelay);
+    faults.disturbRelay(relay, duration);
 }
 
 function loseHeartbeats(faults: SoakFaults, duration: number): void {
@@ -293,6 +308,19 @@
     ...Array.from({ length: drawsWithoutFault }, () => noFault),
 ];
 
+/** How many of four draws lose no answers. */
+const drawsWithoutLoss = 2;
+
+/** Lost answers. They are drawn apart from other faults. */
+export const answerLossKinds: readonly Fault[] = [
+    { name: "loseAnswers", perform: (faults, duration) => loseAnswers(faults, [faults.chooseServer()], duration) },
+    {
+        name: "loseAllAnswers",
+        perform: (faults, duration) => loseAnswers(faults, [...faults.world.backendServers], duration),
+    },
+    ...Array.from({ length: drawsWithoutLoss }, () => noFault),
+];
+
 /** All other faults. */
 export const faultKinds: readonly Fault[] = [
     { name: "kill", perform: withGateway(killGateway) },
