runtime: a request is not sent again on a channel on which it was refused (TWICE, REFUSED)

What was seen: a request that may run once ran twice, and was answered 503 (not run) although it ran.

Cause: a server may send a copy of an answer where the next answer on the channel is expected. The gateway tells it by its id. But a request that all servers refused is sent again to one that refused it before (up to 4 sends, streams 8), and the pool could give it the same channel. There the copy of the first refusal names the very request that was sent, so it counted as a refusal of the second send, which ran. The count of possible runs was lowered, and the request was sent once more or refused as not run. One case, without the change:

34004 status 503: plain-0 channel 59 refused; plain-1 channel 303 refused; plain-1 channel 302 refused; plain-1 channel 303 copy of its refusal, and RAN; request_failed sends=4 possibleRuns=0 outcome=not_run

Change: a channel remembers the requests that were refused on it and is not used for them again. After 64 refusals it is closed, which bounds what it remembers.

Not shown: that the users' servers copy refusals. Not looked at here: streams that go on from replicas.

--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -12,7 +12,7 @@
     type ResponseHead,
     type StreamEvent,
 } from "@verbenaspring/gateway";
-import type { AttemptId, Milliseconds } from "@verbenaspring/model";
+import type { AttemptId, CallerAttemptId, Milliseconds } from "@verbenaspring/model";
 import { connect as connectSocket, type Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
 import { type AnswerBounds, answerBounds, AnswerOverflowError, boundReads, type FramingCount } from "./answerBounds.js";
@@ -56,6 +56,8 @@
 const maxIdleTime: Milliseconds = 4_000;
 /** The same limit for calls that cannot be sent again if their outcome is unknown. */
 const maxFreshIdleTime: Milliseconds = 1_000;
+/** A channel on which this many requests were refused is not used again. */
+const maximumRefusals = 64;
 const firstFinalStatus = 200;
 
 /** A socket, and whether its reading side has ended or failed. */
@@ -73,6 +75,11 @@
     readonly framing: FramingCount;
     idleSince: Milliseconds;
     hasAnswered: boolean;
+    /**
+     * The requests that were refused on it. They are not sent on it again: a late copy of the refusal could not be told
+     * from a refusal of the second send, which may run.
+     */
+    readonly refusedRequests: Set<CallerAttemptId>;
 }
 
 interface ActiveCall {
@@ -119,9 +126,11 @@
         }
     };
 
-    const acquireChannel = (address: string, maxIdle: Milliseconds): Channel => {
+    const acquireChannel = ({ address, head }: BackendCall, maxIdle: Milliseconds): Channel => {
         const stack = idleChannels.get(address) ?? [];
-        for (let channel = stack.pop(); channel !== undefined; channel = stack.pop()) {
+        const isEligible = ({ refusedRequests }: Channel): boolean => !refusedRequests.has(head.callerAttemptId);
+        for (let index = stack.findLastIndex(isEligible); index !== -1; index = stack.findLastIndex(isEligible)) {
+            const [channel] = stack.splice(index, 1);
             if (isOpen(channel) && monotonicNow() - channel.idleSince <= maxIdle) {
                 return channel;
             }
@@ -164,7 +173,7 @@
     return {
         send: (call, body) => {
             const maxIdle = call.needsFreshChannel ? maxFreshIdleTime : maxIdleTime;
-            const channel = acquireChannel(call.address, maxIdle);
+            const channel = acquireChannel(call, maxIdle);
             const current: ActiveCall = {
                 attemptId: call.attemptId,
                 channel,
@@ -303,9 +312,13 @@
                 return fail("answer_truncated");
             }
             const answer: BackendAnswer = { ...head, body: Buffer.concat(chunks) };
+            const { refusedRequests, socketState } = current.channel;
+            if (head.isNotRun) {
+                refusedRequests.add(call.head.callerAttemptId);
+            }
             finish(
                 () => framer === undefined ? handlers.answered(attemptId, answer) : handlers.ended(attemptId),
-                current.channel.socketState?.hasEnded !== true,
+                socketState?.hasEnded !== true && refusedRequests.size < maximumRefusals,
             );
         },
         onResponseError: (_, error) => fail(classifyError(error, head !== undefined)),
@@ -357,7 +370,15 @@
         },
     });
     const framing = { readBytes: 0, bodyBytes: 0 };
-    const channel: Channel = { address, client, socketState: undefined, framing, idleSince: 0, hasAnswered: false };
+    const channel: Channel = {
+        address,
+        client,
+        socketState: undefined,
+        framing,
+        idleSince: 0,
+        hasAnswered: false,
+        refusedRequests: new Set(),
+    };
     return channel;
 }
 
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -44,7 +44,7 @@
                 status,
                 callerAttemptId: undefined,
                 isSealed: true,
-                isNotRun: false,
+                isNotRun: headers.includes("Not-Executed"),
                 isEncoded: false,
                 requestLimit: undefined,
                 isLeaving: false,
@@ -102,6 +102,31 @@
     server.close();
 });
 
+test("a request is not sent again on a channel on which it was refused, and refusals wear channels out", async () => {
+    const sockets: Socket[] = [];
+    const { address, server } = await listenRaw(socket => {
+        sockets.push(socket);
+        socket.write("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\ncontent-length: 0\r\n\r\n");
+    });
+    const harness = new ChannelHarness();
+    const callFor = async (callerAttemptId: string): Promise<Socket> => {
+        const call = createCall(address, String(sockets.length));
+        await harness.call({ ...call, head: { ...call.head, callerAttemptId: identifier(callerAttemptId) } });
+        await new Promise(resolve => setImmediate(resolve));
+        return sockets[sockets.length - 1];
+    };
+    const first = await callFor("a");
+    assert.is(await callFor("b"), first);
+    assert.is.not(await callFor("a"), first);
+    for (let index = 0; index < 200; index++) {
+        await callFor(`c${index}`);
+    }
+    const uses = [...new Set(sockets)].map(socket => sockets.filter(other => other === socket).length);
+    assert.ok(Math.max(...uses) <= 64 && uses.length <= 5, `requests by channel: ${uses.join()}`);
+    harness.channels.close();
+    server.close();
+});
+
 test("a body that only the channel's close ends is reported as such", async () => {
     const outcome = await callServer(socket => socket.end(`${okStatusLine}connection: close\r\n\r\npart`));
     assert.ok(outcome.kind === "answered" && outcome.answer.endsWithChannel);
