runtime: a channel is not used again after an answer that may be of an earlier call

After a late copy of an answer the call's own answer is still to come. The channel went back to the pool, so the next call could get that answer as its own. Each call on the channel then got the answer of the one before it, and was lost; requests that may run again used up their sends, and a sound server counted as failing.

Change: a channel is closed after an answer that names another request, or names none, is a refusal and is not the first one. These are the answers that the gateway does not count for the call. Nothing ran twice because of this: such an answer never lowers the count of possible runs.

Before: the new case of gatewaySockets.test.ts failed (25 of 26). After: 26 of 26; lostAnswers, endlessAnswers and frozenCallerServerProcess pass.

--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -316,9 +316,10 @@
             if (head.isNotRun) {
                 refusedRequests.add(call.head.callerAttemptId);
             }
+            const isInStep = socketState?.hasEnded !== true && !mayBeOfEarlierCall(head, call);
             finish(
                 () => framer === undefined ? handlers.answered(attemptId, answer) : handlers.ended(attemptId),
-                socketState?.hasEnded !== true && refusedRequests.size < maximumRefusals,
+                isInStep && refusedRequests.size < maximumRefusals,
             );
         },
         onResponseError: (_, error) => fail(classifyError(error, head !== undefined)),
@@ -331,6 +332,13 @@
     }
 }
 
+/** Whether an answer may be of an earlier call on its channel. The call's own answer may then follow it. */
+function mayBeOfEarlierCall({ callerAttemptId, isNotRun, isFirstOnChannel }: ResponseHead, call: BackendCall): boolean {
+    return callerAttemptId === undefined
+        ? isNotRun && !isFirstOnChannel
+        : callerAttemptId !== call.head.callerAttemptId;
+}
+
 function isOpen({ client, socketState }: Channel): boolean {
     return !client.destroyed && socketState !== undefined && !socketState.hasEnded && !socketState.hasFailed
         && !socketState.socket.destroyed;
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -1,5 +1,5 @@
 import type { BackendAnswer, BackendCall, RequestHead, StreamEvent } from "@verbenaspring/gateway";
-import { type AttemptId, failure, identifier, type RequestId } from "@verbenaspring/model";
+import { type AttemptId, type CallerAttemptId, failure, identifier, type RequestId } from "@verbenaspring/model";
 import {
     type BackendChannels,
     createBackendChannels,
@@ -42,7 +42,7 @@
             encodeBackendCall: call => [...call.head.headers],
             decodeBackendHead: (status, headers) => ({
                 status,
-                callerAttemptId: undefined,
+                callerAttemptId: callerAttemptIn(headers),
                 isSealed: true,
                 isNotRun: headers.includes("Not-Executed"),
                 isEncoded: false,
@@ -70,6 +70,17 @@
     }
 }
 
+function callerAttemptIn(headers: readonly string[]): CallerAttemptId | undefined {
+    const name = headers.indexOf("Attempt-Id");
+    return name === -1 ? undefined : identifier<CallerAttemptId>(headers[name + 1]);
+}
+
+/** A call for an attempt of a caller. */
+function createCallFor(callerAttemptId: string, address: string): BackendCall {
+    const call = createCall(address, callerAttemptId);
+    return { ...call, head: { ...call.head, callerAttemptId: identifier(callerAttemptId) } };
+}
+
 /** Makes one call to a server with the given handler, and returns its outcome. */
 async function callServer(handle: (socket: Socket) => void): Promise<Outcome> {
     const { address, server } = await listenRaw(handle);
@@ -104,14 +115,15 @@
 
 test("a request is not sent again on a channel on which it was refused, and refusals wear channels out", async () => {
     const sockets: Socket[] = [];
+    let current = "";
     const { address, server } = await listenRaw(socket => {
         sockets.push(socket);
-        socket.write("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\ncontent-length: 0\r\n\r\n");
+        socket.write(`HTTP/1.1 503 Full\r\nAttempt-Id: ${current}\r\nNot-Executed: 1\r\ncontent-length: 0\r\n\r\n`);
     });
     const harness = new ChannelHarness();
     const callFor = async (callerAttemptId: string): Promise<Socket> => {
-        const call = createCall(address, String(sockets.length));
-        await harness.call({ ...call, head: { ...call.head, callerAttemptId: identifier(callerAttemptId) } });
+        current = callerAttemptId;
+        await harness.call(createCallFor(callerAttemptId, address));
         await new Promise(resolve => setImmediate(resolve));
         return sockets[sockets.length - 1];
     };
@@ -127,6 +139,33 @@
     server.close();
 });
 
+test("a channel is not used again after an answer that may be of an earlier call, since the call's own may follow", async () => {
+    const lateAnswers = [
+        `${okStatusLine}Attempt-Id: a\r\ncontent-length: 0\r\n\r\n`,
+        "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\ncontent-length: 0\r\n\r\n",
+    ];
+    for (const lateAnswer of lateAnswers) {
+        const sockets: Socket[] = [];
+        const { address, server } = await listenRaw(socket => {
+            sockets.push(socket);
+            const isLate = sockets.length === 2;
+            const own = `${okStatusLine}Attempt-Id: ${
+                ["a", "b", "c"][sockets.length - 1]
+            }\r\ncontent-length: 0\r\n\r\n`;
+            socket.write(isLate ? lateAnswer : own);
+        });
+        const harness = new ChannelHarness();
+        for (const callerAttemptId of ["a", "b", "c"]) {
+            await harness.call(createCallFor(callerAttemptId, address));
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        assert.is(sockets[1], sockets[0]);
+        assert.is.not(sockets[2], sockets[1]);
+        harness.channels.close();
+        server.close();
+    }
+});
+
 test("a body that only the channel's close ends is reported as such", async () => {
     const outcome = await callServer(socket => socket.end(`${okStatusLine}connection: close\r\n\r\npart`));
     assert.ok(outcome.kind === "answered" && outcome.answer.endsWithChannel);
