--- a/packages/runtime/test/lostAnswersGateway.ts
+++ b/packages/runtime/test/lostAnswersGateway.ts
@@ -21,7 +21,14 @@
 }
 
 const { callers, readiness, peers, services } = JSON.parse(process.argv[2]) as GatewayArguments;
-const engine = { memoryTokens: 1_000_000, canReplicate: false, canMigrate: false, tokensPerEvent: 1 };
+const engine = {
+    memoryTokens: 1_000_000,
+    canReplicate: false,
+    canMigrate: false,
+    tokensPerEvent: 1,
+    transferRate: 20,
+    replicaLifetime: 5_000,
+};
 
 const routes = services.map(({ name, isEngine }): Route => ({
     name: identifier(name),
