--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -10,7 +10,7 @@
 import type { BackendServer } from "./backendServers.js";
 import type { GatewayEvent } from "./event.js";
 import { expectedOutput } from "./messages.js";
-import { acceptingHolder, usableReplica } from "./replicas.js";
+import { acceptingHolder, isReplicaKept, usableReplica } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { engineOf, otherServers, replicaView, setMigrationTarget } from "./serverLoad.js";
@@ -92,6 +92,7 @@
         return false;
     }
     setMigrationTarget(transaction.state, attempt, target);
+    attempt.migrationStartedAt = transaction.now;
     transaction.effects.push({
         kind: "migrateRun",
         attemptId: attempt.id,
@@ -137,7 +138,9 @@
     }
     const { result } = event;
     const target = attempt.migrationTarget;
-    const holder = acceptingHolder(transaction.state, target, attempt.server, transaction.now);
+    const holder = isReplicaKept(transaction, request, attempt.migrationStartedAt)
+        ? acceptingHolder(transaction.state, target, attempt.server, transaction.now)
+        : undefined;
     logDecision(transaction, "info", "move_answered", {
         ...requestFields(transaction, request),
         fromVersion: attempt.server.record.softwareVersion,
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -63,10 +63,19 @@
     }
     const generated = (lastEvent ?? 0) * engine.tokensPerEvent;
     const completeAfter = replicaUpdateInterval + transferTime(engine, head.promptTokens + generated);
-    const isKept = now - lastActivityAt <= keptFor(engine);
     // A request that names no maximum has 0.
     const hasEnded = head.maximumTokens > 0 && generated >= head.maximumTokens;
-    return producingTime >= completeAfter && isKept && !hasEnded;
+    return producingTime >= completeAfter && !hasEnded && now - lastActivityAt <= keptFor(engine);
+}
+
+/** Whether a replica that was updated at a time or later is still kept. */
+export function isReplicaKept(
+    { state, now }: Transaction,
+    { service }: GatewayRequest,
+    updatedAt: Milliseconds | undefined,
+): boolean {
+    const engine = engineOf(state, service);
+    return engine !== undefined && updatedAt !== undefined && now - updatedAt <= keptFor(engine);
 }
 
 /** How long after the last event of a run its replica is kept. */
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -133,6 +133,7 @@
         waitingTokens: continuesFrom === undefined ? head.promptTokens : 0,
         promptBacklog: head.promptTokens + placementView(state, server, now).waitingTokens,
         migrationTarget: undefined,
+        migrationStartedAt: undefined,
         failedTargets: new Set(),
         lastActivityAt: now,
         producingTime: 0,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -48,6 +48,8 @@
     readonly promptBacklog: number;
     /** The server to which this run is being migrated. */
     migrationTarget: BackendServer | undefined;
+    /** When the last migration of this run was requested; undefined before the first. */
+    migrationStartedAt: Milliseconds | undefined;
     /** The targets of this run's failed migrations. */
     readonly failedTargets: Set<BackendServerId>;
     /** When events of this run were last read; initially when it was sent. */
--- a/packages/gateway/test/replicas.test.ts
+++ b/packages/gateway/test/replicas.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, eventsIn, server, TestGateway } from "./gatewayBuilders.js";
+import { callsIn, eventsIn, kindsIn, server, TestGateway } from "./gatewayBuilders.js";
 
 const gatewayWithEngines = (): TestGateway =>
     TestGateway.serving(server("engine-1"), server("engine-2"), server("engine-3"));
@@ -100,4 +100,16 @@
     assert.equal(callsIn(gateway.failAttempt(call)), []);
 });
 
+test("a moved replica is not used once it may have expired before the answer of the migration was read", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startStream("r", "plan", { promptTokens: 7_000, maximumTokens: 2_500 });
+    const source = gateway.state.servers.get(call.backendServer)!.record;
+    const started = gateway.register({ ...source, isDraining: true, heartbeat: source.heartbeat + 1 });
+    assert.ok(kindsIn(started).includes("migrateRun"));
+    gateway.now += 15_000;
+    const result = { kind: "moved", handle: "h7" } as const;
+    const effects = gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result });
+    assert.equal(callsIn(effects), []);
+});
+
 test.run();
