--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -204,6 +204,21 @@
     eventMutation("a record that says ready ends a notice", ["leaving_gets_no_new_work"], trustRecords),
 ];
 
+/** Takes the replica of each run that is lost for likely to exist. */
+function trustReplicas(event: GatewayEvent, { attempts }: GatewayState): GatewayEvent {
+    const attempt = event.kind === "attemptFailed" ? attempts.get(event.attemptId)?.attempt : undefined;
+    if (attempt !== undefined) {
+        attempt.firstEventAt ??= attempt.startedAt;
+        attempt.producingTime = Infinity;
+    }
+    return event;
+}
+
+/** Mutations that only schedules in which servers lose answers can find. */
+export const lostAnswerMutations: readonly Mutation<GatewayInterceptors>[] = [
+    eventMutation("replicas are trusted without evidence", ["non_idempotent_at_most_once"], trustReplicas),
+];
+
 /** Mutations that only schedules in which servers of several software versions serve can find. */
 export const releaseMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation(
