--- a/packages/bench/test/callerProcess.test.ts
+++ b/packages/bench/test/callerProcess.test.ts
@@ -18,7 +18,8 @@
     context.cluster = await startSmallCluster({ entrySettings: { observation }, sidecarSettings: { observation } });
 });
 test.after(async context => {
-    await context.cluster.stop();
+    // Undefined if the start failed, whose error uvu then reports.
+    await context.cluster?.stop();
     collector.close();
 });
 
