--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -10,7 +10,7 @@
 import type { BackendServer } from "./backendServers.js";
 import type { GatewayEvent } from "./event.js";
 import { expectedOutput } from "./messages.js";
-import { acceptingHolder, isReplicaKept, usableReplica } from "./replicas.js";
+import { acceptingHolder, isReplicaKept, usableHolder } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { engineOf, otherServers, replicaView, setMigrationTarget } from "./serverLoad.js";
@@ -67,7 +67,7 @@
         return [];
     }
     const canMigrate = engineOf(transaction.state, request.service)?.canMigrate === true;
-    const replica = usableReplica(transaction.state, attempt, transaction.now);
+    const replica = usableHolder(transaction.state, attempt, transaction.now);
     const hasTargetsLeft = attempt.failedTargets.size < maximumMigrationTargets;
     const isSafe = route.canResume || (replica !== undefined && replica.leavingSince === undefined);
     return canMigrate && hasTargetsLeft && !isSafe && remainingTime(transaction, request) > minimumRemainingTime
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -14,7 +14,7 @@
 
 /** The assumed longest time between two updates of a replica. The platform sends several in a second. */
 const replicaUpdateInterval: Milliseconds = 500;
-/** Of the time between two reads of events a run is known to have produced events for so long. */
+/** The most of a pause between two reads of events that counts as time in which the run produced events. */
 const longestCountedPause: Milliseconds = 200;
 /** A transfer between failure domains takes so many times as long as one within. */
 const remoteTransferFactor = 2;
@@ -27,8 +27,8 @@
 const takeoverWindow: Milliseconds = 1_000;
 
 /**
- * Updates the time for which a run is known to have produced events, when events of it are read. Events that waited
- * while the gateway was stopped, and those after a preemption, say little of the time before them.
+ * Updates the time for which a run is known to have produced events, when events of it are read. Events that are read
+ * after a freeze of the gateway or a preemption of the run say little of the time before them.
  */
 export function recordProduction(
     state: GatewayState,
@@ -78,7 +78,7 @@
     return engine !== undefined && updatedAt !== undefined && now - updatedAt <= keptFor(engine);
 }
 
-/** How long after the last event of a run its replica is kept. */
+/** For how long a replica is kept that was last updated with, or up to an interval before, an event. */
 function keptFor({ replicaLifetime }: EngineCapabilities): Milliseconds {
     return replicaLifetime - replicaUpdateInterval;
 }
@@ -90,7 +90,7 @@
     attempt: Attempt,
 ): BackendServer | undefined {
     return isReplicaLikely(transaction, request, attempt)
-        ? usableReplica(transaction.state, attempt, transaction.now)
+        ? usableHolder(transaction.state, attempt, transaction.now)
         : undefined;
 }
 
@@ -99,7 +99,7 @@
 }
 
 /** The holder of a run's replica, if it is still registered as the same incarnation and accepts the run. */
-export function usableReplica(
+export function usableHolder(
     state: GatewayState,
     { server, replica }: Attempt,
     now: Milliseconds,
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -238,18 +238,18 @@
     attempt: Attempt,
     outcome: AttemptOutcome,
 ): boolean {
-    const replica = findReplicaHolder(transaction, request, attempt);
-    if (replica === undefined || outcomesWithoutRun.has(outcome) || !canSendAgain(transaction, request)) {
+    const holder = findReplicaHolder(transaction, request, attempt);
+    if (holder === undefined || outcomesWithoutRun.has(outcome) || !canSendAgain(transaction, request)) {
         return false;
     }
     logDecision(transaction, "info", "stream_continued", {
         ...requestFields(transaction, request),
         from: attempt.server.record.id,
         fromVersion: attempt.server.record.softwareVersion,
-        to: replica.record.id,
-        toVersion: replica.record.softwareVersion,
+        to: holder.record.id,
+        toVersion: holder.record.softwareVersion,
     });
     const continuesFrom = { source: attempt.server.record.address, name: request.head.callerAttemptId };
-    sendTo(transaction, request, { server: replica, continuesFrom, replicaEvidence: "events" });
+    sendTo(transaction, request, { server: holder, continuesFrom, replicaEvidence: "events" });
     return true;
 }
