scripts: a test file whose tests did not all run counts as failed; callerProcess fails again when its cluster does not start

Change: the hook is as it was, and the test prints why its cluster did not start. The runner counts a file as failed that ran no test, or not all that were not skipped; before, any file with such a hook could pass unseen.

--- a/packages/bench/test/callerProcess.test.ts
+++ b/packages/bench/test/callerProcess.test.ts
@@ -15,11 +15,17 @@
 
 test.before(async context => {
     const observation = { traceAddress: await collector.listen() };
-    context.cluster = await startSmallCluster({ entrySettings: { observation }, sidecarSettings: { observation } });
+    try {
+        context.cluster = await startSmallCluster({ entrySettings: { observation }, sidecarSettings: { observation } });
+    }
+    catch (error) {
+        // uvu drops the errors of this hook.
+        process.stderr.write(`the cluster did not start: ${String(error)}\n`);
+        throw error;
+    }
 });
 test.after(async context => {
-    // Undefined if the start failed, whose error uvu then reports.
-    await context.cluster?.stop();
+    await context.cluster.stop();
     collector.close();
 });
 
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -53,10 +53,15 @@
 function reportResult(file, code, output) {
     const total = Number(/Total:\s+(\d+)/.exec(output)?.[1] ?? 0);
     const passed = Number(/Passed:\s+(\d+)/.exec(output)?.[1] ?? 0);
+    const skipped = Number(/Skipped:\s+(\d+)/.exec(output)?.[1] ?? 0);
     const failures = [...output.matchAll(/FAIL\s+(.*)/g)].map(match => `${file}: ${match[1].trim()}`);
     if (code !== 0 && failures.length === 0) {
         failures.push(`${file}: ended with code ${code}`);
     }
+    // After an error in a `before` hook, uvu runs no test and reports success.
+    if (failures.length === 0 && (total === 0 || passed + skipped < total)) {
+        failures.push(`${file}: ${total - passed - skipped} of ${total} tests did not run`);
+    }
     process.stdout.write(`${file}: ${passed} of ${total}\n`);
     if (failures.length > 0) {
         process.stdout.write(`${output}\n`);
