gateway: records of topics are reported once, by the gateway that read them

Change: in a full mesh only the gateway that read a record reports it; another one passes it on to a peer that still lacks it 700 ms later. Heartbeats are not sent along with changes. A read's stamp is sent once on a link. Records that are known already are not decoded again. Gateways with faster links read first.

Tests: three that fail without the change (peers.test.ts).

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -7,9 +7,9 @@
 import { applyRecord, applyRemoval, type BackendChange, forgetRemoved } from "./backendServers.js";
 import type { DecodedItem, GatewayEvent, TopicName, TopicRecord } from "./event.js";
 import { hasGivenNotice } from "./leavingServers.js";
-import { liveMembers } from "./members.js";
+import { liveMembers, type Member } from "./members.js";
 import { migrateStreams } from "./migration.js";
-import type { TopicReadStamp } from "./peerReport.js";
+import type { MemberRecord, TopicReadStamp } from "./peerReport.js";
 import { reportToPeers } from "./peers.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
 import type { GatewayState, TopicFollower } from "./state.js";
@@ -74,8 +74,7 @@
     }
     const members = liveMembers(state, now);
     if (follower.rank?.members !== members) {
-        const others = members.filter(({ record }) => !record.isStopping).map(({ record }) => record.address);
-        follower.rank = { members, value: taskRank(state.options.peerAddress, others, topic) };
+        follower.rank = { members, value: readerRank(state, members, topic) };
     }
     const timeouts = readPlans[topic].takeoverTimeouts;
     const timeout = takeoverTimeout(follower.rank.value, timeouts);
@@ -83,6 +82,18 @@
     return now - follower.freshAsOf >= (hasJustFailed ? Math.max(timeout, timeouts.base) : timeout);
 }
 
+/**
+ * The rank of this gateway among those that may read a topic: the reader sends what it read to all others, so gateways
+ * with faster links rank first. One that tells no rate ranks as if it had the same link.
+ */
+function readerRank({ options }: GatewayState, members: readonly Member[], topic: TopicName): number {
+    const others = members.map(({ record }) => record).filter(({ isStopping }) => !isStopping);
+    const rateOf = ({ linkRate }: MemberRecord): number => linkRate ?? options.linkRate ?? 0;
+    const faster = others.filter(record => rateOf(record) > (options.linkRate ?? rateOf(record)));
+    const equal = others.filter(record => rateOf(record) === (options.linkRate ?? rateOf(record)));
+    return faster.length + taskRank(options.peerAddress, equal.map(({ address }) => address), topic);
+}
+
 /** Handles the records of a successful read. */
 export function handleTopicRead(transaction: Transaction, event: TopicRead): void {
     const { state, now } = transaction;
@@ -102,6 +113,7 @@
         now,
     );
     if (hasChanged) {
+        follower.isChangeOwnRead = true;
         reportToPeers(transaction);
     }
     startDueRead(transaction, topic);
@@ -148,10 +160,21 @@
 ): boolean {
     const follower = transaction.state.followers[topic];
     const removals = topic === "backendServers" ? createTombstones(follower, items, next) : [];
-    follower.removalsKnownFrom = Math.max(follower.removalsKnownFrom, next);
+    recordRemovalGap(follower, next);
     return applyItems(transaction, topic, [...items, ...removals], next);
 }
 
+/** Records which removals a snapshot can't show: of keys that were not known before it. */
+function recordRemovalGap(follower: TopicFollower, next: LogOffset): void {
+    const { knownThrough, removalGap } = follower;
+    if (knownThrough === undefined) {
+        follower.removalsKnownFrom = Math.max(follower.removalsKnownFrom, next);
+    }
+    else if (next > knownThrough) {
+        follower.removalGap = { from: removalGap?.from ?? knownThrough, to: next };
+    }
+}
+
 /** Tombstones for known keys that a snapshot no longer contains. */
 function createTombstones(
     { items: knownItems }: TopicFollower,
@@ -189,10 +212,13 @@
         // All records are applied; `some` would stop at the first change.
         if (records.map(each => applyTopicRecord(transaction, each)).includes(true)) {
             follower.changedThrough = Math.max(follower.changedThrough, item.offset + 1);
+            follower.changedAt = now;
+            follower.changes.set(item.key, item.offset);
             hasChanged = true;
         }
     }
     follower.next = Math.max(follower.next ?? 0, next);
+    follower.knownThrough = follower.next;
     forgetTombstones(follower);
     if (topic === "backendServers" && forgetRemoved(state.servers, now)) {
         indexByService(transaction);
@@ -220,6 +246,7 @@
     for (const { key, offset, value } of items.values()) {
         if (value.length === 0 && offset < (next ?? 0) - tombstoneRetentionOffsets) {
             items.delete(key);
+            follower.changes.delete(key);
             follower.removalsKnownFrom = Math.max(follower.removalsKnownFrom, offset + 1);
         }
     }
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -15,6 +15,8 @@
     readonly overlay: OverlayShape;
     /** The retry budget that all gateways share. */
     readonly retries: RetryBudgetOptions;
+    /** Megabits a second of the machine's link; undefined if unknown. */
+    readonly linkRate?: number | undefined;
     /** From the request to stop until the process is killed. */
     readonly stopLimit: Milliseconds;
 }
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -67,6 +67,8 @@
     readonly version: number;
     readonly failureDomain: FailureDomain;
     readonly isStopping: boolean;
+    /** Megabits a second of its machine's link; undefined if unknown. */
+    readonly linkRate?: number | undefined;
     /** The number of its requests that wait for capacity at an engine. */
     readonly waitingRequests: number;
     /** All its loads at engines. */
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -5,24 +5,33 @@
 import type { LogOffset, Milliseconds } from "@verbenaspring/model";
 import type { TopicItem, TopicName } from "./event.js";
 import { applyItems, applySnapshot, recordFreshness } from "./followers.js";
+import { isFullMesh } from "./members.js";
 import type { PeerItems, PeerTopic } from "./peerReport.js";
 import type { GatewayState, Peer, TopicFollower } from "./state.js";
 import type { Transaction } from "./transaction.js";
 
 export const topicNames: readonly TopicName[] = ["configuration", "backendServers"];
 
+/**
+ * In a full mesh, the gateway that read records reports them to all others. Another gateway reports them to a peer only
+ * if the peer still lacks them after this time, in which it has reported at least once: if all gateways passed them on
+ * at once, each would get each record from all others, and the links of small machines would be busy for as long as a
+ * stream may pause.
+ */
+const relayDelay: Milliseconds = 700;
+
 /** Creates the part of a report to a peer that is about topics, and records its items as known there. */
 export function createTopicReports(state: GatewayState, peer: Peer, now: Milliseconds): PeerTopic[] {
-    const topics = topicNames.map(name => createTopicReport(state, name, peer, now));
-    if (peer.link === "open") {
-        const { configuration, backendServers } = state.followers;
-        peer.through = {
-            configuration: laterOffset(peer.through.configuration, configuration.next),
-            backendServers: laterOffset(peer.through.backendServers, backendServers.next),
-        };
-        peer.sentReads = { configuration: configuration.lastRead, backendServers: backendServers.lastRead };
-    }
-    return topics;
+    return topicNames.map(name => {
+        const topic = createTopicReport(state, name, peer, now);
+        if (peer.link === "open") {
+            const isKnown = topic.through !== undefined && topic.since < topic.through;
+            const through = isKnown ? laterOffset(peer.through[name], topic.through) : peer.through[name];
+            peer.through = { ...peer.through, [name]: through };
+            peer.sentReads = { ...peer.sentReads, [name]: state.followers[name].lastRead };
+        }
+        return topic;
+    });
 }
 
 function laterOffset(one: LogOffset | undefined, other: LogOffset | undefined): LogOffset | undefined {
@@ -30,35 +39,51 @@
 }
 
 function createTopicReport(state: GatewayState, name: TopicName, peer: Peer, now: Milliseconds): PeerTopic {
-    const { next, removalsKnownFrom, freshAsOf, lastRead } = state.followers[name];
+    const follower = state.followers[name];
+    const { next, freshAsOf, lastRead } = follower;
+    const noRead = { reader: state.incarnation, count: 0 };
     if (next === undefined || freshAsOf === undefined || lastRead === undefined) {
-        const read = { reader: state.incarnation, count: 0 };
-        return { name, since: 0, through: undefined, read, age: 0, items: [], isComplete: false };
+        return { name, since: 0, through: undefined, read: noRead, age: 0, items: [], isComplete: false };
     }
     // What the peer knows of the topic is only certain after it has reported on this link.
     const known: LogOffset = peer.through[name] ?? 0;
-    const isOpen = peer.link === "open";
-    const isComplete = isOpen && known < removalsKnownFrom;
-    return {
-        name,
-        since: known,
-        through: isOpen ? next : undefined,
-        read: lastRead,
-        age: now - freshAsOf,
-        items: isOpen ? missingItems(state.followers[name], known, isComplete) : [],
-        isComplete,
-    };
+    // A read makes a topic fresher only when it is first reported.
+    const read = peer.sentReads[name] === lastRead ? noRead : lastRead;
+    const report = { name, read, age: now - freshAsOf };
+    if (peer.link !== "open") {
+        return { ...report, since: known, through: undefined, items: [], isComplete: false };
+    }
+    const isComplete = lacksRemovals(follower, known);
+    const isBehind = isComplete || follower.changedThrough > known;
+    if (isBehind && !mayRelay(state, follower, peer, now)) {
+        // A peer that is behind applies nothing of a report that begins at the end.
+        return { ...report, since: next, through: next, items: [], isComplete: false };
+    }
+    const items = isBehind ? missingItems(follower, known, isComplete) : [];
+    return { ...report, since: known, through: next, items, isComplete };
+}
+
+/** Whether this gateway is the one to report a topic's records to a peer that lacks them. */
+function mayRelay(state: GatewayState, follower: TopicFollower, { openedAt }: Peer, now: Milliseconds): boolean {
+    const { lastRead, isChangeOwnRead, changedAt } = follower;
+    const isReader = lastRead?.reader === state.incarnation || (isChangeOwnRead && now - changedAt < relayDelay);
+    return isReader || !isFullMesh(state) || now - Math.max(changedAt, openedAt) >= relayDelay;
+}
+
+/** Whether a gateway that knows a topic up to an offset may lack removals before the known ones. */
+function lacksRemovals({ removalsKnownFrom, removalGap }: TopicFollower, known: LogOffset): boolean {
+    const isInGap = removalGap !== undefined && known > removalGap.from && known < removalGap.to;
+    return known < removalsKnownFrom || isInGap;
 }
 
 function missingItems(
-    { items, changedThrough }: TopicFollower,
+    { items, changes }: TopicFollower,
     known: LogOffset,
     isComplete: boolean,
 ): readonly TopicItem[] {
-    if (isComplete) {
-        return [...items.values()];
-    }
-    return changedThrough > known ? [...items.values()].filter(({ offset }) => offset >= known) : [];
+    return isComplete
+        ? [...items.values()]
+        : [...items.values()].filter(({ key }) => (changes.get(key) ?? 0) >= known);
 }
 
 /** Whether a topic was read, by this or another gateway, since the last report to the peer. */
@@ -86,6 +111,7 @@
     }
     const apply = topic.isComplete ? applySnapshot : applyItems;
     const hasChanged = apply(transaction, topic.name, items[topic.name], topic.through);
+    follower.isChangeOwnRead &&= !hasChanged;
     recordFreshness(follower, topic.read, now - topic.age);
     return hasChanged;
 }
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -139,10 +139,22 @@
 export interface TopicFollower {
     /** The offset after the last known record; undefined while no snapshot was read. */
     next: LogOffset | undefined;
+    /** The offset after the last known record, also while the topic has to be read again from a snapshot. */
+    knownThrough: LogOffset | undefined;
     /** The offset after the last record that changed more than a heartbeat. */
     changedThrough: LogOffset;
-    /** Removals at this offset or later are all known; older ones may be missing. */
+    /** When such a record was last learnt, and whether by a read of this gateway. */
+    changedAt: Milliseconds;
+    isChangeOwnRead: boolean;
+    /** The offset of the last record of each key that changed more than a heartbeat. */
+    readonly changes: Map<string, LogOffset>;
+    /** Removals at this offset or later are all known but for those in the gap; older ones may be missing. */
     removalsKnownFrom: LogOffset;
+    /**
+     * Offsets between two reads of which the records were deleted: a key that was both added and removed there is
+     * unknown.
+     */
+    removalGap: { readonly from: LogOffset; readonly to: LogOffset; } | undefined;
     /** The newest record of each key, tombstones included. */
     readonly items: Map<string, TopicItem>;
     /** When the log was last known to end at `next`, by a read of this gateway or of another. */
@@ -312,8 +324,13 @@
 function createFollower(): TopicFollower {
     return {
         next: undefined,
+        knownThrough: undefined,
         changedThrough: 0,
+        changedAt: -Infinity,
+        isChangeOwnRead: false,
+        changes: new Map(),
         removalsKnownFrom: 0,
+        removalGap: undefined,
         items: new Map(),
         freshAsOf: undefined,
         lastRead: undefined,
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -299,4 +299,80 @@
     assert.is(countSends(gatewayWithBudget(900)), 1);
 });
 
+// Each gateway passed each record on to all others at once, which kept the links of small machines busy for 300 ms.
+test("in a full mesh only the gateway that read a record reports it, and others where it is still lacking later", () => {
+    const reader = gatewayWithSeed();
+    const topicOf = (through: number, count: number) => ({
+        name: "configuration" as const,
+        since: through,
+        read: readBy(count),
+        through,
+        age: 0,
+        items: [],
+        isComplete: false,
+    });
+    const itemsIn = (effects: readonly GatewayEffect[]) =>
+        effects.flatMap(effect => effect.kind === "sendReport" ? effect.report.topics : []).flatMap(({ items }) =>
+            items
+        );
+    reader.advance(50);
+    reader.receiveReport({ topics: [topicOf(0, 0)] });
+    const item = reader.item("config", [{ kind: "configuration", configuration: configuration(2) }]);
+    const next = item.item.offset + 1;
+    const read = { kind: "topicRead", topic: "configuration", isSnapshot: false, items: [item], next } as const;
+    assert.is(itemsIn(reader.handle(read)).length, 1, "the reader reports it at once");
+
+    const relay = gatewayWithSeed();
+    relay.advance(50);
+    relay.receiveReport({ topics: [{ ...topicOf(next, 1), since: 0 }] }, { configuration: [item] });
+    relay.receiveReport({ topics: [topicOf(0, 2)] });
+    assert.is(itemsIn(relay.advance(500)).length, 0);
+    assert.is(itemsIn(relay.advance(700)).length, 1, "the peer's report still shows that it lacks the record");
+});
+
+test("a snapshot after the log's history was deleted is not reported whole to gateways that knew what came before", () => {
+    const gateway = gatewayWithSeed();
+    gateway.advance(50);
+    const [first, second] = [server("engine-1"), server("engine-2")];
+    gateway.read("configuration", []);
+    gateway.register(first, second);
+    const known = gateway.state.followers.backendServers.next!;
+    const topic = { name: "backendServers" as const, read: readBy(1), age: 0, items: [], isComplete: false };
+    gateway.receiveReport({ topics: [{ ...topic, since: known, through: known }] });
+    gateway.handle({ kind: "topicReadFailed", topic: "backendServers", failure: "records_deleted" });
+    const kept = gateway.item("engine-1", [{ kind: "backendServer", record: { ...first, heartbeat: 9 } }]);
+    gateway.now += 1;
+    const effects = gateway.handle({
+        kind: "topicRead",
+        topic: "backendServers",
+        isSnapshot: true,
+        items: [{ ...kept, item: { ...kept.item, offset: known + 5 } }],
+        next: known + 6,
+    });
+    const reported = effects.flatMap(effect => effect.kind === "sendReport" ? effect.report.topics : [])
+        .filter(({ name }) => name === "backendServers");
+    assert.equal(reported.map(({ isComplete, items }) => [isComplete, items.map(({ key }) => key)]), [
+        [false, ["engine-2"]],
+    ]);
+});
+
+test("the gateways with the fastest links read the topics, since a reader sends what it read to all others", () => {
+    const readsWith = (linkRate: number): number => {
+        const gateway = new TestGateway({ linkRate });
+        gateway.read("backendServers", []);
+        gateway.read("configuration", []);
+        const [other] = ["10.1.0.7:8748"].map(address => identifier<never>(address));
+        gateway.receiveReport({});
+        const { record } = [...gateway.state.members.values()][0];
+        const records = [{
+            record: { ...record, address: other, incarnation: other, linkRate: 100, version: 99 },
+            age: 0,
+        }];
+        gateway.receiveReport({ records });
+        return readsIn(gateway.advance(450)).length;
+    };
+    assert.ok(readsWith(1_000) > 0);
+    assert.is(readsWith(7), 0);
+});
+
 test.run();
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -325,8 +325,13 @@
     }
 
     private handlePeerReport(report: PeerReport): void {
-        const itemsOf = (name: TopicName): DecodedItem[] =>
-            this.decodeItems(name, report.topics.find(topic => topic.name === name)?.items ?? []);
+        const itemsOf = (name: TopicName): DecodedItem[] => {
+            const { items } = this.state.followers[name];
+            const isNew = ({ key, offset }: TopicItem): boolean => offset > (items.get(key)?.offset ?? -1);
+            const reported = report.topics.find(topic => topic.name === name)?.items ?? [];
+            // Several gateways may report the same record. It is decoded once.
+            return reported.flatMap(item => isNew(item) ? this.decodeItems(name, [item]) : [{ item, records: [] }]);
+        };
         const items = { configuration: itemsOf("configuration"), backendServers: itemsOf("backendServers") };
         this.events.push({ kind: "peerReported", report, items });
     }
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -141,6 +141,7 @@
         version: message.version,
         failureDomain: identifier(message.failureDomain),
         isStopping: message.isStopping,
+        linkRate: message.linkRate,
         waitingRequests: message.waitingRequests,
         loads: message.loads.map(decodeLoad),
         requestLimits: message.requestLimits.map(decodeLimit),
