gateway, platform: servers of an evacuated failure domain get no request

Cause: the operator's records evacuate/ZONE were not decoded, so a gateway went on sending to the zone.

A withdrawal is passed on also by a gateway that did not know the evacuation, and a tombstone made for a missing key wins over the record of the same offset. Where all servers of a service are evacuated, new, queued and refused requests get 503 at once.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -18,7 +18,7 @@
 import { recordRequestLimit } from "./requestLimits.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
 import { countPossibleRuns, recordNoRun } from "./runLedger.js";
-import { canDispatchAgain, dispatch, timeUntilUsable } from "./sending.js";
+import { canDispatchAgain, dispatch, failIfEvacuated, timeUntilUsable } from "./sending.js";
 import { removeLoad } from "./serverLoad.js";
 import { recordServerPause } from "./serverPauses.js";
 import type { Attempt, GatewayRequest } from "./state.js";
@@ -180,12 +180,19 @@
         return failSuspended(transaction, request, suspension);
     }
     if (possibleRuns === 0) {
-        const retryAfter = Math.max(refusedRetryAfter, timeUntilUsable(transaction, request) ?? 0);
-        return failRequest(transaction, request, "overloaded", "no server took the request", retryAfter);
+        return failUnrun(transaction, request);
     }
     failRequest(transaction, request, "backend_server_failed", "the server's answer was lost");
 }
 
+/** Fails a request that every server refused, or that reached none. */
+function failUnrun(transaction: Transaction, request: GatewayRequest): void {
+    if (!failIfEvacuated(transaction, request)) {
+        const retryAfter = Math.max(refusedRetryAfter, timeUntilUsable(transaction, request) ?? 0);
+        failRequest(transaction, request, "overloaded", "no server took the request", retryAfter);
+    }
+}
+
 function logAttemptFailed(
     transaction: Transaction,
     request: GatewayRequest,
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -6,6 +6,7 @@
     BackendServerId,
     CallerAttemptId,
     ContentDigest,
+    FailureDomain,
     LogOffset,
     Milliseconds,
     PeerAddress,
@@ -31,11 +32,22 @@
 /** The topics that a gateway follows. */
 export type TopicName = "configuration" | "backendServers";
 
+/** The request of an evacuation of a failure domain, or its withdrawal. */
+export interface EvacuationRecord {
+    readonly kind: "evacuation";
+    /** The key of the record in its topic. */
+    readonly key: string;
+    readonly failureDomain: FailureDomain;
+    /** Whether the evacuation is requested; otherwise it is withdrawn. */
+    readonly isRequested: boolean;
+}
+
 /** One record of a followed topic, decoded. */
 export type TopicRecord =
     | { readonly kind: "configuration"; readonly configuration: RoutingConfiguration; }
     | { readonly kind: "backendServer"; readonly record: BackendRecord; }
     | { readonly kind: "backendServerRemoved"; readonly id: BackendServerId; }
+    | EvacuationRecord
     | { readonly kind: "undecodable"; readonly key: string; readonly detail: string; };
 
 /** One record of a followed topic, as stored in the log. */
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -5,7 +5,8 @@
 import { createServerHealth, takeoverTimeout, type TakeoverTimeouts, taskRank } from "@verbenaspring/coordination";
 import type { BackendServerId, GatewayIncarnation, LogOffset, Milliseconds, ServiceName } from "@verbenaspring/model";
 import { applyRecord, applyRemoval, type BackendChange, forgetRemoved } from "./backendServers.js";
-import type { DecodedItem, GatewayEvent, TopicName, TopicRecord } from "./event.js";
+import { applyEvacuation } from "./evacuations.js";
+import type { DecodedItem, GatewayEvent, TopicItem, TopicName, TopicRecord } from "./event.js";
 import { hasGivenNotice } from "./leavingServers.js";
 import { liveMembers } from "./members.js";
 import { migrateStreams } from "./migration.js";
@@ -147,11 +148,28 @@
     next: LogOffset,
 ): boolean {
     const follower = transaction.state.followers[topic];
-    const removals = topic === "backendServers" ? createTombstones(follower, items, next) : [];
+    const removals = topic === "backendServers"
+        ? createTombstones(follower, items, next)
+        : createWithdrawals(transaction.state, items, next);
     follower.removalsKnownFrom = Math.max(follower.removalsKnownFrom, next);
     return applyItems(transaction, topic, [...items, ...removals], next);
 }
 
+/** Tombstones for known evacuations that a snapshot of the operator's topic no longer contains. */
+function createWithdrawals(
+    { evacuations }: GatewayState,
+    items: readonly DecodedItem[],
+    next: LogOffset,
+): DecodedItem[] {
+    const present = new Set(items.map(({ item }) => item.key));
+    return [...evacuations]
+        .filter(([, { key }]) => !present.has(key))
+        .map(([failureDomain, { key }]) => ({
+            item: { key, offset: next - 1, value: new Uint8Array() },
+            records: [{ kind: "evacuation", key, failureDomain, isRequested: false }],
+        }));
+}
+
 /** Tombstones for known keys that a snapshot no longer contains. */
 function createTombstones(
     { items: knownItems }: TopicFollower,
@@ -185,9 +203,10 @@
         if (isOutdated(state, follower, { item, records })) {
             continue;
         }
+        const isNew = follower.items.get(item.key)?.offset !== item.offset;
         follower.items.set(item.key, item);
         // All records are applied; `some` would stop at the first change.
-        if (records.map(each => applyTopicRecord(transaction, each)).includes(true)) {
+        if (records.map(each => applyTopicRecord(transaction, each, item, isNew)).includes(true)) {
             follower.changedThrough = Math.max(follower.changedThrough, item.offset + 1);
             hasChanged = true;
         }
@@ -212,7 +231,11 @@
         return version < configuration.version;
     }
     const known = items.get(item.key);
-    return known !== undefined && known.offset > item.offset;
+    if (known === undefined || known.offset !== item.offset) {
+        return known !== undefined && known.offset > item.offset;
+    }
+    // A tombstone made for a key that a snapshot lacks may have the offset of the record that was deleted.
+    return known.value.length === 0 && item.value.length > 0;
 }
 
 function forgetTombstones(follower: TopicFollower): void {
@@ -244,8 +267,17 @@
     follower.nextReadAt = now + retryDelay;
 }
 
-/** Applies one record. Returns whether it changed more than a heartbeat. */
-function applyTopicRecord(transaction: Transaction, decoded: TopicRecord): boolean {
+/**
+ * Applies one record. Returns whether it changed more than a heartbeat.
+ *
+ * @param isNew whether the item was not known before
+ */
+function applyTopicRecord(
+    transaction: Transaction,
+    decoded: TopicRecord,
+    item: TopicItem,
+    isNew: boolean,
+): boolean {
     const { state, now } = transaction;
     switch (decoded.kind) {
         case "configuration":
@@ -261,6 +293,11 @@
         }
         case "backendServerRemoved":
             return handleServerChange(transaction, decoded.id, applyRemoval(state.servers, decoded.id, now));
+        case "evacuation":
+            applyEvacuation(transaction, decoded, item.offset);
+            // A withdrawal counts also where the evacuation was not known: gateways that get the topic from this one may
+            // know it.
+            return isNew;
         case "undecodable":
             logDecision(transaction, "warn", "record_undecodable", { key: decoded.key, detail: decoded.detail });
             return false;
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -3,6 +3,7 @@
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
+import { isEvacuated } from "./evacuations.js";
 import { hasGivenNotice } from "./leavingServers.js";
 import { isWithinLimit } from "./requestLimits.js";
 import type { EngineCapabilities } from "./routingConfiguration.js";
@@ -132,6 +133,7 @@
 ): boolean {
     const isStaying = leavingSince === undefined || now - leavingSince <= takeoverWindow;
     return isStaying && hasSameVersion(record, origin.record) && !hasGivenNotice(state, record)
+        && !isEvacuated(state, record)
         && isWithinLimit(state, record.id, now)
         && !isPaused(state, record.id, now);
 }
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -11,6 +11,7 @@
 import { identifier, type Milliseconds } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
+import { isEvacuated, isServiceEvacuated } from "./evacuations.js";
 import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
 import { isLimited, spendRequest, timeUntilWithinLimit } from "./requestLimits.js";
@@ -41,6 +42,8 @@
 const minimumTimeForSend: Milliseconds = 20;
 /** The `retryAfter` where a service has no usable server. */
 const noServerRetryAfter: Milliseconds = 500;
+/** The `retryAfter` where all servers of a service are evacuated, which lasts for seconds at least. */
+const evacuatedRetryAfter: Milliseconds = 1_000;
 /** The longest `retryAfter` where servers limit their requests: another gateway may be allowed one sooner. */
 const maximumLimitRetryAfter: Milliseconds = 1_000;
 
@@ -82,7 +85,23 @@
     sendTo(transaction, request, { server, continuesFrom: undefined });
 }
 
+/** Fails a request to a service whose servers are all evacuated. Returns whether that is the case. */
+export function failIfEvacuated(transaction: Transaction, request: GatewayRequest): boolean {
+    const { state, now } = transaction;
+    const { service, origin } = request;
+    const hasServers = usableServers(state, service, now, origin).length > 0;
+    if (hasServers || !isServiceEvacuated(state, service, origin)) {
+        return false;
+    }
+    const message = "the failure domains of the service's servers are evacuated";
+    failRequest(transaction, request, "no_backend_server", message, evacuatedRetryAfter);
+    return true;
+}
+
 function failWithoutServer(transaction: Transaction, request: GatewayRequest): void {
+    if (failIfEvacuated(transaction, request)) {
+        return;
+    }
     const retryAfter = timeUntilUsable(transaction, request);
     if (retryAfter === undefined) {
         return failRequest(transaction, request, "no_backend_server", "the service has no server", noServerRetryAfter);
@@ -91,8 +110,8 @@
 }
 
 /**
- * The time until a server accepts a request again; undefined unless servers that could run it and don't leave declare
- * limits or pauses.
+ * The time until a server accepts a request again; undefined unless servers that could run it and neither leave nor are
+ * evacuated declare limits or pauses.
  */
 export function timeUntilUsable(
     { state, now }: Transaction,
@@ -100,7 +119,8 @@
 ): Milliseconds | undefined {
     const staying = (state.serversByService.get(service) ?? []).filter(id => {
         const server = state.servers.get(id);
-        return server !== undefined && server.leavingSince === undefined && canContinue(server.record, origin);
+        return server !== undefined && server.leavingSince === undefined && canContinue(server.record, origin)
+            && !isEvacuated(state, server.record);
     });
     const waits = staying
         .filter(id => isLimited(state, id) || isPaused(state, id, now))
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -11,6 +11,7 @@
 import type { BackendServerId, Milliseconds, ServiceName } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
 import type { DecisionFields } from "./effect.js";
+import { isEvacuated } from "./evacuations.js";
 import { hasGivenNotice } from "./leavingServers.js";
 import { memberLoad } from "./members.js";
 import { expectedOutput } from "./messages.js";
@@ -30,7 +31,8 @@
 const averageOutputShare = 0.5;
 
 /**
- * The servers of a service that accept new work, neither limit nor pause it now, and are not ejected.
+ * The servers of a service that accept new work, neither limit nor pause it now, and are neither ejected nor in an
+ * evacuated failure domain.
  *
  * @param origin where the stream that a server is to continue began; undefined for work that has not begun
  */
@@ -41,7 +43,10 @@
     origin?: StreamOrigin,
 ): readonly BackendServer[] {
     const ids = state.serversByService.get(service) ?? [];
-    const known = ids.flatMap(id => state.servers.get(id) ?? []).filter(({ record }) => canContinue(record, origin));
+    // Evacuated servers are excluded first, so that no fallback uses them.
+    const known = ids.flatMap(id => state.servers.get(id) ?? []).filter(({ record }) =>
+        canContinue(record, origin) && !isEvacuated(state, record)
+    );
     const ready = known.filter(server => server.leavingSince === undefined);
     const usable = ready.length > 0
         ? ready
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -15,6 +15,7 @@
 } from "@verbenaspring/model";
 import type { BackendServer, BackendView } from "./backendServers.js";
 import { type CrashSuspects, createCrashSuspects } from "./crashSuspects.js";
+import type { Evacuations } from "./evacuations.js";
 import type { ReadFailure, TopicItem, TopicName } from "./event.js";
 import type { LeavingNotices } from "./leavingServers.js";
 import type { LiveMembers, Member, MemberTotals, OwnRecord } from "./members.js";
@@ -208,6 +209,7 @@
     readonly requestLimits: RequestLimits;
     /** The servers that want no request from this gateway, and until when. */
     readonly pausedUntil: Map<BackendServerId, Milliseconds>;
+    readonly evacuations: Evacuations;
     readonly leavingNotices: LeavingNotices;
     /** The number of the newest notice. */
     noticeCount: number;
@@ -290,6 +292,7 @@
         liveness: new Map(),
         requestLimits: new Map(),
         pausedUntil: new Map(),
+        evacuations: new Map(),
         leavingNotices: new Map(),
         noticeCount: 0,
         crashSuspects: createCrashSuspects(),
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -27,7 +27,7 @@
 import { countWaitingRequests } from "./members.js";
 import { failRequest, requestFields } from "./requests.js";
 import { highestPriority } from "./routingConfiguration.js";
-import { sendTo, timeUntilUsable } from "./sending.js";
+import { failIfEvacuated, sendTo, timeUntilUsable } from "./sending.js";
 import {
     capacityUse,
     engineOf,
@@ -63,13 +63,19 @@
     }
 }
 
-/** Starts the waiting requests for which there is room, and refuses those that can't start on time any more. */
+/**
+ * Starts the waiting requests for which there is room, and refuses those that can't start on time any more or whose
+ * servers are all evacuated.
+ */
 export function checkWaitingRequests(transaction: Transaction): void {
     const { state, now } = transaction;
     const shares = runningShares(state);
     const rank = (request: GatewayRequest): number => startRank(toWaitingView(request), shares);
     const inOrder = [...state.waiting.values()].sort((one, other) => rank(one) - rank(other));
     for (const request of inOrder) {
+        if (failIfEvacuated(transaction, request)) {
+            continue;
+        }
         const others = countWaitingRequests(state, now) - 1;
         const servers = usableServers(state, request.service, now, request.origin);
         const unusableFor = servers.length === 0 ? timeUntilUsable(transaction, request) ?? 0 : 0;
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -100,6 +100,7 @@
             "verbenaspring_backend_servers_limited",
             () => [...state.requestLimits.values()].filter(({ perSecond }) => perSecond !== undefined).length,
         );
+        metrics.gauge("verbenaspring_evacuated_domains", () => state.evacuations.size);
         metrics.gauge("verbenaspring_crash_suspects", () => state.crashSuspects.suspects.size);
         metrics.gauge("verbenaspring_backend_channels_opened", () => this.channels.openedChannelCount());
     }
