gateway: long streams are migrated away from evacuated servers

Cause: a stream that runs in an evacuated failure domain stayed there to its end, for up to its route's timeout.

Targets are filled to 0.7 of their memory. The retry budget keeps one retry for requests that fail, beside those of migrations under way.

--- a/packages/emulator/src/virtualPlatform.ts
+++ b/packages/emulator/src/virtualPlatform.ts
@@ -62,6 +62,7 @@
 }
 
 const heartbeatInterval: Milliseconds = 1_000;
+const evacuationLimit: Milliseconds = 5_000;
 
 /**
  * Runs gateways and a fleet of backend servers in virtual time.
@@ -111,6 +112,7 @@
             overlay: overlay ?? defaultOverlayShape,
             retries,
             stopLimit,
+            evacuationLimit,
         };
         const environment = {
             clock: this.clock,
--- a/packages/gateway/src/evacuations.ts
+++ b/packages/gateway/src/evacuations.ts
@@ -24,31 +24,26 @@
 
 /**
  * Applies a record that is newer than the known one of its key. A repeated request and the withdrawal of an evacuation
- * that is not in force change nothing else. Returns whether an evacuation started.
+ * that is not in force change nothing else.
  *
  * @example
- * const hasStarted = applyEvacuation(transaction, record, item.offset);
+ * applyEvacuation(transaction, record, item.offset);
  */
-export function applyEvacuation(transaction: Transaction, record: EvacuationRecord, offset: LogOffset): boolean {
+export function applyEvacuation(transaction: Transaction, record: EvacuationRecord, offset: LogOffset): void {
     const { state: { evacuations }, now } = transaction;
     const { key, failureDomain, isRequested } = record;
     const known = evacuations.get(failureDomain);
     if (!isRequested) {
-        if (known !== undefined) {
-            endEvacuation(transaction, failureDomain, offset);
-        }
-        return false;
+        return known === undefined ? undefined : endEvacuation(transaction, failureDomain, offset);
     }
     evacuations.set(failureDomain, { key, since: known?.since ?? now, offset });
-    if (known !== undefined) {
-        return false;
+    if (known === undefined) {
+        logDecision(transaction, "info", "evacuation_started", {
+            failureDomain,
+            offset,
+            ...countAffected(transaction.state, failureDomain),
+        });
     }
-    logDecision(transaction, "info", "evacuation_started", {
-        failureDomain,
-        offset,
-        ...countAffected(transaction.state, failureDomain),
-    });
-    return true;
 }
 
 /** Ends an evacuation that was withdrawn. This is the only place where a failure domain returns to service. */
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -17,4 +17,6 @@
     readonly retries: RetryBudgetOptions;
     /** From the request to stop until the process is killed. */
     readonly stopLimit: Milliseconds;
+    /** From the request of an evacuation until no request reaches a server of the failure domain. */
+    readonly evacuationLimit: Milliseconds;
 }
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -11,7 +11,7 @@
 import type { GatewayEvent } from "./event.js";
 import { handleTopicRead, handleTopicReadFailed, startDueReads } from "./followers.js";
 import { handleServerProbed } from "./liveness.js";
-import { handleMigrationAnswered } from "./migration.js";
+import { handleMigrationAnswered, migrateFromEvacuated } from "./migration.js";
 import type { GatewayOptions } from "./options.js";
 import { handlePeerLinkClosed, handlePeerReport, maintainPeers, reportPlacements } from "./peers.js";
 import { updateLimitShares } from "./requestLimits.js";
@@ -66,6 +66,7 @@
             checkStreamRegister(transaction);
             checkRequests(transaction);
             checkWaitingRequests(transaction);
+            migrateFromEvacuated(transaction);
             return checkStop(transaction);
         case "requestReceived":
             return handleRequest(transaction, event);
@@ -139,5 +140,6 @@
         retrySlack: options.retries.slack,
         retryWindow: options.retries.window,
         stopLimit: options.stopLimit,
+        evacuationLimit: options.evacuationLimit,
     });
 }
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -241,10 +241,14 @@
         && usableServers(transaction.state, request.service, transaction.now, request.origin).length > 0;
 }
 
-/** Whether the deadline, the number of sends and the retry budget allow another send. */
-export function canSendAgain({ state, now }: Transaction, request: GatewayRequest): boolean {
+/**
+ * Whether the deadline, the number of sends and the retry budget allow another send.
+ *
+ * @param reserved retries that must remain beside this one
+ */
+export function canSendAgain({ state, now }: Transaction, request: GatewayRequest, reserved = 0): boolean {
     const share = { instances: countKnownInstances(state), uptime: now - (state.startedAt ?? now) };
     return request.sends < (request.route.isStream ? maximumStreamSends : maximumSends)
         && request.deadline - now >= minimumTimeForSend
-        && remainingRetries(state.retryBudget, request.service, share, now) >= 1;
+        && remainingRetries(state.retryBudget, request.service, share, now) >= 1 + reserved;
 }
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -210,6 +210,8 @@
     /** The servers that want no request from this gateway, and until when. */
     readonly pausedUntil: Map<BackendServerId, Milliseconds>;
     readonly evacuations: Evacuations;
+    /** When the streams at evacuated servers are next checked for a migration. */
+    nextEvacuationCheckAt: Milliseconds;
     readonly leavingNotices: LeavingNotices;
     /** The number of the newest notice. */
     noticeCount: number;
@@ -293,6 +295,7 @@
         requestLimits: new Map(),
         pausedUntil: new Map(),
         evacuations: new Map(),
+        nextEvacuationCheckAt: -Infinity,
         leavingNotices: new Map(),
         noticeCount: 0,
         crashSuspects: createCrashSuspects(),
--- a/packages/gateway/test/evacuations.test.ts
+++ b/packages/gateway/test/evacuations.test.ts
@@ -179,4 +179,76 @@
     assert.equal(items.map(({ key }) => key), ["evacuate/far"]);
 });
 
+/** The ids of the requests whose streams begin to be migrated. */
+function migrationsIn(effects: readonly GatewayEffect[]): string[] {
+    return effects.flatMap(effect => effect.kind === "migrateRun" ? [String(effect.callerAttemptId)] : []);
+}
+
+const long = { promptTokens: 500, maximumTokens: 1_000 };
+const short = { promptTokens: 500, maximumTokens: 300 };
+
+/** A gateway with streams at an engine in "near", and engines elsewhere that were registered later. */
+function gatewayWithStreams(
+    streams: readonly (readonly [id: string, routeName: string, sizes: typeof long])[],
+    others = ["engine-2"],
+): TestGateway {
+    const gateway = TestGateway.serving(server("engine-1"));
+    streams.forEach(([id, routeName, sizes]) => gateway.startStream(id, routeName, sizes));
+    gateway.register(...others.map(id => server(id, inFar)));
+    return gateway;
+}
+
+function answerMigration(gateway: TestGateway, requestId: string, handle: string | undefined): GatewayEffect[] {
+    const attemptId = gateway.state.requests.get(identifier(requestId))!.attempt!.id;
+    const result = handle === undefined
+        ? { kind: "refused" as const, status: 507 }
+        : { kind: "moved" as const, handle };
+    return gateway.handle({ kind: "migrationAnswered", attemptId, result });
+}
+
+test("long streams leave an evacuated server one at a time, first those that would be lost with it; short ones stay", () => {
+    const streams = [["s", "plan", short], ["n", "note", long], ["p", "plan", long]] as const;
+    const gateway = gatewayWithStreams(streams, ["engine-2", "engine-3"]);
+    const evacuated = change(gateway, near);
+    assert.equal(migrationsIn([...evacuated, ...gateway.advance(1_500)]), ["p"]);
+    const moved = answerMigration(gateway, "p", "h1");
+    assert.equal(callsIn(moved).map(({ continuesFrom }) => continuesFrom?.name), ["h1"]);
+    assert.is.not(callsIn(moved)[0].backendServer, "engine-1");
+    assert.equal(migrationsIn(moved), ["n"]);
+    change(gateway, near, false);
+    const refused = answerMigration(gateway, "n", undefined);
+    assert.equal(migrationsIn([...refused, ...gateway.advance(1_500)]), [], "after the withdrawal nothing is migrated");
+    assert.is(gateway.state.requests.get(identifier("n"))?.attempt?.server.record.id, "engine-1");
+});
+
+test("a stream of an evacuated server without a target goes on, and is migrated once an engine has memory", () => {
+    const gateway = gatewayWithStreams([["p", "plan", { promptTokens: 2_000, maximumTokens: 1_000 }]]);
+    const report = (memoryTokens: number) =>
+        gateway.receiveReport({
+            loads: [{
+                backendServer: identifier<never>("engine-2"),
+                inProgress: 1,
+                memoryTokens,
+                copiedTokens: 0,
+                waitingTokens: 0,
+            }],
+        });
+    report(5_000);
+    change(gateway, near);
+    const without = gateway.advance(1_500);
+    assert.equal(migrationsIn(without), [], "the target would be filled to three quarters");
+    assert.not.ok(without.some(effect => effect.kind === "cancelAttempt"));
+    report(1_000);
+    assert.equal(migrationsIn(gateway.advance(1_050)), ["p"]);
+});
+
+test("migrations from an evacuated server leave a retry for requests that fail", () => {
+    const gateway = gatewayWithStreams([["p", "plan", long]]);
+    gateway.state.retryBudget.options = { ratio: 0, slack: 2, window: 10_000 };
+    change(gateway, near);
+    assert.equal(migrationsIn(gateway.advance(1_050)), []);
+    gateway.state.retryBudget.options = { ratio: 0, slack: 3, window: 10_000 };
+    assert.equal(migrationsIn(gateway.advance(1_050)), ["p"]);
+});
+
 test.run();
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -119,6 +119,7 @@
     overlay: defaultOverlayShape,
     retries: { ratio: 0.2, slack: 50, window: 10_000 },
     stopLimit: 8_000,
+    evacuationLimit: 5_000,
 };
 
 /** A gateway whose clock only the test advances. */
--- a/packages/runtime/test/lostAnswersGateway.ts
+++ b/packages/runtime/test/lostAnswersGateway.ts
@@ -95,6 +95,7 @@
     overlay: defaultOverlayShape,
     retries: { ratio: 10, slack: 1_000, window: 1_000 },
     stopLimit: 8_000,
+    evacuationLimit: 5_000,
 }, {
     decodeCallerHead,
     decodeBackendHead,
