entry, sidecar: documents of kind evacuation keep new work from a failure domain

Change: the document kind `evacuation`, whose name is the failure domain. While it exists entries send nothing new to sidecars of the domain. Entries send it to these sidecars, which then refuse queued attempts and new runs as they do for a drain; so an entry that does not know the document yet is refused. A request to a service without another backend server fails at once as not run. verbenactl puts, lists and deletes the documents.

--- a/packages/cli/src/verbenactl.ts
+++ b/packages/cli/src/verbenactl.ts
@@ -11,7 +11,7 @@
 import { exitCode } from "./exitCodes.js";
 import { formatTable } from "./table.js";
 
-const documentKinds = ["service", "route", "organisation", "drain"] as const;
+const documentKinds = ["service", "route", "organisation", "drain", "evacuation"] as const;
 const callTimeoutMs = 15_000;
 const currentRevision = "current";
 
--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -23,12 +23,21 @@
     type Milliseconds,
 } from "@verbenaspring/model";
 import { completeGeneration, completeResponse, currentOutcome, failRequest } from "./requests.js";
-import { type EntryAttempt, type EntryLink, type EntryRequest, isDrained } from "./state.js";
+import {
+    type EntryAttempt,
+    type EntryLink,
+    type EntryRequest,
+    isDrained,
+    isEvacuated,
+    isServiceEvacuated,
+} from "./state.js";
 import { observe, send, type Transaction } from "./transaction.js";
 
 const maxAttemptsPerRequest = 6;
 /** A request fails as overloaded once this many backend servers have refused it as overloaded. */
 const maxOverloadRefusals = 2;
+/** The `retryAfter` where all backend servers of a service are evacuated. */
+const evacuatedRetryAfter: Milliseconds = 1_000;
 /** How long a request avoids a backend server that refused it for a reason other than overload. */
 const avoidDuration: Milliseconds = 500;
 /** Tokens are acknowledged once this many have been written, so that not every token message costs another. */
@@ -36,8 +45,8 @@
 
 /**
  * Sends a request to the sidecar that the routing policy chooses, or to the one in its cursor if it resumes an answer.
- * Without a candidate the request waits for one until its deadline, or fails as overloaded if a backend server has
- * already refused it as such.
+ * Without a candidate the request waits for one until its deadline, or fails at once if a backend server has already
+ * refused it as overloaded or all backend servers of its service are evacuated.
  */
 export function dispatch(transaction: Transaction, request: EntryRequest): void {
     if (request.cursor !== undefined) {
@@ -65,6 +74,7 @@
         && !leaving
         && !instance.leaving
         && !isDrained(state, backendServer)
+        && !isEvacuated(state, instance.failureDomain)
         && !hasAttempt
         && !isAvoided;
 }
@@ -83,6 +93,12 @@
     if (request.overloadRefusals > 0) {
         return failOverloaded(transaction, request);
     }
+    if (request.attempts.size === 0 && isServiceEvacuated(transaction.state, request.work.service)) {
+        const message = "the failure domains of the service's backend servers are evacuated";
+        const retryAfter = jitterRetryAfter(evacuatedRetryAfter, transaction.source.random);
+        const outcome = currentOutcome(request);
+        return failRequest(transaction, request, "no_backend_server", message, outcome, retryAfter);
+    }
     setWaitReason(request.waits, "no_backend_server", transaction.now);
 }
 
--- a/packages/entry/src/links.ts
+++ b/packages/entry/src/links.ts
@@ -193,8 +193,12 @@
     return Math.max(-1, ...relevantDocuments(state, link).map(stored => stored.revision));
 }
 
-/** The documents that concern a sidecar: its service, and a drain of its backend server. */
+/** The documents that concern a sidecar: its service, a drain of its backend server and the evacuation of its domain. */
 function relevantDocuments({ configuration }: EntryState, link: EntryLink): StoredDocument[] {
-    const keys = [documentKey("service", link.instance.service), documentKey("drain", link.backendServer)];
+    const keys = [
+        documentKey("service", link.instance.service),
+        documentKey("drain", link.backendServer),
+        documentKey("evacuation", link.instance.failureDomain),
+    ];
     return keys.flatMap(key => configuration.documents.get(key) ?? []);
 }
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -21,12 +21,14 @@
     ClaimId,
     ConfigurationChange,
     EntryIncarnation,
+    FailureDomain,
     GenerationId,
     KeyDigest,
     LogOffset,
     Milliseconds,
     OrganisationDocument,
     RequestId,
+    ServiceName,
     SidecarIncarnation,
     StoredDocument,
 } from "@verbenaspring/model";
@@ -243,3 +245,18 @@
 export function isDrained(state: EntryState, backendServer: BackendServerId): boolean {
     return findDocument(state.configuration, "drain", backendServer) !== undefined;
 }
+
+/** Whether an operator has requested the evacuation of the failure domain. */
+export function isEvacuated(state: EntryState, failureDomain: FailureDomain): boolean {
+    return findDocument(state.configuration, "evacuation", failureDomain) !== undefined;
+}
+
+/** Whether evacuations leave a service no backend server that stays. */
+export function isServiceEvacuated(state: EntryState, service: ServiceName): boolean {
+    const links = [...state.links.values()].filter(({ instance }) => instance.service === service);
+    const evacuated = links.filter(({ instance }) => isEvacuated(state, instance.failureDomain));
+    const staying = links.filter(link =>
+        !evacuated.includes(link) && !link.leaving && !link.instance.leaving && !isDrained(state, link.backendServer)
+    );
+    return evacuated.length > 0 && staying.length === 0;
+}
--- a/packages/entry/test/reducer.test.ts
+++ b/packages/entry/test/reducer.test.ts
@@ -89,4 +89,44 @@
     assert.is(release?.kind === "appendClaims" && release.statements[0].type, "release");
 });
 
+/** Puts or deletes the evacuation of a failure domain, as the next record of the log. */
+function changeEvacuation(entry: EntryHarness, name: string, isRequested: boolean) {
+    const { next, documents } = entry.state.configuration;
+    const change = {
+        changeId: identifier<never>(`evacuation-${next}`),
+        kind: "evacuation" as const,
+        name,
+        expectedRevision: documents.get(`evacuation/${name}`)?.revision ?? -1,
+        document: isRequested ? { name } : undefined,
+    };
+    const records = [{ offset: next, value: { type: "change" as const, change } }];
+    return entry.handle({ kind: "configurationRead", records, earliest: 0, end: next + 1 });
+}
+
+test("sidecars in an evacuated failure domain get nothing new, and are sent the document, until it is deleted", () => {
+    const entry = new EntryHarness();
+    const instances = [["engine-1", "near"], ["engine-2", "far"]].map(([server, domain]) => ({
+        backendServer: identifier<never>(server),
+        service: identifier<never>("chat"),
+        failureDomain: identifier<never>(domain),
+        linkAddress: "127.0.0.1:1",
+        leaving: false,
+    }));
+    entry.handle({ kind: "instancesListed", instances });
+    entry.state.links.forEach(link => link.sentConfigurationOffset = 3);
+    const sent = changeEvacuation(entry, "near", true).flatMap(effect =>
+        effect.kind === "sendMessage" && effect.message.kind === "configuration" ? [effect.backendServer] : []
+    );
+    assert.equal(sent, ["engine-1"]);
+    const requested = Array.from({ length: 4 }, (_, index) => entry.requestStream(`r${index}`)).flat();
+    assert.equal(listSentRuns(requested).map(({ server }) => server), Array(4).fill("engine-2"));
+    changeEvacuation(entry, "far", true);
+    const [failure] = listFailures(entry.requestStream("s"));
+    assert.equal([failure.type, failure.outcome], ["no_backend_server", "not_run"]);
+    assert.match(failure.message, "evacuated");
+    assert.ok(failure.retryAfter! >= 1_000);
+    changeEvacuation(entry, "near", false);
+    assert.equal(listSentRuns(entry.requestStream("t")).map(({ server }) => server), ["engine-1"]);
+});
+
 test.run();
--- a/packages/model/src/configuration.ts
+++ b/packages/model/src/configuration.ts
@@ -46,6 +46,12 @@
     readonly name: string;
 }
 
+/** An operator's instruction that the backend servers of a failure domain get no new work. */
+export interface EvacuationDocument {
+    /** The failure domain. */
+    readonly name: string;
+}
+
 const serviceSchema = z.strictObject({
     name,
     kind: z.enum(["engine", "plain"]),
@@ -65,6 +71,7 @@
     weight: z.number().positive().max(1_000).default(1),
 });
 const drainSchema = z.strictObject({ name });
+const evacuationSchema = z.strictObject({ name });
 
 /** Schemas by kind of document. */
 export const documentSchemas = {
@@ -72,6 +79,7 @@
     route: routeSchema,
     organisation: organisationSchema,
     drain: drainSchema,
+    evacuation: evacuationSchema,
 } as const;
 
 /** Document types by kind. */
@@ -80,6 +88,7 @@
     route: RouteDocument;
     organisation: OrganisationDocument;
     drain: DrainDocument;
+    evacuation: EvacuationDocument;
 }
 
 /** A kind of document. */
--- a/packages/sidecar/src/state.ts
+++ b/packages/sidecar/src/state.ts
@@ -160,9 +160,17 @@
     return findDocument(state.configuration, "service", state.options.service);
 }
 
-/** Whether the backend server takes no new work, because of a stop, an operator's drain or the instance list. */
+/** Whether the backend server takes no new work, because of a stop, an operator's instruction or the instance list. */
 export function isLeaving(state: SidecarState): boolean {
     return state.stopRequestedAt !== undefined
         || state.isListedLeaving
-        || findDocument(state.configuration, "drain", state.options.backendServer) !== undefined;
+        || findDocument(state.configuration, "drain", state.options.backendServer) !== undefined
+        || isEvacuated(state);
+}
+
+/** Whether the failure domain is evacuated. Entries send a sidecar no evacuation of other failure domains. */
+function isEvacuated({ configuration }: SidecarState): boolean {
+    return [...configuration.documents.values()].some(({ kind, document }) =>
+        kind === "evacuation" && document !== undefined
+    );
 }
--- a/packages/sidecar/test/reducer.test.ts
+++ b/packages/sidecar/test/reducer.test.ts
@@ -94,6 +94,21 @@
     assert.equal(listSentKinds(harness.receive("entry", 1, createRun("b"))), ["notRun"]);
 });
 
+test("a sidecar in an evacuated failure domain refuses new runs until the evacuation is withdrawn", () => {
+    const harness = new SidecarHarness();
+    harness.openLink("entry", 1);
+    const configure = (through: number, document: { readonly name: string; } | undefined) => {
+        const service = harness.state.configuration.documents.get("service/service")!;
+        const evacuation = { kind: "evacuation" as const, name: "domain", revision: through, document };
+        const snapshot = { through, documents: [service, evacuation] };
+        return harness.receive("entry", 1, { kind: "configuration", snapshot });
+    };
+    configure(1, { name: "domain" });
+    assert.equal(listSentKinds(harness.receive("entry", 1, createRun("a"))), ["notRun"]);
+    configure(2, undefined);
+    assert.not.ok(listSentKinds(harness.receive("entry", 1, createRun("b"))).includes("notRun"));
+});
+
 test("an invariant violation is reported and fails its attempt, and the sidecar keeps serving", () => {
     const harness = new SidecarHarness({ ...defaultSidecarPolicies, refusesWork: () => false });
     harness.openLink("entry", 1);
