--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -19,4 +19,6 @@
     readonly linkRate?: number | undefined;
     /** From the request to stop until the process is killed. */
     readonly stopLimit: Milliseconds;
+    /** From the request of an evacuation until no request reaches a server of the failure domain. */
+    readonly evacuationLimit: Milliseconds;
 }
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -15,6 +15,7 @@
 } from "@verbenaspring/model";
 import type { BackendServer, BackendView } from "./backendServers.js";
 import { type CrashSuspects, createCrashSuspects } from "./crashSuspects.js";
+import type { Evacuations } from "./evacuations.js";
 import type { ReadFailure, TopicItem, TopicName } from "./event.js";
 import type { LeavingNotices } from "./leavingServers.js";
 import type { LiveMembers, Member, MemberTotals, OwnRecord } from "./members.js";
@@ -220,6 +221,9 @@
     readonly requestLimits: RequestLimits;
     /** The servers that want no request from this gateway, and until when. */
     readonly pausedUntil: Map<BackendServerId, Milliseconds>;
+    readonly evacuations: Evacuations;
+    /** When the streams at evacuated servers are next checked for a migration. */
+    nextEvacuationCheckAt: Milliseconds;
     readonly leavingNotices: LeavingNotices;
     /** The number of the newest notice. */
     noticeCount: number;
@@ -302,6 +306,8 @@
         liveness: new Map(),
         requestLimits: new Map(),
         pausedUntil: new Map(),
+        evacuations: new Map(),
+        nextEvacuationCheckAt: -Infinity,
         leavingNotices: new Map(),
         noticeCount: 0,
         crashSuspects: createCrashSuspects(),
