emulator: evacuations written by the operator, cold servers, restarts in the same failure domain

The virtual platform had no way to request an evacuation, and servers were never cold. Servers keep their failure domain over a restart; before, it depended on how many servers had started.

--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -3,6 +3,7 @@
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import type { Clock } from "./clock.js";
+import { type ColdPeriod, type ColdPlan, ColdState } from "./coldState.js";
 import { type EngineOptions, EngineServer } from "./engineServer.js";
 import { type PlainOptions, PlainServer } from "./plainServer.js";
 import { defaultSoftwareVersion, type RunObserver, type ServerCall, type ServerModel } from "./serverModel.js";
@@ -25,6 +26,7 @@
     readonly model: ServerModel;
     readonly failureDomain: string;
     readonly born: number;
+    readonly cold: ColdState;
     state: "ready" | "draining";
     sequence: number;
     /** When the state `draining` first reached the store. */
@@ -47,12 +49,17 @@
     readonly canRegister?: () => boolean;
     /** Is called when a server has crashed under a deadly call. */
     readonly crashedUnderCall?: (id: string, call: ServerCall) => void;
+    /** How servers are cold after they start; absent if they are not. */
+    readonly cold?: ColdPlan;
+    /** Is called when a server has crashed because it got far too many requests while cold. */
+    readonly crashedWhileCold?: (id: string) => void;
 }
 
 /** Consecutive missed heartbeats after which a registration is deleted. */
 const missedHeartbeatLimit = 3;
-const failureDomains = ["north", "south"];
-/** How long a server is down after it crashed under a call. */
+/** The failure domains to which servers belong in turn. */
+export const failureDomains: readonly string[] = ["north", "south"];
+/** How long a server is down after it crashed under a call or under too many. */
 const crashDuration: Milliseconds = 3_200;
 
 /** All backend servers, running and stopped. */
@@ -70,9 +77,13 @@
         this.sendHeartbeats();
     }
 
-    /** Starts a backend server. It replaces a stopped one of the same id and registers with a higher `born`. */
+    /**
+     * Starts a backend server. It replaces a stopped one of the same id, in whose failure domain it is, and registers
+     * with a higher `born` and a heartbeat number that starts anew.
+     */
     add(plan: ServerPlan, address = this.allocateAddress()): ServerModel {
-        const { clock, observeRun } = this.options;
+        const { clock, observeRun, cold } = this.options;
+        const domainNumber = this.members.size % failureDomains.length;
         const model = plan.kind === "plain"
             ? new PlainServer({ ...plan, address }, clock, observeRun, call => this.crashUnder(plan.id, call))
             : new EngineServer({ ...plan, address }, clock, observeRun, {
@@ -82,8 +93,9 @@
         const member: FleetMember = {
             plan,
             model,
-            failureDomain: failureDomains[this.members.size % failureDomains.length],
+            failureDomain: this.failureDomainOf(plan.id) ?? failureDomains[domainNumber],
             born: ++this.startCount,
+            cold: new ColdState(),
             state: "ready",
             sequence: 0,
             drainPublishedAt: undefined,
@@ -91,12 +103,59 @@
             areHeartbeatsSuppressed: false,
             missedHeartbeats: 0,
         };
+        if (cold !== undefined) {
+            member.cold.start(clock.now, cold.duration);
+        }
         this.members.set(plan.id, member);
         this.membersByAddress.set(address, member);
         this.register(member);
         return model;
     }
 
+    /** Returns the failure domain of a backend server. */
+    failureDomainOf(id: string): string | undefined {
+        return this.members.get(id)?.failureDomain;
+    }
+
+    /** Returns the period in which a backend server is cold now; undefined if it isn't. */
+    coldPeriodOf(id: string): ColdPeriod | undefined {
+        return this.members.get(id)?.cold.period(this.options.clock.now);
+    }
+
+    /** Makes a running backend server cold for a duration. Its record says so from its next heartbeat on. */
+    makeCold(id: string, duration: Milliseconds): void {
+        const member = this.members.get(id);
+        if (member !== undefined && !member.hasEnded) {
+            member.cold.start(this.options.clock.now, duration);
+        }
+    }
+
+    /** Makes the running backend servers of a domain cold, as they are after its evacuation. */
+    returnDomain(failureDomain: string): void {
+        const { cold } = this.options;
+        for (const [id, member] of this.members) {
+            if (cold !== undefined && member.failureDomain === failureDomain) {
+                this.makeCold(id, cold.duration);
+            }
+        }
+    }
+
+    /**
+     * Counts a call that reached a backend server, after the model has begun it. Crashes the server for a while if it
+     * is cold and got far more calls than it may.
+     */
+    recordArrival(id: string, { target }: Pick<ServerCall, "target">): void {
+        const { cold, clock, crashedWhileCold } = this.options;
+        const member = this.members.get(id);
+        if (cold === undefined || member === undefined || member.hasEnded || (target ?? id) !== id) {
+            return;
+        }
+        if (member.cold.crashesUnderNext(cold.rate, clock.now)) {
+            this.crashForAWhile(id);
+            crashedWhileCold?.(id);
+        }
+    }
+
     /** Returns the backend server that listens at an address. */
     findByAddress(address: string): ServerModel | undefined {
         const member = this.membersByAddress.get(address);
@@ -141,12 +200,13 @@
      * Crashes a backend server and starts a new one with the same id, without the state of the old one.
      *
      * @param softwareVersion the version of the new one; by default that of the old one
+     * @param address the address of the new one; by default one that was not used before
      */
-    restart(id: string, softwareVersion?: string): void {
+    restart(id: string, softwareVersion?: string, address?: string): void {
         const member = this.members.get(id);
         if (member !== undefined) {
             this.crash(id);
-            this.add(softwareVersion === undefined ? member.plan : { ...member.plan, softwareVersion });
+            this.add(softwareVersion === undefined ? member.plan : { ...member.plan, softwareVersion }, address);
         }
     }
 
@@ -169,15 +229,20 @@
         if (!hasDeadlyPart && path !== this.deadlyPath) {
             return false;
         }
+        this.crashForAWhile(id);
+        this.options.crashedUnderCall?.(id, call);
+        return true;
+    }
+
+    /** Crashes a backend server. Another incarnation starts at its address later. */
+    private crashForAWhile(id: string): void {
         const crashed = this.members.get(id);
         this.crash(id);
-        this.options.crashedUnderCall?.(id, call);
         this.options.clock.schedule(crashDuration, () => {
             if (crashed?.state === "ready" && this.members.get(id) === crashed) {
                 this.add(crashed.plan, crashed.model.options.address);
             }
         });
-        return true;
     }
 
     private findEngine(address: string): EngineServer | undefined {
@@ -224,7 +289,7 @@
             return;
         }
         const { clock, store } = this.options;
-        const { model, state, failureDomain, born } = member;
+        const { model, state, failureDomain, born, cold } = member;
         member.missedHeartbeats = 0;
         member.sequence++;
         if (state === "draining") {
@@ -237,11 +302,12 @@
             version: model.options.softwareVersion ?? defaultSoftwareVersion,
             slots: model.slots,
             state,
-            coldRemainingMs: 0,
+            coldRemainingMs: cold.remaining(clock.now),
             sequence: member.sequence,
             born,
         };
         store.append(serverTopic, model.options.id, Buffer.from(JSON.stringify(entry)));
+        cold.recordPublished(clock.now);
     }
 
     private unregister({ model }: FleetMember): void {
--- a/packages/emulator/src/virtualCalls.ts
+++ b/packages/emulator/src/virtualCalls.ts
@@ -33,13 +33,14 @@
 export interface CallHandlers {
     readonly handleEvent: (event: GatewayEvent) => void;
     /** Is called when a call reaches a backend server, even if the server then refuses it. */
-    readonly callArrived: (call: BackendCall) => void;
+    readonly callArrived: (call: BackendCall, sentAt: Milliseconds) => void;
     /** Is called when a backend server refuses a call and asks the gateway for a pause. */
     readonly pauseRequested: (call: BackendCall, pause: Milliseconds) => void;
 }
 
 interface SentAttempt {
     readonly call: BackendCall;
+    readonly sentAt: Milliseconds;
     readonly channel: VirtualChannel;
     handle: CallHandle | undefined;
     isCancelled: boolean;
@@ -67,7 +68,7 @@
     send(call: BackendCall): void {
         const { network, clock, random } = this.environment;
         const channel = network.open(this.name, call.address);
-        const attempt: SentAttempt = { call, channel, handle: undefined, isCancelled: false };
+        const attempt: SentAttempt = { call, sentAt: clock.now, channel, handle: undefined, isCancelled: false };
         this.attempts.set(call.attemptId, attempt);
         if (network.isCut(this.name, call.address) && random() < newConnectionProbability) {
             clock.schedule(connectTimeout, () => this.fail(attempt, "connect_timeout", false));
@@ -90,14 +91,18 @@
     }
 
     private deliver(attempt: SentAttempt): void {
-        const server = this.environment.fleet.findByAddress(attempt.call.address);
+        const { fleet } = this.environment;
+        const { call } = attempt;
+        const server = fleet.findByAddress(call.address);
         if (server === undefined) {
             attempt.channel.send("downstream", () => this.fail(attempt, "connect_refused", false));
             return;
         }
         if (!attempt.isCancelled) {
-            this.handlers.callArrived(attempt.call);
-            attempt.handle = server.start(toServerCall(attempt.call), this.createObserver(attempt, server));
+            const serverCall = toServerCall(call);
+            this.handlers.callArrived(call, attempt.sentAt);
+            attempt.handle = server.start(serverCall, this.createObserver(attempt, server));
+            fleet.recordArrival(server.options.id, serverCall);
         }
     }
 
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -65,7 +65,7 @@
     readonly answered: (gateway: VirtualGateway, effect: AnswerEffect) => void;
     readonly decisionLogged: (gateway: VirtualGateway, decision: Decision) => void;
     /** Is called when a call reaches a backend server, even if the server then refuses it. */
-    readonly callArrived: (gateway: VirtualGateway, call: BackendCall) => void;
+    readonly callArrived: (gateway: VirtualGateway, call: BackendCall, sentAt: Milliseconds) => void;
     /** Is called when a backend server refuses a call and asks the gateway for a pause. */
     readonly pauseRequested: (gateway: VirtualGateway, call: BackendCall, pause: Milliseconds) => void;
     readonly exited: (gateway: VirtualGateway) => void;
@@ -96,7 +96,7 @@
         this.state = createGatewayState(options, identifier(incarnation));
         this.calls = new VirtualCalls(this.name, environment, {
             handleEvent: event => this.handleEvent(event),
-            callArrived: call => environment.callArrived(this, call),
+            callArrived: (call, sentAt) => environment.callArrived(this, call, sentAt),
             pauseRequested: (call, pause) => environment.pauseRequested(this, call, pause),
         });
         this.links = new VirtualPeerLinks(
--- a/packages/emulator/src/virtualPlatform.ts
+++ b/packages/emulator/src/virtualPlatform.ts
@@ -16,7 +16,9 @@
     type PeerAddress,
     type RequestId,
 } from "@verbenaspring/model";
+import type { ColdPlan } from "./coldState.js";
 import { configurationKey, Fleet, operatorTopic } from "./fleet.js";
+import { OperatorWrites } from "./operatorWrites.js";
 import type { RunObserver, ServerCall } from "./serverModel.js";
 import { StoreModel } from "./storeModel.js";
 import { VirtualClock } from "./virtualClock.js";
@@ -38,11 +40,13 @@
     /** A gateway logged a decision. */
     readonly decisionLogged: (gateway: VirtualGateway, decision: Decision) => void;
     /** A call reached a backend server, which may still refuse it. */
-    readonly callArrived: (gateway: VirtualGateway, call: BackendCall) => void;
+    readonly callArrived: (gateway: VirtualGateway, call: BackendCall, sentAt: Milliseconds) => void;
     /** A backend server refused a call and asked the gateway for a pause. */
     readonly pauseRequested: (gateway: VirtualGateway, call: BackendCall, pause: Milliseconds) => void;
     /** A server crashed under a deadly call; absent if none is deadly. */
     readonly crashedUnderCall?: (server: string, call: ServerCall) => void;
+    /** A cold server crashed because it got far too many requests; absent if no server is ever cold. */
+    readonly crashedWhileCold?: (server: string) => void;
     /** A gateway process exited after a planned stop. */
     readonly exited: (gateway: VirtualGateway) => void;
 }
@@ -59,6 +63,8 @@
     readonly interceptors?: GatewayInterceptors;
     /** That of processes on one local network, if absent. */
     readonly latency?: NetworkLatency;
+    /** How servers are cold after they start and after evacuations; absent if they are not. */
+    readonly cold?: ColdPlan;
 }
 
 const heartbeatInterval: Milliseconds = 1_000;
@@ -76,6 +82,8 @@
     readonly network: VirtualNetwork;
     readonly store: VirtualStore;
     readonly fleet: Fleet;
+    /** The operator's writes of evacuations. */
+    readonly operator: OperatorWrites;
     readonly gateways: VirtualGateway[] = [];
     private readonly source: RandomSource;
     private requests = 0;
@@ -91,7 +99,10 @@
             heartbeatInterval,
             canRegister: () => this.store.behaviour === "up",
             crashedUnderCall: observer.crashedUnderCall,
+            cold: options.cold,
+            crashedWhileCold: observer.crashedWhileCold,
         });
+        this.operator = new OperatorWrites(this.clock, this.store.model, () => this.store.behaviour === "up");
         for (let slot = 0; slot < options.gateways; slot++) {
             this.startGateway(slot);
         }
