--- a/packages/emulator/src/coldState.ts
+++ b/packages/emulator/src/coldState.ts
@@ -24,7 +24,9 @@
 /** A period in which a server is cold. */
 export interface ColdPeriod {
     readonly since: Milliseconds;
-    until: Milliseconds;
+    readonly until: Milliseconds;
+    /** Whether it began with the start of a server at an address that no server had before. */
+    readonly isFromStart: boolean;
     /** When a record first said so; undefined before that. */
     publishedAt: Milliseconds | undefined;
 }
@@ -54,15 +56,12 @@
         return this.lastPeriod !== undefined && now < this.lastPeriod.until ? this.lastPeriod : undefined;
     }
 
-    /** Makes the server cold, or cold for longer. */
-    start(now: Milliseconds, duration: Milliseconds): void {
-        const period = this.period(now);
-        if (period === undefined) {
-            this.lastPeriod = { since: now, until: now + duration, publishedAt: undefined };
-            this.arrivals = [];
-            return;
+    /** Makes the server cold. If it is cold already and would be for less time, a new period begins. */
+    start(now: Milliseconds, duration: Milliseconds, isFromStart = false): void {
+        const until = now + duration;
+        if (until > (this.period(now)?.until ?? now)) {
+            this.lastPeriod = { since: now, until, isFromStart, publishedAt: undefined };
         }
-        period.until = Math.max(period.until, now + duration);
     }
 
     /** For how much longer the server is cold, in whole milliseconds as records state it. */
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -104,7 +104,7 @@
             missedHeartbeats: 0,
         };
         if (cold !== undefined) {
-            member.cold.start(clock.now, cold.duration);
+            member.cold.start(clock.now, cold.duration, !this.membersByAddress.has(address));
         }
         this.members.set(plan.id, member);
         this.membersByAddress.set(address, member);
--- a/packages/emulator/test/fleet.test.ts
+++ b/packages/emulator/test/fleet.test.ts
@@ -1,13 +1,22 @@
-import { Fleet, type ServerPlan, serverTopic, StoreModel, VirtualClock } from "@verbenaspring/emulator";
+import {
+    type ColdPlan,
+    Fleet,
+    OperatorWrites,
+    operatorTopic,
+    type ServerPlan,
+    serverTopic,
+    StoreModel,
+    VirtualClock,
+} from "@verbenaspring/emulator";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 
 const plan: ServerPlan = { kind: "plain", id: "p1", service: "plain", slots: 2, workTime: 10 };
 
-function createFleet() {
+function createFleet(cold?: ColdPlan) {
     const clock = new VirtualClock();
     const store = new StoreModel();
-    const fleet = new Fleet({ clock, store, observeRun: () => undefined, heartbeatInterval: 1_000 });
+    const fleet = new Fleet({ clock, store, observeRun: () => undefined, heartbeatInterval: 1_000, cold });
     const readRegistration = () => {
         const [newest] = store.newestRecords(serverTopic);
         return newest === undefined
@@ -16,6 +25,8 @@
                 state: string;
                 born: number;
                 sequence: number;
+                zone: string;
+                coldRemainingMs: number;
             };
     };
     return { clock, store, fleet, readRegistration };
@@ -67,4 +78,59 @@
     ]]);
 });
 
+const cold: ColdPlan = { rate: { perSecond: 2, overshoot: 1.5, tolerance: 5 }, duration: 2_000 };
+
+// Without the right remaining time in records, the fuzzer would expect a limit that gateways can't know of.
+test("a server is cold after its start and after it was made cold, and its record states for how much longer", () => {
+    const { clock, fleet, readRegistration } = createFleet(cold);
+    fleet.add(plan);
+    assert.is(readRegistration()?.coldRemainingMs, 2_000);
+    assert.is(fleet.coldPeriodOf("p1")?.isFromStart, true);
+    clock.advanceTo(2_000);
+    assert.equal([readRegistration()?.coldRemainingMs, fleet.coldPeriodOf("p1")], [0, undefined]);
+    clock.advanceTo(2_500);
+    fleet.returnDomain("north");
+    assert.is(fleet.coldPeriodOf("p1")?.publishedAt, undefined);
+    clock.advanceTo(3_000);
+    assert.is(readRegistration()?.coldRemainingMs, 1_500);
+    assert.is(fleet.coldPeriodOf("p1")?.publishedAt, 3_000);
+});
+
+test("a cold server crashes under far more requests than it may get, and starts again in its domain", () => {
+    const { clock, fleet, readRegistration } = createFleet(cold);
+    fleet.add(plan);
+    fleet.add({ ...plan, id: "p2" });
+    const born = readRegistration()!.born;
+    for (let request = 0; request <= 16; request++) {
+        assert.is(fleet.liveServers().length, 2, `after ${request} requests`);
+        fleet.recordArrival("p1", { target: "p2" });
+        fleet.recordArrival("p1", { target: "p1" });
+    }
+    assert.is(fleet.liveServers().length, 1);
+    clock.advanceTo(3_500);
+    assert.is(fleet.liveServers().length, 2);
+    assert.equal([fleet.failureDomainOf("p1"), fleet.failureDomainOf("p2")], ["north", "south"]);
+    assert.ok(readRegistration()!.born > born);
+    assert.is(readRegistration()?.sequence, 1);
+});
+
+// An oracle that takes an evacuation for acknowledged too early would blame gateways for the store's outage.
+test("the operator's writes are acknowledged in order, and not before the store is available", () => {
+    const clock = new VirtualClock();
+    const store = new StoreModel();
+    const acknowledged: string[] = [];
+    const operator = new OperatorWrites(clock, store, () => clock.now >= 1_000);
+    operator.evacuate("north", () => acknowledged.push(`evacuated at ${clock.now}`));
+    operator.withdraw("north", () => acknowledged.push(`withdrawn at ${clock.now}`));
+    clock.advanceTo(900);
+    assert.equal([acknowledged, store.endOffset(operatorTopic)], [[], 0]);
+    clock.advanceTo(2_000);
+    assert.equal(acknowledged, ["evacuated at 1000", "withdrawn at 1000"]);
+    const page = store.read(operatorTopic, 0);
+    assert.equal(
+        page.kind === "records" && page.records.map(({ key, value }) => [key, Buffer.from(value).toString()]),
+        [["evacuate/north", "{}"], ["evacuate/north", ""]],
+    );
+});
+
 test.run();
