fuzz: evacuations and cold servers, with an oracle for each and two kinds of system

The oracles count a gateway only once it can know: it was in contact with the store, or with a peer that was, for 3 s after the record was due. From then on it is bound whatever faults it has.

--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -6,8 +6,10 @@
 import { type Schedule, schedules } from "./actions.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
 import {
+    coldSchedules,
     configurationSchedules,
     deadlyWorkSchedules,
+    evacuationSchedules,
     limitSchedules,
     lostAnswerSchedules,
     noticeSchedules,
@@ -64,6 +66,18 @@
     schedules: deadlyWorkSchedules,
 };
 
+/** Gateways on the users' platform, whose failure domains are evacuated. */
+export const evacuationPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: evacuationSchedules,
+};
+
+/** Gateways on the users' platform, with backend servers that are cold at times. */
+export const coldPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: coldSchedules,
+};
+
 /** Gateways on the users' platform, with backend servers that declare limits. */
 export const limitedPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,12 +1,14 @@
 /**
- * The command `npm run fuzz -- --system platform|overlay|configurations|deadly|limits|lost-answers|notices|pauses|releases|linked --seed S --runs N --steps K`. It
+ * The command `npm run fuzz -- --system platform|overlay|cold|configurations|deadly|evacuations|limits|lost-answers|notices|pauses|releases|linked --seed S --runs N --steps K`. It
  * runs randomised schedules and checks them with the oracle.
  */
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import {
+    coldPlatformSystem,
     configurationPlatformSystem,
     deadlyWorkPlatformSystem,
+    evacuationPlatformSystem,
     fuzz,
     limitedPlatformSystem,
     linkedSystem,
@@ -29,8 +31,10 @@
                 "linked",
                 "platform",
                 "overlay",
+                "cold",
                 "configurations",
                 "deadly",
+                "evacuations",
                 "limits",
                 "lost-answers",
                 "notices",
@@ -39,7 +43,7 @@
             ] as const,
             default: "platform",
             describe:
-                "gateways on the platform, the same with many configurations, with parts of prompts that crash engines, or with servers that declare limits, lose answers, give notice in answers, ask for pauses or run several software versions, or "
+                "gateways on the platform, the same with many configurations, with parts of prompts that crash engines, with evacuations of failure domains, or with servers that are cold, declare limits, lose answers, give notice in answers, ask for pauses or run several software versions, or "
                 + "entries and sidecars",
         },
         seed: { type: "number", default: 1, describe: "seed of the schedules" },
@@ -60,8 +64,10 @@
 const platformTargets = {
     platform: platformSystem,
     overlay: overlaidPlatformSystem,
+    cold: coldPlatformSystem,
     configurations: configurationPlatformSystem,
     deadly: deadlyWorkPlatformSystem,
+    evacuations: evacuationPlatformSystem,
     limits: limitedPlatformSystem,
     "lost-answers": lostAnswerPlatformSystem,
     notices: noticePlatformSystem,
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -6,6 +6,7 @@
 import {
     configurationPlatformSystem,
     deadlyWorkPlatformSystem,
+    evacuationPlatformSystem,
     fuzz,
     type FuzzTarget,
     limitedPlatformSystem,
@@ -21,6 +22,7 @@
 import {
     configurationMutations,
     deadlyWorkMutations,
+    evacuationMutations,
     limitMutations,
     lostAnswerMutations,
     noticeMutations,
@@ -70,6 +72,7 @@
     ...createSearches(platformSystem, platformMutations),
     ...createSearches(configurationPlatformSystem, configurationMutations),
     ...createSearches(deadlyWorkPlatformSystem, deadlyWorkMutations),
+    ...createSearches(evacuationPlatformSystem, evacuationMutations),
     ...createSearches(limitedPlatformSystem, limitMutations),
     ...createSearches(lostAnswerPlatformSystem, lostAnswerMutations),
     ...createSearches(noticePlatformSystem, noticeMutations),
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -2,7 +2,7 @@
  * The actions of a schedule on the users' platform, and how fast-check generates them. The numbers of gateways, servers
  * and callers are taken modulo how many there are.
  */
-import type { ServerBehaviour, StoreBehaviour } from "@verbenaspring/emulator";
+import { failureDomains, type ServerBehaviour, type StoreBehaviour } from "@verbenaspring/emulator";
 import * as fc from "fast-check";
 import type { RequestKind } from "./requestKinds.js";
 
@@ -27,6 +27,11 @@
      * third of them with it.
      */
     | { readonly kind: "deadlyPart"; readonly duration: number; }
+    /**
+     * The operator requests the evacuation of a failure domain, of which the last number names one that does not exist,
+     * and withdraws it after the duration. Meanwhile and some seconds longer requests arrive twenty times a second.
+     */
+    | { readonly kind: "evacuate"; readonly domain: number; readonly duration: number; }
     /** A request crashes each server that begins to run it, and comes again as often as those with a deadly part. */
     | { readonly kind: "deadlyRequest"; readonly work: RequestKind; readonly duration: number; }
     /** Sends a request for the route that one of the last versions added. */
@@ -57,14 +62,20 @@
     | { readonly kind: "cutStore"; readonly gateway: number; readonly duration: number; }
     | { readonly kind: "silenceStore"; readonly gateway: number; };
 
-/** Faults, restarts and replacements of backend servers. */
-export type ServerAction =
-    /** Servers that start from now on run a new version of their software. */
-    | { readonly kind: "release"; readonly server: number; }
+/** Ends of backend servers, of which each is followed by the start of another one. */
+export type ServerReplacement =
     | { readonly kind: "crashServer"; readonly server: number; readonly away: number; }
     | { readonly kind: "restartServer"; readonly server: number; }
+    /** The server crashes and starts again under its id at its address. */
+    | { readonly kind: "restartInPlace"; readonly server: number; readonly away: number; }
     | { readonly kind: "replaceServer"; readonly server: number; readonly after: number; }
-    | { readonly kind: "reuseAddress"; readonly server: number; }
+    | { readonly kind: "reuseAddress"; readonly server: number; };
+
+/** Faults and replacements of backend servers. */
+export type ServerAction =
+    | ServerReplacement
+    /** Servers that start from now on run a new version of their software. */
+    | { readonly kind: "release"; readonly server: number; }
     | {
         readonly kind: "serverBehaves";
         readonly server: number;
@@ -92,6 +103,8 @@
         readonly pause: number;
         readonly duration: number;
     }
+    /** The server becomes cold, while requests that it could run arrive forty times a second. */
+    | { readonly kind: "coldServer"; readonly server: number; readonly duration: number; }
     | { readonly kind: "garbleEntry"; readonly server: number; }
     | { readonly kind: "loseHeartbeats"; readonly server: number; readonly duration: number; };
 
@@ -108,9 +121,14 @@
 export interface PlatformSchedule {
     /** Seeds latencies, choices and identifiers. */
     readonly seed: number;
+    /** How long servers are cold after they start and after evacuations; they are never cold if absent. */
+    readonly coldDuration?: number;
     readonly steps: readonly PlatformStep[];
 }
 
+/** The failure domains that schedules evacuate: those of the servers, and one more. */
+export const evacuationDomains = failureDomains.length + 1;
+
 const slot = fc.nat(11);
 const shortTime = fc.integer({ min: 50, max: 3_000 });
 const longTime = fc.integer({ min: 200, max: 9_000 });
@@ -258,6 +276,44 @@
     return schedulesOf(weighted, steps);
 }
 
+const evacuate = arbitraryAction("evacuate", {
+    domain: fc.nat(evacuationDomains - 1),
+    duration: fc.oneof(shortTime, fc.integer({ min: 6_000, max: 14_000 })),
+});
+
+/** Generates schedules of up to `steps` steps, in which failure domains are evacuated while streams break off. */
+export function evacuationSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    const weighted = fc.oneof(
+        { arbitrary: action, weight: 16 },
+        { arbitrary: resumableRequest, weight: 6 },
+        { arbitrary: evacuate, weight: 1 },
+    );
+    return schedulesOf(weighted, steps);
+}
+
+/**
+ * Generates schedules of up to `steps` steps, in which servers are cold after they start and after evacuations, and
+ * become cold at other times.
+ */
+export function coldSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    const weighted = fc.oneof(
+        { arbitrary: action, weight: 30 },
+        { arbitrary: evacuate, weight: 1 },
+        { arbitrary: arbitraryAction("restartServer", { server: slot }), weight: 1 },
+        { arbitrary: arbitraryAction("restartInPlace", { server: slot, away: shortTime }), weight: 1 },
+        {
+            arbitrary: arbitraryAction("coldServer", {
+                server: slot,
+                duration: fc.integer({ min: 4_000, max: 9_000 }),
+            }),
+            weight: 2,
+        },
+    );
+    const coldDuration = fc.integer({ min: 2_000, max: 8_000 });
+    return fc.tuple(schedulesOf(weighted, steps), coldDuration)
+        .map(([schedule, duration]) => ({ ...schedule, coldDuration: duration }));
+}
+
 const configurationActions = fc.oneof(
     { arbitrary: arbitraryAction("configure", {}), weight: 4 },
     { arbitrary: arbitraryAction("probe", { gateway: slot, back: fc.nat(1) }), weight: 20 },
@@ -298,6 +354,7 @@
     "probe",
     "deadlyPart",
     "deadlyRequest",
+    "evacuate",
 ]);
 const storeKinds: ReadonlySet<string> = new Set([
     "storeBehaves",
@@ -318,6 +375,19 @@
     "silenceServer",
 ]);
 
+const replacementKinds: ReadonlySet<string> = new Set([
+    "crashServer",
+    "restartServer",
+    "restartInPlace",
+    "replaceServer",
+    "reuseAddress",
+]);
+
+/** Whether an action ends a backend server and starts another one. */
+export function isReplacement(action: ServerAction): action is ServerReplacement {
+    return replacementKinds.has(action.kind);
+}
+
 /** Whether an action is one of a caller or of the operator. */
 export function isCallerAction(action: PlatformAction): action is CallerAction {
     return callerKinds.has(action.kind);
--- a/packages/fuzz/src/platform/limits.ts
+++ b/packages/fuzz/src/platform/limits.ts
@@ -35,6 +35,12 @@
     deadlyPart: { name: "requests with a deadly part", crashes: 5, slack: 3 },
     /** The same of a request that comes again. */
     deadlyRequest: { name: "repeats of a deadly request", crashes: 3, slack: 3 },
+    /** How long after the store acknowledged an evacuation requests may still be sent to the domain. */
+    evacuation: 5_000,
+    /** How long after a record said that a server is cold gateways may not know it yet. */
+    coldRecordApply: 2_000,
+    /** The rate of cold servers, in the schedules that have any. */
+    coldRate: { perSecond: 2, overshoot: 1.5, tolerance: 5 },
     /** How long after a backend server first declared a limit it is in force. */
     serverLimitApply: 3_000,
     /** How long after a gateway passed on an answer that declares a limit its requests count towards it. */
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -157,6 +157,32 @@
     return event;
 }
 
+/** Hides all evacuations from the reducer while it handles the failure of an attempt, which resumes its stream. */
+function createEvacuationHiding(): GatewayInterceptors {
+    const hidden = new WeakMap<GatewayState, GatewayState["evacuations"]>();
+    return {
+        ...passThroughInterceptors,
+        mapEvent: (event, state) => {
+            hidden.get(state)?.forEach((evacuation, failureDomain) => state.evacuations.set(failureDomain, evacuation));
+            hidden.delete(state);
+            if (event.kind === "attemptFailed") {
+                hidden.set(state, new Map(state.evacuations));
+                state.evacuations.clear();
+            }
+            return event;
+        },
+    };
+}
+
+/** Mutations that only schedules with evacuations can find. */
+export const evacuationMutations: readonly Mutation<GatewayInterceptors>[] = [
+    {
+        name: "resumed streams ignore evacuations",
+        promises: ["evacuated_domain_gets_no_requests"],
+        implementation: createEvacuationHiding(),
+    },
+];
+
 /** Hides notices from the reducer. Callers still get them, so that the gateway counts as informed. */
 function createNoticeHiding(): GatewayInterceptors {
     const hidden = new Set<unknown>();
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -6,7 +6,10 @@
 import type { BackendCall, ResponseHead, StreamEvent } from "@verbenaspring/gateway";
 import type { Milliseconds, RequestId } from "@verbenaspring/model";
 import { BrokenPromiseError, type PromiseName } from "../oracle.js";
+import { ColdServerOracle } from "./coldServerOracle.js";
+import { ContactRecord } from "./contactRecord.js";
 import { DeadlyWorkOracle } from "./deadlyWorkOracle.js";
+import { EvacuationOracle } from "./evacuationOracle.js";
 import { FaultRecord } from "./faultRecord.js";
 import { isEarlyInStop, platformLimits } from "./limits.js";
 import { mustRunAtMostOnce, type RequestOrProbeKind, serviceOf } from "./requestKinds.js";
@@ -52,6 +55,9 @@
     private readonly arrivedAttempts = new Set<string>();
     readonly faultRecord: FaultRecord;
     readonly serverLimits: ServerLimitOracle<VirtualGateway>;
+    readonly contact: ContactRecord<VirtualGateway>;
+    readonly evacuations: EvacuationOracle<VirtualGateway>;
+    readonly coldServers: ColdServerOracle<VirtualGateway>;
     readonly serverNotices = new ServerNoticeOracle<VirtualGateway>((promise, detail) => this.fail(promise, detail));
     readonly deadlyParts = new DeadlyWorkOracle(
         platformLimits.deadlyPart,
@@ -74,8 +80,14 @@
         private readonly drainPublishedAt: (server: string) => Milliseconds | undefined,
         /** The limit that a backend server declares now. */
         requestLimitOf: (server: string) => number | undefined,
+        /** The gateway processes that are alive now. */
+        gateways: () => readonly VirtualGateway[],
     ) {
+        const fail = (promise: PromiseName, detail: string): void => this.fail(promise, detail);
         this.faultRecord = new FaultRecord(() => clock.now);
+        this.contact = new ContactRecord(() => clock.now, gateways);
+        this.evacuations = new EvacuationOracle(this.contact, gateways, fail);
+        this.coldServers = new ColdServerOracle(platformLimits.coldRate, this.contact, gateways, fail);
         this.serverLimits = new ServerLimitOracle(
             requestLimitOf,
             (promise, detail) => this.fail(promise, detail),
@@ -337,6 +349,13 @@
         return this.runs.get(callerAttemptId) ?? [];
     }
 
+    /** Records what gateways know by now. Is called several times a second. */
+    observeGateways(): void {
+        this.contact.observe();
+        this.evacuations.observe();
+        this.coldServers.observe(this.clock.now);
+    }
+
     /** Checks that no caller waits past its deadline, unless a fault affected its gateway. */
     checkWaiting(): void {
         const overdue = this.callerRequests.find(request =>
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -4,13 +4,15 @@
  */
 import { defaultOverlayShape, type OverlayShape } from "@verbenaspring/coordination";
 import {
+    failureDomains,
     type GatewayInterceptors,
     passThroughInterceptors,
+    type ServerModel,
     storeName,
     type VirtualGateway,
     VirtualPlatform,
 } from "@verbenaspring/emulator";
-import type { RequestHead } from "@verbenaspring/gateway";
+import type { BackendCall, RequestHead } from "@verbenaspring/gateway";
 import {
     type CallerAttemptId,
     type ContentDigest,
@@ -23,10 +25,12 @@
     type GatewayAction,
     isCallerAction,
     isGatewayAction,
+    isReplacement,
     isStoreAction,
     type PlatformAction,
     type PlatformSchedule,
     type ServerAction,
+    type ServerReplacement,
     type StoreAction,
 } from "./actions.js";
 import { platformLimits } from "./limits.js";
@@ -63,6 +67,12 @@
 /** How long after a crash a server of another service starts at the crashed server's address. */
 const addressReuseDelay: Milliseconds = 2_000;
 const restartDelay: Milliseconds = 500;
+/** The domain that an operator evacuates although no server is in it. */
+const unknownDomain = "nowhere";
+/** How long after the withdrawal of an evacuation requests still arrive. */
+const returnDuration: Milliseconds = 3_000;
+/** The time between the requests that arrive while a server is cold. */
+const coldRequestInterval: Milliseconds = 25;
 /** How long a server that gave notice in its answers still serves after its registration says so. */
 const departureDelay: Milliseconds = 4_000;
 /** The time between the requests that arrive while a server declares a limit. */
@@ -117,12 +127,16 @@
     private deadlyRequestCount = 0;
 
     constructor(
-        { seed }: PlatformSchedule,
+        private readonly schedule: PlatformSchedule,
         implementation: GatewayInterceptors,
         private readonly gatewayPlan: GatewayPlan,
     ) {
+        const { seed, coldDuration } = schedule;
         this.platform = new VirtualPlatform({
             seed,
+            cold: coldDuration === undefined
+                ? undefined
+                : { rate: platformLimits.coldRate, duration: coldDuration },
             gateways: gatewayPlan.count,
             overlay: gatewayPlan.overlay,
             retries: {
@@ -136,15 +150,18 @@
             runStarted: record => this.oracle.recordRun(record),
             answered: (gateway, effect) => this.oracle.recordAnswer(gateway, effect),
             decisionLogged: () => undefined,
-            callArrived: (gateway, call) => this.oracle.recordArrival(gateway, call),
+            callArrived: (gateway, call, sentAt) => this.recordArrival(gateway, call, sentAt),
             pauseRequested: (gateway, call, pause) =>
                 this.oracle.serverPauses.recordRefusal(gateway, call.backendServer, pause, this.platform.clock.now),
             crashedUnderCall: (server, { path }) => {
                 const { deadlyParts, deadlyRequests } = this.oracle;
                 const isRequest = path === this.platform.fleet.deadlyPath;
                 (isRequest ? deadlyRequests : deadlyParts).recordCrash(this.platform.clock.now);
-                this.oracle.serverNotices.forgetServer(server);
-                this.oracle.serverPauses.forgetServer(server);
+                this.forgetServer(server);
+            },
+            crashedWhileCold: server => {
+                this.recordServerFault();
+                this.forgetServer(server);
             },
             exited: gateway => this.replaceGateway(gateway),
         });
@@ -153,6 +170,7 @@
             clock,
             id => fleet.drainPublishedAt(id),
             id => fleet.liveServers().find(({ options }) => options.id === id)?.requestLimit,
+            () => this.platform.gateways.filter(({ isAlive }) => isAlive),
         );
         this.versions = new VersionOracle<VirtualGateway>(this.oracle);
         this.configure();
@@ -206,10 +224,39 @@
         while (clock.now < end) {
             clock.advanceTo(Math.min(end, clock.now + checkInterval));
             this.oracle.checkWaiting();
+            this.observeKnowledge();
             this.settleProbes();
         }
     }
 
+    /** Records which servers are cold, and what gateways know by now. */
+    private observeKnowledge(): void {
+        const { fleet } = this.platform;
+        for (const { options: { id } } of fleet.liveServers()) {
+            const period = fleet.coldPeriodOf(id);
+            if (period !== undefined) {
+                this.oracle.coldServers.recordCold(id, period);
+            }
+        }
+        this.oracle.observeGateways();
+    }
+
+    /** Records a call that reached an address, at which another server than its target may listen. */
+    private recordArrival(gateway: VirtualGateway, call: BackendCall, sentAt: Milliseconds): void {
+        const { fleet, clock } = this.platform;
+        const { backendServer, address } = call;
+        this.oracle.recordArrival(gateway, call);
+        const failureDomain = fleet.failureDomainOf(backendServer);
+        if (failureDomain === undefined || fleet.findByAddress(address)?.options.id !== backendServer) {
+            return;
+        }
+        this.oracle.evacuations.checkArrival(gateway, backendServer, failureDomain, sentAt);
+        const period = fleet.coldPeriodOf(backendServer);
+        if (period !== undefined) {
+            this.oracle.coldServers.recordArrival(gateway, backendServer, period, sentAt, clock.now);
+        }
+    }
+
     private perform(action: PlatformAction): void {
         if (isCallerAction(action)) {
             return this.performCaller(action);
@@ -236,11 +283,13 @@
                 return this.configure();
             case "rewriteOld":
                 this.versions.recordRewrite();
-                return this.platform.configure(buildConfiguration(Math.max(0, this.versions.newestIndex - 1)));
+                return this.platform.configure(this.buildConfiguration(Math.max(0, this.versions.newestIndex - 1)));
             case "deadlyPart":
                 return this.startDeadlyPart(action.duration);
             case "deadlyRequest":
                 return this.startDeadlyRequest(action.work, action.duration);
+            case "evacuate":
+                return this.evacuate(failureDomains[action.domain] ?? unknownDomain, action.duration);
             case "probe":
                 return this.sendProbe(
                     this.gatewayOf(action.gateway),
@@ -291,10 +340,56 @@
         return request;
     }
 
+    /** Requests an evacuation, and withdraws it after a duration. The servers of the domain are cold then. */
+    private evacuate(failureDomain: string, duration: Milliseconds): void {
+        const { operator, clock } = this.platform;
+        operator.evacuate(failureDomain, () => this.oracle.evacuations.recordRequested(failureDomain, clock.now));
+        const kinds = ["confirm", "note"] as const;
+        kinds.forEach(kind => this.sendRequests(kind, duration + returnDuration, 2 * limitedRequestInterval));
+        this.endAfter(duration, () => operator.withdraw(failureDomain, () => this.returnDomain(failureDomain)));
+    }
+
+    private returnDomain(failureDomain: string): void {
+        const { fleet, clock } = this.platform;
+        const informed = this.oracle.evacuations.recordWithdrawn(failureDomain);
+        if (informed === undefined) {
+            return;
+        }
+        fleet.returnDomain(failureDomain);
+        for (const { options: { id } } of fleet.liveServers()) {
+            const period = fleet.coldPeriodOf(id);
+            if (fleet.failureDomainOf(id) === failureDomain && period !== undefined) {
+                this.oracle.coldServers.recordInformed(id, period, informed, clock.now);
+            }
+        }
+    }
+
+    private makeServerCold(id: string, duration: Milliseconds): void {
+        const { fleet } = this.platform;
+        fleet.makeCold(id, duration);
+        const kind = fleet.findPlan(id)!.kind === "plain" ? "confirm" : "note";
+        this.sendRequests(kind, duration, coldRequestInterval);
+    }
+
+    /** Starts a server again under its id, unless another one listens at its address by now. */
+    private restartInPlace(id: string, address: string): void {
+        const { fleet } = this.platform;
+        const hasStarted = fleet.liveServers().some(({ options }) => options.id === id);
+        if (!hasStarted && fleet.findByAddress(address) === undefined) {
+            fleet.restart(id, this.softwareVersion(), address);
+        }
+    }
+
+    /** Forgets what an incarnation of a server told gateways. */
+    private forgetServer(id: string): void {
+        this.oracle.serverNotices.forgetServer(id);
+        this.oracle.serverPauses.forgetServer(id);
+    }
+
     /** Sends requests to the gateways in turn for a duration. */
-    private sendRequests(kind: RequestKind, duration: Milliseconds): void {
-        for (let delay = 0; delay < duration; delay += limitedRequestInterval) {
-            const gateway = delay / limitedRequestInterval;
+    private sendRequests(kind: RequestKind, duration: Milliseconds, interval = limitedRequestInterval): void {
+        for (let delay = 0; delay < duration; delay += interval) {
+            const gateway = delay / interval;
             const { length, timeLimit } = limitedRequest;
             this.platform.clock.schedule(
                 delay,
@@ -389,10 +484,19 @@
     }
 
     private configure(): void {
-        this.platform.configure(buildConfiguration(this.versions.newestIndex + 1));
+        this.platform.configure(this.buildConfiguration(this.versions.newestIndex + 1));
         this.versions.recordVersion(this.platform.clock.now);
     }
 
+    private buildConfiguration(index: number): object {
+        const { coldDuration } = this.schedule;
+        const { perSecond } = platformLimits.coldRate;
+        return buildConfiguration(
+            index,
+            coldDuration === undefined ? undefined : { perSecond, duration: coldDuration },
+        );
+    }
+
     private performGateway(action: GatewayAction): void {
         const { network } = this.platform;
         const gateway = this.gatewayOf(action.gateway);
@@ -403,6 +507,7 @@
                 return this.platform.gateways.forEach(each => this.killGateway(each, "power", action.away));
             case "freezeGateway":
                 this.oracle.faultRecord.recordProcessFault(gateway.name, action.duration);
+                this.oracle.contact.recordFreeze(gateway, action.duration);
                 this.oracle.serverNotices.excuse(gateway);
                 return gateway.freeze(action.duration);
             case "stopGateway":
@@ -429,48 +534,67 @@
     private recordFaults(gateway: VirtualGateway, other: VirtualGateway, duration: Milliseconds): void {
         this.oracle.faultRecord.recordProcessFault(gateway.name, duration);
         this.oracle.faultRecord.recordProcessFault(other.name, duration);
+        this.oracle.contact.recordPeerPathFault(gateway, other, duration);
+    }
+
+    private recordStoreFault(duration: Milliseconds): void {
+        this.oracle.faultRecord.recordStoreFault(duration);
+        this.oracle.contact.recordStoreFault(duration);
+    }
+
+    private recordStorePathFault(gateway: VirtualGateway, duration: Milliseconds): void {
+        this.oracle.faultRecord.recordProcessFault(gateway.name, duration);
+        this.oracle.contact.recordStorePathFault(gateway, duration);
     }
 
     private performStore(action: StoreAction): void {
         const { store, network } = this.platform;
         switch (action.kind) {
             case "storeBehaves":
-                this.oracle.faultRecord.recordStoreFault(action.duration);
+                this.recordStoreFault(action.duration);
                 store.behaviour = action.behaviour;
                 return this.endAfter(action.duration, () => store.behaviour = "up");
             case "storeSlow":
-                this.oracle.faultRecord.recordStoreFault(action.duration + action.slowness);
+                this.recordStoreFault(action.duration + action.slowness);
                 store.slowness = action.slowness;
                 return this.endAfter(action.duration, () => store.slowness = 0);
             case "compact":
                 return ["keyed.op", "keyed.servers"].forEach(topic => store.model.compact(topic));
             case "turnAway": {
-                const { name } = this.gatewayOf(action.gateway);
-                this.oracle.faultRecord.recordProcessFault(name, action.duration);
+                const gateway = this.gatewayOf(action.gateway);
+                const { name } = gateway;
+                this.recordStorePathFault(gateway, action.duration);
                 store.rejectedReaders.add(name);
                 return this.endAfter(action.duration, () => store.rejectedReaders.delete(name));
             }
             case "cutStore": {
-                const { name } = this.gatewayOf(action.gateway);
-                this.oracle.faultRecord.recordProcessFault(name, action.duration);
-                return network.cut(name, storeName, action.duration);
+                const gateway = this.gatewayOf(action.gateway);
+                this.recordStorePathFault(gateway, action.duration);
+                return network.cut(gateway.name, storeName, action.duration);
             }
             case "silenceStore": {
-                const { name } = this.gatewayOf(action.gateway);
-                this.oracle.faultRecord.recordProcessFault(name, 0);
-                return network.silence(name, storeName);
+                const gateway = this.gatewayOf(action.gateway);
+                this.recordStorePathFault(gateway, 0);
+                return network.silence(gateway.name, storeName);
             }
         }
     }
 
     private performServer(action: ServerAction): void {
-        const { fleet, clock } = this.platform;
-        const servers = fleet.liveServers();
+        const servers = this.platform.fleet.liveServers();
         if (servers.length === 0) {
             return;
         }
         const server = servers[action.server % servers.length];
-        const { id, address } = server.options;
+        if (isReplacement(action)) {
+            return this.replaceServer(action, server);
+        }
+        this.disturbServer(action, server);
+    }
+
+    /** Ends a backend server, with or without notice, and starts another one. */
+    private replaceServer(action: ServerReplacement, { options: { id, address } }: ServerModel): void {
+        const { fleet, clock } = this.platform;
         const plan = fleet.findPlan(id)!;
         switch (action.kind) {
             case "crashServer":
@@ -479,12 +603,13 @@
                 return clock.schedule(action.away, () => this.addServer(plan.kind));
             case "restartServer":
                 this.recordServerFault();
-                this.oracle.serverNotices.forgetServer(id);
-                this.oracle.serverPauses.forgetServer(id);
+                this.forgetServer(id);
                 return fleet.restart(id, this.softwareVersion());
-            case "release":
-                this.releaseCount++;
-                return;
+            case "restartInPlace":
+                this.recordServerFault(action.away);
+                this.forgetServer(id);
+                fleet.crash(id);
+                return clock.schedule(action.away, () => this.restartInPlace(id, address));
             case "replaceServer":
                 this.addServer(plan.kind);
                 return fleet.leave(id, action.after);
@@ -495,6 +620,19 @@
                 return clock.schedule(addressReuseDelay, () => {
                     this.addServer(plan.kind === "plain" ? "engine" : "plain", address);
                 });
+        }
+    }
+
+    private disturbServer(action: Exclude<ServerAction, ServerReplacement>, server: ServerModel): void {
+        const { fleet, clock } = this.platform;
+        const { id } = server.options;
+        const plan = fleet.findPlan(id)!;
+        switch (action.kind) {
+            case "release":
+                this.releaseCount++;
+                return;
+            case "coldServer":
+                return this.makeServerCold(id, action.duration);
             case "serverBehaves":
                 this.recordServerFault(action.duration);
                 server.behaviour = action.behaviour;
--- a/packages/fuzz/src/platform/versions.ts
+++ b/packages/fuzz/src/platform/versions.ts
@@ -26,8 +26,20 @@
 /** The average step between two version numbers, which are 4 and 2 apart in turn. */
 const versionStep = 3;
 
-/** Builds the configuration document of the version with an index. */
-export function buildConfiguration(index: number): object {
+/** What the configuration states about cold servers. */
+export interface ColdServices {
+    /** Requests a second to a cold server. */
+    readonly perSecond: number;
+    /** How long servers are cold after an evacuation. */
+    readonly duration: Milliseconds;
+}
+
+/**
+ * Builds the configuration document of the version with an index.
+ *
+ * @param cold absent if requests to cold servers are not limited
+ */
+export function buildConfiguration(index: number, cold?: ColdServices): object {
     const route = (name: string, service: string, fields: object): object => ({
         name,
         hostname: routesHost,
@@ -42,6 +54,7 @@
     });
     const versionRoute = (versionIndex: number): object =>
         route(`version${versionIndex}`, "plain", { routeType: "idempotent", maxAttempts: 2 });
+    const coldFields = cold && { coldPerS: cold.perSecond, coldStartS: cold.duration / 1_000 };
     const engine = {
         kvCapacity: engineMemory,
         kvBytes: 1,
@@ -67,7 +80,7 @@
             versionRoute(index),
             ...index > 0 ? [versionRoute(index - 1)] : [],
         ],
-        services: [{ name: "plain" }, { name: "engine", backend: engine }],
+        services: [{ name: "plain", ...coldFields }, { name: "engine", backend: engine, ...coldFields }],
         limits: { maxHeaderBytes: 8_192, maxBodyBytes: 4_096, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
     };
 }
