coordination, gateway, platform: rate of cold servers divided between gateways

A server that has just started crashed when all gateways sent it a full share. Each gateway now has a share of the rate in the service's coldPerS, by rank among all known gateways, with a token bucket that starts empty; gateways that start, resume or know nobody use one in 32 until others have counted them. It applies only where the settings have coldOvershoot and coldTolerance. A replayed load of up to 68 gateways (partitioned, frozen, starting) keeps the bound in every second.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./admission.js";
 export * from "./capacityWait.js";
+export * from "./coldShare.js";
 export * from "./configurationFold.js";
 export * from "./crashBlame.js";
 export * from "./hash.js";
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -10,6 +10,7 @@
     type ServerHealth,
 } from "@verbenaspring/coordination";
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
+import { recordColdStatement } from "./coldServers.js";
 import { failSuspended, recordBegunRun, recordLostRun, suspensionOf } from "./crashSuspects.js";
 import type { AttemptFailure, GatewayEvent } from "./event.js";
 import { recordLeavingNotice } from "./leavingServers.js";
@@ -111,6 +112,7 @@
 export function recordDeclarations(transaction: Transaction, attempt: Attempt, head: ResponseHead): void {
     recordRequestLimit(transaction, attempt, head);
     recordServerPause(transaction, attempt, head);
+    recordColdStatement(transaction, attempt.server.record, head.coldRemaining);
     if (head.isLeaving) {
         recordLeavingNotice(transaction, attempt.server.record);
     }
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -68,6 +68,8 @@
     readonly isLeaving: boolean;
     /** When this incarnation of the server started, by its own clock; undefined if it does not tell. */
     readonly startedAt: number | undefined;
+    /** How much longer the server is cold; undefined if it does not say. */
+    readonly coldRemaining?: Milliseconds | undefined;
     readonly runs: readonly ReportedRun[];
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./backendServers.js";
+export * from "./coldServers.js";
 export * from "./crashSuspects.js";
 export * from "./effect.js";
 export * from "./event.js";
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -5,6 +5,7 @@
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
 import { abandonAttempt } from "./attempts.js";
 import type { BackendRecord } from "./backendServers.js";
+import { recordColdStatement } from "./coldServers.js";
 import { settleLostRuns } from "./crashSuspects.js";
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { recordLeavingNotice } from "./leavingServers.js";
@@ -69,6 +70,9 @@
     }
     settleLostRuns(transaction, backendServer, report);
     const server = state.servers.get(backendServer);
+    if (report !== undefined && server !== undefined) {
+        recordColdStatement(transaction, server.record, report.coldRemaining);
+    }
     if (report?.isLeaving === true && server !== undefined) {
         recordLeavingNotice(transaction, server.record);
     }
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -92,6 +92,8 @@
     readonly requestLimit: number | undefined | "unreadable";
     /** How long the backend server wants no further request from this gateway; undefined if it does not say. */
     readonly retryAfter: Milliseconds | undefined | "unreadable";
+    /** How much longer the backend server is cold; undefined if it does not say. */
+    readonly coldRemaining?: Milliseconds | undefined;
     /** Whether the backend server states that it leaves. */
     readonly isLeaving: boolean;
     readonly isEventStream: boolean;
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -1,7 +1,7 @@
 /**
  * The options of a gateway, from its settings. They may change while it runs.
  */
-import type { OverlayShape, RetryBudgetOptions } from "@verbenaspring/coordination";
+import type { ColdRate, OverlayShape, RetryBudgetOptions } from "@verbenaspring/coordination";
 import type { FailureDomain, Milliseconds, PeerAddress } from "@verbenaspring/model";
 
 /** The options of one gateway. */
@@ -15,6 +15,8 @@
     readonly overlay: OverlayShape;
     /** The retry budget that all gateways share. */
     readonly retries: RetryBudgetOptions;
+    /** The bound on the requests that a cold server receives; without it, cold servers are not limited. */
+    readonly coldBound?: Omit<ColdRate, "perSecond"> | undefined;
     /** From the request to stop until the process is killed. */
     readonly stopLimit: Milliseconds;
 }
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -5,6 +5,7 @@
 import type { RandomSource } from "@verbenaspring/coordination";
 import type { Milliseconds } from "@verbenaspring/model";
 import { checkRequests, handleAnswer, handleAttemptFailed } from "./attempts.js";
+import { updateColdServers } from "./coldServers.js";
 import { forgetSuspects } from "./crashSuspects.js";
 import { checkStop, handleStopRequested } from "./draining.js";
 import type { GatewayEffect } from "./effect.js";
@@ -61,6 +62,7 @@
             maintainPeers(transaction);
             startDueReads(transaction);
             updateLimitShares(transaction);
+            updateColdServers(transaction);
             endServerPauses(transaction);
             forgetSuspects(transaction);
             checkStreamRegister(transaction);
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -4,10 +4,8 @@
 import type { Milliseconds } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
 import { hasGivenNotice } from "./leavingServers.js";
-import { isWithinLimit } from "./requestLimits.js";
 import type { EngineCapabilities } from "./routingConfiguration.js";
-import { engineOf } from "./serverLoad.js";
-import { isPaused } from "./serverPauses.js";
+import { acceptsRequest, engineOf } from "./serverLoad.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { hasSameVersion } from "./streamVersions.js";
 import type { Transaction } from "./transaction.js";
@@ -126,12 +124,12 @@
 /** Whether a server accepts a stream of another one that would otherwise be lost. */
 function acceptsTakeover(
     state: GatewayState,
-    { record, leavingSince }: BackendServer,
+    server: BackendServer,
     origin: BackendServer,
     now: Milliseconds,
 ): boolean {
+    const { record, leavingSince } = server;
     const isStaying = leavingSince === undefined || now - leavingSince <= takeoverWindow;
     return isStaying && hasSameVersion(record, origin.record) && !hasGivenNotice(state, record)
-        && isWithinLimit(state, record.id, now)
-        && !isPaused(state, record.id, now);
+        && acceptsRequest(state, server, now);
 }
--- a/packages/gateway/src/routingConfiguration.ts
+++ b/packages/gateway/src/routingConfiguration.ts
@@ -55,11 +55,21 @@
     readonly replicaLifetime: Milliseconds;
 }
 
+/** How the servers of a service receive requests while they are cold. */
+export interface ColdStart {
+    /** Requests a second from all gateways together; above 0. */
+    readonly perSecond: number;
+    /** How long a server is cold after its start. */
+    readonly duration: Milliseconds;
+}
+
 /** A group of backend servers that do the same work. */
 export interface Service {
     readonly name: ServiceName;
     /** Absent for plain services. */
     readonly engine: EngineCapabilities | undefined;
+    /** Absent if its cold servers are not limited. */
+    readonly coldStart?: ColdStart | undefined;
 }
 
 /** Limits on the size of requests, and on the time that callers may take. */
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -8,8 +8,9 @@
     recordRetry,
     remainingRetries,
 } from "@verbenaspring/coordination";
-import { identifier, type Milliseconds } from "@verbenaspring/model";
+import { identifier, type Milliseconds, type ServiceName } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
+import { isCold, spendColdRequest, timeUntilWithinColdRate } from "./coldServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
 import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
@@ -28,10 +29,10 @@
     usableServers,
 } from "./serverLoad.js";
 import { isPaused, pauseLeft } from "./serverPauses.js";
-import { type Attempt, type GatewayRequest, priorityOf } from "./state.js";
-import { canContinue } from "./streamVersions.js";
+import { type Attempt, type GatewayRequest, type GatewayState, priorityOf } from "./state.js";
+import { canContinue, type StreamOrigin } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
-import { startOrWait } from "./waiting.js";
+import { startOrWait, waitForColdServer } from "./waiting.js";
 
 /** Sends of one request, including those that servers refused. */
 const maximumSends = 4;
@@ -83,6 +84,10 @@
 }
 
 function failWithoutServer(transaction: Transaction, request: GatewayRequest): void {
+    const isFirstSend = request.sends === 0 && engineOf(transaction.state, request.service) !== undefined;
+    if (isFirstSend && waitForColdServer(transaction, request, timeUntilColdServer(transaction, request))) {
+        return;
+    }
     const retryAfter = timeUntilUsable(transaction, request);
     if (retryAfter === undefined) {
         return failRequest(transaction, request, "no_backend_server", "the service has no server", noServerRetryAfter);
@@ -92,25 +97,49 @@
 
 /**
  * The time until a server accepts a request again; undefined unless servers that could run it and don't leave declare
- * limits or pauses.
+ * limits or pauses, or are cold.
  */
 export function timeUntilUsable(
     { state, now }: Transaction,
     { service, origin }: GatewayRequest,
 ): Milliseconds | undefined {
-    const staying = (state.serversByService.get(service) ?? []).filter(id => {
-        const server = state.servers.get(id);
-        return server !== undefined && server.leavingSince === undefined && canContinue(server.record, origin);
-    });
-    const waits = staying
-        .filter(id => isLimited(state, id) || isPaused(state, id, now))
-        .map(id => {
-            const limitWait = Math.min(timeUntilWithinLimit(state, id, now), maximumLimitRetryAfter);
-            return Math.max(limitWait, pauseLeft(state, id, now));
+    const waits = stayingServers(state, service, origin)
+        .filter(server =>
+            isLimited(state, server.record.id) || isPaused(state, server.record.id, now)
+            || isCold(state, server, now)
+        )
+        .map(server => {
+            const { id } = server.record;
+            const rateWait = Math.max(
+                timeUntilWithinLimit(state, id, now),
+                timeUntilWithinColdRate(state, server, now),
+            );
+            return Math.max(Math.min(rateWait, maximumLimitRetryAfter), pauseLeft(state, id, now));
         });
     return waits.length === 0 ? undefined : Math.min(...waits);
 }
 
+/** The servers that could run a request and don't leave. */
+function stayingServers(
+    state: GatewayState,
+    service: ServiceName,
+    origin: StreamOrigin | undefined,
+): readonly BackendServer[] {
+    return (state.serversByService.get(service) ?? [])
+        .flatMap(id => state.servers.get(id) ?? [])
+        .filter(({ record, leavingSince }) => leavingSince === undefined && canContinue(record, origin));
+}
+
+/** The time until this gateway may send a request to a cold server of the service; infinite if it has no share of any. */
+function timeUntilColdServer({ state, now }: Transaction, { service, origin }: GatewayRequest): Milliseconds {
+    const waits = stayingServers(state, service, origin)
+        .filter(server => isCold(state, server, now) && !isPaused(state, server.record.id, now))
+        .map(server =>
+            Math.max(timeUntilWithinLimit(state, server.record.id, now), timeUntilWithinColdRate(state, server, now))
+        );
+    return Math.min(Infinity, ...waits);
+}
+
 /** Sends a request to the given server, and counts the attempt in the loads and the retry budget. */
 export function sendTo(transaction: Transaction, request: GatewayRequest, placement: Placement): void {
     const { state, now, source, effects } = transaction;
@@ -147,6 +176,7 @@
     request.triedServers.add(server.record.id);
     state.attempts.set(attempt.id, request);
     spendRequest(state, server.record.id, now);
+    spendColdRequest(state, server.record.id, now);
     logDecision(transaction, "debug", "attempt_sent", {
         ...requestFields(transaction, request),
         softwareVersion: server.record.softwareVersion,
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -10,6 +10,7 @@
 } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds, ServiceName } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
+import { isCold, isWithinColdRate } from "./coldServers.js";
 import type { DecisionFields } from "./effect.js";
 import { hasGivenNotice } from "./leavingServers.js";
 import { memberLoad } from "./members.js";
@@ -30,7 +31,7 @@
 const averageOutputShare = 0.5;
 
 /**
- * The servers of a service that accept new work, neither limit nor pause it now, and are not ejected.
+ * The servers of a service that accept new work and a request now, and are not ejected.
  *
  * @param origin where the stream that a server is to continue began; undefined for work that has not begun
  */
@@ -46,17 +47,23 @@
     const usable = ready.length > 0
         ? ready
         : known.filter(server => hasJustLapsed(server, now) && !hasGivenNotice(state, server.record));
-    const allowed = usable.filter(({ record: { id } }) => isWithinLimit(state, id, now) && !isPaused(state, id, now));
+    const allowed = usable.filter(server => acceptsRequest(state, server, now));
     return withoutEjected(allowed, ({ record }) => state.health.get(record.id), now);
 }
 
+/** Whether neither a limit, a pause nor the rate of cold servers forbids to send a request to a server now. */
+export function acceptsRequest(state: GatewayState, server: BackendServer, now: Milliseconds): boolean {
+    const { id } = server.record;
+    return isWithinLimit(state, id, now) && !isPaused(state, id, now) && isWithinColdRate(state, server, now);
+}
+
 /**
- * The other usable servers of the same service and software version without a limit: candidates for a replica or a
- * migration.
+ * The other usable servers of the same service and software version that are not cold and have no limit: candidates for
+ * a replica or a migration.
  */
 export function otherServers(state: GatewayState, { record }: BackendServer, now: Milliseconds): BackendServer[] {
     return usableServers(state, record.service, now, record).filter(other =>
-        other.record.id !== record.id && !isLimited(state, other.record.id)
+        other.record.id !== record.id && !isLimited(state, other.record.id) && !isCold(state, other, now)
     );
 }
 
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -14,6 +14,7 @@
     ServiceName,
 } from "@verbenaspring/model";
 import type { BackendServer, BackendView } from "./backendServers.js";
+import { type ColdServers, createColdServers } from "./coldServers.js";
 import { type CrashSuspects, createCrashSuspects } from "./crashSuspects.js";
 import type { ReadFailure, TopicItem, TopicName } from "./event.js";
 import type { LeavingNotices } from "./leavingServers.js";
@@ -208,6 +209,7 @@
     readonly requestLimits: RequestLimits;
     /** The servers that want no request from this gateway, and until when. */
     readonly pausedUntil: Map<BackendServerId, Milliseconds>;
+    readonly coldServers: ColdServers;
     readonly leavingNotices: LeavingNotices;
     /** The number of the newest notice. */
     noticeCount: number;
@@ -290,6 +292,7 @@
         liveness: new Map(),
         requestLimits: new Map(),
         pausedUntil: new Map(),
+        coldServers: createColdServers(),
         leavingNotices: new Map(),
         noticeCount: 0,
         crashSuspects: createCrashSuspects(),
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -179,6 +179,27 @@
     state.waiting.set(request.id, request);
 }
 
+/**
+ * Queues a request to engines while no server accepts it, if a cold one will accept it in time for the target latency.
+ * Returns whether the request waits.
+ *
+ * @param expected the time until a cold server accepts a request of this gateway
+ */
+export function waitForColdServer(
+    transaction: Transaction,
+    request: GatewayRequest,
+    expected: Milliseconds,
+): boolean {
+    const { state, now } = transaction;
+    if (now + expected >= latestStartOf(state, request)) {
+        return false;
+    }
+    recordSize(recentSizesOf(state, request), sizeOf(request));
+    logDecision(transaction, "debug", "request_waits", { ...requestFields(transaction, request), expected });
+    state.waiting.set(request.id, request);
+    return true;
+}
+
 function latestStartOf({ prefillRate }: GatewayState, { arrivedAt, route, head }: GatewayRequest): Milliseconds {
     const firstEvent = forecastFirstEvent({ waitingTokens: 0, promptTokens: head.promptTokens, prefillRate });
     return latestStart(arrivedAt, route.targetLatency, firstEvent);
--- /dev/null
+++ b/packages/gateway/test/coldServers.test.ts
@@ -0,0 +1,187 @@
+/**
+ * Cold servers: a server that received more than the bound of its service, summed over all gateways, would crash.
+ */
+import { type BackendRecord, markReturningDomain } from "@verbenaspring/gateway";
+import { identifier } from "@verbenaspring/model";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+    callsIn,
+    configuration,
+    engineService,
+    failuresIn,
+    linesIn,
+    plainService,
+    server,
+    TestGateway,
+} from "./gatewayBuilders.js";
+import { GatewayCluster } from "./gatewayCluster.js";
+
+const coldBound = { overshoot: 1.5, tolerance: 5 };
+const perSecond = 31;
+const allowed = 1.5 * perSecond + 5;
+const { services } = configuration(1);
+const coldStart = { perSecond, duration: 10_000 };
+const routing = configuration(1, {
+    services: new Map([...services].map(([name, service]) => [name, { ...service, coldStart }])),
+});
+const cold = server("plain-1", { remainingWarmUp: 600_000 });
+const warm = server("plain-2");
+
+function clusterOf(size: number, ...servers: readonly BackendRecord[]): GatewayCluster {
+    return new GatewayCluster(size, servers, { coldBound }, routing);
+}
+
+function gatewayServing(...servers: readonly BackendRecord[]): TestGateway {
+    const gateway = new TestGateway({ coldBound });
+    gateway.configure(routing);
+    gateway.register(...servers);
+    gateway.advance(50);
+    return gateway;
+}
+
+/** Counts the requests that the first server received from a time on. */
+const arrivalsSince = ({ arrivals }: GatewayCluster, from: number): number =>
+    arrivals.filter(({ server: id, at }) => id === "plain-1" && at >= from).length;
+
+function assertBound(cluster: GatewayCluster, from = 0): void {
+    const most = cluster.mostArrivals("plain-1", 1_000, from);
+    assert.ok(most <= allowed, `${most} requests in one second, ${allowed} are allowed`);
+}
+
+// All servers are cold, or become so, since a gateway would send the requests to a warm one.
+test("a cold server gets its rate and no more, from gateways that start at the same time", () => {
+    for (const size of [1, 3, 24, 68]) {
+        const cluster = clusterOf(size, cold);
+        cluster.run(4_000, "confirm", 600);
+        const from = cluster.now;
+        cluster.run(4_000, "confirm", 600);
+        assertBound(cluster);
+        const count = arrivalsSince(cluster, from);
+        assert.ok(count >= 0.9 * 4 * perSecond, `${size} gateways: ${count} in 4 s`);
+    }
+});
+
+test("the bound holds when a warm server becomes cold under full load", () => {
+    const cluster = clusterOf(24, server("plain-1"));
+    cluster.run(4_000, "confirm", 600);
+    assert.ok(cluster.mostArrivals("plain-1", 1_000, 0) > 500);
+    cluster.register({ ...cold, heartbeat: 2 });
+    const from = cluster.now + 1;
+    cluster.run(6_000, "confirm", 600);
+    assertBound(cluster, from);
+    assert.ok(arrivalsSince(cluster, from) >= 0.8 * 6 * perSecond);
+});
+
+test("the bound holds when gateways know nobody, are partitioned for long, frozen, and start", () => {
+    const cluster = clusterOf(24, cold);
+    cluster.gatewaysInUse = 20;
+    cluster.isolate(0);
+    cluster.run(4_000, "confirm", 600);
+    cluster.isolate(1);
+    cluster.freeze(2);
+    cluster.run(5_000, "confirm", 600);
+    cluster.gatewaysInUse = 24;
+    cluster.run(3_000, "confirm", 600);
+    cluster.resume(2);
+    cluster.run(55_000, "confirm", 400);
+    cluster.rejoin(0);
+    cluster.rejoin(1);
+    const from = cluster.now;
+    cluster.run(5_000, "confirm", 600);
+    assertBound(cluster);
+    assert.ok(arrivalsSince(cluster, from) >= 0.8 * 5 * perSecond);
+});
+
+test("several gateways that resume from a freeze at the same time don't send their bursts", () => {
+    const cluster = clusterOf(5, cold);
+    cluster.run(4_000, "confirm", 400);
+    [0, 1, 2, 3].forEach(index => cluster.freeze(index));
+    cluster.run(70_000, "confirm", 400);
+    [0, 1, 2, 3].forEach(index => cluster.resume(index));
+    cluster.run(3_000, "confirm", 400);
+    const from = cluster.now;
+    cluster.run(4_000, "confirm", 400);
+    assertBound(cluster);
+    assert.ok(arrivalsSince(cluster, from) >= 0.9 * 4 * perSecond, "after a while each has its share again");
+});
+
+test("requests are rejected with the time until an allowance where all plain servers are cold", () => {
+    const cluster = clusterOf(6, cold, { ...warm, remainingWarmUp: 600_000 });
+    cluster.run(8_000, "confirm", 200);
+    assertBound(cluster);
+    assert.ok(cluster.failures.length > 0);
+    for (const { type, outcome, retryAfter } of cluster.failures) {
+        assert.equal([type, outcome], ["overloaded", "not_run"]);
+        assert.ok(retryAfter !== undefined && retryAfter > 0);
+    }
+});
+
+test("a stream waits for a cold engine within its objective, and is rejected without a share", () => {
+    const engine = server("engine-1", { remainingWarmUp: 600_000 });
+    const gateway = gatewayServing(engine);
+    assert.equal([callsIn(gateway.receiveRequest("p1", "plan")).length, gateway.state.waiting.size], [0, 1]);
+    assert.is(callsIn(gateway.advance(100)).length, 1);
+    const lone = new TestGateway({ coldBound, seedAddresses: [identifier("10.1.0.9:8748")] });
+    lone.configure(configuration(1, {
+        services: new Map([[engineService, {
+            ...services.get(engineService)!,
+            coldStart: { perSecond: 1, duration: 0 },
+        }]]),
+    }));
+    lone.register(engine);
+    lone.advance(50);
+    const [failure] = failuresIn(lone.receiveRequest("p2", "plan"));
+    assert.is(failure.type, "overloaded");
+    assert.ok(failure.retryAfter! >= 1_000);
+});
+
+test("a cold server is no holder of a replica and no migration target, but finishes what it runs", () => {
+    const gateway = gatewayServing(server("engine-1"), server("engine-2", { remainingWarmUp: 600_000 }));
+    const call = gateway.startStream("p1", "plan");
+    assert.equal([call.backendServer, call.replicaAddress], ["engine-1", undefined]);
+    const effects = gateway.register(server("engine-1", { isDraining: true, heartbeat: 2 }));
+    assert.is(linesIn(effects, "move_without_target").length, 1);
+});
+
+test("a server is cold by its newest record, its newest answer, or the return of its domain, and then warm", () => {
+    const gateway = gatewayServing(server("plain-1"));
+    const countCold = (): number => {
+        gateway.advance(50);
+        return gateway.state.coldServers.allowances.size;
+    };
+    const call = gateway.sendRequest("c1", "confirm");
+    gateway.answer(call, { coldRemaining: 5_000 });
+    assert.is(countCold(), 1);
+    gateway.register(server("plain-1", { heartbeat: 2 }));
+    assert.is(countCold(), 1, "a record with 0 does not end what the answer states");
+    gateway.advance(1_000);
+    gateway.answer(gateway.sendRequest("c2", "confirm"), { coldRemaining: 0 });
+    assert.is(countCold(), 0);
+    gateway.register(server("plain-1", { heartbeat: 3, remainingWarmUp: 2_000 }));
+    assert.is(countCold(), 1);
+    assert.is(linesIn(gateway.advance(2_000), "server_warm").length, 1);
+    markReturningDomain(
+        { state: gateway.state, now: gateway.now, effects: [], source: { random: Math.random, newIdentifier: String } },
+        identifier("near"),
+    );
+    gateway.register(server("plain-1", { heartbeat: 4 }));
+    const [line] = linesIn(gateway.advance(50), "server_cold");
+    assert.equal([line.server, line.for, line.rate, line.share], ["plain-1", 12_950, 31, 31]);
+    gateway.advance(12_800);
+    assert.is(countCold(), 1);
+    gateway.advance(150);
+    assert.is(countCold(), 0);
+});
+
+test("cold servers are not limited where the settings or the service state no rate", () => {
+    const plain = { name: plainService, engine: undefined };
+    for (const [overrides, service] of [[{}, { ...plain, coldStart }], [{ coldBound }, plain]] as const) {
+        const gateway = new TestGateway(overrides);
+        gateway.configure(configuration(1, { services: new Map([[plainService, service]]) }));
+        gateway.register(cold);
+        assert.is(callsIn(gateway.receiveRequest("c1", "confirm")).length, 1);
+    }
+});
+
+test.run();
--- a/packages/gateway/test/gatewayCluster.ts
+++ b/packages/gateway/test/gatewayCluster.ts
@@ -1,7 +1,15 @@
 /**
  * Gateways that exchange their reports without delay, and plain backend servers that answer after a fixed time.
  */
-import type { BackendAnswer, BackendCall, BackendRecord, GatewayEffect, PeerReport } from "@verbenaspring/gateway";
+import type {
+    BackendAnswer,
+    BackendCall,
+    BackendRecord,
+    GatewayEffect,
+    GatewayOptions,
+    PeerReport,
+    RoutingConfiguration,
+} from "@verbenaspring/gateway";
 import { type Failure, identifier, type PeerAddress } from "@verbenaspring/model";
 import { callsIn, configuration, failuresIn, TestGateway } from "./gatewayBuilders.js";
 
@@ -32,20 +40,30 @@
     /** Only the first ones get requests, tick and send reports; the others have not started, or have stopped. */
     gatewaysInUse: number;
     private readonly isolated = new Set<number>();
+    private readonly frozen = new Set<number>();
     private readonly byAddress: ReadonlyMap<string, TestGateway>;
     private pendingAnswers: PendingAnswer[] = [];
     private requests = 0;
 
-    constructor(size: number, servers: readonly BackendRecord[]) {
+    /**
+     * @param overrides of the options of all gateways
+     * @param routing the configuration of all gateways
+     */
+    constructor(
+        size: number,
+        servers: readonly BackendRecord[],
+        overrides: Partial<GatewayOptions> = {},
+        routing: RoutingConfiguration = configuration(1),
+    ) {
         const addresses = Array.from({ length: size }, (_, index) => `10.1.0.${index + 1}:8748`);
         const seedAddresses = addresses.map(address => identifier<PeerAddress>(address));
         this.gateways = addresses.map(address =>
-            new TestGateway({ peerAddress: identifier<PeerAddress>(address), seedAddresses })
+            new TestGateway({ peerAddress: identifier<PeerAddress>(address), seedAddresses, ...overrides })
         );
         this.byAddress = new Map(this.gateways.map((gateway, index) => [addresses[index], gateway]));
         this.gatewaysInUse = size;
         for (const gateway of this.gateways) {
-            gateway.configure(configuration(1));
+            gateway.configure(routing);
             gateway.register(...servers);
         }
     }
@@ -60,6 +78,21 @@
         this.isolated.delete(index);
     }
 
+    /** Stops a gateway from handling anything, while requests and reports for it are lost. */
+    freeze(index: number): void {
+        this.frozen.add(index);
+    }
+
+    /** Ends {@link freeze}. */
+    resume(index: number): void {
+        this.frozen.delete(index);
+    }
+
+    /** All gateways read new records of servers. */
+    register(...servers: readonly BackendRecord[]): void {
+        this.gateways.forEach(gateway => this.perform(gateway, gateway.register(...servers)));
+    }
+
     /** Advances the clock while requests of the route arrive at a rate, at the gateways in turn. */
     run(duration: number, routeName: string, requestsPerSecond: number): void {
         const end = this.now + duration;
@@ -70,13 +103,15 @@
             const dueRequests = Math.floor(this.now * requestsPerSecond / 1_000)
                 - Math.floor((this.now - stepDuration) * requestsPerSecond / 1_000);
             for (let count = 0; count < dueRequests; count++) {
-                const gateway = this.gateways[this.requests++ % this.gatewaysInUse];
-                this.perform(gateway, gateway.receiveRequest(`r${this.requests}`, routeName));
+                const index = this.requests++ % this.gatewaysInUse;
+                if (!this.frozen.has(index)) {
+                    const gateway = this.gateways[index];
+                    this.perform(gateway, gateway.receiveRequest(`r${this.requests}`, routeName));
+                }
             }
             if (this.now % tickDuration === 0) {
-                this.gateways.slice(0, this.gatewaysInUse).forEach(gateway =>
-                    this.perform(gateway, gateway.handle({ kind: "tick" }))
-                );
+                this.gateways.slice(0, this.gatewaysInUse).filter((_, index) => !this.frozen.has(index))
+                    .forEach(gateway => this.perform(gateway, gateway.handle({ kind: "tick" })));
             }
         }
     }
@@ -120,6 +155,6 @@
 
     private isReachable(gateway: TestGateway): boolean {
         const index = this.gateways.indexOf(gateway);
-        return index < this.gatewaysInUse && !this.isolated.has(index);
+        return index < this.gatewaysInUse && !this.isolated.has(index) && !this.frozen.has(index);
     }
 }
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -3,6 +3,7 @@
  */
 import {
     type BaseVersion,
+    countColdServers,
     type Decision,
     type DecodedItem,
     type GatewayEffect,
@@ -100,6 +101,7 @@
             "verbenaspring_backend_servers_limited",
             () => [...state.requestLimits.values()].filter(({ perSecond }) => perSecond !== undefined).length,
         );
+        metrics.gauge("verbenaspring_backend_servers_cold", () => countColdServers(state));
         metrics.gauge("verbenaspring_crash_suspects", () => state.crashSuspects.suspects.size);
         metrics.gauge("verbenaspring_backend_channels_opened", () => this.channels.openedChannelCount());
     }
