--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -14,6 +14,7 @@
     ServiceName,
 } from "@verbenaspring/model";
 import type { BackendServer, BackendView } from "./backendServers.js";
+import { type ColdServers, createColdServers } from "./coldServers.js";
 import { type CrashSuspects, createCrashSuspects } from "./crashSuspects.js";
 import type { Evacuations } from "./evacuations.js";
 import type { ReadFailure, TopicItem, TopicName } from "./event.js";
@@ -210,6 +211,7 @@
     /** The servers that want no request from this gateway, and until when. */
     readonly pausedUntil: Map<BackendServerId, Milliseconds>;
     readonly evacuations: Evacuations;
+    readonly coldServers: ColdServers;
     readonly leavingNotices: LeavingNotices;
     /** The number of the newest notice. */
     noticeCount: number;
@@ -293,6 +295,7 @@
         requestLimits: new Map(),
         pausedUntil: new Map(),
         evacuations: new Map(),
+        coldServers: createColdServers(),
         leavingNotices: new Map(),
         noticeCount: 0,
         crashSuspects: createCrashSuspects(),
