gateway: a domain whose evacuation ends is marked as returning; emulator, fuzz: gateways know the bound of cold servers

The two modules were built apart, so nothing called markReturningDomain. Probes of the emulator's servers state for how much longer they are cold. One mutation: each gateway uses the whole rate.

--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -122,6 +122,12 @@
         return this.members.get(id)?.cold.period(this.options.clock.now);
     }
 
+    /** Returns for how much longer a backend server says that it is cold; undefined if the fleet's servers never do. */
+    coldRemainingOf(id: string): Milliseconds | undefined {
+        const { cold, clock } = this.options;
+        return cold && this.members.get(id)?.cold.remaining(clock.now);
+    }
+
     /** Makes a running backend server cold for a duration. Its record says so from its next heartbeat on. */
     makeCold(id: string, duration: Milliseconds): void {
         const member = this.members.get(id);
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -48,6 +48,7 @@
 interface ProbeReply {
     readonly runs: readonly RunReport[];
     readonly isLeaving: boolean;
+    readonly coldRemaining: Milliseconds | undefined;
 }
 
 /** What comes back from an address at which no server listens. */
@@ -259,12 +260,14 @@
             address,
             probeTimeout,
             reply => {
-                const server = this.environment.fleet.findByAddress(address);
+                const { fleet } = this.environment;
+                const server = fleet.findByAddress(address);
                 if (server === undefined) {
                     reply(connectionRefused);
                 }
                 else if (server.behaviour !== "silent" || !hasReport) {
-                    reply({ runs: server.report(), isLeaving: server.isLeaving });
+                    const coldRemaining = fleet.coldRemainingOf(server.options.id);
+                    reply({ runs: server.report(), isLeaving: server.isLeaving, coldRemaining });
                 }
             },
             outcome => {
@@ -273,7 +276,7 @@
                     ...run,
                     callerAttemptId: identifier<CallerAttemptId>(run.callerAttemptId),
                 }));
-                const report = reply && runs && { runs, isLeaving: reply.isLeaving, startedAt: undefined };
+                const report = reply && runs && { ...reply, runs, startedAt: undefined };
                 this.handleEvent({ kind: "serverProbed", backendServer, report });
             },
         );
--- a/packages/emulator/src/virtualPlatform.ts
+++ b/packages/emulator/src/virtualPlatform.ts
@@ -114,7 +114,7 @@
 
     /** Starts the gateway process of a slot, replacing the one that ended there. */
     startGateway(slot: number): VirtualGateway {
-        const { overlay, retries, stopLimit, interceptors } = this.options;
+        const { overlay, retries, stopLimit, interceptors, cold } = this.options;
         const gatewayOptions: GatewayOptions = {
             failureDomain: identifier(slot % 2 === 0 ? "north" : "south"),
             peerAddress: gatewayAddress(slot),
@@ -122,6 +122,7 @@
             overlay: overlay ?? defaultOverlayShape,
             retries,
             stopLimit,
+            coldBound: cold?.rate,
         };
         const environment = {
             clock: this.clock,
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -4,6 +4,7 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import {
+    coldPlatformSystem,
     configurationPlatformSystem,
     deadlyWorkPlatformSystem,
     evacuationPlatformSystem,
@@ -20,6 +21,7 @@
 import { type Mutation, mutations } from "./mutations.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
 import {
+    coldMutations,
     configurationMutations,
     deadlyWorkMutations,
     evacuationMutations,
@@ -70,6 +72,7 @@
 const searches = [
     ...createSearches(linkedSystem, mutations),
     ...createSearches(platformSystem, platformMutations),
+    ...createSearches(coldPlatformSystem, coldMutations),
     ...createSearches(configurationPlatformSystem, configurationMutations),
     ...createSearches(deadlyWorkPlatformSystem, deadlyWorkMutations),
     ...createSearches(evacuationPlatformSystem, evacuationMutations),
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -2,6 +2,7 @@
  * Mutations of a gateway. Each removes one mechanism by changing the reducer's events or its effects. The fuzzer must
  * find the promise that is broken then; otherwise its checks don't prove that promise.
  */
+import { coldShare } from "@verbenaspring/coordination";
 import { type GatewayInterceptors, noTarget, passThroughInterceptors } from "@verbenaspring/emulator";
 import {
     type DecodedItem,
@@ -15,6 +16,7 @@
 import { type ContentDigest, identifier } from "@verbenaspring/model";
 import type { Mutation } from "../mutations.js";
 import type { PromiseName } from "../oracle.js";
+import { platformLimits } from "./limits.js";
 
 const eventMutation = (
     name: string,
@@ -183,6 +185,21 @@
     },
 ];
 
+/** Lets the gateway use the whole rate of each cold server, as if there were no others. */
+function useWholeColdRates(event: GatewayEvent, { coldServers: { allowances } }: GatewayState): GatewayEvent {
+    const { coldRate } = platformLimits;
+    const share = coldShare(coldRate, 0, 1);
+    for (const [id, known] of allowances) {
+        allowances.set(id, { ...known, allowance: { ...known.allowance, share }, sharedAt: Infinity });
+    }
+    return event;
+}
+
+/** Mutations that only schedules with cold servers can find. */
+export const coldMutations: readonly Mutation<GatewayInterceptors>[] = [
+    eventMutation("each gateway uses the whole rate of a cold server", ["cold_rate_kept"], useWholeColdRates),
+];
+
 /** Hides notices from the reducer. Callers still get them, so that the gateway counts as informed. */
 function createNoticeHiding(): GatewayInterceptors {
     const hidden = new Set<unknown>();
--- a/packages/gateway/src/evacuations.ts
+++ b/packages/gateway/src/evacuations.ts
@@ -4,6 +4,7 @@
  */
 import type { FailureDomain, LogOffset, Milliseconds, ServiceName } from "@verbenaspring/model";
 import type { BackendRecord, BackendServer } from "./backendServers.js";
+import { markReturningDomain } from "./coldServers.js";
 import type { EvacuationRecord } from "./event.js";
 import type { GatewayState } from "./state.js";
 import { canContinue, type StreamOrigin } from "./streamVersions.js";
@@ -56,6 +57,7 @@
     const { state, now } = transaction;
     const since = state.evacuations.get(failureDomain)?.since ?? now;
     state.evacuations.delete(failureDomain);
+    markReturningDomain(transaction, failureDomain);
     logDecision(transaction, "info", "evacuation_ended", {
         failureDomain,
         offset,
