--- a/packages/emulator/src/virtualPlatform.ts
+++ b/packages/emulator/src/virtualPlatform.ts
@@ -68,6 +68,7 @@
 }
 
 const heartbeatInterval: Milliseconds = 1_000;
+const evacuationLimit: Milliseconds = 5_000;
 
 /**
  * Runs gateways and a fleet of backend servers in virtual time.
@@ -123,6 +124,7 @@
             retries,
             stopLimit,
             coldBound: cold?.rate,
+            evacuationLimit,
         };
         const environment = {
             clock: this.clock,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -212,6 +212,8 @@
     readonly pausedUntil: Map<BackendServerId, Milliseconds>;
     readonly evacuations: Evacuations;
     readonly coldServers: ColdServers;
+    /** When the streams at evacuated servers are next checked for a migration. */
+    nextEvacuationCheckAt: Milliseconds;
     readonly leavingNotices: LeavingNotices;
     /** The number of the newest notice. */
     noticeCount: number;
@@ -296,6 +298,7 @@
         pausedUntil: new Map(),
         evacuations: new Map(),
         coldServers: createColdServers(),
+        nextEvacuationCheckAt: -Infinity,
         leavingNotices: new Map(),
         noticeCount: 0,
         crashSuspects: createCrashSuspects(),
