--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -48,6 +48,7 @@
 interface ProbeReply {
     readonly runs: readonly RunReport[];
     readonly isLeaving: boolean;
+    readonly coldRemaining: Milliseconds | undefined;
 }
 
 /** What comes back from an address at which no server listens. */
@@ -65,7 +66,7 @@
     readonly answered: (gateway: VirtualGateway, effect: AnswerEffect) => void;
     readonly decisionLogged: (gateway: VirtualGateway, decision: Decision) => void;
     /** Is called when a call reaches a backend server, even if the server then refuses it. */
-    readonly callArrived: (gateway: VirtualGateway, call: BackendCall) => void;
+    readonly callArrived: (gateway: VirtualGateway, call: BackendCall, sentAt: Milliseconds) => void;
     /** Is called when a backend server refuses a call and asks the gateway for a pause. */
     readonly pauseRequested: (gateway: VirtualGateway, call: BackendCall, pause: Milliseconds) => void;
     readonly exited: (gateway: VirtualGateway) => void;
@@ -96,7 +97,7 @@
         this.state = createGatewayState(options, identifier(incarnation));
         this.calls = new VirtualCalls(this.name, environment, {
             handleEvent: event => this.handleEvent(event),
-            callArrived: call => environment.callArrived(this, call),
+            callArrived: (call, sentAt) => environment.callArrived(this, call, sentAt),
             pauseRequested: (call, pause) => environment.pauseRequested(this, call, pause),
         });
         this.links = new VirtualPeerLinks(
@@ -259,12 +260,14 @@
             address,
             probeTimeout,
             reply => {
-                const server = this.environment.fleet.findByAddress(address);
+                const { fleet } = this.environment;
+                const server = fleet.findByAddress(address);
                 if (server === undefined) {
                     reply(connectionRefused);
                 }
                 else if (server.behaviour !== "silent" || !hasReport) {
-                    reply({ runs: server.report(), isLeaving: server.isLeaving });
+                    const coldRemaining = fleet.coldRemainingOf(server.options.id);
+                    reply({ runs: server.report(), isLeaving: server.isLeaving, coldRemaining });
                 }
             },
             outcome => {
@@ -273,7 +276,7 @@
                     ...run,
                     callerAttemptId: identifier<CallerAttemptId>(run.callerAttemptId),
                 }));
-                const report = reply && runs && { runs, isLeaving: reply.isLeaving, startedAt: undefined };
+                const report = reply && runs && { ...reply, runs, startedAt: undefined };
                 this.handleEvent({ kind: "serverProbed", backendServer, report });
             },
         );
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -4,8 +4,10 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import {
+    coldPlatformSystem,
     configurationPlatformSystem,
     deadlyWorkPlatformSystem,
+    evacuationPlatformSystem,
     fuzz,
     type FuzzTarget,
     limitedPlatformSystem,
@@ -19,8 +21,10 @@
 import { type Mutation, mutations } from "./mutations.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
 import {
+    coldMutations,
     configurationMutations,
     deadlyWorkMutations,
+    evacuationMutations,
     limitMutations,
     lostAnswerMutations,
     noticeMutations,
@@ -68,8 +72,10 @@
 const searches = [
     ...createSearches(linkedSystem, mutations),
     ...createSearches(platformSystem, platformMutations),
+    ...createSearches(coldPlatformSystem, coldMutations),
     ...createSearches(configurationPlatformSystem, configurationMutations),
     ...createSearches(deadlyWorkPlatformSystem, deadlyWorkMutations),
+    ...createSearches(evacuationPlatformSystem, evacuationMutations),
     ...createSearches(limitedPlatformSystem, limitMutations),
     ...createSearches(lostAnswerPlatformSystem, lostAnswerMutations),
     ...createSearches(noticePlatformSystem, noticeMutations),
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -2,6 +2,7 @@
  * Mutations of a gateway. Each removes one mechanism by changing the reducer's events or its effects. The fuzzer must
  * find the promise that is broken then; otherwise its checks don't prove that promise.
  */
+import { coldShare } from "@verbenaspring/coordination";
 import { type GatewayInterceptors, noTarget, passThroughInterceptors } from "@verbenaspring/emulator";
 import {
     type DecodedItem,
@@ -15,6 +16,7 @@
 import { type ContentDigest, identifier } from "@verbenaspring/model";
 import type { Mutation } from "../mutations.js";
 import type { PromiseName } from "../oracle.js";
+import { platformLimits } from "./limits.js";
 
 const eventMutation = (
     name: string,
@@ -157,6 +159,47 @@
     return event;
 }
 
+/** Hides all evacuations from the reducer while it handles the failure of an attempt, which resumes its stream. */
+function createEvacuationHiding(): GatewayInterceptors {
+    const hidden = new WeakMap<GatewayState, GatewayState["evacuations"]>();
+    return {
+        ...passThroughInterceptors,
+        mapEvent: (event, state) => {
+            hidden.get(state)?.forEach((evacuation, failureDomain) => state.evacuations.set(failureDomain, evacuation));
+            hidden.delete(state);
+            if (event.kind === "attemptFailed") {
+                hidden.set(state, new Map(state.evacuations));
+                state.evacuations.clear();
+            }
+            return event;
+        },
+    };
+}
+
+/** Mutations that only schedules with evacuations can find. */
+export const evacuationMutations: readonly Mutation<GatewayInterceptors>[] = [
+    {
+        name: "resumed streams ignore evacuations",
+        promises: ["evacuated_domain_gets_no_requests"],
+        implementation: createEvacuationHiding(),
+    },
+];
+
+/** Lets the gateway use the whole rate of each cold server, as if there were no others. */
+function useWholeColdRates(event: GatewayEvent, { coldServers: { allowances } }: GatewayState): GatewayEvent {
+    const { coldRate } = platformLimits;
+    const share = coldShare(coldRate, 0, 1);
+    for (const [id, known] of allowances) {
+        allowances.set(id, { ...known, allowance: { ...known.allowance, share }, sharedAt: Infinity });
+    }
+    return event;
+}
+
+/** Mutations that only schedules with cold servers can find. */
+export const coldMutations: readonly Mutation<GatewayInterceptors>[] = [
+    eventMutation("each gateway uses the whole rate of a cold server", ["cold_rate_kept"], useWholeColdRates),
+];
+
 /** Hides notices from the reducer. Callers still get them, so that the gateway counts as informed. */
 function createNoticeHiding(): GatewayInterceptors {
     const hidden = new Set<unknown>();
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -14,6 +14,7 @@
     ServiceName,
 } from "@verbenaspring/model";
 import type { BackendServer, BackendView } from "./backendServers.js";
+import { type ColdServers, createColdServers } from "./coldServers.js";
 import { type CrashSuspects, createCrashSuspects } from "./crashSuspects.js";
 import type { Evacuations } from "./evacuations.js";
 import type { ReadFailure, TopicItem, TopicName } from "./event.js";
@@ -222,6 +223,7 @@
     /** The servers that want no request from this gateway, and until when. */
     readonly pausedUntil: Map<BackendServerId, Milliseconds>;
     readonly evacuations: Evacuations;
+    readonly coldServers: ColdServers;
     /** When the streams at evacuated servers are next checked for a migration. */
     nextEvacuationCheckAt: Milliseconds;
     readonly leavingNotices: LeavingNotices;
@@ -307,6 +309,7 @@
         requestLimits: new Map(),
         pausedUntil: new Map(),
         evacuations: new Map(),
+        coldServers: createColdServers(),
         nextEvacuationCheckAt: -Infinity,
         leavingNotices: new Map(),
         noticeCount: 0,
