gateway: what is kept of a server ends when it restarts under the same id

Results of an earlier incarnation changed health, limits, pauses, liveness and loads of the present one, failed targets were never retried, a late probe ended runs of the new process, and runs of the old one were waited for until their connection was silent. Idle connections are closed.

--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -189,6 +189,9 @@
         if (isAnswer(effect)) {
             return this.environment.answered(this, effect);
         }
+        if (isOfSockets(effect)) {
+            return;
+        }
         switch (effect.kind) {
             case "sendAttempt":
                 return this.calls.send(effect.call);
@@ -210,9 +213,6 @@
                 return this.read(effect.topic, undefined, 0);
             case "callStreamRegister":
                 return this.callStreamRegister(effect.call);
-            case "applyLimits":
-            case "startDraining":
-                return;
             case "exit":
                 this.kill("reset");
                 return this.environment.exited(this);
@@ -253,7 +253,7 @@
     }
 
     private probe(
-        { backendServer, address, hasReport }: Extract<GatewayEffect, { readonly kind: "probeServer"; }>,
+        { backendServer, address, startedAt, hasReport }: Extract<GatewayEffect, { readonly kind: "probeServer"; }>,
     ): void {
         this.sendRequest<ProbeReply | typeof connectionRefused>(
             address,
@@ -274,7 +274,7 @@
                     callerAttemptId: identifier<CallerAttemptId>(run.callerAttemptId),
                 }));
                 const report = reply && runs && { runs, isLeaving: reply.isLeaving, startedAt: undefined };
-                this.handleEvent({ kind: "serverProbed", backendServer, report });
+                this.handleEvent({ kind: "serverProbed", backendServer, startedAt, report });
             },
         );
     }
@@ -354,6 +354,16 @@
     }
 }
 
+/** Whether an effect concerns only sockets, which are not emulated: virtual servers close theirs when they stop. */
+function isOfSockets(effect: GatewayEffect): effect is SocketEffect {
+    return effect.kind === "applyLimits" || effect.kind === "startDraining" || effect.kind === "closeIdleChannels";
+}
+
+type SocketEffect = Extract<
+    GatewayEffect,
+    { readonly kind: "applyLimits" | "startDraining" | "closeIdleChannels"; }
+>;
+
 function isAnswer(effect: GatewayEffect): effect is AnswerEffect {
     return effect.kind.startsWith("answer");
 }
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -14,12 +14,13 @@
 import { failSuspended, recordBegunRun, recordLostRun, suspensionOf } from "./crashSuspects.js";
 import type { AttemptFailure, GatewayEvent } from "./event.js";
 import { recordLeavingNotice } from "./leavingServers.js";
-import { probeSilentServer, recordSignOfLife } from "./liveness.js";
+import { probeRestartedServer, probeSilentServer, recordSignOfLife } from "./liveness.js";
 import type { BackendAnswer, ResponseHead } from "./messages.js";
 import { recordRequestLimit } from "./requestLimits.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
 import { countPossibleRuns, recordNoRun } from "./runLedger.js";
 import { canDispatchAgain, dispatch, timeUntilUsable } from "./sending.js";
+import { isSuperseded, runFate } from "./serverIncarnations.js";
 import { removeLoad } from "./serverLoad.js";
 import { recordServerPause } from "./serverPauses.js";
 import type { Attempt, GatewayRequest } from "./state.js";
@@ -110,9 +111,11 @@
 
 /** Records what a server says of itself in the head of an answer. */
 export function recordDeclarations(transaction: Transaction, attempt: Attempt, head: ResponseHead): void {
-    recordRequestLimit(transaction, attempt, head);
-    recordServerPause(transaction, attempt, head);
-    recordColdStatement(transaction, attempt.server.record, head.coldRemaining);
+    if (!isSuperseded(transaction.state, attempt.server)) {
+        recordRequestLimit(transaction, attempt, head);
+        recordServerPause(transaction, attempt, head);
+        recordColdStatement(transaction, attempt.server.record, head.coldRemaining);
+    }
     if (head.isLeaving) {
         recordLeavingNotice(transaction, attempt.server.record);
     }
@@ -147,7 +150,7 @@
 }
 
 /** Why an attempt produced no deliverable answer. */
-export type AttemptOutcome = AttemptFailure | "refused_by_server" | "server_failed" | "silent";
+export type AttemptOutcome = AttemptFailure | "refused_by_server" | "server_failed" | "silent" | "server_restarted";
 
 /**
  * Handles an attempt without a deliverable answer: continues the stream from its replica, sends the request again, or
@@ -236,6 +239,9 @@
 export function recordHealth(transaction: Transaction, attempt: Attempt, failure: AttemptOutcome | undefined): void {
     const { state, now } = transaction;
     const { id } = attempt.server.record;
+    if (isSuperseded(state, attempt.server)) {
+        return;
+    }
     const health: ServerHealth = state.health.get(id) ?? createServerHealth();
     state.health.set(id, health);
     if (failure === undefined) {
@@ -261,13 +267,17 @@
  * probes the servers of silent streams.
  */
 export function checkRequests(transaction: Transaction): void {
-    for (const request of [...transaction.state.requests.values()]) {
-        checkRequest(transaction, request);
+    const { requests } = transaction.state;
+    for (const request of [...requests.values()]) {
+        // The end of one request may end others.
+        if (requests.has(request.id)) {
+            checkRequest(transaction, request);
+        }
     }
 }
 
 function checkRequest(transaction: Transaction, request: GatewayRequest): void {
-    const { now } = transaction;
+    const { state, now } = transaction;
     if (now >= request.deadline) {
         return failRequest(transaction, request, "deadline_exceeded", "no complete answer within the time allowed");
     }
@@ -275,6 +285,13 @@
     if (attempt === undefined) {
         return;
     }
+    const fate = runFate(state, attempt, now);
+    if (fate === "lost") {
+        return loseRestartedRun(transaction, request, attempt);
+    }
+    if (fate === "uncertain") {
+        probeRestartedServer(transaction, attempt);
+    }
     if (route.isStream) {
         return probeSilentServer(transaction, request, attempt);
     }
@@ -288,6 +305,15 @@
     }
 }
 
+/** Ends an attempt whose run was lost when its server restarted, and continues, retries or fails the request. */
+export function loseRestartedRun(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
+    endAttempt(transaction, request, attempt, "cancel");
+    recordLostRun(transaction, request, attempt, "server_restarted");
+    if (transaction.state.requests.has(request.id)) {
+        retryOrFail(transaction, request, attempt, "server_restarted");
+    }
+}
+
 /** Cancels an attempt whose server is silent, and retries or fails the request. */
 export function abandonAttempt(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
     recordHealth(transaction, attempt, "silent");
--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -22,11 +22,23 @@
     readonly heartbeat: number;
 }
 
+/** A restart of a server, as far as the gateway knows of it. */
+export interface ServerRestart {
+    /** When the first record of the new incarnation was read. */
+    readonly learnedAt: Milliseconds;
+    /** When the last heartbeat of the incarnation before was read. */
+    readonly previousHeardAt: Milliseconds;
+}
+
 /** A backend server in the view. */
 export interface BackendServer {
     readonly record: BackendRecord;
     /** Increases when the server restarts under the same id. */
     readonly incarnation: number;
+    /** When its newest heartbeat was read. */
+    readonly heardAt: Milliseconds;
+    /** The last restart under its id; undefined if it has not restarted since it was added to the view. */
+    readonly restart: ServerRestart | undefined;
     readonly warmUpEndsAt: Milliseconds;
     /** Since when it accepts no new work: it announced its stop, or its registration was removed. */
     readonly leavingSince: Milliseconds | undefined;
@@ -44,7 +56,8 @@
 const removedRetention: Milliseconds = 20_000;
 
 /**
- * Applies a server's record. A record with an older incarnation or heartbeat than the known one changes nothing.
+ * Applies a server's record. A record with an older incarnation or heartbeat than the known one changes nothing, and
+ * neither does one that does not report its start if the known one does: it is of another writer.
  *
  * @param hasGivenNotice whether this incarnation said in an answer that it leaves, whatever the record says
  * @example
@@ -66,6 +79,8 @@
     view.set(record.id, {
         record,
         incarnation: (known?.incarnation ?? 0) + (isRestart ? 1 : 0),
+        heardAt: isSameIncarnation && known.record.heartbeat === record.heartbeat ? known.heardAt : now,
+        restart: isRestart ? { learnedAt: now, previousHeardAt: known.heardAt } : known?.restart,
         warmUpEndsAt: now + record.remainingWarmUp,
         leavingSince: isLeaving ? (isSameIncarnation ? known.leavingSince : undefined) ?? now : undefined,
         removedAt: undefined,
@@ -89,7 +104,7 @@
 
 function isOlder(record: BackendRecord, known: BackendRecord): boolean {
     if (record.startedAt !== known.startedAt) {
-        return record.startedAt !== undefined && known.startedAt !== undefined && record.startedAt < known.startedAt;
+        return known.startedAt !== undefined && (record.startedAt ?? -Infinity) < known.startedAt;
     }
     return record.heartbeat < known.heartbeat;
 }
--- a/packages/gateway/src/crashSuspects.ts
+++ b/packages/gateway/src/crashSuspects.ts
@@ -19,6 +19,7 @@
 import { liveMembers } from "./members.js";
 import { reportToPeers } from "./peers.js";
 import { failRequest, requestFields } from "./requests.js";
+import { isEarlierStart } from "./serverIncarnations.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -136,9 +137,16 @@
     }
 }
 
-const outcomesOfCrashes: ReadonlySet<AttemptOutcome> = new Set(["channel_lost", "answer_truncated"]);
+const outcomesOfCrashes: ReadonlySet<AttemptOutcome> = new Set([
+    "channel_lost",
+    "answer_truncated",
+    "server_restarted",
+]);
 
-/** Records a run that was lost before it began, and probes its server, which may have crashed. */
+/**
+ * Records a run that was lost before it began, and probes its server, which may have crashed. If the server is known to
+ * have restarted, the run is blamed at once, which may end requests, also that of the run.
+ */
 export function recordLostRun(
     transaction: Transaction,
     request: GatewayRequest,
@@ -152,13 +160,20 @@
     }
     const { id, startedAt } = attempt.server.record;
     forgetUnsettledRuns(transaction);
-    const known = state.crashSuspects.lostRuns.get(id);
+    const earlier = state.crashSuspects.lostRuns.get(id);
+    const known = earlier?.startedAt === startedAt ? earlier : undefined;
     const suspects = new Map(known?.suspects);
     for (const suspect of suspectsOf(request)) {
         suspects.set(suspect, isFirstPart(request, suspect) || suspects.get(suspect) === true);
     }
     state.crashSuspects.lostRuns.set(id, { startedAt, at: known?.at ?? now, suspects });
-    requestProbe(transaction, attempt.server.record);
+    const record = state.servers.get(id)?.record ?? attempt.server.record;
+    if (isEarlierStart(startedAt, record.startedAt)) {
+        settleLostRuns(transaction, id, { isLeaving: false, startedAt: record.startedAt, runs: [] });
+    }
+    else {
+        requestProbe(transaction, record);
+    }
 }
 
 function isFirstPart({ head }: GatewayRequest, id: CrashSuspectId): boolean {
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -49,9 +49,13 @@
         readonly kind: "probeServer";
         readonly backendServer: BackendServerId;
         readonly address: string;
+        /** The incarnation of the server, which is returned with the result. */
+        readonly startedAt: number | undefined;
         /** Whether the server has a report; of another one a probe tells only whether it accepts connections. */
         readonly hasReport: boolean;
     }
+    /** Closes the channels to a server that are not in use: it has restarted. */
+    | { readonly kind: "closeIdleChannels"; readonly address: string; }
     | {
         readonly kind: "migrateRun";
         readonly attemptId: AttemptId;
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -110,6 +110,8 @@
     | {
         readonly kind: "serverProbed";
         readonly backendServer: BackendServerId;
+        /** The incarnation that was to be probed; undefined if its record does not tell. */
+        readonly startedAt?: number | undefined;
         /** Undefined if the server did not answer. */
         readonly report: ServerReport | undefined;
     }
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -2,9 +2,10 @@
  * Follows the topics of the platform's log. The gateway that ranks first for a topic reads it, and the others get the
  * records from its reports. A gateway reads by itself when what it has is no longer fresh.
  */
-import { createServerHealth, takeoverTimeout, type TakeoverTimeouts, taskRank } from "@verbenaspring/coordination";
+import { takeoverTimeout, type TakeoverTimeouts, taskRank } from "@verbenaspring/coordination";
 import type { BackendServerId, GatewayIncarnation, LogOffset, Milliseconds, ServiceName } from "@verbenaspring/model";
-import { applyRecord, applyRemoval, type BackendChange, forgetRemoved } from "./backendServers.js";
+import { applyRecord, applyRemoval, type BackendChange, type BackendRecord, forgetRemoved } from "./backendServers.js";
+import { settleLostRuns } from "./crashSuspects.js";
 import type { DecodedItem, GatewayEvent, TopicName, TopicRecord } from "./event.js";
 import { hasGivenNotice } from "./leavingServers.js";
 import { liveMembers } from "./members.js";
@@ -12,6 +13,7 @@
 import type { TopicReadStamp } from "./peerReport.js";
 import { reportToPeers } from "./peers.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
+import { forgetEarlierIncarnation, isEarlierStart } from "./serverIncarnations.js";
 import type { GatewayState, TopicFollower } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -257,6 +259,9 @@
             if (previous?.record.service !== decoded.record.service) {
                 indexByService(transaction);
             }
+            if (change === "restarted" && previous !== undefined) {
+                endEarlierIncarnation(transaction, previous.record, decoded.record);
+            }
             return handleServerChange(transaction, decoded.record.id, change);
         }
         case "backendServerRemoved":
@@ -288,15 +293,25 @@
     }
 }
 
+/** Closes the connections to a server that has restarted, and settles which requests its end is blamed on. */
+function endEarlierIncarnation(
+    transaction: Transaction,
+    { id, address, startedAt: previousStart }: BackendRecord,
+    { startedAt }: BackendRecord,
+): void {
+    transaction.effects.push({ kind: "closeIdleChannels", address });
+    if (isEarlierStart(previousStart, startedAt)) {
+        settleLostRuns(transaction, id, { isLeaving: false, startedAt, runs: [] });
+    }
+}
+
 function handleServerChange(transaction: Transaction, id: BackendServerId, change: BackendChange): boolean {
     const { state } = transaction;
     if (change === "unchanged") {
         return false;
     }
     if (change === "added" || change === "restarted") {
-        state.health.set(id, createServerHealth());
-        state.requestLimits.delete(id);
-        state.pausedUntil.delete(id);
+        forgetEarlierIncarnation(state, id);
     }
     const known = state.servers.get(id);
     if (change === "leaving" || change === "removed") {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -14,6 +14,7 @@
 export * from "./requestLimits.js";
 export * from "./routingConfiguration.js";
 export * from "./runLedger.js";
+export * from "./serverIncarnations.js";
 export * from "./serverPauses.js";
 export * from "./state.js";
 export * from "./streamRegister.js";
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -3,7 +3,7 @@
  * so an attempt is abandoned only if a probe shows that its server or its channel is dead.
  */
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
-import { abandonAttempt } from "./attempts.js";
+import { abandonAttempt, loseRestartedRun } from "./attempts.js";
 import type { BackendRecord } from "./backendServers.js";
 import { recordColdStatement } from "./coldServers.js";
 import { settleLostRuns } from "./crashSuspects.js";
@@ -11,6 +11,7 @@
 import { recordLeavingNotice } from "./leavingServers.js";
 import { findReplicaHolder } from "./replicas.js";
 import { canSendAgain } from "./sending.js";
+import { adoptListedRuns, isEarlierStart, isLostByReport } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
@@ -46,20 +47,42 @@
     }
 }
 
+/** Probes the server of an attempt that may be of an earlier incarnation, if its report can tell. */
+export function probeRestartedServer(transaction: Transaction, { server: { record: { id } } }: Attempt): void {
+    const { state, now } = transaction;
+    const known = state.servers.get(id);
+    const probedAt = state.liveness.get(id)?.restartProbedAt ?? -Infinity;
+    if (known === undefined || engineOf(state, known.record.service) === undefined || now - probedAt < silenceTimeout) {
+        return;
+    }
+    requestProbe(transaction, known.record);
+    const liveness = state.liveness.get(id);
+    if (liveness !== undefined) {
+        liveness.restartProbedAt = now;
+    }
+}
+
 /** Probes a server, unless a probe is under way or the server wants no calls. */
-export function requestProbe({ state, now, effects }: Transaction, { id, address, service }: BackendRecord): void {
+export function requestProbe(
+    { state, now, effects }: Transaction,
+    { id, address, service, startedAt }: BackendRecord,
+): void {
     const liveness = state.liveness.get(id) ?? { lastSignOfLifeAt: -Infinity, isProbing: false };
     state.liveness.set(id, liveness);
     if (!liveness.isProbing && !isPaused(state, id, now)) {
         liveness.isProbing = true;
         const hasReport = engineOf(state, service) !== undefined;
-        effects.push({ kind: "probeServer", backendServer: id, address, hasReport });
+        effects.push({ kind: "probeServer", backendServer: id, address, startedAt, hasReport });
     }
 }
 
 /** Handles the result of a probe. */
-export function handleServerProbed(transaction: Transaction, { backendServer, report }: ServerProbed): void {
+export function handleServerProbed(transaction: Transaction, { backendServer, startedAt, report }: ServerProbed): void {
     const { state, now } = transaction;
+    if (isEarlierStart(startedAt, state.servers.get(backendServer)?.record.startedAt)) {
+        // The probe was of an earlier incarnation, and says nothing about the present one.
+        return;
+    }
     const liveness = state.liveness.get(backendServer);
     if (liveness !== undefined) {
         liveness.isProbing = false;
@@ -76,9 +99,16 @@
     if (report?.isLeaving === true && server !== undefined) {
         recordLeavingNotice(transaction, server.record);
     }
+    adoptListedRuns(state, backendServer, report);
     for (const request of [...state.requests.values()]) {
         const { attempt } = request;
-        if (attempt?.server.record.id === backendServer && isLost(request, attempt, report, now)) {
+        if (attempt?.server.record.id !== backendServer) {
+            continue;
+        }
+        if (isLostByReport(request, attempt, report, now)) {
+            loseRestartedRun(transaction, request, attempt);
+        }
+        else if (isLost(request, attempt, report, now)) {
             abandonIfContinuable(transaction, request, attempt);
         }
     }
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -13,6 +13,7 @@
 import { acceptingHolder, isReplicaKept, usableHolder } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
+import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf, otherServers, replicaView, setMigrationTarget } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest } from "./state.js";
@@ -66,6 +67,9 @@
     if (attempt === undefined || !route.isStream || attempt.firstEventAt === undefined) {
         return [];
     }
+    if (isSuperseded(transaction.state, attempt.server)) {
+        return [];
+    }
     const canMigrate = engineOf(transaction.state, request.service)?.canMigrate === true;
     const replica = usableHolder(transaction.state, attempt, transaction.now);
     const hasTargetsLeft = attempt.failedTargets.size < maximumMigrationTargets;
--- a/packages/gateway/src/requestLimits.ts
+++ b/packages/gateway/src/requestLimits.ts
@@ -84,7 +84,10 @@
     const { requestLimits, servers } = transaction.state;
     const observedAt = publishedAt - age;
     const known = requestLimits.get(backendServer);
-    if (servers.has(backendServer) && (known === undefined || known.observedAt < observedAt)) {
+    const server = servers.get(backendServer);
+    // What was observed before the server restarted does not apply to its new incarnation.
+    const isOfIncarnation = server !== undefined && observedAt >= (server.restart?.learnedAt ?? -Infinity);
+    if (isOfIncarnation && (known === undefined || known.observedAt < observedAt)) {
         setRequestLimit(transaction, backendServer, { perSecond, observedAt, isOwnObservation: false });
     }
 }
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -17,6 +17,7 @@
 import { expectedOutput } from "./messages.js";
 import { isLimited, isWithinLimit } from "./requestLimits.js";
 import type { EngineCapabilities } from "./routingConfiguration.js";
+import { isSuperseded } from "./serverIncarnations.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState, ServerLoad } from "./state.js";
 import { canContinue, type StreamOrigin } from "./streamVersions.js";
@@ -181,14 +182,14 @@
     if (engineOf(state, attempt.server.record.service) !== undefined) {
         state.placements++;
     }
-    changeLoad(state, attempt.server.record.id, { inProgress: 1, memoryTokens, copiedTokens: 0, waitingTokens });
+    changeLoad(state, attempt.server, { inProgress: 1, memoryTokens, copiedTokens: 0, waitingTokens });
     changeCopies(state, attempt, memoryTokens);
 }
 
 /** Subtracts an attempt that ended from the loads. */
 export function removeLoad(state: GatewayState, attempt: Attempt): void {
     const { memoryTokens, waitingTokens } = attempt;
-    changeLoad(state, attempt.server.record.id, {
+    changeLoad(state, attempt.server, {
         inProgress: -1,
         memoryTokens: -memoryTokens,
         copiedTokens: 0,
@@ -209,7 +210,7 @@
     }
     attempt.memoryTokens += growth;
     attempt.waitingTokens = 0;
-    changeLoad(state, attempt.server.record.id, {
+    changeLoad(state, attempt.server, {
         inProgress: 0,
         memoryTokens: growth,
         copiedTokens: 0,
@@ -235,6 +236,30 @@
     }
 }
 
+/**
+ * Counts the load of this gateway's attempts at a server again, when a new incarnation of it is registered: runs and
+ * copies of an earlier one no longer count.
+ */
+export function recountLoad(state: GatewayState, id: BackendServerId): void {
+    if (state.loads.delete(id)) {
+        state.loadsVersion++;
+    }
+    for (const { attempt } of state.attempts.values()) {
+        if (attempt === undefined) {
+            continue;
+        }
+        const { server, replica, migrationTarget, memoryTokens, waitingTokens } = attempt;
+        if (server.record.id === id) {
+            changeLoad(state, server, { inProgress: 1, memoryTokens, copiedTokens: 0, waitingTokens });
+        }
+        for (const holder of [replica, migrationTarget]) {
+            if (holder?.record.id === id) {
+                changeCopy(state, holder, memoryTokens);
+            }
+        }
+    }
+}
+
 function changeCopies(state: GatewayState, { replica, migrationTarget }: Attempt, memoryTokens: number): void {
     for (const holder of [replica, migrationTarget]) {
         if (holder !== undefined) {
@@ -244,7 +269,7 @@
 }
 
 function changeCopy(state: GatewayState, holder: BackendServer, memoryTokens: number): void {
-    changeLoad(state, holder.record.id, {
+    changeLoad(state, holder, {
         inProgress: 0,
         memoryTokens,
         copiedTokens: memoryTokens,
@@ -252,7 +277,12 @@
     });
 }
 
-function changeLoad(state: GatewayState, id: BackendServerId, change: ServerLoad): void {
+/** Changes the load at a server. That of an earlier incarnation has ended with it. */
+function changeLoad(state: GatewayState, server: BackendServer, change: ServerLoad): void {
+    if (isSuperseded(state, server)) {
+        return;
+    }
+    const { id } = server.record;
     const load: ServerLoad = state.loads.get(id)
         ?? { inProgress: 0, memoryTokens: 0, copiedTokens: 0, waitingTokens: 0 };
     load.inProgress += change.inProgress;
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -31,7 +31,8 @@
 /** One send of a request to a backend server, until its answer, its failure or its cancellation. */
 export interface Attempt {
     readonly id: AttemptId;
-    readonly server: BackendServer;
+    /** Replaced only if the server turns out to have restarted before the request was sent. */
+    server: BackendServer;
     readonly startedAt: Milliseconds;
     /** The server that the run's memory is to be replicated to as it grows; whether it holds a replica is not known. */
     readonly replica: BackendServer | undefined;
@@ -125,6 +126,8 @@
 export interface ServerLiveness {
     lastSignOfLifeAt: Milliseconds;
     isProbing: boolean;
+    /** When it was last probed for runs that it may have lost when it restarted. */
+    restartProbedAt?: Milliseconds;
 }
 
 /** The time per token before any stream ended: one step of an engine with some tens of runs. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -21,6 +21,7 @@
 import { finishRequest, requestFields } from "./requests.js";
 import { recordNoRun } from "./runLedger.js";
 import { canSendAgain, sendTo } from "./sending.js";
+import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { holdUntilRecorded } from "./streamRegister.js";
@@ -87,7 +88,9 @@
         recordBegunRun(transaction, request);
     }
     attempt.events += events.length;
-    recordSignOfLife(state, attempt.server.record.id, now);
+    if (!isSuperseded(state, attempt.server)) {
+        recordSignOfLife(state, attempt.server.record.id, now);
+    }
     forwardEvents(transaction, request, attempt, newEvents);
     migrateAfterFirstEvent(transaction, attempt);
 }
--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -46,6 +46,8 @@
     readonly setPaused: (attemptId: AttemptId, isPaused: boolean) => void;
     /** Resolves to whether a server accepts a connection within the timeout of connecting. */
     readonly canConnect: (address: string) => Promise<boolean>;
+    /** Closes the channels to an address that are not in use. */
+    readonly closeIdle: (address: string) => void;
     /** How many channels have been opened since the start. */
     readonly openedChannelCount: () => number;
     readonly close: () => void;
@@ -232,6 +234,10 @@
                 })
             );
         },
+        closeIdle: address => {
+            idleChannels.get(address)?.forEach(channel => void channel.client.destroy());
+            idleChannels.delete(address);
+        },
         openedChannelCount: () => openedCount,
         close: () => {
             clearInterval(idleSweep);
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -158,9 +158,16 @@
                 return this.peerLinks.send(effect.address, effect.report);
             case "closePeerLink":
                 return this.peerLinks.closePeer(effect.address);
+            case "closeIdleChannels":
+                return this.channels.closeIdle(effect.address);
             case "probeServer":
                 void this.probe(effect.address, effect.hasReport).then(report =>
-                    this.events.push({ kind: "serverProbed", backendServer: effect.backendServer, report })
+                    this.events.push({
+                        kind: "serverProbed",
+                        backendServer: effect.backendServer,
+                        startedAt: effect.startedAt,
+                        report,
+                    })
                 );
                 return;
             case "readTopic":
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -113,6 +113,23 @@
     server.close();
 });
 
+test("idle channels to a server that has restarted are closed, and the next call opens a new one", async () => {
+    const sockets = new Set<Socket>();
+    const { address, server } = await listenRaw(socket => {
+        sockets.add(socket);
+        socket.write(`${okStatusLine}content-length: 2\r\n\r\nhi`);
+    });
+    const harness = new ChannelHarness();
+    await harness.call(createCall(address, "a"));
+    await new Promise(resolve => setImmediate(resolve));
+    harness.channels.closeIdle("127.0.0.1:1");
+    harness.channels.closeIdle(address);
+    assert.is((await harness.call(createCall(address, "b"))).kind, "answered");
+    assert.is(sockets.size, 2);
+    harness.channels.close();
+    server.close();
+});
+
 test("a request is not sent again on a channel on which it was refused, and refusals wear channels out", async () => {
     const sockets: Socket[] = [];
     let current = "";
