--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -22,11 +22,23 @@
     readonly heartbeat: number;
 }
 
+/** A restart of a server, as far as the gateway knows of it. */
+export interface ServerRestart {
+    /** When the first record of the new incarnation was read. */
+    readonly learnedAt: Milliseconds;
+    /** When the last heartbeat of the incarnation before was read. */
+    readonly previousHeardAt: Milliseconds;
+}
+
 /** A backend server in the view. */
 export interface BackendServer {
     readonly record: BackendRecord;
     /** Increases when the server restarts under the same id. */
     readonly incarnation: number;
+    /** When its newest heartbeat was read. */
+    readonly heardAt: Milliseconds;
+    /** The last restart under its id; undefined if it has not restarted since it was added to the view. */
+    readonly restart: ServerRestart | undefined;
     readonly warmUpEndsAt: Milliseconds;
     /** Since when it accepts no new work: it announced its stop, or its registration was removed. */
     readonly leavingSince: Milliseconds | undefined;
@@ -38,13 +50,14 @@
 export type BackendView = Map<BackendServerId, BackendServer>;
 
 /** How a record changed the view. */
-export type BackendChange = "added" | "restarted" | "leaving" | "returned" | "removed" | "unchanged";
+export type BackendChange = "added" | "restarted" | "leaving" | "returned" | "updated" | "removed" | "unchanged";
 
 /** How long a removed server stays in the view, for the streams that still run there. */
 const removedRetention: Milliseconds = 20_000;
 
 /**
- * Applies a server's record. A record with an older incarnation or heartbeat than the known one changes nothing.
+ * Applies a server's record. A record with an older incarnation or heartbeat than the known one changes nothing, and
+ * neither does one that does not report its start if the known one does: it is of another writer.
  *
  * @param hasGivenNotice whether this incarnation said in an answer that it leaves, whatever the record says
  * @example
@@ -66,11 +79,22 @@
     view.set(record.id, {
         record,
         incarnation: (known?.incarnation ?? 0) + (isRestart ? 1 : 0),
+        heardAt: isSameIncarnation && known.record.heartbeat === record.heartbeat ? known.heardAt : now,
+        restart: isRestart ? { learnedAt: now, previousHeardAt: known.heardAt } : known?.restart,
         warmUpEndsAt: now + record.remainingWarmUp,
         leavingSince: isLeaving ? (isSameIncarnation ? known.leavingSince : undefined) ?? now : undefined,
         removedAt: undefined,
     });
-    return classifyChange(known, isLeaving, isRestart);
+    const change = classifyChange(known, isLeaving, isRestart);
+    return change === "unchanged" && known !== undefined && isUpdate(record, known, now) ? "updated" : change;
+}
+
+/** Whether a record says more than a heartbeat: the server has become cold, or its registration has changed. */
+function isUpdate(record: BackendRecord, known: BackendServer, now: Milliseconds): boolean {
+    const { service, address, failureDomain, softwareVersion, slots } = known.record;
+    const hasBecomeCold = record.remainingWarmUp > 0 && now >= known.warmUpEndsAt;
+    return hasBecomeCold || record.service !== service || record.address !== address || record.slots !== slots
+        || record.failureDomain !== failureDomain || record.softwareVersion !== softwareVersion;
 }
 
 function classifyChange(known: BackendServer | undefined, isLeaving: boolean, isRestart: boolean): BackendChange {
@@ -89,7 +113,7 @@
 
 function isOlder(record: BackendRecord, known: BackendRecord): boolean {
     if (record.startedAt !== known.startedAt) {
-        return record.startedAt !== undefined && known.startedAt !== undefined && record.startedAt < known.startedAt;
+        return known.startedAt !== undefined && (record.startedAt ?? -Infinity) < known.startedAt;
     }
     return record.heartbeat < known.heartbeat;
 }
--- a/packages/gateway/test/coldServers.test.ts
+++ b/packages/gateway/test/coldServers.test.ts
@@ -184,4 +184,37 @@
     }
 });
 
+// Gateways learn what servers register from the one that reads it, which reports only what is more than a heartbeat.
+test("a server that becomes cold under its id is reported to the other gateways, as is a changed registration", () => {
+    const gateway = gatewayServing(warm);
+    gateway.receiveReport({});
+    const reportedBy = (changed: BackendRecord): readonly string[] => {
+        gateway.now += 1;
+        return gateway.read("backendServers", [gateway.item(changed.id, [{ kind: "backendServer", record: changed }])])
+            .flatMap(effect => effect.kind === "sendReport" ? effect.report.topics : [])
+            .filter(({ name }) => name === "backendServers")
+            .flatMap(({ items }) => items.map(({ key }) => key));
+    };
+    // Tells the gateway which records the peer has, so that it reports only what is new.
+    const [configuration, backendServers] = [
+        gateway.state.followers.configuration,
+        gateway.state.followers.backendServers,
+    ];
+    const topicOf = (name: "configuration" | "backendServers", through: number) => ({
+        name,
+        since: through,
+        read: { reader: identifier<never>("reader"), count: 1 },
+        through,
+        age: 0,
+        items: [],
+        isComplete: false,
+    });
+    gateway.receiveReport({
+        topics: [topicOf("configuration", configuration.next!), topicOf("backendServers", backendServers.next!)],
+    });
+    assert.equal(reportedBy({ ...warm, heartbeat: 2 }), [], "a heartbeat");
+    assert.equal(reportedBy({ ...warm, heartbeat: 3, remainingWarmUp: 900 }), ["plain-2"]);
+    assert.equal(reportedBy({ ...warm, heartbeat: 4, slots: 9 }), ["plain-2"]);
+});
+
 test.run();
