runtime: metrics of evacuated failure domains by domain

Cause: verbenaspring_evacuated_domains tells how many failure domains are evacuated, not which and for how long.

Change: a gauge may have a label; verbenaspring_evacuation_age_milliseconds{domain} is the time since this gateway learned of each evacuation.

--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -101,6 +101,12 @@
             () => [...state.requestLimits.values()].filter(({ perSecond }) => perSecond !== undefined).length,
         );
         metrics.gauge("verbenaspring_evacuated_domains", () => state.evacuations.size);
+        metrics.labelledGauge(
+            "verbenaspring_evacuation_age_milliseconds",
+            "domain",
+            () =>
+                new Map([...state.evacuations].map(([name, { since }]) => [name, Math.round(monotonicNow() - since)])),
+        );
         metrics.gauge("verbenaspring_crash_suspects", () => state.crashSuspects.suspects.size);
         metrics.gauge("verbenaspring_backend_channels_opened", () => this.channels.openedChannelCount());
     }
--- a/packages/runtime/src/metrics.ts
+++ b/packages/runtime/src/metrics.ts
@@ -18,6 +18,8 @@
     readonly record: (name: string, value: number, labels?: Labels) => void;
     /** Registers a value that is read whenever the metrics are formatted. */
     readonly gauge: (name: string, read: () => number) => void;
+    /** Registers values, each with the value of a label, that are read whenever the metrics are formatted. */
+    readonly labelledGauge: (name: string, label: string, read: () => ReadonlyMap<string, number>) => void;
     /** Formats all metrics in the Prometheus text format. */
     readonly format: () => string;
 }
@@ -37,7 +39,7 @@
 export function createMetrics(): Metrics {
     const counters = new Map<string, Map<string, number>>();
     const summaries = new Map<string, Map<string, Summary>>();
-    const gauges = new Map<string, () => number>();
+    const gauges = new Map<string, () => Map<string, number>>();
     return {
         count: (name, labels = {}, amount = 1) => {
             const series = getSeries(counters, name);
@@ -53,7 +55,10 @@
             summary.sum += value;
         },
         gauge: (name, read) => {
-            gauges.set(name, read);
+            gauges.set(name, () => new Map([["", read()]]));
+        },
+        labelledGauge: (name, label, read) => {
+            gauges.set(name, () => new Map([...read()].map(([key, value]) => [formatLabels({ [label]: key }), value])));
         },
         format: () =>
             [...formatCounters(counters), ...formatGauges(gauges), ...formatSummaries(summaries), ""].join("\n"),
@@ -91,8 +96,11 @@
     ]);
 }
 
-function formatGauges(gauges: ReadonlyMap<string, () => number>): string[] {
-    return [...gauges].flatMap(([name, read]) => [`# TYPE ${name} gauge`, `${name} ${read()}`]);
+function formatGauges(gauges: ReadonlyMap<string, () => ReadonlyMap<string, number>>): string[] {
+    return [...gauges].flatMap(([name, read]) => [
+        `# TYPE ${name} gauge`,
+        ...[...read()].map(([labels, value]) => `${withLabels(name, labels)} ${value}`),
+    ]);
 }
 
 function formatSummaries(summaries: ReadonlyMap<string, ReadonlyMap<string, Summary>>): string[] {
