gateway: a stream whose deadline is close is not migrated away from an evacuated server

Cause: in a trial with gateway processes two streams of a route of 5 s were migrated at the age of 1 s, though they were cut 4 s later.

Change: the time until the deadline bounds the forecast of the remaining time.

--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -116,7 +116,9 @@
     const isSafe = route.canResume || (replica !== undefined && replica.leavingSince === undefined);
     const remaining = remainingTime(transaction, request);
     const isDue = reason === "evacuated"
-        ? remaining > state.options.evacuationLimit && canSendAgain(transaction, request, reservedRetries + underWay)
+        // A stream is cut at its deadline, wherever it runs.
+        ? Math.min(remaining, request.deadline - now) > state.options.evacuationLimit
+            && canSendAgain(transaction, request, reservedRetries + underWay)
         : remaining > minimumRemainingTime && !isSafe;
     return canMigrate && hasTargetsLeft && isDue ? [{ request, attempt, isSafe }] : [];
 }
