--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -81,8 +81,13 @@
     readonly age: Milliseconds;
 }
 
-/** The version of what gateways report to each other. Gateways that know no records have version 0. */
-export const reportProtocol = 1;
+/**
+ * The version of what gateways report to each other. Gateways that know no records have version 0, those that don't know
+ * evacuations 1.
+ */
+export const reportProtocol = 2;
+/** The version from which on reports of changes in the operator's topic contain evacuations. */
+export const evacuationProtocol = 2;
 
 /**
  * A report on a link: the records, topics, notices and parts of prompts that the receiver lacks. What follows
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -5,7 +5,7 @@
 import type { LogOffset, Milliseconds } from "@verbenaspring/model";
 import type { TopicItem, TopicName } from "./event.js";
 import { applyItems, applySnapshot, recordFreshness } from "./followers.js";
-import type { PeerItems, PeerTopic } from "./peerReport.js";
+import { evacuationProtocol, type PeerItems, type PeerTopic } from "./peerReport.js";
 import type { GatewayState, Peer, TopicFollower } from "./state.js";
 import type { Transaction } from "./transaction.js";
 
@@ -81,7 +81,7 @@
     // Records sent to the peer may still be under way, so what it reports replaces what was recorded on sending.
     peer.through = { ...peer.through, [topic.name]: topic.through };
     const known = follower.next ?? 0;
-    if (topic.through < known || topic.since > known) {
+    if (topic.through < known || topic.since > known || mayLackEvacuations(peer, topic)) {
         return false;
     }
     const apply = topic.isComplete ? applySnapshot : applyItems;
@@ -89,3 +89,11 @@
     recordFreshness(follower, topic.read, now - topic.age);
     return hasChanged;
 }
+
+/**
+ * Whether a report of the operator's topic may lack evacuations: gateways of an earlier version keep their records, but
+ * don't count them as changes. Applied, it would move this gateway's reads past them.
+ */
+function mayLackEvacuations({ protocol }: Peer, { name, isComplete }: PeerTopic): boolean {
+    return name === "configuration" && !isComplete && (protocol ?? 0) < evacuationProtocol;
+}
--- a/packages/gateway/test/evacuations.test.ts
+++ b/packages/gateway/test/evacuations.test.ts
@@ -33,7 +33,12 @@
 }
 
 /** A peer's report of the operator's topic with the given records. */
-function reportTopic(gateway: TestGateway, items: DecodedItem[], topic: Partial<PeerTopic>): GatewayEffect[] {
+function reportTopic(
+    gateway: TestGateway,
+    items: DecodedItem[],
+    topic: Partial<PeerTopic>,
+    protocol = 2,
+): GatewayEffect[] {
     const read = { reader: identifier<never>("reader"), count: 1 };
     const topics = [{
         name: "configuration" as const,
@@ -45,7 +50,7 @@
         isComplete: false,
         ...topic,
     }];
-    return gateway.receiveReport({ topics }, { configuration: items });
+    return gateway.receiveReport({ protocol, topics }, { configuration: items });
 }
 
 test("an evacuated failure domain gets no request until the evacuation is withdrawn", () => {
@@ -179,6 +184,15 @@
     assert.equal(items.map(({ key }) => key), ["evacuate/far"]);
 });
 
+test("changes that a gateway of an earlier version reports do not move the own reads past an evacuation", () => {
+    const gateway = gatewayWithPlainServers();
+    const { next } = gateway.state.followers.configuration;
+    reportTopic(gateway, [], { through: 60 }, 1);
+    assert.is(gateway.state.followers.configuration.next, next);
+    reportTopic(gateway, [record(gateway, near)], { through: 60, isComplete: true }, 1);
+    assert.equal([gateway.state.followers.configuration.next, ...targets(gateway)], [60, "plain-2"]);
+});
+
 /** The ids of the requests whose streams begin to be migrated. */
 function migrationsIn(effects: readonly GatewayEffect[]): string[] {
     return effects.flatMap(effect => effect.kind === "migrateRun" ? [String(effect.callerAttemptId)] : []);
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -17,6 +17,7 @@
     type MemberRecord,
     type PeerReport,
     reduceGateway,
+    reportProtocol,
     type RequestHead,
     type ResponseHead,
     type Route,
@@ -301,7 +302,7 @@
             kind: "peerReported",
             report: {
                 ...sender,
-                protocol: 1,
+                protocol: reportProtocol,
                 wantsLink: true,
                 records: [{ record, age: 0 }],
                 members: [],
