--- a/packages/gateway/test/evacuations.test.ts
+++ b/packages/gateway/test/evacuations.test.ts
@@ -5,7 +5,7 @@
 import { type FailureDomain, identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, failuresIn, linesIn, server, TestGateway } from "./gatewayBuilders.js";
+import { callsIn, failuresIn, linesIn, options, server, TestGateway } from "./gatewayBuilders.js";
 
 const near = identifier<FailureDomain>("near");
 const far = identifier<FailureDomain>("far");
@@ -33,7 +33,12 @@
 }
 
 /** A peer's report of the operator's topic with the given records. */
-function reportTopic(gateway: TestGateway, items: DecodedItem[], topic: Partial<PeerTopic>): GatewayEffect[] {
+function reportTopic(
+    gateway: TestGateway,
+    items: DecodedItem[],
+    topic: Partial<PeerTopic>,
+    protocol = 2,
+): GatewayEffect[] {
     const read = { reader: identifier<never>("reader"), count: 1 };
     const topics = [{
         name: "configuration" as const,
@@ -45,7 +50,7 @@
         isComplete: false,
         ...topic,
     }];
-    return gateway.receiveReport({ topics }, { configuration: items });
+    return gateway.receiveReport({ protocol, topics }, { configuration: items });
 }
 
 test("an evacuated failure domain gets no request until the evacuation is withdrawn", () => {
@@ -179,6 +184,15 @@
     assert.equal(items.map(({ key }) => key), ["evacuate/far"]);
 });
 
+test("changes that a gateway of an earlier version reports do not move the own reads past an evacuation", () => {
+    const gateway = gatewayWithPlainServers();
+    const { next } = gateway.state.followers.configuration;
+    reportTopic(gateway, [], { through: 60 }, 1);
+    assert.is(gateway.state.followers.configuration.next, next);
+    reportTopic(gateway, [record(gateway, near)], { through: 60, isComplete: true }, 1);
+    assert.equal([gateway.state.followers.configuration.next, ...targets(gateway)], [60, "plain-2"]);
+});
+
 /** The ids of the requests whose streams begin to be migrated. */
 function migrationsIn(effects: readonly GatewayEffect[]): string[] {
     return effects.flatMap(effect => effect.kind === "migrateRun" ? [String(effect.callerAttemptId)] : []);
@@ -209,8 +223,9 @@
 test("long streams leave an evacuated server one at a time, first those that would be lost with it; short ones stay", () => {
     const streams = [["s", "plan", short], ["n", "note", long], ["p", "plan", long]] as const;
     const gateway = gatewayWithStreams(streams, ["engine-2", "engine-3"]);
+    gateway.state.options = { ...options, evacuationLimit: 4_000 };
     const evacuated = change(gateway, near);
-    assert.equal(migrationsIn([...evacuated, ...gateway.advance(1_500)]), ["p"]);
+    assert.equal(migrationsIn([...evacuated, ...gateway.advance(1_100)]), ["p"]);
     const moved = answerMigration(gateway, "p", "h1");
     assert.equal(callsIn(moved).map(({ continuesFrom }) => continuesFrom?.name), ["h1"]);
     assert.is.not(callsIn(moved)[0].backendServer, "engine-1");
@@ -242,6 +257,13 @@
     assert.equal(migrationsIn(gateway.advance(1_050)), ["p"]);
 });
 
+test("a stream of an evacuated server whose deadline is close is not migrated", () => {
+    const gateway = gatewayWithStreams([["n", "note", long]]);
+    gateway.advance(1_200);
+    change(gateway, near);
+    assert.equal(migrationsIn(gateway.advance(1_050)), []);
+});
+
 test("migrations from an evacuated server leave a retry for requests that fail", () => {
     const gateway = gatewayWithStreams([["p", "plan", long]]);
     gateway.state.retryBudget.options = { ratio: 0, slack: 2, window: 10_000 };
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -103,6 +103,12 @@
         );
         metrics.gauge("verbenaspring_evacuated_domains", () => state.evacuations.size);
         metrics.gauge("verbenaspring_backend_servers_cold", () => countColdServers(state));
+        metrics.labelledGauge(
+            "verbenaspring_evacuation_age_milliseconds",
+            "domain",
+            () =>
+                new Map([...state.evacuations].map(([name, { since }]) => [name, Math.round(monotonicNow() - since)])),
+        );
         metrics.gauge("verbenaspring_crash_suspects", () => state.crashSuspects.suspects.size);
         metrics.gauge("verbenaspring_backend_channels_opened", () => this.channels.openedChannelCount());
     }
