--- a/packages/gateway/src/coldServers.ts
+++ b/packages/gateway/src/coldServers.ts
@@ -107,7 +107,7 @@
 
 /** Whether a server is cold, so that it may receive requests only at a limited rate. */
 export function isCold(state: GatewayState, server: BackendServer, now: Milliseconds): boolean {
-    return coldRateOf(state, server.record.service) !== undefined && now < coldUntil(state, server);
+    return coldPerSecond(state, server.record.service) > 0 && now < coldUntil(state, server);
 }
 
 /** Whether the rate of a server, if it is cold, allows this gateway to send it a request now. */
@@ -231,12 +231,15 @@
 }
 
 /** The rate of a service's cold servers; undefined if it is not limited. */
-function coldRateOf(
-    { options: { coldBound }, configuration }: GatewayState,
-    service: ServiceName,
-): ColdRate | undefined {
-    const perSecond = coldBound === undefined ? 0 : configuration?.services.get(service)?.coldStart?.perSecond ?? 0;
-    return coldBound === undefined || perSecond <= 0 ? undefined : { perSecond, ...coldBound };
+function coldRateOf(state: GatewayState, service: ServiceName): ColdRate | undefined {
+    const { coldBound } = state.options;
+    const perSecond = coldPerSecond(state, service);
+    return coldBound === undefined || perSecond === 0 ? undefined : { perSecond, ...coldBound };
+}
+
+/** The requests a second that each cold server of a service receives; 0 if they are not limited. */
+function coldPerSecond({ options, configuration }: GatewayState, service: ServiceName): number {
+    return options.coldBound === undefined ? 0 : configuration?.services.get(service)?.coldStart?.perSecond ?? 0;
 }
 
 /** Until when a server is cold, by its newest record, its newest answer and the return of its failure domain. */
--- a/packages/gateway/test/coldServers.test.ts
+++ b/packages/gateway/test/coldServers.test.ts
@@ -99,13 +99,29 @@
     [0, 1, 2, 3].forEach(index => cluster.freeze(index));
     cluster.run(70_000, "confirm", 400);
     [0, 1, 2, 3].forEach(index => cluster.resume(index));
-    cluster.run(3_000, "confirm", 400);
+    const resumedAt = cluster.now;
+    cluster.run(500, "confirm", 400);
+    assert.ok(arrivalsSince(cluster, resumedAt + 1) <= 1, "only the gateway that was not frozen sends");
+    cluster.run(2_500, "confirm", 400);
     const from = cluster.now;
     cluster.run(4_000, "confirm", 400);
     assertBound(cluster);
     assert.ok(arrivalsSince(cluster, from) >= 0.9 * 4 * perSecond, "after a while each has its share again");
 });
 
+// The others forget a gateway after 60 s and divide its share: until then it must use little of it.
+test("a gateway that hears from no other reduces its share before the others forget it", () => {
+    const gateway = gatewayServing(cold);
+    const share = (): number | undefined =>
+        gateway.state.coldServers.allowances.get(cold.id)?.allowance.share.perSecond;
+    gateway.receiveReport({});
+    gateway.advance(5_000);
+    assert.is(share(), perSecond / 2);
+    gateway.advance(46_000);
+    assert.is(gateway.state.members.size, 1);
+    assert.is(share(), perSecond / 32);
+});
+
 test("requests are rejected with the time until an allowance where all plain servers are cold", () => {
     const cluster = clusterOf(6, cold, { ...warm, remainingWarmUp: 600_000 });
     cluster.run(8_000, "confirm", 200);
@@ -138,6 +154,7 @@
 
 test("a cold server is no holder of a replica and no migration target, but finishes what it runs", () => {
     const gateway = gatewayServing(server("engine-1"), server("engine-2", { remainingWarmUp: 600_000 }));
+    gateway.advance(1_000);
     const call = gateway.startStream("p1", "plan");
     assert.equal([call.backendServer, call.replicaAddress], ["engine-1", undefined]);
     const effects = gateway.register(server("engine-1", { isDraining: true, heartbeat: 2 }));
