soak: evacuations, servers that become cold, and restarts at the same address as faults

They are a series of their own, so that the draws of the other series stay the same. The oracles are those of the fuzzer; like the other time limits they are checked only where the machine has no other load. A cold server crashes only once gateways can know that it is cold: before, the soak's usual load crashed each server that became cold.

--- a/packages/bench/src/gatewayProcess.ts
+++ b/packages/bench/src/gatewayProcess.ts
@@ -46,7 +46,15 @@
 }
 
 /** The limits of the platform's rules, in the form of a gateway's settings. */
-export const gatewayLimits = { retryBudgetRatio: 0.2, retrySlack: 50, retryWindowS: 10, graceS: 8 } as const;
+export const gatewayLimits = {
+    retryBudgetRatio: 0.2,
+    retrySlack: 50,
+    retryWindowS: 10,
+    graceS: 8,
+    evacuateMs: 5_000,
+    coldOvershoot: 1.5,
+    coldTolerance: 5,
+} as const;
 
 /** Finds free addresses for a gateway. */
 export async function findFreeGatewayAddresses(): Promise<GatewayAddresses> {
--- a/packages/emulator/src/coldState.ts
+++ b/packages/emulator/src/coldState.ts
@@ -35,6 +35,8 @@
 export const coldWindow: Milliseconds = 1_000;
 /** How many times the bound crashes a cold server. */
 const crashFactor = 2;
+/** How long after its record said that it is cold a server still gets on with more: nobody can know it at once. */
+const noticeTime: Milliseconds = 2_000;
 
 /**
  * The most requests that a cold server may get in a second.
@@ -79,7 +81,9 @@
 
     /** Counts a request. Returns whether the server got so many while cold that it crashes. */
     crashesUnderNext(rate: ColdRate, now: Milliseconds): boolean {
-        if (this.period(now) === undefined) {
+        const period = this.period(now);
+        const countsFrom = period?.isFromStart === true ? period.since : (period?.publishedAt ?? Infinity) + noticeTime;
+        if (now < countsFrom) {
             return false;
         }
         this.arrivals = [...this.arrivals, now].filter(at => at > now - coldWindow);
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -4,7 +4,7 @@
  */
 import type { FaultRelay } from "@verbenaspring/bench";
 import type { Random } from "@verbenaspring/coordination";
-import { operatorTopic, type ServerBehaviour, serverTopic } from "@verbenaspring/emulator";
+import { failureDomains, operatorTopic, type ServerBehaviour, serverTopic } from "@verbenaspring/emulator";
 import { pause } from "@verbenaspring/stand-ins";
 import type { SoakBackendServer, SoakGateway, SoakWorld } from "./soakWorld.js";
 
@@ -141,6 +141,7 @@
 function pauseGateway(faults: SoakFaults, gateway: SoakGateway, duration: number): void {
     faults.world.oracle.recordGatewayFault(gateway, duration);
     faults.world.oracle.serverNotices.excuse(gateway);
+    faults.world.oracle.contact.recordFreeze(gateway, duration);
     gateway.process.child.kill("SIGSTOP");
     faults.endAfter(duration, () => gateway.process.child.kill("SIGCONT"));
 }
@@ -159,8 +160,7 @@
     world.removeServer(crashed);
     void crashed.standIn.crash();
     crashed.relay.close();
-    world.oracle.serverNotices.forgetServer(id);
-    world.oracle.serverPauses.forgetServer(id);
+    world.forgetServer(id);
     faults.endAfter(keepsId ? 0 : duration, () => void world.addServer(kind, keepsId ? id : undefined));
 }
 
@@ -225,6 +225,7 @@
 function disturbStore(faults: SoakFaults, duration: number, behaviour: "busy" | "silent"): void {
     const { oracle, store } = faults.world;
     oracle.faultRecord.recordStoreFault(duration);
+    oracle.contact.recordStoreFault(duration);
     store.setBehaviour(behaviour);
     faults.endAfter(duration, () => store.setBehaviour("up"));
 }
@@ -232,6 +233,7 @@
 function slowStore(faults: SoakFaults, duration: number): void {
     const { oracle, store } = faults.world;
     oracle.faultRecord.recordStoreFault(duration + maxStoreDelay);
+    oracle.contact.recordStoreFault(duration + maxStoreDelay);
     store.setDelay(faults.random() * maxStoreDelay);
     faults.endAfter(duration, () => store.setDelay(0));
 }
@@ -243,6 +245,7 @@
     }
     else {
         oracle.recordGatewayFault(gateway, duration + maxRelayDelay);
+        oracle.contact.recordStorePathFault(gateway, duration + maxRelayDelay);
     }
     faults.disturbRelay(relay, duration, () => {
         if (relay === gateway.callerRelay) {
@@ -308,6 +311,38 @@
     ...Array.from({ length: drawsWithoutFault }, () => noFault),
 ];
 
+/** The failure domains that are evacuated: those of the servers, and one without a server. */
+const evacuatedDomains = [...failureDomains, "nowhere"];
+/** How many times as long as other faults an evacuation lasts, so that most are in force for a while. */
+const evacuationDurationFactor = 4;
+/** How many times as long as other faults a server is cold. */
+const coldDurationFactor = 2;
+/** How many of twelve draws of this series change nothing. */
+const drawsWithoutEvacuation = 9;
+
+function evacuate(faults: SoakFaults, duration: number): void {
+    const failureDomain = faults.choose(evacuatedDomains);
+    faults.world.evacuate(failureDomain);
+    faults.endAfter(evacuationDurationFactor * duration, () => faults.world.withdraw(failureDomain));
+}
+
+function restartInPlace(faults: SoakFaults): void {
+    faults.world.oracle.faultRecord.recordProcessFault("workers", 0);
+    void faults.world.restartInPlace(faults.chooseServer());
+}
+
+/** Evacuations, servers that become cold, and restarts at the same address. They are drawn apart from other faults. */
+export const evacuationFaultKinds: readonly Fault[] = [
+    { name: "evacuate", perform: evacuate },
+    {
+        name: "coolWorker",
+        perform: (faults, duration) =>
+            faults.world.makeCold(faults.chooseServer().standIn.id, coldDurationFactor * duration),
+    },
+    { name: "restartInPlace", perform: restartInPlace },
+    ...Array.from({ length: drawsWithoutEvacuation }, () => noFault),
+];
+
 /** How many of four draws lose no answers. */
 const drawsWithoutLoss = 2;
 
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -1,8 +1,11 @@
 /**
  * Checks the system's promises against what callers received and what backend servers ran.
  */
-import type { ServerCall, ServerRun } from "@verbenaspring/emulator";
+import type { ColdPeriod, ServerCall, ServerRun } from "@verbenaspring/emulator";
 import {
+    ColdServerOracle,
+    ContactRecord,
+    EvacuationOracle,
     FaultRecord,
     isEarlyInStop,
     isStreamed,
@@ -92,18 +95,27 @@
             !this.checksTimeLimits || this.lagSince(since) > 0
             || this.faultRecord.hadFaultSince(gateway.name, since - platformLimits.serverPauseReaction),
     );
+    readonly contact: ContactRecord<SoakGateway>;
+    readonly evacuations: EvacuationOracle<SoakGateway>;
+    readonly coldServers: ColdServerOracle<SoakGateway>;
     private readonly lags: { readonly at: number; readonly lag: number; }[] = [];
 
     /**
      * @param checksTimeLimits whether time limits are checked; other load on the machine breaks them
      * @param drainPublishedAt when the store got a backend server's notice that it leaves
      * @param requestLimitOf the limit that a backend server declares now
+     * @param gateways the gateway processes that are up now
      */
     constructor(
         private readonly checksTimeLimits: boolean,
         private readonly drainPublishedAt: (server: string) => number | undefined,
         requestLimitOf: (server: string) => number | undefined,
+        gateways: () => readonly SoakGateway[],
     ) {
+        const fail = (promise: string, detail: string): void => this.fail(promise, detail);
+        this.contact = new ContactRecord(() => performance.now(), gateways);
+        this.evacuations = new EvacuationOracle(this.contact, gateways, fail);
+        this.coldServers = new ColdServerOracle(platformLimits.coldRate, this.contact, gateways, fail);
         this.serverLimits = new ServerLimitOracle(
             requestLimitOf,
             (promise, detail) => this.fail(promise, detail),
@@ -275,6 +287,38 @@
         }
     }
 
+    /** Records what gateways know by now. Is called several times a second. */
+    observeGateways(): void {
+        this.contact.observe();
+        this.evacuations.observe();
+        this.coldServers.observe(performance.now());
+    }
+
+    /**
+     * Checks a call to a server whose failure domain may be evacuated, and counts it if the server is cold. Calls that
+     * the relay before the server or the soak itself may have delayed are not checked.
+     */
+    checkDomain(
+        { callerAttemptId, target }: ServerCall,
+        server: string,
+        failureDomain: string | undefined,
+        coldPeriod: ColdPeriod | undefined,
+    ): void {
+        const now = performance.now();
+        const since = now - platformLimits.faultRecovery;
+        const request = this.requests.get(callerAttemptId);
+        if (
+            !this.checksTimeLimits || request === undefined || failureDomain === undefined || target !== server
+            || this.lagSince(since) > 0 || this.reachRecord.hadFaultSince(server, since)
+        ) {
+            return;
+        }
+        this.evacuations.checkArrival(request.gateway, server, failureDomain, now);
+        if (coldPeriod !== undefined) {
+            this.coldServers.recordArrival(request.gateway, server, coldPeriod, now, now);
+        }
+    }
+
     /** Records that a backend server refused a call and asked its gateway for a pause in milliseconds. */
     recordPause({ callerAttemptId }: ServerCall, server: string, pause: number): void {
         const request = this.requests.get(callerAttemptId);
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -11,8 +11,8 @@
     startGatewayProcess,
     waitUntil,
 } from "@verbenaspring/bench";
-import { configurationKey, operatorTopic } from "@verbenaspring/emulator";
-import { buildConfiguration, type ServerKind, serverPlan, VersionOracle } from "@verbenaspring/fuzz";
+import { configurationKey, operatorTopic, OperatorWrites, systemClock } from "@verbenaspring/emulator";
+import { buildConfiguration, platformLimits, type ServerKind, serverPlan, VersionOracle } from "@verbenaspring/fuzz";
 import {
     type BackendServerStandIn,
     type BackendServerStandIns,
@@ -60,6 +60,11 @@
 /** The versions of the servers' software, which releases bring into service by turns. */
 const softwareVersions = ["v1", "v2"];
 
+/** Milliseconds for which servers are cold after they start and after evacuations. */
+const coldDuration = 1_500;
+/** Milliseconds between two records of what gateways know. */
+const observeInterval = 250;
+
 /** Everything that a soak runs. */
 export class SoakWorld {
     readonly gateways: SoakGateway[] = [];
@@ -68,6 +73,8 @@
     readonly oracle: SoakOracle;
     readonly versions: VersionOracle<SoakGateway>;
     readonly store: PlatformStore;
+    private readonly operator: OperatorWrites;
+    private readonly observeTimer: NodeJS.Timeout;
     private readonly serverStandIns: BackendServerStandIns;
     private readonly folder = mkdtempSync(join(tmpdir(), "verbenaspring-soak-"));
     /** Every process that was started, also those that have exited. */
@@ -86,15 +93,27 @@
             server => this.serverStandIns.fleet.drainPublishedAt(server),
             server =>
                 this.serverStandIns.fleet.liveServers().find(({ options }) => options.id === server)?.requestLimit,
+            () => this.gateways.filter(({ hasStarted, hasExited }) => hasStarted && !hasExited),
         );
+        this.operator = new OperatorWrites(systemClock(), store.model, () => store.behaviour() === "up");
+        this.observeTimer = setInterval(() => this.observe(), observeInterval);
         this.versions = new VersionOracle<SoakGateway>(this.oracle);
         this.serverStandIns = createBackendServerStandIns(
             store,
             run => this.oracle.recordRun(run),
             {
-                arrived: (call, server) => this.oracle.recordArrival(call, server),
+                arrived: (call, server) => {
+                    const { fleet } = this.serverStandIns;
+                    this.oracle.recordArrival(call, server);
+                    this.oracle.checkDomain(call, server, fleet.failureDomainOf(server), fleet.coldPeriodOf(server));
+                },
                 pauseRequested: (call, server, pause) => this.oracle.recordPause(call, server, pause),
+                crashedWhileCold: server => {
+                    this.oracle.faultRecord.recordProcessFault("workers", 0);
+                    this.forgetServer(server);
+                },
             },
+            { rate: platformLimits.coldRate, duration: coldDuration },
         );
     }
 
@@ -121,7 +140,8 @@
 
     /** Writes the next version of the configuration to the store, as the platform's operator does. */
     configure(): void {
-        this.store.put(operatorTopic, configurationKey, buildConfiguration(this.versions.newestIndex + 1));
+        const cold = { perSecond: platformLimits.coldRate.perSecond, duration: coldDuration };
+        this.store.put(operatorTopic, configurationKey, buildConfiguration(this.versions.newestIndex + 1, cold));
         this.versions.recordVersion(performance.now());
     }
 
@@ -191,6 +211,63 @@
         this.backendServers.push({ standIn, relay: relay! });
     }
 
+    /** Requests the evacuation of a failure domain, which may have no server. */
+    evacuate(failureDomain: string): void {
+        this.operator.evacuate(
+            failureDomain,
+            () => this.oracle.evacuations.recordRequested(failureDomain, performance.now()),
+        );
+    }
+
+    /** Withdraws the evacuation of a failure domain. If it was in force, the servers of the domain are cold then. */
+    withdraw(failureDomain: string): void {
+        this.operator.withdraw(failureDomain, () => {
+            const { fleet } = this.serverStandIns;
+            const informed = this.oracle.evacuations.recordWithdrawn(failureDomain);
+            if (informed === undefined) {
+                return;
+            }
+            fleet.returnDomain(failureDomain);
+            for (const { options: { id } } of fleet.liveServers()) {
+                const period = fleet.coldPeriodOf(id);
+                if (period !== undefined && fleet.failureDomainOf(id) === failureDomain) {
+                    this.oracle.coldServers.recordInformed(id, period, informed, performance.now());
+                }
+            }
+        });
+    }
+
+    /** Makes a backend server cold for a duration in milliseconds. */
+    makeCold(id: string, duration: number): void {
+        this.serverStandIns.fleet.makeCold(id, duration);
+    }
+
+    /** Crashes a backend server, and starts it again under its id at its address. */
+    async restartInPlace(server: SoakBackendServer): Promise<void> {
+        this.removeServer(server);
+        this.forgetServer(server.standIn.id);
+        const standIn = await server.standIn.restart();
+        this.backendServers.push({ standIn, relay: server.relay });
+    }
+
+    /** Forgets what an incarnation of a backend server told gateways. */
+    forgetServer(id: string): void {
+        this.oracle.serverNotices.forgetServer(id);
+        this.oracle.serverPauses.forgetServer(id);
+    }
+
+    /** Records which servers are cold, and what gateways know by now. */
+    private observe(): void {
+        const { fleet } = this.serverStandIns;
+        for (const { options: { id } } of fleet.liveServers()) {
+            const period = fleet.coldPeriodOf(id);
+            if (period !== undefined) {
+                this.oracle.coldServers.recordCold(id, period);
+            }
+        }
+        this.oracle.observeGateways();
+    }
+
     /** Servers that start from now on run the other version of their software. */
     release(): void {
         this.releaseCount++;
@@ -234,6 +311,7 @@
     /** Kills all processes and closes everything that this world started. */
     async close(): Promise<void> {
         this.isClosing = true;
+        clearInterval(this.observeTimer);
         this.killGateways();
         await Promise.all(this.allGateways.map(({ process }) => process.exited));
         this.relays.forEach(relay => relay.close());
--- a/packages/soak/test/soakOracle.test.ts
+++ b/packages/soak/test/soakOracle.test.ts
@@ -13,7 +13,7 @@
 const checkedAfter = platformLimits.supersededRunEnd + 200;
 
 function createOracle(checksTimeLimits = true): SoakOracle {
-    return new SoakOracle(checksTimeLimits, () => undefined, () => undefined);
+    return new SoakOracle(checksTimeLimits, () => undefined, () => undefined, () => [gateway]);
 }
 
 function recordRequest(oracle: SoakOracle): void {
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -5,6 +5,7 @@
 import {
     type CallHandle,
     type CallObserver,
+    type ColdPlan,
     Fleet,
     formatRunEvent,
     type ServerAnswer,
@@ -37,6 +38,8 @@
     readonly giveNotice: () => void;
     /** Registers the server as draining and stops it after a delay in milliseconds. */
     readonly drain: (endsAfter?: number) => void;
+    /** Crashes the server, and starts it again under its id at its address. */
+    readonly restart: () => Promise<BackendServerStandIn>;
     /** Stops the server without notice: open connections are reset and its port is closed. */
     readonly crash: () => Promise<void>;
 }
@@ -64,6 +67,8 @@
     readonly arrived: (call: ServerCall, server: string) => void;
     /** A server refuses a call and asks for a pause of so many milliseconds. */
     readonly pauseRequested: (call: ServerCall, server: string, pause: number) => void;
+    /** A cold server crashed because it got far too many calls; absent if no server is ever cold. */
+    readonly crashedWhileCold?: (server: string) => void;
 }
 
 const noObserver: BackendServerObserver = { arrived: () => undefined, pauseRequested: () => undefined };
@@ -83,6 +88,7 @@
 /**
  * Creates the backend servers of a test, which register in a store.
  *
+ * @param cold how servers are cold after they start; they are not if it is absent
  * @example
  * const servers = createBackendServerStandIns(store);
  * const server = await servers.start({ kind: "plain", id: "w1", service: "plain", slots: 8, workTime: 5 });
@@ -91,6 +97,7 @@
     store: PlatformStore,
     observeRun: (run: ServerRun) => void = () => undefined,
     observer: BackendServerObserver = noObserver,
+    cold?: ColdPlan,
 ): BackendServerStandIns {
     const runs: ServerRun[] = [];
     const listeners = new Set<StandIn>();
@@ -99,28 +106,31 @@
         store: store.model,
         heartbeatInterval,
         canRegister: () => store.behaviour() === "up",
+        cold,
+        crashedWhileCold: observer.crashedWhileCold,
         observeRun: run => {
             runs.push(run);
             observeRun(run);
         },
     });
     const start = async (plan: ServerPlan, listenOptions: ListenOptions = {}): Promise<BackendServerStandIn> => {
-        const started: { model: ServerModel | undefined; isFlooding: boolean; } = {
-            model: undefined,
-            isFlooding: false,
-        };
+        const started = { address: "", isFlooding: false };
         const listener = await startStandIn(listenOptions.port ?? 0, async (request, response, url) => {
+            const current = fleet.findByAddress(started.address);
             if (started.isFlooding) {
                 flood(response);
             }
-            else if (started.model !== undefined) {
-                await serve(started.model, request, response, url, observer);
+            else if (current !== undefined) {
+                await serve(current, fleet, request, response, url, observer);
+            }
+            else {
+                response.socket?.resetAndDestroy();
             }
         });
         listeners.add(listener);
         const address = await listenOptions.expose?.(listener.address) ?? listener.address;
+        started.address = address;
         const model = fleet.add(plan, address);
-        started.model = model;
         const close = async (): Promise<void> => {
             listeners.delete(listener);
             await listener.close();
@@ -139,6 +149,12 @@
                 fleet.leave(plan.id, endsAfter);
                 setTimeout(() => void close(), endsAfter).unref();
             },
+            restart: async () => {
+                fleet.crash(plan.id);
+                await close();
+                const port = Number(listener.address.split(":")[1]);
+                return start(plan, { port, expose: () => Promise.resolve(address) });
+            },
             crash: async () => {
                 fleet.crash(plan.id);
                 await close();
@@ -157,6 +173,7 @@
 
 async function serve(
     model: ServerModel,
+    fleet: Fleet,
     request: IncomingMessage,
     response: ServerResponse,
     url: URL,
@@ -164,6 +181,10 @@
 ): Promise<void> {
     if (url.pathname === "/report") {
         Object.entries(declarationHeaders(model)).forEach(([name, value]) => response.setHeader(name, value));
+        const coldRemaining = fleet.coldRemainingOf(model.options.id);
+        if (coldRemaining !== undefined) {
+            response.setHeader("Cold-Remaining-Ms", String(coldRemaining));
+        }
         const runs = model.report().map(({ callerAttemptId, events }) => [callerAttemptId, 1, events, 5]);
         return sendJson(response, 200, { state: "ready", runs });
     }
@@ -191,6 +212,7 @@
         handle?.cancel();
     });
     handle = model.start(call, createObserver(model, call, response, observer));
+    fleet.recordArrival(model.options.id, call);
     if (isDisconnected) {
         handle.cancel();
     }
