--- a/packages/emulator/test/fleet.test.ts
+++ b/packages/emulator/test/fleet.test.ts
@@ -1,8 +1,8 @@
 import {
     type ColdPlan,
     Fleet,
-    OperatorWrites,
     operatorTopic,
+    OperatorWrites,
     type ServerPlan,
     serverTopic,
     StoreModel,
