--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -17,6 +17,7 @@
 import { acceptingHolder, isReplicaKept, usableHolder } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain, sendTo } from "./sending.js";
+import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf, otherServers, replicaView, setMigrationTarget } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
@@ -110,6 +111,9 @@
     if (attempt === undefined || !route.isStream || attempt.firstEventAt === undefined) {
         return [];
     }
+    if (isSuperseded(state, attempt.server)) {
+        return [];
+    }
     const canMigrate = engineOf(state, request.service)?.canMigrate === true;
     const replica = usableHolder(state, attempt, now);
     const hasTargetsLeft = attempt.failedTargets.size < maximumMigrationTargets;
