--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -66,7 +66,10 @@
 export type ServerReplacement =
     | { readonly kind: "crashServer"; readonly server: number; readonly away: number; }
     | { readonly kind: "restartServer"; readonly server: number; }
-    /** The server crashes and starts again under its id at its address. */
+    /**
+     * The server crashes and starts again under its id at its address. If it is cold then, requests that it could run
+     * arrive forty times a second.
+     */
     | { readonly kind: "restartInPlace"; readonly server: number; readonly away: number; }
     | { readonly kind: "replaceServer"; readonly server: number; readonly after: number; }
     | { readonly kind: "reuseAddress"; readonly server: number; };
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -198,6 +198,15 @@
 /** Mutations that only schedules with cold servers can find. */
 export const coldMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation("each gateway uses the whole rate of a cold server", ["cold_rate_kept"], useWholeColdRates),
+    eventMutation(
+        "restarts under the same id are not recognised",
+        ["cold_rate_kept"],
+        event =>
+            mapRecords(event, record =>
+                record.kind === "backendServer"
+                    ? [{ ...record, record: { ...record.record, startedAt: undefined } }]
+                    : [record]),
+    ),
 ];
 
 /** Hides notices from the reducer. Callers still get them, so that the gateway counts as informed. */
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -367,7 +367,12 @@
     private makeServerCold(id: string, duration: Milliseconds): void {
         const { fleet } = this.platform;
         fleet.makeCold(id, duration);
-        const kind = fleet.findPlan(id)!.kind === "plain" ? "confirm" : "note";
+        this.sendRequestsTo(id, duration);
+    }
+
+    /** Sends requests that a server could run, more of them than a cold one may get. */
+    private sendRequestsTo(id: string, duration: Milliseconds): void {
+        const kind = this.platform.fleet.findPlan(id)!.kind === "plain" ? "confirm" : "note";
         this.sendRequests(kind, duration, coldRequestInterval);
     }
 
@@ -377,6 +382,7 @@
         const hasStarted = fleet.liveServers().some(({ options }) => options.id === id);
         if (!hasStarted && fleet.findByAddress(address) === undefined) {
             fleet.restart(id, this.softwareVersion(), address);
+            this.sendRequestsTo(id, this.schedule.coldDuration ?? 0);
         }
     }
 
