--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -85,8 +85,7 @@
         leavingSince: isLeaving ? (isSameIncarnation ? known.leavingSince : undefined) ?? now : undefined,
         removedAt: undefined,
     });
-    const change = classifyChange(known, isLeaving, isRestart);
-    return change === "unchanged" && known !== undefined && isUpdate(record, known, now) ? "updated" : change;
+    return classifyChange(known, record, { isLeaving, isRestart }, now);
 }
 
 /** Whether a record says more than a heartbeat: the server has become cold, or its registration has changed. */
@@ -97,7 +96,12 @@
         || record.failureDomain !== failureDomain || record.softwareVersion !== softwareVersion;
 }
 
-function classifyChange(known: BackendServer | undefined, isLeaving: boolean, isRestart: boolean): BackendChange {
+function classifyChange(
+    known: BackendServer | undefined,
+    record: BackendRecord,
+    { isLeaving, isRestart }: { readonly isLeaving: boolean; readonly isRestart: boolean; },
+    now: Milliseconds,
+): BackendChange {
     if (known === undefined) {
         return "added";
     }
@@ -106,7 +110,7 @@
     }
     const wasLeaving = known.leavingSince !== undefined;
     if (isLeaving === wasLeaving) {
-        return "unchanged";
+        return isUpdate(record, known, now) ? "updated" : "unchanged";
     }
     return isLeaving ? "leaving" : "returned";
 }
