gateway: requests wait for a cold engine within their objective; one answer where a restart is blamed

A request to cold engines waited for a twentieth of its target latency only, though the time of the next allowance is known. A run that was lost with its channel after the restart of its server was known settled the blame at once, which could end the request itself; it was then answered or sent again a second time.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -146,7 +146,10 @@
     else {
         recordNoRun(request.runs, attempt.id);
     }
-    retryOrFail(transaction, request, attempt, event.failure);
+    // The blame for a restart that is already known may have ended the request.
+    if (transaction.state.requests.has(request.id)) {
+        retryOrFail(transaction, request, attempt, event.failure);
+    }
 }
 
 /** Why an attempt produced no deliverable answer. */
@@ -309,6 +312,7 @@
 export function loseRestartedRun(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
     endAttempt(transaction, request, attempt, "cancel");
     recordLostRun(transaction, request, attempt, "server_restarted");
+    // The blame for the restart may have ended the request.
     if (transaction.state.requests.has(request.id)) {
         retryOrFail(transaction, request, attempt, "server_restarted");
     }
--- a/packages/gateway/src/coldServers.ts
+++ b/packages/gateway/src/coldServers.ts
@@ -110,6 +110,12 @@
     return coldPerSecond(state, server.record.service) > 0 && now < coldUntil(state, server);
 }
 
+/** Whether a service has a server that is cold. */
+export function hasColdServer(state: GatewayState, service: ServiceName, now: Milliseconds): boolean {
+    const servers = (state.serversByService.get(service) ?? []).flatMap(id => state.servers.get(id) ?? []);
+    return servers.some(server => isCold(state, server, now));
+}
+
 /** Whether the rate of a server, if it is cold, allows this gateway to send it a request now. */
 export function isWithinColdRate(state: GatewayState, server: BackendServer, now: Milliseconds): boolean {
     return timeUntilWithinColdRate(state, server, now) === 0;
@@ -131,6 +137,11 @@
     return Math.min(left, coldUntil(state, server) - now);
 }
 
+/** The requests a second that this gateway may send to a server while it is cold. */
+export function coldShareAt({ coldServers: { allowances } }: GatewayState, { record: { id } }: BackendServer): number {
+    return allowances.get(id)?.allowance.share.perSecond ?? 0;
+}
+
 /** Counts a request that is sent to a server towards its rate, if it is cold. */
 export function spendColdRequest(
     { coldServers: { allowances } }: GatewayState,
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -10,7 +10,7 @@
 } from "@verbenaspring/coordination";
 import { identifier, type Milliseconds, type ServiceName } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
-import { isCold, spendColdRequest, timeUntilWithinColdRate } from "./coldServers.js";
+import { coldShareAt, isCold, spendColdRequest, timeUntilWithinColdRate } from "./coldServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
 import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
@@ -130,14 +130,19 @@
         .filter(({ record, leavingSince }) => leavingSince === undefined && canContinue(record, origin));
 }
 
-/** The time until this gateway may send a request to a cold server of the service; infinite if it has no share of any. */
+/**
+ * The time until this gateway may send a request to a cold server, after those that wait here for the same service;
+ * infinite if it has no share of any.
+ */
 function timeUntilColdServer({ state, now }: Transaction, { service, origin }: GatewayRequest): Milliseconds {
-    const waits = stayingServers(state, service, origin)
-        .filter(server => isCold(state, server, now) && !isPaused(state, server.record.id, now))
-        .map(server =>
-            Math.max(timeUntilWithinLimit(state, server.record.id, now), timeUntilWithinColdRate(state, server, now))
-        );
-    return Math.min(Infinity, ...waits);
+    const cold = stayingServers(state, service, origin)
+        .filter(server => isCold(state, server, now) && !isPaused(state, server.record.id, now));
+    const waits = cold.map(server =>
+        Math.max(timeUntilWithinLimit(state, server.record.id, now), timeUntilWithinColdRate(state, server, now))
+    );
+    const perSecond = cold.reduce((sum, server) => sum + coldShareAt(state, server), 0);
+    const ahead = [...state.waiting.values()].filter(other => other.service === service).length;
+    return Math.min(Infinity, ...waits) + (ahead === 0 ? 0 : 1_000 * ahead / perSecond);
 }
 
 /** Sends a request to the given server, and counts the attempt in the loads and the retry budget. */
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -23,6 +23,7 @@
 } from "@verbenaspring/coordination";
 import { identifier, type Milliseconds, type OrganisationId } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
+import { hasColdServer } from "./coldServers.js";
 import type { DecisionFields } from "./effect.js";
 import { countWaitingRequests } from "./members.js";
 import { failRequest, requestFields } from "./requests.js";
@@ -76,7 +77,7 @@
         if (start(transaction, request, servers, others)) {
             state.waiting.delete(request.id);
         }
-        else if (now + unusableFor >= latestStartOf(state, request)) {
+        else if (now + unusableFor >= latestWaitingStart(state, request, servers.length === 0, now)) {
             state.waiting.delete(request.id);
             refuseOverloaded(transaction, request, Math.max(unusableFor, expectedWait(transaction, request)));
         }
@@ -191,7 +192,7 @@
     expected: Milliseconds,
 ): boolean {
     const { state, now } = transaction;
-    if (now + expected >= latestStartOf(state, request)) {
+    if (now + expected >= latestColdStartOf(state, request)) {
         return false;
     }
     recordSize(recentSizesOf(state, request), sizeOf(request));
@@ -205,6 +206,26 @@
     return latestStart(arrivedAt, route.targetLatency, firstEvent);
 }
 
+/** The latest start of a request that waits, by whether no server accepts it now. */
+function latestWaitingStart(
+    state: GatewayState,
+    request: GatewayRequest,
+    isUnusable: boolean,
+    now: Milliseconds,
+): Milliseconds {
+    const waitsForCold = isUnusable && hasColdServer(state, request.service, now);
+    return waitsForCold ? latestColdStartOf(state, request) : latestStartOf(state, request);
+}
+
+/**
+ * The latest start of a request that waits for a cold server. It may be later than for capacity: the time at
+ * which one accepts requests is known, not forecast.
+ */
+function latestColdStartOf({ prefillRate }: GatewayState, { arrivedAt, route, head }: GatewayRequest): Milliseconds {
+    const firstEvent = forecastFirstEvent({ waitingTokens: 0, promptTokens: head.promptTokens, prefillRate });
+    return arrivedAt + Math.max(0, route.targetLatency - firstEvent);
+}
+
 /** Whether no route to the service has a higher priority than the request. */
 function isMostUrgent({ configuration }: GatewayState, request: GatewayRequest): boolean {
     const highest = configuration === undefined ? undefined : highestPriority(configuration, request.service);
--- a/packages/gateway/test/coldServers.test.ts
+++ b/packages/gateway/test/coldServers.test.ts
@@ -138,6 +138,10 @@
     const gateway = gatewayServing(engine);
     assert.equal([callsIn(gateway.receiveRequest("p1", "plan")).length, gateway.state.waiting.size], [0, 1]);
     assert.is(callsIn(gateway.advance(100)).length, 1);
+    const effects = Array.from({ length: 60 }, (_, index) => gateway.receiveRequest(`q${index}`, "plan")).flat();
+    const waiting = gateway.state.waiting.size;
+    assert.ok(waiting >= 35 && waiting <= 45, `${waiting} can start within 1.36 s at 31 a second`);
+    assert.is(callsIn(effects).length + failuresIn(effects).length + waiting, 60);
     const lone = new TestGateway({ coldBound, seedAddresses: [identifier("10.1.0.9:8748")] });
     lone.configure(configuration(1, {
         services: new Map([[engineService, {
--- a/packages/gateway/test/serverRestarts.test.ts
+++ b/packages/gateway/test/serverRestarts.test.ts
@@ -156,6 +156,23 @@
     assert.is(linesIn(late, "suspect_blamed").length, 0);
 });
 
+// The blame for the second crash suspends the request itself: it must not be answered or sent again after that.
+test("a request that is blamed for a restart that is already known gets exactly one answer", () => {
+    for (const isLostWithChannel of [true, false]) {
+        const gateway = TestGateway.serving(...[1, 2, 3, 4].map(number => server(`engine-${number}`, first)));
+        const crash = gateway.sendRequest("r0", "plan", {}, "same");
+        gateway.failAttempt(crash);
+        restart(gateway, crash.backendServer);
+        gateway.remove(crash.backendServer);
+        const call = gateway.sendRequest("r1", "note", {}, "same");
+        gateway.advance(4_000);
+        restartAfterHeartbeat(gateway, call);
+        const effects = isLostWithChannel ? gateway.failAttempt(call) : gateway.advance(200);
+        assert.equal(failuresIn(effects).map(({ type }) => type), ["request_suspended"]);
+        assert.equal(callsIn(effects), []);
+    }
+});
+
 test("idle connections to a server are closed when it restarts", () => {
     const gateway = gatewayWithEngines();
     const closed = (effects: readonly GatewayEffect[]): string[] =>
