gateway: after a suspension requests wait for a new read of the operator's topic

Cause: a gateway that was frozen while a failure domain was evacuated sent the requests at its sockets there when it resumed.

Change: 2.5 s without an event count as a suspension. Requests then wait until a read of the operator's topic that began after it has ended, for 0.5 s at most. The read does not wait for a record. A test of crash suspects advanced its clock by 14.5 s in one step; it now does so in steps with a report each, and checks the same.

--- a/packages/gateway/src/evacuations.ts
+++ b/packages/gateway/src/evacuations.ts
@@ -97,6 +97,9 @@
     service: ServiceName,
     origin: StreamOrigin | undefined,
 ): boolean {
+    if (state.evacuations.size === 0) {
+        return false;
+    }
     const staying = (state.serversByService.get(service) ?? [])
         .flatMap(id => state.servers.get(id) ?? [])
         .filter(({ record, leavingSince }) => leavingSince === undefined && canContinue(record, origin));
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -12,6 +12,7 @@
 import { migrateStreams } from "./migration.js";
 import type { TopicReadStamp } from "./peerReport.js";
 import { reportToPeers } from "./peers.js";
+import { isReadRequired, recordReadEnd, recordReadStart } from "./resumption.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
 import type { GatewayState, TopicFollower } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -57,15 +58,18 @@
 function startDueRead(transaction: Transaction, topic: TopicName): void {
     const { state, now, effects } = transaction;
     const follower = state.followers[topic];
-    if (follower.isReading || now < follower.nextReadAt || !isDue(transaction, topic, follower)) {
+    const isRequired = isReadRequired(state, topic);
+    const isDueNow = isRequired || (now >= follower.nextReadAt && isDue(transaction, topic, follower));
+    if (follower.isReading || !isDueNow) {
         return;
     }
     follower.isReading = true;
+    recordReadStart(state, topic);
     if (follower.next === undefined) {
         effects.push({ kind: "readSnapshot", topic });
         return;
     }
-    effects.push({ kind: "readTopic", topic, from: follower.next, wait: readPlans[topic].wait });
+    effects.push({ kind: "readTopic", topic, from: follower.next, wait: isRequired ? 0 : readPlans[topic].wait });
 }
 
 /** Whether this gateway has to read the topic: it ranks first, or the newest known read is too old for its rank. */
@@ -94,6 +98,7 @@
     }
     follower.lastFailure = undefined;
     follower.isReading = false;
+    recordReadEnd(state, topic);
     follower.nextReadAt = now + readPlans[topic].pause;
     const apply = event.isSnapshot ? applySnapshot : applyItems;
     const hasChanged = apply(transaction, topic, event.items, next);
@@ -253,6 +258,7 @@
     const { state, now } = transaction;
     const follower = state.followers[topic];
     follower.isReading = false;
+    recordReadEnd(state, topic);
     if (failure === "records_deleted") {
         logDecision(transaction, "info", "topic_history_deleted", { topic, next: follower.next });
         follower.next = undefined;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./peerTopics.js";
 export * from "./reducer.js";
 export * from "./requestLimits.js";
+export * from "./resumption.js";
 export * from "./routingConfiguration.js";
 export * from "./runLedger.js";
 export * from "./serverPauses.js";
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -16,6 +16,8 @@
 import { handlePeerLinkClosed, handlePeerReport, maintainPeers, reportPlacements } from "./peers.js";
 import { updateLimitShares } from "./requestLimits.js";
 import { handleCallerLeft, handleRequest } from "./requests.js";
+import { detectSuspension, releaseHeldRequests } from "./resumption.js";
+import { dispatch } from "./sending.js";
 import { endServerPauses } from "./serverPauses.js";
 import type { GatewayState } from "./state.js";
 import {
@@ -48,6 +50,7 @@
     state.startedAt ??= now;
     const transaction: Transaction = { state, source, now, effects: [] };
     const { placements, waiting: { size } } = state;
+    detectSuspension(transaction);
     handleEvent(transaction, event);
     if (state.placements !== placements || state.waiting.size !== size) {
         reportPlacements(transaction);
@@ -66,6 +69,7 @@
             checkStreamRegister(transaction);
             checkRequests(transaction);
             checkWaitingRequests(transaction);
+            releaseHeldRequests(transaction).forEach(request => dispatch(transaction, request));
             migrateFromEvacuated(transaction);
             return checkStop(transaction);
         case "requestReceived":
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -16,6 +16,7 @@
 import type { RunReplica } from "./messages.js";
 import { isLimited, spendRequest, timeUntilWithinLimit } from "./requestLimits.js";
 import { failRequest, requestFields } from "./requests.js";
+import { holdAfterSuspension } from "./resumption.js";
 import { countPossibleRuns, recordSend } from "./runLedger.js";
 import {
     addLoad,
@@ -61,7 +62,7 @@
 /**
  * Sends a request to the best server, one that it was not sent to before if there is any. Where no engine has enough
  * free memory the request waits, and where there is no server or no time it fails. A request that was sent before does
- * not wait.
+ * not wait for memory.
  */
 export function dispatch(transaction: Transaction, request: GatewayRequest): void {
     const { state, now, source } = transaction;
@@ -72,6 +73,9 @@
     if (suspension !== undefined) {
         return failSuspended(transaction, request, suspension);
     }
+    if (holdAfterSuspension(state, request)) {
+        return;
+    }
     const usable = usableServers(state, request.service, now, request.origin);
     const untried = usable.filter(server => !request.triedServers.has(server.record.id));
     const eligible = untried.length > 0 ? untried : usable;
@@ -89,8 +93,7 @@
 export function failIfEvacuated(transaction: Transaction, request: GatewayRequest): boolean {
     const { state, now } = transaction;
     const { service, origin } = request;
-    const hasServers = usableServers(state, service, now, origin).length > 0;
-    if (hasServers || !isServiceEvacuated(state, service, origin)) {
+    if (!isServiceEvacuated(state, service, origin) || usableServers(state, service, now, origin).length > 0) {
         return false;
     }
     const message = "the failure domains of the service's servers are evacuated";
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -23,6 +23,7 @@
 import type { GatewayOptions } from "./options.js";
 import type { TopicReadStamp } from "./peerReport.js";
 import type { RequestLimits } from "./requestLimits.js";
+import type { Resumption } from "./resumption.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 import type { RunLedger } from "./runLedger.js";
 import { createStreamRegister, type StreamRegister } from "./streamRegister.js";
@@ -250,6 +251,12 @@
     probe: { readonly address: PeerAddress | undefined; readonly startedAt: Milliseconds; } | undefined;
     /** Gateways that others named by their address only. */
     readonly hintedAddresses: Set<PeerAddress>;
+    /** The time of the last event. */
+    lastEventAt: Milliseconds | undefined;
+    /** Undefined unless the process was just suspended. */
+    resumption: Resumption | undefined;
+    /** Requests that wait for the end of the resumption. */
+    readonly heldRequests: Set<RequestId>;
     /** The time of the first event. */
     startedAt: Milliseconds | undefined;
     stopRequestedAt: Milliseconds | undefined;
@@ -309,6 +316,9 @@
         attempts: new Map(),
         retryBudget: createRetryBudget(options.retries),
         followers: { configuration: createFollower(), backendServers: createFollower() },
+        lastEventAt: undefined,
+        resumption: undefined,
+        heldRequests: new Set(),
         startedAt: undefined,
         stopRequestedAt: undefined,
         hasExited: false,
--- a/packages/gateway/test/crashSuspects.test.ts
+++ b/packages/gateway/test/crashSuspects.test.ts
@@ -218,8 +218,11 @@
         gateway.state.options = { ...gateway.state.options, peerAddress: address };
         gateway.receiveReport({ address: all[1 - index] });
         crashServers(gateway, 2, deadly);
-        gateway.now += 14_500;
-        gateway.receiveReport({ address: all[1 - index] });
+        // In steps, since a gateway without events for seconds was suspended.
+        for (let elapsed = 0; elapsed < 14_500; elapsed += 500) {
+            gateway.now += 500;
+            gateway.receiveReport({ address: all[1 - index] });
+        }
         return gateway;
     });
     const areSent = gateways.map(gateway => isSent(gateway, deadly));
