--- a/packages/gateway/src/serverIncarnations.ts
+++ b/packages/gateway/src/serverIncarnations.ts
@@ -31,7 +31,7 @@
 
 /**
  * Whether the run of an attempt was on an earlier incarnation of its server. It is `uncertain` if the request may have
- * been sent after the restart, before this gateway learned of it; a report of the server then tells. Until the events
+ * been sent after the restart, before this gateway learned of it, to the same address; a report of the server then tells. Until the events
  * that arrived earlier have been forwarded, it is `current`.
  *
  * @example
@@ -45,11 +45,14 @@
     if (!isSuperseded(state, server)) {
         return "current";
     }
-    const restart = state.servers.get(server.record.id)?.restart;
+    const known = state.servers.get(server.record.id);
+    const restart = known?.restart;
     if (now - Math.max(lastActivityAt, restart?.learnedAt ?? -Infinity) < drainTime) {
         return "current";
     }
-    return restart === undefined || startedAt < restart.previousHeardAt - recordDelay ? "lost" : "uncertain";
+    const hasMoved = known?.record.address !== server.record.address;
+    const isEarlier = restart === undefined || startedAt < restart.previousHeardAt - recordDelay;
+    return hasMoved || isEarlier ? "lost" : "uncertain";
 }
 
 /**
--- a/packages/gateway/test/serverRestarts.test.ts
+++ b/packages/gateway/test/serverRestarts.test.ts
@@ -224,6 +224,13 @@
     }
 });
 
+test("a run is lost at once when its server restarts at another address", () => {
+    const gateway = TestGateway.serving(server("engine-1", first));
+    gateway.startStream("r", "note");
+    restart(gateway, "engine-1", { address: "10.0.0.9:80" });
+    assert.equal(callsIn(gateway.advance(100)).map(({ address }) => address), ["10.0.0.9:80"]);
+});
+
 test("a request that has not begun and may run only once is not ended by a report that does not list it", () => {
     const gateway = TestGateway.serving(server("engine-1", first));
     gateway.sendRequest("r", "plan");
