runtime: bounded reads and requests per connection at the callers', readiness and metrics listeners

Cause: Node's parser passes on all that one read of 64 KiB holds (some thousand requests, or ten thousand one-byte chunks of a body), nothing bounded the requests of a connection, each one-byte chunk was kept as a buffer of its own, and a rejected request was read for another 500 ms. Requests that waited for an earlier answer of a connection that closed were never reported as left, since Node emits no close for a response that has no socket yet.

Change: connections read pieces of 4 KiB (64 KiB inside a body of known length) before the parser. At most 16 requests of a connection are in progress; those of the same piece beyond that wait, and the socket is not read meanwhile. A connection whose piece was expensive to parse rests for twice as long as the piece took, one such connection at a time. Small chunks are copied together. A rejected connection is not read further. The readiness path and the metrics answer one request per connection and keep 64 connections, the oldest of which is closed for a new one.

--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -13,6 +13,8 @@
 import { type Failure, failure, failureStatus, type Milliseconds, type RequestId } from "@verbenaspring/model";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { BodyCollector } from "./bodyCollector.js";
+import { type BoundedSocket, boundReading } from "./boundedSocket.js";
 import { monotonicNow } from "./eventLoop.js";
 import { afterNextPoll } from "./nextPoll.js";
 import { listen } from "./socketAddress.js";
@@ -63,6 +65,25 @@
     readonly close: () => void;
 }
 
+/** A request whose head has been parsed. */
+interface WaitingRequest {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly arrival: RequestArrival;
+}
+
+/** What is kept of one channel. */
+interface CallerChannel {
+    readonly socket: BoundedSocket;
+    /** Requests that are read or run, or whose answers are unread; each is represented by what its end calls. */
+    readonly exchanges: Set<() => void>;
+    /** Requests beyond {@link maxRequestsPerChannel}, at most those of one piece. */
+    readonly waiting: WaitingRequest[];
+    /** The caller was told that its request did not run. What arrives on the channel later is not handled. */
+    isRefused: boolean;
+    isOverdue: boolean;
+}
+
 /** Limits that apply until the configuration has been read. */
 const initialLimits: CallerLimits = {
     headerBytes: 16 * 1024,
@@ -80,8 +101,11 @@
 const maxBufferedBodyBytes = 48 * 1024 * 1024;
 /** Bytes that a caller may leave unread before its stream is paused. */
 const maxUnreadBytes = 256 * 1024;
-/** How long a channel stays open after a rejection, so that the caller can read the answer. */
-const rejectionLinger: Milliseconds = 500;
+/**
+ * Requests of one channel that are read or run at the same time, and answers that wait to be read. Further ones wait,
+ * and the channel is not read meanwhile. Clients that pipeline send a few.
+ */
+const maxRequestsPerChannel = 16;
 const overloadRetryAfter: Milliseconds = 500;
 
 /**
@@ -104,9 +128,7 @@
     let bufferedBodyBytes = 0;
     /** Requests that have been read and not been reported yet. */
     const unreported = new Set<ServerResponse>();
-    const overdueChannels = new WeakSet<Socket>();
-    /** Channels that were told that no request of theirs ran. What arrives on them later is not handled. */
-    const refusedChannels = new WeakSet<Socket>();
+    const channels = new Map<Socket, CallerChannel>();
 
     const server = createServer({
         maxHeaderSize: maxParsedHeaderBytes,
@@ -121,59 +143,66 @@
     };
     applyLimits(initialLimits);
 
-    const rejectRequest = (
-        request: IncomingMessage,
-        response: ServerResponse,
-        reason: Failure,
-        detail: string,
-    ): void => {
+    const rejectRequest = (channel: CallerChannel, response: ServerResponse, reason: Failure, detail: string): void => {
         handlers.refused(reason.type, detail);
+        channel.isRefused = true;
+        channel.waiting.length = 0;
+        channel.socket.reject(channel.exchanges.size === 0);
         writeFailure(response, reason, true);
-        request.resume();
-        const lingerTimer = setTimeout(() => request.socket.destroy(), rejectionLinger);
-        request.socket.once("close", () => clearTimeout(lingerTimer));
     };
 
-    server.on("request", (request: IncomingMessage, response: ServerResponse) => {
-        const readAt = monotonicNow();
-        const delay = readDelay(readAt);
-        const arrival = { receivedAt: readAt - delay, readDelay: delay };
-        if (refusedChannels.has(request.socket)) {
-            request.socket.destroy();
-            return;
-        }
-        overdueChannels.delete(request.socket);
-        response.sendDate = false;
+    /** Checks the head of a request and reads its body. */
+    const beginExchange = (channel: CallerChannel, { request, response, arrival }: WaitingRequest): void => {
+        const declaredBytes = Number(request.headers["content-length"] ?? 0);
         if (countHeaderBytes(request.rawHeaders) > limits.headerBytes) {
-            return rejectRequest(request, response, headersTooLarge, "headers");
+            return rejectRequest(channel, response, headersTooLarge, "headers");
         }
-        if (Number(request.headers["content-length"] ?? 0) > limits.bodyBytes) {
-            return rejectRequest(request, response, bodyTooLarge, "length");
+        if (declaredBytes > limits.bodyBytes) {
+            return rejectRequest(channel, response, bodyTooLarge, "length");
         }
         const head = decode(request.method ?? "", request.url ?? "", request.rawHeaders);
         if ("fault" in head) {
-            return rejectRequest(request, response, failure("malformed_request", head.fault, "not_run"), head.fault);
+            const reason = failure("malformed_request", head.fault, "not_run");
+            return rejectRequest(channel, response, reason, head.fault);
         }
+        const { socket, exchanges } = channel;
         const requestId = newRequestId();
-        const chunks: Buffer[] = [];
-        let size = 0;
+        const body = new BodyCollector();
         let isRejected = false;
         const idleTimer = setTimeout(() => rejectBody(requestTimeout, "body"), limits.idleTimeout);
         const rejectBody = (reason: Failure, detail: string): void => {
             isRejected = true;
             clearTimeout(idleTimer);
-            chunks.length = 0;
-            rejectRequest(request, response, reason, detail);
+            bufferedBodyBytes -= body.heldBytes;
+            body.clear();
+            exchanges.delete(leave);
+            rejectRequest(channel, response, reason, detail);
+        };
+        const leave = (): void => {
+            if (!exchanges.delete(leave)) {
+                return;
+            }
+            clearTimeout(idleTimer);
+            bufferedBodyBytes -= body.heldBytes;
+            body.clear();
+            if (openResponses.delete(requestId)) {
+                handlers.left(requestId);
+            }
+            beginWaiting(channel);
         };
+        exchanges.add(leave);
+        socket.remainingBodyBytes = declaredBytes;
         request.on("data", (chunk: Buffer) => {
             if (isRejected) {
                 return;
             }
+            socket.addWork(1);
             idleTimer.refresh();
-            size += chunk.length;
-            bufferedBodyBytes += chunk.length;
-            chunks.push(chunk);
-            if (size > limits.bodyBytes) {
+            const heldBefore = body.heldBytes;
+            body.append(chunk);
+            bufferedBodyBytes += body.heldBytes - heldBefore;
+            socket.remainingBodyBytes = declaredBytes - body.byteLength;
+            if (body.byteLength > limits.bodyBytes) {
                 return rejectBody(bodyTooLarge, "body");
             }
             if (bufferedBodyBytes > maxBufferedBodyBytes) {
@@ -191,37 +220,90 @@
                 if (!unreported.delete(response)) {
                     return;
                 }
-                if (request.socket.readableEnded || request.socket.destroyed) {
+                if (socket.readableEnded || socket.destroyed) {
                     return handlers.leftEarly(head, arrival);
                 }
                 openResponses.set(requestId, response);
-                handlers.received(requestId, head, Buffer.concat(chunks), arrival);
+                handlers.received(requestId, head, body.take(), arrival);
             });
         });
-        response.on("close", () => {
-            clearTimeout(idleTimer);
-            bufferedBodyBytes -= size;
-            if (openResponses.delete(requestId)) {
-                handlers.left(requestId);
-            }
-        });
+        response.on("close", leave);
         response.on("drain", () => handlers.drained(requestId));
+    };
+    const beginWaiting = (channel: CallerChannel): void => {
+        const { socket, waiting, exchanges } = channel;
+        while (waiting.length > 0 && exchanges.size < maxRequestsPerChannel && !socket.destroyed) {
+            beginExchange(channel, waiting.shift()!);
+        }
+        if (waiting.length === 0) {
+            socket.release("requests");
+        }
+    };
+
+    server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+        const readAt = monotonicNow();
+        const delay = readDelay(readAt);
+        const arrival = { receivedAt: readAt - delay, readDelay: delay };
+        const channel = channels.get(request.socket);
+        if (channel === undefined || channel.isRefused) {
+            return;
+        }
+        const { socket, waiting, exchanges } = channel;
+        socket.addWork(1);
+        channel.isOverdue = false;
+        response.sendDate = false;
+        if (waiting.length > 0 || exchanges.size >= maxRequestsPerChannel) {
+            waiting.push({ request, response, arrival });
+            return socket.hold("requests");
+        }
+        beginExchange(channel, { request, response, arrival });
+    });
+    boundReading(server, socket => {
+        const channel: CallerChannel = {
+            socket,
+            exchanges: new Set(),
+            waiting: [],
+            isRefused: false,
+            isOverdue: false,
+        };
+        channels.set(socket, channel);
+        socket.once("close", () => {
+            channels.delete(socket);
+            channel.waiting.length = 0;
+            channel.exchanges.forEach(leave => leave());
+        });
     });
-    const refuseChannel = (socket: Socket, error: NodeJS.ErrnoException): void => {
-        handlers.refused(classifyClientError(error), error.code ?? error.message);
-        refusedChannels.add(socket);
-        answerClientError(socket, classifyClientError(error));
+    const refuseChannel = (channel: CallerChannel, error: NodeJS.ErrnoException): void => {
+        const type = classifyClientError(error);
+        handlers.refused(type, error.code ?? error.message);
+        channel.isRefused = true;
+        channel.waiting.length = 0;
+        channel.socket.reject(true);
+        answerClientError(channel.socket, type);
     };
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+        const channel = channels.get(socket);
+        if (channel === undefined) {
+            socket.destroy();
+            return;
+        }
         if (classifyClientError(error) !== "request_timeout") {
-            return refuseChannel(socket, error);
+            return refuseChannel(channel, error);
         }
-        overdueChannels.add(socket);
-        setTimeout(() => {
-            if (overdueChannels.delete(socket)) {
-                refuseChannel(socket, error);
+        channel.isOverdue = true;
+        // The rest of a head may be unread because the channel is held. It is then due after the channel's requests.
+        const grace = channel.socket.isHeld ? limits.headerTimeout : overdueHeadersGrace;
+        const checkOverdue = (): void => {
+            if (!channel.isOverdue || socket.destroyed) {
+                return;
             }
-        }, overdueHeadersGrace);
+            if (channel.socket.isHeld) {
+                setTimeout(checkOverdue, limits.headerTimeout);
+                return;
+            }
+            refuseChannel(channel, error);
+        };
+        setTimeout(checkOverdue, grace);
     });
 
     const removeResponse = (requestId: RequestId): ServerResponse | undefined => {
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -25,7 +25,7 @@
     type Milliseconds,
     type RequestId,
 } from "@verbenaspring/model";
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import { type BackendChannels, createBackendChannels } from "./backendChannels.js";
 import { digestContent } from "./contentDigest.js";
 import { createDeferred } from "./daemon.js";
@@ -35,6 +35,7 @@
 import type { EventLog } from "./logging.js";
 import type { Metrics } from "./metrics.js";
 import { createPeerLinks, type PeerLinks } from "./peerLinks.js";
+import { createProbeServer } from "./probeServer.js";
 import { listen } from "./socketAddress.js";
 
 /** A healthy backend server answers a probe within a few milliseconds; the rest allows for a slow network. */
@@ -80,14 +81,10 @@
         this.callers = this.createCallers(readDelay);
         this.channels = this.createChannels();
         this.peerLinks = this.createPeers();
-        this.readiness = createServer((_, response) => {
-            response.writeHead(isGatewayReady(this.state) ? 200 : 503, { "content-length": "0" });
-            response.end();
-        });
-        this.metricsServer = options.metricsAddress === undefined ? undefined : createServer((_, response) => {
-            response.writeHead(200, { "content-type": "text/plain" });
-            response.end(metrics.format());
-        });
+        this.readiness = createProbeServer(() => ({ status: isGatewayReady(this.state) ? 200 : 503, body: "" }));
+        this.metricsServer = options.metricsAddress === undefined
+            ? undefined
+            : createProbeServer(() => ({ status: 200, contentType: "text/plain", body: metrics.format() }));
         metrics.gauge("verbenaspring_requests_in_progress", () => state.requests.size);
         metrics.gauge("verbenaspring_requests_waiting", () => state.waiting.size);
         metrics.gauge("verbenaspring_topic_age_milliseconds_configuration", () => this.topicAge("configuration"));
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,8 @@
 export * from "./answerBounds.js";
 export * from "./backendChannels.js";
 export * from "./backendClient.js";
+export * from "./bodyCollector.js";
+export * from "./boundedSocket.js";
 export * from "./callerServer.js";
 export * from "./contentDigest.js";
 export * from "./cursor.js";
@@ -22,6 +24,7 @@
 export * from "./peerLinks.js";
 export * from "./peerReportCodec.js";
 export * from "./platformClient.js";
+export * from "./probeServer.js";
 export * from "./randomSource.js";
 export * from "./sidecarDaemon.js";
 export * from "./socketAddress.js";
--- /dev/null
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -0,0 +1,234 @@
+/**
+ * Clients that press on a listener: pipelined requests, chunks of one byte, bodies after a rejection. Each test bounds
+ * what one connection makes the process do or hold.
+ */
+import type { BackendAnswer } from "@verbenaspring/gateway";
+import { identifier, type RequestId } from "@verbenaspring/model";
+import {
+    BodyCollector,
+    createGatewayCallerServer,
+    createProbeServer,
+    type GatewayCallerServer,
+    listen,
+} from "@verbenaspring/runtime";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createCall, createResponseHead } from "./backendBuilders.js";
+
+const pause = (duration: number): Promise<void> => new Promise(resolve => setTimeout(resolve, duration));
+
+/** Waits until a condition holds, at most 5 s. */
+async function waitUntil(isMet: () => boolean): Promise<void> {
+    for (let count = 0; count < 500 && !isMet(); count++) {
+        await pause(10);
+    }
+}
+
+/** A client's connection that collects what it receives. */
+class Client {
+    received = "";
+    isClosed = false;
+    readonly socket: Socket;
+
+    constructor(port: number) {
+        this.socket = connect(port, "127.0.0.1");
+        this.socket.on("data", chunk => this.received += chunk.toString("latin1"));
+        this.socket.on("error", () => undefined);
+        this.socket.on("close", () => this.isClosed = true);
+    }
+
+    count(text: string): number {
+        return this.received.split(text).length - 1;
+    }
+}
+
+const okAnswer: BackendAnswer = { ...createResponseHead(200), endsWithChannel: false, body: Buffer.from("done") };
+
+const harnesses: Harness[] = [];
+
+/** A gateway's caller server that keeps requests until the test answers them. */
+class Harness {
+    readonly bodies: Buffer[] = [];
+    readonly open: RequestId[] = [];
+    readonly left: RequestId[] = [];
+    readonly refused: string[] = [];
+    readonly clients: Client[] = [];
+    readonly callers: GatewayCallerServer;
+    private count = 0;
+
+    constructor(isAnswering = false, answer = okAnswer) {
+        harnesses.push(this);
+        this.callers = createGatewayCallerServer(
+            (method, target) => ({ ...createCall("127.0.0.1:1").head, method, target }),
+            () => identifier(String(++this.count)),
+            () => 0,
+            {
+                received: (requestId, _, body) => {
+                    this.bodies.push(body);
+                    this.open.push(requestId);
+                    if (isAnswering) {
+                        this.callers.writeWhole(requestId, answer);
+                    }
+                },
+                leftEarly: () => undefined,
+                left: requestId => this.left.push(requestId),
+                refused: type => this.refused.push(type),
+                drained: () => undefined,
+            },
+        );
+    }
+
+    async connect(): Promise<Client> {
+        if (this.clients.length === 0) {
+            await this.callers.listen("127.0.0.1:0");
+        }
+        const client = new Client(this.callers.port());
+        this.clients.push(client);
+        return client;
+    }
+
+    close(): void {
+        this.clients.forEach(({ socket }) => socket.destroy());
+        this.callers.close();
+    }
+}
+
+const emptyRequest = "POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n";
+
+// 30 connections with pipelined requests made the process keep each of them, until it ran out of memory.
+test("pipelined requests beyond the limit wait unread, and are served in turn", async () => {
+    const harness = new Harness();
+    const client = await harness.connect();
+    const total = 300;
+    client.socket.write(emptyRequest.repeat(total));
+    await waitUntil(() => harness.open.length >= 16);
+    await pause(100);
+    assert.is(harness.open.length, 16);
+    let answered = 0;
+    while (answered < total) {
+        await waitUntil(() => harness.open.length > answered);
+        assert.ok(harness.open.length > answered, `the request after ${answered} was not passed on`);
+        assert.ok(harness.open.length - answered <= 16, "no more than 16 at a time");
+        harness.callers.writeWhole(harness.open[answered++], okAnswer);
+    }
+    await waitUntil(() => client.count("done") === total);
+    assert.is(client.count("done"), total);
+});
+
+test("requests of a connection that closes are reported as left, also those that wait for an earlier answer", async () => {
+    const harness = new Harness();
+    const client = await harness.connect();
+    client.socket.write(emptyRequest.repeat(3));
+    await waitUntil(() => harness.open.length === 3);
+    client.socket.resetAndDestroy();
+    await waitUntil(() => harness.left.length === 3);
+    assert.equal(harness.left, harness.open);
+});
+
+test("a client that does not read its answers is not read beyond a bound", async () => {
+    const harness = new Harness(true, { ...okAnswer, body: Buffer.alloc(64 * 1024) });
+    const client = await harness.connect();
+    client.socket.pause();
+    const flood = setInterval(
+        () => client.socket.writableLength < 100_000 && client.socket.write(emptyRequest.repeat(2_000)),
+        1,
+    );
+    let served = -1;
+    await waitUntil(() => {
+        const isStill = served === harness.open.length && served > 0 && client.socket.writableLength >= 100_000;
+        served = harness.open.length;
+        return isStill;
+    });
+    clearInterval(flood);
+    const before = harness.open.length;
+    await pause(200);
+    assert.ok(harness.open.length - before <= 16, `${harness.open.length - before} more requests were read`);
+});
+
+test("a body in chunks of one byte is held in few pieces, and is whole", () => {
+    const collector = new BodyCollector();
+    const total = 300_000;
+    for (let index = 0; index < total; index++) {
+        collector.append(Buffer.from([index % 251]));
+    }
+    assert.ok(collector.heldBytes < 1.5 * total, `${collector.heldBytes} bytes are held`);
+    const body = collector.take();
+    assert.is(body.length, total);
+    assert.ok(body.every((byte, index) => byte === index % 251));
+});
+
+test("a large body arrives whole in one piece, in small writes and in chunks", async () => {
+    const body = Buffer.alloc(1_000_000, "abcdefghij");
+    const head = "POST /a HTTP/1.1\r\nhost: h\r\n";
+    const chunks = (size: number): string => {
+        const pieces = Array.from(
+            { length: body.length / size },
+            () => `${size.toString(16)}\r\n${body.subarray(0, size)}\r\n`,
+        );
+        return `${head}transfer-encoding: chunked\r\n\r\n${pieces.join("")}0\r\n\r\n`;
+    };
+    const whole = `${head}content-length: ${body.length}\r\n\r\n${body}`;
+    for (const text of [whole, chunks(10), chunks(50_000)]) {
+        const harness = new Harness(true);
+        const client = await harness.connect();
+        client.socket.write(text + emptyRequest);
+        await waitUntil(() => client.count("done") === 2);
+        assert.is(client.count("done"), 2, "the body and the request after it are answered");
+        assert.ok(harness.bodies[0].equals(body));
+    }
+});
+
+// The rest of a rejected body was read for 500 ms, at full speed.
+test("nothing is read or reported after a rejection, and the answer arrives", async () => {
+    const harness = new Harness(true);
+    const client = await harness.connect();
+    client.socket.write("POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 99999999\r\n\r\n");
+    const flood = setInterval(() => client.socket.writable && client.socket.write(emptyRequest.repeat(10_000)), 1);
+    await waitUntil(() => client.isClosed);
+    clearInterval(flood);
+    assert.match(client.received, /^HTTP\/1.1 413 [^]*connection: close/i);
+    assert.equal(harness.refused, ["body_too_large"]);
+    assert.is(harness.open.length, 0);
+});
+
+test("a connection is reused after a pause", async () => {
+    const harness = new Harness(true);
+    harness.callers.applyLimits({ headerBytes: 2_000, bodyBytes: 100, headerTimeout: 300, idleTimeout: 1_000 });
+    const client = await harness.connect();
+    for (let count = 1; count <= 3; count++) {
+        client.socket.write(emptyRequest);
+        await waitUntil(() => client.count("done") === count);
+        await pause(800);
+    }
+    assert.is(client.count("done"), 3);
+});
+
+// Pipelined requests at the readiness path kept the event loop busy without an end.
+test("a probe server answers one request per connection, and new ones beside a flood", async () => {
+    const server = createProbeServer(() => ({ status: 200, body: "ready" }), 4);
+    await listen(server, "127.0.0.1:0");
+    const { port } = server.address() as AddressInfo;
+    const probe = "GET /readyz HTTP/1.1\r\nhost: h\r\n\r\n";
+    const idle = Array.from({ length: 8 }, () => new Client(port));
+    const flooding = new Client(port);
+    flooding.socket.write(probe.repeat(20_000));
+    await waitUntil(() => flooding.isClosed);
+    assert.ok(flooding.count("HTTP/1.1") <= 1, flooding.received);
+    for (let count = 0; count < 10; count++) {
+        const client = new Client(port);
+        client.socket.write(probe);
+        await waitUntil(() => client.isClosed);
+        assert.match(client.received, /^HTTP\/1.1 200 [^]*ready$/);
+    }
+    assert.is(idle.filter(({ isClosed }) => isClosed).length >= 4, true);
+    idle.forEach(({ socket }) => socket.destroy());
+    server.close();
+});
+
+test.after.each(() => {
+    harnesses.forEach(harness => harness.close());
+    harnesses.length = 0;
+});
+
+test.run();
