runtime: one budget for what callers make a gateway hold; slow readers lose their streams; a bound on connections

Cause: bodies were bounded by 48 MB over all callers whatever the memory of the machine, the newest was rejected, and heads, waiting requests, unread answers and streams' backlogs were not counted.

Change: callerBudget.ts counts what is held by kind and names the largest holder, which is rejected (503 with Retry-After, while its body is incomplete) or closed. One request of a connection runs at a time. A caller that keeps its stream paused, or takes less than 16 KiB of unread answers, for the idle timeout is cut, and callerLeft ends the run. Counter verbenaspring_callers_rejected_total{listener,reason}, gauges verbenaspring_caller_held_bytes_*, one log line caller_rejected a second for each reason and listener (in place of request_unreadable).

--- a/packages/runtime/src/boundedSocket.ts
+++ b/packages/runtime/src/boundedSocket.ts
@@ -30,7 +30,12 @@
 
 /** The parts of Node's socket that have no types: the handle of the connection, and the server that counts it. */
 interface SocketInternals {
-    _handle: { _consumed?: boolean; } | null;
+    _handle: {
+        _consumed?: boolean;
+        readonly bytesWritten: number;
+        /** Bytes that the kernel has not accepted yet. */
+        readonly writeQueueSize: number;
+    } | null;
     _server: Server | null;
     server: Server | null;
     /** Set by Node's HTTP server while unread answers keep it from reading. */
@@ -76,6 +81,18 @@
         return this.holds.size > 0;
     }
 
+    /** Bytes that were written and that the kernel has not accepted, since the client does not read. */
+    get unsentBytes(): number {
+        const handle = (this as unknown as SocketInternals)._handle;
+        return handle === null ? 0 : Math.max(handle.writeQueueSize, this.writableLength);
+    }
+
+    /** Bytes that the kernel has accepted. */
+    get takenBytes(): number {
+        const handle = (this as unknown as SocketInternals)._handle;
+        return handle === null ? 0 : handle.bytesWritten - handle.writeQueueSize;
+    }
+
     /** Stops reading until {@link release} was called with each reason that holds. */
     hold(reason: HoldReason): void {
         this.holds.add(reason);
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -15,6 +15,15 @@
 import type { AddressInfo, Socket } from "node:net";
 import { BodyCollector } from "./bodyCollector.js";
 import { type BoundedSocket, boundReading } from "./boundedSocket.js";
+import {
+    type BudgetHolder,
+    type CallerBounds,
+    callerBounds,
+    CallerBudget,
+    createHeldBytes,
+    headBytes,
+    type HeldKind,
+} from "./callerBudget.js";
 import { monotonicNow } from "./eventLoop.js";
 import { afterNextPoll } from "./nextPoll.js";
 import { listen } from "./socketAddress.js";
@@ -35,10 +44,15 @@
     readonly left: (requestId: RequestId) => void;
     /** The server answered a request with a failure itself, because it was malformed or beyond a limit. */
     readonly refused: (type: Failure["type"], detail: string) => void;
+    /** The server closed a connection, or rejected its request, to stay within its bounds. */
+    readonly cut?: (reason: CutReason, address: string) => void;
     /** The caller has read its backlog, after {@link GatewayCallerServer.writeEvents} returned false. */
     readonly drained: (requestId: RequestId) => void;
 }
 
+/** Why a server closed a connection to stay within its bounds. */
+export type CutReason = "budget" | "connections" | "slow_reader";
+
 /** Decodes the head of a request, or returns what is wrong with it. */
 export type DecodeCallerHead = (
     method: string,
@@ -52,6 +66,8 @@
     /** The port that the server listens on; needed after it listened on port 0. */
     readonly port: () => number;
     readonly applyLimits: (limits: CallerLimits) => void;
+    /** What its clients make the process hold. */
+    readonly budget: CallerBudget<BudgetHolder>;
     /** Makes each answer from now on close its channel. */
     readonly startDraining: () => void;
     readonly writeWhole: (requestId: RequestId, answer: BackendAnswer) => void;
@@ -70,18 +86,36 @@
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly arrival: RequestArrival;
+    /** What the budget counts for it while it waits. */
+    readonly heldBytes: number;
+}
+
+/** One request that is read or runs, or whose answer is unread. */
+interface Exchange {
+    readonly requestId: RequestId;
+    readonly response: ServerResponse;
+    /** What the budget counts for it, by kind. */
+    readonly heldBytes: { heads: number; bodies: number; running: number; answers: number; };
+    /** Rejects the request while its body is incomplete; undefined afterwards. */
+    rejectBody: ((reason: Failure, detail: string) => void) | undefined;
+    /** Since when its caller has left so much of a stream unread that the stream is paused. */
+    pausedSince: Milliseconds | undefined;
+    /** Ends the exchange; without effect if it has ended. */
+    readonly leave: () => void;
 }
 
 /** What is kept of one channel. */
-interface CallerChannel {
+interface CallerChannel extends BudgetHolder {
     readonly socket: BoundedSocket;
-    /** Requests that are read or run, or whose answers are unread; each is represented by what its end calls. */
-    readonly exchanges: Set<() => void>;
-    /** Requests beyond {@link maxRequestsPerChannel}, at most those of one piece. */
+    readonly exchanges: Set<Exchange>;
+    /** Requests beyond {@link maxRequestsPerChannel}: those of one piece. */
     readonly waiting: WaitingRequest[];
     /** The caller was told that its request did not run. What arrives on the channel later is not handled. */
     isRefused: boolean;
     isOverdue: boolean;
+    hasServed: boolean;
+    /** Bytes that the caller had taken when it last took a sufficient amount, and when that was. */
+    progress: { readonly takenBytes: number; readonly at: Milliseconds; } | undefined;
 }
 
 /** Limits that apply until the configuration has been read. */
@@ -97,21 +131,26 @@
 const timeoutCheckInterval: Milliseconds = 500;
 /** Headers that are overdue may have arrived while the process was suspended, and are read within this time. */
 const overdueHeadersGrace: Milliseconds = 50;
-/** Limit on the bodies that are held at once, over all requests. */
-const maxBufferedBodyBytes = 48 * 1024 * 1024;
-/** Bytes that a caller may leave unread before its stream is paused. */
-const maxUnreadBytes = 256 * 1024;
+/** Bodies and answers below this size are part of what the budget counts for a request's head. */
+const minCountedBytes = 4 * 1024;
+/** How often callers are checked that leave their answers unread. */
+const unreadCheckInterval: Milliseconds = 1_000;
+/** What a caller with unread answers must take within the idle timeout. */
+const minTakenBytes = 16 * 1024;
 /**
- * Requests of one channel that are read or run at the same time, and answers that wait to be read. Further ones wait,
- * and the channel is not read meanwhile. Clients that pipeline send a few.
+ * Requests of one channel that are read or run at the same time, and answers that wait to be read. Further ones of the
+ * same piece wait, and the channel is not read meanwhile. HTTP/1.1 answers a channel's requests in their order, so a
+ * client that pipelines gains nothing from more, and with 16 a few such clients took most of the servers' queue.
  */
-const maxRequestsPerChannel = 16;
+const maxRequestsPerChannel = 1;
 const overloadRetryAfter: Milliseconds = 500;
+const smallestBounds = callerBounds({ memoryBytes: 178 * 1024 * 1024, heapBytes: 0, maxFileDescriptors: undefined });
 
 /**
  * Creates the server.
  *
  * @param readDelay how long what is read at the given time may have waited at its socket
+ * @param bounds on what callers make the process hold; by default those of the smallest machine
  * @example
  * const callers = createGatewayCallerServer(decodeCallerHead, newRequestId, ticks.readDelay, handlers);
  * await callers.listen("127.0.0.1:8080");
@@ -121,13 +160,14 @@
     newRequestId: () => RequestId,
     readDelay: (now: Milliseconds) => Milliseconds,
     handlers: GatewayCallerHandlers,
+    bounds: CallerBounds = smallestBounds,
 ): GatewayCallerServer {
-    const openResponses = new Map<RequestId, ServerResponse>();
+    const openExchanges = new Map<RequestId, Exchange>();
+    const budget = new CallerBudget<CallerChannel>(bounds.totalBytes);
     let limits = initialLimits;
     let isDraining = false;
-    let bufferedBodyBytes = 0;
     /** Requests that have been read and not been reported yet. */
-    const unreported = new Set<ServerResponse>();
+    const unreported = new Set<Exchange>();
     const channels = new Map<Socket, CallerChannel>();
 
     const server = createServer({
@@ -143,6 +183,45 @@
     };
     applyLimits(initialLimits);
 
+    /** Counts bytes for a channel. Beyond the budget, the largest channel is rejected or closed. */
+    const hold = (channel: CallerChannel, kind: HeldKind, bytes: number): void => {
+        if (!budget.change(channel, kind, bytes)) {
+            setImmediate(cutLargest);
+        }
+    };
+    const setHeld = (
+        channel: CallerChannel,
+        exchange: Exchange,
+        kind: keyof Exchange["heldBytes"],
+        bytes: number,
+    ): void => {
+        const difference = bytes - exchange.heldBytes[kind];
+        if (difference !== 0 && channel.exchanges.has(exchange)) {
+            exchange.heldBytes[kind] = bytes;
+            hold(channel, kind, difference);
+        }
+    };
+    const releaseAll = (channel: CallerChannel, { heldBytes }: Exchange): void => {
+        budget.change(channel, "heads", -heldBytes.heads);
+        for (const kind of ["bodies", "running", "answers"] as const) {
+            if (heldBytes[kind] > 0) {
+                budget.change(channel, kind, -heldBytes[kind]);
+            }
+        }
+    };
+    const cutLargest = (): void => {
+        const isCut = (channel: CallerChannel): boolean => channel.isRefused || channel.socket.destroyed;
+        for (let largest = budget.largest(isCut); largest !== undefined; largest = budget.largest(isCut)) {
+            handlers.cut?.("budget", largest.address);
+            const unread = [...largest.exchanges].find(({ rejectBody }) => rejectBody !== undefined);
+            if (unread?.rejectBody === undefined || largest.exchanges.size > 1) {
+                largest.socket.destroy();
+            }
+            else {
+                unread.rejectBody(tooManyBufferedBodies, "all bodies");
+            }
+        }
+    };
     const rejectRequest = (channel: CallerChannel, response: ServerResponse, reason: Failure, detail: string): void => {
         handlers.refused(reason.type, detail);
         channel.isRefused = true;
@@ -154,7 +233,8 @@
     /** Checks the head of a request and reads its body. */
     const beginExchange = (channel: CallerChannel, { request, response, arrival }: WaitingRequest): void => {
         const declaredBytes = Number(request.headers["content-length"] ?? 0);
-        if (countHeaderBytes(request.rawHeaders) > limits.headerBytes) {
+        const headerBytes = countHeaderBytes(request.rawHeaders);
+        if (headerBytes > limits.headerBytes) {
             return rejectRequest(channel, response, headersTooLarge, "headers");
         }
         if (declaredBytes > limits.bodyBytes) {
@@ -168,72 +248,95 @@
         const { socket, exchanges } = channel;
         const requestId = newRequestId();
         const body = new BodyCollector();
-        let isRejected = false;
-        const idleTimer = setTimeout(() => rejectBody(requestTimeout, "body"), limits.idleTimeout);
-        const rejectBody = (reason: Failure, detail: string): void => {
-            isRejected = true;
-            clearTimeout(idleTimer);
-            bufferedBodyBytes -= body.heldBytes;
-            body.clear();
-            exchanges.delete(leave);
-            rejectRequest(channel, response, reason, detail);
+        const idleTimer = setTimeout(() => exchange.rejectBody?.(requestTimeout, "body"), limits.idleTimeout);
+        const exchange: Exchange = {
+            requestId,
+            response,
+            heldBytes: { heads: headBytes(request.rawHeaders.length, headerBytes), bodies: 0, running: 0, answers: 0 },
+            rejectBody: (reason, detail) => {
+                endExchange(exchange);
+                rejectRequest(channel, response, reason, detail);
+            },
+            pausedSince: undefined,
+            leave: () => {
+                if (endExchange(exchange)) {
+                    beginWaiting(channel);
+                }
+            },
         };
-        const leave = (): void => {
-            if (!exchanges.delete(leave)) {
-                return;
-            }
+        const endExchange = (ended: Exchange): boolean => {
             clearTimeout(idleTimer);
-            bufferedBodyBytes -= body.heldBytes;
+            ended.rejectBody = undefined;
             body.clear();
-            if (openResponses.delete(requestId)) {
+            if (!exchanges.delete(ended)) {
+                return false;
+            }
+            releaseAll(channel, ended);
+            if (openExchanges.delete(requestId)) {
                 handlers.left(requestId);
             }
-            beginWaiting(channel);
+            return true;
         };
-        exchanges.add(leave);
+        exchanges.add(exchange);
+        hold(channel, "heads", exchange.heldBytes.heads);
         socket.remainingBodyBytes = declaredBytes;
         request.on("data", (chunk: Buffer) => {
-            if (isRejected) {
+            if (exchange.rejectBody === undefined) {
                 return;
             }
             socket.addWork(1);
             idleTimer.refresh();
-            const heldBefore = body.heldBytes;
             body.append(chunk);
-            bufferedBodyBytes += body.heldBytes - heldBefore;
             socket.remainingBodyBytes = declaredBytes - body.byteLength;
             if (body.byteLength > limits.bodyBytes) {
-                return rejectBody(bodyTooLarge, "body");
+                return exchange.rejectBody(bodyTooLarge, "body");
             }
-            if (bufferedBodyBytes > maxBufferedBodyBytes) {
-                return rejectBody(tooManyBufferedBodies, "all bodies");
+            if (body.heldBytes > minCountedBytes && body.heldBytes !== exchange.heldBytes.bodies) {
+                setHeld(channel, exchange, "bodies", body.heldBytes);
             }
         });
         request.on("end", () => {
             clearTimeout(idleTimer);
-            if (isRejected) {
+            if (exchange.rejectBody === undefined) {
                 return;
             }
-            unreported.add(response);
+            unreported.add(exchange);
             // The end of the channel may have arrived together with the request, and is read after it.
             afterNextPoll(() => {
-                if (!unreported.delete(response)) {
+                if (!unreported.delete(exchange)) {
                     return;
                 }
                 if (socket.readableEnded || socket.destroyed) {
                     return handlers.leftEarly(head, arrival);
                 }
-                openResponses.set(requestId, response);
-                handlers.received(requestId, head, body.take(), arrival);
+                if (exchange.rejectBody === undefined) {
+                    return;
+                }
+                exchange.rejectBody = undefined;
+                channel.hasServed = true;
+                if (exchange.heldBytes.bodies > 0) {
+                    setHeld(channel, exchange, "running", body.byteLength);
+                    setHeld(channel, exchange, "bodies", 0);
+                }
+                openExchanges.set(requestId, exchange);
+                const wholeBody = body.take();
+                body.clear();
+                handlers.received(requestId, head, wholeBody, arrival);
             });
         });
-        response.on("close", leave);
-        response.on("drain", () => handlers.drained(requestId));
+        response.on("close", exchange.leave);
+        response.on("drain", () => {
+            exchange.pausedSince = undefined;
+            setHeld(channel, exchange, "answers", 0);
+            handlers.drained(requestId);
+        });
     };
     const beginWaiting = (channel: CallerChannel): void => {
         const { socket, waiting, exchanges } = channel;
         while (waiting.length > 0 && exchanges.size < maxRequestsPerChannel && !socket.destroyed) {
-            beginExchange(channel, waiting.shift()!);
+            const next = waiting.shift()!;
+            budget.change(channel, "heads", -next.heldBytes);
+            beginExchange(channel, next);
         }
         if (waiting.length === 0) {
             socket.release("requests");
@@ -253,25 +356,40 @@
         channel.isOverdue = false;
         response.sendDate = false;
         if (waiting.length > 0 || exchanges.size >= maxRequestsPerChannel) {
-            waiting.push({ request, response, arrival });
+            const heads = headBytes(request.rawHeaders.length, countHeaderBytes(request.rawHeaders));
+            waiting.push({ request, response, arrival, heldBytes: heads });
+            hold(channel, "heads", heads);
             return socket.hold("requests");
         }
-        beginExchange(channel, { request, response, arrival });
+        beginExchange(channel, { request, response, arrival, heldBytes: 0 });
     });
     boundReading(server, socket => {
         const channel: CallerChannel = {
             socket,
+            address: socket.remoteAddress ?? "",
+            openedAt: monotonicNow(),
+            heldBytes: createHeldBytes(),
             exchanges: new Set(),
             waiting: [],
             isRefused: false,
             isOverdue: false,
+            hasServed: false,
+            progress: undefined,
         };
         channels.set(socket, channel);
+        budget.open(channel);
         socket.once("close", () => {
             channels.delete(socket);
             channel.waiting.length = 0;
-            channel.exchanges.forEach(leave => leave());
+            channel.exchanges.forEach(({ leave }) => leave());
+            budget.close(channel);
         });
+        if (channels.size > bounds.connections) {
+            const surplus = chooseSurplusChannel(channels.values()) ?? channel;
+            handlers.cut?.("connections", surplus.address);
+            channels.delete(surplus.socket);
+            surplus.socket.destroy();
+        }
     });
     const refuseChannel = (channel: CallerChannel, error: NodeJS.ErrnoException): void => {
         const type = classifyClientError(error);
@@ -306,37 +424,69 @@
         setTimeout(checkOverdue, grace);
     });
 
+    const cutSlowReaders = (): void => {
+        const now = monotonicNow();
+        for (const channel of channels.values()) {
+            const isSlow = ({ pausedSince }: Exchange): boolean =>
+                pausedSince !== undefined && now - pausedSince > limits.idleTimeout;
+            if (isStuck(channel, now, limits.idleTimeout) || [...channel.exchanges].some(isSlow)) {
+                handlers.cut?.("slow_reader", channel.address);
+                channel.socket.resetAndDestroy();
+            }
+        }
+    };
+    const unreadTimer = setInterval(cutSlowReaders, unreadCheckInterval).unref();
+
     const removeResponse = (requestId: RequestId): ServerResponse | undefined => {
-        const response = openResponses.get(requestId);
-        openResponses.delete(requestId);
+        const response = openExchanges.get(requestId)?.response;
+        openExchanges.delete(requestId);
         return response;
     };
+    const channelOf = ({ response }: Exchange): CallerChannel | undefined => channels.get(response.req.socket);
     return {
         listen: address => listen(server, address),
         port: () => (server.address() as AddressInfo).port,
         applyLimits,
+        budget: budget as unknown as CallerBudget<BudgetHolder>,
         startDraining: () => {
             isDraining = true;
         },
         writeWhole: (requestId, answer) => {
+            const exchange = openExchanges.get(requestId);
             const response = removeResponse(requestId);
-            if (response !== undefined) {
+            if (exchange !== undefined && response !== undefined) {
                 const { body } = answer;
                 const hasLength = mayHaveBody(answer.status) && !answer.endsWithChannel;
                 writeBackendHead(response, answer, hasLength ? body.length : undefined, isDraining);
                 response.end(mayHaveBody(answer.status) ? body : undefined);
+                const channel = body.length > minCountedBytes ? channelOf(exchange) : undefined;
+                if (channel !== undefined) {
+                    setHeld(channel, exchange, "answers", body.length);
+                }
             }
         },
         writeHead: (requestId, head) => {
-            const response = openResponses.get(requestId);
+            const response = openExchanges.get(requestId)?.response;
             if (response !== undefined) {
                 writeBackendHead(response, head, undefined, isDraining);
             }
         },
         writeEvents: (requestId, events) => {
-            const response = openResponses.get(requestId);
-            events.forEach(event => response?.write(event.bytes));
-            return (response?.writableLength ?? 0) < maxUnreadBytes;
+            const exchange = openExchanges.get(requestId);
+            if (exchange === undefined) {
+                return true;
+            }
+            events.forEach(event => exchange.response.write(event.bytes));
+            const unreadBytes = exchange.response.writableLength;
+            const channel = unreadBytes > minCountedBytes ? channelOf(exchange) : undefined;
+            if (channel !== undefined) {
+                setHeld(channel, exchange, "answers", unreadBytes);
+            }
+            if (unreadBytes < bounds.streamBytes) {
+                return true;
+            }
+            exchange.pausedSince ??= monotonicNow();
+            return false;
         },
         end: requestId => {
             removeResponse(requestId)?.end();
@@ -352,14 +502,58 @@
             }
         },
         close: () => {
-            unreported.forEach(response => writeFailure(response, closing, true));
+            unreported.forEach(({ response }) => writeFailure(response, closing, true));
             unreported.clear();
+            clearInterval(unreadTimer);
             server.close();
             server.closeIdleConnections();
         },
     };
 }
 
+/** Orders channels by how much their callers lose by a close; undefined if a request runs on the channel. */
+function closeRank({ isRefused, exchanges, hasServed }: CallerChannel): number | undefined {
+    if (isRefused) {
+        return 0;
+    }
+    if ([...exchanges].some(({ rejectBody }) => rejectBody === undefined)) {
+        return undefined;
+    }
+    return exchanges.size > 0 ? 3 : hasServed ? 2 : 1;
+}
+
+/**
+ * The channel to close for a new one: one of a rejected request, then one without a complete request head, then an idle
+ * one, then one with an incomplete body; the oldest of them. Undefined if requests run on all.
+ */
+function chooseSurplusChannel(channels: Iterable<CallerChannel>): CallerChannel | undefined {
+    let chosen: CallerChannel | undefined;
+    let chosenRank = Infinity;
+    for (const channel of channels) {
+        const rank = closeRank(channel) ?? Infinity;
+        if (rank < chosenRank) {
+            chosen = channel;
+            chosenRank = rank;
+        }
+    }
+    return chosen;
+}
+
+/** Whether a caller with unread answers has taken too little of them for the given time. */
+function isStuck(channel: CallerChannel, now: Milliseconds, limit: Milliseconds): boolean {
+    const { socket, progress } = channel;
+    if (socket.unsentBytes === 0) {
+        channel.progress = undefined;
+        return false;
+    }
+    const { takenBytes } = socket;
+    if (progress === undefined || takenBytes - progress.takenBytes >= minTakenBytes) {
+        channel.progress = { takenBytes, at: now };
+        return false;
+    }
+    return now - progress.at > limit;
+}
+
 const headersTooLarge = failure("headers_too_large", "the headers are too large", "not_run");
 const bodyTooLarge = failure("body_too_large", "the body is too large", "not_run");
 const requestTimeout = failure("request_timeout", "the body did not come in time", "not_run");
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -84,6 +84,10 @@
     readonly logLevel: LogLevel;
     /** The memory of the machine for the process, in bytes. */
     readonly memoryBytes: number;
+    /** The limit of the process's file descriptors, if it is known. */
+    readonly maxFileDescriptors?: number | undefined;
+    /** Lowers the bound on what clients make the process hold, in bytes. */
+    readonly callerBytes?: number | undefined;
 }
 
 /** A running gateway. */
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -26,7 +26,9 @@
     type RequestId,
 } from "@verbenaspring/model";
 import type { Server } from "node:http";
+import { getHeapStatistics } from "node:v8";
 import { type BackendChannels, createBackendChannels } from "./backendChannels.js";
+import { callerBounds, heldKinds } from "./callerBudget.js";
 import { digestContent } from "./contentDigest.js";
 import { createDeferred } from "./daemon.js";
 import { createEventChannel, monotonicNow } from "./eventLoop.js";
@@ -35,6 +37,7 @@
 import type { EventLog } from "./logging.js";
 import type { Metrics } from "./metrics.js";
 import { createPeerLinks, type PeerLinks } from "./peerLinks.js";
+import { createPressureLog, type PressureLog } from "./pressureLog.js";
 import { createProbeServer } from "./probeServer.js";
 import { listen } from "./socketAddress.js";
 
@@ -69,6 +72,7 @@
     /** The attempt whose answer goes to the request's caller. */
     private readonly attemptOfRequest = new Map<RequestId, AttemptId>();
     private requestCount = 0;
+    private readonly pressure: PressureLog;
 
     constructor(
         private readonly options: GatewayDaemonOptions,
@@ -78,14 +82,27 @@
         private readonly metrics: Metrics,
         readDelay: (now: Milliseconds) => Milliseconds,
     ) {
+        this.pressure = createPressureLog(log, metrics);
         this.callers = this.createCallers(readDelay);
         this.channels = this.createChannels();
         this.peerLinks = this.createPeers();
-        this.readiness = createProbeServer(() => ({ status: isGatewayReady(this.state) ? 200 : 503, body: "" }));
+        this.readiness = createProbeServer(
+            () => ({ status: isGatewayReady(this.state) ? 200 : 503, body: "" }),
+            (reason, address) => this.pressure.report("readiness", reason, address, monotonicNow()),
+        );
         this.metricsServer = options.metricsAddress === undefined
             ? undefined
-            : createProbeServer(() => ({ status: 200, contentType: "text/plain", body: metrics.format() }));
+            : createProbeServer(
+                () => ({ status: 200, contentType: "text/plain", body: metrics.format() }),
+                (reason, address) => this.pressure.report("metrics", reason, address, monotonicNow()),
+            );
         metrics.gauge("verbenaspring_requests_in_progress", () => state.requests.size);
+        for (const kind of heldKinds) {
+            metrics.gauge(`verbenaspring_caller_held_bytes_${kind}`, () => this.callers.budget.heldOf(kind));
+        }
+        metrics.gauge("verbenaspring_caller_held_bytes_peak", () => this.callers.budget.peakBytes);
+        metrics.gauge("verbenaspring_caller_held_bytes_limit", () => this.callers.budget.limitBytes);
+        metrics.gauge("verbenaspring_caller_connections", () => this.callers.budget.holders.size);
         metrics.gauge("verbenaspring_requests_waiting", () => state.waiting.size);
         metrics.gauge("verbenaspring_topic_age_milliseconds_configuration", () => this.topicAge("configuration"));
         metrics.gauge("verbenaspring_topic_age_milliseconds_servers", () => this.topicAge("backendServers"));
@@ -207,10 +224,17 @@
                 },
                 refused: (type, detail) => {
                     this.metrics.count("verbenaspring_failures_total", { type });
-                    this.log("warn", "request_unreadable", { type, detail });
+                    this.pressure.report("callers", type, detail, monotonicNow());
                 },
+                cut: (reason, address) => this.pressure.report("callers", reason, address, monotonicNow()),
                 drained: requestId => this.setPaused(requestId, false),
             },
+            callerBounds({
+                memoryBytes: this.options.memoryBytes,
+                heapBytes: getHeapStatistics().heap_size_limit,
+                maxFileDescriptors: this.options.maxFileDescriptors,
+                maxBytes: this.options.callerBytes,
+            }),
         );
     }
 
--- a/packages/runtime/src/probeServer.ts
+++ b/packages/runtime/src/probeServer.ts
@@ -28,7 +28,11 @@
  * const readiness = createProbeServer(() => ({ status: 200, body: "" }));
  * await listen(readiness, "127.0.0.1:8081");
  */
-export function createProbeServer(answer: () => ProbeAnswer, maxConnections = defaultMaxConnections): Server {
+export function createProbeServer(
+    answer: () => ProbeAnswer,
+    cut: (reason: "connections", address: string) => void = () => undefined,
+    maxConnections = defaultMaxConnections,
+): Server {
     const connections = new Set<BoundedSocket>();
     const server = createServer({
         maxHeaderSize: maxHeaderBytes,
@@ -51,6 +55,7 @@
         if (connections.size > maxConnections) {
             const [oldest] = connections;
             connections.delete(oldest);
+            cut("connections", oldest.remoteAddress ?? "");
             oldest.destroy();
         }
     });
