--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -40,6 +40,8 @@
 
 /** How often streams at evacuated servers are checked: their forecasts and the memory of other engines change. */
 const evacuationCheckInterval: Milliseconds = 1_000;
+/** Streams that end sooner stay at an evacuated server, where the settings name no bound. */
+const defaultEvacuationLimit: Milliseconds = 5_000;
 /** Retries that migrations from evacuated servers leave for requests that fail. */
 const reservedRetries = 1;
 
@@ -121,7 +123,7 @@
     const remaining = remainingTime(transaction, request);
     const isDue = reason === "evacuated"
         // A stream is cut at its deadline, wherever it runs.
-        ? Math.min(remaining, request.deadline - now) > state.options.evacuationLimit
+        ? Math.min(remaining, request.deadline - now) > (state.options.evacuationLimit ?? defaultEvacuationLimit)
             && canSendAgain(transaction, request, reservedRetries + underWay)
         : remaining > minimumRemainingTime && !isSafe;
     return canMigrate && hasTargetsLeft && isDue ? [{ request, attempt, isSafe }] : [];
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -21,6 +21,9 @@
     readonly coldBound?: Omit<ColdRate, "perSecond"> | undefined;
     /** From the request to stop until the process is killed. */
     readonly stopLimit: Milliseconds;
-    /** From the request of an evacuation until no request reaches a server of the failure domain. */
-    readonly evacuationLimit: Milliseconds;
+    /**
+     * From the request of an evacuation until no request reaches a server of the failure domain; undefined where
+     * operators request none.
+     */
+    readonly evacuationLimit?: Milliseconds | undefined;
 }
--- a/packages/gateway/src/resumption.ts
+++ b/packages/gateway/src/resumption.ts
@@ -22,13 +22,13 @@
 /** Requests wait no longer than this, so that a store that is out costs them no more. */
 const longestHold: Milliseconds = 500;
 
-/** Detects a suspension by the time since the last event. */
+/** Detects a suspension by the time since the last event, where the settings bound evacuations. */
 export function detectSuspension({ state, now }: Transaction): void {
-    const { lastEventAt, followers } = state;
+    const { lastEventAt, followers, options } = state;
     state.lastEventAt = now;
     if (
-        lastEventAt !== undefined && now - lastEventAt >= minimumSuspension
-        && followers.configuration.next !== undefined
+        options.evacuationLimit !== undefined && followers.configuration.next !== undefined
+        && lastEventAt !== undefined && now - lastEventAt >= minimumSuspension
     ) {
         state.resumption = { since: now, hasStartedRead: false };
     }
