--- a/packages/gateway/test/evacuations.test.ts
+++ b/packages/gateway/test/evacuations.test.ts
@@ -184,7 +184,7 @@
     assert.equal(items.map(({ key }) => key), ["evacuate/far"]);
 });
 
-test("changes that a gateway of an earlier version reports do not move the own reads past an evacuation", () => {
+test("changes that a gateway of an earlier version reports do not move reads past an evacuation", () => {
     const gateway = gatewayWithPlainServers();
     const { next } = gateway.state.followers.configuration;
     reportTopic(gateway, [], { through: 60 }, 1);
