--- a/packages/bench/src/gatewayProcess.ts
+++ b/packages/bench/src/gatewayProcess.ts
@@ -24,6 +24,12 @@
     readonly storeAddress: string;
     /** The URL of a module that is loaded before its program. */
     readonly preload?: string;
+    /** The memory of its machine in megabytes; by default that of the smallest machines. */
+    readonly memoryMegabytes?: number;
+    /** The arguments of Node that start a gateway whose settings file is named in the environment. */
+    readonly command?: readonly string[];
+    /** The port on which it serves metrics; by default none. */
+    readonly metricsPort?: number;
 }
 
 /** A running gateway process. */
@@ -87,13 +93,20 @@
             },
             seedNodes: [options.seedAddress],
             bounds: gatewayLimits,
+            ...options.memoryMegabytes === undefined ? {} : { limits: { memoryMb: options.memoryMegabytes } },
             platform: { address: options.storeAddress },
         }),
     );
     const program = "packages/cli/dist/verbenaspring.js";
     const preload = options.preload === undefined ? [] : ["--import", options.preload];
-    const words = [...preload, program, "gateway", settingsFile];
-    const child = spawn(process.execPath, words, { stdio: ["ignore", "pipe", "inherit"] });
+    const words = options.command ?? [...preload, program, "gateway", settingsFile];
+    const metricsPort = options.metricsPort === undefined
+        ? {}
+        : { VERBENASPRING_METRICS_PORT: `${options.metricsPort}` };
+    const child = spawn(process.execPath, words, {
+        stdio: ["ignore", "pipe", "inherit"],
+        env: { ...process.env, VERBENASPRING_SETTINGS: settingsFile, ...metricsPort },
+    });
     let output = "";
     child.stdout.on("data", chunk => output += String(chunk));
     const exited = new Promise<number | null>(resolve => child.once("exit", resolve));
