--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -15,6 +15,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { monotonicNow } from "./eventLoop.js";
 import { afterNextPoll } from "./nextPoll.js";
+import { findFramingFault } from "./requestFraming.js";
 import { listen } from "./socketAddress.js";
 
 /** When a request arrived at the earliest, and how long it may have waited before it was read. */
@@ -150,7 +151,10 @@
         if (Number(request.headers["content-length"] ?? 0) > limits.bodyBytes) {
             return rejectRequest(request, response, bodyTooLarge, "length");
         }
-        const head = decode(request.method ?? "", request.url ?? "", request.rawHeaders);
+        const framingFault = findFramingFault(request);
+        const head = framingFault === undefined
+            ? decode(request.method ?? "", request.url ?? "", request.rawHeaders)
+            : { fault: framingFault };
         if ("fault" in head) {
             return rejectRequest(request, response, failure("malformed_request", head.fault, "not_run"), head.fault);
         }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -23,6 +23,7 @@
 export * from "./peerReportCodec.js";
 export * from "./platformClient.js";
 export * from "./randomSource.js";
+export * from "./requestFraming.js";
 export * from "./sidecarDaemon.js";
 export * from "./socketAddress.js";
 export * from "./tickMonitor.js";
