--- a/packages/soak/src/hostileAttacks.ts
+++ b/packages/soak/src/hostileAttacks.ts
@@ -91,16 +91,12 @@
     });
 }
 
+/** Sends bodies in writes of two bytes, each of them after the one before has left, so that they are not joined. */
 function sendTwoByteWrites(run: AttackRun): void {
-    const writesInTurn = 50;
     run.connect({ count: 200, reconnects: false, reads: false }, socket => {
         socket.write(headWithLength(run, maxBodyBytes));
-        run.writeSlowly(socket, 1, () => {
-            for (let write = 1; write < writesInTurn; write++) {
-                socket.write("xx");
-            }
-            return "xx";
-        });
+        const write = (): void => void (socket.writable && socket.write("xx", write));
+        write();
     });
 }
 
--- a/packages/soak/src/hostileServers.ts
+++ b/packages/soak/src/hostileServers.ts
@@ -16,6 +16,8 @@
 const workTime = 5;
 const largeAnswer = Buffer.alloc(1024 * 1024, "x");
 const eventBytes = 16 * 1024;
+/** In milliseconds. A hundred streams have the rate of the largest machine's link, 140 Mbit/s. */
+const feedInterval = 100;
 const feedEvent = (id: number): string => `id: ${id}\ndata: ${"x".repeat(eventBytes)}\n\n`;
 
 function identityHeaders(request: IncomingMessage): Record<string, string> {
@@ -34,11 +36,12 @@
     request.resume();
     response.writeHead(200, { ...identityHeaders(request), "content-type": "text/event-stream" });
     let id = 0;
-    const write = (): void => {
-        while (!response.destroyed && response.write(feedEvent(++id))) { /* until the connection is full */ }
-    };
-    response.on("drain", write);
-    write();
+    const timer = setInterval(() => {
+        if (!response.writableNeedDrain) {
+            response.write(feedEvent(++id));
+        }
+    }, feedInterval);
+    response.once("close", () => clearInterval(timer));
 }
 
 /** Fails in one of the ways that the caller notices at once. */
