--- a/packages/soak/src/hostileCallers.ts
+++ b/packages/soak/src/hostileCallers.ts
@@ -92,6 +92,17 @@
     }
 }
 
+/**
+ * Starts attacks in a thread of their own, which lasts until it is terminated.
+ *
+ * @example
+ * const thread = startAttacks({ addresses, played: [{ attack: "pipelined", listener: "readiness" }], scale: 1, seed: 1 });
+ * await thread.terminate();
+ */
+export function startAttacks(data: AttackThreadData): Worker {
+    return new Worker(new URL("attackThread.js", import.meta.url), { workerData: data });
+}
+
 async function measure(world: HostileWorld, trial: HostileTrial, options: HostileOptions): Promise<HostileResult> {
     const { gateway, addresses } = world;
     let hasEnded = false;
@@ -104,13 +115,11 @@
     await pause(settleTime);
     const readiness = startReadinessChecks(addresses);
     const ordinary = startOrdinaryRequests(addresses);
-    const thread = new Worker(new URL("attackThread.js", import.meta.url), {
-        workerData: {
-            addresses,
-            played: trial.played,
-            scale: trial.played.length > 1 ? togetherScale : 1,
-            seed: options.seed,
-        } satisfies AttackThreadData,
+    const thread = startAttacks({
+        addresses,
+        played: trial.played,
+        scale: trial.played.length > 1 ? togetherScale : 1,
+        seed: options.seed,
     });
     await pause(1_000 * options.seconds);
     const counts = await Promise.all([ordinary.stop(), readiness.stop()]);
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,7 +5,14 @@
 import { seededSource } from "@verbenaspring/coordination";
 import { pause } from "@verbenaspring/stand-ins";
 import { SoakCallers } from "./soakCallers.js";
-import { answerLossKinds, faultKinds, harmlessFaultKinds, releaseFaultKinds, SoakFaults } from "./soakFaults.js";
+import {
+    answerLossKinds,
+    faultKinds,
+    harmlessFaultKinds,
+    hostileFaultKinds,
+    releaseFaultKinds,
+    SoakFaults,
+} from "./soakFaults.js";
 import type { Violation } from "./soakOracle.js";
 import { type SoakGateway, SoakWorld } from "./soakWorld.js";
 
@@ -61,7 +68,8 @@
     const harmlessFaults = new SoakFaults(world, seededSource(seed, 3).random);
     const releaseFaults = new SoakFaults(world, seededSource(seed, 4).random);
     const answerLosses = new SoakFaults(world, seededSource(seed, 6).random);
-    const allFaults = [faults, harmlessFaults, releaseFaults, answerLosses];
+    const hostileFaults = new SoakFaults(world, seededSource(seed, 7).random);
+    const allFaults = [faults, harmlessFaults, releaseFaults, answerLosses, hostileFaults];
     try {
         callers.start(callerCount);
         await Promise.all([
@@ -69,6 +77,7 @@
             harmlessFaults.run(1_000 * seconds, harmlessFaultKinds),
             releaseFaults.run(1_000 * seconds, releaseFaultKinds),
             answerLosses.run(1_000 * seconds, answerLossKinds),
+            hostileFaults.run(1_000 * seconds, hostileFaultKinds),
         ]);
         await Promise.all(allFaults.map(each => each.endFaults()));
         await pause(recoveryTime);
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -6,6 +6,8 @@
 import type { Random } from "@verbenaspring/coordination";
 import { operatorTopic, type ServerBehaviour, serverTopic } from "@verbenaspring/emulator";
 import { pause } from "@verbenaspring/stand-ins";
+import { attacks } from "./hostileAttacks.js";
+import { startAttacks, trialsAlone } from "./hostileCallers.js";
 import type { SoakBackendServer, SoakGateway, SoakWorld } from "./soakWorld.js";
 
 /** A kind of fault, or a planned operation. */
@@ -308,6 +310,33 @@
     ...Array.from({ length: drawsWithoutFault }, () => noFault),
 ];
 
+/** The share of an attack's connections that the soak opens: its gateways share one machine with everything else. */
+const hostileScale = 0.1;
+const maxAttackSeed = 2 ** 31;
+/** The attacks of the soak. None of them is at a route, since the runs of complete requests would be of no caller. */
+const hostileTrials = trialsAlone(attacks, ["noRoute", "readiness", "peers"], false);
+
+/** Hostile clients attack a gateway, which has to keep its promises beside that. */
+function attackGateway(faults: SoakFaults, gateway: SoakGateway, duration: number): void {
+    const { callerAddress, readinessAddress, peerAddress } = gateway.process.options;
+    const thread = startAttacks({
+        addresses: { callers: callerAddress, readiness: readinessAddress, metrics: "", peers: peerAddress },
+        played: faults.choose(hostileTrials).played,
+        scale: hostileScale,
+        seed: Math.floor(faults.random() * maxAttackSeed),
+    });
+    faults.endAfter(duration, () => void thread.terminate());
+}
+
+/** How many of three draws start no attack. */
+const drawsWithoutAttack = 2;
+
+/** Hostile clients. They are drawn apart from other faults. */
+export const hostileFaultKinds: readonly Fault[] = [
+    { name: "hostileClients", perform: withGateway(attackGateway) },
+    ...Array.from({ length: drawsWithoutAttack }, () => noFault),
+];
+
 /** How many of four draws lose no answers. */
 const drawsWithoutLoss = 2;
 
