soak: how unserved ordinary requests ended, in the table of the hostile clients

Cause: the table showed that ordinary requests were not served, but not whether they were rejected, cut or late. Change: a last column counts them by status, error code or time limit.

--- a/packages/soak/src/hostileCallers.ts
+++ b/packages/soak/src/hostileCallers.ts
@@ -180,7 +180,18 @@
 
 /** Formats the heading of the table of results. */
 export function formatHeading(): string {
-    return formatRow(["attack", "listener", "servers", "peak MB", "state", "served", "p99 ms", "ready", "missed"]);
+    return formatRow([
+        "attack",
+        "listener",
+        "servers",
+        "peak MB",
+        "state",
+        "served",
+        "p99 ms",
+        "ready",
+        "missed",
+        "unserved",
+    ]);
 }
 
 /** Formats a result as a row of the table. */
@@ -198,10 +209,11 @@
         percentile99(ordinary)?.toFixed(0) ?? "-",
         `${readiness.served}/${readiness.sent}`,
         missed.length === 0 ? "-" : missed.join(", "),
+        [...ordinary.failures].map(([failure, count]) => `${count} ${failure}`).join(", "),
     ]);
 }
 
 function formatRow(cells: readonly string[]): string {
-    const widths = [25, 9, 9, 7, 5, 8, 6, 7, 0];
+    const widths = [25, 9, 9, 7, 5, 8, 6, 7, 18, 0];
     return `| ${cells.map((cell, index) => cell.padEnd(widths[index])).join(" | ")} |`;
 }
--- a/packages/soak/src/ordinaryCallers.ts
+++ b/packages/soak/src/ordinaryCallers.ts
@@ -9,6 +9,8 @@
     readonly sent: number;
     /** Requests that were answered with status 200 in time. */
     readonly served: number;
+    /** How often the others ended in which way: a status, the code of an error, or the time limit. */
+    readonly failures: ReadonlyMap<string, number>;
     /** Milliseconds from each served request to the end of its answer, in ascending order. */
     readonly durations: readonly number[];
 }
@@ -18,6 +20,7 @@
     readonly stop: () => Promise<RequestCounts>;
 }
 
+const okStatus = 200;
 const ordinaryInterval = 100;
 const ordinaryTimeout = 3_000;
 const readinessInterval = 500;
@@ -30,7 +33,7 @@
     let sent = 0;
     return startSeries(ordinaryInterval, () => {
         sent++;
-        return isAnswered(`http://${callers}${ordinaryPath}`, ordinaryTimeout, {
+        return findFailure(`http://${callers}${ordinaryPath}`, ordinaryTimeout, {
             agent: sent % 2 === 0 ? agent : undefined,
             headers: { host: hostileRoutesHost, "attempt-id": `ordinary${sent}`, "deadline-ms": `${ordinaryTimeout}` },
             body: `body of ordinary${sent}`,
@@ -40,30 +43,38 @@
 
 /** Asks twice a second whether the gateway is ready, each time on a new connection. */
 export function startReadinessChecks({ readiness }: AttackedAddresses): RequestSeries {
-    return startSeries(readinessInterval, () => isReady(readiness));
+    return startSeries(readinessInterval, () => findReadinessFailure(readiness));
 }
 
 /** Whether a gateway answers in time that it is ready. */
-export function isReady(readinessAddress: string): Promise<boolean> {
-    return isAnswered(`http://${readinessAddress}/readyz`, readinessTimeout, { headers: {} });
+export async function isReady(readinessAddress: string): Promise<boolean> {
+    return await findReadinessFailure(readinessAddress) === undefined;
+}
+
+function findReadinessFailure(readinessAddress: string): Promise<string | undefined> {
+    return findFailure(`http://${readinessAddress}/readyz`, readinessTimeout, { headers: {} });
 }
 
 function startSeries(
     interval: number,
-    send: () => Promise<boolean>,
+    send: () => Promise<string | undefined>,
     finish: () => void = () => undefined,
 ): RequestSeries {
     const durations: number[] = [];
+    const failures = new Map<string, number>();
     const open = new Set<Promise<void>>();
     let sent = 0;
     const timer = setInterval(() => {
         sent++;
         const startedAt = performance.now();
-        const exchange = send().then(isServed => {
+        const exchange = send().then(failure => {
             open.delete(exchange);
-            if (isServed) {
+            if (failure === undefined) {
                 durations.push(performance.now() - startedAt);
             }
+            else {
+                failures.set(failure, (failures.get(failure) ?? 0) + 1);
+            }
         });
         open.add(exchange);
     }, interval);
@@ -72,7 +83,7 @@
             clearInterval(timer);
             await Promise.all(open);
             finish();
-            return { sent, served: durations.length, durations: durations.sort((one, other) => one - other) };
+            return { sent, served: durations.length, failures, durations: durations.sort((one, other) => one - other) };
         },
     };
 }
@@ -84,15 +95,24 @@
     readonly body?: string;
 }
 
-/** Whether a request is answered with status 200 within a time in milliseconds. */
-function isAnswered(url: string, timeout: number, { agent, headers, body }: RequestDetails): Promise<boolean> {
+/** Resolves to undefined if a request is answered with status 200 within a time in milliseconds, otherwise to what failed. */
+function findFailure(
+    url: string,
+    timeout: number,
+    { agent, headers, body }: RequestDetails,
+): Promise<string | undefined> {
     return new Promise(resolve => {
         const method = body === undefined ? "GET" : "POST";
         const exchange = request(url, { agent, method, headers, signal: AbortSignal.timeout(timeout) }, response => {
             response.resume();
-            response.once("close", () => resolve(response.complete && response.statusCode === 200));
+            response.once("close", () =>
+                resolve(
+                    response.complete && response.statusCode === okStatus
+                        ? undefined
+                        : `${response.statusCode}${response.complete ? "" : " cut"}`,
+                ));
         });
-        exchange.once("error", () => resolve(false));
+        exchange.once("error", (error: NodeJS.ErrnoException) => resolve(error.code ?? error.message));
         exchange.end(body);
     });
 }
--- a/packages/soak/test/hostileProcess.test.ts
+++ b/packages/soak/test/hostileProcess.test.ts
@@ -38,7 +38,8 @@
         const result = await runHostileTrial(trial, { seconds, seed });
         const { peakMegabytes, state, ordinary, readiness } = result;
         const seen = `${state}, ${peakMegabytes} MB, ${ordinary.served} of ${ordinary.sent} served, `
-            + `${readiness.served} of ${readiness.sent} ready, slowest ${ordinary.durations.at(-1)} ms`;
+            + `${readiness.served} of ${readiness.sent} ready, slowest ${ordinary.durations.at(-1)} ms, `
+            + `unserved ${JSON.stringify([...ordinary.failures])}`;
         assert.equal(missedTargets(result), [], seen);
     });
 }
