--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -26,6 +26,7 @@
 } from "./callerBudget.js";
 import { monotonicNow } from "./eventLoop.js";
 import { afterNextPoll } from "./nextPoll.js";
+import { findFramingFault } from "./requestFraming.js";
 import { listen } from "./socketAddress.js";
 
 /** When a request arrived at the earliest, and how long it may have waited before it was read. */
@@ -240,7 +241,10 @@
         if (declaredBytes > limits.bodyBytes) {
             return rejectRequest(channel, response, bodyTooLarge, "length");
         }
-        const head = decode(request.method ?? "", request.url ?? "", request.rawHeaders);
+        const framingFault = findFramingFault(request);
+        const head = framingFault === undefined
+            ? decode(request.method ?? "", request.url ?? "", request.rawHeaders)
+            : { fault: framingFault };
         if ("fault" in head) {
             const reason = failure("malformed_request", head.fault, "not_run");
             return rejectRequest(channel, response, reason, head.fault);
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -10,6 +10,7 @@
     evacuationFaultKinds,
     faultKinds,
     harmlessFaultKinds,
+    hostileFaultKinds,
     releaseFaultKinds,
     SoakFaults,
 } from "./soakFaults.js";
@@ -69,7 +70,8 @@
     const releaseFaults = new SoakFaults(world, seededSource(seed, 4).random);
     const answerLosses = new SoakFaults(world, seededSource(seed, 6).random);
     const evacuations = new SoakFaults(world, seededSource(seed, 7).random);
-    const allFaults = [faults, harmlessFaults, releaseFaults, answerLosses, evacuations];
+    const hostileFaults = new SoakFaults(world, seededSource(seed, 8).random);
+    const allFaults = [faults, harmlessFaults, releaseFaults, answerLosses, evacuations, hostileFaults];
     try {
         callers.start(callerCount);
         await Promise.all([
@@ -78,6 +80,7 @@
             releaseFaults.run(1_000 * seconds, releaseFaultKinds),
             answerLosses.run(1_000 * seconds, answerLossKinds),
             evacuations.run(1_000 * seconds, evacuationFaultKinds),
+            hostileFaults.run(1_000 * seconds, hostileFaultKinds),
         ]);
         await Promise.all(allFaults.map(each => each.endFaults()));
         await pause(recoveryTime);
