runtime: bounds at the entry, the peer port, the operators' server and the sidecar's link server

The entry read each request of a connection at once, and bodies without a bound over all.

Messages are bounded (4 MiB at the peer port and the operators' server). The entry reads in pieces, one request of a connection runs at a time, bodies are collected in few pieces, all of them together take at most 48 MB, and at most 4,096 connections are open. With more than 8 large bodies, their connections take turns.

--- a/packages/runtime/src/boundedSocket.ts
+++ b/packages/runtime/src/boundedSocket.ts
@@ -111,6 +111,11 @@
         this.work += units;
     }
 
+    /** Lets the connection rest after its current piece. */
+    restAfterPiece(): void {
+        this.work = maxWorkPerPiece + 1;
+    }
+
     /**
      * Reads nothing further. The connection closes a moment after its last answer.
      *
--- a/packages/runtime/src/callerServer.ts
+++ b/packages/runtime/src/callerServer.ts
@@ -2,9 +2,11 @@
  * The entry's HTTP server for callers. It also serves `/live`, `/ready` and `/metrics`.
  */
 import type { Call } from "@verbenaspring/entry";
-import { type Failure, failure, identifier, type RequestId } from "@verbenaspring/model";
+import { type Failure, failure, identifier, type Milliseconds, type RequestId } from "@verbenaspring/model";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
+import { BodyCollector } from "./bodyCollector.js";
+import { type BoundedSocket, boundReading } from "./boundedSocket.js";
 import { CallerAnswer, formatFailure } from "./callerAnswer.js";
 import { parseCall } from "./callParser.js";
 import { afterNextPoll } from "./nextPoll.js";
@@ -43,6 +45,26 @@
     readonly close: () => Promise<void>;
 }
 
+/** A request whose head has been parsed. */
+interface WaitingRequest {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+}
+
+/** The memory of all bodies that are being read. */
+interface BodyBytes {
+    heldBytes: number;
+}
+
+const headerTimeout: Milliseconds = 3_000;
+/** A whole request arrives within this time. */
+const bodyTimeout: Milliseconds = 60_000;
+const timeoutCheckInterval: Milliseconds = 500;
+/** Beyond it, the oldest connection without a request is closed. */
+const maxConnections = 4_096;
+const maxAllBodyBytes = 48 * 1024 * 1024;
+const overloadRetryAfter: Milliseconds = 500;
+
 /**
  * Creates the server.
  *
@@ -52,15 +74,18 @@
  */
 export function createCallerServer(options: CallerServerOptions, handlers: CallerServerHandlers): CallerServer {
     const answers = new Map<RequestId, CallerAnswer>();
+    const bodies: BodyBytes = { heldBytes: 0 };
 
     async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         if (answerProbe(request, response, options)) {
             return;
         }
         const requestId: RequestId = identifier(options.newIdentifier());
-        const body = await readBody(request, options.maximumBodyBytes);
+        const body = await readBody(request, options.maximumBodyBytes, bodies);
         if (typeof body !== "string") {
-            // The remaining bytes of an oversized body are not read, so the connection cannot be used again.
+            // The remaining bytes of the body are not read, so the connection cannot be used again.
+            refusedChannels.add(request.socket);
+            (request.socket as unknown as BoundedSocket).reject(true);
             response.setHeader("connection", "close");
             return rejectRequest(requestId, response, body);
         }
@@ -88,15 +113,55 @@
 
     /** Channels that were told that no request of theirs ran. What arrives on them later is not handled. */
     const refusedChannels = new WeakSet<Duplex>();
-    const server = createServer({ maxHeaderSize: options.maximumHeaderBytes }, (request, response) => {
-        if (refusedChannels.has(request.socket)) {
-            request.socket.destroy();
+    /** Requests that arrived on a connection while an earlier one of it was in progress. */
+    const waitingRequests = new WeakMap<BoundedSocket, WaitingRequest[]>();
+    const connections = new Set<BoundedSocket>();
+    const beginRequest = (socket: BoundedSocket, { request, response }: WaitingRequest): void => {
+        response.once("close", () => beginNext(socket));
+        handleRequest(request, response).catch(() => response.destroy());
+    };
+    const beginNext = (socket: BoundedSocket): void => {
+        const waiting = waitingRequests.get(socket);
+        const next = waiting?.shift();
+        if (next !== undefined && !refusedChannels.has(socket) && !socket.destroyed) {
+            return beginRequest(socket, next);
+        }
+        waitingRequests.delete(socket);
+        socket.release("requests");
+    };
+    const server = createServer({
+        maxHeaderSize: options.maximumHeaderBytes,
+        headersTimeout: headerTimeout,
+        requestTimeout: bodyTimeout,
+        connectionsCheckingInterval: timeoutCheckInterval,
+        noDelay: true,
+    }, (request, response) => {
+        const socket = request.socket as unknown as BoundedSocket;
+        if (refusedChannels.has(socket)) {
+            socket.destroy();
             return;
         }
-        handleRequest(request, response).catch(() => response.destroy());
+        socket.addWork(1);
+        const waiting = waitingRequests.get(socket);
+        if (waiting !== undefined) {
+            waiting.push({ request, response });
+            return socket.hold("requests");
+        }
+        waitingRequests.set(socket, []);
+        beginRequest(socket, { request, response });
+    });
+    boundReading(server, socket => {
+        connections.add(socket);
+        socket.once("close", () => connections.delete(socket));
+        if (connections.size > maxConnections) {
+            const surplus = [...connections].find(connection => !waitingRequests.has(connection)) ?? socket;
+            connections.delete(surplus);
+            surplus.destroy();
+        }
     });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
         refusedChannels.add(socket);
+        (socket as unknown as BoundedSocket).reject(true);
         handleClientError(error, socket);
     });
     return {
@@ -151,17 +216,29 @@
     new CallerAnswer(requestId, response, parsed, { blocked: () => {}, drained: () => {} }).endFailure(reason);
 }
 
-async function readBody(request: IncomingMessage, maxBytes: number): Promise<string | Failure> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-        size += chunk.length;
-        if (size > maxBytes) {
-            return failure("body_too_large", `a body holds at most ${maxBytes} bytes`, "not_run");
+/** Reads a body. Rejects it beyond its own limit, and beyond that of all bodies that are being read. */
+async function readBody(request: IncomingMessage, maxBytes: number, all: BodyBytes): Promise<string | Failure> {
+    const body = new BodyCollector();
+    let heldBytes = 0;
+    const socket = request.socket as unknown as BoundedSocket;
+    try {
+        for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
+            socket.addWork(1);
+            body.append(chunk);
+            all.heldBytes += body.heldBytes - heldBytes;
+            heldBytes = body.heldBytes;
+            if (body.byteLength > maxBytes) {
+                return failure("body_too_large", `a body holds at most ${maxBytes} bytes`, "not_run");
+            }
+            if (all.heldBytes > maxAllBodyBytes) {
+                return failure("overloaded", "too many bodies are being read", "not_run", overloadRetryAfter);
+            }
         }
-        chunks.push(chunk);
+        return body.take().toString("utf8");
+    }
+    finally {
+        all.heldBytes -= heldBytes;
     }
-    return Buffer.concat(chunks).toString("utf8");
 }
 
 function closeServer(server: Server): Promise<void> {
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -133,6 +133,8 @@
 const overdueHeadersGrace: Milliseconds = 50;
 /** Bodies and answers below this size are part of what the budget counts for a request's head. */
 const minCountedBytes = 4 * 1024;
+/** Large bodies that are read at full speed at the same time; with more, their channels take turns. */
+const maxUnhinderedBodies = 8;
 /** How often callers are checked that leave their answers unread. */
 const unreadCheckInterval: Milliseconds = 1_000;
 /** What a caller with unread answers must take within the idle timeout. */
@@ -166,6 +168,8 @@
     const budget = new CallerBudget<CallerChannel>(bounds.totalBytes);
     let limits = initialLimits;
     let isDraining = false;
+    /** Bodies of more than {@link minCountedBytes} that are being read. */
+    let largeBodies = 0;
     /** Requests that have been read and not been reported yet. */
     const unreported = new Set<Exchange>();
     const channels = new Map<Socket, CallerChannel>();
@@ -271,6 +275,7 @@
             if (!exchanges.delete(ended)) {
                 return false;
             }
+            largeBodies -= ended.heldBytes.bodies > 0 ? 1 : 0;
             releaseAll(channel, ended);
             if (openExchanges.delete(requestId)) {
                 handlers.left(requestId);
@@ -292,7 +297,11 @@
                 return exchange.rejectBody(bodyTooLarge, "body");
             }
             if (body.heldBytes > minCountedBytes && body.heldBytes !== exchange.heldBytes.bodies) {
+                largeBodies += exchange.heldBytes.bodies === 0 ? 1 : 0;
                 setHeld(channel, exchange, "bodies", body.heldBytes);
+                if (largeBodies > maxUnhinderedBodies) {
+                    socket.restAfterPiece();
+                }
             }
         });
         request.on("end", () => {
@@ -315,6 +324,7 @@
                 exchange.rejectBody = undefined;
                 channel.hasServed = true;
                 if (exchange.heldBytes.bodies > 0) {
+                    largeBodies--;
                     setHeld(channel, exchange, "running", body.byteLength);
                     setHeld(channel, exchange, "bodies", 0);
                 }
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -356,6 +356,7 @@
         return createPeerLinks({
             reported: report => this.handlePeerReport(report),
             closed: address => this.events.push({ kind: "peerLinkClosed", address }),
+            cut: address => this.pressure.report("peers", "connections", address, monotonicNow()),
         });
     }
 
--- a/packages/runtime/src/linkServer.ts
+++ b/packages/runtime/src/linkServer.ts
@@ -8,8 +8,12 @@
 import { createServer, type Http2Server } from "node:http2";
 import { createFrameSender, type FrameSender } from "./frameSender.js";
 import { decodeFrame } from "./linkCodec.js";
+import { boundSessions, type SessionBounds, sessionOptions } from "./sessionBounds.js";
 import { listen } from "./socketAddress.js";
 
+/** Each entry has one link, and a second one while it replaces the first. */
+const linkBounds: SessionBounds = { sessions: 256, streams: 4 };
+
 /** Callbacks for what happens on the links. */
 export interface LinkServerHandlers {
     readonly opened: (hello: Hello) => void;
@@ -67,16 +71,20 @@
         return hello;
     }
 
-    const server = createServer(connectNodeAdapter({
-        routes: router =>
-            router.service(LinkService, {
-                open: requests => {
-                    const sender = createFrameSender(batchInterval);
-                    void receive(requests, sender);
-                    return sender.frames();
-                },
-            }),
-    }));
+    const server = createServer(
+        sessionOptions(linkBounds),
+        connectNodeAdapter({
+            routes: router =>
+                router.service(LinkService, {
+                    open: requests => {
+                        const sender = createFrameSender(batchInterval);
+                        void receive(requests, sender);
+                        return sender.frames();
+                    },
+                }),
+        }),
+    );
+    boundSessions(server, linkBounds);
     return {
         listen: address => listen(server as Http2Server, address),
         send: (entry, linkNumber, message) => senders.get(keyOf(entry, linkNumber))?.send(message),
--- a/packages/runtime/src/operatorServer.ts
+++ b/packages/runtime/src/operatorServer.ts
@@ -25,8 +25,14 @@
 import { timingSafeEqual } from "node:crypto";
 import { createServer } from "node:http2";
 import { sha256Hex } from "./callParser.js";
+import { boundSessions, type SessionBounds, sessionOptions } from "./sessionBounds.js";
 import { listen } from "./socketAddress.js";
 
+/** Operators and the other entries; calls are short. */
+const operatorBounds: SessionBounds = { sessions: 128, streams: 16 };
+/** The longest call of an operator, which holds one document. */
+const maxDocumentBytes = 4 * 1024 * 1024;
+
 /** The token, and the entry's handlers of calls. */
 export interface OperatorServerOptions {
     readonly token: string;
@@ -48,6 +54,7 @@
  */
 export function createOperatorServer(options: OperatorServerOptions): OperatorServer {
     const adapter = connectNodeAdapter({
+        readMaxBytes: maxDocumentBytes,
         interceptors: [requireToken(options.token)],
         routes: router => {
             addOperatorService(router, options);
@@ -57,7 +64,8 @@
             });
         },
     });
-    const server = createServer(adapter);
+    const server = createServer(sessionOptions(operatorBounds), adapter);
+    boundSessions(server, operatorBounds);
     return { listen: address => listen(server, address), close: () => server.close() };
 }
 
--- a/packages/runtime/src/peerLinks.ts
+++ b/packages/runtime/src/peerLinks.ts
@@ -10,6 +10,7 @@
 import { createServer, type ServerHttp2Session } from "node:http2";
 import { monotonicNow } from "./eventLoop.js";
 import { decodeReport, encodeReport, type ReportInit } from "./peerReportCodec.js";
+import { boundSessions, type SessionBounds, sessionOptions } from "./sessionBounds.js";
 import { listen } from "./socketAddress.js";
 
 /** Callbacks for what happens on the links. */
@@ -17,6 +18,8 @@
     readonly reported: (report: PeerReport) => void;
     /** The last link to the peer has closed. */
     readonly closed: (address: PeerAddress) => void;
+    /** A connection was closed because there were too many; called with its address. */
+    readonly cut?: (address: string) => void;
 }
 
 /** The links of one gateway to the others. */
@@ -46,6 +49,10 @@
 
 /** Reports that may wait for a slow peer; beyond that the link is closed, and a new one begins with a full report. */
 const maxQueuedReports = 64;
+/** Twice as many sessions as gateways, since two gateways may each open one. */
+const peerBounds: SessionBounds = { sessions: 160, streams: 4 };
+/** The full report of some tens of gateways and servers with the configuration is far smaller. */
+const maxReportBytes = 4 * 1024 * 1024;
 
 /**
  * Creates the links.
@@ -100,25 +107,29 @@
         }
     };
 
-    const server = createServer(connectNodeAdapter({
-        routes: router =>
-            router.service(GatewayPeerService, {
-                follow: (messages, context) => {
-                    const queue = createReportQueue();
-                    const abort = new AbortController();
-                    context.signal.addEventListener("abort", queue.end);
-                    void receiveFromNewPeer(untilAborted(messages, abort.signal), {
-                        queue,
-                        lastReceivedAt: 0,
-                        abort: () => abort.abort(),
-                    });
-                    return queue.reports();
-                },
-            }),
-    }));
+    const server = createServer(
+        sessionOptions(peerBounds),
+        connectNodeAdapter({
+            readMaxBytes: maxReportBytes,
+            routes: router =>
+                router.service(GatewayPeerService, {
+                    follow: (messages, context) => {
+                        const queue = createReportQueue();
+                        const abort = new AbortController();
+                        context.signal.addEventListener("abort", queue.end);
+                        void receiveFromNewPeer(untilAborted(messages, abort.signal), {
+                            queue,
+                            lastReceivedAt: 0,
+                            abort: () => abort.abort(),
+                        });
+                        return queue.reports();
+                    },
+                }),
+        }),
+    );
+    boundSessions(server, peerBounds, handlers.cut);
     server.on("session", session => {
         sessions.add(session);
-        session.on("error", () => session.destroy());
         session.on("close", () => sessions.delete(session));
     });
 
