--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -29,6 +29,7 @@
 export * from "./probeServer.js";
 export * from "./randomSource.js";
 export * from "./requestFraming.js";
+export * from "./sessionBounds.js";
 export * from "./sidecarDaemon.js";
 export * from "./socketAddress.js";
 export * from "./tickMonitor.js";
