--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -103,6 +103,11 @@
         return member === undefined || member.hasEnded ? undefined : member.model;
     }
 
+    /** Returns the start that the server at an address reports, as in its record. */
+    findStart(address: string): number | undefined {
+        return this.membersByAddress.get(address)?.born;
+    }
+
     /** Returns the running backend servers in the order in which their ids were first added. */
     liveServers(): ServerModel[] {
         return [...this.members.values()].filter(({ hasEnded }) => !hasEnded).map(({ model }) => model);
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -48,6 +48,7 @@
 interface ProbeReply {
     readonly runs: readonly RunReport[];
     readonly isLeaving: boolean;
+    readonly startedAt: number | undefined;
 }
 
 /** What comes back from an address at which no server listens. */
@@ -264,7 +265,8 @@
                     reply(connectionRefused);
                 }
                 else if (server.behaviour !== "silent" || !hasReport) {
-                    reply({ runs: server.report(), isLeaving: server.isLeaving });
+                    const start = hasReport ? this.environment.fleet.findStart(address) : undefined;
+                    reply({ runs: server.report(), isLeaving: server.isLeaving, startedAt: start });
                 }
             },
             outcome => {
@@ -273,7 +275,7 @@
                     ...run,
                     callerAttemptId: identifier<CallerAttemptId>(run.callerAttemptId),
                 }));
-                const report = reply && runs && { runs, isLeaving: reply.isLeaving, startedAt: undefined };
+                const report = reply && runs && { runs, isLeaving: reply.isLeaving, startedAt: reply.startedAt };
                 this.handleEvent({ kind: "serverProbed", backendServer, startedAt, report });
             },
         );
