--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -49,6 +49,7 @@
     readonly runs: readonly RunReport[];
     readonly isLeaving: boolean;
     readonly coldRemaining: Milliseconds | undefined;
+    readonly startedAt: number | undefined;
 }
 
 /** What comes back from an address at which no server listens. */
@@ -267,7 +268,8 @@
                 }
                 else if (server.behaviour !== "silent" || !hasReport) {
                     const coldRemaining = fleet.coldRemainingOf(server.options.id);
-                    reply({ runs: server.report(), isLeaving: server.isLeaving, coldRemaining });
+                    const startedAt = hasReport ? fleet.findStart(address) : undefined;
+                    reply({ runs: server.report(), isLeaving: server.isLeaving, startedAt, coldRemaining });
                 }
             },
             outcome => {
@@ -276,7 +278,7 @@
                     ...run,
                     callerAttemptId: identifier<CallerAttemptId>(run.callerAttemptId),
                 }));
-                const report = reply && runs && { ...reply, runs, startedAt: undefined };
+                const report = reply && runs && { ...reply, runs };
                 this.handleEvent({ kind: "serverProbed", backendServer, startedAt, report });
             },
         );
