--- a/packages/runtime/src/boundedSocket.ts
+++ b/packages/runtime/src/boundedSocket.ts
@@ -50,7 +50,7 @@
     private readonly holds = new Set<HoldReason>();
     private lingerTimer: NodeJS.Timeout | undefined;
 
-    constructor(accepted: Socket, private readonly restQueue: RestQueue) {
+    constructor(accepted: Socket, private readonly turns: TurnQueue) {
         const from = accepted as unknown as SocketInternals;
         const handle = from._handle;
         // Node's constructor asks for the first buffer, when the object cannot be used yet.
@@ -169,38 +169,42 @@
         const startedAt = monotonicNow();
         this.work = 0;
         this.emit("data", piece);
-        if (this.work > maxWorkPerPiece && !this.destroyed) {
-            this.restQueue.add(this, monotonicNow() - startedAt);
+        // A whole piece without a request or a part of a body belongs to a long head, whose fields are expensive.
+        const isLongHead = this.work === 0 && size === pieceBytes;
+        if ((this.work > maxWorkPerPiece || isLongHead) && !this.destroyed) {
+            this.hold("work");
+            this.turns.add(() => this.release("work"), monotonicNow() - startedAt);
         }
         return this.holds.size === 0 && !this.isPaused();
     }
 }
 
 /**
- * Sockets whose last piece was expensive to parse. One after the other reads its next piece, each after a rest in
- * proportion to the last piece's duration. All of them together thus take a bounded share of the processor time.
+ * Expensive work that clients cause: one piece of it after the other, each after a rest in proportion to the piece before
+ * it. All of it together thus takes a bounded share of the processor time.
  */
-class RestQueue {
-    private readonly sockets: BoundedSocket[] = [];
+export class TurnQueue {
+    private readonly actions: (() => void)[] = [];
     private timer: NodeJS.Timeout | undefined;
 
-    add(socket: BoundedSocket, elapsed: Milliseconds): void {
-        socket.hold("work");
-        this.sockets.push(socket);
+    /** @param elapsed how long the piece of work took that this one follows */
+    add(action: () => void, elapsed: Milliseconds): void {
+        this.actions.push(action);
+        this.startTimer(elapsed);
+    }
+
+    private startTimer(elapsed: Milliseconds): void {
         const rest = Math.min(maxRest, Math.max(minRest, restPerWork * elapsed));
-        this.timer ??= setTimeout(() => this.releaseNext(rest), rest);
+        this.timer ??= setTimeout(() => this.runNext(), rest);
     }
 
-    private releaseNext(rest: Milliseconds): void {
+    private runNext(): void {
         this.timer = undefined;
-        let socket = this.sockets.shift();
-        while (socket?.destroyed === true) {
-            socket = this.sockets.shift();
-        }
-        if (this.sockets.length > 0) {
-            this.timer = setTimeout(() => this.releaseNext(rest), rest);
+        const startedAt = monotonicNow();
+        this.actions.shift()?.();
+        if (this.actions.length > 0) {
+            this.startTimer(monotonicNow() - startedAt);
         }
-        socket?.release("work");
     }
 }
 
@@ -208,18 +212,22 @@
  * Makes each connection of a server a {@link BoundedSocket}. To be called before the server listens.
  *
  * @param accepted called with each connection; the connection is not served if it was destroyed in the call
+ * @param turns the queue of connections that rest
  * @example
  * const server = createServer(handleRequest);
  * boundReading(server);
  */
-export function boundReading(server: Server, accepted: (socket: BoundedSocket) => void = () => undefined): void {
+export function boundReading(
+    server: Server,
+    accepted: (socket: BoundedSocket) => void = () => undefined,
+    turns = new TurnQueue(),
+): void {
     const listeners = server.listeners("connection") as ((this: Server, socket: Socket) => void)[];
-    const restQueue = new RestQueue();
     server.removeAllListeners("connection");
     // Otherwise the accepted socket reads before the bounded one has taken its handle.
     (server as Server & { pauseOnConnect: boolean; }).pauseOnConnect = true;
     server.on("connection", (from: Socket) => {
-        const socket = new BoundedSocket(from, restQueue);
+        const socket = new BoundedSocket(from, turns);
         accepted(socket);
         if (!socket.destroyed) {
             listeners.forEach(listener => listener.call(server, socket));
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -14,7 +14,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { BodyCollector } from "./bodyCollector.js";
-import { type BoundedSocket, boundReading } from "./boundedSocket.js";
+import { type BoundedSocket, boundReading, TurnQueue } from "./boundedSocket.js";
 import {
     type BudgetHolder,
     type CallerBounds,
@@ -133,6 +133,8 @@
 const overdueHeadersGrace: Milliseconds = 50;
 /** Bodies and answers below this size are part of what the budget counts for a request's head. */
 const minCountedBytes = 4 * 1024;
+/** Names and values of a head beyond which it is decoded in turn with other such heads. */
+const manyHeaderParts = 400;
 /** Large bodies that are read at full speed at the same time; with more, their channels take turns. */
 const maxUnhinderedBodies = 8;
 /** How often callers are checked that leave their answers unread. */
@@ -173,6 +175,7 @@
     /** Requests that have been read and not been reported yet. */
     const unreported = new Set<Exchange>();
     const channels = new Map<Socket, CallerChannel>();
+    const turns = new TurnQueue();
 
     const server = createServer({
         maxHeaderSize: maxParsedHeaderBytes,
@@ -343,7 +346,9 @@
     };
     const beginWaiting = (channel: CallerChannel): void => {
         const { socket, waiting, exchanges } = channel;
-        while (waiting.length > 0 && exchanges.size < maxRequestsPerChannel && !socket.destroyed) {
+        // After an answer that closes the channel, the answers to further requests could not be sent.
+        const isOpen = !socket.destroyed && !socket.writableEnded && !channel.isRefused;
+        while (isOpen && waiting.length > 0 && exchanges.size < maxRequestsPerChannel) {
             const next = waiting.shift()!;
             budget.change(channel, "heads", -next.heldBytes);
             beginExchange(channel, next);
@@ -371,6 +376,11 @@
             hold(channel, "heads", heads);
             return socket.hold("requests");
         }
+        if (request.rawHeaders.length > manyHeaderParts) {
+            waiting.push({ request, response, arrival, heldBytes: 0 });
+            socket.hold("requests");
+            return turns.add(() => beginWaiting(channel), 0);
+        }
         beginExchange(channel, { request, response, arrival, heldBytes: 0 });
     });
     boundReading(server, socket => {
@@ -400,7 +410,7 @@
             channels.delete(surplus.socket);
             surplus.socket.destroy();
         }
-    });
+    }, turns);
     const refuseChannel = (channel: CallerChannel, error: NodeJS.ErrnoException): void => {
         const type = classifyClientError(error);
         handlers.refused(type, error.code ?? error.message);
@@ -524,23 +534,29 @@
 /** Orders channels by how much their callers lose by a close; undefined if a request runs on the channel. */
 function closeRank({ isRefused, exchanges, hasServed }: CallerChannel): number | undefined {
     if (isRefused) {
-        return 0;
+        return expendableRank;
     }
-    if ([...exchanges].some(({ rejectBody }) => rejectBody === undefined)) {
-        return undefined;
+    for (const { rejectBody } of exchanges) {
+        return rejectBody === undefined ? undefined : expendableRank + 2;
     }
-    return exchanges.size > 0 ? 3 : hasServed ? 2 : 1;
+    return hasServed ? expendableRank + 1 : expendableRank;
 }
 
+/** The rank of channels that may be closed without looking for a better one. */
+const expendableRank = 0;
+
 /**
- * The channel to close for a new one: one of a rejected request, then one without a complete request head, then an idle
- * one, then one with an incomplete body; the oldest of them. Undefined if requests run on all.
+ * The channel to close for a new one: one of a rejected request or without a complete request head, then an idle one,
+ * then one with an incomplete body; the oldest of them. Undefined if requests run on all.
  */
 function chooseSurplusChannel(channels: Iterable<CallerChannel>): CallerChannel | undefined {
     let chosen: CallerChannel | undefined;
     let chosenRank = Infinity;
     for (const channel of channels) {
         const rank = closeRank(channel) ?? Infinity;
+        if (rank === expendableRank) {
+            return channel;
+        }
         if (rank < chosenRank) {
             chosen = channel;
             chosenRank = rank;
--- a/packages/runtime/src/probeServer.ts
+++ b/packages/runtime/src/probeServer.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds } from "@verbenaspring/model";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type BoundedSocket, boundReading } from "./boundedSocket.js";
+import { monotonicNow } from "./eventLoop.js";
 
 /** A check is a single short request. */
 const maxHeaderBytes = 8 * 1024;
@@ -12,6 +13,9 @@
 const timeoutCheckInterval: Milliseconds = 500;
 /** More connections than load balancers and scrapers need. */
 const defaultMaxConnections = 64;
+/** A new connection is not closed for another one before its request could be read, while there are not very many. */
+const minAge: Milliseconds = 200;
+const newConnectionsFactor = 4;
 
 /** What a check returns. */
 export interface ProbeAnswer {
@@ -22,7 +26,7 @@
 
 /**
  * Creates a server that answers each connection's first request. Beyond `maxConnections` the oldest connection is
- * closed, so that a new check is always accepted.
+ * closed once it had time to send its request, and at four times as many in any case, so that a new check is accepted.
  *
  * @example
  * const readiness = createProbeServer(() => ({ status: 200, body: "" }));
@@ -33,7 +37,7 @@
     cut: (reason: "connections", address: string) => void = () => undefined,
     maxConnections = defaultMaxConnections,
 ): Server {
-    const connections = new Set<BoundedSocket>();
+    const connections = new Map<BoundedSocket, Milliseconds>();
     const server = createServer({
         maxHeaderSize: maxHeaderBytes,
         headersTimeout: headerTimeout,
@@ -50,10 +54,14 @@
     });
     server.on("clientError", (_, socket) => socket.destroy());
     boundReading(server, socket => {
-        connections.add(socket);
+        const now = monotonicNow();
+        connections.set(socket, now);
         socket.once("close", () => connections.delete(socket));
-        if (connections.size > maxConnections) {
-            const [oldest] = connections;
+        for (const [oldest, openedAt] of connections) {
+            const isSurplus = connections.size > maxConnections && now - openedAt >= minAge;
+            if (!isSurplus && connections.size <= newConnectionsFactor * maxConnections) {
+                break;
+            }
             connections.delete(oldest);
             cut("connections", oldest.remoteAddress ?? "");
             oldest.destroy();
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -132,6 +132,18 @@
     assert.is(harness.callers.budget.totalBytes, 0, "nothing is held for it");
 });
 
+// A client repeats requests that follow an answer with "connection: close", so they must not have run.
+test("no request is passed on after an answer that closes its connection", async () => {
+    const harness = new Harness(true);
+    const client = await harness.connect();
+    harness.callers.startDraining();
+    client.socket.write(emptyRequest.repeat(5));
+    await waitUntil(() => client.isClosed);
+    await pause(50);
+    assert.is(client.count("done"), 1);
+    assert.is(harness.open.length, 1);
+});
+
 // Bodies that stop just before their end were kept up to 48 MB, and each further one was rejected, whoever sent it.
 test("beyond the budget the largest body is rejected, and a small request is served", async () => {
     const harness = new Harness(true);
@@ -282,6 +294,7 @@
     const { port } = server.address() as AddressInfo;
     const probe = "GET /readyz HTTP/1.1\r\nhost: h\r\n\r\n";
     const idle = Array.from({ length: 8 }, () => new Client(port));
+    await pause(250);
     const flooding = new Client(port);
     flooding.socket.write(probe.repeat(20_000));
     await waitUntil(() => flooding.isClosed);
