--- a/packages/runtime/src/callerBudget.ts
+++ b/packages/runtime/src/callerBudget.ts
@@ -43,10 +43,10 @@
 const maxStreamBytes = 256 * 1024;
 /** The share of the budget that a single stream may leave unread. */
 const streamShare = 1 / 64;
-/** Descriptors that are kept for files, peers and the other listeners. */
+/** Descriptors that are kept for files. */
 const reservedDescriptors = 200;
-/** The share of the other descriptors for callers; the rest is for backend servers. */
-const callerDescriptorShare = 3 / 4;
+/** The share of the other descriptors for callers; the rest is for backend servers, peers, readiness and metrics. */
+const callerDescriptorShare = 1 / 2;
 /** The smallest limit of descriptors that machines have. */
 const defaultMaxFileDescriptors = 2_212;
 
@@ -55,7 +55,7 @@
  * the largest request through and a maximum share of the memory.
  *
  * @example
- * callerBounds({ memoryBytes: 178 * 2 ** 20, heapBytes: 122 * 2 ** 20, maxFileDescriptors: 2_212 }).connections; // 1509
+ * callerBounds({ memoryBytes: 178 * 2 ** 20, heapBytes: 122 * 2 ** 20, maxFileDescriptors: 2_212 }).connections; // 1006
  */
 export function callerBounds(options: CallerBoundsOptions): CallerBounds {
     const { memoryBytes, heapBytes, maxFileDescriptors, maxBytes = Infinity } = options;
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -47,6 +47,9 @@
 /** A leaving backend server stops a few seconds after its notice, so a longer migration would complete too late. */
 const migrationTimeout: Milliseconds = 3_000;
 
+/** Few processes read the metrics. */
+const maxMetricsConnections = 16;
+
 /** What a probe finds out about a server that has no report. */
 const emptyReport: ServerReport = { isLeaving: false, startedAt: undefined, runs: [] };
 
@@ -95,6 +98,7 @@
             : createProbeServer(
                 () => ({ status: 200, contentType: "text/plain", body: metrics.format() }),
                 (reason, address) => this.pressure.report("metrics", reason, address, monotonicNow()),
+                maxMetricsConnections,
             );
         metrics.gauge("verbenaspring_requests_in_progress", () => state.requests.size);
         for (const kind of heldKinds) {
