soak: the load tool states the file descriptors of the smallest machine; examples

Cause: the gateway bounds connections by the file descriptors of its settings, which the tool did not state. Change: the settings have 2,212 of them beside 178 MB.

--- a/packages/bench/src/gatewayProcess.ts
+++ b/packages/bench/src/gatewayProcess.ts
@@ -14,6 +14,13 @@
     readonly peerAddress: string;
 }
 
+/** The limits of a machine, in the form of a gateway's settings. */
+export interface MachineLimits {
+    readonly memoryMb: number;
+    /** File descriptors of the process. */
+    readonly maxFds: number;
+}
+
 /** The settings of a gateway process. */
 export interface GatewayProcessOptions extends GatewayAddresses {
     readonly name: string;
@@ -24,8 +31,8 @@
     readonly storeAddress: string;
     /** The URL of a module that is loaded before its program. */
     readonly preload?: string;
-    /** The memory of its machine in megabytes; by default that of the smallest machines. */
-    readonly memoryMegabytes?: number;
+    /** What its machine has; by default what the gateway assumes where the settings state nothing. */
+    readonly machine?: MachineLimits;
     /** The arguments of Node that start a gateway whose settings file is named in the environment. */
     readonly command?: readonly string[];
     /** The port on which it serves metrics; by default none. */
@@ -93,7 +100,7 @@
             },
             seedNodes: [options.seedAddress],
             bounds: gatewayLimits,
-            ...options.memoryMegabytes === undefined ? {} : { limits: { memoryMb: options.memoryMegabytes } },
+            limits: options.machine ?? {},
             platform: { address: options.storeAddress },
         }),
     );
--- a/packages/soak/src/hostileCallers.ts
+++ b/packages/soak/src/hostileCallers.ts
@@ -50,7 +50,12 @@
 const togetherScale = 0.1;
 const kilobytesPerMegabyte = 1_024;
 
-/** Lists the trials of each attack alone, at each of the listeners. */
+/**
+ * Lists the trials of each attack alone, at each of the listeners.
+ *
+ * @example
+ * const trials = trialsAlone(attacks, ["route", "readiness"], false);
+ */
 export function trialsAlone(
     selected: readonly Attack[],
     listeners: readonly ListenerName[],
@@ -166,7 +171,12 @@
     return durations[Math.ceil(0.99 * durations.length) - 1];
 }
 
-/** Lists the targets that a trial missed; empty if it met all of them. */
+/**
+ * Lists the targets that a trial missed; empty if it met all of them.
+ *
+ * @example
+ * missedTargets(result); // ["memory", "served"]
+ */
 export function missedTargets({ peakMegabytes, state, ordinary, readiness }: HostileResult): string[] {
     const duration = percentile99(ordinary) ?? Infinity;
     return [
--- a/packages/soak/src/hostileWorld.ts
+++ b/packages/soak/src/hostileWorld.ts
@@ -6,6 +6,7 @@
     findFreeGatewayAddresses,
     type GatewayProcess,
     isGatewayProcessReady,
+    type MachineLimits,
     startGatewayProcess,
     waitUntil,
 } from "@verbenaspring/bench";
@@ -25,8 +26,8 @@
     readonly close: () => Promise<void>;
 }
 
-/** The memory of the smallest gateway machine, in megabytes. */
-export const smallestMachineMegabytes = 178;
+/** The smallest gateway machine. */
+export const smallestMachine: MachineLimits = { memoryMb: 178, maxFds: 2_212 };
 const heartbeatInterval = 300;
 
 /**
@@ -52,7 +53,7 @@
         ...free,
         seedAddress: free.peerAddress,
         storeAddress: store.address,
-        memoryMegabytes: smallestMachineMegabytes,
+        machine: smallestMachine,
         command: deployedCommand(),
         metricsPort: Number(metrics.split(":")[1]),
     });
--- a/packages/soak/src/ordinaryCallers.ts
+++ b/packages/soak/src/ordinaryCallers.ts
@@ -27,7 +27,13 @@
 /** The load balancer takes a gateway that does not answer within this time for one that is not ready. */
 const readinessTimeout = 1_000;
 
-/** Sends an ordinary request every 100 ms, every second one on a connection of its own. */
+/**
+ * Sends an ordinary request every 100 ms, every second one on a connection of its own.
+ *
+ * @example
+ * const requests = startOrdinaryRequests(world.addresses);
+ * const { served, sent } = await requests.stop();
+ */
 export function startOrdinaryRequests({ callers }: AttackedAddresses): RequestSeries {
     const agent = new Agent({ keepAlive: true });
     let sent = 0;
