--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -88,11 +88,16 @@
     return classifyChange(known, record, { isLeaving, isRestart }, now);
 }
 
-/** Whether a record says more than a heartbeat: the server has become cold, or its registration has changed. */
+/** Heartbeats of a cold server state an end that differs by their delay; a later end than this is a new one. */
+const warmUpTolerance: Milliseconds = 500;
+
+/** Whether a record says more than a heartbeat: the server is cold for longer, or its registration has changed. */
 function isUpdate(record: BackendRecord, known: BackendServer, now: Milliseconds): boolean {
     const { service, address, failureDomain, softwareVersion, slots } = known.record;
-    const hasBecomeCold = record.remainingWarmUp > 0 && now >= known.warmUpEndsAt;
-    return hasBecomeCold || record.service !== service || record.address !== address || record.slots !== slots
+    const warmUpEndsAt = now + record.remainingWarmUp;
+    const isColdForLonger = record.remainingWarmUp > 0
+        && warmUpEndsAt > Math.max(now, known.warmUpEndsAt + warmUpTolerance);
+    return isColdForLonger || record.service !== service || record.address !== address || record.slots !== slots
         || record.failureDomain !== failureDomain || record.softwareVersion !== softwareVersion;
 }
 
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -112,7 +112,8 @@
     }
     // Records sent to the peer may still be under way, so what it reports replaces what was recorded on sending.
     peer.through = { ...peer.through, [topic.name]: topic.through };
-    const known = follower.next ?? 0;
+    // What was known before a snapshot became due still holds: a report that begins there adds to it.
+    const known = follower.next ?? follower.knownThrough ?? 0;
     if (topic.through < known || topic.since > known || mayLackEvacuations(peer, topic)) {
         return false;
     }
