--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -1,6 +1,7 @@
 /**
  * Converts the reports that gateways exchange to messages of the schema and back.
  */
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type {
     MemberRecord,
     PeerCrashSuspect,
@@ -11,12 +12,12 @@
     TopicName,
 } from "@verbenaspring/gateway";
 import { type GatewayIncarnation, identifier, type PeerAddress } from "@verbenaspring/model";
-import type {
-    MemberRecord as MemberRecordMessage,
-    PeerCrashSuspect as PeerCrashSuspectMessage,
-    PeerLoad as PeerLoadMessage,
-    PeerReport as PeerReportMessage,
-    PeerRequestLimit as PeerRequestLimitMessage,
+import {
+    MemberRecordSchema,
+    type PeerCrashSuspect as PeerCrashSuspectMessage,
+    type PeerLoad as PeerLoadMessage,
+    type PeerReport as PeerReportMessage,
+    type PeerRequestLimit as PeerRequestLimitMessage,
 } from "@verbenaspring/schema";
 
 /** A report message without the properties that the protobuf library adds. */
@@ -30,7 +31,7 @@
         incarnation,
         protocol: report.protocol,
         wantsLink: report.wantsLink,
-        records: report.records.map(encodeRecord),
+        records: report.records.map(encodeRelayedRecord),
         members: [...members],
         isStopping,
         isFull,
@@ -70,14 +71,27 @@
     };
 }
 
-function encodeRecord({ record, age }: RelayedRecord): MemberRecordMessage {
-    return {
-        $typeName: "verbenaspring.v1.MemberRecord",
-        ...record,
-        loads: record.loads.map(encodeLoad),
-        requestLimits: record.requestLimits.map(encodeLimit),
-        age,
-    };
+/** The records as encoded last. A record is sent to all peers; its encoding takes most of the time of a report. */
+const encodedRecords = new WeakMap<MemberRecord, Uint8Array>();
+
+/** Encodes a record with its age. Encoded messages that are put together are read as one, so the age follows the rest. */
+function encodeRelayedRecord({ record, age }: RelayedRecord): Uint8Array {
+    const encoded = encodedRecords.get(record) ?? encodeRecord(record);
+    encodedRecords.set(record, encoded);
+    return age === 0
+        ? encoded
+        : Buffer.concat([encoded, toBinary(MemberRecordSchema, create(MemberRecordSchema, { age }))]);
+}
+
+function encodeRecord(record: MemberRecord): Uint8Array {
+    return toBinary(
+        MemberRecordSchema,
+        create(MemberRecordSchema, {
+            ...record,
+            loads: record.loads.map(encodeLoad),
+            requestLimits: record.requestLimits.map(encodeLimit),
+        }),
+    );
 }
 
 function encodeLoad(load: PeerLoad): PeerLoadMessage {
@@ -133,7 +147,8 @@
     };
 }
 
-function decodeRecord(message: MemberRecordMessage): RelayedRecord {
+function decodeRecord(bytes: Uint8Array): RelayedRecord {
+    const message = fromBinary(MemberRecordSchema, bytes);
     const record: MemberRecord = {
         address: identifier(message.address),
         incarnation: identifier(message.incarnation),
