--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -16,7 +16,7 @@
 import { isReadRequired, recordReadEnd, recordReadStart } from "./resumption.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
 import { forgetEarlierIncarnation, isEarlierStart } from "./serverIncarnations.js";
-import type { GatewayState, TopicFollower } from "./state.js";
+import type { GatewayState, OffsetRange, TopicFollower } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type TopicRead = Extract<GatewayEvent, { readonly kind: "topicRead"; }>;
@@ -48,6 +48,9 @@
 /** A tombstone is dropped, and no longer reported to other gateways, once the topic is known this far beyond it. */
 const tombstoneRetentionOffsets = 2_000;
 
+/** Gaps that are kept apart: a gateway that was in touch a moment ago is up to date with one of the last reads. */
+const maximumRemovalGaps = 16;
+
 /** Gateways whose read counts are kept; more than ever read at the same time. */
 const maximumReaders = 256;
 
@@ -176,15 +179,21 @@
 
 /** Records which removals a snapshot can't show: of keys that were not known before it. */
 function recordRemovalGap(follower: TopicFollower, next: LogOffset): void {
-    const { knownThrough, removalGap } = follower;
+    const { knownThrough, removalGaps } = follower;
     if (knownThrough === undefined) {
         follower.removalsKnownFrom = Math.max(follower.removalsKnownFrom, next);
     }
     else if (next > knownThrough) {
-        follower.removalGap = { from: removalGap?.from ?? knownThrough, to: next };
+        follower.removalGaps = mergeOldest([...removalGaps, { from: knownThrough, to: next }]);
     }
 }
 
+/** Merges the two oldest gaps if there are too many. */
+function mergeOldest(gaps: readonly OffsetRange[]): readonly OffsetRange[] {
+    const [first, second, ...others] = gaps;
+    return gaps.length <= maximumRemovalGaps ? gaps : [{ from: first.from, to: second.to }, ...others];
+}
+
 /** Tombstones for known evacuations that a snapshot of the operator's topic no longer contains. */
 function createWithdrawals(
     { evacuations }: GatewayState,
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -71,9 +71,8 @@
 }
 
 /** Whether a gateway that knows a topic up to an offset may lack removals before the known ones. */
-function lacksRemovals({ removalsKnownFrom, removalGap }: TopicFollower, known: LogOffset): boolean {
-    const isInGap = removalGap !== undefined && known > removalGap.from && known < removalGap.to;
-    return known < removalsKnownFrom || isInGap;
+function lacksRemovals({ removalsKnownFrom, removalGaps }: TopicFollower, known: LogOffset): boolean {
+    return known < removalsKnownFrom || removalGaps.some(({ from, to }) => known > from && known < to);
 }
 
 function missingItems(
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -141,6 +141,12 @@
 /** The duration of a stream before any ended: some hundred tokens at the initial time per token. */
 const initialStreamDuration: Milliseconds = 5_000;
 
+/** The offsets between two others. */
+export interface OffsetRange {
+    readonly from: LogOffset;
+    readonly to: LogOffset;
+}
+
 /** What is known of a topic, and how fresh it is. */
 export interface TopicFollower {
     /** The offset after the last known record; undefined while no snapshot was read. */
@@ -154,13 +160,13 @@
     isChangeOwnRead: boolean;
     /** The offset of the last record of each key that changed more than a heartbeat. */
     readonly changes: Map<string, LogOffset>;
-    /** Removals at this offset or later are all known but for those in the gap; older ones may be missing. */
+    /** Removals at this offset or later are all known but for those in the gaps; older ones may be missing. */
     removalsKnownFrom: LogOffset;
     /**
      * Offsets between two reads of which the records were deleted: a key that was both added and removed there is
-     * unknown.
+     * unknown. Oldest first.
      */
-    removalGap: { readonly from: LogOffset; readonly to: LogOffset; } | undefined;
+    removalGaps: readonly OffsetRange[];
     /** The newest record of each key, tombstones included. */
     readonly items: Map<string, TopicItem>;
     /** When the log was last known to end at `next`, by a read of this gateway or of another. */
@@ -352,7 +358,7 @@
         isChangeOwnRead: false,
         changes: new Map(),
         removalsKnownFrom: 0,
-        removalGap: undefined,
+        removalGaps: [],
         items: new Map(),
         freshAsOf: undefined,
         lastRead: undefined,
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -330,30 +330,44 @@
     assert.is(itemsIn(relay.advance(700)).length, 1, "the peer's report still shows that it lacks the record");
 });
 
-test("a snapshot after the log's history was deleted is not reported whole to gateways that knew what came before", () => {
+test("snapshots after the log's history was deleted are not reported whole to gateways that knew what came before", () => {
     const gateway = gatewayWithSeed();
     gateway.advance(50);
-    const [first, second] = [server("engine-1"), server("engine-2")];
+    const [first, second, third] = [server("engine-1"), server("engine-2"), server("engine-3")];
     gateway.read("configuration", []);
-    gateway.register(first, second);
+    gateway.register(first, second, third);
     const known = gateway.state.followers.backendServers.next!;
-    const topic = { name: "backendServers" as const, read: readBy(1), age: 0, items: [], isComplete: false };
-    gateway.receiveReport({ topics: [{ ...topic, since: known, through: known }] });
-    gateway.handle({ kind: "topicReadFailed", topic: "backendServers", failure: "records_deleted" });
-    const kept = gateway.item("engine-1", [{ kind: "backendServer", record: { ...first, heartbeat: 9 } }]);
-    gateway.now += 1;
-    const effects = gateway.handle({
-        kind: "topicRead",
-        topic: "backendServers",
-        isSnapshot: true,
-        items: [{ ...kept, item: { ...kept.item, offset: known + 5 } }],
-        next: known + 6,
+    const topicOf = (through: number) => ({
+        name: "backendServers" as const,
+        since: through,
+        read: readBy(1),
+        through,
+        age: 0,
+        items: [],
+        isComplete: false,
     });
-    const reported = effects.flatMap(effect => effect.kind === "sendReport" ? effect.report.topics : [])
-        .filter(({ name }) => name === "backendServers");
-    assert.equal(reported.map(({ isComplete, items }) => [isComplete, items.map(({ key }) => key)]), [
-        [false, ["engine-2"]],
-    ]);
+    const reportedAfterDeletion = (next: number, ...kept: readonly (typeof first)[]) => {
+        gateway.handle({ kind: "topicReadFailed", topic: "backendServers", failure: "records_deleted" });
+        gateway.now += 1;
+        const items = kept.map((record, index) => {
+            const decoded = gateway.item(record.id, [{
+                kind: "backendServer",
+                record: { ...record, heartbeat: next },
+            }]);
+            return { ...decoded, item: { ...decoded.item, offset: next - 2 - index } };
+        });
+        return gateway.handle({ kind: "topicRead", topic: "backendServers", isSnapshot: true, items, next })
+            .flatMap(effect => effect.kind === "sendReport" ? effect.report.topics : [])
+            .filter(({ name }) => name === "backendServers")
+            .map(({ isComplete, items }) => [isComplete, items.map(({ key }) => key)]);
+    };
+    gateway.receiveReport({ topics: [topicOf(known)] });
+    assert.equal(reportedAfterDeletion(known + 10, first, third), [[false, ["engine-2"]]]);
+    gateway.receiveReport({ topics: [topicOf(known + 10)] });
+    assert.equal(reportedAfterDeletion(known + 20, first), [[false, ["engine-3"]]]);
+    gateway.receiveReport({ topics: [topicOf(known + 15)] });
+    const [[isComplete]] = reportedAfterDeletion(known + 30);
+    assert.is(isComplete, true, "the peer may know a server that was added and removed between two reads");
 });
 
 test("the gateways with the fastest links read the topics, since a reader sends what it read to all others", () => {
