runtime: the scripted server sends no copy of an answer inside one that is cut off

The scripted server had cut the answer "answer to 31027" off by five bytes, and before it closed the channel the timer of a late copy, of the answer before, wrote "HTTP/1.1 ..." into it. Change: a late copy is not sent on a channel on which an answer was cut off. All other behaviours and checks stay.

--- a/packages/runtime/test/scriptedServer.ts
+++ b/packages/runtime/test/scriptedServer.ts
@@ -203,6 +203,18 @@
     readonly refusal: string;
 }
 
+/** Channels on which an answer was cut off. */
+const cutChannels = new WeakSet<Socket>();
+
+/** Sends a copy of an answer late: where the next answer is expected, so not inside one that is cut off. */
+function copyLater(socket: Socket, copy: string): void {
+    setTimeout(() => {
+        if (!cutChannels.has(socket)) {
+            socket.write(copy);
+        }
+    }, copyDelay);
+}
+
 /** What a server does once a request has run or is refused. */
 const actions: Readonly<Record<Behaviour, (context: ActionContext) => void>> = {
     answer: ({ socket, answer }) => socket.write(answer),
@@ -210,7 +222,7 @@
     answerTwice: ({ socket, answer }) => socket.write(answer + answer),
     answerAndCopyLater: ({ socket, answer }) => {
         socket.write(answer);
-        setTimeout(() => socket.write(answer), copyDelay);
+        copyLater(socket, answer);
     },
     answerAndCopyAtNext: ({ socket, answer, copiesAtNext }) => {
         socket.write(answer);
@@ -235,6 +247,7 @@
     failWithReset: ({ socket }) => socket.resetAndDestroy(),
     failWithHalfClose: ({ socket }) => socket.end(),
     failWithCut: ({ socket, answer }) => {
+        cutChannels.add(socket);
         socket.write(answer.slice(0, -cutBytes));
         setTimeout(() => socket.end(), closeDelay);
     },
@@ -247,7 +260,7 @@
     refuseTwice: ({ socket, refusal }) => socket.write(refusal + refusal),
     refuseAndCopyLater: ({ socket, refusal }) => {
         socket.write(refusal);
-        setTimeout(() => socket.write(refusal), copyDelay);
+        copyLater(socket, refusal);
     },
     refuseAndCopyAtNext: ({ socket, refusal, copiesAtNext }) => {
         socket.write(refusal);
