--- a/packages/gateway/src/serverIncarnations.ts
+++ b/packages/gateway/src/serverIncarnations.ts
@@ -31,11 +31,11 @@
 
 /**
  * Whether the run of an attempt was on an earlier incarnation of its server. It is `uncertain` if the request may have
- * been sent after the restart, before this gateway learned of it, to the same address; a report of the server then tells. Until the events
- * that arrived earlier have been forwarded, it is `current`.
+ * been sent after the restart, before this gateway learned of it, to the same address; a report of the server then tells.
+ * Until the events that arrived earlier have been forwarded, it is `current`.
  *
  * @example
- * if (runFate(state, attempt, now) === "lost") { abandonAttempt(transaction, request, attempt, "server_restarted"); }
+ * if (runFate(state, attempt, now) === "lost") { loseRestartedRun(transaction, request, attempt); }
  */
 export function runFate(
     state: GatewayState,
