--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -49,6 +49,7 @@
         isTroubled: process.env.TROUBLE !== "0",
         record: text => lines.push(`${((performance.now() - startedAt) / 1000).toFixed(3)} ${text}`),
         closers: [],
+        gateways: [],
     };
     let status = 2;
     const watchdog = setTimeout(() => {
@@ -62,6 +63,7 @@
         }
         isFinished = true;
         clearTimeout(watchdog);
+        if (process.env.KEEP_LOGS) world.gateways.forEach(({ name, log }) => writeFileSync(`/tmp/${name}.log`, log()));
         world.closers.reverse().forEach(close => close());
         lines.push(`exit ${status}: ${["the rule held", "the rule was broken", "the case could not run"][status]}`);
         writeFileSync(join(dirname(fileURLToPath(folder)), "record.txt"), `${lines.join("\n")}\n`);
@@ -125,6 +127,7 @@
         world.record(`${name} has ended: ${signal ?? code}`);
         resolve();
     }));
+    world.gateways.push(gateway);
     world.closers.push(() => gateway.hasExited || child.kill("SIGKILL"));
     for (let attempt = 0; attempt < 200; attempt++) {
         if (gateway.hasExited) {
