Show that an unframed stream looks complete after the gateway is killed

Cause: an answer without a length is passed on without chunks, so the close of the channel by the kernel ends it in order.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,64 +1,81 @@
-/** One client names a number of prompt tokens that is no size of a prompt. Ordinary clients are refused from then on. */
+/** A gateway is killed while it forwards a stream that has neither a length nor chunks. */
+import { createServer } from "node:http";
 import { send } from "../lib/rawClient.mjs";
-import { startPlainWorker } from "../lib/plainWorker.mjs";
-import { configure, newAttemptId, pause, register, runCase, startGateway } from "../lib/world.mjs";
+import {
+    answerHeaders, bounds, configure, newAttemptId, pause, register, runCase, startGateway,
+} from "../lib/world.mjs";
 
-/** Ordinary requests of each kind: 20 a second for 25 s, to both gateways in turn. */
-const rounds = 500;
-const interval = 50;
+const events = 120;
+const eventInterval = 40;
 
 await runCase(import.meta.url, async world => {
-    let runs = 0;
-    const services = ["desk", "lookup"];
-    for (const service of services) {
-        for (const index of [0, 1, 2]) {
-            const id = `i-${service}-${index}`;
-            const worker = await startPlainWorker(world, id, { onRun: () => runs++ });
-            register(world, id, { service, address: worker.address });
-        }
+    // Each worker answers in full. The first sends streams that end with their channel, the second uses chunks.
+    const workers = [];
+    for (const [index, isFramed] of [false, true].entries()) {
+        const server = createServer((request, response) => {
+            request.resume();
+            const id = request.headers["attempt-id"];
+            if (!isFramed) {
+                response.useChunkedEncodingByDefault = false;
+                response.shouldKeepAlive = false;
+            }
+            response.writeHead(200, answerHeaders(request, { "Content-Type": "text/event-stream" }));
+            let next = 1;
+            const timer = setInterval(() => {
+                response.write(`id: ${next}\ndata: piece ${next} of ${events}\n\n`);
+                if (next++ === events) {
+                    clearInterval(timer);
+                    response.end();
+                    world.record(`worker-${index} has sent all ${events} events of ${id}`);
+                }
+            }, eventInterval);
+            response.on("close", () => clearInterval(timer));
+        });
+        await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
+        world.closers.push(() => {
+            server.closeAllConnections();
+            server.close();
+        });
+        const address = `127.0.0.1:${server.address().port}`;
+        workers.push({ isFramed });
+        register(world, `i-worker-${index}`, { service: `planner-${index}`, address });
     }
     configure(
         world,
         3,
-        services.map(service => ({
-            name: service, pathPrefix: `/${service}/`, routeType: "non_idempotent", timeoutMs: 1500, targetLatencyMs: 300,
-            service,
+        workers.map((_, index) => ({
+            name: `plan-${index}`, pathPrefix: `/plan-${index}/`, routeType: "streaming", itlTargetMs: 180,
+            service: `planner-${index}`,
         })),
-        services.map(name => ({ name })),
+        workers.map((_, index) => ({ name: `planner-${index}` })),
     );
-    const first = await startGateway(world, "edge-1");
-    const gateways = [first, await startGateway(world, "edge-2", first.controlPlane)];
-    await pause(4000);
-    const call = (gateway, service, headers = {}) =>
-        send(gateway.frontend, {
-            path: `/${service}/a`, headers: { "Attempt-Id": newAttemptId(), "Deadline-Ms": 1500, ...headers }, body: "slot",
-        }).result;
+    const gateway = await startGateway(world, "edge-1");
+    await startGateway(world, "edge-2", gateway.controlPlane);
+    await pause(1500);
 
+    const calls = workers.map(({ isFramed }, index) => {
+        const id = newAttemptId();
+        world.record(`the client sends ${id} for ${isFramed ? "a chunked" : "an unframed"} stream`);
+        return send(gateway.frontend, {
+            path: `/plan-${index}/a`, headers: { "Attempt-Id": id, "Deadline-Ms": 39000 }, body: "prompt",
+        }).result.then(result => ({ id, isFramed, ...result }));
+    });
+    await pause(2000);
     if (world.isTroubled) {
-        for (const gateway of gateways) {
-            for (const _ of [0, 1, 2]) {
-                const { status } = await call(gateway, "desk", { "Token-Usage": `${"9".repeat(310)},1` });
-                world.record(`${gateway.name}: a request with 310 digits of prompt tokens has status ${status}`);
-            }
-        }
-    }
-    const served = new Map(services.map(service => [service, 0]));
-    const statuses = new Map();
-    const calls = [];
-    for (let round = 0; round < rounds; round++) {
-        for (const service of services) {
-            calls.push(call(gateways[round % gateways.length], service).then(({ status, isComplete }) => {
-                served.set(service, served.get(service) + (status === 200 && isComplete ? 1 : 0));
-                statuses.set(`${service} ${status}`, (statuses.get(`${service} ${status}`) ?? 0) + 1);
-            }));
-        }
-        await pause(interval);
+        world.record(`SIGKILL of ${gateway.name}`);
+        gateway.child.kill("SIGKILL");
     }
-    await Promise.all(calls);
-    world.record(`ordinary requests by status: ${JSON.stringify([...statuses])}; runs of all requests: ${runs}`);
-    const all = [...served.values()].reduce((sum, count) => sum + count) / (rounds * services.length);
-    const starved = services.filter(service => served.get(service) / rounds < all / 4);
-    return starved.length === 0
-        ? undefined
-        : `Starved: of the ordinary requests to ${starved} ${served.get(starved[0])} of ${rounds} were served, of all ${Math.round(100 * all)} in 100`;
+    const results = await Promise.all(calls);
+    const broken = results.flatMap(({ id, status, headers, body, end, isComplete, framing }) => {
+        const ids = [...body.toString().matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+        const last = ids.at(-1) ?? 0;
+        world.record(
+            `the client has for ${id}: status ${status}, ended by ${framing}, channel ${end}, events 1 to ${last}, `
+                + `seal ${headers["response-seal"]}: ${isComplete ? "complete" : "incomplete"}`,
+        );
+        return status === 200 && isComplete && last < events
+            ? [`MIXED: ${id} is a complete success for the client with ${last} of the ${events} events of the worker`]
+            : [];
+    });
+    return broken.length === 0 ? undefined : broken.join("; ");
 });
