--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,6 +1,6 @@
 /** The operator takes away the last two API keys. From then on the gateways run requests with any key, and without one. */
-import { send } from "../lib/rawClient.mjs";
 import { startPlainWorker } from "../lib/plainWorker.mjs";
+import { send } from "../lib/rawClient.mjs";
 import { bounds, configure, newAttemptId, pause, register, runCase, startGateway } from "../lib/world.mjs";
 
 const keys = ["qh4t8zr1wmc62ykd05ps", "k7w2mmv0qpl3rr54bcz1"];
@@ -16,7 +16,9 @@
     const runs = new Map();
     for (const index of [0, 1, 2, 3]) {
         const id = `i-desk-${index}`;
-        const worker = await startPlainWorker(world, id, { onRun: (attemptId, { headers }) => runs.set(attemptId, headers.tenant) });
+        const worker = await startPlainWorker(world, id, {
+            onRun: (attemptId, { headers }) => runs.set(attemptId, headers.tenant),
+        });
         register(world, id, { service: "desk", address: worker.address });
     }
     const write = (version, apiKeys) =>
@@ -24,8 +26,13 @@
             world,
             version,
             [{
-                name: "book", pathPrefix: "/book/", routeType: "non_idempotent", timeoutMs: 1500, targetLatencyMs: 300,
-                service: "desk", public: false,
+                name: "book",
+                pathPrefix: "/book/",
+                routeType: "non_idempotent",
+                timeoutMs: 1500,
+                targetLatencyMs: 300,
+                service: "desk",
+                public: false,
             }],
             [{ name: "desk" }],
             [{ name: "workshop-4", apiKeys }],
@@ -82,5 +89,7 @@
     return after.foreign === 0
         ? undefined
         : `ROUTE: ${after.foreign} of ${asked} requests ran whose key no configuration ever held, ${after.none} of ${asked} without a key`
-            + (world.isTroubled ? `; ${after.revoked} of ${asked * keys.length} ran with keys that had been taken away` : "");
+            + (world.isTroubled
+                ? `; ${after.revoked} of ${asked * keys.length} ran with keys that had been taken away`
+                : "");
 });
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -16,7 +16,11 @@
 const plainCallers = 24;
 
 const lineFeeds = Buffer.alloc(16 * 1024, "\n");
-const endlessChunk = Buffer.concat([Buffer.from(`${lineFeeds.length.toString(16)}\r\n`), lineFeeds, Buffer.from("\r\n")]);
+const endlessChunk = Buffer.concat([
+    Buffer.from(`${lineFeeds.length.toString(16)}\r\n`),
+    lineFeeds,
+    Buffer.from("\r\n"),
+]);
 const chunkOf = text => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
 
 await runCase(import.meta.url, async world => {
@@ -84,8 +88,23 @@
         world,
         3,
         [
-            { name: "note", pathPrefix: "/note/", routeType: "streaming", timeoutMs: 20000, targetLatencyMs: 1500, itlTargetMs: 180, service: "notes" },
-            { name: "book", pathPrefix: "/book/", routeType: "non_idempotent", timeoutMs: 1500, targetLatencyMs: 386, service: "desk" },
+            {
+                name: "note",
+                pathPrefix: "/note/",
+                routeType: "streaming",
+                timeoutMs: 20000,
+                targetLatencyMs: 1500,
+                itlTargetMs: 180,
+                service: "notes",
+            },
+            {
+                name: "book",
+                pathPrefix: "/book/",
+                routeType: "non_idempotent",
+                timeoutMs: 1500,
+                targetLatencyMs: 386,
+                service: "desk",
+            },
         ],
         [{ name: "notes" }, { name: "desk" }],
     );
@@ -105,7 +124,11 @@
             plain.push(call);
             await new Promise(resolve => {
                 const request = sendRequest({
-                    agent, host, port, method: "POST", path: "/book/a",
+                    agent,
+                    host,
+                    port,
+                    method: "POST",
+                    path: "/book/a",
                     headers: { Host: "office.example", "Attempt-Id": id, "Deadline-Ms": 3000, "Content-Length": 4 },
                 }, response => {
                     call.status = response.statusCode;
@@ -133,13 +156,17 @@
         world.closers.push(() => socket.destroy());
         socket.on("error", () => undefined);
         socket.on("data", piece => piece.length < 100 && piece.includes("0\r\n\r\n") && socket.end());
-        socket.write(`POST /note/a HTTP/1.1\r\nHost: office.example\r\nAttempt-Id: ${newAttemptId()}\r\nDeadline-Ms: 20000\r\nContent-Length: 6\r\n\r\nprompt`);
+        socket.write(
+            `POST /note/a HTTP/1.1\r\nHost: office.example\r\nAttempt-Id: ${newAttemptId()}\r\nDeadline-Ms: 20000\r\nContent-Length: 6\r\n\r\nprompt`,
+        );
     }, streamInterval);
     world.closers.push(() => clearInterval(streamTimer));
     await pause(4000);
     if (world.isTroubled) {
         faultUntil = performance.now() + faultTime;
-        world.record(`${faultyWorkers} of ${workers} workers begin to spoil one in ${spoiltOf} of their streams, for ${faultTime} ms`);
+        world.record(
+            `${faultyWorkers} of ${workers} workers begin to spoil one in ${spoiltOf} of their streams, for ${faultTime} ms`,
+        );
     }
     await Promise.race([gateway.exited, pause(faultTime + 3000)]);
     await pause(1000);
@@ -147,11 +174,17 @@
     clearInterval(streamTimer);
     await Promise.race([Promise.all(traffic), pause(4000)]);
     const served = plain.filter(({ status }) => status === 200).length;
-    const lost = plain.filter(({ id, status, error, isKept }) => isKept && runs.has(id) && status === undefined && error !== undefined);
+    const lost = plain.filter(({ id, status, error, isKept }) =>
+        isKept && runs.has(id) && status === undefined && error !== undefined
+    );
     world.record(`${streams} streams, ${spoilt} of them spoilt; ${plain.length} plain requests, ${served} served`);
     const reason = /FATAL ERROR: [^\n]*/.exec(gateway.log())?.[0];
-    world.record(gateway.hasExited ? `the gateway has ended by itself: ${reason ?? "no reason in its log"}` : "the gateway runs");
-    lost.forEach(({ id, error }) => world.record(`${id}: from a kept channel, run by a sound worker, no answer (${error})`));
+    world.record(
+        gateway.hasExited ? `the gateway has ended by itself: ${reason ?? "no reason in its log"}` : "the gateway runs",
+    );
+    lost.forEach(({ id, error }) =>
+        world.record(`${id}: from a kept channel, run by a sound worker, no answer (${error})`)
+    );
     return gateway.hasExited && lost.length > allowedLosses
         ? `LOST: the gateway ended by itself, and ${lost.length} requests from kept channels that sound workers ran got no answer`
         : undefined;
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -13,12 +13,18 @@
         engines.push(await startEngine(world, `i-engine-${index}`, { events, eventInterval: 40, readTime: 300 }));
     }
     engines.forEach(engine => engines.forEach(other => engine.peers.set(other.address, other)));
-    const entries = engines.map(({ id, address, born }) => register(world, id, { service: "planner", address, slots: 96, born }));
+    const entries = engines.map(({ id, address, born }) =>
+        register(world, id, { service: "planner", address, slots: 96, born })
+    );
     configure(
         world,
         3,
         [{
-            name: "plan", pathPrefix: "/plan/", routeType: "streaming", itlTargetMs: 180, service: "planner",
+            name: "plan",
+            pathPrefix: "/plan/",
+            routeType: "streaming",
+            itlTargetMs: 180,
+            service: "planner",
             sessionAffinity: true,
         }],
         [{ name: "planner", backend: engineBackend }],
@@ -32,7 +38,11 @@
     const call = send(gateway.frontend, {
         path: "/plan/a",
         headers: {
-            "Attempt-Id": id, "Deadline-Ms": 39000, Model: "m", "Token-Usage": "3000,936", "Prefix-Hash": "5c1e:48,91bd:32,e440:2920",
+            "Attempt-Id": id,
+            "Deadline-Ms": 39000,
+            Model: "m",
+            "Token-Usage": "3000,936",
+            "Prefix-Hash": "5c1e:48,91bd:32,e440:2920",
         },
         body: "prompt",
     });
@@ -50,14 +60,20 @@
     }
     const { status, body, end, isComplete } = await call.result;
     const last = [...body.toString().matchAll(/^id: (\d+)$/gm)].at(-1)?.[1];
-    world.record(`the client has status ${status}, events up to ${last}, channel ${end}: ${isComplete ? "complete" : "incomplete"}`);
+    world.record(
+        `the client has status ${status}, events up to ${last}, channel ${end}: ${
+            isComplete ? "complete" : "incomplete"
+        }`,
+    );
     const runs = engines.flatMap(engine => engine.runs).sort((one, other) => one.startedAt - other.startedAt);
     const broken = runs.slice(1).flatMap((run, index) => {
         const before = runs[index];
         const overlap = (before.endedAt ?? performance.now()) - run.startedAt;
         world.record(`${before.worker} worked on for ${Math.round(overlap)} ms after ${run.worker} had begun to go on`);
         return overlap > allowedOverlap
-            ? [`TWICE: ${id} went on at ${run.worker} while ${before.worker} still worked on it ${Math.round(overlap)} ms later`]
+            ? [`TWICE: ${id} went on at ${run.worker} while ${before.worker} still worked on it ${
+                Math.round(overlap)
+            } ms later`]
             : [];
     });
     return broken.length === 0 ? undefined : broken.join("; ");
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -2,7 +2,14 @@
 import { createServer } from "node:http";
 import { send } from "../lib/rawClient.mjs";
 import {
-    answerHeaders, bounds, configure, newAttemptId, pause, register, runCase, startGateway,
+    answerHeaders,
+    bounds,
+    configure,
+    newAttemptId,
+    pause,
+    register,
+    runCase,
+    startGateway,
 } from "../lib/world.mjs";
 
 const events = 120;
@@ -44,7 +51,10 @@
         world,
         3,
         workers.map((_, index) => ({
-            name: `plan-${index}`, pathPrefix: `/plan-${index}/`, routeType: "streaming", itlTargetMs: 180,
+            name: `plan-${index}`,
+            pathPrefix: `/plan-${index}/`,
+            routeType: "streaming",
+            itlTargetMs: 180,
             service: `planner-${index}`,
         })),
         workers.map((_, index) => ({ name: `planner-${index}` })),
@@ -57,7 +67,9 @@
         const id = newAttemptId();
         world.record(`the client sends ${id} for ${isFramed ? "a chunked" : "an unframed"} stream`);
         return send(gateway.frontend, {
-            path: `/plan-${index}/a`, headers: { "Attempt-Id": id, "Deadline-Ms": 39000 }, body: "prompt",
+            path: `/plan-${index}/a`,
+            headers: { "Attempt-Id": id, "Deadline-Ms": 39000 },
+            body: "prompt",
         }).result.then(result => ({ id, isFramed, ...result }));
     });
     await pause(2000);
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -12,8 +12,18 @@
 
 /** The capabilities of the engines in a configuration. */
 export const engineBackend = {
-    slots: 96, kvCapacity: 34609, kvBytes, linkMbps: 2700, migrations: true, replicas: true, stride: tokensPerEvent,
-    most: 12, pinMs: 4000, holdMs: 2000, handleTtlS: 5, modelList: [{ name: "m" }],
+    slots: 96,
+    kvCapacity: 34609,
+    kvBytes,
+    linkMbps: 2700,
+    migrations: true,
+    replicas: true,
+    stride: tokensPerEvent,
+    most: 12,
+    pinMs: 4000,
+    holdMs: 2000,
+    handleTtlS: 5,
+    modelList: [{ name: "m" }],
 };
 
 /**
@@ -32,7 +42,11 @@
     };
     const sendJson = (response, status, value, headers = {}) => {
         const body = JSON.stringify(value);
-        response.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(body), ...headers });
+        response.writeHead(status, {
+            "content-type": "application/json",
+            "content-length": Buffer.byteLength(body),
+            ...headers,
+        });
         response.end(body);
     };
     const refuse = (request, response) =>
@@ -51,7 +65,11 @@
         await pause(tokens * kvBytes / linkBytesPerMs);
         const handle = `h-${instanceId}-${run.events}`;
         peer.handles.add(handle);
-        world.record(`${id} has copied the memory of ${instanceId} to ${peer.id} at event ${run.events}, isLast ${isLast === true}`);
+        world.record(
+            `${id} has copied the memory of ${instanceId} to ${peer.id} at event ${run.events}, isLast ${
+                isLast === true
+            }`,
+        );
         sendJson(response, 200, { handle, created: run.events });
     };
 
@@ -61,8 +79,17 @@
             const runs = engine.runs.filter(({ endedAt }) => endedAt === undefined)
                 .map(run => [run.attemptId, run.promptTokens + tokensPerEvent * run.events, run.events, 5]);
             return sendJson(response, 200, {
-                phase: "colocated", modelList: [{ name: "m", version: 1, loras: [] }], busy: false, sequence: 0, waiting: 0,
-                running: runs.length, kvUsage: 0, kvSize: 34609, handleList: 0, runs, born: engine.born,
+                phase: "colocated",
+                modelList: [{ name: "m", version: 1, loras: [] }],
+                busy: false,
+                sequence: 0,
+                waiting: 0,
+                running: runs.length,
+                kvUsage: 0,
+                kvSize: 34609,
+                handleList: 0,
+                runs,
+                born: engine.born,
                 state: engine.isDraining ? "draining" : "ready",
             });
         }
@@ -78,7 +105,11 @@
             return refuse(request, response);
         }
         const run = {
-            attemptId, worker: id, startedAt: performance.now(), endedAt: undefined, channelClosedAt: undefined,
+            attemptId,
+            worker: id,
+            startedAt: performance.now(),
+            endedAt: undefined,
+            channelClosedAt: undefined,
             promptTokens: Number((request.headers["token-usage"] ?? "0,0").split(",")[0]),
             events: Number(request.headers["last-event-id"] ?? 0),
             replicaAddress: request.headers["kv-replica"],
@@ -86,7 +117,11 @@
         };
         engine.runs.push(run);
         engine.peers.get(run.replicaAddress)?.holdsReplicaOf.add(attemptId);
-        world.record(`${id} runs ${attemptId} from event ${run.events + 1}${source === undefined ? "" : ` from the copy ${source}`}`);
+        world.record(
+            `${id} runs ${attemptId} from event ${run.events + 1}${
+                source === undefined ? "" : ` from the copy ${source}`
+            }`,
+        );
         let timer;
         run.stop = reason => {
             clearInterval(timer);
@@ -103,7 +138,10 @@
             }
         });
         await pause(source === undefined ? readTime : 20);
-        response.writeHead(200, answerHeaders(request, { "Content-Type": "text/event-stream", "Weight-Versions": "1" }));
+        response.writeHead(
+            200,
+            answerHeaders(request, { "Content-Type": "text/event-stream", "Weight-Versions": "1" }),
+        );
         timer = setInterval(() => {
             run.events++;
             response.write(`id: ${run.events}\ndata: piece ${run.events} of ${events}\n\n`);
--- a/review/lib/plainWorker.mjs
+++ b/review/lib/plainWorker.mjs
@@ -8,7 +8,11 @@
         request.on("end", async () => {
             const target = request.headers["target-instance"];
             if (target !== undefined && target !== id) {
-                response.writeHead(421, { "Attempt-Id": request.headers["attempt-id"], "Not-Executed": "1", "Content-Length": 0 });
+                response.writeHead(421, {
+                    "Attempt-Id": request.headers["attempt-id"],
+                    "Not-Executed": "1",
+                    "Content-Length": 0,
+                });
                 return response.end();
             }
             onRun(request.headers["attempt-id"], request);
--- a/review/lib/rawClient.mjs
+++ b/review/lib/rawClient.mjs
@@ -54,7 +54,13 @@
     const rest = bytes.subarray(headEnd + 4);
     if (headers["content-length"] !== undefined) {
         const length = Number(headers["content-length"]);
-        return { status, headers, body: rest.subarray(0, length), isComplete: rest.length >= length, framing: "length" };
+        return {
+            status,
+            headers,
+            body: rest.subarray(0, length),
+            isComplete: rest.length >= length,
+            framing: "length",
+        };
     }
     if (headers["transfer-encoding"] === "chunked") {
         return { status, headers, framing: "chunks", ...dechunk(rest) };
--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -17,14 +17,33 @@
 
 /** The bounds of karatau-slots. */
 export const bounds = {
-    seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackTimeoutMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8,
-    lossSlackMs: 200, configApplyMs: 2000, rollbackSlackMs: 250, outerMs: 5000, revokeStrict: false, revokeMs: 5000,
-    retryBudgetRatio: 0.2, retryWindowS: 10, retrySlack: 56, recoveryS: 12, iterationMs: 120, reuseWindowS: 8.5,
+    seedLagS: 3,
+    reuseAfterS: 2,
+    contactMs: 3000,
+    ackTimeoutMs: 4000,
+    catchUpS: 4,
+    drainMs: 2000,
+    graceS: 8,
+    lossSlackMs: 200,
+    configApplyMs: 2000,
+    rollbackSlackMs: 250,
+    outerMs: 5000,
+    revokeStrict: false,
+    revokeMs: 5000,
+    retryBudgetRatio: 0.2,
+    retryWindowS: 10,
+    retrySlack: 56,
+    recoveryS: 12,
+    iterationMs: 120,
+    reuseWindowS: 8.5,
 };
 
 /** The limits on clients in the configurations. */
 export const callerLimits = {
-    maxHeaderBytes: 16384, maxBodyBytes: 4194304, headerTimeoutMs: 3000, idleTimeoutMs: 15000,
+    maxHeaderBytes: 16384,
+    maxBodyBytes: 4194304,
+    headerTimeoutMs: 3000,
+    idleTimeoutMs: 15000,
 };
 
 export const pause = ms => new Promise(resolve => setTimeout(resolve, ms));
@@ -90,17 +109,40 @@
 export async function startGateway(world, name, seedAddress, own = {}) {
     const [frontend, ready, controlPlane, metrics] = await Promise.all([1, 2, 3, 4].map(freeAddress));
     const settings = {
-        nodeName: name, role: "entry", machineClass: "edge", serves: ["edge", "control_plane"], ip: "127.0.0.1",
-        zone: "zone-a", region: "region-a", zones: { "zone-a": "region-a" },
-        listen: { frontend, ready, controlPlane }, internalPortRange: [7200, 7215],
-        seedNodes: [seedAddress ?? controlPlane], bootstrap: true, countsAsLoss: false,
+        nodeName: name,
+        role: "entry",
+        machineClass: "edge",
+        serves: ["edge", "control_plane"],
+        ip: "127.0.0.1",
+        zone: "zone-a",
+        region: "region-a",
+        zones: { "zone-a": "region-a" },
+        listen: { frontend, ready, controlPlane },
+        internalPortRange: [7200, 7215],
+        seedNodes: [seedAddress ?? controlPlane],
+        bootstrap: true,
+        countsAsLoss: false,
         limits: { cpuShare: 0.513, cpuCores: 1, memoryMb: 350, maxFds: 4100, linkMbps: 1000, diskMb: 0 },
-        dataDir: null, discovery: "platform", entry: "virtual_ip", heartbeatMs: 1200,
+        dataDir: null,
+        discovery: "platform",
+        entry: "virtual_ip",
+        heartbeatMs: 1200,
         invariants: ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"],
-        faultTolerance: { machines: 1, zones: 0, regions: 0 }, bounds,
+        faultTolerance: { machines: 1, zones: 0, regions: 0 },
+        bounds,
         platform: {
-            address: world.store.address, form: "log", writesPerS: 400, readsPerS: 2000, parts: 12, appendMs: 2,
-            partitionMbS: 20, readMbS: 80, recordBytes: 262144, requestBytes: 2097152, keep_s: 300, partitionMb: 200,
+            address: world.store.address,
+            form: "log",
+            writesPerS: 400,
+            readsPerS: 2000,
+            parts: 12,
+            appendMs: 2,
+            partitionMbS: 20,
+            readMbS: 80,
+            recordBytes: 262144,
+            requestBytes: 2097152,
+            keep_s: 300,
+            partitionMb: 200,
             minTtlMs: 1000,
         },
         ...own,
@@ -120,12 +162,23 @@
     });
     child.stdout.on("data", chunk => log.push(chunk));
     child.stderr.on("data", chunk => log.push(chunk));
-    const gateway = { name, child, frontend, ready, controlPlane, settings, hasExited: false, log: () => Buffer.concat(log).toString() };
-    gateway.exited = new Promise(resolve => child.once("exit", (code, signal) => {
-        gateway.hasExited = true;
-        world.record(`${name} has ended: ${signal ?? code}`);
-        resolve();
-    }));
+    const gateway = {
+        name,
+        child,
+        frontend,
+        ready,
+        controlPlane,
+        settings,
+        hasExited: false,
+        log: () => Buffer.concat(log).toString(),
+    };
+    gateway.exited = new Promise(resolve =>
+        child.once("exit", (code, signal) => {
+            gateway.hasExited = true;
+            world.record(`${name} has ended: ${signal ?? code}`);
+            resolve();
+        })
+    );
     world.gateways.push(gateway);
     world.closers.push(() => gateway.hasExited || child.kill("SIGKILL"));
     for (let attempt = 0; attempt < 200; attempt++) {
@@ -159,8 +212,15 @@
     world.store.put("keyed.op", "config", {
         version,
         routes: routes.map(route => ({
-            hostname: "office.example", timeoutMs: 39000, targetLatencyMs: 1800, priority: 1, maxAttempts: 1,
-            public: true, sessionAffinity: false, streamResume: false, ...route,
+            hostname: "office.example",
+            timeoutMs: 39000,
+            targetLatencyMs: 1800,
+            priority: 1,
+            maxAttempts: 1,
+            public: true,
+            sessionAffinity: false,
+            streamResume: false,
+            ...route,
         })),
         services: services.map(service => ({ healthCheckPath: "/healthz", maxConnections: 110, ...service })),
         limits: callerLimits,
@@ -171,7 +231,10 @@
 
 /** Registers a worker and checks in every `heartbeatMs`, as the workers do. */
 export function register(world, id, entry) {
-    const state = { current: { zone: "zone-a", version: "v1", slots: 6, state: "ready", coldRemainingMs: 0, ...entry }, sequence: 0 };
+    const state = {
+        current: { zone: "zone-a", version: "v1", slots: 6, state: "ready", coldRemainingMs: 0, ...entry },
+        sequence: 0,
+    };
     const write = () => world.store.put("keyed.servers", id, { ...state.current, sequence: ++state.sequence });
     write();
     const timer = setInterval(write, 1200);
@@ -201,7 +264,12 @@
 
 /** The headers with which a worker answers a request. */
 export function answerHeaders(request, more = {}) {
-    return { "Attempt-Id": request.headers["attempt-id"], "Response-Seal": `3e1b.07.5a2.600.0.${++sealCount}`, ...more };
+    return {
+        "Attempt-Id": request.headers["attempt-id"],
+        "Response-Seal": `3e1b.07.5a2.600.0.${++sealCount}`,
+        ...more,
+    };
 }
 
-export const newAttemptId = () => `${Date.now().toString(16)}${Math.floor(Math.random() * 2 ** 32).toString(16).padStart(8, "0")}`;
+export const newAttemptId = () =>
+    `${Date.now().toString(16)}${Math.floor(Math.random() * 2 ** 32).toString(16).padStart(8, "0")}`;
