--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,8 +1,8 @@
 /** Faulty workers send line feeds without end in a few of their streams. The gateway runs out of memory and ends. */
-import { Agent, request as sendRequest } from "node:http";
+import { Agent, createServer as createHttpServer, request as sendRequest } from "node:http";
 import { connect, createServer } from "node:net";
 import { startPlainWorker } from "../lib/plainWorker.mjs";
-import { configure, newAttemptId, pause, register, runCase, startGateway } from "../lib/world.mjs";
+import { answerHeaders, configure, newAttemptId, pause, register, runCase, startGateway } from "../lib/world.mjs";
 
 const faultyWorkers = 2;
 const workers = 4;
@@ -14,6 +14,13 @@
 /** The rule: more than three times. */
 const allowedLosses = 3;
 const plainCallers = 24;
+const planCallers = 40;
+/** From a request for a plan to its first event: the sheet aims at 1,800 ms. */
+const planReadTime = 1700;
+/** Within the work times of the sheet, which go up to 450 ms. */
+const plainWorkTime = 400;
+/** The longest pause of a caller between two requests; random, so that they don't fall into step. */
+const longestPause = 400;
 
 const lineFeeds = Buffer.alloc(16 * 1024, "\n");
 const endlessChunk = Buffer.concat([
@@ -81,9 +88,36 @@
     const runs = new Set();
     for (let index = 0; index < workers; index++) {
         const id = `i-desk-${index}`;
-        const worker = await startPlainWorker(world, id, { workTime: 200, onRun: attemptId => runs.add(attemptId) });
+        const worker = await startPlainWorker(world, id, {
+            workTime: plainWorkTime,
+            onRun: attemptId => runs.add(attemptId),
+        });
         register(world, id, { service: "desk", address: worker.address });
     }
+    // So are those of the plans: they read a prompt, and answer with events.
+    for (let index = 0; index < workers; index++) {
+        const server = createHttpServer(async (request, response) => {
+            request.resume();
+            runs.add(request.headers["attempt-id"]);
+            await pause(planReadTime);
+            response.writeHead(200, answerHeaders(request, { "Content-Type": "text/event-stream" }));
+            for (let event = 1; event <= events && !response.destroyed; event++) {
+                response.write(`id: ${event}\ndata: piece ${event} of ${events}\n\n`);
+                await pause(25);
+            }
+            response.end();
+        });
+        await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
+        world.closers.push(() => {
+            server.closeAllConnections();
+            server.close();
+        });
+        register(world, `i-plan-${index}`, {
+            service: "plans",
+            address: `127.0.0.1:${server.address().port}`,
+            slots: 96,
+        });
+    }
     configure(
         world,
         3,
@@ -105,8 +139,17 @@
                 targetLatencyMs: 386,
                 service: "desk",
             },
+            {
+                name: "plan",
+                pathPrefix: "/plan/",
+                routeType: "streaming",
+                timeoutMs: 39000,
+                targetLatencyMs: 1800,
+                itlTargetMs: 180,
+                service: "plans",
+            },
         ],
-        [{ name: "notes" }, { name: "desk" }],
+        [{ name: "notes" }, { name: "desk" }, { name: "plans" }],
     );
     const gateway = await startGateway(world, "edge-1");
     await startGateway(world, "edge-2", gateway.controlPlane);
@@ -114,22 +157,27 @@
     const [host, port] = gateway.frontend.split(":");
 
     let isOver = false;
-    const plain = [];
-    const book = async () => {
+    const ordinary = [];
+    const ask = async path => {
         const agent = new Agent({ keepAlive: true, maxSockets: 1 });
         world.closers.push(() => agent.destroy());
         while (!isOver) {
             const id = newAttemptId();
             const call = { id, sentAt: performance.now() };
-            plain.push(call);
+            ordinary.push(call);
             await new Promise(resolve => {
                 const request = sendRequest({
                     agent,
                     host,
                     port,
                     method: "POST",
-                    path: "/book/a",
-                    headers: { Host: "office.example", "Attempt-Id": id, "Deadline-Ms": 3000, "Content-Length": 4 },
+                    path,
+                    headers: {
+                        Host: "office.example",
+                        "Attempt-Id": id,
+                        "Deadline-Ms": path === "/plan/a" ? 39000 : 3000,
+                        "Content-Length": 4,
+                    },
                 }, response => {
                     call.status = response.statusCode;
                     response.resume().on("error", () => undefined).on("close", resolve);
@@ -141,10 +189,13 @@
                 });
                 request.end("slot");
             });
-            await pause(call.error === undefined ? 50 : 1000);
+            await pause(call.error === undefined ? longestPause * Math.random() : 1000);
         }
     };
-    const traffic = Array.from({ length: plainCallers }, book);
+    const traffic = [
+        ...Array.from({ length: plainCallers }, () => ask("/book/a")),
+        ...Array.from({ length: planCallers }, () => ask("/plan/a")),
+    ];
     // The callers of the streams read all that comes, as fast as it comes.
     let streams = 0;
     const streamTimer = setInterval(() => {
@@ -173,11 +224,13 @@
     isOver = true;
     clearInterval(streamTimer);
     await Promise.race([Promise.all(traffic), pause(4000)]);
-    const served = plain.filter(({ status }) => status === 200).length;
-    const lost = plain.filter(({ id, status, error, isKept }) =>
+    const served = ordinary.filter(({ status }) => status === 200).length;
+    const lost = ordinary.filter(({ id, status, error, isKept }) =>
         isKept && runs.has(id) && status === undefined && error !== undefined
     );
-    world.record(`${streams} streams, ${spoilt} of them spoilt; ${plain.length} plain requests, ${served} served`);
+    world.record(
+        `${streams} streams, ${spoilt} of them spoilt; ${ordinary.length} requests for slots and plans, ${served} served`,
+    );
     const reason = /FATAL ERROR: [^\n]*/.exec(gateway.log())?.[0];
     world.record(
         gateway.hasExited ? `the gateway has ended by itself: ${reason ?? "no reason in its log"}` : "the gateway runs",
