Keep protected routes closed after the last API key is revoked

Callers saw: once the last key was revoked, requests with a forged key, a revoked key or none ran on protected routes.

Cause: organisations without keys and a configuration without organisations decoded to the same empty map, which the gateway took for "no key required".

Change: `organisations` is undefined if the configuration has none, and only that lets requests through without a key. An empty list counts as present.

--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -85,7 +85,7 @@
     route: Route,
     { head }: RequestReceived,
 ): Organisation | undefined | "unknown" {
-    if (organisations.size === 0 || route.isPublic) {
+    if (organisations === undefined || route.isPublic) {
         return undefined;
     }
     const found = head.apiKey === undefined ? undefined : organisations.get(head.apiKey);
--- a/packages/gateway/src/routingConfiguration.ts
+++ b/packages/gateway/src/routingConfiguration.ts
@@ -93,8 +93,8 @@
     /** Routes by host, the longest prefix first. */
     readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
     readonly services: ReadonlyMap<ServiceName, Service>;
-    /** Empty if no route requires an API key. */
-    readonly organisations: ReadonlyMap<ApiKey, Organisation>;
+    /** Undefined if no route requires an API key. An empty map lets no key through: the last one may have been revoked. */
+    readonly organisations: ReadonlyMap<ApiKey, Organisation> | undefined;
     readonly limits: CallerLimits;
 }
 
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -90,7 +90,7 @@
             [plainService, { name: plainService, engine: undefined }],
             [engineService, { name: engineService, engine }],
         ]),
-        organisations: new Map(),
+        organisations: undefined,
         limits: { headerBytes: 16_384, bodyBytes: 4_096, headerTimeout: 3_000, idleTimeout: 15_000 },
         ...overrides,
     };
--- a/packages/gateway/test/requests.test.ts
+++ b/packages/gateway/test/requests.test.ts
@@ -57,6 +57,18 @@
     assert.equal([call.organisation, call.priority], ["clinic", 3]);
 });
 
+// Guards against a revocation of the last key that opens the protected routes to everyone.
+test("once the last API key is revoked, every key and none are refused on routes that are not public", () => {
+    const gateway = TestGateway.serving(server("plain-1"));
+    const routesByHost = indexRoutes([route("book", { isPublic: false }), route("open", { isPublic: true })]);
+    gateway.configure(configuration(2, { organisations: new Map(), routesByHost }));
+    for (const apiKey of [undefined, identifier<ApiKey>("revoked"), identifier<ApiKey>("forged")]) {
+        const id = `r-${apiKey}`;
+        assert.is(failuresIn(gateway.receiveRequest(id, "book", { apiKey }))[0]?.type, "unauthenticated");
+    }
+    assert.is(callsIn(gateway.receiveRequest("s", "open")).length, 1, "public routes need no key");
+});
+
 test("a configuration that is older than the one in force is ignored", () => {
     const gateway = TestGateway.serving(server("plain-1"));
     gateway.configure(configuration(7));
--- a/packages/runtime/test/lostAnswersGateway.ts
+++ b/packages/runtime/test/lostAnswersGateway.ts
@@ -54,7 +54,7 @@
             const service: Service = { name: identifier(name), engine: isEngine ? engine : undefined };
             return [service.name, service];
         })),
-        organisations: new Map(),
+        organisations: undefined,
         limits: { headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeout: 300, idleTimeout: 2_000 },
     },
 };
