Do not end runs that a server's report leaves out

Callers could see: after an engine restarted under its id, a stream that had been sent to the new incarnation was cut, or run again while it went on.

Cause: a report without `runs` was decoded as a report that lists no runs. Only engines whose runs can be moved list them.

Change: `ServerReport.runs` is undefined if the server does not list its runs, and only a list ends a run that it lacks.

--- a/packages/gateway/src/crashSuspects.ts
+++ b/packages/gateway/src/crashSuspects.ts
@@ -169,7 +169,7 @@
     state.crashSuspects.lostRuns.set(id, { startedAt, at: known?.at ?? now, suspects });
     const record = state.servers.get(id)?.record ?? attempt.server.record;
     if (isEarlierStart(startedAt, record.startedAt)) {
-        settleLostRuns(transaction, id, { isLeaving: false, startedAt: record.startedAt, runs: [] });
+        settleLostRuns(transaction, id, { isLeaving: false, startedAt: record.startedAt, runs: undefined });
     }
     else {
         requestProbe(transaction, record);
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -82,7 +82,8 @@
     readonly startedAt: number | undefined;
     /** How much longer the server is cold; undefined if it does not say. */
     readonly coldRemaining?: Milliseconds | undefined;
-    readonly runs: readonly ReportedRun[];
+    /** Undefined if the server does not list its runs, which says nothing about them. */
+    readonly runs: readonly ReportedRun[] | undefined;
 }
 
 /** How a migration of a run's memory ended. */
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -380,7 +380,7 @@
 ): void {
     transaction.effects.push({ kind: "closeIdleChannels", address });
     if (isEarlierStart(previousStart, startedAt)) {
-        settleLostRuns(transaction, id, { isLeaving: false, startedAt, runs: [] });
+        settleLostRuns(transaction, id, { isLeaving: false, startedAt, runs: undefined });
     }
 }
 
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -123,7 +123,7 @@
     if (!route.isStream || now - attempt.lastActivityAt < silenceTimeout) {
         return false;
     }
-    const run = report?.runs.find(({ callerAttemptId }) => callerAttemptId === head.callerAttemptId);
+    const run = report?.runs?.find(({ callerAttemptId }) => callerAttemptId === head.callerAttemptId);
     return report === undefined || (run !== undefined && run.events > (lastEvent ?? 0) + maximumEventsInFlight);
 }
 
--- a/packages/gateway/src/serverIncarnations.ts
+++ b/packages/gateway/src/serverIncarnations.ts
@@ -65,7 +65,8 @@
     report: ServerReport | undefined,
     now: Milliseconds,
 ): boolean {
-    if (report === undefined || !isEarlierStart(server.record.startedAt, report.startedAt) || isListed(report, head)) {
+    const isLaterStart = isEarlierStart(server.record.startedAt, report?.startedAt);
+    if (report?.runs === undefined || !isLaterStart || isListed(report, head)) {
         return false;
     }
     const silence = now - lastActivityAt;
@@ -92,7 +93,7 @@
 }
 
 function isListed({ runs }: ServerReport, { callerAttemptId }: GatewayRequest["head"]): boolean {
-    return runs.some(run => run.callerAttemptId === callerAttemptId);
+    return runs?.some(run => run.callerAttemptId === callerAttemptId) === true;
 }
 
 /** Ends all that is kept by the id of a server whose new incarnation was registered. */
--- a/packages/gateway/test/serverRestarts.test.ts
+++ b/packages/gateway/test/serverRestarts.test.ts
@@ -224,6 +224,17 @@
     }
 });
 
+// Engines of services without migrations report no runs at all. A run was cancelled and sent again while it went on.
+test("a report that has no list of runs ends no run", () => {
+    const gateway = TestGateway.serving(server("engine-1", first), server("engine-2", { ...first, isDraining: true }));
+    gateway.startStream("r", "note");
+    restart(gateway, "engine-1");
+    const [probe] = gateway.advance(200).flatMap(effect => effect.kind === "probeServer" ? [effect] : []);
+    const effects = gateway.handle({ ...probe, kind: "serverProbed", report: { ...report, runs: undefined } });
+    assert.not.ok(kindsIn(effects).includes("cancelAttempt"));
+    assert.is(callsIn(effects).length, 0);
+});
+
 test("a run is lost at once when its server restarts at another address", () => {
     const gateway = TestGateway.serving(server("engine-1", first));
     gateway.startStream("r", "note");
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -52,7 +52,7 @@
 const maxMetricsConnections = 16;
 
 /** What a probe finds out about a server that has no report. */
-const emptyReport: ServerReport = { isLeaving: false, startedAt: undefined, runs: [] };
+const emptyReport: ServerReport = { isLeaving: false, startedAt: undefined, runs: undefined };
 
 /** What is kept of a request's arrival, for the metrics of its answer. */
 interface RequestArrival {
