Continue a migrated stream only once its run has been stopped

Users saw: a request that may run once ran at two engines at the same time, for over 5 s, after its stream had been migrated from a server that left.

Cause: the gateway took its own reset of the channel for the end of the run. Not every server drops a request when its channel closes.

Change: after the copy the server is asked to stop the run and to copy the rest. The stream continues after its answer, or from the first copy if the answer takes longer than 500 ms and the channel has ended. The close of an unframed stream after that request is not taken for the end of the answer.

--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -47,6 +47,8 @@
     generatedTokens: number;
     /** Prompt and output tokens to compute before the next token is generated. */
     remainingPrefill: number;
+    /** The newest copy that a migration made; another migration to the same target transfers only what is new. */
+    copy: { readonly target: string; readonly handle: string; readonly tokens: number; } | undefined;
     hasEnded: boolean;
     /** The caller gets nothing more of this run, even when the engine's behaviour returns to normal. */
     isSilent: boolean;
@@ -145,25 +147,39 @@
     }
 
     /**
-     * Transfers a run's memory to another engine while the run continues here. Transfers are done one after another.
+     * Transfers a run's memory to another engine. The run continues meanwhile, unless it is to stop first. Transfers are
+     * done one after another.
      */
-    migrate(callerAttemptId: string, target: string, done: (outcome: MigrationOutcome) => void): void {
+    migrate(
+        callerAttemptId: string,
+        target: string,
+        isStopping: boolean,
+        done: (outcome: MigrationOutcome) => void,
+    ): void {
         const run = this.running.find(({ call }) => call.callerAttemptId === callerAttemptId);
         if (run === undefined || this.isStopped) {
             return done({ kind: "no_run" });
         }
         const { now } = this.clock;
-        this.transferIdleAt = Math.max(now, this.transferIdleAt) + usedTokens(run) / this.options.transferRate;
-        const handle = `move-${this.options.id}-${++this.migrationCount}`;
+        const stoppedReplica = isStopping ? this.createReplica(run) : undefined;
+        if (isStopping) {
+            this.end(run, false);
+            run.observer.disconnected();
+        }
+        const known = run.copy?.target === target ? run.copy : undefined;
+        const newTokens = usedTokens(run) - (known?.tokens ?? 0);
+        this.transferIdleAt = Math.max(now, this.transferIdleAt) + newTokens / this.options.transferRate;
+        const handle = known?.handle ?? `move-${this.options.id}-${++this.migrationCount}`;
         this.clock.schedule(this.transferIdleAt - now, () => {
-            if (this.isStopped || run.hasEnded) {
+            if (this.isStopped || (run.hasEnded && !isStopping)) {
                 return done({ kind: "no_run" });
             }
-            const replica = this.createReplica(run);
+            const replica = stoppedReplica ?? this.createReplica(run);
             const isStored = this.environment.findEngine(target)?.storeReplica(
                 { source: this.options.address, name: handle },
                 replica,
             ) === true;
+            run.copy = isStored ? { target, handle, tokens: replica.tokens } : run.copy;
             done(
                 isStored
                     ? { kind: "moved", handle, events: this.countEvents(run.generatedTokens) }
@@ -222,7 +238,16 @@
             endedAt: undefined,
             isComplete: false,
         };
-        return { call, observer, record, generatedTokens, remainingPrefill, hasEnded: false, isSilent: false };
+        return {
+            call,
+            observer,
+            record,
+            generatedTokens,
+            remainingPrefill,
+            copy: undefined,
+            hasEnded: false,
+            isSilent: false,
+        };
     }
 
     private runs(): EngineRun[] {
--- a/packages/emulator/src/plainServer.ts
+++ b/packages/emulator/src/plainServer.ts
@@ -83,7 +83,12 @@
         return [...this.running].map(({ call }) => ({ callerAttemptId: call.callerAttemptId, events: 0 }));
     }
 
-    migrate(_callerAttemptId: string, _target: string, done: (outcome: MigrationOutcome) => void): void {
+    migrate(
+        _callerAttemptId: string,
+        _target: string,
+        _isStopping: boolean,
+        done: (outcome: MigrationOutcome) => void,
+    ): void {
         done({ kind: "no_run" });
     }
 
--- a/packages/emulator/src/serverModel.ts
+++ b/packages/emulator/src/serverModel.ts
@@ -159,8 +159,13 @@
     readonly start: (call: ServerCall, observer: CallObserver) => CallHandle;
     /** The runs in progress. */
     readonly report: () => readonly RunReport[];
-    /** Transfers a run's memory to the engine at an address. */
-    readonly migrate: (callerAttemptId: string, target: string, done: (outcome: MigrationOutcome) => void) => void;
+    /** Transfers a run's memory to the engine at an address, after stopping the run if `isStopping`. */
+    readonly migrate: (
+        callerAttemptId: string,
+        target: string,
+        isStopping: boolean,
+        done: (outcome: MigrationOutcome) => void,
+    ) => void;
     /** Stops at once: connections break and replicas are lost. */
     readonly crash: () => void;
 }
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -76,6 +76,7 @@
 const tickInterval: Milliseconds = 50;
 const probeTimeout: Milliseconds = 500;
 const migrationTimeout: Milliseconds = 3_000;
+const stopTimeout: Milliseconds = 500;
 const refusedStatus = 503;
 
 /** A gateway process. */
@@ -285,12 +286,13 @@
     }
 
     private migrateRun(effect: Extract<GatewayEffect, { readonly kind: "migrateRun"; }>): void {
-        const { attemptId, callerAttemptId, sourceAddress, targetAddress } = effect;
+        const { attemptId, callerAttemptId, sourceAddress, targetAddress, isStopping } = effect;
         this.sendRequest<MigrationOutcome>(
             sourceAddress,
-            migrationTimeout,
+            isStopping ? stopTimeout : migrationTimeout,
             reply =>
-                this.environment.fleet.findByAddress(sourceAddress)?.migrate(callerAttemptId, targetAddress, reply),
+                this.environment.fleet.findByAddress(sourceAddress)
+                    ?.migrate(callerAttemptId, targetAddress, isStopping, reply),
             outcome => {
                 this.handleEvent({ kind: "migrationAnswered", attemptId, result: toMigrationResult(outcome) });
             },
--- a/packages/emulator/test/engineServer.test.ts
+++ b/packages/emulator/test/engineServer.test.ts
@@ -122,6 +122,7 @@
     engines.first.migrate(
         "a",
         engines.second.options.address,
+        false,
         outcome => handle = outcome.kind === "moved" ? outcome.handle : "",
     );
     engines.clock.advanceTo(130);
@@ -132,6 +133,33 @@
     assert.equal(engines.received.filter(line => line.endsWith("no_copy")), ["a no_copy"]);
 });
 
+test("the last step of a migration stops the run at once, and its replica has what it generated", () => {
+    const engines = new EngineHarness();
+    engines.start(engines.first, call("a"));
+    engines.clock.advanceTo(100);
+    const handles: string[] = [];
+    const migrate = (isStopping: boolean): void =>
+        engines.first.migrate(
+            "a",
+            engines.second.options.address,
+            isStopping,
+            outcome => handles.push(outcome.kind === "moved" ? outcome.handle : outcome.kind),
+        );
+    migrate(false);
+    engines.clock.advanceTo(130);
+    migrate(true);
+    assert.equal(engines.first.report(), []);
+    engines.clock.advanceTo(131);
+    assert.is(handles.length, 2, "only what is new is transferred");
+    const lastEvent = engines.events.length;
+    engines.start(
+        engines.second,
+        call("a", { copy: { source: engines.first.options.address, name: handles[1] }, lastEvent }),
+    );
+    engines.clock.advanceTo(3_000);
+    assert.equal(eventIds(engines.events), tenIds);
+});
+
 test("calls that are too large, are for another target or reach a shedding engine are refused and not run", () => {
     const engines = new EngineHarness();
     engines.start(engines.first, call("large", { promptTokens: 2_000 }));
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -16,6 +16,7 @@
 import { recordLeavingNotice } from "./leavingServers.js";
 import { probeRestartedServer, probeSilentServer, recordSignOfLife } from "./liveness.js";
 import type { BackendAnswer, ResponseHead } from "./messages.js";
+import { handleEndAfterStop } from "./migration.js";
 import { recordRequestLimit } from "./requestLimits.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
 import { countPossibleRuns, recordNoRun } from "./runLedger.js";
@@ -138,6 +139,9 @@
     if (request === undefined || attempt === undefined) {
         return;
     }
+    if (handleEndAfterStop(transaction, request, attempt, "lost")) {
+        return;
+    }
     recordHealth(transaction, attempt, event.failure);
     endAttempt(transaction, request, attempt, "ended");
     if (event.wasSent) {
@@ -153,7 +157,13 @@
 }
 
 /** Why an attempt produced no deliverable answer. */
-export type AttemptOutcome = AttemptFailure | "refused_by_server" | "server_failed" | "silent" | "server_restarted";
+export type AttemptOutcome =
+    | AttemptFailure
+    | "refused_by_server"
+    | "server_failed"
+    | "silent"
+    | "server_restarted"
+    | "stopped";
 
 /**
  * Handles an attempt without a deliverable answer: continues the stream from its replica, sends the request again, or
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -56,12 +56,15 @@
     }
     /** Closes the channels to a server that are not in use: it has restarted. */
     | { readonly kind: "closeIdleChannels"; readonly address: string; }
+    /** Has a server copy a run's memory to another one. */
     | {
         readonly kind: "migrateRun";
         readonly attemptId: AttemptId;
         readonly callerAttemptId: CallerAttemptId;
         readonly sourceAddress: string;
         readonly targetAddress: string;
+        /** Whether the server is to stop the run first. */
+        readonly isStopping: boolean;
     }
     | { readonly kind: "openPeerLink"; readonly address: PeerAddress; readonly report: PeerReport; }
     | { readonly kind: "sendReport"; readonly address: PeerAddress; readonly report: PeerReport; }
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -88,7 +88,7 @@
 
 /** How a migration of a run's memory ended. */
 export type MigrationResult =
-    /** The replica is complete at the target. */
+    /** The replica is complete at the target. If the run was to be stopped, it was. */
     | { readonly kind: "moved"; readonly handle: string; }
     /** The server had no such run, or the target not enough free memory. */
     | { readonly kind: "refused"; readonly status: number; }
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -9,7 +9,7 @@
 import { settleLostRuns } from "./crashSuspects.js";
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { recordLeavingNotice } from "./leavingServers.js";
-import { findReplicaHolder } from "./replicas.js";
+import { findReplicaHolder, usableCopyHolder } from "./replicas.js";
 import { canSendAgain } from "./sending.js";
 import { adoptListedRuns, isEarlierStart, isLostByReport } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
@@ -124,6 +124,9 @@
         return false;
     }
     const run = report?.runs?.find(({ callerAttemptId }) => callerAttemptId === head.callerAttemptId);
+    if (attempt.isStopRequested && report?.runs !== undefined && run === undefined) {
+        return true;
+    }
     return report === undefined || (run !== undefined && run.events > (lastEvent ?? 0) + maximumEventsInFlight);
 }
 
@@ -135,5 +138,7 @@
 
 /** Whether the stream can continue at another server. */
 function canContinueElsewhere(transaction: Transaction, request: GatewayRequest, attempt: Attempt): boolean {
-    return request.route.canResume || findReplicaHolder(transaction, request, attempt) !== undefined;
+    const { copy } = attempt;
+    return request.route.canResume || findReplicaHolder(transaction, request, attempt) !== undefined
+        || (copy !== undefined && usableCopyHolder(transaction, request, attempt, copy) !== undefined);
 }
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -1,7 +1,8 @@
 /**
  * Migrates streams away from a server that leaves or is evacuated. The memory of a stream is copied to another engine
- * while it runs, and the stream continues from that replica, which lacks only what was generated meanwhile. Each server
- * has one migration at a time, since all of them share its network link.
+ * while it runs. Then its server is asked to stop the run and to copy what was generated meanwhile, and the stream
+ * continues from the copy. A closed channel would not stop the run at every server. Each server has one migration at a
+ * time, since all of them share its network link.
  *
  * At a server that leaves, a stream needs no migration if a new run can continue it, or if it has a usable replica at a
  * server that stays. An evacuated server goes on, so its streams are migrated to empty the failure domain: those that
@@ -9,18 +10,19 @@
  */
 import { chooseReplicaHost, migrationPlacement, replicaPlacement } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
-import { endAttempt } from "./attempts.js";
+import { endAttempt, retryOrFail } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import { isEvacuated } from "./evacuations.js";
-import type { GatewayEvent } from "./event.js";
+import type { GatewayEvent, MigrationResult } from "./event.js";
 import { expectedOutput } from "./messages.js";
-import { acceptingHolder, isReplicaKept, usableHolder } from "./replicas.js";
+import { usableCopyHolder, usableHolder } from "./replicas.js";
 import { requestFields } from "./requests.js";
-import { canSendAgain, sendTo } from "./sending.js";
+import { canSendAgain } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf, otherServers, replicaView, setMigrationTarget } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
-import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
+import type { Attempt, GatewayRequest, GatewayState, RunCopy } from "./state.js";
+import { handleStreamEnded } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type MigrationAnswered = Extract<GatewayEvent, { readonly kind: "migrationAnswered"; }>;
@@ -113,7 +115,8 @@
     if (attempt === undefined || !route.isStream || attempt.firstEventAt === undefined) {
         return [];
     }
-    if (isSuperseded(state, attempt.server)) {
+    // A run that may have been stopped continues from its copy as soon as its end is seen.
+    if (isSuperseded(state, attempt.server) || attempt.isStopRequested) {
         return [];
     }
     const canMigrate = engineOf(state, request.service)?.canMigrate === true;
@@ -153,14 +156,25 @@
     }
     setMigrationTarget(transaction.state, attempt, target);
     attempt.migrationStartedAt = transaction.now;
-    transaction.effects.push({
+    requestMigration(transaction, request, attempt, target, false);
+    return true;
+}
+
+function requestMigration(
+    { effects }: Transaction,
+    { head }: GatewayRequest,
+    attempt: Attempt,
+    target: BackendServer,
+    isStopping: boolean,
+): void {
+    effects.push({
         kind: "migrateRun",
         attemptId: attempt.id,
-        callerAttemptId: request.head.callerAttemptId,
+        callerAttemptId: head.callerAttemptId,
         sourceAddress: attempt.server.record.address,
         targetAddress: target.record.address,
+        isStopping,
     });
-    return true;
 }
 
 function chooseTarget(
@@ -188,9 +202,9 @@
 }
 
 /**
- * Handles the end of a migration, and starts the next one. If the replica is complete, the target still accepts it and
- * another send is allowed, the old run is cancelled and the stream continues at the target. Otherwise the old run
- * continues.
+ * Handles the answer to a migration's first or second step. A complete copy is followed by the request to stop the run,
+ * if the target still accepts it and another send is allowed. Once the run has stopped, the stream continues from the
+ * copy. Otherwise the run goes on, and the next migration starts.
  */
 export function handleMigrationAnswered(transaction: Transaction, event: MigrationAnswered): void {
     const request = transaction.state.attempts.get(event.attemptId);
@@ -198,29 +212,118 @@
     if (request === undefined || attempt?.migrationTarget === undefined) {
         return;
     }
-    const { result } = event;
+    logMigrationAnswered(transaction, request, attempt, attempt.migrationTarget, event.result);
+    if (attempt.isStopRequested) {
+        handleStopAnswered(transaction, request, attempt, event.result);
+    }
+    else if (!requestStop(transaction, request, attempt, attempt.migrationTarget, event.result)) {
+        endMigration(transaction, attempt, event.result.kind === "moved");
+    }
+    migrateStreams(transaction, attempt.server.record.id);
+}
+
+/** Asks the server to stop a run that was copied. Returns false if the run is to go on. */
+function requestStop(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    target: BackendServer,
+    result: MigrationResult,
+): boolean {
+    const { state, now } = transaction;
+    if (result.kind !== "moved" || isPaused(state, attempt.server.record.id, now)) {
+        return false;
+    }
+    const copy: RunCopy = { holder: target, name: result.handle };
+    if (usableCopyHolder(transaction, request, attempt, copy) === undefined || !canSendAgain(transaction, request)) {
+        return false;
+    }
+    attempt.copy = copy;
+    attempt.isStopRequested = true;
+    requestMigration(transaction, request, attempt, target, true);
+    return true;
+}
+
+function handleStopAnswered(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    result: MigrationResult,
+): void {
+    const { endAfterStop, copy } = attempt;
+    endMigration(transaction, attempt, result.kind === "moved");
+    if (result.kind === "moved" && copy !== undefined) {
+        attempt.copy = { ...copy, name: result.handle };
+    }
+    const status = result.kind === "refused" ? result.status : undefined;
+    if (status === noRunStatus && endAfterStop === "ended") {
+        // The run was complete before the request to stop it.
+        attempt.isStopRequested = false;
+        return handleStreamEnded(transaction, attempt.id);
+    }
+    // Without room for the rest of the copy the run is stopped all the same.
+    if (result.kind === "moved" || status === noRoomStatus || endAfterStop !== undefined) {
+        return continueStoppedRun(transaction, request, attempt);
+    }
+    // After a refusal the run goes on; without an answer it may have stopped, which its channel will show.
+    attempt.isStopRequested = result.kind === "failed";
+}
+
+/** The server has no such run, which may have ended. */
+const noRunStatus = 404;
+/** The server stopped the run, but the target has no room for the rest of the copy, or can't be reached. */
+const noRoomStatus = 503;
+
+function endMigration({ state }: Transaction, attempt: Attempt, hasSucceeded: boolean): void {
     const target = attempt.migrationTarget;
-    const holder = isReplicaKept(transaction, request, attempt.migrationStartedAt)
-        ? acceptingHolder(transaction.state, target, attempt.server, transaction.now)
-        : undefined;
+    setMigrationTarget(state, attempt, undefined);
+    if (target !== undefined && !hasSucceeded) {
+        attempt.failedTargets.add(target.record.id);
+    }
+}
+
+/**
+ * Handles the end of an answer after its server was asked to stop the run. While the answer to that request is due, the
+ * end waits for it. Returns false if no such request was sent.
+ */
+export function handleEndAfterStop(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    end: "ended" | "lost",
+): boolean {
+    if (!attempt.isStopRequested) {
+        return false;
+    }
+    attempt.endAfterStop = end;
+    if (attempt.migrationTarget === undefined) {
+        continueStoppedRun(transaction, request, attempt);
+    }
+    return true;
+}
+
+/** Continues a run that was stopped from its copy, or else like one that was lost. */
+function continueStoppedRun(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
+    endAttempt(transaction, request, attempt, attempt.endAfterStop === undefined ? "cancel" : "ended");
+    retryOrFail(transaction, request, attempt, "stopped");
+}
+
+function logMigrationAnswered(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    target: BackendServer,
+    result: MigrationResult,
+): void {
     logDecision(transaction, "info", "move_answered", {
         ...requestFields(transaction, request),
         fromVersion: attempt.server.record.softwareVersion,
         target: target.record.id,
         targetVersion: target.record.softwareVersion,
+        step: attempt.isStopRequested ? "stop" : "copy",
         result: result.kind,
         status: result.kind === "refused" ? result.status : undefined,
         detail: result.kind === "failed" ? result.detail : undefined,
         lastHeardAge: Math.round(transaction.now - attempt.lastActivityAt),
     });
-    setMigrationTarget(transaction.state, attempt, undefined);
-    if (result.kind !== "moved") {
-        attempt.failedTargets.add(target.record.id);
-    }
-    if (result.kind === "moved" && holder !== undefined && canSendAgain(transaction, request)) {
-        endAttempt(transaction, request, attempt, "cancel");
-        const continuesFrom = { source: attempt.server.record.address, name: result.handle };
-        sendTo(transaction, request, { server: holder, continuesFrom, replicaEvidence: "moved" });
-    }
-    migrateStreams(transaction, attempt.server.record.id);
 }
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -7,7 +7,7 @@
 import { hasGivenNotice } from "./leavingServers.js";
 import type { EngineCapabilities } from "./routingConfiguration.js";
 import { acceptsRequest, engineOf } from "./serverLoad.js";
-import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
+import type { Attempt, GatewayRequest, GatewayState, RunCopy } from "./state.js";
 import { hasSameVersion } from "./streamVersions.js";
 import type { Transaction } from "./transaction.js";
 
@@ -68,7 +68,7 @@
 }
 
 /** Whether a replica that was updated at a time or later is still kept. */
-export function isReplicaKept(
+function isReplicaKept(
     { state, now }: Transaction,
     { service }: GatewayRequest,
     updatedAt: Milliseconds | undefined,
@@ -107,11 +107,23 @@
     return holder?.removedAt === undefined ? holder : undefined;
 }
 
+/** The server at which a run can continue from the copy that a migration made, if it still keeps the copy. */
+export function usableCopyHolder(
+    transaction: Transaction,
+    request: GatewayRequest,
+    { server, migrationStartedAt }: Attempt,
+    { holder }: RunCopy,
+): BackendServer | undefined {
+    return isReplicaKept(transaction, request, migrationStartedAt)
+        ? acceptingHolder(transaction.state, holder, server, transaction.now)
+        : undefined;
+}
+
 /**
  * A server as it is known now, if it accepts a run of another server and is the incarnation that it was: one that has
  * started again under its id has lost its replicas.
  */
-export function acceptingHolder(
+function acceptingHolder(
     state: GatewayState,
     { record: { id, startedAt } }: BackendServer,
     origin: BackendServer,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -54,6 +54,12 @@
     migrationTarget: BackendServer | undefined;
     /** When the last migration of this run was requested; undefined before the first. */
     migrationStartedAt: Milliseconds | undefined;
+    /** The copy of this run's memory that its last migration made; undefined before one was complete. */
+    copy: RunCopy | undefined;
+    /** Whether its server was asked to stop this run, and may have done so. */
+    isStopRequested: boolean;
+    /** How its answer ended after that request: in the way of a complete one without framing, or as a lost one. */
+    endAfterStop: "ended" | "lost" | undefined;
     /** The targets of this run's failed migrations. */
     readonly failedTargets: Set<BackendServerId>;
     /** When events of this run were last read; initially when it was sent. */
@@ -62,6 +68,13 @@
     producingTime: Milliseconds;
 }
 
+/** A copy of a run's memory, made while the run continued. */
+export interface RunCopy {
+    readonly holder: BackendServer;
+    /** The handle of the migration. */
+    readonly name: string;
+}
+
 /** One request of a caller, until its final answer. */
 export interface GatewayRequest {
     readonly id: RequestId;
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -16,8 +16,8 @@
 import type { DecisionFields } from "./effect.js";
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
-import { migrateAfterFirstEvent } from "./migration.js";
-import { findReplicaHolder, recordProduction } from "./replicas.js";
+import { handleEndAfterStop, migrateAfterFirstEvent } from "./migration.js";
+import { findReplicaHolder, recordProduction, usableCopyHolder } from "./replicas.js";
 import { finishRequest, requestFields } from "./requests.js";
 import { recordNoRun } from "./runLedger.js";
 import { canSendAgain, sendTo } from "./sending.js";
@@ -162,6 +162,10 @@
     if (request === undefined || attempt?.head === undefined) {
         return;
     }
+    // A stream without framing ends in the same way when its run is stopped.
+    if (attempt.head.endsWithChannel && handleEndAfterStop(transaction, request, attempt, "ended")) {
+        return;
+    }
     recordHealth(transaction, attempt, undefined);
     recordStreamTimes(transaction, request, attempt);
     endAttempt(transaction, request, attempt, "ended");
@@ -241,7 +245,9 @@
     attempt: Attempt,
     outcome: AttemptOutcome,
 ): boolean {
-    const holder = findReplicaHolder(transaction, request, attempt);
+    const { copy } = attempt;
+    const copyHolder = copy && usableCopyHolder(transaction, request, attempt, copy);
+    const holder = copyHolder ?? findReplicaHolder(transaction, request, attempt);
     if (holder === undefined || outcomesWithoutRun.has(outcome) || !canSendAgain(transaction, request)) {
         return false;
     }
@@ -252,7 +258,9 @@
         to: holder.record.id,
         toVersion: holder.record.softwareVersion,
     });
-    const continuesFrom = { source: attempt.server.record.address, name: request.head.callerAttemptId };
-    sendTo(transaction, request, { server: holder, continuesFrom, replicaEvidence: "events" });
+    const name = copyHolder === undefined ? request.head.callerAttemptId : copy!.name;
+    const continuesFrom = { source: attempt.server.record.address, name };
+    const replicaEvidence = copyHolder === undefined ? "events" : "moved";
+    sendTo(transaction, request, { server: holder, continuesFrom, replicaEvidence });
     return true;
 }
--- a/packages/gateway/test/evacuations.test.ts
+++ b/packages/gateway/test/evacuations.test.ts
@@ -214,10 +214,7 @@
 
 function answerMigration(gateway: TestGateway, requestId: string, handle: string | undefined): GatewayEffect[] {
     const attemptId = gateway.state.requests.get(identifier(requestId))!.attempt!.id;
-    const result = handle === undefined
-        ? { kind: "refused" as const, status: 507 }
-        : { kind: "moved" as const, handle };
-    return gateway.handle({ kind: "migrationAnswered", attemptId, result });
+    return gateway.answerMigration(attemptId, handle);
 }
 
 test("long streams leave an evacuated server one at a time, first those that would be lost with it; short ones stay", () => {
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -15,6 +15,7 @@
     type GatewayState,
     indexRoutes,
     type MemberRecord,
+    type MigrationResult,
     type PeerReport,
     reduceGateway,
     reportProtocol,
@@ -26,6 +27,7 @@
     type StreamRegisterPage,
 } from "@verbenaspring/gateway";
 import {
+    type AttemptId,
     type Failure,
     type GatewayIncarnation,
     identifier,
@@ -264,6 +266,19 @@
         return call;
     }
 
+    /**
+     * Answers a migration: the copy, and the request to stop the run if one follows. Returns the effects of the last answer.
+     *
+     * @param handle undefined if the migration fails
+     */
+    answerMigration(attemptId: AttemptId, handle: string | undefined): GatewayEffect[] {
+        const result: MigrationResult = handle === undefined
+            ? { kind: "failed", detail: "no answer" }
+            : { kind: "moved", handle };
+        const effects = this.handle({ kind: "migrationAnswered", attemptId, result });
+        return stopsIn(effects).length === 0 ? effects : this.handle({ kind: "migrationAnswered", attemptId, result });
+    }
+
     /** Receives events of a run, from the second on, for so long that they are evidence of its replica. */
     produceEvents(call: BackendCall): BackendCall {
         for (let event = 2; event <= 16; event++) {
@@ -395,3 +410,8 @@
 export function requestId(text: string): RequestId {
     return identifier(text);
 }
+
+/** The requests to stop runs that were copied. */
+export function stopsIn(effects: readonly GatewayEffect[]): readonly GatewayEffect[] {
+    return effects.filter(effect => effect.kind === "migrateRun" && effect.isStopping);
+}
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -1,4 +1,4 @@
-import type { BackendCall } from "@verbenaspring/gateway";
+import type { BackendCall, GatewayEffect, MigrationResult, ResponseHead } from "@verbenaspring/gateway";
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -10,6 +10,7 @@
     linesIn,
     responseHead,
     server,
+    stopsIn,
     TestGateway,
 } from "./gatewayBuilders.js";
 
@@ -18,12 +19,8 @@
 /** A plan so large that no other engine has enough free memory for its replica. */
 const largePlan = { promptTokens: 9_000, maximumTokens: 500 };
 
-function finishMigration(gateway: TestGateway, call: BackendCall, handle: string | undefined) {
-    const result = handle === undefined
-        ? { kind: "failed", detail: "no answer" } as const
-        : { kind: "moved", handle } as const;
-    return gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result });
-}
+const finishMigration = (gateway: TestGateway, { attemptId }: BackendCall, handle: string | undefined) =>
+    gateway.answerMigration(attemptId, handle);
 
 test("nothing is written before the first event; then the head and the events follow in order", () => {
     const gateway = gatewayWithEngines();
@@ -161,6 +158,80 @@
     assert.ok(kindsIn(answered).indexOf("cancelAttempt") < kindsIn(answered).indexOf("sendAttempt"));
 });
 
+/** A stream that was copied and whose server was asked to stop its run. */
+function requestStop(head: Partial<ResponseHead> = {}) {
+    const gateway = gatewayWithEngines();
+    const call = gateway.sendRequest("r", "plan", largePlan);
+    gateway.openStream(call, head);
+    gateway.receiveEvents(call, 1);
+    gateway.register(server(call.backendServer, { isDraining: true, heartbeat: 2 }));
+    const answerWith = (result: MigrationResult): GatewayEffect[] =>
+        gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result });
+    const effects = answerWith({ kind: "moved", handle: "h1" });
+    return { gateway, call, answerWith, effects };
+}
+
+const continuationsIn = (effects: readonly GatewayEffect[]) =>
+    callsIn(effects).map(({ continuesFrom, lastEvent }) => [continuesFrom?.name, lastEvent]);
+
+// A reset was taken for the end of the run, and servers that work on after it ran the request a second time.
+test("a migrated stream continues only once its server has stopped the run", () => {
+    const { gateway, call, answerWith, effects } = requestStop();
+    assert.is(stopsIn(effects).length, 1);
+    assert.not.ok(kindsIn(effects).some(kind => kind === "sendAttempt" || kind === "cancelAttempt"));
+    assert.equal(eventsIn(gateway.receiveEvents(call, 2)), [2], "events on their way are passed on");
+    const ended = gateway.failAttempt(call);
+    assert.not.ok(kindsIn(ended).some(kind => kind === "sendAttempt" || kind === "answerCut"));
+    assert.equal(continuationsIn(answerWith({ kind: "moved", handle: "h2" })), [["h2", 2]]);
+});
+
+test("a stream that was stopped continues from its copy if the rest of the copy fails", () => {
+    for (const result of [{ kind: "failed", detail: "timeout" }, { kind: "refused", status: 503 }] as const) {
+        const { gateway, call, answerWith } = requestStop();
+        gateway.failAttempt(call);
+        assert.equal(continuationsIn(answerWith(result)), [["h1", 1]]);
+    }
+});
+
+test("a run that its server refuses to stop goes on", () => {
+    for (const status of [404, 409, 500]) {
+        const { gateway, call, answerWith } = requestStop();
+        assert.equal(callsIn(answerWith({ kind: "refused", status })), []);
+        assert.equal(eventsIn(gateway.receiveEvents(call, 2)), [2]);
+        const { attemptId } = call;
+        assert.ok(kindsIn(gateway.handle({ kind: "streamEnded", attemptId })).includes("answerEnd"));
+    }
+});
+
+// Without framing, the close of a stream that was stopped looks like the end of a complete one.
+test("an unframed stream that closes after the request to stop its run is complete only if the server knows no run", () => {
+    for (const isComplete of [false, true]) {
+        const { gateway, call: { attemptId }, answerWith } = requestStop({ endsWithChannel: true });
+        assert.not.ok(kindsIn(gateway.handle({ kind: "streamEnded", attemptId })).includes("answerEnd"));
+        const effects = answerWith(isComplete ? { kind: "refused", status: 404 } : { kind: "moved", handle: "h2" });
+        assert.is(kindsIn(effects).includes("answerEnd"), isComplete);
+        assert.equal(continuationsIn(effects), isComplete ? [] : [["h2", 1]]);
+    }
+});
+
+test("if the request to stop a run gets no answer, the run goes on until its channel or a report shows its end", () => {
+    for (const isChannelSilent of [false, true]) {
+        const { gateway, call, answerWith } = requestStop();
+        assert.equal(callsIn(answerWith({ kind: "failed", detail: "timeout" })), []);
+        assert.equal(eventsIn(gateway.receiveEvents(call, 2)), [2]);
+        let effects: GatewayEffect[];
+        if (isChannelSilent) {
+            const [probe] = gateway.advance(1_300).flatMap(effect => effect.kind === "probeServer" ? [effect] : []);
+            const report = { runs: [], isLeaving: true, startedAt: undefined };
+            effects = gateway.handle({ ...probe, kind: "serverProbed", report });
+        }
+        else {
+            effects = gateway.failAttempt(call);
+        }
+        assert.equal(continuationsIn(effects), [["h1", 2]]);
+    }
+});
+
 test("neither a replica nor a migration continues a stream at a server that has been leaving for long", () => {
     const withReplica = gatewayWithEngines();
     const call = withReplica.startReplicatedStream("r", "plan");
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -62,13 +62,14 @@
     readonly topics: TopicReader;
     readonly streamRegister: StreamRegisterStore;
     /**
-     * Copies a run's memory from the backend server at `address` to the one at `target`. Resolves when the migration is
-     * complete or has failed.
+     * Copies a run's memory from the backend server at `address` to the one at `target`, after stopping the run if
+     * `isStopping`. Resolves when the migration is complete or has failed.
      */
     readonly migrateRun: (
         address: string,
         callerAttemptId: CallerAttemptId,
         target: string,
+        isStopping: boolean,
         timeout: Milliseconds,
     ) => Promise<MigrationResult>;
     /** Requests a backend server's report. Resolves to undefined if none arrives in time. */
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -47,6 +47,11 @@
 
 /** A leaving backend server stops a few seconds after its notice, so a longer migration would complete too late. */
 const migrationTimeout: Milliseconds = 3_000;
+/**
+ * A run stops at once, but the rest of its copy may wait for other transfers, and its caller waits for it. After this time
+ * the stream continues from what was copied before.
+ */
+const stopTimeout: Milliseconds = 500;
 
 /** Few processes read the metrics. */
 const maxMetricsConnections = 16;
@@ -393,9 +398,12 @@
     }
 
     private migrateRun(effect: Extract<GatewayEffect, { readonly kind: "migrateRun"; }>): void {
-        const { attemptId, callerAttemptId, sourceAddress, targetAddress } = effect;
-        void this.adapter.migrateRun(sourceAddress, callerAttemptId, targetAddress, migrationTimeout).then(result => {
-            this.metrics.count("verbenaspring_moves_total", { result: result.kind });
+        const { attemptId, callerAttemptId, sourceAddress, targetAddress, isStopping } = effect;
+        const timeout = isStopping ? stopTimeout : migrationTimeout;
+        const answer = this.adapter.migrateRun(sourceAddress, callerAttemptId, targetAddress, isStopping, timeout);
+        void answer.then(result => {
+            const step = isStopping ? "stop" : "copy";
+            this.metrics.count("verbenaspring_moves_total", { result: result.kind, step });
             this.events.push({ kind: "migrationAnswered", attemptId, result });
         });
     }
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -73,6 +73,12 @@
 
 const noObserver: BackendServerObserver = { arrived: () => undefined, pauseRequested: () => undefined };
 
+interface MigrationDocument {
+    readonly instanceId: string;
+    readonly target: string;
+    readonly isLast: boolean;
+}
+
 /** In milliseconds. */
 const heartbeatInterval = 300;
 const refusedStatus = 503;
@@ -189,10 +195,8 @@
         return sendJson(response, 200, { state: "ready", runs });
     }
     if (url.pathname === "/kv-move") {
-        const { instanceId, target } = await readJson<{ readonly instanceId: string; readonly target: string; }>(
-            request,
-        );
-        return model.migrate(instanceId, target, outcome => {
+        const { instanceId, target, isLast } = await readJson<MigrationDocument>(request);
+        return model.migrate(instanceId, target, isLast, outcome => {
             switch (outcome.kind) {
                 case "moved":
                     return sendJson(response, 200, { handle: outcome.handle, created: outcome.events });
