Give every answer to callers a length or chunks

Callers saw: a stream whose server ended it with its channel looked complete after a kill of the gateway, with 49 of 120 events.

Cause: such an answer was passed on without framing. The kernel closes the channels of a killed process in order, which HTTP/1.1 takes for the end.

Change: a whole answer has its length and a stream has chunks, whatever framing the server used.

--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -493,8 +493,7 @@
             const response = removeResponse(requestId);
             if (exchange !== undefined && response !== undefined) {
                 const { body } = answer;
-                const hasLength = mayHaveBody(answer.status) && !answer.endsWithChannel;
-                writeBackendHead(response, answer, hasLength ? body.length : undefined, isDraining);
+                writeBackendHead(response, answer, mayHaveBody(answer.status) ? body.length : undefined, isDraining);
                 response.end(mayHaveBody(answer.status) ? body : undefined);
                 const channel = body.length > minCountedBytes ? channelOf(exchange) : undefined;
                 if (channel !== undefined) {
@@ -530,7 +529,7 @@
             removeResponse(requestId)?.end();
         },
         abort: requestId => {
-            // A reset: a body without a length or chunks would look complete after an ordinary close.
+            // A reset: to a caller of HTTP/1.0, which knows no chunks, a body would look complete after an ordinary close.
             removeResponse(requestId)?.socket?.resetAndDestroy();
         },
         writeFailure: (requestId, reason) => {
@@ -605,8 +604,8 @@
 const tooManyBufferedBodies = failure("overloaded", "too many bodies are being read", "not_run", overloadRetryAfter);
 
 /**
- * Writes the head of a backend server's answer. A body that only the channel's close ends is passed on in the same way,
- * since its length is unknown.
+ * Writes the head of a backend server's answer. The body gets a length, or else chunks, also if the server's own has
+ * neither: the end of a channel looks the same after a complete body and after the process was killed.
  */
 function writeBackendHead(
     response: ServerResponse,
@@ -615,11 +614,7 @@
     isClosing: boolean,
 ): void {
     const lengthHeader = length === undefined ? [] : ["content-length", String(length)];
-    if (head.endsWithChannel) {
-        response.useChunkedEncodingByDefault = false;
-    }
-    const closes = isClosing || head.endsWithChannel;
-    response.writeHead(head.status, [...head.headers, ...lengthHeader, ...connectionCloseHeader(closes)]);
+    response.writeHead(head.status, [...head.headers, ...lengthHeader, ...connectionCloseHeader(isClosing)]);
 }
 
 function connectionCloseHeader(isClosing: boolean): string[] {
