Do not keep sparse buffers between the large chunks of a body

Callers could see: a large answer failed as too large.

Change: a buffer of which under three quarters are used is copied when a large chunk follows.

--- a/packages/runtime/src/bodyCollector.ts
+++ b/packages/runtime/src/bodyCollector.ts
@@ -6,6 +6,7 @@
 const minOwnPieceBytes = 4 * 1024;
 const minTailBytes = 1024;
 const maxTailBytes = 64 * 1024;
+const minUsedTailShare = 3 / 4;
 /** What the process keeps for a buffer, beside its bytes: the object and the entry of its allocation. */
 const bufferOverheadBytes = 256;
 
@@ -65,11 +66,24 @@
         this.tailLength += chunk.copy(this.tail, this.tailLength);
     }
 
+    /** Between large chunks, a tail would keep much more memory than it uses. */
     private closeTail(): void {
-        if (this.tail !== undefined) {
-            this.pieces.push(this.tail.subarray(0, this.tailLength));
-            this.tail = undefined;
-            this.tailLength = 0;
+        if (this.tail === undefined) {
+            return;
+        }
+        const used = this.tail.subarray(0, this.tailLength);
+        const isSparse = this.tailLength < minUsedTailShare * this.tail.length;
+        if (isSparse) {
+            this.held -= this.tail.length - this.tailLength;
         }
+        this.pieces.push(isSparse ? copyOf(used) : used);
+        this.tail = undefined;
+        this.tailLength = 0;
     }
 }
+
+function copyOf(buffer: Buffer): Buffer {
+    const copy = Buffer.allocUnsafeSlow(buffer.length);
+    buffer.copy(copy);
+    return copy;
+}
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -265,6 +265,14 @@
     assert.ok(body.every((byte, index) => byte === index % 251));
 });
 
+test("a body of large and small chunks by turns takes little more memory than its bytes", () => {
+    const collector = new BodyCollector();
+    const chunks = Array.from({ length: 400 }, (_, index) => Buffer.alloc(index % 2 === 0 ? 4_096 : 100, index));
+    chunks.forEach(chunk => collector.append(chunk));
+    assert.ok(collector.heldBytes < 1.2 * collector.byteLength, `${collector.heldBytes} bytes are held`);
+    assert.equal(collector.take(), Buffer.concat(chunks));
+});
+
 test("a large body arrives whole in one piece, in small writes and in chunks", async () => {
     const body = Buffer.alloc(1_000_000, "abcdefghij");
     const head = "POST /a HTTP/1.1\r\nhost: h\r\n";
