Wait during a planned stop until callers have taken their answers

Callers saw: answers that they were still reading ended with a reset around a SIGTERM.

Cause: the stop waited for requests only. A request ends when its answer has been handed to the socket, and what the kernel has not taken is lost with the process.

Change: whole answers that are not sent yet are counted and waited for, until 75 ms before the end of the grace period.

--- a/packages/bench/src/gatewayProcess.ts
+++ b/packages/bench/src/gatewayProcess.ts
@@ -32,7 +32,7 @@
     /** The URL of a module that is loaded before its program. */
     readonly preload?: string;
     /** What its machine has; by default what the gateway assumes where the settings state nothing. */
-    readonly machine?: MachineLimits;
+    readonly machine?: MachineLimits | undefined;
     /** The arguments of Node that start a gateway whose settings file is named in the environment. */
     readonly command?: readonly string[];
     /** The port on which it serves metrics; by default none. */
--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -5,6 +5,7 @@
     findFreeGatewayAddresses,
     type GatewayProcess,
     isGatewayProcessReady,
+    type MachineLimits,
     readResponseBody,
     type ResponseBody,
     startGatewayProcess,
@@ -40,6 +41,8 @@
 }
 
 const host = "platform.example";
+/** With the heap of the deployment: what callers may make a gateway hold follows from the machine's memory without it. */
+const boundedCommand = ["--max-old-space-size=110", "packages/cli/dist/gatewayProcess.js"];
 
 /** The gateways, the store and the backend servers of one test. */
 export class GatewayCluster {
@@ -51,12 +54,13 @@
     private readonly agent = new Agent({ pipelining: 0 });
     private requestCount = 0;
 
-    private constructor(readonly store: PlatformStore) {
+    private constructor(readonly store: PlatformStore, private readonly machine?: MachineLimits) {
         this.serverStandIns = createBackendServerStandIns(store);
     }
 
-    static async start(gateways: number): Promise<GatewayCluster> {
-        const cluster = new GatewayCluster(await startPlatformStore());
+    /** @param machine what each gateway's machine has; by default what the gateway assumes where the settings state nothing */
+    static async start(gateways: number, machine?: MachineLimits): Promise<GatewayCluster> {
+        const cluster = new GatewayCluster(await startPlatformStore(), machine);
         cluster.configure(1);
         for (let index = 0; index < gateways; index++) {
             await cluster.addGateway();
@@ -102,6 +106,7 @@
             ...addresses,
             seedAddress: this.seedAddress,
             storeAddress: this.store.address,
+            ...(this.machine === undefined ? {} : { machine: this.machine, command: boundedCommand }),
         });
         this.gateways.push(gateway);
         await waitUntil(`${gateway.settingsFile} is ready`, () => isGatewayProcessReady(gateway));
@@ -135,7 +140,8 @@
         await Promise.all(killed.map(({ exited }) => exited));
     }
 
-    private waitUntilKnown(gateway: GatewayProcess, id: string): Promise<void> {
+    /** Waits until a gateway knows a backend server. */
+    waitUntilKnown(gateway: GatewayProcess, id: string): Promise<void> {
         const isKnown = (): boolean => gateway.output().includes(`server=${id} change=added`);
         return waitUntil(`${id} is known`, isKnown);
     }
--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -1,6 +1,6 @@
 /**
  * A planned stop. The gateway reports itself not ready at once, serves requests until the load balancer has removed it,
- * and exits when the last request has its final answer.
+ * and exits when the last request has its final answer and its caller has taken it.
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import { expectedOutput, type RequestHead } from "./messages.js";
@@ -14,6 +14,8 @@
 const balancerDetectionTime: Milliseconds = 3_200;
 /** Time reserved before the process is killed, for the last answers to reach their callers. */
 const finalAnswersTime: Milliseconds = 250;
+/** The part of that time in which the process exits by itself, with answers that callers have not taken. */
+const exitTime: Milliseconds = 75;
 
 const minimumRetryAfter: Milliseconds = 20;
 /** Time that a request of a plain service, or the first event of a stream, may take. */
@@ -63,7 +65,8 @@
 }
 
 /**
- * Exits once no request is left and the balancer has removed this instance, or shortly before the process is killed.
+ * Exits once no request is left, callers have taken all answers and the balancer has removed this instance. Shortly before
+ * the process is killed the remaining requests fail; answers that callers still read go on a little longer.
  */
 export function checkStop(transaction: Transaction): void {
     const { state, now, effects } = transaction;
@@ -71,15 +74,18 @@
         return;
     }
     const elapsed = now - state.stopRequestedAt;
-    const isOver = elapsed >= state.options.stopLimit - finalAnswersTime;
-    if (isOver) {
+    if (elapsed >= state.options.stopLimit - finalAnswersTime) {
         [...state.requests.values()].forEach(request =>
             failRequest(transaction, request, "leaving", "the instance was stopped before the answer was complete")
         );
     }
-    if (isOver || (elapsed >= balancerDetectionTime && state.requests.size === 0)) {
+    const isIdle = state.requests.size === 0 && state.unsentAnswers === 0;
+    if (elapsed >= state.options.stopLimit - exitTime || (elapsed >= balancerDetectionTime && isIdle)) {
         state.hasExited = true;
-        logDecision(transaction, "info", "stopping", { elapsed: Math.round(elapsed) });
+        logDecision(transaction, "info", "stopping", {
+            elapsed: Math.round(elapsed),
+            unsentAnswers: state.unsentAnswers,
+        });
         effects.push({ kind: "exit" });
     }
 }
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -109,6 +109,8 @@
         readonly readDelay: Milliseconds;
     }
     | { readonly kind: "callerLeft"; readonly requestId: RequestId; }
+    /** During a planned stop: how many whole answers callers are still reading. */
+    | { readonly kind: "unsentAnswers"; readonly count: number; }
     | { readonly kind: "attemptAnswered"; readonly attemptId: AttemptId; readonly answer: BackendAnswer; }
     | { readonly kind: "streamOpened"; readonly attemptId: AttemptId; readonly head: ResponseHead; }
     | { readonly kind: "streamEvents"; readonly attemptId: AttemptId; readonly events: readonly StreamEvent[]; }
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -78,6 +78,9 @@
             return handleRequest(transaction, event);
         case "callerLeft":
             return handleCallerLeft(transaction, event.requestId);
+        case "unsentAnswers":
+            transaction.state.unsentAnswers = event.count;
+            return;
         case "attemptAnswered":
             return handleAnswer(transaction, event.attemptId, event.answer);
         case "streamOpened":
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -296,6 +296,8 @@
     /** The time of the first event. */
     startedAt: Milliseconds | undefined;
     stopRequestedAt: Milliseconds | undefined;
+    /** During a planned stop: the whole answers that callers have not taken yet. */
+    unsentAnswers: number;
     hasExited: boolean;
 }
 
@@ -358,6 +360,7 @@
         heldRequests: new Set(),
         startedAt: undefined,
         stopRequestedAt: undefined,
+        unsentAnswers: 0,
         hasExited: false,
     };
 }
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -405,6 +405,18 @@
     assert.ok(kindsIn(gateway.advance(50)).includes("exit"));
 });
 
+test("a planned stop waits for answers that callers still read, and at last ends without them", () => {
+    for (const isRead of [true, false]) {
+        const gateway = gatewayWithEngines();
+        gateway.handle({ kind: "stopRequested" });
+        gateway.handle({ kind: "unsentAnswers", count: 1 });
+        assert.not.ok(kindsIn(gateway.advance(7_850)).includes("exit"));
+        gateway.handle({ kind: "unsentAnswers", count: isRead ? 0 : 1 });
+        assert.is(kindsIn(gateway.advance(50)).includes("exit"), isRead);
+        assert.is(kindsIn(gateway.advance(50)).includes("exit"), !isRead);
+    }
+});
+
 test("engines are chosen by the load of all gateways there", () => {
     const gateway = gatewayWithEngines();
     const busy = (backendServer: string) => ({
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -47,6 +47,11 @@
     readonly refused: (type: Failure["type"], detail: string) => void;
     /** The server closed a connection, or rejected its request, to stay within its bounds. */
     readonly cut?: (reason: CutReason, address: string) => void;
+    /**
+     * How many whole answers callers have not taken yet: some of their bytes are still in this process. Reported when the
+     * server begins to drain, and with each change afterwards.
+     */
+    readonly unsentAnswers?: (count: number) => void;
     /** The caller has read its backlog, after {@link GatewayCallerServer.writeEvents} returned false. */
     readonly drained: (requestId: RequestId) => void;
 }
@@ -101,6 +106,8 @@
     rejectBody: ((reason: Failure, detail: string) => void) | undefined;
     /** Parts of a stream that were written and are not sent yet. */
     unsentWrites: number;
+    /** Whether its whole answer was written. */
+    isAnswered: boolean;
     /** Since when its caller has left so much of a stream unread that the stream is paused. */
     pausedSince: Milliseconds | undefined;
     /** Ends the exchange; without effect if it has ended. */
@@ -175,6 +182,14 @@
     const budget = new CallerBudget<CallerChannel>(bounds.totalBytes);
     let limits = initialLimits;
     let isDraining = false;
+    /** Exchanges whose whole answer was written, and not taken yet. */
+    let unsentAnswers = 0;
+    const changeUnsentAnswers = (change: number): void => {
+        unsentAnswers += change;
+        if (isDraining) {
+            handlers.unsentAnswers?.(unsentAnswers);
+        }
+    };
     /** Bodies of more than {@link minCountedBytes} that are being read. */
     let largeBodies = 0;
     /** Requests that have been read and not been reported yet. */
@@ -285,6 +300,7 @@
                 rejectRequest(channel, response, reason, detail);
             },
             unsentWrites: 0,
+            isAnswered: false,
             pausedSince: undefined,
             leave: () => {
                 if (endExchange(exchange)) {
@@ -301,6 +317,9 @@
             }
             largeBodies -= ended.heldBytes.bodies > 0 ? 1 : 0;
             releaseAll(channel, ended);
+            if (ended.isAnswered) {
+                changeUnsentAnswers(-1);
+            }
             if (openExchanges.delete(requestId)) {
                 handlers.left(requestId);
             }
@@ -479,6 +498,15 @@
         openExchanges.delete(requestId);
         return response;
     };
+    /** Returns the response for the last part of its answer. */
+    const endResponse = (requestId: RequestId): ServerResponse | undefined => {
+        const exchange = openExchanges.get(requestId);
+        if (exchange !== undefined) {
+            exchange.isAnswered = true;
+            changeUnsentAnswers(1);
+        }
+        return removeResponse(requestId);
+    };
     const channelOf = ({ response }: Exchange): CallerChannel | undefined => channels.get(response.req.socket);
     return {
         listen: address => listen(server, address),
@@ -487,10 +515,11 @@
         budget: budget as unknown as CallerBudget<BudgetHolder>,
         startDraining: () => {
             isDraining = true;
+            changeUnsentAnswers(0);
         },
         writeWhole: (requestId, answer) => {
             const exchange = openExchanges.get(requestId);
-            const response = removeResponse(requestId);
+            const response = endResponse(requestId);
             if (exchange !== undefined && response !== undefined) {
                 const { body } = answer;
                 writeBackendHead(response, answer, mayHaveBody(answer.status) ? body.length : undefined, isDraining);
@@ -526,14 +555,14 @@
             return false;
         },
         end: requestId => {
-            removeResponse(requestId)?.end();
+            endResponse(requestId)?.end();
         },
         abort: requestId => {
             // A reset: to a caller of HTTP/1.0, which knows no chunks, a body would look complete after an ordinary close.
             removeResponse(requestId)?.socket?.resetAndDestroy();
         },
         writeFailure: (requestId, reason) => {
-            const response = removeResponse(requestId);
+            const response = endResponse(requestId);
             if (response !== undefined) {
                 writeFailure(response, reason, isDraining);
             }
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -252,6 +252,7 @@
                     this.pressure.report("callers", type, detail, monotonicNow());
                 },
                 cut: (reason, address) => this.pressure.report("callers", reason, address, monotonicNow()),
+                unsentAnswers: count => push({ kind: "unsentAnswers", count }),
                 drained: requestId => this.setPaused(requestId, false),
             },
             callerBounds({
