Check that a server lives before its unframed answer counts as complete

Callers saw: the part of an answer that came before its server crashed was framed as a complete one.

Cause: an unframed answer ends with its channel, and the channels of a process that crashes close in order. Until such an answer was passed on without framing; since then it gets a length or a last chunk, which says more than the gateway knows.

Change: at the end of an unframed answer the gateway opens a connection to the server. If that fails, the answer counts as truncated, like one with framing: it is retried, continued or fails.

Evidence: the new test failed before and passes now.

--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -173,6 +173,17 @@
     }, maxIdleTime);
     idleSweep.unref();
 
+    const canConnect = (address: string): Promise<boolean> => {
+        openedCount++;
+        const { host, port } = parseAddress(address);
+        return new Promise(resolve =>
+            openSocket(host, port, (_, socket) => {
+                socket?.destroy();
+                resolve(socket !== undefined);
+            })
+        );
+    };
+
     return {
         send: (call, body) => {
             const maxIdle = call.needsFreshChannel ? maxFreshIdleTime : maxIdleTime;
@@ -203,7 +214,8 @@
                 report();
             };
             const keep = (bytes: number): void => setKeptBytes(current, bytes);
-            dispatchCall(codec, handlers, call, body, current, { finish, keep, bounds });
+            const isServerUp = (): Promise<boolean> => canConnect(call.address);
+            dispatchCall(codec, handlers, call, body, current, { finish, keep, isServerUp, bounds });
         },
         cancel: attemptId => {
             const current = activeCalls.get(attemptId);
@@ -225,16 +237,7 @@
                 controller?.resume();
             }
         },
-        canConnect: address => {
-            openedCount++;
-            const { host, port } = parseAddress(address);
-            return new Promise(resolve =>
-                openSocket(host, port, (_, socket) => {
-                    socket?.destroy();
-                    resolve(socket !== undefined);
-                })
-            );
-        },
+        canConnect,
         closeIdle: address => {
             idleChannels.get(address)?.forEach(channel => void channel.client.destroy());
             idleChannels.delete(address);
@@ -252,6 +255,8 @@
     readonly finish: (report: () => void, isReusable: boolean) => void;
     /** Sets how many bytes of the answer are kept until they are complete. */
     readonly keep: (bytes: number) => void;
+    /** Whether the server accepts a connection. */
+    readonly isServerUp: () => Promise<boolean>;
     readonly bounds: AnswerBounds;
 }
 
@@ -261,7 +266,7 @@
     call: BackendCall,
     body: Buffer,
     current: ActiveCall,
-    { finish, keep, bounds }: CallContext,
+    { finish, keep, isServerUp, bounds }: CallContext,
 ): void {
     const { attemptId } = call;
     let wasSent = false;
@@ -322,10 +327,16 @@
                 refusedRequests.add(call.head.callerAttemptId);
             }
             const isInStep = socketState?.hasEnded !== true && !mayBeOfEarlierCall(head, call);
-            finish(
-                () => framer === undefined ? handlers.answered(attemptId, answer) : handlers.ended(attemptId),
-                isInStep && refusedRequests.size < maximumRefusals,
-            );
+            const complete = (): void =>
+                finish(
+                    () => framer === undefined ? handlers.answered(attemptId, answer) : handlers.ended(attemptId),
+                    isInStep && refusedRequests.size < maximumRefusals,
+                );
+            if (!head.endsWithChannel || head.isNotRun) {
+                return complete();
+            }
+            // The channels of a server that crashes close in the same way, and then the answer is not complete.
+            void isServerUp().then(isUp => isUp ? complete() : fail("answer_truncated"));
         },
         onResponseError: (_, error) => fail(classifyError(error, head !== undefined)),
     };
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -188,6 +188,20 @@
     assert.ok(outcome.kind === "answered" && outcome.answer.endsWithChannel);
 });
 
+// The channels of a process that crashes close in order, and the part of an answer that came was taken for all of it.
+test("a body or stream that only the channel's close ends fails if its server is gone then", async () => {
+    for (const head of ["", "content-type: text/event-stream\r\n"]) {
+        const { address, server } = await listenRaw(socket => {
+            server.close();
+            socket.end(`${okStatusLine}${head}\r\nid: 1\ndata: part\n\n`);
+        });
+        const harness = new ChannelHarness();
+        const outcome = await harness.call(createCall(address));
+        harness.channels.close();
+        assert.equal(outcome, { kind: "failed", failure: "answer_truncated", wasSent: true });
+    }
+});
+
 test("a body without a length fails if its channel is reset", async () => {
     const outcome = await callServer(socket => {
         socket.write(`${okStatusLine}connection: close\r\n\r\npart`);
