Pass whole unframed answers on without framing again

Cause: gave a whole answer without framing a length. Its server may have broken off, whose channels then close in order, and the length says that the body is whole.

--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -522,7 +522,13 @@
             const response = endResponse(requestId);
             if (exchange !== undefined && response !== undefined) {
                 const { body } = answer;
-                writeBackendHead(response, answer, mayHaveBody(answer.status) ? body.length : undefined, isDraining);
+                const hasLength = mayHaveBody(answer.status) && !answer.endsWithChannel;
+                if (answer.endsWithChannel) {
+                    // A length or chunks would say that the body is whole, which the server's own answer leaves open.
+                    response.useChunkedEncodingByDefault = false;
+                }
+                const isClosing = isDraining || answer.endsWithChannel;
+                writeBackendHead(response, answer, hasLength ? body.length : undefined, isClosing);
                 response.end(mayHaveBody(answer.status) ? body : undefined);
                 const channel = body.length > minCountedBytes ? channelOf(exchange) : undefined;
                 if (channel !== undefined) {
@@ -633,8 +639,8 @@
 const tooManyBufferedBodies = failure("overloaded", "too many bodies are being read", "not_run", overloadRetryAfter);
 
 /**
- * Writes the head of a backend server's answer. The body gets a length, or else chunks, also if the server's own has
- * neither: the end of a channel looks the same after a complete body and after the process was killed.
+ * Writes the head of a backend server's answer. A stream has chunks, also if the server's own has none: while events are
+ * under way, the end of its channel would look the same after the last one and after the process was killed.
  */
 function writeBackendHead(
     response: ServerResponse,
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -499,31 +499,35 @@
     }
 });
 
-// Passed on as it came, such a body looked complete after its gateway had been killed.
-test("a body that only the channel's close ends is passed on with a length, or in chunks as a stream", async () => {
+// A length or chunks would say that the body is whole, also where its server broke off.
+test("a body that only the channel's close ends is passed on without a length, and its channel closes", async () => {
+    const harness = new CallerHarness();
     const answer: BackendAnswer = {
         ...createResponseHead(200),
         headers: ["Response-Seal", "s"],
         body: Buffer.from("part"),
     };
-    assert.ok(answer.endsWithChannel);
-    const whole = new CallerHarness();
-    const wholeResponse = await whole.exchange(
+    const response = await harness.exchange(
         request("\r\n"),
-        requestId => whole.callers.writeWhole(requestId, answer),
+        requestId => harness.callers.writeWhole(requestId, answer),
         "part",
     );
-    assert.match(wholeResponse, /content-length: 4\r\n/i);
-    const stream = new CallerHarness();
+    assert.not.match(response, /content-length|transfer-encoding/i);
+    assert.match(response, /connection: close/i);
+});
+
+// Passed on as it came, such a stream looked complete after its gateway had been killed.
+test("a stream that only the channel's close ends is passed on in chunks", async () => {
+    const harness = new CallerHarness();
     const event = "id: 1\ndata: a\n\n";
-    const streamResponse = await stream.exchange(request("\r\n"), requestId => {
-        stream.callers.writeHead(requestId, { ...answer, isEventStream: true });
-        stream.callers.writeEvents(requestId, [{ id: 1, bytes: Buffer.from(event) }]);
-        stream.callers.end(requestId);
+    const response = await harness.exchange(request("\r\n"), requestId => {
+        harness.callers.writeHead(requestId, { ...createResponseHead(200), isEventStream: true });
+        harness.callers.writeEvents(requestId, [{ id: 1, bytes: Buffer.from(event) }]);
+        harness.callers.end(requestId);
     }, "0\r\n\r\n");
-    assert.match(streamResponse, /transfer-encoding: chunked\r\n/i);
-    assert.ok(streamResponse.endsWith(`\r\n\r\nf\r\n${event}\r\n0\r\n\r\n`), streamResponse);
-    assert.not.match(wholeResponse + streamResponse, /connection: close/i);
+    assert.match(response, /transfer-encoding: chunked\r\n/i);
+    assert.ok(response.endsWith(`\r\n\r\nf\r\n${event}\r\n0\r\n\r\n`), response);
+    assert.not.match(response, /connection: close/i);
 });
 
 test("503, which says that a request did not run, is only sent for that outcome", async () => {
