Do not apply a peer's report that hides what is known here

Seen by the fuzzer: a gateway lacked four of five servers for 25 s, though it took its view for fresh, and refused requests.

What it sent followed from what the gateway had last reported; the gateway had seen the removals since.

Change: reports carry the gaps that they span. A gateway whose knowledge ends inside of one applies only whole lists, and gets one after its next report. Reporting all records after a gap as changes was tried and not kept: it sends whole lists to all peers whenever the log's history is deleted.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -11,12 +11,12 @@
 import { hasGivenNotice } from "./leavingServers.js";
 import { liveMembers, type Member } from "./members.js";
 import { migrateStreams } from "./migration.js";
-import type { MemberRecord, TopicReadStamp } from "./peerReport.js";
+import type { MemberRecord, OffsetRange, TopicReadStamp } from "./peerReport.js";
 import { reportToPeers } from "./peers.js";
 import { isReadRequired, recordReadEnd, recordReadStart } from "./resumption.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
 import { forgetEarlierIncarnation, isEarlierStart } from "./serverIncarnations.js";
-import type { GatewayState, OffsetRange, TopicFollower } from "./state.js";
+import type { GatewayState, TopicFollower } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type TopicRead = Extract<GatewayEvent, { readonly kind: "topicRead"; }>;
@@ -188,6 +188,14 @@
     }
 }
 
+/** Adopts the gaps of a peer's report that has been applied: what it could not show, this gateway can't show either. */
+export function adoptRemovalGaps(follower: TopicFollower, reported: readonly OffsetRange[]): void {
+    const { removalGaps } = follower;
+    const lastKnown = removalGaps[removalGaps.length - 1]?.to ?? 0;
+    const newer = reported.filter(({ to }) => to > lastKnown);
+    follower.removalGaps = newer.reduce((gaps, gap) => mergeOldest([...gaps, gap]), removalGaps);
+}
+
 /** Merges the two oldest gaps if there are too many. */
 function mergeOldest(gaps: readonly OffsetRange[]): readonly OffsetRange[] {
     const [first, second, ...others] = gaps;
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -55,6 +55,18 @@
     readonly items: readonly TopicItem[];
     /** Whether `items` has the newest record of every key, so that a key that it lacks was removed. */
     readonly isComplete: boolean;
+    /**
+     * Ranges of offsets in which a key may have been removed and added again without a trace in `items`, oldest first. A
+     * gateway that knows the topic up to a point inside of one can't use items that are not complete. Absent if there are
+     * none.
+     */
+    readonly removalGaps?: readonly OffsetRange[];
+}
+
+/** The offsets between two others. */
+export interface OffsetRange {
+    readonly from: LogOffset;
+    readonly to: LogOffset;
 }
 
 /** The state of one gateway, as it publishes it. A record is never changed; a newer version replaces it. */
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -4,9 +4,9 @@
  */
 import type { LogOffset, Milliseconds } from "@verbenaspring/model";
 import type { TopicItem, TopicName } from "./event.js";
-import { applyItems, applySnapshot, recordFreshness } from "./followers.js";
+import { adoptRemovalGaps, applyItems, applySnapshot, recordFreshness } from "./followers.js";
 import { heartbeatInterval, isFullMesh } from "./members.js";
-import { evacuationProtocol, type PeerItems, type PeerTopic } from "./peerReport.js";
+import { evacuationProtocol, type OffsetRange, type PeerItems, type PeerTopic } from "./peerReport.js";
 import type { GatewayState, Peer, TopicFollower } from "./state.js";
 import type { Transaction } from "./transaction.js";
 
@@ -59,7 +59,9 @@
         return { ...report, since: next, through: next, items: [], isComplete: false };
     }
     const items = isBehind ? missingItems(follower, known, isComplete) : [];
-    return { ...report, since: known, through: next, items, isComplete };
+    // The peer may know more by now than it last reported, such as a removal inside of a gap.
+    const removalGaps = isComplete ? [] : follower.removalGaps.filter(({ to }) => to > known);
+    return { ...report, since: known, through: next, items, isComplete, removalGaps };
 }
 
 /** Whether this gateway is the one to report a topic's records to a peer that lacks them. */
@@ -72,7 +74,11 @@
 
 /** Whether a gateway that knows a topic up to an offset may lack removals before the known ones. */
 function lacksRemovals({ removalsKnownFrom, removalGaps }: TopicFollower, known: LogOffset): boolean {
-    return known < removalsKnownFrom || removalGaps.some(({ from, to }) => known > from && known < to);
+    return known < removalsKnownFrom || isInsideGap(removalGaps, known);
+}
+
+function isInsideGap(gaps: readonly OffsetRange[], known: LogOffset): boolean {
+    return gaps.some(({ from, to }) => known > from && known < to);
 }
 
 function missingItems(
@@ -116,8 +122,13 @@
     if (topic.through < known || topic.since > known || mayLackEvacuations(peer, topic)) {
         return false;
     }
+    // The peer reports all records once it knows from this gateway's report where its knowledge ends.
+    if (!topic.isComplete && isInsideGap(topic.removalGaps ?? [], known)) {
+        return false;
+    }
     const apply = topic.isComplete ? applySnapshot : applyItems;
     const hasChanged = apply(transaction, topic.name, items[topic.name], topic.through);
+    adoptRemovalGaps(follower, topic.removalGaps ?? []);
     follower.isChangeOwnRead &&= !hasChanged;
     recordFreshness(follower, topic.read, now - topic.age);
     return hasChanged;
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -22,7 +22,7 @@
 import type { LiveMembers, Member, MemberTotals, OwnRecord } from "./members.js";
 import type { RequestHead, ResponseHead, RunReplica, StreamEvent } from "./messages.js";
 import type { GatewayOptions } from "./options.js";
-import type { TopicReadStamp } from "./peerReport.js";
+import type { OffsetRange, TopicReadStamp } from "./peerReport.js";
 import type { RequestLimits } from "./requestLimits.js";
 import type { Resumption } from "./resumption.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
@@ -154,12 +154,6 @@
 /** The duration of a stream before any ended: some hundred tokens at the initial time per token. */
 const initialStreamDuration: Milliseconds = 5_000;
 
-/** The offsets between two others. */
-export interface OffsetRange {
-    readonly from: LogOffset;
-    readonly to: LogOffset;
-}
-
 /** What is known of a topic, and how fresh it is. */
 export interface TopicFollower {
     /** The offset after the last known record; undefined while no snapshot was read. */
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -370,6 +370,36 @@
     assert.is(isComplete, true, "the peer may know a server that was added and removed between two reads");
 });
 
+// The reporting gateway read a snapshot after the server was back and never saw its removal, so it reported no change.
+test("a report that can't show that a server is back is not applied where the server's removal is known", () => {
+    const gateway = TestGateway.serving(server("plain-1"));
+    gateway.remove("plain-1");
+    const follower = gateway.state.followers.backendServers;
+    const known = follower.next!;
+    const through = known + 10;
+    const topic = { name: "backendServers", since: 0, through, age: 0, items: [], isComplete: false } as const;
+    const gap = { from: known - 1, to: through };
+    gateway.receiveReport({ topics: [{ ...topic, read: readBy(1), removalGaps: [gap] }] });
+    assert.is(follower.next, known, "the topic is not taken for known up to there");
+    const back = gateway.item("plain-1", [{ kind: "backendServer", record: server("plain-1", { heartbeat: 9 }) }]);
+    const backServers = [{ ...back, item: { ...back.item, offset: through - 1 } }];
+    const complete = { ...topic, read: readBy(2), items: [backServers[0].item], isComplete: true };
+    gateway.receiveReport({ topics: [complete] }, { backendServers: backServers });
+    assert.is(follower.next, through);
+    assert.is(callsIn(gateway.receiveRequest("r", "confirm")).length, 1);
+});
+
+test("a gateway that applies a report with a gap passes the gap on", () => {
+    const gateway = TestGateway.serving(server("plain-1"));
+    const follower = gateway.state.followers.backendServers;
+    const known = follower.next!;
+    const removalGaps = [{ from: known, to: known + 10 }];
+    const topic = { name: "backendServers", since: 0, age: 0, items: [], isComplete: false } as const;
+    gateway.receiveReport({ topics: [{ ...topic, through: known + 10, read: readBy(1), removalGaps }] });
+    gateway.receiveReport({ topics: [{ ...topic, through: known + 10, read: readBy(2), removalGaps }] });
+    assert.equal(follower.removalGaps, removalGaps);
+});
+
 test("the gateways with the fastest links read the topics, since a reader sends what it read to all others", () => {
     const readsWith = (linkRate: number): number => {
         const gateway = new TestGateway({ linkRate });
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -45,6 +45,11 @@
             through: topic.through,
             age: topic.age,
             isComplete: topic.isComplete,
+            removalGaps: (topic.removalGaps ?? []).map(({ from, to }) => ({
+                $typeName: "verbenaspring.v1.OffsetRange",
+                from,
+                to,
+            })),
             items: topic.items.map(({ key, offset, value }) => ({
                 $typeName: "verbenaspring.v1.PeerTopicItem",
                 key,
@@ -115,8 +120,9 @@
         isStopping,
         isFull,
         waitingRequests,
-        topics: topics.map(({ name, since, reader, readCount, through, age, items, isComplete }) => ({
+        topics: topics.map(({ name, since, reader, readCount, through, age, items, isComplete, removalGaps }) => ({
             name: name as TopicName,
+            removalGaps: removalGaps.map(({ from, to }) => ({ from, to })),
             read: { reader: identifier<GatewayIncarnation>(reader), count: readCount },
             since,
             through,
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -23,6 +23,7 @@
                 age: 12.5,
                 items: [{ key: "config", offset: 8, value: new Uint8Array([1, 2, 255]) }],
                 isComplete: false,
+                removalGaps: [{ from: 4, to: 7 }, { from: 7, to: 9 }],
             },
             {
                 name: "backendServers",
@@ -32,6 +33,7 @@
                 age: 0,
                 items: [],
                 isComplete: true,
+                removalGaps: [],
             },
         ],
         loads: [
