Bound the events that wait for the record of their stream

Callers could see: a gateway that ran out of memory, if a stream without end began at a version of its own while the store did not answer.

Cause: events are kept until the record of their stream is stored, and nothing bounded how many.

Change: beyond 512 KB, with what events take beside their bytes, the stream fails as log_unavailable.

Evidence: the new test failed before and passes now.

--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -115,6 +115,8 @@
 export interface HeldEvents {
     readonly head: ResponseHead;
     readonly events: StreamEvent[];
+    /** The memory that they take. */
+    bytes: number;
     /** Whether they are the whole answer. */
     hasEnded: boolean;
     /** Whether an append of the record has failed. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -18,15 +18,19 @@
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { handleEndAfterStop, migrateAfterFirstEvent } from "./migration.js";
 import { findReplicaHolder, recordProduction, usableCopyHolder } from "./replicas.js";
-import { finishRequest, requestFields } from "./requests.js";
+import { failRequest, finishRequest, requestFields } from "./requests.js";
 import { recordNoRun } from "./runLedger.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
-import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
+import type { Attempt, GatewayRequest, GatewayState, HeldEvents } from "./state.js";
 import { holdUntilRecorded } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
+/** What one stream may keep until its record is stored: a thousand events of ordinary size. */
+const maximumHeldBytes = 512 * 1024;
+/** What an event takes beside its bytes. */
+const eventOverheadBytes = 256;
 /** The weight of the newest stream in the moving averages of streams. */
 const newestWeight = 0.1;
 
@@ -70,6 +74,9 @@
         const order = compareToLast(request, event);
         if (order === "missing") {
             forwardEvents(transaction, request, attempt, newEvents);
+            if (!state.requests.has(request.id)) {
+                return;
+            }
             recordHealth(transaction, attempt, "answer_malformed");
             endAttempt(transaction, request, attempt, "cancel");
             return retryOrFail(transaction, request, attempt, "answer_malformed");
@@ -117,13 +124,26 @@
     const isBeginning = request.origin === undefined;
     request.origin ??= { softwareVersion: server.record.softwareVersion };
     if (holdUntilRecorded(transaction, request, isBeginning)) {
-        request.held ??= { head, events: [], hasEnded: false, hasFailed: false };
-        request.held.events.push(...events);
-        return;
+        request.held ??= { head, events: [], bytes: 0, hasEnded: false, hasFailed: false };
+        return holdEvents(transaction, request, request.held, events);
     }
     writeEvents(transaction, request, head, events);
 }
 
+/** Keeps events. A stream that has too many before its record is stored fails, since nothing else would bound them. */
+function holdEvents(
+    transaction: Transaction,
+    request: GatewayRequest,
+    held: HeldEvents,
+    events: readonly StreamEvent[],
+): void {
+    held.events.push(...events);
+    held.bytes += events.reduce((sum, { bytes }) => sum + bytes.length + eventOverheadBytes, 0);
+    if (held.bytes > maximumHeldBytes) {
+        failRequest(transaction, request, "log_unavailable", "the record of the stream could not be stored in time");
+    }
+}
+
 function writeEvents(
     { now, effects }: Transaction,
     request: GatewayRequest,
--- a/packages/gateway/test/streamRegister.test.ts
+++ b/packages/gateway/test/streamRegister.test.ts
@@ -134,6 +134,22 @@
     assert.ok(registerCalls(gateway.advance(1_000)).some(({ kind }) => kind === "read"));
 });
 
+// Nothing bounded what a stream without end kept while the store did not answer.
+test("a stream that keeps too much while its record is not stored fails, once, and is not answered as not run", () => {
+    for (const hasGapAtEnd of [false, true]) {
+        const gateway = gatewayWithBase(engine(2, "v2"));
+        const call = gateway.startStream("r", "note");
+        const ids = Array.from({ length: 1_800 }, (_, index) => index + 2);
+        assert.equal(failuresIn(gateway.receiveEvents(call, ...ids)), []);
+        const rest = Array.from({ length: 400 }, (_, index) => index + 1_802);
+        const effects = gateway.receiveEvents(call, ...rest, ...(hasGapAtEnd ? [9_000] : []));
+        assert.equal(failuresIn(effects).map(({ type, outcome }) => [type, outcome]), [
+            ["log_unavailable", "outcome_unknown"],
+        ]);
+        assert.equal([gateway.state.requests.size, gateway.state.loads.size], [0, 0]);
+    }
+});
+
 test("a take-up of a stream that began here needs no read", () => {
     const gateway = gatewayWithBase(engine(2, "v2"));
     gateway.startStream("r", "note");
