Continue a stopped stream as soon as its channel ends

Callers saw: plans that were migrated were late.

Cause: since a stream waited for the answer to the request to stop, which comes when the rest of the copy has been transferred, behind others.

Change: when its channel ends after that request, the stream continues from the first copy, which lacks some tens of tokens. Only the end of an unframed stream waits for the answer, since it may be complete.

--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -1,8 +1,8 @@
 /**
  * Migrates streams away from a server that leaves or is evacuated. The memory of a stream is copied to another engine
  * while it runs. Then its server is asked to stop the run and to copy what was generated meanwhile, and the stream
- * continues from the copy. A closed channel would not stop the run at every server. Each server has one migration at a
- * time, since all of them share its network link.
+ * continues from the copy once the run has stopped. A closed channel would not stop the run at every server. Each server
+ * has one migration at a time, since all of them share its network link.
  *
  * At a server that leaves, a stream needs no migration if a new run can continue it, or if it has a usable replica at a
  * server that stays. An evacuated server goes on, so its streams are migrated to empty the failure domain: those that
@@ -283,8 +283,9 @@
 }
 
 /**
- * Handles the end of an answer after its server was asked to stop the run. While the answer to that request is due, the
- * end waits for it. Returns false if no such request was sent.
+ * Handles the end of an answer after its server was asked to stop the run: the stream continues from the copy. An end
+ * that may be that of a complete answer waits for the answer to that request while it is due. Returns false if no such
+ * request was sent.
  */
 export function handleEndAfterStop(
     transaction: Transaction,
@@ -296,8 +297,10 @@
         return false;
     }
     attempt.endAfterStop = end;
-    if (attempt.migrationTarget === undefined) {
+    // The rest of the copy may wait for other transfers. Computing it again takes less time.
+    if (end === "lost" || attempt.migrationTarget === undefined) {
         continueStoppedRun(transaction, request, attempt);
+        migrateStreams(transaction, attempt.server.record.id);
     }
     return true;
 }
