--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -48,8 +48,8 @@
 /** A leaving backend server stops a few seconds after its notice, so a longer migration would complete too late. */
 const migrationTimeout: Milliseconds = 3_000;
 /**
- * A run stops at once, but the rest of its copy may wait for other transfers, and its caller waits for it. After this time
- * the stream continues from what was copied before.
+ * A server that is asked to stop a run does so at once, which the run's channel usually shows. Its answer may wait for
+ * other transfers; a server that has not answered by now is taken to have lost the request.
  */
 const stopTimeout: Milliseconds = 500;
 
