Bound the time that a turn of the loop reads from servers

Cause: all readable sockets of servers are read until they are empty in one turn of the loop. 20 sockets that hold 64 KB of chunks of one byte each take 220,000 calls of the parser, and nothing else runs meanwhile.

The first piece of an answer is exempt, since the HTTP client reads idle channels for stray bytes before it sends a call.

--- a/packages/runtime/src/answerBounds.ts
+++ b/packages/runtime/src/answerBounds.ts
@@ -3,6 +3,8 @@
  * server in trouble may send bytes without end that are no answer.
  */
 import type { Socket } from "node:net";
+import { monotonicNow } from "./eventLoop.js";
+import type { ReadBudget, Reader } from "./readBudget.js";
 
 /** The bounds of one process, in bytes. */
 export interface AnswerBounds {
@@ -61,11 +63,13 @@
 const usualFramingBytes = 12 * 1024;
 
 /**
- * Bounds what is read from a socket that another component reads with `read`: in pieces, and no more framing than an
- * answer can need. Beyond that the socket is destroyed with an {@link AnswerOverflowError}.
+ * Bounds what is read from a socket that another component reads with `read` whenever the socket is readable: in pieces,
+ * within the time that the budget leaves, and no more framing than an answer can need. Beyond that the socket is
+ * destroyed with an {@link AnswerOverflowError}.
  */
-export function boundReads(socket: Socket, count: FramingCount): void {
+export function boundReads(socket: Socket, count: FramingCount, budget: ReadBudget): void {
     const read = socket.read.bind(socket);
+    const reader: Reader = { resume: () => void (socket.destroyed || socket.emit("readable")) };
     socket.read = (size?: number): unknown => {
         if (socket.destroyed) {
             return null;
@@ -75,6 +79,11 @@
             socket.destroy(new AnswerOverflowError("more bytes than an answer needs"));
             return null;
         }
+        // Before a call is sent, the client reads the channel to see that nothing arrived on it while it was idle.
+        const isBeforeAnswer = count.readBytes === 0;
+        if (!isBeforeAnswer && socket.readableLength > 0 && !budget.mayRead(reader, monotonicNow())) {
+            return null;
+        }
         const pieceBytes = framingBytes > usualFramingBytes ? suspectPieceBytes : readPieceBytes;
         const piece = read(size ?? (Math.min(socket.readableLength, pieceBytes) || undefined)) as Buffer | null;
         count.readBytes += piece?.length ?? 0;
--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -19,6 +19,7 @@
 import { BodyCollector } from "./bodyCollector.js";
 import { createEventFramer, type EventFramer } from "./eventFraming.js";
 import { monotonicNow } from "./eventLoop.js";
+import { createReadBudget, type ReadBudget } from "./readBudget.js";
 import { parseAddress } from "./socketAddress.js";
 
 /** Callbacks for the outcomes of calls. */
@@ -110,6 +111,7 @@
     memoryBytes: number,
 ): BackendChannels {
     const bounds = answerBounds(memoryBytes);
+    const readBudget = createReadBudget(() => setImmediate(readBudget.startTurn));
     const idleChannels = new Map<string, Channel[]>();
     const activeCalls = new Map<AttemptId, ActiveCall>();
     let openedCount = 0;
@@ -140,7 +142,7 @@
             void channel.client.destroy();
         }
         openedCount++;
-        return openChannel(address);
+        return openChannel(address, readBudget);
     };
 
     const releaseChannel = (channel: Channel): void => {
@@ -374,7 +376,7 @@
     );
 }
 
-function openChannel(address: string): Channel {
+function openChannel(address: string, readBudget: ReadBudget): Channel {
     const { host, port } = parseAddress(address);
     const client = new Client(`http://${address}`, {
         pipelining: 1,
@@ -388,7 +390,7 @@
                     return;
                 }
                 channel.socketState = trackSocket(socket);
-                boundReads(socket, channel.framing);
+                boundReads(socket, channel.framing, readBudget);
                 callback(null, socket);
             });
         },
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -28,6 +28,7 @@
 export * from "./pressureLog.js";
 export * from "./probeServer.js";
 export * from "./randomSource.js";
+export * from "./readBudget.js";
 export * from "./requestFraming.js";
 export * from "./sessionBounds.js";
 export * from "./sidecarDaemon.js";
