Use the blocks of large bodies again

Cause: an answer that is given up leaves up to 5 MB to the garbage collector, which releases buffers only after about 64 MB of them.

Change: a body is one chunk, or blocks of up to 64 KB that are full but the last; blocks of bodies that were given up or taken are used again within a second. Taking a body releases what it was collected in, which requests of callers kept until they were answered.

--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -89,6 +89,8 @@
 interface ActiveCall {
     readonly attemptId: AttemptId;
     readonly channel: Channel;
+    /** The body of an answer that is no event stream. */
+    readonly collected: BodyCollector;
     /** Bytes of its answer that are kept until they are complete. */
     keptBytes: number;
     /** Ends the call because all kept answers together are too large. */
@@ -131,6 +133,11 @@
         }
     };
 
+    const releaseAnswer = (call: ActiveCall): void => {
+        call.collected.clear();
+        setKeptBytes(call, 0);
+    };
+
     const acquireChannel = ({ address, head }: BackendCall, maxIdle: Milliseconds): Channel => {
         const stack = idleChannels.get(address) ?? [];
         const isEligible = ({ refusedRequests }: Channel): boolean => !refusedRequests.has(head.callerAttemptId);
@@ -193,6 +200,7 @@
             const current: ActiveCall = {
                 attemptId: call.attemptId,
                 channel,
+                collected: new BodyCollector(),
                 keptBytes: 0,
                 overflow: () => undefined,
                 controller: undefined,
@@ -206,7 +214,7 @@
                     return;
                 }
                 activeCalls.delete(call.attemptId);
-                setKeptBytes(current, 0);
+                releaseAnswer(current);
                 if (isReusable) {
                     releaseChannel(channel);
                 }
@@ -223,7 +231,7 @@
             const current = activeCalls.get(attemptId);
             if (current !== undefined) {
                 activeCalls.delete(attemptId);
-                setKeptBytes(current, 0);
+                releaseAnswer(current);
                 current.isCancelled = true;
                 // A reset: after an orderly close, what the server has not taken yet would still be delivered.
                 current.channel.socketState?.socket.resetAndDestroy();
@@ -271,10 +279,10 @@
     { finish, keep, isServerUp, bounds }: CallContext,
 ): void {
     const { attemptId } = call;
+    const { collected } = current;
     let wasSent = false;
     let head: ResponseHead | undefined;
     let framer: EventFramer | undefined;
-    const collected = new BodyCollector();
     const fail = (failure: AttemptFailure): void => finish(() => handlers.failed(attemptId, failure, wasSent), false);
     current.overflow = () => fail("body_too_large");
     const options: Dispatcher.DispatchOptions = {
--- a/packages/runtime/src/bodyCollector.ts
+++ b/packages/runtime/src/bodyCollector.ts
@@ -1,21 +1,40 @@
 /**
- * Collects a body in few large pieces, however small the chunks are in which it arrives.
+ * Collects a body in few large blocks, however small the chunks are in which it arrives.
  */
+import type { Milliseconds } from "@verbenaspring/model";
 
-/** Chunks from this size on are kept as they are; smaller ones are copied together. */
-const minOwnPieceBytes = 4 * 1024;
-const minTailBytes = 1024;
-const maxTailBytes = 64 * 1024;
-const minUsedTailShare = 3 / 4;
+const minBlockBytes = 1024;
+const maxBlockBytes = 64 * 1024;
 /** What the process keeps for a buffer, beside its bytes: the object and the entry of its allocation. */
 const bufferOverheadBytes = 256;
 
+/**
+ * Blocks of the largest size that are free for other bodies, for a short time. Bodies without end fill new blocks faster
+ * than the garbage collector releases those of bodies that were given up.
+ */
+const freeBlocks: Buffer[] = [];
+const maxFreeBlocks = 256;
+const freeBlockLifetime: Milliseconds = 1_000;
+let freeBlocksTimer: NodeJS.Timeout | undefined;
+
+function reuseBlocks(blocks: readonly Buffer[]): void {
+    const reusable = blocks.filter(block => block.length === maxBlockBytes);
+    freeBlocks.push(...reusable.slice(0, maxFreeBlocks - freeBlocks.length));
+    if (freeBlocks.length > 0) {
+        freeBlocksTimer ??= setTimeout(() => {
+            freeBlocksTimer = undefined;
+            freeBlocks.length = 0;
+        }, freeBlockLifetime).unref();
+    }
+}
+
 /** The body of one request or answer, or of one event. */
 export class BodyCollector {
-    private readonly pieces: Buffer[] = [];
-    /** The last piece, if it has been allocated here; its first `tailLength` bytes are used. */
-    private tail: Buffer | undefined;
-    private tailLength = 0;
+    /** The first chunk as it came, since most bodies have only one. */
+    private first: Buffer | undefined;
+    /** The other chunks; all blocks but the last one are full. */
+    private readonly blocks: Buffer[] = [];
+    private lastBlockLength = 0;
     private length = 0;
     private held = 0;
 
@@ -32,58 +51,46 @@
     /** Adds a chunk. Takes time in proportion to its length. */
     append(chunk: Buffer): void {
         this.length += chunk.length;
-        if (this.pieces.length === 0 && this.tail === undefined || chunk.length >= minOwnPieceBytes) {
-            this.closeTail();
-            this.pieces.push(chunk);
+        if (this.first === undefined) {
+            this.first = chunk;
             this.held += chunk.length + bufferOverheadBytes;
             return;
         }
-        this.copyToTail(chunk);
+        for (let offset = 0; offset < chunk.length;) {
+            const copied = chunk.copy(this.usableBlock(), this.lastBlockLength, offset);
+            this.lastBlockLength += copied;
+            offset += copied;
+        }
     }
 
-    /** The whole body, as one buffer. */
+    /** The whole body, as one buffer. The collector keeps nothing of it but its length. */
     take(): Buffer {
-        this.closeTail();
-        return this.pieces.length === 1 ? this.pieces[0] : Buffer.concat(this.pieces, this.length);
+        const first = this.first ?? Buffer.alloc(0);
+        const body = this.blocks.length === 0 ? first : Buffer.concat([first, ...this.blocks], this.length);
+        this.clear();
+        return body;
     }
 
     /** Releases the body; its length remains. */
     clear(): void {
-        this.pieces.length = 0;
-        this.tail = undefined;
-        this.tailLength = 0;
+        reuseBlocks(this.blocks.splice(0));
+        this.first = undefined;
+        this.lastBlockLength = 0;
         this.held = 0;
     }
 
-    private copyToTail(chunk: Buffer): void {
-        if (this.tail === undefined || this.tailLength + chunk.length > this.tail.length) {
-            this.closeTail();
-            const size = Math.min(maxTailBytes, Math.max(minTailBytes, chunk.length, this.length));
-            // An allocation of its own: a slice of Node's pool would keep the pool's whole slab.
-            this.tail = Buffer.allocUnsafeSlow(size);
-            this.held += size + bufferOverheadBytes;
+    /** The last block, or a new one if it is full. */
+    private usableBlock(): Buffer {
+        const last = this.blocks.at(-1);
+        if (last !== undefined && this.lastBlockLength < last.length) {
+            return last;
         }
-        this.tailLength += chunk.copy(this.tail, this.tailLength);
+        const size = Math.min(maxBlockBytes, Math.max(minBlockBytes, this.length));
+        // An allocation of its own: a slice of Node's pool would keep the pool's whole slab.
+        const block = (size === maxBlockBytes ? freeBlocks.pop() : undefined) ?? Buffer.allocUnsafeSlow(size);
+        this.blocks.push(block);
+        this.lastBlockLength = 0;
+        this.held += size + bufferOverheadBytes;
+        return block;
     }
-
-    /** Between large chunks, a tail would keep much more memory than it uses. */
-    private closeTail(): void {
-        if (this.tail === undefined) {
-            return;
-        }
-        const used = this.tail.subarray(0, this.tailLength);
-        const isSparse = this.tailLength < minUsedTailShare * this.tail.length;
-        if (isSparse) {
-            this.held -= this.tail.length - this.tailLength;
-        }
-        this.pieces.push(isSparse ? copyOf(used) : used);
-        this.tail = undefined;
-        this.tailLength = 0;
-    }
-}
-
-function copyOf(buffer: Buffer): Buffer {
-    const copy = Buffer.allocUnsafeSlow(buffer.length);
-    buffer.copy(copy);
-    return copy;
 }
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -373,7 +373,6 @@
                 }
                 openExchanges.set(requestId, exchange);
                 const wholeBody = body.take();
-                body.clear();
                 handlers.received(requestId, head, wholeBody, arrival);
             });
         });
--- a/packages/runtime/test/readBudget.test.ts
+++ b/packages/runtime/test/readBudget.test.ts
@@ -83,7 +83,11 @@
     let ended = false;
     socket.on("end", () => ended = true);
     socket.on("readable", () => {
-        while (socket.read() !== null){;}
+        let piece: unknown;
+        do {
+            piece = socket.read();
+        }
+        while (piece !== null);
     });
     socket.end(Buffer.alloc(10_000));
     await new Promise(setImmediate);
