Apply a changed address of the store

Callers: after the settings file named another address of the store, a gateway never learned a configuration again; new routes got 404.

Cause: the client of the store was created once, with the first address.

Test: 'a changed address of the store takes effect, with a signal and without' (gatewayProcess.test.ts) timed out before, passes after.

--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -69,7 +69,7 @@
     }
 
     /** Writes a configuration with one route of each type. */
-    configure(version: number, extraPrefixes: readonly string[] = []): void {
+    configure(version: number, extraPrefixes: readonly string[] = [], store: PlatformStore = this.store): void {
         const route = (name: string, service: string, overrides: object): object => ({
             name,
             hostname: host,
@@ -83,7 +83,7 @@
             ...overrides,
         });
         const engine = { kvCapacity: 100_000, kvBytes: 1, replicas: true, migrations: true, stride: 1 };
-        this.store.put("keyed.op", "config", {
+        store.put("keyed.op", "config", {
             version,
             routes: [
                 route("confirm", "plain", { routeType: "non_idempotent" }),
--- a/packages/bench/test/gatewayProcess.test.ts
+++ b/packages/bench/test/gatewayProcess.test.ts
@@ -1,7 +1,9 @@
 /**
  * Gateways as real processes, with stand-ins of the platform's store and backend servers.
  */
-import { isGatewayProcessReady, waitUntil } from "@verbenaspring/bench";
+import { type GatewayProcess, isGatewayProcessReady, waitUntil } from "@verbenaspring/bench";
+import { type PlatformStore, startPlatformStore } from "@verbenaspring/stand-ins";
+import { readFileSync, writeFileSync } from "node:fs";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { GatewayCluster } from "./gatewayCluster.js";
@@ -16,6 +18,8 @@
     }
 }
 
+const appliedVersions = (gateway: GatewayProcess): number[] =>
+    [...gateway.output().matchAll(/event=configuration_applied .*version=(\d+)/g)].map(match => Number(match[1]));
 const eventIds = (body: string): number[] => [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
 const idsUpTo = (count: number): number[] => Array.from({ length: count }, (_, index) => index + 1);
 
@@ -162,6 +166,35 @@
         assert.is(await gateway.exited, 0);
     }));
 
+// The gateway went on reading at the address that it was started with, and never learned a configuration again.
+test("a changed address of the store takes effect, with a signal and without", () =>
+    withCluster(1, async cluster => {
+        const [gateway] = cluster.gateways;
+        const moves: PlatformStore[] = [];
+        let store = cluster.store;
+        try {
+            for (const [version, signal] of [[2, "SIGHUP"], [3, undefined]] as const) {
+                const moved = await startPlatformStore();
+                moves.push(moved);
+                for (let earlier = 1; earlier < version; earlier++) {
+                    cluster.configure(earlier, [], moved);
+                }
+                store.setBehaviour("silent");
+                const settings = readFileSync(gateway.settingsFile, "utf8");
+                writeFileSync(gateway.settingsFile, settings.replace(store.address, moved.address));
+                if (signal !== undefined) {
+                    gateway.child.kill(signal);
+                }
+                cluster.configure(version, [], moved);
+                await waitUntil(`version ${version} is applied`, () => appliedVersions(gateway).includes(version));
+                store = moved;
+            }
+        }
+        finally {
+            await Promise.all(moves.map(moved => moved.close()));
+        }
+    }));
+
 test("a gateway that replaces a killed one serves the same routes and backend servers", () =>
     withCluster(2, async cluster => {
         await cluster.addServer("w1", "plain", 5);
--- a/packages/cli/src/gateway.ts
+++ b/packages/cli/src/gateway.ts
@@ -15,7 +15,7 @@
     requestReport,
     settingsPathVariable,
 } from "@verbenaspring/platform";
-import type { LogLevel } from "@verbenaspring/runtime";
+import type { EventLog, LogLevel } from "@verbenaspring/runtime";
 import {
     type GatewayAdapter,
     type GatewayDaemon,
@@ -53,7 +53,13 @@
         streamRegister: createStreamRegisterClient(store.log),
     };
     const daemon = await startGateway(toDaemonOptions(settings, options), adapter);
-    watchSettingsFile(options.settingsFile, text, daemon);
+    const apply = (changed: GatewaySettings): void => {
+        if (store.changeAddress(changed.storeAddress)) {
+            daemon.log("info", "store_address_changed", { address: changed.storeAddress });
+        }
+        daemon.applySettings(changed);
+    };
+    watchSettingsFile(options.settingsFile, text, apply, daemon.log);
     return daemon;
 }
 
@@ -64,18 +70,23 @@
  * Applies the settings file whenever its content changes. An invalid file is logged, and the last valid settings stay
  * in force.
  */
-function watchSettingsFile(file: string, initialText: string, daemon: GatewayDaemon): void {
+function watchSettingsFile(
+    file: string,
+    initialText: string,
+    apply: (settings: GatewaySettings) => void,
+    log: EventLog,
+): void {
     let lastText = initialText;
     const readChanges = (): void => {
         try {
             const text = readFileSync(file, "utf8");
             if (text !== lastText) {
                 lastText = text;
-                daemon.applySettings(decodeSettings(file, text));
+                apply(decodeSettings(file, text));
             }
         }
         catch (error) {
-            daemon.log("error", "settings_unreadable", { file, error: String(error) });
+            log("error", "settings_unreadable", { file, error: String(error) });
         }
     };
     process.on("SIGHUP", readChanges);
