Keep all fields of callers' requests

Cause: http.Server keeps 2,000 names and values of a head and drops the rest without an error. The gateway decodes, checks and measures that list.

Change: keepAllFields on both servers of callers. The size of a head stays bounded by the parser and by the configured limit, which counts all fields now.

--- a/packages/runtime/src/callerServer.ts
+++ b/packages/runtime/src/callerServer.ts
@@ -10,6 +10,7 @@
 import { CallerAnswer, formatFailure } from "./callerAnswer.js";
 import { parseCall } from "./callParser.js";
 import { afterNextPoll } from "./nextPoll.js";
+import { keepAllFields } from "./requestFraming.js";
 import { listen } from "./socketAddress.js";
 
 /** Callbacks for what happens to requests. */
@@ -150,6 +151,7 @@
         waitingRequests.set(socket, []);
         beginRequest(socket, { request, response });
     });
+    keepAllFields(server);
     boundReading(server, socket => {
         connections.add(socket);
         socket.once("close", () => connections.delete(socket));
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -26,7 +26,7 @@
 } from "./callerBudget.js";
 import { monotonicNow } from "./eventLoop.js";
 import { afterNextPoll } from "./nextPoll.js";
-import { findFramingFault } from "./requestFraming.js";
+import { findFramingFault, keepAllFields } from "./requestFraming.js";
 import { listen } from "./socketAddress.js";
 
 /** When a request arrived at the earliest, and how long it may have waited before it was read. */
@@ -202,6 +202,7 @@
         connectionsCheckingInterval: timeoutCheckInterval,
         noDelay: true,
     });
+    keepAllFields(server);
     const applyLimits = (next: CallerLimits): void => {
         limits = next;
         server.headersTimeout = next.headerTimeout;
--- a/packages/runtime/src/requestFraming.ts
+++ b/packages/runtime/src/requestFraming.ts
@@ -1,7 +1,18 @@
 /**
  * Checks of a request's framing that Node's parser leaves to its user.
  */
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
+
+/**
+ * Makes a server keep all fields of a head. Node.js drops those beyond about 1,000 without an error, whatever they say; the
+ * size of a head bounds them anyway.
+ *
+ * @example
+ * keepAllFields(server);
+ */
+export function keepAllFields(server: Server): void {
+    server.maxHeadersCount = 0;
+}
 
 /** What the check reads of a request. */
 export type FramedRequest = Pick<IncomingMessage, "httpVersion" | "headers">;
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -2,7 +2,7 @@
  * Clients that press on a listener: pipelined requests, chunks of one byte, bodies after a rejection. Each test bounds
  * what one connection makes the process do or hold.
  */
-import type { BackendAnswer } from "@verbenaspring/gateway";
+import type { BackendAnswer, HeaderList } from "@verbenaspring/gateway";
 import { identifier, type RequestId } from "@verbenaspring/model";
 import {
     BodyCollector,
@@ -51,6 +51,7 @@
 /** A gateway's caller server that keeps requests until the test answers them. */
 class Harness {
     readonly bodies: Buffer[] = [];
+    readonly headers: HeaderList[] = [];
     readonly open: RequestId[] = [];
     readonly left: RequestId[] = [];
     readonly refused: string[] = [];
@@ -62,7 +63,10 @@
     constructor(isAnswering = false, answer = okAnswer, bounds?: CallerBounds) {
         harnesses.push(this);
         this.callers = createGatewayCallerServer(
-            (method, target) => ({ ...createCall("127.0.0.1:1").head, method, target }),
+            (method, target, headers) => {
+                this.headers.push(headers);
+                return { ...createCall("127.0.0.1:1").head, method, target };
+            },
             () => identifier(String(++this.count)),
             () => 0,
             {
@@ -99,6 +103,23 @@
 
 const emptyRequest = "POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n";
 
+// Beyond about 1,000 fields, Node.js dropped the rest: servers ran requests without the model that the caller named.
+test("all fields of a head are read, however many, and their size is bounded as a whole", async () => {
+    const harness = new Harness(true);
+    const client = await harness.connect();
+    const fields = Array.from({ length: 1_500 }, (_, index) => `a${index}: b`);
+    const requestWith = (lines: readonly string[]): string =>
+        ["POST /a HTTP/1.1", "host: h", "content-length: 0", ...lines, "", ""].join("\r\n");
+    client.socket.write(requestWith([...fields, "model: m"]));
+    await waitUntil(() => client.count("done") === 1);
+    assert.equal(harness.headers[0].slice(-4), ["a1499", "b", "model", "m"]);
+    assert.is(harness.headers[0].length, 2 * (fields.length + 3));
+    client.socket.write(requestWith([...fields, ...fields]));
+    await waitUntil(() => harness.refused.length === 1);
+    assert.equal(harness.refused, ["headers_too_large"]);
+    assert.is(harness.headers.length, 1);
+});
+
 // 30 connections with pipelined requests made the process keep each of them, until it ran out of memory.
 test("pipelined requests beyond the limit wait unread, and are served in turn", async () => {
     const harness = new Harness();
