Pass on streams whose event ids are not consecutive

Cause: every id but the next whole number was taken for missing events.

Change: the first two events tell whether the ids of a stream are consecutive. If so, a gap still ends the run; if not, or if the caller takes the stream up, increasing ids are passed on. Where another run continues a stream of one event, a gap ends the run as before.

Test: two tests of streams.test.ts failed before.

--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -65,6 +65,7 @@
         runs: createRunLedger(),
         triedServers: new Set(),
         lastEvent: route.canResume ? head.lastEvent : undefined,
+        isConsecutive: undefined,
         origin: undefined,
         held: undefined,
         firstEventAge: undefined,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -97,6 +97,8 @@
     readonly triedServers: Set<BackendServerId>;
     /** The id of the last event that the caller has. */
     lastEvent: number | undefined;
+    /** Whether the ids of its events increase by 1; undefined until two events in a row tell. */
+    isConsecutive: boolean | undefined;
     /** Where the stream began; undefined before its first event. */
     origin: StreamOrigin | undefined;
     /** The first events of a stream whose record is not stored yet; undefined if none are kept. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -57,7 +57,7 @@
     retryOrFail(transaction, request, attempt, answerClass === "not_run" ? "refused_by_server" : answerClass);
 }
 
-/** Handles events of a run: forwards those that the caller does not have yet. A gap in their ids ends the attempt. */
+/** Handles events of a run: forwards those that the caller does not have yet. Missing events end the attempt. */
 export function handleStreamEvents(
     transaction: Transaction,
     attemptId: AttemptId,
@@ -71,7 +71,7 @@
     }
     const newEvents: StreamEvent[] = [];
     for (const event of events) {
-        const order = compareToLast(request, event);
+        const order = compareToLast(request, attempt, event);
         if (order === "missing") {
             forwardEvents(transaction, request, attempt, newEvents);
             if (!state.requests.has(request.id)) {
@@ -82,6 +82,7 @@
             return retryOrFail(transaction, request, attempt, "answer_malformed");
         }
         if (order === "next") {
+            request.isConsecutive ??= isNextId(request, event);
             request.lastEvent = event.id ?? request.lastEvent;
             newEvents.push(event);
         }
@@ -102,14 +103,28 @@
     migrateAfterFirstEvent(transaction, attempt);
 }
 
-function compareToLast({ lastEvent }: GatewayRequest, { id }: StreamEvent): "next" | "repeated" | "missing" {
+/**
+ * Ids need only increase. A gap tells of missing events if the ids of the stream have been consecutive, or if it is where
+ * another run continues a stream of which that is not known.
+ */
+function compareToLast(
+    { lastEvent, isConsecutive, origin }: GatewayRequest,
+    attempt: Attempt,
+    { id }: StreamEvent,
+): "next" | "repeated" | "missing" {
     if (id === undefined || lastEvent === undefined) {
         return "next";
     }
     if (id <= lastEvent) {
         return "repeated";
     }
-    return id === lastEvent + 1 ? "next" : "missing";
+    const isContinued = origin !== undefined && attempt.events === 0;
+    return id === lastEvent + 1 || !(isConsecutive ?? isContinued) ? "next" : "missing";
+}
+
+/** Whether the id of an event follows the last one by 1; undefined if one of them has none. */
+function isNextId({ lastEvent }: GatewayRequest, { id }: StreamEvent): boolean | undefined {
+    return id === undefined || lastEvent === undefined ? undefined : id === lastEvent + 1;
 }
 
 function forwardEvents(
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -39,6 +39,31 @@
     assert.is(next.lastEvent, 3);
 });
 
+// The protocol asks for increasing ids only, but a stream was cut at its second event.
+test("a stream whose ids increase by more than 1 is passed on, also where another run continues it", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startStream("r", "note");
+    assert.equal(eventsIn(gateway.receiveEvents(call, 11, 21, 25)), [11, 21, 25]);
+    const [next] = callsIn(gateway.failAttempt(call));
+    assert.is(next.lastEvent, 25);
+    gateway.openStream(next);
+    assert.equal(eventsIn(gateway.receiveEvents(next, 21, 25, 31, 41)), [31, 41]);
+});
+
+test("a caller takes up a stream whose ids increase by more than 1", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.sendRequest("r", "note", { lastEvent: 0 });
+    gateway.openStream(call);
+    assert.equal(eventsIn(gateway.receiveEvents(call, 10, 20)), [10, 20]);
+});
+
+test("events that a continued stream of one event lacks end the run", () => {
+    const gateway = gatewayWithEngines();
+    const [next] = callsIn(gateway.failAttempt(gateway.startStream("r", "note")));
+    gateway.openStream(next);
+    assert.equal(eventsIn(gateway.receiveEvents(next, 3, 4)), []);
+});
+
 test("a stream that may not run again continues from its replica", () => {
     const gateway = gatewayWithEngines();
     const call = gateway.startReplicatedStream("r", "plan");
