End streams whose next server answers without a stream

Cause: the answer was passed on as a whole, after the head had been written.

Change: after the first event a whole answer is malformed, so that the stream goes on elsewhere if it may run again, and is cut if not.

Test: 'a stream is cut where the server that continues it answers without a stream' failed before.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -49,10 +49,12 @@
     if (request === undefined || attempt === undefined) {
         return;
     }
-    const answerClass = classifyAnswer(request, answer);
-    if (isByServer(answerClass, answer)) {
+    const headClass = classifyAnswer(request, answer);
+    if (isByServer(headClass, answer)) {
         recordDeclarations(transaction, attempt, answer);
     }
+    // Only events or an end can follow the first events of a stream.
+    const answerClass = headClass === "delivered" && request.origin !== undefined ? "answer_malformed" : headClass;
     recordHealth(
         transaction,
         attempt,
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -39,6 +39,19 @@
     assert.is(next.lastEvent, 3);
 });
 
+// The whole answer was written to a stream that had begun, which was never ended.
+test("a stream is cut where the server that continues it answers without a stream", () => {
+    for (const status of [200, 204, 404]) {
+        for (const start of ["startStream", "startReplicatedStream"] as const) {
+            const gateway = gatewayWithEngines();
+            const [continued] = callsIn(gateway.failAttempt(gateway[start]("r", "note")));
+            const kinds = kindsIn(gateway.answer(continued, { status }));
+            assert.not.ok(kinds.includes("answerWhole"), `status ${status}`);
+            assert.ok(kinds.includes("answerCut"), `status ${status}`);
+        }
+    }
+});
+
 // The protocol asks for increasing ids only, but a stream was cut at its second event.
 test("a stream whose ids increase by more than 1 is passed on, also where another run continues it", () => {
     const gateway = gatewayWithEngines();
