Keep the lines of the deployed program short

Cause: the status fails an assertion without a message in the HTTP client. Node.js makes the message by parsing the line of the call, which had up to 291 KB in the bundle.

Change: esbuild limits lines to about 400 bytes.

--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -54,13 +54,20 @@
     private readonly agent = new Agent({ pipelining: 0 });
     private requestCount = 0;
 
-    private constructor(readonly store: PlatformStore, private readonly machine?: MachineLimits) {
+    private constructor(
+        readonly store: PlatformStore,
+        private readonly machine: MachineLimits | undefined,
+        private readonly command: readonly string[],
+    ) {
         this.serverStandIns = createBackendServerStandIns(store);
     }
 
-    /** @param machine what each gateway's machine has; by default what the gateway assumes where the settings state nothing */
-    static async start(gateways: number, machine?: MachineLimits): Promise<GatewayCluster> {
-        const cluster = new GatewayCluster(await startPlatformStore(), machine);
+    /**
+     * @param machine what each gateway's machine has; by default what the gateway assumes where the settings state nothing
+     * @param command the arguments of Node that start a gateway of such a machine
+     */
+    static async start(gateways: number, machine?: MachineLimits, command = boundedCommand): Promise<GatewayCluster> {
+        const cluster = new GatewayCluster(await startPlatformStore(), machine, command);
         cluster.configure(1);
         for (let index = 0; index < gateways; index++) {
             await cluster.addGateway();
@@ -106,7 +113,7 @@
             ...addresses,
             seedAddress: this.seedAddress,
             storeAddress: this.store.address,
-            ...(this.machine === undefined ? {} : { machine: this.machine, command: boundedCommand }),
+            ...(this.machine === undefined ? {} : { machine: this.machine, command: this.command }),
         });
         this.gateways.push(gateway);
         await waitUntil(`${gateway.settingsFile} is ready`, () => isGatewayProcessReady(gateway));
--- /dev/null
+++ b/packages/bench/test/malformedAnswersProcess.test.ts
@@ -0,0 +1,79 @@
+/**
+ * The gateway as it is deployed, and backend servers whose answers are no HTTP. What its HTTP client throws must not stop
+ * it: an assertion in the bundle made Node.js parse one line of 290 KB for its message, for 4 to 8 s.
+ */
+import { type GatewayProcess, isGatewayProcessReady, waitUntil } from "@verbenaspring/bench";
+import { spawnSync } from "node:child_process";
+import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { GatewayCluster } from "./gatewayCluster.js";
+
+const malformedAnswers: readonly string[] = [
+    "HTTP/1.1 000 \r\n\r\n",
+    "HTTP/1.1 099 OK\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 999999999999 OK\r\n\r\n",
+    "HTTP/9.9 200 OK\r\n\r\n",
+    "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\n".repeat(20),
+    "\0".repeat(2_000),
+    "SSH-2.0-OpenSSH\r\n",
+];
+
+/** The load balancer asks once a second, and takes a gateway out that doesn't answer. */
+const readinessInterval = 1_000;
+
+async function worstReadiness(gateway: GatewayProcess, run: () => Promise<void>): Promise<number> {
+    let worst = 0;
+    const finished = run();
+    let isFinished = false;
+    void finished.finally(() => isFinished = true);
+    while (!isFinished) {
+        const askedAt = performance.now();
+        assert.ok(await isGatewayProcessReady(gateway));
+        worst = Math.max(worst, performance.now() - askedAt);
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+    await finished;
+    return worst;
+}
+
+test("answers that are no HTTP don't stop the deployed gateway", async () => {
+    const built = spawnSync(process.execPath, ["scripts/buildDeploy.mjs"], { encoding: "utf8" });
+    assert.is(built.status, 0, built.stderr);
+    const machine = { memoryMb: 178, maxFds: 4_096 };
+    const command = ["--max-old-space-size=110", "--max-semi-space-size=4", "target/start.cjs", "gateway"];
+    const cluster = await GatewayCluster.start(1, machine, command);
+    const [gateway] = cluster.gateways;
+    try {
+        for (const [index, malformed] of malformedAnswers.entries()) {
+            const server = createServer(socket => {
+                socket.on("error", () => undefined);
+                socket.on("data", () => socket.write(malformed));
+            }).listen(0, "127.0.0.1");
+            await once(server, "listening");
+            const id = `w${index}`;
+            const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+            const record = { service: "plain", address, zone: "near", slots: 8, state: "ready" };
+            cluster.store.put("keyed.servers", id, record);
+            await cluster.waitUntilKnown(gateway, id);
+            const worst = await worstReadiness(gateway, async () => {
+                const { status } = await cluster.sendRequest(gateway, "/lookup/1");
+                assert.ok(status >= 500, `${status} for ${JSON.stringify(malformed)}`);
+            });
+            assert.ok(worst < readinessInterval, `${Math.round(worst)} ms for ${JSON.stringify(malformed)}`);
+            cluster.store.put("keyed.servers", id, undefined);
+            await waitUntil(`${id} is gone`, () => gateway.output().includes(`server=${id} change=removed`));
+            server.close();
+        }
+    }
+    finally {
+        await cluster.stop();
+    }
+});
+
+test.run();
--- a/scripts/buildDeploy.mjs
+++ b/scripts/buildDeploy.mjs
@@ -22,6 +22,8 @@
     outExtension: { ".js": ".cjs" },
     bundle: true,
     minify: true,
+    // Node.js parses the line of a failed assertion for its message: seconds for one of 290 KB.
+    lineLimit: 400,
     platform: "node",
     target: "node20",
     format: "cjs",
