Compare the end of a cold time with what others know

Cause: traced. The gateway that reads the servers' records reports an end of the cold time to the others if it is over 500 ms later than the last one it read. Smaller delays of several heartbeats added up, so that others took the server to be warm 750 ms early and sent at full rate.

Change: a heartbeat is compared with the end as of the last record that changed the view.

Test: 'a server that becomes cold under its id is reported to the other gateways' has two small delays, and failed before.

--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -40,6 +40,8 @@
     /** The last restart under its id; undefined if it has not restarted since it was added to the view. */
     readonly restart: ServerRestart | undefined;
     readonly warmUpEndsAt: Milliseconds;
+    /** The end as of the last record that changed the view; other gateways may know no later one. */
+    readonly publishedWarmUpEndsAt: Milliseconds;
     /** Since when it accepts no new work: it announced its stop, or its registration was removed. */
     readonly leavingSince: Milliseconds | undefined;
     /** When its registration was removed. */
@@ -76,19 +78,33 @@
     const isRestart = known !== undefined && known.record.startedAt !== record.startedAt;
     const isSameIncarnation = known !== undefined && !isRestart;
     const isLeaving = record.isDraining || hasGivenNotice;
+    const warmUpEndsAt = now + record.remainingWarmUp;
+    const change = classifyChange(known, record, { isLeaving, isRestart }, now);
     view.set(record.id, {
         record,
         incarnation: (known?.incarnation ?? 0) + (isRestart ? 1 : 0),
         heardAt: isSameIncarnation && known.record.heartbeat === record.heartbeat ? known.heardAt : now,
         restart: isRestart ? { learnedAt: now, previousHeardAt: known.heardAt } : known?.restart,
-        warmUpEndsAt: now + record.remainingWarmUp,
+        warmUpEndsAt,
+        publishedWarmUpEndsAt: publishedWarmUpEnd(known, change, warmUpEndsAt),
         leavingSince: isLeaving ? (isSameIncarnation ? known.leavingSince : undefined) ?? now : undefined,
         removedAt: undefined,
     });
-    return classifyChange(known, record, { isLeaving, isRestart }, now);
+    return change;
+}
+
+function publishedWarmUpEnd(
+    known: BackendServer | undefined,
+    change: BackendChange,
+    warmUpEndsAt: Milliseconds,
+): Milliseconds {
+    return known !== undefined && change === "unchanged" ? known.publishedWarmUpEndsAt : warmUpEndsAt;
 }
 
-/** Heartbeats of a cold server state an end that differs by their delay; a later end than this is a new one. */
+/**
+ * Heartbeats of a cold server state an end that differs by their delay; a later end than this is a new one. It is compared
+ * with the end that other gateways know, since the delays of several heartbeats can add up.
+ */
 const warmUpTolerance: Milliseconds = 500;
 
 /** Whether a record says more than a heartbeat: the server is cold for longer, or its registration has changed. */
@@ -96,7 +112,7 @@
     const { service, address, failureDomain, softwareVersion, slots } = known.record;
     const warmUpEndsAt = now + record.remainingWarmUp;
     const isColdForLonger = record.remainingWarmUp > 0
-        && warmUpEndsAt > Math.max(now, known.warmUpEndsAt + warmUpTolerance);
+        && warmUpEndsAt > Math.max(now, known.publishedWarmUpEndsAt + warmUpTolerance);
     return isColdForLonger || record.service !== service || record.address !== address || record.slots !== slots
         || record.failureDomain !== failureDomain || record.softwareVersion !== softwareVersion;
 }
--- a/packages/gateway/test/coldServers.test.ts
+++ b/packages/gateway/test/coldServers.test.ts
@@ -235,7 +235,10 @@
     });
     assert.equal(reportedBy({ ...warm, heartbeat: 2 }), [], "a heartbeat");
     assert.equal(reportedBy({ ...warm, heartbeat: 3, remainingWarmUp: 900 }), ["plain-2"]);
-    assert.equal(reportedBy({ ...warm, heartbeat: 4, slots: 9 }), ["plain-2"]);
+    // Each end was compared with that of the heartbeat before, so that many small delays were never reported.
+    assert.equal(reportedBy({ ...warm, heartbeat: 4, remainingWarmUp: 1_300 }), [], "the delay of a heartbeat");
+    assert.equal(reportedBy({ ...warm, heartbeat: 5, remainingWarmUp: 1_700 }), ["plain-2"], "two delays");
+    assert.equal(reportedBy({ ...warm, heartbeat: 6, slots: 9 }), ["plain-2"]);
 });
 
 test.run();
