Count a server as cold until what others may know has passed

Cause: an end that is up to 500 ms later than the published one is not reported to the other gateways.

Change: a server counts as cold until 500 ms after the end that its record states, unless its newest record says that it is warm.

--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -105,7 +105,7 @@
  * Heartbeats of a cold server state an end that differs by their delay; a later end than this is a new one. It is compared
  * with the end that other gateways know, since the delays of several heartbeats can add up.
  */
-const warmUpTolerance: Milliseconds = 500;
+export const warmUpTolerance: Milliseconds = 500;
 
 /** Whether a record says more than a heartbeat: the server is cold for longer, or its registration has changed. */
 function isUpdate(record: BackendRecord, known: BackendServer, now: Milliseconds): boolean {
--- a/packages/gateway/src/coldServers.ts
+++ b/packages/gateway/src/coldServers.ts
@@ -15,7 +15,7 @@
     updateAllowance,
 } from "@verbenaspring/coordination";
 import type { BackendServerId, FailureDomain, Milliseconds, ServiceName } from "@verbenaspring/model";
-import type { BackendRecord, BackendServer } from "./backendServers.js";
+import { type BackendRecord, type BackendServer, warmUpTolerance } from "./backendServers.js";
 import { countKnownInstances } from "./members.js";
 import type { GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -253,7 +253,10 @@
     return options.coldBound === undefined ? 0 : configuration?.services.get(service)?.coldStart?.perSecond ?? 0;
 }
 
-/** Until when a server is cold, by its newest record, its newest answer and the return of its failure domain. */
+/**
+ * Until when a server is cold, by its newest record, its newest answer and the return of its failure domain. The gateway
+ * that reads the records may know an end that is later by the tolerance, which it does not report.
+ */
 function coldUntil(
     { coldServers, configuration }: GatewayState,
     { record, warmUpEndsAt }: BackendServer,
@@ -263,5 +266,6 @@
     const statedUntil = statement?.startedAt === startedAt ? statement?.until : undefined;
     const returnedAt = coldServers.returningDomains.get(failureDomain) ?? -Infinity;
     const duration = configuration?.services.get(service)?.coldStart?.duration ?? 0;
-    return Math.max(warmUpEndsAt, statedUntil ?? -Infinity, returnedAt + duration + recordDelay);
+    const recordedUntil = record.remainingWarmUp > 0 ? warmUpEndsAt + warmUpTolerance : -Infinity;
+    return Math.max(recordedUntil, statedUntil ?? -Infinity, returnedAt + duration + recordDelay);
 }
