Log what separates the hypotheses about denied, late and lost requests

Cause: a refusal for its route named the host only; a peer's report that was not applied, a send to a server that leaves and an answer that the listener cut left no line; refusals of the listener named no request; a record could not be matched with a program.

No decision changes.

--- a/packages/cli/src/gateway.ts
+++ b/packages/cli/src/gateway.ts
@@ -30,6 +30,8 @@
     /** The port on which metrics are served; undefined to serve none. */
     readonly metricsPort: number | undefined;
     readonly logLevel: LogLevel;
+    /** Identifies the program in the log; undefined if it is not a bundle. */
+    readonly build?: string | undefined;
 }
 
 /**
@@ -99,6 +101,7 @@
         ...settings,
         metricsAddress: options.metricsPort === undefined ? undefined : `${host}:${options.metricsPort}`,
         logLevel: options.logLevel,
+        build: options.build,
     };
 }
 
--- a/packages/cli/src/gatewayProcess.ts
+++ b/packages/cli/src/gatewayProcess.ts
@@ -8,6 +8,8 @@
 declare global {
     /** Set while the build creates the V8 code cache of the bundle, which loads the program without running it. */
     var verbenaspringCreatesCodeCache: boolean | undefined;
+    /** The first digits of the bundle's SHA-256; undefined where the program is not started as a bundle. */
+    var verbenaspringBuild: string | undefined;
 }
 
 async function main(): Promise<void> {
@@ -21,6 +23,7 @@
         const daemon = await startGatewayFromFile({
             settingsFile,
             metricsPort: metricsPort === undefined ? undefined : Number(metricsPort),
+            build: globalThis.verbenaspringBuild,
             logLevel: process.env.VERBENASPRING_LOG_LEVEL === "debug" ? "debug" : "info",
         });
         process.on("SIGTERM", daemon.stop);
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -8,7 +8,7 @@
 import { heartbeatInterval, isFullMesh } from "./members.js";
 import { evacuationProtocol, type OffsetRange, type PeerItems, type PeerTopic } from "./peerReport.js";
 import type { GatewayState, Peer, TopicFollower } from "./state.js";
-import type { Transaction } from "./transaction.js";
+import { logDecision, type Transaction } from "./transaction.js";
 
 export const topicNames: readonly TopicName[] = ["configuration", "backendServers"];
 
@@ -112,18 +112,16 @@
 ): boolean {
     const { state, now } = transaction;
     const follower = state.followers[topic.name];
-    if (topic.through === undefined) {
+    if (!isAboutRecords(topic)) {
         return false;
     }
     // Records sent to the peer may still be under way, so what it reports replaces what was recorded on sending.
     peer.through = { ...peer.through, [topic.name]: topic.through };
     // What was known before a snapshot became due still holds: a report that begins there adds to it.
     const known = follower.next ?? follower.knownThrough ?? 0;
-    if (topic.through < known || topic.since > known || mayLackEvacuations(peer, topic)) {
-        return false;
-    }
-    // The peer reports all records once it knows from this gateway's report where its knowledge ends.
-    if (!topic.isComplete && isInsideGap(topic.removalGaps ?? [], known)) {
+    const obstacle = obstacleTo(peer, topic, known);
+    if (obstacle !== undefined) {
+        logIgnoredReport(transaction, peer, topic, obstacle);
         return false;
     }
     const apply = topic.isComplete ? applySnapshot : applyItems;
@@ -134,6 +132,60 @@
     return hasChanged;
 }
 
+function isAboutRecords(topic: PeerTopic): topic is PeerTopic & { readonly through: LogOffset; } {
+    return topic.through !== undefined;
+}
+
+type ReportObstacle = "older" | "begins_later" | "may_lack_evacuations" | "inside_gap";
+
+/** Why a report of a topic can't be applied to what is known up to an offset. */
+function obstacleTo(
+    peer: Peer,
+    topic: PeerTopic & { readonly through: LogOffset; },
+    known: LogOffset,
+): ReportObstacle | undefined {
+    if (topic.through < known) {
+        return "older";
+    }
+    if (topic.since > known) {
+        return "begins_later";
+    }
+    if (mayLackEvacuations(peer, topic)) {
+        return "may_lack_evacuations";
+    }
+    // The peer reports all records once it knows from this gateway's report where its knowledge ends.
+    return !topic.isComplete && isInsideGap(topic.removalGaps ?? [], known) ? "inside_gap" : undefined;
+}
+
+const ignoredReportLogInterval: Milliseconds = 1_000;
+
+/** Logs a report with news that was not applied, at most once a second for each topic. */
+function logIgnoredReport(
+    transaction: Transaction,
+    { address }: Peer,
+    { name, since, through, isComplete }: PeerTopic,
+    obstacle: ReportObstacle,
+): void {
+    const { state, now } = transaction;
+    const follower = state.followers[name];
+    const { next, knownThrough, freshAsOf } = follower;
+    if (obstacle === "older" || now - follower.ignoredReportLoggedAt < ignoredReportLogInterval) {
+        return;
+    }
+    follower.ignoredReportLoggedAt = now;
+    logDecision(transaction, "info", "peer_report_ignored", {
+        peer: address,
+        topic: name,
+        obstacle,
+        since,
+        through,
+        isComplete,
+        next,
+        knownThrough,
+        age: freshAsOf === undefined ? undefined : Math.round(now - freshAsOf),
+    });
+}
+
 /**
  * Whether a report of the operator's topic may lack evacuations: gateways of an earlier version keep their records, but
  * don't count them as changes. Applied, it would move this gateway's reads past them.
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -14,7 +14,7 @@
 import { identifyRepeats } from "./crashSuspects.js";
 import { cannotFinishBeforeStop, retryAfterStop } from "./draining.js";
 import type { GatewayEvent } from "./event.js";
-import { expectedOutput } from "./messages.js";
+import { expectedOutput, type RequestHead } from "./messages.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
 import { countPossibleRuns, createRunLedger } from "./runLedger.js";
 import { dispatch } from "./sending.js";
@@ -28,6 +28,8 @@
 const startingRetryAfter: Milliseconds = 300;
 /** Callers of plain services wait a second or two in total, so a longer minimum would come too late for them. */
 const minimumRetryAfter: Milliseconds = 20;
+/** Characters of a path that a log line states. */
+const maximumLoggedPath = 120;
 
 /** Handles a request whose body was read completely. */
 export function handleRequest(transaction: Transaction, event: RequestReceived): void {
@@ -36,8 +38,7 @@
     if (configuration === undefined) {
         return refuse(transaction, event, "configuration_unavailable", startingRetryAfter);
     }
-    const path = head.target.split("?", 1)[0];
-    const route = findRoute(configuration, head.host, path);
+    const route = findRoute(configuration, head.host, pathOf(head));
     if (route === undefined) {
         return refuse(transaction, event, "route_not_found");
     }
@@ -81,6 +82,10 @@
     dispatch(transaction, request);
 }
 
+function pathOf({ target }: RequestHead): string {
+    return target.split("?", 1)[0];
+}
+
 function findOrganisation(
     { organisations }: RoutingConfiguration,
     route: Route,
@@ -107,11 +112,15 @@
     type: FailureType,
     retryAfter?: Milliseconds,
 ): void {
+    const { now, state: { configuration, followers } } = transaction;
     logDecision(transaction, "warn", "request_refused", {
         request: head.callerAttemptId,
         reason: type,
         host: head.host,
-        configurationVersion: transaction.state.configuration?.version,
+        path: pathOf(head).slice(0, maximumLoggedPath),
+        hostRoutes: configuration?.routesByHost.get(head.host)?.length ?? 0,
+        configurationVersion: configuration?.version,
+        configurationAge: ageOf(now, followers.configuration.freshAsOf),
     });
     const spreadRetryAfter = retryAfter === undefined
         ? undefined
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -217,6 +217,7 @@
         copy: continuesFrom?.name,
         ...loadFields(state, server, now),
     });
+    logSendToLeaving(transaction, request);
     addLoad(state, attempt);
     effects.push({
         kind: "sendAttempt",
@@ -239,6 +240,20 @@
     });
 }
 
+/** Warns where a request is sent to a server that leaves by what is known now. */
+function logSendToLeaving(transaction: Transaction, request: GatewayRequest): void {
+    const { state, now } = transaction;
+    const server = state.servers.get(request.attempt?.server.record.id ?? identifier(""));
+    if (server?.leavingSince === undefined) {
+        return;
+    }
+    logDecision(transaction, "warn", "sent_to_leaving_server", {
+        ...requestFields(transaction, request),
+        leavingFor: Math.round(now - server.leavingSince),
+        isRemoved: server.removedAt !== undefined,
+    });
+}
+
 /** Logs why a request is sent again, and warns where it may run twice though it may run only once. */
 function logRepeatedSend(
     transaction: Transaction,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -192,6 +192,8 @@
     rank: { readonly members: readonly Member[]; readonly value: number; } | undefined;
     isReading: boolean;
     nextReadAt: Milliseconds;
+    /** When a report of a peer that could not be applied was last logged. */
+    ignoredReportLoggedAt: Milliseconds;
     /** Why and when the last read failed; undefined after a successful one. */
     lastFailure: { readonly failure: ReadFailure; readonly at: Milliseconds; } | undefined;
 }
@@ -380,6 +382,7 @@
         rank: undefined,
         isReading: false,
         nextReadAt: 0,
+        ignoredReportLoggedAt: -Infinity,
         lastFailure: undefined,
     };
 }
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -2,7 +2,7 @@
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, configuration, kindsIn, options, server, TestGateway } from "./gatewayBuilders.js";
+import { callsIn, configuration, kindsIn, linesIn, options, server, TestGateway } from "./gatewayBuilders.js";
 
 const other = identifier<never>("10.1.0.2:8748");
 const ownRecordsIn = (effects: readonly GatewayEffect[]) =>
@@ -389,6 +389,19 @@
     assert.is(callsIn(gateway.receiveRequest("r", "confirm")).length, 1);
 });
 
+// Gateways differed by a version for seconds, and no line said whether reports came.
+test("the log says at most once a second that a peer's news was not applied, and why", () => {
+    const gateway = TestGateway.serving(server("plain-1"));
+    const known = gateway.state.followers.backendServers.next!;
+    const topic = { name: "backendServers", since: known + 5, through: known + 9, age: 0, isComplete: false } as const;
+    const receive = () =>
+        linesIn(gateway.receiveReport({ topics: [{ ...topic, read: readBy(1), items: [] }] }), "peer_report_ignored");
+    assert.equal(receive().map(({ obstacle, next }) => [obstacle, next]), [["begins_later", known]]);
+    assert.is(receive().length, 0);
+    gateway.now += 1_000;
+    assert.is(receive().length, 1);
+});
+
 test("a gateway that applies a report with a gap passes the gap on", () => {
     const gateway = TestGateway.serving(server("plain-1"));
     const follower = gateway.state.followers.backendServers;
--- a/packages/gateway/test/requests.test.ts
+++ b/packages/gateway/test/requests.test.ts
@@ -7,6 +7,7 @@
     configuration,
     failuresIn,
     kindsIn,
+    linesIn,
     requestId,
     route,
     server,
@@ -34,6 +35,14 @@
     assert.is(failuresIn(gateway.receiveRequest("t", "", { host: "none.example" }))[0].type, "route_not_found");
 });
 
+// A record of refusals could not show whether a route was missing from the configuration or from its view of a path.
+test("the log line of a refused request names its path, and how old the view of the configuration is", () => {
+    const gateway = TestGateway.serving(server("plain-1"));
+    gateway.now += 30;
+    const [line] = linesIn(gateway.receiveRequest("r", "", { target: "/none/1?q=2" }), "request_refused");
+    assert.equal([line.path, line.hostRoutes, line.configurationAge], ["/none/1", 4, 30]);
+});
+
 test("an unknown API key is refused; a known one determines the organisation and its priority", () => {
     const gateway = TestGateway.serving(server("engine-1"));
     const organisations = new Map<ApiKey, Organisation>([[identifier("key"), {
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -10,7 +10,14 @@
     ResponseHead,
     StreamEvent,
 } from "@verbenaspring/gateway";
-import { type Failure, failure, failureStatus, type Milliseconds, type RequestId } from "@verbenaspring/model";
+import {
+    type CallerAttemptId,
+    type Failure,
+    failure,
+    failureStatus,
+    type Milliseconds,
+    type RequestId,
+} from "@verbenaspring/model";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { BodyCollector } from "./bodyCollector.js";
@@ -43,10 +50,15 @@
     readonly leftEarly: (head: RequestHead, arrival: RequestArrival) => void;
     /** The caller closed its channel before the answer was complete. */
     readonly left: (requestId: RequestId) => void;
-    /** The server answered a request with a failure itself, because it was malformed or beyond a limit. */
-    readonly refused: (type: Failure["type"], detail: string) => void;
+    /**
+     * The server answered a request with a failure itself, because it was malformed or beyond a limit. The target is absent
+     * if the head could not be parsed.
+     */
+    readonly refused: (type: Failure["type"], detail: string, target?: string) => void;
     /** The server closed a connection, or rejected its request, to stay within its bounds. */
     readonly cut?: (reason: CutReason, address: string) => void;
+    /** A request that was reported as received lost its channel, with its answer incomplete, by a decision of the server. */
+    readonly answerCut?: (cut: CutAnswer) => void;
     /**
      * How many whole answers callers have not taken yet: some of their bytes are still in this process. Reported when the
      * server begins to drain, and with each change afterwards.
@@ -59,6 +71,16 @@
 /** Why a server closed a connection to stay within its bounds. */
 export type CutReason = "budget" | "connections" | "slow_reader";
 
+/** An answer that the server cut off. */
+export interface CutAnswer {
+    readonly callerAttemptId: CallerAttemptId;
+    readonly reason: CutReason | "stopped";
+    /** Whether the whole answer had been written to the socket. */
+    readonly isWritten: boolean;
+    /** Bytes of the channel that are still in the process. */
+    readonly unsentBytes: number;
+}
+
 /** Decodes the head of a request, or returns what is wrong with it. */
 export type DecodeCallerHead = (
     method: string,
@@ -99,6 +121,7 @@
 /** One request that is read or runs, or whose answer is unread. */
 interface Exchange {
     readonly requestId: RequestId;
+    readonly callerAttemptId: CallerAttemptId;
     readonly response: ServerResponse;
     /** What the budget counts for it, by kind. */
     readonly heldBytes: { heads: number; bodies: number; running: number; answers: number; };
@@ -249,12 +272,21 @@
             handleAllSent(channel, exchange);
         }
     };
+    const reportCutAnswers = ({ socket, exchanges }: CallerChannel, reason: CutAnswer["reason"]): void => {
+        for (const { callerAttemptId, rejectBody, isAnswered } of exchanges) {
+            if (rejectBody === undefined) {
+                const { unsentBytes } = socket;
+                handlers.answerCut?.({ callerAttemptId, reason, isWritten: isAnswered, unsentBytes });
+            }
+        }
+    };
     const cutLargest = (): void => {
         const isCut = (channel: CallerChannel): boolean => channel.isRefused || channel.socket.destroyed;
         for (let largest = budget.largest(isCut); largest !== undefined; largest = budget.largest(isCut)) {
             handlers.cut?.("budget", largest.address);
             const unread = [...largest.exchanges].find(({ rejectBody }) => rejectBody !== undefined);
             if (unread?.rejectBody === undefined || largest.exchanges.size > 1) {
+                reportCutAnswers(largest, "budget");
                 largest.socket.destroy();
             }
             else {
@@ -263,7 +295,7 @@
         }
     };
     const rejectRequest = (channel: CallerChannel, response: ServerResponse, reason: Failure, detail: string): void => {
-        handlers.refused(reason.type, detail);
+        handlers.refused(reason.type, detail, `${response.req.method ?? ""} ${response.req.url ?? ""}`);
         channel.isRefused = true;
         channel.waiting.length = 0;
         channel.socket.reject(channel.exchanges.size === 0);
@@ -294,6 +326,7 @@
         const idleTimer = setTimeout(() => exchange.rejectBody?.(requestTimeout, "body"), limits.idleTimeout);
         const exchange: Exchange = {
             requestId,
+            callerAttemptId: head.callerAttemptId,
             response,
             heldBytes: { heads: headBytes(request.rawHeaders.length, headerBytes), bodies: 0, running: 0, answers: 0 },
             rejectBody: (reason, detail) => {
@@ -443,6 +476,7 @@
         if (channels.size > bounds.connections) {
             const surplus = chooseSurplusChannel(channels.values()) ?? channel;
             handlers.cut?.("connections", surplus.address);
+            reportCutAnswers(surplus, "connections");
             channels.delete(surplus.socket);
             surplus.socket.destroy();
         }
@@ -487,6 +521,7 @@
                 pausedSince !== undefined && now - pausedSince > limits.idleTimeout;
             if (isStuck(channel, now, limits.idleTimeout) || [...channel.exchanges].some(isSlow)) {
                 handlers.cut?.("slow_reader", channel.address);
+                reportCutAnswers(channel, "slow_reader");
                 channel.socket.resetAndDestroy();
             }
         }
@@ -574,6 +609,7 @@
             }
         },
         close: () => {
+            channels.forEach(channel => reportCutAnswers(channel, "stopped"));
             unreported.forEach(({ response }) => writeFailure(response, closing, true));
             unreported.clear();
             clearInterval(unreadTimer);
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -89,6 +89,8 @@
     readonly maxFileDescriptors?: number | undefined;
     /** Lowers the bound on what clients make the process hold, in bytes. */
     readonly callerBytes?: number | undefined;
+    /** Identifies the program in the log. */
+    readonly build?: string | undefined;
 }
 
 /** A running gateway. */
@@ -118,7 +120,8 @@
     const ticks = createTickMonitor(tickInterval, log, metrics);
     const runner = new GatewayRunner(options, state, adapter, log, metrics, ticks.readDelay);
     await runner.listen();
-    log("info", "started", { callers: options.callerAddress, readiness: options.readinessAddress });
+    const { build, callerAddress, readinessAddress } = options;
+    log("info", "started", { build, callers: callerAddress, readiness: readinessAddress });
     runLoop<GatewayEvent, GatewayEffect>({
         sources: [runner.events.stream],
         tick: { kind: "tick" },
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -247,9 +247,13 @@
                     push({ kind: "callerLeft", requestId });
                     this.removeRequest(requestId);
                 },
-                refused: (type, detail) => {
+                refused: (type, detail, target = "") => {
                     this.metrics.count("verbenaspring_failures_total", { type });
-                    this.pressure.report("callers", type, detail, monotonicNow());
+                    this.pressure.report("callers", type, describeRefusal(detail, target), monotonicNow());
+                },
+                answerCut: ({ callerAttemptId, reason, isWritten, unsentBytes }) => {
+                    const fields = { request: callerAttemptId, reason, isWritten, unsentBytes };
+                    this.logDecision({ level: "warn", event: "answer_cut", fields });
                 },
                 cut: (reason, address) => this.pressure.report("callers", reason, address, monotonicNow()),
                 unsentAnswers: count => push({ kind: "unsentAnswers", count }),
@@ -426,6 +430,13 @@
     }
 }
 
+/** Characters of a refused request's target that a log line states. */
+const maxLoggedTarget = 120;
+
+function describeRefusal(detail: string, target: string): string {
+    return target === "" ? detail : `${detail}: ${target.split("?", 1)[0].slice(0, maxLoggedTarget)}`;
+}
+
 const knownReadFailures: readonly ReadFailure[] = ["records_deleted", "refused", "timeout", "unreachable", "malformed"];
 
 /** Returns the value of the error's field `failure` if it is a known one, otherwise "unreachable". */
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -9,6 +9,7 @@
     type CallerBounds,
     createGatewayCallerServer,
     createProbeServer,
+    type CutAnswer,
     type GatewayCallerServer,
     listen,
 } from "@verbenaspring/runtime";
@@ -56,6 +57,7 @@
     readonly left: RequestId[] = [];
     readonly refused: string[] = [];
     readonly drained: RequestId[] = [];
+    readonly cutAnswers: CutAnswer[] = [];
     readonly clients: Client[] = [];
     readonly callers: GatewayCallerServer;
     private count = 0;
@@ -81,6 +83,7 @@
                 left: requestId => this.left.push(requestId),
                 refused: type => this.refused.push(type),
                 drained: requestId => this.drained.push(requestId),
+                answerCut: cut => this.cutAnswers.push(cut),
             },
             bounds,
         );
@@ -229,6 +232,7 @@
     await waitUntil(() => harness.left.length === 1);
     clearInterval(writing);
     assert.equal(harness.left, harness.open);
+    assert.equal(harness.cutAnswers.map(({ reason, isWritten }) => [reason, isWritten]), [["slow_reader", false]]);
 });
 
 // A backlog that was bounded in bytes only held tens of thousands of short events, and exhausted the heap.
--- a/scripts/startFromCodeCache.cjs
+++ b/scripts/startFromCodeCache.cjs
@@ -6,6 +6,7 @@
 // no other reaction, as it has yet to read its settings.
 process.on("SIGHUP", () => undefined);
 
+const { createHash } = require("node:crypto");
 const { readFileSync, writeFileSync, existsSync } = require("node:fs");
 const { createRequire } = require("node:module");
 const { join } = require("node:path");
@@ -14,12 +15,14 @@
 const [name, option] = process.argv.slice(2);
 const programFile = join(__dirname, `${name}.cjs`);
 const codeCacheFile = join(__dirname, `${name}.compiled`);
-const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(programFile, "utf8")}\n})`;
+const program = readFileSync(programFile, "utf8");
+const source = `(function (exports, require, module, __filename, __dirname) {${program}\n})`;
 const isCreatingCodeCache = option === "--compile";
 const cachedData = !isCreatingCodeCache && existsSync(codeCacheFile) ? readFileSync(codeCacheFile) : undefined;
 const script = new Script(source, { filename: programFile, cachedData });
 
 globalThis.verbenaspringCreatesCodeCache = isCreatingCodeCache;
+globalThis.verbenaspringBuild = createHash("sha256").update(program).digest("hex").slice(0, 12);
 const programModule = { exports: {} };
 script.runInThisContext()(programModule.exports, createRequire(programFile), programModule, programFile, __dirname);
 if (isCreatingCodeCache) {
