Send to leaving servers only within the drain limit of the settings

Seen by callers' operators: requests reached servers after the bound from the acknowledgement that these leave (DRAIN).

Cause: the fallback to lapsed servers (1.5 s) and streams that continue at a leaving holder of their replica (1 s) counted from when the gateway learnt of the leaving. Its view may be 1.5 s old by then, and the bound is 2 s from the acknowledgement; the code assumed 3 s and did not read the settings.

A leaving server has the earliest time at which its leaving can have been acknowledged, and both paths end 400 ms before the limit counted from there.

Not shown to be the cause of the users' cases.

--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -44,6 +44,8 @@
     readonly publishedWarmUpEndsAt: Milliseconds;
     /** Since when it accepts no new work: it announced its stop, or its registration was removed. */
     readonly leavingSince: Milliseconds | undefined;
+    /** The earliest time at which the platform can have acknowledged that it leaves; undefined if it does not leave. */
+    readonly leavingNotBefore: Milliseconds | undefined;
     /** When its registration was removed. */
     readonly removedAt: Milliseconds | undefined;
 }
@@ -62,14 +64,16 @@
  * neither does one that does not report its start if the known one does: it is of another writer.
  *
  * @param hasGivenNotice whether this incarnation said in an answer that it leaves, whatever the record says
+ * @param knownAsOf when the view before the record was last known to be complete
  * @example
- * const change = applyRecord(view, record, false, now);
+ * const change = applyRecord(view, record, false, now, now);
  */
 export function applyRecord(
     view: BackendView,
     record: BackendRecord,
     hasGivenNotice: boolean,
     now: Milliseconds,
+    knownAsOf: Milliseconds,
 ): BackendChange {
     const known = view.get(record.id);
     if (known !== undefined && isOlder(record, known.record)) {
@@ -87,12 +91,24 @@
         restart: isRestart ? { learnedAt: now, previousHeardAt: known.heardAt } : known?.restart,
         warmUpEndsAt,
         publishedWarmUpEndsAt: publishedWarmUpEnd(known, change, warmUpEndsAt),
-        leavingSince: isLeaving ? (isSameIncarnation ? known.leavingSince : undefined) ?? now : undefined,
+        ...leavingTimes(isSameIncarnation ? known : undefined, isLeaving, now, knownAsOf),
         removedAt: undefined,
     });
     return change;
 }
 
+/** @param known the same incarnation as it is known, if it is */
+function leavingTimes(
+    known: BackendServer | undefined,
+    isLeaving: boolean,
+    now: Milliseconds,
+    knownAsOf: Milliseconds,
+): Pick<BackendServer, "leavingSince" | "leavingNotBefore"> {
+    return isLeaving
+        ? { leavingSince: known?.leavingSince ?? now, leavingNotBefore: known?.leavingNotBefore ?? knownAsOf }
+        : { leavingSince: undefined, leavingNotBefore: undefined };
+}
+
 function publishedWarmUpEnd(
     known: BackendServer | undefined,
     change: BackendChange,
@@ -143,13 +159,27 @@
     return record.heartbeat < known.heartbeat;
 }
 
-/** Marks a server as removed, because its registration ended. */
-export function applyRemoval(view: BackendView, id: BackendServerId, now: Milliseconds): BackendChange {
+/**
+ * Marks a server as removed, because its registration ended.
+ *
+ * @param knownAsOf when the view before the removal was last known to be complete
+ */
+export function applyRemoval(
+    view: BackendView,
+    id: BackendServerId,
+    now: Milliseconds,
+    knownAsOf: Milliseconds,
+): BackendChange {
     const known = view.get(id);
     if (known === undefined || known.removedAt !== undefined) {
         return "unchanged";
     }
-    view.set(id, { ...known, leavingSince: known.leavingSince ?? now, removedAt: now });
+    view.set(id, {
+        ...known,
+        leavingSince: known.leavingSince ?? now,
+        leavingNotBefore: known.leavingNotBefore ?? knownAsOf,
+        removedAt: now,
+    });
     return "removed";
 }
 
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -41,6 +41,9 @@
     backendServers: { wait: 0, pause: 400, takeoverTimeouts: { base: 900, step: 150, max: 1_500 } },
 };
 
+/** How old a view of the servers becomes while the store answers any gateway: the last takeover, and a read that fails. */
+const longestViewAge: Milliseconds = 2_300;
+
 /** From a failed read to the next one. */
 const retryDelay: Milliseconds = 250;
 /** For how long after a failed read a gateway leaves the reads to the others, if theirs succeed. */
@@ -153,6 +156,7 @@
     }
     if (follower.freshAsOf === undefined || readAt > follower.freshAsOf) {
         follower.freshAsOf = readAt;
+        follower.knownAsOf = readAt;
         follower.lastRead = read;
     }
 }
@@ -337,7 +341,7 @@
         case "backendServer": {
             const previous = state.servers.get(decoded.record.id);
             const isNoticed = hasGivenNotice(state, decoded.record);
-            const change = applyRecord(state.servers, decoded.record, isNoticed, now);
+            const change = applyRecord(state.servers, decoded.record, isNoticed, now, completeAsOf(transaction));
             if (previous?.record.service !== decoded.record.service) {
                 indexByService(transaction);
             }
@@ -347,7 +351,11 @@
             return handleServerChange(transaction, decoded.record.id, change);
         }
         case "backendServerRemoved":
-            return handleServerChange(transaction, decoded.id, applyRemoval(state.servers, decoded.id, now));
+            return handleServerChange(
+                transaction,
+                decoded.id,
+                applyRemoval(state.servers, decoded.id, now, completeAsOf(transaction)),
+            );
         case "evacuation":
             applyEvacuation(transaction, decoded, item.offset);
             // A withdrawal counts also where the evacuation was not known: gateways that get the topic from this one may
@@ -359,6 +367,15 @@
     }
 }
 
+/**
+ * When the view of the servers was last known to be complete. If that is longer ago than any gateway waits before it
+ * reads, the store answered none of them, and acknowledged nothing meanwhile.
+ */
+function completeAsOf({ state, now }: Transaction): Milliseconds {
+    const { knownAsOf } = state.followers.backendServers;
+    return knownAsOf === undefined || now - knownAsOf > longestViewAge ? now : knownAsOf;
+}
+
 function applyConfiguration(transaction: Transaction, configuration: RoutingConfiguration): boolean {
     const { state, effects } = transaction;
     const previous = state.configuration?.version;
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -21,6 +21,8 @@
     readonly coldBound?: Omit<ColdRate, "perSecond"> | undefined;
     /** From the request to stop until the process is killed. */
     readonly stopLimit: Milliseconds;
+    /** From the acknowledgement that a server leaves until the last request reaches it; undefined for the usual bound. */
+    readonly drainLimit?: Milliseconds | undefined;
     /**
      * From the request of an evacuation until no request reaches a server of the failure domain; undefined where
      * operators request none.
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -4,7 +4,7 @@
 import type { Milliseconds } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
 import { isEvacuated } from "./evacuations.js";
-import { hasGivenNotice } from "./leavingServers.js";
+import { hasGivenNotice, isWithinDrainLimit } from "./leavingServers.js";
 import type { EngineCapabilities } from "./routingConfiguration.js";
 import { acceptsRequest, engineOf } from "./serverLoad.js";
 import type { Attempt, GatewayRequest, GatewayState, RunCopy } from "./state.js";
@@ -19,9 +19,8 @@
 const remoteTransferFactor = 2;
 
 /**
- * How long after this gateway learned that a server is leaving the server still accepts streams that would otherwise be
- * lost. Its announcement takes a second or two to spread, and the platform allows three seconds from the announcement
- * to the last request.
+ * How long after this gateway learnt that a server is leaving the server still accepts streams that would otherwise be
+ * lost: later it would leave before they end.
  */
 const takeoverWindow: Milliseconds = 1_000;
 
@@ -142,7 +141,8 @@
     now: Milliseconds,
 ): boolean {
     const { record, leavingSince } = server;
-    const isStaying = leavingSince === undefined || now - leavingSince <= takeoverWindow;
+    const isStaying = leavingSince === undefined
+        || (now - leavingSince <= takeoverWindow && isWithinDrainLimit(state, server, now));
     return isStaying && hasSameVersion(record, origin.record) && !hasGivenNotice(state, record)
         && !isEvacuated(state, record)
         && acceptsRequest(state, server, now);
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -13,7 +13,7 @@
 import { isCold, isWithinColdRate } from "./coldServers.js";
 import type { DecisionFields } from "./effect.js";
 import { isEvacuated } from "./evacuations.js";
-import { hasGivenNotice } from "./leavingServers.js";
+import { hasGivenNotice, isWithinDrainLimit } from "./leavingServers.js";
 import { memberLoad } from "./members.js";
 import { expectedOutput } from "./messages.js";
 import { isLimited, isWithinLimit } from "./requestLimits.js";
@@ -52,7 +52,10 @@
     const ready = known.filter(server => server.leavingSince === undefined);
     const usable = ready.length > 0
         ? ready
-        : known.filter(server => hasJustLapsed(server, now) && !hasGivenNotice(state, server.record));
+        : known.filter(server =>
+            hasJustLapsed(server, now) && !hasGivenNotice(state, server.record)
+            && isWithinDrainLimit(state, server, now)
+        );
     const allowed = usable.filter(server => acceptsRequest(state, server, now));
     return withoutEjected(allowed, ({ record }) => state.health.get(record.id), now);
 }
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -182,6 +182,8 @@
     readonly items: Map<string, TopicItem>;
     /** When the log was last known to end at `next`, by a read of this gateway or of another. */
     freshAsOf: Milliseconds | undefined;
+    /** When the records were last known to be complete, also while the topic has to be read again from a snapshot. */
+    knownAsOf: Milliseconds | undefined;
     /** The read that `freshAsOf` is the time of. */
     lastRead: TopicReadStamp | undefined;
     /**
@@ -377,6 +379,7 @@
         removalGaps: [],
         items: new Map(),
         freshAsOf: undefined,
+        knownAsOf: undefined,
         lastRead: undefined,
         readCounts: new Map(),
         rank: undefined,
--- a/packages/gateway/test/replicas.test.ts
+++ b/packages/gateway/test/replicas.test.ts
@@ -42,6 +42,24 @@
     assert.equal(callsIn(gateway.failAttempt(call)), []);
 });
 
+// The holder was used for a second after its leaving was learnt, which may be 2.5 s after its acknowledgement.
+test("a stream does not continue at a leaving holder that it would reach after the drain limit", () => {
+    const continues = (viewAge: number, drainLimit: number): boolean => {
+        const gateway = gatewayWithEngines();
+        gateway.state.options = { ...gateway.state.options, drainLimit };
+        const call = gateway.startReplicatedStream("r", "plan");
+        const holder = gateway.state.attempts.get(call.attemptId)!.attempt!.replica!.record;
+        gateway.read("backendServers", []);
+        gateway.now += viewAge;
+        gateway.register({ ...holder, isDraining: true, heartbeat: 2 });
+        gateway.now += 900;
+        return callsIn(gateway.failAttempt(call)).length === 1;
+    };
+    assert.is(continues(400, 2_000), true);
+    assert.is(continues(1_400, 2_000), false);
+    assert.is(continues(1_400, 3_000), true);
+});
+
 test("a stream does not continue at a holder that gave notice long ago, whatever its record says", () => {
     const gateway = gatewayWithEngines();
     const call = gateway.startReplicatedStream("r", "plan");
