--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -43,7 +43,7 @@
 /** What a gateway knows of a topic. */
 export interface PeerTopic {
     readonly name: TopicName;
-    /** The offset after the last record that is known; undefined before the first read. */
+    /** The offset after the last record that is known; undefined if none is, or in the first report on a link. */
     readonly through: LogOffset | undefined;
     /** The read that found the end of the log there. */
     readonly read: TopicReadStamp;
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -39,10 +39,12 @@
 
 function createTopicReport(state: GatewayState, name: TopicName, peer: Peer, now: Milliseconds): PeerTopic {
     const follower = state.followers[name];
-    const { next, freshAsOf, lastRead } = follower;
+    const { next, knownThrough, freshAsOf, lastRead } = follower;
     const noRead = { reader: state.incarnation, count: 0 };
     if (next === undefined || freshAsOf === undefined || lastRead === undefined) {
-        return { name, since: 0, through: undefined, read: noRead, age: 0, items: [], isComplete: false };
+        // Without the offset, the peer would go on after records that it sent but that were not applied here.
+        const through = peer.link === "open" ? knownThrough : undefined;
+        return { name, since: through ?? 0, through, read: noRead, age: 0, items: [], isComplete: false };
     }
     // What the peer knows of the topic is only certain after it has reported on this link.
     const known: LogOffset = peer.through[name] ?? 0;
@@ -112,11 +114,11 @@
 ): boolean {
     const { state, now } = transaction;
     const follower = state.followers[topic.name];
+    // Records sent to the peer may still be under way, so what it reports replaces what was recorded on sending.
+    peer.through = { ...peer.through, [topic.name]: topic.through };
     if (!isAboutRecords(topic)) {
         return false;
     }
-    // Records sent to the peer may still be under way, so what it reports replaces what was recorded on sending.
-    peer.through = { ...peer.through, [topic.name]: topic.through };
     // What was known before a snapshot became due still holds: a report that begins there adds to it.
     const known = follower.next ?? follower.knownThrough ?? 0;
     const obstacle = obstacleTo(peer, topic, known);
--- /dev/null
+++ b/packages/gateway/test/linkedGateways.ts
@@ -0,0 +1,206 @@
+/**
+ * Gateways that follow one log and exchange their reports. The log can turn gateways away and delete its history, and
+ * links between gateways can be cut.
+ */
+import type {
+    BackendRecord,
+    DecodedItem,
+    GatewayEffect,
+    PeerReport,
+    RoutingConfiguration,
+} from "@verbenaspring/gateway";
+import { identifier, type PeerAddress } from "@verbenaspring/model";
+import { callsIn, TestGateway } from "./gatewayBuilders.js";
+
+type TopicName = "configuration" | "backendServers";
+
+interface PendingRead {
+    readonly gateway: TestGateway;
+    readonly topic: TopicName;
+    /** Undefined for a snapshot. */
+    readonly from: number | undefined;
+    readonly dueAt: number;
+}
+
+const stepDuration = 10;
+const tickDuration = 50;
+
+/** The records of a topic; the index of a record is its offset. */
+class TestLog {
+    readonly records: DecodedItem[] = [];
+    private firstRetained = 0;
+
+    get end(): number {
+        return this.records.length;
+    }
+
+    append(key: string, records: DecodedItem["records"], isTombstone = false): void {
+        this.records.push({ item: { key, offset: this.end, value: new Uint8Array(isTombstone ? 0 : 1) }, records });
+    }
+
+    /** Deletes all but the newest record of each key. */
+    deleteHistory(): void {
+        this.firstRetained = this.end;
+    }
+
+    hasDeleted(from: number): boolean {
+        return from < this.firstRetained;
+    }
+
+    newest(): DecodedItem[] {
+        const newest = new Map(this.records.map(record => [record.item.key, record]));
+        return [...newest.values()].filter(({ item }) => item.value.length > 0);
+    }
+}
+
+/** A set of gateways with links to each other, on one clock. */
+export class LinkedGateways {
+    now = 1_000;
+    readonly gateways: TestGateway[];
+    /** The gateways whose reads the log refuses. */
+    readonly turnedAway = new Set<TestGateway>();
+    /** Pairs of gateways whose reports to each other are lost. */
+    readonly cutLinks: (readonly [TestGateway, TestGateway])[] = [];
+    /** The items of all reports that were delivered. */
+    deliveredItems = 0;
+    private readonly logs: Readonly<Record<TopicName, TestLog>> = {
+        configuration: new TestLog(),
+        backendServers: new TestLog(),
+    };
+    private pendingReads: PendingRead[] = [];
+
+    constructor(size: number) {
+        const seedAddresses = Array.from(
+            { length: size },
+            (_, index) => identifier<PeerAddress>(`10.1.0.${index + 1}:8748`),
+        );
+        this.gateways = seedAddresses.map(peerAddress => {
+            const gateway = new TestGateway({ peerAddress, seedAddresses });
+            Object.assign(gateway.state, { incarnation: identifier<never>(peerAddress) });
+            return gateway;
+        });
+    }
+
+    configure(configuration: RoutingConfiguration): void {
+        this.logs.configuration.append("config", [{ kind: "configuration", configuration }]);
+    }
+
+    register(...servers: readonly BackendRecord[]): void {
+        servers.forEach(record => this.logs.backendServers.append(record.id, [{ kind: "backendServer", record }]));
+    }
+
+    remove(id: string): void {
+        this.logs.backendServers.append(id, [{ kind: "backendServerRemoved", id: identifier(id) }], true);
+    }
+
+    deleteHistory(topic: TopicName): void {
+        this.logs[topic].deleteHistory();
+    }
+
+    /** Cuts all links of a gateway. */
+    isolate(gateway: TestGateway): void {
+        this.gateways.forEach(other => this.cutLinks.push([gateway, other]));
+    }
+
+    restoreLinks(): void {
+        this.cutLinks.length = 0;
+    }
+
+    advance(duration: number): void {
+        const end = this.now + duration;
+        while (this.now < end) {
+            this.now += stepDuration;
+            this.gateways.forEach(gateway => gateway.now = this.now);
+            this.endReads();
+            if (this.now % tickDuration === 0) {
+                this.gateways.forEach(gateway => this.perform(gateway, gateway.handle({ kind: "tick" })));
+            }
+        }
+    }
+
+    /** Advances the clock until a condition holds, and returns how long that took; a second more than the limit if never. */
+    advanceUntil(holds: () => boolean, limit: number): number {
+        const start = this.now;
+        while (!holds() && this.now - start <= limit) {
+            this.advance(stepDuration);
+        }
+        return holds() ? this.now - start : limit + 1_000;
+    }
+
+    /** Whether the gateway sends a request of the route to a server. */
+    serves(gateway: TestGateway, routeName: string): boolean {
+        return callsIn(gateway.receiveRequest(`${routeName}-${this.now}`, routeName)).length > 0;
+    }
+
+    private endReads(): void {
+        const pending = this.pendingReads;
+        this.pendingReads = [];
+        pending.forEach(read => {
+            if (!this.endRead(read)) {
+                this.pendingReads.push(read);
+            }
+        });
+    }
+
+    private endRead({ gateway, topic, from, dueAt }: PendingRead): boolean {
+        const log = this.logs[topic];
+        if (this.turnedAway.has(gateway)) {
+            this.perform(gateway, gateway.handle({ kind: "topicReadFailed", topic, failure: "refused" }));
+            return true;
+        }
+        if (from !== undefined && log.hasDeleted(from)) {
+            this.perform(gateway, gateway.handle({ kind: "topicReadFailed", topic, failure: "records_deleted" }));
+            return true;
+        }
+        const items = from === undefined ? log.newest() : log.records.slice(from);
+        if (items.length === 0 && this.now < dueAt) {
+            return false;
+        }
+        const isSnapshot = from === undefined;
+        this.perform(gateway, gateway.handle({ kind: "topicRead", topic, isSnapshot, items, next: log.end }));
+        return true;
+    }
+
+    private perform(gateway: TestGateway, effects: readonly GatewayEffect[]): void {
+        for (const effect of effects) {
+            switch (effect.kind) {
+                case "readSnapshot":
+                    this.pendingReads.push({ gateway, topic: effect.topic, from: undefined, dueAt: this.now });
+                    break;
+                case "readTopic": {
+                    const { topic, from, wait } = effect;
+                    this.pendingReads.push({ gateway, topic, from, dueAt: this.now + wait });
+                    break;
+                }
+                case "openPeerLink":
+                case "sendReport":
+                    this.deliver(gateway, effect.address, effect.report);
+                    break;
+                default:
+            }
+        }
+    }
+
+    private deliver(sender: TestGateway, address: PeerAddress, report: PeerReport): void {
+        const receiver = this.gateways.find(({ state }) => state.options.peerAddress === address);
+        const isCut = this.cutLinks.some(pair =>
+            pair.includes(sender) && receiver !== undefined && pair.includes(receiver)
+        );
+        if (receiver === undefined || isCut) {
+            return;
+        }
+        const itemsOf = (topic: TopicName): DecodedItem[] =>
+            report.topics.filter(({ name }) => name === topic).flatMap(({ items }) => items)
+                .map(item => this.decode(topic, item));
+        const items = { configuration: itemsOf("configuration"), backendServers: itemsOf("backendServers") };
+        this.deliveredItems += items.configuration.length + items.backendServers.length;
+        this.perform(receiver, receiver.handle({ kind: "peerReported", report, items }));
+    }
+
+    private decode(topic: TopicName, item: DecodedItem["item"]): DecodedItem {
+        const id = identifier<never>(item.key);
+        return item.value.length > 0
+            ? { item, records: this.logs[topic].records[item.offset].records }
+            : { item, records: [{ kind: "backendServerRemoved", id }] };
+    }
+}
--- /dev/null
+++ b/packages/gateway/test/peerTopics.test.ts
@@ -0,0 +1,47 @@
+import { identifier } from "@verbenaspring/model";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { configuration, server, type TestGateway } from "./gatewayBuilders.js";
+import { LinkedGateways } from "./linkedGateways.js";
+
+/** From an acknowledged change until it must be in force, and no request may reach a server that left. */
+const changeLimit = 2_000;
+
+/** Gateways that have read a configuration and servers, and have links to each other. */
+function linkedGateways(size: number): LinkedGateways {
+    const linked = new LinkedGateways(size);
+    linked.configure(configuration(1));
+    linked.register(server("plain-1"), server("plain-2"));
+    linked.advance(5_000);
+    return linked;
+}
+
+const isServing = ({ state }: TestGateway, id: string): boolean =>
+    state.servers.get(identifier<never>(id))?.leavingSince === undefined;
+
+/** Loses the reports of a moment in which no link closes, as when one of two links to a peer is replaced. */
+function loseReports(linked: LinkedGateways, gateway: TestGateway, act: () => void): void {
+    linked.isolate(gateway);
+    act();
+    linked.advance(700);
+    linked.restoreLinks();
+}
+
+// Its reports told no offset then, so that peers went on after records that it did not have.
+test("a gateway that the store turns away before it has read a snapshot learns what a peer reads", () => {
+    const linked = linkedGateways(2);
+    const [reader, other] = linked.gateways;
+    linked.turnedAway.add(other);
+    loseReports(linked, other, () => {
+        other.handle({ kind: "topicReadFailed", topic: "backendServers", failure: "records_deleted" });
+        other.handle({ kind: "topicReadFailed", topic: "configuration", failure: "records_deleted" });
+        linked.remove("plain-1");
+        linked.configure(configuration(2));
+    });
+    assert.is(isServing(reader, "plain-1"), false);
+    linked.advance(changeLimit);
+    assert.is(isServing(other, "plain-1"), false);
+    assert.is(other.state.configuration?.version, 2);
+});
+
+test.run();
