Answer at once to a report that can't be applied

Callers: after a lost or ignored report, a gateway that depends on its peers' reads kept an older configuration and servers that had left for a second longer.

Cause: it told its offset with its next heartbeat, and the peer sent what was missing with its own next one. With the longest takeover before, that is more than the 2 s in which a change must be in force.

Change: reports have lacks_records. A gateway that ignores a report with records, because it lacks those before, sets it at once, and the peer sends at once what follows the stated offset, also where it would leave that to the reader. Earlier versions ignore the field. One answer for each ignored report.

--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -61,6 +61,11 @@
      * none.
      */
     readonly removalGaps?: readonly OffsetRange[];
+    /**
+     * Whether the sender ignored a report because it lacks records from `through` on, which the receiver is to send at once.
+     * Absent if not.
+     */
+    readonly lacksRecords?: boolean;
 }
 
 /** The offsets between two others. */
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -22,7 +22,12 @@
 /** Creates the part of a report to a peer that is about topics, and records its items as known there. */
 export function createTopicReports(state: GatewayState, peer: Peer, now: Milliseconds): PeerTopic[] {
     return topicNames.map(name => {
-        const topic = createTopicReport(state, name, peer, now);
+        const isRequested = peer.requestedTopics.delete(name);
+        const lacksRecords = peer.lackingTopics.delete(name);
+        const topic = {
+            ...createTopicReport(state, name, peer, isRequested, now),
+            ...lacksRecords && { lacksRecords },
+        };
         if (peer.link === "open") {
             const isKnown = topic.through !== undefined && topic.since < topic.through;
             const through = isKnown ? laterOffset(peer.through[name], topic.through) : peer.through[name];
@@ -37,7 +42,14 @@
     return one === undefined || (other !== undefined && other > one) ? other : one;
 }
 
-function createTopicReport(state: GatewayState, name: TopicName, peer: Peer, now: Milliseconds): PeerTopic {
+/** @param isRequested whether the peer asked for the records that it lacks */
+function createTopicReport(
+    state: GatewayState,
+    name: TopicName,
+    peer: Peer,
+    isRequested: boolean,
+    now: Milliseconds,
+): PeerTopic {
     const follower = state.followers[name];
     const { next, knownThrough, freshAsOf, lastRead } = follower;
     const noRead = { reader: state.incarnation, count: 0 };
@@ -56,7 +68,7 @@
     }
     const isComplete = lacksRemovals(follower, known);
     const isBehind = isComplete || follower.changedThrough > known;
-    if (isBehind && !mayRelay(state, follower, peer, now)) {
+    if (isBehind && !isRequested && !mayRelay(state, follower, peer, now)) {
         // A peer that is behind applies nothing of a report that begins at the end.
         return { ...report, since: next, through: next, items: [], isComplete: false };
     }
@@ -116,6 +128,9 @@
     const follower = state.followers[topic.name];
     // Records sent to the peer may still be under way, so what it reports replaces what was recorded on sending.
     peer.through = { ...peer.through, [topic.name]: topic.through };
+    if (topic.lacksRecords === true) {
+        peer.requestedTopics.add(topic.name);
+    }
     if (!isAboutRecords(topic)) {
         return false;
     }
@@ -124,6 +139,11 @@
     const obstacle = obstacleTo(peer, topic, known);
     if (obstacle !== undefined) {
         logIgnoredReport(transaction, peer, topic, obstacle);
+        // A report that ends where it begins has no records: its sender leaves them to another, or knows that they are due.
+        const hadRecords = topic.since < topic.through;
+        if (hadRecords && (obstacle === "begins_later" || obstacle === "inside_gap")) {
+            peer.lackingTopics.add(topic.name);
+        }
         return false;
     }
     const apply = topic.isComplete ? applySnapshot : applyItems;
@@ -155,7 +175,7 @@
     if (mayLackEvacuations(peer, topic)) {
         return "may_lack_evacuations";
     }
-    // The peer reports all records once it knows from this gateway's report where its knowledge ends.
+    // The peer reports all records once it knows from this gateway's answer where its knowledge ends.
     return !topic.isComplete && isInsideGap(topic.removalGaps ?? [], known) ? "inside_gap" : undefined;
 }
 
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -193,6 +193,8 @@
     peer.sentNotices = 0;
     peer.sentSuspects = 0;
     peer.through = unknownOffsets;
+    peer.requestedTopics.clear();
+    peer.lackingTopics.clear();
     peer.sentReads = noReads;
     peer.pending.clear();
     peer.pending.add(state.options.peerAddress);
@@ -227,6 +229,8 @@
         sentSuspects: 0,
         pending: new Set(),
         through: unknownOffsets,
+        requestedTopics: new Set(),
+        lackingTopics: new Set(),
         sentReads: noReads,
     };
     state.peers.set(address, peer);
@@ -302,6 +306,9 @@
     if (changes.includes(true) && !isFullMesh(state)) {
         reportToPeers(transaction);
     }
+    else if (peer.requestedTopics.size > 0 || peer.lackingTopics.size > 0) {
+        sendReport(transaction, peer);
+    }
 }
 
 /** Only gateways of an older version name others by their addresses. More than these are learnt later. */
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -225,6 +225,10 @@
     readonly pending: Set<PeerAddress>;
     /** The offset up to which it knows each topic; undefined before it or this gateway has reported on this link. */
     through: Readonly<Record<TopicName, LogOffset | undefined>>;
+    /** The topics of which it ignored a report, and is to get the records that it lacks at once. */
+    readonly requestedTopics: Set<TopicName>;
+    /** The topics of which a report of it was ignored here, because records before it are missing. */
+    readonly lackingTopics: Set<TopicName>;
     /** The newest read of each topic that was reported to it on this link. */
     sentReads: Readonly<Record<TopicName, TopicReadStamp | undefined>>;
 }
--- a/packages/gateway/test/peerTopics.test.ts
+++ b/packages/gateway/test/peerTopics.test.ts
@@ -44,4 +44,22 @@
     assert.is(other.state.configuration?.version, 2);
 });
 
+/** What remains of the limit when the reader has read a change, if it had to take over from others. */
+const reportLimit = changeLimit - 1_500;
+
+// It told its offset with its next heartbeat, and the peer answered with its own next one.
+test("a gateway that lacks what came before a report gets the missing records before the limit of a change", () => {
+    for (let phase = 0; phase < 500; phase += 50) {
+        const linked = linkedGateways(2);
+        const [reader, other] = linked.gateways;
+        linked.turnedAway.add(other);
+        linked.advance(phase);
+        loseReports(linked, other, () => linked.remove("plain-1"));
+        linked.remove("plain-2");
+        linked.advanceUntil(() => !isServing(reader, "plain-2"), changeLimit);
+        const delay = linked.advanceUntil(() => !isServing(other, "plain-2"), changeLimit);
+        assert.ok(delay <= reportLimit, `${delay} ms in phase ${phase}`);
+    }
+});
+
 test.run();
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -24,6 +24,7 @@
                 items: [{ key: "config", offset: 8, value: new Uint8Array([1, 2, 255]) }],
                 isComplete: false,
                 removalGaps: [{ from: 4, to: 7 }, { from: 7, to: 9 }],
+                lacksRecords: true,
             },
             {
                 name: "backendServers",
@@ -34,6 +35,7 @@
                 items: [],
                 isComplete: true,
                 removalGaps: [],
+                lacksRecords: false,
             },
         ],
         loads: [
