Pass records on by when the first missing change was learnt

Callers: while configurations or servers changed again and again, a gateway that the store turned away, without a link to the reader, kept the old state.

Each change began the wait again.

Change: the wait counts from the first change that the peer lacks.

Test: peerTopics.test.ts, 'changes that follow each other do not keep a gateway from passing them on to one that lacks them', failed before and passes now; peers.test.ts 22 of 22, members 7 of 7.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -48,6 +48,9 @@
 /** A tombstone is dropped, and no longer reported to other gateways, once the topic is known this far beyond it. */
 const tombstoneRetentionOffsets = 2_000;
 
+/** How long the times of changes are kept; longer than a gateway waits before it passes on what another one read. */
+const changeRetention: Milliseconds = 2_000;
+
 /** Gaps that are kept apart: a gateway that was in touch a moment ago is up to date with one of the last reads. */
 const maximumRemovalGaps = 16;
 
@@ -255,13 +258,15 @@
         // All records are applied; `some` would stop at the first change.
         if (records.map(each => applyTopicRecord(transaction, each, item, isNew)).includes(true)) {
             follower.changedThrough = Math.max(follower.changedThrough, item.offset + 1);
-            follower.changedAt = now;
             follower.changes.set(item.key, item.offset);
             hasChanged = true;
         }
     }
     follower.next = Math.max(follower.next ?? 0, next);
     follower.knownThrough = follower.next;
+    if (hasChanged) {
+        recordChange(follower, now);
+    }
     forgetTombstones(follower);
     if (topic === "backendServers" && forgetRemoved(state.servers, now)) {
         indexByService(transaction);
@@ -270,6 +275,14 @@
     return hasChanged;
 }
 
+function recordChange(follower: TopicFollower, now: Milliseconds): void {
+    follower.changedAt = now;
+    // One that is older than the retention is kept: a peer that lacks it has lacked it for as long at least.
+    const firstKept = follower.recentChanges.findLastIndex(({ learnedAt }) => now - learnedAt > changeRetention);
+    const kept = follower.recentChanges.slice(Math.max(0, firstKept));
+    follower.recentChanges = [...kept, { through: follower.changedThrough, learnedAt: now }];
+}
+
 /** Whether a record is older than the known one: configurations are ordered by version, other records by log offset. */
 function isOutdated(
     { configuration }: GatewayState,
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -68,7 +68,7 @@
     }
     const isComplete = lacksRemovals(follower, known);
     const isBehind = isComplete || follower.changedThrough > known;
-    if (isBehind && !isRequested && !mayRelay(state, follower, peer, now)) {
+    if (isBehind && !isRequested && !mayRelay(state, follower, { known, openedAt: peer.openedAt }, now)) {
         // A peer that is behind applies nothing of a report that begins at the end.
         return { ...report, since: next, through: next, items: [], isComplete: false };
     }
@@ -78,12 +78,18 @@
     return { ...report, since: known, through: next, items, isComplete, removalGaps };
 }
 
-/** Whether this gateway is the one to report a topic's records to a peer that lacks them. */
-function mayRelay(state: GatewayState, follower: TopicFollower, { openedAt }: Peer, now: Milliseconds): boolean {
-    const { lastRead, isChangeOwnRead, changedAt } = follower;
+/** Whether this gateway is the one to report a topic's records to a peer that knows it up to an offset. */
+function mayRelay(
+    state: GatewayState,
+    follower: TopicFollower,
+    { known, openedAt }: { readonly known: LogOffset; readonly openedAt: Milliseconds; },
+    now: Milliseconds,
+): boolean {
+    const { lastRead, isChangeOwnRead, changedAt, recentChanges } = follower;
     const relayDelay = heartbeatInterval(state) + relayMargin;
     const isReader = lastRead?.reader === state.incarnation || (isChangeOwnRead && now - changedAt < relayDelay);
-    return isReader || !isFullMesh(state) || now - Math.max(changedAt, openedAt) >= relayDelay;
+    const lackingSince = recentChanges.find(({ through }) => through > known)?.learnedAt ?? changedAt;
+    return isReader || !isFullMesh(state) || now - Math.max(lackingSince, openedAt) >= relayDelay;
 }
 
 /** Whether a gateway that knows a topic up to an offset may lack removals before the known ones. */
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -158,6 +158,13 @@
 /** The duration of a stream before any ended: some hundred tokens at the initial time per token. */
 const initialStreamDuration: Milliseconds = 5_000;
 
+/** When records were learnt that changed more than heartbeats. */
+export interface TopicChange {
+    /** The offset after the last of them. */
+    readonly through: LogOffset;
+    readonly learnedAt: Milliseconds;
+}
+
 /** What is known of a topic, and how fresh it is. */
 export interface TopicFollower {
     /** The offset after the last known record; undefined while no snapshot was read. */
@@ -169,6 +176,8 @@
     /** When such a record was last learnt, and whether by a read of this gateway. */
     changedAt: Milliseconds;
     isChangeOwnRead: boolean;
+    /** When the newest of such records were learnt, oldest first. */
+    recentChanges: readonly TopicChange[];
     /** The offset of the last record of each key that changed more than a heartbeat. */
     readonly changes: Map<string, LogOffset>;
     /** Removals at this offset or later are all known but for those in the gaps; older ones may be missing. */
@@ -376,6 +385,7 @@
         changedThrough: 0,
         changedAt: -Infinity,
         isChangeOwnRead: false,
+        recentChanges: [],
         changes: new Map(),
         removalsKnownFrom: 0,
         removalGaps: [],
--- a/packages/gateway/test/peerTopics.test.ts
+++ b/packages/gateway/test/peerTopics.test.ts
@@ -62,4 +62,22 @@
     }
 });
 
+// Each later change began the wait again, so that a gateway without a link to the reader learnt none while changes went on.
+test("changes that follow each other do not keep a gateway from passing them on to one that lacks them", () => {
+    const linked = linkedGateways(3);
+    const [reader, relay, other] = linked.gateways;
+    linked.turnedAway.add(relay).add(other);
+    linked.advance(5_000);
+    linked.cutLinks.push([reader, other]);
+    linked.remove("plain-1");
+    linked.configure(configuration(2));
+    for (let elapsed = 0; elapsed < 3_000; elapsed += 300) {
+        linked.advance(300);
+        linked.register(server("plain-3", { slots: elapsed }));
+        linked.configure(configuration(3 + elapsed));
+    }
+    assert.is(isServing(other, "plain-1"), false);
+    assert.ok((other.state.configuration?.version ?? 0) > 1);
+});
+
 test.run();
