Do not deny by a configuration that may be outdated

Callers: routes and keys that were added a moment ago got 404 and 401 from a gateway that could not read the new configuration; callers don't repeat these.

Cause: what the known configuration lacks counted as missing, whatever the age of the view.

A configuration acknowledged before the last read is known, so a younger view may still deny.

--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -26,4 +26,6 @@
      * operators request none.
      */
     readonly evacuationLimit?: Milliseconds | undefined;
+    /** From the operator's write of a configuration until it must be in force; undefined if the settings state no bound. */
+    readonly configurationLimit?: Milliseconds | undefined;
 }
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -26,6 +26,8 @@
 
 /** The `retryAfter` before the gateway has read its configuration. */
 const startingRetryAfter: Milliseconds = 300;
+/** The `retryAfter` while a newer configuration may be in force: another gateway may know it. */
+const outdatedRetryAfter: Milliseconds = 100;
 /** Callers of plain services wait a second or two in total, so a longer minimum would come too late for them. */
 const minimumRetryAfter: Milliseconds = 20;
 /** Characters of a path that a log line states. */
@@ -40,11 +42,11 @@
     }
     const route = findRoute(configuration, head.host, pathOf(head));
     if (route === undefined) {
-        return refuse(transaction, event, "route_not_found");
+        return refuseUnknown(transaction, event, "route_not_found");
     }
     const organisation = findOrganisation(configuration, route, event);
     if (organisation === "unknown") {
-        return refuse(transaction, event, "unauthenticated");
+        return refuseUnknown(transaction, event, "unauthenticated");
     }
     const { now, state, source } = transaction;
     if (cannotFinishBeforeStop(state, route, head, now)) {
@@ -105,6 +107,23 @@
     return (chosen ?? targets[targets.length - 1]).service;
 }
 
+/**
+ * Refuses a request whose route or key is unknown. A gateway that has not learnt for as long as a configuration may take
+ * that its own is the newest can't tell whether they exist: callers give up after the answer that they don't.
+ */
+function refuseUnknown(
+    transaction: Transaction,
+    event: RequestReceived,
+    type: "route_not_found" | "unauthenticated",
+): void {
+    const { now, state: { followers, options } } = transaction;
+    const isOutdated =
+        now - (followers.configuration.freshAsOf ?? -Infinity) > (options.configurationLimit ?? Infinity);
+    return isOutdated
+        ? refuse(transaction, event, "configuration_unavailable", outdatedRetryAfter)
+        : refuse(transaction, event, type);
+}
+
 /** Refuses a request before it enters the state. */
 function refuse(
     transaction: Transaction,
@@ -130,7 +149,7 @@
 }
 
 const refusalMessages: Partial<Record<FailureType, string>> = {
-    configuration_unavailable: "this instance has not read its configuration yet",
+    configuration_unavailable: "this instance does not know the newest configuration",
     route_not_found: "no route matches the host and path",
     leaving: "the instance is stopping",
     unauthenticated: "the key is unknown",
--- a/packages/gateway/test/requests.test.ts
+++ b/packages/gateway/test/requests.test.ts
@@ -115,4 +115,26 @@
     assert.ok(failure.retryAfter! > 0);
 });
 
+// Gateways that could not read a new configuration answered that its routes and keys did not exist, after which no caller repeats.
+test("a gateway whose configuration may be outdated refuses an unknown route or key as one that may repeat elsewhere", () => {
+    const gateway = new TestGateway({ configurationLimit: 2_000 });
+    const organisations = new Map();
+    const routesByHost = indexRoutes([route("confirm"), route("order", { isPublic: false })]);
+    gateway.configure(configuration(1, { organisations, routesByHost }));
+    gateway.register(server("plain-1"));
+    const statusesOf = () =>
+        [gateway.receiveRequest(`a${gateway.now}`, "unknown"), gateway.receiveRequest(`b${gateway.now}`, "order")]
+            .flatMap(failuresIn).map(({ type, outcome, retryAfter }) => [type, outcome, retryAfter !== undefined]);
+    gateway.now += 1_900;
+    assert.equal(statusesOf(), [["route_not_found", "not_run", false], ["unauthenticated", "not_run", false]]);
+    gateway.now += 200;
+    assert.equal(statusesOf(), [
+        ["configuration_unavailable", "not_run", true],
+        ["configuration_unavailable", "not_run", true],
+    ]);
+    assert.is(callsIn(gateway.receiveRequest("known", "confirm")).length, 1, "known routes are served");
+    gateway.read("configuration", []);
+    assert.equal(statusesOf()[0], ["route_not_found", "not_run", false]);
+});
+
 test.run();
