--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -22,7 +22,12 @@
 /** Creates the part of a report to a peer that is about topics, and records its items as known there. */
 export function createTopicReports(state: GatewayState, peer: Peer, now: Milliseconds): PeerTopic[] {
     return topicNames.map(name => {
-        const topic = createTopicReport(state, name, peer, now);
+        const isRequested = peer.requestedTopics.delete(name);
+        const lacksRecords = peer.lackingTopics.delete(name);
+        const topic = {
+            ...createTopicReport(state, name, peer, isRequested, now),
+            ...lacksRecords && { lacksRecords },
+        };
         if (peer.link === "open") {
             const isKnown = topic.through !== undefined && topic.since < topic.through;
             const through = isKnown ? laterOffset(peer.through[name], topic.through) : peer.through[name];
@@ -37,12 +42,21 @@
     return one === undefined || (other !== undefined && other > one) ? other : one;
 }
 
-function createTopicReport(state: GatewayState, name: TopicName, peer: Peer, now: Milliseconds): PeerTopic {
+/** @param isRequested whether the peer asked for the records that it lacks */
+function createTopicReport(
+    state: GatewayState,
+    name: TopicName,
+    peer: Peer,
+    isRequested: boolean,
+    now: Milliseconds,
+): PeerTopic {
     const follower = state.followers[name];
-    const { next, freshAsOf, lastRead } = follower;
+    const { next, knownThrough, freshAsOf, lastRead } = follower;
     const noRead = { reader: state.incarnation, count: 0 };
     if (next === undefined || freshAsOf === undefined || lastRead === undefined) {
-        return { name, since: 0, through: undefined, read: noRead, age: 0, items: [], isComplete: false };
+        // Without the offset, the peer would go on after records that it sent but that were not applied here.
+        const through = peer.link === "open" ? knownThrough : undefined;
+        return { name, since: through ?? 0, through, read: noRead, age: 0, items: [], isComplete: false };
     }
     // What the peer knows of the topic is only certain after it has reported on this link.
     const known: LogOffset = peer.through[name] ?? 0;
@@ -54,7 +68,7 @@
     }
     const isComplete = lacksRemovals(follower, known);
     const isBehind = isComplete || follower.changedThrough > known;
-    if (isBehind && !mayRelay(state, follower, peer, now)) {
+    if (isBehind && !isRequested && !mayRelay(state, follower, { known, openedAt: peer.openedAt }, now)) {
         // A peer that is behind applies nothing of a report that begins at the end.
         return { ...report, since: next, through: next, items: [], isComplete: false };
     }
@@ -64,12 +78,18 @@
     return { ...report, since: known, through: next, items, isComplete, removalGaps };
 }
 
-/** Whether this gateway is the one to report a topic's records to a peer that lacks them. */
-function mayRelay(state: GatewayState, follower: TopicFollower, { openedAt }: Peer, now: Milliseconds): boolean {
-    const { lastRead, isChangeOwnRead, changedAt } = follower;
+/** Whether this gateway is the one to report a topic's records to a peer that knows it up to an offset. */
+function mayRelay(
+    state: GatewayState,
+    follower: TopicFollower,
+    { known, openedAt }: { readonly known: LogOffset; readonly openedAt: Milliseconds; },
+    now: Milliseconds,
+): boolean {
+    const { lastRead, isChangeOwnRead, changedAt, recentChanges } = follower;
     const relayDelay = heartbeatInterval(state) + relayMargin;
     const isReader = lastRead?.reader === state.incarnation || (isChangeOwnRead && now - changedAt < relayDelay);
-    return isReader || !isFullMesh(state) || now - Math.max(changedAt, openedAt) >= relayDelay;
+    const lackingSince = recentChanges.find(({ through }) => through > known)?.learnedAt ?? changedAt;
+    return isReader || !isFullMesh(state) || now - Math.max(lackingSince, openedAt) >= relayDelay;
 }
 
 /** Whether a gateway that knows a topic up to an offset may lack removals before the known ones. */
@@ -112,16 +132,24 @@
 ): boolean {
     const { state, now } = transaction;
     const follower = state.followers[topic.name];
+    // Records sent to the peer may still be under way, so what it reports replaces what was recorded on sending.
+    peer.through = { ...peer.through, [topic.name]: topic.through };
+    if (topic.lacksRecords === true) {
+        peer.requestedTopics.add(topic.name);
+    }
     if (!isAboutRecords(topic)) {
         return false;
     }
-    // Records sent to the peer may still be under way, so what it reports replaces what was recorded on sending.
-    peer.through = { ...peer.through, [topic.name]: topic.through };
     // What was known before a snapshot became due still holds: a report that begins there adds to it.
     const known = follower.next ?? follower.knownThrough ?? 0;
     const obstacle = obstacleTo(peer, topic, known);
     if (obstacle !== undefined) {
         logIgnoredReport(transaction, peer, topic, obstacle);
+        // A report that ends where it begins has no records: its sender leaves them to another, or knows that they are due.
+        const hadRecords = topic.since < topic.through;
+        if (hadRecords && (obstacle === "begins_later" || obstacle === "inside_gap")) {
+            peer.lackingTopics.add(topic.name);
+        }
         return false;
     }
     const apply = topic.isComplete ? applySnapshot : applyItems;
@@ -153,7 +181,7 @@
     if (mayLackEvacuations(peer, topic)) {
         return "may_lack_evacuations";
     }
-    // The peer reports all records once it knows from this gateway's report where its knowledge ends.
+    // The peer reports all records once it knows from this gateway's answer where its knowledge ends.
     return !topic.isComplete && isInsideGap(topic.removalGaps ?? [], known) ? "inside_gap" : undefined;
 }
 
--- /dev/null
+++ b/packages/gateway/test/peerTopics.test.ts
@@ -0,0 +1,83 @@
+import { identifier } from "@verbenaspring/model";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { configuration, server, type TestGateway } from "./gatewayBuilders.js";
+import { LinkedGateways } from "./linkedGateways.js";
+
+/** From an acknowledged change until it must be in force, and no request may reach a server that left. */
+const changeLimit = 2_000;
+
+/** Gateways that have read a configuration and servers, and have links to each other. */
+function linkedGateways(size: number): LinkedGateways {
+    const linked = new LinkedGateways(size);
+    linked.configure(configuration(1));
+    linked.register(server("plain-1"), server("plain-2"));
+    linked.advance(5_000);
+    return linked;
+}
+
+const isServing = ({ state }: TestGateway, id: string): boolean =>
+    state.servers.get(identifier<never>(id))?.leavingSince === undefined;
+
+/** Loses the reports of a moment in which no link closes, as when one of two links to a peer is replaced. */
+function loseReports(linked: LinkedGateways, gateway: TestGateway, act: () => void): void {
+    linked.isolate(gateway);
+    act();
+    linked.advance(700);
+    linked.restoreLinks();
+}
+
+// Its reports told no offset then, so that peers went on after records that it did not have.
+test("a gateway that the store turns away before it has read a snapshot learns what a peer reads", () => {
+    const linked = linkedGateways(2);
+    const [reader, other] = linked.gateways;
+    linked.turnedAway.add(other);
+    loseReports(linked, other, () => {
+        other.handle({ kind: "topicReadFailed", topic: "backendServers", failure: "records_deleted" });
+        other.handle({ kind: "topicReadFailed", topic: "configuration", failure: "records_deleted" });
+        linked.remove("plain-1");
+        linked.configure(configuration(2));
+    });
+    assert.is(isServing(reader, "plain-1"), false);
+    linked.advance(changeLimit);
+    assert.is(isServing(other, "plain-1"), false);
+    assert.is(other.state.configuration?.version, 2);
+});
+
+/** What remains of the limit when the reader has read a change, if it had to take over from others. */
+const reportLimit = changeLimit - 1_500;
+
+// It told its offset with its next heartbeat, and the peer answered with its own next one.
+test("a gateway that lacks what came before a report gets the missing records before the limit of a change", () => {
+    for (let phase = 0; phase < 500; phase += 50) {
+        const linked = linkedGateways(2);
+        const [reader, other] = linked.gateways;
+        linked.turnedAway.add(other);
+        linked.advance(phase);
+        loseReports(linked, other, () => linked.remove("plain-1"));
+        linked.remove("plain-2");
+        linked.advanceUntil(() => !isServing(reader, "plain-2"), changeLimit);
+        const delay = linked.advanceUntil(() => !isServing(other, "plain-2"), changeLimit);
+        assert.ok(delay <= reportLimit, `${delay} ms in phase ${phase}`);
+    }
+});
+
+// Each later change began the wait again, so that a gateway without a link to the reader learnt none while changes went on.
+test("changes that follow each other do not keep a gateway from passing them on to one that lacks them", () => {
+    const linked = linkedGateways(3);
+    const [reader, relay, other] = linked.gateways;
+    linked.turnedAway.add(relay).add(other);
+    linked.advance(5_000);
+    linked.cutLinks.push([reader, other]);
+    linked.remove("plain-1");
+    linked.configure(configuration(2));
+    for (let elapsed = 0; elapsed < 3_000; elapsed += 300) {
+        linked.advance(300);
+        linked.register(server("plain-3", { slots: elapsed }));
+        linked.configure(configuration(3 + elapsed));
+    }
+    assert.is(isServing(other, "plain-1"), false);
+    assert.ok((other.state.configuration?.version ?? 0) > 1);
+});
+
+test.run();
