Check that changes reach gateways that the store turns away

The fuzzer did not look for it: a gateway that the store turned away, or whose link to one other gateway was cut, was excused from all time limits; servers left only by a notice in their registration; the drain bound was 3 s instead of 2 s.

Change: a gateway is bound while it has contact through another one (ContactRecord.isInContact), for probes and for leaving servers; VersionSpreadOracle compares versions in force with what is due, and between gateways that have a link; requests that every configuration allows are never denied, by any gateway; probes of API keys and of paths that move to another service; servers that leave by removal alone; and the system "changes" of npm run fuzz, in which all of this plays together.

--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -29,8 +29,10 @@
     readonly cold: ColdState;
     state: "ready" | "draining";
     sequence: number;
-    /** When the state `draining` first reached the store. */
+    /** When the state `draining`, or the removal of the registration, first reached the store. */
     drainPublishedAt: Milliseconds | undefined;
+    /** Whether it leaves without a notice: its registration is deleted, and it serves on. */
+    isWithdrawn: boolean;
     hasEnded: boolean;
     /** Whether heartbeats are lost before they reach the store. */
     areHeartbeatsSuppressed: boolean;
@@ -99,6 +101,7 @@
             state: "ready",
             sequence: 0,
             drainPublishedAt: undefined,
+            isWithdrawn: false,
             hasEnded: false,
             areHeartbeatsSuppressed: false,
             missedHeartbeats: 0,
@@ -182,7 +185,7 @@
         return this.members.get(id)?.plan;
     }
 
-    /** Returns when the store first got a backend server's state `draining`. */
+    /** Returns when the store first got a backend server's state `draining`, or deleted its registration for good. */
     drainPublishedAt(id: string): Milliseconds | undefined {
         return this.members.get(id)?.drainPublishedAt;
     }
@@ -199,6 +202,25 @@
         this.options.clock.schedule(after, () => this.end(member, true));
     }
 
+    /**
+     * Deletes the registration of a backend server that gives no notice, and stops it after a delay. Does nothing while
+     * registrations don't reach the store.
+     */
+    withdraw(id: string, after: Milliseconds): void {
+        const member = this.members.get(id);
+        if (
+            member === undefined || member.hasEnded || member.state === "draining"
+            || this.options.canRegister?.() === false
+        ) {
+            return;
+        }
+        member.state = "draining";
+        member.isWithdrawn = true;
+        member.drainPublishedAt = this.options.clock.now;
+        this.unregister(member);
+        this.options.clock.schedule(after, () => this.end(member, false));
+    }
+
     /** Stops a backend server without notice; its registration is deleted after the missed heartbeats. */
     crash(id: string): void {
         const member = this.members.get(id);
@@ -223,7 +245,9 @@
 
     /** Appends a record with malformed JSON under a backend server's key, as a faulty writer would. */
     corruptRegistration(id: string): void {
-        this.options.store.append(serverTopic, id, Buffer.from("{\"service\":"));
+        if (this.members.get(id)?.isWithdrawn !== true) {
+            this.options.store.append(serverTopic, id, Buffer.from("{\"service\":"));
+        }
     }
 
     /** Sets whether the heartbeats of a backend server are lost before they reach the store. */
@@ -286,6 +310,9 @@
     }
 
     private sendHeartbeat(member: FleetMember): void {
+        if (member.isWithdrawn) {
+            return;
+        }
         if (!member.hasEnded && !member.areHeartbeatsSuppressed && this.options.canRegister?.() !== false) {
             return this.register(member);
         }
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -115,6 +115,11 @@
         return this.options.peerAddress;
     }
 
+    /** The version of the configuration in force; undefined before the first one. */
+    get configurationVersion(): number | undefined {
+        return this.state.configuration?.version;
+    }
+
     get isFrozen(): boolean {
         return this.environment.clock.now < this.frozenUntil;
     }
--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -6,6 +6,7 @@
 import { type Schedule, schedules } from "./actions.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
 import {
+    changeSchedules,
     coldSchedules,
     configurationSchedules,
     deadlyWorkSchedules,
@@ -60,6 +61,12 @@
     schedules: configurationSchedules,
 };
 
+/** Gateways on the users' platform, with many changes while the store turns gateways away and deletes its history. */
+export const changePlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: changeSchedules,
+};
+
 /** Gateways on the users' platform, with parts of prompts that crash engines. */
 export const deadlyWorkPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,10 +1,11 @@
 /**
- * The command `npm run fuzz -- --system platform|overlay|cold|configurations|deadly|evacuations|limits|lost-answers|notices|pauses|releases|linked --seed S --runs N --steps K`. It
+ * The command `npm run fuzz -- --system platform|overlay|changes|cold|configurations|deadly|evacuations|limits|lost-answers|notices|pauses|releases|linked --seed S --runs N --steps K`. It
  * runs randomised schedules and checks them with the oracle.
  */
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import {
+    changePlatformSystem,
     coldPlatformSystem,
     configurationPlatformSystem,
     deadlyWorkPlatformSystem,
@@ -31,6 +32,7 @@
                 "linked",
                 "platform",
                 "overlay",
+                "changes",
                 "cold",
                 "configurations",
                 "deadly",
@@ -43,7 +45,7 @@
             ] as const,
             default: "platform",
             describe:
-                "gateways on the platform, the same with many configurations, with parts of prompts that crash engines, with evacuations of failure domains, or with servers that are cold, declare limits, lose answers, give notice in answers, ask for pauses or run several software versions, or "
+                "gateways on the platform, the same with many configurations, with changes that some gateways learn only from others, with parts of prompts that crash engines, with evacuations of failure domains, or with servers that are cold, declare limits, lose answers, give notice in answers, ask for pauses or run several software versions, or "
                 + "entries and sidecars",
         },
         seed: { type: "number", default: 1, describe: "seed of the schedules" },
@@ -64,6 +66,7 @@
 const platformTargets = {
     platform: platformSystem,
     overlay: overlaidPlatformSystem,
+    changes: changePlatformSystem,
     cold: coldPlatformSystem,
     configurations: configurationPlatformSystem,
     deadly: deadlyWorkPlatformSystem,
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -4,6 +4,7 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import {
+    changePlatformSystem,
     coldPlatformSystem,
     configurationPlatformSystem,
     deadlyWorkPlatformSystem,
@@ -21,6 +22,7 @@
 import { type Mutation, mutations } from "./mutations.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
 import {
+    changeMutations,
     coldMutations,
     configurationMutations,
     deadlyWorkMutations,
@@ -72,6 +74,7 @@
 const searches = [
     ...createSearches(linkedSystem, mutations),
     ...createSearches(platformSystem, platformMutations),
+    ...createSearches(changePlatformSystem, changeMutations),
     ...createSearches(coldPlatformSystem, coldMutations),
     ...createSearches(configurationPlatformSystem, configurationMutations),
     ...createSearches(deadlyWorkPlatformSystem, deadlyWorkMutations),
--- a/packages/fuzz/src/oracle.ts
+++ b/packages/fuzz/src/oracle.ts
@@ -30,6 +30,7 @@
     | "server_pause_kept"
     | "deadly_work_contained"
     | "configuration_in_force"
+    | "allowed_requests_are_not_denied"
     | "evacuated_domain_gets_no_requests"
     | "cold_rate_kept"
     | "serves_again"
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -5,6 +5,7 @@
 import { failureDomains, type ServerBehaviour, type StoreBehaviour } from "@verbenaspring/emulator";
 import * as fc from "fast-check";
 import type { RequestKind } from "./requestKinds.js";
+import type { ProbeSubject } from "./versions.js";
 
 /** Actions of callers and of the operator. */
 export type CallerAction =
@@ -34,8 +35,13 @@
     | { readonly kind: "evacuate"; readonly domain: number; readonly duration: number; }
     /** A request crashes each server that begins to run it, and comes again as often as those with a deadly part. */
     | { readonly kind: "deadlyRequest"; readonly work: RequestKind; readonly duration: number; }
-    /** Sends a request for the route that one of the last versions added. */
-    | { readonly kind: "probe"; readonly gateway: number; readonly back: number; };
+    /** Sends a request for what one of the last versions added, by default its route. */
+    | {
+        readonly kind: "probe";
+        readonly gateway: number;
+        readonly back: number;
+        readonly subject?: ProbeSubject;
+    };
 
 /** Faults and planned stops of gateways, and faults of their links to each other and to servers. */
 export type GatewayAction =
@@ -72,6 +78,8 @@
      */
     | { readonly kind: "restartInPlace"; readonly server: number; readonly away: number; }
     | { readonly kind: "replaceServer"; readonly server: number; readonly after: number; }
+    /** The registration is removed without a notice, and the server serves on for a while. */
+    | { readonly kind: "withdrawServer"; readonly server: number; readonly after: number; }
     | { readonly kind: "reuseAddress"; readonly server: number; };
 
 /** Faults and replacements of backend servers. */
@@ -329,6 +337,43 @@
     return schedulesOf(configurationActions, steps);
 }
 
+const plainRequest = arbitraryAction("ask", {
+    work: fc.constantFrom("confirm", "lookup"),
+    gateway: slot,
+    length: fc.constant(1),
+    timeLimit: fc.integer({ min: 500, max: 3_000 }),
+});
+
+const changingActions = fc.oneof(
+    { arbitrary: arbitraryAction("configure", {}), weight: 5 },
+    {
+        arbitrary: arbitraryAction("probe", {
+            gateway: slot,
+            back: fc.nat(3),
+            subject: fc.constantFrom<ProbeSubject>("route", "key", "moved"),
+        }),
+        weight: 4,
+    },
+    { arbitrary: plainRequest, weight: 4 },
+    { arbitrary: replaceServer, weight: 1 },
+    {
+        arbitrary: arbitraryAction("withdrawServer", { server: slot, after: fc.integer({ min: 3_300, max: 9_000 }) }),
+        weight: 2,
+    },
+    { arbitrary: arbitraryAction("compact", {}), weight: 2 },
+    { arbitrary: arbitraryAction("turnAway", { gateway: slot, duration: longTime }), weight: 2 },
+    { arbitrary: storeActions, weight: 1 },
+    { arbitrary: gatewayActions, weight: 2 },
+);
+
+/**
+ * Generates schedules of up to `steps` steps, in which the configuration changes every second, servers leave with and
+ * without a notice, and the store turns gateways away and deletes its history.
+ */
+export function changeSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    return schedulesOf(changingActions, steps);
+}
+
 /** Generates schedules of up to `steps` steps, in which no server declares a limit. */
 export function platformSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
     return schedulesOf(action, steps);
@@ -383,6 +428,7 @@
     "restartServer",
     "restartInPlace",
     "replaceServer",
+    "withdrawServer",
     "reuseAddress",
 ]);
 
--- a/packages/fuzz/src/platform/contactRecord.ts
+++ b/packages/fuzz/src/platform/contactRecord.ts
@@ -52,11 +52,16 @@
     isInContact(gateway: Gateway): boolean {
         return this.canLearn(gateway) && (this.canReadStore(gateway)
             || this.gateways().some(peer =>
-                peer !== gateway && this.canLearn(peer) && this.canReadStore(peer)
-                && this.peerFaults.isFaultFree(pathName(gateway, peer), this.now())
+                peer !== gateway && this.canReadStore(peer) && this.areLinked(gateway, peer)
             ));
     }
 
+    /** Whether both gateways, and the path between them, have recovered from all faults. */
+    areLinked(one: Gateway, other: Gateway): boolean {
+        return this.canLearn(one) && this.canLearn(other)
+            && this.peerFaults.isFaultFree(pathName(one, other), this.now());
+    }
+
     /**
      * Whether a gateway knows what was in the store at a time: it was in contact for long enough since then, or it
      * started later and no gateway lacked contact.
--- a/packages/fuzz/src/platform/index.ts
+++ b/packages/fuzz/src/platform/index.ts
@@ -13,3 +13,4 @@
 export * from "./serverNoticeOracle.js";
 export * from "./serverPauseOracle.js";
 export * from "./versions.js";
+export * from "./versionSpreadOracle.js";
--- a/packages/fuzz/src/platform/limits.ts
+++ b/packages/fuzz/src/platform/limits.ts
@@ -7,8 +7,8 @@
 export const platformLimits = {
     /** How long after a fault of a process or of the store its effects are still allowed for. */
     faultRecovery: 3_000,
-    /** How long after a backend server's notice new work may still reach it. */
-    drain: 3_000,
+    /** How long after a backend server's notice, or the removal of its registration, new work may still reach it. */
+    drain: 2_000,
     /** How long after a configuration was written gateways may still use the version before it. */
     configurationApply: 2_000,
     /** How long a run may go on after a later run of the same request has continued from its replica. */
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -125,6 +125,23 @@
     { name: "ticks stop for seconds", promises: ["configuration_in_force"], implementation: createTickLoss() },
 ];
 
+/** Mutations that only schedules in which servers leave without a notice and gateways start anew can find. */
+export const changeMutations: readonly Mutation<GatewayInterceptors>[] = [
+    eventMutation(
+        "removals of servers are ignored",
+        ["leaving_gets_no_new_work"],
+        event => mapRecords(event, record => record.kind === "backendServerRemoved" ? [] : [record]),
+    ),
+    effectMutation(
+        "requests are denied before the first configuration",
+        ["allowed_requests_are_not_denied"],
+        effect =>
+            effect.kind === "answerFailure" && effect.failure.type === "configuration_unavailable"
+                ? { ...effect, failure: { ...effect.failure, type: "route_not_found" } }
+                : effect,
+    ),
+];
+
 function forgetSuspects(event: GatewayEvent, { crashSuspects }: GatewayState): GatewayEvent {
     crashSuspects.suspects.clear();
     crashSuspects.lostRuns.clear();
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -16,6 +16,7 @@
 import { ServerLimitOracle } from "./serverLimitOracle.js";
 import { ServerNoticeOracle } from "./serverNoticeOracle.js";
 import { ServerPauseOracle } from "./serverPauseOracle.js";
+import { VersionSpreadOracle } from "./versionSpreadOracle.js";
 
 /** A caller's request. */
 export interface PlatformRequest {
@@ -42,6 +43,9 @@
     readonly isNotRun: boolean;
 };
 
+/** The failures with which a gateway says that the configuration doesn't allow a request. */
+export const denials: ReadonlySet<string> = new Set(["route_not_found", "unauthenticated"]);
+
 /** Records what callers receive and what backend servers run, and checks the promises that follow from it. */
 export class PlatformOracle {
     readonly callerRequests: PlatformRequest[] = [];
@@ -58,6 +62,7 @@
     readonly contact: ContactRecord<VirtualGateway>;
     readonly evacuations: EvacuationOracle<VirtualGateway>;
     readonly coldServers: ColdServerOracle<VirtualGateway>;
+    readonly versionSpread: VersionSpreadOracle<VirtualGateway>;
     readonly serverNotices = new ServerNoticeOracle<VirtualGateway>((promise, detail) => this.fail(promise, detail));
     readonly deadlyParts = new DeadlyWorkOracle(
         platformLimits.deadlyPart,
@@ -76,7 +81,7 @@
 
     constructor(
         private readonly clock: Clock,
-        /** When the store got a backend server's notice that it leaves. */
+        /** When the store got a backend server's notice that it leaves, or deleted its registration for good. */
         private readonly drainPublishedAt: (server: string) => Milliseconds | undefined,
         /** The limit that a backend server declares now. */
         requestLimitOf: (server: string) => number | undefined,
@@ -88,6 +93,7 @@
         this.contact = new ContactRecord(() => clock.now, gateways);
         this.evacuations = new EvacuationOracle(this.contact, gateways, fail);
         this.coldServers = new ColdServerOracle(platformLimits.coldRate, this.contact, gateways, fail);
+        this.versionSpread = new VersionSpreadOracle(this.contact, gateways, fail);
         this.serverLimits = new ServerLimitOracle(
             requestLimitOf,
             (promise, detail) => this.fail(promise, detail),
@@ -109,6 +115,19 @@
         return this.faultRecord.isFaultFree(name, at);
     }
 
+    /**
+     * Whether a gateway must know what the store says: no fault affects it, or it has contact through the store or
+     * through another gateway.
+     */
+    mustKnowStore(gateway: VirtualGateway, at: Milliseconds): boolean {
+        return this.mustMeetTimeLimits(gateway, at) || this.contact.isInContact(gateway);
+    }
+
+    /** Records a fault of the path from a gateway to the server at an address. */
+    recordServerPathFault(gateway: VirtualGateway, address: string, duration: Milliseconds): void {
+        this.faultRecord.recordProcessFault(serverPathName(gateway, address), duration);
+    }
+
     recordRequest(request: PlatformRequest): void {
         this.callerRequests.push(request);
         this.callerRequestsById.set(request.callerAttemptId, request);
@@ -221,6 +240,7 @@
                 `${request.callerAttemptId} ended ${Math.round(now - request.deadlineAt)} ms late`,
             );
         }
+        this.checkDenial(request, end);
         const isLost = end === "cut" || end === "gateway_gone" || (typeof end === "object" && !end.isNotRun);
         if (isLost && this.isCutByPlannedStop(request)) {
             this.fail("planned_stop_cuts_nothing", `${request.callerAttemptId} was cut by a planned stop`);
@@ -230,6 +250,13 @@
         }
     }
 
+    /** Checks that a request is not denied if every configuration allows it, as they all do but for probes. */
+    private checkDenial({ kind, callerAttemptId }: PlatformRequest, end: PlatformRequestEnd): void {
+        if (typeof end === "object" && denials.has(end.failure) && kind !== "probe") {
+            this.fail("allowed_requests_are_not_denied", `${callerAttemptId} got ${end.failure}`);
+        }
+    }
+
     /**
      * Whether a backend server completed the answer longer ago than delivery may take, with the whole system free of
      * faults since the request.
@@ -275,13 +302,17 @@
         const drainPublishedAt = this.drainPublishedAt(call.backendServer);
         if (
             drainPublishedAt !== undefined && now > drainPublishedAt + platformLimits.drain
-            && this.mustMeetTimeLimits(gateway)
+            && this.mustKnowStore(gateway, now)
+            && !this.faultRecord.hadFaultSince(
+                serverPathName(gateway, call.address),
+                now - platformLimits.faultRecovery,
+            )
         ) {
             this.fail(
                 "leaving_gets_no_new_work",
                 `${call.head.callerAttemptId} reached ${call.backendServer} ${
                     Math.round(now - drainPublishedAt)
-                } ms after its notice`,
+                } ms after its notice or removal`,
             );
         }
     }
@@ -349,11 +380,19 @@
         return this.runs.get(callerAttemptId) ?? [];
     }
 
-    /** Records what gateways know by now. Is called several times a second. */
-    observeGateways(): void {
+    /**
+     * Records what gateways know by now. Is called several times a second.
+     *
+     * @param versionDue the version of the configuration that every gateway in contact must have applied by now;
+     * undefined if none can be told
+     */
+    observeGateways(versionDue?: number): void {
         this.contact.observe();
         this.evacuations.observe();
         this.coldServers.observe(this.clock.now);
+        if (versionDue !== undefined) {
+            this.versionSpread.observe(this.clock.now, versionDue);
+        }
     }
 
     /** Checks that no caller waits past its deadline, unless a fault affected its gateway. */
@@ -396,3 +435,7 @@
         }
     }
 }
+
+function serverPathName({ name }: VirtualGateway, address: string): string {
+    return `${name} to ${address}`;
+}
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -14,6 +14,7 @@
 } from "@verbenaspring/emulator";
 import type { BackendCall, RequestHead } from "@verbenaspring/gateway";
 import {
+    type ApiKey,
     type CallerAttemptId,
     type ContentDigest,
     identifier,
@@ -34,7 +35,7 @@
     type StoreAction,
 } from "./actions.js";
 import { platformLimits } from "./limits.js";
-import { PlatformOracle, type PlatformRequest } from "./oracle.js";
+import { denials, PlatformOracle, type PlatformRequest } from "./oracle.js";
 import {
     expectedEventCount,
     promptTokens,
@@ -44,7 +45,16 @@
     serverPlan,
     tokensPerEvent,
 } from "./requestKinds.js";
-import { buildConfiguration, routesHost, routeTimeouts, VersionOracle } from "./versions.js";
+import {
+    buildConfiguration,
+    probePath,
+    type ProbeSubject,
+    routesHost,
+    routeTimeouts,
+    versionKey,
+    versionNumber,
+    VersionOracle,
+} from "./versions.js";
 
 /** The gateways of a platform, and the shape of their links. */
 export interface GatewayPlan {
@@ -106,6 +116,7 @@
     /** Overrides the path of the kind of request. */
     readonly path?: string;
     readonly sharedParts?: readonly string[];
+    readonly apiKey?: string;
     /** The request whose broken stream this one takes up. */
     readonly broken?: PlatformRequest;
 }
@@ -172,7 +183,10 @@
             id => fleet.liveServers().find(({ options }) => options.id === id)?.requestLimit,
             () => this.platform.gateways.filter(({ isAlive }) => isAlive),
         );
-        this.versions = new VersionOracle<VirtualGateway>(this.oracle);
+        this.versions = new VersionOracle<VirtualGateway>({
+            mustMeetTimeLimits: (gateway, at) => this.oracle.mustKnowStore(gateway, at),
+            fail: (promise, detail) => this.oracle.fail(promise, detail),
+        });
         this.configure();
         [1, 2].forEach(() => this.addServer("plain"));
         [1, 2, 3].forEach(() => this.addServer("engine"));
@@ -238,7 +252,9 @@
                 this.oracle.coldServers.recordCold(id, period);
             }
         }
-        this.oracle.observeGateways();
+        const { versions, platform: { clock } } = this;
+        const versionDue = versions.isRewritten ? undefined : versionNumber(versions.versionInForce(clock.now));
+        this.oracle.observeGateways(versionDue);
     }
 
     /** Records a call that reached an address, at which another server than its target may listen. */
@@ -294,6 +310,7 @@
                 return this.sendProbe(
                     this.gatewayOf(action.gateway),
                     Math.max(0, this.versions.newestIndex - action.back),
+                    action.subject,
                 );
         }
     }
@@ -303,7 +320,7 @@
         kind: RequestOrProbeKind,
         length: number,
         timeLimit: Milliseconds,
-        { path, sharedParts = [commonPart], broken }: RequestDetails = {},
+        { path, sharedParts = [commonPart], apiKey, broken }: RequestDetails = {},
     ): PlatformRequest {
         const { clock } = this.platform;
         const timeout = Math.min(timeLimit, routeTimeouts[kind]);
@@ -331,6 +348,7 @@
             length,
             timeLimit,
             sharedParts,
+            apiKey,
             broken,
         );
         const requestId = this.platform.nextRequestId();
@@ -440,9 +458,12 @@
         }
     }
 
-    private sendProbe(gateway: VirtualGateway, index: number): void {
-        const check = this.versions.startProbe(gateway, index, this.platform.clock.now);
-        const request = this.sendRequest(gateway, "probe", 1, routeTimeouts.probe, { path: `/version${index}/1` });
+    private sendProbe(gateway: VirtualGateway, index: number, subject: ProbeSubject = "route"): void {
+        const check = this.versions.startProbe(gateway, index, this.platform.clock.now, subject);
+        const request = this.sendRequest(gateway, "probe", 1, routeTimeouts.probe, {
+            path: probePath(index, subject),
+            apiKey: subject === "key" ? versionKey(index) : undefined,
+        });
         this.probes.set(request, check);
         this.settleProbes();
     }
@@ -452,7 +473,7 @@
             if (request.end === "whole") {
                 check(true);
             }
-            if (typeof request.end === "object" && request.end.failure === "route_not_found") {
+            if (typeof request.end === "object" && denials.has(request.end.failure)) {
                 check(false);
             }
             if (request.end !== undefined) {
@@ -528,12 +549,18 @@
                 this.recordFaults(gateway, other, 0);
                 return network.silence(gateway.name, other.name);
             }
-            case "cutServer":
+            case "cutServer": {
+                const address = this.addressOf(action.server);
                 this.oracle.faultRecord.recordProcessFault(gateway.name, action.duration);
-                return network.cut(gateway.name, this.addressOf(action.server), action.duration);
-            case "silenceServer":
+                this.oracle.recordServerPathFault(gateway, address, action.duration);
+                return network.cut(gateway.name, address, action.duration);
+            }
+            case "silenceServer": {
+                const address = this.addressOf(action.server);
                 this.oracle.faultRecord.recordProcessFault(gateway.name, routeTimeouts.plan);
-                return network.silence(gateway.name, this.addressOf(action.server));
+                this.oracle.recordServerPathFault(gateway, address, 0);
+                return network.silence(gateway.name, address);
+            }
         }
     }
 
@@ -619,6 +646,9 @@
             case "replaceServer":
                 this.addServer(plan.kind);
                 return fleet.leave(id, action.after);
+            case "withdrawServer":
+                this.addServer(plan.kind);
+                return fleet.withdraw(id, action.after);
             case "reuseAddress":
                 this.recordServerFault();
                 fleet.crash(id);
@@ -732,6 +762,7 @@
     length: number,
     timeLimit: Milliseconds,
     sharedParts: readonly string[],
+    apiKey: string | undefined,
     broken: PlatformRequest | undefined,
 ): RequestHead {
     return {
@@ -740,7 +771,7 @@
         target,
         host: routesHost,
         timeLimit,
-        apiKey: undefined,
+        apiKey: apiKey === undefined ? undefined : identifier<ApiKey>(apiKey),
         lastEvent: broken?.lastEventNumber,
         resumedAttemptId: broken === undefined
             ? undefined
--- a/packages/fuzz/src/platform/versions.ts
+++ b/packages/fuzz/src/platform/versions.ts
@@ -1,7 +1,8 @@
 /**
- * The versions of the configuration in a schedule. Each version adds a route that is named after it and drops the route
- * of two versions before. A request for such a route therefore shows which versions may be in force at a gateway: the
- * route exists in its own version and in the next one.
+ * The versions of the configuration in a schedule. Each version adds a route and an API key that are named after it and
+ * drops those of two versions before. A request for such a route therefore shows which versions may be in force at a
+ * gateway: the route exists in its own version and in the next one. The next one splits it, and moves a part of its paths
+ * to another service.
  */
 import { replicaLifetime } from "@verbenaspring/emulator";
 import type { Milliseconds } from "@verbenaspring/model";
@@ -23,9 +24,33 @@
 /** An engine's memory is one byte a token, so that its transfer rate is also in bytes a millisecond. */
 const bitsPerByte = 8;
 
+/** What a probe of a version asks for: its route, its API key, or the paths of its route that the next version moves. */
+export type ProbeSubject = "route" | "key" | "moved";
+
+/** A service without backend servers, to which paths are moved. */
+const emptyService = "empty";
+
+/** The route whose requests need an API key. */
+const keyedRoute = "keyed";
+
+/** The API key that a version adds. */
+export function versionKey(index: number): string {
+    return `key-of-version-${index}`;
+}
+
+/** The path of a probe of a version. */
+export function probePath(index: number, subject: ProbeSubject): string {
+    return subject === "key" ? `/${keyedRoute}/1` : `/version${index}/${subject === "moved" ? "moved/" : ""}1`;
+}
+
 /** The average step between two version numbers, which are 4 and 2 apart in turn. */
 const versionStep = 3;
 
+/** The number of the version with an index. */
+export function versionNumber(index: number): number {
+    return versionStep * index + (index % 2) + 1;
+}
+
 /** What the configuration states about cold servers. */
 export interface ColdServices {
     /** Requests a second to a cold server. */
@@ -54,6 +79,8 @@
     });
     const versionRoute = (versionIndex: number): object =>
         route(`version${versionIndex}`, "plain", { routeType: "idempotent", maxAttempts: 2 });
+    const movedRoute = (versionIndex: number): object =>
+        route(`version${versionIndex}/moved`, emptyService, { routeType: "idempotent" });
     const coldFields = cold && { coldPerS: cold.perSecond, coldStartS: cold.duration / 1_000 };
     const engine = {
         kvCapacity: engineMemory,
@@ -65,7 +92,7 @@
         stride: tokensPerEvent,
     };
     return {
-        version: versionStep * index + (index % 2) + 1,
+        version: versionNumber(index),
         routes: [
             route("confirm", "plain", { routeType: "non_idempotent", timeoutMs: routeTimeouts.confirm }),
             route("lookup", "plain", { routeType: "idempotent", maxAttempts: 3, timeoutMs: routeTimeouts.lookup }),
@@ -78,9 +105,18 @@
                 maxAttempts: 3,
             }),
             versionRoute(index),
-            ...index > 0 ? [versionRoute(index - 1)] : [],
+            ...index > 0 ? [versionRoute(index - 1), movedRoute(index - 1)] : [],
+            route(keyedRoute, "plain", { routeType: "idempotent", public: false }),
         ],
-        services: [{ name: "plain", ...coldFields }, { name: "engine", backend: engine, ...coldFields }],
+        services: [
+            { name: "plain", ...coldFields },
+            { name: "engine", backend: engine, ...coldFields },
+            { name: emptyService },
+        ],
+        tenants: [index, index - 1].map(versionIndex => ({
+            name: `tenant${versionIndex}`,
+            apiKeys: [versionKey(versionIndex)],
+        })),
         limits: { maxHeaderBytes: 8_192, maxBodyBytes: 4_096, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
     };
 }
@@ -121,23 +157,35 @@
         this.written.push({ index: this.written.length, writtenAt: now });
     }
 
+    /** Whether the newest record holds an older version than one before it. */
+    get isRewritten(): boolean {
+        return this.isNewestRecordOld;
+    }
+
     /**
-     * Determines which versions may be in force when a request for a version's route is sent.
+     * Determines which versions may be in force when a probe of a version is sent.
      *
-     * @returns a function that checks the outcome, given whether the route was found
+     * @returns a function that checks the outcome, given whether the gateway found what the version has
      */
-    startProbe(gateway: Gateway, index: number, sentAt: Milliseconds): (isFound: boolean) => void {
+    startProbe(
+        gateway: Gateway,
+        index: number,
+        sentAt: Milliseconds,
+        subject: ProbeSubject = "route",
+    ): (isFound: boolean) => void {
+        const lastIndex = subject === "moved" ? index : index + 1;
         const lowestSeen = this.lowestPossible.get(gateway) ?? 0;
         const isTimeLimited = !this.isNewestRecordOld && this.context.mustMeetTimeLimits(gateway, sentAt);
         const lowest = isTimeLimited ? Math.max(lowestSeen, this.versionInForce(sentAt)) : lowestSeen;
         const promise = lowest === lowestSeen ? "configuration_never_reverts" : "configuration_in_force";
         return isFound => {
             const { newestIndex } = this;
-            if (isFound && index + 1 < lowest) {
-                this.context.fail(promise, `${gateway.name} serves version ${index}, though ${lowest} is in force`);
+            const what = `the ${subject} of version ${index}, though ${lowest} is in force`;
+            if (isFound && lastIndex < lowest) {
+                this.context.fail(promise, `${gateway.name} serves ${what}`);
             }
-            if (!isFound && index <= lowest && newestIndex <= index + 1) {
-                this.context.fail(promise, `${gateway.name} lacks version ${index}, though ${lowest} is in force`);
+            if (!isFound && index <= lowest && newestIndex <= lastIndex) {
+                this.context.fail(promise, `${gateway.name} lacks ${what}`);
             }
             if (isFound) {
                 this.lowestPossible.set(gateway, Math.max(index, this.lowestPossible.get(gateway) ?? 0));
@@ -145,8 +193,8 @@
         };
     }
 
-    /** The newest version that every gateway must have applied by now, unless a fault affects it. */
-    private versionInForce(now: Milliseconds): number {
+    /** The index of the newest version that every gateway must have applied by now, unless a fault affects it. */
+    versionInForce(now: Milliseconds): number {
         const due = this.written.filter(({ writtenAt }) => now - writtenAt > platformLimits.configurationApply);
         return due.at(-1)?.index ?? 0;
     }
