Report again what was sent on a link that closed beside another

Callers: requests went on to servers that had given notice in an answer to another gateway, and to older configurations, where two gateways had two links to each other and one of them closed. Found by reading.

Cause: the reducer learns of the close of the last link only, and counts what it sent as received. Reports that waited on the link that closed were lost; notices and parts of prompts that crash servers were never sent again.

Change: peerReportsLost tells the close of one of several links, and everything counts as unknown to the peer, as on a new link. The links in virtual time do the same.

--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -337,6 +337,11 @@
         this.handleEvent({ kind: "peerLinkClosed", address });
     }
 
+    /** Handles the close of one of several links to another gateway. */
+    handleReportsLost(address: PeerAddress): void {
+        this.handleEvent({ kind: "peerReportsLost", address });
+    }
+
     /** Handles a report from another gateway. */
     handleReport(report: PeerReport): void {
         const decode = (name: TopicName): DecodedItem[] =>
--- a/packages/emulator/src/virtualPeerLinks.ts
+++ b/packages/emulator/src/virtualPeerLinks.ts
@@ -13,6 +13,8 @@
     readonly handleReport: (report: PeerReport) => void;
     /** Is called when a peer has closed its last link to this process, or when a link can't be opened. */
     readonly handleLinkClosed: (address: PeerAddress) => void;
+    /** Is called when a peer has closed one of several links to this process. */
+    readonly handleReportsLost: (address: PeerAddress) => void;
 }
 
 /** A link between two processes. What the opener sends goes upstream over the channel. */
@@ -86,9 +88,13 @@
 
     private handleClose(address: PeerAddress, link: PeerLink): void {
         const links = this.links.get(address);
-        if (links?.delete(link) === true && links.size === 0) {
-            this.links.delete(address);
-            this.owner.handleLinkClosed(address);
+        if (links?.delete(link) !== true) {
+            return;
+        }
+        if (links.size > 0) {
+            return this.owner.handleReportsLost(address);
         }
+        this.links.delete(address);
+        this.owner.handleLinkClosed(address);
     }
 }
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -153,5 +153,7 @@
     | { readonly kind: "baseVersionWritten"; }
     | { readonly kind: "peerReported"; readonly report: PeerReport; readonly items: PeerItems; }
     | { readonly kind: "peerLinkClosed"; readonly address: PeerAddress; }
+    /** One of several links to a peer has closed: what was reported on it may be lost. */
+    | { readonly kind: "peerReportsLost"; readonly address: PeerAddress; }
     | { readonly kind: "settingsChanged"; readonly options: GatewayOptions; }
     | { readonly kind: "stopRequested"; };
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -357,6 +357,14 @@
     }
 }
 
+/** Handles the loss of reports on a link that stays open: nothing counts as known to the peer until it reports again. */
+export function handlePeerReportsLost({ state, now }: Transaction, address: PeerAddress): void {
+    const peer = state.peers.get(address);
+    if (peer?.link === "open") {
+        startLink(state, peer, "open", now);
+    }
+}
+
 /** Handles the end of a link, or a link that could not be opened. */
 export function handlePeerLinkClosed(transaction: Transaction, address: PeerAddress): void {
     const { state, now, source } = transaction;
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -14,7 +14,13 @@
 import { handleServerProbed } from "./liveness.js";
 import { handleMigrationAnswered, migrateFromEvacuated } from "./migration.js";
 import type { GatewayOptions } from "./options.js";
-import { handlePeerLinkClosed, handlePeerReport, maintainPeers, reportPlacements } from "./peers.js";
+import {
+    handlePeerLinkClosed,
+    handlePeerReport,
+    handlePeerReportsLost,
+    maintainPeers,
+    reportPlacements,
+} from "./peers.js";
 import { updateLimitShares } from "./requestLimits.js";
 import { handleCallerLeft, handleRequest } from "./requests.js";
 import { detectSuspension, releaseHeldRequests } from "./resumption.js";
@@ -133,6 +139,8 @@
             return handlePeerReport(transaction, event);
         case "peerLinkClosed":
             return handlePeerLinkClosed(transaction, event.address);
+        case "peerReportsLost":
+            return handlePeerReportsLost(transaction, event.address);
         case "settingsChanged":
             return handleSettingsChanged(transaction, event.options);
         case "stopRequested":
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -413,6 +413,21 @@
     assert.equal(follower.removalGaps, removalGaps);
 });
 
+// A report counted as received when it was sent, so that no later one repeated its notices and records.
+test("what was reported on a link that closed beside another one is reported again", () => {
+    const gateway = TestGateway.serving(server("plain-1"), server("plain-2"));
+    gateway.receiveReport({});
+    gateway.advance(1_000);
+    gateway.answer(gateway.sendRequest("r", "confirm"), { isLeaving: true });
+    gateway.advance(300);
+    const reportsIn = (effects: readonly GatewayEffect[]) =>
+        effects.flatMap(effect => effect.kind === "sendReport" ? [effect.report] : []);
+    gateway.handle({ kind: "peerReportsLost", address: other });
+    const reports = reportsIn(gateway.advance(600));
+    assert.is(reports.flatMap(({ leavingServers }) => leavingServers).length, 1);
+    assert.is(reports[0].topics.find(({ name }) => name === "backendServers")?.since, 0);
+});
+
 test("the gateways with the fastest links read the topics, since a reader sends what it read to all others", () => {
     const readsWith = (linkRate: number): number => {
         const gateway = new TestGateway({ linkRate });
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -391,6 +391,7 @@
         return createPeerLinks({
             reported: report => this.handlePeerReport(report),
             closed: address => this.events.push({ kind: "peerLinkClosed", address }),
+            reportsLost: address => this.events.push({ kind: "peerReportsLost", address }),
             cut: address => this.pressure.report("peers", "connections", address, monotonicNow()),
         });
     }
--- a/packages/runtime/src/peerLinks.ts
+++ b/packages/runtime/src/peerLinks.ts
@@ -18,6 +18,8 @@
     readonly reported: (report: PeerReport) => void;
     /** The last link to the peer has closed. */
     readonly closed: (address: PeerAddress) => void;
+    /** One of several links to the peer has closed: reports that were sent on it may be lost. */
+    readonly reportsLost: (address: PeerAddress) => void;
     /** A connection was closed because there were too many; called with its address. */
     readonly cut?: (address: string) => void;
 }
@@ -58,7 +60,7 @@
  * Creates the links.
  *
  * @example
- * const peers = createPeerLinks({ reported, closed });
+ * const peers = createPeerLinks({ reported, closed, reportsLost });
  * await peers.listen("127.0.0.1:8748");
  */
 export function createPeerLinks(handlers: PeerLinkHandlers): PeerLinks {
@@ -73,10 +75,14 @@
         link.queue.end();
         link.abort();
         const linksOfPeer = links.get(address);
-        if (linksOfPeer?.delete(link) === true && linksOfPeer.size === 0) {
-            links.delete(address);
-            handlers.closed(address);
+        if (linksOfPeer?.delete(link) !== true) {
+            return;
+        }
+        if (linksOfPeer.size > 0) {
+            return handlers.reportsLost(address);
         }
+        links.delete(address);
+        handlers.closed(address);
     };
     const closePeer = (address: PeerAddress): void => {
         const linksOfPeer = links.get(address) ?? new Set();
