--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -44,10 +44,8 @@
     readonly publishedWarmUpEndsAt: Milliseconds;
     /** Since when it accepts no new work: it announced its stop, or its registration was removed. */
     readonly leavingSince: Milliseconds | undefined;
-    /** When the removal of its registration was learnt. */
+    /** When its registration was removed. */
     readonly removedAt: Milliseconds | undefined;
-    /** When it was last known to be registered, before the removal was learnt; undefined if it is registered. */
-    readonly registeredAsOf: Milliseconds | undefined;
 }
 
 /** All backend servers by id. Owned and changed by the event loop. */
@@ -91,7 +89,6 @@
         publishedWarmUpEndsAt: publishedWarmUpEnd(known, change, warmUpEndsAt),
         leavingSince: isLeaving ? (isSameIncarnation ? known.leavingSince : undefined) ?? now : undefined,
         removedAt: undefined,
-        registeredAsOf: undefined,
     });
     return change;
 }
@@ -146,22 +143,13 @@
     return record.heartbeat < known.heartbeat;
 }
 
-/**
- * Marks a server as removed, because its registration ended.
- *
- * @param registeredAsOf when the server was last known to be registered
- */
-export function applyRemoval(
-    view: BackendView,
-    id: BackendServerId,
-    registeredAsOf: Milliseconds,
-    now: Milliseconds,
-): BackendChange {
+/** Marks a server as removed, because its registration ended. */
+export function applyRemoval(view: BackendView, id: BackendServerId, now: Milliseconds): BackendChange {
     const known = view.get(id);
     if (known === undefined || known.removedAt !== undefined) {
         return "unchanged";
     }
-    view.set(id, { ...known, leavingSince: known.leavingSince ?? now, removedAt: now, registeredAsOf });
+    view.set(id, { ...known, leavingSince: known.leavingSince ?? now, removedAt: now });
     return "removed";
 }
 
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -360,7 +360,7 @@
             return handleServerChange(transaction, decoded.record.id, change);
         }
         case "backendServerRemoved":
-            return applyServerRemoval(transaction, decoded.id);
+            return handleServerChange(transaction, decoded.id, applyRemoval(state.servers, decoded.id, now));
         case "evacuation":
             applyEvacuation(transaction, decoded, item.offset);
             // A withdrawal counts also where the evacuation was not known: gateways that get the topic from this one may
@@ -372,12 +372,6 @@
     }
 }
 
-function applyServerRemoval(transaction: Transaction, id: BackendServerId): boolean {
-    const { state, now } = transaction;
-    const registeredAsOf = state.followers.backendServers.freshAsOf ?? now;
-    return handleServerChange(transaction, id, applyRemoval(state.servers, id, registeredAsOf, now));
-}
-
 function applyConfiguration(transaction: Transaction, configuration: RoutingConfiguration): boolean {
     const { state, effects } = transaction;
     const previous = state.configuration?.version;
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -28,9 +28,4 @@
     readonly evacuationLimit?: Milliseconds | undefined;
     /** From the operator's write of a configuration until it must be in force; undefined if the settings state no bound. */
     readonly configurationLimit?: Milliseconds | undefined;
-    /**
-     * From the acknowledgement that a backend server leaves until no request may reach it; undefined if the settings state
-     * no bound.
-     */
-    readonly drainLimit?: Milliseconds | undefined;
 }
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -52,7 +52,7 @@
     const ready = known.filter(server => server.leavingSince === undefined);
     const usable = ready.length > 0
         ? ready
-        : known.filter(server => hasJustLapsed(state, server, now) && !hasGivenNotice(state, server.record));
+        : known.filter(server => hasJustLapsed(server, now) && !hasGivenNotice(state, server.record));
     const allowed = usable.filter(server => acceptsRequest(state, server, now));
     return withoutEjected(allowed, ({ record }) => state.health.get(record.id), now);
 }
@@ -74,17 +74,8 @@
 }
 
 /** Whether the registration lapsed a moment ago without an announced stop, as happens when the store is unavailable. */
-function hasJustLapsed(
-    { options: { drainLimit = Infinity } }: GatewayState,
-    { record, removedAt, registeredAsOf }: BackendServer,
-    now: Milliseconds,
-): boolean {
-    if (removedAt === undefined || registeredAsOf === undefined || record.isDraining) {
-        return false;
-    }
-    // Without reads for so long the store was out, and registrations that lapsed meanwhile are renewed after its return.
-    const wasStoreOut = removedAt - registeredAsOf >= drainLimit;
-    return now - removedAt <= lapsedGracePeriod && (wasStoreOut || now - registeredAsOf < drainLimit);
+function hasJustLapsed({ record, removedAt }: BackendServer, now: Milliseconds): boolean {
+    return removedAt !== undefined && !record.isDraining && now - removedAt <= lapsedGracePeriod;
 }
 
 /** The view of a server from which placement chooses. */
--- a/packages/gateway/test/attempts.test.ts
+++ b/packages/gateway/test/attempts.test.ts
@@ -1,7 +1,7 @@
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, configuration, failuresIn, kindsIn, server, TestGateway } from "./gatewayBuilders.js";
+import { callsIn, failuresIn, kindsIn, server, TestGateway } from "./gatewayBuilders.js";
 
 const gatewayWithTwoServers = (): TestGateway => TestGateway.serving(server("plain-1"), server("plain-2"));
 
@@ -149,29 +149,6 @@
     assert.is(failuresIn(gateway.receiveRequest("s", "confirm"))[0].type, "no_backend_server");
 });
 
-// The grace period counted from when the removal was learnt, which may be 1.5 s after the store acknowledged it.
-test("a server whose registration ended is not used past the bound from when it may have been acknowledged", () => {
-    const gateway = new TestGateway({ drainLimit: 2_000 });
-    gateway.configure(configuration(1));
-    gateway.register(server("plain-1"));
-    gateway.now += 1_400;
-    gateway.remove("plain-1");
-    gateway.now += 500;
-    assert.is(callsIn(gateway.receiveRequest("r", "confirm")).length, 1);
-    gateway.now += 200;
-    assert.equal(callsIn(gateway.receiveRequest("s", "confirm")), []);
-});
-
-test("a server whose registration lapsed while the store was out is used for a short time after its return", () => {
-    const gateway = new TestGateway({ drainLimit: 2_000 });
-    gateway.configure(configuration(1));
-    gateway.register(server("plain-1"));
-    gateway.advance(5_000);
-    gateway.remove("plain-1");
-    gateway.now += 1_400;
-    assert.is(callsIn(gateway.receiveRequest("r", "confirm")).length, 1);
-});
-
 test("a snapshot without a server ends the server's registration", () => {
     const gateway = gatewayWithTwoServers();
     const record = server("plain-2", { heartbeat: 2 });
