Emulator: send reports over the link that received last

Trace: a gateway lost power and started anew; for 3 s the other one's reports went over the old link, whose process was gone, though the new process had opened another one.

Cause: VirtualPeerLinks sent over the oldest open link. The real links (peerLinks.ts) send over the one that received last, so this was a fault of the model, not of the gateway.

Conclusion: the model now differs less from the system; no check was changed.

--- a/packages/emulator/src/virtualPeerLinks.ts
+++ b/packages/emulator/src/virtualPeerLinks.ts
@@ -1,6 +1,6 @@
 /**
  * The links of one gateway process to its peers in virtual time. If both processes of a pair have opened a link, either
- * is used.
+ * is used: the one over which the process received last, as it is the most likely to work.
  */
 import type { PeerReport } from "@verbenaspring/gateway";
 import type { PeerAddress } from "@verbenaspring/model";
@@ -24,6 +24,7 @@
 
 /** The links of a gateway process. */
 export class VirtualPeerLinks {
+    /** The links to each peer, the one over which a report arrived last first. */
     private readonly links = new Map<PeerAddress, Set<PeerLink>>();
 
     constructor(
@@ -53,7 +54,10 @@
         }
         const isOpener = link.opener === this;
         const other = isOpener ? link.accepter : link.opener;
-        link.channel.send(isOpener ? "upstream" : "downstream", () => other.owner.handleReport(report));
+        link.channel.send(
+            isOpener ? "upstream" : "downstream",
+            () => other.receive(this.owner.name, link, report),
+        );
     }
 
     close(address: PeerAddress): void {
@@ -76,6 +80,14 @@
             return;
         }
         this.add(link.opener.owner.name, link);
+        this.receive(link.opener.owner.name, link, report);
+    }
+
+    private receive(address: PeerAddress, link: PeerLink, report: PeerReport): void {
+        const links = this.links.get(address);
+        if (links?.has(link) === true) {
+            this.links.set(address, new Set([link, ...links]));
+        }
         this.owner.handleReport(report);
     }
 
