--- a/packages/emulator/test/fleet.test.ts
+++ b/packages/emulator/test/fleet.test.ts
@@ -56,6 +56,18 @@
     assert.is(readRegistration(), undefined);
 });
 
+test("a server that leaves without a notice is unregistered at once, and for good, and keeps running for the delay", () => {
+    const { clock, fleet, readRegistration } = createFleet();
+    const model = fleet.add(plan);
+    clock.advanceTo(500);
+    fleet.withdraw("p1", 3_000);
+    assert.equal([readRegistration(), fleet.drainPublishedAt("p1")], [undefined, 500]);
+    clock.advanceTo(3_400);
+    assert.equal([readRegistration(), fleet.findByAddress(model.options.address)], [undefined, model]);
+    clock.advanceTo(3_600);
+    assert.equal([readRegistration(), fleet.findByAddress(model.options.address)], [undefined, undefined]);
+});
+
 test("a server restarted under its id registers with a higher born and restarts its sequence", () => {
     const { clock, fleet, readRegistration } = createFleet();
     fleet.add(plan);
--- a/packages/fuzz/src/platform/contactRecord.ts
+++ b/packages/fuzz/src/platform/contactRecord.ts
@@ -56,9 +56,9 @@
             ));
     }
 
-    /** Whether both gateways, and the path between them, have recovered from all faults. */
+    /** Whether both gateways are alive, and have recovered from all faults as has the path between them. */
     areLinked(one: Gateway, other: Gateway): boolean {
-        return this.canLearn(one) && this.canLearn(other)
+        return [one, other].every(gateway => this.gateways().includes(gateway) && this.canLearn(gateway))
             && this.peerFaults.isFaultFree(pathName(one, other), this.now());
     }
 
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -185,8 +185,9 @@
         );
         this.versions = new VersionOracle<VirtualGateway>({
             mustMeetTimeLimits: (gateway, at) => this.oracle.mustKnowStore(gateway, at),
+            areLinked: (one, other) => this.oracle.contact.areLinked(one, other),
             fail: (promise, detail) => this.oracle.fail(promise, detail),
-        });
+        }, () => clock.now);
         this.configure();
         [1, 2].forEach(() => this.addServer("plain"));
         [1, 2, 3].forEach(() => this.addServer("engine"));
--- a/packages/fuzz/src/platform/versions.ts
+++ b/packages/fuzz/src/platform/versions.ts
@@ -125,6 +125,8 @@
 export interface VersionOracleContext<Gateway> {
     /** Whether time limits apply to a gateway at a time. */
     readonly mustMeetTimeLimits: (gateway: Gateway, at: Milliseconds) => boolean;
+    /** Whether two gateways have had a link for long enough to know what the other one knows. */
+    readonly areLinked: (one: Gateway, other: Gateway) => boolean;
     /** Reports a violation. */
     readonly fail: (promise: PromiseName, detail: string) => void;
 }
@@ -135,8 +137,13 @@
     private isNewestRecordOld = false;
     /** For each gateway, the lowest version that agrees with its answers so far. */
     private readonly lowestPossible = new Map<Gateway, number>();
+    /** The versions that gateways showed to use, and when they first did. */
+    private readonly shown: { readonly gateway: Gateway; readonly index: number; readonly at: Milliseconds; }[] = [];
 
-    constructor(private readonly context: VersionOracleContext<Gateway>) {}
+    constructor(
+        private readonly context: VersionOracleContext<Gateway>,
+        private readonly now: () => Milliseconds,
+    ) {}
 
     /** The index of the newest version; -1 before the first. */
     get newestIndex(): number {
@@ -176,7 +183,8 @@
         const lastIndex = subject === "moved" ? index : index + 1;
         const lowestSeen = this.lowestPossible.get(gateway) ?? 0;
         const isTimeLimited = !this.isNewestRecordOld && this.context.mustMeetTimeLimits(gateway, sentAt);
-        const lowest = isTimeLimited ? Math.max(lowestSeen, this.versionInForce(sentAt)) : lowestSeen;
+        const lowestDue = isTimeLimited ? this.versionInForce(sentAt) : 0;
+        const lowest = Math.max(lowestSeen, lowestDue, this.versionOfOthers(gateway, sentAt));
         const promise = lowest === lowestSeen ? "configuration_never_reverts" : "configuration_in_force";
         return isFound => {
             const { newestIndex } = this;
@@ -187,12 +195,26 @@
             if (!isFound && index <= lowest && newestIndex <= lastIndex) {
                 this.context.fail(promise, `${gateway.name} lacks ${what}`);
             }
+            if (isFound && index > (this.lowestPossible.get(gateway) ?? -1)) {
+                this.shown.push({ gateway, index, at: this.now() });
+            }
             if (isFound) {
                 this.lowestPossible.set(gateway, Math.max(index, this.lowestPossible.get(gateway) ?? 0));
             }
         };
     }
 
+    /** The index of the newest version that a gateway must have learnt from others by now. */
+    private versionOfOthers(gateway: Gateway, now: Milliseconds): number {
+        const due = this.isNewestRecordOld
+            ? []
+            : this.shown.filter(shown =>
+                now - shown.at > platformLimits.configurationApply && shown.gateway !== gateway
+                && this.context.areLinked(gateway, shown.gateway)
+            );
+        return Math.max(0, ...due.map(({ index }) => index));
+    }
+
     /** The index of the newest version that every gateway must have applied by now, unless a fault affects it. */
     versionInForce(now: Milliseconds): number {
         const due = this.written.filter(({ writtenAt }) => now - writtenAt > platformLimits.configurationApply);
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -38,6 +38,8 @@
     readonly giveNotice: () => void;
     /** Registers the server as draining and stops it after a delay in milliseconds. */
     readonly drain: (endsAfter?: number) => void;
+    /** Deletes the server's registration without a notice and stops it after a delay in milliseconds. */
+    readonly withdraw: (endsAfter: number) => void;
     /** Crashes the server, and starts it again under its id at its address. */
     readonly restart: () => Promise<BackendServerStandIn>;
     /** Stops the server without notice: open connections are reset and its port is closed. */
@@ -155,6 +157,10 @@
                 fleet.leave(plan.id, endsAfter);
                 setTimeout(() => void close(), endsAfter).unref();
             },
+            withdraw: endsAfter => {
+                fleet.withdraw(plan.id, endsAfter);
+                setTimeout(() => void close(), endsAfter).unref();
+            },
             restart: async () => {
                 fleet.crash(plan.id);
                 await close();
