Soak: check denials, removed servers and answers to read requests

Change: requests that every configuration allows are never denied; leaving servers, also those whose registration is only removed, get no request 2 s later from a gateway that knows of it through the store or another gateway, unless the link to that server was disturbed (so far, any fault in the whole system excused it); versions that one gateway showed are in force at the others after 2 s; a request that reached sound servers gets its whole answer if a server completed it, and otherwise at least its beginning or a failure. Configurations, compactions and removals come every half a second. Logs of each run go to a folder of its own.

A notice in an answer is now recorded when the head arrives, and not when the answer ends, and not if the incarnation that got the request has been replaced since. This is stricter in time and also counts answers that break off. Before, a stream that began at one incarnation and ended after its restart bound the gateway to send nothing to the next one: the same calls on report leaving_gets_no_new_work, on this commit nothing.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -21,7 +21,8 @@
 
 let failedRuns = 0;
 for (let current = seed; current < seed + seeds; current++) {
-    const logFolder = `results/soak-${current}`;
+    // Runs of one seed at the same time, and the next ones, keep their logs apart.
+    const logFolder = `results/soak-${current}-${process.pid}`;
     const options = { seed: current, seconds, gateways, callers, checksTimeLimits: times, logFolder };
     const { violations, endCounts, faultCounts } = await runSoak(options);
     const requests = [...endCounts].map(([name, count]) => `${name}=${count}`).join(" ");
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -7,6 +7,7 @@
 import { SoakCallers } from "./soakCallers.js";
 import {
     answerLossKinds,
+    changeKinds,
     evacuationFaultKinds,
     faultKinds,
     harmlessFaultKinds,
@@ -71,7 +72,8 @@
     const answerLosses = new SoakFaults(world, seededSource(seed, 6).random);
     const evacuations = new SoakFaults(world, seededSource(seed, 7).random);
     const hostileFaults = new SoakFaults(world, seededSource(seed, 8).random);
-    const allFaults = [faults, harmlessFaults, releaseFaults, answerLosses, evacuations, hostileFaults];
+    const changes = new SoakFaults(world, seededSource(seed, 9).random);
+    const allFaults = [faults, harmlessFaults, releaseFaults, answerLosses, evacuations, hostileFaults, changes];
     try {
         callers.start(callerCount);
         await Promise.all([
@@ -81,6 +83,7 @@
             answerLosses.run(1_000 * seconds, answerLossKinds),
             evacuations.run(1_000 * seconds, evacuationFaultKinds),
             hostileFaults.run(1_000 * seconds, hostileFaultKinds),
+            changes.run(1_000 * seconds, changeKinds),
         ]);
         await Promise.all(allFaults.map(each => each.endFaults()));
         await pause(recoveryTime);
--- a/packages/soak/src/soakCallers.ts
+++ b/packages/soak/src/soakCallers.ts
@@ -14,7 +14,7 @@
 } from "@verbenaspring/fuzz";
 import { pause } from "@verbenaspring/stand-ins";
 import { Client } from "undici";
-import type { SoakRequest, SoakResponse } from "./soakOracle.js";
+import type { SoakRequest, SoakResponse, SoakResponseHead } from "./soakOracle.js";
 import type { SoakGateway, SoakWorld } from "./soakWorld.js";
 
 /** Requests are drawn evenly from these; a kind that is listed twice is twice as frequent. */
@@ -165,7 +165,8 @@
             abort.abort();
         }, limit);
         try {
-            return await exchange(connection.client, request, options, abort.signal);
+            const onHead = (head: SoakResponseHead): void => this.world.oracle.recordHead(request, head);
+            return await exchange(connection.client, request, options, abort.signal, onHead);
         }
         catch {
             // Whatever broke the connection, the caller's next request opens a new one.
@@ -210,6 +211,7 @@
     request: SoakRequest,
     { target, length, timeLimit }: RequestOptions,
     signal: AbortSignal,
+    onHead: (head: SoakResponseHead) => void,
 ): Promise<SoakResponse> {
     const { statusCode, headers, body } = await client.request({
         method: "POST",
@@ -224,9 +226,13 @@
         body: `body of ${request.id}`,
         signal,
     });
-    const isSealed = headers["response-seal"] !== undefined;
-    const declaresLimit = headers["server-limit"] !== undefined;
-    const isServerLeaving = headers["server-leaving"] === "1";
-    const server = headers["instance-id"]?.toString();
-    return { status: statusCode, server, declaresLimit, isServerLeaving, isSealed, ...await readResponseBody(body) };
+    const head: SoakResponseHead = {
+        status: statusCode,
+        server: headers["instance-id"]?.toString(),
+        declaresLimit: headers["server-limit"] !== undefined,
+        isServerLeaving: headers["server-leaving"] === "1",
+        isSealed: headers["response-seal"] !== undefined,
+    };
+    onHead(head);
+    return { ...head, ...await readResponseBody(body) };
 }
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -294,6 +294,16 @@
     });
 }
 
+/** A server's registration is deleted without a notice, and it serves on for a while. */
+function withdrawServer(faults: SoakFaults): void {
+    const { world } = faults;
+    const leaving = faults.chooseServer();
+    world.removeServer(leaving);
+    void world.addServer(leaving.standIn.plan.kind);
+    leaving.standIn.withdraw(drainDuration);
+    setTimeout(() => leaving.relay.close(), drainDuration);
+}
+
 /** Faults that affect no promise and no time limit. */
 export const harmlessFaultKinds: readonly Fault[] = [
     { name: "clockJump", perform: withGateway(jumpClock) },
@@ -372,6 +382,20 @@
     ...Array.from({ length: drawsWithoutAttack }, () => noFault),
 ];
 
+const configure: Fault = { name: "configure", perform: ({ world }) => world.configure() };
+const compact: Fault = {
+    name: "compact",
+    perform: ({ world }) => [operatorTopic, serverTopic].forEach(world.store.compact),
+};
+
+/** Changes of the configuration and of the servers, every half a second. They are drawn apart from other faults. */
+export const changeKinds: readonly Fault[] = [
+    configure,
+    configure,
+    compact,
+    { name: "withdrawWorker", perform: withdrawServer },
+];
+
 /** How many of four draws lose no answers. */
 const drawsWithoutLoss = 2;
 
@@ -407,8 +431,8 @@
     { name: "storeBusy", perform: (faults, duration) => disturbStore(faults, duration, "busy") },
     { name: "storeSilent", perform: (faults, duration) => disturbStore(faults, duration, "silent") },
     { name: "storeSlow", perform: slowStore },
-    { name: "compact", perform: ({ world }) => [operatorTopic, serverTopic].forEach(world.store.compact) },
-    { name: "configure", perform: ({ world }) => world.configure() },
+    compact,
+    configure,
     { name: "crashWorker", perform: (faults, duration) => crashServer(faults, duration, false) },
     { name: "restartWorker", perform: (faults, duration) => crashServer(faults, duration, true) },
     { name: "drainWorker", perform: drainServer },
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -44,8 +44,8 @@
     end: PlatformRequestEnd | undefined;
 }
 
-/** The part of a response that arrived. */
-export interface SoakResponse {
+/** The head of a response. */
+export interface SoakResponseHead {
     readonly status: number;
     /** The backend server that gave its head; undefined if it is the gateway's own. */
     readonly server: string | undefined;
@@ -55,6 +55,10 @@
     readonly isServerLeaving: boolean;
     /** Whether it carries the seal of a backend server. */
     readonly isSealed: boolean;
+}
+
+/** The part of a response that arrived. */
+export interface SoakResponse extends SoakResponseHead {
     readonly body: string;
     /** False where the connection broke before the end of the body. */
     readonly isComplete: boolean;
@@ -71,6 +75,8 @@
 /** A request that ends with one of these must not have run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const successStatus = 200;
+/** With these a gateway says that the configuration doesn't allow a request. */
+const denialStatuses: ReadonlySet<string> = new Set(["401", "404"]);
 /** The platform's rules allow a final answer up to 500 ms after the deadline. */
 const answerSlack = 500;
 /** The rules allow a connection to close on a request that was sent up to 200 ms before. */
@@ -82,8 +88,10 @@
     readonly endCounts = new Map<string, number>();
     private readonly requests = new Map<string, SoakRequest>();
     private readonly runs = new Map<string, ServerRun[]>();
-    /** Requests that reached a backend server. */
-    private readonly arrivedIds = new Set<string>();
+    /** For each request that reached backend servers, when it last reached each of them. */
+    private readonly arrivedAt = new Map<string, Map<string, number>>();
+    /** When the newest incarnation of a backend server replaced the one before it. */
+    private readonly restartedAt = new Map<string, number>();
     readonly faultRecord = new FaultRecord(() => performance.now());
     /** The faults that keep a gateway from reaching backend servers: of gateways by name, and of servers' links by id. */
     private readonly reachRecord = new FaultRecord(() => performance.now());
@@ -149,6 +157,19 @@
             && this.lagSince(at - platformLimits.faultRecovery) === 0;
     }
 
+    /** Whether a gateway must know what the store says, from the store or from another gateway. */
+    mustKnowStore(gateway: SoakGateway, at: number): boolean {
+        const isInContact = this.checksTimeLimits && this.contact.isInContact(gateway)
+            && this.lagSince(at - platformLimits.faultRecovery) === 0;
+        return isInContact || this.mustMeetTimeLimits(gateway, at);
+    }
+
+    /** Whether two gateways have had a link for long enough to know what the other one knows. */
+    areLinked(one: SoakGateway, other: SoakGateway): boolean {
+        const since = performance.now() - platformLimits.faultRecovery;
+        return this.checksTimeLimits && this.lagSince(since) === 0 && this.contact.areLinked(one, other);
+    }
+
     private isExcusedFromLimits({ name }: SoakGateway): boolean {
         const since = performance.now() - platformLimits.faultRecovery;
         return !this.checksTimeLimits || this.faultRecord.hadFaultSince(name, since) || this.lagSince(since) > 0;
@@ -162,25 +183,83 @@
         this.requests.set(request.id, request);
     }
 
+    /** Forgets what an incarnation of a backend server told gateways: another one replaces it. */
+    forgetServer(server: string): void {
+        this.restartedAt.set(server, performance.now());
+        this.serverNotices.forgetServer(server);
+        this.serverPauses.forgetServer(server);
+    }
+
+    /**
+     * Records what the head of a response says of its backend server. A notice of an incarnation that another one has
+     * replaced in the meantime does not bind the gateway.
+     */
+    recordHead({ id, gateway }: SoakRequest, { server, declaresLimit, isServerLeaving }: SoakResponseHead): void {
+        const now = performance.now();
+        if (server === undefined) {
+            return;
+        }
+        if (declaresLimit) {
+            this.serverLimits.recordInformed(gateway, server, now);
+        }
+        const reachedAt = this.arrivedAt.get(id)?.get(server) ?? now;
+        if (isServerLeaving && reachedAt >= (this.restartedAt.get(server) ?? -Infinity)) {
+            this.serverNotices.recordInformed(gateway, server, now);
+        }
+    }
+
     /** Records and checks the end of a request; undefined where no response arrived. */
     recordResponse(request: SoakRequest, response: SoakResponse | undefined): void {
         if (request.end === "left") {
             return;
         }
-        const server = response?.server;
-        if (response?.declaresLimit === true && server !== undefined) {
-            this.serverLimits.recordInformed(request.gateway, server, performance.now());
-        }
-        if (response?.isServerLeaving === true && server !== undefined) {
-            this.serverNotices.recordInformed(request.gateway, server, performance.now());
-        }
         request.end = this.classifyResponse(request, response);
         const endName = typeof request.end === "object" ? request.end.failure : request.end;
         this.endCounts.set(endName, (this.endCounts.get(endName) ?? 0) + 1);
         this.checkNotRun(request);
+        this.checkDenial(request);
+        this.checkAnswered(request, response !== undefined);
         this.checkTimeLimits(request);
     }
 
+    /** Checks that a request is not denied if every configuration allows it, as they all do but for probes. */
+    private checkDenial({ id, kind, end }: SoakRequest): void {
+        if (kind !== "probe" && typeof end === "object" && denialStatuses.has(end.failure)) {
+            this.fail("allowed_requests_are_not_denied", `${id} got ${end.failure}`);
+        }
+    }
+
+    /**
+     * Checks that a request that was sent on to sound backend servers gets an answer: a whole one if a server completed
+     * it, and otherwise at least its beginning or a failure.
+     */
+    private checkAnswered(request: SoakRequest, hasBegun: boolean): void {
+        const { id, end, deadlineAt } = request;
+        const servers = [...this.arrivedAt.get(id)?.keys() ?? []];
+        const isReady = this.runs.get(id)?.at(-1)?.isComplete === true;
+        if (
+            end === "cut" && servers.length > 0 && (isReady || !hasBegun) && performance.now() < deadlineAt
+            && !this.mayBeCut(request, servers)
+        ) {
+            this.fail(
+                "read_requests_are_answered",
+                `${id} reached ${servers.join(" and ")}, and got ${hasBegun ? "a part of its answer" : "no answer"}`,
+            );
+        }
+    }
+
+    /** Whether a fault, the end of a planned stop, or a server that leaves may have cut a request. */
+    private mayBeCut(
+        { gateway, sentAt, connectionOpenedAt }: SoakRequest,
+        servers: readonly string[],
+    ): boolean {
+        const { name, killedAt, stopRequestedAt, callersSilencedAt } = gateway;
+        const isStopOver = stopRequestedAt !== undefined && !isEarlyInStop(stopRequestedAt, performance.now());
+        return killedAt !== undefined || isStopOver || connectionOpenedAt <= callersSilencedAt
+            || [name, "workers"].some(each => this.faultRecord.hadFaultSince(each, sentAt))
+            || servers.some(server => this.drainPublishedAt(server) !== undefined);
+    }
+
     private classifyResponse(request: SoakRequest, response: SoakResponse | undefined): PlatformRequestEnd {
         if (response === undefined) {
             return "cut";
@@ -253,7 +332,7 @@
         const isLost = request.end === "cut" || (typeof request.end === "object" && !request.end.isNotRun);
         // A request that crosses the close of its connection, and reached no backend server, may be
         // sent again by its caller.
-        const crossedClose = !this.arrivedIds.has(request.id) && now - request.sentAt <= closeCrossingTime;
+        const crossedClose = !this.arrivedAt.has(request.id) && now - request.sentAt <= closeCrossingTime;
         const isEarly = isEarlyInStop(request.gateway.stopRequestedAt, now);
         if (
             isLost && this.faultRecord.isSystemFaultFree(request.sentAt) && isEarly && !crossedClose
@@ -265,10 +344,11 @@
 
     /** Records that a call reached a backend server. */
     recordArrival({ callerAttemptId }: ServerCall, server: string): void {
-        this.arrivedIds.add(callerAttemptId);
+        const now = performance.now();
+        const arrivedAt = this.arrivedAt.get(callerAttemptId) ?? new Map<string, number>();
+        this.arrivedAt.set(callerAttemptId, arrivedAt.set(server, now));
         const drainPublished = this.drainPublishedAt(server);
         const request = this.requests.get(callerAttemptId);
-        const now = performance.now();
         if (request !== undefined) {
             this.serverLimits.recordArrival(request.gateway, server, now);
             this.serverPauses.recordArrival(request.gateway, server, now);
@@ -278,11 +358,13 @@
             return;
         }
         // The call may have been delayed by the relay before the backend server, or by the soak itself.
-        const isCalm = this.faultRecord.isSystemFaultFree(now) && this.mustMeetTimeLimits(request.gateway, now);
-        if (isCalm) {
+        const isLinkSound = !this.reachRecord.hadFaultSince(server, now - platformLimits.faultRecovery);
+        if (isLinkSound && this.mustKnowStore(request.gateway, now)) {
             this.fail(
                 "leaving_gets_no_new_work",
-                `${callerAttemptId} reached ${server} ${Math.round(now - drainPublished)} ms after its notice`,
+                `${callerAttemptId} reached ${server} ${
+                    Math.round(now - drainPublished)
+                } ms after its notice or removal`,
             );
         }
     }
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -97,7 +97,11 @@
         );
         this.operator = new OperatorWrites(systemClock(), store.model, () => store.behaviour() === "up");
         this.observeTimer = setInterval(() => this.observe(), observeInterval);
-        this.versions = new VersionOracle<SoakGateway>(this.oracle);
+        this.versions = new VersionOracle<SoakGateway>({
+            mustMeetTimeLimits: (gateway, at) => this.oracle.mustKnowStore(gateway, at),
+            areLinked: (one, other) => this.oracle.areLinked(one, other),
+            fail: (promise, detail) => this.oracle.fail(promise, detail),
+        }, () => performance.now());
         this.serverStandIns = createBackendServerStandIns(
             store,
             run => this.oracle.recordRun(run),
@@ -252,8 +256,7 @@
 
     /** Forgets what an incarnation of a backend server told gateways. */
     forgetServer(id: string): void {
-        this.oracle.serverNotices.forgetServer(id);
-        this.oracle.serverPauses.forgetServer(id);
+        this.oracle.forgetServer(id);
     }
 
     /** Records which servers are cold, and what gateways know by now. */
--- a/packages/soak/test/soakOracle.test.ts
+++ b/packages/soak/test/soakOracle.test.ts
@@ -1,9 +1,9 @@
 /**
- * Tests of the check that a request runs at one server at a time.
+ * Tests of the checks of a soak.
  */
-import type { ServerRun } from "@verbenaspring/emulator";
+import type { ServerCall, ServerRun } from "@verbenaspring/emulator";
 import { platformLimits } from "@verbenaspring/fuzz";
-import { type SoakGateway, SoakOracle, type SoakRequest } from "@verbenaspring/soak";
+import { type SoakGateway, SoakOracle, type SoakRequest, type SoakResponseHead } from "@verbenaspring/soak";
 import { pause } from "@verbenaspring/stand-ins";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -16,9 +16,9 @@
     return new SoakOracle(checksTimeLimits, () => undefined, () => undefined, () => [gateway]);
 }
 
-function recordRequest(oracle: SoakOracle): void {
+function createRequest(): SoakRequest {
     const now = performance.now();
-    const request: SoakRequest = {
+    return {
         id: "a",
         kind: "plan",
         gateway,
@@ -32,7 +32,10 @@
         softwareVersion: undefined,
         end: undefined,
     };
-    oracle.recordRequest(request);
+}
+
+function recordRequest(oracle: SoakOracle): void {
+    oracle.recordRequest(createRequest());
 }
 
 function recordRun(oracle: SoakOracle, server: string, overrides: Partial<ServerRun> = {}): ServerRun {
@@ -125,4 +128,88 @@
     assert.equal(await breakPromises(createOracle(false)), []);
 });
 
+const sent: ServerCall = {
+    callerAttemptId: "a",
+    target: "engine1",
+    path: "/plan/1",
+    body: "",
+    timeLimit: 10_000,
+    promptTokens: 1,
+    sharedParts: [],
+    outputTokens: 10,
+    priority: 5,
+    lastEvent: 0,
+    replicaAddress: undefined,
+    copy: undefined,
+};
+const head: SoakResponseHead = {
+    status: 200,
+    server: "engine1",
+    declaresLimit: false,
+    isServerLeaving: true,
+    isSealed: true,
+};
+
+/** Records a request whose answer says that its server leaves, and checks one that is sent long after it. */
+function breakNotice(oracle: SoakOracle, isRestarted: boolean): string[] {
+    recordRequest(oracle);
+    oracle.recordArrival(sent, "engine1");
+    const request = createRequest();
+    oracle.recordHead(request, head);
+    if (isRestarted) {
+        oracle.forgetServer("engine1");
+    }
+    const sentAt = performance.now() + platformLimits.drain + 1;
+    oracle.recordRequest({ ...request, id: "b", sentAt });
+    oracle.recordArrival({ ...sent, callerAttemptId: "b" }, "engine1");
+    return oracle.violations.map(({ promise }) => promise);
+}
+
+test("a notice that a caller got a part of an answer with binds the gateway", () => {
+    assert.equal(breakNotice(createOracle(), false), ["leaving_gets_no_new_work"]);
+});
+
+test("a notice of an incarnation that has ended does not bind the gateway, also if its stream ends later", async () => {
+    assert.equal(breakNotice(createOracle(), true), []);
+    const oracle = createOracle();
+    recordRequest(oracle);
+    oracle.recordArrival(sent, "engine1");
+    await pause(5);
+    oracle.forgetServer("engine1");
+    const request = createRequest();
+    oracle.recordHead(request, head);
+    oracle.recordResponse(request, { ...head, body: "", isComplete: false });
+    oracle.recordRequest({ ...request, id: "b", sentAt: performance.now() + platformLimits.drain + 1 });
+    oracle.recordArrival({ ...sent, callerAttemptId: "b" }, "engine1");
+    assert.equal(oracle.violations, []);
+});
+
+test("a request that every configuration allows and that is denied breaks the promise", () => {
+    for (const status of [401, 404]) {
+        const oracle = createOracle();
+        oracle.recordResponse(createRequest(), { ...head, status, body: "", isComplete: true });
+        assert.equal(oracle.violations.map(({ promise }) => promise), ["allowed_requests_are_not_denied"]);
+    }
+});
+
+test("a request that a sound server got and that ends without an answer breaks the promise", () => {
+    const [oracle, other, third] = [createOracle(), createOracle(), createOracle()];
+    [oracle, other, third].forEach(each => each.recordArrival(sent, "engine1"));
+    oracle.recordResponse(createRequest(), undefined);
+    other.faultRecord.recordProcessFault("workers", 1_000);
+    other.recordResponse(createRequest(), undefined);
+    third.recordResponse(createRequest(), { ...head, status: 502, body: "", isComplete: true });
+    assert.equal(oracle.violations.map(({ promise }) => promise), ["read_requests_are_answered"]);
+    assert.equal([...other.violations, ...third.violations], []);
+});
+
+test("an answer that its server completed and that breaks off breaks the promise", () => {
+    const oracle = createOracle();
+    recordRequest(oracle);
+    oracle.recordArrival(sent, "engine1");
+    recordRun(oracle, "engine1", { isComplete: true, endedAt: performance.now() });
+    oracle.recordResponse(createRequest(), { ...head, body: "", isComplete: false });
+    assert.equal(oracle.violations.map(({ promise }) => promise), ["read_requests_are_answered"]);
+});
+
 test.run();
