Fuzz: do not count on a version that an older one was written after

Trace: the operator's version 5 was overwritten by version 1 after 34 ms (the action rewriteOld, which the platform's operator never does) and its record deleted 622 ms later, while gateway 1 was cut off the store. When the next version was written, the oracle held version 5 for due, though no gateway could read it any more.

Change: a version that an older one was written after is not due; the next one is, 2 s after it was written. The exemption was there before, but ended when the next version was written rather than when it was due. Nothing else is narrowed; the operator's own versions only grow.

--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -254,7 +254,9 @@
             }
         }
         const { versions, platform: { clock } } = this;
-        const versionDue = versions.isRewritten ? undefined : versionNumber(versions.versionInForce(clock.now));
+        const versionDue = versions.isOverwritten(clock.now)
+            ? undefined
+            : versionNumber(versions.versionInForce(clock.now));
         this.oracle.observeGateways(versionDue);
     }
 
