--- a/packages/fuzz/src/platform/versions.ts
+++ b/packages/fuzz/src/platform/versions.ts
@@ -125,6 +125,8 @@
 export interface VersionOracleContext<Gateway> {
     /** Whether time limits apply to a gateway at a time. */
     readonly mustMeetTimeLimits: (gateway: Gateway, at: Milliseconds) => boolean;
+    /** Whether two gateways have had a link for long enough to know what the other one knows. */
+    readonly areLinked: (one: Gateway, other: Gateway) => boolean;
     /** Reports a violation. */
     readonly fail: (promise: PromiseName, detail: string) => void;
 }
@@ -132,11 +134,17 @@
 /** Checks which versions gateways use, by what callers see of them. A gateway is one incarnation of a process. */
 export class VersionOracle<Gateway extends { readonly name: string; }> {
     private readonly written: WrittenVersion[] = [];
-    private isNewestRecordOld = false;
+    /** The index of the newest version that an older one was written after; -1 if there is none. */
+    private overwrittenThrough = -1;
     /** For each gateway, the lowest version that agrees with its answers so far. */
     private readonly lowestPossible = new Map<Gateway, number>();
+    /** The versions that gateways showed to use, and when they first did. */
+    private readonly shown: { readonly gateway: Gateway; readonly index: number; readonly at: Milliseconds; }[] = [];
 
-    constructor(private readonly context: VersionOracleContext<Gateway>) {}
+    constructor(
+        private readonly context: VersionOracleContext<Gateway>,
+        private readonly now: () => Milliseconds,
+    ) {}
 
     /** The index of the newest version; -1 before the first. */
     get newestIndex(): number {
@@ -148,18 +156,20 @@
      * Gateways that have seen the newer version must keep it; a gateway that starts now can't know of it.
      */
     recordRewrite(): void {
-        this.isNewestRecordOld = true;
+        this.overwrittenThrough = this.newestIndex;
     }
 
     /** Records that the next version was written. */
     recordVersion(now: Milliseconds): void {
-        this.isNewestRecordOld = false;
         this.written.push({ index: this.written.length, writtenAt: now });
     }
 
-    /** Whether the newest record holds an older version than one before it. */
-    get isRewritten(): boolean {
-        return this.isNewestRecordOld;
+    /**
+     * Whether the newest version that is due may be unknown to a gateway, since an older one was written after it. Its
+     * record may have been deleted before the gateway read it.
+     */
+    isOverwritten(now: Milliseconds): boolean {
+        return this.versionInForce(now) <= this.overwrittenThrough;
     }
 
     /**
@@ -175,8 +185,9 @@
     ): (isFound: boolean) => void {
         const lastIndex = subject === "moved" ? index : index + 1;
         const lowestSeen = this.lowestPossible.get(gateway) ?? 0;
-        const isTimeLimited = !this.isNewestRecordOld && this.context.mustMeetTimeLimits(gateway, sentAt);
-        const lowest = isTimeLimited ? Math.max(lowestSeen, this.versionInForce(sentAt)) : lowestSeen;
+        const isTimeLimited = !this.isOverwritten(sentAt) && this.context.mustMeetTimeLimits(gateway, sentAt);
+        const lowestDue = isTimeLimited ? this.versionInForce(sentAt) : 0;
+        const lowest = Math.max(lowestSeen, lowestDue, this.versionOfOthers(gateway, sentAt));
         const promise = lowest === lowestSeen ? "configuration_never_reverts" : "configuration_in_force";
         return isFound => {
             const { newestIndex } = this;
@@ -187,12 +198,26 @@
             if (!isFound && index <= lowest && newestIndex <= lastIndex) {
                 this.context.fail(promise, `${gateway.name} lacks ${what}`);
             }
+            if (isFound && index > (this.lowestPossible.get(gateway) ?? -1)) {
+                this.shown.push({ gateway, index, at: this.now() });
+            }
             if (isFound) {
                 this.lowestPossible.set(gateway, Math.max(index, this.lowestPossible.get(gateway) ?? 0));
             }
         };
     }
 
+    /** The index of the newest version that a gateway must have learnt from others by now. */
+    private versionOfOthers(gateway: Gateway, now: Milliseconds): number {
+        const due = this.isOverwritten(now)
+            ? []
+            : this.shown.filter(shown =>
+                now - shown.at > platformLimits.configurationApply && shown.gateway !== gateway
+                && this.context.areLinked(gateway, shown.gateway)
+            );
+        return Math.max(0, ...due.map(({ index }) => index));
+    }
+
     /** The index of the newest version that every gateway must have applied by now, unless a fault affects it. */
     versionInForce(now: Milliseconds): number {
         const due = this.written.filter(({ writtenAt }) => now - writtenAt > platformLimits.configurationApply);
