Cut no more answers than the budget of callers needs

Seen by callers: 12 of them read answers of 7 MB at 1.3 MB/s from one gateway with 350 MB. 7 of these answers were closed in the middle within 5 ms, after one line 'caller_rejected reason=budget count=1' (a real process, 'answer_cut' lines).

Cause: cutLargest closes connections until the total is within the budget, but the budget subtracted what a destroyed socket holds only at its 'close' event, after the loop. So the loop closed every connection with a large answer.

Change: the budget forgets a connection as soon as it is destroyed.

Evidence: the new test holds four answers of 4 MB within a budget of 12.5 MB. Before: 4 of 4 were cut; after: 1.

--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -288,6 +288,8 @@
             if (unread?.rejectBody === undefined || largest.exchanges.size > 1) {
                 reportCutAnswers(largest, "budget");
                 largest.socket.destroy();
+                // The event of the close comes later; until then more connections would be cut for the same bytes.
+                budget.close(largest);
             }
             else {
                 unread.rejectBody(tooManyBufferedBodies, "all bodies");
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -196,6 +196,27 @@
     assert.is(small.count("done"), 1);
 });
 
+// Until the first connection had closed, the total was still beyond the budget, and all with large answers were closed.
+test("beyond the budget no more answers are cut than needed", async () => {
+    const bounds = { totalBytes: 12.5 * 1024 * 1024, streamBytes: 64 * 1024, connections: 100 };
+    const harness = new Harness(false, okAnswer, bounds);
+    const clients = await Promise.all([harness.connect(), harness.connect(), harness.connect(), harness.connect()]);
+    clients.forEach(({ socket }) => {
+        socket.pause();
+        socket.write(emptyRequest);
+    });
+    await waitUntil(() => harness.open.length === clients.length);
+    const bytes = Buffer.alloc(4 * 1024 * 1024);
+    for (const requestId of harness.open) {
+        harness.callers.writeHead(requestId, okAnswer);
+        harness.callers.writeEvents(requestId, [{ id: undefined, bytes }]);
+    }
+    await waitUntil(() => harness.cutAnswers.length > 0);
+    await pause(100);
+    assert.equal(harness.cutAnswers.map(({ reason }) => reason), ["budget"]);
+    assert.ok(harness.callers.budget.totalBytes <= bounds.totalBytes, `${harness.callers.budget.totalBytes} bytes`);
+});
+
 test("beyond the limit of connections an idle one that never sent a request is closed for a new one", async () => {
     const harness = new Harness(true, okAnswer, { totalBytes: 2 ** 24, streamBytes: 2 ** 16, connections: 5 });
     const served = await harness.connect();
