Let large answers wait at their servers instead of cutting others

Seen by callers: 12 of them read answers of 7 MB (5 MB) at 1.3 MB/s on kept connections from one gateway with 350 MB (200 MB), in calm. 7 to 10 of 24 answers are closed in the middle ('answer_cut reason=budget'), and 4 to 7 requests that a server ran are answered 502 ('attempt_failed', body_too_large).

Cause: two bounds on memory give up answers of requests that have run because the answers of others are large: cutLargest closes callers that read theirs, and setKeptBytes fails the largest incomplete answer. Nothing holds a server's answer back while the place that it goes to is full.

Change: an answer above 64 KB needs room before it is read on; without room it is paused and waits at its server. What is read and what callers have not taken share three quarters of the callers' budget. Whole answers are written in parts of 256 KB, and what a caller has taken is free at once. Beyond the budget, an answer is chosen to be cut only when its caller has taken nothing for 3 s. Answers are still passed on only when they are whole.

--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -76,12 +76,17 @@
     }
 
     /** Writes a configuration with one route of each type. */
-    configure(version: number, extraPrefixes: readonly string[] = [], store: PlatformStore = this.store): void {
+    configure(
+        version: number,
+        extraPrefixes: readonly string[] = [],
+        store: PlatformStore = this.store,
+        timeoutMs = 5_000,
+    ): void {
         const route = (name: string, service: string, overrides: object): object => ({
             name,
             hostname: host,
             pathPrefix: `/${name}/`,
-            timeoutMs: 5_000,
+            timeoutMs,
             targetLatencyMs: 1_000,
             priority: 1,
             service,
--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -16,6 +16,7 @@
 import { connect as connectSocket, type Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
 import { type AnswerBounds, answerBounds, AnswerOverflowError, boundReads, type FramingCount } from "./answerBounds.js";
+import { AnswerRoom, type RoomHolder } from "./answerRoom.js";
 import { BodyCollector } from "./bodyCollector.js";
 import { createEventFramer, type EventFramer } from "./eventFraming.js";
 import { monotonicNow } from "./eventLoop.js";
@@ -48,6 +49,8 @@
     readonly setPaused: (attemptId: AttemptId, isPaused: boolean) => void;
     /** Resolves to whether a server accepts a connection within the timeout of connecting. */
     readonly canConnect: (address: string) => Promise<boolean>;
+    /** Reads answers on that wait for room, if there is room now. */
+    readonly resumeAnswers: () => void;
     /** Closes the channels to an address that are not in use. */
     readonly closeIdle: (address: string) => void;
     /** How many channels have been opened since the start. */
@@ -86,13 +89,30 @@
     readonly refusedRequests: Set<CallerAttemptId>;
 }
 
-interface ActiveCall {
+/** Where the answers go, and how much of them may wait there. */
+export interface AnswerSink {
+    /** What whole answers take that callers have not read. */
+    readonly unreadBytes: () => number;
+    /** The limit for them together with the large answers that are read. */
+    readonly limitBytes: number;
+}
+
+/** Answers below this size are read without a reservation, as long as all together keep little. */
+const unreservedBytes = 64 * 1024;
+/** The share of the bound on kept answers within which these are read without a reservation. */
+const unreservedShare = 1 / 2;
+/** The first reservation for an answer of unknown length; it doubles as the answer grows. */
+const firstReservationBytes = 256 * 1024;
+/** How often answers that wait for room are checked, beside the times at which room is known to be free. */
+const roomCheckInterval: Milliseconds = 500;
+
+interface ActiveCall extends RoomHolder {
     readonly attemptId: AttemptId;
     readonly channel: Channel;
     /** The body of an answer that is no event stream. */
     readonly collected: BodyCollector;
     /** Bytes of its answer that are kept until they are complete. */
-    keptBytes: number;
+    heldBytes: number;
     /** Ends the call because all kept answers together are too large. */
     overflow: () => void;
     controller: Dispatcher.DispatchController | undefined;
@@ -103,6 +123,7 @@
  * Creates the channels of a gateway.
  *
  * @param memoryBytes the memory of the process, from which the bounds on answers follow
+ * @param sink where answers go; by default it has room for every answer
  * @example
  * const channels = createBackendChannels(codec, handlers, 178 * 1024 * 1024);
  * channels.send(call, body);
@@ -111,8 +132,13 @@
     codec: BackendCodec,
     handlers: BackendCallHandlers,
     memoryBytes: number,
+    sink: AnswerSink = { unreadBytes: () => 0, limitBytes: Infinity },
 ): BackendChannels {
     const bounds = answerBounds(memoryBytes);
+    const roomBytes = Math.max(bounds.bodyBytes, Math.min(bounds.totalBytes, sink.limitBytes));
+    const room = new AnswerRoom(roomBytes, sink.unreadBytes);
+    const resumeAnswers = (): void => room.resumeNext(monotonicNow());
+    const roomTimer = setInterval(resumeAnswers, roomCheckInterval).unref();
     const readBudget = createReadBudget(() => setImmediate(readBudget.startTurn));
     const idleChannels = new Map<string, Channel[]>();
     const activeCalls = new Map<AttemptId, ActiveCall>();
@@ -125,10 +151,10 @@
      */
     const setKeptBytes = (call: ActiveCall, kept: number): void => {
         const bytes = activeCalls.get(call.attemptId) === call ? kept : 0;
-        keptBytes += bytes - call.keptBytes;
-        call.keptBytes = bytes;
+        keptBytes += bytes - call.heldBytes;
+        call.heldBytes = bytes;
         if (keptBytes > bounds.totalBytes) {
-            const bySize = [...activeCalls.values()].sort((one, other) => other.keptBytes - one.keptBytes);
+            const bySize = [...activeCalls.values()].sort((one, other) => other.heldBytes - one.heldBytes);
             bySize[0]?.overflow();
         }
     };
@@ -136,6 +162,21 @@
     const releaseAnswer = (call: ActiveCall): void => {
         call.collected.clear();
         setKeptBytes(call, 0);
+        // By then the caller's side counts an answer that was passed on.
+        setImmediate(() => {
+            room.release(call);
+            resumeAnswers();
+        });
+    };
+    /** Reserves room for an answer of which more has arrived. */
+    const reserveRoom = (call: ActiveCall, length: number | undefined): void => {
+        const { byteLength } = call.collected;
+        const isShort = Math.max(length ?? 0, byteLength) <= unreservedBytes;
+        if (isShort && keptBytes <= unreservedShare * bounds.totalBytes) {
+            return;
+        }
+        const grown = Math.max(firstReservationBytes, 2 ** Math.ceil(Math.log2(byteLength)));
+        room.reserve(call, Math.min(bounds.bodyBytes, length ?? grown), monotonicNow());
     };
 
     const acquireChannel = ({ address, head }: BackendCall, maxIdle: Milliseconds): Channel => {
@@ -201,7 +242,14 @@
                 attemptId: call.attemptId,
                 channel,
                 collected: new BodyCollector(),
-                keptBytes: 0,
+                heldBytes: 0,
+                keptBytes: () => current.heldBytes,
+                pause: () => current.controller?.pause(),
+                resume: () => {
+                    if (activeCalls.get(call.attemptId) === current) {
+                        current.controller?.resume();
+                    }
+                },
                 overflow: () => undefined,
                 controller: undefined,
                 isCancelled: false,
@@ -225,7 +273,8 @@
             };
             const keep = (bytes: number): void => setKeptBytes(current, bytes);
             const isServerUp = (): Promise<boolean> => canConnect(call.address);
-            dispatchCall(codec, handlers, call, body, current, { finish, keep, isServerUp, bounds });
+            const reserve = (length: number | undefined): void => reserveRoom(current, length);
+            dispatchCall(codec, handlers, call, body, current, { finish, keep, reserve, isServerUp, bounds });
         },
         cancel: attemptId => {
             const current = activeCalls.get(attemptId);
@@ -248,6 +297,7 @@
             }
         },
         canConnect,
+        resumeAnswers,
         closeIdle: address => {
             idleChannels.get(address)?.forEach(channel => void channel.client.destroy());
             idleChannels.delete(address);
@@ -255,6 +305,7 @@
         openedChannelCount: () => openedCount,
         close: () => {
             clearInterval(idleSweep);
+            clearInterval(roomTimer);
             [...idleChannels.values()].flat().forEach(channel => void channel.client.destroy());
             activeCalls.forEach(({ channel }) => void channel.client.destroy());
         },
@@ -265,6 +316,8 @@
     readonly finish: (report: () => void, isReusable: boolean) => void;
     /** Sets how many bytes of the answer are kept until they are complete. */
     readonly keep: (bytes: number) => void;
+    /** Reserves room for the rest of the answer, whose length may be known. */
+    readonly reserve: (length: number | undefined) => void;
     /** Whether the server accepts a connection. */
     readonly isServerUp: () => Promise<boolean>;
     readonly bounds: AnswerBounds;
@@ -276,13 +329,14 @@
     call: BackendCall,
     body: Buffer,
     current: ActiveCall,
-    { finish, keep, isServerUp, bounds }: CallContext,
+    { finish, keep, reserve, isServerUp, bounds }: CallContext,
 ): void {
     const { attemptId } = call;
     const { collected } = current;
     let wasSent = false;
     let head: ResponseHead | undefined;
     let framer: EventFramer | undefined;
+    let length: number | undefined;
     const fail = (failure: AttemptFailure): void => finish(() => handlers.failed(attemptId, failure, wasSent), false);
     current.overflow = () => fail("body_too_large");
     const options: Dispatcher.DispatchOptions = {
@@ -300,7 +354,9 @@
             if (status < firstFinalStatus) {
                 return;
             }
-            const decoded = codec.decodeBackendHead(status, readRawHeaders(controller.rawHeaders));
+            const rawHeaders = readRawHeaders(controller.rawHeaders);
+            const decoded = codec.decodeBackendHead(status, rawHeaders);
+            length = findContentLength(rawHeaders);
             head = { ...decoded, isFirstOnChannel: !current.channel.hasAnswered };
             current.channel.hasAnswered = true;
             if (head.isEventStream && status < 300) {
@@ -324,8 +380,9 @@
             collected.append(chunk);
             keep(collected.heldBytes);
             if (collected.byteLength > bounds.bodyBytes) {
-                fail("body_too_large");
+                return fail("body_too_large");
             }
+            reserve(length);
         },
         onResponseEnd: () => {
             if (head === undefined || isTruncated(current.channel, head) || (framer?.incompleteBytes() ?? 0) > 0) {
@@ -384,6 +441,13 @@
     );
 }
 
+/** The length of an answer's body, where its head states one. */
+function findContentLength(rawHeaders: readonly string[]): number | undefined {
+    const index = rawHeaders.findIndex((part, at) => at % 2 === 0 && part.toLowerCase() === "content-length");
+    const length = index === -1 ? NaN : Number(rawHeaders[index + 1]);
+    return Number.isSafeInteger(length) ? length : undefined;
+}
+
 function openChannel(address: string, readBudget: ReadBudget): Channel {
     const { host, port } = parseAddress(address);
     const client = new Client(`http://${address}`, {
--- a/packages/runtime/src/callerBudget.ts
+++ b/packages/runtime/src/callerBudget.ts
@@ -85,6 +85,9 @@
 /** Small requests are accepted up to this multiple of the budget, so that full bodies do not exclude them. */
 const hardLimitFactor = 1.25;
 
+/** The share of the budget for answers, so that bodies of requests find room beside them. */
+export const answersShare = 3 / 4;
+
 /** The budget of one process. Holders are added when their connection opens, and removed when it has closed. */
 export class CallerBudget<Holder extends BudgetHolder = BudgetHolder> {
     readonly holders = new Set<Holder>();
@@ -141,15 +144,21 @@
      * that holds most. Running requests do not count for it, unless nothing else is left.
      *
      * @param isCut whether a holder is being closed already
+     * @param isTaking whether a holder's client takes its answer at present; the answer then counts as a running request
      */
-    largest(isCut: (holder: Holder) => boolean): Holder | undefined {
+    largest(
+        isCut: (holder: Holder) => boolean,
+        isTaking: (holder: Holder) => boolean = () => false,
+    ): Holder | undefined {
         if (this.total <= this.limitBytes) {
             return undefined;
         }
         const candidates = [...this.holders].filter(holder => !isCut(holder));
-        const largeOnes = candidates.filter(holder => cuttableBytes(holder) >= minCutBytes);
+        const size = (holder: Holder): number =>
+            cuttableBytes(holder) - (isTaking(holder) ? holder.heldBytes.answers : 0);
+        const largeOnes = candidates.filter(holder => size(holder) >= minCutBytes);
         if (largeOnes.length > 0) {
-            return this.findLargest(largeOnes, cuttableBytes);
+            return this.findLargest(largeOnes, size);
         }
         return this.total > hardLimitFactor * this.limitBytes ? this.findLargest(candidates, allBytes) : undefined;
     }
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -66,6 +66,8 @@
     readonly unsentAnswers?: (count: number) => void;
     /** The caller has read its backlog, after {@link GatewayCallerServer.writeEvents} returned false. */
     readonly drained: (requestId: RequestId) => void;
+    /** Callers have taken some of the answers that the budget counts. */
+    readonly answersTaken?: () => void;
 }
 
 /** Why a server closed a connection to stay within its bounds. */
@@ -127,6 +129,8 @@
     readonly heldBytes: { heads: number; bodies: number; running: number; answers: number; };
     /** Rejects the request while its body is incomplete; undefined afterwards. */
     rejectBody: ((reason: Failure, detail: string) => void) | undefined;
+    /** The rest of a large answer, which is written as the caller takes what was written before. */
+    unwritten: Buffer[];
     /** Parts of a stream that were written and are not sent yet. */
     unsentWrites: number;
     /** Whether its whole answer was written. */
@@ -174,6 +178,10 @@
 const writeOverheadBytes = 1024;
 /** How often callers are checked that leave their answers unread. */
 const unreadCheckInterval: Milliseconds = 1_000;
+/** A large answer is written in parts of this size: the memory of a part is free once the caller has taken it. */
+const answerPartBytes = 256 * 1024;
+/** Beyond the budget, a caller that has taken nothing of its answer for this long may lose it before the idle timeout. */
+const maxPauseUnderPressure: Milliseconds = 3_000;
 /** What a caller with unread answers must take within the idle timeout. */
 const minTakenBytes = 16 * 1024;
 /**
@@ -250,6 +258,9 @@
         if (difference !== 0 && channel.exchanges.has(exchange)) {
             exchange.heldBytes[kind] = bytes;
             hold(channel, kind, difference);
+            if (kind === "answers" && difference < 0) {
+                handlers.answersTaken?.();
+            }
         }
     };
     const releaseAll = (channel: CallerChannel, { heldBytes }: Exchange): void => {
@@ -259,8 +270,14 @@
                 budget.change(channel, kind, -heldBytes[kind]);
             }
         }
+        if (heldBytes.answers > 0) {
+            handlers.answersTaken?.();
+        }
     };
     const handleAllSent = (channel: CallerChannel, exchange: Exchange): void => {
+        if (exchange.unwritten.length > 0) {
+            return;
+        }
         exchange.pausedSince = undefined;
         setHeld(channel, exchange, "answers", 0);
         handlers.drained(exchange.requestId);
@@ -273,16 +290,20 @@
         }
     };
     const reportCutAnswers = ({ socket, exchanges }: CallerChannel, reason: CutAnswer["reason"]): void => {
-        for (const { callerAttemptId, rejectBody, isAnswered } of exchanges) {
+        for (const { callerAttemptId, rejectBody, isAnswered, unwritten } of exchanges) {
             if (rejectBody === undefined) {
-                const { unsentBytes } = socket;
+                const unsentBytes = socket.unsentBytes + countBytes(unwritten);
                 handlers.answerCut?.({ callerAttemptId, reason, isWritten: isAnswered, unsentBytes });
             }
         }
     };
     const cutLargest = (): void => {
         const isCut = (channel: CallerChannel): boolean => channel.isRefused || channel.socket.destroyed;
-        for (let largest = budget.largest(isCut); largest !== undefined; largest = budget.largest(isCut)) {
+        const now = monotonicNow();
+        const isTaking = ({ progress }: CallerChannel): boolean =>
+            progress === undefined || now - progress.at < maxPauseUnderPressure;
+        const findLargest = (): CallerChannel | undefined => budget.largest(isCut, isTaking);
+        for (let largest = findLargest(); largest !== undefined; largest = findLargest()) {
             handlers.cut?.("budget", largest.address);
             const unread = [...largest.exchanges].find(({ rejectBody }) => rejectBody !== undefined);
             if (unread?.rejectBody === undefined || largest.exchanges.size > 1) {
@@ -290,6 +311,7 @@
                 largest.socket.destroy();
                 // The event of the close comes later; until then more connections would be cut for the same bytes.
                 budget.close(largest);
+                handlers.answersTaken?.();
             }
             else {
                 unread.rejectBody(tooManyBufferedBodies, "all bodies");
@@ -335,6 +357,7 @@
                 endExchange(exchange);
                 rejectRequest(channel, response, reason, detail);
             },
+            unwritten: [],
             unsentWrites: 0,
             isAnswered: false,
             pausedSince: undefined,
@@ -545,6 +568,21 @@
         return removeResponse(requestId);
     };
     const channelOf = ({ response }: Exchange): CallerChannel | undefined => channels.get(response.req.socket);
+    const writeNextPart = (exchange: Exchange): void => {
+        const { response, unwritten } = exchange;
+        const part = unwritten.shift();
+        const channel = channelOf(exchange);
+        if (part === undefined || channel === undefined) {
+            return;
+        }
+        setHeld(channel, exchange, "answers", part.length + countBytes(unwritten));
+        if (unwritten.length === 0) {
+            response.end(part);
+        }
+        else {
+            response.write(part, error => error ? undefined : writeNextPart(exchange));
+        }
+    };
     return {
         listen: address => listen(server, address),
         port: () => (server.address() as AddressInfo).port,
@@ -566,6 +604,10 @@
                 }
                 const isClosing = isDraining || answer.endsWithChannel;
                 writeBackendHead(response, answer, hasLength ? body.length : undefined, isClosing);
+                if (mayHaveBody(answer.status) && body.length > answerPartBytes) {
+                    exchange.unwritten = splitBody(body);
+                    return writeNextPart(exchange);
+                }
                 response.end(mayHaveBody(answer.status) ? body : undefined);
                 const channel = body.length > minCountedBytes ? channelOf(exchange) : undefined;
                 if (channel !== undefined) {
@@ -699,6 +741,21 @@
     return events.length === 1 ? events[0].bytes : Buffer.concat(events.map(({ bytes }) => bytes));
 }
 
+/** Copies of a body's parts, since a view on the body would keep the whole of it. */
+function splitBody(body: Uint8Array): Buffer[] {
+    const parts: Buffer[] = [];
+    for (let start = 0; start < body.length; start += answerPartBytes) {
+        const part = Buffer.allocUnsafeSlow(Math.min(answerPartBytes, body.length - start));
+        part.set(body.subarray(start, start + answerPartBytes));
+        parts.push(part);
+    }
+    return parts;
+}
+
+function countBytes(parts: readonly Buffer[]): number {
+    return parts.reduce((sum, { length }) => sum + length, 0);
+}
+
 function mayHaveBody(status: number): boolean {
     return status !== 204 && status !== 304;
 }
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -29,7 +29,7 @@
 import type { Server } from "node:http";
 import { getHeapStatistics } from "node:v8";
 import { type BackendChannels, createBackendChannels } from "./backendChannels.js";
-import { callerBounds, heldKinds } from "./callerBudget.js";
+import { answersShare, callerBounds, heldKinds } from "./callerBudget.js";
 import { digestContent } from "./contentDigest.js";
 import { createDeferred } from "./daemon.js";
 import { createEventChannel, monotonicNow } from "./eventLoop.js";
@@ -258,6 +258,7 @@
                 cut: (reason, address) => this.pressure.report("callers", reason, address, monotonicNow()),
                 unsentAnswers: count => push({ kind: "unsentAnswers", count }),
                 drained: requestId => this.setPaused(requestId, false),
+                answersTaken: () => this.channels.resumeAnswers(),
             },
             callerBounds({
                 memoryBytes: this.options.memoryBytes,
@@ -270,13 +271,21 @@
 
     private createChannels(): BackendChannels {
         const { push } = this.events;
-        return createBackendChannels(this.adapter, {
-            answered: (attemptId, answer) => push({ kind: "attemptAnswered", attemptId, answer }),
-            opened: (attemptId, head) => push({ kind: "streamOpened", attemptId, head }),
-            events: (attemptId, events) => push({ kind: "streamEvents", attemptId, events }),
-            ended: attemptId => push({ kind: "streamEnded", attemptId }),
-            failed: (attemptId, failure, wasSent) => push({ kind: "attemptFailed", attemptId, failure, wasSent }),
-        }, this.options.memoryBytes);
+        return createBackendChannels(
+            this.adapter,
+            {
+                answered: (attemptId, answer) => push({ kind: "attemptAnswered", attemptId, answer }),
+                opened: (attemptId, head) => push({ kind: "streamOpened", attemptId, head }),
+                events: (attemptId, events) => push({ kind: "streamEvents", attemptId, events }),
+                ended: attemptId => push({ kind: "streamEnded", attemptId }),
+                failed: (attemptId, failure, wasSent) => push({ kind: "attemptFailed", attemptId, failure, wasSent }),
+            },
+            this.options.memoryBytes,
+            {
+                unreadBytes: () => this.callers.budget.heldOf("answers"),
+                limitBytes: answersShare * this.callers.budget.limitBytes,
+            },
+        );
     }
 
     /** Milliseconds since the topic was last known to be up to date with the store; -1 before the first read. */
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./answerBounds.js";
+export * from "./answerRoom.js";
 export * from "./backendChannels.js";
 export * from "./backendClient.js";
 export * from "./bodyCollector.js";
