Read what has arrived before an idle connection is closed

Seen by callers: a request on a kept connection, sent before the idle timeout, gets a reset without an answer.

Cause: the loop runs its timers before it reads. After a delay, Node's keep-alive timer closes the connection while the request has long been in the socket's buffer. Node 20 adds 1 s to the timeout, so a delay must reach beyond that.

Change: when the timer fires, the connection is closed after the next poll, unless something was read from it by then.

Evidence: the new test delays the loop by 1.8 s with an idle timeout of 300 ms and a request sent after 150 ms.

--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -506,6 +506,18 @@
             surplus.socket.destroy();
         }
     }, turns);
+    // The loop runs its timers before it reads, so a request may have arrived long before the timeout of a delayed loop.
+    server.on("timeout", (socket: Socket) => {
+        const { bytesRead } = socket;
+        afterNextPoll(() => {
+            if (channels.get(socket)?.socket.isHeld === true) {
+                socket.setTimeout(limits.idleTimeout);
+            }
+            else if (socket.bytesRead === bytesRead) {
+                socket.destroy();
+            }
+        });
+    });
     const refuseChannel = (channel: CallerChannel, error: NodeJS.ErrnoException): void => {
         const type = classifyClientError(error);
         handlers.refused(type, error.code ?? error.message);
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -365,6 +365,26 @@
     assert.is(client.count("done"), 3);
 });
 
+// A delayed loop runs its timers before it reads: connections were reset whose next request had arrived long before.
+test("a request that arrived before the idle timeout is served, also when the loop is delayed until after it", async () => {
+    const harness = new Harness(true);
+    const idleTimeout = 300;
+    harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout: 3_000, idleTimeout });
+    const client = await harness.connect();
+    client.socket.write(emptyRequest);
+    await waitUntil(() => client.count("done") === 1);
+    await pause(idleTimeout / 2);
+    client.socket.write(emptyRequest);
+    const resumeAt = performance.now() + idleTimeout + 1_500;
+    while (performance.now() < resumeAt) {
+        // Delays the loop.
+    }
+    await waitUntil(() => client.isClosed || client.count("done") === 2);
+    assert.is(client.count("done"), 2);
+    await waitUntil(() => client.isClosed);
+    assert.ok(client.isClosed, "an idle connection is closed");
+});
+
 // Pipelined requests at the readiness path kept the event loop busy without an end.
 test("a probe server answers one request per connection, and new ones beside a flood", async () => {
     const server = createProbeServer(() => ({ status: 200, body: "ready" }), undefined, 4);
