--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -196,6 +196,27 @@
     assert.is(small.count("done"), 1);
 });
 
+// Until the first connection had closed, the total was still beyond the budget, and all with large answers were closed.
+test("beyond the budget no more answers are cut than needed", async () => {
+    const bounds = { totalBytes: 12.5 * 1024 * 1024, streamBytes: 64 * 1024, connections: 100 };
+    const harness = new Harness(false, okAnswer, bounds);
+    const clients = await Promise.all([harness.connect(), harness.connect(), harness.connect(), harness.connect()]);
+    clients.forEach(({ socket }) => {
+        socket.pause();
+        socket.write(emptyRequest);
+    });
+    await waitUntil(() => harness.open.length === clients.length);
+    const bytes = Buffer.alloc(4 * 1024 * 1024);
+    for (const requestId of harness.open) {
+        harness.callers.writeHead(requestId, okAnswer);
+        harness.callers.writeEvents(requestId, [{ id: undefined, bytes }]);
+    }
+    await waitUntil(() => harness.cutAnswers.length > 0);
+    await pause(100);
+    assert.equal(harness.cutAnswers.map(({ reason }) => reason), ["budget"]);
+    assert.ok(harness.callers.budget.totalBytes <= bounds.totalBytes, `${harness.callers.budget.totalBytes} bytes`);
+});
+
 test("beyond the limit of connections an idle one that never sent a request is closed for a new one", async () => {
     const harness = new Harness(true, okAnswer, { totalBytes: 2 ** 24, streamBytes: 2 ** 16, connections: 5 });
     const served = await harness.connect();
@@ -344,6 +365,26 @@
     assert.is(client.count("done"), 3);
 });
 
+// A delayed loop runs its timers before it reads: connections were reset whose next request had arrived long before.
+test("a request that arrived before the idle timeout is served, also when the loop is delayed until after it", async () => {
+    const harness = new Harness(true);
+    const idleTimeout = 300;
+    harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout: 3_000, idleTimeout });
+    const client = await harness.connect();
+    client.socket.write(emptyRequest);
+    await waitUntil(() => client.count("done") === 1);
+    await pause(idleTimeout / 2);
+    client.socket.write(emptyRequest);
+    const resumeAt = performance.now() + idleTimeout + 1_500;
+    while (performance.now() < resumeAt) {
+        // Delays the loop.
+    }
+    await waitUntil(() => client.isClosed || client.count("done") === 2);
+    assert.is(client.count("done"), 2);
+    await waitUntil(() => client.isClosed);
+    assert.ok(client.isClosed, "an idle connection is closed");
+});
+
 // Pipelined requests at the readiness path kept the event loop busy without an end.
 test("a probe server answers one request per connection, and new ones beside a flood", async () => {
     const server = createProbeServer(() => ({ status: 200, body: "ready" }), undefined, 4);
