--- a/packages/runtime/test/cutAnswers.test.ts
+++ b/packages/runtime/test/cutAnswers.test.ts
@@ -59,7 +59,7 @@
 test("an answer without a length that is cut by the budget does not look complete", async () => {
     const { callers, open, cutAnswers, openClient, close } = await startServer();
     const ends: string[] = [];
-    const clients = Array.from({ length: 4 }, () => {
+    const clients = Array.from({ length: 6 }, () => {
         const socket = openClient(emptyRequest).pause();
         socket.on("error", error => ends.push((error as NodeJS.ErrnoException).code ?? error.message));
         socket.on("end", () => ends.push("end"));
@@ -69,7 +69,7 @@
     const answer: BackendAnswer = {
         ...createResponseHead(200),
         endsWithChannel: true,
-        body: Buffer.alloc(4 * megabyte),
+        body: Buffer.alloc(12 * megabyte),
     };
     open.forEach(requestId => callers.writeWhole(requestId, answer));
     await waitUntil(() => cutAnswers.length > 0);
