--- /dev/null
+++ b/packages/runtime/test/cutAnswers.test.ts
@@ -0,0 +1,112 @@
+/**
+ * Answers that the server closes to stay within its bounds.
+ */
+import type { BackendAnswer } from "@verbenaspring/gateway";
+import { identifier, type RequestId } from "@verbenaspring/model";
+import { createGatewayCallerServer, type CutAnswer } from "@verbenaspring/runtime";
+import { connect, type Socket } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createCall, createResponseHead } from "./backendBuilders.js";
+
+const pause = (duration: number): Promise<void> => new Promise(resolve => setTimeout(resolve, duration));
+
+/** Waits until a condition holds, at most 5 s. */
+async function waitUntil(isMet: () => boolean): Promise<void> {
+    for (let count = 0; count < 500 && !isMet(); count++) {
+        await pause(10);
+    }
+}
+
+const megabyte = 1024 * 1024;
+const emptyRequest = "POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n";
+
+/** A server whose callers may make it hold 12.5 MB, and that keeps requests until the test answers them. */
+async function startServer() {
+    const open: RequestId[] = [];
+    const cutAnswers: CutAnswer[] = [];
+    const sockets: Socket[] = [];
+    let count = 0;
+    const callers = createGatewayCallerServer(
+        (method, target) => ({ ...createCall("127.0.0.1:1").head, method, target }),
+        () => identifier(String(++count)),
+        () => 0,
+        {
+            received: requestId => open.push(requestId),
+            leftEarly: () => undefined,
+            left: () => undefined,
+            refused: () => undefined,
+            drained: () => undefined,
+            answerCut: cut => cutAnswers.push(cut),
+        },
+        { totalBytes: 12.5 * megabyte, streamBytes: 64 * 1024, connections: 100 },
+    );
+    await callers.listen("127.0.0.1:0");
+    const openClient = (bytes: string | Buffer): Socket => {
+        const socket = connect(callers.port(), "127.0.0.1");
+        socket.write(bytes);
+        sockets.push(socket);
+        return socket;
+    };
+    const close = (): void => {
+        sockets.forEach(socket => socket.destroy());
+        callers.close();
+    };
+    return { callers, open, cutAnswers, openClient, close };
+}
+
+// Its connection was closed in order, which is how such an answer ends when it is complete.
+test("an answer without a length that is cut by the budget does not look complete", async () => {
+    const { callers, open, cutAnswers, openClient, close } = await startServer();
+    const ends: string[] = [];
+    const clients = Array.from({ length: 6 }, () => {
+        const socket = openClient(emptyRequest).pause();
+        socket.on("error", error => ends.push((error as NodeJS.ErrnoException).code ?? error.message));
+        socket.on("end", () => ends.push("end"));
+        return socket;
+    });
+    await waitUntil(() => open.length === clients.length);
+    const answer: BackendAnswer = {
+        ...createResponseHead(200),
+        endsWithChannel: true,
+        body: Buffer.alloc(12 * megabyte),
+    };
+    open.forEach(requestId => callers.writeWhole(requestId, answer));
+    await waitUntil(() => cutAnswers.length > 0);
+    const taken = new Map<Socket, number>(clients.map(client => [client, 0]));
+    clients.forEach(client => {
+        client.on("data", chunk => taken.set(client, (taken.get(client) ?? 0) + chunk.length));
+        client.resume();
+    });
+    await waitUntil(() => ends.length === clients.length);
+    const incomplete = [...taken.values()].filter(bytes => bytes < answer.body.length).length;
+    const orderly = ends.filter(end => end === "end").length;
+    close();
+    assert.ok(incomplete > 0, "some were cut");
+    assert.is(orderly, clients.length - incomplete, `${incomplete} are incomplete, ends: ${ends.join(", ")}`);
+});
+
+// The largest connection was closed, whatever it held: an answer that can't be given again, rather than a body that can.
+test("beyond the budget incomplete bodies are rejected before an answer is cut", async () => {
+    const { callers, open, cutAnswers, openClient, close } = await startServer();
+    openClient(emptyRequest).pause();
+    await waitUntil(() => open.length === 1);
+    const body = Buffer.alloc(3.9 * megabyte);
+    callers.writeWhole(open[0], { ...createResponseHead(200), endsWithChannel: false, body });
+    const bodySize = 3 * megabyte;
+    const rejected = Array.from({ length: 5 }, () => {
+        const socket = openClient(`POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: ${bodySize}\r\n\r\n`);
+        socket.write(Buffer.alloc(bodySize - 1));
+        return new Promise<boolean>(resolve => {
+            socket.on("error", () => undefined);
+            socket.once("data", data => resolve(data.toString("latin1").startsWith("HTTP/1.1 503")));
+            setTimeout(resolve, 2_000, false);
+        });
+    });
+    const rejections = (await Promise.all(rejected)).filter(Boolean).length;
+    close();
+    assert.ok(rejections > 0 || cutAnswers.length > 0, "the budget was exceeded");
+    assert.is(cutAnswers.filter(({ reason }) => reason === "budget").length, 0, `${rejections} bodies were rejected`);
+});
+
+test.run();
