Check lost reports with the event that tells of them

The trials lost reports without any event, which no path of the runtime does since. They now tell of the loss as peerLinks does.

--- a/packages/gateway/test/lostReports.test.ts
+++ b/packages/gateway/test/lostReports.test.ts
@@ -1,5 +1,5 @@
 /**
- * Reports that are lost while the link to the peer stays open for the reducer, as when one of two links closes.
+ * Reports that are lost when one of two links to a peer closes.
  */
 import { type GatewayEffect, identifyRepeats } from "@verbenaspring/gateway";
 import { identifier } from "@verbenaspring/model";
@@ -31,13 +31,16 @@
     }
 }
 
-// The number of the last notice that was sent counts as known, and no report of the peer corrects it.
+// The number of the last notice that was sent counted as known, and no report of the peer corrected it.
 test("a notice whose report was lost is reported again", () => {
     const learns = (isLost: boolean): boolean => {
         const linked = linkedGateways();
         const [one, other] = linked.gateways;
         const call = one.sendRequest("r", "confirm");
         const effects = one.answer(call, { isLeaving: true });
+        if (isLost) {
+            one.handle({ kind: "peerReportsLost", address: other.state.options.peerAddress });
+        }
         deliver(isLost ? [] : effects, other);
         linked.advance(60_000);
         return other.state.leavingNotices.has(call.backendServer);
@@ -46,7 +49,7 @@
     assert.is(learns(true), true, "unknown to the peer a minute later");
 });
 
-// The same holds for suspects: a gateway that lacks one sends a request under which servers crashed to further ones (BUDGET).
+// The same held for suspects: a gateway that lacked one sent a request under which servers crashed to further ones (BUDGET).
 test("a crash whose report was lost is reported again", () => {
     const learns = (isLost: boolean): boolean => {
         const linked = linkedGateways();
@@ -54,6 +57,9 @@
         const call = one.sendRequest("r", "confirm");
         const failed = one.failAttempt(call);
         const probed = one.handle({ kind: "serverProbed", backendServer: call.backendServer, report: undefined });
+        if (isLost) {
+            one.handle({ kind: "peerReportsLost", address: other.state.options.peerAddress });
+        }
         deliver(isLost ? [] : [...failed, ...probed], other);
         linked.advance(60_000);
         return other.state.crashSuspects.suspects.has(identifyRepeats(undefined, identifier("r")));
@@ -77,6 +83,7 @@
         linked.isolate(other);
         linked.advanceUntil(() => !isServing(reader), changeLimit);
         linked.restoreLinks();
+        reader.handle({ kind: "peerReportsLost", address: other.state.options.peerAddress });
         delays.push(linked.advanceUntil(() => !isServing(other), changeLimit));
     }
     assert.ok(Math.max(...delays) <= changeLimit - takeover, `delays by phase: ${delays.join(", ")} ms`);
