Do not take a page of the log for all of it

Callers: a gateway far behind, not first in rank to read, kept an older configuration for a second a megabyte, and told the others that it was the newest. Found by reading.

Cause: any successful read made a topic fresh; the store answers with a megabyte at most and says where the log ends, which was not used.

Change: topicRead tells whether the read reached the end. If not, the topic gets no fresher and the next read starts at once.

--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -138,6 +138,8 @@
         readonly items: readonly DecodedItem[];
         /** The offset after the last record that was read. */
         readonly next: LogOffset;
+        /** Whether the log ended there; absent if it did. */
+        readonly isAtEnd?: boolean;
     }
     | { readonly kind: "topicReadFailed"; readonly topic: TopicName; readonly failure: ReadFailure; }
     | {
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -118,14 +118,14 @@
     follower.lastFailure = undefined;
     follower.isReading = false;
     recordReadEnd(state, topic);
-    follower.nextReadAt = now + readPlans[topic].pause;
+    const isAtEnd = event.isAtEnd ?? true;
+    follower.nextReadAt = now + (isAtEnd ? readPlans[topic].pause : 0);
     const apply = event.isSnapshot ? applySnapshot : applyItems;
     const hasChanged = apply(transaction, topic, event.items, next);
-    recordFreshness(
-        follower,
-        { reader: state.incarnation, count: knownReadCount(follower, state.incarnation) + 1 },
-        now,
-    );
+    if (isAtEnd) {
+        const count = knownReadCount(follower, state.incarnation) + 1;
+        recordFreshness(follower, { reader: state.incarnation, count }, now);
+    }
     if (hasChanged) {
         follower.isChangeOwnRead = true;
         reportToPeers(transaction);
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -46,6 +46,8 @@
 export interface TopicPage {
     readonly items: readonly TopicItem[];
     readonly next: LogOffset;
+    /** Whether the log ended there; absent if it did. */
+    readonly isAtEnd?: boolean;
 }
 
 /** Reads and writes the register of streams. A rejected call may have taken effect. */
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -316,9 +316,9 @@
 
     private reportRead(topic: TopicName, isSnapshot: boolean, read: Promise<TopicPage>): void {
         read.then(
-            ({ items, next }) => {
+            ({ items, next, isAtEnd = true }) => {
                 const decoded = this.decodeItems(topic, items);
-                this.events.push({ kind: "topicRead", topic, isSnapshot, items: decoded, next });
+                this.events.push({ kind: "topicRead", topic, isSnapshot, items: decoded, next, isAtEnd });
             },
             (error: unknown) => {
                 const failure = classifyReadError(error);
