Test that a steady reader keeps its answer with a short idle timeout

Cause: isStuck sees what the kernel takes from the process, in steps of about 1 MB, not what the caller reads.

--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -256,6 +256,29 @@
     assert.equal(harness.cutAnswers.map(({ reason, isWritten }) => [reason, isWritten]), [["slow_reader", false]]);
 });
 
+// The kernel takes bytes from the process in large steps, between which a steady reader looks like one that has stopped.
+test("a caller that reads its answer steadily keeps it, also with a short idle timeout", async () => {
+    const body = Buffer.alloc(8 * 1024 * 1024);
+    const harness = new Harness(true, { ...okAnswer, body }, {
+        totalBytes: 2 ** 26,
+        streamBytes: 2 ** 16,
+        connections: 5,
+    });
+    harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout: 3_000, idleTimeout: 1_000 });
+    const { socket } = await harness.connect();
+    const bytesPerMillisecond = 400;
+    const startedAt = performance.now();
+    let received = 0;
+    socket.on("data", chunk => {
+        received += chunk.length;
+        socket.pause();
+        setTimeout(() => socket.resume(), startedAt + received / bytesPerMillisecond - performance.now());
+    });
+    socket.write(emptyRequest);
+    await pause(4_500);
+    assert.equal(harness.cutAnswers, [], `${received} bytes were read`);
+});
+
 // A backlog that was bounded in bytes only held tens of thousands of short events, and exhausted the heap.
 test("a stream of short parts is paused after a bounded number of unsent ones, and goes on once they are sent", async () => {
     const harness = new Harness(false, okAnswer, { totalBytes: 2 ** 24, streamBytes: 2 ** 16, connections: 5 });
