--- a/packages/emulator/test/virtualPeerLinks.test.ts
+++ b/packages/emulator/test/virtualPeerLinks.test.ts
@@ -21,6 +21,7 @@
             name,
             isAlive: true,
             handleReport: () => received.push(id),
+            handleReportsLost: () => undefined,
             handleLinkClosed: () => undefined,
         };
         const links = new VirtualPeerLinks(owner, network, address => found.get(address));
