Count a view of the servers as complete at the start of its read

Cause: a read counted as fresh at its end, though the store may have answered at its start; and an old view counted as a store that was out.

Change: reads that don't wait count from their start. The store counts as out only if this gateway's reads failed since, and if it refused them, only in contact with another gateway, which would have told of its own.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -43,6 +43,8 @@
 
 /** How old a view of the servers becomes while the store answers any gateway: the last takeover, and a read that fails. */
 const longestViewAge: Milliseconds = 2_300;
+/** A gateway that reported within this time would have told of reads that it made. */
+const contactTimeout: Milliseconds = 1_000;
 
 /** From a failed read to the next one. */
 const retryDelay: Milliseconds = 250;
@@ -75,6 +77,7 @@
         return;
     }
     follower.isReading = true;
+    follower.readStartedAt = now;
     recordReadStart(state, topic);
     if (follower.next === undefined) {
         effects.push({ kind: "readSnapshot", topic });
@@ -118,16 +121,18 @@
     if (follower.lastFailure !== undefined) {
         logDecision(transaction, "info", "topic_regained", { topic, next });
     }
-    follower.lastFailure = undefined;
     follower.isReading = false;
     recordReadEnd(state, topic);
     const isAtEnd = event.isAtEnd ?? true;
     follower.nextReadAt = now + (isAtEnd ? readPlans[topic].pause : 0);
     const apply = event.isSnapshot ? applySnapshot : applyItems;
     const hasChanged = apply(transaction, topic, event.items, next);
+    follower.lastFailure = undefined;
     if (isAtEnd) {
         const count = knownReadCount(follower, state.incarnation) + 1;
-        recordFreshness(follower, { reader: state.incarnation, count }, now);
+        // A read that waits for records may have been answered at its end, any other one at its start.
+        const readAt = readPlans[topic].wait > 0 ? now : Math.min(now, follower.readStartedAt);
+        recordFreshness(follower, { reader: state.incarnation, count }, readAt);
     }
     if (hasChanged) {
         follower.isChangeOwnRead = true;
@@ -381,12 +386,24 @@
 }
 
 /**
- * When the view of the servers was last known to be complete. If that is longer ago than any gateway waits before it
- * reads, the store answered none of them, and acknowledged nothing meanwhile.
+ * When the view of the servers was last known to be complete. If it is older than while any gateway can read, and the reads
+ * of this one got no answer since, the store was out and acknowledged nothing meanwhile.
  */
 function completeAsOf({ state, now }: Transaction): Milliseconds {
-    const { knownAsOf } = state.followers.backendServers;
-    return knownAsOf === undefined || now - knownAsOf > longestViewAge ? now : knownAsOf;
+    const { knownAsOf, lastFailure } = state.followers.backendServers;
+    if (knownAsOf === undefined || lastFailure === undefined || lastFailure.at < knownAsOf) {
+        return knownAsOf ?? now;
+    }
+    // A store that refuses the reads of one gateway may serve others.
+    const wasStoreOut = now - knownAsOf > longestViewAge
+        && (lastFailure.failure !== "refused" || isInContact(state, now));
+    return wasStoreOut ? now : knownAsOf;
+}
+
+function isInContact({ peers }: GatewayState, now: Milliseconds): boolean {
+    return [...peers.values()].some(({ link, lastReportAt }) =>
+        link === "open" && lastReportAt !== undefined && now - lastReportAt <= contactTimeout
+    );
 }
 
 function applyConfiguration(transaction: Transaction, configuration: RoutingConfiguration): boolean {
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -202,6 +202,8 @@
     /** The rank of this gateway among those that may read the topic, and the members for which it was computed. */
     rank: { readonly members: readonly Member[]; readonly value: number; } | undefined;
     isReading: boolean;
+    /** When the newest read started. */
+    readStartedAt: Milliseconds;
     nextReadAt: Milliseconds;
     /** When a report of a peer that could not be applied was last logged. */
     ignoredReportLoggedAt: Milliseconds;
@@ -398,6 +400,7 @@
         readCounts: new Map(),
         rank: undefined,
         isReading: false,
+        readStartedAt: Infinity,
         nextReadAt: 0,
         ignoredReportLoggedAt: -Infinity,
         lastFailure: undefined,
--- a/packages/gateway/test/replicas.test.ts
+++ b/packages/gateway/test/replicas.test.ts
@@ -49,6 +49,9 @@
         gateway.state.options = { ...gateway.state.options, drainLimit };
         const call = gateway.startReplicatedStream("r", "plan");
         const holder = gateway.state.attempts.get(call.attemptId)!.attempt!.replica!.record;
+        // The first read started before the stream did.
+        gateway.read("backendServers", []);
+        gateway.advance(500);
         gateway.read("backendServers", []);
         gateway.now += viewAge;
         gateway.register({ ...holder, isDraining: true, heartbeat: 2 });
