--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -308,7 +308,8 @@
             const unread = [...largest.exchanges].find(({ rejectBody }) => rejectBody !== undefined);
             if (unread?.rejectBody === undefined || largest.exchanges.size > 1) {
                 reportCutAnswers(largest, "budget");
-                largest.socket.destroy();
+                // A reset: after an orderly close, an answer without a length would look complete.
+                largest.socket.resetAndDestroy();
                 // The event of the close comes later; until then more connections would be cut for the same bytes.
                 budget.close(largest);
                 handlers.answersTaken?.();
