Let answers that fit pass those that wait for callers

The first answer that waited held back all others, though it waited for callers, not for room that others used.

Change: an answer holds back those after it only while room would suffice without the other answers that are read. roomForAnswers.test.ts failed before and passes.

--- a/packages/runtime/src/answerRoom.ts
+++ b/packages/runtime/src/answerRoom.ts
@@ -45,7 +45,8 @@
             return;
         }
         reservation.wantedBytes = bytes;
-        if ((this.queue.length === 0 || reservation.reservedBytes > 0) && this.fits(holder, reservation, now)) {
+        const isTurn = reservation.reservedBytes > 0 || this.queue.every(other => this.waitsForCallers(other));
+        if (isTurn && this.fits(holder, reservation, now)) {
             reservation.reservedBytes = bytes;
             return;
         }
@@ -68,14 +69,20 @@
         this.reservations.delete(holder);
     }
 
-    /** Resumes the answers that have waited longest, as far as there is room. To be called when room may be free. */
+    /**
+     * Resumes the answers that have waited longest, as far as there is room. One that does not fit holds back those after
+     * it, unless it waits for callers: they may not read at all. To be called when room may be free.
+     */
     resumeNext(now: Milliseconds): void {
-        for (let [holder] = this.queue; holder !== undefined; [holder] = this.queue) {
+        for (const holder of [...this.queue]) {
             const reservation = this.reservations.get(holder)!;
             if (!this.fits(holder, reservation, now)) {
+                if (this.waitsForCallers(holder)) {
+                    continue;
+                }
                 return;
             }
-            this.queue.shift();
+            this.queue.splice(this.queue.indexOf(holder), 1);
             reservation.isWaiting = false;
             reservation.reservedBytes = reservation.wantedBytes;
             reservation.lastReadAt = now;
@@ -83,6 +90,12 @@
         }
     }
 
+    /** Whether there is no room for an answer even if no other were read, since callers leave theirs unread. */
+    private waitsForCallers(holder: RoomHolder): boolean {
+        const wantedBytes = this.reservations.get(holder)?.wantedBytes ?? 0;
+        return this.unreadBytes() + wantedBytes > this.limitBytes;
+    }
+
     /** Whether an answer may be read; one always may if nothing else is read and callers have left enough room. */
     private fits(holder: RoomHolder, { wantedBytes }: Reservation, now: Milliseconds): boolean {
         let otherBytes = 0;
