--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -61,7 +61,7 @@
     // What the peer knows of the topic is only certain after it has reported on this link.
     const known: LogOffset = peer.through[name] ?? 0;
     // A read makes a topic fresher only when it is first reported.
-    const read = peer.sentReads[name] === lastRead ? noRead : lastRead;
+    const read = peer.sentReads[name] === lastRead && !isRequested ? noRead : lastRead;
     const report = { name, read, age: now - freshAsOf };
     if (peer.link !== "open") {
         return { ...report, since: known, through: undefined, items: [], isComplete: false };
