Send the stamp of a read only with a report that can be applied

Cause: a gateway that leaves records to the reader reports from the end on. The peer ignores that report, and the stamp of the read counted as sent: the records came later without it, the peer had no last read and passed nothing on.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -43,7 +43,7 @@
 
 /** How old a view of the servers becomes while the store answers any gateway: the last takeover, and a read that fails. */
 const longestViewAge: Milliseconds = 2_300;
-/** A gateway that reported within this time would have told of reads that it made. */
+/** A gateway whose last report is younger than this is in contact, and would have reported reads of its own. */
 const contactTimeout: Milliseconds = 1_000;
 
 /** From a failed read to the next one. */
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -32,7 +32,10 @@
             const isKnown = topic.through !== undefined && topic.since < topic.through;
             const through = isKnown ? laterOffset(peer.through[name], topic.through) : peer.through[name];
             peer.through = { ...peer.through, [name]: through };
-            peer.sentReads = { ...peer.sentReads, [name]: state.followers[name].lastRead };
+            const { lastRead } = state.followers[name];
+            if (topic.read === lastRead) {
+                peer.sentReads = { ...peer.sentReads, [name]: lastRead };
+            }
         }
         return topic;
     });
@@ -69,8 +72,8 @@
     const isComplete = lacksRemovals(follower, known);
     const isBehind = isComplete || follower.changedThrough > known;
     if (isBehind && !isRequested && !mayRelay(state, follower, { known, openedAt: peer.openedAt }, now)) {
-        // A peer that is behind applies nothing of a report that begins at the end.
-        return { ...report, since: next, through: next, items: [], isComplete: false };
+        // A peer that is behind applies nothing of a report that begins at the end, and would miss the stamp of the read.
+        return { ...report, read: noRead, since: next, through: next, items: [], isComplete: false };
     }
     const items = isBehind ? missingItems(follower, known, isComplete) : [];
     // The peer may know more by now than it last reported, such as a removal inside of a gap.
