Build the deployed program in each test that starts it

The test of malformed answers, which comes later, built it.

Change: buildDeployedGateway of gatewayCluster.ts builds it for the three tests. After deleting target/: largeAnswersProcess 3 of 3, malformedAnswersProcess 1 of 1; lateLargeAnswer fails as listed.

--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -19,11 +19,21 @@
     type PlatformStore,
     startPlatformStore,
 } from "@verbenaspring/stand-ins";
+import { spawnSync } from "node:child_process";
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Agent, request } from "undici";
 
+/** Builds the program that the platform runs, and returns the arguments of Node.js that start it. */
+export function buildDeployedGateway(): string[] {
+    const built = spawnSync(process.execPath, ["scripts/buildDeploy.mjs"], { encoding: "utf8" });
+    if (built.status !== 0) {
+        throw new Error(built.stderr);
+    }
+    return ["--max-old-space-size=110", "--max-semi-space-size=4", "target/start.cjs", "gateway"];
+}
+
 /** A response as its caller received it. */
 export interface GatewayResponse extends ResponseBody {
     readonly status: number;
--- a/packages/bench/test/largeAnswersProcess.test.ts
+++ b/packages/bench/test/largeAnswersProcess.test.ts
@@ -6,13 +6,13 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { GatewayCluster } from "./gatewayCluster.js";
+import { buildDeployedGateway, GatewayCluster } from "./gatewayCluster.js";
 
 const megabyte = 1024 * 1024;
 const bytesPerSecond = 1.3 * megabyte;
 const callers = 12;
 const requestsPerCaller = 2;
-const deployedCommand = ["--max-old-space-size=110", "--max-semi-space-size=4", "target/start.cjs", "gateway"];
+const deployedCommand = buildDeployedGateway();
 
 /** Reads one answer of a kept connection at a given rate. Returns its status and the bytes of its body that arrived. */
 function readAnswer(socket: Socket): Promise<string> {
--- a/packages/bench/test/lateLargeAnswerProcess.test.ts
+++ b/packages/bench/test/lateLargeAnswerProcess.test.ts
@@ -5,12 +5,12 @@
 import { type AddressInfo, connect } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { GatewayCluster } from "./gatewayCluster.js";
+import { buildDeployedGateway, GatewayCluster } from "./gatewayCluster.js";
 
 const megabyte = 1024 * 1024;
 const answerBytes = 7 * megabyte;
 const bytesPerSecond = 1.3 * megabyte;
-const deployedCommand = ["--max-old-space-size=110", "--max-semi-space-size=4", "target/start.cjs", "gateway"];
+const deployedCommand = buildDeployedGateway();
 
 /** Sends a request and reads its answer at a given rate. Returns the status and the bytes of the body that arrived. */
 function readSlowly(address: string, attemptId: string): Promise<string> {
--- a/packages/bench/test/malformedAnswersProcess.test.ts
+++ b/packages/bench/test/malformedAnswersProcess.test.ts
@@ -3,12 +3,11 @@
  * it: an assertion in the bundle made Node.js parse one line of 290 KB for its message, for 4 to 8 s.
  */
 import { type GatewayProcess, isGatewayProcessReady, waitUntil } from "@verbenaspring/bench";
-import { spawnSync } from "node:child_process";
 import { once } from "node:events";
 import { type AddressInfo, createServer } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { GatewayCluster } from "./gatewayCluster.js";
+import { buildDeployedGateway, GatewayCluster } from "./gatewayCluster.js";
 
 const malformedAnswers: readonly string[] = [
     "HTTP/1.1 000 \r\n\r\n",
@@ -43,11 +42,8 @@
 }
 
 test("answers that are no HTTP don't stop the deployed gateway", async () => {
-    const built = spawnSync(process.execPath, ["scripts/buildDeploy.mjs"], { encoding: "utf8" });
-    assert.is(built.status, 0, built.stderr);
     const machine = { memoryMb: 178, maxFds: 4_096 };
-    const command = ["--max-old-space-size=110", "--max-semi-space-size=4", "target/start.cjs", "gateway"];
-    const cluster = await GatewayCluster.start(1, machine, command);
+    const cluster = await GatewayCluster.start(1, machine, buildDeployedGateway());
     const [gateway] = cluster.gateways;
     try {
         for (const [index, malformed] of malformedAnswers.entries()) {
