--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -21,6 +21,8 @@
 } from "@verbenaspring/stand-ins";
 import { spawnSync } from "node:child_process";
 import { mkdtempSync, rmSync } from "node:fs";
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Agent, request } from "undici";
@@ -34,6 +36,15 @@
     return ["--max-old-space-size=110", "--max-semi-space-size=4", "target/start.cjs", "gateway"];
 }
 
+/** Registers a server of a test's own as `large` at the plain service, and waits until the first gateway knows it. */
+export async function registerServer(cluster: GatewayCluster, server: Server, slots: number): Promise<void> {
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const record = { service: "plain", address, zone: "near", slots, state: "ready", sequence: 1 };
+    cluster.store.put("keyed.servers", "large", record);
+    await cluster.waitUntilKnown(cluster.gateways[0], "large");
+}
+
 /** A response as its caller received it. */
 export interface GatewayResponse extends ResponseBody {
     readonly status: number;
--- a/packages/bench/test/largeAnswersProcess.test.ts
+++ b/packages/bench/test/largeAnswersProcess.test.ts
@@ -3,10 +3,10 @@
  */
 import { readFileSync } from "node:fs";
 import { createServer } from "node:http";
-import { type AddressInfo, connect, type Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { buildDeployedGateway, GatewayCluster } from "./gatewayCluster.js";
+import { buildDeployedGateway, GatewayCluster, registerServer } from "./gatewayCluster.js";
 
 const megabyte = 1024 * 1024;
 const bytesPerSecond = 1.3 * megabyte;
@@ -96,13 +96,9 @@
             response.end(Buffer.alloc(answerBytes, "x"));
         });
         try {
-            await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-            const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-            const record = { service: "plain", address, zone: "near", slots: 32, state: "ready", sequence: 1 };
-            cluster.store.put("keyed.servers", "large", record);
             cluster.configure(2, [], cluster.store, 60_000);
+            await registerServer(cluster, server, 32);
             const [gateway] = cluster.gateways;
-            await cluster.waitUntilKnown(gateway, "large");
             const reads = Array.from({ length: callers }, (_, index) => callInSeries(gateway.callerAddress, index));
             const answers = (await Promise.all(reads)).flat();
             const expected = Array.from({ length: callers * requestsPerCaller }, () => `200 ${answerBytes}`);
--- a/packages/bench/test/lateLargeAnswerProcess.test.ts
+++ b/packages/bench/test/lateLargeAnswerProcess.test.ts
@@ -2,10 +2,10 @@
  * Large answers that are asked for during a planned stop, by callers whose earlier answers took long to read.
  */
 import { createServer } from "node:http";
-import { type AddressInfo, connect } from "node:net";
+import { connect } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { buildDeployedGateway, GatewayCluster } from "./gatewayCluster.js";
+import { buildDeployedGateway, GatewayCluster, registerServer } from "./gatewayCluster.js";
 
 const megabyte = 1024 * 1024;
 const answerBytes = 7 * megabyte;
@@ -62,13 +62,9 @@
         }
     });
     try {
-        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-        const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-        const record = { service: "plain", address, zone: "near", slots: 8, state: "ready", sequence: 1 };
-        cluster.store.put("keyed.servers", "large", record);
         cluster.configure(2, [], cluster.store, 60_000);
+        await registerServer(cluster, server, 8);
         const [gateway] = cluster.gateways;
-        await cluster.waitUntilKnown(gateway, "large");
         assert.is(await readSlowly(gateway.callerAddress, "earlier"), `200 ${answerBytes}`);
         gateway.child.kill("SIGTERM");
         const isKept = readSlowly(gateway.callerAddress, "kept");
--- a/packages/bench/test/slowReadersProcess.test.ts
+++ b/packages/bench/test/slowReadersProcess.test.ts
@@ -2,10 +2,10 @@
  * Callers that read a large answer slowly while their gateway is stopped.
  */
 import { createServer } from "node:http";
-import { type AddressInfo, connect } from "node:net";
+import { connect } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { GatewayCluster } from "./gatewayCluster.js";
+import { GatewayCluster, registerServer } from "./gatewayCluster.js";
 
 const megabyte = 1024 * 1024;
 /** More than the kernel keeps for the connections between gateway and caller. */
@@ -57,12 +57,8 @@
         response.end(Buffer.alloc(answerBytes, "x"));
     });
     try {
-        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-        const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-        const record = { service: "plain", address, zone: "near", slots: 8, state: "ready", sequence: 1 };
-        cluster.store.put("keyed.servers", "large", record);
+        await registerServer(cluster, server, 8);
         const [gateway] = cluster.gateways;
-        await cluster.waitUntilKnown(gateway, "large");
         let begun = 0;
         let stoppedAt = 0;
         const stopOnceBegun = (): void => {
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -166,15 +166,20 @@
     faults.endAfter(keepsId ? 0 : duration, () => void world.addServer(kind, keepsId ? id : undefined));
 }
 
-function drainServer(faults: SoakFaults): void {
+/** Replaces a server, which leaves in the given way and serves on for a while. */
+function replaceServer(faults: SoakFaults, leave: "drain" | "withdraw"): void {
     const { world } = faults;
     const leaving = faults.chooseServer();
     world.removeServer(leaving);
     void world.addServer(leaving.standIn.plan.kind);
-    leaving.standIn.drain(drainDuration);
+    leaving.standIn[leave](drainDuration);
     setTimeout(() => leaving.relay.close(), drainDuration);
 }
 
+function drainServer(faults: SoakFaults): void {
+    replaceServer(faults, "drain");
+}
+
 /** One server is replaced by one of the other software version, as are those that end later. */
 function release(faults: SoakFaults): void {
     faults.world.release();
@@ -294,14 +299,9 @@
     });
 }
 
-/** A server's registration is deleted without a notice, and it serves on for a while. */
+/** A server's registration is deleted without a notice. */
 function withdrawServer(faults: SoakFaults): void {
-    const { world } = faults;
-    const leaving = faults.chooseServer();
-    world.removeServer(leaving);
-    void world.addServer(leaving.standIn.plan.kind);
-    leaving.standIn.withdraw(drainDuration);
-    setTimeout(() => leaving.relay.close(), drainDuration);
+    replaceServer(faults, "withdraw");
 }
 
 /** Faults that affect no promise and no time limit. */
