Put the drain limit into a module of its own

The last reading: it stood half beside the notices of servers and half in the follower of topics, and sent_to_leaving_server could not show whether the limit was kept. The line has the time since the earliest acknowledgement, and settings_applied has both new limits.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -6,6 +6,7 @@
 import type { BackendServerId, GatewayIncarnation, LogOffset, Milliseconds, ServiceName } from "@verbenaspring/model";
 import { applyRecord, applyRemoval, type BackendChange, type BackendRecord, forgetRemoved } from "./backendServers.js";
 import { settleLostRuns } from "./crashSuspects.js";
+import { earliestAcknowledgement } from "./drainLimit.js";
 import { applyEvacuation } from "./evacuations.js";
 import type { DecodedItem, GatewayEvent, TopicItem, TopicName, TopicRecord } from "./event.js";
 import { hasGivenNotice } from "./leavingServers.js";
@@ -41,11 +42,6 @@
     backendServers: { wait: 0, pause: 400, takeoverTimeouts: { base: 900, step: 150, max: 1_500 } },
 };
 
-/** How old a view of the servers becomes while the store answers any gateway: the last takeover, and a read that fails. */
-const longestViewAge: Milliseconds = 2_300;
-/** A gateway whose last report is younger than this is in contact, and would have reported reads of its own. */
-const contactTimeout: Milliseconds = 1_000;
-
 /** From a failed read to the next one. */
 const retryDelay: Milliseconds = 250;
 /** For how long after a failed read a gateway leaves the reads to the others, if theirs succeed. */
@@ -359,7 +355,13 @@
         case "backendServer": {
             const previous = state.servers.get(decoded.record.id);
             const isNoticed = hasGivenNotice(state, decoded.record);
-            const change = applyRecord(state.servers, decoded.record, isNoticed, now, completeAsOf(transaction));
+            const change = applyRecord(
+                state.servers,
+                decoded.record,
+                isNoticed,
+                now,
+                earliestAcknowledgement(transaction),
+            );
             if (previous?.record.service !== decoded.record.service) {
                 indexByService(transaction);
             }
@@ -372,7 +374,7 @@
             return handleServerChange(
                 transaction,
                 decoded.id,
-                applyRemoval(state.servers, decoded.id, now, completeAsOf(transaction)),
+                applyRemoval(state.servers, decoded.id, now, earliestAcknowledgement(transaction)),
             );
         case "evacuation":
             applyEvacuation(transaction, decoded, item.offset);
@@ -385,27 +387,6 @@
     }
 }
 
-/**
- * When the view of the servers was last known to be complete. If it is older than while any gateway can read, and the reads
- * of this one got no answer since, the store was out and acknowledged nothing meanwhile.
- */
-function completeAsOf({ state, now }: Transaction): Milliseconds {
-    const { knownAsOf, lastFailure } = state.followers.backendServers;
-    if (knownAsOf === undefined || lastFailure === undefined || lastFailure.at < knownAsOf) {
-        return knownAsOf ?? now;
-    }
-    // A store that refuses the reads of one gateway may serve others.
-    const wasStoreOut = now - knownAsOf > longestViewAge
-        && (lastFailure.failure !== "refused" || isInContact(state, now));
-    return wasStoreOut ? now : knownAsOf;
-}
-
-function isInContact({ peers }: GatewayState, now: Milliseconds): boolean {
-    return [...peers.values()].some(({ link, lastReportAt }) =>
-        link === "open" && lastReportAt !== undefined && now - lastReportAt <= contactTimeout
-    );
-}
-
 function applyConfiguration(transaction: Transaction, configuration: RoutingConfiguration): boolean {
     const { state, effects } = transaction;
     const previous = state.configuration?.version;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./backendServers.js";
 export * from "./coldServers.js";
 export * from "./crashSuspects.js";
+export * from "./drainLimit.js";
 export * from "./effect.js";
 export * from "./evacuations.js";
 export * from "./event.js";
--- a/packages/gateway/src/leavingServers.ts
+++ b/packages/gateway/src/leavingServers.ts
@@ -2,28 +2,13 @@
  * Notices of backend servers that they leave, which they give in their answers. A notice holds for one incarnation of a
  * server, whatever its record in the store says: gateways that passed it on are bound by it.
  */
-import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
-import type { BackendRecord, BackendServer } from "./backendServers.js";
+import type { BackendServerId } from "@verbenaspring/model";
+import type { BackendRecord } from "./backendServers.js";
 import { migrateStreams } from "./migration.js";
 import { reportToPeers } from "./peers.js";
 import type { GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
-/** The bound of a platform whose settings state none. */
-const defaultDrainLimit: Milliseconds = 2_000;
-/** A request reaches its server this long after it was sent at the latest, as a new connection may take it. */
-const longestDelivery: Milliseconds = 400;
-
-/** Whether a request that is sent now reaches a server before the platform expects no more requests there. */
-export function isWithinDrainLimit(
-    { options }: GatewayState,
-    { leavingNotBefore }: BackendServer,
-    now: Milliseconds,
-): boolean {
-    return leavingNotBefore === undefined
-        || now + longestDelivery <= leavingNotBefore + (options.drainLimit ?? defaultDrainLimit);
-}
-
 /** A notice as gateways report it to each other. */
 export interface PeerLeavingServer {
     readonly backendServer: BackendServerId;
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -158,5 +158,7 @@
         retryWindow: options.retries.window,
         stopLimit: options.stopLimit,
         evacuationLimit: options.evacuationLimit,
+        drainLimit: options.drainLimit,
+        configurationLimit: options.configurationLimit,
     });
 }
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -3,8 +3,9 @@
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
+import { isWithinDrainLimit } from "./drainLimit.js";
 import { isEvacuated } from "./evacuations.js";
-import { hasGivenNotice, isWithinDrainLimit } from "./leavingServers.js";
+import { hasGivenNotice } from "./leavingServers.js";
 import type { EngineCapabilities } from "./routingConfiguration.js";
 import { acceptsRequest, engineOf } from "./serverLoad.js";
 import type { Attempt, GatewayRequest, GatewayState, RunCopy } from "./state.js";
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -250,6 +250,7 @@
     logDecision(transaction, "warn", "sent_to_leaving_server", {
         ...requestFields(transaction, request),
         leavingFor: Math.round(now - server.leavingSince),
+        acknowledgedFor: Math.round(now - (server.leavingNotBefore ?? server.leavingSince)),
         isRemoved: server.removedAt !== undefined,
     });
 }
--- a/packages/gateway/src/serverLoad.ts
+++ b/packages/gateway/src/serverLoad.ts
@@ -11,9 +11,10 @@
 import type { BackendServerId, Milliseconds, ServiceName } from "@verbenaspring/model";
 import type { BackendServer } from "./backendServers.js";
 import { isCold, isWithinColdRate } from "./coldServers.js";
+import { isWithinDrainLimit } from "./drainLimit.js";
 import type { DecisionFields } from "./effect.js";
 import { isEvacuated } from "./evacuations.js";
-import { hasGivenNotice, isWithinDrainLimit } from "./leavingServers.js";
+import { hasGivenNotice } from "./leavingServers.js";
 import { memberLoad } from "./members.js";
 import { expectedOutput } from "./messages.js";
 import { isLimited, isWithinLimit } from "./requestLimits.js";
