--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -17,6 +17,7 @@
 import { probeRestartedServer, probeSilentServer, recordSignOfLife } from "./liveness.js";
 import type { BackendAnswer, ResponseHead } from "./messages.js";
 import { handleEndAfterStop } from "./migration.js";
+import { replicaState } from "./replicas.js";
 import { recordRequestLimit } from "./requestLimits.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
 import { countPossibleRuns, recordNoRun } from "./runLedger.js";
@@ -230,10 +231,19 @@
         runAge: firstEventAt === undefined ? undefined : Math.round(now - firstEventAt),
         silence: Math.round(now - attempt.lastActivityAt),
         replica: attempt.replica?.record.id,
+        replicaState: replicaState(transaction, attempt),
+        failedTargets: attempt.failedTargets.size || undefined,
+        serverLeavingFor: leavingFor(transaction, attempt),
         sharedParts: request.head.sharedParts.join(","),
     });
 }
 
+/** For how long the server of an attempt has been known to leave; undefined if it stays or is not known any more. */
+function leavingFor({ state, now }: Transaction, { server }: Attempt): Milliseconds | undefined {
+    const leavingSince = state.servers.get(server.record.id)?.leavingSince;
+    return leavingSince === undefined ? undefined : Math.round(now - leavingSince);
+}
+
 /**
  * Removes an attempt from the state.
  *
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -107,6 +107,27 @@
     return holder?.removedAt === undefined ? holder : undefined;
 }
 
+/** Why the holder of a run's replica can't take the run, or that it can; undefined without a replica. */
+export function replicaState(
+    { state, now }: Transaction,
+    { server, replica }: Attempt,
+): "usable" | "gone" | "restarted" | "leaving" | "refusing" | undefined {
+    if (replica === undefined) {
+        return undefined;
+    }
+    const known = state.servers.get(replica.record.id);
+    if (known === undefined || known.removedAt !== undefined) {
+        return "gone";
+    }
+    if (known.record.startedAt !== replica.record.startedAt) {
+        return "restarted";
+    }
+    if (acceptsTakeover(state, known, server, now)) {
+        return "usable";
+    }
+    return known.leavingSince !== undefined || hasGivenNotice(state, known.record) ? "leaving" : "refusing";
+}
+
 /** The server at which a run can continue from the copy that a migration made, if it still keeps the copy. */
 export function usableCopyHolder(
     transaction: Transaction,
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -13,6 +13,7 @@
 import { endAttempt } from "./attempts.js";
 import { identifyRepeats } from "./crashSuspects.js";
 import { cannotFinishBeforeStop, retryAfterStop } from "./draining.js";
+import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
 import { expectedOutput, type RequestHead } from "./messages.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
@@ -173,6 +174,7 @@
         ...requestFields(transaction, request),
         reason: type,
         outcome,
+        ...stopFields(transaction, request),
     });
     finishRequest(transaction, request);
     if (request.isHeadWritten) {
@@ -233,6 +235,13 @@
     };
 }
 
+/** When in a planned stop a request arrived, which is negative for one before it, and how long the stop has lasted. */
+function stopFields({ now, state: { stopRequestedAt } }: Transaction, { arrivedAt }: GatewayRequest): DecisionFields {
+    return stopRequestedAt === undefined
+        ? {}
+        : { arrivedInStop: Math.round(arrivedAt - stopRequestedAt), stopAge: Math.round(now - stopRequestedAt) };
+}
+
 function ageOf(now: Milliseconds, since: Milliseconds | undefined): number | undefined {
     return since === undefined ? undefined : Math.round(now - since);
 }
