Decide again whether a stream at a leaving server is migrated

Cause: migrateStreams took its decision once, when the server of the stream began to leave, and never again when what it rested on changed: the holder of the replica, a target, the expected end, failed targets, a replica that a silent run's holder has dropped.

checkMigrations takes it every 200 ms, and at the next tick after a server changed. A target that failed is tried again after a second.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -11,7 +11,7 @@
 import type { DecodedItem, GatewayEvent, TopicItem, TopicName, TopicRecord } from "./event.js";
 import { hasGivenNotice } from "./leavingServers.js";
 import { liveMembers, type Member } from "./members.js";
-import { migrateStreams } from "./migration.js";
+import { checkStreamsSoon, migrateStreams } from "./migration.js";
 import type { MemberRecord, OffsetRange, TopicReadStamp } from "./peerReport.js";
 import { reportToPeers } from "./peers.js";
 import { isReadRequired, recordReadEnd, recordReadStart } from "./resumption.js";
@@ -432,6 +432,7 @@
     if (change === "leaving" || change === "removed") {
         migrateStreams(transaction, id);
     }
+    checkStreamsSoon(transaction);
     logDecision(transaction, "info", "backend_server_changed", {
         server: id,
         change,
--- a/packages/gateway/src/leavingServers.ts
+++ b/packages/gateway/src/leavingServers.ts
@@ -4,7 +4,7 @@
  */
 import type { BackendServerId } from "@verbenaspring/model";
 import type { BackendRecord } from "./backendServers.js";
-import { migrateStreams } from "./migration.js";
+import { checkStreamsSoon, migrateStreams } from "./migration.js";
 import { reportToPeers } from "./peers.js";
 import type { GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -94,6 +94,7 @@
         const leavingNotBefore = known.leavingNotBefore ?? now;
         servers.set(id, { ...known, leavingSince: known.leavingSince ?? now, leavingNotBefore });
         migrateStreams(transaction, id);
+        checkStreamsSoon(transaction);
     }
 }
 
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -5,7 +5,7 @@
  * has one migration at a time, since all of them share its network link.
  *
  * At a server that leaves, a stream needs no migration if a new run can continue it, or if it has a usable replica at a
- * server that stays. An evacuated server goes on, so its streams are migrated to empty the failure domain: those that
+ * server that stays. That is decided again until the stream has left its server. An evacuated server goes on, so its streams are migrated to empty the failure domain: those that
  * would be lost with it first, and only with memory and retries that others leave unused.
  */
 import { chooseReplicaHost, migrationPlacement, replicaPlacement } from "@verbenaspring/coordination";
@@ -15,7 +15,7 @@
 import { isEvacuated } from "./evacuations.js";
 import type { GatewayEvent, MigrationResult } from "./event.js";
 import { expectedOutput } from "./messages.js";
-import { usableCopyHolder, usableHolder } from "./replicas.js";
+import { findStayingHolder, usableCopyHolder } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
@@ -47,7 +47,15 @@
 /** Retries that migrations from evacuated servers leave for requests that fail. */
 const reservedRetries = 1;
 
-/** After this many failed targets a stream is not migrated: more attempts would take the link from other streams. */
+/**
+ * How often streams at leaving servers are checked: the holder of a replica may leave too, a run may exceed its estimate,
+ * and a target may become usable. A change of a server is followed by a check at the next tick.
+ */
+const leavingCheckInterval: Milliseconds = 200;
+
+/** For this long a stream is not migrated again to a target at which its migration failed. */
+const failedTargetTimeout: Milliseconds = 1_000;
+/** With this many such targets a stream waits: more attempts would take the link from other streams. */
 const maximumMigrationTargets = 4;
 
 /**
@@ -83,15 +91,35 @@
     return isEvacuated(state, server.record) ? "evacuated" : undefined;
 }
 
-/** Starts the migrations from evacuated servers that are due. */
-export function migrateFromEvacuated(transaction: Transaction): void {
+/**
+ * Starts the migrations that are due: what decided that a stream stays may have changed since its server began to leave
+ * or was evacuated.
+ */
+export function checkMigrations(transaction: Transaction): void {
     const { state, now } = transaction;
-    if (state.evacuations.size === 0 || now < state.nextEvacuationCheckAt) {
-        return;
+    if (now >= state.nextLeavingCheckAt) {
+        state.nextLeavingCheckAt = now + leavingCheckInterval;
+        migrateForReason(transaction, "leaving");
+    }
+    if (state.evacuations.size > 0 && now >= state.nextEvacuationCheckAt) {
+        state.nextEvacuationCheckAt = now + evacuationCheckInterval;
+        migrateForReason(transaction, "evacuated");
     }
-    state.nextEvacuationCheckAt = now + evacuationCheckInterval;
-    const ids = new Set([...state.attempts.values()].flatMap(({ attempt }) => attempt?.server.record.id ?? []));
-    [...ids].filter(id => migrationReason(state, id) === "evacuated").forEach(id => migrateStreams(transaction, id));
+}
+
+function migrateForReason(transaction: Transaction, reason: MigrationReason): void {
+    const { state } = transaction;
+    const ids = new Set(
+        [...state.attempts.values()].flatMap(({ attempt, route }) =>
+            attempt === undefined || !route.isStream ? [] : [attempt.server.record.id]
+        ),
+    );
+    [...ids].filter(id => migrationReason(state, id) === reason).forEach(id => migrateStreams(transaction, id));
+}
+
+/** Checks the streams at leaving servers at the next tick, since a server has changed that may hold a replica of one. */
+export function checkStreamsSoon({ state, now }: Transaction): void {
+    state.nextLeavingCheckAt = now;
 }
 
 /** Starts a migration for a stream whose first event came after its server began to leave. */
@@ -120,9 +148,8 @@
         return [];
     }
     const canMigrate = engineOf(state, request.service)?.canMigrate === true;
-    const replica = usableHolder(state, attempt, now);
-    const hasTargetsLeft = attempt.failedTargets.size < maximumMigrationTargets;
-    const isSafe = route.canResume || (replica !== undefined && replica.leavingSince === undefined);
+    const isSafe = route.canResume || findStayingHolder(transaction, request, attempt) !== undefined;
+    const hasTargetsLeft = countFailedTargets(attempt, now) < maximumMigrationTargets;
     const remaining = remainingTime(transaction, request);
     const isDue = reason === "evacuated"
         // A stream is cut at its deadline, wherever it runs.
@@ -132,6 +159,10 @@
     return canMigrate && hasTargetsLeft && isDue ? [{ request, attempt, isSafe }] : [];
 }
 
+function countFailedTargets({ failedTargets }: Attempt, now: Milliseconds): number {
+    return [...failedTargets.values()].filter(until => now < until).length;
+}
+
 /** The expected time until the stream ends. */
 function remainingTime({ state }: Transaction, { head, service, lastEvent }: GatewayRequest): Milliseconds {
     const expected = expectedOutput(head);
@@ -149,11 +180,15 @@
 ): boolean {
     const target = chooseTarget(transaction, request, attempt, reason);
     if (target === undefined) {
-        // The streams of evacuated servers are checked every second, and go on where they are.
-        const level = reason === "evacuated" ? "debug" : "warn";
-        logDecision(transaction, level, "move_without_target", requestFields(transaction, request));
+        if (!attempt.lacksTarget) {
+            attempt.lacksTarget = true;
+            // The streams of evacuated servers go on where they are.
+            const level = reason === "evacuated" ? "debug" : "warn";
+            logDecision(transaction, level, "move_without_target", requestFields(transaction, request));
+        }
         return false;
     }
+    attempt.lacksTarget = false;
     setMigrationTarget(transaction.state, attempt, target);
     attempt.migrationStartedAt = transaction.now;
     requestMigration(transaction, request, attempt, target, false);
@@ -188,7 +223,7 @@
         return undefined;
     }
     const eligible = otherServers(state, attempt.server, now).filter(({ record: { id } }) =>
-        !attempt.failedTargets.has(id)
+        now >= (attempt.failedTargets.get(id) ?? -Infinity)
     );
     const share = attempt.memoryTokens / engine.memoryTokens;
     return chooseReplicaHost(
@@ -274,11 +309,11 @@
 /** The server stopped the run, but the target has no room for the rest of the copy, or can't be reached. */
 const noRoomStatus = 503;
 
-function endMigration({ state }: Transaction, attempt: Attempt, hasSucceeded: boolean): void {
+function endMigration({ state, now }: Transaction, attempt: Attempt, hasSucceeded: boolean): void {
     const target = attempt.migrationTarget;
     setMigrationTarget(state, attempt, undefined);
     if (target !== undefined && !hasSucceeded) {
-        attempt.failedTargets.add(target.record.id);
+        attempt.failedTargets.set(target.record.id, now + failedTargetTimeout);
     }
 }
 
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -12,7 +12,7 @@
 import type { GatewayEvent } from "./event.js";
 import { handleTopicRead, handleTopicReadFailed, startDueReads } from "./followers.js";
 import { handleServerProbed } from "./liveness.js";
-import { handleMigrationAnswered, migrateFromEvacuated } from "./migration.js";
+import { checkMigrations, handleMigrationAnswered } from "./migration.js";
 import type { GatewayOptions } from "./options.js";
 import {
     handlePeerLinkClosed,
@@ -78,7 +78,7 @@
             checkRequests(transaction);
             checkWaitingRequests(transaction);
             releaseHeldRequests(transaction).forEach(request => dispatch(transaction, request));
-            migrateFromEvacuated(transaction);
+            checkMigrations(transaction);
             return checkStop(transaction);
         case "requestReceived":
             return handleRequest(transaction, event);
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -98,7 +98,7 @@
 }
 
 /** The holder of a run's replica, if it is still registered as the same incarnation and accepts the run. */
-export function usableHolder(
+function usableHolder(
     state: GatewayState,
     { server, replica }: Attempt,
     now: Milliseconds,
@@ -107,6 +107,21 @@
     return holder?.removedAt === undefined ? holder : undefined;
 }
 
+/**
+ * The holder of a run's replica, if it stays, accepts the run and keeps the replica. A replica that is not complete yet
+ * counts: it grows while the run produces events.
+ */
+export function findStayingHolder(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+): BackendServer | undefined {
+    const holder = usableHolder(transaction.state, attempt, transaction.now);
+    return holder?.leavingSince === undefined && isReplicaKept(transaction, request, attempt.lastActivityAt)
+        ? holder
+        : undefined;
+}
+
 /** Why the holder of a run's replica can't take the run, or that it can; undefined without a replica. */
 export function replicaState(
     { state, now }: Transaction,
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -195,7 +195,8 @@
         copy: undefined,
         isStopRequested: false,
         endAfterStop: undefined,
-        failedTargets: new Set(),
+        failedTargets: new Map(),
+        lacksTarget: false,
         lastActivityAt: now,
         producingTime: 0,
     };
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -60,8 +60,10 @@
     isStopRequested: boolean;
     /** How its answer ended after that request: in the way of a complete one without framing, or as a lost one. */
     endAfterStop: "ended" | "lost" | undefined;
-    /** The targets of this run's failed migrations. */
-    readonly failedTargets: Set<BackendServerId>;
+    /** The targets of this run's failed migrations, and until when each is not tried again. */
+    readonly failedTargets: Map<BackendServerId, Milliseconds>;
+    /** Whether it was last to be migrated when no engine could take it. */
+    lacksTarget: boolean;
     /** When events of this run were last read; initially when it was sent. */
     lastActivityAt: Milliseconds;
     /** How long this run is known to have produced events, since a replica of it may have expired last. */
@@ -264,6 +266,8 @@
     readonly pausedUntil: Map<BackendServerId, Milliseconds>;
     readonly evacuations: Evacuations;
     readonly coldServers: ColdServers;
+    /** When the streams at leaving servers are next checked for a migration. */
+    nextLeavingCheckAt: Milliseconds;
     /** When the streams at evacuated servers are next checked for a migration. */
     nextEvacuationCheckAt: Milliseconds;
     readonly leavingNotices: LeavingNotices;
@@ -358,6 +362,7 @@
         pausedUntil: new Map(),
         evacuations: new Map(),
         coldServers: createColdServers(),
+        nextLeavingCheckAt: -Infinity,
         nextEvacuationCheckAt: -Infinity,
         leavingNotices: new Map(),
         noticeCount: 0,
