Continue a stream that was stopped at its own server, if the copy's holder refuses it

Callers saw an answer cut in a migration: its server had stopped the run as asked, and the holder of the copy refused the continuation, could not be reached or had given notice. No case of the users is known.

Cause: continueFromReplica knew one place for a lost run, and a refused continuation left nothing to continue. The protocol also allows the server that stopped, which keeps the memory, and a 503 answer to the request to stop names its handle.

findContinuation names the copy, the replica and the stopped server in order; each is tried once, within the sends and retries allowed, and the last one only within the drain limit. Each refusal says that nothing ran, and all these sends continue one run.

--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -170,6 +170,10 @@
         const newTokens = usedTokens(run) - (known?.tokens ?? 0);
         this.transferIdleAt = Math.max(now, this.transferIdleAt) + newTokens / this.options.transferRate;
         const handle = known?.handle ?? `move-${this.options.id}-${++this.migrationCount}`;
+        if (stoppedReplica !== undefined) {
+            // The memory of a run that was stopped is kept here as well.
+            this.replicas.set(`${this.options.address}/${handle}`, stoppedReplica);
+        }
         this.clock.schedule(this.transferIdleAt - now, () => {
             if (this.isStopped || (run.hasEnded && !isStopping)) {
                 return done({ kind: "no_run" });
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -90,8 +90,11 @@
 export type MigrationResult =
     /** The replica is complete at the target. If the run was to be stopped, it was. */
     | { readonly kind: "moved"; readonly handle: string; }
-    /** The server had no such run, or the target not enough free memory. */
-    | { readonly kind: "refused"; readonly status: number; }
+    /**
+     * The server had no such run, or the target not enough free memory. A server that stopped the run all the same names the
+     * memory that it keeps.
+     */
+    | { readonly kind: "refused"; readonly status: number; readonly handle?: string; }
     /** There was no answer in time. */
     | { readonly kind: "failed"; readonly detail: string; };
 
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -290,6 +290,7 @@
     if (result.kind === "moved" && copy !== undefined) {
         attempt.copy = { ...copy, name: result.handle };
     }
+    attempt.stoppedHandle = result.kind === "failed" ? undefined : result.handle;
     const status = result.kind === "refused" ? result.status : undefined;
     if (status === noRunStatus && endAfterStop === "ended") {
         // The run was complete before the request to stop it.
@@ -340,8 +341,9 @@
     return true;
 }
 
-/** Continues a run that was stopped from its copy, or else like one that was lost. */
+/** Continues a run that was stopped from its copy, or else from what its server keeps or like one that was lost. */
 function continueStoppedRun(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
+    attempt.hasStopped = true;
     endAttempt(transaction, request, attempt, attempt.endAfterStop === undefined ? "cancel" : "ended");
     retryOrFail(transaction, request, attempt, "stopped");
 }
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -82,6 +82,61 @@
     return replicaLifetime - replicaUpdateInterval;
 }
 
+/** What a run that ended early can continue from: a migration's copy, its replica, or the memory that its server keeps. */
+export type ContinuationSource = "copy" | "replica" | "stopped_run";
+
+/** A server at which a run can continue. */
+export interface Continuation {
+    readonly from: ContinuationSource;
+    readonly server: BackendServer;
+    /** The name of the memory at the address of the run's server. */
+    readonly name: string;
+}
+
+/**
+ * How a run that ended early can continue. Its own server is the last choice, since it leaves.
+ *
+ * @param tried what attempts to continue it were to continue from
+ * @example
+ * const next = findContinuation(transaction, request, attempt, new Set(["copy"]));
+ */
+export function findContinuation(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    tried: ReadonlySet<ContinuationSource>,
+): Continuation | undefined {
+    const { copy, stoppedHandle } = attempt;
+    const copyHolder = copy && usableCopyHolder(transaction, request, attempt, copy);
+    const ways: readonly (readonly [ContinuationSource, BackendServer | undefined, string | undefined])[] = [
+        ["copy", copyHolder, copy?.name],
+        ["replica", findReplicaHolder(transaction, request, attempt), request.head.callerAttemptId],
+        ["stopped_run", stoppedServer(transaction, request, attempt), stoppedHandle ?? copy?.name],
+    ];
+    const [first] = ways.flatMap(([from, server, name]) =>
+        tried.has(from) || server === undefined || name === undefined ? [] : [{ from, server, name }]
+    );
+    return first;
+}
+
+/**
+ * The server that stopped a run when it was asked to, if it keeps the memory and a request still reaches it before the
+ * drain limit. The time counts from the request for the copy, which was before the stop.
+ */
+function stoppedServer(
+    transaction: Transaction,
+    request: GatewayRequest,
+    { server, hasStopped, migrationStartedAt }: Attempt,
+): BackendServer | undefined {
+    const { state, now } = transaction;
+    const known = state.servers.get(server.record.id);
+    const isSame = known !== undefined && known.record.startedAt === server.record.startedAt;
+    const canRun = hasStopped && isSame && isReplicaKept(transaction, request, migrationStartedAt)
+        && isWithinDrainLimit(state, known, now) && !isEvacuated(state, known.record)
+        && acceptsRequest(state, known, now);
+    return canRun ? known : undefined;
+}
+
 /** The server at which a lost run can continue from its replica; undefined if none is likely to hold one. */
 export function findReplicaHolder(
     transaction: Transaction,
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -31,7 +31,7 @@
     usableServers,
 } from "./serverLoad.js";
 import { isPaused, pauseLeft } from "./serverPauses.js";
-import { type Attempt, type GatewayRequest, type GatewayState, priorityOf } from "./state.js";
+import { type Attempt, type GatewayRequest, type GatewayState, type LostRun, priorityOf } from "./state.js";
 import { canContinue, type StreamOrigin } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
 import { startOrWait, waitForColdServer } from "./waiting.js";
@@ -55,6 +55,8 @@
     readonly continuesFrom: RunReplica | undefined;
     /** Undefined if it continues no run. */
     readonly replicaEvidence?: ReplicaEvidence;
+    /** Undefined if it continues no run. */
+    readonly lostRun?: LostRun;
 }
 
 /** Why a replica is taken to exist: its source said that it was moved, or events of the run were received. */
@@ -172,7 +174,7 @@
 /** Sends a request to the given server, and counts the attempt in the loads and the retry budget. */
 export function sendTo(transaction: Transaction, request: GatewayRequest, placement: Placement): void {
     const { state, now, source, effects } = transaction;
-    const { server, continuesFrom, replicaEvidence } = placement;
+    const { server, continuesFrom, replicaEvidence, lostRun } = placement;
     const { head, route, organisation } = request;
     if (request.sends > 0) {
         recordRetry(state.retryBudget, request.service, now);
@@ -184,6 +186,7 @@
         startedAt: now,
         replica,
         continuesFrom,
+        lostRun,
         head: undefined,
         firstEventAt: undefined,
         events: 0,
@@ -193,6 +196,8 @@
         migrationTarget: undefined,
         migrationStartedAt: undefined,
         copy: undefined,
+        stoppedHandle: undefined,
+        hasStopped: false,
         isStopRequested: false,
         endAfterStop: undefined,
         failedTargets: new Map(),
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -23,6 +23,7 @@
 import type { RequestHead, ResponseHead, RunReplica, StreamEvent } from "./messages.js";
 import type { GatewayOptions } from "./options.js";
 import type { OffsetRange, TopicReadStamp } from "./peerReport.js";
+import type { ContinuationSource } from "./replicas.js";
 import type { RequestLimits } from "./requestLimits.js";
 import type { Resumption } from "./resumption.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
@@ -40,6 +41,8 @@
     readonly replica: BackendServer | undefined;
     /** The replica of an earlier run that this run continues. */
     readonly continuesFrom: RunReplica | undefined;
+    /** The run that this one is to continue; undefined if it continues none. */
+    readonly lostRun: LostRun | undefined;
     head: ResponseHead | undefined;
     firstEventAt: Milliseconds | undefined;
     /** The number of events received from this run, whether forwarded or not. */
@@ -56,6 +59,10 @@
     migrationStartedAt: Milliseconds | undefined;
     /** The copy of this run's memory that its last migration made; undefined before one was complete. */
     copy: RunCopy | undefined;
+    /** The handle of the memory that its server keeps after it stopped this run; undefined if it did not name one. */
+    stoppedHandle: string | undefined;
+    /** Whether its server has stopped this run, as far as its answer or the end of its channel tells. */
+    hasStopped: boolean;
     /** Whether its server was asked to stop this run, and may have done so. */
     isStopRequested: boolean;
     /** How its answer ended after that request: in the way of a complete one without framing, or as a lost one. */
@@ -77,6 +84,13 @@
     readonly name: string;
 }
 
+/** A run that ended early, while a continuation of it may still be refused. */
+export interface LostRun {
+    readonly attempt: Attempt;
+    /** What the attempts to continue it were to continue from, the last one included. */
+    readonly tried: ReadonlySet<ContinuationSource>;
+}
+
 /** One request of a caller, until its final answer. */
 export interface GatewayRequest {
     readonly id: RequestId;
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -17,13 +17,13 @@
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { handleEndAfterStop, migrateAfterFirstEvent } from "./migration.js";
-import { findReplicaHolder, recordProduction, usableCopyHolder } from "./replicas.js";
+import { findContinuation, recordProduction } from "./replicas.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
 import { recordNoRun } from "./runLedger.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
-import type { Attempt, GatewayRequest, GatewayState, HeldEvents } from "./state.js";
+import type { Attempt, GatewayRequest, GatewayState, HeldEvents, LostRun } from "./state.js";
 import { holdUntilRecorded } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -271,8 +271,9 @@
 ]);
 
 /**
- * Continues a lost run from its replica. Returns false if that is not possible; the caller of this function then
- * decides whether the request runs again.
+ * Continues a lost run from what is left of its memory. A refused continuation leaves the run as it was, which then
+ * continues from the next place that may hold its memory. Returns false if that is not possible; the caller of this
+ * function then decides whether the request runs again.
  */
 export function continueFromReplica(
     transaction: Transaction,
@@ -280,22 +281,30 @@
     attempt: Attempt,
     outcome: AttemptOutcome,
 ): boolean {
-    const { copy } = attempt;
-    const copyHolder = copy && usableCopyHolder(transaction, request, attempt, copy);
-    const holder = copyHolder ?? findReplicaHolder(transaction, request, attempt);
-    if (holder === undefined || outcomesWithoutRun.has(outcome) || !canSendAgain(transaction, request)) {
+    const lost = runToContinue(attempt, outcome);
+    const next = lost && findContinuation(transaction, request, lost.attempt, lost.tried);
+    if (lost === undefined || next === undefined || !canSendAgain(transaction, request)) {
         return false;
     }
+    const { server: source } = lost.attempt;
     logDecision(transaction, "info", "stream_continued", {
         ...requestFields(transaction, request),
-        from: attempt.server.record.id,
-        fromVersion: attempt.server.record.softwareVersion,
-        to: holder.record.id,
-        toVersion: holder.record.softwareVersion,
+        from: source.record.id,
+        fromVersion: source.record.softwareVersion,
+        to: next.server.record.id,
+        toVersion: next.server.record.softwareVersion,
+        memory: next.from,
+    });
+    sendTo(transaction, request, {
+        server: next.server,
+        continuesFrom: { source: source.record.address, name: next.name },
+        replicaEvidence: next.from === "replica" ? "events" : "moved",
+        lostRun: { attempt: lost.attempt, tried: new Set([...lost.tried, next.from]) },
     });
-    const name = copyHolder === undefined ? request.head.callerAttemptId : copy!.name;
-    const continuesFrom = { source: attempt.server.record.address, name };
-    const replicaEvidence = copyHolder === undefined ? "events" : "moved";
-    sendTo(transaction, request, { server: holder, continuesFrom, replicaEvidence });
     return true;
 }
+
+/** The run that an attempt leaves to be continued: its own, or the one that it was to continue if it did not run. */
+function runToContinue(attempt: Attempt, outcome: AttemptOutcome): LostRun | undefined {
+    return outcomesWithoutRun.has(outcome) ? attempt.lostRun : { attempt, tried: new Set() };
+}
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -5,7 +5,7 @@
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { linesIn, responseHead, server, TestGateway } from "./gatewayBuilders.js";
+import { callsIn, eventsIn, kindsIn, linesIn, responseHead, server, TestGateway } from "./gatewayBuilders.js";
 
 const inThird = { failureDomain: identifier<never>("third") };
 
@@ -141,4 +141,91 @@
     assert.equal(targetsIn(produce(gateway, call, 400)), [server("engine-2").address]);
 });
 
+/** A stream that its server has stopped, and the call that is to continue it from the copy. */
+function stoppedStream(handle: string | undefined = undefined, routeName = "plan") {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const call = gateway.startStream("r", routeName, { promptTokens: 500, maximumTokens: 1_000 });
+    gateway.register(server("engine-2"));
+    leave(gateway, server("engine-1"));
+    const { attemptId } = call;
+    gateway.handle({ kind: "migrationAnswered", attemptId, result: { kind: "moved", handle: "h1" } });
+    const result = { kind: "refused", status: 503, ...handle === undefined ? {} : { handle } } as const;
+    const [next] = callsIn(gateway.handle({ kind: "migrationAnswered", attemptId, result }));
+    return { gateway, call, next };
+}
+
+const refused = { status: 503, isNotRun: true, isSealed: false } as const;
+
+const continuationsIn = (effects: readonly GatewayEffect[]) =>
+    callsIn(effects).map(({ backendServer, continuesFrom, lastEvent }) => [
+        String(backendServer),
+        continuesFrom?.source,
+        continuesFrom?.name,
+        lastEvent,
+    ]);
+
+// The answer was cut, though the server that had stopped the run on request still kept its memory.
+test("a stream that was stopped continues at its own server if the holder of the copy refuses it", () => {
+    for (const [handle, name] of [[undefined, "h1"], ["h2", "h2"]] as const) {
+        const { gateway, call, next } = stoppedStream(handle);
+        assert.equal([next.backendServer, next.continuesFrom?.name], ["engine-2", "h1"]);
+        const effects = gateway.answer(next, refused);
+        assert.equal(continuationsIn(effects), [["engine-1", call.address, name, 1]]);
+        const [again] = callsIn(effects);
+        gateway.openStream(again);
+        assert.equal(eventsIn(gateway.receiveEvents(again, 2)), [2]);
+    }
+});
+
+test("a stream that was stopped continues at its own server if that of the copy can't be reached or has left", () => {
+    const { gateway, next: { attemptId } } = stoppedStream();
+    const effects = gateway.handle({ kind: "attemptFailed", attemptId, failure: "connect_refused", wasSent: false });
+    assert.equal(continuationsIn(effects).map(([id]) => id), ["engine-1"]);
+    const other = TestGateway.serving(server("engine-1"));
+    const call = other.startStream("r", "plan", { promptTokens: 500, maximumTokens: 1_000 });
+    other.register(server("engine-2"));
+    leave(other, server("engine-1"));
+    const result = { kind: "moved", handle: "h1" } as const;
+    other.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result });
+    const report = { runs: undefined, isLeaving: true, startedAt: undefined };
+    other.handle({ kind: "serverProbed", backendServer: identifier<never>("engine-2"), report });
+    const answered = other.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result });
+    assert.equal(continuationsIn(answered).map(([id]) => id), ["engine-1"]);
+});
+
+test("a stream that was stopped continues from each place once, and is then cut", () => {
+    const { gateway, next } = stoppedStream();
+    const [again] = callsIn(gateway.answer(next, refused));
+    const effects = gateway.answer(again, refused);
+    assert.equal(callsIn(effects), []);
+    assert.ok(kindsIn(effects).includes("answerCut"));
+});
+
+test("a stream that was stopped does not continue at its own server where that is too late for the drain limit", () => {
+    const { gateway, next } = stoppedStream();
+    gateway.now += 1_700;
+    assert.equal(callsIn(gateway.answer(next, refused)), []);
+});
+
+test("a stream that was stopped continues from its replica before its own server, if the holder of the copy refuses it", () => {
+    const { gateway, call, source, holder } = replicatedStream(5);
+    gateway.state.pausedUntil.set(holder.id, gateway.now + 300);
+    assert.is(targetsIn([...leave(gateway, source), ...gateway.advance(50)]).length, 1);
+    const copied = { kind: "moved", handle: "h1" } as const;
+    const answerWith = () => gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: copied });
+    answerWith();
+    const [next] = callsIn(answerWith());
+    assert.is.not(next.backendServer, holder.id);
+    gateway.advance(400);
+    const effects = gateway.answer(next, refused);
+    assert.equal(continuationsIn(effects), [[holder.id, source.address, "r", 16]]);
+    assert.equal(continuationsIn(gateway.answer(callsIn(effects)[0], refused)).map(([id]) => id), [source.id]);
+});
+
+test("a run that was not stopped is not continued at its own server", () => {
+    const { gateway, call } = replicatedStream(5);
+    const [next] = callsIn(gateway.failAttempt(call));
+    assert.equal(callsIn(gateway.answer(next, refused)), []);
+});
+
 test.run();
