--- /dev/null
+++ b/packages/gateway/test/migration.test.ts
@@ -0,0 +1,231 @@
+/**
+ * Streams at servers that leave: whether each is migrated is decided again when what decided it has changed.
+ */
+import type { BackendCall, BackendRecord, GatewayEffect } from "@verbenaspring/gateway";
+import { identifier } from "@verbenaspring/model";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { callsIn, eventsIn, kindsIn, linesIn, responseHead, server, TestGateway } from "./gatewayBuilders.js";
+
+const inThird = { failureDomain: identifier<never>("third") };
+
+/** The addresses of the targets to which copies begin. */
+function targetsIn(effects: readonly GatewayEffect[]): string[] {
+    return effects.flatMap(effect =>
+        effect.kind === "migrateRun" && !effect.isStopping ? [String(effect.targetAddress)] : []
+    );
+}
+
+/** A stream with its replica at a server, which has no third engine beside them yet. */
+function replicatedStream(startedAt: number | undefined) {
+    const gateway = TestGateway.serving(server("engine-1", { startedAt }), server("engine-2", { startedAt }));
+    const call = gateway.startReplicatedStream("r", "plan");
+    const { server: source, replica } = gateway.state.attempts.get(call.attemptId)!.attempt!;
+    gateway.register(server("engine-3", { startedAt }), server("engine-4", { startedAt, ...inThird }));
+    return { gateway, call, source: source.record, holder: replica!.record };
+}
+
+/** Advances while the run goes on. */
+function produce(gateway: TestGateway, call: BackendCall, duration: number): GatewayEffect[] {
+    const effects: GatewayEffect[] = [];
+    for (let elapsed = 0; elapsed < duration; elapsed += 100) {
+        effects.push(...gateway.advance(100));
+        const { lastEvent } = gateway.state.attempts.get(call.attemptId)!;
+        effects.push(...gateway.receiveEvents(call, (lastEvent ?? 0) + 1));
+    }
+    return effects;
+}
+
+function leave(gateway: TestGateway, record: BackendRecord): GatewayEffect[] {
+    return gateway.register({ ...record, isDraining: true, heartbeat: record.heartbeat + 1 });
+}
+
+type HolderChange = (gateway: TestGateway, holder: BackendRecord) => GatewayEffect[];
+
+const holderChanges: readonly (readonly [name: string, change: HolderChange])[] = [
+    ["drains", leave],
+    ["is removed", (gateway, { id }) => gateway.remove(id)],
+    ["reports that it leaves", (gateway, { id }) => {
+        const report = { runs: undefined, isLeaving: true, startedAt: 5 };
+        return gateway.handle({ kind: "serverProbed", backendServer: id, report });
+    }],
+    ["says in an answer that it leaves", (gateway, { id }) => {
+        for (let index = 0;; index++) {
+            const call = gateway.sendRequest(`n${index}`, "note", { promptTokens: 10, maximumTokens: 10 });
+            const isLeaving = call.backendServer === id;
+            const effects = gateway.handle({
+                kind: "streamOpened",
+                attemptId: call.attemptId,
+                head: { ...responseHead(call), isLeaving },
+            });
+            if (isLeaving) {
+                return effects;
+            }
+        }
+    }],
+    ["restarts under its id", (gateway, holder) => gateway.register({ ...holder, startedAt: 6, heartbeat: 1 })],
+    ["pauses", (gateway, { id }) => {
+        gateway.state.pausedUntil.set(id, gateway.now + 5_000);
+        return [];
+    }],
+    ["is evacuated", (gateway, { failureDomain }) => {
+        const key = `evacuate/${failureDomain}`;
+        const evacuation = { kind: "evacuation", key, failureDomain, isRequested: true } as const;
+        return gateway.read("configuration", [gateway.item(key, [evacuation])]);
+    }],
+];
+
+// Servers left one after the other, and the streams of the first one were cut when it exited.
+for (const [name, change] of holderChanges) {
+    test(`a stream at a leaving server is migrated when the holder of its replica ${name}`, () => {
+        const { gateway, call, source, holder } = replicatedStream(5);
+        const safe = [...leave(gateway, source), ...produce(gateway, call, 1_500)];
+        assert.equal(targetsIn(safe), [], "the replica is at a server that stays");
+        const targets = targetsIn([...change(gateway, holder), ...produce(gateway, call, 300)]);
+        assert.is(targets.length, 1);
+        assert.is.not(targets[0], source.address);
+        // A holder that has restarted has lost its replica, and is a target like any other.
+        assert.ok(targets[0] !== holder.address || gateway.state.servers.get(holder.id)?.record.startedAt === 6);
+    });
+}
+
+test("a stream at a server that gave notice or was removed is migrated when the holder of its replica leaves", () => {
+    for (const isRemoved of [false, true]) {
+        const { gateway, call, source, holder } = replicatedStream(5);
+        const report = { runs: undefined, isLeaving: true, startedAt: 5 };
+        const left = isRemoved
+            ? gateway.remove(source.id)
+            : gateway.handle({ kind: "serverProbed", backendServer: source.id, report });
+        assert.equal(targetsIn([...left, ...produce(gateway, call, 1_500)]), []);
+        assert.is(targetsIn([...leave(gateway, holder), ...produce(gateway, call, 300)]).length, 1);
+    }
+});
+
+test("a stream that was silent for longer than a replica is kept is migrated from a leaving server", () => {
+    const { gateway, source } = replicatedStream(5);
+    assert.equal(targetsIn([...leave(gateway, source), ...gateway.advance(4_400)]), []);
+    assert.is(targetsIn(gateway.advance(400)).length, 1);
+});
+
+test("a stream stays where it is when the holder of its replica leaves and its own server does not", () => {
+    const { gateway, call, holder } = replicatedStream(5);
+    assert.equal(targetsIn([...leave(gateway, holder), ...produce(gateway, call, 1_000)]), []);
+});
+
+test("a stream without a target is migrated once another server is registered, and its lack is logged once", () => {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const call = gateway.startStream("r", "plan", { promptTokens: 500, maximumTokens: 1_000 });
+    const without = [...leave(gateway, server("engine-1")), ...produce(gateway, call, 1_000)];
+    assert.equal(targetsIn(without), []);
+    assert.is(linesIn(without, "move_without_target").length, 1);
+    const registered = gateway.register(server("engine-2"));
+    assert.equal(targetsIn([...registered, ...gateway.advance(50)]), [server("engine-2").address]);
+});
+
+test("a stream that was expected to end soon is migrated once it exceeds its estimate", () => {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const call = gateway.startStream("r", "plan", { maximumTokens: 1_000, estimatedTokens: 40 });
+    gateway.register(server("engine-2"));
+    assert.equal(targetsIn(leave(gateway, server("engine-1"))), [], "40 tokens take half a second");
+    assert.equal(targetsIn(produce(gateway, call, 800)), []);
+    assert.equal(targetsIn(produce(gateway, call, 3_000)), [server("engine-2").address]);
+});
+
+test("a target at which a migration failed is tried again after a second, not at once", () => {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const call = gateway.startStream("r", "plan", { promptTokens: 500, maximumTokens: 1_000 });
+    gateway.register(server("engine-2"));
+    assert.is(targetsIn(leave(gateway, server("engine-1"))).length, 1);
+    const failed = gateway.answerMigration(call.attemptId, undefined);
+    assert.equal(targetsIn([...failed, ...produce(gateway, call, 900)]), []);
+    assert.equal(targetsIn(produce(gateway, call, 400)), [server("engine-2").address]);
+});
+
+/** A stream that its server has stopped, and the call that is to continue it from the copy. */
+function stoppedStream(handle: string | undefined = undefined, routeName = "plan") {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const call = gateway.startStream("r", routeName, { promptTokens: 500, maximumTokens: 1_000 });
+    gateway.register(server("engine-2"));
+    leave(gateway, server("engine-1"));
+    const { attemptId } = call;
+    gateway.handle({ kind: "migrationAnswered", attemptId, result: { kind: "moved", handle: "h1" } });
+    const result = { kind: "refused", status: 503, ...handle === undefined ? {} : { handle } } as const;
+    const [next] = callsIn(gateway.handle({ kind: "migrationAnswered", attemptId, result }));
+    return { gateway, call, next };
+}
+
+const refused = { status: 503, isNotRun: true, isSealed: false } as const;
+
+const continuationsIn = (effects: readonly GatewayEffect[]) =>
+    callsIn(effects).map(({ backendServer, continuesFrom, lastEvent }) => [
+        String(backendServer),
+        continuesFrom?.source,
+        continuesFrom?.name,
+        lastEvent,
+    ]);
+
+// The answer was cut, though the server that had stopped the run on request still kept its memory.
+test("a stream that was stopped continues at its own server if the holder of the copy refuses it", () => {
+    for (const [handle, name] of [[undefined, "h1"], ["h2", "h2"]] as const) {
+        const { gateway, call, next } = stoppedStream(handle);
+        assert.equal([next.backendServer, next.continuesFrom?.name], ["engine-2", "h1"]);
+        const effects = gateway.answer(next, refused);
+        assert.equal(continuationsIn(effects), [["engine-1", call.address, name, 1]]);
+        const [again] = callsIn(effects);
+        gateway.openStream(again);
+        assert.equal(eventsIn(gateway.receiveEvents(again, 2)), [2]);
+    }
+});
+
+test("a stream that was stopped continues at its own server if that of the copy can't be reached or has left", () => {
+    const { gateway, next: { attemptId } } = stoppedStream();
+    const effects = gateway.handle({ kind: "attemptFailed", attemptId, failure: "connect_refused", wasSent: false });
+    assert.equal(continuationsIn(effects).map(([id]) => id), ["engine-1"]);
+    const other = TestGateway.serving(server("engine-1"));
+    const call = other.startStream("r", "plan", { promptTokens: 500, maximumTokens: 1_000 });
+    other.register(server("engine-2"));
+    leave(other, server("engine-1"));
+    const result = { kind: "moved", handle: "h1" } as const;
+    other.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result });
+    const report = { runs: undefined, isLeaving: true, startedAt: undefined };
+    other.handle({ kind: "serverProbed", backendServer: identifier<never>("engine-2"), report });
+    const answered = other.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result });
+    assert.equal(continuationsIn(answered).map(([id]) => id), ["engine-1"]);
+});
+
+test("a stream that was stopped continues from each place once, and is then cut", () => {
+    const { gateway, next } = stoppedStream();
+    const [again] = callsIn(gateway.answer(next, refused));
+    const effects = gateway.answer(again, refused);
+    assert.equal(callsIn(effects), []);
+    assert.ok(kindsIn(effects).includes("answerCut"));
+});
+
+test("a stream that was stopped does not continue at its own server where that is too late for the drain limit", () => {
+    const { gateway, next } = stoppedStream();
+    gateway.now += 1_700;
+    assert.equal(callsIn(gateway.answer(next, refused)), []);
+});
+
+test("a stream that was stopped continues from its replica before its own server, if the holder of the copy refuses it", () => {
+    const { gateway, call, source, holder } = replicatedStream(5);
+    gateway.state.pausedUntil.set(holder.id, gateway.now + 300);
+    assert.is(targetsIn([...leave(gateway, source), ...gateway.advance(50)]).length, 1);
+    const copied = { kind: "moved", handle: "h1" } as const;
+    const answerWith = () => gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: copied });
+    answerWith();
+    const [next] = callsIn(answerWith());
+    assert.is.not(next.backendServer, holder.id);
+    gateway.advance(400);
+    const effects = gateway.answer(next, refused);
+    assert.equal(continuationsIn(effects), [[holder.id, source.address, "r", 16]]);
+    assert.equal(continuationsIn(gateway.answer(callsIn(effects)[0], refused)).map(([id]) => id), [source.id]);
+});
+
+test("a run that was not stopped is not continued at its own server", () => {
+    const { gateway, call } = replicatedStream(5);
+    const [next] = callsIn(gateway.failAttempt(call));
+    assert.equal(callsIn(gateway.answer(next, refused)), []);
+});
+
+test.run();
