Keep the copy of a stream that can't be stopped yet, and don't repeat it without a retry

Callers would see a stream cut although a complete copy of it is elsewhere: where its leaving server pauses or no retry is left, requestStop dropped the copy, and the next migration began at once, with each answer again. No case of the users is known.

Cause: the copy was recorded only together with the request to stop the run. Also, its age was taken from the newest migration of the run.

Each complete copy is recorded with the time of its own migration. A stream that has one and may not be sent again waits.

migration.test.ts: before, the 3 new tests fail (copied again; no call to "engine-2"; sent to an expired copy); after, 22 of 22 pass.

--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -150,13 +150,15 @@
     const canMigrate = engineOf(state, request.service)?.canMigrate === true;
     const isSafe = route.canResume || findStayingHolder(transaction, request, attempt) !== undefined;
     const hasTargetsLeft = countFailedTargets(attempt, now) < maximumMigrationTargets;
+    // A copy is of no use before the stream may be sent again, and is repeated then.
+    const isWaiting = attempt.copy !== undefined && !canSendAgain(transaction, request);
     const remaining = remainingTime(transaction, request);
     const isDue = reason === "evacuated"
         // A stream is cut at its deadline, wherever it runs.
         ? Math.min(remaining, request.deadline - now) > (state.options.evacuationLimit ?? defaultEvacuationLimit)
             && canSendAgain(transaction, request, reservedRetries + underWay)
         : remaining > minimumRemainingTime && !isSafe;
-    return canMigrate && hasTargetsLeft && isDue ? [{ request, attempt, isSafe }] : [];
+    return canMigrate && hasTargetsLeft && isDue && !isWaiting ? [{ request, attempt, isSafe }] : [];
 }
 
 function countFailedTargets({ failedTargets }: Attempt, now: Milliseconds): number {
@@ -266,14 +268,17 @@
     result: MigrationResult,
 ): boolean {
     const { state, now } = transaction;
-    if (result.kind !== "moved" || isPaused(state, attempt.server.record.id, now)) {
+    if (result.kind !== "moved") {
         return false;
     }
-    const copy: RunCopy = { holder: target, name: result.handle };
-    if (usableCopyHolder(transaction, request, attempt, copy) === undefined || !canSendAgain(transaction, request)) {
+    // If the run can't be stopped now, the stream can continue from the copy when its server exits.
+    const requestedAt = attempt.migrationStartedAt ?? -Infinity;
+    const copy: RunCopy = { holder: target, name: result.handle, requestedAt };
+    attempt.copy = copy;
+    const canStop = !isPaused(state, attempt.server.record.id, now) && canSendAgain(transaction, request);
+    if (!canStop || usableCopyHolder(transaction, request, attempt, copy) === undefined) {
         return false;
     }
-    attempt.copy = copy;
     attempt.isStopRequested = true;
     requestMigration(transaction, request, attempt, target, true);
     return true;
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -126,12 +126,12 @@
 function stoppedServer(
     transaction: Transaction,
     request: GatewayRequest,
-    { server, hasStopped, migrationStartedAt }: Attempt,
+    { server, hasStopped, copy }: Attempt,
 ): BackendServer | undefined {
     const { state, now } = transaction;
     const known = state.servers.get(server.record.id);
     const isSame = known !== undefined && known.record.startedAt === server.record.startedAt;
-    const canRun = hasStopped && isSame && isReplicaKept(transaction, request, migrationStartedAt)
+    const canRun = hasStopped && isSame && isReplicaKept(transaction, request, copy?.requestedAt)
         && isWithinDrainLimit(state, known, now) && !isEvacuated(state, known.record)
         && acceptsRequest(state, known, now);
     return canRun ? known : undefined;
@@ -202,10 +202,10 @@
 export function usableCopyHolder(
     transaction: Transaction,
     request: GatewayRequest,
-    { server, migrationStartedAt }: Attempt,
-    { holder }: RunCopy,
+    { server }: Attempt,
+    { holder, requestedAt }: RunCopy,
 ): BackendServer | undefined {
-    return isReplicaKept(transaction, request, migrationStartedAt)
+    return isReplicaKept(transaction, request, requestedAt)
         ? acceptingHolder(transaction.state, holder, server, transaction.now)
         : undefined;
 }
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -82,6 +82,8 @@
     readonly holder: BackendServer;
     /** The handle of the migration. */
     readonly name: string;
+    /** When the migration was requested. */
+    readonly requestedAt: Milliseconds;
 }
 
 /** A run that ended early, while a continuation of it may still be refused. */
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -141,6 +141,47 @@
     assert.equal(targetsIn(produce(gateway, call, 400)), [server("engine-2").address]);
 });
 
+/** A stream at a leaving server that is being copied, since no engine holds its replica. */
+function migratingStream(): { readonly gateway: TestGateway; readonly call: BackendCall; } {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const call = gateway.startStream("r", "plan", { promptTokens: 500, maximumTokens: 1_000 });
+    gateway.register(server("engine-2"));
+    assert.is(targetsIn(leave(gateway, server("engine-1"))).length, 1);
+    return { gateway, call };
+}
+
+const noRetries = { ratio: 0, slack: 0, window: 10_000 };
+const moved = { kind: "moved", handle: "h1" } as const;
+
+// It was copied again as soon as the answer came, each time that it came.
+test("a stream that was copied is not copied again while it may not be sent again, and is moved once it may", () => {
+    const { gateway, call } = migratingStream();
+    gateway.state.retryBudget.options = noRetries;
+    const answered = gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved });
+    assert.equal(targetsIn([...answered, ...produce(gateway, call, 600)]), []);
+    gateway.state.retryBudget.options = { ...noRetries, slack: 5 };
+    assert.equal(targetsIn(gateway.advance(250)), [server("engine-2").address]);
+});
+
+// The copy was used only if the server could be asked at once to stop the run.
+test("a stream whose server exits after it was copied continues from the copy, also if the run could not be stopped yet", () => {
+    const { gateway, call } = migratingStream();
+    gateway.state.pausedUntil.set(call.backendServer, gateway.now + 5_000);
+    const answered = gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved });
+    assert.equal([...targetsIn(answered), ...callsIn(answered)], []);
+    produce(gateway, call, 300);
+    assert.equal(continuationsIn(gateway.failAttempt(call)), [["engine-2", call.address, "h1", 4]]);
+});
+
+test("an earlier copy is not taken for kept because another migration began later", () => {
+    const { gateway, call } = migratingStream();
+    const { attemptId } = call;
+    gateway.handle({ kind: "migrationAnswered", attemptId, result: moved });
+    gateway.handle({ kind: "migrationAnswered", attemptId, result: { kind: "refused", status: 500 } });
+    assert.is(targetsIn(produce(gateway, call, 4_600)).length, 1, "the second migration is not answered");
+    assert.equal(callsIn(gateway.failAttempt(call)), []);
+});
+
 /** A stream that its server has stopped, and the call that is to continue it from the copy. */
 function stoppedStream(handle: string | undefined = undefined, routeName = "plan") {
     const gateway = TestGateway.serving(server("engine-1"));
