Log why a stream stays at a server that leaves

A stream that ends with its leaving server left no line that says why it had not been migrated: its replica was safe, its end expected, no retry left, its targets failed, or its run not begun.

move_not_due names the obstacle (debug, once until it changes) with the replica's state, the expected remaining time and the silence; move_without_target has the same fields. migration.test.ts, "why a stream stays...": no such line before, passes after.

--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -15,7 +15,7 @@
 import { isEvacuated } from "./evacuations.js";
 import type { GatewayEvent, MigrationResult } from "./event.js";
 import { expectedOutput } from "./messages.js";
-import { findStayingHolder, usableCopyHolder } from "./replicas.js";
+import { findStayingHolder, replicaState, usableCopyHolder } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
@@ -30,6 +30,18 @@
 /** Why streams are migrated away from a server. */
 type MigrationReason = "leaving" | "evacuated";
 
+/** Why a stream is not migrated from a server that leaves or is evacuated. */
+export type MigrationObstacle =
+    | "not_begun"
+    | "stop_requested"
+    | "server_restarted"
+    | "not_supported"
+    | "targets_failed"
+    | "ends_soon"
+    | "safe"
+    | "no_retry"
+    | "no_target";
+
 interface MigratableStream {
     readonly request: GatewayRequest;
     readonly attempt: Attempt;
@@ -138,27 +150,82 @@
     reason: MigrationReason,
     underWay: number,
 ): MigratableStream[] {
-    const { state, now } = transaction;
     const { attempt, route } = request;
-    if (attempt === undefined || !route.isStream || attempt.firstEventAt === undefined) {
+    if (attempt === undefined || !route.isStream) {
+        return [];
+    }
+    const isSafe = route.canResume || findStayingHolder(transaction, request, attempt) !== undefined;
+    const stream = { request, attempt, isSafe };
+    const obstacle = migrationObstacle(transaction, stream, reason, underWay);
+    if (obstacle !== undefined) {
+        logObstacle(transaction, stream, obstacle, "debug");
         return [];
     }
+    return [stream];
+}
+
+function migrationObstacle(
+    transaction: Transaction,
+    { request, attempt, isSafe }: MigratableStream,
+    reason: MigrationReason,
+    underWay: number,
+): MigrationObstacle | undefined {
+    const { state, now } = transaction;
+    if (attempt.firstEventAt === undefined) {
+        return "not_begun";
+    }
     // A run that may have been stopped continues from its copy as soon as its end is seen.
     if (isSuperseded(state, attempt.server) || attempt.isStopRequested) {
-        return [];
+        return attempt.isStopRequested ? "stop_requested" : "server_restarted";
+    }
+    if (engineOf(state, request.service)?.canMigrate !== true) {
+        return "not_supported";
+    }
+    if (countFailedTargets(attempt, now) >= maximumMigrationTargets) {
+        return "targets_failed";
     }
-    const canMigrate = engineOf(state, request.service)?.canMigrate === true;
-    const isSafe = route.canResume || findStayingHolder(transaction, request, attempt) !== undefined;
-    const hasTargetsLeft = countFailedTargets(attempt, now) < maximumMigrationTargets;
-    // A copy is of no use before the stream may be sent again, and is repeated then.
-    const isWaiting = attempt.copy !== undefined && !canSendAgain(transaction, request);
     const remaining = remainingTime(transaction, request);
-    const isDue = reason === "evacuated"
+    if (reason === "evacuated") {
         // A stream is cut at its deadline, wherever it runs.
-        ? Math.min(remaining, request.deadline - now) > (state.options.evacuationLimit ?? defaultEvacuationLimit)
-            && canSendAgain(transaction, request, reservedRetries + underWay)
-        : remaining > minimumRemainingTime && !isSafe;
-    return canMigrate && hasTargetsLeft && isDue && !isWaiting ? [{ request, attempt, isSafe }] : [];
+        const isLong = Math.min(remaining, request.deadline - now)
+            > (state.options.evacuationLimit ?? defaultEvacuationLimit);
+        return isLong ? retryObstacle(transaction, request, reservedRetries + underWay) : "ends_soon";
+    }
+    if (isSafe || remaining <= minimumRemainingTime) {
+        return isSafe ? "safe" : "ends_soon";
+    }
+    // A copy is of no use before the stream may be sent again, and is repeated then.
+    return attempt.copy === undefined ? undefined : retryObstacle(transaction, request, 0);
+}
+
+function retryObstacle(
+    transaction: Transaction,
+    request: GatewayRequest,
+    reserved: number,
+): MigrationObstacle | undefined {
+    return canSendAgain(transaction, request, reserved) ? undefined : "no_retry";
+}
+
+/** Logs why a stream is not migrated, once until that changes. */
+function logObstacle(
+    transaction: Transaction,
+    { request, attempt }: MigratableStream,
+    obstacle: MigrationObstacle,
+    level: "debug" | "warn",
+): void {
+    if (attempt.loggedObstacle === obstacle) {
+        return;
+    }
+    attempt.loggedObstacle = obstacle;
+    logDecision(transaction, level, obstacle === "no_target" ? "move_without_target" : "move_not_due", {
+        ...requestFields(transaction, request),
+        server: attempt.server.record.id,
+        obstacle,
+        replica: attempt.replica?.record.id,
+        replicaState: replicaState(transaction, attempt),
+        remaining: Math.round(remainingTime(transaction, request)),
+        silence: Math.round(transaction.now - attempt.lastActivityAt),
+    });
 }
 
 function countFailedTargets({ failedTargets }: Attempt, now: Milliseconds): number {
@@ -175,22 +242,15 @@
 }
 
 /** Starts the migration of a stream. Returns false if no engine can take its run. */
-function startMigration(
-    transaction: Transaction,
-    { request, attempt }: MigratableStream,
-    reason: MigrationReason,
-): boolean {
+function startMigration(transaction: Transaction, stream: MigratableStream, reason: MigrationReason): boolean {
+    const { request, attempt } = stream;
     const target = chooseTarget(transaction, request, attempt, reason);
     if (target === undefined) {
-        if (!attempt.lacksTarget) {
-            attempt.lacksTarget = true;
-            // The streams of evacuated servers go on where they are.
-            const level = reason === "evacuated" ? "debug" : "warn";
-            logDecision(transaction, level, "move_without_target", requestFields(transaction, request));
-        }
+        // The streams of evacuated servers go on where they are.
+        logObstacle(transaction, stream, "no_target", reason === "evacuated" ? "debug" : "warn");
         return false;
     }
-    attempt.lacksTarget = false;
+    attempt.loggedObstacle = undefined;
     setMigrationTarget(transaction.state, attempt, target);
     attempt.migrationStartedAt = transaction.now;
     requestMigration(transaction, request, attempt, target, false);
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -201,7 +201,7 @@
         isStopRequested: false,
         endAfterStop: undefined,
         failedTargets: new Map(),
-        lacksTarget: false,
+        loggedObstacle: undefined,
         lastActivityAt: now,
         producingTime: 0,
     };
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -21,6 +21,7 @@
 import type { LeavingNotices } from "./leavingServers.js";
 import type { LiveMembers, Member, MemberTotals, OwnRecord } from "./members.js";
 import type { RequestHead, ResponseHead, RunReplica, StreamEvent } from "./messages.js";
+import type { MigrationObstacle } from "./migration.js";
 import type { GatewayOptions } from "./options.js";
 import type { OffsetRange, TopicReadStamp } from "./peerReport.js";
 import type { ContinuationSource } from "./replicas.js";
@@ -69,8 +70,8 @@
     endAfterStop: "ended" | "lost" | undefined;
     /** The targets of this run's failed migrations, and until when each is not tried again. */
     readonly failedTargets: Map<BackendServerId, Milliseconds>;
-    /** Whether it was last to be migrated when no engine could take it. */
-    lacksTarget: boolean;
+    /** Why this run is not migrated from a server that leaves or is evacuated, as logged last. */
+    loggedObstacle: MigrationObstacle | undefined;
     /** When events of this run were last read; initially when it was sent. */
     lastActivityAt: Milliseconds;
     /** How long this run is known to have produced events, since a replica of it may have expired last. */
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -141,6 +141,19 @@
     assert.equal(targetsIn(produce(gateway, call, 400)), [server("engine-2").address]);
 });
 
+test("why a stream stays at a leaving server is logged once, and again when it changes", () => {
+    const { gateway, call, source, holder } = replicatedStream(5);
+    const obstaclesIn = (effects: readonly GatewayEffect[]) =>
+        linesIn(effects, "move_not_due").map(({ obstacle, replicaState }) => [obstacle, replicaState]);
+    assert.equal(obstaclesIn([...leave(gateway, source), ...produce(gateway, call, 1_000)]), [["safe", "usable"]]);
+    gateway.state.retryBudget.options = noRetries;
+    leave(gateway, holder);
+    gateway.advance(50);
+    const { attemptId } = call;
+    const answered = gateway.handle({ kind: "migrationAnswered", attemptId, result: moved });
+    assert.equal(obstaclesIn([...answered, ...produce(gateway, call, 500)]), [["no_retry", "leaving"]]);
+});
+
 /** A stream at a leaving server that is being copied, since no engine holds its replica. */
 function migratingStream(): { readonly gateway: TestGateway; readonly call: BackendCall; } {
     const gateway = TestGateway.serving(server("engine-1"));
