Keep a silent stream's attempt open until another server has accepted the stream

Callers saw streams cut whose server only stood still for 1.2 s or more and would have gone on: the gateway cancelled the call when a probe failed, sent the stream to the holder of its replica, and cut it when the holder refused, couldn't be reached or stood still as well.

Cause: abandonAttempt ended the attempt before its replacement was certain.

Now the silent attempt is set aside. The head of the newer one ends it; an event of the silent run ends the newer one; if no server takes the stream, it returns to the silent attempt and is probed again after another 1.2 s. The end of the request cancels both.

--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -372,13 +372,20 @@
 }
 
 /** Whether an effect concerns only sockets, which are not emulated: virtual servers close theirs when they stop. */
+const socketEffects: ReadonlySet<GatewayEffect["kind"]> = new Set([
+    "applyLimits",
+    "startDraining",
+    "closeIdleChannels",
+    "returnToAttempt",
+]);
+
 function isOfSockets(effect: GatewayEffect): effect is SocketEffect {
-    return effect.kind === "applyLimits" || effect.kind === "startDraining" || effect.kind === "closeIdleChannels";
+    return socketEffects.has(effect.kind);
 }
 
 type SocketEffect = Extract<
     GatewayEffect,
-    { readonly kind: "applyLimits" | "startDraining" | "closeIdleChannels"; }
+    { readonly kind: "applyLimits" | "startDraining" | "closeIdleChannels" | "returnToAttempt"; }
 >;
 
 function isAnswer(effect: GatewayEffect): effect is AnswerEffect {
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -25,6 +25,7 @@
 import { isSuperseded, runFate } from "./serverIncarnations.js";
 import { removeLoad } from "./serverLoad.js";
 import { recordServerPause } from "./serverPauses.js";
+import { checkSilentAttempt, returnToSilentAttempt, setSilentAttemptAside } from "./silentAttempts.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { continueFromReplica } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -169,8 +170,8 @@
     | "stopped";
 
 /**
- * Handles an attempt without a deliverable answer: continues the stream from its replica, sends the request again, or
- * ends it.
+ * Handles an attempt without a deliverable answer: continues the stream from its replica, sends the request again,
+ * returns to its silent attempt, or ends it.
  *
  * @param answer the server's own error answer, which is passed on if the request can't be sent again
  */
@@ -193,6 +194,9 @@
     if (suspension === undefined && mayRunAgain && canDispatchAgain(transaction, request)) {
         return dispatch(transaction, request);
     }
+    if (returnToSilentAttempt(transaction, request)) {
+        return;
+    }
     if (answer !== undefined && !request.isHeadWritten && !signalsNotRun(answer)) {
         transaction.effects.push({ kind: "answerWhole", requestId: request.id, answer });
         return finishRequest(transaction, request);
@@ -313,6 +317,7 @@
     if (now >= request.deadline) {
         return failRequest(transaction, request, "deadline_exceeded", "no complete answer within the time allowed");
     }
+    checkSilentAttempt(transaction, request);
     const { attempt, route } = request;
     if (attempt === undefined) {
         return;
@@ -353,3 +358,22 @@
     endAttempt(transaction, request, attempt, "cancel");
     retryOrFail(transaction, request, attempt, "silent");
 }
+
+/**
+ * Sends a silent stream elsewhere. Its attempt stays open until another server has accepted the stream.
+ *
+ * @param isRunning whether its server is known to work on it
+ */
+export function sendElsewhere(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    isRunning: boolean,
+): void {
+    if (request.silentAttempt !== undefined) {
+        return abandonAttempt(transaction, request, attempt);
+    }
+    recordHealth(transaction, attempt, "silent");
+    setSilentAttemptAside(transaction, request, attempt, isRunning);
+    retryOrFail(transaction, request, attempt, "silent");
+}
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -38,6 +38,8 @@
 export type GatewayEffect =
     | { readonly kind: "sendAttempt"; readonly requestId: RequestId; readonly call: BackendCall; }
     | { readonly kind: "cancelAttempt"; readonly attemptId: AttemptId; }
+    /** The answer of an earlier attempt, which is still open, goes to the caller instead of that of the newest. */
+    | { readonly kind: "returnToAttempt"; readonly requestId: RequestId; readonly attemptId: AttemptId; }
     | { readonly kind: "answerWhole"; readonly requestId: RequestId; readonly answer: BackendAnswer; }
     | { readonly kind: "answerHead"; readonly requestId: RequestId; readonly head: ResponseHead; }
     | { readonly kind: "answerEvents"; readonly requestId: RequestId; readonly events: readonly StreamEvent[]; }
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -3,7 +3,7 @@
  * so an attempt is abandoned only if a probe shows that its server or its channel is dead.
  */
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
-import { abandonAttempt, loseRestartedRun } from "./attempts.js";
+import { abandonAttempt, loseRestartedRun, sendElsewhere } from "./attempts.js";
 import type { BackendRecord } from "./backendServers.js";
 import { recordColdStatement } from "./coldServers.js";
 import { settleLostRuns } from "./crashSuspects.js";
@@ -37,7 +37,7 @@
 /** Probes the server of a stream that has been silent for too long, if the stream could continue elsewhere. */
 export function probeSilentServer(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
     const { state, now } = transaction;
-    if (!canContinueElsewhere(transaction, request, attempt) || now - attempt.lastActivityAt < silenceTimeout) {
+    if (!canContinueElsewhere(transaction, request, attempt) || !isSilent(attempt, now)) {
         return;
     }
     const { record } = attempt.server;
@@ -47,6 +47,11 @@
     }
 }
 
+/** Whether a run has been silent for too long, also since its request last returned to it. */
+function isSilent({ lastActivityAt, returnedAt = -Infinity }: Attempt, now: Milliseconds): boolean {
+    return now - Math.max(lastActivityAt, returnedAt) >= silenceTimeout;
+}
+
 /** Probes the server of an attempt that may be of an earlier incarnation, if its report can tell. */
 export function probeRestartedServer(transaction: Transaction, { server: { record: { id } } }: Attempt): void {
     const { state, now } = transaction;
@@ -108,31 +113,33 @@
         if (isLostByReport(request, attempt, report, now)) {
             loseRestartedRun(transaction, request, attempt);
         }
-        else if (isLost(request, attempt, report, now)) {
-            abandonIfContinuable(transaction, request, attempt);
+        else {
+            handleSilence(transaction, request, attempt, report);
         }
     }
 }
 
-function isLost(
-    { head, route, lastEvent }: GatewayRequest,
+/** Sends a stream elsewhere if a probe shows that its silent run or its channel is dead, and it can continue there. */
+function handleSilence(
+    transaction: Transaction,
+    request: GatewayRequest,
     attempt: Attempt,
     report: ServerReport | undefined,
-    now: Milliseconds,
-): boolean {
-    if (!route.isStream || now - attempt.lastActivityAt < silenceTimeout) {
-        return false;
+): void {
+    const { head, route, lastEvent } = request;
+    if (
+        !route.isStream || !isSilent(attempt, transaction.now)
+        || !canContinueElsewhere(transaction, request, attempt) || !canSendAgain(transaction, request)
+    ) {
+        return;
     }
     const run = report?.runs?.find(({ callerAttemptId }) => callerAttemptId === head.callerAttemptId);
     if (attempt.isStopRequested && report?.runs !== undefined && run === undefined) {
-        return true;
+        return abandonAttempt(transaction, request, attempt);
     }
-    return report === undefined || (run !== undefined && run.events > (lastEvent ?? 0) + maximumEventsInFlight);
-}
-
-function abandonIfContinuable(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
-    if (canContinueElsewhere(transaction, request, attempt) && canSendAgain(transaction, request)) {
-        abandonAttempt(transaction, request, attempt);
+    const isRunning = run !== undefined && run.events > (lastEvent ?? 0) + maximumEventsInFlight;
+    if (report === undefined || isRunning) {
+        sendElsewhere(transaction, request, attempt, isRunning);
     }
 }
 
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -26,6 +26,7 @@
 import { detectSuspension, releaseHeldRequests } from "./resumption.js";
 import { dispatch } from "./sending.js";
 import { endServerPauses } from "./serverPauses.js";
+import { type AttemptEvent, settleSilentAttempt } from "./silentAttempts.js";
 import type { GatewayState } from "./state.js";
 import {
     checkStreamRegister,
@@ -87,6 +88,21 @@
         case "unsentAnswers":
             transaction.state.unsentAnswers = event.count;
             return;
+        case "serverProbed":
+            return handleServerProbed(transaction, event);
+        case "attemptAnswered":
+        case "attemptFailed":
+        case "streamOpened":
+        case "streamEvents":
+        case "streamEnded":
+            return settleSilentAttempt(transaction, event) ? undefined : handleAttemptEvent(transaction, event);
+        default:
+            return handlePlatformEvent(transaction, event);
+    }
+}
+
+function handleAttemptEvent(transaction: Transaction, event: AttemptEvent): void {
+    switch (event.kind) {
         case "attemptAnswered":
             return handleAnswer(transaction, event.attemptId, event.answer);
         case "streamOpened":
@@ -97,10 +113,6 @@
             return handleStreamEnded(transaction, event.attemptId);
         case "attemptFailed":
             return handleAttemptFailed(transaction, event);
-        case "serverProbed":
-            return handleServerProbed(transaction, event);
-        default:
-            return handlePlatformEvent(transaction, event);
     }
 }
 
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -19,6 +19,7 @@
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
 import { countPossibleRuns, createRunLedger } from "./runLedger.js";
 import { dispatch } from "./sending.js";
+import { endSilentAttempt } from "./silentAttempts.js";
 import type { GatewayRequest } from "./state.js";
 import { handleTakeUp, isTakeUp } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -65,6 +66,7 @@
         readDelay: event.readDelay,
         deadline: event.receivedAt + timeLimit,
         attempt: undefined,
+        silentAttempt: undefined,
         sends: 0,
         runs: createRunLedger(),
         triedServers: new Set(),
@@ -191,11 +193,12 @@
     });
 }
 
-/** Removes a request whose final answer was given, and cancels its attempt. */
+/** Removes a request whose final answer was given, and cancels its attempts. */
 export function finishRequest(transaction: Transaction, request: GatewayRequest): void {
     if (request.attempt !== undefined) {
         endAttempt(transaction, request, request.attempt, "cancel");
     }
+    endSilentAttempt(transaction, request, "cancel");
     transaction.state.requests.delete(request.id);
     transaction.state.waiting.delete(request.id);
 }
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -198,6 +198,7 @@
         failedTargets: new Set(),
         lastActivityAt: now,
         producingTime: 0,
+        returnedAt: undefined,
     };
     request.attempt = attempt;
     request.sends++;
--- /dev/null
+++ b/packages/gateway/src/silentAttempts.ts
@@ -0,0 +1,148 @@
+/**
+ * Silent attempts of streams that were sent elsewhere. Such an attempt stays open until another server has accepted the
+ * stream: if that server refuses it, or the silent run goes on first, the stream returns to the silent attempt.
+ */
+import type { Milliseconds } from "@verbenaspring/model";
+import { classifyAnswer, endAttempt, recordHealth } from "./attempts.js";
+import { recordLostRun } from "./crashSuspects.js";
+import type { GatewayEvent } from "./event.js";
+import { requestProbe } from "./liveness.js";
+import type { ResponseHead } from "./messages.js";
+import { requestFields } from "./requests.js";
+import { recordNoRun } from "./runLedger.js";
+import { addLoad, removeLoad, setMigrationTarget } from "./serverLoad.js";
+import type { Attempt, GatewayRequest } from "./state.js";
+import { logDecision, type Transaction } from "./transaction.js";
+
+/** An attempt that was silent when its request was sent elsewhere. */
+export interface SilentAttempt {
+    readonly attempt: Attempt;
+    /** Whether its server is known to work on it, so that another run soon works beside it. */
+    readonly isRunning: boolean;
+}
+
+/** An event of an attempt. */
+export type AttemptEvent = Extract<
+    GatewayEvent,
+    { readonly kind: `attempt${string}` | `stream${"Opened" | "Events" | "Ended"}`; }
+>;
+
+/**
+ * A server that is alive refuses a stream within this time. After it the silent attempt is cancelled, so that its server
+ * and another one do not both work on the stream for longer.
+ */
+const acceptanceTimeout: Milliseconds = 150;
+
+/** Takes a silent attempt from its request, which is then to be sent elsewhere. */
+export function setSilentAttemptAside(
+    { state }: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    isRunning: boolean,
+): void {
+    setMigrationTarget(state, attempt, undefined);
+    removeLoad(state, attempt);
+    state.attempts.delete(attempt.id);
+    request.attempt = undefined;
+    request.silentAttempt = { attempt, isRunning };
+    state.silentAttempts.set(attempt.id, request);
+}
+
+/**
+ * Ends the silent attempt of a request, if it has one.
+ *
+ * @param how `cancel` where the call is still open and has to be cancelled
+ */
+export function endSilentAttempt(
+    { state, effects }: Transaction,
+    request: GatewayRequest,
+    how: "ended" | "cancel",
+): void {
+    const attemptId = request.silentAttempt?.attempt.id;
+    if (attemptId === undefined) {
+        return;
+    }
+    state.silentAttempts.delete(attemptId);
+    request.silentAttempt = undefined;
+    if (how === "cancel") {
+        effects.push({ kind: "cancelAttempt", attemptId });
+    }
+}
+
+/** Returns a request to its silent attempt, and cancels the newer one. Returns false if it has no silent attempt. */
+export function returnToSilentAttempt(transaction: Transaction, request: GatewayRequest): boolean {
+    const { state, now, effects } = transaction;
+    const attempt = request.silentAttempt?.attempt;
+    if (attempt === undefined) {
+        return false;
+    }
+    if (request.attempt !== undefined) {
+        endAttempt(transaction, request, request.attempt, "cancel");
+    }
+    endSilentAttempt(transaction, request, "ended");
+    attempt.returnedAt = now;
+    request.attempt = attempt;
+    state.attempts.set(attempt.id, request);
+    state.heldRequests.delete(request.id);
+    addLoad(state, attempt);
+    effects.push({ kind: "returnToAttempt", requestId: request.id, attemptId: attempt.id });
+    logDecision(transaction, "info", "returned_to_silent", requestFields(transaction, request));
+    return true;
+}
+
+/**
+ * Cancels the silent attempt of a request whose newer one was neither accepted nor refused in time. A server that shows
+ * no sign of life is not at work, so it is waited for.
+ */
+export function checkSilentAttempt(transaction: Transaction, request: GatewayRequest): void {
+    const { state, now } = transaction;
+    const { attempt, silentAttempt } = request;
+    if (silentAttempt === undefined || attempt === undefined || now - attempt.startedAt < acceptanceTimeout) {
+        return;
+    }
+    const { record } = attempt.server;
+    const lastSignOfLifeAt = state.liveness.get(record.id)?.lastSignOfLifeAt ?? -Infinity;
+    if (silentAttempt.isRunning || lastSignOfLifeAt - attempt.startedAt >= acceptanceTimeout) {
+        return endSilentAttempt(transaction, request, "cancel");
+    }
+    requestProbe(transaction, record);
+}
+
+/**
+ * Handles an event of a silent attempt: a failure or a refusal ends it, and the request returns to it for any other event.
+ * Returns whether the event needs no more handling.
+ */
+export function settleSilentAttempt(transaction: Transaction, event: AttemptEvent): boolean {
+    const request = transaction.state.silentAttempts.get(event.attemptId);
+    const attempt = request?.silentAttempt?.attempt;
+    if (request === undefined || attempt === undefined) {
+        return false;
+    }
+    if (event.kind === "attemptFailed") {
+        recordHealth(transaction, attempt, event.failure);
+        endSilentAttempt(transaction, request, "ended");
+        if (event.wasSent) {
+            recordLostRun(transaction, request, attempt, event.failure);
+        }
+        else {
+            recordNoRun(request.runs, attempt.id);
+        }
+        return true;
+    }
+    const answerClass = event.kind === "streamOpened" || event.kind === "attemptAnswered"
+        ? classifyAnswer(request, headOf(event))
+        : "delivered";
+    if (answerClass === "delivered") {
+        returnToSilentAttempt(transaction, request);
+        return false;
+    }
+    endSilentAttempt(transaction, request, event.kind === "streamOpened" ? "cancel" : "ended");
+    if (answerClass === "not_run") {
+        recordNoRun(request.runs, attempt.id);
+    }
+    return true;
+}
+
+function headOf(event: Extract<AttemptEvent, { readonly kind: "streamOpened" | "attemptAnswered"; }>): ResponseHead {
+    return event.kind === "streamOpened" ? event.head : event.answer;
+}
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -27,6 +27,7 @@
 import type { Resumption } from "./resumption.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 import type { RunLedger } from "./runLedger.js";
+import type { SilentAttempt } from "./silentAttempts.js";
 import { createStreamRegister, type StreamRegister } from "./streamRegister.js";
 import type { StreamOrigin } from "./streamVersions.js";
 
@@ -66,6 +67,8 @@
     lastActivityAt: Milliseconds;
     /** How long this run is known to have produced events, since a replica of it may have expired last. */
     producingTime: Milliseconds;
+    /** When its request last returned to it after it was sent elsewhere; undefined if it never did. */
+    returnedAt: Milliseconds | undefined;
 }
 
 /** A copy of a run's memory, made while the run continued. */
@@ -90,6 +93,8 @@
     readonly readDelay: Milliseconds;
     readonly deadline: Milliseconds;
     attempt: Attempt | undefined;
+    /** An earlier attempt that stays open until another server has accepted the request. */
+    silentAttempt: SilentAttempt | undefined;
     /** The number of sends so far, including those that were refused. */
     sends: number;
     /** The runs that it may have begun. */
@@ -284,6 +289,8 @@
     readonly waiting: Map<RequestId, GatewayRequest>;
     /** The request of each attempt in progress. */
     readonly attempts: Map<AttemptId, GatewayRequest>;
+    /** The request of each silent attempt that is still open. */
+    readonly silentAttempts: Map<AttemptId, GatewayRequest>;
     readonly retryBudget: RetryBudget;
     readonly followers: Readonly<Record<TopicName, TopicFollower>>;
     readonly incarnation: GatewayIncarnation;
@@ -370,6 +377,7 @@
         requests: new Map(),
         waiting: new Map(),
         attempts: new Map(),
+        silentAttempts: new Map(),
         retryBudget: createRetryBudget(options.retries),
         followers: { configuration: createFollower(), backendServers: createFollower() },
         lastEventAt: undefined,
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -23,6 +23,7 @@
 import { canSendAgain, sendTo } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
+import { endSilentAttempt } from "./silentAttempts.js";
 import type { Attempt, GatewayRequest, GatewayState, HeldEvents } from "./state.js";
 import { holdUntilRecorded } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -47,7 +48,7 @@
     }
     if (answerClass === "delivered") {
         attempt.head = head;
-        return;
+        return endSilentAttempt(transaction, request, "cancel");
     }
     recordHealth(transaction, attempt, answerClass === "not_run" ? undefined : answerClass);
     endAttempt(transaction, request, attempt, "cancel");
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -59,6 +59,8 @@
 /** What a probe finds out about a server that has no report. */
 const emptyReport: ServerReport = { isLeaving: false, startedAt: undefined, runs: undefined };
 
+type AttemptEffect = Extract<GatewayEffect, { readonly kind: "sendAttempt" | "cancelAttempt" | "returnToAttempt"; }>;
+
 /** What is kept of a request's arrival, for the metrics of its answer. */
 interface RequestArrival {
     readonly receivedAt: Milliseconds;
@@ -150,10 +152,9 @@
     perform(effect: GatewayEffect): void {
         switch (effect.kind) {
             case "sendAttempt":
-                this.attemptOfRequest.set(effect.requestId, effect.call.attemptId);
-                return this.channels.send(effect.call, this.bodies.get(effect.requestId) ?? Buffer.alloc(0));
             case "cancelAttempt":
-                return this.channels.cancel(effect.attemptId);
+            case "returnToAttempt":
+                return this.performOnAttempt(effect);
             case "answerWhole":
                 this.callers.writeWhole(effect.requestId, effect.answer);
                 this.recordAnswerTime(effect.requestId, "whole");
@@ -221,6 +222,20 @@
         }
     }
 
+    private performOnAttempt(effect: AttemptEffect): void {
+        switch (effect.kind) {
+            case "sendAttempt":
+                this.attemptOfRequest.set(effect.requestId, effect.call.attemptId);
+                return this.channels.send(effect.call, this.bodies.get(effect.requestId) ?? Buffer.alloc(0));
+            case "cancelAttempt":
+                return this.channels.cancel(effect.attemptId);
+            case "returnToAttempt":
+                this.attemptOfRequest.set(effect.requestId, effect.attemptId);
+                // It may have been paused when the request was sent elsewhere; the next write tells whether it has to be.
+                return this.channels.setPaused(effect.attemptId, false);
+        }
+    }
+
     private createCallers(readDelay: (now: Milliseconds) => Milliseconds): GatewayCallerServer {
         const { push } = this.events;
         return createGatewayCallerServer(
