Keep an unanswered idempotent call open until its repeat was accepted or refused

Callers saw idempotent calls fail with backend_server_failed long before their deadline, though the first server was only slow: after 45% of the time the call was cancelled, and then every server refused the repeat.

The first call now stays open for 150 ms after the repeat was sent, and the request returns to it if no server takes the repeat. The first of two answers is passed on, and the other call is cancelled.

Evidence: attempts.test.ts before: 20 of 23 ("...whose repeats are refused gets the answer of its first server": backend_server_failed); after: 23 of 23. Tests of packages/gateway: 268 passed.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -337,8 +337,9 @@
         silenceTimeoutShare * (request.deadline - attempt.startedAt),
     );
     const canRepeat = route.isIdempotent && countPossibleRuns(request.runs) < route.maximumAttempts;
-    if (now - attempt.startedAt >= timeout && canRepeat && canDispatchAgain(transaction, request)) {
-        abandonAttempt(transaction, request, attempt);
+    const waitedSince = attempt.returnedAt ?? attempt.startedAt;
+    if (now - waitedSince >= timeout && canRepeat && canDispatchAgain(transaction, request)) {
+        sendElsewhere(transaction, request, attempt, true);
     }
 }
 
@@ -360,9 +361,9 @@
 }
 
 /**
- * Sends a silent stream elsewhere. Its attempt stays open until another server has accepted the stream.
+ * Sends a silent request elsewhere. Its attempt stays open until another server has accepted the request.
  *
- * @param isRunning whether its server is known to work on it
+ * @param isRunning whether its server is taken to work on it
  */
 export function sendElsewhere(
     transaction: Transaction,
--- a/packages/gateway/src/silentAttempts.ts
+++ b/packages/gateway/src/silentAttempts.ts
@@ -1,6 +1,6 @@
 /**
- * Silent attempts of streams that were sent elsewhere. Such an attempt stays open until another server has accepted the
- * stream: if that server refuses it, or the silent run goes on first, the stream returns to the silent attempt.
+ * Silent attempts of requests that were sent elsewhere. Such an attempt stays open until another server has accepted the
+ * request: if that server refuses it, or the silent run goes on first, the request returns to the silent attempt.
  */
 import type { Milliseconds } from "@verbenaspring/model";
 import { classifyAnswer, endAttempt, recordHealth } from "./attempts.js";
@@ -17,7 +17,7 @@
 /** An attempt that was silent when its request was sent elsewhere. */
 export interface SilentAttempt {
     readonly attempt: Attempt;
-    /** Whether its server is known to work on it, so that another run soon works beside it. */
+    /** Whether its server is taken to work on it, so that another run soon works beside it. */
     readonly isRunning: boolean;
 }
 
@@ -28,8 +28,8 @@
 >;
 
 /**
- * A server that is alive refuses a stream within this time. After it the silent attempt is cancelled, so that its server
- * and another one do not both work on the stream for longer.
+ * A server that is alive refuses a request within this time. After it the silent attempt is cancelled, so that its server
+ * and another one do not both work on the request for longer.
  */
 const acceptanceTimeout: Milliseconds = 150;
 
