--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -150,16 +150,21 @@
     /** The number of events in each streamed answer. */
     private streamEventCount = 0;
 
-    /** Starts a backend server, and waits until every gateway knows it. */
+    /**
+     * Starts a backend server, and waits until every gateway knows it.
+     *
+     * @param expose returns the address to register, such as that of a relay; by default the server's own
+     */
     async addServer(
         id: string,
         service: "plain" | "engine",
         workTime: number,
         events = 0,
         softwareVersion?: string,
+        expose?: (address: string) => Promise<string>,
     ): Promise<BackendServerStandIn> {
         const plan = { ...createServerPlan(id, service, workTime), softwareVersion };
-        const server = await this.serverStandIns.start(plan);
+        const server = await this.serverStandIns.start(plan, expose === undefined ? {} : { expose });
         this.streamEventCount = Math.max(this.streamEventCount, events);
         this.backendServers.push(server);
         await Promise.all(this.gateways.map(gateway => this.waitUntilKnown(gateway, id)));
