Accept a request late in a planned stop only if it is known to end in time

Callers saw resets 7.8 to 8.0 s after a gateway's SIGTERM of requests that they had sent 5 to 7 s after it: streams without tokens, and large answers that they still read. A head without tokens counted as no time, and a plain request or a first event as 1 s: constants, not what is known of the route.

The gateway now keeps the longest recent times of each route until the first event, until the answer, and until the caller had taken it. From 2.5 s after the SIGTERM on a request is accepted only if its caller's time limit, or these times with a factor of 1.5 and the stated tokens, or its route's timeout with the time of reading end before the stop. Others are refused at once, to be repeated at another gateway.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./overlay.js";
 export * from "./placement.js";
 export * from "./randomSource.js";
+export * from "./requestDurations.js";
 export * from "./requestLimit.js";
 export * from "./requestSizes.js";
 export * from "./retry.js";
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -195,7 +195,7 @@
 
     private perform(effect: GatewayEffect): void {
         if (isAnswer(effect)) {
-            return this.environment.answered(this, effect);
+            return this.answer(effect);
         }
         if (isOfSockets(effect)) {
             return;
@@ -229,6 +229,15 @@
         }
     }
 
+    /** Callers take each answer at once. */
+    private answer(effect: AnswerEffect): void {
+        const { kind, requestId } = effect;
+        if (kind === "answerWhole" || kind === "answerEnd") {
+            this.environment.clock.schedule(0, () => this.handleEvent({ kind: "answerTaken", requestId }));
+        }
+        this.environment.answered(this, effect);
+    }
+
     private callStreamRegister(call: StreamRegisterCall): void {
         switch (call.kind) {
             case "read":
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -19,7 +19,7 @@
 import { handleEndAfterStop } from "./migration.js";
 import { replicaState } from "./replicas.js";
 import { recordRequestLimit } from "./requestLimits.js";
-import { failRequest, finishRequest, requestFields } from "./requests.js";
+import { failRequest, finishAnswered, requestFields } from "./requests.js";
 import { countPossibleRuns, recordNoRun } from "./runLedger.js";
 import { canDispatchAgain, dispatch, failIfEvacuated, timeUntilUsable } from "./sending.js";
 import { isSuperseded, runFate } from "./serverIncarnations.js";
@@ -71,7 +71,7 @@
                 took: Math.round(now - request.arrivedAt),
             });
             effects.push({ kind: "answerWhole", requestId: request.id, answer });
-            return finishRequest(transaction, request);
+            return finishAnswered(transaction, request);
         case "not_run":
             recordNoRun(request.runs, attemptId);
             return retryOrFail(transaction, request, attempt, "refused_by_server");
@@ -195,7 +195,7 @@
     }
     if (answer !== undefined && !request.isHeadWritten && !signalsNotRun(answer)) {
         transaction.effects.push({ kind: "answerWhole", requestId: request.id, answer });
-        return finishRequest(transaction, request);
+        return finishAnswered(transaction, request);
     }
     if (suspension !== undefined) {
         return failSuspended(transaction, request, suspension);
--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -3,9 +3,11 @@
  * and exits when the last request has its final answer and its caller has taken it.
  */
 import type { Milliseconds } from "@verbenaspring/model";
-import { expectedOutput, type RequestHead } from "./messages.js";
+import type { GatewayEvent } from "./event.js";
+import { expectedOutput } from "./messages.js";
 import { publishAndReport } from "./peers.js";
 import { failRequest } from "./requests.js";
+import { forecastRequest, shortWorkTime } from "./routeDurations.js";
 import type { Route } from "./routingConfiguration.js";
 import type { GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -18,11 +20,9 @@
 const exitTime: Milliseconds = 75;
 
 const minimumRetryAfter: Milliseconds = 20;
-/** Time that a request of a plain service, or the first event of a stream, may take. */
-const shortWorkTime: Milliseconds = 1_000;
 /**
- * For this long after the request to stop, the estimated output of a stream decides whether it is accepted; afterwards
- * its maximum output does. By then the balancer sends new channels to other instances.
+ * For this long after the request to stop, the estimated output of a stream decides whether it is accepted; afterwards its
+ * maximum output and the recent durations of its route do. By then the balancer sends new channels to other instances.
  */
 const estimatesTrustedFor: Milliseconds = 2_500;
 /** Estimates are right only at the median, so a stream must fit with this multiple of its estimated duration. */
@@ -32,17 +32,19 @@
 export function cannotFinishBeforeStop(
     state: GatewayState,
     route: Route,
-    head: RequestHead,
+    { head, receivedAt }: Pick<Extract<GatewayEvent, { readonly kind: "requestReceived"; }>, "head" | "receivedAt">,
     now: Milliseconds,
 ): boolean {
     if (state.stopRequestedAt === undefined) {
         return false;
     }
     const remaining = state.stopRequestedAt + state.options.stopLimit - finalAnswersTime - now;
-    // Once other instances get the new channels, there is no reason to risk an output that exceeds its estimate.
+    // Once other instances get the new channels, there is no reason to accept what is not known to end in time.
     const isLate = now - state.stopRequestedAt >= estimatesTrustedFor;
-    const tokens = isLate ? head.maximumTokens : expectedOutput(head);
-    const streamTime = route.isStream ? durationSafetyFactor * tokens * state.timePerToken : 0;
+    if (isLate) {
+        return forecastRequest(state, route, head, receivedAt, now) > remaining;
+    }
+    const streamTime = route.isStream ? durationSafetyFactor * expectedOutput(head) * state.timePerToken : 0;
     return shortWorkTime + streamTime > remaining;
 }
 
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -109,6 +109,8 @@
         readonly readDelay: Milliseconds;
     }
     | { readonly kind: "callerLeft"; readonly requestId: RequestId; }
+    /** The caller has taken the whole answer, or its channel has closed before that. */
+    | { readonly kind: "answerTaken"; readonly requestId: RequestId; }
     /** During a planned stop: how many whole answers callers are still reading. */
     | { readonly kind: "unsentAnswers"; readonly count: number; }
     | { readonly kind: "attemptAnswered"; readonly attemptId: AttemptId; readonly answer: BackendAnswer; }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./reducer.js";
 export * from "./requestLimits.js";
 export * from "./resumption.js";
+export * from "./routeDurations.js";
 export * from "./routingConfiguration.js";
 export * from "./runLedger.js";
 export * from "./serverIncarnations.js";
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -24,6 +24,7 @@
 import { updateLimitShares } from "./requestLimits.js";
 import { handleCallerLeft, handleRequest } from "./requests.js";
 import { detectSuspension, releaseHeldRequests } from "./resumption.js";
+import { recordTaken } from "./routeDurations.js";
 import { dispatch } from "./sending.js";
 import { endServerPauses } from "./serverPauses.js";
 import type { GatewayState } from "./state.js";
@@ -84,6 +85,8 @@
             return handleRequest(transaction, event);
         case "callerLeft":
             return handleCallerLeft(transaction, event.requestId);
+        case "answerTaken":
+            return recordTaken(transaction.state, event.requestId, transaction.now);
         case "unsentAnswers":
             transaction.state.unsentAnswers = event.count;
             return;
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -16,6 +16,7 @@
 import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
 import { expectedOutput, type RequestHead } from "./messages.js";
+import { recordAge, recordAnswer, recordFirstEvent, recordTaken } from "./routeDurations.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
 import { countPossibleRuns, createRunLedger } from "./runLedger.js";
 import { dispatch } from "./sending.js";
@@ -50,7 +51,7 @@
         return refuseUnknown(transaction, event, "unauthenticated");
     }
     const { now, state, source } = transaction;
-    if (cannotFinishBeforeStop(state, route, head, now)) {
+    if (cannotFinishBeforeStop(state, route, event, now)) {
         return refuse(transaction, event, "leaving", retryAfterStop(state, now));
     }
     const timeLimit = Math.min(head.timeLimit ?? Infinity, route.timeout);
@@ -169,6 +170,9 @@
     retryAfter?: Milliseconds,
 ): void {
     const { effects, source } = transaction;
+    if (type === "deadline_exceeded") {
+        recordAge(transaction.state.durations, request, transaction.now);
+    }
     const outcome: RunOutcome = countPossibleRuns(request.runs) === 0 ? "not_run" : "outcome_unknown";
     logDecision(transaction, "warn", "request_failed", {
         ...requestFields(transaction, request),
@@ -191,8 +195,15 @@
     });
 }
 
+/** Removes a request whose whole answer was passed on to its caller. */
+export function finishAnswered(transaction: Transaction, request: GatewayRequest): void {
+    recordAnswer(transaction.state, request, transaction.now);
+    finishRequest(transaction, request);
+}
+
 /** Removes a request whose final answer was given, and cancels its attempt. */
 export function finishRequest(transaction: Transaction, request: GatewayRequest): void {
+    recordFirstEvent(transaction.state, request, transaction.now);
     if (request.attempt !== undefined) {
         endAttempt(transaction, request, request.attempt, "cancel");
     }
@@ -204,7 +215,7 @@
 export function handleCallerLeft(transaction: Transaction, requestId: RequestId): void {
     const request = transaction.state.requests.get(requestId);
     if (request === undefined) {
-        return;
+        return recordTaken(transaction.state, requestId, transaction.now);
     }
     logDecision(transaction, "info", "caller_left", requestFields(transaction, request));
     finishRequest(transaction, request);
--- /dev/null
+++ b/packages/gateway/src/routeDurations.ts
@@ -0,0 +1,135 @@
+/**
+ * How long requests of each route took recently: until their first event, until their answer, and until the caller had taken
+ * the answer.
+ */
+import {
+    createLongestDuration,
+    type LongestDuration,
+    longestDuration,
+    recordDuration,
+} from "@verbenaspring/coordination";
+import type { Milliseconds, RequestId, RouteName } from "@verbenaspring/model";
+import type { RequestHead } from "./messages.js";
+import type { Route } from "./routingConfiguration.js";
+import type { GatewayRequest, GatewayState } from "./state.js";
+
+/** The recent durations of one route's requests. */
+export interface RouteDurations {
+    /** From a request's arrival until the first event of its stream. */
+    readonly firstEvent: LongestDuration;
+    /** From a request's arrival until its whole answer. */
+    readonly answer: LongestDuration;
+    /** From a whole answer until the caller had taken it. */
+    readonly reading: LongestDuration;
+}
+
+/** A whole answer that its caller has not taken yet. */
+export interface UntakenAnswer {
+    readonly route: RouteName;
+    readonly answeredAt: Milliseconds;
+}
+
+/** What is known of the durations of requests. */
+export interface RequestDurations {
+    readonly ofRoutes: Map<RouteName, RouteDurations>;
+    readonly untaken: Map<RequestId, UntakenAnswer>;
+}
+
+/** Creates a record without durations. */
+export function createRequestDurations(): RequestDurations {
+    return { ofRoutes: new Map(), untaken: new Map() };
+}
+
+/** Time that is allowed for a request of a plain service, or the first event of a stream, if earlier ones did not take longer. */
+export const shortWorkTime: Milliseconds = 1_000;
+/** The next request may be slower than the slowest of the recent ones. */
+const safetyFactor = 1.5;
+
+/** Records that a request got its whole answer, which its caller takes from now on. */
+export function recordAnswer({ durations }: GatewayState, request: GatewayRequest, now: Milliseconds): void {
+    recordAge(durations, request, now);
+    durations.untaken.set(request.id, { route: request.route.name, answeredAt: now });
+}
+
+/** Records the age of a request that has its answer, or that would have taken longer. */
+export function recordAge(durations: RequestDurations, { route, arrivedAt }: GatewayRequest, now: Milliseconds): void {
+    recordDuration(durationsOf(durations, route.name, now).answer, now - arrivedAt, now);
+}
+
+/** Records when the caller got the first event, if it got one. */
+export function recordFirstEvent(
+    { durations }: GatewayState,
+    { route, firstEventAge }: GatewayRequest,
+    now: Milliseconds,
+): void {
+    if (firstEventAge !== undefined) {
+        recordDuration(durationsOf(durations, route.name, now).firstEvent, firstEventAge, now);
+    }
+}
+
+/** Records that the caller has taken a whole answer, or has left before. */
+export function recordTaken({ durations }: GatewayState, requestId: RequestId, now: Milliseconds): void {
+    const answer = durations.untaken.get(requestId);
+    if (answer !== undefined) {
+        durations.untaken.delete(requestId);
+        recordDuration(durationsOf(durations, answer.route, now).reading, now - answer.answeredAt, now);
+    }
+}
+
+/**
+ * How long a request may take from now until its caller has taken the answer. If nothing is known of its route, only the
+ * caller's own time limit bounds it; it is Infinity without one.
+ *
+ * @param receivedAt when it arrived, from which its time limits count
+ */
+export function forecastRequest(
+    state: GatewayState,
+    route: Route,
+    head: RequestHead,
+    receivedAt: Milliseconds,
+    now: Milliseconds,
+): Milliseconds {
+    const { durations, timePerToken } = state;
+    const known = durations.ofRoutes.get(route.name);
+    const hasTokens = route.isStream && head.maximumTokens > 0;
+    const start = known && longestDuration(hasTokens ? known.firstEvent : known.answer, now);
+    const elapsed = now - receivedAt;
+    const callerLeft = (head.timeLimit ?? Infinity) - elapsed;
+    if (known === undefined || start === undefined) {
+        return callerLeft;
+    }
+    const output = hasTokens ? head.maximumTokens * timePerToken : 0;
+    const work = Math.max(shortWorkTime, safetyFactor * start) + safetyFactor * output;
+    const answer = Math.min(work, route.timeout - elapsed);
+    return Math.min(callerLeft, answer + safetyFactor * longestReading(durations, route.name, known, now));
+}
+
+/** The longest time that callers took, or have taken so far, for an answer of the route. */
+function longestReading(
+    { untaken }: RequestDurations,
+    route: RouteName,
+    { reading }: RouteDurations,
+    now: Milliseconds,
+): Milliseconds {
+    let longest = longestDuration(reading, now) ?? 0;
+    for (const answer of untaken.values()) {
+        if (answer.route === route) {
+            longest = Math.max(longest, now - answer.answeredAt);
+        }
+    }
+    return longest;
+}
+
+function durationsOf({ ofRoutes }: RequestDurations, name: RouteName, now: Milliseconds): RouteDurations {
+    const known = ofRoutes.get(name);
+    if (known !== undefined) {
+        return known;
+    }
+    const created = {
+        firstEvent: createLongestDuration(now),
+        answer: createLongestDuration(now),
+        reading: createLongestDuration(now),
+    };
+    ofRoutes.set(name, created);
+    return created;
+}
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -25,6 +25,7 @@
 import type { OffsetRange, TopicReadStamp } from "./peerReport.js";
 import type { RequestLimits } from "./requestLimits.js";
 import type { Resumption } from "./resumption.js";
+import { createRequestDurations, type RequestDurations } from "./routeDurations.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 import type { RunLedger } from "./runLedger.js";
 import { createStreamRegister, type StreamRegister } from "./streamRegister.js";
@@ -279,6 +280,8 @@
     prefillRate: number;
     /** Moving average of the duration of a stream. */
     meanStreamDuration: Milliseconds;
+    /** How long requests took recently. */
+    readonly durations: RequestDurations;
     readonly requests: Map<RequestId, GatewayRequest>;
     /** Requests without an attempt that wait for free memory at an engine. */
     readonly waiting: Map<RequestId, GatewayRequest>;
@@ -367,6 +370,7 @@
         timePerToken: initialTimePerToken,
         prefillRate: initialPrefillRate,
         meanStreamDuration: initialStreamDuration,
+        durations: createRequestDurations(),
         requests: new Map(),
         waiting: new Map(),
         attempts: new Map(),
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -18,7 +18,7 @@
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { handleEndAfterStop, migrateAfterFirstEvent } from "./migration.js";
 import { findReplicaHolder, recordProduction, usableCopyHolder } from "./replicas.js";
-import { failRequest, finishRequest, requestFields } from "./requests.js";
+import { failRequest, finishAnswered, requestFields } from "./requests.js";
 import { recordNoRun } from "./runLedger.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
@@ -185,7 +185,7 @@
     writeEvents(transaction, request, held.head, held.events);
     if (held.hasEnded) {
         transaction.effects.push({ kind: "answerEnd", requestId: request.id });
-        finishRequest(transaction, request);
+        finishAnswered(transaction, request);
     }
 }
 
@@ -218,7 +218,7 @@
         return request.held.hasFailed ? writeHeldEvents(transaction, request) : undefined;
     }
     effects.push({ kind: "answerEnd", requestId: request.id });
-    finishRequest(transaction, request);
+    finishAnswered(transaction, request);
 }
 
 /** How long the caller waited for the first event, how fast the last run was, and the longest pause of the answer. */
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -266,6 +266,13 @@
         return call;
     }
 
+    /** Receives a request whose caller takes the whole stream. */
+    completeStream(id: string, routeName: string, overrides: Partial<RequestHead> = {}): void {
+        const { attemptId } = this.startStream(id, routeName, overrides);
+        this.handle({ kind: "streamEnded", attemptId });
+        this.handle({ kind: "answerTaken", requestId: identifier(id) });
+    }
+
     /**
      * Answers a migration: the copy, and the request to stop the run if one follows. Returns the effects of the last answer.
      *
--- /dev/null
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -0,0 +1,147 @@
+/**
+ * Requests that arrive late in a planned stop: what is not known to end in time is refused, so that another gateway serves it.
+ */
+import { indexRoutes } from "@verbenaspring/gateway";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+    callsIn,
+    configuration,
+    failuresIn,
+    kindsIn,
+    requestId,
+    route,
+    routes,
+    server,
+    TestGateway,
+} from "./gatewayBuilders.js";
+
+const streamOptions = { isStream: true, timeout: 39_000, targetLatency: 2_000 };
+
+function servingGateway(): TestGateway {
+    const gateway = TestGateway.serving(server("plain-1"), server("engine-1"));
+    gateway.configure(configuration(2, {
+        routesByHost: indexRoutes([...routes, route("slow", { timeout: 30_000 }), route("listing", streamOptions)]),
+    }));
+    return gateway;
+}
+
+/** Has the gateway answer a plain request, whose caller takes the answer after a further time. */
+function serve(gateway: TestGateway, id: string, duration: number, readingTime: number): void {
+    const call = gateway.sendRequest(id, "slow");
+    gateway.advance(duration);
+    gateway.answer(call, {});
+    gateway.advance(readingTime);
+    gateway.handle({ kind: "answerTaken", requestId: requestId(id) });
+}
+
+function stopAt(gateway: TestGateway, elapsed: number): void {
+    gateway.handle({ kind: "stopRequested" });
+    // Keeps the process running.
+    gateway.handle({ kind: "unsentAnswers", count: 1 });
+    gateway.advance(elapsed);
+}
+
+/** Sends a request and returns the type of its refusal, or "accepted". */
+function outcome(
+    gateway: TestGateway,
+    routeName: string,
+    overrides: { readonly maximumTokens?: number; } = {},
+): string {
+    const effects = gateway.receiveRequest(`late ${routeName}`, routeName, overrides);
+    const [failure] = failuresIn(effects);
+    if (failure === undefined) {
+        return callsIn(effects).length > 0 ? "accepted" : "waits";
+    }
+    assert.is(failure.outcome, "not_run");
+    assert.ok(failure.retryAfter! < 100, `to be repeated after ${failure.retryAfter}`);
+    return failure.type;
+}
+
+// A head without tokens counted as no time at all.
+test("a stream without tokens, sent 5.5 s after the stop, is refused if streams of its route take 2.4 s", () => {
+    for (const [duration, expected] of [[2_400, "leaving"], [300, "accepted"]] as const) {
+        const gateway = servingGateway();
+        const call = gateway.startStream("earlier", "listing", { maximumTokens: 0 });
+        gateway.advance(duration);
+        gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
+        gateway.handle({ kind: "answerTaken", requestId: requestId("earlier") });
+        stopAt(gateway, 5_500);
+        assert.is(outcome(gateway, "listing", { maximumTokens: 0 }), expected);
+    }
+});
+
+test("a plain request whose route takes 1.2 s is refused once that does not fit", () => {
+    for (const [elapsed, expected] of [[6_200, "leaving"], [5_000, "accepted"]] as const) {
+        const gateway = servingGateway();
+        serve(gateway, "earlier", 1_200, 0);
+        stopAt(gateway, elapsed);
+        assert.is(outcome(gateway, "slow"), expected);
+    }
+});
+
+test("a stream whose route waits 1.3 s for the first event is refused once that and its tokens do not fit", () => {
+    for (const [elapsed, expected] of [[6_200, "leaving"], [4_000, "accepted"]] as const) {
+        const gateway = servingGateway();
+        const call = gateway.sendRequest("earlier", "plan");
+        gateway.advance(1_300);
+        gateway.openStream(call);
+        gateway.receiveEvents(call, 1);
+        gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
+        gateway.handle({ kind: "answerTaken", requestId: requestId("earlier") });
+        stopAt(gateway, elapsed);
+        assert.is(outcome(gateway, "plan", { maximumTokens: 10 }), expected);
+    }
+});
+
+test("the time that callers take for answers counts, also while they still read", () => {
+    const gateway = servingGateway();
+    serve(gateway, "earlier", 30, 1_500);
+    stopAt(gateway, 5_800);
+    assert.is(outcome(gateway, "slow"), "leaving");
+
+    const other = servingGateway();
+    const call = other.sendRequest("earlier", "slow");
+    other.advance(50);
+    other.answer(call, {});
+    stopAt(other, 5_000);
+    assert.is(outcome(other, "slow"), "leaving");
+});
+
+test("a request of an unknown duration is accepted only if its caller's time limit ends before the stop", () => {
+    for (const [timeLimit, expected] of [[60_000, "leaving"], [2_000, "accepted"]] as const) {
+        const gateway = servingGateway();
+        stopAt(gateway, 5_000);
+        const effects = gateway.receiveRequest("late", "slow", { timeLimit });
+        assert.is(failuresIn(effects)[0]?.type ?? "accepted", expected);
+    }
+});
+
+test("a request late in a stop is accepted if its route's timeout ends before the stop and callers read quickly", () => {
+    for (const [readingTime, expected] of [[0, "accepted"], [500, "leaving"]] as const) {
+        const gateway = servingGateway();
+        const call = gateway.sendRequest("earlier", "confirm");
+        gateway.advance(700);
+        gateway.answer(call, {});
+        gateway.advance(readingTime);
+        gateway.handle({ kind: "answerTaken", requestId: requestId("earlier") });
+        stopAt(gateway, 6_700);
+        assert.is(outcome(gateway, "confirm"), expected);
+    }
+});
+
+test("at the end of a stop each request without a written head gets a whole answer", () => {
+    const gateway = servingGateway();
+    gateway.sendRequest("running", "slow");
+    const opened = gateway.sendRequest("opened", "plan", { maximumTokens: 10 });
+    gateway.openStream(opened);
+    const begun = gateway.startStream("begun", "plan", { maximumTokens: 10 });
+    gateway.handle({ kind: "stopRequested" });
+    const effects = [gateway.receiveRequest("early", "slow"), gateway.advance(8_000)].flat();
+    const failures = failuresIn(effects).map(({ type, outcome }) => `${type} ${outcome}`);
+    assert.equal(failures, Array.from({ length: 3 }, () => "leaving outcome_unknown"));
+    assert.is(kindsIn(effects).filter(kind => kind === "answerCut").length, 1);
+    assert.ok(begun);
+});
+
+test.run();
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -437,6 +437,7 @@
 
 test("during a planned stop long streams are refused, to be retried when the balancer has removed the gateway", () => {
     const gateway = gatewayWithEngines();
+    gateway.completeStream("earlier", "note");
     gateway.handle({ kind: "stopRequested" });
     assert.ok(failuresIn(gateway.receiveRequest("q", "plan"))[0].retryAfter! >= 3_000);
     gateway.advance(3_400);
@@ -448,6 +449,7 @@
 
 test("late in a planned stop only streams whose maximum output fits are accepted: estimates are often far off", () => {
     const gateway = gatewayWithEngines();
+    gateway.completeStream("earlier", "plan");
     gateway.handle({ kind: "stopRequested" });
     gateway.advance(1_000);
     const few = { maximumTokens: 1_000, estimatedTokens: 20 };
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -64,6 +64,8 @@
      * server begins to drain, and with each change afterwards.
      */
     readonly unsentAnswers?: (count: number) => void;
+    /** The caller has taken a whole answer, or its channel has closed before that. */
+    readonly answerTaken?: (requestId: RequestId) => void;
     /** The caller has read its backlog, after {@link GatewayCallerServer.writeEvents} returned false. */
     readonly drained: (requestId: RequestId) => void;
     /** Callers have taken some of the answers that the budget counts. */
@@ -379,6 +381,7 @@
             releaseAll(channel, ended);
             if (ended.isAnswered) {
                 changeUnsentAnswers(-1);
+                handlers.answerTaken?.(requestId);
             }
             if (openExchanges.delete(requestId)) {
                 handlers.left(requestId);
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -256,6 +256,7 @@
                     this.logDecision({ level: "warn", event: "answer_cut", fields });
                 },
                 cut: (reason, address) => this.pressure.report("callers", reason, address, monotonicNow()),
+                answerTaken: requestId => push({ kind: "answerTaken", requestId }),
                 unsentAnswers: count => push({ kind: "unsentAnswers", count }),
                 drained: requestId => this.setPaused(requestId, false),
                 answersTaken: () => this.channels.resumeAnswers(),
