Refuse requests that wait in their channel when a planned stop ends the process

A request with more than 200 fields that was read in the turn of the exit got no answer: close() refused only requests that were read whole and not reported, not those that wait for their turn to be decoded. The reducer sent a request that it handled after the exit to a server.

close() now refuses the waiting request of each channel on which no other runs, and the reducer refuses requests after the exit, so each place that holds requests gives an answer.

A test in streams.test.ts had a stream accepted 3.4 s after the stop of an idle gateway, which had exited at 3.2 s. It now keeps the process running with an answer that is still read; its assertions are unchanged.

--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -38,6 +38,9 @@
     if (state.stopRequestedAt === undefined) {
         return false;
     }
+    if (state.hasExited) {
+        return true;
+    }
     const remaining = state.stopRequestedAt + state.options.stopLimit - finalAnswersTime - now;
     // Once other instances get the new channels, there is no reason to accept what is not known to end in time.
     const isLate = now - state.stopRequestedAt >= estimatesTrustedFor;
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -130,6 +130,15 @@
     }
 });
 
+// It was sent to a server, and its answer was lost with the process.
+test("a request that is handled after the exit is refused", () => {
+    const gateway = servingGateway();
+    serve(gateway, "earlier", 30, 0);
+    gateway.handle({ kind: "stopRequested" });
+    assert.ok(kindsIn(gateway.advance(3_250)).includes("exit"));
+    assert.is(outcome(gateway, "slow"), "leaving");
+});
+
 test("at the end of a stop each request without a written head gets a whole answer", () => {
     const gateway = servingGateway();
     gateway.sendRequest("running", "slow");
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -440,6 +440,8 @@
     gateway.completeStream("earlier", "note");
     gateway.handle({ kind: "stopRequested" });
     assert.ok(failuresIn(gateway.receiveRequest("q", "plan"))[0].retryAfter! >= 3_000);
+    // Keeps the process running.
+    gateway.handle({ kind: "unsentAnswers", count: 1 });
     gateway.advance(3_400);
     const [failure] = failuresIn(gateway.receiveRequest("r", "plan"));
     assert.equal([failure.type, failure.outcome], ["leaving", "not_run"]);
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -456,6 +456,15 @@
         }
     };
 
+    /** Refuses the first of the waiting requests if no answer is due before. The answer closes the channel. */
+    const refuseWaiting = (channel: CallerChannel): void => {
+        const [first] = channel.waiting.splice(0);
+        if (first !== undefined && channel.exchanges.size === 0) {
+            channel.isRefused = true;
+            writeFailure(first.response, closing, true);
+        }
+    };
+
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
         const readAt = monotonicNow();
         const delay = readDelay(readAt);
@@ -672,6 +681,7 @@
             channels.forEach(channel => reportCutAnswers(channel, "stopped"));
             unreported.forEach(({ response }) => writeFailure(response, closing, true));
             unreported.clear();
+            channels.forEach(refuseWaiting);
             clearInterval(unreadTimer);
             server.close();
             server.closeIdleConnections();
--- /dev/null
+++ b/packages/runtime/test/requestsAtExit.test.ts
@@ -0,0 +1,56 @@
+/**
+ * Requests that were read when a planned stop ends the process.
+ */
+import { identifier, type RequestId } from "@verbenaspring/model";
+import { createGatewayCallerServer } from "@verbenaspring/runtime";
+import { connect } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createCall } from "./backendBuilders.js";
+
+const answerTime = 1_000;
+
+/** Sends a request, closes the server in the turn in which it has read the request, and returns the answer's first line. */
+async function answerAtExit(extraFields: number): Promise<string> {
+    let isPassedOn = false;
+    const callers = createGatewayCallerServer(
+        (method, target) => ({ ...createCall("127.0.0.1:1").head, method, target }),
+        () => identifier<RequestId>("1"),
+        () => {
+            setImmediate(() => callers.close());
+            return 0;
+        },
+        {
+            received: () => {
+                isPassedOn = true;
+            },
+            leftEarly: () => undefined,
+            left: () => undefined,
+            refused: () => undefined,
+            drained: () => undefined,
+        },
+    );
+    await callers.listen("127.0.0.1:0");
+    const socket = connect(callers.port(), "127.0.0.1");
+    const fields = Array.from({ length: extraFields }, (_, index) => `f${index}: x\r\n`).join("");
+    socket.write(`POST /a/1 HTTP/1.1\r\nhost: clinic.example\r\n${fields}content-length: 0\r\n\r\n`);
+    const answer = await new Promise<string>(resolve => {
+        socket.once("data", chunk => resolve(chunk.toString("latin1").split("\r\n")[0]));
+        socket.once("close", () => resolve("closed"));
+        setTimeout(() => resolve("no answer"), answerTime);
+    });
+    socket.destroy();
+    callers.close();
+    return isPassedOn ? `${answer}, passed on` : answer;
+}
+
+test("a request that was read in the turn of the exit is refused", async () => {
+    assert.is(await answerAtExit(0), "HTTP/1.1 503 Service Unavailable");
+});
+
+// Heads with many fields wait for their turn, and were dropped with their connections.
+test("a request with many fields that waits for its turn at the exit is refused", async () => {
+    assert.is(await answerAtExit(250), "HTTP/1.1 503 Service Unavailable");
+});
+
+test.run();
