--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -64,6 +64,8 @@
      * server begins to drain, and with each change afterwards.
      */
     readonly unsentAnswers?: (count: number) => void;
+    /** The caller has taken a whole answer, or its channel has closed before that. */
+    readonly answerTaken?: (requestId: RequestId) => void;
     /** The caller has read its backlog, after {@link GatewayCallerServer.writeEvents} returned false. */
     readonly drained: (requestId: RequestId) => void;
     /** Callers have taken some of the answers that the budget counts. */
@@ -379,6 +381,7 @@
             releaseAll(channel, ended);
             if (ended.isAnswered) {
                 changeUnsentAnswers(-1);
+                handlers.answerTaken?.(requestId);
             }
             if (openExchanges.delete(requestId)) {
                 handlers.left(requestId);
@@ -453,6 +456,15 @@
         }
     };
 
+    /** Refuses the first of the waiting requests if no answer is due before. The answer closes the channel. */
+    const refuseWaiting = (channel: CallerChannel): void => {
+        const [first] = channel.waiting.splice(0);
+        if (first !== undefined && channel.exchanges.size === 0) {
+            channel.isRefused = true;
+            writeFailure(first.response, closing, true);
+        }
+    };
+
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
         const readAt = monotonicNow();
         const delay = readDelay(readAt);
@@ -669,6 +681,7 @@
             channels.forEach(channel => reportCutAnswers(channel, "stopped"));
             unreported.forEach(({ response }) => writeFailure(response, closing, true));
             unreported.clear();
+            channels.forEach(refuseWaiting);
             clearInterval(unreadTimer);
             server.close();
             server.closeIdleConnections();
