Emulator: a stopped run continues at its own engine until its copy is used

The engine of a run that was stopped keeps its memory, as the protocol says, so that schedules can continue the run there; a handle is used once at either end. Test in engineServer.test.ts.

--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -216,11 +216,12 @@
         this.replicas.delete(`${source}/${name}`);
     }
 
-    /** Removes a replica and returns it unless it has expired. A replica is continued at most once. */
+    /** Removes a replica, also at its source, and returns it unless it has expired. A replica is continued at most once. */
     private consumeReplica({ source, name }: ReplicaReference): RunReplica | undefined {
         const key = `${source}/${name}`;
         const replica = this.replicas.get(key);
         this.replicas.delete(key);
+        this.environment.findEngine(source)?.deleteReplica({ source, name });
         return replica !== undefined && replica.expiresAt > this.clock.now ? replica : undefined;
     }
 
--- a/packages/emulator/test/engineServer.test.ts
+++ b/packages/emulator/test/engineServer.test.ts
@@ -2,6 +2,7 @@
     type CallObserver,
     type EngineOptions,
     EngineServer,
+    type MigrationOutcome,
     PlainServer,
     type RunEvent,
     type ServerCall,
@@ -160,6 +161,28 @@
     assert.equal(eventIds(engines.events), tenIds);
 });
 
+test("a run that was stopped continues at its own engine, unless the copy has been used", () => {
+    for (const isCopyUsed of [false, true]) {
+        const engines = new EngineHarness();
+        engines.start(engines.first, call("a"));
+        engines.clock.advanceTo(100);
+        let handle = "";
+        const answered = (outcome: MigrationOutcome) => handle = outcome.kind === "moved" ? outcome.handle : "";
+        engines.first.migrate("a", engines.second.options.address, true, answered);
+        engines.clock.advanceTo(130);
+        const copy = { source: engines.first.options.address, name: handle };
+        const next = call("a", { copy, lastEvent: engines.events.length });
+        if (isCopyUsed) {
+            engines.start(engines.second, next);
+        }
+        engines.start(engines.first, next);
+        engines.clock.advanceTo(3_000);
+        assert.equal(eventIds(engines.events), tenIds);
+        assert.is(engines.received.includes("a no_copy"), isCopyUsed);
+        assert.is(new Set(engines.events.map(({ lineage }) => lineage)).size, 1);
+    }
+});
+
 test("calls that are too large, are for another target or reach a shedding engine are refused and not run", () => {
     const engines = new EngineHarness();
     engines.start(engines.first, call("large", { promptTokens: 2_000 }));
