Migrate a run again that goes on after an unanswered request to stop it

Callers would see a stream cut when its leaving server exits: the request to stop the run got no answer, the run went on, and the copy expired. No case of the users is known.

Cause: after the request the stream was left out of migrations, whatever its events said.

Events that are read 600 ms after the request was given up show that the run goes on; it is copied and stopped again. The request may still take effect, so an unframed end is not taken for a complete one.

--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -65,6 +65,9 @@
  */
 const leavingCheckInterval: Milliseconds = 200;
 
+/** Events that a server made are read within this time. */
+const longestEventDelay: Milliseconds = 600;
+
 /** For this long a stream is not migrated again to a target at which its migration failed. */
 const failedTargetTimeout: Milliseconds = 1_000;
 /** With this many such targets a stream waits: more attempts would take the link from other streams. */
@@ -174,9 +177,12 @@
     if (attempt.firstEventAt === undefined) {
         return "not_begun";
     }
+    if (isSuperseded(state, attempt.server)) {
+        return "server_restarted";
+    }
     // A run that may have been stopped continues from its copy as soon as its end is seen.
-    if (isSuperseded(state, attempt.server) || attempt.isStopRequested) {
-        return attempt.isStopRequested ? "stop_requested" : "server_restarted";
+    if (attempt.isStopRequested && !goesOnAfterStop(attempt)) {
+        return "stop_requested";
     }
     if (engineOf(state, request.service)?.canMigrate !== true) {
         return "not_supported";
@@ -198,6 +204,11 @@
     return attempt.copy === undefined ? undefined : retryObstacle(transaction, request, 0);
 }
 
+/** Whether events show that a run goes on though its server was asked to stop it. Until then they may have been on their way. */
+function goesOnAfterStop({ stopUnansweredAt, lastActivityAt }: Attempt): boolean {
+    return stopUnansweredAt !== undefined && lastActivityAt - stopUnansweredAt >= longestEventDelay;
+}
+
 function retryObstacle(
     transaction: Transaction,
     request: GatewayRequest,
@@ -310,7 +321,7 @@
         return;
     }
     logMigrationAnswered(transaction, request, attempt, attempt.migrationTarget, event.result);
-    if (attempt.isStopRequested) {
+    if (attempt.isStopping) {
         handleStopAnswered(transaction, request, attempt, event.result);
     }
     else if (!requestStop(transaction, request, attempt, attempt.migrationTarget, event.result)) {
@@ -340,6 +351,8 @@
         return false;
     }
     attempt.isStopRequested = true;
+    attempt.isStopping = true;
+    attempt.stopUnansweredAt = undefined;
     requestMigration(transaction, request, attempt, target, true);
     return true;
 }
@@ -368,6 +381,7 @@
     }
     // After a refusal the run goes on; without an answer it may have stopped, which its channel will show.
     attempt.isStopRequested = result.kind === "failed";
+    attempt.stopUnansweredAt = result.kind === "failed" ? transaction.now : undefined;
 }
 
 /** The server has no such run, which may have ended. */
@@ -378,6 +392,7 @@
 function endMigration({ state, now }: Transaction, attempt: Attempt, hasSucceeded: boolean): void {
     const target = attempt.migrationTarget;
     setMigrationTarget(state, attempt, undefined);
+    attempt.isStopping = false;
     if (target !== undefined && !hasSucceeded) {
         attempt.failedTargets.set(target.record.id, now + failedTargetTimeout);
     }
@@ -399,7 +414,7 @@
     }
     attempt.endAfterStop = end;
     // The rest of the copy may wait for other transfers. Computing it again takes less time.
-    if (end === "lost" || attempt.migrationTarget === undefined) {
+    if (end === "lost" || !attempt.isStopping) {
         continueStoppedRun(transaction, request, attempt);
         migrateStreams(transaction, attempt.server.record.id);
     }
@@ -425,7 +440,7 @@
         fromVersion: attempt.server.record.softwareVersion,
         target: target.record.id,
         targetVersion: target.record.softwareVersion,
-        step: attempt.isStopRequested ? "stop" : "copy",
+        step: attempt.isStopping ? "stop" : "copy",
         result: result.kind,
         status: result.kind === "refused" ? result.status : undefined,
         detail: result.kind === "failed" ? result.detail : undefined,
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -199,6 +199,8 @@
         stoppedHandle: undefined,
         hasStopped: false,
         isStopRequested: false,
+        isStopping: false,
+        stopUnansweredAt: undefined,
         endAfterStop: undefined,
         failedTargets: new Map(),
         loggedObstacle: undefined,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -66,6 +66,10 @@
     hasStopped: boolean;
     /** Whether its server was asked to stop this run, and may have done so. */
     isStopRequested: boolean;
+    /** Whether the migration under way is at that step. */
+    isStopping: boolean;
+    /** When that request was given up without an answer; undefined if it was answered or is under way. */
+    stopUnansweredAt: Milliseconds | undefined;
     /** How its answer ended after that request: in the way of a complete one without framing, or as a lost one. */
     endAfterStop: "ended" | "lost" | undefined;
     /** The targets of this run's failed migrations, and until when each is not tried again. */
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -1,11 +1,11 @@
 /**
  * Streams at servers that leave: whether each is migrated is decided again when what decided it has changed.
  */
-import type { BackendCall, BackendRecord, GatewayEffect } from "@verbenaspring/gateway";
+import type { BackendCall, BackendRecord, GatewayEffect, MigrationResult } from "@verbenaspring/gateway";
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, eventsIn, kindsIn, linesIn, responseHead, server, TestGateway } from "./gatewayBuilders.js";
+import { callsIn, eventsIn, kindsIn, linesIn, responseHead, server, stopsIn, TestGateway } from "./gatewayBuilders.js";
 
 const inThird = { failureDomain: identifier<never>("third") };
 
@@ -195,6 +195,36 @@
     assert.equal(callsIn(gateway.failAttempt(call)), []);
 });
 
+const unanswered = { kind: "failed", detail: "timeout" } as const;
+
+// The copy expired while the run went on, and the stream ended with its server.
+test("a run that goes on though the request to stop it got no answer is copied and stopped again", () => {
+    const { gateway, call } = migratingStream();
+    const { attemptId } = call;
+    const answerWith = (result: MigrationResult) => gateway.handle({ kind: "migrationAnswered", attemptId, result });
+    answerWith(moved);
+    const failed = answerWith(unanswered);
+    assert.equal(targetsIn([...failed, ...produce(gateway, call, 500)]), [], "these events may have been on their way");
+    assert.is(targetsIn(produce(gateway, call, 1_000)).length, 1);
+    assert.is(stopsIn(answerWith({ kind: "moved", handle: "h2" })).length, 1);
+    assert.equal(continuationsIn(answerWith({ kind: "moved", handle: "h2" })).map(([, , name]) => name), ["h2"]);
+});
+
+test("an unframed stream that closes during a second copy is continued, since the first request may have stopped it", () => {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const call = gateway.sendRequest("r", "plan", { promptTokens: 500, maximumTokens: 1_000 });
+    gateway.openStream(call, { endsWithChannel: true });
+    gateway.receiveEvents(call, 1);
+    gateway.register(server("engine-2"));
+    leave(gateway, server("engine-1"));
+    const { attemptId } = call;
+    [moved, unanswered].forEach(result => gateway.handle({ kind: "migrationAnswered", attemptId, result }));
+    assert.is(targetsIn(produce(gateway, call, 1_500)).length, 1);
+    const ended = gateway.handle({ kind: "streamEnded", attemptId });
+    assert.not.ok(kindsIn(ended).includes("answerEnd"));
+    assert.equal(continuationsIn(ended).map(([id, , name]) => [id, name]), [["engine-2", "h1"]]);
+});
+
 /** A stream that its server has stopped, and the call that is to continue it from the copy. */
 function stoppedStream(handle: string | undefined = undefined, routeName = "plan") {
     const gateway = TestGateway.serving(server("engine-1"));
