Don't stop a run that was copied if its server stays after all

A stream was stopped and moved, which takes a send and a retry, though the server it runs at had come back while it was copied: a registration that had lapsed and returned, or an evacuation that was withdrawn. The class of: a decision that rests on facts that may have changed.

requestStop asks again whether streams are migrated away from the server. The copy is kept for the case that the server fails.

--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -335,7 +335,10 @@
     const requestedAt = attempt.migrationStartedAt ?? -Infinity;
     const copy: RunCopy = { holder: target, name: result.handle, requestedAt };
     attempt.copy = copy;
-    const canStop = !isPaused(state, attempt.server.record.id, now) && canSendAgain(transaction, request);
+    const { id } = attempt.server.record;
+    // A server whose registration had lapsed may be registered again, and an evacuation may be withdrawn.
+    const isDue = migrationReason(state, id) !== undefined;
+    const canStop = isDue && !isPaused(state, id, now) && canSendAgain(transaction, request);
     if (!canStop || usableCopyHolder(transaction, request, attempt, copy) === undefined) {
         return false;
     }
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -5,7 +5,7 @@
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, eventsIn, kindsIn, linesIn, responseHead, server, TestGateway } from "./gatewayBuilders.js";
+import { callsIn, eventsIn, kindsIn, linesIn, responseHead, server, stopsIn, TestGateway } from "./gatewayBuilders.js";
 
 const inThird = { failureDomain: identifier<never>("third") };
 
@@ -282,4 +282,14 @@
     assert.equal(callsIn(gateway.answer(next, refused)), []);
 });
 
+// The stream was stopped and moved all the same, which takes a retry and a send of it.
+test("a stream that is being copied is not stopped if its server stays after all", () => {
+    const { gateway, call } = migratingStream();
+    gateway.register(server("engine-1", { heartbeat: 3 }));
+    const answered = gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved });
+    assert.equal(stopsIn(answered), []);
+    assert.equal(targetsIn(produce(gateway, call, 1_000)), []);
+    assert.is(callsIn(gateway.failAttempt(call)).length, 1, "the copy is used if the server fails");
+});
+
 test.run();
