Don't migrate a stream again at once to the server that refused to continue it

A stream whose target refuses its continuation goes on at its own server, as a new attempt that knew nothing of the target: with its first event it was copied there again.

A target that refuses a continuation, or can't be reached, counts like one of a failed migration, and an attempt keeps the failed targets of the run that it continues.

--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -382,10 +382,15 @@
     const target = attempt.migrationTarget;
     setMigrationTarget(state, attempt, undefined);
     if (target !== undefined && !hasSucceeded) {
-        attempt.failedTargets.set(target.record.id, now + failedTargetTimeout);
+        recordFailedTarget(attempt, target.record.id, now);
     }
 }
 
+/** Records that a run could not be migrated to a server, or not be continued there. */
+export function recordFailedTarget({ failedTargets }: Attempt, id: BackendServerId, now: Milliseconds): void {
+    failedTargets.set(id, now + failedTargetTimeout);
+}
+
 /**
  * Handles the end of an answer after its server was asked to stop the run: the stream continues from the copy. An end
  * that may be that of a complete answer waits for the answer to that request while it is due. Returns false if no such
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -200,7 +200,7 @@
         hasStopped: false,
         isStopRequested: false,
         endAfterStop: undefined,
-        failedTargets: new Map(),
+        failedTargets: new Map(lostRun?.attempt.failedTargets),
         loggedObstacle: undefined,
         lastActivityAt: now,
         producingTime: 0,
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -16,7 +16,7 @@
 import type { DecisionFields } from "./effect.js";
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
-import { handleEndAfterStop, migrateAfterFirstEvent } from "./migration.js";
+import { handleEndAfterStop, migrateAfterFirstEvent, recordFailedTarget } from "./migration.js";
 import { findContinuation, recordProduction } from "./replicas.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
 import { recordNoRun } from "./runLedger.js";
@@ -286,6 +286,9 @@
     if (lost === undefined || next === undefined || !canSendAgain(transaction, request)) {
         return false;
     }
+    if (lost.attempt !== attempt) {
+        recordFailedTarget(lost.attempt, attempt.server.record.id, transaction.now);
+    }
     const { server: source } = lost.attempt;
     logDecision(transaction, "info", "stream_continued", {
         ...requestFields(transaction, request),
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -5,7 +5,17 @@
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, eventsIn, kindsIn, linesIn, responseHead, server, stopsIn, TestGateway } from "./gatewayBuilders.js";
+import {
+    callsIn,
+    configuration,
+    eventsIn,
+    kindsIn,
+    linesIn,
+    responseHead,
+    server,
+    stopsIn,
+    TestGateway,
+} from "./gatewayBuilders.js";
 
 const inThird = { failureDomain: identifier<never>("third") };
 
@@ -292,4 +302,18 @@
     assert.is(callsIn(gateway.failAttempt(call)).length, 1, "the copy is used if the server fails");
 });
 
+// Each new run of it began without what was known of targets, and was copied to the same one until no send was left.
+test("a stream that continues at its own server is not migrated again at once to the server that refused it", () => {
+    const { gateway, next } = stoppedStream();
+    const { services } = configuration(2);
+    const withoutReplicas = [...services].map(([name, service]) =>
+        [name, { ...service, engine: service.engine && { ...service.engine, canReplicate: false } }] as const
+    );
+    gateway.configure(configuration(2, { services: new Map(withoutReplicas) }));
+    const [again] = callsIn(gateway.answer(next, refused));
+    gateway.openStream(again);
+    assert.equal(targetsIn([...gateway.receiveEvents(again, 2), ...produce(gateway, again, 900)]), []);
+    assert.equal(targetsIn(produce(gateway, again, 300)), [server("engine-2").address]);
+});
+
 test.run();
