Leave the retries that stopped runs need to them

Where servers left at the same time, each request to stop a copied run asked only whether one retry was left. The first continuation took it, or another request's retry did, and the streams that were stopped beside it were cut by our own order, which can't be taken back.

canSendAgain leaves a retry to each other run of the service that was asked to stop. Evacuations count these no longer beside their copies.

--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -84,7 +84,9 @@
     if (atServer.some(({ attempt }) => attempt?.migrationTarget !== undefined)) {
         return;
     }
-    const underWay = [...state.attempts.values()].filter(({ attempt }) => attempt?.migrationTarget !== undefined);
+    const underWay = [...state.attempts.values()].filter(({ attempt }) =>
+        attempt?.migrationTarget !== undefined && !attempt.isStopRequested
+    );
     const streams = atServer.flatMap(request => migratableStreams(transaction, request, reason, underWay.length));
     const inOrder = streams.sort((one, other) =>
         Number(one.isSafe) - Number(other.isSafe)
@@ -143,7 +145,7 @@
     }
 }
 
-/** @param underWay the migrations under way, each of which needs a retry when it ends */
+/** @param underWay the copies under way, each of which needs a retry when it is complete */
 function migratableStreams(
     transaction: Transaction,
     request: GatewayRequest,
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -306,13 +306,22 @@
 }
 
 /**
- * Whether the deadline, the number of sends and the retry budget allow another send.
+ * Whether the deadline, the number of sends and the retry budget allow another send. Retries that other streams need to
+ * continue, whose runs are being stopped for that, are left to them.
  *
- * @param reserved retries that must remain beside this one
+ * @param reserved retries that must remain beside these and this one
  */
 export function canSendAgain({ state, now }: Transaction, request: GatewayRequest, reserved = 0): boolean {
     const share = { instances: countKnownInstances(state), uptime: now - (state.startedAt ?? now) };
     return request.sends < (request.route.isStream ? maximumStreamSends : maximumSends)
         && request.deadline - now >= minimumTimeForSend
-        && remainingRetries(state.retryBudget, request.service, share, now) >= 1 + reserved;
+        && remainingRetries(state.retryBudget, request.service, share, now)
+            >= 1 + reserved + countStoppingRuns(state, request);
+}
+
+/** The runs of other requests to the same service that their servers were asked to stop. */
+function countStoppingRuns({ attempts }: GatewayState, request: GatewayRequest): number {
+    return [...attempts.values()].filter(other =>
+        other !== request && other.service === request.service && other.attempt?.isStopRequested === true
+    ).length;
 }
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -316,4 +316,24 @@
     assert.equal(targetsIn(produce(gateway, again, 300)), [server("engine-2").address]);
 });
 
+// Each stop looked at the budget alone, and the first continuation took what the others needed: their streams were cut.
+test("runs are asked to stop only while a retry is left for each, and no other request takes it", () => {
+    const gateway = TestGateway.serving(server("engine-1"), server("engine-2"));
+    const calls = ["r", "s"].map(id => gateway.startStream(id, "plan", { promptTokens: 500, maximumTokens: 1_000 }));
+    assert.equal(calls.map(({ backendServer }) => String(backendServer)).sort(), ["engine-1", "engine-2"]);
+    const other = gateway.startStream("t", "note", { promptTokens: 10 });
+    gateway.register(server("engine-3"), server("engine-4"));
+    const left = [...leave(gateway, server("engine-1")), ...leave(gateway, server("engine-2")), ...gateway.advance(50)];
+    assert.is(targetsIn(left).length, 2);
+    gateway.state.retryBudget.options = { ratio: 0, slack: 1.5, window: 10_000 };
+    const answered = calls.map(({ attemptId }) =>
+        gateway.handle({ kind: "migrationAnswered", attemptId, result: moved })
+    );
+    assert.equal(answered.map(effects => stopsIn(effects).length), [1, 0]);
+    assert.equal(callsIn(gateway.failAttempt(other)), []);
+    const stopped = gateway.handle({ kind: "migrationAnswered", attemptId: calls[0].attemptId, result: moved });
+    assert.is(callsIn(stopped).length, 1);
+    assert.ok(!kindsIn(gateway.advance(50)).includes("answerCut"));
+});
+
 test.run();
