Migrate short streams from servers that may exit before they end

A stream that is expected to end within 0.7 s is not migrated, since a server that begins to leave runs for longer. The decision is now taken again while the server leaves, when this is no longer so: a stream that had waited for a target or for others' migrations was left to be cut.

The bound is at most the time for which the server is certain to run, by the drain limit, and 0.2 s at least.

--- a/packages/gateway/src/drainLimit.ts
+++ b/packages/gateway/src/drainLimit.ts
@@ -55,3 +55,15 @@
     return leavingNotBefore === undefined
         || now + longestDelivery <= leavingNotBefore + (options.drainLimit ?? defaultDrainLimit);
 }
+
+/**
+ * For how long a server that leaves is certain to keep running: the drain limit at least, counted from the earliest time at
+ * which its leaving can have been acknowledged.
+ */
+export function certainRunTime(
+    { options }: GatewayState,
+    { leavingNotBefore }: BackendServer,
+    now: Milliseconds,
+): Milliseconds {
+    return Math.max(0, (leavingNotBefore ?? now) + (options.drainLimit ?? defaultDrainLimit) - now);
+}
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -12,6 +12,7 @@
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
 import { endAttempt, retryOrFail } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
+import { certainRunTime } from "./drainLimit.js";
 import { isEvacuated } from "./evacuations.js";
 import type { GatewayEvent, MigrationResult } from "./event.js";
 import { expectedOutput } from "./messages.js";
@@ -49,8 +50,10 @@
     readonly isSafe: boolean;
 }
 
-/** A stream that is expected to end sooner is not migrated: its server keeps running for longer than that. */
+/** A stream that is expected to end sooner is not migrated, if its server is certain to keep running for as long. */
 const minimumRemainingTime: Milliseconds = 700;
+/** A stream that is expected to end sooner is never migrated, since that takes as long. */
+const shortestMigration: Milliseconds = 200;
 
 /** How often streams at evacuated servers are checked: their forecasts and the memory of other engines change. */
 const evacuationCheckInterval: Milliseconds = 1_000;
@@ -193,13 +196,20 @@
             > (state.options.evacuationLimit ?? defaultEvacuationLimit);
         return isLong ? retryObstacle(transaction, request, reservedRetries + underWay) : "ends_soon";
     }
-    if (isSafe || remaining <= minimumRemainingTime) {
+    if (isSafe || remaining <= endsSoonWithin(transaction, attempt)) {
         return isSafe ? "safe" : "ends_soon";
     }
     // A copy is of no use before the stream may be sent again, and is repeated then.
     return attempt.copy === undefined ? undefined : retryObstacle(transaction, request, 0);
 }
 
+/** A stream at a leaving server that is expected to end within this time is left to end there. */
+function endsSoonWithin({ state, now }: Transaction, { server }: Attempt): Milliseconds {
+    const known = state.servers.get(server.record.id);
+    const runTime = known === undefined ? 0 : certainRunTime(state, known, now);
+    return Math.max(shortestMigration, Math.min(minimumRemainingTime, runTime));
+}
+
 function retryObstacle(
     transaction: Transaction,
     request: GatewayRequest,
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -336,4 +336,16 @@
     assert.ok(!kindsIn(gateway.advance(50)).includes("answerCut"));
 });
 
+// A server runs for longer than such a stream when it begins to leave, but not whenever the stream is looked at again.
+test("a short stream is migrated from a server that has left for so long that it may exit before", () => {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const call = gateway.startStream("r", "plan", { promptTokens: 500, maximumTokens: 1_000, estimatedTokens: 180 });
+    leave(gateway, server("engine-1"));
+    produce(gateway, call, 1_600);
+    // 47 tokens of it remain, and the server is certain to run for 400 ms.
+    gateway.receiveEvents(call, ...Array.from({ length: 16 }, (_, index) => 18 + index));
+    assert.equal(targetsIn(gateway.register(server("engine-2"))), []);
+    assert.equal(targetsIn(gateway.advance(50)), [server("engine-2").address]);
+});
+
 test.run();
