Ask again before a send whether a planned stop would cut the request

A stream that waited for an engine, or that a server refused, was sent late in a planned stop though its greatest output no longer fitted, and could be cut though it had not run: cannotFinishBeforeStop was asked once, when the request arrived.

It is asked again before each send of a request that no server can have run, and while it waits for capacity. The request is refused as not run.

--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -12,6 +12,7 @@
 import type { BackendServer } from "./backendServers.js";
 import { coldShareAt, isCold, spendColdRequest, timeUntilWithinColdRate } from "./coldServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
+import { cannotFinishBeforeStop, retryAfterStop } from "./draining.js";
 import { isEvacuated, isServiceEvacuated } from "./evacuations.js";
 import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
@@ -76,7 +77,7 @@
     if (suspension !== undefined) {
         return failSuspended(transaction, request, suspension);
     }
-    if (holdAfterSuspension(state, request)) {
+    if (holdAfterSuspension(state, request) || failIfStopCuts(transaction, request)) {
         return;
     }
     const usable = usableServers(state, request.service, now, request.origin);
@@ -92,6 +93,20 @@
     sendTo(transaction, request, { server, continuesFrom: undefined });
 }
 
+/**
+ * Fails a request that has not run if a planned stop would cut it, which may have become so since it was accepted. Returns
+ * whether that is the case.
+ */
+export function failIfStopCuts(transaction: Transaction, request: GatewayRequest): boolean {
+    const { state, now } = transaction;
+    const { route, head, runs } = request;
+    if (countPossibleRuns(runs) > 0 || !cannotFinishBeforeStop(state, route, head, now)) {
+        return false;
+    }
+    failRequest(transaction, request, "leaving", "the instance is stopping", retryAfterStop(state, now));
+    return true;
+}
+
 /** Fails a request to a service whose servers are all evacuated. Returns whether that is the case. */
 export function failIfEvacuated(transaction: Transaction, request: GatewayRequest): boolean {
     const { state, now } = transaction;
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -28,7 +28,7 @@
 import { countWaitingRequests } from "./members.js";
 import { failRequest, requestFields } from "./requests.js";
 import { highestPriority } from "./routingConfiguration.js";
-import { failIfEvacuated, sendTo, timeUntilUsable } from "./sending.js";
+import { failIfEvacuated, failIfStopCuts, sendTo, timeUntilUsable } from "./sending.js";
 import {
     capacityUse,
     engineOf,
@@ -66,7 +66,7 @@
 
 /**
  * Starts the waiting requests for which there is room, and refuses those that can't start on time any more or whose
- * servers are all evacuated.
+ * servers are all evacuated, or which a planned stop would cut by now.
  */
 export function checkWaitingRequests(transaction: Transaction): void {
     const { state, now } = transaction;
@@ -74,7 +74,7 @@
     const rank = (request: GatewayRequest): number => startRank(toWaitingView(request), shares);
     const inOrder = [...state.waiting.values()].sort((one, other) => rank(one) - rank(other));
     for (const request of inOrder) {
-        if (failIfEvacuated(transaction, request)) {
+        if (failIfEvacuated(transaction, request) || failIfStopCuts(transaction, request)) {
             continue;
         }
         const others = countWaitingRequests(state, now) - 1;
--- a/packages/gateway/test/waiting.test.ts
+++ b/packages/gateway/test/waiting.test.ts
@@ -1,3 +1,4 @@
+import type { BackendCall } from "@verbenaspring/gateway";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { callsIn, failuresIn, server, TestGateway } from "./gatewayBuilders.js";
@@ -117,4 +118,37 @@
     assert.ok(shared > 0 && shared < 25, `${shared} of 40 started, with room for 4 and 19 others that wait`);
 });
 
+/** A request that is accepted 3.1 s into a planned stop, which its greatest output allows, and waits for memory. */
+function waitingInStop(): { readonly gateway: TestGateway; readonly first: BackendCall; } {
+    const gateway = TestGateway.serving(server("engine-1"));
+    gateway.state.meanStreamDuration = 30;
+    const first = gateway.startStream("p1", "plan", plan);
+    gateway.startStream("p2", "plan", plan);
+    gateway.handle({ kind: "stopRequested" });
+    gateway.advance(3_100);
+    gateway.receiveRequest("p3", "plan", { promptTokens: 4_000, maximumTokens: 200 });
+    assert.is(gateway.state.waiting.size, 1);
+    return { gateway, first };
+}
+
+// It was started, though it was known by then that the stop could cut it.
+test("a request that has waited in a planned stop until it can't be known to end any more is refused as not run", () => {
+    const { gateway, first } = waitingInStop();
+    gateway.now += 500;
+    const effects = [...gateway.handle({ kind: "streamEnded", attemptId: first.attemptId }), ...gateway.advance(50)];
+    assert.equal(callsIn(effects), []);
+    assert.equal(failuresIn(effects).map(({ type, outcome }) => [type, outcome]), [["leaving", "not_run"]]);
+});
+
+test("a request that a server refuses late in a planned stop is not sent again if it can't be known to end any more", () => {
+    const gateway = TestGateway.serving(server("engine-1"), server("engine-2"));
+    gateway.handle({ kind: "stopRequested" });
+    gateway.advance(3_100);
+    const call = gateway.sendRequest("r", "plan", { promptTokens: 400, maximumTokens: 200 });
+    gateway.advance(500);
+    const effects = gateway.answer(call, { status: 503, isNotRun: true, isSealed: false });
+    assert.equal(callsIn(effects), []);
+    assert.equal(failuresIn(effects).map(({ type, outcome }) => [type, outcome]), [["leaving", "not_run"]]);
+});
+
 test.run();
