Start no waiting request after a suspension before the operator's topic was read

A request that waited for capacity when the process was suspended was started at the first tick after it, by the servers and evacuations known before. Requests that arrive after a suspension are held for that read; those that waited already were not.

resumption.test.ts: before, the test fails (a call is sent); after, 282 tests of the gateway pass.

--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -66,10 +66,14 @@
 
 /**
  * Starts the waiting requests for which there is room, and refuses those that can't start on time any more or whose
- * servers are all evacuated, or which a planned stop would cut by now.
+ * servers are all evacuated, or which a planned stop would cut by now. After a suspension of the process they wait like
+ * those that it holds.
  */
 export function checkWaitingRequests(transaction: Transaction): void {
     const { state, now } = transaction;
+    if (state.resumption !== undefined) {
+        return;
+    }
     const shares = runningShares(state);
     const rank = (request: GatewayRequest): number => startRank(toWaitingView(request), shares);
     const inOrder = [...state.waiting.values()].sort((one, other) => rank(one) - rank(other));
--- a/packages/gateway/test/resumption.test.ts
+++ b/packages/gateway/test/resumption.test.ts
@@ -51,4 +51,18 @@
     assert.is(callsIn(gateway.advance(50)).length, 1);
 });
 
+// Such requests were started at the first tick, by what was known before the suspension.
+test("after a suspension a request that waits for capacity is not started before the operator's topic was read", () => {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const plan = { promptTokens: 4_000, maximumTokens: 500 };
+    gateway.state.meanStreamDuration = 30;
+    const { attemptId } = gateway.startStream("p1", "plan", plan);
+    gateway.startStream("p2", "plan", plan);
+    assert.equal(callsIn(gateway.receiveRequest("p3", "plan", plan)), []);
+    gateway.now += 3_000;
+    const resumed = gateway.handle({ kind: "streamEnded", attemptId });
+    assert.equal(callsIn([...resumed, ...gateway.advance(50)]), []);
+    assert.is(gateway.state.waiting.size, 1);
+});
+
 test.run();
