--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -12,6 +12,7 @@
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
 import { endAttempt, retryOrFail } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
+import { certainRunTime } from "./drainLimit.js";
 import { isEvacuated } from "./evacuations.js";
 import type { GatewayEvent, MigrationResult } from "./event.js";
 import { expectedOutput } from "./messages.js";
@@ -49,8 +50,10 @@
     readonly isSafe: boolean;
 }
 
-/** A stream that is expected to end sooner is not migrated: its server keeps running for longer than that. */
+/** A stream that is expected to end sooner is not migrated, if its server is certain to keep running for as long. */
 const minimumRemainingTime: Milliseconds = 700;
+/** A stream that is expected to end sooner is never migrated, since that takes as long. */
+const shortestMigration: Milliseconds = 200;
 
 /** How often streams at evacuated servers are checked: their forecasts and the memory of other engines change. */
 const evacuationCheckInterval: Milliseconds = 1_000;
@@ -87,7 +90,9 @@
     if (atServer.some(({ attempt }) => attempt?.migrationTarget !== undefined)) {
         return;
     }
-    const underWay = [...state.attempts.values()].filter(({ attempt }) => attempt?.migrationTarget !== undefined);
+    const underWay = [...state.attempts.values()].filter(({ attempt }) =>
+        attempt?.migrationTarget !== undefined && !attempt.isStopRequested
+    );
     const streams = atServer.flatMap(request => migratableStreams(transaction, request, reason, underWay.length));
     const inOrder = streams.sort((one, other) =>
         Number(one.isSafe) - Number(other.isSafe)
@@ -146,7 +151,7 @@
     }
 }
 
-/** @param underWay the migrations under way, each of which needs a retry when it ends */
+/** @param underWay the copies under way, each of which needs a retry when it is complete */
 function migratableStreams(
     transaction: Transaction,
     request: GatewayRequest,
@@ -197,7 +202,7 @@
             > (state.options.evacuationLimit ?? defaultEvacuationLimit);
         return isLong ? retryObstacle(transaction, request, reservedRetries + underWay) : "ends_soon";
     }
-    if (isSafe || remaining <= minimumRemainingTime) {
+    if (isSafe || remaining <= endsSoonWithin(transaction, attempt)) {
         return isSafe ? "safe" : "ends_soon";
     }
     // A copy is of no use before the stream may be sent again, and is repeated then.
@@ -209,6 +214,13 @@
     return stopUnansweredAt !== undefined && lastActivityAt - stopUnansweredAt >= longestEventDelay;
 }
 
+/** A stream at a leaving server that is expected to end within this time is left to end there. */
+function endsSoonWithin({ state, now }: Transaction, { server }: Attempt): Milliseconds {
+    const known = state.servers.get(server.record.id);
+    const runTime = known === undefined ? 0 : certainRunTime(state, known, now);
+    return Math.max(shortestMigration, Math.min(minimumRemainingTime, runTime));
+}
+
 function retryObstacle(
     transaction: Transaction,
     request: GatewayRequest,
@@ -346,7 +358,10 @@
     const requestedAt = attempt.migrationStartedAt ?? -Infinity;
     const copy: RunCopy = { holder: target, name: result.handle, requestedAt };
     attempt.copy = copy;
-    const canStop = !isPaused(state, attempt.server.record.id, now) && canSendAgain(transaction, request);
+    const { id } = attempt.server.record;
+    // A server whose registration had lapsed may be registered again, and an evacuation may be withdrawn.
+    const isDue = migrationReason(state, id) !== undefined;
+    const canStop = isDue && !isPaused(state, id, now) && canSendAgain(transaction, request);
     if (!canStop || usableCopyHolder(transaction, request, attempt, copy) === undefined) {
         return false;
     }
@@ -394,10 +409,15 @@
     setMigrationTarget(state, attempt, undefined);
     attempt.isStopping = false;
     if (target !== undefined && !hasSucceeded) {
-        attempt.failedTargets.set(target.record.id, now + failedTargetTimeout);
+        recordFailedTarget(attempt, target.record.id, now);
     }
 }
 
+/** Records that a run could not be migrated to a server, or not be continued there. */
+export function recordFailedTarget({ failedTargets }: Attempt, id: BackendServerId, now: Milliseconds): void {
+    failedTargets.set(id, now + failedTargetTimeout);
+}
+
 /**
  * Handles the end of an answer after its server was asked to stop the run: the stream continues from the copy. An end
  * that may be that of a complete answer waits for the answer to that request while it is due. Returns false if no such
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -12,6 +12,7 @@
 import type { BackendServer } from "./backendServers.js";
 import { coldShareAt, isCold, spendColdRequest, timeUntilWithinColdRate } from "./coldServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
+import { cannotFinishBeforeStop, retryAfterStop } from "./draining.js";
 import { isEvacuated, isServiceEvacuated } from "./evacuations.js";
 import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
@@ -76,7 +77,7 @@
     if (suspension !== undefined) {
         return failSuspended(transaction, request, suspension);
     }
-    if (holdAfterSuspension(state, request)) {
+    if (holdAfterSuspension(state, request) || failIfStopCuts(transaction, request)) {
         return;
     }
     const usable = usableServers(state, request.service, now, request.origin);
@@ -92,6 +93,20 @@
     sendTo(transaction, request, { server, continuesFrom: undefined });
 }
 
+/**
+ * Fails a request that has not run if a planned stop would cut it, which may have become so since it was accepted. Returns
+ * whether that is the case.
+ */
+export function failIfStopCuts(transaction: Transaction, request: GatewayRequest): boolean {
+    const { state, now } = transaction;
+    const { route, head, arrivedAt: receivedAt, runs } = request;
+    if (countPossibleRuns(runs) > 0 || !cannotFinishBeforeStop(state, route, { head, receivedAt }, now)) {
+        return false;
+    }
+    failRequest(transaction, request, "leaving", "the instance is stopping", retryAfterStop(state, now));
+    return true;
+}
+
 /** Fails a request to a service whose servers are all evacuated. Returns whether that is the case. */
 export function failIfEvacuated(transaction: Transaction, request: GatewayRequest): boolean {
     const { state, now } = transaction;
@@ -202,7 +217,7 @@
         isStopping: false,
         stopUnansweredAt: undefined,
         endAfterStop: undefined,
-        failedTargets: new Map(),
+        failedTargets: new Map(lostRun?.attempt.failedTargets),
         loggedObstacle: undefined,
         lastActivityAt: now,
         producingTime: 0,
@@ -309,13 +324,22 @@
 }
 
 /**
- * Whether the deadline, the number of sends and the retry budget allow another send.
+ * Whether the deadline, the number of sends and the retry budget allow another send. Retries that other streams need to
+ * continue, whose runs are being stopped for that, are left to them.
  *
- * @param reserved retries that must remain beside this one
+ * @param reserved retries that must remain beside these and this one
  */
 export function canSendAgain({ state, now }: Transaction, request: GatewayRequest, reserved = 0): boolean {
     const share = { instances: countKnownInstances(state), uptime: now - (state.startedAt ?? now) };
     return request.sends < (request.route.isStream ? maximumStreamSends : maximumSends)
         && request.deadline - now >= minimumTimeForSend
-        && remainingRetries(state.retryBudget, request.service, share, now) >= 1 + reserved;
+        && remainingRetries(state.retryBudget, request.service, share, now)
+            >= 1 + reserved + countStoppingRuns(state, request);
+}
+
+/** The runs of other requests to the same service that their servers were asked to stop. */
+function countStoppingRuns({ attempts }: GatewayState, request: GatewayRequest): number {
+    return [...attempts.values()].filter(other =>
+        other !== request && other.service === request.service && other.attempt?.isStopRequested === true
+    ).length;
 }
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -5,7 +5,17 @@
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, eventsIn, kindsIn, linesIn, responseHead, server, stopsIn, TestGateway } from "./gatewayBuilders.js";
+import {
+    callsIn,
+    configuration,
+    eventsIn,
+    kindsIn,
+    linesIn,
+    responseHead,
+    server,
+    stopsIn,
+    TestGateway,
+} from "./gatewayBuilders.js";
 
 const inThird = { failureDomain: identifier<never>("third") };
 
@@ -312,4 +322,60 @@
     assert.equal(callsIn(gateway.answer(next, refused)), []);
 });
 
+// The stream was stopped and moved all the same, which takes a retry and a send of it.
+test("a stream that is being copied is not stopped if its server stays after all", () => {
+    const { gateway, call } = migratingStream();
+    gateway.register(server("engine-1", { heartbeat: 3 }));
+    const answered = gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved });
+    assert.equal(stopsIn(answered), []);
+    assert.equal(targetsIn(produce(gateway, call, 1_000)), []);
+    assert.is(callsIn(gateway.failAttempt(call)).length, 1, "the copy is used if the server fails");
+});
+
+// Each new run of it began without what was known of targets, and was copied to the same one until no send was left.
+test("a stream that continues at its own server is not migrated again at once to the server that refused it", () => {
+    const { gateway, next } = stoppedStream();
+    const { services } = configuration(2);
+    const withoutReplicas = [...services].map(([name, service]) =>
+        [name, { ...service, engine: service.engine && { ...service.engine, canReplicate: false } }] as const
+    );
+    gateway.configure(configuration(2, { services: new Map(withoutReplicas) }));
+    const [again] = callsIn(gateway.answer(next, refused));
+    gateway.openStream(again);
+    assert.equal(targetsIn([...gateway.receiveEvents(again, 2), ...produce(gateway, again, 900)]), []);
+    assert.equal(targetsIn(produce(gateway, again, 300)), [server("engine-2").address]);
+});
+
+// Each stop looked at the budget alone, and the first continuation took what the others needed: their streams were cut.
+test("runs are asked to stop only while a retry is left for each, and no other request takes it", () => {
+    const gateway = TestGateway.serving(server("engine-1"), server("engine-2"));
+    const calls = ["r", "s"].map(id => gateway.startStream(id, "plan", { promptTokens: 500, maximumTokens: 1_000 }));
+    assert.equal(calls.map(({ backendServer }) => String(backendServer)).sort(), ["engine-1", "engine-2"]);
+    const other = gateway.startStream("t", "note", { promptTokens: 10 });
+    gateway.register(server("engine-3"), server("engine-4"));
+    const left = [...leave(gateway, server("engine-1")), ...leave(gateway, server("engine-2")), ...gateway.advance(50)];
+    assert.is(targetsIn(left).length, 2);
+    gateway.state.retryBudget.options = { ratio: 0, slack: 1.5, window: 10_000 };
+    const answered = calls.map(({ attemptId }) =>
+        gateway.handle({ kind: "migrationAnswered", attemptId, result: moved })
+    );
+    assert.equal(answered.map(effects => stopsIn(effects).length), [1, 0]);
+    assert.equal(callsIn(gateway.failAttempt(other)), []);
+    const stopped = gateway.handle({ kind: "migrationAnswered", attemptId: calls[0].attemptId, result: moved });
+    assert.is(callsIn(stopped).length, 1);
+    assert.ok(!kindsIn(gateway.advance(50)).includes("answerCut"));
+});
+
+// A server runs for longer than such a stream when it begins to leave, but not whenever the stream is looked at again.
+test("a short stream is migrated from a server that has left for so long that it may exit before", () => {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const call = gateway.startStream("r", "plan", { promptTokens: 500, maximumTokens: 1_000, estimatedTokens: 180 });
+    leave(gateway, server("engine-1"));
+    produce(gateway, call, 1_600);
+    // 47 tokens of it remain, and the server is certain to run for 400 ms.
+    gateway.receiveEvents(call, ...Array.from({ length: 16 }, (_, index) => 18 + index));
+    assert.equal(targetsIn(gateway.register(server("engine-2"))), []);
+    assert.equal(targetsIn(gateway.advance(50)), [server("engine-2").address]);
+});
+
 test.run();
