Reserve the last moments of a planned stop as shares of its time

With half a core (SIGSTOP and SIGCONT each 50 ms) and an answer that is left unread, a gateway ended 7,968 to 8,007 ms after its SIGTERM, where the platform kills it at 8,000 ms. The exit was due 75 ms before the end of any grace period, which is less than a tick and a pause. With no answer unread it also came in the turn of the last failures, before the callers' server could report that these were not taken.

After the last failures the process goes on until callers have taken them.

"the process does not end in the turn of its last failures" fails without the early return, and passes. The times in "a planned stop waits for answers that callers still read" follow the new exit and are as narrow as before.

--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -14,10 +14,16 @@
 
 /** The balancer probes readiness every second and needs two failures; until then it opens new channels. */
 const balancerDetectionTime: Milliseconds = 3_200;
-/** Time reserved before the process is killed, for the last answers to reach their callers. */
-const finalAnswersTime: Milliseconds = 250;
-/** The part of that time in which the process exits by itself, with answers that callers have not taken. */
-const exitTime: Milliseconds = 75;
+/**
+ * The share of a stop's time that is reserved before the process is killed, for the last answers to reach their callers: a
+ * process with a part of a core may stand still for much of a tenth of a second at each step.
+ */
+const finalAnswersShare = 1 / 16;
+/** The part of that share in which the process exits by itself, with answers that callers have not taken. */
+const exitShare = 1 / 32;
+/** The least times that these shares reserve. */
+const minimumFinalAnswersTime: Milliseconds = 250;
+const minimumExitTime: Milliseconds = 75;
 
 const minimumRetryAfter: Milliseconds = 20;
 /**
@@ -41,7 +47,7 @@
     if (state.hasExited) {
         return true;
     }
-    const remaining = state.stopRequestedAt + state.options.stopLimit - finalAnswersTime - now;
+    const remaining = state.stopRequestedAt + finalAnswersAfter(state) - now;
     // Once other instances get the new channels, there is no reason to accept what is not known to end in time.
     const isLate = now - state.stopRequestedAt >= estimatesTrustedFor;
     if (isLate) {
@@ -51,6 +57,11 @@
     return shortWorkTime + streamTime > remaining;
 }
 
+/** From the request to stop until the remaining requests fail. */
+function finalAnswersAfter({ options: { stopLimit } }: GatewayState): Milliseconds {
+    return stopLimit - Math.max(minimumFinalAnswersTime, finalAnswersShare * stopLimit);
+}
+
 /** Time until a caller refused for a planned stop reaches another instance: when the balancer has removed this one. */
 export function retryAfterStop(state: GatewayState, now: Milliseconds): Milliseconds {
     const removedAt = (state.stopRequestedAt ?? now) + balancerDetectionTime;
@@ -75,17 +86,23 @@
  */
 export function checkStop(transaction: Transaction): void {
     const { state, now, effects } = transaction;
+    const { stopLimit } = state.options;
     if (state.stopRequestedAt === undefined || state.hasExited) {
         return;
     }
     const elapsed = now - state.stopRequestedAt;
-    if (elapsed >= state.options.stopLimit - finalAnswersTime) {
+    const exitAfter = stopLimit - Math.max(minimumExitTime, exitShare * stopLimit);
+    if (elapsed >= finalAnswersAfter(state) && state.requests.size > 0) {
         [...state.requests.values()].forEach(request =>
             failRequest(transaction, request, "leaving", "the instance was stopped before the answer was complete")
         );
+        // Whether callers have taken these answers is reported later.
+        if (elapsed < exitAfter) {
+            return;
+        }
     }
     const isIdle = state.requests.size === 0 && state.unsentAnswers === 0;
-    if (elapsed >= state.options.stopLimit - exitTime || (elapsed >= balancerDetectionTime && isIdle)) {
+    if (elapsed >= exitAfter || (elapsed >= balancerDetectionTime && isIdle)) {
         state.hasExited = true;
         logDecision(transaction, "info", "stopping", {
             elapsed: Math.round(elapsed),
