--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -20,6 +20,7 @@
     platformSchedules,
     releaseSchedules,
     runPlatformSchedule,
+    stopSchedules,
 } from "./platform/index.js";
 import { runSchedule } from "./runSchedule.js";
 import { defaultWorldPolicies, type WorldPolicies } from "./world.js";
@@ -115,6 +116,12 @@
     schedules: releaseSchedules,
 };
 
+/** Gateways on the users' platform, with planned stops, replacements and changes only. */
+export const stopPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: stopSchedules,
+};
+
 /** Gateways on the users' platform, of which each has links to some others only. */
 export const overlaidPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -19,6 +19,7 @@
     pausePlatformSystem,
     platformSystem,
     releasePlatformSystem,
+    stopPlatformSystem,
 } from "./fuzz.js";
 
 /** Schedules between two lines of progress. */
@@ -42,6 +43,7 @@
                 "notices",
                 "pauses",
                 "releases",
+                "stops",
             ] as const,
             default: "platform",
             describe:
@@ -76,6 +78,7 @@
     notices: noticePlatformSystem,
     pauses: pausePlatformSystem,
     releases: releasePlatformSystem,
+    stops: stopPlatformSystem,
 };
 const result = system === "linked"
     ? fuzz(linkedSystem, options)
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -16,6 +16,8 @@
         /** Tokens of a streamed answer. */
         readonly length: number;
         readonly timeLimit: number;
+        /** Whether the request doesn't say how many tokens its answer may have. */
+        readonly hidesLength?: boolean;
     }
     | { readonly kind: "leave"; readonly caller: number; }
     /** A caller whose stream broke off takes it up at a gateway. */
@@ -374,6 +376,31 @@
     return schedulesOf(changingActions, steps);
 }
 
+const unhurriedRequest = arbitraryAction("ask", {
+    work: fc.constantFrom("confirm", "lookup", "plan", "plan", "note"),
+    gateway: slot,
+    length: fc.oneof(fc.integer({ min: 1, max: 200 }), fc.integer({ min: 200, max: 800 })),
+    timeLimit: fc.integer({ min: 4_000, max: 20_000 }),
+    hidesLength: fc.boolean(),
+});
+const leavingDuration = fc.integer({ min: 2_300, max: 5_300 });
+
+const plannedOperations = fc.oneof(
+    { arbitrary: unhurriedRequest, weight: 14 },
+    { arbitrary: arbitraryAction("stopGateway", { gateway: slot }), weight: 3 },
+    { arbitrary: arbitraryAction("configure", {}), weight: 2 },
+    { arbitrary: arbitraryAction("replaceServer", { server: slot, after: leavingDuration }), weight: 1 },
+    { arbitrary: arbitraryAction("withdrawServer", { server: slot, after: leavingDuration }), weight: 1 },
+);
+
+/**
+ * Generates schedules of up to `steps` steps without any fault: gateways stop, also several at once and again while they
+ * stop, servers are replaced, and the configuration changes. Some requests don't state the length of their answer.
+ */
+export function stopSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    return schedulesOf(plannedOperations, steps);
+}
+
 /** Generates schedules of up to `steps` steps, in which no server declares a limit. */
 export function platformSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
     return schedulesOf(action, steps);
--- a/packages/fuzz/src/platform/faultRecord.ts
+++ b/packages/fuzz/src/platform/faultRecord.ts
@@ -20,6 +20,11 @@
         this.lastFaultEnd = Math.max(this.lastFaultEnd, end);
     }
 
+    /** Records that a process starts again after a planned stop, which is no fault of the system. */
+    recordPlannedRestart(name: string, duration: Milliseconds): void {
+        this.processFaultEnds.set(name, Math.max(this.now() + duration, this.processFaultEnd(name)));
+    }
+
     /** Records a fault of the store. */
     recordStoreFault(duration: Milliseconds): void {
         this.storeFaultEnd = Math.max(this.storeFaultEnd, this.now() + duration);
--- a/packages/fuzz/src/platform/limits.ts
+++ b/packages/fuzz/src/platform/limits.ts
@@ -19,6 +19,10 @@
     answerSlack: 300,
     /** How long a planned stop may take. */
     stopLimit: 8_000,
+    /** How long after a request to stop callers may still send requests that the end of the stop cuts. */
+    stopNoticed: 3_000,
+    /** How long after the time limit of a planned stop a request that ends without a complete answer counts. */
+    stopOver: 1_000,
     /** Repeated calls per request that the retry budget allows. */
     retryRatio: 0.2,
     /** Repeated calls that the retry budget allows on top of the ratio. */
@@ -60,3 +64,31 @@
 export function isEarlyInStop(stopRequestedAt: Milliseconds | undefined, now: Milliseconds): boolean {
     return stopRequestedAt !== undefined && now - stopRequestedAt < uninterruptedStopShare * platformLimits.stopLimit;
 }
+
+/** A request that ends without a complete answer. */
+export interface UnansweredRequest {
+    readonly sentAt: Milliseconds;
+    /** When its gateway was asked to stop; undefined if it wasn't. */
+    readonly stopRequestedAt: Milliseconds | undefined;
+    /** Until when a backend server worked on it; undefined if none has begun. */
+    readonly workedUntil: Milliseconds | undefined;
+}
+
+/**
+ * Whether the planned stop of its gateway had to leave a request its answer. The end of a stop may cut a request only if
+ * it was sent before callers notice the stop, and a server was still at work on it in the last part of the stop.
+ *
+ * @example
+ * mustSurviveStop({ sentAt: 5_500, stopRequestedAt: 0, workedUntil: 7_750 }, 7_750); // true
+ */
+export function mustSurviveStop(
+    { sentAt, stopRequestedAt, workedUntil }: UnansweredRequest,
+    now: Milliseconds,
+): boolean {
+    const { stopLimit, stopNoticed, stopOver } = platformLimits;
+    if (stopRequestedAt === undefined || now - stopRequestedAt > stopLimit + stopOver) {
+        return false;
+    }
+    const wasAtWorkLate = workedUntil !== undefined && !isEarlyInStop(stopRequestedAt, workedUntil);
+    return sentAt - stopRequestedAt > stopNoticed || !wasAtWorkLate;
+}
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -11,7 +11,7 @@
 import { DeadlyWorkOracle } from "./deadlyWorkOracle.js";
 import { EvacuationOracle } from "./evacuationOracle.js";
 import { FaultRecord } from "./faultRecord.js";
-import { isEarlyInStop, platformLimits } from "./limits.js";
+import { isEarlyInStop, mustSurviveStop, platformLimits } from "./limits.js";
 import { mustRunAtMostOnce, type RequestOrProbeKind, serviceOf } from "./requestKinds.js";
 import { ServerLimitOracle } from "./serverLimitOracle.js";
 import { ServerNoticeOracle } from "./serverNoticeOracle.js";
@@ -87,6 +87,8 @@
         requestLimitOf: (server: string) => number | undefined,
         /** The gateway processes that are alive now. */
         gateways: () => readonly VirtualGateway[],
+        /** Whether a backend server runs now. */
+        private readonly isServerRunning: (server: string) => boolean,
     ) {
         const fail = (promise: PromiseName, detail: string): void => this.fail(promise, detail);
         this.faultRecord = new FaultRecord(() => clock.now);
@@ -241,9 +243,8 @@
             );
         }
         this.checkDenial(request, end);
-        const isLost = end === "cut" || end === "gateway_gone" || (typeof end === "object" && !end.isNotRun);
-        if (isLost && this.isCutByPlannedStop(request)) {
-            this.fail("planned_stop_cuts_nothing", `${request.callerAttemptId} was cut by a planned stop`);
+        if (this.isLostInPlannedStop(request, end)) {
+            this.fail("planned_stop_cuts_nothing", this.describeLoss(request));
         }
         if (end !== "whole" && end !== "left" && this.wasAnswerReady(request)) {
             this.fail("ready_answers_are_delivered", `${request.callerAttemptId} ended as ${JSON.stringify(end)}`);
@@ -270,13 +271,35 @@
     }
 
     /**
-     * Whether a planned stop ended a request before its deadline and too early in the stop, with the whole system free
-     * of faults since the request.
+     * Whether a planned stop ended a request before its deadline although it may not, with the whole system free of
+     * faults since the request. Until the last part of the stop a failure counts as well, unless the request has not run.
      */
-    private isCutByPlannedStop({ gateway, sentAt, deadlineAt }: PlatformRequest): boolean {
+    private isLostInPlannedStop(request: PlatformRequest, end: PlatformRequestEnd): boolean {
+        const { gateway: { stopRequestedAt }, sentAt, deadlineAt } = request;
         const { now } = this.clock;
-        return isEarlyInStop(gateway.stopRequestedAt, now) && this.faultRecord.isSystemFaultFree(sentAt)
-            && now < deadlineAt;
+        if (now >= deadlineAt || !this.faultRecord.isSystemFaultFree(sentAt)) {
+            return false;
+        }
+        const isCut = end === "cut" || end === "gateway_gone";
+        if (isEarlyInStop(stopRequestedAt, now)) {
+            return isCut || (typeof end === "object" && !end.isNotRun);
+        }
+        const lastRun = this.runsOf(request).at(-1);
+        const workedUntil = lastRun && (lastRun.endedAt ?? now);
+        return isCut && !this.hasServerBrokenOff(lastRun)
+            && mustSurviveStop({ sentAt, stopRequestedAt, workedUntil }, now);
+    }
+
+    private describeLoss(request: PlatformRequest): string {
+        const { callerAttemptId, kind, sentAt, gateway: { stopRequestedAt = 0 } } = request;
+        const [sent, ended] = [sentAt, this.clock.now].map(at => Math.round(at - stopRequestedAt));
+        const cause = this.hasServerBrokenOff(this.runsOf(request).at(-1)) ? " with its server" : "";
+        return `${callerAttemptId} (${kind}) was cut by a planned stop${cause}, sent ${sent} and ended ${ended} ms after its begin`;
+    }
+
+    /** Whether a run has ended with its server. */
+    private hasServerBrokenOff(run: ServerRun | undefined): boolean {
+        return run?.endedAt !== undefined && !run.isComplete && !this.isServerRunning(run.server);
     }
 
     private hadGatewayFault({ gateway, sentAt }: PlatformRequest): boolean {
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -119,6 +119,8 @@
     readonly apiKey?: string;
     /** The request whose broken stream this one takes up. */
     readonly broken?: PlatformRequest;
+    /** Whether its head doesn't say how many tokens the answer may have. */
+    readonly hidesLength?: boolean;
 }
 
 class ScheduleRun {
@@ -182,6 +184,7 @@
             id => fleet.drainPublishedAt(id),
             id => fleet.liveServers().find(({ options }) => options.id === id)?.requestLimit,
             () => this.platform.gateways.filter(({ isAlive }) => isAlive),
+            id => fleet.liveServers().some(({ options }) => options.id === id),
         );
         this.versions = new VersionOracle<VirtualGateway>({
             mustMeetTimeLimits: (gateway, at) => this.oracle.mustKnowStore(gateway, at),
@@ -292,7 +295,9 @@
     private performCaller(action: CallerAction): void {
         switch (action.kind) {
             case "ask":
-                this.sendRequest(this.gatewayOf(action.gateway), action.work, action.length, action.timeLimit);
+                this.sendRequest(this.gatewayOf(action.gateway), action.work, action.length, action.timeLimit, {
+                    hidesLength: action.hidesLength,
+                });
                 return;
             case "leave":
                 return this.disconnectCaller(action.caller);
@@ -323,7 +328,7 @@
         kind: RequestOrProbeKind,
         length: number,
         timeLimit: Milliseconds,
-        { path, sharedParts = [commonPart], apiKey, broken }: RequestDetails = {},
+        { path, sharedParts = [commonPart], apiKey, broken, hidesLength = false }: RequestDetails = {},
     ): PlatformRequest {
         const { clock } = this.platform;
         const timeout = Math.min(timeLimit, routeTimeouts[kind]);
@@ -348,7 +353,7 @@
         const head = createRequestHead(
             request.callerAttemptId,
             path ?? `/${kind}/1?length=${length}`,
-            length,
+            hidesLength ? 0 : length,
             timeLimit,
             sharedParts,
             apiKey,
@@ -724,7 +729,7 @@
     /** Restarts a gateway whose process has ended after a planned stop. */
     private replaceGateway(gateway: VirtualGateway): void {
         this.oracle.recordGatewayGone(gateway);
-        this.oracle.faultRecord.recordProcessFault(gateway.name, restartDelay);
+        this.oracle.faultRecord.recordPlannedRestart(gateway.name, restartDelay);
         this.restartLater(gateway, restartDelay);
     }
 
@@ -762,7 +767,7 @@
 function createRequestHead(
     id: string,
     target: string,
-    length: number,
+    maximumTokens: number,
     timeLimit: Milliseconds,
     sharedParts: readonly string[],
     apiKey: string | undefined,
@@ -780,7 +785,7 @@
             ? undefined
             : identifier<CallerAttemptId>(broken.firstAttemptId ?? broken.callerAttemptId),
         promptTokens,
-        maximumTokens: length,
+        maximumTokens,
         estimatedTokens: undefined,
         sharedParts: sharedParts.map(part => identifier<PromptPartId>(part)),
         headers: [],
