Soak: planned operations at the same time, and cuts at the end of a stop

The check excused every cut after 5/6 of a stop, and looked in a stop only at requests whose server was done or of which nothing arrived. It states the rule now, as the fuzzer's check does. A server that leaves excuses a cut only once it has ended.

Callers open connections only where the balancer allows it: to gateways in rotation, or to all if these are fewer than half. Some streams don't state their length. The soak runs the program that the platform starts; 'verbenaspring gateway' ends at a second SIGTERM.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,17 +5,9 @@
 import { seededSource } from "@verbenaspring/coordination";
 import { pause } from "@verbenaspring/stand-ins";
 import { SoakCallers } from "./soakCallers.js";
-import {
-    answerLossKinds,
-    changeKinds,
-    evacuationFaultKinds,
-    faultKinds,
-    harmlessFaultKinds,
-    hostileFaultKinds,
-    releaseFaultKinds,
-    SoakFaults,
-} from "./soakFaults.js";
+import { SoakFaults } from "./soakFaults.js";
 import type { Violation } from "./soakOracle.js";
+import { type SoakPlan, type SoakPlanName, soakPlans } from "./soakPlans.js";
 import { type SoakGateway, SoakWorld } from "./soakWorld.js";
 
 /** The parameters of a soak. */
@@ -25,6 +17,8 @@
     readonly seconds: number;
     readonly gateways: number;
     readonly callers: number;
+    /** What is played; all faults by default. */
+    readonly plan?: SoakPlanName;
     /** Whether time limits are checked; other load on the machine breaks them. */
     readonly checksTimeLimits: boolean;
     /** The directory for the logs of a run in which a promise was broken. */
@@ -38,6 +32,8 @@
     readonly endCounts: ReadonlyMap<string, number>;
     /** The number of faults by name. */
     readonly faultCounts: ReadonlyMap<string, number>;
+    /** The requests that were cut when their backend server ended. */
+    readonly endedWithServer: readonly string[];
 }
 
 /** Milliseconds between the measurements of the lag of the soak's own event loop. */
@@ -55,7 +51,8 @@
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const { seed, seconds, gateways, callers: callerCount, checksTimeLimits, logFolder } = options;
-    const world = await SoakWorld.start({ gateways, checksTimeLimits });
+    const plan: SoakPlan = soakPlans[options.plan ?? "faults"];
+    const world = await SoakWorld.start({ gateways, engines: plan.engines, checksTimeLimits });
     // A soak that is interrupted leaves no gateways running.
     const killGatewaysAndExit = (): void => {
         world.killGateways();
@@ -65,35 +62,25 @@
     signals.forEach(signal => process.once(signal, killGatewaysAndExit));
     const stopLagTimer = startLagTimer(lag => world.oracle.recordLag(lag));
     // Faults and callers draw from separate sources, so that the faults don't depend on how fast the callers are.
-    const callers = new SoakCallers(world, seededSource(seed, 1).random, seededSource(seed, 5).random);
-    const faults = new SoakFaults(world, seededSource(seed, 2).random);
-    const harmlessFaults = new SoakFaults(world, seededSource(seed, 3).random);
-    const releaseFaults = new SoakFaults(world, seededSource(seed, 4).random);
-    const answerLosses = new SoakFaults(world, seededSource(seed, 6).random);
-    const evacuations = new SoakFaults(world, seededSource(seed, 7).random);
-    const hostileFaults = new SoakFaults(world, seededSource(seed, 8).random);
-    const changes = new SoakFaults(world, seededSource(seed, 9).random);
-    const allFaults = [faults, harmlessFaults, releaseFaults, answerLosses, evacuations, hostileFaults, changes];
+    const callers = new SoakCallers(world, plan.callers, seededSource(seed, 1).random, seededSource(seed, 5).random);
+    const allFaults = plan.series.map(series => ({
+        series,
+        faults: new SoakFaults(world, seededSource(seed, series.source).random),
+    }));
     try {
         callers.start(callerCount);
-        await Promise.all([
-            faults.run(1_000 * seconds, faultKinds),
-            harmlessFaults.run(1_000 * seconds, harmlessFaultKinds),
-            releaseFaults.run(1_000 * seconds, releaseFaultKinds),
-            answerLosses.run(1_000 * seconds, answerLossKinds),
-            evacuations.run(1_000 * seconds, evacuationFaultKinds),
-            hostileFaults.run(1_000 * seconds, hostileFaultKinds),
-            changes.run(1_000 * seconds, changeKinds),
-        ]);
-        await Promise.all(allFaults.map(each => each.endFaults()));
-        await pause(recoveryTime);
+        await Promise.all(allFaults.map(({ faults, series }) => faults.run(1_000 * seconds, series)));
+        const ends = allFaults.map(({ faults }) => faults.endFaults());
+        await Promise.all(plan.isPlanned ? [...ends, callers.stop()] : ends);
+        await pause(plan.isPlanned ? 0 : recoveryTime);
         await callers.stop();
         await checkRecovery(world, callers);
         world.oracle.checkFinalState();
         return {
             violations: world.oracle.violations,
             endCounts: world.oracle.endCounts,
-            faultCounts: sumCounts(allFaults.map(each => each.faultCounts)),
+            faultCounts: sumCounts(allFaults.map(({ faults }) => faults.faultCounts)),
+            endedWithServer: world.oracle.endedWithServer,
         };
     }
     finally {
--- a/packages/soak/src/soakCallers.ts
+++ b/packages/soak/src/soakCallers.ts
@@ -1,33 +1,23 @@
 /**
  * The callers of a soak. Each keeps its connections to the gateways open and reuses them until they break.
  */
-import { readResponseBody } from "@verbenaspring/bench";
+import { isGatewayProcessReady, readResponseBody } from "@verbenaspring/bench";
 import type { Random } from "@verbenaspring/coordination";
-import {
-    expectedEventCount,
-    isStreamed,
-    promptTokens,
-    type RequestKind,
-    routesHost,
-    routeTimeouts,
-    tokensPerEvent,
-} from "@verbenaspring/fuzz";
+import { expectedEventCount, promptTokens, routesHost, routeTimeouts, tokensPerEvent } from "@verbenaspring/fuzz";
 import { pause } from "@verbenaspring/stand-ins";
 import { Client } from "undici";
+import { SoakBalancer } from "./soakBalancer.js";
 import type { SoakRequest, SoakResponse, SoakResponseHead } from "./soakOracle.js";
+import type { CallerHabits, RequestSize } from "./soakPlans.js";
 import type { SoakGateway, SoakWorld } from "./soakWorld.js";
 
-/** Requests are drawn evenly from these; a kind that is listed twice is twice as frequent. */
-const requestMix: readonly RequestKind[] = ["confirm", "confirm", "lookup", "plan", "plan", "note"];
-/** The share of the requests whose caller leaves before the end of the answer. */
-const leavingShare = 0.08;
-/** The share of the requests that probe the route of a recent version of the configuration. */
-const probeShare = 0.15;
 /** The longest time in milliseconds between an answer and the caller's next request. */
 const maxThinkTime = 120;
 /** The longest time in milliseconds before a caller takes up a stream that broke off, and how often it tries. */
 const maxTakeUpDelay = 600;
 const maxTakeUps = 3;
+/** Milliseconds between two checks of the load balancer. */
+const balancerInterval = 1_000;
 /** A caller aborts a request that has not ended this many milliseconds after its deadline. */
 const abortDelay = 3_000;
 
@@ -35,17 +25,24 @@
 export class SoakCallers {
     private readonly connections = new Map<string, CallerConnection>();
     private readonly loops: Promise<void>[] = [];
+    private readonly balancer = new SoakBalancer<SoakGateway>();
+    private balancerTimer: NodeJS.Timeout | undefined;
     private isStopped = false;
     private requestCount = 0;
 
     /** @param takeUpRandom draws the take-ups, so that the requests don't depend on how many there are */
     constructor(
         private readonly world: SoakWorld,
+        private readonly habits: CallerHabits,
         private readonly random: Random,
         private readonly takeUpRandom: Random,
     ) {}
 
     start(callers: number): void {
+        if (this.habits.areBalanced) {
+            const check = (): void => this.world.gateways.forEach(gateway => void this.checkReadiness(gateway));
+            this.balancerTimer = setInterval(check, balancerInterval).unref();
+        }
         for (let caller = 0; caller < callers; caller++) {
             this.loops.push(this.runCaller(caller));
         }
@@ -54,14 +51,18 @@
     /** Sends no more requests, and waits for the last answers. */
     async stop(): Promise<void> {
         this.isStopped = true;
+        clearInterval(this.balancerTimer);
         await Promise.all(this.loops);
         await Promise.all([...this.connections.values()].map(({ client }) => client.destroy()));
     }
 
+    private async checkReadiness(gateway: SoakGateway): Promise<void> {
+        this.balancer.recordCheck(gateway, !gateway.hasExited && await isGatewayProcessReady(gateway.process));
+    }
+
     private async runCaller(caller: number): Promise<void> {
         while (!this.isStopped) {
-            const { gateways } = this.world;
-            const gateway = gateways[Math.floor(this.random() * gateways.length)];
+            const gateway = this.chooseGateway(caller, this.random);
             if (!gateway.hasExited && gateway.killedAt === undefined) {
                 await this.sendNext(caller, gateway);
             }
@@ -69,9 +70,20 @@
         }
     }
 
+    /** Draws a gateway to which a caller has a connection, or may open one. */
+    private chooseGateway(caller: number, random: Random): SoakGateway {
+        const { gateways } = this.world;
+        const available = this.habits.areBalanced ? this.balancer.available(gateways) : gateways;
+        const choice = gateways.filter(gateway =>
+            available.includes(gateway) || this.connections.has(connectionKey(caller, gateway))
+        );
+        return choice[Math.floor(random() * choice.length)];
+    }
+
     private async sendNext(caller: number, gateway: SoakGateway): Promise<void> {
+        const { kinds, probeShare, leavingShare } = this.habits;
         if (this.random() >= probeShare) {
-            const kind = requestMix[Math.floor(this.random() * requestMix.length)];
+            const kind = kinds[Math.floor(this.random() * kinds.length)];
             const request = await this.sendRequest(caller, gateway, kind, this.random() < leavingShare);
             return this.takeUp(caller, request);
         }
@@ -90,8 +102,7 @@
         let last = broken;
         for (let tries = 0; tries < maxTakeUps && canTakeUp(last); tries++) {
             await pause(this.takeUpRandom() * maxTakeUpDelay);
-            const { gateways } = this.world;
-            const gateway = gateways[Math.floor(this.takeUpRandom() * gateways.length)];
+            const gateway = this.chooseGateway(caller, this.takeUpRandom);
             if (!gateway.hasExited && gateway.killedAt === undefined && canTakeUp(last)) {
                 const next = await this.sendRequest(caller, gateway, "note", false, undefined, last);
                 last = next.lastEvent > last.lastEvent ? next : last;
@@ -115,10 +126,13 @@
         takesUp?: SoakRequest,
     ): Promise<SoakRequest> {
         const now = performance.now();
-        const { length, timeLimit } = takesUp === undefined ? this.drawSize(kind) : {
-            length: takesUp.events * tokensPerEvent,
-            timeLimit: Math.floor(takesUp.deadlineAt - now),
-        };
+        const { length, timeLimit, statesLength }: RequestSize = takesUp === undefined
+            ? this.habits.drawSize(kind, this.random)
+            : {
+                length: takesUp.events * tokensPerEvent,
+                timeLimit: Math.floor(takesUp.deadlineAt - now),
+                statesLength: true,
+            };
         const id = `caller${++this.requestCount}`;
         const request: SoakRequest = {
             id,
@@ -136,15 +150,24 @@
         };
         this.world.oracle.recordRequest(request);
         const target = path ?? `/${kind}/1?length=${length}`;
-        const response = await this.send(caller, request, { target, length, timeLimit, leaves });
+        const response = await this.send(caller, request, { target, length, timeLimit, statesLength, leaves });
         this.world.oracle.recordResponse(request, response);
         return request;
     }
 
-    /** Draws the length of an answer and the time limit of its request. */
-    private drawSize(kind: SoakRequest["kind"]): { readonly length: number; readonly timeLimit: number; } {
-        const length = isStreamed(kind) ? 1 + Math.floor(300 * this.random() ** 2) : 1;
-        return { length, timeLimit: 1_000 + Math.floor(12_000 * this.random()) };
+    /** Opens a connection. Where the load balancer decides on new ones, it is kept only until it is closed. */
+    private openConnection(key: string, { callerRelay }: SoakGateway): CallerConnection {
+        const client = new Client(`http://${callerRelay.address}`);
+        const connection = { client, openedAt: performance.now() };
+        this.connections.set(key, connection);
+        if (this.habits.areBalanced) {
+            client.on("disconnect", () => {
+                if (this.connections.get(key) === connection) {
+                    this.connections.delete(key);
+                }
+            });
+        }
+        return connection;
     }
 
     private async send(
@@ -152,9 +175,8 @@
         request: SoakRequest,
         options: RequestOptions,
     ): Promise<SoakResponse | undefined> {
-        const connectionKey = `${caller} ${request.gateway.callerRelay.address}`;
-        const connection = this.connections.get(connectionKey) ?? openConnection(request.gateway);
-        this.connections.set(connectionKey, connection);
+        const key = connectionKey(caller, request.gateway);
+        const connection = this.connections.get(key) ?? this.openConnection(key, request.gateway);
         request.connectionOpenedAt = connection.openedAt;
         const abort = new AbortController();
         const limit = options.leaves ? 300 * this.random() : request.deadlineAt - performance.now() + abortDelay;
@@ -170,7 +192,7 @@
         }
         catch {
             // Whatever broke the connection, the caller's next request opens a new one.
-            this.connections.delete(connectionKey);
+            this.connections.delete(key);
             void connection.client.destroy();
             return undefined;
         }
@@ -180,6 +202,10 @@
     }
 }
 
+function connectionKey(caller: number, { callerRelay }: SoakGateway): string {
+    return `${caller} ${callerRelay.address}`;
+}
+
 /** Whether a stream broke off after its first event, and its caller has time left to take it up. */
 function canTakeUp({ kind, end, lastEvent, events, deadlineAt }: SoakRequest): boolean {
     return kind === "note" && end === "cut" && lastEvent > 0 && lastEvent < events
@@ -195,21 +221,15 @@
     readonly openedAt: number;
 }
 
-function openConnection({ callerRelay }: SoakGateway): CallerConnection {
-    return { client: new Client(`http://${callerRelay.address}`), openedAt: performance.now() };
-}
-
-interface RequestOptions {
+interface RequestOptions extends RequestSize {
     readonly target: string;
-    readonly length: number;
-    readonly timeLimit: number;
     readonly leaves: boolean;
 }
 
 async function exchange(
     client: Client,
     request: SoakRequest,
-    { target, length, timeLimit }: RequestOptions,
+    { target, length, timeLimit, statesLength }: RequestOptions,
     signal: AbortSignal,
     onHead: (head: SoakResponseHead) => void,
 ): Promise<SoakResponse> {
@@ -220,7 +240,7 @@
             host: routesHost,
             "attempt-id": request.id,
             "deadline-ms": String(timeLimit),
-            "token-usage": `${promptTokens},${length}`,
+            ...(statesLength ? { "token-usage": `${promptTokens},${length}` } : {}),
             ...takeUpHeaders(request),
         },
         body: `body of ${request.id}`,
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -17,8 +17,16 @@
     readonly perform: (faults: SoakFaults, duration: number) => void;
 }
 
+/** Faults that are drawn one after the other, with a pause in milliseconds after each. */
+export interface FaultSeries {
+    readonly kinds: readonly Fault[];
+    readonly minPause: number;
+    readonly maxPause: number;
+    /** The number of the random numbers that it draws from, which no other series has. */
+    readonly source: number;
+}
+
 const maxFaultDuration = 4_000;
-const maxPauseBetweenFaults = 900;
 const restartDelay = 300;
 /** How long a backend server keeps serving after its notice that it leaves. */
 const drainDuration = 4_000;
@@ -39,14 +47,14 @@
 
     constructor(readonly world: SoakWorld, readonly random: Random) {}
 
-    /** Injects faults of the given kinds, one after the other, for a duration in milliseconds. */
-    async run(duration: number, kinds: readonly Fault[]): Promise<void> {
+    /** Injects the faults of a series for a duration in milliseconds. */
+    async run(duration: number, { kinds, minPause, maxPause }: FaultSeries): Promise<void> {
         const end = performance.now() + duration;
         while (performance.now() < end) {
             const fault = this.choose(kinds);
             this.faultCounts.set(fault.name, (this.faultCounts.get(fault.name) ?? 0) + 1);
             fault.perform(this, this.random() * maxFaultDuration);
-            await pause(this.random() * maxPauseBetweenFaults);
+            await pause(minPause + this.random() * (maxPause - minPause));
         }
     }
 
@@ -91,7 +99,13 @@
         const restart = gateway.process.exited
             .then(() => pause(restartDelay))
             .then(() => {
-                this.world.oracle.faultRecord.recordProcessFault(gateway.name, restartDelay);
+                const { faultRecord } = this.world.oracle;
+                if (gateway.killedAt === undefined) {
+                    faultRecord.recordPlannedRestart(gateway.name, restartDelay);
+                }
+                else {
+                    faultRecord.recordProcessFault(gateway.name, restartDelay);
+                }
                 return this.world.startGateway(slot);
             });
         this.restarts.add(restart);
@@ -167,13 +181,17 @@
 }
 
 /** Replaces a server, which leaves in the given way and serves on for a while. */
-function replaceServer(faults: SoakFaults, leave: "drain" | "withdraw"): void {
+function replaceServer(
+    faults: SoakFaults,
+    leave: "drain" | "withdraw",
+    leaving = faults.chooseServer(),
+    duration = drainDuration,
+): void {
     const { world } = faults;
-    const leaving = faults.chooseServer();
     world.removeServer(leaving);
     void world.addServer(leaving.standIn.plan.kind);
-    leaving.standIn[leave](drainDuration);
-    setTimeout(() => leaving.relay.close(), drainDuration);
+    leaving.standIn[leave](duration);
+    setTimeout(() => leaving.relay.close(), duration);
 }
 
 function drainServer(faults: SoakFaults): void {
@@ -442,3 +460,64 @@
     { name: "garble", perform: faults => faults.world.corruptRegistration(faults.chooseServer().standIn.id) },
     { name: "loseHeartbeats", perform: loseHeartbeats },
 ];
+
+/** The shortest and the longest time in milliseconds in which a replaced engine serves on. */
+const [minLeavingDuration, maxLeavingDuration] = [2_300, 5_300];
+
+function replaceEngine(faults: SoakFaults, leave: "drain" | "withdraw"): void {
+    const engines = faults.world.backendServers.filter(({ standIn }) => standIn.plan.kind === "engine");
+    const duration = minLeavingDuration + faults.random() * (maxLeavingDuration - minLeavingDuration);
+    replaceServer(faults, leave, faults.choose(engines), duration);
+}
+
+/** Sends a signal to one of the gateways that already stop. */
+function signalStoppingGateway(faults: SoakFaults, signal: "SIGTERM" | "SIGHUP"): void {
+    const stopping = faults.world.gateways.filter(({ stopRequestedAt, hasExited }) =>
+        stopRequestedAt !== undefined && !hasExited
+    );
+    if (stopping.length > 0) {
+        faults.choose(stopping).process.child.kill(signal);
+    }
+}
+
+/** Milliseconds for which a gateway with half a core runs and then doesn't. */
+const coreInterval = 50;
+
+/** A gateway gets half of a core. It is slower then, and has to keep its promises. */
+function halveCore(faults: SoakFaults, gateway: SoakGateway, duration: number): void {
+    const { child } = gateway.process;
+    let runs = true;
+    const timer = setInterval(() => {
+        runs = !runs;
+        child.kill(runs ? "SIGCONT" : "SIGSTOP");
+    }, coreInterval);
+    faults.endAfter(duration, () => {
+        clearInterval(timer);
+        child.kill("SIGCONT");
+    });
+}
+
+/** Planned stops of gateways. */
+export const stopKinds: readonly Fault[] = [{ name: "stop", perform: withGateway(stopGateway) }];
+
+/** Signals to gateways that already stop, and SIGHUPs to others. */
+export const repeatedSignalKinds: readonly Fault[] = [
+    { name: "stopAgain", perform: faults => signalStoppingGateway(faults, "SIGTERM") },
+    { name: "hangUpStopping", perform: faults => signalStoppingGateway(faults, "SIGHUP") },
+    { name: "hangUp", perform: withGateway((_, gateway) => void gateway.process.child.kill("SIGHUP")) },
+];
+
+/** Versions of the configuration. */
+export const configurationKinds: readonly Fault[] = [configure];
+
+/** Engines that leave, with and without a notice, and are replaced. */
+export const engineReplacementKinds: readonly Fault[] = [
+    { name: "drainEngine", perform: faults => replaceEngine(faults, "drain") },
+    { name: "withdrawEngine", perform: faults => replaceEngine(faults, "withdraw") },
+];
+
+/** Gateways with half a core for a while. */
+export const slowGatewayKinds: readonly Fault[] = [
+    { name: "halfCore", perform: withGateway(halveCore) },
+    noFault,
+];
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -10,6 +10,7 @@
     isEarlyInStop,
     isStreamed,
     mustRunAtMostOnce,
+    mustSurviveStop,
     platformLimits,
     type PlatformRequestEnd,
     type RequestOrProbeKind,
@@ -86,6 +87,8 @@
 export class SoakOracle {
     readonly violations: Violation[] = [];
     readonly endCounts = new Map<string, number>();
+    /** The requests that were cut when their backend server ended. */
+    readonly endedWithServer: string[] = [];
     private readonly requests = new Map<string, SoakRequest>();
     private readonly runs = new Map<string, ServerRun[]>();
     /** For each request that reached backend servers, when it last reached each of them. */
@@ -113,12 +116,14 @@
      * @param drainPublishedAt when the store got a backend server's notice that it leaves
      * @param requestLimitOf the limit that a backend server declares now
      * @param gateways the gateway processes that are up now
+     * @param isServerRunning whether a backend server runs now
      */
     constructor(
         private readonly checksTimeLimits: boolean,
         private readonly drainPublishedAt: (server: string) => number | undefined,
         requestLimitOf: (server: string) => number | undefined,
         gateways: () => readonly SoakGateway[],
+        private readonly isServerRunning: (server: string) => boolean,
     ) {
         const fail = (promise: string, detail: string): void => this.fail(promise, detail);
         this.contact = new ContactRecord(() => performance.now(), gateways);
@@ -214,6 +219,9 @@
             return;
         }
         request.end = this.classifyResponse(request, response);
+        if (request.end === "cut" && this.hasServerBrokenOff(request)) {
+            this.endedWithServer.push(request.id);
+        }
         const endName = typeof request.end === "object" ? request.end.failure : request.end;
         this.endCounts.set(endName, (this.endCounts.get(endName) ?? 0) + 1);
         this.checkNotRun(request);
@@ -231,33 +239,50 @@
 
     /**
      * Checks that a request that was sent on to sound backend servers gets an answer: a whole one if a server completed
-     * it, and otherwise at least its beginning or a failure.
+     * it or a planned stop had to leave it its answer, and otherwise at least its beginning or a failure.
      */
     private checkAnswered(request: SoakRequest, hasBegun: boolean): void {
         const { id, end, deadlineAt } = request;
         const servers = [...this.arrivedAt.get(id)?.keys() ?? []];
         const isReady = this.runs.get(id)?.at(-1)?.isComplete === true;
+        const isOwed = isReady || !hasBegun || this.mustSurviveStop(request);
         if (
-            end === "cut" && servers.length > 0 && (isReady || !hasBegun) && performance.now() < deadlineAt
+            end === "cut" && servers.length > 0 && isOwed && performance.now() < deadlineAt
             && !this.mayBeCut(request, servers)
         ) {
             this.fail(
                 "read_requests_are_answered",
-                `${id} reached ${servers.join(" and ")}, and got ${hasBegun ? "a part of its answer" : "no answer"}`,
+                `${id} reached ${servers.join(" and ")}, and got ${hasBegun ? "a part of its answer" : "no answer"}${
+                    describeStop(request)
+                }`,
             );
         }
     }
 
-    /** Whether a fault, the end of a planned stop, or a server that leaves may have cut a request. */
-    private mayBeCut(
-        { gateway, sentAt, connectionOpenedAt }: SoakRequest,
-        servers: readonly string[],
-    ): boolean {
+    /** Whether a fault, the end of a planned stop, or a server that ended may have cut a request. */
+    private mayBeCut(request: SoakRequest, servers: readonly string[]): boolean {
+        const { gateway, sentAt, connectionOpenedAt } = request;
         const { name, killedAt, stopRequestedAt, callersSilencedAt } = gateway;
-        const isStopOver = stopRequestedAt !== undefined && !isEarlyInStop(stopRequestedAt, performance.now());
-        return killedAt !== undefined || isStopOver || connectionOpenedAt <= callersSilencedAt
-            || [name, "workers"].some(each => this.faultRecord.hadFaultSince(each, sentAt))
-            || servers.some(server => this.drainPublishedAt(server) !== undefined);
+        const mayStopCut = stopRequestedAt !== undefined && !this.mustSurviveStop(request);
+        const lastServer = this.runs.get(request.id)?.at(-1)?.server;
+        const isServerGone = (lastServer === undefined ? servers : [lastServer])
+            .some(server => !this.isServerRunning(server));
+        return killedAt !== undefined || mayStopCut || connectionOpenedAt <= callersSilencedAt
+            || [name, "workers"].some(each => this.faultRecord.hadFaultSince(each, sentAt)) || isServerGone;
+    }
+
+    /** Whether the planned stop of its gateway has to leave a request its answer. */
+    private mustSurviveStop({ id, sentAt, gateway: { stopRequestedAt } }: SoakRequest): boolean {
+        const now = performance.now();
+        const lastRun = this.runs.get(id)?.at(-1);
+        const workedUntil = lastRun && (lastRun.endedAt ?? now);
+        return mustSurviveStop({ sentAt, stopRequestedAt, workedUntil }, now);
+    }
+
+    /** Whether the server of a request's last run has ended with it. */
+    private hasServerBrokenOff({ id }: SoakRequest): boolean {
+        const lastRun = this.runs.get(id)?.at(-1);
+        return lastRun !== undefined && !lastRun.isComplete && !this.isServerRunning(lastRun.server);
     }
 
     private classifyResponse(request: SoakRequest, response: SoakResponse | undefined): PlatformRequestEnd {
@@ -329,16 +354,28 @@
             const took = Math.round(now - request.sentAt);
             this.fail("final_answer_in_time", `${request.id} ended ${late} ms late, ${took} ms after it was sent`);
         }
-        const isLost = request.end === "cut" || (typeof request.end === "object" && !request.end.isNotRun);
+        this.checkStop(request);
+    }
+
+    /**
+     * Checks that no planned stop ended a request before its deadline although it may not, without faults of the system
+     * since the request. Until the last part of the stop a failure counts as well, unless the request has not run.
+     */
+    private checkStop(request: SoakRequest): void {
+        const { id, end, sentAt, deadlineAt, gateway: { stopRequestedAt } } = request;
+        const now = performance.now();
         // A request that crosses the close of its connection, and reached no backend server, may be
         // sent again by its caller.
-        const crossedClose = !this.arrivedAt.has(request.id) && now - request.sentAt <= closeCrossingTime;
-        const isEarly = isEarlyInStop(request.gateway.stopRequestedAt, now);
-        if (
-            isLost && this.faultRecord.isSystemFaultFree(request.sentAt) && isEarly && !crossedClose
-            && now < request.deadlineAt
-        ) {
-            this.fail("planned_stop_cuts_nothing", `${request.id} was lost in a planned stop`);
+        const crossedClose = !this.arrivedAt.has(id) && now - sentAt <= closeCrossingTime;
+        if (now >= deadlineAt || crossedClose || !this.faultRecord.isSystemFaultFree(sentAt)) {
+            return;
+        }
+        const isLost = isEarlyInStop(stopRequestedAt, now)
+            ? end === "cut" || (typeof end === "object" && !end.isNotRun)
+            : end === "cut" && !this.hasServerBrokenOff(request) && this.mustSurviveStop(request);
+        if (isLost) {
+            const cause = this.hasServerBrokenOff(request) ? ", with its server" : "";
+            this.fail("planned_stop_cuts_nothing", `${id} was lost in a planned stop${cause}${describeStop(request)}`);
         }
     }
 
@@ -474,3 +511,12 @@
         }
     }
 }
+
+/** When in the planned stop of its gateway a request was sent and ended, in milliseconds since the request to stop. */
+function describeStop({ kind, sentAt, gateway: { process, stopRequestedAt } }: SoakRequest): string {
+    if (stopRequestedAt === undefined) {
+        return "";
+    }
+    const [sent, ended] = [sentAt, performance.now()].map(at => Math.round(at - stopRequestedAt));
+    return `: ${kind} at ${process.options.name}, sent ${sent} and ended ${ended} ms after the request to stop`;
+}
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -54,6 +54,7 @@
 /** The parameters of a world. */
 export interface SoakWorldOptions {
     readonly gateways: number;
+    readonly engines: number;
     readonly checksTimeLimits: boolean;
 }
 
@@ -62,6 +63,10 @@
 
 /** Milliseconds for which servers are cold after they start and after evacuations. */
 const coldDuration = 1_500;
+/** The program that the platform starts. */
+const gatewayProgram = "packages/cli/dist/gatewayProcess.js";
+/** Milliseconds after the end of a gateway until the connections of its callers are closed. */
+const relayCloseDelay = 200;
 /** Milliseconds between two records of what gateways know. */
 const observeInterval = 250;
 
@@ -94,6 +99,7 @@
             server =>
                 this.serverStandIns.fleet.liveServers().find(({ options }) => options.id === server)?.requestLimit,
             () => this.gateways.filter(({ hasStarted, hasExited }) => hasStarted && !hasExited),
+            server => this.serverStandIns.fleet.liveServers().some(({ options }) => options.id === server),
         );
         this.operator = new OperatorWrites(systemClock(), store.model, () => store.behaviour() === "up");
         this.observeTimer = setInterval(() => this.observe(), observeInterval);
@@ -121,10 +127,10 @@
         );
     }
 
-    static async start({ gateways, checksTimeLimits }: SoakWorldOptions): Promise<SoakWorld> {
+    static async start({ gateways, engines, checksTimeLimits }: SoakWorldOptions): Promise<SoakWorld> {
         const world = new SoakWorld(await startPlatformStore(), checksTimeLimits);
         try {
-            await world.startAll(gateways);
+            await world.startAll(gateways, engines);
             return world;
         }
         catch (error) {
@@ -133,9 +139,9 @@
         }
     }
 
-    private async startAll(gateways: number): Promise<void> {
+    private async startAll(gateways: number, engines: number): Promise<void> {
         this.configure();
-        for (const kind of ["plain", "plain", "engine", "engine", "engine"] as const) {
+        for (const kind of ["plain", "plain", ...Array.from({ length: engines }, () => "engine" as const)] as const) {
             await this.addServer(kind);
         }
         await this.startGateway(0);
@@ -162,7 +168,7 @@
             peerAddress,
             seedAddress: this.seedAddress,
             storeAddress: storeRelay.address,
-            preload: new URL("clockJump.js", import.meta.url).href,
+            command: ["--import", new URL("clockJump.js", import.meta.url).href, gatewayProgram],
         });
         const callerRelay = await this.startRelay(free.callerAddress);
         const gateway: SoakGateway = {
@@ -188,7 +194,8 @@
 
     private handleExit(gateway: SoakGateway, code: number | null): void {
         gateway.hasExited = true;
-        gateway.callerRelay.close();
+        // The relay may still hold what the gateway wrote last.
+        setTimeout(() => gateway.callerRelay.close(), relayCloseDelay);
         gateway.storeRelay.close();
         if (this.isClosing) {
             return;
--- a/packages/soak/test/soakOracle.test.ts
+++ b/packages/soak/test/soakOracle.test.ts
@@ -3,20 +3,30 @@
  */
 import type { ServerCall, ServerRun } from "@verbenaspring/emulator";
 import { platformLimits } from "@verbenaspring/fuzz";
-import { type SoakGateway, SoakOracle, type SoakRequest, type SoakResponseHead } from "@verbenaspring/soak";
+import {
+    SoakBalancer,
+    type SoakGateway,
+    SoakOracle,
+    type SoakRequest,
+    type SoakResponseHead,
+} from "@verbenaspring/soak";
 import { pause } from "@verbenaspring/stand-ins";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 
-const gateway = { name: "slot-0", callersSilencedAt: -Infinity } as SoakGateway;
+const gateway = {
+    name: "slot-0",
+    callersSilencedAt: -Infinity,
+    process: { options: { name: "gateway-0" } },
+} as SoakGateway;
 /** Longer than the time in which an earlier run must end. */
 const checkedAfter = platformLimits.supersededRunEnd + 200;
 
-function createOracle(checksTimeLimits = true): SoakOracle {
-    return new SoakOracle(checksTimeLimits, () => undefined, () => undefined, () => [gateway]);
+function createOracle(checksTimeLimits = true, isServerRunning = true): SoakOracle {
+    return new SoakOracle(checksTimeLimits, () => undefined, () => undefined, () => [gateway], () => isServerRunning);
 }
 
-function createRequest(): SoakRequest {
+function createRequest(overrides: Partial<SoakRequest> = {}): SoakRequest {
     const now = performance.now();
     return {
         id: "a",
@@ -31,6 +41,7 @@
         lastEvent: 0,
         softwareVersion: undefined,
         end: undefined,
+        ...overrides,
     };
 }
 
@@ -212,4 +223,62 @@
     assert.equal(oracle.violations.map(({ promise }) => promise), ["read_requests_are_answered"]);
 });
 
+interface StopTrial {
+    /** Milliseconds after the request to stop at which the request was sent, and at which it ends. */
+    readonly sent: number;
+    readonly ended: number;
+    readonly isServerRunning?: boolean;
+    readonly prepare?: (oracle: SoakOracle) => void;
+}
+
+/** Cuts a stream in a planned stop while its server is at work, and returns the promises that are broken. */
+function cutInStop({ sent: sentAfter, ended, isServerRunning, prepare = () => undefined }: StopTrial): string[] {
+    const oracle = createOracle(true, isServerRunning);
+    const stopRequestedAt = performance.now() - ended;
+    const request = createRequest({
+        gateway: { ...gateway, stopRequestedAt },
+        sentAt: stopRequestedAt + sentAfter,
+    });
+    oracle.recordRequest(request);
+    oracle.recordArrival(sent, "engine1");
+    recordRun(oracle, "engine1");
+    prepare(oracle);
+    oracle.recordResponse(request, { ...head, body: "", isComplete: false });
+    return oracle.violations.map(({ promise }) => promise);
+}
+
+const lostInStop = ["read_requests_are_answered", "planned_stop_cuts_nothing"];
+
+test("a stream that is sent late in a stop and cut at its end breaks the promise", () => {
+    assert.equal(cutInStop({ sent: 5_500, ended: 7_750 }), lostInStop);
+    assert.equal(cutInStop({ sent: 2_900, ended: 7_750 }), []);
+    assert.equal(cutInStop({ sent: -500, ended: 6_000 }), lostInStop);
+});
+
+test("the end of its server or a fault excuses a stream that is cut at the end of a stop", () => {
+    assert.equal(cutInStop({ sent: 5_500, ended: 7_750, isServerRunning: false }), []);
+    const recordFault = ({ faultRecord }: SoakOracle): void => faultRecord.recordProcessFault("workers", 1_000);
+    assert.equal(cutInStop({ sent: 5_500, ended: 7_750, prepare: recordFault }), []);
+});
+
+test("the planned restart of another gateway excuses nothing", () => {
+    const recordRestart = ({ faultRecord }: SoakOracle): void => faultRecord.recordPlannedRestart("slot-1", 300);
+    assert.equal(cutInStop({ sent: 5_500, ended: 7_750, prepare: recordRestart }), lostInStop);
+});
+
+test("new connections go to gateways in rotation, and to all if these are fewer than half", () => {
+    const balancer = new SoakBalancer<string>();
+    const gateways = ["a", "b", "c", "d"];
+    gateways.forEach(each => balancer.recordCheck(each, true));
+    const checkTwice = (name: string): void => [1, 2].forEach(() => balancer.recordCheck(name, false));
+    balancer.recordCheck("a", false);
+    assert.equal(balancer.available(gateways), gateways);
+    ["a", "b"].forEach(checkTwice);
+    assert.equal(balancer.available(gateways), ["c", "d"]);
+    checkTwice("c");
+    assert.equal(balancer.available(gateways), gateways);
+    ["a", "b"].forEach(each => balancer.recordCheck(each, true));
+    assert.equal(balancer.available(gateways), ["a", "b", "d"]);
+});
+
 test.run();
--- a/packages/soak/test/soakProcess.test.ts
+++ b/packages/soak/test/soakProcess.test.ts
@@ -30,4 +30,16 @@
     });
 }
 
+test("no promise is broken by planned stops that overlap, of seed 1", async () => {
+    const { violations } = await runSoak({
+        seed: 1,
+        seconds: 8,
+        gateways: 5,
+        callers: 12,
+        plan: "stops",
+        checksTimeLimits: false,
+    });
+    assert.equal(violations, []);
+});
+
 test.run();
