--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -5,7 +5,7 @@
  * has one migration at a time, since all of them share its network link.
  *
  * At a server that leaves, a stream needs no migration if a new run can continue it, or if it has a usable replica at a
- * server that stays. An evacuated server goes on, so its streams are migrated to empty the failure domain: those that
+ * server that stays. That is decided again until the stream has left its server. An evacuated server goes on, so its streams are migrated to empty the failure domain: those that
  * would be lost with it first, and only with memory and retries that others leave unused.
  */
 import { chooseReplicaHost, migrationPlacement, replicaPlacement } from "@verbenaspring/coordination";
@@ -15,7 +15,7 @@
 import { isEvacuated } from "./evacuations.js";
 import type { GatewayEvent, MigrationResult } from "./event.js";
 import { expectedOutput } from "./messages.js";
-import { usableCopyHolder, usableHolder } from "./replicas.js";
+import { findStayingHolder, replicaState, usableCopyHolder } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
@@ -30,6 +30,18 @@
 /** Why streams are migrated away from a server. */
 type MigrationReason = "leaving" | "evacuated";
 
+/** Why a stream is not migrated from a server that leaves or is evacuated. */
+export type MigrationObstacle =
+    | "not_begun"
+    | "stop_requested"
+    | "server_restarted"
+    | "not_supported"
+    | "targets_failed"
+    | "ends_soon"
+    | "safe"
+    | "no_retry"
+    | "no_target";
+
 interface MigratableStream {
     readonly request: GatewayRequest;
     readonly attempt: Attempt;
@@ -47,7 +59,15 @@
 /** Retries that migrations from evacuated servers leave for requests that fail. */
 const reservedRetries = 1;
 
-/** After this many failed targets a stream is not migrated: more attempts would take the link from other streams. */
+/**
+ * How often streams at leaving servers are checked: the holder of a replica may leave too, a run may exceed its estimate,
+ * and a target may become usable. A change of a server is followed by a check at the next tick.
+ */
+const leavingCheckInterval: Milliseconds = 200;
+
+/** For this long a stream is not migrated again to a target at which its migration failed. */
+const failedTargetTimeout: Milliseconds = 1_000;
+/** With this many such targets a stream waits: more attempts would take the link from other streams. */
 const maximumMigrationTargets = 4;
 
 /**
@@ -83,15 +103,35 @@
     return isEvacuated(state, server.record) ? "evacuated" : undefined;
 }
 
-/** Starts the migrations from evacuated servers that are due. */
-export function migrateFromEvacuated(transaction: Transaction): void {
+/**
+ * Starts the migrations that are due: what decided that a stream stays may have changed since its server began to leave
+ * or was evacuated.
+ */
+export function checkMigrations(transaction: Transaction): void {
     const { state, now } = transaction;
-    if (state.evacuations.size === 0 || now < state.nextEvacuationCheckAt) {
-        return;
+    if (now >= state.nextLeavingCheckAt) {
+        state.nextLeavingCheckAt = now + leavingCheckInterval;
+        migrateForReason(transaction, "leaving");
     }
-    state.nextEvacuationCheckAt = now + evacuationCheckInterval;
-    const ids = new Set([...state.attempts.values()].flatMap(({ attempt }) => attempt?.server.record.id ?? []));
-    [...ids].filter(id => migrationReason(state, id) === "evacuated").forEach(id => migrateStreams(transaction, id));
+    if (state.evacuations.size > 0 && now >= state.nextEvacuationCheckAt) {
+        state.nextEvacuationCheckAt = now + evacuationCheckInterval;
+        migrateForReason(transaction, "evacuated");
+    }
+}
+
+function migrateForReason(transaction: Transaction, reason: MigrationReason): void {
+    const { state } = transaction;
+    const ids = new Set(
+        [...state.attempts.values()].flatMap(({ attempt, route }) =>
+            attempt === undefined || !route.isStream ? [] : [attempt.server.record.id]
+        ),
+    );
+    [...ids].filter(id => migrationReason(state, id) === reason).forEach(id => migrateStreams(transaction, id));
+}
+
+/** Checks the streams at leaving servers at the next tick, since a server has changed that may hold a replica of one. */
+export function checkStreamsSoon({ state, now }: Transaction): void {
+    state.nextLeavingCheckAt = now;
 }
 
 /** Starts a migration for a stream whose first event came after its server began to leave. */
@@ -110,26 +150,86 @@
     reason: MigrationReason,
     underWay: number,
 ): MigratableStream[] {
-    const { state, now } = transaction;
     const { attempt, route } = request;
-    if (attempt === undefined || !route.isStream || attempt.firstEventAt === undefined) {
+    if (attempt === undefined || !route.isStream) {
+        return [];
+    }
+    const isSafe = route.canResume || findStayingHolder(transaction, request, attempt) !== undefined;
+    const stream = { request, attempt, isSafe };
+    const obstacle = migrationObstacle(transaction, stream, reason, underWay);
+    if (obstacle !== undefined) {
+        logObstacle(transaction, stream, obstacle, "debug");
         return [];
     }
+    return [stream];
+}
+
+function migrationObstacle(
+    transaction: Transaction,
+    { request, attempt, isSafe }: MigratableStream,
+    reason: MigrationReason,
+    underWay: number,
+): MigrationObstacle | undefined {
+    const { state, now } = transaction;
+    if (attempt.firstEventAt === undefined) {
+        return "not_begun";
+    }
     // A run that may have been stopped continues from its copy as soon as its end is seen.
     if (isSuperseded(state, attempt.server) || attempt.isStopRequested) {
-        return [];
+        return attempt.isStopRequested ? "stop_requested" : "server_restarted";
+    }
+    if (engineOf(state, request.service)?.canMigrate !== true) {
+        return "not_supported";
+    }
+    if (countFailedTargets(attempt, now) >= maximumMigrationTargets) {
+        return "targets_failed";
     }
-    const canMigrate = engineOf(state, request.service)?.canMigrate === true;
-    const replica = usableHolder(state, attempt, now);
-    const hasTargetsLeft = attempt.failedTargets.size < maximumMigrationTargets;
-    const isSafe = route.canResume || (replica !== undefined && replica.leavingSince === undefined);
     const remaining = remainingTime(transaction, request);
-    const isDue = reason === "evacuated"
+    if (reason === "evacuated") {
         // A stream is cut at its deadline, wherever it runs.
-        ? Math.min(remaining, request.deadline - now) > (state.options.evacuationLimit ?? defaultEvacuationLimit)
-            && canSendAgain(transaction, request, reservedRetries + underWay)
-        : remaining > minimumRemainingTime && !isSafe;
-    return canMigrate && hasTargetsLeft && isDue ? [{ request, attempt, isSafe }] : [];
+        const isLong = Math.min(remaining, request.deadline - now)
+            > (state.options.evacuationLimit ?? defaultEvacuationLimit);
+        return isLong ? retryObstacle(transaction, request, reservedRetries + underWay) : "ends_soon";
+    }
+    if (isSafe || remaining <= minimumRemainingTime) {
+        return isSafe ? "safe" : "ends_soon";
+    }
+    // A copy is of no use before the stream may be sent again, and is repeated then.
+    return attempt.copy === undefined ? undefined : retryObstacle(transaction, request, 0);
+}
+
+function retryObstacle(
+    transaction: Transaction,
+    request: GatewayRequest,
+    reserved: number,
+): MigrationObstacle | undefined {
+    return canSendAgain(transaction, request, reserved) ? undefined : "no_retry";
+}
+
+/** Logs why a stream is not migrated, once until that changes. */
+function logObstacle(
+    transaction: Transaction,
+    { request, attempt }: MigratableStream,
+    obstacle: MigrationObstacle,
+    level: "debug" | "warn",
+): void {
+    if (attempt.loggedObstacle === obstacle) {
+        return;
+    }
+    attempt.loggedObstacle = obstacle;
+    logDecision(transaction, level, obstacle === "no_target" ? "move_without_target" : "move_not_due", {
+        ...requestFields(transaction, request),
+        server: attempt.server.record.id,
+        obstacle,
+        replica: attempt.replica?.record.id,
+        replicaState: replicaState(transaction, attempt),
+        remaining: Math.round(remainingTime(transaction, request)),
+        silence: Math.round(transaction.now - attempt.lastActivityAt),
+    });
+}
+
+function countFailedTargets({ failedTargets }: Attempt, now: Milliseconds): number {
+    return [...failedTargets.values()].filter(until => now < until).length;
 }
 
 /** The expected time until the stream ends. */
@@ -142,18 +242,15 @@
 }
 
 /** Starts the migration of a stream. Returns false if no engine can take its run. */
-function startMigration(
-    transaction: Transaction,
-    { request, attempt }: MigratableStream,
-    reason: MigrationReason,
-): boolean {
+function startMigration(transaction: Transaction, stream: MigratableStream, reason: MigrationReason): boolean {
+    const { request, attempt } = stream;
     const target = chooseTarget(transaction, request, attempt, reason);
     if (target === undefined) {
-        // The streams of evacuated servers are checked every second, and go on where they are.
-        const level = reason === "evacuated" ? "debug" : "warn";
-        logDecision(transaction, level, "move_without_target", requestFields(transaction, request));
+        // The streams of evacuated servers go on where they are.
+        logObstacle(transaction, stream, "no_target", reason === "evacuated" ? "debug" : "warn");
         return false;
     }
+    attempt.loggedObstacle = undefined;
     setMigrationTarget(transaction.state, attempt, target);
     attempt.migrationStartedAt = transaction.now;
     requestMigration(transaction, request, attempt, target, false);
@@ -188,7 +285,7 @@
         return undefined;
     }
     const eligible = otherServers(state, attempt.server, now).filter(({ record: { id } }) =>
-        !attempt.failedTargets.has(id)
+        now >= (attempt.failedTargets.get(id) ?? -Infinity)
     );
     const share = attempt.memoryTokens / engine.memoryTokens;
     return chooseReplicaHost(
@@ -231,14 +328,17 @@
     result: MigrationResult,
 ): boolean {
     const { state, now } = transaction;
-    if (result.kind !== "moved" || isPaused(state, attempt.server.record.id, now)) {
+    if (result.kind !== "moved") {
         return false;
     }
-    const copy: RunCopy = { holder: target, name: result.handle };
-    if (usableCopyHolder(transaction, request, attempt, copy) === undefined || !canSendAgain(transaction, request)) {
+    // If the run can't be stopped now, the stream can continue from the copy when its server exits.
+    const requestedAt = attempt.migrationStartedAt ?? -Infinity;
+    const copy: RunCopy = { holder: target, name: result.handle, requestedAt };
+    attempt.copy = copy;
+    const canStop = !isPaused(state, attempt.server.record.id, now) && canSendAgain(transaction, request);
+    if (!canStop || usableCopyHolder(transaction, request, attempt, copy) === undefined) {
         return false;
     }
-    attempt.copy = copy;
     attempt.isStopRequested = true;
     requestMigration(transaction, request, attempt, target, true);
     return true;
@@ -255,6 +355,7 @@
     if (result.kind === "moved" && copy !== undefined) {
         attempt.copy = { ...copy, name: result.handle };
     }
+    attempt.stoppedHandle = result.kind === "failed" ? undefined : result.handle;
     const status = result.kind === "refused" ? result.status : undefined;
     if (status === noRunStatus && endAfterStop === "ended") {
         // The run was complete before the request to stop it.
@@ -274,11 +375,11 @@
 /** The server stopped the run, but the target has no room for the rest of the copy, or can't be reached. */
 const noRoomStatus = 503;
 
-function endMigration({ state }: Transaction, attempt: Attempt, hasSucceeded: boolean): void {
+function endMigration({ state, now }: Transaction, attempt: Attempt, hasSucceeded: boolean): void {
     const target = attempt.migrationTarget;
     setMigrationTarget(state, attempt, undefined);
     if (target !== undefined && !hasSucceeded) {
-        attempt.failedTargets.add(target.record.id);
+        attempt.failedTargets.set(target.record.id, now + failedTargetTimeout);
     }
 }
 
@@ -305,8 +406,9 @@
     return true;
 }
 
-/** Continues a run that was stopped from its copy, or else like one that was lost. */
+/** Continues a run that was stopped from its copy, or else from what its server keeps or like one that was lost. */
 function continueStoppedRun(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
+    attempt.hasStopped = true;
     endAttempt(transaction, request, attempt, attempt.endAfterStop === undefined ? "cancel" : "ended");
     retryOrFail(transaction, request, attempt, "stopped");
 }
