--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -204,6 +204,7 @@
         loggedObstacle: undefined,
         lastActivityAt: now,
         producingTime: 0,
+        returnedAt: undefined,
     };
     request.attempt = attempt;
     request.sends++;
