--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -27,6 +27,7 @@
 import type { ContinuationSource } from "./replicas.js";
 import type { RequestLimits } from "./requestLimits.js";
 import type { Resumption } from "./resumption.js";
+import { createRequestDurations, type RequestDurations } from "./routeDurations.js";
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 import type { RunLedger } from "./runLedger.js";
 import type { SilentAttempt } from "./silentAttempts.js";
@@ -67,6 +68,10 @@
     hasStopped: boolean;
     /** Whether its server was asked to stop this run, and may have done so. */
     isStopRequested: boolean;
+    /** Whether the migration under way is at that step. */
+    isStopping: boolean;
+    /** When that request was given up without an answer; undefined if it was answered or is under way. */
+    stopUnansweredAt: Milliseconds | undefined;
     /** How its answer ended after that request: in the way of a complete one without framing, or as a lost one. */
     endAfterStop: "ended" | "lost" | undefined;
     /** The targets of this run's failed migrations, and until when each is not tried again. */
@@ -305,6 +310,8 @@
     prefillRate: number;
     /** Moving average of the duration of a stream. */
     meanStreamDuration: Milliseconds;
+    /** How long requests took recently. */
+    readonly durations: RequestDurations;
     readonly requests: Map<RequestId, GatewayRequest>;
     /** Requests without an attempt that wait for free memory at an engine. */
     readonly waiting: Map<RequestId, GatewayRequest>;
@@ -396,6 +403,7 @@
         timePerToken: initialTimePerToken,
         prefillRate: initialPrefillRate,
         meanStreamDuration: initialStreamDuration,
+        durations: createRequestDurations(),
         requests: new Map(),
         waiting: new Map(),
         attempts: new Map(),
