Don't set the idle timer of a channel again once a request has been read

Callers that used a kept channel at about its idle timeout, with two requests in one piece or a long head, lost the channel while the request ran at a server.

Cause: the handler of the idle timeout asked whether the channel is held before it asked whether something was read. After a read Node has ended the idle time, and it clears only timers of its own, so the timer that the handler set fired under the running request and closed the channel. Class: a decision on the state of an earlier moment.

Evidence, packages/runtime/test/callerLimits.test.ts: "a request behind another that arrived at the idle timeout ..." and "a request after a long head ..." failed before ("no request lost its channel", actual ["3"] and ["2"]) and pass now.

--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -511,10 +511,14 @@
     server.on("timeout", (socket: Socket) => {
         const { bytesRead } = socket;
         afterNextPoll(() => {
+            if (socket.bytesRead !== bytesRead) {
+                // Node has ended the idle time, and would not clear a timer that is set here.
+                return;
+            }
             if (channels.get(socket)?.socket.isHeld === true) {
                 socket.setTimeout(limits.idleTimeout);
             }
-            else if (socket.bytesRead === bytesRead) {
+            else {
                 socket.destroy();
             }
         });
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -408,6 +408,42 @@
     assert.ok(client.isClosed, "an idle connection is closed");
 });
 
+// A channel that was held when a delayed loop ran its idle timer got a new timer, which closed it under the request.
+const longHead = emptyRequest.replace("host: h", ["host: h", ...Array(700).fill("a: bcdef")].join("\r\n"));
+for (
+    const [name, bytes, waitingRequests] of [
+        ["behind another", emptyRequest.repeat(2), 1],
+        ["after a long head", longHead, 0],
+    ] as const
+) {
+    test(`a request ${name} that arrived at the idle timeout runs longer than that, and keeps its channel`, async () => {
+        const harness = new Harness();
+        const idleTimeout = 300;
+        harness.callers.applyLimits({ headerBytes: 16_384, bodyBytes: 8_192, headerTimeout: 3_000, idleTimeout });
+        const client = await harness.connect();
+        client.socket.write(emptyRequest);
+        await waitUntil(() => harness.open.length === 1);
+        harness.callers.writeWhole(harness.open[0], okAnswer);
+        await waitUntil(() => client.count("done") === 1);
+        await pause(idleTimeout / 2);
+        client.socket.write(bytes);
+        const resumeAt = performance.now() + idleTimeout + 1_500;
+        while (performance.now() < resumeAt) {
+            // Delays the loop.
+        }
+        await waitUntil(() => harness.open.length === 2);
+        if (waitingRequests > 0) {
+            harness.callers.writeWhole(harness.open[1], okAnswer);
+            await waitUntil(() => harness.open.length === 3);
+        }
+        await pause(4 * idleTimeout);
+        assert.equal(harness.left, [], "no request lost its channel");
+        harness.callers.writeWhole(harness.open[1 + waitingRequests], okAnswer);
+        await waitUntil(() => client.count("done") === 2 + waitingRequests);
+        assert.is(client.count("done"), 2 + waitingRequests);
+    });
+}
+
 // Pipelined requests at the readiness path kept the event loop busy without an end.
 test("a probe server answers one request per connection, and new ones beside a flood", async () => {
     const server = createProbeServer(() => ({ status: 200, body: "ready" }), undefined, 4);
