Keep a channel for its running request when the next head stalls or is malformed

Callers that began a next request on a channel before they had the answer lost the channel, and the answer of a request that a server ran, when the next head was overdue, malformed or too large.

Cause: refuseChannel closed the channel at once while an answer was in progress. Class: a fault of one request handled as a fault of another on its channel. An overdue head now waits while an answer is owed, and the channel is still read, so that a caller that leaves is seen. After a malformed head the channel is read no further and closes after the answer. The bounds on connections and memory count such a channel as one on which a request runs.

Evidence, packages/runtime/test/callerLimits.test.ts: before, four tests "a request / a stream keeps its channel while the head behind it stalls / is malformed" failed ("the request did not lose its channel", actual ["1"]), and "a head that stalls behind a request is served ..." (0 of 2 answers); they pass now. "a caller that leaves while the head behind its request stalls is reported" passed before and passes. requestFraming 6 of 6, gatewaySockets 30 of 30, frozenCaller 2 of 2, callerBudget 3 of 3.

--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -298,7 +298,8 @@
         }
     };
     const cutLargest = (): void => {
-        const isCut = (channel: CallerChannel): boolean => channel.isRefused || channel.socket.destroyed;
+        const isCut = (channel: CallerChannel): boolean =>
+            channel.socket.destroyed || channel.isRefused && channel.exchanges.size === 0;
         const now = monotonicNow();
         const isTaking = ({ progress }: CallerChannel): boolean =>
             progress === undefined || now - progress.at < maxPauseUnderPressure;
@@ -363,9 +364,13 @@
             isAnswered: false,
             pausedSince: undefined,
             leave: () => {
-                if (endExchange(exchange)) {
-                    beginWaiting(channel);
+                if (!endExchange(exchange)) {
+                    return;
+                }
+                if (channel.isRefused) {
+                    socket.destroySoon();
                 }
+                beginWaiting(channel);
             },
         };
         const endExchange = (ended: Exchange): boolean => {
@@ -528,7 +533,12 @@
         handlers.refused(type, error.code ?? error.message);
         channel.isRefused = true;
         channel.waiting.length = 0;
-        channel.socket.reject(true);
+        const isOwed = isAnswerOwed(channel);
+        channel.socket.reject(!isOwed);
+        if (isOwed) {
+            // The channel closes after that answer.
+            return;
+        }
         answerClientError(channel.socket, type);
     };
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -541,13 +551,13 @@
             return refuseChannel(channel, error);
         }
         channel.isOverdue = true;
-        // The rest of a head may be unread because the channel is held. It is then due after the channel's requests.
+        // The rest of a head may be unread because the channel is held. A head is due after the channel's requests.
         const grace = channel.socket.isHeld ? limits.headerTimeout : overdueHeadersGrace;
         const checkOverdue = (): void => {
             if (!channel.isOverdue || socket.destroyed) {
                 return;
             }
-            if (channel.socket.isHeld) {
+            if (channel.socket.isHeld || isAnswerOwed(channel)) {
                 setTimeout(checkOverdue, limits.headerTimeout);
                 return;
             }
@@ -585,6 +595,9 @@
         return removeResponse(requestId);
     };
     const channelOf = ({ response }: Exchange): CallerChannel | undefined => channels.get(response.req.socket);
+    /** Whether the channel of a response closes after it. */
+    const isLastOfChannel = ({ req }: ServerResponse): boolean =>
+        isDraining || channels.get(req.socket)?.isRefused === true;
     const writeNextPart = (exchange: Exchange): void => {
         const { response, unwritten } = exchange;
         const part = unwritten.shift();
@@ -619,7 +632,7 @@
                     // A length or chunks would say that the body is whole, which the server's own answer leaves open.
                     response.useChunkedEncodingByDefault = false;
                 }
-                const isClosing = isDraining || answer.endsWithChannel;
+                const isClosing = answer.endsWithChannel || isLastOfChannel(response);
                 writeBackendHead(response, answer, hasLength ? body.length : undefined, isClosing);
                 if (mayHaveBody(answer.status) && body.length > answerPartBytes) {
                     exchange.unwritten = splitBody(body);
@@ -635,7 +648,7 @@
         writeHead: (requestId, head) => {
             const response = openExchanges.get(requestId)?.response;
             if (response !== undefined) {
-                writeBackendHead(response, head, undefined, isDraining);
+                writeBackendHead(response, head, undefined, isLastOfChannel(response));
             }
         },
         writeEvents: (requestId, events) => {
@@ -666,7 +679,7 @@
         writeFailure: (requestId, reason) => {
             const response = endResponse(requestId);
             if (response !== undefined) {
-                writeFailure(response, reason, isDraining);
+                writeFailure(response, reason, isLastOfChannel(response));
             }
         },
         close: () => {
@@ -682,13 +695,16 @@
 
 /** Orders channels by how much their callers lose by a close; undefined if a request runs on the channel. */
 function closeRank({ isRefused, exchanges, hasServed }: CallerChannel): number | undefined {
-    if (isRefused) {
-        return expendableRank;
-    }
     for (const { rejectBody } of exchanges) {
         return rejectBody === undefined ? undefined : expendableRank + 2;
     }
-    return hasServed ? expendableRank + 1 : expendableRank;
+    return hasServed && !isRefused ? expendableRank + 1 : expendableRank;
+}
+
+/** Whether a request of the channel was passed on, and its caller can still take the answer. */
+function isAnswerOwed({ socket, exchanges }: CallerChannel): boolean {
+    const isOpen = !socket.destroyed && !socket.readableEnded;
+    return isOpen && [...exchanges].some(({ rejectBody }) => rejectBody === undefined);
 }
 
 /** The rank of channels that may be closed without looking for a better one. */
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -444,6 +444,78 @@
     });
 }
 
+// What followed a request on its channel, incomplete or malformed, closed the channel under the request.
+for (
+    const [name, next, refusal] of [
+        ["stalls", "POST /a HTTP/1.1\r\nhost", "request_timeout"],
+        ["is malformed", "\0\r\n\r\n", "malformed_request"],
+    ] as const
+) {
+    for (const isStream of [false, true]) {
+        test(`a ${isStream ? "stream" : "request"} keeps its channel while the head behind it ${name}`, async () => {
+            const harness = new Harness();
+            const headerTimeout = 300;
+            harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout, idleTimeout: 15_000 });
+            const client = await harness.connect();
+            client.socket.write(emptyRequest);
+            await waitUntil(() => harness.open.length === 1);
+            const [requestId] = harness.open;
+            if (isStream) {
+                harness.callers.writeHead(requestId, okAnswer);
+                await waitUntil(() => client.count("HTTP/1.1 200") === 1);
+            }
+            client.socket.write(next);
+            await pause(5 * headerTimeout);
+            assert.equal(harness.left, [], "the request did not lose its channel");
+            if (isStream) {
+                harness.callers.writeEvents(requestId, [{ id: undefined, bytes: Buffer.from("done") }]);
+                harness.callers.end(requestId);
+            }
+            else {
+                harness.callers.writeWhole(requestId, okAnswer);
+            }
+            await waitUntil(() => client.isClosed);
+            assert.ok(client.isClosed, "the channel is closed afterwards");
+            assert.is(client.count("done"), 1);
+            assert.is(client.count("HTTP/1.1"), 1);
+            assert.ok(!isStream || client.received.endsWith("0\r\n\r\n"), client.received);
+            assert.equal(harness.refused, [refusal]);
+        });
+    }
+}
+
+test("a head that stalls behind a request is served if it comes whole while the request runs", async () => {
+    const harness = new Harness();
+    const headerTimeout = 300;
+    harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout, idleTimeout: 15_000 });
+    const client = await harness.connect();
+    client.socket.write(emptyRequest);
+    await waitUntil(() => harness.open.length === 1);
+    client.socket.write(emptyRequest.slice(0, 20));
+    await pause(5 * headerTimeout);
+    client.socket.write(emptyRequest.slice(20));
+    await pause(2 * headerTimeout);
+    harness.callers.writeWhole(harness.open[0], okAnswer);
+    await waitUntil(() => harness.open.length === 2);
+    harness.callers.writeWhole(harness.open[1], okAnswer);
+    await waitUntil(() => client.count("done") === 2);
+    assert.is(client.count("done"), 2);
+    assert.equal(harness.refused, []);
+});
+
+test("a caller that leaves while the head behind its request stalls is reported", async () => {
+    const harness = new Harness();
+    harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout: 300, idleTimeout: 15_000 });
+    const client = await harness.connect();
+    client.socket.write(emptyRequest);
+    await waitUntil(() => harness.open.length === 1);
+    client.socket.write(emptyRequest.slice(0, 20));
+    await pause(1_200);
+    client.socket.end();
+    await waitUntil(() => harness.left.length === 1);
+    assert.equal(harness.left, harness.open);
+});
+
 // Pipelined requests at the readiness path kept the event loop busy without an end.
 test("a probe server answers one request per connection, and new ones beside a flood", async () => {
     const server = createProbeServer(() => ({ status: 200, body: "ready" }), undefined, 4);
