Keep whole answers for callers that read steadily, also with a short idle timeout

A caller that read an answer of 8 MB at 400 KB a second lost it after 1 MB with an idle timeout of 1 s (answer_cut reason=slow_reader).

Cause: isStuck sees what the kernel takes from the process, in steps of 1.43 MB in a trial, and compared the time between two steps with the idle timeout. Class: a limit on a measure whose resolution is coarser than the limit. A whole answer keeps memory but no run, so its caller may now take nothing for 15 s while answers hold less than half of their share of the budget, and for 3 s otherwise, or for the idle timeout if that is longer.

--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -23,6 +23,7 @@
 import { BodyCollector } from "./bodyCollector.js";
 import { type BoundedSocket, boundReading, TurnQueue } from "./boundedSocket.js";
 import {
+    answersShare,
     type BudgetHolder,
     type CallerBounds,
     callerBounds,
@@ -180,9 +181,16 @@
 const unreadCheckInterval: Milliseconds = 1_000;
 /** A large answer is written in parts of this size: the memory of a part is free once the caller has taken it. */
 const answerPartBytes = 256 * 1024;
-/** Beyond the budget, a caller that has taken nothing of its answer for this long may lose it before the idle timeout. */
-const maxPauseUnderPressure: Milliseconds = 3_000;
-/** What a caller with unread answers must take within the idle timeout. */
+/**
+ * A caller may take nothing of a whole answer for this long, also with a shorter idle timeout or beyond the budget. The
+ * kernel takes bytes in steps of above a megabyte, between which a steady reader looks like one that has stopped.
+ */
+const minUnreadTime: Milliseconds = 3_000;
+/** The same while answers have room in the budget: a whole answer takes memory, but keeps no run at a server. */
+const minUnreadTimeWithRoom: Milliseconds = 15_000;
+/** Answers have room while they take less than this share of the budget. */
+const roomyShare = answersShare / 2;
+/** What a caller with unread answers must take within its time. */
 const minTakenBytes = 16 * 1024;
 /**
  * Requests of one channel that are read or run at the same time, and answers that wait to be read. Further ones of the
@@ -302,7 +310,7 @@
             channel.socket.destroyed || channel.isRefused && channel.exchanges.size === 0;
         const now = monotonicNow();
         const isTaking = ({ progress }: CallerChannel): boolean =>
-            progress === undefined || now - progress.at < maxPauseUnderPressure;
+            progress === undefined || now - progress.at < minUnreadTime;
         const findLargest = (): CallerChannel | undefined => budget.largest(isCut, isTaking);
         for (let largest = findLargest(); largest !== undefined; largest = findLargest()) {
             handlers.cut?.("budget", largest.address);
@@ -568,10 +576,15 @@
 
     const cutSlowReaders = (): void => {
         const now = monotonicNow();
+        const haveRoom = budget.heldOf("answers") < roomyShare * budget.limitBytes;
+        const wholeTime = Math.max(limits.idleTimeout, haveRoom ? minUnreadTimeWithRoom : minUnreadTime);
         for (const channel of channels.values()) {
+            const exchanges = [...channel.exchanges];
             const isSlow = ({ pausedSince }: Exchange): boolean =>
                 pausedSince !== undefined && now - pausedSince > limits.idleTimeout;
-            if (isStuck(channel, now, limits.idleTimeout) || [...channel.exchanges].some(isSlow)) {
+            const isWhole = exchanges.every(({ isAnswered }) => isAnswered);
+            const unreadTime = isWhole ? wholeTime : limits.idleTimeout;
+            if (isStuck(channel, now, unreadTime) || exchanges.some(isSlow)) {
                 handlers.cut?.("slow_reader", channel.address);
                 reportCutAnswers(channel, "slow_reader");
                 channel.socket.resetAndDestroy();
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -279,6 +279,26 @@
     assert.equal(harness.cutAnswers, [], `${received} bytes were read`);
 });
 
+test("an answer that its caller leaves unread is cut after 3 s once answers take much of the budget, and not before", async () => {
+    const idleTimeout = 500;
+    const harnessWith = async (totalBytes: number): Promise<Harness> => {
+        const answer = { ...okAnswer, body: Buffer.alloc(14 * 1024 * 1024) };
+        const harness = new Harness(true, answer, { totalBytes, streamBytes: 2 ** 16, connections: 5 });
+        harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout: 3_000, idleTimeout });
+        const { socket } = await harness.connect();
+        socket.pause();
+        socket.write(emptyRequest);
+        return harness;
+    };
+    const scarce = await harnessWith(2 ** 24);
+    const roomy = await harnessWith(2 ** 26);
+    await pause(2_500);
+    assert.equal(scarce.cutAnswers, []);
+    await waitUntil(() => scarce.cutAnswers.length > 0);
+    assert.equal(scarce.cutAnswers.map(({ reason }) => reason), ["slow_reader"]);
+    assert.equal(roomy.cutAnswers, []);
+});
+
 // A backlog that was bounded in bytes only held tens of thousands of short events, and exhausted the heap.
 test("a stream of short parts is paused after a bounded number of unsent ones, and goes on once they are sent", async () => {
     const harness = new Harness(false, okAnswer, { totalBytes: 2 ** 24, streamBytes: 2 ** 16, connections: 5 });
