--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -23,6 +23,7 @@
 import { BodyCollector } from "./bodyCollector.js";
 import { type BoundedSocket, boundReading, TurnQueue } from "./boundedSocket.js";
 import {
+    answersShare,
     type BudgetHolder,
     type CallerBounds,
     callerBounds,
@@ -182,9 +183,16 @@
 const unreadCheckInterval: Milliseconds = 1_000;
 /** A large answer is written in parts of this size: the memory of a part is free once the caller has taken it. */
 const answerPartBytes = 256 * 1024;
-/** Beyond the budget, a caller that has taken nothing of its answer for this long may lose it before the idle timeout. */
-const maxPauseUnderPressure: Milliseconds = 3_000;
-/** What a caller with unread answers must take within the idle timeout. */
+/**
+ * A caller may take nothing of a whole answer for this long, also with a shorter idle timeout or beyond the budget. The
+ * kernel takes bytes in steps of above a megabyte, between which a steady reader looks like one that has stopped.
+ */
+const minUnreadTime: Milliseconds = 3_000;
+/** The same while answers have room in the budget: a whole answer takes memory, but keeps no run at a server. */
+const minUnreadTimeWithRoom: Milliseconds = 15_000;
+/** Answers have room while they take less than this share of the budget. */
+const roomyShare = answersShare / 2;
+/** What a caller with unread answers must take within its time. */
 const minTakenBytes = 16 * 1024;
 /**
  * Requests of one channel that are read or run at the same time, and answers that wait to be read. Further ones of the
@@ -300,10 +308,11 @@
         }
     };
     const cutLargest = (): void => {
-        const isCut = (channel: CallerChannel): boolean => channel.isRefused || channel.socket.destroyed;
+        const isCut = (channel: CallerChannel): boolean =>
+            channel.socket.destroyed || channel.isRefused && channel.exchanges.size === 0;
         const now = monotonicNow();
         const isTaking = ({ progress }: CallerChannel): boolean =>
-            progress === undefined || now - progress.at < maxPauseUnderPressure;
+            progress === undefined || now - progress.at < minUnreadTime;
         const findLargest = (): CallerChannel | undefined => budget.largest(isCut, isTaking);
         for (let largest = findLargest(); largest !== undefined; largest = findLargest()) {
             handlers.cut?.("budget", largest.address);
@@ -365,9 +374,13 @@
             isAnswered: false,
             pausedSince: undefined,
             leave: () => {
-                if (endExchange(exchange)) {
-                    beginWaiting(channel);
+                if (!endExchange(exchange)) {
+                    return;
                 }
+                if (channel.isRefused) {
+                    socket.destroySoon();
+                }
+                beginWaiting(channel);
             },
         };
         const endExchange = (ended: Exchange): boolean => {
@@ -540,7 +553,12 @@
         handlers.refused(type, error.code ?? error.message);
         channel.isRefused = true;
         channel.waiting.length = 0;
-        channel.socket.reject(true);
+        const isOwed = isAnswerOwed(channel);
+        channel.socket.reject(!isOwed);
+        if (isOwed) {
+            // The channel closes after that answer.
+            return;
+        }
         answerClientError(channel.socket, type);
     };
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -553,13 +571,13 @@
             return refuseChannel(channel, error);
         }
         channel.isOverdue = true;
-        // The rest of a head may be unread because the channel is held. It is then due after the channel's requests.
+        // The rest of a head may be unread because the channel is held. A head is due after the channel's requests.
         const grace = channel.socket.isHeld ? limits.headerTimeout : overdueHeadersGrace;
         const checkOverdue = (): void => {
             if (!channel.isOverdue || socket.destroyed) {
                 return;
             }
-            if (channel.socket.isHeld) {
+            if (channel.socket.isHeld || isAnswerOwed(channel)) {
                 setTimeout(checkOverdue, limits.headerTimeout);
                 return;
             }
@@ -570,10 +588,15 @@
 
     const cutSlowReaders = (): void => {
         const now = monotonicNow();
+        const haveRoom = budget.heldOf("answers") < roomyShare * budget.limitBytes;
+        const wholeTime = Math.max(limits.idleTimeout, haveRoom ? minUnreadTimeWithRoom : minUnreadTime);
         for (const channel of channels.values()) {
+            const exchanges = [...channel.exchanges];
             const isSlow = ({ pausedSince }: Exchange): boolean =>
                 pausedSince !== undefined && now - pausedSince > limits.idleTimeout;
-            if (isStuck(channel, now, limits.idleTimeout) || [...channel.exchanges].some(isSlow)) {
+            const isWhole = exchanges.every(({ isAnswered }) => isAnswered);
+            const unreadTime = isWhole ? wholeTime : limits.idleTimeout;
+            if (isStuck(channel, now, unreadTime) || exchanges.some(isSlow)) {
                 handlers.cut?.("slow_reader", channel.address);
                 reportCutAnswers(channel, "slow_reader");
                 channel.socket.resetAndDestroy();
@@ -597,6 +620,9 @@
         return removeResponse(requestId);
     };
     const channelOf = ({ response }: Exchange): CallerChannel | undefined => channels.get(response.req.socket);
+    /** Whether the channel of a response closes after it. */
+    const isLastOfChannel = ({ req }: ServerResponse): boolean =>
+        isDraining || channels.get(req.socket)?.isRefused === true;
     const writeNextPart = (exchange: Exchange): void => {
         const { response, unwritten } = exchange;
         const part = unwritten.shift();
@@ -631,7 +657,7 @@
                     // A length or chunks would say that the body is whole, which the server's own answer leaves open.
                     response.useChunkedEncodingByDefault = false;
                 }
-                const isClosing = isDraining || answer.endsWithChannel;
+                const isClosing = answer.endsWithChannel || isLastOfChannel(response);
                 writeBackendHead(response, answer, hasLength ? body.length : undefined, isClosing);
                 if (mayHaveBody(answer.status) && body.length > answerPartBytes) {
                     exchange.unwritten = splitBody(body);
@@ -647,7 +673,7 @@
         writeHead: (requestId, head) => {
             const response = openExchanges.get(requestId)?.response;
             if (response !== undefined) {
-                writeBackendHead(response, head, undefined, isDraining);
+                writeBackendHead(response, head, undefined, isLastOfChannel(response));
             }
         },
         writeEvents: (requestId, events) => {
@@ -678,7 +704,7 @@
         writeFailure: (requestId, reason) => {
             const response = endResponse(requestId);
             if (response !== undefined) {
-                writeFailure(response, reason, isDraining);
+                writeFailure(response, reason, isLastOfChannel(response));
             }
         },
         close: () => {
@@ -695,13 +721,16 @@
 
 /** Orders channels by how much their callers lose by a close; undefined if a request runs on the channel. */
 function closeRank({ isRefused, exchanges, hasServed }: CallerChannel): number | undefined {
-    if (isRefused) {
-        return expendableRank;
-    }
     for (const { rejectBody } of exchanges) {
         return rejectBody === undefined ? undefined : expendableRank + 2;
     }
-    return hasServed ? expendableRank + 1 : expendableRank;
+    return hasServed && !isRefused ? expendableRank + 1 : expendableRank;
+}
+
+/** Whether a request of the channel was passed on, and its caller can still take the answer. */
+function isAnswerOwed({ socket, exchanges }: CallerChannel): boolean {
+    const isOpen = !socket.destroyed && !socket.readableEnded;
+    return isOpen && [...exchanges].some(({ rejectBody }) => rejectBody === undefined);
 }
 
 /** The rank of channels that may be closed without looking for a better one. */
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -279,6 +279,26 @@
     assert.equal(harness.cutAnswers, [], `${received} bytes were read`);
 });
 
+test("an answer that its caller leaves unread is cut after 3 s once answers take much of the budget, and not before", async () => {
+    const idleTimeout = 500;
+    const harnessWith = async (totalBytes: number): Promise<Harness> => {
+        const answer = { ...okAnswer, body: Buffer.alloc(14 * 1024 * 1024) };
+        const harness = new Harness(true, answer, { totalBytes, streamBytes: 2 ** 16, connections: 5 });
+        harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout: 3_000, idleTimeout });
+        const { socket } = await harness.connect();
+        socket.pause();
+        socket.write(emptyRequest);
+        return harness;
+    };
+    const scarce = await harnessWith(2 ** 24);
+    const roomy = await harnessWith(2 ** 26);
+    await pause(2_500);
+    assert.equal(scarce.cutAnswers, []);
+    await waitUntil(() => scarce.cutAnswers.length > 0);
+    assert.equal(scarce.cutAnswers.map(({ reason }) => reason), ["slow_reader"]);
+    assert.equal(roomy.cutAnswers, []);
+});
+
 // A backlog that was bounded in bytes only held tens of thousands of short events, and exhausted the heap.
 test("a stream of short parts is paused after a bounded number of unsent ones, and goes on once they are sent", async () => {
     const harness = new Harness(false, okAnswer, { totalBytes: 2 ** 24, streamBytes: 2 ** 16, connections: 5 });
@@ -444,6 +464,78 @@
     });
 }
 
+// What followed a request on its channel, incomplete or malformed, closed the channel under the request.
+for (
+    const [name, next, refusal] of [
+        ["stalls", "POST /a HTTP/1.1\r\nhost", "request_timeout"],
+        ["is malformed", "\0\r\n\r\n", "malformed_request"],
+    ] as const
+) {
+    for (const isStream of [false, true]) {
+        test(`a ${isStream ? "stream" : "request"} keeps its channel while the head behind it ${name}`, async () => {
+            const harness = new Harness();
+            const headerTimeout = 300;
+            harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout, idleTimeout: 15_000 });
+            const client = await harness.connect();
+            client.socket.write(emptyRequest);
+            await waitUntil(() => harness.open.length === 1);
+            const [requestId] = harness.open;
+            if (isStream) {
+                harness.callers.writeHead(requestId, okAnswer);
+                await waitUntil(() => client.count("HTTP/1.1 200") === 1);
+            }
+            client.socket.write(next);
+            await pause(5 * headerTimeout);
+            assert.equal(harness.left, [], "the request did not lose its channel");
+            if (isStream) {
+                harness.callers.writeEvents(requestId, [{ id: undefined, bytes: Buffer.from("done") }]);
+                harness.callers.end(requestId);
+            }
+            else {
+                harness.callers.writeWhole(requestId, okAnswer);
+            }
+            await waitUntil(() => client.isClosed);
+            assert.ok(client.isClosed, "the channel is closed afterwards");
+            assert.is(client.count("done"), 1);
+            assert.is(client.count("HTTP/1.1"), 1);
+            assert.ok(!isStream || client.received.endsWith("0\r\n\r\n"), client.received);
+            assert.equal(harness.refused, [refusal]);
+        });
+    }
+}
+
+test("a head that stalls behind a request is served if it comes whole while the request runs", async () => {
+    const harness = new Harness();
+    const headerTimeout = 300;
+    harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout, idleTimeout: 15_000 });
+    const client = await harness.connect();
+    client.socket.write(emptyRequest);
+    await waitUntil(() => harness.open.length === 1);
+    client.socket.write(emptyRequest.slice(0, 20));
+    await pause(5 * headerTimeout);
+    client.socket.write(emptyRequest.slice(20));
+    await pause(2 * headerTimeout);
+    harness.callers.writeWhole(harness.open[0], okAnswer);
+    await waitUntil(() => harness.open.length === 2);
+    harness.callers.writeWhole(harness.open[1], okAnswer);
+    await waitUntil(() => client.count("done") === 2);
+    assert.is(client.count("done"), 2);
+    assert.equal(harness.refused, []);
+});
+
+test("a caller that leaves while the head behind its request stalls is reported", async () => {
+    const harness = new Harness();
+    harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout: 300, idleTimeout: 15_000 });
+    const client = await harness.connect();
+    client.socket.write(emptyRequest);
+    await waitUntil(() => harness.open.length === 1);
+    client.socket.write(emptyRequest.slice(0, 20));
+    await pause(1_200);
+    client.socket.end();
+    await waitUntil(() => harness.left.length === 1);
+    assert.equal(harness.left, harness.open);
+});
+
 // Pipelined requests at the readiness path kept the event loop busy without an end.
 test("a probe server answers one request per connection, and new ones beside a flood", async () => {
     const server = createProbeServer(() => ({ status: 200, body: "ready" }), undefined, 4);
