Migrate a stream again that goes on after a request to stop it got no answer

A request to stop a copied run that got no answer (the channel was reset, the answer was lost) left the stream for good where it was: it was cut when its server exited, the copy having expired.

If events come a second later, the run goes on and is migrated again. If the stop takes effect after all, its answer is truncated, and the stream continues from its copy. Answers without framing are left out: their end would look complete.

--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -383,8 +383,26 @@
     }
     // After a refusal the run goes on; without an answer it may have stopped, which its channel will show.
     attempt.isStopRequested = result.kind === "failed";
+    attempt.stopUnansweredAt = attempt.isStopRequested ? transaction.now : undefined;
 }
 
+/**
+ * Lets a run be migrated again that produces events for a while after a request to stop it got no answer. Not one whose
+ * answer would end like a complete one if the request took effect after all.
+ */
+export function recordRunAfterStop({ now }: Transaction, attempt: Attempt): void {
+    const { stopUnansweredAt, head } = attempt;
+    if (
+        stopUnansweredAt !== undefined && now - stopUnansweredAt >= unansweredStopTimeout
+        && head?.endsWithChannel === false
+    ) {
+        attempt.isStopRequested = false;
+        attempt.stopUnansweredAt = undefined;
+    }
+}
+
+/** A request to stop a run that got no answer has taken effect within this time, or reached no server. */
+const unansweredStopTimeout: Milliseconds = 1_000;
 /** The server has no such run, which may have ended. */
 const noRunStatus = 404;
 /** The server stopped the run, but the target has no room for the rest of the copy, or can't be reached. */
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -214,6 +214,7 @@
         stoppedHandle: undefined,
         hasStopped: false,
         isStopRequested: false,
+        stopUnansweredAt: undefined,
         endAfterStop: undefined,
         failedTargets: new Map(lostRun?.attempt.failedTargets),
         loggedObstacle: undefined,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -67,6 +67,8 @@
     hasStopped: boolean;
     /** Whether its server was asked to stop this run, and may have done so. */
     isStopRequested: boolean;
+    /** When that request failed without an answer; undefined if it did not. */
+    stopUnansweredAt: Milliseconds | undefined;
     /** How its answer ended after that request: in the way of a complete one without framing, or as a lost one. */
     endAfterStop: "ended" | "lost" | undefined;
     /** The servers to which this run, or the one that it continues, could not be moved, and until when each is not tried again. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -16,7 +16,7 @@
 import type { DecisionFields } from "./effect.js";
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
-import { handleEndAfterStop, migrateAfterFirstEvent, recordFailedTarget } from "./migration.js";
+import { handleEndAfterStop, migrateAfterFirstEvent, recordFailedTarget, recordRunAfterStop } from "./migration.js";
 import { findContinuation, recordProduction } from "./replicas.js";
 import { failRequest, finishRequest, requestFields } from "./requests.js";
 import { recordNoRun } from "./runLedger.js";
@@ -90,6 +90,7 @@
     }
     recordProduction(state, request, attempt, now);
     attempt.lastActivityAt = now;
+    recordRunAfterStop(transaction, attempt);
     recordEventLoad(state, request, attempt, events.length);
     if (attempt.firstEventAt === undefined) {
         attempt.firstEventAt = now;
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -348,4 +348,28 @@
     assert.equal(targetsIn(gateway.advance(50)), [server("engine-2").address]);
 });
 
+// A reset channel or a lost answer left it where it was until its server exited, when the copy had expired.
+test("a stream that goes on after a request to stop it got no answer is migrated again", () => {
+    const { gateway, call } = migratingStream();
+    const { attemptId } = call;
+    const unanswered = { kind: "failed", detail: "channel reset" } as const;
+    assert.is(stopsIn(gateway.handle({ kind: "migrationAnswered", attemptId, result: moved })).length, 1);
+    const failed = gateway.handle({ kind: "migrationAnswered", attemptId, result: unanswered });
+    assert.equal(targetsIn([...failed, ...produce(gateway, call, 900)]), [], "the stop may still take effect");
+    assert.equal(targetsIn(produce(gateway, call, 500)), [server("engine-2").address]);
+    assert.is(stopsIn(gateway.handle({ kind: "migrationAnswered", attemptId, result: moved })).length, 1);
+});
+
+test("a stream without framing is not taken to go on after a request to stop it got no answer", () => {
+    const { gateway, call } = migratingStream();
+    const { attemptId } = call;
+    const { attempt } = gateway.state.attempts.get(attemptId)!;
+    attempt!.head = { ...attempt!.head!, endsWithChannel: true };
+    gateway.handle({ kind: "migrationAnswered", attemptId, result: moved });
+    gateway.handle({ kind: "migrationAnswered", attemptId, result: { kind: "failed", detail: "no answer" } });
+    assert.equal(targetsIn(produce(gateway, call, 2_000)), []);
+    const ended = gateway.handle({ kind: "streamEnded", attemptId });
+    assert.ok(!kindsIn(ended).includes("answerEnd"), "its end may be that of the stop");
+});
+
 test.run();
