Return a held silent stream to its server if no other remains

A silent stream that was to be sent elsewhere while requests were held after a suspension of the process was cut if no server remained usable until then, though its own run may have gone on: only retryOrFail returned requests to their silent attempts, and the held one is sent by dispatch.

silentStreams.test.ts: before, the test fails (cut: true); after, 301 tests of the gateway pass.

--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -32,6 +32,7 @@
     usableServers,
 } from "./serverLoad.js";
 import { isPaused, pauseLeft } from "./serverPauses.js";
+import { returnToSilentAttempt } from "./silentAttempts.js";
 import { type Attempt, type GatewayRequest, type GatewayState, type LostRun, priorityOf } from "./state.js";
 import { canContinue, type StreamOrigin } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -120,7 +121,8 @@
 }
 
 function failWithoutServer(transaction: Transaction, request: GatewayRequest): void {
-    if (failIfEvacuated(transaction, request)) {
+    // The last server may have become unusable while the request was held.
+    if (returnToSilentAttempt(transaction, request) || failIfEvacuated(transaction, request)) {
         return;
     }
     const isFirstSend = request.sends === 0 && engineOf(transaction.state, request.service) !== undefined;
--- a/packages/gateway/test/silentStreams.test.ts
+++ b/packages/gateway/test/silentStreams.test.ts
@@ -1,4 +1,5 @@
 import type { BackendCall, GatewayEffect, ServerReport } from "@verbenaspring/gateway";
+import { type FailureDomain, identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { callsIn, eventsIn, kindsIn, server, TestGateway } from "./gatewayBuilders.js";
@@ -133,4 +134,23 @@
     assert.ok(isProbed(200));
 });
 
+// It was cut, because no other server took it after the wait.
+test("a silent stream that waits for the operator's topic goes on at its server if no other server remains", () => {
+    const far = { failureDomain: identifier<FailureDomain>("far") };
+    const gateway = TestGateway.serving(server("engine-1"), server("engine-2", far));
+    const call = gateway.startReplicatedStream("r", "note");
+    const source = gateway.state.attempts.get(call.attemptId)!.attempt!.server.record;
+    gateway.now += 3_000;
+    const resumed = [...gateway.advance(50), ...probe(gateway, call)];
+    assert.equal([callsIn(resumed), cancelledIn(resumed)], [[], []]);
+    const evacuations = ["near", "far"].map(name => identifier<FailureDomain>(name)).map(failureDomain => {
+        const key = `evacuate/${failureDomain}`;
+        return gateway.item(key, [{ kind: "evacuation", key, failureDomain, isRequested: true }]);
+    });
+    gateway.read("configuration", []);
+    const effects = [...gateway.read("configuration", evacuations), ...gateway.advance(700)];
+    assert.equal([isCut(effects), cancelledIn(effects)], [false, []], source.id);
+    assertGoesOn(gateway, call);
+});
+
 test.run();
