--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -68,6 +68,9 @@
  */
 const leavingCheckInterval: Milliseconds = 200;
 
+/** Events that a server made are read within this time. */
+const longestEventDelay: Milliseconds = 600;
+
 /** For this long a stream is not migrated again to a target at which its migration failed. */
 const failedTargetTimeout: Milliseconds = 1_000;
 /** With this many such targets a stream waits: more attempts would take the link from other streams. */
@@ -179,9 +182,12 @@
     if (attempt.firstEventAt === undefined) {
         return "not_begun";
     }
+    if (isSuperseded(state, attempt.server)) {
+        return "server_restarted";
+    }
     // A run that may have been stopped continues from its copy as soon as its end is seen.
-    if (isSuperseded(state, attempt.server) || attempt.isStopRequested) {
-        return attempt.isStopRequested ? "stop_requested" : "server_restarted";
+    if (attempt.isStopRequested && !goesOnAfterStop(attempt)) {
+        return "stop_requested";
     }
     if (engineOf(state, request.service)?.canMigrate !== true) {
         return "not_supported";
@@ -210,6 +216,11 @@
     return Math.max(shortestMigration, Math.min(minimumRemainingTime, runTime));
 }
 
+/** Whether events show that a run goes on though its server was asked to stop it. Until then they may have been on their way. */
+function goesOnAfterStop({ stopUnansweredAt, lastActivityAt }: Attempt): boolean {
+    return stopUnansweredAt !== undefined && lastActivityAt - stopUnansweredAt >= longestEventDelay;
+}
+
 function retryObstacle(
     transaction: Transaction,
     request: GatewayRequest,
@@ -322,7 +333,7 @@
         return;
     }
     logMigrationAnswered(transaction, request, attempt, attempt.migrationTarget, event.result);
-    if (attempt.isStopRequested) {
+    if (attempt.isStopping) {
         handleStopAnswered(transaction, request, attempt, event.result);
     }
     else if (!requestStop(transaction, request, attempt, attempt.migrationTarget, event.result)) {
@@ -355,6 +366,8 @@
         return false;
     }
     attempt.isStopRequested = true;
+    attempt.isStopping = true;
+    attempt.stopUnansweredAt = undefined;
     requestMigration(transaction, request, attempt, target, true);
     return true;
 }
@@ -383,26 +396,9 @@
     }
     // After a refusal the run goes on; without an answer it may have stopped, which its channel will show.
     attempt.isStopRequested = result.kind === "failed";
-    attempt.stopUnansweredAt = attempt.isStopRequested ? transaction.now : undefined;
-}
-
-/**
- * Lets a run be migrated again that produces events for a while after a request to stop it got no answer. Not one whose
- * answer would end like a complete one if the request took effect after all.
- */
-export function recordRunAfterStop({ now }: Transaction, attempt: Attempt): void {
-    const { stopUnansweredAt, head } = attempt;
-    if (
-        stopUnansweredAt !== undefined && now - stopUnansweredAt >= unansweredStopTimeout
-        && head?.endsWithChannel === false
-    ) {
-        attempt.isStopRequested = false;
-        attempt.stopUnansweredAt = undefined;
-    }
+    attempt.stopUnansweredAt = result.kind === "failed" ? transaction.now : undefined;
 }
 
-/** A request to stop a run that got no answer has taken effect within this time, or reached no server. */
-const unansweredStopTimeout: Milliseconds = 1_000;
 /** The server has no such run, which may have ended. */
 const noRunStatus = 404;
 /** The server stopped the run, but the target has no room for the rest of the copy, or can't be reached. */
@@ -411,6 +407,7 @@
 function endMigration({ state, now }: Transaction, attempt: Attempt, hasSucceeded: boolean): void {
     const target = attempt.migrationTarget;
     setMigrationTarget(state, attempt, undefined);
+    attempt.isStopping = false;
     if (target !== undefined && !hasSucceeded) {
         recordFailedTarget(attempt, target.record.id, now);
     }
@@ -437,7 +434,7 @@
     }
     attempt.endAfterStop = end;
     // The rest of the copy may wait for other transfers. Computing it again takes less time.
-    if (end === "lost" || attempt.migrationTarget === undefined) {
+    if (end === "lost" || !attempt.isStopping) {
         continueStoppedRun(transaction, request, attempt);
         migrateStreams(transaction, attempt.server.record.id);
     }
@@ -463,7 +460,7 @@
         fromVersion: attempt.server.record.softwareVersion,
         target: target.record.id,
         targetVersion: target.record.softwareVersion,
-        step: attempt.isStopRequested ? "stop" : "copy",
+        step: attempt.isStopping ? "stop" : "copy",
         result: result.kind,
         status: result.kind === "refused" ? result.status : undefined,
         detail: result.kind === "failed" ? result.detail : undefined,
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -100,8 +100,8 @@
  */
 export function failIfStopCuts(transaction: Transaction, request: GatewayRequest): boolean {
     const { state, now } = transaction;
-    const { route, head, runs } = request;
-    if (countPossibleRuns(runs) > 0 || !cannotFinishBeforeStop(state, route, head, now)) {
+    const { route, head, runs, arrivedAt } = request;
+    if (countPossibleRuns(runs) > 0 || !cannotFinishBeforeStop(state, route, { head, receivedAt: arrivedAt }, now)) {
         return false;
     }
     failRequest(transaction, request, "leaving", "the instance is stopping", retryAfterStop(state, now));
@@ -216,6 +216,7 @@
         stoppedHandle: undefined,
         hasStopped: false,
         isStopRequested: false,
+        isStopping: false,
         stopUnansweredAt: undefined,
         endAfterStop: undefined,
         failedTargets: new Map(lostRun?.attempt.failedTargets),
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -16,9 +16,9 @@
 import type { DecisionFields } from "./effect.js";
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
-import { handleEndAfterStop, migrateAfterFirstEvent, recordFailedTarget, recordRunAfterStop } from "./migration.js";
+import { handleEndAfterStop, migrateAfterFirstEvent, recordFailedTarget } from "./migration.js";
 import { findContinuation, recordProduction } from "./replicas.js";
-import { failRequest, finishRequest, requestFields } from "./requests.js";
+import { failRequest, finishAnswered, requestFields } from "./requests.js";
 import { recordNoRun } from "./runLedger.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
@@ -90,7 +90,6 @@
     }
     recordProduction(state, request, attempt, now);
     attempt.lastActivityAt = now;
-    recordRunAfterStop(transaction, attempt);
     recordEventLoad(state, request, attempt, events.length);
     if (attempt.firstEventAt === undefined) {
         attempt.firstEventAt = now;
@@ -187,7 +186,7 @@
     writeEvents(transaction, request, held.head, held.events);
     if (held.hasEnded) {
         transaction.effects.push({ kind: "answerEnd", requestId: request.id });
-        finishRequest(transaction, request);
+        finishAnswered(transaction, request);
     }
 }
 
@@ -220,7 +219,7 @@
         return request.held.hasFailed ? writeHeldEvents(transaction, request) : undefined;
     }
     effects.push({ kind: "answerEnd", requestId: request.id });
-    finishRequest(transaction, request);
+    finishAnswered(transaction, request);
 }
 
 /** How long the caller waited for the first event, how fast the last run was, and the longest pause of the answer. */
--- a/packages/gateway/test/waiting.test.ts
+++ b/packages/gateway/test/waiting.test.ts
@@ -121,6 +121,7 @@
 /** A request that is accepted 3.1 s into a planned stop, which its greatest output allows, and waits for memory. */
 function waitingInStop(): { readonly gateway: TestGateway; readonly first: BackendCall; } {
     const gateway = TestGateway.serving(server("engine-1"));
+    gateway.completeStream("earlier", "plan");
     gateway.state.meanStreamDuration = 30;
     const first = gateway.startStream("p1", "plan", plan);
     gateway.startStream("p2", "plan", plan);
@@ -142,6 +143,7 @@
 
 test("a request that a server refuses late in a planned stop is not sent again if it can't be known to end any more", () => {
     const gateway = TestGateway.serving(server("engine-1"), server("engine-2"));
+    gateway.completeStream("earlier", "plan");
     gateway.handle({ kind: "stopRequested" });
     gateway.advance(3_100);
     const call = gateway.sendRequest("r", "plan", { promptTokens: 400, maximumTokens: 200 });
