Count the pauses of a route's streams where a planned stop accepts a late one

A stream with tokens was accepted late in a stop by its first event and its tokens, though streams of its route had paused for longer than was left: engines preempt the newest of the least urgent streams.

The longest recent pause of the route, the present ones of running streams included, is added to the forecast.

lateInStop.test.ts: before, the test fails (accepted, Expected: leaving); after, the gateway's tests pass.

--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -16,7 +16,7 @@
 import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
 import { expectedOutput, type RequestHead } from "./messages.js";
-import { recordAge, recordAnswer, recordFirstEvent, recordTaken } from "./routeDurations.js";
+import { recordAge, recordAnswer, recordEventTimes, recordTaken } from "./routeDurations.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
 import { countPossibleRuns, createRunLedger } from "./runLedger.js";
 import { dispatch } from "./sending.js";
@@ -205,7 +205,7 @@
 
 /** Removes a request whose final answer was given, and cancels its attempts. */
 export function finishRequest(transaction: Transaction, request: GatewayRequest): void {
-    recordFirstEvent(transaction.state, request, transaction.now);
+    recordEventTimes(transaction.state, request, transaction.now);
     if (request.attempt !== undefined) {
         endAttempt(transaction, request, request.attempt, "cancel");
     }
--- a/packages/gateway/src/routeDurations.ts
+++ b/packages/gateway/src/routeDurations.ts
@@ -1,5 +1,5 @@
 /**
- * How long requests of each route took recently: until their first event, until their answer, and until the caller had taken
+ * How long requests of each route took recently: until their first event, between their events, until their answer, and until the caller had taken
  * the answer.
  */
 import {
@@ -17,6 +17,8 @@
 export interface RouteDurations {
     /** From a request's arrival until the first event of its stream. */
     readonly firstEvent: LongestDuration;
+    /** Between two events of a stream: its engine may preempt it. */
+    readonly pause: LongestDuration;
     /** From a request's arrival until its whole answer. */
     readonly answer: LongestDuration;
     /** From a whole answer until the caller had taken it. */
@@ -56,17 +58,21 @@
     recordDuration(durationsOf(durations, route.name, now).answer, now - arrivedAt, now);
 }
 
-/** Records when the caller got the first event, if it got one. */
-export function recordFirstEvent(
-    { durations }: GatewayState,
-    { route, firstEventAge }: GatewayRequest,
-    now: Milliseconds,
-): void {
+/** Records when the caller got the first event, and the longest pause of the stream, if it got one. */
+export function recordEventTimes({ durations }: GatewayState, request: GatewayRequest, now: Milliseconds): void {
+    const { route, firstEventAge } = request;
     if (firstEventAge !== undefined) {
-        recordDuration(durationsOf(durations, route.name, now).firstEvent, firstEventAge, now);
+        const { firstEvent, pause } = durationsOf(durations, route.name, now);
+        recordDuration(firstEvent, firstEventAge, now);
+        recordDuration(pause, longestPauseOf(request, now), now);
     }
 }
 
+/** The longest pause of a stream, which may be the present one. */
+function longestPauseOf({ longestPause, lastEventAt }: GatewayRequest, now: Milliseconds): Milliseconds {
+    return Math.max(longestPause, now - (lastEventAt ?? now));
+}
+
 /** Records that the caller has taken a whole answer, or has left before. */
 export function recordTaken({ durations }: GatewayState, requestId: RequestId, now: Milliseconds): void {
     const answer = durations.untaken.get(requestId);
@@ -98,12 +104,28 @@
     if (known === undefined || start === undefined) {
         return callerLeft;
     }
-    const output = hasTokens ? head.maximumTokens * timePerToken : 0;
+    const output = hasTokens ? head.maximumTokens * timePerToken + longestRoutePause(state, route.name, known, now) : 0;
     const work = Math.max(shortWorkTime, safetyFactor * start) + safetyFactor * output;
     const answer = Math.min(work, route.timeout - elapsed);
     return Math.min(callerLeft, answer + safetyFactor * longestReading(durations, route.name, known, now));
 }
 
+/** The longest pause of the route's streams, those that run now included. */
+function longestRoutePause(
+    { requests }: GatewayState,
+    route: RouteName,
+    { pause }: RouteDurations,
+    now: Milliseconds,
+): Milliseconds {
+    let longest = longestDuration(pause, now) ?? 0;
+    for (const request of requests.values()) {
+        if (request.route.name === route) {
+            longest = Math.max(longest, longestPauseOf(request, now));
+        }
+    }
+    return longest;
+}
+
 /** The longest time that callers took, or have taken so far, for an answer of the route. */
 function longestReading(
     { untaken }: RequestDurations,
@@ -127,6 +149,7 @@
     }
     const created = {
         firstEvent: createLongestDuration(now),
+        pause: createLongestDuration(now),
         answer: createLongestDuration(now),
         reading: createLongestDuration(now),
     };
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -130,6 +130,20 @@
     }
 });
 
+// The time of an engine's preemption counted for nothing, since the tokens of a head were taken for all that follows its first event.
+test("a stream with tokens is refused late in a stop if streams of its route paused for longer than is left", () => {
+    for (const [pause, expected] of [[3_000, "leaving"], [100, "accepted"]] as const) {
+        const gateway = servingGateway();
+        const call = gateway.startStream("earlier", "plan", { maximumTokens: 10 });
+        gateway.advance(pause);
+        gateway.receiveEvents(call, 2);
+        gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
+        gateway.handle({ kind: "answerTaken", requestId: requestId("earlier") });
+        stopAt(gateway, 5_000);
+        assert.is(outcome(gateway, "plan", { maximumTokens: 10 }), expected);
+    }
+});
+
 // It was sent to a server, and its answer was lost with the process.
 test("a request that is handled after the exit is refused", () => {
     const gateway = servingGateway();
