--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -209,6 +209,11 @@
     return attempt.copy === undefined ? undefined : retryObstacle(transaction, request, 0);
 }
 
+/** Whether events show that a run goes on though its server was asked to stop it. Until then they may have been on their way. */
+function goesOnAfterStop({ stopUnansweredAt, lastActivityAt }: Attempt): boolean {
+    return stopUnansweredAt !== undefined && lastActivityAt - stopUnansweredAt >= longestEventDelay;
+}
+
 /** A stream at a leaving server that is expected to end within this time is left to end there. */
 function endsSoonWithin({ state, now }: Transaction, { server }: Attempt): Milliseconds {
     const known = state.servers.get(server.record.id);
@@ -216,11 +221,6 @@
     return Math.max(shortestMigration, Math.min(minimumRemainingTime, runTime));
 }
 
-/** Whether events show that a run goes on though its server was asked to stop it. Until then they may have been on their way. */
-function goesOnAfterStop({ stopUnansweredAt, lastActivityAt }: Attempt): boolean {
-    return stopUnansweredAt !== undefined && lastActivityAt - stopUnansweredAt >= longestEventDelay;
-}
-
 function retryObstacle(
     transaction: Transaction,
     request: GatewayRequest,
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -100,8 +100,8 @@
  */
 export function failIfStopCuts(transaction: Transaction, request: GatewayRequest): boolean {
     const { state, now } = transaction;
-    const { route, head, runs, arrivedAt } = request;
-    if (countPossibleRuns(runs) > 0 || !cannotFinishBeforeStop(state, route, { head, receivedAt: arrivedAt }, now)) {
+    const { route, head, arrivedAt: receivedAt, runs } = request;
+    if (countPossibleRuns(runs) > 0 || !cannotFinishBeforeStop(state, route, { head, receivedAt }, now)) {
         return false;
     }
     failRequest(transaction, request, "leaving", "the instance is stopping", retryAfterStop(state, now));
