--- a/packages/gateway/test/waiting.test.ts
+++ b/packages/gateway/test/waiting.test.ts
@@ -17,7 +17,6 @@
 
 test("a request that does not fit waits, and starts as soon as memory is free", () => {
     const gateway = TestGateway.serving(server("engine-1"));
-    gateway.completeStream("earlier", "plan");
     gateway.state.meanStreamDuration = 30;
     const first = gateway.startStream("p1", "plan", plan);
     gateway.startStream("p2", "plan", plan);
@@ -76,7 +75,6 @@
 
 test("the request of a caller that leaves while it waits is dropped", () => {
     const gateway = TestGateway.serving(server("engine-1"));
-    gateway.completeStream("earlier", "plan");
     gateway.state.meanStreamDuration = 30;
     const first = gateway.startStream("p1", "plan", plan);
     gateway.startStream("p2", "plan", plan);
@@ -126,9 +124,13 @@
     gateway.completeStream("earlier", "plan");
     gateway.state.meanStreamDuration = 30;
     const first = gateway.startStream("p1", "plan", plan);
-    gateway.startStream("p2", "plan", plan);
+    const second = gateway.startStream("p2", "plan", plan);
     gateway.handle({ kind: "stopRequested" });
-    gateway.advance(3_100);
+    for (let event = 2; event <= 32; event++) {
+        gateway.advance(100);
+        gateway.receiveEvents(first, event);
+        gateway.receiveEvents(second, event);
+    }
     gateway.receiveRequest("p3", "plan", { promptTokens: 4_000, maximumTokens: 180 });
     assert.is(gateway.state.waiting.size, 1);
     return { gateway, first };
