Forget the recent durations of routes that a configuration has removed

They are forgotten with the sizes of removed services. Test in lateInStop.test.ts fails without the change (an entry is left).

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -15,6 +15,7 @@
 import type { MemberRecord, OffsetRange, TopicReadStamp } from "./peerReport.js";
 import { reportToPeers } from "./peers.js";
 import { isReadRequired, recordReadEnd, recordReadStart } from "./resumption.js";
+import { forgetRoutes } from "./routeDurations.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
 import { forgetEarlierIncarnation, isEarlierStart } from "./serverIncarnations.js";
 import type { GatewayState, TopicFollower } from "./state.js";
@@ -395,6 +396,7 @@
     }
     state.configuration = configuration;
     forgetSizes(state, configuration);
+    forgetRoutes(state.durations, configuration);
     logDecision(transaction, "info", "configuration_applied", { version: configuration.version, previous });
     effects.push({ kind: "applyLimits", limits: configuration.limits });
     return true;
--- a/packages/gateway/src/routeDurations.ts
+++ b/packages/gateway/src/routeDurations.ts
@@ -1,6 +1,6 @@
 /**
- * How long requests of each route took recently: until their first event, between their events, until their answer, and until the caller had taken
- * the answer.
+ * How long requests of each route took recently: until their first event, between their events, until their answer, and
+ * until the caller had taken the answer.
  */
 import {
     createLongestDuration,
@@ -10,7 +10,7 @@
 } from "@verbenaspring/coordination";
 import type { Milliseconds, RequestId, RouteName } from "@verbenaspring/model";
 import type { RequestHead } from "./messages.js";
-import type { Route } from "./routingConfiguration.js";
+import type { Route, RoutingConfiguration } from "./routingConfiguration.js";
 import type { GatewayRequest, GatewayState } from "./state.js";
 
 /** The recent durations of one route's requests. */
@@ -42,6 +42,16 @@
     return { ofRoutes: new Map(), untaken: new Map() };
 }
 
+/** Forgets the routes that a configuration does not have. */
+export function forgetRoutes({ ofRoutes }: RequestDurations, { routesByHost }: RoutingConfiguration): void {
+    const names = new Set([...routesByHost.values()].flatMap(routes => routes.map(({ name }) => name)));
+    for (const name of ofRoutes.keys()) {
+        if (!names.has(name)) {
+            ofRoutes.delete(name);
+        }
+    }
+}
+
 /** Time that is allowed for a request of a plain service, or the first event of a stream, if earlier ones did not take longer. */
 export const shortWorkTime: Milliseconds = 1_000;
 /** The next request may be slower than the slowest of the recent ones. */
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -152,6 +152,15 @@
     }
 });
 
+// A configuration may rename its routes thousands of times a day.
+test("the durations of routes that a configuration does not have any more are forgotten", () => {
+    const gateway = servingGateway();
+    serve(gateway, "earlier", 30, 0);
+    assert.equal([...gateway.state.durations.ofRoutes.keys()], ["slow"]);
+    gateway.configure(configuration(3));
+    assert.equal([...gateway.state.durations.ofRoutes.keys()], []);
+});
+
 // It was sent to a server, and its answer was lost with the process.
 test("a request that is handled after the exit is refused", () => {
     const gateway = servingGateway();
