Go on with a planned stop after a second SIGTERM

With verbenaspring gateway, entry or sidecar a second SIGTERM ended a stopping process at once, and callers got a part of their answers.

Cause: the listener was added with once, so the second signal had its default action. It stays now; a repeated request to stop has no effect. A second SIGINT still ends the process.

--- a/packages/bench/test/gatewayProcess.test.ts
+++ b/packages/bench/test/gatewayProcess.test.ts
@@ -166,6 +166,20 @@
         assert.is(await gateway.exited, 0);
     }));
 
+// A second SIGTERM ended the process at once, with the answers that it still passed on.
+test("a planned stop goes on after a second SIGTERM", () =>
+    withCluster(1, async cluster => {
+        await cluster.addServer("e1", "engine", 20, 100);
+        const [gateway] = cluster.gateways;
+        const pending = cluster.sendRequest(gateway, "/plan/1");
+        await waitUntil("a run began", () => cluster.backendServers[0].runs().length > 0);
+        gateway.child.kill("SIGTERM");
+        await waitUntil("the gateway is not ready", async () => !(await isGatewayProcessReady(gateway)));
+        gateway.child.kill("SIGTERM");
+        assert.equal(eventIds((await pending).body), idsUpTo(100));
+        assert.is(await gateway.exited, 0);
+    }));
+
 // The gateway went on reading at the address that it was started with, and never learned a configuration again.
 test("a changed address of the store takes effect, with a signal and without", () =>
     withCluster(1, async cluster => {
--- a/packages/cli/src/commandLine.ts
+++ b/packages/cli/src/commandLine.ts
@@ -39,7 +39,8 @@
 async function runDaemon(start: () => Promise<Daemon>): Promise<void> {
     try {
         const daemon = await start();
-        process.once("SIGTERM", daemon.stop);
+        process.on("SIGTERM", daemon.stop);
+        // A second interrupt from the terminal ends the process at once.
         process.once("SIGINT", daemon.stop);
         await daemon.stopped;
         process.exit(exitCode.success);
--- a/packages/runtime/src/entryDaemon.ts
+++ b/packages/runtime/src/entryDaemon.ts
@@ -26,7 +26,7 @@
  *
  * @example
  * const daemon = await startEntry(settings);
- * process.once("SIGTERM", daemon.stop);
+ * process.on("SIGTERM", daemon.stop);
  */
 export async function startEntry(settings: EntrySettings): Promise<Daemon> {
     const incarnation = systemSource.newIdentifier();
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -109,7 +109,7 @@
  *
  * @example
  * const daemon = await startGateway(options, adapter);
- * process.once("SIGTERM", daemon.stop);
+ * process.on("SIGTERM", daemon.stop);
  */
 export async function startGateway(options: GatewayDaemonOptions, adapter: GatewayAdapter): Promise<GatewayDaemon> {
     const write = createLineWriter(process.stdout);
--- a/packages/runtime/src/sidecarDaemon.ts
+++ b/packages/runtime/src/sidecarDaemon.ts
@@ -26,7 +26,7 @@
  *
  * @example
  * const daemon = await startSidecar(settings);
- * process.once("SIGTERM", daemon.stop);
+ * process.on("SIGTERM", daemon.stop);
  */
 export async function startSidecar(settings: SidecarSettings): Promise<Daemon> {
     const incarnation = systemSource.newIdentifier();
