--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -5,8 +5,9 @@
  * has one migration at a time, since all of them share its network link.
  *
  * At a server that leaves, a stream needs no migration if a new run can continue it, or if it has a usable replica at a
- * server that stays. That is decided again until the stream has left its server. An evacuated server goes on, so its streams are migrated to empty the failure domain: those that
- * would be lost with it first, and only with memory and retries that others leave unused.
+ * server that stays. That is decided again until the stream has left its server. An evacuated server goes on, so its
+ * streams are migrated to empty the failure domain: those that would be lost with it first, and only with memory and
+ * retries that others leave unused.
  */
 import { chooseReplicaHost, migrationPlacement, replicaPlacement } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
@@ -209,7 +210,9 @@
     return attempt.copy === undefined ? undefined : retryObstacle(transaction, request, 0);
 }
 
-/** Whether events show that a run goes on though its server was asked to stop it. Until then they may have been on their way. */
+/**
+ * Whether events show that a run goes on though its server was asked to stop it. Earlier ones may have been on their way.
+ */
 function goesOnAfterStop({ stopUnansweredAt, lastActivityAt }: Attempt): boolean {
     return stopUnansweredAt !== undefined && lastActivityAt - stopUnansweredAt >= longestEventDelay;
 }
--- a/packages/gateway/src/routeDurations.ts
+++ b/packages/gateway/src/routeDurations.ts
@@ -52,7 +52,7 @@
     }
 }
 
-/** Time that is allowed for a request of a plain service, or the first event of a stream, if earlier ones did not take longer. */
+/** Time allowed for a request of a plain service, or the first event of a stream, if earlier ones did not take longer. */
 export const shortWorkTime: Milliseconds = 1_000;
 /** The next request may be slower than the slowest of the recent ones. */
 const safetyFactor = 1.5;
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -74,7 +74,7 @@
     stopUnansweredAt: Milliseconds | undefined;
     /** How its answer ended after that request: in the way of a complete one without framing, or as a lost one. */
     endAfterStop: "ended" | "lost" | undefined;
-    /** The servers to which this run, or the one that it continues, could not be moved, and until when each is not tried again. */
+    /** Where this run, or the one that it continues, could not be moved, and until when each is not tried again. */
     readonly failedTargets: Map<BackendServerId, Milliseconds>;
     /** Why this run is not migrated from a server that leaves or is evacuated, as logged last. */
     loggedObstacle: MigrationObstacle | undefined;
