--- a/packages/bench/test/gatewayProcess.test.ts
+++ b/packages/bench/test/gatewayProcess.test.ts
@@ -6,7 +6,7 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { GatewayCluster } from "./gatewayCluster.js";
+import { GatewayCluster, type GatewayResponse } from "./gatewayCluster.js";
 
 async function withCluster(gateways: number, run: (cluster: GatewayCluster) => Promise<void>): Promise<void> {
     const cluster = await GatewayCluster.start(gateways);
@@ -151,16 +151,22 @@
         await waitUntil("the store is noticed as regained", () => gateway.output().includes("event=topic_regained"));
     }));
 
+/** Starts an engine and a stream of 100 events at the first gateway, and waits until the stream runs. */
+async function startLongStream(cluster: GatewayCluster): Promise<{ readonly answer: Promise<GatewayResponse>; }> {
+    await cluster.addServer("e1", "engine", 20, 100);
+    const answer = cluster.sendRequest(cluster.gateways[0], "/plan/1");
+    await waitUntil("a run began", () => cluster.backendServers[0].runs().length > 0);
+    return { answer };
+}
+
 test("a planned stop ends readiness at once, cuts off no stream and ends the process, which SIGHUP does not", () =>
     withCluster(1, async cluster => {
-        await cluster.addServer("e1", "engine", 20, 100);
         const [gateway] = cluster.gateways;
-        const pending = cluster.sendRequest(gateway, "/plan/1");
-        await waitUntil("a run began", () => cluster.backendServers[0].runs().length > 0);
+        const pending = await startLongStream(cluster);
         gateway.child.kill("SIGHUP");
         gateway.child.kill("SIGTERM");
         await waitUntil("the gateway is not ready", async () => !(await isGatewayProcessReady(gateway)));
-        const answer = await pending;
+        const answer = await pending.answer;
         assert.equal(eventIds(answer.body), idsUpTo(100));
         assert.ok(answer.isComplete);
         assert.is(await gateway.exited, 0);
@@ -169,14 +175,12 @@
 // A second SIGTERM ended the process at once, with the answers that it still passed on.
 test("a planned stop goes on after a second SIGTERM", () =>
     withCluster(1, async cluster => {
-        await cluster.addServer("e1", "engine", 20, 100);
         const [gateway] = cluster.gateways;
-        const pending = cluster.sendRequest(gateway, "/plan/1");
-        await waitUntil("a run began", () => cluster.backendServers[0].runs().length > 0);
+        const pending = await startLongStream(cluster);
         gateway.child.kill("SIGTERM");
         await waitUntil("the gateway is not ready", async () => !(await isGatewayProcessReady(gateway)));
         gateway.child.kill("SIGTERM");
-        assert.equal(eventIds((await pending).body), idsUpTo(100));
+        assert.equal(eventIds((await pending.answer).body), idsUpTo(100));
         assert.is(await gateway.exited, 0);
     }));
 
--- a/packages/gateway/src/silentAttempts.ts
+++ b/packages/gateway/src/silentAttempts.ts
@@ -91,8 +91,8 @@
 }
 
 /**
- * Cancels the silent attempt of a request whose newer one was neither accepted nor refused in time. A server that shows
- * no sign of life is not at work, so it is waited for.
+ * Cancels the silent attempt of a request whose newer one was neither accepted nor refused in time. While the newer one's
+ * server shows no sign of life, it does not run the request either, so the silent attempt is kept.
  */
 export function checkSilentAttempt(transaction: Transaction, request: GatewayRequest): void {
     const { state, now } = transaction;
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -464,6 +464,19 @@
     });
 }
 
+const shortHeaderTimeout = 300;
+
+/** Sends a request that stays open, on a channel whose next head is soon overdue. */
+async function startRequest(): Promise<{ readonly harness: Harness; readonly client: Client; }> {
+    const harness = new Harness();
+    const limits = { headerBytes: 8_192, bodyBytes: 8_192, headerTimeout: shortHeaderTimeout, idleTimeout: 15_000 };
+    harness.callers.applyLimits(limits);
+    const client = await harness.connect();
+    client.socket.write(emptyRequest);
+    await waitUntil(() => harness.open.length === 1);
+    return { harness, client };
+}
+
 // What followed a request on its channel, incomplete or malformed, closed the channel under the request.
 for (
     const [name, next, refusal] of [
@@ -473,19 +486,14 @@
 ) {
     for (const isStream of [false, true]) {
         test(`a ${isStream ? "stream" : "request"} keeps its channel while the head behind it ${name}`, async () => {
-            const harness = new Harness();
-            const headerTimeout = 300;
-            harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout, idleTimeout: 15_000 });
-            const client = await harness.connect();
-            client.socket.write(emptyRequest);
-            await waitUntil(() => harness.open.length === 1);
+            const { harness, client } = await startRequest();
             const [requestId] = harness.open;
             if (isStream) {
                 harness.callers.writeHead(requestId, okAnswer);
                 await waitUntil(() => client.count("HTTP/1.1 200") === 1);
             }
             client.socket.write(next);
-            await pause(5 * headerTimeout);
+            await pause(5 * shortHeaderTimeout);
             assert.equal(harness.left, [], "the request did not lose its channel");
             if (isStream) {
                 harness.callers.writeEvents(requestId, [{ id: undefined, bytes: Buffer.from("done") }]);
@@ -505,16 +513,11 @@
 }
 
 test("a head that stalls behind a request is served if it comes whole while the request runs", async () => {
-    const harness = new Harness();
-    const headerTimeout = 300;
-    harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout, idleTimeout: 15_000 });
-    const client = await harness.connect();
-    client.socket.write(emptyRequest);
-    await waitUntil(() => harness.open.length === 1);
+    const { harness, client } = await startRequest();
     client.socket.write(emptyRequest.slice(0, 20));
-    await pause(5 * headerTimeout);
+    await pause(5 * shortHeaderTimeout);
     client.socket.write(emptyRequest.slice(20));
-    await pause(2 * headerTimeout);
+    await pause(2 * shortHeaderTimeout);
     harness.callers.writeWhole(harness.open[0], okAnswer);
     await waitUntil(() => harness.open.length === 2);
     harness.callers.writeWhole(harness.open[1], okAnswer);
@@ -524,13 +527,9 @@
 });
 
 test("a caller that leaves while the head behind its request stalls is reported", async () => {
-    const harness = new Harness();
-    harness.callers.applyLimits({ headerBytes: 8_192, bodyBytes: 8_192, headerTimeout: 300, idleTimeout: 15_000 });
-    const client = await harness.connect();
-    client.socket.write(emptyRequest);
-    await waitUntil(() => harness.open.length === 1);
+    const { harness, client } = await startRequest();
     client.socket.write(emptyRequest.slice(0, 20));
-    await pause(1_200);
+    await pause(4 * shortHeaderTimeout);
     client.socket.end();
     await waitUntil(() => harness.left.length === 1);
     assert.equal(harness.left, harness.open);
