Log how each request of a planned stop was accepted and how it ended

A record of LOST around a SIGTERM could not be read: a request that ended whole left a line at debug only, an acceptance late in a stop left none, and an answer whose channel closed before its caller had taken it left none either. So a request that was cut at the end of a stop, one that was answered and not delivered, and one that no gateway saw looked the same.

accepted_late_in_stop has the forecast and the time left. request_answered and stream_answered are logged at info during a stop, request_failed says whether the answer had begun, and answer_cut reason=closed names an answer that was not taken. What is decided does not change: forecastInStop returns what cannotFinishBeforeStop compared.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -19,7 +19,7 @@
 import { handleEndAfterStop } from "./migration.js";
 import { replicaState } from "./replicas.js";
 import { recordRequestLimit } from "./requestLimits.js";
-import { failRequest, finishAnswered, requestFields } from "./requests.js";
+import { failRequest, finishAnswered, logAnswered, requestFields } from "./requests.js";
 import { countPossibleRuns, recordNoRun } from "./runLedger.js";
 import { canDispatchAgain, dispatch, failIfEvacuated, timeUntilUsable } from "./sending.js";
 import { isSuperseded, runFate } from "./serverIncarnations.js";
@@ -45,7 +45,7 @@
 
 /** Handles a complete answer that is not a stream. */
 export function handleAnswer(transaction: Transaction, attemptId: AttemptId, answer: BackendAnswer): void {
-    const { state, now, effects } = transaction;
+    const { state, effects } = transaction;
     const request = state.attempts.get(attemptId);
     const attempt = request?.attempt;
     if (request === undefined || attempt === undefined) {
@@ -66,11 +66,7 @@
     switch (answerClass) {
         case "delivered":
             recordBegunRun(transaction, request);
-            logDecision(transaction, "debug", "request_answered", {
-                ...requestFields(transaction, request),
-                status: answer.status,
-                took: Math.round(now - request.arrivedAt),
-            });
+            logAnswered(transaction, request, "request_answered", { status: answer.status });
             effects.push({ kind: "answerWhole", requestId: request.id, answer });
             return finishAnswered(transaction, request);
         case "not_run":
--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -34,27 +34,39 @@
 /** Estimates are right only at the median, so a stream must fit with this multiple of its estimated duration. */
 const durationSafetyFactor = 1.5;
 
-/** Whether a planned stop would cut off a new request, which another instance can serve completely. */
-export function cannotFinishBeforeStop(
+/** What decides whether a request is accepted in a planned stop. */
+export interface StopForecast {
+    /** How long the request may take. */
+    readonly duration: Milliseconds;
+    /** The time until the remaining requests fail. */
+    readonly remaining: Milliseconds;
+    /** Whether the stop has lasted so long that the balancer sends new channels to other instances. */
+    readonly isLate: boolean;
+}
+
+/** Forecasts whether a request ends before a planned stop does; undefined if none was requested. */
+export function forecastInStop(
     state: GatewayState,
     route: Route,
     { head, receivedAt }: Pick<Extract<GatewayEvent, { readonly kind: "requestReceived"; }>, "head" | "receivedAt">,
     now: Milliseconds,
-): boolean {
-    if (state.stopRequestedAt === undefined) {
-        return false;
-    }
-    if (state.hasExited) {
-        return true;
+): StopForecast | undefined {
+    const { stopRequestedAt } = state;
+    if (stopRequestedAt === undefined) {
+        return undefined;
     }
-    const remaining = state.stopRequestedAt + finalAnswersAfter(state) - now;
-    // Once other instances get the new channels, there is no reason to accept what is not known to end in time.
-    const isLate = now - state.stopRequestedAt >= estimatesTrustedFor;
+    const isLate = now - stopRequestedAt >= estimatesTrustedFor;
+    const remaining = state.hasExited ? -Infinity : stopRequestedAt + finalAnswersAfter(state) - now;
     if (isLate) {
-        return forecastRequest(state, route, head, receivedAt, now) > remaining;
+        return { duration: forecastRequest(state, route, head, receivedAt, now), remaining, isLate };
     }
     const streamTime = route.isStream ? durationSafetyFactor * expectedOutput(head) * state.timePerToken : 0;
-    return shortWorkTime + streamTime > remaining;
+    return { duration: shortWorkTime + streamTime, remaining, isLate };
+}
+
+/** Whether a planned stop would cut off a new request, which another instance can serve completely. */
+export function isCutByStop(forecast: StopForecast | undefined): boolean {
+    return forecast !== undefined && forecast.duration > forecast.remaining;
 }
 
 /** From the request to stop until the remaining requests fail. */
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -12,7 +12,7 @@
 } from "@verbenaspring/model";
 import { endAttempt } from "./attempts.js";
 import { identifyRepeats } from "./crashSuspects.js";
-import { cannotFinishBeforeStop, retryAfterStop } from "./draining.js";
+import { forecastInStop, isCutByStop, retryAfterStop, type StopForecast } from "./draining.js";
 import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
 import { expectedOutput, type RequestHead } from "./messages.js";
@@ -52,7 +52,8 @@
         return refuseUnknown(transaction, event, "unauthenticated");
     }
     const { now, state, source } = transaction;
-    if (cannotFinishBeforeStop(state, route, event, now)) {
+    const stopForecast = forecastInStop(state, route, event, now);
+    if (isCutByStop(stopForecast)) {
         return refuse(transaction, event, "leaving", retryAfterStop(state, now));
     }
     const timeLimit = Math.min(head.timeLimit ?? Infinity, route.timeout);
@@ -82,12 +83,44 @@
     };
     state.requests.set(requestId, request);
     recordRequest(state.retryBudget, request.service, now);
+    logAcceptedLate(transaction, request, stopForecast);
     if (isTakeUp(request)) {
         return handleTakeUp(transaction, request);
     }
     dispatch(transaction, request);
 }
 
+/** Logs what a request was expected to take that is accepted late in a planned stop. */
+function logAcceptedLate(
+    transaction: Transaction,
+    request: GatewayRequest,
+    forecast: StopForecast | undefined,
+): void {
+    if (forecast?.isLate === true) {
+        logDecision(transaction, "info", "accepted_late_in_stop", {
+            ...requestFields(transaction, request),
+            ...stopFields(transaction, request),
+            forecast: Math.round(forecast.duration),
+            remaining: Math.round(forecast.remaining),
+        });
+    }
+}
+
+/** Logs the whole answer to a request. In a planned stop each request is to have a line that says how it ended. */
+export function logAnswered(
+    transaction: Transaction,
+    request: GatewayRequest,
+    event: "request_answered" | "stream_answered",
+    fields: DecisionFields,
+): void {
+    logDecision(transaction, transaction.state.stopRequestedAt === undefined ? "debug" : "info", event, {
+        ...requestFields(transaction, request),
+        ...stopFields(transaction, request),
+        took: Math.round(transaction.now - request.arrivedAt),
+        ...fields,
+    });
+}
+
 function pathOf({ target }: RequestHead): string {
     return target.split("?", 1)[0];
 }
@@ -180,6 +213,8 @@
         ...requestFields(transaction, request),
         reason: type,
         outcome,
+        hasBegun: request.isHeadWritten,
+        firstEventAge: request.firstEventAge === undefined ? undefined : Math.round(request.firstEventAge),
         ...stopFields(transaction, request),
     });
     finishRequest(transaction, request);
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -12,7 +12,7 @@
 import type { BackendServer } from "./backendServers.js";
 import { coldShareAt, isCold, spendColdRequest, timeUntilWithinColdRate } from "./coldServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
-import { cannotFinishBeforeStop, retryAfterStop } from "./draining.js";
+import { forecastInStop, isCutByStop, retryAfterStop } from "./draining.js";
 import { isEvacuated, isServiceEvacuated } from "./evacuations.js";
 import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
@@ -101,7 +101,7 @@
 export function failIfStopCuts(transaction: Transaction, request: GatewayRequest): boolean {
     const { state, now } = transaction;
     const { route, head, arrivedAt: receivedAt, runs } = request;
-    if (countPossibleRuns(runs) > 0 || !cannotFinishBeforeStop(state, route, { head, receivedAt }, now)) {
+    if (countPossibleRuns(runs) > 0 || !isCutByStop(forecastInStop(state, route, { head, receivedAt }, now))) {
         return false;
     }
     failRequest(transaction, request, "leaving", "the instance is stopping", retryAfterStop(state, now));
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -18,7 +18,7 @@
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { handleEndAfterStop, migrateAfterFirstEvent, recordFailedTarget } from "./migration.js";
 import { findContinuation, recordProduction } from "./replicas.js";
-import { failRequest, finishAnswered, requestFields } from "./requests.js";
+import { failRequest, finishAnswered, logAnswered, requestFields } from "./requests.js";
 import { recordNoRun } from "./runLedger.js";
 import { canSendAgain, sendTo } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
@@ -192,7 +192,7 @@
 
 /** Handles the complete end of a run. */
 export function handleStreamEnded(transaction: Transaction, attemptId: AttemptId): void {
-    const { state, now, effects } = transaction;
+    const { state, effects } = transaction;
     const request = state.attempts.get(attemptId);
     const attempt = request?.attempt;
     if (request === undefined || attempt?.head === undefined) {
@@ -208,11 +208,7 @@
     if (!request.isHeadWritten && request.held === undefined) {
         effects.push({ kind: "answerHead", requestId: request.id, head: attempt.head });
     }
-    logDecision(transaction, "debug", "stream_answered", {
-        ...requestFields(transaction, request),
-        took: Math.round(now - request.arrivedAt),
-        ...streamTimeFields(state, request, attempt),
-    });
+    logAnswered(transaction, request, "stream_answered", streamTimeFields(state, request, attempt));
     if (request.held !== undefined) {
         request.held.hasEnded = true;
         // A whole answer can't be taken up, so it does not wait for a store that refuses its record.
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -9,6 +9,7 @@
     configuration,
     failuresIn,
     kindsIn,
+    linesIn,
     requestId,
     route,
     routes,
@@ -198,4 +199,34 @@
     assert.ok(kindsIn(gateway.advance(50)).includes("exit"));
 });
 
+// A request that ended whole left no line, so that one that is reported as lost could not be told from one that was never seen.
+test("each request that is accepted late in a stop or ends in one leaves a line that names it", () => {
+    const gateway = servingGateway();
+    serve(gateway, "earlier", 30, 0);
+    const stream = gateway.startStream("stream", "plan", { maximumTokens: 10 });
+    stopAt(gateway, 3_000);
+    const accepted = gateway.receiveRequest("late", "slow", { timeLimit: 2_000 });
+    const [acceptance] = linesIn(accepted, "accepted_late_in_stop");
+    assert.is(acceptance.request, "late");
+    assert.is(acceptance.arrivedInStop, 3_000);
+    assert.ok(Number(acceptance.forecast) <= Number(acceptance.remaining));
+    const [answered] = linesIn(gateway.answer(callsIn(accepted)[0]), "request_answered");
+    assert.is(answered.request, "late");
+    const ended = gateway.handle({ kind: "streamEnded", attemptId: stream.attemptId });
+    assert.is(linesIn(ended, "stream_answered")[0].request, "stream");
+});
+
+test("a request that fails in a stop says whether its answer had begun", () => {
+    const gateway = servingGateway();
+    gateway.sendRequest("waiting", "plan", { maximumTokens: 10 });
+    gateway.advance(200);
+    gateway.startStream("begun", "plan", { maximumTokens: 10 });
+    gateway.handle({ kind: "stopRequested" });
+    const lines = linesIn(gateway.advance(8_000), "request_failed");
+    assert.equal(lines.map(({ request, hasBegun, firstEventAge }) => [request, hasBegun, firstEventAge]), [
+        ["waiting", false, undefined],
+        ["begun", true, 0],
+    ]);
+});
+
 test.run();
--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -58,7 +58,10 @@
     readonly refused: (type: Failure["type"], detail: string, target?: string) => void;
     /** The server closed a connection, or rejected its request, to stay within its bounds. */
     readonly cut?: (reason: CutReason, address: string) => void;
-    /** A request that was reported as received lost its channel, with its answer incomplete, by a decision of the server. */
+    /**
+     * A request that was reported as received lost its channel, with its answer incomplete, by a decision of the server; or
+     * the channel closed before the caller had taken the whole answer.
+     */
     readonly answerCut?: (cut: CutAnswer) => void;
     /**
      * How many whole answers callers have not taken yet: some of their bytes are still in this process. Reported when the
@@ -79,7 +82,8 @@
 /** An answer that the server cut off. */
 export interface CutAnswer {
     readonly callerAttemptId: CallerAttemptId;
-    readonly reason: CutReason | "stopped";
+    /** `closed` where neither a bound nor the end of the server was the reason. */
+    readonly reason: CutReason | "stopped" | "closed";
     /** Whether the whole answer had been written to the socket. */
     readonly isWritten: boolean;
     /** Bytes of the channel that are still in the process. */
@@ -138,6 +142,8 @@
     unsentWrites: number;
     /** Whether its whole answer was written. */
     isAnswered: boolean;
+    /** Whether it was reported that its answer is cut. */
+    isCutReported: boolean;
     /** Since when its caller has left so much of a stream unread that the stream is paused. */
     pausedSince: Milliseconds | undefined;
     /** Ends the exchange; without effect if it has ended. */
@@ -300,13 +306,22 @@
         }
     };
     const reportCutAnswers = ({ socket, exchanges }: CallerChannel, reason: CutAnswer["reason"]): void => {
-        for (const { callerAttemptId, rejectBody, isAnswered, unwritten } of exchanges) {
+        for (const exchange of exchanges) {
+            const { callerAttemptId, rejectBody, isAnswered, unwritten } = exchange;
             if (rejectBody === undefined) {
+                exchange.isCutReported = true;
                 const unsentBytes = socket.unsentBytes + countBytes(unwritten);
                 handlers.answerCut?.({ callerAttemptId, reason, isWritten: isAnswered, unsentBytes });
             }
         }
     };
+    /** Reports a whole answer whose channel closed before the socket had sent it. */
+    const reportUntaken = ({ callerAttemptId, response, isAnswered, isCutReported, unwritten }: Exchange): void => {
+        if (isAnswered && !response.writableFinished && !isCutReported) {
+            const unsentBytes = response.writableLength + countBytes(unwritten);
+            handlers.answerCut?.({ callerAttemptId, reason: "closed", isWritten: true, unsentBytes });
+        }
+    };
     const cutLargest = (): void => {
         const isCut = (channel: CallerChannel): boolean =>
             channel.socket.destroyed || channel.isRefused && channel.exchanges.size === 0;
@@ -372,6 +387,7 @@
             unwritten: [],
             unsentWrites: 0,
             isAnswered: false,
+            isCutReported: false,
             pausedSince: undefined,
             leave: () => {
                 if (!endExchange(exchange)) {
@@ -392,6 +408,7 @@
             }
             largeBodies -= ended.heldBytes.bodies > 0 ? 1 : 0;
             releaseAll(channel, ended);
+            reportUntaken(ended);
             if (ended.isAnswered) {
                 changeUnsentAnswers(-1);
                 handlers.answerTaken?.(requestId);
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -268,7 +268,7 @@
                 },
                 answerCut: ({ callerAttemptId, reason, isWritten, unsentBytes }) => {
                     const fields = { request: callerAttemptId, reason, isWritten, unsentBytes };
-                    this.logDecision({ level: "warn", event: "answer_cut", fields });
+                    this.logDecision({ level: reason === "closed" ? "info" : "warn", event: "answer_cut", fields });
                 },
                 cut: (reason, address) => this.pressure.report("callers", reason, address, monotonicNow()),
                 answerTaken: requestId => push({ kind: "answerTaken", requestId }),
--- a/packages/runtime/test/cutAnswers.test.ts
+++ b/packages/runtime/test/cutAnswers.test.ts
@@ -109,4 +109,33 @@
     assert.is(cutAnswers.filter(({ reason }) => reason === "budget").length, 0, `${rejections} bodies were rejected`);
 });
 
+// Its answer counted as given, and no line named the request.
+test("a whole answer whose channel closes before the caller has taken it is reported", async () => {
+    const { callers, open, cutAnswers, openClient, close } = await startServer();
+    const client = openClient(emptyRequest).pause();
+    await waitUntil(() => open.length === 1);
+    callers.writeWhole(open[0], { ...createResponseHead(200), body: Buffer.alloc(8 * megabyte) });
+    await pause(50);
+    client.resetAndDestroy();
+    await waitUntil(() => cutAnswers.length > 0);
+    close();
+    assert.equal(cutAnswers.map(({ reason, isWritten }) => ({ reason, isWritten })), [
+        { reason: "closed", isWritten: true },
+    ]);
+    assert.ok(cutAnswers[0].unsentBytes > 0);
+});
+
+test("an answer that its caller has taken is not reported as cut", async () => {
+    const { callers, open, cutAnswers, openClient, close } = await startServer();
+    const client = openClient(emptyRequest);
+    client.on("data", () => undefined);
+    await waitUntil(() => open.length === 1);
+    callers.writeWhole(open[0], { ...createResponseHead(200), body: Buffer.alloc(1_000) });
+    await pause(50);
+    client.destroy();
+    await pause(50);
+    close();
+    assert.equal(cutAnswers, []);
+});
+
 test.run();
