Hold a stream that a planned stop accepts by a forecast until its end

Callers saw a short stream end with a reset: it was sent 3.0 s after the SIGTERM of its gateway, accepted, got its first event 4.5 s later and was cut at the end of the stop. Requests that are sent later than 3 s after SIGTERM must not be cut.

Cause: forecastRequest knew only requests that had ended, which are the fast ones. What waited for its first event for seconds counted nowhere, and the promise rested on the forecast being right.

Requests that run count with their age now, and the promise no longer rests on the forecast. A stream that no time limit ends before the stop is accepted only if its output is short, and its events are held until the last one. If the stop is over first, its caller gets a whole 504, like that of a plain request, and no part of a stream.

Before: three tests of lateInStop.test.ts fail (accepted, cut, accepted).

--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -27,15 +27,22 @@
 
 const minimumRetryAfter: Milliseconds = 20;
 /**
- * For this long after the request to stop, the estimated output of a stream decides whether it is accepted; afterwards its
- * maximum output and the recent durations of its route do. By then the balancer sends new channels to other instances.
+ * For this long after the request to stop, the estimated output of a stream decides whether it is accepted; afterwards time
+ * limits, its maximum output and the recent durations of its route do. By then the balancer sends new channels to other
+ * instances, unless too many of them stop at the same time.
  */
 const estimatesTrustedFor: Milliseconds = 2_500;
+/** The longest expected time for which the first event of a stream is held until its last one. */
+const maximumHoldTime: Milliseconds = 1_000;
 /** Estimates are right only at the median, so a stream must fit with this multiple of its estimated duration. */
 const durationSafetyFactor = 1.5;
 
-/** What decides whether a request is accepted in a planned stop. */
+/** Whether a request ends before a planned stop does: its time limits or forecasts say so, or it may not. */
+export type StopFit = "by_time_limit" | "by_forecast" | "too_long";
+
+/** What decides whether a request is accepted in a planned stop, and how its stream is passed on. */
 export interface StopForecast {
+    readonly fit: StopFit;
     /** How long the request may take. */
     readonly duration: Milliseconds;
     /** The time until the remaining requests fail. */
@@ -57,16 +64,30 @@
     }
     const isLate = now - stopRequestedAt >= estimatesTrustedFor;
     const remaining = state.hasExited ? -Infinity : stopRequestedAt + finalAnswersAfter(state) - now;
-    if (isLate) {
-        return { duration: forecastRequest(state, route, head, receivedAt, now), remaining, isLate };
+    if (!isLate) {
+        const streamTime = route.isStream ? durationSafetyFactor * expectedOutput(head) * state.timePerToken : 0;
+        const duration = shortWorkTime + streamTime;
+        return { fit: duration > remaining ? "too_long" : "by_forecast", duration, remaining, isLate };
+    }
+    const { atMost, expected, output } = forecastRequest(state, route, head, receivedAt, now);
+    if (atMost <= remaining) {
+        return { fit: "by_time_limit", duration: atMost, remaining, isLate };
     }
-    const streamTime = route.isStream ? durationSafetyFactor * expectedOutput(head) * state.timePerToken : 0;
-    return { duration: shortWorkTime + streamTime, remaining, isLate };
+    const fit = expected > remaining || output > maximumHoldTime ? "too_long" : "by_forecast";
+    return { fit, duration: Math.min(atMost, expected), remaining, isLate };
 }
 
 /** Whether a planned stop would cut off a new request, which another instance can serve completely. */
 export function isCutByStop(forecast: StopForecast | undefined): boolean {
-    return forecast !== undefined && forecast.duration > forecast.remaining;
+    return forecast?.fit === "too_long";
+}
+
+/**
+ * Whether a stream is passed on only when it is complete. An engine may take longer than any forecast; the caller then gets
+ * a whole answer that says so, and not a part of a stream.
+ */
+export function isHeldInStop(forecast: StopForecast | undefined): boolean {
+    return forecast?.isLate === true && forecast.fit === "by_forecast";
 }
 
 /** From the request to stop until the remaining requests fail. */
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -76,6 +76,7 @@
         isConsecutive: undefined,
         origin: undefined,
         held: undefined,
+        isHeldUntilEnd: false,
         firstEventAge: undefined,
         lastEventAt: undefined,
         longestPause: 0,
@@ -100,6 +101,7 @@
         logDecision(transaction, "info", "accepted_late_in_stop", {
             ...requestFields(transaction, request),
             ...stopFields(transaction, request),
+            fit: forecast.fit,
             forecast: Math.round(forecast.duration),
             remaining: Math.round(forecast.remaining),
         });
--- a/packages/gateway/src/routeDurations.ts
+++ b/packages/gateway/src/routeDurations.ts
@@ -92,10 +92,20 @@
     }
 }
 
+/** How long a request may take from now until its caller has taken the answer. */
+export interface RequestForecast {
+    /** What its time limits allow at most; Infinity if neither it nor its route has one that is known to hold. */
+    readonly atMost: Milliseconds;
+    /** What requests of its route took recently; Infinity if that tells nothing of this one. */
+    readonly expected: Milliseconds;
+    /** The part of `expected` after the first event of a stream. */
+    readonly output: Milliseconds;
+}
+
 /**
- * How long a request may take from now until its caller has taken the answer. If nothing is known of its route, only the
- * caller's own time limit bounds it; it is Infinity without one. A stream that states no maximum output is bounded by time
- * limits only.
+ * Forecasts how long a request may take. Requests that have not ended count with their age: those that have are the fast
+ * ones. If nothing is known of its route, only the caller's own time limit bounds it. Earlier streams of the route don't tell
+ * how long one is that states no maximum output.
  *
  * @param receivedAt when it arrived, from which its time limits count
  */
@@ -105,39 +115,44 @@
     head: RequestHead,
     receivedAt: Milliseconds,
     now: Milliseconds,
-): Milliseconds {
-    const { durations, timePerToken } = state;
+): RequestForecast {
+    const { durations } = state;
     const known = durations.ofRoutes.get(route.name);
     const hasTokens = route.isStream && head.maximumTokens > 0;
     const start = known && longestDuration(hasTokens ? known.firstEvent : known.answer, now);
     const elapsed = now - receivedAt;
     const callerLeft = (head.timeLimit ?? Infinity) - elapsed;
     if (known === undefined || start === undefined) {
-        return callerLeft;
+        return { atMost: callerLeft, expected: Infinity, output: 0 };
     }
-    const timeoutLeft = route.timeout - elapsed;
+    const present = presentDurations(state, route.name, now);
     const reading = safetyFactor * longestReading(durations, route.name, known, now);
+    const atMost = Math.min(callerLeft, route.timeout - elapsed + reading);
     if (route.isStream && !hasTokens) {
-        // Earlier streams of the route don't tell how long this one is.
-        return Math.min(callerLeft, timeoutLeft + reading);
+        return { atMost, expected: Infinity, output: 0 };
     }
-    const output = hasTokens ? head.maximumTokens * timePerToken + longestRoutePause(state, route.name, known, now) : 0;
-    const work = Math.max(shortWorkTime, safetyFactor * start) + safetyFactor * output;
-    return Math.min(callerLeft, Math.min(work, timeoutLeft) + reading);
+    const pause = Math.max(longestDuration(known.pause, now) ?? 0, present.pause);
+    const output = hasTokens ? safetyFactor * (head.maximumTokens * state.timePerToken + pause) : 0;
+    const work = Math.max(shortWorkTime, safetyFactor * Math.max(start, present.wait));
+    return { atMost, expected: work + output + reading, output };
 }
 
-/** The longest pause of the route's streams, those that run now included. */
-function longestRoutePause(
-    { requests }: GatewayState,
-    route: RouteName,
-    { pause }: RouteDurations,
-    now: Milliseconds,
-): Milliseconds {
-    let longest = longestDuration(pause, now) ?? 0;
+/** The longest durations so far of the requests of a route that have not ended. */
+interface PresentDurations {
+    /** Since a request arrived that has no event or answer yet. */
+    wait: Milliseconds;
+    /** Between two events of a stream, or since the last one. */
+    pause: Milliseconds;
+}
+
+function presentDurations({ requests }: GatewayState, route: RouteName, now: Milliseconds): PresentDurations {
+    const longest: PresentDurations = { wait: 0, pause: 0 };
     for (const request of requests.values()) {
-        if (request.route.name === route) {
-            longest = Math.max(longest, longestPauseOf(request, now));
+        if (request.route.name !== route) {
+            continue;
         }
+        longest.wait = Math.max(longest.wait, request.firstEventAge ?? now - request.arrivedAt);
+        longest.pause = Math.max(longest.pause, longestPauseOf(request, now));
     }
     return longest;
 }
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -12,7 +12,7 @@
 import type { BackendServer } from "./backendServers.js";
 import { coldShareAt, isCold, spendColdRequest, timeUntilWithinColdRate } from "./coldServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
-import { forecastInStop, isCutByStop, retryAfterStop } from "./draining.js";
+import { forecastInStop, isCutByStop, isHeldInStop, retryAfterStop } from "./draining.js";
 import { isEvacuated, isServiceEvacuated } from "./evacuations.js";
 import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
@@ -96,12 +96,17 @@
 
 /**
  * Fails a request that has not run if a planned stop would cut it, which may have become so since it was accepted. Returns
- * whether that is the case.
+ * whether that is the case. Otherwise decides how its stream is passed on.
  */
 export function failIfStopCuts(transaction: Transaction, request: GatewayRequest): boolean {
     const { state, now } = transaction;
     const { route, head, arrivedAt: receivedAt, runs } = request;
-    if (countPossibleRuns(runs) > 0 || !isCutByStop(forecastInStop(state, route, { head, receivedAt }, now))) {
+    if (countPossibleRuns(runs) > 0) {
+        return false;
+    }
+    const forecast = forecastInStop(state, route, { head, receivedAt }, now);
+    request.isHeldUntilEnd = isHeldInStop(forecast);
+    if (!isCutByStop(forecast)) {
         return false;
     }
     failRequest(transaction, request, "leaving", "the instance is stopping", retryAfterStop(state, now));
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -130,8 +130,10 @@
     isConsecutive: boolean | undefined;
     /** Where the stream began; undefined before its first event. */
     origin: StreamOrigin | undefined;
-    /** The first events of a stream whose record is not stored yet; undefined if none are kept. */
+    /** The first events of a stream that are not passed on yet; undefined if none are kept. */
     held: HeldEvents | undefined;
+    /** Whether the events of its stream are kept until the last one, since a planned stop might cut it. */
+    isHeldUntilEnd: boolean;
     /** How long the caller waited for the first event; undefined before it. */
     firstEventAge: Milliseconds | undefined;
     /** When the last events were passed on to the caller. */
@@ -142,7 +144,7 @@
     isHeadWritten: boolean;
 }
 
-/** Events that are kept until the record of their stream is stored. */
+/** Events that are kept until the record of their stream is stored, or until its end. */
 export interface HeldEvents {
     readonly head: ResponseHead;
     readonly events: StreamEvent[];
@@ -150,6 +152,8 @@
     bytes: number;
     /** Whether they are the whole answer. */
     hasEnded: boolean;
+    /** Whether the record of the stream is still to be stored. */
+    isUnrecorded: boolean;
     /** Whether an append of the record has failed. */
     hasFailed: boolean;
 }
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -28,7 +28,7 @@
 import { holdUntilRecorded } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
-/** What one stream may keep until its record is stored: a thousand events of ordinary size. */
+/** What one stream may keep: a thousand events of ordinary size. */
 const maximumHeldBytes = 512 * 1024;
 /** What an event takes beside its bytes. */
 const eventOverheadBytes = 256;
@@ -139,14 +139,15 @@
     }
     const isBeginning = request.origin === undefined;
     request.origin ??= { softwareVersion: server.record.softwareVersion };
-    if (holdUntilRecorded(transaction, request, isBeginning)) {
-        request.held ??= { head, events: [], bytes: 0, hasEnded: false, hasFailed: false };
+    const isUnrecorded = holdUntilRecorded(transaction, request, isBeginning);
+    if (isUnrecorded || request.isHeldUntilEnd) {
+        request.held ??= { head, events: [], bytes: 0, hasEnded: false, isUnrecorded, hasFailed: false };
         return holdEvents(transaction, request, request.held, events);
     }
     writeEvents(transaction, request, head, events);
 }
 
-/** Keeps events. A stream that has too many before its record is stored fails, since nothing else would bound them. */
+/** Keeps events. A stream that has too many fails, since nothing else would bound them. */
 function holdEvents(
     transaction: Transaction,
     request: GatewayRequest,
@@ -182,6 +183,10 @@
     if (held === undefined) {
         return;
     }
+    held.isUnrecorded = false;
+    if (request.isHeldUntilEnd && !held.hasEnded) {
+        return;
+    }
     request.held = undefined;
     writeEvents(transaction, request, held.head, held.events);
     if (held.hasEnded) {
@@ -212,7 +217,8 @@
     if (request.held !== undefined) {
         request.held.hasEnded = true;
         // A whole answer can't be taken up, so it does not wait for a store that refuses its record.
-        return request.held.hasFailed ? writeHeldEvents(transaction, request) : undefined;
+        const isReady = !request.held.isUnrecorded || request.held.hasFailed;
+        return isReady ? writeHeldEvents(transaction, request) : undefined;
     }
     effects.push({ kind: "answerEnd", requestId: request.id });
     finishAnswered(transaction, request);
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -7,6 +7,7 @@
 import {
     callsIn,
     configuration,
+    eventsIn,
     failuresIn,
     kindsIn,
     linesIn,
@@ -153,6 +154,67 @@
     }
 });
 
+// Streams that have ended are the fast ones: what still waits for its first event was not known to the forecast.
+test("a stream with a few tokens is refused late in a stop while another of its route still waits for its first event", () => {
+    const gateway = servingGateway();
+    gateway.completeStream("earlier", "plan");
+    gateway.sendRequest("waiting", "plan", { promptTokens: 1_000, maximumTokens: 17 });
+    gateway.advance(1_500);
+    stopAt(gateway, 3_500);
+    assert.is(outcome(gateway, "plan", { maximumTokens: 31 }), "leaving");
+});
+
+// The longest first event of the last minute was 1.3 s; this one came after 4 s, and the stream was cut after it.
+test("a stream that is accepted late in a stop ends before it, however long its engine takes for the first event", () => {
+    for (const timeLimit of [6_000, 2_000]) {
+        const gateway = servingGateway();
+        gateway.completeStream("earlier", "plan");
+        stopAt(gateway, 3_000);
+        const [call] = callsIn(gateway.receiveRequest("late", "plan", { maximumTokens: 31, timeLimit }));
+        const effects = gateway.advance(4_000);
+        if (call !== undefined) {
+            effects.push(...gateway.openStream(call), ...gateway.receiveEvents(call, 1));
+        }
+        effects.push(...gateway.advance(1_000));
+        assert.not.ok(kindsIn(effects).includes("answerCut"), `a stream with a time limit of ${timeLimit} ms`);
+        assert.is(failuresIn(effects).length, 1);
+    }
+});
+
+test("a stream that is accepted late in a stop by its forecast reaches its caller whole, and one with a time limit as it comes", () => {
+    for (const [timeLimit, isHeld] of [[6_000, true], [2_000, false]] as const) {
+        const gateway = servingGateway();
+        gateway.completeStream("earlier", "plan");
+        stopAt(gateway, 3_000);
+        const [call] = callsIn(gateway.receiveRequest("late", "plan", { maximumTokens: 31, timeLimit }));
+        const first = [...gateway.openStream(call), ...gateway.receiveEvents(call, 1), ...gateway.advance(100)];
+        assert.equal(eventsIn(first), isHeld ? [] : [1]);
+        const rest = [
+            ...gateway.receiveEvents(call, 2),
+            ...gateway.handle({ kind: "streamEnded", attemptId: call.attemptId }),
+        ];
+        assert.equal(eventsIn(rest), isHeld ? [1, 2] : [2]);
+        assert.is(kindsIn(rest).at(-1), "answerEnd");
+    }
+});
+
+test("a stream that would be held for seconds is refused late in a stop, though its forecast fits", () => {
+    const gateway = servingGateway();
+    gateway.completeStream("earlier", "plan");
+    stopAt(gateway, 3_500);
+    assert.is(outcome(gateway, "plan", { maximumTokens: 100 }), "leaving");
+});
+
+// The answers that the forecast knew were those of calls that had already ended.
+test("a plain request is refused late in a stop while another of its route has run for longer than is left", () => {
+    const gateway = servingGateway();
+    serve(gateway, "earlier", 30, 0);
+    gateway.sendRequest("running", "slow");
+    gateway.advance(1_500);
+    stopAt(gateway, 5_000);
+    assert.is(outcome(gateway, "slow"), "leaving");
+});
+
 // A configuration may rename its routes thousands of times a day.
 test("the durations of routes that a configuration does not have any more are forgotten", () => {
     const gateway = servingGateway();
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -456,6 +456,9 @@
     gateway.advance(1_000);
     const few = { maximumTokens: 1_000, estimatedTokens: 20 };
     assert.is(callsIn(gateway.receiveRequest("r", "plan", few)).length, 1);
+    gateway.handle({ kind: "callerLeft", requestId: identifier("r") });
+    // Keeps the process running.
+    gateway.handle({ kind: "unsentAnswers", count: 1 });
     gateway.advance(2_500);
     assert.is(failuresIn(gateway.receiveRequest("s", "plan", few))[0].type, "leaving");
     assert.is(callsIn(gateway.receiveRequest("t", "plan", { maximumTokens: 20 })).length, 1);
