Log what a lost stream lacks to be continued

Callers saw streams cut though the holder of their replica could take them: attempt_failed with replicaState=usable was followed in the same millisecond by request_failed, and no line told why the replica was not used. replicaState tells only of the holder. What decides besides is the evidence of the replica, the retry budget, the sends and the time, each of which was a silent 'false'.

stream_not_continued names what was lacking, at the place of the decision: memory (with why no replica was to be expected, how long the run had produced events and how long it has to), retries, sends or time. isReplicaLikely becomes expectReplica, which gives its reason, and canSendAgain is asked for its reason by sendObstacle; what they decide is the same.

--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -45,26 +45,54 @@
         : attempt.producingTime + Math.min(pause, longestCountedPause);
 }
 
+/** Whether a replica of a run is to be expected, and by what. */
+export interface ReplicaExpectation {
+    /** How long the run is known to have produced events. */
+    readonly producingTime: Milliseconds;
+    /** For how long it has to do so until its memory was transferred. */
+    readonly completeAfter: Milliseconds;
+    /** Why no replica is to be expected; undefined if one is. */
+    readonly lack: ReplicaLack | undefined;
+}
+
+/** Why no replica of a run is to be expected. */
+export type ReplicaLack = "not_begun" | "too_young" | "ended" | "expired";
+
 /**
  * Whether a replica of a run is to be expected: the run has produced events for long enough that its memory was
  * transferred, has not been silent for longer than a replica is kept, and has not ended. A holder without a replica is
  * to refuse the request, but one that loses its answers begins it anew. No message says whether a holder has had room
- * for a replica, and of a run that ended early only the end says so.
+ * for a replica, and of a run that ended early only the end says so. Undefined if the service has no engines.
+ *
+ * @example
+ * const lack = expectReplica(transaction, request, attempt)?.lack;
  */
-function isReplicaLikely(
+export function expectReplica(
     { state, now }: Transaction,
     { head, service, lastEvent }: GatewayRequest,
     { firstEventAt, lastActivityAt, producingTime }: Attempt,
-): boolean {
+): ReplicaExpectation | undefined {
     const engine = engineOf(state, service);
-    if (engine === undefined || firstEventAt === undefined) {
-        return false;
+    if (engine === undefined) {
+        return undefined;
     }
     const generated = (lastEvent ?? 0) * engine.tokensPerEvent;
     const completeAfter = replicaUpdateInterval + transferTime(engine, head.promptTokens + generated);
     // A request that names no maximum has 0.
     const hasEnded = head.maximumTokens > 0 && generated >= head.maximumTokens;
-    return producingTime >= completeAfter && !hasEnded && now - lastActivityAt <= keptFor(engine);
+    const lacks: readonly (readonly [ReplicaLack, boolean])[] = [
+        ["not_begun", firstEventAt === undefined],
+        ["too_young", producingTime < completeAfter],
+        ["ended", hasEnded],
+        ["expired", now - lastActivityAt > keptFor(engine)],
+    ];
+    const [lack] = lacks.find(([, isLacking]) => isLacking) ?? [];
+    return { producingTime, completeAfter, lack };
+}
+
+function isReplicaLikely(transaction: Transaction, request: GatewayRequest, attempt: Attempt): boolean {
+    const expectation = expectReplica(transaction, request, attempt);
+    return expectation !== undefined && expectation.lack === undefined;
 }
 
 /** Whether a replica that was updated at a time or later is still kept. */
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -13,6 +13,7 @@
 import { coldShareAt, isCold, spendColdRequest, timeUntilWithinColdRate } from "./coldServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
 import { cannotFinishBeforeStop, retryAfterStop } from "./draining.js";
+import type { DecisionFields } from "./effect.js";
 import { isEvacuated, isServiceEvacuated } from "./evacuations.js";
 import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
@@ -331,12 +332,52 @@
  *
  * @param reserved retries that must remain beside these and this one
  */
-export function canSendAgain({ state, now }: Transaction, request: GatewayRequest, reserved = 0): boolean {
+export function canSendAgain(transaction: Transaction, request: GatewayRequest, reserved = 0): boolean {
+    return sendObstacle(transaction, request, reserved) === undefined;
+}
+
+/** Why a request may not be sent again. */
+export type SendObstacle = "sends" | "time" | "retries";
+
+/**
+ * Why a request may not be sent again; undefined if it may.
+ *
+ * @param reserved as in {@link canSendAgain}
+ */
+export function sendObstacle(
+    transaction: Transaction,
+    request: GatewayRequest,
+    reserved = 0,
+): SendObstacle | undefined {
+    const { state, now } = transaction;
+    if (sendsLeft(request) < 1) {
+        return "sends";
+    }
+    if (request.deadline - now < minimumTimeForSend) {
+        return "time";
+    }
+    const needed = 1 + reserved + countStoppingRuns(state, request);
+    return retriesLeft(transaction, request) < needed ? "retries" : undefined;
+}
+
+function sendsLeft({ route, sends }: GatewayRequest): number {
+    return (route.isStream ? maximumStreamSends : maximumSends) - sends;
+}
+
+function retriesLeft({ state, now }: Transaction, { service }: GatewayRequest): number {
     const share = { instances: countKnownInstances(state), uptime: now - (state.startedAt ?? now) };
-    return request.sends < (request.route.isStream ? maximumStreamSends : maximumSends)
-        && request.deadline - now >= minimumTimeForSend
-        && remainingRetries(state.retryBudget, request.service, share, now)
-            >= 1 + reserved + countStoppingRuns(state, request);
+    return remainingRetries(state.retryBudget, service, share, now);
+}
+
+/** The log fields that tell whether another send of a request was allowed. */
+export function sendFields(transaction: Transaction, request: GatewayRequest): DecisionFields {
+    const { state, now } = transaction;
+    return {
+        sendsLeft: sendsLeft(request),
+        retriesLeft: Math.round(100 * retriesLeft(transaction, request)) / 100,
+        stoppingRuns: countStoppingRuns(state, request),
+        uptime: Math.round(now - (state.startedAt ?? now)),
+    };
 }
 
 /** The runs of other requests to the same service that their servers were asked to stop. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -17,10 +17,10 @@
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { handleEndAfterStop, migrateAfterFirstEvent, recordFailedTarget } from "./migration.js";
-import { findContinuation, recordProduction } from "./replicas.js";
+import { type Continuation, expectReplica, findContinuation, recordProduction, replicaState } from "./replicas.js";
 import { failRequest, finishAnswered, requestFields } from "./requests.js";
 import { recordNoRun } from "./runLedger.js";
-import { canSendAgain, sendTo } from "./sending.js";
+import { sendFields, type SendObstacle, sendObstacle, sendTo } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
 import { endSilentAttempt } from "./silentAttempts.js";
@@ -283,8 +283,13 @@
     outcome: AttemptOutcome,
 ): boolean {
     const lost = runToContinue(attempt, outcome);
-    const next = lost && findContinuation(transaction, request, lost.attempt, lost.tried);
-    if (lost === undefined || next === undefined || !canSendAgain(transaction, request)) {
+    if (lost === undefined) {
+        return false;
+    }
+    const next = findContinuation(transaction, request, lost.attempt, lost.tried);
+    const obstacle = sendObstacle(transaction, request);
+    if (next === undefined || obstacle !== undefined) {
+        logNotContinued(transaction, request, lost, next, obstacle);
         return false;
     }
     if (lost.attempt !== attempt) {
@@ -308,6 +313,35 @@
     return true;
 }
 
+/** Logs what a lost run lacks to be continued. Streams that may run again need no memory of it. */
+function logNotContinued(
+    transaction: Transaction,
+    request: GatewayRequest,
+    { attempt, tried }: LostRun,
+    next: Continuation | undefined,
+    obstacle: SendObstacle | undefined,
+): void {
+    if (request.route.canResume) {
+        return;
+    }
+    const { now } = transaction;
+    const expectation = expectReplica(transaction, request, attempt);
+    logDecision(transaction, "info", "stream_not_continued", {
+        ...requestFields(transaction, request),
+        lacking: next === undefined ? "memory" : obstacle,
+        memory: next?.from,
+        tried: [...tried].join(",") || undefined,
+        replica: attempt.replica?.record.id,
+        replicaState: replicaState(transaction, attempt),
+        replicaLack: expectation?.lack,
+        producingTime: expectation && Math.round(expectation.producingTime),
+        completeAfter: expectation && Math.round(expectation.completeAfter),
+        runAge: attempt.firstEventAt === undefined ? undefined : Math.round(now - attempt.firstEventAt),
+        copyAge: attempt.copy && Math.round(now - attempt.copy.requestedAt),
+        ...sendFields(transaction, request),
+    });
+}
+
 /** The run that an attempt leaves to be continued: its own, or the one that it was to continue if it did not run. */
 function runToContinue(attempt: Attempt, outcome: AttemptOutcome): LostRun | undefined {
     return outcomesWithoutRun.has(outcome) ? attempt.lostRun : { attempt, tried: new Set() };
--- a/packages/gateway/test/replicas.test.ts
+++ b/packages/gateway/test/replicas.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, eventsIn, kindsIn, server, TestGateway } from "./gatewayBuilders.js";
+import { callsIn, eventsIn, kindsIn, linesIn, server, TestGateway } from "./gatewayBuilders.js";
 
 const gatewayWithEngines = (): TestGateway =>
     TestGateway.serving(server("engine-1"), server("engine-2"), server("engine-3"));
@@ -133,4 +133,40 @@
     assert.equal(callsIn(effects), []);
 });
 
+// A usable replica was not used, and no line said why.
+test("what a lost stream lacks to be continued is logged", () => {
+    const lossOf = (change: (gateway: TestGateway) => void, isReplicated = true) => {
+        const gateway = gatewayWithEngines();
+        const call = isReplicated ? gateway.startReplicatedStream("r", "plan") : gateway.startStream("r", "plan");
+        change(gateway);
+        return linesIn(gateway.failAttempt(call), "stream_not_continued").map(
+            ({ lacking, replicaState, replicaLack, producingTime, completeAfter, retriesLeft, sendsLeft }) => ({
+                lacking,
+                replicaState,
+                replicaLack,
+                producingTime,
+                completeAfter,
+                retriesLeft,
+                sendsLeft,
+            }),
+        );
+    };
+    const usual = { replicaState: "usable", completeAfter: 606, retriesLeft: 45.18, sendsLeft: 7 };
+    const produced = { ...usual, replicaLack: undefined, producingTime: 1_500 };
+    assert.equal(lossOf(() => undefined), []);
+    assert.equal(lossOf(gateway => gateway.advance(100), false), [
+        { ...usual, lacking: "memory", replicaLack: "too_young", producingTime: 0, completeAfter: 600 },
+    ]);
+    const withoutRetry = (gateway: TestGateway): void => {
+        gateway.state.retryBudget.options = { ratio: 0, slack: 1, window: 10_000 };
+    };
+    assert.equal(lossOf(withoutRetry), [{ ...produced, lacking: "retries", retriesLeft: 0.9 }]);
+    const withoutSends = (gateway: TestGateway): void => {
+        gateway.state.requests.forEach(request => request.sends = 8);
+    };
+    assert.equal(lossOf(withoutSends), [{ ...produced, lacking: "sends", sendsLeft: 0 }]);
+    const expired = (gateway: TestGateway): void => void gateway.advance(4_900);
+    assert.equal(lossOf(expired), [{ ...produced, lacking: "memory", replicaLack: "expired" }]);
+});
+
 test.run();
