Migrate runs that begin too late at a leaving server for their replica

Callers saw a stream cut 0.4 to 0.8 s after its first event, when its server exited, though the holder of its replica stayed and was usable: the request had waited at the leaving server, so its run began late there.

migrateStreams took a stream for safe whose replica was still growing. That holds only while the server goes on for as long as the replica takes; after the drain limit it may exit at any moment. Such a stream is now migrated at its first event, unless its replica will be complete within the time for which the server is certain to run. The evidence that a replica needs is unchanged.

--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -4,8 +4,8 @@
  * continues from the copy once the run has stopped. A closed channel would not stop the run at every server. Each server
  * has one migration at a time, since all of them share its network link.
  *
- * At a server that leaves, a stream needs no migration if a new run can continue it, or if it has a usable replica at a
- * server that stays. That is decided again until the stream has left its server. An evacuated server goes on, so its
+ * At a server that leaves, a stream needs no migration if a new run can continue it, or if a server that stays holds a
+ * usable replica of it, or will before the server may exit. That is decided again until the stream has left its server. An evacuated server goes on, so its
  * streams are migrated to empty the failure domain: those that would be lost with it first, and only with memory and
  * retries that others leave unused.
  */
@@ -17,7 +17,7 @@
 import { isEvacuated } from "./evacuations.js";
 import type { GatewayEvent, MigrationResult } from "./event.js";
 import { expectedOutput } from "./messages.js";
-import { findStayingHolder, replicaState, usableCopyHolder } from "./replicas.js";
+import { expectReplica, findStayingHolder, replicaState, usableCopyHolder } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
@@ -163,7 +163,7 @@
     if (attempt === undefined || !route.isStream) {
         return [];
     }
-    const isSafe = route.canResume || findStayingHolder(transaction, request, attempt) !== undefined;
+    const isSafe = route.canResume || isReplicatedInTime(transaction, request, attempt);
     const stream = { request, attempt, isSafe };
     const obstacle = migrationObstacle(transaction, stream, reason, underWay);
     if (obstacle !== undefined) {
@@ -173,6 +173,22 @@
     return [stream];
 }
 
+/**
+ * Whether a server that stays holds a replica of a run, or will before the run's own server may exit. A replica that is
+ * not complete yet counts that long: it grows while the run produces events.
+ */
+function isReplicatedInTime(transaction: Transaction, request: GatewayRequest, attempt: Attempt): boolean {
+    if (findStayingHolder(transaction, request, attempt) === undefined) {
+        return false;
+    }
+    const { state, now } = transaction;
+    const known = state.servers.get(attempt.server.record.id);
+    const expectation = expectReplica(transaction, request, attempt);
+    const missing = expectation === undefined ? 0 : expectation.completeAfter - expectation.producingTime;
+    const isStaying = known !== undefined && known.leavingSince === undefined;
+    return isStaying || missing <= (known === undefined ? 0 : certainRunTime(state, known, now));
+}
+
 function migrationObstacle(
     transaction: Transaction,
     { request, attempt, isSafe }: MigratableStream,
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -191,8 +191,7 @@
 }
 
 /**
- * The holder of a run's replica, if it stays, accepts the run and keeps the replica. A replica that is not complete yet
- * counts: it grows while the run produces events.
+ * The holder of a run's replica, if it stays, accepts the run and keeps the replica, which may not be complete yet.
  */
 export function findStayingHolder(
     transaction: Transaction,
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -378,4 +378,19 @@
     assert.equal(targetsIn(gateway.advance(50)), [server("engine-2").address]);
 });
 
+// Such runs counted as safe, since their replicas grew, and were cut when the server exited before the replicas were complete.
+test("a run that begins so late at a leaving server that it may exit before the replica is complete is migrated", () => {
+    for (const [waited, isMigrated] of [[1_200, false], [1_500, true], [2_200, true]] as const) {
+        const gateway = TestGateway.serving(server("engine-1"), server("engine-2"));
+        const call = gateway.sendRequest("r", "plan");
+        gateway.openStream(call);
+        assert.ok(call.replicaAddress !== undefined);
+        gateway.register(server("engine-3"), server("engine-4", inThird));
+        leave(gateway, gateway.state.servers.get(call.backendServer)!.record);
+        gateway.advance(waited);
+        const begun = [...gateway.receiveEvents(call, 1), ...produce(gateway, call, 700)];
+        assert.is(targetsIn(begun).length, isMigrated ? 1 : 0, `begun ${waited} ms after the server began to leave`);
+    }
+});
+
 test.run();
