Continue a run from the next place if its continuation ends before its first event

Callers saw a stream cut that had been continued at another engine, where it waited for a place without an event until that engine exited. The channel's end was taken for the end of a run of its own, of which nothing is left, and the places where the earlier run could still go on (copy, replica, the server that stopped it) were forgotten. They were kept for continuations that were refused only.

runToContinue now gives the earlier run also if the continuation's channel or server ended before its first event. All sends that continue a run are the same run by the protocol.

--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -342,7 +342,22 @@
     });
 }
 
-/** The run that an attempt leaves to be continued: its own, or the one that it was to continue if it did not run. */
+/** A server may have ended before it began to continue a run. */
+const outcomesOfEndedServers: ReadonlySet<AttemptOutcome> = new Set([
+    "channel_lost",
+    "answer_truncated",
+    "server_restarted",
+]);
+
+/**
+ * The run that an attempt leaves to be continued: its own, or the one that it was to continue if it did not run or has
+ * generated nothing.
+ */
 function runToContinue(attempt: Attempt, outcome: AttemptOutcome): LostRun | undefined {
-    return outcomesWithoutRun.has(outcome) ? attempt.lostRun : { attempt, tried: new Set() };
+    if (outcomesWithoutRun.has(outcome)) {
+        return attempt.lostRun;
+    }
+    const isEmpty = attempt.firstEventAt === undefined && attempt.copy === undefined
+        && outcomesOfEndedServers.has(outcome);
+    return (isEmpty ? attempt.lostRun : undefined) ?? { attempt, tried: new Set() };
 }
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -316,6 +316,27 @@
     assert.equal(continuationsIn(gateway.answer(callsIn(effects)[0], refused)).map(([id]) => id), [source.id]);
 });
 
+// The stream waited for a place where it was to go on, and was cut when that server exited, whatever was left elsewhere.
+test("a continuation whose server ends before its first event goes on from the next place", () => {
+    for (const failure of ["channel_lost", "answer_truncated"] as const) {
+        const { gateway, call, source, holder } = replicatedStream(5);
+        gateway.state.pausedUntil.set(holder.id, gateway.now + 300);
+        assert.is(targetsIn([...leave(gateway, source), ...gateway.advance(50)]).length, 1);
+        gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved });
+        const [next] = callsIn(gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved }));
+        gateway.openStream(next);
+        leave(gateway, gateway.state.servers.get(next.backendServer)!.record);
+        gateway.advance(1_000);
+        const { attemptId } = next;
+        const effects = gateway.handle({ kind: "attemptFailed", attemptId, failure, wasSent: true });
+        assert.equal(continuationsIn(effects), [[holder.id, source.address, "r", 16]]);
+        const [again] = callsIn(effects);
+        gateway.openStream(again);
+        assert.equal(eventsIn(gateway.receiveEvents(again, 17)), [17]);
+        assert.equal(callsIn(gateway.failAttempt(again)), [], "what has an event is a run of its own");
+    }
+});
+
 test("a run that was not stopped is not continued at its own server", () => {
     const { gateway, call } = replicatedStream(5);
     const [next] = callsIn(gateway.failAttempt(call));
