Migrate continuations that wait at a leaving server before their first event

Callers saw a stream cut that had been continued at an engine which left 1 s later: it waited there for a place for 5.3 s, and nothing moved it, since only runs with an event were migrated.

A continuation has a last event to go on from, and all sends that continue a run are the same run. So it is migrated as well, once it has waited for 200 ms, after the runs that have begun, and only from servers that leave. A server that knows no such run yet (404) is asked again after a second or at the first event; that does not count as a failure of the target. First runs still stay: they may run only once, a closed channel does not stop every server's run, and a copy is continued after an event.

--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -69,6 +69,9 @@
  */
 const leavingCheckInterval: Milliseconds = 200;
 
+/** A continuation is admitted before other requests: one without an event after this time waits for a place. */
+const admissionTime: Milliseconds = 200;
+
 /** Events that a server made are read within this time. */
 const longestEventDelay: Milliseconds = 600;
 
@@ -78,8 +81,8 @@
 const maximumMigrationTargets = 4;
 
 /**
- * Starts the next migration from a server that leaves or is evacuated: streams that would be lost with it first, and of
- * these the longest remaining one. While the server wants no calls, its migrations wait.
+ * Starts the next migration from a server that leaves or is evacuated: streams that would be lost with it first, of these
+ * those that have begun, and of these the longest remaining one. While the server wants no calls, its migrations wait.
  */
 export function migrateStreams(transaction: Transaction, id: BackendServerId): void {
     const { state, now } = transaction;
@@ -97,12 +100,18 @@
     const streams = atServer.flatMap(request => migratableStreams(transaction, request, reason, underWay.length));
     const inOrder = streams.sort((one, other) =>
         Number(one.isSafe) - Number(other.isSafe)
+        || Number(isWaiting(one.attempt)) - Number(isWaiting(other.attempt))
         || remainingTime(transaction, other.request) - remainingTime(transaction, one.request)
     );
     // A stream without a target must not block the others.
     inOrder.some(stream => startMigration(transaction, stream, reason));
 }
 
+/** Whether a run has not begun: its server may not know it. */
+function isWaiting({ firstEventAt }: Attempt): boolean {
+    return firstEventAt === undefined;
+}
+
 /** Why the streams of a server are migrated away; undefined if they stay. A server that is not known any more has left. */
 function migrationReason(state: GatewayState, id: BackendServerId): MigrationReason | undefined {
     const server = state.servers.get(id);
@@ -184,9 +193,12 @@
     const { state, now } = transaction;
     const known = state.servers.get(attempt.server.record.id);
     const expectation = expectReplica(transaction, request, attempt);
+    if (known !== undefined && known.leavingSince === undefined) {
+        return true;
+    }
     const missing = expectation === undefined ? 0 : expectation.completeAfter - expectation.producingTime;
-    const isStaying = known !== undefined && known.leavingSince === undefined;
-    return isStaying || missing <= (known === undefined ? 0 : certainRunTime(state, known, now));
+    const runTime = known === undefined ? 0 : certainRunTime(state, known, now);
+    return !isWaiting(attempt) && missing <= runTime;
 }
 
 function migrationObstacle(
@@ -196,7 +208,7 @@
     underWay: number,
 ): MigrationObstacle | undefined {
     const { state, now } = transaction;
-    if (attempt.firstEventAt === undefined) {
+    if (isWaiting(attempt) && !canMoveBeforeFirstEvent(request, attempt, reason, now)) {
         return "not_begun";
     }
     if (isSuperseded(state, attempt.server)) {
@@ -219,13 +231,31 @@
             > (state.options.evacuationLimit ?? defaultEvacuationLimit);
         return isLong ? retryObstacle(transaction, request, reservedRetries + underWay) : "ends_soon";
     }
-    if (isSafe || remaining <= endsSoonWithin(transaction, attempt)) {
-        return isSafe ? "safe" : "ends_soon";
+    if (isSafe) {
+        return "safe";
+    }
+    if (!isWaiting(attempt) && remaining <= endsSoonWithin(transaction, attempt)) {
+        return "ends_soon";
     }
     // A copy is of no use before the stream may be sent again, and is repeated then.
     return attempt.copy === undefined ? undefined : retryObstacle(transaction, request, 0);
 }
 
+/**
+ * Whether a run that waits for its first event is to be migrated from a server that leaves. One that continues another
+ * run can be: it has a last event to go on from. Its server knows no such run while it waits for a place, so it is asked
+ * again after a pause.
+ */
+function canMoveBeforeFirstEvent(
+    { lastEvent }: GatewayRequest,
+    { continuesFrom, startedAt, migrationStartedAt = -Infinity }: Attempt,
+    reason: MigrationReason,
+    now: Milliseconds,
+): boolean {
+    return reason === "leaving" && continuesFrom !== undefined && lastEvent !== undefined
+        && now - startedAt >= admissionTime && now - migrationStartedAt >= failedTargetTimeout;
+}
+
 /**
  * Whether events show that a run goes on though its server was asked to stop it. Earlier ones may have been on their way.
  */
@@ -356,7 +386,9 @@
         handleStopAnswered(transaction, request, attempt, event.result);
     }
     else if (!requestStop(transaction, request, attempt, attempt.migrationTarget, event.result)) {
-        endMigration(transaction, attempt, event.result.kind === "moved");
+        // Of a run that waits for a place its server knows nothing, which says nothing of the target.
+        const hasNoRun = event.result.kind === "refused" && event.result.status === noRunStatus;
+        endMigration(transaction, attempt, event.result.kind === "moved" || (hasNoRun && isWaiting(attempt)));
     }
     migrateStreams(transaction, attempt.server.record.id);
 }
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -337,6 +337,53 @@
     }
 });
 
+/** A stream that was continued at a server which then begins to leave, before an event of it came from there. */
+function waitingContinuation() {
+    const { gateway, call, holder } = replicatedStream(5);
+    const [next] = callsIn(gateway.failAttempt(call));
+    assert.is(next.backendServer, holder.id);
+    gateway.openStream(next);
+    const left = leave(gateway, holder);
+    assert.equal(targetsIn([...left, ...gateway.advance(150)]), [], "it may begin at once");
+    return { gateway, next, started: gateway.advance(100) };
+}
+
+// It waited for a place, was never moved, and was cut when the server exited.
+test("a continuation that waits at a server which leaves is migrated before its first event", () => {
+    const { gateway, next, started } = waitingContinuation();
+    const [target] = targetsIn(started);
+    assert.ok(target !== undefined && target !== next.address);
+    const { attemptId } = next;
+    const copied = gateway.handle({ kind: "migrationAnswered", attemptId, result: moved });
+    assert.is(stopsIn(copied).length, 1);
+    const effects = gateway.handle({ kind: "migrationAnswered", attemptId, result: moved });
+    assert.equal(continuationsIn(effects).map(([, ...memory]) => memory), [[next.address, "h1", 16]]);
+    assert.is(callsIn(effects)[0].address, target);
+});
+
+test("a server that does not know a waiting continuation yet is asked again after a second, or at its first event", () => {
+    const noRun = { kind: "refused", status: 404 } as const;
+    for (const begins of [false, true]) {
+        const { gateway, next, started } = waitingContinuation();
+        assert.is(targetsIn(started).length, 1);
+        const { attemptId } = next;
+        const answered = gateway.handle({ kind: "migrationAnswered", attemptId, result: noRun });
+        assert.equal(targetsIn([...answered, ...gateway.advance(900)]), []);
+        const later = begins ? gateway.receiveEvents(next, 17) : gateway.advance(300);
+        assert.is(targetsIn(later).length, 1);
+    }
+});
+
+// A request may run once, and a closed channel does not stop every server's run.
+test("a first run that waits at a server which leaves is not migrated", () => {
+    const gateway = TestGateway.serving(server("engine-1"), server("engine-2"), server("engine-3"));
+    const call = gateway.sendRequest("r", "plan");
+    gateway.openStream(call);
+    const left = leave(gateway, gateway.state.servers.get(call.backendServer)!.record);
+    assert.equal(targetsIn([...left, ...gateway.advance(3_000)]), []);
+    assert.equal(callsIn(gateway.failAttempt(call)), []);
+});
+
 test("a run that was not stopped is not continued at its own server", () => {
     const { gateway, call } = replicatedStream(5);
     const [next] = callsIn(gateway.failAttempt(call));
