Don't blame requests for planned exits of servers

Logs had suspect_blamed for a server that had left and exited as planned. A test shows what comes of it: when a prompt has waited without an event at two servers that left one after the other, the next request with it is refused (request_suspended), for 15 s to a minute.

A run that was lost before its first event, at a server that answers no probe, was taken for a crash. A planned exit shows both signs. A lost run now blames nothing if its server left and was not certain to run any more, by the drain limit. One that leaves and ends sooner has crashed, as before. The leaving of an incarnation before a restart under the same id is kept for this.

--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -28,6 +28,8 @@
     readonly learnedAt: Milliseconds;
     /** When the last heartbeat of the incarnation before was read. */
     readonly previousHeardAt: Milliseconds;
+    /** The earliest time at which the platform can have acknowledged that it leaves; undefined if it did not. */
+    readonly previousLeavingNotBefore: Milliseconds | undefined;
 }
 
 /** A backend server in the view. */
@@ -88,7 +90,7 @@
         record,
         incarnation: (known?.incarnation ?? 0) + (isRestart ? 1 : 0),
         heardAt: isSameIncarnation && known.record.heartbeat === record.heartbeat ? known.heardAt : now,
-        restart: isRestart ? { learnedAt: now, previousHeardAt: known.heardAt } : known?.restart,
+        restart: isRestart ? restartOf(known, now) : known?.restart,
         warmUpEndsAt,
         publishedWarmUpEndsAt: publishedWarmUpEnd(known, change, warmUpEndsAt),
         ...leavingTimes(isSameIncarnation ? known : undefined, isLeaving, now, knownAsOf),
@@ -97,6 +99,11 @@
     return change;
 }
 
+/** The restart that ended a known incarnation. */
+function restartOf({ heardAt, leavingNotBefore }: BackendServer, now: Milliseconds): ServerRestart {
+    return { learnedAt: now, previousHeardAt: heardAt, previousLeavingNotBefore: leavingNotBefore };
+}
+
 /** @param known the same incarnation as it is known, if it is */
 function leavingTimes(
     known: BackendServer | undefined,
--- a/packages/gateway/src/crashSuspects.ts
+++ b/packages/gateway/src/crashSuspects.ts
@@ -14,6 +14,7 @@
     type RepeatedRequestId,
 } from "@verbenaspring/model";
 import { type AttemptOutcome, endAttempt } from "./attempts.js";
+import { certainRunTime } from "./drainLimit.js";
 import type { ServerReport } from "./event.js";
 import { requestProbe } from "./liveness.js";
 import { liveMembers } from "./members.js";
@@ -143,9 +144,29 @@
     "server_restarted",
 ]);
 
+/**
+ * Whether the server of an attempt may have exited as planned: it left, and for so long that it was not certain to run
+ * any more. A server that leaves and ends sooner has crashed.
+ */
+function mayHaveExited(
+    state: GatewayState,
+    { server: { record: { id, startedAt } } }: Attempt,
+    now: Milliseconds,
+): boolean {
+    const known = state.servers.get(id);
+    if (known === undefined) {
+        return true;
+    }
+    const leavingNotBefore = known.record.startedAt === startedAt
+        ? known.leavingNotBefore
+        : known.restart?.previousLeavingNotBefore;
+    return leavingNotBefore !== undefined && certainRunTime(state, { leavingNotBefore }, now) === 0;
+}
+
 /**
  * Records a run that was lost before it began, and probes its server, which may have crashed. If the server is known to
- * have restarted, the run is blamed at once, which may end requests, also that of the run.
+ * have restarted, the run is blamed at once, which may end requests, also that of the run. An exit that may have been
+ * planned blames nothing.
  */
 export function recordLostRun(
     transaction: Transaction,
@@ -158,6 +179,9 @@
     if (hasBegun || !outcomesOfCrashes.has(outcome)) {
         return;
     }
+    if (mayHaveExited(state, attempt, now)) {
+        return logDecision(transaction, "debug", "exit_taken_for_planned", requestFields(transaction, request));
+    }
     const { id, startedAt } = attempt.server.record;
     forgetUnsettledRuns(transaction);
     const earlier = state.crashSuspects.lostRuns.get(id);
--- a/packages/gateway/src/drainLimit.ts
+++ b/packages/gateway/src/drainLimit.ts
@@ -62,7 +62,7 @@
  */
 export function certainRunTime(
     { options }: GatewayState,
-    { leavingNotBefore }: BackendServer,
+    { leavingNotBefore }: Pick<BackendServer, "leavingNotBefore">,
     now: Milliseconds,
 ): Milliseconds {
     return Math.max(0, (leavingNotBefore ?? now) + (options.drainLimit ?? defaultDrainLimit) - now);
--- a/packages/gateway/test/crashSuspects.test.ts
+++ b/packages/gateway/test/crashSuspects.test.ts
@@ -104,6 +104,61 @@
     assert.is(isSent(gateway, deadly), false);
 });
 
+type Leaving = (gateway: TestGateway, id: string) => void;
+
+const drains: Leaving = (gateway, id) => void gateway.register(server(id, { isDraining: true, heartbeat: 2 }));
+
+/** Has requests with a part wait at one server after the other, each of which leaves and ends after a time. */
+function loseAtLeavingServers(leave: Leaving, endsAfter: number): TestGateway {
+    const gateway = gatewayWithEngines();
+    for (let count = 0; count < 3; count++) {
+        const id = `lost${count}`;
+        const call = gateway.sendRequest(id, "plan", withParts(deadly), "one content");
+        if (call === undefined) {
+            return gateway;
+        }
+        gateway.read("backendServers", []);
+        leave(gateway, call.backendServer);
+        gateway.advance(endsAfter);
+        gateway.failAttempt(call);
+        gateway.handle(probed(call, undefined));
+        gateway.handle({ kind: "callerLeft", requestId: requestId(id) });
+    }
+    return gateway;
+}
+
+// Two exits under a prompt that waited at each of the servers suspended the prompt, and all that repeat it.
+test("planned exits blame nothing, however many there are", () => {
+    const leavings: readonly Leaving[] = [
+        drains,
+        (gateway, id) => gateway.remove(id),
+        (gateway, id) => {
+            const report = { ...aliveReport, isLeaving: true };
+            gateway.handle({ kind: "serverProbed", backendServer: identifier<never>(id), report });
+        },
+    ];
+    for (const leave of leavings) {
+        const gateway = loseAtLeavingServers(leave, 4_000);
+        assert.is(gateway.state.crashSuspects.suspects.size, 0);
+        assert.ok(isSent(gateway, deadly));
+    }
+});
+
+test("a server that leaves and has restarted under its id blames nothing", () => {
+    const gateway = TestGateway.serving(server("engine-1", { startedAt: 5 }));
+    const call = gateway.sendRequest("lost", "plan", withParts(deadly));
+    gateway.register(server("engine-1", { startedAt: 5, isDraining: true, heartbeat: 2 }));
+    gateway.advance(4_000);
+    gateway.register(server("engine-1", { startedAt: 6 }));
+    gateway.failAttempt(call);
+    assert.is(gateway.state.crashSuspects.suspects.size, 0);
+});
+
+test("a server that leaves and ends while it was certain to run has crashed", () => {
+    const gateway = loseAtLeavingServers(drains, 1_000);
+    assert.is(isSent(gateway, deadly), false);
+});
+
 test("a lost run whose server wants no calls is not probed, and forgotten", () => {
     const gateway = gatewayWithEngines();
     const call = gateway.sendRequest("lost", "plan", withParts(deadly));
