--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -316,6 +316,74 @@
     assert.equal(continuationsIn(gateway.answer(callsIn(effects)[0], refused)).map(([id]) => id), [source.id]);
 });
 
+// The stream waited for a place where it was to go on, and was cut when that server exited, whatever was left elsewhere.
+test("a continuation whose server ends before its first event goes on from the next place", () => {
+    for (const failure of ["channel_lost", "answer_truncated"] as const) {
+        const { gateway, call, source, holder } = replicatedStream(5);
+        gateway.state.pausedUntil.set(holder.id, gateway.now + 300);
+        assert.is(targetsIn([...leave(gateway, source), ...gateway.advance(50)]).length, 1);
+        gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved });
+        const [next] = callsIn(gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved }));
+        gateway.openStream(next);
+        leave(gateway, gateway.state.servers.get(next.backendServer)!.record);
+        gateway.advance(1_000);
+        const { attemptId } = next;
+        const effects = gateway.handle({ kind: "attemptFailed", attemptId, failure, wasSent: true });
+        assert.equal(continuationsIn(effects), [[holder.id, source.address, "r", 16]]);
+        const [again] = callsIn(effects);
+        gateway.openStream(again);
+        assert.equal(eventsIn(gateway.receiveEvents(again, 17)), [17]);
+        assert.equal(callsIn(gateway.failAttempt(again)), [], "what has an event is a run of its own");
+    }
+});
+
+/** A stream that was continued at a server which then begins to leave, before an event of it came from there. */
+function waitingContinuation() {
+    const { gateway, call, holder } = replicatedStream(5);
+    const [next] = callsIn(gateway.failAttempt(call));
+    assert.is(next.backendServer, holder.id);
+    gateway.openStream(next);
+    const left = leave(gateway, holder);
+    assert.equal(targetsIn([...left, ...gateway.advance(150)]), [], "it may begin at once");
+    return { gateway, next, started: gateway.advance(100) };
+}
+
+// It waited for a place, was never moved, and was cut when the server exited.
+test("a continuation that waits at a server which leaves is migrated before its first event", () => {
+    const { gateway, next, started } = waitingContinuation();
+    const [target] = targetsIn(started);
+    assert.ok(target !== undefined && target !== next.address);
+    const { attemptId } = next;
+    const copied = gateway.handle({ kind: "migrationAnswered", attemptId, result: moved });
+    assert.is(stopsIn(copied).length, 1);
+    const effects = gateway.handle({ kind: "migrationAnswered", attemptId, result: moved });
+    assert.equal(continuationsIn(effects).map(([, ...memory]) => memory), [[next.address, "h1", 16]]);
+    assert.is(callsIn(effects)[0].address, target);
+});
+
+test("a server that does not know a waiting continuation yet is asked again after a second, or at its first event", () => {
+    const noRun = { kind: "refused", status: 404 } as const;
+    for (const begins of [false, true]) {
+        const { gateway, next, started } = waitingContinuation();
+        assert.is(targetsIn(started).length, 1);
+        const { attemptId } = next;
+        const answered = gateway.handle({ kind: "migrationAnswered", attemptId, result: noRun });
+        assert.equal(targetsIn([...answered, ...gateway.advance(900)]), []);
+        const later = begins ? gateway.receiveEvents(next, 17) : gateway.advance(300);
+        assert.is(targetsIn(later).length, 1);
+    }
+});
+
+// A request may run once, and a closed channel does not stop every server's run.
+test("a first run that waits at a server which leaves is not migrated", () => {
+    const gateway = TestGateway.serving(server("engine-1"), server("engine-2"), server("engine-3"));
+    const call = gateway.sendRequest("r", "plan");
+    gateway.openStream(call);
+    const left = leave(gateway, gateway.state.servers.get(call.backendServer)!.record);
+    assert.equal(targetsIn([...left, ...gateway.advance(3_000)]), []);
+    assert.equal(callsIn(gateway.failAttempt(call)), []);
+});
+
 test("a run that was not stopped is not continued at its own server", () => {
     const { gateway, call } = replicatedStream(5);
     const [next] = callsIn(gateway.failAttempt(call));
@@ -378,4 +446,19 @@
     assert.equal(targetsIn(gateway.advance(50)), [server("engine-2").address]);
 });
 
+// Such runs counted as safe, since their replicas grew, and were cut when the server exited before the replicas were complete.
+test("a run that begins so late at a leaving server that it may exit before the replica is complete is migrated", () => {
+    for (const [waited, isMigrated] of [[1_200, false], [1_500, true], [2_200, true]] as const) {
+        const gateway = TestGateway.serving(server("engine-1"), server("engine-2"));
+        const call = gateway.sendRequest("r", "plan");
+        gateway.openStream(call);
+        assert.ok(call.replicaAddress !== undefined);
+        gateway.register(server("engine-3"), server("engine-4", inThird));
+        leave(gateway, gateway.state.servers.get(call.backendServer)!.record);
+        gateway.advance(waited);
+        const begun = [...gateway.receiveEvents(call, 1), ...produce(gateway, call, 700)];
+        assert.is(targetsIn(begun).length, isMigrated ? 1 : 0, `begun ${waited} ms after the server began to leave`);
+    }
+});
+
 test.run();
