Count requests that a planned stop refuses for the retry budget

The trace says stream_not_continued lacking=retries retriesLeft=0.94.

Cause: a request was counted for the budget when it was accepted. A stopping gateway refuses most requests, so its budget shrank while its streams depended on it.

--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -52,6 +52,8 @@
         return refuseUnknown(transaction, event, "unauthenticated");
     }
     const { now, state, source } = transaction;
+    const service = chooseService(route, source.random);
+    recordRequest(state.retryBudget, service, now);
     const stopForecast = forecastInStop(state, route, event, now);
     if (isCutByStop(stopForecast)) {
         return refuse(transaction, event, "leaving", retryAfterStop(state, now));
@@ -61,7 +63,7 @@
         id: requestId,
         head,
         route,
-        service: chooseService(route, source.random),
+        service,
         organisation,
         repeatedId: identifyRepeats(organisation?.id, event.contentDigest),
         arrivedAt: event.receivedAt,
@@ -83,7 +85,6 @@
         isHeadWritten: false,
     };
     state.requests.set(requestId, request);
-    recordRequest(state.retryBudget, request.service, now);
     logAcceptedLate(transaction, request, stopForecast);
     if (isTakeUp(request)) {
         return handleTakeUp(transaction, request);
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -1,7 +1,9 @@
 /**
  * Requests that arrive late in a planned stop: what is not known to end in time is refused, so that another gateway serves it.
  */
+import { remainingRetries } from "@verbenaspring/coordination";
 import { indexRoutes } from "@verbenaspring/gateway";
+import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import {
@@ -215,6 +217,23 @@
     assert.is(outcome(gateway, "slow"), "leaving");
 });
 
+// A stream whose server ended was cut for want of a retry, though callers had sent enough requests for one.
+test("requests that a planned stop refuses count for the retry budget", () => {
+    const gateway = servingGateway();
+    gateway.completeStream("earlier", "plan");
+    stopAt(gateway, 3_500);
+    const left = (): number =>
+        remainingRetries(
+            gateway.state.retryBudget,
+            identifier("engine"),
+            { instances: 1, uptime: 60_000 },
+            gateway.now,
+        );
+    const before = left();
+    assert.is(outcome(gateway, "plan", { maximumTokens: 1_000 }), "leaving");
+    assert.ok(left() > before);
+});
+
 // A configuration may rename its routes thousands of times a day.
 test("the durations of routes that a configuration does not have any more are forgotten", () => {
     const gateway = servingGateway();
