Cut a begun stream only at the latest end of its time limit

Callers saw a short stream cut 5.8 s after they sent it, with a time limit of 6 s. In a planned stop that is a lost request.

It may as well have been sent when it was read, and a body that comes in pieces takes time as well.

A stream that has begun is cut up to 250 ms after the earliest end of its time limit, half of the half second in which a final answer is due. A request without an answer still gets its final answer by the earliest end.

--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -3,11 +3,10 @@
  * and exits when the last request has its final answer and its caller has taken it.
  */
 import type { Milliseconds } from "@verbenaspring/model";
-import type { GatewayEvent } from "./event.js";
-import { expectedOutput } from "./messages.js";
+import { expectedOutput, type RequestHead } from "./messages.js";
 import { publishAndReport } from "./peers.js";
 import { failRequest } from "./requests.js";
-import { forecastRequest, shortWorkTime } from "./routeDurations.js";
+import { forecastRequest, type RequestArrival, shortWorkTime } from "./routeDurations.js";
 import type { Route } from "./routingConfiguration.js";
 import type { GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -55,7 +54,7 @@
 export function forecastInStop(
     state: GatewayState,
     route: Route,
-    { head, receivedAt }: Pick<Extract<GatewayEvent, { readonly kind: "requestReceived"; }>, "head" | "receivedAt">,
+    { head, ...arrival }: RequestArrival & { readonly head: RequestHead; },
     now: Milliseconds,
 ): StopForecast | undefined {
     const { stopRequestedAt } = state;
@@ -69,7 +68,7 @@
         const duration = shortWorkTime + streamTime;
         return { fit: duration > remaining ? "too_long" : "by_forecast", duration, remaining, isLate };
     }
-    const { atMost, expected, output } = forecastRequest(state, route, head, receivedAt, now);
+    const { atMost, expected, output } = forecastRequest(state, route, head, arrival, now);
     if (atMost <= remaining) {
         return { fit: "by_time_limit", duration: atMost, remaining, isLate };
     }
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -16,7 +16,7 @@
 import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
 import { expectedOutput, type RequestHead } from "./messages.js";
-import { recordAge, recordAnswer, recordEventTimes, recordTaken } from "./routeDurations.js";
+import { limitDoubt, recordAge, recordAnswer, recordEventTimes, recordTaken } from "./routeDurations.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
 import { countPossibleRuns, createRunLedger } from "./runLedger.js";
 import { dispatch } from "./sending.js";
@@ -54,7 +54,8 @@
     const { now, state, source } = transaction;
     const service = chooseService(route, source.random);
     recordRequest(state.retryBudget, service, now);
-    const stopForecast = forecastInStop(state, route, event, now);
+    const arrival = { receivedAt: event.receivedAt, limitDoubt: limitDoubt(event.receivedAt, now) };
+    const stopForecast = forecastInStop(state, route, { head, ...arrival }, now);
     if (isCutByStop(stopForecast)) {
         return refuse(transaction, event, "leaving", retryAfterStop(state, now));
     }
@@ -69,6 +70,7 @@
         arrivedAt: event.receivedAt,
         readDelay: event.readDelay,
         deadline: event.receivedAt + timeLimit,
+        limitDoubt: arrival.limitDoubt,
         attempt: undefined,
         silentAttempt: undefined,
         sends: 0,
--- a/packages/gateway/src/routeDurations.ts
+++ b/packages/gateway/src/routeDurations.ts
@@ -92,6 +92,23 @@
     }
 }
 
+/** When a request was received at the earliest, and how much later it may have been sent as far as its limits go. */
+export interface RequestArrival {
+    readonly receivedAt: Milliseconds;
+    readonly limitDoubt: Milliseconds;
+}
+
+/** The part of the half second in which a final answer is due after its time limit that doubt about the limit may take. */
+const maximumLimitDoubt: Milliseconds = 250;
+
+/**
+ * How much later the time limits of a request may end than by the earliest time at which it was received: a delayed loop may have
+ * read it as soon as it was sent, and its body may have taken time.
+ */
+export function limitDoubt(receivedAt: Milliseconds, readAt: Milliseconds): Milliseconds {
+    return Math.min(readAt - receivedAt, maximumLimitDoubt);
+}
+
 /** How long a request may take from now until its caller has taken the answer. */
 export interface RequestForecast {
     /** What its time limits allow at most; Infinity if neither it nor its route has one that is known to hold. */
@@ -106,21 +123,20 @@
  * Forecasts how long a request may take. Requests that have not ended count with their age: those that have are the fast
  * ones. If nothing is known of its route, only the caller's own time limit bounds it. Earlier streams of the route don't tell
  * how long one is that states no maximum output.
- *
- * @param receivedAt when it arrived, from which its time limits count
  */
 export function forecastRequest(
     state: GatewayState,
     route: Route,
     head: RequestHead,
-    receivedAt: Milliseconds,
+    arrival: RequestArrival,
     now: Milliseconds,
 ): RequestForecast {
     const { durations } = state;
     const known = durations.ofRoutes.get(route.name);
     const hasTokens = route.isStream && head.maximumTokens > 0;
     const start = known && longestDuration(hasTokens ? known.firstEvent : known.answer, now);
-    const elapsed = now - receivedAt;
+    // A stream is cut at the latest end of its time limit, other requests get their final answer at the earliest one.
+    const elapsed = now - arrival.receivedAt - (route.isStream ? arrival.limitDoubt : 0);
     const callerLeft = (head.timeLimit ?? Infinity) - elapsed;
     if (known === undefined || start === undefined) {
         return { atMost: callerLeft, expected: Infinity, output: 0 };
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -34,7 +34,7 @@
 } from "./serverLoad.js";
 import { isPaused, pauseLeft } from "./serverPauses.js";
 import { returnToSilentAttempt } from "./silentAttempts.js";
-import { type Attempt, type GatewayRequest, type GatewayState, type LostRun, priorityOf } from "./state.js";
+import { type Attempt, cutAt, type GatewayRequest, type GatewayState, type LostRun, priorityOf } from "./state.js";
 import { canContinue, type StreamOrigin } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
 import { startOrWait, waitForColdServer } from "./waiting.js";
@@ -101,11 +101,11 @@
  */
 export function failIfStopCuts(transaction: Transaction, request: GatewayRequest): boolean {
     const { state, now } = transaction;
-    const { route, head, arrivedAt: receivedAt, runs } = request;
+    const { route, head, arrivedAt: receivedAt, limitDoubt, runs } = request;
     if (countPossibleRuns(runs) > 0) {
         return false;
     }
-    const forecast = forecastInStop(state, route, { head, receivedAt }, now);
+    const forecast = forecastInStop(state, route, { head, receivedAt, limitDoubt }, now);
     request.isHeldUntilEnd = isHeldInStop(forecast);
     if (!isCutByStop(forecast)) {
         return false;
@@ -259,7 +259,7 @@
             backendServer: server.record.id,
             address: server.record.address,
             head,
-            timeLeft: Math.max(1, Math.floor(request.deadline - now)),
+            timeLeft: Math.max(1, Math.floor((route.isStream ? cutAt(request) : request.deadline) - now)),
             organisation: organisation?.id,
             priority: engineOf(state, request.service) === undefined
                 ? undefined
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -115,7 +115,10 @@
     readonly arrivedAt: Milliseconds;
     /** How long the request may have waited before it was read. */
     readonly readDelay: Milliseconds;
+    /** When its final answer is due, by the earliest time at which it may have been sent. */
     readonly deadline: Milliseconds;
+    /** How much later its time limit may end, as it may have been sent later. */
+    readonly limitDoubt: Milliseconds;
     attempt: Attempt | undefined;
     /** An earlier attempt that stays open until another server has accepted the request. */
     silentAttempt: SilentAttempt | undefined;
@@ -144,6 +147,11 @@
     isHeadWritten: boolean;
 }
 
+/** When a stream that has begun is cut: a time limit that may not have been reached is no reason to cut it. */
+export function cutAt({ deadline, limitDoubt }: GatewayRequest): Milliseconds {
+    return deadline + limitDoubt;
+}
+
 /** Events that are kept until the record of their stream is stored, or until its end. */
 export interface HeldEvents {
     readonly head: ResponseHead;
