Name the stop, and not the store, when a held stream is too large

A stream that a planned stop holds until its end shares the bound of streams that wait for their record, and failed as if the store had not stored one.

--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -156,9 +156,18 @@
 ): void {
     held.events.push(...events);
     held.bytes += events.reduce((sum, { bytes }) => sum + bytes.length + eventOverheadBytes, 0);
-    if (held.bytes > maximumHeldBytes) {
-        failRequest(transaction, request, "log_unavailable", "the record of the stream could not be stored in time");
+    if (held.bytes <= maximumHeldBytes) {
+        return;
+    }
+    if (held.isUnrecorded) {
+        return failRequest(
+            transaction,
+            request,
+            "log_unavailable",
+            "the record of the stream could not be stored in time",
+        );
     }
+    failRequest(transaction, request, "leaving", "the instance is stopping, and the stream is too large to be held");
 }
 
 function writeEvents(
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -207,6 +207,17 @@
     assert.is(outcome(gateway, "plan", { maximumTokens: 100 }), "leaving");
 });
 
+test("a stream that is held late in a stop and has too many events fails whole, and not for its record", () => {
+    const gateway = servingGateway();
+    gateway.completeStream("earlier", "plan");
+    stopAt(gateway, 3_000);
+    const call = gateway.sendRequest("late", "plan", { maximumTokens: 31 });
+    gateway.openStream(call);
+    const effects = gateway.receiveEvents(call, ...Array.from({ length: 2_100 }, (_, index) => index + 1));
+    assert.equal(failuresIn(effects).map(({ type, outcome }) => [type, outcome]), [["leaving", "outcome_unknown"]]);
+    assert.equal(eventsIn(effects), []);
+});
+
 // The answers that the forecast knew were those of calls that had already ended.
 test("a plain request is refused late in a stop while another of its route has run for longer than is left", () => {
     const gateway = servingGateway();
