Count a planned stop from the earliest time at which it may have been requested

The platform kills a process 8 s after SIGTERM.

Cause: the stop counted from when the loop handled the signal. With a loop that stands still for 700 ms when SIGTERM arrives the process ended 8,272 ms after it.

The request to stop has the delay of the loop, as requests have, and the limits of the stop count from the earliest time.

--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -96,18 +96,23 @@
 
 /** Time until a caller refused for a planned stop reaches another instance: when the balancer has removed this one. */
 export function retryAfterStop(state: GatewayState, now: Milliseconds): Milliseconds {
-    const removedAt = (state.stopRequestedAt ?? now) + balancerDetectionTime;
+    const removedAt = (state.notReadySince ?? now) + balancerDetectionTime;
     return Math.max(minimumRetryAfter, removedAt - now);
 }
 
-/** Starts a planned stop. A repeated request to stop has no effect. */
-export function handleStopRequested(transaction: Transaction): void {
+/**
+ * Starts a planned stop. A repeated request to stop has no effect.
+ *
+ * @param delay how long ago the request may have come: the platform counts from then
+ */
+export function handleStopRequested(transaction: Transaction, delay: Milliseconds = 0): void {
     const { state, now, effects } = transaction;
     if (state.stopRequestedAt !== undefined) {
         return;
     }
-    state.stopRequestedAt = now;
-    logDecision(transaction, "info", "stop_requested", { requests: state.requests.size });
+    state.stopRequestedAt = now - delay;
+    state.notReadySince = now;
+    logDecision(transaction, "info", "stop_requested", { requests: state.requests.size, delay: Math.round(delay) });
     publishAndReport(transaction);
     effects.push({ kind: "startDraining" });
 }
@@ -119,7 +124,7 @@
 export function checkStop(transaction: Transaction): void {
     const { state, now, effects } = transaction;
     const { stopLimit } = state.options;
-    if (state.stopRequestedAt === undefined || state.hasExited) {
+    if (state.stopRequestedAt === undefined || state.notReadySince === undefined || state.hasExited) {
         return;
     }
     const elapsed = now - state.stopRequestedAt;
@@ -134,7 +139,7 @@
         }
     }
     const isIdle = state.requests.size === 0 && state.unsentAnswers === 0;
-    if (elapsed >= exitAfter || (elapsed >= balancerDetectionTime && isIdle)) {
+    if (elapsed >= exitAfter || (now - state.notReadySince >= balancerDetectionTime && isIdle)) {
         state.hasExited = true;
         logDecision(transaction, "info", "stopping", {
             elapsed: Math.round(elapsed),
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -163,4 +163,5 @@
     /** One of several links to a peer has closed: what was reported on it may be lost. */
     | { readonly kind: "peerReportsLost"; readonly address: PeerAddress; }
     | { readonly kind: "settingsChanged"; readonly options: GatewayOptions; }
-    | { readonly kind: "stopRequested"; };
+    /** The process was asked to stop, and may have been `delay` milliseconds before; absent if the loop was not delayed. */
+    | { readonly kind: "stopRequested"; readonly delay?: Milliseconds; };
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -359,7 +359,10 @@
     readonly heldRequests: Set<RequestId>;
     /** The time of the first event. */
     startedAt: Milliseconds | undefined;
+    /** The earliest time at which the process may have been asked to stop, from which the limit of the stop counts. */
     stopRequestedAt: Milliseconds | undefined;
+    /** Since when it has reported itself not ready for the stop. */
+    notReadySince: Milliseconds | undefined;
     /** During a planned stop: the whole answers that callers have not taken yet. */
     unsentAnswers: number;
     hasExited: boolean;
@@ -427,6 +430,7 @@
         heldRequests: new Set(),
         startedAt: undefined,
         stopRequestedAt: undefined,
+        notReadySince: undefined,
         unsentAnswers: 0,
         hasExited: false,
     };
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -245,6 +245,23 @@
     assert.ok(left() > before);
 });
 
+// The stop ended when the platform had killed the process.
+test("a stop that was requested a while before it could be handled counts from then", () => {
+    const gateway = servingGateway();
+    gateway.startStream("running", "plan", { maximumTokens: 10 });
+    gateway.handle({ kind: "stopRequested", delay: 700 });
+    const early = kindsIn(gateway.advance(6_750));
+    assert.not.ok(early.includes("answerCut"));
+    assert.ok(kindsIn(gateway.advance(50)).includes("answerCut"));
+});
+
+test("the balancer removes a gateway from when it reports itself not ready, however late it could handle its stop", () => {
+    const gateway = servingGateway();
+    gateway.handle({ kind: "stopRequested", delay: 700 });
+    assert.not.ok(kindsIn(gateway.advance(3_150)).includes("exit"));
+    assert.ok(kindsIn(gateway.advance(50)).includes("exit"));
+});
+
 // A configuration may rename its routes thousands of times a day.
 test("the durations of routes that a configuration does not have any more are forgotten", () => {
     const gateway = servingGateway();
--- a/packages/runtime/src/tickMonitor.ts
+++ b/packages/runtime/src/tickMonitor.ts
@@ -15,7 +15,7 @@
 export interface TickMonitor {
     readonly observe: ObserveTick;
     /**
-     * How long the bytes that are read at `now` may have waited for the loop; 0 while ticks come on time. The estimate
+     * How long the bytes or signals that are read at `now` may have waited for the loop; 0 while ticks come on time. The estimate
      * holds for channels that were accepted before they were written to, and is too low by one turn of the loop for others.
      */
     readonly readDelay: (now: Milliseconds) => Milliseconds;
