--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -19,6 +19,7 @@
     type PlatformSchedule,
     platformSchedules,
     releaseSchedules,
+    rollingStopSchedules,
     runPlatformSchedule,
     stopSchedules,
 } from "./platform/index.js";
@@ -122,6 +123,12 @@
     schedules: stopSchedules,
 };
 
+/** Gateways on the users' platform that stop one after the other, while streams wait at engines. */
+export const rollingStopPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: rollingStopSchedules,
+};
+
 /** Gateways on the users' platform, of which each has links to some others only. */
 export const overlaidPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,5 +1,5 @@
 /**
- * The command `npm run fuzz -- --system platform|overlay|changes|cold|configurations|deadly|evacuations|limits|lost-answers|notices|pauses|releases|linked --seed S --runs N --steps K`. It
+ * The command `npm run fuzz -- --system platform|overlay|changes|cold|configurations|deadly|evacuations|limits|lost-answers|notices|pauses|releases|rolling-stops|stops|linked --seed S --runs N --steps K`. It
  * runs randomised schedules and checks them with the oracle.
  */
 import yargs from "yargs";
@@ -19,6 +19,7 @@
     pausePlatformSystem,
     platformSystem,
     releasePlatformSystem,
+    rollingStopPlatformSystem,
     stopPlatformSystem,
 } from "./fuzz.js";
 
@@ -43,6 +44,7 @@
                 "notices",
                 "pauses",
                 "releases",
+                "rolling-stops",
                 "stops",
             ] as const,
             default: "platform",
@@ -78,6 +80,7 @@
     notices: noticePlatformSystem,
     pauses: pausePlatformSystem,
     releases: releasePlatformSystem,
+    "rolling-stops": rollingStopPlatformSystem,
     stops: stopPlatformSystem,
 };
 const result = system === "linked"
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -18,6 +18,17 @@
         readonly timeLimit: number;
         /** Whether the request doesn't say how many tokens its answer may have. */
         readonly hidesLength?: boolean;
+        /** Tokens of its prompt; by default few. */
+        readonly prompt?: number;
+    }
+    /** Many callers send such a request at the same time, each to the next gateway. */
+    | {
+        readonly kind: "askTogether";
+        readonly work: RequestKind;
+        readonly gateway: number;
+        readonly callers: number;
+        readonly length: number;
+        readonly prompt: number;
     }
     | { readonly kind: "leave"; readonly caller: number; }
     /** A caller whose stream broke off takes it up at a gateway. */
@@ -56,6 +67,8 @@
     | { readonly kind: "killAllGateways"; readonly gateway: number; readonly away: number; }
     | { readonly kind: "freezeGateway"; readonly gateway: number; readonly duration: number; }
     | { readonly kind: "stopGateway"; readonly gateway: number; }
+    /** Stops all gateways one after the other, with so much time between them that their stops overlap. */
+    | { readonly kind: "stopInTurn"; readonly gateway: number; readonly interval: number; }
     | { readonly kind: "cutGateways"; readonly gateway: number; readonly other: number; readonly duration: number; }
     | { readonly kind: "silenceGateways"; readonly gateway: number; readonly other: number; }
     | { readonly kind: "cutServer"; readonly gateway: number; readonly server: number; readonly duration: number; }
@@ -136,6 +149,8 @@
     readonly seed: number;
     /** How long servers are cold after they start and after evacuations; they are never cold if absent. */
     readonly coldDuration?: number;
+    /** Whether engines read prompts so slowly that long ones wait for each other; false if absent. */
+    readonly areEnginesSlow?: boolean;
     readonly steps: readonly PlatformStep[];
 }
 
@@ -401,6 +416,46 @@
     return schedulesOf(plannedOperations, steps);
 }
 
+const waitingWork = fc.constantFrom<RequestKind>("plan", "note");
+const longPrompt = fc.integer({ min: 2_000, max: 7_226 });
+const shortLength = fc.integer({ min: 1, max: 31 });
+
+const rollingStops = fc.oneof(
+    {
+        arbitrary: arbitraryAction("ask", {
+            work: waitingWork,
+            gateway: slot,
+            length: shortLength,
+            timeLimit: fc.integer({ min: 6_000, max: 20_000 }),
+            prompt: longPrompt,
+        }),
+        weight: 14,
+    },
+    {
+        arbitrary: arbitraryAction("askTogether", {
+            work: waitingWork,
+            gateway: slot,
+            callers: fc.integer({ min: 3, max: 12 }),
+            length: shortLength,
+            prompt: longPrompt,
+        }),
+        weight: 2,
+    },
+    {
+        arbitrary: arbitraryAction("stopInTurn", { gateway: slot, interval: fc.integer({ min: 3_000, max: 5_000 }) }),
+        weight: 1,
+    },
+    { arbitrary: arbitraryAction("stopGateway", { gateway: slot }), weight: 1 },
+);
+
+/**
+ * Generates schedules of up to `steps` steps without any fault, in which gateways stop one after the other and serve soon
+ * after they have started, while short streams with long prompts wait at engines for seconds.
+ */
+export function rollingStopSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    return schedulesOf(rollingStops, steps).map(schedule => ({ ...schedule, areEnginesSlow: true }));
+}
+
 /** Generates schedules of up to `steps` steps, in which no server declares a limit. */
 export function platformSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
     return schedulesOf(action, steps);
@@ -422,6 +477,7 @@
 
 const callerKinds: ReadonlySet<string> = new Set([
     "ask",
+    "askTogether",
     "leave",
     "takeUp",
     "configure",
@@ -444,6 +500,7 @@
     "killAllGateways",
     "freezeGateway",
     "stopGateway",
+    "stopInTurn",
     "cutGateways",
     "silenceGateways",
     "cutServer",
--- a/packages/fuzz/src/platform/requestKinds.ts
+++ b/packages/fuzz/src/platform/requestKinds.ts
@@ -14,8 +14,28 @@
 
 /** Prompt tokens of each request. */
 export const promptTokens = 200;
-/** Memory of each engine, in tokens. */
-export const engineMemory = 6_000;
+/** The memory of engines, how fast they read prompts, and how soon streams are to begin. */
+export interface EngineProfile {
+    /** In tokens. */
+    readonly memoryTokens: number;
+    /** Prompt tokens in a millisecond. */
+    readonly prefillRate: number;
+    /** The target latencies of the routes of streams, in milliseconds. */
+    readonly targetLatencies: { readonly plan: number; readonly note: number; };
+}
+
+/** Engines at which the short prompts of most requests don't wait. */
+export const defaultEngines: EngineProfile = {
+    memoryTokens: 6_000,
+    prefillRate: 14,
+    targetLatencies: { plan: 1_800, note: 1_500 },
+};
+/** Engines at which long prompts wait for seconds, since they are read one after the other. */
+export const slowlyReadingEngines: EngineProfile = {
+    memoryTokens: 60_000,
+    prefillRate: 3,
+    targetLatencies: { plan: 5_000, note: 4_000 },
+};
 /** Tokens that an engine sends in one event. */
 export const tokensPerEvent = 4;
 /** Tokens of a run's memory that an engine transfers in a millisecond. */
@@ -42,18 +62,23 @@
 }
 
 /** The plan of a backend server of a service. */
-export function serverPlan(kind: ServerKind, id: string, softwareVersion?: string): ServerPlan {
+export function serverPlan(
+    kind: ServerKind,
+    id: string,
+    softwareVersion?: string,
+    { memoryTokens, prefillRate }: EngineProfile = defaultEngines,
+): ServerPlan {
     return kind === "plain" ? { kind, id, service: kind, softwareVersion, slots: 4, workTime: 25 } : {
         kind,
         id,
         service: kind,
         softwareVersion,
         slots: 12,
-        memoryTokens: engineMemory,
+        memoryTokens,
         tokensPerEvent,
         stepTime: 8,
         stepTimePerRun: 0.5,
-        prefillRate: 14,
+        prefillRate,
         transferRate,
     };
 }
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -37,12 +37,15 @@
 import { platformLimits } from "./limits.js";
 import { denials, PlatformOracle, type PlatformRequest } from "./oracle.js";
 import {
+    defaultEngines,
+    type EngineProfile,
     expectedEventCount,
     promptTokens,
     type RequestKind,
     type RequestOrProbeKind,
     type ServerKind,
     serverPlan,
+    slowlyReadingEngines,
     tokensPerEvent,
 } from "./requestKinds.js";
 import {
@@ -121,10 +124,13 @@
     readonly broken?: PlatformRequest;
     /** Whether its head doesn't say how many tokens the answer may have. */
     readonly hidesLength?: boolean;
+    /** Tokens of its prompt. */
+    readonly prompt?: number;
 }
 
 class ScheduleRun {
     private readonly platform: VirtualPlatform;
+    private readonly engines: EngineProfile;
     private readonly oracle: PlatformOracle;
     private readonly versions: VersionOracle<VirtualGateway>;
     /** Ends the faults of earlier steps. */
@@ -144,7 +150,8 @@
         implementation: GatewayInterceptors,
         private readonly gatewayPlan: GatewayPlan,
     ) {
-        const { seed, coldDuration } = schedule;
+        const { seed, coldDuration, areEnginesSlow = false } = schedule;
+        this.engines = areEnginesSlow ? slowlyReadingEngines : defaultEngines;
         this.platform = new VirtualPlatform({
             seed,
             cold: coldDuration === undefined
@@ -297,8 +304,11 @@
             case "ask":
                 this.sendRequest(this.gatewayOf(action.gateway), action.work, action.length, action.timeLimit, {
                     hidesLength: action.hidesLength,
+                    prompt: action.prompt,
                 });
                 return;
+            case "askTogether":
+                return this.askTogether(action);
             case "leave":
                 return this.disconnectCaller(action.caller);
             case "takeUp":
@@ -328,7 +338,8 @@
         kind: RequestOrProbeKind,
         length: number,
         timeLimit: Milliseconds,
-        { path, sharedParts = [commonPart], apiKey, broken, hidesLength = false }: RequestDetails = {},
+        { path, sharedParts = [commonPart], apiKey, broken, hidesLength = false, prompt = promptTokens }:
+            RequestDetails = {},
     ): PlatformRequest {
         const { clock } = this.platform;
         const timeout = Math.min(timeLimit, routeTimeouts[kind]);
@@ -355,6 +366,7 @@
             path ?? `/${kind}/1?length=${length}`,
             hidesLength ? 0 : length,
             timeLimit,
+            prompt,
             sharedParts,
             apiKey,
             broken,
@@ -366,6 +378,13 @@
         return request;
     }
 
+    private askTogether(action: Extract<CallerAction, { readonly kind: "askTogether"; }>): void {
+        const { work, gateway, callers, length, prompt } = action;
+        for (let caller = 0; caller < callers; caller++) {
+            this.sendRequest(this.gatewayOf(gateway + caller), work, length, routeTimeouts[work], { prompt });
+        }
+    }
+
     /** Requests an evacuation, and withdraws it after a duration. The servers of the domain are cold then. */
     private evacuate(failureDomain: string, duration: Milliseconds): void {
         const { operator, clock } = this.platform;
@@ -529,6 +548,7 @@
         return buildConfiguration(
             index,
             coldDuration === undefined ? undefined : { perSecond, duration: coldDuration },
+            this.engines,
         );
     }
 
@@ -547,6 +567,8 @@
                 return gateway.freeze(action.duration);
             case "stopGateway":
                 return gateway.stop();
+            case "stopInTurn":
+                return this.stopInTurn(action.gateway, action.interval);
             case "cutGateways": {
                 const other = this.gatewayOf(action.other);
                 this.recordFaults(gateway, other, action.duration);
@@ -572,6 +594,12 @@
         }
     }
 
+    private stopInTurn(first: number, interval: Milliseconds): void {
+        for (let count = 0; count < this.gatewayPlan.count; count++) {
+            this.platform.clock.schedule(count * interval, () => this.gatewayOf(first + count).stop());
+        }
+    }
+
     private recordFaults(gateway: VirtualGateway, other: VirtualGateway, duration: Milliseconds): void {
         this.oracle.faultRecord.recordProcessFault(gateway.name, duration);
         this.oracle.faultRecord.recordProcessFault(other.name, duration);
@@ -739,7 +767,8 @@
     }
 
     private addServer(kind: ServerKind, address?: string): void {
-        this.platform.fleet.add(serverPlan(kind, `${kind}${++this.serverCount}`, this.softwareVersion()), address);
+        const id = `${kind}${++this.serverCount}`;
+        this.platform.fleet.add(serverPlan(kind, id, this.softwareVersion(), this.engines), address);
     }
 
     /** The version of the servers that start now. */
@@ -769,6 +798,7 @@
     target: string,
     maximumTokens: number,
     timeLimit: Milliseconds,
+    prompt: number,
     sharedParts: readonly string[],
     apiKey: string | undefined,
     broken: PlatformRequest | undefined,
@@ -784,7 +814,7 @@
         resumedAttemptId: broken === undefined
             ? undefined
             : identifier<CallerAttemptId>(broken.firstAttemptId ?? broken.callerAttemptId),
-        promptTokens,
+        promptTokens: prompt,
         maximumTokens,
         estimatedTokens: undefined,
         sharedParts: sharedParts.map(part => identifier<PromptPartId>(part)),
--- a/packages/fuzz/src/platform/versions.ts
+++ b/packages/fuzz/src/platform/versions.ts
@@ -8,7 +8,7 @@
 import type { Milliseconds } from "@verbenaspring/model";
 import type { PromiseName } from "../oracle.js";
 import { platformLimits } from "./limits.js";
-import { engineMemory, tokensPerEvent, transferRate } from "./requestKinds.js";
+import { defaultEngines, type EngineProfile, tokensPerEvent, transferRate } from "./requestKinds.js";
 
 /** The host of all routes. */
 export const routesHost = "platform.example";
@@ -63,8 +63,13 @@
  * Builds the configuration document of the version with an index.
  *
  * @param cold absent if requests to cold servers are not limited
+ * @param engines the engines that run
  */
-export function buildConfiguration(index: number, cold?: ColdServices): object {
+export function buildConfiguration(
+    index: number,
+    cold?: ColdServices,
+    { memoryTokens, targetLatencies }: EngineProfile = defaultEngines,
+): object {
     const route = (name: string, service: string, fields: object): object => ({
         name,
         hostname: routesHost,
@@ -83,7 +88,7 @@
         route(`version${versionIndex}/moved`, emptyService, { routeType: "idempotent" });
     const coldFields = cold && { coldPerS: cold.perSecond, coldStartS: cold.duration / 1_000 };
     const engine = {
-        kvCapacity: engineMemory,
+        kvCapacity: memoryTokens,
         kvBytes: 1,
         linkMbps: transferRate * bitsPerByte / 1_000,
         handleTtlS: replicaLifetime / 1_000,
@@ -96,11 +101,15 @@
         routes: [
             route("confirm", "plain", { routeType: "non_idempotent", timeoutMs: routeTimeouts.confirm }),
             route("lookup", "plain", { routeType: "idempotent", maxAttempts: 3, timeoutMs: routeTimeouts.lookup }),
-            route("plan", "engine", { routeType: "streaming", timeoutMs: routeTimeouts.plan, targetLatencyMs: 1_800 }),
+            route("plan", "engine", {
+                routeType: "streaming",
+                timeoutMs: routeTimeouts.plan,
+                targetLatencyMs: targetLatencies.plan,
+            }),
             route("note", "engine", {
                 routeType: "streaming",
                 timeoutMs: routeTimeouts.note,
-                targetLatencyMs: 1_500,
+                targetLatencyMs: targetLatencies.note,
                 streamResume: true,
                 maxAttempts: 3,
             }),
