--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -115,7 +115,10 @@
     readonly arrivedAt: Milliseconds;
     /** How long the request may have waited before it was read. */
     readonly readDelay: Milliseconds;
+    /** When its final answer is due, by the earliest time at which it may have been sent. */
     readonly deadline: Milliseconds;
+    /** How much later its time limit may end, as it may have been sent later. */
+    readonly limitDoubt: Milliseconds;
     attempt: Attempt | undefined;
     /** An earlier attempt that stays open until another server has accepted the request. */
     silentAttempt: SilentAttempt | undefined;
@@ -130,8 +133,10 @@
     isConsecutive: boolean | undefined;
     /** Where the stream began; undefined before its first event. */
     origin: StreamOrigin | undefined;
-    /** The first events of a stream whose record is not stored yet; undefined if none are kept. */
+    /** The first events of a stream that are not passed on yet; undefined if none are kept. */
     held: HeldEvents | undefined;
+    /** Whether the events of its stream are kept until the last one, since a planned stop might cut it. */
+    isHeldUntilEnd: boolean;
     /** How long the caller waited for the first event; undefined before it. */
     firstEventAge: Milliseconds | undefined;
     /** When the last events were passed on to the caller. */
@@ -142,7 +147,12 @@
     isHeadWritten: boolean;
 }
 
-/** Events that are kept until the record of their stream is stored. */
+/** When a stream that has begun is cut: a time limit that may not have been reached is no reason to cut it. */
+export function cutAt({ deadline, limitDoubt }: GatewayRequest): Milliseconds {
+    return deadline + limitDoubt;
+}
+
+/** Events that are kept until the record of their stream is stored, or until its end. */
 export interface HeldEvents {
     readonly head: ResponseHead;
     readonly events: StreamEvent[];
@@ -150,6 +160,8 @@
     bytes: number;
     /** Whether they are the whole answer. */
     hasEnded: boolean;
+    /** Whether the record of the stream is still to be stored. */
+    isUnrecorded: boolean;
     /** Whether an append of the record has failed. */
     hasFailed: boolean;
 }
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -17,10 +17,10 @@
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { handleEndAfterStop, migrateAfterFirstEvent, recordFailedTarget } from "./migration.js";
-import { findContinuation, recordProduction } from "./replicas.js";
-import { failRequest, finishAnswered, requestFields } from "./requests.js";
+import { type Continuation, expectReplica, findContinuation, recordProduction, replicaState } from "./replicas.js";
+import { failRequest, finishAnswered, logAnswered, requestFields } from "./requests.js";
 import { recordNoRun } from "./runLedger.js";
-import { canSendAgain, sendTo } from "./sending.js";
+import { sendFields, type SendObstacle, sendObstacle, sendTo } from "./sending.js";
 import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
 import { endSilentAttempt } from "./silentAttempts.js";
@@ -28,7 +28,7 @@
 import { holdUntilRecorded } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
-/** What one stream may keep until its record is stored: a thousand events of ordinary size. */
+/** What one stream may keep: a thousand events of ordinary size. */
 const maximumHeldBytes = 512 * 1024;
 /** What an event takes beside its bytes. */
 const eventOverheadBytes = 256;
@@ -139,14 +139,15 @@
     }
     const isBeginning = request.origin === undefined;
     request.origin ??= { softwareVersion: server.record.softwareVersion };
-    if (holdUntilRecorded(transaction, request, isBeginning)) {
-        request.held ??= { head, events: [], bytes: 0, hasEnded: false, hasFailed: false };
+    const isUnrecorded = holdUntilRecorded(transaction, request, isBeginning);
+    if (isUnrecorded || request.isHeldUntilEnd) {
+        request.held ??= { head, events: [], bytes: 0, hasEnded: false, isUnrecorded, hasFailed: false };
         return holdEvents(transaction, request, request.held, events);
     }
     writeEvents(transaction, request, head, events);
 }
 
-/** Keeps events. A stream that has too many before its record is stored fails, since nothing else would bound them. */
+/** Keeps events. A stream that has too many fails, since nothing else would bound them. */
 function holdEvents(
     transaction: Transaction,
     request: GatewayRequest,
@@ -182,6 +183,10 @@
     if (held === undefined) {
         return;
     }
+    held.isUnrecorded = false;
+    if (request.isHeldUntilEnd && !held.hasEnded) {
+        return;
+    }
     request.held = undefined;
     writeEvents(transaction, request, held.head, held.events);
     if (held.hasEnded) {
@@ -192,7 +197,7 @@
 
 /** Handles the complete end of a run. */
 export function handleStreamEnded(transaction: Transaction, attemptId: AttemptId): void {
-    const { state, now, effects } = transaction;
+    const { state, effects } = transaction;
     const request = state.attempts.get(attemptId);
     const attempt = request?.attempt;
     if (request === undefined || attempt?.head === undefined) {
@@ -208,15 +213,12 @@
     if (!request.isHeadWritten && request.held === undefined) {
         effects.push({ kind: "answerHead", requestId: request.id, head: attempt.head });
     }
-    logDecision(transaction, "debug", "stream_answered", {
-        ...requestFields(transaction, request),
-        took: Math.round(now - request.arrivedAt),
-        ...streamTimeFields(state, request, attempt),
-    });
+    logAnswered(transaction, request, "stream_answered", streamTimeFields(state, request, attempt));
     if (request.held !== undefined) {
         request.held.hasEnded = true;
         // A whole answer can't be taken up, so it does not wait for a store that refuses its record.
-        return request.held.hasFailed ? writeHeldEvents(transaction, request) : undefined;
+        const isReady = !request.held.isUnrecorded || request.held.hasFailed;
+        return isReady ? writeHeldEvents(transaction, request) : undefined;
     }
     effects.push({ kind: "answerEnd", requestId: request.id });
     finishAnswered(transaction, request);
@@ -283,8 +285,13 @@
     outcome: AttemptOutcome,
 ): boolean {
     const lost = runToContinue(attempt, outcome);
-    const next = lost && findContinuation(transaction, request, lost.attempt, lost.tried);
-    if (lost === undefined || next === undefined || !canSendAgain(transaction, request)) {
+    if (lost === undefined) {
+        return false;
+    }
+    const next = findContinuation(transaction, request, lost.attempt, lost.tried);
+    const obstacle = sendObstacle(transaction, request);
+    if (next === undefined || obstacle !== undefined) {
+        logNotContinued(transaction, request, lost, next, obstacle);
         return false;
     }
     if (lost.attempt !== attempt) {
@@ -308,7 +315,51 @@
     return true;
 }
 
-/** The run that an attempt leaves to be continued: its own, or the one that it was to continue if it did not run. */
+/** Logs what a lost run lacks to be continued. Streams that may run again need no memory of it. */
+function logNotContinued(
+    transaction: Transaction,
+    request: GatewayRequest,
+    { attempt, tried }: LostRun,
+    next: Continuation | undefined,
+    obstacle: SendObstacle | undefined,
+): void {
+    if (request.route.canResume) {
+        return;
+    }
+    const { now } = transaction;
+    const expectation = expectReplica(transaction, request, attempt);
+    logDecision(transaction, "info", "stream_not_continued", {
+        ...requestFields(transaction, request),
+        lacking: next === undefined ? "memory" : obstacle,
+        memory: next?.from,
+        tried: [...tried].join(",") || undefined,
+        replica: attempt.replica?.record.id,
+        replicaState: replicaState(transaction, attempt),
+        replicaLack: expectation?.lack,
+        producingTime: expectation && Math.round(expectation.producingTime),
+        completeAfter: expectation && Math.round(expectation.completeAfter),
+        runAge: attempt.firstEventAt === undefined ? undefined : Math.round(now - attempt.firstEventAt),
+        copyAge: attempt.copy && Math.round(now - attempt.copy.requestedAt),
+        ...sendFields(transaction, request),
+    });
+}
+
+/** A server may have ended before it began to continue a run. */
+const outcomesOfEndedServers: ReadonlySet<AttemptOutcome> = new Set([
+    "channel_lost",
+    "answer_truncated",
+    "server_restarted",
+]);
+
+/**
+ * The run that an attempt leaves to be continued: its own, or the one that it was to continue if it did not run or has
+ * generated nothing.
+ */
 function runToContinue(attempt: Attempt, outcome: AttemptOutcome): LostRun | undefined {
-    return outcomesWithoutRun.has(outcome) ? attempt.lostRun : { attempt, tried: new Set() };
+    if (outcomesWithoutRun.has(outcome)) {
+        return attempt.lostRun;
+    }
+    const isEmpty = attempt.firstEventAt === undefined && attempt.copy === undefined
+        && outcomesOfEndedServers.has(outcome);
+    return (isEmpty ? attempt.lostRun : undefined) ?? { attempt, tried: new Set() };
 }
