Continue from the next place only if the continuation's server has exited

At a server that stays, such a channel may be a lost answer: the continuation may have run there, or be at work still, and the request would run at two servers.

It is now done only if the server leaves, is not known any more or has restarted.

--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -12,6 +12,7 @@
     recordHealth,
     retryOrFail,
 } from "./attempts.js";
+import type { BackendServer } from "./backendServers.js";
 import { recordBegunRun } from "./crashSuspects.js";
 import type { DecisionFields } from "./effect.js";
 import { recordSignOfLife } from "./liveness.js";
@@ -282,7 +283,7 @@
     attempt: Attempt,
     outcome: AttemptOutcome,
 ): boolean {
-    const lost = runToContinue(attempt, outcome);
+    const lost = runToContinue(transaction.state, attempt, outcome);
     if (lost === undefined) {
         return false;
     }
@@ -342,22 +343,24 @@
     });
 }
 
-/** A server may have ended before it began to continue a run. */
-const outcomesOfEndedServers: ReadonlySet<AttemptOutcome> = new Set([
-    "channel_lost",
-    "answer_truncated",
-    "server_restarted",
-]);
-
 /**
- * The run that an attempt leaves to be continued: its own, or the one that it was to continue if it did not run or has
- * generated nothing.
+ * The run that an attempt leaves to be continued: its own, or the one that it was to continue if it did not run, or if its
+ * server exited before it generated anything.
  */
-function runToContinue(attempt: Attempt, outcome: AttemptOutcome): LostRun | undefined {
+function runToContinue(state: GatewayState, attempt: Attempt, outcome: AttemptOutcome): LostRun | undefined {
     if (outcomesWithoutRun.has(outcome)) {
         return attempt.lostRun;
     }
-    const isEmpty = attempt.firstEventAt === undefined && attempt.copy === undefined
-        && outcomesOfEndedServers.has(outcome);
-    return (isEmpty ? attempt.lostRun : undefined) ?? { attempt, tried: new Set() };
+    const isEmpty = attempt.firstEventAt === undefined && attempt.copy === undefined;
+    const hasExited = outcome === "server_restarted"
+        || (outcomesOfExits.has(outcome) && isLeaving(state, attempt.server));
+    return (isEmpty && hasExited ? attempt.lostRun : undefined) ?? { attempt, tried: new Set() };
+}
+
+const outcomesOfExits: ReadonlySet<AttemptOutcome> = new Set(["channel_lost", "answer_truncated"]);
+
+/** A server that stays may have lost its answer only, and have run the request or do so still. */
+function isLeaving({ servers }: GatewayState, { record: { id } }: BackendServer): boolean {
+    const known = servers.get(id);
+    return known === undefined || known.leavingSince !== undefined;
 }
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -316,15 +316,21 @@
     assert.equal(continuationsIn(gateway.answer(callsIn(effects)[0], refused)).map(([id]) => id), [source.id]);
 });
 
+/** A stream whose copy is at a server that is to continue it, beside a replica at another one. */
+function continuationFromCopy() {
+    const { gateway, call, source, holder } = replicatedStream(5);
+    gateway.state.pausedUntil.set(holder.id, gateway.now + 300);
+    assert.is(targetsIn([...leave(gateway, source), ...gateway.advance(50)]).length, 1);
+    gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved });
+    const [next] = callsIn(gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved }));
+    gateway.openStream(next);
+    return { gateway, next, source, holder };
+}
+
 // The stream waited for a place where it was to go on, and was cut when that server exited, whatever was left elsewhere.
-test("a continuation whose server ends before its first event goes on from the next place", () => {
+test("a continuation whose server exits before its first event goes on from the next place", () => {
     for (const failure of ["channel_lost", "answer_truncated"] as const) {
-        const { gateway, call, source, holder } = replicatedStream(5);
-        gateway.state.pausedUntil.set(holder.id, gateway.now + 300);
-        assert.is(targetsIn([...leave(gateway, source), ...gateway.advance(50)]).length, 1);
-        gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved });
-        const [next] = callsIn(gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved }));
-        gateway.openStream(next);
+        const { gateway, next, source, holder } = continuationFromCopy();
         leave(gateway, gateway.state.servers.get(next.backendServer)!.record);
         gateway.advance(1_000);
         const { attemptId } = next;
@@ -337,6 +343,20 @@
     }
 });
 
+test("a continuation whose server restarts before its first event goes on from the next place", () => {
+    const { gateway, next, source, holder } = continuationFromCopy();
+    gateway.advance(400);
+    const { record } = gateway.state.servers.get(next.backendServer)!;
+    const restarted = gateway.register({ ...record, startedAt: 6, heartbeat: 1, address: "10.0.0.9:80" });
+    assert.equal(continuationsIn([...restarted, ...gateway.advance(300)]), [[holder.id, source.address, "r", 16]]);
+});
+
+test("a continuation whose answer is lost at a server that stays does not go on elsewhere: it may have run", () => {
+    const { gateway, next } = continuationFromCopy();
+    gateway.advance(1_000);
+    assert.equal(callsIn(gateway.failAttempt(next)), []);
+});
+
 /** A stream that was continued at a server which then begins to leave, before an event of it came from there. */
 function waitingContinuation() {
     const { gateway, call, holder } = replicatedStream(5);
