Close unused channels of callers when a planned stop ends the process

A request on a channel that had not been used yet, sent at the exit, got a reset up to 343 ms later, as long as the process took to be gone, and no line names it (trials with real gateways).

Cause: close left to Node which channels are idle, and one without any request is not among them.

close closes each channel on which no request runs and nothing is unsent. The test failed before: the unused channel was open after 500 ms.

--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -731,7 +731,12 @@
             channels.forEach(refuseWaiting);
             clearInterval(unreadTimer);
             server.close();
-            server.closeIdleConnections();
+            // The end of a process may take a while, in which a caller would wait on a channel that nobody reads.
+            for (const { socket, exchanges } of channels.values()) {
+                if (exchanges.size === 0 && socket.unsentBytes === 0) {
+                    socket.destroy();
+                }
+            }
         },
     };
 }
--- a/packages/runtime/test/requestsAtExit.test.ts
+++ b/packages/runtime/test/requestsAtExit.test.ts
@@ -1,12 +1,13 @@
 /**
  * Requests that were read when a planned stop ends the process.
  */
+import { waitUntil } from "@verbenaspring/bench";
 import { identifier, type RequestId } from "@verbenaspring/model";
 import { createGatewayCallerServer } from "@verbenaspring/runtime";
 import { connect } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { createCall } from "./backendBuilders.js";
+import { createCall, createResponseHead } from "./backendBuilders.js";
 
 const answerTime = 1_000;
 
@@ -53,4 +54,35 @@
     assert.is(await answerAtExit(250), "HTTP/1.1 503 Service Unavailable");
 });
 
+// A caller that used such a channel waited until the process was gone.
+test("channels on which no request runs close at once when the server closes", async () => {
+    const open: RequestId[] = [];
+    const callers = createGatewayCallerServer(
+        () => createCall("127.0.0.1:1").head,
+        () => identifier<RequestId>(String(open.length)),
+        () => 0,
+        {
+            received: requestId => open.push(requestId),
+            leftEarly: () => undefined,
+            left: () => undefined,
+            refused: () => undefined,
+            drained: () => undefined,
+        },
+    );
+    await callers.listen("127.0.0.1:0");
+    const [unused, used] = [1, 2].map(() => connect(callers.port(), "127.0.0.1"));
+    const answered = new Promise(resolve => used.once("data", resolve));
+    used.write("POST /a/1 HTTP/1.1\r\nhost: clinic.example\r\ncontent-length: 0\r\n\r\n");
+    await waitUntil("the request is read", () => open.length === 1);
+    callers.writeWhole(open[0], { ...createResponseHead(200), endsWithChannel: false, body: Buffer.from("x") });
+    await answered;
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const closes = [unused, used].map(socket => new Promise(resolve => socket.once("close", () => resolve("closed"))));
+    callers.close();
+    const timeout = new Promise(resolve => setTimeout(() => resolve("open"), 500));
+    const ends = await Promise.all(closes.map(close => Promise.race([close, timeout])));
+    [unused, used].forEach(socket => socket.destroy());
+    assert.equal(ends, ["closed", "closed"]);
+});
+
 test.run();
