Count a planned stop from when its signal may have been sent

Callers of a gateway whose loop was late at SIGTERM lost all requests that remained at the end of the stop: their channels were reset by SIGKILL, and no line of the log named them. The stop counted from when the signal was read, and the platform from when it was sent. The last answers have half a second of reserve, so a delay above it lost them.

The request to stop has the time for which it may have waited, from the monitor of ticks, as requests have. The last answers, the exit and what is still accepted count from the earliest time. What is subtracted leaves the last answers in the last sixth of the stop, so that running streams do not end sooner than a stop allows if the signal was sent as late as it was read.

--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -20,6 +20,8 @@
 const finalAnswersShare = 1 / 16;
 /** The part of that share in which the process exits by itself, with answers that callers have not taken. */
 const exitShare = 1 / 32;
+/** The share of a stop's time in which requests that run are not to fail. */
+const uninterruptedShare = 5 / 6;
 /** The least times that these shares reserve. */
 const minimumFinalAnswersTime: Milliseconds = 250;
 const minimumExitTime: Milliseconds = 75;
@@ -90,8 +92,22 @@
 }
 
 /** From the request to stop until the remaining requests fail. */
-function finalAnswersAfter({ options: { stopLimit } }: GatewayState): Milliseconds {
-    return stopLimit - Math.max(minimumFinalAnswersTime, finalAnswersShare * stopLimit);
+function finalAnswersAfter({ options: { stopLimit }, stopDoubt }: GatewayState): Milliseconds {
+    return stopLimit - Math.max(minimumFinalAnswersTime, finalAnswersShare * stopLimit) - stopDoubt;
+}
+
+/** From the request to stop until the process exits, whatever is left. */
+function exitAfter({ options: { stopLimit }, stopDoubt }: GatewayState): Milliseconds {
+    return stopLimit - Math.max(minimumExitTime, exitShare * stopLimit) - stopDoubt;
+}
+
+/**
+ * How much earlier than it was read the request to stop is taken to have been sent. The process is killed by the time since
+ * then; but requests that run are not to fail long before that if it was sent later.
+ */
+function boundStopDoubt(state: GatewayState, readDelay: Milliseconds): Milliseconds {
+    const latest = finalAnswersAfter(state) - uninterruptedShare * state.options.stopLimit;
+    return Math.max(0, Math.min(readDelay, latest));
 }
 
 /** Time until a caller refused for a planned stop reaches another instance: when the balancer has removed this one. */
@@ -101,13 +117,17 @@
 }
 
 /** Starts a planned stop. A repeated request to stop has no effect. */
-export function handleStopRequested(transaction: Transaction): void {
+export function handleStopRequested(transaction: Transaction, readDelay: Milliseconds): void {
     const { state, now, effects } = transaction;
     if (state.stopRequestedAt !== undefined) {
         return;
     }
     state.stopRequestedAt = now;
-    logDecision(transaction, "info", "stop_requested", { requests: state.requests.size });
+    state.stopDoubt = boundStopDoubt(state, readDelay);
+    logDecision(transaction, "info", "stop_requested", {
+        requests: state.requests.size,
+        readDelay: Math.round(readDelay),
+    });
     publishAndReport(transaction);
     effects.push({ kind: "startDraining" });
 }
@@ -118,23 +138,21 @@
  */
 export function checkStop(transaction: Transaction): void {
     const { state, now, effects } = transaction;
-    const { stopLimit } = state.options;
     if (state.stopRequestedAt === undefined || state.hasExited) {
         return;
     }
     const elapsed = now - state.stopRequestedAt;
-    const exitAfter = stopLimit - Math.max(minimumExitTime, exitShare * stopLimit);
     if (elapsed >= finalAnswersAfter(state) && state.requests.size > 0) {
         [...state.requests.values()].forEach(request =>
             failRequest(transaction, request, "leaving", "the instance was stopped before the answer was complete")
         );
         // Whether callers have taken these answers is reported later.
-        if (elapsed < exitAfter) {
+        if (elapsed < exitAfter(state)) {
             return;
         }
     }
     const isIdle = state.requests.size === 0 && state.unsentAnswers === 0;
-    if (elapsed >= exitAfter || (elapsed >= balancerDetectionTime && isIdle)) {
+    if (elapsed >= exitAfter(state) || (elapsed >= balancerDetectionTime && isIdle)) {
         state.hasExited = true;
         logDecision(transaction, "info", "stopping", {
             elapsed: Math.round(elapsed),
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -163,4 +163,5 @@
     /** One of several links to a peer has closed: what was reported on it may be lost. */
     | { readonly kind: "peerReportsLost"; readonly address: PeerAddress; }
     | { readonly kind: "settingsChanged"; readonly options: GatewayOptions; }
-    | { readonly kind: "stopRequested"; };
+    /** `readDelay` is how long the request may have waited for a delayed loop; absent if it did not. */
+    | { readonly kind: "stopRequested"; readonly readDelay?: Milliseconds; };
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -159,7 +159,7 @@
         case "settingsChanged":
             return handleSettingsChanged(transaction, event.options);
         case "stopRequested":
-            return handleStopRequested(transaction);
+            return handleStopRequested(transaction, event.readDelay ?? 0);
     }
 }
 
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -360,6 +360,8 @@
     /** The time of the first event. */
     startedAt: Milliseconds | undefined;
     stopRequestedAt: Milliseconds | undefined;
+    /** How much earlier than it was handled the request to stop may have been sent, as far as the stop takes that into account. */
+    stopDoubt: Milliseconds;
     /** During a planned stop: the whole answers that callers have not taken yet. */
     unsentAnswers: number;
     hasExited: boolean;
@@ -427,6 +429,7 @@
         heldRequests: new Set(),
         startedAt: undefined,
         stopRequestedAt: undefined,
+        stopDoubt: 0,
         unsentAnswers: 0,
         hasExited: false,
     };
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -280,6 +280,36 @@
     assert.ok(kindsIn(gateway.advance(50)).includes("exit"));
 });
 
+// The stop was counted from when the signal was read. The process was killed before it had given the last answers.
+test("the remaining requests get their answers before the process is killed, though it read the request to stop late", () => {
+    const gateway = servingGateway();
+    gateway.sendRequest("running", "slow");
+    gateway.handle({ kind: "stopRequested", readDelay: 700 });
+    const effects = gateway.advance(6_800);
+    assert.is(failuresIn(effects).length, 1);
+    gateway.handle({ kind: "unsentAnswers", count: 1 });
+    assert.ok(kindsIn(gateway.advance(300)).includes("exit"));
+});
+
+test("a request is refused late in a stop that was read late, if it does not fit in what may be left of it", () => {
+    for (const [readDelay, expected] of [[0, "accepted"], [700, "leaving"]] as const) {
+        const gateway = servingGateway();
+        serve(gateway, "earlier", 1_200, 0);
+        gateway.handle({ kind: "stopRequested", readDelay });
+        gateway.handle({ kind: "unsentAnswers", count: 1 });
+        gateway.advance(5_400);
+        assert.is(outcome(gateway, "slow"), expected);
+    }
+});
+
+test("a stream goes on into the last sixth of a stop, however late the request to stop was read", () => {
+    const gateway = servingGateway();
+    gateway.startStream("begun", "plan", { maximumTokens: 10 });
+    gateway.handle({ kind: "stopRequested", readDelay: 5_000 });
+    assert.not.ok(kindsIn(gateway.advance(6_650)).includes("answerCut"));
+    assert.ok(kindsIn(gateway.advance(100)).includes("answerCut"));
+});
+
 // A request that ended whole left no line, so that one that is reported as lost could not be told from one that was never seen.
 test("each request that is accepted late in a stop or ends in one leaves a line that names it", () => {
     const gateway = servingGateway();
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -19,7 +19,7 @@
 import { type CallerAttemptId, identifier, type LogOffset, type Milliseconds } from "@verbenaspring/model";
 import type { BackendCodec } from "./backendChannels.js";
 import { type Daemon, describeError } from "./daemon.js";
-import { runLoop } from "./eventLoop.js";
+import { monotonicNow, runLoop } from "./eventLoop.js";
 import type { DecodeCallerHead } from "./gatewayCallerServer.js";
 import { GatewayRunner } from "./gatewayRunner.js";
 import { createEventLog, createLineWriter, type EventLog, type LogLevel } from "./logging.js";
@@ -134,7 +134,7 @@
         handleError: error => log("error", "loop_failed", { error: describeError(error) }),
     });
     return {
-        stop: () => runner.events.push({ kind: "stopRequested" }),
+        stop: () => runner.events.push({ kind: "stopRequested", readDelay: ticks.readDelay(monotonicNow()) }),
         stopped: runner.stopped,
         applySettings: next => runner.events.push({ kind: "settingsChanged", options: next }),
         log,
