Send a begun stream again until the latest end of its time limit

A stream that had begun, whose request was read late, was cut when it was lost in the last 250 ms of its time limit, though its replica was usable or it might run again. Since streams are cut at the latest end of the limit, `dispatch` and `sendObstacle` alone counted from the earliest one.

All three use `endsAt` now. timeLimits.test.ts, 'a begun stream that is lost while its time limit may not have been reached is continued', failed before for a stream with a replica: no call was sent.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -26,7 +26,7 @@
 import { removeLoad } from "./serverLoad.js";
 import { recordServerPause } from "./serverPauses.js";
 import { checkSilentAttempt, returnToSilentAttempt, setSilentAttemptAside } from "./silentAttempts.js";
-import { type Attempt, cutAt, type GatewayRequest } from "./state.js";
+import { type Attempt, endsAt, type GatewayRequest } from "./state.js";
 import { continueFromReplica } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -310,7 +310,7 @@
 
 function checkRequest(transaction: Transaction, request: GatewayRequest): void {
     const { state, now } = transaction;
-    if (now >= (request.isHeadWritten ? cutAt(request) : request.deadline)) {
+    if (now >= endsAt(request)) {
         return failRequest(transaction, request, "deadline_exceeded", "no complete answer within the time allowed");
     }
     checkSilentAttempt(transaction, request);
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -34,7 +34,15 @@
 } from "./serverLoad.js";
 import { isPaused, pauseLeft } from "./serverPauses.js";
 import { returnToSilentAttempt } from "./silentAttempts.js";
-import { type Attempt, cutAt, type GatewayRequest, type GatewayState, type LostRun, priorityOf } from "./state.js";
+import {
+    type Attempt,
+    cutAt,
+    endsAt,
+    type GatewayRequest,
+    type GatewayState,
+    type LostRun,
+    priorityOf,
+} from "./state.js";
 import { canContinue, type StreamOrigin } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
 import { startOrWait, waitForColdServer } from "./waiting.js";
@@ -72,7 +80,7 @@
  */
 export function dispatch(transaction: Transaction, request: GatewayRequest): void {
     const { state, now, source } = transaction;
-    if (request.deadline - now < minimumTimeForSend) {
+    if (endsAt(request) - now < minimumTimeForSend) {
         return failRequest(transaction, request, "deadline_exceeded", "the time for the request is over");
     }
     const suspension = suspensionOf(transaction, request);
@@ -358,7 +366,7 @@
     if (sendsLeft(request) < 1) {
         return "sends";
     }
-    if (request.deadline - now < minimumTimeForSend) {
+    if (endsAt(request) - now < minimumTimeForSend) {
         return "time";
     }
     const needed = 1 + reserved + countStoppingRuns(state, request);
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -152,6 +152,11 @@
     return deadline + limitDoubt;
 }
 
+/** When a request ends for want of time: one without an answer gets its final answer by the earliest end of its time limit. */
+export function endsAt(request: GatewayRequest): Milliseconds {
+    return request.isHeadWritten ? cutAt(request) : request.deadline;
+}
+
 /** Events that are kept until the record of their stream is stored, or until its end. */
 export interface HeldEvents {
     readonly head: ResponseHead;
--- a/packages/gateway/test/timeLimits.test.ts
+++ b/packages/gateway/test/timeLimits.test.ts
@@ -49,6 +49,29 @@
     assert.ok(kindsIn(gateway.advance(50)).includes("answerCut"));
 });
 
+// Whether there was time to send it again was decided by the earliest end of the limit, which the stream itself had passed.
+test("a begun stream that is lost while its time limit may not have been reached is continued", () => {
+    for (const routeName of ["plan", "note"]) {
+        const gateway = TestGateway.serving(server("engine-1"), server("engine-2"), server("engine-3"));
+        const [call] = callsIn(gateway.handle({
+            kind: "requestReceived",
+            requestId: identifier("r"),
+            head: requestHead("r", routeName, { timeLimit: 5_000 }),
+            contentDigest: identifier("r"),
+            receivedAt: gateway.now - readDelay,
+            readDelay,
+        }));
+        gateway.openStream(call);
+        for (let event = 1; event <= 48; event++) {
+            gateway.receiveEvents(call, event);
+            gateway.advance(100);
+        }
+        const [next] = callsIn(gateway.failAttempt(call));
+        assert.ok(next !== undefined, `${routeName}, 4,800 ms after it was read`);
+        assert.is(next.timeLeft, 200);
+    }
+});
+
 test("a request without an answer gets its final answer by the earliest end of its time limit", () => {
     const gateway = TestGateway.serving(server("plain-1"), server("engine-1"));
     for (const name of ["note", "confirm"]) {
