Pass on a whole stream whose record is not stored when its time is over

Callers got a 504 at the end of a planned stop, or of a time limit, for a stream of which the gateway had all events: it waited for an append of its record that neither succeeded nor failed. No caller takes up a whole answer, so it is passed on then, as it is when the append fails.

streamRegister.test.ts, 'a whole stream whose record is not stored is passed on...', failed before with `leaving`.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -27,7 +27,7 @@
 import { recordServerPause } from "./serverPauses.js";
 import { checkSilentAttempt, returnToSilentAttempt, setSilentAttemptAside } from "./silentAttempts.js";
 import { type Attempt, endsAt, type GatewayRequest } from "./state.js";
-import { continueFromReplica } from "./streams.js";
+import { continueFromReplica, passOnWhole } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type AttemptFailed = Extract<GatewayEvent, { readonly kind: "attemptFailed"; }>;
@@ -311,7 +311,9 @@
 function checkRequest(transaction: Transaction, request: GatewayRequest): void {
     const { state, now } = transaction;
     if (now >= endsAt(request)) {
-        return failRequest(transaction, request, "deadline_exceeded", "no complete answer within the time allowed");
+        return passOnWhole(transaction, request)
+            ? undefined
+            : failRequest(transaction, request, "deadline_exceeded", "no complete answer within the time allowed");
     }
     checkSilentAttempt(transaction, request);
     const { attempt, route } = request;
--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -9,6 +9,7 @@
 import { forecastRequest, type RequestArrival, shortWorkTime } from "./routeDurations.js";
 import type { Route } from "./routingConfiguration.js";
 import type { GatewayState } from "./state.js";
+import { passOnWhole } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 /** The balancer probes readiness every second and needs two failures; until then it opens new channels. */
@@ -143,9 +144,11 @@
     }
     const elapsed = now - state.stopRequestedAt;
     if (elapsed >= finalAnswersAfter(state) && state.requests.size > 0) {
-        [...state.requests.values()].forEach(request =>
-            failRequest(transaction, request, "leaving", "the instance was stopped before the answer was complete")
-        );
+        for (const request of [...state.requests.values()]) {
+            if (!passOnWhole(transaction, request)) {
+                failRequest(transaction, request, "leaving", "the instance was stopped before the answer was complete");
+            }
+        }
         // Whether callers have taken these answers is reported later.
         if (elapsed < exitAfter(state)) {
             return;
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -195,6 +195,18 @@
     }
 }
 
+/**
+ * Passes on a stream of which all events are kept, though its record may not be stored: no caller takes up a whole answer.
+ * Returns whether it is one.
+ */
+export function passOnWhole(transaction: Transaction, request: GatewayRequest): boolean {
+    if (request.held?.hasEnded !== true) {
+        return false;
+    }
+    writeHeldEvents(transaction, request);
+    return true;
+}
+
 /** Handles the complete end of a run. */
 export function handleStreamEnded(transaction: Transaction, attemptId: AttemptId): void {
     const { state, effects } = transaction;
--- a/packages/gateway/test/streamRegister.test.ts
+++ b/packages/gateway/test/streamRegister.test.ts
@@ -77,6 +77,45 @@
     assert.is(gateway.state.requests.size, 0);
 });
 
+/** A stream of another version whose events a planned stop has kept until the last one, and whose record is not stored. */
+function heldInStop() {
+    const gateway = gatewayWithBase(engine(2, "v2"));
+    const earlier = gateway.startStream("earlier", "note");
+    gateway.handle({ kind: "streamsRecorded", isRecorded: true });
+    gateway.handle({ kind: "streamEnded", attemptId: earlier.attemptId });
+    gateway.handle({ kind: "answerTaken", requestId: identifier("earlier") });
+    gateway.handle({ kind: "stopRequested" });
+    // Keeps the process running.
+    gateway.handle({ kind: "unsentAnswers", count: 1 });
+    gateway.advance(3_000);
+    const call = gateway.startStream("late", "note", { maximumTokens: 17 });
+    const end = () => gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
+    const record = () => gateway.handle({ kind: "streamsRecorded", isRecorded: true });
+    return { gateway, end, record };
+}
+
+test("a stream that a planned stop holds until its end is passed on once it has ended and its record is stored", () => {
+    for (const isRecordedFirst of [true, false]) {
+        const { end, record } = heldInStop();
+        const [first, second] = isRecordedFirst ? [record(), end()] : [end(), record()];
+        assert.equal([kindsIn(first), eventsIn(second), kindsIn(second).at(-1)], [[], [1], "answerEnd"]);
+    }
+});
+
+// Its caller got a failure, though the gateway had the whole answer, which no caller takes up.
+test("a whole stream whose record is not stored is passed on when its time or that of a planned stop is over", () => {
+    const { gateway, end } = heldInStop();
+    end();
+    const stopped = gateway.advance(4_600);
+    assert.equal([failuresIn(stopped), eventsIn(stopped), kindsIn(stopped).at(-1)], [[], [1], "answerEnd"]);
+
+    const other = gatewayWithBase(engine(2, "v2"));
+    const call = other.startStream("r", "note");
+    other.handle({ kind: "streamEnded", attemptId: call.attemptId });
+    const late = other.advance(6_000);
+    assert.equal([failuresIn(late), eventsIn(late)], [[], [1]]);
+});
+
 test("streams that begin while records are stored are recorded together afterwards", () => {
     const gateway = gatewayWithBase(engine(2, "v2"));
     gateway.startStream("r1", "note");
