Tests: planned stops and migrations, for lines whose removal no test noticed

Without each of three lines all tests of packages/gateway passed: the present pause of a stream in the forecast of a stop, the latest end of a time limit in that forecast, and that a 404 for a continuation which waits says nothing of the target. The new tests fail without them.

--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -13,6 +13,7 @@
     failuresIn,
     kindsIn,
     linesIn,
+    requestHead,
     requestId,
     route,
     routes,
@@ -207,6 +208,34 @@
     assert.is(outcome(gateway, "plan", { maximumTokens: 100 }), "leaving");
 });
 
+test("a stream is refused late in a stop while another of its route pauses for longer than is left", () => {
+    for (const [isPausing, expected] of [[true, "leaving"], [false, "accepted"]] as const) {
+        const gateway = servingGateway();
+        gateway.completeStream("earlier", "plan");
+        if (isPausing) {
+            gateway.startStream("pausing", "plan", { maximumTokens: 10 });
+        }
+        stopAt(gateway, 3_300);
+        assert.is(outcome(gateway, "plan", { maximumTokens: 10 }), expected);
+    }
+});
+
+test("a stream that was read late is accepted late in a stop only if the latest end of its time limit is before the stop's", () => {
+    for (const [timeLimit, expected] of [[2_600, "leaving"], [2_400, "accepted"]] as const) {
+        const gateway = servingGateway();
+        stopAt(gateway, 5_000);
+        const effects = gateway.handle({
+            kind: "requestReceived",
+            requestId: requestId("late"),
+            head: requestHead("late", "plan", { timeLimit }),
+            contentDigest: identifier("late"),
+            receivedAt: gateway.now - 250,
+            readDelay: 250,
+        });
+        assert.is(failuresIn(effects)[0]?.type ?? "accepted", expected);
+    }
+});
+
 // The answers that the forecast knew were those of calls that had already ended.
 test("a plain request is refused late in a stop while another of its route has run for longer than is left", () => {
     const gateway = servingGateway();
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -374,6 +374,24 @@
     }
 });
 
+// The only target counted as failed for a second, after which the server may have exited.
+test("a server that does not know a waiting continuation yet says nothing of the only target", () => {
+    const gateway = TestGateway.serving(server("engine-1"), server("engine-2"));
+    const call = gateway.startReplicatedStream("r", "plan");
+    const { server: { record: source }, replica } = gateway.state.attempts.get(call.attemptId)!.attempt!;
+    const [next] = callsIn(gateway.failAttempt(call));
+    gateway.openStream(next);
+    leave(gateway, replica!.record);
+    gateway.advance(200);
+    assert.equal(targetsIn(gateway.advance(50)), [source.address]);
+    gateway.handle({
+        kind: "migrationAnswered",
+        attemptId: next.attemptId,
+        result: { kind: "refused", status: 404 },
+    });
+    assert.equal(targetsIn(gateway.receiveEvents(next, 17)), [source.address]);
+});
+
 // A request may run once, and a closed channel does not stop every server's run.
 test("a first run that waits at a server which leaves is not migrated", () => {
     const gateway = TestGateway.serving(server("engine-1"), server("engine-2"), server("engine-3"));
