Count requests that ended without an answer in the forecast of a stop

Callers got a 504 at the end of a planned stop for requests that it had accepted late: earlier ones of the route had waited for longer than was left, but had ended by their callers' leaving or by their time limits, and so counted neither as present nor as finished.

How long they had waited is recorded apart from the durations of answers, and bounds the forecast from below. It does not make a route known by itself.

--- a/packages/gateway/src/routeDurations.ts
+++ b/packages/gateway/src/routeDurations.ts
@@ -21,6 +21,8 @@
     readonly pause: LongestDuration;
     /** From a request's arrival until its whole answer. */
     readonly answer: LongestDuration;
+    /** Until the end of requests without an event or answer. This bounds the others from below, and tells nothing by itself. */
+    readonly unanswered: LongestDuration;
     /** From a whole answer until the caller had taken it. */
     readonly reading: LongestDuration;
 }
@@ -68,14 +70,20 @@
     recordDuration(durationsOf(durations, route.name, now).answer, now - arrivedAt, now);
 }
 
-/** Records when the caller got the first event, and the longest pause of the stream, if it got one. */
+/**
+ * Records when the caller got the first event, and the longest pause of the stream, if it got one. Of a request that ends
+ * while a server has it, without an event or answer, records how long it had waited.
+ */
 export function recordEventTimes({ durations }: GatewayState, request: GatewayRequest, now: Milliseconds): void {
-    const { route, firstEventAge } = request;
+    const { route, firstEventAge, attempt, arrivedAt } = request;
     if (firstEventAge !== undefined) {
         const { firstEvent, pause } = durationsOf(durations, route.name, now);
         recordDuration(firstEvent, firstEventAge, now);
         recordDuration(pause, longestPauseOf(request, now), now);
     }
+    else if (attempt !== undefined) {
+        recordDuration(durationsOf(durations, route.name, now).unanswered, now - arrivedAt, now);
+    }
 }
 
 /** The longest pause of a stream, which may be the present one. */
@@ -149,7 +157,8 @@
     }
     const pause = Math.max(longestDuration(known.pause, now) ?? 0, present.pause);
     const output = hasTokens ? safetyFactor * (head.maximumTokens * state.timePerToken + pause) : 0;
-    const work = Math.max(shortWorkTime, safetyFactor * Math.max(start, present.wait));
+    const wait = Math.max(start, present.wait, longestDuration(known.unanswered, now) ?? 0);
+    const work = Math.max(shortWorkTime, safetyFactor * wait);
     return { atMost, expected: work + output + reading, output };
 }
 
@@ -198,6 +207,7 @@
         firstEvent: createLongestDuration(now),
         pause: createLongestDuration(now),
         answer: createLongestDuration(now),
+        unanswered: createLongestDuration(now),
         reading: createLongestDuration(now),
     };
     ofRoutes.set(name, created);
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -236,6 +236,37 @@
     }
 });
 
+// A request that ended without an answer counted nowhere, though it had taken longer than those that got one.
+test("requests whose callers have left before the answer count with what they had taken", () => {
+    for (const routeName of ["plan", "slow"]) {
+        const gateway = servingGateway();
+        gateway.completeStream("earlier", "plan");
+        serve(gateway, "answered", 30, 0);
+        gateway.sendRequest("given up", routeName, { maximumTokens: 17 });
+        gateway.advance(1_500);
+        gateway.handle({ kind: "callerLeft", requestId: requestId("given up") });
+        stopAt(gateway, 5_300);
+        assert.is(outcome(gateway, routeName, { maximumTokens: 17 }), "leaving", routeName);
+    }
+});
+
+test("a request whose caller has left at once tells nothing of its route", () => {
+    const gateway = servingGateway();
+    gateway.sendRequest("given up", "slow");
+    gateway.handle({ kind: "callerLeft", requestId: requestId("given up") });
+    stopAt(gateway, 5_300);
+    assert.is(outcome(gateway, "slow"), "leaving");
+});
+
+test("streams that reached their time limit without an event count with what they had taken", () => {
+    const gateway = servingGateway();
+    gateway.completeStream("earlier", "plan");
+    gateway.sendRequest("late", "plan", { maximumTokens: 17, timeLimit: 1_500 });
+    assert.is(failuresIn(gateway.advance(1_500))[0].type, "deadline_exceeded");
+    stopAt(gateway, 5_300);
+    assert.is(outcome(gateway, "plan", { maximumTokens: 17 }), "leaving");
+});
+
 // The answers that the forecast knew were those of calls that had already ended.
 test("a plain request is refused late in a stop while another of its route has run for longer than is left", () => {
     const gateway = servingGateway();
