--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -9,6 +9,7 @@
 import { forecastRequest, type RequestArrival, shortWorkTime } from "./routeDurations.js";
 import type { Route } from "./routingConfiguration.js";
 import type { GatewayState } from "./state.js";
+import { passOnWhole } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 /** The balancer probes readiness every second and needs two failures; until then it opens new channels. */
@@ -20,6 +21,8 @@
 const finalAnswersShare = 1 / 16;
 /** The part of that share in which the process exits by itself, with answers that callers have not taken. */
 const exitShare = 1 / 32;
+/** The share of a stop's time in which requests that run are not to fail. */
+const uninterruptedShare = 5 / 6;
 /** The least times that these shares reserve. */
 const minimumFinalAnswersTime: Milliseconds = 250;
 const minimumExitTime: Milliseconds = 75;
@@ -61,7 +64,7 @@
     if (stopRequestedAt === undefined) {
         return undefined;
     }
-    const isLate = now - stopRequestedAt >= estimatesTrustedFor;
+    const isLate = now - stopRequestedAt + state.stopDoubt >= estimatesTrustedFor;
     const remaining = state.hasExited ? -Infinity : stopRequestedAt + finalAnswersAfter(state) - now;
     if (!isLate) {
         const streamTime = route.isStream ? durationSafetyFactor * expectedOutput(head) * state.timePerToken : 0;
@@ -90,29 +93,42 @@
 }
 
 /** From the request to stop until the remaining requests fail. */
-function finalAnswersAfter({ options: { stopLimit } }: GatewayState): Milliseconds {
-    return stopLimit - Math.max(minimumFinalAnswersTime, finalAnswersShare * stopLimit);
+function finalAnswersAfter({ options: { stopLimit }, stopDoubt }: GatewayState): Milliseconds {
+    return stopLimit - Math.max(minimumFinalAnswersTime, finalAnswersShare * stopLimit) - stopDoubt;
+}
+
+/** From the request to stop until the process exits, whatever is left. */
+function exitAfter({ options: { stopLimit }, stopDoubt }: GatewayState): Milliseconds {
+    return stopLimit - Math.max(minimumExitTime, exitShare * stopLimit) - stopDoubt;
+}
+
+/**
+ * How much earlier than it was read the request to stop is taken to have been sent. The process is killed by the time since
+ * then; but requests that run are not to fail long before that if it was sent later.
+ */
+function boundStopDoubt(state: GatewayState, readDelay: Milliseconds): Milliseconds {
+    const latest = finalAnswersAfter(state) - uninterruptedShare * state.options.stopLimit;
+    return Math.max(0, Math.min(readDelay, latest));
 }
 
 /** Time until a caller refused for a planned stop reaches another instance: when the balancer has removed this one. */
 export function retryAfterStop(state: GatewayState, now: Milliseconds): Milliseconds {
-    const removedAt = (state.notReadySince ?? now) + balancerDetectionTime;
+    const removedAt = (state.stopRequestedAt ?? now) + balancerDetectionTime;
     return Math.max(minimumRetryAfter, removedAt - now);
 }
 
-/**
- * Starts a planned stop. A repeated request to stop has no effect.
- *
- * @param delay how long ago the request may have come: the platform counts from then
- */
-export function handleStopRequested(transaction: Transaction, delay: Milliseconds = 0): void {
+/** Starts a planned stop. A repeated request to stop has no effect. */
+export function handleStopRequested(transaction: Transaction, readDelay: Milliseconds): void {
     const { state, now, effects } = transaction;
     if (state.stopRequestedAt !== undefined) {
         return;
     }
-    state.stopRequestedAt = now - delay;
-    state.notReadySince = now;
-    logDecision(transaction, "info", "stop_requested", { requests: state.requests.size, delay: Math.round(delay) });
+    state.stopRequestedAt = now;
+    state.stopDoubt = boundStopDoubt(state, readDelay);
+    logDecision(transaction, "info", "stop_requested", {
+        requests: state.requests.size,
+        readDelay: Math.round(readDelay),
+    });
     publishAndReport(transaction);
     effects.push({ kind: "startDraining" });
 }
@@ -123,23 +139,23 @@
  */
 export function checkStop(transaction: Transaction): void {
     const { state, now, effects } = transaction;
-    const { stopLimit } = state.options;
-    if (state.stopRequestedAt === undefined || state.notReadySince === undefined || state.hasExited) {
+    if (state.stopRequestedAt === undefined || state.hasExited) {
         return;
     }
     const elapsed = now - state.stopRequestedAt;
-    const exitAfter = stopLimit - Math.max(minimumExitTime, exitShare * stopLimit);
     if (elapsed >= finalAnswersAfter(state) && state.requests.size > 0) {
-        [...state.requests.values()].forEach(request =>
-            failRequest(transaction, request, "leaving", "the instance was stopped before the answer was complete")
-        );
+        for (const request of [...state.requests.values()]) {
+            if (!passOnWhole(transaction, request)) {
+                failRequest(transaction, request, "leaving", "the instance was stopped before the answer was complete");
+            }
+        }
         // Whether callers have taken these answers is reported later.
-        if (elapsed < exitAfter) {
+        if (elapsed < exitAfter(state)) {
             return;
         }
     }
     const isIdle = state.requests.size === 0 && state.unsentAnswers === 0;
-    if (elapsed >= exitAfter || (now - state.notReadySince >= balancerDetectionTime && isIdle)) {
+    if (elapsed >= exitAfter(state) || (elapsed >= balancerDetectionTime && isIdle)) {
         state.hasExited = true;
         logDecision(transaction, "info", "stopping", {
             elapsed: Math.round(elapsed),
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -163,5 +163,5 @@
     /** One of several links to a peer has closed: what was reported on it may be lost. */
     | { readonly kind: "peerReportsLost"; readonly address: PeerAddress; }
     | { readonly kind: "settingsChanged"; readonly options: GatewayOptions; }
-    /** The process was asked to stop, and may have been `delay` milliseconds before; absent if the loop was not delayed. */
-    | { readonly kind: "stopRequested"; readonly delay?: Milliseconds; };
+    /** `readDelay` is how long the request may have waited for a delayed loop; absent if it did not. */
+    | { readonly kind: "stopRequested"; readonly readDelay?: Milliseconds; };
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -13,6 +13,7 @@
     failuresIn,
     kindsIn,
     linesIn,
+    requestHead,
     requestId,
     route,
     routes,
@@ -218,6 +219,65 @@
     assert.equal(eventsIn(effects), []);
 });
 
+test("a stream is refused late in a stop while another of its route pauses for longer than is left", () => {
+    for (const [isPausing, expected] of [[true, "leaving"], [false, "accepted"]] as const) {
+        const gateway = servingGateway();
+        gateway.completeStream("earlier", "plan");
+        if (isPausing) {
+            gateway.startStream("pausing", "plan", { maximumTokens: 10 });
+        }
+        stopAt(gateway, 3_300);
+        assert.is(outcome(gateway, "plan", { maximumTokens: 10 }), expected);
+    }
+});
+
+test("a stream that was read late is accepted late in a stop only if the latest end of its time limit is before the stop's", () => {
+    for (const [timeLimit, expected] of [[2_600, "leaving"], [2_400, "accepted"]] as const) {
+        const gateway = servingGateway();
+        stopAt(gateway, 5_000);
+        const effects = gateway.handle({
+            kind: "requestReceived",
+            requestId: requestId("late"),
+            head: requestHead("late", "plan", { timeLimit }),
+            contentDigest: identifier("late"),
+            receivedAt: gateway.now - 250,
+            readDelay: 250,
+        });
+        assert.is(failuresIn(effects)[0]?.type ?? "accepted", expected);
+    }
+});
+
+// A request that ended without an answer counted nowhere, though it had taken longer than those that got one.
+test("requests whose callers have left before the answer count with what they had taken", () => {
+    for (const routeName of ["plan", "slow"]) {
+        const gateway = servingGateway();
+        gateway.completeStream("earlier", "plan");
+        serve(gateway, "answered", 30, 0);
+        gateway.sendRequest("given up", routeName, { maximumTokens: 17 });
+        gateway.advance(1_500);
+        gateway.handle({ kind: "callerLeft", requestId: requestId("given up") });
+        stopAt(gateway, 5_300);
+        assert.is(outcome(gateway, routeName, { maximumTokens: 17 }), "leaving", routeName);
+    }
+});
+
+test("a request whose caller has left at once tells nothing of its route", () => {
+    const gateway = servingGateway();
+    gateway.sendRequest("given up", "slow");
+    gateway.handle({ kind: "callerLeft", requestId: requestId("given up") });
+    stopAt(gateway, 5_300);
+    assert.is(outcome(gateway, "slow"), "leaving");
+});
+
+test("streams that reached their time limit without an event count with what they had taken", () => {
+    const gateway = servingGateway();
+    gateway.completeStream("earlier", "plan");
+    gateway.sendRequest("late", "plan", { maximumTokens: 17, timeLimit: 1_500 });
+    assert.is(failuresIn(gateway.advance(1_500))[0].type, "deadline_exceeded");
+    stopAt(gateway, 5_300);
+    assert.is(outcome(gateway, "plan", { maximumTokens: 17 }), "leaving");
+});
+
 // The answers that the forecast knew were those of calls that had already ended.
 test("a plain request is refused late in a stop while another of its route has run for longer than is left", () => {
     const gateway = servingGateway();
@@ -249,7 +309,7 @@
 test("a stop that was requested a while before it could be handled counts from then", () => {
     const gateway = servingGateway();
     gateway.startStream("running", "plan", { maximumTokens: 10 });
-    gateway.handle({ kind: "stopRequested", delay: 700 });
+    gateway.handle({ kind: "stopRequested", readDelay: 700 });
     const early = kindsIn(gateway.advance(6_750));
     assert.not.ok(early.includes("answerCut"));
     assert.ok(kindsIn(gateway.advance(50)).includes("answerCut"));
@@ -257,11 +317,23 @@
 
 test("the balancer removes a gateway from when it reports itself not ready, however late it could handle its stop", () => {
     const gateway = servingGateway();
-    gateway.handle({ kind: "stopRequested", delay: 700 });
+    gateway.handle({ kind: "stopRequested", readDelay: 700 });
     assert.not.ok(kindsIn(gateway.advance(3_150)).includes("exit"));
     assert.ok(kindsIn(gateway.advance(50)).includes("exit"));
 });
 
+// Requests sent later than 3 s after the signal were accepted by their estimates.
+test("estimates are trusted only until the earliest time at which a stop that was read late may be late", () => {
+    for (const [readDelay, isAccepted] of [[700, false], [0, true]] as const) {
+        const gateway = servingGateway();
+        gateway.completeStream("earlier", "plan");
+        gateway.handle({ kind: "stopRequested", readDelay });
+        gateway.advance(1_900);
+        const effects = gateway.receiveRequest("r", "plan", { maximumTokens: 1_000, estimatedTokens: 10 });
+        assert.is(callsIn(effects).length === 1, isAccepted);
+    }
+});
+
 // A configuration may rename its routes thousands of times a day.
 test("the durations of routes that a configuration does not have any more are forgotten", () => {
     const gateway = servingGateway();
@@ -308,6 +380,36 @@
     assert.ok(kindsIn(gateway.advance(50)).includes("exit"));
 });
 
+// The stop was counted from when the signal was read. The process was killed before it had given the last answers.
+test("the remaining requests get their answers before the process is killed, though it read the request to stop late", () => {
+    const gateway = servingGateway();
+    gateway.sendRequest("running", "slow");
+    gateway.handle({ kind: "stopRequested", readDelay: 700 });
+    const effects = gateway.advance(6_800);
+    assert.is(failuresIn(effects).length, 1);
+    gateway.handle({ kind: "unsentAnswers", count: 1 });
+    assert.ok(kindsIn(gateway.advance(300)).includes("exit"));
+});
+
+test("a request is refused late in a stop that was read late, if it does not fit in what may be left of it", () => {
+    for (const [readDelay, expected] of [[0, "accepted"], [700, "leaving"]] as const) {
+        const gateway = servingGateway();
+        serve(gateway, "earlier", 1_200, 0);
+        gateway.handle({ kind: "stopRequested", readDelay });
+        gateway.handle({ kind: "unsentAnswers", count: 1 });
+        gateway.advance(5_400);
+        assert.is(outcome(gateway, "slow"), expected);
+    }
+});
+
+test("a stream goes on into the last sixth of a stop, however late the request to stop was read", () => {
+    const gateway = servingGateway();
+    gateway.startStream("begun", "plan", { maximumTokens: 10 });
+    gateway.handle({ kind: "stopRequested", readDelay: 5_000 });
+    assert.not.ok(kindsIn(gateway.advance(6_650)).includes("answerCut"));
+    assert.ok(kindsIn(gateway.advance(100)).includes("answerCut"));
+});
+
 // A request that ended whole left no line, so that one that is reported as lost could not be told from one that was never seen.
 test("each request that is accepted late in a stop or ends in one leaves a line that names it", () => {
     const gateway = servingGateway();
