Soak: a probe that the configuration denies is not lost in a planned stop

Every failure early in a stop counted as lost; a quick 404 did not, as it passed for a request that crossed the close of its connection. A denial is an answer. Whether it is right is judged, for probes by the version oracle and for all other requests by allowed_requests_are_not_denied, and these others still count as lost too. The new test failed before: the probe broke planned_stop_cuts_nothing.

--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -235,7 +235,7 @@
 
     /** Checks that a request is not denied if every configuration allows it, as they all do but for probes. */
     private checkDenial({ id, kind, end }: SoakRequest): void {
-        if (kind !== "probe" && typeof end === "object" && denialStatuses.has(end.failure)) {
+        if (kind !== "probe" && isDenial(end)) {
             this.fail("allowed_requests_are_not_denied", `${id} got ${end.failure}`);
         }
     }
@@ -365,12 +365,14 @@
      * since the request. Until the last part of the stop a failure counts as well, unless the request has not run.
      */
     private checkStop(request: SoakRequest): void {
-        const { id, end, sentAt, bodySentAt, deadlineAt, gateway: { stopRequestedAt } } = request;
+        const { id, kind, end, sentAt, bodySentAt, deadlineAt, gateway: { stopRequestedAt } } = request;
         const now = performance.now();
         // A request that crosses the close of its connection, and reached no backend server, may be
         // sent again by its caller.
         const crossedClose = !this.arrivedAt.has(id) && now - bodySentAt <= closeCrossingTime;
-        if (now >= deadlineAt || crossedClose || !this.faultRecord.isSystemFaultFree(sentAt)) {
+        // The version oracle judges whether the configuration denied a probe.
+        const isDeniedProbe = kind === "probe" && isDenial(end);
+        if (now >= deadlineAt || crossedClose || isDeniedProbe || !this.faultRecord.isSystemFaultFree(sentAt)) {
             return;
         }
         const isLost = isEarlyInStop(stopRequestedAt, now)
@@ -515,6 +517,10 @@
     }
 }
 
+function isDenial(end: PlatformRequestEnd | undefined): end is Extract<PlatformRequestEnd, object> {
+    return typeof end === "object" && denialStatuses.has(end.failure);
+}
+
 /** When in the planned stop of its gateway a request was sent and ended, in milliseconds since the request to stop. */
 function describeStop({ kind, sentAt, gateway: { process, stopRequestedAt } }: SoakRequest): string {
     if (stopRequestedAt === undefined) {
--- a/packages/soak/test/soakOracle.test.ts
+++ b/packages/soak/test/soakOracle.test.ts
@@ -273,6 +273,22 @@
     assert.equal(promises, [[], ["planned_stop_cuts_nothing"]]);
 });
 
+test("a probe of a route that is gone is not lost in a stop, while other requests with that answer are", () => {
+    const promises = (["probe", "lookup"] as const).map(kind => {
+        const oracle = createOracle();
+        const now = performance.now();
+        const request = createRequest({
+            kind,
+            gateway: { ...gateway, stopRequestedAt: now - 3_000 },
+            sentAt: now - 700,
+        });
+        oracle.recordRequest(request);
+        oracle.recordResponse(request, { ...head, status: 404, body: "", isComplete: true });
+        return oracle.violations.map(({ promise }) => promise);
+    });
+    assert.equal(promises, [[], ["allowed_requests_are_not_denied", "planned_stop_cuts_nothing"]]);
+});
+
 test("the end of its server or a fault excuses a stream that is cut at the end of a stop", () => {
     assert.equal(cutInStop({ sent: 5_500, ended: 7_750, isServerRunning: false }), []);
     const recordFault = ({ faultRecord }: SoakOracle): void => faultRecord.recordProcessFault("workers", 1_000);
