--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -194,6 +194,7 @@
         return;
     }
     if (answer !== undefined && !request.isHeadWritten && !signalsNotRun(answer)) {
+        logAnswered(transaction, request, "request_answered", { status: answer.status });
         transaction.effects.push({ kind: "answerWhole", requestId: request.id, answer });
         return finishAnswered(transaction, request);
     }
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -427,6 +427,15 @@
     assert.is(linesIn(ended, "stream_answered")[0].request, "stream");
 });
 
+// The answer of a server that failed was passed on without a line.
+test("a request whose server answers with an error in a stop leaves a line that names it", () => {
+    const gateway = servingGateway();
+    const call = gateway.sendRequest("failed", "slow");
+    stopAt(gateway, 500);
+    const [answered] = linesIn(gateway.answer(call, { status: 500 }), "request_answered");
+    assert.equal([answered.request, answered.status], ["failed", 500]);
+});
+
 test("a request that fails in a stop says whether its answer had begun", () => {
     const gateway = servingGateway();
     gateway.sendRequest("waiting", "plan", { maximumTokens: 10 });
