--- a/packages/gateway/test/timeLimits.test.ts
+++ b/packages/gateway/test/timeLimits.test.ts
@@ -1,6 +1,7 @@
 /**
  * Time limits of requests that may have waited before they were read.
  */
+import type { GatewayEffect } from "@verbenaspring/gateway";
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -9,18 +10,27 @@
 /** How long a request may have waited for a delayed loop. It may as well have been sent when it was read. */
 const readDelay = 250;
 
+/** Receives a request that arrived a while ago at the earliest, by default as its loop was delayed. */
+function receive(
+    gateway: TestGateway,
+    routeName: string,
+    overrides: { readonly timeLimit?: number; } = {},
+    arrival = { receivedBefore: readDelay, readDelay },
+): GatewayEffect[] {
+    return gateway.handle({
+        kind: "requestReceived",
+        requestId: identifier(routeName),
+        head: requestHead(routeName, routeName, overrides),
+        contentDigest: identifier(routeName),
+        receivedAt: gateway.now - arrival.receivedBefore,
+        readDelay: arrival.readDelay,
+    });
+}
+
 // The limit counted from the earliest time at which the request can have been sent.
 test("a begun stream is not cut while its time limit may not have been reached", () => {
     const gateway = TestGateway.serving(server("engine-1"));
-    const effects = gateway.handle({
-        kind: "requestReceived",
-        requestId: identifier("note"),
-        head: requestHead("note", "note"),
-        contentDigest: identifier("note"),
-        receivedAt: gateway.now - readDelay,
-        readDelay,
-    });
-    const [call] = callsIn(effects);
+    const [call] = callsIn(receive(gateway, "note"));
     gateway.openStream(call);
     let cutAfter: number | undefined;
     for (let age = 100, id = 1; age <= 6_400 && cutAfter === undefined; age += 100, id++) {
@@ -33,15 +43,7 @@
 // The time of a body that comes in pieces counted as time in which the request was kept waiting.
 test("a begun stream whose body took time is not cut while its time limit since then may not have been reached", () => {
     const gateway = TestGateway.serving(server("engine-1"));
-    const effects = gateway.handle({
-        kind: "requestReceived",
-        requestId: identifier("note"),
-        head: requestHead("note", "note"),
-        contentDigest: identifier("note"),
-        receivedAt: gateway.now - 200,
-        readDelay: 0,
-    });
-    const [call] = callsIn(effects);
+    const [call] = callsIn(receive(gateway, "note", {}, { receivedBefore: 200, readDelay: 0 }));
     assert.is(call.timeLeft, 6_000);
     gateway.openStream(call);
     gateway.receiveEvents(call, 1);
@@ -53,14 +55,7 @@
 test("a begun stream that is lost while its time limit may not have been reached is continued", () => {
     for (const routeName of ["plan", "note"]) {
         const gateway = TestGateway.serving(server("engine-1"), server("engine-2"), server("engine-3"));
-        const [call] = callsIn(gateway.handle({
-            kind: "requestReceived",
-            requestId: identifier("r"),
-            head: requestHead("r", routeName, { timeLimit: 5_000 }),
-            contentDigest: identifier("r"),
-            receivedAt: gateway.now - readDelay,
-            readDelay,
-        }));
+        const [call] = callsIn(receive(gateway, routeName, { timeLimit: 5_000 }));
         gateway.openStream(call);
         for (let event = 1; event <= 48; event++) {
             gateway.receiveEvents(call, event);
@@ -74,16 +69,7 @@
 
 test("a request without an answer gets its final answer by the earliest end of its time limit", () => {
     const gateway = TestGateway.serving(server("plain-1"), server("engine-1"));
-    for (const name of ["note", "confirm"]) {
-        gateway.handle({
-            kind: "requestReceived",
-            requestId: identifier(name),
-            head: requestHead(name, name, { timeLimit: 2_000 }),
-            contentDigest: identifier(name),
-            receivedAt: gateway.now - readDelay,
-            readDelay,
-        });
-    }
+    ["note", "confirm"].forEach(routeName => receive(gateway, routeName, { timeLimit: 2_000 }));
     assert.equal(failuresIn(gateway.advance(1_750)).map(({ type }) => type), [
         "deadline_exceeded",
         "deadline_exceeded",
