--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -26,8 +26,8 @@
 import { removeLoad } from "./serverLoad.js";
 import { recordServerPause } from "./serverPauses.js";
 import { checkSilentAttempt, returnToSilentAttempt, setSilentAttemptAside } from "./silentAttempts.js";
-import { type Attempt, cutAt, type GatewayRequest } from "./state.js";
-import { continueFromReplica } from "./streams.js";
+import { type Attempt, endsAt, type GatewayRequest } from "./state.js";
+import { continueFromReplica, passOnWhole } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type AttemptFailed = Extract<GatewayEvent, { readonly kind: "attemptFailed"; }>;
@@ -194,6 +194,7 @@
         return;
     }
     if (answer !== undefined && !request.isHeadWritten && !signalsNotRun(answer)) {
+        logAnswered(transaction, request, "request_answered", { status: answer.status });
         transaction.effects.push({ kind: "answerWhole", requestId: request.id, answer });
         return finishAnswered(transaction, request);
     }
@@ -310,8 +311,10 @@
 
 function checkRequest(transaction: Transaction, request: GatewayRequest): void {
     const { state, now } = transaction;
-    if (now >= (request.isHeadWritten ? cutAt(request) : request.deadline)) {
-        return failRequest(transaction, request, "deadline_exceeded", "no complete answer within the time allowed");
+    if (now >= endsAt(request)) {
+        return passOnWhole(transaction, request)
+            ? undefined
+            : failRequest(transaction, request, "deadline_exceeded", "no complete answer within the time allowed");
     }
     checkSilentAttempt(transaction, request);
     const { attempt, route } = request;
