--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -12,7 +12,8 @@
 import type { BackendServer } from "./backendServers.js";
 import { coldShareAt, isCold, spendColdRequest, timeUntilWithinColdRate } from "./coldServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
-import { cannotFinishBeforeStop, retryAfterStop } from "./draining.js";
+import { forecastInStop, isCutByStop, isHeldInStop, retryAfterStop } from "./draining.js";
+import type { DecisionFields } from "./effect.js";
 import { isEvacuated, isServiceEvacuated } from "./evacuations.js";
 import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
@@ -33,7 +34,7 @@
 } from "./serverLoad.js";
 import { isPaused, pauseLeft } from "./serverPauses.js";
 import { returnToSilentAttempt } from "./silentAttempts.js";
-import { type Attempt, type GatewayRequest, type GatewayState, type LostRun, priorityOf } from "./state.js";
+import { type Attempt, cutAt, type GatewayRequest, type GatewayState, type LostRun, priorityOf } from "./state.js";
 import { canContinue, type StreamOrigin } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
 import { startOrWait, waitForColdServer } from "./waiting.js";
@@ -96,12 +97,17 @@
 
 /**
  * Fails a request that has not run if a planned stop would cut it, which may have become so since it was accepted. Returns
- * whether that is the case.
+ * whether that is the case. Otherwise decides how its stream is passed on.
  */
 export function failIfStopCuts(transaction: Transaction, request: GatewayRequest): boolean {
     const { state, now } = transaction;
-    const { route, head, arrivedAt: receivedAt, runs } = request;
-    if (countPossibleRuns(runs) > 0 || !cannotFinishBeforeStop(state, route, { head, receivedAt }, now)) {
+    const { route, head, arrivedAt: receivedAt, limitDoubt, runs } = request;
+    if (countPossibleRuns(runs) > 0) {
+        return false;
+    }
+    const forecast = forecastInStop(state, route, { head, receivedAt, limitDoubt }, now);
+    request.isHeldUntilEnd = isHeldInStop(forecast);
+    if (!isCutByStop(forecast)) {
         return false;
     }
     failRequest(transaction, request, "leaving", "the instance is stopping", retryAfterStop(state, now));
@@ -253,7 +259,7 @@
             backendServer: server.record.id,
             address: server.record.address,
             head,
-            timeLeft: Math.max(1, Math.floor(request.deadline - now)),
+            timeLeft: Math.max(1, Math.floor((route.isStream ? cutAt(request) : request.deadline) - now)),
             organisation: organisation?.id,
             priority: engineOf(state, request.service) === undefined
                 ? undefined
@@ -331,12 +337,52 @@
  *
  * @param reserved retries that must remain beside these and this one
  */
-export function canSendAgain({ state, now }: Transaction, request: GatewayRequest, reserved = 0): boolean {
+export function canSendAgain(transaction: Transaction, request: GatewayRequest, reserved = 0): boolean {
+    return sendObstacle(transaction, request, reserved) === undefined;
+}
+
+/** Why a request may not be sent again. */
+export type SendObstacle = "sends" | "time" | "retries";
+
+/**
+ * Why a request may not be sent again; undefined if it may.
+ *
+ * @param reserved as in {@link canSendAgain}
+ */
+export function sendObstacle(
+    transaction: Transaction,
+    request: GatewayRequest,
+    reserved = 0,
+): SendObstacle | undefined {
+    const { state, now } = transaction;
+    if (sendsLeft(request) < 1) {
+        return "sends";
+    }
+    if (request.deadline - now < minimumTimeForSend) {
+        return "time";
+    }
+    const needed = 1 + reserved + countStoppingRuns(state, request);
+    return retriesLeft(transaction, request) < needed ? "retries" : undefined;
+}
+
+function sendsLeft({ route, sends }: GatewayRequest): number {
+    return (route.isStream ? maximumStreamSends : maximumSends) - sends;
+}
+
+function retriesLeft({ state, now }: Transaction, { service }: GatewayRequest): number {
     const share = { instances: countKnownInstances(state), uptime: now - (state.startedAt ?? now) };
-    return request.sends < (request.route.isStream ? maximumStreamSends : maximumSends)
-        && request.deadline - now >= minimumTimeForSend
-        && remainingRetries(state.retryBudget, request.service, share, now)
-            >= 1 + reserved + countStoppingRuns(state, request);
+    return remainingRetries(state.retryBudget, service, share, now);
+}
+
+/** The log fields that tell whether another send of a request was allowed. */
+export function sendFields(transaction: Transaction, request: GatewayRequest): DecisionFields {
+    const { state, now } = transaction;
+    return {
+        sendsLeft: sendsLeft(request),
+        retriesLeft: Math.round(100 * retriesLeft(transaction, request)) / 100,
+        stoppingRuns: countStoppingRuns(state, request),
+        uptime: Math.round(now - (state.startedAt ?? now)),
+    };
 }
 
 /** The runs of other requests to the same service that their servers were asked to stop. */
