--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -152,6 +152,11 @@
     return deadline + limitDoubt;
 }
 
+/** When a request ends for want of time: one without an answer gets its final answer by the earliest end of its time limit. */
+export function endsAt(request: GatewayRequest): Milliseconds {
+    return request.isHeadWritten ? cutAt(request) : request.deadline;
+}
+
 /** Events that are kept until the record of their stream is stored, or until its end. */
 export interface HeldEvents {
     readonly head: ResponseHead;
@@ -359,10 +364,9 @@
     readonly heldRequests: Set<RequestId>;
     /** The time of the first event. */
     startedAt: Milliseconds | undefined;
-    /** The earliest time at which the process may have been asked to stop, from which the limit of the stop counts. */
     stopRequestedAt: Milliseconds | undefined;
-    /** Since when it has reported itself not ready for the stop. */
-    notReadySince: Milliseconds | undefined;
+    /** How much earlier than it was handled the request to stop may have been sent, as far as the stop takes that into account. */
+    stopDoubt: Milliseconds;
     /** During a planned stop: the whole answers that callers have not taken yet. */
     unsentAnswers: number;
     hasExited: boolean;
@@ -430,7 +434,7 @@
         heldRequests: new Set(),
         startedAt: undefined,
         stopRequestedAt: undefined,
-        notReadySince: undefined,
+        stopDoubt: 0,
         unsentAnswers: 0,
         hasExited: false,
     };
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -134,7 +134,7 @@
         handleError: error => log("error", "loop_failed", { error: describeError(error) }),
     });
     return {
-        stop: () => runner.events.push({ kind: "stopRequested", delay: ticks.readDelay(monotonicNow()) }),
+        stop: () => runner.events.push({ kind: "stopRequested", readDelay: ticks.readDelay(monotonicNow()) }),
         stopped: runner.stopped,
         applySettings: next => runner.events.push({ kind: "settingsChanged", options: next }),
         log,
