--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -19,14 +19,14 @@
 import { handleEndAfterStop } from "./migration.js";
 import { replicaState } from "./replicas.js";
 import { recordRequestLimit } from "./requestLimits.js";
-import { failRequest, finishAnswered, requestFields } from "./requests.js";
+import { failRequest, finishAnswered, logAnswered, requestFields } from "./requests.js";
 import { countPossibleRuns, recordNoRun } from "./runLedger.js";
 import { canDispatchAgain, dispatch, failIfEvacuated, timeUntilUsable } from "./sending.js";
 import { isSuperseded, runFate } from "./serverIncarnations.js";
 import { removeLoad } from "./serverLoad.js";
 import { recordServerPause } from "./serverPauses.js";
 import { checkSilentAttempt, returnToSilentAttempt, setSilentAttemptAside } from "./silentAttempts.js";
-import type { Attempt, GatewayRequest } from "./state.js";
+import { type Attempt, cutAt, type GatewayRequest } from "./state.js";
 import { continueFromReplica } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -45,7 +45,7 @@
 
 /** Handles a complete answer that is not a stream. */
 export function handleAnswer(transaction: Transaction, attemptId: AttemptId, answer: BackendAnswer): void {
-    const { state, now, effects } = transaction;
+    const { state, effects } = transaction;
     const request = state.attempts.get(attemptId);
     const attempt = request?.attempt;
     if (request === undefined || attempt === undefined) {
@@ -66,11 +66,7 @@
     switch (answerClass) {
         case "delivered":
             recordBegunRun(transaction, request);
-            logDecision(transaction, "debug", "request_answered", {
-                ...requestFields(transaction, request),
-                status: answer.status,
-                took: Math.round(now - request.arrivedAt),
-            });
+            logAnswered(transaction, request, "request_answered", { status: answer.status });
             effects.push({ kind: "answerWhole", requestId: request.id, answer });
             return finishAnswered(transaction, request);
         case "not_run":
@@ -314,7 +310,7 @@
 
 function checkRequest(transaction: Transaction, request: GatewayRequest): void {
     const { state, now } = transaction;
-    if (now >= request.deadline) {
+    if (now >= (request.isHeadWritten ? cutAt(request) : request.deadline)) {
         return failRequest(transaction, request, "deadline_exceeded", "no complete answer within the time allowed");
     }
     checkSilentAttempt(transaction, request);
