Refuse requests whose bodies are incomplete when a planned stop ends the process

Cause: close refused requests that were read whole, and left those that were being read to the end of the process.

They get 503 now. The test failed before: no answer.

--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -486,6 +486,13 @@
         }
     };
 
+    /** Refuses the requests whose bodies are not complete. */
+    const refuseIncomplete = (): void => {
+        const incomplete = [...channels.values()].flatMap(({ exchanges }) => [...exchanges])
+            .filter(exchange => exchange.rejectBody !== undefined && !unreported.has(exchange));
+        incomplete.forEach(({ rejectBody }) => rejectBody?.(closing, "exit"));
+    };
+
     /** Refuses the first of the waiting requests if no answer is due before. The answer closes the channel. */
     const refuseWaiting = (channel: CallerChannel): void => {
         const [first] = channel.waiting.splice(0);
@@ -726,6 +733,7 @@
         },
         close: () => {
             channels.forEach(channel => reportCutAnswers(channel, "stopped"));
+            refuseIncomplete();
             unreported.forEach(({ response }) => writeFailure(response, closing, true));
             unreported.clear();
             channels.forEach(refuseWaiting);
--- a/packages/runtime/test/requestsAtExit.test.ts
+++ b/packages/runtime/test/requestsAtExit.test.ts
@@ -3,7 +3,7 @@
  */
 import { waitUntil } from "@verbenaspring/bench";
 import { identifier, type RequestId } from "@verbenaspring/model";
-import { createGatewayCallerServer } from "@verbenaspring/runtime";
+import { createGatewayCallerServer, type GatewayCallerHandlers } from "@verbenaspring/runtime";
 import { connect } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -11,6 +11,16 @@
 
 const answerTime = 1_000;
 
+function handlersFor(received: (requestId: RequestId) => void): GatewayCallerHandlers {
+    return {
+        received,
+        leftEarly: () => undefined,
+        left: () => undefined,
+        refused: () => undefined,
+        drained: () => undefined,
+    };
+}
+
 /** Sends a request, closes the server in the turn in which it has read the request, and returns the answer's first line. */
 async function answerAtExit(extraFields: number): Promise<string> {
     let isPassedOn = false;
@@ -21,15 +31,7 @@
             setImmediate(() => callers.close());
             return 0;
         },
-        {
-            received: () => {
-                isPassedOn = true;
-            },
-            leftEarly: () => undefined,
-            left: () => undefined,
-            refused: () => undefined,
-            drained: () => undefined,
-        },
+        handlersFor(() => isPassedOn = true),
     );
     await callers.listen("127.0.0.1:0");
     const socket = connect(callers.port(), "127.0.0.1");
@@ -54,6 +56,29 @@
     assert.is(await answerAtExit(250), "HTTP/1.1 503 Service Unavailable");
 });
 
+// Its channel was reset when the process was gone, and its caller could not know that it had not run.
+test("a request whose body is not complete at the exit is refused", async () => {
+    const callers = createGatewayCallerServer(
+        () => createCall("127.0.0.1:1").head,
+        () => identifier<RequestId>("1"),
+        () => 0,
+        handlersFor(() => undefined),
+    );
+    await callers.listen("127.0.0.1:0");
+    const socket = connect(callers.port(), "127.0.0.1");
+    socket.write("POST /a/1 HTTP/1.1\r\nhost: clinic.example\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n");
+    await new Promise(resolve => setTimeout(resolve, 100));
+    const answer = new Promise<string>(resolve => {
+        socket.once("data", chunk => resolve(chunk.toString("latin1").split("\r\n")[0]));
+        socket.once("close", () => resolve("closed"));
+        setTimeout(() => resolve("no answer"), answerTime);
+    });
+    callers.close();
+    const firstLine = await answer;
+    socket.destroy();
+    assert.is(firstLine, "HTTP/1.1 503 Service Unavailable");
+});
+
 // A caller that used such a channel waited until the process was gone.
 test("channels on which no request runs close at once when the server closes", async () => {
     const open: RequestId[] = [];
@@ -61,13 +86,7 @@
         () => createCall("127.0.0.1:1").head,
         () => identifier<RequestId>(String(open.length)),
         () => 0,
-        {
-            received: requestId => open.push(requestId),
-            leftEarly: () => undefined,
-            left: () => undefined,
-            refused: () => undefined,
-            drained: () => undefined,
-        },
+        handlersFor(requestId => open.push(requestId)),
     );
     await callers.listen("127.0.0.1:0");
     const [unused, used] = [1, 2].map(() => connect(callers.port(), "127.0.0.1"));
