Apply a shorter idle timeout to unread answers from when it is applied

Callers that had left a stream unread for less than the idle timeout lost it when a configuration shortened the timeout: the pause before the change counted against the new value. It counts from the change now.

callerLimits.test.ts, 'a caller that leaves its stream unread has the whole of a shorter timeout...', failed before with `slow_reader`.

--- a/packages/runtime/src/gatewayCallerServer.ts
+++ b/packages/runtime/src/gatewayCallerServer.ts
@@ -228,6 +228,8 @@
     const openExchanges = new Map<RequestId, Exchange>();
     const budget = new CallerBudget<CallerChannel>(bounds.totalBytes);
     let limits = initialLimits;
+    /** When a shorter idle timeout was last applied. It does not hold for the time before. */
+    let idleTimeoutSince: Milliseconds = -Infinity;
     let isDraining = false;
     /** Exchanges whose whole answer was written, and not taken yet. */
     let unsentAnswers = 0;
@@ -251,6 +253,9 @@
     });
     keepAllFields(server);
     const applyLimits = (next: CallerLimits): void => {
+        if (next.idleTimeout < limits.idleTimeout) {
+            idleTimeoutSince = monotonicNow();
+        }
         limits = next;
         server.headersTimeout = next.headerTimeout;
         server.keepAliveTimeout = next.idleTimeout;
@@ -610,10 +615,10 @@
         for (const channel of channels.values()) {
             const exchanges = [...channel.exchanges];
             const isSlow = ({ pausedSince }: Exchange): boolean =>
-                pausedSince !== undefined && now - pausedSince > limits.idleTimeout;
+                pausedSince !== undefined && now - Math.max(pausedSince, idleTimeoutSince) > limits.idleTimeout;
             const isWhole = exchanges.every(({ isAnswered }) => isAnswered);
             const unreadTime = isWhole ? wholeTime : limits.idleTimeout;
-            if (isStuck(channel, now, unreadTime) || exchanges.some(isSlow)) {
+            if (isStuck(channel, now, unreadTime, idleTimeoutSince) || exchanges.some(isSlow)) {
                 handlers.cut?.("slow_reader", channel.address);
                 reportCutAnswers(channel, "slow_reader");
                 channel.socket.resetAndDestroy();
@@ -773,8 +778,8 @@
     return chosen;
 }
 
-/** Whether a caller with unread answers has taken too little of them for the given time. */
-function isStuck(channel: CallerChannel, now: Milliseconds, limit: Milliseconds): boolean {
+/** Whether a caller with unread answers has taken too little of them for the given time, which counts from `since` at the earliest. */
+function isStuck(channel: CallerChannel, now: Milliseconds, limit: Milliseconds, since: Milliseconds): boolean {
     const { socket, progress } = channel;
     if (socket.unsentBytes === 0) {
         channel.progress = undefined;
@@ -785,7 +790,7 @@
         channel.progress = { takenBytes, at: now };
         return false;
     }
-    return now - progress.at > limit;
+    return now - Math.max(progress.at, since) > limit;
 }
 
 const headersTooLarge = failure("headers_too_large", "the headers are too large", "not_run");
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -256,6 +256,30 @@
     assert.equal(harness.cutAnswers.map(({ reason, isWritten }) => [reason, isWritten]), [["slow_reader", false]]);
 });
 
+// The new timeout held for the time before it, so that a configuration cut streams that were within the old one.
+test("a caller that leaves its stream unread has the whole of a shorter timeout from when it is applied", async () => {
+    const harness = new Harness(false, okAnswer, { totalBytes: 2 ** 24, streamBytes: 2 ** 16, connections: 5 });
+    const limits = { headerBytes: 2_000, bodyBytes: 100, headerTimeout: 300, idleTimeout: 15_000 };
+    harness.callers.applyLimits(limits);
+    const client = await harness.connect();
+    client.socket.pause();
+    client.socket.write(emptyRequest);
+    await waitUntil(() => harness.open.length === 1);
+    harness.callers.writeHead(harness.open[0], { ...createResponseHead(200), endsWithChannel: false });
+    const event = { id: 1, bytes: Buffer.alloc(64 * 1024) };
+    // The kernel takes some megabytes before the stream is paused.
+    await waitUntil(() => {
+        harness.callers.writeEvents(harness.open[0], [event]);
+        return harness.callers.budget.heldOf("answers") > 2 ** 18;
+    });
+    await pause(2_500);
+    harness.callers.applyLimits({ ...limits, idleTimeout: 1_500 });
+    await pause(1_300);
+    assert.equal([harness.cutAnswers, harness.left], [[], []]);
+    await waitUntil(() => harness.left.length === 1);
+    assert.equal(harness.cutAnswers.map(({ reason }) => reason), ["slow_reader"]);
+});
+
 // The kernel takes bytes from the process in large steps, between which a steady reader looks like one that has stopped.
 test("a caller that reads its answer steadily keeps it, also with a short idle timeout", async () => {
     const body = Buffer.alloc(8 * 1024 * 1024);
