Hold streams by when a planned stop may have begun

A stream that callers sent more than 3 s after SIGTERM could be accepted by its estimate, passed on as it came and cut at the end of the stop, if the signal had been read more than half a second late: the first 2.5 s counted from when it was read. They count from the earliest time, as the end of the stop does.

lateInStop.test.ts, 'a stream is held until its end once it may have been sent late in a stop...', failed before: its first event was passed on. 346 of 346 tests of packages/gateway pass.

--- a/packages/gateway/src/draining.ts
+++ b/packages/gateway/src/draining.ts
@@ -64,7 +64,7 @@
     if (stopRequestedAt === undefined) {
         return undefined;
     }
-    const isLate = now - stopRequestedAt >= estimatesTrustedFor;
+    const isLate = now - stopRequestedAt + state.stopDoubt >= estimatesTrustedFor;
     const remaining = state.hasExited ? -Infinity : stopRequestedAt + finalAnswersAfter(state) - now;
     if (!isLate) {
         const streamTime = route.isStream ? durationSafetyFactor * expectedOutput(head) * state.timePerToken : 0;
--- a/packages/gateway/test/lateInStop.test.ts
+++ b/packages/gateway/test/lateInStop.test.ts
@@ -362,6 +362,18 @@
     }
 });
 
+test("a stream is held until its end once it may have been sent late in a stop, though the request to stop was read late", () => {
+    for (const [readDelay, isHeld] of [[0, false], [700, true]] as const) {
+        const gateway = servingGateway();
+        gateway.completeStream("earlier", "plan");
+        gateway.handle({ kind: "stopRequested", readDelay });
+        gateway.advance(2_400);
+        const [call] = callsIn(gateway.receiveRequest("late", "plan", { maximumTokens: 31 }));
+        const first = [...gateway.openStream(call), ...gateway.receiveEvents(call, 1)];
+        assert.equal(eventsIn(first), isHeld ? [] : [1]);
+    }
+});
+
 test("a stream goes on into the last sixth of a stop, however late the request to stop was read", () => {
     const gateway = servingGateway();
     gateway.startStream("begun", "plan", { maximumTokens: 10 });
