--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -183,8 +183,8 @@
 }
 
 /**
- * Whether a server that stays holds a replica of a run, or will before the run's own server may exit. A replica that is
- * not complete yet counts that long: it grows while the run produces events.
+ * Whether a server that stays holds a replica of a run, or will before the run's own server may exit. An
+ * incomplete replica counts for that long, since it grows while the run produces events.
  */
 function isReplicatedInTime(transaction: Transaction, request: GatewayRequest, attempt: Attempt): boolean {
     if (findStayingHolder(transaction, request, attempt) === undefined) {
--- a/packages/gateway/src/routeDurations.ts
+++ b/packages/gateway/src/routeDurations.ts
@@ -100,18 +100,18 @@
     }
 }
 
-/** When a request was received at the earliest, and how much later it may have been sent as far as its limits go. */
+/** When a request was received at the earliest, and how much later its time limits may begin. */
 export interface RequestArrival {
     readonly receivedAt: Milliseconds;
     readonly limitDoubt: Milliseconds;
 }
 
-/** The part of the half second in which a final answer is due after its time limit that doubt about the limit may take. */
+/** Half of the time after its time limit in which a final answer is due. */
 const maximumLimitDoubt: Milliseconds = 250;
 
 /**
- * How much later the time limits of a request may end than by the earliest time at which it was received: a delayed loop may have
- * read it as soon as it was sent, and its body may have taken time.
+ * How much later than when a request was received at the earliest its time limits may begin: a delayed loop may have read
+ * it as soon as it was sent, and its body may have taken time to arrive.
  */
 export function limitDoubt(receivedAt: Milliseconds, readAt: Milliseconds): Milliseconds {
     return Math.min(readAt - receivedAt, maximumLimitDoubt);
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -365,7 +365,7 @@
     /** The time of the first event. */
     startedAt: Milliseconds | undefined;
     stopRequestedAt: Milliseconds | undefined;
-    /** How much earlier than it was handled the request to stop may have been sent, as far as the stop takes that into account. */
+    /** How much earlier than it was handled the request to stop is taken to have been sent. */
     stopDoubt: Milliseconds;
     /** During a planned stop: the whole answers that callers have not taken yet. */
     unsentAnswers: number;
