--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -5,9 +5,9 @@
  * has one migration at a time, since all of them share its network link.
  *
  * At a server that leaves, a stream needs no migration if a new run can continue it, or if a server that stays holds a
- * usable replica of it, or will before the server may exit. That is decided again until the stream has left its server. An evacuated server goes on, so its
- * streams are migrated to empty the failure domain: those that would be lost with it first, and only with memory and
- * retries that others leave unused.
+ * usable replica of it, or will before the server may exit. That is decided again until the stream has left its server.
+ * An evacuated server goes on, so its streams are migrated to empty the failure domain: those that would be lost with it
+ * first, and only with memory and retries that others leave unused.
  */
 import { chooseReplicaHost, migrationPlacement, replicaPlacement } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
@@ -183,8 +183,8 @@
 }
 
 /**
- * Whether a server that stays holds a replica of a run, or will before the run's own server may exit. An
- * incomplete replica counts for that long, since it grows while the run produces events.
+ * Whether a server that stays holds a replica of a run, or will before the run's own server may exit. An incomplete
+ * replica counts for that long, since it grows while the run produces events.
  */
 function isReplicatedInTime(transaction: Transaction, request: GatewayRequest, attempt: Attempt): boolean {
     if (findStayingHolder(transaction, request, attempt) === undefined) {
