--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -5,8 +5,17 @@
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { engineBackend, startEngine } from "../lib-2/engine.mjs";
-import { configuration, hasTrouble, host, keepRegistered, killGateway, runCase, sleep, startGateway, startStore } from
-    "../lib-2/world.mjs";
+import {
+    configuration,
+    hasTrouble,
+    host,
+    keepRegistered,
+    killGateway,
+    runCase,
+    sleep,
+    startGateway,
+    startStore,
+} from "../lib-2/world.mjs";
 
 const streams = 180;
 const streamsAtOnce = 36;
@@ -28,7 +37,7 @@
         });
         socket.write(
             `POST /plans/1 HTTP/1.1\r\nHost: review.example\r\nAttempt-Id: ${id}\r\nDeadline-Ms: 39000\r\nModel: m\r\n`
-            + `Token-Usage: 300,480\r\nPrefix-Hash: 5c1e:48,${id}:252\r\nConnection: close\r\nContent-Length: 6\r\n\r\nprompt`,
+                + `Token-Usage: 300,480\r\nPrefix-Hash: 5c1e:48,${id}:252\r\nConnection: close\r\nContent-Length: 6\r\n\r\nprompt`,
         );
     });
 }
@@ -55,8 +64,14 @@
         own(keepRegistered(store, engine.id, "planner", engine.address));
     }
     const route = {
-        name: "plans", pathPrefix: "/plans/", routeType: "streaming", streamResume: false, itlTargetMs: 180,
-        sessionAffinity: true, targetLatencyMs: 1800, timeoutMs: 39000,
+        name: "plans",
+        pathPrefix: "/plans/",
+        routeType: "streaming",
+        streamResume: false,
+        itlTargetMs: 180,
+        sessionAffinity: true,
+        targetLatencyMs: 1800,
+        timeoutMs: 39000,
     };
     store.put("keyed.op", "config", configuration(1, "planner", [route], undefined, engineBackend));
     const gateway = await startGateway(store, scratch);
--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -8,8 +8,18 @@
 
 /** The capabilities of the engines in a configuration. */
 export const engineBackend = {
-    slots: 96, kvCapacity: 34609, kvBytes: 18432, linkMbps: 2700, migrations: true, replicas: true, stride: tokensPerEvent,
-    most: 12, pinMs: 4000, holdMs: 2000, handleTtlS: 5, modelList: [{ name: "m" }],
+    slots: 96,
+    kvCapacity: 34609,
+    kvBytes: 18432,
+    linkMbps: 2700,
+    migrations: true,
+    replicas: true,
+    stride: tokensPerEvent,
+    most: 12,
+    pinMs: 4000,
+    holdMs: 2000,
+    handleTtlS: 5,
+    modelList: [{ name: "m" }],
 };
 
 /**
@@ -54,8 +64,17 @@
             const runs = engine.runs.filter(({ endedAt }) => endedAt === undefined)
                 .map(run => [run.attemptId, run.promptTokens + tokensPerEvent * run.events, run.events, 5]);
             return sendJson(response, 200, {
-                phase: "colocated", modelList: [{ name: "m", version: 1, loras: [] }], busy: false, sequence: 0,
-                waiting: 0, running: runs.length, kvUsage: 0, kvSize: 34609, handleList: 0, runs, state: "ready",
+                phase: "colocated",
+                modelList: [{ name: "m", version: 1, loras: [] }],
+                busy: false,
+                sequence: 0,
+                waiting: 0,
+                running: runs.length,
+                kvUsage: 0,
+                kvSize: 34609,
+                handleList: 0,
+                runs,
+                state: "ready",
             });
         }
         if (request.url === "/kv-move") {
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -142,7 +142,14 @@
             timeoutMs: 30000,
             ...route,
         })),
-        services: [{ name: service, healthCheckPath: "/healthz", maxConnections: 110, protocol: "h1", tls: false, backend }],
+        services: [{
+            name: service,
+            healthCheckPath: "/healthz",
+            maxConnections: 110,
+            protocol: "h1",
+            tls: false,
+            backend,
+        }],
         limits,
     };
 }
@@ -185,16 +192,33 @@
         entry: "virtual_ip",
         heartbeatMs: 1200,
         bounds: {
-            seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackTimeoutMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8,
-            lossSlackMs: 200, configApplyMs: 2000, rollbackSlackMs: 250, outerMs: 5000, revokeStrict: false,
-            revokeMs: 5000, retryBudgetRatio: 0.2, retryWindowS: 10, retrySlack: 56, recoveryS: 12, iterationMs: 120,
+            seedLagS: 3,
+            reuseAfterS: 2,
+            contactMs: 3000,
+            ackTimeoutMs: 4000,
+            catchUpS: 4,
+            drainMs: 2000,
+            graceS: 8,
+            lossSlackMs: 200,
+            configApplyMs: 2000,
+            rollbackSlackMs: 250,
+            outerMs: 5000,
+            revokeStrict: false,
+            revokeMs: 5000,
+            retryBudgetRatio: 0.2,
+            retryWindowS: 10,
+            retrySlack: 56,
+            recoveryS: 12,
+            iterationMs: 120,
             reuseWindowS: 8.5,
         },
         platform: { address: store.address, form: "log", writesPerS: 400, readsPerS: 2000, parts: 12, keep_s: 300 },
     };
     const file = join(folder, `${name}.json`);
     writeFileSync(file, JSON.stringify(settings));
-    const [, command] = /\[roles\.entry\]\s+run = "([^"]+)"/.exec(readFileSync(join(root, "deploy/system.toml"), "utf8"));
+    const [, command] = /\[roles\.entry\]\s+run = "([^"]+)"/.exec(
+        readFileSync(join(root, "deploy/system.toml"), "utf8"),
+    );
     const [program, ...words] = command.split(" ");
     const child = spawn(program === "node" ? process.execPath : program, words, {
         cwd: root,
@@ -211,7 +235,13 @@
     child.stderr.on("data", text => output += text);
     const exited = new Promise(resolve => child.once("exit", (code, signal) => resolve({ code, signal })));
     const gateway = {
-        child, exited, frontend, ready, control, settings, file,
+        child,
+        exited,
+        frontend,
+        ready,
+        control,
+        settings,
+        file,
         output: () => output,
         isReady: () => probe(ready),
     };
