Log what separates late reports from late reads of the store

No line told how long a report between gateways was under way, nor how long an answer of the store took beyond its wait, and the age of the view stood at the end of request_refused, where the users' record cuts it off. Reports now carry their time and echo the newest one of their receiver, so that the receiver knows by its own clock how long they can have been under way: peer_report_late. topic_read_late does the same for reads. request_refused begins with version, age and reader of the view. No decision changes; gateways of an earlier version ignore the new fields.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -50,6 +50,10 @@
 /** A tombstone is dropped, and no longer reported to other gateways, once the topic is known this far beyond it. */
 const tombstoneRetentionOffsets = 2_000;
 
+/** The time beyond its wait from which on a read is logged as late. */
+const lateReadThreshold: Milliseconds = 500;
+const lateReadLogInterval: Milliseconds = 1_000;
+
 /** How long the times of changes are kept; longer than a gateway waits before it passes on what another one read. */
 const changeRetention: Milliseconds = 2_000;
 
@@ -76,11 +80,12 @@
     follower.isReading = true;
     follower.readStartedAt = now;
     recordReadStart(state, topic);
+    follower.readWait = isRequired || follower.next === undefined ? 0 : readPlans[topic].wait;
     if (follower.next === undefined) {
         effects.push({ kind: "readSnapshot", topic });
         return;
     }
-    effects.push({ kind: "readTopic", topic, from: follower.next, wait: isRequired ? 0 : readPlans[topic].wait });
+    effects.push({ kind: "readTopic", topic, from: follower.next, wait: follower.readWait });
 }
 
 /** Whether this gateway has to read the topic: it ranks first, or the newest known read is too old for its rank. */
@@ -120,6 +125,7 @@
     }
     follower.isReading = false;
     recordReadEnd(state, topic);
+    logLateRead(transaction, event);
     const isAtEnd = event.isAtEnd ?? true;
     follower.nextReadAt = now + (isAtEnd ? readPlans[topic].pause : 0);
     const apply = event.isSnapshot ? applySnapshot : applyItems;
@@ -138,6 +144,25 @@
     startDueRead(transaction, topic);
 }
 
+/** Logs a read that took long beyond the time that the log may have waited for a record, at most once a second for each topic. */
+function logLateRead(transaction: Transaction, { topic, isSnapshot, items, next }: TopicRead): void {
+    const { state, now } = transaction;
+    const follower = state.followers[topic];
+    const took = now - follower.readStartedAt;
+    if (took - follower.readWait < lateReadThreshold || now - follower.lateReadLoggedAt < lateReadLogInterval) {
+        return;
+    }
+    follower.lateReadLoggedAt = now;
+    logDecision(transaction, "info", "topic_read_late", {
+        topic,
+        took: Math.round(took),
+        wait: follower.readWait,
+        isSnapshot,
+        items: items.length,
+        next,
+    });
+}
+
 function knownReadCount({ readCounts }: TopicFollower, reader: GatewayIncarnation): number {
     return readCounts.get(reader) ?? 0;
 }
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -34,6 +34,12 @@
     readonly age: Milliseconds;
 }
 
+/** A report, by the clock of the gateway that receives its echo, and how long the sender of the echo has had it. */
+export interface ReportEcho {
+    readonly sentAt: Milliseconds;
+    readonly heldFor: Milliseconds;
+}
+
 /** Identifies one read of a topic: the gateway that read, and how many reads it had made by then. */
 export interface TopicReadStamp {
     readonly reader: GatewayIncarnation;
@@ -119,6 +125,10 @@
     readonly protocol: number;
     /** Whether the sender is to keep a link to the receiver. */
     readonly wantsLink: boolean;
+    /** When the report was created, by the sender's clock; absent from gateways of an earlier version. */
+    readonly sentAt?: Milliseconds | undefined;
+    /** The receiver's newest report that the sender has handled; absent if it has handled none. */
+    readonly echo?: ReportEcho | undefined;
     readonly records: readonly RelayedRecord[];
     readonly topics: readonly PeerTopic[];
     /** The notices that it learnt since its last report on the link. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -37,6 +37,9 @@
 const heartbeatsUntilSilent = 3;
 const minimumReopenDelay: Milliseconds = 200;
 const maximumReopenDelay: Milliseconds = 2_000;
+/** The transmission from which on a report is logged as late. */
+const lateReportThreshold: Milliseconds = 500;
+const lateReportLogInterval: Milliseconds = 1_000;
 /** How often the neighbours are chosen again without a change of the members. */
 const wantedInterval: Milliseconds = 500;
 /** How long a link stays open that neither end wants. */
@@ -220,6 +223,8 @@
         unwantedSince: -Infinity,
         wantsLink: false,
         lastReportAt: undefined,
+        heard: undefined,
+        lateReportLoggedAt: -Infinity,
         link: "closed",
         reopenAt: 0,
         openedAt: 0,
@@ -255,6 +260,10 @@
         incarnation: state.incarnation,
         protocol: reportProtocol,
         wantsLink: peer.isWanted,
+        sentAt: now,
+        echo: peer.heard === undefined
+            ? undefined
+            : { sentAt: peer.heard.sentAt, heldFor: now - peer.heard.handledAt },
         records,
         members: isCurrent ? [] : liveAddresses(state, now),
         isStopping: state.stopRequestedAt !== undefined,
@@ -286,6 +295,9 @@
         return;
     }
     const isNewIncarnation = peer.incarnation !== undefined && peer.incarnation !== report.incarnation;
+    if (isNewIncarnation) {
+        peer.heard = undefined;
+    }
     if (peer.link !== "open" || isNewIncarnation) {
         startLink(state, peer, "open", now);
     }
@@ -293,6 +305,8 @@
     peer.protocol = report.protocol;
     peer.wantsLink = report.wantsLink || report.protocol === 0;
     peer.lastReportAt = now;
+    recordHeard(peer, report, now);
+    logLateReport(transaction, peer, report);
     peer.failures = 0;
     state.hintedAddresses.delete(report.address);
     if (report.protocol === 0) {
@@ -311,6 +325,41 @@
     }
 }
 
+function recordHeard(peer: Peer, { sentAt }: PeerReport, now: Milliseconds): void {
+    if (sentAt !== undefined && sentAt >= (peer.heard?.sentAt ?? -Infinity)) {
+        peer.heard = { sentAt, handledAt: now };
+    }
+}
+
+/**
+ * The longest that a report can have been under way, from its creation until it is handled: the time since the report of this
+ * gateway that it echoes, less the time that the sender had that one. Only durations on one clock each are compared.
+ * Undefined without an echo, as in the first report on a link and from gateways of an earlier version.
+ */
+function longestTransmission({ echo }: PeerReport, now: Milliseconds): Milliseconds | undefined {
+    const transmission = echo === undefined ? undefined : now - echo.sentAt - echo.heldFor;
+    // An echo of what this process has not sent yet was meant for an earlier one.
+    return transmission === undefined || transmission < 0 ? undefined : transmission;
+}
+
+/** Logs a report that may have been under way for long, at most once a second for each peer. */
+function logLateReport(transaction: Transaction, peer: Peer, report: PeerReport): void {
+    const { now } = transaction;
+    const transmission = longestTransmission(report, now);
+    const isLate = transmission !== undefined && transmission >= lateReportThreshold;
+    if (!isLate || now - peer.lateReportLoggedAt < lateReportLogInterval) {
+        return;
+    }
+    peer.lateReportLoggedAt = now;
+    logDecision(transaction, "info", "peer_report_late", {
+        peer: peer.address,
+        transmission: Math.round(transmission),
+        sinceLink: Math.round(now - peer.openedAt),
+        records: report.records.length,
+        items: report.topics.reduce((sum, { items }) => sum + items.length, 0),
+    });
+}
+
 /** Only gateways of an older version name others by their addresses. More than these are learnt later. */
 const maximumHints = 64;
 
@@ -373,6 +422,7 @@
         return;
     }
     peer.link = "closed";
+    peer.heard = undefined;
     peer.failures++;
     peer.wantsLink = false;
     peer.reopenAt = now + backoff(peer.failures, minimumReopenDelay, maximumReopenDelay, source.random);
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -177,11 +177,12 @@
     logDecision(transaction, "warn", "request_refused", {
         request: head.callerAttemptId,
         reason: type,
-        host: head.host,
-        path: pathOf(head).slice(0, maximumLoggedPath),
-        hostRoutes: configuration?.routesByHost.get(head.host)?.length ?? 0,
         configurationVersion: configuration?.version,
         configurationAge: ageOf(now, followers.configuration.freshAsOf),
+        configurationReader: followers.configuration.lastRead?.reader,
+        hostRoutes: configuration?.routesByHost.get(head.host)?.length ?? 0,
+        host: head.host,
+        path: pathOf(head).slice(0, maximumLoggedPath),
     });
     const spreadRetryAfter = retryAfter === undefined
         ? undefined
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -250,7 +250,11 @@
     isReading: boolean;
     /** When the newest read started. */
     readStartedAt: Milliseconds;
+    /** How long the newest read lets the log wait for a record. */
+    readWait: Milliseconds;
     nextReadAt: Milliseconds;
+    /** When a read that took long was last logged. */
+    lateReadLoggedAt: Milliseconds;
     /** When a report of a peer that could not be applied was last logged. */
     ignoredReportLoggedAt: Milliseconds;
     /** Why and when the last read failed; undefined after a successful one. */
@@ -271,6 +275,10 @@
     wantsLink: boolean;
     /** When its last report came; undefined before the first. */
     lastReportAt: Milliseconds | undefined;
+    /** When its newest report was created, by its own clock, and when it was handled here; undefined before the first on this link. */
+    heard: { readonly sentAt: Milliseconds; readonly handledAt: Milliseconds; } | undefined;
+    /** When a report that was long under way was last logged. */
+    lateReportLoggedAt: Milliseconds;
     link: "closed" | "opening" | "open";
     reopenAt: Milliseconds;
     openedAt: Milliseconds;
@@ -459,7 +467,9 @@
         rank: undefined,
         isReading: false,
         readStartedAt: Infinity,
+        readWait: 0,
         nextReadAt: 0,
+        lateReadLoggedAt: -Infinity,
         ignoredReportLoggedAt: -Infinity,
         lastFailure: undefined,
     };
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -447,4 +447,50 @@
     assert.is(readsWith(7), 0);
 });
 
+test("a report that may have been under way for long is logged, with how long at most", () => {
+    const gateway = new TestGateway();
+    gateway.receiveReport({ sentAt: 7 });
+    const late = (transmission: number) =>
+        gateway.receiveReport({ sentAt: 8, echo: { sentAt: gateway.now - 900, heldFor: 900 - transmission } });
+    assert.equal(linesIn(late(480), "peer_report_late"), []);
+    assert.equal(linesIn(late(820), "peer_report_late").map(({ transmission }) => transmission), [820]);
+    assert.equal(linesIn(late(820), "peer_report_late"), [], "again within a second");
+    gateway.now += 1_000;
+    assert.is(linesIn(late(820), "peer_report_late").length, 1);
+});
+
+test("an echo of a report that an earlier process sent is ignored", () => {
+    const gateway = new TestGateway();
+    gateway.receiveReport({ sentAt: 7 });
+    const echo = { sentAt: gateway.now + 60_000, heldFor: 0 };
+    assert.equal(linesIn(gateway.receiveReport({ sentAt: 8, echo }), "peer_report_late"), []);
+});
+
+test("a report echoes the newest report of its receiver, and none that an earlier process sent", () => {
+    const gateway = new TestGateway();
+    const echoes = (duration: number) =>
+        gateway.advance(duration).flatMap(effect => effect.kind === "sendReport" ? [effect.report.echo] : []);
+    gateway.receiveReport({ sentAt: 70_000 });
+    gateway.receiveReport({ sentAt: 70_200 });
+    gateway.receiveReport({ sentAt: 70_100 });
+    const heard = gateway.now;
+    assert.equal(echoes(50), [{ sentAt: 70_200, heldFor: gateway.now - heard }]);
+    gateway.receiveReport({ incarnation: identifier("restarted"), sentAt: 40 });
+    assert.is(echoes(50)[0]?.sentAt, 40);
+    gateway.handle({ kind: "peerLinkClosed", address: other });
+    gateway.receiveReport({ incarnation: identifier("restarted") });
+    assert.is(echoes(50)[0], undefined, "the link is new");
+});
+
+test("a read that takes long beyond its wait is logged", () => {
+    const gateway = new TestGateway();
+    const read = (took: number) => {
+        gateway.read("configuration", []);
+        gateway.now += took;
+        return linesIn(gateway.read("configuration", []), "topic_read_late").map(fields => [fields.took, fields.wait]);
+    };
+    assert.equal(read(600), []);
+    assert.equal(read(1_150), [[1_150, 600]]);
+});
+
 test.run();
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -31,6 +31,8 @@
         incarnation,
         protocol: report.protocol,
         wantsLink: report.wantsLink,
+        sentAt: report.sentAt,
+        echo: report.echo === undefined ? undefined : { $typeName: "verbenaspring.v1.ReportEcho", ...report.echo },
         records: report.records.map(encodeRelayedRecord),
         members: [...members],
         isStopping,
@@ -116,6 +118,10 @@
         incarnation: identifier(incarnation),
         protocol: message.protocol,
         wantsLink: message.wantsLink,
+        sentAt: message.sentAt,
+        echo: message.echo === undefined
+            ? undefined
+            : { sentAt: message.echo.sentAt, heldFor: message.echo.heldFor },
         records: message.records.map(decodeRecord),
         members: members.map(member => identifier<PeerAddress>(member)),
         isStopping,
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -49,6 +49,8 @@
         ],
         protocol: 1,
         wantsLink: true,
+        sentAt: 81_234.5,
+        echo: { sentAt: 9_321.25, heldFor: 480.5 },
         records: [{
             record: {
                 address: identifier("10.1.0.9:8748"),
