Failing test: links that fall behind keep configurations from gateways

Five gateways by their reducers, a configuration each 700 ms; reports are delayed, in order, by a time that grows by 0.3 s a second to 3 or 6 s.

--- a/packages/gateway/test/linkedGateways.ts
+++ b/packages/gateway/test/linkedGateways.ts
@@ -1,11 +1,12 @@
 /**
- * Gateways that follow one log and exchange their reports. The log can turn gateways away and delete its history, and
- * links between gateways can be cut.
+ * Gateways that follow one log and exchange their reports. The log can turn gateways away and delete its history, links
+ * between gateways can be cut or delay reports, and gateways can handle the answers of the log late.
  */
 import type {
     BackendRecord,
     DecodedItem,
     GatewayEffect,
+    GatewayOptions,
     PeerReport,
     RoutingConfiguration,
 } from "@verbenaspring/gateway";
@@ -22,6 +23,12 @@
     readonly dueAt: number;
 }
 
+/** What reaches a gateway later than it was sent. */
+interface Delivery {
+    readonly dueAt: number;
+    readonly deliver: () => void;
+}
+
 const stepDuration = 10;
 const tickDuration = 50;
 
@@ -61,21 +68,27 @@
     readonly turnedAway = new Set<TestGateway>();
     /** Pairs of gateways whose reports to each other are lost. */
     readonly cutLinks: (readonly [TestGateway, TestGateway])[] = [];
+    /** How long a report is under way that is sent now; reports on a link keep their order. */
+    reportDelay: (sender: TestGateway, receiver: TestGateway) => number = () => 0;
+    /** How long an answer of the log that is sent now waits until the gateway handles it. */
+    readDelay: (gateway: TestGateway) => number = () => 0;
     /** The items of all reports that were delivered. */
     deliveredItems = 0;
+    /** By link, or by gateway and topic. Each list is in the order of sending. */
+    private readonly deliveries = new Map<string, Delivery[]>();
     private readonly logs: Readonly<Record<TopicName, TestLog>> = {
         configuration: new TestLog(),
         backendServers: new TestLog(),
     };
     private pendingReads: PendingRead[] = [];
 
-    constructor(size: number) {
+    constructor(size: number, options: Partial<GatewayOptions> = {}) {
         const seedAddresses = Array.from(
             { length: size },
             (_, index) => identifier<PeerAddress>(`10.1.0.${index + 1}:8748`),
         );
         this.gateways = seedAddresses.map(peerAddress => {
-            const gateway = new TestGateway({ peerAddress, seedAddresses });
+            const gateway = new TestGateway({ ...options, peerAddress, seedAddresses });
             Object.assign(gateway.state, { incarnation: identifier<never>(peerAddress) });
             return gateway;
         });
@@ -112,6 +125,7 @@
             this.now += stepDuration;
             this.gateways.forEach(gateway => gateway.now = this.now);
             this.endReads();
+            this.deliverDue();
             if (this.now % tickDuration === 0) {
                 this.gateways.forEach(gateway => this.perform(gateway, gateway.handle({ kind: "tick" })));
             }
@@ -156,11 +170,29 @@
         if (items.length === 0 && this.now < dueAt) {
             return false;
         }
-        const isSnapshot = from === undefined;
-        this.perform(gateway, gateway.handle({ kind: "topicRead", topic, isSnapshot, items, next: log.end }));
+        const event = { kind: "topicRead", topic, isSnapshot: from === undefined, items, next: log.end } as const;
+        const key = `${gateway.state.options.peerAddress} ${topic}`;
+        this.deliverAfter(this.readDelay(gateway), key, () => this.perform(gateway, gateway.handle(event)));
         return true;
     }
 
+    private deliverAfter(delay: number, key: string, deliver: () => void): void {
+        const queue = this.deliveries.get(key) ?? [];
+        if (delay === 0 && queue.length === 0) {
+            return deliver();
+        }
+        this.deliveries.set(key, queue);
+        queue.push({ dueAt: Math.max(this.now + delay, queue.at(-1)?.dueAt ?? 0), deliver });
+    }
+
+    private deliverDue(): void {
+        for (const queue of this.deliveries.values()) {
+            while (queue.length > 0 && queue[0].dueAt <= this.now) {
+                queue.shift()?.deliver();
+            }
+        }
+    }
+
     private perform(gateway: TestGateway, effects: readonly GatewayEffect[]): void {
         for (const effect of effects) {
             switch (effect.kind) {
@@ -189,6 +221,11 @@
         if (receiver === undefined || isCut) {
             return;
         }
+        const key = `${sender.state.options.peerAddress} ${address}`;
+        this.deliverAfter(this.reportDelay(sender, receiver), key, () => this.receive(receiver, report));
+    }
+
+    private receive(receiver: TestGateway, report: PeerReport): void {
         const itemsOf = (topic: TopicName): DecodedItem[] =>
             report.topics.filter(({ name }) => name === topic).flatMap(({ items }) => items)
                 .map(item => this.decode(topic, item));
--- /dev/null
+++ b/packages/gateway/test/outdatedViews.test.ts
@@ -0,0 +1,93 @@
+/**
+ * What gateways take for the age of their views while reports, or answers of the log, reach them late.
+ */
+import { indexRoutes } from "@verbenaspring/gateway";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { configuration, failuresIn, route, routes, server, type TestGateway } from "./gatewayBuilders.js";
+import { LinkedGateways } from "./linkedGateways.js";
+
+/** From the acknowledgement of a configuration until it must be in force. */
+const configurationLimit = 2_000;
+const changeInterval = 700;
+const changes = 40;
+
+/** Five gateways that have read a configuration; the first of them reads it for all. */
+function linkedGateways(): LinkedGateways {
+    const linked = new LinkedGateways(5, { configurationLimit });
+    linked.configure(configuration(1));
+    linked.register(server("plain-1"));
+    linked.advance(5_000);
+    return linked;
+}
+
+function readerIn({ gateways }: LinkedGateways): TestGateway {
+    const { reader } = gateways[0].state.followers.configuration.lastRead!;
+    return gateways.find(({ state }) => state.incarnation === reader)!;
+}
+
+/** A configuration with a route of its own. */
+function versionWithRoute(version: number) {
+    return configuration(version, { routesByHost: indexRoutes([...routes, route(`r-${version}`)]) });
+}
+
+/**
+ * Writes configurations one after the other. Returns the longest time for which a gateway lacked one, and how many requests
+ * for its route were answered 404 after the limit.
+ */
+function change(linked: LinkedGateways): { readonly longestDelay: number; readonly denied: number; } {
+    const acknowledgedAt = new Map<number, number>();
+    let longestDelay = 0;
+    let denied = 0;
+    for (let version = 2; version < 2 + changes; version++) {
+        linked.configure(versionWithRoute(version));
+        acknowledgedAt.set(version, linked.now);
+        for (let elapsed = 0; elapsed < changeInterval; elapsed += 50) {
+            linked.advance(50);
+            for (const gateway of linked.gateways) {
+                const known = gateway.state.configuration!.version;
+                const delay = linked.now - (acknowledgedAt.get(known + 1) ?? linked.now);
+                longestDelay = Math.max(longestDelay, delay);
+                denied += delay > configurationLimit && isDenied(gateway, linked.now, known + 1) ? 1 : 0;
+            }
+        }
+    }
+    return { longestDelay, denied };
+}
+
+function isDenied(gateway: TestGateway, now: number, version: number): boolean {
+    const effects = gateway.receiveRequest(`${version}-${now}`, `r-${version}`);
+    return failuresIn(effects).some(({ type }) => type === "route_not_found");
+}
+
+/** A delay that grows from a moment on by 0.3 s a second, as of a link or a process that falls behind. */
+function growingDelay(linked: LinkedGateways, limit: number): () => number {
+    const { now: start } = linked;
+    return () => Math.min(limit, Math.round((linked.now - start) * 0.3));
+}
+
+for (const limit of [3_000, 6_000]) {
+    // The age in a report left out how long it was under way.
+    test(`the links of the reader that fall behind by ${limit} ms keep no configuration from the others`, () => {
+        const linked = linkedGateways();
+        const reader = readerIn(linked);
+        const delay = growingDelay(linked, limit);
+        linked.reportDelay = sender => sender === reader ? delay() : 0;
+        const { longestDelay, denied } = change(linked);
+        assert.is(denied, 0);
+        assert.ok(longestDelay <= configurationLimit, `${longestDelay} ms`);
+    });
+
+    test(`the links to one gateway that fall behind by ${limit} ms keep no configuration from it`, () => {
+        const linked = linkedGateways();
+        const reader = readerIn(linked);
+        const behind = linked.gateways.find(gateway => gateway !== reader);
+        const delay = growingDelay(linked, limit);
+        linked.reportDelay = (_, receiver) => receiver === behind ? delay() : 0;
+        const { longestDelay, denied } = change(linked);
+        assert.is(denied, 0);
+        assert.ok(longestDelay <= configurationLimit, `${longestDelay} ms`);
+    });
+}
+
+test.run();
