Count the transmission of a report in the age of what it tells

Cause: the age in a report leaves out how long the report was under way, so records that waited in a queue or on a link counted as fresh where they arrived. No gateway took over the reads, as reports still came, and each answered 404 by its old view.

A report now counts as at most as old as its topic's age and the time since the receiver's own report that it echoes, less the time that its sender had that one. Only durations on one clock are compared.

The gateways of LinkedGateways now have clocks of their own.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -169,8 +169,9 @@
 
 /**
  * Updates how fresh a topic is by a read of this or another gateway. Each read counts only when it is first reported:
- * the age in a report does not include its transmission, so a read that gateways keep reporting to each other would
- * appear to become younger each time.
+ * reports of it that go round between gateways are no news.
+ *
+ * @param readAt the earliest time, by this gateway's clock, at which the read can have found the end of the log
  */
 export function recordFreshness(follower: TopicFollower, read: TopicReadStamp, readAt: Milliseconds): void {
     if (read.count <= knownReadCount(follower, read.reader)) {
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -53,7 +53,7 @@
     readonly through: LogOffset | undefined;
     /** The read that found the end of the log there. */
     readonly read: TopicReadStamp;
-    /** The time since that read. */
+    /** The time since that read when the report was created; its transmission adds to it. */
     readonly age: Milliseconds;
     /** The items are complete from this offset on; a gateway that does not know the topic up to here can't use them. */
     readonly since: LogOffset;
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -126,12 +126,22 @@
     );
 }
 
-/** Handles what a peer reports of a topic. Returns whether anything but heartbeats changed. */
+/** What came with a report of topics. */
+export interface TopicDelivery {
+    readonly items: PeerItems;
+    /** The longest that the report can have been under way; undefined if unknown. */
+    readonly transmission: Milliseconds | undefined;
+}
+
+/**
+ * Handles what a peer reports of a topic. Returns whether anything but heartbeats changed. A report that may have been under
+ * way for any time is applied, but makes nothing fresher.
+ */
 export function handlePeerTopic(
     transaction: Transaction,
     peer: Peer,
     topic: PeerTopic,
-    items: PeerItems,
+    { items, transmission }: TopicDelivery,
 ): boolean {
     const { state, now } = transaction;
     const follower = state.followers[topic.name];
@@ -159,7 +169,9 @@
     const hasChanged = apply(transaction, topic.name, items[topic.name], topic.through);
     adoptRemovalGaps(follower, topic.removalGaps ?? []);
     follower.isChangeOwnRead &&= !hasChanged;
-    recordFreshness(follower, topic.read, now - topic.age);
+    if (transmission !== undefined) {
+        recordFreshness(follower, topic.read, now - topic.age - transmission);
+    }
     return hasChanged;
 }
 
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -306,7 +306,8 @@
     peer.wantsLink = report.wantsLink || report.protocol === 0;
     peer.lastReportAt = now;
     recordHeard(peer, report, now);
-    logLateReport(transaction, peer, report);
+    const transmission = longestTransmission(report, now);
+    logLateReport(transaction, peer, report, transmission);
     peer.failures = 0;
     state.hintedAddresses.delete(report.address);
     if (report.protocol === 0) {
@@ -314,7 +315,7 @@
         report.members.filter(address => !state.members.has(address)).forEach(address => addHint(state, address));
     }
     report.records.forEach(relayed => handleRecord(transaction, peer, relayed));
-    const changes = report.topics.map(topic => handlePeerTopic(transaction, peer, topic, items));
+    const changes = report.topics.map(topic => handlePeerTopic(transaction, peer, topic, { items, transmission }));
     applyPeerNotices(transaction, report.leavingServers);
     applyPeerSuspects(transaction, report.crashSuspects);
     if (changes.includes(true) && !isFullMesh(state)) {
@@ -343,9 +344,13 @@
 }
 
 /** Logs a report that may have been under way for long, at most once a second for each peer. */
-function logLateReport(transaction: Transaction, peer: Peer, report: PeerReport): void {
+function logLateReport(
+    transaction: Transaction,
+    peer: Peer,
+    report: PeerReport,
+    transmission: Milliseconds | undefined,
+): void {
     const { now } = transaction;
-    const transmission = longestTransmission(report, now);
     const isLate = transmission !== undefined && transmission >= lateReportThreshold;
     if (!isLate || now - peer.lateReportLoggedAt < lateReportLogInterval) {
         return;
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -300,7 +300,7 @@
         return this.produceEvents(this.startStream(requestId, routeName));
     }
 
-    /** Receives a report of another gateway, by default with a new record of its state. */
+    /** Receives a report of another gateway, by default with a new record of its state, and at the moment of its creation. */
     receiveReport(
         report: Partial<PeerReport>,
         items: Partial<Record<"configuration" | "backendServers", DecodedItem[]>> = {},
@@ -326,6 +326,8 @@
                 ...sender,
                 protocol: reportProtocol,
                 wantsLink: true,
+                sentAt: this.now,
+                echo: { sentAt: this.now, heldFor: 0 },
                 records: [{ record, age: 0 }],
                 members: [],
                 isStopping: false,
--- a/packages/gateway/test/linkedGateways.ts
+++ b/packages/gateway/test/linkedGateways.ts
@@ -31,6 +31,8 @@
 
 const stepDuration = 10;
 const tickDuration = 50;
+/** Between the clocks of one gateway and the next. */
+const clockOffset = 100_000;
 
 /** The records of a topic; the index of a record is its offset. */
 class TestLog {
@@ -60,7 +62,7 @@
     }
 }
 
-/** A set of gateways with links to each other, on one clock. */
+/** A set of gateways with links to each other, each with a clock that started at another time. */
 export class LinkedGateways {
     now = 1_000;
     readonly gateways: TestGateway[];
@@ -123,7 +125,7 @@
         const end = this.now + duration;
         while (this.now < end) {
             this.now += stepDuration;
-            this.gateways.forEach(gateway => gateway.now = this.now);
+            this.gateways.forEach((gateway, index) => gateway.now = this.now + index * clockOffset);
             this.endReads();
             this.deliverDue();
             if (this.now % tickDuration === 0) {
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -475,10 +475,10 @@
     gateway.receiveReport({ sentAt: 70_100 });
     const heard = gateway.now;
     assert.equal(echoes(50), [{ sentAt: 70_200, heldFor: gateway.now - heard }]);
-    gateway.receiveReport({ incarnation: identifier("restarted"), sentAt: 40 });
+    gateway.receiveReport({ incarnation: identifier<never>("restarted"), sentAt: 40 });
     assert.is(echoes(50)[0]?.sentAt, 40);
     gateway.handle({ kind: "peerLinkClosed", address: other });
-    gateway.receiveReport({ incarnation: identifier("restarted") });
+    gateway.receiveReport({ incarnation: identifier<never>("restarted"), sentAt: undefined });
     assert.is(echoes(50)[0], undefined, "the link is new");
 });
 
@@ -493,4 +493,24 @@
     assert.equal(read(1_150), [[1_150, 600]]);
 });
 
+test("a report that echoes nothing is applied, but makes its topic no fresher", () => {
+    const gateway = new TestGateway();
+    gateway.configure(configuration(1));
+    const { freshAsOf, next } = gateway.state.followers.configuration;
+    gateway.now += 900;
+    const item = gateway.item("config", [{ kind: "configuration", configuration: configuration(2) }]);
+    const topic = {
+        name: "configuration",
+        since: next!,
+        through: next! + 1,
+        age: 0,
+        items: [],
+        isComplete: false,
+    } as const;
+    const report = { protocol: 2, sentAt: undefined, echo: undefined, topics: [{ ...topic, read: readBy(1) }] };
+    gateway.receiveReport(report, { configuration: [item] });
+    assert.is(gateway.state.configuration?.version, 2);
+    assert.is(gateway.state.followers.configuration.freshAsOf, freshAsOf);
+});
+
 test.run();
