Count a read of the store from when the log can have answered it

Callers see 404 for routes that were acknowledged for over configApplyMs (CONFIG, DENIED) where the answers of the store are late. Cause: a read of the configuration waits at the store, and counted as made when its answer was handled, whatever had delayed the answer: a link, a socket that was not read, a slow loop. The age that a gateway told others of its read was too low by that delay, up to 0.8 s.

A read without records now counts from the end of its wait, as the log answers no sooner, any other one from its start. Reads wait no longer than until what is known is 600 ms old, so that what is known at the reader stays as fresh as before; a read that takes over does not wait.

Before, outdatedViews.test.ts: a view of an answer that was handled 790 ms late, or of a read of 500 ms that found records, denied until 2,000 ms after it was handled (2 of 2 tests failed). After: until 2,000 ms after the answer.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -80,7 +80,7 @@
     follower.isReading = true;
     follower.readStartedAt = now;
     recordReadStart(state, topic);
-    follower.readWait = isRequired || follower.next === undefined ? 0 : readPlans[topic].wait;
+    follower.readWait = isRequired ? 0 : longestWait(follower, readPlans[topic], now);
     if (follower.next === undefined) {
         effects.push({ kind: "readSnapshot", topic });
         return;
@@ -88,6 +88,15 @@
     effects.push({ kind: "readTopic", topic, from: follower.next, wait: follower.readWait });
 }
 
+/**
+ * How long a read may wait for records: no longer than until what is known is as old as the plan's wait. A read that replaces
+ * those of another gateway does not wait.
+ */
+function longestWait({ next, freshAsOf }: TopicFollower, { wait }: ReadPlan, now: Milliseconds): Milliseconds {
+    const age = next === undefined || freshAsOf === undefined ? Infinity : now - freshAsOf;
+    return Math.max(0, Math.ceil(wait - age));
+}
+
 /** Whether this gateway has to read the topic: it ranks first, or the newest known read is too old for its rank. */
 function isDue({ state, now }: Transaction, topic: TopicName, follower: TopicFollower): boolean {
     if (follower.freshAsOf === undefined) {
@@ -133,9 +142,7 @@
     follower.lastFailure = undefined;
     if (isAtEnd) {
         const count = knownReadCount(follower, state.incarnation) + 1;
-        // A read that waits for records may have been answered at its end, any other one at its start.
-        const readAt = readPlans[topic].wait > 0 ? now : Math.min(now, follower.readStartedAt);
-        recordFreshness(follower, { reader: state.incarnation, count }, readAt);
+        recordFreshness(follower, { reader: state.incarnation, count }, earliestAnswer(follower, event, now));
     }
     if (hasChanged) {
         follower.isChangeOwnRead = true;
@@ -144,6 +151,19 @@
     startDueRead(transaction, topic);
 }
 
+/**
+ * The earliest time at which the log can have answered a read: after the whole wait if it had no records, else at the start.
+ * The answer may have been under way for any time since.
+ */
+function earliestAnswer(
+    { readStartedAt, readWait }: TopicFollower,
+    { items }: TopicRead,
+    now: Milliseconds,
+): Milliseconds {
+    const afterWait = readStartedAt + (items.length === 0 ? readWait : 0);
+    return afterWait <= now ? afterWait : Math.min(now, readStartedAt);
+}
+
 /** Logs a read that took long beyond the time that the log may have waited for a record, at most once a second for each topic. */
 function logLateRead(transaction: Transaction, { topic, isSnapshot, items, next }: TopicRead): void {
     const { state, now } = transaction;
--- a/packages/gateway/test/outdatedViews.test.ts
+++ b/packages/gateway/test/outdatedViews.test.ts
@@ -1,10 +1,10 @@
 /**
  * What gateways take for the age of their views while reports, or answers of the log, reach them late.
  */
-import { indexRoutes } from "@verbenaspring/gateway";
+import { type DecodedItem, indexRoutes } from "@verbenaspring/gateway";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { configuration, failuresIn, route, routes, server, type TestGateway } from "./gatewayBuilders.js";
+import { configuration, failuresIn, route, routes, server, TestGateway } from "./gatewayBuilders.js";
 import { LinkedGateways } from "./linkedGateways.js";
 
 /** From the acknowledgement of a configuration until it must be in force. */
@@ -90,4 +90,32 @@
     });
 }
 
+/** A gateway whose read, which waits for 600 ms, is answered after a time; undefined for an answer without records. */
+function gatewayAfterRead(took: number, added: DecodedItem | undefined): TestGateway {
+    const gateway = new TestGateway({ configurationLimit });
+    gateway.configure(configuration(1));
+    gateway.register(server("plain-1"));
+    gateway.now += took;
+    gateway.read("configuration", added === undefined ? [] : [added]);
+    return gateway;
+}
+
+const isDeniedAfter = (gateway: TestGateway, duration: number): boolean => {
+    gateway.now += duration;
+    return isDenied(gateway, gateway.now, 9);
+};
+
+// A read that waits for records counted as made when its answer was handled.
+test("a view is as old as the log's answer that it stems from, however late the answer is handled", () => {
+    const late = 790;
+    assert.is(isDeniedAfter(gatewayAfterRead(600 + late, undefined), configurationLimit - late), true);
+    assert.is(isDeniedAfter(gatewayAfterRead(600 + late, undefined), configurationLimit - late + 1), false);
+});
+
+test("a view is as old as a read that found records, since the log may have answered at its start", () => {
+    const item = new TestGateway().item("config", [{ kind: "configuration", configuration: configuration(2) }]);
+    assert.is(isDeniedAfter(gatewayAfterRead(500, item), configurationLimit - 500), true);
+    assert.is(isDeniedAfter(gatewayAfterRead(500, item), configurationLimit - 500 + 1), false);
+});
+
 test.run();
