Know a server that starts again after its clock went back

Cause: incarnations of a server were ordered by their starts, by its own clock, so that one with an earlier start was ignored for good. Such an incarnation now counts from its second heartbeat on, if the known one has not written in between: a late write of one that has ended still changes nothing. Runs, probes and notices compare starts for difference, not for order.

The four new tests in serverRestarts.test.ts fail on the code before.

--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -41,6 +41,10 @@
     readonly heardAt: Milliseconds;
     /** The last restart under its id; undefined if it has not restarted since it was added to the view. */
     readonly restart: ServerRestart | undefined;
+    /** The start of the incarnation before; undefined if it is not known. */
+    readonly previousStart: number | undefined;
+    /** The newest record of another incarnation since the last one of this, which may have been written late. */
+    readonly stray: Pick<BackendRecord, "startedAt" | "heartbeat"> | undefined;
     readonly warmUpEndsAt: Milliseconds;
     /** The end as of the last record that changed the view; other gateways may know no later one. */
     readonly publishedWarmUpEndsAt: Milliseconds;
@@ -62,8 +66,11 @@
 const removedRetention: Milliseconds = 20_000;
 
 /**
- * Applies a server's record. A record with an older incarnation or heartbeat than the known one changes nothing, and
- * neither does one that does not report its start if the known one does: it is of another writer.
+ * Applies a server's record, which follows the known one in the log. A record with an earlier heartbeat than the known one
+ * changes nothing, and neither does one that does not report its start if the known one does: it is of another writer.
+ *
+ * An incarnation with an earlier start than the known one counts from its second heartbeat on: the first may have been written
+ * late by one that has ended, but if it goes on, the clock of its machine went back.
  *
  * @param hasGivenNotice whether this incarnation said in an answer that it leaves, whatever the record says
  * @param knownAsOf when the view before the record was last known to be complete
@@ -78,7 +85,10 @@
     knownAsOf: Milliseconds,
 ): BackendChange {
     const known = view.get(record.id);
-    if (known !== undefined && isOlder(record, known.record)) {
+    if (known !== undefined && isOutdated(record, known)) {
+        if (record.startedAt !== undefined && record.startedAt !== known.record.startedAt) {
+            view.set(record.id, { ...known, stray: record });
+        }
         return "unchanged";
     }
     const isRestart = known !== undefined && known.record.startedAt !== record.startedAt;
@@ -90,7 +100,8 @@
         record,
         incarnation: (known?.incarnation ?? 0) + (isRestart ? 1 : 0),
         heardAt: isSameIncarnation && known.record.heartbeat === record.heartbeat ? known.heardAt : now,
-        restart: isRestart ? restartOf(known, now) : known?.restart,
+        ...restartFields(known, isRestart, now),
+        stray: undefined,
         warmUpEndsAt,
         publishedWarmUpEndsAt: publishedWarmUpEnd(known, change, warmUpEndsAt),
         ...leavingTimes(isSameIncarnation ? known : undefined, isLeaving, now, knownAsOf),
@@ -99,6 +110,16 @@
     return change;
 }
 
+function restartFields(
+    known: BackendServer | undefined,
+    isRestart: boolean,
+    now: Milliseconds,
+): Pick<BackendServer, "restart" | "previousStart"> {
+    return known !== undefined && isRestart
+        ? { restart: restartOf(known, now), previousStart: known.record.startedAt }
+        : { restart: known?.restart, previousStart: known?.previousStart };
+}
+
 /** The restart that ended a known incarnation. */
 function restartOf({ heardAt, leavingNotBefore }: BackendServer, now: Milliseconds): ServerRestart {
     return { learnedAt: now, previousHeardAt: heardAt, previousLeavingNotBefore: leavingNotBefore };
@@ -159,11 +180,18 @@
     return isLeaving ? "leaving" : "returned";
 }
 
-function isOlder(record: BackendRecord, known: BackendRecord): boolean {
-    if (record.startedAt !== known.startedAt) {
-        return known.startedAt !== undefined && (record.startedAt ?? -Infinity) < known.startedAt;
+/** Whether a record that follows the known one in the log is outdated all the same. */
+function isOutdated({ startedAt, heartbeat }: BackendRecord, known: BackendServer): boolean {
+    const { record, previousStart, stray } = known;
+    if (startedAt === record.startedAt) {
+        return heartbeat < record.heartbeat;
+    }
+    if (startedAt === undefined || record.startedAt === undefined) {
+        return startedAt === undefined;
     }
-    return record.heartbeat < known.heartbeat;
+    const mayHaveEnded = startedAt < record.startedAt || startedAt === previousStart;
+    const goesOn = stray?.startedAt === startedAt && heartbeat > stray.heartbeat;
+    return mayHaveEnded && !goesOn;
 }
 
 /**
--- a/packages/gateway/src/crashSuspects.ts
+++ b/packages/gateway/src/crashSuspects.ts
@@ -20,7 +20,7 @@
 import { liveMembers } from "./members.js";
 import { reportToPeers } from "./peers.js";
 import { failRequest, requestFields } from "./requests.js";
-import { isEarlierStart } from "./serverIncarnations.js";
+import { isOtherIncarnation } from "./serverIncarnations.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -192,7 +192,7 @@
     }
     state.crashSuspects.lostRuns.set(id, { startedAt, at: known?.at ?? now, suspects });
     const record = state.servers.get(id)?.record ?? attempt.server.record;
-    if (isEarlierStart(startedAt, record.startedAt)) {
+    if (isOtherIncarnation(startedAt, record.startedAt)) {
         settleLostRuns(transaction, id, { isLeaving: false, startedAt: record.startedAt, runs: undefined });
     }
     else {
@@ -253,10 +253,6 @@
     return isRepeatedRequest(id) ? "request" : "rare";
 }
 
-function isOtherIncarnation(one: number | undefined, other: number | undefined): boolean {
-    return one !== undefined && other !== undefined && one !== other;
-}
-
 function crashKey({ backendServer, startedAt }: Pick<ServerCrash, "backendServer" | "startedAt">): string {
     return `${backendServer}/${startedAt ?? ""}`;
 }
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -17,7 +17,7 @@
 import { isReadRequired, recordReadEnd, recordReadStart } from "./resumption.js";
 import { forgetRoutes } from "./routeDurations.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
-import { forgetEarlierIncarnation, isEarlierStart } from "./serverIncarnations.js";
+import { forgetEarlierIncarnation, isOtherIncarnation } from "./serverIncarnations.js";
 import type { GatewayState, TopicFollower } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -463,7 +463,7 @@
     { startedAt }: BackendRecord,
 ): void {
     transaction.effects.push({ kind: "closeIdleChannels", address });
-    if (isEarlierStart(previousStart, startedAt)) {
+    if (isOtherIncarnation(previousStart, startedAt)) {
         settleLostRuns(transaction, id, { isLeaving: false, startedAt, runs: undefined });
     }
 }
--- a/packages/gateway/src/leavingServers.ts
+++ b/packages/gateway/src/leavingServers.ts
@@ -57,12 +57,18 @@
     }
 }
 
-/** Whether a notice is of an incarnation that is newer than the known notice and not older than the known record. */
+/** Whether a notice is of the known incarnation, or of one that is not known and starts later than the known ones. */
 function isNews({ leavingNotices, servers }: GatewayState, { backendServer, startedAt }: PeerLeavingServer): boolean {
     const notice = leavingNotices.get(backendServer);
-    const record = servers.get(backendServer)?.record;
-    const isKnown = notice !== undefined && notice.startedAt === startedAt;
-    return !isKnown && !isNewer(notice?.startedAt, startedAt) && !isNewer(record?.startedAt, startedAt);
+    const known = servers.get(backendServer);
+    if (notice !== undefined && notice.startedAt === startedAt) {
+        return false;
+    }
+    if (known !== undefined && known.record.startedAt === startedAt) {
+        return true;
+    }
+    const isOfPrevious = startedAt !== undefined && known?.previousStart === startedAt;
+    return !isOfPrevious && !isNewer(notice?.startedAt, startedAt) && !isNewer(known?.record.startedAt, startedAt);
 }
 
 function isNewer(one: number | undefined, other: number | undefined): boolean {
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -11,7 +11,7 @@
 import { recordLeavingNotice } from "./leavingServers.js";
 import { findReplicaHolder, usableCopyHolder } from "./replicas.js";
 import { canSendAgain } from "./sending.js";
-import { adoptListedRuns, isEarlierStart, isLostByReport } from "./serverIncarnations.js";
+import { adoptListedRuns, isLostByReport, isOtherIncarnation } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
@@ -84,7 +84,7 @@
 /** Handles the result of a probe. */
 export function handleServerProbed(transaction: Transaction, { backendServer, startedAt, report }: ServerProbed): void {
     const { state, now } = transaction;
-    if (isEarlierStart(startedAt, state.servers.get(backendServer)?.record.startedAt)) {
+    if (isOtherIncarnation(startedAt, state.servers.get(backendServer)?.record.startedAt)) {
         // The probe was of an earlier incarnation, and says nothing about the present one.
         return;
     }
--- a/packages/gateway/src/serverIncarnations.ts
+++ b/packages/gateway/src/serverIncarnations.ts
@@ -19,14 +19,17 @@
 /** A run that has not begun may wait in a queue that the report of its server does not list. */
 const beginTimeout: Milliseconds = 1_200;
 
-/** Whether a start is certain to be earlier than another: servers of some platforms do not report it. */
-export function isEarlierStart(start: BackendRecord["startedAt"], other: BackendRecord["startedAt"]): boolean {
-    return start !== undefined && other !== undefined && start < other;
+/**
+ * Whether two starts are certain to be of different incarnations: servers of some platforms do not report theirs. Which one is
+ * later does not follow, since a server's clock may go back.
+ */
+export function isOtherIncarnation(start: BackendRecord["startedAt"], other: BackendRecord["startedAt"]): boolean {
+    return start !== undefined && other !== undefined && start !== other;
 }
 
 /** Whether a server is known to have restarted since it was in the view in this form. */
 export function isSuperseded({ servers }: GatewayState, { record }: BackendServer): boolean {
-    return isEarlierStart(record.startedAt, servers.get(record.id)?.record.startedAt);
+    return isOtherIncarnation(record.startedAt, servers.get(record.id)?.record.startedAt);
 }
 
 /**
@@ -65,8 +68,8 @@
     report: ServerReport | undefined,
     now: Milliseconds,
 ): boolean {
-    const isLaterStart = isEarlierStart(server.record.startedAt, report?.startedAt);
-    if (report?.runs === undefined || !isLaterStart || isListed(report, head)) {
+    const hasRestarted = isOtherIncarnation(server.record.startedAt, report?.startedAt);
+    if (report?.runs === undefined || !hasRestarted || isListed(report, head)) {
         return false;
     }
     const silence = now - lastActivityAt;
--- a/packages/gateway/test/serverRestarts.test.ts
+++ b/packages/gateway/test/serverRestarts.test.ts
@@ -258,4 +258,60 @@
     assert.is(gateway.sendRequest("r", "confirm").address, "10.0.0.1:80");
 });
 
+// Its records were ignored for good, also the one that it leaves.
+test("a server that starts again after its clock went back is known by its second heartbeat, and leaves in time", () => {
+    const gateway = TestGateway.serving(server("plain-1", { startedAt: 2_000, heartbeat: 9 }), server("plain-2"));
+    const starts = () => gateway.state.servers.get(identifier<never>("plain-1"))!.record.startedAt;
+    gateway.register(server("plain-1", { startedAt: 500, heartbeat: 1 }));
+    assert.is(starts(), 2_000);
+    gateway.register(server("plain-1", { startedAt: 500, heartbeat: 2 }));
+    assert.is(starts(), 500);
+    gateway.register(server("plain-1", { startedAt: 500, heartbeat: 3, isDraining: true }));
+    assert.is(gateway.sendRequest("r", "confirm").backendServer, "plain-2");
+});
+
+test("records that an incarnation wrote late do not replace the one after it", () => {
+    const gateway = TestGateway.serving(server("plain-1", { startedAt: 2_000, heartbeat: 9 }));
+    const starts = () => gateway.state.servers.get(identifier<never>("plain-1"))!.record.startedAt;
+    const write = (startedAt: number, heartbeat: number) =>
+        gateway.register(server("plain-1", { startedAt, heartbeat }));
+    write(500, 7);
+    write(2_000, 10);
+    write(500, 8);
+    assert.is(starts(), 2_000, "it has written since");
+    write(400, 1);
+    write(400, 2);
+    assert.is(starts(), 400);
+    write(2_000, 11);
+    assert.is(starts(), 400, "the incarnation before starts later by its clock");
+    write(400, 3);
+    write(2_000, 12);
+    assert.is(starts(), 400);
+});
+
+test("a run is lost, and its end blamed, when its server starts again after its clock went back", () => {
+    const gateway = TestGateway.serving(server("engine-1", { startedAt: 2_000, heartbeat: 9 }));
+    const call = gateway.startStream("r", "plan");
+    gateway.register(server("engine-1", { startedAt: 500, heartbeat: 1 }));
+    gateway.register(server("engine-1", { startedAt: 500, heartbeat: 2, address: "10.0.0.9:80" }));
+    const effects = gateway.advance(200);
+    assert.ok(kindsIn(effects).includes("answerCut"));
+    assert.not.ok(gateway.state.attempts.has(call.attemptId));
+});
+
+test("a notice of the known incarnation counts, whatever the start of the one before", () => {
+    const gateway = TestGateway.serving(server("plain-1", { startedAt: 2_000, heartbeat: 9 }), server("plain-2"));
+    const notice = (startedAt: number) =>
+        gateway.receiveReport({ leavingServers: [{ backendServer: identifier("plain-1"), startedAt }] });
+    const isLeaving = () => gateway.state.servers.get(identifier<never>("plain-1"))!.leavingSince !== undefined;
+    notice(2_000);
+    gateway.register(server("plain-1", { startedAt: 500, heartbeat: 1 }));
+    gateway.register(server("plain-1", { startedAt: 500, heartbeat: 2 }));
+    assert.is(isLeaving(), false);
+    notice(500);
+    assert.is(isLeaving(), true);
+    notice(2_000);
+    assert.is(gateway.state.leavingNotices.get(identifier<never>("plain-1"))?.startedAt, 500);
+});
+
 test.run();
