Stop a run whose stream goes on at another engine

Cause: a lost channel counted as the end of the run, and only migrations asked servers to stop one. A run that may go on is now stopped as soon as its request has been sent to another engine; so are silent runs once another engine has accepted their stream, and the newer run when the stream returns to the silent one.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -10,6 +10,7 @@
     type ServerHealth,
 } from "@verbenaspring/coordination";
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
+import { recordAbandonedRun } from "./abandonedRuns.js";
 import { recordColdStatement } from "./coldServers.js";
 import { failSuspended, recordBegunRun, recordLostRun, suspensionOf } from "./crashSuspects.js";
 import type { AttemptFailure, GatewayEvent } from "./event.js";
@@ -179,6 +180,7 @@
     answer?: BackendAnswer,
 ): void {
     logAttemptFailed(transaction, request, attempt, outcome);
+    recordAbandonedRun(request, attempt, outcome);
     const suspension = suspensionOf(transaction, request);
     const { isStream } = request.route;
     if (suspension === undefined && isStream && continueFromReplica(transaction, request, attempt, outcome)) {
--- a/packages/gateway/src/silentAttempts.ts
+++ b/packages/gateway/src/silentAttempts.ts
@@ -3,6 +3,7 @@
  * request: if that server refuses it, or the silent run goes on first, the request returns to the silent attempt.
  */
 import type { Milliseconds } from "@verbenaspring/model";
+import { stopRun } from "./abandonedRuns.js";
 import { classifyAnswer, endAttempt, recordHealth } from "./attempts.js";
 import { recordLostRun } from "./crashSuspects.js";
 import type { GatewayEvent } from "./event.js";
@@ -54,18 +55,20 @@
  * @param how `cancel` where the call is still open and has to be cancelled
  */
 export function endSilentAttempt(
-    { state, effects }: Transaction,
+    transaction: Transaction,
     request: GatewayRequest,
     how: "ended" | "cancel",
 ): void {
-    const attemptId = request.silentAttempt?.attempt.id;
-    if (attemptId === undefined) {
+    const { state, effects } = transaction;
+    const attempt = request.silentAttempt?.attempt;
+    if (attempt === undefined) {
         return;
     }
-    state.silentAttempts.delete(attemptId);
+    state.silentAttempts.delete(attempt.id);
     request.silentAttempt = undefined;
     if (how === "cancel") {
-        effects.push({ kind: "cancelAttempt", attemptId });
+        effects.push({ kind: "cancelAttempt", attemptId: attempt.id });
+        stopRun(transaction, request, attempt);
     }
 }
 
@@ -76,12 +79,16 @@
     if (attempt === undefined) {
         return false;
     }
-    if (request.attempt !== undefined) {
-        endAttempt(transaction, request, request.attempt, "cancel");
+    const newer = request.attempt;
+    if (newer !== undefined) {
+        endAttempt(transaction, request, newer, "cancel");
     }
     endSilentAttempt(transaction, request, "ended");
     attempt.returnedAt = now;
     request.attempt = attempt;
+    if (newer !== undefined) {
+        stopRun(transaction, request, newer);
+    }
     state.attempts.set(attempt.id, request);
     state.heldRequests.delete(request.id);
     addLoad(state, attempt);
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -122,6 +122,8 @@
     attempt: Attempt | undefined;
     /** An earlier attempt that stays open until another server has accepted the request. */
     silentAttempt: SilentAttempt | undefined;
+    /** An attempt without a deliverable answer whose run may go on until the request has been sent elsewhere. */
+    abandonedRun: Attempt | undefined;
     /** The number of sends so far, including those that were refused. */
     sends: number;
     /** The runs that it may have begun. */
