--- a/packages/gateway/test/outdatedViews.test.ts
+++ b/packages/gateway/test/outdatedViews.test.ts
@@ -1,7 +1,7 @@
 /**
  * What gateways take for the age of their views while reports, or answers of the log, reach them late.
  */
-import { type DecodedItem, indexRoutes } from "@verbenaspring/gateway";
+import { type DecodedItem, type GatewayEffect, indexRoutes } from "@verbenaspring/gateway";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { configuration, failuresIn, route, routes, server, TestGateway } from "./gatewayBuilders.js";
@@ -118,4 +118,19 @@
     assert.is(isDeniedAfter(gatewayAfterRead(500, item), configurationLimit - 500 + 1), false);
 });
 
+// A change late in the wait left the view to age by two whole waits.
+test("a read waits no longer than until the view is as old as the usual wait, and not at all to take over", () => {
+    const waitsIn = (effects: readonly GatewayEffect[]): number[] =>
+        effects.flatMap(effect => effect.kind === "readTopic" && effect.topic === "configuration" ? [effect.wait] : []);
+    const gateway = new TestGateway({ configurationLimit });
+    assert.equal(waitsIn(gateway.configure(configuration(1))), [600]);
+    gateway.now += 450;
+    assert.equal(waitsIn(gateway.configure(configuration(2))), [150]);
+    gateway.now += 150;
+    assert.equal(waitsIn(gateway.read("configuration", [])), [600]);
+    gateway.now += 600;
+    gateway.handle({ kind: "topicReadFailed", topic: "configuration", failure: "timeout" });
+    assert.equal(waitsIn(gateway.advance(1_000)), [0]);
+});
+
 test.run();
