Count only reports that were created a moment ago as contact

Callers' requests were sent to a removed server for up to 1.5 s longer than a gateway's view allows (DRAIN), where the store refused the gateway's reads and reports reached it late. Cause: a gateway that is in contact with another one takes a store that refuses it to be out for all, and counts drainMs from when it learns of a removal. Contact was any report that was handled in the last second, however long it was under way.

Contact is now a report that was created in the last second, by the earliest time that its echo allows. A report without an echo is none.

Before, drainLimit.test.ts: after 2.4 s of refused reads, with reports 1.2 s late, the last request reached the removed server 3,900 ms after the view was last complete (limit 2,000 ms).

--- a/packages/gateway/src/drainLimit.ts
+++ b/packages/gateway/src/drainLimit.ts
@@ -13,7 +13,7 @@
 const longestDelivery: Milliseconds = 400;
 /** How old a view of the servers becomes while the store answers any gateway: the last takeover, and a read that fails. */
 const longestViewAge: Milliseconds = 2_300;
-/** A gateway whose last report is younger than this is in contact, and would have reported reads of its own. */
+/** A gateway whose last report was created less than this ago is in contact, and would have reported reads of its own. */
 const contactTimeout: Milliseconds = 1_000;
 
 /**
@@ -36,8 +36,8 @@
 }
 
 function isInContact({ peers }: GatewayState, now: Milliseconds): boolean {
-    return [...peers.values()].some(({ link, lastReportAt }) =>
-        link === "open" && lastReportAt !== undefined && now - lastReportAt <= contactTimeout
+    return [...peers.values()].some(({ link, reportedAsOf }) =>
+        link === "open" && reportedAsOf !== undefined && now - reportedAsOf <= contactTimeout
     );
 }
 
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -223,6 +223,7 @@
         unwantedSince: -Infinity,
         wantsLink: false,
         lastReportAt: undefined,
+        reportedAsOf: undefined,
         heard: undefined,
         lateReportLoggedAt: -Infinity,
         link: "closed",
@@ -307,6 +308,9 @@
     peer.lastReportAt = now;
     recordHeard(peer, report, now);
     const transmission = longestTransmission(report, now);
+    if (transmission !== undefined) {
+        peer.reportedAsOf = now - transmission;
+    }
     logLateReport(transaction, peer, report, transmission);
     peer.failures = 0;
     state.hintedAddresses.delete(report.address);
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -275,6 +275,8 @@
     wantsLink: boolean;
     /** When its last report came; undefined before the first. */
     lastReportAt: Milliseconds | undefined;
+    /** The earliest time at which the newest of its reports can have been created; undefined while unknown. */
+    reportedAsOf: Milliseconds | undefined;
     /** When its newest report was created, by its own clock, and when it was handled here; undefined before the first on this link. */
     heard: { readonly sentAt: Milliseconds; readonly handledAt: Milliseconds; } | undefined;
     /** When a report that was long under way was last logged. */
--- a/packages/gateway/test/drainLimit.test.ts
+++ b/packages/gateway/test/drainLimit.test.ts
@@ -45,6 +45,22 @@
     assert.is(sends(gateway, "r"), false);
 });
 
+// Late reports counted as contact with a gateway that had read nothing either.
+test("a server that was removed while the store refused this gateway, and reports came late, gets no late request", () => {
+    const gateway = TestGateway.serving(server("plain-1"));
+    const knownAsOf = gateway.now;
+    for (let elapsed = 0; elapsed < 2_400; elapsed += 50) {
+        gateway.advance(50);
+        if (gateway.state.followers.backendServers.isReading) {
+            gateway.handle({ kind: "topicReadFailed", topic: "backendServers", failure: "refused" });
+        }
+        gateway.receiveReport({ echo: { sentAt: gateway.now - 1_200, heldFor: 0 } });
+    }
+    gateway.remove("plain-1");
+    assert.ok(gateway.now + longestDelivery > knownAsOf + drainLimit);
+    assert.is(sends(gateway, "r"), false);
+});
+
 // A suspended process has read nothing, but the store has answered others.
 test("a server that was removed while the process was suspended gets no request after the drain limit", () => {
     const gateway = TestGateway.serving(server("plain-1"));
