Count the drain limit of a notice from the view before it

Callers were refused for 15 s and more because servers had ended as planned under their requests. Cause: a notice of a server that leaves is reported without an age, and the gateway that learnt it counted drainMs from then on. A server whose notice came late counted as certain to run when it had ended, so its exit was taken for a crash.

A notice now counts like a record: the leaving can have been acknowledged since the view of the servers was last complete.

Before, crashSuspects.test.ts: two servers that ended 2.2 s after the view was last complete, 0.7 s after a notice, left 4 suspects, and the next request with the same part was refused.

--- a/packages/gateway/src/leavingServers.ts
+++ b/packages/gateway/src/leavingServers.ts
@@ -4,6 +4,7 @@
  */
 import type { BackendServerId } from "@verbenaspring/model";
 import type { BackendRecord } from "./backendServers.js";
+import { earliestAcknowledgement } from "./drainLimit.js";
 import { checkStreamsSoon, migrateStreams } from "./migration.js";
 import { reportToPeers } from "./peers.js";
 import type { GatewayState } from "./state.js";
@@ -91,7 +92,7 @@
         wasLeaving: known?.leavingSince !== undefined,
     });
     if (known !== undefined && known.record.startedAt === startedAt) {
-        const leavingNotBefore = known.leavingNotBefore ?? now;
+        const leavingNotBefore = known.leavingNotBefore ?? earliestAcknowledgement(transaction);
         servers.set(id, { ...known, leavingSince: known.leavingSince ?? now, leavingNotBefore });
         migrateStreams(transaction, id);
         checkStreamsSoon(transaction);
--- a/packages/gateway/test/crashSuspects.test.ts
+++ b/packages/gateway/test/crashSuspects.test.ts
@@ -144,6 +144,22 @@
     }
 });
 
+// The drain limit was counted from when the notice was learnt, though the platform may have acknowledged the leaving before.
+test("a planned exit blames nothing if the notice of it came late", () => {
+    const gateway = gatewayWithEngines();
+    for (let count = 0; count < 2; count++) {
+        const call = gateway.sendRequest(`lost${count}`, "plan", withParts(deadly));
+        gateway.read("backendServers", []);
+        gateway.advance(1_500);
+        gateway.receiveReport({ leavingServers: [{ backendServer: call.backendServer, startedAt: undefined }] });
+        gateway.advance(700);
+        crash(gateway, call);
+        gateway.advance(betweenCrashes);
+    }
+    assert.ok(isSent(gateway, deadly));
+    assert.is(gateway.state.crashSuspects.suspects.size, 0);
+});
+
 test("a server that leaves and has restarted under its id blames nothing", () => {
     const gateway = TestGateway.serving(server("engine-1", { startedAt: 5 }));
     const call = gateway.sendRequest("lost", "plan", withParts(deadly));
