Count a limit from the earliest time at which a peer observed it

Servers that declare a limit got more requests than all gateways together may send while links between gateways were behind. Cause: the age of a limit in a report leaves out how long the report was under way, so an earlier, higher limit replaced one that the gateway had just observed.

A limit that another gateway observed now counts from the earliest time at which it can have been declared, by the report's echo. Without an echo it is in force only while none is known.

GatewayCluster can now delay reports.

--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -186,8 +186,14 @@
 /**
  * Accepts a record that another gateway reports, if it is newer than the known one. Returns whether it was, and so has
  * to be passed on.
+ *
+ * @param transmission the longest that the report can have been under way; undefined if unknown
  */
-export function acceptRecord(transaction: Transaction, { record, age }: RelayedRecord): boolean {
+export function acceptRecord(
+    transaction: Transaction,
+    { record, age }: RelayedRecord,
+    transmission: Milliseconds | undefined,
+): boolean {
     const { state, now } = transaction;
     if (record.address === state.options.peerAddress) {
         outnumberPredecessor(transaction, record);
@@ -199,6 +205,7 @@
         return false;
     }
     setMember(transaction, { record, heardAt, isLegacy: false });
+    record.requestLimits.forEach(limit => applyPeerLimit(transaction, limit, heardAt - (transmission ?? Infinity)));
     return true;
 }
 
@@ -222,7 +229,7 @@
 
 function setMember(transaction: Transaction, member: Member): void {
     const { state } = transaction;
-    const { record, heardAt } = member;
+    const { record } = member;
     const previous = state.members.get(record.address);
     if (previous?.record.incarnation !== record.incarnation || previous.record.isStopping !== record.isStopping) {
         state.membershipVersion++;
@@ -233,7 +240,6 @@
     }
     state.members.set(record.address, member);
     state.membersVersion++;
-    record.requestLimits.forEach(limit => applyPeerLimit(transaction, limit, heardAt));
 }
 
 /** Takes what a gateway of an older version reports of itself for its record. */
@@ -255,6 +261,7 @@
         requestLimits: report.requestLimits,
     };
     setMember(transaction, { record, heardAt: now, isLegacy: true });
+    record.requestLimits.forEach(limit => applyPeerLimit(transaction, limit, -Infinity));
 }
 
 /** Forgets gateways that have been out of reach for long. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -318,7 +318,7 @@
         acceptLegacyReport(transaction, report);
         report.members.filter(address => !state.members.has(address)).forEach(address => addHint(state, address));
     }
-    report.records.forEach(relayed => handleRecord(transaction, peer, relayed));
+    report.records.forEach(relayed => handleRecord(transaction, peer, relayed, transmission));
     const changes = report.topics.map(topic => handlePeerTopic(transaction, peer, topic, { items, transmission }));
     applyPeerNotices(transaction, report.leavingServers);
     applyPeerSuspects(transaction, report.crashSuspects);
@@ -379,11 +379,16 @@
 }
 
 /** Accepts a record and passes it on, or sends the peer the newer one that is known. */
-function handleRecord(transaction: Transaction, peer: Peer, relayed: RelayedRecord): void {
+function handleRecord(
+    transaction: Transaction,
+    peer: Peer,
+    relayed: RelayedRecord,
+    transmission: Milliseconds | undefined,
+): void {
     const { state } = transaction;
     const { address, incarnation, incarnationNumber, version } = relayed.record;
     const publishedAt = state.own.publishedAt;
-    if (acceptRecord(transaction, relayed)) {
+    if (acceptRecord(transaction, relayed, transmission)) {
         peer.pending.delete(address);
         relayRecord(state, peer, address);
         return;
--- a/packages/gateway/src/requestLimits.ts
+++ b/packages/gateway/src/requestLimits.ts
@@ -24,6 +24,7 @@
 export interface RequestLimit {
     /** Undefined if the server declares none any more. */
     readonly perSecond: number | undefined;
+    /** When it was declared, or the earliest time at which it can have been if another gateway observed it. */
     readonly observedAt: Milliseconds;
     /** Whether it was in an answer to this gateway, and not to another one. */
     readonly isOwnObservation: boolean;
@@ -72,17 +73,17 @@
 }
 
 /**
- * Applies a limit that another gateway observed, if it is newer than the known one.
+ * Applies a limit that another gateway observed, if it is certain to be newer than the known one.
  *
- * @param publishedAt when the other gateway published it
+ * @param publishedNotBefore the earliest time at which the other gateway can have published it; -Infinity if unknown
  */
 export function applyPeerLimit(
     transaction: Transaction,
     { backendServer, perSecond, age }: PeerRequestLimit,
-    publishedAt: Milliseconds,
+    publishedNotBefore: Milliseconds,
 ): void {
     const { requestLimits, servers } = transaction.state;
-    const observedAt = publishedAt - age;
+    const observedAt = publishedNotBefore - age;
     const known = requestLimits.get(backendServer);
     const server = servers.get(backendServer);
     // What was observed before the server restarted does not apply to its new incarnation.
--- a/packages/gateway/test/gatewayCluster.ts
+++ b/packages/gateway/test/gatewayCluster.ts
@@ -1,5 +1,5 @@
 /**
- * Gateways that exchange their reports without delay, and plain backend servers that answer after a fixed time.
+ * Gateways that exchange their reports, which may be delayed, and plain backend servers that answer after a fixed time.
  */
 import type {
     BackendAnswer,
@@ -29,6 +29,13 @@
     readonly dueAt: number;
 }
 
+interface PendingReport {
+    readonly sender: TestGateway;
+    readonly address: string;
+    readonly report: PeerReport;
+    readonly dueAt: number;
+}
+
 /** A set of gateways on one clock. */
 export class GatewayCluster {
     now = 1_000;
@@ -37,12 +44,16 @@
     readonly gateways: TestGateway[];
     /** The answer of each server. */
     answerOf: (server: string) => Partial<BackendAnswer> = () => ({});
+    /** How long a report is under way that is sent now; none arrives before one that was sent earlier. */
+    reportDelay: () => number = () => 0;
     /** Only the first ones get requests, tick and send reports; the others have not started, or have stopped. */
     gatewaysInUse: number;
     private readonly isolated = new Set<number>();
     private readonly frozen = new Set<number>();
     private readonly byAddress: ReadonlyMap<string, TestGateway>;
     private pendingAnswers: PendingAnswer[] = [];
+    /** In the order of sending. */
+    private readonly pendingReports: PendingReport[] = [];
     private requests = 0;
 
     /**
@@ -100,6 +111,7 @@
             this.now += stepDuration;
             this.gateways.forEach(gateway => gateway.now = this.now);
             this.answerDueCalls();
+            this.deliverDueReports();
             const dueRequests = Math.floor(this.now * requestsPerSecond / 1_000)
                 - Math.floor((this.now - stepDuration) * requestsPerSecond / 1_000);
             for (let count = 0; count < dueRequests; count++) {
@@ -140,11 +152,29 @@
         }
         for (const effect of effects) {
             if (effect.kind === "sendReport" || effect.kind === "openPeerLink") {
-                this.deliver(gateway, effect.address, effect.report);
+                this.deliverAfter(this.reportDelay(), {
+                    sender: gateway,
+                    address: effect.address,
+                    report: effect.report,
+                });
             }
         }
     }
 
+    private deliverAfter(delay: number, pending: Omit<PendingReport, "dueAt">): void {
+        if (delay === 0 && this.pendingReports.length === 0) {
+            return this.deliver(pending.sender, pending.address, pending.report);
+        }
+        this.pendingReports.push({ ...pending, dueAt: this.now + delay });
+    }
+
+    private deliverDueReports(): void {
+        while (this.pendingReports.length > 0 && this.pendingReports[0].dueAt <= this.now) {
+            const { sender, address, report } = this.pendingReports.shift()!;
+            this.deliver(sender, address, report);
+        }
+    }
+
     private deliver(sender: TestGateway, address: string, report: PeerReport): void {
         const receiver = this.byAddress.get(address);
         if (receiver !== undefined && this.isReachable(sender) && this.isReachable(receiver)) {
--- a/packages/gateway/test/requestLimits.test.ts
+++ b/packages/gateway/test/requestLimits.test.ts
@@ -75,6 +75,23 @@
     }
 });
 
+// A report counted as sent when it arrived, so that the limit in it replaced one that the gateway had observed later.
+test("a limit that falls is kept while the links between gateways are behind", () => {
+    for (const limit of [3_000, 6_000]) {
+        const cluster = new GatewayCluster(5, [server("plain-1"), server("plain-2"), server("plain-3")]);
+        cluster.answerOf = id => id === "plain-1" ? { requestLimit: 200 } : {};
+        cluster.run(2_000, "confirm", 40);
+        const start = cluster.now;
+        cluster.reportDelay = () => Math.min(limit, Math.round((cluster.now - start) * 0.3));
+        cluster.run(22_000, "confirm", 40);
+        cluster.answerOf = id => id === "plain-1" ? { requestLimit: 1.4 } : {};
+        const fellAt = cluster.now;
+        cluster.run(12_000, "confirm", 40);
+        const most = cluster.mostArrivals("plain-1", 4_000, fellAt + 1_000);
+        assert.ok(most <= allowedIn4Seconds(1.4), `links behind by ${limit} ms: ${most} in 4 s`);
+    }
+});
+
 test("a service whose servers all limit their requests gets as many as they take, and the others are refused", () => {
     const cluster = new GatewayCluster(5, [server("plain-1"), server("plain-2")]);
     cluster.answerOf = () => ({ requestLimit: 4 });
@@ -115,6 +132,19 @@
     assert.is(callsIn(gateway.receiveRequest("c2", "confirm")).length, 1);
 });
 
+test("a limit in a report that may have been under way for any time is in force only while none is known", () => {
+    const gateway = TestGateway.serving(server("plain-1"));
+    const report = (perSecond: number) =>
+        gateway.receiveReport({
+            echo: undefined,
+            requestLimits: [{ backendServer: identifier("plain-1"), perSecond, age: 0 }],
+        });
+    report(2);
+    assert.is(limitOf(gateway, "plain-1"), 2);
+    report(200);
+    assert.is(limitOf(gateway, "plain-1"), 2);
+});
+
 test("a call is not withdrawn from a silent server while no server accepts it again", () => {
     const gateway = TestGateway.serving(server("plain-1"));
     gateway.sendRequest("c1", "lookup");
