--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -26,8 +26,8 @@
 export interface ServerRestart {
     /** When the first record of the new incarnation was read. */
     readonly learnedAt: Milliseconds;
-    /** When the last heartbeat of the incarnation before was read. */
-    readonly previousHeardAt: Milliseconds;
+    /** The earliest time at which the last heartbeat of the incarnation before can have been written. */
+    readonly previousHeartbeatNotBefore: Milliseconds;
     /** The earliest time at which the platform can have acknowledged that it leaves; undefined if it did not. */
     readonly previousLeavingNotBefore: Milliseconds | undefined;
 }
@@ -37,8 +37,8 @@
     readonly record: BackendRecord;
     /** Increases when the server restarts under the same id. */
     readonly incarnation: number;
-    /** When its newest heartbeat was read. */
-    readonly heardAt: Milliseconds;
+    /** The earliest time at which its newest heartbeat can have been written. */
+    readonly heartbeatNotBefore: Milliseconds;
     /** The last restart under its id; undefined if it has not restarted since it was added to the view. */
     readonly restart: ServerRestart | undefined;
     readonly warmUpEndsAt: Milliseconds;
@@ -89,7 +89,9 @@
     view.set(record.id, {
         record,
         incarnation: (known?.incarnation ?? 0) + (isRestart ? 1 : 0),
-        heardAt: isSameIncarnation && known.record.heartbeat === record.heartbeat ? known.heardAt : now,
+        heartbeatNotBefore: isSameIncarnation && known.record.heartbeat === record.heartbeat
+            ? known.heartbeatNotBefore
+            : knownAsOf,
         restart: isRestart ? restartOf(known, now) : known?.restart,
         warmUpEndsAt,
         publishedWarmUpEndsAt: publishedWarmUpEnd(known, change, warmUpEndsAt),
@@ -100,8 +102,12 @@
 }
 
 /** The restart that ended a known incarnation. */
-function restartOf({ heardAt, leavingNotBefore }: BackendServer, now: Milliseconds): ServerRestart {
-    return { learnedAt: now, previousHeardAt: heardAt, previousLeavingNotBefore: leavingNotBefore };
+function restartOf({ heartbeatNotBefore, leavingNotBefore }: BackendServer, now: Milliseconds): ServerRestart {
+    return {
+        learnedAt: now,
+        previousHeartbeatNotBefore: heartbeatNotBefore,
+        previousLeavingNotBefore: leavingNotBefore,
+    };
 }
 
 /** @param known the same incarnation as it is known, if it is */
--- a/packages/gateway/src/serverIncarnations.ts
+++ b/packages/gateway/src/serverIncarnations.ts
@@ -51,7 +51,7 @@
         return "current";
     }
     const hasMoved = known?.record.address !== server.record.address;
-    const isEarlier = restart === undefined || startedAt < restart.previousHeardAt - recordDelay;
+    const isEarlier = restart === undefined || startedAt < restart.previousHeartbeatNotBefore - recordDelay;
     return hasMoved || isEarlier ? "lost" : "uncertain";
 }
 
