Log that reports wait for a peer's link

No line said that reports of a gateway wait in their sender: the receiver's peer_report_late does not tell whether the queue, the link or a loop delayed them. peer_reports_waiting has how many wait and for how long the oldest has, at most once a second for each link, and whether the link ends because there are too many. No decision changes.

--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -418,6 +418,8 @@
             closed: address => this.events.push({ kind: "peerLinkClosed", address }),
             reportsLost: address => this.events.push({ kind: "peerReportsLost", address }),
             cut: address => this.pressure.report("peers", "connections", address, monotonicNow()),
+            waiting: (peer, { count, oldest, isEnd }) =>
+                this.log("info", "peer_reports_waiting", { peer, reports: count, oldest: Math.round(oldest), isEnd }),
         });
     }
 
--- a/packages/runtime/src/peerLinks.ts
+++ b/packages/runtime/src/peerLinks.ts
@@ -22,6 +22,17 @@
     readonly reportsLost: (address: PeerAddress) => void;
     /** A connection was closed because there were too many; called with its address. */
     readonly cut?: (address: string) => void;
+    /** Reports to a peer have waited for long; called at most once a second for each link, and when it ends because of that. */
+    readonly waiting?: (address: PeerAddress, reports: WaitingReports) => void;
+}
+
+/** The reports to a peer that wait until its stream takes them. */
+export interface WaitingReports {
+    readonly count: number;
+    /** For how long the oldest has waited. */
+    readonly oldest: Milliseconds;
+    /** Whether the link ends since there are too many. */
+    readonly isEnd: boolean;
 }
 
 /** The links of one gateway to the others. */
@@ -38,7 +49,8 @@
 
 /** The outgoing direction of a link: reports wait here until the stream sends them. */
 interface ReportQueue {
-    readonly push: (report: PeerReport) => void;
+    /** Returns the reports that wait now. */
+    readonly push: (report: PeerReport) => WaitingReports;
     readonly end: () => void;
     readonly reports: () => AsyncGenerator<ReportInit>;
 }
@@ -46,11 +58,16 @@
 interface PeerLink {
     readonly queue: ReportQueue;
     lastReceivedAt: Milliseconds;
+    /** When it was last told that reports wait. */
+    waitingToldAt: Milliseconds;
     readonly abort: () => void;
 }
 
 /** Reports that may wait for a slow peer; beyond that the link is closed, and a new one begins with a full report. */
 const maxQueuedReports = 64;
+/** Reports that have waited this long are told of, at most once in the interval. */
+const longWait: Milliseconds = 500;
+const waitingInterval: Milliseconds = 1_000;
 /** Twice as many sessions as gateways, since two gateways may each open one. */
 const peerBounds: SessionBounds = { sessions: 160, streams: 4 };
 /** The full report of some tens of gateways and servers with the configuration is far smaller. */
@@ -84,6 +101,14 @@
         links.delete(address);
         handlers.closed(address);
     };
+    const push = (address: PeerAddress, link: PeerLink, report: PeerReport): void => {
+        const waiting = link.queue.push(report);
+        const now = monotonicNow();
+        if (waiting.isEnd || (waiting.oldest >= longWait && now - link.waitingToldAt >= waitingInterval)) {
+            link.waitingToldAt = now;
+            handlers.waiting?.(address, waiting);
+        }
+    };
     const closePeer = (address: PeerAddress): void => {
         const linksOfPeer = links.get(address) ?? new Set();
         links.delete(address);
@@ -126,6 +151,7 @@
                         void receiveFromNewPeer(untilAborted(messages, abort.signal), {
                             queue,
                             lastReceivedAt: 0,
+                            waitingToldAt: -Infinity,
                             abort: () => abort.abort(),
                         });
                         return queue.reports();
@@ -146,6 +172,7 @@
         const link: PeerLink = {
             queue,
             lastReceivedAt: 0,
+            waitingToldAt: -Infinity,
             abort: () => {
                 abort.abort();
                 session.abort();
@@ -170,7 +197,9 @@
             const linksOfPeer = [...links.get(address) ?? []].sort((one, other) =>
                 other.lastReceivedAt - one.lastReceivedAt
             );
-            linksOfPeer[0]?.queue.push(report);
+            if (linksOfPeer.length > 0) {
+                push(address, linksOfPeer[0], report);
+            }
         },
         closePeer,
         close: () => {
@@ -210,7 +239,7 @@
 }
 
 function createReportQueue(): ReportQueue {
-    const queuedReports: PeerReport[] = [];
+    const queuedReports: { readonly report: PeerReport; readonly queuedAt: Milliseconds; }[] = [];
     let hasEnded = false;
     let notifyReader: () => void = () => undefined;
     const end = (): void => {
@@ -219,8 +248,8 @@
     };
     async function* reports(): AsyncGenerator<ReportInit> {
         while (!hasEnded) {
-            for (let report = queuedReports.shift(); report !== undefined; report = queuedReports.shift()) {
-                yield encodeReport(report);
+            for (let queued = queuedReports.shift(); queued !== undefined; queued = queuedReports.shift()) {
+                yield encodeReport(queued.report);
             }
             if (!hasEnded) {
                 await new Promise<void>(resolve => notifyReader = resolve);
@@ -229,11 +258,14 @@
     }
     return {
         push: report => {
-            queuedReports.push(report);
-            if (queuedReports.length > maxQueuedReports) {
+            const now = monotonicNow();
+            queuedReports.push({ report, queuedAt: now });
+            const isEnd = !hasEnded && queuedReports.length > maxQueuedReports;
+            if (isEnd) {
                 end();
             }
             notifyReader();
+            return { count: queuedReports.length, oldest: now - queuedReports[0].queuedAt, isEnd };
         },
         end,
         reports,
--- a/packages/runtime/test/peerLinks.test.ts
+++ b/packages/runtime/test/peerLinks.test.ts
@@ -55,15 +55,16 @@
         reported: report => told.push(`reported ${report.address}`),
         closed: peer => told.push(`closed ${peer}`),
         reportsLost: peer => told.push(`lost ${peer}`),
+        waiting: (peer, { count, oldest, isEnd }) =>
+            told.push(`waiting ${peer} ${count} ${Math.round(oldest)} ${isEnd}`),
     });
     await links.listen(address);
     return { address, links, told };
 }
 
-// Two gateways may each open a link; reports that waited on one were lost without a word when it closed first.
-test("the end of one of two links to a peer is told, since reports on it may be lost", async () => {
-    const [one, other] = await Promise.all([startPeer(), startPeer()]);
-    const port = Number(one.address.split(":")[1]);
+/** A proxy before a peer, and the sockets of its connections: first that from the caller, then that to the peer. */
+async function startProxy({ address }: TestPeer) {
+    const port = Number(address.split(":")[1]);
     const sockets: Socket[] = [];
     const proxy = createServer(incoming => {
         const outgoing = connect(port, "127.0.0.1");
@@ -73,6 +74,13 @@
     }).listen(0, "127.0.0.1");
     await new Promise(resolve => proxy.once("listening", resolve));
     const proxyAddress = identifier<PeerAddress>(`127.0.0.1:${(proxy.address() as AddressInfo).port}`);
+    return { address: proxyAddress, sockets, close: () => proxy.close() };
+}
+
+// Two gateways may each open a link; reports that waited on one were lost without a word when it closed first.
+test("the end of one of two links to a peer is told, since reports on it may be lost", async () => {
+    const [one, other] = await Promise.all([startPeer(), startPeer()]);
+    const { address: proxyAddress, sockets, close } = await startProxy(one);
     one.links.open(other.address, reportOf(one.address));
     await waitUntil(() => other.told.length > 0);
     other.links.send(one.address, reportOf(other.address));
@@ -81,7 +89,7 @@
     sockets.forEach(socket => socket.destroy());
     await waitUntil(() => one.told.length > 2);
     [one, other].forEach(({ links }) => links.close());
-    proxy.close();
+    close();
     assert.equal(one.told.slice(0, 3), [
         `reported ${other.address}`,
         `reported ${other.address}`,
@@ -89,4 +97,31 @@
     ]);
 });
 
+// No line said that reports waited in their sender for a peer that reads too slowly.
+test("it is told at most once a second that reports wait for a peer that does not read, and when their link ends", async () => {
+    const [one, other] = await Promise.all([startPeer(), startPeer()]);
+    const { address: proxyAddress, sockets, close } = await startProxy(one);
+    other.links.open(proxyAddress, reportOf(other.address));
+    await waitUntil(() => one.told.length > 0);
+    sockets[0].unpipe().pause();
+    const item = { key: "config", offset: 1, value: new Uint8Array(1024 * 1024) };
+    const topic = { name: "configuration", since: 0, through: 2, age: 0, items: [item], isComplete: true } as const;
+    const topics = [{ ...topic, read: { reader: identifier<never>("other"), count: 1 } }];
+    const waiting = () => other.told.filter(line => line.startsWith("waiting"));
+    const start = Date.now();
+    for (let count = 0; count < 90 && !waiting().some(line => line.endsWith("true")); count++) {
+        other.links.send(proxyAddress, { ...reportOf(other.address), topics });
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+    const lines = waiting();
+    const duration = Date.now() - start;
+    sockets.forEach(socket => socket.destroy());
+    [one, other].forEach(({ links }) => links.close());
+    close();
+    const [before, atEnd] = [lines.slice(0, -1), lines.slice(-1)[0]];
+    assert.match(atEnd, new RegExp(`^waiting ${proxyAddress} 65 \\d+ true$`));
+    assert.ok(before.length >= 1 && before.length <= 1 + duration / 1_000, `${before.length} lines in ${duration} ms`);
+    assert.ok(before.every(line => Number(line.split(" ")[3]) >= 500), before.join(", "));
+});
+
 test.run();
