Close a link at once when too many reports wait for it

A gateway whose peer reads slowly lost reports to it for as long as the peer's own reports still came. Cause: over 64 waiting reports ended only the outgoing stream, whose end waits behind what the peer has not read. The link stayed open, and further reports went to a queue that nothing sent any more, in place of a new link that begins with a full report.

The link is now closed at the sender, and the reducer told, at once.

Before, peerLinks.test.ts: the link was open 500 ms after the 65th report began to wait.

--- a/packages/runtime/src/peerLinks.ts
+++ b/packages/runtime/src/peerLinks.ts
@@ -108,6 +108,10 @@
             link.waitingToldAt = now;
             handlers.waiting?.(address, waiting);
         }
+        if (waiting.isEnd) {
+            // The end of the stream itself would wait behind what the peer has not read.
+            remove(address, link);
+        }
     };
     const closePeer = (address: PeerAddress): void => {
         const linksOfPeer = links.get(address) ?? new Set();
--- a/packages/runtime/test/peerLinks.test.ts
+++ b/packages/runtime/test/peerLinks.test.ts
@@ -97,8 +97,8 @@
     ]);
 });
 
-// No line said that reports waited in their sender for a peer that reads too slowly.
-test("it is told at most once a second that reports wait for a peer that does not read, and when their link ends", async () => {
+/** A link whose far end reads nothing any more, and a function that sends so many reports that too many wait. */
+async function startStuckLink() {
     const [one, other] = await Promise.all([startPeer(), startPeer()]);
     const { address: proxyAddress, sockets, close } = await startProxy(one);
     other.links.open(proxyAddress, reportOf(other.address));
@@ -108,20 +108,42 @@
     const topic = { name: "configuration", since: 0, through: 2, age: 0, items: [item], isComplete: true } as const;
     const topics = [{ ...topic, read: { reader: identifier<never>("other"), count: 1 } }];
     const waiting = () => other.told.filter(line => line.startsWith("waiting"));
+    const overfill = async () => {
+        for (let count = 0; count < 90 && !waiting().some(line => line.endsWith("true")); count++) {
+            other.links.send(proxyAddress, { ...reportOf(other.address), topics });
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+        return waiting();
+    };
+    const end = () => {
+        sockets.forEach(socket => socket.destroy());
+        [one, other].forEach(({ links }) => links.close());
+        close();
+    };
+    return { address: proxyAddress, other, overfill, end };
+}
+
+// No line said that reports waited in their sender for a peer that reads too slowly.
+test("it is told at most once a second that reports wait for a peer that does not read, and when their link ends", async () => {
+    const { address, overfill, end } = await startStuckLink();
     const start = Date.now();
-    for (let count = 0; count < 90 && !waiting().some(line => line.endsWith("true")); count++) {
-        other.links.send(proxyAddress, { ...reportOf(other.address), topics });
-        await new Promise(resolve => setTimeout(resolve, 20));
-    }
-    const lines = waiting();
+    const lines = await overfill();
     const duration = Date.now() - start;
-    sockets.forEach(socket => socket.destroy());
-    [one, other].forEach(({ links }) => links.close());
-    close();
+    end();
     const [before, atEnd] = [lines.slice(0, -1), lines.slice(-1)[0]];
-    assert.match(atEnd, new RegExp(`^waiting ${proxyAddress} 65 \\d+ true$`));
+    assert.match(atEnd, new RegExp(`^waiting ${address} 65 \\d+ true$`));
     assert.ok(before.length >= 1 && before.length <= 1 + duration / 1_000, `${before.length} lines in ${duration} ms`);
     assert.ok(before.every(line => Number(line.split(" ")[3]) >= 500), before.join(", "));
 });
 
+// The stream ended behind all that waited in sockets, and reports were added to a queue that nothing sent any more.
+test("a link with too many waiting reports is closed at once, so that a new one begins with a full report", async () => {
+    const { address, other, overfill, end } = await startStuckLink();
+    await overfill();
+    await new Promise(resolve => setTimeout(resolve, 500));
+    const closed = other.told.filter(line => line.startsWith("closed"));
+    end();
+    assert.equal(closed, [`closed ${address}`]);
+});
+
 test.run();
