Count a heartbeat from the view before it also while reads get no answer

A stream that a restarted server was working on was still cancelled and sent to another server (TWICE) where the records of the restart came late while the gateway's own reads got no answer. Cause: took the earliest time of a heartbeat from the rule for leavings, which counts from now if reads got no answer, as the store then acknowledged nothing. A record that another gateway has read shows otherwise.

applyRecord now gets both times, when the view was last complete and the earliest acknowledgement of a leaving.

Before, serverRestarts.test.ts: cancelled and sent again with reads that failed as unreachable; on in 3 of 3 cases (reads that work, are refused, get no answer).

--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -61,21 +61,28 @@
 /** How long a removed server stays in the view, for the streams that still run there. */
 const removedRetention: Milliseconds = 20_000;
 
+/** What is known besides a record when it is applied. */
+export interface RecordCircumstances {
+    /** Whether its incarnation said in an answer that it leaves, whatever the record says. */
+    readonly hasGivenNotice: boolean;
+    /** When the view before the record was last known to be complete. */
+    readonly knownAsOf: Milliseconds;
+    /** The earliest time at which the platform can have acknowledged a leaving that the record tells of. */
+    readonly leavingNotBefore: Milliseconds;
+}
+
 /**
  * Applies a server's record. A record with an older incarnation or heartbeat than the known one changes nothing, and
  * neither does one that does not report its start if the known one does: it is of another writer.
  *
- * @param hasGivenNotice whether this incarnation said in an answer that it leaves, whatever the record says
- * @param knownAsOf when the view before the record was last known to be complete
  * @example
- * const change = applyRecord(view, record, false, now, now);
+ * const change = applyRecord(view, record, { hasGivenNotice: false, knownAsOf: now, leavingNotBefore: now }, now);
  */
 export function applyRecord(
     view: BackendView,
     record: BackendRecord,
-    hasGivenNotice: boolean,
+    { hasGivenNotice, knownAsOf, leavingNotBefore }: RecordCircumstances,
     now: Milliseconds,
-    knownAsOf: Milliseconds,
 ): BackendChange {
     const known = view.get(record.id);
     if (known !== undefined && isOlder(record, known.record)) {
@@ -95,7 +102,7 @@
         restart: isRestart ? restartOf(known, now) : known?.restart,
         warmUpEndsAt,
         publishedWarmUpEndsAt: publishedWarmUpEnd(known, change, warmUpEndsAt),
-        ...leavingTimes(isSameIncarnation ? known : undefined, isLeaving, now, knownAsOf),
+        ...leavingTimes(isSameIncarnation ? known : undefined, isLeaving, now, leavingNotBefore),
         removedAt: undefined,
     });
     return change;
@@ -115,10 +122,10 @@
     known: BackendServer | undefined,
     isLeaving: boolean,
     now: Milliseconds,
-    knownAsOf: Milliseconds,
+    leavingNotBefore: Milliseconds,
 ): Pick<BackendServer, "leavingSince" | "leavingNotBefore"> {
     return isLeaving
-        ? { leavingSince: known?.leavingSince ?? now, leavingNotBefore: known?.leavingNotBefore ?? knownAsOf }
+        ? { leavingSince: known?.leavingSince ?? now, leavingNotBefore: known?.leavingNotBefore ?? leavingNotBefore }
         : { leavingSince: undefined, leavingNotBefore: undefined };
 }
 
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -401,14 +401,12 @@
             return applyConfiguration(transaction, decoded.configuration);
         case "backendServer": {
             const previous = state.servers.get(decoded.record.id);
-            const isNoticed = hasGivenNotice(state, decoded.record);
-            const change = applyRecord(
-                state.servers,
-                decoded.record,
-                isNoticed,
-                now,
-                earliestAcknowledgement(transaction),
-            );
+            const circumstances = {
+                hasGivenNotice: hasGivenNotice(state, decoded.record),
+                knownAsOf: state.followers.backendServers.knownAsOf ?? now,
+                leavingNotBefore: earliestAcknowledgement(transaction),
+            };
+            const change = applyRecord(state.servers, decoded.record, circumstances, now);
             if (previous?.record.service !== decoded.record.service) {
                 indexByService(transaction);
             }
--- a/packages/gateway/test/serverRestarts.test.ts
+++ b/packages/gateway/test/serverRestarts.test.ts
@@ -234,38 +234,44 @@
 
 // Engines of services without migrations report no runs at all. A run was cancelled and sent again while it went on.
 // The last heartbeat before the restart counted as written when it arrived, in a report that was late.
-test("a request that was sent after the restart runs on if the records of before and after it come late", () => {
-    const gateway = gatewayWithEngines();
-    const { next } = gateway.state.followers.backendServers;
-    gateway.now += 500;
-    const call = gateway.startStream("r", "note");
-    for (let event = 2; event <= 41; event++) {
-        gateway.now += 100;
-        gateway.receiveEvents(call, event);
-    }
-    const records = [{ ...first, heartbeat: 9 }, { startedAt: 100 }];
-    const items = records.map(overrides => {
-        const record = server(call.backendServer, overrides);
-        return gateway.item(record.id, [{ kind: "backendServer", record }]);
+for (const failure of [undefined, "refused", "unreachable"] as const) {
+    const reads = failure === undefined ? "" : ` while its reads fail (${failure})`;
+    test(`a request that was sent after the restart runs on if the records of before and after it come late${reads}`, () => {
+        const gateway = gatewayWithEngines();
+        const { next } = gateway.state.followers.backendServers;
+        gateway.now += 500;
+        if (failure !== undefined) {
+            gateway.handle({ kind: "topicReadFailed", topic: "backendServers", failure });
+        }
+        const call = gateway.startStream("r", "note");
+        for (let event = 2; event <= 41; event++) {
+            gateway.now += 100;
+            gateway.receiveEvents(call, event);
+        }
+        const records = [{ ...first, heartbeat: 9 }, { startedAt: 100 }];
+        const items = records.map(overrides => {
+            const record = server(call.backendServer, overrides);
+            return gateway.item(record.id, [{ kind: "backendServer", record }]);
+        });
+        const topic = {
+            name: "backendServers",
+            read: { reader: identifier<never>("other"), count: 1 },
+            since: next!,
+            through: next! + items.length,
+            age: 0,
+            items: items.map(({ item }) => item),
+            isComplete: false,
+        } as const;
+        const echo = { sentAt: gateway.now - 4_300, heldFor: 0 };
+        const effects = [
+            ...gateway.receiveReport({ topics: [topic], echo }, { backendServers: items }),
+            ...gateway.advance(200),
+        ];
+        assert.equal(gateway.state.servers.get(call.backendServer)?.record.startedAt, 100);
+        assert.equal(kindsIn(effects).filter(kind => kind === "cancelAttempt" || kind === "sendAttempt"), []);
+        assert.ok(gateway.state.attempts.has(call.attemptId));
     });
-    const topic = {
-        name: "backendServers",
-        read: { reader: identifier<never>("other"), count: 1 },
-        since: next!,
-        through: next! + items.length,
-        age: 0,
-        items: items.map(({ item }) => item),
-        isComplete: false,
-    } as const;
-    const echo = { sentAt: gateway.now - 4_300, heldFor: 0 };
-    const effects = [
-        ...gateway.receiveReport({ topics: [topic], echo }, { backendServers: items }),
-        ...gateway.advance(200),
-    ];
-    assert.equal(gateway.state.servers.get(call.backendServer)?.record.startedAt, 100);
-    assert.equal(kindsIn(effects).filter(kind => kind === "cancelAttempt" || kind === "sendAttempt"), []);
-    assert.ok(gateway.state.attempts.has(call.attemptId));
-});
+}
 
 test("a report that has no list of runs ends no run", () => {
     const gateway = TestGateway.serving(server("engine-1", first), server("engine-2", { ...first, isDraining: true }));
