--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -26,8 +26,8 @@
 export interface ServerRestart {
     /** When the first record of the new incarnation was read. */
     readonly learnedAt: Milliseconds;
-    /** When the last heartbeat of the incarnation before was read. */
-    readonly previousHeardAt: Milliseconds;
+    /** The earliest time at which the last heartbeat of the incarnation before can have been written. */
+    readonly previousHeartbeatNotBefore: Milliseconds;
     /** The earliest time at which the platform can have acknowledged that it leaves; undefined if it did not. */
     readonly previousLeavingNotBefore: Milliseconds | undefined;
 }
@@ -37,8 +37,8 @@
     readonly record: BackendRecord;
     /** Increases when the server restarts under the same id. */
     readonly incarnation: number;
-    /** When its newest heartbeat was read. */
-    readonly heardAt: Milliseconds;
+    /** The earliest time at which its newest heartbeat can have been written. */
+    readonly heartbeatNotBefore: Milliseconds;
     /** The last restart under its id; undefined if it has not restarted since it was added to the view. */
     readonly restart: ServerRestart | undefined;
     /** The start of the incarnation before; undefined if it is not known. */
@@ -65,6 +65,16 @@
 /** How long a removed server stays in the view, for the streams that still run there. */
 const removedRetention: Milliseconds = 20_000;
 
+/** What is known besides a record when it is applied. */
+export interface RecordCircumstances {
+    /** Whether its incarnation said in an answer that it leaves, whatever the record says. */
+    readonly hasGivenNotice: boolean;
+    /** When the view before the record was last known to be complete. */
+    readonly knownAsOf: Milliseconds;
+    /** The earliest time at which the platform can have acknowledged a leaving that the record tells of. */
+    readonly leavingNotBefore: Milliseconds;
+}
+
 /**
  * Applies a server's record, which follows the known one in the log. A record with an earlier heartbeat than the known one
  * changes nothing, and neither does one that does not report its start if the known one does: it is of another writer.
@@ -72,17 +82,14 @@
  * An incarnation with an earlier start than the known one counts from its second heartbeat on: the first may have been written
  * late by one that has ended, but if it goes on, the clock of its machine went back.
  *
- * @param hasGivenNotice whether this incarnation said in an answer that it leaves, whatever the record says
- * @param knownAsOf when the view before the record was last known to be complete
  * @example
- * const change = applyRecord(view, record, false, now, now);
+ * const change = applyRecord(view, record, { hasGivenNotice: false, knownAsOf: now, leavingNotBefore: now }, now);
  */
 export function applyRecord(
     view: BackendView,
     record: BackendRecord,
-    hasGivenNotice: boolean,
+    { hasGivenNotice, knownAsOf, leavingNotBefore }: RecordCircumstances,
     now: Milliseconds,
-    knownAsOf: Milliseconds,
 ): BackendChange {
     const known = view.get(record.id);
     if (known !== undefined && isOutdated(record, known)) {
@@ -99,12 +106,14 @@
     view.set(record.id, {
         record,
         incarnation: (known?.incarnation ?? 0) + (isRestart ? 1 : 0),
-        heardAt: isSameIncarnation && known.record.heartbeat === record.heartbeat ? known.heardAt : now,
+        heartbeatNotBefore: isSameIncarnation && known.record.heartbeat === record.heartbeat
+            ? known.heartbeatNotBefore
+            : knownAsOf,
         ...restartFields(known, isRestart, now),
         stray: undefined,
         warmUpEndsAt,
         publishedWarmUpEndsAt: publishedWarmUpEnd(known, change, warmUpEndsAt),
-        ...leavingTimes(isSameIncarnation ? known : undefined, isLeaving, now, knownAsOf),
+        ...leavingTimes(isSameIncarnation ? known : undefined, isLeaving, now, leavingNotBefore),
         removedAt: undefined,
     });
     return change;
@@ -121,8 +130,12 @@
 }
 
 /** The restart that ended a known incarnation. */
-function restartOf({ heardAt, leavingNotBefore }: BackendServer, now: Milliseconds): ServerRestart {
-    return { learnedAt: now, previousHeardAt: heardAt, previousLeavingNotBefore: leavingNotBefore };
+function restartOf({ heartbeatNotBefore, leavingNotBefore }: BackendServer, now: Milliseconds): ServerRestart {
+    return {
+        learnedAt: now,
+        previousHeartbeatNotBefore: heartbeatNotBefore,
+        previousLeavingNotBefore: leavingNotBefore,
+    };
 }
 
 /** @param known the same incarnation as it is known, if it is */
@@ -130,10 +143,10 @@
     known: BackendServer | undefined,
     isLeaving: boolean,
     now: Milliseconds,
-    knownAsOf: Milliseconds,
+    leavingNotBefore: Milliseconds,
 ): Pick<BackendServer, "leavingSince" | "leavingNotBefore"> {
     return isLeaving
-        ? { leavingSince: known?.leavingSince ?? now, leavingNotBefore: known?.leavingNotBefore ?? knownAsOf }
+        ? { leavingSince: known?.leavingSince ?? now, leavingNotBefore: known?.leavingNotBefore ?? leavingNotBefore }
         : { leavingSince: undefined, leavingNotBefore: undefined };
 }
 
--- a/packages/gateway/src/drainLimit.ts
+++ b/packages/gateway/src/drainLimit.ts
@@ -36,8 +36,8 @@
 }
 
 function isInContact({ peers }: GatewayState, now: Milliseconds): boolean {
-    return [...peers.values()].some(({ link, lastReportCreatedAt }) =>
-        link === "open" && lastReportCreatedAt !== undefined && now - lastReportCreatedAt <= contactTimeout
+    return [...peers.values()].some(({ link, reportedAsOf }) =>
+        link === "open" && reportedAsOf !== undefined && now - reportedAsOf <= contactTimeout
     );
 }
 
