Deny no routes while the newest configuration can't be decoded

Callers: requests for routes or with keys that only the newest configuration has were answered 404 or 401 for as long as it could not be decoded.

Cause: the view counted as fresh once the record was read, though the older configuration stayed in force. The record did not count as a change, so the gateway that reads for all moved the others past it without its bytes.

Change: the offset of such a configuration is kept until a later one is applied; meanwhile unknown routes and keys get 503 and known routes are served. It counts as a change and reaches the other gateways.

--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -45,6 +45,8 @@
 /** One record of a followed topic, decoded. */
 export type TopicRecord =
     | { readonly kind: "configuration"; readonly configuration: RoutingConfiguration; }
+    /** Comes with "undecodable" if the record holds a configuration. */
+    | { readonly kind: "configurationUndecodable"; }
     | { readonly kind: "backendServer"; readonly record: BackendRecord; }
     | { readonly kind: "backendServerRemoved"; readonly id: BackendServerId; }
     | EvacuationRecord
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -398,7 +398,11 @@
     const { state, now } = transaction;
     switch (decoded.kind) {
         case "configuration":
-            return applyConfiguration(transaction, decoded.configuration);
+            return applyConfiguration(transaction, decoded.configuration, item.offset);
+        case "configurationUndecodable":
+            state.undecodableConfiguration = Math.max(state.undecodableConfiguration ?? 0, item.offset);
+            // Gateways that get the topic from this one have to know that a newer configuration exists.
+            return isNew;
         case "backendServer": {
             const previous = state.servers.get(decoded.record.id);
             const isNoticed = hasGivenNotice(state, decoded.record);
@@ -434,13 +438,20 @@
     }
 }
 
-function applyConfiguration(transaction: Transaction, configuration: RoutingConfiguration): boolean {
+function applyConfiguration(
+    transaction: Transaction,
+    configuration: RoutingConfiguration,
+    offset: LogOffset,
+): boolean {
     const { state, effects } = transaction;
     const previous = state.configuration?.version;
     if (previous !== undefined && configuration.version <= previous) {
         return false;
     }
     state.configuration = configuration;
+    if (state.undecodableConfiguration !== undefined && offset > state.undecodableConfiguration) {
+        state.undecodableConfiguration = undefined;
+    }
     forgetSizes(state, configuration);
     forgetRoutes(state.durations, configuration);
     logDecision(transaction, "info", "configuration_applied", { version: configuration.version, previous });
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -150,22 +150,28 @@
 }
 
 /**
- * Refuses a request whose route or key is unknown. A gateway that has not learnt for as long as a configuration may take
- * that its own is the newest can't tell whether they exist: callers give up after the answer that they don't.
+ * Refuses a request whose route or key is unknown. A gateway whose configuration may be outdated can't tell whether they
+ * exist: callers give up after the answer that they don't.
  */
 function refuseUnknown(
     transaction: Transaction,
     event: RequestReceived,
     type: "route_not_found" | "unauthenticated",
 ): void {
-    const { now, state: { followers, options } } = transaction;
-    const isOutdated =
-        now - (followers.configuration.freshAsOf ?? -Infinity) > (options.configurationLimit ?? Infinity);
-    return isOutdated
+    return mayBeOutdated(transaction)
         ? refuse(transaction, event, "configuration_unavailable", outdatedRetryAfter)
         : refuse(transaction, event, type);
 }
 
+/**
+ * Whether there may be a newer configuration: there is one that can't be decoded, or this gateway has not learnt for as long as
+ * a configuration may take that its own is the newest.
+ */
+function mayBeOutdated({ now, state: { followers, options, undecodableConfiguration } }: Transaction): boolean {
+    const age = now - (followers.configuration.freshAsOf ?? -Infinity);
+    return undecodableConfiguration !== undefined || age > (options.configurationLimit ?? Infinity);
+}
+
 /** Refuses a request before it enters the state. */
 function refuse(
     transaction: Transaction,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -304,6 +304,8 @@
 export interface GatewayState {
     options: GatewayOptions;
     configuration: RoutingConfiguration | undefined;
+    /** The offset of a configuration that is newer than the one in force and can't be decoded. */
+    undecodableConfiguration: LogOffset | undefined;
     readonly servers: BackendView;
     readonly serversByService: Map<ServiceName, readonly BackendServerId[]>;
     readonly health: Map<BackendServerId, ServerHealth>;
@@ -409,6 +411,7 @@
         hintedAddresses: new Set(),
         options,
         configuration: undefined,
+        undecodableConfiguration: undefined,
         servers: new Map(),
         serversByService: new Map(),
         health: new Map(),
--- a/packages/gateway/test/linkedGateways.ts
+++ b/packages/gateway/test/linkedGateways.ts
@@ -100,6 +100,10 @@
         this.logs.configuration.append("config", [{ kind: "configuration", configuration }]);
     }
 
+    configureUndecodable(): void {
+        this.logs.configuration.append("config", [{ kind: "configurationUndecodable" }]);
+    }
+
     register(...servers: readonly BackendRecord[]): void {
         servers.forEach(record => this.logs.backendServers.append(record.id, [{ kind: "backendServer", record }]));
     }
--- a/packages/gateway/test/outdatedViews.test.ts
+++ b/packages/gateway/test/outdatedViews.test.ts
@@ -118,4 +118,28 @@
     assert.is(isDeniedAfter(gatewayAfterRead(500, item), configurationLimit - 500 + 1), false);
 });
 
+// The older configuration stayed in force, and the view counted as fresh.
+test("an unknown route is not denied while the newest configuration can't be decoded, by any of the gateways", () => {
+    const linked = linkedGateways();
+    const deniedBy = () => linked.gateways.filter(gateway => isDenied(gateway, linked.now, 9)).length;
+    assert.is(deniedBy(), 5);
+    linked.configureUndecodable();
+    linked.advance(configurationLimit);
+    assert.is(deniedBy(), 0);
+    assert.ok(linked.gateways.every(gateway => linked.serves(gateway, "confirm")));
+    linked.configure(configuration(3));
+    linked.advance(configurationLimit);
+    assert.is(deniedBy(), 5);
+});
+
+test("a late configuration does not replace the knowledge that a newer one can't be decoded", () => {
+    const gateway = new TestGateway({ configurationLimit });
+    gateway.configure(configuration(1));
+    const late = gateway.item("config", [{ kind: "configuration", configuration: configuration(2) }]);
+    gateway.read("configuration", [gateway.item("config", [{ kind: "configurationUndecodable" }])]);
+    gateway.read("configuration", [late]);
+    assert.is(gateway.state.configuration?.version, 2);
+    assert.is(isDenied(gateway, gateway.now, 9), false);
+});
+
 test.run();
