Test: views hold what was acknowledged before they are fresh, under faults that come together

Seeded schedules of one to six gateways: history deleted, gateways turned away by the log, isolated and restarted, links from or to one gateway that fall behind, answers that are handled up to 0.8 s late. At each step no gateway may lack a configuration that was acknowledged before the time as of which its view counts as fresh; one that has reached the log without delay for 3 s may lack none for longer than 2 s.

--- a/packages/gateway/test/linkedGateways.ts
+++ b/packages/gateway/test/linkedGateways.ts
@@ -116,6 +116,17 @@
         this.logs[topic].deleteHistory();
     }
 
+    /** Replaces a gateway by a new process at its address. What is under way to the earlier one is lost. */
+    restart(gateway: TestGateway): void {
+        const { options, incarnation } = gateway.state;
+        const restarted = new TestGateway(options, gateway.now);
+        Object.assign(restarted.state, { incarnation: identifier<never>(`${incarnation}+`) });
+        restarted.now = gateway.now;
+        this.gateways[this.gateways.indexOf(gateway)] = restarted;
+        this.turnedAway.delete(gateway);
+        gateway.handle = () => [];
+    }
+
     /** Cuts all links of a gateway. */
     isolate(gateway: TestGateway): void {
         this.gateways.forEach(other => this.cutLinks.push([gateway, other]));
