Never follow a part of an answer by another run that can't go on after it

Callers got the pieces of two runs as one complete success (MIXED; review/6) after a server had reset its text/event-stream answer to an idempotent request. Cause: retries looked at the number of runs only, not at what the caller already had. By the same cause a slow answer of this type was run again at the silence timeout, streams whose last event has no id began anew or were continued without a place to go on from, and events of such answers were dropped if their ids did not increase.

A request now knows whether another run can go on after what was received: nothing, or events of a stream of which the last has an id; comments change nothing. Retries, continuations, silent streams and migrations ask for it. Otherwise the answer is cut. Answers of routes that are not streaming are passed on whatever their ids.

--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -371,7 +371,7 @@
         ["events_once_in_order_one_run", "whole_and_own_answer"],
         event =>
             event.kind === "streamEvents"
-                ? { ...event, events: event.events.map(({ bytes }) => ({ bytes, id: undefined })) }
+                ? { ...event, events: event.events.map(({ bytes }) => ({ bytes, id: undefined, isComment: true })) }
                 : event,
     ),
     effectMutation(
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -167,7 +167,8 @@
 
 /**
  * Handles an attempt without a deliverable answer: continues the stream from its replica, sends the request again,
- * returns to its silent attempt, or ends it.
+ * returns to its silent attempt, or ends it. An answer of which a part was received is only followed by the rest of a
+ * stream, so that it is never made of two runs.
  *
  * @param answer the server's own error answer, which is passed on if the request can't be sent again
  */
@@ -180,14 +181,11 @@
 ): void {
     logAttemptFailed(transaction, request, attempt, outcome);
     const suspension = suspensionOf(transaction, request);
-    const { isStream } = request.route;
-    if (suspension === undefined && isStream && continueFromReplica(transaction, request, attempt, outcome)) {
+    const canGoOn = suspension === undefined && request.isContinuable;
+    if (canGoOn && request.route.isStream && continueFromReplica(transaction, request, attempt, outcome)) {
         return;
     }
-    const { isIdempotent, canResume, maximumAttempts } = request.route;
-    const possibleRuns = countPossibleRuns(request.runs);
-    const mayRunAgain = possibleRuns === 0 || ((isIdempotent || canResume) && possibleRuns < maximumAttempts);
-    if (suspension === undefined && mayRunAgain && canDispatchAgain(transaction, request)) {
+    if (canGoOn && mayRunAgain(request) && canDispatchAgain(transaction, request)) {
         return dispatch(transaction, request);
     }
     if (returnToSilentAttempt(transaction, request)) {
@@ -201,12 +199,18 @@
     if (suspension !== undefined) {
         return failSuspended(transaction, request, suspension);
     }
-    if (possibleRuns === 0) {
+    if (countPossibleRuns(request.runs) === 0) {
         return failUnrun(transaction, request);
     }
     failRequest(transaction, request, "backend_server_failed", "the server's answer was lost");
 }
 
+/** Whether the rules allow another run of a request. */
+function mayRunAgain({ route: { isIdempotent, canResume, maximumAttempts }, runs }: GatewayRequest): boolean {
+    const possibleRuns = countPossibleRuns(runs);
+    return possibleRuns === 0 || ((isIdempotent || canResume) && possibleRuns < maximumAttempts);
+}
+
 /** Fails a request that every server refused, or that reached none. */
 function failUnrun(transaction: Transaction, request: GatewayRequest): void {
     if (!failIfEvacuated(transaction, request)) {
@@ -335,7 +339,8 @@
         silenceTimeoutTargets * route.targetLatency,
         silenceTimeoutShare * (request.deadline - attempt.startedAt),
     );
-    const canRepeat = route.isIdempotent && countPossibleRuns(request.runs) < route.maximumAttempts;
+    const canRepeat = request.isContinuable && route.isIdempotent
+        && countPossibleRuns(request.runs) < route.maximumAttempts;
     const waitedSince = attempt.returnedAt ?? attempt.startedAt;
     if (now - waitedSince >= timeout && canRepeat && canDispatchAgain(transaction, request)) {
         sendElsewhere(transaction, request, attempt, true);
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -146,6 +146,7 @@
 /** Whether the stream can continue at another server. */
 function canContinueElsewhere(transaction: Transaction, request: GatewayRequest, attempt: Attempt): boolean {
     const { copy } = attempt;
-    return request.route.canResume || findReplicaHolder(transaction, request, attempt) !== undefined
+    const hasPlace = request.route.canResume || findReplicaHolder(transaction, request, attempt) !== undefined
         || (copy !== undefined && usableCopyHolder(transaction, request, attempt, copy) !== undefined);
+    return request.isContinuable && hasPlace;
 }
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -112,4 +112,6 @@
     readonly id: number | undefined;
     /** The event as the backend server sent it, including the empty line at its end. */
     readonly bytes: Uint8Array;
+    /** Whether it has no fields: comments and empty lines, of which nothing is lost if they are not sent again. */
+    readonly isComment?: boolean;
 }
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -35,6 +35,7 @@
 /** Why a stream is not migrated from a server that leaves or is evacuated. */
 export type MigrationObstacle =
     | "not_begun"
+    | "not_continuable"
     | "stop_requested"
     | "server_restarted"
     | "not_supported"
@@ -211,15 +212,9 @@
     if (isWaiting(attempt) && !canMoveBeforeFirstEvent(request, attempt, reason, now)) {
         return "not_begun";
     }
-    if (isSuperseded(state, attempt.server)) {
-        return "server_restarted";
-    }
-    // A run that may have been stopped continues from its copy as soon as its end is seen.
-    if (attempt.isStopRequested && !goesOnAfterStop(attempt)) {
-        return "stop_requested";
-    }
-    if (engineOf(state, request.service)?.canMigrate !== true) {
-        return "not_supported";
+    const obstacle = runObstacle(state, request, attempt);
+    if (obstacle !== undefined) {
+        return obstacle;
     }
     if (countFailedTargets(attempt, now) >= maximumMigrationTargets) {
         return "targets_failed";
@@ -241,6 +236,25 @@
     return attempt.copy === undefined ? undefined : retryObstacle(transaction, request, 0);
 }
 
+/** Why a run can't be migrated, whatever the reason to do so. */
+function runObstacle(
+    state: GatewayState,
+    { service, isContinuable }: GatewayRequest,
+    attempt: Attempt,
+): MigrationObstacle | undefined {
+    if (!isContinuable) {
+        return "not_continuable";
+    }
+    if (isSuperseded(state, attempt.server)) {
+        return "server_restarted";
+    }
+    // A run that may have been stopped continues from its copy as soon as its end is seen.
+    if (attempt.isStopRequested && !goesOnAfterStop(attempt)) {
+        return "stop_requested";
+    }
+    return engineOf(state, service)?.canMigrate === true ? undefined : "not_supported";
+}
+
 /**
  * Whether a run that waits for its first event is to be migrated from a server that leaves. One that continues another
  * run can be: it has a last event to go on from. Its server knows no such run while it waits for a place, so it is asked
@@ -412,7 +426,7 @@
     const { id } = attempt.server.record;
     // A server whose registration had lapsed may be registered again, and an evacuation may be withdrawn.
     const isDue = migrationReason(state, id) !== undefined;
-    const canStop = isDue && !isPaused(state, id, now) && canSendAgain(transaction, request);
+    const canStop = isDue && request.isContinuable && !isPaused(state, id, now) && canSendAgain(transaction, request);
     if (!canStop || usableCopyHolder(transaction, request, attempt, copy) === undefined) {
         return false;
     }
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -78,6 +78,7 @@
         triedServers: new Set(),
         lastEvent: route.canResume ? head.lastEvent : undefined,
         isConsecutive: undefined,
+        isContinuable: true,
         origin: undefined,
         held: undefined,
         isHeldUntilEnd: false,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -131,6 +131,11 @@
     lastEvent: number | undefined;
     /** Whether the ids of its events increase by 1; undefined until two events in a row tell. */
     isConsecutive: boolean | undefined;
+    /**
+     * Whether another run can go on after what was received of the answer: nothing, or events of a stream of which the last
+     * one has an id.
+     */
+    isContinuable: boolean;
     /** Where the stream began; undefined before its first event. */
     origin: StreamOrigin | undefined;
     /** The first events of a stream that are not passed on yet; undefined if none are kept. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -86,6 +86,7 @@
         if (order === "next") {
             request.isConsecutive ??= isNextId(request, event);
             request.lastEvent = event.id ?? request.lastEvent;
+            request.isContinuable = isContinuableAfter(request, event);
             newEvents.push(event);
         }
     }
@@ -110,11 +111,12 @@
  * another run continues a stream of which that is not known.
  */
 function compareToLast(
-    { lastEvent, isConsecutive, origin }: GatewayRequest,
+    { route, lastEvent, isConsecutive, origin }: GatewayRequest,
     attempt: Attempt,
     { id }: StreamEvent,
 ): "next" | "repeated" | "missing" {
-    if (id === undefined || lastEvent === undefined) {
+    // The answer of another route is passed on whole, whatever it contains.
+    if (!route.isStream || id === undefined || lastEvent === undefined) {
         return "next";
     }
     if (id <= lastEvent) {
@@ -124,6 +126,11 @@
     return id === lastEvent + 1 || !(isConsecutive ?? isContinued) ? "next" : "missing";
 }
 
+/** Whether another run can go on after an event. A comment leaves that as it was. */
+function isContinuableAfter({ route, isContinuable }: GatewayRequest, { id, isComment }: StreamEvent): boolean {
+    return route.isStream && (isComment === true ? isContinuable : id !== undefined);
+}
+
 /** Whether the id of an event follows the last one by 1; undefined if one of them has none. */
 function isNextId({ lastEvent }: GatewayRequest, { id }: StreamEvent): boolean | undefined {
     return id === undefined || lastEvent === undefined ? undefined : id === lastEvent + 1;
--- a/packages/gateway/test/attempts.test.ts
+++ b/packages/gateway/test/attempts.test.ts
@@ -1,7 +1,7 @@
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, failuresIn, kindsIn, server, TestGateway } from "./gatewayBuilders.js";
+import { callsIn, eventsIn, failuresIn, kindsIn, server, TestGateway } from "./gatewayBuilders.js";
 
 const gatewayWithTwoServers = (): TestGateway => TestGateway.serving(server("plain-1"), server("plain-2"));
 
@@ -122,6 +122,45 @@
     assert.equal([gateway.state.requests.size, gateway.state.loads.size], [0, 0]);
 });
 
+/** Receives an idempotent call, and the first events of its answer: of another type than a stream's, they may have ids. */
+function startEventAnswer(ids: readonly (number | undefined)[]) {
+    const gateway = gatewayWithTwoServers();
+    const call = gateway.sendRequest("r", "lookup");
+    gateway.openStream(call);
+    gateway.receiveEvents(call, ...ids);
+    return { gateway, call };
+}
+
+// Callers got the events of both runs as one complete answer.
+for (const ids of [[undefined, undefined], [1, 2], [1, undefined]]) {
+    test(`an answer to an idempotent call that breaks off after events ${ids.join()} is cut and not run again`, () => {
+        const { gateway, call } = startEventAnswer(ids);
+        const effects = gateway.failAttempt(call);
+        assert.equal(callsIn(effects), []);
+        assert.equal(kindsIn(effects), ["answerCut"]);
+    });
+
+    test(`an idempotent call is not sent elsewhere while its answer arrives slowly, after events ${ids.join()}`, () => {
+        const { gateway, call } = startEventAnswer(ids);
+        assert.equal(callsIn(gateway.advance(600)), []);
+        assert.ok(kindsIn(gateway.handle({ kind: "streamEnded", attemptId: call.attemptId })).includes("answerEnd"));
+    });
+}
+
+test("an idempotent call of whose answer only the head came is sent to another server", () => {
+    const gateway = gatewayWithTwoServers();
+    const call = gateway.sendRequest("r", "lookup");
+    gateway.openStream(call);
+    const [second] = callsIn(gateway.failAttempt(call));
+    gateway.openStream(second);
+    assert.equal(eventsIn(gateway.receiveEvents(second, 1, 2)), [1, 2]);
+});
+
+test("the events of an answer to a call are passed on as they are, whatever their ids", () => {
+    const { gateway, call } = startEventAnswer([]);
+    assert.equal(eventsIn(gateway.receiveEvents(call, 1, 2, 2, 1, 5)), [1, 2, 2, 1, 5]);
+});
+
 test("a call that may run only once waits for its answer until its deadline", () => {
     const gateway = gatewayWithTwoServers();
     gateway.sendRequest("r", "confirm");
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -254,7 +254,8 @@
         return this.handle({ kind: "streamOpened", attemptId: call.attemptId, head });
     }
 
-    receiveEvents(call: BackendCall, ...ids: readonly number[]): GatewayEffect[] {
+    /** Receives events with the given ids, or without any. */
+    receiveEvents(call: BackendCall, ...ids: readonly (number | undefined)[]): GatewayEffect[] {
         return this.handle({ kind: "streamEvents", attemptId: call.attemptId, events: ids.map(streamEvent) });
     }
 
@@ -389,8 +390,8 @@
     };
 }
 
-function streamEvent(id: number): StreamEvent {
-    return { id, bytes: new TextEncoder().encode(`id: ${id}\n\n`) };
+function streamEvent(id: number | undefined): StreamEvent {
+    return { id, bytes: new TextEncoder().encode(id === undefined ? "data: a\n\n" : `id: ${id}\n\n`) };
 }
 
 export function callsIn(effects: readonly GatewayEffect[]): BackendCall[] {
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -70,6 +70,48 @@
     assert.equal(eventsIn(gateway.receiveEvents(call, 10, 20)), [10, 20]);
 });
 
+// The run that followed was not told where to go on, and its first events came twice.
+for (const name of ["note", "plan"]) {
+    test(`a ${name} of which the last event has no id is cut when its run is lost`, () => {
+        const gateway = gatewayWithEngines();
+        const call = gateway.startReplicatedStream("r", name);
+        gateway.receiveEvents(call, undefined);
+        const effects = gateway.failAttempt(call);
+        assert.equal(callsIn(effects), []);
+        assert.ok(kindsIn(effects).includes("answerCut"));
+    });
+
+    test(`a ${name} continues after a comment that follows an event with an id`, () => {
+        const gateway = gatewayWithEngines();
+        const call = gateway.startReplicatedStream("r", name);
+        const comment = { id: undefined, bytes: new TextEncoder().encode(":\n\n"), isComment: true };
+        gateway.handle({ kind: "streamEvents", attemptId: call.attemptId, events: [comment] });
+        assert.is(callsIn(gateway.failAttempt(call))[0].lastEvent, 16);
+    });
+
+    test(`a ${name} of which the last event has no id stays at a silent server`, () => {
+        const gateway = gatewayWithEngines();
+        const call = gateway.startReplicatedStream("r", name);
+        gateway.receiveEvents(call, undefined);
+        const { backendServer } = call;
+        const effects = [
+            ...gateway.advance(1_300),
+            ...gateway.handle({ kind: "serverProbed", backendServer, report: undefined }),
+        ];
+        assert.equal(callsIn(effects), []);
+        assert.equal(eventsIn(gateway.receiveEvents(call, 17)), [17]);
+    });
+}
+
+test("a plan of which the last event has no id is not migrated from a server that leaves", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startStream("r", "plan", largePlan);
+    gateway.receiveEvents(call, undefined);
+    const { backendServer } = call;
+    const effects = [...gateway.register(server(backendServer, { isDraining: true })), ...gateway.advance(300)];
+    assert.not.ok(kindsIn(effects).includes("migrateRun"));
+});
+
 test("events that a continued stream of one event lacks end the run", () => {
     const gateway = gatewayWithEngines();
     const [next] = callsIn(gateway.failAttempt(gateway.startStream("r", "note")));
--- a/packages/runtime/src/eventFraming.ts
+++ b/packages/runtime/src/eventFraming.ts
@@ -57,7 +57,7 @@
         const { id, hasField } = parseEvent(bytes);
         emptyBytes = hasField ? 0 : emptyBytes + bytes.length;
         hasOverflowed ||= emptyBytes > maxEventBytes;
-        return { id, bytes };
+        return hasField ? { id, bytes } : { id, bytes, isComment: true };
     };
     return {
         push: chunk => {
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -395,6 +395,7 @@
         const framer = createEventFramer(65_536);
         const events = [...framer.push(Buffer.from(text.slice(0, cut))), ...framer.push(Buffer.from(text.slice(cut)))];
         assert.equal(events.map(event => event.id), [1, 2, undefined, 3]);
+        assert.equal(events.map(event => event.isComment === true), [false, false, true, false]);
         assert.is(Buffer.concat(events.map(event => event.bytes)).toString(), text);
         assert.not.ok(framer.incompleteBytes() > 0);
     }
