Pass on streams whose ids increase by 1 and then by more

Cause: after two consecutive ids any gap counted as missing events, also within one answer, where nothing goes missing on the way; and a caller that took a stream up had to get the next whole number first. The protocol promises increasing ids only.

Within one run's connection any larger id is now next. Where another run continues a stream, its first new id is next if the caller's last event came before it on the same connection, or if the step is no longer than the stream's longest so far. For a caller that takes a stream up no step is known, so any larger id is next. A run that repeats earlier events but passes over the last one ends, and one whose ids decrease is cut, and no run follows it, since the id before may be wrong.

--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -77,7 +77,7 @@
         runs: createRunLedger(),
         triedServers: new Set(),
         lastEvent: route.canResume ? head.lastEvent : undefined,
-        isConsecutive: undefined,
+        longestStep: undefined,
         isContinuable: true,
         origin: undefined,
         held: undefined,
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -221,6 +221,7 @@
         head: undefined,
         firstEventAt: undefined,
         events: 0,
+        lastEvent: undefined,
         memoryTokens: expectedMemory(request),
         waitingTokens: continuesFrom === undefined ? head.promptTokens : 0,
         promptBacklog: head.promptTokens + placementView(state, server, now).waitingTokens,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -50,6 +50,8 @@
     firstEventAt: Milliseconds | undefined;
     /** The number of events received from this run, whether forwarded or not. */
     events: number;
+    /** The id of the last of them that has one. */
+    lastEvent: number | undefined;
     /** The tokens counted as this run's memory in the loads. */
     memoryTokens: number;
     /** Tokens of the prompt before the first event; 0 afterwards. */
@@ -129,8 +131,8 @@
     readonly triedServers: Set<BackendServerId>;
     /** The id of the last event that the caller has. */
     lastEvent: number | undefined;
-    /** Whether the ids of its events increase by 1; undefined until two events in a row tell. */
-    isConsecutive: boolean | undefined;
+    /** The longest step from one id to the next, of which the first is that from the last event when it arrived, or from 0. */
+    longestStep: number | undefined;
     /**
      * Whether another run can go on after what was received of the answer: nothing, or events of a stream of which the last
      * one has an id.
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -74,19 +74,13 @@
     const newEvents: StreamEvent[] = [];
     for (const event of events) {
         const order = compareToLast(request, attempt, event);
-        if (order === "missing") {
+        if (order === "missing" || order === "decreasing") {
             forwardEvents(transaction, request, attempt, newEvents);
-            if (!state.requests.has(request.id)) {
-                return;
-            }
-            recordHealth(transaction, attempt, "answer_malformed");
-            endAttempt(transaction, request, attempt, "cancel");
-            return retryOrFail(transaction, request, attempt, "answer_malformed");
+            return state.requests.has(request.id) ? rejectRun(transaction, request, attempt, order) : undefined;
         }
+        attempt.lastEvent = event.id ?? attempt.lastEvent;
         if (order === "next") {
-            request.isConsecutive ??= isNextId(request, event);
-            request.lastEvent = event.id ?? request.lastEvent;
-            request.isContinuable = isContinuableAfter(request, event);
+            recordLastEvent(request, event);
             newEvents.push(event);
         }
     }
@@ -107,23 +101,53 @@
 }
 
 /**
- * Ids need only increase. A gap tells of missing events if the ids of the stream have been consecutive, or if it is where
- * another run continues a stream of which that is not known.
+ * Ids need only increase. Within a run nothing goes missing on the way, so any larger id is next, also where the run has
+ * first repeated the caller's last event. The first event of another run is next if the step to it is no longer than the
+ * stream's steps were, or if none of them is known.
  */
 function compareToLast(
-    { route, lastEvent, isConsecutive, origin }: GatewayRequest,
+    { route, lastEvent, longestStep = Infinity }: GatewayRequest,
     attempt: Attempt,
     { id }: StreamEvent,
-): "next" | "repeated" | "missing" {
+): "next" | "repeated" | "missing" | "decreasing" {
     // The answer of another route is passed on whole, whatever it contains.
-    if (!route.isStream || id === undefined || lastEvent === undefined) {
+    if (!route.isStream || id === undefined) {
         return "next";
     }
-    if (id <= lastEvent) {
+    if (attempt.lastEvent !== undefined && id < attempt.lastEvent) {
+        return "decreasing";
+    }
+    if (lastEvent !== undefined && id <= lastEvent) {
         return "repeated";
     }
-    const isContinued = origin !== undefined && attempt.events === 0;
-    return id === lastEvent + 1 || !(isConsecutive ?? isContinued) ? "next" : "missing";
+    const isFirst = attempt.lastEvent === undefined;
+    if (attempt.lastEvent === lastEvent || (isFirst && id - (lastEvent ?? 0) <= longestStep)) {
+        return "next";
+    }
+    return "missing";
+}
+
+/** Records an event that the caller is to get. */
+function recordLastEvent(request: GatewayRequest, event: StreamEvent): void {
+    const { lastEvent = 0, longestStep = 1 } = request;
+    if (event.id !== undefined) {
+        request.longestStep = Math.max(longestStep, event.id - lastEvent);
+        request.lastEvent = event.id;
+    }
+    request.isContinuable = isContinuableAfter(request, event);
+}
+
+/** Ends a run whose ids can't be right. Where they decrease, the last one may be wrong, so no other run goes on after it. */
+function rejectRun(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    order: "missing" | "decreasing",
+): void {
+    request.isContinuable &&= order !== "decreasing";
+    recordHealth(transaction, attempt, "answer_malformed");
+    endAttempt(transaction, request, attempt, "cancel");
+    retryOrFail(transaction, request, attempt, "answer_malformed");
 }
 
 /** Whether another run can go on after an event. A comment leaves that as it was. */
@@ -131,11 +155,6 @@
     return route.isStream && (isComment === true ? isContinuable : id !== undefined);
 }
 
-/** Whether the id of an event follows the last one by 1; undefined if one of them has none. */
-function isNextId({ lastEvent }: GatewayRequest, { id }: StreamEvent): boolean | undefined {
-    return id === undefined || lastEvent === undefined ? undefined : id === lastEvent + 1;
-}
-
 function forwardEvents(
     transaction: Transaction,
     request: GatewayRequest,
--- a/packages/gateway/test/streamRegister.test.ts
+++ b/packages/gateway/test/streamRegister.test.ts
@@ -160,6 +160,29 @@
     assert.is(second.backendServer, "engine-1");
 });
 
+// Only the next whole number was accepted, so that a stream whose ids count tokens could not be taken up.
+test("a take-up is passed on whose ids increase by more than 1, and the run that follows by steps of that length", () => {
+    const gateway = gatewayWithBase(engine(1, "v1"), engine(2, "v1"));
+    gateway.receiveRequest("t", "note", takeUp("other"));
+    const [call] = callsIn(read(gateway));
+    gateway.openStream(call);
+    assert.equal(eventsIn(gateway.receiveEvents(call, 7, 11)), [7, 11]);
+    const [next] = callsIn(gateway.failAttempt(call));
+    gateway.openStream(next);
+    assert.equal(eventsIn(gateway.receiveEvents(next, 15, 19)), [15, 19]);
+});
+
+test("a take-up whose first id increases by more than that of the run before it ends that run", () => {
+    const gateway = gatewayWithBase(engine(1, "v1"), engine(2, "v1"));
+    gateway.receiveRequest("t", "note", takeUp("other"));
+    const [call] = callsIn(read(gateway));
+    gateway.openStream(call);
+    gateway.receiveEvents(call, 4);
+    const [next] = callsIn(gateway.failAttempt(call));
+    gateway.openStream(next);
+    assert.equal(eventsIn(gateway.receiveEvents(next, 6, 7)), []);
+});
+
 test("a gateway that read the register before a service had a base version reads it again", () => {
     const gateway = TestGateway.serving(engine(1, "v1"));
     gateway.streamRegister = undefined;
