Count the events of a stream instead of taking its last id for their number

A plan whose ids count tokens was cut when its server was lost, though its replica was usable; seen in a test only. Cause: the last id served as the number of events, so that such a plan counted as ended early, and a silent run that is ahead of what arrived as one that is not.

A request now counts the events received for its caller, which the expectation of replicas, the remaining time of migrations and the judgement of silent runs use. For a caller that takes a stream up, its last id still stands for the events before.

--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -126,7 +126,7 @@
     attempt: Attempt,
     report: ServerReport | undefined,
 ): void {
-    const { head, route, lastEvent } = request;
+    const { head, route, eventCount } = request;
     if (
         !route.isStream || !isSilent(attempt, transaction.now)
         || !canContinueElsewhere(transaction, request, attempt) || !canSendAgain(transaction, request)
@@ -137,7 +137,7 @@
     if (attempt.isStopRequested && report?.runs !== undefined && run === undefined) {
         return abandonAttempt(transaction, request, attempt);
     }
-    const isRunning = run !== undefined && run.events > (lastEvent ?? 0) + maximumEventsInFlight;
+    const isRunning = run !== undefined && run.events > eventCount + maximumEventsInFlight;
     if (report === undefined || isRunning) {
         sendElsewhere(transaction, request, attempt, isRunning);
     }
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -319,9 +319,9 @@
 }
 
 /** The expected time until the stream ends. */
-function remainingTime({ state }: Transaction, { head, service, lastEvent }: GatewayRequest): Milliseconds {
+function remainingTime({ state }: Transaction, { head, service, eventCount }: GatewayRequest): Milliseconds {
     const expected = expectedOutput(head);
-    const generated = (lastEvent ?? 0) * (engineOf(state, service)?.tokensPerEvent ?? 1);
+    const generated = eventCount * (engineOf(state, service)?.tokensPerEvent ?? 1);
     // Once the output exceeds its estimate, half of what was generated is expected to follow.
     const remaining = expected > generated ? expected - generated : generated / 2;
     return remaining * state.timePerToken;
--- a/packages/gateway/src/replicas.ts
+++ b/packages/gateway/src/replicas.ts
@@ -69,14 +69,14 @@
  */
 export function expectReplica(
     { state, now }: Transaction,
-    { head, service, lastEvent }: GatewayRequest,
+    { head, service, eventCount }: GatewayRequest,
     { firstEventAt, lastActivityAt, producingTime }: Attempt,
 ): ReplicaExpectation | undefined {
     const engine = engineOf(state, service);
     if (engine === undefined) {
         return undefined;
     }
-    const generated = (lastEvent ?? 0) * engine.tokensPerEvent;
+    const generated = eventCount * engine.tokensPerEvent;
     const completeAfter = replicaUpdateInterval + transferTime(engine, head.promptTokens + generated);
     // A request that names no maximum has 0.
     const hasEnded = head.maximumTokens > 0 && generated >= head.maximumTokens;
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -77,6 +77,7 @@
         runs: createRunLedger(),
         triedServers: new Set(),
         lastEvent: route.canResume ? head.lastEvent : undefined,
+        eventCount: (route.canResume ? head.lastEvent : undefined) ?? 0,
         longestStep: undefined,
         isContinuable: true,
         origin: undefined,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -131,6 +131,8 @@
     readonly triedServers: Set<BackendServerId>;
     /** The id of the last event that the caller has. */
     lastEvent: number | undefined;
+    /** The number of events that the caller has. Where it takes up a stream, its last id stands for those before. */
+    eventCount: number;
     /** The longest step from one id to the next, of which the first is that from the last event when it arrived, or from 0. */
     longestStep: number | undefined;
     /**
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -134,6 +134,7 @@
         request.longestStep = Math.max(longestStep, event.id - lastEvent);
         request.lastEvent = event.id;
     }
+    request.eventCount += event.isComment === true ? 0 : 1;
     request.isContinuable = isContinuableAfter(request, event);
 }
 
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -92,6 +92,39 @@
     });
 }
 
+/** A plan of at most 100 tokens of which 16 events of 4 tokens came; their ids count tokens. */
+function startCountedPlan() {
+    const gateway = gatewayWithEngines();
+    const call = gateway.sendRequest("r", "plan", { maximumTokens: 100 });
+    gateway.openStream(call);
+    for (let event = 1; event <= 16; event++) {
+        gateway.advance(100);
+        gateway.receiveEvents(call, 4 * event);
+    }
+    return { gateway, call };
+}
+
+// The last id was taken for the number of events, so that such a plan counted as ended.
+test("a plan whose ids count tokens continues from its replica", () => {
+    const { gateway, call } = startCountedPlan();
+    const [next] = callsIn(gateway.failAttempt(call));
+    assert.equal([next?.address, next?.lastEvent], [call.replicaAddress, 64]);
+});
+
+test("a silent plan whose ids count tokens is sent elsewhere if its run is ahead of the events received", () => {
+    for (const [events, isSent] of [[19, false], [20, true]] as const) {
+        const { gateway, call } = startCountedPlan();
+        gateway.advance(1_300);
+        const run = { callerAttemptId: call.head.callerAttemptId, events };
+        const effects = gateway.handle({
+            kind: "serverProbed",
+            backendServer: call.backendServer,
+            report: { runs: [run], isLeaving: false, startedAt: undefined },
+        });
+        assert.is(callsIn(effects).length > 0, isSent, `${events} events`);
+    }
+});
+
 test("another run continues a stream of one event by a step as long as that to its first id", () => {
     const gateway = gatewayWithEngines();
     const call = gateway.sendRequest("r", "note");
