Fuzz links and answers of the store that fall behind

`--system delays` has schedules in which what a gateway sends the others, what it receives or both arrives later and later, up to 6 s, and in which the store's answers reach a gateway late, up to 1.5 s. No fault is recorded for the gateways at the other ends: they stay in touch and have to hold every limit. The gateway itself is held only to what it can read from the store, as after a cut between gateways. All other systems generate the schedules that they did.

--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -10,6 +10,7 @@
     coldSchedules,
     configurationSchedules,
     deadlyWorkSchedules,
+    delaySchedules,
     evacuationSchedules,
     limitSchedules,
     lostAnswerSchedules,
@@ -63,6 +64,12 @@
     schedules: configurationSchedules,
 };
 
+/** Gateways on the users' platform, whose links and answers from the store fall behind while the configuration changes. */
+export const delayPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: delaySchedules,
+};
+
 /** Gateways on the users' platform, with many changes while the store turns gateways away and deletes its history. */
 export const changePlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -2,7 +2,7 @@
  * The actions of a schedule on the users' platform, and how fast-check generates them. The numbers of gateways, servers
  * and callers are taken modulo how many there are.
  */
-import { failureDomains, type ServerBehaviour, type StoreBehaviour } from "@verbenaspring/emulator";
+import { failureDomains, type GrowingDelay, type ServerBehaviour, type StoreBehaviour } from "@verbenaspring/emulator";
 import * as fc from "fast-check";
 import type { RequestKind } from "./requestKinds.js";
 import type { ProbeSubject } from "./versions.js";
@@ -71,6 +71,13 @@
     | { readonly kind: "stopInTurn"; readonly gateway: number; readonly interval: number; }
     | { readonly kind: "cutGateways"; readonly gateway: number; readonly other: number; readonly duration: number; }
     | { readonly kind: "silenceGateways"; readonly gateway: number; readonly other: number; }
+    /** The links of a gateway to all others fall behind: what it sends, what it receives, or both. */
+    | {
+        readonly kind: "delayLinks";
+        readonly gateway: number;
+        readonly direction: "from" | "to" | "both";
+        readonly delay: GrowingDelay;
+    }
     | { readonly kind: "cutServer"; readonly gateway: number; readonly server: number; readonly duration: number; }
     | { readonly kind: "silenceServer"; readonly gateway: number; readonly server: number; };
 
@@ -81,7 +88,9 @@
     | { readonly kind: "compact"; }
     | { readonly kind: "turnAway"; readonly gateway: number; readonly duration: number; }
     | { readonly kind: "cutStore"; readonly gateway: number; readonly duration: number; }
-    | { readonly kind: "silenceStore"; readonly gateway: number; };
+    | { readonly kind: "silenceStore"; readonly gateway: number; }
+    /** The store's answers reach a gateway later and later. */
+    | { readonly kind: "delayAnswers"; readonly gateway: number; readonly delay: GrowingDelay; };
 
 /** Ends of backend servers, of which each is followed by the start of another one. */
 export type ServerReplacement =
@@ -354,6 +363,37 @@
     return schedulesOf(configurationActions, steps);
 }
 
+const growingDelay = (minLimit: number, maxLimit: number): fc.Arbitrary<GrowingDelay> =>
+    fc.record({
+        growth: fc.double({ min: 0.1, max: 0.8, noNaN: true }),
+        limit: fc.integer({ min: minLimit, max: maxLimit }),
+        duration: fc.integer({ min: 3_000, max: 12_000 }),
+    });
+
+const delayedActions = fc.oneof(
+    { arbitrary: arbitraryAction("configure", {}), weight: 6 },
+    { arbitrary: arbitraryAction("probe", { gateway: slot, back: fc.nat(1) }), weight: 24 },
+    { arbitrary: callerRequest, weight: 6 },
+    { arbitrary: gatewayActions, weight: 1 },
+    {
+        arbitrary: arbitraryAction("delayLinks", {
+            gateway: slot,
+            direction: fc.constantFrom("from", "to", "both"),
+            delay: growingDelay(1_000, 6_000),
+        }),
+        weight: 2,
+    },
+    { arbitrary: arbitraryAction("delayAnswers", { gateway: slot, delay: growingDelay(200, 1_500) }), weight: 1 },
+);
+
+/**
+ * Generates schedules of up to `steps` steps, in which the configuration changes often while the links of gateways, and
+ * the answers that they get from the store, fall behind.
+ */
+export function delaySchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    return schedulesOf(delayedActions, steps);
+}
+
 const plainRequest = arbitraryAction("ask", {
     work: fc.constantFrom("confirm", "lookup"),
     gateway: slot,
@@ -494,6 +534,7 @@
     "turnAway",
     "cutStore",
     "silenceStore",
+    "delayAnswers",
 ]);
 const gatewayKinds: ReadonlySet<string> = new Set([
     "killGateway",
@@ -503,6 +544,7 @@
     "stopInTurn",
     "cutGateways",
     "silenceGateways",
+    "delayLinks",
     "cutServer",
     "silenceServer",
 ]);
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -336,6 +336,34 @@
     eventMutation("replicas are trusted without evidence", ["non_idempotent_at_most_once"], trustReplicas),
 ];
 
+/** Lets each report that echoes one of the gateway count as one that echoes its newest one. */
+function createEchoOfNewestReport(): GatewayInterceptors {
+    const newestReports = new WeakMap<GatewayState, Milliseconds>();
+    return {
+        mapEffect: (effect, state) => {
+            if (effect.kind === "sendReport" && effect.report.sentAt !== undefined) {
+                newestReports.set(state, effect.report.sentAt);
+            }
+            return effect;
+        },
+        mapEvent: (event, state) => {
+            const sentAt = newestReports.get(state);
+            return event.kind === "peerReported" && event.report.echo !== undefined && sentAt !== undefined
+                ? { ...event, report: { ...event.report, echo: { sentAt, heldFor: 0 } } }
+                : event;
+        },
+    };
+}
+
+/** Mutations that only schedules in which links fall behind can find. */
+export const delayMutations: readonly Mutation<GatewayInterceptors>[] = [
+    {
+        name: "the transmission of reports is ignored",
+        promises: ["configuration_in_force"],
+        implementation: createEchoOfNewestReport(),
+    },
+];
+
 /** Mutations that only schedules in which servers of several software versions serve can find. */
 export const releaseMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation(
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -579,6 +579,8 @@
                 this.recordFaults(gateway, other, 0);
                 return network.silence(gateway.name, other.name);
             }
+            case "delayLinks":
+                return this.delayLinks(gateway, action);
             case "cutServer": {
                 const address = this.addressOf(action.server);
                 this.oracle.faultRecord.recordProcessFault(gateway.name, action.duration);
@@ -594,6 +596,25 @@
         }
     }
 
+    /** The other gateways stay in touch, so that no fault is recorded for them. */
+    private delayLinks(
+        gateway: VirtualGateway,
+        { direction, delay }: Extract<GatewayAction, { readonly kind: "delayLinks"; }>,
+    ): void {
+        const { network, gateways } = this.platform;
+        const duration = delay.duration + delay.limit;
+        this.oracle.faultRecord.recordProcessFault(gateway.name, duration);
+        for (const other of gateways.filter(({ name }) => name !== gateway.name)) {
+            this.oracle.contact.recordPeerPathFault(gateway, other, duration);
+            if (direction !== "to") {
+                network.fallBehind(gateway.name, other.name, delay);
+            }
+            if (direction !== "from") {
+                network.fallBehind(other.name, gateway.name, delay);
+            }
+        }
+    }
+
     private stopInTurn(first: number, interval: Milliseconds): void {
         for (let count = 0; count < this.gatewayPlan.count; count++) {
             this.platform.clock.schedule(count * interval, () => this.gatewayOf(first + count).stop());
@@ -646,6 +667,11 @@
                 this.recordStorePathFault(gateway, 0);
                 return network.silence(gateway.name, storeName);
             }
+            case "delayAnswers": {
+                const gateway = this.gatewayOf(action.gateway);
+                this.recordStorePathFault(gateway, action.delay.duration + action.delay.limit);
+                return network.fallBehind(storeName, gateway.name, action.delay);
+            }
         }
     }
 
