Soak: links between gateways and answers of the store that fall behind

In the new plan `delays` each gateway opens its links to others through relays, to which a module leads it that is loaded before its program, and relays delay bytes in one direction by a time that grows: up to 5 s between gateways, up to 1.5 s from the store. Gateways at the other ends stay in touch. Peer addresses are now chosen before the first gateway starts, in all plans.

Not shown: that this plan finds the fault.

--- a/packages/bench/src/faultRelay.ts
+++ b/packages/bench/src/faultRelay.ts
@@ -1,5 +1,6 @@
 /**
- * A TCP relay on loopback that injects faults into the connections through it: it delays bytes, holds one direction,
+ * A TCP relay on loopback that injects faults into the connections through it: it delays bytes, also by a time that grows,
+ * holds one direction,
  * resets connections, or permanently silences those that are open while new ones work, like a middlebox that has lost
  * its state.
  */
@@ -8,6 +9,13 @@
 /** Upstream is towards the target, downstream towards the client. */
 export type RelayDirection = "upstream" | "downstream";
 
+/** A delay that grows from 0 to a limit in milliseconds. */
+export interface GrowingRelayDelay {
+    /** The delay that is added in each millisecond. */
+    readonly growth: number;
+    readonly limit: number;
+}
+
 /** A running relay. */
 export interface FaultRelay {
     readonly address: string;
@@ -15,8 +23,10 @@
     readonly silence: () => void;
     /** Resets every connection that is open now. */
     readonly reset: () => void;
-    /** Delays bytes that arrive from now on; 0 forwards them at once. */
+    /** Delays bytes that arrive from now on; 0 forwards them at once, after those that are delayed. */
     readonly delay: (milliseconds: number) => void;
+    /** Delays bytes that arrive in the direction later and later, until the next call of `delay`. */
+    readonly fallBehind: (direction: RelayDirection, delay: GrowingRelayDelay) => void;
     /** Queues everything in the direction until `release`, which delivers it late. */
     readonly hold: (direction: RelayDirection) => void;
     /** Ends all holds. */
@@ -26,7 +36,8 @@
 }
 
 interface RelayState {
-    delayMilliseconds: number;
+    /** The delay of bytes that arrive at a time, in milliseconds. */
+    readonly delays: Record<RelayDirection, (now: number) => number>;
     readonly held: Set<RelayDirection>;
     readonly connections: Set<RelayedConnection>;
 }
@@ -51,7 +62,11 @@
  * const relay = await startFaultRelay("127.0.0.1:7100");
  */
 export function startFaultRelay(target: string): Promise<FaultRelay> {
-    const state: RelayState = { delayMilliseconds: 0, held: new Set(), connections: new Set() };
+    const state: RelayState = {
+        delays: { upstream: () => 0, downstream: () => 0 },
+        held: new Set(),
+        connections: new Set(),
+    };
     const [host, port] = target.split(":");
     const server = createServer(client => relayConnection(state, client, connect(Number(port), host)));
     return new Promise(resolve => {
@@ -66,7 +81,14 @@
         address: `127.0.0.1:${listening.port}`,
         silence: () => state.connections.forEach(connection => connection.isSilent = true),
         reset,
-        delay: milliseconds => state.delayMilliseconds = milliseconds,
+        delay: milliseconds => {
+            state.delays.upstream = () => milliseconds;
+            state.delays.downstream = () => milliseconds;
+        },
+        fallBehind: (direction, { growth, limit }) => {
+            const startedAt = performance.now();
+            state.delays[direction] = now => Math.min(limit, growth * (now - startedAt));
+        },
         hold: direction => state.held.add(direction),
         release: () => {
             state.held.clear();
@@ -102,7 +124,8 @@
     to: Socket,
 ): void {
     const enqueue = (deliver: () => void): void => {
-        connection.pending[direction].push({ deliver, dueAt: performance.now() + state.delayMilliseconds });
+        const now = performance.now();
+        connection.pending[direction].push({ deliver, dueAt: now + state.delays[direction](now) });
         deliverDue(state, connection, direction);
     };
     from.setNoDelay(true);
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -57,6 +57,7 @@
         engines: plan.engines,
         engineProfile: plan.engineProfile,
         checksTimeLimits,
+        relaysPeerLinks: plan.relaysPeerLinks ?? false,
     });
     // A soak that is interrupted leaves no gateways running.
     const killGatewaysAndExit = (): void => {
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -460,6 +460,51 @@
     { name: "loseHeartbeats", perform: loseHeartbeats },
 ];
 
+const [minDelayDuration, maxDelayDuration] = [4_000, 10_000];
+/** What is added to a growing delay in each millisecond. */
+const [minDelayGrowth, maxDelayGrowth] = [0.2, 0.6];
+/** The longest delays in milliseconds between gateways, and of the store's answers. */
+const [maxPeerDelay, maxAnswerDelay] = [5_000, 1_500];
+
+function between(faults: SoakFaults, min: number, max: number): number {
+    return min + faults.random() * (max - min);
+}
+
+/** The links of a gateway to all others fall behind: what it sends, what it receives, or both. The others stay in touch. */
+function delayLinks(faults: SoakFaults, gateway: SoakGateway): void {
+    const { world, world: { oracle } } = faults;
+    const duration = between(faults, minDelayDuration, maxDelayDuration);
+    const delay = { growth: between(faults, minDelayGrowth, maxDelayGrowth), limit: maxPeerDelay * faults.random() };
+    const directions = faults.choose([["from"], ["to"], ["from", "to"]] as const);
+    const peerRelays = world.peerRelaysOf(gateway);
+    oracle.faultRecord.recordProcessFault(gateway.name, duration + delay.limit);
+    world.gateways
+        .filter(other => other !== gateway)
+        .forEach(other => oracle.contact.recordPeerPathFault(gateway, other, duration + delay.limit));
+    peerRelays.forEach(peerRelay =>
+        directions.forEach(direction => peerRelay.relay.fallBehind(peerRelay[direction], delay))
+    );
+    faults.endAfter(duration, () => peerRelays.forEach(({ relay }) => relay.delay(0)));
+}
+
+/** The store's answers reach a gateway later and later. */
+function delayAnswers(faults: SoakFaults, gateway: SoakGateway): void {
+    const { oracle } = faults.world;
+    const duration = between(faults, minDelayDuration, maxDelayDuration);
+    const delay = { growth: between(faults, minDelayGrowth, maxDelayGrowth), limit: maxAnswerDelay * faults.random() };
+    oracle.recordGatewayFault(gateway, duration + delay.limit);
+    oracle.contact.recordStorePathFault(gateway, duration + delay.limit);
+    gateway.storeRelay.fallBehind("downstream", delay);
+    faults.endAfter(duration, () => gateway.storeRelay.delay(0));
+}
+
+/** Links between gateways, and answers of the store, that fall behind. */
+export const growingDelayKinds: readonly Fault[] = [
+    { name: "delayLinks", perform: withGateway(delayLinks) },
+    { name: "delayLinks", perform: withGateway(delayLinks) },
+    { name: "delayAnswers", perform: withGateway(delayAnswers) },
+];
+
 /** The shortest and the longest time in milliseconds in which a replaced engine serves on. */
 const [minLeavingDuration, maxLeavingDuration] = [2_300, 5_300];
 
--- a/packages/soak/src/soakPlans.ts
+++ b/packages/soak/src/soakPlans.ts
@@ -20,6 +20,7 @@
     evacuationFaultKinds,
     faultKinds,
     type FaultSeries,
+    growingDelayKinds,
     harmlessFaultKinds,
     hostileFaultKinds,
     releaseFaultKinds,
@@ -70,6 +71,8 @@
     readonly engineProfile: EngineProfile;
     /** Whether nothing but planned operations happens, so that requests may not fail after the last of them. */
     readonly isPlanned: boolean;
+    /** Whether what gateways send each other passes through relays; false if absent. */
+    readonly relaysPeerLinks?: boolean;
 }
 
 const allPauses = { minPause: 0, maxPause: 900 };
@@ -96,6 +99,13 @@
 const loadPeriod = 11_000;
 const maxLongThinkTime = 12_000;
 
+const drawShortSize = (kind: RequestOrProbeKind, random: Random): RequestSize => ({
+    promptTokens,
+    length: isStreamed(kind) ? 1 + Math.floor(maxShortLength * random() ** 2) : 1,
+    timeLimit: 1_000 + Math.floor(12_000 * random()),
+    statesLength: true,
+});
+
 const reuseConnections = (): SendingHabits => ({ isChunked: false, keepsConnection: true });
 
 /** The plans by name. */
@@ -118,12 +128,7 @@
             areBalanced: false,
             drawSending: reuseConnections,
             drawThinkTime: drawShortThinkTime,
-            drawSize: (kind, random) => ({
-                promptTokens,
-                length: isStreamed(kind) ? 1 + Math.floor(maxShortLength * random() ** 2) : 1,
-                timeLimit: 1_000 + Math.floor(12_000 * random()),
-                statesLength: true,
-            }),
+            drawSize: drawShortSize,
         },
         engines: 3,
         engineProfile: defaultEngines,
@@ -161,6 +166,26 @@
         engineProfile: defaultEngines,
         isPlanned: true,
     },
+    /** Links between gateways, and answers of the store, fall behind while the configuration changes. */
+    delays: {
+        series: [
+            { kinds: growingDelayKinds, minPause: 2_000, maxPause: 6_000, source: 16 },
+            { kinds: configurationKinds, minPause: 400, maxPause: 1_400, source: 17 },
+        ],
+        callers: {
+            kinds: ["confirm", "lookup", "plan", "note"],
+            leavingShare: 0,
+            probeShare: 0.4,
+            areBalanced: false,
+            drawSending: reuseConnections,
+            drawThinkTime: drawShortThinkTime,
+            drawSize: drawShortSize,
+        },
+        engines: 3,
+        engineProfile: defaultEngines,
+        isPlanned: false,
+        relaysPeerLinks: true,
+    },
     /**
      * Gateways stop one after the other, so that their stops overlap and some have just started, while short streams with
      * long prompts wait at engines. More and more of them arrive at a time, so that earlier ones waited less than later ones do.
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -1,12 +1,13 @@
 /**
- * The processes of a soak: gateways, with a relay before each and another between it and the store, and the emulator's
- * backend servers, each behind a relay.
+ * The processes of a soak: gateways, with a relay before each, another between it and the store, and in some plans one
+ * to each other gateway, and the emulator's backend servers, each behind a relay.
  */
 import {
     type FaultRelay,
     findFreeGatewayAddresses,
     type GatewayProcess,
     isGatewayProcessReady,
+    type RelayDirection,
     startFaultRelay,
     startGatewayProcess,
     waitUntil,
@@ -55,6 +56,13 @@
     hasExited: boolean;
 }
 
+/** A relay between two gateways, and the directions over it from one of them and to it. */
+export interface PeerRelay {
+    readonly relay: FaultRelay;
+    readonly from: RelayDirection;
+    readonly to: RelayDirection;
+}
+
 /** A backend server and the relay before it. */
 export interface SoakBackendServer {
     readonly standIn: BackendServerStandIn;
@@ -67,6 +75,8 @@
     readonly engines: number;
     readonly engineProfile: EngineProfile;
     readonly checksTimeLimits: boolean;
+    /** Whether what gateways send each other passes through relays. */
+    readonly relaysPeerLinks: boolean;
 }
 
 /** The versions of the servers' software, which releases bring into service by turns. */
@@ -96,7 +106,10 @@
     /** Every process that was started, also those that have exited. */
     private readonly allGateways: SoakGateway[] = [];
     private readonly relays: FaultRelay[] = [];
-    private seedAddress: string | undefined;
+    /** The peer addresses of the slots, which their processes share. */
+    private peerAddresses: readonly string[] = [];
+    /** For each slot, the relays through which its processes open links, by the peer address of the other gateway. */
+    private peerRelays: readonly ReadonlyMap<string, FaultRelay>[] = [];
     private isClosing = false;
     private serverCount = 0;
     private releaseCount = 0;
@@ -143,10 +156,10 @@
     }
 
     static async start(options: SoakWorldOptions): Promise<SoakWorld> {
-        const { gateways, engines, engineProfile, checksTimeLimits } = options;
+        const { engineProfile, checksTimeLimits } = options;
         const world = new SoakWorld(await startPlatformStore(), engineProfile, checksTimeLimits);
         try {
-            await world.startAll(gateways, engines);
+            await world.startAll(options);
             return world;
         }
         catch (error) {
@@ -155,7 +168,12 @@
         }
     }
 
-    private async startAll(gateways: number, engines: number): Promise<void> {
+    private async startAll({ gateways, engines, relaysPeerLinks }: SoakWorldOptions): Promise<void> {
+        const addresses = await Promise.all(Array.from({ length: gateways }, findFreeGatewayAddresses));
+        this.peerAddresses = addresses.map(({ peerAddress }) => peerAddress);
+        this.peerRelays = await Promise.all(
+            this.peerAddresses.map(opener => this.startPeerRelays(relaysPeerLinks ? opener : undefined)),
+        );
         this.configure();
         for (const kind of ["plain", "plain", ...Array.from({ length: engines }, () => "engine" as const)] as const) {
             await this.addServer(kind);
@@ -164,6 +182,25 @@
         await Promise.all(Array.from({ length: gateways - 1 }, (_, index) => this.startGateway(index + 1)));
     }
 
+    /** Starts the relays through which the processes with a peer address open links; none without the address. */
+    private async startPeerRelays(opener: string | undefined): Promise<ReadonlyMap<string, FaultRelay>> {
+        const others = opener === undefined ? [] : this.peerAddresses.filter(address => address !== opener);
+        return new Map(
+            await Promise.all(others.map(async address => [address, await this.startRelay(address)] as const)),
+        );
+    }
+
+    /** The relays between a gateway and all others, and which direction over each is from it. */
+    peerRelaysOf(gateway: SoakGateway): readonly PeerRelay[] {
+        const slot = this.gateways.indexOf(gateway);
+        const opened = [...this.peerRelays[slot]?.values() ?? []];
+        const accepted = this.peerRelays.flatMap(relays => relays.get(this.peerAddresses[slot]) ?? []);
+        return [
+            ...opened.map(relay => ({ relay, from: "upstream", to: "downstream" } as const)),
+            ...accepted.map(relay => ({ relay, from: "downstream", to: "upstream" } as const)),
+        ];
+    }
+
     /** Writes the next version of the configuration to the store, as the platform's operator does. */
     configure(): void {
         const cold = { perSecond: platformLimits.coldRate.perSecond, duration: coldDuration };
@@ -175,8 +212,9 @@
     /** Starts a process in a slot, and waits until it is ready. Its peer address is that of the process before it. */
     async startGateway(slot: number): Promise<void> {
         const free = await findFreeGatewayAddresses();
-        const peerAddress = this.gateways[slot]?.process.options.peerAddress ?? free.peerAddress;
-        this.seedAddress ??= peerAddress;
+        const peerRelaysModule = new URL("peerRelays.js", import.meta.url);
+        this.peerRelays[slot].forEach((relay, address) => peerRelaysModule.searchParams.set(address, relay.address));
+        const preloads = [new URL("clockJump.js", import.meta.url), peerRelaysModule];
         const storeRelay = await this.startRelay(this.store.address);
         const failureDomain = failureDomains[slot % failureDomains.length];
         const process = startGatewayProcess({
@@ -184,10 +222,10 @@
             failureDomain,
             folder: this.folder,
             ...free,
-            peerAddress,
-            seedAddress: this.seedAddress,
+            peerAddress: this.peerAddresses[slot],
+            seedAddress: this.peerAddresses[0],
             storeAddress: storeRelay.address,
-            command: ["--import", new URL("clockJump.js", import.meta.url).href, gatewayProgram],
+            command: [...preloads.flatMap(({ href }) => ["--import", href]), gatewayProgram],
         });
         const callerRelay = await this.startRelay(free.callerAddress);
         const gateway: SoakGateway = {
--- a/packages/soak/test/soakProcess.test.ts
+++ b/packages/soak/test/soakProcess.test.ts
@@ -42,6 +42,18 @@
     assert.equal(violations, []);
 });
 
+test("no promise is broken while links between gateways fall behind, of seed 1", async () => {
+    const { violations } = await runSoak({
+        seed: 1,
+        seconds: 6,
+        gateways: 3,
+        callers: 8,
+        plan: "delays",
+        checksTimeLimits: false,
+    });
+    assert.equal(violations, []);
+});
+
 test("no promise is broken by stops in turn while streams wait at engines, of seed 1", async () => {
     const { violations } = await runSoak({
         seed: 1,
