--- a/packages/bench/src/faultRelay.ts
+++ b/packages/bench/src/faultRelay.ts
@@ -1,8 +1,7 @@
 /**
  * A TCP relay on loopback that injects faults into the connections through it: it delays bytes, also by a time that grows,
- * holds one direction,
- * resets connections, or permanently silences those that are open while new ones work, like a middlebox that has lost
- * its state.
+ * holds one direction, resets connections, or permanently silences those that are open while new ones work, like a middlebox
+ * that has lost its state.
  */
 import { connect, createServer, type Server, type Socket } from "node:net";
 
