Split the ages of reports and reads into modules of their own

What a newcomer would stop at: peers.ts and followers.ts answered one question more each, how old what a report tells or a read finds can be. transmissions.ts and readAges.ts hold it now; no decision changes. ObservedGateways reached a private method of LinkedGateways, which now calls back when the log answers. Lines that stood twice in drainLimit.test.ts and the soak's plans are shared.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -14,6 +14,7 @@
 import { checkStreamsSoon, migrateStreams } from "./migration.js";
 import type { MemberRecord, OffsetRange, TopicReadStamp } from "./peerReport.js";
 import { reportToPeers } from "./peers.js";
+import { earliestAnswer, logLateRead, longestWait } from "./readAges.js";
 import { isReadRequired, recordReadEnd, recordReadStart } from "./resumption.js";
 import { forgetRoutes } from "./routeDurations.js";
 import type { RoutingConfiguration } from "./routingConfiguration.js";
@@ -50,10 +51,6 @@
 /** A tombstone is dropped, and no longer reported to other gateways, once the topic is known this far beyond it. */
 const tombstoneRetentionOffsets = 2_000;
 
-/** The time beyond its wait from which on a read is logged as late. */
-const lateReadThreshold: Milliseconds = 500;
-const lateReadLogInterval: Milliseconds = 1_000;
-
 /** How long the times of changes are kept; longer than a gateway waits before it passes on what another one read. */
 const changeRetention: Milliseconds = 2_000;
 
@@ -80,7 +77,7 @@
     follower.isReading = true;
     follower.readStartedAt = now;
     recordReadStart(state, topic);
-    follower.readWait = isRequired ? 0 : longestWait(follower, readPlans[topic], now);
+    follower.readWait = isRequired ? 0 : longestWait(follower, readPlans[topic].wait, now);
     if (follower.next === undefined) {
         effects.push({ kind: "readSnapshot", topic });
         return;
@@ -88,15 +85,6 @@
     effects.push({ kind: "readTopic", topic, from: follower.next, wait: follower.readWait });
 }
 
-/**
- * How long a read may wait for records: no longer than until what is known is as old as the plan's wait. A read that replaces
- * those of another gateway does not wait.
- */
-function longestWait({ next, freshAsOf }: TopicFollower, { wait }: ReadPlan, now: Milliseconds): Milliseconds {
-    const age = next === undefined || freshAsOf === undefined ? Infinity : now - freshAsOf;
-    return Math.max(0, Math.ceil(wait - age));
-}
-
 /** Whether this gateway has to read the topic: it ranks first, or the newest known read is too old for its rank. */
 function isDue({ state, now }: Transaction, topic: TopicName, follower: TopicFollower): boolean {
     if (follower.freshAsOf === undefined) {
@@ -151,38 +139,6 @@
     startDueRead(transaction, topic);
 }
 
-/**
- * The earliest time at which the log can have answered a read: after the whole wait if it had no records, else at the start.
- * The answer may have been under way for any time since.
- */
-function earliestAnswer(
-    { readStartedAt, readWait }: TopicFollower,
-    { items }: TopicRead,
-    now: Milliseconds,
-): Milliseconds {
-    const afterWait = readStartedAt + (items.length === 0 ? readWait : 0);
-    return afterWait <= now ? afterWait : Math.min(now, readStartedAt);
-}
-
-/** Logs a read that took long beyond the time that the log may have waited for a record, at most once a second for each topic. */
-function logLateRead(transaction: Transaction, { topic, isSnapshot, items, next }: TopicRead): void {
-    const { state, now } = transaction;
-    const follower = state.followers[topic];
-    const took = now - follower.readStartedAt;
-    if (took - follower.readWait < lateReadThreshold || now - follower.lateReadLoggedAt < lateReadLogInterval) {
-        return;
-    }
-    follower.lateReadLoggedAt = now;
-    logDecision(transaction, "info", "topic_read_late", {
-        topic,
-        took: Math.round(took),
-        wait: follower.readWait,
-        isSnapshot,
-        items: items.length,
-        next,
-    });
-}
-
 function knownReadCount({ readCounts }: TopicFollower, reader: GatewayIncarnation): number {
     return readCounts.get(reader) ?? 0;
 }
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -26,6 +26,7 @@
 import { createTopicReports, handlePeerTopic, hasNewReads, hasOwnReads } from "./peerTopics.js";
 import type { GatewayState, Peer } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
+import { echoFor, logLateReport, longestTransmission, recordHeard } from "./transmissions.js";
 
 type PeerReported = Extract<GatewayEvent, { readonly kind: "peerReported"; }>;
 
@@ -37,9 +38,6 @@
 const heartbeatsUntilSilent = 3;
 const minimumReopenDelay: Milliseconds = 200;
 const maximumReopenDelay: Milliseconds = 2_000;
-/** The transmission from which on a report is logged as late. */
-const lateReportThreshold: Milliseconds = 500;
-const lateReportLogInterval: Milliseconds = 1_000;
 /** How often the neighbours are chosen again without a change of the members. */
 const wantedInterval: Milliseconds = 500;
 /** How long a link stays open that neither end wants. */
@@ -262,9 +260,7 @@
         protocol: reportProtocol,
         wantsLink: peer.isWanted,
         sentAt: now,
-        echo: peer.heard === undefined
-            ? undefined
-            : { sentAt: peer.heard.sentAt, heldFor: now - peer.heard.handledAt },
+        echo: echoFor(peer, now),
         records,
         members: isCurrent ? [] : liveAddresses(state, now),
         isStopping: state.stopRequestedAt !== undefined,
@@ -330,45 +326,6 @@
     }
 }
 
-function recordHeard(peer: Peer, { sentAt }: PeerReport, now: Milliseconds): void {
-    if (sentAt !== undefined && sentAt >= (peer.heard?.sentAt ?? -Infinity)) {
-        peer.heard = { sentAt, handledAt: now };
-    }
-}
-
-/**
- * The longest that a report can have been under way, from its creation until it is handled: the time since the report of this
- * gateway that it echoes, less the time that the sender had that one. Only durations on one clock each are compared.
- * Undefined without an echo, as in the first report on a link and from gateways of an earlier version.
- */
-function longestTransmission({ echo }: PeerReport, now: Milliseconds): Milliseconds | undefined {
-    const transmission = echo === undefined ? undefined : now - echo.sentAt - echo.heldFor;
-    // An echo of what this process has not sent yet was meant for an earlier one.
-    return transmission === undefined || transmission < 0 ? undefined : transmission;
-}
-
-/** Logs a report that may have been under way for long, at most once a second for each peer. */
-function logLateReport(
-    transaction: Transaction,
-    peer: Peer,
-    report: PeerReport,
-    transmission: Milliseconds | undefined,
-): void {
-    const { now } = transaction;
-    const isLate = transmission !== undefined && transmission >= lateReportThreshold;
-    if (!isLate || now - peer.lateReportLoggedAt < lateReportLogInterval) {
-        return;
-    }
-    peer.lateReportLoggedAt = now;
-    logDecision(transaction, "info", "peer_report_late", {
-        peer: peer.address,
-        transmission: Math.round(transmission),
-        sinceLink: Math.round(now - peer.openedAt),
-        records: report.records.length,
-        items: report.topics.reduce((sum, { items }) => sum + items.length, 0),
-    });
-}
-
 /** Only gateways of an older version name others by their addresses. More than these are learnt later. */
 const maximumHints = 64;
 
--- a/packages/gateway/test/drainLimit.test.ts
+++ b/packages/gateway/test/drainLimit.test.ts
@@ -30,16 +30,22 @@
     assert.is(sends(gateway, "r"), false);
 });
 
-// The gateways' own reads are beyond the platform's rate, while the platform serves its backend servers.
-test("a server that was removed while the store refused all reads gets no request after the drain limit", () => {
-    const gateway = TestGateway.serving(server("plain-1"));
-    const knownAsOf = gateway.now;
+/** Refuses a gateway's reads of the servers for 2.4 s, in which something else may happen in each step. */
+function refuseReads(gateway: TestGateway, act: () => void = () => undefined): void {
     for (let elapsed = 0; elapsed < 2_400; elapsed += 50) {
         gateway.advance(50);
         if (gateway.state.followers.backendServers.isReading) {
             gateway.handle({ kind: "topicReadFailed", topic: "backendServers", failure: "refused" });
         }
+        act();
     }
+}
+
+// The gateways' own reads are beyond the platform's rate, while the platform serves its backend servers.
+test("a server that was removed while the store refused all reads gets no request after the drain limit", () => {
+    const gateway = TestGateway.serving(server("plain-1"));
+    const knownAsOf = gateway.now;
+    refuseReads(gateway);
     gateway.remove("plain-1");
     assert.ok(gateway.now + longestDelivery > knownAsOf + drainLimit);
     assert.is(sends(gateway, "r"), false);
@@ -49,13 +55,7 @@
 test("a server that was removed while the store refused this gateway, and reports came late, gets no late request", () => {
     const gateway = TestGateway.serving(server("plain-1"));
     const knownAsOf = gateway.now;
-    for (let elapsed = 0; elapsed < 2_400; elapsed += 50) {
-        gateway.advance(50);
-        if (gateway.state.followers.backendServers.isReading) {
-            gateway.handle({ kind: "topicReadFailed", topic: "backendServers", failure: "refused" });
-        }
-        gateway.receiveReport({ echo: { sentAt: gateway.now - 1_200, heldFor: 0 } });
-    }
+    refuseReads(gateway, () => gateway.receiveReport({ echo: { sentAt: gateway.now - 1_200, heldFor: 0 } }));
     gateway.remove("plain-1");
     assert.ok(gateway.now + longestDelivery > knownAsOf + drainLimit);
     assert.is(sends(gateway, "r"), false);
--- a/packages/gateway/test/linkedGateways.ts
+++ b/packages/gateway/test/linkedGateways.ts
@@ -74,6 +74,8 @@
     reportDelay: (sender: TestGateway, receiver: TestGateway) => number = () => 0;
     /** How long an answer of the log that is sent now waits until the gateway handles it. */
     readDelay: (gateway: TestGateway) => number = () => 0;
+    /** Is called when the log answers a read with records or at its end, before the gateway gets the answer. */
+    answered: (gateway: TestGateway, topic: TopicName) => void = () => undefined;
     /** The items of all reports that were delivered. */
     deliveredItems = 0;
     /** By link, or by gateway and topic. Each list is in the order of sending. */
@@ -187,6 +189,7 @@
         if (items.length === 0 && this.now < dueAt) {
             return false;
         }
+        this.answered(gateway, topic);
         const event = { kind: "topicRead", topic, isSnapshot: from === undefined, items, next: log.end } as const;
         const key = `${gateway.state.options.peerAddress} ${topic}`;
         this.deliverAfter(this.readDelay(gateway), key, () => this.perform(gateway, gateway.handle(event)));
--- a/packages/gateway/test/observedGateways.ts
+++ b/packages/gateway/test/observedGateways.ts
@@ -20,19 +20,9 @@
     constructor() {
         this.linked.configure(configuration(1));
         this.linked.register(server("plain-1"));
-        const log = this.linked as unknown as { endRead(read: Read): boolean; };
-        const endRead = log.endRead.bind(this.linked);
-        log.endRead = read => {
-            const times = this.answersOf(read.gateway, read.topic);
-            times.push(this.linked.now);
-            const hasEnded = endRead(read);
-            if (hasEnded) {
-                this.reads.push(read);
-            }
-            else {
-                times.pop();
-            }
-            return hasEnded;
+        this.linked.answered = (gateway, topic) => {
+            this.answersOf(gateway, topic).push(this.linked.now);
+            this.reads.push({ gateway, topic });
         };
         this.linked.advance(5_000);
     }
--- a/packages/runtime/src/peerLinks.ts
+++ b/packages/runtime/src/peerLinks.ts
@@ -58,14 +58,14 @@
 interface PeerLink {
     readonly queue: ReportQueue;
     lastReceivedAt: Milliseconds;
-    /** When it was last told that reports wait. */
-    waitingToldAt: Milliseconds;
+    /** When `waiting` was last called for it. */
+    waitingLoggedAt: Milliseconds;
     readonly abort: () => void;
 }
 
 /** Reports that may wait for a slow peer; beyond that the link is closed, and a new one begins with a full report. */
 const maxQueuedReports = 64;
-/** Reports that have waited this long are told of, at most once in the interval. */
+/** The wait of reports from which on `waiting` is called, at most once in the interval. */
 const longWait: Milliseconds = 500;
 const waitingInterval: Milliseconds = 1_000;
 /** Twice as many sessions as gateways, since two gateways may each open one. */
@@ -104,8 +104,8 @@
     const push = (address: PeerAddress, link: PeerLink, report: PeerReport): void => {
         const waiting = link.queue.push(report);
         const now = monotonicNow();
-        if (waiting.isEnd || (waiting.oldest >= longWait && now - link.waitingToldAt >= waitingInterval)) {
-            link.waitingToldAt = now;
+        if (waiting.isEnd || (waiting.oldest >= longWait && now - link.waitingLoggedAt >= waitingInterval)) {
+            link.waitingLoggedAt = now;
             handlers.waiting?.(address, waiting);
         }
         if (waiting.isEnd) {
@@ -155,7 +155,7 @@
                         void receiveFromNewPeer(untilAborted(messages, abort.signal), {
                             queue,
                             lastReceivedAt: 0,
-                            waitingToldAt: -Infinity,
+                            waitingLoggedAt: -Infinity,
                             abort: () => abort.abort(),
                         });
                         return queue.reports();
@@ -176,7 +176,7 @@
         const link: PeerLink = {
             queue,
             lastReceivedAt: 0,
-            waitingToldAt: -Infinity,
+            waitingLoggedAt: -Infinity,
             abort: () => {
                 abort.abort();
                 session.abort();
--- a/packages/soak/src/soakPlans.ts
+++ b/packages/soak/src/soakPlans.ts
@@ -108,6 +108,13 @@
 
 const reuseConnections = (): SendingHabits => ({ isChunked: false, keepsConnection: true });
 
+const shortRequests = {
+    areBalanced: false,
+    drawSending: reuseConnections,
+    drawThinkTime: drawShortThinkTime,
+    drawSize: drawShortSize,
+};
+
 /** The plans by name. */
 export const soakPlans = {
     /** All faults, and planned operations among them. */
@@ -125,10 +132,7 @@
             kinds: ["confirm", "confirm", "lookup", "plan", "plan", "note"],
             leavingShare: 0.08,
             probeShare: 0.15,
-            areBalanced: false,
-            drawSending: reuseConnections,
-            drawThinkTime: drawShortThinkTime,
-            drawSize: drawShortSize,
+            ...shortRequests,
         },
         engines: 3,
         engineProfile: defaultEngines,
@@ -176,10 +180,7 @@
             kinds: ["confirm", "lookup", "plan", "note"],
             leavingShare: 0,
             probeShare: 0.4,
-            areBalanced: false,
-            drawSending: reuseConnections,
-            drawThinkTime: drawShortThinkTime,
-            drawSize: drawShortSize,
+            ...shortRequests,
         },
         engines: 3,
         engineProfile: defaultEngines,
