Ask an engine again to stop a run that its request has left

Cause: stopRun sent one call and forgot the run. The answer found no attempt of that id and was dropped before a log line.

Change: abandonedRuns.ts keeps each run that a request has left until an answer, a restart or exit of its server or the end of its time shows that it has ended, and asks again at growing intervals, of a server that does not answer about one run at a time. run_stop_answered and run_not_stopped log what became of it.

--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -308,7 +308,8 @@
                 this.environment.fleet.findByAddress(sourceAddress)
                     ?.migrate(callerAttemptId, targetAddress, isStopping, reply),
             outcome => {
-                this.handleEvent({ kind: "migrationAnswered", attemptId, result: toMigrationResult(outcome) });
+                const result = toMigrationResult(outcome);
+                this.handleEvent({ kind: "migrationAnswered", attemptId, isStopping, result });
             },
         );
     }
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -181,7 +181,7 @@
     answer?: BackendAnswer,
 ): void {
     logAttemptFailed(transaction, request, attempt, outcome);
-    recordAbandonedRun(request, attempt, outcome);
+    recordAbandonedRun(transaction, request, attempt, outcome);
     const suspension = suspensionOf(transaction, request);
     const canGoOn = suspension === undefined && request.isContinuable;
     if (canGoOn && request.route.isStream && continueFromReplica(transaction, request, attempt, outcome)) {
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -152,6 +152,8 @@
     | {
         readonly kind: "migrationAnswered";
         readonly attemptId: AttemptId;
+        /** Whether the server was asked to stop the run. */
+        readonly isStopping: boolean;
         readonly result: MigrationResult;
     }
     | { readonly kind: "streamRegisterRead"; readonly page: StreamRegisterPage; }
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -11,6 +11,7 @@
  */
 import { chooseReplicaHost, migrationPlacement, replicaPlacement } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
+import { handleAbandonedAnswered } from "./abandonedRuns.js";
 import { endAttempt, retryOrFail } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import { certainRunTime } from "./drainLimit.js";
@@ -390,6 +391,9 @@
  * copy. Otherwise the run goes on, and the next migration starts.
  */
 export function handleMigrationAnswered(transaction: Transaction, event: MigrationAnswered): void {
+    if (handleAbandonedAnswered(transaction, event)) {
+        return;
+    }
     const request = transaction.state.attempts.get(event.attemptId);
     const attempt = request?.attempt;
     if (request === undefined || attempt?.migrationTarget === undefined) {
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -4,6 +4,7 @@
  */
 import type { RandomSource } from "@verbenaspring/coordination";
 import type { Milliseconds } from "@verbenaspring/model";
+import { checkAbandonedRuns } from "./abandonedRuns.js";
 import { checkRequests, handleAnswer, handleAttemptFailed } from "./attempts.js";
 import { updateColdServers } from "./coldServers.js";
 import { forgetSuspects } from "./crashSuspects.js";
@@ -81,6 +82,7 @@
             checkWaitingRequests(transaction);
             releaseHeldRequests(transaction).forEach(request => dispatch(transaction, request));
             checkMigrations(transaction);
+            checkAbandonedRuns(transaction);
             return checkStop(transaction);
         case "requestReceived":
             return handleRequest(transaction, event);
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -73,7 +73,6 @@
         limitDoubt: arrival.limitDoubt,
         attempt: undefined,
         silentAttempt: undefined,
-        abandonedRun: undefined,
         sends: 0,
         runs: createRunLedger(),
         triedServers: new Set(),
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -9,7 +9,7 @@
     remainingRetries,
 } from "@verbenaspring/coordination";
 import { identifier, type Milliseconds, type ServiceName } from "@verbenaspring/model";
-import { stopAbandonedRun } from "./abandonedRuns.js";
+import { stopAbandonedRuns } from "./abandonedRuns.js";
 import type { BackendServer } from "./backendServers.js";
 import { coldShareAt, isCold, spendColdRequest, timeUntilWithinColdRate } from "./coldServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
@@ -280,7 +280,7 @@
             needsFreshChannel: !route.isIdempotent && !route.canResume,
         },
     });
-    stopAbandonedRun(transaction, request);
+    stopAbandonedRuns(transaction, request);
 }
 
 /** Warns where a request is sent to a server that leaves by what is known now. */
--- a/packages/gateway/src/silentAttempts.ts
+++ b/packages/gateway/src/silentAttempts.ts
@@ -3,7 +3,7 @@
  * request: if that server refuses it, or the silent run goes on first, the request returns to the silent attempt.
  */
 import type { Milliseconds } from "@verbenaspring/model";
-import { stopRun } from "./abandonedRuns.js";
+import { abandonRun, stopAbandonedRuns } from "./abandonedRuns.js";
 import { classifyAnswer, endAttempt, recordHealth } from "./attempts.js";
 import { recordLostRun } from "./crashSuspects.js";
 import type { GatewayEvent } from "./event.js";
@@ -68,7 +68,8 @@
     request.silentAttempt = undefined;
     if (how === "cancel") {
         effects.push({ kind: "cancelAttempt", attemptId: attempt.id });
-        stopRun(transaction, request, attempt);
+        abandonRun(transaction, request, attempt);
+        stopAbandonedRuns(transaction, request);
     }
 }
 
@@ -87,8 +88,9 @@
     attempt.returnedAt = now;
     request.attempt = attempt;
     if (newer !== undefined) {
-        stopRun(transaction, request, newer);
+        abandonRun(transaction, request, newer);
     }
+    stopAbandonedRuns(transaction, request);
     state.attempts.set(attempt.id, request);
     state.heldRequests.delete(request.id);
     addLoad(state, attempt);
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -13,6 +13,7 @@
     RequestId,
     ServiceName,
 } from "@verbenaspring/model";
+import type { AbandonedRun } from "./abandonedRuns.js";
 import type { BackendServer, BackendView } from "./backendServers.js";
 import { type ColdServers, createColdServers } from "./coldServers.js";
 import { type CrashSuspects, createCrashSuspects } from "./crashSuspects.js";
@@ -124,8 +125,6 @@
     attempt: Attempt | undefined;
     /** An earlier attempt that stays open until another server has accepted the request. */
     silentAttempt: SilentAttempt | undefined;
-    /** An attempt without a deliverable answer whose run may go on until the request has been sent elsewhere. */
-    abandonedRun: Attempt | undefined;
     /** The number of sends so far, including those that were refused. */
     sends: number;
     /** The runs that it may have begun. */
@@ -359,6 +358,8 @@
     readonly attempts: Map<AttemptId, GatewayRequest>;
     /** The request of each silent attempt that is still open. */
     readonly silentAttempts: Map<AttemptId, GatewayRequest>;
+    /** The runs that requests have left, until each is known to have ended. */
+    readonly abandonedRuns: Map<AttemptId, AbandonedRun>;
     readonly retryBudget: RetryBudget;
     readonly followers: Readonly<Record<TopicName, TopicFollower>>;
     readonly incarnation: GatewayIncarnation;
@@ -451,6 +452,7 @@
         waiting: new Map(),
         attempts: new Map(),
         silentAttempts: new Map(),
+        abandonedRuns: new Map(),
         retryBudget: createRetryBudget(options.retries),
         followers: { configuration: createFollower(), backendServers: createFollower() },
         lastEventAt: undefined,
--- a/packages/gateway/test/abandonedRuns.test.ts
+++ b/packages/gateway/test/abandonedRuns.test.ts
@@ -5,7 +5,7 @@
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, configuration, engineService, kindsIn, server, TestGateway } from "./gatewayBuilders.js";
+import { callsIn, configuration, engineService, kindsIn, linesIn, server, TestGateway } from "./gatewayBuilders.js";
 
 const gatewayWithEngines = (): TestGateway =>
     TestGateway.serving(server("engine-1"), server("engine-2"), server("engine-3"));
@@ -78,4 +78,99 @@
     assert.not.ok(kindsIn(left.handle({ kind: "callerLeft", requestId: identifier("r") })).includes("migrateRun"));
 });
 
+/** A stream that has left its first run for another engine, and the calls of both. */
+function abandonedRun() {
+    const servers = ["engine-1", "engine-2", "engine-3"].map(id => server(id, { startedAt: 5 }));
+    const gateway = TestGateway.serving(...servers);
+    const call = gateway.startReplicatedStream("r", "plan");
+    const effects = gateway.failAttempt(call);
+    const [next] = callsIn(effects);
+    assert.equal(stopsIn(effects), [stopOf(call, next)]);
+    return { gateway, call, next, stop: stopOf(call, next) };
+}
+
+const busy = { kind: "refused", status: 409 } as const;
+const unanswered = { kind: "failed", detail: "reset" } as const;
+/** How long a run may work beside the one that its stream went on to, by the users' rules. */
+const longestOverlap = 400;
+
+// An engine that refused the first call, or never got it, worked on to the end beside the one that continued the stream.
+test("a server that has refused to stop a run, or has not answered, is asked again", () => {
+    for (const result of [busy, unanswered, { kind: "refused", status: 500 }, undefined] as const) {
+        const { gateway, call, stop } = abandonedRun();
+        const answered = result === undefined ? [] : gateway.answerMove(call.attemptId, result);
+        const again = stopsIn([...answered, ...gateway.advance(longestOverlap / 2)]);
+        assert.equal(again[0], stop, JSON.stringify(result));
+        gateway.answerMove(call.attemptId, { kind: "moved", handle: "h" });
+        assert.equal(stopsIn(gateway.advance(5_000)), [], "stopped");
+    }
+});
+
+test("a run that is known to have ended is not stopped again", () => {
+    const ends = [
+        { kind: "moved", handle: "h" },
+        { kind: "refused", status: 404 },
+        { kind: "refused", status: 503, handle: "h" },
+    ] as const;
+    for (const result of ends) {
+        const { gateway, call } = abandonedRun();
+        const effects = gateway.answerMove(call.attemptId, result);
+        assert.equal(linesIn(effects, "run_stop_answered").map(({ request, isStopped }) => [request, isStopped]), [
+            ["r", true],
+        ]);
+        assert.equal(stopsIn(gateway.advance(5_000)), [], JSON.stringify(result));
+        assert.is(gateway.state.abandonedRuns.size, 0);
+    }
+});
+
+test("a server is asked about a run at growing intervals, until the time for it is over, also after the stream has ended", () => {
+    const { gateway, next } = abandonedRun();
+    gateway.openStream(next);
+    gateway.receiveEvents(next, 17);
+    gateway.handle({ kind: "streamEnded", attemptId: next.attemptId });
+    assert.is(stopsIn(gateway.advance(longestOverlap)).length, 2);
+    assert.is(stopsIn(gateway.advance(10_000)).length, 11);
+    const rest = gateway.advance(60_000);
+    assert.equal(linesIn(rest, "run_not_stopped").map(({ reason }) => reason), ["time_limit"]);
+    assert.equal(stopsIn(gateway.advance(5_000)), []);
+});
+
+test("a server that has restarted, or has exited, is not asked again", () => {
+    const ends: readonly (readonly [string, (gateway: TestGateway, id: string) => void])[] = [
+        ["server_restarted", (gateway, id) => gateway.register(server(id, { startedAt: 100 }))],
+        ["server_gone", (gateway, id) => gateway.remove(id)],
+    ];
+    for (const [reason, end] of ends) {
+        const { gateway, call } = abandonedRun();
+        end(gateway, String(call.backendServer));
+        const effects = gateway.advance(3_000);
+        assert.equal(linesIn(effects, "run_not_stopped").map(line => line.reason), [reason]);
+        assert.equal(stopsIn(gateway.advance(20_000)), [], reason);
+    }
+});
+
+// Its engine may begin it when a place is free.
+test("that a server knows no run that may wait for a place does not end the requests to stop it", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.sendRequest("r", "note");
+    const effects = gateway.failAttempt(call);
+    assert.is(stopsIn(effects).length, 1);
+    gateway.answerMove(call.attemptId, { kind: "refused", status: 404 });
+    assert.is(stopsIn(gateway.advance(100)).length, 1);
+});
+
+// Each of the runs that a dark server had would otherwise cost a call in each interval.
+test("a server that does not answer is asked about one run at a time until it does", () => {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const names = ["a", "b", "c"];
+    const calls = names.map(name => gateway.startStream(name, "note"));
+    gateway.register(server("engine-2"), server("engine-3"));
+    assert.is(stopsIn(calls.flatMap(call => gateway.failAttempt(call))).length, names.length);
+    calls.forEach(({ attemptId }) => gateway.answerMove(attemptId, unanswered));
+    const asked = stopsIn(gateway.advance(1_000)).map(([id]) => id);
+    assert.equal([...new Set(asked)], [calls[0].attemptId]);
+    gateway.answerMove(calls[0].attemptId, busy);
+    assert.equal(new Set(stopsIn(gateway.advance(500)).map(([id]) => id)).size, names.length);
+});
+
 test.run();
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -274,6 +274,12 @@
         this.handle({ kind: "answerTaken", requestId: identifier(id) });
     }
 
+    /** Answers the step of a migration that is under way, or a request to stop a run that was left. */
+    answerMove(attemptId: AttemptId, result: MigrationResult): GatewayEffect[] {
+        const isStopping = this.state.attempts.get(attemptId)?.attempt?.isStopping ?? true;
+        return this.handle({ kind: "migrationAnswered", attemptId, isStopping, result });
+    }
+
     /**
      * Answers a migration: the copy, and the request to stop the run if one follows. Returns the effects of the last answer.
      *
@@ -283,8 +289,8 @@
         const result: MigrationResult = handle === undefined
             ? { kind: "failed", detail: "no answer" }
             : { kind: "moved", handle };
-        const effects = this.handle({ kind: "migrationAnswered", attemptId, result });
-        return stopsIn(effects).length === 0 ? effects : this.handle({ kind: "migrationAnswered", attemptId, result });
+        const effects = this.answerMove(attemptId, result);
+        return stopsIn(effects).length === 0 ? effects : this.answerMove(attemptId, result);
     }
 
     /** Receives events of a run, from the second on, for so long that they are evidence of its replica. */
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -160,7 +160,7 @@
     leave(gateway, holder);
     gateway.advance(50);
     const { attemptId } = call;
-    const answered = gateway.handle({ kind: "migrationAnswered", attemptId, result: moved });
+    const answered = gateway.answerMove(attemptId, moved);
     assert.equal(obstaclesIn([...answered, ...produce(gateway, call, 500)]), [["no_retry", "leaving"]]);
 });
 
@@ -180,7 +180,7 @@
 test("a stream that was copied is not copied again while it may not be sent again, and is moved once it may", () => {
     const { gateway, call } = migratingStream();
     gateway.state.retryBudget.options = noRetries;
-    const answered = gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved });
+    const answered = gateway.answerMove(call.attemptId, moved);
     assert.equal(targetsIn([...answered, ...produce(gateway, call, 600)]), []);
     gateway.state.retryBudget.options = { ...noRetries, slack: 5 };
     assert.equal(targetsIn(gateway.advance(250)), [server("engine-2").address]);
@@ -190,7 +190,7 @@
 test("a stream whose server exits after it was copied continues from the copy, also if the run could not be stopped yet", () => {
     const { gateway, call } = migratingStream();
     gateway.state.pausedUntil.set(call.backendServer, gateway.now + 5_000);
-    const answered = gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved });
+    const answered = gateway.answerMove(call.attemptId, moved);
     assert.equal([...targetsIn(answered), ...callsIn(answered)], []);
     produce(gateway, call, 300);
     assert.equal(continuationsIn(gateway.failAttempt(call)), [["engine-2", call.address, "h1", 4]]);
@@ -199,8 +199,8 @@
 test("an earlier copy is not taken for kept because another migration began later", () => {
     const { gateway, call } = migratingStream();
     const { attemptId } = call;
-    gateway.handle({ kind: "migrationAnswered", attemptId, result: moved });
-    gateway.handle({ kind: "migrationAnswered", attemptId, result: { kind: "refused", status: 500 } });
+    gateway.answerMove(attemptId, moved);
+    gateway.answerMove(attemptId, { kind: "refused", status: 500 });
     assert.is(targetsIn(produce(gateway, call, 4_600)).length, 1, "the second migration is not answered");
     assert.equal(callsIn(gateway.failAttempt(call)), []);
 });
@@ -211,7 +211,7 @@
 test("a run that goes on though the request to stop it got no answer is copied and stopped again", () => {
     const { gateway, call } = migratingStream();
     const { attemptId } = call;
-    const answerWith = (result: MigrationResult) => gateway.handle({ kind: "migrationAnswered", attemptId, result });
+    const answerWith = (result: MigrationResult) => gateway.answerMove(attemptId, result);
     answerWith(moved);
     const failed = answerWith(unanswered);
     assert.equal(targetsIn([...failed, ...produce(gateway, call, 500)]), [], "these events may have been on their way");
@@ -228,7 +228,7 @@
     gateway.register(server("engine-2"));
     leave(gateway, server("engine-1"));
     const { attemptId } = call;
-    [moved, unanswered].forEach(result => gateway.handle({ kind: "migrationAnswered", attemptId, result }));
+    [moved, unanswered].forEach(result => gateway.answerMove(attemptId, result));
     assert.is(targetsIn(produce(gateway, call, 1_500)).length, 1);
     const ended = gateway.handle({ kind: "streamEnded", attemptId });
     assert.not.ok(kindsIn(ended).includes("answerEnd"));
@@ -242,9 +242,9 @@
     gateway.register(server("engine-2"));
     leave(gateway, server("engine-1"));
     const { attemptId } = call;
-    gateway.handle({ kind: "migrationAnswered", attemptId, result: { kind: "moved", handle: "h1" } });
+    gateway.answerMove(attemptId, { kind: "moved", handle: "h1" });
     const result = { kind: "refused", status: 503, ...handle === undefined ? {} : { handle } } as const;
-    const [next] = callsIn(gateway.handle({ kind: "migrationAnswered", attemptId, result }));
+    const [next] = callsIn(gateway.answerMove(attemptId, result));
     return { gateway, call, next };
 }
 
@@ -280,10 +280,10 @@
     other.register(server("engine-2"));
     leave(other, server("engine-1"));
     const result = { kind: "moved", handle: "h1" } as const;
-    other.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result });
+    other.answerMove(call.attemptId, result);
     const report = { runs: undefined, isLeaving: true, startedAt: undefined };
     other.handle({ kind: "serverProbed", backendServer: identifier<never>("engine-2"), report });
-    const answered = other.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result });
+    const answered = other.answerMove(call.attemptId, result);
     assert.equal(continuationsIn(answered).map(([id]) => id), ["engine-1"]);
 });
 
@@ -306,7 +306,7 @@
     gateway.state.pausedUntil.set(holder.id, gateway.now + 300);
     assert.is(targetsIn([...leave(gateway, source), ...gateway.advance(50)]).length, 1);
     const copied = { kind: "moved", handle: "h1" } as const;
-    const answerWith = () => gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: copied });
+    const answerWith = () => gateway.answerMove(call.attemptId, copied);
     answerWith();
     const [next] = callsIn(answerWith());
     assert.is.not(next.backendServer, holder.id);
@@ -321,8 +321,8 @@
     const { gateway, call, source, holder } = replicatedStream(5);
     gateway.state.pausedUntil.set(holder.id, gateway.now + 300);
     assert.is(targetsIn([...leave(gateway, source), ...gateway.advance(50)]).length, 1);
-    gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved });
-    const [next] = callsIn(gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved }));
+    gateway.answerMove(call.attemptId, moved);
+    const [next] = callsIn(gateway.answerMove(call.attemptId, moved));
     gateway.openStream(next);
     return { gateway, next, source, holder };
 }
@@ -374,9 +374,9 @@
     const [target] = targetsIn(started);
     assert.ok(target !== undefined && target !== next.address);
     const { attemptId } = next;
-    const copied = gateway.handle({ kind: "migrationAnswered", attemptId, result: moved });
+    const copied = gateway.answerMove(attemptId, moved);
     assert.is(stopsIn(copied).length, 1);
-    const effects = gateway.handle({ kind: "migrationAnswered", attemptId, result: moved });
+    const effects = gateway.answerMove(attemptId, moved);
     assert.equal(continuationsIn(effects).map(([, ...memory]) => memory), [[next.address, "h1", 16]]);
     assert.is(callsIn(effects)[0].address, target);
 });
@@ -387,7 +387,7 @@
         const { gateway, next, started } = waitingContinuation();
         assert.is(targetsIn(started).length, 1);
         const { attemptId } = next;
-        const answered = gateway.handle({ kind: "migrationAnswered", attemptId, result: noRun });
+        const answered = gateway.answerMove(attemptId, noRun);
         assert.equal(targetsIn([...answered, ...gateway.advance(900)]), []);
         const later = begins ? gateway.receiveEvents(next, 17) : gateway.advance(300);
         assert.is(targetsIn(later).length, 1);
@@ -404,11 +404,7 @@
     leave(gateway, replica!.record);
     gateway.advance(200);
     assert.equal(targetsIn(gateway.advance(50)), [source.address]);
-    gateway.handle({
-        kind: "migrationAnswered",
-        attemptId: next.attemptId,
-        result: { kind: "refused", status: 404 },
-    });
+    gateway.answerMove(next.attemptId, { kind: "refused", status: 404 });
     assert.equal(targetsIn(gateway.receiveEvents(next, 17)), [source.address]);
 });
 
@@ -432,7 +428,7 @@
 test("a stream that is being copied is not stopped if its server stays after all", () => {
     const { gateway, call } = migratingStream();
     gateway.register(server("engine-1", { heartbeat: 3 }));
-    const answered = gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result: moved });
+    const answered = gateway.answerMove(call.attemptId, moved);
     assert.equal(stopsIn(answered), []);
     assert.equal(targetsIn(produce(gateway, call, 1_000)), []);
     assert.is(callsIn(gateway.failAttempt(call)).length, 1, "the copy is used if the server fails");
@@ -462,12 +458,10 @@
     const left = [...leave(gateway, server("engine-1")), ...leave(gateway, server("engine-2")), ...gateway.advance(50)];
     assert.is(targetsIn(left).length, 2);
     gateway.state.retryBudget.options = { ratio: 0, slack: 1.5, window: 10_000 };
-    const answered = calls.map(({ attemptId }) =>
-        gateway.handle({ kind: "migrationAnswered", attemptId, result: moved })
-    );
+    const answered = calls.map(({ attemptId }) => gateway.answerMove(attemptId, moved));
     assert.equal(answered.map(effects => stopsIn(effects).length), [1, 0]);
     assert.equal(callsIn(gateway.failAttempt(other)), []);
-    const stopped = gateway.handle({ kind: "migrationAnswered", attemptId: calls[0].attemptId, result: moved });
+    const stopped = gateway.answerMove(calls[0].attemptId, moved);
     assert.is(callsIn(stopped).length, 1);
     assert.ok(!kindsIn(gateway.advance(50)).includes("answerCut"));
 });
--- a/packages/gateway/test/replicas.test.ts
+++ b/packages/gateway/test/replicas.test.ts
@@ -129,7 +129,7 @@
     assert.ok(kindsIn(started).includes("migrateRun"));
     gateway.now += 15_000;
     const result = { kind: "moved", handle: "h7" } as const;
-    const effects = gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result });
+    const effects = gateway.answerMove(call.attemptId, result);
     assert.equal(callsIn(effects), []);
 });
 
--- a/packages/gateway/test/serverRestarts.test.ts
+++ b/packages/gateway/test/serverRestarts.test.ts
@@ -140,7 +140,7 @@
     const { address } = server(target);
     assert.equal(targetsIn(gateway.register(server(call.backendServer, { ...first, isDraining: true }))), [address]);
     const result = { kind: "refused", status: 507 } as const;
-    assert.equal(targetsIn(gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result })), []);
+    assert.equal(targetsIn(gateway.answerMove(call.attemptId, result)), []);
     restart(gateway, target);
     const { attempt, triedServers } = gateway.state.attempts.get(call.attemptId)!;
     assert.is(attempt!.failedTargets.size, 0);
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -341,8 +341,7 @@
     gateway.openStream(call, head);
     gateway.receiveEvents(call, 1);
     gateway.register(server(call.backendServer, { isDraining: true, heartbeat: 2 }));
-    const answerWith = (result: MigrationResult): GatewayEffect[] =>
-        gateway.handle({ kind: "migrationAnswered", attemptId: call.attemptId, result });
+    const answerWith = (result: MigrationResult): GatewayEffect[] => gateway.answerMove(call.attemptId, result);
     const effects = answerWith({ kind: "moved", handle: "h1" });
     return { gateway, call, answerWith, effects };
 }
@@ -382,7 +381,7 @@
         .flatMap(effect => effect.kind === "migrateRun" ? [effect] : []);
     const { attemptId } = first;
     const result: MigrationResult = { kind: "moved", handle: "h1" };
-    assert.is(stopsIn(gateway.handle({ kind: "migrationAnswered", attemptId, result })).length, 1);
+    assert.is(stopsIn(gateway.answerMove(attemptId, result)).length, 1);
     const left = gateway.failAttempt(calls.find(call => call.attemptId === attemptId)!);
     assert.equal(
         left.flatMap(effect =>
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -437,7 +437,7 @@
         void answer.then(result => {
             const step = isStopping ? "stop" : "copy";
             this.metrics.count("verbenaspring_moves_total", { result: result.kind, step });
-            this.events.push({ kind: "migrationAnswered", attemptId, result });
+            this.events.push({ kind: "migrationAnswered", attemptId, isStopping, result });
         });
     }
 
