Don't take the end of a channel for the effect of an unanswered stop

What callers saw: nothing; by reading. A migrated run whose channel is lost while its server is being asked to stop it counted as stopped, and went on beside its continuation if the server refused the call or never got it.

Cause: the end of the channel was taken for the effect of the stop, and the answer was dropped since the attempt was over.

Change: without an answer that shows that the run was stopped it is recorded as abandoned, so that the answer under way settles it or its server is asked again. The stream goes on as early as before.

Evidence: three of the new tests in abandonedRuns.test.ts fail without the change and pass with it; the fourth guards the answer of a copy under way.

--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -11,7 +11,7 @@
  */
 import { chooseReplicaHost, migrationPlacement, replicaPlacement } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
-import { handleAbandonedAnswered } from "./abandonedRuns.js";
+import { abandonRun, handleAbandonedAnswered, showsNoRun } from "./abandonedRuns.js";
 import { endAttempt, retryOrFail } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import { certainRunTime } from "./drainLimit.js";
@@ -461,7 +461,7 @@
     }
     // Without room for the rest of the copy the run is stopped all the same.
     if (result.kind === "moved" || status === noRoomStatus || endAfterStop !== undefined) {
-        return continueStoppedRun(transaction, request, attempt);
+        return continueStoppedRun(transaction, request, attempt, showsNoRun(attempt, result));
     }
     // After a refusal the run goes on; without an answer it may have stopped, which its channel will show.
     attempt.isStopRequested = result.kind === "failed";
@@ -504,15 +504,27 @@
     attempt.endAfterStop = end;
     // The rest of the copy may wait for other transfers. Computing it again takes less time.
     if (end === "lost" || !attempt.isStopping) {
-        continueStoppedRun(transaction, request, attempt);
+        continueStoppedRun(transaction, request, attempt, false);
         migrateStreams(transaction, attempt.server.record.id);
     }
     return true;
 }
 
-/** Continues a run that was stopped from its copy, or else from what its server keeps or like one that was lost. */
-function continueStoppedRun(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
+/**
+ * Continues a run that was stopped from its copy, or else from what its server keeps or like one that was lost.
+ *
+ * @param isCertain whether an answer of its server says that the run was stopped: its channel may have been lost meanwhile
+ */
+function continueStoppedRun(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    isCertain: boolean,
+): void {
     attempt.hasStopped = true;
+    if (!isCertain) {
+        abandonRun(transaction, request, attempt);
+    }
     endAttempt(transaction, request, attempt, attempt.endAfterStop === undefined ? "cancel" : "ended");
     retryOrFail(transaction, request, attempt, "stopped");
 }
--- a/packages/gateway/test/abandonedRuns.test.ts
+++ b/packages/gateway/test/abandonedRuns.test.ts
@@ -1,7 +1,7 @@
 /**
  * Runs that go on at an engine after their request has gone on at another server.
  */
-import type { BackendCall, GatewayEffect } from "@verbenaspring/gateway";
+import type { BackendCall, GatewayEffect, ResponseHead } from "@verbenaspring/gateway";
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -173,4 +173,56 @@
     assert.equal(new Set(stopsIn(gateway.advance(500)).map(([id]) => id)).size, names.length);
 });
 
+/** A stream at a server that leaves, which was just asked to stop the run since its copy is complete at another one. */
+function stoppingRun(overrides: Partial<ResponseHead> = {}) {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const call = gateway.sendRequest("r", "plan", { promptTokens: 500, maximumTokens: 1_000 });
+    gateway.openStream(call, overrides);
+    gateway.receiveEvents(call, 1);
+    gateway.register(server("engine-2"));
+    gateway.register(server("engine-1", { isDraining: true, heartbeat: 100 }));
+    assert.is(stopsIn(gateway.answerMove(call.attemptId, { kind: "moved", handle: "h1" })).length, 1);
+    return { gateway, call };
+}
+
+// The end of the channel was taken for the effect of the stop, which the server then refused or never got.
+test("a migrated run whose channel is lost before the stop is answered is asked to stop again if it has not", () => {
+    for (const result of [busy, unanswered, { kind: "refused", status: 503 }, undefined] as const) {
+        const { gateway, call } = stoppingRun();
+        const [next] = callsIn(gateway.failAttempt(call));
+        const answered = result === undefined ? [] : gateway.answerMove(call.attemptId, result);
+        const again = stopsIn([...answered, ...gateway.advance(longestOverlap / 2)]);
+        assert.equal(again[0], stopOf(call, next), JSON.stringify(result));
+    }
+    const stopped = stoppingRun();
+    stopped.gateway.failAttempt(stopped.call);
+    stopped.gateway.answerMove(stopped.call.attemptId, { kind: "moved", handle: "h2" });
+    assert.equal(stopsIn(stopped.gateway.advance(3_000)), [], "stopped");
+});
+
+test("a migrated run whose channel ends after an unanswered stop is asked to stop again at once", () => {
+    const { gateway, call } = stoppingRun();
+    gateway.answerMove(call.attemptId, unanswered);
+    gateway.advance(500);
+    const effects = gateway.failAttempt(call);
+    assert.equal(stopsIn(effects), [stopOf(call, callsIn(effects)[0])]);
+});
+
+test("a run whose unframed answer ended is asked to stop again if the stop is refused, or leaves nothing behind", () => {
+    for (const result of [busy, { kind: "refused", status: 503 }] as const) {
+        const { gateway, call } = stoppingRun({ endsWithChannel: true });
+        assert.equal(callsIn(gateway.handle({ kind: "streamEnded", attemptId: call.attemptId })), []);
+        const effects = [...gateway.answerMove(call.attemptId, result), ...gateway.advance(longestOverlap / 2)];
+        assert.equal(stopsIn(effects)[0], stopOf(call, callsIn(effects)[0]), JSON.stringify(result));
+    }
+});
+
+test("a run that is being copied when its channel is lost is stopped as soon as the copy has ended", () => {
+    const { gateway, call, stop } = abandonedRun();
+    gateway.answerMove(call.attemptId, busy);
+    const copied = { kind: "migrationAnswered", attemptId: call.attemptId, isStopping: false } as const;
+    const effects = gateway.handle({ ...copied, result: { kind: "moved", handle: "h" } });
+    assert.equal(stopsIn(effects), [stop]);
+});
+
 test.run();
