Ask for a run until its server's time limit, and fuzz engines that work on

Cause: a run that a request had left was forgotten when the gateway's time for the request was over. The run's own limit begins when its server gets it, so a server that had just refused to stop it was not asked again.

Callers that leave are not expected to end a detached run: no call of theirs reaches it. All other checks are as they were.

The system finds both of its mutations: servers are asked once to stop a run, and refusals to stop a run are taken for stops.

--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -52,6 +52,8 @@
     hasEnded: boolean;
     /** The caller gets nothing more of this run, even when the engine's behaviour returns to normal. */
     isSilent: boolean;
+    /** Whether the next request to stop it is refused. */
+    refusesStop: boolean;
 }
 
 /** The memory of another engine's run. */
@@ -77,6 +79,8 @@
 export const replicaLifetime: Milliseconds = 3_000;
 /** How many times as long a step takes while the behaviour is `slow`. */
 const slowdownFactor = 4;
+/** A run is detached after so many events, by which a replica of it is to be expected. */
+const detachedAfterEvents = 24;
 
 /** Model of a backend server that is an engine. */
 export class EngineServer implements ServerModel {
@@ -126,7 +130,13 @@
         }
         this.waiting.push(run);
         this.startStepping();
-        return { cancel: () => this.end(run, false) };
+        return {
+            cancel: () => {
+                if (run.record.isDetached !== true) {
+                    this.end(run, false);
+                }
+            },
+        };
     }
 
     private findRefusalReason({ target, promptTokens, outputTokens }: ServerCall): RefusalReason | undefined {
@@ -160,6 +170,10 @@
         if (run === undefined || this.isStopped) {
             return done({ kind: "no_run" });
         }
+        if (isStopping && run.refusesStop) {
+            run.refusesStop = false;
+            return done({ kind: "busy" });
+        }
         const { now } = this.clock;
         const stoppedReplica = isStopping ? this.createReplica(run) : undefined;
         if (isStopping) {
@@ -252,6 +266,7 @@
             copy: undefined,
             hasEnded: false,
             isSilent: false,
+            refusesStop: false,
         };
     }
 
@@ -353,6 +368,19 @@
             this.end(run, false);
             observer.disconnected();
         }
+        else if (this.behaviour === "detach" && run.generatedTokens === detachedAfterEvents * tokensPerEvent) {
+            this.detach(run);
+        }
+    }
+
+    /** Breaks the connection of every second run, which goes on. */
+    private detach(run: EngineRun): void {
+        if (this.answerLoss.losesNext()) {
+            run.record.isDetached = true;
+            run.isSilent = true;
+            run.refusesStop = true;
+            run.observer.disconnected();
+        }
     }
 
     /** Reports the run with its first token. A run that resumes after a preemption isn't reported again. */
--- a/packages/emulator/src/serverModel.ts
+++ b/packages/emulator/src/serverModel.ts
@@ -91,6 +91,8 @@
     /** When the backend server stopped working on it. */
     endedAt: Milliseconds | undefined;
     isComplete: boolean;
+    /** Whether it goes on though its connection was broken, until its server is asked to stop it. */
+    isDetached?: boolean;
 }
 
 /** Is called with each run as it starts. */
@@ -106,7 +108,9 @@
 export type MigrationOutcome =
     | { readonly kind: "moved"; readonly handle: string; readonly events: number; }
     | { readonly kind: "no_run"; }
-    | { readonly kind: "no_room"; };
+    | { readonly kind: "no_room"; }
+    /** The run was not stopped. */
+    | { readonly kind: "busy"; };
 
 /**
  * How a backend server treats calls. `well` is normal, `shed` refuses all calls, `error` answers with status 500,
@@ -116,8 +120,11 @@
  * `lose` loses the answers of every second call, beginning with the first: the run begins, also where the call names a
  * replica that the server doesn't hold, and ends at once, and the connection is broken without an answer. Only calls
  * for another target and calls that are too large are refused. All other calls are treated as in `well`.
+ *
+ * An engine that `detach`es breaks the connection of every second stream in its midst, and works on: neither the end of a
+ * connection nor the first request to stop such a run stops it. Other servers treat this as `well`.
  */
-export type ServerBehaviour = "well" | "shed" | "error" | "break" | "silent" | "foreign" | "slow" | "lose";
+export type ServerBehaviour = "well" | "shed" | "error" | "break" | "silent" | "foreign" | "slow" | "lose" | "detach";
 
 /** Identity of a backend server. */
 export interface ServerOptions {
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -369,6 +369,7 @@
 
 function toMigrationResult(outcome: MigrationOutcome | undefined): MigrationResult {
     const notFoundStatus = 404;
+    const busyStatus = 409;
     switch (outcome?.kind) {
         case undefined:
             return { kind: "failed", detail: "no answer in time" };
@@ -378,6 +379,8 @@
             return { kind: "refused", status: notFoundStatus };
         case "no_room":
             return { kind: "refused", status: refusedStatus };
+        case "busy":
+            return { kind: "refused", status: busyStatus };
     }
 }
 
--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -11,6 +11,7 @@
     configurationSchedules,
     deadlyWorkSchedules,
     delaySchedules,
+    detachedRunSchedules,
     evacuationSchedules,
     limitSchedules,
     lostAnswerSchedules,
@@ -118,6 +119,12 @@
     schedules: lostAnswerSchedules,
 };
 
+/** Gateways on the users' platform, with engines that break connections, work on and refuse to stop. */
+export const detachedRunPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: detachedRunSchedules,
+};
+
 /** Gateways on the users' platform, with backend servers of several software versions. */
 export const releasePlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,5 +1,5 @@
 /**
- * The command `npm run fuzz -- --system platform|overlay|changes|cold|configurations|deadly|delays|evacuations|limits|lost-answers|notices|pauses|releases|rolling-stops|stops|linked --seed S --runs N --steps K`. It
+ * The command `npm run fuzz -- --system platform|overlay|changes|cold|configurations|deadly|delays|detached-runs|evacuations|limits|lost-answers|notices|pauses|releases|rolling-stops|stops|linked --seed S --runs N --steps K`. It
  * runs randomised schedules and checks them with the oracle.
  */
 import yargs from "yargs";
@@ -10,6 +10,7 @@
     configurationPlatformSystem,
     deadlyWorkPlatformSystem,
     delayPlatformSystem,
+    detachedRunPlatformSystem,
     evacuationPlatformSystem,
     fuzz,
     limitedPlatformSystem,
@@ -40,6 +41,7 @@
                 "configurations",
                 "deadly",
                 "delays",
+                "detached-runs",
                 "evacuations",
                 "limits",
                 "lost-answers",
@@ -51,7 +53,7 @@
             ] as const,
             default: "platform",
             describe:
-                "gateways on the platform, the same with many configurations, with changes that some gateways learn only from others, with links that fall behind, with parts of prompts that crash engines, with evacuations of failure domains, or with servers that are cold, declare limits, lose answers, give notice in answers, ask for pauses or run several software versions, or "
+                "gateways on the platform, the same with many configurations, with changes that some gateways learn only from others, with links that fall behind, with parts of prompts that crash engines, with evacuations of failure domains, or with servers that are cold, declare limits, lose answers, break connections and work on, give notice in answers, ask for pauses or run several software versions, or "
                 + "entries and sidecars",
         },
         seed: { type: "number", default: 1, describe: "seed of the schedules" },
@@ -79,6 +81,7 @@
     delays: delayPlatformSystem,
     evacuations: evacuationPlatformSystem,
     limits: limitedPlatformSystem,
+    "detached-runs": detachedRunPlatformSystem,
     "lost-answers": lostAnswerPlatformSystem,
     notices: noticePlatformSystem,
     pauses: pausePlatformSystem,
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -275,6 +275,29 @@
     return schedulesOf(weighted, steps);
 }
 
+const detachRuns = arbitraryAction("serverBehaves", {
+    server: slot,
+    behaviour: fc.constant("detach"),
+    duration: longTime,
+});
+
+const longStream = arbitraryAction("ask", {
+    work: fc.constant("plan"),
+    gateway: slot,
+    length: fc.integer({ min: 250, max: 500 }),
+    timeLimit: fc.integer({ min: 10_000, max: 15_000 }),
+});
+
+/** Generates schedules of up to `steps` steps, in which engines break connections, work on and refuse to stop. */
+export function detachedRunSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    const weighted = fc.oneof(
+        { arbitrary: action, weight: 9 },
+        { arbitrary: longStream, weight: 4 },
+        { arbitrary: detachRuns, weight: 2 },
+    );
+    return schedulesOf(weighted, steps);
+}
+
 const resumableRequest = arbitraryAction("ask", {
     work: fc.constant("note"),
     gateway: slot,
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -336,6 +336,29 @@
     eventMutation("replicas are trusted without evidence", ["non_idempotent_at_most_once"], trustReplicas),
 ];
 
+/** Mutations that only schedules in which engines work on after their channel has ended can find. */
+export const detachedRunMutations: readonly Mutation<GatewayInterceptors>[] = [
+    {
+        name: "servers are asked once to stop a run",
+        promises: ["one_run_at_a_time"],
+        implementation: {
+            mapEvent: event => event,
+            mapEffect: (effect, { abandonedRuns }) => {
+                const isRepeated = effect.kind === "migrateRun" && (abandonedRuns.get(effect.attemptId)?.asks ?? 0) > 1;
+                return isRepeated ? undefined : effect;
+            },
+        },
+    },
+    eventMutation(
+        "refusals to stop a run are taken for stops",
+        ["one_run_at_a_time"],
+        event =>
+            event.kind === "migrationAnswered" && event.isStopping && event.result.kind === "refused"
+                ? { ...event, result: { kind: "moved", handle: "" } }
+                : event,
+    ),
+];
+
 /** Lets each report that echoes one of the gateway count as one that echoes its newest one. */
 function createEchoOfNewestReport(): GatewayInterceptors {
     const newestReports = new WeakMap<GatewayState, Milliseconds>();
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -380,7 +380,10 @@
     recordCallerLeft(request: PlatformRequest): void {
         request.end = "left";
         this.clock.schedule(platformLimits.leftCallerEnd, () => {
-            const activeRun = this.runsOf(request).find(({ endedAt }) => endedAt === undefined);
+            // A run that goes on after its channel has ended is not stopped by the end of another one.
+            const activeRun = this.runsOf(request).find(({ endedAt, isDetached }) =>
+                endedAt === undefined && isDetached !== true
+            );
             if (activeRun !== undefined && !this.hadGatewayFault(request)) {
                 this.fail(
                     "left_caller_ends_work",
--- a/packages/gateway/src/abandonedRuns.ts
+++ b/packages/gateway/src/abandonedRuns.ts
@@ -50,6 +50,9 @@
 /** Both intervals double, up to this one. */
 const longestAskInterval: Milliseconds = 1_000;
 
+/** The time limit of a run begins at its server, up to this much later than it was sent. */
+const timeLimitSlack: Milliseconds = 1_000;
+
 /** The server has no such run. */
 const noRunStatus = 404;
 /** There is no room for the memory of the run, which is stopped if the answer names what the server keeps of it. */
@@ -128,7 +131,7 @@
     if (known === undefined || (known.removedAt !== undefined && certainRunTime(state, known, now) <= 0)) {
         return "server_gone";
     }
-    if (now >= cutAt(request)) {
+    if (now >= cutAt(request) + timeLimitSlack) {
         return "time_limit";
     }
     return next === undefined && !state.requests.has(request.id) ? "not_continued" : undefined;
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -84,6 +84,7 @@
 /** In milliseconds. */
 const heartbeatInterval = 300;
 const refusedStatus = 503;
+const busyStatus = 409;
 const misdirectedStatus = 421;
 const millisecondsPerSecond = 1_000;
 /** Milliseconds for which a draining server keeps running unless the test sets a delay. */
@@ -210,6 +211,8 @@
                     return sendJson(response, 404, {});
                 case "no_room":
                     return sendJson(response, refusedStatus, {});
+                case "busy":
+                    return sendJson(response, busyStatus, {});
             }
         });
     }
