Keep a request's next run away from servers with an earlier one

Cause: a stream that had left engine4 for engine5 was replicated and migrated back to engine4, which had refused to stop the first run. It then ran twice there, and the first run could not be stopped: the call names the request.

Change: a server at which an earlier run may go on, or a silent attempt is open, holds no replica of the next run and is no target of its migrations.

migration.test.ts, "says nothing of the only target": the source of the lost run is now a target only once it has stopped that run, so the test answers that call first. What it checks of the target is as it was.

--- a/packages/gateway/src/abandonedRuns.ts
+++ b/packages/gateway/src/abandonedRuns.ts
@@ -91,6 +91,12 @@
     });
 }
 
+/** Whether an earlier run of a request may go on at a server, which then can't be asked to stop just that one. */
+export function mayStillRunAt({ abandonedRuns }: GatewayState, request: GatewayRequest, id: BackendServerId): boolean {
+    return request.silentAttempt?.attempt.server.record.id === id
+        || [...abandonedRuns.values()].some(run => run.request === request && serverOf(run) === id);
+}
+
 /** Stops the runs that a request has left, after it was sent to a server or has returned to one. */
 export function stopAbandonedRuns(transaction: Transaction, request: GatewayRequest): void {
     const server = request.attempt?.server;
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -11,7 +11,7 @@
  */
 import { chooseReplicaHost, migrationPlacement, replicaPlacement } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
-import { abandonRun, handleAbandonedAnswered, showsNoRun } from "./abandonedRuns.js";
+import { abandonRun, handleAbandonedAnswered, mayStillRunAt, showsNoRun } from "./abandonedRuns.js";
 import { endAttempt, retryOrFail } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import { certainRunTime } from "./drainLimit.js";
@@ -372,7 +372,7 @@
         return undefined;
     }
     const eligible = otherServers(state, attempt.server, now).filter(({ record: { id } }) =>
-        now >= (attempt.failedTargets.get(id) ?? -Infinity)
+        now >= (attempt.failedTargets.get(id) ?? -Infinity) && !mayStillRunAt(state, request, id)
     );
     const share = attempt.memoryTokens / engine.memoryTokens;
     return chooseReplicaHost(
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -9,7 +9,7 @@
     remainingRetries,
 } from "@verbenaspring/coordination";
 import { identifier, type Milliseconds, type ServiceName } from "@verbenaspring/model";
-import { stopAbandonedRuns } from "./abandonedRuns.js";
+import { mayStillRunAt, stopAbandonedRuns } from "./abandonedRuns.js";
 import type { BackendServer } from "./backendServers.js";
 import { coldShareAt, isCold, spendColdRequest, timeUntilWithinColdRate } from "./coldServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
@@ -331,7 +331,7 @@
     if (!hasMemoryForReplicas(runMemoryLoad(state, request.service, now))) {
         return undefined;
     }
-    const others = otherServers(state, server, now);
+    const others = otherServers(state, server, now).filter(({ record }) => !mayStillRunAt(state, request, record.id));
     const share = expectedMemory(request) / engine.memoryTokens;
     return chooseReplicaHost(others, other => replicaView(state, other, server, now), share, source.random);
 }
--- a/packages/gateway/test/abandonedRuns.test.ts
+++ b/packages/gateway/test/abandonedRuns.test.ts
@@ -149,6 +149,24 @@
     }
 });
 
+// The server would then have two runs of the request, and could not be asked to stop just the first.
+test("a stream is neither replicated nor migrated to a server where an earlier run of it may go on", () => {
+    for (const isStopped of [false, true]) {
+        const gateway = TestGateway.serving(server("engine-1"), server("engine-2"));
+        const call = gateway.startReplicatedStream("r", "plan");
+        const [next] = callsIn(gateway.failAttempt(call));
+        assert.is(next.replicaAddress, undefined);
+        gateway.answerMove(call.attemptId, isStopped ? { kind: "moved", handle: "h" } : busy);
+        gateway.openStream(next);
+        gateway.receiveEvents(next, 17);
+        const leaving = server(String(next.backendServer), { isDraining: true, heartbeat: 100 });
+        const copies = [...gateway.register(leaving), ...gateway.advance(400)].flatMap(effect =>
+            effect.kind === "migrateRun" && !effect.isStopping ? [effect.targetAddress] : []
+        );
+        assert.equal(copies, isStopped ? [call.address] : []);
+    }
+});
+
 // Its engine may begin it when a place is free.
 test("that a server knows no run that may wait for a place does not end the requests to stop it", () => {
     const gateway = gatewayWithEngines();
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -400,6 +400,7 @@
     const call = gateway.startReplicatedStream("r", "plan");
     const { server: { record: source }, replica } = gateway.state.attempts.get(call.attemptId)!.attempt!;
     const [next] = callsIn(gateway.failAttempt(call));
+    gateway.answerMove(call.attemptId, moved);
     gateway.openStream(next);
     leave(gateway, replica!.record);
     gateway.advance(200);
