Fuzz: don't expect gateways to pass on an overwritten version

The check of versions that gateways must have told each other was wrong.

versions.ts says since that a gateway that starts then can't know of the overwritten version, and the other checks leave it out. This one left it out only until a newer version was due.

--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -267,7 +267,7 @@
         const versionDue = versions.isOverwritten(clock.now)
             ? undefined
             : versionNumber(versions.versionInForce(clock.now));
-        this.oracle.observeGateways(versionDue);
+        this.oracle.observeGateways(versionDue, versions.overwrittenVersion);
     }
 
     /** Records a call that reached an address, at which another server than its target may listen. */
--- a/packages/fuzz/src/platform/versions.ts
+++ b/packages/fuzz/src/platform/versions.ts
@@ -173,6 +173,11 @@
         this.written.push({ index: this.written.length, writtenAt: now });
     }
 
+    /** The number of the newest version that an older one was written after; undefined if there is none. */
+    get overwrittenVersion(): number | undefined {
+        return this.overwrittenThrough < 0 ? undefined : versionNumber(this.overwrittenThrough);
+    }
+
     /**
      * Whether the newest version that is due may be unknown to a gateway, since an older one was written after it. Its
      * record may have been deleted before the gateway read it.
