--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -226,6 +226,13 @@
     faults.endAfter(duration, () => servers.forEach(({ standIn }) => standIn.setBehaviour("well")));
 }
 
+/** Engines break the connections of streams, work on, and refuse the first request to stop. */
+function detachRuns(faults: SoakFaults, duration: number): void {
+    const { backendServers } = faults.world;
+    backendServers.forEach(({ standIn }) => standIn.setBehaviour("detach"));
+    faults.endAfter(duration, () => backendServers.forEach(({ standIn }) => standIn.setBehaviour("well")));
+}
+
 /** A server answers with bytes without end that are no answer. */
 function floodCalls(faults: SoakFaults, duration: number): void {
     const { standIn } = faults.chooseServer();
@@ -426,6 +433,9 @@
     ...Array.from({ length: drawsWithoutLoss }, () => noFault),
 ];
 
+/** Streams whose connection is broken while their engine works on. */
+export const detachedRunKinds: readonly Fault[] = [{ name: "detachRuns", perform: detachRuns }, noFault];
+
 /** All other faults. */
 export const faultKinds: readonly Fault[] = [
     { name: "kill", perform: withGateway(killGateway) },
--- a/packages/soak/src/soakPlans.ts
+++ b/packages/soak/src/soakPlans.ts
@@ -16,6 +16,7 @@
     answerLossKinds,
     changeKinds,
     configurationKinds,
+    detachedRunKinds,
     engineReplacementKinds,
     evacuationFaultKinds,
     faultKinds,
@@ -187,6 +188,30 @@
         isPlanned: false,
         relaysPeerLinks: true,
     },
+    /** Engines break the connections of streams and work on, while others are replaced. */
+    detached: {
+        series: [
+            { kinds: detachedRunKinds, ...allPauses, source: 18 },
+            { kinds: engineReplacementKinds, minPause: 2_000, maxPause: 5_000, source: 19 },
+        ],
+        callers: {
+            kinds: ["plan", "plan", "plan", "lookup"],
+            leavingShare: 0,
+            probeShare: 0,
+            areBalanced: false,
+            drawSending: reuseConnections,
+            drawThinkTime: drawShortThinkTime,
+            drawSize: (kind, random) => ({
+                promptTokens,
+                length: isStreamed(kind) ? Math.ceil(maxLongLength * (1 + random()) / 2) : 1,
+                timeLimit: routeTimeouts[kind],
+                statesLength: true,
+            }),
+        },
+        engines: 6,
+        engineProfile: defaultEngines,
+        isPlanned: false,
+    },
     /**
      * Gateways stop one after the other, so that their stops overlap and some have just started, while short streams with
      * long prompts wait at engines. More and more of them arrive at a time, so that earlier ones waited less than later ones do.
