Split the calls and the schedule of stops from the runs that were left

Read as a newcomer: the call, its statuses and its log fields stood in migration.ts and in abandonedRuns.ts, and the delays were computed beside backoff() of coordination. migrationCalls.ts makes the call and reads its answers for both; stopSchedule.ts says when a server is asked again, from immutable values and with backoff(), so that runs lost together are not asked for in step; abandonedRuns.ts keeps which runs were left.

Decisions change in one way: the pauses have jitter, between half and all of what they were.

--- a/packages/bench/test/gatewayProcess.test.ts
+++ b/packages/bench/test/gatewayProcess.test.ts
@@ -56,6 +56,23 @@
         );
     }));
 
+// The engine refused the one call that was to stop the run, which went on to its end beside the next one.
+test("a run whose engine breaks the channel, works on and refuses the first stop is stopped all the same", () =>
+    withCluster(1, async cluster => {
+        const [gateway] = cluster.gateways;
+        const engines = await Promise.all(["e1", "e2", "e3"].map(id => cluster.addServer(id, "engine", 60, 80)));
+        engines.forEach(engine => engine.setBehaviour("detach"));
+        const { isComplete, body } = await cluster.sendRequest(gateway, "/plan/1", { attemptId: "left" });
+        assert.ok(isComplete);
+        assert.equal(eventIds(body), idsUpTo(80));
+        const [left, next] = engines.flatMap(engine => engine.runs())
+            .sort((one, other) => one.startedAt - other.startedAt);
+        assert.ok(next.continuesFromReplica);
+        assert.ok(left.endedAt !== undefined && !left.isComplete, "the run that was left did not end by itself");
+        assert.match(gateway.output(), /event=run_stop_answered .*request=left .*status=409 .*isStopped=false/);
+        assert.match(gateway.output(), /event=run_stop_answered .*request=left .*isStopped=true/);
+    }));
+
 test("a call that every backend server refuses is refused as not run, and none of them ran it", () =>
     withCluster(1, async cluster => {
         const server = await cluster.addServer("w1", "plain", 5);
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -344,7 +344,8 @@
         implementation: {
             mapEvent: event => event,
             mapEffect: (effect, { abandonedRuns }) => {
-                const isRepeated = effect.kind === "migrateRun" && (abandonedRuns.get(effect.attemptId)?.asks ?? 0) > 1;
+                const isRepeated = effect.kind === "migrateRun"
+                    && (abandonedRuns.get(effect.attemptId)?.schedule.asks ?? 0) > 1;
                 return isRepeated ? undefined : effect;
             },
         },
--- a/packages/gateway/src/abandonedRuns.ts
+++ b/packages/gateway/src/abandonedRuns.ts
@@ -7,12 +7,14 @@
 import type { AttemptOutcome } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import { certainRunTime } from "./drainLimit.js";
-import type { GatewayEvent, MigrationResult } from "./event.js";
+import type { GatewayEvent } from "./event.js";
+import { answerFields, requestMigration, showsNoRun } from "./migrationCalls.js";
 import { requestFields } from "./requests.js";
 import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
 import { type Attempt, cutAt, type GatewayRequest, type GatewayState } from "./state.js";
+import { askAtOnce, recordAsk, recordFailure, scheduleStop, type StopSchedule } from "./stopSchedule.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type MigrationAnswered = Extract<GatewayEvent, { readonly kind: "migrationAnswered"; }>;
@@ -24,11 +26,7 @@
     readonly abandonedAt: Milliseconds;
     /** The last other server that the request was sent to; undefined before it was sent to one. */
     next: BackendServer | undefined;
-    /** How often its server was asked to stop it. */
-    asks: number;
-    /** How many of these calls were refused, or ended without an answer. */
-    failures: number;
-    nextAskAt: Milliseconds;
+    schedule: StopSchedule;
     /** Whether the last call to its server ended without an answer. */
     isUnanswered: boolean;
 }
@@ -43,21 +41,9 @@
     "silent",
 ]);
 
-/** A server that has not answered for this long is asked again: the call or its answer may be lost. */
-const firstAskInterval: Milliseconds = 150;
-/** A server that refused a call, or could not be reached, is asked again after this time: it may be copying the run. */
-const firstFailurePause: Milliseconds = 50;
-/** Both intervals double, up to this one. */
-const longestAskInterval: Milliseconds = 1_000;
-
 /** The time limit of a run begins at its server, up to this much later than it was sent. */
 const timeLimitSlack: Milliseconds = 1_000;
 
-/** The server has no such run. */
-const noRunStatus = 404;
-/** There is no room for the memory of the run, which is stopped if the answer names what the server keeps of it. */
-const noRoomStatus = 503;
-
 /** Records an attempt without a deliverable answer whose run may go on. A silent attempt that stays open is not abandoned. */
 export function recordAbandonedRun(
     transaction: Transaction,
@@ -77,16 +63,13 @@
     if (engineOf(state, request.service)?.canMigrate !== true) {
         return;
     }
-    // A migration may have asked the server to stop the run.
-    const { isStopping } = attempt;
     state.abandonedRuns.set(attempt.id, {
         request,
         attempt,
         abandonedAt: now,
         next: undefined,
-        asks: isStopping ? 1 : 0,
-        failures: 0,
-        nextAskAt: isStopping ? now + firstAskInterval : now,
+        // A migration may have asked the server to stop the run.
+        schedule: scheduleStop(attempt.isStopping, now),
         isUnanswered: false,
     });
 }
@@ -144,30 +127,23 @@
 }
 
 function askIfDue(transaction: Transaction, run: AbandonedRun): void {
-    const { state, now, effects } = transaction;
-    const { request, attempt: { id, server }, next } = run;
+    const { state, now, source } = transaction;
+    const { request, attempt, next } = run;
+    const { server } = attempt;
     // At the server that has the request again, the call could stop the new run.
     const hasReturned = request.attempt?.server.record.id === server.record.id;
     if (
-        next === undefined || now < run.nextAskAt || hasReturned || findEnd(transaction, run) !== undefined
+        next === undefined || now < run.schedule.nextAskAt || hasReturned || findEnd(transaction, run) !== undefined
         || isPaused(state, server.record.id, now) || waitsForAnother(state, run)
     ) {
         return;
     }
-    if (run.asks === 0) {
+    if (run.schedule.asks === 0) {
         logRun(transaction, "info", "run_abandoned", run, {});
     }
-    run.asks++;
-    run.nextAskAt = now + doubled(firstAskInterval, run.asks - 2);
-    // It is stopped by a migration: the copy that this makes at the next server is not used, and expires.
-    effects.push({
-        kind: "migrateRun",
-        attemptId: id,
-        callerAttemptId: request.head.callerAttemptId,
-        sourceAddress: server.record.address,
-        targetAddress: next.record.address,
-        isStopping: true,
-    });
+    run.schedule = recordAsk(run.schedule, now, source.random);
+    // The copy that this makes at the next server is not used, and expires.
+    requestMigration(transaction, request, attempt, next, true);
 }
 
 /** Whether a run waits for the call about another one: a server that does not answer is asked about one run at a time. */
@@ -176,27 +152,20 @@
         && [...abandonedRuns.values()].find(other => other.isUnanswered && serverOf(other) === serverOf(run)) !== run;
 }
 
-function doubled(interval: Milliseconds, times: number): Milliseconds {
-    return Math.min(longestAskInterval, interval * 2 ** Math.max(0, times));
-}
-
 /** Handles an answer about a run that its request has left. Returns false if it is about another one. */
 export function handleAbandonedAnswered(
     transaction: Transaction,
     { attemptId, result, isStopping }: MigrationAnswered,
 ): boolean {
-    const { state: { abandonedRuns }, now } = transaction;
+    const { state: { abandonedRuns }, now, source } = transaction;
     const run = abandonedRuns.get(attemptId);
     if (run === undefined) {
         return false;
     }
     const isStopped = isStopping && showsNoRun(run.attempt, result);
     logRun(transaction, "info", "run_stop_answered", run, {
-        step: isStopping ? "stop" : "copy",
+        ...answerFields(result, isStopping),
         isStopped,
-        result: result.kind,
-        status: result.kind === "refused" ? result.status : undefined,
-        detail: result.kind === "failed" ? result.detail : undefined,
     });
     run.isUnanswered = result.kind === "failed";
     if (!run.isUnanswered) {
@@ -207,7 +176,7 @@
         return true;
     }
     // A server that copies a run refuses to stop it until the copy has ended.
-    run.nextAskAt = isStopping ? Math.min(run.nextAskAt, now + doubled(firstFailurePause, run.failures++)) : now;
+    run.schedule = isStopping ? recordFailure(run.schedule, now, source.random) : askAtOnce(run.schedule, now);
     askIfDue(transaction, run);
     return true;
 }
@@ -217,24 +186,11 @@
     for (const run of runs) {
         if (run.isUnanswered && serverOf(run) === id) {
             run.isUnanswered = false;
-            run.nextAskAt = now;
+            run.schedule = askAtOnce(run.schedule, now);
         }
     }
 }
 
-/**
- * Whether the answer to a request to stop a run shows that it does not go on. Of a run that waits for a place its server
- * knows nothing.
- */
-export function showsNoRun({ firstEventAt }: Attempt, result: MigrationResult): boolean {
-    if (result.kind !== "refused") {
-        return result.kind === "moved";
-    }
-    return result.status === noRunStatus
-        ? firstEventAt !== undefined
-        : result.status === noRoomStatus && result.handle !== undefined;
-}
-
 function serverOf({ attempt: { server } }: AbandonedRun): BackendServerId {
     return server.record.id;
 }
@@ -249,7 +205,7 @@
     logDecision(transaction, level, event, {
         ...requestFields(transaction, run.request),
         from: serverOf(run),
-        asks: run.asks,
+        asks: run.schedule.asks,
         abandonedFor: Math.round(transaction.now - run.abandonedAt),
         ...fields,
     });
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,5 +21,6 @@
 export * from "./serverIncarnations.js";
 export * from "./serverPauses.js";
 export * from "./state.js";
+export * from "./stopSchedule.js";
 export * from "./streamRegister.js";
 export * from "./streamVersions.js";
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -11,13 +11,14 @@
  */
 import { chooseReplicaHost, migrationPlacement, replicaPlacement } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
-import { abandonRun, handleAbandonedAnswered, mayStillRunAt, showsNoRun } from "./abandonedRuns.js";
+import { abandonRun, handleAbandonedAnswered, mayStillRunAt } from "./abandonedRuns.js";
 import { endAttempt, retryOrFail } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import { certainRunTime } from "./drainLimit.js";
 import { isEvacuated } from "./evacuations.js";
 import type { GatewayEvent, MigrationResult } from "./event.js";
 import { expectedOutput } from "./messages.js";
+import { answerFields, hadNoRoom, hasNoRun, requestMigration, showsNoRun } from "./migrationCalls.js";
 import { expectReplica, findStayingHolder, replicaState, usableCopyHolder } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain } from "./sending.js";
@@ -344,23 +345,6 @@
     return true;
 }
 
-function requestMigration(
-    { effects }: Transaction,
-    { head }: GatewayRequest,
-    attempt: Attempt,
-    target: BackendServer,
-    isStopping: boolean,
-): void {
-    effects.push({
-        kind: "migrateRun",
-        attemptId: attempt.id,
-        callerAttemptId: head.callerAttemptId,
-        sourceAddress: attempt.server.record.address,
-        targetAddress: target.record.address,
-        isStopping,
-    });
-}
-
 function chooseTarget(
     { state, now, source }: Transaction,
     request: GatewayRequest,
@@ -405,8 +389,8 @@
     }
     else if (!requestStop(transaction, request, attempt, attempt.migrationTarget, event.result)) {
         // Of a run that waits for a place its server knows nothing, which says nothing of the target.
-        const hasNoRun = event.result.kind === "refused" && event.result.status === noRunStatus;
-        endMigration(transaction, attempt, event.result.kind === "moved" || (hasNoRun && isWaiting(attempt)));
+        const waits = hasNoRun(event.result) && isWaiting(attempt);
+        endMigration(transaction, attempt, event.result.kind === "moved" || waits);
     }
     migrateStreams(transaction, attempt.server.record.id);
 }
@@ -453,14 +437,13 @@
         attempt.copy = { ...copy, name: result.handle };
     }
     attempt.stoppedHandle = result.kind === "failed" ? undefined : result.handle;
-    const status = result.kind === "refused" ? result.status : undefined;
-    if (status === noRunStatus && endAfterStop === "ended") {
+    if (hasNoRun(result) && endAfterStop === "ended") {
         // The run was complete before the request to stop it.
         attempt.isStopRequested = false;
         return handleStreamEnded(transaction, attempt.id);
     }
     // Without room for the rest of the copy the run is stopped all the same.
-    if (result.kind === "moved" || status === noRoomStatus || endAfterStop !== undefined) {
+    if (result.kind === "moved" || hadNoRoom(result) || endAfterStop !== undefined) {
         return continueStoppedRun(transaction, request, attempt, showsNoRun(attempt, result));
     }
     // After a refusal the run goes on; without an answer it may have stopped, which its channel will show.
@@ -468,11 +451,6 @@
     attempt.stopUnansweredAt = result.kind === "failed" ? transaction.now : undefined;
 }
 
-/** The server has no such run, which may have ended. */
-const noRunStatus = 404;
-/** The server stopped the run, but the target has no room for the rest of the copy, or can't be reached. */
-const noRoomStatus = 503;
-
 function endMigration({ state, now }: Transaction, attempt: Attempt, hasSucceeded: boolean): void {
     const target = attempt.migrationTarget;
     setMigrationTarget(state, attempt, undefined);
@@ -541,10 +519,7 @@
         fromVersion: attempt.server.record.softwareVersion,
         target: target.record.id,
         targetVersion: target.record.softwareVersion,
-        step: attempt.isStopping ? "stop" : "copy",
-        result: result.kind,
-        status: result.kind === "refused" ? result.status : undefined,
-        detail: result.kind === "failed" ? result.detail : undefined,
+        ...answerFields(result, attempt.isStopping),
         lastHeardAge: Math.round(transaction.now - attempt.lastActivityAt),
     });
 }
