--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -3,7 +3,14 @@
  * records from its reports. A gateway reads by itself when what it has is no longer fresh.
  */
 import { takeoverTimeout, type TakeoverTimeouts, taskRank } from "@verbenaspring/coordination";
-import type { BackendServerId, GatewayIncarnation, LogOffset, Milliseconds, ServiceName } from "@verbenaspring/model";
+import type {
+    BackendServerId,
+    GatewayIncarnation,
+    LogOffset,
+    Milliseconds,
+    PeerAddress,
+    ServiceName,
+} from "@verbenaspring/model";
 import { applyRecord, applyRemoval, type BackendChange, type BackendRecord, forgetRemoved } from "./backendServers.js";
 import { settleLostRuns } from "./crashSuspects.js";
 import { earliestAcknowledgement } from "./drainLimit.js";
@@ -125,8 +132,9 @@
     logLateRead(transaction, event);
     const isAtEnd = event.isAtEnd ?? true;
     follower.nextReadAt = now + (isAtEnd ? readPlans[topic].pause : 0);
+    const source = event.isSnapshot ? "snapshot" : "read";
     const apply = event.isSnapshot ? applySnapshot : applyItems;
-    const hasChanged = apply(transaction, topic, event.items, next);
+    const hasChanged = apply(transaction, topic, { items: event.items, next, source });
     follower.lastFailure = undefined;
     if (isAtEnd) {
         const count = knownReadCount(follower, state.incarnation) + 1;
@@ -168,24 +176,30 @@
     }
 }
 
+/** Records of a topic that were read, by this or another gateway. */
+export interface TopicItems {
+    readonly items: readonly DecodedItem[];
+    /** The offset after the last record. */
+    readonly next: LogOffset;
+    /** How they were learnt: by a read from an offset on or of a snapshot, or from a peer. */
+    readonly source: "read" | "snapshot" | PeerAddress;
+}
+
 /**
  * Applies the newest records of all keys of a topic: known keys that are missing among them were removed. Returns
  * whether anything but heartbeats changed.
- *
- * @param next the offset after the last record
  */
 export function applySnapshot(
     transaction: Transaction,
     topic: TopicName,
-    items: readonly DecodedItem[],
-    next: LogOffset,
+    { items, next, source }: TopicItems,
 ): boolean {
     const follower = transaction.state.followers[topic];
     const removals = topic === "backendServers"
         ? createTombstones(follower, items, next)
         : createWithdrawals(transaction.state, items, next);
     recordRemovalGap(follower, next);
-    return applyItems(transaction, topic, [...items, ...removals], next);
+    return applyItems(transaction, topic, { items: [...items, ...removals], next, source });
 }
 
 /** Records which removals a snapshot can't show: of keys that were not known before it. */
@@ -243,28 +257,20 @@
         }));
 }
 
-/**
- * Applies records that this or another gateway read. Returns whether they changed more than heartbeats.
- *
- * @param next the offset after the last record
- */
-export function applyItems(
-    transaction: Transaction,
-    topic: TopicName,
-    items: readonly DecodedItem[],
-    next: LogOffset,
-): boolean {
+/** Applies records that this or another gateway read. Returns whether they changed more than heartbeats. */
+export function applyItems(transaction: Transaction, topic: TopicName, { items, next, source }: TopicItems): boolean {
     const { state, now } = transaction;
     const follower = state.followers[topic];
     let hasChanged = false;
     for (const { item, records } of items) {
+        logConflict(transaction, topic, { item, records }, source);
         if (isOutdated(state, follower, { item, records })) {
             continue;
         }
         const isNew = follower.items.get(item.key)?.offset !== item.offset;
         follower.items.set(item.key, item);
         // All records are applied; `some` would stop at the first change.
-        if (records.map(each => applyTopicRecord(transaction, each, item, isNew)).includes(true)) {
+        if (records.map(each => applyTopicRecord(transaction, each, item, { isNew, source })).includes(true)) {
             follower.changedThrough = Math.max(follower.changedThrough, item.offset + 1);
             follower.changes.set(item.key, item.offset);
             hasChanged = true;
@@ -309,6 +315,37 @@
     return known.value.length === 0 && item.value.length > 0;
 }
 
+/**
+ * Logs a record that contradicts a known one: another one at the same offset, or an older configuration that was stored after
+ * a newer one.
+ */
+function logConflict(
+    transaction: Transaction,
+    topic: TopicName,
+    { item, records }: DecodedItem,
+    source: TopicItems["source"],
+): void {
+    const { configuration, followers } = transaction.state;
+    const known = followers[topic].items.get(item.key);
+    if (known === undefined || known.value.length === 0 || item.value.length === 0 || item.offset < known.offset) {
+        return;
+    }
+    const [version] = records.flatMap(each => each.kind === "configuration" ? [each.configuration.version] : []);
+    const isReplaced = item.offset === known.offset && Buffer.compare(item.value, known.value) !== 0;
+    const isOlder = version !== undefined && configuration !== undefined && version < configuration.version;
+    if (isReplaced || (isOlder && item.offset > known.offset)) {
+        logDecision(transaction, "warn", "record_conflicts", {
+            topic,
+            key: item.key,
+            offset: item.offset,
+            version,
+            knownOffset: known.offset,
+            knownVersion: configuration?.version,
+            source,
+        });
+    }
+}
+
 function forgetTombstones(follower: TopicFollower): void {
     const { items, next } = follower;
     for (const { key, offset, value } of items.values()) {
@@ -349,12 +386,12 @@
     transaction: Transaction,
     decoded: TopicRecord,
     item: TopicItem,
-    isNew: boolean,
+    { isNew, source }: Pick<TopicItems, "source"> & { readonly isNew: boolean; },
 ): boolean {
     const { state, now } = transaction;
     switch (decoded.kind) {
         case "configuration":
-            return applyConfiguration(transaction, decoded.configuration, item.offset);
+            return applyConfiguration(transaction, decoded.configuration, item, source);
         case "configurationUndecodable":
             state.undecodableConfiguration = Math.max(state.undecodableConfiguration ?? 0, item.offset);
             // Gateways that get the topic from this one have to know that a newer configuration exists.
@@ -395,20 +432,29 @@
 function applyConfiguration(
     transaction: Transaction,
     configuration: RoutingConfiguration,
-    offset: LogOffset,
+    item: TopicItem,
+    source: TopicItems["source"],
 ): boolean {
     const { state, effects } = transaction;
     const previous = state.configuration?.version;
     if (previous !== undefined && configuration.version <= previous) {
         return false;
     }
+    const { offset } = item;
     state.configuration = configuration;
+    state.configurationItem = item;
     if (state.undecodableConfiguration !== undefined && offset > state.undecodableConfiguration) {
         state.undecodableConfiguration = undefined;
     }
     forgetSizes(state, configuration);
     forgetRoutes(state.durations, configuration);
-    logDecision(transaction, "info", "configuration_applied", { version: configuration.version, previous });
+    logDecision(transaction, "info", "configuration_applied", {
+        version: configuration.version,
+        previous,
+        offset,
+        next: state.followers.configuration.next,
+        source,
+    });
     effects.push({ kind: "applyLimits", limits: configuration.limits });
     return true;
 }
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -166,7 +166,11 @@
         return false;
     }
     const apply = topic.isComplete ? applySnapshot : applyItems;
-    const hasChanged = apply(transaction, topic.name, items[topic.name], topic.through);
+    const hasChanged = apply(transaction, topic.name, {
+        items: items[topic.name],
+        next: topic.through,
+        source: peer.address,
+    });
     adoptRemovalGaps(follower, topic.removalGaps ?? []);
     follower.isChangeOwnRead &&= !hasChanged;
     if (transmission !== undefined) {
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -181,13 +181,15 @@
     type: FailureType,
     retryAfter?: Milliseconds,
 ): void {
-    const { now, state: { configuration, followers } } = transaction;
+    const { now, state: { configuration, configurationItem, followers } } = transaction;
     logDecision(transaction, "warn", "request_refused", {
         request: head.callerAttemptId,
         reason: type,
-        configurationVersion: configuration?.version,
-        configurationAge: ageOf(now, followers.configuration.freshAsOf),
-        configurationReader: followers.configuration.lastRead?.reader,
+        version: configuration?.version,
+        offset: configurationItem?.offset,
+        next: followers.configuration.next,
+        age: ageOf(now, followers.configuration.freshAsOf),
+        reader: followers.configuration.lastRead?.reader,
         hostRoutes: configuration?.routesByHost.get(head.host)?.length ?? 0,
         host: head.host,
         path: pathOf(head).slice(0, maximumLoggedPath),
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -316,6 +316,8 @@
 export interface GatewayState {
     options: GatewayOptions;
     configuration: RoutingConfiguration | undefined;
+    /** The record of the configuration in force. */
+    configurationItem: TopicItem | undefined;
     /** The offset of a configuration that is newer than the one in force and can't be decoded. */
     undecodableConfiguration: LogOffset | undefined;
     readonly servers: BackendView;
@@ -425,6 +427,7 @@
         hintedAddresses: new Set(),
         options,
         configuration: undefined,
+        configurationItem: undefined,
         undecodableConfiguration: undefined,
         servers: new Map(),
         serversByService: new Map(),
--- a/packages/gateway/test/requests.test.ts
+++ b/packages/gateway/test/requests.test.ts
@@ -40,7 +40,11 @@
     const gateway = TestGateway.serving(server("plain-1"));
     gateway.now += 30;
     const [line] = linesIn(gateway.receiveRequest("r", "", { target: "/none/1?q=2" }), "request_refused");
-    assert.equal([line.path, line.hostRoutes, line.configurationAge], ["/none/1", 4, 30]);
+    assert.equal([line.path, line.hostRoutes, line.age], ["/none/1", 4, 30]);
+    const { configuration, configurationItem, followers } = gateway.state;
+    const { next, lastRead } = followers.configuration;
+    const view = [configuration?.version, configurationItem?.offset, next, lastRead?.reader];
+    assert.equal([line.version, line.offset, line.next, line.reader], view);
 });
 
 test("an unknown API key is refused; a known one determines the organisation and its priority", () => {
