Test gateways that know the log up to the same offset and have different configurations

The log of the tests can lose its newest record, and refuses a read from beyond its end as the store's client does now.

--- a/packages/gateway/test/linkedGateways.ts
+++ b/packages/gateway/test/linkedGateways.ts
@@ -1,6 +1,6 @@
 /**
- * Gateways that follow one log and exchange their reports. The log can turn gateways away and delete its history, links
- * between gateways can be cut or delay reports, and gateways can handle the answers of the log late.
+ * Gateways that follow one log and exchange their reports. The log can turn gateways away, delete its history and lose its
+ * newest record, links between gateways can be cut or delay reports, and gateways can handle the answers of the log late.
  */
 import type {
     BackendRecord,
@@ -9,6 +9,7 @@
     GatewayOptions,
     PeerReport,
     RoutingConfiguration,
+    TopicItem,
 } from "@verbenaspring/gateway";
 import { identifier, type PeerAddress } from "@verbenaspring/model";
 import { callsIn, TestGateway } from "./gatewayBuilders.js";
@@ -47,6 +48,11 @@
         this.records.push({ item: { key, offset: this.end, value: new Uint8Array(isTombstone ? 0 : 1) }, records });
     }
 
+    /** Loses the newest record, as if it had never been acknowledged. Its offset is given out again. */
+    loseNewest(): void {
+        this.records.pop();
+    }
+
     /** Deletes all but the newest record of each key. */
     deleteHistory(): void {
         this.firstRetained = this.end;
@@ -85,6 +91,8 @@
         backendServers: new TestLog(),
     };
     private pendingReads: PendingRead[] = [];
+    /** What each item was decoded to; an offset may be given out again. */
+    private readonly recordsOf = new WeakMap<TopicItem, DecodedItem["records"]>();
 
     constructor(size: number, options: Partial<GatewayOptions> = {}) {
         const seedAddresses = Array.from(
@@ -114,6 +122,10 @@
         this.logs.backendServers.append(id, [{ kind: "backendServerRemoved", id: identifier(id) }], true);
     }
 
+    loseNewest(topic: TopicName): void {
+        this.logs[topic].loseNewest();
+    }
+
     deleteHistory(topic: TopicName): void {
         this.logs[topic].deleteHistory();
     }
@@ -185,10 +197,15 @@
             this.perform(gateway, gateway.handle({ kind: "topicReadFailed", topic, failure: "records_deleted" }));
             return true;
         }
+        if (from !== undefined && from > log.end && this.now >= dueAt) {
+            this.perform(gateway, gateway.handle({ kind: "topicReadFailed", topic, failure: "malformed" }));
+            return true;
+        }
         const items = from === undefined ? log.newest() : log.records.slice(from);
         if (items.length === 0 && this.now < dueAt) {
             return false;
         }
+        items.forEach(({ item, records }) => this.recordsOf.set(item, records));
         this.answered(gateway, topic);
         const event = { kind: "topicRead", topic, isSnapshot: from === undefined, items, next: log.end } as const;
         const key = `${gateway.state.options.peerAddress} ${topic}`;
@@ -248,16 +265,16 @@
     private receive(receiver: TestGateway, report: PeerReport): void {
         const itemsOf = (topic: TopicName): DecodedItem[] =>
             report.topics.filter(({ name }) => name === topic).flatMap(({ items }) => items)
-                .map(item => this.decode(topic, item));
+                .map(item => this.decode(item));
         const items = { configuration: itemsOf("configuration"), backendServers: itemsOf("backendServers") };
         this.deliveredItems += items.configuration.length + items.backendServers.length;
         this.perform(receiver, receiver.handle({ kind: "peerReported", report, items }));
     }
 
-    private decode(topic: TopicName, item: DecodedItem["item"]): DecodedItem {
+    private decode(item: DecodedItem["item"]): DecodedItem {
         const id = identifier<never>(item.key);
         return item.value.length > 0
-            ? { item, records: this.logs[topic].records[item.offset].records }
+            ? { item, records: this.recordsOf.get(item)! }
             : { item, records: [{ kind: "backendServerRemoved", id }] };
     }
 }
