Compare the versions of configurations between gateways, not only offsets of the log

Reports carried offsets and stamps of reads; no gateway could notice.

A report now tells the version of the sender's configuration. A gateway that a peer has told of a newer version answers unknown routes and keys with 503 until it has that.

Why it works: versions order configurations whatever became of their records, so the comparison needs no trust in offsets.

--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -362,7 +362,12 @@
         const decode = (name: TopicName): DecodedItem[] =>
             (report.topics.find(topic => topic.name === name)?.items ?? [])
                 .map(item => ({ item, records: decodeTopicItem(name, item) }));
-        const items = { configuration: decode("configuration"), backendServers: decode("backendServers") };
+        const { configurationItem: item } = report;
+        const items = {
+            configuration: decode("configuration"),
+            backendServers: decode("backendServers"),
+            lackingConfiguration: item && { item, records: decodeTopicItem("configuration", item) },
+        };
         this.handleEvent({ kind: "peerReported", report, items });
     }
 }
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -258,7 +258,26 @@
 }
 
 /** Applies records that this or another gateway read. Returns whether they changed more than heartbeats. */
-export function applyItems(transaction: Transaction, topic: TopicName, { items, next, source }: TopicItems): boolean {
+export function applyItems(transaction: Transaction, topic: TopicName, topicItems: TopicItems): boolean {
+    const { state, now } = transaction;
+    const follower = state.followers[topic];
+    const hasChanged = applyRecords(transaction, topic, topicItems);
+    follower.next = Math.max(follower.next ?? 0, topicItems.next);
+    follower.knownThrough = follower.next;
+    forgetTombstones(follower);
+    if (topic === "backendServers" && forgetRemoved(state.servers, now)) {
+        indexByService(transaction);
+        forgetRemovedServers(transaction);
+    }
+    return hasChanged;
+}
+
+/** Applies records wherever they stand in the log. Returns whether they changed more than heartbeats. */
+export function applyRecords(
+    transaction: Transaction,
+    topic: TopicName,
+    { items, source }: Pick<TopicItems, "items" | "source">,
+): boolean {
     const { state, now } = transaction;
     const follower = state.followers[topic];
     let hasChanged = false;
@@ -276,16 +295,9 @@
             hasChanged = true;
         }
     }
-    follower.next = Math.max(follower.next ?? 0, next);
-    follower.knownThrough = follower.next;
     if (hasChanged) {
         recordChange(follower, now);
     }
-    forgetTombstones(follower);
-    if (topic === "backendServers" && forgetRemoved(state.servers, now)) {
-        indexByService(transaction);
-        forgetRemovedServers(transaction);
-    }
     return hasChanged;
 }
 
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -131,6 +131,10 @@
     readonly echo?: ReportEcho | undefined;
     readonly records: readonly RelayedRecord[];
     readonly topics: readonly PeerTopic[];
+    /** The version of the sender's configuration; absent without one, and from gateways of an earlier version. */
+    readonly configurationVersion?: number | undefined;
+    /** The record of that configuration, if the receiver has an older one and is not going to read it. Absent otherwise. */
+    readonly configurationItem?: TopicItem | undefined;
     /** The notices that it learnt since its last report on the link. */
     readonly leavingServers: readonly PeerLeavingServer[];
     /** The parts of prompts under which servers crashed, where that changed since its last report on the link. */
@@ -148,4 +152,7 @@
 }
 
 /** The items of a report, decoded. */
-export type PeerItems = Readonly<Record<TopicName, readonly DecodedItem[]>>;
+export type PeerItems = Readonly<Record<TopicName, readonly DecodedItem[]>> & {
+    /** The configuration that the receiver lacks; undefined if there is none in the report. */
+    readonly lackingConfiguration?: DecodedItem | undefined;
+};
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -22,6 +22,7 @@
     publishIfDue,
     publishRecord,
 } from "./members.js";
+import { createConfigurationReport, handlePeerConfiguration } from "./peerConfigurations.js";
 import { type PeerReport, type RelayedRecord, reportProtocol } from "./peerReport.js";
 import { createTopicReports, handlePeerTopic, hasNewReads, hasOwnReads } from "./peerTopics.js";
 import type { GatewayState, Peer } from "./state.js";
@@ -196,6 +197,8 @@
     peer.through = unknownOffsets;
     peer.requestedTopics.clear();
     peer.lackingTopics.clear();
+    peer.isConfigurationDue = false;
+    peer.configurationSentAt = -Infinity;
     peer.sentReads = noReads;
     peer.pending.clear();
     peer.pending.add(state.options.peerAddress);
@@ -235,6 +238,8 @@
         through: unknownOffsets,
         requestedTopics: new Set(),
         lackingTopics: new Set(),
+        isConfigurationDue: false,
+        configurationSentAt: -Infinity,
         sentReads: noReads,
     };
     state.peers.set(address, peer);
@@ -265,6 +270,7 @@
         members: isCurrent ? [] : liveAddresses(state, now),
         isStopping: state.stopRequestedAt !== undefined,
         topics: createTopicReports(state, peer, now),
+        ...createConfigurationReport(state, peer, now),
         loads: isCurrent ? [] : engineLoads(state),
         isFull: true,
         waitingRequests: state.waiting.size,
@@ -316,12 +322,13 @@
     }
     report.records.forEach(relayed => handleRecord(transaction, peer, relayed, transmission));
     const changes = report.topics.map(topic => handlePeerTopic(transaction, peer, topic, { items, transmission }));
+    changes.push(handlePeerConfiguration(transaction, peer, report, items));
     applyPeerNotices(transaction, report.leavingServers);
     applyPeerSuspects(transaction, report.crashSuspects);
     if (changes.includes(true) && !isFullMesh(state)) {
         reportToPeers(transaction);
     }
-    else if (peer.requestedTopics.size > 0 || peer.lackingTopics.size > 0) {
+    else if (peer.requestedTopics.size > 0 || peer.lackingTopics.size > 0 || peer.isConfigurationDue) {
         sendReport(transaction, peer);
     }
 }
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -16,6 +16,7 @@
 import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
 import { expectedOutput, type RequestHead } from "./messages.js";
+import { isOutdatedByPeers } from "./peerConfigurations.js";
 import { limitDoubt, recordAge, recordAnswer, recordEventTimes, recordTaken } from "./routeDurations.js";
 import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
 import { countPossibleRuns, createRunLedger } from "./runLedger.js";
@@ -166,12 +167,14 @@
 }
 
 /**
- * Whether there may be a newer configuration: there is one that can't be decoded, or this gateway has not learnt for as long as
- * a configuration may take that its own is the newest.
+ * Whether there may be a newer configuration: there is one that can't be decoded or that only a peer has, or this gateway has
+ * not learnt for as long as a configuration may take that its own is the newest.
  */
-function mayBeOutdated({ now, state: { followers, options, undecodableConfiguration } }: Transaction): boolean {
+function mayBeOutdated({ now, state }: Transaction): boolean {
+    const { followers, options, undecodableConfiguration } = state;
     const age = now - (followers.configuration.freshAsOf ?? -Infinity);
-    return undecodableConfiguration !== undefined || age > (options.configurationLimit ?? Infinity);
+    return undecodableConfiguration !== undefined || isOutdatedByPeers(state)
+        || age > (options.configurationLimit ?? Infinity);
 }
 
 /** Refuses a request before it enters the state. */
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -308,6 +308,10 @@
     readonly requestedTopics: Set<TopicName>;
     /** The topics of which a report of it was ignored here, because records before it are missing. */
     readonly lackingTopics: Set<TopicName>;
+    /** Whether it is to get the configuration in force, which it lacks and is not going to read. */
+    isConfigurationDue: boolean;
+    /** When that was last sent to it. */
+    configurationSentAt: Milliseconds;
     /** The newest read of each topic that was reported to it on this link. */
     sentReads: Readonly<Record<TopicName, TopicReadStamp | undefined>>;
 }
@@ -318,6 +322,8 @@
     configuration: RoutingConfiguration | undefined;
     /** The record of the configuration in force. */
     configurationItem: TopicItem | undefined;
+    /** The highest version that a peer has told; undefined before the first. */
+    newestReportedVersion: number | undefined;
     /** The offset of a configuration that is newer than the one in force and can't be decoded. */
     undecodableConfiguration: LogOffset | undefined;
     readonly servers: BackendView;
@@ -428,6 +434,7 @@
         options,
         configuration: undefined,
         configurationItem: undefined,
+        newestReportedVersion: undefined,
         undecodableConfiguration: undefined,
         servers: new Map(),
         serversByService: new Map(),
--- a/packages/gateway/test/differentViews.test.ts
+++ b/packages/gateway/test/differentViews.test.ts
@@ -5,7 +5,7 @@
 import { indexRoutes } from "@verbenaspring/gateway";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { configuration, failuresIn, route, server, type TestGateway } from "./gatewayBuilders.js";
+import { configuration, failuresIn, route, server, TestGateway } from "./gatewayBuilders.js";
 import { LinkedGateways } from "./linkedGateways.js";
 
 /** From an acknowledged configuration until it must be in force. */
@@ -103,4 +103,16 @@
     }
 });
 
+// It answered that the route does not exist.
+test("a gateway that a peer has told of a newer version than its own denies nothing until it has that", () => {
+    const gateway = TestGateway.serving(server("plain-1"));
+    const version = gateway.state.configuration!.version;
+    gateway.receiveReport({ configurationVersion: version });
+    assert.is(isDenied(gateway, 9), true);
+    gateway.receiveReport({ configurationVersion: version + 1 });
+    assert.is(isDenied(gateway, 9), false);
+    gateway.configure(withRoute(version + 1));
+    assert.is(isDenied(gateway, 9), true);
+});
+
 test.run();
--- a/packages/gateway/test/linkedGateways.ts
+++ b/packages/gateway/test/linkedGateways.ts
@@ -266,7 +266,11 @@
         const itemsOf = (topic: TopicName): DecodedItem[] =>
             report.topics.filter(({ name }) => name === topic).flatMap(({ items }) => items)
                 .map(item => this.decode(item));
-        const items = { configuration: itemsOf("configuration"), backendServers: itemsOf("backendServers") };
+        const items = {
+            configuration: itemsOf("configuration"),
+            backendServers: itemsOf("backendServers"),
+            lackingConfiguration: report.configurationItem && this.decode(report.configurationItem),
+        };
         this.deliveredItems += items.configuration.length + items.backendServers.length;
         this.perform(receiver, receiver.handle({ kind: "peerReported", report, items }));
     }
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -408,7 +408,12 @@
             // Several gateways may report the same record. It is decoded once.
             return reported.flatMap(item => isNew(item) ? this.decodeItems(name, [item]) : [{ item, records: [] }]);
         };
-        const items = { configuration: itemsOf("configuration"), backendServers: itemsOf("backendServers") };
+        const items = {
+            configuration: itemsOf("configuration"),
+            backendServers: itemsOf("backendServers"),
+            lackingConfiguration: report.configurationItem
+                && this.decodeItems("configuration", [report.configurationItem])[0],
+        };
         this.events.push({ kind: "peerReported", report, items });
     }
 
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -9,6 +9,7 @@
     PeerReport,
     PeerRequestLimit,
     RelayedRecord,
+    TopicItem,
     TopicName,
 } from "@verbenaspring/gateway";
 import { type GatewayIncarnation, identifier, type PeerAddress } from "@verbenaspring/model";
@@ -18,6 +19,7 @@
     type PeerLoad as PeerLoadMessage,
     type PeerReport as PeerReportMessage,
     type PeerRequestLimit as PeerRequestLimitMessage,
+    type PeerTopicItem as PeerTopicItemMessage,
 } from "@verbenaspring/schema";
 
 /** A report message without the properties that the protobuf library adds. */
@@ -38,6 +40,8 @@
         isStopping,
         isFull,
         waitingRequests,
+        configurationVersion: report.configurationVersion,
+        configurationItem: report.configurationItem && encodeItem(report.configurationItem),
         topics: topics.map(topic => ({
             $typeName: "verbenaspring.v1.PeerTopic",
             name: topic.name,
@@ -53,12 +57,7 @@
                 from,
                 to,
             })),
-            items: topic.items.map(({ key, offset, value }) => ({
-                $typeName: "verbenaspring.v1.PeerTopicItem",
-                key,
-                offset,
-                value: Uint8Array.from(value),
-            })),
+            items: topic.items.map(encodeItem),
         })),
         loads: loads.map(encodeLoad),
         requestLimits: report.requestLimits.map(encodeLimit),
@@ -70,6 +69,10 @@
     };
 }
 
+function encodeItem({ key, offset, value }: TopicItem): PeerTopicItemMessage {
+    return { $typeName: "verbenaspring.v1.PeerTopicItem", key, offset, value: Uint8Array.from(value) };
+}
+
 function encodeSuspect({ id, isCommon, crashes }: PeerCrashSuspect): PeerCrashSuspectMessage {
     return {
         $typeName: "verbenaspring.v1.PeerCrashSuspect",
@@ -127,6 +130,8 @@
         isStopping,
         isFull,
         waitingRequests,
+        configurationVersion: message.configurationVersion,
+        configurationItem: message.configurationItem,
         topics: topics.map(topic => ({
             name: topic.name as TopicName,
             removalGaps: topic.removalGaps.map(({ from, to }) => ({ from, to })),
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -38,6 +38,8 @@
                 lacksRecords: false,
             },
         ],
+        configurationVersion: 76,
+        configurationItem: { key: "config", offset: 8, value: new Uint8Array([1, 2, 255]) },
         loads: [
             {
                 backendServer: identifier("i-1"),
