--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -84,11 +84,13 @@
     follower.isReading = true;
     follower.readStartedAt = now;
     recordReadStart(state, topic);
-    follower.readWait = isRequired ? 0 : longestWait(follower, readPlans[topic].wait, now);
-    if (follower.next === undefined) {
+    // The log may have lost and replaced records while it could not be read, which a read from the end on would not show.
+    if (follower.next === undefined || follower.lastFailure !== undefined) {
+        follower.readWait = 0;
         effects.push({ kind: "readSnapshot", topic });
         return;
     }
+    follower.readWait = isRequired ? 0 : longestWait(follower, readPlans[topic].wait, now);
     effects.push({ kind: "readTopic", topic, from: follower.next, wait: follower.readWait });
 }
 
