--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -66,8 +66,8 @@
     readonly records: readonly TopicRecord[];
 }
 
-/** Why a read of a topic failed. */
-export type ReadFailure = "records_deleted" | "refused" | "timeout" | "unreachable" | "malformed";
+/** Why a read of a topic failed. `beyond_end` says that the log ends before the offset that was read from. */
+export type ReadFailure = "records_deleted" | "beyond_end" | "refused" | "timeout" | "unreachable" | "malformed";
 
 /** A run that a server reports. */
 export interface ReportedRun {
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -371,14 +371,14 @@
     }
 }
 
-/** Handles a failed read. If the records at the offset were deleted, the topic is read again from a snapshot. */
+/** Handles a failed read. If the records at the offset were deleted, or are lost, the topic is read again from a snapshot. */
 export function handleTopicReadFailed(transaction: Transaction, { topic, failure }: TopicReadFailed): void {
     const { state, now } = transaction;
     const follower = state.followers[topic];
     follower.isReading = false;
     recordReadEnd(state, topic);
-    if (failure === "records_deleted") {
-        logDecision(transaction, "info", "topic_history_deleted", { topic, next: follower.next });
+    if (failure === "records_deleted" || failure === "beyond_end") {
+        logDecision(transaction, "info", "topic_history_deleted", { topic, next: follower.next, failure });
         follower.next = undefined;
         follower.freshAsOf = undefined;
         return startDueRead(transaction, topic);
--- a/packages/gateway/test/linkedGateways.ts
+++ b/packages/gateway/test/linkedGateways.ts
@@ -198,7 +198,7 @@
             return true;
         }
         if (from !== undefined && from > log.end && this.now >= dueAt) {
-            this.perform(gateway, gateway.handle({ kind: "topicReadFailed", topic, failure: "malformed" }));
+            this.perform(gateway, gateway.handle({ kind: "topicReadFailed", topic, failure: "beyond_end" }));
             return true;
         }
         const items = from === undefined ? log.newest() : log.records.slice(from);
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -470,7 +470,14 @@
     return target === "" ? detail : `${detail}: ${target.split("?", 1)[0].slice(0, maxLoggedTarget)}`;
 }
 
-const knownReadFailures: readonly ReadFailure[] = ["records_deleted", "refused", "timeout", "unreachable", "malformed"];
+const knownReadFailures: readonly ReadFailure[] = [
+    "records_deleted",
+    "beyond_end",
+    "refused",
+    "timeout",
+    "unreachable",
+    "malformed",
+];
 
 /** Returns the value of the error's field `failure` if it is a known one, otherwise "unreachable". */
 export function classifyReadError(error: unknown): ReadFailure {
