Compare the configuration with the newest records of the log from time to time

A configuration that the log had handed out and then lost was found out only where a read failed or an offset lay beyond the end.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -39,6 +39,13 @@
     readonly pause: Milliseconds;
     /** How old the newest known read may become, by rank, before this gateway reads by itself. */
     readonly takeoverTimeouts: TakeoverTimeouts;
+    /** When a gateway that reads the topic compares what it has with the newest records; undefined if it never does. */
+    readonly verification?: {
+        /** After the last change: the log may hand out a record and lose it before it is acknowledged. */
+        readonly delay: Milliseconds;
+        /** Without changes. */
+        readonly interval: Milliseconds;
+    };
 }
 
 /**
@@ -47,7 +54,12 @@
  * of the backend servers don't wait, since heartbeats are written continuously.
  */
 const readPlans: Readonly<Record<TopicName, ReadPlan>> = {
-    configuration: { wait: 600, pause: 0, takeoverTimeouts: { base: 1_100, step: 150, max: 1_700 } },
+    configuration: {
+        wait: 600,
+        pause: 0,
+        takeoverTimeouts: { base: 1_100, step: 150, max: 1_700 },
+        verification: { delay: 600, interval: 5_000 },
+    },
     backendServers: { wait: 0, pause: 400, takeoverTimeouts: { base: 900, step: 150, max: 1_500 } },
 };
 
@@ -83,9 +95,10 @@
     }
     follower.isReading = true;
     follower.readStartedAt = now;
+    follower.readFrom = follower.next;
     recordReadStart(state, topic);
     // The log may have lost and replaced records while it could not be read, which a read from the end on would not show.
-    if (follower.next === undefined || follower.lastFailure !== undefined) {
+    if (follower.next === undefined || follower.lastFailure !== undefined || isVerificationDue(topic, follower, now)) {
         follower.readWait = 0;
         effects.push({ kind: "readSnapshot", topic });
         return;
@@ -94,6 +107,15 @@
     effects.push({ kind: "readTopic", topic, from: follower.next, wait: follower.readWait });
 }
 
+/** Whether what is known of a topic is to be compared with the newest records of the log. */
+function isVerificationDue(topic: TopicName, { changedAt, verifiedAt }: TopicFollower, now: Milliseconds): boolean {
+    const { verification } = readPlans[topic];
+    return verification !== undefined
+        && (verifiedAt < changedAt + verification.delay
+            ? now - changedAt >= verification.delay
+            : now - verifiedAt >= verification.interval);
+}
+
 /** Whether this gateway has to read the topic: it ranks first, or the newest known read is too old for its rank. */
 function isDue({ state, now }: Transaction, topic: TopicName, follower: TopicFollower): boolean {
     if (follower.freshAsOf === undefined) {
@@ -134,6 +156,10 @@
     logLateRead(transaction, event);
     const isAtEnd = event.isAtEnd ?? true;
     follower.nextReadAt = now + (isAtEnd ? readPlans[topic].pause : 0);
+    if (event.isSnapshot) {
+        follower.verifiedAt = follower.readStartedAt;
+        forgetLostOffsets(transaction, topic, next);
+    }
     const source = event.isSnapshot ? "snapshot" : "read";
     const apply = event.isSnapshot ? applySnapshot : applyItems;
     const hasChanged = apply(transaction, topic, { items: event.items, next, source });
@@ -149,6 +175,16 @@
     startDueRead(transaction, topic);
 }
 
+/** Goes on at the end of the log if that is before what was known of it when the snapshot was requested. */
+function forgetLostOffsets(transaction: Transaction, topic: TopicName, end: LogOffset): void {
+    const follower = transaction.state.followers[topic];
+    if (follower.readFrom !== undefined && end < follower.readFrom) {
+        logDecision(transaction, "warn", "topic_shortened", { topic, next: follower.next, end });
+        follower.next = undefined;
+        follower.changedThrough = Math.min(follower.changedThrough, end);
+    }
+}
+
 function knownReadCount({ readCounts }: TopicFollower, reader: GatewayIncarnation): number {
     return readCounts.get(reader) ?? 0;
 }
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -257,9 +257,13 @@
     readonly readCounts: Map<GatewayIncarnation, number>;
     /** The rank of this gateway among those that may read the topic, and the members for which it was computed. */
     rank: { readonly members: readonly Member[]; readonly value: number; } | undefined;
+    /** When the newest snapshot was requested from the log. */
+    verifiedAt: Milliseconds;
     isReading: boolean;
     /** When the newest read started. */
     readStartedAt: Milliseconds;
+    /** The offset after the last record that was known when the newest read started. */
+    readFrom: LogOffset | undefined;
     /** How long the newest read lets the log wait for a record. */
     readWait: Milliseconds;
     nextReadAt: Milliseconds;
@@ -493,8 +497,10 @@
         lastRead: undefined,
         readCounts: new Map(),
         rank: undefined,
+        verifiedAt: -Infinity,
         isReading: false,
         readStartedAt: Infinity,
+        readFrom: undefined,
         readWait: 0,
         nextReadAt: 0,
         lateReadLoggedAt: -Infinity,
--- a/packages/gateway/test/differentViews.test.ts
+++ b/packages/gateway/test/differentViews.test.ts
@@ -77,6 +77,17 @@
     assert.equal(versionsIn(linked), [3, 3, 3, 3, 3]);
 });
 
+// No read had failed, so nobody compared what had been read with the log again.
+test("gateways learn the record that replaced one that the log lost, though no read failed", () => {
+    for (const delay of [0, 300, 700, 1_100]) {
+        const linked = linkedGateways();
+        linked.advance(delay);
+        replaceNewest(linked);
+        assert.is(denialsAfterLimit(linked, 3), 0, `${delay} ms`);
+        assert.equal(versionsIn(linked), [3, 3, 3, 3, 3]);
+    }
+});
+
 test("a gateway that knows more of the log than there is learns what is stored in its place", () => {
     const linked = linkedGateways();
     linked.configure(withRoute(2));
--- a/packages/gateway/test/outdatedViews.test.ts
+++ b/packages/gateway/test/outdatedViews.test.ts
@@ -131,6 +131,9 @@
     gateway.now += 150;
     assert.equal(waitsIn(gateway.read("configuration", [])), [600]);
     gateway.now += 1_300;
+    assert.is(gateway.read("configuration", []).filter(isSnapshot).length, 1, "what was read is verified");
+    assert.equal(waitsIn(gateway.read("configuration", [], true)), [600]);
+    gateway.now += 1_300;
     assert.equal(waitsIn(gateway.read("configuration", [])), [0]);
     gateway.handle({ kind: "topicReadFailed", topic: "configuration", failure: "timeout" });
     assert.is(gateway.advance(1_000).filter(isSnapshot).length, 1, "after a failure, a read of the newest records");
