Count a peer's reads by its clock from before it was suspended

A gateway whose steady clock stood still for 1.5 s, as that of a suspended machine, reported a read from before as new.

Cause: the difference of the two clocks was taken from the newest report that the peer had handled. If it handled that one after the suspension, and had read before, the difference was too large by the length of the suspension.

A gateway now keeps, for 5 s, when a peer handled its reports, by the clocks of both. A reported read is dated by the lower of two differences: that of the newest report, and the largest from before the read began. Without a report from before, the read counts for nothing, unless there is no view yet.

Why it works: each sample bounds the difference of the clocks from below, whatever delayed the report. If the peer was suspended since the read began, a sample from before is right; if this gateway was, the newest is. So nothing has to be detected, and a late report makes a read older only. Samples start anew with a new process of the peer.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -51,6 +51,11 @@
     backendServers: { wait: 0, pause: 400, takeoverTimeouts: { base: 900, step: 150, max: 1_500 } },
 };
 
+/** How long the log may hold a read of a topic open. */
+export function longestReadWait(topic: TopicName): Milliseconds {
+    return readPlans[topic].wait;
+}
+
 /** From a failed read to the next one. */
 const retryDelay: Milliseconds = 250;
 /** For how long after a failed read a gateway leaves the reads to the others, if theirs succeed. */
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -4,9 +4,10 @@
  */
 import type { LogOffset, Milliseconds } from "@verbenaspring/model";
 import type { TopicItem, TopicName } from "./event.js";
-import { adoptRemovalGaps, applyItems, applySnapshot, recordFreshness } from "./followers.js";
+import { adoptRemovalGaps, applyItems, applySnapshot, longestReadWait, recordFreshness } from "./followers.js";
 import { heartbeatInterval, isFullMesh } from "./members.js";
-import { evacuationProtocol, type OffsetRange, type PeerItems, type PeerTopic } from "./peerReport.js";
+import { earliestTime } from "./peerClocks.js";
+import { evacuationProtocol, type OffsetRange, type PeerItems, type PeerReport, type PeerTopic } from "./peerReport.js";
 import type { GatewayState, Peer, TopicFollower } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -128,6 +129,7 @@
 
 /** What came with a report of topics. */
 export interface TopicDelivery {
+    readonly report: PeerReport;
     readonly items: PeerItems;
     /** The longest that the report can have been under way; undefined if unknown. */
     readonly transmission: Milliseconds | undefined;
@@ -141,9 +143,9 @@
     transaction: Transaction,
     peer: Peer,
     topic: PeerTopic,
-    { items, transmission }: TopicDelivery,
+    delivery: TopicDelivery,
 ): boolean {
-    const { state, now } = transaction;
+    const { state } = transaction;
     const follower = state.followers[topic.name];
     // Records sent to the peer may still be under way, so what it reports replaces what was recorded on sending.
     peer.through = { ...peer.through, [topic.name]: topic.through };
@@ -167,18 +169,35 @@
     }
     const apply = topic.isComplete ? applySnapshot : applyItems;
     const hasChanged = apply(transaction, topic.name, {
-        items: items[topic.name],
+        items: delivery.items[topic.name],
         next: topic.through,
         source: peer.address,
     });
     adoptRemovalGaps(follower, topic.removalGaps ?? []);
     follower.isChangeOwnRead &&= !hasChanged;
-    if (transmission !== undefined) {
-        recordFreshness(follower, topic.read, now - topic.age - transmission);
+    const readAt = earliestReadTime(transaction, peer, topic, delivery);
+    if (readAt !== undefined) {
+        recordFreshness(follower, topic.read, readAt);
     }
     return hasChanged;
 }
 
+/** The earliest time at which a reported read can have found the end of the log; undefined if the read is to count for nothing. */
+function earliestReadTime(
+    { state, now }: Transaction,
+    peer: Peer,
+    { name, age }: PeerTopic,
+    { report: { sentAt }, transmission }: TopicDelivery,
+): Milliseconds | undefined {
+    if (sentAt === undefined || transmission === undefined) {
+        return undefined;
+    }
+    // The peer's clock may have stood still between the start of the read and its end.
+    const readAt = earliestTime(peer, sentAt - age, sentAt - age - longestReadWait(name));
+    // Without any view, a gateway that can't read has nothing better.
+    return state.followers[name].freshAsOf === undefined ? readAt ?? now - age - transmission : readAt;
+}
+
 function isAboutRecords(topic: PeerTopic): topic is PeerTopic & { readonly through: LogOffset; } {
     return topic.through !== undefined;
 }
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -22,6 +22,7 @@
     publishIfDue,
     publishRecord,
 } from "./members.js";
+import { recordClockSample } from "./peerClocks.js";
 import { createConfigurationReport, handlePeerConfiguration } from "./peerConfigurations.js";
 import { type PeerReport, type RelayedRecord, reportProtocol } from "./peerReport.js";
 import { createTopicReports, handlePeerTopic, hasNewReads, hasOwnReads } from "./peerTopics.js";
@@ -226,6 +227,7 @@
         lastReportAt: undefined,
         reportedAsOf: undefined,
         heard: undefined,
+        clockSamples: [],
         lateReportLoggedAt: -Infinity,
         link: "closed",
         reopenAt: 0,
@@ -300,6 +302,7 @@
     const isNewIncarnation = peer.incarnation !== undefined && peer.incarnation !== report.incarnation;
     if (isNewIncarnation) {
         peer.heard = undefined;
+        peer.clockSamples.length = 0;
     }
     if (peer.link !== "open" || isNewIncarnation) {
         startLink(state, peer, "open", now);
@@ -309,6 +312,7 @@
     peer.wantsLink = report.wantsLink || report.protocol === 0;
     peer.lastReportAt = now;
     recordHeard(peer, report, now);
+    recordClockSample(peer, report, now);
     const transmission = longestTransmission(report, now);
     if (transmission !== undefined) {
         peer.reportedAsOf = now - transmission;
@@ -321,7 +325,9 @@
         report.members.filter(address => !state.members.has(address)).forEach(address => addHint(state, address));
     }
     report.records.forEach(relayed => handleRecord(transaction, peer, relayed, transmission));
-    const changes = report.topics.map(topic => handlePeerTopic(transaction, peer, topic, { items, transmission }));
+    const changes = report.topics.map(topic =>
+        handlePeerTopic(transaction, peer, topic, { report, items, transmission })
+    );
     changes.push(handlePeerConfiguration(transaction, peer, report, items));
     applyPeerNotices(transaction, report.leavingServers);
     applyPeerSuspects(transaction, report.crashSuspects);
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -24,6 +24,7 @@
 import type { RequestHead, ResponseHead, RunReplica, StreamEvent } from "./messages.js";
 import type { MigrationObstacle } from "./migration.js";
 import type { GatewayOptions } from "./options.js";
+import type { ClockSample } from "./peerClocks.js";
 import type { OffsetRange, TopicReadStamp } from "./peerReport.js";
 import type { ContinuationSource } from "./replicas.js";
 import type { RequestLimits } from "./requestLimits.js";
@@ -289,6 +290,8 @@
     reportedAsOf: Milliseconds | undefined;
     /** When its newest report was created, by its own clock, and when it was handled here; undefined before the first on this link. */
     heard: { readonly sentAt: Milliseconds; readonly handledAt: Milliseconds; } | undefined;
+    /** Reports of this gateway that this process has handled, oldest first. */
+    readonly clockSamples: ClockSample[];
     /** When a report that was long under way was last logged. */
     lateReportLoggedAt: Milliseconds;
     link: "closed" | "opening" | "open";
--- a/packages/gateway/test/observedGateways.ts
+++ b/packages/gateway/test/observedGateways.ts
@@ -13,11 +13,12 @@
 
 /** Linked gateways that note when the log answered each read. */
 export class ObservedGateways {
-    readonly linked = new LinkedGateways(5, { configurationLimit: 2_000 });
+    readonly linked: LinkedGateways;
     readonly reads: Read[] = [];
     private readonly answeredAt = new Map<string, number[]>();
 
-    constructor() {
+    constructor(size = 5) {
+        this.linked = new LinkedGateways(size, { configurationLimit: 2_000 });
         this.linked.configure(configuration(1));
         this.linked.register(server("plain-1"));
         this.linked.answered = (gateway, topic) => {
--- a/packages/gateway/test/suspendedReader.test.ts
+++ b/packages/gateway/test/suspendedReader.test.ts
@@ -34,4 +34,44 @@
     });
 }
 
+function others({ gateways }: LinkedGateways, suspended: TestGateway): readonly TestGateway[] {
+    return gateways.filter(gateway => gateway !== suspended);
+}
+
+for (const size of [2, 3]) {
+    for (let phase = 0; phase < 600; phase += 100) {
+        test(`no view of ${size} gateways is older than it counts after a suspension ${phase} ms into a read`, () => {
+            const observed = new ObservedGateways(size);
+            const { linked, reader } = observed;
+            linked.advance(phase);
+            suspend(linked, reader, suspension);
+            assert.is(observed.longestExcess(others(linked, reader), 2 * suspension), 0);
+        });
+    }
+}
+
+for (const name of ["configuration", "backendServers"] as const) {
+    test(`no view is older than it counts after a gateway that does not read the ${name} was suspended`, () => {
+        const observed = new ObservedGateways();
+        const { linked } = observed;
+        const { reader } = linked.gateways[0].state.followers[name].lastRead!;
+        const suspended = linked.gateways.find(({ state }) => state.incarnation !== reader)!;
+        suspend(linked, suspended, suspension);
+        assert.is(observed.longestExcess(others(linked, suspended), 2 * suspension), 0);
+    });
+}
+
+for (let age = 0; age < 2_000; age += 200) {
+    test(`no view is older than it counts after a suspension ${age} ms after the reader's links were reopened`, () => {
+        const observed = new ObservedGateways();
+        const { linked, reader } = observed;
+        linked.isolate(reader);
+        linked.advance(4_000);
+        linked.restoreLinks();
+        linked.advance(age);
+        suspend(linked, reader, suspension);
+        assert.is(observed.longestExcess(others(linked, reader), 2 * suspension), 0);
+    });
+}
+
 test.run();
