Decode what gateways report in one function, and hand on whether a read reached the end

The virtual gateway of the fuzzer decoded every item of a report, while the real runner leaves out those whose offset isn't above the known one; and it didn't hand on whether a read had reached the end of the topic. So the fuzzer could not show faults that rest on either.

Both now call decodePeerItems of the gateway package, and virtual reads tell isAtEnd. Mutations of records keep the configuration that a report brings beside its topics, which they had dropped.

--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -7,7 +7,7 @@
     type BackendCall,
     createGatewayState,
     type Decision,
-    type DecodedItem,
+    decodePeerItems,
     type GatewayEffect,
     type GatewayEvent,
     type GatewayOptions,
@@ -344,7 +344,8 @@
             return this.handleEvent({ kind: "topicReadFailed", topic, failure: answer.failure });
         }
         const items = answer.items.map(item => ({ item, records: decodeTopicItem(topic, item) }));
-        this.handleEvent({ kind: "topicRead", topic, isSnapshot: from === undefined, items, next: answer.next });
+        const { next, isAtEnd } = answer;
+        this.handleEvent({ kind: "topicRead", topic, isSnapshot: from === undefined, items, next, isAtEnd });
     }
 
     /** Handles the close of the last link to another gateway. */
@@ -359,15 +360,7 @@
 
     /** Handles a report from another gateway. */
     handleReport(report: PeerReport): void {
-        const decode = (name: TopicName): DecodedItem[] =>
-            (report.topics.find(topic => topic.name === name)?.items ?? [])
-                .map(item => ({ item, records: decodeTopicItem(name, item) }));
-        const { configurationItem: item } = report;
-        const items = {
-            configuration: decode("configuration"),
-            backendServers: decode("backendServers"),
-            lackingConfiguration: item && { item, records: decodeTopicItem("configuration", item) },
-        };
+        const items = decodePeerItems(this.state, report, decodeTopicItem);
         this.handleEvent({ kind: "peerReported", report, items });
     }
 }
--- a/packages/emulator/src/virtualStore.ts
+++ b/packages/emulator/src/virtualStore.ts
@@ -10,7 +10,13 @@
 
 /** Result of a read. */
 export type StoreAnswer =
-    | { readonly kind: "page"; readonly items: readonly TopicItem[]; readonly next: LogOffset; }
+    | {
+        readonly kind: "page";
+        readonly items: readonly TopicItem[];
+        readonly next: LogOffset;
+        /** Whether the topic ended there. */
+        readonly isAtEnd: boolean;
+    }
     | { readonly kind: "failed"; readonly failure: ReadFailure; };
 
 /** A read by a gateway process. */
@@ -116,7 +122,7 @@
         const topic = topicNames[read.topic];
         if (read.from === undefined) {
             const items = this.model.newestRecords(topic);
-            return answer({ kind: "page", items, next: this.model.endOffset(topic) });
+            return answer({ kind: "page", items, next: this.model.endOffset(topic), isAtEnd: true });
         }
         if (this.model.endOffset(topic) > read.from || read.wait === 0) {
             return answer(this.readPage(topic, read.from));
@@ -148,6 +154,7 @@
             return { kind: "failed", failure: "records_deleted" };
         }
         const items = page.records.map((record, index) => ({ ...record, offset: from + index }));
-        return { kind: "page", items, next: page.end };
+        const next = from + items.length;
+        return { kind: "page", items, next, isAtEnd: next >= page.end };
     }
 }
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -45,10 +45,14 @@
         return { ...event, items: mapItems(event.items) };
     }
     if (event.kind === "peerReported") {
-        const { configuration, backendServers } = event.items;
+        const { configuration, backendServers, lackingConfiguration } = event.items;
         return {
             ...event,
-            items: { configuration: mapItems(configuration), backendServers: mapItems(backendServers) },
+            items: {
+                configuration: mapItems(configuration),
+                backendServers: mapItems(backendServers),
+                lackingConfiguration: lackingConfiguration && mapItems([lackingConfiguration])[0],
+            },
         };
     }
     return event;
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -3,10 +3,10 @@
  * are.
  */
 import type { LogOffset, Milliseconds } from "@verbenaspring/model";
-import type { TopicItem, TopicName } from "./event.js";
+import type { DecodedItem, TopicItem, TopicName, TopicRecord } from "./event.js";
 import { adoptRemovalGaps, applyItems, applySnapshot, recordFreshness } from "./followers.js";
 import { heartbeatInterval, isFullMesh } from "./members.js";
-import { evacuationProtocol, type OffsetRange, type PeerItems, type PeerTopic } from "./peerReport.js";
+import { evacuationProtocol, type OffsetRange, type PeerItems, type PeerReport, type PeerTopic } from "./peerReport.js";
 import type { GatewayState, Peer, TopicFollower } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -126,6 +126,33 @@
     );
 }
 
+/**
+ * Decodes the items of a report. An item whose offset isn't above that of the known record of its key yields no records:
+ * several gateways may report the same one, which is decoded once.
+ *
+ * @param decode decodes an item of a topic, such as `decodeTopicItem` of the package `platform`
+ * @example
+ * const items = decodePeerItems(state, report, decodeTopicItem);
+ */
+export function decodePeerItems(
+    { followers }: GatewayState,
+    { topics, configurationItem }: PeerReport,
+    decode: (topic: TopicName, item: TopicItem) => readonly TopicRecord[],
+): PeerItems {
+    const itemsOf = (name: TopicName): DecodedItem[] => {
+        const { items: known } = followers[name];
+        const isNew = ({ key, offset }: TopicItem): boolean => offset > (known.get(key)?.offset ?? -1);
+        const reported = topics.find(topic => topic.name === name)?.items ?? [];
+        return reported.map(item => ({ item, records: isNew(item) ? decode(name, item) : [] }));
+    };
+    return {
+        configuration: itemsOf("configuration"),
+        backendServers: itemsOf("backendServers"),
+        lackingConfiguration: configurationItem
+            && { item: configurationItem, records: decode("configuration", configurationItem) },
+    };
+}
+
 /** What came with a report of topics. */
 export interface TopicDelivery {
     readonly items: PeerItems;
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -6,6 +6,7 @@
     countColdServers,
     type Decision,
     type DecodedItem,
+    decodePeerItems,
     type GatewayEffect,
     type GatewayEvent,
     type GatewayState,
@@ -401,19 +402,7 @@
     }
 
     private handlePeerReport(report: PeerReport): void {
-        const itemsOf = (name: TopicName): DecodedItem[] => {
-            const { items } = this.state.followers[name];
-            const isNew = ({ key, offset }: TopicItem): boolean => offset > (items.get(key)?.offset ?? -1);
-            const reported = report.topics.find(topic => topic.name === name)?.items ?? [];
-            // Several gateways may report the same record. It is decoded once.
-            return reported.flatMap(item => isNew(item) ? this.decodeItems(name, [item]) : [{ item, records: [] }]);
-        };
-        const items = {
-            configuration: itemsOf("configuration"),
-            backendServers: itemsOf("backendServers"),
-            lackingConfiguration: report.configurationItem
-                && this.decodeItems("configuration", [report.configurationItem])[0],
-        };
+        const items = decodePeerItems(this.state, report, (topic, item) => this.adapter.topics.decode(topic, item));
         this.events.push({ kind: "peerReported", report, items });
     }
 
