Compare the servers that gateways have, and forget records that the log lost

Where the log lost a record of a server that gateways had read, and gave its offset out again, they went on behind it: they sent requests to a server whose removal or draining, or whose new address, had taken the offset.

- Reports have a digest of the registered servers, without heartbeats, in 4 bytes.
- Such losses are counted, and the count goes with reports (absent if 0).
A gateway of an earlier version has no digest, and is neither compared nor ignored.

A server that drains after it gave notice, or is registered again as draining, counts as updated, so that all gateways have the same.

Why it works: what gateways have up to an offset is compared itself, whatever became of the records.

The records of LinkedGateways have values of their own, as those of a log have.

--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -166,12 +166,13 @@
 
 /** Whether a record says more than a heartbeat: the server is cold for longer, or its registration has changed. */
 function isUpdate(record: BackendRecord, known: BackendServer, now: Milliseconds): boolean {
-    const { service, address, failureDomain, softwareVersion, slots } = known.record;
+    const { service, address, failureDomain, softwareVersion, slots, isDraining } = known.record;
     const warmUpEndsAt = now + record.remainingWarmUp;
     const isColdForLonger = record.remainingWarmUp > 0
         && warmUpEndsAt > Math.max(now, known.publishedWarmUpEndsAt + warmUpTolerance);
     return isColdForLonger || record.service !== service || record.address !== address || record.slots !== slots
-        || record.failureDomain !== failureDomain || record.softwareVersion !== softwareVersion;
+        || record.failureDomain !== failureDomain || record.softwareVersion !== softwareVersion
+        || record.isDraining !== isDraining || known.removedAt !== undefined;
 }
 
 function classifyChange(
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -11,12 +11,20 @@
     PeerAddress,
     ServiceName,
 } from "@verbenaspring/model";
-import { applyRecord, applyRemoval, type BackendChange, type BackendRecord, forgetRemoved } from "./backendServers.js";
+import {
+    applyRecord,
+    applyRemoval,
+    type BackendChange,
+    type BackendRecord,
+    type BackendServer,
+    forgetRemoved,
+} from "./backendServers.js";
 import { settleLostRuns } from "./crashSuspects.js";
 import { earliestAcknowledgement } from "./drainLimit.js";
 import { applyEvacuation } from "./evacuations.js";
 import type { DecodedItem, GatewayEvent, TopicItem, TopicName, TopicRecord } from "./event.js";
 import { hasGivenNotice } from "./leavingServers.js";
+import { forgetLostRecords, updateHistory } from "./lostRecords.js";
 import { liveMembers, type Member } from "./members.js";
 import { checkStreamsSoon, migrateStreams } from "./migration.js";
 import type { MemberRecord, OffsetRange, TopicReadStamp } from "./peerReport.js";
@@ -27,6 +35,7 @@
 import type { RoutingConfiguration } from "./routingConfiguration.js";
 import { forgetEarlierIncarnation, isOtherIncarnation } from "./serverIncarnations.js";
 import type { GatewayState, TopicFollower } from "./state.js";
+import { updateServersDigest } from "./topicDigests.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type TopicRead = Extract<GatewayEvent, { readonly kind: "topicRead"; }>;
@@ -77,7 +86,9 @@
     const { state, now, effects } = transaction;
     const follower = state.followers[topic];
     const isRequired = isReadRequired(state, topic);
-    const isDueNow = isRequired || (now >= follower.nextReadAt && isDue(transaction, topic, follower));
+    const isSnapshotDue = now >= (follower.difference?.snapshotDueAt ?? Infinity);
+    const isDueNow = isRequired
+        || (now >= follower.nextReadAt && (isSnapshotDue || isDue(transaction, topic, follower)));
     if (follower.isReading || !isDueNow) {
         return;
     }
@@ -85,8 +96,10 @@
     follower.readStartedAt = now;
     recordReadStart(state, topic);
     // The log may have lost and replaced records while it could not be read, which a read from the end on would not show.
-    if (follower.next === undefined || follower.lastFailure !== undefined) {
+    if (follower.next === undefined || follower.lastFailure !== undefined || isSnapshotDue) {
         follower.readWait = 0;
+        follower.knownAtSnapshotStart = follower.knownThrough ?? 0;
+        follower.newestHistoryAtSnapshotStart = follower.newestHistory;
         effects.push({ kind: "readSnapshot", topic });
         return;
     }
@@ -138,6 +151,10 @@
     const apply = event.isSnapshot ? applySnapshot : applyItems;
     const hasChanged = apply(transaction, topic, { items: event.items, next, source });
     follower.lastFailure = undefined;
+    if (event.isSnapshot) {
+        follower.snapshotAt = now;
+        follower.difference = undefined;
+    }
     if (isAtEnd) {
         const count = knownReadCount(follower, state.incarnation) + 1;
         recordFreshness(follower, { reader: state.incarnation, count }, earliestAnswer(follower, event, now));
@@ -200,6 +217,10 @@
     const removals = topic === "backendServers"
         ? createTombstones(follower, items, next)
         : createWithdrawals(transaction.state, items, next);
+    if (source === "snapshot") {
+        const hasLost = forgetLostRecords(transaction, topic, items, next);
+        updateHistory(follower, hasLost);
+    }
     recordRemovalGap(follower, next);
     return applyItems(transaction, topic, { items: [...items, ...removals], next, source });
 }
@@ -376,6 +397,8 @@
     const { state, now } = transaction;
     const follower = state.followers[topic];
     follower.isReading = false;
+    // The next report of a peer that differs makes a snapshot due at another time.
+    follower.difference = undefined;
     recordReadEnd(state, topic);
     if (failure === "records_deleted" || failure === "beyond_end") {
         logDecision(transaction, "info", "topic_history_deleted", { topic, next: follower.next, failure });
@@ -424,14 +447,13 @@
             if (change === "restarted" && previous !== undefined) {
                 endEarlierIncarnation(transaction, previous.record, decoded.record);
             }
-            return handleServerChange(transaction, decoded.record.id, change);
+            return handleServerChange(transaction, decoded.record.id, previous, change);
+        }
+        case "backendServerRemoved": {
+            const previous = state.servers.get(decoded.id);
+            const change = applyRemoval(state.servers, decoded.id, now, earliestAcknowledgement(transaction));
+            return handleServerChange(transaction, decoded.id, previous, change);
         }
-        case "backendServerRemoved":
-            return handleServerChange(
-                transaction,
-                decoded.id,
-                applyRemoval(state.servers, decoded.id, now, earliestAcknowledgement(transaction)),
-            );
         case "evacuation":
             applyEvacuation(transaction, decoded, item.offset);
             // A withdrawal counts also where the evacuation was not known: gateways that get the topic from this one may
@@ -493,7 +515,12 @@
     }
 }
 
-function handleServerChange(transaction: Transaction, id: BackendServerId, change: BackendChange): boolean {
+function handleServerChange(
+    transaction: Transaction,
+    id: BackendServerId,
+    previous: BackendServer | undefined,
+    change: BackendChange,
+): boolean {
     const { state } = transaction;
     if (change === "unchanged") {
         return false;
@@ -502,6 +529,7 @@
         forgetEarlierIncarnation(state, id);
     }
     const known = state.servers.get(id);
+    updateServersDigest(state, previous, known);
     if (change === "leaving" || change === "removed") {
         migrateStreams(transaction, id);
     }
--- a/packages/gateway/src/peerReport.ts
+++ b/packages/gateway/src/peerReport.ts
@@ -72,6 +72,10 @@
      * Absent if not.
      */
     readonly lacksRecords?: boolean;
+    /** What the sender has up to `through`, in 32 bits; absent without it, and from gateways of an earlier version. */
+    readonly digest?: number | undefined;
+    /** How often the sender knows the log to have lost records that were read; absent for 0. */
+    readonly history?: number;
 }
 
 /** The offsets between two others. */
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -8,6 +8,7 @@
 import { heartbeatInterval, isFullMesh } from "./members.js";
 import { evacuationProtocol, type OffsetRange, type PeerItems, type PeerTopic } from "./peerReport.js";
 import type { GatewayState, Peer, TopicFollower } from "./state.js";
+import { compareDigests, compareHistories, isOfEarlierHistory, topicDigest } from "./topicDigests.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 export const topicNames: readonly TopicName[] = ["configuration", "backendServers"];
@@ -65,7 +66,7 @@
     const known: LogOffset = peer.through[name] ?? 0;
     // A read makes a topic fresher only when it is first reported.
     const read = peer.sentReads[name] === lastRead && !isRequested ? noRead : lastRead;
-    const report = { name, read, age: now - freshAsOf };
+    const report = { name, read, age: now - freshAsOf, digest: topicDigest(state, name), history: follower.history };
     if (peer.link !== "open") {
         return { ...report, since: known, through: undefined, items: [], isComplete: false };
     }
@@ -150,12 +151,13 @@
     if (topic.lacksRecords === true) {
         peer.requestedTopics.add(topic.name);
     }
+    compareHistories(transaction, peer, topic);
     if (!isAboutRecords(topic)) {
         return false;
     }
     // What was known before a snapshot became due still holds: a report that begins there adds to it.
     const known = follower.next ?? follower.knownThrough ?? 0;
-    const obstacle = obstacleTo(peer, topic, known);
+    const obstacle = isOfEarlierHistory(follower, topic) ? "earlier_history" : obstacleTo(peer, topic, known);
     if (obstacle !== undefined) {
         logIgnoredReport(transaction, peer, topic, obstacle);
         // A report that ends where it begins has no records: its sender leaves them to another, or knows that they are due.
@@ -172,6 +174,7 @@
         source: peer.address,
     });
     adoptRemovalGaps(follower, topic.removalGaps ?? []);
+    compareDigests(transaction, peer, topic);
     follower.isChangeOwnRead &&= !hasChanged;
     if (transmission !== undefined) {
         recordFreshness(follower, topic.read, now - topic.age - transmission);
@@ -183,7 +186,7 @@
     return topic.through !== undefined;
 }
 
-type ReportObstacle = "older" | "begins_later" | "may_lack_evacuations" | "inside_gap";
+type ReportObstacle = "earlier_history" | "older" | "begins_later" | "may_lack_evacuations" | "inside_gap";
 
 /** Why a report of a topic can't be applied to what is known up to an offset. */
 function obstacleTo(
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -257,9 +257,20 @@
     readonly readCounts: Map<GatewayIncarnation, number>;
     /** The rank of this gateway among those that may read the topic, and the members for which it was computed. */
     rank: { readonly members: readonly Member[]; readonly value: number; } | undefined;
+    /** A gateway that knows the log up to the same offset and has other records, and when a snapshot is due because of it. */
+    difference: { readonly peer: PeerAddress; readonly snapshotDueAt: Milliseconds; } | undefined;
+    /** When a snapshot was last read. */
+    snapshotAt: Milliseconds;
     isReading: boolean;
     /** When the newest read started. */
     readStartedAt: Milliseconds;
+    /** Up to where the topic was known when the newest read of a snapshot started. */
+    knownAtSnapshotStart: LogOffset;
+    /** How often records are known to have been lost, up to the newest snapshot: a gateway that knows of more is to be believed. */
+    history: number;
+    /** The highest that this or another gateway told, by now and when the newest read of a snapshot started. */
+    newestHistory: number;
+    newestHistoryAtSnapshotStart: number;
     /** How long the newest read lets the log wait for a record. */
     readWait: Milliseconds;
     nextReadAt: Milliseconds;
@@ -327,6 +338,8 @@
     /** The offset of a configuration that is newer than the one in force and can't be decoded. */
     undecodableConfiguration: LogOffset | undefined;
     readonly servers: BackendView;
+    /** Of what is registered of them; see `topicDigests.ts`. */
+    serversDigest: number;
     readonly serversByService: Map<ServiceName, readonly BackendServerId[]>;
     readonly health: Map<BackendServerId, ServerHealth>;
     readonly loads: Map<BackendServerId, ServerLoad>;
@@ -437,6 +450,7 @@
         newestReportedVersion: undefined,
         undecodableConfiguration: undefined,
         servers: new Map(),
+        serversDigest: 0,
         serversByService: new Map(),
         health: new Map(),
         loads: new Map(),
@@ -493,8 +507,14 @@
         lastRead: undefined,
         readCounts: new Map(),
         rank: undefined,
+        difference: undefined,
+        snapshotAt: -Infinity,
         isReading: false,
         readStartedAt: Infinity,
+        knownAtSnapshotStart: 0,
+        history: 0,
+        newestHistory: 0,
+        newestHistoryAtSnapshotStart: 0,
         readWait: 0,
         nextReadAt: 0,
         lateReadLoggedAt: -Infinity,
--- a/packages/gateway/test/linkedGateways.ts
+++ b/packages/gateway/test/linkedGateways.ts
@@ -5,6 +5,7 @@
 import type {
     BackendRecord,
     DecodedItem,
+    EvacuationRecord,
     GatewayEffect,
     GatewayOptions,
     PeerReport,
@@ -35,17 +36,26 @@
 /** Between the clocks of one gateway and the next. */
 const clockOffset = 100_000;
 
+const evacuationKeyPrefix = "evacuate/";
+
+function evacuationRecords(failureDomain: string, isRequested: boolean): EvacuationRecord[] {
+    const key = `${evacuationKeyPrefix}${failureDomain}`;
+    return [{ kind: "evacuation", key, failureDomain: identifier(failureDomain), isRequested }];
+}
+
 /** The records of a topic; the index of a record is its offset. */
 class TestLog {
     readonly records: DecodedItem[] = [];
     private firstRetained = 0;
+    private appended = 0;
 
     get end(): number {
         return this.records.length;
     }
 
     append(key: string, records: DecodedItem["records"], isTombstone = false): void {
-        this.records.push({ item: { key, offset: this.end, value: new Uint8Array(isTombstone ? 0 : 1) }, records });
+        const value = isTombstone ? new Uint8Array() : Buffer.from(`${++this.appended}`);
+        this.records.push({ item: { key, offset: this.end, value }, records });
     }
 
     /** Loses the newest record, as if it had never been acknowledged. Its offset is given out again. */
@@ -84,6 +94,8 @@
     answered: (gateway: TestGateway, topic: TopicName) => void = () => undefined;
     /** The items of all reports that were delivered. */
     deliveredItems = 0;
+    /** The snapshots that gateways have asked for. */
+    snapshots = 0;
     /** By link, or by gateway and topic. Each list is in the order of sending. */
     private readonly deliveries = new Map<string, Delivery[]>();
     private readonly logs: Readonly<Record<TopicName, TestLog>> = {
@@ -122,6 +134,16 @@
         this.logs.backendServers.append(id, [{ kind: "backendServerRemoved", id: identifier(id) }], true);
     }
 
+    evacuate(failureDomain: string): void {
+        const [record] = evacuationRecords(failureDomain, true);
+        this.logs.configuration.append(record.key, [record]);
+    }
+
+    withdrawEvacuation(failureDomain: string): void {
+        const [record] = evacuationRecords(failureDomain, false);
+        this.logs.configuration.append(record.key, [record], true);
+    }
+
     loseNewest(topic: TopicName): void {
         this.logs[topic].loseNewest();
     }
@@ -234,6 +256,7 @@
         for (const effect of effects) {
             switch (effect.kind) {
                 case "readSnapshot":
+                    this.snapshots++;
                     this.pendingReads.push({ gateway, topic: effect.topic, from: undefined, dueAt: this.now });
                     break;
                 case "readTopic": {
@@ -276,9 +299,12 @@
     }
 
     private decode(item: DecodedItem["item"]): DecodedItem {
-        const id = identifier<never>(item.key);
-        return item.value.length > 0
-            ? { item, records: this.recordsOf.get(item)! }
-            : { item, records: [{ kind: "backendServerRemoved", id }] };
+        const { key, value } = item;
+        if (value.length > 0) {
+            return { item, records: this.recordsOf.get(item)! };
+        }
+        return key.startsWith(evacuationKeyPrefix)
+            ? { item, records: evacuationRecords(key.slice(evacuationKeyPrefix.length), false) }
+            : { item, records: [{ kind: "backendServerRemoved", id: identifier(key) }] };
     }
 }
--- a/packages/runtime/src/peerReportCodec.ts
+++ b/packages/runtime/src/peerReportCodec.ts
@@ -52,6 +52,8 @@
             age: topic.age,
             isComplete: topic.isComplete,
             lacksRecords: topic.lacksRecords ?? false,
+            history: topic.history ?? 0,
+            digest: topic.digest,
             removalGaps: (topic.removalGaps ?? []).map(({ from, to }) => ({
                 $typeName: "verbenaspring.v1.OffsetRange",
                 from,
@@ -136,6 +138,8 @@
             name: topic.name as TopicName,
             removalGaps: topic.removalGaps.map(({ from, to }) => ({ from, to })),
             lacksRecords: topic.lacksRecords,
+            history: topic.history,
+            digest: topic.digest,
             read: { reader: identifier<GatewayIncarnation>(topic.reader), count: topic.readCount },
             since: topic.since,
             through: topic.through,
--- a/packages/runtime/test/peerReportCodec.test.ts
+++ b/packages/runtime/test/peerReportCodec.test.ts
@@ -25,6 +25,8 @@
                 isComplete: false,
                 removalGaps: [{ from: 4, to: 7 }, { from: 7, to: 9 }],
                 lacksRecords: true,
+                digest: 4_294_967_295,
+                history: 2,
             },
             {
                 name: "backendServers",
@@ -36,6 +38,8 @@
                 isComplete: true,
                 removalGaps: [],
                 lacksRecords: false,
+                digest: undefined,
+                history: 0,
             },
         ],
         configurationVersion: 76,
