Compare the evacuations that gateways have

The digest of the operator's topic is now one of the evacuations in force; the configuration is compared by its version as before.

--- a/packages/gateway/src/topicDigests.ts
+++ b/packages/gateway/src/topicDigests.ts
@@ -20,7 +20,12 @@
 
 /** The digest of what is known of a topic, in 32 bits. The order of the log is not part of it. */
 export function topicDigest(state: GatewayState, topic: TopicName): number {
-    return topic === "backendServers" ? state.serversDigest : 0;
+    return topic === "backendServers"
+        ? state.serversDigest
+        : [...state.evacuations.keys()].reduce(
+            (digest, failureDomain) => addDigest(digest, hashText(failureDomain)),
+            0,
+        );
 }
 
 /** Updates the digest of the servers after a change of one. */
--- a/packages/gateway/test/lostRecords.test.ts
+++ b/packages/gateway/test/lostRecords.test.ts
@@ -54,6 +54,9 @@
 const isGone = (gateway: TestGateway, id: string): boolean =>
     serverOf(gateway, id) === undefined || isLeaving(gateway, id);
 
+const isEvacuated = ({ state }: TestGateway, failureDomain: string): boolean =>
+    state.evacuations.has(identifier<never>(failureDomain));
+
 /** Advances until what replaced lost records must be known, and asserts that all gateways know it. */
 function assertAgreement(linked: LinkedGateways, isKnown: (gateway: TestGateway) => boolean, message: string): void {
     linked.advance(agreementLimit);
@@ -107,6 +110,26 @@
     });
 }
 
+for (const [name, detect] of Object.entries(detections)) {
+    test(`all gateways learn an evacuation that replaced a lost record, by ${name}`, () => {
+        const linked = linkedGateways();
+        replace(linked, "configuration", [() => linked.evacuate("far")], () => linked.evacuate("near"));
+        detect(linked);
+        assertAgreement(linked, gateway => isEvacuated(gateway, "near") && !isEvacuated(gateway, "far"), "near");
+    });
+
+    test(`all gateways learn a withdrawal at a lower offset than lost records of the evacuation, by ${name}`, () => {
+        const linked = linkedGateways();
+        linked.evacuate("near");
+        linked.advance(1_000);
+        const evacuate = () => linked.evacuate("near");
+        replace(linked, "configuration", [evacuate, evacuate], () => linked.withdrawEvacuation("near"));
+        detect(linked);
+        assertAgreement(linked, gateway => !isEvacuated(gateway, "near"), "withdrawn");
+        assert.equal(linked.gateways.map(({ state }) => state.configuration?.version), [1, 1, 1, 1, 1]);
+    });
+}
+
 // A snapshot shows nothing of what is stored after its read.
 test("what a peer reports during the read of a snapshot does not count as lost", () => {
     const gateway = TestGateway.serving(server("plain-1"), server("plain-2"));
