--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -11,12 +11,20 @@
     PeerAddress,
     ServiceName,
 } from "@verbenaspring/model";
-import { applyRecord, applyRemoval, type BackendChange, type BackendRecord, forgetRemoved } from "./backendServers.js";
+import {
+    applyRecord,
+    applyRemoval,
+    type BackendChange,
+    type BackendRecord,
+    type BackendServer,
+    forgetRemoved,
+} from "./backendServers.js";
 import { settleLostRuns } from "./crashSuspects.js";
 import { earliestAcknowledgement } from "./drainLimit.js";
 import { applyEvacuation } from "./evacuations.js";
 import type { DecodedItem, GatewayEvent, TopicItem, TopicName, TopicRecord } from "./event.js";
 import { hasGivenNotice } from "./leavingServers.js";
+import { forgetLostRecords, updateHistory } from "./lostRecords.js";
 import { liveMembers, type Member } from "./members.js";
 import { checkStreamsSoon, migrateStreams } from "./migration.js";
 import type { MemberRecord, OffsetRange, TopicReadStamp } from "./peerReport.js";
@@ -27,6 +35,7 @@
 import type { RoutingConfiguration } from "./routingConfiguration.js";
 import { forgetEarlierIncarnation, isOtherIncarnation } from "./serverIncarnations.js";
 import type { GatewayState, TopicFollower } from "./state.js";
+import { updateServersDigest } from "./topicDigests.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type TopicRead = Extract<GatewayEvent, { readonly kind: "topicRead"; }>;
@@ -39,7 +48,7 @@
     readonly pause: Milliseconds;
     /** How old the newest known read may become, by rank, before this gateway reads by itself. */
     readonly takeoverTimeouts: TakeoverTimeouts;
-    /** When a gateway that reads the topic compares what it has with the newest records; undefined if it never does. */
+    /** When the gateway that reads the topic compares what it has with the newest records; undefined if it never does. */
     readonly verification?: {
         /** After the last change: the log may hand out a record and lose it before it is acknowledged. */
         readonly delay: Milliseconds;
@@ -94,17 +103,21 @@
     const { state, now, effects } = transaction;
     const follower = state.followers[topic];
     const isRequired = isReadRequired(state, topic);
-    const isDueNow = isRequired || (now >= follower.nextReadAt && isDue(transaction, topic, follower));
+    const isSnapshotDue = now >= (follower.difference?.snapshotDueAt ?? Infinity);
+    const isDueNow = isRequired
+        || (now >= follower.nextReadAt && (isSnapshotDue || isDue(transaction, topic, follower)));
     if (follower.isReading || !isDueNow) {
         return;
     }
     follower.isReading = true;
     follower.readStartedAt = now;
-    follower.readFrom = follower.next;
     recordReadStart(state, topic);
     // The log may have lost and replaced records while it could not be read, which a read from the end on would not show.
-    if (follower.next === undefined || follower.lastFailure !== undefined || isVerificationDue(topic, follower, now)) {
+    const isVerified = !isSnapshotDue && !isVerificationDue(state, topic, now);
+    if (follower.next === undefined || follower.lastFailure !== undefined || !isVerified) {
         follower.readWait = 0;
+        follower.knownAtSnapshotStart = follower.knownThrough ?? 0;
+        follower.newestHistoryAtSnapshotStart = follower.newestHistory;
         effects.push({ kind: "readSnapshot", topic });
         return;
     }
@@ -112,13 +125,19 @@
     effects.push({ kind: "readTopic", topic, from: follower.next, wait: follower.readWait });
 }
 
-/** Whether what is known of a topic is to be compared with the newest records of the log. */
-function isVerificationDue(topic: TopicName, { changedAt, verifiedAt }: TopicFollower, now: Milliseconds): boolean {
+/**
+ * Whether what is known of a topic is to be compared with the newest records of the log. Only the gateway that reads for all does
+ * so: when it is late, many others read.
+ */
+function isVerificationDue({ followers, incarnation }: GatewayState, topic: TopicName, now: Milliseconds): boolean {
     const { verification } = readPlans[topic];
-    return verification !== undefined
-        && (verifiedAt < changedAt + verification.delay
-            ? now - changedAt >= verification.delay
-            : now - verifiedAt >= verification.interval);
+    const { changedAt, snapshotAt, lastRead } = followers[topic];
+    if (verification === undefined || lastRead?.reader !== incarnation) {
+        return false;
+    }
+    return snapshotAt < changedAt + verification.delay
+        ? now - changedAt >= verification.delay
+        : now - snapshotAt >= verification.interval;
 }
 
 /** Whether this gateway has to read the topic: it ranks first, or the newest known read is too old for its rank. */
@@ -161,14 +180,14 @@
     logLateRead(transaction, event);
     const isAtEnd = event.isAtEnd ?? true;
     follower.nextReadAt = now + (isAtEnd ? readPlans[topic].pause : 0);
-    if (event.isSnapshot) {
-        follower.verifiedAt = follower.readStartedAt;
-        forgetLostOffsets(transaction, topic, next);
-    }
     const source = event.isSnapshot ? "snapshot" : "read";
     const apply = event.isSnapshot ? applySnapshot : applyItems;
     const hasChanged = apply(transaction, topic, { items: event.items, next, source });
     follower.lastFailure = undefined;
+    if (event.isSnapshot) {
+        follower.snapshotAt = follower.readStartedAt;
+        follower.difference = undefined;
+    }
     if (isAtEnd) {
         const count = knownReadCount(follower, state.incarnation) + 1;
         recordFreshness(follower, { reader: state.incarnation, count }, earliestAnswer(follower, event, now));
@@ -180,16 +199,6 @@
     startDueRead(transaction, topic);
 }
 
-/** Goes on at the end of the log if that is before what was known of it when the snapshot was requested. */
-function forgetLostOffsets(transaction: Transaction, topic: TopicName, end: LogOffset): void {
-    const follower = transaction.state.followers[topic];
-    if (follower.readFrom !== undefined && end < follower.readFrom) {
-        logDecision(transaction, "warn", "topic_shortened", { topic, next: follower.next, end });
-        follower.next = undefined;
-        follower.changedThrough = Math.min(follower.changedThrough, end);
-    }
-}
-
 function knownReadCount({ readCounts }: TopicFollower, reader: GatewayIncarnation): number {
     return readCounts.get(reader) ?? 0;
 }
@@ -241,6 +250,10 @@
     const removals = topic === "backendServers"
         ? createTombstones(follower, items, next)
         : createWithdrawals(transaction.state, items, next);
+    if (source === "snapshot") {
+        const hasLost = forgetLostRecords(transaction, topic, items, next);
+        updateHistory(follower, hasLost);
+    }
     recordRemovalGap(follower, next);
     return applyItems(transaction, topic, { items: [...items, ...removals], next, source });
 }
@@ -417,6 +430,8 @@
     const { state, now } = transaction;
     const follower = state.followers[topic];
     follower.isReading = false;
+    // The next report of a peer that differs makes a snapshot due at another time.
+    follower.difference = undefined;
     recordReadEnd(state, topic);
     if (failure === "records_deleted" || failure === "beyond_end") {
         logDecision(transaction, "info", "topic_history_deleted", { topic, next: follower.next, failure });
@@ -465,14 +480,13 @@
             if (change === "restarted" && previous !== undefined) {
                 endEarlierIncarnation(transaction, previous.record, decoded.record);
             }
-            return handleServerChange(transaction, decoded.record.id, change);
+            return handleServerChange(transaction, decoded.record.id, previous, change);
+        }
+        case "backendServerRemoved": {
+            const previous = state.servers.get(decoded.id);
+            const change = applyRemoval(state.servers, decoded.id, now, earliestAcknowledgement(transaction));
+            return handleServerChange(transaction, decoded.id, previous, change);
         }
-        case "backendServerRemoved":
-            return handleServerChange(
-                transaction,
-                decoded.id,
-                applyRemoval(state.servers, decoded.id, now, earliestAcknowledgement(transaction)),
-            );
         case "evacuation":
             applyEvacuation(transaction, decoded, item.offset);
             // A withdrawal counts also where the evacuation was not known: gateways that get the topic from this one may
@@ -534,7 +548,12 @@
     }
 }
 
-function handleServerChange(transaction: Transaction, id: BackendServerId, change: BackendChange): boolean {
+function handleServerChange(
+    transaction: Transaction,
+    id: BackendServerId,
+    previous: BackendServer | undefined,
+    change: BackendChange,
+): boolean {
     const { state } = transaction;
     if (change === "unchanged") {
         return false;
@@ -543,6 +562,7 @@
         forgetEarlierIncarnation(state, id);
     }
     const known = state.servers.get(id);
+    updateServersDigest(state, previous, known);
     if (change === "leaving" || change === "removed") {
         migrateStreams(transaction, id);
     }
