Decode a reported record that has the offset of another known one

An item of a report whose offset is that of the known record of its key was not decoded, also where it was another record, which the log had stored at the offset of a lost one. It replaced the known item without effect: the gateway kept using the lost record, and reported the other one as what it had.

Items are now left out by offset and content. peerTopics.test.ts: failed before, passes now.

--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -128,9 +128,11 @@
     );
 }
 
+const noValue = new Uint8Array();
+
 /**
- * Decodes the items of a report. An item whose offset isn't above that of the known record of its key yields no records:
- * several gateways may report the same one, which is decoded once.
+ * Decodes the items of a report. The known record of a key, and those before it, yield no records: several gateways may report
+ * the same one, which is decoded once.
  *
  * @param decode decodes an item of a topic, such as `decodeTopicItem` of the package `platform`
  * @example
@@ -143,7 +145,10 @@
 ): PeerItems {
     const itemsOf = (name: TopicName): DecodedItem[] => {
         const { items: known } = followers[name];
-        const isNew = ({ key, offset }: TopicItem): boolean => offset > (known.get(key)?.offset ?? -1);
+        const isNew = ({ key, offset, value }: TopicItem): boolean => {
+            const { offset: knownOffset = -1, value: knownValue = noValue } = known.get(key) ?? {};
+            return offset > knownOffset || (offset === knownOffset && Buffer.compare(value, knownValue) !== 0);
+        };
         const reported = topics.find(topic => topic.name === name)?.items ?? [];
         return reported.map(item => ({ item, records: isNew(item) ? decode(name, item) : [] }));
     };
--- a/packages/gateway/test/peerTopics.test.ts
+++ b/packages/gateway/test/peerTopics.test.ts
@@ -1,7 +1,8 @@
+import { decodePeerItems, type PeerReport } from "@verbenaspring/gateway";
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { configuration, server, type TestGateway } from "./gatewayBuilders.js";
+import { configuration, server, TestGateway } from "./gatewayBuilders.js";
 import { LinkedGateways } from "./linkedGateways.js";
 
 /** From an acknowledged change until it must be in force, and no request may reach a server that left. */
@@ -92,4 +93,30 @@
     assert.ok(effects.some(effect => effect.kind === "readTopic" && effect.from === next! + 3));
 });
 
+// It was stored here without effect, so that later reports of this gateway passed on what it did not apply itself.
+test("an item of a report is decoded unless the same record is known, also at the offset of another one", () => {
+    const gateway = TestGateway.serving(server("plain-1"));
+    const known = gateway.state.followers.backendServers.items.get("plain-1")!;
+    const isDecoded = (overrides: Partial<typeof known>): boolean => {
+        const topic = {
+            name: "backendServers",
+            since: 0,
+            through: known.offset + 2,
+            read: { reader: gateway.state.incarnation, count: 0 },
+            age: 0,
+            items: [{ ...known, ...overrides }],
+            isComplete: false,
+        } as const;
+        const report = { topics: [topic] } as unknown as PeerReport;
+        const { backendServers: [{ records }] } = decodePeerItems(gateway.state, report, () => [
+            { kind: "backendServerRemoved", id: identifier("plain-1") },
+        ]);
+        return records.length > 0;
+    };
+    assert.is(isDecoded({}), false);
+    assert.is(isDecoded({ offset: known.offset - 1, value: Buffer.from("older") }), false);
+    assert.is(isDecoded({ value: Buffer.from("another") }), true);
+    assert.is(isDecoded({ offset: known.offset + 1 }), true);
+});
+
 test.run();
