Test whether gateways lack records before the offset up to which they know the log

Whether the code alone can leave a gateway beyond a record, with a store that loses nothing, was only checked with reports in order on one link.

After each 50 ms, each gateway must have what the log holds before its offset. LinkedGateways decodes, like the runner, only items that are not known yet.

Configurations are not concerned: each version is a change, and the highest wins.

--- a/packages/gateway/test/linkedGateways.ts
+++ b/packages/gateway/test/linkedGateways.ts
@@ -8,6 +8,7 @@
     GatewayEffect,
     GatewayOptions,
     PeerReport,
+    ReadFailure,
     RoutingConfiguration,
     TopicItem,
 } from "@verbenaspring/gateway";
@@ -22,6 +23,8 @@
     /** Undefined for a snapshot. */
     readonly from: number | undefined;
     readonly dueAt: number;
+    /** The first page of a snapshot of which the second one is still to be read. */
+    readonly firstPage?: { readonly items: readonly DecodedItem[]; readonly next: number; };
 }
 
 /** What reaches a gateway later than it was sent. */
@@ -30,11 +33,17 @@
     readonly deliver: () => void;
 }
 
+const topicNames: readonly TopicName[] = ["configuration", "backendServers"];
 const stepDuration = 10;
 const tickDuration = 50;
 /** Between the clocks of one gateway and the next. */
 const clockOffset = 100_000;
 
+/** Whether a record is on the first of two pages of a snapshot. Pages are ordered by key. */
+function isOnFirstPage({ item }: DecodedItem): boolean {
+    return item.key < "evacuate/" || (item.key > "plain" && item.key < "plain-3");
+}
+
 /** The records of a topic; the index of a record is its offset. */
 class TestLog {
     readonly records: DecodedItem[] = [];
@@ -68,6 +77,14 @@
     }
 }
 
+/** The newest records, of which a first page may have been read before. */
+function snapshotAfter(log: TestLog, firstPage: PendingRead["firstPage"]): readonly DecodedItem[] {
+    const newest = log.newest();
+    return firstPage === undefined
+        ? newest
+        : [...firstPage.items, ...newest.filter(record => !isOnFirstPage(record))];
+}
+
 /** A set of gateways with links to each other, each with a clock that started at another time. */
 export class LinkedGateways {
     now = 1_000;
@@ -78,6 +95,10 @@
     readonly cutLinks: (readonly [TestGateway, TestGateway])[] = [];
     /** How long a report is under way that is sent now; reports on a link keep their order. */
     reportDelay: (sender: TestGateway, receiver: TestGateway) => number = () => 0;
+    /** Which of several links a report takes that is sent now; reports on different links may overtake each other. */
+    linkOf: (sender: TestGateway, receiver: TestGateway) => number = () => 0;
+    /** How long after the first half of a snapshot the second one is read: pages are not consistent. */
+    pageDelay = 0;
     /** How long an answer of the log that is sent now waits until the gateway handles it. */
     readDelay: (gateway: TestGateway) => number = () => 0;
     /** Is called when the log answers a read with records or at its end, before the gateway gets the answer. */
@@ -110,6 +131,18 @@
         this.logs.configuration.append("config", [{ kind: "configuration", configuration }]);
     }
 
+    /** Requests the evacuation of a failure domain, or withdraws it. */
+    evacuate(failureDomain: string, isRequested: boolean): void {
+        const key = `evacuate/${failureDomain}`;
+        const record = {
+            kind: "evacuation",
+            key,
+            failureDomain: identifier<never>(failureDomain),
+            isRequested,
+        } as const;
+        this.logs.configuration.append(key, [record], !isRequested);
+    }
+
     configureUndecodable(): void {
         this.logs.configuration.append("config", [{ kind: "configurationUndecodable" }]);
     }
@@ -177,6 +210,36 @@
         return callsIn(gateway.receiveRequest(`${routeName}-${this.now}`, routeName)).length > 0;
     }
 
+    /**
+     * The records that a gateway lacks, though it knows the log beyond them: configurations that are newer than its own, and
+     * the newest records of servers and evacuations.
+     */
+    recordsLackedBy({ state }: TestGateway): DecodedItem[] {
+        const { followers, configuration, evacuations, servers } = state;
+        const isUsed = (id: BackendRecord["id"]): boolean =>
+            servers.has(id) && servers.get(id)?.leavingSince === undefined;
+        const isLacking = ({ item, records }: DecodedItem): boolean =>
+            records.some(record => {
+                switch (record.kind) {
+                    case "configuration":
+                        return record.configuration.version > (configuration?.version ?? -Infinity);
+                    case "evacuation":
+                        return record.isRequested !== evacuations.has(record.failureDomain);
+                    case "backendServer":
+                        return isUsed(record.record.id) === record.record.isDraining;
+                    case "backendServerRemoved":
+                        return isUsed(record.id);
+                    default:
+                        return item.value.length === 0;
+                }
+            });
+        return topicNames.flatMap(topic => {
+            const newest = new Map(this.logs[topic].records.map(record => [record.item.key, record]));
+            const next = followers[topic].next ?? 0;
+            return [...newest.values()].filter(record => record.item.offset < next && isLacking(record));
+        });
+    }
+
     private endReads(): void {
         const pending = this.pendingReads;
         this.pendingReads = [];
@@ -187,32 +250,43 @@
         });
     }
 
-    private endRead({ gateway, topic, from, dueAt }: PendingRead): boolean {
+    private endRead(read: PendingRead): boolean {
+        const { gateway, topic, from, dueAt, firstPage } = read;
         const log = this.logs[topic];
-        if (this.turnedAway.has(gateway)) {
-            this.perform(gateway, gateway.handle({ kind: "topicReadFailed", topic, failure: "refused" }));
+        const failure = this.failureOf(read);
+        if (failure !== undefined) {
+            this.perform(gateway, gateway.handle({ kind: "topicReadFailed", topic, failure }));
             return true;
         }
-        if (from !== undefined && log.hasDeleted(from)) {
-            this.perform(gateway, gateway.handle({ kind: "topicReadFailed", topic, failure: "records_deleted" }));
+        if (from === undefined && this.pageDelay > 0 && firstPage === undefined) {
+            const page = { items: log.newest().filter(isOnFirstPage), next: log.end };
+            this.pendingReads.push({ ...read, dueAt: this.now + this.pageDelay, firstPage: page });
             return true;
         }
-        if (from !== undefined && from > log.end && this.now >= dueAt) {
-            this.perform(gateway, gateway.handle({ kind: "topicReadFailed", topic, failure: "beyond_end" }));
-            return true;
-        }
-        const items = from === undefined ? log.newest() : log.records.slice(from);
-        if (items.length === 0 && this.now < dueAt) {
+        const items = from === undefined ? snapshotAfter(log, firstPage) : log.records.slice(from);
+        if (this.now < dueAt && (items.length === 0 || firstPage !== undefined)) {
             return false;
         }
         items.forEach(({ item, records }) => this.recordsOf.set(item, records));
         this.answered(gateway, topic);
-        const event = { kind: "topicRead", topic, isSnapshot: from === undefined, items, next: log.end } as const;
+        const next = firstPage?.next ?? log.end;
+        const event = { kind: "topicRead", topic, isSnapshot: from === undefined, items, next } as const;
         const key = `${gateway.state.options.peerAddress} ${topic}`;
         this.deliverAfter(this.readDelay(gateway), key, () => this.perform(gateway, gateway.handle(event)));
         return true;
     }
 
+    private failureOf({ gateway, topic, from, dueAt }: PendingRead): ReadFailure | undefined {
+        const log = this.logs[topic];
+        if (this.turnedAway.has(gateway)) {
+            return "refused";
+        }
+        if (from !== undefined && log.hasDeleted(from)) {
+            return "records_deleted";
+        }
+        return from !== undefined && from > log.end && this.now >= dueAt ? "beyond_end" : undefined;
+    }
+
     private deliverAfter(delay: number, key: string, deliver: () => void): void {
         const queue = this.deliveries.get(key) ?? [];
         if (delay === 0 && queue.length === 0) {
@@ -258,14 +332,19 @@
         if (receiver === undefined || isCut) {
             return;
         }
-        const key = `${sender.state.options.peerAddress} ${address}`;
+        const key = `${sender.state.options.peerAddress} ${address} ${this.linkOf(sender, receiver)}`;
         this.deliverAfter(this.reportDelay(sender, receiver), key, () => this.receive(receiver, report));
     }
 
     private receive(receiver: TestGateway, report: PeerReport): void {
-        const itemsOf = (topic: TopicName): DecodedItem[] =>
-            report.topics.filter(({ name }) => name === topic).flatMap(({ items }) => items)
-                .map(item => this.decode(item));
+        // Like the runner, decodes only what is not known yet.
+        const itemsOf = (topic: TopicName): DecodedItem[] => {
+            const known = receiver.state.followers[topic].items;
+            return report.topics.filter(({ name }) => name === topic).flatMap(({ items }) => items)
+                .map(item =>
+                    item.offset > (known.get(item.key)?.offset ?? -1) ? this.decode(item) : { item, records: [] }
+                );
+        };
         const items = {
             configuration: itemsOf("configuration"),
             backendServers: itemsOf("backendServers"),
@@ -277,8 +356,20 @@
 
     private decode(item: DecodedItem["item"]): DecodedItem {
         const id = identifier<never>(item.key);
-        return item.value.length > 0
-            ? { item, records: this.recordsOf.get(item)! }
-            : { item, records: [{ kind: "backendServerRemoved", id }] };
+        if (item.value.length > 0) {
+            return { item, records: this.recordsOf.get(item)! };
+        }
+        const [, failureDomain] = item.key.split("evacuate/");
+        return failureDomain === undefined
+            ? { item, records: [{ kind: "backendServerRemoved", id }] }
+            : {
+                item,
+                records: [{
+                    kind: "evacuation",
+                    key: item.key,
+                    failureDomain: identifier<never>(failureDomain),
+                    isRequested: false,
+                }],
+            };
     }
 }
