--- a/packages/gateway/test/lostRecords.test.ts
+++ b/packages/gateway/test/lostRecords.test.ts
@@ -123,7 +123,7 @@
         linked.evacuate("near");
         linked.advance(1_000);
         const evacuate = () => linked.evacuate("near");
-        replace(linked, "configuration", [evacuate, evacuate], () => linked.withdrawEvacuation("near"));
+        replace(linked, "configuration", [evacuate, evacuate], () => linked.evacuate("near", false));
         detect(linked);
         assertAgreement(linked, gateway => !isEvacuated(gateway, "near"), "withdrawn");
         assert.equal(linked.gateways.map(({ state }) => state.configuration?.version), [1, 1, 1, 1, 1]);
@@ -170,7 +170,7 @@
         }
         if (change % 10 === 5) {
             linked.register(server("plain-3", { isDraining: true }));
-            linked.withdrawEvacuation("far");
+            linked.evacuate("far", false);
         }
     }
     assert.is(linked.snapshots, 0);
