Pass on what a peer reported of a server, also if it changed nothing here

A report has the newest record of each key that changed for its sender. Where a server was removed and registered again, a gateway that learnt both at once from a report saw no change and left the record out of its own reports; a peer that knew the removal went on behind the registration, and kept the server out of use until it changed again.

A record that a peer reported now counts as a change for the peers after it. differentServers.test.ts, "a gateway that knows a server's removal ...": the server was wrong for 5 s before, right after.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -345,11 +345,15 @@
         const isNew = follower.items.get(item.key)?.offset !== item.offset;
         follower.items.set(item.key, item);
         // All records are applied; `some` would stop at the first change.
-        if (records.map(each => applyTopicRecord(transaction, each, item, { isNew, source })).includes(true)) {
+        const isChange = records.map(each => applyTopicRecord(transaction, each, item, { isNew, source })).includes(
+            true,
+        );
+        // A report has only the newest record of a key: what changes nothing here may be a change for one that knows a record in between.
+        if (isChange || (isNew && isFromPeer(source))) {
             follower.changedThrough = Math.max(follower.changedThrough, item.offset + 1);
             follower.changes.set(item.key, item.offset);
-            hasChanged = true;
         }
+        hasChanged ||= isChange;
     }
     if (hasChanged) {
         recordChange(follower, now);
@@ -357,6 +361,10 @@
     return hasChanged;
 }
 
+function isFromPeer(source: TopicItems["source"]): boolean {
+    return source !== "read" && source !== "snapshot";
+}
+
 function recordChange(follower: TopicFollower, now: Milliseconds): void {
     follower.changedAt = now;
     // One that is older than the retention is kept: a peer that lacks it has lacked it for as long at least.
