Forget the version of a peer's configuration with its process or its link

The version is kept for each peer with an open link. differentViews.test.ts, "... before it restarted ...": failed before, passes now.

--- a/packages/gateway/src/peerConfigurations.ts
+++ b/packages/gateway/src/peerConfigurations.ts
@@ -22,7 +22,7 @@
     if (version === undefined) {
         return false;
     }
-    state.newestReportedVersion = Math.max(state.newestReportedVersion ?? version, version);
+    peer.configurationVersion = version;
     const hasChanged = lackingConfiguration !== undefined && applyRecords(transaction, "configuration", {
         items: [lackingConfiguration],
         source: peer.address,
@@ -67,7 +67,8 @@
     };
 }
 
-/** Whether a peer has told of a newer configuration than the one in force. */
-export function isOutdatedByPeers({ configuration, newestReportedVersion }: GatewayState): boolean {
-    return (newestReportedVersion ?? -Infinity) > (configuration?.version ?? -Infinity);
+/** Whether a peer with an open link has a newer configuration than the one in force. */
+export function isOutdatedByPeers({ configuration, peers }: GatewayState): boolean {
+    const version = configuration?.version ?? -Infinity;
+    return [...peers.values()].some(peer => peer.link === "open" && (peer.configurationVersion ?? -Infinity) > version);
 }
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -198,6 +198,7 @@
     peer.through = unknownOffsets;
     peer.requestedTopics.clear();
     peer.lackingTopics.clear();
+    peer.configurationVersion = undefined;
     peer.isConfigurationDue = false;
     peer.configurationSentAt = -Infinity;
     peer.sentReads = noReads;
@@ -240,6 +241,7 @@
         through: unknownOffsets,
         requestedTopics: new Set(),
         lackingTopics: new Set(),
+        configurationVersion: undefined,
         isConfigurationDue: false,
         configurationSentAt: -Infinity,
         sentReads: noReads,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -322,6 +322,8 @@
     readonly requestedTopics: Set<TopicName>;
     /** The topics of which a report of it was ignored here, because records before it are missing. */
     readonly lackingTopics: Set<TopicName>;
+    /** The version of its configuration, by its newest report on this link that told one. */
+    configurationVersion: number | undefined;
     /** Whether it is to get the configuration in force, which it lacks and is not going to read. */
     isConfigurationDue: boolean;
     /** When that was last sent to it. */
@@ -336,8 +338,6 @@
     configuration: RoutingConfiguration | undefined;
     /** The record of the configuration in force. */
     configurationItem: TopicItem | undefined;
-    /** The highest version that a peer has told; undefined before the first. */
-    newestReportedVersion: number | undefined;
     /** The offset of a configuration that is newer than the one in force and can't be decoded. */
     undecodableConfiguration: LogOffset | undefined;
     readonly servers: BackendView;
@@ -450,7 +450,6 @@
         options,
         configuration: undefined,
         configurationItem: undefined,
-        newestReportedVersion: undefined,
         undecodableConfiguration: undefined,
         servers: new Map(),
         serversDigest: 0,
--- a/packages/gateway/test/differentViews.test.ts
+++ b/packages/gateway/test/differentViews.test.ts
@@ -3,6 +3,7 @@
  * them had read, or an older version was stored after a newer one.
  */
 import { indexRoutes } from "@verbenaspring/gateway";
+import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { configuration, failuresIn, route, server, TestGateway } from "./gatewayBuilders.js";
@@ -114,6 +115,16 @@
     }
 });
 
+// It answered unknown routes with 503 until a version as high was stored.
+test("a newer version that a peer had before it restarted keeps no request from being denied", () => {
+    const gateway = TestGateway.serving(server("plain-1"));
+    const version = gateway.state.configuration!.version;
+    gateway.receiveReport({ configurationVersion: version + 1 });
+    assert.is(isDenied(gateway, 9), false);
+    gateway.receiveReport({ incarnation: identifier<never>("restarted"), configurationVersion: version });
+    assert.is(isDenied(gateway, 9), true);
+});
+
 // It answered that the route does not exist.
 test("a gateway that a peer has told of a newer version than its own denies nothing until it has that", () => {
     const gateway = TestGateway.serving(server("plain-1"));
