Take answers of backend servers with an invalid status line for malformed

Callers got, with the server's seal, answers with a status from 600 to 999, and as a success what came as HTTP/0.9 or HTTP/2.0. With Not-Executed on such an answer, a request that is not idempotent ran up to four times and was answered 503, which promises that it did not run. Statuses from 000 to 101 did not reach callers, but counted as the crash of the server (channel_lost), by an assertion inside the HTTP client.

Cause: the parser of the HTTP client takes any three digits for a status, and also the versions 0.9 and 2.0, and nothing checked them afterwards.

A check on the socket now reads the status line before the client does, also where it comes in pieces or after interim answers. On anything but HTTP/1.0 or HTTP/1.1, a space and a status from 102 to 599 it destroys the socket with an error that the attempt reports as answer_malformed: sent, without a promise, and the channel is gone. The client sees no byte of it, so the version, which it does not report, needs no second parser. 100 and 101, for which no request asks and which the client refused before, are malformed too.

The older test of that file allowed any status from 500.

--- a/packages/bench/test/malformedAnswersProcess.test.ts
+++ b/packages/bench/test/malformedAnswersProcess.test.ts
@@ -59,7 +59,7 @@
             await cluster.waitUntilKnown(gateway, id);
             const worst = await worstReadiness(gateway, async () => {
                 const { status } = await cluster.sendRequest(gateway, "/lookup/1");
-                assert.ok(status >= 500, `${status} for ${JSON.stringify(malformed)}`);
+                assert.ok(status >= 500 && status < 600, `${status} for ${JSON.stringify(malformed)}`);
             });
             assert.ok(worst < readinessInterval, `${Math.round(worst)} ms for ${JSON.stringify(malformed)}`);
             cluster.store.put("keyed.servers", id, undefined);
@@ -72,4 +72,62 @@
     }
 });
 
+const sealedHead = "Attempt-Id: ATTEMPT\r\nResponse-Seal: s\r\n";
+const invalidStatusLines = [
+    "HTTP/1.1 000 Text",
+    "HTTP/1.1 099 Text",
+    "HTTP/1.1 600 Text",
+    "HTTP/1.1 999 Text",
+    "HTTP/2.0 200 Text",
+];
+const wholeAnswers = [
+    `${sealedHead}content-length: 2\r\n\r\nhi`,
+    `${sealedHead}connection: close\r\n\r\nhi`,
+    `${sealedHead}Not-Executed: 1\r\ncontent-length: 0\r\n\r\n`,
+    `${sealedHead}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n`,
+];
+const invalidAnswers = invalidStatusLines.flatMap(line => wholeAnswers.map(rest => `${line}\r\n${rest}`));
+
+// Callers got such answers with their seals, and 503, which promises that a request did not run, for one that may have.
+test("callers get no answer with an invalid status line, though it is sealed, and no promise for it", async () => {
+    const cluster = await GatewayCluster.start(1);
+    const [gateway] = cluster.gateways;
+    const faults: string[] = [];
+    try {
+        for (const [index, answer] of invalidAnswers.entries()) {
+            let runs = 0;
+            const server = createServer(socket => {
+                socket.on("error", () => undefined);
+                socket.on("data", data => {
+                    const [, attempt] = /attempt-id: (\S+)/i.exec(data.toString("latin1")) ?? [];
+                    if (attempt !== undefined) {
+                        runs++;
+                        socket.write(answer.replace("ATTEMPT", attempt));
+                        if (answer.includes("connection: close")) {
+                            socket.end();
+                        }
+                    }
+                });
+            }).listen(0, "127.0.0.1");
+            await once(server, "listening");
+            const id = `x${index}`;
+            const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+            const record = { service: "plain", address, zone: "near", slots: 8, state: "ready" };
+            cluster.store.put("keyed.servers", id, record);
+            await cluster.waitUntilKnown(gateway, id);
+            const { status, headers } = await cluster.sendRequest(gateway, "/confirm/1");
+            if (status !== 502 || headers["response-seal"] !== undefined || runs !== 1) {
+                faults.push(`${status} after ${runs} runs for ${JSON.stringify(answer)}`);
+            }
+            cluster.store.put("keyed.servers", id, undefined);
+            await waitUntil(`${id} is gone`, () => gateway.output().includes(`server=${id} change=removed`));
+            server.close();
+        }
+        assert.equal(faults, []);
+    }
+    finally {
+        await cluster.stop();
+    }
+});
+
 test.run();
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -2,3 +2,4 @@
 export * from "./errors.js";
 export * from "./identifiers.js";
 export * from "./settings.js";
+export * from "./statusLine.js";
--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -12,7 +12,13 @@
     type ResponseHead,
     type StreamEvent,
 } from "@verbenaspring/gateway";
-import type { AttemptId, CallerAttemptId, Milliseconds } from "@verbenaspring/model";
+import {
+    type AttemptId,
+    type CallerAttemptId,
+    checkStatusLines,
+    MalformedAnswerError,
+    type Milliseconds,
+} from "@verbenaspring/model";
 import { connect as connectSocket, type Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
 import { type AnswerBounds, answerBounds, AnswerOverflowError, boundReads, type FramingCount } from "./answerBounds.js";
@@ -463,6 +469,7 @@
                 }
                 channel.socketState = trackSocket(socket);
                 boundReads(socket, channel.framing, readBudget);
+                checkStatusLines(socket);
                 callback(null, socket);
             });
         },
@@ -508,7 +515,7 @@
 }
 
 function classifyError(error: Error, hasHead: boolean): AttemptFailure {
-    if (error instanceof AnswerOverflowError) {
+    if (error instanceof AnswerOverflowError || error instanceof MalformedAnswerError) {
         return "answer_malformed";
     }
     const { code } = error as { readonly code?: string; };
