Take answers to the sidecar with an invalid status line for failures

Callers of a plain service got a status from 600 to 999, and callers of generations the tokens of an event stream with such a status. What came as HTTP/0.9 or HTTP/2.0 counted as a success, also as the platform's instance list.

Cause: as for the gateway's clients, the HTTP client takes any three digits for a status, and the versions 0.9 and 2.0.

The clients of the backend server, and of the platform's log and instance list, open connections with the check of status lines. A call whose answer fails it may have run: serviceFailed, or generationBroken, after which the sidecar asks for the generation's tokens again.

--- a/packages/runtime/src/backendClient.ts
+++ b/packages/runtime/src/backendClient.ts
@@ -3,10 +3,10 @@
  * retries a call.
  */
 import type { Work } from "@verbenaspring/coordination";
-import type { AttemptId, GenerationId, Milliseconds } from "@verbenaspring/model";
+import { type AttemptId, type GenerationId, type Milliseconds, withCheckedStatusLines } from "@verbenaspring/model";
 import type { SidecarEvent } from "@verbenaspring/sidecar";
 import { createParser } from "eventsource-parser";
-import { Agent, type Dispatcher, request } from "undici";
+import { Agent, buildConnector, type Dispatcher, request } from "undici";
 
 /** The client of one backend server. */
 export interface BackendClient {
@@ -69,7 +69,7 @@
         pipelining: 0,
         headersTimeout: 0,
         bodyTimeout: 0,
-        connect: { timeout: connectTimeout },
+        connect: withCheckedStatusLines(buildConnector({ timeout: connectTimeout })),
     });
     const streams = new Map<GenerationId, AbortController>();
     const base = `http://${address}`;
--- a/packages/runtime/src/platformClient.ts
+++ b/packages/runtime/src/platformClient.ts
@@ -3,8 +3,14 @@
  */
 import type { OffsetRecord } from "@verbenaspring/coordination";
 import type { ListedInstance } from "@verbenaspring/entry";
-import { identifier, type LogOffset, type Milliseconds, PlatformError } from "@verbenaspring/model";
-import { Agent, request } from "undici";
+import {
+    identifier,
+    type LogOffset,
+    type Milliseconds,
+    PlatformError,
+    withCheckedStatusLines,
+} from "@verbenaspring/model";
+import { Agent, buildConnector, request } from "undici";
 
 /** The result of a read of a stream. */
 export interface LogPage<Value> {
@@ -86,7 +92,8 @@
 }
 
 function createAgent(timeout: Milliseconds): Agent {
-    return new Agent({ headersTimeout: timeout, bodyTimeout: timeout, connect: { timeout } });
+    const connect = withCheckedStatusLines(buildConnector({ timeout }));
+    return new Agent({ headersTimeout: timeout, bodyTimeout: timeout, connect });
 }
 
 /** Each request has its own, usually shorter timeout as well. */
