Take 204 No Content with a body for malformed

A caller got 204 with the server's seal and no body, though the server had sent a body in chunks after it; as the head of a stream, such an answer opened one that ended complete without an event.

Cause: 204 ends with its head whatever the head says of a body, and the HTTP client passed over the contradiction unless the head had a length.

A 204 with Transfer-Encoding or a Content-Length above 0 ends the attempt as malformed, and its channel. A length of 0 stays valid. 304 is not affected: its head may state the length that the body of a 200 would have.

--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -72,6 +72,7 @@
 /** A channel on which this many requests were refused is not used again. */
 const maximumRefusals = 64;
 const firstFinalStatus = 200;
+const noContentStatus = 204;
 
 /** A socket, and whether its reading side has ended or failed. */
 interface SocketState {
@@ -361,6 +362,10 @@
                 return;
             }
             const rawHeaders = readRawHeaders(controller.rawHeaders);
+            if (status === noContentStatus && announcesBody(rawHeaders)) {
+                current.isCancelled = true;
+                return fail("answer_malformed");
+            }
             const decoded = codec.decodeBackendHead(status, rawHeaders);
             length = findContentLength(rawHeaders);
             head = { ...decoded, isFirstOnChannel: !current.channel.hasAnswered };
@@ -449,11 +454,21 @@
 
 /** The length of an answer's body, where its head states one. */
 function findContentLength(rawHeaders: readonly string[]): number | undefined {
-    const index = rawHeaders.findIndex((part, at) => at % 2 === 0 && part.toLowerCase() === "content-length");
+    const index = findHeader(rawHeaders, "content-length");
     const length = index === -1 ? NaN : Number(rawHeaders[index + 1]);
     return Number.isSafeInteger(length) ? length : undefined;
 }
 
+/** Whether a head says that a body follows. */
+function announcesBody(rawHeaders: readonly string[]): boolean {
+    return findHeader(rawHeaders, "transfer-encoding") !== -1 || (findContentLength(rawHeaders) ?? 0) > 0;
+}
+
+/** The index of the first header of a name in lower case, or -1. */
+function findHeader(rawHeaders: readonly string[], name: string): number {
+    return rawHeaders.findIndex((part, at) => at % 2 === 0 && part.toLowerCase() === name);
+}
+
 function openChannel(address: string, readBudget: ReadBudget): Channel {
     const { host, port } = parseAddress(address);
     const client = new Client(`http://${address}`, {
--- a/packages/runtime/test/statusLines.test.ts
+++ b/packages/runtime/test/statusLines.test.ts
@@ -156,4 +156,26 @@
     assert.is(socketCount, 1);
 });
 
+// The caller got 204 with the seal, though the server had also sent a body.
+test("an answer that says that it has no content and has a body is malformed", async () => {
+    const line = "HTTP/1.1 204 No Content";
+    const chunked = `${sealedHead}transfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n`;
+    const faults: string[] = [];
+    for (const rest of [answerForms.plain, answerForms.stream, chunked]) {
+        const { reports, socketCount } = await callServer(socket => void socket.write(`${line}\r\n${rest}`), 2);
+        if (reports.flat().join() !== "answer_malformed sent,answer_malformed sent" || socketCount !== 2) {
+            faults.push(`${reports.flat().join()}, ${socketCount} channels`);
+        }
+    }
+    assert.equal(faults, []);
+    for (const fields of ["", "content-length: 0\r\n"]) {
+        const { reports, socketCount } = await callServer(
+            socket => void socket.write(`${line}\r\n${sealedHead}${fields}\r\n`),
+            2,
+        );
+        assert.equal(reports, [["answered 204 "], ["answered 204 "]]);
+        assert.is(socketCount, 1);
+    }
+});
+
 test.run();
