--- a/packages/gateway/test/differentServers.test.ts
+++ b/packages/gateway/test/differentServers.test.ts
@@ -1,6 +1,6 @@
 /**
- * Gateways that know the log of servers up to the same offset, and do not have the same servers: a server left and returned, or
- * returned and left, while one of them could not read each record.
+ * Gateways that know the log up to the same offset, and do not have the same servers or evacuations: a record was undone by a later
+ * one while one of them could not read both.
  */
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -22,7 +22,8 @@
 function lackedInTouch(linked: LinkedGateways, gateway: TestGateway): string[] {
     linked.restoreLinks();
     linked.advance(5_000);
-    assert.ok(gateway.now - gateway.state.followers.backendServers.freshAsOf! < 2_000);
+    const { configuration: { freshAsOf: asOf }, backendServers: { freshAsOf } } = gateway.state.followers;
+    assert.ok(gateway.now - Math.min(asOf!, freshAsOf!) < 2_000);
     return keysLackedBy(linked, gateway);
 }
 
@@ -80,4 +81,33 @@
     assert.equal(lackedInTouch(linked, one), []);
 });
 
+// The tombstone that was made for the withdrawal had an offset before it, and the second snapshot left it as it was.
+test("a gateway learns that an evacuation was withdrawn between two pages of another one's snapshot", () => {
+    const withdrawnAfter = Array.from({ length: 60 }, (_, index) => 10 * index);
+    const lacked = withdrawnAfter.flatMap(duration => {
+        const linked = linkedGateways(2);
+        const [other, last] = linked.gateways;
+        linked.evacuate("near", true);
+        linked.advance(1_000);
+        linked.isolate(other);
+        linked.turnedAway.add(other).add(last);
+        linked.advance(1_000);
+        linked.pageDelay = 200;
+        linked.answered = (gateway, topic) => {
+            if (gateway === other && topic === "configuration") {
+                linked.turnedAway.add(other);
+            }
+        };
+        linked.turnedAway.delete(other);
+        linked.advance(duration);
+        linked.evacuate("near", false);
+        linked.advance(600 - duration);
+        linked.answered = () => undefined;
+        linked.turnedAway.delete(other);
+        linked.advance(600);
+        return lackedInTouch(linked, last).map(key => `${key}, withdrawn after ${duration} ms`);
+    });
+    assert.equal(lacked, []);
+});
+
 test.run();
