Test a lost record whose replacement no gateway reads

A read that begins at the last known record and compares it, as that of the register of streams does, would find it.

--- a/packages/gateway/test/lostRecords.test.ts
+++ b/packages/gateway/test/lostRecords.test.ts
@@ -130,6 +130,13 @@
     });
 }
 
+test("all gateways learn a removal that replaced a lost record though none of them reads a snapshot", () => {
+    const linked = linkedGateways();
+    const register = () => linked.register(server("plain-1", { slots: 8 }));
+    replace(linked, "backendServers", [register], () => linked.remove("plain-2"));
+    assertAgreement(linked, gateway => isGone(gateway, "plain-2"), "plain-2 is removed");
+});
+
 // A snapshot shows nothing of what is stored after its read.
 test("what a peer reports during the read of a snapshot does not count as lost", () => {
     const gateway = TestGateway.serving(server("plain-1"), server("plain-2"));
