Pass on a longer cold time that begins after a late read of an earlier one

Cause: gateways learn of a longer cold time from the one that reads the topic, if its end is over 500 ms later than the one that they know. The reader had been frozen and had read the first record 3.7 s late, so the end that it took the others to know was 3.4 s too late, and the longer time looked like a heartbeat.

The end that the others know at least is now the earliest by the record that was reported and the heartbeats since it.

Why it works: a record read late gives a later end, never an earlier one, so the earliest is the nearest to the true one.

coldServers.test.ts: the set-up of an existing test is a function now, as a second one uses it; its assertions are unchanged.

--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -46,7 +46,7 @@
     /** The newest record of another incarnation since the last one of this, which may have been written late. */
     readonly stray: Pick<BackendRecord, "startedAt" | "heartbeat"> | undefined;
     readonly warmUpEndsAt: Milliseconds;
-    /** The end as of the last record that changed the view; other gateways may know no later one. */
+    /** The earliest end by the last record that changed the view and those after it; other gateways may know no later one. */
     readonly publishedWarmUpEndsAt: Milliseconds;
     /** Since when it accepts no new work: it announced its stop, or its registration was removed. */
     readonly leavingSince: Milliseconds | undefined;
@@ -155,7 +155,10 @@
     change: BackendChange,
     warmUpEndsAt: Milliseconds,
 ): Milliseconds {
-    return known !== undefined && change === "unchanged" ? known.publishedWarmUpEndsAt : warmUpEndsAt;
+    // The others may have learnt earlier, and so with an earlier end, what this gateway read late.
+    return known !== undefined && change === "unchanged"
+        ? Math.min(known.publishedWarmUpEndsAt, warmUpEndsAt)
+        : warmUpEndsAt;
 }
 
 /**
--- a/packages/gateway/test/coldServers.test.ts
+++ b/packages/gateway/test/coldServers.test.ts
@@ -206,22 +206,10 @@
     }
 });
 
-// Gateways learn what servers register from the one that reads it, which reports only what is more than a heartbeat.
-test("a server that becomes cold under its id is reported to the other gateways, as is a changed registration", () => {
-    const gateway = gatewayServing(warm);
+/** Lets a gateway read records, and returns the keys that it reports to a peer which knows what it has read before. */
+function readerWithPeer(gateway: TestGateway): (...records: readonly BackendRecord[]) => readonly string[] {
     gateway.receiveReport({});
-    const reportedBy = (changed: BackendRecord): readonly string[] => {
-        gateway.now += 1;
-        return gateway.read("backendServers", [gateway.item(changed.id, [{ kind: "backendServer", record: changed }])])
-            .flatMap(effect => effect.kind === "sendReport" ? effect.report.topics : [])
-            .filter(({ name }) => name === "backendServers")
-            .flatMap(({ items }) => items.map(({ key }) => key));
-    };
-    // Tells the gateway which records the peer has, so that it reports only what is new.
-    const [configuration, backendServers] = [
-        gateway.state.followers.configuration,
-        gateway.state.followers.backendServers,
-    ];
+    const { configuration, backendServers } = gateway.state.followers;
     const topicOf = (name: "configuration" | "backendServers", through: number) => ({
         name,
         since: through,
@@ -234,6 +222,21 @@
     gateway.receiveReport({
         topics: [topicOf("configuration", configuration.next!), topicOf("backendServers", backendServers.next!)],
     });
+    return (...records) => {
+        gateway.now += 1;
+        return gateway.read(
+            "backendServers",
+            records.map(record => gateway.item(record.id, [{ kind: "backendServer", record }])),
+        )
+            .flatMap(effect => effect.kind === "sendReport" ? effect.report.topics : [])
+            .filter(({ name }) => name === "backendServers")
+            .flatMap(({ items }) => items.map(({ key }) => key));
+    };
+}
+
+// Gateways learn what servers register from the one that reads it, which reports only what is more than a heartbeat.
+test("a server that becomes cold under its id is reported to the other gateways, as is a changed registration", () => {
+    const reportedBy = readerWithPeer(gatewayServing(warm));
     assert.equal(reportedBy({ ...warm, heartbeat: 2 }), [], "a heartbeat");
     assert.equal(reportedBy({ ...warm, heartbeat: 3, remainingWarmUp: 900 }), ["plain-2"]);
     // Each end was compared with that of the heartbeat before, so that many small delays were never reported.
@@ -242,4 +245,20 @@
     assert.equal(reportedBy({ ...warm, heartbeat: 6, slots: 9 }), ["plain-2"]);
 });
 
+// A gateway that reads the log late takes the first record's end for later than those do that have read it in time.
+test("a longer cold time is reported by a gateway that has read the beginning of the cold time late", () => {
+    const gateway = gatewayServing(warm);
+    const reportedBy = readerWithPeer(gateway);
+    const late = [8_000, 7_000, 6_000, 5_000].map((remainingWarmUp, index) => ({
+        ...warm,
+        heartbeat: index + 2,
+        remainingWarmUp,
+    }));
+    reportedBy(...late);
+    gateway.now += 1_000;
+    assert.equal(reportedBy({ ...warm, heartbeat: 6, remainingWarmUp: 4_000 }), [], "a heartbeat");
+    gateway.now += 1_000;
+    assert.equal(reportedBy({ ...warm, heartbeat: 7, remainingWarmUp: 6_000 }), ["plain-2"]);
+});
+
 test.run();
