Fuzz: a store that loses what nobody acknowledged, and executes calls late

StoreModel acknowledges what append stores; records of appendUnacknowledged that no acknowledged one follows can be lost, and their offsets are given out again.

--- a/packages/emulator/src/storeModel.ts
+++ b/packages/emulator/src/storeModel.ts
@@ -31,11 +31,14 @@
 interface StoredTopic {
     readonly records: StoredRecord[];
     first: number;
+    /** The offset after the last record that was acknowledged. */
+    acknowledgedEnd: number;
     readonly listeners: Set<() => void>;
 }
 
 /**
- * The records of all topics.
+ * The records of all topics. Reads get a record as soon as it is stored. Those that nobody acknowledged may be lost later, and
+ * their offsets are given out again.
  *
  * @example
  * const store = new StoreModel();
@@ -44,13 +47,27 @@
 export class StoreModel {
     private readonly topics = new Map<string, StoredTopic>();
 
-    /** Appends a record and calls the topic's listeners. */
+    /** Appends a record, acknowledges it and all before it, and calls the topic's listeners. */
     append(topic: string, key: string, value: Uint8Array): void {
+        const stored = this.findOrCreateTopic(topic);
+        stored.acknowledgedEnd = stored.records.length + 1;
+        this.appendUnacknowledged(topic, key, value);
+    }
+
+    /** Appends a record, as a call without an answer does, and calls the topic's listeners. */
+    appendUnacknowledged(topic: string, key: string, value: Uint8Array): void {
         const { records, listeners } = this.findOrCreateTopic(topic);
         records.push({ key, value });
         [...listeners].forEach(listener => listener());
     }
 
+    /** Loses the records after the last acknowledged one. Returns how many were lost. */
+    loseUnacknowledged(topic: string): number {
+        const stored = this.findOrCreateTopic(topic);
+        stored.first = Math.min(stored.first, stored.acknowledgedEnd);
+        return stored.records.splice(stored.acknowledgedEnd).length;
+    }
+
     /** Deletes the history up to the end; the newest record of each key stays readable. */
     compact(topic: string): void {
         const stored = this.findOrCreateTopic(topic);
@@ -71,7 +88,7 @@
             .filter(({ value }) => value.length > 0);
     }
 
-    /** Returns the records from an offset on. */
+    /** Returns the records from an offset on; none, with the end of the topic, from beyond it. */
     read(topic: string, from: number): ReadPage {
         const { records, first } = this.findOrCreateTopic(topic);
         return from < first
@@ -87,7 +104,8 @@
     }
 
     private findOrCreateTopic(name: string): StoredTopic {
-        const topic = this.topics.get(name) ?? { records: [], first: 0, listeners: new Set<() => void>() };
+        const topic: StoredTopic = this.topics.get(name)
+            ?? { records: [], first: 0, acknowledgedEnd: 0, listeners: new Set() };
         this.topics.set(name, topic);
         return topic;
     }
--- a/packages/emulator/src/virtualPlatform.ts
+++ b/packages/emulator/src/virtualPlatform.ts
@@ -147,6 +147,15 @@
         this.store.model.append(operatorTopic, configurationKey, Buffer.from(JSON.stringify(configuration)));
     }
 
+    /** Stores a configuration whose writer gets no answer, so that the store may lose it. */
+    configureUnanswered(configuration: object): void {
+        this.store.model.appendUnacknowledged(
+            operatorTopic,
+            configurationKey,
+            Buffer.from(JSON.stringify(configuration)),
+        );
+    }
+
     /** Returns the id of the next request, so that an observer can know it before the answer arrives. */
     nextRequestId(): RequestId {
         return identifier(`request-${++this.requests}`);
--- a/packages/emulator/src/virtualStore.ts
+++ b/packages/emulator/src/virtualStore.ts
@@ -32,6 +32,12 @@
 /** How the store treats its callers: `busy` refuses each read, `silent` never answers. */
 export type StoreBehaviour = "up" | "busy" | "silent";
 
+/**
+ * How the store answers a read from beyond the end of a topic, which has lost records then: as one of deleted records, or with
+ * the end of the topic once the read has waited.
+ */
+export type BeyondEndAnswer = "gone" | "end";
+
 /** The name of the store on the network. */
 export const storeName = "store";
 
@@ -45,6 +51,7 @@
     behaviour: StoreBehaviour = "up";
     /** Delay added to each answer. */
     slowness: Milliseconds = 0;
+    beyondEndAnswer: BeyondEndAnswer = "end";
     /** Names of processes whose reads the store refuses. */
     readonly rejectedReaders = new Set<string>();
 
@@ -124,7 +131,9 @@
             const items = this.model.newestRecords(topic);
             return answer({ kind: "page", items, next: this.model.endOffset(topic), isAtEnd: true });
         }
-        if (this.model.endOffset(topic) > read.from || read.wait === 0) {
+        const end = this.model.endOffset(topic);
+        const isGone = read.from > end && this.beyondEndAnswer === "gone";
+        if (end > read.from || read.wait === 0 || isGone) {
             return answer(this.readPage(topic, read.from));
         }
         this.waitForRecord(topic, read.from, read.wait, answer);
@@ -137,15 +146,20 @@
         answer: (answer: StoreAnswer) => void,
     ): void {
         let isWaiting = true;
-        const wake = (): void => {
+        const end = (): void => {
             if (isWaiting) {
                 isWaiting = false;
                 stop();
                 answer(this.readPage(topic, from));
             }
         };
-        const stop = this.model.onAppend(topic, wake);
-        this.clock.schedule(wait, wake);
+        const stop = this.model.onAppend(topic, () => {
+            // Records that are stored in the place of lost ones may be before the offset of the read.
+            if (this.model.endOffset(topic) > from) {
+                end();
+            }
+        });
+        this.clock.schedule(wait, end);
     }
 
     private readPage(topic: string, from: LogOffset): StoreAnswer {
@@ -153,6 +167,9 @@
         if (page.kind === "deleted") {
             return { kind: "failed", failure: "records_deleted" };
         }
+        if (page.end < from) {
+            return { kind: "failed", failure: this.beyondEndAnswer === "gone" ? "records_deleted" : "beyond_end" };
+        }
         const items = page.records.map((record, index) => ({ ...record, offset: from + index }));
         const next = from + items.length;
         return { kind: "page", items, next, isAtEnd: next >= page.end };
--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -24,6 +24,7 @@
     rollingStopSchedules,
     runPlatformSchedule,
     stopSchedules,
+    unacknowledgedSchedules,
 } from "./platform/index.js";
 import { runSchedule } from "./runSchedule.js";
 import { defaultWorldPolicies, type WorldPolicies } from "./world.js";
@@ -77,6 +78,12 @@
     schedules: changeSchedules,
 };
 
+/** Gateways on the users' platform, whose store loses configurations that nobody acknowledged or stores them late. */
+export const unacknowledgedPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: unacknowledgedSchedules,
+};
+
 /** Gateways on the users' platform, with parts of prompts that crash engines. */
 export const deadlyWorkPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,5 +1,5 @@
 /**
- * The command `npm run fuzz -- --system platform|overlay|changes|cold|configurations|deadly|delays|detached-runs|evacuations|limits|lost-answers|notices|pauses|releases|rolling-stops|stops|linked --seed S --runs N --steps K`. It
+ * The command `npm run fuzz -- --system platform|overlay|changes|cold|configurations|deadly|delays|detached-runs|evacuations|limits|lost-answers|notices|pauses|releases|rolling-stops|stops|unacknowledged|linked --seed S --runs N --steps K`. It
  * runs randomised schedules and checks them with the oracle.
  */
 import yargs from "yargs";
@@ -23,6 +23,7 @@
     releasePlatformSystem,
     rollingStopPlatformSystem,
     stopPlatformSystem,
+    unacknowledgedPlatformSystem,
 } from "./fuzz.js";
 
 /** Schedules between two lines of progress. */
@@ -50,10 +51,11 @@
                 "releases",
                 "rolling-stops",
                 "stops",
+                "unacknowledged",
             ] as const,
             default: "platform",
             describe:
-                "gateways on the platform, the same with many configurations, with changes that some gateways learn only from others, with links that fall behind, with parts of prompts that crash engines, with evacuations of failure domains, or with servers that are cold, declare limits, lose answers, break connections and work on, give notice in answers, ask for pauses or run several software versions, or "
+                "gateways on the platform, the same with many configurations, with changes that some gateways learn only from others, with links that fall behind, with a store that loses what nobody acknowledged, with parts of prompts that crash engines, with evacuations of failure domains, or with servers that are cold, declare limits, lose answers, break connections and work on, give notice in answers, ask for pauses or run several software versions, or "
                 + "entries and sidecars",
         },
         seed: { type: "number", default: 1, describe: "seed of the schedules" },
@@ -88,6 +90,7 @@
     releases: releasePlatformSystem,
     "rolling-stops": rollingStopPlatformSystem,
     stops: stopPlatformSystem,
+    unacknowledged: unacknowledgedPlatformSystem,
 };
 const result = system === "linked"
     ? fuzz(linkedSystem, options)
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -21,6 +21,7 @@
     platformSystem,
     releasePlatformSystem,
     rollingStopPlatformSystem,
+    unacknowledgedPlatformSystem,
 } from "./fuzz.js";
 import { type Mutation, mutations } from "./mutations.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
@@ -39,6 +40,7 @@
     platformMutations,
     releaseMutations,
     rollingStopMutations,
+    unacknowledgedMutations,
 } from "./platform/index.js";
 
 const { seed, runs, steps } = await yargs(hideBin(process.argv))
@@ -93,6 +95,7 @@
     ...createSearches(pausePlatformSystem, pauseMutations),
     ...createSearches(releasePlatformSystem, releaseMutations),
     ...createSearches(rollingStopPlatformSystem, rollingStopMutations),
+    ...createSearches(unacknowledgedPlatformSystem, unacknowledgedMutations),
 ];
 
 let missedCount = 0;
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -2,7 +2,13 @@
  * The actions of a schedule on the users' platform, and how fast-check generates them. The numbers of gateways, servers
  * and callers are taken modulo how many there are.
  */
-import { failureDomains, type GrowingDelay, type ServerBehaviour, type StoreBehaviour } from "@verbenaspring/emulator";
+import {
+    type BeyondEndAnswer,
+    failureDomains,
+    type GrowingDelay,
+    type ServerBehaviour,
+    type StoreBehaviour,
+} from "@verbenaspring/emulator";
 import type { Milliseconds } from "@verbenaspring/model";
 import * as fc from "fast-check";
 import type { RequestKind } from "./requestKinds.js";
@@ -35,6 +41,8 @@
     /** A caller whose stream broke off takes it up at a gateway. */
     | { readonly kind: "takeUp"; readonly caller: number; readonly gateway: number; }
     | { readonly kind: "configure"; }
+    /** Sends a configuration to the store, which executes the call after a delay and doesn't answer it. */
+    | { readonly kind: "configureUnanswered"; readonly delay: number; }
     /** Writes the configuration before the newest one again. */
     | { readonly kind: "rewriteOld"; }
     /**
@@ -87,6 +95,8 @@
     | { readonly kind: "storeBehaves"; readonly behaviour: StoreBehaviour; readonly duration: number; }
     | { readonly kind: "storeSlow"; readonly slowness: number; readonly duration: number; }
     | { readonly kind: "compact"; }
+    /** The store loses the newest records of the operator's topic that nobody acknowledged. */
+    | { readonly kind: "loseUnacknowledged"; }
     | { readonly kind: "turnAway"; readonly gateway: number; readonly duration: number; }
     | { readonly kind: "cutStore"; readonly gateway: number; readonly duration: number; }
     | { readonly kind: "silenceStore"; readonly gateway: number; }
@@ -161,6 +171,8 @@
     readonly coldDuration?: number;
     /** Whether engines read prompts so slowly that long ones wait for each other; false if absent. */
     readonly areEnginesSlow?: boolean;
+    /** How the store answers reads from beyond the end of a topic; with the end if absent. */
+    readonly beyondEndAnswer?: BeyondEndAnswer;
     readonly steps: readonly PlatformStep[];
 }
 
@@ -456,6 +468,39 @@
     return schedulesOf(changingActions, steps);
 }
 
+const unacknowledgedActions = fc.oneof(
+    { arbitrary: arbitraryAction("configure", {}), weight: 5 },
+    {
+        arbitrary: arbitraryAction("configureUnanswered", { delay: fc.oneof(fc.constant(0), fc.nat(4_000)) }),
+        weight: 5,
+    },
+    { arbitrary: arbitraryAction("loseUnacknowledged", {}), weight: 5 },
+    { arbitrary: arbitraryAction("probe", { gateway: slot, back: fc.nat(1) }), weight: 14 },
+    { arbitrary: plainRequest, weight: 3 },
+    {
+        arbitrary: arbitraryAction("killGateway", {
+            gateway: slot,
+            how: fc.constantFrom("reset", "power"),
+            away: shortTime,
+        }),
+        weight: 2,
+    },
+    { arbitrary: arbitraryAction("turnAway", { gateway: slot, duration: longTime }), weight: 1 },
+    { arbitrary: arbitraryAction("cutGateways", { gateway: slot, other: slot, duration: longTime }), weight: 1 },
+    { arbitrary: arbitraryAction("compact", {}), weight: 1 },
+    { arbitrary: gatewayActions, weight: 1 },
+    { arbitrary: storeActions, weight: 1 },
+);
+
+/**
+ * Generates schedules of up to `steps` steps, in which the store loses configurations that nobody acknowledged and stores older
+ * ones after newer ones, while gateways restart and lack contact with the store or with each other.
+ */
+export function unacknowledgedSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    return fc.tuple(schedulesOf(unacknowledgedActions, steps), fc.constantFrom<BeyondEndAnswer>("gone", "end"))
+        .map(([schedule, beyondEndAnswer]) => ({ ...schedule, beyondEndAnswer }));
+}
+
 const unhurriedRequest = arbitraryAction("ask", {
     work: fc.constantFrom("confirm", "lookup", "plan", "plan", "note"),
     gateway: slot,
@@ -546,6 +591,7 @@
     "leave",
     "takeUp",
     "configure",
+    "configureUnanswered",
     "rewriteOld",
     "probe",
     "deadlyPart",
@@ -556,6 +602,7 @@
     "storeBehaves",
     "storeSlow",
     "compact",
+    "loseUnacknowledged",
     "turnAway",
     "cutStore",
     "silenceStore",
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -392,6 +392,35 @@
     },
 ];
 
+function hidePeerConfiguration(event: GatewayEvent): GatewayEvent {
+    return event.kind === "peerReported"
+        ? {
+            ...event,
+            report: { ...event.report, configurationVersion: undefined, configurationItem: undefined },
+            items: { ...event.items, lackingConfiguration: undefined },
+        }
+        : event;
+}
+
+/** Mutations that only schedules in which the store loses records that nobody acknowledged can find. */
+export const unacknowledgedMutations: readonly Mutation<GatewayInterceptors>[] = [
+    eventMutation(
+        "versions of peers are ignored",
+        ["configuration_in_force", "configuration_never_reverts"],
+        hidePeerConfiguration,
+    ),
+    effectMutation(
+        "reads go on after a failure without a snapshot",
+        ["configuration_in_force", "configuration_never_reverts"],
+        (effect, { followers }) => {
+            const from = effect.kind === "readSnapshot" ? followers[effect.topic].next : undefined;
+            return effect.kind === "readSnapshot" && from !== undefined
+                ? { kind: "readTopic", topic: effect.topic, from, wait: 0 }
+                : effect;
+        },
+    ),
+];
+
 /** Mutations that only schedules in which servers of several software versions serve can find. */
 export const releaseMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation(
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -6,6 +6,7 @@
 import {
     failureDomains,
     type GatewayInterceptors,
+    operatorTopic,
     passThroughInterceptors,
     type ServerModel,
     storeName,
@@ -139,6 +140,8 @@
     private readonly probes = new Map<PlatformRequest, (isFound: boolean) => void>();
     /** The requests whose streams callers have taken up. */
     private readonly takenUp = new Set<PlatformRequest>();
+    /** The index of the newest version that was ever stored. */
+    private newestStored = -1;
     private requestCount = 0;
     private serverCount = 0;
     private releaseCount = 1;
@@ -150,7 +153,7 @@
         implementation: GatewayInterceptors,
         private readonly gatewayPlan: GatewayPlan,
     ) {
-        const { seed, coldDuration, areEnginesSlow = false } = schedule;
+        const { seed, coldDuration, areEnginesSlow = false, beyondEndAnswer = "end" } = schedule;
         this.engines = areEnginesSlow ? slowlyReadingEngines : defaultEngines;
         this.platform = new VirtualPlatform({
             seed,
@@ -185,7 +188,8 @@
             },
             exited: gateway => this.replaceGateway(gateway),
         });
-        const { clock, fleet } = this.platform;
+        const { clock, fleet, store } = this.platform;
+        store.beyondEndAnswer = beyondEndAnswer;
         this.oracle = new PlatformOracle(
             clock,
             id => fleet.drainPublishedAt(id),
@@ -315,6 +319,8 @@
                 return this.takeUp(action.caller, this.gatewayOf(action.gateway));
             case "configure":
                 return this.configure();
+            case "configureUnanswered":
+                return this.configureUnanswered(action.delay);
             case "rewriteOld":
                 this.versions.recordRewrite();
                 return this.platform.configure(this.buildConfiguration(Math.max(0, this.versions.newestIndex - 1)));
@@ -538,10 +544,29 @@
     }
 
     private configure(): void {
-        this.platform.configure(this.buildConfiguration(this.versions.newestIndex + 1));
+        this.newestStored = this.versions.newestIndex + 1;
+        this.platform.configure(this.buildConfiguration(this.newestStored));
         this.versions.recordVersion(this.platform.clock.now);
     }
 
+    /** Sends the next version to the store, which stores it after a delay, by when newer ones may be stored. */
+    private configureUnanswered(delay: Milliseconds): void {
+        const { versions, platform } = this;
+        const index = versions.newestIndex + 1;
+        versions.recordUnanswered();
+        const execute = (): void => {
+            if (this.newestStored > index) {
+                versions.recordRewrite();
+            }
+            this.newestStored = Math.max(this.newestStored, index);
+            platform.configureUnanswered(this.buildConfiguration(index));
+        };
+        if (delay === 0) {
+            return execute();
+        }
+        platform.clock.schedule(delay, execute);
+    }
+
     private buildConfiguration(index: number): object {
         const { coldDuration } = this.schedule;
         const { perSecond } = platformLimits.coldRate;
@@ -650,6 +675,9 @@
                 return this.endAfter(action.duration, () => store.slowness = 0);
             case "compact":
                 return ["keyed.op", "keyed.servers"].forEach(topic => store.model.compact(topic));
+            case "loseUnacknowledged":
+                store.model.loseUnacknowledged(operatorTopic);
+                return;
             case "turnAway": {
                 const gateway = this.gatewayOf(action.gateway);
                 const { name } = gateway;
--- a/packages/fuzz/src/platform/versions.ts
+++ b/packages/fuzz/src/platform/versions.ts
@@ -18,6 +18,7 @@
 /** A version that the operator has written. */
 interface WrittenVersion {
     readonly index: number;
+    /** Infinity where the write was not acknowledged: the version may be lost, and is never due. */
     readonly writtenAt: Milliseconds;
 }
 
@@ -173,6 +174,11 @@
         this.written.push({ index: this.written.length, writtenAt: now });
     }
 
+    /** Records that the next version was sent to the store, which doesn't answer. Gateways may use it from now on. */
+    recordUnanswered(): void {
+        this.written.push({ index: this.written.length, writtenAt: Infinity });
+    }
+
     /** The number of the newest version that an older one was written after; undefined if there is none. */
     get overwrittenVersion(): number | undefined {
         return this.overwrittenThrough < 0 ? undefined : versionNumber(this.overwrittenThrough);
--- a/packages/gateway/test/linkedGateways.ts
+++ b/packages/gateway/test/linkedGateways.ts
@@ -2,14 +2,15 @@
  * Gateways that follow one log and exchange their reports. The log can turn gateways away, delete its history and lose its
  * newest record, links between gateways can be cut or delay reports, and gateways can handle the answers of the log late.
  */
-import type {
-    BackendRecord,
-    DecodedItem,
-    GatewayEffect,
-    GatewayOptions,
-    PeerReport,
-    RoutingConfiguration,
-    TopicItem,
+import {
+    type BackendRecord,
+    type DecodedItem,
+    decodePeerItems,
+    type GatewayEffect,
+    type GatewayOptions,
+    type PeerReport,
+    type RoutingConfiguration,
+    type TopicItem,
 } from "@verbenaspring/gateway";
 import { identifier, type PeerAddress } from "@verbenaspring/model";
 import { callsIn, TestGateway } from "./gatewayBuilders.js";
@@ -263,14 +264,7 @@
     }
 
     private receive(receiver: TestGateway, report: PeerReport): void {
-        const itemsOf = (topic: TopicName): DecodedItem[] =>
-            report.topics.filter(({ name }) => name === topic).flatMap(({ items }) => items)
-                .map(item => this.decode(item));
-        const items = {
-            configuration: itemsOf("configuration"),
-            backendServers: itemsOf("backendServers"),
-            lackingConfiguration: report.configurationItem && this.decode(report.configurationItem),
-        };
+        const items = decodePeerItems(receiver.state, report, (_, item) => this.decode(item).records);
         this.deliveredItems += items.configuration.length + items.backendServers.length;
         this.perform(receiver, receiver.handle({ kind: "peerReported", report, items }));
     }
