--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -587,6 +587,51 @@
 /** Versions of the configuration. */
 export const configurationKinds: readonly Fault[] = [configure];
 
+/** The longest time in milliseconds until the store executes a call that it doesn't answer. */
+const maxExecutionDelay = 4_000;
+
+/** The longest time in milliseconds until the store loses a record. */
+const maxRetention = 700;
+
+/** The store loses a configuration that it has handed out, and then acknowledges another one, which gets its offset. */
+function replaceUnacknowledged({ world, random }: SoakFaults): void {
+    world.configureUnanswered(0);
+    setTimeout(() => {
+        world.store.loseUnacknowledged(operatorTopic);
+        world.configure();
+    }, maxRetention * random());
+}
+
+/** The store executes a call that it didn't answer after newer ones. */
+function configureLate({ world, random }: SoakFaults): void {
+    world.configureUnanswered(maxExecutionDelay * random());
+    world.configure();
+}
+
+/** Versions of the configuration, of which some are not acknowledged, and are lost or stored late. */
+export const unacknowledgedKinds: readonly Fault[] = [
+    { name: "replaceUnacknowledged", perform: replaceUnacknowledged },
+    { name: "replaceUnacknowledged", perform: replaceUnacknowledged },
+    { name: "configureLate", perform: configureLate },
+];
+
+/** What makes gateways read the newest records, or keeps them from reading. */
+export const readInterruptionKinds: readonly Fault[] = [
+    { name: "kill", perform: withGateway(killGateway) },
+    {
+        name: "storeLink",
+        perform: withGateway((faults, gateway, duration) =>
+            disturbGatewayLink(faults, gateway, gateway.storeRelay, duration)
+        ),
+    },
+    { name: "storeBusy", perform: (faults, duration) => disturbStore(faults, duration, "busy") },
+    compact,
+    {
+        name: "answerBeyondEnd",
+        perform: faults => faults.world.store.setBeyondEndAnswer(faults.choose(["gone", "end"] as const)),
+    },
+];
+
 /** Engines that leave, with and without a notice, and are replaced. */
 export const engineReplacementKinds: readonly Fault[] = [
     { name: "drainEngine", perform: faults => replaceEngine(faults, "drain") },
--- a/packages/soak/src/soakPlans.ts
+++ b/packages/soak/src/soakPlans.ts
@@ -24,11 +24,13 @@
     growingDelayKinds,
     harmlessFaultKinds,
     hostileFaultKinds,
+    readInterruptionKinds,
     releaseFaultKinds,
     repeatedSignalKinds,
     rollingStopKinds,
     slowGatewayKinds,
     stopKinds,
+    unacknowledgedKinds,
 } from "./soakFaults.js";
 
 /** The lengths of a prompt and an answer in tokens, and the time limit of the request in milliseconds. */
@@ -188,6 +190,22 @@
         isPlanned: false,
         relaysPeerLinks: true,
     },
+    /** The store loses configurations that nobody acknowledged and executes calls late, while gateways restart. */
+    unacknowledged: {
+        series: [
+            { kinds: unacknowledgedKinds, minPause: 3_000, maxPause: 5_000, source: 20 },
+            { kinds: readInterruptionKinds, minPause: 3_000, maxPause: 8_000, source: 21 },
+        ],
+        callers: {
+            kinds: ["confirm", "lookup", "plan", "note"],
+            leavingShare: 0,
+            probeShare: 0.4,
+            ...shortRequests,
+        },
+        engines: 3,
+        engineProfile: defaultEngines,
+        isPlanned: false,
+    },
     /** Engines break the connections of streams and work on, while others are replaced. */
     detached: {
         series: [
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -111,6 +111,8 @@
     /** For each slot, the relays through which its processes open links, by the peer address of the other gateway. */
     private peerRelays: readonly ReadonlyMap<string, FaultRelay>[] = [];
     private isClosing = false;
+    /** The index of the newest version of the configuration that was ever stored. */
+    private newestStored = -1;
     private serverCount = 0;
     private releaseCount = 0;
     private processCount = 0;
@@ -203,12 +205,36 @@
 
     /** Writes the next version of the configuration to the store, as the platform's operator does. */
     configure(): void {
-        const cold = { perSecond: platformLimits.coldRate.perSecond, duration: coldDuration };
-        const configuration = buildConfiguration(this.versions.newestIndex + 1, cold, this.engineProfile);
-        this.store.put(operatorTopic, configurationKey, configuration);
+        this.newestStored = this.versions.newestIndex + 1;
+        this.store.put(operatorTopic, configurationKey, this.buildConfiguration(this.newestStored));
         this.versions.recordVersion(performance.now());
     }
 
+    /**
+     * Sends the next version of the configuration to the store, which executes the call after a delay in milliseconds and
+     * doesn't answer it. Newer versions may be stored by then.
+     */
+    configureUnanswered(delay: number): void {
+        const index = this.versions.newestIndex + 1;
+        this.versions.recordUnanswered();
+        const execute = (): void => {
+            if (this.newestStored > index) {
+                this.versions.recordRewrite();
+            }
+            this.newestStored = Math.max(this.newestStored, index);
+            this.store.putUnacknowledged(operatorTopic, configurationKey, this.buildConfiguration(index));
+        };
+        if (delay === 0) {
+            return execute();
+        }
+        setTimeout(execute, delay);
+    }
+
+    private buildConfiguration(index: number): object {
+        const cold = { perSecond: platformLimits.coldRate.perSecond, duration: coldDuration };
+        return buildConfiguration(index, cold, this.engineProfile);
+    }
+
     /** Starts a process in a slot, and waits until it is ready. Its peer address is that of the process before it. */
     async startGateway(slot: number): Promise<void> {
         const free = await findFreeGatewayAddresses();
--- a/packages/stand-ins/src/platformStoreStandIn.ts
+++ b/packages/stand-ins/src/platformStoreStandIn.ts
@@ -1,7 +1,7 @@
 /**
  * Stand-in for the platform's store: serves the store model over HTTP, with injected faults.
  */
-import { type StoreBehaviour, type StoredRecord, StoreModel } from "@verbenaspring/emulator";
+import { type BeyondEndAnswer, type StoreBehaviour, type StoredRecord, StoreModel } from "@verbenaspring/emulator";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { pause, type StandIn, startStandIn } from "./httpStandIn.js";
 
@@ -11,6 +11,12 @@
     readonly model: StoreModel;
     /** Appends a record; undefined deletes the key. */
     readonly put: (topic: string, key: string, value: unknown) => void;
+    /** Appends a record as a call without an answer does, so that it may be lost. */
+    readonly putUnacknowledged: (topic: string, key: string, value: unknown) => void;
+    /** Loses the records of a topic after the last acknowledged one. Returns how many were lost. */
+    readonly loseUnacknowledged: (topic: string) => number;
+    /** Sets how reads from beyond the end of a topic are answered: by default with its end. */
+    readonly setBeyondEndAnswer: (answer: BeyondEndAnswer) => void;
     /** Deletes the history; the newest record of each key stays readable. */
     readonly compact: (topic: string) => void;
     readonly setBehaviour: (behaviour: StoreBehaviour) => void;
@@ -37,6 +43,7 @@
 export async function startPlatformStore(port = 0): Promise<PlatformStore> {
     const model = new StoreModel();
     let behaviour: StoreBehaviour = "up";
+    let beyondEndAnswer: BeyondEndAnswer = "end";
     let delay = 0;
     const standIn: StandIn = await startStandIn(port, async (request, response, url) => {
         if (behaviour === "silent") {
@@ -53,7 +60,7 @@
             return end(response, 200, JSON.stringify(newestPage(model, topic, url.searchParams.get("after"))));
         }
         if (url.pathname === "/log-read") {
-            return await read(model, topic, url, response);
+            return await read(model, topic, url, response, beyondEndAnswer);
         }
         if (url.pathname === "/log-append") {
             return end(response, appendRecords(model, topic, url, await readBytes(request)));
@@ -63,10 +70,10 @@
     return {
         address: standIn.address,
         model,
-        put: (topic, key, value) => {
-            const text = value === undefined ? "" : JSON.stringify(value);
-            model.append(topic, key, value instanceof Buffer ? value : Buffer.from(text));
-        },
+        put: (topic, key, value) => model.append(topic, key, encodeValue(value)),
+        putUnacknowledged: (topic, key, value) => model.appendUnacknowledged(topic, key, encodeValue(value)),
+        loseUnacknowledged: topic => model.loseUnacknowledged(topic),
+        setBeyondEndAnswer: next => beyondEndAnswer = next,
         compact: topic => model.compact(topic),
         setBehaviour: next => behaviour = next,
         behaviour: () => behaviour,
@@ -75,6 +82,11 @@
     };
 }
 
+function encodeValue(value: unknown): Buffer {
+    const text = value === undefined ? "" : JSON.stringify(value);
+    return value instanceof Buffer ? value : Buffer.from(text);
+}
+
 function end(response: ServerResponse, status: number, body: string | Buffer = ""): void {
     response.writeHead(status, { "content-length": Buffer.byteLength(body) });
     response.end(body);
@@ -116,14 +128,21 @@
     return { entries, hasMore: remaining.length > newestPageSize, endOffset: model.endOffset(topic) };
 }
 
-async function read(model: StoreModel, topic: string, url: URL, response: ServerResponse): Promise<void> {
+async function read(
+    model: StoreModel,
+    topic: string,
+    url: URL,
+    response: ServerResponse,
+    beyondEndAnswer: BeyondEndAnswer,
+): Promise<void> {
     const from = Number(url.searchParams.get("startKey"));
     const wait = Number(url.searchParams.get("waitMs") ?? 0);
-    if (from >= model.endOffset(topic) && wait > 0) {
-        await waitForRecord(model, topic, wait);
+    const isGone = (): boolean => from > model.endOffset(topic) && beyondEndAnswer === "gone";
+    if (from >= model.endOffset(topic) && wait > 0 && !isGone()) {
+        await waitForRecord(model, topic, from, wait);
     }
     const page = model.read(topic, from);
-    if (page.kind === "deleted") {
+    if (page.kind === "deleted" || isGone()) {
         return end(response, 410, JSON.stringify({ startOffset: page.first }));
     }
     const header = Buffer.alloc(16);
@@ -133,7 +152,8 @@
     end(response, 200, Buffer.concat([header, ...page.records.map(encode)]));
 }
 
-function waitForRecord(model: StoreModel, topic: string, wait: number): Promise<void> {
+/** Waits for a record at an offset or after it. One that is stored in the place of a lost one may be before it. */
+function waitForRecord(model: StoreModel, topic: string, from: number, wait: number): Promise<void> {
     return new Promise(resolve => {
         const done = (): void => {
             clearTimeout(timer);
@@ -141,7 +161,11 @@
             resolve();
         };
         const timer = setTimeout(done, wait);
-        const stop = model.onAppend(topic, done);
+        const stop = model.onAppend(topic, () => {
+            if (model.endOffset(topic) > from) {
+                done();
+            }
+        });
     });
 }
 
