--- a/packages/fuzz/src/platform/versions.ts
+++ b/packages/fuzz/src/platform/versions.ts
@@ -18,6 +18,7 @@
 /** A version that the operator has written. */
 interface WrittenVersion {
     readonly index: number;
+    /** Infinity where the write was not acknowledged: the version may be lost, and is never due. */
     readonly writtenAt: Milliseconds;
 }
 
@@ -162,7 +163,7 @@
 
     /**
      * Records that an older version was written again. The platform's operator never does that: its versions only grow.
-     * Gateways that have seen the newer version must keep it; a gateway that starts now can't know of it.
+     * Gateways that have seen the newer version must keep it; others can learn of it only from these.
      */
     recordRewrite(): void {
         this.overwrittenThrough = this.newestIndex;
@@ -173,9 +174,9 @@
         this.written.push({ index: this.written.length, writtenAt: now });
     }
 
-    /** The number of the newest version that an older one was written after; undefined if there is none. */
-    get overwrittenVersion(): number | undefined {
-        return this.overwrittenThrough < 0 ? undefined : versionNumber(this.overwrittenThrough);
+    /** Records that the next version was sent to the store, which doesn't answer. Gateways may use it from now on. */
+    recordUnanswered(): void {
+        this.written.push({ index: this.written.length, writtenAt: Infinity });
     }
 
     /**
@@ -223,12 +224,10 @@
 
     /** The index of the newest version that a gateway must have learnt from others by now. */
     private versionOfOthers(gateway: Gateway, now: Milliseconds): number {
-        const due = this.isOverwritten(now)
-            ? []
-            : this.shown.filter(shown =>
-                now - shown.at > platformLimits.configurationApply && shown.gateway !== gateway
-                && this.context.areLinked(gateway, shown.gateway)
-            );
+        const due = this.shown.filter(shown =>
+            now - shown.at > platformLimits.configurationApply && shown.gateway !== gateway
+            && this.context.areLinked(gateway, shown.gateway)
+        );
         return Math.max(0, ...due.map(({ index }) => index));
     }
 
