--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -77,6 +77,8 @@
     return readPlans[topic].wait;
 }
 
+/** From a failed snapshot to the next one; meanwhile the log is followed by reads from an offset on. */
+const snapshotRetryDelay: Milliseconds = 2_000;
 /** From a failed read to the next one. */
 const retryDelay: Milliseconds = 250;
 /** For how long after a failed read a gateway leaves the reads to the others, if theirs succeed. */
@@ -113,8 +115,9 @@
     follower.readStartedAt = now;
     recordReadStart(state, topic);
     // The log may have lost and replaced records while it could not be read, which a read from the end on would not show.
-    const isVerified = !isSnapshotDue && !isVerificationDue(state, topic, now);
-    if (follower.next === undefined || follower.lastFailure !== undefined || !isVerified) {
+    const isComparisonDue = isSnapshotDue || follower.isSnapshotOwed || isVerificationDue(state, topic, now);
+    follower.isReadingSnapshot = isComparisonDue && now - follower.snapshotFailedAt >= snapshotRetryDelay;
+    if (follower.next === undefined || follower.isReadingSnapshot) {
         follower.readWait = 0;
         follower.knownAtSnapshotStart = follower.knownThrough ?? 0;
         follower.newestHistoryAtSnapshotStart = follower.newestHistory;
@@ -185,6 +188,7 @@
     const hasChanged = apply(transaction, topic, { items: event.items, next, source });
     follower.lastFailure = undefined;
     if (event.isSnapshot) {
+        follower.isSnapshotOwed = false;
         follower.snapshotAt = follower.readStartedAt;
         follower.difference = undefined;
     }
@@ -452,6 +456,10 @@
         logDecision(transaction, "warn", "topic_lost", { topic, failure, age });
     }
     follower.lastFailure = { failure, at: now };
+    follower.isSnapshotOwed = true;
+    if (follower.isReadingSnapshot) {
+        follower.snapshotFailedAt = now;
+    }
     follower.nextReadAt = now + retryDelay;
 }
 
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -263,6 +263,11 @@
     /** When the newest snapshot was requested from the log. */
     snapshotAt: Milliseconds;
     isReading: boolean;
+    /** Whether the newest read compares what is known with a snapshot, and when the last such read failed. */
+    isReadingSnapshot: boolean;
+    snapshotFailedAt: Milliseconds;
+    /** Whether a read has failed since the newest snapshot. */
+    isSnapshotOwed: boolean;
     /** When the newest read started. */
     readStartedAt: Milliseconds;
     /** Up to where the topic was known when the newest read of a snapshot started. */
@@ -512,6 +517,9 @@
         difference: undefined,
         snapshotAt: -Infinity,
         isReading: false,
+        isReadingSnapshot: false,
+        snapshotFailedAt: -Infinity,
+        isSnapshotOwed: false,
         readStartedAt: Infinity,
         knownAtSnapshotStart: 0,
         history: 0,
