Don't send a configuration in every report that stands beyond the end of the log

A configuration in force that the log has lost keeps its offset. Where nothing was stored after it, that is beyond the end, and counted as a change that peers lack for as long: each gateway sent it in each report, 400 items in 10 s at five gateways (found by the review).

Such a change now counts as one of the last record; a peer that has an older version gets it because of that.

--- a/packages/gateway/src/lostRecords.ts
+++ b/packages/gateway/src/lostRecords.ts
@@ -63,6 +63,10 @@
 /** Forgets offsets at which the log no longer has the records that were known there. */
 function forgetOffsets(state: GatewayState, follower: TopicFollower, next: LogOffset): void {
     follower.next = undefined;
+    // The configuration in force may stand beyond the end. Peers that lack it get it by its version.
+    [...follower.changes].filter(([, offset]) => offset >= next).forEach(([key]) =>
+        follower.changes.set(key, next - 1)
+    );
     follower.changedThrough = Math.max(0, ...[...follower.changes.values()].map(offset => offset + 1));
     follower.recentChanges = follower.recentChanges.filter(({ through }) => through <= next);
     follower.removalsKnownFrom = Math.min(follower.removalsKnownFrom, next);
--- a/packages/gateway/src/peerConfigurations.ts
+++ b/packages/gateway/src/peerConfigurations.ts
@@ -40,14 +40,14 @@
     return hasChanged;
 }
 
-/** Whether a peer has an older configuration, and knows the log beyond the record of the newer one. */
-function lacksConfiguration(
-    { configuration, configurationItem }: GatewayState,
-    { through }: Peer,
-    version: number,
-): boolean {
-    return configuration !== undefined && configurationItem !== undefined && version < configuration.version
-        && through.configuration !== undefined && through.configuration > configurationItem.offset;
+/** Whether a peer has an older configuration, and knows the log beyond the record of the newer one or as far as this gateway. */
+function lacksConfiguration(state: GatewayState, { through }: Peer, version: number): boolean {
+    const { configuration, configurationItem, followers } = state;
+    if (configuration === undefined || configurationItem === undefined || version >= configuration.version) {
+        return false;
+    }
+    const end = Math.min(configurationItem.offset + 1, followers.configuration.next ?? Infinity);
+    return through.configuration !== undefined && through.configuration >= end;
 }
 
 /** Creates the part of a report to a peer that is about the configuration in force. */
