Take no later end of a cold time from a record that is read again

It counted the remaining time from then, took the later end for news, and for known to the others. They know the log beyond that record, so it was not sent to them; and the first record of the longer time looked like a heartbeat.

A record with the heartbeat and the remaining time of the known one keeps the known end. Why it works: the remaining time counts from when the record was written, and reading it again shows no later time of writing.

--- a/packages/gateway/src/backendServers.ts
+++ b/packages/gateway/src/backendServers.ts
@@ -101,7 +101,7 @@
     const isRestart = known !== undefined && known.record.startedAt !== record.startedAt;
     const isSameIncarnation = known !== undefined && !isRestart;
     const isLeaving = record.isDraining || hasGivenNotice;
-    const warmUpEndsAt = now + record.remainingWarmUp;
+    const warmUpEndsAt = warmUpEnd(known, record, now);
     const change = classifyChange(known, record, { isLeaving, isRestart }, now);
     view.set(record.id, {
         record,
@@ -150,6 +150,14 @@
         : { leavingSince: undefined, leavingNotBefore: undefined };
 }
 
+/** When a cold server is warm by its record. A record that is read again, as in a snapshot, tells no later end. */
+function warmUpEnd(known: BackendServer | undefined, record: BackendRecord, now: Milliseconds): Milliseconds {
+    const { startedAt, heartbeat, remainingWarmUp } = record;
+    const isReadAgain = known !== undefined && known.record.startedAt === startedAt
+        && known.record.heartbeat === heartbeat && known.record.remainingWarmUp === remainingWarmUp;
+    return isReadAgain ? Math.min(known.warmUpEndsAt, now + remainingWarmUp) : now + remainingWarmUp;
+}
+
 function publishedWarmUpEnd(
     known: BackendServer | undefined,
     change: BackendChange,
@@ -170,7 +178,7 @@
 /** Whether a record says more than a heartbeat: the server is cold for longer, or its registration has changed. */
 function isUpdate(record: BackendRecord, known: BackendServer, now: Milliseconds): boolean {
     const { service, address, failureDomain, softwareVersion, slots } = known.record;
-    const warmUpEndsAt = now + record.remainingWarmUp;
+    const warmUpEndsAt = warmUpEnd(known, record, now);
     const isColdForLonger = record.remainingWarmUp > 0
         && warmUpEndsAt > Math.max(now, known.publishedWarmUpEndsAt + warmUpTolerance);
     return isColdForLonger || record.service !== service || record.address !== address || record.slots !== slots
--- a/packages/gateway/test/coldServers.test.ts
+++ b/packages/gateway/test/coldServers.test.ts
@@ -261,4 +261,15 @@
     assert.equal(reportedBy({ ...warm, heartbeat: 7, remainingWarmUp: 6_000 }), ["plain-2"]);
 });
 
+test("a record of a cold server that is read again tells no later end, and a longer cold time is reported after it", () => {
+    const gateway = gatewayServing(warm);
+    const reportedBy = readerWithPeer(gateway);
+    const cold = { ...warm, heartbeat: 2, remainingWarmUp: 6_000 };
+    assert.equal(reportedBy(cold), ["plain-2"]);
+    gateway.now += 2_500;
+    assert.equal(reportedBy(cold), []);
+    gateway.now += 100;
+    assert.equal(reportedBy({ ...cold, heartbeat: 3, remainingWarmUp: 6_010 }), ["plain-2"]);
+});
+
 test.run();
