Fuzz: lose a configuration that gateways have read while the store refuses reads

Losses and outages were drawn apart, and seldom met.

The action failOver does both: gateways read a configuration, the store loses it, refuses all reads, and acknowledges another one meanwhile.

--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -97,6 +97,11 @@
     | { readonly kind: "compact"; }
     /** The store loses the newest records of the operator's topic that nobody acknowledged. */
     | { readonly kind: "loseUnacknowledged"; }
+    /**
+     * Gateways read a configuration that nobody acknowledged. The store loses it, refuses all reads for the duration, and
+     * acknowledges another one meanwhile.
+     */
+    | { readonly kind: "failOver"; readonly duration: number; }
     | { readonly kind: "turnAway"; readonly gateway: number; readonly duration: number; }
     | { readonly kind: "cutStore"; readonly gateway: number; readonly duration: number; }
     | { readonly kind: "silenceStore"; readonly gateway: number; }
@@ -475,6 +480,7 @@
         weight: 5,
     },
     { arbitrary: arbitraryAction("loseUnacknowledged", {}), weight: 5 },
+    { arbitrary: arbitraryAction("failOver", { duration: fc.integer({ min: 700, max: 3_000 }) }), weight: 2 },
     { arbitrary: arbitraryAction("probe", { gateway: slot, back: fc.nat(1) }), weight: 14 },
     { arbitrary: plainRequest, weight: 3 },
     {
@@ -603,6 +609,7 @@
     "storeSlow",
     "compact",
     "loseUnacknowledged",
+    "failOver",
     "turnAway",
     "cutStore",
     "silenceStore",
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -81,6 +81,8 @@
 /** How long after a crash a server of another service starts at the crashed server's address. */
 const addressReuseDelay: Milliseconds = 2_000;
 const restartDelay: Milliseconds = 500;
+/** How long after a configuration was stored all gateways have read it, or got it from others. */
+const readingTime: Milliseconds = 150;
 /** The domain that an operator evacuates although no server is in it. */
 const unknownDomain = "nowhere";
 /** How long after the withdrawal of an evacuation requests still arrive. */
@@ -678,6 +680,8 @@
             case "loseUnacknowledged":
                 store.model.loseUnacknowledged(operatorTopic);
                 return;
+            case "failOver":
+                return this.failOver(action.duration);
             case "turnAway": {
                 const gateway = this.gatewayOf(action.gateway);
                 const { name } = gateway;
@@ -703,6 +707,18 @@
         }
     }
 
+    private failOver(duration: Milliseconds): void {
+        const { store, clock } = this.platform;
+        this.configureUnanswered(0);
+        clock.schedule(readingTime, () => {
+            this.recordStoreFault(duration);
+            store.behaviour = "busy";
+            store.model.loseUnacknowledged(operatorTopic);
+            clock.schedule(duration / 2, () => this.configure());
+            this.endAfter(duration, () => store.behaviour = "up");
+        });
+    }
+
     private performServer(action: ServerAction): void {
         const servers = this.platform.fleet.liveServers();
         if (servers.length === 0) {
