Let servers of the soak send sealed answers with an invalid status line

The fault flood answered every call with bytes without end. Every second call is now answered with a whole sealed answer with status 000 or 600, or of HTTP/2.0, which must not reach callers.

--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -233,7 +233,7 @@
     faults.endAfter(duration, () => backendServers.forEach(({ standIn }) => standIn.setBehaviour("well")));
 }
 
-/** A server answers with bytes without end that are no answer. */
+/** A server answers with bytes that are no answer, some of them without end. */
 function floodCalls(faults: SoakFaults, duration: number): void {
     const { standIn } = faults.chooseServer();
     faults.world.oracle.faultRecord.recordProcessFault("workers", duration);
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -30,7 +30,10 @@
     readonly setBehaviour: (behaviour: ServerBehaviour) => void;
     /** Declares a limit of requests a second in its answers, or none any more. */
     readonly setRequestLimit: (perSecond: number | undefined) => void;
-    /** Answers calls with bytes without end that are no answer, or in the usual way again. */
+    /**
+     * Answers calls with bytes that are no answer, or in the usual way again. In turn they have no end, and are a sealed
+     * answer but for the status line.
+     */
     readonly setFlooding: (isFlooding: boolean) => void;
     /** Asks in its refusals for a pause of so many milliseconds, or for none any more. */
     readonly setPause: (pause: number | undefined) => void;
@@ -123,11 +126,11 @@
         },
     });
     const start = async (plan: ServerPlan, listenOptions: ListenOptions = {}): Promise<BackendServerStandIn> => {
-        const started = { address: "", isFlooding: false };
+        const started = { address: "", isFlooding: false, invalidCount: 0 };
         const listener = await startStandIn(listenOptions.port ?? 0, async (request, response, url) => {
             const current = fleet.findByAddress(started.address);
             if (started.isFlooding) {
-                flood(response);
+                answerInvalidly(request, response, started.invalidCount++);
             }
             else if (current !== undefined) {
                 await serve(current, fleet, request, response, url, observer);
@@ -272,6 +275,19 @@
     write();
 }
 
+const invalidStatusLines = ["HTTP/1.1 000 Zero", "HTTP/1.1 600 Other", "HTTP/2.0 200 OK"];
+
+/** Sends bytes that are no answer, of each form in turn. */
+function answerInvalidly(request: IncomingMessage, response: ServerResponse, turn: number): void {
+    if (turn % 2 === 0) {
+        return flood(response);
+    }
+    const line = invalidStatusLines[Math.floor(turn / 2) % invalidStatusLines.length];
+    const attemptId = String(request.headers["attempt-id"]);
+    // Node.js writes no such status lines itself.
+    response.socket?.end(`${line}\r\nAttempt-Id: ${attemptId}\r\nResponse-Seal: seal\r\ncontent-length: 2\r\n\r\nhi`);
+}
+
 /** The headers in which a server tells about itself, whatever the request. */
 function declarationHeaders({ requestLimit, isLeaving }: ServerModel): Readonly<Record<string, string>> {
     return {
