--- a/packages/gateway/test/linkedGateways.ts
+++ b/packages/gateway/test/linkedGateways.ts
@@ -104,6 +104,8 @@
     readonly turnedAway = new Set<TestGateway>();
     /** Pairs of gateways whose reports to each other are lost. */
     readonly cutLinks: (readonly [TestGateway, TestGateway])[] = [];
+    /** Whether the log refuses all reads of snapshots. */
+    refusesSnapshots = false;
     /** How long a report is under way that is sent now; reports on a link keep their order. */
     reportDelay: (sender: TestGateway, receiver: TestGateway) => number = () => 0;
     /** Which of several links a report takes that is sent now; reports on different links may overtake each other. */
@@ -285,7 +287,7 @@
 
     private failureOf({ gateway, topic, from, dueAt }: PendingRead): ReadFailure | undefined {
         const log = this.logs[topic];
-        if (this.turnedAway.has(gateway)) {
+        if (this.turnedAway.has(gateway) || (this.refusesSnapshots && from === undefined)) {
             return "refused";
         }
         if (from !== undefined && log.hasDeleted(from)) {
