Name tests after what they check, and share what they had twice

Two soak plans share what their callers send.

No check is relaxed, and no code of the product changes.

--- a/packages/gateway/test/viewsReview.test.ts
+++ b/packages/gateway/test/viewsAfterLosses.test.ts
@@ -1,4 +1,4 @@
-/** Faults that a review of the fix of views that differ has found. */
+/** What gateways have after the log has lost records that they had read, or while it refuses snapshots, and what that costs in reads and reports. */
 import { type DecodedItem, indexRoutes, type TopicName } from "@verbenaspring/gateway";
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
--- a/packages/soak/src/soakPlans.ts
+++ b/packages/soak/src/soakPlans.ts
@@ -118,6 +118,14 @@
     drawSize: drawShortSize,
 };
 
+/** Ordinary requests, and probes of the version of the configuration. */
+const probingCallers: CallerHabits = {
+    kinds: ["confirm", "lookup", "plan", "note"],
+    leavingShare: 0,
+    probeShare: 0.4,
+    ...shortRequests,
+};
+
 /** The plans by name. */
 export const soakPlans = {
     /** All faults, and planned operations among them. */
@@ -179,12 +187,7 @@
             { kinds: growingDelayKinds, minPause: 2_000, maxPause: 6_000, source: 16 },
             { kinds: configurationKinds, minPause: 400, maxPause: 1_400, source: 17 },
         ],
-        callers: {
-            kinds: ["confirm", "lookup", "plan", "note"],
-            leavingShare: 0,
-            probeShare: 0.4,
-            ...shortRequests,
-        },
+        callers: probingCallers,
         engines: 3,
         engineProfile: defaultEngines,
         isPlanned: false,
@@ -196,12 +199,7 @@
             { kinds: unacknowledgedKinds, minPause: 3_000, maxPause: 5_000, source: 20 },
             { kinds: readInterruptionKinds, minPause: 3_000, maxPause: 8_000, source: 21 },
         ],
-        callers: {
-            kinds: ["confirm", "lookup", "plan", "note"],
-            leavingShare: 0,
-            probeShare: 0.4,
-            ...shortRequests,
-        },
+        callers: probingCallers,
         engines: 3,
         engineProfile: defaultEngines,
         isPlanned: false,
