--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -188,6 +188,7 @@
     const hasChanged = apply(transaction, topic, { items: event.items, next, source });
     follower.lastFailure = undefined;
     if (event.isSnapshot) {
+        logSnapshot(transaction, event);
         follower.isSnapshotOwed = false;
         follower.snapshotAt = follower.readStartedAt;
         follower.difference = undefined;
@@ -203,6 +204,21 @@
     startDueRead(transaction, topic);
 }
 
+/** Logs whether the records of a snapshot reach as far as the offset from which reads go on. */
+function logSnapshot(transaction: Transaction, { topic, items, next, isAtEnd }: TopicRead): void {
+    const { state, now } = transaction;
+    const { knownAtSnapshotStart, readStartedAt } = state.followers[topic];
+    logDecision(transaction, "info", "topic_snapshot_read", {
+        topic,
+        records: items.length,
+        newestOffset: items.length === 0 ? undefined : Math.max(...items.map(({ item }) => item.offset)),
+        next,
+        isAtEnd,
+        known: knownAtSnapshotStart,
+        took: Math.round(now - readStartedAt),
+    });
+}
+
 function knownReadCount({ readCounts }: TopicFollower, reader: GatewayIncarnation): number {
     return readCounts.get(reader) ?? 0;
 }
