--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -121,7 +121,8 @@
         follower.readWait = 0;
         follower.knownAtSnapshotStart = follower.knownThrough ?? 0;
         follower.newestHistoryAtSnapshotStart = follower.newestHistory;
-        effects.push({ kind: "readSnapshot", topic });
+        const known = follower.isSnapshotOwed ? undefined : follower.next;
+        effects.push({ kind: "readSnapshot", topic, known });
         return;
     }
     follower.readWait = isRequired ? 0 : longestWait(follower, readPlans[topic].wait, now);
