Serve take-ups without an earlier attempt again after the lifetime of the last recorded stream

Cause: the services that have records of streams at another version were kept in a set that only grew.

Change: the time of the last record read, compared with the lifetime of a stream. A stream with a record can't be taken up after that.

--- a/packages/gateway/src/streamRegister.ts
+++ b/packages/gateway/src/streamRegister.ts
@@ -67,8 +67,8 @@
     readonly origins: Map<CallerAttemptId, KnownOrigin>;
     /** When servers of each version were last registered. */
     readonly versionsSeenAt: Map<ServiceName, Map<SoftwareVersion | undefined, Milliseconds>>;
-    /** The services that have records. */
-    readonly recordedServices: Set<ServiceName>;
+    /** When a record of each service was last read; its streams may be taken up for their lifetime. */
+    readonly recordsReadAt: Map<ServiceName, Milliseconds>;
     isReading: boolean;
     isWritingBase: boolean;
     nextReadAt: Milliseconds;
@@ -101,7 +101,7 @@
         next: 0,
         origins: new Map(),
         versionsSeenAt: new Map(),
-        recordedServices: new Set(),
+        recordsReadAt: new Map(),
         isReading: false,
         isWritingBase: false,
         nextReadAt: -Infinity,
@@ -240,10 +240,10 @@
     streamRegister.next = page.next;
     for (const { attempts, service, softwareVersion } of page.records) {
         attempts.forEach(id => rememberOrigin(transaction, id, service, { softwareVersion }));
-        streamRegister.recordedServices.add(service);
+        streamRegister.recordsReadAt.set(service, transaction.now);
     }
     endRead(transaction, request => {
-        const known = registeredOrigin(streamRegister, request, transaction.now);
+        const known = registeredOrigin(transaction, request);
         if (known === undefined) {
             return failRequest(
                 transaction,
@@ -258,17 +258,18 @@
 
 /**
  * Where the stream began that a request takes up, by the register as it was read after the request arrived. A caller that
- * does not name the attempt can only be served while no stream of the service has begun at another version.
+ * does not name the attempt can only be served while no stream that may be taken up has begun at another version.
  */
 function registeredOrigin(
-    { origins, baseVersions, recordedServices }: StreamRegister,
+    { state: { streamRegister, configuration }, now }: Transaction,
     { head: { resumedAttemptId }, service }: GatewayRequest,
-    now: Milliseconds,
 ): KnownOrigin | undefined {
+    const { origins, baseVersions, recordsReadAt } = streamRegister;
     const base = baseVersions?.get(service);
     const unrecorded = base === undefined ? undefined : { service, origin: base, knownAt: now };
     if (resumedAttemptId === undefined) {
-        return recordedServices.has(service) ? undefined : unrecorded;
+        const recordsAge = now - (recordsReadAt.get(service) ?? -Infinity);
+        return recordsAge <= streamLifetime(configuration, service) ? undefined : unrecorded;
     }
     return origins.get(resumedAttemptId) ?? unrecorded;
 }
--- a/packages/gateway/test/streamRegister.test.ts
+++ b/packages/gateway/test/streamRegister.test.ts
@@ -287,6 +287,21 @@
     assert.equal([callsIn(effects).length, failuresIn(effects)[0].outcome], [0, "not_run"]);
 });
 
+// It was refused for as long as the process lived.
+test("a take-up that does not name the first attempt is served again a stream's lifetime after the last other version", () => {
+    const gateway = gatewayWithBase(engine(1, "v1"));
+    const isServed = (id: string): boolean => {
+        gateway.receiveRequest(id, "note", { lastEvent: 3 });
+        return callsIn(read(gateway)).length === 1;
+    };
+    read(gateway, { id: "r", softwareVersion: "v2" });
+    gateway.advance(13_000);
+    assert.not(isServed("t1"), "while its stream may be taken up");
+    gateway.advance(2_000);
+    gateway.register({ ...engine(1, "v1"), heartbeat: gateway.now });
+    assert.ok(isServed("t2"));
+});
+
 test("the base version is replaced once none of its servers was registered for the lifetime of a stream", () => {
     const gateway = gatewayWithBase(engine(1, "v1"), engine(2, "v2"));
     const written = (duration: number): StreamRegisterCall[] => {
