--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -72,12 +72,7 @@
     | { readonly kind: "sendReport"; readonly address: PeerAddress; readonly report: PeerReport; }
     | { readonly kind: "closePeerLink"; readonly address: PeerAddress; }
     | { readonly kind: "readTopic"; readonly topic: TopicName; readonly from: LogOffset; readonly wait: Milliseconds; }
-    | {
-        readonly kind: "readSnapshot";
-        readonly topic: TopicName;
-        /** An offset that the log is known to reach; undefined if it may have lost its last records. */
-        readonly known: LogOffset | undefined;
-    }
+    | { readonly kind: "readSnapshot"; readonly topic: TopicName; }
     | { readonly kind: "callStreamRegister"; readonly call: StreamRegisterCall; }
     | { readonly kind: "applyLimits"; readonly limits: CallerLimits; }
     | { readonly kind: "startDraining"; }
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -121,8 +121,7 @@
         follower.readWait = 0;
         follower.knownAtSnapshotStart = follower.knownThrough ?? 0;
         follower.newestHistoryAtSnapshotStart = follower.newestHistory;
-        const known = follower.isSnapshotOwed ? undefined : follower.next;
-        effects.push({ kind: "readSnapshot", topic, known });
+        effects.push({ kind: "readSnapshot", topic });
         return;
     }
     follower.readWait = isRequired ? 0 : longestWait(follower, readPlans[topic].wait, now);
@@ -146,7 +145,7 @@
 
 /** Whether this gateway has to read the topic: it ranks first, or the newest known read is too old for its rank. */
 function isDue({ state, now }: Transaction, topic: TopicName, follower: TopicFollower): boolean {
-    if (follower.freshAsOf === undefined) {
+    if (follower.next === undefined || follower.freshAsOf === undefined) {
         return true;
     }
     const members = liveMembers(state, now);
@@ -187,6 +186,9 @@
     const source = event.isSnapshot ? "snapshot" : "read";
     const apply = event.isSnapshot ? applySnapshot : applyItems;
     const hasChanged = apply(transaction, topic, { items: event.items, next, source });
+    if (event.isSnapshot && !isAtEnd) {
+        recordUnshownRemovals(follower, next);
+    }
     follower.lastFailure = undefined;
     if (event.isSnapshot) {
         logSnapshot(transaction, event);
@@ -194,7 +196,8 @@
         follower.snapshotAt = follower.readStartedAt;
         follower.difference = undefined;
     }
-    if (isAtEnd) {
+    // A snapshot has all that was stored when it was requested.
+    if (isAtEnd || event.isSnapshot) {
         const count = knownReadCount(follower, state.incarnation) + 1;
         recordFreshness(follower, { reader: state.incarnation, count }, earliestAnswer(follower, event, now));
     }
@@ -212,7 +215,7 @@
     logDecision(transaction, "info", "topic_snapshot_read", {
         topic,
         records: items.length,
-        newestOffset: items.length === 0 ? undefined : Math.max(...items.map(({ item }) => item.offset)),
+        newestOffset: items.reduce((newest, { item }) => Math.max(newest, item.offset), -1),
         next,
         isAtEnd,
         known: knownAtSnapshotStart,
@@ -290,6 +293,14 @@
     }
 }
 
+/**
+ * Records that a snapshot lacked keys whose removals may stand at its offset or later, so that a peer that knows the log up to there
+ * does not learn them by their offsets.
+ */
+function recordUnshownRemovals(follower: TopicFollower, next: LogOffset): void {
+    follower.removalGaps = mergeOldest([...follower.removalGaps, { from: next - 1, to: next + 1 }]);
+}
+
 /** Adopts the gaps of a peer's report that has been applied: what it could not show, this gateway can't show either. */
 export function adoptRemovalGaps(follower: TopicFollower, reported: readonly OffsetRange[]): void {
     const { removalGaps } = follower;
@@ -462,10 +473,13 @@
     // The next report of a peer that differs makes a snapshot due at another time.
     follower.difference = undefined;
     recordReadEnd(state, topic);
-    if (failure === "records_deleted" || failure === "beyond_end") {
+    const isSnapshot = follower.next === undefined || follower.isReadingSnapshot;
+    if (!isSnapshot && (failure === "records_deleted" || failure === "beyond_end")) {
         logDecision(transaction, "info", "topic_history_deleted", { topic, next: follower.next, failure });
         follower.next = undefined;
-        follower.freshAsOf = undefined;
+        if (failure === "beyond_end") {
+            follower.freshAsOf = undefined;
+        }
         return startDueRead(transaction, topic);
     }
     const age = follower.freshAsOf === undefined ? undefined : Math.round(now - follower.freshAsOf);
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -35,8 +35,11 @@
 export interface TopicReader {
     /** Reads records from an offset on; if there is none yet, waits up to `wait` milliseconds for the first. */
     readonly read: (topic: TopicName, from: LogOffset, wait: Milliseconds) => Promise<TopicPage>;
-    /** Reads the newest record of each key, with all that was stored before the page's `next`; `known` is an offset that the log is known to reach. */
-    readonly readNewest: (topic: TopicName, known?: LogOffset) => Promise<TopicPage>;
+    /**
+     * Reads the newest record of each key: all that was stored before the call, and until the page's `next`. It is not at its end if more
+     * was stored meanwhile.
+     */
+    readonly readNewest: (topic: TopicName) => Promise<TopicPage>;
     /** Decodes a record; returns an empty list for a key that gateways do not use. */
     readonly decode: (topic: TopicName, item: TopicItem) => readonly TopicRecord[];
     readonly close: () => void;
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -209,7 +209,7 @@
                     this.adapter.topics.read(effect.topic, effect.from, effect.wait),
                 );
             case "readSnapshot":
-                return this.reportRead(effect.topic, true, this.adapter.topics.readNewest(effect.topic, effect.known));
+                return this.reportRead(effect.topic, true, this.adapter.topics.readNewest(effect.topic));
             case "callStreamRegister":
                 return this.callStreamRegister(effect.call);
             case "applyLimits":
