Log which run gave which events of a stream

The lines named servers and the caller's last event. Of one stream they didn't tell which run gave which events, so a report of ORDER could not be followed to a run. stream_part_ended, one line for each run that gave an event, has what the run went on from, the Last-Event-Id that it was sent with, the first and last id that the answer takes from it, what it sent in all, its attempt, the versions of software and weights, and whether only its channel ends it. For a stream that one run gave whole, with framing, the line has the level debug. Weight-Versions is decoded for it; nothing decides by it.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -28,6 +28,7 @@
 import { recordServerPause } from "./serverPauses.js";
 import { checkSilentAttempt, returnToSilentAttempt, setSilentAttemptAside } from "./silentAttempts.js";
 import { type Attempt, endsAt, type GatewayRequest } from "./state.js";
+import { logPart } from "./streamParts.js";
 import { continueFromReplica, passOnWhole } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -257,11 +258,13 @@
  * @param how `cancel` where the call is still open and has to be cancelled
  */
 export function endAttempt(
-    { state, effects }: Transaction,
+    transaction: Transaction,
     request: GatewayRequest,
     attempt: Attempt,
     how: "ended" | "cancel",
 ): void {
+    const { state, effects } = transaction;
+    logPart(transaction, request, attempt, how);
     removeLoad(state, attempt);
     state.attempts.delete(attempt.id);
     request.attempt = undefined;
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -94,6 +94,8 @@
     readonly retryAfter: Milliseconds | undefined | "unreadable";
     /** How much longer the backend server is cold; undefined if it does not say. */
     readonly coldRemaining?: Milliseconds | undefined;
+    /** The version of the weights with which the backend server began the answer; undefined if it does not say. */
+    readonly weightVersion?: number | undefined;
     /** Whether the backend server states that it leaves. */
     readonly isLeaving: boolean;
     readonly isEventStream: boolean;
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -18,6 +18,7 @@
 import { isEvacuated, isServiceEvacuated } from "./evacuations.js";
 import { countKnownInstances } from "./members.js";
 import type { RunReplica } from "./messages.js";
+import type { ContinuationSource } from "./replicas.js";
 import { isLimited, spendRequest, timeUntilWithinLimit } from "./requestLimits.js";
 import { failRequest, requestFields } from "./requests.js";
 import { holdAfterSuspension } from "./resumption.js";
@@ -44,6 +45,7 @@
     type LostRun,
     priorityOf,
 } from "./state.js";
+import { startPart } from "./streamParts.js";
 import { canContinue, type StreamOrigin } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
 import { startOrWait, waitForColdServer } from "./waiting.js";
@@ -69,6 +71,8 @@
     readonly replicaEvidence?: ReplicaEvidence;
     /** Undefined if it continues no run. */
     readonly lostRun?: LostRun;
+    /** What it is to continue from; undefined if it continues no run. */
+    readonly memory?: ContinuationSource;
 }
 
 /** Why a replica is taken to exist: its source said that it was moved, or events of the run were received. */
@@ -223,6 +227,7 @@
         firstEventAt: undefined,
         events: 0,
         lastEvent: undefined,
+        part: startPart(request, placement.memory),
         memoryTokens: expectedMemory(request),
         waitingTokens: continuesFrom === undefined ? head.promptTokens : 0,
         promptBacklog: head.promptTokens + placementView(state, server, now).waitingTokens,
--- a/packages/gateway/src/silentAttempts.ts
+++ b/packages/gateway/src/silentAttempts.ts
@@ -13,6 +13,7 @@
 import { recordNoRun } from "./runLedger.js";
 import { addLoad, removeLoad, setMigrationTarget } from "./serverLoad.js";
 import type { Attempt, GatewayRequest } from "./state.js";
+import { logPart } from "./streamParts.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 /** An attempt that was silent when its request was sent elsewhere. */
@@ -36,11 +37,13 @@
 
 /** Takes a silent attempt from its request, which is then to be sent elsewhere. */
 export function setSilentAttemptAside(
-    { state }: Transaction,
+    transaction: Transaction,
     request: GatewayRequest,
     attempt: Attempt,
     isRunning: boolean,
 ): void {
+    const { state } = transaction;
+    logPart(transaction, request, attempt, "setAside");
     setMigrationTarget(state, attempt, undefined);
     removeLoad(state, attempt);
     state.attempts.delete(attempt.id);
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -33,6 +33,7 @@
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 import type { RunLedger } from "./runLedger.js";
 import type { SilentAttempt } from "./silentAttempts.js";
+import type { StreamPart } from "./streamParts.js";
 import { createStreamRegister, type StreamRegister } from "./streamRegister.js";
 import type { StreamOrigin } from "./streamVersions.js";
 
@@ -54,6 +55,8 @@
     events: number;
     /** The id of the last of them that has one. */
     lastEvent: number | undefined;
+    /** What the answer to the request takes from this run. */
+    readonly part: StreamPart;
     /** The tokens counted as this run's memory in the loads. */
     memoryTokens: number;
     /** Tokens of the prompt before the first event; 0 afterwards. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -26,6 +26,7 @@
 import { engineOf, recordEventLoad } from "./serverLoad.js";
 import { endSilentAttempt } from "./silentAttempts.js";
 import type { Attempt, GatewayRequest, GatewayState, HeldEvents, LostRun } from "./state.js";
+import { recordPartEvent } from "./streamParts.js";
 import { holdUntilRecorded } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -81,6 +82,7 @@
         attempt.lastEvent = event.id ?? attempt.lastEvent;
         if (order === "next") {
             recordLastEvent(request, event);
+            recordPartEvent(attempt, event.id);
             newEvents.push(event);
         }
     }
@@ -360,6 +362,7 @@
         continuesFrom: { source: source.record.address, name: next.name },
         replicaEvidence: next.from === "replica" ? "events" : "moved",
         lostRun: { attempt: lost.attempt, tried: new Set([...lost.tried, next.from]) },
+        memory: next.from,
     });
     return true;
 }
