Don't take an unframed stream that ends with its time limit for complete

A server stops work when the time limit that it got is over, and closes the channel of a stream that has neither length nor chunks, as at the end of a complete one. The gateway looks at time limits at its ticks, every 50 ms, so the end of the channel could come first. The server still takes connections, so nothing told the stream from a complete one. An unframed stream that ends at its time limit, or 20 ms before it or less, now fails: begun, it is cut.

timeLimits.test.ts, "an unframed stream that ends when its time limit is over is not complete": failed before, passes; a framed stream that ends then is complete as before.

--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -25,7 +25,7 @@
 import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
 import { endSilentAttempt } from "./silentAttempts.js";
-import type { Attempt, GatewayRequest, GatewayState, HeldEvents, LostRun } from "./state.js";
+import { type Attempt, cutAt, type GatewayRequest, type GatewayState, type HeldEvents, type LostRun } from "./state.js";
 import { recordPartEvent } from "./streamParts.js";
 import { holdUntilRecorded } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -34,6 +34,8 @@
 const maximumHeldBytes = 512 * 1024;
 /** What an event takes beside its bytes. */
 const eventOverheadBytes = 256;
+/** A server may stop a run this much before its time limit is over here: limits are sent in whole milliseconds, and clocks differ. */
+const timeLimitMargin: Milliseconds = 20;
 /** The weight of the newest stream in the moving averages of streams. */
 const newestWeight = 0.1;
 
@@ -259,6 +261,12 @@
         return;
     }
     recordHealth(transaction, attempt, undefined);
+    // Without framing, a stream that its server stops at the end of its time limit ends in the same way, too.
+    if (attempt.head.endsWithChannel && transaction.now >= cutAt(request) - timeLimitMargin) {
+        endAttempt(transaction, request, attempt, "ended");
+        const message = "the stream ended with its time limit, and may not be complete";
+        return failRequest(transaction, request, "deadline_exceeded", message);
+    }
     recordStreamTimes(transaction, request, attempt);
     endAttempt(transaction, request, attempt, "ended");
     if (!request.isHeadWritten && request.held === undefined) {
--- a/packages/gateway/test/timeLimits.test.ts
+++ b/packages/gateway/test/timeLimits.test.ts
@@ -67,6 +67,31 @@
     }
 });
 
+// Its server closes the channel then, as at the end of the stream.
+test("an unframed stream that ends when its time limit is over is not complete", () => {
+    for (const isComplete of [true, false]) {
+        const gateway = TestGateway.serving(server("engine-1"));
+        const [call] = callsIn(receive(gateway, "note", {}, { receivedBefore: 0, readDelay: 0 }));
+        gateway.openStream(call, { endsWithChannel: true });
+        gateway.receiveEvents(call, 1);
+        gateway.advance(5_950);
+        gateway.now += isComplete ? 0 : 49;
+        const ended = kindsIn(gateway.handle({ kind: "streamEnded", attemptId: call.attemptId }));
+        assert.is(ended.includes("answerEnd"), isComplete);
+        assert.is(ended.includes("answerCut"), !isComplete);
+    }
+});
+
+test("a framed stream that ends when its time limit is over is complete", () => {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const [call] = callsIn(receive(gateway, "note", {}, { receivedBefore: 0, readDelay: 0 }));
+    gateway.openStream(call);
+    gateway.receiveEvents(call, 1);
+    gateway.advance(5_950);
+    gateway.now += 49;
+    assert.ok(kindsIn(gateway.handle({ kind: "streamEnded", attemptId: call.attemptId })).includes("answerEnd"));
+});
+
 test("a request without an answer gets its final answer by the earliest end of its time limit", () => {
     const gateway = TestGateway.serving(server("plain-1"), server("engine-1"));
     ["note", "confirm"].forEach(routeName => receive(gateway, routeName, { timeLimit: 2_000 }));
