--- a/packages/emulator/src/storeModel.ts
+++ b/packages/emulator/src/storeModel.ts
@@ -45,6 +45,8 @@
  * store.append("keyed.op", "config", encode({ version: 1 }));
  */
 export class StoreModel {
+    /** Decides for each record that is stored whether its topic's history is deleted before any read gets the record. */
+    deletesHistory: (topic: string) => boolean = () => false;
     private readonly topics = new Map<string, StoredTopic>();
 
     /** Appends a record, acknowledges it and all before it, and calls the topic's listeners. */
@@ -58,6 +60,9 @@
     appendUnacknowledged(topic: string, key: string, value: Uint8Array): void {
         const { records, listeners } = this.findOrCreateTopic(topic);
         records.push({ key, value });
+        if (this.deletesHistory(topic)) {
+            this.compact(topic);
+        }
         [...listeners].forEach(listener => listener());
     }
 
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -18,31 +18,42 @@
     type StreamRegisterCall,
     type TopicName,
 } from "@verbenaspring/gateway";
-import { type CallerAttemptId, identifier, type Milliseconds, type PeerAddress } from "@verbenaspring/model";
-import { decodeTopicItem } from "@verbenaspring/platform";
+import {
+    type CallerAttemptId,
+    identifier,
+    type LogOffset,
+    type Milliseconds,
+    type PeerAddress,
+} from "@verbenaspring/model";
+import { decodeTopicItem, type SnapshotCalls, snapshotCalls } from "@verbenaspring/platform";
 import type { Clock } from "./clock.js";
 import type { Fleet } from "./fleet.js";
 import type { MigrationOutcome, RunReport } from "./serverModel.js";
 import { VirtualCalls } from "./virtualCalls.js";
 import type { VirtualNetwork } from "./virtualNetwork.js";
 import { type LinkOwner, VirtualPeerLinks } from "./virtualPeerLinks.js";
-import type { StoreAnswer, StoreRead, VirtualStore } from "./virtualStore.js";
+import type { StoreAnswer, VirtualStore } from "./virtualStore.js";
 import { appendStreamRecords, readStreamRegister, writeBaseVersion } from "./virtualStreamRegister.js";
 
 /** Effects that send something to a caller. */
 export type AnswerEffect = Extract<GatewayEffect, { readonly kind: `answer${string}`; }>;
 
 /**
- * Functions that replace the reducer's events and effects, or drop them by returning undefined. The fuzzer's mutations
- * use them to disable a mechanism.
+ * Functions that replace the reducer's events and effects, or drop them by returning undefined, and the calls by which a
+ * snapshot is read. The fuzzer's mutations use them to disable a mechanism.
  */
 export interface GatewayInterceptors {
     readonly mapEvent: (event: GatewayEvent, state: GatewayState) => GatewayEvent | undefined;
     readonly mapEffect: (effect: GatewayEffect, state: GatewayState) => GatewayEffect | undefined;
+    readonly snapshotCalls: (known: LogOffset | undefined) => SnapshotCalls;
 }
 
-/** Interceptors that leave all events and effects unchanged. */
-export const passThroughInterceptors: GatewayInterceptors = { mapEvent: event => event, mapEffect: effect => effect };
+/** Interceptors that leave everything unchanged. */
+export const passThroughInterceptors: GatewayInterceptors = {
+    mapEvent: event => event,
+    mapEffect: effect => effect,
+    snapshotCalls,
+};
 
 /** What a backend server replies to a probe. */
 interface ProbeReply {
@@ -218,7 +229,7 @@
             case "readTopic":
                 return this.read(effect.topic, effect.from, effect.wait);
             case "readSnapshot":
-                return this.read(effect.topic, undefined, 0);
+                return this.readSnapshot(effect.topic, effect.known);
             case "callStreamRegister":
                 return this.callStreamRegister(effect.call);
             case "exit":
@@ -334,18 +345,24 @@
         channel.send("upstream", () => serve(value => channel.send("downstream", () => finish(value))));
     }
 
-    private read(topic: TopicName, from: number | undefined, wait: Milliseconds): void {
-        const read: StoreRead = { reader: this.name, topic, from, wait };
-        this.environment.store.read(read, answer => this.handleRead(read, answer));
+    private read(topic: TopicName, from: LogOffset, wait: Milliseconds): void {
+        const read = { reader: this.name, topic, from, wait };
+        this.environment.store.read(read, answer => this.handleRead(topic, false, answer));
+    }
+
+    private readSnapshot(topic: TopicName, known: LogOffset | undefined): void {
+        const { store, interceptors } = this.environment;
+        const read = { reader: this.name, topic, calls: interceptors.snapshotCalls(known) };
+        store.readSnapshot(read, answer => this.handleRead(topic, true, answer));
     }
 
-    private handleRead({ topic, from }: StoreRead, answer: StoreAnswer): void {
+    private handleRead(topic: TopicName, isSnapshot: boolean, answer: StoreAnswer): void {
         if (answer.kind === "failed") {
             return this.handleEvent({ kind: "topicReadFailed", topic, failure: answer.failure });
         }
         const items = answer.items.map(item => ({ item, records: decodeTopicItem(topic, item) }));
         const { next, isAtEnd } = answer;
-        this.handleEvent({ kind: "topicRead", topic, isSnapshot: from === undefined, items, next, isAtEnd });
+        this.handleEvent({ kind: "topicRead", topic, isSnapshot, items, next, isAtEnd });
     }
 
     /** Handles the close of the last link to another gateway. */
--- a/packages/emulator/src/virtualStore.ts
+++ b/packages/emulator/src/virtualStore.ts
@@ -1,34 +1,49 @@
 /**
  * The store as gateways access it in virtual time: with latency, long polling and faults.
  */
-import type { ReadFailure, TopicItem, TopicName } from "@verbenaspring/gateway";
+import type { ReadFailure, TopicName } from "@verbenaspring/gateway";
 import type { LogOffset, Milliseconds } from "@verbenaspring/model";
+import type { NewestPage, SnapshotCall, SnapshotCalls, TopicPage } from "@verbenaspring/platform";
 import type { Clock } from "./clock.js";
 import { operatorTopic, serverTopic } from "./fleet.js";
 import type { StoreModel } from "./storeModel.js";
 import type { VirtualNetwork } from "./virtualNetwork.js";
 
+/** A call that failed. */
+interface FailedCall {
+    readonly kind: "failed";
+    readonly failure: ReadFailure;
+}
+
 /** Result of a read. */
-export type StoreAnswer =
-    | {
-        readonly kind: "page";
-        readonly items: readonly TopicItem[];
-        readonly next: LogOffset;
-        /** Whether the topic ended there. */
-        readonly isAtEnd: boolean;
-    }
-    | { readonly kind: "failed"; readonly failure: ReadFailure; };
+export type StoreAnswer = { readonly kind: "page"; } & TopicPage | FailedCall;
+
+/** Result of a request for a page of the newest records. */
+type NewestAnswer = { readonly kind: "newest"; } & NewestPage | FailedCall;
 
 /** A read by a gateway process. */
 export interface StoreRead {
     readonly reader: string;
     readonly topic: TopicName;
-    /** First offset to read; undefined reads the newest record of each key. */
-    readonly from: LogOffset | undefined;
+    /** First offset to read. */
+    readonly from: LogOffset;
     /** How long the read waits for a record. */
     readonly wait: Milliseconds;
 }
 
+/** A read of the newest record of each key by a gateway process, by calls that it makes one after the other. */
+export interface SnapshotRead {
+    readonly reader: string;
+    readonly topic: TopicName;
+    readonly calls: SnapshotCalls;
+}
+
+/** Which half of a page of the newest records the store takes first, and how long before the other one. */
+export interface PageTiming {
+    readonly first: "records" | "end";
+    readonly gap: Milliseconds;
+}
+
 /** How the store treats its callers: `busy` refuses each read, `silent` never answers. */
 export type StoreBehaviour = "up" | "busy" | "silent";
 
@@ -45,6 +60,9 @@
 /** Added to a read's own waiting time to get the client's timeout. */
 const responseTimeoutMargin: Milliseconds = 800;
 const serviceTime: Milliseconds = 4;
+/** Maximum number of entries on a page of the newest records. */
+const defaultPageSize = 500;
+const timedOut: FailedCall = { kind: "failed", failure: "timeout" };
 
 /** The store, accessed over the network. */
 export class VirtualStore {
@@ -52,6 +70,8 @@
     /** Delay added to each answer. */
     slowness: Milliseconds = 0;
     beyondEndAnswer: BeyondEndAnswer = "end";
+    pageTiming: PageTiming = { first: "records", gap: 0 };
+    pageSize = defaultPageSize;
     /** Names of processes whose reads the store refuses. */
     readonly rejectedReaders = new Set<string>();
 
@@ -62,28 +82,24 @@
     ) {}
 
     read(read: StoreRead, done: (answer: StoreAnswer) => void): void {
-        let isOver = false;
-        const finish = (answer: StoreAnswer): void => {
-            if (!isOver) {
-                isOver = true;
-                channel.close();
-                done(answer);
+        this.call<StoreAnswer>(read.reader, read.wait, answer => this.serve(read, answer), done);
+    }
+
+    /** Performs the calls of a snapshot until one of them fails. */
+    readSnapshot({ reader, topic, calls }: SnapshotRead, done: (answer: StoreAnswer) => void): void {
+        const perform = (step: IteratorResult<SnapshotCall, TopicPage>): void => {
+            if (step.done === true) {
+                return done({ kind: "page", ...step.value });
             }
+            const goOn = (answer: StoreAnswer | NewestAnswer): void =>
+                answer.kind === "failed" ? done(answer) : perform(calls.next(answer));
+            const call = step.value;
+            if (call.kind === "records") {
+                return this.read({ reader, topic, from: call.from, wait: 0 }, goOn);
+            }
+            this.call<NewestAnswer>(reader, 0, answer => this.serveNewest(reader, topic, call.after, answer), goOn);
         };
-        const channel = this.network.open(read.reader, storeName);
-        this.clock.schedule(read.wait + responseTimeoutMargin, () => finish({ kind: "failed", failure: "timeout" }));
-        channel.send(
-            "upstream",
-            () =>
-                this.serve(
-                    read,
-                    answer =>
-                        this.clock.schedule(
-                            serviceTime + this.slowness,
-                            () => channel.send("downstream", () => finish(answer)),
-                        ),
-                ),
-        );
+        perform(calls.next());
     }
 
     /**
@@ -110,8 +126,7 @@
             if (this.behaviour === "silent") {
                 return;
             }
-            const isRefused = this.behaviour === "busy" || this.rejectedReaders.has(caller);
-            const result = isRefused ? undefined : operation(this.model);
+            const result = this.isRefused(caller) ? undefined : operation(this.model);
             this.clock.schedule(
                 serviceTime + this.slowness,
                 () => channel.send("downstream", () => finish(result)),
@@ -119,18 +134,43 @@
         });
     }
 
+    /** Sends a call and returns its answer, or a failure if there is none in time. */
+    private call<Answer>(
+        caller: string,
+        wait: Milliseconds,
+        serve: (answer: (answer: Answer | FailedCall) => void) => void,
+        done: (answer: Answer | FailedCall) => void,
+    ): void {
+        let isOver = false;
+        const finish = (answer: Answer | FailedCall): void => {
+            if (!isOver) {
+                isOver = true;
+                channel.close();
+                done(answer);
+            }
+        };
+        const channel = this.network.open(caller, storeName);
+        this.clock.schedule(wait + responseTimeoutMargin, () => finish(timedOut));
+        channel.send(
+            "upstream",
+            () =>
+                serve(answer =>
+                    this.clock.schedule(
+                        serviceTime + this.slowness,
+                        () => channel.send("downstream", () => finish(answer)),
+                    )
+                ),
+        );
+    }
+
     private serve(read: StoreRead, answer: (answer: StoreAnswer) => void): void {
         if (this.behaviour === "silent") {
             return;
         }
-        if (this.behaviour === "busy" || this.rejectedReaders.has(read.reader)) {
+        if (this.isRefused(read.reader)) {
             return answer({ kind: "failed", failure: "refused" });
         }
         const topic = topicNames[read.topic];
-        if (read.from === undefined) {
-            const items = this.model.newestRecords(topic);
-            return answer({ kind: "page", items, next: this.model.endOffset(topic), isAtEnd: true });
-        }
         const end = this.model.endOffset(topic);
         const isGone = read.from > end && this.beyondEndAnswer === "gone";
         if (end > read.from || read.wait === 0 || isGone) {
@@ -139,6 +179,46 @@
         this.waitForRecord(topic, read.from, read.wait, answer);
     }
 
+    private serveNewest(
+        reader: string,
+        topicName: TopicName,
+        after: string | undefined,
+        answer: (answer: NewestAnswer) => void,
+    ): void {
+        if (this.behaviour === "silent") {
+            return;
+        }
+        if (this.isRefused(reader)) {
+            return answer({ kind: "failed", failure: "refused" });
+        }
+        const topic = topicNames[topicName];
+        const takeRecords = () => this.takeNewest(topic, after);
+        const takeEnd = () => this.model.endOffset(topic);
+        const { first, gap } = this.pageTiming;
+        if (gap === 0) {
+            return answer({ kind: "newest", ...takeRecords(), end: takeEnd() });
+        }
+        if (first === "records") {
+            const records = takeRecords();
+            this.clock.schedule(gap, () => answer({ kind: "newest", ...records, end: takeEnd() }));
+        }
+        else {
+            const end = takeEnd();
+            this.clock.schedule(gap, () => answer({ kind: "newest", ...takeRecords(), end }));
+        }
+    }
+
+    private takeNewest(topic: string, after: string | undefined): Pick<NewestPage, "items" | "hasMore"> {
+        const remaining = this.model.newestRecords(topic)
+            .filter(({ key }) => after === undefined || key > after)
+            .sort((one, other) => one.key < other.key ? -1 : 1);
+        return { items: remaining.slice(0, this.pageSize), hasMore: remaining.length > this.pageSize };
+    }
+
+    private isRefused(caller: string): boolean {
+        return this.behaviour === "busy" || this.rejectedReaders.has(caller);
+    }
+
     private waitForRecord(
         topic: string,
         from: LogOffset,
--- a/packages/emulator/test/storeModel.test.ts
+++ b/packages/emulator/test/storeModel.test.ts
@@ -1,15 +1,17 @@
 /**
- * Tests of the model of the store: records that nobody acknowledged, and reads from beyond the end.
+ * Tests of the model of the store: records that nobody acknowledged, reads from beyond the end, and snapshots.
  */
 import {
     type BeyondEndAnswer,
     operatorTopic,
+    type PageTiming,
     type StoreAnswer,
     StoreModel,
     VirtualClock,
     VirtualNetwork,
     VirtualStore,
 } from "@verbenaspring/emulator";
+import { snapshotCalls } from "@verbenaspring/platform";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 
@@ -81,4 +83,46 @@
     assert.equal(answers, [{ kind: "page", items: [], next: 1, isAtEnd: true }]);
 });
 
+test("a read that waits gets 410 where its record is deleted with the history", () => {
+    const { clock, store, answers, read } = createStore("end");
+    store.model.deletesHistory = () => true;
+    read(0, 300);
+    clock.advanceTo(100);
+    store.model.append(operatorTopic, "config", bytes("1"));
+    clock.advanceTo(150);
+    assert.equal(answers, [{ kind: "failed", failure: "records_deleted" }]);
+});
+
+/** Reads a snapshot of two records, of which the first is replaced meanwhile. Returns what it has. */
+function readSnapshotBesideAppend(first: PageTiming["first"], known: number | undefined, appendedAt: number) {
+    const { clock, store } = createStore("end");
+    store.pageTiming = { first, gap: 100 };
+    store.pageSize = 1;
+    ["a", "b"].forEach(key => store.model.append(operatorTopic, key, bytes("1")));
+    const snapshots: (readonly string[])[] = [];
+    store.readSnapshot({ reader: "a", topic: "configuration", calls: snapshotCalls(known) }, answer => {
+        assert.ok(answer.kind === "page");
+        const newest = answer.items.map(({ key, value }) => `${key}=${String(value)}`).sort();
+        snapshots.push([...newest, `next=${answer.next}`]);
+    });
+    clock.advanceTo(appendedAt);
+    store.model.append(operatorTopic, "a", bytes("2"));
+    clock.advanceTo(5_000);
+    return snapshots;
+}
+
+test("a snapshot lacks no record before its end where records and end of a page are of different moments", () => {
+    for (const first of ["records", "end"] as const) {
+        for (const known of [undefined, 0, 2]) {
+            for (let appendedAt = 10; appendedAt < 600; appendedAt += 20) {
+                const [snapshot] = readSnapshotBesideAppend(first, known, appendedAt);
+                const expected = snapshot.includes("next=3")
+                    ? ["a=2", "b=1", "next=3"]
+                    : ["a=1", "b=1", "next=2"];
+                assert.equal(snapshot, expected, `${first} first, known ${known}, appended at ${appendedAt}`);
+            }
+        }
+    }
+});
+
 test.run();
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -244,6 +244,7 @@
         isLeaving: hidden.has(head.callerAttemptId),
     });
     return {
+        ...passThroughInterceptors,
         mapEvent: event => {
             switch (event.kind) {
                 case "attemptAnswered":
@@ -346,7 +347,7 @@
         name: "servers are asked once to stop a run",
         promises: ["one_run_at_a_time"],
         implementation: {
-            mapEvent: event => event,
+            ...passThroughInterceptors,
             mapEffect: (effect, { abandonedRuns }) => {
                 const isRepeated = effect.kind === "migrateRun"
                     && (abandonedRuns.get(effect.attemptId)?.schedule.asks ?? 0) > 1;
@@ -368,6 +369,7 @@
 function createEchoOfNewestReport(): GatewayInterceptors {
     const newestReports = new WeakMap<GatewayState, Milliseconds>();
     return {
+        ...passThroughInterceptors,
         mapEffect: (effect, state) => {
             if (effect.kind === "sendReport" && effect.report.sentAt !== undefined) {
                 newestReports.set(state, effect.report.sentAt);
--- a/packages/fuzz/test/overlay.test.ts
+++ b/packages/fuzz/test/overlay.test.ts
@@ -3,7 +3,7 @@
  * overlay recovers.
  */
 import { defaultOverlayShape, seededSource } from "@verbenaspring/coordination";
-import { type VirtualGateway, VirtualPlatform } from "@verbenaspring/emulator";
+import { passThroughInterceptors, type VirtualGateway, VirtualPlatform } from "@verbenaspring/emulator";
 import { buildConfiguration, serverPlan } from "@verbenaspring/fuzz";
 import { countLiveInstances, memberLoad, type RequestHead } from "@verbenaspring/gateway";
 import { identifier } from "@verbenaspring/model";
@@ -42,7 +42,7 @@
             retries: { ratio: 0.2, slack: 50, window: 10_000 },
             stopLimit: 8_000,
             interceptors: {
-                mapEvent: event => event,
+                ...passThroughInterceptors,
                 mapEffect: effect => {
                     this.reports += effect.kind === "sendReport" ? 1 : 0;
                     return effect;
