--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -23,6 +23,7 @@
     releaseSchedules,
     rollingStopSchedules,
     runPlatformSchedule,
+    snapshotSchedules,
     stopSchedules,
     unacknowledgedSchedules,
 } from "./platform/index.js";
@@ -84,6 +85,12 @@
     schedules: unacknowledgedSchedules,
 };
 
+/** Gateways on the users' platform, whose store takes the records and the end of a page at different times. */
+export const snapshotPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: snapshotSchedules,
+};
+
 /** Gateways on the users' platform, with parts of prompts that crash engines. */
 export const deadlyWorkPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,5 +1,5 @@
 /**
- * The command `npm run fuzz -- --system platform|overlay|changes|cold|configurations|deadly|delays|detached-runs|evacuations|limits|lost-answers|notices|pauses|releases|rolling-stops|stops|unacknowledged|linked --seed S --runs N --steps K`. It
+ * The command `npm run fuzz -- --system platform|overlay|changes|cold|configurations|deadly|delays|detached-runs|evacuations|limits|lost-answers|notices|pauses|releases|rolling-stops|snapshots|stops|unacknowledged|linked --seed S --runs N --steps K`. It
  * runs randomised schedules and checks them with the oracle.
  */
 import yargs from "yargs";
@@ -22,6 +22,7 @@
     platformSystem,
     releasePlatformSystem,
     rollingStopPlatformSystem,
+    snapshotPlatformSystem,
     stopPlatformSystem,
     unacknowledgedPlatformSystem,
 } from "./fuzz.js";
@@ -50,12 +51,13 @@
                 "pauses",
                 "releases",
                 "rolling-stops",
+                "snapshots",
                 "stops",
                 "unacknowledged",
             ] as const,
             default: "platform",
             describe:
-                "gateways on the platform, the same with many configurations, with changes that some gateways learn only from others, with links that fall behind, with a store that loses what nobody acknowledged, with parts of prompts that crash engines, with evacuations of failure domains, or with servers that are cold, declare limits, lose answers, break connections and work on, give notice in answers, ask for pauses or run several software versions, or "
+                "gateways on the platform, the same with many configurations, with changes that some gateways learn only from others, with links that fall behind, with a store that loses what nobody acknowledged, with one whose pages are of several moments, with parts of prompts that crash engines, with evacuations of failure domains, or with servers that are cold, declare limits, lose answers, break connections and work on, give notice in answers, ask for pauses or run several software versions, or "
                 + "entries and sidecars",
         },
         seed: { type: "number", default: 1, describe: "seed of the schedules" },
@@ -89,6 +91,7 @@
     pauses: pausePlatformSystem,
     releases: releasePlatformSystem,
     "rolling-stops": rollingStopPlatformSystem,
+    snapshots: snapshotPlatformSystem,
     stops: stopPlatformSystem,
     unacknowledged: unacknowledgedPlatformSystem,
 };
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -21,6 +21,7 @@
     platformSystem,
     releasePlatformSystem,
     rollingStopPlatformSystem,
+    snapshotPlatformSystem,
     unacknowledgedPlatformSystem,
 } from "./fuzz.js";
 import { type Mutation, mutations } from "./mutations.js";
@@ -40,6 +41,7 @@
     platformMutations,
     releaseMutations,
     rollingStopMutations,
+    snapshotMutations,
     unacknowledgedMutations,
 } from "./platform/index.js";
 
@@ -95,6 +97,7 @@
     ...createSearches(pausePlatformSystem, pauseMutations),
     ...createSearches(releasePlatformSystem, releaseMutations),
     ...createSearches(rollingStopPlatformSystem, rollingStopMutations),
+    ...createSearches(snapshotPlatformSystem, snapshotMutations),
     ...createSearches(unacknowledgedPlatformSystem, unacknowledgedMutations),
 ];
 
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -6,6 +6,7 @@
     type BeyondEndAnswer,
     failureDomains,
     type GrowingDelay,
+    type PageTiming,
     type ServerBehaviour,
     type StoreBehaviour,
 } from "@verbenaspring/emulator";
@@ -41,6 +42,8 @@
     /** A caller whose stream broke off takes it up at a gateway. */
     | { readonly kind: "takeUp"; readonly caller: number; readonly gateway: number; }
     | { readonly kind: "configure"; }
+    /** Writes versions of the configuration one after the other, with so much time between them. */
+    | { readonly kind: "configureInTurn"; readonly versions: number; readonly interval: number; }
     /** Sends a configuration to the store, which executes the call after a delay and doesn't answer it. */
     | { readonly kind: "configureUnanswered"; readonly delay: number; }
     /** Writes the configuration before the newest one again. */
@@ -178,6 +181,10 @@
     readonly areEnginesSlow?: boolean;
     /** How the store answers reads from beyond the end of a topic; with the end if absent. */
     readonly beyondEndAnswer?: BeyondEndAnswer;
+    /** When the store takes the records and the end of a page of the newest records; at one time if absent. */
+    readonly pageTiming?: PageTiming;
+    /** The share of the records with which the store deletes the history before any read gets them; 0 if absent. */
+    readonly deletedHistoryShare?: number;
     readonly steps: readonly PlatformStep[];
 }
 
@@ -507,6 +514,52 @@
         .map(([schedule, beyondEndAnswer]) => ({ ...schedule, beyondEndAnswer }));
 }
 
+const snapshotActions = fc.oneof(
+    { arbitrary: arbitraryAction("configure", {}), weight: 1 },
+    {
+        arbitrary: arbitraryAction("configureInTurn", {
+            versions: fc.integer({ min: 2, max: 4 }),
+            interval: fc.integer({ min: 50, max: 1_000 }),
+        }),
+        weight: 2,
+    },
+    { arbitrary: arbitraryAction("probe", { gateway: slot, back: fc.nat(1) }), weight: 20 },
+    { arbitrary: plainRequest, weight: 2 },
+    { arbitrary: replaceServer, weight: 1 },
+    {
+        arbitrary: arbitraryAction("withdrawServer", { server: slot, after: fc.integer({ min: 3_300, max: 9_000 }) }),
+        weight: 1,
+    },
+    {
+        arbitrary: arbitraryAction("killGateway", {
+            gateway: slot,
+            how: fc.constantFrom("reset", "power"),
+            away: shortTime,
+        }),
+        weight: 2,
+    },
+    { arbitrary: arbitraryAction("stopGateway", { gateway: slot }), weight: 1 },
+    { arbitrary: arbitraryAction("compact", {}), weight: 1 },
+);
+
+/**
+ * Generates schedules of up to `steps` steps, in which the store takes the records and the end of a page at different times
+ * and deletes its history, while gateways restart and the configuration changes several times in quick succession.
+ */
+export function snapshotSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    const store = fc.record({
+        pageTiming: fc.record({
+            first: fc.constantFrom("records", "end"),
+            gap: fc.integer({ min: 10, max: 700 }),
+        }),
+        deletedHistoryShare: fc.double({ min: 0, max: 0.6, noNaN: true }),
+    });
+    return fc.tuple(schedulesOf(snapshotActions, steps), store).map(([schedule, fields]) => ({
+        ...schedule,
+        ...fields,
+    }));
+}
+
 const unhurriedRequest = arbitraryAction("ask", {
     work: fc.constantFrom("confirm", "lookup", "plan", "plan", "note"),
     gateway: slot,
@@ -597,6 +650,7 @@
     "leave",
     "takeUp",
     "configure",
+    "configureInTurn",
     "configureUnanswered",
     "rewriteOld",
     "probe",
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -423,6 +423,21 @@
     ),
 ];
 
+/** Reads one page, and takes its end for the position of its records. */
+function* readOnePage(): ReturnType<GatewayInterceptors["snapshotCalls"]> {
+    const page = yield { kind: "newest", after: undefined };
+    return { items: page.items, next: "end" in page ? page.end : page.next, isAtEnd: true };
+}
+
+/** Mutations that only schedules in which records and end of a page are of different times can find. */
+export const snapshotMutations: readonly Mutation<GatewayInterceptors>[] = [
+    {
+        name: "the end of a page is taken for the position of its records",
+        promises: ["configuration_in_force"],
+        implementation: { ...passThroughInterceptors, snapshotCalls: readOnePage },
+    },
+];
+
 /** Mutations that only schedules in which servers of several software versions serve can find. */
 export const releaseMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation(
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -2,7 +2,7 @@
  * Runs one schedule on a platform in virtual time. When its steps are done, all faults end, and after a recovery time
  * the run checks what must hold without faults.
  */
-import { defaultOverlayShape, type OverlayShape } from "@verbenaspring/coordination";
+import { defaultOverlayShape, type OverlayShape, seededSource } from "@verbenaspring/coordination";
 import {
     failureDomains,
     type GatewayInterceptors,
@@ -155,7 +155,7 @@
         implementation: GatewayInterceptors,
         private readonly gatewayPlan: GatewayPlan,
     ) {
-        const { seed, coldDuration, areEnginesSlow = false, beyondEndAnswer = "end" } = schedule;
+        const { seed, coldDuration, areEnginesSlow = false, beyondEndAnswer = "end", pageTiming } = schedule;
         this.engines = areEnginesSlow ? slowlyReadingEngines : defaultEngines;
         this.platform = new VirtualPlatform({
             seed,
@@ -192,6 +192,8 @@
         });
         const { clock, fleet, store } = this.platform;
         store.beyondEndAnswer = beyondEndAnswer;
+        store.pageTiming = pageTiming ?? store.pageTiming;
+        store.model.deletesHistory = this.drawDeletions();
         this.oracle = new PlatformOracle(
             clock,
             id => fleet.drainPublishedAt(id),
@@ -210,6 +212,12 @@
         this.advance(warmUpTime);
     }
 
+    private drawDeletions(): () => boolean {
+        const { seed, deletedHistoryShare = 0 } = this.schedule;
+        const { random } = seededSource(seed, 1);
+        return () => random() < deletedHistoryShare;
+    }
+
     step(pause: Milliseconds, action: PlatformAction): void {
         this.advance(pause);
         this.perform(action);
@@ -321,6 +329,8 @@
                 return this.takeUp(action.caller, this.gatewayOf(action.gateway));
             case "configure":
                 return this.configure();
+            case "configureInTurn":
+                return this.configureInTurn(action.versions, action.interval);
             case "configureUnanswered":
                 return this.configureUnanswered(action.delay);
             case "rewriteOld":
@@ -386,6 +396,12 @@
         return request;
     }
 
+    private configureInTurn(versions: number, interval: Milliseconds): void {
+        for (let index = 0; index < versions; index++) {
+            this.platform.clock.schedule(index * interval, () => this.configure());
+        }
+    }
+
     private askTogether(action: Extract<CallerAction, { readonly kind: "askTogether"; }>): void {
         const { work, gateway, callers, length, prompt } = action;
         for (let caller = 0; caller < callers; caller++) {
