--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -244,6 +244,7 @@
         isLeaving: hidden.has(head.callerAttemptId),
     });
     return {
+        ...passThroughInterceptors,
         mapEvent: event => {
             switch (event.kind) {
                 case "attemptAnswered":
@@ -346,7 +347,7 @@
         name: "servers are asked once to stop a run",
         promises: ["one_run_at_a_time"],
         implementation: {
-            mapEvent: event => event,
+            ...passThroughInterceptors,
             mapEffect: (effect, { abandonedRuns }) => {
                 const isRepeated = effect.kind === "migrateRun"
                     && (abandonedRuns.get(effect.attemptId)?.schedule.asks ?? 0) > 1;
@@ -368,6 +369,7 @@
 function createEchoOfNewestReport(): GatewayInterceptors {
     const newestReports = new WeakMap<GatewayState, Milliseconds>();
     return {
+        ...passThroughInterceptors,
         mapEffect: (effect, state) => {
             if (effect.kind === "sendReport" && effect.report.sentAt !== undefined) {
                 newestReports.set(state, effect.report.sentAt);
@@ -421,6 +423,21 @@
     ),
 ];
 
+/** Reads one page, and takes its end for the position of its records. */
+function* readOnePage(): ReturnType<GatewayInterceptors["snapshotCalls"]> {
+    const page = yield { kind: "newest", after: undefined };
+    return { items: page.items, next: "end" in page ? page.end : page.next, isAtEnd: true };
+}
+
+/** Mutations that only schedules in which records and end of a page are of different times can find. */
+export const snapshotMutations: readonly Mutation<GatewayInterceptors>[] = [
+    {
+        name: "the end of a page is taken for the position of its records",
+        promises: ["configuration_in_force"],
+        implementation: { ...passThroughInterceptors, snapshotCalls: readOnePage },
+    },
+];
+
 /** Mutations that only schedules in which servers of several software versions serve can find. */
 export const releaseMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation(
