--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -45,7 +45,7 @@
 export interface GatewayInterceptors {
     readonly mapEvent: (event: GatewayEvent, state: GatewayState) => GatewayEvent | undefined;
     readonly mapEffect: (effect: GatewayEffect, state: GatewayState) => GatewayEffect | undefined;
-    readonly snapshotCalls: (known: LogOffset | undefined) => SnapshotCalls;
+    readonly snapshotCalls: () => SnapshotCalls;
 }
 
 /** Interceptors that leave everything unchanged. */
@@ -229,7 +229,7 @@
             case "readTopic":
                 return this.read(effect.topic, effect.from, effect.wait);
             case "readSnapshot":
-                return this.readSnapshot(effect.topic, effect.known);
+                return this.readSnapshot(effect.topic);
             case "callStreamRegister":
                 return this.callStreamRegister(effect.call);
             case "exit":
@@ -350,9 +350,9 @@
         this.environment.store.read(read, answer => this.handleRead(topic, false, answer));
     }
 
-    private readSnapshot(topic: TopicName, known: LogOffset | undefined): void {
+    private readSnapshot(topic: TopicName): void {
         const { store, interceptors } = this.environment;
-        const read = { reader: this.name, topic, calls: interceptors.snapshotCalls(known) };
+        const read = { reader: this.name, topic, calls: interceptors.snapshotCalls() };
         store.readSnapshot(read, answer => this.handleRead(topic, true, answer));
     }
 
--- a/packages/emulator/src/virtualStore.ts
+++ b/packages/emulator/src/virtualStore.ts
@@ -3,7 +3,14 @@
  */
 import type { ReadFailure, TopicName } from "@verbenaspring/gateway";
 import type { LogOffset, Milliseconds } from "@verbenaspring/model";
-import type { NewestPage, SnapshotCall, SnapshotCalls, TopicPage } from "@verbenaspring/platform";
+import {
+    type NewestPage,
+    type SnapshotAnswer,
+    type SnapshotCall,
+    type SnapshotCalls,
+    StoreReadError,
+    type TopicPage,
+} from "@verbenaspring/platform";
 import type { Clock } from "./clock.js";
 import { operatorTopic, serverTopic } from "./fleet.js";
 import type { StoreModel } from "./storeModel.js";
@@ -91,14 +98,19 @@
             if (step.done === true) {
                 return done({ kind: "page", ...step.value });
             }
-            const goOn = (answer: StoreAnswer | NewestAnswer): void =>
-                answer.kind === "failed" ? done(answer) : perform(calls.next(answer));
             const call = step.value;
             if (call.kind === "records") {
                 return this.read({ reader, topic, from: call.from, wait: 0 }, goOn);
             }
             this.call<NewestAnswer>(reader, 0, answer => this.serveNewest(reader, topic, call.after, answer), goOn);
         };
+        const goOn = (answer: StoreAnswer | NewestAnswer): void => {
+            if (answer.kind === "failed" && answer.failure !== "records_deleted") {
+                return done(answer);
+            }
+            const step = nextStep(calls, answer.kind === "failed" ? undefined : answer);
+            return "failure" in step ? done(step) : perform(step);
+        };
         perform(calls.next());
     }
 
@@ -255,3 +267,18 @@
         return { kind: "page", items, next, isAtEnd: next >= page.end };
     }
 }
+
+function nextStep(
+    calls: SnapshotCalls,
+    answer: SnapshotAnswer,
+): IteratorResult<SnapshotCall, TopicPage> | FailedCall {
+    try {
+        return calls.next(answer);
+    }
+    catch (error) {
+        if (error instanceof StoreReadError) {
+            return { kind: "failed", failure: error.failure };
+        }
+        throw error;
+    }
+}
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -426,7 +426,7 @@
 /** Reads one page, and takes its end for the position of its records. */
 function* readOnePage(): ReturnType<GatewayInterceptors["snapshotCalls"]> {
     const page = yield { kind: "newest", after: undefined };
-    return { items: page.items, next: "end" in page ? page.end : page.next, isAtEnd: true };
+    return { items: page?.items ?? [], next: page !== undefined && "end" in page ? page.end : 0, isAtEnd: true };
 }
 
 /** Mutations that only schedules in which records and end of a page are of different times can find. */
