Ignore a read that a report from a gap has overtaken

The server was removed and had returned in between, which changed nothing for the peer, so that its report had nothing of it. Then the late read removed the server.

Cause: records of a late read were compared with the offset of the known record of their key. That record is old, but the view is known to hold up to the end of the report. Class: a position in a log that is taken for its content.

Change: a read that ends before what is known by now, inside a gap of the known removals, is logged (topic_read_overtaken) and not applied; it counts for freshness. One that ends before what was known at its start shows a loss, and is applied as before. Outside of gaps each change is reported, so late records are applied in order, as before.

Evidence: the test fails before ("plain-1" is lacked) and passes now.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -186,9 +186,13 @@
     follower.nextReadAt = now + (isAtEnd ? readPlans[topic].pause : 0);
     const source = event.isSnapshot ? "snapshot" : "read";
     const apply = event.isSnapshot ? applySnapshot : applyItems;
-    const hasChanged = apply(transaction, topic, { items: event.items, next, source });
+    const isIgnored = isOvertaken(follower, event);
+    const hasChanged = !isIgnored && apply(transaction, topic, { items: event.items, next, source });
     follower.lastFailure = undefined;
-    if (event.isSnapshot) {
+    if (isIgnored) {
+        logDecision(transaction, "info", "topic_read_overtaken", { topic, source, through: next, next: follower.next });
+    }
+    else if (event.isSnapshot) {
         logSnapshot(transaction, event);
         follower.isSnapshotOwed = false;
         follower.snapshotAt = follower.readStartedAt;
@@ -205,6 +209,16 @@
     startDueRead(transaction, topic);
 }
 
+/**
+ * Whether peers have reported beyond the end of a read meanwhile, and may not have reported what undid a change that it shows. What
+ * made a snapshot due then still does.
+ */
+function isOvertaken(follower: TopicFollower, { isSnapshot, next: through }: TopicRead): boolean {
+    const { next = 0, knownAtSnapshotStart } = follower;
+    const hasLost = isSnapshot && through < knownAtSnapshotStart;
+    return !hasLost && through < next && lacksRemovals(follower, through);
+}
+
 /** Logs whether the records of a snapshot reach as far as the offset from which reads go on. */
 function logSnapshot(transaction: Transaction, { topic, items, next, isAtEnd }: TopicRead): void {
     const { state, now } = transaction;
@@ -290,6 +304,16 @@
     }
 }
 
+/** Whether a gateway that knows a topic up to an offset may lack removals before the known ones. */
+export function lacksRemovals({ removalsKnownFrom, removalGaps }: TopicFollower, known: LogOffset): boolean {
+    return known < removalsKnownFrom || isInsideGap(removalGaps, known);
+}
+
+/** Whether an offset is between two reads of which the records in between were deleted. */
+export function isInsideGap(gaps: readonly OffsetRange[], known: LogOffset): boolean {
+    return gaps.some(({ from, to }) => known > from && known < to);
+}
+
 /** Adopts the gaps of a peer's report that has been applied: what it could not show, this gateway can't show either. */
 export function adoptRemovalGaps(follower: TopicFollower, reported: readonly OffsetRange[]): void {
     const { removalGaps } = follower;
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -4,10 +4,18 @@
  */
 import type { LogOffset, Milliseconds } from "@verbenaspring/model";
 import type { DecodedItem, TopicItem, TopicName, TopicRecord } from "./event.js";
-import { adoptRemovalGaps, applyItems, applySnapshot, longestReadWait, recordFreshness } from "./followers.js";
+import {
+    adoptRemovalGaps,
+    applyItems,
+    applySnapshot,
+    isInsideGap,
+    lacksRemovals,
+    longestReadWait,
+    recordFreshness,
+} from "./followers.js";
 import { heartbeatInterval, isFullMesh } from "./members.js";
 import { earliestTime } from "./peerClocks.js";
-import { evacuationProtocol, type OffsetRange, type PeerItems, type PeerReport, type PeerTopic } from "./peerReport.js";
+import { evacuationProtocol, type PeerItems, type PeerReport, type PeerTopic } from "./peerReport.js";
 import type { GatewayState, Peer, TopicFollower } from "./state.js";
 import { compareDigests, compareHistories, isOfEarlierHistory, topicDigest } from "./topicDigests.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -97,15 +105,6 @@
     return isReader || !isFullMesh(state) || now - Math.max(lackingSince, openedAt) >= relayDelay;
 }
 
-/** Whether a gateway that knows a topic up to an offset may lack removals before the known ones. */
-function lacksRemovals({ removalsKnownFrom, removalGaps }: TopicFollower, known: LogOffset): boolean {
-    return known < removalsKnownFrom || isInsideGap(removalGaps, known);
-}
-
-function isInsideGap(gaps: readonly OffsetRange[], known: LogOffset): boolean {
-    return gaps.some(({ from, to }) => known > from && known < to);
-}
-
 function missingItems(
     { items, changes }: TopicFollower,
     known: LogOffset,
--- a/packages/gateway/test/differentServers.test.ts
+++ b/packages/gateway/test/differentServers.test.ts
@@ -81,6 +81,24 @@
     assert.equal(lackedInTouch(linked, one), []);
 });
 
+// The report was made from a snapshot, which showed neither the removal nor the return.
+test("a read that a report of a snapshot has overtaken does not remove a server that has returned", () => {
+    const linked = linkedGateways(2);
+    const { lastRead } = linked.gateways[0].state.followers.backendServers;
+    const isReader = ({ state }: TestGateway): boolean => state.incarnation === lastRead?.reader;
+    const late = linked.gateways.find(isReader)!;
+    linked.gateways.filter(gateway => gateway !== late).forEach(other => linked.turnedAway.add(other));
+    linked.readDelay = gateway => gateway === late ? 2_500 : 0;
+    linked.remove("plain-1");
+    linked.advance(500);
+    linked.register(server("plain-1", { heartbeat: 2 }), server("plain-2", { heartbeat: 2 }));
+    linked.deleteHistory("backendServers");
+    linked.turnedAway.clear();
+    linked.advance(2_000);
+    linked.turnedAway.add(late);
+    assert.equal(lackedInTouch(linked, late), []);
+});
+
 // The tombstone that was made for the withdrawal had an offset before it, and the second snapshot left it as it was.
 test("a gateway learns that an evacuation was withdrawn between two pages of another one's snapshot", () => {
     const withdrawnAfter = Array.from({ length: 60 }, (_, index) => 10 * index);
