Apply a removal that a peer's tombstone is older than

For the peer the server was removed before and after, so that it kept its tombstone of 67, and missed the return in between.

Cause: a key of the report counted as present also if its record was a tombstone, and as that was older than the known return, it was left out. Class: a position in a log (of a tombstone) that is taken for its content: all records of a peer are what holds at their end.

Change: a key whose record is a tombstone counts as missing, so that the removal gets an offset at the end of the report.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -349,7 +349,8 @@
     items: readonly DecodedItem[],
     next: LogOffset,
 ): DecodedItem[] {
-    const present = new Set(items.map(({ item }) => item.key));
+    // The known tombstone of a peer that read a snapshot may be older than the removal that the snapshot showed.
+    const present = new Set(items.filter(({ item }) => item.value.length > 0).map(({ item }) => item.key));
     return [...knownItems.values()]
         .filter(({ key, value }) => !present.has(key) && value.length > 0)
         .map(({ key }) => ({
--- a/packages/gateway/test/differentServers.test.ts
+++ b/packages/gateway/test/differentServers.test.ts
@@ -99,6 +99,25 @@
     assert.equal(lackedInTouch(linked, late), []);
 });
 
+// The known tombstone of the peer was older than the removal that its snapshot showed.
+test("a gateway learns a removal from all records of a peer that knew an earlier one", () => {
+    const linked = linkedGateways(2);
+    const [one, other] = linked.gateways;
+    linked.remove("plain-1");
+    linked.advance(1_000);
+    linked.isolate(one);
+    linked.turnedAway.add(other);
+    linked.register(server("plain-1", { heartbeat: 2 }));
+    linked.advance(2_000);
+    linked.turnedAway.add(one);
+    linked.remove("plain-1");
+    linked.turnedAway.delete(other);
+    linked.register(server("plain-2", { heartbeat: 2 }));
+    linked.deleteHistory("backendServers");
+    linked.advance(1_000);
+    assert.equal(lackedInTouch(linked, one), []);
+});
+
 // The tombstone that was made for the withdrawal had an offset before it, and the second snapshot left it as it was.
 test("a gateway learns that an evacuation was withdrawn between two pages of another one's snapshot", () => {
     const withdrawnAfter = Array.from({ length: 60 }, (_, index) => 10 * index);
