Send a newer configuration by its version where reports of the topic can't bring it

Seen: a gateway keeps an older configuration than a gateway that it has had a link to for over 2 s (fuzzer, system unacknowledged, configuration_in_force, "to which it has a link").

Cause: a gateway that has a configuration which a peer lacks leaves it to the report of the topic as long as the peer's offset is before the record. Offsets were taken for a promise that the record comes. Such a gateway now compares versions alone. In ordinary operation a gateway has an offset and a read, and knows all losses, so nothing changes; copies to one peer are at least 500 ms apart as before.

Issue: 71, 74

--- a/packages/gateway/src/peerConfigurations.ts
+++ b/packages/gateway/src/peerConfigurations.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds } from "@verbenaspring/model";
 import { applyRecords } from "./followers.js";
 import type { PeerItems, PeerReport } from "./peerReport.js";
+import { canReportRecords } from "./peerTopics.js";
 import type { GatewayState, Peer } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -40,12 +41,16 @@
     return hasChanged;
 }
 
-/** Whether a peer has an older configuration, and knows the log beyond the record of the newer one or as far as this gateway. */
+/** Whether a peer has an older configuration, and gets the newer one by no report of the topic. */
 function lacksConfiguration(state: GatewayState, { through }: Peer, version: number): boolean {
     const { configuration, configurationItem, followers } = state;
     if (configuration === undefined || configurationItem === undefined || version >= configuration.version) {
         return false;
     }
+    if (!canReportRecords(followers.configuration)) {
+        return true;
+    }
+    // Beyond the record, or as far as this gateway, nothing is left to report.
     const end = Math.min(configurationItem.offset + 1, followers.configuration.next ?? Infinity);
     return through.configuration !== undefined && through.configuration >= end;
 }
--- a/packages/gateway/src/peerTopics.ts
+++ b/packages/gateway/src/peerTopics.ts
@@ -83,6 +83,12 @@
     return { ...report, since: known, through: next, items, isComplete, removalGaps };
 }
 
+/** Whether reports of a topic have records, and peers that know of lost ones apply them. */
+export function canReportRecords(follower: TopicFollower): boolean {
+    const { next, freshAsOf, history, newestHistory } = follower;
+    return next !== undefined && freshAsOf !== undefined && history === newestHistory;
+}
+
 /** Whether this gateway is the one to report a topic's records to a peer that knows it up to an offset. */
 function mayRelay(
     state: GatewayState,
--- a/packages/gateway/test/viewsAfterLosses.test.ts
+++ b/packages/gateway/test/viewsAfterLosses.test.ts
@@ -303,4 +303,47 @@
     assert.equal(linked.gateways.map(gateway => isGone(gateway, "plain-4")), [false, false, false, false, false]);
 });
 
+/** Lets one gateway alone read what the log gets from now on. */
+function readAlone(linked: LinkedGateways, reader: TestGateway): void {
+    linked.isolate(reader);
+    linked.gateways.filter(other => other !== reader).forEach(other => linked.turnedAway.add(other));
+    linked.turnedAway.delete(reader);
+}
+
+// A gateway without an offset to go on from reports no records.
+test("gateways get a configuration from one whose read was beyond the end, while the log refuses snapshots", () => {
+    const linked = linkedGateways();
+    readAlone(linked, linked.gateways[0]);
+    linked.advance(3_000);
+    linked.configure(withRoute(2));
+    linked.configure(withRoute(3));
+    linked.advance(300);
+    linked.refusesSnapshots = true;
+    linked.loseNewest("configuration");
+    linked.advance(3_000);
+    linked.restoreLinks();
+    linked.advance(configurationLimit);
+    assert.equal(versionsIn(linked), [3, 3, 3, 3, 3]);
+});
+
+// Its reports count as older than the loss.
+test("gateways that know of a loss get a configuration from one that does not, while the log refuses snapshots", () => {
+    const linked = linkedGateways();
+    const [reader] = linked.gateways;
+    linked.evacuate("far");
+    linked.advance(300);
+    linked.isolate(reader);
+    linked.turnedAway.add(reader);
+    linked.loseNewest("configuration");
+    linked.advance(3_000);
+    linked.refusesSnapshots = true;
+    readAlone(linked, reader);
+    linked.configure(withRoute(2));
+    linked.configure(withRoute(3));
+    linked.advance(3_000);
+    linked.restoreLinks();
+    linked.advance(configurationLimit);
+    assert.equal(versionsIn(linked), [3, 3, 3, 3, 3]);
+});
+
 test.run();
