Compare the configuration with the log after records that change nothing

Seen: an acknowledged configuration is at no gateway over 2 s after it was stored, until the comparison that is due each 5 s (fuzzer, system unacknowledged, configuration_in_force, "is due").

Cause: an older configuration that is stored late is read and changes nothing. If the log then loses it and gives its offset to a newer one, all go on behind that. The comparison with the newest records 600 ms after the last change was meant for just that, but a record without a change does not begin it. Now each record that a read from an offset on has does. In ordinary operation versions only grow, so that each record is a change already.

Issue: 71, 74

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -50,9 +50,9 @@
     readonly takeoverTimeouts: TakeoverTimeouts;
     /** When the gateway that reads the topic compares what it has with the newest records; undefined if it never does. */
     readonly verification?: {
-        /** After the last change: the log may hand out a record and lose it before it is acknowledged. */
+        /** After the last record, whether or not it changed anything: the log may lose it before it is acknowledged. */
         readonly delay: Milliseconds;
-        /** Without changes. */
+        /** Without records. */
         readonly interval: Milliseconds;
     };
 }
@@ -135,12 +135,13 @@
  */
 function isVerificationDue({ followers, incarnation }: GatewayState, topic: TopicName, now: Milliseconds): boolean {
     const { verification } = readPlans[topic];
-    const { changedAt, snapshotAt, lastRead } = followers[topic];
+    const { changedAt, recordReadAt, snapshotAt, lastRead } = followers[topic];
     if (verification === undefined || lastRead?.reader !== incarnation) {
         return false;
     }
-    return snapshotAt < changedAt + verification.delay
-        ? now - changedAt >= verification.delay
+    const recordAt = Math.max(changedAt, recordReadAt);
+    return snapshotAt < recordAt + verification.delay
+        ? now - recordAt >= verification.delay
         : now - snapshotAt >= verification.interval;
 }
 
@@ -188,6 +189,9 @@
     const apply = event.isSnapshot ? applySnapshot : applyItems;
     const hasChanged = apply(transaction, topic, { items: event.items, next, source });
     follower.lastFailure = undefined;
+    if (!event.isSnapshot && event.items.length > 0) {
+        follower.recordReadAt = now;
+    }
     if (event.isSnapshot) {
         logSnapshot(transaction, event);
         follower.isSnapshotOwed = false;
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -260,6 +260,8 @@
     rank: { readonly members: readonly Member[]; readonly value: number; } | undefined;
     /** A gateway that knows the log up to the same offset and has other records, and when a snapshot is due because of it. */
     difference: { readonly peer: PeerAddress; readonly snapshotDueAt: Milliseconds; } | undefined;
+    /** When a read from an offset on last had records, with or without changes. */
+    recordReadAt: Milliseconds;
     /** When the newest snapshot was requested from the log. */
     snapshotAt: Milliseconds;
     isReading: boolean;
@@ -515,6 +517,7 @@
         readCounts: new Map(),
         rank: undefined,
         difference: undefined,
+        recordReadAt: -Infinity,
         snapshotAt: -Infinity,
         isReading: false,
         isReadingSnapshot: false,
--- a/packages/gateway/test/viewsAfterLosses.test.ts
+++ b/packages/gateway/test/viewsAfterLosses.test.ts
@@ -170,6 +170,19 @@
     assert.ok(Math.max(...durations) <= configurationLimit, `${durations.join(", ")} ms`);
 });
 
+// An older configuration that is stored late changes nothing.
+test("gateways learn in time what replaced an older configuration that was stored late and lost", () => {
+    const linked = linkedGateways();
+    linked.configure(withRoute(3));
+    linked.advance(2_000);
+    linked.configure(withRoute(2));
+    linked.advance(300);
+    linked.loseNewest("configuration");
+    linked.configure(withRoute(4));
+    const duration = linked.advanceUntil(() => versionsIn(linked).every(version => version === 4), 10_000);
+    assert.ok(duration <= configurationLimit, `${duration} ms`);
+});
+
 /** Counts the configurations that a gateway gets beside the topics. */
 function countSentConfigurations(gateway: TestGateway): () => number {
     let count = 0;
