Compare streams with what runs sent, byte by byte and where a run goes on

The soak looked for events in the text that a caller got and ignored what stood between and after them. Neither it nor the fuzzer asked of a new run where it went on: an event had to have the next number, whichever run it was of. Now each event must be, byte by byte, one of a run of the request, and another run may only follow if it was to go on after exactly the event before. A cut stream may end within an event, a whole one not.

Planted: "a new run of a stream is not told the last event" (Last-Event-Id is left out of a call that continues from no copy, so that the new run starts at the beginning and the gateway drops what it repeats).

--- a/packages/fuzz/src/platform/index.ts
+++ b/packages/fuzz/src/platform/index.ts
@@ -12,5 +12,6 @@
 export * from "./serverLimitOracle.js";
 export * from "./serverNoticeOracle.js";
 export * from "./serverPauseOracle.js";
+export * from "./streamPieces.js";
 export * from "./versions.js";
 export * from "./versionSpreadOracle.js";
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -467,6 +467,14 @@
                 ? { ...effect, call: { ...effect.call, continuesFrom: undefined } }
                 : effect,
     ),
+    effectMutation(
+        "a new run of a stream is not told the last event",
+        ["events_once_in_order_one_run"],
+        effect =>
+            effect.kind === "sendAttempt" && effect.call.continuesFrom === undefined
+                ? { ...effect, call: { ...effect.call, lastEvent: undefined } }
+                : effect,
+    ),
     eventMutation("answers to other requests are accepted", ["whole_and_own_answer"], forgeCallerAttemptId),
     eventMutation(
         "lost calls count as not run",
--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -2,7 +2,13 @@
  * The oracle for the users' platform. It compares what callers received with what backend servers ran, without any
  * knowledge of how gateways work. The schedule tells it which faults were injected.
  */
-import type { AnswerEffect, Clock, ServerRun, VirtualGateway } from "@verbenaspring/emulator";
+import {
+    type AnswerEffect,
+    type Clock,
+    formatRunEvent,
+    type ServerRun,
+    type VirtualGateway,
+} from "@verbenaspring/emulator";
 import type { BackendCall, ResponseHead, StreamEvent } from "@verbenaspring/gateway";
 import type { Milliseconds, RequestId } from "@verbenaspring/model";
 import { BrokenPromiseError, type PromiseName } from "../oracle.js";
@@ -16,6 +22,7 @@
 import { ServerLimitOracle } from "./serverLimitOracle.js";
 import { ServerNoticeOracle } from "./serverNoticeOracle.js";
 import { ServerPauseOracle } from "./serverPauseOracle.js";
+import { mayGoOn, splitPieces } from "./streamPieces.js";
 import { VersionSpreadOracle } from "./versionSpreadOracle.js";
 
 /** A caller's request. */
@@ -184,9 +191,13 @@
     }
 
     private checkEvent(request: PlatformRequest, { id, bytes }: StreamEvent): void {
-        const [, textId, softwareVersion, lineage] =
-            /^id: (\d+)\ndata: ([^:]*):(.*)\n\n$/.exec(Buffer.from(bytes).toString("utf8")) ?? [];
-        const eventNumber = id ?? Number(textId);
+        const text = Buffer.from(bytes).toString("utf8");
+        const { events: [event], rest } = splitPieces(text);
+        if (event === undefined || rest !== "" || formatRunEvent(event) !== text) {
+            this.fail("events_once_in_order_one_run", `${request.callerAttemptId} got ${JSON.stringify(text)}`);
+        }
+        const { softwareVersion, lineage } = event;
+        const eventNumber = id ?? event.id;
         if (!lineage.includes(`/${request.callerAttemptId}/`)) {
             this.fail("whole_and_own_answer", `${request.callerAttemptId} got an event of ${lineage}`);
         }
@@ -203,6 +214,13 @@
                 `${request.callerAttemptId} got events of ${lineage} after ${request.lineage}`,
             );
         }
+        const previous = { lineage: request.lineage, id: request.lastEventNumber };
+        if (!mayGoOn(previous, event) || !this.runsOf(request).some(run => run.lineage === lineage)) {
+            this.fail(
+                "events_once_in_order_one_run",
+                `${request.callerAttemptId} got event ${eventNumber} of ${lineage} after ${previous.id} of ${previous.lineage}`,
+            );
+        }
         request.softwareVersion ??= softwareVersion;
         if (request.softwareVersion !== softwareVersion) {
             this.fail(
--- a/packages/soak/src/soakOracle.ts
+++ b/packages/soak/src/soakOracle.ts
@@ -1,14 +1,16 @@
 /**
  * Checks the system's promises against what callers received and what backend servers ran.
  */
-import type { ColdPeriod, ServerCall, ServerRun } from "@verbenaspring/emulator";
+import type { ColdPeriod, RunEvent, ServerCall, ServerRun } from "@verbenaspring/emulator";
 import {
     ColdServerOracle,
     ContactRecord,
     EvacuationOracle,
     FaultRecord,
     isEarlyInStop,
+    isEventBeginning,
     isStreamed,
+    mayGoOn,
     mustRunAtMostOnce,
     mustSurviveStop,
     platformLimits,
@@ -18,6 +20,7 @@
     ServerNoticeOracle,
     ServerPauseOracle,
     serviceOf,
+    splitPieces,
 } from "@verbenaspring/fuzz";
 import type { SoakGateway } from "./soakWorld.js";
 
@@ -83,6 +86,8 @@
 const denialStatuses: ReadonlySet<string> = new Set(["401", "404"]);
 /** The platform's rules allow a final answer up to 500 ms after the deadline. */
 const answerSlack = 500;
+/** The characters of an unexpected text that a violation shows. */
+const maximumShownText = 80;
 /** The rules allow a connection to close on a request whose last byte was sent up to 200 ms before. */
 const closeCrossingTime = 200;
 
@@ -309,16 +314,25 @@
     }
 
     private checkStream(request: SoakRequest, body: string, isComplete: boolean): void {
-        const events = [...body.matchAll(/id: (\d+)\ndata: (.*)\n\n/g)];
-        const lineages = new Set(events.map(([, , lineage]) => lineage));
+        const { events, rest } = splitPieces(body);
+        const lineages = new Set(events.map(({ lineage }) => lineage));
         const before = request.takesUp?.lastEvent ?? 0;
-        const isInOrder = events.every(([, id], index) => Number(id) === before + index + 1);
-        this.checkVersions(request, [...lineages].map(lineage => lineage.split(":", 1)[0]));
+        const isInOrder = events.every(({ id }, index) => id === before + index + 1);
+        this.checkVersions(request, events.map(({ softwareVersion }) => softwareVersion));
+        this.checkRuns(request, events, before);
+        if (isComplete ? rest !== "" : !isEventBeginning(rest)) {
+            this.fail(
+                "events_once_in_order_one_run",
+                `${request.id} got ${JSON.stringify(rest.slice(0, maximumShownText))} after event ${
+                    events.at(-1)?.id ?? before
+                }`,
+            );
+        }
         request.lastEvent = before + events.length;
         if (!isInOrder || (request.kind === "plan" && lineages.size > 1)) {
             this.fail(
                 "events_once_in_order_one_run",
-                `${request.id} got ${events.map(([, id]) => id).join(",")} of ${[...lineages].join(" ")}`,
+                `${request.id} got ${events.map(({ id }) => id).join(",")} of ${[...lineages].join(" ")}`,
             );
         }
         if ([...lineages].some(lineage => !lineage.includes(`/${request.id}/`))) {
@@ -332,6 +346,24 @@
         }
     }
 
+    /** Checks that each event is of a run of the request, and that a run goes on where the one before it ended. */
+    private checkRuns({ id: requestId }: SoakRequest, events: readonly RunEvent[], before: number): void {
+        const lineages = this.runs.get(requestId)?.map(({ lineage }) => lineage) ?? [];
+        let previous: { readonly lineage: string | undefined; readonly id: number; } = {
+            lineage: undefined,
+            id: before,
+        };
+        for (const event of events) {
+            if (!mayGoOn(previous, event) || !lineages.includes(event.lineage)) {
+                this.fail(
+                    "events_once_in_order_one_run",
+                    `${requestId} got event ${event.id} of ${event.lineage} after ${previous.id} of ${previous.lineage}`,
+                );
+            }
+            previous = event;
+        }
+    }
+
     /** Checks that all events of a stream are of one software version, also over the requests that take it up. */
     private checkVersions(request: SoakRequest, versions: readonly string[]): void {
         request.softwareVersion ??= request.takesUp?.softwareVersion ?? versions.at(0);
--- a/packages/soak/test/soakOracle.test.ts
+++ b/packages/soak/test/soakOracle.test.ts
@@ -315,4 +315,43 @@
     assert.equal(balancer.available(gateways), ["a", "b", "d"]);
 });
 
+/** The promises that are broken where a caller gets a text, of which each run of its request went on after an event. */
+function breakByStream(body: string, isComplete: boolean, overrides: Partial<SoakRequest> = {}): string[] {
+    const oracle = createOracle(false);
+    const request = createRequest({ kind: "note", events: 3, ...overrides });
+    oracle.recordRequest(request);
+    recordRun(oracle, "engine1", { path: "/note/1" });
+    recordRun(oracle, "engine2", { path: "/note/1", lineage: "engine2/a/2" });
+    const head = { status: 200, server: "engine1", declaresLimit: false, isServerLeaving: false, isSealed: true };
+    oracle.recordResponse(request, { ...head, body, isComplete });
+    return oracle.violations.map(({ promise }) => promise);
+}
+
+const piece = (id: number, lineage = "engine1/a/0"): string => `id: ${id}\ndata: 1:${lineage}\n\n`;
+const firstPieces = piece(1) + piece(2);
+
+test("a stream is checked byte by byte, and its runs where they go on", () => {
+    const inOrder = ["events_once_in_order_one_run"];
+    const cases: readonly (readonly [string, boolean, readonly string[]])[] = [
+        [firstPieces + piece(3), true, []],
+        [firstPieces + piece(3, "engine2/a/2"), true, []],
+        [`${firstPieces}id: 3\ndata: 1:eng`, false, []],
+        [`${firstPieces}id:`, false, []],
+        [`${firstPieces}id: 3\ndata: 1:eng\nid: 3`, false, inOrder],
+        [`${firstPieces}HTTP/1.1 200 OK\r\n\r\n`, false, inOrder],
+        [`${firstPieces}${piece(3)}\n`, true, inOrder],
+        [piece(1) + piece(2, "engine2/a/2") + piece(3, "engine2/a/2"), true, inOrder],
+        [firstPieces + piece(3, "engine3/a/2"), true, inOrder],
+    ];
+    for (const [body, isComplete, promises] of cases) {
+        assert.equal([...new Set(breakByStream(body, isComplete))], promises, JSON.stringify(body));
+    }
+});
+
+test("a request that takes up a stream gets a run that goes on after the last event that its caller has", () => {
+    const broken = createRequest({ kind: "note", events: 3, lastEvent: 2 });
+    assert.equal(breakByStream(piece(3, "engine2/a/2"), true, { takesUp: broken }), []);
+    assert.equal(breakByStream(piece(3), true, { takesUp: broken }), ["events_once_in_order_one_run"]);
+});
+
 test.run();
