Soak gateways on a store whose pages are of several moments

The stand-in of the store takes the halves of a page of the newest records at different times (setPageTiming), and deletes the history with some records before any read gets them (setHistoryDeletion); a read that waits for one of these gets 410.

The oracle excuses time limits for 3 s after each lag of the soak's own loop, so that a run at such a load may miss cases.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -36,6 +36,8 @@
     readonly endedWithServer: readonly string[];
 }
 
+/** The number of the random numbers that the store draws from, which no series of faults has. */
+const storeSource = 24;
 /** Milliseconds between the measurements of the lag of the soak's own event loop. */
 const lagInterval = 20;
 /** Milliseconds up to which a lag is not recorded. */
@@ -59,6 +61,10 @@
         checksTimeLimits,
         relaysPeerLinks: plan.relaysPeerLinks ?? false,
     });
+    const { maxPageGap = 0, deletedHistoryShare = 0 } = plan;
+    const { random: drawStoreTimes } = seededSource(seed, storeSource);
+    world.store.setPageTiming(() => ({ first: "records", gap: maxPageGap * drawStoreTimes() }));
+    world.store.setHistoryDeletion(() => drawStoreTimes() < deletedHistoryShare);
     // A soak that is interrupted leaves no gateways running.
     const killGatewaysAndExit = (): void => {
         world.killGateways();
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -632,6 +632,43 @@
     },
 ];
 
+/** Changes of the configuration, and the milliseconds between them. */
+interface Succession {
+    readonly versions: number;
+    readonly interval: number;
+}
+
+const successions: readonly Succession[] = [
+    { versions: 8, interval: 330 },
+    { versions: 4, interval: 800 },
+    { versions: 4, interval: 1_000 },
+];
+
+/** Milliseconds from the first to the last of successive changes at most. */
+export const maxSuccessionDuration = Math.max(
+    ...successions.map(({ versions, interval }) => (versions - 1) * interval),
+);
+
+async function configureInTurn({ world }: SoakFaults, { versions, interval }: Succession): Promise<void> {
+    world.configure();
+    for (let remaining = versions - 1; remaining > 0; remaining--) {
+        await pause(interval);
+        world.configure();
+    }
+}
+
+/** Several versions of the configuration one after the other. */
+export const successiveChangeKinds: readonly Fault[] = successions.map(succession => ({
+    name: `configureInTurn${succession.interval}`,
+    perform: faults => void configureInTurn(faults, succession),
+}));
+
+/** Stops and starts of gateways. */
+export const gatewayRestartKinds: readonly Fault[] = [
+    { name: "kill", perform: withGateway(killGateway) },
+    { name: "stop", perform: withGateway(stopGateway) },
+];
+
 /** Engines that leave, with and without a notice, and are replaced. */
 export const engineReplacementKinds: readonly Fault[] = [
     { name: "drainEngine", perform: faults => replaceEngine(faults, "drain") },
--- a/packages/soak/src/soakPlans.ts
+++ b/packages/soak/src/soakPlans.ts
@@ -21,15 +21,18 @@
     evacuationFaultKinds,
     faultKinds,
     type FaultSeries,
+    gatewayRestartKinds,
     growingDelayKinds,
     harmlessFaultKinds,
     hostileFaultKinds,
+    maxSuccessionDuration,
     readInterruptionKinds,
     releaseFaultKinds,
     repeatedSignalKinds,
     rollingStopKinds,
     slowGatewayKinds,
     stopKinds,
+    successiveChangeKinds,
     unacknowledgedKinds,
 } from "./soakFaults.js";
 
@@ -74,10 +77,16 @@
     readonly engineProfile: EngineProfile;
     /** Whether nothing but planned operations happens, so that requests may not fail after the last of them. */
     readonly isPlanned: boolean;
+    /** The longest time in milliseconds between the two halves of a page of the store's newest records; 0 if absent. */
+    readonly maxPageGap?: number;
+    /** The share of the records with which the store deletes the history before any read gets them; 0 if absent. */
+    readonly deletedHistoryShare?: number;
     /** Whether what gateways send each other passes through relays; false if absent. */
     readonly relaysPeerLinks?: boolean;
 }
 
+/** Milliseconds from the first of successive changes to the next ones, which leaves 5.5 s after the last of them. */
+const calmPause = maxSuccessionDuration + 5_500;
 const allPauses = { minPause: 0, maxPause: 900 };
 const maxShortLength = 300;
 
@@ -204,6 +213,22 @@
         engineProfile: defaultEngines,
         isPlanned: false,
     },
+    /**
+     * The store takes the records and the end of a page at different times and deletes its history, while the configuration
+     * changes in quick succession and gateways stop and start.
+     */
+    snapshots: {
+        series: [
+            { kinds: successiveChangeKinds, minPause: calmPause, maxPause: calmPause, source: 22 },
+            { kinds: gatewayRestartKinds, minPause: 4_000, maxPause: 9_000, source: 23 },
+        ],
+        callers: probingCallers,
+        engines: 3,
+        engineProfile: defaultEngines,
+        isPlanned: false,
+        maxPageGap: 700,
+        deletedHistoryShare: 0.4,
+    },
     /** Engines break the connections of streams and work on, while others are replaced. */
     detached: {
         series: [
--- a/packages/stand-ins/src/platformStoreStandIn.ts
+++ b/packages/stand-ins/src/platformStoreStandIn.ts
@@ -1,7 +1,13 @@
 /**
  * Stand-in for the platform's store: serves the store model over HTTP, with injected faults.
  */
-import { type BeyondEndAnswer, type StoreBehaviour, type StoredRecord, StoreModel } from "@verbenaspring/emulator";
+import {
+    type BeyondEndAnswer,
+    type PageTiming,
+    type StoreBehaviour,
+    type StoredRecord,
+    StoreModel,
+} from "@verbenaspring/emulator";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { pause, type StandIn, startStandIn } from "./httpStandIn.js";
 
@@ -17,6 +23,10 @@
     readonly loseUnacknowledged: (topic: string) => number;
     /** Sets how reads from beyond the end of a topic are answered: by default with its end. */
     readonly setBeyondEndAnswer: (answer: BeyondEndAnswer) => void;
+    /** Sets how the time is drawn at which each half of a page of the newest records is taken: by default both at once. */
+    readonly setPageTiming: (draw: () => PageTiming) => void;
+    /** Sets for which records the history is deleted before any read gets them, so that a read that waits gets 410. */
+    readonly setHistoryDeletion: (deletesHistory: (topic: string) => boolean) => void;
     /** Deletes the history; the newest record of each key stays readable. */
     readonly compact: (topic: string) => void;
     readonly setBehaviour: (behaviour: StoreBehaviour) => void;
@@ -45,6 +55,7 @@
     let behaviour: StoreBehaviour = "up";
     let beyondEndAnswer: BeyondEndAnswer = "end";
     let delay = 0;
+    let drawPageTiming = (): PageTiming => ({ first: "records", gap: 0 });
     const standIn: StandIn = await startStandIn(port, async (request, response, url) => {
         if (behaviour === "silent") {
             return;
@@ -57,7 +68,8 @@
         }
         const topic = url.searchParams.get("topic") ?? "";
         if (url.pathname === "/log-newest") {
-            return end(response, 200, JSON.stringify(newestPage(model, topic, url.searchParams.get("after"))));
+            const page = await takeNewestPage(model, topic, url.searchParams.get("after"), drawPageTiming());
+            return end(response, 200, JSON.stringify(page));
         }
         if (url.pathname === "/log-read") {
             return await read(model, topic, url, response, beyondEndAnswer);
@@ -74,6 +86,8 @@
         putUnacknowledged: (topic, key, value) => model.appendUnacknowledged(topic, key, encodeValue(value)),
         loseUnacknowledged: topic => model.loseUnacknowledged(topic),
         setBeyondEndAnswer: next => beyondEndAnswer = next,
+        setPageTiming: draw => drawPageTiming = draw,
+        setHistoryDeletion: deletesHistory => model.deletesHistory = deletesHistory,
         compact: topic => model.compact(topic),
         setBehaviour: next => behaviour = next,
         behaviour: () => behaviour,
@@ -117,7 +131,23 @@
     return Buffer.concat(pieces);
 }
 
-function newestPage(model: StoreModel, topic: string, after: string | null): object {
+async function takeNewestPage(
+    model: StoreModel,
+    topic: string,
+    after: string | null,
+    { first, gap }: PageTiming,
+): Promise<object> {
+    const takeEnd = (): object => ({ endOffset: model.endOffset(topic) });
+    const takeRecords = (): object => takeNewestRecords(model, topic, after);
+    const [takeFirst, takeLast] = first === "records" ? [takeRecords, takeEnd] : [takeEnd, takeRecords];
+    const taken = takeFirst();
+    if (gap > 0) {
+        await pause(gap);
+    }
+    return { ...taken, ...takeLast() };
+}
+
+function takeNewestRecords(model: StoreModel, topic: string, after: string | null): object {
     const all = model.newestRecords(topic).sort((one, other) => one.key < other.key ? -1 : 1);
     const remaining = after === null ? all : all.filter(({ key }) => key > after);
     const entries = remaining.slice(0, newestPageSize).map(({ key, value, offset }) => ({
@@ -125,7 +155,7 @@
         data: Buffer.from(value).toString("base64"),
         offset,
     }));
-    return { entries, hasMore: remaining.length > newestPageSize, endOffset: model.endOffset(topic) };
+    return { entries, hasMore: remaining.length > newestPageSize };
 }
 
 async function read(
--- a/packages/stand-ins/test/platformStoreStandIn.test.ts
+++ b/packages/stand-ins/test/platformStoreStandIn.test.ts
@@ -1,9 +1,9 @@
 /**
- * Tests of the stand-in of the platform's store, by the store's client: records that are lost, and reads from beyond the end.
+ * Tests of the stand-in of the platform's store, by the store's client: records that are lost, reads from beyond the end, and pages.
  */
 import { operatorTopic } from "@verbenaspring/emulator";
 import { createStoreClient, type StoreReadError } from "@verbenaspring/platform";
-import { type PlatformStore, startPlatformStore } from "@verbenaspring/stand-ins";
+import { pause, type PlatformStore, startPlatformStore } from "@verbenaspring/stand-ins";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 
@@ -49,4 +49,24 @@
     assert.equal(await read, { items: [], next: 1, isAtEnd: true });
 });
 
+test("a read that waits gets 410 where its record is deleted with the history", async ({ store, client }) => {
+    store.setHistoryDeletion(() => true);
+    const read = client.read("configuration", 0, 300).catch((error: unknown) => (error as StoreReadError).failure);
+    await pause(100);
+    store.put(operatorTopic, "config", { version: 1 });
+    assert.is(await read, "records_deleted");
+});
+
+test("a page has its records and its end of different moments, in either order", async ({ store }) => {
+    for (const first of ["records", "end"] as const) {
+        store.setPageTiming(() => ({ first, gap: 100 }));
+        const end = store.model.endOffset(operatorTopic);
+        const answer = fetch(`http://${store.address}/log-newest?topic=${operatorTopic}&part=0`);
+        await pause(50);
+        store.put(operatorTopic, "config", { version: end + 1 });
+        const { entries, endOffset } = await (await answer).json() as { entries: object[]; endOffset: number; };
+        assert.equal([entries.length, endOffset], first === "records" ? [end, end + 1] : [1, end], first);
+    }
+});
+
 test.run();
