Compare the last record of the servers' topic with the log at each read

What was seen: where the log lost a record that all gateways had read, and gave its offset to the removal of a server, all kept the server and counted as fresh (five of five for 60 s).

Cause: reads went on behind the offset; gateways compared what they have with each other only, and their digests agreed.

Change: a read of the servers begins at the last record of the read before. Where the record was deleted, the read is repeated from behind it. Cost: one record more in each read at the one gateway that reads.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -48,6 +48,11 @@
     readonly pause: Milliseconds;
     /** How old the newest known read may become, by rank, before this gateway reads by itself. */
     readonly takeoverTimeouts: TakeoverTimeouts;
+    /**
+     * Whether reads begin at the last record that was read, and so show that the log has lost it. Reads that wait for a record can't, as they would
+     * never wait.
+     */
+    readonly repeatsLastRecord: boolean;
     /** When the gateway that reads the topic compares what it has with the newest records; undefined if it never does. */
     readonly verification?: {
         /** After the last record, whether or not it changed anything: the log may lose it before it is acknowledged. */
@@ -67,9 +72,15 @@
         wait: 600,
         pause: 0,
         takeoverTimeouts: { base: 1_100, step: 150, max: 1_700 },
+        repeatsLastRecord: false,
         verification: { delay: 600, interval: 5_000 },
     },
-    backendServers: { wait: 0, pause: 400, takeoverTimeouts: { base: 900, step: 150, max: 1_500 } },
+    backendServers: {
+        wait: 0,
+        pause: 400,
+        takeoverTimeouts: { base: 900, step: 150, max: 1_500 },
+        repeatsLastRecord: true,
+    },
 };
 
 /** How long the log may hold a read of a topic open. */
@@ -125,7 +136,20 @@
         return;
     }
     follower.readWait = isRequired ? 0 : longestWait(follower, readPlans[topic].wait, now);
-    effects.push({ kind: "readTopic", topic, from: follower.next, wait: follower.readWait });
+    effects.push({
+        kind: "readTopic",
+        topic,
+        from: startOffset(follower, topic, follower.next),
+        wait: follower.readWait,
+    });
+}
+
+/** Where a read begins, and whether that is at the last record that was read. */
+function startOffset(follower: TopicFollower, topic: TopicName, next: LogOffset): LogOffset {
+    const { lastRecord } = follower;
+    const isRepeated = readPlans[topic].repeatsLastRecord && lastRecord?.offset === next - 1;
+    follower.repeatedRecord = isRepeated ? lastRecord : undefined;
+    return isRepeated ? lastRecord.offset : next;
 }
 
 /**
@@ -173,6 +197,23 @@
 
 /** Handles the records of a successful read. */
 export function handleTopicRead(transaction: Transaction, event: TopicRead): void {
+    const { topic, isSnapshot, items } = event;
+    const { repeatedRecord } = transaction.state.followers[topic];
+    if (isSnapshot || repeatedRecord === undefined) {
+        return applyRead(transaction, event);
+    }
+    const [first, ...newer] = items;
+    if (first === undefined || !isSameItem(first.item, repeatedRecord)) {
+        return handleTopicReadFailed(transaction, { kind: "topicReadFailed", topic, failure: "beyond_end" });
+    }
+    applyRead(transaction, { ...event, items: newer });
+}
+
+function isSameItem(one: TopicItem, other: TopicItem): boolean {
+    return one.key === other.key && Buffer.compare(one.value, other.value) === 0;
+}
+
+function applyRead(transaction: Transaction, event: TopicRead): void {
     const { state, now } = transaction;
     const { topic, next } = event;
     const follower = state.followers[topic];
@@ -184,26 +225,8 @@
     logLateRead(transaction, event);
     const isAtEnd = event.isAtEnd ?? true;
     follower.nextReadAt = now + (isAtEnd ? readPlans[topic].pause : 0);
-    const source = event.isSnapshot ? "snapshot" : "read";
-    const apply = event.isSnapshot ? applySnapshot : applyItems;
-    const isIgnored = isOvertaken(follower, event);
-    const hasChanged = !isIgnored && apply(transaction, topic, { items: event.items, next, source });
-    if (event.isSnapshot && !isAtEnd) {
-        recordUnshownRemovals(follower, next);
-    }
+    const hasChanged = applyReadItems(transaction, event);
     follower.lastFailure = undefined;
-    if (!event.isSnapshot && event.items.length > 0) {
-        follower.recordReadAt = now;
-    }
-    if (isIgnored) {
-        logDecision(transaction, "info", "topic_read_overtaken", { topic, source, through: next, next: follower.next });
-    }
-    else if (event.isSnapshot) {
-        logSnapshot(transaction, event);
-        follower.isSnapshotOwed = false;
-        follower.snapshotAt = follower.readStartedAt;
-        follower.difference = undefined;
-    }
     // A snapshot has all that was stored when it was requested.
     if (isAtEnd || event.isSnapshot) {
         const count = knownReadCount(follower, state.incarnation) + 1;
@@ -216,6 +239,34 @@
     startDueRead(transaction, topic);
 }
 
+/** Applies the items of a read, and records what it was of. Returns whether they changed more than heartbeats. */
+function applyReadItems(transaction: Transaction, event: TopicRead): boolean {
+    const { state, now } = transaction;
+    const { topic, items, isSnapshot, next } = event;
+    const follower = state.followers[topic];
+    const source = isSnapshot ? "snapshot" : "read";
+    follower.lastRecord = items.findLast(({ item }) => item.offset === next - 1)?.item ?? follower.lastRecord;
+    if (!isSnapshot && items.length > 0) {
+        follower.recordReadAt = now;
+    }
+    if (isOvertaken(follower, event)) {
+        logDecision(transaction, "info", "topic_read_overtaken", { topic, source, through: next, next: follower.next });
+        return false;
+    }
+    if (!isSnapshot) {
+        return applyItems(transaction, topic, { items, next, source });
+    }
+    const hasChanged = applySnapshot(transaction, topic, { items, next, source });
+    if (event.isAtEnd === false) {
+        recordUnshownRemovals(follower, next);
+    }
+    logSnapshot(transaction, event);
+    follower.isSnapshotOwed = false;
+    follower.snapshotAt = follower.readStartedAt;
+    follower.difference = undefined;
+    return hasChanged;
+}
+
 /**
  * Whether peers have reported beyond the end of a read meanwhile, and may not have reported what undid a change that it shows. What
  * made a snapshot due then still does.
@@ -503,6 +554,11 @@
     follower.difference = undefined;
     recordReadEnd(state, topic);
     const isSnapshot = follower.next === undefined || follower.isReadingSnapshot;
+    if (!isSnapshot && failure === "records_deleted" && follower.repeatedRecord !== undefined) {
+        // Maybe only the record before the offset was deleted.
+        follower.lastRecord = undefined;
+        return startDueRead(transaction, topic);
+    }
     if (!isSnapshot && (failure === "records_deleted" || failure === "beyond_end")) {
         logDecision(transaction, "info", "topic_history_deleted", { topic, next: follower.next, failure });
         follower.next = undefined;
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -263,6 +263,9 @@
     rank: { readonly members: readonly Member[]; readonly value: number; } | undefined;
     /** A gateway that knows the log up to the same offset and has other records, and when a snapshot is due because of it. */
     difference: { readonly peer: PeerAddress; readonly snapshotDueAt: Milliseconds; } | undefined;
+    /** The last record of the newest read, and the one at which the read in progress begins; undefined if it begins behind it. */
+    lastRecord: TopicItem | undefined;
+    repeatedRecord: TopicItem | undefined;
     /** When a read from an offset on last had records, with or without changes. */
     recordReadAt: Milliseconds;
     /** When the newest snapshot was requested from the log. */
@@ -520,6 +523,8 @@
         readCounts: new Map(),
         rank: undefined,
         difference: undefined,
+        lastRecord: undefined,
+        repeatedRecord: undefined,
         recordReadAt: -Infinity,
         snapshotAt: -Infinity,
         isReading: false,
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -186,11 +186,15 @@
         return effects;
     }
 
+    /** Answers a read with records; the one at which the read begins comes first. */
     read(
         topic: "configuration" | "backendServers",
-        items: readonly DecodedItem[],
+        newItems: readonly DecodedItem[],
         isSnapshot = false,
     ): GatewayEffect[] {
+        const { repeatedRecord } = this.state.followers[topic];
+        const isRepeated = !isSnapshot && repeatedRecord !== undefined;
+        const items = isRepeated ? [{ item: repeatedRecord, records: [] }, ...newItems] : newItems;
         return this.handle({ kind: "topicRead", topic, isSnapshot, items, next: this.offset });
     }
 
--- a/packages/gateway/test/peerTopics.test.ts
+++ b/packages/gateway/test/peerTopics.test.ts
@@ -85,9 +85,10 @@
 test("a gateway that has read a page of a longer log reads on at once, and does not count the topic as fresh", () => {
     const linked = linkedGateways(2);
     const [, other] = linked.gateways;
-    const { freshAsOf, next } = other.state.followers.backendServers;
+    const { freshAsOf, next, repeatedRecord } = other.state.followers.backendServers;
     other.now += 2_000;
-    const page = { kind: "topicRead", topic: "backendServers", isSnapshot: false, items: [], next: next! + 3 } as const;
+    const items = repeatedRecord === undefined ? [] : [{ item: repeatedRecord, records: [] }];
+    const page = { kind: "topicRead", topic: "backendServers", isSnapshot: false, items, next: next! + 3 } as const;
     const effects = other.handle({ ...page, isAtEnd: false });
     assert.is(other.state.followers.backendServers.freshAsOf, freshAsOf);
     assert.ok(effects.some(effect => effect.kind === "readTopic" && effect.from === next! + 3));
