Read again before the end of a channel ends an answer

What callers saw: a server answered with a 200 without a length, sent a part of the body and reset the channel; the caller got the part as the complete answer, a stream whose part was whole events included.

Cause: where the last bytes and the reset are found by the same poll, libuv reports the end of the connection after a short read without another read, which would return ECONNRESET (uv__stream_io: POLLHUP after a partial read). No error is told to anyone, so isTruncated had nothing to go by. The upload is not needed for it: a request of 10 bytes shows the same.

Change: checkConnectionEnd holds an end that comes in the same turn as bytes, and has the socket read again once the reader has taken them. The read returns the end, or the reset, which fails the answer. An end that comes by itself was read, and is passed on at once, so that an idle channel is known to be closed as soon as before. For the pool a channel is closed from the time at which its end is held.

--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -102,6 +102,7 @@
         extraPrefixes: readonly string[] = [],
         store: PlatformStore = this.store,
         timeoutMs = 5_000,
+        maxBodyBytes = 1_000,
     ): void {
         const route = (name: string, service: string, overrides: object): object => ({
             name,
@@ -126,7 +127,7 @@
                 ...extraPrefixes.map(name => route(name, "plain", { routeType: "idempotent" })),
             ],
             services: [{ name: "plain" }, { name: "engine", backend: engine }],
-            limits: { maxHeaderBytes: 8_192, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+            limits: { maxHeaderBytes: 8_192, maxBodyBytes, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
         });
     }
 
--- /dev/null
+++ b/packages/model/src/connectionEnd.ts
@@ -0,0 +1,74 @@
+/**
+ * Tells the reset of a connection from its orderly end. If a reset has arrived by the time the last bytes are read, Node.js
+ * reports the end of the connection without a read that would show the reset.
+ */
+
+/** What the check uses of a socket. */
+export interface EndingSocket {
+    readonly readableLength: number;
+    read(size?: number): unknown;
+    push(piece: unknown, encoding?: BufferEncoding): boolean;
+}
+
+/** The part of a socket of Node.js that reads from the kernel; null once the socket is destroyed. */
+interface SocketInternals {
+    readonly _handle: { readStart(): number; } | null;
+}
+
+/** The end of one connection. */
+export interface ConnectionEnd {
+    /** Whether the end was reported, though it may still prove to be a reset. */
+    readonly isReported: () => boolean;
+}
+
+/**
+ * Makes a connection that was reset fail instead of end. Its reader, which uses `read` when the socket is readable, gets
+ * the end or the error after all bytes.
+ *
+ * @example
+ * const end = checkConnectionEnd(socket);
+ */
+export function checkConnectionEnd(socket: EndingSocket): ConnectionEnd {
+    const push = socket.push.bind(socket);
+    const read = socket.read.bind(socket);
+    let state: "open" | "reported" | "checked" = "open";
+    /** Whether bytes arrived in this turn of the event loop. */
+    let hasJustRead = false;
+    let isDoubtful = false;
+    const check = (): void => {
+        state = "checked";
+        if (isDoubtful) {
+            // This read finds the end again, or the reset.
+            (socket as unknown as SocketInternals)._handle?.readStart();
+        }
+        else {
+            push(null);
+        }
+    };
+    socket.push = (piece, encoding) => {
+        if (piece !== null) {
+            if (!hasJustRead) {
+                hasJustRead = true;
+                setImmediate(() => hasJustRead = false);
+            }
+            return push(piece, encoding);
+        }
+        if (state === "checked") {
+            return push(null);
+        }
+        state = "reported";
+        isDoubtful = hasJustRead;
+        if (socket.readableLength === 0) {
+            check();
+        }
+        return false;
+    };
+    socket.read = size => {
+        const piece = read(size);
+        if (state === "reported" && piece === null && socket.readableLength === 0) {
+            check();
+        }
+        return piece;
+    };
+    return { isReported: () => state !== "open" };
+}
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./configuration.js";
+export * from "./connectionEnd.js";
 export * from "./errors.js";
 export * from "./identifiers.js";
 export * from "./settings.js";
--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -15,7 +15,9 @@
 import {
     type AttemptId,
     type CallerAttemptId,
+    checkConnectionEnd,
     checkStatusLines,
+    type ConnectionEnd,
     MalformedAnswerError,
     type Milliseconds,
 } from "@verbenaspring/model";
@@ -77,6 +79,7 @@
 /** A socket, and whether its reading side has ended or failed. */
 interface SocketState {
     readonly socket: Socket;
+    readonly end: ConnectionEnd;
     hasEnded: boolean;
     hasFailed: boolean;
 }
@@ -404,7 +407,7 @@
             if (head.isNotRun) {
                 refusedRequests.add(call.head.callerAttemptId);
             }
-            const isInStep = socketState?.hasEnded !== true && !mayBeOfEarlierCall(head, call);
+            const isInStep = socketState?.end.isReported() !== true && !mayBeOfEarlierCall(head, call);
             const complete = (): void =>
                 finish(
                     () => framer === undefined ? handlers.answered(attemptId, answer) : handlers.ended(attemptId),
@@ -434,7 +437,7 @@
 }
 
 function isOpen({ client, socketState }: Channel): boolean {
-    return !client.destroyed && socketState !== undefined && !socketState.hasEnded && !socketState.hasFailed
+    return !client.destroyed && socketState !== undefined && !socketState.end.isReported() && !socketState.hasFailed
         && !socketState.socket.destroyed;
 }
 
@@ -523,7 +526,7 @@
 
 /** Registers its listeners before the client does, so that the socket's end is known when the client reports it. */
 function trackSocket(socket: Socket): SocketState {
-    const socketState: SocketState = { socket, hasEnded: false, hasFailed: false };
+    const socketState: SocketState = { socket, end: checkConnectionEnd(socket), hasEnded: false, hasFailed: false };
     socket.on("end", () => socketState.hasEnded = true);
     socket.on("error", () => socketState.hasFailed = true);
     return socketState;
--- /dev/null
+++ b/packages/runtime/test/resetAnswers.test.ts
@@ -0,0 +1,126 @@
+/**
+ * Answers of backend servers that have no length: they are complete at the orderly end of their channel, not at its reset.
+ */
+import { decodeBackendHead } from "@verbenaspring/platform";
+import { createBackendChannels } from "@verbenaspring/runtime";
+import { createServer, type Socket } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createCall } from "./backendBuilders.js";
+
+const pause = (duration: number): Promise<void> => new Promise(resolve => setTimeout(resolve, duration));
+
+const sealedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: c\r\nResponse-Seal: s\r\n";
+const event = "id: 1\ndata: a\n\n";
+
+/** Answers without a length, with the reports of a call that gets one of them whole. */
+const answers = {
+    plain: { text: `${sealedHead}\r\npart`, reports: ["answered 200 part"] },
+    stream: {
+        text: `${sealedHead}content-type: text/event-stream\r\n\r\n${event}`,
+        reports: ["opened 200", "events 1", "ended"],
+    },
+};
+
+/** What the server does with the channel after it has sent its answer. */
+const ends: Readonly<Record<"reset" | "end" | "destroy", (socket: Socket) => void>> = {
+    reset: socket => void socket.resetAndDestroy(),
+    /** Reads the rest of the request, as a server does that wants its answer to arrive. */
+    end: socket => void socket.resume().end(),
+    /** A close, which the kernel turns into a reset if a part of the request is unread. */
+    destroy: socket => void socket.destroy(),
+};
+
+interface Plan {
+    readonly answer: string;
+    readonly bodyBytes: number;
+    readonly end: (socket: Socket) => void;
+    /** The time between the answer and the end of its channel. */
+    readonly delay: number;
+    /** For how long the answer is not read after its first part. */
+    readonly pausedFor?: number;
+}
+
+/** Sends a call to a server that answers as soon as a request begins; returns the reports of the call. */
+async function callServer({ answer, bodyBytes, end, delay, pausedFor = 0 }: Plan): Promise<string[]> {
+    const sockets: Socket[] = [];
+    const server = createServer(socket => {
+        sockets.push(socket);
+        socket.on("error", () => undefined);
+        socket.once("data", () => {
+            socket.pause();
+            socket.write(answer, () => delay === 0 ? end(socket) : setTimeout(end, delay, socket));
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as { readonly port: number; };
+    const reports: string[] = [];
+    let resolveCall = (): void => undefined;
+    const finished = new Promise<void>(resolve => resolveCall = resolve);
+    const report = (text: string, isLast: boolean): void => {
+        reports.push(text);
+        if (isLast) {
+            resolveCall();
+        }
+    };
+    const channels = createBackendChannels({ encodeBackendCall: call => [...call.head.headers], decodeBackendHead }, {
+        answered: (_, { status, body }) => report(`answered ${status} ${String(body)}`, true),
+        opened: (attemptId, { status }) => {
+            report(`opened ${status}`, false);
+            if (pausedFor > 0) {
+                channels.setPaused(attemptId, true);
+                setTimeout(() => channels.setPaused(attemptId, false), pausedFor);
+            }
+        },
+        events: (_, events) => report(`events ${events.length}`, false),
+        ended: () => report("ended", true),
+        failed: (_, failure) => report(failure, true),
+    }, 256 * 1024 * 1024);
+    channels.send(createCall(`127.0.0.1:${port}`), Buffer.alloc(bodyBytes, "x"));
+    await finished;
+    // A call has one outcome.
+    await pause(5);
+    channels.close();
+    server.close();
+    sockets.forEach(socket => socket.destroy());
+    return reports;
+}
+
+/** Below what the channel takes at once, and above it, where a write is in progress at the end of the channel. */
+const bodySizes = [10, 400_000, 12_000_000];
+
+// Callers got the part that had arrived as a complete answer: where its bytes and the reset were found together, the end
+// of the channel looked like an orderly one.
+for (const [name, { text }] of Object.entries(answers)) {
+    test(`a ${name} answer without a length whose channel is reset is not complete`, async () => {
+        const faults: string[] = [];
+        for (const bodyBytes of bodySizes) {
+            for (const delay of [0, 0, 20]) {
+                const reports = await callServer({ answer: text, bodyBytes, end: ends.reset, delay });
+                if (!["answer_truncated", "channel_lost"].includes(reports.at(-1)!)) {
+                    faults.push(`body of ${bodyBytes} bytes, reset after ${delay} ms: ${reports.join()}`);
+                }
+            }
+        }
+        assert.equal(faults, []);
+    });
+}
+
+test("an answer without a length is not complete if its server closes the channel before it has read the request", async () => {
+    for (const bodyBytes of [400_000, 12_000_000]) {
+        const reports = await callServer({ answer: answers.plain.text, bodyBytes, end: ends.destroy, delay: 0 });
+        assert.ok(["answer_truncated", "channel_lost"].includes(reports[0]), reports.join());
+    }
+});
+
+for (const [name, { text, reports }] of Object.entries(answers)) {
+    test(`a ${name} answer without a length is complete at the orderly end of its channel`, async () => {
+        for (const bodyBytes of bodySizes) {
+            for (const delay of [0, 20]) {
+                assert.equal(await callServer({ answer: text, bodyBytes, end: ends.end, delay }), reports);
+            }
+        }
+    });
+}
+
+test.run();
