Fail whole answers without a length whose connection is reset, at every HTTP client

What callers saw: the sidecar passed the part of a service's answer on as the answer, with its status. The clients of the store, the log, the instance list, reports and migrations read the part that had arrived; a cut refusal of a migration counted as one that keeps no memory.

And the HTTP client takes ECONNRESET for the end of a body without a length (onHttpSocketError calls the parser's finish), so that also a reset that came later, and was told, completed the answer.

Change: withCheckedAnswers checks the end of the connections of these clients as the channels to backend servers do, and a connection that was reset fails with ConnectionResetError, which the HTTP client does not take for an end.

--- a/packages/model/src/connectionEnd.ts
+++ b/packages/model/src/connectionEnd.ts
@@ -1,6 +1,7 @@
 /**
  * Tells the reset of a connection from its orderly end. If a reset has arrived by the time the last bytes are read, Node.js
- * reports the end of the connection without a read that would show the reset.
+ * reports the end of the connection without a read that would show the reset; and the HTTP client takes the error of a reset
+ * for the end of a body without a length.
  */
 
 /** What the check uses of a socket. */
@@ -8,6 +9,12 @@
     readonly readableLength: number;
     read(size?: number): unknown;
     push(piece: unknown, encoding?: BufferEncoding): boolean;
+    destroy(error?: Error): unknown;
+}
+
+/** The failure of a connection that was reset. It has no code by which the HTTP client would take it for an end. */
+export class ConnectionResetError extends Error {
+    override readonly name = "ConnectionResetError";
 }
 
 /** The part of a socket of Node.js that reads from the kernel; null once the socket is destroyed. */
@@ -31,6 +38,7 @@
 export function checkConnectionEnd(socket: EndingSocket): ConnectionEnd {
     const push = socket.push.bind(socket);
     const read = socket.read.bind(socket);
+    const destroy = socket.destroy.bind(socket);
     let state: "open" | "reported" | "checked" = "open";
     /** Whether bytes arrived in this turn of the event loop. */
     let hasJustRead = false;
@@ -70,5 +78,9 @@
         }
         return piece;
     };
+    socket.destroy = error => {
+        const isReset = (error as NodeJS.ErrnoException | undefined)?.code === "ECONNRESET";
+        return destroy(isReset ? new ConnectionResetError("the connection was reset", { cause: error }) : error);
+    };
     return { isReported: () => state !== "open" };
 }
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./checkedConnector.js";
 export * from "./configuration.js";
 export * from "./connectionEnd.js";
 export * from "./errors.js";
--- a/packages/model/src/statusLine.ts
+++ b/packages/model/src/statusLine.ts
@@ -103,28 +103,3 @@
         return write(...parameters);
     };
 }
-
-/** Opens connections for a client. */
-export type Connector<Options, Socket> = (
-    options: Options,
-    callback: (...result: [error: null, socket: Socket] | [error: Error, socket: null]) => void,
-) => void;
-
-/**
- * Makes a connector whose connections {@link checkStatusLines} checks.
- *
- * @example
- * new Client("http://127.0.0.1:8080", { connect: withCheckedStatusLines(buildConnector({ timeout: 400 })) });
- */
-export function withCheckedStatusLines<Options, Socket extends CheckedSocket>(
-    connect: Connector<Options, Socket>,
-): Connector<Options, Socket> {
-    return (options, callback) =>
-        connect(options, (...result) => {
-            // The connector of the HTTP client calls back with an error alone.
-            if (result[0] === null) {
-                checkStatusLines(result[1]);
-            }
-            callback(...result);
-        });
-}
--- a/packages/runtime/src/backendClient.ts
+++ b/packages/runtime/src/backendClient.ts
@@ -3,7 +3,7 @@
  * retries a call.
  */
 import type { Work } from "@verbenaspring/coordination";
-import { type AttemptId, type GenerationId, type Milliseconds, withCheckedStatusLines } from "@verbenaspring/model";
+import { type AttemptId, type GenerationId, type Milliseconds, withCheckedAnswers } from "@verbenaspring/model";
 import type { SidecarEvent } from "@verbenaspring/sidecar";
 import { createParser } from "eventsource-parser";
 import { Agent, buildConnector, type Dispatcher, request } from "undici";
@@ -69,7 +69,7 @@
         pipelining: 0,
         headersTimeout: 0,
         bodyTimeout: 0,
-        connect: withCheckedStatusLines(buildConnector({ timeout: connectTimeout })),
+        connect: withCheckedAnswers(buildConnector({ timeout: connectTimeout })),
     });
     const streams = new Map<GenerationId, AbortController>();
     const base = `http://${address}`;
--- a/packages/runtime/src/platformClient.ts
+++ b/packages/runtime/src/platformClient.ts
@@ -3,13 +3,7 @@
  */
 import type { OffsetRecord } from "@verbenaspring/coordination";
 import type { ListedInstance } from "@verbenaspring/entry";
-import {
-    identifier,
-    type LogOffset,
-    type Milliseconds,
-    PlatformError,
-    withCheckedStatusLines,
-} from "@verbenaspring/model";
+import { identifier, type LogOffset, type Milliseconds, PlatformError, withCheckedAnswers } from "@verbenaspring/model";
 import { Agent, buildConnector, request } from "undici";
 
 /** The result of a read of a stream. */
@@ -92,7 +86,7 @@
 }
 
 function createAgent(timeout: Milliseconds): Agent {
-    const connect = withCheckedStatusLines(buildConnector({ timeout }));
+    const connect = withCheckedAnswers(buildConnector({ timeout }));
     return new Agent({ headersTimeout: timeout, bodyTimeout: timeout, connect });
 }
 
