Keep the end of a channel back while its answer is not read

What callers saw: the gateway's process ended with exit code 1, and with it every request in progress there. It takes one server that resets a channel while its answer waits for room or for its caller: an answer without a length, or one that says "connection: close".

Cause: the HTTP client ends such an answer at the end, the reset or the close of its socket by its parser's finish, which asserts that the parser is not paused. The gateway pauses it. An assertion in a socket's listener ends the process. The same holds for the cancellation of a paused call, since resetAndDestroy closes the socket without an error. Found while the places that read answers were checked for the reset.

Change: checkConnectionEnd passes an end on when the reader reads and finds nothing left; a paused reader does so once it is resumed. A socket that is destroyed before its end fails with ConnectionResetError instead of closing without an error, so that the parser is not finished.

--- a/packages/bench/test/resetAnswersProcess.test.ts
+++ b/packages/bench/test/resetAnswersProcess.test.ts
@@ -145,4 +145,54 @@
     assert.equal(faults, []);
 });
 
+/** Large answers of which a part arrives; together they take the room that a gateway has for answers. */
+const largeAnswers = 12;
+const largeBytes = 5_000_000;
+const partBytes = 70_000;
+
+/** Sends a part of a large answer, or a part of an answer without a length and then a reset. */
+function answerInPart(socket: Socket, attempt: string): void {
+    const isLarge = attempt.startsWith("large");
+    const length = isLarge ? `content-length: ${largeBytes}\r\n` : "";
+    socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nResponse-Seal: s\r\n${length}\r\n`);
+    socket.write("x".repeat(partBytes));
+    if (!isLarge) {
+        setTimeout(() => socket.resetAndDestroy(), 200);
+    }
+}
+
+// The process ended with an assertion of its HTTP client, and with it the requests of all callers.
+test("a gateway goes on if a channel is reset while its answer waits for room", async () => {
+    const cluster = await GatewayCluster.start(1, { memoryMb: 178, maxFds: 4_096 });
+    const [gateway] = cluster.gateways;
+    const server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.on("data", data => {
+            const [, attempt] = /attempt-id: (\S+)/i.exec(data.toString("latin1")) ?? [];
+            if (attempt !== undefined) {
+                answerInPart(socket, attempt);
+            }
+        });
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    try {
+        const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+        cluster.store.put("keyed.servers", "x", { service: "plain", address, zone: "near", slots: 64, state: "ready" });
+        await cluster.waitUntilKnown(gateway, "x");
+        const send = (attemptId: string): Promise<number> =>
+            cluster.sendRequest(gateway, "/confirm/1", { attemptId }).then(({ status }) => status, () => 0);
+        const large = Array.from({ length: largeAnswers }, (_, index) => send(`large-${index}`));
+        await new Promise(resolve => setTimeout(resolve, 300));
+        const statuses = await Promise.all(Array.from({ length: 4 }, (_, index) => send(`reset-${index}`)));
+        assert.is(gateway.child.exitCode, null, gateway.output().slice(-600));
+        assert.equal(statuses, Array(4).fill(502));
+        gateway.child.kill("SIGKILL");
+        await Promise.all(large);
+    }
+    finally {
+        await cluster.stop();
+        server.close();
+    }
+});
+
 test.run();
--- a/packages/model/src/connectionEnd.ts
+++ b/packages/model/src/connectionEnd.ts
@@ -1,18 +1,20 @@
 /**
  * Tells the reset of a connection from its orderly end. If a reset has arrived by the time the last bytes are read, Node.js
  * reports the end of the connection without a read that would show the reset; and the HTTP client takes the error of a reset
- * for the end of a body without a length.
+ * for the end of a body without a length. Nor can the HTTP client end an answer while its reading is paused.
  */
 
 /** What the check uses of a socket. */
 export interface EndingSocket {
     readonly readableLength: number;
     read(size?: number): unknown;
+    readonly readableEnded: boolean;
     push(piece: unknown, encoding?: BufferEncoding): boolean;
+    emit(event: "readable"): boolean;
     destroy(error?: Error): unknown;
 }
 
-/** The failure of a connection that was reset. It has no code by which the HTTP client would take it for an end. */
+/** The failure of a connection that was reset, by either side. It has no code by which the HTTP client would take it for an end. */
 export class ConnectionResetError extends Error {
     override readonly name = "ConnectionResetError";
 }
@@ -66,20 +68,22 @@
         }
         state = "reported";
         isDoubtful = hasJustRead;
-        if (socket.readableLength === 0) {
-            check();
-        }
+        // A reader that is paused doesn't read now, but when it is resumed.
+        socket.emit("readable");
         return false;
     };
     socket.read = size => {
         const piece = read(size);
-        if (state === "reported" && piece === null && socket.readableLength === 0) {
+        const isByReader = size !== 0;
+        if (state === "reported" && isByReader && piece === null && socket.readableLength === 0) {
             check();
         }
         return piece;
     };
     socket.destroy = error => {
-        const isReset = (error as NodeJS.ErrnoException | undefined)?.code === "ECONNRESET";
+        const isReset = error === undefined
+            ? !socket.readableEnded
+            : (error as NodeJS.ErrnoException).code === "ECONNRESET";
         return destroy(isReset ? new ConnectionResetError("the connection was reset", { cause: error }) : error);
     };
     return { isReported: () => state !== "open" };
--- a/packages/runtime/test/resetAnswers.test.ts
+++ b/packages/runtime/test/resetAnswers.test.ts
@@ -39,10 +39,12 @@
     readonly delay: number;
     /** For how long the answer is not read after its first part. */
     readonly pausedFor?: number;
+    /** The time after which the call is cancelled. */
+    readonly cancelAfter?: number;
 }
 
 /** Sends a call to a server that answers as soon as a request begins; returns the reports of the call. */
-async function callServer({ answer, bodyBytes, end, delay, pausedFor = 0 }: Plan): Promise<string[]> {
+async function callServer({ answer, bodyBytes, end, delay, pausedFor = 0, cancelAfter }: Plan): Promise<string[]> {
     const sockets: Socket[] = [];
     const server = createServer(socket => {
         sockets.push(socket);
@@ -65,18 +67,25 @@
     };
     const channels = createBackendChannels({ encodeBackendCall: call => [...call.head.headers], decodeBackendHead }, {
         answered: (_, { status, body }) => report(`answered ${status} ${String(body)}`, true),
-        opened: (attemptId, { status }) => {
-            report(`opened ${status}`, false);
+        opened: (_, { status }) => report(`opened ${status}`, false),
+        events: (attemptId, events) => {
+            report(`events ${events.length}`, false);
             if (pausedFor > 0) {
                 channels.setPaused(attemptId, true);
                 setTimeout(() => channels.setPaused(attemptId, false), pausedFor);
             }
         },
-        events: (_, events) => report(`events ${events.length}`, false),
         ended: () => report("ended", true),
         failed: (_, failure) => report(failure, true),
     }, 256 * 1024 * 1024);
-    channels.send(createCall(`127.0.0.1:${port}`), Buffer.alloc(bodyBytes, "x"));
+    const call = createCall(`127.0.0.1:${port}`);
+    channels.send(call, Buffer.alloc(bodyBytes, "x"));
+    if (cancelAfter !== undefined) {
+        setTimeout(() => {
+            channels.cancel(call.attemptId);
+            report("cancelled", true);
+        }, cancelAfter);
+    }
     await finished;
     // A call has one outcome.
     await pause(5);
@@ -123,4 +132,29 @@
     });
 }
 
+// The HTTP client failed an assertion then, which ended the process: it can't end an answer that it doesn't read at present.
+for (
+    const [name, fields] of [["without a length", ""], ["that closes its channel", "connection: close\r\n"]] as const
+) {
+    const head = `${sealedHead}${fields}content-type: text/event-stream\r\n`;
+
+    test(`a stream ${name} may end, be reset or be cancelled while it is not read`, async () => {
+        const answer = `${head}\r\n${event}`;
+        const plan = { answer, bodyBytes: 10, delay: 20, pausedFor: 60 };
+        assert.equal(await callServer({ ...plan, end: ends.end }), answers.stream.reports);
+        const reports = await callServer({ ...plan, end: ends.reset });
+        assert.is(reports.at(-1), "answer_truncated", reports.join());
+        const cancelled = await callServer({ ...plan, end: () => undefined, cancelAfter: 30 });
+        assert.equal(cancelled, ["opened 200", "events 1", "cancelled"]);
+    });
+
+    test(`a stream in chunks ${name} is cut if its channel ends in a chunk while it is not read`, async () => {
+        const answer = `${head}transfer-encoding: chunked\r\n\r\nff\r\n${event}`;
+        for (const end of [ends.end, ends.reset]) {
+            const reports = await callServer({ answer, bodyBytes: 10, end, delay: 20, pausedFor: 60 });
+            assert.equal(reports, ["opened 200", "events 1", "answer_truncated"]);
+        }
+    });
+}
+
 test.run();
