Test reports of peers that are cut or come with a failure

Handled already, and nothing else changes: messages of a link have a length of their own, and the stream an end.

--- a/packages/runtime/test/peerLinks.test.ts
+++ b/packages/runtime/test/peerLinks.test.ts
@@ -1,6 +1,9 @@
+import { create, toBinary } from "@bufbuild/protobuf";
 import type { PeerReport } from "@verbenaspring/gateway";
 import { identifier, type PeerAddress } from "@verbenaspring/model";
-import { createPeerLinks, type PeerLinks } from "@verbenaspring/runtime";
+import { createPeerLinks, encodeReport, type PeerLinks } from "@verbenaspring/runtime";
+import { PeerReportSchema } from "@verbenaspring/schema";
+import { createServer as createHttp2Server, type ServerHttp2Stream } from "node:http2";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -146,4 +149,52 @@
     assert.equal(closed, [`closed ${address}`]);
 });
 
+/** A message of the stream of a link: flags, the length, and the report. */
+function encodeMessage(report: PeerReport): Buffer {
+    const content = toBinary(PeerReportSchema, create(PeerReportSchema, encodeReport(report)));
+    const prefix = Buffer.alloc(5);
+    prefix.writeUInt32BE(content.length, 1);
+    return Buffer.concat([prefix, content]);
+}
+
+type StreamEnd = (stream: ServerHttp2Stream, socket: Socket) => void;
+
+/** Opens a link to a server that answers with a status and bytes, and then ends the stream; returns what was told. */
+async function openTo(status: number, bytes: Buffer, end: StreamEnd): Promise<string[]> {
+    const sockets: Socket[] = [];
+    const server = createHttp2Server().on("stream", stream => {
+        stream.on("error", () => undefined);
+        stream.respond({ ":status": status, "content-type": "application/connect+proto" });
+        stream.write(bytes, () => end(stream, sockets[0]));
+    });
+    server.on("connection", (socket: Socket) => sockets.push(socket)).on("sessionError", () => undefined);
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const peer = await startPeer();
+    const address = identifier<PeerAddress>(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    peer.links.open(address, reportOf(peer.address));
+    await waitUntil(() => peer.told.some(line => line === `closed ${address}`));
+    peer.links.close();
+    server.close();
+    return peer.told.map(line => line.replace(address, "peer"));
+}
+
+const streamEnds: readonly StreamEnd[] = [
+    stream => stream.end(),
+    stream => stream.close(2),
+    stream => stream.session?.destroy(),
+    (_, socket) => void socket.resetAndDestroy(),
+];
+
+test("a report that is cut, or that comes with another status than 200, is not a report", async () => {
+    const report = reportOf(identifier("one"));
+    const message = encodeMessage(report);
+    const cut = encodeMessage({ ...report, members: [identifier("two"), identifier("three")] }).subarray(0, -1);
+    for (const end of streamEnds) {
+        assert.equal(await openTo(200, Buffer.concat([message, cut]), end), ["reported one", "closed peer"]);
+        for (const status of [503, 599]) {
+            assert.equal(await openTo(status, message, end), ["closed peer"]);
+        }
+    }
+});
+
 test.run();
