--- a/packages/model/src/connectionEnd.ts
+++ b/packages/model/src/connectionEnd.ts
@@ -7,8 +7,8 @@
 /** What the check uses of a socket. */
 export interface EndingSocket {
     readonly readableLength: number;
-    read(size?: number): unknown;
     readonly readableEnded: boolean;
+    read(size?: number): unknown;
     push(piece: unknown, encoding?: BufferEncoding): boolean;
     emit(event: "readable"): boolean;
     destroy(error?: Error): unknown;
@@ -42,8 +42,9 @@
     const read = socket.read.bind(socket);
     const destroy = socket.destroy.bind(socket);
     let state: "open" | "reported" | "checked" = "open";
-    /** Whether bytes arrived in this turn of the event loop. */
+    /** Whether bytes were read in this turn of the event loop. */
     let hasJustRead = false;
+    /** Whether the reported end may be a reset: it came in the turn of the last bytes, so perhaps without a read. */
     let isDoubtful = false;
     const check = (): void => {
         state = "checked";
--- a/packages/runtime/test/answerReaders.ts
+++ b/packages/runtime/test/answerReaders.ts
@@ -23,12 +23,18 @@
 type BackendClient = ReturnType<typeof createBackendClient>;
 type BackendEvent = Parameters<Parameters<typeof createBackendClient>[1]>[0];
 
-const work = { contentType: "", organisation: "o", body: "{}", path: "/", method: "POST" } as unknown as Parameters<
+export const work = {
+    contentType: "",
+    organisation: "o",
+    body: "{}",
+    path: "/",
+    method: "POST",
+} as unknown as Parameters<
     BackendClient["start"]
 >[2];
 
 /** Makes a call of a sidecar; resolves to the event that ends it. */
-function endOfCall(address: string, call: (backend: BackendClient) => void): Promise<BackendEvent["kind"]> {
+export function endOfCall(address: string, call: (backend: BackendClient) => void): Promise<BackendEvent["kind"]> {
     return new Promise(resolve => {
         const isLast = ({ kind }: BackendEvent): boolean => kind !== "generationTokens";
         call(createBackendClient(address, event => isLast(event) && resolve(event.kind), () => undefined));
--- a/packages/runtime/test/cutWholeAnswers.test.ts
+++ b/packages/runtime/test/cutWholeAnswers.test.ts
@@ -7,7 +7,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { answerReaders } from "./answerReaders.js";
+import { answerReaders, endOfCall, work } from "./answerReaders.js";
 
 type End = (socket: Socket) => void;
 
@@ -81,4 +81,19 @@
     }
 });
 
+test("a generation whose stream is cut before its last event is broken", async () => {
+    const answer = `${okHead}\r\ndata: {"from": 0, "texts": ["a"]}\n\n`;
+    for (const delay of delays) {
+        for (const endSocket of [reset, end]) {
+            const kind = await callServer(
+                answer,
+                endSocket,
+                delay,
+                address => endOfCall(address, backend => backend.start(identifier("g"), identifier("b"), work, 0, "t")),
+            );
+            assert.is(kind, "generationBroken");
+        }
+    }
+});
+
 test.run();
