Fail a connection whose end can't be read again

The result of the second read was ignored: with an error the end would never have been passed on, and the answer would have waited for its time limit.

--- a/packages/model/src/connectionEnd.ts
+++ b/packages/model/src/connectionEnd.ts
@@ -48,12 +48,14 @@
     let isDoubtful = false;
     const check = (): void => {
         state = "checked";
-        if (isDoubtful) {
-            // This read finds the end again, or the reset.
-            (socket as unknown as SocketInternals)._handle?.readStart();
-        }
-        else {
+        if (!isDoubtful) {
             push(null);
+            return;
+        }
+        // This read finds the end again, or the reset.
+        const error = (socket as unknown as SocketInternals)._handle?.readStart() ?? 0;
+        if (error !== 0) {
+            socket.destroy(new ConnectionResetError(`the end could not be read: error ${error}`));
         }
     };
     socket.push = (piece, encoding) => {
