Tests of paused answers: wait for the pause instead of a time

In a run beside a whole test run, resetAnswers failed twice of 12: "a stream ... may end, be reset or be cancelled while it is not read" reported "cancelled" without "opened 200" and "events 1".

Cause: the test cancelled the call 30 ms after it was sent, whether its answer had been read by then or not. On a busy machine it had not, so the test played another case than its name says. The end of the channel and the resumption were timed from the send and the answer in the same way. The product is not at fault: a call that is cancelled before its answer reports nothing of it.

Change: the channel ends, or the call is cancelled, after the call has reported its first events and is paused; it is resumed after that. What is expected of each case is unchanged.

--- a/packages/runtime/test/resetAnswers.test.ts
+++ b/packages/runtime/test/resetAnswers.test.ts
@@ -1,6 +1,7 @@
 /**
  * Answers of backend servers that have no length: they are complete at the orderly end of their channel, not at its reset.
  */
+import type { AttemptId } from "@verbenaspring/model";
 import { decodeBackendHead } from "@verbenaspring/platform";
 import { createBackendChannels } from "@verbenaspring/runtime";
 import { createServer, type Socket } from "node:net";
@@ -35,23 +36,25 @@
     readonly answer: string;
     readonly bodyBytes: number;
     readonly end: (socket: Socket) => void;
-    /** The time between the answer and the end of its channel. */
+    /** The time between the answer, or its pause, and the end of its channel. */
     readonly delay: number;
-    /** For how long the answer is not read after its first part. */
-    readonly pausedFor?: number;
-    /** The time after which the call is cancelled. */
-    readonly cancelAfter?: number;
+    /** If it is given, the answer is paused after its first events; then its channel ends, or the call is cancelled. */
+    readonly whilePaused?: "end" | "cancel";
 }
 
+/** How long an answer stays paused after the end of its channel. */
+const pauseDuration = 40;
+
 /** Sends a call to a server that answers as soon as a request begins; returns the reports of the call. */
-async function callServer({ answer, bodyBytes, end, delay, pausedFor = 0, cancelAfter }: Plan): Promise<string[]> {
+async function callServer({ answer, bodyBytes, end, delay, whilePaused }: Plan): Promise<string[]> {
     const sockets: Socket[] = [];
+    const endAnswer = (socket: Socket): unknown => delay === 0 ? end(socket) : setTimeout(end, delay, socket);
     const server = createServer(socket => {
         sockets.push(socket);
         socket.on("error", () => undefined);
         socket.once("data", () => {
             socket.pause();
-            socket.write(answer, () => delay === 0 ? end(socket) : setTimeout(end, delay, socket));
+            socket.write(answer, () => whilePaused === undefined && endAnswer(socket));
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
@@ -65,27 +68,29 @@
             resolveCall();
         }
     };
+    const endPaused = (attemptId: AttemptId): void => {
+        if (whilePaused === "cancel") {
+            channels.cancel(attemptId);
+            report("cancelled", true);
+            return;
+        }
+        end(sockets[0]);
+        setTimeout(() => channels.setPaused(attemptId, false), pauseDuration);
+    };
     const channels = createBackendChannels({ encodeBackendCall: call => [...call.head.headers], decodeBackendHead }, {
         answered: (_, { status, body }) => report(`answered ${status} ${String(body)}`, true),
         opened: (_, { status }) => report(`opened ${status}`, false),
         events: (attemptId, events) => {
             report(`events ${events.length}`, false);
-            if (pausedFor > 0) {
+            if (whilePaused !== undefined) {
                 channels.setPaused(attemptId, true);
-                setTimeout(() => channels.setPaused(attemptId, false), pausedFor);
+                setTimeout(endPaused, delay, attemptId);
             }
         },
         ended: () => report("ended", true),
         failed: (_, failure) => report(failure, true),
     }, 256 * 1024 * 1024);
-    const call = createCall(`127.0.0.1:${port}`);
-    channels.send(call, Buffer.alloc(bodyBytes, "x"));
-    if (cancelAfter !== undefined) {
-        setTimeout(() => {
-            channels.cancel(call.attemptId);
-            report("cancelled", true);
-        }, cancelAfter);
-    }
+    channels.send(createCall(`127.0.0.1:${port}`), Buffer.alloc(bodyBytes, "x"));
     await finished;
     // A call has one outcome.
     await pause(5);
@@ -140,18 +145,18 @@
 
     test(`a stream ${name} may end, be reset or be cancelled while it is not read`, async () => {
         const answer = `${head}\r\n${event}`;
-        const plan = { answer, bodyBytes: 10, delay: 20, pausedFor: 60 };
+        const plan = { answer, bodyBytes: 10, delay: 10, whilePaused: "end" } as const;
         assert.equal(await callServer({ ...plan, end: ends.end }), answers.stream.reports);
         const reports = await callServer({ ...plan, end: ends.reset });
         assert.is(reports.at(-1), "answer_truncated", reports.join());
-        const cancelled = await callServer({ ...plan, end: () => undefined, cancelAfter: 30 });
+        const cancelled = await callServer({ ...plan, end: ends.end, whilePaused: "cancel" });
         assert.equal(cancelled, ["opened 200", "events 1", "cancelled"]);
     });
 
     test(`a stream in chunks ${name} is cut if its channel ends in a chunk while it is not read`, async () => {
         const answer = `${head}transfer-encoding: chunked\r\n\r\nff\r\n${event}`;
         for (const end of [ends.end, ends.reset]) {
-            const reports = await callServer({ answer, bodyBytes: 10, end, delay: 20, pausedFor: 60 });
+            const reports = await callServer({ answer, bodyBytes: 10, end, delay: 10, whilePaused: "end" });
             assert.equal(reports, ["opened 200", "events 1", "answer_truncated"]);
         }
     });
