peerLinks test: use ports that no outgoing connection takes

What was seen: `listen EADDRINUSE: address already in use` in three of the four tests of the file, once each: in 3 of 14 runs beside the other tests of answers and a whole test run, and once of 12 the time before. After such a failure the sockets of the test keep its process alive, so that the test run doesn't end by itself.

Cause: each peer listened on a port that the test had found free by listening on port 0 and closing. Such a port is in the range from which the system assigns ports to outgoing connections; any test that runs at the same time may get it in between. The test for cut reports starts twelve peers more since, which makes it likelier.

Change: the test takes `findFreeAddress` of the process clusters, whose ports are below that range.

--- a/packages/runtime/test/peerLinks.test.ts
+++ b/packages/runtime/test/peerLinks.test.ts
@@ -1,4 +1,5 @@
 import { create, toBinary } from "@bufbuild/protobuf";
+import { findFreeAddress } from "@verbenaspring/bench";
 import type { PeerReport } from "@verbenaspring/gateway";
 import { identifier, type PeerAddress } from "@verbenaspring/model";
 import { createPeerLinks, encodeReport, type PeerLinks } from "@verbenaspring/runtime";
@@ -36,14 +37,6 @@
     };
 }
 
-async function freePort(): Promise<number> {
-    const probe = createServer().listen(0, "127.0.0.1");
-    await new Promise(resolve => probe.once("listening", resolve));
-    const { port } = probe.address() as AddressInfo;
-    await new Promise(resolve => probe.close(resolve));
-    return port;
-}
-
 /** A peer's links, and what it was told of them. */
 interface TestPeer {
     readonly address: PeerAddress;
@@ -52,7 +45,7 @@
 }
 
 async function startPeer(): Promise<TestPeer> {
-    const address = identifier<PeerAddress>(`127.0.0.1:${await freePort()}`);
+    const address = identifier<PeerAddress>(await findFreeAddress());
     const told: string[] = [];
     const links = createPeerLinks({
         reported: report => told.push(`reported ${report.address}`),
