Test runner: name the failures that count at the end

What was kept of its output is the beginning and the end, and the end names the failures of KNOWN-RED.txt only, so that the one that counts could not be told.

The runner now prints a line "FAILED file: test" for each of them before the last line. A test that fails on purpose (trial, not committed) gives this line and exit code 1; the listed failures are printed as before and don't count.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -1,6 +1,6 @@
 // Runs the test files with uvu, each in its own process: `node scripts/runTests.mjs [WORD...]`, where WORD selects the
-// files whose path contains it. The last line is "N passed, N failed". Failures listed in KNOWN-RED.txt are printed,
-// but not counted as failed.
+// files whose path contains it. The last line is "N passed, N failed", after a line for each failure. Failures listed in
+// KNOWN-RED.txt are not counted as failed.
 import { spawn } from "node:child_process";
 import { readdirSync, readFileSync } from "node:fs";
 import { availableParallelism } from "node:os";
@@ -20,9 +20,10 @@
 const failures = results.flatMap(result => result.failures);
 const listedFailures = failures.filter(failure => knownFailures.some(name => failure.includes(name)));
 listedFailures.forEach(failure => process.stdout.write(`KNOWN-RED ${failure}\n`));
-const failed = failures.length - listedFailures.length;
-process.stdout.write(`${passed} passed, ${failed} failed\n`);
-process.exit(failed === 0 ? 0 : 1);
+const unlistedFailures = failures.filter(failure => !listedFailures.includes(failure));
+unlistedFailures.forEach(failure => process.stdout.write(`FAILED ${failure}\n`));
+process.stdout.write(`${passed} passed, ${unlistedFailures.length} failed\n`);
+process.exit(unlistedFailures.length === 0 ? 0 : 1);
 
 function findTests() {
     const roots = ["packages", "platform"];
