Socket tests: no port that an outgoing connection may take

Cause: as in peerLinks.test.ts. requestFraming and lostAnswers start a gateway for each test, with three ports that were found by listening on port 0 and closing; a gateway takes them a second later, and any connection in between may get one. The tests of malformed and cut answers, new since, open some thousands of connections at the same time.

No other test listens on a port that it has closed before. What is expected is unchanged.

--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -1,3 +1,4 @@
+import { findFreeAddress } from "@verbenaspring/bench";
 import type { BackendAnswer, BackendCall, RequestHead, StreamEvent } from "@verbenaspring/gateway";
 import { type AttemptId, type CallerAttemptId, failure, identifier, type RequestId } from "@verbenaspring/model";
 import {
@@ -247,10 +248,8 @@
 });
 
 test("a call to a port without a listener is reported as not sent", async () => {
-    const { address, server } = await listenRaw(() => undefined);
-    await new Promise(resolve => server.close(resolve));
     const harness = new ChannelHarness();
-    const outcome = await harness.call(createCall(address));
+    const outcome = await harness.call(createCall(await findFreeAddress()));
     assert.equal(outcome, { kind: "failed", failure: "connect_refused", wasSent: false });
     harness.channels.close();
 });
--- a/packages/runtime/test/lostAnswers.test.ts
+++ b/packages/runtime/test/lostAnswers.test.ts
@@ -2,10 +2,12 @@
  * Requests that may run once, between callers, a gateway process and backend servers at real sockets. The servers lose,
  * repeat, delay and confuse answers. No request may run twice, and none that was refused as not run may have run.
  */
+import { findFreeGatewayAddresses } from "@verbenaspring/bench";
 import { seededSource } from "@verbenaspring/coordination";
+import { parseAddress } from "@verbenaspring/runtime";
 import { type ChildProcess, fork } from "node:child_process";
 import { Agent, type ClientRequest, get, type IncomingMessage, request } from "node:http";
-import { connect, createServer } from "node:net";
+import { connect } from "node:net";
 import { fileURLToPath } from "node:url";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -78,19 +80,19 @@
                 };
             }),
         );
-        const [callers, readiness, peers] = await Promise.all([findFreePort(), findFreePort(), findFreePort()]);
+        const { callerAddress, readinessAddress, peerAddress } = await findFreeGatewayAddresses();
         const gatewayArguments: GatewayArguments = {
-            callers: `127.0.0.1:${callers}`,
-            readiness: `127.0.0.1:${readiness}`,
-            peers: `127.0.0.1:${peers}`,
+            callers: callerAddress,
+            readiness: readinessAddress,
+            peers: peerAddress,
             services,
         };
         const file = fileURLToPath(new URL("lostAnswersGateway.ts", import.meta.url));
-        world.callerPort = callers;
+        world.callerPort = parseAddress(callerAddress).port;
         world.gateway = fork(file, [JSON.stringify(gatewayArguments)], { execArgv: ["--import", "tsx"], silent: true });
         world.gateway.stdout?.on("data", chunk => world.gatewayLog += String(chunk));
         world.gateway.stderr?.on("data", chunk => world.gatewayLog += String(chunk));
-        while (!await isReady(readiness)) {
+        while (!await isReady(parseAddress(readinessAddress).port)) {
             assert.is(world.gateway.exitCode, null, world.gatewayLog);
             await pause(20);
         }
@@ -232,14 +234,6 @@
     return new Promise(resolve => setTimeout(resolve, duration));
 }
 
-async function findFreePort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as { readonly port: number; };
-    await new Promise(resolve => server.close(resolve));
-    return port;
-}
-
 function isReady(port: number): Promise<boolean> {
     return new Promise(resolve => {
         const call = get({ host: "127.0.0.1", port, agent: false }, response => {
--- a/packages/runtime/test/requestFraming.test.ts
+++ b/packages/runtime/test/requestFraming.test.ts
@@ -3,7 +3,9 @@
  * server only as the requests that a strict parser reads, each once, with its method, target and body.
  * `node --import tsx packages/runtime/test/requestFraming.test.ts SEED CASES` runs more cases.
  */
+import { findFreeGatewayAddresses } from "@verbenaspring/bench";
 import { type Random, seededSource } from "@verbenaspring/coordination";
+import { parseAddress } from "@verbenaspring/runtime";
 import { type ChildProcess, fork } from "node:child_process";
 import { once } from "node:events";
 import { get } from "node:http";
@@ -80,11 +82,11 @@
 }
 
 async function startGateway(backendAddress: string): Promise<Gateway> {
-    const [callerPort, readinessPort, peerPort] = await Promise.all([findFreePort(), findFreePort(), findFreePort()]);
+    const { callerAddress, readinessAddress, peerAddress } = await findFreeGatewayAddresses();
     const gatewayArguments: GatewayArguments = {
-        callers: `127.0.0.1:${callerPort}`,
-        readiness: `127.0.0.1:${readinessPort}`,
-        peers: `127.0.0.1:${peerPort}`,
+        callers: callerAddress,
+        readiness: readinessAddress,
+        peers: peerAddress,
         services: [{ name: "plain", isEngine: false, addresses: [backendAddress] }],
     };
     const file = fileURLToPath(new URL("lostAnswersGateway.ts", import.meta.url));
@@ -92,11 +94,11 @@
     let output = "";
     child.stdout?.on("data", chunk => output += String(chunk));
     child.stderr?.on("data", chunk => output += String(chunk));
-    while (!await isReady(readinessPort)) {
+    while (!await isReady(parseAddress(readinessAddress).port)) {
         assert.is(child.exitCode, null, output);
         await pause(20);
     }
-    return { process: child, callerPort, output: () => output };
+    return { process: child, callerPort: parseAddress(callerAddress).port, output: () => output };
 }
 
 /** Sends a connection's bytes in pieces, and resolves once nothing more can be expected. */
@@ -171,16 +173,6 @@
     return [...faults, ...lost.map(([id, { drawn }]) => `${id} did not arrive: ${describe(drawn.bytes)}`)];
 }
 
-async function findFreePort(): Promise<number> {
-    const server = createServer();
-    server.listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return port;
-}
-
 function isReady(port: number): Promise<boolean> {
     return new Promise(resolve => {
         get({ port, host: "127.0.0.1", path: "/readyz" }, response => {
