stream_part_ended: whether the server leaves or has started again

The line of a run that ended did not say what was known of its server, so that the end of a process could not be told from that of a stream.

--- a/packages/gateway/src/streamParts.ts
+++ b/packages/gateway/src/streamParts.ts
@@ -3,6 +3,7 @@
  */
 import type { ContinuationSource } from "./replicas.js";
 import { requestFields } from "./requests.js";
+import { isSuperseded } from "./serverIncarnations.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -51,6 +52,7 @@
     }
     const isPlain = part.source === "beginning" && how === "ended" && head?.endsWithChannel !== true
         && !attempt.isStopRequested;
+    const leavingSince = transaction.state.servers.get(server.record.id)?.leavingSince;
     logDecision(transaction, isPlain ? "debug" : "info", "stream_part_ended", {
         ...requestFields(transaction, request),
         server: server.record.id,
@@ -66,5 +68,8 @@
         framing: head?.endsWithChannel === true ? "channel" : "length_or_chunks",
         end: how,
         isStopRequested: attempt.isStopRequested,
+        serverStartedAt: server.record.startedAt,
+        serverLeavingFor: leavingSince === undefined ? undefined : Math.round(transaction.now - leavingSince),
+        hasServerRestarted: isSuperseded(transaction.state, server),
     });
 }
--- a/packages/gateway/test/streamParts.test.ts
+++ b/packages/gateway/test/streamParts.test.ts
@@ -43,6 +43,15 @@
     assert.is(linesIn(ended, "stream_part_ended")[0].weightVersion, 3);
 });
 
+test("the line of a run tells whether its server leaves or has started again", () => {
+    const gateway = TestGateway.serving(server("engine-1", { startedAt: 1 }));
+    const call = gateway.startStream("r", "plan", { maximumTokens: 8 });
+    gateway.register(server("engine-1", { startedAt: 2, isDraining: true }));
+    gateway.now += 40;
+    const [line] = linesIn(gateway.failAttempt(call), "stream_part_ended");
+    assert.equal([line.serverStartedAt, line.serverLeavingFor, line.hasServerRestarted], [1, 40, true]);
+});
+
 test("a run that can't go on within an answer has a line with the events that were taken before", () => {
     const gateway = gatewayWithEngines();
     const call = gateway.sendRequest("r", "note");
