Show that a part of an unframed stream looks complete after its engine is killed

Callers get status 200, some events and the last chunk of a complete answer. The engine is a process of its own; a supervisor keeps the listener.

--- /dev/null
+++ b/packages/bench/test/killedEnginesProcess.test.ts
@@ -0,0 +1,135 @@
+/**
+ * Engines that are killed while they write streams with neither a length nor chunks. The kernel closes the channels of a
+ * process that ends as an orderly end does, and accepts connections until the last process that holds the listener has
+ * closed it.
+ */
+import { waitUntil } from "@verbenaspring/bench";
+import { type ChildProcess, fork, spawn } from "node:child_process";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { fileURLToPath } from "node:url";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { GatewayCluster, type GatewayResponse } from "./gatewayCluster.js";
+
+const program = fileURLToPath(new URL("unframedEngine.ts", import.meta.url));
+const execArgv = ["--import", "tsx"];
+const length = 4_000;
+const firstStart = 1_000;
+
+function lengthField(events: number): Readonly<Record<string, string>> {
+    return { "stream-length": String(events) };
+}
+
+function idsOf({ body }: GatewayResponse): number[] {
+    return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+}
+
+/** Registers an engine, and waits until the gateway knows it. */
+async function register(cluster: GatewayCluster, id: string, port: number): Promise<void> {
+    const address = `127.0.0.1:${port}`;
+    const record = { service: "engine", address, zone: "near", slots: 64, state: "ready", born: firstStart };
+    cluster.store.put("keyed.servers", id, record);
+    await cluster.waitUntilKnown(cluster.gateways[0], id);
+}
+
+/** Starts an engine with a listener of its own. */
+async function startEngine(cluster: GatewayCluster, id: string): Promise<ChildProcess> {
+    const words = [...execArgv, program, String(firstStart)];
+    const child = spawn(process.execPath, words, { stdio: ["ignore", "pipe", "inherit"] });
+    const [port] = await once(child.stdout, "data") as [Buffer];
+    await register(cluster, id, Number(String(port)));
+    return child;
+}
+
+/** Sends streams, calls `kill` once all have begun, and returns what callers got. */
+async function killUnderStreams(
+    cluster: GatewayCluster,
+    streams: number,
+    kill: () => void,
+): Promise<GatewayResponse[]> {
+    let begun = 0;
+    const headers = lengthField(length);
+    const answers = Array.from(
+        { length: streams },
+        () => cluster.sendRequest(cluster.gateways[0], "/plan/1", { headers, onHead: () => begun++ }),
+    );
+    await waitUntil("the streams have begun", () => begun === streams);
+    kill();
+    const responses = await Promise.all(answers);
+    assert.ok(responses.every(response => idsOf(response).length < length));
+    return responses;
+}
+
+test("callers get no part of an unframed stream as a complete one when its engine is killed", async () => {
+    const cluster = await GatewayCluster.start(1);
+    const kills = 4;
+    const children: ChildProcess[] = [];
+    try {
+        for (let kill = 0; kill < kills; kill++) {
+            const id = `x${kill}`;
+            const engine = await startEngine(cluster, id);
+            children.push(engine);
+            const responses = await killUnderStreams(cluster, 60, () => engine.kill("SIGKILL"));
+            assert.is(responses.filter(({ isComplete }) => isComplete).length, 0);
+            cluster.store.put("keyed.servers", id, undefined);
+            const line = `server=${id} change=removed`;
+            await waitUntil(`${id} is gone`, () => cluster.gateways[0].output().includes(line));
+        }
+    }
+    finally {
+        children.forEach(child => child.kill("SIGKILL"));
+        await cluster.stop();
+    }
+});
+
+for (const [name, isReplaced] of [["waits", false], ["starts the engine again", true]] as const) {
+    // A connection that the kernel accepts counted as proof that the engine had ended the stream itself.
+    test(`callers get no part of an unframed stream as a complete one when a supervisor keeps the listener and ${name}`, async () => {
+        const cluster = await GatewayCluster.start(1);
+        const children = [firstStart, firstStart + 1].map(born => fork(program, [String(born)], { execArgv }));
+        let [engine]: (ChildProcess | undefined)[] = children;
+        const accepted = new Set<Socket>();
+        const supervisor = createServer({ pauseOnConnect: true }, socket => {
+            accepted.add(socket);
+            engine?.send("connection", socket);
+        });
+        try {
+            await Promise.all(children.map(child => once(child, "message")));
+            await new Promise<void>(resolve => supervisor.listen(0, "127.0.0.1", resolve));
+            await register(cluster, "x", (supervisor.address() as AddressInfo).port);
+            const responses = await killUnderStreams(cluster, 8, () => {
+                engine = isReplaced ? children[1] : undefined;
+                children[0].kill("SIGKILL");
+            });
+            assert.is(responses.filter(({ isComplete }) => isComplete).length, 0);
+        }
+        finally {
+            children.forEach(child => child.kill("SIGKILL"));
+            accepted.forEach(socket => socket.destroy());
+            supervisor.close();
+            await cluster.stop();
+        }
+    });
+}
+
+test("callers get an unframed stream whole when its engine ends it", async () => {
+    const cluster = await GatewayCluster.start(1);
+    const engine = await startEngine(cluster, "x");
+    try {
+        const lengths = Array.from({ length: 20 }, (_, index) => index + 1);
+        const responses = await Promise.all(
+            lengths.map(events =>
+                cluster.sendRequest(cluster.gateways[0], "/plan/1", { headers: lengthField(events) })
+            ),
+        );
+        assert.equal(responses.map(({ isComplete }) => isComplete), lengths.map(() => true));
+        assert.equal(responses.map(response => idsOf(response).length), lengths);
+    }
+    finally {
+        engine.kill("SIGKILL");
+        await cluster.stop();
+    }
+});
+
+test.run();
--- /dev/null
+++ b/packages/bench/test/unframedEngine.ts
@@ -0,0 +1,61 @@
+/**
+ * An engine as a process of its own that writes streams with neither a length nor chunks. It serves the connections that its
+ * parent sends it or, where it has none to get them from, those to a port that it prints. It answers `GET /report`. A stream
+ * has as many events as the request's field `stream-length` states, and goes on after its last event.
+ */
+import { type AddressInfo, createServer, type Socket } from "node:net";
+
+const eventInterval = 10;
+const born = Number(process.argv[2]);
+/** The events made so far, by the caller's attempt. */
+const runs = new Map<string, number>();
+
+function serve(socket: Socket): void {
+    let head = "";
+    socket.on("error", () => undefined);
+    socket.on("data", chunk => {
+        const isIncomplete = !head.includes("\r\n\r\n");
+        head += chunk.toString("latin1");
+        if (isIncomplete && head.includes("\r\n\r\n")) {
+            answer(socket, head);
+        }
+    });
+    socket.resume();
+}
+
+function answer(socket: Socket, head: string): void {
+    const [, attempt] = /^attempt-id: (\S+)/im.exec(head) ?? [];
+    if (attempt === undefined) {
+        const report = JSON.stringify({ born, runs: [...runs].map(([id, events]) => [id, 1, events, 5]) });
+        socket.end(`HTTP/1.1 200 OK\r\ncontent-length: ${report.length}\r\n\r\n${report}`);
+        return;
+    }
+    const length = Number(/^stream-length: (\d+)/im.exec(head)?.[1] ?? 1);
+    let events = Number(/^last-event-id: (\d+)/im.exec(head)?.[1] ?? 0);
+    socket.write(
+        `HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n`,
+    );
+    const timer = setInterval(() => {
+        if (events < length) {
+            runs.set(attempt, ++events);
+            socket.write(`id: ${events}\ndata: ${attempt}\n\n`);
+            return;
+        }
+        clearInterval(timer);
+        runs.delete(attempt);
+        socket.end();
+    }, eventInterval);
+    socket.on("close", () => {
+        clearInterval(timer);
+        runs.delete(attempt);
+    });
+}
+
+if (process.send === undefined) {
+    const server = createServer(serve);
+    server.listen(0, "127.0.0.1", () => process.stdout.write(`${(server.address() as AddressInfo).port}\n`));
+}
+else {
+    process.on("message", (_, socket) => serve(socket as Socket));
+    process.send("ready");
+}
