Ask the server whether an unframed stream is complete once its channel has ended

Callers got a part of a stream with the last chunk of a complete answer.

Cause: a server that writes streams with neither a length nor chunks was killed. The kernel ends its channels in order, and goes on to accept connections: until the listener's turn, or for as long as a supervisor keeps it. One connection that was accepted counted as proof that the server had ended the stream. Class: an act of the kernel taken for one of the process.

Change: the reducer decides. Such a stream is complete if the incarnation that had the run answers a request for its report, and the report, which may be old, does not list the run any more. Otherwise the run is lost, and the stream is continued as any lost one. Nothing is asked for streams with framing. Services without reports are asked for a connection, as before.

An unframed stream whose server answered a stop with 404 is checked as well: a process that has started again knows no run either.

--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -15,6 +15,7 @@
     type MigrationResult,
     type PeerReport,
     reduceGateway,
+    type ServerReport,
     type StreamRegisterCall,
     type TopicName,
 } from "@verbenaspring/gateway";
@@ -216,8 +217,20 @@
                 return this.calls.send(effect.call);
             case "cancelAttempt":
                 return this.calls.cancel(effect.attemptId);
-            case "probeServer":
-                return this.probe(effect);
+            case "probeServer": {
+                const { backendServer, startedAt } = effect;
+                return this.probe(
+                    effect,
+                    report => this.handleEvent({ kind: "serverProbed", backendServer, startedAt, report }),
+                );
+            }
+            case "checkStreamEnd": {
+                const { attemptId } = effect;
+                return this.probe(
+                    effect,
+                    report => this.handleEvent({ kind: "streamEndChecked", attemptId, report }),
+                );
+            }
             case "migrateRun":
                 return this.migrateRun(effect);
             case "openPeerLink":
@@ -281,7 +294,8 @@
     }
 
     private probe(
-        { backendServer, address, startedAt, hasReport }: Extract<GatewayEffect, { readonly kind: "probeServer"; }>,
+        { address, hasReport }: { readonly address: string; readonly hasReport: boolean; },
+        done: (report: ServerReport | undefined) => void,
     ): void {
         this.sendRequest<ProbeReply | typeof connectionRefused>(
             address,
@@ -304,8 +318,7 @@
                     ...run,
                     callerAttemptId: identifier<CallerAttemptId>(run.callerAttemptId),
                 }));
-                const report = reply && runs && { ...reply, runs };
-                this.handleEvent({ kind: "serverProbed", backendServer, startedAt, report });
+                done(reply && runs && { ...reply, runs });
             },
         );
     }
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -28,6 +28,7 @@
 import { recordServerPause } from "./serverPauses.js";
 import { checkSilentAttempt, returnToSilentAttempt, setSilentAttemptAside } from "./silentAttempts.js";
 import { type Attempt, endsAt, type GatewayRequest } from "./state.js";
+import { continueEndCheck } from "./streamEnds.js";
 import { logPart } from "./streamParts.js";
 import { continueFromReplica, passOnWhole } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -144,17 +145,32 @@
     if (handleEndAfterStop(transaction, request, attempt, "lost")) {
         return;
     }
-    recordHealth(transaction, attempt, event.failure);
-    endAttempt(transaction, request, attempt, "ended");
-    if (event.wasSent) {
-        recordLostRun(transaction, request, attempt, event.failure);
-    }
-    else {
+    if (!event.wasSent) {
         recordNoRun(request.runs, attempt.id);
     }
+    loseAttempt(transaction, request, attempt, event.failure, event.wasSent);
+}
+
+/**
+ * Ends an attempt without an answer, and continues, retries or fails the request.
+ *
+ * @param mayHaveRun whether a run of it may have been lost
+ */
+export function loseAttempt(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    failure: AttemptFailure,
+    mayHaveRun: boolean,
+): void {
+    recordHealth(transaction, attempt, failure);
+    endAttempt(transaction, request, attempt, "ended");
+    if (mayHaveRun) {
+        recordLostRun(transaction, request, attempt, failure);
+    }
     // The blame for a restart that is already known may have ended the request.
     if (transaction.state.requests.has(request.id)) {
-        retryOrFail(transaction, request, attempt, event.failure);
+        retryOrFail(transaction, request, attempt, failure);
     }
 }
 
@@ -337,6 +353,9 @@
     if (fate === "uncertain") {
         probeRestartedServer(transaction, attempt);
     }
+    if (attempt.endCheck !== undefined) {
+        return continueEndCheck(transaction, request, attempt);
+    }
     if (route.isStream) {
         return probeSilentServer(transaction, request, attempt);
     }
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -56,6 +56,13 @@
         /** Whether the server has a report; of another one a probe tells only whether it accepts connections. */
         readonly hasReport: boolean;
     }
+    /** Asks the server of a stream whose channel has ended for its report, as `probeServer` does. */
+    | {
+        readonly kind: "checkStreamEnd";
+        readonly attemptId: AttemptId;
+        readonly address: string;
+        readonly hasReport: boolean;
+    }
     /** Closes the channels to a server that are not in use: it has restarted. */
     | { readonly kind: "closeIdleChannels"; readonly address: string; }
     /** Has a server copy a run's memory to another one. */
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -122,6 +122,12 @@
     | { readonly kind: "streamOpened"; readonly attemptId: AttemptId; readonly head: ResponseHead; }
     | { readonly kind: "streamEvents"; readonly attemptId: AttemptId; readonly events: readonly StreamEvent[]; }
     | { readonly kind: "streamEnded"; readonly attemptId: AttemptId; }
+    /** The server of a stream whose channel had ended was asked for its report, which is undefined if it did not answer. */
+    | {
+        readonly kind: "streamEndChecked";
+        readonly attemptId: AttemptId;
+        readonly report: ServerReport | undefined;
+    }
     | {
         readonly kind: "attemptFailed";
         readonly attemptId: AttemptId;
--- a/packages/gateway/src/liveness.ts
+++ b/packages/gateway/src/liveness.ts
@@ -11,7 +11,7 @@
 import { recordLeavingNotice } from "./leavingServers.js";
 import { findReplicaHolder, usableCopyHolder } from "./replicas.js";
 import { canSendAgain } from "./sending.js";
-import { adoptListedRuns, isLostByReport, isOtherIncarnation } from "./serverIncarnations.js";
+import { adoptListedRuns, findListedRun, isLostByReport, isOtherIncarnation } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
 import { isPaused } from "./serverPauses.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
@@ -128,12 +128,12 @@
 ): void {
     const { head, route, eventCount } = request;
     if (
-        !route.isStream || !isSilent(attempt, transaction.now)
+        !route.isStream || attempt.endCheck !== undefined || !isSilent(attempt, transaction.now)
         || !canContinueElsewhere(transaction, request, attempt) || !canSendAgain(transaction, request)
     ) {
         return;
     }
-    const run = report?.runs?.find(({ callerAttemptId }) => callerAttemptId === head.callerAttemptId);
+    const run = findListedRun(report, head);
     if (attempt.isStopRequested && report?.runs !== undefined && run === undefined) {
         return abandonAttempt(transaction, request, attempt);
     }
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -39,6 +39,7 @@
     | "not_begun"
     | "not_continuable"
     | "stop_requested"
+    | "stream_ended"
     | "server_restarted"
     | "not_supported"
     | "targets_failed"
@@ -250,6 +251,9 @@
     if (isSuperseded(state, attempt.server)) {
         return "server_restarted";
     }
+    if (attempt.endCheck !== undefined) {
+        return "stream_ended";
+    }
     // A run that may have been stopped continues from its copy as soon as its end is seen.
     if (attempt.isStopRequested && !goesOnAfterStop(attempt)) {
         return "stop_requested";
@@ -414,7 +418,8 @@
     const { id } = attempt.server.record;
     // A server whose registration had lapsed may be registered again, and an evacuation may be withdrawn.
     const isDue = migrationReason(state, id) !== undefined;
-    const canStop = isDue && request.isContinuable && !isPaused(state, id, now) && canSendAgain(transaction, request);
+    const canStop = isDue && attempt.endCheck === undefined && request.isContinuable && !isPaused(state, id, now)
+        && canSendAgain(transaction, request);
     if (!canStop || usableCopyHolder(transaction, request, attempt, copy) === undefined) {
         return false;
     }
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -37,7 +37,7 @@
     handleStreamRegisterReadFailed,
     handleStreamsRecorded,
 } from "./streamRegister.js";
-import { handleStreamEnded, handleStreamEvents, handleStreamOpened } from "./streams.js";
+import { handleStreamEndChecked, handleStreamEnded, handleStreamEvents, handleStreamOpened } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
 import { checkWaitingRequests } from "./waiting.js";
 
@@ -95,6 +95,8 @@
             return;
         case "serverProbed":
             return handleServerProbed(transaction, event);
+        case "streamEndChecked":
+            return handleStreamEndChecked(transaction, event);
         case "attemptAnswered":
         case "attemptFailed":
         case "streamOpened":
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -240,6 +240,7 @@
         isStopping: false,
         stopUnansweredAt: undefined,
         endAfterStop: undefined,
+        endCheck: undefined,
         failedTargets: new Map(lostRun?.attempt.failedTargets),
         loggedObstacle: undefined,
         lastActivityAt: now,
--- a/packages/gateway/src/serverIncarnations.ts
+++ b/packages/gateway/src/serverIncarnations.ts
@@ -5,7 +5,7 @@
 import { createServerHealth } from "@verbenaspring/coordination";
 import type { BackendServerId, Milliseconds } from "@verbenaspring/model";
 import type { BackendRecord, BackendServer } from "./backendServers.js";
-import type { ServerReport } from "./event.js";
+import type { ReportedRun, ServerReport } from "./event.js";
 import { recountLoad } from "./serverLoad.js";
 import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 
@@ -69,7 +69,7 @@
     now: Milliseconds,
 ): boolean {
     const hasRestarted = isOtherIncarnation(server.record.startedAt, report?.startedAt);
-    if (report?.runs === undefined || !hasRestarted || isListed(report, head)) {
+    if (report?.runs === undefined || !hasRestarted || findListedRun(report, head) !== undefined) {
         return false;
     }
     const silence = now - lastActivityAt;
@@ -85,7 +85,8 @@
         return;
     }
     const adopted = [...state.attempts.values()].flatMap(({ head, attempt }) =>
-        attempt?.server.record.id === id && isSuperseded(state, attempt.server) && isListed(report, head)
+        attempt?.server.record.id === id && isSuperseded(state, attempt.server)
+            && findListedRun(report, head) !== undefined
             ? [attempt]
             : []
     );
@@ -95,8 +96,12 @@
     }
 }
 
-function isListed({ runs }: ServerReport, { callerAttemptId }: GatewayRequest["head"]): boolean {
-    return runs?.some(run => run.callerAttemptId === callerAttemptId) === true;
+/** The run of a request that a report lists. */
+export function findListedRun(
+    report: ServerReport | undefined,
+    { callerAttemptId }: GatewayRequest["head"],
+): ReportedRun | undefined {
+    return report?.runs?.find(run => run.callerAttemptId === callerAttemptId);
 }
 
 /** Ends all that is kept by the id of a server whose new incarnation was registered. */
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -33,6 +33,7 @@
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 import type { RunLedger } from "./runLedger.js";
 import type { SilentAttempt } from "./silentAttempts.js";
+import type { EndCheck } from "./streamEnds.js";
 import type { StreamPart } from "./streamParts.js";
 import { createStreamRegister, type StreamRegister } from "./streamRegister.js";
 import type { StreamOrigin } from "./streamVersions.js";
@@ -81,6 +82,8 @@
     stopUnansweredAt: Milliseconds | undefined;
     /** How its answer ended after that request: in the way of a complete one without framing, or as a lost one. */
     endAfterStop: "ended" | "lost" | undefined;
+    /** The check of its answer, whose channel has ended without a sign that it is complete; undefined before that. */
+    endCheck: EndCheck | undefined;
     /** Where this run, or the one that it continues, could not be moved, and until when each is not tried again. */
     readonly failedTargets: Map<BackendServerId, Milliseconds>;
     /** Why this run is not migrated from a server that leaves or is evacuated, as logged last. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -8,6 +8,7 @@
     classifyAnswer,
     endAttempt,
     isByServer,
+    loseAttempt,
     recordDeclarations,
     recordHealth,
     retryOrFail,
@@ -15,6 +16,7 @@
 import type { BackendServer } from "./backendServers.js";
 import { recordBegunRun } from "./crashSuspects.js";
 import type { DecisionFields } from "./effect.js";
+import type { GatewayEvent } from "./event.js";
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { handleEndAfterStop, migrateAfterFirstEvent, recordFailedTarget } from "./migration.js";
@@ -26,10 +28,13 @@
 import { engineOf, recordEventLoad } from "./serverLoad.js";
 import { endSilentAttempt } from "./silentAttempts.js";
 import { type Attempt, cutAt, type GatewayRequest, type GatewayState, type HeldEvents, type LostRun } from "./state.js";
+import { findCheckedAttempt, handleEndReport, startEndCheck } from "./streamEnds.js";
 import { recordPartEvent } from "./streamParts.js";
 import { holdUntilRecorded } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
+type StreamEndChecked = Extract<GatewayEvent, { readonly kind: "streamEndChecked"; }>;
+
 /** What one stream may keep: a thousand events of ordinary size. */
 const maximumHeldBytes = 512 * 1024;
 /** What an event takes beside its bytes. */
@@ -248,29 +253,59 @@
     return true;
 }
 
-/** Handles the complete end of a run. */
+/** Handles the end of a run's answer, which is complete if it has framing. */
 export function handleStreamEnded(transaction: Transaction, attemptId: AttemptId): void {
-    const { state, effects } = transaction;
-    const request = state.attempts.get(attemptId);
+    const request = transaction.state.attempts.get(attemptId);
     const attempt = request?.attempt;
     if (request === undefined || attempt?.head === undefined) {
         return;
     }
+    if (!attempt.head.endsWithChannel) {
+        return completeStream(transaction, request, attempt, attempt.head);
+    }
     // A stream without framing ends in the same way when its run is stopped.
-    if (attempt.head.endsWithChannel && handleEndAfterStop(transaction, request, attempt, "ended")) {
+    if (handleEndAfterStop(transaction, request, attempt, "ended")) {
         return;
     }
-    recordHealth(transaction, attempt, undefined);
-    // Without framing, a stream that its server stops at the end of its time limit ends in the same way, too.
-    if (attempt.head.endsWithChannel && transaction.now >= cutAt(request) - timeLimitMargin) {
+    // So does one that its server stops at the end of its time limit.
+    if (transaction.now >= cutAt(request) - timeLimitMargin) {
+        recordHealth(transaction, attempt, undefined);
         endAttempt(transaction, request, attempt, "ended");
         const message = "the stream ended with its time limit, and may not be complete";
         return failRequest(transaction, request, "deadline_exceeded", message);
     }
+    startEndCheck(transaction, request, attempt);
+}
+
+/** Handles what the server of a stream without framing says after its channel has ended. */
+export function handleStreamEndChecked(transaction: Transaction, event: StreamEndChecked): void {
+    const checked = findCheckedAttempt(transaction, event.attemptId);
+    if (checked === undefined) {
+        return;
+    }
+    const { request, attempt, endCheck } = checked;
+    const verdict = handleEndReport(transaction, request, attempt, endCheck, event);
+    if (verdict === "complete" && attempt.head !== undefined) {
+        return completeStream(transaction, request, attempt, attempt.head);
+    }
+    if (verdict === "cut") {
+        loseAttempt(transaction, request, attempt, "answer_truncated", true);
+    }
+}
+
+/** Ends a stream that is complete. */
+function completeStream(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    head: ResponseHead,
+): void {
+    const { state, effects } = transaction;
+    recordHealth(transaction, attempt, undefined);
     recordStreamTimes(transaction, request, attempt);
     endAttempt(transaction, request, attempt, "ended");
     if (!request.isHeadWritten && request.held === undefined) {
-        effects.push({ kind: "answerHead", requestId: request.id, head: attempt.head });
+        effects.push({ kind: "answerHead", requestId: request.id, head });
     }
     logAnswered(transaction, request, "stream_answered", streamTimeFields(state, request, attempt));
     if (request.held !== undefined) {
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -23,6 +23,7 @@
     type ResponseHead,
     type Route,
     type RoutingConfiguration,
+    type ServerReport,
     type StreamEvent,
     type StreamRegisterPage,
 } from "@verbenaspring/gateway";
@@ -278,6 +279,14 @@
         this.handle({ kind: "answerTaken", requestId: identifier(id) });
     }
 
+    /** Answers the check of a stream whose channel has ended: by default, its server lists no run. */
+    reportEnd(
+        attemptId: AttemptId,
+        report: ServerReport | undefined = { runs: [], isLeaving: false, startedAt: undefined },
+    ): GatewayEffect[] {
+        return this.handle({ kind: "streamEndChecked", attemptId, report });
+    }
+
     /** Answers the step of a migration that is under way, or a request to stop a run that was left. */
     answerMove(attemptId: AttemptId, result: MigrationResult): GatewayEffect[] {
         const isStopping = this.state.attempts.get(attemptId)?.attempt?.isStopping ?? true;
--- /dev/null
+++ b/packages/gateway/test/streamEnds.test.ts
@@ -0,0 +1,105 @@
+/**
+ * Streams with neither a length nor chunks, whose channel ends in the same way when they are complete and when their server
+ * has ended.
+ */
+import type { BackendCall, GatewayEffect, ServerReport } from "@verbenaspring/gateway";
+import { identifier } from "@verbenaspring/model";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { callsIn, eventsIn, kindsIn, linesIn, server, TestGateway } from "./gatewayBuilders.js";
+
+const startedAt = 5;
+
+/** A gateway with a stream of three events whose channel has ended. */
+function endedStream(routeName = "plan", ...others: readonly string[]) {
+    const gateway = TestGateway.serving(server("engine-1", { startedAt }));
+    const call = gateway.sendRequest("r", routeName);
+    gateway.register(...others.map(id => server(id, { startedAt })));
+    gateway.openStream(call, { endsWithChannel: true });
+    gateway.receiveEvents(call, 1, 2, 3);
+    return { gateway, call, effects: gateway.handle({ kind: "streamEnded", attemptId: call.attemptId }) };
+}
+
+function report(call: BackendCall, overrides: Partial<ServerReport> = {}, events?: number): ServerReport {
+    const runs = events === undefined ? [] : [{ callerAttemptId: call.head.callerAttemptId, events }];
+    return { runs, isLeaving: false, startedAt, ...overrides };
+}
+
+function checksIn(effects: readonly GatewayEffect[]): number {
+    return effects.filter(({ kind }) => kind === "checkStreamEnd").length;
+}
+
+test("an unframed stream is complete once its server, which goes on, does not list its run", () => {
+    const { gateway, call, effects } = endedStream();
+    assert.not.ok(kindsIn(effects).includes("answerEnd"));
+    assert.is(checksIn(effects), 1);
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
+});
+
+test("an unframed stream is complete if its server answers but lists no runs at all", () => {
+    const { gateway, call } = endedStream();
+    const answered = gateway.reportEnd(call.attemptId, report(call, { runs: undefined, startedAt: undefined }));
+    assert.ok(kindsIn(answered).includes("answerEnd"));
+});
+
+test("an unframed stream is cut if its server has started again, or does not answer twice", () => {
+    for (const hasStartedAgain of [true, false]) {
+        const { gateway, call: { attemptId }, call } = endedStream();
+        if (!hasStartedAgain) {
+            assert.is(checksIn(gateway.handle({ kind: "streamEndChecked", attemptId, report: undefined })), 1);
+        }
+        const answer = hasStartedAgain ? report(call, { startedAt: startedAt + 1 }) : undefined;
+        const effects = gateway.handle({ kind: "streamEndChecked", attemptId, report: answer });
+        assert.ok(kindsIn(effects).includes("answerCut"));
+        assert.not.ok(kindsIn(effects).includes("answerEnd"));
+        assert.is(linesIn(effects, "stream_end_checked")[0].verdict, "cut");
+    }
+});
+
+// Its channel was cut on the way: the run goes on.
+test("an unframed stream is cut if its server has made more events than arrived", () => {
+    const { gateway, call } = endedStream();
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call, {}, 4))).includes("answerCut"));
+});
+
+test("a report that lists the run of an unframed stream may be old, until a second has passed", () => {
+    for (const isListedForLong of [false, true]) {
+        const { gateway, call } = endedStream();
+        const listed = report(call, {}, 3);
+        assert.equal(kindsIn(gateway.reportEnd(call.attemptId, listed)).filter(kind => kind.startsWith("answer")), []);
+        for (let age = 200; age < 1_000; age += 200) {
+            assert.is(checksIn(gateway.advance(200)), 1, `${age} ms after the end`);
+            gateway.reportEnd(call.attemptId, listed);
+        }
+        gateway.advance(200);
+        const effects = gateway.reportEnd(call.attemptId, isListedForLong ? listed : report(call));
+        assert.is(kindsIn(effects).includes("answerCut"), isListedForLong);
+        assert.is(kindsIn(effects).includes("answerEnd"), !isListedForLong);
+    }
+});
+
+test("a resumable unframed stream whose server has ended goes on at another one after its last event", () => {
+    const { gateway, call } = endedStream("note", "engine-2");
+    const effects = gateway.reportEnd(call.attemptId, report(call, { startedAt: startedAt + 1 }));
+    const [next] = callsIn(effects);
+    assert.equal([next.backendServer, next.lastEvent], ["engine-2", 3]);
+    gateway.openStream(next);
+    assert.equal(eventsIn(gateway.receiveEvents(next, 4)), [4]);
+    assert.ok(kindsIn(gateway.handle({ kind: "streamEnded", attemptId: next.attemptId })).includes("answerEnd"));
+});
+
+test("while the end of an unframed stream is checked, it is neither migrated, probed nor sent elsewhere", () => {
+    const { gateway, call } = endedStream("plan", "engine-2", "engine-3");
+    const leaving = gateway.register(server("engine-1", { startedAt, isDraining: true, heartbeat: 2 }));
+    const kinds = kindsIn([...leaving, ...gateway.advance(3_000)]);
+    assert.equal(kinds.filter(kind => /migrateRun|probeServer|sendAttempt|answer/.test(kind)), []);
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
+});
+
+test("an unframed stream whose server never answers ends with its time limit", () => {
+    const { gateway } = endedStream();
+    assert.ok(kindsIn(gateway.advance(39_100)).includes("answerCut"));
+    assert.is(gateway.state.requests.get(identifier("r")), undefined);
+});
+
+test.run();
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -406,7 +406,10 @@
     for (const isComplete of [false, true]) {
         const { gateway, call: { attemptId }, answerWith } = requestStop({ endsWithChannel: true });
         assert.not.ok(kindsIn(gateway.handle({ kind: "streamEnded", attemptId })).includes("answerEnd"));
-        const effects = answerWith(isComplete ? { kind: "refused", status: 404 } : { kind: "moved", handle: "h2" });
+        const answered = answerWith(isComplete ? { kind: "refused", status: 404 } : { kind: "moved", handle: "h2" });
+        // The server that knows no run may have been started again.
+        assert.not.ok(kindsIn(answered).includes("answerEnd"));
+        const effects = isComplete ? gateway.reportEnd(attemptId) : answered;
         assert.is(kindsIn(effects).includes("answerEnd"), isComplete);
         assert.equal(continuationsIn(effects), isComplete ? [] : [["h2", 1]]);
     }
--- a/packages/gateway/test/timeLimits.test.ts
+++ b/packages/gateway/test/timeLimits.test.ts
@@ -77,8 +77,8 @@
         gateway.advance(5_950);
         gateway.now += isComplete ? 0 : 49;
         const ended = kindsIn(gateway.handle({ kind: "streamEnded", attemptId: call.attemptId }));
-        assert.is(ended.includes("answerEnd"), isComplete);
         assert.is(ended.includes("answerCut"), !isComplete);
+        assert.is(kindsIn(gateway.reportEnd(call.attemptId)).includes("answerEnd"), isComplete);
     }
 });
 
--- a/packages/runtime/src/backendChannels.ts
+++ b/packages/runtime/src/backendChannels.ts
@@ -37,6 +37,7 @@
     readonly answered: (attemptId: AttemptId, answer: BackendAnswer) => void;
     readonly opened: (attemptId: AttemptId, head: ResponseHead) => void;
     readonly events: (attemptId: AttemptId, events: readonly StreamEvent[]) => void;
+    /** The stream is complete if it has framing; otherwise its channel has ended. */
     readonly ended: (attemptId: AttemptId) => void;
     /** `wasSent` is false only if the call cannot have run. */
     readonly failed: (attemptId: AttemptId, failure: AttemptFailure, wasSent: boolean) => void;
@@ -413,7 +414,7 @@
                     () => framer === undefined ? handlers.answered(attemptId, answer) : handlers.ended(attemptId),
                     isInStep && refusedRequests.size < maximumRefusals,
                 );
-            if (!head.endsWithChannel || head.isNotRun) {
+            if (!head.endsWithChannel || head.isNotRun || framer !== undefined) {
                 return complete();
             }
             // The channels of a server that crashes close in the same way, and then the answer is not complete.
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -62,6 +62,16 @@
 
 type AttemptEffect = Extract<GatewayEffect, { readonly kind: "sendAttempt" | "cancelAttempt" | "returnToAttempt"; }>;
 
+type PeerEffect = Extract<GatewayEffect, { readonly kind: "openPeerLink" | "sendReport" | "closePeerLink"; }>;
+
+const peerEffects: ReadonlySet<GatewayEffect["kind"]> = new Set(["openPeerLink", "sendReport", "closePeerLink"]);
+
+function isPeerEffect(effect: GatewayEffect): effect is PeerEffect {
+    return peerEffects.has(effect.kind);
+}
+
+type ProbeEffect = Extract<GatewayEffect, { readonly kind: "probeServer" | "checkStreamEnd"; }>;
+
 /** What is kept of a request's arrival, for the metrics of its answer. */
 interface RequestArrival {
     readonly receivedAt: Milliseconds;
@@ -151,6 +161,9 @@
 
     /** Performs one effect. */
     perform(effect: GatewayEffect): void {
+        if (isPeerEffect(effect)) {
+            return this.performOnPeer(effect);
+        }
         switch (effect.kind) {
             case "sendAttempt":
             case "cancelAttempt":
@@ -184,23 +197,11 @@
                 return this.removeRequest(effect.requestId);
             case "migrateRun":
                 return this.migrateRun(effect);
-            case "openPeerLink":
-                return this.peerLinks.open(effect.address, effect.report);
-            case "sendReport":
-                return this.peerLinks.send(effect.address, effect.report);
-            case "closePeerLink":
-                return this.peerLinks.closePeer(effect.address);
             case "closeIdleChannels":
                 return this.channels.closeIdle(effect.address);
             case "probeServer":
-                void this.probe(effect.address, effect.hasReport).then(report =>
-                    this.events.push({
-                        kind: "serverProbed",
-                        backendServer: effect.backendServer,
-                        startedAt: effect.startedAt,
-                        report,
-                    })
-                );
+            case "checkStreamEnd":
+                void this.probe(effect).then(report => this.events.push(toProbed(effect, report)));
                 return;
             case "readTopic":
                 return this.reportRead(
@@ -223,6 +224,17 @@
         }
     }
 
+    private performOnPeer(effect: PeerEffect): void {
+        switch (effect.kind) {
+            case "openPeerLink":
+                return this.peerLinks.open(effect.address, effect.report);
+            case "sendReport":
+                return this.peerLinks.send(effect.address, effect.report);
+            case "closePeerLink":
+                return this.peerLinks.closePeer(effect.address);
+        }
+    }
+
     private performOnAttempt(effect: AttemptEffect): void {
         switch (effect.kind) {
             case "sendAttempt":
@@ -417,7 +429,7 @@
         });
     }
 
-    private async probe(address: string, hasReport: boolean): Promise<ServerReport | undefined> {
+    private async probe({ address, hasReport }: ProbeEffect): Promise<ServerReport | undefined> {
         if (hasReport) {
             return this.adapter.readReport(address, probeTimeout);
         }
@@ -452,6 +464,14 @@
     }
 }
 
+function toProbed(effect: ProbeEffect, report: ServerReport | undefined): GatewayEvent {
+    if (effect.kind === "checkStreamEnd") {
+        return { kind: "streamEndChecked", attemptId: effect.attemptId, report };
+    }
+    const { backendServer, startedAt } = effect;
+    return { kind: "serverProbed", backendServer, startedAt, report };
+}
+
 /** Characters of a refused request's target that a log line states. */
 const maxLoggedTarget = 120;
 
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -190,17 +190,27 @@
 });
 
 // The channels of a process that crashes close in order, and the part of an answer that came was taken for all of it.
-test("a body or stream that only the channel's close ends fails if its server is gone then", async () => {
-    for (const head of ["", "content-type: text/event-stream\r\n"]) {
-        const { address, server } = await listenRaw(socket => {
-            server.close();
-            socket.end(`${okStatusLine}${head}\r\nid: 1\ndata: part\n\n`);
-        });
-        const harness = new ChannelHarness();
-        const outcome = await harness.call(createCall(address));
-        harness.channels.close();
-        assert.equal(outcome, { kind: "failed", failure: "answer_truncated", wasSent: true });
-    }
+test("a body that only the channel's close ends fails if its server is gone then", async () => {
+    const { address, server } = await listenRaw(socket => {
+        server.close();
+        socket.end(`${okStatusLine}\r\npart`);
+    });
+    const harness = new ChannelHarness();
+    const outcome = await harness.call(createCall(address));
+    harness.channels.close();
+    assert.equal(outcome, { kind: "failed", failure: "answer_truncated", wasSent: true });
+});
+
+// Whether it is complete is for the gateway to decide (streamEnds.test.ts).
+test("a stream that only the channel's close ends is reported as ended, also if its server is gone then", async () => {
+    const { address, server } = await listenRaw(socket => {
+        server.close();
+        socket.end(`${okStatusLine}content-type: text/event-stream\r\n\r\nid: 1\ndata: part\n\n`);
+    });
+    const harness = new ChannelHarness();
+    const outcome = await harness.call(createCall(address));
+    harness.channels.close();
+    assert.equal(outcome, { kind: "ended", events: 1 });
 });
 
 test("a body without a length fails if its channel is reset", async () => {
