Count a loss where another key has taken the offset of the lost record

A gateway had read a record that the log lost; the next record of another key got its offset.

An offset has one record.

--- a/packages/gateway/src/lostRecords.ts
+++ b/packages/gateway/src/lostRecords.ts
@@ -23,10 +23,11 @@
     const follower = state.followers[topic];
     const { knownAtSnapshotStart } = follower;
     const present = new Map(items.map(({ item }) => [item.key, item]));
+    const keysByOffset = new Map(items.map(({ item }) => [item.offset, item.key]));
     // Configurations are ordered by version, and gateways that lack the one in force still get it from this one.
     const lost = [...follower.items.values()].filter(item =>
         item.key !== state.configurationItem?.key && item.offset < knownAtSnapshotStart
-        && isLost(item, present.get(item.key), next)
+        && (isLost(item, present.get(item.key), next) || isReplaced(item, keysByOffset.get(item.offset)))
     );
     if (lost.length === 0 && next >= knownAtSnapshotStart) {
         return false;
@@ -60,6 +61,14 @@
         || (present.offset === known.offset && Buffer.compare(present.value, known.value) !== 0);
 }
 
+/**
+ * Whether the record of another key has the offset at which a record was known. A tombstone may stand for a removal that a
+ * snapshot showed, at an offset that is not its own.
+ */
+function isReplaced({ key, value }: TopicItem, presentKey: string | undefined): boolean {
+    return value.length > 0 && presentKey !== undefined && presentKey !== key;
+}
+
 /** Forgets offsets at which the log no longer has the records that were known there. */
 function forgetOffsets(state: GatewayState, follower: TopicFollower, next: LogOffset): void {
     follower.next = undefined;
