Send a configuration to a gateway that lacks it from one of the others, and at most twice

A gateway that lacked the newest configuration got a copy from each of the others: 3, 8 and 19 at 5, 10 and 20 gateways. One that could not decode it got 240 copies in 30 s at 5.

All that have it see at the same report that the peer lacks it, and each sent it; nothing counted what was sent. Those that have it now take turns by rank, as for reads of a topic, within 800 ms, and a link, which loses no report, carries it twice at most.

--- a/packages/gateway/src/peerConfigurations.ts
+++ b/packages/gateway/src/peerConfigurations.ts
@@ -2,6 +2,7 @@
  * Configurations that one gateway has and another one lacks, though both know the log up to the same offset. The higher version
  * is the newer one wherever it is stored, so gateways compare versions as well as offsets.
  */
+import { takeoverTimeout, taskRank } from "@verbenaspring/coordination";
 import type { Milliseconds } from "@verbenaspring/model";
 import { applyRecords } from "./followers.js";
 import type { PeerItems, PeerReport } from "./peerReport.js";
@@ -9,8 +10,20 @@
 import type { GatewayState, Peer } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
+/** The configuration in force that a peer lacks, and how often it was sent to it on its link. */
+export interface ConfigurationDelivery {
+    readonly version: number;
+    readonly lackingSince: Milliseconds;
+    sends: number;
+    sentAt: Milliseconds;
+}
+
 /** The shortest time between two reports of the same configuration to a peer that lacks it; one may be under way. */
 const resendInterval: Milliseconds = 500;
+/** A link loses no report, so a peer that still lacks a configuration after so many can't use it. */
+const maximumSends = 2;
+/** For how long a peer lacks a configuration before one of those that have it sends it, by rank among them. */
+const sendTimeouts = { base: 300, step: 100, max: 800 };
 
 /** Handles the version of a peer's configuration, and the configuration that this gateway lacks. Returns whether it changed. */
 export function handlePeerConfiguration(
@@ -28,7 +41,10 @@
         items: [lackingConfiguration],
         source: peer.address,
     });
-    if (lacksConfiguration(state, peer, version) && now - peer.configurationSentAt >= resendInterval) {
+    peer.configurationDelivery = lacksConfiguration(state, peer, version)
+        ? continueDelivery(state, peer, now)
+        : undefined;
+    if (isSendDue(state, peer, now)) {
         peer.isConfigurationDue = true;
         logDecision(transaction, "info", "peer_configuration_outdated", {
             peer: peer.address,
@@ -41,6 +57,34 @@
     return hasChanged;
 }
 
+/** The delivery of the configuration in force to a peer: the one that is under way, or a new one of another version. */
+function continueDelivery(
+    { configuration }: GatewayState,
+    { configurationDelivery }: Peer,
+    now: Milliseconds,
+): ConfigurationDelivery | undefined {
+    if (configuration === undefined || configurationDelivery?.version === configuration.version) {
+        return configurationDelivery;
+    }
+    return { version: configuration.version, lackingSince: now, sends: 0, sentAt: -Infinity };
+}
+
+/** Whether this gateway is to send the configuration in force now: all that have it may see at once that the peer lacks it. */
+function isSendDue(
+    { peers, options }: GatewayState,
+    { address, configurationDelivery: delivery }: Peer,
+    now: Milliseconds,
+): boolean {
+    if (delivery === undefined || delivery.sends >= maximumSends || now - delivery.sentAt < resendInterval) {
+        return false;
+    }
+    const others = [...peers.values()].filter(({ link, configurationVersion = -Infinity }) =>
+        link === "open" && configurationVersion >= delivery.version
+    );
+    const rank = taskRank(options.peerAddress, others.map(other => other.address), `configuration/${address}`);
+    return now - delivery.lackingSince >= takeoverTimeout(rank, sendTimeouts);
+}
+
 /** Whether a peer has an older configuration, and gets the newer one by no report of the topic. */
 function lacksConfiguration(state: GatewayState, { through }: Peer, version: number): boolean {
     const { configuration, configurationItem, followers } = state;
@@ -63,8 +107,9 @@
 ): Pick<PeerReport, "configurationVersion" | "configurationItem"> {
     const isDue = peer.isConfigurationDue;
     peer.isConfigurationDue = false;
-    if (isDue) {
-        peer.configurationSentAt = now;
+    if (isDue && peer.configurationDelivery !== undefined) {
+        peer.configurationDelivery.sends++;
+        peer.configurationDelivery.sentAt = now;
     }
     return {
         ...configuration !== undefined && { configurationVersion: configuration.version },
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -200,7 +200,7 @@
     peer.lackingTopics.clear();
     peer.configurationVersion = undefined;
     peer.isConfigurationDue = false;
-    peer.configurationSentAt = -Infinity;
+    peer.configurationDelivery = undefined;
     peer.sentReads = noReads;
     peer.pending.clear();
     peer.pending.add(state.options.peerAddress);
@@ -243,7 +243,7 @@
         lackingTopics: new Set(),
         configurationVersion: undefined,
         isConfigurationDue: false,
-        configurationSentAt: -Infinity,
+        configurationDelivery: undefined,
         sentReads: noReads,
     };
     state.peers.set(address, peer);
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -25,6 +25,7 @@
 import type { MigrationObstacle } from "./migration.js";
 import type { GatewayOptions } from "./options.js";
 import type { ClockSample } from "./peerClocks.js";
+import type { ConfigurationDelivery } from "./peerConfigurations.js";
 import type { OffsetRange, TopicReadStamp } from "./peerReport.js";
 import type { ContinuationSource } from "./replicas.js";
 import type { RequestLimits } from "./requestLimits.js";
@@ -342,8 +343,8 @@
     configurationVersion: number | undefined;
     /** Whether it is to get the configuration in force, which it lacks and is not going to read. */
     isConfigurationDue: boolean;
-    /** When that was last sent to it. */
-    configurationSentAt: Milliseconds;
+    /** How the configuration in force is sent to it on this link, while it lacks it. */
+    configurationDelivery: ConfigurationDelivery | undefined;
     /** The newest read of each topic that was reported to it on this link. */
     sentReads: Readonly<Record<TopicName, TopicReadStamp | undefined>>;
 }
