Silent attempts: the end of an unframed stream does not take the request back

Callers lost a stream that went on at another server. A server stands still, its streams are sent elsewhere, and it is killed before the continuation is accepted. The kernel ends its channels in order.

Cause: since the channels report the end of an unframed stream without asking for a connection, and settleSilentAttempt takes any event but a failure for a sign that the run goes on: the continuation was cancelled, its replica spent, and only then the end was checked, and found to be none.

Evidence: the new test; the end gave cancelAttempt, migrateRun, returnToAttempt and checkStreamEnd. The end now counts as the failure of the silent attempt, as that of a channel whose server accepts no connection did before. A run that goes on sends events first, and these return the request to it as before.

--- a/packages/gateway/src/silentAttempts.ts
+++ b/packages/gateway/src/silentAttempts.ts
@@ -29,6 +29,8 @@
     { readonly kind: `attempt${string}` | `stream${"Opened" | "Events" | "Ended"}`; }
 >;
 
+type AttemptFailed = Extract<GatewayEvent, { readonly kind: "attemptFailed"; }>;
+
 /**
  * A server that is alive refuses a request within this time. After it the silent attempt is cancelled, so that its server
  * and another one do not both work on the request for longer.
@@ -122,6 +124,7 @@
 
 /**
  * Handles an event of a silent attempt: a failure or a refusal ends it, and the request returns to it for any other event.
+ * The end of a stream without framing counts as a failure, since the channel of a server that is killed ends in the same way.
  * Returns whether the event needs no more handling.
  */
 export function settleSilentAttempt(transaction: Transaction, event: AttemptEvent): boolean {
@@ -131,14 +134,11 @@
         return false;
     }
     if (event.kind === "attemptFailed") {
-        recordHealth(transaction, attempt, event.failure);
-        endSilentAttempt(transaction, request, "ended");
-        if (event.wasSent) {
-            recordLostRun(transaction, request, attempt, event.failure);
-        }
-        else {
-            recordNoRun(request.runs, attempt.id);
-        }
+        loseSilentAttempt(transaction, request, attempt, event);
+        return true;
+    }
+    if (event.kind === "streamEnded" && attempt.head?.endsWithChannel === true) {
+        loseSilentAttempt(transaction, request, attempt, { failure: "answer_truncated", wasSent: true });
         return true;
     }
     const answerClass = event.kind === "streamOpened" || event.kind === "attemptAnswered"
@@ -155,6 +155,22 @@
     return true;
 }
 
+function loseSilentAttempt(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    { failure, wasSent }: Pick<AttemptFailed, "failure" | "wasSent">,
+): void {
+    recordHealth(transaction, attempt, failure);
+    endSilentAttempt(transaction, request, "ended");
+    if (wasSent) {
+        recordLostRun(transaction, request, attempt, failure);
+    }
+    else {
+        recordNoRun(request.runs, attempt.id);
+    }
+}
+
 function headOf(event: Extract<AttemptEvent, { readonly kind: "streamOpened" | "attemptAnswered"; }>): ResponseHead {
     return event.kind === "streamOpened" ? event.head : event.answer;
 }
--- a/packages/gateway/test/silentStreams.test.ts
+++ b/packages/gateway/test/silentStreams.test.ts
@@ -126,6 +126,22 @@
     assert.ok(cancelledIn(atDeadline).includes(late.call.attemptId));
 });
 
+// A server that stands still and is then killed ends its channels in order. The continuation was cancelled, and its replica spent.
+test("a continuation goes on when the channel of the silent run ends, though the stream is unframed", () => {
+    const gateway = TestGateway.serving(server("engine-1"), server("engine-2"), server("engine-3"));
+    const call = gateway.sendRequest("r", "plan");
+    gateway.openStream(call, { endsWithChannel: true });
+    gateway.receiveEvents(call, 1);
+    gateway.produceEvents(call);
+    gateway.advance(1_300);
+    const [continued] = callsIn(probe(gateway, call));
+    const ended = gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
+    assert.equal(kindsIn(ended).filter(kind => kind !== "logDecision"), []);
+    assert.is(gateway.state.silentAttempts.size, 0);
+    gateway.openStream(continued);
+    assertGoesOn(gateway, continued);
+});
+
 test("a stream that returned to its silent attempt is probed again only after a pause", () => {
     const { gateway, continued } = continueSilentStream();
     gateway.answer(continued, { status: 503, isNotRun: true, isSealed: false });
