Stream ends: a report is as old as the request for it, not as its handling

Callers could lose the end of a complete unframed stream. A report that lists the run may be a second old, and one handled a second after the end counted as newer than the end, also if it had been asked for at once: where a loop was late, the gateway was suspended or two reports took their time, a complete stream was cut, and continued at another server or failed.

What counts is now when the server was asked, since its report is not older than a second then.

--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -16,6 +16,8 @@
 /** The check of a stream whose channel has ended. */
 export interface EndCheck {
     readonly endedAt: Milliseconds;
+    /** When the server was asked last: its answer may be handled much later. */
+    askedAt: Milliseconds;
     /** When the server is to be asked again; undefined while it is being asked. */
     nextAt: Milliseconds | undefined;
     /** How often it did not answer. */
@@ -33,20 +35,27 @@
 
 /** Asks the server of a stream whose channel has ended for its report. */
 export function startEndCheck(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
-    attempt.endCheck = { endedAt: transaction.now, nextAt: undefined, unanswered: 0 };
-    askForReport(transaction, request, attempt);
+    const { now } = transaction;
+    attempt.endCheck = { endedAt: now, askedAt: now, nextAt: undefined, unanswered: 0 };
+    askForReport(transaction, request, attempt, attempt.endCheck);
 }
 
 /** Asks again if that is due. */
 export function continueEndCheck(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
     const { endCheck } = attempt;
     if (endCheck?.nextAt !== undefined && transaction.now >= endCheck.nextAt) {
-        endCheck.nextAt = undefined;
-        askForReport(transaction, request, attempt);
+        askForReport(transaction, request, attempt, endCheck);
     }
 }
 
-function askForReport({ state, effects }: Transaction, { service }: GatewayRequest, { id, server }: Attempt): void {
+function askForReport(
+    { state, now, effects }: Transaction,
+    { service }: GatewayRequest,
+    { id, server }: Attempt,
+    endCheck: EndCheck,
+): void {
+    endCheck.askedAt = now;
+    endCheck.nextAt = undefined;
     const hasReport = engineOf(state, service) !== undefined;
     effects.push({ kind: "checkStreamEnd", attemptId: id, address: server.record.address, hasReport });
 }
@@ -61,7 +70,7 @@
 ): EndVerdict {
     const { now } = transaction;
     endCheck.unanswered += report === undefined ? 1 : 0;
-    const verdict = judgeEnd(request, attempt, endCheck, report, now);
+    const verdict = judgeEnd(request, attempt, endCheck, report);
     logDecision(transaction, verdict === "complete" ? "debug" : "info", "stream_end_checked", {
         ...requestFields(transaction, request),
         server: attempt.server.record.id,
@@ -78,7 +87,7 @@
         return verdict;
     }
     if (report === undefined) {
-        askForReport(transaction, request, attempt);
+        askForReport(transaction, request, attempt, endCheck);
     }
     else {
         endCheck.nextAt = now + checkInterval;
@@ -89,9 +98,8 @@
 function judgeEnd(
     { head, eventCount }: GatewayRequest,
     { server }: Attempt,
-    { endedAt, unanswered }: EndCheck,
+    { endedAt, askedAt, unanswered }: EndCheck,
     report: ServerReport | undefined,
-    now: Milliseconds,
 ): EndVerdict {
     if (report === undefined) {
         return unanswered < maximumUnanswered ? "unknown" : "cut";
@@ -103,7 +111,7 @@
     if (run === undefined) {
         return "complete";
     }
-    const goesOn = run.events > eventCount || now - endedAt >= longestReportAge;
+    const goesOn = run.events > eventCount || askedAt - endedAt >= longestReportAge;
     return goesOn ? "cut" : "unknown";
 }
 
--- a/packages/gateway/test/streamEnds.test.ts
+++ b/packages/gateway/test/streamEnds.test.ts
@@ -96,6 +96,16 @@
     assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
 });
 
+// A report that was handled late counted as one that was made late.
+test("an unframed stream is asked for again if a report that lists its run was asked for within a second of its end", () => {
+    const { gateway, call } = endedStream();
+    gateway.now += 1_200;
+    const late = gateway.reportEnd(call.attemptId, report(call, {}, 3));
+    assert.equal(kindsIn(late).filter(kind => kind.startsWith("answer")), []);
+    assert.is(checksIn(gateway.advance(200)), 1);
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
+});
+
 test("an unframed stream whose server never answers ends with its time limit", () => {
     const { gateway } = endedStream();
     assert.ok(kindsIn(gateway.advance(39_100)).includes("answerCut"));
