Stream ends: ask for the report also where a new configuration lacks the service

Callers could still get a part of an unframed stream as a complete one. Whether the server has a report was looked up in the configuration at the end of the channel; where a configuration had removed the service meanwhile, a connection that the kernel accepted was proof again.

The attempt now keeps what was known when its request was sent.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -354,7 +354,7 @@
         probeRestartedServer(transaction, attempt);
     }
     if (attempt.endCheck !== undefined) {
-        return continueEndCheck(transaction, request, attempt);
+        return continueEndCheck(transaction, attempt);
     }
     if (route.isStream) {
         return probeSilentServer(transaction, request, attempt);
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -219,6 +219,7 @@
     const attempt: Attempt = {
         id: identifier(source.newIdentifier()),
         server,
+        hasReport: engineOf(state, request.service) !== undefined,
         startedAt: now,
         replica,
         continuesFrom,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -43,6 +43,8 @@
     readonly id: AttemptId;
     /** Replaced only if the server turns out to have restarted before the request was sent. */
     server: BackendServer;
+    /** Whether its server has a report, by the configuration with which the request was sent: a later one may lack its service. */
+    readonly hasReport: boolean;
     readonly startedAt: Milliseconds;
     /** The server that the run's memory is to be replicated to as it grows; whether it holds a replica is not known. */
     readonly replica: BackendServer | undefined;
--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -7,7 +7,6 @@
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { requestFields } from "./requests.js";
 import { findListedRun, isOtherIncarnation } from "./serverIncarnations.js";
-import { engineOf } from "./serverLoad.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -34,29 +33,23 @@
 const maximumUnanswered = 2;
 
 /** Asks the server of a stream whose channel has ended for its report. */
-export function startEndCheck(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
+export function startEndCheck(transaction: Transaction, attempt: Attempt): void {
     const { now } = transaction;
     attempt.endCheck = { endedAt: now, askedAt: now, nextAt: undefined, unanswered: 0 };
-    askForReport(transaction, request, attempt, attempt.endCheck);
+    askForReport(transaction, attempt, attempt.endCheck);
 }
 
 /** Asks again if that is due. */
-export function continueEndCheck(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
+export function continueEndCheck(transaction: Transaction, attempt: Attempt): void {
     const { endCheck } = attempt;
     if (endCheck?.nextAt !== undefined && transaction.now >= endCheck.nextAt) {
-        askForReport(transaction, request, attempt, endCheck);
+        askForReport(transaction, attempt, endCheck);
     }
 }
 
-function askForReport(
-    { state, now, effects }: Transaction,
-    { service }: GatewayRequest,
-    { id, server }: Attempt,
-    endCheck: EndCheck,
-): void {
+function askForReport({ now, effects }: Transaction, { id, server, hasReport }: Attempt, endCheck: EndCheck): void {
     endCheck.askedAt = now;
     endCheck.nextAt = undefined;
-    const hasReport = engineOf(state, service) !== undefined;
     effects.push({ kind: "checkStreamEnd", attemptId: id, address: server.record.address, hasReport });
 }
 
@@ -87,7 +80,7 @@
         return verdict;
     }
     if (report === undefined) {
-        askForReport(transaction, request, attempt, endCheck);
+        askForReport(transaction, attempt, endCheck);
     }
     else {
         endCheck.nextAt = now + checkInterval;
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -274,7 +274,7 @@
         const message = "the stream ended with its time limit, and may not be complete";
         return failRequest(transaction, request, "deadline_exceeded", message);
     }
-    startEndCheck(transaction, request, attempt);
+    startEndCheck(transaction, attempt);
 }
 
 /** Handles what the server of a stream without framing says after its channel has ended. */
--- a/packages/gateway/test/streamEnds.test.ts
+++ b/packages/gateway/test/streamEnds.test.ts
@@ -6,7 +6,7 @@
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, eventsIn, kindsIn, linesIn, server, TestGateway } from "./gatewayBuilders.js";
+import { callsIn, configuration, eventsIn, kindsIn, linesIn, server, TestGateway } from "./gatewayBuilders.js";
 
 const startedAt = 5;
 
@@ -96,6 +96,16 @@
     assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
 });
 
+// A connection that was accepted counted as proof again.
+test("the report of a server is asked for though a new configuration no longer has its service", () => {
+    const gateway = TestGateway.serving(server("engine-1", { startedAt }));
+    const call = gateway.startStream("r", "plan");
+    gateway.openStream(call, { endsWithChannel: true });
+    gateway.configure(configuration(2, { services: new Map() }));
+    const effects = gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
+    assert.equal(effects.flatMap(effect => effect.kind === "checkStreamEnd" ? [effect.hasReport] : []), [true]);
+});
+
 // A report that was handled late counted as one that was made late.
 test("an unframed stream is asked for again if a report that lists its run was asked for within a second of its end", () => {
     const { gateway, call } = endedStream();
