Stream ends: a refused request for a report does not complete a stream

Callers could get a part of an unframed stream as a complete one. A refusal that says that its server leaves reached the reducer as a report that lists no runs and names no start, and such a report completes a stream. A process that has the address of the one that ended may give it.

Evidence: the new tests; the refusal gave answerEnd. A refusal is now marked, and counts as no report: the server is asked once more, and the run counts as lost if it refuses again.

--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -80,6 +80,8 @@
 export interface ServerReport {
     /** Whether the server states that it leaves. */
     readonly isLeaving: boolean;
+    /** Whether the server, which leaves, refused the request for its report: it says nothing else, and may be another one. */
+    readonly isRefused?: boolean | undefined;
     /** When this incarnation of the server started, by its own clock; undefined if it does not tell. */
     readonly startedAt: number | undefined;
     /** How much longer the server is cold; undefined if it does not say. */
--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -19,7 +19,7 @@
     askedAt: Milliseconds;
     /** When the server is to be asked again; undefined while it is being asked. */
     nextAt: Milliseconds | undefined;
-    /** How often it did not answer. */
+    /** How often it gave no report. */
     unanswered: number;
 }
 
@@ -59,9 +59,10 @@
     request: GatewayRequest,
     attempt: Attempt,
     endCheck: EndCheck,
-    { report }: StreamEndChecked,
+    { report: answer }: StreamEndChecked,
 ): EndVerdict {
     const { now } = transaction;
+    const report = answer?.isRefused === true ? undefined : answer;
     endCheck.unanswered += report === undefined ? 1 : 0;
     const verdict = judgeEnd(request, attempt, endCheck, report);
     logDecision(transaction, verdict === "complete" ? "debug" : "info", "stream_end_checked", {
--- a/packages/gateway/test/streamEnds.test.ts
+++ b/packages/gateway/test/streamEnds.test.ts
@@ -96,6 +96,17 @@
     assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
 });
 
+// Whoever has the address of a server that has ended may refuse the request, and leave as well.
+test("an unframed stream is not complete because its server refuses the report and leaves", () => {
+    const { gateway, call: { attemptId }, call } = endedStream();
+    const refusal = report(call, { runs: undefined, startedAt: undefined, isLeaving: true, isRefused: true });
+    const effects = [...gateway.reportEnd(attemptId, refusal), ...gateway.advance(250)];
+    assert.is(checksIn(effects), 1);
+    effects.push(...gateway.reportEnd(attemptId, refusal));
+    assert.not.ok(kindsIn(effects).includes("answerEnd"));
+    assert.ok(kindsIn(effects).includes("answerCut"));
+});
+
 // A connection that was accepted counted as proof again.
 test("the report of a server is asked for though a new configuration no longer has its service", () => {
     const gateway = TestGateway.serving(server("engine-1", { startedAt }));
