--- a/packages/bench/test/killedEnginesProcess.test.ts
+++ b/packages/bench/test/killedEnginesProcess.test.ts
@@ -26,9 +26,9 @@
 }
 
 /** Registers an engine, and waits until the gateway knows it. */
-async function register(cluster: GatewayCluster, id: string, port: number): Promise<void> {
+async function register(cluster: GatewayCluster, id: string, port: number, born: number | undefined): Promise<void> {
     const address = `127.0.0.1:${port}`;
-    const record = { service: "engine", address, zone: "near", slots: 64, state: "ready", born: firstStart };
+    const record = { service: "engine", address, zone: "near", slots: 64, state: "ready", sequence: 1, born };
     cluster.store.put("keyed.servers", id, record);
     await cluster.waitUntilKnown(cluster.gateways[0], id);
 }
@@ -38,7 +38,7 @@
     const words = [...execArgv, program, String(firstStart)];
     const child = spawn(process.execPath, words, { stdio: ["ignore", "pipe", "inherit"] });
     const [port] = await once(child.stdout, "data") as [Buffer];
-    await register(cluster, id, Number(String(port)));
+    await register(cluster, id, Number(String(port)), firstStart);
     return child;
 }
 
@@ -83,11 +83,18 @@
     }
 });
 
-for (const [name, isReplaced] of [["waits", false], ["starts the engine again", true]] as const) {
+for (
+    const [name, isReplaced, born] of [
+        ["waits", false, firstStart],
+        ["starts the engine again", true, firstStart],
+        ["starts an engine again that does not state when it started", true, undefined],
+    ] as const
+) {
     // A connection that the kernel accepts counted as proof that the engine had ended the stream itself.
     test(`callers get no part of an unframed stream as a complete one when a supervisor keeps the listener and ${name}`, async () => {
         const cluster = await GatewayCluster.start(1);
-        const children = [firstStart, firstStart + 1].map(born => fork(program, [String(born)], { execArgv }));
+        const starts = born === undefined ? [[], []] : [[String(born)], [String(born + 1)]];
+        const children = starts.map(words => fork(program, words, { execArgv }));
         let [engine]: (ChildProcess | undefined)[] = children;
         const accepted = new Set<Socket>();
         const supervisor = createServer({ pauseOnConnect: true }, socket => {
@@ -97,7 +104,7 @@
         try {
             await Promise.all(children.map(child => once(child, "message")));
             await new Promise<void>(resolve => supervisor.listen(0, "127.0.0.1", resolve));
-            await register(cluster, "x", (supervisor.address() as AddressInfo).port);
+            await register(cluster, "x", (supervisor.address() as AddressInfo).port, born);
             const responses = await killUnderStreams(cluster, 8, () => {
                 engine = isReplaced ? children[1] : undefined;
                 children[0].kill("SIGKILL");
--- a/packages/bench/test/unframedEngine.ts
+++ b/packages/bench/test/unframedEngine.ts
@@ -6,7 +6,8 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 
 const eventInterval = 10;
-const born = Number(process.argv[2]);
+/** When it started, if it is to state that. */
+const born = process.argv[2] === undefined ? undefined : Number(process.argv[2]);
 /** The events made so far, by the caller's attempt. */
 const runs = new Map<string, number>();
 
--- a/packages/gateway/test/streamEnds.test.ts
+++ b/packages/gateway/test/streamEnds.test.ts
@@ -127,6 +127,26 @@
     assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
 });
 
+// Its channel was cut on the way. A report may be a second old, and the run began later.
+test("an unframed stream is not complete because a report from before its run does not list it", () => {
+    const { gateway, call } = endedStream();
+    assert.not.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
+    const effects = gateway.advance(1_100);
+    assert.ok(checksIn(effects) > 0);
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call, {}, 4))).includes("answerCut"));
+});
+
+// A server resets connections beyond those that it takes, and at once.
+test("a complete unframed stream is not cut because two calls for a report fail within a millisecond", () => {
+    const { gateway, call: { attemptId }, call } = endedStream();
+    for (let calls = 0; calls < 2; calls++) {
+        const effects = gateway.handle({ kind: "streamEndChecked", attemptId, report: undefined });
+        assert.not.ok(kindsIn(effects).includes("answerCut"));
+    }
+    gateway.advance(250);
+    assert.ok(kindsIn(gateway.reportEnd(attemptId, report(call))).includes("answerEnd"));
+});
+
 test("an unframed stream whose server never answers ends with its time limit", () => {
     const { gateway } = endedStream();
     assert.ok(kindsIn(gateway.advance(39_100)).includes("answerCut"));
