--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -7,7 +7,6 @@
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { requestFields } from "./requests.js";
 import { findListedRun, isOtherIncarnation } from "./serverIncarnations.js";
-import { engineOf } from "./serverLoad.js";
 import type { Attempt, GatewayRequest } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
@@ -16,9 +15,11 @@
 /** The check of a stream whose channel has ended. */
 export interface EndCheck {
     readonly endedAt: Milliseconds;
+    /** When the server was asked last: its answer may be handled much later. */
+    askedAt: Milliseconds;
     /** When the server is to be asked again; undefined while it is being asked. */
     nextAt: Milliseconds | undefined;
-    /** How often it did not answer. */
+    /** How often it gave no report. */
     unanswered: number;
 }
 
@@ -32,22 +33,23 @@
 const maximumUnanswered = 2;
 
 /** Asks the server of a stream whose channel has ended for its report. */
-export function startEndCheck(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
-    attempt.endCheck = { endedAt: transaction.now, nextAt: undefined, unanswered: 0 };
-    askForReport(transaction, request, attempt);
+export function startEndCheck(transaction: Transaction, attempt: Attempt): void {
+    const { now } = transaction;
+    attempt.endCheck = { endedAt: now, askedAt: now, nextAt: undefined, unanswered: 0 };
+    askForReport(transaction, attempt, attempt.endCheck);
 }
 
 /** Asks again if that is due. */
-export function continueEndCheck(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
+export function continueEndCheck(transaction: Transaction, attempt: Attempt): void {
     const { endCheck } = attempt;
     if (endCheck?.nextAt !== undefined && transaction.now >= endCheck.nextAt) {
-        endCheck.nextAt = undefined;
-        askForReport(transaction, request, attempt);
+        askForReport(transaction, attempt, endCheck);
     }
 }
 
-function askForReport({ state, effects }: Transaction, { service }: GatewayRequest, { id, server }: Attempt): void {
-    const hasReport = engineOf(state, service) !== undefined;
+function askForReport({ now, effects }: Transaction, { id, server, hasReport }: Attempt, endCheck: EndCheck): void {
+    endCheck.askedAt = now;
+    endCheck.nextAt = undefined;
     effects.push({ kind: "checkStreamEnd", attemptId: id, address: server.record.address, hasReport });
 }
 
@@ -57,11 +59,12 @@
     request: GatewayRequest,
     attempt: Attempt,
     endCheck: EndCheck,
-    { report }: StreamEndChecked,
+    { report: answer }: StreamEndChecked,
 ): EndVerdict {
     const { now } = transaction;
+    const report = answer?.isRefused === true ? undefined : answer;
     endCheck.unanswered += report === undefined ? 1 : 0;
-    const verdict = judgeEnd(request, attempt, endCheck, report, now);
+    const verdict = judgeEnd(request, attempt, endCheck, report);
     logDecision(transaction, verdict === "complete" ? "debug" : "info", "stream_end_checked", {
         ...requestFields(transaction, request),
         server: attempt.server.record.id,
@@ -78,7 +81,7 @@
         return verdict;
     }
     if (report === undefined) {
-        askForReport(transaction, request, attempt);
+        askForReport(transaction, attempt, endCheck);
     }
     else {
         endCheck.nextAt = now + checkInterval;
@@ -89,9 +92,8 @@
 function judgeEnd(
     { head, eventCount }: GatewayRequest,
     { server }: Attempt,
-    { endedAt, unanswered }: EndCheck,
+    { endedAt, askedAt, unanswered }: EndCheck,
     report: ServerReport | undefined,
-    now: Milliseconds,
 ): EndVerdict {
     if (report === undefined) {
         return unanswered < maximumUnanswered ? "unknown" : "cut";
@@ -103,7 +105,7 @@
     if (run === undefined) {
         return "complete";
     }
-    const goesOn = run.events > eventCount || now - endedAt >= longestReportAge;
+    const goesOn = run.events > eventCount || askedAt - endedAt >= longestReportAge;
     return goesOn ? "cut" : "unknown";
 }
 
--- a/packages/gateway/test/streamEnds.test.ts
+++ b/packages/gateway/test/streamEnds.test.ts
@@ -6,7 +6,7 @@
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, eventsIn, kindsIn, linesIn, server, TestGateway } from "./gatewayBuilders.js";
+import { callsIn, configuration, eventsIn, kindsIn, linesIn, server, TestGateway } from "./gatewayBuilders.js";
 
 const startedAt = 5;
 
@@ -96,6 +96,57 @@
     assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
 });
 
+// Whoever has the address of a server that has ended may refuse the request, and leave as well.
+test("an unframed stream is not complete because its server refuses the report and leaves", () => {
+    const { gateway, call: { attemptId }, call } = endedStream();
+    const refusal = report(call, { runs: undefined, startedAt: undefined, isLeaving: true, isRefused: true });
+    const effects = [...gateway.reportEnd(attemptId, refusal), ...gateway.advance(250)];
+    assert.is(checksIn(effects), 1);
+    effects.push(...gateway.reportEnd(attemptId, refusal));
+    assert.not.ok(kindsIn(effects).includes("answerEnd"));
+    assert.ok(kindsIn(effects).includes("answerCut"));
+});
+
+// A connection that was accepted counted as proof again.
+test("the report of a server is asked for though a new configuration no longer has its service", () => {
+    const gateway = TestGateway.serving(server("engine-1", { startedAt }));
+    const call = gateway.startStream("r", "plan");
+    gateway.openStream(call, { endsWithChannel: true });
+    gateway.configure(configuration(2, { services: new Map() }));
+    const effects = gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
+    assert.equal(effects.flatMap(effect => effect.kind === "checkStreamEnd" ? [effect.hasReport] : []), [true]);
+});
+
+// A report that was handled late counted as one that was made late.
+test("an unframed stream is asked for again if a report that lists its run was asked for within a second of its end", () => {
+    const { gateway, call } = endedStream();
+    gateway.now += 1_200;
+    const late = gateway.reportEnd(call.attemptId, report(call, {}, 3));
+    assert.equal(kindsIn(late).filter(kind => kind.startsWith("answer")), []);
+    assert.is(checksIn(gateway.advance(200)), 1);
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
+});
+
+// Its channel was cut on the way. A report may be a second old, and the run began later.
+test("an unframed stream is not complete because a report from before its run does not list it", () => {
+    const { gateway, call } = endedStream();
+    assert.not.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
+    const effects = gateway.advance(1_100);
+    assert.ok(checksIn(effects) > 0);
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call, {}, 4))).includes("answerCut"));
+});
+
+// A server resets connections beyond those that it takes, and at once.
+test("a complete unframed stream is not cut because two calls for a report fail within a millisecond", () => {
+    const { gateway, call: { attemptId }, call } = endedStream();
+    for (let calls = 0; calls < 2; calls++) {
+        const effects = gateway.handle({ kind: "streamEndChecked", attemptId, report: undefined });
+        assert.not.ok(kindsIn(effects).includes("answerCut"));
+    }
+    gateway.advance(250);
+    assert.ok(kindsIn(gateway.reportEnd(attemptId, report(call))).includes("answerEnd"));
+});
+
 test("an unframed stream whose server never answers ends with its time limit", () => {
     const { gateway } = endedStream();
     assert.ok(kindsIn(gateway.advance(39_100)).includes("answerCut"));
