Ask for the report of the very server whose unframed stream has ended

Callers got a part of a stream with the last chunk of a complete answer.

Cause: the check told incarnations apart by the start that they state. Another server at the address, as under a supervisor that keeps the listener, answered in the place of the killed one, and its report lists no run. Class: an address taken for the identity of a process.

Change: the request for the report names its server, which any other one refuses. Neither such a refusal nor a report under another id is an answer of the server, so the stream is continued or cut.

--- a/packages/bench/test/killedEnginesProcess.test.ts
+++ b/packages/bench/test/killedEnginesProcess.test.ts
@@ -26,19 +26,24 @@
 }
 
 /** Registers an engine, and waits until the gateway knows it. */
-async function register(cluster: GatewayCluster, id: string, port: number): Promise<void> {
+async function register(
+    cluster: GatewayCluster,
+    id: string,
+    port: number,
+    born: number | undefined,
+): Promise<void> {
     const address = `127.0.0.1:${port}`;
-    const record = { service: "engine", address, zone: "near", slots: 64, state: "ready", born: firstStart };
+    const record = { service: "engine", address, zone: "near", slots: 64, state: "ready", born };
     cluster.store.put("keyed.servers", id, record);
     await cluster.waitUntilKnown(cluster.gateways[0], id);
 }
 
 /** Starts an engine with a listener of its own. */
 async function startEngine(cluster: GatewayCluster, id: string): Promise<ChildProcess> {
-    const words = [...execArgv, program, String(firstStart)];
+    const words = [...execArgv, program, id, String(firstStart)];
     const child = spawn(process.execPath, words, { stdio: ["ignore", "pipe", "inherit"] });
     const [port] = await once(child.stdout, "data") as [Buffer];
-    await register(cluster, id, Number(String(port)));
+    await register(cluster, id, Number(String(port)), firstStart);
     return child;
 }
 
@@ -83,11 +88,20 @@
     }
 });
 
-for (const [name, isReplaced] of [["waits", false], ["starts the engine again", true]] as const) {
+/** The arguments of an engine and of the one that replaces it; undefined if nothing does. */
+const supervisions = [
+    ["waits", ["x", String(firstStart)], undefined],
+    ["starts the engine again", ["x", String(firstStart)], ["x", String(firstStart + 1)]],
+    ["starts another engine, and neither states its start", ["x"], ["y"]],
+] as const;
+
+for (const [name, first, second] of supervisions) {
     // A connection that the kernel accepts counted as proof that the engine had ended the stream itself.
     test(`callers get no part of an unframed stream as a complete one when a supervisor keeps the listener and ${name}`, async () => {
         const cluster = await GatewayCluster.start(1);
-        const children = [firstStart, firstStart + 1].map(born => fork(program, [String(born)], { execArgv }));
+        const children = [first, ...(second === undefined ? [] : [second])].map(words =>
+            fork(program, words, { execArgv })
+        );
         let [engine]: (ChildProcess | undefined)[] = children;
         const accepted = new Set<Socket>();
         const supervisor = createServer({ pauseOnConnect: true }, socket => {
@@ -97,9 +111,10 @@
         try {
             await Promise.all(children.map(child => once(child, "message")));
             await new Promise<void>(resolve => supervisor.listen(0, "127.0.0.1", resolve));
-            await register(cluster, "x", (supervisor.address() as AddressInfo).port);
+            const born = first[1] === undefined ? undefined : Number(first[1]);
+            await register(cluster, "x", (supervisor.address() as AddressInfo).port, born);
             const responses = await killUnderStreams(cluster, 8, () => {
-                engine = isReplaced ? children[1] : undefined;
+                engine = children[1];
                 children[0].kill("SIGKILL");
             });
             assert.is(responses.filter(({ isComplete }) => isComplete).length, 0);
--- a/packages/bench/test/unframedEngine.ts
+++ b/packages/bench/test/unframedEngine.ts
@@ -1,12 +1,16 @@
 /**
  * An engine as a process of its own that writes streams with neither a length nor chunks. It serves the connections that its
- * parent sends it or, where it has none to get them from, those to a port that it prints. It answers `GET /report`. A stream
- * has as many events as the request's field `stream-length` states, and goes on after its last event.
+ * parent sends it or, where it has none to get them from, those to a port that it prints. It answers `GET /report`, and
+ * refuses what names another instance. A stream has as many events as the request's field `stream-length` states, and goes
+ * on after its last event.
+ *
+ * Its arguments are its id and, if it is to state that, when it started.
  */
 import { type AddressInfo, createServer, type Socket } from "node:net";
 
 const eventInterval = 10;
-const born = Number(process.argv[2]);
+const [, , id, start] = process.argv;
+const born = start === undefined ? undefined : Number(start);
 /** The events made so far, by the caller's attempt. */
 const runs = new Map<string, number>();
 
@@ -24,6 +28,11 @@
 }
 
 function answer(socket: Socket, head: string): void {
+    const [, target = id] = /^target-instance: (\S+)/im.exec(head) ?? [];
+    if (target !== id) {
+        socket.end(`HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ${id}\r\ncontent-length: 0\r\n\r\n`);
+        return;
+    }
     const [, attempt] = /^attempt-id: (\S+)/im.exec(head) ?? [];
     if (attempt === undefined) {
         const report = JSON.stringify({ born, runs: [...runs].map(([id, events]) => [id, 1, events, 5]) });
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -56,10 +56,11 @@
         /** Whether the server has a report; of another one a probe tells only whether it accepts connections. */
         readonly hasReport: boolean;
     }
-    /** Asks the server of a stream whose channel has ended for its report, as `probeServer` does. */
+    /** Asks the server of a stream whose channel has ended for its report, as `probeServer` does, but no other server. */
     | {
         readonly kind: "checkStreamEnd";
         readonly attemptId: AttemptId;
+        readonly backendServer: BackendServerId;
         readonly address: string;
         readonly hasReport: boolean;
     }
--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -1,7 +1,8 @@
 /**
  * Decides whether a stream without framing is complete when its channel has ended. The kernel ends the channels of a process
  * that is killed in the same way, and accepts connections for one that does not run. So the server is asked for its report:
- * the incarnation that had the run has to answer, and no longer to list the run.
+ * the incarnation that had the run has to answer, and no longer to list the run. Where incarnations don't state their start,
+ * each has another id, and none answers what is for another one.
  */
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
 import type { GatewayEvent, ServerReport } from "./event.js";
@@ -48,7 +49,8 @@
 
 function askForReport({ state, effects }: Transaction, { service }: GatewayRequest, { id, server }: Attempt): void {
     const hasReport = engineOf(state, service) !== undefined;
-    effects.push({ kind: "checkStreamEnd", attemptId: id, address: server.record.address, hasReport });
+    const { id: backendServer, address } = server.record;
+    effects.push({ kind: "checkStreamEnd", attemptId: id, backendServer, address, hasReport });
 }
 
 /** Handles an answer of the server, or that none came. Returns what it says of the stream. */
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -16,7 +16,13 @@
     type TopicName,
     type TopicRecord,
 } from "@verbenaspring/gateway";
-import { type CallerAttemptId, identifier, type LogOffset, type Milliseconds } from "@verbenaspring/model";
+import {
+    type BackendServerId,
+    type CallerAttemptId,
+    identifier,
+    type LogOffset,
+    type Milliseconds,
+} from "@verbenaspring/model";
 import type { BackendCodec } from "./backendChannels.js";
 import { type Daemon, describeError } from "./daemon.js";
 import { monotonicNow, runLoop } from "./eventLoop.js";
@@ -77,8 +83,15 @@
         isStopping: boolean,
         timeout: Milliseconds,
     ) => Promise<MigrationResult>;
-    /** Requests a backend server's report. Resolves to undefined if none arrives in time. */
-    readonly readReport: (address: string, timeout: Milliseconds) => Promise<ServerReport | undefined>;
+    /**
+     * Requests a backend server's report. Resolves to undefined if none arrives in time, or if another server than the given
+     * one has the address.
+     */
+    readonly readReport: (
+        address: string,
+        timeout: Milliseconds,
+        backendServer?: BackendServerId,
+    ) => Promise<ServerReport | undefined>;
 }
 
 /** The addresses at which a gateway listens, its log level and its limits. */
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -429,9 +429,11 @@
         });
     }
 
-    private async probe({ address, hasReport }: ProbeEffect): Promise<ServerReport | undefined> {
+    private async probe(effect: ProbeEffect): Promise<ServerReport | undefined> {
+        const { address, hasReport } = effect;
         if (hasReport) {
-            return this.adapter.readReport(address, probeTimeout);
+            const onlyServer = effect.kind === "checkStreamEnd" ? effect.backendServer : undefined;
+            return this.adapter.readReport(address, probeTimeout, onlyServer);
         }
         return await this.channels.canConnect(address) ? emptyReport : undefined;
     }
