Ask a server that leaves once more whether its unframed streams are complete

Callers got a part of a stream with the last chunk of a complete answer.

Cause: a server that leaves drops its runs and ends their channels when it exits, and answers for a moment longer. Its report lists no run, as after a complete stream. Class: an answer that fits two causes taken for one of them.

Change: a server that leaves, or is not known any more, has to answer again a second after the end of the channel. One that has exited does not, so the stream is continued or cut. Only the end of the answer waits; its events have been passed on. A stream that is complete within the last second of its server is now continued or cut as well.

Tests: "an unframed stream that closes after the request to stop its run" has a server that leaves. It now holds that the first report does not end the answer, and that the second does.

--- a/packages/bench/test/killedEnginesProcess.test.ts
+++ b/packages/bench/test/killedEnginesProcess.test.ts
@@ -1,7 +1,7 @@
 /**
- * Engines that are killed while they write streams with neither a length nor chunks. The kernel closes the channels of a
- * process that ends as an orderly end does, and accepts connections until the last process that holds the listener has
- * closed it.
+ * Engines that end while they write streams with neither a length nor chunks. The kernel closes the channels of a process
+ * that is killed as an orderly end does, and accepts connections until the last process that holds the listener has closed
+ * it. An engine that exits ends its streams itself.
  */
 import { waitUntil } from "@verbenaspring/bench";
 import { type ChildProcess, fork, spawn } from "node:child_process";
@@ -25,6 +25,11 @@
     return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
 }
 
+function record(port: number, born: number | undefined, state: "ready" | "draining"): object {
+    const sequence = state === "ready" ? 1 : 2;
+    return { service: "engine", address: `127.0.0.1:${port}`, zone: "near", slots: 64, state, born, sequence };
+}
+
 /** Registers an engine, and waits until the gateway knows it. */
 async function register(
     cluster: GatewayCluster,
@@ -32,26 +37,28 @@
     port: number,
     born: number | undefined,
 ): Promise<void> {
-    const address = `127.0.0.1:${port}`;
-    const record = { service: "engine", address, zone: "near", slots: 64, state: "ready", born };
-    cluster.store.put("keyed.servers", id, record);
+    cluster.store.put("keyed.servers", id, record(port, born, "ready"));
     await cluster.waitUntilKnown(cluster.gateways[0], id);
 }
 
-/** Starts an engine with a listener of its own. */
-async function startEngine(cluster: GatewayCluster, id: string): Promise<ChildProcess> {
+/** Starts an engine with a listener of its own, and returns its port. */
+async function startEngine(
+    cluster: GatewayCluster,
+    id: string,
+): Promise<{ readonly engine: ChildProcess; readonly port: number; }> {
     const words = [...execArgv, program, id, String(firstStart)];
     const child = spawn(process.execPath, words, { stdio: ["ignore", "pipe", "inherit"] });
-    const [port] = await once(child.stdout, "data") as [Buffer];
-    await register(cluster, id, Number(String(port)), firstStart);
-    return child;
+    const [line] = await once(child.stdout, "data") as [Buffer];
+    const port = Number(String(line));
+    await register(cluster, id, port, firstStart);
+    return { engine: child, port };
 }
 
 /** Sends streams, calls `kill` once all have begun, and returns what callers got. */
 async function killUnderStreams(
     cluster: GatewayCluster,
     streams: number,
-    kill: () => void,
+    kill: () => void | Promise<void>,
 ): Promise<GatewayResponse[]> {
     let begun = 0;
     const headers = lengthField(length);
@@ -60,7 +67,7 @@
         () => cluster.sendRequest(cluster.gateways[0], "/plan/1", { headers, onHead: () => begun++ }),
     );
     await waitUntil("the streams have begun", () => begun === streams);
-    kill();
+    await kill();
     const responses = await Promise.all(answers);
     assert.ok(responses.every(response => idsOf(response).length < length));
     return responses;
@@ -73,9 +80,9 @@
     try {
         for (let kill = 0; kill < kills; kill++) {
             const id = `x${kill}`;
-            const engine = await startEngine(cluster, id);
+            const { engine } = await startEngine(cluster, id);
             children.push(engine);
-            const responses = await killUnderStreams(cluster, 60, () => engine.kill("SIGKILL"));
+            const responses = await killUnderStreams(cluster, 60, () => void engine.kill("SIGKILL"));
             assert.is(responses.filter(({ isComplete }) => isComplete).length, 0);
             cluster.store.put("keyed.servers", id, undefined);
             const line = `server=${id} change=removed`;
@@ -128,9 +135,28 @@
     });
 }
 
+// Its report lists no run, as after complete streams.
+test("callers get no part of an unframed stream as a complete one when its engine leaves and exits", async () => {
+    const cluster = await GatewayCluster.start(1);
+    const { engine, port } = await startEngine(cluster, "x");
+    try {
+        const responses = await killUnderStreams(cluster, 8, async () => {
+            cluster.store.put("keyed.servers", "x", record(port, firstStart, "draining"));
+            const line = "server=x change=leaving";
+            await waitUntil("the engine leaves", () => cluster.gateways[0].output().includes(line));
+            engine.kill("SIGTERM");
+        });
+        assert.is(responses.filter(({ isComplete }) => isComplete).length, 0);
+    }
+    finally {
+        engine.kill("SIGKILL");
+        await cluster.stop();
+    }
+});
+
 test("callers get an unframed stream whole when its engine ends it", async () => {
     const cluster = await GatewayCluster.start(1);
-    const engine = await startEngine(cluster, "x");
+    const { engine } = await startEngine(cluster, "x");
     try {
         const lengths = Array.from({ length: 20 }, (_, index) => index + 1);
         const responses = await Promise.all(
--- a/packages/bench/test/unframedEngine.ts
+++ b/packages/bench/test/unframedEngine.ts
@@ -2,13 +2,14 @@
  * An engine as a process of its own that writes streams with neither a length nor chunks. It serves the connections that its
  * parent sends it or, where it has none to get them from, those to a port that it prints. It answers `GET /report`, and
  * refuses what names another instance. A stream has as many events as the request's field `stream-length` states, and goes
- * on after its last event.
+ * on after its last event. On SIGTERM it ends all streams, and exits a moment later.
  *
  * Its arguments are its id and, if it is to state that, when it started.
  */
 import { type AddressInfo, createServer, type Socket } from "node:net";
 
 const eventInterval = 10;
+const exitDelay = 300;
 const [, , id, start] = process.argv;
 const born = start === undefined ? undefined : Number(start);
 /** The events made so far, by the caller's attempt. */
@@ -54,12 +55,20 @@
         runs.delete(attempt);
         socket.end();
     }, eventInterval);
-    socket.on("close", () => {
+    const stop = (): void => {
         clearInterval(timer);
         runs.delete(attempt);
+    };
+    socket.on("close", stop);
+    process.once("SIGTERM", () => {
+        stop();
+        socket.end();
     });
 }
 
+process.setMaxListeners(0);
+process.on("SIGTERM", () => setTimeout(() => process.exit(), exitDelay));
+
 if (process.send === undefined) {
     const server = createServer(serve);
     server.listen(0, "127.0.0.1", () => process.stdout.write(`${(server.address() as AddressInfo).port}\n`));
--- a/packages/gateway/src/leavingServers.ts
+++ b/packages/gateway/src/leavingServers.ts
@@ -3,7 +3,7 @@
  * server, whatever its record in the store says: gateways that passed it on are bound by it.
  */
 import type { BackendServerId } from "@verbenaspring/model";
-import type { BackendRecord } from "./backendServers.js";
+import type { BackendRecord, BackendServer } from "./backendServers.js";
 import { earliestAcknowledgement } from "./drainLimit.js";
 import { checkStreamsSoon, migrateStreams } from "./migration.js";
 import { reportToPeers } from "./peers.js";
@@ -36,6 +36,12 @@
     return notice !== undefined && notice.startedAt === startedAt;
 }
 
+/** Whether a server leaves, or is not known any more. */
+export function isLeaving({ servers }: GatewayState, { record: { id } }: BackendServer): boolean {
+    const known = servers.get(id);
+    return known === undefined || known.leavingSince !== undefined;
+}
+
 /** Records a notice in an answer to this gateway, and reports it to the others. */
 export function recordLeavingNotice(transaction: Transaction, { id, startedAt }: BackendRecord): void {
     recordNotices(transaction, [{ backendServer: id, startedAt }], true);
--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -2,10 +2,12 @@
  * Decides whether a stream without framing is complete when its channel has ended. The kernel ends the channels of a process
  * that is killed in the same way, and accepts connections for one that does not run. So the server is asked for its report:
  * the incarnation that had the run has to answer, and no longer to list the run. Where incarnations don't state their start,
- * each has another id, and none answers what is for another one.
+ * each has another id, and none answers what is for another one. A server that leaves may end its streams itself when it
+ * exits, so it has to answer once more after the time for that.
  */
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
 import type { GatewayEvent, ServerReport } from "./event.js";
+import { isLeaving } from "./leavingServers.js";
 import { requestFields } from "./requests.js";
 import { findListedRun, isOtherIncarnation } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
@@ -29,6 +31,8 @@
 /** A report may be this old, and so list a run that has ended since. */
 const longestReportAge: Milliseconds = 1_000;
 const checkInterval: Milliseconds = 200;
+/** A server that exits may answer for this long after it has ended its streams. */
+const exitTime: Milliseconds = 1_000;
 /** An answer may be lost; that of a process that has ended never comes. */
 const maximumUnanswered = 2;
 
@@ -63,7 +67,8 @@
 ): EndVerdict {
     const { now } = transaction;
     endCheck.unanswered += report === undefined ? 1 : 0;
-    const verdict = judgeEnd(request, attempt, endCheck, report, now);
+    const mayExit = report?.isLeaving === true || isLeaving(transaction.state, attempt.server);
+    const verdict = judgeEnd(request, attempt, endCheck, { report, mayExit }, now);
     logDecision(transaction, verdict === "complete" ? "debug" : "info", "stream_end_checked", {
         ...requestFields(transaction, request),
         server: attempt.server.record.id,
@@ -71,6 +76,7 @@
         verdict,
         endAge: Math.round(now - endCheck.endedAt),
         unanswered: endCheck.unanswered,
+        mayExit,
         serverStartedAt: attempt.server.record.startedAt,
         reportStartedAt: report?.startedAt,
         receivedEvents: request.eventCount,
@@ -83,16 +89,24 @@
         askForReport(transaction, request, attempt);
     }
     else {
-        endCheck.nextAt = now + checkInterval;
+        const isListed = findListedRun(report, request.head) !== undefined;
+        endCheck.nextAt = isListed ? now + checkInterval : endCheck.endedAt + exitTime;
     }
     return verdict;
 }
 
+/** What is known of a server once it was asked. */
+interface ServerStatement {
+    /** Undefined if it did not answer. */
+    readonly report: ServerReport | undefined;
+    readonly mayExit: boolean;
+}
+
 function judgeEnd(
     { head, eventCount }: GatewayRequest,
     { server }: Attempt,
     { endedAt, unanswered }: EndCheck,
-    report: ServerReport | undefined,
+    { report, mayExit }: ServerStatement,
     now: Milliseconds,
 ): EndVerdict {
     if (report === undefined) {
@@ -103,7 +117,7 @@
     }
     const run = findListedRun(report, head);
     if (run === undefined) {
-        return "complete";
+        return mayExit && now - endedAt < exitTime ? "unknown" : "complete";
     }
     const goesOn = run.events > eventCount || now - endedAt >= longestReportAge;
     return goesOn ? "cut" : "unknown";
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -13,10 +13,10 @@
     recordHealth,
     retryOrFail,
 } from "./attempts.js";
-import type { BackendServer } from "./backendServers.js";
 import { recordBegunRun } from "./crashSuspects.js";
 import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
+import { isLeaving } from "./leavingServers.js";
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
 import { handleEndAfterStop, migrateAfterFirstEvent, recordFailedTarget } from "./migration.js";
@@ -448,15 +448,10 @@
         return attempt.lostRun;
     }
     const isEmpty = attempt.firstEventAt === undefined && attempt.copy === undefined;
+    // A server that stays may have lost its answer only, and have run the request or do so still.
     const hasExited = outcome === "server_restarted"
         || (outcomesOfExits.has(outcome) && isLeaving(state, attempt.server));
     return (isEmpty && hasExited ? attempt.lostRun : undefined) ?? { attempt, tried: new Set() };
 }
 
 const outcomesOfExits: ReadonlySet<AttemptOutcome> = new Set(["channel_lost", "answer_truncated"]);
-
-/** A server that stays may have lost its answer only, and have run the request or do so still. */
-function isLeaving({ servers }: GatewayState, { record: { id } }: BackendServer): boolean {
-    const known = servers.get(id);
-    return known === undefined || known.leavingSince !== undefined;
-}
--- a/packages/gateway/test/streamEnds.test.ts
+++ b/packages/gateway/test/streamEnds.test.ts
@@ -78,6 +78,37 @@
     }
 });
 
+/** Has the gateway learn that the server leaves, in one of the three ways. */
+function leave(gateway: TestGateway, how: "draining" | "removed" | "report"): void {
+    if (how === "draining") {
+        gateway.register(server("engine-1", { startedAt, isDraining: true, heartbeat: 2 }));
+    }
+    else if (how === "removed") {
+        gateway.remove("engine-1");
+    }
+}
+
+// A server that exits ends its streams itself, and still answers for a moment.
+test("an unframed stream of a server that leaves is complete only if the server answers a second later, too", () => {
+    for (const how of ["draining", "removed", "report"] as const) {
+        for (const isUpLater of [true, false]) {
+            const { gateway, call, call: { attemptId } } = endedStream();
+            leave(gateway, how);
+            const answer = report(call, { isLeaving: how === "report" });
+            assert.is(linesIn(gateway.reportEnd(attemptId, answer), "stream_end_checked")[0].verdict, "unknown", how);
+            assert.is(checksIn(gateway.advance(900)), 0, how);
+            assert.is(checksIn(gateway.advance(100)), 1, how);
+            if (!isUpLater) {
+                gateway.handle({ kind: "streamEndChecked", attemptId, report: undefined });
+            }
+            const later = isUpLater ? answer : undefined;
+            const effects = gateway.handle({ kind: "streamEndChecked", attemptId, report: later });
+            assert.is(kindsIn(effects).includes("answerEnd"), isUpLater, how);
+            assert.is(kindsIn(effects).includes("answerCut"), !isUpLater, how);
+        }
+    }
+});
+
 test("a resumable unframed stream whose server has ended goes on at another one after its last event", () => {
     const { gateway, call } = endedStream("note", "engine-2");
     const effects = gateway.reportEnd(call.attemptId, report(call, { startedAt: startedAt + 1 }));
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -409,6 +409,10 @@
         const answered = answerWith(isComplete ? { kind: "refused", status: 404 } : { kind: "moved", handle: "h2" });
         // The server that knows no run may have been started again.
         assert.not.ok(kindsIn(answered).includes("answerEnd"));
+        if (isComplete) {
+            // It leaves, so it has to answer again once it may have exited.
+            assert.not.ok(kindsIn([...gateway.reportEnd(attemptId), ...gateway.advance(1_000)]).includes("answerEnd"));
+        }
         const effects = isComplete ? gateway.reportEnd(attemptId) : answered;
         assert.is(kindsIn(effects).includes("answerEnd"), isComplete);
         assert.equal(continuationsIn(effects), isComplete ? [] : [["h2", 1]]);
