--- a/packages/bench/test/killedEnginesProcess.test.ts
+++ b/packages/bench/test/killedEnginesProcess.test.ts
@@ -1,7 +1,7 @@
 /**
- * Engines that are killed while they write streams with neither a length nor chunks. The kernel closes the channels of a
- * process that ends as an orderly end does, and accepts connections until the last process that holds the listener has
- * closed it.
+ * Engines that end while they write streams with neither a length nor chunks. The kernel closes the channels of a process
+ * that is killed as an orderly end does, and accepts connections until the last process that holds the listener has closed
+ * it. An engine that exits ends its streams itself.
  */
 import { waitUntil } from "@verbenaspring/bench";
 import { type ChildProcess, fork, spawn } from "node:child_process";
@@ -25,28 +25,40 @@
     return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
 }
 
+function record(port: number, born: number | undefined, state: "ready" | "draining"): object {
+    const sequence = state === "ready" ? 1 : 2;
+    return { service: "engine", address: `127.0.0.1:${port}`, zone: "near", slots: 64, state, born, sequence };
+}
+
 /** Registers an engine, and waits until the gateway knows it. */
-async function register(cluster: GatewayCluster, id: string, port: number, born: number | undefined): Promise<void> {
-    const address = `127.0.0.1:${port}`;
-    const record = { service: "engine", address, zone: "near", slots: 64, state: "ready", sequence: 1, born };
-    cluster.store.put("keyed.servers", id, record);
+async function register(
+    cluster: GatewayCluster,
+    id: string,
+    port: number,
+    born: number | undefined,
+): Promise<void> {
+    cluster.store.put("keyed.servers", id, record(port, born, "ready"));
     await cluster.waitUntilKnown(cluster.gateways[0], id);
 }
 
-/** Starts an engine with a listener of its own. */
-async function startEngine(cluster: GatewayCluster, id: string): Promise<ChildProcess> {
-    const words = [...execArgv, program, String(firstStart)];
+/** Starts an engine with a listener of its own, and returns its port. */
+async function startEngine(
+    cluster: GatewayCluster,
+    id: string,
+): Promise<{ readonly engine: ChildProcess; readonly port: number; }> {
+    const words = [...execArgv, program, id, String(firstStart)];
     const child = spawn(process.execPath, words, { stdio: ["ignore", "pipe", "inherit"] });
-    const [port] = await once(child.stdout, "data") as [Buffer];
-    await register(cluster, id, Number(String(port)), firstStart);
-    return child;
+    const [line] = await once(child.stdout, "data") as [Buffer];
+    const port = Number(String(line));
+    await register(cluster, id, port, firstStart);
+    return { engine: child, port };
 }
 
 /** Sends streams, calls `kill` once all have begun, and returns what callers got. */
 async function killUnderStreams(
     cluster: GatewayCluster,
     streams: number,
-    kill: () => void,
+    kill: () => void | Promise<void>,
 ): Promise<GatewayResponse[]> {
     let begun = 0;
     const headers = lengthField(length);
@@ -55,7 +67,7 @@
         () => cluster.sendRequest(cluster.gateways[0], "/plan/1", { headers, onHead: () => begun++ }),
     );
     await waitUntil("the streams have begun", () => begun === streams);
-    kill();
+    await kill();
     const responses = await Promise.all(answers);
     assert.ok(responses.every(response => idsOf(response).length < length));
     return responses;
@@ -68,9 +80,9 @@
     try {
         for (let kill = 0; kill < kills; kill++) {
             const id = `x${kill}`;
-            const engine = await startEngine(cluster, id);
+            const { engine } = await startEngine(cluster, id);
             children.push(engine);
-            const responses = await killUnderStreams(cluster, 60, () => engine.kill("SIGKILL"));
+            const responses = await killUnderStreams(cluster, 60, () => void engine.kill("SIGKILL"));
             assert.is(responses.filter(({ isComplete }) => isComplete).length, 0);
             cluster.store.put("keyed.servers", id, undefined);
             const line = `server=${id} change=removed`;
@@ -83,18 +95,20 @@
     }
 });
 
-for (
-    const [name, isReplaced, born] of [
-        ["waits", false, firstStart],
-        ["starts the engine again", true, firstStart],
-        ["starts an engine again that does not state when it started", true, undefined],
-    ] as const
-) {
+/** The arguments of an engine and of the one that replaces it; undefined if nothing does. */
+const supervisions = [
+    ["waits", ["x", String(firstStart)], undefined],
+    ["starts the engine again", ["x", String(firstStart)], ["x", String(firstStart + 1)]],
+    ["starts another engine, and neither states its start", ["x"], ["y"]],
+] as const;
+
+for (const [name, first, second] of supervisions) {
     // A connection that the kernel accepts counted as proof that the engine had ended the stream itself.
     test(`callers get no part of an unframed stream as a complete one when a supervisor keeps the listener and ${name}`, async () => {
         const cluster = await GatewayCluster.start(1);
-        const starts = born === undefined ? [[], []] : [[String(born)], [String(born + 1)]];
-        const children = starts.map(words => fork(program, words, { execArgv }));
+        const children = [first, ...(second === undefined ? [] : [second])].map(words =>
+            fork(program, words, { execArgv })
+        );
         let [engine]: (ChildProcess | undefined)[] = children;
         const accepted = new Set<Socket>();
         const supervisor = createServer({ pauseOnConnect: true }, socket => {
@@ -104,9 +118,10 @@
         try {
             await Promise.all(children.map(child => once(child, "message")));
             await new Promise<void>(resolve => supervisor.listen(0, "127.0.0.1", resolve));
+            const born = first[1] === undefined ? undefined : Number(first[1]);
             await register(cluster, "x", (supervisor.address() as AddressInfo).port, born);
             const responses = await killUnderStreams(cluster, 8, () => {
-                engine = isReplaced ? children[1] : undefined;
+                engine = children[1];
                 children[0].kill("SIGKILL");
             });
             assert.is(responses.filter(({ isComplete }) => isComplete).length, 0);
@@ -120,9 +135,28 @@
     });
 }
 
+// Its report lists no run, as after complete streams.
+test("callers get no part of an unframed stream as a complete one when its engine leaves and exits", async () => {
+    const cluster = await GatewayCluster.start(1);
+    const { engine, port } = await startEngine(cluster, "x");
+    try {
+        const responses = await killUnderStreams(cluster, 8, async () => {
+            cluster.store.put("keyed.servers", "x", record(port, firstStart, "draining"));
+            const line = "server=x change=leaving";
+            await waitUntil("the engine leaves", () => cluster.gateways[0].output().includes(line));
+            engine.kill("SIGTERM");
+        });
+        assert.is(responses.filter(({ isComplete }) => isComplete).length, 0);
+    }
+    finally {
+        engine.kill("SIGKILL");
+        await cluster.stop();
+    }
+});
+
 test("callers get an unframed stream whole when its engine ends it", async () => {
     const cluster = await GatewayCluster.start(1);
-    const engine = await startEngine(cluster, "x");
+    const { engine } = await startEngine(cluster, "x");
     try {
         const lengths = Array.from({ length: 20 }, (_, index) => index + 1);
         const responses = await Promise.all(
--- a/packages/bench/test/unframedEngine.ts
+++ b/packages/bench/test/unframedEngine.ts
@@ -1,13 +1,17 @@
 /**
  * An engine as a process of its own that writes streams with neither a length nor chunks. It serves the connections that its
- * parent sends it or, where it has none to get them from, those to a port that it prints. It answers `GET /report`. A stream
- * has as many events as the request's field `stream-length` states, and goes on after its last event.
+ * parent sends it or, where it has none to get them from, those to a port that it prints. It answers `GET /report`, and
+ * refuses what names another instance. A stream has as many events as the request's field `stream-length` states, and goes
+ * on after its last event. On SIGTERM it ends all streams, and exits a moment later.
+ *
+ * Its arguments are its id and, if it is to state that, when it started.
  */
 import { type AddressInfo, createServer, type Socket } from "node:net";
 
 const eventInterval = 10;
-/** When it started, if it is to state that. */
-const born = process.argv[2] === undefined ? undefined : Number(process.argv[2]);
+const exitDelay = 300;
+const [, , id, start] = process.argv;
+const born = start === undefined ? undefined : Number(start);
 /** The events made so far, by the caller's attempt. */
 const runs = new Map<string, number>();
 
@@ -25,6 +29,11 @@
 }
 
 function answer(socket: Socket, head: string): void {
+    const [, target = id] = /^target-instance: (\S+)/im.exec(head) ?? [];
+    if (target !== id) {
+        socket.end(`HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ${id}\r\ncontent-length: 0\r\n\r\n`);
+        return;
+    }
     const [, attempt] = /^attempt-id: (\S+)/im.exec(head) ?? [];
     if (attempt === undefined) {
         const report = JSON.stringify({ born, runs: [...runs].map(([id, events]) => [id, 1, events, 5]) });
@@ -46,12 +55,20 @@
         runs.delete(attempt);
         socket.end();
     }, eventInterval);
-    socket.on("close", () => {
+    const stop = (): void => {
         clearInterval(timer);
         runs.delete(attempt);
+    };
+    socket.on("close", stop);
+    process.once("SIGTERM", () => {
+        stop();
+        socket.end();
     });
 }
 
+process.setMaxListeners(0);
+process.on("SIGTERM", () => setTimeout(() => process.exit(), exitDelay));
+
 if (process.send === undefined) {
     const server = createServer(serve);
     server.listen(0, "127.0.0.1", () => process.stdout.write(`${(server.address() as AddressInfo).port}\n`));
