An unframed stream is not complete while a stop may take effect at its server

Callers got a part of a stream, written by its server with neither a length nor chunks, with the last chunk of a complete answer.

Cause: that the end of a channel may be that of a stopped run was kept for the newest stop of one attempt. A stop without an answer that took effect after a later one was refused, or after the stream had come back to the server that was asked, ended the stream; the server's report then listed no run. Class: a call without an answer taken for one without an effect.

Change: a request counts its open stops by server. One without an answer stays open, as does one that stopped a run while a later run of the request was there. While one is open at its server, an unframed stream that has ended goes on as any lost one.

--- a/packages/gateway/src/abandonedRuns.ts
+++ b/packages/gateway/src/abandonedRuns.ts
@@ -8,7 +8,7 @@
 import type { BackendServer } from "./backendServers.js";
 import { certainRunTime } from "./drainLimit.js";
 import type { GatewayEvent } from "./event.js";
-import { answerFields, requestMigration, showsNoRun } from "./migrationCalls.js";
+import { answerFields, recordStopAnswer, requestMigration, showsNoRun } from "./migrationCalls.js";
 import { requestFields } from "./requests.js";
 import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
@@ -162,6 +162,9 @@
     if (run === undefined) {
         return false;
     }
+    if (isStopping) {
+        recordStopAnswer(run.request, run.attempt, result);
+    }
     const isStopped = isStopping && showsNoRun(run.attempt, result);
     logRun(transaction, "info", "run_stop_answered", run, {
         ...answerFields(result, isStopping),
--- a/packages/gateway/src/migration.ts
+++ b/packages/gateway/src/migration.ts
@@ -18,7 +18,7 @@
 import { isEvacuated } from "./evacuations.js";
 import type { GatewayEvent, MigrationResult } from "./event.js";
 import { expectedOutput } from "./messages.js";
-import { answerFields, hadNoRoom, hasNoRun, requestMigration, showsNoRun } from "./migrationCalls.js";
+import { answerFields, hadNoRoom, hasNoRun, recordStopAnswer, requestMigration, showsNoRun } from "./migrationCalls.js";
 import { expectReplica, findStayingHolder, replicaState, usableCopyHolder } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { canSendAgain } from "./sending.js";
@@ -384,6 +384,9 @@
     }
     const request = transaction.state.attempts.get(event.attemptId);
     const attempt = request?.attempt;
+    if (request !== undefined && attempt !== undefined && event.isStopping) {
+        recordStopAnswer(request, attempt, event.result);
+    }
     if (request === undefined || attempt?.migrationTarget === undefined) {
         return;
     }
--- a/packages/gateway/src/migrationCalls.ts
+++ b/packages/gateway/src/migrationCalls.ts
@@ -14,11 +14,14 @@
 /** Has the server of a run copy its memory to a target, and stop it first if `isStopping`. */
 export function requestMigration(
     { effects }: Transaction,
-    { head }: GatewayRequest,
+    { head, openStops }: GatewayRequest,
     { id, server }: Attempt,
     target: BackendServer,
     isStopping: boolean,
 ): void {
+    if (isStopping) {
+        openStops.set(server.record.id, (openStops.get(server.record.id) ?? 0) + 1);
+    }
     effects.push({
         kind: "migrateRun",
         attemptId: id,
@@ -29,6 +32,31 @@
     });
 }
 
+/**
+ * Records the answer to a request to stop a run. One without an answer may take effect later, and one that stopped a run may
+ * have stopped a later run of the request at the same server, since both have the same name there.
+ */
+export function recordStopAnswer(
+    { attempt, openStops }: GatewayRequest,
+    { id, server }: Attempt,
+    result: MigrationResult,
+): void {
+    const serverId = server.record.id;
+    const isLaterRun = attempt !== undefined && attempt.id !== id && attempt.server.record.id === serverId;
+    if (result.kind !== "failed" && !(isLaterRun && hasStoppedRun(result))) {
+        openStops.set(serverId, Math.max(0, (openStops.get(serverId) ?? 0) - 1));
+    }
+}
+
+/** Whether a run may end in the way of a stopped one though its server was not asked to stop just that run. */
+export function mayStopLate({ openStops }: GatewayRequest, { server }: Attempt): boolean {
+    return (openStops.get(server.record.id) ?? 0) > 0;
+}
+
+function hasStoppedRun(result: MigrationResult): boolean {
+    return result.kind === "moved" || (hadNoRoom(result) && result.kind === "refused" && result.handle !== undefined);
+}
+
 /** Whether the server answered that it has no such run: it may have ended, or wait for a place. */
 export function hasNoRun(result: MigrationResult): boolean {
     return result.kind === "refused" && result.status === noRunStatus;
@@ -44,9 +72,7 @@
  * knows nothing, and without the name of what the server keeps of the run it may have refused the call itself.
  */
 export function showsNoRun({ firstEventAt }: Attempt, result: MigrationResult): boolean {
-    return result.kind === "moved"
-        || (hasNoRun(result) && firstEventAt !== undefined)
-        || (result.kind === "refused" && hadNoRoom(result) && result.handle !== undefined);
+    return hasStoppedRun(result) || (hasNoRun(result) && firstEventAt !== undefined);
 }
 
 /** The fields by which log lines state an answer. */
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -76,6 +76,7 @@
         silentAttempt: undefined,
         sends: 0,
         runs: createRunLedger(),
+        openStops: new Map(),
         triedServers: new Set(),
         lastEvent: route.canResume ? head.lastEvent : undefined,
         eventCount: (route.canResume ? head.lastEvent : undefined) ?? 0,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -136,6 +136,8 @@
     sends: number;
     /** The runs that it may have begun. */
     readonly runs: RunLedger;
+    /** How many requests to stop a run of it may still take effect at each server, or have stopped the present run there. */
+    readonly openStops: Map<BackendServerId, number>;
     readonly triedServers: Set<BackendServerId>;
     /** The id of the last event that the caller has. */
     lastEvent: number | undefined;
--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -1,10 +1,11 @@
 /**
  * Decides whether a stream without framing is complete when its channel has ended. The kernel ends the channels of a process
  * that is killed in the same way, and accepts connections for one that does not run. So the server is asked for its report:
- * the incarnation that had the run has to answer, and no longer to list the run.
+ * the incarnation that had the run has to answer, and no longer to list the run. Nor may a request to stop a run be open there.
  */
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
 import type { GatewayEvent, ServerReport } from "./event.js";
+import { mayStopLate } from "./migrationCalls.js";
 import { requestFields } from "./requests.js";
 import { findListedRun, isOtherIncarnation } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
@@ -72,6 +73,7 @@
         serverStartedAt: attempt.server.record.startedAt,
         reportStartedAt: report?.startedAt,
         receivedEvents: request.eventCount,
+        mayStopLate: mayStopLate(request, attempt),
         listedEvents: findListedRun(report, request.head)?.events,
     });
     if (verdict !== "unknown") {
@@ -87,21 +89,23 @@
 }
 
 function judgeEnd(
-    { head, eventCount }: GatewayRequest,
-    { server }: Attempt,
+    request: GatewayRequest,
+    attempt: Attempt,
     { endedAt, unanswered }: EndCheck,
     report: ServerReport | undefined,
     now: Milliseconds,
 ): EndVerdict {
+    const { head, eventCount } = request;
     if (report === undefined) {
         return unanswered < maximumUnanswered ? "unknown" : "cut";
     }
-    if (isOtherIncarnation(server.record.startedAt, report.startedAt)) {
+    if (isOtherIncarnation(attempt.server.record.startedAt, report.startedAt)) {
         return "cut";
     }
     const run = findListedRun(report, head);
     if (run === undefined) {
-        return "complete";
+        // The report lists a run that was stopped no longer either.
+        return mayStopLate(request, attempt) ? "cut" : "complete";
     }
     const goesOn = run.events > eventCount || now - endedAt >= longestReportAge;
     return goesOn ? "cut" : "unknown";
