Refuse a request that resumes a stream whose route does not allow it

Callers that resumed a stream with Last-Event-Id got it again from its first event.

Cause: where the route does not allow its streams to be resumed, as by a version of the configuration that the caller does not go by, the header was dropped and the request run from the beginning. Class: a condition that can't be met is ignored.

Change: such a request is refused as not run, with Retry-After, since another gateway may know another version. Last-Event-Id: 0 names no event and is served as before.

--- a/packages/gateway/src/streamRegister.ts
+++ b/packages/gateway/src/streamRegister.ts
@@ -90,6 +90,8 @@
 const appendRetryInterval: Milliseconds = 200;
 /** The `retryAfter` of a take-up while the store does not answer. */
 const unreadableRetryAfter: Milliseconds = 500;
+/** The `retryAfter` of a take-up on a route that does not allow it: another gateway may know a newer configuration. */
+const unresumableRetryAfter: Milliseconds = 500;
 /** More streams than begin at one gateway in their lifetime; beyond that the oldest are evicted. */
 const maximumOrigins = 65_536;
 
@@ -116,12 +118,20 @@
 
 /** Whether a request takes up a stream that an earlier request began. */
 export function isTakeUp({ route, head }: GatewayRequest): boolean {
-    return route.canResume && ((head.lastEvent ?? 0) > 0 || head.resumedAttemptId !== undefined);
+    return route.isStream && ((head.lastEvent ?? 0) > 0 || (route.canResume && head.resumedAttemptId !== undefined));
 }
 
-/** Finds out where the stream began that a request takes up, and sends the request on, now or after a read. */
+/**
+ * Finds out where the stream began that a request takes up, and sends the request on, now or after a read. It is refused
+ * where its route does not allow that, as by another version of the configuration: from the beginning, the caller would get
+ * events that it has.
+ */
 export function handleTakeUp(transaction: Transaction, request: GatewayRequest): void {
     const { state } = transaction;
+    if (!request.route.canResume) {
+        const message = "the route does not allow its streams to be resumed";
+        return failRequest(transaction, request, "no_backend_server", message, unresumableRetryAfter);
+    }
     const { origins, takeUps } = state.streamRegister;
     const { resumedAttemptId } = request.head;
     const known = resumedAttemptId === undefined ? undefined : origins.get(resumedAttemptId);
--- a/packages/gateway/test/streamRegister.test.ts
+++ b/packages/gateway/test/streamRegister.test.ts
@@ -278,6 +278,21 @@
     assert.equal([callsIn(effects), failuresIn(effects)[0].outcome], [[], "not_run"]);
 });
 
+// The caller got the stream from its first event on, after the events that it had.
+test("a take-up is refused, as not run, where the configuration does not allow the route's streams to be resumed", () => {
+    const gateway = TestGateway.serving(server("engine-1"));
+    const effects = gateway.receiveRequest("t", "plan", { lastEvent: 3 });
+    assert.equal([callsIn(effects), failuresIn(effects).map(({ type, outcome }) => [type, outcome])], [
+        [],
+        [["no_backend_server", "not_run"]],
+    ]);
+    for (const head of [{ lastEvent: 0 }, { resumedAttemptId: identifier<never>("r") }]) {
+        assert.is(callsIn(gateway.receiveRequest(`t${Object.keys(head)[0]}`, "plan", head)).length, 1);
+    }
+    gateway.register(server("plain-2"));
+    assert.is(callsIn(gateway.receiveRequest("c", "lookup", { lastEvent: 3 })).length, 1, "no stream");
+});
+
 test("a take-up that does not name the first attempt is served only while no other version has begun streams", () => {
     const gateway = gatewayWithBase(engine(1, "v1"));
     gateway.receiveRequest("t1", "note", { lastEvent: 3 });
