Drop events without ids between events that the caller already has

Where a run that goes on began before the caller's last event, the caller got the events without ids in between a second time.

Cause: each event was placed by its own id, and counted as new without one. Class: an item's place in a sequence judged without its neighbours.

Change: an event without an id belongs to the place of the one before it in its run.

--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -112,7 +112,7 @@
 /**
  * Ids need only increase. Within a run nothing goes missing on the way, so any larger id is next, also where the run has
  * first repeated the caller's last event. The first event of another run is next if the step to it is no longer than the
- * stream's steps were, or if none of them is known.
+ * stream's steps were, or if none of them is known. An event without an id belongs to the place of the one before it.
  */
 function compareToLast(
     { route, lastEvent, longestStep = Infinity }: GatewayRequest,
@@ -120,9 +120,14 @@
     { id }: StreamEvent,
 ): "next" | "repeated" | "missing" | "decreasing" {
     // The answer of another route is passed on whole, whatever it contains.
-    if (!route.isStream || id === undefined) {
+    if (!route.isStream) {
         return "next";
     }
+    if (id === undefined) {
+        const isBeforeLast = attempt.lastEvent !== undefined && lastEvent !== undefined
+            && attempt.lastEvent < lastEvent;
+        return isBeforeLast ? "repeated" : "next";
+    }
     if (attempt.lastEvent !== undefined && id < attempt.lastEvent) {
         return "decreasing";
     }
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -41,6 +41,17 @@
     assert.ok(kindsIn(effects).includes("answerCut"), "the route allows no third run");
 });
 
+// The events without ids were passed on a second time.
+test("events without ids between events that the caller already has are dropped", () => {
+    const gateway = gatewayWithEngines();
+    const call = gateway.startStream("r", "note");
+    assert.equal(eventsIn(gateway.receiveEvents(call, undefined, 2, undefined, undefined, 3)).length, 5);
+    const [next] = callsIn(gateway.failAttempt(call));
+    gateway.openStream(next);
+    assert.equal(eventsIn(gateway.receiveEvents(next, 1, undefined, 2, undefined)), []);
+    assert.equal(eventsIn(gateway.receiveEvents(next, undefined, 3, undefined, 4)), [undefined, 4]);
+});
+
 test("a run that repeats earlier events, but not the last one, ends with the next one", () => {
     const gateway = gatewayWithEngines();
     const call = gateway.startStream("r", "note");
