--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -3,11 +3,12 @@
  * that is killed in the same way, and accepts connections for one that does not run. So the server is asked for its report:
  * the incarnation that had the run has to answer, and no longer to list the run. Where incarnations don't state their start,
  * each has another id, and none answers what is for another one. A server that leaves may end its streams itself when it
- * exits, so it has to answer once more after the time for that.
+ * exits, so it has to answer once more after the time for that. No request to stop a run may be open there.
  */
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { isLeaving } from "./leavingServers.js";
+import { mayStopLate } from "./migrationCalls.js";
 import { requestFields } from "./requests.js";
 import { findListedRun, isOtherIncarnation } from "./serverIncarnations.js";
 import type { Attempt, GatewayRequest } from "./state.js";
@@ -83,6 +84,7 @@
         serverStartedAt: attempt.server.record.startedAt,
         reportStartedAt: report?.startedAt,
         receivedEvents: request.eventCount,
+        mayStopLate: mayStopLate(request, attempt),
         listedEvents: findListedRun(report, request.head)?.events,
     });
     if (verdict !== "unknown") {
@@ -106,19 +108,24 @@
 }
 
 function judgeEnd(
-    { head, eventCount }: GatewayRequest,
-    { server }: Attempt,
+    request: GatewayRequest,
+    attempt: Attempt,
     { endedAt, askedAt, unanswered }: EndCheck,
     { report, mayExit }: ServerStatement,
 ): EndVerdict {
+    const { head, eventCount } = request;
     if (report === undefined) {
         return unanswered < maximumUnanswered ? "unknown" : "cut";
     }
-    if (isOtherIncarnation(server.record.startedAt, report.startedAt)) {
+    if (isOtherIncarnation(attempt.server.record.startedAt, report.startedAt)) {
         return "cut";
     }
     const run = findListedRun(report, head);
     if (run === undefined) {
+        // The report lists a run that was stopped no longer either.
+        if (mayStopLate(request, attempt)) {
+            return "cut";
+        }
         return mayExit && askedAt - endedAt < exitTime ? "unknown" : "complete";
     }
     const goesOn = run.events > eventCount || askedAt - endedAt >= longestReportAge;
--- a/packages/gateway/test/streamEnds.test.ts
+++ b/packages/gateway/test/streamEnds.test.ts
@@ -124,6 +124,9 @@
     const leaving = gateway.register(server("engine-1", { startedAt, isDraining: true, heartbeat: 2 }));
     const kinds = kindsIn([...leaving, ...gateway.advance(3_000)]);
     assert.equal(kinds.filter(kind => /migrateRun|probeServer|sendAttempt|answer/.test(kind)), []);
+    // The server leaves, and was asked before the end was old enough.
+    assert.not.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
+    assert.is(checksIn(gateway.advance(50)), 1);
     assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
 });
 
