Show that a part of an unframed whole answer looks complete after its server is killed

Callers get status 200, the server's seal and a part of the body, on routes of plain services, idempotent or not, and of engines.

--- a/packages/bench/test/gatewayCluster.ts
+++ b/packages/bench/test/gatewayCluster.ts
@@ -126,7 +126,10 @@
                 route("note", "engine", { routeType: "streaming", streamResume: true, maxAttempts: 3 }),
                 ...extraPrefixes.map(name => route(name, "plain", { routeType: "idempotent" })),
             ],
-            services: [{ name: "plain" }, { name: "engine", backend: engine }],
+            services: [
+                { name: "plain", healthCheckPath: "/healthz" },
+                { name: "engine", healthCheckPath: "/healthz", backend: engine },
+            ],
             limits: { maxHeaderBytes: 8_192, maxBodyBytes, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
         });
     }
--- a/packages/bench/test/unframedEngine.ts
+++ b/packages/bench/test/unframedEngine.ts
@@ -1,12 +1,15 @@
 /**
- * An engine as a process of its own that writes streams with neither a length nor chunks. It serves the connections that its
- * parent sends it or, where it has none to get them from, those to a port that it prints. It answers `GET /report`. A stream
- * has as many events as the request's field `stream-length` states, and goes on after its last event.
+ * An engine or plain server as a process of its own that writes answers with neither a length nor chunks. It serves the
+ * connections that its parent sends it or, where it has none to get them from, those to a port that it prints. It answers
+ * `GET /report` and health checks. A stream has as many events as the request's field `stream-length` states, and goes on after
+ * its last event; a request with the field `body-length` gets a whole answer of as many pieces.
  */
 import { type AddressInfo, createServer, type Socket } from "node:net";
 
 const eventInterval = 10;
 const born = Number(process.argv[2]);
+/** Its id; any is taken for it where it has none. */
+const id: string | undefined = process.argv[3];
 /** The events made so far, by the caller's attempt. */
 const runs = new Map<string, number>();
 
@@ -25,20 +28,33 @@
 
 function answer(socket: Socket, head: string): void {
     const [, attempt] = /^attempt-id: (\S+)/im.exec(head) ?? [];
+    const [, target = id] = /^target-instance: (\S+)/im.exec(head) ?? [];
+    if (id !== undefined && target !== id) {
+        socket.end(
+            `HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nInstance-Id: ${id}\r\ncontent-length: 0\r\n\r\n`,
+        );
+        return;
+    }
+    if (head.startsWith("GET /healthz ")) {
+        socket.end(`HTTP/1.1 200 OK\r\nInstance-Id: ${id ?? target}\r\ncontent-length: 0\r\n\r\n`);
+        return;
+    }
     if (attempt === undefined) {
         const report = JSON.stringify({ born, runs: [...runs].map(([id, events]) => [id, 1, events, 5]) });
         socket.end(`HTTP/1.1 200 OK\r\ncontent-length: ${report.length}\r\n\r\n${report}`);
         return;
     }
-    const length = Number(/^stream-length: (\d+)/im.exec(head)?.[1] ?? 1);
+    const [, pieces] = /^body-length: (\d+)/im.exec(head) ?? [];
+    const length = Number(pieces ?? /^stream-length: (\d+)/im.exec(head)?.[1] ?? 1);
+    const contentType = pieces === undefined ? "text/event-stream" : "text/plain";
     let events = Number(/^last-event-id: (\d+)/im.exec(head)?.[1] ?? 0);
     socket.write(
-        `HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n`,
+        `HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nResponse-Seal: s\r\nContent-Type: ${contentType}\r\n\r\n`,
     );
     const timer = setInterval(() => {
         if (events < length) {
             runs.set(attempt, ++events);
-            socket.write(`id: ${events}\ndata: ${attempt}\n\n`);
+            socket.write(pieces === undefined ? `id: ${events}\ndata: ${attempt}\n\n` : "x");
             return;
         }
         clearInterval(timer);
