Ask the server whether an unframed whole answer is complete once its channel has ended

Callers got status 200, the server's seal and a part of the body as a complete answer.

Cause: a server that writes whole answers with neither a length nor chunks was killed. One connection that its address accepted after the end of the channel counted as proof that the server had ended the answer. Class: an act of the kernel taken for one of the process.

Change: the channels report such an answer and keep it, and the reducer decides, as for streams: the incarnation that had the run answers a request for its report and no longer lists the run. A server without reports has to answer a health check that names it in Target-Instance; any status of that server counts, 421 and another Instance-Id do not. So an answer is proof of the process, and of the same one. Unframed streams of services without reports are checked in the same way. Nothing is asked for answers with framing.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -28,7 +28,7 @@
 import { recordServerPause } from "./serverPauses.js";
 import { checkSilentAttempt, returnToSilentAttempt, setSilentAttemptAside } from "./silentAttempts.js";
 import { type Attempt, endsAt, type GatewayRequest } from "./state.js";
-import { continueEndCheck } from "./streamEnds.js";
+import { continueEndCheck, endsUnframed, startEndCheck } from "./streamEnds.js";
 import { logPart } from "./streamParts.js";
 import { continueFromReplica, passOnWhole } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -46,10 +46,9 @@
 /** The same timeout as a multiple of the route's target latency. The longer of the two applies. */
 const silenceTimeoutTargets = 3;
 
-/** Handles a complete answer that is not a stream. */
+/** Handles an answer that is not a stream. One without framing is settled once its server has been asked. */
 export function handleAnswer(transaction: Transaction, attemptId: AttemptId, answer: BackendAnswer): void {
-    const { state, effects } = transaction;
-    const request = state.attempts.get(attemptId);
+    const request = transaction.state.attempts.get(attemptId);
     const attempt = request?.attempt;
     if (request === undefined || attempt === undefined) {
         return;
@@ -57,7 +56,21 @@
     const headClass = classifyAnswer(request, answer);
     if (isByServer(headClass, answer)) {
         recordDeclarations(transaction, attempt, answer);
+        if (endsUnframed(answer)) {
+            return startEndCheck(transaction, request, attempt, answer);
+        }
     }
+    settleAnswer(transaction, request, attempt, answer);
+}
+
+/** Passes on an answer that is whole, sends its request again, or fails it. */
+export function settleAnswer(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    answer: BackendAnswer,
+): void {
+    const headClass = classifyAnswer(request, answer);
     // Only events or an end can follow the first events of a stream.
     const answerClass = headClass === "delivered" && request.origin !== undefined ? "answer_malformed" : headClass;
     recordHealth(
@@ -70,10 +83,10 @@
         case "delivered":
             recordBegunRun(transaction, request);
             logAnswered(transaction, request, "request_answered", { status: answer.status });
-            effects.push({ kind: "answerWhole", requestId: request.id, answer });
+            transaction.effects.push({ kind: "answerWhole", requestId: request.id, answer });
             return finishAnswered(transaction, request);
         case "not_run":
-            recordNoRun(request.runs, attemptId);
+            recordNoRun(request.runs, attempt.id);
             return retryOrFail(transaction, request, attempt, "refused_by_server");
         case "server_failed":
             return retryOrFail(transaction, request, attempt, "server_failed", answer);
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -56,12 +56,18 @@
         /** Whether the server has a report; of another one a probe tells only whether it accepts connections. */
         readonly hasReport: boolean;
     }
-    /** Asks the server of a stream whose channel has ended for its report, as `probeServer` does. */
+    /**
+     * Asks the server of an answer whose channel has ended for its report or, where it has none, for the answer to a health
+     * check, which tells only that it runs.
+     */
     | {
         readonly kind: "checkStreamEnd";
         readonly attemptId: AttemptId;
+        readonly backendServer: BackendServerId;
         readonly address: string;
         readonly hasReport: boolean;
+        /** Undefined if the service has none; then the check tells only whether the server accepts connections. */
+        readonly healthCheckPath: string | undefined;
     }
     /** Closes the channels to a server that are not in use: it has restarted. */
     | { readonly kind: "closeIdleChannels"; readonly address: string; }
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -118,11 +118,12 @@
     | { readonly kind: "answerTaken"; readonly requestId: RequestId; }
     /** During a planned stop: how many whole answers callers are still reading. */
     | { readonly kind: "unsentAnswers"; readonly count: number; }
+    /** An answer other than a stream. One whose channel has ended is kept by the channels until the attempt is cancelled. */
     | { readonly kind: "attemptAnswered"; readonly attemptId: AttemptId; readonly answer: BackendAnswer; }
     | { readonly kind: "streamOpened"; readonly attemptId: AttemptId; readonly head: ResponseHead; }
     | { readonly kind: "streamEvents"; readonly attemptId: AttemptId; readonly events: readonly StreamEvent[]; }
     | { readonly kind: "streamEnded"; readonly attemptId: AttemptId; }
-    /** The server of a stream whose channel had ended was asked for its report, which is undefined if it did not answer. */
+    /** The server of an answer whose channel had ended was asked for its report, which is undefined if it did not answer. */
     | {
         readonly kind: "streamEndChecked";
         readonly attemptId: AttemptId;
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -30,6 +30,7 @@
 import { endServerPauses } from "./serverPauses.js";
 import { type AttemptEvent, settleSilentAttempt } from "./silentAttempts.js";
 import type { GatewayState } from "./state.js";
+import { endsUnframed, findCheckedAttempt } from "./streamEnds.js";
 import {
     checkStreamRegister,
     handleBaseVersionWritten,
@@ -102,12 +103,25 @@
         case "streamOpened":
         case "streamEvents":
         case "streamEnded":
-            return settleSilentAttempt(transaction, event) ? undefined : handleAttemptEvent(transaction, event);
+            if (!settleSilentAttempt(transaction, event)) {
+                handleAttemptEvent(transaction, event);
+            }
+            return event.kind === "attemptAnswered" ? releaseAnswer(transaction, event) : undefined;
         default:
             return handlePlatformEvent(transaction, event);
     }
 }
 
+/** Has the channels release an answer without framing, unless it is being checked whether it is whole. */
+function releaseAnswer(
+    transaction: Transaction,
+    { attemptId, answer }: Extract<AttemptEvent, { readonly kind: "attemptAnswered"; }>,
+): void {
+    if (endsUnframed(answer) && findCheckedAttempt(transaction, attemptId) === undefined) {
+        transaction.effects.push({ kind: "cancelAttempt", attemptId });
+    }
+}
+
 function handleAttemptEvent(transaction: Transaction, event: AttemptEvent): void {
     switch (event.kind) {
         case "attemptAnswered":
--- a/packages/gateway/src/routingConfiguration.ts
+++ b/packages/gateway/src/routingConfiguration.ts
@@ -68,6 +68,8 @@
     readonly name: ServiceName;
     /** Absent for plain services. */
     readonly engine: EngineCapabilities | undefined;
+    /** The path at which its servers answer health checks; absent if the configuration names none. */
+    readonly healthCheckPath?: string | undefined;
     /** Absent if its cold servers are not limited. */
     readonly coldStart?: ColdStart | undefined;
 }
--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -1,10 +1,12 @@
 /**
- * Decides whether a stream without framing is complete when its channel has ended. The kernel ends the channels of a process
- * that is killed in the same way, and accepts connections for one that does not run. So the server is asked for its report:
- * the incarnation that had the run has to answer, and no longer to list the run.
+ * Decides whether a stream or a whole answer without framing is complete when its channel has ended. The kernel ends the
+ * channels of a process that is killed in the same way, and accepts connections for one that does not run. So the server is
+ * asked for its report: the incarnation that had the run has to answer, and no longer to list the run. A server without reports
+ * has to answer a health check.
  */
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
 import type { GatewayEvent, ServerReport } from "./event.js";
+import type { BackendAnswer, ResponseHead } from "./messages.js";
 import { requestFields } from "./requests.js";
 import { findListedRun, isOtherIncarnation } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
@@ -13,9 +15,11 @@
 
 type StreamEndChecked = Extract<GatewayEvent, { readonly kind: "streamEndChecked"; }>;
 
-/** The check of a stream whose channel has ended. */
+/** The check of an answer whose channel has ended. */
 export interface EndCheck {
     readonly endedAt: Milliseconds;
+    /** The whole answer; undefined for a stream. */
+    readonly answer: BackendAnswer | undefined;
     /** When the server is to be asked again; undefined while it is being asked. */
     nextAt: Milliseconds | undefined;
     /** How often it did not answer. */
@@ -31,9 +35,23 @@
 /** An answer may be lost; that of a process that has ended never comes. */
 const maximumUnanswered = 2;
 
-/** Asks the server of a stream whose channel has ended for its report. */
-export function startEndCheck(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
-    attempt.endCheck = { endedAt: transaction.now, nextAt: undefined, unanswered: 0 };
+/** Whether only the end of its channel says that an answer is whole. A refusal needs no more to be one. */
+export function endsUnframed({ endsWithChannel, isNotRun }: ResponseHead): boolean {
+    return endsWithChannel && !isNotRun;
+}
+
+/**
+ * Asks the server of an answer whose channel has ended for its report.
+ *
+ * @param answer the whole answer; undefined for a stream
+ */
+export function startEndCheck(
+    transaction: Transaction,
+    request: GatewayRequest,
+    attempt: Attempt,
+    answer?: BackendAnswer,
+): void {
+    attempt.endCheck = { endedAt: transaction.now, answer, nextAt: undefined, unanswered: 0 };
     askForReport(transaction, request, attempt);
 }
 
@@ -47,8 +65,14 @@
 }
 
 function askForReport({ state, effects }: Transaction, { service }: GatewayRequest, { id, server }: Attempt): void {
-    const hasReport = engineOf(state, service) !== undefined;
-    effects.push({ kind: "checkStreamEnd", attemptId: id, address: server.record.address, hasReport });
+    effects.push({
+        kind: "checkStreamEnd",
+        attemptId: id,
+        backendServer: server.record.id,
+        address: server.record.address,
+        hasReport: engineOf(state, service) !== undefined,
+        healthCheckPath: state.configuration?.services.get(service)?.healthCheckPath,
+    });
 }
 
 /** Handles an answer of the server, or that none came. Returns what it says of the stream. */
@@ -72,6 +96,7 @@
         serverStartedAt: attempt.server.record.startedAt,
         reportStartedAt: report?.startedAt,
         receivedEvents: request.eventCount,
+        receivedBytes: endCheck.answer?.body.length,
         listedEvents: findListedRun(report, request.head)?.events,
     });
     if (verdict !== "unknown") {
@@ -89,7 +114,7 @@
 function judgeEnd(
     { head, eventCount }: GatewayRequest,
     { server }: Attempt,
-    { endedAt, unanswered }: EndCheck,
+    { endedAt, answer, unanswered }: EndCheck,
     report: ServerReport | undefined,
     now: Milliseconds,
 ): EndVerdict {
@@ -103,7 +128,8 @@
     if (run === undefined) {
         return "complete";
     }
-    const goesOn = run.events > eventCount || now - endedAt >= longestReportAge;
+    const hasMoreEvents = answer === undefined && run.events > eventCount;
+    const goesOn = hasMoreEvents || now - endedAt >= longestReportAge;
     return goesOn ? "cut" : "unknown";
 }
 
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -12,6 +12,7 @@
     recordDeclarations,
     recordHealth,
     retryOrFail,
+    settleAnswer,
 } from "./attempts.js";
 import type { BackendServer } from "./backendServers.js";
 import { recordBegunRun } from "./crashSuspects.js";
@@ -277,7 +278,7 @@
     startEndCheck(transaction, request, attempt);
 }
 
-/** Handles what the server of a stream without framing says after its channel has ended. */
+/** Handles what the server of an answer without framing says after its channel has ended. */
 export function handleStreamEndChecked(transaction: Transaction, event: StreamEndChecked): void {
     const checked = findCheckedAttempt(transaction, event.attemptId);
     if (checked === undefined) {
@@ -285,6 +286,12 @@
     }
     const { request, attempt, endCheck } = checked;
     const verdict = handleEndReport(transaction, request, attempt, endCheck, event);
+    if (verdict !== "unknown" && endCheck.answer !== undefined) {
+        transaction.effects.push({ kind: "cancelAttempt", attemptId: attempt.id });
+    }
+    if (verdict === "complete" && endCheck.answer !== undefined) {
+        return settleAnswer(transaction, request, attempt, endCheck.answer);
+    }
     if (verdict === "complete" && attempt.head !== undefined) {
         return completeStream(transaction, request, attempt, attempt.head);
     }
--- /dev/null
+++ b/packages/gateway/test/wholeAnswerEnds.test.ts
@@ -0,0 +1,135 @@
+/**
+ * Whole answers with neither a length nor chunks, whose channel ends in the same way when they are complete and when their
+ * server has ended.
+ */
+import type {
+    BackendAnswer,
+    BackendCall,
+    GatewayEffect,
+    RoutingConfiguration,
+    ServerReport,
+} from "@verbenaspring/gateway";
+import { identifier } from "@verbenaspring/model";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { callsIn, configuration, kindsIn, linesIn, plainService, server, TestGateway } from "./gatewayBuilders.js";
+
+const healthCheckPath = "/healthz";
+
+function withHealthChecks(): RoutingConfiguration {
+    const { services, ...others } = configuration(2);
+    const plain = { name: plainService, engine: undefined, healthCheckPath };
+    return { ...others, services: new Map([...services, [plainService, plain]]) };
+}
+
+/** A gateway with a call whose answer has ended with its channel, and whose server is asked. */
+function endedAnswer(routeName: string, overrides: Partial<BackendAnswer> = {}) {
+    const gateway = TestGateway.serving(
+        server("plain-1"),
+        server("plain-2"),
+        server("engine-1", { startedAt: 5 }),
+    );
+    gateway.configure(withHealthChecks());
+    const call = gateway.sendRequest("r", routeName);
+    const effects = gateway.answer(call, { endsWithChannel: true, ...overrides });
+    return { gateway, call, effects };
+}
+
+function checksIn(effects: readonly GatewayEffect[]) {
+    return effects.filter(effect => effect.kind === "checkStreamEnd");
+}
+
+function cancelledIn(effects: readonly GatewayEffect[]): string[] {
+    return effects.flatMap(effect => effect.kind === "cancelAttempt" ? [effect.attemptId] : []);
+}
+
+function engineReport(overrides: Partial<ServerReport> = {}): ServerReport {
+    return { runs: [], isLeaving: false, startedAt: 5, ...overrides };
+}
+
+/** Answers the check as often as it is made, with no answer of the server. */
+function failChecks(gateway: TestGateway, { attemptId }: BackendCall): GatewayEffect[] {
+    const handle = (): GatewayEffect[] => gateway.handle({ kind: "streamEndChecked", attemptId, report: undefined });
+    assert.is(checksIn(handle()).length, 1);
+    return handle();
+}
+
+test("an unframed whole answer waits until its server has answered, and is then passed on and released", () => {
+    for (
+        const [routeName, report] of [["confirm", undefined], ["lookup", undefined], ["plan", engineReport()]] as const
+    ) {
+        const { gateway, call, effects } = endedAnswer(routeName);
+        const [{ backendServer, hasReport, ...check }] = checksIn(effects);
+        assert.equal([backendServer, hasReport], [call.backendServer, routeName === "plan"]);
+        assert.is(check.healthCheckPath, routeName === "plan" ? undefined : healthCheckPath);
+        assert.equal(kindsIn(effects).filter(kind => /answer|cancelAttempt/.test(kind)), []);
+        const answered = gateway.reportEnd(call.attemptId, report);
+        assert.ok(kindsIn(answered).includes("answerWhole"));
+        assert.equal(cancelledIn(answered), [call.attemptId]);
+    }
+});
+
+test("an unframed whole answer whose server does not answer twice is not passed on", () => {
+    const { gateway, call } = endedAnswer("confirm");
+    const effects = failChecks(gateway, call);
+    assert.ok(kindsIn(effects).includes("answerFailure"));
+    assert.not.ok(kindsIn(effects).includes("answerWhole"));
+    assert.equal(cancelledIn(effects), [call.attemptId]);
+    assert.is(linesIn(effects, "stream_end_checked")[0].verdict, "cut");
+});
+
+test("an idempotent call whose unframed answer may be a part of it is sent to another server", () => {
+    const { gateway, call } = endedAnswer("lookup");
+    const [next] = callsIn(failChecks(gateway, call));
+    assert.not.equal(next.backendServer, call.backendServer);
+});
+
+test("an unframed whole answer of an engine that has started again is not passed on", () => {
+    const { gateway, call } = endedAnswer("plan");
+    const effects = gateway.reportEnd(call.attemptId, engineReport({ startedAt: 6 }));
+    assert.not.ok(kindsIn(effects).includes("answerWhole"));
+});
+
+// Of a whole answer, no events have arrived with which those of the run could be compared.
+test("a report that lists the run of an unframed whole answer may be old", () => {
+    const { gateway, call } = endedAnswer("plan");
+    const runs = [{ callerAttemptId: call.head.callerAttemptId, events: 9 }];
+    assert.equal(
+        kindsIn(gateway.reportEnd(call.attemptId, engineReport({ runs }))).filter(kind => /answer/.test(kind)),
+        [],
+    );
+    gateway.advance(200);
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, engineReport())).includes("answerWhole"));
+});
+
+test("nothing is asked for refusals, answers with framing and answers to another request", () => {
+    for (
+        const overrides of [
+            { endsWithChannel: false },
+            { isNotRun: true, status: 503 },
+            { callerAttemptId: identifier<never>("other") },
+        ]
+    ) {
+        assert.equal(checksIn(endedAnswer("confirm", overrides).effects), []);
+    }
+});
+
+// The channels keep an answer without framing until its call is cancelled.
+test("each unframed whole answer that is not checked is released", () => {
+    const { call, effects } = endedAnswer("confirm", { callerAttemptId: identifier<never>("other") });
+    assert.equal(cancelledIn(effects), [call.attemptId]);
+    const { gateway, call: answered } = endedAnswer("confirm");
+    assert.ok(
+        cancelledIn(gateway.handle({ kind: "callerLeft", requestId: identifier("r") })).includes(answered.attemptId),
+    );
+    assert.equal(cancelledIn(gateway.answer(answered, { endsWithChannel: true })), [answered.attemptId]);
+});
+
+test("an unframed whole answer whose server never answers ends with its time limit", () => {
+    const { gateway, call } = endedAnswer("confirm");
+    const effects = gateway.advance(900);
+    assert.ok(kindsIn(effects).includes("answerFailure"));
+    assert.ok(cancelledIn(effects).includes(call.attemptId));
+});
+
+test.run();
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -16,7 +16,13 @@
     type TopicName,
     type TopicRecord,
 } from "@verbenaspring/gateway";
-import { type CallerAttemptId, identifier, type LogOffset, type Milliseconds } from "@verbenaspring/model";
+import {
+    type BackendServerId,
+    type CallerAttemptId,
+    identifier,
+    type LogOffset,
+    type Milliseconds,
+} from "@verbenaspring/model";
 import type { BackendCodec } from "./backendChannels.js";
 import { type Daemon, describeError } from "./daemon.js";
 import { monotonicNow, runLoop } from "./eventLoop.js";
@@ -79,6 +85,13 @@
     ) => Promise<MigrationResult>;
     /** Requests a backend server's report. Resolves to undefined if none arrives in time. */
     readonly readReport: (address: string, timeout: Milliseconds) => Promise<ServerReport | undefined>;
+    /** Sends a health check. Resolves to whether the backend server answers it in time, with any status. */
+    readonly checkHealth: (
+        address: string,
+        backendServer: BackendServerId,
+        path: string,
+        timeout: Milliseconds,
+    ) => Promise<boolean>;
 }
 
 /** The addresses at which a gateway listens, its log level and its limits. */
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -429,11 +429,16 @@
         });
     }
 
-    private async probe({ address, hasReport }: ProbeEffect): Promise<ServerReport | undefined> {
+    private async probe(effect: ProbeEffect): Promise<ServerReport | undefined> {
+        const { address, backendServer, hasReport } = effect;
         if (hasReport) {
             return this.adapter.readReport(address, probeTimeout);
         }
-        return await this.channels.canConnect(address) ? emptyReport : undefined;
+        const path = effect.kind === "checkStreamEnd" ? effect.healthCheckPath : undefined;
+        const hasAnswered = path === undefined
+            ? this.channels.canConnect(address)
+            : this.adapter.checkHealth(address, backendServer, path, probeTimeout);
+        return await hasAnswered ? emptyReport : undefined;
     }
 
     private migrateRun(effect: Extract<GatewayEffect, { readonly kind: "migrateRun"; }>): void {
--- a/packages/runtime/test/lostAnswersGateway.ts
+++ b/packages/runtime/test/lostAnswersGateway.ts
@@ -120,4 +120,5 @@
     },
     migrateRun: () => Promise.resolve({ kind: "refused", status: 404 }),
     readReport: () => Promise.resolve({ isLeaving: false, startedAt: undefined, runs: [] }),
+    checkHealth: () => Promise.resolve(true),
 });
