--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -15,6 +15,7 @@
 import type { BackendAnswer, BackendCall, ResponseHead, StreamEvent } from "./messages.js";
 import type { PeerReport } from "./peerReport.js";
 import type { CallerLimits } from "./routingConfiguration.js";
+import type { ServerChecks } from "./streamEnds.js";
 import type { BaseVersion, StreamRecord } from "./streamRegister.js";
 
 /** The log fields of a decision. */
@@ -56,13 +57,15 @@
         /** Whether the server has a report; of another one a probe tells only whether it accepts connections. */
         readonly hasReport: boolean;
     }
-    /** Asks the server of a stream whose channel has ended for its report, as `probeServer` does, but no other server. */
-    | {
+    /**
+     * Asks the server of an answer whose channel has ended, and no other server, for its report or, where it has none, for the
+     * answer to a health check, which tells only that it runs.
+     */
+    | ServerChecks & {
         readonly kind: "checkStreamEnd";
         readonly attemptId: AttemptId;
         readonly backendServer: BackendServerId;
         readonly address: string;
-        readonly hasReport: boolean;
     }
     /** Closes the channels to a server that are not in use: it has restarted. */
     | { readonly kind: "closeIdleChannels"; readonly address: string; }
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -45,6 +45,7 @@
     type LostRun,
     priorityOf,
 } from "./state.js";
+import { serverChecksOf } from "./streamEnds.js";
 import { startPart } from "./streamParts.js";
 import { canContinue, type StreamOrigin } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -219,7 +220,7 @@
     const attempt: Attempt = {
         id: identifier(source.newIdentifier()),
         server,
-        hasReport: engineOf(state, request.service) !== undefined,
+        serverChecks: serverChecksOf(state, request.service),
         startedAt: now,
         replica,
         continuesFrom,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -34,7 +34,7 @@
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 import type { RunLedger } from "./runLedger.js";
 import type { SilentAttempt } from "./silentAttempts.js";
-import type { EndCheck } from "./streamEnds.js";
+import type { EndCheck, ServerChecks } from "./streamEnds.js";
 import type { StreamPart } from "./streamParts.js";
 import { createStreamRegister, type StreamRegister } from "./streamRegister.js";
 import type { StreamOrigin } from "./streamVersions.js";
@@ -44,8 +44,8 @@
     readonly id: AttemptId;
     /** Replaced only if the server turns out to have restarted before the request was sent. */
     server: BackendServer;
-    /** Whether its server has a report, by the configuration with which the request was sent: a later one may lack its service. */
-    readonly hasReport: boolean;
+    /** How its server can be asked whether it goes on, by the configuration when the request was sent. */
+    readonly serverChecks: ServerChecks;
     readonly startedAt: Milliseconds;
     /** The server that the run's memory is to be replicated to as it grows; whether it holds a replica is not known. */
     readonly replica: BackendServer | undefined;
--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -1,24 +1,29 @@
 /**
- * Decides whether a stream without framing is complete when its channel has ended. The kernel ends the channels of a process
- * that is killed in the same way, and accepts connections for one that does not run. So the server is asked for its report:
- * the incarnation that had the run has to answer, and no longer to list the run. Where incarnations don't state their start,
- * each has another id, and none answers what is for another one. A server that leaves may end its streams itself when it
- * exits, so it has to answer once more after the time for that. No request to stop a run may be open there.
+ * Decides whether a stream or a whole answer without framing is complete when its channel has ended. The kernel ends the
+ * channels of a process that is killed in the same way, and accepts connections for one that does not run. So the server is
+ * asked for its report: the incarnation that had the run has to answer, and no longer to list the run. Where incarnations don't
+ * state their start, each has another id, and none answers what is for another one. A server without reports has to answer a
+ * health check. A server that leaves may end its streams itself when it exits, so it has to answer once more after the time for
+ * that. No request to stop a run may be open there.
  */
-import type { AttemptId, Milliseconds } from "@verbenaspring/model";
+import type { AttemptId, Milliseconds, ServiceName } from "@verbenaspring/model";
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { isLeaving } from "./leavingServers.js";
+import type { BackendAnswer, ResponseHead } from "./messages.js";
 import { mayStopLate } from "./migrationCalls.js";
 import { requestFields } from "./requests.js";
 import { findListedRun, isOtherIncarnation } from "./serverIncarnations.js";
-import type { Attempt, GatewayRequest } from "./state.js";
+import { engineOf } from "./serverLoad.js";
+import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type StreamEndChecked = Extract<GatewayEvent, { readonly kind: "streamEndChecked"; }>;
 
-/** The check of a stream whose channel has ended. */
+/** The check of an answer whose channel has ended. */
 export interface EndCheck {
     readonly endedAt: Milliseconds;
+    /** The whole answer; undefined for a stream. */
+    readonly answer: BackendAnswer | undefined;
     /** When the server was asked last: its answer may be handled much later. */
     askedAt: Milliseconds;
     /** When the server is to be asked again; undefined while it is being asked. */
@@ -27,7 +32,20 @@
     unanswered: number;
 }
 
-/** What a check says of a stream: it may still list a run that has ended. */
+/** How servers can be asked whether they go on. */
+export interface ServerChecks {
+    readonly hasReport: boolean;
+    /** Undefined if the service has none; then a server without reports can only be asked for a connection. */
+    readonly healthCheckPath: string | undefined;
+}
+
+/** How the servers of a service can be asked whether they go on. */
+export function serverChecksOf(state: GatewayState, service: ServiceName): ServerChecks {
+    const healthCheckPath = state.configuration?.services.get(service)?.healthCheckPath;
+    return { hasReport: engineOf(state, service) !== undefined, healthCheckPath };
+}
+
+/** What a check says of an answer: it may still list a run that has ended. */
 export type EndVerdict = "complete" | "cut" | "unknown";
 
 /** A report may be this old, and so list a run that has ended since. */
@@ -38,10 +56,19 @@
 /** An answer may be lost; that of a process that has ended never comes. */
 const maximumUnanswered = 2;
 
-/** Asks the server of a stream whose channel has ended for its report. */
-export function startEndCheck(transaction: Transaction, attempt: Attempt): void {
+/** Whether only the end of its channel says that an answer is whole. A refusal needs no more to be one. */
+export function endsUnframed({ endsWithChannel, isNotRun }: ResponseHead): boolean {
+    return endsWithChannel && !isNotRun;
+}
+
+/**
+ * Asks the server of an answer whose channel has ended for its report.
+ *
+ * @param answer the whole answer; undefined for a stream
+ */
+export function startEndCheck(transaction: Transaction, attempt: Attempt, answer?: BackendAnswer): void {
     const { now } = transaction;
-    attempt.endCheck = { endedAt: now, askedAt: now, nextAt: undefined, unanswered: 0 };
+    attempt.endCheck = { endedAt: now, answer, askedAt: now, nextAt: undefined, unanswered: 0 };
     askForReport(transaction, attempt, attempt.endCheck);
 }
 
@@ -53,11 +80,11 @@
     }
 }
 
-function askForReport({ now, effects }: Transaction, { id, server, hasReport }: Attempt, endCheck: EndCheck): void {
+function askForReport({ now, effects }: Transaction, { id, server, serverChecks }: Attempt, endCheck: EndCheck): void {
     endCheck.askedAt = now;
     endCheck.nextAt = undefined;
     const { id: backendServer, address } = server.record;
-    effects.push({ kind: "checkStreamEnd", attemptId: id, backendServer, address, hasReport });
+    effects.push({ kind: "checkStreamEnd", attemptId: id, backendServer, address, ...serverChecks });
 }
 
 /** Handles an answer of the server, or that none came. Returns what it says of the stream. */
@@ -85,6 +112,7 @@
         reportStartedAt: report?.startedAt,
         receivedEvents: request.eventCount,
         mayStopLate: mayStopLate(request, attempt),
+        receivedBytes: endCheck.answer?.body.length,
         listedEvents: findListedRun(report, request.head)?.events,
     });
     if (verdict !== "unknown") {
@@ -110,7 +138,7 @@
 function judgeEnd(
     request: GatewayRequest,
     attempt: Attempt,
-    { endedAt, askedAt, unanswered }: EndCheck,
+    { endedAt, answer, askedAt, unanswered }: EndCheck,
     { report, mayExit }: ServerStatement,
 ): EndVerdict {
     const { head, eventCount } = request;
@@ -126,9 +154,12 @@
         if (mayStopLate(request, attempt)) {
             return "cut";
         }
-        return mayExit && askedAt - endedAt < exitTime ? "unknown" : "complete";
+        // A whole answer is not kept back for as long.
+        const isAskedAgain = mayExit && answer === undefined && askedAt - endedAt < exitTime;
+        return isAskedAgain ? "unknown" : "complete";
     }
-    const goesOn = run.events > eventCount || askedAt - endedAt >= longestReportAge;
+    const hasMoreEvents = answer === undefined && run.events > eventCount;
+    const goesOn = hasMoreEvents || askedAt - endedAt >= longestReportAge;
     return goesOn ? "cut" : "unknown";
 }
 
--- a/packages/runtime/src/gatewayDaemon.ts
+++ b/packages/runtime/src/gatewayDaemon.ts
@@ -92,6 +92,13 @@
         timeout: Milliseconds,
         backendServer?: BackendServerId,
     ) => Promise<ServerReport | undefined>;
+    /** Sends a health check. Resolves to whether the backend server answers it in time, with any status. */
+    readonly checkHealth: (
+        address: string,
+        backendServer: BackendServerId,
+        path: string,
+        timeout: Milliseconds,
+    ) => Promise<boolean>;
 }
 
 /** The addresses at which a gateway listens, its log level and its limits. */
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -430,12 +430,16 @@
     }
 
     private async probe(effect: ProbeEffect): Promise<ServerReport | undefined> {
-        const { address, hasReport } = effect;
+        const { address, backendServer, hasReport } = effect;
         if (hasReport) {
             const onlyServer = effect.kind === "checkStreamEnd" ? effect.backendServer : undefined;
             return this.adapter.readReport(address, probeTimeout, onlyServer);
         }
-        return await this.channels.canConnect(address) ? emptyReport : undefined;
+        const path = effect.kind === "checkStreamEnd" ? effect.healthCheckPath : undefined;
+        const hasAnswered = path === undefined
+            ? this.channels.canConnect(address)
+            : this.adapter.checkHealth(address, backendServer, path, probeTimeout);
+        return await hasAnswered ? emptyReport : undefined;
     }
 
     private migrateRun(effect: Extract<GatewayEffect, { readonly kind: "migrateRun"; }>): void {
