Refuse to resume a stream that may have begun at another service, where no record tells

Callers that resumed a stream after its route had moved got the rest from a server of another service.

Cause: a stream of a route to one service alone needs no record, and a stream without a record was taken to have begun where the route leads now. Class: a default judged by present rules for a past event.

Change: a gateway keeps the configurations under which streams may have begun that are still taken up. A take-up without a record is refused as not run while one of them led its request to another service.

A gateway that has started since the move does not know the former configuration, as before.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -23,6 +23,7 @@
 import { earliestAcknowledgement } from "./drainLimit.js";
 import { applyEvacuation } from "./evacuations.js";
 import type { DecodedItem, GatewayEvent, TopicItem, TopicName, TopicRecord } from "./event.js";
+import { recordFormer } from "./formerConfigurations.js";
 import { hasGivenNotice } from "./leavingServers.js";
 import { forgetLostRecords, updateHistory } from "./lostRecords.js";
 import { liveMembers, type Member } from "./members.js";
@@ -642,6 +643,7 @@
         return false;
     }
     const { offset } = item;
+    recordFormer(transaction, state.configuration);
     state.configuration = configuration;
     state.configurationItem = item;
     if (state.undecodableConfiguration !== undefined && offset > state.undecodableConfiguration) {
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -15,10 +15,10 @@
 import { forecastInStop, isCutByStop, retryAfterStop, type StopForecast } from "./draining.js";
 import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
-import { expectedOutput, type RequestHead } from "./messages.js";
+import { expectedOutput } from "./messages.js";
 import { isOutdatedByPeers } from "./peerConfigurations.js";
 import { limitDoubt, recordAge, recordAnswer, recordEventTimes, recordTaken } from "./routeDurations.js";
-import { findRoute, type Organisation, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
+import { findRoute, type Organisation, pathOf, type Route, type RoutingConfiguration } from "./routingConfiguration.js";
 import { countPossibleRuns, createRunLedger } from "./runLedger.js";
 import { dispatch } from "./sending.js";
 import { endSilentAttempt } from "./silentAttempts.js";
@@ -44,7 +44,7 @@
     if (configuration === undefined) {
         return refuse(transaction, event, "configuration_unavailable", startingRetryAfter);
     }
-    const route = findRoute(configuration, head.host, pathOf(head));
+    const route = findRoute(configuration, head.host, pathOf(head.target));
     if (route === undefined) {
         return refuseUnknown(transaction, event, "route_not_found");
     }
@@ -130,10 +130,6 @@
     });
 }
 
-function pathOf({ target }: RequestHead): string {
-    return target.split("?", 1)[0];
-}
-
 function findOrganisation(
     { organisations }: RoutingConfiguration,
     route: Route,
@@ -196,7 +192,7 @@
         reader: followers.configuration.lastRead?.reader,
         hostRoutes: configuration?.routesByHost.get(head.host)?.length ?? 0,
         host: head.host,
-        path: pathOf(head).slice(0, maximumLoggedPath),
+        path: pathOf(head.target).slice(0, maximumLoggedPath),
     });
     const spreadRetryAfter = retryAfter === undefined
         ? undefined
--- a/packages/gateway/src/routingConfiguration.ts
+++ b/packages/gateway/src/routingConfiguration.ts
@@ -126,6 +126,11 @@
     return configuration.routesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix));
 }
 
+/** The path of a request's target, without its query. */
+export function pathOf(target: string): string {
+    return target.split("?", 1)[0];
+}
+
 const highestPriorities = new WeakMap<RoutingConfiguration, ReadonlyMap<ServiceName, number>>();
 
 /**
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -19,6 +19,7 @@
 import { type CrashSuspects, createCrashSuspects } from "./crashSuspects.js";
 import type { Evacuations } from "./evacuations.js";
 import type { ReadFailure, TopicItem, TopicName } from "./event.js";
+import type { FormerConfiguration } from "./formerConfigurations.js";
 import type { LeavingNotices } from "./leavingServers.js";
 import type { LiveMembers, Member, MemberTotals, OwnRecord } from "./members.js";
 import type { RequestHead, ResponseHead, RunReplica, StreamEvent } from "./messages.js";
@@ -354,6 +355,8 @@
 export interface GatewayState {
     options: GatewayOptions;
     configuration: RoutingConfiguration | undefined;
+    /** Those before it under which streams may have begun that callers still take up, oldest first. */
+    formerConfigurations: readonly FormerConfiguration[];
     /** The record of the configuration in force. */
     configurationItem: TopicItem | undefined;
     /** The offset of a configuration that is newer than the one in force and can't be decoded. */
@@ -467,6 +470,7 @@
         hintedAddresses: new Set(),
         options,
         configuration: undefined,
+        formerConfigurations: [],
         configurationItem: undefined,
         undecodableConfiguration: undefined,
         servers: new Map(),
--- a/packages/gateway/src/streamRegister.ts
+++ b/packages/gateway/src/streamRegister.ts
@@ -20,6 +20,7 @@
     resumableServices,
     streamLifetime,
 } from "./baseVersions.js";
+import { mayHaveBegunElsewhere } from "./formerConfigurations.js";
 import { failRequest, requestFields } from "./requests.js";
 import { dispatch } from "./sending.js";
 import type { GatewayRequest, GatewayState } from "./state.js";
@@ -259,7 +260,7 @@
                 transaction,
                 request,
                 "no_backend_server",
-                "the software version that began the stream is not known",
+                "what began the stream is not known",
             );
         }
         sendTakeUp(transaction, request, known);
@@ -268,15 +269,19 @@
 
 /**
  * Where the stream began that a request takes up, by the register as it was read after the request arrived. A caller that
- * does not name the attempt can only be served while no stream that may be taken up has begun at another version.
+ * does not name the attempt can only be served while no stream that may be taken up has begun at another version. Without a
+ * record, its request must have led to one service alone while the stream may have begun.
  */
 function registeredOrigin(
-    { state: { streamRegister, configuration }, now }: Transaction,
-    { head: { resumedAttemptId }, service }: GatewayRequest,
+    { state, now }: Transaction,
+    { head, service }: GatewayRequest,
 ): KnownOrigin | undefined {
+    const { streamRegister, configuration } = state;
+    const { resumedAttemptId } = head;
     const { origins, baseVersions, recordsReadAt } = streamRegister;
     const base = baseVersions?.get(service);
-    const unrecorded = base === undefined ? undefined : { service, origin: base, knownAt: now };
+    const isAmbiguous = mayHaveBegunElsewhere(state, head, service, now);
+    const unrecorded = base === undefined || isAmbiguous ? undefined : { service, origin: base, knownAt: now };
     if (resumedAttemptId === undefined) {
         const recordsAge = now - (recordsReadAt.get(service) ?? -Infinity);
         return recordsAge <= streamLifetime(configuration, service) ? undefined : unrecorded;
--- a/packages/gateway/test/streamRegister.test.ts
+++ b/packages/gateway/test/streamRegister.test.ts
@@ -278,6 +278,34 @@
     assert.equal([callsIn(effects), failuresIn(effects)[0].outcome], [[], "not_run"]);
 });
 
+// A stream that another gateway began has no record there, and went on at the service that the route leads to now.
+test("a take-up of a stream without a record is refused while its route may have led elsewhere when it began", () => {
+    const gateway = gatewayWithTwoServices(engineService);
+    const note = routes.find(({ name }) => name === "note")!;
+    const { services } = configuration(1);
+    const baseVersions = [engineService, otherService].map(service => ({ service, softwareVersion: version("v1") }));
+    const page = { baseVersions, baseEnd: 2, records: [], next: 0 };
+    const callsOfTakeUp = (id: string) => [
+        ...callsIn(gateway.receiveRequest(id, "note", takeUp("r"))),
+        // A read that began before the request may be in progress.
+        ...callsIn(gateway.handle({ kind: "streamRegisterRead", page })),
+        ...callsIn(gateway.handle({ kind: "streamRegisterRead", page })),
+    ];
+    const moveTo = (configurationVersion: number, service: ServiceName, timeout: number) =>
+        gateway.configure(configuration(configurationVersion, {
+            routesByHost: indexRoutes([{ ...note, timeout, targets: [{ service, weight: 1 }] }]),
+            services: new Map([...services, [otherService, { ...services.get(engineService)!, name: otherService }]]),
+        }));
+    moveTo(3, engineService, note.timeout);
+    const lifetime = 2 * note.timeout + 2_000;
+    gateway.advance(lifetime);
+    moveTo(4, otherService, note.timeout);
+    assert.equal(callsOfTakeUp("t1"), []);
+    gateway.advance(lifetime);
+    moveTo(5, otherService, note.timeout + 1_000);
+    assert.equal(callsOfTakeUp("t2").map(({ backendServer }) => backendServer), ["engine-2"]);
+});
+
 // The caller got the stream from its first event on, after the events that it had.
 test("a take-up is refused, as not run, where the configuration does not allow the route's streams to be resumed", () => {
     const gateway = TestGateway.serving(server("engine-1"));
