Pass on events whose ids are beyond the exact integers

Callers got status 200, the seal and the end of a complete answer, with 1 of 20 events.

Cause: an id is made a number, and above 2^53 several come to the same one. The second event counted as a repetition of the first, and was left out. Class: a conversion that loses what the decision depends on.

Change: such an id counts as none. The event is passed on unchanged, and a stream that has one is not continued by another run, as nothing could name its last event.

--- a/packages/runtime/src/eventFraming.ts
+++ b/packages/runtime/src/eventFraming.ts
@@ -143,6 +143,7 @@
 
 function parseEvent(bytes: Buffer): { readonly id: number | undefined; readonly hasField: boolean; } {
     const text = bytes.toString("latin1");
-    const id = /^id: ?(\d+)\r?$/m.exec(text)?.[1];
-    return { id: id === undefined ? undefined : Number(id), hasField: /^[^:\r\n]/m.test(text) };
+    const id = Number(/^id: ?(\d+)\r?$/m.exec(text)?.[1]);
+    // A larger number may stand for several ids, so it could not tell a new event from a repeated one.
+    return { id: Number.isSafeInteger(id) ? id : undefined, hasField: /^[^:\r\n]/m.test(text) };
 }
