Fail unframed whole answers that end with their time limit

Callers got status 200, the server's seal and a part of the body as a complete answer where the server was still at work at the end of the time limit and closed the channel then.

Cause: the end of the channel can come up to one tick after the end of the limit, before the gateway looks at limits, and counted as the end of the answer. The server's process goes on, so a check of it proves nothing. Class: completeness that rests on how a channel ends.

Change: the rule that holds for streams since: an unframed answer that ends within 20 ms before the limit that its server was sent, or later, fails.

wholeAnswerEnds, "an unframed whole answer that ends when its time limit is over is not passed on": failed before, passes after. Not tried with real processes.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -28,7 +28,7 @@
 import { recordServerPause } from "./serverPauses.js";
 import { checkSilentAttempt, returnToSilentAttempt, setSilentAttemptAside } from "./silentAttempts.js";
 import { type Attempt, endsAt, type GatewayRequest } from "./state.js";
-import { continueEndCheck, endsUnframed, startEndCheck } from "./streamEnds.js";
+import { continueEndCheck, endsUnframed, endsWithTimeLimit, startEndCheck } from "./streamEnds.js";
 import { logPart } from "./streamParts.js";
 import { continueFromReplica, passOnWhole } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -57,12 +57,22 @@
     if (isByServer(headClass, answer)) {
         recordDeclarations(transaction, attempt, answer);
         if (endsUnframed(answer)) {
-            return startEndCheck(transaction, request, attempt, answer);
+            return endsWithTimeLimit(request, transaction.now)
+                ? failAtTimeLimit(transaction, request, attempt)
+                : startEndCheck(transaction, request, attempt, answer);
         }
     }
     settleAnswer(transaction, request, attempt, answer);
 }
 
+/** Fails a request whose server may have stopped its unframed answer at the end of the time limit. */
+export function failAtTimeLimit(transaction: Transaction, request: GatewayRequest, attempt: Attempt): void {
+    recordHealth(transaction, attempt, undefined);
+    endAttempt(transaction, request, attempt, "ended");
+    const message = "the answer ended with its time limit, and may not be complete";
+    failRequest(transaction, request, "deadline_exceeded", message);
+}
+
 /** Passes on an answer that is whole, sends its request again, or fails it. */
 export function settleAnswer(
     transaction: Transaction,
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -38,12 +38,12 @@
 import { returnToSilentAttempt } from "./silentAttempts.js";
 import {
     type Attempt,
-    cutAt,
     endsAt,
     type GatewayRequest,
     type GatewayState,
     type LostRun,
     priorityOf,
+    serverEndsAt,
 } from "./state.js";
 import { startPart } from "./streamParts.js";
 import { canContinue, type StreamOrigin } from "./streamVersions.js";
@@ -275,7 +275,7 @@
             backendServer: server.record.id,
             address: server.record.address,
             head,
-            timeLeft: Math.max(1, Math.floor((route.isStream ? cutAt(request) : request.deadline) - now)),
+            timeLeft: Math.max(1, Math.floor(serverEndsAt(request) - now)),
             organisation: organisation?.id,
             priority: engineOf(state, request.service) === undefined
                 ? undefined
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -174,6 +174,11 @@
     return request.isHeadWritten ? cutAt(request) : request.deadline;
 }
 
+/** The end of the time limit that is sent to servers with a request. */
+export function serverEndsAt(request: GatewayRequest): Milliseconds {
+    return request.route.isStream ? cutAt(request) : request.deadline;
+}
+
 /** Events that are kept until the record of their stream is stored, or until its end. */
 export interface HeldEvents {
     readonly head: ResponseHead;
--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -10,7 +10,7 @@
 import { requestFields } from "./requests.js";
 import { findListedRun, isOtherIncarnation } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
-import type { Attempt, GatewayRequest } from "./state.js";
+import { type Attempt, type GatewayRequest, serverEndsAt } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type StreamEndChecked = Extract<GatewayEvent, { readonly kind: "streamEndChecked"; }>;
@@ -32,6 +32,8 @@
 /** A report may be this old, and so list a run that has ended since. */
 const longestReportAge: Milliseconds = 1_000;
 const checkInterval: Milliseconds = 200;
+/** A server may stop a run this much before its time limit is over here: limits are sent in whole milliseconds, and clocks differ. */
+const timeLimitMargin: Milliseconds = 20;
 /** An answer may be lost; that of a process that has ended never comes. */
 const maximumUnanswered = 2;
 
@@ -40,6 +42,11 @@
     return endsWithChannel && !isNotRun;
 }
 
+/** Whether a server that stops work at the end of a request's time limit may have ended the channel of its answer. */
+export function endsWithTimeLimit(request: GatewayRequest, now: Milliseconds): boolean {
+    return now >= serverEndsAt(request) - timeLimitMargin;
+}
+
 /**
  * Asks the server of an answer whose channel has ended for its report.
  *
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -7,6 +7,7 @@
     type AttemptOutcome,
     classifyAnswer,
     endAttempt,
+    failAtTimeLimit,
     isByServer,
     loseAttempt,
     recordDeclarations,
@@ -28,8 +29,8 @@
 import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
 import { endSilentAttempt } from "./silentAttempts.js";
-import { type Attempt, cutAt, type GatewayRequest, type GatewayState, type HeldEvents, type LostRun } from "./state.js";
-import { findCheckedAttempt, handleEndReport, startEndCheck } from "./streamEnds.js";
+import { type Attempt, type GatewayRequest, type GatewayState, type HeldEvents, type LostRun } from "./state.js";
+import { endsWithTimeLimit, findCheckedAttempt, handleEndReport, startEndCheck } from "./streamEnds.js";
 import { recordPartEvent } from "./streamParts.js";
 import { holdUntilRecorded } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -40,8 +41,6 @@
 const maximumHeldBytes = 512 * 1024;
 /** What an event takes beside its bytes. */
 const eventOverheadBytes = 256;
-/** A server may stop a run this much before its time limit is over here: limits are sent in whole milliseconds, and clocks differ. */
-const timeLimitMargin: Milliseconds = 20;
 /** The weight of the newest stream in the moving averages of streams. */
 const newestWeight = 0.1;
 
@@ -268,12 +267,8 @@
     if (handleEndAfterStop(transaction, request, attempt, "ended")) {
         return;
     }
-    // So does one that its server stops at the end of its time limit.
-    if (transaction.now >= cutAt(request) - timeLimitMargin) {
-        recordHealth(transaction, attempt, undefined);
-        endAttempt(transaction, request, attempt, "ended");
-        const message = "the stream ended with its time limit, and may not be complete";
-        return failRequest(transaction, request, "deadline_exceeded", message);
+    if (endsWithTimeLimit(request, transaction.now)) {
+        return failAtTimeLimit(transaction, request, attempt);
     }
     startEndCheck(transaction, request, attempt);
 }
--- a/packages/gateway/test/wholeAnswerEnds.test.ts
+++ b/packages/gateway/test/wholeAnswerEnds.test.ts
@@ -102,6 +102,21 @@
     assert.ok(kindsIn(gateway.reportEnd(call.attemptId, engineReport())).includes("answerWhole"));
 });
 
+// A server stops work then, and the gateway looks at time limits every 50 ms.
+test("an unframed whole answer that ends when its time limit is over is not passed on", () => {
+    for (const [rest, isWhole] of [[30, true], [15, false], [-30, false]] as const) {
+        const gateway = TestGateway.serving(server("plain-1"));
+        gateway.configure(withHealthChecks());
+        const call = gateway.sendRequest("r", "confirm");
+        gateway.now += call.timeLeft - rest;
+        const effects = gateway.answer(call, { endsWithChannel: true });
+        assert.is(checksIn(effects).length, isWhole ? 1 : 0, `${rest} ms before the end`);
+        assert.is(kindsIn(effects).includes("answerFailure"), !isWhole);
+        assert.is(cancelledIn(effects).length, isWhole ? 0 : 1);
+        assert.is(kindsIn(gateway.reportEnd(call.attemptId)).includes("answerWhole"), isWhole);
+    }
+});
+
 test("nothing is asked for refusals, answers with framing and answers to another request", () => {
     for (
         const overrides of [
