Sidecar: ask the service whether it runs after an answer without framing

Callers got the status and a part of the body as a complete answer.

Cause: a service that writes its answer with neither a length nor chunks was killed. callService took the end of the channel, by which the kernel ends those of a killed process too, for the end of the answer. Class: an act of the kernel taken for one of the process.

Change: after such an answer the sidecar sends a request to the service; without an answer of any status the call has failed. An accepted connection does not count. Framed answers cost nothing more.

sidecarAnswers, "a part of a service's answer without a length is not passed on if the service answers nothing after it": serviceResponded before, serviceFailed after. A service that was started again by then can't be told apart.

--- a/packages/runtime/src/backendClient.ts
+++ b/packages/runtime/src/backendClient.ts
@@ -150,11 +150,7 @@
         openStreamCount: () => streams.size,
         probe: async () => {
             try {
-                const response = await request(`${base}/load`, {
-                    dispatcher: agent,
-                    signal: AbortSignal.timeout(probeTimeout),
-                });
-                await response.body.dump();
+                await requestLoad(agent, base, probeTimeout);
                 return true;
             }
             catch (error) {
@@ -221,12 +217,16 @@
             signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeLeft))),
         });
         const contentType = response.headers["content-type"];
+        const body = await response.body.text();
+        if (endsWithChannel(response) && !await answersRequests(agent, base, timeLeft)) {
+            throw new UnansweredCheckError();
+        }
         push({
             kind: "serviceResponded",
             generationId,
             status: response.statusCode,
             contentType: typeof contentType === "string" ? contentType : "",
-            body: await response.body.text(),
+            body,
         });
     }
     catch (error) {
@@ -235,6 +235,35 @@
     }
 }
 
+/** Whether only the end of the channel ends the body, as the kernel also does for a process that is killed. */
+function endsWithChannel({ headers }: Dispatcher.ResponseData): boolean {
+    return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+}
+
+/** Resolves once the server has answered a request, with any status. */
+async function requestLoad(agent: Agent, base: string, timeout: Milliseconds): Promise<void> {
+    const response = await request(`${base}/load`, { dispatcher: agent, signal: AbortSignal.timeout(timeout) });
+    await response.body.dump();
+}
+
+/** Whether the server answers a request, with any status. A connection is also accepted where no server runs. */
+async function answersRequests(agent: Agent, base: string, timeLeft: Milliseconds): Promise<boolean> {
+    try {
+        await requestLoad(agent, base, Math.max(1, Math.min(probeTimeout, Math.ceil(timeLeft))));
+        return true;
+    }
+    catch {
+        // All causes are alike to the caller, which reports the failed call.
+        return false;
+    }
+}
+
+class UnansweredCheckError extends Error {
+    constructor() {
+        super("the backend server answers no requests after an answer without a length, which may be a part");
+    }
+}
+
 /** Whether no connection was established, so that nothing can have run. */
 function isConnectError(error: unknown): boolean {
     const code = (error as { code?: string; }).code;
--- a/packages/runtime/test/sidecarAnswers.test.ts
+++ b/packages/runtime/test/sidecarAnswers.test.ts
@@ -70,6 +70,36 @@
     assert.equal(await endsOfCalls("1.0 200"), ["serviceResponded 200", "generationTokens", "generationEnded"]);
 });
 
+// A supervisor that keeps the listener accepts connections without a server.
+test("a part of a service's answer without a length is not passed on if the service answers nothing after it", async () => {
+    for (const answersLater of [true, false]) {
+        const sockets: Socket[] = [];
+        const server = createServer(socket => {
+            sockets.push(socket);
+            socket.on("error", () => undefined);
+            const isFirst = sockets.length === 1;
+            socket.on("data", () => {
+                if (isFirst) {
+                    socket.end("HTTP/1.1 200 OK\r\n\r\npart");
+                }
+                else if (answersLater) {
+                    socket.end("HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n");
+                }
+            });
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+        const work = { contentType: "", organisation: "o", body: "{}", path: "/", method: "POST" } as unknown as Work;
+        const end = await new Promise<string>(resolve => {
+            const backend = createBackendClient(address, ({ kind }) => resolve(kind), () => undefined);
+            backend.callService(identifier("c"), identifier("a"), work, 500, "t");
+        });
+        server.close();
+        sockets.forEach(socket => socket.destroy());
+        assert.is(end, answersLater ? "serviceResponded" : "serviceFailed");
+    }
+});
+
 test("an instance list in an answer with an invalid status line is not read", async () => {
     const body = "{\"instances\": []}";
     const readFrom = async (line: string): Promise<string> => {
