--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -14,7 +14,7 @@
 import { requestFields } from "./requests.js";
 import { findListedRun, isOtherIncarnation } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
-import type { Attempt, GatewayRequest, GatewayState } from "./state.js";
+import { type Attempt, type GatewayRequest, type GatewayState, serverEndsAt } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
 type StreamEndChecked = Extract<GatewayEvent, { readonly kind: "streamEndChecked"; }>;
@@ -58,12 +58,19 @@
  * The server is asked again at the next tick.
  */
 const maximumUnanswered = 3;
+/** A server may stop a run this much before its time limit is over here: limits are sent in whole milliseconds, and clocks differ. */
+const timeLimitMargin: Milliseconds = 20;
 
 /** Whether only the end of its channel says that an answer is whole. A refusal needs no more to be one. */
 export function endsUnframed({ endsWithChannel, isNotRun }: ResponseHead): boolean {
     return endsWithChannel && !isNotRun;
 }
 
+/** Whether a server that stops work at the end of a request's time limit may have ended the channel of its answer. */
+export function endsWithTimeLimit(request: GatewayRequest, now: Milliseconds): boolean {
+    return now >= serverEndsAt(request) - timeLimitMargin;
+}
+
 /**
  * Asks the server of an answer whose channel has ended for its report.
  *
