Emulator, stand-ins: engines whose streams end with their channel

All engines framed each stream, worked past the time limits of their calls and had reports of the present.

An engine may now write streams with neither a length nor chunks: its end, a run that is stopped for a migration and one that reaches its time limit then close the channel in order. Its runs may end at their time limits, and its report may be some hundred milliseconds old. A crashed server's address may accept connections until another process runs there.

A run that goes on after the last event ended with one more event; now it ends with none.

Tests: engineServer's harness tells a connection that is closed from one that is reset, and passes options of engines; its other checks are as before.

--- a/packages/emulator/src/engineServer.ts
+++ b/packages/emulator/src/engineServer.ts
@@ -37,6 +37,15 @@
     readonly prefillChunk?: number;
     /** Tokens of a run's memory transferred to another engine per millisecond. */
     readonly transferRate: number;
+    /**
+     * Whether streams have neither a length nor chunks. The end of the engine, and of a run that is stopped, then closes
+     * their connections in order. False if absent.
+     */
+    readonly isUnframed?: boolean;
+    /** Whether runs end at the time limits of their calls; false if absent. */
+    readonly stopsAtTimeLimit?: boolean;
+    /** The time after which a report is replaced by a new one; if absent, each report is of the present. */
+    readonly reportInterval?: Milliseconds;
 }
 
 interface EngineRun {
@@ -85,6 +94,7 @@
 /** Model of a backend server that is an engine. */
 export class EngineServer implements ServerModel {
     readonly isEngine = true;
+    readonly isUnframed: boolean;
     readonly slots: number;
     /** Number of preemptions so far. */
     preemptions = 0;
@@ -101,6 +111,7 @@
     private readonly answerLoss = new AnswerLoss();
     private migrationCount = 0;
     private transferIdleAt: Milliseconds = 0;
+    private lastReport: readonly RunReport[] = [];
 
     constructor(
         readonly options: EngineOptions,
@@ -109,6 +120,10 @@
         private readonly environment: EngineEnvironment,
     ) {
         this.slots = options.slots;
+        this.isUnframed = options.isUnframed === true;
+        if (options.reportInterval !== undefined) {
+            this.renewReport(options.reportInterval);
+        }
     }
 
     start(call: ServerCall, observer: CallObserver): CallHandle {
@@ -125,11 +140,14 @@
         if (isAnswerLost) {
             this.observeRun(run.record);
             this.end(run, false);
-            observer.disconnected();
+            observer.disconnected("reset");
             return { cancel: () => undefined };
         }
         this.waiting.push(run);
         this.startStepping();
+        if (this.options.stopsAtTimeLimit === true) {
+            this.clock.schedule(call.timeLimit, () => this.breakOff(run));
+        }
         return {
             cancel: () => {
                 if (run.record.isDetached !== true) {
@@ -150,6 +168,17 @@
     }
 
     report(): readonly RunReport[] {
+        return this.options.reportInterval === undefined ? this.listRuns() : this.lastReport;
+    }
+
+    private renewReport(interval: Milliseconds): void {
+        if (!this.isStopped) {
+            this.lastReport = this.listRuns();
+            this.clock.schedule(interval, () => this.renewReport(interval));
+        }
+    }
+
+    private listRuns(): readonly RunReport[] {
         return this.runs().map(({ call, generatedTokens }) => ({
             callerAttemptId: call.callerAttemptId,
             events: this.countEvents(generatedTokens),
@@ -177,8 +206,7 @@
         const { now } = this.clock;
         const stoppedReplica = isStopping ? this.createReplica(run) : undefined;
         if (isStopping) {
-            this.end(run, false);
-            run.observer.disconnected();
+            this.breakOff(run);
         }
         const known = run.copy?.target === target ? run.copy : undefined;
         const newTokens = usedTokens(run) - (known?.tokens ?? 0);
@@ -210,7 +238,7 @@
         this.isStopped = true;
         const open = this.runs();
         open.forEach(run => this.end(run, false));
-        open.forEach(({ observer }) => observer.disconnected());
+        open.forEach(({ observer }) => observer.disconnected(this.isUnframed ? "closed" : "reset"));
         this.replicas.clear();
     }
 
@@ -349,9 +377,11 @@
                 return;
             }
         }
-        run.generatedTokens++;
+        // The caller may have all events already.
+        const hasNext = run.generatedTokens < call.outputTokens;
+        run.generatedTokens += hasNext ? 1 : 0;
         const isLast = run.generatedTokens >= call.outputTokens;
-        if (!run.isSilent && (isLast || run.generatedTokens % tokensPerEvent === 0)) {
+        if (hasNext && !run.isSilent && (isLast || run.generatedTokens % tokensPerEvent === 0)) {
             observer.event({
                 id: Math.ceil(run.generatedTokens / tokensPerEvent),
                 lineage: record.lineage,
@@ -366,7 +396,7 @@
         }
         else if (this.behaviour === "break") {
             this.end(run, false);
-            observer.disconnected();
+            observer.disconnected("reset");
         }
         else if (this.behaviour === "detach" && run.generatedTokens === detachedAfterEvents * tokensPerEvent) {
             this.detach(run);
@@ -379,7 +409,7 @@
             run.record.isDetached = true;
             run.isSilent = true;
             run.refusesStop = true;
-            run.observer.disconnected();
+            run.observer.disconnected("reset");
         }
     }
 
@@ -436,6 +466,14 @@
         }
     }
 
+    /** Ends a run before its last token, and its connection as the engine's streams end. */
+    private breakOff(run: EngineRun): void {
+        if (!run.hasEnded) {
+            this.end(run, false);
+            run.observer.disconnected(this.isUnframed ? "closed" : "reset");
+        }
+    }
+
     private end(run: EngineRun, isComplete: boolean): void {
         if (run.hasEnded) {
             return;
--- a/packages/emulator/src/fleet.ts
+++ b/packages/emulator/src/fleet.ts
@@ -34,6 +34,8 @@
     /** Whether it leaves without a notice: its registration is deleted, and it serves on. */
     isWithdrawn: boolean;
     hasEnded: boolean;
+    /** Until when connections are accepted after its end. */
+    listensUntil: Milliseconds;
     /** Whether heartbeats are lost before they reach the store. */
     areHeartbeatsSuppressed: boolean;
     /** Consecutive heartbeats that did not reach the store. */
@@ -103,6 +105,7 @@
             drainPublishedAt: undefined,
             isWithdrawn: false,
             hasEnded: false,
+            listensUntil: -Infinity,
             areHeartbeatsSuppressed: false,
             missedHeartbeats: 0,
         };
@@ -171,6 +174,12 @@
         return member === undefined || member.hasEnded ? undefined : member.model;
     }
 
+    /** Whether connections to an address, at which no backend server runs, are accepted: they wait for one. */
+    isListening(address: string): boolean {
+        const member = this.membersByAddress.get(address);
+        return member?.hasEnded === true && this.options.clock.now < member.listensUntil;
+    }
+
     /** Returns the start that the server at an address reports, as in its record. */
     findStart(address: string): number | undefined {
         return this.membersByAddress.get(address)?.born;
@@ -221,10 +230,15 @@
         this.options.clock.schedule(after, () => this.end(member, false));
     }
 
-    /** Stops a backend server without notice; its registration is deleted after the missed heartbeats. */
-    crash(id: string): void {
+    /**
+     * Stops a backend server without notice; its registration is deleted after the missed heartbeats.
+     *
+     * @param listensFor how long connections to its address are still accepted, as where a supervisor holds the listener
+     */
+    crash(id: string, listensFor: Milliseconds = 0): void {
         const member = this.members.get(id);
         if (member !== undefined && !member.hasEnded) {
+            member.listensUntil = this.options.clock.now + listensFor;
             this.end(member, false);
         }
     }
--- a/packages/emulator/src/plainServer.ts
+++ b/packages/emulator/src/plainServer.ts
@@ -41,6 +41,7 @@
 /** Model of a backend server of a plain service. */
 export class PlainServer implements ServerModel {
     readonly isEngine = false;
+    readonly isUnframed = false;
     readonly slots: number;
     behaviour: ServerBehaviour = "well";
     requestLimit: number | undefined = undefined;
@@ -96,7 +97,7 @@
         this.isStopped = true;
         const open = [...this.running, ...this.queue];
         open.forEach(pending => this.end(pending, false));
-        open.forEach(({ observer }) => observer.disconnected());
+        open.forEach(({ observer }) => observer.disconnected("reset"));
     }
 
     private startQueued(): void {
@@ -134,7 +135,7 @@
         this.run(pending);
         if (!pending.hasEnded) {
             this.end(pending, false);
-            pending.observer.disconnected();
+            pending.observer.disconnected("reset");
         }
     }
 
@@ -148,7 +149,7 @@
             case "silent":
                 return;
             case "break":
-                return observer.disconnected();
+                return observer.disconnected("reset");
             default: {
                 const status = this.behaviour === "error" ? serverErrorStatus : okStatus;
                 const callerAttemptId = this.behaviour === "foreign"
--- a/packages/emulator/src/serverModel.ts
+++ b/packages/emulator/src/serverModel.ts
@@ -67,8 +67,10 @@
     readonly event: (event: RunEvent) => void;
     readonly ended: () => void;
     readonly answered: (answer: ServerAnswer) => void;
-    /** The connection is broken. */
-    readonly disconnected: () => void;
+    /**
+     * The connection ends before the answer does: it is reset, or closed in order, as at the end of a stream without framing.
+     */
+    readonly disconnected: (how: "reset" | "closed") => void;
 }
 
 /** A call that was sent to a backend server. */
@@ -162,9 +164,11 @@
     /** Whether its answers say that it leaves. */
     isLeaving: boolean;
     readonly isEngine: boolean;
+    /** Whether its streams have neither a length nor chunks, so that the end of the connection is their end. */
+    readonly isUnframed: boolean;
     readonly slots: number;
     readonly start: (call: ServerCall, observer: CallObserver) => CallHandle;
-    /** The runs in progress. */
+    /** The runs in progress, as of now or of a short time ago. */
     readonly report: () => readonly RunReport[];
     /** Transfers a run's memory to the engine at an address, after stopping the run if `isStopping`. */
     readonly migrate: (
@@ -173,6 +177,6 @@
         isStopping: boolean,
         done: (outcome: MigrationOutcome) => void,
     ) => void;
-    /** Stops at once: connections break and replicas are lost. */
+    /** Stops at once: connections end, in order where streams are unframed, and replicas are lost. */
     readonly crash: () => void;
 }
--- a/packages/emulator/src/virtualCalls.ts
+++ b/packages/emulator/src/virtualCalls.ts
@@ -47,6 +47,8 @@
 }
 
 const connectTimeout: Milliseconds = 400;
+/** How often a connection that waits at a listener without a server is tried. */
+export const listenerInterval: Milliseconds = 20;
 /** Probability that a send over a cut path finds no open connection to reuse, so that connecting times out. */
 const newConnectionProbability = 0.5;
 /** An id that stands for no particular server: whichever server listens at the address may run the call. */
@@ -90,13 +92,13 @@
         this.attempts.forEach(attempt => this.end(attempt));
     }
 
-    private deliver(attempt: SentAttempt): void {
+    /** @param wasAccepted whether a listener without a server has accepted the connection */
+    private deliver(attempt: SentAttempt, wasAccepted = false): void {
         const { fleet } = this.environment;
         const { call } = attempt;
         const server = fleet.findByAddress(call.address);
         if (server === undefined) {
-            attempt.channel.send("downstream", () => this.fail(attempt, "connect_refused", false));
-            return;
+            return this.deliverWithoutServer(attempt, wasAccepted);
         }
         if (!attempt.isCancelled) {
             const serverCall = toServerCall(call);
@@ -106,9 +108,20 @@
         }
     }
 
+    private deliverWithoutServer(attempt: SentAttempt, wasAccepted: boolean): void {
+        const { clock, fleet } = this.environment;
+        if (fleet.isListening(attempt.call.address)) {
+            clock.schedule(listenerInterval, () => this.deliver(attempt, true));
+            return;
+        }
+        const failure = wasAccepted ? "channel_lost" : "connect_refused";
+        attempt.channel.send("downstream", () => this.fail(attempt, failure, wasAccepted));
+    }
+
     private createObserver(attempt: SentAttempt, server: ServerModel): CallObserver {
         const { call, channel } = attempt;
         const { attemptId } = call;
+        let isOpen = false;
         const respond = (event: GatewayEvent, isLast: boolean): void =>
             channel.send("downstream", () => {
                 if (this.attempts.get(attemptId) !== attempt) {
@@ -135,7 +148,12 @@
                 respond({ kind: "attemptAnswered", attemptId, answer: { ...head, body: new Uint8Array() } }, true);
             },
             opened: () => {
-                const head = { ...createHead(server, call.head.callerAttemptId, okStatus), isEventStream: true };
+                isOpen = true;
+                const head = {
+                    ...createHead(server, call.head.callerAttemptId, okStatus),
+                    isEventStream: true,
+                    endsWithChannel: server.isUnframed,
+                };
                 respond({ kind: "streamOpened", attemptId, head }, false);
             },
             event: event => {
@@ -150,12 +168,20 @@
                 };
                 respond({ kind: "attemptAnswered", attemptId, answer }, true);
             },
-            disconnected: () =>
-                respond({ kind: "attemptFailed", attemptId, failure: "channel_lost", wasSent: true }, true),
+            disconnected: how => {
+                if (how === "closed" && isOpen) {
+                    return respond({ kind: "streamEnded", attemptId }, true);
+                }
+                respond({ kind: "attemptFailed", attemptId, failure: "channel_lost", wasSent: true }, true);
+            },
         };
     }
 
-    private fail(attempt: SentAttempt, failure: "connect_refused" | "connect_timeout", wasSent: boolean): void {
+    private fail(
+        attempt: SentAttempt,
+        failure: "connect_refused" | "connect_timeout" | "channel_lost",
+        wasSent: boolean,
+    ): void {
         const { attemptId } = attempt.call;
         if (this.attempts.get(attemptId) === attempt) {
             this.removeAttempt(attempt);
--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -30,7 +30,7 @@
 import type { Clock } from "./clock.js";
 import type { Fleet } from "./fleet.js";
 import type { MigrationOutcome, RunReport } from "./serverModel.js";
-import { VirtualCalls } from "./virtualCalls.js";
+import { listenerInterval, VirtualCalls } from "./virtualCalls.js";
 import type { VirtualNetwork } from "./virtualNetwork.js";
 import { type LinkOwner, VirtualPeerLinks } from "./virtualPeerLinks.js";
 import type { StoreAnswer, VirtualStore } from "./virtualStore.js";
@@ -300,18 +300,7 @@
         this.sendRequest<ProbeReply | typeof connectionRefused>(
             address,
             probeTimeout,
-            reply => {
-                const { fleet } = this.environment;
-                const server = fleet.findByAddress(address);
-                if (server === undefined) {
-                    reply(connectionRefused);
-                }
-                else if (server.behaviour !== "silent" || !hasReport) {
-                    const coldRemaining = fleet.coldRemainingOf(server.options.id);
-                    const startedAt = hasReport ? fleet.findStart(address) : undefined;
-                    reply({ runs: server.report(), isLeaving: server.isLeaving, startedAt, coldRemaining });
-                }
-            },
+            reply => this.answerProbe(address, hasReport, reply),
             outcome => {
                 const reply = outcome === connectionRefused ? undefined : outcome;
                 const runs = reply?.runs.map(run => ({
@@ -323,6 +312,26 @@
         );
     }
 
+    private answerProbe(
+        address: string,
+        hasReport: boolean,
+        reply: (value: ProbeReply | typeof connectionRefused) => void,
+    ): void {
+        const { fleet, clock } = this.environment;
+        const server = fleet.findByAddress(address);
+        if (server === undefined && fleet.isListening(address)) {
+            clock.schedule(listenerInterval, () => this.answerProbe(address, hasReport, reply));
+        }
+        else if (server === undefined) {
+            reply(connectionRefused);
+        }
+        else if (server.behaviour !== "silent" || !hasReport) {
+            const coldRemaining = fleet.coldRemainingOf(server.options.id);
+            const startedAt = hasReport ? fleet.findStart(address) : undefined;
+            reply({ runs: server.report(), isLeaving: server.isLeaving, startedAt, coldRemaining });
+        }
+    }
+
     private migrateRun(effect: Extract<GatewayEffect, { readonly kind: "migrateRun"; }>): void {
         const { attemptId, callerAttemptId, sourceAddress, targetAddress, isStopping } = effect;
         this.sendRequest<MigrationOutcome>(
--- a/packages/emulator/test/engineServer.test.ts
+++ b/packages/emulator/test/engineServer.test.ts
@@ -49,8 +49,13 @@
     readonly runs: ServerRun[] = [];
     readonly received: string[] = [];
     readonly events: RunEvent[] = [];
-    readonly first = this.create(options);
-    readonly second = this.create({ ...options, id: "e2", address: "10.0.0.2:1" });
+    readonly first: EngineServer;
+    readonly second: EngineServer;
+
+    constructor(traits: Partial<EngineOptions> = {}) {
+        this.first = this.create({ ...options, ...traits });
+        this.second = this.create({ ...options, ...traits, id: "e2", address: "10.0.0.2:1" });
+    }
 
     start(engine: EngineServer, sent: ServerCall): void {
         const record = (what: string) => () => void this.received.push(`${sent.callerAttemptId} ${what}`);
@@ -60,7 +65,8 @@
             event: event => this.events.push(event),
             ended: record("ended"),
             answered: record("answered"),
-            disconnected: record("disconnected"),
+            disconnected: how =>
+                this.received.push(`${sent.callerAttemptId} ${how === "closed" ? "closed" : "disconnected"}`),
         };
         engine.start(sent, observer);
     }
@@ -256,6 +262,50 @@
     assert.equal(engines.received.slice(-2), ["a disconnected", "a no_copy"]);
 });
 
+test("an engine closes the connections of unframed streams in order when it crashes and when a run is stopped", () => {
+    const engines = new EngineHarness({ isUnframed: true });
+    ["a", "b"].forEach(id => engines.start(engines.first, call(id)));
+    engines.clock.advanceTo(100);
+    engines.first.migrate("a", engines.second.options.address, true, () => undefined);
+    engines.first.crash();
+    assert.equal(engines.received.slice(2), ["a closed", "b closed"]);
+});
+
+test("an engine that breaks connections resets those of unframed streams, too", () => {
+    const engines = new EngineHarness({ isUnframed: true });
+    engines.first.behaviour = "break";
+    engines.start(engines.first, call("a"));
+    engines.clock.advanceTo(2_000);
+    assert.equal(engines.received, ["a opened", "a disconnected"]);
+});
+
+test("an engine may end a run at the time limit of its call", () => {
+    const engines = new EngineHarness({ stopsAtTimeLimit: true });
+    engines.start(engines.first, call("a", { timeLimit: 150 }));
+    engines.start(engines.first, call("b", { timeLimit: 5_000 }));
+    engines.clock.advanceTo(10_000);
+    assert.equal(engines.received, ["a opened", "b opened", "a disconnected", "b ended"]);
+    assert.is(engines.runs[0].endedAt, 150);
+});
+
+test("the report of an engine may be as old as its interval", () => {
+    const engines = new EngineHarness({ reportInterval: 300 });
+    const listed = (at: number): number => {
+        engines.clock.advanceTo(at);
+        return engines.first.report().length;
+    };
+    engines.start(engines.first, call("a"));
+    assert.equal([listed(299), listed(300), listed(599), listed(601)], [0, 1, 1, 0]);
+});
+
+test("a run that goes on after the last event ends without another one", () => {
+    const engines = new EngineHarness();
+    engines.start(engines.first, call("a", { lastEvent: 10 }));
+    engines.clock.advanceTo(2_000);
+    assert.equal(engines.received, ["a opened", "a ended"]);
+    assert.equal(engines.events, []);
+});
+
 test("an engine that stopped loses no answers", () => {
     const engines = new EngineHarness();
     engines.first.crash();
--- a/packages/emulator/test/fleet.test.ts
+++ b/packages/emulator/test/fleet.test.ts
@@ -32,6 +32,21 @@
     return { clock, store, fleet, readRegistration };
 }
 
+test("where a supervisor keeps the listener, connections are accepted after a crash until the time is over or a server starts", () => {
+    const { clock, fleet } = createFleet();
+    const { address } = fleet.add(plan).options;
+    assert.not(fleet.isListening(address));
+    fleet.crash("p1", 500);
+    clock.advanceTo(499);
+    assert.equal([fleet.isListening(address), fleet.findByAddress(address)], [true, undefined]);
+    clock.advanceTo(500);
+    assert.not(fleet.isListening(address));
+    fleet.restart("p1", undefined, address);
+    fleet.crash("p1", 500);
+    fleet.restart("p1", undefined, address);
+    assert.not(fleet.isListening(address));
+});
+
 test("a server registers with each heartbeat; after a crash its registration is deleted with the third missed one", () => {
     const { clock, fleet, readRegistration } = createFleet();
     fleet.add(plan);
--- a/packages/stand-ins/src/backendServerStandIn.ts
+++ b/packages/stand-ins/src/backendServerStandIn.ts
@@ -45,7 +45,7 @@
     readonly withdraw: (endsAfter: number) => void;
     /** Crashes the server, and starts it again under its id at its address. */
     readonly restart: () => Promise<BackendServerStandIn>;
-    /** Stops the server without notice: open connections are reset and its port is closed. */
+    /** Stops the server without notice: open connections end, in order those of unframed streams, and its port is closed. */
     readonly crash: () => Promise<void>;
 }
 
@@ -202,7 +202,7 @@
             response.setHeader("Cold-Remaining-Ms", String(coldRemaining));
         }
         const runs = model.report().map(({ callerAttemptId, events }) => [callerAttemptId, 1, events, 5]);
-        return sendJson(response, 200, { state: "ready", runs });
+        return sendJson(response, 200, { state: "ready", born: fleet.findStart(model.options.address), runs });
     }
     if (url.pathname === "/kv-move") {
         const { instanceId, target, isLast } = await readJson<MigrationDocument>(request);
@@ -325,11 +325,22 @@
             });
             response.end();
         },
-        opened: () => response.writeHead(200, { ...identityHeaders, "content-type": "text/event-stream" }),
+        opened: () => {
+            response.useChunkedEncodingByDefault = !model.isUnframed;
+            response.writeHead(200, {
+                ...identityHeaders,
+                ...(model.isUnframed ? { connection: "close" } : {}),
+                "content-type": "text/event-stream",
+            });
+        },
         event: event => response.write(formatRunEvent(event)),
         ended: () => response.end(),
         answered: answer => writeAnswer(response, answer, identityHeaders),
-        disconnected: () => {
+        disconnected: how => {
+            if (how === "closed" && response.headersSent) {
+                response.end();
+                return;
+            }
             if (model.behaviour === "lose") {
                 response.socket?.resetAndDestroy();
                 return;
