Fuzzer: unframed streams, crashes and restarts at an address

`--system unframed`: engines write streams with neither a length nor chunks, end runs at their time limits and report what was some time ago; they crash and start again at their addresses, also behind a listener that accepts connections meanwhile. The oracle checks each piece, and that no stream is complete before its last one.

Two planted faults are found: an unframed stream that has ended counts as complete, and any incarnation says whether it is.

--- a/packages/fuzz/src/fuzz.ts
+++ b/packages/fuzz/src/fuzz.ts
@@ -26,6 +26,7 @@
     snapshotSchedules,
     stopSchedules,
     unacknowledgedSchedules,
+    unframedSchedules,
 } from "./platform/index.js";
 import { runSchedule } from "./runSchedule.js";
 import { defaultWorldPolicies, type WorldPolicies } from "./world.js";
@@ -145,6 +146,12 @@
     schedules: releaseSchedules,
 };
 
+/** Gateways on the users' platform, with engines that write streams with neither a length nor chunks. */
+export const unframedPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
+    ...platformSystem,
+    schedules: unframedSchedules,
+};
+
 /** Gateways on the users' platform, with planned stops, replacements and changes only. */
 export const stopPlatformSystem: FuzzTarget<PlatformSchedule, GatewayInterceptors> = {
     ...platformSystem,
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,5 +1,5 @@
 /**
- * The command `npm run fuzz -- --system platform|overlay|changes|cold|configurations|deadly|delays|detached-runs|evacuations|limits|lost-answers|notices|pauses|releases|rolling-stops|snapshots|stops|unacknowledged|linked --seed S --runs N --steps K`. It
+ * The command `npm run fuzz -- --system platform|overlay|changes|cold|configurations|deadly|delays|detached-runs|evacuations|limits|lost-answers|notices|pauses|releases|rolling-stops|snapshots|stops|unacknowledged|unframed|linked --seed S --runs N --steps K`. It
  * runs randomised schedules and checks them with the oracle.
  */
 import yargs from "yargs";
@@ -25,6 +25,7 @@
     snapshotPlatformSystem,
     stopPlatformSystem,
     unacknowledgedPlatformSystem,
+    unframedPlatformSystem,
 } from "./fuzz.js";
 
 /** Schedules between two lines of progress. */
@@ -54,10 +55,11 @@
                 "snapshots",
                 "stops",
                 "unacknowledged",
+                "unframed",
             ] as const,
             default: "platform",
             describe:
-                "gateways on the platform, the same with many configurations, with changes that some gateways learn only from others, with links that fall behind, with a store that loses what nobody acknowledged, with one whose pages are of several moments, with parts of prompts that crash engines, with evacuations of failure domains, or with servers that are cold, declare limits, lose answers, break connections and work on, give notice in answers, ask for pauses or run several software versions, or "
+                "gateways on the platform, the same with many configurations, with changes that some gateways learn only from others, with links that fall behind, with a store that loses what nobody acknowledged, with one whose pages are of several moments, with parts of prompts that crash engines, with evacuations of failure domains, or with servers that are cold, declare limits, lose answers, break connections and work on, give notice in answers, ask for pauses, run several software versions or write streams without framing, or "
                 + "entries and sidecars",
         },
         seed: { type: "number", default: 1, describe: "seed of the schedules" },
@@ -94,6 +96,7 @@
     snapshots: snapshotPlatformSystem,
     stops: stopPlatformSystem,
     unacknowledged: unacknowledgedPlatformSystem,
+    unframed: unframedPlatformSystem,
 };
 const result = system === "linked"
     ? fuzz(linkedSystem, options)
--- a/packages/fuzz/src/mutationCheck.ts
+++ b/packages/fuzz/src/mutationCheck.ts
@@ -23,6 +23,7 @@
     rollingStopPlatformSystem,
     snapshotPlatformSystem,
     unacknowledgedPlatformSystem,
+    unframedPlatformSystem,
 } from "./fuzz.js";
 import { type Mutation, mutations } from "./mutations.js";
 import { BrokenPromiseError, type PromiseName } from "./oracle.js";
@@ -43,6 +44,7 @@
     rollingStopMutations,
     snapshotMutations,
     unacknowledgedMutations,
+    unframedMutations,
 } from "./platform/index.js";
 
 const { seed, runs, steps } = await yargs(hideBin(process.argv))
@@ -99,6 +101,7 @@
     ...createSearches(rollingStopPlatformSystem, rollingStopMutations),
     ...createSearches(snapshotPlatformSystem, snapshotMutations),
     ...createSearches(unacknowledgedPlatformSystem, unacknowledgedMutations),
+    ...createSearches(unframedPlatformSystem, unframedMutations),
 ];
 
 let missedCount = 0;
--- a/packages/fuzz/src/platform/actions.ts
+++ b/packages/fuzz/src/platform/actions.ts
@@ -120,6 +120,11 @@
      * arrive forty times a second.
      */
     | { readonly kind: "restartInPlace"; readonly server: number; readonly away: number; }
+    /**
+     * The server crashes, and a supervisor keeps its listener: connections are accepted and wait until the server has started
+     * again under its id at its address.
+     */
+    | { readonly kind: "restartBehindListener"; readonly server: number; readonly away: number; }
     | { readonly kind: "replaceServer"; readonly server: number; readonly after: number; }
     /** The registration is removed without a notice, and the server serves on for a while. */
     | { readonly kind: "withdrawServer"; readonly server: number; readonly after: number; }
@@ -185,6 +190,11 @@
     readonly pageTiming?: PageTiming;
     /** The share of the records with which the store deletes the history before any read gets them; 0 if absent. */
     readonly deletedHistoryShare?: number;
+    /**
+     * The share of the engines whose streams have neither a length nor chunks. All engines then end runs at the time limits
+     * of their calls, and their reports are old. If absent, streams are framed, time limits end no run and reports are new.
+     */
+    readonly unframedShare?: number;
     readonly steps: readonly PlatformStep[];
 }
 
@@ -347,6 +357,31 @@
     return schedulesOf(weighted, steps);
 }
 
+const unframedActions = fc.oneof(
+    { arbitrary: action, weight: 12 },
+    { arbitrary: longStream, weight: 5 },
+    { arbitrary: resumableRequest, weight: 5 },
+    { arbitrary: arbitraryAction("crashServer", { server: slot, away: shortTime }), weight: 1 },
+    { arbitrary: arbitraryAction("restartInPlace", { server: slot, away: fc.nat(3_000) }), weight: 1 },
+    { arbitrary: arbitraryAction("restartBehindListener", { server: slot, away: fc.nat(3_000) }), weight: 2 },
+    { arbitrary: replaceServer, weight: 2 },
+    {
+        arbitrary: arbitraryAction("withdrawServer", { server: slot, after: fc.integer({ min: 3_300, max: 9_000 }) }),
+        weight: 1,
+    },
+    { arbitrary: arbitraryAction("takeUp", { caller: fc.nat(30), gateway: slot }), weight: 3 },
+);
+
+/**
+ * Generates schedules of up to `steps` steps, in which engines write streams with neither a length nor chunks and crash, leave
+ * and start again at their addresses, also while a supervisor keeps their listeners.
+ */
+export function unframedSchedules(steps: number): fc.Arbitrary<PlatformSchedule> {
+    const unframedShare = fc.constantFrom(0.5, 1);
+    return fc.tuple(schedulesOf(unframedActions, steps), unframedShare)
+        .map(([schedule, share]) => ({ ...schedule, unframedShare: share }));
+}
+
 const deadlyDuration = fc.integer({ min: 4_000, max: 12_000 });
 const deadlyWork = fc.oneof(
     arbitraryAction("deadlyPart", { duration: deadlyDuration }),
@@ -686,6 +721,7 @@
     "crashServer",
     "restartServer",
     "restartInPlace",
+    "restartBehindListener",
     "replaceServer",
     "withdrawServer",
     "reuseAddress",
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -456,6 +456,26 @@
     ),
 ];
 
+/** Mutations that only schedules in which engines write streams without framing can find. */
+export const unframedMutations: readonly Mutation<GatewayInterceptors>[] = [
+    eventMutation(
+        "an unframed stream that has ended counts as complete",
+        ["whole_and_own_answer"],
+        event =>
+            event.kind === "streamEndChecked"
+                ? { ...event, report: { runs: [], isLeaving: false, startedAt: undefined } }
+                : event,
+    ),
+    eventMutation(
+        "any incarnation says whether an unframed stream is complete",
+        ["whole_and_own_answer"],
+        event =>
+            event.kind === "streamEndChecked" && event.report !== undefined
+                ? { ...event, report: { ...event.report, startedAt: undefined } }
+                : event,
+    ),
+];
+
 /** Mutations that only schedules in which servers ask for pauses can find. */
 export const pauseMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation(
--- a/packages/fuzz/src/platform/requestKinds.ts
+++ b/packages/fuzz/src/platform/requestKinds.ts
@@ -41,6 +41,9 @@
 /** Tokens of a run's memory that an engine transfers in a millisecond. */
 export const transferRate = 20;
 
+/** How old the report of an engine may be, in milliseconds, where it is not of the present. */
+const reportInterval = 300;
+
 /** Whether the answer is a stream of events. */
 export function isStreamed(kind: RequestOrProbeKind): boolean {
     return kind === "plan" || kind === "note";
@@ -61,6 +64,11 @@
     return isStreamed(kind) ? Math.ceil(tokens / tokensPerEvent) : 0;
 }
 
+/** The same plan of a backend server; an engine ends runs at their time limits, has old reports, and may frame no stream. */
+export function withOldReports(plan: ServerPlan, isUnframed: boolean): ServerPlan {
+    return plan.kind === "plain" ? plan : { ...plan, stopsAtTimeLimit: true, reportInterval, isUnframed };
+}
+
 /** The plan of a backend server of a service. */
 export function serverPlan(
     kind: ServerKind,
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -2,13 +2,14 @@
  * Runs one schedule on a platform in virtual time. When its steps are done, all faults end, and after a recovery time
  * the run checks what must hold without faults.
  */
-import { defaultOverlayShape, type OverlayShape, seededSource } from "@verbenaspring/coordination";
+import { defaultOverlayShape, type OverlayShape, type Random, seededSource } from "@verbenaspring/coordination";
 import {
     failureDomains,
     type GatewayInterceptors,
     operatorTopic,
     passThroughInterceptors,
     type ServerModel,
+    type ServerPlan,
     storeName,
     type VirtualGateway,
     VirtualPlatform,
@@ -48,6 +49,7 @@
     serverPlan,
     slowlyReadingEngines,
     tokensPerEvent,
+    withOldReports,
 } from "./requestKinds.js";
 import {
     buildConfiguration,
@@ -74,6 +76,8 @@
     overlay: { meshSize: 3, localRings: 1, bridgesPerDomain: 2, bridgeRings: 1 },
 };
 
+/** The numbers of the random sources beside that of the platform. */
+const [deletionSource, framingSource] = [1, 2];
 const warmUpTime: Milliseconds = 1_500;
 /** The time after the last fault. It is longer than any request and than a planned stop. */
 const recoveryTime: Milliseconds = 25_000;
@@ -134,6 +138,7 @@
 class ScheduleRun {
     private readonly platform: VirtualPlatform;
     private readonly engines: EngineProfile;
+    private readonly drawFraming: Random;
     private readonly oracle: PlatformOracle;
     private readonly versions: VersionOracle<VirtualGateway>;
     /** Ends the faults of earlier steps. */
@@ -157,6 +162,7 @@
     ) {
         const { seed, coldDuration, areEnginesSlow = false, beyondEndAnswer = "end", pageTiming } = schedule;
         this.engines = areEnginesSlow ? slowlyReadingEngines : defaultEngines;
+        this.drawFraming = seededSource(seed, framingSource).random;
         this.platform = new VirtualPlatform({
             seed,
             cold: coldDuration === undefined
@@ -212,9 +218,16 @@
         this.advance(warmUpTime);
     }
 
+    /** The plan of a backend server, whose streams may be unframed. */
+    private planServer(kind: ServerKind, id: string): ServerPlan {
+        const { unframedShare } = this.schedule;
+        const plan = serverPlan(kind, id, this.softwareVersion(), this.engines);
+        return unframedShare === undefined ? plan : withOldReports(plan, this.drawFraming() < unframedShare);
+    }
+
     private drawDeletions(): () => boolean {
         const { seed, deletedHistoryShare = 0 } = this.schedule;
-        const { random } = seededSource(seed, 1);
+        const { random } = seededSource(seed, deletionSource);
         return () => random() < deletedHistoryShare;
     }
 
@@ -765,6 +778,11 @@
                 this.forgetServer(id);
                 fleet.crash(id);
                 return clock.schedule(action.away, () => this.restartInPlace(id, address));
+            case "restartBehindListener":
+                this.recordServerFault(action.away);
+                this.forgetServer(id);
+                fleet.crash(id, action.away);
+                return clock.schedule(action.away, () => this.restartInPlace(id, address));
             case "replaceServer":
                 this.addServer(plan.kind);
                 return fleet.leave(id, action.after);
@@ -854,7 +872,7 @@
 
     private addServer(kind: ServerKind, address?: string): void {
         const id = `${kind}${++this.serverCount}`;
-        this.platform.fleet.add(serverPlan(kind, id, this.softwareVersion(), this.engines), address);
+        this.platform.fleet.add(this.planServer(kind, id), address);
     }
 
     /** The version of the servers that start now. */
