Soak: plan unframed

Engines write streams with neither a length nor chunks, crash while their addresses go on accepting connections, start again at once and are replaced, while gateways stop.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -17,7 +17,7 @@
             choices: Object.keys(soakPlans) as SoakPlanName[],
             default: "faults" as SoakPlanName,
             describe:
-                "all faults, overlapping planned stops and other planned operations only, links that fall behind, a store that loses what nobody acknowledged, one whose pages are of several moments, engines that break connections and work on, or gateways that stop one after the other while streams wait at engines",
+                "all faults, overlapping planned stops and other planned operations only, links that fall behind, a store that loses what nobody acknowledged, one whose pages are of several moments, engines that break connections and work on, engines that write streams without framing, or gateways that stop one after the other while streams wait at engines",
         },
         callers: { type: "number", default: 16, describe: "concurrent callers" },
         times: { type: "boolean", default: true, describe: "check time limits; turn this off on a busy machine" },
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -38,6 +38,8 @@
 
 /** The number of the random numbers that the store draws from, which no series of faults has. */
 const storeSource = 24;
+/** The number of the random numbers that decide which engines frame their streams. */
+const framingSource = 25;
 /** Milliseconds between the measurements of the lag of the soak's own event loop. */
 const lagInterval = 20;
 /** Milliseconds up to which a lag is not recorded. */
@@ -54,14 +56,16 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const { seed, seconds, gateways, callers: callerCount, checksTimeLimits, logFolder } = options;
     const plan: SoakPlan = soakPlans[options.plan ?? "faults"];
+    const { maxPageGap = 0, deletedHistoryShare = 0, unframedShare } = plan;
+    const { random: drawFraming } = seededSource(seed, framingSource);
     const world = await SoakWorld.start({
         gateways,
         engines: plan.engines,
         engineProfile: plan.engineProfile,
+        drawUnframed: unframedShare === undefined ? undefined : () => drawFraming() < unframedShare,
         checksTimeLimits,
         relaysPeerLinks: plan.relaysPeerLinks ?? false,
     });
-    const { maxPageGap = 0, deletedHistoryShare = 0 } = plan;
     const { random: drawStoreTimes } = seededSource(seed, storeSource);
     world.store.setPageTiming(() => ({ first: "records", gap: maxPageGap * drawStoreTimes() }));
     world.store.setHistoryDeletion(() => drawStoreTimes() < deletedHistoryShare);
--- a/packages/soak/src/soakFaults.ts
+++ b/packages/soak/src/soakFaults.ts
@@ -518,10 +518,13 @@
 /** The shortest and the longest time in milliseconds in which a replaced engine serves on. */
 const [minLeavingDuration, maxLeavingDuration] = [2_300, 5_300];
 
+function engines({ backendServers }: SoakWorld): readonly SoakBackendServer[] {
+    return backendServers.filter(({ standIn }) => standIn.plan.kind === "engine");
+}
+
 function replaceEngine(faults: SoakFaults, leave: "drain" | "withdraw"): void {
-    const engines = faults.world.backendServers.filter(({ standIn }) => standIn.plan.kind === "engine");
     const duration = minLeavingDuration + faults.random() * (maxLeavingDuration - minLeavingDuration);
-    replaceServer(faults, leave, faults.choose(engines), duration);
+    replaceServer(faults, leave, faults.choose(engines(faults.world)), duration);
 }
 
 /** Sends a signal to one of the gateways that already stop. */
@@ -669,6 +672,32 @@
     { name: "stop", perform: withGateway(stopGateway) },
 ];
 
+/** The longest time in milliseconds for which a crashed engine's address still accepts connections. */
+const maxListeningDuration = 800;
+
+/** An engine crashes, and its address accepts connections for a while. Another one replaces it. */
+function crashEngine(faults: SoakFaults): void {
+    const { world, random } = faults;
+    const crashed = faults.choose(engines(world));
+    world.oracle.faultRecord.recordProcessFault("workers", maxListeningDuration);
+    world.removeServer(crashed);
+    world.forgetServer(crashed.standIn.id);
+    void crashed.standIn.crash();
+    setTimeout(() => crashed.relay.close(), maxListeningDuration * random());
+    void world.addServer("engine");
+}
+
+function restartEngine(faults: SoakFaults): void {
+    faults.world.oracle.faultRecord.recordProcessFault("workers", 0);
+    void faults.world.restartInPlace(faults.choose(engines(faults.world)));
+}
+
+/** Engines that crash. Connections to their addresses are accepted all the while, as where a supervisor keeps the listeners. */
+export const engineCrashKinds: readonly Fault[] = [
+    { name: "crashEngine", perform: crashEngine },
+    { name: "restartEngine", perform: restartEngine },
+];
+
 /** Engines that leave, with and without a notice, and are replaced. */
 export const engineReplacementKinds: readonly Fault[] = [
     { name: "drainEngine", perform: faults => replaceEngine(faults, "drain") },
--- a/packages/soak/src/soakPlans.ts
+++ b/packages/soak/src/soakPlans.ts
@@ -17,6 +17,7 @@
     changeKinds,
     configurationKinds,
     detachedRunKinds,
+    engineCrashKinds,
     engineReplacementKinds,
     evacuationFaultKinds,
     faultKinds,
@@ -81,6 +82,8 @@
     readonly maxPageGap?: number;
     /** The share of the records with which the store deletes the history before any read gets them; 0 if absent. */
     readonly deletedHistoryShare?: number;
+    /** The share of the engines whose streams have neither a length nor chunks; if absent, none, and reports are new. */
+    readonly unframedShare?: number;
     /** Whether what gateways send each other passes through relays; false if absent. */
     readonly relaysPeerLinks?: boolean;
 }
@@ -253,6 +256,32 @@
         engineProfile: defaultEngines,
         isPlanned: false,
     },
+    /** Engines write streams with neither a length nor chunks, crash and start again, and are replaced, while gateways stop. */
+    unframed: {
+        series: [
+            { kinds: engineCrashKinds, minPause: 1_000, maxPause: 3_500, source: 26 },
+            { kinds: engineReplacementKinds, minPause: 2_000, maxPause: 5_000, source: 27 },
+            { kinds: stopKinds, minPause: 2_000, maxPause: 6_000, source: 28 },
+        ],
+        callers: {
+            kinds: ["plan", "plan", "plan", "note", "note", "lookup"],
+            leavingShare: 0.05,
+            probeShare: 0,
+            areBalanced: false,
+            drawSending: reuseConnections,
+            drawThinkTime: drawShortThinkTime,
+            drawSize: (kind, random) => ({
+                promptTokens,
+                length: isStreamed(kind) ? 1 + Math.floor(maxLongLength * random()) : 1,
+                timeLimit: 2_000 + Math.floor(routeTimeouts[kind] * random()),
+                statesLength: true,
+            }),
+        },
+        engines: 6,
+        engineProfile: defaultEngines,
+        isPlanned: false,
+        unframedShare: 0.8,
+    },
     /**
      * Gateways stop one after the other, so that their stops overlap and some have just started, while short streams with
      * long prompts wait at engines. More and more of them arrive at a time, so that earlier ones waited less than later ones do.
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -20,6 +20,7 @@
     type ServerKind,
     serverPlan,
     VersionOracle,
+    withOldReports,
 } from "@verbenaspring/fuzz";
 import {
     type BackendServerStandIn,
@@ -74,6 +75,8 @@
     readonly gateways: number;
     readonly engines: number;
     readonly engineProfile: EngineProfile;
+    /** Decides whether the streams of an engine are unframed; if undefined, none are, and reports are new. */
+    readonly drawUnframed: (() => boolean) | undefined;
     readonly checksTimeLimits: boolean;
     /** Whether what gateways send each other passes through relays. */
     readonly relaysPeerLinks: boolean;
@@ -120,6 +123,7 @@
     private constructor(
         store: PlatformStore,
         private readonly engineProfile: EngineProfile,
+        private readonly drawUnframed: (() => boolean) | undefined,
         checksTimeLimits: boolean,
     ) {
         this.store = store;
@@ -158,8 +162,8 @@
     }
 
     static async start(options: SoakWorldOptions): Promise<SoakWorld> {
-        const { engineProfile, checksTimeLimits } = options;
-        const world = new SoakWorld(await startPlatformStore(), engineProfile, checksTimeLimits);
+        const { engineProfile, drawUnframed, checksTimeLimits } = options;
+        const world = new SoakWorld(await startPlatformStore(), engineProfile, drawUnframed, checksTimeLimits);
         try {
             await world.startAll(options);
             return world;
@@ -295,8 +299,10 @@
 
     async addServer(kind: ServerKind, id = `${kind}${++this.serverCount}`): Promise<void> {
         let relay: FaultRelay | undefined;
+        const softwareVersion = softwareVersions[this.releaseCount % softwareVersions.length];
+        const plan = serverPlan(kind, id, softwareVersion, this.engineProfile);
         const standIn = await this.serverStandIns.start(
-            serverPlan(kind, id, softwareVersions[this.releaseCount % softwareVersions.length], this.engineProfile),
+            this.drawUnframed === undefined ? plan : withOldReports(plan, this.drawUnframed()),
             {
                 expose: async address => {
                     relay = await this.startRelay(address);
