--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -13,7 +13,7 @@
     type Route,
     type TopicRecord,
 } from "@verbenaspring/gateway";
-import { type ContentDigest, identifier, type Milliseconds } from "@verbenaspring/model";
+import { type AttemptId, type ContentDigest, identifier, type Milliseconds } from "@verbenaspring/model";
 import type { Mutation } from "../mutations.js";
 import type { PromiseName } from "../oracle.js";
 import { platformLimits } from "./limits.js";
@@ -456,22 +456,27 @@
     ),
 ];
 
+/** The start of the incarnation that an attempt was sent to. */
+function startOf({ attempts }: GatewayState, attemptId: AttemptId): number | undefined {
+    return attempts.get(attemptId)?.attempt?.server.record.startedAt;
+}
+
 /** Mutations that only schedules in which engines write streams without framing can find. */
 export const unframedMutations: readonly Mutation<GatewayInterceptors>[] = [
     eventMutation(
         "an unframed stream that has ended counts as complete",
         ["whole_and_own_answer"],
-        event =>
+        (event, state) =>
             event.kind === "streamEndChecked"
-                ? { ...event, report: { runs: [], isLeaving: false, startedAt: undefined } }
+                ? { ...event, report: { runs: [], isLeaving: false, startedAt: startOf(state, event.attemptId) } }
                 : event,
     ),
     eventMutation(
         "any incarnation says whether an unframed stream is complete",
         ["whole_and_own_answer"],
-        event =>
+        (event, state) =>
             event.kind === "streamEndChecked" && event.report !== undefined
-                ? { ...event, report: { ...event.report, startedAt: undefined } }
+                ? { ...event, report: { ...event.report, startedAt: startOf(state, event.attemptId) } }
                 : event,
     ),
 ];
