--- a/packages/bench/test/killedEnginesProcess.test.ts
+++ b/packages/bench/test/killedEnginesProcess.test.ts
@@ -54,6 +54,11 @@
     return { engine: child, port };
 }
 
+/** What the gateway learnt of the streams that it passed on as complete, for the message of a failure. */
+function checksIn({ gateways: [gateway] }: GatewayCluster): string {
+    return gateway.output().split("\n").filter(line => line.includes("verdict=complete")).join("\n");
+}
+
 /** Sends streams, calls `kill` once all have begun, and returns what callers got. */
 async function killUnderStreams(
     cluster: GatewayCluster,
@@ -83,7 +88,7 @@
             const { engine } = await startEngine(cluster, id);
             children.push(engine);
             const responses = await killUnderStreams(cluster, 60, () => void engine.kill("SIGKILL"));
-            assert.is(responses.filter(({ isComplete }) => isComplete).length, 0);
+            assert.is(responses.filter(({ isComplete }) => isComplete).length, 0, checksIn(cluster));
             cluster.store.put("keyed.servers", id, undefined);
             const line = `server=${id} change=removed`;
             await waitUntil(`${id} is gone`, () => cluster.gateways[0].output().includes(line));
@@ -124,7 +129,7 @@
                 engine = children[1];
                 children[0].kill("SIGKILL");
             });
-            assert.is(responses.filter(({ isComplete }) => isComplete).length, 0);
+            assert.is(responses.filter(({ isComplete }) => isComplete).length, 0, checksIn(cluster));
         }
         finally {
             children.forEach(child => child.kill("SIGKILL"));
@@ -146,7 +151,7 @@
             await waitUntil("the engine leaves", () => cluster.gateways[0].output().includes(line));
             engine.kill("SIGTERM");
         });
-        assert.is(responses.filter(({ isComplete }) => isComplete).length, 0);
+        assert.is(responses.filter(({ isComplete }) => isComplete).length, 0, checksIn(cluster));
     }
     finally {
         engine.kill("SIGKILL");
--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/streamEnds.ts
@@ -110,7 +110,7 @@
     endCheck.unanswered = report === undefined ? endCheck.unanswered + 1 : 0;
     const mayExit = report?.isLeaving === true || isLeaving(transaction.state, attempt.server);
     const verdict = judgeEnd(request, attempt, endCheck, { report, mayExit });
-    logDecision(transaction, verdict === "complete" ? "debug" : "info", "stream_end_checked", {
+    logDecision(transaction, "info", "stream_end_checked", {
         ...requestFields(transaction, request),
         server: attempt.server.record.id,
         attempt: attempt.id,
