--- a/packages/emulator/src/virtualGateway.ts
+++ b/packages/emulator/src/virtualGateway.ts
@@ -224,11 +224,11 @@
                     report => this.handleEvent({ kind: "serverProbed", backendServer, startedAt, report }),
                 );
             }
-            case "checkStreamEnd": {
+            case "checkAnswerEnd": {
                 const { attemptId } = effect;
                 return this.probe(
                     effect,
-                    report => this.handleEvent({ kind: "streamEndChecked", attemptId, report }),
+                    report => this.handleEvent({ kind: "answerEndChecked", attemptId, report }),
                 );
             }
             case "migrateRun":
--- a/packages/fuzz/src/platform/mutations.ts
+++ b/packages/fuzz/src/platform/mutations.ts
@@ -467,7 +467,7 @@
         "an unframed stream that has ended counts as complete",
         ["whole_and_own_answer"],
         (event, state) =>
-            event.kind === "streamEndChecked"
+            event.kind === "answerEndChecked"
                 ? { ...event, report: { runs: [], isLeaving: false, startedAt: startOf(state, event.attemptId) } }
                 : event,
     ),
@@ -475,7 +475,7 @@
         "any incarnation says whether an unframed stream is complete",
         ["whole_and_own_answer"],
         (event, state) =>
-            event.kind === "streamEndChecked" && event.report !== undefined
+            event.kind === "answerEndChecked" && event.report !== undefined
                 ? { ...event, report: { ...event.report, startedAt: startOf(state, event.attemptId) } }
                 : event,
     ),
--- a/packages/gateway/src/streamEnds.ts
+++ b/packages/gateway/src/answerEnds.ts
@@ -17,7 +17,7 @@
 import { type Attempt, type GatewayRequest, type GatewayState, serverEndsAt } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
-type StreamEndChecked = Extract<GatewayEvent, { readonly kind: "streamEndChecked"; }>;
+type AnswerEndChecked = Extract<GatewayEvent, { readonly kind: "answerEndChecked"; }>;
 
 /** The check of an answer whose channel has ended. */
 export interface EndCheck {
@@ -94,7 +94,7 @@
     endCheck.askedAt = now;
     endCheck.nextAt = undefined;
     const { id: backendServer, address } = server.record;
-    effects.push({ kind: "checkStreamEnd", attemptId: id, backendServer, address, ...serverChecks });
+    effects.push({ kind: "checkAnswerEnd", attemptId: id, backendServer, address, ...serverChecks });
 }
 
 /** Handles an answer of the server, or that none came. Returns what it says of the stream. */
@@ -103,14 +103,14 @@
     request: GatewayRequest,
     attempt: Attempt,
     endCheck: EndCheck,
-    { report: answer }: StreamEndChecked,
+    { report: answer }: AnswerEndChecked,
 ): EndVerdict {
     const { now } = transaction;
     const report = answer !== undefined && isByIncarnation(attempt, answer) ? answer : undefined;
     endCheck.unanswered = report === undefined ? endCheck.unanswered + 1 : 0;
     const mayExit = report?.isLeaving === true || isLeaving(transaction.state, attempt.server);
     const verdict = judgeEnd(request, attempt, endCheck, { report, mayExit });
-    logDecision(transaction, "info", "stream_end_checked", {
+    logDecision(transaction, "info", "answer_end_checked", {
         ...requestFields(transaction, request),
         server: attempt.server.record.id,
         attempt: attempt.id,
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -11,6 +11,7 @@
 } from "@verbenaspring/coordination";
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
 import { recordAbandonedRun } from "./abandonedRuns.js";
+import { continueEndCheck, endsUnframed, endsWithTimeLimit, startEndCheck } from "./answerEnds.js";
 import { recordColdStatement } from "./coldServers.js";
 import { failSuspended, recordBegunRun, recordLostRun, suspensionOf } from "./crashSuspects.js";
 import type { AttemptFailure, GatewayEvent } from "./event.js";
@@ -28,7 +29,6 @@
 import { recordServerPause } from "./serverPauses.js";
 import { checkSilentAttempt, returnToSilentAttempt, setSilentAttemptAside } from "./silentAttempts.js";
 import { type Attempt, endsAt, type GatewayRequest } from "./state.js";
-import { continueEndCheck, endsUnframed, endsWithTimeLimit, startEndCheck } from "./streamEnds.js";
 import { logPart } from "./streamParts.js";
 import { continueFromReplica, passOnWhole } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
--- a/packages/gateway/src/effect.ts
+++ b/packages/gateway/src/effect.ts
@@ -11,11 +11,11 @@
     PeerAddress,
     RequestId,
 } from "@verbenaspring/model";
+import type { ServerChecks } from "./answerEnds.js";
 import type { TopicName } from "./event.js";
 import type { BackendAnswer, BackendCall, ResponseHead, StreamEvent } from "./messages.js";
 import type { PeerReport } from "./peerReport.js";
 import type { CallerLimits } from "./routingConfiguration.js";
-import type { ServerChecks } from "./streamEnds.js";
 import type { BaseVersion, StreamRecord } from "./streamRegister.js";
 
 /** The log fields of a decision. */
@@ -62,7 +62,7 @@
      * answer to a health check, which tells only that it runs.
      */
     | ServerChecks & {
-        readonly kind: "checkStreamEnd";
+        readonly kind: "checkAnswerEnd";
         readonly attemptId: AttemptId;
         readonly backendServer: BackendServerId;
         readonly address: string;
--- a/packages/gateway/src/event.ts
+++ b/packages/gateway/src/event.ts
@@ -127,7 +127,7 @@
     | { readonly kind: "streamEnded"; readonly attemptId: AttemptId; }
     /** The server of an answer whose channel had ended was asked for its report, which is undefined if it did not answer. */
     | {
-        readonly kind: "streamEndChecked";
+        readonly kind: "answerEndChecked";
         readonly attemptId: AttemptId;
         readonly report: ServerReport | undefined;
     }
--- a/packages/gateway/src/reducer.ts
+++ b/packages/gateway/src/reducer.ts
@@ -5,6 +5,7 @@
 import type { RandomSource } from "@verbenaspring/coordination";
 import type { Milliseconds } from "@verbenaspring/model";
 import { checkAbandonedRuns } from "./abandonedRuns.js";
+import { endsUnframed, findCheckedAttempt } from "./answerEnds.js";
 import { checkRequests, handleAnswer, handleAttemptFailed } from "./attempts.js";
 import { updateColdServers } from "./coldServers.js";
 import { forgetSuspects } from "./crashSuspects.js";
@@ -30,7 +31,6 @@
 import { endServerPauses } from "./serverPauses.js";
 import { type AttemptEvent, settleSilentAttempt } from "./silentAttempts.js";
 import type { GatewayState } from "./state.js";
-import { endsUnframed, findCheckedAttempt } from "./streamEnds.js";
 import {
     checkStreamRegister,
     handleBaseVersionWritten,
@@ -38,7 +38,7 @@
     handleStreamRegisterReadFailed,
     handleStreamsRecorded,
 } from "./streamRegister.js";
-import { handleStreamEndChecked, handleStreamEnded, handleStreamEvents, handleStreamOpened } from "./streams.js";
+import { handleAnswerEndChecked, handleStreamEnded, handleStreamEvents, handleStreamOpened } from "./streams.js";
 import { logDecision, type Transaction } from "./transaction.js";
 import { checkWaitingRequests } from "./waiting.js";
 
@@ -96,8 +96,8 @@
             return;
         case "serverProbed":
             return handleServerProbed(transaction, event);
-        case "streamEndChecked":
-            return handleStreamEndChecked(transaction, event);
+        case "answerEndChecked":
+            return handleAnswerEndChecked(transaction, event);
         case "attemptAnswered":
         case "attemptFailed":
         case "streamOpened":
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -10,6 +10,7 @@
 } from "@verbenaspring/coordination";
 import { identifier, type Milliseconds, type ServiceName } from "@verbenaspring/model";
 import { mayStillRunAt, stopAbandonedRuns } from "./abandonedRuns.js";
+import { serverChecksOf } from "./answerEnds.js";
 import type { BackendServer } from "./backendServers.js";
 import { coldShareAt, isCold, spendColdRequest, timeUntilWithinColdRate } from "./coldServers.js";
 import { failSuspended, suspensionOf } from "./crashSuspects.js";
@@ -45,7 +46,6 @@
     priorityOf,
     serverEndsAt,
 } from "./state.js";
-import { serverChecksOf } from "./streamEnds.js";
 import { startPart } from "./streamParts.js";
 import { canContinue, type StreamOrigin } from "./streamVersions.js";
 import { logDecision, type Transaction } from "./transaction.js";
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -14,6 +14,7 @@
     ServiceName,
 } from "@verbenaspring/model";
 import type { AbandonedRun } from "./abandonedRuns.js";
+import type { EndCheck, ServerChecks } from "./answerEnds.js";
 import type { BackendServer, BackendView } from "./backendServers.js";
 import { type ColdServers, createColdServers } from "./coldServers.js";
 import { type CrashSuspects, createCrashSuspects } from "./crashSuspects.js";
@@ -35,7 +36,6 @@
 import type { Organisation, Route, RoutingConfiguration } from "./routingConfiguration.js";
 import type { RunLedger } from "./runLedger.js";
 import type { SilentAttempt } from "./silentAttempts.js";
-import type { EndCheck, ServerChecks } from "./streamEnds.js";
 import type { StreamPart } from "./streamParts.js";
 import { createStreamRegister, type StreamRegister } from "./streamRegister.js";
 import type { StreamOrigin } from "./streamVersions.js";
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -3,6 +3,7 @@
  * continues after the last event: from the replica of its memory or, where the route allows it, as a new run.
  */
 import type { AttemptId, Milliseconds } from "@verbenaspring/model";
+import { endsWithTimeLimit, findCheckedAttempt, handleEndReport, startEndCheck } from "./answerEnds.js";
 import {
     type AttemptOutcome,
     classifyAnswer,
@@ -30,12 +31,11 @@
 import { engineOf, recordEventLoad } from "./serverLoad.js";
 import { endSilentAttempt } from "./silentAttempts.js";
 import { type Attempt, type GatewayRequest, type GatewayState, type HeldEvents, type LostRun } from "./state.js";
-import { endsWithTimeLimit, findCheckedAttempt, handleEndReport, startEndCheck } from "./streamEnds.js";
 import { recordPartEvent } from "./streamParts.js";
 import { holdUntilRecorded } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
 
-type StreamEndChecked = Extract<GatewayEvent, { readonly kind: "streamEndChecked"; }>;
+type AnswerEndChecked = Extract<GatewayEvent, { readonly kind: "answerEndChecked"; }>;
 
 /** What one stream may keep: a thousand events of ordinary size. */
 const maximumHeldBytes = 512 * 1024;
@@ -279,7 +279,7 @@
 }
 
 /** Handles what the server of an answer without framing says after its channel has ended. */
-export function handleStreamEndChecked(transaction: Transaction, event: StreamEndChecked): void {
+export function handleAnswerEndChecked(transaction: Transaction, event: AnswerEndChecked): void {
     const checked = findCheckedAttempt(transaction, event.attemptId);
     if (checked === undefined) {
         return;
--- a/packages/gateway/test/streamEnds.test.ts
+++ b/packages/gateway/test/answerEnds.test.ts
@@ -26,7 +26,7 @@
 }
 
 function checksIn(effects: readonly GatewayEffect[]): number {
-    return effects.filter(({ kind }) => kind === "checkStreamEnd").length;
+    return effects.filter(({ kind }) => kind === "checkAnswerEnd").length;
 }
 
 test("an unframed stream is complete once its server, which goes on, does not list its run", () => {
@@ -45,9 +45,9 @@
 /** Answers the check in the same way until it is not repeated at the next tick, and returns the last effects. */
 function answerChecks(gateway: TestGateway, call: BackendCall, answer: ServerReport | undefined): GatewayEffect[] {
     const { attemptId } = call;
-    let effects = gateway.handle({ kind: "streamEndChecked", attemptId, report: answer });
+    let effects = gateway.handle({ kind: "answerEndChecked", attemptId, report: answer });
     while (checksIn(gateway.advance(50)) > 0) {
-        effects = gateway.handle({ kind: "streamEndChecked", attemptId, report: answer });
+        effects = gateway.handle({ kind: "answerEndChecked", attemptId, report: answer });
     }
     return effects;
 }
@@ -63,7 +63,7 @@
         );
         assert.ok(kindsIn(effects).includes("answerCut"));
         assert.not.ok(kindsIn(effects).includes("answerEnd"));
-        assert.is(linesIn(effects, "stream_end_checked")[0].verdict, "cut");
+        assert.is(linesIn(effects, "answer_end_checked")[0].verdict, "cut");
         assert.ok(gateway.now - since <= 150);
     }
 });
@@ -114,7 +114,7 @@
             const { gateway, call, call: { attemptId } } = endedStream();
             leave(gateway, how);
             const answer = report(call, { isLeaving: how === "report" });
-            assert.is(linesIn(gateway.reportEnd(attemptId, answer), "stream_end_checked")[0].verdict, "unknown", how);
+            assert.is(linesIn(gateway.reportEnd(attemptId, answer), "answer_end_checked")[0].verdict, "unknown", how);
             assert.is(checksIn(gateway.advance(900)), 0, how);
             assert.is(checksIn(gateway.advance(100)), 1, how);
             const effects = answerChecks(gateway, call, isUpLater ? answer : undefined);
@@ -161,7 +161,7 @@
     gateway.openStream(call, { endsWithChannel: true });
     gateway.configure(configuration(2, { services: new Map() }));
     const effects = gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
-    assert.equal(effects.flatMap(effect => effect.kind === "checkStreamEnd" ? [effect.hasReport] : []), [true]);
+    assert.equal(effects.flatMap(effect => effect.kind === "checkAnswerEnd" ? [effect.hasReport] : []), [true]);
 });
 
 // A report that was handled late counted as one that was made late.
@@ -187,7 +187,7 @@
 test("a complete unframed stream is not cut because two calls for a report fail within a millisecond", () => {
     const { gateway, call: { attemptId }, call } = endedStream();
     for (let calls = 0; calls < 2; calls++) {
-        const effects = gateway.handle({ kind: "streamEndChecked", attemptId, report: undefined });
+        const effects = gateway.handle({ kind: "answerEndChecked", attemptId, report: undefined });
         assert.not.ok(kindsIn(effects).includes("answerCut"));
     }
     gateway.advance(250);
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -284,7 +284,7 @@
         attemptId: AttemptId,
         report: ServerReport | undefined = { runs: [], isLeaving: false, startedAt: undefined },
     ): GatewayEffect[] {
-        return this.handle({ kind: "streamEndChecked", attemptId, report });
+        return this.handle({ kind: "answerEndChecked", attemptId, report });
     }
 
     /** Answers the step of a migration that is under way, or a request to stop a run that was left. */
--- a/packages/gateway/test/streamWorld.ts
+++ b/packages/gateway/test/streamWorld.ts
@@ -409,11 +409,11 @@
                 return this.move(gateway, effect);
             case "callStreamRegister":
                 return this.callRegister(gateway, effect.call);
-            case "checkStreamEnd":
+            case "checkAnswerEnd":
                 return this.ask(effect.address, report =>
                     this.perform(
                         gateway,
-                        gateway.handle({ kind: "streamEndChecked", attemptId: effect.attemptId, report }),
+                        gateway.handle({ kind: "answerEndChecked", attemptId: effect.attemptId, report }),
                     ));
             case "probeServer": {
                 const { backendServer, startedAt } = effect;
--- a/packages/gateway/test/wholeAnswerEnds.test.ts
+++ b/packages/gateway/test/wholeAnswerEnds.test.ts
@@ -36,7 +36,7 @@
 }
 
 function checksIn(effects: readonly GatewayEffect[]) {
-    return effects.filter(effect => effect.kind === "checkStreamEnd");
+    return effects.filter(effect => effect.kind === "checkAnswerEnd");
 }
 
 function cancelledIn(effects: readonly GatewayEffect[]): string[] {
@@ -49,7 +49,7 @@
 
 /** Answers the check as often as it is made, with no answer of the server. */
 function failChecks(gateway: TestGateway, { attemptId }: BackendCall): GatewayEffect[] {
-    const handle = (): GatewayEffect[] => gateway.handle({ kind: "streamEndChecked", attemptId, report: undefined });
+    const handle = (): GatewayEffect[] => gateway.handle({ kind: "answerEndChecked", attemptId, report: undefined });
     for (let failures = 1; failures < 3; failures++) {
         handle();
         assert.is(checksIn(gateway.advance(50)).length, 1);
@@ -78,7 +78,7 @@
     assert.ok(kindsIn(effects).includes("answerFailure"));
     assert.not.ok(kindsIn(effects).includes("answerWhole"));
     assert.equal(cancelledIn(effects), [call.attemptId]);
-    assert.is(linesIn(effects, "stream_end_checked")[0].verdict, "cut");
+    assert.is(linesIn(effects, "answer_end_checked")[0].verdict, "cut");
 });
 
 test("an idempotent call whose unframed answer may be a part of it is sent to another server", () => {
--- a/packages/runtime/src/gatewayRunner.ts
+++ b/packages/runtime/src/gatewayRunner.ts
@@ -70,7 +70,7 @@
     return peerEffects.has(effect.kind);
 }
 
-type ProbeEffect = Extract<GatewayEffect, { readonly kind: "probeServer" | "checkStreamEnd"; }>;
+type ProbeEffect = Extract<GatewayEffect, { readonly kind: "probeServer" | "checkAnswerEnd"; }>;
 
 /** What is kept of a request's arrival, for the metrics of its answer. */
 interface RequestArrival {
@@ -200,7 +200,7 @@
             case "closeIdleChannels":
                 return this.channels.closeIdle(effect.address);
             case "probeServer":
-            case "checkStreamEnd":
+            case "checkAnswerEnd":
                 void this.probe(effect).then(report => this.events.push(toProbed(effect, report)));
                 return;
             case "readTopic":
@@ -432,10 +432,10 @@
     private async probe(effect: ProbeEffect): Promise<ServerReport | undefined> {
         const { address, backendServer, hasReport } = effect;
         if (hasReport) {
-            const onlyServer = effect.kind === "checkStreamEnd" ? effect.backendServer : undefined;
+            const onlyServer = effect.kind === "checkAnswerEnd" ? effect.backendServer : undefined;
             return this.adapter.readReport(address, probeTimeout, onlyServer);
         }
-        const path = effect.kind === "checkStreamEnd" ? effect.healthCheckPath : undefined;
+        const path = effect.kind === "checkAnswerEnd" ? effect.healthCheckPath : undefined;
         const hasAnswered = path === undefined
             ? this.channels.canConnect(address)
             : this.adapter.checkHealth(address, backendServer, path, probeTimeout);
@@ -471,8 +471,8 @@
 }
 
 function toProbed(effect: ProbeEffect, report: ServerReport | undefined): GatewayEvent {
-    if (effect.kind === "checkStreamEnd") {
-        return { kind: "streamEndChecked", attemptId: effect.attemptId, report };
+    if (effect.kind === "checkAnswerEnd") {
+        return { kind: "answerEndChecked", attemptId: effect.attemptId, report };
     }
     const { backendServer, startedAt } = effect;
     return { kind: "serverProbed", backendServer, startedAt, report };
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -203,7 +203,7 @@
     harness.channels.close();
 });
 
-// Whether it is complete is for the gateway to decide (streamEnds.test.ts).
+// Whether it is complete is for the gateway to decide (answerEnds.test.ts).
 test("a stream that only the channel's close ends is reported as ended, also if its server is gone then", async () => {
     const { address, server } = await listenRaw(socket => {
         server.close();
