End checks: a health check states no start

Callers of plain services whose servers state their start would have lost each answer without framing: asks a report for the start that the record states, and counted the answer to a health check, which has none, as none. Found at the read-through; the new test of wholeAnswerEnds failed before. Only reports are asked for a start.

--- a/packages/gateway/src/answerEnds.ts
+++ b/packages/gateway/src/answerEnds.ts
@@ -97,7 +97,7 @@
     effects.push({ kind: "checkAnswerEnd", attemptId: id, backendServer, address, ...serverChecks });
 }
 
-/** Handles an answer of the server, or that none came. Returns what it says of the stream. */
+/** Handles an answer of the server, or that none came. Returns what it says of the request's answer. */
 export function handleEndReport(
     transaction: Transaction,
     request: GatewayRequest,
@@ -138,9 +138,13 @@
     return verdict;
 }
 
-/** Whether an answer tells of an incarnation: it is no refusal, and states a start if the server's record does. */
-function isByIncarnation({ server }: Attempt, { isRefused, startedAt }: ServerReport): boolean {
-    return isRefused !== true && (startedAt !== undefined || server.record.startedAt === undefined);
+/**
+ * Whether an answer tells of an incarnation: it is no refusal, and a report states a start if the server's record does. A
+ * health check tells of none.
+ */
+function isByIncarnation({ server, serverChecks }: Attempt, { isRefused, startedAt }: ServerReport): boolean {
+    const lacksStart = serverChecks.hasReport && startedAt === undefined && server.record.startedAt !== undefined;
+    return isRefused !== true && !lacksStart;
 }
 
 /** What is known of a server once it was asked. */
--- a/packages/gateway/test/wholeAnswerEnds.test.ts
+++ b/packages/gateway/test/wholeAnswerEnds.test.ts
@@ -23,10 +23,10 @@
 }
 
 /** A gateway with a call whose answer has ended with its channel, and whose server is asked. */
-function endedAnswer(routeName: string, overrides: Partial<BackendAnswer> = {}) {
+function endedAnswer(routeName: string, overrides: Partial<BackendAnswer> = {}, startedAt?: number) {
     const gateway = TestGateway.serving(
-        server("plain-1"),
-        server("plain-2"),
+        server("plain-1", { startedAt }),
+        server("plain-2", { startedAt }),
         server("engine-1", { startedAt: 5 }),
     );
     gateway.configure(withHealthChecks());
@@ -72,6 +72,13 @@
     }
 });
 
+// The answer to a health check states no start.
+test("an unframed whole answer of a plain server whose record states its start is passed on once the server has answered", () => {
+    const { gateway, call } = endedAnswer("confirm", {}, 5);
+    const report = { runs: undefined, isLeaving: false, startedAt: undefined };
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report)).includes("answerWhole"));
+});
+
 test("an unframed whole answer whose server does not answer three times is not passed on", () => {
     const { gateway, call } = endedAnswer("confirm");
     const effects = failChecks(gateway, call);
