--- a/packages/gateway/src/peerConfigurations.ts
+++ b/packages/gateway/src/peerConfigurations.ts
@@ -15,10 +15,9 @@
     readonly version: number;
     readonly lackingSince: Milliseconds;
     sends: number;
-    sentAt: Milliseconds;
 }
 
-/** The shortest time between two reports of the same configuration to a peer that lacks it; one may be under way. */
+/** The shortest time between two reports of a configuration to a peer that lacks it; one may be under way. */
 const resendInterval: Milliseconds = 500;
 /** A link loses no report, so a peer that still lacks a configuration after so many can't use it. */
 const maximumSends = 2;
@@ -66,16 +65,16 @@
     if (configuration === undefined || configurationDelivery?.version === configuration.version) {
         return configurationDelivery;
     }
-    return { version: configuration.version, lackingSince: now, sends: 0, sentAt: -Infinity };
+    return { version: configuration.version, lackingSince: now, sends: 0 };
 }
 
 /** Whether this gateway is to send the configuration in force now: all that have it may see at once that the peer lacks it. */
 function isSendDue(
     { peers, options }: GatewayState,
-    { address, configurationDelivery: delivery }: Peer,
+    { address, configurationDelivery: delivery, configurationSentAt }: Peer,
     now: Milliseconds,
 ): boolean {
-    if (delivery === undefined || delivery.sends >= maximumSends || now - delivery.sentAt < resendInterval) {
+    if (delivery === undefined || delivery.sends >= maximumSends || now - configurationSentAt < resendInterval) {
         return false;
     }
     const others = [...peers.values()].filter(({ link, configurationVersion = -Infinity }) =>
@@ -109,7 +108,7 @@
     peer.isConfigurationDue = false;
     if (isDue && peer.configurationDelivery !== undefined) {
         peer.configurationDelivery.sends++;
-        peer.configurationDelivery.sentAt = now;
+        peer.configurationSentAt = now;
     }
     return {
         ...configuration !== undefined && { configurationVersion: configuration.version },
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -201,6 +201,7 @@
     peer.configurationVersion = undefined;
     peer.isConfigurationDue = false;
     peer.configurationDelivery = undefined;
+    peer.configurationSentAt = -Infinity;
     peer.sentReads = noReads;
     peer.pending.clear();
     peer.pending.add(state.options.peerAddress);
@@ -244,6 +245,7 @@
         configurationVersion: undefined,
         isConfigurationDue: false,
         configurationDelivery: undefined,
+        configurationSentAt: -Infinity,
         sentReads: noReads,
     };
     state.peers.set(address, peer);
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -355,6 +355,8 @@
     isConfigurationDue: boolean;
     /** How the configuration in force is sent to it on this link, while it lacks it. */
     configurationDelivery: ConfigurationDelivery | undefined;
+    /** When one was last sent to it. */
+    configurationSentAt: Milliseconds;
     /** The newest read of each topic that was reported to it on this link. */
     sentReads: Readonly<Record<TopicName, TopicReadStamp | undefined>>;
 }
