--- a/packages/bench/test/frozenPlainServersProcess.test.ts
+++ b/packages/bench/test/frozenPlainServersProcess.test.ts
@@ -14,7 +14,7 @@
 
 /** Starts a server with a listener of its own, and waits until the gateway knows it. */
 async function startServer(cluster: GatewayCluster, id: string, service: string): Promise<ChildProcess> {
-    const words = ["--import", "tsx", program, "1000", id];
+    const words = ["--import", "tsx", program, id, "1000"];
     const child = spawn(process.execPath, words, { stdio: ["ignore", "pipe", "inherit"] });
     const [port] = await once(child.stdout, "data") as [Buffer];
     const address = `127.0.0.1:${Number(String(port))}`;
