--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -1,46 +1,46 @@
 /**
- * A stand-in for a model worker: streams of events, `GET /report`, and crashes. Its streams have no length and end with
- * their channels, or are sent in chunks. Beyond its slots, requests wait in a queue, and while that is half as long
- * as the slots are many, further channels are reset.
+ * A stand-in for a model worker: streams of events and `GET /report`. Its streams have no length and end with their channels,
+ * or are sent in chunks. No other worker has room for the memory of its runs.
  */
 import { createServer } from "node:net";
 
-const eventText = (id, number) => `id: ${number}\ndata: ${id}/${number}\n\n`;
+const eventText = (id, number, idOf) => `id: ${idOf(number)}\ndata: ${id}/${number}\n\n`;
 
-/** The whole body of a stream. */
+/** The whole body of a stream whose ids count its events. */
 export const streamOf = (id, events) =>
-    Array.from({ length: events }, (_, index) => eventText(id, index + 1)).join("");
+    Array.from({ length: events }, (_, index) => eventText(id, index + 1, number => number)).join("");
 
-/** Starts a worker under an id. `observe` is told what it does. */
-export async function startEngine(instance, { events, eventMs, isChunked = false, slots = Infinity }, observe) {
-    let born = Date.now();
-    let runs = new Map();
+/**
+ * Starts a worker under an id. `observe` is told what it does.
+ *
+ * `idOf` gives the id of an event from its number; by default the number itself.
+ */
+export async function startEngine(instance, { events, eventMs, isChunked = false, idOf = number => number }, observe) {
+    const runs = new Map();
     const sockets = new Set();
     /** Ends the run of a channel that closes. */
     const endRunsOf = new Map();
-    const queue = [];
-    const startNext = () => {
-        while (runs.size < slots && queue.length > 0) {
-            const { socket, id } = queue.shift();
-            if (!socket.destroyed) {
-                stream(socket, id);
-            }
-        }
-    };
-    const stream = (socket, id) => {
-        const run = { made: 0, timer: undefined };
+    /** The number of the event with an id; 0 without one. */
+    const numberOf = last =>
+        Array.from({ length: events }, (_, index) => idOf(index + 1)).filter(id => id <= Number(last)).length;
+    const stream = (socket, id, last) => {
+        const run = { made: numberOf(last), timer: undefined };
+        const endRun = () => {
+            clearInterval(run.timer);
+            runs.delete(id);
+        };
         runs.set(id, run);
-        observe(`runs ${id}`);
+        endRunsOf.set(socket, endRun);
+        observe(`runs ${id}${run.made > 0 ? ` after event ${run.made}` : ""}`);
         socket.write(`HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: ${id}\r\n`
             + `Response-Seal: seal.${id}\r\nWeight-Versions: 1\r\n`
             + `${isChunked ? "Transfer-Encoding: chunked" : "Connection: close"}\r\n\r\n`);
         run.timer = setInterval(() => {
             run.made++;
-            const text = eventText(id, run.made);
+            const text = eventText(id, run.made, idOf);
             socket.write(isChunked ? `${text.length.toString(16)}\r\n${text}\r\n` : text);
-            if (run.made === events) {
-                clearInterval(run.timer);
-                runs.delete(id);
+            if (run.made >= events) {
+                endRun();
                 if (isChunked) {
                     socket.write("0\r\n\r\n");
                 }
@@ -48,14 +48,8 @@
                     socket.end();
                 }
                 observe(`has ended ${id}, all ${events} events sent`);
-                startNext();
             }
         }, eventMs);
-        endRunsOf.set(socket, () => {
-            clearInterval(run.timer);
-            runs.delete(id);
-            startNext();
-        });
     };
     const handle = (socket, head) => {
         const [requestLine, ...lines] = head.split("\r\n");
@@ -75,26 +69,21 @@
         }
         if (method === "GET" && path === "/report") {
             return reply("200 OK", {
-                born, phase: "colocated", modelList: [{ name: "m", version: 1, loras: [] }], busy: false, sequence: 0,
-                waiting: queue.length, running: runs.size, kvUsage: 0, kvSize: 34_609, handleList: 0, state: "ready",
+                phase: "colocated", modelList: [{ name: "m", version: 1, loras: [] }], busy: false, sequence: 0,
+                waiting: 0, running: runs.size, kvUsage: 0, kvSize: 34_609, handleList: 0, state: "ready",
                 runs: [...runs].map(([id, { made }]) => [id, 100 + 4 * made, made, 5]),
             });
         }
         if (method === "GET") {
             return reply("200 OK");
         }
-        if (path === "/kv-move" || path === "/hold-take" || path.startsWith("/kv-")) {
-            return reply("404 Not Found");
+        if (path === "/kv-move") {
+            observe("is asked to move a run, and finds no room elsewhere");
+            return reply("503 Service Unavailable", {});
         }
-        queue.push({ socket, id: fields["attempt-id"] });
-        startNext();
+        stream(socket, fields["attempt-id"], fields["last-event-id"] ?? -1);
     };
     const server = createServer({ noDelay: true }, socket => {
-        if (queue.length >= slots / 2) {
-            observe(`resets a channel beyond ${sockets.size}, since ${queue.length} requests wait`);
-            socket.resetAndDestroy();
-            return;
-        }
         sockets.add(socket);
         let text = "";
         socket.on("error", () => undefined);
@@ -117,25 +106,10 @@
             }
         });
     });
-    const listen = port => new Promise(resolve => server.listen(port, "127.0.0.1", resolve));
-    await listen(0);
-    const { port } = server.address();
+    await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
     return {
-        address: `127.0.0.1:${port}`,
-        born: () => born,
-        /** The process ends: all its channels are closed, and nothing listens. */
-        crash: () => {
-            sockets.forEach(socket => socket.resetAndDestroy());
-            server.close();
-            observe("crashes");
-        },
-        /** It starts again under its id, and knows nothing of before. */
-        restart: async () => {
-            runs = new Map();
-            born = Date.now();
-            await listen(port);
-            observe(`starts again, born ${born}`);
-        },
+        address: `127.0.0.1:${server.address().port}`,
+        /** Ends the worker: its channels are closed, and nothing listens. */
         close: () => {
             sockets.forEach(socket => socket.destroy());
             server.close();
