--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -32,15 +32,39 @@
     const [leaving, staying] = [await start("i-1"), await start("i-2")];
     world.configure(1, {
         routes: [{
-            name: "plan", hostname: "clinic.example", pathPrefix: "/plan/", routeType: "streaming", timeoutMs: 39_000,
-            targetLatencyMs: 1_800, priority: 1, service: "llm", maxAttempts: 1, public: false, sessionAffinity: true,
-            streamResume: false, itlTargetMs: 180,
+            name: "plan",
+            hostname: "clinic.example",
+            pathPrefix: "/plan/",
+            routeType: "streaming",
+            timeoutMs: 39_000,
+            targetLatencyMs: 1_800,
+            priority: 1,
+            service: "llm",
+            maxAttempts: 1,
+            public: false,
+            sessionAffinity: true,
+            streamResume: false,
+            itlTargetMs: 180,
         }],
         services: [{
-            name: "llm", healthCheckPath: "/healthz", maxConnections: 572, protocol: "h1", tls: false,
+            name: "llm",
+            healthCheckPath: "/healthz",
+            maxConnections: 572,
+            protocol: "h1",
+            tls: false,
             backend: {
-                slots: 96, kvCapacity: 34_609, kvBytes: 18_432, linkMbps: 2_700, migrations: true, replicas: true, stride: 4,
-                most: 12, pinMs: 4_000, holdMs: 2_000, handleTtlS: 5, modelList: [{ name: "m" }],
+                slots: 96,
+                kvCapacity: 34_609,
+                kvBytes: 18_432,
+                linkMbps: 2_700,
+                migrations: true,
+                replicas: true,
+                stride: 4,
+                most: 12,
+                pinMs: 4_000,
+                holdMs: 2_000,
+                handleTtlS: 5,
+                modelList: [{ name: "m" }],
             },
         }],
     });
@@ -55,13 +79,19 @@
             path: "/plan/1",
             id,
             headers: {
-                "Deadline-Ms": "39000", "Model": "m", "Token-Usage": "100,400", "Length-Hint": "8", "Prefix-Hash": `5c1e07a2:60,${id}:40`,
+                "Deadline-Ms": "39000",
+                "Model": "m",
+                "Token-Usage": "100,400",
+                "Length-Hint": "8",
+                "Prefix-Hash": `5c1e07a2:60,${id}:40`,
             },
             body: "{}",
         });
         const isWhole = body === streamOf(id, events);
-        world.record(`client gets ${id}: ${status}, ${isWhole ? "all events" : `${body.length} bytes`}, `
-            + `${isComplete ? "complete" : `channel ends: ${end}`}`);
+        world.record(
+            `client gets ${id}: ${status}, ${isWhole ? "all events" : `${body.length} bytes`}, `
+                + `${isComplete ? "complete" : `channel ends: ${end}`}`,
+        );
         return isComplete && isWhole;
     };
     const channels = await Promise.all(Array.from({ length: streams }, () => openChannel(gateway.frontend)));
@@ -87,7 +117,9 @@
         world.record("the gateway gets SIGTERM");
     }
     const lost = (await answered).filter(isGood => !isGood).length;
-    world.record(`${lost} of ${streams} requests were passed on to a worker, and their channels ended without a complete answer`);
+    world.record(
+        `${lost} of ${streams} requests were passed on to a worker, and their channels ended without a complete answer`,
+    );
     await exited;
     leaving.close();
     staying.close();
--- a/review/15/case.mjs
+++ b/review/15/case.mjs
@@ -14,18 +14,46 @@
 await runCase(fileURLToPath(new URL("record.txt", import.meta.url)), async (world, hasTrouble) => {
     const firstId = Date.now() * 1_000;
     const idOf = number => firstId + number * eventMs * 1_000;
-    const engine = await startEngine("i-1", { events, eventMs, isChunked: true, idOf }, text => world.record(`worker i-1 ${text}`));
+    const engine = await startEngine(
+        "i-1",
+        { events, eventMs, isChunked: true, idOf },
+        text => world.record(`worker i-1 ${text}`),
+    );
     world.configure(1, {
         routes: [{
-            name: "note", hostname: "clinic.example", pathPrefix: "/note/", routeType: "streaming", timeoutMs: 6_000,
-            targetLatencyMs: 1_500, priority: 0, service: "llm", maxAttempts: 2, public: false, sessionAffinity: true,
-            streamResume: true, itlTargetMs: 180,
+            name: "note",
+            hostname: "clinic.example",
+            pathPrefix: "/note/",
+            routeType: "streaming",
+            timeoutMs: 6_000,
+            targetLatencyMs: 1_500,
+            priority: 0,
+            service: "llm",
+            maxAttempts: 2,
+            public: false,
+            sessionAffinity: true,
+            streamResume: true,
+            itlTargetMs: 180,
         }],
         services: [{
-            name: "llm", healthCheckPath: "/healthz", maxConnections: 572, protocol: "h1", tls: false,
+            name: "llm",
+            healthCheckPath: "/healthz",
+            maxConnections: 572,
+            protocol: "h1",
+            tls: false,
             backend: {
-                slots: 96, kvCapacity: 34_609, kvBytes: 18_432, linkMbps: 2_700, migrations: true, replicas: true, stride: 4,
-                most: 12, pinMs: 4_000, holdMs: 2_000, handleTtlS: 5, modelList: [{ name: "m" }],
+                slots: 96,
+                kvCapacity: 34_609,
+                kvBytes: 18_432,
+                linkMbps: 2_700,
+                migrations: true,
+                replicas: true,
+                stride: 4,
+                most: 12,
+                pinMs: 4_000,
+                holdMs: 2_000,
+                handleTtlS: 5,
+                modelList: [{ name: "m" }],
             },
         }],
     });
@@ -40,7 +68,10 @@
             path: "/note/1",
             id,
             headers: {
-                "Deadline-Ms": "6000", "Model": "m", "Token-Usage": `100,${4 * events}`, "Prefix-Hash": "5c1e07a2:60,91bd3f06:40",
+                "Deadline-Ms": "6000",
+                "Model": "m",
+                "Token-Usage": `100,${4 * events}`,
+                "Prefix-Hash": "5c1e07a2:60,91bd3f06:40",
                 ...last === undefined ? {} : { "Last-Event-Id": String(last) },
             },
             body: "{}",
@@ -48,8 +79,10 @@
         channel.close();
         // An event is whole if the empty line after it has come.
         const ids = [...body.matchAll(/^id: (\d+)\ndata: .*\n\n/gm)].map(([, number]) => Number(number));
-        world.record(`client gets ${id}: ${status}, ${isComplete ? "complete" : "cut"}, ${ids.length} events, `
-            + `from ${ids[0]} to ${ids.at(-1)}`);
+        world.record(
+            `client gets ${id}: ${status}, ${isComplete ? "complete" : "cut"}, ${ids.length} events, `
+                + `from ${ids[0]} to ${ids.at(-1)}`,
+        );
         return { isComplete, ids };
     };
     const asked = Array.from({ length: streams }, (_, index) => ask(first, `s${index + 1}`));
@@ -68,7 +101,8 @@
             got.push(...resumed.ids);
         }
         const twice = got.length - new Set(got).size;
-        const missing = Array.from({ length: events }, (_, position) => idOf(position + 1)).filter(id => !got.includes(id)).length;
+        const missing = Array.from({ length: events }, (_, position) =>
+            idOf(position + 1)).filter(id => !got.includes(id)).length;
         world.record(`stream ${index + 1}: ${twice} events came twice, ${missing} are missing`);
         broken += twice > 0 ? 1 : 0;
     }
--- a/review/lib-3/busyEngine.mjs
+++ b/review/lib-3/busyEngine.mjs
@@ -28,7 +28,9 @@
     };
     const work = run => {
         running.push(run);
-        observe(`${run.isPreempted ? "goes on with" : "begins"} ${run.id}${run.made > 0 ? ` after event ${run.made}` : ""}`);
+        observe(
+            `${run.isPreempted ? "goes on with" : "begins"} ${run.id}${run.made > 0 ? ` after event ${run.made}` : ""}`,
+        );
         run.timer = setInterval(() => {
             run.made++;
             const text = eventText(run.id, run.made);
@@ -73,8 +75,10 @@
         }));
         const reply = (status, value, more = "") => {
             const text = value === undefined ? "" : JSON.stringify(value);
-            socket.write(`HTTP/1.1 ${status}\r\nInstance-Id: ${instance}\r\n${more}Content-Type: application/json\r\n`
-                + `Content-Length: ${text.length}\r\n\r\n${text}`);
+            socket.write(
+                `HTTP/1.1 ${status}\r\nInstance-Id: ${instance}\r\n${more}Content-Type: application/json\r\n`
+                    + `Content-Length: ${text.length}\r\n\r\n${text}`,
+            );
         };
         const target = fields["target-instance"];
         if (target !== undefined && target !== instance) {
@@ -82,8 +86,16 @@
         }
         if (method === "GET" && path === "/report") {
             return reply("200 OK", {
-                phase: "colocated", modelList: [{ name: "m", version: 1, loras: [] }], busy: false, sequence: 0,
-                waiting: queue.length, running: running.length, kvUsage: 0, kvSize: 34_609, handleList: 0, state: "ready",
+                phase: "colocated",
+                modelList: [{ name: "m", version: 1, loras: [] }],
+                busy: false,
+                sequence: 0,
+                waiting: queue.length,
+                running: running.length,
+                kvUsage: 0,
+                kvSize: 34_609,
+                handleList: 0,
+                state: "ready",
                 runs: running.map(({ id, made, priority }) => [id, 100 + 4 * made, made, priority]),
             });
         }
@@ -108,8 +120,10 @@
         if (fields["kv-from"] !== undefined && !copies.delete(id)) {
             return reply("503 Service Unavailable", undefined, `Attempt-Id: ${id}\r\nNot-Executed: 1\r\n`);
         }
-        socket.write(`HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: ${id}\r\nResponse-Seal: seal.${id}\r\n`
-            + "Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        socket.write(
+            `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: ${id}\r\nResponse-Seal: seal.${id}\r\n`
+                + "Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        );
         admit({
             id,
             socket,
--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -32,9 +32,11 @@
         runs.set(id, run);
         endRunsOf.set(socket, endRun);
         observe(`runs ${id}${run.made > 0 ? ` after event ${run.made}` : ""}`);
-        socket.write(`HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: ${id}\r\n`
-            + `Response-Seal: seal.${id}\r\nWeight-Versions: 1\r\n`
-            + `${isChunked ? "Transfer-Encoding: chunked" : "Connection: close"}\r\n\r\n`);
+        socket.write(
+            `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: ${id}\r\n`
+                + `Response-Seal: seal.${id}\r\nWeight-Versions: 1\r\n`
+                + `${isChunked ? "Transfer-Encoding: chunked" : "Connection: close"}\r\n\r\n`,
+        );
         run.timer = setInterval(() => {
             run.made++;
             const text = eventText(id, run.made, idOf);
@@ -60,8 +62,10 @@
         }));
         const reply = (status, body) => {
             const text = body === undefined ? "" : JSON.stringify(body);
-            socket.write(`HTTP/1.1 ${status}\r\nInstance-Id: ${instance}\r\nContent-Length: ${text.length}\r\n`
-                + `Content-Type: application/json\r\n\r\n${text}`);
+            socket.write(
+                `HTTP/1.1 ${status}\r\nInstance-Id: ${instance}\r\nContent-Length: ${text.length}\r\n`
+                    + `Content-Type: application/json\r\n\r\n${text}`,
+            );
         };
         const target = fields["target-instance"];
         if (target !== undefined && target !== instance) {
@@ -69,8 +73,16 @@
         }
         if (method === "GET" && path === "/report") {
             return reply("200 OK", {
-                phase: "colocated", modelList: [{ name: "m", version: 1, loras: [] }], busy: false, sequence: 0,
-                waiting: 0, running: runs.size, kvUsage: 0, kvSize: 34_609, handleList: 0, state: "ready",
+                phase: "colocated",
+                modelList: [{ name: "m", version: 1, loras: [] }],
+                busy: false,
+                sequence: 0,
+                waiting: 0,
+                running: runs.size,
+                kvUsage: 0,
+                kvSize: 34_609,
+                handleList: 0,
+                state: "ready",
                 runs: [...runs].map(([id, { made }]) => [id, 100 + 4 * made, made, 5]),
             });
         }
--- a/review/lib-3/plainWorker.mjs
+++ b/review/lib-3/plainWorker.mjs
@@ -19,7 +19,9 @@
     }));
     const target = fields["target-instance"];
     if (target !== undefined && target !== instance) {
-        socket.end(`HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ${instance}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+        socket.end(
+            `HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ${instance}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`,
+        );
         return;
     }
     if (method === "GET" && path === "/healthz") {
@@ -31,8 +33,11 @@
     const body = bodyOf(id);
     const half = body.length / 2;
     process.send({ kind: "runs", id });
-    socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Seal: seal.${id}\r\nInstance-Id: ${instance}\r\n`
-        + `Connection: close\r\n\r\n${body.slice(0, half)}`, () => process.send({ kind: "half", id }));
+    socket.write(
+        `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Seal: seal.${id}\r\nInstance-Id: ${instance}\r\n`
+            + `Connection: close\r\n\r\n${body.slice(0, half)}`,
+        () => process.send({ kind: "half", id }),
+    );
     setTimeout(() => {
         socket.end(body.slice(half));
         process.send({ kind: "whole", id });
--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -4,7 +4,7 @@
  */
 import { spawn } from "node:child_process";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer, connect } from "node:net";
+import { connect, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -44,30 +44,54 @@
         const [frontend, ready, controlPlane] = [await freePort(), await freePort(), await freePort()];
         const address = port => `127.0.0.1:${port}`;
         const settingsFile = join(folder, `${name}.json`);
-        writeFileSync(settingsFile, JSON.stringify({
-            nodeName: name,
-            role: "entry",
-            machineClass: "edge",
-            serves: ["edge", "control_plane"],
-            ip: "127.0.0.1",
-            zone: "z1",
-            region: "r1",
-            zones: { z1: "r1" },
-            listen: { frontend: address(frontend), ready: address(ready), controlPlane: address(controlPlane) },
-            seedNodes: seeds.length === 0 ? [address(controlPlane)] : seeds,
-            bootstrap: true,
-            limits: { cpuShare: 0.513, cpuCores: 1, memoryMb: 200, maxFds: 4100, linkMbps: 1000, diskMb: 0, ...limits },
-            dataDir: null,
-            discovery: "platform",
-            entry: "virtual_ip",
-            heartbeatMs,
-            bounds: {
-                seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackTimeoutMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8,
-                lossSlackMs: 200, configApplyMs: 2000, rollbackSlackMs: 250, outerMs: 5000, retryBudgetRatio: 0.2,
-                retryWindowS: 10, retrySlack: 58, recoveryS: 12, ...bounds,
-            },
-            platform: { address: store.address, form: "log", writesPerS: 400, readsPerS: 2000, keep_s: 300 },
-        }));
+        writeFileSync(
+            settingsFile,
+            JSON.stringify({
+                nodeName: name,
+                role: "entry",
+                machineClass: "edge",
+                serves: ["edge", "control_plane"],
+                ip: "127.0.0.1",
+                zone: "z1",
+                region: "r1",
+                zones: { z1: "r1" },
+                listen: { frontend: address(frontend), ready: address(ready), controlPlane: address(controlPlane) },
+                seedNodes: seeds.length === 0 ? [address(controlPlane)] : seeds,
+                bootstrap: true,
+                limits: {
+                    cpuShare: 0.513,
+                    cpuCores: 1,
+                    memoryMb: 200,
+                    maxFds: 4100,
+                    linkMbps: 1000,
+                    diskMb: 0,
+                    ...limits,
+                },
+                dataDir: null,
+                discovery: "platform",
+                entry: "virtual_ip",
+                heartbeatMs,
+                bounds: {
+                    seedLagS: 3,
+                    reuseAfterS: 2,
+                    contactMs: 3000,
+                    ackTimeoutMs: 4000,
+                    catchUpS: 4,
+                    drainMs: 2000,
+                    graceS: 8,
+                    lossSlackMs: 200,
+                    configApplyMs: 2000,
+                    rollbackSlackMs: 250,
+                    outerMs: 5000,
+                    retryBudgetRatio: 0.2,
+                    retryWindowS: 10,
+                    retrySlack: 58,
+                    recoveryS: 12,
+                    ...bounds,
+                },
+                platform: { address: store.address, form: "log", writesPerS: 400, readsPerS: 2000, keep_s: 300 },
+            }),
+        );
         const words = ["--max-old-space-size=110", "--max-semi-space-size=4", "target/start.cjs", "gateway"];
         const child = track(spawn(process.execPath, words, {
             cwd: root,
@@ -149,7 +173,12 @@
                 version,
                 routes,
                 services,
-                limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+                limits: {
+                    maxHeaderBytes: 16_384,
+                    maxBodyBytes: 4_194_304,
+                    headerTimeoutMs: 3_000,
+                    idleTimeoutMs: 15_000,
+                },
                 tenants: [{ name: "clinic", apiKeys: ["key-of-clinic"] }],
             }),
         close,
@@ -236,7 +265,9 @@
 function parseAnswer(bytes, end) {
     const headEnd = bytes.indexOf("\r\n\r\n");
     if (headEnd === -1) {
-        return end === undefined ? undefined : { status: undefined, headers: {}, body: "", isComplete: false, end, length: bytes.length };
+        return end === undefined
+            ? undefined
+            : { status: undefined, headers: {}, body: "", isComplete: false, end, length: bytes.length };
     }
     const [statusLine, ...fieldLines] = bytes.subarray(0, headEnd).toString("latin1").split("\r\n");
     const headers = Object.fromEntries(fieldLines.map(line => {
@@ -245,7 +276,15 @@
     }));
     const status = Number(statusLine.split(" ")[1]);
     const bodyStart = headEnd + 4;
-    const result = (raw, isComplete, length) => ({ status, headers, raw, body: raw.toString(), isComplete, end, length });
+    const result = (raw, isComplete, length) => ({
+        status,
+        headers,
+        raw,
+        body: raw.toString(),
+        isComplete,
+        end,
+        length,
+    });
     const unfinished = bodyBytes => end === undefined ? undefined : result(bodyBytes, false, bytes.length);
     if (status === 204 || status === 304) {
         return result(Buffer.alloc(0), true, bodyStart);
