answerEnds: ends within the drain limit are the server's own

Cause: judgeEnd asked a server that leaves once more a second after the end of the channel, whenever it leaves, and took one that did not answer for one whose exit had ended the stream. A server that leaves serves for its drain limit first, so what ends before that is no exit.

Change: a stream that ended before the drain limit is over is complete once the server answers when that is over, or at the first report if it is over by then. The acknowledgement is known to lie between two reads of the log: the exit counts from the later one, at most 600 ms after the earlier, as what is learnt after an outage may be old. One that ends its streams and exits early does not answer by then, and its streams are cut as before. answer_end_checked has drainedAfter and drainedBefore.

The engine that exits tens of milliseconds after its notice and the one that exits right after its drain limit still have no part passed on as complete.

Not mended here: a stream that ends after the drain limit, at a server that exits within a second of that.

--- a/packages/bench/test/killedEnginesProcess.test.ts
+++ b/packages/bench/test/killedEnginesProcess.test.ts
@@ -1,12 +1,13 @@
 /**
  * Engines that end while they write streams with neither a length nor chunks. The kernel closes the channels of a process
  * that is killed as an orderly end does, and accepts connections until the last process that holds the listener has closed
- * it. An engine that exits ends its streams itself.
+ * it. An engine that exits ends its streams itself, or exits once they are complete.
  */
 import { waitUntil } from "@verbenaspring/bench";
 import { type ChildProcess, fork, spawn } from "node:child_process";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -16,6 +17,10 @@
 const execArgv = ["--import", "tsx"];
 const length = 4_000;
 const firstStart = 1_000;
+/** The drain limit of the gateways' settings. */
+const drainLimit = 2_000;
+/** From the end of an engine's drain limit to its exit once its streams are complete. */
+const exitDelay = 150;
 
 function lengthField(events: number): Readonly<Record<string, string>> {
     return { "stream-length": String(events) };
@@ -140,15 +145,38 @@
     });
 }
 
+/** Has an engine leave, and waits until the gateway knows it. */
+async function leave(cluster: GatewayCluster, port: number): Promise<void> {
+    cluster.store.put("keyed.servers", "x", record(port, firstStart, "draining"));
+    const line = "server=x change=leaving";
+    await waitUntil("the engine leaves", () => cluster.gateways[0].output().includes(line));
+}
+
 // Its report lists no run, as after complete streams.
 test("callers get no part of an unframed stream as a complete one when its engine leaves and exits", async () => {
     const cluster = await GatewayCluster.start(1);
     const { engine, port } = await startEngine(cluster, "x");
     try {
         const responses = await killUnderStreams(cluster, 8, async () => {
-            cluster.store.put("keyed.servers", "x", record(port, firstStart, "draining"));
-            const line = "server=x change=leaving";
-            await waitUntil("the engine leaves", () => cluster.gateways[0].output().includes(line));
+            await leave(cluster, port);
+            engine.kill("SIGTERM");
+        });
+        assert.is(responses.filter(({ isComplete }) => isComplete).length, 0, checksIn(cluster));
+    }
+    finally {
+        engine.kill("SIGKILL");
+        await cluster.stop();
+    }
+});
+
+// ORDER: after its drain limit, the same report follows a complete stream and one that the exit has ended.
+test("callers get no part of an unframed stream as a complete one when its engine exits after its drain limit", async () => {
+    const cluster = await GatewayCluster.start(1);
+    const { engine, port } = await startEngine(cluster, "x");
+    try {
+        const responses = await killUnderStreams(cluster, 8, async () => {
+            await leave(cluster, port);
+            await pause(drainLimit);
             engine.kill("SIGTERM");
         });
         assert.is(responses.filter(({ isComplete }) => isComplete).length, 0, checksIn(cluster));
@@ -159,6 +187,31 @@
     }
 });
 
+// LOST: the engine was asked once more a second after the end, and its whole streams were cut.
+test("callers get unframed streams whole that end within the drain limit of an engine that exits a moment later", async () => {
+    const cluster = await GatewayCluster.start(1);
+    const { engine, port } = await startEngine(cluster, "x");
+    const events = 150;
+    let begun = 0;
+    try {
+        const options = { headers: lengthField(events), onHead: () => begun++ };
+        const answers = Promise.all(
+            Array.from({ length: 8 }, () => cluster.sendRequest(cluster.gateways[0], "/plan/1", options)),
+        );
+        await waitUntil("the streams have begun", () => begun === 8);
+        const exit = pause(drainLimit + exitDelay).then(() => engine.kill("SIGKILL"));
+        await leave(cluster, port);
+        const responses = await answers;
+        await exit;
+        assert.equal(responses.map(response => idsOf(response).length), responses.map(() => events));
+        assert.equal(responses.map(({ isComplete }) => isComplete), responses.map(() => true));
+    }
+    finally {
+        engine.kill("SIGKILL");
+        await cluster.stop();
+    }
+});
+
 test("callers get an unframed stream whole when its engine ends it", async () => {
     const cluster = await GatewayCluster.start(1);
     const { engine } = await startEngine(cluster, "x");
--- a/packages/gateway/src/answerEnds.ts
+++ b/packages/gateway/src/answerEnds.ts
@@ -3,16 +3,18 @@
  * channels of a process that is killed in the same way, and accepts connections for one that does not run. So the server is
  * asked for its report: the incarnation that had the run has to answer, and no longer to list the run. Where incarnations don't
  * state their start, each has another id, and none answers what is for another one. A server without reports has to answer a
- * health check. A server that leaves may end its streams itself when it exits, so it has to answer once more after the time for
- * that. No request to stop a run may be open there.
+ * health check. A server that leaves may end its streams itself when it exits, which is due once its drain limit is over. A stream
+ * that ended earlier is complete if the server serves until then; after a later one the server has to answer once more after the
+ * time for an exit. No request to stop a run may be open there.
  */
 import type { AttemptId, Milliseconds, ServiceName } from "@verbenaspring/model";
+import { type DrainEnd, drainEnd, earliestAcknowledgement } from "./drainLimit.js";
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { isLeaving } from "./leavingServers.js";
 import type { BackendAnswer, ResponseHead } from "./messages.js";
 import { mayStopLate } from "./migrationCalls.js";
 import { requestFields } from "./requests.js";
-import { findListedRun, isOtherIncarnation } from "./serverIncarnations.js";
+import { findListedRun, isOtherIncarnation, isSuperseded } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
 import { type Attempt, type GatewayRequest, type GatewayState, serverEndsAt } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -109,7 +111,9 @@
     const report = answer !== undefined && isByIncarnation(attempt, answer) ? answer : undefined;
     endCheck.unanswered = report === undefined ? endCheck.unanswered + 1 : 0;
     const mayExit = report?.isLeaving === true || isLeaving(transaction.state, attempt.server);
-    const verdict = judgeEnd(request, attempt, endCheck, { report, mayExit });
+    const drained = mayExit ? drainEndOf(transaction, attempt) : undefined;
+    const confirmedFrom = mayExit ? confirmationTime(endCheck, drained) : endCheck.endedAt;
+    const verdict = judgeEnd(request, attempt, endCheck, { report, confirmedFrom });
     logDecision(transaction, "info", "answer_end_checked", {
         ...requestFields(transaction, request),
         server: attempt.server.record.id,
@@ -118,6 +122,8 @@
         endAge: Math.round(now - endCheck.endedAt),
         unanswered: endCheck.unanswered,
         mayExit,
+        drainedAfter: drained === undefined ? undefined : Math.round(drained.earliest - endCheck.endedAt),
+        drainedBefore: drained === undefined ? undefined : Math.round(drained.latest - endCheck.endedAt),
         serverStartedAt: attempt.server.record.startedAt,
         reportStartedAt: report?.startedAt,
         receivedEvents: request.eventCount,
@@ -133,11 +139,32 @@
     }
     else {
         const isListed = findListedRun(report, request.head) !== undefined;
-        endCheck.nextAt = isListed ? now + checkInterval : endCheck.endedAt + exitTime;
+        endCheck.nextAt = isListed ? now + checkInterval : confirmedFrom;
     }
     return verdict;
 }
 
+/** When the drain limit of the server of an attempt ends; undefined if that is not known. */
+function drainEndOf(transaction: Transaction, { server }: Attempt): DrainEnd | undefined {
+    const { state, now } = transaction;
+    const known = state.servers.get(server.record.id);
+    if (known === undefined || isSuperseded(state, server)) {
+        return undefined;
+    }
+    // A server that says that it leaves may do so before its record.
+    return known.leavingSince === undefined
+        ? drainEnd(state, { leavingSince: now, leavingNotBefore: earliestAcknowledgement(transaction) })
+        : drainEnd(state, known);
+}
+
+/** From when on a server that leaves and answers has ended a stream itself, rather than by its exit. */
+function confirmationTime({ endedAt }: EndCheck, drained: DrainEnd | undefined): Milliseconds {
+    const afterExit = endedAt + exitTime;
+    return drained === undefined || endedAt > drained.latest
+        ? afterExit
+        : Math.min(afterExit, Math.max(endedAt, drained.earliest));
+}
+
 /**
  * Whether an answer tells of an incarnation: it is no refusal, and a report states a start if the server's record does. A
  * health check tells of none.
@@ -151,14 +178,15 @@
 interface ServerStatement {
     /** Undefined if it did not answer. */
     readonly report: ServerReport | undefined;
-    readonly mayExit: boolean;
+    /** From when on it has ended the stream itself if it answers. */
+    readonly confirmedFrom: Milliseconds;
 }
 
 function judgeEnd(
     request: GatewayRequest,
     attempt: Attempt,
     { endedAt, answer, askedAt, unanswered }: EndCheck,
-    { report, mayExit }: ServerStatement,
+    { report, confirmedFrom }: ServerStatement,
 ): EndVerdict {
     const { head, eventCount } = request;
     if (report === undefined) {
@@ -174,7 +202,7 @@
             return "cut";
         }
         // A whole answer is not kept back for as long.
-        const isAskedAgain = mayExit && answer === undefined && askedAt - endedAt < exitTime;
+        const isAskedAgain = answer === undefined && askedAt < confirmedFrom;
         return isAskedAgain ? "unknown" : "complete";
     }
     const hasMoreEvents = answer === undefined && run.events > eventCount;
--- a/packages/gateway/src/drainLimit.ts
+++ b/packages/gateway/src/drainLimit.ts
@@ -13,6 +13,8 @@
 const longestDelivery: Milliseconds = 400;
 /** How old a view of the servers becomes while the store answers any gateway: the last takeover, and a read that fails. */
 const longestViewAge: Milliseconds = 2_300;
+/** How old a view of the servers is at most while each read of them gets its answer. */
+const usualViewAge: Milliseconds = 600;
 /** A gateway whose last report was created less than this ago is in contact, and would have reported reads of its own. */
 const contactTimeout: Milliseconds = 1_000;
 
@@ -67,3 +69,23 @@
 ): Milliseconds {
     return Math.max(0, (leavingNotBefore ?? now) + (options.drainLimit ?? defaultDrainLimit) - now);
 }
+
+/** When the time ends for which a server that leaves goes on serving: the drain limit, from an acknowledgement between two reads. */
+export interface DrainEnd {
+    readonly earliest: Milliseconds;
+    /** Later than `earliest` by the usual interval of reads at most: what is learnt after an outage of the log may be old. */
+    readonly latest: Milliseconds;
+}
+
+/** When the drain limit of a server ends; undefined if nothing tells that it leaves, or when. */
+export function drainEnd(
+    { options }: GatewayState,
+    { leavingNotBefore, leavingSince }: Pick<BackendServer, "leavingNotBefore" | "leavingSince">,
+): DrainEnd | undefined {
+    if (leavingNotBefore === undefined || leavingSince === undefined) {
+        return undefined;
+    }
+    const limit = options.drainLimit ?? defaultDrainLimit;
+    const latestAcknowledgement = Math.min(leavingSince, leavingNotBefore + usualViewAge);
+    return { earliest: leavingNotBefore + limit, latest: latestAcknowledgement + limit };
+}
--- a/packages/gateway/test/answerEnds.test.ts
+++ b/packages/gateway/test/answerEnds.test.ts
@@ -124,6 +124,72 @@
     }
 });
 
+/** A gateway with a stream whose server leaves, and whose channel ends so much later. */
+function streamEndedAfterLeaving(how: "draining" | "removed", delay: number) {
+    const gateway = TestGateway.serving(server("engine-1", { startedAt }));
+    const call = gateway.sendRequest("r", "plan");
+    gateway.openStream(call, { endsWithChannel: true });
+    gateway.receiveEvents(call, 1, 2, 3);
+    gateway.advance(50);
+    gateway.register();
+    gateway.advance(400);
+    leave(gateway, how);
+    gateway.advance(delay);
+    gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
+    return { gateway, call };
+}
+
+// LOST: a server that exits once its work is done does not answer again, and its whole streams were cut.
+test("an unframed stream that ends before the drain limit of its server is over is complete though the server then exits", () => {
+    for (const how of ["draining", "removed"] as const) {
+        const { gateway, call } = streamEndedAfterLeaving(how, 1_900);
+        assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"), how);
+    }
+});
+
+test("an unframed stream whose server leaves is complete once the server answers when its drain limit is over", () => {
+    for (const how of ["draining", "removed"] as const) {
+        const { gateway, call } = streamEndedAfterLeaving(how, 1_400);
+        assert.not.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"), how);
+        assert.is(checksIn(gateway.advance(150)), 0, how);
+        assert.is(checksIn(gateway.advance(50)), 1, how);
+        assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"), how);
+    }
+});
+
+// ORDER: its exit may have ended the stream.
+test("an unframed stream that ends after the drain limit of its server is over is cut if the server does not answer a second later", () => {
+    for (const how of ["draining", "removed"] as const) {
+        const { gateway, call } = streamEndedAfterLeaving(how, 2_050);
+        assert.not.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"), how);
+        assert.is(checksIn(gateway.advance(1_000)), 1, how);
+        assert.ok(kindsIn(answerChecks(gateway, call, undefined)).includes("answerCut"), how);
+    }
+});
+
+// ORDER: a server that ends its streams and exits early does not serve until its drain limit is over.
+test("an unframed stream is cut if its server leaves and no longer answers when its drain limit is over", () => {
+    const { gateway, call } = streamEndedAfterLeaving("draining", 1_200);
+    assert.not.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
+    assert.is(checksIn(gateway.advance(400)), 1);
+    assert.ok(kindsIn(answerChecks(gateway, call, undefined)).includes("answerCut"));
+});
+
+// The log was out: the leaving may have been acknowledged long before the gateway learnt of it.
+test("what a gateway learns late of a server that leaves does not extend the time in which it ends streams itself", () => {
+    const gateway = TestGateway.serving(server("engine-1", { startedAt }));
+    const call = gateway.sendRequest("r", "plan");
+    gateway.openStream(call, { endsWithChannel: true });
+    gateway.receiveEvents(call, 1, 2, 3);
+    gateway.advance(50);
+    gateway.register();
+    gateway.advance(2_000);
+    leave(gateway, "draining");
+    gateway.advance(800);
+    gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
+    assert.not.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
+});
+
 test("a resumable unframed stream whose server has ended goes on at another one after its last event", () => {
     const { gateway, call } = endedStream("note", "engine-2");
     const effects = gateway.reportEnd(call.attemptId, report(call, { startedAt: startedAt + 1 }));
