Read servers' records each 50 ms while streams run that end with their channels

Callers would see: a part of an unframed stream as a complete one (ORDER), where its server leaves, ends its streams within half a second after its drain limit, and answers for a moment more.

Cause: since what ends before the drain limit is over is the server's own end. The limit counts from when a gateway learns of the leaving, which was up to 460 ms after the store had it, by answer_end_checked (drainedAfter, drainedBefore), as the records are read each 400 ms.

Change: the gateway that reads for all reads each 50 ms for a minute after it got a stream that ends with its channel. Without such streams nothing changes.

leavingEnginesProcess has a second test that fails for another fault and is listed: whole streams that end after the drain limit, at an engine without other runs that exits within a second.

--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -84,6 +84,23 @@
     },
 };
 
+/** The pause after a read while streams run whose completeness depends on when their servers leave. */
+const shortPause: Milliseconds = 50;
+/** Longer than a stream lasts. */
+const shortPauseDuration: Milliseconds = 60_000;
+
+/**
+ * Has the records of the servers read more often: of a stream that ends with its channel, only the time of its server's notice tells
+ * whether the server may have exited. The gateway that reads for all goes by its own streams, as all have streams of the same services.
+ */
+export function readServersOften({ state, now }: Transaction): void {
+    state.followers.backendServers.readOftenUntil = now + shortPauseDuration;
+}
+
+function pauseAfterRead({ readOftenUntil }: TopicFollower, topic: TopicName, now: Milliseconds): Milliseconds {
+    return now < readOftenUntil ? Math.min(shortPause, readPlans[topic].pause) : readPlans[topic].pause;
+}
+
 /** How long the log may hold a read of a topic open. */
 export function longestReadWait(topic: TopicName): Milliseconds {
     return readPlans[topic].wait;
@@ -225,7 +242,7 @@
     recordReadEnd(state, topic);
     logLateRead(transaction, event);
     const isAtEnd = event.isAtEnd ?? true;
-    follower.nextReadAt = now + (isAtEnd ? readPlans[topic].pause : 0);
+    follower.nextReadAt = now + (isAtEnd ? pauseAfterRead(follower, topic, now) : 0);
     const hasChanged = applyReadItems(transaction, event);
     follower.lastFailure = undefined;
     // A snapshot has all that was stored when it was requested.
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -302,6 +302,8 @@
     /** How long the newest read lets the log wait for a record. */
     readWait: Milliseconds;
     nextReadAt: Milliseconds;
+    /** Until when the topic is read more often than usual. */
+    readOftenUntil: Milliseconds;
     /** When a read that took long was last logged. */
     lateReadLoggedAt: Milliseconds;
     /** When a report of a peer that could not be applied was last logged. */
@@ -557,6 +559,7 @@
         newestHistoryAtSnapshotStart: 0,
         readWait: 0,
         nextReadAt: 0,
+        readOftenUntil: -Infinity,
         lateReadLoggedAt: -Infinity,
         ignoredReportLoggedAt: -Infinity,
         lastFailure: undefined,
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -19,6 +19,7 @@
 import { recordBegunRun } from "./crashSuspects.js";
 import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
+import { readServersOften } from "./followers.js";
 import { isLeaving } from "./leavingServers.js";
 import { recordSignOfLife } from "./liveness.js";
 import type { ResponseHead, StreamEvent } from "./messages.js";
@@ -57,6 +58,9 @@
     }
     if (answerClass === "delivered") {
         attempt.head = head;
+        if (head.endsWithChannel) {
+            readServersOften(transaction);
+        }
         return endSilentAttempt(transaction, request, "cancel");
     }
     recordHealth(transaction, attempt, answerClass === "not_run" ? undefined : answerClass);
