answerEnds: a server that lists other runs has not exited

Callers saw: whole unframed streams cut that ended after the drain limit of their server, when it exited within a second (LOST).

An exit ends all runs of a server, so that a report which lists others, and not this one, shows that the server has ended it itself. A report may be a second old: it counts only for a run that began earlier.

Change: such a stream is complete. answer_end_checked has listedRuns.

--- a/packages/gateway/src/answerEnds.ts
+++ b/packages/gateway/src/answerEnds.ts
@@ -9,6 +9,7 @@
  */
 import type { AttemptId, Milliseconds, ServiceName } from "@verbenaspring/model";
 import { type DrainEnd, drainEnd, earliestAcknowledgement } from "./drainLimit.js";
+import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { isLeaving } from "./leavingServers.js";
 import type { BackendAnswer, ResponseHead } from "./messages.js";
@@ -122,14 +123,13 @@
         endAge: Math.round(now - endCheck.endedAt),
         unanswered: endCheck.unanswered,
         mayExit,
-        drainedAfter: drained === undefined ? undefined : Math.round(drained.earliest - endCheck.endedAt),
-        drainedBefore: drained === undefined ? undefined : Math.round(drained.latest - endCheck.endedAt),
+        ...drainFields(endCheck, drained),
         serverStartedAt: attempt.server.record.startedAt,
         reportStartedAt: report?.startedAt,
         receivedEvents: request.eventCount,
         mayStopLate: mayStopLate(request, attempt),
         receivedBytes: endCheck.answer?.body.length,
-        listedEvents: findListedRun(report, request.head)?.events,
+        ...listedFields(request, report),
     });
     if (verdict !== "unknown") {
         return verdict;
@@ -157,6 +157,18 @@
         : drainEnd(state, known);
 }
 
+/** How long after the end of the channel the drain limit was over, at the earliest and the latest. */
+function drainFields({ endedAt }: EndCheck, drained: DrainEnd | undefined): DecisionFields {
+    return drained === undefined ? {} : {
+        drainedAfter: Math.round(drained.earliest - endedAt),
+        drainedBefore: Math.round(drained.latest - endedAt),
+    };
+}
+
+function listedFields({ head }: GatewayRequest, report: ServerReport | undefined): DecisionFields {
+    return { listedEvents: findListedRun(report, head)?.events, listedRuns: report?.runs?.length };
+}
+
 /** From when on a server that leaves and answers has ended a stream itself, rather than by its exit. */
 function confirmationTime({ endedAt }: EndCheck, drained: DrainEnd | undefined): Milliseconds {
     const afterExit = endedAt + exitTime;
@@ -202,7 +214,8 @@
             return "cut";
         }
         // A whole answer is not kept back for as long.
-        const isAskedAgain = answer === undefined && askedAt < confirmedFrom;
+        const isAskedAgain = answer === undefined && askedAt < confirmedFrom
+            && !showsOtherRuns(attempt, report, askedAt);
         return isAskedAgain ? "unknown" : "complete";
     }
     const hasMoreEvents = answer === undefined && run.events > eventCount;
@@ -210,6 +223,15 @@
     return goesOn ? "cut" : "unknown";
 }
 
+/**
+ * Whether a server has ended a run and goes on with others, where its exit would have ended them too. A report may be from before
+ * a run that has just begun.
+ */
+function showsOtherRuns({ firstEventAt }: Attempt, { runs }: ServerReport, askedAt: Milliseconds): boolean {
+    const hasBegunBefore = firstEventAt !== undefined && askedAt - firstEventAt > longestReportAge;
+    return hasBegunBefore && runs !== undefined && runs.length > 0;
+}
+
 /** The request of an attempt whose end is being checked, if it still waits for it. */
 export function findCheckedAttempt(
     { state }: Transaction,
--- a/packages/gateway/test/answerEnds.test.ts
+++ b/packages/gateway/test/answerEnds.test.ts
@@ -190,6 +190,37 @@
     assert.not.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"));
 });
 
+// LOST: a server that exits within a second does not answer again. Its exit ends all of its runs.
+test("an unframed stream is complete if its server, which leaves, lists another run after its end and no longer its own", () => {
+    for (const hasOther of [true, false]) {
+        const { gateway, call } = streamEndedAfterLeaving("draining", 2_050);
+        const runs = hasOther ? [{ callerAttemptId: identifier<never>("other"), events: 5 }] : [];
+        const effects = gateway.reportEnd(call.attemptId, report(call, { runs }));
+        assert.is(kindsIn(effects).includes("answerEnd"), hasOther);
+    }
+});
+
+// ORDER: the report may be from before the run.
+test("another run in a report says nothing of an unframed stream that began less than a second before", () => {
+    const { gateway, call } = endedStream();
+    leave(gateway, "removed");
+    const runs = [{ callerAttemptId: identifier<never>("other"), events: 5 }];
+    assert.not.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call, { runs }))).includes("answerEnd"));
+});
+
+// ORDER: a server that had exited half a second after its notice counted as within its drain limit, as the notice was read late.
+test("the servers' records are read each 50 ms while streams run that end with their channels", () => {
+    for (const endsWithChannel of [true, false]) {
+        const gateway = TestGateway.serving(server("engine-1", { startedAt }));
+        gateway.openStream(gateway.sendRequest("r", "plan"), { endsWithChannel });
+        gateway.advance(400);
+        gateway.register();
+        const effects = gateway.advance(50);
+        const isRead = effects.some(effect => effect.kind === "readTopic" && effect.topic === "backendServers");
+        assert.is(isRead, endsWithChannel);
+    }
+});
+
 test("a resumable unframed stream whose server has ended goes on at another one after its last event", () => {
     const { gateway, call } = endedStream("note", "engine-2");
     const effects = gateway.reportEnd(call.attemptId, report(call, { startedAt: startedAt + 1 }));
