Event ids: keep them as text, and compare them by value

Cause: Last-Event-Id was read by parseDecimal, which takes 15 digits at most. What it did not read counted as no id, and the header is not forwarded as it came, so that a request for the rest became one for the whole. On the other side eventFraming read ids up to 2^53 only, so that streams with larger ones could not go on within an answer, and the call to the next server named ids without their zeros in front.

Change: ids are a branded text (EventId), compared as decimals of up to 100 digits, and named to servers as they were written. A Last-Event-Id without an order is passed on too: its server decides what follows it. On routes that allow no resumption it is refused as a number is, where it was ignored. The value of an id stands for a number of events only if the request can have as many tokens; beyond that, the forecasts of memory and time, the probes and the check of an end counted events that nobody had.

The tests of ids compare texts where they compared numbers.

--- a/packages/emulator/src/virtualCalls.ts
+++ b/packages/emulator/src/virtualCalls.ts
@@ -7,6 +7,7 @@
     type AttemptId,
     type BackendServerId,
     type CallerAttemptId,
+    type EventId,
     identifier,
     type Milliseconds,
 } from "@verbenaspring/model";
@@ -158,7 +159,10 @@
             },
             event: event => {
                 const bytes = Buffer.from(formatRunEvent(event));
-                respond({ kind: "streamEvents", attemptId, events: [{ id: event.id, bytes }] }, false);
+                respond(
+                    { kind: "streamEvents", attemptId, events: [{ id: identifier<EventId>(String(event.id)), bytes }] },
+                    false,
+                );
             },
             ended: () => respond({ kind: "streamEnded", attemptId }, true),
             answered: ({ status, callerAttemptId, body }) => {
@@ -239,7 +243,7 @@
         sharedParts: head.sharedParts,
         outputTokens: length === null ? head.maximumTokens : Number(length[1]),
         priority: priority ?? normalPriority,
-        lastEvent: lastEvent ?? 0,
+        lastEvent: Number(lastEvent ?? 0),
         replicaAddress,
         copy: continuesFrom,
     };
--- a/packages/fuzz/src/platform/runSchedule.ts
+++ b/packages/fuzz/src/platform/runSchedule.ts
@@ -19,6 +19,7 @@
     type ApiKey,
     type CallerAttemptId,
     type ContentDigest,
+    type EventId,
     identifier,
     type Milliseconds,
     type PromptPartId,
@@ -914,7 +915,7 @@
         host: routesHost,
         timeLimit,
         apiKey: apiKey === undefined ? undefined : identifier<ApiKey>(apiKey),
-        lastEvent: broken?.lastEventNumber,
+        lastEvent: broken === undefined ? undefined : identifier<EventId>(String(broken.lastEventNumber)),
         resumedAttemptId: broken === undefined
             ? undefined
             : identifier<CallerAttemptId>(broken.firstAttemptId ?? broken.callerAttemptId),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./effect.js";
 export * from "./evacuations.js";
 export * from "./event.js";
+export * from "./eventIds.js";
 export * from "./leavingServers.js";
 export * from "./members.js";
 export * from "./messages.js";
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -7,6 +7,7 @@
     AttemptId,
     BackendServerId,
     CallerAttemptId,
+    EventId,
     Milliseconds,
     OrganisationId,
     PromptPartId,
@@ -27,7 +28,7 @@
     readonly timeLimit: Milliseconds | undefined;
     readonly apiKey: ApiKey | undefined;
     /** The id of the last event that the caller has from an earlier answer to this request. */
-    readonly lastEvent: number | undefined;
+    readonly lastEvent: EventId | undefined;
     /** The caller attempt that got the first event of that answer; undefined if the caller does not say. */
     readonly resumedAttemptId: CallerAttemptId | undefined;
     /** Tokens of the prompt; 0 if the request does not state them. */
@@ -67,7 +68,7 @@
     /** The engine that the run's memory is replicated to as it grows. */
     readonly replicaAddress: string | undefined;
     /** The id of the last event that the caller has. */
-    readonly lastEvent: number | undefined;
+    readonly lastEvent: EventId | undefined;
     readonly continuesFrom: RunReplica | undefined;
     /** Whether the call may only use a channel that is new or was in use a moment ago. */
     readonly needsFreshChannel: boolean;
@@ -111,7 +112,8 @@
 
 /** One event of a stream. */
 export interface StreamEvent {
-    readonly id: number | undefined;
+    /** Undefined without an id that has an order. */
+    readonly id: EventId | undefined;
     /** The event as the backend server sent it, including the empty line at its end. */
     readonly bytes: Uint8Array;
     /** Whether it has no fields: comments and empty lines, of which nothing is lost if they are not sent again. */
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -15,6 +15,7 @@
 import { forecastInStop, isCutByStop, retryAfterStop, type StopForecast } from "./draining.js";
 import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
+import { countedEvents } from "./eventIds.js";
 import { expectedOutput } from "./messages.js";
 import { isOutdatedByPeers } from "./peerConfigurations.js";
 import { limitDoubt, recordAge, recordAnswer, recordEventTimes, recordTaken } from "./routeDurations.js";
@@ -79,7 +80,7 @@
         openStops: new Map(),
         triedServers: new Set(),
         lastEvent: route.canResume ? head.lastEvent : undefined,
-        eventCount: (route.canResume ? head.lastEvent : undefined) ?? 0,
+        eventCount: route.canResume ? countedEvents(head.lastEvent, head.maximumTokens || undefined) : 0,
         longestStep: undefined,
         isContinuable: true,
         origin: undefined,
--- a/packages/gateway/src/state.ts
+++ b/packages/gateway/src/state.ts
@@ -5,6 +5,7 @@
 import type {
     AttemptId,
     BackendServerId,
+    EventId,
     GatewayIncarnation,
     LogOffset,
     Milliseconds,
@@ -59,7 +60,7 @@
     /** The number of events received from this run, whether forwarded or not. */
     events: number;
     /** The id of the last of them that has one. */
-    lastEvent: number | undefined;
+    lastEvent: EventId | undefined;
     /** What the answer to the request takes from this run. */
     readonly part: StreamPart;
     /** The tokens counted as this run's memory in the loads. */
@@ -144,11 +145,11 @@
     readonly openStops: Map<BackendServerId, number>;
     readonly triedServers: Set<BackendServerId>;
     /** The id of the last event that the caller has. */
-    lastEvent: number | undefined;
-    /** The number of events that the caller has. Where it takes up a stream, its last id stands for those before. */
+    lastEvent: EventId | undefined;
+    /** The number of events that the caller has. Where it takes up a stream, its last id stands for those before if it can. */
     eventCount: number;
     /** The longest step from one id to the next, of which the first is that from the last event when it arrived, or from 0. */
-    longestStep: number | undefined;
+    longestStep: bigint | undefined;
     /**
      * Whether another run can go on after what was received of the answer: nothing, or events of a stream of which the last
      * one has an id.
--- a/packages/gateway/src/streamParts.ts
+++ b/packages/gateway/src/streamParts.ts
@@ -1,6 +1,7 @@
 /**
  * The parts of which the answer to a stream is made: what each run contributed, and from which event it went on.
  */
+import type { EventId } from "@verbenaspring/model";
 import type { ContinuationSource } from "./replicas.js";
 import { requestFields } from "./requests.js";
 import { isSuperseded } from "./serverIncarnations.js";
@@ -10,11 +11,11 @@
 /** What the answer to a request takes from one run. */
 export interface StreamPart {
     /** The id that the run was to go on after; undefined if it was to start at the beginning. */
-    readonly after: number | undefined;
+    readonly after: EventId | undefined;
     readonly source: StreamPartSource;
     /** The ids of the first and the last event that were taken from the run; undefined if none with an id was. */
-    firstEvent: number | undefined;
-    lastEvent: number | undefined;
+    firstEvent: EventId | undefined;
+    lastEvent: EventId | undefined;
 }
 
 /** How a run came to its part: what it went on from, or where the stream or its continuation began. */
@@ -31,7 +32,7 @@
 }
 
 /** Records that an event of a run is part of the answer. */
-export function recordPartEvent({ part }: Attempt, id: number | undefined): void {
+export function recordPartEvent({ part }: Attempt, id: EventId | undefined): void {
     part.firstEvent ??= id;
     part.lastEvent = id ?? part.lastEvent;
 }
--- a/packages/gateway/src/streamRegister.ts
+++ b/packages/gateway/src/streamRegister.ts
@@ -20,6 +20,7 @@
     resumableServices,
     streamLifetime,
 } from "./baseVersions.js";
+import { isStart } from "./eventIds.js";
 import { mayHaveBegunElsewhere } from "./formerConfigurations.js";
 import { failRequest, requestFields } from "./requests.js";
 import { dispatch } from "./sending.js";
@@ -119,7 +120,7 @@
 
 /** Whether a request takes up a stream that an earlier request began. */
 export function isTakeUp({ route, head }: GatewayRequest): boolean {
-    return route.isStream && ((head.lastEvent ?? 0) > 0 || (route.canResume && head.resumedAttemptId !== undefined));
+    return route.isStream && (!isStart(head.lastEvent) || (route.canResume && head.resumedAttemptId !== undefined));
 }
 
 /**
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -2,7 +2,7 @@
  * Streams. The caller gets the events in order, each once, and from one run at a time. When a run is lost, another one
  * continues after the last event: from the replica of its memory or, where the route allows it, as a new run.
  */
-import type { AttemptId, Milliseconds } from "@verbenaspring/model";
+import type { AttemptId, EventId, Milliseconds } from "@verbenaspring/model";
 import { endsWithTimeLimit, findCheckedAttempt, handleEndReport, startEndCheck } from "./answerEnds.js";
 import {
     type AttemptOutcome,
@@ -19,6 +19,7 @@
 import { recordBegunRun } from "./crashSuspects.js";
 import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent } from "./event.js";
+import { hasOrder, stepBetween } from "./eventIds.js";
 import { readServersOften } from "./followers.js";
 import { isLeaving } from "./leavingServers.js";
 import { recordSignOfLife } from "./liveness.js";
@@ -119,7 +120,7 @@
  * stream's steps were, or if none of them is known. An event without an id belongs to the place of the one before it.
  */
 function compareToLast(
-    { route, lastEvent, longestStep = Infinity }: GatewayRequest,
+    { route, lastEvent, longestStep }: GatewayRequest,
     attempt: Attempt,
     { id }: StreamEvent,
 ): "next" | "repeated" | "missing" | "decreasing" {
@@ -127,29 +128,38 @@
     if (!route.isStream) {
         return "next";
     }
+    // What a caller names may have no order among the ids: then the server decides what comes after it.
+    const last = lastEvent !== undefined && hasOrder(lastEvent) ? lastEvent : undefined;
     if (id === undefined) {
-        const isBeforeLast = attempt.lastEvent !== undefined && lastEvent !== undefined
-            && attempt.lastEvent < lastEvent;
-        return isBeforeLast ? "repeated" : "next";
+        return isBefore(attempt.lastEvent, last) ? "repeated" : "next";
     }
-    if (attempt.lastEvent !== undefined && id < attempt.lastEvent) {
+    if (isBefore(id, attempt.lastEvent)) {
         return "decreasing";
     }
-    if (lastEvent !== undefined && id <= lastEvent) {
+    const step = stepBetween(last, id);
+    if (last !== undefined && step <= 0) {
         return "repeated";
     }
-    const isFirst = attempt.lastEvent === undefined;
-    if (attempt.lastEvent === lastEvent || (isFirst && id - (lastEvent ?? 0) <= longestStep)) {
-        return "next";
-    }
-    return "missing";
+    const isNext = attempt.lastEvent === undefined
+        ? last === undefined || longestStep === undefined || step <= longestStep
+        : isSamePlace(attempt.lastEvent, last);
+    return isNext ? "next" : "missing";
+}
+
+function isBefore(one: EventId | undefined, other: EventId | undefined): boolean {
+    return one !== undefined && other !== undefined && stepBetween(one, other) > 0;
+}
+
+function isSamePlace(one: EventId | undefined, other: EventId | undefined): boolean {
+    return one === undefined || other === undefined ? one === other : stepBetween(one, other) === 0n;
 }
 
 /** Records an event that the caller is to get. */
 function recordLastEvent(request: GatewayRequest, event: StreamEvent): void {
-    const { lastEvent = 0, longestStep = 1 } = request;
+    const { lastEvent, longestStep = 1n } = request;
     if (event.id !== undefined) {
-        request.longestStep = Math.max(longestStep, event.id - lastEvent);
+        const step = lastEvent !== undefined && !hasOrder(lastEvent) ? 0n : stepBetween(lastEvent, event.id);
+        request.longestStep = step > longestStep ? step : longestStep;
         request.lastEvent = event.id;
     }
     request.eventCount += event.isComment === true ? 0 : 1;
--- a/packages/gateway/test/answerEnds.test.ts
+++ b/packages/gateway/test/answerEnds.test.ts
@@ -225,7 +225,7 @@
     const { gateway, call } = endedStream("note", "engine-2");
     const effects = gateway.reportEnd(call.attemptId, report(call, { startedAt: startedAt + 1 }));
     const [next] = callsIn(effects);
-    assert.equal([next.backendServer, next.lastEvent], ["engine-2", 3]);
+    assert.equal([next.backendServer, Number(next.lastEvent)], ["engine-2", 3]);
     gateway.openStream(next);
     assert.equal(eventsIn(gateway.receiveEvents(next, 4)), [4]);
     assert.ok(kindsIn(gateway.handle({ kind: "streamEnded", attemptId: next.attemptId })).includes("answerEnd"));
--- a/packages/gateway/test/delayedStops.test.ts
+++ b/packages/gateway/test/delayedStops.test.ts
@@ -47,7 +47,7 @@
         const effects = endWithoutRun(gateway, call);
         assert.not.ok(isComplete(effects));
         const [next] = callsIn(effects);
-        assert.equal([next.backendServer, next.lastEvent, next.continuesFrom?.name], ["engine-2", 12, "h"]);
+        assert.equal([next.backendServer, Number(next.lastEvent), next.continuesFrom?.name], ["engine-2", 12, "h"]);
     });
 }
 
@@ -59,7 +59,7 @@
         ...gateway.reportEnd(call.attemptId),
     ];
     assert.not.ok(isComplete(effects));
-    assert.is(callsIn(effects)[0].lastEvent, 12);
+    assert.is(Number(callsIn(effects)[0].lastEvent), 12);
 });
 
 /**
--- a/packages/gateway/test/gatewayBuilders.ts
+++ b/packages/gateway/test/gatewayBuilders.ts
@@ -29,6 +29,7 @@
 } from "@verbenaspring/gateway";
 import {
     type AttemptId,
+    type EventId,
     type Failure,
     type GatewayIncarnation,
     identifier,
@@ -409,7 +410,13 @@
     };
 }
 
-function streamEvent(id: number | undefined): StreamEvent {
+/** The id of an event that counts those of its stream. */
+export function eventId(number: number): EventId {
+    return identifier(String(number));
+}
+
+function streamEvent(number: number | undefined): StreamEvent {
+    const id = number === undefined ? undefined : eventId(number);
     return { id, bytes: new TextEncoder().encode(id === undefined ? "data: a\n\n" : `id: ${id}\n\n`) };
 }
 
@@ -422,7 +429,11 @@
 }
 
 export function eventsIn(effects: readonly GatewayEffect[]): (number | undefined)[] {
-    return effects.flatMap(effect => effect.kind === "answerEvents" ? effect.events.map(event => event.id) : []);
+    return effects.flatMap(effect => effect.kind === "answerEvents" ? effect.events.map(toNumber) : []);
+}
+
+function toNumber({ id }: StreamEvent): number | undefined {
+    return id === undefined ? undefined : Number(id);
 }
 
 /** The fields of all log lines of an event. */
--- a/packages/gateway/test/migration.test.ts
+++ b/packages/gateway/test/migration.test.ts
@@ -41,7 +41,7 @@
     for (let elapsed = 0; elapsed < duration; elapsed += 100) {
         effects.push(...gateway.advance(100));
         const { lastEvent } = gateway.state.attempts.get(call.attemptId)!;
-        effects.push(...gateway.receiveEvents(call, (lastEvent ?? 0) + 1));
+        effects.push(...gateway.receiveEvents(call, Number(lastEvent ?? 0) + 1));
     }
     return effects;
 }
@@ -255,7 +255,7 @@
         String(backendServer),
         continuesFrom?.source,
         continuesFrom?.name,
-        lastEvent,
+        lastEvent === undefined ? undefined : Number(lastEvent),
     ]);
 
 // The answer was cut, though the server that had stopped the run on request still kept its memory.
--- a/packages/gateway/test/serverRestarts.test.ts
+++ b/packages/gateway/test/serverRestarts.test.ts
@@ -198,7 +198,7 @@
     const effects = gateway.advance(150);
     const [next] = callsIn(effects);
     assert.is.not(next.backendServer, call.backendServer);
-    assert.equal([next.lastEvent, next.continuesFrom?.name], [43, "r"]);
+    assert.equal([Number(next.lastEvent), next.continuesFrom?.name], [43, "r"]);
     assert.ok(kindsIn(effects).includes("cancelAttempt"));
 });
 
--- a/packages/gateway/test/streamRegister.test.ts
+++ b/packages/gateway/test/streamRegister.test.ts
@@ -6,6 +6,7 @@
     callsIn,
     configuration,
     engineService,
+    eventId,
     eventsIn,
     failuresIn,
     kindsIn,
@@ -51,7 +52,7 @@
     return effects.flatMap(effect => effect.kind === "callStreamRegister" ? [effect.call] : []);
 }
 
-const takeUp = (id: string) => ({ lastEvent: 3, resumedAttemptId: identifier<never>(id) });
+const takeUp = (id: string) => ({ lastEvent: eventId(3), resumedAttemptId: identifier<never>(id) });
 
 test("a stream of the base version needs no record", () => {
     const gateway = gatewayWithBase(engine(1, "v1"));
@@ -154,7 +155,7 @@
     ];
     assert.equal([callsIn(waiting), registerCalls(waiting)], [[], [{ kind: "read", from: 0 }]]);
     const [first] = callsIn(read(gateway, { id: "recorded", softwareVersion: "v2" }));
-    assert.equal([first.backendServer, first.lastEvent], ["engine-2", 3]);
+    assert.equal([first.backendServer, Number(first.lastEvent)], ["engine-2", 3]);
     // The second one arrived after that read had started.
     const [second] = callsIn(read(gateway));
     assert.is(second.backendServer, "engine-1");
@@ -309,23 +310,23 @@
 // The caller got the stream from its first event on, after the events that it had.
 test("a take-up is refused, as not run, where the configuration does not allow the route's streams to be resumed", () => {
     const gateway = TestGateway.serving(server("engine-1"));
-    const effects = gateway.receiveRequest("t", "plan", { lastEvent: 3 });
+    const effects = gateway.receiveRequest("t", "plan", { lastEvent: eventId(3) });
     assert.equal([callsIn(effects), failuresIn(effects).map(({ type, outcome }) => [type, outcome])], [
         [],
         [["no_backend_server", "not_run"]],
     ]);
-    for (const head of [{ lastEvent: 0 }, { resumedAttemptId: identifier<never>("r") }]) {
+    for (const head of [{ lastEvent: eventId(0) }, { resumedAttemptId: identifier<never>("r") }]) {
         assert.is(callsIn(gateway.receiveRequest(`t${Object.keys(head)[0]}`, "plan", head)).length, 1);
     }
     gateway.register(server("plain-2"));
-    assert.is(callsIn(gateway.receiveRequest("c", "lookup", { lastEvent: 3 })).length, 1, "no stream");
+    assert.is(callsIn(gateway.receiveRequest("c", "lookup", { lastEvent: eventId(3) })).length, 1, "no stream");
 });
 
 test("a take-up that does not name the first attempt is served only while no other version has begun streams", () => {
     const gateway = gatewayWithBase(engine(1, "v1"));
-    gateway.receiveRequest("t1", "note", { lastEvent: 3 });
+    gateway.receiveRequest("t1", "note", { lastEvent: eventId(3) });
     assert.is(callsIn(read(gateway)).length, 1);
-    gateway.receiveRequest("t2", "note", { lastEvent: 3 });
+    gateway.receiveRequest("t2", "note", { lastEvent: eventId(3) });
     const effects = read(gateway, { id: "r", softwareVersion: "v2" });
     assert.equal([callsIn(effects).length, failuresIn(effects)[0].outcome], [0, "not_run"]);
 });
@@ -334,7 +335,7 @@
 test("a take-up that does not name the first attempt is served again a stream's lifetime after the last other version", () => {
     const gateway = gatewayWithBase(engine(1, "v1"));
     const isServed = (id: string): boolean => {
-        gateway.receiveRequest(id, "note", { lastEvent: 3 });
+        gateway.receiveRequest(id, "note", { lastEvent: eventId(3) });
         return callsIn(read(gateway)).length === 1;
     };
     read(gateway, { id: "r", softwareVersion: "v2" });
--- a/packages/gateway/test/streamWorld.ts
+++ b/packages/gateway/test/streamWorld.ts
@@ -17,7 +17,7 @@
     type StreamRegisterCall,
 } from "@verbenaspring/gateway";
 import { identifier, type ServiceName, type SoftwareVersion } from "@verbenaspring/model";
-import { configuration, routes, server, TestGateway } from "./gatewayBuilders.js";
+import { configuration, eventId, routes, server, TestGateway } from "./gatewayBuilders.js";
 
 /** How a world behaves; each share is a probability. */
 export interface WorldSettings {
@@ -212,7 +212,7 @@
             this.callers.set(`${id}t`, { ...caller, end: undefined });
             this.takeUps++;
             this.receive(`${id}t`, other, {
-                lastEvent: this.idOf(caller.got),
+                lastEvent: eventId(this.idOf(caller.got)),
                 resumedAttemptId: identifier<never>(id.replace(/t+$/, "")),
             });
         });
@@ -339,7 +339,7 @@
         this.deliver(run, () => {
             const id = this.idOf(piece);
             const bytes = new TextEncoder().encode(`id: ${id}\ndata: ${run.lineage} ${piece}\n\n`);
-            const events = [{ id, bytes }];
+            const events = [{ id: eventId(id), bytes }];
             this.perform(gateway, gateway.handle({ kind: "streamEvents", attemptId: call.attemptId, events }));
         });
         if (call.replicaAddress !== undefined) {
@@ -507,7 +507,7 @@
             }
             // A run that goes on after an event may give it again.
             const isRepeated = lastEvent !== undefined && this.random() < settings.repeats;
-            const made = lastEvent === undefined ? 0 : this.pieceOf(lastEvent) - (isRepeated ? 1 : 0);
+            const made = lastEvent === undefined ? 0 : this.pieceOf(Number(lastEvent)) - (isRepeated ? 1 : 0);
             const caller = this.callers.get(head.callerAttemptId)!;
             const run: Run = {
                 gateway,
--- a/packages/gateway/test/streams.test.ts
+++ b/packages/gateway/test/streams.test.ts
@@ -4,6 +4,7 @@
 import * as assert from "uvu/assert";
 import {
     callsIn,
+    eventId,
     eventsIn,
     failuresIn,
     kindsIn,
@@ -119,7 +120,7 @@
 test("a plan whose ids count tokens continues from its replica", () => {
     const { gateway, call } = startCountedPlan();
     const [next] = callsIn(gateway.failAttempt(call));
-    assert.equal([next?.address, next?.lastEvent], [call.replicaAddress, 64]);
+    assert.equal([next?.address, Number(next?.lastEvent)], [call.replicaAddress, 64]);
 });
 
 test("a silent plan whose ids count tokens is sent elsewhere if its run is ahead of the events received", () => {
@@ -165,14 +166,14 @@
     const call = gateway.startStream("r", "note");
     assert.equal(eventsIn(gateway.receiveEvents(call, 11, 21, 25)), [11, 21, 25]);
     const [next] = callsIn(gateway.failAttempt(call));
-    assert.is(next.lastEvent, 25);
+    assert.is(Number(next.lastEvent), 25);
     gateway.openStream(next);
     assert.equal(eventsIn(gateway.receiveEvents(next, 21, 25, 31, 41)), [31, 41]);
 });
 
 test("a caller takes up a stream whose ids increase by more than 1", () => {
     const gateway = gatewayWithEngines();
-    const call = gateway.sendRequest("r", "note", { lastEvent: 0 });
+    const call = gateway.sendRequest("r", "note", { lastEvent: eventId(0) });
     gateway.openStream(call);
     assert.equal(eventsIn(gateway.receiveEvents(call, 10, 20)), [10, 20]);
 });
@@ -193,7 +194,7 @@
         const call = gateway.startReplicatedStream("r", name);
         const comment = { id: undefined, bytes: new TextEncoder().encode(":\n\n"), isComment: true };
         gateway.handle({ kind: "streamEvents", attemptId: call.attemptId, events: [comment] });
-        assert.is(callsIn(gateway.failAttempt(call))[0].lastEvent, 16);
+        assert.is(Number(callsIn(gateway.failAttempt(call))[0].lastEvent), 16);
     });
 
     test(`a ${name} of which the last event has no id stays at a silent server`, () => {
@@ -233,7 +234,7 @@
     const [next] = callsIn(gateway.failAttempt(call));
     assert.is(next.address, call.replicaAddress);
     assert.equal(next.continuesFrom, { source: call.address, name: call.head.callerAttemptId });
-    assert.is(next.lastEvent, 16);
+    assert.is(Number(next.lastEvent), 16);
     assert.equal(
         eventsIn(gateway.handle({
             kind: "streamOpened",
@@ -321,10 +322,10 @@
 
 test("a stream that may run again continues after the caller's last event", () => {
     const gateway = gatewayWithEngines();
-    const call = gateway.startStream("r", "note", { lastEvent: 0 });
+    const call = gateway.startStream("r", "note", { lastEvent: eventId(0) });
     const [next] = callsIn(gateway.failAttempt(call));
     assert.is(next.continuesFrom, undefined);
-    assert.is(next.lastEvent, 1);
+    assert.is(Number(next.lastEvent), 1);
 });
 
 test("a replica is only kept where enough memory stays free", () => {
@@ -358,7 +359,7 @@
 }
 
 const continuationsIn = (effects: readonly GatewayEffect[]) =>
-    callsIn(effects).map(({ continuesFrom, lastEvent }) => [continuesFrom?.name, lastEvent]);
+    callsIn(effects).map(({ continuesFrom, lastEvent }) => [continuesFrom?.name, Number(lastEvent)]);
 
 // A reset was taken for the end of the run, and servers that work on after it ran the request a second time.
 test("a migrated stream continues only once its server has been asked to stop the run, and its channel has ended", () => {
--- a/packages/model/src/identifiers.ts
+++ b/packages/model/src/identifiers.ts
@@ -24,6 +24,8 @@
 export type GatewayIncarnation = Branded<"GatewayIncarnation">;
 /** The secret that authenticates the callers of an organisation. */
 export type ApiKey = Branded<"ApiKey">;
+/** The id of an event of a stream, as its server writes it. */
+export type EventId = Branded<"EventId">;
 /** One run at an engine. The id has 128 random bits, so that callers can't guess those of others. */
 export type GenerationId = Branded<"GenerationId">;
 /** A customer whose callers share one bearer key. */
--- a/packages/runtime/src/eventFraming.ts
+++ b/packages/runtime/src/eventFraming.ts
@@ -1,7 +1,8 @@
 /**
  * Splits the body of an event stream (server-sent events) into complete events, whose bytes are left unchanged.
  */
-import type { StreamEvent } from "@verbenaspring/gateway";
+import { hasOrder, type StreamEvent } from "@verbenaspring/gateway";
+import { type EventId, identifier } from "@verbenaspring/model";
 import { BodyCollector } from "./bodyCollector.js";
 
 /** Splits the bytes of one stream. */
@@ -141,9 +142,8 @@
     return last === carriageReturn && followsLineEnd ? "afterCarriageReturn" : "inLine";
 }
 
-function parseEvent(bytes: Buffer): { readonly id: number | undefined; readonly hasField: boolean; } {
+function parseEvent(bytes: Buffer): { readonly id: EventId | undefined; readonly hasField: boolean; } {
     const text = bytes.toString("latin1");
-    const id = Number(/^id: ?(\d+)\r?$/m.exec(text)?.[1]);
-    // A larger number may stand for several ids, so it could not tell a new event from a repeated one.
-    return { id: Number.isSafeInteger(id) ? id : undefined, hasField: /^[^:\r\n]/m.test(text) };
+    const id = identifier<EventId>(/^id: ?(\d+)\r?$/m.exec(text)?.[1] ?? "");
+    return { id: hasOrder(id) ? id : undefined, hasField: /^[^:\r\n]/m.test(text) };
 }
--- a/packages/runtime/test/callerLimits.test.ts
+++ b/packages/runtime/test/callerLimits.test.ts
@@ -3,7 +3,7 @@
  * what one connection makes the process do or hold.
  */
 import type { BackendAnswer, HeaderList } from "@verbenaspring/gateway";
-import { identifier, type RequestId } from "@verbenaspring/model";
+import { type EventId, identifier, type RequestId } from "@verbenaspring/model";
 import {
     BodyCollector,
     type CallerBounds,
@@ -242,7 +242,7 @@
     client.socket.write(emptyRequest);
     await waitUntil(() => harness.open.length === 1);
     harness.callers.writeHead(harness.open[0], { ...createResponseHead(200), endsWithChannel: false });
-    const event = { id: 1, bytes: Buffer.alloc(64 * 1024) };
+    const event = { id: identifier<EventId>("1"), bytes: Buffer.alloc(64 * 1024) };
     // The kernel takes some megabytes before the caller's backlog grows.
     const writing = setInterval(() => {
         let count = 0;
@@ -266,7 +266,7 @@
     client.socket.write(emptyRequest);
     await waitUntil(() => harness.open.length === 1);
     harness.callers.writeHead(harness.open[0], { ...createResponseHead(200), endsWithChannel: false });
-    const event = { id: 1, bytes: Buffer.alloc(64 * 1024) };
+    const event = { id: identifier<EventId>("1"), bytes: Buffer.alloc(64 * 1024) };
     // The kernel takes some megabytes before the stream is paused.
     await waitUntil(() => {
         harness.callers.writeEvents(harness.open[0], [event]);
--- a/packages/runtime/test/endlessAnswers.test.ts
+++ b/packages/runtime/test/endlessAnswers.test.ts
@@ -187,7 +187,7 @@
     const framer = createEventFramer(10_000);
     const first = "id: 1\ndata: a\n\n";
     const events = framer.push(Buffer.from(first + "\n\r\n".repeat(3_000)));
-    assert.equal(events.map(({ id, bytes }) => [id, bytes.length]), [[1, first.length], [undefined, 9_000]]);
+    assert.equal(events.map(({ id, bytes }) => [id, bytes.length]), [["1", first.length], [undefined, 9_000]]);
     assert.not.ok(framer.hasOverflowed());
     framer.push(Buffer.from("id: 2\n\n" + ": c\n\n".repeat(1_500)));
     assert.not.ok(framer.hasOverflowed(), "an event with a field ends the row");
--- a/packages/runtime/test/gatewaySockets.test.ts
+++ b/packages/runtime/test/gatewaySockets.test.ts
@@ -1,6 +1,13 @@
 import { findFreeAddress } from "@verbenaspring/bench";
 import type { BackendAnswer, BackendCall, RequestHead, StreamEvent } from "@verbenaspring/gateway";
-import { type AttemptId, type CallerAttemptId, failure, identifier, type RequestId } from "@verbenaspring/model";
+import {
+    type AttemptId,
+    type CallerAttemptId,
+    type EventId,
+    failure,
+    identifier,
+    type RequestId,
+} from "@verbenaspring/model";
 import {
     type BackendChannels,
     createBackendChannels,
@@ -405,7 +412,7 @@
     for (let cut = 0; cut <= text.length; cut++) {
         const framer = createEventFramer(65_536);
         const events = [...framer.push(Buffer.from(text.slice(0, cut))), ...framer.push(Buffer.from(text.slice(cut)))];
-        assert.equal(events.map(event => event.id), [1, 2, undefined, 3]);
+        assert.equal(events.map(event => event.id), ["1", "2", undefined, "3"]);
         assert.equal(events.map(event => event.isComment === true), [false, false, true, false]);
         assert.is(Buffer.concat(events.map(event => event.bytes)).toString(), text);
         assert.not.ok(framer.incompleteBytes() > 0);
@@ -416,7 +423,7 @@
     const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
     const framer = createEventFramer(65_536);
     const events = [...text].flatMap(byte => framer.push(Buffer.from(byte)));
-    assert.equal(events.map(event => event.id), [1, 2, 3]);
+    assert.equal(events.map(event => event.id), ["1", "2", "3"]);
     assert.is(Buffer.concat(events.map(event => event.bytes)).toString(), text);
 });
 
@@ -547,7 +554,7 @@
     const event = "id: 1\ndata: a\n\n";
     const response = await harness.exchange(request("\r\n"), requestId => {
         harness.callers.writeHead(requestId, { ...createResponseHead(200), isEventStream: true });
-        harness.callers.writeEvents(requestId, [{ id: 1, bytes: Buffer.from(event) }]);
+        harness.callers.writeEvents(requestId, [{ id: identifier<EventId>("1"), bytes: Buffer.from(event) }]);
         harness.callers.end(requestId);
     }, "0\r\n\r\n");
     assert.match(response, /transfer-encoding: chunked\r\n/i);
@@ -583,7 +590,7 @@
                 isEventStream: true,
                 endsWithChannel: false,
             });
-            harness.callers.writeEvents(requestId, [{ id: 1, bytes: Buffer.from("id: 1\n\n") }]);
+            harness.callers.writeEvents(requestId, [{ id: identifier<EventId>("1"), bytes: Buffer.from("id: 1\n\n") }]);
         }, "id: 1").then(() => {
             const poll = setInterval(() => {
                 if (harness.left.length > 0) {
