answerEnds: a late health check does not show which incarnation answers

Cause: a health check names its server, but not the start. Whoever answered it under that id counted as the process that had the request, though the store's record had the new start already.

Change: where records state starts and the checks don't, an answer that takes 100 ms and more counts only once the record has been read 100 ms later and shows the same start. If they are not for two seconds, the answer is cut.

--- a/packages/bench/test/killedServersProcess.test.ts
+++ b/packages/bench/test/killedServersProcess.test.ts
@@ -27,11 +27,15 @@
 ] as const;
 
 async function register(cluster: GatewayCluster, service: "plain" | "engine", port: number): Promise<void> {
-    const record = { service, address: `127.0.0.1:${port}`, zone: "near", slots: 64, state: "ready" };
-    cluster.store.put("keyed.servers", "x", service === "plain" ? record : { ...record, born: firstStart });
+    putRecord(cluster, service, port, service === "plain" ? undefined : firstStart);
     await cluster.waitUntilKnown(cluster.gateways[0], "x");
 }
 
+function putRecord(cluster: GatewayCluster, service: string, port: number, born: number | undefined): void {
+    const record = { service, address: `127.0.0.1:${port}`, zone: "near", slots: 64, state: "ready", born };
+    cluster.store.put("keyed.servers", "x", record);
+}
+
 function sendCalls(cluster: GatewayCluster, path: string): Promise<GatewayResponse[]> {
     const headers = { "body-length": String(pieces) };
     const answers = Array.from({ length: calls }, () => cluster.sendRequest(cluster.gateways[0], path, { headers }));
@@ -56,6 +60,50 @@
     }
 }
 
+// MIXED: the next process answered the health check, and half of an answer was passed on as the whole.
+for (const route of ["confirm", "lookup"]) {
+    test(`callers get no part of an unframed answer of ${route} as the whole when its server starts again under its id`, () =>
+        withCluster(async (cluster, children) => {
+            const connections: Socket[] = [];
+            const start = async (): Promise<ChildProcess> => {
+                const child = fork(program, ["x", String(firstStart)], { execArgv });
+                children.push(child);
+                await once(child, "message");
+                return child;
+            };
+            let server: ChildProcess | undefined = await start();
+            const waiting: Socket[] = [];
+            const supervisor = createServer({ pauseOnConnect: true }, socket => {
+                connections.push(socket);
+                if (server === undefined) {
+                    waiting.push(socket);
+                }
+                else {
+                    server.send("connection", socket);
+                }
+            });
+            try {
+                await new Promise<void>(resolve => supervisor.listen(0, "127.0.0.1", resolve));
+                const { port } = supervisor.address() as AddressInfo;
+                putRecord(cluster, "plain", port, firstStart);
+                await cluster.waitUntilKnown(cluster.gateways[0], "x");
+                const answers = sendCalls(cluster, `/${route}/1`);
+                await waitUntil("the calls have begun", () => connections.length >= calls);
+                await sleep(200);
+                server = undefined;
+                children[0].kill("SIGKILL");
+                server = await start();
+                putRecord(cluster, "plain", port, firstStart + 1);
+                waiting.forEach(socket => server?.send("connection", socket));
+                assert.is(countParts(await answers), 0);
+            }
+            finally {
+                connections.forEach(socket => socket.destroy());
+                supervisor.close();
+            }
+        }));
+}
+
 for (const [route, service, kind] of routes) {
     for (const isReplaced of [false, true]) {
         const supervision = isReplaced ? "starts the server again" : "waits";
--- a/packages/gateway/src/answerEnds.ts
+++ b/packages/gateway/src/answerEnds.ts
@@ -3,7 +3,8 @@
  * channels of a process that is killed in the same way, and accepts connections for one that does not run. So the server is
  * asked for its report: the incarnation that had the run has to answer, and no longer to list the run. Where incarnations don't
  * state their start, each has another id, and none answers what is for another one. A server without reports has to answer a
- * health check. A server that leaves may end its streams itself when it exits, which is due once its drain limit is over. A stream
+ * health check. One that has started again under its id may answer it, so its record has to be read anew unless it answered at
+ * once. A server that leaves may end its streams itself when it exits, which is due once its drain limit is over. A stream
  * that ended earlier is complete if the server serves until then; after a later one the server has to answer once more after the
  * time for an exit. No request to stop a run may be open there.
  */
@@ -11,6 +12,7 @@
 import { type DrainEnd, drainEnd, earliestAcknowledgement } from "./drainLimit.js";
 import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent, ServerReport } from "./event.js";
+import { readServersOften } from "./followers.js";
 import { isLeaving } from "./leavingServers.js";
 import type { BackendAnswer, ResponseHead } from "./messages.js";
 import { mayStopLate } from "./migrationCalls.js";
@@ -33,6 +35,8 @@
     nextAt: Milliseconds | undefined;
     /** How often it has given no report since it last gave one. */
     unanswered: number;
+    /** From when on the record of a server without reports shows which incarnation has answered; undefined before it has. */
+    recordShowsFrom: Milliseconds | undefined;
 }
 
 /** How servers can be asked whether they go on. */
@@ -61,6 +65,12 @@
  * The server is asked again at the next tick.
  */
 const maximumUnanswered = 3;
+/** No process has ended and started again, and answers, within this time. */
+const shortestRestart: Milliseconds = 100;
+/** A server's first record is stored this long after it answers at the latest. */
+const recordDelay: Milliseconds = 100;
+/** For how long an answer is kept until the record of its server has been read. */
+const longestRecordWait: Milliseconds = 2_000;
 /** A server may stop a run this much before its time limit is over here: limits are sent in whole milliseconds, and clocks differ. */
 const timeLimitMargin: Milliseconds = 20;
 
@@ -81,7 +91,14 @@
  */
 export function startEndCheck(transaction: Transaction, attempt: Attempt, answer?: BackendAnswer): void {
     const { now } = transaction;
-    attempt.endCheck = { endedAt: now, answer, askedAt: now, nextAt: undefined, unanswered: 0 };
+    attempt.endCheck = {
+        endedAt: now,
+        answer,
+        askedAt: now,
+        nextAt: undefined,
+        unanswered: 0,
+        recordShowsFrom: undefined,
+    };
     askForReport(transaction, attempt, attempt.endCheck);
 }
 
@@ -114,7 +131,9 @@
     const mayExit = report?.isLeaving === true || isLeaving(transaction.state, attempt.server);
     const drained = mayExit ? drainEndOf(transaction, attempt) : undefined;
     const confirmedFrom = mayExit ? confirmationTime(endCheck, drained) : endCheck.endedAt;
-    const verdict = judgeEnd(request, attempt, endCheck, { report, confirmedFrom });
+    const ending = judgeEnd(request, attempt, endCheck, { report, confirmedFrom });
+    const needsRecord = ending === "complete" && statesStartInRecordOnly(attempt);
+    const verdict = needsRecord ? judgeByRecord(transaction, attempt, endCheck) : ending;
     logDecision(transaction, "info", "answer_end_checked", {
         ...requestFields(transaction, request),
         server: attempt.server.record.id,
@@ -139,7 +158,7 @@
     }
     else {
         const isListed = findListedRun(report, request.head) !== undefined;
-        endCheck.nextAt = isListed ? now + checkInterval : confirmedFrom;
+        endCheck.nextAt = isListed || needsRecord ? now + checkInterval : confirmedFrom;
     }
     return verdict;
 }
@@ -186,6 +205,26 @@
     return isRefused !== true && !lacksStart;
 }
 
+/** Whether only the record of a server tells its incarnations apart: its health checks don't. */
+function statesStartInRecordOnly({ server, serverChecks }: Attempt): boolean {
+    return !serverChecks.hasReport && server.record.startedAt !== undefined;
+}
+
+/** Judges by its record whether the server that has answered a health check is the incarnation that had the run. */
+function judgeByRecord(transaction: Transaction, { server }: Attempt, endCheck: EndCheck): EndVerdict {
+    const { state, now } = transaction;
+    if (isSuperseded(state, server)) {
+        return "cut";
+    }
+    const age = now - endCheck.endedAt;
+    endCheck.recordShowsFrom ??= age < shortestRestart ? -Infinity : now + recordDelay;
+    if ((state.followers.backendServers.freshAsOf ?? -Infinity) >= endCheck.recordShowsFrom) {
+        return "complete";
+    }
+    readServersOften(transaction);
+    return age < longestRecordWait ? "unknown" : "cut";
+}
+
 /** What is known of a server once it was asked. */
 interface ServerStatement {
     /** Undefined if it did not answer. */
--- a/packages/gateway/test/wholeAnswerEnds.test.ts
+++ b/packages/gateway/test/wholeAnswerEnds.test.ts
@@ -79,6 +79,42 @@
     assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report)).includes("answerWhole"));
 });
 
+/** A check that a plain server with a start in its record answers so long after the end of the channel. */
+function answeredAfter(delay: number) {
+    const { gateway, call } = endedAnswer("confirm", {}, 5);
+    gateway.now += delay;
+    const report = { runs: undefined, isLeaving: false, startedAt: undefined };
+    return { gateway, call, report, effects: gateway.reportEnd(call.attemptId, report) };
+}
+
+// MIXED: a server that had started again answered the check, and half of an answer was passed on as the whole.
+test("an unframed whole answer of a plain server that answers late waits until its record shows whether it has started again", () => {
+    for (const startedAgain of [true, false]) {
+        const { gateway, call: { attemptId, backendServer }, report, effects } = answeredAfter(350);
+        assert.equal(kindsIn(effects).filter(kind => /answerWhole|answerFailure/.test(kind)), []);
+        gateway.advance(150);
+        gateway.register(server(backendServer, startedAgain ? { startedAt: 6 } : { startedAt: 5, heartbeat: 2 }));
+        gateway.advance(50);
+        gateway.register();
+        const settled = gateway.reportEnd(attemptId, report);
+        assert.is(kindsIn(settled).includes("answerWhole"), !startedAgain);
+        assert.is(kindsIn(settled).includes("answerFailure"), startedAgain);
+    }
+});
+
+test("an unframed whole answer of a plain server that has started again by its record is not passed on", () => {
+    const { gateway, call } = endedAnswer("confirm", {}, 5);
+    gateway.register(server(call.backendServer, { startedAt: 6 }));
+    const report = { runs: undefined, isLeaving: false, startedAt: undefined };
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report)).includes("answerFailure"));
+});
+
+test("an unframed whole answer of a plain server that answers late is not passed on before its record is read", () => {
+    const { gateway, call: { attemptId }, report } = answeredAfter(350);
+    assert.is(checksIn(gateway.advance(200)).length, 1);
+    assert.not.ok(kindsIn(gateway.reportEnd(attemptId, report)).includes("answerWhole"));
+});
+
 test("an unframed whole answer whose server does not answer three times is not passed on", () => {
     const { gateway, call } = endedAnswer("confirm");
     const effects = failChecks(gateway, call);
