--- a/packages/fuzz/src/platform/oracle.ts
+++ b/packages/fuzz/src/platform/oracle.ts
@@ -197,7 +197,7 @@
             this.fail("events_once_in_order_one_run", `${request.callerAttemptId} got ${JSON.stringify(text)}`);
         }
         const { softwareVersion, lineage } = event;
-        const eventNumber = id ?? event.id;
+        const eventNumber = id === undefined ? event.id : Number(id);
         if (!lineage.includes(`/${request.callerAttemptId}/`)) {
             this.fail("whole_and_own_answer", `${request.callerAttemptId} got an event of ${lineage}`);
         }
