serverExits: a leaving that was read late does not date the drain limit

Callers would see: a part of an unframed stream as a complete one (ORDER), at a gateway that has read no records for more than two seconds, when a server leaves and ends its streams early, with its exit.

Cause: the limit counted from the acknowledgement at the earliest, which was over at once then, so that the first report decided. Found by reading; the bound of 600 ms was set on the latest time only.

Change: a leaving that lies between two views more than 600 ms apart is not dated, and the server has to answer a second later, as before.

--- a/packages/gateway/src/answerEnds.ts
+++ b/packages/gateway/src/answerEnds.ts
@@ -4,19 +4,17 @@
  * asked for its report: the incarnation that had the run has to answer, and no longer to list the run. Where incarnations don't
  * state their start, each has another id, and none answers what is for another one. A server without reports has to answer a
  * health check. One that has started again under its id may answer it, so its record has to be read anew unless it answered at
- * once. A server that leaves may end its streams itself when it exits, which is due once its drain limit is over. A stream
- * that ended earlier is complete if the server serves until then; after a later one the server has to answer once more after the
- * time for an exit. No request to stop a run may be open there.
+ * once. The exit of a server that leaves ends its streams too, so that server has to answer when this can't have been its exit. No
+ * request to stop a run may be open there.
  */
 import type { AttemptId, Milliseconds, ServiceName } from "@verbenaspring/model";
-import { type DrainEnd, drainEnd, earliestAcknowledgement } from "./drainLimit.js";
 import type { DecisionFields } from "./effect.js";
 import type { GatewayEvent, ServerReport } from "./event.js";
 import { readServersOften } from "./followers.js";
-import { isLeaving } from "./leavingServers.js";
 import type { BackendAnswer, ResponseHead } from "./messages.js";
 import { mayStopLate } from "./migrationCalls.js";
 import { requestFields } from "./requests.js";
+import { type ExitForecast, forecastExit } from "./serverExits.js";
 import { findListedRun, isOtherIncarnation, isSuperseded } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
 import { type Attempt, type GatewayRequest, type GatewayState, serverEndsAt } from "./state.js";
@@ -58,8 +56,6 @@
 /** A report may be this old, and so list a run that has ended since. */
 const longestReportAge: Milliseconds = 1_000;
 const checkInterval: Milliseconds = 200;
-/** A server that exits may answer for this long after it has ended its streams. */
-const exitTime: Milliseconds = 1_000;
 /**
  * A server at its limit of connections resets some, and an answer may be lost; that of a process that has ended never comes.
  * The server is asked again at the next tick.
@@ -128,10 +124,8 @@
     const { now } = transaction;
     const report = answer !== undefined && isByIncarnation(attempt, answer) ? answer : undefined;
     endCheck.unanswered = report === undefined ? endCheck.unanswered + 1 : 0;
-    const mayExit = report?.isLeaving === true || isLeaving(transaction.state, attempt.server);
-    const drained = mayExit ? drainEndOf(transaction, attempt) : undefined;
-    const confirmedFrom = mayExit ? confirmationTime(endCheck, drained) : endCheck.endedAt;
-    const ending = judgeEnd(request, attempt, endCheck, { report, confirmedFrom });
+    const exit = forecastExit(transaction, attempt.server, endCheck.endedAt, report?.isLeaving === true);
+    const ending = judgeEnd(request, attempt, endCheck, report, exit);
     const needsRecord = ending === "complete" && statesStartInRecordOnly(attempt);
     const verdict = needsRecord ? judgeByRecord(transaction, attempt, endCheck) : ending;
     logDecision(transaction, "info", "answer_end_checked", {
@@ -141,8 +135,7 @@
         verdict,
         endAge: Math.round(now - endCheck.endedAt),
         unanswered: endCheck.unanswered,
-        mayExit,
-        ...drainFields(endCheck, drained),
+        ...exit.fields,
         serverStartedAt: attempt.server.record.startedAt,
         reportStartedAt: report?.startedAt,
         receivedEvents: request.eventCount,
@@ -158,44 +151,15 @@
     }
     else {
         const isListed = findListedRun(report, request.head) !== undefined;
-        endCheck.nextAt = isListed || needsRecord ? now + checkInterval : confirmedFrom;
+        endCheck.nextAt = isListed || needsRecord ? now + checkInterval : exit.excludedFrom;
     }
     return verdict;
 }
 
-/** When the drain limit of the server of an attempt ends; undefined if that is not known. */
-function drainEndOf(transaction: Transaction, { server }: Attempt): DrainEnd | undefined {
-    const { state, now } = transaction;
-    const known = state.servers.get(server.record.id);
-    if (known === undefined || isSuperseded(state, server)) {
-        return undefined;
-    }
-    // A server that says that it leaves may do so before its record.
-    return known.leavingSince === undefined
-        ? drainEnd(state, { leavingSince: now, leavingNotBefore: earliestAcknowledgement(transaction) })
-        : drainEnd(state, known);
-}
-
-/** How long after the end of the channel the drain limit was over, at the earliest and the latest. */
-function drainFields({ endedAt }: EndCheck, drained: DrainEnd | undefined): DecisionFields {
-    return drained === undefined ? {} : {
-        drainedAfter: Math.round(drained.earliest - endedAt),
-        drainedBefore: Math.round(drained.latest - endedAt),
-    };
-}
-
 function listedFields({ head }: GatewayRequest, report: ServerReport | undefined): DecisionFields {
     return { listedEvents: findListedRun(report, head)?.events, listedRuns: report?.runs?.length };
 }
 
-/** From when on a server that leaves and answers has ended a stream itself, rather than by its exit. */
-function confirmationTime({ endedAt }: EndCheck, drained: DrainEnd | undefined): Milliseconds {
-    const afterExit = endedAt + exitTime;
-    return drained === undefined || endedAt > drained.latest
-        ? afterExit
-        : Math.min(afterExit, Math.max(endedAt, drained.earliest));
-}
-
 /**
  * Whether an answer tells of an incarnation: it is no refusal, and a report states a start if the server's record does. A
  * health check tells of none.
@@ -225,19 +189,13 @@
     return age < longestRecordWait ? "unknown" : "cut";
 }
 
-/** What is known of a server once it was asked. */
-interface ServerStatement {
-    /** Undefined if it did not answer. */
-    readonly report: ServerReport | undefined;
-    /** From when on it has ended the stream itself if it answers. */
-    readonly confirmedFrom: Milliseconds;
-}
-
+/** @param report undefined if the server did not answer */
 function judgeEnd(
     request: GatewayRequest,
     attempt: Attempt,
     { endedAt, answer, askedAt, unanswered }: EndCheck,
-    { report, confirmedFrom }: ServerStatement,
+    report: ServerReport | undefined,
+    { excludedFrom }: ExitForecast,
 ): EndVerdict {
     const { head, eventCount } = request;
     if (report === undefined) {
@@ -253,7 +211,7 @@
             return "cut";
         }
         // A whole answer is not kept back for as long.
-        const isAskedAgain = answer === undefined && askedAt < confirmedFrom;
+        const isAskedAgain = answer === undefined && askedAt < excludedFrom;
         return isAskedAgain ? "unknown" : "complete";
     }
     const hasMoreEvents = answer === undefined && run.events > eventCount;
--- a/packages/gateway/src/drainLimit.ts
+++ b/packages/gateway/src/drainLimit.ts
@@ -13,7 +13,7 @@
 const longestDelivery: Milliseconds = 400;
 /** How old a view of the servers becomes while the store answers any gateway: the last takeover, and a read that fails. */
 const longestViewAge: Milliseconds = 2_300;
-/** How old a view of the servers is at most while each read of them gets its answer. */
+/** A view of the servers is no older than this while each read of them gets its answer. */
 const usualViewAge: Milliseconds = 600;
 /** A gateway whose last report was created less than this ago is in contact, and would have reported reads of its own. */
 const contactTimeout: Milliseconds = 1_000;
@@ -70,22 +70,22 @@
     return Math.max(0, (leavingNotBefore ?? now) + (options.drainLimit ?? defaultDrainLimit) - now);
 }
 
-/** When the time ends for which a server that leaves goes on serving: the drain limit, from an acknowledgement between two reads. */
+/** When the drain limit of a server that leaves ends, whose leaving was acknowledged between two views of the servers. */
 export interface DrainEnd {
     readonly earliest: Milliseconds;
-    /** Later than `earliest` by the usual interval of reads at most: what is learnt after an outage of the log may be old. */
     readonly latest: Milliseconds;
 }
 
-/** When the drain limit of a server ends; undefined if nothing tells that it leaves, or when. */
+/** When the drain limit of a server ends; undefined if it does not leave, or if the views were too far apart to tell. */
 export function drainEnd(
     { options }: GatewayState,
     { leavingNotBefore, leavingSince }: Pick<BackendServer, "leavingNotBefore" | "leavingSince">,
 ): DrainEnd | undefined {
-    if (leavingNotBefore === undefined || leavingSince === undefined) {
+    if (
+        leavingNotBefore === undefined || leavingSince === undefined || leavingSince - leavingNotBefore > usualViewAge
+    ) {
         return undefined;
     }
     const limit = options.drainLimit ?? defaultDrainLimit;
-    const latestAcknowledgement = Math.min(leavingSince, leavingNotBefore + usualViewAge);
-    return { earliest: leavingNotBefore + limit, latest: latestAcknowledgement + limit };
+    return { earliest: leavingNotBefore + limit, latest: leavingSince + limit };
 }
--- a/packages/gateway/test/answerEnds.test.ts
+++ b/packages/gateway/test/answerEnds.test.ts
@@ -185,6 +185,18 @@
         assert.ok(kindsIn(answerChecks(gateway, call, undefined)).includes("answerCut"), how);
     }));
 
+// ORDER: after an outage of the log the drain limit seemed to be over, and a server that exited early to have served until then.
+test("an unframed stream needs a second answer if the gateway can't tell when the drain limit of its server is over", () =>
+    forEachLeaving(how => {
+        for (const delay of [50, 500]) {
+            const { gateway, call } = streamEndedAfterLeaving(how, delay, 2_200);
+            assert.not.ok(kindsIn(gateway.reportEnd(call.attemptId, report(call))).includes("answerEnd"), how);
+            assert.is(checksIn(gateway.advance(900)), 0, how);
+            assert.is(checksIn(gateway.advance(100)), 1, how);
+            assert.ok(kindsIn(answerChecks(gateway, call, undefined)).includes("answerCut"), how);
+        }
+    }));
+
 // ORDER: a server that exits may end its runs one after the other.
 test("another run in the report of a server that leaves does not show that it has completed an unframed stream", () => {
     const { gateway, call } = streamEndedAfterLeaving("draining", 2_050);
