Read servers' records often only for as long as an answer needs it

Cost nobody asked for: each health check that took 100 ms and more, as at a busy server, had the records read each 50 ms for a minute. And callers would see a part as a complete stream (ORDER) where streams last longer than that minute.

Cause: one fixed duration for both reasons to read often.

Change: a stream that ends with its channel asks for it until its time limit, an answer that waits for a record until it is looked at again. The next read is not waited for first. After a failed read the pause stays.

--- a/packages/gateway/src/answerEnds.ts
+++ b/packages/gateway/src/answerEnds.ts
@@ -185,7 +185,7 @@
     if ((state.followers.backendServers.freshAsOf ?? -Infinity) >= endCheck.recordShowsFrom) {
         return "complete";
     }
-    readServersOften(transaction);
+    readServersOften(transaction, now + checkInterval);
     return age < longestRecordWait ? "unknown" : "cut";
 }
 
--- a/packages/gateway/src/followers.ts
+++ b/packages/gateway/src/followers.ts
@@ -84,17 +84,19 @@
     },
 };
 
-/** The pause after a read while streams run whose completeness depends on when their servers leave. */
+/** The pause after a read while {@link readServersOften} asks for it. */
 const shortPause: Milliseconds = 50;
-/** Longer than a stream lasts. */
-const shortPauseDuration: Milliseconds = 60_000;
 
 /**
- * Has the records of the servers read more often: of a stream that ends with its channel, only the time of its server's notice tells
- * whether the server may have exited. The gateway that reads for all goes by its own streams, as all have streams of the same services.
+ * Has the records of the servers read more often for a while. Only a gateway that reads for all does so: it goes by its own
+ * requests, as all have requests of the same services.
  */
-export function readServersOften({ state, now }: Transaction): void {
-    state.followers.backendServers.readOftenUntil = now + shortPauseDuration;
+export function readServersOften({ state, now }: Transaction, until: Milliseconds): void {
+    const follower = state.followers.backendServers;
+    follower.readOftenUntil = Math.max(follower.readOftenUntil, until);
+    if (follower.lastFailure === undefined) {
+        follower.nextReadAt = Math.min(follower.nextReadAt, now + shortPause);
+    }
 }
 
 function pauseAfterRead({ readOftenUntil }: TopicFollower, topic: TopicName, now: Milliseconds): Milliseconds {
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -32,7 +32,14 @@
 import { isSuperseded } from "./serverIncarnations.js";
 import { engineOf, recordEventLoad } from "./serverLoad.js";
 import { endSilentAttempt } from "./silentAttempts.js";
-import { type Attempt, type GatewayRequest, type GatewayState, type HeldEvents, type LostRun } from "./state.js";
+import {
+    type Attempt,
+    type GatewayRequest,
+    type GatewayState,
+    type HeldEvents,
+    type LostRun,
+    serverEndsAt,
+} from "./state.js";
 import { recordPartEvent } from "./streamParts.js";
 import { holdUntilRecorded } from "./streamRegister.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -59,8 +66,9 @@
     }
     if (answerClass === "delivered") {
         attempt.head = head;
+        // When its server left decides whether the end of the channel may have been the server's exit.
         if (head.endsWithChannel) {
-            readServersOften(transaction);
+            readServersOften(transaction, serverEndsAt(request));
         }
         return endSilentAttempt(transaction, request, "cancel");
     }
--- a/packages/gateway/test/answerEnds.test.ts
+++ b/packages/gateway/test/answerEnds.test.ts
@@ -205,16 +205,31 @@
     assert.not.ok(kindsIn(effects).includes("answerEnd"));
 });
 
-// ORDER: a server that had exited half a second after its notice counted as within its drain limit, as the notice was read late.
-test("the servers' records are read each 50 ms while streams run that end with their channels", () => {
+/** Whether the records of the servers are read within 50 ms of the last read. */
+function isReadSoon(gateway: TestGateway): boolean {
+    gateway.register();
+    return gateway.advance(50).some(effect => effect.kind === "readTopic" && effect.topic === "backendServers");
+}
+
+// ORDER: a notice was read late, and a server that had exited half a second after its drain limit counted as within it.
+test("the servers' records are read each 50 ms while streams run that end with their channels, and no longer", () => {
     for (const endsWithChannel of [true, false]) {
         const gateway = TestGateway.serving(server("engine-1", { startedAt }));
-        gateway.openStream(gateway.sendRequest("r", "plan"), { endsWithChannel });
+        const call = gateway.sendRequest("r", "plan");
         gateway.advance(400);
-        gateway.register();
-        const effects = gateway.advance(50);
-        const isRead = effects.some(effect => effect.kind === "readTopic" && effect.topic === "backendServers");
-        assert.is(isRead, endsWithChannel);
+        assert.not.ok(isReadSoon(gateway));
+        gateway.advance(400);
+        gateway.openStream(call, { endsWithChannel });
+        assert.is(isReadSoon(gateway), endsWithChannel);
+        for (let second = 0; second < 38; second++) {
+            gateway.advance(1_000);
+            gateway.receiveEvents(call, second + 1);
+        }
+        assert.is(isReadSoon(gateway), endsWithChannel);
+        gateway.handle({ kind: "streamEnded", attemptId: call.attemptId });
+        gateway.reportEnd(call.attemptId, report(call));
+        gateway.advance(2_000);
+        assert.not.ok(isReadSoon(gateway));
     }
 });
 
--- a/packages/gateway/test/wholeAnswerEnds.test.ts
+++ b/packages/gateway/test/wholeAnswerEnds.test.ts
@@ -2,34 +2,51 @@
  * Whole answers with neither a length nor chunks, whose channel ends in the same way when they are complete and when their
  * server has ended.
  */
-import type {
-    BackendAnswer,
-    BackendCall,
-    GatewayEffect,
-    RoutingConfiguration,
-    ServerReport,
+import {
+    type BackendAnswer,
+    type BackendCall,
+    type GatewayEffect,
+    indexRoutes,
+    type RoutingConfiguration,
+    type ServerReport,
 } from "@verbenaspring/gateway";
 import { identifier } from "@verbenaspring/model";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { callsIn, configuration, kindsIn, linesIn, plainService, server, TestGateway } from "./gatewayBuilders.js";
+import {
+    callsIn,
+    configuration,
+    kindsIn,
+    linesIn,
+    plainService,
+    routes,
+    server,
+    TestGateway,
+} from "./gatewayBuilders.js";
 
 const healthCheckPath = "/healthz";
 
-function withHealthChecks(): RoutingConfiguration {
-    const { services, ...others } = configuration(2);
+/** @param timeout of all routes; by default those of the builders */
+function withHealthChecks(timeout?: number): RoutingConfiguration {
+    const { services, routesByHost, ...others } = configuration(2);
     const plain = { name: plainService, engine: undefined, healthCheckPath };
-    return { ...others, services: new Map([...services, [plainService, plain]]) };
+    const slowRoutes = timeout === undefined ? routesByHost : indexRoutes(routes.map(each => ({ ...each, timeout })));
+    return { ...others, routesByHost: slowRoutes, services: new Map([...services, [plainService, plain]]) };
 }
 
 /** A gateway with a call whose answer has ended with its channel, and whose server is asked. */
-function endedAnswer(routeName: string, overrides: Partial<BackendAnswer> = {}, startedAt?: number) {
+function endedAnswer(
+    routeName: string,
+    overrides: Partial<BackendAnswer> = {},
+    startedAt?: number,
+    timeout?: number,
+) {
     const gateway = TestGateway.serving(
         server("plain-1", { startedAt }),
         server("plain-2", { startedAt }),
         server("engine-1", { startedAt: 5 }),
     );
-    gateway.configure(withHealthChecks());
+    gateway.configure(withHealthChecks(timeout));
     const call = gateway.sendRequest("r", routeName);
     const effects = gateway.answer(call, { endsWithChannel: true, ...overrides });
     return { gateway, call, effects };
@@ -72,47 +89,54 @@
     }
 });
 
-// The answer to a health check states no start.
+/** What an answer to a health check tells: it states no start. */
+const healthAnswer: ServerReport = { runs: undefined, isLeaving: false, startedAt: undefined };
+
 test("an unframed whole answer of a plain server whose record states its start is passed on once the server has answered", () => {
     const { gateway, call } = endedAnswer("confirm", {}, 5);
-    const report = { runs: undefined, isLeaving: false, startedAt: undefined };
-    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report)).includes("answerWhole"));
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, healthAnswer)).includes("answerWhole"));
 });
 
-/** A check that a plain server with a start in its record answers so long after the end of the channel. */
-function answeredAfter(delay: number) {
-    const { gateway, call } = endedAnswer("confirm", {}, 5);
-    gateway.now += delay;
-    const report = { runs: undefined, isLeaving: false, startedAt: undefined };
-    return { gateway, call, report, effects: gateway.reportEnd(call.attemptId, report) };
+/** A health check that is answered 350 ms after the end of the channel, by a plain server whose record states its start. */
+function answeredLate(timeout?: number) {
+    const { gateway, call } = endedAnswer("confirm", {}, 5, timeout);
+    gateway.now += 350;
+    return { gateway, call, effects: gateway.reportEnd(call.attemptId, healthAnswer) };
 }
 
 // MIXED: a server that had started again answered the check, and half of an answer was passed on as the whole.
 test("an unframed whole answer of a plain server that answers late waits until its record shows whether it has started again", () => {
     for (const startedAgain of [true, false]) {
-        const { gateway, call: { attemptId, backendServer }, report, effects } = answeredAfter(350);
+        const { gateway, call: { attemptId, backendServer }, effects } = answeredLate();
         assert.equal(kindsIn(effects).filter(kind => /answerWhole|answerFailure/.test(kind)), []);
         gateway.advance(150);
         gateway.register(server(backendServer, startedAgain ? { startedAt: 6 } : { startedAt: 5, heartbeat: 2 }));
         gateway.advance(50);
         gateway.register();
-        const settled = gateway.reportEnd(attemptId, report);
+        const settled = gateway.reportEnd(attemptId, healthAnswer);
         assert.is(kindsIn(settled).includes("answerWhole"), !startedAgain);
         assert.is(kindsIn(settled).includes("answerFailure"), startedAgain);
     }
 });
 
+// MIXED: the record showed the new start already.
 test("an unframed whole answer of a plain server that has started again by its record is not passed on", () => {
     const { gateway, call } = endedAnswer("confirm", {}, 5);
     gateway.register(server(call.backendServer, { startedAt: 6 }));
-    const report = { runs: undefined, isLeaving: false, startedAt: undefined };
-    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, report)).includes("answerFailure"));
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, healthAnswer)).includes("answerFailure"));
 });
 
-test("an unframed whole answer of a plain server that answers late is not passed on before its record is read", () => {
-    const { gateway, call: { attemptId }, report } = answeredAfter(350);
-    assert.is(checksIn(gateway.advance(200)).length, 1);
-    assert.not.ok(kindsIn(gateway.reportEnd(attemptId, report)).includes("answerWhole"));
+// Each late answer had the records read often for a minute.
+test("the records are read often only while an answer waits for one", () => {
+    const { gateway, call: { attemptId } } = answeredLate();
+    gateway.advance(150);
+    gateway.register();
+    gateway.advance(50);
+    gateway.register();
+    assert.ok(kindsIn(gateway.reportEnd(attemptId, healthAnswer)).includes("answerWhole"));
+    gateway.advance(400);
+    gateway.register();
+    assert.not.ok(kindsIn(gateway.advance(50)).includes("readTopic"));
 });
 
 test("an unframed whole answer whose server does not answer three times is not passed on", () => {
