answerEnds: an outage of the log does not cut an answer that waits for a record

Callers would see: a stream of a plain service that is whole, and is cut (LOST), or a whole answer that fails, while the log is out for two seconds and the server was slow to answer its health check.

Change: the answer waits until the record can be read, for as long as its time limit allows. Whether a record is of the same incarnation is answered in serverIncarnations.ts.

An outage that lasts beyond the time limit still ends the answer.

--- a/packages/gateway/src/answerEnds.ts
+++ b/packages/gateway/src/answerEnds.ts
@@ -15,7 +15,7 @@
 import { mayStopLate } from "./migrationCalls.js";
 import { requestFields } from "./requests.js";
 import { type ExitForecast, forecastExit } from "./serverExits.js";
-import { findListedRun, isOtherIncarnation, isSuperseded } from "./serverIncarnations.js";
+import { findListedRun, isOtherIncarnation, isSameByRecord } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
 import { type Attempt, type GatewayRequest, type GatewayState, serverEndsAt } from "./state.js";
 import { logDecision, type Transaction } from "./transaction.js";
@@ -33,7 +33,7 @@
     nextAt: Milliseconds | undefined;
     /** How often it has given no report since it last gave one. */
     unanswered: number;
-    /** From when on the record of a server without reports shows which incarnation has answered; undefined before it has. */
+    /** From when on the record of a server shows which incarnation has answered a health check; undefined before one has. */
     recordShowsFrom: Milliseconds | undefined;
 }
 
@@ -65,8 +65,6 @@
 const shortestRestart: Milliseconds = 100;
 /** A server's first record is stored this long after it answers at the latest. */
 const recordDelay: Milliseconds = 100;
-/** For how long an answer is kept until the record of its server has been read. */
-const longestRecordWait: Milliseconds = 2_000;
 /** A server may stop a run this much before its time limit is over here: limits are sent in whole milliseconds, and clocks differ. */
 const timeLimitMargin: Milliseconds = 20;
 
@@ -177,16 +175,14 @@
 /** Judges by its record whether the server that has answered a health check is the incarnation that had the run. */
 function judgeByRecord(transaction: Transaction, { server }: Attempt, endCheck: EndCheck): EndVerdict {
     const { state, now } = transaction;
-    if (isSuperseded(state, server)) {
-        return "cut";
-    }
-    const age = now - endCheck.endedAt;
-    endCheck.recordShowsFrom ??= age < shortestRestart ? -Infinity : now + recordDelay;
-    if ((state.followers.backendServers.freshAsOf ?? -Infinity) >= endCheck.recordShowsFrom) {
-        return "complete";
+    const hasAnsweredAtOnce = now - endCheck.endedAt < shortestRestart;
+    endCheck.recordShowsFrom ??= hasAnsweredAtOnce ? -Infinity : now + recordDelay;
+    const isSame = isSameByRecord(state, server, endCheck.recordShowsFrom);
+    if (isSame === undefined) {
+        readServersOften(transaction, now + checkInterval);
+        return "unknown";
     }
-    readServersOften(transaction, now + checkInterval);
-    return age < longestRecordWait ? "unknown" : "cut";
+    return isSame ? "complete" : "cut";
 }
 
 /** @param report undefined if the server did not answer */
--- a/packages/gateway/src/serverIncarnations.ts
+++ b/packages/gateway/src/serverIncarnations.ts
@@ -32,6 +32,23 @@
     return isOtherIncarnation(record.startedAt, servers.get(record.id)?.record.startedAt);
 }
 
+/**
+ * Whether a server is still in the form in which it was in the view, by its record.
+ *
+ * @param asOf how new the view has to be
+ * @returns undefined if the view is older
+ */
+export function isSameByRecord(
+    state: GatewayState,
+    server: BackendServer,
+    asOf: Milliseconds,
+): boolean | undefined {
+    if (isSuperseded(state, server)) {
+        return false;
+    }
+    return (state.followers.backendServers.freshAsOf ?? -Infinity) >= asOf ? true : undefined;
+}
+
 /**
  * Whether the run of an attempt was on an earlier incarnation of its server. It is `uncertain` if the request may have
  * been sent after the restart, before this gateway learned of it, to the same address; a report of the server then tells.
--- a/packages/gateway/test/wholeAnswerEnds.test.ts
+++ b/packages/gateway/test/wholeAnswerEnds.test.ts
@@ -126,6 +126,25 @@
     assert.ok(kindsIn(gateway.reportEnd(call.attemptId, healthAnswer)).includes("answerFailure"));
 });
 
+/** Answers checks while the records are not read, and returns the effects. */
+function answerChecksFor(gateway: TestGateway, { attemptId }: BackendCall, duration: number): GatewayEffect[] {
+    return Array.from({ length: duration / 200 }, () => [
+        ...gateway.advance(200),
+        ...gateway.reportEnd(attemptId, healthAnswer),
+    ]).flat();
+}
+
+// LOST: an outage of the log for two seconds cut streams that were whole, and failed whole answers.
+test("an answer of a plain server that answers late waits for its record for as long as its time limit allows", () => {
+    const { gateway, call } = answeredLate(10_000);
+    const kinds = kindsIn(answerChecksFor(gateway, call, 4_000));
+    assert.equal(kinds.filter(kind => /answerWhole|answerFailure/.test(kind)), []);
+    gateway.register();
+    gateway.advance(50);
+    gateway.register();
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, healthAnswer)).includes("answerWhole"));
+});
+
 // Each late answer had the records read often for a minute.
 test("the records are read often only while an answer waits for one", () => {
     const { gateway, call: { attemptId } } = answeredLate();
