Tests of unframed engines: one builder for their processes and supervisors

unframedEngines.ts starts the processes, keeps a listener for them as a supervisor does, and builds their records: three files had copies of it. The tests of exits are one loop, those of killed servers share what they do.

--- a/packages/bench/test/killedEnginesProcess.test.ts
+++ b/packages/bench/test/killedEnginesProcess.test.ts
@@ -4,19 +4,14 @@
  * it. An engine that exits ends its streams itself, or exits once they are complete.
  */
 import { waitUntil } from "@verbenaspring/bench";
-import { type ChildProcess, fork, spawn } from "node:child_process";
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { ChildProcess } from "node:child_process";
 import { setTimeout as pause } from "node:timers/promises";
-import { fileURLToPath } from "node:url";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { GatewayCluster, type GatewayResponse } from "./gatewayCluster.js";
+import { engineRecord, firstStart, forkEngine, spawnEngine, startSupervisor } from "./unframedEngines.js";
 
-const program = fileURLToPath(new URL("unframedEngine.ts", import.meta.url));
-const execArgv = ["--import", "tsx"];
 const length = 4_000;
-const firstStart = 1_000;
 /** The drain limit of the gateways' settings. */
 const drainLimit = 2_000;
 /** From the end of an engine's drain limit to its exit once its streams are complete. */
@@ -30,11 +25,6 @@
     return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
 }
 
-function record(port: number, born: number | undefined, state: "ready" | "draining"): object {
-    const sequence = state === "ready" ? 1 : 2;
-    return { service: "engine", address: `127.0.0.1:${port}`, zone: "near", slots: 64, state, born, sequence };
-}
-
 /** Registers an engine, and waits until the gateway knows it. */
 async function register(
     cluster: GatewayCluster,
@@ -42,7 +32,7 @@
     port: number,
     born: number | undefined,
 ): Promise<void> {
-    cluster.store.put("keyed.servers", id, record(port, born, "ready"));
+    cluster.store.put("keyed.servers", id, engineRecord(port, born, "ready"));
     await cluster.waitUntilKnown(cluster.gateways[0], id);
 }
 
@@ -51,10 +41,7 @@
     cluster: GatewayCluster,
     id: string,
 ): Promise<{ readonly engine: ChildProcess; readonly port: number; }> {
-    const words = [...execArgv, program, id, String(firstStart)];
-    const child = spawn(process.execPath, words, { stdio: ["ignore", "pipe", "inherit"] });
-    const [line] = await once(child.stdout, "data") as [Buffer];
-    const port = Number(String(line));
+    const { child, port } = await spawnEngine(id, firstStart);
     await register(cluster, id, port, firstStart);
     return { engine: child, port };
 }
@@ -107,38 +94,28 @@
 
 /** The arguments of an engine and of the one that replaces it; undefined if nothing does. */
 const supervisions = [
-    ["waits", ["x", String(firstStart)], undefined],
-    ["starts the engine again", ["x", String(firstStart)], ["x", String(firstStart + 1)]],
-    ["starts another engine, and neither states its start", ["x"], ["y"]],
+    ["waits", ["x", firstStart], undefined],
+    ["starts the engine again", ["x", firstStart], ["x", firstStart + 1]],
+    ["starts another engine, and neither states its start", ["x", undefined], ["y", undefined]],
 ] as const;
 
 for (const [name, first, second] of supervisions) {
     // A connection that the kernel accepts counted as proof that the engine had ended the stream itself.
     test(`callers get no part of an unframed stream as a complete one when a supervisor keeps the listener and ${name}`, async () => {
         const cluster = await GatewayCluster.start(1);
-        const children = [first, ...(second === undefined ? [] : [second])].map(words =>
-            fork(program, words, { execArgv })
-        );
-        let [engine]: (ChildProcess | undefined)[] = children;
-        const accepted = new Set<Socket>();
-        const supervisor = createServer({ pauseOnConnect: true }, socket => {
-            accepted.add(socket);
-            engine?.send("connection", socket);
-        });
+        const engines = [first, ...(second === undefined ? [] : [second])];
+        const children = await Promise.all(engines.map(([id, born]) => forkEngine(id, born)));
+        const supervisor = await startSupervisor(children[0]);
         try {
-            await Promise.all(children.map(child => once(child, "message")));
-            await new Promise<void>(resolve => supervisor.listen(0, "127.0.0.1", resolve));
-            const born = first[1] === undefined ? undefined : Number(first[1]);
-            await register(cluster, "x", (supervisor.address() as AddressInfo).port, born);
+            await register(cluster, "x", supervisor.port, first[1]);
             const responses = await killUnderStreams(cluster, 8, () => {
-                engine = children[1];
+                supervisor.passTo(children[1]);
                 children[0].kill("SIGKILL");
             });
             assert.is(responses.filter(({ isComplete }) => isComplete).length, 0, checksIn(cluster));
         }
         finally {
             children.forEach(child => child.kill("SIGKILL"));
-            accepted.forEach(socket => socket.destroy());
             supervisor.close();
             await cluster.stop();
         }
@@ -147,45 +124,37 @@
 
 /** Has an engine leave, and waits until the gateway knows it. */
 async function leave(cluster: GatewayCluster, port: number): Promise<void> {
-    cluster.store.put("keyed.servers", "x", record(port, firstStart, "draining"));
+    cluster.store.put("keyed.servers", "x", engineRecord(port, firstStart, "draining"));
     const line = "server=x change=leaving";
     await waitUntil("the engine leaves", () => cluster.gateways[0].output().includes(line));
 }
 
-// Its report lists no run, as after complete streams.
-test("callers get no part of an unframed stream as a complete one when its engine leaves and exits", async () => {
-    const cluster = await GatewayCluster.start(1);
-    const { engine, port } = await startEngine(cluster, "x");
-    try {
-        const responses = await killUnderStreams(cluster, 8, async () => {
-            await leave(cluster, port);
-            engine.kill("SIGTERM");
-        });
-        assert.is(responses.filter(({ isComplete }) => isComplete).length, 0, checksIn(cluster));
-    }
-    finally {
-        engine.kill("SIGKILL");
-        await cluster.stop();
-    }
-});
+/** How engines exit: how long after the gateway knows that they leave, and by which signal. */
+const exits = [
+    ["leaves and exits", 0, "SIGTERM"],
+    ["exits after its drain limit", drainLimit, "SIGTERM"],
+    ["exits after its drain limit and ends them one after the other", drainLimit, "SIGUSR2"],
+] as const;
 
-// ORDER: after its drain limit, the same report follows a complete stream and one that the exit has ended.
-test("callers get no part of an unframed stream as a complete one when its engine exits after its drain limit", async () => {
-    const cluster = await GatewayCluster.start(1);
-    const { engine, port } = await startEngine(cluster, "x");
-    try {
-        const responses = await killUnderStreams(cluster, 8, async () => {
-            await leave(cluster, port);
-            await pause(drainLimit);
-            engine.kill("SIGTERM");
-        });
-        assert.is(responses.filter(({ isComplete }) => isComplete).length, 0, checksIn(cluster));
-    }
-    finally {
-        engine.kill("SIGKILL");
-        await cluster.stop();
-    }
-});
+// ORDER: its report lists no run, as after complete streams, or those that it has not ended yet.
+for (const [name, delay, signal] of exits) {
+    test(`callers get no part of an unframed stream as a complete one when its engine ${name}`, async () => {
+        const cluster = await GatewayCluster.start(1);
+        const { engine, port } = await startEngine(cluster, "x");
+        try {
+            const responses = await killUnderStreams(cluster, 8, async () => {
+                await leave(cluster, port);
+                await pause(delay);
+                engine.kill(signal);
+            });
+            assert.is(responses.filter(({ isComplete }) => isComplete).length, 0, checksIn(cluster));
+        }
+        finally {
+            engine.kill("SIGKILL");
+            await cluster.stop();
+        }
+    });
+}
 
 // LOST: the engine was asked once more a second after the end, and its whole streams were cut.
 test("callers get unframed streams whole that end within the drain limit of an engine that exits a moment later", async () => {
--- a/packages/bench/test/killedServersProcess.test.ts
+++ b/packages/bench/test/killedServersProcess.test.ts
@@ -4,19 +4,14 @@
  * the listener.
  */
 import { waitUntil } from "@verbenaspring/bench";
-import { type ChildProcess, fork, spawn } from "node:child_process";
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { ChildProcess } from "node:child_process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { fileURLToPath } from "node:url";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { GatewayCluster, type GatewayResponse } from "./gatewayCluster.js";
+import { firstStart, forkEngine, spawnEngine, startSupervisor } from "./unframedEngines.js";
 
-const program = fileURLToPath(new URL("unframedEngine.ts", import.meta.url));
-const execArgv = ["--import", "tsx"];
 const pieces = 80;
-const firstStart = 1_000;
 const calls = 8;
 
 /** The routes, the service of each, and what they are. */
@@ -60,47 +55,48 @@
     }
 }
 
+/** Sends calls to servers behind a supervisor, ends the first server, and returns how many parts look complete. */
+async function countPartsAfterKill(
+    cluster: GatewayCluster,
+    children: ChildProcess[],
+    path: string,
+    put: (port: number) => void,
+    replace: (port: number) => Promise<ChildProcess | undefined>,
+): Promise<number> {
+    const supervisor = await startSupervisor(children[0]);
+    try {
+        put(supervisor.port);
+        await cluster.waitUntilKnown(cluster.gateways[0], "x");
+        const answers = sendCalls(cluster, path);
+        await waitUntil("the calls have begun", () => supervisor.connections() >= calls);
+        await sleep(200);
+        supervisor.passTo(undefined);
+        children[0].kill("SIGKILL");
+        supervisor.passTo(await replace(supervisor.port));
+        return countParts(await answers);
+    }
+    finally {
+        supervisor.close();
+    }
+}
+
 // MIXED: the next process answered the health check, and half of an answer was passed on as the whole.
 for (const route of ["confirm", "lookup"]) {
     test(`callers get no part of an unframed answer of ${route} as the whole when its server starts again under its id`, () =>
         withCluster(async (cluster, children) => {
-            const connections: Socket[] = [];
             const start = async (): Promise<ChildProcess> => {
-                const child = fork(program, ["x", String(firstStart)], { execArgv });
+                const child = await forkEngine("x", firstStart);
                 children.push(child);
-                await once(child, "message");
                 return child;
             };
-            let server: ChildProcess | undefined = await start();
-            const waiting: Socket[] = [];
-            const supervisor = createServer({ pauseOnConnect: true }, socket => {
-                connections.push(socket);
-                if (server === undefined) {
-                    waiting.push(socket);
-                }
-                else {
-                    server.send("connection", socket);
-                }
-            });
-            try {
-                await new Promise<void>(resolve => supervisor.listen(0, "127.0.0.1", resolve));
-                const { port } = supervisor.address() as AddressInfo;
-                putRecord(cluster, "plain", port, firstStart);
-                await cluster.waitUntilKnown(cluster.gateways[0], "x");
-                const answers = sendCalls(cluster, `/${route}/1`);
-                await waitUntil("the calls have begun", () => connections.length >= calls);
-                await sleep(200);
-                server = undefined;
-                children[0].kill("SIGKILL");
-                server = await start();
+            await start();
+            const put = (port: number): void => putRecord(cluster, "plain", port, firstStart);
+            const parts = await countPartsAfterKill(cluster, children, `/${route}/1`, put, async port => {
+                const next = await start();
                 putRecord(cluster, "plain", port, firstStart + 1);
-                waiting.forEach(socket => server?.send("connection", socket));
-                assert.is(countParts(await answers), 0);
-            }
-            finally {
-                connections.forEach(socket => socket.destroy());
-                supervisor.close();
-            }
+                return next;
+            });
+            assert.is(parts, 0);
         }));
 }
 
@@ -110,41 +106,20 @@
         // A connection that the kernel accepts counted as proof that the server had ended its answer itself.
         test(`callers get no part of an unframed ${kind} answer as the whole when a supervisor keeps the listener and ${supervision}`, () =>
             withCluster(async (cluster, children) => {
-                const start = (born: number, id: string): ChildProcess =>
-                    fork(program, [id, String(born)], { execArgv });
-                children.push(start(firstStart, "x"), start(firstStart + 1, "y"));
-                let [server]: (ChildProcess | undefined)[] = children;
-                const accepted = new Set<Socket>();
-                const supervisor = createServer({ pauseOnConnect: true }, socket => {
-                    accepted.add(socket);
-                    server?.send("connection", socket);
-                });
-                try {
-                    await Promise.all(children.map(child => once(child, "message")));
-                    await new Promise<void>(resolve => supervisor.listen(0, "127.0.0.1", resolve));
-                    await register(cluster, service, (supervisor.address() as AddressInfo).port);
-                    const answers = sendCalls(cluster, `/${route}/1`);
-                    await waitUntil("the calls have begun", () => accepted.size >= calls);
-                    await sleep(200);
-                    server = isReplaced ? children[1] : undefined;
-                    children[0].kill("SIGKILL");
-                    assert.is(countParts(await answers), 0);
-                }
-                finally {
-                    accepted.forEach(socket => socket.destroy());
-                    supervisor.close();
-                }
+                children.push(await forkEngine("x", firstStart), await forkEngine("y", firstStart + 1));
+                const born = service === "plain" ? undefined : firstStart;
+                const put = (port: number): void => putRecord(cluster, service, port, born);
+                const next = isReplaced ? children[1] : undefined;
+                const parts = await countPartsAfterKill(cluster, children, `/${route}/1`, put, async () => next);
+                assert.is(parts, 0);
             }));
     }
 
     test(`callers get an unframed ${kind} answer whole when its server ends it, and no part when it is killed`, () =>
         withCluster(async (cluster, children) => {
-            const child = spawn(process.execPath, [...execArgv, program, "x", String(firstStart)], {
-                stdio: ["ignore", "pipe", "inherit"],
-            });
+            const { child, port } = await spawnEngine("x", firstStart);
             children.push(child);
-            const [port] = await once(child.stdout, "data") as [Buffer];
-            await register(cluster, service, Number(String(port)));
+            await register(cluster, service, port);
             const responses = await sendCalls(cluster, `/${route}/1`);
             assert.equal(
                 responses.map(({ status, body }) => [status, body.length]),
--- a/packages/bench/test/leavingEnginesProcess.test.ts
+++ b/packages/bench/test/leavingEnginesProcess.test.ts
@@ -4,16 +4,13 @@
  * for 300 ms more.
  */
 import { seededSource } from "@verbenaspring/coordination";
-import { type ChildProcess, spawn } from "node:child_process";
-import { once } from "node:events";
+import type { ChildProcess } from "node:child_process";
 import { setTimeout as pause } from "node:timers/promises";
-import { fileURLToPath } from "node:url";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { GatewayCluster } from "./gatewayCluster.js";
+import { engineRecord, firstStart, spawnEngine } from "./unframedEngines.js";
 
-const program = fileURLToPath(new URL("unframedEngine.ts", import.meta.url));
-const startedAt = 1_000;
 const gateways = 3;
 const callers = 24;
 const duration = 15_000;
@@ -41,25 +38,13 @@
     partAndCut: number;
 }
 
-function recordOf({ port }: Engine, state: "ready" | "draining"): object {
-    const sequence = state === "ready" ? 1 : 2;
-    return {
-        service: "engine",
-        address: `127.0.0.1:${port}`,
-        zone: "near",
-        slots: 64,
-        state,
-        born: startedAt,
-        sequence,
-    };
+function register(cluster: GatewayCluster, { id, port }: Engine, state: "ready" | "draining"): void {
+    cluster.store.put("keyed.servers", id, engineRecord(port, firstStart, state));
 }
 
 async function startEngine(cluster: GatewayCluster, id: string): Promise<Engine> {
-    const words = ["--import", "tsx", program, id, String(startedAt)];
-    const child = spawn(process.execPath, words, { stdio: ["ignore", "pipe", "inherit"] });
-    const [line] = await once(child.stdout, "data") as [Buffer];
-    const engine = { id, port: Number(String(line)), child };
-    cluster.store.put("keyed.servers", id, recordOf(engine, "ready"));
+    const engine = { id, ...await spawnEngine(id, firstStart) };
+    register(cluster, engine, "ready");
     await Promise.all(cluster.gateways.map(gateway => cluster.waitUntilKnown(gateway, id)));
     return engine;
 }
@@ -77,7 +62,7 @@
         return engine;
     };
     const exit = async (engine: Engine): Promise<void> => {
-        cluster.store.put("keyed.servers", engine.id, recordOf(engine, "draining"));
+        register(cluster, engine, "draining");
         await pause(drainLimit + between(earliestExit, latestExit));
         engine.child.kill(signal);
         await pause(2 * earliestExit);
--- a/packages/bench/test/unframedEngine.ts
+++ b/packages/bench/test/unframedEngine.ts
@@ -3,7 +3,7 @@
  * connections that its parent sends it or, where it has none to get them from, those to a port that it prints. It answers
  * `GET /report` and health checks, and refuses what names another instance. A stream has as many events as the request's field
  * `stream-length` states, and goes on after its last event; a request with the field `body-length` gets a whole answer of as
- * many pieces. On SIGTERM it ends all answers, and exits a moment later.
+ * many pieces. On SIGTERM it ends all answers, on SIGUSR2 one after the other, and exits a moment later.
  *
  * Its arguments are its id and, if it is to state that, when it started.
  */
@@ -11,10 +11,14 @@
 
 const eventInterval = 10;
 const exitDelay = 300;
+/** Between the ends of two answers that are ended one after the other. */
+const endInterval = 20;
 const [, , id, start] = process.argv;
 const born = start === undefined ? undefined : Number(start);
 /** The events made so far, by the caller's attempt. */
 const runs = new Map<string, number>();
+/** What ends each answer. */
+const endings: (() => void)[] = [];
 
 function serve(socket: Socket): void {
     let head = "";
@@ -69,14 +73,32 @@
         runs.delete(attempt);
     };
     socket.on("close", stop);
-    process.once("SIGTERM", () => {
+    endings.push(() => {
         stop();
         socket.end();
     });
 }
 
-process.setMaxListeners(0);
-process.on("SIGTERM", () => setTimeout(() => process.exit(), exitDelay));
+function exitLater(): void {
+    setTimeout(() => process.exit(), exitDelay);
+}
+
+function endNext(): void {
+    const end = endings.shift();
+    if (end === undefined) {
+        exitLater();
+    }
+    else {
+        end();
+        setTimeout(endNext, endInterval);
+    }
+}
+
+process.on("SIGTERM", () => {
+    endings.splice(0).forEach(end => end());
+    exitLater();
+});
+process.on("SIGUSR2", endNext);
 
 if (process.send === undefined) {
     const server = createServer(serve);
