serverExits: a server that works on another run has not ended a stream by its exit

Callers saw: whole unframed streams cut that ended after the drain limit of their server, when it exited within a second (LOST).

Cause: since other runs in a report prove nothing, only a second answer did, a second later.

Change: a server that has listed other runs after the end is asked again 300 ms later, and then each 200 ms. One that has made an event for one of them since has not ended all of its runs, as its exit would.

--- a/packages/gateway/src/answerEnds.ts
+++ b/packages/gateway/src/answerEnds.ts
@@ -14,7 +14,7 @@
 import type { BackendAnswer, ResponseHead } from "./messages.js";
 import { mayStopLate } from "./migrationCalls.js";
 import { requestFields } from "./requests.js";
-import { type ExitForecast, forecastExit } from "./serverExits.js";
+import { type ExitForecast, forecastExit, nextLook, type OtherRuns, worksOn } from "./serverExits.js";
 import { findListedRun, isOtherIncarnation, isSameByRecord } from "./serverIncarnations.js";
 import { engineOf } from "./serverLoad.js";
 import { type Attempt, type GatewayRequest, type GatewayState, serverEndsAt } from "./state.js";
@@ -33,6 +33,8 @@
     nextAt: Milliseconds | undefined;
     /** How often it has given no report since it last gave one. */
     unanswered: number;
+    /** The first report without the run that it can't be older than: what it lists goes on after the end of the run. */
+    otherRuns: OtherRuns | undefined;
     /** From when on the record of a server shows which incarnation has answered a health check; undefined before one has. */
     recordShowsFrom: Milliseconds | undefined;
 }
@@ -91,6 +93,7 @@
         askedAt: now,
         nextAt: undefined,
         unanswered: 0,
+        otherRuns: undefined,
         recordShowsFrom: undefined,
     };
     askForReport(transaction, attempt, attempt.endCheck);
@@ -123,7 +126,10 @@
     const report = answer !== undefined && isByIncarnation(attempt, answer) ? answer : undefined;
     endCheck.unanswered = report === undefined ? endCheck.unanswered + 1 : 0;
     const exit = forecastExit(transaction, attempt.server, endCheck.endedAt, report?.isLeaving === true);
-    const ending = judgeEnd(request, attempt, endCheck, report, exit);
+    const others = otherRunsIn(request, attempt, endCheck, report);
+    const excludedFrom = exitExcludedFrom(endCheck, exit, others);
+    endCheck.otherRuns ??= others;
+    const ending = judgeEnd(request, attempt, endCheck, report, excludedFrom);
     const needsRecord = ending === "complete" && statesStartInRecordOnly(attempt);
     const verdict = needsRecord ? judgeByRecord(transaction, attempt, endCheck) : ending;
     logDecision(transaction, "info", "answer_end_checked", {
@@ -149,11 +155,40 @@
     }
     else {
         const isListed = findListedRun(report, request.head) !== undefined;
-        endCheck.nextAt = isListed || needsRecord ? now + checkInterval : exit.excludedFrom;
+        endCheck.nextAt = isListed || needsRecord ? now + checkInterval : nextQuestionAt(endCheck, excludedFrom, now);
     }
     return verdict;
 }
 
+/**
+ * The other runs in a report that no longer lists the run of an attempt; undefined of a report that may be from before the run, or
+ * that lists it.
+ */
+function otherRunsIn(
+    { head }: GatewayRequest,
+    { firstEventAt = Infinity }: Attempt,
+    { askedAt }: EndCheck,
+    report: ServerReport | undefined,
+): OtherRuns | undefined {
+    const isOfRun = askedAt - firstEventAt > longestReportAge;
+    return report?.runs === undefined || !isOfRun || findListedRun(report, head) !== undefined
+        ? undefined
+        : { askedAt, runs: report.runs };
+}
+
+/** From when on an answer of the server excludes its exit, by its drain limit or by the runs that it works on. */
+function exitExcludedFrom(endCheck: EndCheck, exit: ExitForecast, others: OtherRuns | undefined): Milliseconds {
+    const { endedAt, otherRuns } = endCheck;
+    return otherRuns !== undefined && others !== undefined && worksOn(otherRuns, others) ? endedAt : exit.excludedFrom;
+}
+
+/** When a server is to be asked again that has ended a run, and may have ended it by its exit. */
+function nextQuestionAt({ otherRuns }: EndCheck, excludedFrom: Milliseconds, now: Milliseconds): Milliseconds {
+    return otherRuns === undefined
+        ? excludedFrom
+        : Math.min(excludedFrom, Math.max(nextLook(otherRuns), now + checkInterval));
+}
+
 function listedFields({ head }: GatewayRequest, report: ServerReport | undefined): DecisionFields {
     return { listedEvents: findListedRun(report, head)?.events, listedRuns: report?.runs?.length };
 }
@@ -185,13 +220,16 @@
     return isSame ? "complete" : "cut";
 }
 
-/** @param report undefined if the server did not answer */
+/**
+ * @param report undefined if the server did not answer
+ * @param excludedFrom from when on an answer of the server excludes that its exit has ended a stream
+ */
 function judgeEnd(
     request: GatewayRequest,
     attempt: Attempt,
     { endedAt, answer, askedAt, unanswered }: EndCheck,
     report: ServerReport | undefined,
-    { excludedFrom }: ExitForecast,
+    excludedFrom: Milliseconds,
 ): EndVerdict {
     const { head, eventCount } = request;
     if (report === undefined) {
@@ -207,8 +245,7 @@
             return "cut";
         }
         // A whole answer is not kept back for as long.
-        const isAskedAgain = answer === undefined && askedAt < excludedFrom;
-        return isAskedAgain ? "unknown" : "complete";
+        return answer === undefined && askedAt < excludedFrom ? "unknown" : "complete";
     }
     const hasMoreEvents = answer === undefined && run.events > eventCount;
     const goesOn = hasMoreEvents || askedAt - endedAt >= longestReportAge;
--- a/packages/gateway/test/answerEnds.test.ts
+++ b/packages/gateway/test/answerEnds.test.ts
@@ -197,12 +197,47 @@
         }
     }));
 
-// ORDER: a server that exits may end its runs one after the other.
-test("another run in the report of a server that leaves does not show that it has completed an unframed stream", () => {
+/** A report that lists another run, which has made so many events. */
+function reportWithOther(call: BackendCall, events: number): ServerReport {
+    return report(call, { runs: [{ callerAttemptId: identifier<never>("other"), events }] });
+}
+
+// LOST: a server that exits within a second does not answer again, and whole streams were cut while it worked on others.
+test("an unframed stream that ends after the drain limit of its server is complete if the server works on another run", () => {
     const { gateway, call } = streamEndedAfterLeaving("draining", 2_050);
-    const runs = [{ callerAttemptId: identifier<never>("other"), events: 5 }];
-    const effects = gateway.reportEnd(call.attemptId, report(call, { runs }));
-    assert.not.ok(kindsIn(effects).includes("answerEnd"));
+    assert.not.ok(kindsIn(gateway.reportEnd(call.attemptId, reportWithOther(call, 5))).includes("answerEnd"));
+    assert.is(checksIn(gateway.advance(250)), 0);
+    assert.is(checksIn(gateway.advance(50)), 1);
+    assert.not.ok(
+        kindsIn(gateway.reportEnd(call.attemptId, reportWithOther(call, 5))).includes("answerEnd"),
+        "no event",
+    );
+    assert.is(checksIn(gateway.advance(200)), 1);
+    assert.ok(kindsIn(gateway.reportEnd(call.attemptId, reportWithOther(call, 6))).includes("answerEnd"));
+});
+
+// ORDER: a server that exits may end its runs one after the other.
+test("other runs that a server still lists, or works on for a moment, do not show that it has completed an unframed stream", () => {
+    for (const runs of [[5], [5, 6]]) {
+        const { gateway, call } = streamEndedAfterLeaving("draining", 2_050);
+        for (const events of runs) {
+            const effects = gateway.reportEnd(call.attemptId, reportWithOther(call, events));
+            assert.not.ok(kindsIn(effects).includes("answerEnd"));
+            gateway.advance(50);
+        }
+        gateway.advance(1_000);
+        assert.ok(kindsIn(answerChecks(gateway, call, undefined)).includes("answerCut"));
+    }
+});
+
+// ORDER: the first report may be from before the run.
+test("another run says nothing of an unframed stream that began less than a second before its end", () => {
+    const { gateway, call } = endedStream();
+    leave(gateway, "removed");
+    for (const events of [5, 6]) {
+        assert.not.ok(kindsIn(gateway.reportEnd(call.attemptId, reportWithOther(call, events))).includes("answerEnd"));
+        gateway.advance(400);
+    }
 });
 
 /** Whether the records of the servers are read within 50 ms of the last read. */
