--- a/packages/bench/test/frozenPlainServersProcess.test.ts
+++ b/packages/bench/test/frozenPlainServersProcess.test.ts
@@ -2,22 +2,18 @@
  * A plain server that is frozen while it writes a stream: the kernel goes on to accept connections for it.
  */
 import { waitUntil } from "@verbenaspring/bench";
-import { type ChildProcess, spawn } from "node:child_process";
-import { once } from "node:events";
-import { fileURLToPath } from "node:url";
+import type { ChildProcess } from "node:child_process";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { GatewayCluster } from "./gatewayCluster.js";
+import { firstStart, spawnEngine } from "./unframedEngines.js";
 
-const program = fileURLToPath(new URL("unframedEngine.ts", import.meta.url));
 const events = 200;
 
 /** Starts a server with a listener of its own, and waits until the gateway knows it. */
 async function startServer(cluster: GatewayCluster, id: string, service: string): Promise<ChildProcess> {
-    const words = ["--import", "tsx", program, id, "1000"];
-    const child = spawn(process.execPath, words, { stdio: ["ignore", "pipe", "inherit"] });
-    const [port] = await once(child.stdout, "data") as [Buffer];
-    const address = `127.0.0.1:${Number(String(port))}`;
+    const { child, port } = await spawnEngine(id, firstStart);
+    const address = `127.0.0.1:${port}`;
     cluster.store.put("keyed.servers", id, { service, address, zone: "near", slots: 64, state: "ready" });
     await cluster.waitUntilKnown(cluster.gateways[0], id);
     return child;
--- a/packages/gateway/test/eventIds.test.ts
+++ b/packages/gateway/test/eventIds.test.ts
@@ -7,6 +7,7 @@
 const id = identifier<EventId>;
 const nanoseconds = 1_765_121_000_000_000_000n;
 
+// ORDER: ids that became the same number were one event, and those of more than 15 digits were none.
 test("ids are ordered by their value, beyond the numbers that are exact and with zeros in front", () => {
     assert.is(stepBetween(id(String(nanoseconds)), id(String(nanoseconds + 1n))), 1n);
     assert.is(stepBetween(id("0010"), id("9")), -1n);
@@ -21,6 +22,7 @@
     assert.equal([undefined, id("0"), id("00"), id("1"), id("a")].map(isStart), [true, true, true, false, false]);
 });
 
+// Times as ids stood for more events than any stream has.
 test("only an id that a stream can reach counts its events", () => {
     assert.is(countedEvents(id("12"), 80), 12);
     assert.is(countedEvents(id("12"), undefined), 12);
@@ -33,6 +35,7 @@
     assert.is(countedEvents(id(String(nanoseconds)), undefined), 0);
 });
 
+// ORDER: such an id counted as none, and the stream began anew.
 test("events after an id that has no order are passed on", () => {
     const gateway = TestGateway.serving(server("engine-1"));
     const call = gateway.sendRequest("r", "note", { lastEvent: id("a") });
